--- /dev/null
+++ b/modules/wire/json/worker_json.hpp
@@ -0,0 +1,30 @@
+#ifndef TURMERICSWITCH_WIRE_JSON_WORKER_JSON_HPP
+#define TURMERICSWITCH_WIRE_JSON_WORKER_JSON_HPP
+
+#include "core/messages/jobs.hpp"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace turmericswitch::wire
+{
+
+/// JSON form of the worker protocol, `POST /v1/workers/heartbeat`.
+///
+/// Durations are numbers of milliseconds in members ending in `_ms`,
+/// processor time is in millicores, memory in bytes.
+/// @return The JSON text.
+std::string heartbeat_request_to_json(core::heartbeat_request const& request);
+std::string heartbeat_answer_to_json(core::heartbeat_answer const& answer);
+
+/// @return The message, or nothing with `request_malformed` and the member
+/// that is missing or wrong as last reason.
+std::optional<core::heartbeat_request>
+heartbeat_request_from_json(std::string_view text);
+std::optional<core::heartbeat_answer>
+heartbeat_answer_from_json(std::string_view text);
+
+} // namespace turmericswitch::wire
+
+#endif
