Add the transport module

RPC over nghttp2 streams on non-blocking Asio sockets. A call ends as answered, not_sent or lost; GOAWAY lets open streams finish.

--- /dev/null
+++ b/modules/transport/rpc/responder.hpp
@@ -0,0 +1,52 @@
+#ifndef TURMERICSWITCH_TRANSPORT_RPC_RESPONDER_HPP
+#define TURMERICSWITCH_TRANSPORT_RPC_RESPONDER_HPP
+
+#include "core/results/result_code.hpp"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace turmericswitch::transport
+{
+
+/// What a handler gives back: a body, or a refusal.
+struct rpc_answer
+{
+    core::result_code code = core::result_code::ok;
+    /// The body if code is ok, else the text of the refusal.
+    std::string body;
+};
+
+/// Answers one call, from any thread and at any time, exactly once.
+///
+/// Copies share the one answer. When the last copy is destroyed without an
+/// answer the stream is reset and the caller sees the call as lost.
+class responder
+{
+public:
+    /// Receives the answer, or nothing when the responder was dropped.
+    using sink = std::function<void(std::optional<rpc_answer>)>;
+
+    explicit responder(sink to);
+
+    /// Sends the answer.
+    void answer(std::string body) const;
+
+    /// States that the call was not processed. The caller gets `not_sent`
+    /// with this code, so never use it after work has begun.
+    ///
+    /// @param code Not ok.
+    void refuse(core::result_code code, std::string text) const;
+
+private:
+    struct state;
+    void finish(rpc_answer value) const;
+
+    std::shared_ptr<state> m_state;
+};
+
+} // namespace turmericswitch::transport
+
+#endif
--- /dev/null
+++ b/modules/transport/rpc/rpc_limits.hpp
@@ -0,0 +1,48 @@
+#ifndef TURMERICSWITCH_TRANSPORT_RPC_RPC_LIMITS_HPP
+#define TURMERICSWITCH_TRANSPORT_RPC_RPC_LIMITS_HPP
+
+#include "core/types/units.hpp"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace turmericswitch::transport
+{
+
+/// Largest body of a call or an answer, in bytes.
+constexpr std::size_t max_body_bytes = std::size_t{32} << 20;
+/// Largest path of a call, in bytes.
+constexpr std::size_t max_path_bytes = 1024;
+/// Largest sum of header names and values per stream, in bytes.
+constexpr std::size_t max_header_bytes = 8192;
+/// Streams that one peer may have open at a time; more wait at the caller.
+constexpr std::uint32_t max_open_streams = 1024;
+/// Unread bytes a peer may send per stream. Above the product of bandwidth
+/// and round trip between regions (30 Mbit/s x 24 ms is 90 kB).
+constexpr std::int32_t stream_window_bytes = 1 << 20;
+/// Unread bytes a peer may send per connection.
+constexpr std::int32_t connection_window_bytes = 16 << 20;
+/// Largest frame accepted, in bytes; small enough not to delay other streams.
+constexpr std::uint32_t max_frame_bytes = 16384;
+/// Bytes collected into one socket write.
+constexpr std::size_t write_batch_bytes = std::size_t{128} << 10;
+
+/// Options that both ends of a connection share.
+struct connection_options
+{
+    /// Sent and expected in the x-protocol-version header.
+    std::uint32_t protocol_version = 1;
+    /// A larger body is refused with message_too_large.
+    std::size_t body_limit = max_body_bytes;
+    std::uint32_t stream_limit = max_open_streams;
+    /// A connection silent for this long is probed with a PING.
+    core::duration keepalive_interval = std::chrono::seconds(2);
+    /// Probes without an answer after which the peer counts as dead.
+    unsigned keepalive_probes = 2;
+    /// How long a finished connection waits for the peer to close.
+    core::duration linger = std::chrono::seconds(1);
+};
+
+} // namespace turmericswitch::transport
+
+#endif
--- /dev/null
+++ b/modules/transport/session/http2_connection.cpp
@@ -0,0 +1,389 @@
+#include "transport/session/http2_connection.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+#include <cstring>
+
+namespace turmericswitch::transport
+{
+
+namespace
+{
+
+http2_connection& self_of(void* user)
+{
+    return *static_cast<http2_connection*>(user);
+}
+
+std::string_view view(std::uint8_t const* data, std::size_t size)
+{
+    return {reinterpret_cast<char const*>(data), size};
+}
+
+} // namespace
+
+/// Adapts nghttp2's C callbacks to the virtual functions.
+struct session_callbacks
+{
+    static int header(nghttp2_session*,
+                      nghttp2_frame const* frame,
+                      std::uint8_t const* name,
+                      std::size_t name_size,
+                      std::uint8_t const* value,
+                      std::size_t value_size,
+                      std::uint8_t,
+                      void* user)
+    {
+        self_of(user).on_header(frame->hd.stream_id,
+                                view(name, name_size),
+                                view(value, value_size));
+        return 0;
+    }
+
+    static int data(nghttp2_session*,
+                    std::uint8_t,
+                    std::int32_t stream,
+                    std::uint8_t const* bytes,
+                    std::size_t size,
+                    void* user)
+    {
+        self_of(user).on_data(stream, view(bytes, size));
+        return 0;
+    }
+
+    static int
+    frame_received(nghttp2_session*, nghttp2_frame const* frame, void* user)
+    {
+        auto const type = frame->hd.type;
+        if (type == NGHTTP2_GOAWAY)
+        {
+            self_of(user).on_goaway();
+        }
+        else if ((type == NGHTTP2_DATA || type == NGHTTP2_HEADERS) &&
+                 (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0)
+        {
+            self_of(user).on_end(frame->hd.stream_id);
+        }
+        return 0;
+    }
+
+    static int
+    frame_sent(nghttp2_session*, nghttp2_frame const* frame, void* user)
+    {
+        auto const type = frame->hd.type;
+        if (type == NGHTTP2_HEADERS)
+        {
+            self_of(user).on_headers_sent(frame->hd.stream_id);
+        }
+        if ((type == NGHTTP2_DATA || type == NGHTTP2_HEADERS) &&
+            (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0)
+        {
+            self_of(user).on_end_sent(frame->hd.stream_id);
+        }
+        return 0;
+    }
+
+    static int stream_closed(nghttp2_session*,
+                             std::int32_t stream,
+                             std::uint32_t error,
+                             void* user)
+    {
+        self_of(user).on_stream_closed(stream, error);
+        return 0;
+    }
+
+    static ssize_t read_body(nghttp2_session*,
+                             std::int32_t stream,
+                             std::uint8_t* to,
+                             std::size_t room,
+                             std::uint32_t* flags,
+                             nghttp2_data_source*,
+                             void* user)
+    {
+        auto& self = self_of(user);
+        std::string const* const body = self.outgoing_body(stream);
+        if (body == nullptr)
+        {
+            return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
+        }
+        std::size_t& offset = self.outgoing_offset(stream);
+        std::size_t const size = std::min(room, body->size() - offset);
+        std::memcpy(to, body->data() + offset, size);
+        offset += size;
+        if (offset == body->size())
+        {
+            *flags |= NGHTTP2_DATA_FLAG_EOF;
+        }
+        return static_cast<ssize_t>(size);
+    }
+};
+
+http2_connection::http2_connection(boost::asio::ip::tcp::socket socket,
+                                   connection_options const& options,
+                                   std::shared_ptr<traffic_counters> counters)
+    : m_socket(std::move(socket)),
+      m_options(options),
+      m_counters(std::move(counters)),
+      m_keepalive(m_socket.get_executor()),
+      m_linger(m_socket.get_executor())
+{
+}
+
+http2_connection::~http2_connection()
+{
+    nghttp2_session_del(m_session);
+}
+
+void http2_connection::open_session(role which)
+{
+    nghttp2_session_callbacks* callbacks = nullptr;
+    nghttp2_session_callbacks_new(&callbacks);
+    nghttp2_session_callbacks_set_on_header_callback(callbacks,
+                                                     session_callbacks::header);
+    nghttp2_session_callbacks_set_on_data_chunk_recv_callback(
+        callbacks, session_callbacks::data);
+    nghttp2_session_callbacks_set_on_frame_recv_callback(
+        callbacks, session_callbacks::frame_received);
+    nghttp2_session_callbacks_set_on_frame_send_callback(
+        callbacks, session_callbacks::frame_sent);
+    nghttp2_session_callbacks_set_on_stream_close_callback(
+        callbacks, session_callbacks::stream_closed);
+    if (which == role::client)
+    {
+        nghttp2_session_client_new(&m_session, callbacks, this);
+    }
+    else
+    {
+        nghttp2_session_server_new(&m_session, callbacks, this);
+    }
+    nghttp2_session_callbacks_del(callbacks);
+}
+
+void http2_connection::start()
+{
+    std::array<nghttp2_settings_entry, 4> const settings{{
+        {NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, m_options.stream_limit},
+        {NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE,
+         static_cast<std::uint32_t>(stream_window_bytes)},
+        {NGHTTP2_SETTINGS_MAX_FRAME_SIZE, max_frame_bytes},
+        {NGHTTP2_SETTINGS_MAX_HEADER_LIST_SIZE,
+         static_cast<std::uint32_t>(max_header_bytes)},
+    }};
+    nghttp2_submit_settings(
+        m_session, NGHTTP2_FLAG_NONE, settings.data(), settings.size());
+    nghttp2_session_set_local_window_size(
+        m_session, NGHTTP2_FLAG_NONE, 0, connection_window_bytes);
+    boost::system::error_code ignored;
+    m_socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    arm_keepalive();
+    read_some();
+    flush();
+}
+
+void http2_connection::close()
+{
+    if (m_closed)
+    {
+        return;
+    }
+    m_closed = true;
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+    m_keepalive.cancel();
+    m_linger.cancel();
+    on_disconnected();
+}
+
+void http2_connection::read_some()
+{
+    m_socket.async_read_some(
+        boost::asio::buffer(m_input),
+        [self = shared_from_this()](boost::system::error_code error,
+                                    std::size_t size)
+        {
+            if (error)
+            {
+                self->close();
+                return;
+            }
+            self->received(size);
+        });
+}
+
+void http2_connection::received(std::size_t size)
+{
+    if (m_closed)
+    {
+        return;
+    }
+    m_counters->received += size;
+    m_heard = true;
+    if (!m_finishing)
+    {
+        m_in_session = true;
+        auto const used = nghttp2_session_mem_recv(
+            m_session,
+            reinterpret_cast<std::uint8_t const*>(m_input.data()),
+            size);
+        m_in_session = false;
+        if (used < 0)
+        {
+            close();
+            return;
+        }
+        flush();
+    }
+    if (!m_closed)
+    {
+        read_some();
+    }
+}
+
+bool http2_connection::collect_output()
+{
+    m_output.clear();
+    while (m_output.size() < write_batch_bytes)
+    {
+        std::uint8_t const* data = nullptr;
+        auto const size = nghttp2_session_mem_send(m_session, &data);
+        if (size < 0)
+        {
+            return false;
+        }
+        if (size == 0)
+        {
+            break;
+        }
+        m_output.append(view(data, static_cast<std::size_t>(size)));
+    }
+    return true;
+}
+
+void http2_connection::flush()
+{
+    // nghttp2 forbids sending from inside its callbacks; received() and
+    // written() flush after them.
+    if (m_writing || m_closed || m_in_session || m_finishing)
+    {
+        return;
+    }
+    m_in_session = true;
+    bool const healthy = collect_output();
+    m_in_session = false;
+    if (!healthy)
+    {
+        close();
+        return;
+    }
+    if (m_output.empty())
+    {
+        finish_if_idle();
+        return;
+    }
+    m_writing = true;
+    boost::asio::async_write(
+        m_socket,
+        boost::asio::buffer(m_output),
+        [self = shared_from_this()](boost::system::error_code error,
+                                    std::size_t size)
+        {
+            self->m_writing = false;
+            self->m_counters->sent += size;
+            if (error)
+            {
+                self->close();
+                return;
+            }
+            self->flush();
+        });
+}
+
+void http2_connection::finish_if_idle()
+{
+    if (nghttp2_session_want_read(m_session) != 0 ||
+        nghttp2_session_want_write(m_session) != 0)
+    {
+        return;
+    }
+    // Closing with unread input would make the kernel send RST, which can
+    // destroy answers that the peer has not read yet. So end the sending side
+    // and read until the peer closes.
+    m_finishing = true;
+    boost::system::error_code ignored;
+    m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    m_linger.expires_after(m_options.linger);
+    m_linger.async_wait(
+        [self = shared_from_this()](boost::system::error_code error)
+        {
+            if (!error)
+            {
+                self->close();
+            }
+        });
+}
+
+void http2_connection::arm_keepalive()
+{
+    m_keepalive.expires_after(m_options.keepalive_interval);
+    m_keepalive.async_wait(
+        [weak = weak_from_this()](boost::system::error_code error)
+        {
+            if (auto const self = weak.lock(); self && !error)
+            {
+                self->keepalive_tick();
+            }
+        });
+}
+
+void http2_connection::keepalive_tick()
+{
+    if (m_closed)
+    {
+        return;
+    }
+    if (m_heard)
+    {
+        m_unanswered_probes = 0;
+    }
+    else if (m_unanswered_probes >= m_options.keepalive_probes)
+    {
+        close();
+        return;
+    }
+    else
+    {
+        ++m_unanswered_probes;
+        nghttp2_submit_ping(m_session, NGHTTP2_FLAG_NONE, nullptr);
+        flush();
+    }
+    m_heard = false;
+    arm_keepalive();
+}
+
+nghttp2_data_provider http2_connection::body_provider()
+{
+    nghttp2_data_provider provider{};
+    provider.read_callback = session_callbacks::read_body;
+    return provider;
+}
+
+std::vector<nghttp2_nv> http2_connection::to_nghttp2(header_list const& headers)
+{
+    std::vector<nghttp2_nv> list;
+    list.reserve(headers.size());
+    for (auto const& [name, value] : headers)
+    {
+        // nghttp2 copies both and never writes through the pointers.
+        list.push_back(
+            {reinterpret_cast<std::uint8_t*>(const_cast<char*>(name.data())),
+             reinterpret_cast<std::uint8_t*>(const_cast<char*>(value.data())),
+             name.size(),
+             value.size(),
+             NGHTTP2_NV_FLAG_NONE});
+    }
+    return list;
+}
+
+} // namespace turmericswitch::transport
--- /dev/null
+++ b/modules/transport/tests/rpc_failure_test.cpp
@@ -0,0 +1,241 @@
+#include "core/results/last_reason.hpp"
+#include "transport/tests/rpc_fixture.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <array>
+#include <optional>
+
+namespace turmericswitch::transport
+{
+
+using core::result_code;
+
+class rpc_failure_test : public rpc_fixture
+{
+    CPPUNIT_TEST_SUITE(rpc_failure_test);
+    CPPUNIT_TEST(refused_connect_is_not_sent);
+    CPPUNIT_TEST(peer_killed_in_a_call_is_lost);
+    CPPUNIT_TEST(dropped_responder_is_lost);
+    CPPUNIT_TEST(refusal_by_the_handler_is_not_sent);
+    CPPUNIT_TEST(timeout_of_a_written_call_is_lost);
+    CPPUNIT_TEST(timeout_of_a_waiting_call_is_not_sent);
+    CPPUNIT_TEST(silent_peer_is_detected);
+    CPPUNIT_TEST(garbage_harms_no_other_connection);
+    CPPUNIT_TEST(too_large_body_harms_no_other_stream);
+    CPPUNIT_TEST(too_large_answer_is_lost);
+    CPPUNIT_TEST(other_version_is_refused_and_logged);
+    CPPUNIT_TEST(taken_port_is_reported);
+    CPPUNIT_TEST(destroyed_client_ends_its_calls);
+    CPPUNIT_TEST_SUITE_END();
+
+    static void
+    expect(call_result const& result, call_outcome outcome, result_code code)
+    {
+        CPPUNIT_ASSERT(result.outcome == outcome);
+        CPPUNIT_ASSERT_EQUAL(std::string(core::to_string(code)),
+                             std::string(core::to_string(result.code)));
+    }
+
+    // Never answers; keeps the responders alive.
+    rpc_handler hold()
+    {
+        return [this](rpc_request const&, responder reply)
+        {
+            std::lock_guard const lock(m_mutex);
+            m_held.push_back(std::move(reply));
+        };
+    }
+
+    std::size_t held()
+    {
+        std::lock_guard const lock(m_mutex);
+        return m_held.size();
+    }
+
+    std::vector<responder> m_held;
+
+    // Guards truthful refusal: nothing listens, so nothing ran.
+    void refused_connect_is_not_sent()
+    {
+        auto server = serve(echo);
+        auto const client = client_of(server->bound());
+        server.reset();
+        for (int i = 0; i < 3; ++i)
+        {
+            expect(start(*client, "a").get(),
+                   call_outcome::not_sent,
+                   result_code::peer_unreachable);
+        }
+    }
+
+    // Guards at most once: a call that may have run is never not_sent.
+    void peer_killed_in_a_call_is_lost()
+    {
+        auto server = serve(hold());
+        auto const client = client_of(server->bound());
+        auto result = start(*client, "a");
+        wait_until([&] { return held() == 1; });
+        server.reset();
+        expect(result.get(), call_outcome::lost, result_code::peer_unreachable);
+        m_held.clear();
+    }
+
+    // Guards against a caller that waits for an answer nobody will give.
+    void dropped_responder_is_lost()
+    {
+        auto const server = serve([](rpc_request const&, responder const&) {});
+        auto const client = client_of(server->bound());
+        expect(start(*client, "a").get(),
+               call_outcome::lost,
+               result_code::outcome_unknown);
+    }
+
+    // Guards the code of a refusal on its way to the caller.
+    void refusal_by_the_handler_is_not_sent()
+    {
+        auto const server =
+            serve([](rpc_request const&, responder const& reply)
+                  { reply.refuse(result_code::unknown_path, "no such path"); });
+        auto const client = client_of(server->bound());
+        auto const result = start(*client, "a").get();
+        expect(result, call_outcome::not_sent, result_code::unknown_path);
+        CPPUNIT_ASSERT_EQUAL(std::string("no such path"), result.body);
+    }
+
+    // Guards against a hang, and against not_sent after bytes were written.
+    void timeout_of_a_written_call_is_lost()
+    {
+        auto const server = serve(hold());
+        auto const client = client_of(server->bound());
+        auto first = start(*client, "a");
+        wait_until([&] { return held() == 1; });
+        expect(start(*client, "b", std::chrono::milliseconds(50)).get(),
+               call_outcome::lost,
+               result_code::timed_out);
+        m_held.front().answer("whole");
+        CPPUNIT_ASSERT_EQUAL(std::string("whole"), first.get().body);
+    }
+
+    // A call that waits for a free stream has written nothing.
+    void timeout_of_a_waiting_call_is_not_sent()
+    {
+        auto const server = serve(hold(), {.stream_limit = 1});
+        auto const client = client_of(server->bound());
+        auto first = start(*client, "a");
+        wait_until([&] { return held() == 1; });
+        expect(start(*client, "b", std::chrono::milliseconds(20)).get(),
+               call_outcome::not_sent,
+               result_code::timed_out);
+        m_held.front().answer("whole");
+        CPPUNIT_ASSERT_EQUAL(std::string("whole"), first.get().body);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, held());
+    }
+
+    // The peer accepts the connection and then says nothing. Without the
+    // keepalive the call would wait for its timeout of an hour.
+    void silent_peer_is_detected()
+    {
+        raw_peer const peer;
+        client_options options;
+        options.connection.keepalive_interval = std::chrono::milliseconds(10);
+        auto const client = client_of(peer.where(), options);
+        expect(start(*client, "a").get(),
+               call_outcome::lost,
+               result_code::peer_unreachable);
+    }
+
+    // Guards against bytes of a stranger that stop the server.
+    void garbage_harms_no_other_connection()
+    {
+        auto const server = serve(echo);
+        auto const client = client_of(server->bound());
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), start(*client, "a").get().body);
+        int const stranger = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in to{};
+        to.sin_family = AF_INET;
+        to.sin_port = htons(server->bound().port);
+        to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        CPPUNIT_ASSERT_EQUAL(
+            0,
+            ::connect(stranger, reinterpret_cast<sockaddr*>(&to), sizeof to));
+        std::string const garbage(100000, '\xfe');
+        ::send(stranger, garbage.data(), garbage.size(), MSG_NOSIGNAL);
+        std::array<char, 4096> bytes{};
+        while (::recv(stranger, bytes.data(), bytes.size(), 0) > 0)
+        {
+        }
+        ::close(stranger);
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), start(*client, "b").get().body);
+    }
+
+    // Guards the memory of the server and the other calls of the connection.
+    void too_large_body_harms_no_other_stream()
+    {
+        auto const server = serve(hold(), {.body_limit = 1000});
+        auto const client = client_of(server->bound());
+        auto other = start(*client, "other");
+        wait_until([&] { return held() == 1; });
+        expect(start(*client, std::string(std::size_t{8} << 20, 'x')).get(),
+               call_outcome::not_sent,
+               result_code::message_too_large);
+        m_held.front().answer("whole");
+        CPPUNIT_ASSERT_EQUAL(std::string("whole"), other.get().body);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, held());
+    }
+
+    // The call ran, so a too large answer must not look like a refusal.
+    void too_large_answer_is_lost()
+    {
+        auto const server = serve([](rpc_request const&, responder const& reply)
+                                  { reply.answer(std::string(2000, 'x')); });
+        client_options options;
+        options.connection.body_limit = 1000;
+        auto const client = client_of(server->bound(), options);
+        expect(start(*client, "a").get(),
+               call_outcome::lost,
+               result_code::message_too_large);
+    }
+
+    // Guards against misread messages of another release.
+    void other_version_is_refused_and_logged()
+    {
+        auto const server = serve(hold());
+        client_options options;
+        options.connection.protocol_version = 2;
+        auto const client = client_of(server->bound(), options);
+        expect(start(*client, "a").get(),
+               call_outcome::not_sent,
+               result_code::version_unknown);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, held());
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("refused call: protocol version 2, expected 1"),
+            m_log.at(0));
+    }
+
+    // Guards the start of a program whose port is taken.
+    void taken_port_is_reported()
+    {
+        auto const server = serve(echo);
+        CPPUNIT_ASSERT(!rpc_server::listen(m_io, server->bound(), echo));
+        CPPUNIT_ASSERT(core::last_reason().code == result_code::address_in_use);
+    }
+
+    // Guards against a callback that never comes or comes after the owner of
+    // the client has gone.
+    void destroyed_client_ends_its_calls()
+    {
+        auto const server = serve(hold());
+        auto client = client_of(server->bound());
+        auto result = start(*client, "a");
+        wait_until([&] { return held() == 1; });
+        client.reset();
+        CPPUNIT_ASSERT(result.wait_for(std::chrono::seconds(0)) ==
+                       std::future_status::ready);
+        CPPUNIT_ASSERT(result.get().outcome == call_outcome::lost);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(rpc_failure_test);
+
+} // namespace turmericswitch::transport
