--- /dev/null
+++ b/modules/web/client/connection_pool.hpp
@@ -0,0 +1,70 @@
+#ifndef TURMERICSWITCH_WEB_CLIENT_CONNECTION_POOL_HPP
+#define TURMERICSWITCH_WEB_CLIENT_CONNECTION_POOL_HPP
+
+#include "core/types/ids.hpp"
+#include "core/types/units.hpp"
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+struct mg_connection;
+
+namespace turmericswitch::web
+{
+
+/// Closes a client connection of CivetWeb.
+struct connection_closer
+{
+    void operator()(mg_connection* connection) const;
+};
+
+using connection_pointer = std::unique_ptr<mg_connection, connection_closer>;
+
+/// Keeps idle connections for reuse.
+///
+/// It is split by thread, so that threads seldom wait for each other.
+class connection_pool
+{
+public:
+    /// @param limit Connections kept per peer and part.
+    /// @param idle_time Older connections are closed instead of reused.
+    connection_pool(std::size_t limit, core::duration idle_time);
+
+    /// @return The connection used last, or null.
+    connection_pointer take(core::endpoint const& peer);
+
+    void give_back(core::endpoint const& peer, connection_pointer connection);
+
+private:
+    using clock = std::chrono::steady_clock;
+
+    struct idle_connection
+    {
+        connection_pointer connection;
+        clock::time_point since;
+    };
+
+    struct part
+    {
+        std::mutex mutex;
+        std::map<core::endpoint, std::vector<idle_connection>> idle;
+    };
+
+    static constexpr std::size_t part_count = 16;
+
+    part& own_part();
+    void drop_old(std::vector<idle_connection>& list) const;
+
+    std::size_t m_limit;
+    core::duration m_idle_time;
+    std::array<part, part_count> m_parts;
+};
+
+} // namespace turmericswitch::web
+
+#endif
--- /dev/null
+++ b/modules/web/server/response_writer.hpp
@@ -0,0 +1,24 @@
+#ifndef TURMERICSWITCH_WEB_SERVER_RESPONSE_WRITER_HPP
+#define TURMERICSWITCH_WEB_SERVER_RESPONSE_WRITER_HPP
+
+#include "web/message/http_message.hpp"
+
+#include <string_view>
+
+struct mg_connection;
+
+namespace turmericswitch::web
+{
+
+/// Writes one whole answer.
+///
+/// @param method Of the request; the answer to HEAD has no body.
+/// @param keep_open False adds "Connection: close" and makes CivetWeb close.
+void write_response(mg_connection* connection,
+                    http_response const& response,
+                    std::string_view method,
+                    bool keep_open);
+
+} // namespace turmericswitch::web
+
+#endif
--- /dev/null
+++ b/modules/web/server/router.cpp
@@ -0,0 +1,159 @@
+#include "web/server/router.hpp"
+
+#include "web/message/error_response.hpp"
+
+#include <cassert>
+#include <charconv>
+#include <cstdlib>
+
+namespace turmericswitch::web
+{
+
+namespace
+{
+
+std::vector<std::string> split(std::string_view text, char separator)
+{
+    std::vector<std::string> parts;
+    std::size_t begin = 0;
+    while (true)
+    {
+        std::size_t const end = text.find(separator, begin);
+        parts.emplace_back(text.substr(begin, end - begin));
+        if (end == std::string_view::npos)
+        {
+            return parts;
+        }
+        begin = end + 1;
+    }
+}
+
+bool is_parameter(std::string_view segment)
+{
+    return segment.size() > 2 && segment.front() == '{' &&
+           segment.back() == '}';
+}
+
+std::string percent_decoded(std::string_view text)
+{
+    std::string decoded;
+    for (std::size_t i = 0; i < text.size(); ++i)
+    {
+        unsigned char value = 0;
+        auto const* const digits = text.data() + i + 1;
+        if (text[i] == '%' && i + 2 < text.size() &&
+            std::from_chars(digits, digits + 2, value, 16).ptr == digits + 2)
+        {
+            decoded += static_cast<char>(value);
+            i += 2;
+        }
+        else
+        {
+            decoded += text[i];
+        }
+    }
+    return decoded;
+}
+
+bool match(std::vector<std::string> const& pattern,
+           std::vector<std::string> const& path,
+           path_parameters& parameters)
+{
+    if (pattern.size() != path.size())
+    {
+        return false;
+    }
+    for (std::size_t i = 0; i < pattern.size(); ++i)
+    {
+        std::string_view const segment = pattern[i];
+        if (is_parameter(segment) && !path[i].empty())
+        {
+            parameters.add(std::string(segment.substr(1, segment.size() - 2)),
+                           percent_decoded(path[i]));
+        }
+        else if (segment != path[i])
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace
+
+std::string const& path_parameters::at(std::string_view name) const
+{
+    for (auto const& one : m_values)
+    {
+        if (one.name == name)
+        {
+            return one.value;
+        }
+    }
+    assert(false && "the pattern has no such parameter");
+    std::abort();
+}
+
+void path_parameters::add(std::string name, std::string value)
+{
+    m_values.push_back({std::move(name), std::move(value)});
+}
+
+router::router(std::vector<route> routes)
+{
+    for (auto& row : routes)
+    {
+        auto segments = split(row.pattern, '/');
+        m_routes.push_back({std::move(row), std::move(segments)});
+    }
+}
+
+http_response router::operator()(http_request const& request) const
+{
+    std::string_view const target = request.target;
+    auto const path = split(target.substr(0, target.find('?')), '/');
+    bool path_known = false;
+    for (auto const& [row, segments] : m_routes)
+    {
+        path_parameters parameters;
+        if (!match(segments, path, parameters))
+        {
+            continue;
+        }
+        bool const head_of_get =
+            request.method == "HEAD" && row.method == "GET";
+        if (row.method == request.method || head_of_get)
+        {
+            return row.handler(request, parameters);
+        }
+        path_known = true;
+    }
+    http_response response = error_response(
+        core::result_code::unknown_path,
+        path_known ? "the path has no such method" : "there is no such path");
+    response.status = path_known ? 405 : 404;
+    return response;
+}
+
+std::optional<std::string> query_value(http_request const& request,
+                                       std::string_view name)
+{
+    std::size_t const mark = request.target.find('?');
+    if (mark == std::string::npos)
+    {
+        return std::nullopt;
+    }
+    for (auto const& pair : split(request.target.substr(mark + 1), '&'))
+    {
+        std::size_t const equals = pair.find('=');
+        if (pair.substr(0, equals) == name)
+        {
+            return equals == std::string::npos
+                       ? std::string()
+                       : percent_decoded(pair.substr(equals + 1));
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace turmericswitch::web
--- /dev/null
+++ b/modules/web/tests/http_client_test.cpp
@@ -0,0 +1,149 @@
+#include "web/tests/raw_socket.hpp"
+#include "web/web.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace turmericswitch::web
+{
+
+class http_client_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(http_client_test);
+    CPPUNIT_TEST(whole_bodies_go_both_ways);
+    CPPUNIT_TEST(cut_or_unbounded_answers_are_lost);
+    CPPUNIT_TEST(chunked_answer_is_whole);
+    CPPUNIT_TEST(refused_connect_is_not_sent);
+    CPPUNIT_TEST(silent_peer_is_lost);
+    CPPUNIT_TEST(closed_kept_connection_is_lost_unless_repeatable);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr core::duration patience = std::chrono::seconds(60);
+
+    static http_client_options keeping()
+    {
+        http_client_options options;
+        options.idle_time = std::chrono::hours(1);
+        return options;
+    }
+
+    static http_result get(http_client& client,
+                           core::endpoint const& from,
+                           bool may_repeat = false)
+    {
+        return client.request(from, {"GET", "/", {}, ""}, patience, may_repeat);
+    }
+
+    // Guards against lost pieces of a body and wrong reuse of connections.
+    void whole_bodies_go_both_ways()
+    {
+        server_options options;
+        options.listen_on = {"127.0.0.1", 0};
+        options.worker_threads = 4;
+        auto const server = http_server::start(
+            options,
+            [](http_request const& request)
+            { return text_response(request.target + request.body); });
+        http_client client;
+        for (std::size_t const size : {0U, 1U, 100000U, 8U << 20U})
+        {
+            std::string const body(size, 'b');
+            auto const result = client.request(
+                server->bound(), {"POST", "/p?q", {}, body}, patience);
+            CPPUNIT_ASSERT_EQUAL(std::string(), result.text);
+            CPPUNIT_ASSERT(result.outcome == http_outcome::answered);
+            CPPUNIT_ASSERT(result.response.body == "/p?q" + body);
+        }
+    }
+
+    // Guards whole answers: half an answer is never delivered.
+    void cut_or_unbounded_answers_are_lost()
+    {
+        std::string const ok = "HTTP/1.1 200 OK\r\n";
+        std::vector<std::string> const bad = {
+            ok + "Content-Length: 10\r\n\r\nabc",
+            ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n",
+            ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nab",
+            ok + "\r\nabc",
+            ok + "Content-Le",
+            "nonsense\r\n\r\n",
+            "",
+        };
+        scripted_server const server(bad);
+        http_client client;
+        for (auto const& text : bad)
+        {
+            CPPUNIT_ASSERT_MESSAGE(text,
+                                   get(client, server.where()).outcome ==
+                                       http_outcome::lost);
+        }
+    }
+
+    // Guards against chunk sizes that end up in the body.
+    void chunked_answer_is_whole()
+    {
+        scripted_server const server({"HTTP/1.1 200 OK\r\n"
+                                      "Transfer-Encoding: chunked\r\n\r\n"
+                                      "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"});
+        http_client client;
+        auto const result = get(client, server.where());
+        CPPUNIT_ASSERT(result.outcome == http_outcome::answered);
+        CPPUNIT_ASSERT_EQUAL(std::string("abcde"), result.response.body);
+    }
+
+    // Guards truthful refusal.
+    void refused_connect_is_not_sent()
+    {
+        core::endpoint where;
+        {
+            where = scripted_server({}).where();
+        }
+        http_client client;
+        auto const result = get(client, where);
+        CPPUNIT_ASSERT(result.outcome == http_outcome::not_sent);
+        CPPUNIT_ASSERT(result.code == core::result_code::peer_unreachable);
+    }
+
+    // Guards against a wait without end; the peer never accepts, but the
+    // kernel completes the connection.
+    void silent_peer_is_lost()
+    {
+        int const listener = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address = loopback(0);
+        auto* const pointer = reinterpret_cast<sockaddr*>(&address);
+        ::bind(listener, pointer, sizeof address);
+        ::listen(listener, 4);
+        socklen_t size = sizeof address;
+        ::getsockname(listener, pointer, &size);
+        http_client client;
+        auto const result =
+            client.request({"127.0.0.1", ntohs(address.sin_port)},
+                           {"GET", "/", {}, ""},
+                           std::chrono::milliseconds(50));
+        ::close(listener);
+        CPPUNIT_ASSERT(result.outcome == http_outcome::lost);
+    }
+
+    // The peer closes each connection after one answer without saying so.
+    // Guards against a second run of a request that must not run twice, and
+    // against a needless failure of one that may.
+    void closed_kept_connection_is_lost_unless_repeatable()
+    {
+        std::string const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+        scripted_server const server({ok, ok, ok});
+        http_client client(keeping());
+        CPPUNIT_ASSERT(get(client, server.where()).outcome ==
+                       http_outcome::answered);
+        CPPUNIT_ASSERT(get(client, server.where()).outcome ==
+                       http_outcome::lost);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server.connections());
+        CPPUNIT_ASSERT(get(client, server.where()).outcome ==
+                       http_outcome::answered);
+        CPPUNIT_ASSERT(get(client, server.where(), true).outcome ==
+                       http_outcome::answered);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, server.connections());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(http_client_test);
+
+} // namespace turmericswitch::web
--- /dev/null
+++ b/modules/web/tests/http_server_test.cpp
@@ -0,0 +1,243 @@
+#include "core/results/last_reason.hpp"
+#include "web/tests/raw_socket.hpp"
+#include "web/web.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+#include <future>
+#include <stdexcept>
+
+namespace turmericswitch::web
+{
+
+class http_server_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(http_server_test);
+    CPPUNIT_TEST(target_and_fields_arrive_unchanged);
+    CPPUNIT_TEST(bad_requests_get_a_code_and_never_reach_the_handler);
+    CPPUNIT_TEST(chunked_body_arrives_whole);
+    CPPUNIT_TEST(expecting_caller_is_told_to_continue);
+    CPPUNIT_TEST(head_has_the_length_but_no_body);
+    CPPUNIT_TEST(one_connection_serves_many_requests);
+    CPPUNIT_TEST(line_break_in_a_field_is_not_sent);
+    CPPUNIT_TEST(exception_in_the_handler_is_an_unknown_outcome);
+    CPPUNIT_TEST(stop_finishes_requests_in_progress);
+    CPPUNIT_TEST(taken_port_is_reported);
+    CPPUNIT_TEST_SUITE_END();
+
+    static std::unique_ptr<http_server> serve(http_handler handler)
+    {
+        server_options options;
+        options.listen_on = {"127.0.0.1", 0};
+        options.worker_threads = 4;
+        options.body_limit = 100;
+        return http_server::start(options, std::move(handler));
+    }
+
+    static void contains(std::string const& text, std::string const& part)
+    {
+        CPPUNIT_ASSERT_MESSAGE(part + " not in: " + text,
+                               text.find(part) != std::string::npos);
+    }
+
+    static http_response echo(http_request const& request)
+    {
+        return text_response(request.method + " " + request.target + " " +
+                             request.body);
+    }
+
+    // Guards against a decoded or cleaned target, which would be another
+    // request at the backend server.
+    void target_and_fields_arrive_unchanged()
+    {
+        auto const server = serve(
+            [](http_request const& request)
+            {
+                return text_response(request.target + " " +
+                                     *find_field(request.fields, "x-KEY"));
+            });
+        auto const answer =
+            raw_exchange(server->bound(),
+                         "GET /a%2Fb/../c?q=%20x&y HTTP/1.1\r\nHost: h\r\n"
+                         "X-Key: 7 8\r\n\r\n");
+        contains(answer, "/a%2Fb/../c?q=%20x&y 7 8");
+    }
+
+    // Guards against a request that runs although it is not whole, and
+    // against two readings of its length.
+    void bad_requests_get_a_code_and_never_reach_the_handler()
+    {
+        std::atomic<int> runs = 0;
+        auto const server = serve(
+            [&](http_request const& request)
+            {
+                ++runs;
+                return echo(request);
+            });
+        std::string const post = "POST / HTTP/1.1\r\nHost: h\r\n";
+        struct bad_request
+        {
+            std::string bytes;
+            std::string status;
+            std::string code;
+        };
+        std::vector<bad_request> const bad = {
+            {post + "\r\n", " 400 ", "310"},
+            {post + "Content-Length: x\r\n\r\n", " 4", "310"},
+            {post + "Content-Length: -1\r\n\r\n", " 4", "310"},
+            {post + "Content-Length: 3x\r\n\r\nabc", " 400 ", "310"},
+            {post + "Content-Length: 9\r\n\r\nabc", " 400 ", "310"},
+            {post + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+             " 400 ",
+             "310"},
+            {post + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    "1\r\na\r\n0\r\n\r\n",
+             " 400 ",
+             "310"},
+            {post + "Transfer-Encoding: chunked\r\n\r\n9\r\nabc",
+             " 400 ",
+             "310"},
+            {post + "Content-Length: 101\r\n\r\n" + std::string(101, 'x'),
+             " 413 ",
+             "311"},
+            {post + "Transfer-Encoding: chunked\r\n\r\n65\r\n" +
+                 std::string(101, 'x') + "\r\n0\r\n\r\n",
+             " 413 ",
+             "311"},
+            {"nonsense\r\n\r\n", " 400 ", "310"},
+            {"GET / HTTP/1.1\r\nX: " + std::string(20000, 'x') + "\r\n\r\n",
+             " 4",
+             "31"},
+        };
+        for (auto const& [bytes, status, code] : bad)
+        {
+            auto const answer = raw_exchange(server->bound(), bytes);
+            contains(answer, "HTTP/1.1" + status);
+            contains(answer, "{\"code\":" + code);
+        }
+        CPPUNIT_ASSERT_EQUAL(0, runs.load());
+    }
+
+    // Guards against chunk sizes that end up in the body.
+    void chunked_body_arrives_whole()
+    {
+        auto const server = serve(echo);
+        auto const answer = raw_exchange(
+            server->bound(),
+            "POST /p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+        contains(answer, "\r\n\r\nPOST /p abcde");
+    }
+
+    // Guards against a caller that waits for the interim answer forever.
+    void expecting_caller_is_told_to_continue()
+    {
+        auto const server = serve(echo);
+        auto const answer = raw_exchange(
+            server->bound(),
+            "POST /p HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
+            "Content-Length: 3\r\n\r\nabc");
+        contains(answer, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 ");
+        contains(answer, "POST /p abc");
+    }
+
+    // Guards against a body that the caller takes for the next answer.
+    void head_has_the_length_but_no_body()
+    {
+        auto const server = serve(echo);
+        auto const answer = raw_exchange(server->bound(),
+                                         "HEAD /p HTTP/1.1\r\nHost: h\r\n\r\n");
+        contains(answer, "Content-Length: 8\r\n");
+        CPPUNIT_ASSERT(answer.ends_with("\r\n\r\n"));
+    }
+
+    // Guards against answers that can't be told apart on one connection.
+    void one_connection_serves_many_requests()
+    {
+        auto const server = serve(echo);
+        auto const answer = raw_exchange(
+            server->bound(),
+            "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\na"
+            "GET /2 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        contains(answer, "Connection: keep-alive\r\n\r\nPOST /1 aHTTP/1.1 200");
+        contains(answer, "Connection: close\r\n\r\nGET /2 ");
+    }
+
+    // Guards against fields smuggled in through a value.
+    void line_break_in_a_field_is_not_sent()
+    {
+        auto const server = serve(
+            [](http_request const&)
+            {
+                auto response = text_response("ok");
+                response.fields.push_back({"X-A", "1\r\nX-Evil: 2"});
+                response.fields.push_back({"Content-Length", "999"});
+                return response;
+            });
+        auto const answer =
+            raw_exchange(server->bound(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+        CPPUNIT_ASSERT(answer.find("X-Evil") == std::string::npos);
+        CPPUNIT_ASSERT(answer.find("999") == std::string::npos);
+    }
+
+    // Guards against a process that ends because one request failed.
+    void exception_in_the_handler_is_an_unknown_outcome()
+    {
+        auto const server = serve([](http_request const&) -> http_response
+                                  { throw std::runtime_error("broken"); });
+        auto const answer =
+            raw_exchange(server->bound(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+        contains(answer, "{\"code\":302,\"name\":\"outcome_unknown\"");
+    }
+
+    // Guards invariant 9 for callers' requests.
+    void stop_finishes_requests_in_progress()
+    {
+        std::promise<void> entered;
+        std::promise<void> release;
+        auto const server = serve(
+            [&](http_request const& request)
+            {
+                if (request.target == "/slow")
+                {
+                    entered.set_value();
+                    release.get_future().wait();
+                }
+                return echo(request);
+            });
+        auto const bytes = "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n";
+        auto answer = std::async(std::launch::async,
+                                 [&, to = server->bound()]
+                                 { return raw_exchange(to, bytes); });
+        entered.get_future().wait();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server->in_progress());
+        auto stopped =
+            std::async(std::launch::async, [&] { return server->stop(); });
+        while (raw_exchange(server->bound(),
+                            "GET /late HTTP/1.1\r\nHost: h\r\n\r\n")
+                   .find("\"code\":307") == std::string::npos)
+        {
+        }
+        release.set_value();
+        contains(answer.get(), "GET /slow ");
+        auto const summary = stopped.get();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, summary.finished);
+        CPPUNIT_ASSERT(summary.refused >= 1);
+    }
+
+    // Guards the start of a program whose port is taken.
+    void taken_port_is_reported()
+    {
+        auto const server = serve(echo);
+        server_options options;
+        options.listen_on = server->bound();
+        CPPUNIT_ASSERT(!http_server::start(options, echo));
+        CPPUNIT_ASSERT(core::last_reason().code ==
+                       core::result_code::address_in_use);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(http_server_test);
+
+} // namespace turmericswitch::web
--- /dev/null
+++ b/modules/web/tests/raw_socket.hpp
@@ -0,0 +1,131 @@
+#ifndef TURMERICSWITCH_WEB_TESTS_RAW_SOCKET_HPP
+#define TURMERICSWITCH_WEB_TESTS_RAW_SOCKET_HPP
+
+#include "core/types/ids.hpp"
+
+#include <arpa/inet.h>
+#include <array>
+#include <atomic>
+#include <netinet/in.h>
+#include <string>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+#include <vector>
+
+namespace turmericswitch::web
+{
+
+inline sockaddr_in loopback(std::uint16_t port)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    return address;
+}
+
+inline void send_all(int socket, std::string const& bytes)
+{
+    ::send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+}
+
+/// Sends bytes, ends the sending side and returns all that comes back.
+inline std::string raw_exchange(core::endpoint const& to,
+                                std::string const& bytes)
+{
+    int const socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in const address = loopback(to.port);
+    ::connect(
+        socket, reinterpret_cast<sockaddr const*>(&address), sizeof address);
+    send_all(socket, bytes);
+    ::shutdown(socket, SHUT_WR);
+    std::string answer;
+    std::array<char, 4096> chunk{};
+    ssize_t size = 0;
+    while ((size = ::recv(socket, chunk.data(), chunk.size(), 0)) > 0)
+    {
+        answer.append(chunk.data(), static_cast<std::size_t>(size));
+    }
+    ::close(socket);
+    return answer;
+}
+
+/// Answers the head of every request with the next of some fixed texts on a
+/// new connection each, then closes the connection.
+class scripted_server
+{
+public:
+    explicit scripted_server(std::vector<std::string> answers)
+        : m_answers(std::move(answers)),
+          m_listener(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address = loopback(0);
+        auto* const pointer = reinterpret_cast<sockaddr*>(&address);
+        ::bind(m_listener, pointer, sizeof address);
+        ::listen(m_listener, 16);
+        socklen_t size = sizeof address;
+        ::getsockname(m_listener, pointer, &size);
+        m_port = ntohs(address.sin_port);
+        m_thread = std::thread([this] { run(); });
+    }
+
+    ~scripted_server()
+    {
+        ::shutdown(m_listener, SHUT_RDWR);
+        m_thread.join();
+        ::close(m_listener);
+    }
+
+    scripted_server(scripted_server const&) = delete;
+    scripted_server& operator=(scripted_server const&) = delete;
+
+    core::endpoint where() const
+    {
+        return {"127.0.0.1", m_port};
+    }
+
+    /// @return Connections accepted so far.
+    std::size_t connections() const
+    {
+        return m_connections;
+    }
+
+private:
+    void run()
+    {
+        for (auto const& answer : m_answers)
+        {
+            int const socket = ::accept(m_listener, nullptr, nullptr);
+            if (socket < 0)
+            {
+                return;
+            }
+            ++m_connections;
+            std::string head;
+            std::array<char, 4096> chunk{};
+            while (head.find("\r\n\r\n") == std::string::npos)
+            {
+                ssize_t const size =
+                    ::recv(socket, chunk.data(), chunk.size(), 0);
+                if (size <= 0)
+                {
+                    break;
+                }
+                head.append(chunk.data(), static_cast<std::size_t>(size));
+            }
+            send_all(socket, answer);
+            ::close(socket);
+        }
+    }
+
+    std::vector<std::string> m_answers;
+    int m_listener;
+    std::uint16_t m_port = 0;
+    std::atomic<std::size_t> m_connections = 0;
+    std::thread m_thread;
+};
+
+} // namespace turmericswitch::web
+
+#endif
