--- /dev/null
+++ b/modules/consensus/node/raft_node_membership.cpp
@@ -0,0 +1,159 @@
+#include "consensus/node/raft_node.hpp"
+#include "wire/codec/message_codec.hpp"
+
+#include <algorithm>
+
+namespace turmericswitch::consensus
+{
+
+using core::group_member;
+using core::log_index;
+using core::result_code;
+
+std::vector<core::member_id> raft_node::voters() const
+{
+    std::vector<core::member_id> found;
+    for (auto const& member : m_log.membership().members)
+    {
+        if (!member.learner)
+        {
+            found.push_back(member.id);
+        }
+    }
+    return found;
+}
+
+bool raft_node::is_voter(core::member_id id) const
+{
+    auto const all = voters();
+    return std::find(all.begin(), all.end(), id) != all.end();
+}
+
+bool raft_node::is_quorum(std::size_t count) const
+{
+    return count > voters().size() / 2;
+}
+
+/// Brings the progress of a leader in line with the newest membership.
+void raft_node::adopt_membership()
+{
+    if (m_role != member_role::leader)
+    {
+        return;
+    }
+    auto const& members = m_log.membership().members;
+    std::erase_if(m_progress,
+                  [&members](auto const& item)
+                  {
+                      return std::none_of(members.begin(),
+                                          members.end(),
+                                          [&item](group_member const& member)
+                                          { return member.id == item.first; });
+                  });
+    auto const next = log_index(m_log.last_index().value() + 1);
+    for (auto const& member : members)
+    {
+        if (member.id != m_options.self)
+        {
+            m_progress.try_emplace(member.id, next, m_now);
+        }
+    }
+}
+
+void raft_node::on(change_membership const& input)
+{
+    if (auto const code = refusal_of(input))
+    {
+        reject(input.id, *code);
+        return;
+    }
+    auto const index = log_index(m_log.last_index().value() + 1);
+    m_tickets.emplace(index, input.id);
+    append_entries({{m_hard.current_term,
+                     index,
+                     core::entry_kind::membership,
+                     wire::encode(changed(input))}});
+    replicate_all(false);
+}
+
+std::optional<result_code>
+raft_node::refusal_of(change_membership const& change) const
+{
+    if (m_role != member_role::leader || m_transfer_target)
+    {
+        return result_code::not_leader;
+    }
+    // Until an entry of its own term is committed, a leader may not know of a
+    // change that its predecessor has begun.
+    if (!own_term_committed() || m_log.membership_index() > m_commit)
+    {
+        return result_code::membership_change_in_progress;
+    }
+    auto const& members = m_log.membership().members;
+    bool const known = std::any_of(members.begin(),
+                                   members.end(),
+                                   [&change](group_member const& member)
+                                   { return member.id == change.member.id; });
+    if (change.kind == membership_change_kind::add_learner)
+    {
+        return known ? std::optional(result_code::membership_change_in_progress)
+                     : std::nullopt;
+    }
+    if (!known)
+    {
+        return result_code::unknown_member;
+    }
+    if (change.kind == membership_change_kind::remove)
+    {
+        bool const last = is_voter(change.member.id) && voters().size() == 1;
+        return last ? std::optional(result_code::no_quorum) : std::nullopt;
+    }
+    auto const found = m_progress.find(change.member.id);
+    bool const ready =
+        found != m_progress.end() &&
+        found->second.match().value() + m_options.promotion_lag >=
+            m_log.last_index().value() &&
+        m_now - found->second.last_answer() < m_options.election_timeout;
+    return ready ? std::nullopt : std::optional(result_code::not_ready);
+}
+
+core::group_membership
+raft_node::changed(change_membership const& change) const
+{
+    auto result = m_log.membership();
+    auto& members = result.members;
+    auto const at = std::lower_bound(
+        members.begin(),
+        members.end(),
+        change.member.id,
+        [](group_member const& member, core::member_id id)
+        { return member.id < id; });
+    switch (change.kind)
+    {
+    case membership_change_kind::add_learner:
+        members.insert(at, change.member)->learner = true;
+        break;
+    case membership_change_kind::promote:
+        at->learner = false;
+        break;
+    case membership_change_kind::remove:
+        members.erase(at);
+        break;
+    }
+    return result;
+}
+
+void raft_node::leave_if_removed()
+{
+    if (m_role != member_role::leader || is_voter(m_options.self) ||
+        m_log.membership_index() > m_commit)
+    {
+        return;
+    }
+    // The others learn the commit before this leader falls silent.
+    replicate_all(true);
+    become_follower(
+        m_hard.current_term, std::nullopt, result_code::not_leader);
+}
+
+} // namespace turmericswitch::consensus
--- /dev/null
+++ b/modules/consensus/tests/raft_fuzz_test.cpp
@@ -0,0 +1,307 @@
+#include "support/consensus_harness.hpp"
+#include "support/property.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+namespace turmericswitch::consensus
+{
+
+namespace
+{
+
+using testing::consensus_harness;
+using core::member_id;
+
+constexpr std::uint32_t step_limit = 1U << 24;
+constexpr std::size_t max_members = 8;
+constexpr std::size_t min_voters = 3;
+
+/// One generated step: what, at which member, with which parameter.
+struct fuzz_step
+{
+    unsigned kind;
+    unsigned member;
+    unsigned amount;
+};
+
+fuzz_step decode_step(std::uint32_t code)
+{
+    return {code & 0xffU, (code >> 8) & 0xffU, (code >> 16) & 0xffU};
+}
+
+member_id pick(consensus_harness const& group, unsigned number)
+{
+    auto const all = group.members();
+    return all[number % all.size()];
+}
+
+member_id pick_leader(consensus_harness const& group, unsigned number)
+{
+    return group.leader().value_or(pick(group, number));
+}
+
+void replace_member(consensus_harness& group, fuzz_step const& step)
+{
+    auto const& members = group.oracle().membership().members;
+    auto const at = pick_leader(group, step.member);
+    auto const voters = std::count_if(members.begin(),
+                                      members.end(),
+                                      [](auto const& m) { return !m.learner; });
+    for (auto const& member : members)
+    {
+        bool const gone = group.has_lost_disk(member.id);
+        if (member.learner)
+        {
+            group.change(at, membership_change_kind::promote, member.id);
+            return;
+        }
+        // A group of three keeps its size unless it lost a disk.
+        if (gone || (step.amount % 2 == 0 && voters > int(min_voters) &&
+                     member.id == pick(group, step.amount)))
+        {
+            group.change(at, membership_change_kind::remove, member.id);
+            return;
+        }
+    }
+    auto const all = group.members();
+    auto const unused =
+        std::find_if(all.begin(),
+                     all.end(),
+                     [&](member_id id)
+                     {
+                         return id.value() > members.size() &&
+                                std::none_of(members.begin(),
+                                             members.end(),
+                                             [id](auto const& m)
+                                             { return m.id == id; });
+                     });
+    if (all.size() < max_members)
+    {
+        group.change(at,
+                     membership_change_kind::add_learner,
+                     group.start_spare());
+    }
+    else if (unused != all.end() && !group.has_lost_disk(*unused))
+    {
+        group.change(at, membership_change_kind::add_learner, *unused);
+    }
+}
+
+/// Two changes at once at the leader, one of which must be refused.
+void race_changes(consensus_harness& group, unsigned number)
+{
+    auto const at = pick_leader(group, number);
+    auto const& members = group.oracle().membership().members;
+    if (members.size() > min_voters + 1)
+    {
+        group.change(at, membership_change_kind::remove, members[0].id);
+        group.change(at, membership_change_kind::remove, members[1].id);
+    }
+}
+
+/// The leader accepts something, reaches one other member and is cut off.
+void strand_entry(consensus_harness& group, fuzz_step const& step)
+{
+    auto const at = pick_leader(group, step.member);
+    for (auto const other : group.members())
+    {
+        if (other != pick(group, step.amount))
+        {
+            group.cut(at, other);
+        }
+    }
+    group.propose(at);
+    group.run(step.amount % 8);
+    group.isolate(at);
+    if (step.amount % 3 == 0)
+    {
+        group.crash(at);
+        group.restart(at);
+    }
+}
+
+void split(consensus_harness& group, unsigned mask)
+{
+    auto const all = group.members();
+    for (auto const a : all)
+    {
+        for (auto const b : all)
+        {
+            if (((mask >> (a.value() % 8)) & 1U) !=
+                ((mask >> (b.value() % 8)) & 1U))
+            {
+                group.cut(a, b);
+            }
+        }
+    }
+}
+
+void fail_disk(consensus_harness& group, fuzz_step const& step)
+{
+    auto& disk = group.disk(pick(group, step.member));
+    if (step.amount % 2 == 0)
+    {
+        disk.fail_next_sync();
+    }
+    else
+    {
+        disk.set_space(step.amount);
+    }
+}
+
+void lose_one_disk(consensus_harness& group, unsigned number)
+{
+    auto const all = group.members();
+    bool const any_lost =
+        std::any_of(all.begin(),
+                    all.end(),
+                    [&](member_id id) { return group.has_lost_disk(id); });
+    auto const& members = group.oracle().membership().members;
+    bool const all_vote =
+        std::none_of(members.begin(),
+                     members.end(),
+                     [](auto const& member) { return member.learner; });
+    if (!any_lost && all_vote && members.size() >= min_voters)
+    {
+        group.lose_disk(members[number % members.size()].id);
+    }
+}
+
+void disturb(consensus_harness& group, fuzz_step const& step)
+{
+    auto const member = pick(group, step.member);
+    switch (step.kind % 8)
+    {
+    case 0:
+        group.crash(member);
+        break;
+    case 1:
+        group.crash_after(member, step.amount % 12);
+        break;
+    case 2:
+        group.cut(member, pick(group, step.amount));
+        break;
+    case 3:
+        group.isolate(pick_leader(group, step.member));
+        break;
+    case 4:
+        split(group, step.amount);
+        break;
+    case 5:
+        fail_disk(group, step);
+        break;
+    case 6:
+        strand_entry(group, step);
+        break;
+    default:
+        lose_one_disk(group, step.member);
+        break;
+    }
+}
+
+void work(consensus_harness& group, fuzz_step const& step)
+{
+    auto const member = pick(group, step.member);
+    switch (step.kind % 8)
+    {
+    case 0:
+        group.read(member);
+        break;
+    case 1:
+        group.take_snapshot(member);
+        break;
+    case 2:
+        replace_member(group, step);
+        break;
+    case 3:
+        group.transfer(pick_leader(group, step.member));
+        break;
+    case 4:
+        group.set_network(step.amount % 30, step.member % 20);
+        break;
+    case 5:
+        group.restart(member);
+        break;
+    case 6:
+        race_changes(group, step.member);
+        break;
+    default:
+        group.heal();
+        break;
+    }
+}
+
+/// Every member that believes it leads accepts a proposal and a read.
+void use_leaders(consensus_harness& group)
+{
+    for (auto const id : group.members())
+    {
+        if (group.node(id) != nullptr &&
+            group.node(id)->role() == member_role::leader)
+        {
+            group.propose(id);
+            group.read(id);
+        }
+    }
+}
+
+void take_step(consensus_harness& group, fuzz_step const& step)
+{
+    auto const choice = step.kind / 8 % 8;
+    if (choice < 2)
+    {
+        disturb(group, step);
+    }
+    else if (choice < 5)
+    {
+        work(group, step);
+    }
+    use_leaders(group);
+    group.run(step.amount % 16);
+    use_leaders(group);
+}
+
+void run_group(std::size_t voters)
+{
+    auto const seed = *rc::gen::arbitrary<std::uint64_t>();
+    auto const codes = *rc::gen::container<std::vector<std::uint32_t>>(
+        rc::gen::resize(rc::kNominalSize, rc::gen::inRange(0U, step_limit)));
+    consensus_harness group(voters, seed);
+    group.run(40);
+    for (auto const code : codes)
+    {
+        take_step(group, decode_step(code));
+    }
+    group.expect_progress();
+}
+
+} // namespace
+
+class raft_fuzz_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(raft_fuzz_test);
+    CPPUNIT_TEST(three_members_agree);
+    CPPUNIT_TEST(five_members_agree);
+    CPPUNIT_TEST_SUITE_END();
+
+    // Guards against lost or diverging entries, two leaders in a term, stale
+    // reads and a group that stays stuck after its faults are repaired.
+    void three_members_agree()
+    {
+        testing::check_property(
+            "three members", {11, 150, 200}, [] { run_group(3); });
+    }
+
+    void five_members_agree()
+    {
+        testing::check_property(
+            "five members", {12, 150, 200}, [] { run_group(5); });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(raft_fuzz_test);
+
+} // namespace turmericswitch::consensus
--- /dev/null
+++ b/modules/consensus/tests/raft_node_test.cpp
@@ -0,0 +1,203 @@
+#include "support/consensus_harness.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace turmericswitch::consensus
+{
+
+namespace
+{
+
+using core::member_id;
+using core::result_code;
+using testing::consensus_harness;
+
+constexpr std::size_t settle_steps = 100;
+
+member_id settled_leader(consensus_harness& group)
+{
+    group.run(settle_steps);
+    CPPUNIT_ASSERT(group.leader().has_value());
+    return *group.leader();
+}
+
+member_id other_than(consensus_harness const& group, member_id id)
+{
+    auto const all = group.members();
+    return all[0] == id ? all[1] : all[0];
+}
+
+} // namespace
+
+class raft_node_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(raft_node_test);
+    CPPUNIT_TEST(silently_partitioned_leader_answers_nothing);
+    CPPUNIT_TEST(follower_names_the_leader);
+    CPPUNIT_TEST(second_member_lost_right_after_a_repair);
+    CPPUNIT_TEST(returning_member_does_not_depose_the_leader);
+    CPPUNIT_TEST(removed_leader_steps_down);
+    CPPUNIT_TEST(transfer_costs_no_election_timeout);
+    CPPUNIT_TEST(failed_sync_silences_the_member);
+    CPPUNIT_TEST(lagging_follower_catches_up_by_snapshot);
+    CPPUNIT_TEST(lagging_learner_is_not_promoted);
+    CPPUNIT_TEST_SUITE_END();
+
+    // Guards against stale answers from a leader that a partition hides.
+    void silently_partitioned_leader_answers_nothing()
+    {
+        consensus_harness group(3, 1);
+        auto const old = settled_leader(group);
+        for (auto const id : group.members())
+        {
+            // One-way: it still hears the others but reaches nobody.
+            group.cut(old, id);
+        }
+        auto const write = group.propose(old);
+        auto const read = group.read(old);
+        group.run(6 * settle_steps);
+        CPPUNIT_ASSERT(!group.outcome_of(write).applied);
+        CPPUNIT_ASSERT(group.outcome_of(write).rejected ==
+                       result_code::outcome_unknown);
+        CPPUNIT_ASSERT(!group.outcome_of(read).readable);
+        CPPUNIT_ASSERT(group.outcome_of(read).rejected.has_value());
+        auto const late = group.propose(old);
+        CPPUNIT_ASSERT(group.outcome_of(late).rejected ==
+                       result_code::not_leader);
+        CPPUNIT_ASSERT(group.leader() != old);
+        group.expect_progress();
+    }
+
+    // Guards against clients that can't find the leader.
+    void follower_names_the_leader()
+    {
+        consensus_harness group(3, 2);
+        auto const at = settled_leader(group);
+        auto const follower = other_than(group, at);
+        CPPUNIT_ASSERT(group.node(follower)->leader() == at);
+        auto const id = group.propose(follower);
+        CPPUNIT_ASSERT(group.outcome_of(id).rejected ==
+                       result_code::not_leader);
+    }
+
+    // Guards against a repair that leaves the group one loss from a stop.
+    void second_member_lost_right_after_a_repair()
+    {
+        consensus_harness group(3, 3);
+        auto const at = settled_leader(group);
+        auto const lost = other_than(group, at);
+        group.lose_disk(lost);
+        group.run(settle_steps);
+        auto const spare = group.start_spare();
+        group.change(at, membership_change_kind::remove, lost);
+        group.run(settle_steps);
+        group.change(at, membership_change_kind::add_learner, spare);
+        group.run(settle_steps);
+        auto const promoted =
+            group.change(at, membership_change_kind::promote, spare);
+        while (!group.outcome_of(promoted).applied)
+        {
+            CPPUNIT_ASSERT(!group.outcome_of(promoted).rejected);
+            group.run(1);
+        }
+        group.lose_disk(at);
+        group.expect_progress();
+    }
+
+    // Guards against elections forced by a member that was cut off.
+    void returning_member_does_not_depose_the_leader()
+    {
+        consensus_harness group(3, 4);
+        auto const at = settled_leader(group);
+        auto const term = group.node(at)->current_term();
+        group.isolate(other_than(group, at));
+        group.run(5 * settle_steps);
+        group.heal();
+        group.run(settle_steps);
+        CPPUNIT_ASSERT(group.leader() == at);
+        CPPUNIT_ASSERT(group.node(at)->current_term() == term);
+    }
+
+    // Guards against a removed member that goes on leading.
+    void removed_leader_steps_down()
+    {
+        consensus_harness group(5, 5);
+        auto const at = settled_leader(group);
+        auto const id = group.change(at, membership_change_kind::remove, at);
+        group.run(settle_steps);
+        CPPUNIT_ASSERT(group.outcome_of(id).applied.has_value());
+        CPPUNIT_ASSERT(group.node(at)->role() == member_role::follower);
+        CPPUNIT_ASSERT(group.leader().has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4),
+                             group.oracle().membership().members.size());
+    }
+
+    // Guards against a planned stop that leaves the group without a leader
+    // for an election timeout (15 steps or more).
+    void transfer_costs_no_election_timeout()
+    {
+        consensus_harness group(3, 6);
+        auto const at = settled_leader(group);
+        group.transfer(at);
+        group.run(14);
+        CPPUNIT_ASSERT(group.leader().has_value());
+        CPPUNIT_ASSERT(group.leader() != at);
+    }
+
+    // Guards against a member that acknowledges what it could not store.
+    void failed_sync_silences_the_member()
+    {
+        consensus_harness group(3, 7);
+        auto const at = settled_leader(group);
+        group.disk(at).fail_next_sync();
+        group.propose(at);
+        group.run(settle_steps);
+        CPPUNIT_ASSERT(group.leader().has_value());
+        CPPUNIT_ASSERT(group.leader() != at);
+        auto const refused = group.propose(at);
+        CPPUNIT_ASSERT(group.outcome_of(refused).rejected ==
+                       result_code::not_leader);
+        group.expect_progress();
+    }
+
+    // Guards against a member that can't join once the log was compacted, and
+    // against a transfer that starts over after a lost chunk.
+    void lagging_follower_catches_up_by_snapshot()
+    {
+        consensus_harness group(3, 8);
+        auto const at = settled_leader(group);
+        auto const behind = other_than(group, at);
+        group.crash(behind);
+        for (int i = 0; i < 40; ++i)
+        {
+            group.propose(at);
+            group.run(2);
+        }
+        group.run(settle_steps);
+        group.take_snapshot(at);
+        group.set_network(20, 3);
+        group.restart(behind);
+        group.run(4 * settle_steps);
+        CPPUNIT_ASSERT_EQUAL(group.applied(at), group.applied(behind));
+        group.expect_progress();
+    }
+
+    // Guards against a voter that would stall commits while it catches up.
+    void lagging_learner_is_not_promoted()
+    {
+        consensus_harness group(3, 9);
+        auto const at = settled_leader(group);
+        auto const spare = group.start_spare();
+        group.isolate(spare);
+        group.change(at, membership_change_kind::add_learner, spare);
+        group.run(settle_steps);
+        auto const id =
+            group.change(at, membership_change_kind::promote, spare);
+        CPPUNIT_ASSERT(group.outcome_of(id).rejected ==
+                       result_code::not_ready);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(raft_node_test);
+
+} // namespace turmericswitch::consensus
--- a/modules/core/messages/consensus.hpp
+++ b/modules/core/messages/consensus.hpp
@@ -78,6 +78,9 @@
     log_index last_index;
     term last_term;
     bool pre_vote = false;
+    /// Set when the leader itself handed over; the vote is then not refused
+    /// because a leader is alive.
+    bool transfer = false;
 
     bool operator==(vote_request const&) const = default;
 };
@@ -132,6 +135,13 @@
     bool operator==(snapshot_answer const&) const = default;
 };
 
+/// Tells the most advanced follower to start an election at once, because the
+/// leader is about to stop.
+struct timeout_now
+{
+    bool operator==(timeout_now const&) const = default;
+};
+
 /// `/raft`: one message between members.
 struct consensus_message
 {
@@ -143,7 +153,8 @@
                  append_request,
                  append_answer,
                  snapshot_chunk,
-                 snapshot_answer>
+                 snapshot_answer,
+                 timeout_now>
         body;
 
     bool operator==(consensus_message const&) const = default;
--- /dev/null
+++ b/modules/store/log/log_store.cpp
@@ -0,0 +1,355 @@
+#include "store/log/log_store.hpp"
+
+#include "core/results/last_reason.hpp"
+#include "store/log/record_codec.hpp"
+#include "wire/codec/message_codec.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <charconv>
+
+namespace turmericswitch::store
+{
+
+namespace
+{
+
+using core::log_index;
+using core::result_code;
+
+constexpr std::size_t name_digits = 20;
+constexpr std::string_view segment_suffix = ".log";
+
+std::string segment_name(std::uint64_t first)
+{
+    auto const digits = std::to_string(first);
+    return std::string(name_digits - digits.size(), '0') + digits +
+           std::string(segment_suffix);
+}
+
+std::optional<std::uint64_t> first_of(std::string const& name)
+{
+    std::uint64_t first = 0;
+    auto const* const begin = name.data();
+    auto const [end, error] =
+        std::from_chars(begin, begin + name.size(), first);
+    if (error != std::errc{} || name != segment_name(first))
+    {
+        return std::nullopt;
+    }
+    return first;
+}
+
+} // namespace
+
+log_store::log_store(file_system& files,
+                     std::string folder,
+                     log_options options)
+    : m_files(&files), m_folder(std::move(folder)), m_options(options)
+{
+}
+
+std::optional<log_store> log_store::open(file_system& files,
+                                         std::string folder,
+                                         log_base base,
+                                         log_options options)
+{
+    log_store log(files, std::move(folder), options);
+    if (!files.make_folder(log.m_folder) || !log.recover(base))
+    {
+        return std::nullopt;
+    }
+    return log;
+}
+
+std::vector<core::log_entry> log_store::take_recovered()
+{
+    return std::exchange(m_recovered, {});
+}
+
+bool log_store::recover(log_base base)
+{
+    auto names = m_files->list(m_folder);
+    if (!names)
+    {
+        return false;
+    }
+    std::erase_if(*names, [](auto const& name) { return !first_of(name); });
+    for (auto const& name : *names)
+    {
+        if (!recover_segment(name, name == names->back()))
+        {
+            return false;
+        }
+    }
+    return join_with(base);
+}
+
+bool log_store::recover_segment(std::string const& name, bool is_last)
+{
+    auto const content = m_files->read(m_folder + "/" + name);
+    if (!content)
+    {
+        return false;
+    }
+    segment part;
+    part.first = *first_of(name);
+    if (!m_segments.empty() && part.first != m_last.value() + 1)
+    {
+        return core::fail_bool(result_code::log_damaged,
+                               "entries before " + name + " are missing");
+    }
+    auto expected = part.first;
+    while (auto const record = read_record(*content, part.size))
+    {
+        auto entry = wire::decode<core::log_entry>(record->payload);
+        if (!entry || entry->index.value() != expected)
+        {
+            return core::fail_bool(result_code::log_damaged,
+                                   name + " holds a record out of order");
+        }
+        part.offsets.push_back(part.size);
+        part.size = record->end;
+        m_recovered.push_back(std::move(*entry));
+        ++expected;
+    }
+    if (part.size != content->size() && !cut_tail(*content, is_last, part))
+    {
+        return false;
+    }
+    m_last = log_index(expected - 1);
+    m_segments.push_back(std::move(part));
+    return true;
+}
+
+bool log_store::cut_tail(std::string const& content,
+                         bool is_last,
+                         segment& part)
+{
+    if (!is_last || later_batch_follows(content, part.size))
+    {
+        return core::fail_bool(result_code::log_damaged,
+                               path_of(part.first) + " is damaged at byte " +
+                                   std::to_string(part.size));
+    }
+    return m_files->truncate(path_of(part.first), part.size);
+}
+
+bool log_store::join_with(log_base base)
+{
+    if (!m_segments.empty() && m_segments.back().offsets.empty() &&
+        !remove_segment(m_segments.size() - 1))
+    {
+        return false;
+    }
+    if (m_segments.empty())
+    {
+        m_last = base.index;
+        return true;
+    }
+    auto const first = m_segments.front().first;
+    if (first > base.index.value() + 1)
+    {
+        return core::fail_bool(
+            result_code::snapshot_log_mismatch,
+            "the log starts at " + std::to_string(first) +
+                " but the snapshot ends at " +
+                std::to_string(base.index.value()));
+    }
+    if (base.index.value() < first)
+    {
+        return true;
+    }
+    bool const ends_before = m_last < base.index;
+    if (ends_before || m_recovered[base.index.value() - first].entry_term !=
+                           base.base_term)
+    {
+        m_recovered.clear();
+        return reset(base.index);
+    }
+    return true;
+}
+
+bool log_store::append(std::vector<core::log_entry> const& entries)
+{
+    if (!check_writable() || entries.empty())
+    {
+        return !m_failed;
+    }
+    assert(entries.front().index.value() == m_last.value() + 1);
+    bool const is_new_segment =
+        m_segments.empty() ||
+        m_segments.back().size >= m_options.segment_bytes;
+    if (is_new_segment)
+    {
+        m_segments.push_back({entries.front().index.value(), {}, 0});
+        m_active = nullptr;
+    }
+    auto& part = m_segments.back();
+    std::string bytes;
+    std::vector<std::uint64_t> offsets;
+    for (auto const& entry : entries)
+    {
+        offsets.push_back(part.size + bytes.size());
+        append_record(bytes, part.size, wire::encode(entry));
+    }
+    if (!start_segment(part.first) || !write_batch(bytes))
+    {
+        return m_failed ? false : undo_batch(is_new_segment);
+    }
+    if (is_new_segment && !m_files->sync_folder(m_folder))
+    {
+        return remember_failure();
+    }
+    part.offsets.insert(part.offsets.end(), offsets.begin(), offsets.end());
+    part.size += bytes.size();
+    m_last = entries.back().index;
+    return true;
+}
+
+bool log_store::start_segment(std::uint64_t first)
+{
+    if (!m_active)
+    {
+        m_active = m_files->open(path_of(first));
+    }
+    return m_active != nullptr;
+}
+
+bool log_store::write_batch(std::string const& bytes)
+{
+    if (!m_active->append(bytes))
+    {
+        return false;
+    }
+    return m_active->sync() || remember_failure();
+}
+
+/// Removes what a failed append left behind; the reason of the failure stays.
+bool log_store::undo_batch(bool is_new_segment)
+{
+    auto const reason = core::last_reason();
+    auto const path = path_of(m_segments.back().first);
+    bool const opened = m_active != nullptr;
+    m_active = nullptr;
+    bool undone = true;
+    if (is_new_segment)
+    {
+        // Left in place it could later stand behind a truncated suffix.
+        undone = !opened || remove_segment(m_segments.size() - 1);
+    }
+    else if (opened)
+    {
+        undone = m_files->truncate(path, m_segments.back().size);
+    }
+    if (is_new_segment && undone && !opened)
+    {
+        m_segments.pop_back();
+    }
+    m_failed = !undone;
+    return core::fail_bool(reason.code, reason.text);
+}
+
+bool log_store::truncate_suffix(log_index from)
+{
+    if (!check_writable())
+    {
+        return false;
+    }
+    if (from > m_last)
+    {
+        return true;
+    }
+    m_active = nullptr;
+    while (!m_segments.empty() && m_segments.back().first >= from.value())
+    {
+        if (!remove_segment(m_segments.size() - 1))
+        {
+            return remember_failure();
+        }
+    }
+    m_last = log_index(from.value() - 1);
+    if (m_segments.empty())
+    {
+        return true;
+    }
+    auto& part = m_segments.back();
+    auto const keep = from.value() - part.first;
+    if (keep < part.offsets.size())
+    {
+        part.size = part.offsets[keep];
+        part.offsets.resize(keep);
+        return m_files->truncate(path_of(part.first), part.size) ||
+               remember_failure();
+    }
+    return true;
+}
+
+bool log_store::compact_prefix(log_index index)
+{
+    if (!check_writable())
+    {
+        return false;
+    }
+    while (m_segments.size() > 1 && m_segments[1].first <= index.value() + 1)
+    {
+        if (!remove_segment(0))
+        {
+            return remember_failure();
+        }
+    }
+    return true;
+}
+
+bool log_store::reset(log_index base)
+{
+    if (!check_writable())
+    {
+        return false;
+    }
+    m_active = nullptr;
+    // From the end, so that a crash leaves a prefix and no gap.
+    while (!m_segments.empty())
+    {
+        if (!remove_segment(m_segments.size() - 1))
+        {
+            return remember_failure();
+        }
+    }
+    m_last = base;
+    return true;
+}
+
+bool log_store::remove_segment(std::size_t position)
+{
+    auto const at =
+        m_segments.begin() + static_cast<std::ptrdiff_t>(position);
+    if (!m_files->remove(path_of(at->first)) ||
+        !m_files->sync_folder(m_folder))
+    {
+        return false;
+    }
+    m_segments.erase(at);
+    return true;
+}
+
+bool log_store::check_writable() const
+{
+    return !m_failed ||
+           core::fail_bool(result_code::sync_failed,
+                           "an earlier write to " + m_folder +
+                               " failed; restart the process");
+}
+
+bool log_store::remember_failure()
+{
+    m_failed = true;
+    return false;
+}
+
+std::string log_store::path_of(std::uint64_t first) const
+{
+    return m_folder + "/" + segment_name(first);
+}
+
+} // namespace turmericswitch::store
--- /dev/null
+++ b/modules/store/log/log_store.hpp
@@ -0,0 +1,112 @@
+#ifndef TURMERICSWITCH_STORE_LOG_LOG_STORE_HPP
+#define TURMERICSWITCH_STORE_LOG_LOG_STORE_HPP
+
+#include "core/messages/consensus.hpp"
+#include "store/files/file_system.hpp"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace turmericswitch::store
+{
+
+/// Limits of the log on disk.
+struct log_options
+{
+    /// A segment that has reached this size is closed after its batch.
+    std::uint64_t segment_bytes = 16U * 1024U * 1024U;
+};
+
+/// What the newest snapshot covers; zeros when there is none.
+struct log_base
+{
+    core::log_index index;
+    core::term base_term;
+};
+
+/// The consensus log on disk: segments of checked records, one sync per
+/// batch. Use one per data folder; calls come from one thread.
+///
+/// After a failed sync every further write is refused until the process is
+/// restarted, because the kernel may have dropped the unsynced pages.
+class log_store
+{
+public:
+    /// Opens the log, cuts a torn tail and reads all entries.
+    ///
+    /// Entries that a newer snapshot has replaced are removed: all of them
+    /// when the log ends before `base` or has another term at it.
+    ///
+    /// @return Nothing with `log_damaged` when a synced record is damaged or
+    /// missing, `snapshot_log_mismatch` when entries between snapshot and log
+    /// are missing, or the code of a failed file operation.
+    static std::optional<log_store> open(file_system& files,
+                                         std::string folder,
+                                         log_base base,
+                                         log_options options = {});
+
+    /// @return The entries found when opening. The second call gives none.
+    std::vector<core::log_entry> take_recovered();
+
+    /// Appends a batch and syncs once.
+    ///
+    /// @param entries Consecutive; the first follows the last stored one.
+    /// @return False with `disk_full`, `io_failed` or `sync_failed`; then none
+    /// of the entries are accepted.
+    bool append(std::vector<core::log_entry> const& entries);
+
+    /// Removes all entries from `from` on, durably.
+    bool truncate_suffix(core::log_index from);
+
+    /// Removes whole segments that end at or before `index`. Call it only
+    /// when a durable snapshot covers `index`.
+    bool compact_prefix(core::log_index index);
+
+    /// Removes all entries; the next append starts after `base`. Call it when
+    /// a received snapshot has been made durable.
+    bool reset(core::log_index base);
+
+    /// @return The last stored index, or that of the snapshot.
+    core::log_index last_index() const
+    {
+        return m_last;
+    }
+
+private:
+    struct segment
+    {
+        std::uint64_t first = 0;
+        /// Offset of each record, in order of index.
+        std::vector<std::uint64_t> offsets;
+        std::uint64_t size = 0;
+    };
+
+    log_store(file_system& files, std::string folder, log_options options);
+
+    bool recover(log_base base);
+    bool recover_segment(std::string const& name, bool is_last);
+    bool cut_tail(std::string const& content, bool is_last, segment& part);
+    bool join_with(log_base base);
+    bool check_writable() const;
+    bool start_segment(std::uint64_t first);
+    bool write_batch(std::string const& bytes);
+    bool undo_batch(bool is_new_segment);
+    bool remove_segment(std::size_t position);
+    bool remember_failure();
+    std::string path_of(std::uint64_t first) const;
+
+    file_system* m_files;
+    std::string m_folder;
+    log_options m_options;
+    std::vector<segment> m_segments;
+    std::vector<core::log_entry> m_recovered;
+    std::unique_ptr<append_file> m_active;
+    core::log_index m_last;
+    bool m_failed = false;
+};
+
+} // namespace turmericswitch::store
+
+#endif
--- /dev/null
+++ b/modules/store/state/checked_file.hpp
@@ -0,0 +1,35 @@
+#ifndef TURMERICSWITCH_STORE_STATE_CHECKED_FILE_HPP
+#define TURMERICSWITCH_STORE_STATE_CHECKED_FILE_HPP
+
+#include "store/files/file_system.hpp"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace turmericswitch::store
+{
+
+/// Replaces a small file as a whole: new file, sync, rename, folder sync.
+///
+/// @return False with the reason of the failed step; the old file is then
+/// still in place unless only the folder sync failed.
+bool replace_checked_file(file_system& files,
+                          std::string const& folder,
+                          std::string const& name,
+                          std::string_view payload);
+
+/// @return The payload, or nothing with `io_failed` when the file can't be
+/// read or its checksum is wrong.
+std::optional<std::string> read_checked_file(file_system& files,
+                                             std::string const& folder,
+                                             std::string const& name);
+
+/// @return True when the folder lists the name.
+bool has_file(file_system& files,
+              std::string const& folder,
+              std::string const& name);
+
+} // namespace turmericswitch::store
+
+#endif
--- /dev/null
+++ b/modules/store/state/hard_state_store.hpp
@@ -0,0 +1,61 @@
+#ifndef TURMERICSWITCH_STORE_STATE_HARD_STATE_STORE_HPP
+#define TURMERICSWITCH_STORE_STATE_HARD_STATE_STORE_HPP
+
+#include "core/messages/consensus.hpp"
+#include "store/files/file_system.hpp"
+
+#include <optional>
+#include <string>
+
+namespace turmericswitch::store
+{
+
+/// Who an instance is in its consensus group.
+struct instance_identity
+{
+    std::string group;
+    core::member_id member;
+    /// Random number drawn when the data folder was created.
+    std::uint64_t marker = 0;
+
+    bool operator==(instance_identity const&) const = default;
+};
+
+/// Keeps identity, term and vote of one instance. Use it before anything
+/// else in the data folder: without the identity file the instance must not
+/// vote under its old member id, because it may have forgotten a vote.
+class hard_state_store
+{
+public:
+    /// @param folder Created when missing.
+    hard_state_store(file_system& files, std::string folder);
+
+    /// Starts a new identity with its first hard state. Only for a new group
+    /// or a learner that joins under a new member id.
+    ///
+    /// @return False when the folder already has an identity (`io_failed`),
+    /// or with the reason of a failed file operation.
+    bool create(instance_identity const& identity,
+                core::hard_state const& state);
+
+    /// @param member The id from the settings.
+    /// @return The identity, or nothing with `identity_lost` when the file or
+    /// the hard state is missing, damaged or of another member.
+    std::optional<instance_identity> load_identity(core::member_id member);
+
+    /// @return Term and vote, or nothing with `identity_lost`.
+    std::optional<core::hard_state> load();
+
+    /// Replaces term and vote durably. After a failure every further call is
+    /// refused with `sync_failed`.
+    bool save(core::hard_state const& state);
+
+private:
+    file_system* m_files;
+    std::string m_folder;
+    bool m_failed = false;
+};
+
+} // namespace turmericswitch::store
+
+#endif
--- /dev/null
+++ b/tests/support/consensus_harness.hpp
@@ -0,0 +1,117 @@
+#ifndef TURMERICSWITCH_TESTS_SUPPORT_CONSENSUS_HARNESS_HPP
+#define TURMERICSWITCH_TESTS_SUPPORT_CONSENSUS_HARNESS_HPP
+
+#include "consensus/node/raft_node.hpp"
+#include "store/log/log_store.hpp"
+#include "store/state/hard_state_store.hpp"
+#include "store/state/snapshot_store.hpp"
+#include "support/consensus_oracle.hpp"
+#include "support/fake_file_system.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace turmericswitch::testing
+{
+
+/// A consensus group in one thread: raft nodes over the real store on fake
+/// disks, joined by a network that drops, delays, doubles and reorders. All
+/// faults follow from the seed. A broken promise throws std::runtime_error.
+class consensus_harness
+{
+public:
+    struct outcome
+    {
+        std::optional<core::log_index> applied;
+        std::optional<core::result_code> rejected;
+        std::optional<core::log_index> readable;
+    };
+
+    consensus_harness(std::size_t voters, std::uint64_t seed);
+    ~consensus_harness();
+
+    /// Runs steps of 10 ms.
+    void run(std::size_t steps);
+
+    /// @return A ticket whose outcome can be looked up.
+    std::uint64_t propose(core::member_id at);
+    std::uint64_t read(core::member_id at);
+    std::uint64_t change(core::member_id at,
+                         consensus::membership_change_kind kind,
+                         core::member_id subject);
+    void transfer(core::member_id at);
+    void take_snapshot(core::member_id at);
+
+    /// Starts an empty member that waits to be added.
+    core::member_id start_spare();
+    void crash(core::member_id member);
+    /// The member crashes between two of its next actions.
+    void crash_after(core::member_id member, std::size_t actions);
+    void restart(core::member_id member);
+    /// Stops the member for good and loses its disk.
+    void lose_disk(core::member_id member);
+
+    void cut(core::member_id from, core::member_id to);
+    void isolate(core::member_id member);
+    void heal();
+    /// @param drop_percent Share of messages lost; as many are doubled.
+    void set_network(unsigned drop_percent, unsigned max_delay_steps);
+
+    /// Heals everything and expects a proposal to be acknowledged and applied
+    /// by every member within a fixed number of steps.
+    void expect_progress();
+
+    std::optional<core::member_id> leader() const;
+    consensus::raft_node const* node(core::member_id member) const;
+    core::log_index applied(core::member_id member) const;
+    outcome const& outcome_of(std::uint64_t id) const;
+    fake_file_system& disk(core::member_id member);
+    std::vector<core::member_id> members() const;
+    bool has_lost_disk(core::member_id member) const;
+    consensus_oracle const& oracle() const;
+
+private:
+    struct member_state;
+    struct flight
+    {
+        std::uint64_t due = 0;
+        core::consensus_message content;
+    };
+
+    void start(member_state& member, bool fresh);
+    void step();
+    void deliver();
+    void write_log(member_state& member);
+    void feed(member_state& member, consensus::event const& input);
+    bool carry_out(member_state& member, consensus::action const& output);
+    void fail_storage(member_state& member);
+    void apply_entries(member_state& member, consensus::apply const& output);
+    bool install(member_state& member,
+                 consensus::install_snapshot const& output);
+    void transmit(core::consensus_message const& content);
+    bool is_acknowledged_everywhere(core::log_index index) const;
+    std::uint64_t chance(std::uint64_t limit);
+    std::uint64_t open_ticket();
+    core::time_point now() const;
+
+    core::random_source m_random;
+    std::map<core::member_id, std::unique_ptr<member_state>> m_members;
+    core::group_membership m_first_members;
+    std::vector<flight> m_flights;
+    std::set<std::pair<core::member_id, core::member_id>> m_cuts;
+    std::map<std::uint64_t, outcome> m_outcomes;
+    consensus_oracle m_oracle;
+    std::uint64_t m_step = 0;
+    std::uint64_t m_next_ticket = 1;
+    unsigned m_drop_percent = 0;
+    unsigned m_max_delay = 3;
+};
+
+} // namespace turmericswitch::testing
+
+#endif
