--- /dev/null
+++ b/modules/rules/text/printer.hpp
@@ -0,0 +1,20 @@
+#ifndef TURMERICSWITCH_RULES_TEXT_PRINTER_HPP
+#define TURMERICSWITCH_RULES_TEXT_PRINTER_HPP
+
+#include "rules/model/rule_set.hpp"
+
+#include <string>
+
+namespace turmericswitch::rules
+{
+
+/// @return The file that parses to the same rule set, with every option
+/// written out, comments and requesters kept.
+std::string print(rule_set const& rules);
+
+/// @return One rule without its trailing comment.
+std::string print(rule_body const& body);
+
+} // namespace turmericswitch::rules
+
+#endif
