Add cluster_state: replicated state machine and the leader's volatile parts

Control needs durable jobs, configuration, sessions and claims, and a worker protocol whose leases keep a task on one worker. First version with a fuzz of workers under faults.

--- /dev/null
+++ b/modules/cluster_state/configuration/configuration_state.hpp
@@ -0,0 +1,99 @@
+#ifndef TURMERICSWITCH_CLUSTER_STATE_CONFIGURATION_CONFIGURATION_STATE_HPP
+#define TURMERICSWITCH_CLUSTER_STATE_CONFIGURATION_CONFIGURATION_STATE_HPP
+
+#include "core/messages/state.hpp"
+#include "naming/table/name_table.hpp"
+#include "rules/model/rule_set.hpp"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace turmericswitch::cluster_state
+{
+
+/// Changes of about four days at 1,100 a day.
+constexpr std::size_t max_history = 4096;
+/// Longer texts of one change are cut.
+constexpr std::size_t max_change_bytes = 2048;
+
+/// The rules in force, the operators' commands beside them, and the history.
+///
+/// An availability zone is in service only if both the rules and the commands
+/// say so. Commands are kept beside the rules, so applying a file never
+/// brings back a zone that a command took out; only `set_zone` does. A change
+/// costs O(rules), a question O(log rules).
+class configuration_state
+{
+public:
+    configuration_state() = default;
+
+    /// Replaces the rules. A file with errors or an old revision changes
+    /// nothing.
+    core::command_reply apply(core::apply_rules const& command,
+                              core::wall_time wall);
+    core::command_reply apply(core::set_zone const& command,
+                              core::wall_time wall);
+    core::command_reply apply(core::set_drain const& command,
+                              core::wall_time wall);
+
+    /// @return The configuration in force, commands included.
+    core::configuration const& in_force() const noexcept;
+
+    core::revision current() const noexcept;
+
+    /// @return True if the zone, under any of its names, is known and in
+    /// service.
+    bool is_in_service(core::zone_id const& zone) const;
+
+    /// @return True if the backend server, under any name, is to drain.
+    bool is_leaving(core::backend_id const& backend) const;
+
+    /// @return True if a rule says that the two kinds never share a worker.
+    bool never_share(core::task_kind const& a, core::task_kind const& b) const;
+
+    /// @return The limit per worker, or nothing.
+    std::optional<std::uint32_t> kind_limit(core::task_kind const& kind) const;
+
+    /// @return The text of the rules, without commands.
+    std::string const& text() const noexcept;
+
+    /// @return Accepted changes, oldest first, at most `max_history`.
+    std::deque<core::change_record> const& history() const noexcept;
+
+    core::configuration_record record() const;
+
+    /// @return False if the rules of the record don't compile.
+    bool restore(core::configuration_record record);
+
+private:
+    std::string canonical_zone(core::zone_id const& zone) const;
+    void accept(core::change_record change);
+    void derive();
+    void derive_zones();
+    std::string held_out() const;
+
+    core::revision m_current;
+    core::operator_id m_author;
+    std::string m_text;
+    rules::rule_set m_rules;
+    core::configuration m_compiled;
+    std::vector<core::zone_command> m_zone_commands;
+    std::map<core::backend_id, core::drain_command> m_drains;
+    std::deque<core::change_record> m_history;
+
+    // Derived from the members above.
+    core::configuration m_in_force;
+    naming::name_table m_names;
+    std::map<std::string, core::zone_state> m_zones;
+    std::set<std::string> m_leaving;
+    std::set<std::pair<core::task_kind, core::task_kind>> m_never;
+    std::map<core::task_kind, std::uint32_t> m_limits;
+};
+
+} // namespace turmericswitch::cluster_state
+
+#endif
--- /dev/null
+++ b/modules/cluster_state/leader/backend_registry.hpp
@@ -0,0 +1,75 @@
+#ifndef TURMERICSWITCH_CLUSTER_STATE_LEADER_BACKEND_REGISTRY_HPP
+#define TURMERICSWITCH_CLUSTER_STATE_LEADER_BACKEND_REGISTRY_HPP
+
+#include "core/messages/registry.hpp"
+
+#include <deque>
+#include <map>
+#include <set>
+#include <utility>
+
+namespace turmericswitch::cluster_state
+{
+
+/// Changes kept for deltas; a process further behind gets all entries.
+constexpr std::size_t max_registry_changes = 4096;
+
+/// The control leader's list of backend servers, kept alive by announces.
+///
+/// Use one per term of leadership: the term is the epoch of its versions, so
+/// a process never takes a delta of another leader. `announce` and `tick`
+/// cost O(log backend servers) per entry; `changes_since` costs O(changes) or
+/// O(backend servers) when the whole registry is sent.
+class backend_registry
+{
+public:
+    /// @param lease Time after which an entry ends unless announced again.
+    backend_registry(core::term epoch, core::duration lease);
+
+    /// Adds or renews an entry. An announce of an earlier life of the sidecar
+    /// is refused with `wrong_incarnation`.
+    ///
+    /// @param drain True if operators want the backend server to drain.
+    /// @param current Configuration revision, for the answer.
+    core::announce_answer announce(core::announce_request const& request,
+                                   bool drain,
+                                   core::revision current,
+                                   core::time_point now);
+
+    /// Removes entries whose lease has ended.
+    /// @return True if there was one.
+    bool tick(core::time_point now);
+
+    /// Fills `registry`, `whole_registry`, `changed` and `removed`.
+    void changes_since(core::registry_version known,
+                       core::watch_answer& answer) const;
+
+    core::registry_version version() const noexcept;
+
+    /// @return The revision that the sidecar last reported, or nothing.
+    std::optional<core::revision>
+    in_force_at(core::backend_id const& backend) const;
+
+    std::size_t size() const noexcept;
+
+private:
+    struct registration
+    {
+        core::backend_entry entry;
+        core::revision in_force;
+        core::time_point end;
+    };
+
+    void note_change(core::backend_id const& backend);
+
+    core::registry_version m_version;
+    core::duration m_lease;
+    std::map<core::backend_id, registration> m_entries;
+    std::set<std::pair<core::time_point, core::backend_id>> m_by_end;
+    /// `m_changes[i]` led to version `m_version - size + 1 + i`.
+    std::deque<core::backend_id> m_changes;
+};
+
+} // namespace turmericswitch::cluster_state
+
+#endif
--- /dev/null
+++ b/modules/cluster_state/leader/heartbeat_service.hpp
@@ -0,0 +1,76 @@
+#ifndef TURMERICSWITCH_CLUSTER_STATE_LEADER_HEARTBEAT_SERVICE_HPP
+#define TURMERICSWITCH_CLUSTER_STATE_LEADER_HEARTBEAT_SERVICE_HPP
+
+#include "cluster_state/leader/lease_table.hpp"
+#include "cluster_state/machine/state_machine.hpp"
+#include "core/messages/jobs.hpp"
+
+#include <map>
+#include <set>
+#include <vector>
+
+namespace turmericswitch::cluster_state
+{
+
+/// Answers workers' heartbeats on the leader, from committed state only.
+///
+/// For each heartbeat call `prepare`, propose its commands, wait until they
+/// are applied and until a read-index round that began after the receipt has
+/// ended, and then call `answer`. Late, repeated and reordered heartbeats
+/// change nothing. Both calls cost O((tasks held or reported) * log tasks).
+class heartbeat_service
+{
+public:
+    explicit heartbeat_service(lease_table& leases);
+
+    /// @return Commands to commit before the answer: `register_worker` for an
+    /// unknown or changed worker, `worker_reports` for new reports.
+    std::vector<core::command_body>
+    prepare(core::heartbeat_request const& heartbeat,
+            state_machine const& state) const;
+
+    /// Builds the answer and records the leases and permits in it.
+    ///
+    /// @param now The leader's clock.
+    core::heartbeat_answer answer(core::heartbeat_request const& heartbeat,
+                                  core::time_point now,
+                                  state_machine const& state);
+
+    /// Throttles an attempt with every answer until its hold ends.
+    /// @param cpu_permille Share of its reserved processor time; 1000 ends
+    /// the throttling.
+    void set_throttle(core::held_task const& task, std::uint32_t cpu_permille);
+
+    /// Asks for a checkpoint with every answer until `end_checkpoint`.
+    void request_checkpoint(core::held_task const& task);
+    void end_checkpoint(core::held_task const& task);
+
+    /// Forgets the requests for an attempt whose hold has ended.
+    void released(core::held_task const& task);
+
+private:
+    void answer_held(core::held_task const& task,
+                     core::worker_id const& worker,
+                     core::time_point now,
+                     state_machine const& state,
+                     core::heartbeat_answer& answer);
+    void answer_missing(core::job_record const& job,
+                        core::heartbeat_request const& heartbeat,
+                        core::time_point now,
+                        state_machine const& state,
+                        core::heartbeat_answer& answer);
+    void add_start(core::job_record const& job,
+                   core::zone_id const& zone,
+                   core::time_point now,
+                   core::heartbeat_answer& answer);
+    void add_requests(core::held_task const& task,
+                      core::heartbeat_answer& answer) const;
+
+    lease_table& m_leases;
+    std::map<core::held_task, std::uint32_t> m_throttled;
+    std::set<core::held_task> m_checkpoints;
+};
+
+} // namespace turmericswitch::cluster_state
+
+#endif
--- /dev/null
+++ b/modules/cluster_state/leader/lease_table.cpp
@@ -0,0 +1,111 @@
+#include "cluster_state/leader/lease_table.hpp"
+
+#include <algorithm>
+
+namespace turmericswitch::cluster_state
+{
+
+lease_table::lease_table(lease_settings settings) : m_settings(settings) {}
+
+void lease_table::elected(std::vector<core::held_task> const& held,
+                          core::time_point now)
+{
+    m_leases.clear();
+    m_by_end.clear();
+    m_last_permit.clear();
+    m_elected_at = now;
+    auto const longest =
+        std::max(m_settings.batch_lease, m_settings.service_lease);
+    for (auto const& task : held)
+    {
+        set_end(task, now + with_drift(longest));
+    }
+}
+
+void lease_table::placed(core::held_task const& task, core::time_point now)
+{
+    set_end(task, now + m_settings.unsent);
+}
+
+void lease_table::released(core::held_task const& task)
+{
+    if (auto const known = m_leases.find(task); known != m_leases.end())
+    {
+        m_by_end.erase({known->second.end, task});
+        m_leases.erase(known);
+    }
+}
+
+core::duration
+lease_table::lease_for(core::priority_class priority) const noexcept
+{
+    return priority == core::priority_class::service ? m_settings.service_lease
+                                                     : m_settings.batch_lease;
+}
+
+bool lease_table::grant(core::held_task const& task,
+                        core::duration lease,
+                        core::time_point now)
+{
+    auto const known = m_leases.find(task);
+    if (known == m_leases.end() || known->second.given_up)
+    {
+        return false;
+    }
+    set_end(task, std::max(known->second.end, now + with_drift(lease)));
+    return true;
+}
+
+void lease_table::note_permit(core::zone_id const& zone, core::time_point now)
+{
+    m_last_permit[zone] = now;
+}
+
+core::time_point lease_table::quiet_from(core::zone_id const& zone) const
+{
+    auto const last = m_last_permit.find(zone);
+    auto const from = last == m_last_permit.end() ? m_elected_at : last->second;
+    return from + with_drift(m_settings.permit);
+}
+
+std::vector<core::held_task> lease_table::expired(core::time_point now)
+{
+    std::vector<core::held_task> ended;
+    for (auto const& [end, task] : m_by_end)
+    {
+        if (end > now)
+        {
+            break;
+        }
+        m_leases[task].given_up = true;
+        ended.push_back(task);
+    }
+    return ended;
+}
+
+lease_settings const& lease_table::settings() const noexcept
+{
+    return m_settings;
+}
+
+std::size_t lease_table::size() const noexcept
+{
+    return m_leases.size();
+}
+
+core::duration lease_table::with_drift(core::duration counted) const noexcept
+{
+    // A slow worker clock and a fast leader clock stretch the lease by
+    // (1 + d) / (1 - d), which is below 1 + 3d for d under a third.
+    return counted + counted * 3 * m_settings.drift_permille / 1000;
+}
+
+void lease_table::set_end(core::held_task const& task, core::time_point end)
+{
+    auto& slot = m_leases[task];
+    m_by_end.erase({slot.end, task});
+    slot.end = end;
+    m_by_end.insert({end, task});
+}
+
+} // namespace turmericswitch::cluster_state
--- /dev/null
+++ b/modules/cluster_state/machine/state_machine.cpp
@@ -0,0 +1,218 @@
+#include "cluster_state/machine/state_machine.hpp"
+
+#include "cluster_state/machine/snapshot_codec.hpp"
+#include "core/results/last_reason.hpp"
+
+#include <algorithm>
+#include <cassert>
+
+namespace turmericswitch::cluster_state
+{
+
+namespace
+{
+
+template <typename... Handlers>
+struct overloaded : Handlers...
+{
+    using Handlers::operator()...;
+};
+
+template <typename... Handlers>
+overloaded(Handlers...) -> overloaded<Handlers...>;
+
+} // namespace
+
+core::command_reply state_machine::apply(core::log_index index,
+                                         core::command_envelope const& envelope)
+{
+    assert(index > m_applied);
+    m_applied = index;
+    m_now = std::max(m_now, envelope.cluster_time);
+    bool const has_session = !envelope.client.value().empty();
+    if (has_session)
+    {
+        if (auto known =
+                m_sessions.known_reply(envelope.client, envelope.sequence))
+        {
+            ++m_board.counters().resent_commands;
+            return *known;
+        }
+    }
+    auto reply = run(envelope);
+    reply.current = m_config.current();
+    if (reply.code == core::result_code::revision_conflict)
+    {
+        ++m_board.counters().revision_conflicts;
+    }
+    if (has_session)
+    {
+        m_sessions.store({envelope.client, envelope.sequence, m_now, reply});
+    }
+    return reply;
+}
+
+core::command_reply
+state_machine::run(core::command_envelope const& envelope)
+{
+    auto const wall = envelope.wall;
+    auto const coded = [](core::result_code code)
+    {
+        core::command_reply reply;
+        reply.code = code;
+        return reply;
+    };
+    return std::visit(
+        overloaded{
+            [&](core::apply_rules const& each)
+            { return m_config.apply(each, wall); },
+            [&](core::set_zone const& each)
+            { return m_config.apply(each, wall); },
+            [&](core::set_drain const& each)
+            { return m_config.apply(each, wall); },
+            [&](core::submit_jobs const& each)
+            { return m_board.submit(each, m_now); },
+            [&](core::cancel_jobs const& each)
+            { return m_board.cancel(each, m_now); },
+            [&](core::register_worker const& each)
+            { return m_board.register_worker(each.worker); },
+            [&](core::worker_reports const& each)
+            { return m_board.report(each, m_now); },
+            [&](core::expire_leases const& each)
+            { return m_board.expire(each, m_now); },
+            [&](core::retire_worker const& each)
+            { return m_board.retire(each.worker); },
+            [&](core::placement_batch const& each)
+            { return m_board.place(each, m_config, m_now); },
+            [&](core::claim_key const& each)
+            { return coded(m_claims.claim(each, m_now)); },
+            [&](core::finish_claim const& each)
+            {
+                m_claims.finish(each);
+                return coded(core::result_code::ok);
+            },
+            [&](core::expire_records const&) { return expire_all(); }},
+        envelope.body);
+}
+
+core::command_reply state_machine::expire_all()
+{
+    m_sessions.expire(m_now, max_expired_per_command);
+    m_claims.expire(m_now, max_expired_per_command);
+    m_board.prune(m_now, max_expired_per_command);
+    return {};
+}
+
+std::string state_machine::snapshot() const
+{
+    std::vector<core::state_snapshot> parts(1);
+    auto& first = parts.front();
+    first.applied = m_applied;
+    first.now = m_now;
+    first.last_job = m_board.jobs().last_id();
+    first.config = m_config.record();
+    first.sessions = m_sessions.records();
+    first.claims = m_claims.records();
+    first.counters = m_board.counters();
+    for (auto const& [id, worker] : m_board.workers().all())
+    {
+        first.workers.push_back(worker.record);
+    }
+    for (auto const& [id, job] : m_board.jobs().all())
+    {
+        if (parts.back().jobs.size() == jobs_per_part)
+        {
+            parts.emplace_back();
+        }
+        parts.back().jobs.push_back(job);
+    }
+    return encode_parts(parts);
+}
+
+bool state_machine::restore(std::string_view bytes)
+{
+    auto parts = decode_parts(bytes);
+    if (!parts)
+    {
+        return false;
+    }
+    state_machine fresh;
+    auto& first = parts->front();
+    fresh.m_applied = first.applied;
+    fresh.m_now = first.now;
+    for (auto& session : first.sessions)
+    {
+        fresh.m_sessions.store(std::move(session));
+    }
+    for (auto& claim : first.claims)
+    {
+        fresh.m_claims.restore(std::move(claim));
+    }
+    bool is_whole = fresh.m_config.restore(std::move(first.config));
+    auto jobs = std::move(first.jobs);
+    fresh.m_board.restore(std::move(first));
+    is_whole = is_whole && fresh.m_board.restore_jobs(std::move(jobs));
+    for (std::size_t i = 1; i < parts->size(); ++i)
+    {
+        is_whole = is_whole &&
+                   fresh.m_board.restore_jobs(std::move((*parts)[i].jobs));
+    }
+    if (!is_whole)
+    {
+        return core::fail_bool(core::result_code::snapshot_damaged,
+                               "the parts of the snapshot contradict");
+    }
+    fresh.m_board.take_observer(m_board);
+    *this = std::move(fresh);
+    return true;
+}
+
+core::log_index state_machine::applied() const noexcept
+{
+    return m_applied;
+}
+
+core::time_point state_machine::now() const noexcept
+{
+    return m_now;
+}
+
+configuration_state const& state_machine::config() const noexcept
+{
+    return m_config;
+}
+
+job_table const& state_machine::jobs() const noexcept
+{
+    return m_board.jobs();
+}
+
+worker_table const& state_machine::workers() const noexcept
+{
+    return m_board.workers();
+}
+
+core::state_counters const& state_machine::counters() const noexcept
+{
+    return m_board.counters();
+}
+
+std::vector<core::held_task> state_machine::held_tasks() const
+{
+    std::vector<core::held_task> all;
+    for (auto const& [id, worker] : m_board.workers().all())
+    {
+        for (auto const job : worker.held)
+        {
+            all.push_back({job, m_board.jobs().find(job)->attempt});
+        }
+    }
+    return all;
+}
+
+void state_machine::observe_holds(hold_observer observer)
+{
+    m_board.observe(std::move(observer));
+}
+
+} // namespace turmericswitch::cluster_state
--- /dev/null
+++ b/modules/cluster_state/machine/state_machine.hpp
@@ -0,0 +1,73 @@
+#ifndef TURMERICSWITCH_CLUSTER_STATE_MACHINE_STATE_MACHINE_HPP
+#define TURMERICSWITCH_CLUSTER_STATE_MACHINE_STATE_MACHINE_HPP
+
+#include "cluster_state/configuration/configuration_state.hpp"
+#include "cluster_state/jobs/job_board.hpp"
+#include "cluster_state/sessions/claim_table.hpp"
+#include "cluster_state/sessions/session_table.hpp"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace turmericswitch::cluster_state
+{
+
+/// Records removed by one `expire_records`, so that no command takes long.
+constexpr std::size_t max_expired_per_command = 5000;
+
+/// The replicated state. Every control instance applies the same commands in
+/// the same order and has the same state.
+///
+/// Costs: configuration commands O(rules); `placement_batch`, `cancel_jobs`,
+/// `submit_jobs`, `worker_reports`, `expire_leases` O(log n) per item; all
+/// others O(log n). Snapshot and restore are linear.
+class state_machine
+{
+public:
+    /// Applies one committed command.
+    ///
+    /// @param index Must be above that of the last command.
+    /// @return The reply; for a resent command, its first reply.
+    core::command_reply apply(core::log_index index,
+                              core::command_envelope const& envelope);
+
+    /// @return The whole state as bytes.
+    std::string snapshot() const;
+
+    /// Replaces the state. The hold observer stays, but is not called.
+    ///
+    /// @return False with `snapshot_damaged`, and the state unchanged.
+    bool restore(std::string_view bytes);
+
+    core::log_index applied() const noexcept;
+    /// @return Cluster time of the last command.
+    core::time_point now() const noexcept;
+    configuration_state const& config() const noexcept;
+    job_table const& jobs() const noexcept;
+    worker_table const& workers() const noexcept;
+    core::state_counters const& counters() const noexcept;
+
+    /// @return All attempts that hold a share of a worker. Linear in workers
+    /// and tasks; call it once per election.
+    std::vector<core::held_task> held_tasks() const;
+
+    /// @param observer Called inside `apply`. The leader's `lease_table`
+    /// follows holds through it.
+    void observe_holds(hold_observer observer);
+
+private:
+    core::command_reply run(core::command_envelope const& envelope);
+    core::command_reply expire_all();
+
+    core::log_index m_applied;
+    core::time_point m_now;
+    configuration_state m_config;
+    job_board m_board;
+    session_table m_sessions;
+    claim_table m_claims;
+};
+
+} // namespace turmericswitch::cluster_state
+
+#endif
--- /dev/null
+++ b/modules/cluster_state/sessions/claim_table.cpp
@@ -0,0 +1,92 @@
+#include "cluster_state/sessions/claim_table.hpp"
+
+namespace turmericswitch::cluster_state
+{
+
+using core::result_code;
+
+result_code claim_table::claim(core::claim_key const& command,
+                               core::time_point now)
+{
+    if (command.key.empty() || command.key.size() > max_key_bytes)
+    {
+        return result_code::request_malformed;
+    }
+    claim_name const name{command.service, command.key};
+    auto const known = m_claims.find(name);
+    if (known != m_claims.end() && known->second.expires > now)
+    {
+        if (known->second.finished)
+        {
+            return result_code::duplicate_request;
+        }
+        return known->second.request == command.request
+                   ? result_code::ok
+                   : result_code::outcome_unknown;
+    }
+    erase(name);
+    restore({command.service,
+             command.key,
+             command.request,
+             false,
+             now + claim_lifetime});
+    return result_code::ok;
+}
+
+void claim_table::finish(core::finish_claim const& command)
+{
+    claim_name const name{command.service, command.key};
+    auto const known = m_claims.find(name);
+    if (known == m_claims.end() || known->second.request != command.request)
+    {
+        return;
+    }
+    if (command.ran)
+    {
+        known->second.finished = true;
+    }
+    else if (!known->second.finished)
+    {
+        erase(name);
+    }
+}
+
+void claim_table::expire(core::time_point now, std::size_t limit)
+{
+    for (; limit > 0 && !m_by_expiry.empty() &&
+           m_by_expiry.begin()->first <= now;
+         --limit)
+    {
+        m_claims.erase(m_by_expiry.begin()->second);
+        m_by_expiry.erase(m_by_expiry.begin());
+    }
+}
+
+void claim_table::restore(core::claim_record record)
+{
+    claim_name const name{record.service, record.key};
+    m_by_expiry.insert({record.expires, name});
+    m_claims[name] = std::move(record);
+}
+
+std::vector<core::claim_record> claim_table::records() const
+{
+    std::vector<core::claim_record> all;
+    all.reserve(m_claims.size());
+    for (auto const& [name, record] : m_claims)
+    {
+        all.push_back(record);
+    }
+    return all;
+}
+
+void claim_table::erase(claim_name const& name)
+{
+    if (auto const known = m_claims.find(name); known != m_claims.end())
+    {
+        m_by_expiry.erase({known->second.expires, name});
+        m_claims.erase(known);
+    }
+}
+
+} // namespace turmericswitch::cluster_state
--- /dev/null
+++ b/modules/cluster_state/sessions/claim_table.hpp
@@ -0,0 +1,54 @@
+#ifndef TURMERICSWITCH_CLUSTER_STATE_SESSIONS_CLAIM_TABLE_HPP
+#define TURMERICSWITCH_CLUSTER_STATE_SESSIONS_CLAIM_TABLE_HPP
+
+#include "core/messages/state.hpp"
+
+#include <map>
+#include <set>
+#include <string>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+namespace turmericswitch::cluster_state
+{
+
+/// Part of the interface to callers (design.md section 6).
+constexpr core::duration claim_lifetime = std::chrono::hours(24);
+constexpr std::size_t max_key_bytes = 256;
+
+/// Idempotency keys and the requests that claimed them. Every call costs
+/// O(log claims).
+class claim_table
+{
+public:
+    /// @return `ok` for the first request of a key, and again for the same
+    /// request while it is unfinished; `duplicate_request` if the key's
+    /// request has run; else `outcome_unknown`.
+    core::result_code claim(core::claim_key const& command,
+                            core::time_point now);
+
+    /// Records the end of a request. Ignored if another request has the key.
+    void finish(core::finish_claim const& command);
+
+    /// Removes at most `limit` expired claims.
+    void expire(core::time_point now, std::size_t limit);
+
+    /// Puts a claim back from a snapshot.
+    void restore(core::claim_record record);
+
+    /// @return All claims, by service and key.
+    std::vector<core::claim_record> records() const;
+
+private:
+    using claim_name = std::pair<core::service_id, std::string>;
+
+    void erase(claim_name const& name);
+
+    std::map<claim_name, core::claim_record> m_claims;
+    std::set<std::pair<core::time_point, claim_name>> m_by_expiry;
+};
+
+} // namespace turmericswitch::cluster_state
+
+#endif
--- /dev/null
+++ b/modules/cluster_state/tests/fake_cluster.cpp
@@ -0,0 +1,562 @@
+#include "cluster_state/tests/fake_cluster.hpp"
+
+#include <algorithm>
+
+namespace turmericswitch::cluster_state
+{
+
+namespace
+{
+
+using core::job_state;
+using core::task_event;
+using namespace std::chrono_literals;
+
+constexpr std::int64_t step_us = 10'000;
+constexpr std::size_t worker_count = 4;
+constexpr std::int64_t work_per_job = 300;
+constexpr char const* rules_text =
+    "zone a region=n # asked by A: test\n"
+    "zone b region=n # asked by A: test\n"
+    "never-share k0 k1 # asked by A: test\n"
+    "limit k2 per-worker=2 # asked by A: test\n";
+
+core::zone_id zone_of(std::size_t index)
+{
+    return core::zone_id(index % 2 == 0 ? "a" : "b");
+}
+
+std::int64_t progress_of(std::optional<core::checkpoint_id> const& checkpoint)
+{
+    return checkpoint ? std::stoll(checkpoint->value()) : 0;
+}
+
+} // namespace
+
+fake_cluster::fake_cluster(std::uint64_t seed)
+    : m_random(core::seeded_random(seed)),
+      m_settings{.permit = 1s,
+                 .batch_lease = 3s,
+                 .service_lease = 5s,
+                 .unsent = 1s,
+                 .drift_permille = 10,
+                 .next_heartbeat = 200ms},
+      m_leases(m_settings)
+{
+    apply(core::apply_rules{core::operator_id("o"), {}, rules_text});
+    for (std::size_t i = 0; i < worker_count; ++i)
+    {
+        auto& worker = m_workers.emplace_back();
+        worker.description = {core::worker_id("w" + std::to_string(i)),
+                              core::incarnation(1),
+                              {zone_of(i), core::region_id("n")},
+                              core::rack_id("r"),
+                              {core::millicores(4000),
+                               core::byte_count(4000),
+                               core::accelerator_count(1)}};
+        worker.rate = 0.99 + 0.02 * core::random_unit(m_random);
+    }
+    m_state.observe_holds(
+        [this](core::held_task const& task, bool is_held)
+        {
+            is_held ? m_leases.placed(task, leader_now())
+                    : m_leases.released(task);
+        });
+    elect();
+}
+
+std::uint64_t fake_cluster::below(std::uint64_t limit)
+{
+    return core::random_below(m_random, limit);
+}
+
+bool fake_cluster::chance(std::uint64_t percent)
+{
+    return below(100) < percent;
+}
+
+std::int64_t fake_cluster::local(fake_worker const& worker) const
+{
+    return static_cast<std::int64_t>(static_cast<double>(m_now) * worker.rate);
+}
+
+core::time_point fake_cluster::leader_now() const
+{
+    auto const now = static_cast<double>(m_now) * m_leader_rate;
+    return core::time_point(core::duration(static_cast<std::int64_t>(now)));
+}
+
+void fake_cluster::at(std::int64_t delay, std::function<void()> action)
+{
+    m_events.emplace(m_now + delay, std::move(action));
+}
+
+void fake_cluster::deliver(std::function<void()> const& action)
+{
+    int const copies = !m_faults ? 1 : chance(15) ? 0 : chance(10) ? 2 : 1;
+    for (int i = 0; i < copies; ++i)
+    {
+        bool const is_late = m_faults && chance(10);
+        at(static_cast<std::int64_t>(below(is_late ? 4'000'000 : 20'000)),
+           action);
+    }
+}
+
+void fake_cluster::propose(std::vector<core::command_body> commands,
+                           std::function<void()> then)
+{
+    auto const number = ++m_proposals;
+    m_pending[number] = {std::move(commands), std::move(then)};
+    at(static_cast<std::int64_t>(below(m_faults ? 200'000 : 5'000)),
+       [this, number]
+       {
+           // The log is ordered: earlier proposals are committed first.
+           while (!m_pending.empty() && m_pending.begin()->first <= number)
+           {
+               auto const next = std::move(m_pending.begin()->second);
+               m_pending.erase(m_pending.begin());
+               for (auto const& command : next.commands)
+               {
+                   apply(command);
+               }
+               if (next.then)
+               {
+                   next.then();
+               }
+           }
+       });
+}
+
+void fake_cluster::apply(core::command_body body)
+{
+    core::command_envelope envelope;
+    envelope.cluster_time = core::time_point(core::duration(m_now));
+    envelope.body = std::move(body);
+    m_state.apply(core::log_index(++m_index), envelope);
+}
+
+void fake_cluster::elect()
+{
+    // Some prefix of the old leader's log survives, its answers don't.
+    for (; !m_pending.empty() && chance(60); m_pending.erase(m_pending.begin()))
+    {
+        for (auto const& command : m_pending.begin()->second.commands)
+        {
+            apply(command);
+        }
+    }
+    m_pending.clear();
+    ++m_epoch;
+    m_leader_rate = 0.99 + 0.02 * core::random_unit(m_random);
+    m_leases = lease_table(m_settings);
+    m_service = std::make_unique<heartbeat_service>(m_leases);
+    m_leases.elected(m_state.held_tasks(), leader_now());
+}
+
+void fake_cluster::run(core::duration with_faults)
+{
+    auto const end = with_faults.count();
+    auto const last = end + 120'000'000;
+    while (m_now < last)
+    {
+        m_now += step_us;
+        while (!m_events.empty() && m_events.begin()->first <= m_now)
+        {
+            auto const action = std::move(m_events.begin()->second);
+            m_events.erase(m_events.begin());
+            action();
+        }
+        if (m_faults && m_now >= end)
+        {
+            m_faults = false;
+            set_some_zone(core::zone_state::in_service);
+        }
+        step();
+    }
+    for (auto const& [id, job] : m_state.jobs().all())
+    {
+        if (!core::is_final(job.state) || job.hold)
+        {
+            violate("liveness", id);
+        }
+    }
+}
+
+void fake_cluster::step()
+{
+    if (m_faults)
+    {
+        disturb();
+    }
+    for (auto& worker : m_workers)
+    {
+        tick_worker(worker);
+    }
+    if (m_now % 100'000 == 0)
+    {
+        place_some();
+    }
+    if (auto ended = m_leases.expired(leader_now());
+        !ended.empty() && m_now % 200'000 == 0)
+    {
+        propose({core::expire_leases{std::move(ended)}}, {});
+    }
+    check_state();
+}
+
+void fake_cluster::disturb()
+{
+    if (below(40) == 0)
+    {
+        submit_some();
+    }
+    if (below(800) == 0)
+    {
+        elect();
+    }
+    if (below(600) == 0)
+    {
+        restart(m_workers[below(worker_count)]);
+    }
+    if (below(500) == 0)
+    {
+        set_some_zone(chance(50) ? core::zone_state::out_of_service
+                                 : core::zone_state::in_service);
+    }
+    auto const& running = m_state.jobs().in_state(job_state::running);
+    if (below(30) == 0 && !running.empty())
+    {
+        auto const job = *running.begin();
+        propose({core::placement_batch{
+                    {}, {{job, m_state.jobs().find(job)->attempt, "t"}}, {}}},
+                {});
+    }
+    if (below(300) == 0)
+    {
+        core::cancel_jobs wave;
+        for (auto id = m_state.jobs().last_id(); id > 0 && wave.jobs.size() < 6;
+             --id)
+        {
+            wave.jobs.emplace_back(id);
+        }
+        propose({wave}, {});
+    }
+}
+
+void fake_cluster::submit_some()
+{
+    core::submit_jobs command;
+    core::job_description job;
+    job.name = "j";
+    job.team = core::team_id("t");
+    job.kind = core::task_kind("k" + std::to_string(below(3)));
+    job.priority = static_cast<core::priority_class>(below(3));
+    job.declared = {core::millicores(1 + static_cast<std::int64_t>(below(2500))),
+                    core::byte_count(static_cast<std::int64_t>(below(3000))),
+                    core::accelerator_count(chance(20) ? 1 : 0)};
+    command.jobs = {job};
+    propose({command}, {});
+}
+
+void fake_cluster::set_some_zone(core::zone_state state)
+{
+    for (std::size_t i = 0; i < 2; ++i)
+    {
+        if (m_faults && chance(50))
+        {
+            continue;
+        }
+        core::zone_id const zone = zone_of(i);
+        propose({core::set_zone{core::operator_id("o"), zone, state, "t"}},
+                [this, zone, state]
+                {
+                    m_out_since.erase(zone);
+                    if (state == core::zone_state::out_of_service)
+                    {
+                        m_out_since[zone] = m_now;
+                    }
+                });
+    }
+}
+
+void fake_cluster::place_some()
+{
+    core::placement_batch batch;
+    for (auto const state : {job_state::queued, job_state::suspended})
+    {
+        for (auto const id : m_state.jobs().in_state(state))
+        {
+            auto const& job = *m_state.jobs().find(id);
+            auto const& worker = m_workers[below(worker_count)];
+            batch.placements.push_back(
+                {id,
+                 core::attempt_number(job.attempt.value() + 1),
+                 worker.description.worker,
+                 job.description.declared});
+        }
+    }
+    propose({batch}, {});
+}
+
+void fake_cluster::tick_worker(fake_worker& worker)
+{
+    auto const now = local(worker);
+    std::erase_if(worker.orphans,
+                  [now](auto const& each)
+                  { return each.second.lease_end <= now; });
+    for (auto task = worker.tasks.begin(); task != worker.tasks.end();)
+    {
+        auto& [job, run] = *task;
+        ++run.progress;
+        auto event = task_event::started;
+        if (run.lease_end <= now)
+        {
+            event = task_event::stopped;
+        }
+        else if (run.progress >= work_per_job)
+        {
+            event = task_event::finished;
+        }
+        else if (m_faults && below(2000) == 0)
+        {
+            event = task_event::failed;
+        }
+        else if (run.progress % 70 == 0)
+        {
+            report(worker,
+                   {job,
+                    run.attempt,
+                    task_event::checkpointed,
+                    core::checkpoint_id(std::to_string(run.progress))});
+        }
+        if (event == task_event::started)
+        {
+            ++task;
+            continue;
+        }
+        report(worker, {job, run.attempt, event, std::nullopt});
+        task = worker.tasks.erase(task);
+    }
+    if (now >= worker.next_heartbeat)
+    {
+        send_heartbeat(worker);
+    }
+}
+
+void fake_cluster::report(fake_worker& worker, core::task_report report)
+{
+    ++worker.reported;
+    worker.reports.push_back(std::move(report));
+}
+
+void fake_cluster::send_heartbeat(fake_worker& worker)
+{
+    worker.next_heartbeat =
+        local(worker) + m_settings.next_heartbeat.count();
+    core::heartbeat_request heartbeat;
+    heartbeat.worker = worker.description;
+    heartbeat.sent_at = core::duration(local(worker));
+    heartbeat.report_sequence = worker.reported;
+    heartbeat.reports = worker.reports;
+    for (auto const& [job, run] : worker.tasks)
+    {
+        heartbeat.held.push_back({job, run.attempt});
+    }
+    deliver([this, heartbeat] { receive_heartbeat(heartbeat); });
+}
+
+void fake_cluster::receive_heartbeat(core::heartbeat_request const& heartbeat)
+{
+    auto const index = static_cast<std::size_t>(
+        std::stoul(heartbeat.worker.worker.value().substr(1)));
+    propose(m_service->prepare(heartbeat, m_state),
+            [this, heartbeat, index]
+            {
+                auto const answer =
+                    m_service->answer(heartbeat, leader_now(), m_state);
+                deliver([this, index, life = heartbeat.worker.life, answer]
+                        { receive_answer(index, life, answer); });
+            });
+}
+
+void fake_cluster::receive_answer(std::size_t index,
+                                  core::incarnation life,
+                                  core::heartbeat_answer const& answer)
+{
+    auto& worker = m_workers[index];
+    if (worker.description.life != life ||
+        answer.code != core::result_code::ok)
+    {
+        return;
+    }
+    auto const sent_at = answer.sent_at.count();
+    for (; worker.acknowledged < answer.acknowledged_reports;
+         ++worker.acknowledged)
+    {
+        worker.reports.erase(worker.reports.begin());
+    }
+    for (auto const& order : answer.starts)
+    {
+        start(worker, order, sent_at);
+    }
+    for (auto const& order : answer.renewals)
+    {
+        auto const run = worker.tasks.find(order.job);
+        if (run != worker.tasks.end() && run->second.attempt == order.attempt)
+        {
+            run->second.lease_end = std::max(run->second.lease_end,
+                                             sent_at + order.lease.count());
+        }
+    }
+    for (auto const& order : answer.orders)
+    {
+        stop(worker, order);
+    }
+}
+
+void fake_cluster::start(fake_worker& worker,
+                         core::start_order const& order,
+                         std::int64_t sent_at)
+{
+    if (order.attempt <= worker.fence[order.job])
+    {
+        return;
+    }
+    worker.fence[order.job] = order.attempt;
+    if (local(worker) > sent_at + order.permit.count())
+    {
+        report(worker,
+               {order.job, order.attempt, task_event::refused, std::nullopt});
+        return;
+    }
+    check_start(worker, order);
+    worker.tasks[order.job] = {order.attempt,
+                               order.reserved,
+                               sent_at + order.lease.count(),
+                               progress_of(order.checkpoint)};
+    report(worker,
+           {order.job, order.attempt, task_event::started, std::nullopt});
+}
+
+void fake_cluster::stop(fake_worker& worker, core::task_order const& order)
+{
+    auto const run = worker.tasks.find(order.job);
+    bool const is_held =
+        run != worker.tasks.end() && run->second.attempt == order.attempt;
+    if (!is_held && order.attempt <= worker.fence[order.job])
+    {
+        return;
+    }
+    core::task_report confirmed{
+        order.job, order.attempt, task_event::stopped, std::nullopt};
+    if (is_held)
+    {
+        if (order.action == core::task_action::evict)
+        {
+            confirmed.checkpoint =
+                core::checkpoint_id(std::to_string(run->second.progress));
+        }
+        worker.tasks.erase(run);
+    }
+    worker.fence[order.job] = order.attempt;
+    report(worker, std::move(confirmed));
+}
+
+void fake_cluster::restart(fake_worker& worker)
+{
+    worker.orphans.insert(
+        worker.orphans.end(), worker.tasks.begin(), worker.tasks.end());
+    worker.tasks.clear();
+    worker.fence.clear();
+    worker.reports.clear();
+    worker.reported = worker.acknowledged = 0;
+    auto& life = worker.description.life;
+    life = core::incarnation(life.value() + 1);
+}
+
+void fake_cluster::check_start(fake_worker const& starting,
+                               core::start_order const& order)
+{
+    core::resources used = order.reserved;
+    for (auto const& worker : m_workers)
+    {
+        auto runs = worker.orphans;
+        runs.insert(runs.end(), worker.tasks.begin(), worker.tasks.end());
+        for (auto const& [job, run] : runs)
+        {
+            if (job == order.job)
+            {
+                violate("single execution", job);
+            }
+            used += &worker == &starting ? run.reserved : core::resources{};
+        }
+    }
+    if (!core::fits_in(used, starting.description.capacity))
+    {
+        violate("capacity", order.job);
+    }
+    auto const out = m_out_since.find(starting.description.place.zone);
+    // 1.03: the permit on a worker clock that is 1% slow, rounded up.
+    auto const permit = m_settings.permit.count() * 103 / 100;
+    if (out != m_out_since.end() && m_now > out->second + permit)
+    {
+        violate("zone out", order.job);
+    }
+    auto const* const job = m_state.jobs().find(order.job);
+    if (job->state == job_state::finished)
+    {
+        violate("completed once", order.job);
+    }
+    if (job->attempt != order.attempt || job->checkpoint != order.checkpoint)
+    {
+        violate("resume from last checkpoint", order.job);
+    }
+}
+
+void fake_cluster::check_state()
+{
+    for (auto const& [id, worker] : m_state.workers().all())
+    {
+        if (!core::fits_in(worker.committed,
+                           worker.record.description.capacity))
+        {
+            violate("committed capacity", {});
+        }
+    }
+    for (auto const& [id, job] : m_state.jobs().all())
+    {
+        auto& progress = m_progress[id];
+        if (progress_of(job.checkpoint) < progress)
+        {
+            violate("checkpoint goes back", id);
+        }
+        progress = progress_of(job.checkpoint);
+        auto const known = m_final.find(id);
+        if (known != m_final.end() && known->second != job.state)
+        {
+            violate("final stays final", id);
+        }
+        if (core::is_final(job.state))
+        {
+            m_final[id] = job.state;
+        }
+    }
+}
+
+void fake_cluster::violate(std::string const& invariant, core::job_id job)
+{
+    m_violations.push_back(invariant + ": job " + std::to_string(job.value()) +
+                           " at " + std::to_string(m_now));
+}
+
+std::vector<std::string> const& fake_cluster::violations() const noexcept
+{
+    return m_violations;
+}
+
+std::size_t fake_cluster::finished() const
+{
+    return m_state.jobs().in_state(job_state::finished).size();
+}
+
+} // namespace turmericswitch::cluster_state
--- /dev/null
+++ b/modules/cluster_state/tests/fake_cluster.hpp
@@ -0,0 +1,115 @@
+#ifndef TURMERICSWITCH_CLUSTER_STATE_TESTS_FAKE_CLUSTER_HPP
+#define TURMERICSWITCH_CLUSTER_STATE_TESTS_FAKE_CLUSTER_HPP
+
+#include "cluster_state/cluster_state.hpp"
+#include "core/hooks/random_source.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace turmericswitch::cluster_state
+{
+
+/// One leader with its volatile parts, some workers on drifting clocks, and a
+/// network that loses, delays, duplicates and reorders. Violations of
+/// invariants are collected as texts, each starting with the invariant.
+class fake_cluster
+{
+public:
+    explicit fake_cluster(std::uint64_t seed);
+
+    /// Runs with faults for this long, then without until all jobs ended.
+    void run(core::duration with_faults);
+
+    std::vector<std::string> const& violations() const noexcept;
+    std::size_t finished() const;
+
+private:
+    struct fake_task
+    {
+        core::attempt_number attempt;
+        core::resources reserved;
+        std::int64_t lease_end = 0;
+        std::int64_t progress = 0;
+    };
+
+    struct fake_worker
+    {
+        core::worker_description description;
+        double rate = 1;
+        std::map<core::job_id, fake_task> tasks;
+        /// Tasks of earlier lives; they run until their leases end.
+        std::vector<std::pair<core::job_id, fake_task>> orphans;
+        std::map<core::job_id, core::attempt_number> fence;
+        std::vector<core::task_report> reports;
+        std::uint64_t reported = 0;
+        std::uint64_t acknowledged = 0;
+        std::int64_t next_heartbeat = 0;
+    };
+
+    struct proposal
+    {
+        std::vector<core::command_body> commands;
+        std::function<void()> then;
+    };
+
+    std::uint64_t below(std::uint64_t limit);
+    bool chance(std::uint64_t percent);
+    std::int64_t local(fake_worker const& worker) const;
+    core::time_point leader_now() const;
+    void at(std::int64_t delay, std::function<void()> action);
+    void deliver(std::function<void()> const& action);
+
+    void propose(std::vector<core::command_body> commands,
+                 std::function<void()> then);
+    void apply(core::command_body body);
+    void elect();
+
+    void step();
+    void disturb();
+    void place_some();
+    void submit_some();
+    void set_some_zone(core::zone_state state);
+    void tick_worker(fake_worker& worker);
+    void send_heartbeat(fake_worker& worker);
+    void receive_heartbeat(core::heartbeat_request const& heartbeat);
+    void receive_answer(std::size_t index,
+                        core::incarnation life,
+                        core::heartbeat_answer const& answer);
+    void start(fake_worker& worker, core::start_order const& order,
+               std::int64_t sent_at);
+    void stop(fake_worker& worker, core::task_order const& order);
+    void report(fake_worker& worker, core::task_report report);
+    void restart(fake_worker& worker);
+    void check_start(fake_worker const& worker, core::start_order const& order);
+    void check_state();
+    void violate(std::string const& invariant, core::job_id job);
+
+    core::random_source m_random;
+    lease_settings m_settings;
+    std::int64_t m_now = 0;
+    std::multimap<std::int64_t, std::function<void()>> m_events;
+    bool m_faults = true;
+
+    state_machine m_state;
+    std::uint64_t m_index = 0;
+    std::uint64_t m_epoch = 0;
+    double m_leader_rate = 1;
+    lease_table m_leases;
+    std::unique_ptr<heartbeat_service> m_service;
+    std::map<std::uint64_t, proposal> m_pending;
+    std::uint64_t m_proposals = 0;
+
+    std::vector<fake_worker> m_workers;
+    std::map<core::zone_id, std::int64_t> m_out_since;
+    std::map<core::job_id, core::job_state> m_final;
+    std::map<core::job_id, std::int64_t> m_progress;
+    std::vector<std::string> m_violations;
+};
+
+} // namespace turmericswitch::cluster_state
+
+#endif
--- a/modules/core/core.hpp
+++ b/modules/core/core.hpp
@@ -18,6 +18,7 @@
 #include "core/messages/jobs.hpp"
 #include "core/messages/registry.hpp"
 #include "core/messages/request_path.hpp"
+#include "core/messages/state.hpp"
 #include "core/results/last_reason.hpp"
 #include "core/results/result_code.hpp"
 #include "core/types/ids.hpp"
--- a/modules/core/messages/commands.hpp
+++ b/modules/core/messages/commands.hpp
@@ -70,13 +70,15 @@
     bool operator==(register_worker const&) const = default;
 };
 
-/// What a worker reported about its tasks. `held` ends starts and runs that
-/// a worker with a new life no longer knows.
+/// What a worker reported about its tasks.
 struct worker_reports
 {
     worker_id worker;
     incarnation life;
     std::vector<task_report> reports;
+    /// `report_sequence` of the heartbeat. A sequence that was applied before
+    /// in this life is ignored, so that a late heartbeat changes nothing.
+    std::uint64_t report_sequence = 0;
 
     bool operator==(worker_reports const&) const = default;
 };
--- a/modules/rules/text/parser.cpp
+++ b/modules/rules/text/parser.cpp
@@ -646,6 +646,7 @@
                           result_code::rule_too_large,
                           "a file of at most " +
                               std::to_string(max_file_bytes) + " bytes"});
+        text = {};
     }
     rule_set rules;
     while (!text.empty() && errors.size() < max_errors)
--- a/modules/wire/codec/message_codec.cpp
+++ b/modules/wire/codec/message_codec.cpp
@@ -426,6 +426,7 @@
 TURMERICSWITCH_WIRE_MESSAGE(core::command_envelope)
 TURMERICSWITCH_WIRE_MESSAGE(core::command_reply)
 TURMERICSWITCH_WIRE_MESSAGE(core::configuration)
+TURMERICSWITCH_WIRE_MESSAGE(core::state_snapshot)
 
 #undef TURMERICSWITCH_WIRE_MESSAGE
 
--- a/modules/wire/codec/message_codec.hpp
+++ b/modules/wire/codec/message_codec.hpp
@@ -5,6 +5,7 @@
 #include "core/messages/consensus.hpp"
 #include "core/messages/registry.hpp"
 #include "core/messages/request_path.hpp"
+#include "core/messages/state.hpp"
 
 #include <optional>
 #include <string>
