--- a/modules/cluster_state/configuration/configuration_state.cpp
+++ b/modules/cluster_state/configuration/configuration_state.cpp
@@ -72,18 +72,16 @@
 
 } // namespace
 
-core::command_reply
-configuration_state::apply(core::apply_rules const& command,
-                           core::wall_time wall)
+core::command_reply configuration_state::apply(core::apply_rules const& command,
+                                               core::wall_time wall)
 {
     if (command.replaces != m_current)
     {
-        auto reply = refusal(result_code::revision_conflict,
-                             "revision " +
-                                 std::to_string(m_current.value()) +
-                                 " by " + m_author.value() +
-                                 " is in force; yours replaces " +
-                                 std::to_string(command.replaces.value()));
+        auto reply =
+            refusal(result_code::revision_conflict,
+                    "revision " + std::to_string(m_current.value()) + " by " +
+                        m_author.value() + " is in force; yours replaces " +
+                        std::to_string(command.replaces.value()));
         reply.winner = m_author;
         return reply;
     }
@@ -120,8 +118,7 @@
     return text;
 }
 
-std::string
-configuration_state::canonical_zone(core::zone_id const& zone) const
+std::string configuration_state::canonical_zone(core::zone_id const& zone) const
 {
     return m_names.resolve_or_same(name_kind::zone, zone.value());
 }
@@ -149,23 +146,21 @@
     }
     auto const matches = [this, &name](core::zone_command const& each)
     {
-        return std::any_of(each.names.begin(),
-                           each.names.end(),
-                           [this, &name](std::string const& known) {
-                               return canonical_zone(core::zone_id(known)) ==
-                                      name;
-                           });
+        return std::any_of(
+            each.names.begin(),
+            each.names.end(),
+            [this, &name](std::string const& known)
+            { return canonical_zone(core::zone_id(known)) == name; });
     };
-    bool const is_commanded = std::any_of(
-        m_zone_commands.begin(), m_zone_commands.end(), matches);
+    bool const is_commanded =
+        std::any_of(m_zone_commands.begin(), m_zone_commands.end(), matches);
     if (out == is_commanded)
     {
         return {};
     }
     if (out)
     {
-        core::zone_command added{
-            {name}, command.author, command.requested_by};
+        core::zone_command added{{name}, command.author, command.requested_by};
         for (auto const& entry : m_compiled.names)
         {
             if (entry.kind == name_kind::zone && entry.canonical == name)
@@ -192,8 +187,8 @@
 core::command_reply configuration_state::apply(core::set_drain const& command,
                                                core::wall_time wall)
 {
-    core::backend_id const backend(m_names.resolve_or_same(
-        name_kind::instance, command.backend.value()));
+    core::backend_id const backend(
+        m_names.resolve_or_same(name_kind::instance, command.backend.value()));
     bool const by_rule = std::any_of(m_compiled.leaving.begin(),
                                      m_compiled.leaving.end(),
                                      [&backend](core::leaving_rule const& each)
--- a/modules/cluster_state/jobs/job_board.cpp
+++ b/modules/cluster_state/jobs/job_board.cpp
@@ -141,8 +141,7 @@
                           "expected a worker id and a capacity");
     }
     auto const* const known = m_workers.find(worker.worker);
-    if (known != nullptr &&
-        worker.life < known->record.description.life)
+    if (known != nullptr && worker.life < known->record.description.life)
     {
         return reply_with(result_code::wrong_incarnation,
                           "a later life of the worker is registered");
@@ -312,8 +311,8 @@
     {
         return false;
     }
-    bool const is_waiting = job->state == job_state::queued ||
-                            job->state == job_state::suspended;
+    bool const is_waiting =
+        job->state == job_state::queued || job->state == job_state::suspended;
     if (!is_waiting || order.attempt.value() != job->attempt.value() + 1 ||
         !has_room(*worker, job->description.kind, order.reserved, config))
     {
--- a/modules/cluster_state/leader/backend_registry.cpp
+++ b/modules/cluster_state/leader/backend_registry.cpp
@@ -22,8 +22,8 @@
     entry.draining = entry.draining || drain;
     auto const known = m_entries.find(entry.backend);
     bool const is_known = known != m_entries.end();
-    if (is_known && entry.sidecar_incarnation <
-                        known->second.entry.sidecar_incarnation)
+    if (is_known &&
+        entry.sidecar_incarnation < known->second.entry.sidecar_incarnation)
     {
         answer.code = core::result_code::wrong_incarnation;
         return answer;
@@ -60,8 +60,7 @@
 
 void backend_registry::note_change(core::backend_id const& backend)
 {
-    m_version.version =
-        core::sequence_number(m_version.version.value() + 1);
+    m_version.version = core::sequence_number(m_version.version.value() + 1);
     m_changes.push_back(backend);
     if (m_changes.size() > max_registry_changes)
     {
--- a/modules/cluster_state/leader/heartbeat_service.cpp
+++ b/modules/cluster_state/leader/heartbeat_service.cpp
@@ -42,11 +42,10 @@
         heartbeat.report_sequence > worker->record.acknowledged_reports;
     if (is_new && !heartbeat.reports.empty())
     {
-        commands.emplace_back(
-            core::worker_reports{heartbeat.worker.worker,
-                                 life,
-                                 heartbeat.reports,
-                                 heartbeat.report_sequence});
+        commands.emplace_back(core::worker_reports{heartbeat.worker.worker,
+                                                   life,
+                                                   heartbeat.reports,
+                                                   heartbeat.report_sequence});
     }
     return commands;
 }
@@ -112,12 +111,11 @@
     add_requests(task, answer);
 }
 
-void heartbeat_service::answer_missing(
-    core::job_record const& job,
-    core::heartbeat_request const& heartbeat,
-    core::time_point now,
-    state_machine const& state,
-    core::heartbeat_answer& answer)
+void heartbeat_service::answer_missing(core::job_record const& job,
+                                       core::heartbeat_request const& heartbeat,
+                                       core::time_point now,
+                                       state_machine const& state,
+                                       core::heartbeat_answer& answer)
 {
     if (job.hold->life != heartbeat.worker.life)
     {
--- a/modules/cluster_state/leader/lease_table.hpp
+++ b/modules/cluster_state/leader/lease_table.hpp
@@ -50,7 +50,8 @@
     /// granted a full lease by an earlier leader just before the election.
     ///
     /// @param held All attempts that hold a share of a worker.
-    void elected(std::vector<core::held_task> const& held, core::time_point now);
+    void elected(std::vector<core::held_task> const& held,
+                 core::time_point now);
 
     /// Follows the state machine's holds in the own term. An attempt placed
     /// in the own term has no order sent yet, so it ends early until granted.
--- a/modules/cluster_state/machine/snapshot_codec.cpp
+++ b/modules/cluster_state/machine/snapshot_codec.cpp
@@ -51,8 +51,7 @@
     {
         auto const length =
             bytes.size() < length_bytes ? bytes.size() : read_length(bytes);
-        if (bytes.size() < length_bytes ||
-            length > bytes.size() - length_bytes)
+        if (bytes.size() < length_bytes || length > bytes.size() - length_bytes)
         {
             return core::fail(core::result_code::snapshot_damaged,
                               "the snapshot is cut off");
--- a/modules/cluster_state/machine/state_machine.cpp
+++ b/modules/cluster_state/machine/state_machine.cpp
@@ -52,8 +52,7 @@
     return reply;
 }
 
-core::command_reply
-state_machine::run(core::command_envelope const& envelope)
+core::command_reply state_machine::run(core::command_envelope const& envelope)
 {
     auto const wall = envelope.wall;
     auto const coded = [](core::result_code code)
@@ -63,35 +62,34 @@
         return reply;
     };
     return std::visit(
-        overloaded{
-            [&](core::apply_rules const& each)
-            { return m_config.apply(each, wall); },
-            [&](core::set_zone const& each)
-            { return m_config.apply(each, wall); },
-            [&](core::set_drain const& each)
-            { return m_config.apply(each, wall); },
-            [&](core::submit_jobs const& each)
-            { return m_board.submit(each, m_now); },
-            [&](core::cancel_jobs const& each)
-            { return m_board.cancel(each, m_now); },
-            [&](core::register_worker const& each)
-            { return m_board.register_worker(each.worker); },
-            [&](core::worker_reports const& each)
-            { return m_board.report(each, m_now); },
-            [&](core::expire_leases const& each)
-            { return m_board.expire(each, m_now); },
-            [&](core::retire_worker const& each)
-            { return m_board.retire(each.worker); },
-            [&](core::placement_batch const& each)
-            { return m_board.place(each, m_config, m_now); },
-            [&](core::claim_key const& each)
-            { return coded(m_claims.claim(each, m_now)); },
-            [&](core::finish_claim const& each)
-            {
-                m_claims.finish(each);
-                return coded(core::result_code::ok);
-            },
-            [&](core::expire_records const&) { return expire_all(); }},
+        overloaded{[&](core::apply_rules const& each)
+                   { return m_config.apply(each, wall); },
+                   [&](core::set_zone const& each)
+                   { return m_config.apply(each, wall); },
+                   [&](core::set_drain const& each)
+                   { return m_config.apply(each, wall); },
+                   [&](core::submit_jobs const& each)
+                   { return m_board.submit(each, m_now); },
+                   [&](core::cancel_jobs const& each)
+                   { return m_board.cancel(each, m_now); },
+                   [&](core::register_worker const& each)
+                   { return m_board.register_worker(each.worker); },
+                   [&](core::worker_reports const& each)
+                   { return m_board.report(each, m_now); },
+                   [&](core::expire_leases const& each)
+                   { return m_board.expire(each, m_now); },
+                   [&](core::retire_worker const& each)
+                   { return m_board.retire(each.worker); },
+                   [&](core::placement_batch const& each)
+                   { return m_board.place(each, m_config, m_now); },
+                   [&](core::claim_key const& each)
+                   { return coded(m_claims.claim(each, m_now)); },
+                   [&](core::finish_claim const& each)
+                   {
+                       m_claims.finish(each);
+                       return coded(core::result_code::ok);
+                   },
+                   [&](core::expire_records const&) { return expire_all(); }},
         envelope.body);
 }
 
@@ -154,8 +152,8 @@
     is_whole = is_whole && fresh.m_board.restore_jobs(std::move(jobs));
     for (std::size_t i = 1; i < parts->size(); ++i)
     {
-        is_whole = is_whole &&
-                   fresh.m_board.restore_jobs(std::move((*parts)[i].jobs));
+        is_whole =
+            is_whole && fresh.m_board.restore_jobs(std::move((*parts)[i].jobs));
     }
     if (!is_whole)
     {
--- a/modules/cluster_state/sessions/claim_table.cpp
+++ b/modules/cluster_state/sessions/claim_table.cpp
@@ -53,8 +53,8 @@
 
 void claim_table::expire(core::time_point now, std::size_t limit)
 {
-    for (; limit > 0 && !m_by_expiry.empty() &&
-           m_by_expiry.begin()->first <= now;
+    for (;
+         limit > 0 && !m_by_expiry.empty() && m_by_expiry.begin()->first <= now;
          --limit)
     {
         m_claims.erase(m_by_expiry.begin()->second);
--- a/modules/cluster_state/tests/fake_cluster.cpp
+++ b/modules/cluster_state/tests/fake_cluster.cpp
@@ -15,11 +15,10 @@
 constexpr std::int64_t step_us = 10'000;
 constexpr std::size_t worker_count = 4;
 constexpr std::int64_t work_per_job = 300;
-constexpr char const* rules_text =
-    "zone a region=n # asked by A: test\n"
-    "zone b region=n # asked by A: test\n"
-    "never-share k0 k1 # asked by A: test\n"
-    "limit k2 per-worker=2 # asked by A: test\n";
+constexpr char const* rules_text = "zone a region=n # asked by A: test\n"
+                                   "zone b region=n # asked by A: test\n"
+                                   "never-share k0 k1 # asked by A: test\n"
+                                   "limit k2 per-worker=2 # asked by A: test\n";
 
 core::zone_id zone_of(std::size_t index)
 {
@@ -57,8 +56,7 @@
         worker.rate = 0.99 + 0.02 * core::random_unit(m_random);
     }
     m_state.observe_holds(
-        [this](core::held_task const& task, bool is_held)
-        {
+        [this](core::held_task const& task, bool is_held) {
             is_held ? m_leases.placed(task, leader_now())
                     : m_leases.released(task);
         });
@@ -251,9 +249,10 @@
     job.team = core::team_id("t");
     job.kind = core::task_kind("k" + std::to_string(below(3)));
     job.priority = static_cast<core::priority_class>(below(3));
-    job.declared = {core::millicores(1 + static_cast<std::int64_t>(below(2500))),
-                    core::byte_count(static_cast<std::int64_t>(below(3000))),
-                    core::accelerator_count(chance(20) ? 1 : 0)};
+    job.declared = {
+        core::millicores(1 + static_cast<std::int64_t>(below(2500))),
+        core::byte_count(static_cast<std::int64_t>(below(3000))),
+        core::accelerator_count(chance(20) ? 1 : 0)};
     command.jobs = {job};
     propose({command}, {});
 }
@@ -270,10 +269,13 @@
         propose({core::set_zone{core::operator_id("o"), zone, state, "t"}},
                 [this, zone, state]
                 {
-                    m_out_since.erase(zone);
-                    if (state == core::zone_state::out_of_service)
+                    if (state == core::zone_state::in_service)
+                    {
+                        m_out_since.erase(zone);
+                    }
+                    else
                     {
-                        m_out_since[zone] = m_now;
+                        m_out_since.emplace(zone, m_now);
                     }
                 });
     }
@@ -324,17 +326,16 @@
         else if (run.progress % 70 == 0)
         {
             report(worker,
-                   {job,
-                    run.attempt,
-                    task_event::checkpointed,
-                    core::checkpoint_id(std::to_string(run.progress))});
+                   {job, run.attempt},
+                   task_event::checkpointed,
+                   core::checkpoint_id(std::to_string(run.progress)));
         }
         if (event == task_event::started)
         {
             ++task;
             continue;
         }
-        report(worker, {job, run.attempt, event, std::nullopt});
+        report(worker, {job, run.attempt}, event);
         task = worker.tasks.erase(task);
     }
     if (now >= worker.next_heartbeat)
@@ -343,16 +344,19 @@
     }
 }
 
-void fake_cluster::report(fake_worker& worker, core::task_report report)
+void fake_cluster::report(fake_worker& worker,
+                          core::held_task const& task,
+                          task_event event,
+                          std::optional<core::checkpoint_id> const& checkpoint)
 {
     ++worker.reported;
-    worker.reports.push_back(std::move(report));
+    worker.reports.push_back(
+        {task.job, task.attempt, event, checkpoint, {}, {}});
 }
 
 void fake_cluster::send_heartbeat(fake_worker& worker)
 {
-    worker.next_heartbeat =
-        local(worker) + m_settings.next_heartbeat.count();
+    worker.next_heartbeat = local(worker) + m_settings.next_heartbeat.count();
     core::heartbeat_request heartbeat;
     heartbeat.worker = worker.description;
     heartbeat.sent_at = core::duration(local(worker));
@@ -384,8 +388,7 @@
                                   core::heartbeat_answer const& answer)
 {
     auto& worker = m_workers[index];
-    if (worker.description.life != life ||
-        answer.code != core::result_code::ok)
+    if (worker.description.life != life || answer.code != core::result_code::ok)
     {
         return;
     }
@@ -404,8 +407,8 @@
         auto const run = worker.tasks.find(order.job);
         if (run != worker.tasks.end() && run->second.attempt == order.attempt)
         {
-            run->second.lease_end = std::max(run->second.lease_end,
-                                             sent_at + order.lease.count());
+            run->second.lease_end =
+                std::max(run->second.lease_end, sent_at + order.lease.count());
         }
     }
     for (auto const& order : answer.orders)
@@ -425,8 +428,7 @@
     worker.fence[order.job] = order.attempt;
     if (local(worker) > sent_at + order.permit.count())
     {
-        report(worker,
-               {order.job, order.attempt, task_event::refused, std::nullopt});
+        report(worker, {order.job, order.attempt}, task_event::refused);
         return;
     }
     check_start(worker, order);
@@ -434,8 +436,7 @@
                                order.reserved,
                                sent_at + order.lease.count(),
                                progress_of(order.checkpoint)};
-    report(worker,
-           {order.job, order.attempt, task_event::started, std::nullopt});
+    report(worker, {order.job, order.attempt}, task_event::started);
 }
 
 void fake_cluster::stop(fake_worker& worker, core::task_order const& order)
@@ -447,19 +448,17 @@
     {
         return;
     }
-    core::task_report confirmed{
-        order.job, order.attempt, task_event::stopped, std::nullopt};
+    std::optional<core::checkpoint_id> last;
     if (is_held)
     {
         if (order.action == core::task_action::evict)
         {
-            confirmed.checkpoint =
-                core::checkpoint_id(std::to_string(run->second.progress));
+            last = core::checkpoint_id(std::to_string(run->second.progress));
         }
         worker.tasks.erase(run);
     }
     worker.fence[order.job] = order.attempt;
-    report(worker, std::move(confirmed));
+    report(worker, {order.job, order.attempt}, task_event::stopped, last);
 }
 
 void fake_cluster::restart(fake_worker& worker)
--- a/modules/cluster_state/tests/fake_cluster.hpp
+++ b/modules/cluster_state/tests/fake_cluster.hpp
@@ -79,10 +79,14 @@
     void receive_answer(std::size_t index,
                         core::incarnation life,
                         core::heartbeat_answer const& answer);
-    void start(fake_worker& worker, core::start_order const& order,
+    void start(fake_worker& worker,
+               core::start_order const& order,
                std::int64_t sent_at);
     void stop(fake_worker& worker, core::task_order const& order);
-    void report(fake_worker& worker, core::task_report report);
+    void report(fake_worker& worker,
+                core::held_task const& task,
+                core::task_event event,
+                std::optional<core::checkpoint_id> const& checkpoint = {});
     void restart(fake_worker& worker);
     void check_start(fake_worker const& worker, core::start_order const& order);
     void check_state();
--- a/modules/cluster_state/tests/state_machine_test.cpp
+++ b/modules/cluster_state/tests/state_machine_test.cpp
@@ -0,0 +1,275 @@
+#include "cluster_state/cluster_state.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace turmericswitch::cluster_state
+{
+
+namespace
+{
+
+using core::result_code;
+using namespace std::chrono_literals;
+
+constexpr char const* rules_text =
+    "name zone short=az-a asset=Z1 # asked by A: test\n"
+    "zone az-a region=n # asked by A: test\n";
+constexpr char const* renamed_text = "name zone asset=Z1 # asked by A: test\n"
+                                     "zone Z1 region=n # asked by B: test\n";
+
+/// A state machine with its log position.
+struct machine
+{
+    state_machine state;
+    std::uint64_t index = 0;
+    core::time_point now;
+
+    core::command_reply operator()(core::command_body body,
+                                   std::string const& client = "",
+                                   std::uint64_t sequence = 0)
+    {
+        core::command_envelope envelope;
+        envelope.client = core::client_id(client);
+        envelope.sequence = core::sequence_number(sequence);
+        envelope.cluster_time = now;
+        envelope.body = std::move(body);
+        return state.apply(core::log_index(++index), envelope);
+    }
+};
+
+core::apply_rules rules(std::uint64_t replaces, char const* text = rules_text)
+{
+    return {core::operator_id("ann"), core::revision(replaces), text};
+}
+
+core::set_zone zone(char const* name, bool in)
+{
+    return {core::operator_id("bob"),
+            core::zone_id(name),
+            in ? core::zone_state::in_service
+               : core::zone_state::out_of_service,
+            "power work"};
+}
+
+core::heartbeat_request heartbeat(std::uint64_t life)
+{
+    core::heartbeat_request request;
+    request.worker.worker = core::worker_id("w");
+    request.worker.life = core::incarnation(life);
+    request.worker.place.zone = core::zone_id("Z1");
+    request.worker.capacity.cpu = core::millicores(1000);
+    return request;
+}
+
+/// A machine with a worker and one job placed on it.
+struct placed_machine : machine
+{
+    lease_table leases;
+    heartbeat_service service{leases};
+
+    placed_machine()
+    {
+        (*this)(rules(0));
+        (*this)(core::register_worker{heartbeat(1).worker});
+        leases.elected({}, now);
+        state.observe_holds(
+            [this](auto const& task, bool is_held)
+            {
+                if (is_held)
+                    leases.placed(task, now);
+            });
+        core::job_description job;
+        job.name = "j";
+        job.team = core::team_id("t");
+        job.kind = core::task_kind("k");
+        (*this)(core::submit_jobs{{job}});
+        (*this)(core::placement_batch{{{core::job_id(1),
+                                        core::attempt_number(1),
+                                        core::worker_id("w"),
+                                        {}}},
+                                      {},
+                                      {}});
+    }
+};
+
+} // namespace
+
+class state_machine_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(state_machine_test);
+    CPPUNIT_TEST(applying_rules_keeps_a_zone_out);
+    CPPUNIT_TEST(bad_rules_change_nothing);
+    CPPUNIT_TEST(conflict_names_the_winner);
+    CPPUNIT_TEST(sessions_expire_with_their_own_code);
+    CPPUNIT_TEST(claims_run_once_and_expire);
+    CPPUNIT_TEST(ids_are_not_reused_after_pruning);
+    CPPUNIT_TEST(no_start_order_while_the_zone_is_out);
+    CPPUNIT_TEST(later_life_gets_no_order_of_an_earlier_attempt);
+    CPPUNIT_TEST(given_up_attempt_is_never_granted_again);
+    CPPUNIT_TEST(new_leader_waits_a_whole_lease);
+    CPPUNIT_TEST_SUITE_END();
+
+    // Guards against a file that brings back a zone taken out by command,
+    // even when the file drops the name used in the command.
+    void applying_rules_keeps_a_zone_out()
+    {
+        machine run;
+        run(rules(0));
+        CPPUNIT_ASSERT(run(zone("az-a", false)).current == core::revision(2));
+        auto const reply = run(rules(2, renamed_text));
+        CPPUNIT_ASSERT(reply.text.find("stays out") != std::string::npos);
+        CPPUNIT_ASSERT(!run.state.config().is_in_service(core::zone_id("Z1")));
+        CPPUNIT_ASSERT(run.state.config().in_force().zones[0].state ==
+                       core::zone_state::out_of_service);
+        CPPUNIT_ASSERT(run(zone("Z1", true)).current == core::revision(4));
+        CPPUNIT_ASSERT(run.state.config().is_in_service(core::zone_id("Z1")));
+        auto const& history = run.state.config().history();
+        CPPUNIT_ASSERT(history[1].author == core::operator_id("bob"));
+        CPPUNIT_ASSERT(history[1].requested_by == "power work");
+        CPPUNIT_ASSERT(history[2].requested_by.find('B') != std::string::npos);
+    }
+
+    // Guards against a file with an error that is applied in part.
+    void bad_rules_change_nothing()
+    {
+        machine run;
+        run(rules(0));
+        auto const before = run.state.config().record();
+        CPPUNIT_ASSERT(run(rules(1, "zone x\n")).code ==
+                       result_code::rule_syntax);
+        CPPUNIT_ASSERT(run.state.config().record() == before);
+    }
+
+    // Guards against an operator who doesn't learn who was first.
+    void conflict_names_the_winner()
+    {
+        machine run;
+        run(rules(0));
+        run(zone("az-a", false));
+        auto const reply = run(rules(1));
+        CPPUNIT_ASSERT(reply.code == result_code::revision_conflict);
+        CPPUNIT_ASSERT(reply.winner == core::operator_id("bob"));
+    }
+
+    // Guards against a command that runs again after its session is gone.
+    void sessions_expire_with_their_own_code()
+    {
+        machine run;
+        run(rules(0), "c", 1);
+        run.now += session_lifetime - 1us;
+        run(core::expire_records{});
+        CPPUNIT_ASSERT(run(rules(0), "c", 1).code == result_code::ok);
+        run.now += 1us;
+        run(core::expire_records{});
+        CPPUNIT_ASSERT(run(rules(1), "c", 2).code ==
+                       result_code::session_expired);
+    }
+
+    // Guards against a keyed request that runs twice.
+    void claims_run_once_and_expire()
+    {
+        machine run;
+        core::claim_key const first{core::service_id("s"), "k", {}};
+        auto second = first;
+        second.request.sequence = core::sequence_number(9);
+        CPPUNIT_ASSERT(run(first).code == result_code::ok);
+        CPPUNIT_ASSERT(run(second).code == result_code::outcome_unknown);
+        run(core::finish_claim{core::service_id("s"), "k", second.request});
+        CPPUNIT_ASSERT(run(second).code == result_code::outcome_unknown);
+        run(core::finish_claim{core::service_id("s"), "k", first.request});
+        CPPUNIT_ASSERT(run(first).code == result_code::duplicate_request);
+        run.now += claim_lifetime - 1us;
+        CPPUNIT_ASSERT(run(second).code == result_code::duplicate_request);
+        run.now += 1us;
+        run(core::expire_records{});
+        CPPUNIT_ASSERT(run(second).code == result_code::ok);
+        run(core::finish_claim{
+            core::service_id("s"), "k", second.request, false});
+        CPPUNIT_ASSERT(run(first).code == result_code::ok);
+    }
+
+    // Guards against a state that grows without bound, and an old id that
+    // means a new job.
+    void ids_are_not_reused_after_pruning()
+    {
+        placed_machine run;
+        run(core::cancel_jobs{{core::job_id(1)}});
+        run.now += ended_job_lifetime;
+        run(core::expire_records{});
+        CPPUNIT_ASSERT(run.state.jobs().find(core::job_id(1)) != nullptr);
+        run(core::expire_leases{{{core::job_id(1), core::attempt_number(1)}}});
+        run(core::expire_records{});
+        CPPUNIT_ASSERT(run.state.jobs().find(core::job_id(1)) == nullptr);
+        core::job_description job;
+        job.name = job.payload = "j";
+        job.team = core::team_id("t");
+        job.kind = core::task_kind("k");
+        CPPUNIT_ASSERT(run(core::submit_jobs{{job}}).jobs[0] ==
+                       core::job_id(2));
+    }
+
+    // Guards against starts in a zone after it was taken out.
+    void no_start_order_while_the_zone_is_out()
+    {
+        placed_machine run;
+        CPPUNIT_ASSERT_EQUAL(
+            std::size_t(1),
+            run.service.answer(heartbeat(1), run.now, run.state).starts.size());
+        run(zone("az-a", false));
+        auto const answer =
+            run.service.answer(heartbeat(1), run.now, run.state);
+        CPPUNIT_ASSERT(answer.starts.empty());
+        CPPUNIT_ASSERT(answer.orders[0].action == core::task_action::stop);
+        CPPUNIT_ASSERT(run.leases.quiet_from(core::zone_id("Z1")) >=
+                       run.now + run.leases.settings().permit);
+    }
+
+    // Guards against an attempt that runs in two lives of one worker.
+    void later_life_gets_no_order_of_an_earlier_attempt()
+    {
+        placed_machine run;
+        for (auto const& command : run.service.prepare(heartbeat(2), run.state))
+        {
+            run(command);
+        }
+        auto const answer =
+            run.service.answer(heartbeat(2), run.now, run.state);
+        CPPUNIT_ASSERT(answer.code == result_code::ok);
+        CPPUNIT_ASSERT(answer.starts.empty() && answer.orders.empty());
+        CPPUNIT_ASSERT(run.service.prepare(heartbeat(1), run.state).empty());
+        CPPUNIT_ASSERT(
+            run.service.answer(heartbeat(1), run.now, run.state).code ==
+            result_code::wrong_incarnation);
+    }
+
+    // Guards against a lease renewed while its expiry is being committed.
+    void given_up_attempt_is_never_granted_again()
+    {
+        placed_machine run;
+        run.now += run.leases.settings().unsent;
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                             run.leases.expired(run.now).size());
+        auto request = heartbeat(1);
+        CPPUNIT_ASSERT(
+            run.service.answer(request, run.now, run.state).starts.empty());
+        request.held = {{core::job_id(1), core::attempt_number(1)}};
+        CPPUNIT_ASSERT(
+            run.service.answer(request, run.now, run.state).renewals.empty());
+    }
+
+    // Guards against a new leader that frees tasks granted by the old one.
+    void new_leader_waits_a_whole_lease()
+    {
+        placed_machine run;
+        auto const longest = run.leases.settings().service_lease;
+        run.leases.elected(run.state.held_tasks(), run.now);
+        CPPUNIT_ASSERT(run.leases.expired(run.now + longest).empty());
+        CPPUNIT_ASSERT_EQUAL(
+            std::size_t(1),
+            run.leases.expired(run.now + longest + longest / 30).size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(state_machine_test);
+
+} // namespace turmericswitch::cluster_state
--- a/modules/naming/table/name_table.cpp
+++ b/modules/naming/table/name_table.cpp
@@ -83,8 +83,7 @@
             auto const& other = m_things[index].by_scheme[i];
             if (other && merged[i] && other->name != merged[i]->name)
             {
-                return refuse(
-                    merged[i]->name, other->name, line, other->line);
+                return refuse(merged[i]->name, other->name, line, other->line);
             }
             merged[i] = merged[i] ? merged[i] : other;
         }
@@ -141,8 +140,7 @@
     return all;
 }
 
-name_table
-name_table::from_entries(std::vector<core::name_entry> const& all)
+name_table name_table::from_entries(std::vector<core::name_entry> const& all)
 {
     name_table table;
     for (auto const& entry : all)
--- a/modules/naming/tests/name_table_test.cpp
+++ b/modules/naming/tests/name_table_test.cpp
@@ -25,10 +25,10 @@
             {name_kind::zone, {{name_scheme::short_name, "az-a"}}}, 1));
         CPPUNIT_ASSERT(
             table.add({name_kind::zone, {{name_scheme::asset, "Z1"}}}, 2));
-        CPPUNIT_ASSERT(table.add({name_kind::zone,
-                                  {{name_scheme::asset, "Z1"},
-                                   {name_scheme::dns, "a.north"}}},
-                                 3));
+        CPPUNIT_ASSERT(table.add(
+            {name_kind::zone,
+             {{name_scheme::asset, "Z1"}, {name_scheme::dns, "a.north"}}},
+            3));
         CPPUNIT_ASSERT(table.add({name_kind::zone,
                                   {{name_scheme::dns, "a.north"},
                                    {name_scheme::short_name, "az-a"}}},
@@ -46,10 +46,10 @@
                    {{name_scheme::short_name, "booking"},
                     {name_scheme::asset, "S1"}}},
                   4);
-        CPPUNIT_ASSERT(!table.add({name_kind::service,
-                                   {{name_scheme::short_name, "proofs"},
-                                    {name_scheme::asset, "S1"}}},
-                                  9));
+        CPPUNIT_ASSERT(!table.add(
+            {name_kind::service,
+             {{name_scheme::short_name, "proofs"}, {name_scheme::asset, "S1"}}},
+            9));
         auto const& why = core::last_reason();
         CPPUNIT_ASSERT(why.code == core::result_code::name_ambiguous);
         CPPUNIT_ASSERT(why.text.find("line 4") != std::string::npos);
--- a/modules/rules/compile/compiler.cpp
+++ b/modules/rules/compile/compiler.cpp
@@ -106,8 +106,8 @@
         {
             return;
         }
-        auto const service = m_names.resolve_or_same(
-            name_kind::service, route->service.value());
+        auto const service =
+            m_names.resolve_or_same(name_kind::service, route->service.value());
         if (!m_seen.contains("service " + service))
         {
             fault(result_code::name_unknown,
--- a/modules/rules/tests/rules_fuzz_test.cpp
+++ b/modules/rules/tests/rules_fuzz_test.cpp
@@ -62,11 +62,11 @@
                                   any_count(),
                                   any_bytes()};
     case 3:
-        return core::route_rule{
-            "/" + any_name(),
-            core::service_id(any_name()),
-            below(2) == 0 ? std::vector<std::string>{}
-                          : std::vector<std::string>{"GET", "PUT"}};
+        return core::route_rule{"/" + any_name(),
+                                core::service_id(any_name()),
+                                below(2) == 0
+                                    ? std::vector<std::string>{}
+                                    : std::vector<std::string>{"GET", "PUT"}};
     case 4:
         return core::colocation_rule{core::task_kind(any_name()),
                                      core::task_kind(any_name()),
@@ -139,17 +139,17 @@
     // Guards against a printed file that says something else.
     void generated_rules_survive_a_round_trip()
     {
-        testing::check_property(
-            "rules round trip",
-            {.seed = 11, .max_success = 300},
-            []
-            {
-                auto const rules = any_rules();
-                std::vector<rule_error> errors;
-                auto const again = parse(print(rules), "f", errors);
-                RC_ASSERT(errors.empty());
-                RC_ASSERT(again == rules);
-            });
+        testing::check_property("rules round trip",
+                                {.seed = 11, .max_success = 300},
+                                []
+                                {
+                                    auto const rules = any_rules();
+                                    std::vector<rule_error> errors;
+                                    auto const again =
+                                        parse(print(rules), "f", errors);
+                                    RC_ASSERT(errors.empty());
+                                    RC_ASSERT(again == rules);
+                                });
     }
 
     // Guards against crashes and silent acceptance of junk.
@@ -186,8 +186,8 @@
                         *rc::gen::inRange<std::size_t>(0, bytes.size());
                     bytes[at] = *rc::gen::arbitrary<char>();
                 }
-                bytes.resize(*rc::gen::inRange<std::size_t>(
-                    bytes.size() / 2, bytes.size() + 1));
+                bytes.resize(*rc::gen::inRange<std::size_t>(bytes.size() / 2,
+                                                            bytes.size() + 1));
                 run_all(bytes);
             });
     }
--- a/modules/rules/tests/rules_test.cpp
+++ b/modules/rules/tests/rules_test.cpp
@@ -83,7 +83,8 @@
                result_code::rule_bad_value,
                1,
                23);
-        expect("zone a region=r region=r" + by, result_code::rule_syntax, 1, 17);
+        expect(
+            "zone a region=r region=r" + by, result_code::rule_syntax, 1, 17);
         expect("service s timeout=2parsecs" + by,
                result_code::rule_bad_value,
                1,
@@ -108,7 +109,8 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), errors.size());
         CPPUNIT_ASSERT_EQUAL(max_errors,
                              check(std::string(1000, '!') + "\n" +
-                                   [] {
+                                   []
+                                   {
                                        std::string text;
                                        for (int i = 0; i < 500; ++i)
                                        {
@@ -148,8 +150,8 @@
     void names_compile_to_canonical_ids()
     {
         std::vector<rule_error> errors;
-        auto const config = compile(
-            parsed(read_file("examples/two-users.rules")), "f", errors);
+        auto const config =
+            compile(parsed(read_file("examples/two-users.rules")), "f", errors);
         CPPUNIT_ASSERT(config.has_value());
         CPPUNIT_ASSERT(config->zones[2].zone == core::zone_id("az-c"));
         CPPUNIT_ASSERT(config->services[1].service ==
@@ -167,8 +169,9 @@
     {
         auto const a = parsed("zone a region=n # asked by A: x\n"
                               "limit k per-worker=1 # asked by B: x\n");
-        auto const b = parsed("zone a region=n state=out # asked by C: y\n"
-                              "quota t cpu=1cores memory=1GiB # asked by D: z\n");
+        auto const b =
+            parsed("zone a region=n state=out # asked by C: y\n"
+                   "quota t cpu=1cores memory=1GiB # asked by D: z\n");
         auto const changes = diff(a, b);
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), changes.size());
         CPPUNIT_ASSERT(changes[0].kind == change_kind::removed);
@@ -204,9 +207,8 @@
             if (inside && line == "```")
             {
                 auto const errors = check(block);
-                CPPUNIT_ASSERT_MESSAGE(errors.empty() ? ""
-                                                      : to_string(errors[0]),
-                                       errors.empty());
+                CPPUNIT_ASSERT_MESSAGE(
+                    errors.empty() ? "" : to_string(errors[0]), errors.empty());
                 ++blocks;
                 inside = false;
             }
--- a/modules/rules/text/parser.cpp
+++ b/modules/rules/text/parser.cpp
@@ -127,8 +127,7 @@
         }
         option const found{next.text.substr(0, split),
                            next.text.substr(split + 1),
-                           next.column +
-                               static_cast<std::uint32_t>(split + 1)};
+                           next.column + static_cast<std::uint32_t>(split + 1)};
         if (!m_seen.insert(found.key).second)
         {
             fault(next.column, result_code::rule_syntax, "each option once");
@@ -190,7 +189,8 @@
             {"short", naming::name_scheme::short_name},
             {"dns", naming::name_scheme::dns},
             {"asset", naming::name_scheme::asset}};
-        auto const at = m_next < m_words.size() ? m_words[m_next].column : m_end;
+        auto const at =
+            m_next < m_words.size() ? m_words[m_next].column : m_end;
         auto const kind = kinds.find(word("instance, zone or service"));
         if (kind == kinds.end())
         {
@@ -322,9 +322,8 @@
 
     std::optional<std::string> name_value(option const& found)
     {
-        return is_name(found.value)
-                   ? std::optional(std::string(found.value))
-                   : std::nullopt;
+        return is_name(found.value) ? std::optional(std::string(found.value))
+                                    : std::nullopt;
     }
 
     rule_body route()
@@ -553,8 +552,8 @@
     {
         return missing;
     }
-    target.requester = std::string(trimmed(
-        comment.substr(opening.size(), colon - opening.size())));
+    target.requester = std::string(
+        trimmed(comment.substr(opening.size(), colon - opening.size())));
     target.reason = std::string(trimmed(comment.substr(colon + 1)));
     return target.requester.empty() || target.reason.empty() ? missing
                                                              : std::nullopt;
@@ -640,12 +639,12 @@
     errors.clear();
     if (text.size() > max_file_bytes)
     {
-        errors.push_back({file,
-                          1,
-                          1,
-                          result_code::rule_too_large,
-                          "a file of at most " +
-                              std::to_string(max_file_bytes) + " bytes"});
+        errors.push_back(
+            {file,
+             1,
+             1,
+             result_code::rule_too_large,
+             "a file of at most " + std::to_string(max_file_bytes) + " bytes"});
         text = {};
     }
     rule_set rules;
@@ -657,12 +656,12 @@
         rules.lines.push_back(std::move(parsed));
         if (rules.lines.size() > max_lines)
         {
-            error = rule_error{{},
-                               0,
-                               1,
-                               result_code::rule_too_large,
-                               "at most " + std::to_string(max_lines) +
-                                   " lines"};
+            error =
+                rule_error{{},
+                           0,
+                           1,
+                           result_code::rule_too_large,
+                           "at most " + std::to_string(max_lines) + " lines"};
             text = {};
         }
         if (error)
--- a/modules/rules/text/printer.cpp
+++ b/modules/rules/text/printer.cpp
@@ -109,8 +109,8 @@
     {
         if (content)
         {
-            text += print(content->body) + " # asked by " +
-                    content->requester + ": " + content->reason;
+            text += print(content->body) + " # asked by " + content->requester +
+                    ": " + content->reason;
         }
         else
         {
--- a/modules/rules/text/values.cpp
+++ b/modules/rules/text/values.cpp
@@ -89,8 +89,8 @@
             return 0;
         }
     }
-    bool const overlong = (first == 0xE0 && byte(1) < 0xA0) ||
-                          (first == 0xF0 && byte(1) < 0x90);
+    bool const overlong =
+        (first == 0xE0 && byte(1) < 0xA0) || (first == 0xF0 && byte(1) < 0x90);
     bool const surrogate = first == 0xED && byte(1) > 0x9F;
     bool const too_high = first == 0xF4 && byte(1) > 0x8F;
     return overlong || surrogate || too_high ? 0 : length;
