--- /dev/null
+++ b/modules/placement/model/run_time_model.hpp
@@ -0,0 +1,29 @@
+#ifndef TURMERICSWITCH_PLACEMENT_MODEL_RUN_TIME_MODEL_HPP
+#define TURMERICSWITCH_PLACEMENT_MODEL_RUN_TIME_MODEL_HPP
+
+#include "core/types/units.hpp"
+#include "placement/model/interference_model.hpp"
+
+#include <map>
+
+namespace turmericswitch::placement
+{
+
+/// Learns how far declared run times of a kind are off, for deadline slack.
+class run_time_model
+{
+public:
+    void finished(kind_index kind,
+                  core::duration declared,
+                  core::duration actual);
+
+    /// @return The declared time times the learned factor.
+    core::duration estimate(kind_index kind, core::duration declared) const;
+
+private:
+    std::map<kind_index, double> m_factors;
+};
+
+} // namespace turmericswitch::placement
+
+#endif
--- /dev/null
+++ b/modules/placement/planner.cpp
@@ -0,0 +1,565 @@
+#include "placement/planner.hpp"
+
+#include "placement/policy/placement_pass.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace turmericswitch::placement
+{
+
+namespace
+{
+
+// A job that failed on this many workers without other trouble is at fault.
+constexpr std::size_t workers_to_blame_job = 3;
+// The same on few workers: this many failures in all.
+constexpr unsigned failures_to_blame_job = 6;
+// A failure elsewhere on this many workers says more about the job.
+constexpr std::size_t workers_to_suspect_job = 2;
+constexpr core::duration first_retry = std::chrono::seconds(1);
+constexpr unsigned max_retry_doublings = 5;
+// A probe that runs this long counts as a success; services never end.
+constexpr core::duration good_run = std::chrono::seconds(60);
+constexpr core::duration zone_check = std::chrono::seconds(1);
+
+std::string name_of(worker_entry const& worker)
+{
+    return "worker " + worker.description.worker.value();
+}
+
+} // namespace
+
+planner::planner(planner_options options)
+    : m_state{std::move(options), {}, {}, {}, {}, {}, {}, {}, {}, {}, {}},
+      m_ladder(m_state),
+      m_mover(m_state)
+{
+}
+
+void planner::worker_changed(core::time_point now,
+                             core::worker_description const& description)
+{
+    auto const slot = m_state.workers.put_worker(description);
+    m_state.workers.worker(slot).lost = false;
+    m_retiring.erase(slot);
+    m_state.workers.refresh(slot);
+    m_state.under_pressure.insert(slot);
+    m_mover.apply(now);
+    refuse_again();
+}
+
+void planner::worker_lost(core::time_point /*now*/,
+                          core::worker_id const& worker)
+{
+    if (auto const slot = m_state.workers.slot_of(worker))
+    {
+        m_state.workers.worker(*slot).lost = true;
+        m_state.workers.refresh(*slot);
+    }
+}
+
+void planner::worker_retired(core::time_point now,
+                             core::worker_id const& worker)
+{
+    worker_lost(now, worker);
+    if (auto const slot = m_state.workers.slot_of(worker))
+    {
+        m_retiring.insert(*slot);
+        drop_retired();
+    }
+}
+
+void planner::drop_retired()
+{
+    auto const gone = [&](std::size_t slot)
+    {
+        if (!m_state.workers.worker(slot).tasks.empty())
+        {
+            return false;
+        }
+        room_maker::release_hold_of(m_state, slot);
+        m_state.workers.remove_worker(slot);
+        m_state.failures.forget(slot);
+        m_probing.erase(slot);
+        m_state.under_pressure.erase(slot);
+        return true;
+    };
+    if (std::erase_if(m_retiring, gone) > 0)
+    {
+        refuse_again();
+    }
+}
+
+void planner::refuse_again()
+{
+    for (auto const& [job, task] : m_state.workers.jobs())
+    {
+        if (task.phase == task_phase::queued)
+        {
+            m_new_jobs.insert(job);
+        }
+    }
+}
+
+void planner::job_queued(core::time_point now, queued_job const& job)
+{
+    auto* known = m_state.workers.find(job.job);
+    if (known != nullptr && known->holds_capacity() &&
+        job.next_attempt <= known->attempt)
+    {
+        // Repeated: the attempt it would start holds capacity already.
+        return;
+    }
+    auto& task = known != nullptr ? *known : m_state.workers.add_job(job.job);
+    if (known == nullptr)
+    {
+        task.first_queued = now;
+    }
+    else
+    {
+        m_state.queue.remove(task);
+        m_state.workers.detach(now, task);
+    }
+    task.spec = job;
+    task.kind = m_state.rules.intern(job.kind);
+    enqueue(now, task);
+    drop_retired();
+}
+
+void planner::enqueue(core::time_point now, task_entry& task)
+{
+    task.phase = task_phase::queued;
+    task.queued_since = now;
+    task.wait_reason = "";
+    task.ranked = false;
+    m_new_jobs.insert(task.spec.job);
+}
+
+void planner::task_restored(core::time_point now, restored_task const& restored)
+{
+    auto const slot = m_state.workers.slot_of(restored.worker);
+    if (!slot)
+    {
+        return;
+    }
+    job_queued(now, restored.job);
+    auto& task = *m_state.workers.find(restored.job.job);
+    rank(task);
+    m_new_jobs.erase(restored.job.job);
+    auto const& reserved = restored.reserved;
+    m_state.workers.attach(now, task, *slot, reserved, reserved);
+    task.attempt = restored.attempt;
+    task.phase =
+        restored.evicting ? task_phase::evicting : task_phase::running;
+    task.phase_before_stop = task_phase::running;
+}
+
+task_entry* planner::active(core::job_id job, core::attempt_number attempt)
+{
+    auto* task = m_state.workers.find(job);
+    bool const current = task != nullptr && task->holds_capacity() &&
+                         task->attempt == attempt;
+    return current ? task : nullptr;
+}
+
+void planner::job_started(core::time_point now,
+                          core::job_id job,
+                          core::attempt_number attempt)
+{
+    auto* task = active(job, attempt);
+    if (task != nullptr && task->phase == task_phase::starting)
+    {
+        task->phase = task_phase::running;
+        task->saved_at = now;
+    }
+}
+
+void planner::job_checkpointed(core::time_point now,
+                               core::job_id job,
+                               core::attempt_number attempt)
+{
+    if (auto* task = active(job, attempt))
+    {
+        task->saved_at = now;
+    }
+}
+
+void planner::job_evicting(core::time_point /*now*/,
+                           core::job_id job,
+                           core::attempt_number attempt)
+{
+    auto* task = active(job, attempt);
+    if (task != nullptr && task->is_active())
+    {
+        task->phase_before_stop = task->phase;
+        task->phase = task_phase::evicting;
+    }
+}
+
+void planner::attempt_failed(core::time_point now,
+                             core::job_id job,
+                             core::attempt_number attempt)
+{
+    auto* task = active(job, attempt);
+    if (task == nullptr)
+    {
+        return;
+    }
+    auto const slot = task->slot;
+    auto& worker = m_state.workers.worker(slot);
+    bool const counts = task->failed_slots.size() < workers_to_suspect_job;
+    if (worker.health == worker_health::probing && worker.probe == job)
+    {
+        start_quarantine(now, slot);
+        return;
+    }
+    if (worker.health != worker_health::healthy)
+    {
+        return;
+    }
+    task->failed_slots.insert(slot);
+    ++task->failures;
+    auto const doublings = std::min(task->failures, max_retry_doublings);
+    task->not_before = now + first_retry * (1 << doublings);
+    if (m_state.failures.failed(now, slot, job, counts))
+    {
+        start_quarantine(now, slot);
+        return;
+    }
+    if (task->failed_slots.size() >= workers_to_blame_job ||
+        task->failures >= failures_to_blame_job)
+    {
+        m_faulty_jobs.insert(job);
+    }
+}
+
+void planner::start_quarantine(core::time_point now, std::size_t slot)
+{
+    auto& worker = m_state.workers.worker(slot);
+    take_back_failures(now, slot);
+    auto const length = m_state.failures.quarantine(now, slot);
+    worker.health = worker_health::quarantined;
+    m_probing.erase(slot);
+    m_state.workers.refresh(slot);
+    auto const& name = worker.description.worker;
+    m_pending.quarantines.push_back({name, true});
+    core::decision_record record;
+    record.part = "placement";
+    record.subject = name_of(worker);
+    record.action = "quarantine";
+    record.code = core::result_code::worker_quarantined;
+    auto const seconds =
+        std::chrono::duration_cast<std::chrono::seconds>(length);
+    record.reasons = {"several jobs failed on it",
+                      "probe in " + std::to_string(seconds.count()) + " s"};
+    m_pending.records.push_back(std::move(record));
+}
+
+void planner::take_back_failures(core::time_point now, std::size_t slot)
+{
+    for (auto const job : m_state.failures.jobs_failed_on(slot))
+    {
+        auto* task = m_state.workers.find(job);
+        if (task != nullptr && task->failed_slots.erase(slot) > 0)
+        {
+            task->failures -= std::min(task->failures, 1U);
+            task->not_before = now;
+            m_faulty_jobs.erase(job);
+        }
+    }
+}
+
+void planner::end_quarantine(std::size_t slot, char const* reason)
+{
+    auto& worker = m_state.workers.worker(slot);
+    worker.health = worker_health::healthy;
+    worker.probe.reset();
+    m_probing.erase(slot);
+    m_state.failures.forget(slot);
+    m_state.workers.refresh(slot);
+    m_pending.quarantines.push_back({worker.description.worker, false});
+    core::decision_record record;
+    record.part = "placement";
+    record.subject = name_of(worker);
+    record.action = "return";
+    record.reasons = {reason};
+    m_pending.records.push_back(std::move(record));
+}
+
+void planner::run_probes(core::time_point now)
+{
+    for (auto const slot : m_state.failures.due(now))
+    {
+        auto& worker = m_state.workers.worker(slot);
+        worker.health = worker_health::probing;
+        worker.probe.reset();
+        m_probing.insert(slot);
+        m_state.workers.refresh(slot);
+    }
+    auto const probing = m_probing;
+    for (auto const slot : probing)
+    {
+        auto const& worker = m_state.workers.worker(slot);
+        auto* probe =
+            worker.probe ? m_state.workers.find(*worker.probe) : nullptr;
+        if (probe != nullptr && probe->phase == task_phase::running &&
+            now - probe->placed_at >= good_run)
+        {
+            end_quarantine(slot, "the probe runs well");
+        }
+    }
+}
+
+void planner::job_ended(core::time_point now, core::job_id job, ending how)
+{
+    auto* task = m_state.workers.find(job);
+    if (task == nullptr)
+    {
+        return;
+    }
+    if (task->holds_capacity() && how == ending::finished)
+    {
+        m_state.failures.succeeded(task->slot);
+        m_state.run_times.finished(task->kind,
+                                   task->spec.expected_run_time,
+                                   now - task->placed_at);
+        if (m_state.workers.worker(task->slot).probe == job)
+        {
+            end_quarantine(task->slot, "the probe finished");
+        }
+    }
+    m_state.queue.remove(*task);
+    m_state.workers.detach(now, *task);
+    room_maker::release_hold_of(m_state, task->hold_slot);
+    m_new_jobs.erase(job);
+    m_faulty_jobs.erase(job);
+    m_state.workers.remove_job(job);
+    drop_retired();
+}
+
+void planner::usage_reported(core::time_point now,
+                             core::worker_id const& worker,
+                             core::usage_sample const& sample)
+{
+    if (auto const slot = m_state.workers.slot_of(worker))
+    {
+        m_ladder.learn(now, *slot, sample);
+    }
+}
+
+void planner::configuration_changed(core::time_point now,
+                                    core::configuration const& config)
+{
+    m_state.rules.replace(config);
+    for (auto const& rule : config.zones)
+    {
+        m_state.zones.set(now, rule.zone, rule.state);
+    }
+    m_mover.apply(now);
+    refuse_again();
+}
+
+void planner::zone_changed(core::time_point now,
+                           core::zone_id const& zone,
+                           core::zone_state state)
+{
+    if (m_state.zones.set(now, zone, state))
+    {
+        m_mover.apply(now);
+    }
+}
+
+void planner::placement_dropped(core::time_point now,
+                                core::job_id job,
+                                core::attempt_number attempt)
+{
+    auto* task = active(job, attempt);
+    if (task != nullptr && task->phase == task_phase::starting)
+    {
+        m_state.workers.detach(now, *task);
+        auto const since = task->queued_since;
+        enqueue(now, *task);
+        task->queued_since = since;
+    }
+}
+
+void planner::eviction_dropped(core::job_id job, core::attempt_number attempt)
+{
+    auto* task = active(job, attempt);
+    if (task != nullptr && task->phase == task_phase::evicting)
+    {
+        task->phase = task->phase_before_stop;
+    }
+}
+
+void planner::stop_dropped(core::job_id job)
+{
+    auto* task = m_state.workers.find(job);
+    if (task != nullptr && task->phase == task_phase::stopping)
+    {
+        task->phase = task_phase::queued;
+        m_new_jobs.insert(job);
+        if (task->failures > 0)
+        {
+            m_faulty_jobs.insert(job);
+        }
+    }
+}
+
+void planner::rank(task_entry& task)
+{
+    m_state.queue.remove(task);
+    auto const& spec = task.spec;
+    task.priority = m_state.rules.priority(task.kind, spec.priority);
+    core::wall_time const submitted(task.first_queued.time_since_epoch() +
+                                    m_wall_offset);
+    auto const due =
+        m_state.rules.deadline(task.kind, spec.deadline, submitted);
+    task.deadline = core::time_point::max();
+    task.latest_start = core::time_point::max();
+    if (due)
+    {
+        task.deadline =
+            core::time_point(due->time_since_epoch() - m_wall_offset);
+        task.latest_start =
+            task.deadline - m_state.run_times.estimate(
+                                task.kind, spec.expected_run_time);
+    }
+    else if (!task.is_batch())
+    {
+        task.latest_start = task.first_queued;
+    }
+    task.ranked = true;
+}
+
+void planner::rank_new_jobs()
+{
+    tick_decisions& decisions = m_pending;
+    auto const fresh = std::exchange(m_new_jobs, {});
+    for (auto const job : fresh)
+    {
+        auto* task = m_state.workers.find(job);
+        if (task == nullptr || task->phase != task_phase::queued)
+        {
+            continue;
+        }
+        rank(*task);
+        if (!refuse(*task, decisions))
+        {
+            m_state.queue.add(*task);
+        }
+    }
+    for (auto const job : std::exchange(m_faulty_jobs, {}))
+    {
+        auto* task = m_state.workers.find(job);
+        if (task != nullptr && task->phase == task_phase::queued)
+        {
+            stop(*task,
+                 core::result_code::job_failed,
+                 "failed on several healthy workers",
+                 decisions);
+        }
+        else if (task != nullptr)
+        {
+            m_faulty_jobs.insert(job);
+        }
+    }
+}
+
+bool planner::refuse(task_entry& task, tick_decisions& decisions)
+{
+    auto const& declared = task.spec.declared;
+    auto const quota = m_state.rules.quota(task.spec.team);
+    if (quota && !core::fits_in(declared, *quota))
+    {
+        stop(task,
+             core::result_code::quota_exceeded,
+             "needs more than the whole quota of team " +
+                 task.spec.team.value(),
+             decisions);
+        return true;
+    }
+    bool const any_worker =
+        m_state.workers.total() != core::resources{};
+    if (any_worker && !m_state.workers.largest_holding(declared))
+    {
+        stop(task,
+             core::result_code::job_never_fits,
+             "fits no worker, even an empty one",
+             decisions);
+        return true;
+    }
+    return false;
+}
+
+void planner::stop(task_entry& task,
+                   core::result_code code,
+                   std::string const& reason,
+                   tick_decisions& decisions)
+{
+    m_state.queue.remove(task);
+    task.phase = task_phase::stopping;
+    core::stop_job command;
+    command.job = task.spec.job;
+    command.code = code;
+    command.reason = reason;
+    decisions.batch.stops.push_back(command);
+    auto record = job_record(task.spec.job, "refuse", "", {reason});
+    record.code = code;
+    decisions.records.push_back(std::move(record));
+}
+
+tick_decisions planner::tick(core::time_point now, core::wall_time wall)
+{
+    m_wall_offset = wall.time_since_epoch() - now.time_since_epoch();
+    if (now - m_zones_applied >= zone_check)
+    {
+        m_mover.apply(now);
+        m_zones_applied = now;
+    }
+    run_probes(now);
+    rank_new_jobs();
+    auto decisions = std::exchange(m_pending, {});
+    m_ladder.run(now, decisions);
+    m_mover.run(now, decisions);
+    placement_pass(m_state, now, decisions).run();
+    room_maker::release_holds(m_state, now);
+    return decisions;
+}
+
+planner_counts planner::counts() const
+{
+    planner_counts counts;
+    counts.queued = m_state.queue.size();
+    for (std::size_t slot = 0; slot < m_state.workers.slots(); ++slot)
+    {
+        auto const& worker = m_state.workers.worker(slot);
+        counts.workers += worker.present ? 1 : 0;
+        bool const bad =
+            worker.present && worker.health == worker_health::quarantined;
+        counts.quarantined += bad ? 1 : 0;
+    }
+    counts.learned_pairs = m_state.interference.size();
+    counts.learned_sizes = m_state.usage.size();
+    return counts;
+}
+
+core::resources planner::reserved_on(core::worker_id const& worker) const
+{
+    auto const slot = m_state.workers.slot_of(worker);
+    return slot ? m_state.workers.worker(*slot).reserved : core::resources{};
+}
+
+interference_model const& planner::interference() const noexcept
+{
+    return m_state.interference;
+}
+
+kind_index planner::kind_of(core::task_kind const& kind)
+{
+    return m_state.rules.intern(kind);
+}
+
+} // namespace turmericswitch::placement
--- /dev/null
+++ b/modules/placement/policy/placement_pass.cpp
@@ -0,0 +1,363 @@
+#include "placement/policy/placement_pass.hpp"
+
+#include <algorithm>
+
+namespace turmericswitch::placement
+{
+
+namespace
+{
+
+constexpr std::size_t max_misses = 64;
+constexpr std::size_t max_at_risk = 256;
+// Batch counts as about to miss its deadline this long before it must start;
+// declared run times are too short as often as too long.
+constexpr core::duration risk_margin = std::chrono::minutes(10);
+// An urgent job waits this long before batch is evicted for it.
+constexpr core::duration room_wait = std::chrono::milliseconds(200);
+
+core::resources smaller(core::resources const& a, core::resources const& b)
+{
+    return {std::min(a.cpu, b.cpu),
+            std::min(a.memory, b.memory),
+            std::min(a.accelerators, b.accelerators)};
+}
+
+double ratio(std::int64_t part, std::int64_t whole)
+{
+    return static_cast<double>(part) /
+           static_cast<double>(std::max<std::int64_t>(1, whole));
+}
+
+char const* text_of(obstacle found)
+{
+    switch (found)
+    {
+    case obstacle::held:
+        return "free workers are held for larger jobs";
+    case obstacle::sharing_rule:
+        return "a sharing rule closes the workers with capacity";
+    case obstacle::kind_limit:
+        return "the kind limit closes the workers with capacity";
+    case obstacle::failed_there:
+        return "it failed on the workers with capacity";
+    case obstacle::interference:
+        return "it would slow down services";
+    case obstacle::none:
+        break;
+    }
+    return "no worker has the capacity free";
+}
+
+} // namespace
+
+core::resources reservation_of(planner_state const& state,
+                               task_entry const& task)
+{
+    auto const& declared = task.spec.declared;
+    auto const largest = state.workers.largest_holding(declared);
+    if (!state.options.learn_sizes || !largest)
+    {
+        return declared;
+    }
+    auto const learned = state.usage.reservation(
+        task.kind, task.spec.team, declared, task.is_batch());
+    return smaller(learned, *largest);
+}
+
+placement_pass::placement_pass(planner_state& state,
+                               core::time_point now,
+                               tick_decisions& decisions)
+    : m_state(state),
+      m_now(now),
+      m_decisions(decisions),
+      m_scorer(state),
+      m_rooms(state, now, decisions)
+{
+}
+
+void placement_pass::run()
+{
+    place_class(core::priority_class::urgent);
+    place_class(core::priority_class::service);
+    place_at_risk();
+    place_class(core::priority_class::batch);
+}
+
+double placement_pass::dominant_share(core::team_id const& team) const
+{
+    auto const used = m_state.workers.charged(team);
+    auto const quota = m_state.rules.quota(team);
+    auto const whole = quota ? *quota : m_state.workers.total();
+    double const accelerators =
+        ratio(used.accelerators.value(), whole.accelerators.value());
+    return std::max({ratio(used.cpu.value(), whole.cpu.value()),
+                     ratio(used.memory.value(), whole.memory.value()),
+                     accelerators});
+}
+
+void placement_pass::place_class(core::priority_class priority)
+{
+    team_order order;
+    for (auto const& team : m_state.queue.teams(priority))
+    {
+        order.emplace(dominant_share(team), team);
+    }
+    while (!order.empty() && m_started < m_state.options.starts_per_tick)
+    {
+        auto const team = order.begin()->second;
+        order.erase(order.begin());
+        if (place_one_of(priority, team))
+        {
+            order.emplace(dominant_share(team), team);
+        }
+    }
+}
+
+bool placement_pass::place_one_of(core::priority_class priority,
+                                  core::team_id const& team)
+{
+    auto const depth = m_state.options.scan_depth;
+    for (auto const job : m_state.queue.next_jobs(priority, team, depth))
+    {
+        if (place(*m_state.workers.find(job)))
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+void placement_pass::place_at_risk()
+{
+    auto const limit = m_now + risk_margin;
+    for (auto const job : m_state.queue.at_risk(limit, max_at_risk))
+    {
+        if (m_started >= m_state.options.starts_per_tick)
+        {
+            return;
+        }
+        place(*m_state.workers.find(job));
+    }
+}
+
+bool placement_pass::is_patient(task_entry const& task) const
+{
+    bool const at_risk = task.latest_start <= m_now + risk_margin;
+    auto const waited = m_now - task.queued_since;
+    return !at_risk && waited < m_state.options.gate_patience;
+}
+
+bool placement_pass::within_quota(task_entry const& task,
+                                  core::resources const& charge) const
+{
+    auto const quota = m_state.rules.quota(task.spec.team);
+    return !quota || core::fits_in(
+                         m_state.workers.charged(task.spec.team) + charge,
+                         *quota);
+}
+
+bool placement_pass::known_miss(miss const& wanted) const
+{
+    auto const covers = [&](miss const& earlier)
+    {
+        return earlier.kind == wanted.kind &&
+               earlier.patient == wanted.patient &&
+               earlier.urgent == wanted.urgent &&
+               core::fits_in(earlier.need, wanted.need);
+    };
+    return std::any_of(m_misses.begin(), m_misses.end(), covers);
+}
+
+bool placement_pass::place(task_entry& task)
+{
+    if (task.not_before > m_now)
+    {
+        return false;
+    }
+    auto const need = reservation_of(m_state, task);
+    auto const quota = m_state.rules.quota(task.spec.team);
+    auto const charge = quota ? smaller(need, *quota) : need;
+    if (!within_quota(task, charge))
+    {
+        wait(task, "the team's quota is used up");
+        return false;
+    }
+    bool const urgent = task.priority == core::priority_class::urgent;
+    miss const wanted{task.kind, is_patient(task), urgent, need};
+    bool const plain = !task.wants_own_search();
+    if (plain && known_miss(wanted))
+    {
+        return false;
+    }
+    auto found = find_candidates(task, need);
+    if (found.empty())
+    {
+        if (plain && m_misses.size() < max_misses)
+        {
+            m_misses.push_back(wanted);
+        }
+        on_blocked(task, need);
+        return false;
+    }
+    task.charged = charge;
+    commit(task, need, found);
+    return true;
+}
+
+std::vector<candidate> placement_pass::find_candidates(
+    task_entry const& task, core::resources const& need)
+{
+    std::vector<candidate> found;
+    m_last_obstacle = obstacle::none;
+    auto const slots = m_state.workers.slots();
+    if (slots == 0)
+    {
+        return found;
+    }
+    if (task.hold_slot)
+    {
+        collect(task, need, *task.hold_slot, *task.hold_slot + 1, found);
+        if (!found.empty())
+        {
+            return found;
+        }
+    }
+    // Starting elsewhere for each job spreads the sample over all workers;
+    // the baselines look from the first worker on.
+    bool const scored = !m_state.options.choose;
+    auto const start =
+        scored ? (task.spec.job.value() * 0x9e3779b97f4a7c15ULL >> 20) % slots
+               : 0;
+    collect(task, need, start, slots, found);
+    collect(task, need, 0, start, found);
+    return found;
+}
+
+void placement_pass::collect(task_entry const& task,
+                             core::resources const& need,
+                             std::size_t from,
+                             std::size_t until,
+                             std::vector<candidate>& found)
+{
+    bool const patient = is_patient(task);
+    auto const wanted = m_state.options.candidates;
+    auto const& index = m_state.workers.index();
+    auto slot = index.next_fit(from, need);
+    while (slot && *slot < until && (wanted == 0 || found.size() < wanted))
+    {
+        auto const reason =
+            m_scorer.check(m_now, task, need, *slot, patient);
+        if (reason == obstacle::none)
+        {
+            found.push_back({*slot, 0});
+        }
+        else
+        {
+            m_last_obstacle = reason;
+        }
+        slot = index.next_fit(*slot + 1, need);
+    }
+}
+
+void placement_pass::commit(task_entry& task,
+                            core::resources const& need,
+                            std::vector<candidate>& found)
+{
+    std::size_t chosen = 0;
+    if (m_state.options.choose)
+    {
+        chosen = m_state.options.choose(found);
+    }
+    else
+    {
+        m_scorer.prepare(task);
+        for (auto& item : found)
+        {
+            item.cost = m_scorer.cost(m_now, task, need, item.slot);
+        }
+        std::sort(found.begin(),
+                  found.end(),
+                  [](candidate const& a, candidate const& b) {
+                      return std::pair(a.cost, a.slot) <
+                             std::pair(b.cost, b.slot);
+                  });
+    }
+    m_state.queue.remove(task);
+    auto const slot = found[chosen].slot;
+    auto const charge = task.charged;
+    m_state.workers.attach(m_now, task, slot, need, charge);
+    task.attempt = task.spec.next_attempt;
+    task.phase = task_phase::starting;
+    task.wait_reason = "";
+    ++m_started;
+    core::place_task command;
+    command.job = task.spec.job;
+    command.attempt = task.attempt;
+    command.worker = m_state.workers.worker(slot).description.worker;
+    command.reserved = need;
+    m_decisions.batch.placements.push_back(command);
+    record(task, found, chosen);
+}
+
+void placement_pass::record(task_entry const& task,
+                            std::vector<candidate> const& found,
+                            std::size_t chosen)
+{
+    auto const name = [&](candidate const& item)
+    {
+        auto const& worker = m_state.workers.worker(item.slot);
+        return "worker " + worker.description.worker.value();
+    };
+    std::vector<std::string> reasons;
+    reasons.push_back("cost " + two_decimals(found[chosen].cost) + " of " +
+                      std::to_string(found.size()) + " weighed");
+    if (is_patient(task) == false && task.is_batch())
+    {
+        reasons.emplace_back("deadline or wait overrides interference");
+    }
+    auto entry =
+        job_record(task.spec.job, "place", name(found[chosen]), reasons);
+    for (std::size_t i = 0; i < found.size() && entry.runners_up.size() < 2;
+         ++i)
+    {
+        if (i != chosen)
+        {
+            entry.runners_up.push_back(
+                {name(found[i]), "cost " + two_decimals(found[i].cost)});
+        }
+    }
+    m_decisions.records.push_back(std::move(entry));
+}
+
+void placement_pass::wait(task_entry& task, char const* reason)
+{
+    if (task.wait_reason == reason)
+    {
+        return;
+    }
+    task.wait_reason = reason;
+    m_decisions.records.push_back(
+        job_record(task.spec.job, "wait", "", {reason}));
+}
+
+void placement_pass::on_blocked(task_entry& task, core::resources const& need)
+{
+    wait(task, text_of(m_last_obstacle));
+    auto const waited = m_now - task.queued_since;
+    if (!m_state.options.choose && !task.is_batch() && waited >= room_wait &&
+        !task.hold_slot && m_rooms.make_room(task, need))
+    {
+        return;
+    }
+    bool const capacity_missing = m_last_obstacle == obstacle::none ||
+                                  m_last_obstacle == obstacle::sharing_rule ||
+                                  m_last_obstacle == obstacle::held;
+    if (capacity_missing && waited >= m_state.options.reservation_wait &&
+        !task.hold_slot)
+    {
+        m_rooms.hold_worker(task, need);
+    }
+}
+
+} // namespace turmericswitch::placement
--- /dev/null
+++ b/modules/placement/policy/placement_pass.hpp
@@ -0,0 +1,78 @@
+#ifndef TURMERICSWITCH_PLACEMENT_POLICY_PLACEMENT_PASS_HPP
+#define TURMERICSWITCH_PLACEMENT_POLICY_PLACEMENT_PASS_HPP
+
+#include "placement/policy/room_maker.hpp"
+#include "placement/policy/worker_scorer.hpp"
+
+namespace turmericswitch::placement
+{
+
+/// Places queued jobs in one tick: urgent first, then services, then batch
+/// about to miss its deadline, then batch by fair share.
+class placement_pass
+{
+public:
+    placement_pass(planner_state& state,
+                   core::time_point now,
+                   tick_decisions& decisions);
+
+    void run();
+
+private:
+    struct miss
+    {
+        kind_index kind;
+        bool patient;
+        bool urgent;
+        core::resources need;
+    };
+
+    /// A team and its dominant share, lowest share first.
+    using team_order = std::set<std::pair<double, core::team_id>>;
+
+    void place_class(core::priority_class priority);
+    void place_at_risk();
+    bool place_one_of(core::priority_class priority,
+                      core::team_id const& team);
+    bool place(task_entry& task);
+    bool within_quota(task_entry const& task,
+                      core::resources const& charge) const;
+    bool known_miss(miss const& wanted) const;
+    bool is_patient(task_entry const& task) const;
+
+    std::vector<candidate> find_candidates(task_entry const& task,
+                                           core::resources const& need);
+    void collect(task_entry const& task,
+                 core::resources const& need,
+                 std::size_t from,
+                 std::size_t until,
+                 std::vector<candidate>& found);
+    void commit(task_entry& task,
+                core::resources const& need,
+                std::vector<candidate>& found);
+    void record(task_entry const& task,
+                std::vector<candidate> const& found,
+                std::size_t chosen);
+    void wait(task_entry& task, char const* reason);
+
+    void on_blocked(task_entry& task, core::resources const& need);
+    double dominant_share(core::team_id const& team) const;
+
+    planner_state& m_state;
+    core::time_point m_now;
+    tick_decisions& m_decisions;
+    worker_scorer m_scorer;
+    room_maker m_rooms;
+    std::vector<miss> m_misses;
+    obstacle m_last_obstacle = obstacle::none;
+    std::size_t m_started = 0;
+};
+
+/// What a job reserves: learned size, but never above the largest worker
+/// that holds the declaration nor above what the team may ever use.
+core::resources reservation_of(planner_state const& state,
+                               task_entry const& task);
+
+} // namespace turmericswitch::placement
+
+#endif
