Add placement_bench: one night in virtual time and the scale curve

Cause: changes of the policy need figures on the same seeds. Change: ten virtual workers with late measurements, two users' mixes, a zone out for an hour, and a scale mode.

--- /dev/null
+++ b/extras/bench/placement_bench/placement_bench.cpp
@@ -0,0 +1,257 @@
+#include "placement_bench/scale_run.hpp"
+#include "placement_bench/virtual_fleet.hpp"
+
+#include <docopt/docopt.h>
+
+#include <cmath>
+#include <cstdio>
+#include <functional>
+#include <iostream>
+#include <thread>
+
+namespace
+{
+
+using namespace turmericswitch;
+
+constexpr char usage[] =
+    R"(Compares placement policies in virtual time, or measures their cost.
+
+Usage:
+  placement_bench [--seeds N] [--first SEED] [--verbose]
+  placement_bench --scale
+  placement_bench --help | --version
+
+Options:
+  --seeds N     Number of seeds per user's mix [default: 5].
+  --first SEED  First seed [default: 1].
+  --verbose     One line per seed.
+  --scale       Tick cost from 30 to 660 workers.
+  --help        Shows this text.
+  --version     Shows the version.
+)";
+
+struct policy
+{
+    std::string name;
+    std::function<placement::planner_options(std::uint64_t)> options;
+};
+
+struct mix
+{
+    std::string name;
+    std::function<bench::workload(std::uint64_t)> make;
+};
+
+std::vector<policy> policies()
+{
+    return {{"first fit",
+             [](std::uint64_t) { return placement::first_fit_options(); }},
+            {"random",
+             [](std::uint64_t seed) {
+                 return placement::random_feasible_options(
+                     core::seeded_random(seed));
+             }},
+            {"planner",
+             [](std::uint64_t) { return placement::planner_options{}; }}};
+}
+
+void print_header()
+{
+    std::printf("%-10s %-10s %6s %6s %6s %6s %6s %7s %6s %6s %6s %6s %6s "
+                "%6s %5s %5s\n",
+                "mix",
+                "policy",
+                "p99",
+                "mean",
+                "urg99",
+                "wait99",
+                "done%",
+                "zone_ch",
+                "evict",
+                "kills",
+                "lost",
+                "down_h",
+                "unfin",
+                "thrott",
+                "dbl",
+                "seed");
+}
+
+void print_row(std::string const& mix_name,
+               std::string const& policy_name,
+               bench::night_result const& night,
+               std::string const& seed)
+{
+    std::printf("%-10s %-10s %6.2f %6.3f %6.2f %6.1f %6.1f %7.1f %6zu %6zu "
+                "%6.1f %6.2f %6zu %6zu %5zu %5s\n",
+                mix_name.c_str(),
+                policy_name.c_str(),
+                night.p99_slowdown,
+                night.mean_slowdown,
+                night.urgent_p99_slowdown,
+                night.urgent_p99_wait_s,
+                100 * night.batch_done / night.batch_due,
+                night.done_around_zone_out,
+                night.evictions,
+                night.memory_kills,
+                night.lost_work,
+                night.service_down_hours,
+                night.unfinished,
+                night.throttles,
+                night.doubled,
+                seed.c_str());
+}
+
+bench::night_result mean_of(std::vector<bench::night_result> const& nights)
+{
+    bench::night_result sum;
+    auto const count = static_cast<double>(nights.size());
+    auto const average = [&](auto member)
+    {
+        double total = 0;
+        for (auto const& night : nights)
+        {
+            total += static_cast<double>(night.*member);
+        }
+        using value = std::remove_reference_t<decltype(sum.*member)>;
+        sum.*member = static_cast<value>(total / count);
+    };
+    using result = bench::night_result;
+    for (auto const member : {&result::p99_slowdown,
+                              &result::mean_slowdown,
+                              &result::urgent_p99_slowdown,
+                              &result::urgent_p99_wait_s,
+                              &result::batch_done,
+                              &result::batch_due,
+                              &result::done_around_zone_out,
+                              &result::lost_work,
+                              &result::service_down_hours})
+    {
+        average(member);
+    }
+    for (auto const member : {&result::evictions,
+                              &result::memory_kills,
+                              &result::doubled,
+                              &result::unfinished,
+                              &result::throttles})
+    {
+        average(member);
+    }
+    return sum;
+}
+
+void compare(std::uint64_t first, std::uint64_t seeds, bool verbose)
+{
+    std::vector<mix> const mixes{{"routes", bench::route_planning_night},
+                                 {"labels", bench::label_printing_night}};
+    print_header();
+    for (auto const& each : mixes)
+    {
+        for (auto const& way : policies())
+        {
+            std::vector<bench::night_result> nights(seeds);
+            std::vector<std::thread> threads;
+            for (std::uint64_t i = 0; i < seeds; ++i)
+            {
+                threads.emplace_back(
+                    [&, i]
+                    {
+                        auto const night = each.make(first + i);
+                        bench::virtual_fleet fleet(night,
+                                                   way.options(first + i));
+                        nights[i] = fleet.run();
+                    });
+            }
+            for (auto& thread : threads)
+            {
+                thread.join();
+            }
+            for (std::uint64_t i = 0; verbose && i < seeds; ++i)
+            {
+                print_row(
+                    each.name, way.name, nights[i], std::to_string(first + i));
+            }
+            print_row(each.name, way.name, mean_of(nights), "mean");
+        }
+    }
+}
+
+void print_exponent(std::vector<bench::scale_result> const& points)
+{
+    double n = 0;
+    double sx = 0;
+    double sy = 0;
+    double sxx = 0;
+    double sxy = 0;
+    for (auto const& point : points)
+    {
+        double const x = std::log(static_cast<double>(point.workers));
+        double const y = std::log(point.us_per_start);
+        n += 1;
+        sx += x;
+        sy += y;
+        sxx += x * x;
+        sxy += x * y;
+    }
+    double const slope = (n * sxy - sx * sy) / (n * sxx - sx * sx);
+    std::printf("cost per start grows with workers to the power %.2f\n",
+                slope);
+}
+
+void measure_scale()
+{
+    std::printf("%7s %8s %8s %8s %9s %9s %8s %8s %8s %7s\n",
+                "workers",
+                "starts/s",
+                "p50_ms",
+                "p99_ms",
+                "us/start",
+                "urg99_tk",
+                "core%",
+                "mem_mb",
+                "running",
+                "queued");
+    std::vector<bench::scale_result> points;
+    for (std::size_t const workers : {30, 60, 120, 240, 480, 660})
+    {
+        auto const point = bench::run_scale(workers, 610);
+        points.push_back(point);
+        std::printf("%7zu %8.0f %8.2f %8.2f %9.1f %9.0f %8.1f %8.1f %8zu "
+                    "%7zu\n",
+                    point.workers,
+                    point.starts,
+                    point.tick_p50_ms,
+                    point.tick_p99_ms,
+                    point.us_per_start,
+                    point.urgent_p99_ticks,
+                    100 * point.core_share,
+                    point.memory_mb,
+                    point.running,
+                    point.queued);
+    }
+    print_exponent(points);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    auto const arguments = docopt::docopt(usage,
+                                          {argv + 1, argv + argc},
+                                          true,
+                                          "placement_bench " TURMERICSWITCH_VERSION);
+    if (arguments.at("--scale").asBool())
+    {
+        measure_scale();
+        return 0;
+    }
+    auto const number = [&](char const* name)
+    {
+        return static_cast<std::uint64_t>(arguments.at(name).asLong());
+    };
+    compare(number("--first"),
+            number("--seeds"),
+            arguments.at("--verbose").asBool());
+    return 0;
+}
