--- /dev/null
+++ b/modules/routing/choice/choice_policy.cpp
@@ -0,0 +1,101 @@
+#include "routing/choice/choice_policy.hpp"
+
+#include <utility>
+
+namespace turmericswitch::routing
+{
+
+namespace
+{
+
+using candidates = std::span<candidate const>;
+
+std::pair<std::size_t, std::size_t>
+two_different(std::size_t count, core::random_source const& random)
+{
+    auto const first = core::random_below(random, count);
+    auto second = core::random_below(random, count - 1);
+    second += second >= first ? 1 : 0;
+    return {first, second};
+}
+
+// Compares load per slot without division.
+bool less_loaded(candidate const& a, candidate const& b)
+{
+    return std::uint64_t{a.load} * b.slots < std::uint64_t{b.load} * a.slots;
+}
+
+bool expected_sooner(candidate const& a, candidate const& b)
+{
+    bool const unknown = a.latency == core::duration::zero() ||
+                         b.latency == core::duration::zero();
+    if (unknown)
+    {
+        return less_loaded(a, b);
+    }
+    auto const cost = [](candidate const& one, candidate const& other)
+    {
+        return static_cast<double>(one.latency.count()) * (one.load + 1.0) *
+               other.slots;
+    };
+    return cost(a, b) < cost(b, a);
+}
+
+} // namespace
+
+choice_policy choose_random()
+{
+    return [](candidates all, core::random_source const& random)
+    { return core::random_below(random, all.size()); };
+}
+
+choice_policy choose_least_outstanding()
+{
+    return [](candidates all, core::random_source const& random)
+    {
+        std::size_t best = 0;
+        std::size_t ties = 1;
+        for (std::size_t i = 1; i < all.size(); ++i)
+        {
+            if (less_loaded(all[i], all[best]))
+            {
+                best = i;
+                ties = 1;
+            }
+            else if (!less_loaded(all[best], all[i]))
+            {
+                ++ties;
+                best = core::random_below(random, ties) == 0 ? i : best;
+            }
+        }
+        return best;
+    };
+}
+
+choice_policy choose_power_of_two()
+{
+    return [](candidates all, core::random_source const& random) -> std::size_t
+    {
+        if (all.size() == 1)
+        {
+            return 0;
+        }
+        auto const [a, b] = two_different(all.size(), random);
+        return less_loaded(all[b], all[a]) ? b : a;
+    };
+}
+
+choice_policy choose_power_of_two_latency()
+{
+    return [](candidates all, core::random_source const& random) -> std::size_t
+    {
+        if (all.size() == 1)
+        {
+            return 0;
+        }
+        auto const [a, b] = two_different(all.size(), random);
+        return expected_sooner(all[b], all[a]) ? b : a;
+    };
+}
+
+} // namespace turmericswitch::routing
--- /dev/null
+++ b/modules/routing/flow/open_attempt.cpp
@@ -0,0 +1,52 @@
+#include "routing/flow/open_attempt.hpp"
+
+namespace turmericswitch::routing
+{
+
+namespace
+{
+
+constexpr std::uint16_t first_server_error = 500;
+
+} // namespace
+
+open_attempt::~open_attempt()
+{
+    close();
+}
+
+void open_attempt::open(backend_target const& target, bool crosses_region)
+{
+    close();
+    load = target.load;
+    outlier = target.outlier;
+    backend = target.entry.backend;
+    sidecar = target.entry.sidecar;
+    id.sidecar = target.entry.sidecar_incarnation;
+    crossed = crosses_region;
+    m_open = true;
+}
+
+void open_attempt::close() noexcept
+{
+    if (m_open)
+    {
+        load->end();
+        m_open = false;
+    }
+}
+
+bool open_attempt::record_status(core::time_point now,
+                                 std::uint16_t status) noexcept
+{
+    if (status >= first_server_error)
+    {
+        outlier->failed(now);
+        return false;
+    }
+    outlier->succeeded();
+    load->record_latency(now - sent_at);
+    return true;
+}
+
+} // namespace turmericswitch::routing
--- /dev/null
+++ b/modules/routing/flow/request_flow.cpp
@@ -0,0 +1,519 @@
+#include "routing/flow/request_flow.hpp"
+
+#include "routing/flow/flow_results.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace turmericswitch::routing
+{
+
+namespace
+{
+
+// Between cancels of one attempt, so that a short break of the connection
+// doesn't use up all of them.
+constexpr core::duration cancel_interval = std::chrono::milliseconds(25);
+
+} // namespace
+
+request_flow::request_flow(flow_context const& context, caller_request request)
+    : m_context(&context), m_request(std::move(request))
+{
+}
+
+bool request_flow::done() const noexcept
+{
+    return m_phase == phase::done;
+}
+
+flow_actions request_flow::begin(core::time_point now)
+{
+    assert(m_phase == phase::created);
+    flow_actions out;
+    auto const table = m_context->table();
+    if (table == nullptr)
+    {
+        finish_without_answer(core::result_code::not_ready, out);
+        return out;
+    }
+    if (!resolve_route(*table))
+    {
+        finish_without_answer(core::result_code::no_route, out);
+        return out;
+    }
+    bool const shorter = m_request.timeout > core::duration::zero() &&
+                         m_request.timeout < m_rule.request_timeout;
+    m_deadline = now + (shorter ? m_request.timeout : m_rule.request_timeout);
+    if (!m_request.key)
+    {
+        try_next(now, out);
+        return out;
+    }
+    m_phase = phase::claiming;
+    out.emplace_back(claim{{m_service, *m_request.key, m_request.id}});
+    out.emplace_back(wait{m_deadline});
+    return out;
+}
+
+bool request_flow::resolve_route(route_table const& table)
+{
+    auto const* const route = table.find_route(m_request.content.target);
+    auto const* const service =
+        route == nullptr ? nullptr : table.find_service(route->service);
+    if (service == nullptr)
+    {
+        return false;
+    }
+    m_service = route->service;
+    m_rule = service->rule;
+    m_retries = service->retries;
+    m_region_bytes = service->region_bytes;
+    auto const& methods = route->idempotent_methods;
+    m_idempotent =
+        std::find(methods.begin(), methods.end(), m_request.content.method) !=
+        methods.end();
+    return true;
+}
+
+flow_actions request_flow::claim_answered(core::time_point now,
+                                          core::result_code code)
+{
+    flow_actions out;
+    if (m_phase == phase::done && m_attempts == 0 &&
+        code == core::result_code::ok)
+    {
+        // The request ended while the claim was on its way.
+        finish_claim(out);
+    }
+    if (m_phase != phase::claiming)
+    {
+        return out;
+    }
+    if (code == core::result_code::ok)
+    {
+        try_next(now, out);
+        return out;
+    }
+    bool const other_request = code == core::result_code::duplicate_request ||
+                               code == core::result_code::outcome_unknown;
+    if (!other_request)
+    {
+        // The claim may still reach control; the release follows it.
+        finish_claim(out);
+        finish_without_answer(code, out);
+        return out;
+    }
+    finish result;
+    result.outcome = core::attempt_outcome::unknown;
+    result.code = code;
+    end(std::move(result), out);
+    return out;
+}
+
+void request_flow::try_next(core::time_point now, flow_actions& out)
+{
+    if (now >= m_deadline)
+    {
+        finish_claim(out);
+        finish_without_answer(core::result_code::deadline_exceeded, out);
+        return;
+    }
+    auto const table = m_context->table();
+    auto chosen = select(now, *table);
+    if (chosen.target == nullptr && !m_avoided.empty())
+    {
+        m_avoided.clear();
+        chosen = select(now, *table);
+    }
+    if (chosen.target == nullptr)
+    {
+        bool const keep = m_last_code != core::result_code::ok &&
+                          chosen.code == core::result_code::not_run;
+        finish_claim(out);
+        finish_without_answer(keep ? m_last_code : chosen.code, out);
+        return;
+    }
+    send(now, std::move(chosen), out);
+}
+
+selection request_flow::select(core::time_point now, route_table const& table)
+{
+    auto const* const service = table.find_service(m_service);
+    if (service == nullptr)
+    {
+        selection none;
+        none.code = core::result_code::no_route;
+        return none;
+    }
+    selection_query query;
+    query.now = now;
+    query.remaining = m_deadline - now;
+    query.gateway = m_context->gateway;
+    query.table_revision = table.revision;
+    query.body = size_of(m_request.content);
+    query.may_cross = !m_has_crossed;
+    query.excluded = m_excluded;
+    query.excluded.insert(m_avoided.begin(), m_avoided.end());
+    auto chosen =
+        m_context->selector.choose(*service, query, m_context->random);
+    if (chosen.target != nullptr)
+    {
+        m_current.open(*chosen.target, chosen.crosses_region);
+        m_current.service_revision = service->changed;
+    }
+    return chosen;
+}
+
+void request_flow::send(core::time_point now,
+                        selection chosen,
+                        flow_actions& out)
+{
+    ++m_attempts;
+    ++m_context->counters->attempts;
+    m_phase = phase::attempting;
+    m_has_crossed = m_has_crossed || m_current.crossed;
+    m_current.id.request = m_request.id;
+    m_current.id.number = core::attempt_number(m_attempts);
+    m_current.sent_at = now;
+    send_attempt action;
+    action.backend = m_current.backend;
+    action.sidecar = m_current.sidecar;
+    action.request = {m_current.id,
+                      m_service,
+                      m_request.content,
+                      m_deadline - now,
+                      m_idempotent,
+                      m_current.service_revision};
+    action.record = std::move(chosen.record);
+    describe_send(m_request.id, m_current.backend, action.record);
+    out.emplace_back(std::move(action));
+    out.emplace_back(wait{m_deadline});
+}
+
+bool request_flow::is_current(core::attempt_id const& id) const
+{
+    bool const open =
+        m_phase == phase::attempting || m_phase == phase::cancelling;
+    return open && id == m_current.id;
+}
+
+flow_actions request_flow::attempt_answered(core::time_point now,
+                                            core::attempt_answer answer)
+{
+    flow_actions out;
+    if (!is_current(answer.id))
+    {
+        m_context->counters->late_answers.fetch_add(1,
+                                                    std::memory_order_relaxed);
+        return out;
+    }
+    m_current.load->report(now, answer.in_use);
+    handle_answer(now, std::move(answer), out);
+    return out;
+}
+
+void request_flow::handle_answer(core::time_point now,
+                                 core::attempt_answer answer,
+                                 flow_actions& out)
+{
+    switch (answer.outcome)
+    {
+    case core::attempt_outcome::ran:
+        handle_whole(now, std::move(answer), out);
+        return;
+    case core::attempt_outcome::not_run:
+        handle_refusal(now, answer, out);
+        return;
+    case core::attempt_outcome::unknown:
+        break;
+    }
+    if (answer.code == core::result_code::wrong_incarnation)
+    {
+        m_current.load->retire();
+    }
+    else
+    {
+        m_current.outlier->failed(now);
+    }
+    handle_unknown(now, answer.code, out);
+}
+
+void request_flow::handle_whole(core::time_point now,
+                                core::attempt_answer answer,
+                                flow_actions& out)
+{
+    auto const size = answer.answer.body.size();
+    if (m_current.crossed)
+    {
+        m_region_bytes->charge(
+            now,
+            core::byte_count(static_cast<std::int64_t>(size)),
+            m_rule.region_bytes_per_second);
+    }
+    if (size != answer.body_size || size > m_context->options.max_answer_bytes)
+    {
+        ++m_context->counters->broken_answers;
+        m_current.outlier->failed(now);
+        handle_unknown(now, core::result_code::backend_failed, out);
+        return;
+    }
+    if (m_current.record_status(now, answer.answer.status))
+    {
+        m_retries->earn(m_rule.retry_percent);
+    }
+    finish result;
+    result.outcome = core::attempt_outcome::ran;
+    result.answer = std::move(answer.answer);
+    result.record.target = m_current.backend.value();
+    m_maybe_ran = true;
+    if (m_request.key)
+    {
+        out.emplace_back(
+            end_claim{{m_service, *m_request.key, m_request.id, true}});
+    }
+    end(std::move(result), out);
+}
+
+void request_flow::handle_refusal(core::time_point now,
+                                  core::attempt_answer const& answer,
+                                  flow_actions& out)
+{
+    m_context->counters->refused_elsewhere.fetch_add(1,
+                                                     std::memory_order_relaxed);
+    bool const route_change = is_route_change(answer.code);
+    bool const newer = answer.sidecar_revision > m_current.service_revision;
+    if (route_change && newer && m_context->options.use_revision_hints)
+    {
+        m_current.load->exclude_below(answer.sidecar_revision);
+    }
+    bool const overload = answer.code == core::result_code::no_capacity;
+    (overload ? m_avoided : m_excluded).insert(m_current.backend);
+    if (answer.code == core::result_code::backend_failed)
+    {
+        m_current.outlier->failed(now);
+    }
+    m_current.close();
+    retry(now, answer.code, route_change, out);
+}
+
+void request_flow::handle_unknown(core::time_point now,
+                                  core::result_code code,
+                                  flow_actions& out)
+{
+    m_maybe_ran = true;
+    m_excluded.insert(m_current.backend);
+    m_current.close();
+    if (!m_idempotent)
+    {
+        finish_without_answer(code, out);
+        return;
+    }
+    retry(now, code, false, out);
+}
+
+flow_actions request_flow::attempt_lost(core::time_point now,
+                                        core::attempt_id const& id)
+{
+    flow_actions out;
+    if (m_phase != phase::attempting || !is_current(id))
+    {
+        return out;
+    }
+    m_current.outlier->failed(now);
+    m_last_code = core::result_code::outcome_unknown;
+    if (!m_idempotent)
+    {
+        start_cancel(now, out);
+        return out;
+    }
+    send_one_cancel(out);
+    handle_unknown(now, core::result_code::outcome_unknown, out);
+    return out;
+}
+
+flow_actions request_flow::attempt_not_sent(core::time_point now,
+                                            core::attempt_id const& id)
+{
+    flow_actions out;
+    if (m_phase != phase::attempting || !is_current(id))
+    {
+        return out;
+    }
+    if (m_current.crossed)
+    {
+        m_has_crossed = false;
+        m_region_bytes->refund(size_of(m_request.content),
+                               m_rule.region_bytes_per_second);
+    }
+    m_current.outlier->failed(now);
+    m_excluded.insert(m_current.backend);
+    m_current.close();
+    retry(now, core::result_code::peer_unreachable, false, out);
+    return out;
+}
+
+void request_flow::start_cancel(core::time_point now, flow_actions& out)
+{
+    m_phase = phase::cancelling;
+    m_cancels = 0;
+    m_cancel_end = std::max(now, m_deadline) + m_context->options.cancel_grace;
+    send_one_cancel(out);
+    wait_for_cancel(now, out);
+}
+
+void request_flow::send_one_cancel(flow_actions& out)
+{
+    ++m_cancels;
+    ++m_context->counters->cancels;
+    out.emplace_back(send_cancel{m_current.sidecar, {m_current.id}});
+}
+
+void request_flow::wait_for_cancel(core::time_point now, flow_actions& out)
+{
+    bool const again = m_cancels < m_context->options.max_cancels;
+    m_resume_at =
+        again ? std::min(now + cancel_interval, m_cancel_end) : m_cancel_end;
+    out.emplace_back(wait{m_resume_at});
+}
+
+flow_actions
+request_flow::cancel_answered(core::time_point now,
+                              core::attempt_id const& id,
+                              std::optional<core::cancel_outcome> outcome)
+{
+    flow_actions out;
+    // Without an answer, the timer sends the next cancel or gives up.
+    if (m_phase != phase::cancelling || !is_current(id) || !outcome)
+    {
+        return out;
+    }
+    if (*outcome != core::cancel_outcome::cancelled)
+    {
+        handle_unknown(now, core::result_code::outcome_unknown, out);
+        return out;
+    }
+    m_excluded.insert(m_current.backend);
+    m_current.close();
+    auto const code = now < m_deadline ? core::result_code::not_run
+                                       : core::result_code::deadline_exceeded;
+    retry(now, code, false, out);
+    return out;
+}
+
+void request_flow::retry(core::time_point now,
+                         core::result_code code,
+                         bool route_change,
+                         flow_actions& out)
+{
+    m_last_code = code;
+    bool const budgeted = !route_change && m_context->options.use_retry_budget;
+    if (now >= m_deadline || m_attempts >= m_rule.max_attempts)
+    {
+        finish_claim(out);
+        finish_without_answer(code, out);
+        return;
+    }
+    if (budgeted && !m_retries->try_spend())
+    {
+        finish_claim(out);
+        finish_without_answer(core::result_code::retry_budget_empty, out);
+        return;
+    }
+    ++m_context->counters->retries;
+    if (route_change)
+    {
+        try_next(now, out);
+        return;
+    }
+    m_phase = phase::backing_off;
+    m_resume_at = now + core::full_jitter(m_context->random,
+                                          m_context->options.backoff_base,
+                                          m_context->options.backoff_cap,
+                                          m_attempts - 1);
+    m_resume_at = std::min(m_resume_at, m_deadline);
+    out.emplace_back(wait{m_resume_at});
+}
+
+flow_actions request_flow::timer(core::time_point now)
+{
+    flow_actions out;
+    switch (m_phase)
+    {
+    case phase::claiming:
+    case phase::attempting:
+        if (now >= m_deadline)
+        {
+            deadline_passed(now, out);
+        }
+        break;
+    case phase::cancelling:
+        if (now >= m_cancel_end)
+        {
+            handle_unknown(now, core::result_code::outcome_unknown, out);
+        }
+        else if (now >= m_resume_at)
+        {
+            send_one_cancel(out);
+            wait_for_cancel(now, out);
+        }
+        break;
+    case phase::backing_off:
+        if (now >= m_resume_at)
+        {
+            try_next(now, out);
+        }
+        break;
+    case phase::created:
+    case phase::done:
+        break;
+    }
+    return out;
+}
+
+void request_flow::deadline_passed(core::time_point now, flow_actions& out)
+{
+    if (m_phase == phase::claiming)
+    {
+        finish_claim(out);
+        finish_without_answer(core::result_code::deadline_exceeded, out);
+        return;
+    }
+    if (!m_idempotent)
+    {
+        start_cancel(now, out);
+        return;
+    }
+    send_one_cancel(out);
+    handle_unknown(now, core::result_code::deadline_exceeded, out);
+}
+
+void request_flow::finish_claim(flow_actions& out)
+{
+    // A claim whose request may have run stays, so that a resend is not run.
+    if (m_request.key && !m_maybe_ran)
+    {
+        out.emplace_back(
+            end_claim{{m_service, *m_request.key, m_request.id, false}});
+    }
+}
+
+void request_flow::finish_without_answer(core::result_code code,
+                                         flow_actions& out)
+{
+    auto& count = m_maybe_ran ? m_context->counters->outcome_unknown
+                              : m_context->counters->refused;
+    ++count;
+    end(result_without_answer(m_maybe_ran, m_idempotent, code), out);
+}
+
+void request_flow::end(finish result, flow_actions& out)
+{
+    m_current.close();
+    m_phase = phase::done;
+    describe_result(m_request.id, result);
+    out.emplace_back(std::move(result));
+}
+
+} // namespace turmericswitch::routing
--- /dev/null
+++ b/modules/routing/table/route_table.hpp
@@ -0,0 +1,66 @@
+#ifndef TURMERICSWITCH_ROUTING_TABLE_ROUTE_TABLE_HPP
+#define TURMERICSWITCH_ROUTING_TABLE_ROUTE_TABLE_HPP
+
+#include "core/config/configuration.hpp"
+#include "core/messages/registry.hpp"
+#include "routing/load/backend_load.hpp"
+#include "routing/load/outlier_tracker.hpp"
+#include "routing/load/region_byte_budget.hpp"
+#include "routing/load/retry_budget.hpp"
+#include "routing/load/zone_ramp.hpp"
+
+#include <map>
+#include <memory>
+#include <string_view>
+
+namespace turmericswitch::routing
+{
+
+/// One backend server of a service. The counters are shared with earlier
+/// and later tables.
+struct backend_target
+{
+    core::backend_entry entry;
+    /// Names in `place` are canonical.
+    core::location place;
+    /// Operators' rules take it out of routing, or it drains.
+    bool leaving = false;
+    bool zone_out = false;
+    std::shared_ptr<backend_load> load;
+    std::shared_ptr<outlier_tracker> outlier;
+    std::shared_ptr<zone_ramp> ramp;
+};
+
+/// Everything about one service that a request needs.
+struct service_routes
+{
+    core::service_rule rule;
+    /// Revision at which the service's routes last changed.
+    core::revision changed;
+    std::vector<backend_target> backends;
+    std::shared_ptr<retry_budget> retries;
+    std::shared_ptr<region_byte_budget> region_bytes;
+};
+
+/// Immutable snapshot that requests are routed by. Made by `build_next`.
+struct route_table
+{
+    core::revision revision;
+    core::registry_version registry;
+    core::configuration config;
+    std::map<core::backend_id, core::backend_entry> entries;
+    std::map<core::zone_id, std::shared_ptr<zone_ramp>> ramps;
+    std::map<core::service_id, service_routes> services;
+
+    /// @param target Path of the request; a query is ignored.
+    /// @return The rule with the longest matching prefix, or null.
+    core::route_rule const* find_route(std::string_view target) const;
+
+    /// @param service Canonical name.
+    /// @return The service, or null.
+    service_routes const* find_service(core::service_id const& service) const;
+};
+
+} // namespace turmericswitch::routing
+
+#endif
