--- a/modules/routing/flow/request_flow.cpp
+++ b/modules/routing/flow/request_flow.cpp
@@ -52,6 +52,7 @@
         return out;
     }
     m_phase = phase::claiming;
+    m_claimed = true;
     out.emplace_back(claim{{m_service, *m_request.key, m_request.id}});
     out.emplace_back(wait{m_deadline});
     return out;
@@ -85,7 +86,7 @@
         code == core::result_code::ok)
     {
         // The request ended while the claim was on its way.
-        finish_claim(out);
+        release_claim(out);
     }
     if (m_phase != phase::claiming)
     {
@@ -100,8 +101,7 @@
                                code == core::result_code::outcome_unknown;
     if (!other_request)
     {
-        // The claim may still reach control; the release follows it.
-        finish_claim(out);
+        // The claim may still reach control; its release follows it.
         finish_without_answer(code, out);
         return out;
     }
@@ -116,7 +116,6 @@
 {
     if (now >= m_deadline)
     {
-        finish_claim(out);
         finish_without_answer(core::result_code::deadline_exceeded, out);
         return;
     }
@@ -131,7 +130,6 @@
     {
         bool const keep = m_last_code != core::result_code::ok &&
                           chosen.code == core::result_code::not_run;
-        finish_claim(out);
         finish_without_answer(keep ? m_last_code : chosen.code, out);
         return;
     }
@@ -322,15 +320,20 @@
         return out;
     }
     m_current.outlier->failed(now);
-    m_last_code = core::result_code::outcome_unknown;
+    answer_is_missing(now, out);
+    return out;
+}
+
+void request_flow::answer_is_missing(core::time_point now, flow_actions& out)
+{
     if (!m_idempotent)
     {
         start_cancel(now, out);
-        return out;
+        return;
     }
+    // Nothing waits for this cancel; it only frees a queue place.
     send_one_cancel(out);
     handle_unknown(now, core::result_code::outcome_unknown, out);
-    return out;
 }
 
 flow_actions request_flow::attempt_not_sent(core::time_point now,
@@ -411,13 +414,11 @@
     bool const budgeted = !route_change && m_context->options.use_retry_budget;
     if (now >= m_deadline || m_attempts >= m_rule.max_attempts)
     {
-        finish_claim(out);
         finish_without_answer(code, out);
         return;
     }
     if (budgeted && !m_retries->try_spend())
     {
-        finish_claim(out);
         finish_without_answer(core::result_code::retry_budget_empty, out);
         return;
     }
@@ -476,23 +477,16 @@
 {
     if (m_phase == phase::claiming)
     {
-        finish_claim(out);
         finish_without_answer(core::result_code::deadline_exceeded, out);
         return;
     }
-    if (!m_idempotent)
-    {
-        start_cancel(now, out);
-        return;
-    }
-    send_one_cancel(out);
-    handle_unknown(now, core::result_code::deadline_exceeded, out);
+    answer_is_missing(now, out);
 }
 
-void request_flow::finish_claim(flow_actions& out)
+void request_flow::release_claim(flow_actions& out)
 {
     // A claim whose request may have run stays, so that a resend is not run.
-    if (m_request.key && !m_maybe_ran)
+    if (m_claimed && !m_maybe_ran)
     {
         out.emplace_back(
             end_claim{{m_service, *m_request.key, m_request.id, false}});
@@ -502,6 +496,7 @@
 void request_flow::finish_without_answer(core::result_code code,
                                          flow_actions& out)
 {
+    release_claim(out);
     auto& count = m_maybe_ran ? m_context->counters->outcome_unknown
                               : m_context->counters->refused;
     ++count;
--- a/modules/routing/flow/request_flow.hpp
+++ b/modules/routing/flow/request_flow.hpp
@@ -84,9 +84,10 @@
                core::result_code code,
                bool route_change,
                flow_actions& out);
+    void answer_is_missing(core::time_point now, flow_actions& out);
     void deadline_passed(core::time_point now, flow_actions& out);
     void finish_without_answer(core::result_code code, flow_actions& out);
-    void finish_claim(flow_actions& out);
+    void release_claim(flow_actions& out);
     void end(finish result, flow_actions& out);
 
     flow_context const* m_context;
@@ -102,6 +103,7 @@
     core::time_point m_cancel_end;
     std::uint32_t m_attempts = 0;
     std::uint32_t m_cancels = 0;
+    bool m_claimed = false;
     bool m_has_crossed = false;
     /// True once an attempt ended without proof that it did not run.
     bool m_maybe_ran = false;
--- /dev/null
+++ b/modules/routing/tests/fuzz_world.cpp
@@ -0,0 +1,574 @@
+#include "fuzz_world.hpp"
+
+#include <algorithm>
+
+namespace turmericswitch::routing
+{
+
+namespace
+{
+
+constexpr std::uint32_t control_node = 20;
+constexpr std::uint32_t first_sidecar = 10;
+constexpr std::size_t gateway_count = 2;
+constexpr std::size_t sidecar_count = 3;
+constexpr char const* zones[sidecar_count] = {"a", "b", "c"};
+constexpr char const* regions[sidecar_count] = {"east", "east", "west"};
+constexpr std::size_t gateway_zone[gateway_count] = {0, 2};
+
+// Small, so that queues fill and memory of ended attempts is evicted.
+admission::admission_limits const limits{2, 60, 2};
+admission::memory_limits const memory{6, 16};
+
+std::uint32_t node_of(std::size_t sidecar)
+{
+    return first_sidecar + static_cast<std::uint32_t>(sidecar);
+}
+
+core::location place(std::size_t zone)
+{
+    return {core::zone_id(zones[zone]), core::region_id(regions[zone])};
+}
+
+core::configuration make_config()
+{
+    core::configuration config;
+    for (std::size_t i = 0; i < sidecar_count; ++i)
+    {
+        config.zones.push_back({place(i).zone, place(i).region, {}});
+    }
+    core::service_rule rule;
+    rule.service = core::service_id("book");
+    rule.slots_per_backend = limits.slots;
+    rule.queue_per_backend = limits.queue;
+    rule.request_timeout = std::chrono::milliseconds(400);
+    config.services.push_back(rule);
+    config.routes.push_back({"/", rule.service, {"GET"}});
+    return config;
+}
+
+std::string expected_answer(std::string const& body)
+{
+    return "answer to " + body;
+}
+
+} // namespace
+
+fuzz_world::fuzz_world(std::uint64_t seed)
+    : m_random(core::seeded_random(seed)),
+      m_network(
+          seed + 1,
+          {5, 10, std::chrono::milliseconds(1), std::chrono::milliseconds(30)}),
+      m_config(make_config()),
+      m_gateways(gateway_count),
+      m_sidecars(sidecar_count)
+{
+    for (std::size_t i = 0; i < sidecar_count; ++i)
+    {
+        restart_sidecar(i);
+    }
+    for (std::size_t i = 0; i < gateway_count; ++i)
+    {
+        restart_gateway(i);
+    }
+}
+
+void fuzz_world::run(fuzz_step const& step)
+{
+    auto const gateway = step.a % gateway_count;
+    auto const sidecar = step.a % sidecar_count;
+    switch (step.kind)
+    {
+    case step_kind::request:
+        submit(gateway, step.b % 3 == 0, "");
+        break;
+    case step_kind::keyed_request:
+        submit(gateway, false, "key" + std::to_string(step.b % 4));
+        break;
+    case step_kind::advance:
+        advance(m_now + std::chrono::milliseconds(step.a));
+        break;
+    case step_kind::restart_sidecar:
+        restart_sidecar(sidecar);
+        break;
+    case step_kind::drain:
+        set_drain(sidecar, step.b % 2 == 0);
+        break;
+    case step_kind::zone:
+        toggle_zone(sidecar);
+        break;
+    case step_kind::sync_gateway:
+        sync_gateway(gateway);
+        break;
+    case step_kind::cut:
+        m_network.cut(
+            static_cast<std::uint32_t>(gateway),
+            static_cast<std::uint32_t>(first_sidecar + step.b % sidecar_count),
+            true);
+        break;
+    case step_kind::heal:
+        m_network.heal();
+        break;
+    case step_kind::restart_gateway:
+        restart_gateway(gateway);
+        break;
+    }
+}
+
+violations const& fuzz_world::settle()
+{
+    m_network.heal();
+    advance(m_now + std::chrono::seconds(5));
+    check_end_state();
+    return m_violations;
+}
+
+void fuzz_world::advance(core::time_point until)
+{
+    while (auto const delivery = m_network.next(until))
+    {
+        m_now = std::max(m_now, delivery->at);
+        deliver(*delivery);
+    }
+    m_now = until;
+}
+
+void fuzz_world::deliver(network::delivery const& delivery)
+{
+    if (delivery.to == control_node)
+    {
+        to_control(delivery.from, delivery.message);
+    }
+    else if (delivery.to >= first_sidecar)
+    {
+        to_sidecar(delivery.to - first_sidecar, delivery.message);
+    }
+    else
+    {
+        to_gateway(delivery.to, delivery.message);
+    }
+}
+
+void fuzz_world::to_gateway(std::size_t index, message const& content)
+{
+    auto& flows = m_gateways[index].flows;
+    auto const with = [&](core::request_id const& id, auto const& event)
+    {
+        if (auto const found = flows.find(id); found != flows.end())
+        {
+            perform(index, id, event(*found->second));
+        }
+    };
+    if (auto const* answered = std::get_if<core::attempt_answer>(&content))
+    {
+        with(answered->id.request,
+             [&](auto& flow)
+             { return flow.attempt_answered(m_now, *answered); });
+    }
+    else if (auto const* lost = std::get_if<attempt_is_lost>(&content))
+    {
+        with(lost->id.request,
+             [&](auto& flow) { return flow.attempt_lost(m_now, lost->id); });
+    }
+    else if (auto const* unsent = std::get_if<attempt_is_not_sent>(&content))
+    {
+        with(unsent->id.request,
+             [&](auto& flow)
+             { return flow.attempt_not_sent(m_now, unsent->id); });
+    }
+    else if (auto const* cancel = std::get_if<core::cancel_answer>(&content))
+    {
+        with(cancel->id.request,
+             [&](auto& flow) {
+                 return flow.cancel_answered(
+                     m_now, cancel->id, cancel->outcome);
+             });
+    }
+    else if (auto const* reply = std::get_if<claim_reply>(&content))
+    {
+        with(reply->request,
+             [&](auto& flow)
+             { return flow.claim_answered(m_now, reply->code); });
+    }
+    else if (auto const* due = std::get_if<flow_timer>(&content))
+    {
+        with(due->id, [&](auto& flow) { return flow.timer(m_now); });
+    }
+}
+
+void fuzz_world::to_sidecar(std::size_t index, message const& content)
+{
+    auto& node = m_sidecars[index];
+    if (auto const* attempt = std::get_if<core::attempt_request>(&content))
+    {
+        perform(index, node.core->attempt(m_now, *attempt));
+    }
+    else if (auto const* cancel = std::get_if<core::cancel_request>(&content))
+    {
+        perform(index, node.core->cancel(m_now, *cancel));
+    }
+    else if (auto const* done = std::get_if<backend_done>(&content))
+    {
+        if (done->id.sidecar != node.life)
+        {
+            return;
+        }
+        --node.executing;
+        core::answer_content answer;
+        answer.status = 200;
+        answer.body = expected_answer(done->content.body);
+        perform(index,
+                done->answered
+                    ? node.core->backend_answered(m_now, done->id, answer)
+                    : node.core->backend_failed(m_now, done->id, done->sent));
+    }
+    else
+    {
+        perform(index, node.core->timer(m_now));
+    }
+    if (auto const due = node.core->next_timer())
+    {
+        m_network.post(*due, 0, node_of(index), sidecar_timer{});
+    }
+}
+
+void fuzz_world::to_control(std::uint32_t from, message const& content)
+{
+    if (auto const* claimed = std::get_if<core::claim_key>(&content))
+    {
+        auto const [found, fresh] =
+            m_claims.try_emplace(claimed->key, claim_state{claimed->request});
+        auto const& state = found->second;
+        auto code = core::result_code::ok;
+        if (!fresh && state.owner != claimed->request)
+        {
+            code = state.finished ? core::result_code::duplicate_request
+                                  : core::result_code::outcome_unknown;
+        }
+        m_network.send(
+            m_now, control_node, from, claim_reply{claimed->request, code});
+    }
+    else if (auto const* end = std::get_if<core::finish_claim>(&content))
+    {
+        auto const found = m_claims.find(end->key);
+        if (found == m_claims.end() || found->second.owner != end->request)
+        {
+            return;
+        }
+        found->second.finished = end->ran;
+        if (!end->ran)
+        {
+            m_claims.erase(found);
+        }
+    }
+}
+
+void fuzz_world::submit(std::size_t gateway,
+                        bool idempotent,
+                        std::string const& key)
+{
+    auto& node = m_gateways[gateway];
+    caller_request request;
+    request.id = {node.life, core::sequence_number(m_next_sequence++)};
+    request.content.method = idempotent ? "GET" : "POST";
+    request.content.target = "/book/slot?day=1";
+    request.content.body = "body " + std::to_string(m_next_sequence);
+    if (!key.empty())
+    {
+        request.key = key;
+    }
+    auto& facts = m_facts[request.id];
+    facts.body = request.content.body;
+    facts.key = key;
+    facts.idempotent = idempotent;
+    facts.deadline = m_now + m_config.services[0].request_timeout;
+    auto const id = request.id;
+    auto& flow = node.flows[id];
+    flow = std::make_unique<request_flow>(*node.context, std::move(request));
+    perform(gateway, id, flow->begin(m_now));
+}
+
+void fuzz_world::perform(std::size_t gateway,
+                         core::request_id const& id,
+                         flow_actions const& actions)
+{
+    auto const self = static_cast<std::uint32_t>(gateway);
+    for (auto const& action : actions)
+    {
+        if (auto const* send = std::get_if<send_attempt>(&action))
+        {
+            perform_send(gateway, *send);
+        }
+        else if (auto const* cancel = std::get_if<send_cancel>(&action))
+        {
+            m_network.send(m_now, self, cancel->sidecar.port, cancel->request);
+        }
+        else if (auto const* claimed = std::get_if<claim>(&action))
+        {
+            m_network.send(m_now, self, control_node, claimed->command);
+        }
+        else if (auto const* end = std::get_if<end_claim>(&action))
+        {
+            m_network.send(m_now, self, control_node, end->command);
+        }
+        else if (auto const* until = std::get_if<wait>(&action))
+        {
+            m_network.post(until->until, self, self, flow_timer{id});
+        }
+        else if (auto const* done = std::get_if<finish>(&action))
+        {
+            perform_finish(id, *done);
+        }
+    }
+}
+
+void fuzz_world::perform_send(std::size_t gateway, send_attempt const& action)
+{
+    auto const self = static_cast<std::uint32_t>(gateway);
+    auto const sidecar = action.sidecar.port;
+    auto const& id = action.request.id;
+    auto const index = sidecar - first_sidecar;
+    // A cut link shows as a failed connect or as silence.
+    if (m_network.is_cut(self, sidecar) && m_network.roll(50))
+    {
+        m_network.post(m_now, sidecar, self, attempt_is_not_sent{id});
+        return;
+    }
+    bool const crosses =
+        place(index).region != place(gateway_zone[gateway]).region;
+    m_facts[id.request].crossings += crosses ? 1 : 0;
+    m_network.send(m_now, self, sidecar, action.request);
+    // The stream may break although the message is still on its way.
+    if (m_network.roll(15))
+    {
+        m_network.post(
+            m_now + m_network.delay(), sidecar, self, attempt_is_lost{id});
+    }
+}
+
+void fuzz_world::perform_finish(core::request_id const& id,
+                                finish const& action)
+{
+    auto& facts = m_facts[id];
+    ++facts.ends;
+    facts.refused_as_not_run = action.outcome == core::attempt_outcome::not_run;
+    if (action.outcome != core::attempt_outcome::ran)
+    {
+        return;
+    }
+    ++m_answered;
+    if (action.answer.body != expected_answer(facts.body) || facts.runs == 0)
+    {
+        m_violations.whole_answers =
+            "answer of " + facts.body + " is " + action.answer.body;
+    }
+}
+
+void fuzz_world::perform(std::size_t sidecar,
+                         admission::admission_actions const& actions)
+{
+    auto const self = node_of(sidecar);
+    for (auto const& action : actions)
+    {
+        if (auto const* begin = std::get_if<admission::start>(&action))
+        {
+            start(sidecar, begin->request);
+        }
+        else if (auto const* answered = std::get_if<admission::answer>(&action))
+        {
+            auto content = answered->content;
+            if (m_network.roll(3))
+            {
+                content.answer.body.resize(content.answer.body.size() / 2);
+            }
+            m_network.send(
+                m_now, self, gateway_of(content.id.request), content);
+        }
+        else if (auto const* refused = std::get_if<admission::refuse>(&action))
+        {
+            m_network.send(m_now,
+                           self,
+                           gateway_of(refused->content.id.request),
+                           refused->content);
+        }
+        else if (auto const* cancel =
+                     std::get_if<admission::answer_cancel>(&action))
+        {
+            m_network.send(m_now,
+                           self,
+                           gateway_of(cancel->content.id.request),
+                           cancel->content);
+        }
+    }
+}
+
+void fuzz_world::start(std::size_t sidecar,
+                       core::attempt_request const& request)
+{
+    auto& node = m_sidecars[sidecar];
+    if (node.draining || zone_is_out(sidecar))
+    {
+        m_violations.start_after_drain = request.content.body;
+    }
+    if (++node.executing > limits.slots)
+    {
+        m_violations.slots = request.content.body;
+    }
+    // One network delay is not known to the sidecar.
+    auto const& facts = m_facts[request.id.request];
+    if (m_now > facts.deadline + std::chrono::milliseconds(300))
+    {
+        m_violations.late_start = request.content.body;
+    }
+    bool const connected = !m_network.roll(5);
+    bool const answered = connected && !m_network.roll(10);
+    m_facts[request.id.request].runs += connected ? 1 : 0;
+    m_network.post(
+        m_now + m_network.delay() * 2,
+        0,
+        node_of(sidecar),
+        backend_done{request.id, request.content, answered, connected});
+}
+
+void fuzz_world::restart_gateway(std::size_t index)
+{
+    auto& node = m_gateways[index];
+    for (auto const& [id, flow] : node.flows)
+    {
+        m_facts[id].gateway_died = !flow->done();
+    }
+    node.flows.clear();
+    node.life = core::incarnation(m_next_life++);
+    node.table = nullptr;
+    node.context = std::make_unique<flow_context>(
+        flow_context{place(gateway_zone[index]),
+                     [&node] { return node.table; },
+                     backend_selector(choose_power_of_two()),
+                     core::seeded_random(m_random()),
+                     {},
+                     &m_counters});
+    sync_gateway(index);
+}
+
+void fuzz_world::restart_sidecar(std::size_t index)
+{
+    auto& node = m_sidecars[index];
+    node.life = core::incarnation(m_next_life++);
+    node.core =
+        std::make_unique<admission::admission_core>(node.life, limits, memory);
+    node.draining = false;
+    node.executing = 0;
+    m_version = core::sequence_number(m_version.value() + 1);
+    configure_sidecar(index);
+}
+
+void fuzz_world::set_drain(std::size_t index, bool draining)
+{
+    m_sidecars[index].draining = draining;
+    m_version = core::sequence_number(m_version.value() + 1);
+    perform(index, m_sidecars[index].core->drain(m_now, draining));
+}
+
+void fuzz_world::toggle_zone(std::size_t index)
+{
+    bool const out = zone_is_out(index);
+    m_config.zones[index].state =
+        out ? core::zone_state::in_service : core::zone_state::out_of_service;
+    m_revision = core::revision(m_revision.value() + 1);
+    configure_sidecar(index);
+}
+
+void fuzz_world::configure_sidecar(std::size_t index)
+{
+    perform(index,
+            m_sidecars[index].core->configure(
+                m_now, m_revision, limits, zone_is_out(index)));
+}
+
+void fuzz_world::sync_gateway(std::size_t index)
+{
+    auto& node = m_gateways[index];
+    core::watch_answer answer;
+    answer.current = m_revision;
+    answer.config = m_config;
+    answer.registry = {core::term(1), m_version};
+    answer.whole_registry = true;
+    for (std::size_t i = 0; i < sidecar_count; ++i)
+    {
+        answer.changed.push_back(entry_of(i));
+    }
+    if (auto next = build_next(node.table.get(), answer, m_now))
+    {
+        node.table = next;
+    }
+}
+
+bool fuzz_world::zone_is_out(std::size_t index) const
+{
+    return m_config.zones[index].state == core::zone_state::out_of_service;
+}
+
+std::uint32_t fuzz_world::gateway_of(core::request_id const& id) const
+{
+    for (std::size_t i = 0; i < gateway_count; ++i)
+    {
+        if (m_gateways[i].life == id.gateway)
+        {
+            return static_cast<std::uint32_t>(i);
+        }
+    }
+    return 0;
+}
+
+core::backend_entry fuzz_world::entry_of(std::size_t index) const
+{
+    core::backend_entry entry;
+    entry.backend = core::backend_id("backend" + std::to_string(index));
+    entry.sidecar.port = static_cast<std::uint16_t>(first_sidecar + index);
+    entry.sidecar_incarnation = m_sidecars[index].life;
+    entry.place = place(index);
+    entry.service = core::service_id("book");
+    entry.slots = limits.slots;
+    entry.connections = limits.connections;
+    entry.draining = m_sidecars[index].draining;
+    return entry;
+}
+
+void fuzz_world::check_end_state()
+{
+    std::map<std::string, int> runs_of_key;
+    for (auto const& [id, facts] : m_facts)
+    {
+        runs_of_key[facts.key] += facts.key.empty() ? 0 : facts.runs;
+        bool const twice = facts.runs > 1 || runs_of_key[facts.key] > 1;
+        if (!facts.idempotent && twice)
+        {
+            m_violations.at_most_once = facts.body + " " + facts.key;
+        }
+        if (facts.refused_as_not_run && facts.runs > 0)
+        {
+            m_violations.truthful_refusal = facts.body;
+        }
+        if (facts.ends > 1 || (facts.ends == 0 && !facts.gateway_died))
+        {
+            m_violations.not_ended = facts.body;
+        }
+        if (facts.crossings > 1)
+        {
+            m_violations.region_twice = facts.body;
+        }
+    }
+    for (auto const& gateway : m_gateways)
+    {
+        for (auto const& target :
+             gateway.table->services.begin()->second.backends)
+        {
+            if (target.load->outstanding() != 0)
+            {
+                m_violations.not_ended = "a place in backend_load";
+            }
+        }
+    }
+}
+
+} // namespace turmericswitch::routing
