--- /dev/null
+++ b/modules/routing/tests/request_flow_test.cpp
@@ -0,0 +1,301 @@
+#include "routing/routing.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace turmericswitch::routing
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+core::time_point const start{std::chrono::seconds(1)};
+
+template <typename Action>
+Action const* find_action(flow_actions const& actions)
+{
+    for (auto const& action : actions)
+    {
+        if (auto const* found = std::get_if<Action>(&action))
+        {
+            return found;
+        }
+    }
+    return nullptr;
+}
+
+core::backend_entry make_entry(std::string const& name,
+                               std::string const& zone,
+                               std::string const& region)
+{
+    core::backend_entry entry;
+    entry.backend = core::backend_id(name);
+    entry.sidecar_incarnation = core::incarnation(1);
+    entry.place = {core::zone_id(zone), core::region_id(region)};
+    entry.service = core::service_id("book");
+    entry.slots = 2;
+    return entry;
+}
+
+} // namespace
+
+/// One gateway with a table of "near" (zone a), "next" (zone b, same region)
+/// and "far" (zone c, other region).
+class request_flow_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(request_flow_test);
+    CPPUNIT_TEST(prefers_zone_then_region_then_other_region);
+    CPPUNIT_TEST(crosses_regions_only_within_the_byte_budget);
+    CPPUNIT_TEST(leaves_out_draining_zone_out_and_ejected);
+    CPPUNIT_TEST(refusal_during_drain_is_retried_without_budget);
+    CPPUNIT_TEST(newer_refusal_keeps_other_requests_away);
+    CPPUNIT_TEST(retries_stop_when_the_budget_is_empty);
+    CPPUNIT_TEST(lost_answer_is_cancelled_before_a_retry);
+    CPPUNIT_TEST(late_answer_is_dropped_and_counted);
+    CPPUNIT_TEST(claim_comes_before_the_first_attempt);
+    CPPUNIT_TEST(late_claim_is_released);
+    CPPUNIT_TEST(without_table_nothing_is_sent);
+    CPPUNIT_TEST_SUITE_END();
+
+    std::shared_ptr<route_table const> m_table;
+    flow_counters m_counters;
+    flow_context m_context{{core::zone_id("a"), core::region_id("east")},
+                           [this] { return m_table; },
+                           backend_selector(choose_power_of_two()),
+                           core::seeded_random(1),
+                           {},
+                           &m_counters};
+    core::watch_answer m_answer;
+    std::uint64_t m_sequence = 0;
+
+    void build()
+    {
+        m_table = build_next(m_table.get(), m_answer, start);
+        CPPUNIT_ASSERT(m_table != nullptr);
+    }
+
+    std::unique_ptr<request_flow> make_flow(std::string const& method,
+                                            std::optional<std::string> key = {})
+    {
+        caller_request request;
+        request.id = {core::incarnation(1),
+                      core::sequence_number(++m_sequence)};
+        request.content.method = method;
+        request.content.target = "/";
+        request.content.body = std::string(1000, 'x');
+        request.key = std::move(key);
+        return std::make_unique<request_flow>(m_context, std::move(request));
+    }
+
+    static core::attempt_answer refusal(core::attempt_id const& id,
+                                        core::result_code code,
+                                        std::uint64_t revision)
+    {
+        core::attempt_answer answer;
+        answer.id = id;
+        answer.code = code;
+        answer.sidecar_revision = core::revision(revision);
+        return answer;
+    }
+
+    std::string target_of_next(std::vector<std::unique_ptr<request_flow>>& keep)
+    {
+        keep.push_back(make_flow("POST"));
+        auto const actions = keep.back()->begin(start);
+        auto const* sent = find_action<send_attempt>(actions);
+        return sent ? sent->backend.value()
+                    : std::string(
+                          core::to_string(find_action<finish>(actions)->code));
+    }
+
+public:
+    void setUp() override
+    {
+        core::configuration config;
+        config.zones = {{core::zone_id("a"), core::region_id("east"), {}},
+                        {core::zone_id("b"), core::region_id("east"), {}},
+                        {core::zone_id("c"), core::region_id("west"), {}}};
+        core::service_rule rule;
+        rule.service = core::service_id("book");
+        rule.queue_per_backend = 1;
+        rule.retry_percent = 0;
+        config.services = {rule};
+        config.routes = {{"/", rule.service, {"GET"}}};
+        m_answer.current = core::revision(1);
+        m_answer.config = config;
+        m_answer.whole_registry = true;
+        m_answer.changed = {make_entry("near", "a", "east"),
+                            make_entry("next", "b", "east"),
+                            make_entry("far", "c", "west")};
+        build();
+    }
+
+private:
+    void prefers_zone_then_region_then_other_region()
+    {
+        std::vector<std::unique_ptr<request_flow>> keep;
+        std::map<std::string, int> taken;
+        std::string order;
+        for (int i = 0; i < 10; ++i)
+        {
+            auto const target = target_of_next(keep);
+            order += taken[target]++ == 0 ? target + " " : "";
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string("near next far no_capacity "), order);
+        CPPUNIT_ASSERT_EQUAL(3, taken["near"]);
+        CPPUNIT_ASSERT_EQUAL(3, taken["far"]);
+    }
+
+    void crosses_regions_only_within_the_byte_budget()
+    {
+        m_answer.config->services[0].region_bytes_per_second =
+            core::byte_count(500);
+        m_answer.config->zones[0].state = core::zone_state::out_of_service;
+        m_answer.config->zones[1].state = core::zone_state::out_of_service;
+        m_answer.current = core::revision(2);
+        build();
+        std::vector<std::unique_ptr<request_flow>> keep;
+        CPPUNIT_ASSERT_EQUAL(std::string("far"), target_of_next(keep));
+        CPPUNIT_ASSERT_EQUAL(std::string("region_budget_empty"),
+                             target_of_next(keep));
+    }
+
+    void leaves_out_draining_zone_out_and_ejected()
+    {
+        m_answer.changed[0].draining = true;
+        m_answer.config->zones[1].state = core::zone_state::out_of_service;
+        m_answer.current = core::revision(2);
+        build();
+        auto const flow = make_flow("POST");
+        auto const actions = flow->begin(start);
+        auto const* sent = find_action<send_attempt>(actions);
+        CPPUNIT_ASSERT_EQUAL(std::string("far"), sent->backend.value());
+        std::vector<core::runner_up> const expected{
+            {"near", "leaving"}, {"next", "availability zone out"}};
+        CPPUNIT_ASSERT(expected == sent->record.runners_up);
+
+        m_answer.changed[0].draining = false;
+        build();
+        for (auto const& target : m_table->services.begin()->second.backends)
+        {
+            for (int i = 0; i < 5 && target.entry.backend.value() == "near";
+                 ++i)
+            {
+                target.outlier->failed(start);
+            }
+        }
+        std::vector<std::unique_ptr<request_flow>> keep;
+        CPPUNIT_ASSERT_EQUAL(std::string("far"), target_of_next(keep));
+    }
+
+    void refusal_during_drain_is_retried_without_budget()
+    {
+        auto const& retries = m_table->services.begin()->second.retries;
+        auto const flow = make_flow("POST");
+        auto const actions = flow->begin(start);
+        auto const id = find_action<send_attempt>(actions)->request.id;
+        auto const before = retries->tokens();
+        auto const next = flow->attempt_answered(
+            start, refusal(id, core::result_code::draining, 1));
+        CPPUNIT_ASSERT_EQUAL(std::string("next"),
+                             find_action<send_attempt>(next)->backend.value());
+        CPPUNIT_ASSERT_EQUAL(before, retries->tokens());
+    }
+
+    void newer_refusal_keeps_other_requests_away()
+    {
+        auto const flow = make_flow("POST");
+        auto const actions = flow->begin(start);
+        auto const id = find_action<send_attempt>(actions)->request.id;
+        flow->attempt_answered(start,
+                               refusal(id, core::result_code::zone_out, 2));
+        std::vector<std::unique_ptr<request_flow>> keep;
+        CPPUNIT_ASSERT_EQUAL(std::string("next"), target_of_next(keep));
+        m_answer.current = core::revision(2);
+        build();
+        CPPUNIT_ASSERT_EQUAL(std::string("near"), target_of_next(keep));
+    }
+
+    void retries_stop_when_the_budget_is_empty()
+    {
+        auto const& retries = m_table->services.begin()->second.retries;
+        while (retries->try_spend())
+        {
+        }
+        auto const flow = make_flow("POST");
+        auto const actions = flow->begin(start);
+        auto const id = find_action<send_attempt>(actions)->request.id;
+        auto const end = flow->attempt_answered(
+            start, refusal(id, core::result_code::no_capacity, 1));
+        auto const* done = find_action<finish>(end);
+        CPPUNIT_ASSERT(done->outcome == core::attempt_outcome::not_run);
+        CPPUNIT_ASSERT(done->code == core::result_code::retry_budget_empty);
+    }
+
+    void lost_answer_is_cancelled_before_a_retry()
+    {
+        auto const flow = make_flow("POST");
+        auto const actions = flow->begin(start);
+        auto const id = find_action<send_attempt>(actions)->request.id;
+        auto const lost = flow->attempt_lost(start, id);
+        CPPUNIT_ASSERT(find_action<send_attempt>(lost) == nullptr);
+        CPPUNIT_ASSERT(find_action<send_cancel>(lost)->request.id == id);
+        auto const cancelled =
+            flow->cancel_answered(start, id, core::cancel_outcome::cancelled);
+        auto const again = flow->timer(find_action<wait>(cancelled)->until);
+        CPPUNIT_ASSERT(find_action<send_attempt>(again)->request.id != id);
+    }
+
+    void late_answer_is_dropped_and_counted()
+    {
+        auto const flow = make_flow("GET");
+        auto const actions = flow->begin(start);
+        core::attempt_answer answer;
+        answer.id = find_action<send_attempt>(actions)->request.id;
+        answer.outcome = core::attempt_outcome::ran;
+        answer.answer.status = 200;
+        flow->attempt_lost(start, answer.id);
+        CPPUNIT_ASSERT(flow->attempt_answered(start, answer).empty());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, m_counters.late_answers.load());
+    }
+
+    void claim_comes_before_the_first_attempt()
+    {
+        auto const flow = make_flow("POST", "key");
+        auto const actions = flow->begin(start);
+        CPPUNIT_ASSERT(find_action<claim>(actions) != nullptr);
+        CPPUNIT_ASSERT(find_action<send_attempt>(actions) == nullptr);
+        auto const end =
+            flow->claim_answered(start, core::result_code::no_quorum);
+        CPPUNIT_ASSERT(!find_action<end_claim>(end)->command.ran);
+        auto const* done = find_action<finish>(end);
+        CPPUNIT_ASSERT(done->outcome == core::attempt_outcome::not_run);
+        CPPUNIT_ASSERT(done->code == core::result_code::no_quorum);
+    }
+
+    // Guards against a key that stays claimed although nothing ran.
+    void late_claim_is_released()
+    {
+        auto const flow = make_flow("POST", "key");
+        auto const actions = flow->begin(start);
+        auto const end = flow->timer(find_action<wait>(actions)->until);
+        CPPUNIT_ASSERT(find_action<finish>(end)->code ==
+                       core::result_code::deadline_exceeded);
+        auto const late = flow->claim_answered(start, core::result_code::ok);
+        CPPUNIT_ASSERT(!find_action<end_claim>(late)->command.ran);
+    }
+
+    void without_table_nothing_is_sent()
+    {
+        m_table = nullptr;
+        auto const actions = make_flow("GET")->begin(start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, actions.size());
+        CPPUNIT_ASSERT(find_action<finish>(actions)->code ==
+                       core::result_code::not_ready);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(request_flow_test);
+
+} // namespace turmericswitch::routing
