--- a/modules/transport/session/http2_connection.cpp
+++ b/modules/transport/session/http2_connection.cpp
@@ -152,7 +152,13 @@
         callbacks, session_callbacks::stream_closed);
     if (which == role::client)
     {
-        nghttp2_session_client_new(&m_session, callbacks, this);
+        // Until the peer's limit is known one stream is opened; more could be
+        // refused.
+        nghttp2_option* option = nullptr;
+        nghttp2_option_new(&option);
+        nghttp2_option_set_peer_max_concurrent_streams(option, 1);
+        nghttp2_session_client_new2(&m_session, callbacks, this, option);
+        nghttp2_option_del(option);
     }
     else
     {
