--- /dev/null
+++ b/modules/settings/reader/settings_file.cpp
@@ -0,0 +1,176 @@
+#include "settings/reader/settings_file.hpp"
+
+#include <ini.h>
+
+#include <algorithm>
+#include <cstring>
+#include <string_view>
+
+namespace turmericswitch::settings
+{
+
+using core::result_code;
+
+namespace
+{
+
+// The terminator and the line break of the longest line.
+constexpr int line_buffer_bytes = max_settings_line + 3;
+
+std::string_view trimmed(std::string_view text)
+{
+    constexpr std::string_view blank = " \t\r\n";
+    std::size_t const begin = text.find_first_not_of(blank);
+    if (begin == std::string_view::npos)
+    {
+        return {};
+    }
+    return text.substr(begin, text.find_last_not_of(blank) - begin + 1);
+}
+
+/// Feeds inih line by line, because its handler does not get the number of
+/// the line.
+class line_feeder
+{
+public:
+    explicit line_feeder(std::string const& text) : m_rest(text) {}
+
+    char* next(char* to, int room)
+    {
+        if (m_rest.empty())
+        {
+            return nullptr;
+        }
+        std::size_t const end = m_rest.find('\n');
+        std::size_t const size =
+            end == std::string_view::npos ? m_rest.size() : end + 1;
+        m_line = m_rest.substr(0, size);
+        m_rest.remove_prefix(size);
+        ++m_number;
+        note_line();
+        std::size_t const copied =
+            std::min(m_line.size(), static_cast<std::size_t>(room) - 1);
+        std::memcpy(to, m_line.data(), copied);
+        to[copied] = '\0';
+        return to;
+    }
+
+    bool handle(char const* section, char const* key, char const* value)
+    {
+        // note_line() has reported a line without a key.
+        if (*key == '\0')
+        {
+            return true;
+        }
+        auto const same = [&](settings_entry const& entry)
+        { return entry.section == section && entry.key == key; };
+        auto const first =
+            std::find_if(m_file.entries.begin(), m_file.entries.end(), same);
+        if (first != m_file.entries.end())
+        {
+            error("key '" + std::string(key) + "' is already set at line " +
+                  std::to_string(first->line));
+            return true;
+        }
+        m_file.entries.push_back(
+            {section, key, value, m_number, value_column()});
+        return true;
+    }
+
+    void error(std::string text)
+    {
+        m_file.errors.push_back(
+            {result_code::settings_syntax, m_number, 1, std::move(text)});
+    }
+
+    settings_file& file()
+    {
+        return m_file;
+    }
+
+private:
+    // inih neither reports sections without keys nor tells lines apart that
+    // are cut or not understood, so the shape of the line is checked here.
+    void note_line()
+    {
+        std::string_view const line = trimmed(m_line);
+        if (m_line.size() > static_cast<std::size_t>(max_settings_line))
+        {
+            error("the line is longer than " +
+                  std::to_string(max_settings_line) + " bytes");
+        }
+        else if (m_line.find('\0') != std::string_view::npos)
+        {
+            error("the line has a zero byte");
+        }
+        else if (line.empty() || line.front() == ';' || line.front() == '#')
+        {
+            return;
+        }
+        else if (line.front() == '[')
+        {
+            note_section(line);
+        }
+        else if (std::size_t const mark = line.find_first_of("=:");
+                 mark == std::string_view::npos || mark == 0)
+        {
+            error("expected [section] or key = value");
+        }
+    }
+
+    void note_section(std::string_view line)
+    {
+        std::size_t const end = line.find(']');
+        if (end == std::string_view::npos)
+        {
+            error("expected ] after the name of the section");
+            return;
+        }
+        m_file.sections.push_back(
+            {std::string(line.substr(1, end - 1)), m_number});
+    }
+
+    int value_column() const
+    {
+        std::size_t const mark = m_line.find_first_of("=:");
+        std::size_t const begin = m_line.find_first_not_of(" \t", mark + 1);
+        return static_cast<int>(std::min(begin, m_line.size())) + 1;
+    }
+
+    std::string_view m_rest;
+    std::string_view m_line;
+    int m_number = 0;
+    settings_file m_file;
+};
+
+// The options of inih are global variables of the library.
+bool set_inih_options()
+{
+    ini_use_stack = false;
+    ini_max_line = line_buffer_bytes;
+    ini_initial_alloc = line_buffer_bytes;
+    ini_allow_multiline = false;
+    return true;
+}
+
+} // namespace
+
+settings_file parse_settings(std::string const& text)
+{
+    static bool const options_set = set_inih_options();
+    static_cast<void>(options_set);
+    line_feeder feeder(text);
+    ini_parse_stream(
+        [](char* to, int room, void* user)
+        { return static_cast<line_feeder*>(user)->next(to, room); },
+        &feeder,
+        [](void* user, char const* section, char const* key, char const* value)
+        {
+            return static_cast<int>(
+                static_cast<line_feeder*>(user)->handle(section, key, value));
+        },
+        &feeder);
+    return std::move(feeder.file());
+}
+
+} // namespace turmericswitch::settings
--- /dev/null
+++ b/modules/settings/reader/settings_file.hpp
@@ -0,0 +1,60 @@
+#ifndef TURMERICSWITCH_SETTINGS_READER_SETTINGS_FILE_HPP
+#define TURMERICSWITCH_SETTINGS_READER_SETTINGS_FILE_HPP
+
+#include "core/results/result_code.hpp"
+
+#include <string>
+#include <vector>
+
+namespace turmericswitch::settings
+{
+
+/// One problem of a settings file.
+struct settings_error
+{
+    core::result_code code = core::result_code::settings_syntax;
+    /// From 1; 0 if the problem has no line, such as a missing section.
+    int line = 0;
+    /// Column of the value or the key, from 1; 0 if there is none.
+    int column = 0;
+    /// What was found and what was expected.
+    std::string text;
+
+    bool operator==(settings_error const&) const = default;
+};
+
+/// One `key = value` line.
+struct settings_entry
+{
+    std::string section;
+    std::string key;
+    std::string value;
+    int line = 0;
+    int column = 0;
+};
+
+/// A `[section]` line.
+struct settings_section
+{
+    std::string name;
+    int line = 0;
+};
+
+/// The lines of a settings file, read with inih.
+struct settings_file
+{
+    std::vector<settings_section> sections;
+    std::vector<settings_entry> entries;
+    std::vector<settings_error> errors;
+};
+
+/// Longest line of a settings file, in bytes.
+constexpr int max_settings_line = 4000;
+
+/// @param text The content of the file.
+/// @return Its lines; syntax errors and repeated keys are in `errors`.
+settings_file parse_settings(std::string const& text);
+
+} // namespace turmericswitch::settings
+
+#endif
--- /dev/null
+++ b/modules/settings/reader/settings_reader.hpp
@@ -0,0 +1,129 @@
+#ifndef TURMERICSWITCH_SETTINGS_READER_SETTINGS_READER_HPP
+#define TURMERICSWITCH_SETTINGS_READER_SETTINGS_READER_HPP
+
+#include "core/types/ids.hpp"
+#include "core/types/units.hpp"
+#include "settings/reader/settings_file.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace turmericswitch::settings
+{
+
+/// Names one setting.
+struct setting_name
+{
+    std::string section;
+    std::string key;
+
+    auto operator<=>(setting_name const&) const = default;
+};
+
+/// Smallest and largest allowed value.
+template <typename T>
+struct value_range
+{
+    T lowest;
+    T highest;
+};
+
+constexpr core::duration longest_duration = std::chrono::hours(24 * 366);
+
+/// Reads typed settings and collects all problems of a file.
+///
+/// A program's parse function calls a getter for every setting it knows, then
+/// finish(). A getter with a problem returns a default value, so the function
+/// needs no checks of its own. Without `otherwise` a setting is required.
+class settings_reader
+{
+public:
+    /// @return Nothing if the file can't be read; last_reason() has io_failed.
+    static std::optional<settings_reader> load(std::string const& path);
+
+    /// @param file Name shown in errors.
+    settings_reader(std::string file, std::string const& text);
+
+    /// @return True if the file has the setting; it counts as known then.
+    bool has(setting_name const& name);
+
+    /// A value that is not empty.
+    std::string text(setting_name const& name,
+                     std::optional<std::string> const& otherwise = {});
+
+    std::int64_t integer(setting_name const& name,
+                         value_range<std::int64_t> range,
+                         std::optional<std::int64_t> otherwise = {});
+
+    /// A value with the unit ms, s, min or h.
+    core::duration duration(setting_name const& name,
+                            std::optional<core::duration> otherwise = {},
+                            value_range<core::duration> range = {
+                                core::duration(0), longest_duration});
+
+    /// A value with the unit B, KiB, MiB, GiB or TiB.
+    core::byte_count bytes(setting_name const& name,
+                           std::optional<core::byte_count> otherwise = {});
+
+    /// Numeric address and port.
+    core::endpoint
+    endpoint(setting_name const& name,
+             std::optional<core::endpoint> const& otherwise = {});
+
+    /// Endpoints separated by commas, at least one.
+    std::vector<core::endpoint>
+    endpoints(setting_name const& name,
+              std::optional<std::vector<core::endpoint>> const& otherwise = {});
+
+    /// One of some words.
+    std::string one_of(setting_name const& name,
+                       std::vector<std::string> const& words,
+                       std::optional<std::string> const& otherwise = {});
+
+    /// `yes` or `no`.
+    bool flag(setting_name const& name, std::optional<bool> otherwise = {});
+
+    /// Adds a problem that the parse function found, for example two settings
+    /// that contradict each other.
+    void refuse(setting_name const& name, std::string const& expected);
+
+    /// Reports unknown sections and keys.
+    ///
+    /// @return True if there are no errors; else last_reason() has the first.
+    bool finish();
+
+    /// @return All errors, in the order of lines.
+    std::vector<settings_error> const& errors() const;
+
+    /// @return `file:line:column: code name: text`.
+    std::string to_string(settings_error const& error) const;
+
+private:
+    template <typename T>
+    using parser = std::function<std::optional<T>(std::string const&)>;
+
+    template <typename T>
+    T get(setting_name const& name,
+          std::string const& expected,
+          std::optional<T> const& otherwise,
+          parser<T> const& parse);
+
+    settings_entry const* find(setting_name const& name) const;
+    int line_of(std::string const& section) const;
+    void report_unknown(settings_section const& section);
+    void report_unknown(settings_entry const& entry);
+
+    std::string m_name;
+    settings_file m_file;
+    std::set<setting_name> m_known;
+};
+
+} // namespace turmericswitch::settings
+
+#endif
