Let batch reserve less memory than declared once its peaks are known

Cause: over-declared batch blocked workers with memory nobody used. Change: after 8 finished tasks of a kind and team, batch reserves the highest peak times 1.2. The bench retries killed tasks after 30 s and counts reasons.

--- a/extras/bench/placement_bench/placement_bench.cpp
+++ b/extras/bench/placement_bench/placement_bench.cpp
@@ -6,8 +6,10 @@
 #include <cmath>
 #include <cstdio>
 #include <functional>
-#include <iostream>
+#include <optional>
+#include <string>
 #include <thread>
+#include <vector>
 
 namespace
 {
@@ -18,14 +20,16 @@
     R"(Compares placement policies in virtual time, or measures their cost.
 
 Usage:
-  placement_bench [--seeds N] [--first SEED] [--verbose]
+  placement_bench [--seeds N] [--first SEED] [--gate X] [--only NAME] [--verbose]
   placement_bench --scale
   placement_bench --help | --version
 
 Options:
   --seeds N     Number of seeds per user's mix [default: 5].
   --first SEED  First seed [default: 1].
-  --verbose     One line per seed.
+  --gate X      Predicted service slowdown above which batch goes elsewhere.
+  --only NAME   Only policies whose name has this in it.
+  --verbose     One line per seed, and counts of decisions by reason.
   --scale       Tick cost from 30 to 660 workers.
   --help        Shows this text.
   --version     Shows the version.
@@ -43,7 +47,7 @@
     std::function<bench::workload(std::uint64_t)> make;
 };
 
-std::vector<policy> policies()
+std::vector<policy> policies(std::optional<double> gate)
 {
     return {{"first fit",
              [](std::uint64_t) { return placement::first_fit_options(); }},
@@ -53,7 +57,12 @@
                      core::seeded_random(seed));
              }},
             {"planner",
-             [](std::uint64_t) { return placement::planner_options{}; }}};
+             [gate](std::uint64_t)
+             {
+                 placement::planner_options options;
+                 options.gate_slowdown = gate.value_or(options.gate_slowdown);
+                 return options;
+             }}};
 }
 
 void print_header()
@@ -141,36 +150,69 @@
     return sum;
 }
 
-void compare(std::uint64_t first, std::uint64_t seeds, bool verbose)
+struct comparison
+{
+    std::uint64_t first = 1;
+    std::uint64_t seeds = 5;
+    bool verbose = false;
+    std::optional<double> gate;
+    std::string only;
+};
+
+void print_reasons(bench::night_result const& night)
+{
+    std::printf("  reserved: %.0f%% of processors, %.0f%% of memory\n",
+                100 * night.mean_cpu_reserved,
+                100 * night.mean_memory_reserved);
+    for (auto const& [reason, count] : night.reasons)
+    {
+        std::printf("  %6zu %s\n", count, reason.c_str());
+    }
+}
+
+std::vector<bench::night_result> run_nights(mix const& each,
+                                            policy const& way,
+                                            comparison const& wanted)
+{
+    std::vector<bench::night_result> nights(wanted.seeds);
+    std::vector<std::thread> threads;
+    for (std::uint64_t i = 0; i < wanted.seeds; ++i)
+    {
+        threads.emplace_back(
+            [&, i]
+            {
+                auto const night = each.make(wanted.first + i);
+                bench::virtual_fleet fleet(night,
+                                           way.options(wanted.first + i));
+                nights[i] = fleet.run();
+            });
+    }
+    for (auto& thread : threads)
+    {
+        thread.join();
+    }
+    return nights;
+}
+
+void compare(comparison const& wanted)
 {
     std::vector<mix> const mixes{{"routes", bench::route_planning_night},
                                  {"labels", bench::label_printing_night}};
     print_header();
     for (auto const& each : mixes)
     {
-        for (auto const& way : policies())
+        for (auto const& way : policies(wanted.gate))
         {
-            std::vector<bench::night_result> nights(seeds);
-            std::vector<std::thread> threads;
-            for (std::uint64_t i = 0; i < seeds; ++i)
+            if (way.name.find(wanted.only) == std::string::npos)
             {
-                threads.emplace_back(
-                    [&, i]
-                    {
-                        auto const night = each.make(first + i);
-                        bench::virtual_fleet fleet(night,
-                                                   way.options(first + i));
-                        nights[i] = fleet.run();
-                    });
+                continue;
             }
-            for (auto& thread : threads)
+            auto const nights = run_nights(each, way, wanted);
+            for (std::size_t i = 0; wanted.verbose && i < nights.size(); ++i)
             {
-                thread.join();
-            }
-            for (std::uint64_t i = 0; verbose && i < seeds; ++i)
-            {
-                print_row(
-                    each.name, way.name, nights[i], std::to_string(first + i));
+                auto const seed = std::to_string(wanted.first + i);
+                print_row(each.name, way.name, nights[i], seed);
+                print_reasons(nights[i]);
             }
             print_row(each.name, way.name, mean_of(nights), "mean");
         }
@@ -250,8 +292,18 @@
     {
         return static_cast<std::uint64_t>(arguments.at(name).asLong());
     };
-    compare(number("--first"),
-            number("--seeds"),
-            arguments.at("--verbose").asBool());
+    comparison wanted;
+    wanted.first = number("--first");
+    wanted.seeds = number("--seeds");
+    wanted.verbose = arguments.at("--verbose").asBool();
+    if (auto const& gate = arguments.at("--gate"))
+    {
+        wanted.gate = std::stod(gate.asString());
+    }
+    if (auto const& only = arguments.at("--only"))
+    {
+        wanted.only = only.asString();
+    }
+    compare(wanted);
     return 0;
 }
--- a/extras/bench/placement_bench/virtual_fleet.cpp
+++ b/extras/bench/placement_bench/virtual_fleet.cpp
@@ -17,6 +17,8 @@
 constexpr double batch_stop_s = 10;
 constexpr double service_stop_s = 2;
 constexpr double lease_end_s = 30;
+// A task killed for memory is started again after this time.
+constexpr double kill_retry_s = 30;
 constexpr double zone_out_s = 5 * 3600;
 // Short notice: what is still in the zone then is lost.
 constexpr double zone_gone_s = zone_out_s + 300;
@@ -57,6 +59,18 @@
     return job.cores * seconds / 3600;
 }
 
+/// @return Action and first reason without numbers, to count like records.
+std::string reason_of(core::decision_record const& record)
+{
+    std::string text = record.action + ": ";
+    if (!record.reasons.empty())
+    {
+        text += record.reasons.front();
+    }
+    std::erase_if(text, [](char c) { return c >= '0' && c <= '9'; });
+    return text;
+}
+
 bool is_batch(bench_job const& job)
 {
     return job.declared.priority == core::priority_class::batch;
@@ -257,7 +271,7 @@
         auto const attempt = largest->second.attempt;
         ++m_result.memory_kills;
         m_planner.job_evicting(at(now_s), job, attempt);
-        lose(now_s + 1, worker, job);
+        lose(now_s + kill_retry_s, worker, job);
     }
 }
 
@@ -304,6 +318,19 @@
             }
         }
     }
+    for (auto const& worker : m_workers)
+    {
+        auto const& capacity = worker.description().capacity;
+        auto const used = m_planner.reserved_on(worker.description().worker);
+        double const share = measure_every_s / night_s /
+                             static_cast<double>(m_workers.size());
+        m_result.mean_cpu_reserved += share *
+                                      static_cast<double>(used.cpu.value()) /
+                                      static_cast<double>(capacity.cpu.value());
+        m_result.mean_memory_reserved +=
+            share * static_cast<double>(used.memory.value()) /
+            static_cast<double>(capacity.memory.value());
+    }
     auto const wanted = static_cast<std::size_t>(std::count_if(
         m_night.jobs.begin(),
         m_night.jobs.end(),
@@ -387,6 +414,10 @@
 void virtual_fleet::carry_out(double now_s,
                               placement::tick_decisions const& decisions)
 {
+    for (auto const& record : decisions.records)
+    {
+        m_result.reasons[reason_of(record)] += 1;
+    }
     for (auto const& command : decisions.batch.placements)
     {
         start(now_s, command);
--- a/extras/bench/placement_bench/virtual_fleet.hpp
+++ b/extras/bench/placement_bench/virtual_fleet.hpp
@@ -29,6 +29,10 @@
     std::size_t doubled = 0;
     std::size_t unfinished = 0;
     std::size_t throttles = 0;
+    /// Decision records by action and first reason, numbers removed.
+    std::map<std::string, std::size_t> reasons;
+    double mean_cpu_reserved = 0;
+    double mean_memory_reserved = 0;
 };
 
 /// Ten virtual workers driven by a planner through one night in which one
--- a/modules/placement/model/usage_model.cpp
+++ b/modules/placement/model/usage_model.cpp
@@ -16,6 +16,9 @@
 constexpr std::uint32_t min_team_tasks = 5;
 // Tasks seen before batch may reserve fewer processors than declared.
 constexpr std::uint32_t min_tasks_to_shrink = 10;
+// Tasks that must have ended before batch may reserve less memory.
+constexpr std::uint32_t min_finished_to_shrink = 8;
+constexpr double shrunk_memory_margin = 1.2;
 // Counts are halved at this number, so that old tasks lose weight.
 constexpr std::uint32_t max_tasks = 400;
 // 730 bytes each: 3 MB.
@@ -55,6 +58,27 @@
     return 0;
 }
 
+std::int64_t usage_model::highest(histogram const& counts)
+{
+    for (std::size_t bucket = buckets; bucket-- > 0;)
+    {
+        if (counts[bucket] > 0)
+        {
+            return upper_bound_of(bucket);
+        }
+    }
+    return 0;
+}
+
+void usage_model::finished(kind_index kind, core::team_id const& team)
+{
+    auto const own = m_peaks.find({kind, team.value()});
+    if (own != m_peaks.end())
+    {
+        ++own->second.finished;
+    }
+}
+
 void usage_model::move(histogram& counts, std::int64_t from, std::int64_t to)
 {
     if (from > 0 && counts[bucket_of(from)] > 0)
@@ -146,6 +170,15 @@
     {
         result.cpu = observed.cpu;
     }
+    auto const own = m_peaks.find({kind, team.value()});
+    if (is_batch && own != m_peaks.end() &&
+        own->second.finished >= min_finished_to_shrink)
+    {
+        auto const peak =
+            static_cast<double>(highest(own->second.memory));
+        result.memory = core::byte_count(
+            static_cast<std::int64_t>(peak * shrunk_memory_margin));
+    }
     return result;
 }
 
--- a/modules/placement/model/usage_model.hpp
+++ b/modules/placement/model/usage_model.hpp
@@ -28,12 +28,17 @@
                     core::resources const& earlier,
                     core::resources const& peak);
 
+    /// A task ran to its end, so its peak is known for certain.
+    void finished(kind_index kind, core::team_id const& team);
+
     /// @return Processors and memory to reserve: the larger of declared and
     /// the observed high quantile with margin. Processors of batch go below
     /// the declaration once enough tasks were seen, because a processor that
-    /// turns out to be missing only slows batch down. Memory and accelerators
-    /// never do, because a task may still grow into its declaration and
-    /// memory can't be taken back without killing a task.
+    /// turns out to be missing only slows batch down. Memory can't be taken
+    /// back without stopping a task, so it goes below the declaration only
+    /// for batch (which can be evicted before the worker is full), only after
+    /// enough tasks of the same kind and team ran to their end, and only to
+    /// the highest of their peaks with a wider margin. Accelerators never do.
     core::resources reservation(kind_index kind,
                                 core::team_id const& team,
                                 core::resources const& declared,
@@ -52,6 +57,7 @@
         histogram cpu{};
         histogram memory{};
         std::uint32_t tasks = 0;
+        std::uint32_t finished = 0;
         core::time_point updated{};
     };
 
@@ -60,6 +66,7 @@
     static std::size_t bucket_of(std::int64_t amount);
     static std::int64_t upper_bound_of(std::size_t bucket);
     static std::int64_t high_quantile(histogram const& counts);
+    static std::int64_t highest(histogram const& counts);
     static void move(histogram& counts, std::int64_t from, std::int64_t to);
     static void halve(peaks& entry);
 
--- a/modules/placement/planner.cpp
+++ b/modules/placement/planner.cpp
@@ -322,6 +322,7 @@
     if (task->holds_capacity() && how == ending::finished)
     {
         m_state.failures.succeeded(task->slot);
+        m_state.usage.finished(task->kind, task->spec.team);
         m_state.run_times.finished(task->kind,
                                    task->spec.expected_run_time,
                                    now - task->placed_at);
