Reserve average processors for batch, keep room for urgent jobs

Cause: workers were full by reservations that batch didn't use, throttles were never lifted, and urgent jobs waited for evictions. Change: batch reserves the median of its observed processors; high and low slowdown marks 1.5 and 1.25; holds after 10 min (large) and 60 min (small) instead of 30 s; some workers keep room for one urgent job.

--- a/modules/placement/model/usage_model.cpp
+++ b/modules/placement/model/usage_model.cpp
@@ -10,7 +10,10 @@
 namespace
 {
 
-constexpr double quantile = 0.95;
+constexpr double high_quantile = 0.95;
+// Batch reserves the processors that its tasks use on average: what one of
+// them lacks another one leaves, and a shortage only slows batch down.
+constexpr double middle_quantile = 0.5;
 constexpr double margin = 1.1;
 // Below this, tasks of other teams with the same kind are a better guide.
 constexpr std::uint32_t min_team_tasks = 5;
@@ -42,10 +45,10 @@
         std::exp2(static_cast<double>(bucket) / 4));
 }
 
-std::int64_t usage_model::high_quantile(histogram const& counts)
+std::int64_t usage_model::quantile_of(histogram const& counts, double share)
 {
     auto const total = std::accumulate(counts.begin(), counts.end(), 0U);
-    auto const above = static_cast<unsigned>(total * (1 - quantile));
+    auto const above = static_cast<unsigned>(total * (1 - share));
     unsigned seen = 0;
     for (std::size_t bucket = buckets; bucket-- > 0;)
     {
@@ -162,13 +165,14 @@
         return static_cast<std::int64_t>(static_cast<double>(amount) * margin);
     };
     core::resources observed;
-    observed.cpu = core::millicores(with_margin(high_quantile(known->cpu)));
+    observed.cpu = core::millicores(with_margin(quantile_of(known->cpu, high_quantile)));
     observed.memory =
-        core::byte_count(with_margin(high_quantile(known->memory)));
+        core::byte_count(with_margin(quantile_of(known->memory, high_quantile)));
     auto result = core::component_max(declared, observed);
     if (is_batch && known->tasks >= min_tasks_to_shrink)
     {
-        result.cpu = observed.cpu;
+        result.cpu =
+            core::millicores(quantile_of(known->cpu, middle_quantile));
     }
     auto const own = m_peaks.find({kind, team.value()});
     if (is_batch && own != m_peaks.end() &&
--- a/modules/placement/model/usage_model.hpp
+++ b/modules/placement/model/usage_model.hpp
@@ -65,7 +65,7 @@
 
     static std::size_t bucket_of(std::int64_t amount);
     static std::int64_t upper_bound_of(std::size_t bucket);
-    static std::int64_t high_quantile(histogram const& counts);
+    static std::int64_t quantile_of(histogram const& counts, double share);
     static std::int64_t highest(histogram const& counts);
     static void move(histogram& counts, std::int64_t from, std::int64_t to);
     static void halve(peaks& entry);
--- a/modules/placement/planner.cpp
+++ b/modules/placement/planner.cpp
@@ -32,7 +32,7 @@
 } // namespace
 
 planner::planner(planner_options options)
-    : m_state{std::move(options), {}, {}, {}, {}, {}, {}, {}, {}, {}, {}},
+    : m_state{std::move(options), {}, {}, {}, {}, {}, {}, {}, {}, {}, {}, {}},
       m_ladder(m_state),
       m_mover(m_state)
 {
--- a/modules/placement/policy/placement_pass.cpp
+++ b/modules/placement/policy/placement_pass.cpp
@@ -9,6 +9,8 @@
 {
 
 constexpr std::size_t max_misses = 64;
+// A job is large when it needs more than this part of a worker.
+constexpr std::int64_t large_part = 4;
 constexpr std::size_t max_at_risk = 256;
 // Batch counts as about to miss its deadline this long before it must start;
 // declared run times are too short as often as too long.
@@ -35,6 +37,8 @@
     {
     case obstacle::held:
         return "free workers are held for larger jobs";
+    case obstacle::kept_for_urgent:
+        return "the last room is kept for urgent jobs";
     case obstacle::sharing_rule:
         return "a sharing rule closes the workers with capacity";
     case obstacle::kind_limit:
@@ -78,6 +82,7 @@
 
 void placement_pass::run()
 {
+    m_state.spare.age(m_now);
     place_class(core::priority_class::urgent);
     place_class(core::priority_class::service);
     place_at_risk();
@@ -200,6 +205,10 @@
         on_blocked(task, need);
         return false;
     }
+    if (urgent)
+    {
+        m_state.spare.started(need);
+    }
     task.charged = charge;
     commit(task, need, found);
     return true;
@@ -341,6 +350,22 @@
         job_record(task.spec.job, "wait", "", {reason}));
 }
 
+core::duration placement_pass::hold_wait(task_entry const& task,
+                                         core::resources const& need) const
+{
+    auto const& options = m_state.options;
+    if (!task.is_batch())
+    {
+        return options.urgent_hold_wait;
+    }
+    auto const whole = m_state.workers.largest_holding(need);
+    bool const large =
+        whole && (need.cpu.value() * large_part > whole->cpu.value() ||
+                  need.memory.value() * large_part > whole->memory.value() ||
+                  need.accelerators.value() > 0);
+    return large ? options.large_hold_wait : options.small_hold_wait;
+}
+
 void placement_pass::on_blocked(task_entry& task, core::resources const& need)
 {
     wait(task, text_of(m_last_obstacle));
@@ -353,8 +378,7 @@
     bool const capacity_missing = m_last_obstacle == obstacle::none ||
                                   m_last_obstacle == obstacle::sharing_rule ||
                                   m_last_obstacle == obstacle::held;
-    if (capacity_missing && waited >= m_state.options.reservation_wait &&
-        !task.hold_slot)
+    if (capacity_missing && waited >= hold_wait(task, need) && !task.hold_slot)
     {
         m_rooms.hold_worker(task, need);
     }
--- a/modules/placement/policy/placement_pass.hpp
+++ b/modules/placement/policy/placement_pass.hpp
@@ -55,6 +55,8 @@
                 std::size_t chosen);
     void wait(task_entry& task, char const* reason);
 
+    core::duration hold_wait(task_entry const& task,
+                             core::resources const& need) const;
     void on_blocked(task_entry& task, core::resources const& need);
     double dominant_share(core::team_id const& team) const;
 
--- a/modules/placement/policy/planner_state.hpp
+++ b/modules/placement/policy/planner_state.hpp
@@ -6,6 +6,7 @@
 #include "placement/model/usage_model.hpp"
 #include "placement/policy/failure_tracker.hpp"
 #include "placement/policy/job_queue.hpp"
+#include "placement/policy/urgent_room.hpp"
 #include "placement/policy/zone_tracker.hpp"
 #include "placement/state/fleet.hpp"
 #include "placement/state/rule_book.hpp"
@@ -27,6 +28,7 @@
     job_queue queue;
     failure_tracker failures;
     zone_tracker zones;
+    urgent_room spare;
     /// Workers whose measurements or reservations need the response ladder.
     std::set<std::size_t> under_pressure;
     std::set<std::size_t> held_slots;
--- a/modules/placement/policy/pressure_ladder.cpp
+++ b/modules/placement/policy/pressure_ladder.cpp
@@ -113,6 +113,11 @@
             static_cast<std::int64_t>(std::max(0.0, grown * steps));
         task.wanted.memory += core::byte_count(more);
     }
+    if (task.is_batch() && used.cpu < task.reserved.cpu + task.reserved.cpu)
+    {
+        // Batch takes processors above its reservation only while idle.
+        task.wanted.cpu = task.reserved.cpu;
+    }
     auto const& worker = m_state.workers.worker(task.slot);
     task.wanted = bounded(task.wanted, worker.description.capacity);
     task.last_used = used;
--- /dev/null
+++ b/modules/placement/policy/urgent_room.cpp
@@ -0,0 +1,50 @@
+#include "placement/policy/urgent_room.hpp"
+
+#include <algorithm>
+
+namespace turmericswitch::placement
+{
+
+namespace
+{
+
+// What was seen in this period and the one before it counts.
+constexpr core::duration period = std::chrono::minutes(20);
+constexpr std::size_t fewest_workers = 2;
+constexpr std::size_t most_workers = 8;
+
+} // namespace
+
+void urgent_room::started(core::resources const& need)
+{
+    m_need = core::component_max(m_need, need);
+    ++m_this_tick;
+}
+
+void urgent_room::age(core::time_point now)
+{
+    m_most = std::max(m_most, m_this_tick);
+    m_this_tick = 0;
+    if (now - m_period_start < period)
+    {
+        return;
+    }
+    m_period_start = now;
+    m_earlier_need = m_need;
+    m_earlier_most = m_most;
+    m_need = {};
+    m_most = 0;
+}
+
+core::resources urgent_room::need() const noexcept
+{
+    return core::component_max(m_need, m_earlier_need);
+}
+
+std::size_t urgent_room::workers() const noexcept
+{
+    auto const most = std::max(m_most, m_earlier_most);
+    return most == 0 ? 0 : std::clamp(most, fewest_workers, most_workers);
+}
+
+} // namespace turmericswitch::placement
--- a/modules/placement/policy/worker_scorer.cpp
+++ b/modules/placement/policy/worker_scorer.cpp
@@ -69,6 +69,11 @@
     {
         return obstacle::failed_there;
     }
+    if (!m_state.options.choose && task.is_batch() &&
+        takes_urgent_room(need, slot))
+    {
+        return obstacle::kept_for_urgent;
+    }
     bool const gated = m_state.options.avoid_interference && patient;
     if (gated && task.is_batch() && disturbs_service(now, task, need, worker))
     {
@@ -99,6 +104,29 @@
     return limit && same >= *limit ? obstacle::kind_limit : obstacle::none;
 }
 
+bool worker_scorer::takes_urgent_room(core::resources const& need,
+                                      std::size_t slot) const
+{
+    auto missing = m_state.spare.workers();
+    auto const room = m_state.spare.need();
+    auto const open =
+        m_state.workers.open_capacity(m_state.workers.worker(slot));
+    if (missing == 0 || core::fits_in(room, open - need) ||
+        !core::fits_in(room, open))
+    {
+        // It leaves enough, or there is nothing to lose here.
+        return false;
+    }
+    auto const& index = m_state.workers.index();
+    auto other = index.next_fit(0, room);
+    while (other && missing > 0)
+    {
+        missing -= *other == slot ? 0 : 1;
+        other = index.next_fit(*other + 1, room);
+    }
+    return missing > 0;
+}
+
 bool worker_scorer::disturbs_service(core::time_point now,
                                      task_entry const& task,
                                      core::resources const& need,
--- a/modules/placement/policy/worker_scorer.hpp
+++ b/modules/placement/policy/worker_scorer.hpp
@@ -11,6 +11,7 @@
 {
     none,
     held,
+    kept_for_urgent,
     sharing_rule,
     kind_limit,
     failed_there,
@@ -48,6 +49,8 @@
 private:
     obstacle check_rules(task_entry const& task,
                          worker_entry const& worker) const;
+    bool takes_urgent_room(core::resources const& need,
+                           std::size_t slot) const;
     bool disturbs_service(core::time_point now,
                           task_entry const& task,
                           core::resources const& need,
--- a/modules/placement/types/planner_options.hpp
+++ b/modules/placement/types/planner_options.hpp
@@ -46,17 +46,20 @@
     std::size_t scan_depth = 8;
 
     /// Predicted slowdown of a service above which batch goes elsewhere.
-    double gate_slowdown = 1.15;
+    double gate_slowdown = 1.3;
     /// Measured slowdown at which the ladder acts.
-    double high_slowdown = 1.30;
+    double high_slowdown = 1.5;
     /// Measured slowdown below which throttles are lifted.
-    double low_slowdown = 1.10;
+    double low_slowdown = 1.25;
     /// A batch job that waited this long ignores the gate.
     core::duration gate_patience = std::chrono::minutes(15);
     /// A throttled worker stays so at least this long.
     core::duration throttle_hold = std::chrono::seconds(90);
-    /// A job passed over for this long gets a worker held for it.
-    core::duration reservation_wait = std::chrono::seconds(30);
+    /// A job passed over for this long gets a worker held for it: urgent jobs
+    /// and services, batch that needs a large part of a worker, other batch.
+    core::duration urgent_hold_wait = std::chrono::seconds(30);
+    core::duration large_hold_wait = std::chrono::minutes(10);
+    core::duration small_hold_wait = std::chrono::minutes(60);
     /// Batch still in a leaving zone after this time is evicted.
     core::duration zone_drain = std::chrono::seconds(120);
     /// Time per step when a zone returns; there are four steps.
