--- /dev/null
+++ b/modules/rules/text/body_parser.hpp
@@ -0,0 +1,20 @@
+#ifndef TURMERICSWITCH_RULES_TEXT_BODY_PARSER_HPP
+#define TURMERICSWITCH_RULES_TEXT_BODY_PARSER_HPP
+
+#include "rules/model/rule_set.hpp"
+#include "rules/text/word_reader.hpp"
+
+#include <optional>
+
+namespace turmericswitch::rules
+{
+
+/// Parses what one rule says, without its requester.
+///
+/// @param in At the first word of the line; there must be one.
+/// @return The rule, or nothing with the fault in `in.error()`.
+std::optional<rule_body> parse_body(word_reader& in);
+
+} // namespace turmericswitch::rules
+
+#endif
