--- a/modules/placement/model/usage_model.cpp
+++ b/modules/placement/model/usage_model.cpp
@@ -10,12 +10,18 @@
 namespace
 {
 
-constexpr double quantile = 0.95;
+constexpr double high_quantile = 0.95;
+// Batch reserves the processors that its tasks use on average: what one of
+// them lacks another one leaves, and a shortage only slows batch down.
+constexpr double middle_quantile = 0.5;
 constexpr double margin = 1.1;
 // Below this, tasks of other teams with the same kind are a better guide.
 constexpr std::uint32_t min_team_tasks = 5;
 // Tasks seen before batch may reserve fewer processors than declared.
 constexpr std::uint32_t min_tasks_to_shrink = 10;
+// Tasks that must have ended before batch may reserve less memory.
+constexpr std::uint32_t min_finished_to_shrink = 8;
+constexpr double shrunk_memory_margin = 1.2;
 // Counts are halved at this number, so that old tasks lose weight.
 constexpr std::uint32_t max_tasks = 400;
 // 730 bytes each: 3 MB.
@@ -39,10 +45,10 @@
         std::exp2(static_cast<double>(bucket) / 4));
 }
 
-std::int64_t usage_model::high_quantile(histogram const& counts)
+std::int64_t usage_model::quantile_of(histogram const& counts, double share)
 {
     auto const total = std::accumulate(counts.begin(), counts.end(), 0U);
-    auto const above = static_cast<unsigned>(total * (1 - quantile));
+    auto const above = static_cast<unsigned>(total * (1 - share));
     unsigned seen = 0;
     for (std::size_t bucket = buckets; bucket-- > 0;)
     {
@@ -55,6 +61,27 @@
     return 0;
 }
 
+std::int64_t usage_model::highest(histogram const& counts)
+{
+    for (std::size_t bucket = buckets; bucket-- > 0;)
+    {
+        if (counts[bucket] > 0)
+        {
+            return upper_bound_of(bucket);
+        }
+    }
+    return 0;
+}
+
+void usage_model::finished(kind_index kind, core::team_id const& team)
+{
+    auto const own = m_peaks.find({kind, team.value()});
+    if (own != m_peaks.end())
+    {
+        ++own->second.finished;
+    }
+}
+
 void usage_model::move(histogram& counts, std::int64_t from, std::int64_t to)
 {
     if (from > 0 && counts[bucket_of(from)] > 0)
@@ -138,13 +165,23 @@
         return static_cast<std::int64_t>(static_cast<double>(amount) * margin);
     };
     core::resources observed;
-    observed.cpu = core::millicores(with_margin(high_quantile(known->cpu)));
+    observed.cpu = core::millicores(with_margin(quantile_of(known->cpu, high_quantile)));
     observed.memory =
-        core::byte_count(with_margin(high_quantile(known->memory)));
+        core::byte_count(with_margin(quantile_of(known->memory, high_quantile)));
     auto result = core::component_max(declared, observed);
     if (is_batch && known->tasks >= min_tasks_to_shrink)
     {
-        result.cpu = observed.cpu;
+        result.cpu =
+            core::millicores(quantile_of(known->cpu, middle_quantile));
+    }
+    auto const own = m_peaks.find({kind, team.value()});
+    if (is_batch && own != m_peaks.end() &&
+        own->second.finished >= min_finished_to_shrink)
+    {
+        auto const peak =
+            static_cast<double>(highest(own->second.memory));
+        result.memory = core::byte_count(
+            static_cast<std::int64_t>(peak * shrunk_memory_margin));
     }
     return result;
 }
