--- /dev/null
+++ b/programs/control/api/process_api.cpp
@@ -0,0 +1,163 @@
+#include "api/process_api.hpp"
+
+#include "core/results/last_reason.hpp"
+#include "wire/codec/message_codec.hpp"
+
+namespace turmericswitch::control
+{
+
+namespace
+{
+
+void refuse_malformed(transport::responder const& answer)
+{
+    answer.refuse(core::last_reason().code, core::last_reason().text);
+}
+
+/// Commands that gateways and sidecars may send; all others are proposed by
+/// the leader itself or come through the operators' interface.
+bool is_open_to_processes(core::command_body const& body)
+{
+    return std::holds_alternative<core::claim_key>(body) ||
+           std::holds_alternative<core::finish_claim>(body) ||
+           std::holds_alternative<core::submit_jobs>(body) ||
+           std::holds_alternative<core::cancel_jobs>(body);
+}
+
+} // namespace
+
+process_api::process_api(control_node& node) : m_node(node) {}
+
+void process_api::handle(transport::rpc_request const& request,
+                         transport::responder answer)
+{
+    if (request.path == "/raft")
+    {
+        raft(request.body, answer);
+    }
+    else if (request.path == "/watch")
+    {
+        watch(request.body, std::move(answer));
+    }
+    else if (request.path == "/announce")
+    {
+        announce(request.body, std::move(answer));
+    }
+    else if (request.path == "/command")
+    {
+        command(request.body, std::move(answer));
+    }
+    else
+    {
+        answer.refuse(core::result_code::unknown_path,
+                      "control does not serve " + request.path);
+    }
+}
+
+void process_api::raft(std::string const& body,
+                       transport::responder const& answer)
+{
+    auto message = wire::decode<core::consensus_message>(body);
+    if (!message)
+    {
+        refuse_malformed(answer);
+        return;
+    }
+    m_node.receive(std::move(*message));
+    answer.answer({});
+}
+
+void process_api::watch(std::string const& body, transport::responder answer)
+{
+    auto request = wire::decode<core::watch_request>(body);
+    if (!request)
+    {
+        refuse_malformed(answer);
+        return;
+    }
+    m_node.run(
+        [this, request = std::move(*request), answer = std::move(answer)]
+        {
+            if (auto const& duties = m_node.duties())
+            {
+                duties->watch(event_loop::now(),
+                              request,
+                              [answer](core::watch_answer const& news)
+                              { answer.answer(wire::encode(news)); });
+                return;
+            }
+            core::watch_answer refusal;
+            refusal.code = core::result_code::not_leader;
+            refusal.leader = leader_rpc();
+            answer.answer(wire::encode(refusal));
+        });
+}
+
+void process_api::announce(std::string const& body,
+                           transport::responder answer)
+{
+    auto request = wire::decode<core::announce_request>(body);
+    if (!request)
+    {
+        refuse_malformed(answer);
+        return;
+    }
+    m_node.run(
+        [this, request = std::move(*request), answer = std::move(answer)]() mutable
+        {
+            core::announce_answer reply;
+            if (auto const& duties = m_node.duties())
+            {
+                auto& entry = request.entry;
+                entry.place = m_node.canonical_place(entry.place);
+                entry.service = m_node.canonical_service(entry.service);
+                reply = duties->announce(event_loop::now(), request);
+            }
+            else
+            {
+                reply.code = core::result_code::not_leader;
+                reply.leader = leader_rpc();
+            }
+            answer.answer(wire::encode(reply));
+        });
+}
+
+void process_api::command(std::string const& body, transport::responder answer)
+{
+    auto envelope = wire::decode<core::command_envelope>(body);
+    if (!envelope)
+    {
+        refuse_malformed(answer);
+        return;
+    }
+    if (!is_open_to_processes(envelope->body))
+    {
+        answer.refuse(core::result_code::message_malformed,
+                      "this command is not open to other processes");
+        return;
+    }
+    m_node.run(
+        [this, envelope = std::move(*envelope), answer = std::move(answer)]
+        {
+            m_node.group().propose(
+                envelope.body,
+                envelope.client,
+                envelope.sequence,
+                [this, answer](core::command_reply reply)
+                {
+                    if (reply.code == core::result_code::not_leader)
+                    {
+                        reply.leader = leader_rpc();
+                    }
+                    answer.answer(wire::encode(reply));
+                });
+        });
+}
+
+std::optional<core::endpoint> process_api::leader_rpc()
+{
+    auto const leader = m_node.group().leader();
+    return leader ? std::optional(leader->rpc) : std::nullopt;
+}
+
+} // namespace turmericswitch::control
--- /dev/null
+++ b/programs/control/api/process_api.hpp
@@ -0,0 +1,33 @@
+#ifndef TURMERICSWITCH_CONTROL_API_PROCESS_API_HPP
+#define TURMERICSWITCH_CONTROL_API_PROCESS_API_HPP
+
+#include "node/control_node.hpp"
+#include "transport/transport.hpp"
+
+namespace turmericswitch::control
+{
+
+/// Serves the calls of gateways, sidecars and other control instances.
+class process_api
+{
+public:
+    /// @param node Must outlive this object.
+    explicit process_api(control_node& node);
+
+    /// Handles one call; runs on an io thread.
+    void handle(transport::rpc_request const& request,
+                transport::responder answer);
+
+private:
+    void watch(std::string const& body, transport::responder answer);
+    void announce(std::string const& body, transport::responder answer);
+    void command(std::string const& body, transport::responder answer);
+    void raft(std::string const& body, transport::responder const& answer);
+    std::optional<core::endpoint> leader_rpc();
+
+    control_node& m_node;
+};
+
+} // namespace turmericswitch::control
+
+#endif
--- /dev/null
+++ b/programs/control/api/state_json.hpp
@@ -0,0 +1,43 @@
+#ifndef TURMERICSWITCH_CONTROL_API_STATE_JSON_HPP
+#define TURMERICSWITCH_CONTROL_API_STATE_JSON_HPP
+
+#include "core/messages/commands.hpp"
+#include "core/messages/consensus.hpp"
+#include "core/messages/state.hpp"
+#include "node/control_node.hpp"
+
+#include <string>
+#include <vector>
+
+namespace turmericswitch::control
+{
+
+// JSON texts of the operators' interface. Those that read the node must run
+// on its loop's thread.
+
+/// @return Member, term, leader, indexes, zones, counters and processes.
+std::string status_to_json(control_node& node);
+
+/// @return Revision and text of the rules.
+std::string rules_to_json(control_node& node);
+
+/// @param limit Newest changes to list.
+std::string history_to_json(control_node& node, std::size_t limit);
+
+/// @param state Lists jobs in this state, or of every state when absent.
+std::string jobs_to_json(control_node& node,
+                         std::optional<core::job_state> state,
+                         std::size_t limit);
+
+std::string job_to_json(core::job_record const& job);
+
+std::string members_to_json(control_node& node);
+
+std::string reply_to_json(core::command_reply const& reply);
+
+std::string
+decisions_to_json(std::vector<core::decision_record> const& records);
+
+} // namespace turmericswitch::control
+
+#endif
--- /dev/null
+++ b/programs/control/leader/leader_duties.cpp
@@ -0,0 +1,286 @@
+#include "leader/leader_duties.hpp"
+
+#include <utility>
+
+namespace turmericswitch::control
+{
+
+namespace
+{
+
+core::heartbeat_answer refusal(core::heartbeat_request const& request,
+                               core::result_code code)
+{
+    core::heartbeat_answer answer;
+    answer.code = code;
+    answer.sent_at = request.sent_at;
+    return answer;
+}
+
+bool is_empty(core::placement_batch const& batch)
+{
+    return batch.placements.empty() && batch.evictions.empty() &&
+           batch.stops.empty();
+}
+
+} // namespace
+
+leader_duties::leader_duties(replica& node,
+                             duty_settings settings,
+                             placement::planner_options options,
+                             decision_hook on_decision)
+    : m_node(node), m_settings(settings),
+      m_on_decision(std::move(on_decision)), m_leases(settings.leases),
+      m_heartbeats(m_leases),
+      m_registry(node.current_term(), settings.announce_lease),
+      m_placement(node.state(), std::move(options), event_loop::now()),
+      m_watches(node.state().config(), m_registry)
+{
+}
+
+void leader_duties::begin(core::time_point now)
+{
+    m_leases.elected(m_node.state().held_tasks(), now);
+    m_next_upkeep = now + m_settings.upkeep_interval;
+    m_node.observe_holds(
+        [this](core::held_task const& task, bool is_held)
+        {
+            if (is_held)
+            {
+                m_leases.placed(task, event_loop::now());
+                return;
+            }
+            m_leases.released(task);
+            m_heartbeats.released(task);
+        });
+}
+
+void leader_duties::end()
+{
+    m_ended = true;
+    m_node.observe_holds({});
+    m_watches.close();
+}
+
+void leader_duties::applied(core::command_body const& command,
+                            core::command_reply const& reply)
+{
+    m_placement.applied(event_loop::now(), command, reply);
+}
+
+void leader_duties::heartbeat(core::heartbeat_request request,
+                              heartbeat_hook done)
+{
+    auto commands = m_heartbeats.prepare(request, m_node.state());
+    if (commands.empty())
+    {
+        confirm_and_answer(std::move(request), std::move(done));
+        return;
+    }
+    // A command proposed after the receipt and committed in the own term
+    // proves the leadership as a read-index round does.
+    auto last = std::move(commands.back());
+    commands.pop_back();
+    for (auto& command : commands)
+    {
+        m_node.propose(
+            std::move(command), {}, {}, [](core::command_reply const&) {});
+    }
+    m_node.propose(
+        std::move(last),
+        {},
+        {},
+        [self = shared_from_this(),
+         request = std::move(request),
+         done = std::move(done)](core::command_reply const& reply)
+        {
+            bool const is_committed =
+                reply.code == core::result_code::ok ||
+                reply.code == core::result_code::wrong_incarnation ||
+                reply.code == core::result_code::worker_unknown;
+            if (self->m_ended || !is_committed)
+            {
+                done(refusal(request, core::result_code::not_leader));
+                return;
+            }
+            self->answer_heartbeat(request, done);
+        });
+}
+
+void leader_duties::confirm_and_answer(core::heartbeat_request request,
+                                       heartbeat_hook done)
+{
+    m_node.read(
+        [self = shared_from_this(),
+         request = std::move(request),
+         done = std::move(done)](core::result_code code)
+        {
+            if (self->m_ended || code != core::result_code::ok)
+            {
+                done(refusal(request, core::result_code::not_leader));
+                return;
+            }
+            self->answer_heartbeat(request, done);
+        });
+}
+
+void leader_duties::answer_heartbeat(core::heartbeat_request const& request,
+                                     heartbeat_hook const& done)
+{
+    auto const now = event_loop::now();
+    m_placement.heard(now, request.worker.worker, request.usage);
+    done(m_heartbeats.answer(request, now, m_node.state()));
+}
+
+core::announce_answer
+leader_duties::announce(core::time_point now,
+                        core::announce_request const& request)
+{
+    auto const& config = m_node.state().config();
+    m_watches.note(now,
+                   core::client_id("sidecar " + request.entry.backend.value()),
+                   request.in_force);
+    return m_registry.announce(request,
+                               config.is_leaving(request.entry.backend),
+                               config.current(),
+                               now);
+}
+
+void leader_duties::watch(core::time_point now,
+                          core::watch_request request,
+                          watch_hub::answer_hook done)
+{
+    m_watches.watch(now, std::move(request), std::move(done));
+}
+
+void leader_duties::tick(core::time_point now, core::wall_time wall)
+{
+    m_registry.tick(now);
+    m_watches.tick(now);
+    expire_leases(now);
+    if (now >= m_next_placement && !m_placement.is_waiting())
+    {
+        m_next_placement = now + m_settings.placement_interval;
+        run_placement(now, wall);
+    }
+    if (now >= m_next_upkeep)
+    {
+        m_next_upkeep = now + m_settings.upkeep_interval;
+        upkeep(now);
+    }
+}
+
+void leader_duties::expire_leases(core::time_point now)
+{
+    if (m_expiry_waiting)
+    {
+        return;
+    }
+    auto tasks = m_leases.expired(now);
+    if (tasks.empty())
+    {
+        return;
+    }
+    for (auto const& [job, attempt] : tasks)
+    {
+        core::decision_record record;
+        record.part = "placement";
+        record.subject = "job " + std::to_string(job.value());
+        record.action = "expire";
+        record.target = "attempt " + std::to_string(attempt.value());
+        record.reasons = {"its lease ended without renewal"};
+        m_on_decision(record);
+    }
+    m_expiry_waiting = true;
+    m_node.propose(core::expire_leases{std::move(tasks)},
+                   {},
+                   {},
+                   [self = shared_from_this()](core::command_reply const&)
+                   { self->m_expiry_waiting = false; });
+}
+
+void leader_duties::run_placement(core::time_point now, core::wall_time wall)
+{
+    auto decisions = m_placement.tick(now, wall);
+    for (auto const& record : decisions.records)
+    {
+        m_on_decision(record);
+    }
+    for (auto const& throttle : decisions.throttles)
+    {
+        m_heartbeats.set_throttle({throttle.order.job, throttle.order.attempt},
+                                  throttle.order.cpu_permille);
+    }
+    if (!is_empty(decisions.batch))
+    {
+        propose_batch(std::move(decisions.batch));
+    }
+}
+
+void leader_duties::propose_batch(core::placement_batch batch)
+{
+    auto copy = batch;
+    m_node.propose(
+        std::move(batch),
+        {},
+        {},
+        [self = shared_from_this(),
+         sent = std::move(copy)](core::command_reply const& reply)
+        {
+            // An applied batch was compared with the state in `applied`.
+            if (reply.code != core::result_code::ok && !self->m_ended)
+            {
+                self->m_placement.batch_lost(event_loop::now(), sent);
+            }
+        });
+}
+
+void leader_duties::upkeep(core::time_point now)
+{
+    auto const ignore = [](core::command_reply const&) {};
+    m_node.propose(core::expire_records{}, {}, {}, ignore);
+    for (auto const& worker : m_placement.gone(now))
+    {
+        m_node.propose(core::retire_worker{worker}, {}, {}, ignore);
+    }
+    promote_learners();
+}
+
+void leader_duties::promote_learners()
+{
+    for (auto const& member : m_node.membership().members)
+    {
+        if (member.learner)
+        {
+            // Refused until the learner has caught up; tried again later.
+            m_node.change_membership(
+                consensus::membership_change_kind::promote,
+                member,
+                [](core::command_reply const&) {});
+            return;
+        }
+    }
+}
+
+core::time_point leader_duties::quiet_from(core::zone_id const& zone) const
+{
+    return m_leases.quiet_from(zone);
+}
+
+std::map<core::client_id, process_report> const&
+leader_duties::processes() const
+{
+    return m_watches.processes();
+}
+
+placement::planner_counts leader_duties::planner_counts() const
+{
+    return m_placement.counts();
+}
+
+std::size_t leader_duties::backends() const
+{
+    return m_registry.size();
+}
+
+} // namespace turmericswitch::control
--- /dev/null
+++ b/programs/control/leader/leader_duties.hpp
@@ -0,0 +1,96 @@
+#ifndef TURMERICSWITCH_CONTROL_LEADER_LEADER_DUTIES_HPP
+#define TURMERICSWITCH_CONTROL_LEADER_LEADER_DUTIES_HPP
+
+#include "cluster_state/cluster_state.hpp"
+#include "leader/placement_bridge.hpp"
+#include "leader/watch_hub.hpp"
+#include "node/replica.hpp"
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace turmericswitch::control
+{
+
+/// Times of the leader's work.
+struct duty_settings
+{
+    cluster_state::lease_settings leases;
+    /// Time after which a backend server that does not announce is dropped.
+    core::duration announce_lease = std::chrono::seconds(10);
+    core::duration placement_interval = std::chrono::milliseconds(100);
+    core::duration upkeep_interval = std::chrono::seconds(10);
+};
+
+using decision_hook = std::function<void(core::decision_record const&)>;
+
+/// Everything that only the control leader does: leases, permits, the
+/// registry of backend servers, placement, upkeep.
+///
+/// Make one when a leadership begins and destroy it when it ends. Use it on
+/// the event loop's thread.
+class leader_duties : public std::enable_shared_from_this<leader_duties>
+{
+public:
+    using heartbeat_hook = std::function<void(core::heartbeat_answer)>;
+
+    /// @param node Must outlive the duties.
+    leader_duties(replica& node,
+                  duty_settings settings,
+                  placement::planner_options options,
+                  decision_hook on_decision);
+
+    /// Connects to the replica; call once after construction.
+    void begin(core::time_point now);
+    /// Refuses all that waits.
+    void end();
+
+    void tick(core::time_point now, core::wall_time wall);
+    void applied(core::command_body const& command,
+                 core::command_reply const& reply);
+
+    /// Commits what the worker reports, confirms leadership, then answers.
+    void heartbeat(core::heartbeat_request request, heartbeat_hook done);
+
+    core::announce_answer announce(core::time_point now,
+                                   core::announce_request const& request);
+    void watch(core::time_point now,
+               core::watch_request request,
+               watch_hub::answer_hook done);
+
+    /// @return When the last start order sent into a zone has expired.
+    core::time_point quiet_from(core::zone_id const& zone) const;
+
+    std::map<core::client_id, process_report> const& processes() const;
+    placement::planner_counts planner_counts() const;
+    std::size_t backends() const;
+
+private:
+    void answer_heartbeat(core::heartbeat_request const& request,
+                          heartbeat_hook const& done);
+    void confirm_and_answer(core::heartbeat_request request,
+                            heartbeat_hook done);
+    void expire_leases(core::time_point now);
+    void run_placement(core::time_point now, core::wall_time wall);
+    void propose_batch(core::placement_batch batch);
+    void upkeep(core::time_point now);
+    void promote_learners();
+
+    replica& m_node;
+    duty_settings m_settings;
+    decision_hook m_on_decision;
+    cluster_state::lease_table m_leases;
+    cluster_state::heartbeat_service m_heartbeats;
+    cluster_state::backend_registry m_registry;
+    placement_bridge m_placement;
+    watch_hub m_watches;
+    core::time_point m_next_placement;
+    core::time_point m_next_upkeep;
+    bool m_expiry_waiting = false;
+    bool m_ended = false;
+};
+
+} // namespace turmericswitch::control
+
+#endif
--- /dev/null
+++ b/programs/control/leader/placement_bridge.cpp
@@ -0,0 +1,350 @@
+#include "leader/placement_bridge.hpp"
+
+#include <utility>
+
+namespace turmericswitch::control
+{
+
+namespace
+{
+
+using core::job_state;
+
+/// Seven missed heartbeats at the default interval.
+constexpr core::duration lost_after = std::chrono::seconds(3);
+/// A worker that is back within this time is still known with its reports.
+constexpr core::duration gone_after = std::chrono::minutes(10);
+
+placement::queued_job describe(core::job_record const& job)
+{
+    auto const& text = job.description;
+    return {job.job,
+            core::attempt_number(job.attempt.value() + 1),
+            text.team,
+            text.kind,
+            text.priority,
+            text.declared,
+            text.expected_run_time,
+            text.deadline};
+}
+
+placement::ending ending_of(core::job_record const* job)
+{
+    if (job == nullptr || job->state == job_state::failed)
+    {
+        return placement::ending::stopped;
+    }
+    return job->state == job_state::finished ? placement::ending::finished
+                                             : placement::ending::cancelled;
+}
+
+template <typename... Handlers>
+struct overloaded : Handlers...
+{
+    using Handlers::operator()...;
+};
+
+template <typename... Handlers>
+overloaded(Handlers...) -> overloaded<Handlers...>;
+
+} // namespace
+
+placement_bridge::placement_bridge(cluster_state::state_machine const& state,
+                                   placement::planner_options options,
+                                   core::time_point now)
+    : m_state(state), m_planner(std::move(options))
+{
+    load(now);
+}
+
+void placement_bridge::load(core::time_point now)
+{
+    m_revision = m_state.config().current();
+    m_planner.configuration_changed(now, m_state.config().in_force());
+    for (auto const& [id, worker] : m_state.workers().all())
+    {
+        sync_worker(now, id);
+    }
+    for (auto const& [id, job] : m_state.jobs().all())
+    {
+        load_job(now, job);
+    }
+}
+
+void placement_bridge::load_job(core::time_point now,
+                                core::job_record const& job)
+{
+    if (job.hold)
+    {
+        bool const is_stopping =
+            job.state == job_state::evicting || core::is_final(job.state);
+        m_planner.task_restored(now,
+                                {describe(job),
+                                 job.attempt,
+                                 job.hold->worker,
+                                 job.hold->reserved,
+                                 is_stopping});
+        remember(job);
+    }
+    else if (!core::is_final(job.state))
+    {
+        m_planner.job_queued(now, describe(job));
+        remember(job);
+    }
+}
+
+void placement_bridge::remember(core::job_record const& job)
+{
+    m_jobs[job.job] = {job.state,
+                       job.attempt,
+                       job.hold.has_value(),
+                       job.times.checkpointed,
+                       job.failures};
+}
+
+void placement_bridge::applied(core::time_point now,
+                               core::command_body const& command,
+                               core::command_reply const& reply)
+{
+    auto const sync_all = [&](auto const& items)
+    {
+        for (auto const& item : items)
+        {
+            sync_job(now, item.job);
+        }
+    };
+    std::visit(
+        overloaded{[&](core::submit_jobs const&)
+                   {
+                       for (auto const id : reply.jobs)
+                       {
+                           sync_job(now, id);
+                       }
+                   },
+                   [&](core::cancel_jobs const& each)
+                   {
+                       for (auto const id : each.jobs)
+                       {
+                           sync_job(now, id);
+                       }
+                   },
+                   [&](core::worker_reports const& each)
+                   { sync_all(each.reports); },
+                   [&](core::expire_leases const& each)
+                   { sync_all(each.tasks); },
+                   [&](core::register_worker const& each)
+                   { sync_worker(now, each.worker.worker); },
+                   [&](core::retire_worker const& each)
+                   { sync_worker(now, each.worker); },
+                   [&](core::placement_batch const& each)
+                   { sync_batch(now, each); },
+                   [](auto const&) {}},
+        command);
+    if (m_state.config().current() != m_revision)
+    {
+        m_revision = m_state.config().current();
+        m_planner.configuration_changed(now, m_state.config().in_force());
+    }
+}
+
+void placement_bridge::sync_job(core::time_point now, core::job_id id)
+{
+    auto const* const job = m_state.jobs().find(id);
+    auto const found = m_jobs.find(id);
+    auto const* const known = found == m_jobs.end() ? nullptr : &found->second;
+    if (job == nullptr || (core::is_final(job->state) && !job->hold))
+    {
+        if (known != nullptr)
+        {
+            forget(now, id);
+        }
+        return;
+    }
+    if (!job->hold)
+    {
+        sync_waiting(now, *job, known);
+    }
+    else if (known != nullptr)
+    {
+        sync_held(now, *job, *known);
+    }
+    remember(*job);
+}
+
+void placement_bridge::sync_waiting(core::time_point now,
+                                    core::job_record const& job,
+                                    known_job const* known)
+{
+    bool const is_new = known == nullptr;
+    if (!is_new && !known->has_hold && known->attempt == job.attempt)
+    {
+        return;
+    }
+    if (!is_new && job.failures > known->failures)
+    {
+        m_planner.attempt_failed(now, job.job, job.attempt);
+    }
+    m_planner.job_queued(now, describe(job));
+}
+
+void placement_bridge::sync_held(core::time_point now,
+                                 core::job_record const& job,
+                                 known_job const& known)
+{
+    bool const is_stopping =
+        job.state == job_state::evicting || core::is_final(job.state);
+    if (job.state == job_state::running && known.state != job_state::running)
+    {
+        m_planner.job_started(now, job.job, job.attempt);
+    }
+    if (job.times.checkpointed != known.checkpointed)
+    {
+        m_planner.job_checkpointed(now, job.job, job.attempt);
+    }
+    if (is_stopping && known.state != job.state)
+    {
+        m_planner.job_evicting(now, job.job, job.attempt);
+    }
+}
+
+void placement_bridge::forget(core::time_point now, core::job_id id)
+{
+    auto const* const job = m_state.jobs().find(id);
+    m_planner.job_ended(now, id, ending_of(job));
+    m_jobs.erase(id);
+}
+
+void placement_bridge::sync_worker(core::time_point now,
+                                   core::worker_id const& worker)
+{
+    auto const* const known = m_state.workers().find(worker);
+    if (known == nullptr || known->record.retired)
+    {
+        m_planner.worker_retired(now, worker);
+        m_workers.erase(worker);
+        return;
+    }
+    m_planner.worker_changed(now, known->record.description);
+    m_workers[worker] = {now, false};
+}
+
+void placement_bridge::sync_batch(core::time_point now,
+                                  core::placement_batch const& batch)
+{
+    m_waiting = false;
+    for (auto const& order : batch.placements)
+    {
+        auto const* const job = m_state.jobs().find(order.job);
+        bool const is_placed =
+            job != nullptr && job->hold && job->attempt == order.attempt;
+        if (!is_placed)
+        {
+            m_planner.placement_dropped(now, order.job, order.attempt);
+        }
+        sync_job(now, order.job);
+    }
+    for (auto const& order : batch.evictions)
+    {
+        auto const* const job = m_state.jobs().find(order.job);
+        bool const is_stopping =
+            job != nullptr && job->attempt == order.attempt &&
+            (job->state == job_state::evicting || core::is_final(job->state));
+        if (!is_stopping)
+        {
+            m_planner.eviction_dropped(order.job, order.attempt);
+        }
+        sync_job(now, order.job);
+    }
+    for (auto const& order : batch.stops)
+    {
+        sync_job(now, order.job);
+    }
+}
+
+void placement_bridge::batch_lost(core::time_point now,
+                                  core::placement_batch const& batch)
+{
+    m_waiting = false;
+    for (auto const& order : batch.placements)
+    {
+        m_planner.placement_dropped(now, order.job, order.attempt);
+    }
+    for (auto const& order : batch.evictions)
+    {
+        m_planner.eviction_dropped(order.job, order.attempt);
+    }
+    for (auto const& order : batch.stops)
+    {
+        m_planner.stop_dropped(order.job);
+    }
+}
+
+void placement_bridge::heard(core::time_point now,
+                             core::worker_id const& worker,
+                             std::vector<core::usage_sample> const& usage)
+{
+    auto const found = m_workers.find(worker);
+    if (found == m_workers.end())
+    {
+        return;
+    }
+    found->second.heard = now;
+    if (found->second.is_lost)
+    {
+        sync_worker(now, worker);
+    }
+    for (auto const& sample : usage)
+    {
+        m_planner.usage_reported(now, worker, sample);
+    }
+}
+
+void placement_bridge::find_lost_workers(core::time_point now)
+{
+    for (auto& [id, worker] : m_workers)
+    {
+        if (!worker.is_lost && now - worker.heard > lost_after)
+        {
+            worker.is_lost = true;
+            m_planner.worker_lost(now, id);
+        }
+    }
+}
+
+std::vector<core::worker_id> placement_bridge::gone(core::time_point now) const
+{
+    std::vector<core::worker_id> found;
+    for (auto const& [id, worker] : m_workers)
+    {
+        auto const* const known = m_state.workers().find(id);
+        if (worker.is_lost && now - worker.heard > gone_after &&
+            known != nullptr && known->held.empty())
+        {
+            found.push_back(id);
+        }
+    }
+    return found;
+}
+
+placement::tick_decisions placement_bridge::tick(core::time_point now,
+                                                 core::wall_time wall)
+{
+    find_lost_workers(now);
+    auto decisions = m_planner.tick(now, wall);
+    auto const& batch = decisions.batch;
+    m_waiting = !batch.placements.empty() || !batch.evictions.empty() ||
+                !batch.stops.empty();
+    return decisions;
+}
+
+bool placement_bridge::is_waiting() const noexcept
+{
+    return m_waiting;
+}
+
+placement::planner_counts placement_bridge::counts() const
+{
+    return m_planner.counts();
+}
+
+} // namespace turmericswitch::control
--- /dev/null
+++ b/programs/control/leader/placement_bridge.hpp
@@ -0,0 +1,96 @@
+#ifndef TURMERICSWITCH_CONTROL_LEADER_PLACEMENT_BRIDGE_HPP
+#define TURMERICSWITCH_CONTROL_LEADER_PLACEMENT_BRIDGE_HPP
+
+#include "cluster_state/machine/state_machine.hpp"
+#include "placement/placement.hpp"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace turmericswitch::control
+{
+
+/// Keeps a planner in step with the replicated state of a leader.
+///
+/// Make one when a leadership begins; it loads the whole state. After every
+/// applied command it compares the jobs and workers that the command names
+/// with what the planner was told, and sends the difference. It has no I/O
+/// and reads no clock.
+class placement_bridge
+{
+public:
+    /// @param state Must outlive the bridge.
+    placement_bridge(cluster_state::state_machine const& state,
+                     placement::planner_options options,
+                     core::time_point now);
+
+    /// A command was applied to the state.
+    void applied(core::time_point now,
+                 core::command_body const& command,
+                 core::command_reply const& reply);
+
+    /// A heartbeat of a known worker arrived.
+    void heard(core::time_point now,
+               core::worker_id const& worker,
+               std::vector<core::usage_sample> const& usage);
+
+    /// @return What the planner decided, to be committed as one batch.
+    placement::tick_decisions tick(core::time_point now, core::wall_time wall);
+
+    /// The batch of the last tick was not accepted.
+    void batch_lost(core::time_point now, core::placement_batch const& batch);
+
+    /// @return True while a batch is neither applied nor lost. No further
+    /// tick should run before that.
+    bool is_waiting() const noexcept;
+
+    /// @return Workers that hold nothing and were silent for so long that
+    /// they count as gone.
+    std::vector<core::worker_id> gone(core::time_point now) const;
+
+    placement::planner_counts counts() const;
+
+private:
+    /// What the planner was last told about a job.
+    struct known_job
+    {
+        core::job_state state = core::job_state::queued;
+        core::attempt_number attempt;
+        bool has_hold = false;
+        core::time_point checkpointed;
+        std::uint32_t failures = 0;
+    };
+
+    struct known_worker
+    {
+        core::time_point heard;
+        bool is_lost = false;
+    };
+
+    void load(core::time_point now);
+    void load_job(core::time_point now, core::job_record const& job);
+    void sync_job(core::time_point now, core::job_id id);
+    void sync_waiting(core::time_point now,
+                      core::job_record const& job,
+                      known_job const* known);
+    void sync_held(core::time_point now,
+                   core::job_record const& job,
+                   known_job const& known);
+    void sync_worker(core::time_point now, core::worker_id const& worker);
+    void sync_batch(core::time_point now, core::placement_batch const& batch);
+    void forget(core::time_point now, core::job_id id);
+    void remember(core::job_record const& job);
+    void find_lost_workers(core::time_point now);
+
+    cluster_state::state_machine const& m_state;
+    placement::planner m_planner;
+    std::map<core::job_id, known_job> m_jobs;
+    std::map<core::worker_id, known_worker> m_workers;
+    core::revision m_revision;
+    bool m_waiting = false;
+};
+
+} // namespace turmericswitch::control
+
+#endif
--- /dev/null
+++ b/programs/control/leader/watch_hub.cpp
@@ -0,0 +1,110 @@
+#include "leader/watch_hub.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace turmericswitch::control
+{
+
+namespace
+{
+
+/// Longest time for which a poll is held.
+constexpr core::duration longest_wait = std::chrono::seconds(30);
+/// A process that was silent for this long is no longer listed.
+constexpr core::duration forget_after = std::chrono::minutes(10);
+
+} // namespace
+
+watch_hub::watch_hub(cluster_state::configuration_state const& config,
+                     cluster_state::backend_registry const& registry)
+    : m_config(config), m_registry(registry),
+      m_seen_revision(config.current()), m_seen_registry(registry.version())
+{
+}
+
+void watch_hub::watch(core::time_point now,
+                      core::watch_request request,
+                      answer_hook done)
+{
+    note(now, request.process, request.in_force);
+    if (has_news(request))
+    {
+        done(answer_for(request));
+        return;
+    }
+    auto const until = now + std::min(request.max_wait, longest_wait);
+    m_waiting.push_back({std::move(request), until, std::move(done)});
+}
+
+void watch_hub::note(core::time_point now,
+                     core::client_id const& process,
+                     core::revision in_force)
+{
+    m_processes[process] = {in_force, now};
+}
+
+bool watch_hub::has_news(core::watch_request const& request) const
+{
+    return request.in_force < m_config.current() ||
+           request.registry != m_registry.version();
+}
+
+core::watch_answer
+watch_hub::answer_for(core::watch_request const& request) const
+{
+    core::watch_answer answer;
+    answer.current = m_config.current();
+    if (request.in_force < answer.current)
+    {
+        answer.config = m_config.in_force();
+    }
+    m_registry.changes_since(request.registry, answer);
+    return answer;
+}
+
+void watch_hub::tick(core::time_point now)
+{
+    std::erase_if(m_processes,
+                  [now](auto const& item)
+                  { return now - item.second.heard > forget_after; });
+    bool const is_changed = m_seen_revision != m_config.current() ||
+                            m_seen_registry != m_registry.version();
+    m_seen_revision = m_config.current();
+    m_seen_registry = m_registry.version();
+    std::vector<waiting> due;
+    std::erase_if(m_waiting,
+                  [&](waiting& poll)
+                  {
+                      bool const is_due =
+                          now >= poll.until ||
+                          (is_changed && has_news(poll.request));
+                      if (is_due)
+                      {
+                          due.push_back(std::move(poll));
+                      }
+                      return is_due;
+                  });
+    for (auto const& poll : due)
+    {
+        poll.done(answer_for(poll.request));
+    }
+}
+
+void watch_hub::close()
+{
+    auto const polls = std::exchange(m_waiting, {});
+    for (auto const& poll : polls)
+    {
+        core::watch_answer answer;
+        answer.code = core::result_code::not_leader;
+        poll.done(answer);
+    }
+}
+
+std::map<core::client_id, process_report> const& watch_hub::processes() const
+{
+    return m_processes;
+}
+
+} // namespace turmericswitch::control
--- /dev/null
+++ b/programs/control/leader/watch_hub.hpp
@@ -0,0 +1,74 @@
+#ifndef TURMERICSWITCH_CONTROL_LEADER_WATCH_HUB_HPP
+#define TURMERICSWITCH_CONTROL_LEADER_WATCH_HUB_HPP
+
+#include "cluster_state/configuration/configuration_state.hpp"
+#include "cluster_state/leader/backend_registry.hpp"
+#include "core/messages/registry.hpp"
+
+#include <functional>
+#include <list>
+#include <map>
+
+namespace turmericswitch::control
+{
+
+/// What a process last said about the configuration it acts on.
+struct process_report
+{
+    core::revision in_force;
+    core::time_point heard;
+};
+
+/// Holds the long polls of gateways and sidecars until something changes.
+///
+/// Only the leader has one. It has no I/O and reads no clock.
+class watch_hub
+{
+public:
+    using answer_hook = std::function<void(core::watch_answer)>;
+
+    /// @param config Must outlive the hub, as must `registry`.
+    watch_hub(cluster_state::configuration_state const& config,
+              cluster_state::backend_registry const& registry);
+
+    /// Answers at once when the asker lacks something, else at the next
+    /// change or when its waiting time has passed.
+    void watch(core::time_point now,
+               core::watch_request request,
+               answer_hook done);
+
+    /// Notes a report that came on another way than a watch.
+    void note(core::time_point now,
+              core::client_id const& process,
+              core::revision in_force);
+
+    /// Answers polls that have waited long enough or have news.
+    void tick(core::time_point now);
+
+    /// Answers every poll with `not_leader`.
+    void close();
+
+    std::map<core::client_id, process_report> const& processes() const;
+
+private:
+    struct waiting
+    {
+        core::watch_request request;
+        core::time_point until;
+        answer_hook done;
+    };
+
+    core::watch_answer answer_for(core::watch_request const& request) const;
+    bool has_news(core::watch_request const& request) const;
+
+    cluster_state::configuration_state const& m_config;
+    cluster_state::backend_registry const& m_registry;
+    std::list<waiting> m_waiting;
+    std::map<core::client_id, process_report> m_processes;
+    core::revision m_seen_revision;
+    core::registry_version m_seen_registry;
+};
+
+} // namespace turmericswitch::control
+
+#endif
--- /dev/null
+++ b/programs/control/node/control_node.cpp
@@ -0,0 +1,213 @@
+#include "node/control_node.hpp"
+
+#include <chrono>
+#include <thread>
+
+namespace turmericswitch::control
+{
+
+namespace
+{
+
+/// Two ticks per heartbeat of consensus and five per placement.
+constexpr core::duration tick_interval = std::chrono::milliseconds(20);
+constexpr std::size_t kept_decisions = 20'000;
+/// A successor is usually elected within a few round trips.
+constexpr core::duration hand_over_time = std::chrono::milliseconds(300);
+
+} // namespace
+
+control_node::control_node(transport::io_pool& io,
+                           replica_parts parts,
+                           duty_settings duties)
+    : m_decisions(kept_decisions),
+      m_commands(m_metrics.counter("turmericswitch_control_commands_total",
+                                   "Commands applied to the state.")),
+      m_elections(m_metrics.counter("turmericswitch_control_leaderships_total",
+                                    "Leaderships begun by this instance.")),
+      m_duty_settings(duties), m_links(io, parts.random_seed),
+      m_loop(tick_interval), m_replica(m_loop, std::move(parts), make_hooks())
+{
+    add_metrics();
+    on_group_changed();
+}
+
+control_node::~control_node()
+{
+    m_loop.stop();
+    if (m_duties)
+    {
+        m_duties->end();
+    }
+}
+
+replica_hooks control_node::make_hooks()
+{
+    replica_hooks hooks;
+    hooks.transmit = [this](core::consensus_message const& message)
+    { m_links.send(message); };
+    hooks.leadership_began = [this]
+    {
+        m_elections.add();
+        m_leads = true;
+        m_duties = std::make_shared<leader_duties>(
+            m_replica,
+            m_duty_settings,
+            placement::planner_options{},
+            [this](core::decision_record const& record)
+            { m_decisions.record(record); });
+        m_duties->begin(event_loop::now());
+    };
+    hooks.leadership_ended = [this]
+    {
+        m_leads = false;
+        if (auto const ended = std::exchange(m_duties, nullptr))
+        {
+            ended->end();
+        }
+    };
+    hooks.applied = [this](core::command_body const& command,
+                           core::command_reply const& reply)
+    {
+        m_commands.add();
+        if (m_duties)
+        {
+            m_duties->applied(command, reply);
+        }
+    };
+    hooks.group_changed = [this] { on_group_changed(); };
+    hooks.log = [this](std::string const& text) { m_log.info(text); };
+    return hooks;
+}
+
+void control_node::add_metrics()
+{
+    m_metrics.add_gauge_hook("turmericswitch_control_is_leader",
+                             "1 while this instance leads.",
+                             [this] { return m_leads ? 1.0 : 0.0; });
+    m_metrics.add_gauge_hook(
+        "turmericswitch_control_applied_index",
+        "Index of the last applied entry.",
+        [this] { return static_cast<double>(m_applied_index.load()); });
+    m_metrics.add_gauge_hook(
+        "turmericswitch_control_revision",
+        "Configuration revision in force here.",
+        [this] { return static_cast<double>(m_revision.load()); });
+    m_metrics.add_gauge_hook(
+        "turmericswitch_control_loop_backlog",
+        "Tasks waiting for the event loop.",
+        [this] { return static_cast<double>(m_loop.backlog()); });
+}
+
+void control_node::start()
+{
+    m_loop.start([this] { on_tick(); });
+}
+
+void control_node::stop()
+{
+    m_loop.post(
+        [this]
+        {
+            if (m_replica.is_leading())
+            {
+                m_log.info("hand over leadership before the stop");
+                m_replica.hand_over();
+            }
+        });
+    std::this_thread::sleep_for(hand_over_time);
+    m_loop.stop();
+}
+
+void control_node::run(event_loop::task work)
+{
+    m_loop.post(std::move(work));
+}
+
+void control_node::receive(core::consensus_message message)
+{
+    m_loop.post([this, message = std::move(message)]
+                { m_replica.receive(message); });
+}
+
+void control_node::on_tick()
+{
+    m_replica.tick();
+    if (m_duties)
+    {
+        // Kept alive: the leadership may end during the tick.
+        auto const duties = m_duties;
+        duties->tick(event_loop::now(),
+                     std::chrono::time_point_cast<std::chrono::microseconds>(
+                         std::chrono::system_clock::now()));
+    }
+    m_applied_index = m_replica.applied_index().value();
+    m_revision = m_replica.state().config().current().value();
+    m_knows_leader = m_replica.leader().has_value();
+}
+
+void control_node::on_group_changed()
+{
+    m_links.set_members(m_replica.self(), m_replica.membership());
+}
+
+replica& control_node::group()
+{
+    return m_replica;
+}
+
+std::shared_ptr<leader_duties> const& control_node::duties() const
+{
+    return m_duties;
+}
+
+void control_node::refresh_names()
+{
+    auto const& config = m_replica.state().config();
+    if (config.current() != m_names_revision)
+    {
+        m_names_revision = config.current();
+        m_names = naming::name_table::from_entries(config.in_force().names);
+    }
+}
+
+core::location control_node::canonical_place(core::location const& place)
+{
+    refresh_names();
+    core::location found = place;
+    found.zone = core::zone_id(m_names.resolve_or_same(core::name_kind::zone,
+                                                       place.zone.value()));
+    for (auto const& rule : m_replica.state().config().in_force().zones)
+    {
+        if (rule.zone == found.zone)
+        {
+            found.region = rule.region;
+        }
+    }
+    return found;
+}
+
+core::service_id
+control_node::canonical_service(core::service_id const& service)
+{
+    refresh_names();
+    return core::service_id(m_names.resolve_or_same(core::name_kind::service,
+                                                    service.value()));
+}
+
+telemetry::decision_log& control_node::decisions()
+{
+    return m_decisions;
+}
+
+telemetry::metrics_registry& control_node::metrics()
+{
+    return m_metrics;
+}
+
+std::string control_node::readiness() const
+{
+    return m_knows_leader ? std::string() : "no leader of the control group";
+}
+
+} // namespace turmericswitch::control
--- /dev/null
+++ b/programs/control/node/control_node.hpp
@@ -0,0 +1,87 @@
+#ifndef TURMERICSWITCH_CONTROL_NODE_CONTROL_NODE_HPP
+#define TURMERICSWITCH_CONTROL_NODE_CONTROL_NODE_HPP
+
+#include "leader/leader_duties.hpp"
+#include "naming/table/name_table.hpp"
+#include "node/event_loop.hpp"
+#include "node/peer_links.hpp"
+#include "node/replica.hpp"
+#include "telemetry/telemetry.hpp"
+
+#include <atomic>
+#include <memory>
+
+namespace turmericswitch::control
+{
+
+/// Everything of a control instance that is not a listening socket.
+///
+/// It owns the event loop, the replica and, while this instance leads, the
+/// leader's duties. Interfaces reach it by `run`, whose tasks execute on the
+/// loop's thread and may use the accessors below.
+class control_node
+{
+public:
+    /// @param io Must outlive the node.
+    control_node(transport::io_pool& io,
+                 replica_parts parts,
+                 duty_settings duties);
+    ~control_node();
+
+    control_node(control_node const&) = delete;
+    control_node& operator=(control_node const&) = delete;
+
+    void start();
+
+    /// Hands leadership over, waits a moment for a successor and ends the
+    /// loop.
+    void stop();
+
+    void run(event_loop::task work);
+
+    /// Delivers a consensus message; from any thread.
+    void receive(core::consensus_message message);
+
+    // On the loop's thread.
+    replica& group();
+    /// @return Null while another instance leads.
+    std::shared_ptr<leader_duties> const& duties() const;
+    /// @return The name by which the zone is known in the configuration in
+    /// force, and its region.
+    core::location canonical_place(core::location const& place);
+    core::service_id canonical_service(core::service_id const& service);
+
+    // From any thread.
+    telemetry::decision_log& decisions();
+    telemetry::metrics_registry& metrics();
+    /// @return Empty when this instance knows a leader, else the reason.
+    std::string readiness() const;
+
+private:
+    replica_hooks make_hooks();
+    void on_tick();
+    void on_group_changed();
+    void add_metrics();
+    void refresh_names();
+
+    telemetry::logger m_log{"control"};
+    telemetry::metrics_registry m_metrics;
+    telemetry::decision_log m_decisions;
+    telemetry::counter& m_commands;
+    telemetry::counter& m_elections;
+    duty_settings m_duty_settings;
+    std::atomic<bool> m_knows_leader = false;
+    std::atomic<std::uint64_t> m_applied_index = 0;
+    std::atomic<std::uint64_t> m_revision = 0;
+    std::atomic<bool> m_leads = false;
+    core::revision m_names_revision;
+    naming::name_table m_names;
+    peer_links m_links;
+    event_loop m_loop;
+    std::shared_ptr<leader_duties> m_duties;
+    replica m_replica;
+};
+
+} // namespace turmericswitch::control
+
+#endif
--- /dev/null
+++ b/programs/control/node/event_loop.hpp
@@ -0,0 +1,63 @@
+#ifndef TURMERICSWITCH_CONTROL_NODE_EVENT_LOOP_HPP
+#define TURMERICSWITCH_CONTROL_NODE_EVENT_LOOP_HPP
+
+#include "core/types/units.hpp"
+
+#include <condition_variable>
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <thread>
+
+namespace turmericswitch::control
+{
+
+/// The one thread that owns all decision modules of a control instance.
+///
+/// Other threads post tasks to it. A tick runs at a fixed interval between
+/// tasks. Tasks must not block.
+class event_loop
+{
+public:
+    using task = std::function<void()>;
+
+    explicit event_loop(core::duration tick_interval);
+    /// Stops as stop() does.
+    ~event_loop();
+
+    event_loop(event_loop const&) = delete;
+    event_loop& operator=(event_loop const&) = delete;
+
+    /// Starts the thread.
+    ///
+    /// @param on_tick Runs on the thread at every tick.
+    void start(task on_tick);
+
+    /// Runs the tasks posted so far and ends the thread. Later tasks are
+    /// dropped.
+    void stop();
+
+    void post(task work);
+
+    /// @return Monotonic time since the process started.
+    static core::time_point now();
+
+    /// @return Tasks waiting, for metrics.
+    std::size_t backlog() const;
+
+private:
+    void run();
+
+    core::duration m_interval;
+    task m_on_tick;
+    mutable std::mutex m_mutex;
+    std::condition_variable m_wake;
+    std::deque<task> m_tasks;
+    bool m_stopping = false;
+    std::thread m_thread;
+};
+
+} // namespace turmericswitch::control
+
+#endif
--- /dev/null
+++ b/programs/control/node/log_writer.cpp
@@ -0,0 +1,147 @@
+#include "node/log_writer.hpp"
+
+#include <iterator>
+#include <utility>
+
+namespace turmericswitch::control
+{
+
+log_writer::log_writer(store::log_store log,
+                       store::snapshot_store snapshots,
+                       persisted_hook on_persisted,
+                       failed_hook on_failed)
+    : m_log(std::move(log)), m_snapshots(std::move(snapshots)),
+      m_on_persisted(std::move(on_persisted)),
+      m_on_failed(std::move(on_failed)), m_thread([this] { run(); })
+{
+}
+
+log_writer::~log_writer()
+{
+    {
+        std::lock_guard const lock(m_mutex);
+        m_stopping = true;
+    }
+    m_wake.notify_one();
+    m_thread.join();
+}
+
+void log_writer::append(std::vector<core::log_entry> entries)
+{
+    enqueue(append_work{std::move(entries)});
+}
+
+bool log_writer::truncate(core::log_index from)
+{
+    return wait_for([this, from] { return m_log.truncate_suffix(from); });
+}
+
+bool log_writer::install(store::stored_snapshot snapshot)
+{
+    return wait_for(
+        [this, snapshot = std::move(snapshot)]
+        {
+            return m_snapshots.save(snapshot) &&
+                   m_log.reset(snapshot.metadata.last_index);
+        });
+}
+
+void log_writer::save(std::shared_ptr<store::stored_snapshot const> snapshot,
+                      saved_hook on_saved)
+{
+    other_work item;
+    item.run = [this, snapshot, on_saved = std::move(on_saved)]
+    {
+        if (!m_snapshots.save(*snapshot))
+        {
+            return false;
+        }
+        on_saved(snapshot);
+        return compact();
+    };
+    enqueue(std::move(item));
+}
+
+bool log_writer::compact()
+{
+    auto const oldest = m_snapshots.oldest_index();
+    return oldest.value() == 0 || m_log.compact_prefix(oldest);
+}
+
+void log_writer::enqueue(work item)
+{
+    {
+        std::lock_guard const lock(m_mutex);
+        m_queue.push_back(std::move(item));
+    }
+    m_wake.notify_one();
+}
+
+bool log_writer::wait_for(std::function<bool()> run)
+{
+    other_work item;
+    item.run = std::move(run);
+    auto done = item.done.get_future();
+    enqueue(std::move(item));
+    return done.get();
+}
+
+void log_writer::run()
+{
+    for (;;)
+    {
+        std::deque<work> ready;
+        {
+            std::unique_lock lock(m_mutex);
+            m_wake.wait(lock,
+                        [this] { return m_stopping || !m_queue.empty(); });
+            if (m_queue.empty())
+            {
+                return;
+            }
+            ready.swap(m_queue);
+        }
+        std::vector<core::log_entry> joined;
+        for (auto& item : ready)
+        {
+            if (auto* const more = std::get_if<append_work>(&item))
+            {
+                joined.insert(joined.end(),
+                              std::make_move_iterator(more->entries.begin()),
+                              std::make_move_iterator(more->entries.end()));
+                continue;
+            }
+            write(std::exchange(joined, {}));
+            run_other(std::get<other_work>(item));
+        }
+        write(joined);
+    }
+}
+
+void log_writer::write(std::vector<core::log_entry> const& entries)
+{
+    if (entries.empty())
+    {
+        return;
+    }
+    if (m_log.append(entries))
+    {
+        m_on_persisted(entries.back().index, entries.back().entry_term);
+    }
+    else
+    {
+        m_on_failed();
+    }
+}
+
+void log_writer::run_other(other_work& item)
+{
+    bool const is_done = item.run();
+    item.done.set_value(is_done);
+    if (!is_done)
+    {
+        m_on_failed();
+    }
+}
+
+} // namespace turmericswitch::control
--- /dev/null
+++ b/programs/control/node/log_writer.hpp
@@ -0,0 +1,89 @@
+#ifndef TURMERICSWITCH_CONTROL_NODE_LOG_WRITER_HPP
+#define TURMERICSWITCH_CONTROL_NODE_LOG_WRITER_HPP
+
+#include "store/log/log_store.hpp"
+#include "store/state/snapshot_store.hpp"
+
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <future>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <variant>
+#include <vector>
+
+namespace turmericswitch::control
+{
+
+/// The thread that writes log and snapshots, so that a slow sync does not
+/// delay heartbeats. Appends that wait are joined into one sync.
+class log_writer
+{
+public:
+    /// Called on the writer's thread.
+    using persisted_hook = std::function<void(core::log_index, core::term)>;
+    using failed_hook = std::function<void()>;
+    using saved_hook =
+        std::function<void(std::shared_ptr<store::stored_snapshot const>)>;
+
+    log_writer(store::log_store log,
+               store::snapshot_store snapshots,
+               persisted_hook on_persisted,
+               failed_hook on_failed);
+    /// Finishes what was queued.
+    ~log_writer();
+
+    log_writer(log_writer const&) = delete;
+    log_writer& operator=(log_writer const&) = delete;
+
+    void append(std::vector<core::log_entry> entries);
+
+    /// Removes entries from `from` on and waits until that is durable.
+    bool truncate(core::log_index from);
+
+    /// Saves a received snapshot, replaces the log by it, and waits.
+    bool install(store::stored_snapshot snapshot);
+
+    /// Saves an own snapshot and removes the log that it covers.
+    ///
+    /// @param on_saved Called when it is durable.
+    void save(std::shared_ptr<store::stored_snapshot const> snapshot,
+              saved_hook on_saved);
+
+private:
+    struct append_work
+    {
+        std::vector<core::log_entry> entries;
+    };
+
+    struct other_work
+    {
+        std::function<bool()> run;
+        std::promise<bool> done;
+    };
+
+    using work = std::variant<append_work, other_work>;
+
+    void enqueue(work item);
+    bool wait_for(std::function<bool()> run);
+    void run();
+    void write(std::vector<core::log_entry> const& entries);
+    void run_other(other_work& item);
+    bool compact();
+
+    store::log_store m_log;
+    store::snapshot_store m_snapshots;
+    persisted_hook m_on_persisted;
+    failed_hook m_on_failed;
+    std::mutex m_mutex;
+    std::condition_variable m_wake;
+    std::deque<work> m_queue;
+    bool m_stopping = false;
+    std::thread m_thread;
+};
+
+} // namespace turmericswitch::control
+
+#endif
--- /dev/null
+++ b/programs/control/node/peer_links.cpp
@@ -0,0 +1,66 @@
+#include "node/peer_links.hpp"
+
+#include "wire/codec/message_codec.hpp"
+#include "wire/codec/protocol_version.hpp"
+
+namespace turmericswitch::control
+{
+
+namespace
+{
+
+/// Consensus repeats a message well before this.
+constexpr core::duration send_timeout = std::chrono::seconds(2);
+
+} // namespace
+
+peer_links::peer_links(transport::io_pool& io, std::uint64_t random_seed)
+    : m_io(io), m_seed(random_seed)
+{
+}
+
+void peer_links::set_members(core::member_id self,
+                             core::group_membership const& membership)
+{
+    std::map<core::member_id, core::endpoint> wanted;
+    for (auto const& member : membership.members)
+    {
+        if (member.id != self)
+        {
+            wanted.emplace(member.id, member.rpc);
+        }
+    }
+    std::erase_if(m_links,
+                  [&wanted](auto const& item)
+                  {
+                      auto const found = wanted.find(item.first);
+                      return found == wanted.end() ||
+                             found->second != item.second->peer();
+                  });
+    for (auto const& [id, peer] : wanted)
+    {
+        if (m_links.contains(id))
+        {
+            continue;
+        }
+        transport::client_options options;
+        options.connection.protocol_version = wire::protocol_version;
+        options.random = core::seeded_random(m_seed + id.value());
+        m_links.emplace(id,
+                        std::make_unique<transport::rpc_client>(
+                            m_io, peer, std::move(options)));
+    }
+}
+
+void peer_links::send(core::consensus_message const& message)
+{
+    if (auto const link = m_links.find(message.to); link != m_links.end())
+    {
+        link->second->call("/raft",
+                           wire::encode(message),
+                           send_timeout,
+                           [](transport::call_result const&) {});
+    }
+}
+
+} // namespace turmericswitch::control
--- /dev/null
+++ b/programs/control/node/peer_links.hpp
@@ -0,0 +1,37 @@
+#ifndef TURMERICSWITCH_CONTROL_NODE_PEER_LINKS_HPP
+#define TURMERICSWITCH_CONTROL_NODE_PEER_LINKS_HPP
+
+#include "core/messages/consensus.hpp"
+#include "transport/transport.hpp"
+
+#include <map>
+#include <memory>
+
+namespace turmericswitch::control
+{
+
+/// Sends consensus messages to the other members, one connection each.
+///
+/// A message that can't be sent is dropped; consensus repeats what matters.
+/// Use it on the event loop's thread.
+class peer_links
+{
+public:
+    /// @param io Must outlive the links.
+    peer_links(transport::io_pool& io, std::uint64_t random_seed);
+
+    /// Adjusts the links to the members of the group.
+    void set_members(core::member_id self,
+                     core::group_membership const& membership);
+
+    void send(core::consensus_message const& message);
+
+private:
+    transport::io_pool& m_io;
+    std::uint64_t m_seed;
+    std::map<core::member_id, std::unique_ptr<transport::rpc_client>> m_links;
+};
+
+} // namespace turmericswitch::control
+
+#endif
--- /dev/null
+++ b/programs/control/node/replica.cpp
@@ -0,0 +1,447 @@
+#include "node/replica.hpp"
+
+#include "core/results/last_reason.hpp"
+#include "wire/codec/message_codec.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace turmericswitch::control
+{
+
+namespace
+{
+
+core::command_reply coded(core::result_code code, std::string text)
+{
+    core::command_reply reply;
+    reply.code = code;
+    reply.text = std::move(text);
+    return reply;
+}
+
+core::wall_time wall_now()
+{
+    return std::chrono::time_point_cast<std::chrono::microseconds>(
+        std::chrono::system_clock::now());
+}
+
+} // namespace
+
+replica::replica(event_loop& loop, replica_parts parts, replica_hooks hooks)
+    : m_loop(loop), m_hooks(std::move(hooks)), m_options(parts.options),
+      m_snapshot_interval(parts.snapshot_interval),
+      m_hard_state(std::move(parts.hard_state)),
+      m_state(std::move(parts.state)),
+      m_node(parts.options,
+             parts.recovered,
+             core::seeded_random(parts.random_seed),
+             event_loop::now()),
+      m_applied(parts.recovered.snapshot.last_index),
+      m_snapshot_index(parts.recovered.snapshot.last_index),
+      m_writer(
+          std::move(parts.log),
+          std::move(parts.snapshots),
+          [this](core::log_index index, core::term entry_term)
+          {
+              m_loop.post([this, index, entry_term]
+                          { feed(consensus::persisted{index, entry_term}); });
+          },
+          [this] { m_loop.post([this] { fail_storage(); }); })
+{
+}
+
+void replica::tick()
+{
+    feed(consensus::tick{});
+    maybe_snapshot();
+}
+
+void replica::receive(core::consensus_message const& message)
+{
+    feed(consensus::message{message});
+}
+
+void replica::propose(core::command_body body,
+                      core::client_id client,
+                      core::sequence_number sequence,
+                      reply_hook done)
+{
+    if (!m_is_leading)
+    {
+        done(coded(core::result_code::not_leader,
+                   "this control instance is not the leader"));
+        return;
+    }
+    auto envelope = stamped(std::move(body));
+    envelope.client = std::move(client);
+    envelope.sequence = sequence;
+    auto const id = next_ticket();
+    m_proposals.emplace(id, std::move(done));
+    m_batch.push_back({id, wire::encode(envelope)});
+    if (m_batch.size() == 1)
+    {
+        // Runs after the tasks that wait already, so their proposals share
+        // the batch and its sync.
+        m_loop.post([this] { flush(); });
+    }
+}
+
+void replica::flush()
+{
+    if (!m_batch.empty())
+    {
+        feed(consensus::propose{std::exchange(m_batch, {})});
+    }
+}
+
+core::command_envelope replica::stamped(core::command_body body) const
+{
+    core::command_envelope envelope;
+    envelope.cluster_time = m_cluster_base + (event_loop::now() - m_led_since);
+    envelope.wall = wall_now();
+    envelope.body = std::move(body);
+    return envelope;
+}
+
+void replica::read(read_hook done)
+{
+    if (!m_is_leading)
+    {
+        done(core::result_code::not_leader);
+        return;
+    }
+    auto const id = next_ticket();
+    m_reads.emplace(id, std::move(done));
+    feed(consensus::read_request{id});
+}
+
+void replica::change_membership(consensus::membership_change_kind kind,
+                                core::group_member const& member,
+                                reply_hook done)
+{
+    auto const id = next_ticket();
+    m_proposals.emplace(id, std::move(done));
+    feed(consensus::change_membership{id, kind, member});
+}
+
+void replica::hand_over()
+{
+    feed(consensus::transfer_leadership{});
+}
+
+void replica::feed(consensus::event input)
+{
+    // A hook may feed again while actions are carried out. Its event waits,
+    // so that no action overtakes one that it depends on.
+    m_events.push_back(std::move(input));
+    if (m_is_feeding)
+    {
+        return;
+    }
+    m_is_feeding = true;
+    while (!m_events.empty())
+    {
+        auto const next = std::move(m_events.front());
+        m_events.pop_front();
+        if (!run_event(next))
+        {
+            fail_storage();
+        }
+    }
+    m_is_feeding = false;
+}
+
+bool replica::run_event(consensus::event const& input)
+{
+    for (auto const& output : m_node.handle(event_loop::now(), input))
+    {
+        if (!carry_out(output))
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+void replica::fail_storage()
+{
+    if (m_storage_failed)
+    {
+        return;
+    }
+    m_storage_failed = true;
+    m_hooks.log("storage failed, the instance stays silent until restarted");
+    feed(consensus::storage_failed{});
+}
+
+bool replica::carry_out(consensus::action const& output)
+{
+    using namespace consensus;
+    if (auto const* sent = std::get_if<send>(&output))
+    {
+        m_hooks.transmit(sent->content);
+    }
+    else if (auto const* hard = std::get_if<persist_hard_state>(&output))
+    {
+        return m_hard_state.save(hard->state);
+    }
+    else if (auto const* more = std::get_if<append>(&output))
+    {
+        m_writer.append(more->entries);
+    }
+    else if (auto const* cut = std::get_if<truncate>(&output))
+    {
+        return m_writer.truncate(cut->from);
+    }
+    else if (auto const* done = std::get_if<consensus::apply>(&output))
+    {
+        apply_entries(*done);
+    }
+    else if (auto const* whole = std::get_if<install_snapshot>(&output))
+    {
+        return install(*whole);
+    }
+    else if (auto const* ready = std::get_if<read_ready>(&output))
+    {
+        finish_read(ready->id, ready->index);
+    }
+    else if (auto const* refused = std::get_if<rejected>(&output))
+    {
+        on_rejected(*refused);
+    }
+    else if (auto const* role = std::get_if<role_changed>(&output))
+    {
+        on_role(*role);
+    }
+    return true;
+}
+
+void replica::on_role(consensus::role_changed const& change)
+{
+    m_is_raft_leader = change.role == consensus::member_role::leader;
+    if (m_is_leading && !m_is_raft_leader)
+    {
+        m_is_leading = false;
+        m_hooks.log("leadership ended in term " +
+                    std::to_string(change.current_term.value()));
+        m_hooks.leadership_ended();
+    }
+    m_hooks.group_changed();
+}
+
+void replica::apply_entries(consensus::apply const& output)
+{
+    for (auto const& item : output.entries)
+    {
+        m_applied = item.entry.index;
+        if (item.entry.kind == core::entry_kind::command)
+        {
+            apply_command(item);
+        }
+        else if (item.id)
+        {
+            if (auto node = m_proposals.extract(*item.id))
+            {
+                node.mapped()(core::command_reply{});
+            }
+        }
+        if (item.entry.kind == core::entry_kind::membership)
+        {
+            m_hooks.group_changed();
+        }
+        if (m_is_raft_leader && !m_is_leading &&
+            item.entry.entry_term == m_node.current_term())
+        {
+            m_is_leading = true;
+            m_cluster_base = m_state.now();
+            m_led_since = event_loop::now();
+            m_hooks.log("leadership began in term " +
+                        std::to_string(item.entry.entry_term.value()));
+            m_hooks.leadership_began();
+        }
+    }
+    run_ready_reads();
+}
+
+void replica::apply_command(consensus::applied_entry const& item)
+{
+    auto const envelope =
+        wire::decode<core::command_envelope>(item.entry.data);
+    core::command_reply reply;
+    if (envelope)
+    {
+        reply = m_state.apply(item.entry.index, *envelope);
+        m_hooks.applied(envelope->body, reply);
+    }
+    else
+    {
+        // Skipped on every member alike, because all have the same bytes.
+        m_hooks.log("entry " + std::to_string(item.entry.index.value()) +
+                    " has no command this version understands");
+        reply = coded(core::result_code::message_malformed,
+                      core::last_reason().text);
+    }
+    if (!item.id)
+    {
+        return;
+    }
+    if (auto node = m_proposals.extract(*item.id))
+    {
+        node.mapped()(reply);
+    }
+}
+
+bool replica::install(consensus::install_snapshot const& output)
+{
+    if (!m_state.restore(output.data))
+    {
+        return false;
+    }
+    m_applied = output.metadata.last_index;
+    m_snapshot_index = m_applied;
+    m_hooks.log("snapshot up to " + std::to_string(m_applied.value()) +
+                " installed from the leader");
+    m_hooks.group_changed();
+    return m_writer.install({output.metadata, output.data});
+}
+
+void replica::finish_read(consensus::ticket id, core::log_index index)
+{
+    if (auto node = m_reads.extract(id))
+    {
+        m_ready_reads.push_back({index, std::move(node.mapped())});
+        run_ready_reads();
+    }
+}
+
+void replica::run_ready_reads()
+{
+    std::vector<waiting_read> due;
+    std::erase_if(m_ready_reads,
+                  [this, &due](waiting_read& item)
+                  {
+                      bool const is_due = item.index <= m_applied;
+                      if (is_due)
+                      {
+                          due.push_back(std::move(item));
+                      }
+                      return is_due;
+                  });
+    for (auto const& item : due)
+    {
+        item.done(core::result_code::ok);
+    }
+}
+
+void replica::on_rejected(consensus::rejected const& output)
+{
+    if (auto read = m_reads.extract(output.id))
+    {
+        read.mapped()(output.code);
+    }
+    else if (auto proposal = m_proposals.extract(output.id))
+    {
+        proposal.mapped()(coded(output.code, "the command was not accepted"));
+    }
+}
+
+void replica::maybe_snapshot()
+{
+    bool const is_due =
+        m_applied.value() >= m_snapshot_index.value() + m_snapshot_interval;
+    if (!is_due || m_snapshot_running || m_storage_failed)
+    {
+        return;
+    }
+    m_snapshot_running = true;
+    auto snapshot = std::make_shared<store::stored_snapshot const>(
+        store::stored_snapshot{m_node.snapshot_metadata_at(m_applied),
+                               m_state.snapshot()});
+    m_writer.save(
+        snapshot,
+        [this](std::shared_ptr<store::stored_snapshot const> const& saved)
+        {
+            m_loop.post(
+                [this, saved]
+                {
+                    m_snapshot_running = false;
+                    auto const index = saved->metadata.last_index;
+                    if (index <= m_snapshot_index)
+                    {
+                        return;
+                    }
+                    m_snapshot_index = index;
+                    feed(consensus::snapshot_taken{
+                        saved->metadata,
+                        std::shared_ptr<std::string const>(saved,
+                                                           &saved->data)});
+                });
+        });
+}
+
+cluster_state::state_machine const& replica::state() const noexcept
+{
+    return m_state;
+}
+
+void replica::observe_holds(cluster_state::hold_observer observer)
+{
+    m_state.observe_holds(std::move(observer));
+}
+
+bool replica::is_leading() const noexcept
+{
+    return m_is_leading;
+}
+
+core::term replica::current_term() const
+{
+    return m_node.current_term();
+}
+
+core::log_index replica::commit_index() const
+{
+    return m_node.commit_index();
+}
+
+core::log_index replica::applied_index() const noexcept
+{
+    return m_applied;
+}
+
+core::member_id replica::self() const noexcept
+{
+    return m_options.self;
+}
+
+core::group_membership const& replica::membership() const
+{
+    return m_node.membership();
+}
+
+std::optional<core::group_member> replica::leader() const
+{
+    auto const id = m_node.leader();
+    for (auto const& member : m_node.membership().members)
+    {
+        if (id && member.id == *id)
+        {
+            return member;
+        }
+    }
+    return std::nullopt;
+}
+
+bool replica::storage_has_failed() const noexcept
+{
+    return m_storage_failed;
+}
+
+consensus::ticket replica::next_ticket()
+{
+    return consensus::ticket(++m_last_ticket);
+}
+
+} // namespace turmericswitch::control
--- /dev/null
+++ b/programs/control/node/replica.hpp
@@ -0,0 +1,152 @@
+#ifndef TURMERICSWITCH_CONTROL_NODE_REPLICA_HPP
+#define TURMERICSWITCH_CONTROL_NODE_REPLICA_HPP
+
+#include "cluster_state/machine/state_machine.hpp"
+#include "consensus/node/raft_node.hpp"
+#include "node/event_loop.hpp"
+#include "node/log_writer.hpp"
+#include "store/state/hard_state_store.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace turmericswitch::control
+{
+
+/// What the rest of the process does for the replica. All are called on the
+/// event loop's thread.
+struct replica_hooks
+{
+    std::function<void(core::consensus_message const&)> transmit;
+    /// The own leadership has begun: all earlier entries are applied.
+    std::function<void()> leadership_began;
+    std::function<void()> leadership_ended;
+    /// A command was applied, on every member.
+    std::function<void(core::command_body const&, core::command_reply const&)>
+        applied;
+    /// Leader or membership changed.
+    std::function<void()> group_changed;
+    std::function<void(std::string const&)> log;
+};
+
+/// What was found on disk when the process started.
+struct replica_parts
+{
+    consensus::raft_options options;
+    consensus::recovered_state recovered;
+    store::hard_state_store hard_state;
+    store::log_store log;
+    store::snapshot_store snapshots;
+    cluster_state::state_machine state;
+    /// Entries applied between two snapshots.
+    std::uint64_t snapshot_interval = 10'000;
+    std::uint64_t random_seed = 0;
+};
+
+/// One member of the control group: consensus, its disk and the replicated
+/// state. Use it only on the thread of its event loop.
+class replica
+{
+public:
+    using reply_hook = std::function<void(core::command_reply const&)>;
+    /// `ok` when the state is current, else why it can't be read.
+    using read_hook = std::function<void(core::result_code)>;
+
+    replica(event_loop& loop, replica_parts parts, replica_hooks hooks);
+
+    void tick();
+    void receive(core::consensus_message const& message);
+
+    /// Commits a command.
+    ///
+    /// @param client Empty for commands that need no session.
+    /// @param done Gets the reply, or `not_leader`, `no_quorum` or
+    /// `outcome_unknown`.
+    void propose(core::command_body body,
+                 core::client_id client,
+                 core::sequence_number sequence,
+                 reply_hook done);
+
+    /// Confirms leadership with a quorum, then lets the caller read.
+    void read(read_hook done);
+
+    void change_membership(consensus::membership_change_kind kind,
+                           core::group_member const& member,
+                           reply_hook done);
+
+    /// Hands leadership over before a planned stop.
+    void hand_over();
+
+    cluster_state::state_machine const& state() const noexcept;
+    void observe_holds(cluster_state::hold_observer observer);
+
+    /// @return True between `leadership_began` and `leadership_ended`.
+    bool is_leading() const noexcept;
+    core::term current_term() const;
+    core::log_index commit_index() const;
+    core::log_index applied_index() const noexcept;
+    core::member_id self() const noexcept;
+    core::group_membership const& membership() const;
+    /// @return The leader's entry in the membership, if one is known.
+    std::optional<core::group_member> leader() const;
+    /// @return True after a write or sync failed; the member stays silent.
+    bool storage_has_failed() const noexcept;
+
+private:
+    void feed(consensus::event input);
+    bool run_event(consensus::event const& input);
+    bool carry_out(consensus::action const& output);
+    void on_role(consensus::role_changed const& change);
+    void apply_entries(consensus::apply const& output);
+    void apply_command(consensus::applied_entry const& item);
+    bool install(consensus::install_snapshot const& output);
+    void finish_read(consensus::ticket id, core::log_index index);
+    void run_ready_reads();
+    void on_rejected(consensus::rejected const& output);
+    void maybe_snapshot();
+    void flush();
+    void fail_storage();
+    core::command_envelope stamped(core::command_body body) const;
+    consensus::ticket next_ticket();
+
+    struct waiting_read
+    {
+        core::log_index index;
+        read_hook done;
+    };
+
+    event_loop& m_loop;
+    replica_hooks m_hooks;
+    consensus::raft_options m_options;
+    std::uint64_t m_snapshot_interval;
+    store::hard_state_store m_hard_state;
+    cluster_state::state_machine m_state;
+    consensus::raft_node m_node;
+    core::log_index m_applied;
+    core::log_index m_snapshot_index;
+    std::deque<consensus::event> m_events;
+    bool m_is_feeding = false;
+    bool m_snapshot_running = false;
+    bool m_storage_failed = false;
+    bool m_is_raft_leader = false;
+    bool m_is_leading = false;
+    /// Cluster time and own clock when the leadership began.
+    core::time_point m_cluster_base;
+    core::time_point m_led_since;
+    std::uint64_t m_last_ticket = 0;
+    std::vector<consensus::proposal> m_batch;
+    std::map<consensus::ticket, reply_hook> m_proposals;
+    std::map<consensus::ticket, read_hook> m_reads;
+    std::vector<waiting_read> m_ready_reads;
+    /// Last member, so that its thread ends first.
+    log_writer m_writer;
+};
+
+} // namespace turmericswitch::control
+
+#endif
