--- /dev/null
+++ b/modules/telemetry/log/logging.hpp
@@ -0,0 +1,45 @@
+#ifndef TURMERICSWITCH_TELEMETRY_LOG_LOGGING_HPP
+#define TURMERICSWITCH_TELEMETRY_LOG_LOGGING_HPP
+
+#include "telemetry/log/log_level.hpp"
+
+#include <memory>
+#include <string>
+
+namespace turmericswitch::telemetry
+{
+
+/// Where log lines go.
+struct log_options
+{
+    log_level lowest = log_level::info;
+    /// File that lines are appended to; empty for the standard error stream.
+    std::string file;
+};
+
+/// Writes log lines while it lives.
+///
+/// Create one at the beginning of main(). A thread of its own formats and
+/// writes the lines; a caller waits only when the queue of lines is full.
+class logging
+{
+public:
+    /// @return Null if the file can't be opened; last_reason() has io_failed.
+    static std::unique_ptr<logging> start(log_options const& options);
+
+    /// Writes what is queued.
+    ~logging();
+
+    logging(logging const&) = delete;
+    logging& operator=(logging const&) = delete;
+
+private:
+    struct state;
+    explicit logging(std::unique_ptr<state> hidden);
+
+    std::unique_ptr<state> m_state;
+};
+
+} // namespace turmericswitch::telemetry
+
+#endif
--- /dev/null
+++ b/modules/telemetry/tests/logging_test.cpp
@@ -0,0 +1,120 @@
+#include "core/results/last_reason.hpp"
+#include "telemetry/telemetry.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <filesystem>
+#include <fstream>
+#include <regex>
+#include <thread>
+#include <unistd.h>
+
+namespace turmericswitch::telemetry
+{
+
+class logging_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(logging_test);
+    CPPUNIT_TEST(lines_have_time_level_and_prefix);
+    CPPUNIT_TEST(no_line_of_any_thread_is_lost);
+    CPPUNIT_TEST(unwritable_file_is_reported);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        m_file = std::filesystem::temp_directory_path() /
+                 ("logging_test." + std::to_string(::getpid()));
+    }
+
+    void tearDown() override
+    {
+        std::filesystem::remove(m_file);
+    }
+
+private:
+    std::vector<std::string> lines() const
+    {
+        std::ifstream file(m_file);
+        std::vector<std::string> all;
+        for (std::string line; std::getline(file, line);)
+        {
+            all.push_back(line);
+        }
+        return all;
+    }
+
+    // Guards the form that operators search for, and against a text that
+    // forges a second line.
+    void lines_have_time_level_and_prefix()
+    {
+        logger const log("gateway");
+        log.error("before");
+        {
+            auto const running =
+                logging::start({log_level::info, m_file.string()});
+            log.debug("hidden");
+            log.info("a\nb");
+            log.warning("c");
+            log.error("d");
+        }
+        log.error("after");
+        auto const found = lines();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, found.size());
+        std::string const time = R"(\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{6}Z )";
+        CPPUNIT_ASSERT(
+            std::regex_match(found[0], std::regex(time + "info gateway: a b")));
+        CPPUNIT_ASSERT(std::regex_match(
+            found[1], std::regex(time + "warning gateway: c")));
+        CPPUNIT_ASSERT(
+            std::regex_match(found[2], std::regex(time + "error gateway: d")));
+    }
+
+    // Guards against lines that are mixed up, or dropped when the queue is
+    // full or at the end of the process.
+    void no_line_of_any_thread_is_lost()
+    {
+        constexpr int per_thread = 5000;
+        {
+            auto const running =
+                logging::start({log_level::info, m_file.string()});
+            std::vector<std::thread> threads;
+            for (int i = 0; i < 4; ++i)
+            {
+                threads.emplace_back(
+                    []
+                    {
+                        logger const log("part");
+                        for (int n = 0; n < per_thread; ++n)
+                        {
+                            log.info("text");
+                        }
+                    });
+            }
+            for (auto& thread : threads)
+            {
+                thread.join();
+            }
+        }
+        auto const found = lines();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4 * per_thread}, found.size());
+        for (auto const& line : found)
+        {
+            CPPUNIT_ASSERT(line.ends_with("Z info part: text"));
+        }
+    }
+
+    // Guards against a daemon that runs without its log.
+    void unwritable_file_is_reported()
+    {
+        CPPUNIT_ASSERT(!logging::start({log_level::info, "/nonexistent/log"}));
+        CPPUNIT_ASSERT(core::last_reason().code ==
+                       core::result_code::io_failed);
+    }
+
+    std::filesystem::path m_file;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(logging_test);
+
+} // namespace turmericswitch::telemetry
