--- /dev/null
+++ b/modules/process/arguments/arguments.cpp
@@ -0,0 +1,129 @@
+#include "process/arguments/arguments.hpp"
+
+#include "core/results/last_reason.hpp"
+
+#include <docopt/docopt.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace turmericswitch::process
+{
+
+namespace
+{
+
+constexpr int usage_exit_status = 2;
+
+arguments from_docopt(std::map<std::string, docopt::value> const& values)
+{
+    arguments parsed;
+    for (auto const& [name, value] : values)
+    {
+        std::vector<std::string> texts;
+        bool set = false;
+        if (value.isBool())
+        {
+            set = value.asBool();
+        }
+        else if (value.isLong())
+        {
+            set = value.asLong() > 0;
+        }
+        else if (value.isString())
+        {
+            texts.push_back(value.asString());
+        }
+        else if (value.isStringList())
+        {
+            texts = value.asStringList();
+        }
+        parsed.add(name, set || !texts.empty(), std::move(texts));
+    }
+    return parsed;
+}
+
+arguments_result wrong_usage(std::string const& usage, std::string const& why)
+{
+    std::string const text =
+        why.empty() ? "the command line matches no usage" : why;
+    core::fail(core::result_code::usage, text);
+    return {std::nullopt, text + "\n\n" + usage, usage_exit_status};
+}
+
+} // namespace
+
+bool arguments::flag(std::string_view name) const
+{
+    argument const* const found = find(name);
+    return found != nullptr && found->set;
+}
+
+std::optional<std::string> arguments::text(std::string_view name) const
+{
+    argument const* const found = find(name);
+    return found == nullptr || found->values.empty()
+               ? std::nullopt
+               : std::optional(found->values.front());
+}
+
+std::vector<std::string> arguments::list(std::string_view name) const
+{
+    argument const* const found = find(name);
+    return found == nullptr ? std::vector<std::string>() : found->values;
+}
+
+void arguments::add(std::string name, bool set, std::vector<std::string> values)
+{
+    m_arguments.push_back({std::move(name), set, std::move(values)});
+}
+
+arguments::argument const* arguments::find(std::string_view name) const
+{
+    auto const found =
+        std::find_if(m_arguments.begin(),
+                     m_arguments.end(),
+                     [name](argument const& one) { return one.name == name; });
+    return found == m_arguments.end() ? nullptr : &*found;
+}
+
+arguments_result parse_arguments(std::string const& usage,
+                                 std::vector<std::string> const& words,
+                                 std::string const& version)
+{
+    try
+    {
+        return {from_docopt(docopt::docopt_parse(usage, words)), "", 0};
+    }
+    catch (docopt::DocoptExitHelp const&)
+    {
+        return {std::nullopt, usage, 0};
+    }
+    catch (docopt::DocoptExitVersion const&)
+    {
+        return {std::nullopt, version + "\n", 0};
+    }
+    catch (docopt::DocoptArgumentError const& error)
+    {
+        return wrong_usage(usage, error.what());
+    }
+}
+
+arguments_result parse_daemon_arguments(std::string const& program,
+                                        std::string const& purpose,
+                                        std::vector<std::string> const& words,
+                                        std::string const& version)
+{
+    std::string const usage = purpose + "\n\nUsage:\n  " + program +
+                              " --config FILE [--check-config]\n  " + program +
+                              " --help\n  " + program +
+                              " --version\n\n"
+                              "Options:\n"
+                              "  --config FILE   Settings file.\n"
+                              "  --check-config  Check the settings and exit.\n"
+                              "  -h --help       Show this text.\n"
+                              "  --version       Show the version.\n";
+    return parse_arguments(usage, words, program + " " + version);
+}
+
+} // namespace turmericswitch::process
--- /dev/null
+++ b/modules/process/process.hpp
@@ -0,0 +1,14 @@
+#ifndef TURMERICSWITCH_PROCESS_PROCESS_HPP
+#define TURMERICSWITCH_PROCESS_PROCESS_HPP
+
+/// @file
+/// Module process: what every program needs at its start and end: command
+/// line, stop signals, the file that names the bound ports.
+///
+/// Dependencies: core, docopt (in the implementation only).
+
+#include "process/arguments/arguments.hpp"
+#include "process/ports/ports_file.hpp"
+#include "process/signals/shutdown_signal.hpp"
+
+#endif
