--- a/programs/control/api/loop_call.hpp
+++ b/programs/control/api/loop_call.hpp
@@ -29,8 +29,7 @@
     auto const promise = std::make_shared<std::promise<Result>>();
     auto future = promise->get_future();
     node.run(
-        [start = std::move(start), promise]
-        {
+        [start = std::move(start), promise] {
             start([promise](Result value)
                   { promise->set_value(std::move(value)); });
         });
--- a/programs/control/api/operator_api.cpp
+++ b/programs/control/api/operator_api.cpp
@@ -109,14 +109,15 @@
             std::function<void(write_result)> const& done)
         {
             // An operation is a session of one command.
-            core::sequence_number const sequence(
-                client.value().empty() ? 0 : 1);
+            core::sequence_number const sequence(client.value().empty() ? 0
+                                                                        : 1);
             m_node.group().propose(
                 body,
                 client,
                 sequence,
-                [this, done](core::command_reply const& reply)
-                { done({reply, m_node.group().leader()}); });
+                [this, done](core::command_reply const& reply) {
+                    done({reply, m_node.group().leader()});
+                });
         });
     return result ? response_of(request, *result) : last_error();
 }
@@ -127,8 +128,8 @@
     using web::path_parameters;
     auto const reading = [this](auto build)
     {
-        return [this, build](http_request const& request,
-                             path_parameters const&)
+        return
+            [this, build](http_request const& request, path_parameters const&)
         {
             return read(request,
                         [this, build, request]
@@ -137,8 +138,8 @@
     };
     auto const writing = [this](auto handle)
     {
-        return [this, handle](http_request const& request,
-                              path_parameters const&)
+        return
+            [this, handle](http_request const& request, path_parameters const&)
         { return (this->*handle)(request); };
     };
     auto const zone_to = [this](core::zone_state state)
@@ -299,12 +300,10 @@
                                        "unknown job state " + *name);
         }
     }
-    return read(request,
-                [this, state, limit = limit_of(request)]
-                {
-                    return web::json_response(
-                        jobs_to_json(m_node, state, limit));
-                });
+    return read(
+        request,
+        [this, state, limit = limit_of(request)]
+        { return web::json_response(jobs_to_json(m_node, state, limit)); });
 }
 
 web::http_response operator_api::show_job(web::http_request const& request,
@@ -346,8 +345,9 @@
             m_node.group().change_membership(
                 kind,
                 member,
-                [this, done](core::command_reply const& reply)
-                { done({reply, m_node.group().leader()}); });
+                [this, done](core::command_reply const& reply) {
+                    done({reply, m_node.group().leader()});
+                });
         });
     return result ? response_of(request, *result) : last_error();
 }
--- a/programs/control/api/process_api.cpp
+++ b/programs/control/api/process_api.cpp
@@ -93,8 +93,7 @@
         });
 }
 
-void process_api::announce(std::string const& body,
-                           transport::responder answer)
+void process_api::announce(std::string const& body, transport::responder answer)
 {
     auto request = wire::decode<core::announce_request>(body);
     if (!request)
@@ -103,7 +102,9 @@
         return;
     }
     m_node.run(
-        [this, request = std::move(*request), answer = std::move(answer)]() mutable
+        [this,
+         request = std::move(*request),
+         answer = std::move(answer)]() mutable
         {
             core::announce_answer reply;
             if (auto const& duties = m_node.duties())
@@ -139,18 +140,18 @@
     m_node.run(
         [this, envelope = std::move(*envelope), answer = std::move(answer)]
         {
-            m_node.group().propose(
-                envelope.body,
-                envelope.client,
-                envelope.sequence,
-                [this, answer](core::command_reply reply)
-                {
-                    if (reply.code == core::result_code::not_leader)
-                    {
-                        reply.leader = leader_rpc();
-                    }
-                    answer.answer(wire::encode(reply));
-                });
+            m_node.group().propose(envelope.body,
+                                   envelope.client,
+                                   envelope.sequence,
+                                   [this, answer](core::command_reply reply)
+                                   {
+                                       if (reply.code ==
+                                           core::result_code::not_leader)
+                                       {
+                                           reply.leader = leader_rpc();
+                                       }
+                                       answer.answer(wire::encode(reply));
+                                   });
         });
 }
 
--- a/programs/control/api/request_body.cpp
+++ b/programs/control/api/request_body.cpp
@@ -92,9 +92,9 @@
     {
         return std::nullopt;
     }
-    bool const lacks_address = change->action == member_action::add &&
-                               (change->member.rpc.port == 0 ||
-                                change->member.http.port == 0);
+    bool const lacks_address =
+        change->action == member_action::add &&
+        (change->member.rpc.port == 0 || change->member.http.port == 0);
     if (change->member.id.value() == 0 || lacks_address)
     {
         return core::fail(core::result_code::request_malformed,
--- a/programs/control/api/state_json.cpp
+++ b/programs/control/api/state_json.cpp
@@ -89,8 +89,8 @@
         if (is_out && node.duties())
         {
             auto const quiet = node.duties()->quiet_from(rule.zone);
-            zone["quiet_in_ms"] = milliseconds(
-                std::max(quiet - now, core::duration::zero()));
+            zone["quiet_in_ms"] =
+                milliseconds(std::max(quiet - now, core::duration::zero()));
         }
         list.push_back(std::move(zone));
     }
@@ -161,8 +161,7 @@
 std::string rules_to_json(control_node& node)
 {
     auto const& config = node.group().state().config();
-    return json{{"revision", config.current().value()},
-                {"text", config.text()}}
+    return json{{"revision", config.current().value()}, {"text", config.text()}}
         .dump();
 }
 
--- a/programs/control/api/worker_api.cpp
+++ b/programs/control/api/worker_api.cpp
@@ -45,8 +45,9 @@
             auto& place = heartbeat.worker.place;
             place = m_node.canonical_place(place);
             duties->heartbeat(std::move(heartbeat),
-                              [done](core::heartbeat_answer answer)
-                              { done({std::move(answer), std::nullopt}); });
+                              [done](core::heartbeat_answer answer) {
+                                  done({std::move(answer), std::nullopt});
+                              });
         });
     if (!result)
     {
--- a/programs/control/api/worker_api.hpp
+++ b/programs/control/api/worker_api.hpp
@@ -22,9 +22,8 @@
 };
 
 /// @return 421 with the leader's HTTP address in the field `Location`.
-web::http_response
-misdirected(std::optional<core::group_member> const& leader,
-            std::string const& target);
+web::http_response misdirected(std::optional<core::group_member> const& leader,
+                               std::string const& target);
 
 } // namespace turmericswitch::control
 
--- a/programs/control/leader/leader_duties.cpp
+++ b/programs/control/leader/leader_duties.cpp
@@ -29,8 +29,10 @@
                              duty_settings settings,
                              placement::planner_options options,
                              decision_hook on_decision)
-    : m_node(node), m_settings(settings),
-      m_on_decision(std::move(on_decision)), m_leases(settings.leases),
+    : m_node(node),
+      m_settings(settings),
+      m_on_decision(std::move(on_decision)),
+      m_leases(settings.leases),
       m_heartbeats(m_leases),
       m_registry(node.current_term(), settings.announce_lease),
       m_placement(node.state(), std::move(options), event_loop::now()),
@@ -86,25 +88,25 @@
         m_node.propose(
             std::move(command), {}, {}, [](core::command_reply const&) {});
     }
-    m_node.propose(
-        std::move(last),
-        {},
-        {},
-        [self = shared_from_this(),
-         request = std::move(request),
-         done = std::move(done)](core::command_reply const& reply)
-        {
-            bool const is_committed =
-                reply.code == core::result_code::ok ||
-                reply.code == core::result_code::wrong_incarnation ||
-                reply.code == core::result_code::worker_unknown;
-            if (self->m_ended || !is_committed)
-            {
-                done(refusal(request, core::result_code::not_leader));
-                return;
-            }
-            self->answer_heartbeat(request, done);
-        });
+    m_node.propose(std::move(last),
+                   {},
+                   {},
+                   [self = shared_from_this(),
+                    request = std::move(request),
+                    done = std::move(done)](core::command_reply const& reply)
+                   {
+                       bool const is_committed =
+                           reply.code == core::result_code::ok ||
+                           reply.code == core::result_code::wrong_incarnation ||
+                           reply.code == core::result_code::worker_unknown;
+                       if (self->m_ended || !is_committed)
+                       {
+                           done(
+                               refusal(request, core::result_code::not_leader));
+                           return;
+                       }
+                       self->answer_heartbeat(request, done);
+                   });
 }
 
 void leader_duties::confirm_and_answer(core::heartbeat_request request,
@@ -253,10 +255,9 @@
         if (member.learner)
         {
             // Refused until the learner has caught up; tried again later.
-            m_node.change_membership(
-                consensus::membership_change_kind::promote,
-                member,
-                [](core::command_reply const&) {});
+            m_node.change_membership(consensus::membership_change_kind::promote,
+                                     member,
+                                     [](core::command_reply const&) {});
             return;
         }
     }
--- a/programs/control/leader/placement_bridge.cpp
+++ b/programs/control/leader/placement_bridge.cpp
@@ -114,31 +114,29 @@
         }
     };
     std::visit(
-        overloaded{[&](core::submit_jobs const&)
-                   {
-                       for (auto const id : reply.jobs)
-                       {
-                           sync_job(now, id);
-                       }
-                   },
-                   [&](core::cancel_jobs const& each)
-                   {
-                       for (auto const id : each.jobs)
-                       {
-                           sync_job(now, id);
-                       }
-                   },
-                   [&](core::worker_reports const& each)
-                   { sync_all(each.reports); },
-                   [&](core::expire_leases const& each)
-                   { sync_all(each.tasks); },
-                   [&](core::register_worker const& each)
-                   { sync_worker(now, each.worker.worker); },
-                   [&](core::retire_worker const& each)
-                   { sync_worker(now, each.worker); },
-                   [&](core::placement_batch const& each)
-                   { sync_batch(now, each); },
-                   [](auto const&) {}},
+        overloaded{
+            [&](core::submit_jobs const&)
+            {
+                for (auto const id : reply.jobs)
+                {
+                    sync_job(now, id);
+                }
+            },
+            [&](core::cancel_jobs const& each)
+            {
+                for (auto const id : each.jobs)
+                {
+                    sync_job(now, id);
+                }
+            },
+            [&](core::worker_reports const& each) { sync_all(each.reports); },
+            [&](core::expire_leases const& each) { sync_all(each.tasks); },
+            [&](core::register_worker const& each)
+            { sync_worker(now, each.worker.worker); },
+            [&](core::retire_worker const& each)
+            { sync_worker(now, each.worker); },
+            [&](core::placement_batch const& each) { sync_batch(now, each); },
+            [](auto const&) {}},
         command);
     if (m_state.config().current() != m_revision)
     {
--- a/programs/control/leader/watch_hub.cpp
+++ b/programs/control/leader/watch_hub.cpp
@@ -18,8 +18,10 @@
 
 watch_hub::watch_hub(cluster_state::configuration_state const& config,
                      cluster_state::backend_registry const& registry)
-    : m_config(config), m_registry(registry),
-      m_seen_revision(config.current()), m_seen_registry(registry.version())
+    : m_config(config),
+      m_registry(registry),
+      m_seen_revision(config.current()),
+      m_seen_registry(registry.version())
 {
 }
 
--- a/programs/control/leader/watch_hub.hpp
+++ b/programs/control/leader/watch_hub.hpp
@@ -33,9 +33,8 @@
 
     /// Answers at once when the asker lacks something, else at the next
     /// change or when its waiting time has passed.
-    void watch(core::time_point now,
-               core::watch_request request,
-               answer_hook done);
+    void
+    watch(core::time_point now, core::watch_request request, answer_hook done);
 
     /// Notes a report that came on another way than a watch.
     void note(core::time_point now,
--- a/programs/control/node/control_node.cpp
+++ b/programs/control/node/control_node.cpp
@@ -25,8 +25,10 @@
                                    "Commands applied to the state.")),
       m_elections(m_metrics.counter("turmericswitch_control_leaderships_total",
                                     "Leaderships begun by this instance.")),
-      m_duty_settings(duties), m_links(io, parts.random_seed),
-      m_loop(tick_interval), m_replica(m_loop, std::move(parts), make_hooks())
+      m_duty_settings(duties),
+      m_links(io, parts.random_seed),
+      m_loop(tick_interval),
+      m_replica(m_loop, std::move(parts), make_hooks())
 {
     add_metrics();
     on_group_changed();
@@ -93,10 +95,10 @@
         "turmericswitch_control_revision",
         "Configuration revision in force here.",
         [this] { return static_cast<double>(m_revision.load()); });
-    m_metrics.add_gauge_hook(
-        "turmericswitch_control_loop_backlog",
-        "Tasks waiting for the event loop.",
-        [this] { return static_cast<double>(m_loop.backlog()); });
+    m_metrics.add_gauge_hook("turmericswitch_control_loop_backlog",
+                             "Tasks waiting for the event loop.",
+                             [this]
+                             { return static_cast<double>(m_loop.backlog()); });
 }
 
 void control_node::start()
@@ -175,8 +177,8 @@
 {
     refresh_names();
     core::location found = place;
-    found.zone = core::zone_id(m_names.resolve_or_same(core::name_kind::zone,
-                                                       place.zone.value()));
+    found.zone = core::zone_id(
+        m_names.resolve_or_same(core::name_kind::zone, place.zone.value()));
     for (auto const& rule : m_replica.state().config().in_force().zones)
     {
         if (rule.zone == found.zone)
@@ -191,8 +193,8 @@
 control_node::canonical_service(core::service_id const& service)
 {
     refresh_names();
-    return core::service_id(m_names.resolve_or_same(core::name_kind::service,
-                                                    service.value()));
+    return core::service_id(
+        m_names.resolve_or_same(core::name_kind::service, service.value()));
 }
 
 telemetry::decision_log& control_node::decisions()
--- a/programs/control/node/event_loop.cpp
+++ b/programs/control/node/event_loop.cpp
@@ -15,8 +15,7 @@
 
 } // namespace
 
-event_loop::event_loop(core::duration tick_interval)
-    : m_interval(tick_interval)
+event_loop::event_loop(core::duration tick_interval) : m_interval(tick_interval)
 {
 }
 
--- a/programs/control/node/log_writer.cpp
+++ b/programs/control/node/log_writer.cpp
@@ -10,9 +10,11 @@
                        store::snapshot_store snapshots,
                        persisted_hook on_persisted,
                        failed_hook on_failed)
-    : m_log(std::move(log)), m_snapshots(std::move(snapshots)),
+    : m_log(std::move(log)),
+      m_snapshots(std::move(snapshots)),
       m_on_persisted(std::move(on_persisted)),
-      m_on_failed(std::move(on_failed)), m_thread([this] { run(); })
+      m_on_failed(std::move(on_failed)),
+      m_thread([this] { run(); })
 {
 }
 
--- /dev/null
+++ b/programs/control/node/recovery.cpp
@@ -0,0 +1,137 @@
+#include "node/recovery.hpp"
+
+#include "core/results/last_reason.hpp"
+
+#include <utility>
+
+namespace turmericswitch::control
+{
+
+namespace
+{
+
+consensus::raft_options options_of(control_settings const& settings)
+{
+    consensus::raft_options options;
+    options.self = settings.member;
+    options.election_timeout = settings.election_timeout;
+    options.heartbeat_interval = settings.heartbeat_interval;
+    return options;
+}
+
+/// Writes identity, hard state and, for a first member, the first entry.
+bool create(store::hard_state_store& hard_state,
+            store::log_store& log,
+            consensus::recovered_state const& first,
+            control_settings const& settings,
+            std::uint64_t marker)
+{
+    // The identity comes last: a folder with an identity is complete.
+    return (first.entries.empty() || log.append(first.entries)) &&
+           hard_state.create({settings.group, settings.member, marker},
+                             first.hard);
+}
+
+bool has_right_identity(store::hard_state_store& hard_state,
+                        control_settings const& settings)
+{
+    auto const identity = hard_state.load_identity(settings.member);
+    if (!identity)
+    {
+        return false;
+    }
+    return identity->group == settings.group ||
+           core::fail_bool(core::result_code::identity_lost,
+                           "the data folder belongs to group " +
+                               identity->group);
+}
+
+consensus::recovered_state first_state(control_settings const& settings,
+                                       start_mode mode)
+{
+    return mode == start_mode::bootstrap
+               ? consensus::bootstrap_state(settings.first_members)
+               : consensus::recovered_state{};
+}
+
+bool lists_member(control_settings const& settings)
+{
+    for (auto const& member : settings.first_members.members)
+    {
+        if (member.id == settings.member)
+        {
+            return true;
+        }
+    }
+    return core::fail_bool(core::result_code::settings_missing_key,
+                           "the section members must list this member to "
+                           "bootstrap a group");
+}
+
+} // namespace
+
+std::optional<replica_parts> recover(store::file_system& files,
+                                     control_settings const& settings,
+                                     start_mode mode,
+                                     std::uint64_t random_seed)
+{
+    if (mode == start_mode::bootstrap && !lists_member(settings))
+    {
+        return std::nullopt;
+    }
+    store::hard_state_store hard_state(files, settings.data_folder + "/state");
+    store::snapshot_store snapshots(files, settings.data_folder + "/snapshots");
+    if (mode == start_mode::normal && !has_right_identity(hard_state, settings))
+    {
+        return std::nullopt;
+    }
+    auto snapshot = snapshots.load_newest();
+    if (!snapshot)
+    {
+        return std::nullopt;
+    }
+    auto const& metadata = snapshot->metadata;
+    auto log =
+        store::log_store::open(files,
+                               settings.data_folder + "/log",
+                               {metadata.last_index, metadata.last_term});
+    if (!log)
+    {
+        return std::nullopt;
+    }
+    consensus::recovered_state recovered;
+    recovered.snapshot = metadata;
+    recovered.entries = log->take_recovered();
+    if (mode != start_mode::normal)
+    {
+        auto const first = first_state(settings, mode);
+        if (!create(hard_state, *log, first, settings, random_seed))
+        {
+            return std::nullopt;
+        }
+        recovered.entries = first.entries;
+    }
+    auto const hard = hard_state.load();
+    if (!hard)
+    {
+        return std::nullopt;
+    }
+    recovered.hard = *hard;
+    cluster_state::state_machine state;
+    if (metadata.last_index.value() > 0 && !state.restore(snapshot->data))
+    {
+        return std::nullopt;
+    }
+    recovered.snapshot_data =
+        std::make_shared<std::string const>(std::move(snapshot->data));
+    return replica_parts{options_of(settings),
+                         std::move(recovered),
+                         std::move(hard_state),
+                         std::move(*log),
+                         std::move(snapshots),
+                         std::move(state),
+                         settings.snapshot_interval,
+                         random_seed};
+}
+
+} // namespace turmericswitch::control
--- /dev/null
+++ b/programs/control/node/recovery.hpp
@@ -0,0 +1,36 @@
+#ifndef TURMERICSWITCH_CONTROL_NODE_RECOVERY_HPP
+#define TURMERICSWITCH_CONTROL_NODE_RECOVERY_HPP
+
+#include "node/replica.hpp"
+#include "settings/control_settings.hpp"
+#include "store/files/file_system.hpp"
+
+#include <optional>
+
+namespace turmericswitch::control
+{
+
+/// How an instance starts.
+enum class start_mode : std::uint8_t
+{
+    /// With the identity and state in its data folder.
+    normal,
+    /// As one of the first members of a new group, with an empty folder.
+    bootstrap,
+    /// As a new member that waits to be added, with an empty folder.
+    join,
+};
+
+/// Reads what the data folder has, or prepares an empty one.
+///
+/// @param files Must outlive the parts.
+/// @return Nothing with `identity_lost`, `log_damaged`, `snapshot_damaged`,
+/// `snapshot_log_mismatch` or the code of a file operation.
+std::optional<replica_parts> recover(store::file_system& files,
+                                     control_settings const& settings,
+                                     start_mode mode,
+                                     std::uint64_t random_seed);
+
+} // namespace turmericswitch::control
+
+#endif
--- a/programs/control/node/replica.cpp
+++ b/programs/control/node/replica.cpp
@@ -30,7 +30,9 @@
 } // namespace
 
 replica::replica(event_loop& loop, replica_parts parts, replica_hooks hooks)
-    : m_loop(loop), m_hooks(std::move(hooks)), m_options(parts.options),
+    : m_loop(loop),
+      m_hooks(std::move(hooks)),
+      m_options(parts.options),
       m_snapshot_interval(parts.snapshot_interval),
       m_hard_state(std::move(parts.hard_state)),
       m_state(std::move(parts.state)),
@@ -45,8 +47,10 @@
           std::move(parts.snapshots),
           [this](core::log_index index, core::term entry_term)
           {
-              m_loop.post([this, index, entry_term]
-                          { feed(consensus::persisted{index, entry_term}); });
+              m_loop.post(
+                  [this, index, entry_term] {
+                      feed(consensus::persisted{index, entry_term});
+                  });
           },
           [this] { m_loop.post([this] { fail_storage(); }); })
 {
@@ -267,8 +271,7 @@
 
 void replica::apply_command(consensus::applied_entry const& item)
 {
-    auto const envelope =
-        wire::decode<core::command_envelope>(item.entry.data);
+    auto const envelope = wire::decode<core::command_envelope>(item.entry.data);
     core::command_reply reply;
     if (envelope)
     {
@@ -356,9 +359,9 @@
         return;
     }
     m_snapshot_running = true;
-    auto snapshot = std::make_shared<store::stored_snapshot const>(
-        store::stored_snapshot{m_node.snapshot_metadata_at(m_applied),
-                               m_state.snapshot()});
+    auto snapshot =
+        std::make_shared<store::stored_snapshot const>(store::stored_snapshot{
+            m_node.snapshot_metadata_at(m_applied), m_state.snapshot()});
     m_writer.save(
         snapshot,
         [this](std::shared_ptr<store::stored_snapshot const> const& saved)
--- /dev/null
+++ b/programs/control/settings/control_settings.cpp
@@ -0,0 +1,101 @@
+#include "settings/control_settings.hpp"
+
+namespace turmericswitch::control
+{
+
+namespace
+{
+
+using settings::settings_reader;
+using namespace std::chrono_literals;
+
+constexpr std::int64_t highest_member = 1000;
+constexpr std::int64_t highest_first_member = 16;
+
+/// A lease shorter than a few heartbeats would end between two of them.
+constexpr settings::value_range<core::duration> lease_range{2s, 24h};
+
+void parse_process(settings_reader& reader, control_settings& read)
+{
+    read.ports_file = reader.text({"process", "ports_file"}, "");
+    read.log_level = reader.one_of({"process", "log_level"},
+                                   {"debug", "info", "warning", "error"},
+                                   "info");
+    read.log_file = reader.text({"process", "log_file"}, "");
+}
+
+void parse_members(settings_reader& reader, control_settings& read)
+{
+    for (std::int64_t id = 1; id <= highest_first_member; ++id)
+    {
+        settings::setting_name const name{"members", std::to_string(id)};
+        if (!reader.has(name))
+        {
+            continue;
+        }
+        auto const addresses = reader.endpoints(name);
+        if (addresses.size() != 2)
+        {
+            reader.refuse(name, "two addresses, rpc and http");
+            continue;
+        }
+        read.first_members.members.push_back(
+            {core::member_id(static_cast<std::uint64_t>(id)),
+             addresses[0],
+             addresses[1],
+             false});
+    }
+}
+
+void parse_leases(settings_reader& reader, control_settings& read)
+{
+    auto& duties = read.duties;
+    auto& leases = duties.leases;
+    leases.permit =
+        reader.duration({"leases", "permit"}, leases.permit, {500ms, 10s});
+    leases.batch_lease =
+        reader.duration({"leases", "batch"}, leases.batch_lease, lease_range);
+    leases.service_lease = reader.duration(
+        {"leases", "service"}, leases.service_lease, lease_range);
+    leases.next_heartbeat = reader.duration(
+        {"leases", "heartbeat"}, leases.next_heartbeat, {50ms, 1s});
+    duties.announce_lease = reader.duration(
+        {"leases", "announce"}, duties.announce_lease, lease_range);
+}
+
+void parse_consensus(settings_reader& reader, control_settings& read)
+{
+    read.election_timeout =
+        reader.duration({"consensus", "election_timeout"}, 500ms, {100ms, 10s});
+    read.heartbeat_interval =
+        reader.duration({"consensus", "heartbeat_interval"}, 100ms, {20ms, 2s});
+    if (read.heartbeat_interval * 3 > read.election_timeout)
+    {
+        reader.refuse({"consensus", "heartbeat_interval"},
+                      "at most a third of election_timeout");
+    }
+    read.snapshot_interval = static_cast<std::uint64_t>(reader.integer(
+        {"consensus", "snapshot_interval"}, {10, 1'000'000}, 10'000));
+}
+
+} // namespace
+
+control_settings parse_control_settings(settings_reader& reader)
+{
+    control_settings read;
+    parse_process(reader, read);
+    read.member = core::member_id(static_cast<std::uint64_t>(
+        reader.integer({"control", "member"}, {1, highest_member})));
+    read.group = reader.text({"control", "group"});
+    read.data_folder = reader.text({"control", "data"});
+    read.rpc = reader.endpoint({"control", "rpc"});
+    read.http = reader.endpoint({"control", "http"});
+    read.http_threads =
+        reader.integer({"control", "http_threads"}, {8, 512}, 64);
+    parse_members(reader, read);
+    parse_leases(reader, read);
+    parse_consensus(reader, read);
+    return read;
+}
+
+} // namespace turmericswitch::control
--- /dev/null
+++ b/programs/control/settings/control_settings.hpp
@@ -0,0 +1,41 @@
+#ifndef TURMERICSWITCH_CONTROL_SETTINGS_CONTROL_SETTINGS_HPP
+#define TURMERICSWITCH_CONTROL_SETTINGS_CONTROL_SETTINGS_HPP
+
+#include "core/messages/consensus.hpp"
+#include "core/types/ids.hpp"
+#include "leader/leader_duties.hpp"
+#include "settings/settings.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace turmericswitch::control
+{
+
+/// Settings of `turmericswitch-control`.
+struct control_settings
+{
+    core::member_id member;
+    /// Name of the control group; guards against mixing two groups.
+    std::string group;
+    std::string data_folder;
+    core::endpoint rpc;
+    core::endpoint http;
+    std::int64_t http_threads = 64;
+    std::string ports_file;
+    std::string log_level;
+    std::string log_file;
+    /// The first members of the group; used only by --bootstrap.
+    core::group_membership first_members;
+    core::duration election_timeout{};
+    core::duration heartbeat_interval{};
+    std::uint64_t snapshot_interval = 0;
+    duty_settings duties;
+};
+
+/// Reads all settings; problems are collected in the reader.
+control_settings parse_control_settings(settings::settings_reader& reader);
+
+} // namespace turmericswitch::control
+
+#endif
