--- a/programs/control/main.cpp
+++ b/programs/control/main.cpp
@@ -100,10 +100,11 @@
 /// Runs the instance until a signal.
 ///
 /// @return The exit status.
-int serve(control_settings const& settings, start_mode mode)
+int serve(control_settings const& settings,
+          start_mode mode,
+          process::shutdown_signal& signal)
 {
     telemetry::logger const log("control");
-    process::shutdown_signal signal;
     store::real_file_system files;
     auto parts = recover(files, settings, mode, random_seed());
     if (!parts)
@@ -197,6 +198,8 @@
     {
         return 0;
     }
+    // Before the first thread, so that no thread takes the signal.
+    process::shutdown_signal signal;
     auto const logging = telemetry::logging::start(
         {level_named(settings.log_level), settings.log_file});
     if (!logging)
@@ -204,7 +207,7 @@
         std::cerr << core::last_reason().text << '\n';
         return static_cast<int>(core::last_reason().code) % 256;
     }
-    return serve(settings, mode_of(given));
+    return serve(settings, mode_of(given), signal);
 }
 
 } // namespace
