--- a/programs/control/node/event_loop.cpp
+++ b/modules/process/loop/event_loop.cpp
@@ -1,9 +1,9 @@
-#include "node/event_loop.hpp"
+#include "process/loop/event_loop.hpp"
 
 #include <chrono>
 #include <utility>
 
-namespace turmericswitch::control
+namespace turmericswitch::process
 {
 
 namespace
@@ -100,4 +100,4 @@
     }
 }
 
-} // namespace turmericswitch::control
+} // namespace turmericswitch::process
--- a/programs/control/node/event_loop.hpp
+++ b/modules/process/loop/event_loop.hpp
@@ -1,5 +1,5 @@
-#ifndef TURMERICSWITCH_CONTROL_NODE_EVENT_LOOP_HPP
-#define TURMERICSWITCH_CONTROL_NODE_EVENT_LOOP_HPP
+#ifndef TURMERICSWITCH_PROCESS_LOOP_EVENT_LOOP_HPP
+#define TURMERICSWITCH_PROCESS_LOOP_EVENT_LOOP_HPP
 
 #include "core/types/units.hpp"
 
@@ -10,10 +10,10 @@
 #include <mutex>
 #include <thread>
 
-namespace turmericswitch::control
+namespace turmericswitch::process
 {
 
-/// The one thread that owns all decision modules of a control instance.
+/// The one thread that owns the decision modules of a process.
 ///
 /// Other threads post tasks to it. A tick runs at a fixed interval between
 /// tasks. Tasks must not block.
@@ -58,6 +58,6 @@
     std::thread m_thread;
 };
 
-} // namespace turmericswitch::control
+} // namespace turmericswitch::process
 
 #endif
--- a/modules/process/process.hpp
+++ b/modules/process/process.hpp
@@ -3,11 +3,13 @@
 
 /// @file
 /// Module process: what every program needs at its start and end: command
-/// line, stop signals, the file that names the bound ports.
+/// line, stop signals, the file that names the bound ports, and the thread
+/// that owns decision modules.
 ///
 /// Dependencies: core, docopt (in the implementation only).
 
 #include "process/arguments/arguments.hpp"
+#include "process/loop/event_loop.hpp"
 #include "process/ports/ports_file.hpp"
 #include "process/signals/shutdown_signal.hpp"
 
--- a/modules/web/server/router.cpp
+++ b/modules/web/server/router.cpp
@@ -34,27 +34,6 @@
            segment.back() == '}';
 }
 
-std::string percent_decoded(std::string_view text)
-{
-    std::string decoded;
-    for (std::size_t i = 0; i < text.size(); ++i)
-    {
-        unsigned char value = 0;
-        auto const* const digits = text.data() + i + 1;
-        if (text[i] == '%' && i + 2 < text.size() &&
-            std::from_chars(digits, digits + 2, value, 16).ptr == digits + 2)
-        {
-            decoded += static_cast<char>(value);
-            i += 2;
-        }
-        else
-        {
-            decoded += text[i];
-        }
-    }
-    return decoded;
-}
-
 bool match(std::vector<std::string> const& pattern,
            std::vector<std::string> const& path,
            path_parameters& parameters)
@@ -81,6 +60,27 @@
 
 } // namespace
 
+std::string percent_decoded(std::string_view text)
+{
+    std::string decoded;
+    for (std::size_t i = 0; i < text.size(); ++i)
+    {
+        unsigned char value = 0;
+        auto const* const digits = text.data() + i + 1;
+        if (text[i] == '%' && i + 2 < text.size() &&
+            std::from_chars(digits, digits + 2, value, 16).ptr == digits + 2)
+        {
+            decoded += static_cast<char>(value);
+            i += 2;
+        }
+        else
+        {
+            decoded += text[i];
+        }
+    }
+    return decoded;
+}
+
 std::string const& path_parameters::at(std::string_view name) const
 {
     for (auto const& one : m_values)
--- a/modules/web/server/router.hpp
+++ b/modules/web/server/router.hpp
@@ -66,6 +66,9 @@
     std::vector<compiled_route> m_routes;
 };
 
+/// @return The text with every valid %XX replaced by its byte.
+std::string percent_decoded(std::string_view text);
+
 /// @return The value of `name` in the query of the target, percent-decoded,
 /// or nothing.
 std::optional<std::string> query_value(http_request const& request,
--- a/programs/control/api/operator_api.cpp
+++ b/programs/control/api/operator_api.cpp
@@ -5,6 +5,7 @@
 #include "api/state_json.hpp"
 #include "api/worker_api.hpp"
 #include "settings/values/parse_value.hpp"
+#include "wire/json/decision_json.hpp"
 #include "wire/json/job_json.hpp"
 
 namespace turmericswitch::control
@@ -179,7 +180,7 @@
          "/v1/explain/{subject}",
          [this](http_request const&, path_parameters const& path)
          {
-             return web::json_response(decisions_to_json(
+             return web::json_response(wire::decisions_to_json(
                  m_node.decisions().find(path.at("subject"))));
          }},
         {"POST", "/v1/rules", writing(&operator_api::apply_rules)},
--- a/programs/control/api/process_api.cpp
+++ b/programs/control/api/process_api.cpp
@@ -80,7 +80,7 @@
         {
             if (auto const& duties = m_node.duties())
             {
-                duties->watch(event_loop::now(),
+                duties->watch(process::event_loop::now(),
                               request,
                               [answer](core::watch_answer const& news)
                               { answer.answer(wire::encode(news)); });
@@ -112,7 +112,7 @@
                 auto& entry = request.entry;
                 entry.place = m_node.canonical_place(entry.place);
                 entry.service = m_node.canonical_service(entry.service);
-                reply = duties->announce(event_loop::now(), request);
+                reply = duties->announce(process::event_loop::now(), request);
             }
             else
             {
--- a/programs/control/api/state_json.cpp
+++ b/programs/control/api/state_json.cpp
@@ -78,7 +78,7 @@
 
 json zones_json(control_node& node)
 {
-    auto const now = event_loop::now();
+    auto const now = process::event_loop::now();
     json list = json::array();
     for (auto const& rule : node.group().state().config().in_force().zones)
     {
@@ -116,7 +116,7 @@
     {
         return;
     }
-    auto const now = event_loop::now();
+    auto const now = process::event_loop::now();
     json processes = json::array();
     for (auto const& [name, report] : duties->processes())
     {
@@ -250,26 +250,4 @@
     return object.dump();
 }
 
-std::string decisions_to_json(std::vector<core::decision_record> const& records)
-{
-    json list = json::array();
-    for (auto const& record : records)
-    {
-        json runners_up = json::array();
-        for (auto const& [name, reason] : record.runners_up)
-        {
-            runners_up.push_back({{"name", name}, {"reason", reason}});
-        }
-        list.push_back({{"part", record.part},
-                        {"subject", record.subject},
-                        {"action", record.action},
-                        {"target", record.target},
-                        {"code", static_cast<std::uint16_t>(record.code)},
-                        {"reasons", record.reasons},
-                        {"runners_up", std::move(runners_up)},
-                        {"line", to_string(record)}});
-    }
-    return json{{"decisions", std::move(list)}}.dump();
-}
-
 } // namespace turmericswitch::control
--- a/programs/control/api/state_json.hpp
+++ b/programs/control/api/state_json.hpp
@@ -35,9 +35,6 @@
 
 std::string reply_to_json(core::command_reply const& reply);
 
-std::string
-decisions_to_json(std::vector<core::decision_record> const& records);
-
 } // namespace turmericswitch::control
 
 #endif
--- a/programs/control/leader/leader_duties.cpp
+++ b/programs/control/leader/leader_duties.cpp
@@ -35,7 +35,7 @@
       m_leases(settings.leases),
       m_heartbeats(m_leases),
       m_registry(node.current_term(), settings.announce_lease),
-      m_placement(node.state(), std::move(options), event_loop::now()),
+      m_placement(node.state(), std::move(options), process::event_loop::now()),
       m_watches(node.state().config(), m_registry)
 {
 }
@@ -49,7 +49,7 @@
         {
             if (is_held)
             {
-                m_leases.placed(task, event_loop::now());
+                m_leases.placed(task, process::event_loop::now());
                 return;
             }
             m_leases.released(task);
@@ -67,7 +67,7 @@
 void leader_duties::applied(core::command_body const& command,
                             core::command_reply const& reply)
 {
-    m_placement.applied(event_loop::now(), command, reply);
+    m_placement.applied(process::event_loop::now(), command, reply);
 }
 
 void leader_duties::heartbeat(core::heartbeat_request request,
@@ -129,7 +129,7 @@
 void leader_duties::answer_heartbeat(core::heartbeat_request const& request,
                                      heartbeat_hook const& done)
 {
-    auto const now = event_loop::now();
+    auto const now = process::event_loop::now();
     m_placement.heard(now, request.worker.worker, request.usage);
     done(m_heartbeats.answer(request, now, m_node.state()));
 }
@@ -232,7 +232,7 @@
             // An applied batch was compared with the state in `applied`.
             if (reply.code != core::result_code::ok && !self->m_ended)
             {
-                self->m_placement.batch_lost(event_loop::now(), sent);
+                self->m_placement.batch_lost(process::event_loop::now(), sent);
             }
         });
 }
--- a/programs/control/main.cpp
+++ b/programs/control/main.cpp
@@ -4,12 +4,12 @@
 #include "core/results/last_reason.hpp"
 #include "node/control_node.hpp"
 #include "node/recovery.hpp"
-#include "process/process.hpp"
 #include "settings/control_settings.hpp"
+#include "shared/daemon/daemon_main.hpp"
+#include "shared/daemon/status_handler.hpp"
 #include "store/files/real_file_system.hpp"
 #include "wire/codec/protocol_version.hpp"
 
-#include <iostream>
 #include <random>
 #include <thread>
 
@@ -43,20 +43,6 @@
   --version       Show the version.
 )";
 
-telemetry::log_level level_named(std::string const& name)
-{
-    using telemetry::log_level;
-    for (auto const level :
-         {log_level::debug, log_level::warning, log_level::error})
-    {
-        if (name == telemetry::to_string(level))
-        {
-            return level;
-        }
-    }
-    return log_level::info;
-}
-
 start_mode mode_of(process::arguments const& words)
 {
     if (words.flag("--bootstrap"))
@@ -82,35 +68,25 @@
                       [&workers](web::http_request const& request,
                                  web::path_parameters const&)
                       { return workers.heartbeat(request); }});
-    auto const pages = std::make_shared<telemetry::status_pages>(
-        node.metrics(), [&node] { return node.readiness(); });
-    return [pages, router = web::router(std::move(routes))](
-               web::http_request const& request)
-    {
-        if (auto const page = pages->get(request.target))
-        {
-            auto response = web::text_response(page->body, page->content_type);
-            response.status = page->status;
-            return response;
-        }
-        return router(request);
-    };
+    return shared::with_status_pages(
+        node.metrics(),
+        [&node] { return node.readiness(); },
+        web::router(std::move(routes)));
 }
 
-/// Runs the instance until a signal.
+/// Runs the instance until the signal.
 ///
-/// @return The exit status.
-int serve(control_settings const& settings,
-          start_mode mode,
-          process::shutdown_signal& signal)
+/// @return False with the reason if it could not start.
+bool serve(control_settings const& settings,
+           start_mode mode,
+           process::shutdown_signal& signal)
 {
     telemetry::logger const log("control");
     store::real_file_system files;
     auto parts = recover(files, settings, mode, random_seed());
     if (!parts)
     {
-        log.error("can't start: " + core::last_reason().text);
-        return static_cast<int>(core::last_reason().code) % 256;
+        return false;
     }
     transport::io_pool io(io_threads);
     control_node node(io, std::move(*parts), settings.duties);
@@ -120,7 +96,7 @@
 
     transport::connection_options connection;
     connection.protocol_version = wire::protocol_version;
-    auto rpc = transport::rpc_server::listen(
+    auto const rpc = transport::rpc_server::listen(
         io,
         settings.rpc,
         [&processes](transport::rpc_request const& request,
@@ -131,23 +107,20 @@
     web::server_options http_options;
     http_options.listen_on = settings.http;
     http_options.worker_threads = static_cast<unsigned>(settings.http_threads);
-    auto http =
+    auto const http =
         rpc ? web::http_server::start(
                   http_options, make_http_handler(node, operators, workers))
             : nullptr;
     if (!http)
     {
-        log.error("can't listen: " + core::last_reason().text);
-        return static_cast<int>(core::last_reason().code) % 256;
+        return false;
     }
     node.start();
-    if (!settings.ports_file.empty() &&
-        !process::write_ports_file(
-            settings.ports_file,
+    if (!shared::announce_ports(
+            settings.process,
             {{"rpc", rpc->bound().port}, {"http", http->bound().port}}))
     {
-        log.error("can't write the ports file: " + core::last_reason().text);
-        return static_cast<int>(core::last_reason().code) % 256;
+        return false;
     }
     log.info("member " + std::to_string(settings.member.value()) +
              " listens on " + to_string(rpc->bound()) + " and " +
@@ -157,57 +130,15 @@
     auto const stopped = http->stop();
     node.stop();
     rpc->stop_accepting();
-    auto const until = event_loop::now() + drain_limit;
-    while (!rpc->drained() && event_loop::now() < until)
+    auto const until = process::event_loop::now() + drain_limit;
+    while (!rpc->drained() && process::event_loop::now() < until)
     {
         std::this_thread::sleep_for(drain_poll);
     }
     auto const cut = http->in_progress() + rpc->open_calls();
     log.info("stopped: " + std::to_string(stopped.finished) +
              " requests in progress finished, " + std::to_string(cut) + " cut");
-    return 0;
-}
-
-int run(std::vector<std::string> const& words)
-{
-    auto const arguments =
-        process::parse_arguments(usage, words, TURMERICSWITCH_VERSION);
-    if (!arguments.parsed)
-    {
-        (arguments.exit_status == 0 ? std::cout : std::cerr)
-            << arguments.message << '\n';
-        return arguments.exit_status;
-    }
-    auto const& given = *arguments.parsed;
-    auto reader = settings::settings_reader::load(*given.text("--config"));
-    if (!reader)
-    {
-        std::cerr << core::last_reason().text << '\n';
-        return static_cast<int>(core::last_reason().code) % 256;
-    }
-    auto const settings = parse_control_settings(*reader);
-    if (!reader->finish())
-    {
-        for (auto const& error : reader->errors())
-        {
-            std::cerr << reader->to_string(error) << '\n';
-        }
-        return static_cast<int>(core::last_reason().code) % 256;
-    }
-    if (given.flag("--check-config"))
-    {
-        return 0;
-    }
-    // Before the first thread, so that no thread takes the signal.
-    process::shutdown_signal signal;
-    auto const logging = telemetry::logging::start(
-        {level_named(settings.log_level), settings.log_file});
-    if (!logging)
-    {
-        std::cerr << core::last_reason().text << '\n';
-        return static_cast<int>(core::last_reason().code) % 256;
-    }
-    return serve(settings, mode_of(given), signal);
+    return true;
 }
 
 } // namespace
@@ -216,5 +147,16 @@
 
 int main(int argc, char** argv)
 {
-    return turmericswitch::control::run({argv + 1, argv + argc});
+    using namespace turmericswitch;
+    control::control_settings settings;
+    shared::daemon_parts parts;
+    parts.usage = control::usage;
+    parts.version = TURMERICSWITCH_VERSION;
+    parts.log_part = "control";
+    parts.parse = [&settings](settings::settings_reader& reader)
+    { settings = control::parse_control_settings(reader); };
+    parts.serve = [&settings](process::arguments const& given,
+                              process::shutdown_signal& signal)
+    { return control::serve(settings, control::mode_of(given), signal); };
+    return shared::run_daemon(parts, {argv + 1, argv + argc});
 }
--- a/programs/control/node/control_node.cpp
+++ b/programs/control/node/control_node.cpp
@@ -58,7 +58,7 @@
             placement::planner_options{},
             [this](core::decision_record const& record)
             { m_decisions.record(record); });
-        m_duties->begin(event_loop::now());
+        m_duties->begin(process::event_loop::now());
     };
     hooks.leadership_ended = [this]
     {
@@ -121,7 +121,7 @@
     m_loop.stop();
 }
 
-void control_node::run(event_loop::task work)
+void control_node::run(process::event_loop::task work)
 {
     m_loop.post(std::move(work));
 }
@@ -139,7 +139,7 @@
     {
         // Kept alive: the leadership may end during the tick.
         auto const duties = m_duties;
-        duties->tick(event_loop::now(),
+        duties->tick(process::event_loop::now(),
                      std::chrono::time_point_cast<std::chrono::microseconds>(
                          std::chrono::system_clock::now()));
     }
--- a/programs/control/node/control_node.hpp
+++ b/programs/control/node/control_node.hpp
@@ -3,9 +3,9 @@
 
 #include "leader/leader_duties.hpp"
 #include "naming/table/name_table.hpp"
-#include "node/event_loop.hpp"
 #include "node/peer_links.hpp"
 #include "node/replica.hpp"
+#include "process/loop/event_loop.hpp"
 #include "telemetry/telemetry.hpp"
 
 #include <atomic>
@@ -37,7 +37,7 @@
     /// loop.
     void stop();
 
-    void run(event_loop::task work);
+    void run(process::event_loop::task work);
 
     /// Delivers a consensus message; from any thread.
     void receive(core::consensus_message message);
@@ -77,7 +77,7 @@
     core::revision m_names_revision;
     naming::name_table m_names;
     peer_links m_links;
-    event_loop m_loop;
+    process::event_loop m_loop;
     std::shared_ptr<leader_duties> m_duties;
     replica m_replica;
 };
--- a/programs/control/node/replica.cpp
+++ b/programs/control/node/replica.cpp
@@ -29,7 +29,9 @@
 
 } // namespace
 
-replica::replica(event_loop& loop, replica_parts parts, replica_hooks hooks)
+replica::replica(process::event_loop& loop,
+                 replica_parts parts,
+                 replica_hooks hooks)
     : m_loop(loop),
       m_hooks(std::move(hooks)),
       m_options(parts.options),
@@ -39,7 +41,7 @@
       m_node(parts.options,
              parts.recovered,
              core::seeded_random(parts.random_seed),
-             event_loop::now()),
+             process::event_loop::now()),
       m_applied(parts.recovered.snapshot.last_index),
       m_snapshot_index(parts.recovered.snapshot.last_index),
       m_writer(
@@ -103,7 +105,8 @@
 core::command_envelope replica::stamped(core::command_body body) const
 {
     core::command_envelope envelope;
-    envelope.cluster_time = m_cluster_base + (event_loop::now() - m_led_since);
+    envelope.cluster_time =
+        m_cluster_base + (process::event_loop::now() - m_led_since);
     envelope.wall = wall_now();
     envelope.body = std::move(body);
     return envelope;
@@ -159,7 +162,7 @@
 
 bool replica::run_event(consensus::event const& input)
 {
-    for (auto const& output : m_node.handle(event_loop::now(), input))
+    for (auto const& output : m_node.handle(process::event_loop::now(), input))
     {
         if (!carry_out(output))
         {
@@ -260,7 +263,7 @@
         {
             m_is_leading = true;
             m_cluster_base = m_state.now();
-            m_led_since = event_loop::now();
+            m_led_since = process::event_loop::now();
             m_hooks.log("leadership began in term " +
                         std::to_string(item.entry.entry_term.value()));
             m_hooks.leadership_began();
--- a/programs/control/node/replica.hpp
+++ b/programs/control/node/replica.hpp
@@ -3,8 +3,8 @@
 
 #include "cluster_state/machine/state_machine.hpp"
 #include "consensus/node/raft_node.hpp"
-#include "node/event_loop.hpp"
 #include "node/log_writer.hpp"
+#include "process/loop/event_loop.hpp"
 #include "store/state/hard_state_store.hpp"
 
 #include <cstdint>
@@ -57,7 +57,9 @@
     /// `ok` when the state is current, else why it can't be read.
     using read_hook = std::function<void(core::result_code)>;
 
-    replica(event_loop& loop, replica_parts parts, replica_hooks hooks);
+    replica(process::event_loop& loop,
+            replica_parts parts,
+            replica_hooks hooks);
 
     void tick();
     void receive(core::consensus_message const& message);
@@ -120,7 +122,7 @@
         read_hook done;
     };
 
-    event_loop& m_loop;
+    process::event_loop& m_loop;
     replica_hooks m_hooks;
     consensus::raft_options m_options;
     std::uint64_t m_snapshot_interval;
--- a/programs/control/settings/control_settings.cpp
+++ b/programs/control/settings/control_settings.cpp
@@ -15,15 +15,6 @@
 /// A lease shorter than a few heartbeats would end between two of them.
 constexpr settings::value_range<core::duration> lease_range{2s, 24h};
 
-void parse_process(settings_reader& reader, control_settings& read)
-{
-    read.ports_file = reader.text({"process", "ports_file"}, "");
-    read.log_level = reader.one_of({"process", "log_level"},
-                                   {"debug", "info", "warning", "error"},
-                                   "info");
-    read.log_file = reader.text({"process", "log_file"}, "");
-}
-
 void parse_members(settings_reader& reader, control_settings& read)
 {
     for (std::int64_t id = 1; id <= highest_first_member; ++id)
@@ -83,7 +74,7 @@
 control_settings parse_control_settings(settings_reader& reader)
 {
     control_settings read;
-    parse_process(reader, read);
+    read.process = shared::parse_process_settings(reader);
     read.member = core::member_id(static_cast<std::uint64_t>(
         reader.integer({"control", "member"}, {1, highest_member})));
     read.group = reader.text({"control", "group"});
--- a/programs/control/settings/control_settings.hpp
+++ b/programs/control/settings/control_settings.hpp
@@ -5,6 +5,7 @@
 #include "core/types/ids.hpp"
 #include "leader/leader_duties.hpp"
 #include "settings/settings.hpp"
+#include "shared/daemon/daemon_main.hpp"
 
 #include <cstdint>
 #include <string>
@@ -22,9 +23,7 @@
     core::endpoint rpc;
     core::endpoint http;
     std::int64_t http_threads = 64;
-    std::string ports_file;
-    std::string log_level;
-    std::string log_file;
+    shared::process_settings process;
     /// The first members of the group; used only by --bootstrap.
     core::group_membership first_members;
     core::duration election_timeout{};
--- /dev/null
+++ b/programs/gateway/main.cpp
@@ -0,0 +1,203 @@
+#include "gateway/requests/job_proxy.hpp"
+#include "gateway/requests/request_runner.hpp"
+#include "gateway/routing/route_state.hpp"
+#include "gateway/settings/gateway_settings.hpp"
+#include "shared/daemon/daemon_main.hpp"
+#include "shared/daemon/status_handler.hpp"
+#include "wire/json/decision_json.hpp"
+
+#include <random>
+
+namespace turmericswitch::gateway
+{
+
+namespace
+{
+
+constexpr auto usage =
+    R"(turmericswitch-gateway - routes callers' requests to backend servers.
+
+Usage:
+  turmericswitch-gateway --config FILE [--check-config]
+  turmericswitch-gateway --help
+  turmericswitch-gateway --version
+
+Options:
+  --config FILE   Settings file (INI).
+  --check-config  Check the settings file and exit.
+  --help          Show this text.
+  --version       Show the version.
+)";
+
+constexpr std::size_t kept_decisions_per_ring = 2'000;
+constexpr std::size_t decision_rings = 8;
+
+routing::choice_policy policy_named(std::string const& name)
+{
+    if (name == "random")
+    {
+        return routing::choose_random();
+    }
+    if (name == "least_outstanding")
+    {
+        return routing::choose_least_outstanding();
+    }
+    return name == "power_of_two" ? routing::choose_power_of_two()
+                                  : routing::choose_power_of_two_latency();
+}
+
+std::uint64_t random_seed()
+{
+    std::random_device device;
+    return (std::uint64_t{device()} << 32U) | device();
+}
+
+void add_metrics(telemetry::metrics_registry& metrics,
+                 route_state const& routes,
+                 shared::control_link const& control,
+                 routing::flow_counters const& counters)
+{
+    auto const count = [&metrics](char const* name,
+                                  char const* help,
+                                  std::atomic<std::uint64_t> const& value)
+    {
+        metrics.add_gauge_hook(
+            name, help, [&value] { return static_cast<double>(value.load()); });
+    };
+    count("turmericswitch_gateway_attempts_total",
+          "Attempts sent to sidecars.",
+          counters.attempts);
+    count("turmericswitch_gateway_retries_total",
+          "Attempts after the first of a request.",
+          counters.retries);
+    count("turmericswitch_gateway_late_answers_total",
+          "Answers dropped because their attempt was closed.",
+          counters.late_answers);
+    count("turmericswitch_gateway_broken_answers_total",
+          "Answers dropped because they were not whole.",
+          counters.broken_answers);
+    metrics.add_gauge_hook("turmericswitch_gateway_region_bytes_total",
+                           "Bytes exchanged with sidecars in other regions.",
+                           [&routes]
+                           {
+                               auto const [sent, received] =
+                                   routes.links().region_traffic();
+                               return static_cast<double>(sent + received);
+                           });
+    metrics.add_gauge_hook("turmericswitch_gateway_control_bytes_total",
+                           "Bytes exchanged with control.",
+                           [&control]
+                           {
+                               auto const [sent, received] =
+                                   control.transferred();
+                               return static_cast<double>(sent + received);
+                           });
+    metrics.add_gauge_hook(
+        "turmericswitch_gateway_revision",
+        "Configuration revision in force here.",
+        [&routes]
+        {
+            auto const table = routes.tables().current();
+            return table ? static_cast<double>(table->revision.value()) : 0.0;
+        });
+}
+
+web::http_handler make_handler(request_runner& runner,
+                               job_proxy& jobs,
+                               telemetry::decision_log& decisions)
+{
+    return [&](web::http_request const& request)
+    {
+        constexpr std::string_view explain = "/v1/explain/";
+        if (request.target.starts_with("/v1/jobs"))
+        {
+            return jobs.forward(request);
+        }
+        if (request.target.starts_with(explain))
+        {
+            auto const subject =
+                web::percent_decoded(request.target.substr(explain.size()));
+            return web::json_response(
+                wire::decisions_to_json(decisions.find(subject)));
+        }
+        return runner.serve(request);
+    };
+}
+
+bool serve(gateway_settings const& settings, process::shutdown_signal& signal)
+{
+    telemetry::logger const log("gateway");
+    auto const seed = random_seed();
+    telemetry::metrics_registry metrics;
+    telemetry::decision_log decisions(kept_decisions_per_ring, decision_rings);
+    routing::flow_counters counters;
+    request_metrics request_counts(metrics);
+    transport::io_pool io(static_cast<std::size_t>(settings.io_threads));
+    route_state routes(io, settings.zone, seed);
+    shared::control_link control(io, settings.control, seed);
+    request_runner runner({routes,
+                           control,
+                           decisions,
+                           request_counts,
+                           counters,
+                           policy_named(settings.policy),
+                           seed});
+    job_proxy jobs(settings.control_http);
+    add_metrics(metrics, routes, control, counters);
+    shared::config_watch watch(io,
+                               control,
+                               core::client_id("gateway " + settings.name),
+                               [&routes](core::watch_answer const& news)
+                               { return routes.apply(news); });
+
+    web::server_options options;
+    options.listen_on = settings.http;
+    options.worker_threads = static_cast<unsigned>(settings.http_threads);
+    options.body_limit = static_cast<std::size_t>(settings.body_limit.value());
+    auto const http = web::http_server::start(
+        options,
+        shared::with_status_pages(
+            metrics,
+            [&routes]
+            {
+                return routes.tables().current()
+                           ? std::string()
+                           : "no configuration from control yet";
+            },
+            make_handler(runner, jobs, decisions)));
+    if (!http || !shared::announce_ports(settings.process,
+                                         {{"http", http->bound().port}}))
+    {
+        return false;
+    }
+    watch.start();
+    log.info(settings.name + " listens on " + to_string(http->bound()));
+    signal.wait();
+
+    auto const stopped = http->stop();
+    log.info("stopped: " + std::to_string(stopped.finished) +
+             " requests in progress finished, " +
+             std::to_string(http->in_progress()) + " cut, " +
+             std::to_string(stopped.refused) + " refused as not run");
+    return true;
+}
+
+} // namespace
+
+} // namespace turmericswitch::gateway
+
+int main(int argc, char** argv)
+{
+    using namespace turmericswitch;
+    gateway::gateway_settings settings;
+    shared::daemon_parts parts;
+    parts.usage = gateway::usage;
+    parts.version = TURMERICSWITCH_VERSION;
+    parts.log_part = "gateway";
+    parts.parse = [&settings](settings::settings_reader& reader)
+    { settings = gateway::parse_gateway_settings(reader); };
+    parts.serve =
+        [&settings](process::arguments const&, process::shutdown_signal& signal)
+    { return gateway::serve(settings, signal); };
+    return shared::run_daemon(parts, {argv + 1, argv + argc});
+}
--- /dev/null
+++ b/programs/gateway/requests/job_proxy.cpp
@@ -0,0 +1,103 @@
+#include "gateway/requests/job_proxy.hpp"
+
+#include "settings/values/parse_value.hpp"
+
+#include <cassert>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace turmericswitch::gateway
+{
+
+namespace
+{
+
+/// Longer than control's own limit, so that its answer arrives.
+constexpr core::duration forward_timeout = std::chrono::seconds(7);
+/// Every instance once, and the leader that one of them names.
+constexpr unsigned extra_tries = 2;
+constexpr std::uint16_t misdirected_status = 421;
+
+std::optional<core::endpoint> leader_in(web::http_response const& response)
+{
+    constexpr std::string_view scheme = "http://";
+    auto const* const where = web::find_field(response.fields, "Location");
+    if (where == nullptr || !where->starts_with(scheme))
+    {
+        return std::nullopt;
+    }
+    auto const host = where->substr(scheme.size());
+    return settings::parse_endpoint(host.substr(0, host.find('/')));
+}
+
+} // namespace
+
+job_proxy::job_proxy(std::vector<core::endpoint> control)
+    : m_control(std::move(control))
+{
+    assert(!m_control.empty());
+    m_target = m_control.front();
+}
+
+web::http_response job_proxy::forward(web::http_request const& request)
+{
+    auto const tries = m_control.size() + extra_tries;
+    web::http_result result;
+    for (std::size_t i = 0; i < tries; ++i)
+    {
+        auto const peer = target();
+        result = m_client.request(
+            peer, request, forward_timeout, request.method == "GET");
+        if (result.outcome == web::http_outcome::answered)
+        {
+            if (result.response.status != misdirected_status)
+            {
+                return std::move(result.response);
+            }
+            if (auto const leader = leader_in(result.response))
+            {
+                turn_to(*leader);
+            }
+            else
+            {
+                turn_away_from(peer);
+            }
+            continue;
+        }
+        turn_away_from(peer);
+        if (result.outcome == web::http_outcome::lost)
+        {
+            return web::error_response(
+                core::result_code::outcome_unknown,
+                "control's answer was lost; send the same operation again");
+        }
+    }
+    return web::error_response(core::result_code::no_quorum,
+                               "no control leader was found; nothing was "
+                               "accepted");
+}
+
+core::endpoint job_proxy::target()
+{
+    std::lock_guard const lock(m_mutex);
+    return m_target;
+}
+
+void job_proxy::turn_to(core::endpoint const& leader)
+{
+    std::lock_guard const lock(m_mutex);
+    m_target = leader;
+}
+
+void job_proxy::turn_away_from(core::endpoint const& failed)
+{
+    std::lock_guard const lock(m_mutex);
+    if (m_target == failed)
+    {
+        m_next = (m_next + 1) % m_control.size();
+        m_target = m_control[m_next];
+    }
+}
+
+} // namespace turmericswitch::gateway
--- /dev/null
+++ b/programs/gateway/requests/request_runner.cpp
@@ -0,0 +1,369 @@
+#include "gateway/requests/request_runner.hpp"
+
+#include "core/results/last_reason.hpp"
+#include "settings/values/parse_value.hpp"
+#include "wire/codec/message_codec.hpp"
+
+#include <map>
+#include <thread>
+#include <utility>
+
+namespace turmericswitch::gateway
+{
+
+namespace
+{
+
+/// Added to a call's timeout, so that the flow's own deadline comes first and
+/// the sidecar can still say that it refused the attempt.
+constexpr core::duration call_slack = std::chrono::milliseconds(50);
+constexpr core::duration cancel_timeout = std::chrono::milliseconds(500);
+constexpr core::duration claim_timeout = std::chrono::seconds(2);
+/// A request without any wait ends at once, so this only bounds a fault.
+constexpr core::duration longest_sleep = std::chrono::seconds(60);
+
+constexpr core::duration shutdown_poll = std::chrono::milliseconds(5);
+
+constexpr auto key_field = "Idempotency-Key";
+constexpr auto timeout_field = "X-Request-Timeout";
+constexpr auto outcome_field = "X-Request-Outcome";
+
+std::atomic<std::uint64_t> runner_count = 0;
+
+core::duration asked_timeout(web::http_request const& request)
+{
+    auto const* const text = web::find_field(request.fields, timeout_field);
+    return text != nullptr ? settings::parse_duration(*text).value_or(
+                                 core::duration::zero())
+                           : core::duration::zero();
+}
+
+char const* outcome_name(core::attempt_outcome outcome)
+{
+    switch (outcome)
+    {
+    case core::attempt_outcome::ran:
+        return "ran";
+    case core::attempt_outcome::not_run:
+        return "not_run";
+    case core::attempt_outcome::unknown:
+        break;
+    }
+    return "outcome_unknown";
+}
+
+} // namespace
+
+request_metrics::request_metrics(telemetry::metrics_registry& registry)
+    : answered(registry.counter("turmericswitch_gateway_requests_total",
+                                "Requests of callers, by outcome.",
+                                {{"outcome", "ran"}})),
+      not_run(registry.counter("turmericswitch_gateway_requests_total",
+                               "Requests of callers, by outcome.",
+                               {{"outcome", "not_run"}})),
+      outcome_unknown(registry.counter("turmericswitch_gateway_requests_total",
+                                       "Requests of callers, by outcome.",
+                                       {{"outcome", "outcome_unknown"}})),
+      latency(registry.latency("turmericswitch_gateway_request_seconds",
+                               "Time from a request to its answer."))
+{
+}
+
+struct request_runner::thread_state
+{
+    thread_state(runner_parts const& parts, std::uint64_t seed)
+        : tables(parts.routes.tables()),
+          places(parts.routes.place()),
+          links(parts.routes.links().published()),
+          context{{},
+                  [this] { return tables.get(); },
+                  routing::backend_selector(parts.policy),
+                  core::seeded_random(seed),
+                  {},
+                  &parts.counters}
+    {
+    }
+
+    core::snapshot_reader<routing::route_table> tables;
+    core::snapshot_reader<core::location> places;
+    core::snapshot_reader<link_map> links;
+    routing::flow_context context;
+};
+
+request_runner::request_runner(runner_parts parts)
+    : m_parts(std::move(parts)),
+      m_life(m_parts.random_seed),
+      m_number(++runner_count)
+{
+}
+
+request_runner::~request_runner()
+{
+    while (m_open_claims > 0)
+    {
+        // Bounded by the timeout of a claim.
+        std::this_thread::sleep_for(shutdown_poll);
+    }
+}
+
+request_runner::thread_state& request_runner::own_state()
+{
+    thread_local std::map<std::uint64_t, std::unique_ptr<thread_state>> states;
+    auto& state = states[m_number];
+    if (!state)
+    {
+        state = std::make_unique<thread_state>(
+            m_parts, m_parts.random_seed + ++m_threads);
+    }
+    return *state;
+}
+
+web::http_response request_runner::serve(web::http_request const& request)
+{
+    auto const began = process::event_loop::now();
+    auto& own = own_state();
+    auto const place = own.places.get();
+    auto const links = own.links.get();
+    if (!place || !links)
+    {
+        m_parts.metrics.not_run.add();
+        return web::error_response(core::result_code::not_ready,
+                                   "no configuration from control yet");
+    }
+    own.context.gateway = *place;
+    routing::caller_request wanted;
+    wanted.id = {m_life, core::sequence_number(++m_sequence)};
+    wanted.content = request;
+    std::erase_if(wanted.content.fields,
+                  [](core::http_field const& field)
+                  { return web::is_connection_field(field.name); });
+    if (auto const* const key = web::find_field(request.fields, key_field))
+    {
+        wanted.key = *key;
+    }
+    wanted.timeout = asked_timeout(request);
+    routing::request_flow flow(own.context, std::move(wanted));
+    auto result = run(flow, *links);
+    m_parts.metrics.latency.add(process::event_loop::now() - began);
+    return respond(std::move(result));
+}
+
+routing::finish request_runner::run(routing::request_flow& flow,
+                                    link_map const& links)
+{
+    run_state state{flow,
+                    std::make_shared<request_mailbox>(),
+                    links,
+                    process::event_loop::now() + longest_sleep,
+                    std::nullopt};
+    perform(state, flow.begin(process::event_loop::now()));
+    while (!state.result)
+    {
+        if (auto const arrived = state.events->take(state.wake))
+        {
+            perform(state, deliver(state, *arrived));
+        }
+        else
+        {
+            state.wake = process::event_loop::now() + longest_sleep;
+            perform(state, flow.timer(process::event_loop::now()));
+        }
+    }
+    for (auto const& late : state.events->close())
+    {
+        // The flow releases a claim that was granted too late.
+        perform(state, deliver(state, late));
+    }
+    return std::move(*state.result);
+}
+
+void request_runner::perform(run_state& run, routing::flow_actions actions)
+{
+    for (auto& action : actions)
+    {
+        if (auto* const attempt = std::get_if<routing::send_attempt>(&action))
+        {
+            m_parts.decisions.record(std::move(attempt->record));
+            send(run, *attempt);
+        }
+        else if (auto* const cancel =
+                     std::get_if<routing::send_cancel>(&action))
+        {
+            send(run, *cancel);
+        }
+        else if (auto* const claim = std::get_if<routing::claim>(&action))
+        {
+            send(run, *claim);
+        }
+        else if (auto* const end = std::get_if<routing::end_claim>(&action))
+        {
+            send(*end);
+        }
+        else if (auto* const wait = std::get_if<routing::wait>(&action))
+        {
+            run.wake = wait->until;
+        }
+        else if (auto* const done = std::get_if<routing::finish>(&action))
+        {
+            m_parts.decisions.record(std::move(done->record));
+            run.result = std::move(*done);
+        }
+    }
+}
+
+void request_runner::send(run_state& run, routing::send_attempt const& action)
+{
+    auto const id = action.request.id;
+    auto const link = run.links.find(action.sidecar);
+    // A table that changed during the request may name a newer sidecar.
+    auto const client = link != run.links.end()
+                            ? link->second.client
+                            : [&]() -> std::shared_ptr<transport::rpc_client>
+    {
+        auto const current = own_state().links.get();
+        auto const found = current->find(action.sidecar);
+        return found == current->end() ? nullptr : found->second.client;
+    }();
+    if (!client)
+    {
+        run.events->put(attempt_result{id,
+                                       {transport::call_outcome::not_sent,
+                                        core::result_code::peer_unreachable,
+                                        "no connection to the sidecar"}});
+        return;
+    }
+    client->call("/attempt",
+                 wire::encode(action.request),
+                 action.request.remaining + call_slack,
+                 [events = run.events, id](transport::call_result result) {
+                     events->put(attempt_result{id, std::move(result)});
+                 });
+}
+
+void request_runner::send(run_state& run, routing::send_cancel const& action)
+{
+    auto const id = action.request.id;
+    auto const link = run.links.find(action.sidecar);
+    if (link == run.links.end())
+    {
+        run.events->put(cancel_result{id, {}});
+        return;
+    }
+    link->second.client->call(
+        "/cancel",
+        wire::encode(action.request),
+        cancel_timeout,
+        [events = run.events, id](transport::call_result result) {
+            events->put(cancel_result{id, std::move(result)});
+        });
+}
+
+void request_runner::send(run_state& run, routing::claim const& action)
+{
+    core::command_envelope envelope;
+    envelope.body = action.command;
+    ++m_open_claims;
+    m_parts.control.call(
+        "/command",
+        wire::encode(envelope),
+        claim_timeout,
+        [this, events = run.events, command = action.command](
+            transport::call_result const& result)
+        {
+            auto const code = claim_code(result);
+            bool const is_late = !events->put(claim_result{code});
+            if (is_late && code == core::result_code::ok)
+            {
+                // The request ended before it was sent to any sidecar.
+                send(routing::end_claim{
+                    {command.service, command.key, command.request, false}});
+            }
+        });
+}
+
+core::result_code
+request_runner::claim_code(transport::call_result const& result)
+{
+    if (result.outcome != transport::call_outcome::answered)
+    {
+        return result.code;
+    }
+    auto const reply = wire::decode<core::command_reply>(result.body);
+    if (!reply)
+    {
+        return core::last_reason().code;
+    }
+    if (reply->code == core::result_code::not_leader)
+    {
+        m_parts.control.not_leader(reply->leader);
+    }
+    return reply->code;
+}
+
+void request_runner::send(routing::end_claim const& action)
+{
+    core::command_envelope envelope;
+    envelope.body = action.command;
+    m_parts.control.call("/command",
+                         wire::encode(envelope),
+                         claim_timeout,
+                         [](transport::call_result const&) {});
+}
+
+routing::flow_actions request_runner::deliver(run_state& run,
+                                              event const& arrived)
+{
+    auto const now = process::event_loop::now();
+    if (auto const* const claim = std::get_if<claim_result>(&arrived))
+    {
+        return run.flow.claim_answered(now, claim->code);
+    }
+    if (auto const* const cancel = std::get_if<cancel_result>(&arrived))
+    {
+        auto const answer =
+            wire::decode<core::cancel_answer>(cancel->result.body);
+        bool const is_answered =
+            cancel->result.outcome == transport::call_outcome::answered;
+        return run.flow.cancel_answered(now,
+                                        cancel->id,
+                                        is_answered && answer
+                                            ? std::optional(answer->outcome)
+                                            : std::nullopt);
+    }
+    auto const& attempt = std::get<attempt_result>(arrived);
+    if (attempt.result.outcome == transport::call_outcome::not_sent)
+    {
+        return run.flow.attempt_not_sent(now, attempt.id);
+    }
+    auto answer = attempt.result.outcome == transport::call_outcome::answered
+                      ? wire::decode<core::attempt_answer>(attempt.result.body)
+                      : std::nullopt;
+    return answer ? run.flow.attempt_answered(now, std::move(*answer))
+                  : run.flow.attempt_lost(now, attempt.id);
+}
+
+web::http_response request_runner::respond(routing::finish result)
+{
+    web::http_response response;
+    if (result.outcome == core::attempt_outcome::ran)
+    {
+        m_parts.metrics.answered.add();
+        response = std::move(result.answer);
+        std::erase_if(response.fields,
+                      [](core::http_field const& field)
+                      { return web::is_connection_field(field.name); });
+    }
+    else
+    {
+        (result.outcome == core::attempt_outcome::not_run
+             ? m_parts.metrics.not_run
+             : m_parts.metrics.outcome_unknown)
+            .add();
+        response = web::error_response(
+            result.code, std::string(core::to_string(result.code)));
+    }
+    response.fields.push_back({outcome_field, outcome_name(result.outcome)});
+    return response;
+}
+
+} // namespace turmericswitch::gateway
--- /dev/null
+++ b/programs/gateway/requests/request_runner.hpp
@@ -0,0 +1,108 @@
+#ifndef TURMERICSWITCH_GATEWAY_REQUESTS_REQUEST_RUNNER_HPP
+#define TURMERICSWITCH_GATEWAY_REQUESTS_REQUEST_RUNNER_HPP
+
+#include "gateway/requests/mailbox.hpp"
+#include "gateway/routing/route_state.hpp"
+#include "shared/control_link/control_link.hpp"
+#include "telemetry/telemetry.hpp"
+#include "web/web.hpp"
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <variant>
+
+namespace turmericswitch::gateway
+{
+
+/// Counts of answers to callers.
+struct request_metrics
+{
+    explicit request_metrics(telemetry::metrics_registry& registry);
+
+    telemetry::counter& answered;
+    telemetry::counter& not_run;
+    telemetry::counter& outcome_unknown;
+    telemetry::latency_metric& latency;
+};
+
+/// What all request threads share.
+struct runner_parts
+{
+    route_state const& routes;
+    shared::control_link& control;
+    telemetry::decision_log& decisions;
+    request_metrics& metrics;
+    routing::flow_counters& counters;
+    routing::choice_policy policy;
+    std::uint64_t random_seed = 0;
+};
+
+/// Serves callers' requests: runs a `routing::request_flow` on the calling
+/// thread and carries out its actions. Any number of threads may call it.
+class request_runner
+{
+public:
+    /// @param parts What they refer to must outlive the runner.
+    explicit request_runner(runner_parts parts);
+    /// Waits for open claims.
+    ~request_runner();
+
+    /// Blocks until the request has its one answer.
+    web::http_response serve(web::http_request const& request);
+
+private:
+    struct attempt_result
+    {
+        core::attempt_id id;
+        transport::call_result result;
+    };
+    struct cancel_result
+    {
+        core::attempt_id id;
+        transport::call_result result;
+    };
+    struct claim_result
+    {
+        core::result_code code = core::result_code::ok;
+    };
+    using event = std::variant<attempt_result, cancel_result, claim_result>;
+    using request_mailbox = mailbox<event>;
+
+    /// What one thread keeps between requests.
+    struct thread_state;
+
+    /// State of one request in progress.
+    struct run_state
+    {
+        routing::request_flow& flow;
+        std::shared_ptr<request_mailbox> events;
+        link_map const& links;
+        core::time_point wake;
+        std::optional<routing::finish> result;
+    };
+
+    thread_state& own_state();
+    routing::finish run(routing::request_flow& flow, link_map const& links);
+    void perform(run_state& run, routing::flow_actions actions);
+    void send(run_state& run, routing::send_attempt const& action);
+    void send(run_state& run, routing::send_cancel const& action);
+    void send(run_state& run, routing::claim const& action);
+    void send(routing::end_claim const& action);
+    core::result_code claim_code(transport::call_result const& result);
+    routing::flow_actions deliver(run_state& run, event const& arrived);
+    web::http_response respond(routing::finish result);
+
+    runner_parts m_parts;
+    /// Differs between two lives of the gateway.
+    core::incarnation m_life;
+    std::atomic<std::uint64_t> m_sequence = 0;
+    std::atomic<std::uint64_t> m_threads = 0;
+    std::atomic<std::uint64_t> m_open_claims = 0;
+    /// Tells the runners of one process apart in thread-local storage.
+    std::uint64_t m_number;
+};
+
+} // namespace turmericswitch::gateway
+
+#endif
--- /dev/null
+++ b/programs/gateway/routing/route_state.cpp
@@ -0,0 +1,86 @@
+#include "gateway/routing/route_state.hpp"
+
+#include "core/results/last_reason.hpp"
+#include "process/loop/event_loop.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace turmericswitch::gateway
+{
+
+route_state::route_state(transport::io_pool& io,
+                         core::zone_id zone,
+                         std::uint64_t random_seed)
+    : m_zone(std::move(zone)), m_links(io, random_seed)
+{
+}
+
+shared::config_watch::known_state
+route_state::apply(core::watch_answer const& news)
+{
+    auto const previous = m_tables.current();
+    auto const next =
+        routing::build_next(previous.get(), news, process::event_loop::now());
+    if (!next)
+    {
+        m_log.warning("news of control left out: " + core::last_reason().text);
+        return previous ? shared::config_watch::known_state{previous->revision,
+                                                            previous->registry}
+                        : shared::config_watch::known_state{};
+    }
+    if (!previous || previous->revision != next->revision)
+    {
+        m_place.publish(
+            std::make_shared<core::location const>(find_place(next->config)));
+        m_log.info("configuration revision " +
+                   std::to_string(next->revision.value()) + " is in force");
+    }
+    // Links first: a table never names a sidecar without a link.
+    m_links.update(*next, m_place.current()->region);
+    m_tables.publish(next);
+    return {next->revision, next->registry};
+}
+
+core::location route_state::find_place(core::configuration const& config) const
+{
+    core::location place{m_zone, {}};
+    for (auto const& entry : config.names)
+    {
+        bool const is_named = entry.kind == core::name_kind::zone &&
+                              std::find(entry.aliases.begin(),
+                                        entry.aliases.end(),
+                                        m_zone.value()) != entry.aliases.end();
+        if (is_named)
+        {
+            place.zone = core::zone_id(entry.canonical);
+        }
+    }
+    for (auto const& rule : config.zones)
+    {
+        if (rule.zone == place.zone)
+        {
+            place.region = rule.region;
+        }
+    }
+    return place;
+}
+
+core::snapshot_publisher<routing::route_table> const&
+route_state::tables() const noexcept
+{
+    return m_tables;
+}
+
+core::snapshot_publisher<core::location> const&
+route_state::place() const noexcept
+{
+    return m_place;
+}
+
+sidecar_links const& route_state::links() const noexcept
+{
+    return m_links;
+}
+
+} // namespace turmericswitch::gateway
--- /dev/null
+++ b/programs/gateway/settings/gateway_settings.hpp
@@ -0,0 +1,40 @@
+#ifndef TURMERICSWITCH_GATEWAY_SETTINGS_GATEWAY_SETTINGS_HPP
+#define TURMERICSWITCH_GATEWAY_SETTINGS_GATEWAY_SETTINGS_HPP
+
+#include "core/types/ids.hpp"
+#include "core/types/units.hpp"
+#include "settings/settings.hpp"
+#include "shared/daemon/daemon_main.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace turmericswitch::gateway
+{
+
+/// Settings of `turmericswitch-gateway`.
+struct gateway_settings
+{
+    shared::process_settings process;
+    /// Shown in status reports.
+    std::string name;
+    core::endpoint http;
+    std::int64_t http_threads = 0;
+    core::byte_count body_limit;
+    std::int64_t io_threads = 0;
+    /// Any of the availability zone's names.
+    core::zone_id zone;
+    /// Where control instances listen for processes, and for operators.
+    std::vector<core::endpoint> control;
+    std::vector<core::endpoint> control_http;
+    /// Name of the choice policy.
+    std::string policy;
+};
+
+/// Reads all settings; problems are collected in the reader.
+gateway_settings parse_gateway_settings(settings::settings_reader& reader);
+
+} // namespace turmericswitch::gateway
+
+#endif
--- /dev/null
+++ b/programs/shared/control_link/config_watch.cpp
@@ -0,0 +1,126 @@
+#include "shared/control_link/config_watch.hpp"
+
+#include "core/hooks/random_source.hpp"
+#include "wire/codec/message_codec.hpp"
+
+#include <utility>
+
+namespace turmericswitch::shared
+{
+
+namespace
+{
+
+/// An idle poll costs about 300 bytes, so this is far below the control
+/// budget of 8 KB/s.
+constexpr core::duration poll_wait = std::chrono::seconds(5);
+constexpr core::duration poll_timeout = poll_wait + std::chrono::seconds(2);
+constexpr core::duration backoff_base = std::chrono::milliseconds(50);
+constexpr core::duration backoff_cap = std::chrono::seconds(2);
+
+} // namespace
+
+struct config_watch::state : std::enable_shared_from_this<config_watch::state>
+{
+    state(transport::io_pool& pool,
+          control_link& control,
+          core::client_id name,
+          news_hook hook)
+        : io(pool),
+          link(control),
+          process(std::move(name)),
+          on_news(std::move(hook)),
+          random(core::seeded_random(std::hash<std::string>{}(process.value())))
+    {
+    }
+
+    void poll()
+    {
+        core::watch_request request;
+        request.process = process;
+        request.in_force = known.in_force;
+        request.registry = known.registry;
+        request.max_wait = poll_wait;
+        link.call(
+            "/watch",
+            wire::encode(request),
+            poll_timeout,
+            [self = shared_from_this()](transport::call_result const& result)
+            { self->answered(result); });
+    }
+
+    void answered(transport::call_result const& result)
+    {
+        std::unique_lock lock(mutex);
+        if (is_stopped)
+        {
+            return;
+        }
+        auto const answer = result.outcome == transport::call_outcome::answered
+                                ? wire::decode<core::watch_answer>(result.body)
+                                : std::nullopt;
+        if (answer && answer->code == core::result_code::ok)
+        {
+            known = on_news(*answer);
+            failures = 0;
+            ++answers;
+            lock.unlock();
+            poll();
+            return;
+        }
+        if (answer)
+        {
+            link.not_leader(answer->leader);
+        }
+        auto const wait =
+            core::full_jitter(random, backoff_base, backoff_cap, failures++);
+        lock.unlock();
+        io.post_after(wait,
+                      [self = shared_from_this()]
+                      {
+                          if (!self->is_stopped)
+                          {
+                              self->poll();
+                          }
+                      });
+    }
+
+    transport::io_pool& io;
+    control_link& link;
+    core::client_id process;
+    news_hook on_news;
+    core::random_source random;
+    /// Guards the hook against the destructor of the owner.
+    std::mutex mutex;
+    std::atomic<bool> is_stopped = false;
+    known_state known;
+    unsigned failures = 0;
+    std::atomic<std::uint64_t> answers = 0;
+};
+
+config_watch::config_watch(transport::io_pool& io,
+                           control_link& link,
+                           core::client_id process,
+                           news_hook on_news)
+    : m_state(std::make_shared<state>(
+          io, link, std::move(process), std::move(on_news)))
+{
+}
+
+config_watch::~config_watch()
+{
+    std::lock_guard const lock(m_state->mutex);
+    m_state->is_stopped = true;
+}
+
+void config_watch::start()
+{
+    m_state->poll();
+}
+
+std::uint64_t config_watch::answers() const noexcept
+{
+    return m_state->answers;
+}
+
+} // namespace turmericswitch::shared
--- /dev/null
+++ b/programs/shared/control_link/control_link.cpp
@@ -0,0 +1,144 @@
+#include "shared/control_link/control_link.hpp"
+
+#include "wire/codec/protocol_version.hpp"
+
+#include <cassert>
+#include <mutex>
+#include <utility>
+
+namespace turmericswitch::shared
+{
+
+struct control_link::state
+{
+    state(transport::io_pool& pool,
+          std::vector<core::endpoint> where,
+          std::uint64_t random_seed)
+        : io(pool),
+          instances(std::move(where)),
+          seed(random_seed),
+          // Spreads the first calls of many processes over the instances.
+          next(random_seed % instances.size())
+    {
+    }
+
+    std::shared_ptr<transport::rpc_client> connect(core::endpoint const& peer)
+    {
+        transport::client_options options;
+        options.connection.protocol_version = wire::protocol_version;
+        options.random = core::seeded_random(++seed);
+        return std::make_shared<transport::rpc_client>(
+            io, peer, std::move(options));
+    }
+
+    std::shared_ptr<transport::rpc_client> current()
+    {
+        std::lock_guard const lock(mutex);
+        if (!client)
+        {
+            client = connect(instances[next]);
+        }
+        return client;
+    }
+
+    /// Needs the lock.
+    void drop_client()
+    {
+        if (client)
+        {
+            auto const [sent, received] = client->transferred();
+            closed.sent += sent;
+            closed.received += received;
+            client.reset();
+        }
+    }
+
+    void turn_away_from(transport::rpc_client const* failed)
+    {
+        std::shared_ptr<transport::rpc_client> kept;
+        std::lock_guard const lock(mutex);
+        if (client.get() == failed)
+        {
+            // The last reference must not go while the lock is held.
+            kept = client;
+            drop_client();
+            next = (next + 1) % instances.size();
+        }
+    }
+
+    void follow(std::optional<core::endpoint> const& leader)
+    {
+        std::shared_ptr<transport::rpc_client> kept;
+        std::lock_guard const lock(mutex);
+        if (client && leader && client->peer() == *leader)
+        {
+            return;
+        }
+        kept = client;
+        drop_client();
+        if (leader)
+        {
+            client = connect(*leader);
+            return;
+        }
+        next = (next + 1) % instances.size();
+    }
+
+    transport::io_pool& io;
+    std::vector<core::endpoint> instances;
+    std::uint64_t seed;
+    std::mutex mutex;
+    std::size_t next;
+    std::shared_ptr<transport::rpc_client> client;
+    transport::traffic closed;
+};
+
+control_link::control_link(transport::io_pool& io,
+                           std::vector<core::endpoint> instances,
+                           std::uint64_t random_seed)
+{
+    assert(!instances.empty());
+    m_state = std::make_shared<state>(io, std::move(instances), random_seed);
+}
+
+void control_link::call(std::string path,
+                        std::string body,
+                        core::duration timeout,
+                        transport::call_callback done)
+{
+    auto client = m_state->current();
+    auto* const target = client.get();
+    target->call(std::move(path),
+                 std::move(body),
+                 timeout,
+                 [shared = m_state,
+                  client = std::move(client),
+                  done = std::move(done)](transport::call_result result)
+                 {
+                     if (result.outcome != transport::call_outcome::answered)
+                     {
+                         shared->turn_away_from(client.get());
+                     }
+                     done(std::move(result));
+                 });
+}
+
+void control_link::not_leader(std::optional<core::endpoint> const& leader)
+{
+    m_state->follow(leader);
+}
+
+transport::traffic control_link::transferred() const
+{
+    std::lock_guard const lock(m_state->mutex);
+    auto total = m_state->closed;
+    if (m_state->client)
+    {
+        auto const [sent, received] = m_state->client->transferred();
+        total.sent += sent;
+        total.received += received;
+    }
+    return total;
+}
+
+} // namespace turmericswitch::shared
--- /dev/null
+++ b/programs/shared/daemon/daemon_main.cpp
@@ -0,0 +1,113 @@
+#include "shared/daemon/daemon_main.hpp"
+
+#include "core/results/last_reason.hpp"
+#include "telemetry/telemetry.hpp"
+
+#include <iostream>
+
+namespace turmericswitch::shared
+{
+
+namespace
+{
+
+telemetry::log_level level_named(std::string const& name)
+{
+    using telemetry::log_level;
+    for (auto const level :
+         {log_level::debug, log_level::warning, log_level::error})
+    {
+        if (name == telemetry::to_string(level))
+        {
+            return level;
+        }
+    }
+    return log_level::info;
+}
+
+int fail_with_last_reason()
+{
+    std::cerr << core::last_reason().text << '\n';
+    return exit_status_of_last_reason();
+}
+
+int serve_with_log(daemon_parts const& parts,
+                   process::arguments const& given,
+                   process_settings const& settings)
+{
+    // Before the first thread, so that no thread takes the signal.
+    process::shutdown_signal signal;
+    auto const logging = telemetry::logging::start(
+        {level_named(settings.log_level), settings.log_file});
+    if (!logging)
+    {
+        return fail_with_last_reason();
+    }
+    if (parts.serve(given, signal))
+    {
+        return 0;
+    }
+    auto const status = exit_status_of_last_reason();
+    telemetry::logger(parts.log_part)
+        .error("can't start: " + core::last_reason().text);
+    return status;
+}
+
+} // namespace
+
+process_settings parse_process_settings(settings::settings_reader& reader)
+{
+    process_settings read;
+    read.ports_file = reader.text({"process", "ports_file"}, "");
+    read.log_level = reader.one_of({"process", "log_level"},
+                                   {"debug", "info", "warning", "error"},
+                                   "info");
+    read.log_file = reader.text({"process", "log_file"}, "");
+    return read;
+}
+
+int exit_status_of_last_reason()
+{
+    constexpr int status_values = 256;
+    return static_cast<int>(core::last_reason().code) % status_values;
+}
+
+bool announce_ports(process_settings const& settings,
+                    std::vector<process::named_port> const& ports)
+{
+    return settings.ports_file.empty() ||
+           process::write_ports_file(settings.ports_file, ports);
+}
+
+int run_daemon(daemon_parts const& parts, std::vector<std::string> const& words)
+{
+    auto const arguments =
+        process::parse_arguments(parts.usage, words, parts.version);
+    if (!arguments.parsed)
+    {
+        (arguments.exit_status == 0 ? std::cout : std::cerr)
+            << arguments.message << '\n';
+        return arguments.exit_status;
+    }
+    auto const& given = *arguments.parsed;
+    auto reader = settings::settings_reader::load(*given.text("--config"));
+    if (!reader)
+    {
+        return fail_with_last_reason();
+    }
+    auto const settings = parse_process_settings(*reader);
+    parts.parse(*reader);
+    if (!reader->finish())
+    {
+        for (auto const& error : reader->errors())
+        {
+            std::cerr << reader->to_string(error) << '\n';
+        }
+        return exit_status_of_last_reason();
+    }
+    return given.flag("--check-config")
+               ? 0
+               : serve_with_log(parts, given, settings);
+}
+
+} // namespace turmericswitch::shared
--- /dev/null
+++ b/programs/shared/daemon/daemon_main.hpp
@@ -0,0 +1,59 @@
+#ifndef TURMERICSWITCH_SHARED_DAEMON_DAEMON_MAIN_HPP
+#define TURMERICSWITCH_SHARED_DAEMON_DAEMON_MAIN_HPP
+
+#include "process/process.hpp"
+#include "settings/settings.hpp"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace turmericswitch::shared
+{
+
+/// Settings that all daemons share, section `process`.
+struct process_settings
+{
+    std::string ports_file;
+    std::string log_level;
+    std::string log_file;
+};
+
+process_settings parse_process_settings(settings::settings_reader& reader);
+
+/// What differs between the daemons.
+struct daemon_parts
+{
+    /// Text for docopt; must have --config and --check-config.
+    std::string usage;
+    std::string version;
+    /// Reads the program's own settings. Called before `serve`.
+    std::function<void(settings::settings_reader&)> parse;
+    /// Runs until the signal.
+    /// @return False with the reason if the daemon could not start.
+    std::function<bool(process::arguments const&, process::shutdown_signal&)>
+        serve;
+    /// Prefix of the log line that tells why the daemon could not start.
+    std::string log_part;
+};
+
+/// Reads command line and settings, starts the log and serves.
+///
+/// @param words The command line without the name of the program.
+/// @return The exit status: 0, 2 for a wrong command line, else the result
+/// code modulo 256.
+int run_daemon(daemon_parts const& parts,
+               std::vector<std::string> const& words);
+
+/// @return The exit status for the last reason.
+int exit_status_of_last_reason();
+
+/// Writes the ports file if the settings ask for one.
+///
+/// @return False with `io_failed`.
+bool announce_ports(process_settings const& settings,
+                    std::vector<process::named_port> const& ports);
+
+} // namespace turmericswitch::shared
+
+#endif
