--- /dev/null
+++ b/extras/bench/request_policy/main.cpp
@@ -0,0 +1,217 @@
+#include "policy_model.hpp"
+
+#include <cstdio>
+#include <string>
+
+namespace
+{
+
+namespace bench = turmericswitch::bench;
+namespace routing = turmericswitch::routing;
+
+constexpr std::uint64_t seeds[] = {11, 22, 33};
+
+struct named_policy
+{
+    char const* name;
+    routing::choice_policy policy;
+};
+
+std::vector<named_policy> policies()
+{
+    return {{"random", routing::choose_random()},
+            {"least outstanding", routing::choose_least_outstanding()},
+            {"power of two", routing::choose_power_of_two()},
+            {"power of two, latency", routing::choose_power_of_two_latency()},
+            {"least expected", routing::choose_least_expected()}};
+}
+
+// Runs all seeds and puts their results together.
+bench::model_result run_seeds(bench::model_options options)
+{
+    bench::model_result all;
+    for (auto const seed : seeds)
+    {
+        options.seed = seed;
+        auto one = bench::policy_model(options).run();
+        all.requests += one.requests;
+        all.attempts += one.attempts;
+        all.route_refusals += one.route_refusals;
+        all.region_bytes += one.region_bytes;
+        all.latencies.insert(
+            all.latencies.end(), one.latencies.begin(), one.latencies.end());
+    }
+    return all;
+}
+
+double ratio(std::int64_t value, std::int64_t base)
+{
+    return static_cast<double>(value) / static_cast<double>(base);
+}
+
+void compare_choices()
+{
+    std::puts("choice: latency as a ratio to random at the same load");
+    std::puts("load  policy                   p50    p99  p99.9  goodput");
+    for (double const load : {0.5, 0.8, 0.95})
+    {
+        bench::model_result base;
+        for (auto const& [name, policy] : policies())
+        {
+            bench::model_options options;
+            options.policy = policy;
+            options.load = load;
+            options.locality = false;
+            auto result = run_seeds(options);
+            if (base.requests == 0)
+            {
+                base = result;
+            }
+            std::printf("%3.0f%%  %-22s %5.2f  %5.2f  %5.2f  %7.4f\n",
+                        load * 100,
+                        name,
+                        ratio(result.quantile(0.5), base.quantile(0.5)),
+                        ratio(result.quantile(0.99), base.quantile(0.99)),
+                        ratio(result.quantile(0.999), base.quantile(0.999)),
+                        result.goodput());
+        }
+    }
+}
+
+void compare_retries()
+{
+    std::puts("retry: goodput and attempts per request");
+    std::puts("case           budget   goodput  attempts/request  p99 ratio");
+    struct scenario
+    {
+        char const* name;
+        double load;
+        double failing;
+    };
+    for (auto const& [name, load, failing] : {scenario{"30% failing", 0.6, 0.3},
+                                              {"30% at 90%", 0.9, 0.3},
+                                              {"150% load", 1.5, 0.0}})
+    {
+        bench::model_result base;
+        for (std::uint32_t const percent : {0U, 10U, 20U, 50U, 1000U})
+        {
+            bench::model_options options;
+            options.policy = routing::choose_power_of_two_latency();
+            options.load = load;
+            options.fail_share = failing;
+            options.locality = false;
+            options.length = std::chrono::seconds(20);
+            options.retry_percent = percent;
+            options.flow.use_retry_budget = percent < 1000;
+            auto result = run_seeds(options);
+            if (base.requests == 0)
+            {
+                base = result;
+            }
+            auto const label =
+                percent < 1000 ? std::to_string(percent) + "%" : "none";
+            std::printf("%-13s  %6s   %7.4f  %16.3f  %9.2f\n",
+                        name,
+                        label.c_str(),
+                        result.goodput(),
+                        result.amplification(),
+                        ratio(result.quantile(0.99), base.quantile(0.99)));
+        }
+    }
+}
+
+void compare_locality()
+{
+    std::puts("locality: latency and bytes between regions as ratios to none");
+    std::puts("load  locality    p50    p99   bytes  goodput");
+    for (double const load : {0.5, 0.8, 0.95})
+    {
+        bench::model_result base;
+        for (bool const locality : {false, true})
+        {
+            bench::model_options options;
+            options.policy = routing::choose_power_of_two_latency();
+            options.load = load;
+            options.two_regions = true;
+            options.locality = locality;
+            options.length = std::chrono::seconds(20);
+            auto result = run_seeds(options);
+            if (base.requests == 0)
+            {
+                base = result;
+            }
+            std::printf("%3.0f%%  %-8s  %5.2f  %5.2f  %6.3f  %7.4f\n",
+                        load * 100,
+                        locality ? "yes" : "no",
+                        ratio(result.quantile(0.5), base.quantile(0.5)),
+                        ratio(result.quantile(0.99), base.quantile(0.99)),
+                        static_cast<double>(result.region_bytes) /
+                            static_cast<double>(base.region_bytes),
+                        result.goodput());
+        }
+    }
+}
+
+bench::model_result
+run_route_change(bool zone_out, bool tags, turmericswitch::core::duration pause)
+{
+    bench::model_options options;
+    options.policy = routing::choose_power_of_two_latency();
+    options.load = 0.5;
+    options.flow.use_revision_hints = tags;
+    options.flow.route_refusal_pause = pause;
+    (zone_out ? options.zone_out_at : options.drain_at) =
+        std::chrono::seconds(10);
+    options.length = std::chrono::seconds(15);
+    return run_seeds(options);
+}
+
+void compare_revision_tags()
+{
+    std::puts("revision in refusals: attempts refused for a route change");
+    std::puts("event     tags  pause ms  refusals   goodput  attempts/request");
+    for (bool const zone_out : {true, false})
+    {
+        for (int const pause : {0, 100, 500})
+        {
+            for (bool const tags : {false, true})
+            {
+                auto const result = run_route_change(
+                    zone_out, tags, std::chrono::milliseconds(pause));
+                std::printf(
+                    "%-8s  %-4s  %8d  %8llu   %7.5f  %16.4f\n",
+                    zone_out ? "zone out" : "drain",
+                    tags ? "yes" : "no",
+                    pause,
+                    static_cast<unsigned long long>(result.route_refusals),
+                    result.goodput(),
+                    result.amplification());
+            }
+        }
+    }
+}
+
+} // namespace
+
+// Usage: turmericswitch-bench-request-policy [choice|retry|locality|tags]
+int main(int argc, char** argv)
+{
+    std::string const only = argc > 1 ? argv[1] : "";
+    if (only.empty() || only == "choice")
+    {
+        compare_choices();
+    }
+    if (only.empty() || only == "retry")
+    {
+        compare_retries();
+    }
+    if (only.empty() || only == "locality")
+    {
+        compare_locality();
+    }
+    if (only.empty() || only == "tags")
+    {
+        compare_revision_tags();
+    }
+    return 0;
+}
--- a/modules/routing/choice/backend_selector.cpp
+++ b/modules/routing/choice/backend_selector.cpp
@@ -65,9 +65,9 @@
     {
         return "availability zone out";
     }
-    return target.load->usable_at(query.table_revision)
+    return target.load->usable_at(query.now, query.table_revision)
                ? nullptr
-               : "its sidecar reported a newer state";
+               : "refused lately";
 }
 
 // Time until a new attempt would start, from load and latency.
--- a/modules/routing/choice/choice_policy.cpp
+++ b/modules/routing/choice/choice_policy.cpp
@@ -41,6 +41,29 @@
     return cost(a, b) < cost(b, a);
 }
 
+// The first by an order, ties at random.
+std::size_t first_of(candidates all,
+                     core::random_source const& random,
+                     bool (*before)(candidate const&, candidate const&))
+{
+    std::size_t best = 0;
+    std::size_t ties = 1;
+    for (std::size_t i = 1; i < all.size(); ++i)
+    {
+        if (before(all[i], all[best]))
+        {
+            best = i;
+            ties = 1;
+        }
+        else if (!before(all[best], all[i]))
+        {
+            ++ties;
+            best = core::random_below(random, ties) == 0 ? i : best;
+        }
+    }
+    return best;
+}
+
 } // namespace
 
 choice_policy choose_random()
@@ -52,24 +75,13 @@
 choice_policy choose_least_outstanding()
 {
     return [](candidates all, core::random_source const& random)
-    {
-        std::size_t best = 0;
-        std::size_t ties = 1;
-        for (std::size_t i = 1; i < all.size(); ++i)
-        {
-            if (less_loaded(all[i], all[best]))
-            {
-                best = i;
-                ties = 1;
-            }
-            else if (!less_loaded(all[best], all[i]))
-            {
-                ++ties;
-                best = core::random_below(random, ties) == 0 ? i : best;
-            }
-        }
-        return best;
-    };
+    { return first_of(all, random, less_loaded); };
+}
+
+choice_policy choose_least_expected()
+{
+    return [](candidates all, core::random_source const& random)
+    { return first_of(all, random, expected_sooner); };
 }
 
 choice_policy choose_power_of_two()
--- a/modules/routing/choice/choice_policy.hpp
+++ b/modules/routing/choice/choice_policy.hpp
@@ -43,6 +43,10 @@
 /// smaller product of load and latency, which also avoids slow servers.
 choice_policy choose_power_of_two_latency();
 
+/// @return A policy that takes the smallest product of load and latency of
+/// all candidates.
+choice_policy choose_least_expected();
+
 } // namespace turmericswitch::routing
 
 #endif
--- a/modules/routing/flow/flow_types.hpp
+++ b/modules/routing/flow/flow_types.hpp
@@ -37,6 +37,8 @@
     /// non-idempotent attempt did not run.
     core::duration cancel_grace = std::chrono::milliseconds(100);
     std::uint32_t max_cancels = 3;
+    /// Time without attempts to a sidecar that refused because it leaves.
+    core::duration route_refusal_pause = std::chrono::milliseconds(500);
     /// An answer with a larger body is not delivered.
     std::uint64_t max_answer_bytes = 16ULL << 20U;
     /// False spends no budget on retries; only for measurements.
--- a/modules/routing/flow/open_attempt.cpp
+++ b/modules/routing/flow/open_attempt.cpp
@@ -49,4 +49,16 @@
     return true;
 }
 
+void open_attempt::note_route_change(core::time_point now,
+                                     core::revision sidecar,
+                                     flow_options const& options) noexcept
+{
+    if (options.use_revision_hints && sidecar > service_revision)
+    {
+        load->exclude_below(sidecar);
+        return;
+    }
+    load->exclude_until(now + options.route_refusal_pause);
+}
+
 } // namespace turmericswitch::routing
--- a/modules/routing/flow/open_attempt.hpp
+++ b/modules/routing/flow/open_attempt.hpp
@@ -1,7 +1,7 @@
 #ifndef TURMERICSWITCH_ROUTING_FLOW_OPEN_ATTEMPT_HPP
 #define TURMERICSWITCH_ROUTING_FLOW_OPEN_ATTEMPT_HPP
 
-#include "routing/table/route_table.hpp"
+#include "routing/flow/flow_types.hpp"
 
 namespace turmericswitch::routing
 {
@@ -29,6 +29,13 @@
     /// @return False when the status is a server error.
     bool record_status(core::time_point now, std::uint16_t status) noexcept;
 
+    /// Keeps later requests away after a refusal for draining or an
+    /// availability zone out: until the table has the sidecar's revision if
+    /// that is newer, else for a short time.
+    void note_route_change(core::time_point now,
+                           core::revision sidecar,
+                           flow_options const& options) noexcept;
+
     core::attempt_id id;
     core::endpoint sidecar;
     core::backend_id backend;
--- a/modules/routing/flow/request_flow.cpp
+++ b/modules/routing/flow/request_flow.cpp
@@ -38,14 +38,17 @@
         finish_without_answer(core::result_code::not_ready, out);
         return out;
     }
-    if (!resolve_route(*table))
+    auto route = resolve_route(*table, m_request.content);
+    if (!route)
     {
         finish_without_answer(core::result_code::no_route, out);
         return out;
     }
+    m_route = std::move(*route);
     bool const shorter = m_request.timeout > core::duration::zero() &&
-                         m_request.timeout < m_rule.request_timeout;
-    m_deadline = now + (shorter ? m_request.timeout : m_rule.request_timeout);
+                         m_request.timeout < m_route.rule.request_timeout;
+    m_deadline =
+        now + (shorter ? m_request.timeout : m_route.rule.request_timeout);
     if (!m_request.key)
     {
         try_next(now, out);
@@ -53,31 +56,11 @@
     }
     m_phase = phase::claiming;
     m_claimed = true;
-    out.emplace_back(claim{{m_service, *m_request.key, m_request.id}});
+    out.emplace_back(claim{{m_route.service, *m_request.key, m_request.id}});
     out.emplace_back(wait{m_deadline});
     return out;
 }
 
-bool request_flow::resolve_route(route_table const& table)
-{
-    auto const* const route = table.find_route(m_request.content.target);
-    auto const* const service =
-        route == nullptr ? nullptr : table.find_service(route->service);
-    if (service == nullptr)
-    {
-        return false;
-    }
-    m_service = route->service;
-    m_rule = service->rule;
-    m_retries = service->retries;
-    m_region_bytes = service->region_bytes;
-    auto const& methods = route->idempotent_methods;
-    m_idempotent =
-        std::find(methods.begin(), methods.end(), m_request.content.method) !=
-        methods.end();
-    return true;
-}
-
 flow_actions request_flow::claim_answered(core::time_point now,
                                           core::result_code code)
 {
@@ -138,7 +121,7 @@
 
 selection request_flow::select(core::time_point now, route_table const& table)
 {
-    auto const* const service = table.find_service(m_service);
+    auto const* const service = table.find_service(m_route.service);
     if (service == nullptr)
     {
         selection none;
@@ -179,10 +162,10 @@
     action.backend = m_current.backend;
     action.sidecar = m_current.sidecar;
     action.request = {m_current.id,
-                      m_service,
+                      m_route.service,
                       m_request.content,
                       m_deadline - now,
-                      m_idempotent,
+                      m_route.idempotent,
                       m_current.service_revision};
     action.record = std::move(chosen.record);
     describe_send(m_request.id, m_current.backend, action.record);
@@ -245,10 +228,10 @@
     auto const size = answer.answer.body.size();
     if (m_current.crossed)
     {
-        m_region_bytes->charge(
+        m_route.region_bytes->charge(
             now,
             core::byte_count(static_cast<std::int64_t>(size)),
-            m_rule.region_bytes_per_second);
+            m_route.rule.region_bytes_per_second);
     }
     if (size != answer.body_size || size > m_context->options.max_answer_bytes)
     {
@@ -259,7 +242,7 @@
     }
     if (m_current.record_status(now, answer.answer.status))
     {
-        m_retries->earn(m_rule.retry_percent);
+        m_route.retries->earn(m_route.rule.retry_percent);
     }
     finish result;
     result.outcome = core::attempt_outcome::ran;
@@ -269,7 +252,7 @@
     if (m_request.key)
     {
         out.emplace_back(
-            end_claim{{m_service, *m_request.key, m_request.id, true}});
+            end_claim{{m_route.service, *m_request.key, m_request.id, true}});
     }
     end(std::move(result), out);
 }
@@ -281,10 +264,10 @@
     m_context->counters->refused_elsewhere.fetch_add(1,
                                                      std::memory_order_relaxed);
     bool const route_change = is_route_change(answer.code);
-    bool const newer = answer.sidecar_revision > m_current.service_revision;
-    if (route_change && newer && m_context->options.use_revision_hints)
+    if (route_change)
     {
-        m_current.load->exclude_below(answer.sidecar_revision);
+        m_current.note_route_change(
+            now, answer.sidecar_revision, m_context->options);
     }
     bool const overload = answer.code == core::result_code::no_capacity;
     (overload ? m_avoided : m_excluded).insert(m_current.backend);
@@ -303,7 +286,7 @@
     m_maybe_ran = true;
     m_excluded.insert(m_current.backend);
     m_current.close();
-    if (!m_idempotent)
+    if (!m_route.idempotent)
     {
         finish_without_answer(code, out);
         return;
@@ -326,7 +309,7 @@
 
 void request_flow::answer_is_missing(core::time_point now, flow_actions& out)
 {
-    if (!m_idempotent)
+    if (!m_route.idempotent)
     {
         start_cancel(now, out);
         return;
@@ -347,8 +330,8 @@
     if (m_current.crossed)
     {
         m_has_crossed = false;
-        m_region_bytes->refund(size_of(m_request.content),
-                               m_rule.region_bytes_per_second);
+        m_route.region_bytes->refund(size_of(m_request.content),
+                                     m_route.rule.region_bytes_per_second);
     }
     m_current.outlier->failed(now);
     m_excluded.insert(m_current.backend);
@@ -412,12 +395,12 @@
 {
     m_last_code = code;
     bool const budgeted = !route_change && m_context->options.use_retry_budget;
-    if (now >= m_deadline || m_attempts >= m_rule.max_attempts)
+    if (now >= m_deadline || m_attempts >= m_route.rule.max_attempts)
     {
         finish_without_answer(code, out);
         return;
     }
-    if (budgeted && !m_retries->try_spend())
+    if (budgeted && !m_route.retries->try_spend())
     {
         finish_without_answer(core::result_code::retry_budget_empty, out);
         return;
@@ -489,7 +472,7 @@
     if (m_claimed && !m_maybe_ran)
     {
         out.emplace_back(
-            end_claim{{m_service, *m_request.key, m_request.id, false}});
+            end_claim{{m_route.service, *m_request.key, m_request.id, false}});
     }
 }
 
@@ -500,7 +483,7 @@
     auto& count = m_maybe_ran ? m_context->counters->outcome_unknown
                               : m_context->counters->refused;
     ++count;
-    end(result_without_answer(m_maybe_ran, m_idempotent, code), out);
+    end(result_without_answer(m_maybe_ran, m_route.idempotent, code), out);
 }
 
 void request_flow::end(finish result, flow_actions& out)
--- a/modules/routing/flow/request_flow.hpp
+++ b/modules/routing/flow/request_flow.hpp
@@ -3,6 +3,7 @@
 
 #include "routing/flow/flow_types.hpp"
 #include "routing/flow/open_attempt.hpp"
+#include "routing/flow/resolved_route.hpp"
 
 namespace turmericswitch::routing
 {
@@ -61,7 +62,6 @@
     };
 
     bool is_current(core::attempt_id const& id) const;
-    bool resolve_route(route_table const& table);
     void try_next(core::time_point now, flow_actions& out);
     selection select(core::time_point now, route_table const& table);
     void send(core::time_point now, selection chosen, flow_actions& out);
@@ -93,11 +93,7 @@
     flow_context const* m_context;
     caller_request m_request;
     phase m_phase = phase::created;
-    core::service_id m_service;
-    core::service_rule m_rule;
-    std::shared_ptr<retry_budget> m_retries;
-    std::shared_ptr<region_byte_budget> m_region_bytes;
-    bool m_idempotent = false;
+    resolved_route m_route;
     core::time_point m_deadline;
     core::time_point m_resume_at;
     core::time_point m_cancel_end;
--- a/modules/routing/load/backend_load.cpp
+++ b/modules/routing/load/backend_load.cpp
@@ -71,14 +71,21 @@
     }
 }
 
+void backend_load::exclude_until(core::time_point end) noexcept
+{
+    m_excluded_until.store(micros(end), std::memory_order_relaxed);
+}
+
 void backend_load::retire() noexcept
 {
     m_retired.store(true, std::memory_order_relaxed);
 }
 
-bool backend_load::usable_at(core::revision table) const noexcept
+bool backend_load::usable_at(core::time_point now,
+                             core::revision table) const noexcept
 {
     return !m_retired.load(std::memory_order_relaxed) &&
+           m_excluded_until.load(std::memory_order_relaxed) <= micros(now) &&
            m_needed_revision.load(std::memory_order_relaxed) <= table.value();
 }
 
--- a/modules/routing/load/backend_load.hpp
+++ b/modules/routing/load/backend_load.hpp
@@ -33,11 +33,15 @@
     /// Leaves the backend server out until the table has this revision.
     void exclude_below(core::revision needed) noexcept;
 
+    /// Leaves the backend server out until a time. Use it when a refusal
+    /// gives no revision to wait for.
+    void exclude_until(core::time_point end) noexcept;
+
     /// The sidecar has another incarnation, so this life is over.
     void retire() noexcept;
 
-    /// @return True when a table of this revision may use it.
-    bool usable_at(core::revision table) const noexcept;
+    /// @return True when a table of this revision may use it now.
+    bool usable_at(core::time_point now, core::revision table) const noexcept;
 
     std::uint32_t outstanding() const noexcept;
 
@@ -53,6 +57,7 @@
     std::atomic<std::int64_t> m_reported_at{0};
     std::atomic<std::int64_t> m_latency{0};
     std::atomic<std::uint64_t> m_needed_revision{0};
+    std::atomic<std::int64_t> m_excluded_until{0};
     std::atomic<bool> m_retired{false};
 };
 
--- a/modules/routing/tests/request_flow_test.cpp
+++ b/modules/routing/tests/request_flow_test.cpp
@@ -25,6 +25,15 @@
     return nullptr;
 }
 
+// Fails the test when there is no such action.
+template <typename Action>
+Action const& the_action(flow_actions const& actions)
+{
+    auto const* found = find_action<Action>(actions);
+    CPPUNIT_ASSERT(found != nullptr);
+    return *found;
+}
+
 core::backend_entry make_entry(std::string const& name,
                                std::string const& zone,
                                std::string const& region)
@@ -106,7 +115,7 @@
         auto const* sent = find_action<send_attempt>(actions);
         return sent ? sent->backend.value()
                     : std::string(
-                          core::to_string(find_action<finish>(actions)->code));
+                          core::to_string(the_action<finish>(actions).code));
     }
 
 public:
@@ -169,7 +178,7 @@
         build();
         auto const flow = make_flow("POST");
         auto const actions = flow->begin(start);
-        auto const* sent = find_action<send_attempt>(actions);
+        auto const* sent = &the_action<send_attempt>(actions);
         CPPUNIT_ASSERT_EQUAL(std::string("far"), sent->backend.value());
         std::vector<core::runner_up> const expected{
             {"near", "leaving"}, {"next", "availability zone out"}};
@@ -194,12 +203,12 @@
         auto const& retries = m_table->services.begin()->second.retries;
         auto const flow = make_flow("POST");
         auto const actions = flow->begin(start);
-        auto const id = find_action<send_attempt>(actions)->request.id;
+        auto const id = the_action<send_attempt>(actions).request.id;
         auto const before = retries->tokens();
         auto const next = flow->attempt_answered(
             start, refusal(id, core::result_code::draining, 1));
         CPPUNIT_ASSERT_EQUAL(std::string("next"),
-                             find_action<send_attempt>(next)->backend.value());
+                             the_action<send_attempt>(next).backend.value());
         CPPUNIT_ASSERT_EQUAL(before, retries->tokens());
     }
 
@@ -207,7 +216,7 @@
     {
         auto const flow = make_flow("POST");
         auto const actions = flow->begin(start);
-        auto const id = find_action<send_attempt>(actions)->request.id;
+        auto const id = the_action<send_attempt>(actions).request.id;
         flow->attempt_answered(start,
                                refusal(id, core::result_code::zone_out, 2));
         std::vector<std::unique_ptr<request_flow>> keep;
@@ -225,10 +234,10 @@
         }
         auto const flow = make_flow("POST");
         auto const actions = flow->begin(start);
-        auto const id = find_action<send_attempt>(actions)->request.id;
+        auto const id = the_action<send_attempt>(actions).request.id;
         auto const end = flow->attempt_answered(
             start, refusal(id, core::result_code::no_capacity, 1));
-        auto const* done = find_action<finish>(end);
+        auto const* done = &the_action<finish>(end);
         CPPUNIT_ASSERT(done->outcome == core::attempt_outcome::not_run);
         CPPUNIT_ASSERT(done->code == core::result_code::retry_budget_empty);
     }
@@ -237,14 +246,14 @@
     {
         auto const flow = make_flow("POST");
         auto const actions = flow->begin(start);
-        auto const id = find_action<send_attempt>(actions)->request.id;
+        auto const id = the_action<send_attempt>(actions).request.id;
         auto const lost = flow->attempt_lost(start, id);
         CPPUNIT_ASSERT(find_action<send_attempt>(lost) == nullptr);
-        CPPUNIT_ASSERT(find_action<send_cancel>(lost)->request.id == id);
+        CPPUNIT_ASSERT(the_action<send_cancel>(lost).request.id == id);
         auto const cancelled =
             flow->cancel_answered(start, id, core::cancel_outcome::cancelled);
-        auto const again = flow->timer(find_action<wait>(cancelled)->until);
-        CPPUNIT_ASSERT(find_action<send_attempt>(again)->request.id != id);
+        auto const again = flow->timer(the_action<wait>(cancelled).until);
+        CPPUNIT_ASSERT(the_action<send_attempt>(again).request.id != id);
     }
 
     void late_answer_is_dropped_and_counted()
@@ -252,7 +261,7 @@
         auto const flow = make_flow("GET");
         auto const actions = flow->begin(start);
         core::attempt_answer answer;
-        answer.id = find_action<send_attempt>(actions)->request.id;
+        answer.id = the_action<send_attempt>(actions).request.id;
         answer.outcome = core::attempt_outcome::ran;
         answer.answer.status = 200;
         flow->attempt_lost(start, answer.id);
@@ -268,8 +277,8 @@
         CPPUNIT_ASSERT(find_action<send_attempt>(actions) == nullptr);
         auto const end =
             flow->claim_answered(start, core::result_code::no_quorum);
-        CPPUNIT_ASSERT(!find_action<end_claim>(end)->command.ran);
-        auto const* done = find_action<finish>(end);
+        CPPUNIT_ASSERT(!the_action<end_claim>(end).command.ran);
+        auto const* done = &the_action<finish>(end);
         CPPUNIT_ASSERT(done->outcome == core::attempt_outcome::not_run);
         CPPUNIT_ASSERT(done->code == core::result_code::no_quorum);
     }
@@ -279,11 +288,11 @@
     {
         auto const flow = make_flow("POST", "key");
         auto const actions = flow->begin(start);
-        auto const end = flow->timer(find_action<wait>(actions)->until);
-        CPPUNIT_ASSERT(find_action<finish>(end)->code ==
+        auto const end = flow->timer(the_action<wait>(actions).until);
+        CPPUNIT_ASSERT(the_action<finish>(end).code ==
                        core::result_code::deadline_exceeded);
         auto const late = flow->claim_answered(start, core::result_code::ok);
-        CPPUNIT_ASSERT(!find_action<end_claim>(late)->command.ran);
+        CPPUNIT_ASSERT(!the_action<end_claim>(late).command.ran);
     }
 
     void without_table_nothing_is_sent()
@@ -291,7 +300,7 @@
         m_table = nullptr;
         auto const actions = make_flow("GET")->begin(start);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, actions.size());
-        CPPUNIT_ASSERT(find_action<finish>(actions)->code ==
+        CPPUNIT_ASSERT(the_action<finish>(actions).code ==
                        core::result_code::not_ready);
     }
 };
