--- a/modules/routing/flow/open_attempt.cpp
+++ b/modules/routing/flow/open_attempt.cpp
@@ -50,12 +50,12 @@
 }
 
 void open_attempt::note_route_change(core::time_point now,
-                                     core::revision sidecar,
+                                     core::revision in_force,
                                      flow_options const& options) noexcept
 {
-    if (options.use_revision_hints && sidecar > service_revision)
+    if (options.use_revision_hints && in_force > service_revision)
     {
-        load->exclude_below(sidecar);
+        load->exclude_below(in_force);
         return;
     }
     load->exclude_until(now + options.route_refusal_pause);
--- a/modules/routing/flow/open_attempt.hpp
+++ b/modules/routing/flow/open_attempt.hpp
@@ -33,7 +33,7 @@
     /// availability zone out: until the table has the sidecar's revision if
     /// that is newer, else for a short time.
     void note_route_change(core::time_point now,
-                           core::revision sidecar,
+                           core::revision in_force,
                            flow_options const& options) noexcept;
 
     core::attempt_id id;
