--- /dev/null
+++ b/programs/sidecar/main.cpp
@@ -0,0 +1,154 @@
+#include "shared/control_link/config_watch.hpp"
+#include "shared/daemon/daemon_main.hpp"
+#include "shared/daemon/status_handler.hpp"
+#include "sidecar/service/sidecar_service.hpp"
+#include "wire/codec/protocol_version.hpp"
+
+#include <random>
+#include <thread>
+
+namespace turmericswitch::sidecar
+{
+
+namespace
+{
+
+constexpr auto usage =
+    R"(turmericswitch-sidecar - admits requests to the backend server beside it.
+
+Usage:
+  turmericswitch-sidecar --config FILE [--check-config]
+  turmericswitch-sidecar --help
+  turmericswitch-sidecar --version
+
+Options:
+  --config FILE   Settings file (INI).
+  --check-config  Check the settings file and exit.
+  --help          Show this text.
+  --version       Show the version.
+)";
+
+constexpr std::size_t io_threads = 2;
+/// Status pages only.
+constexpr unsigned http_threads = 4;
+constexpr core::duration stop_poll = std::chrono::milliseconds(10);
+/// Lets gateways learn of the drain before the port closes.
+constexpr core::duration route_change_time = std::chrono::milliseconds(500);
+
+std::uint64_t random_number()
+{
+    std::random_device device;
+    return (std::uint64_t{device()} << 32U) | device();
+}
+
+/// Finishes what is in progress.
+///
+/// @return Requests that were cut because the limit passed.
+std::size_t stop_gracefully(sidecar_service& service,
+                            transport::rpc_server& rpc,
+                            core::duration limit)
+{
+    auto const began = process::event_loop::now();
+    service.drain();
+    std::this_thread::sleep_for(route_change_time);
+    auto const is_late = [&]
+    { return process::event_loop::now() - began > limit; };
+    while (service.running() > 0 && !is_late())
+    {
+        std::this_thread::sleep_for(stop_poll);
+    }
+    rpc.stop_accepting();
+    while (!rpc.drained() && !is_late())
+    {
+        std::this_thread::sleep_for(stop_poll);
+    }
+    return std::max(service.running(), rpc.open_calls());
+}
+
+bool serve(sidecar_settings const& settings, process::shutdown_signal& signal)
+{
+    telemetry::logger const log("sidecar");
+    auto const life = random_number();
+    telemetry::metrics_registry metrics;
+    transport::io_pool io(io_threads);
+    auto control =
+        std::make_unique<shared::control_link>(io, settings.control, life);
+    sidecar_service service(
+        settings, *control, metrics, core::incarnation(life));
+    shared::config_watch watch(
+        io,
+        *control,
+        core::client_id("sidecar " + settings.backend.value()),
+        [&service](core::watch_answer const& news)
+        {
+            service.configure(news);
+            return shared::config_watch::known_state{news.current,
+                                                     news.registry};
+        });
+    transport::connection_options connection;
+    connection.protocol_version = wire::protocol_version;
+    auto const rpc = transport::rpc_server::listen(
+        io,
+        settings.rpc,
+        [&service](transport::rpc_request const& request,
+                   transport::responder answer)
+        { service.handle(request, std::move(answer)); },
+        connection,
+        [&log](std::string const& text) { log.warning(text); });
+    web::server_options options;
+    options.listen_on = settings.http;
+    options.worker_threads = http_threads;
+    auto const http =
+        rpc ? web::http_server::start(
+                  options,
+                  shared::with_status_pages(
+                      metrics,
+                      [&service] { return service.readiness(); },
+                      [](web::http_request const&)
+                      {
+                          return web::error_response(
+                              core::result_code::unknown_path,
+                              "a sidecar serves status pages only");
+                      }))
+            : nullptr;
+    if (!http || !shared::announce_ports(settings.process,
+                                         {{"rpc", rpc->bound().port},
+                                          {"http", http->bound().port}}))
+    {
+        return false;
+    }
+    service.start(rpc->bound());
+    watch.start();
+    log.info(settings.backend.value() + " listens on " +
+             to_string(rpc->bound()));
+    signal.wait();
+
+    auto const in_progress = service.running();
+    auto const cut = stop_gracefully(service, *rpc, settings.drain_limit);
+    log.info(
+        "stopped: " + std::to_string(in_progress - std::min(cut, in_progress)) +
+        " requests in progress finished, " + std::to_string(cut) + " cut");
+    // Calls to control end here, before the service that they report to.
+    control.reset();
+    return true;
+}
+
+} // namespace
+
+} // namespace turmericswitch::sidecar
+
+int main(int argc, char** argv)
+{
+    using namespace turmericswitch;
+    sidecar::sidecar_settings settings;
+    shared::daemon_parts parts;
+    parts.usage = sidecar::usage;
+    parts.version = TURMERICSWITCH_VERSION;
+    parts.log_part = "sidecar";
+    parts.parse = [&settings](settings::settings_reader& reader)
+    { settings = sidecar::parse_sidecar_settings(reader); };
+    parts.serve =
+        [&settings](process::arguments const&, process::shutdown_signal& signal)
+    { return sidecar::serve(settings, signal); };
+    return shared::run_daemon(parts, {argv + 1, argv + argc});
+}
--- a/programs/sidecar/service/backend_caller.hpp
+++ b/programs/sidecar/service/backend_caller.hpp
@@ -32,9 +32,8 @@
     backend_caller& operator=(backend_caller const&) = delete;
 
     /// @param timeout For the head of the answer.
-    void call(core::request_content content,
-              core::duration timeout,
-              done_hook done);
+    void
+    call(core::request_content content, core::duration timeout, done_hook done);
 
 private:
     struct work
--- a/programs/sidecar/service/sidecar_service.hpp
+++ b/programs/sidecar/service/sidecar_service.hpp
@@ -81,6 +81,7 @@
     /// Streams that wait for the answer of an attempt.
     std::map<core::attempt_id, std::vector<transport::responder>> m_streams;
     std::map<core::attempt_id, transport::responder> m_cancels;
+    std::map<core::attempt_id, core::time_point> m_arrived;
     bool m_rules_drain = false;
     bool m_stop_drain = false;
     bool m_announcing = false;
--- a/programs/sidecar/settings/sidecar_settings.cpp
+++ b/programs/sidecar/settings/sidecar_settings.cpp
@@ -15,7 +15,8 @@
     read.http = reader.endpoint({"sidecar", "http"});
     read.server = reader.endpoint({"sidecar", "server"});
     read.slots = reader.integer({"sidecar", "slots"}, {1, 256}, 8);
-    read.connections = reader.integer({"sidecar", "connections"}, {1, 1024}, 60);
+    read.connections =
+        reader.integer({"sidecar", "connections"}, {1, 1024}, 60);
     read.drain_limit =
         reader.duration({"sidecar", "drain_limit"}, 30s, {0s, 1h});
     read.control = reader.endpoints({"control", "rpc"});
