--- a/modules/telemetry/tests/decision_log_test.cpp
+++ b/modules/telemetry/tests/decision_log_test.cpp
@@ -64,6 +64,7 @@
     {
         decision_log log(100, 4);
         std::vector<std::thread> threads;
+        threads.reserve(4);
         for (int i = 0; i < 4; ++i)
         {
             threads.emplace_back(
--- a/modules/telemetry/tests/logging_test.cpp
+++ b/modules/telemetry/tests/logging_test.cpp
@@ -79,6 +79,7 @@
             auto const running =
                 logging::start({log_level::info, m_file.string()});
             std::vector<std::thread> threads;
+            threads.reserve(4);
             for (int i = 0; i < 4; ++i)
             {
                 threads.emplace_back(
--- a/modules/telemetry/tests/metrics_test.cpp
+++ b/modules/telemetry/tests/metrics_test.cpp
@@ -21,6 +21,7 @@
     static void on_threads(int count, std::function<void(int)> const& work)
     {
         std::vector<std::thread> threads;
+        threads.reserve(static_cast<std::size_t>(count));
         for (int i = 0; i < count; ++i)
         {
             threads.emplace_back([&work, i] { work(i); });
--- a/modules/transport/session/client_connection.cpp
+++ b/modules/transport/session/client_connection.cpp
@@ -141,6 +141,7 @@
     retire();
     auto const calls = std::exchange(m_calls, {});
     std::vector<std::int32_t> order;
+    order.reserve(calls.size());
     for (auto const& [stream, call] : calls)
     {
         order.push_back(stream);
--- a/modules/transport/session/http2_connection.cpp
+++ b/modules/transport/session/http2_connection.cpp
@@ -4,7 +4,6 @@
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
-#include <cstring>
 
 namespace turmericswitch::transport
 {
@@ -110,7 +109,7 @@
         }
         std::size_t& offset = self.outgoing_offset(stream);
         std::size_t const size = std::min(room, body->size() - offset);
-        std::memcpy(to, body->data() + offset, size);
+        std::copy_n(body->data() + offset, size, to);
         offset += size;
         if (offset == body->size())
         {
--- a/modules/transport/tests/rpc_fixture.hpp
+++ b/modules/transport/tests/rpc_fixture.hpp
@@ -3,6 +3,7 @@
 
 #include "transport/transport.hpp"
 
+#include <cppunit/TestAssert.h>
 #include <cppunit/TestFixture.h>
 
 #include <arpa/inet.h>
@@ -29,7 +30,7 @@
         local.sin_family = AF_INET;
         local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         auto* const address = reinterpret_cast<sockaddr*>(&local);
-        ::bind(m_listener, address, sizeof local);
+        CPPUNIT_ASSERT_EQUAL(0, ::bind(m_listener, address, sizeof local));
         ::listen(m_listener, 16);
         socklen_t size = sizeof local;
         ::getsockname(m_listener, address, &size);
--- a/modules/transport/tests/rpc_test.cpp
+++ b/modules/transport/tests/rpc_test.cpp
@@ -98,6 +98,7 @@
         auto const server = serve(echo, {.stream_limit = 3});
         auto const client = client_of(server->bound());
         std::vector<std::future<call_result>> results;
+        results.reserve(500);
         for (int i = 0; i < 500; ++i)
         {
             results.push_back(start(*client, std::to_string(i)));
@@ -124,6 +125,7 @@
         auto const client = client_of(server->bound());
         std::string const large(std::size_t{4} << 20, 'b');
         std::vector<std::future<call_result>> open;
+        open.reserve(8);
         for (int i = 0; i < 8; ++i)
         {
             open.push_back(start(*client, large));
--- a/modules/web/client/http_client.cpp
+++ b/modules/web/client/http_client.cpp
@@ -142,7 +142,7 @@
     {
         if (auto kept = m_pool.take(peer))
         {
-            http_result const result =
+            http_result result =
                 exchange(peer, std::move(kept), content, timeout);
             if (result.outcome == http_outcome::answered || !may_repeat)
             {
--- a/modules/web/server/http_server.cpp
+++ b/modules/web/server/http_server.cpp
@@ -94,6 +94,7 @@
 
         auto const texts = civetweb_options(m_options);
         std::vector<char const*> list;
+        list.reserve(texts.size() + 1);
         for (auto const& text : texts)
         {
             list.push_back(text.c_str());
--- a/modules/web/tests/http_client_test.cpp
+++ b/modules/web/tests/http_client_test.cpp
@@ -110,7 +110,7 @@
         int const listener = ::socket(AF_INET, SOCK_STREAM, 0);
         sockaddr_in address = loopback(0);
         auto* const pointer = reinterpret_cast<sockaddr*>(&address);
-        ::bind(listener, pointer, sizeof address);
+        CPPUNIT_ASSERT_EQUAL(0, ::bind(listener, pointer, sizeof address));
         ::listen(listener, 4);
         socklen_t size = sizeof address;
         ::getsockname(listener, pointer, &size);
--- a/modules/web/tests/raw_socket.hpp
+++ b/modules/web/tests/raw_socket.hpp
@@ -3,6 +3,8 @@
 
 #include "core/types/ids.hpp"
 
+#include <cppunit/TestAssert.h>
+
 #include <arpa/inet.h>
 #include <array>
 #include <atomic>
@@ -62,7 +64,7 @@
     {
         sockaddr_in address = loopback(0);
         auto* const pointer = reinterpret_cast<sockaddr*>(&address);
-        ::bind(m_listener, pointer, sizeof address);
+        CPPUNIT_ASSERT_EQUAL(0, ::bind(m_listener, pointer, sizeof address));
         ::listen(m_listener, 16);
         socklen_t size = sizeof address;
         ::getsockname(m_listener, pointer, &size);
