--- a/modules/consensus/tests/raft_fuzz_test.cpp
+++ b/modules/consensus/tests/raft_fuzz_test.cpp
@@ -102,25 +102,77 @@
     }
 }
 
-/// The leader accepts something, reaches one other member and is cut off.
-void strand_entry(consensus_harness& group, fuzz_step const& step)
+void cut_all_but(consensus_harness& group, member_id from, member_id kept)
 {
-    auto const at = pick_leader(group, step.member);
     for (auto const other : group.members())
     {
-        if (other != pick(group, step.amount))
+        if (other != kept)
         {
-            group.cut(at, other);
+            group.cut(from, other);
         }
     }
+}
+
+/// The leader accepts something with a stalled disk, reaches one other
+/// member, crashes and comes back without it, while that member is cut off.
+void strand_entry(consensus_harness& group, fuzz_step const& step)
+{
+    auto const at = pick_leader(group, step.member);
+    auto const reached = pick(group, step.amount);
+    cut_all_but(group, at, reached);
+    group.stall_disk(at, step.amount % 4 != 0);
     group.propose(at);
-    group.run(step.amount % 8);
-    group.isolate(at);
-    if (step.amount % 3 == 0)
+    group.run(step.amount % 16);
+    group.crash(at);
+    group.heal();
+    group.restart(at);
+    group.isolate(reached);
+    group.run(40);
+}
+
+/// Cuts off every leader as soon as it has won or committed something, while
+/// the one cut off before comes back.
+void interrupt_leaders(consensus_harness& group, fuzz_step const& step)
+{
+    if (group.leader())
     {
-        group.crash(at);
-        group.restart(at);
+        group.isolate(*group.leader());
+        group.propose(*group.leader());
     }
+    for (unsigned turn = 0; turn < 4; ++turn)
+    {
+        auto const before = group.leader();
+        auto const committed = group.oracle().last_committed();
+        bool const on_win = ((step.amount >> turn) & 1U) != 0;
+        auto const happened = [&]
+        {
+            return on_win ? group.leader() != before
+                          : group.oracle().last_committed() != committed;
+        };
+        for (int i = 0; i < 60 && !happened(); ++i)
+        {
+            group.run(1);
+        }
+        auto const next = group.leader();
+        group.heal();
+        if (next)
+        {
+            group.isolate(*next);
+        }
+    }
+    group.heal();
+}
+
+/// A leader that reaches nobody must step down within two timeouts.
+void isolate_leader(consensus_harness& group, unsigned number)
+{
+    auto const at = pick_leader(group, number);
+    group.isolate(at);
+    group.propose(at);
+    group.run(32);
+    auto const* const node = group.node(at);
+    bool const leads = node != nullptr && node->role() == member_role::leader;
+    RC_ASSERT(!leads);
 }
 
 void split(consensus_harness& group, unsigned mask)
@@ -185,10 +237,15 @@
         group.cut(member, pick(group, step.amount));
         break;
     case 3:
-        group.isolate(pick_leader(group, step.member));
+        isolate_leader(group, step.member);
         break;
     case 4:
-        split(group, step.amount);
+        if (step.amount % 2 == 0)
+        {
+            split(group, step.amount);
+            break;
+        }
+        interrupt_leaders(group, step);
         break;
     case 5:
         fail_disk(group, step);
@@ -255,7 +312,7 @@
     {
         disturb(group, step);
     }
-    else if (choice < 5)
+    else if (choice < 6)
     {
         work(group, step);
     }
@@ -292,13 +349,13 @@
     void three_members_agree()
     {
         testing::check_property(
-            "three members", {11, 150, 200}, [] { run_group(3); });
+            "three members", {11, 500, 200}, [] { run_group(3); });
     }
 
     void five_members_agree()
     {
         testing::check_property(
-            "five members", {12, 150, 200}, [] { run_group(5); });
+            "five members", {12, 500, 200}, [] { run_group(5); });
     }
 };
 
--- a/modules/consensus/tests/raft_node_test.cpp
+++ b/modules/consensus/tests/raft_node_test.cpp
@@ -27,6 +27,21 @@
     return all[0] == id ? all[1] : all[0];
 }
 
+void expect_silent(consensus_harness& group, member_id old)
+{
+    auto const write = group.propose(old);
+    auto const read = group.read(old);
+    group.run(6 * settle_steps);
+    CPPUNIT_ASSERT(!group.outcome_of(write).applied);
+    CPPUNIT_ASSERT(group.outcome_of(write).rejected ==
+                   result_code::outcome_unknown);
+    CPPUNIT_ASSERT(!group.outcome_of(read).readable);
+    CPPUNIT_ASSERT(group.outcome_of(read).rejected.has_value());
+    auto const late = group.propose(old);
+    CPPUNIT_ASSERT(group.outcome_of(late).rejected == result_code::not_leader);
+    CPPUNIT_ASSERT(group.leader() != old);
+}
+
 } // namespace
 
 class raft_node_test : public CppUnit::TestFixture
@@ -43,29 +58,25 @@
     CPPUNIT_TEST(lagging_learner_is_not_promoted);
     CPPUNIT_TEST_SUITE_END();
 
-    // Guards against stale answers from a leader that a partition hides.
+    // Guards against stale answers from a leader that a partition hides, both
+    // when it still hears the others and when it does not.
     void silently_partitioned_leader_answers_nothing()
     {
-        consensus_harness group(3, 1);
-        auto const old = settled_leader(group);
-        for (auto const id : group.members())
+        for (bool const hears_others : {true, false})
         {
-            // One-way: it still hears the others but reaches nobody.
-            group.cut(old, id);
+            consensus_harness group(3, 1);
+            auto const old = settled_leader(group);
+            for (auto const id : group.members())
+            {
+                group.cut(old, id);
+            }
+            if (!hears_others)
+            {
+                group.isolate(old);
+            }
+            expect_silent(group, old);
+            group.expect_progress();
         }
-        auto const write = group.propose(old);
-        auto const read = group.read(old);
-        group.run(6 * settle_steps);
-        CPPUNIT_ASSERT(!group.outcome_of(write).applied);
-        CPPUNIT_ASSERT(group.outcome_of(write).rejected ==
-                       result_code::outcome_unknown);
-        CPPUNIT_ASSERT(!group.outcome_of(read).readable);
-        CPPUNIT_ASSERT(group.outcome_of(read).rejected.has_value());
-        auto const late = group.propose(old);
-        CPPUNIT_ASSERT(group.outcome_of(late).rejected ==
-                       result_code::not_leader);
-        CPPUNIT_ASSERT(group.leader() != old);
-        group.expect_progress();
     }
 
     // Guards against clients that can't find the leader.
--- /dev/null
+++ b/modules/store/tests/log_store_test.cpp
@@ -0,0 +1,336 @@
+#include "core/results/last_reason.hpp"
+#include "store/log/log_store.hpp"
+#include "support/fake_file_system.hpp"
+#include "support/property.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+namespace turmericswitch::store
+{
+
+namespace
+{
+
+using core::log_index;
+using core::result_code;
+using testing::fake_file_system;
+
+constexpr log_options small_segments{256};
+char const* const first_segment = "log/00000000000000000001.log";
+
+std::vector<core::log_entry>
+batch(std::uint64_t first, std::size_t count, std::uint64_t term = 1)
+{
+    std::vector<core::log_entry> entries;
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        entries.push_back({core::term(term),
+                           log_index(first + i),
+                           core::entry_kind::command,
+                           "entry " + std::to_string(first + i)});
+    }
+    return entries;
+}
+
+std::optional<log_store>
+open(file_system& files, log_base base = {}, log_options options = {})
+{
+    return log_store::open(files, "log", base, options);
+}
+
+void append_singly(log_store& log, std::uint64_t first, std::size_t count)
+{
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        CPPUNIT_ASSERT(log.append(batch(first + i, 1)));
+    }
+}
+
+void expect_reason(result_code code)
+{
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(core::to_string(code)),
+        std::string(core::to_string(core::last_reason().code)));
+}
+
+void expect_reopens_with(file_system& files, std::uint64_t last)
+{
+    auto log = open(files);
+    CPPUNIT_ASSERT(log.has_value());
+    CPPUNIT_ASSERT_EQUAL(log_index(last), log->last_index());
+    CPPUNIT_ASSERT(log->take_recovered() == batch(1, last));
+    CPPUNIT_ASSERT(log->append(batch(last + 1, 1)));
+}
+
+/// The log under random operations, disk faults and crashes. The model holds
+/// the acknowledged entries behind the snapshot.
+class log_model
+{
+public:
+    explicit log_model(std::uint64_t seed) : m_disk(seed)
+    {
+        reopen();
+    }
+
+    void step(unsigned kind, unsigned amount)
+    {
+        switch (kind)
+        {
+        case 0:
+            truncate(amount);
+            return;
+        case 1:
+            compact(amount);
+            return;
+        case 2:
+            m_disk.fail_next_sync();
+            break;
+        case 3:
+            m_disk.set_space(amount * 5);
+            break;
+        default:
+            break;
+        }
+        append(amount, kind == 2 || kind == 3 || kind > 7);
+    }
+
+private:
+    void truncate(unsigned amount)
+    {
+        auto const removed = amount % (m_entries.size() + 1);
+        auto const from = last() + 1 - removed;
+        RC_ASSERT(m_log->truncate_suffix(log_index(from)));
+        m_entries.resize(m_entries.size() - removed);
+        ++m_term;
+    }
+
+    void compact(unsigned amount)
+    {
+        auto const count = amount % (m_entries.size() + 1);
+        if (count == 0)
+        {
+            return;
+        }
+        m_base = {m_entries[count - 1].index, m_entries[count - 1].entry_term};
+        m_entries.erase(m_entries.begin(),
+                        m_entries.begin() +
+                            static_cast<std::ptrdiff_t>(count));
+        RC_ASSERT(m_log->compact_prefix(m_base.index));
+    }
+
+    void append(unsigned amount, bool crashes)
+    {
+        auto const fresh = batch(last() + 1, amount % 7 + 1, m_term);
+        bool const accepted = m_log->append(fresh);
+        m_disk.set_space(std::nullopt);
+        if (accepted)
+        {
+            m_entries.insert(m_entries.end(), fresh.begin(), fresh.end());
+        }
+        else if (core::last_reason().code == result_code::sync_failed)
+        {
+            // Accepting it would promise what the kernel has dropped.
+            RC_ASSERT(!m_log->append(fresh));
+        }
+        if (crashes)
+        {
+            m_disk.crash();
+            reopen();
+        }
+    }
+
+    void reopen()
+    {
+        m_log = open(m_disk, m_base, small_segments);
+        if (!m_log)
+        {
+            RC_FAIL(core::last_reason().text);
+        }
+        auto found = m_log->take_recovered();
+        std::erase_if(found,
+                      [this](auto const& entry)
+                      { return entry.index <= m_base.index; });
+        RC_ASSERT(found.size() >= m_entries.size());
+        RC_ASSERT(std::equal(
+            m_entries.begin(), m_entries.end(), found.begin()));
+        // What was written but not acknowledged may survive as well.
+        m_entries = found;
+        RC_ASSERT(m_log->last_index().value() == last());
+    }
+
+    std::uint64_t last() const
+    {
+        return m_base.index.value() + m_entries.size();
+    }
+
+    fake_file_system m_disk;
+    std::optional<log_store> m_log;
+    std::vector<core::log_entry> m_entries;
+    log_base m_base;
+    std::uint64_t m_term = 1;
+};
+
+void run_log_model()
+{
+    log_model model(*rc::gen::arbitrary<std::uint64_t>());
+    auto const steps = *rc::gen::container<std::vector<unsigned>>(
+        rc::gen::resize(rc::kNominalSize, rc::gen::inRange(0U, 1000U)));
+    for (auto const step : steps)
+    {
+        model.step(step % 10, step / 10);
+    }
+}
+
+} // namespace
+
+class log_store_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(log_store_test);
+    CPPUNIT_TEST(acknowledged_entries_survive);
+    CPPUNIT_TEST(torn_tail_is_cut);
+    CPPUNIT_TEST(damage_before_the_tail_is_reported);
+    CPPUNIT_TEST(missing_segment_is_reported);
+    CPPUNIT_TEST(disk_full_in_a_batch_accepts_none_of_it);
+    CPPUNIT_TEST(failed_sync_refuses_later_writes);
+    CPPUNIT_TEST(gap_to_the_snapshot_is_reported);
+    CPPUNIT_TEST(log_older_than_the_snapshot_is_dropped);
+    CPPUNIT_TEST(log_of_another_term_is_dropped);
+    CPPUNIT_TEST_SUITE_END();
+
+    // Guards against any loss of acknowledged entries.
+    void acknowledged_entries_survive()
+    {
+        testing::check_property(
+            "log store", {21, 400, 100}, [] { run_log_model(); });
+    }
+
+    // Guards against a restart that fails or reads junk after a crash in a
+    // write, at every length of the torn record.
+    void torn_tail_is_cut()
+    {
+        fake_file_system whole;
+        auto log = open(whole);
+        append_singly(*log, 1, 3);
+        auto const kept = whole.size(first_segment);
+        append_singly(*log, 4, 1);
+        auto const end = whole.size(first_segment);
+        auto const bytes = *whole.read(first_segment);
+        for (auto cut = kept; cut < end; ++cut)
+        {
+            fake_file_system torn;
+            CPPUNIT_ASSERT(
+                torn.open(first_segment)->append(bytes.substr(0, cut)));
+            expect_reopens_with(torn, 3);
+        }
+    }
+
+    // Guards against cutting off acknowledged entries behind a bad sector,
+    // at every byte before the last batch.
+    void damage_before_the_tail_is_reported()
+    {
+        fake_file_system disk;
+        auto log = open(disk);
+        append_singly(*log, 1, 4);
+        auto const last_batch = disk.size(first_segment);
+        append_singly(*log, 5, 1);
+        for (std::uint64_t at = 0; at < last_batch; ++at)
+        {
+            disk.damage(first_segment, at);
+            CPPUNIT_ASSERT(!open(disk));
+            expect_reason(result_code::log_damaged);
+            disk.damage(first_segment, at);
+        }
+        expect_reopens_with(disk, 5);
+    }
+
+    // Guards against joining entries over a lost file.
+    void missing_segment_is_reported()
+    {
+        fake_file_system disk;
+        auto log = open(disk, {}, small_segments);
+        append_singly(*log, 1, 30);
+        auto const names = *disk.list("log");
+        CPPUNIT_ASSERT(names.size() > 2);
+        CPPUNIT_ASSERT(disk.remove("log/" + names[1]));
+        CPPUNIT_ASSERT(!open(disk));
+        expect_reason(result_code::log_damaged);
+    }
+
+    // Guards against half a batch that comes back after a restart, and
+    // against a store that stays unusable once there is space again.
+    void disk_full_in_a_batch_accepts_none_of_it()
+    {
+        fake_file_system disk;
+        auto log = open(disk);
+        append_singly(*log, 1, 2);
+        disk.set_space(100);
+        CPPUNIT_ASSERT(!log->append(batch(3, 8)));
+        expect_reason(result_code::disk_full);
+        CPPUNIT_ASSERT_EQUAL(log_index(2), open(disk)->last_index());
+        disk.set_space(std::nullopt);
+        CPPUNIT_ASSERT(log->append(batch(3, 8)));
+        expect_reopens_with(disk, 10);
+    }
+
+    // Guards against acknowledging pages that the kernel dropped.
+    void failed_sync_refuses_later_writes()
+    {
+        fake_file_system disk;
+        auto log = open(disk);
+        append_singly(*log, 1, 2);
+        disk.fail_next_sync();
+        CPPUNIT_ASSERT(!log->append(batch(3, 1)));
+        expect_reason(result_code::sync_failed);
+        CPPUNIT_ASSERT(!log->append(batch(3, 1)));
+        CPPUNIT_ASSERT(!log->truncate_suffix(log_index(2)));
+        CPPUNIT_ASSERT(!log->reset(log_index(9)));
+        expect_reason(result_code::sync_failed);
+        disk.crash();
+        expect_reopens_with(disk, 2);
+    }
+
+    // Guards against a state machine that skips entries.
+    void gap_to_the_snapshot_is_reported()
+    {
+        fake_file_system disk;
+        auto log = open(disk, {}, small_segments);
+        append_singly(*log, 1, 30);
+        CPPUNIT_ASSERT(log->compact_prefix(log_index(20)));
+        CPPUNIT_ASSERT(open(disk, {log_index(20), core::term(1)}));
+        CPPUNIT_ASSERT(!open(disk, {log_index(3), core::term(1)}));
+        expect_reason(result_code::snapshot_log_mismatch);
+    }
+
+    // Guards against a crash between a received snapshot and the log's reset.
+    void log_older_than_the_snapshot_is_dropped()
+    {
+        fake_file_system disk;
+        auto log = open(disk);
+        append_singly(*log, 1, 5);
+        log = open(disk, {log_index(9), core::term(2)});
+        CPPUNIT_ASSERT(log && log->take_recovered().empty());
+        CPPUNIT_ASSERT_EQUAL(log_index(9), log->last_index());
+        CPPUNIT_ASSERT(log->append(batch(10, 1)));
+    }
+
+    // Guards against keeping entries that the snapshot contradicts.
+    void log_of_another_term_is_dropped()
+    {
+        fake_file_system disk;
+        auto log = open(disk);
+        append_singly(*log, 1, 5);
+        CPPUNIT_ASSERT_EQUAL(
+            log_index(5),
+            open(disk, {log_index(3), core::term(1)})->last_index());
+        CPPUNIT_ASSERT_EQUAL(
+            log_index(3),
+            open(disk, {log_index(3), core::term(2)})->last_index());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(log_store_test);
+
+} // namespace turmericswitch::store
--- a/tests/support/consensus_harness.cpp
+++ b/tests/support/consensus_harness.cpp
@@ -23,13 +23,13 @@
     throw std::runtime_error(what + ": " + core::last_reason().text);
 }
 
-consensus::raft_options options_for(member_id self)
+consensus::raft_options options_for(member_id self, std::size_t message_bytes)
 {
     consensus::raft_options options;
     options.self = self;
     options.election_timeout = std::chrono::milliseconds(150);
     options.heartbeat_interval = std::chrono::milliseconds(30);
-    options.max_message_bytes = 30;
+    options.max_message_bytes = message_bytes;
     options.max_in_flight_bytes = 90;
     options.snapshot_chunk_bytes = 64;
     options.retained_entries = 5;
@@ -56,11 +56,14 @@
     log_index applied;
     std::optional<std::size_t> crash_countdown;
     bool disk_lost = false;
+    bool stalled = false;
 };
 
 consensus_harness::consensus_harness(std::size_t voters, std::uint64_t seed)
     : m_random(core::seeded_random(seed))
 {
+    // One entry per message in half of the runs.
+    m_message_bytes = chance(2) == 0 ? 1 : 30;
     for (std::size_t i = 1; i <= voters; ++i)
     {
         m_first_members.members.push_back({member_id(i), {}, {}, false});
@@ -120,7 +123,7 @@
     }
     member.applied = snapshot->metadata.last_index;
     member.unwritten.clear();
-    member.node.emplace(options_for(member.id),
+    member.node.emplace(options_for(member.id, m_message_bytes),
                         std::move(found),
                         core::seeded_random(m_random()),
                         now());
@@ -140,7 +143,7 @@
     deliver();
     for (auto const& [id, member] : m_members)
     {
-        if (member->node && chance(3) == 0)
+        if (member->node && !member->stalled && chance(3) == 0)
         {
             write_log(*member);
         }
@@ -380,6 +383,7 @@
 {
     auto& state = *m_members.at(member);
     state.crash_countdown.reset();
+    state.stalled = false;
     state.node.reset();
     state.log.reset();
     state.disk.crash();
@@ -402,6 +406,11 @@
     start(state, false);
 }
 
+void consensus_harness::stall_disk(member_id member, bool stalled)
+{
+    m_members.at(member)->stalled = stalled;
+}
+
 void consensus_harness::lose_disk(member_id member)
 {
     crash(member);
--- a/tests/support/consensus_harness.hpp
+++ b/tests/support/consensus_harness.hpp
@@ -53,6 +53,8 @@
     /// The member crashes between two of its next actions.
     void crash_after(core::member_id member, std::size_t actions);
     void restart(core::member_id member);
+    /// Appended entries stay unsynced while a disk is stalled.
+    void stall_disk(core::member_id member, bool stalled);
     /// Stops the member for good and loses its disk.
     void lose_disk(core::member_id member);
 
@@ -108,6 +110,7 @@
     consensus_oracle m_oracle;
     std::uint64_t m_step = 0;
     std::uint64_t m_next_ticket = 1;
+    std::size_t m_message_bytes = 0;
     unsigned m_drop_percent = 0;
     unsigned m_max_delay = 3;
 };
