--- a/modules/consensus/node/raft_node.hpp
+++ b/modules/consensus/node/raft_node.hpp
@@ -118,6 +118,7 @@
     // Membership
     std::vector<core::member_id> voters() const;
     bool is_voter(core::member_id id) const;
+    bool may_campaign() const;
     bool is_quorum(std::size_t count) const;
     void adopt_membership();
     std::optional<core::result_code>
--- a/modules/consensus/node/raft_node_election.cpp
+++ b/modules/consensus/node/raft_node_election.cpp
@@ -61,7 +61,7 @@
 void raft_node::start_pre_vote()
 {
     restart_election_timer();
-    if (!is_voter(m_options.self))
+    if (!may_campaign())
     {
         return;
     }
@@ -257,7 +257,7 @@
 
 void raft_node::receive(core::timeout_now const&)
 {
-    if (m_role == member_role::follower && is_voter(m_options.self))
+    if (m_role == member_role::follower && may_campaign())
     {
         start_election(true);
     }
--- a/modules/consensus/node/raft_node_membership.cpp
+++ b/modules/consensus/node/raft_node_membership.cpp
@@ -29,6 +29,27 @@
     return std::find(all.begin(), all.end(), id) != all.end();
 }
 
+/// A leader that has appended its own removal may hold the longest log. While
+/// that entry isn't known to be committed it stays electable, because the
+/// others may need its vote and it would refuse their shorter logs.
+bool raft_node::may_campaign() const
+{
+    auto const since = m_log.membership_index();
+    if (is_voter(m_options.self) || since <= m_commit ||
+        since <= m_log.base_index())
+    {
+        return is_voter(m_options.self);
+    }
+    auto const& before =
+        m_log.membership_at(log_index(since.value() - 1)).members;
+    return std::any_of(before.begin(),
+                       before.end(),
+                       [this](group_member const& member) {
+                           return member.id == m_options.self &&
+                                  !member.learner;
+                       });
+}
+
 bool raft_node::is_quorum(std::size_t count) const
 {
     return count > voters().size() / 2;
--- a/tests/support/consensus_harness.hpp
+++ b/tests/support/consensus_harness.hpp
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -97,6 +98,7 @@
                  consensus::install_snapshot const& output);
     void transmit(core::consensus_message const& content);
     bool is_acknowledged_everywhere(core::log_index index) const;
+    std::string describe() const;
     std::uint64_t chance(std::uint64_t limit);
     std::uint64_t open_ticket();
     core::time_point now() const;
