--- a/modules/consensus/node/raft_node.cpp
+++ b/modules/consensus/node/raft_node.cpp
@@ -27,10 +27,13 @@
                      recovered_state recovered,
                      core::random_source random,
                      core::time_point now)
-    : m_options(options), m_random(std::move(random)), m_now(now),
+    : m_options(options),
+      m_random(std::move(random)),
+      m_now(now),
       m_hard(recovered.hard),
       m_log(recovered.snapshot, std::move(recovered.entries)),
-      m_persisted(m_log.last_index()), m_commit(m_log.base_index())
+      m_persisted(m_log.last_index()),
+      m_commit(m_log.base_index())
 {
     if (recovered.snapshot.last_index.value() > 0)
     {
@@ -178,8 +181,8 @@
 void raft_node::on(snapshot_taken const& input)
 {
     auto const index = input.metadata.last_index;
-    if (index > m_commit || (m_snapshot && index <=
-                                               m_snapshot->metadata.last_index))
+    if (index > m_commit ||
+        (m_snapshot && index <= m_snapshot->metadata.last_index))
     {
         return;
     }
@@ -192,8 +195,7 @@
 
 void raft_node::on(storage_failed const&)
 {
-    become_follower(
-        m_hard.current_term, std::nullopt, result_code::not_leader);
+    become_follower(m_hard.current_term, std::nullopt, result_code::not_leader);
     // Nothing that follows could be made durable, so nothing may leave.
     m_hard_unsaved = false;
     m_halted = true;
--- a/modules/consensus/node/raft_node_election.cpp
+++ b/modules/consensus/node/raft_node_election.cpp
@@ -103,12 +103,11 @@
     {
         if (id != m_options.self)
         {
-            send_to(id,
-                    asked,
-                    core::vote_request{m_log.last_index(),
-                                       m_log.last_term(),
-                                       pre_vote,
-                                       transfer});
+            send_to(
+                id,
+                asked,
+                core::vote_request{
+                    m_log.last_index(), m_log.last_term(), pre_vote, transfer});
         }
     }
 }
@@ -135,8 +134,7 @@
 bool raft_node::accept_term()
 {
     auto const term = m_message->message_term;
-    auto const* const vote =
-        std::get_if<core::vote_request>(&m_message->body);
+    auto const* const vote = std::get_if<core::vote_request>(&m_message->body);
     if (term < m_hard.current_term)
     {
         return answer_stale_term();
@@ -145,8 +143,7 @@
     {
         return true;
     }
-    auto const* const answer =
-        std::get_if<core::vote_answer>(&m_message->body);
+    auto const* const answer = std::get_if<core::vote_answer>(&m_message->body);
     bool const granted_in_advance =
         answer != nullptr && answer->pre_vote && answer->granted;
     if (term == m_hard.current_term || granted_in_advance)
@@ -210,16 +207,15 @@
     auto const from = m_message->from;
     if (body.pre_vote)
     {
-        bool const granted =
-            m_message->message_term > m_hard.current_term &&
-            !leader_is_alive() && is_up_to_date(body);
+        bool const granted = m_message->message_term > m_hard.current_term &&
+                             !leader_is_alive() && is_up_to_date(body);
         send_to(from,
                 granted ? m_message->message_term : m_hard.current_term,
                 core::vote_answer{granted, true});
         return;
     }
-    bool const free = m_hard.voted_for == core::member_id() ||
-                      m_hard.voted_for == from;
+    bool const free =
+        m_hard.voted_for == core::member_id() || m_hard.voted_for == from;
     bool const granted = free && is_up_to_date(body);
     if (granted && m_hard.voted_for != from)
     {
@@ -234,8 +230,7 @@
 {
     auto const wanted =
         body.pre_vote ? member_role::pre_candidate : member_role::candidate;
-    auto const asked =
-        core::term(m_hard.current_term.value() + body.pre_vote);
+    auto const asked = core::term(m_hard.current_term.value() + body.pre_vote);
     if (!body.granted || m_role != wanted || m_message->message_term != asked)
     {
         return;
--- a/modules/consensus/node/raft_node_follower.cpp
+++ b/modules/consensus/node/raft_node_follower.cpp
@@ -53,9 +53,9 @@
         return;
     }
     store_new_entries(body.entries);
-    m_verified = std::max(
-        m_verified,
-        log_index(body.previous_index.value() + body.entries.size()));
+    m_verified =
+        std::max(m_verified,
+                 log_index(body.previous_index.value() + body.entries.size()));
     advance_commit(std::min(body.commit_index, m_verified));
     answer_append();
 }
@@ -124,9 +124,8 @@
         install(metadata, std::move(*data));
         installed = true;
     }
-    auto const last =
-        installed ? std::min(metadata.last_index, m_persisted)
-                  : metadata.last_index;
+    auto const last = installed ? std::min(metadata.last_index, m_persisted)
+                                : metadata.last_index;
     send_to(m_message->from,
             core::snapshot_answer{last, m_receiver.next_offset(), installed});
 }
@@ -138,8 +137,8 @@
     m_persisted = metadata.last_index;
     m_commit = metadata.last_index;
     m_verified = std::max(m_verified, metadata.last_index);
-    m_snapshot = offered_snapshot{
-        metadata, std::make_shared<std::string const>(data)};
+    m_snapshot =
+        offered_snapshot{metadata, std::make_shared<std::string const>(data)};
     emit(install_snapshot{metadata, std::move(data)});
 }
 
--- a/modules/consensus/node/raft_node_leader.cpp
+++ b/modules/consensus/node/raft_node_leader.cpp
@@ -90,8 +90,8 @@
         send_append(id, progress, {});
     }
     if (progress.snapshot() != nullptr &&
-        progress.chunk_overdue(
-            m_now, m_options.heartbeat_interval * retry_heartbeats))
+        progress.chunk_overdue(m_now,
+                               m_options.heartbeat_interval * retry_heartbeats))
     {
         send_chunk(id, progress);
     }
@@ -144,8 +144,7 @@
     progress.answered(m_now, body.round);
     if (body.success)
     {
-        progress.matched(std::min(body.match_index, m_log.last_index()),
-                         m_now);
+        progress.matched(std::min(body.match_index, m_log.last_index()), m_now);
         update_commit();
     }
     else if (progress.snapshot() == nullptr)
@@ -197,10 +196,9 @@
     for (auto const id : voters())
     {
         auto const found = m_progress.find(id);
-        matches.push_back(id == m_options.self ? m_persisted
-                          : found == m_progress.end()
-                              ? log_index()
-                              : found->second.match());
+        matches.push_back(id == m_options.self        ? m_persisted
+                          : found == m_progress.end() ? log_index()
+                                                      : found->second.match());
     }
     if (matches.empty())
     {
@@ -263,10 +261,9 @@
     for (auto const id : voters())
     {
         auto const found = m_progress.find(id);
-        recent += id == m_options.self ||
-                  (found != m_progress.end() &&
-                   m_now - found->second.last_answer() <
-                       m_options.election_timeout);
+        recent += id == m_options.self || (found != m_progress.end() &&
+                                           m_now - found->second.last_answer() <
+                                               m_options.election_timeout);
     }
     return is_quorum(recent);
 }
--- a/modules/consensus/node/raft_node_membership.cpp
+++ b/modules/consensus/node/raft_node_membership.cpp
@@ -138,17 +138,16 @@
     return ready ? std::nullopt : std::optional(result_code::not_ready);
 }
 
-core::group_membership
-raft_node::changed(change_membership const& change) const
+core::group_membership raft_node::changed(change_membership const& change) const
 {
     auto result = m_log.membership();
     auto& members = result.members;
-    auto const at = std::lower_bound(
-        members.begin(),
-        members.end(),
-        change.member.id,
-        [](group_member const& member, core::member_id id)
-        { return member.id < id; });
+    auto const at =
+        std::lower_bound(members.begin(),
+                         members.end(),
+                         change.member.id,
+                         [](group_member const& member, core::member_id id)
+                         { return member.id < id; });
     switch (change.kind)
     {
     case membership_change_kind::add_learner:
@@ -173,8 +172,7 @@
     }
     // The others learn the commit before this leader falls silent.
     replicate_all(true);
-    become_follower(
-        m_hard.current_term, std::nullopt, result_code::not_leader);
+    become_follower(m_hard.current_term, std::nullopt, result_code::not_leader);
 }
 
 } // namespace turmericswitch::consensus
--- a/modules/consensus/tests/raft_fuzz_test.cpp
+++ b/modules/consensus/tests/raft_fuzz_test.cpp
@@ -12,8 +12,8 @@
 namespace
 {
 
-using testing::consensus_harness;
 using core::member_id;
+using testing::consensus_harness;
 
 constexpr std::uint32_t step_limit = 1U << 24;
 constexpr std::size_t max_members = 8;
@@ -67,22 +67,20 @@
         }
     }
     auto const all = group.members();
-    auto const unused =
-        std::find_if(all.begin(),
-                     all.end(),
-                     [&](member_id id)
-                     {
-                         return id.value() > members.size() &&
-                                std::none_of(members.begin(),
-                                             members.end(),
-                                             [id](auto const& m)
-                                             { return m.id == id; });
-                     });
+    auto const unused = std::find_if(
+        all.begin(),
+        all.end(),
+        [&](member_id id)
+        {
+            return id.value() > members.size() &&
+                   std::none_of(members.begin(),
+                                members.end(),
+                                [id](auto const& m) { return m.id == id; });
+        });
     if (all.size() < max_members)
     {
-        group.change(at,
-                     membership_change_kind::add_learner,
-                     group.start_spare());
+        group.change(
+            at, membership_change_kind::add_learner, group.start_spare());
     }
     else if (unused != all.end() && !group.has_lost_disk(*unused))
     {
@@ -175,6 +173,28 @@
     RC_ASSERT(!leads);
 }
 
+/// All members start anew, so that several stand for election at once, and
+/// one crashes between two of its actions in that election.
+void crash_in_election(consensus_harness& group, fuzz_step const& step)
+{
+    auto const voter = pick(group, step.member);
+    for (auto const id : group.members())
+    {
+        group.restart(id);
+    }
+    group.heal();
+    group.set_network(0, 8);
+    group.crash_after(voter, 1 + step.amount % 8);
+    for (int i = 0; i < 50; ++i)
+    {
+        group.run(1);
+        if (group.node(voter) == nullptr)
+        {
+            group.restart(voter);
+        }
+    }
+}
+
 void split(consensus_harness& group, unsigned mask)
 {
     auto const all = group.members();
@@ -196,7 +216,7 @@
     auto& disk = group.disk(pick(group, step.member));
     if (step.amount % 2 == 0)
     {
-        disk.fail_next_sync();
+        disk.fail_next_sync(step.amount % 4 == 0);
     }
     else
     {
@@ -228,7 +248,12 @@
     switch (step.kind % 8)
     {
     case 0:
-        group.crash(member);
+        if (step.amount % 2 == 0)
+        {
+            group.crash(member);
+            break;
+        }
+        crash_in_election(group, step);
         break;
     case 1:
         group.crash_after(member, step.amount % 12);
--- a/modules/consensus/tests/raft_node_test.cpp
+++ b/modules/consensus/tests/raft_node_test.cpp
@@ -56,6 +56,8 @@
     CPPUNIT_TEST(failed_sync_silences_the_member);
     CPPUNIT_TEST(lagging_follower_catches_up_by_snapshot);
     CPPUNIT_TEST(lagging_learner_is_not_promoted);
+    CPPUNIT_TEST(new_leader_refuses_membership_changes);
+    CPPUNIT_TEST(entry_of_an_earlier_term_is_not_counted);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against stale answers from a leader that a partition hides, both
@@ -204,8 +206,51 @@
         group.run(settle_steps);
         auto const id =
             group.change(at, membership_change_kind::promote, spare);
+        CPPUNIT_ASSERT(group.outcome_of(id).rejected == result_code::not_ready);
+    }
+
+    // Guards against a change beside one that the former leader has begun.
+    void new_leader_refuses_membership_changes()
+    {
+        consensus_harness group(3, 10);
+        while (!group.leader())
+        {
+            group.run(1);
+        }
+        auto const id = group.change(
+            *group.leader(), membership_change_kind::add_learner, member_id(9));
         CPPUNIT_ASSERT(group.outcome_of(id).rejected ==
-                       result_code::not_ready);
+                       result_code::membership_change_in_progress);
+    }
+
+    // Guards against committing an entry of an earlier term by counting: a
+    // member with a later term could still replace it.
+    void entry_of_an_earlier_term_is_not_counted()
+    {
+        auto state = bootstrap_state({{{member_id(1), {}, {}, false},
+                                       {member_id(2), {}, {}, false},
+                                       {member_id(3), {}, {}, false}}});
+        state.hard.current_term = core::term(2);
+        state.entries.push_back({core::term(2), core::log_index(2), {}, "x"});
+        raft_options options;
+        options.self = member_id(1);
+        raft_node node(options, state, core::seeded_random(1), {});
+        auto const late = core::time_point(std::chrono::seconds(5));
+        auto const receive = [&](auto body)
+        {
+            node.handle(
+                late,
+                message{{member_id(2), member_id(1), core::term(3), body}});
+        };
+        node.handle(late, tick{});
+        receive(core::vote_answer{true, true});
+        receive(core::vote_answer{true, false});
+        CPPUNIT_ASSERT(node.role() == member_role::leader);
+        receive(core::append_answer{true, core::log_index(2), 1});
+        CPPUNIT_ASSERT_EQUAL(core::log_index(0), node.commit_index());
+        node.handle(late, persisted{core::log_index(3), core::term(3)});
+        receive(core::append_answer{true, core::log_index(3), 1});
+        CPPUNIT_ASSERT_EQUAL(core::log_index(3), node.commit_index());
     }
 };
 
--- a/modules/store/files/real_file_system.cpp
+++ b/modules/store/files/real_file_system.cpp
@@ -177,8 +177,8 @@
     {
         return true;
     }
-    auto const parent = path.has_parent_path() ? path.parent_path().string()
-                                               : std::string(".");
+    auto const parent =
+        path.has_parent_path() ? path.parent_path().string() : std::string(".");
     if (path.has_parent_path() && !make_folder(parent))
     {
         return false;
--- a/modules/store/log/log_store.cpp
+++ b/modules/store/log/log_store.cpp
@@ -150,19 +150,18 @@
     auto const first = m_segments.front().first;
     if (first > base.index.value() + 1)
     {
-        return core::fail_bool(
-            result_code::snapshot_log_mismatch,
-            "the log starts at " + std::to_string(first) +
-                " but the snapshot ends at " +
-                std::to_string(base.index.value()));
+        return core::fail_bool(result_code::snapshot_log_mismatch,
+                               "the log starts at " + std::to_string(first) +
+                                   " but the snapshot ends at " +
+                                   std::to_string(base.index.value()));
     }
     if (base.index.value() < first)
     {
         return true;
     }
     bool const ends_before = m_last < base.index;
-    if (ends_before || m_recovered[base.index.value() - first].entry_term !=
-                           base.base_term)
+    if (ends_before ||
+        m_recovered[base.index.value() - first].entry_term != base.base_term)
     {
         m_recovered.clear();
         return reset(base.index);
@@ -178,8 +177,7 @@
     }
     assert(entries.front().index.value() == m_last.value() + 1);
     bool const is_new_segment =
-        m_segments.empty() ||
-        m_segments.back().size >= m_options.segment_bytes;
+        m_segments.empty() || m_segments.back().size >= m_options.segment_bytes;
     if (is_new_segment)
     {
         m_segments.push_back({entries.front().index.value(), {}, 0});
@@ -322,10 +320,8 @@
 
 bool log_store::remove_segment(std::size_t position)
 {
-    auto const at =
-        m_segments.begin() + static_cast<std::ptrdiff_t>(position);
-    if (!m_files->remove(path_of(at->first)) ||
-        !m_files->sync_folder(m_folder))
+    auto const at = m_segments.begin() + static_cast<std::ptrdiff_t>(position);
+    if (!m_files->remove(path_of(at->first)) || !m_files->sync_folder(m_folder))
     {
         return false;
     }
@@ -335,10 +331,9 @@
 
 bool log_store::check_writable() const
 {
-    return !m_failed ||
-           core::fail_bool(result_code::sync_failed,
-                           "an earlier write to " + m_folder +
-                               " failed; restart the process");
+    return !m_failed || core::fail_bool(result_code::sync_failed,
+                                        "an earlier write to " + m_folder +
+                                            " failed; restart the process");
 }
 
 bool log_store::remember_failure()
--- a/modules/store/state/checked_file.cpp
+++ b/modules/store/state/checked_file.cpp
@@ -54,8 +54,7 @@
         return false;
     }
     return write_new_file(files, path, payload) &&
-           files.rename(path, folder + "/" + name) &&
-           files.sync_folder(folder);
+           files.rename(path, folder + "/" + name) && files.sync_folder(folder);
 }
 
 std::optional<std::string> read_checked_file(file_system& files,
--- a/modules/store/tests/log_store_test.cpp
+++ b/modules/store/tests/log_store_test.cpp
@@ -63,6 +63,9 @@
     CPPUNIT_ASSERT_EQUAL(log_index(last), log->last_index());
     CPPUNIT_ASSERT(log->take_recovered() == batch(1, last));
     CPPUNIT_ASSERT(log->append(batch(last + 1, 1)));
+    // A tail that was not cut would hide this entry.
+    log = open(files);
+    CPPUNIT_ASSERT(log && log->take_recovered() == batch(1, last + 1));
 }
 
 /// The log under random operations, disk faults and crashes. The model holds
@@ -91,10 +94,13 @@
         case 3:
             m_disk.set_space(amount * 5);
             break;
+        case 4:
+            m_disk.fail_next_sync(false);
+            break;
         default:
             break;
         }
-        append(amount, kind == 2 || kind == 3 || kind > 7);
+        append(amount, (kind >= 2 && kind <= 4) || kind > 7);
     }
 
 private:
@@ -116,8 +122,7 @@
         }
         m_base = {m_entries[count - 1].index, m_entries[count - 1].entry_term};
         m_entries.erase(m_entries.begin(),
-                        m_entries.begin() +
-                            static_cast<std::ptrdiff_t>(count));
+                        m_entries.begin() + static_cast<std::ptrdiff_t>(count));
         RC_ASSERT(m_log->compact_prefix(m_base.index));
     }
 
@@ -154,8 +159,8 @@
                       [this](auto const& entry)
                       { return entry.index <= m_base.index; });
         RC_ASSERT(found.size() >= m_entries.size());
-        RC_ASSERT(std::equal(
-            m_entries.begin(), m_entries.end(), found.begin()));
+        RC_ASSERT(
+            std::equal(m_entries.begin(), m_entries.end(), found.begin()));
         // What was written but not acknowledged may survive as well.
         m_entries = found;
         RC_ASSERT(m_log->last_index().value() == last());
--- a/modules/store/tests/state_test.cpp
+++ b/modules/store/tests/state_test.cpp
@@ -151,10 +151,10 @@
              ("turmericswitch-store-" + std::to_string(::getpid())))
                 .string();
         real_file_system files;
-        CPPUNIT_ASSERT(hard_state_store(files, folder + "/state")
-                           .create(identity, state));
-        CPPUNIT_ASSERT(snapshot_store(files, folder + "/snapshots")
-                           .save(snapshot_at(5)));
+        CPPUNIT_ASSERT(
+            hard_state_store(files, folder + "/state").create(identity, state));
+        CPPUNIT_ASSERT(
+            snapshot_store(files, folder + "/snapshots").save(snapshot_at(5)));
         auto log = log_store::open(files, folder + "/log", {}, {64});
         std::vector<core::log_entry> entries;
         for (std::uint64_t i = 1; i <= 6; ++i)
--- a/tests/support/consensus_oracle.cpp
+++ b/tests/support/consensus_oracle.cpp
@@ -50,13 +50,12 @@
         return;
     }
     auto const before = digest(core::log_index(next - 1));
-    m_digests[entry.index] =
-        before * 31 + std::hash<std::string>{}(entry.data) +
-        entry.entry_term.value();
+    m_digests[entry.index] = before * 31 +
+                             std::hash<std::string>{}(entry.data) +
+                             entry.entry_term.value();
     if (entry.kind == core::entry_kind::membership)
     {
-        membership_committed(
-            *wire::decode<core::group_membership>(entry.data));
+        membership_committed(*wire::decode<core::group_membership>(entry.data));
     }
 }
 
@@ -78,8 +77,7 @@
     m_acknowledged = std::max(m_acknowledged, index);
 }
 
-void consensus_oracle::membership_committed(
-    core::group_membership const& next)
+void consensus_oracle::membership_committed(core::group_membership const& next)
 {
     auto const before = voters_of(m_membership);
     auto const after = voters_of(next);
--- a/tests/support/fake_file_system.cpp
+++ b/tests/support/fake_file_system.cpp
@@ -22,9 +22,8 @@
     bool append(std::string_view bytes) override
     {
         auto& space = m_disk->m_space;
-        auto const fits =
-            space ? std::min<std::uint64_t>(*space, bytes.size())
-                  : bytes.size();
+        auto const fits = space ? std::min<std::uint64_t>(*space, bytes.size())
+                                : bytes.size();
         m_file->bytes += bytes.substr(0, fits);
         if (space)
         {
@@ -39,7 +38,7 @@
         if (m_disk->m_fail_sync)
         {
             m_disk->m_fail_sync = false;
-            m_file->dropped = true;
+            m_file->dropped = m_disk->m_sync_drops;
             return core::fail_bool(result_code::sync_failed, "fake sync");
         }
         if (!m_file->dropped)
@@ -196,9 +195,10 @@
     m_space = bytes;
 }
 
-void fake_file_system::fail_next_sync()
+void fake_file_system::fail_next_sync(bool drops)
 {
     m_fail_sync = true;
+    m_sync_drops = drops;
 }
 
 void fake_file_system::damage(std::string const& path, std::uint64_t offset)
--- a/tests/support/fake_file_system.hpp
+++ b/tests/support/fake_file_system.hpp
@@ -36,9 +36,10 @@
     /// Appends fail with `disk_full` once this many bytes were written; the
     /// last one is written in part.
     void set_space(std::optional<std::uint64_t> bytes);
-    /// The next file sync fails and drops the unsynced bytes: later syncs
-    /// succeed without writing them.
-    void fail_next_sync();
+    /// The next file sync fails. With `drops` the unsynced bytes are lost:
+    /// later syncs succeed without writing them. Without, they are still on
+    /// their way, so that a crash tears them.
+    void fail_next_sync(bool drops = true);
     /// Inverts the byte at an offset.
     void damage(std::string const& path, std::uint64_t offset);
     std::uint64_t size(std::string const& path) const;
@@ -60,6 +61,7 @@
     directory m_durable;
     std::optional<std::uint64_t> m_space;
     bool m_fail_sync = false;
+    bool m_sync_drops = false;
 };
 
 } // namespace turmericswitch::testing
