--- a/modules/consensus/node/raft_node_membership.cpp
+++ b/modules/consensus/node/raft_node_membership.cpp
@@ -29,6 +29,27 @@
     return std::find(all.begin(), all.end(), id) != all.end();
 }
 
+/// A leader that has appended its own removal may hold the longest log. While
+/// that entry isn't known to be committed it stays electable, because the
+/// others may need its vote and it would refuse their shorter logs.
+bool raft_node::may_campaign() const
+{
+    auto const since = m_log.membership_index();
+    if (is_voter(m_options.self) || since <= m_commit ||
+        since <= m_log.base_index())
+    {
+        return is_voter(m_options.self);
+    }
+    auto const& before =
+        m_log.membership_at(log_index(since.value() - 1)).members;
+    return std::any_of(before.begin(),
+                       before.end(),
+                       [this](group_member const& member) {
+                           return member.id == m_options.self &&
+                                  !member.learner;
+                       });
+}
+
 bool raft_node::is_quorum(std::size_t count) const
 {
     return count > voters().size() / 2;
@@ -117,17 +138,16 @@
     return ready ? std::nullopt : std::optional(result_code::not_ready);
 }
 
-core::group_membership
-raft_node::changed(change_membership const& change) const
+core::group_membership raft_node::changed(change_membership const& change) const
 {
     auto result = m_log.membership();
     auto& members = result.members;
-    auto const at = std::lower_bound(
-        members.begin(),
-        members.end(),
-        change.member.id,
-        [](group_member const& member, core::member_id id)
-        { return member.id < id; });
+    auto const at =
+        std::lower_bound(members.begin(),
+                         members.end(),
+                         change.member.id,
+                         [](group_member const& member, core::member_id id)
+                         { return member.id < id; });
     switch (change.kind)
     {
     case membership_change_kind::add_learner:
@@ -152,8 +172,7 @@
     }
     // The others learn the commit before this leader falls silent.
     replicate_all(true);
-    become_follower(
-        m_hard.current_term, std::nullopt, result_code::not_leader);
+    become_follower(m_hard.current_term, std::nullopt, result_code::not_leader);
 }
 
 } // namespace turmericswitch::consensus
--- a/modules/consensus/tests/raft_node_test.cpp
+++ b/modules/consensus/tests/raft_node_test.cpp
@@ -27,6 +27,21 @@
     return all[0] == id ? all[1] : all[0];
 }
 
+void expect_silent(consensus_harness& group, member_id old)
+{
+    auto const write = group.propose(old);
+    auto const read = group.read(old);
+    group.run(6 * settle_steps);
+    CPPUNIT_ASSERT(!group.outcome_of(write).applied);
+    CPPUNIT_ASSERT(group.outcome_of(write).rejected ==
+                   result_code::outcome_unknown);
+    CPPUNIT_ASSERT(!group.outcome_of(read).readable);
+    CPPUNIT_ASSERT(group.outcome_of(read).rejected.has_value());
+    auto const late = group.propose(old);
+    CPPUNIT_ASSERT(group.outcome_of(late).rejected == result_code::not_leader);
+    CPPUNIT_ASSERT(group.leader() != old);
+}
+
 } // namespace
 
 class raft_node_test : public CppUnit::TestFixture
@@ -41,31 +56,29 @@
     CPPUNIT_TEST(failed_sync_silences_the_member);
     CPPUNIT_TEST(lagging_follower_catches_up_by_snapshot);
     CPPUNIT_TEST(lagging_learner_is_not_promoted);
+    CPPUNIT_TEST(new_leader_refuses_membership_changes);
+    CPPUNIT_TEST(entry_of_an_earlier_term_is_not_counted);
     CPPUNIT_TEST_SUITE_END();
 
-    // Guards against stale answers from a leader that a partition hides.
+    // Guards against stale answers from a leader that a partition hides, both
+    // when it still hears the others and when it does not.
     void silently_partitioned_leader_answers_nothing()
     {
-        consensus_harness group(3, 1);
-        auto const old = settled_leader(group);
-        for (auto const id : group.members())
+        for (bool const hears_others : {true, false})
         {
-            // One-way: it still hears the others but reaches nobody.
-            group.cut(old, id);
+            consensus_harness group(3, 1);
+            auto const old = settled_leader(group);
+            for (auto const id : group.members())
+            {
+                group.cut(old, id);
+            }
+            if (!hears_others)
+            {
+                group.isolate(old);
+            }
+            expect_silent(group, old);
+            group.expect_progress();
         }
-        auto const write = group.propose(old);
-        auto const read = group.read(old);
-        group.run(6 * settle_steps);
-        CPPUNIT_ASSERT(!group.outcome_of(write).applied);
-        CPPUNIT_ASSERT(group.outcome_of(write).rejected ==
-                       result_code::outcome_unknown);
-        CPPUNIT_ASSERT(!group.outcome_of(read).readable);
-        CPPUNIT_ASSERT(group.outcome_of(read).rejected.has_value());
-        auto const late = group.propose(old);
-        CPPUNIT_ASSERT(group.outcome_of(late).rejected ==
-                       result_code::not_leader);
-        CPPUNIT_ASSERT(group.leader() != old);
-        group.expect_progress();
     }
 
     // Guards against clients that can't find the leader.
@@ -193,8 +206,51 @@
         group.run(settle_steps);
         auto const id =
             group.change(at, membership_change_kind::promote, spare);
+        CPPUNIT_ASSERT(group.outcome_of(id).rejected == result_code::not_ready);
+    }
+
+    // Guards against a change beside one that the former leader has begun.
+    void new_leader_refuses_membership_changes()
+    {
+        consensus_harness group(3, 10);
+        while (!group.leader())
+        {
+            group.run(1);
+        }
+        auto const id = group.change(
+            *group.leader(), membership_change_kind::add_learner, member_id(9));
         CPPUNIT_ASSERT(group.outcome_of(id).rejected ==
-                       result_code::not_ready);
+                       result_code::membership_change_in_progress);
+    }
+
+    // Guards against committing an entry of an earlier term by counting: a
+    // member with a later term could still replace it.
+    void entry_of_an_earlier_term_is_not_counted()
+    {
+        auto state = bootstrap_state({{{member_id(1), {}, {}, false},
+                                       {member_id(2), {}, {}, false},
+                                       {member_id(3), {}, {}, false}}});
+        state.hard.current_term = core::term(2);
+        state.entries.push_back({core::term(2), core::log_index(2), {}, "x"});
+        raft_options options;
+        options.self = member_id(1);
+        raft_node node(options, state, core::seeded_random(1), {});
+        auto const late = core::time_point(std::chrono::seconds(5));
+        auto const receive = [&](auto body)
+        {
+            node.handle(
+                late,
+                message{{member_id(2), member_id(1), core::term(3), body}});
+        };
+        node.handle(late, tick{});
+        receive(core::vote_answer{true, true});
+        receive(core::vote_answer{true, false});
+        CPPUNIT_ASSERT(node.role() == member_role::leader);
+        receive(core::append_answer{true, core::log_index(2), 1});
+        CPPUNIT_ASSERT_EQUAL(core::log_index(0), node.commit_index());
+        node.handle(late, persisted{core::log_index(3), core::term(3)});
+        receive(core::append_answer{true, core::log_index(3), 1});
+        CPPUNIT_ASSERT_EQUAL(core::log_index(3), node.commit_index());
     }
 };
 
