Let batch use idle reserved processors; learn run times per team

Cause: services reserve up to ten times what they use, and deadline slack was off by the same factor.

--- a/modules/placement/model/run_time_model.hpp
+++ b/modules/placement/model/run_time_model.hpp
@@ -1,27 +1,32 @@
 #ifndef TURMERICSWITCH_PLACEMENT_MODEL_RUN_TIME_MODEL_HPP
 #define TURMERICSWITCH_PLACEMENT_MODEL_RUN_TIME_MODEL_HPP
 
+#include "core/types/ids.hpp"
 #include "core/types/units.hpp"
 #include "placement/model/interference_model.hpp"
 
 #include <map>
+#include <utility>
 
 namespace turmericswitch::placement
 {
 
-/// Learns how far declared run times of a kind are off, for deadline slack.
+/// Learns how far declared run times of a kind and team are off, for deadline slack.
 class run_time_model
 {
 public:
     void finished(kind_index kind,
+                  core::team_id const& team,
                   core::duration declared,
                   core::duration actual);
 
     /// @return The declared time times the learned factor.
-    core::duration estimate(kind_index kind, core::duration declared) const;
+    core::duration estimate(kind_index kind,
+                            core::team_id const& team,
+                            core::duration declared) const;
 
 private:
-    std::map<kind_index, double> m_factors;
+    std::map<std::pair<kind_index, core::team_id>, double> m_factors;
 };
 
 } // namespace turmericswitch::placement
--- a/modules/placement/planner.cpp
+++ b/modules/placement/planner.cpp
@@ -22,6 +22,8 @@
 constexpr unsigned max_retry_doublings = 5;
 // A probe that runs this long counts as a success; services never end.
 constexpr core::duration good_run = std::chrono::seconds(60);
+// Learned run times change the slack of jobs that wait.
+constexpr core::duration rank_again = std::chrono::minutes(10);
 constexpr core::duration zone_check = std::chrono::seconds(1);
 
 std::string name_of(worker_entry const& worker)
@@ -32,7 +34,7 @@
 } // namespace
 
 planner::planner(planner_options options)
-    : m_state{std::move(options), {}, {}, {}, {}, {}, {}, {}, {}, {}, {}, {}},
+    : m_state{std::move(options), {}, {}, {}, {}, {}, {}, {}, {}, {}, {}, {}, {}},
       m_ladder(m_state),
       m_mover(m_state)
 {
@@ -47,7 +49,7 @@
     m_state.workers.refresh(slot);
     m_state.under_pressure.insert(slot);
     m_mover.apply(now);
-    refuse_again();
+    rank_all_again();
 }
 
 void planner::worker_lost(core::time_point /*now*/,
@@ -88,11 +90,11 @@
     };
     if (std::erase_if(m_retiring, gone) > 0)
     {
-        refuse_again();
+        rank_all_again();
     }
 }
 
-void planner::refuse_again()
+void planner::rank_all_again()
 {
     for (auto const& [job, task] : m_state.workers.jobs())
     {
@@ -324,6 +326,7 @@
         m_state.failures.succeeded(task->slot);
         m_state.usage.finished(task->kind, task->spec.team);
         m_state.run_times.finished(task->kind,
+                                   task->spec.team,
                                    task->spec.expected_run_time,
                                    now - task->placed_at);
         if (m_state.workers.worker(task->slot).probe == job)
@@ -359,7 +362,7 @@
         m_state.zones.set(now, rule.zone, rule.state);
     }
     m_mover.apply(now);
-    refuse_again();
+    rank_all_again();
 }
 
 void planner::zone_changed(core::time_point now,
@@ -426,7 +429,7 @@
             core::time_point(due->time_since_epoch() - m_wall_offset);
         task.latest_start =
             task.deadline - m_state.run_times.estimate(
-                                task.kind, spec.expected_run_time);
+                                task.kind, spec.team, spec.expected_run_time);
     }
     else if (!task.is_batch())
     {
@@ -520,6 +523,11 @@
         m_mover.apply(now);
         m_zones_applied = now;
     }
+    if (now - m_ranked_all >= rank_again)
+    {
+        m_ranked_all = now;
+        rank_all_again();
+    }
     run_probes(now);
     rank_new_jobs();
     auto decisions = std::exchange(m_pending, {});
--- a/modules/placement/planner.hpp
+++ b/modules/placement/planner.hpp
@@ -125,7 +125,7 @@
               std::string const& reason,
               tick_decisions& decisions);
     bool refuse(task_entry& task, tick_decisions& decisions);
-    void refuse_again();
+    void rank_all_again();
     void drop_retired();
     void start_quarantine(core::time_point now, std::size_t slot);
     void end_quarantine(std::size_t slot, char const* reason);
@@ -143,6 +143,7 @@
     tick_decisions m_pending;
     core::duration m_wall_offset{};
     core::time_point m_zones_applied{};
+    core::time_point m_ranked_all{};
 };
 
 } // namespace turmericswitch::placement
--- a/modules/placement/policy/job_queue.cpp
+++ b/modules/placement/policy/job_queue.cpp
@@ -86,17 +86,19 @@
     return next;
 }
 
-std::vector<core::job_id> job_queue::at_risk(core::time_point limit,
+std::vector<core::job_id> job_queue::at_risk(core::time_point from,
+                                             core::time_point limit,
                                              std::size_t count) const
 {
     std::vector<core::job_id> jobs;
-    for (auto const& [latest_start, job] : m_deadlines)
+    auto next = m_deadlines.lower_bound({from, core::job_id(0)});
+    for (; next != m_deadlines.end() && next->first <= limit; ++next)
     {
-        if (latest_start > limit || jobs.size() >= count)
+        if (jobs.size() >= count)
         {
             break;
         }
-        jobs.push_back(job);
+        jobs.push_back(next->second);
     }
     return jobs;
 }
--- a/modules/placement/policy/job_queue.hpp
+++ b/modules/placement/policy/job_queue.hpp
@@ -33,9 +33,11 @@
                                         core::team_id const& team,
                                         std::size_t count);
 
-    /// @return Batch jobs, at most `count`, whose latest start is at or
-    /// before the limit, most urgent first.
-    std::vector<core::job_id> at_risk(core::time_point limit,
+    /// @return Batch jobs, at most `count`, whose latest start lies between
+    /// the two times, most urgent first. Those before `from` have missed
+    /// their deadline in all likelihood and must not delay the others.
+    std::vector<core::job_id> at_risk(core::time_point from,
+                                      core::time_point limit,
                                       std::size_t count) const;
 
     std::size_t size() const noexcept;
--- a/modules/placement/policy/placement_pass.cpp
+++ b/modules/placement/policy/placement_pass.cpp
@@ -64,8 +64,15 @@
     {
         return declared;
     }
-    auto const learned = state.usage.reservation(
+    auto learned = state.usage.reservation(
         task.kind, task.spec.team, declared, task.is_batch());
+    if (task.is_batch())
+    {
+        // Batch may use the processors that others reserve and leave idle.
+        learned.cpu = core::millicores(static_cast<std::int64_t>(
+            static_cast<double>(learned.cpu.value()) *
+            state.processors.batch_factor()));
+    }
     return smaller(learned, *largest);
 }
 
@@ -136,7 +143,7 @@
 void placement_pass::place_at_risk()
 {
     auto const limit = m_now + risk_margin;
-    for (auto const job : m_state.queue.at_risk(limit, max_at_risk))
+    for (auto const job : m_state.queue.at_risk(m_now - risk_margin, limit, max_at_risk))
     {
         if (m_started >= m_state.options.starts_per_tick)
         {
--- a/modules/placement/policy/planner_state.hpp
+++ b/modules/placement/policy/planner_state.hpp
@@ -2,6 +2,7 @@
 #define TURMERICSWITCH_PLACEMENT_POLICY_PLANNER_STATE_HPP
 
 #include "placement/model/interference_model.hpp"
+#include "placement/model/processor_use.hpp"
 #include "placement/model/run_time_model.hpp"
 #include "placement/model/usage_model.hpp"
 #include "placement/policy/failure_tracker.hpp"
@@ -29,6 +30,7 @@
     failure_tracker failures;
     zone_tracker zones;
     urgent_room spare;
+    processor_use processors;
     /// Workers whose measurements or reservations need the response ladder.
     std::set<std::size_t> under_pressure;
     std::set<std::size_t> held_slots;
--- a/modules/placement/policy/pressure_ladder.cpp
+++ b/modules/placement/policy/pressure_ladder.cpp
@@ -93,6 +93,7 @@
     {
         return;
     }
+    m_state.processors.measured(used.cpu, task.reserved.cpu);
     auto const peak = core::component_max(task.peak, used);
     if (peak != task.peak)
     {
--- a/modules/placement/policy/zone_mover.cpp
+++ b/modules/placement/policy/zone_mover.cpp
@@ -110,7 +110,7 @@
         return true;
     }
     auto const whole = m_state.run_times.estimate(
-        task.kind, task.spec.expected_run_time);
+        task.kind, task.spec.team, task.spec.expected_run_time);
     auto const remaining = whole - (now - task.placed_at);
     bool const ends_in_time =
         whole.count() > 0 && remaining < m_state.options.zone_drain - passed;
