Keep room for urgent jobs on three workers at least

Cause: two rooms were not enough for concurrent urgent jobs. Change: fewest workers 2 -> 3. Conclusion: kept at 3.

--- a/modules/placement/policy/urgent_room.cpp
+++ b/modules/placement/policy/urgent_room.cpp
@@ -10,7 +10,7 @@
 
 // What was seen in this period and the one before it counts.
 constexpr core::duration period = std::chrono::minutes(20);
-constexpr std::size_t fewest_workers = 2;
+constexpr std::size_t fewest_workers = 3;
 constexpr std::size_t most_workers = 8;
 
 } // namespace
