--- a/modules/core/messages/registry.hpp
+++ b/modules/core/messages/registry.hpp
@@ -71,6 +71,8 @@
     revision in_force;
     registry_version registry;
     duration max_wait{};
+    /// False for a process that needs the configuration only.
+    bool wants_registry = true;
 
     bool operator==(watch_request const&) const = default;
 };
--- a/programs/control/leader/watch_hub.cpp
+++ b/programs/control/leader/watch_hub.cpp
@@ -49,7 +49,7 @@
 bool watch_hub::has_news(core::watch_request const& request) const
 {
     return request.in_force < m_config.current() ||
-           request.registry != m_registry.version();
+           (request.wants_registry && request.registry != m_registry.version());
 }
 
 core::watch_answer
@@ -61,7 +61,10 @@
     {
         answer.config = m_config.in_force();
     }
-    m_registry.changes_since(request.registry, answer);
+    if (request.wants_registry)
+    {
+        m_registry.changes_since(request.registry, answer);
+    }
     return answer;
 }
 
--- a/programs/shared/control_link/config_watch.cpp
+++ b/programs/shared/control_link/config_watch.cpp
@@ -25,11 +25,13 @@
     state(transport::io_pool& pool,
           control_link& control,
           core::client_id name,
-          news_hook hook)
+          news_hook hook,
+          bool registry_wanted)
         : io(pool),
           link(control),
           process(std::move(name)),
           on_news(std::move(hook)),
+          wants_registry(registry_wanted),
           random(core::seeded_random(std::hash<std::string>{}(process.value())))
     {
     }
@@ -41,6 +43,7 @@
         request.in_force = known.in_force;
         request.registry = known.registry;
         request.max_wait = poll_wait;
+        request.wants_registry = wants_registry;
         link.call(
             "/watch",
             wire::encode(request),
@@ -89,6 +92,7 @@
     control_link& link;
     core::client_id process;
     news_hook on_news;
+    bool wants_registry;
     core::random_source random;
     /// Guards the hook against the destructor of the owner.
     std::mutex mutex;
@@ -101,9 +105,10 @@
 config_watch::config_watch(transport::io_pool& io,
                            control_link& link,
                            core::client_id process,
-                           news_hook on_news)
+                           news_hook on_news,
+                           bool wants_registry)
     : m_state(std::make_shared<state>(
-          io, link, std::move(process), std::move(on_news)))
+          io, link, std::move(process), std::move(on_news), wants_registry))
 {
 }
 
--- a/programs/shared/control_link/config_watch.hpp
+++ b/programs/shared/control_link/config_watch.hpp
@@ -32,10 +32,13 @@
     /// @param io Must outlive the watch, as must `link`.
     /// @param process Name shown to operators.
     /// @param on_news Called on io threads, one call at a time.
+    /// @param wants_registry False for a process that needs only the
+    /// configuration; it is then not woken by changes of backend servers.
     config_watch(transport::io_pool& io,
                  control_link& link,
                  core::client_id process,
-                 news_hook on_news);
+                 news_hook on_news,
+                 bool wants_registry = true);
     /// Ends the poll; `on_news` is not called afterwards.
     ~config_watch();
 
--- a/programs/sidecar/main.cpp
+++ b/programs/sidecar/main.cpp
@@ -82,9 +82,9 @@
         [&service](core::watch_answer const& news)
         {
             service.configure(news);
-            return shared::config_watch::known_state{news.current,
-                                                     news.registry};
-        });
+            return shared::config_watch::known_state{news.current, {}};
+        },
+        false);
     transport::connection_options connection;
     connection.protocol_version = wire::protocol_version;
     auto const rpc = transport::rpc_server::listen(
@@ -128,8 +128,6 @@
     log.info(
         "stopped: " + std::to_string(in_progress - std::min(cut, in_progress)) +
         " requests in progress finished, " + std::to_string(cut) + " cut");
-    // Calls to control end here, before the service that they report to.
-    control.reset();
     return true;
 }
 
--- a/programs/sidecar/service/sidecar_service.cpp
+++ b/programs/sidecar/service/sidecar_service.cpp
@@ -4,6 +4,7 @@
 #include "wire/codec/message_codec.hpp"
 
 #include <algorithm>
+#include <thread>
 #include <utility>
 
 namespace turmericswitch::sidecar
@@ -105,6 +106,11 @@
 sidecar_service::~sidecar_service()
 {
     stop();
+    while (m_call_open)
+    {
+        // Bounded by the timeout of an announce.
+        std::this_thread::sleep_for(tick_interval);
+    }
 }
 
 void sidecar_service::start(core::endpoint const& reachable_at)
@@ -292,6 +298,7 @@
     core::announce_request request;
     request.entry = m_entry;
     request.in_force = m_admission.in_force();
+    m_call_open = true;
     m_control.call("/announce",
                    wire::encode(request),
                    announce_timeout,
--- a/programs/sidecar/service/sidecar_service.hpp
+++ b/programs/sidecar/service/sidecar_service.hpp
@@ -23,14 +23,17 @@
 class sidecar_service
 {
 public:
-    /// @param control Must outlive the service and have no call open when the
-    /// service is destroyed.
+    /// @param control Must outlive the service.
     sidecar_service(sidecar_settings const& settings,
                     shared::control_link& control,
                     telemetry::metrics_registry& metrics,
                     core::incarnation life);
+    /// Waits for an open announce.
     ~sidecar_service();
 
+    sidecar_service(sidecar_service const&) = delete;
+    sidecar_service& operator=(sidecar_service const&) = delete;
+
     /// Starts the loop and announces the backend server.
     ///
     /// @param reachable_at Where gateways reach this sidecar.
@@ -85,6 +88,7 @@
     bool m_rules_drain = false;
     bool m_stop_drain = false;
     bool m_announcing = false;
+    std::atomic<bool> m_call_open = false;
     core::time_point m_next_announce;
     core::duration m_announce_interval = std::chrono::seconds(2);
     std::atomic<bool> m_registered = false;
