--- a/modules/web/tests/raw_socket.hpp
+++ b/modules/web/tests/raw_socket.hpp
@@ -38,8 +38,9 @@
 {
     int const socket = ::socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in const address = loopback(to.port);
-    ::connect(
+    int const refused = ::connect(
         socket, reinterpret_cast<sockaddr const*>(&address), sizeof address);
+    CPPUNIT_ASSERT_EQUAL(0, refused);
     send_all(socket, bytes);
     ::shutdown(socket, SHUT_WR);
     std::string answer;
