--- a/modules/cluster_state/tests/fake_cluster.cpp
+++ b/modules/cluster_state/tests/fake_cluster.cpp
@@ -143,7 +143,6 @@
         }
     }
     m_pending.clear();
-    ++m_epoch;
     m_leader_rate = 0.9 + 0.2 * random_unit(m_random);
     m_leases = lease_table(m_settings);
     m_service = std::make_unique<heartbeat_service>(m_leases);
--- a/modules/cluster_state/tests/fake_cluster.hpp
+++ b/modules/cluster_state/tests/fake_cluster.hpp
@@ -100,7 +100,6 @@
 
     state_machine m_state;
     std::uint64_t m_index = 0;
-    std::uint64_t m_epoch = 0;
     double m_leader_rate = 1;
     lease_table m_leases;
     std::unique_ptr<heartbeat_service> m_service;
--- a/modules/cluster_state/tests/state_machine_test.cpp
+++ b/modules/cluster_state/tests/state_machine_test.cpp
@@ -74,10 +74,7 @@
         leases.elected({}, now);
         state.observe_holds(
             [this](auto const& task, bool is_held)
-            {
-                if (is_held)
-                    leases.placed(task, now);
-            });
+            { is_held ? leases.placed(task, now) : leases.released(task); });
         job_description job;
         job.name = "j";
         job.team = team_id("t");
