--- a/modules/consensus/tests/raft_fuzz_test.cpp
+++ b/modules/consensus/tests/raft_fuzz_test.cpp
@@ -195,6 +195,39 @@
     }
 }
 
+/// Every member that believes it leads accepts a proposal and a read.
+void use_leaders(consensus_harness& group)
+{
+    for (auto const id : group.members())
+    {
+        if (group.node(id) != nullptr &&
+            group.node(id)->role() == member_role::leader)
+        {
+            group.propose(id);
+            group.read(id);
+        }
+    }
+}
+
+/// The leader hands over and is cut off, so that it may not notice that the
+/// next leader commits while it still believes to lead.
+void hand_over(consensus_harness& group, fuzz_step const& step)
+{
+    auto const at = pick_leader(group, step.member);
+    group.transfer(at);
+    if (step.amount % 2 == 0)
+    {
+        return;
+    }
+    group.run(1 + step.amount % 6);
+    group.isolate(at);
+    for (int i = 0; i < 5; ++i)
+    {
+        group.run(3);
+        use_leaders(group);
+    }
+}
+
 void split(consensus_harness& group, unsigned mask)
 {
     auto const all = group.members();
@@ -299,7 +332,7 @@
         replace_member(group, step);
         break;
     case 3:
-        group.transfer(pick_leader(group, step.member));
+        hand_over(group, step);
         break;
     case 4:
         group.set_network(step.amount % 30, step.member % 20);
@@ -316,20 +349,6 @@
     }
 }
 
-/// Every member that believes it leads accepts a proposal and a read.
-void use_leaders(consensus_harness& group)
-{
-    for (auto const id : group.members())
-    {
-        if (group.node(id) != nullptr &&
-            group.node(id)->role() == member_role::leader)
-        {
-            group.propose(id);
-            group.read(id);
-        }
-    }
-}
-
 void take_step(consensus_harness& group, fuzz_step const& step)
 {
     auto const choice = step.kind / 8 % 8;
--- a/modules/consensus/tests/raft_node_test.cpp
+++ b/modules/consensus/tests/raft_node_test.cpp
@@ -58,6 +58,8 @@
     CPPUNIT_TEST(lagging_learner_is_not_promoted);
     CPPUNIT_TEST(new_leader_refuses_membership_changes);
     CPPUNIT_TEST(entry_of_an_earlier_term_is_not_counted);
+    CPPUNIT_TEST(snapshot_does_not_replace_a_newer_log);
+    CPPUNIT_TEST(sync_of_a_replaced_entry_does_not_count);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against stale answers from a leader that a partition hides, both
@@ -252,6 +254,52 @@
         receive(core::append_answer{true, core::log_index(3), 1});
         CPPUNIT_ASSERT_EQUAL(core::log_index(3), node.commit_index());
     }
+
+    // Guards against losing stored entries to a late snapshot.
+    void snapshot_does_not_replace_a_newer_log()
+    {
+        auto state = bootstrap_state({{{member_id(1), {}, {}, false}}});
+        state.entries.push_back({core::term(1), core::log_index(2), {}, "x"});
+        state.entries.push_back({core::term(1), core::log_index(3), {}, "y"});
+        raft_options options;
+        options.self = member_id(1);
+        raft_node node(options, state, core::seeded_random(1), {});
+        core::snapshot_chunk const chunk{
+            {core::log_index(2), core::term(1), {}}, 0, "state", true};
+        message const input{{member_id(2), member_id(1), core::term(1), chunk}};
+        for (int copy = 0; copy < 2; ++copy)
+        {
+            for (auto const& output : node.handle({}, input))
+            {
+                CPPUNIT_ASSERT(
+                    !std::holds_alternative<install_snapshot>(output));
+            }
+            CPPUNIT_ASSERT_EQUAL(core::log_index(2), node.commit_index());
+        }
+    }
+
+    // Guards against acknowledging an entry because of the sync of another
+    // one that stood at its index before.
+    void sync_of_a_replaced_entry_does_not_count()
+    {
+        raft_options options;
+        options.self = member_id(1);
+        raft_node node(options, {}, core::seeded_random(1), {});
+        for (std::uint64_t term = 1; term <= 2; ++term)
+        {
+            core::append_request request;
+            request.entries.push_back(
+                {core::term(term), core::log_index(1), {}, "x"});
+            node.handle(
+                {},
+                message{
+                    {member_id(2), member_id(1), core::term(term), request}});
+        }
+        auto const late = persisted{core::log_index(1), core::term(1)};
+        CPPUNIT_ASSERT(node.handle({}, late).empty());
+        auto const right = persisted{core::log_index(1), core::term(2)};
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), node.handle({}, right).size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(raft_node_test);
