--- a/modules/consensus/tests/raft_node_test.cpp
+++ b/modules/consensus/tests/raft_node_test.cpp
@@ -58,6 +58,7 @@
     CPPUNIT_TEST(lagging_learner_is_not_promoted);
     CPPUNIT_TEST(new_leader_refuses_membership_changes);
     CPPUNIT_TEST(entry_of_an_earlier_term_is_not_counted);
+    CPPUNIT_TEST(vote_leaves_after_it_is_durable);
     CPPUNIT_TEST(snapshot_does_not_replace_a_newer_log);
     CPPUNIT_TEST(sync_of_a_replaced_entry_does_not_count);
     CPPUNIT_TEST_SUITE_END();
@@ -215,7 +216,9 @@
     void new_leader_refuses_membership_changes()
     {
         consensus_harness group(3, 10);
-        while (!group.leader())
+        auto const old = settled_leader(group);
+        group.isolate(old);
+        while (!group.leader() || group.leader() == old)
         {
             group.run(1);
         }
@@ -255,6 +258,33 @@
         CPPUNIT_ASSERT_EQUAL(core::log_index(3), node.commit_index());
     }
 
+    // Guards against a vote that a crash lets the member forget.
+    void vote_leaves_after_it_is_durable()
+    {
+        raft_options options;
+        options.self = member_id(1);
+        raft_node node(options, {}, core::seeded_random(1), {});
+        core::vote_request const request{core::log_index(1), core::term(1)};
+        auto const outputs = node.handle(
+            {}, message{{member_id(2), member_id(1), core::term(4), request}});
+        core::hard_state durable;
+        core::hard_state const expected{core::term(4), member_id(2)};
+        bool voted = false;
+        for (auto const& output : outputs)
+        {
+            if (auto const* hard = std::get_if<persist_hard_state>(&output))
+            {
+                durable = hard->state;
+            }
+            else if (std::holds_alternative<send>(output))
+            {
+                voted = true;
+                CPPUNIT_ASSERT(durable == expected);
+            }
+        }
+        CPPUNIT_ASSERT(voted);
+    }
+
     // Guards against losing stored entries to a late snapshot.
     void snapshot_does_not_replace_a_newer_log()
     {
