--- a/extras/bench/placement_bench/placement_bench.cpp
+++ b/extras/bench/placement_bench/placement_bench.cpp
@@ -170,9 +170,8 @@
     }
 }
 
-std::vector<bench::night_result> run_nights(mix const& each,
-                                            policy const& way,
-                                            comparison const& wanted)
+std::vector<bench::night_result>
+run_nights(mix const& each, policy const& way, comparison const& wanted)
 {
     std::vector<bench::night_result> nights(wanted.seeds);
     std::vector<std::thread> threads;
@@ -237,8 +236,7 @@
         sxy += x * y;
     }
     double const slope = (n * sxy - sx * sy) / (n * sxx - sx * sx);
-    std::printf("cost per start grows with workers to the power %.2f\n",
-                slope);
+    std::printf("cost per start grows with workers to the power %.2f\n", slope);
 }
 
 void measure_scale()
@@ -279,19 +277,18 @@
 
 int main(int argc, char** argv)
 {
-    auto const arguments = docopt::docopt(usage,
-                                          {argv + 1, argv + argc},
-                                          true,
-                                          "placement_bench " TURMERICSWITCH_VERSION);
+    auto const arguments =
+        docopt::docopt(usage,
+                       {argv + 1, argv + argc},
+                       true,
+                       "placement_bench " TURMERICSWITCH_VERSION);
     if (arguments.at("--scale").asBool())
     {
         measure_scale();
         return 0;
     }
     auto const number = [&](char const* name)
-    {
-        return static_cast<std::uint64_t>(arguments.at(name).asLong());
-    };
+    { return static_cast<std::uint64_t>(arguments.at(name).asLong()); };
     comparison wanted;
     wanted.first = number("--first");
     wanted.seeds = number("--seeds");
--- a/extras/bench/placement_bench/scale_run.cpp
+++ b/extras/bench/placement_bench/scale_run.cpp
@@ -120,9 +120,8 @@
     job.priority = priority;
     job.declared.cpu = core::millicores(
         100 + static_cast<std::int64_t>(core::random_below(m_random, 900)));
-    job.declared.memory =
-        core::byte_count(static_cast<std::int64_t>(
-            (1 + core::random_below(m_random, 4)) * 1'000'000'000ULL));
+    job.declared.memory = core::byte_count(static_cast<std::int64_t>(
+        (1 + core::random_below(m_random, 4)) * 1'000'000'000ULL));
     job.expected_run_time = std::chrono::seconds(2);
     return job;
 }
@@ -177,8 +176,7 @@
     }
 }
 
-void scale_feed::take(placement::tick_decisions const& decisions,
-                      bool measured)
+void scale_feed::take(placement::tick_decisions const& decisions, bool measured)
 {
     for (auto const& command : decisions.batch.placements)
     {
@@ -206,8 +204,7 @@
     {
         auto const running = m_running.extract(command.job);
         auto again = running.mapped().job;
-        again.next_attempt =
-            core::attempt_number(command.attempt.value() + 1);
+        again.next_attempt = core::attempt_number(command.attempt.value() + 1);
         std::erase_if(m_ends,
                       [&](auto const& item)
                       { return item.second == command.job; });
@@ -253,9 +250,8 @@
     auto const at = [](std::vector<double> const& sorted, double share)
     {
         auto const last = static_cast<double>(sorted.size() - 1);
-        return sorted.empty()
-                   ? 0
-                   : sorted[static_cast<std::size_t>(share * last)];
+        return sorted.empty() ? 0
+                              : sorted[static_cast<std::size_t>(share * last)];
     };
     scale_result result;
     result.workers = m_workers;
@@ -264,8 +260,7 @@
     result.tick_p99_ms = at(m_tick_ms, 0.99);
     result.us_per_start = m_spent_ms * 1000 / std::max(1.0, m_started);
     result.urgent_p99_ticks = at(m_urgent_ticks, 0.99);
-    result.core_share =
-        m_spent_ms / (measured_ticks * 1000.0 / ticks_per_s);
+    result.core_share = m_spent_ms / (measured_ticks * 1000.0 / ticks_per_s);
     result.memory_mb = resident_mb() - memory_before;
     result.running = m_running.size();
     result.queued = m_planner.counts().queued;
--- a/extras/bench/placement_bench/virtual_fleet.cpp
+++ b/extras/bench/placement_bench/virtual_fleet.cpp
@@ -48,8 +48,7 @@
     }
     auto const position = static_cast<std::size_t>(
         share * static_cast<double>(values.size() - 1));
-    auto const middle =
-        values.begin() + static_cast<std::ptrdiff_t>(position);
+    auto const middle = values.begin() + static_cast<std::ptrdiff_t>(position);
     std::nth_element(values.begin(), middle, values.end());
     return static_cast<double>(*middle);
 }
@@ -85,8 +84,7 @@
 
 virtual_fleet::virtual_fleet(workload const& night,
                              placement::planner_options options)
-    : m_night(night),
-      m_planner(std::move(options))
+    : m_night(night), m_planner(std::move(options))
 {
     for (auto const& job : night.jobs)
     {
@@ -176,24 +174,22 @@
     bool const late = now_s > night_s / 2;
     auto const& effects = late ? m_night.later_effects : m_night.effects;
     // The services' own load rises by half for an hour, twice a night.
-    bool const busy = (now_s > 7200 && now_s < 10800) ||
-                      (now_s > 25200 && now_s < 28800);
+    bool const busy =
+        (now_s > 7200 && now_s < 10800) || (now_s > 25200 && now_s < 28800);
     for (auto& worker : m_workers)
     {
         double batch_before = 0;
         for (auto const& [job, task] : worker.tasks())
         {
-            batch_before += is_batch(*task.job)
-                                ? core_hours(*task.job, task.done_s)
-                                : 0;
+            batch_before +=
+                is_batch(*task.job) ? core_hours(*task.job, task.done_s) : 0;
         }
         worker.advance(now_s, step_s, effects, busy ? 1.5 : 1.0);
         double batch_after = 0;
         for (auto const& [job, task] : worker.tasks())
         {
-            batch_after += is_batch(*task.job)
-                               ? core_hours(*task.job, task.done_s)
-                               : 0;
+            batch_after +=
+                is_batch(*task.job) ? core_hours(*task.job, task.done_s) : 0;
         }
         if (now_s >= zone_out_s && now_s < zone_watch_end_s)
         {
@@ -222,8 +218,7 @@
             m_result.doubled += m_finished.insert(job).second ? 0 : 1;
             if (is_batch(*task.job))
             {
-                m_result.batch_done +=
-                    core_hours(*task.job, task.job->work_s);
+                m_result.batch_done += core_hours(*task.job, task.job->work_s);
             }
             worker.tasks().erase(job);
             m_holder.erase(job);
@@ -239,15 +234,12 @@
     }
 }
 
-void virtual_fleet::lose(double now_s,
-                         virtual_worker& worker,
-                         core::job_id job)
+void virtual_fleet::lose(double now_s, virtual_worker& worker, core::job_id job)
 {
     auto const& task = worker.tasks().at(job);
     if (!task.job->is_service())
     {
-        m_result.lost_work +=
-            core_hours(*task.job, task.done_s - task.saved_s);
+        m_result.lost_work += core_hours(*task.job, task.done_s - task.saved_s);
     }
     m_requeues.push_back({now_s, job, task.saved_s});
     worker.tasks().erase(job);
@@ -257,8 +249,7 @@
 void virtual_fleet::kill_for_memory(double now_s, virtual_worker& worker)
 {
     auto const capacity =
-        static_cast<double>(worker.description().capacity.memory.value()) /
-        1e9;
+        static_cast<double>(worker.description().capacity.memory.value()) / 1e9;
     while (worker.memory_gb() > capacity)
     {
         auto const& tasks = worker.tasks();
@@ -303,8 +294,7 @@
                 static_cast<std::int64_t>(task.memory_gb() * 1e9));
             sample.slowdown_permille =
                 static_cast<std::uint32_t>(task.slowdown * 1000);
-            m_samples.push_back(
-                {now_s, worker.description().worker, sample});
+            m_samples.push_back({now_s, worker.description().worker, sample});
             if (task.job->is_service())
             {
                 ++services;
@@ -313,8 +303,7 @@
             }
             if (is_urgent(*task.job))
             {
-                m_urgent_slowdowns.push_back(
-                    static_cast<float>(task.slowdown));
+                m_urgent_slowdowns.push_back(static_cast<float>(task.slowdown));
             }
         }
     }
@@ -322,8 +311,8 @@
     {
         auto const& capacity = worker.description().capacity;
         auto const used = m_planner.reserved_on(worker.description().worker);
-        double const share = measure_every_s / night_s /
-                             static_cast<double>(m_workers.size());
+        double const share =
+            measure_every_s / night_s / static_cast<double>(m_workers.size());
         m_result.mean_cpu_reserved += share *
                                       static_cast<double>(used.cpu.value()) /
                                       static_cast<double>(capacity.cpu.value());
@@ -331,10 +320,10 @@
             share * static_cast<double>(used.memory.value()) /
             static_cast<double>(capacity.memory.value());
     }
-    auto const wanted = static_cast<std::size_t>(std::count_if(
-        m_night.jobs.begin(),
-        m_night.jobs.end(),
-        [](bench_job const& job) { return job.is_service(); }));
+    auto const wanted = static_cast<std::size_t>(
+        std::count_if(m_night.jobs.begin(),
+                      m_night.jobs.end(),
+                      [](bench_job const& job) { return job.is_service(); }));
     m_result.service_down_hours +=
         static_cast<double>(wanted - services) * measure_every_s / 3600;
 }
@@ -352,15 +341,14 @@
 
 void virtual_fleet::take_requeues(double now_s)
 {
-    auto const due = std::stable_partition(
-        m_requeues.begin(),
-        m_requeues.end(),
-        [&](requeue const& item) { return item.at_s > now_s; });
+    auto const due = std::stable_partition(m_requeues.begin(),
+                                           m_requeues.end(),
+                                           [&](requeue const& item)
+                                           { return item.at_s > now_s; });
     for (auto item = due; item != m_requeues.end(); ++item)
     {
         auto again = m_jobs.at(item->job)->declared;
-        again.next_attempt =
-            core::attempt_number(m_attempts[item->job] + 1);
+        again.next_attempt = core::attempt_number(m_attempts[item->job] + 1);
         m_saved[item->job] = item->saved_s;
         m_queued_at[item->job] = now_s;
         m_planner.job_queued(at(now_s), again);
@@ -376,8 +364,8 @@
 
 void virtual_fleet::start(double now_s, core::place_task const& command)
 {
-    auto const slot = static_cast<std::size_t>(
-        std::stoi(command.worker.value().substr(1)));
+    auto const slot =
+        static_cast<std::size_t>(std::stoi(command.worker.value().substr(1)));
     m_result.doubled += m_holder.contains(command.job) ? 1 : 0;
     virtual_task task;
     task.job = m_jobs.at(command.job);
@@ -406,8 +394,7 @@
         return;
     }
     auto& task = worker->tasks().at(command.job);
-    double const time =
-        task.job->is_service() ? service_stop_s : batch_stop_s;
+    double const time = task.job->is_service() ? service_stop_s : batch_stop_s;
     task.stops_s = now_s + time;
 }
 
@@ -428,8 +415,7 @@
     }
     for (auto const& command : decisions.batch.stops)
     {
-        m_planner.job_ended(
-            at(now_s), command.job, placement::ending::stopped);
+        m_planner.job_ended(at(now_s), command.job, placement::ending::stopped);
     }
     for (auto const& item : decisions.throttles)
     {
@@ -447,9 +433,8 @@
     m_result.p99_slowdown = percentile(m_service_slowdowns, 0.99);
     double const sum = std::accumulate(
         m_service_slowdowns.begin(), m_service_slowdowns.end(), 0.0);
-    m_result.mean_slowdown =
-        sum / static_cast<double>(
-                  std::max<std::size_t>(1, m_service_slowdowns.size()));
+    m_result.mean_slowdown = sum / static_cast<double>(std::max<std::size_t>(
+                                       1, m_service_slowdowns.size()));
     m_result.urgent_p99_slowdown = percentile(m_urgent_slowdowns, 0.99);
     m_result.urgent_p99_wait_s = percentile(m_urgent_waits, 0.99);
     for (auto const& job : m_night.jobs)
@@ -459,8 +444,7 @@
             continue;
         }
         m_result.batch_due += core_hours(job, job.work_s);
-        m_result.unfinished +=
-            m_finished.contains(job.declared.job) ? 0 : 1;
+        m_result.unfinished += m_finished.contains(job.declared.job) ? 0 : 1;
     }
 }
 
--- a/extras/bench/placement_bench/virtual_worker.cpp
+++ b/extras/bench/placement_bench/virtual_worker.cpp
@@ -81,8 +81,7 @@
         double excess = 0;
         for (auto const& [kind, cores] : used)
         {
-            double const others =
-                cores - (kind == own ? task.cores_used() : 0);
+            double const others = cores - (kind == own ? task.cores_used() : 0);
             auto const effect = effects.find({own, kind});
             excess += effect == effects.end()
                           ? 0
--- a/extras/bench/placement_bench/workload.cpp
+++ b/extras/bench/placement_bench/workload.cpp
@@ -49,8 +49,7 @@
     void add(workload& night, kind_shape const& shape, double arrives_s)
     {
         bench_job job;
-        int const team =
-            static_cast<int>(core::random_below(m_random, teams));
+        int const team = static_cast<int>(core::random_below(m_random, teams));
         job.arrives_s = arrives_s;
         job.cores = uniform(shape.cores);
         job.memory_gb = uniform(shape.memory_gb);
@@ -133,12 +132,10 @@
 {
     job_maker maker(seed);
     workload night;
-    kind_shape const booking{
-        "booking", service, {1.5, 3}, {3, 6}, {1e9, 1e9}};
+    kind_shape const booking{"booking", service, {1.5, 3}, {3, 6}, {1e9, 1e9}};
     kind_shape const plan{
         "route_plan", batch, {2, 6}, {4, 14}, {600, 3600}, true};
-    kind_shape const report{
-        "report", batch, {1, 2}, {2, 20}, {120, 600}, true};
+    kind_shape const report{"report", batch, {1, 2}, {2, 20}, {120, 600}, true};
     kind_shape const noisy{
         "map_rebuild", batch, {3, 6}, {6, 12}, {600, 1500}, true};
     maker.add_many(night, booking, 20, {0, 10});
@@ -167,13 +164,11 @@
 {
     job_maker maker(seed + 1000);
     workload night;
-    kind_shape const watcher{
-        "watcher", service, {0.4, 1}, {1, 3}, {1e9, 1e9}};
+    kind_shape const watcher{"watcher", service, {0.4, 1}, {1, 3}, {1e9, 1e9}};
     kind_shape const proof{"proof", urgent, {0.5, 1.5}, {1, 2}, {5, 20}};
     kind_shape const layout{
         "layout", batch, {4, 8}, {8, 24}, {600, 2400}, true};
-    kind_shape const noisy{
-        "raster", batch, {4, 8}, {4, 10}, {300, 900}, true};
+    kind_shape const noisy{"raster", batch, {4, 8}, {4, 10}, {300, 900}, true};
     maker.add_many(night, watcher, 30, {0, 10});
     maker.add_many(night, proof, 4000, {60, night_s - 600});
     maker.add_many(night, layout, 650, {60, 5 * 3600});
--- a/modules/placement/model/interference_model.cpp
+++ b/modules/placement/model/interference_model.cpp
@@ -41,9 +41,8 @@
 
 } // namespace
 
-std::uint64_t interference_model::key(kind_index victim,
-                                      kind_index aggressor,
-                                      double load)
+std::uint64_t
+interference_model::key(kind_index victim, kind_index aggressor, double load)
 {
     std::uint64_t const pair = (std::uint64_t{victim} << 31) | aggressor;
     return (pair << 2) | load_band(load);
--- a/modules/placement/model/interference_model.hpp
+++ b/modules/placement/model/interference_model.hpp
@@ -75,9 +75,8 @@
         core::time_point updated;
     };
 
-    static std::uint64_t key(kind_index victim,
-                             kind_index aggressor,
-                             double load);
+    static std::uint64_t
+    key(kind_index victim, kind_index aggressor, double load);
     weight& entry(std::uint64_t id, core::time_point now);
     void drop_oldest();
 
--- a/modules/placement/model/occupancy_history.cpp
+++ b/modules/placement/model/occupancy_history.cpp
@@ -10,7 +10,8 @@
 
 // Measurements arrive about 30 s late; twice that plus heartbeat retries.
 constexpr core::duration kept = std::chrono::seconds(90);
-constexpr std::size_t max_ended = 512;
+// A worker with a start per second keeps about 100.
+constexpr std::size_t max_stays = 512;
 
 } // namespace
 
@@ -50,8 +51,8 @@
     }
 }
 
-std::optional<std::vector<occupant>> occupancy_history::at(
-    core::time_point when) const
+std::optional<std::vector<occupant>>
+occupancy_history::at(core::time_point when) const
 {
     if (when < m_known_since)
     {
@@ -85,12 +86,32 @@
         m_known_since = now - kept;
         std::erase_if(m_stays, is_old);
     }
-    while (m_stays.size() > max_ended &&
-           m_stays.front().until != core::time_point::max())
+    if (m_stays.size() > max_stays)
     {
-        m_known_since = std::max(m_known_since, m_stays.front().until);
-        m_stays.pop_front();
+        forget_older_half();
     }
 }
 
+void occupancy_history::forget_older_half()
+{
+    std::vector<core::time_point> ends;
+    for (auto const& item : m_stays)
+    {
+        if (item.until != core::time_point::max())
+        {
+            ends.push_back(item.until);
+        }
+    }
+    if (ends.empty())
+    {
+        return;
+    }
+    auto const half =
+        ends.begin() + static_cast<std::ptrdiff_t>(ends.size() / 2);
+    std::nth_element(ends.begin(), half, ends.end());
+    m_known_since = std::max(m_known_since, *half);
+    std::erase_if(m_stays,
+                  [&](stay const& item) { return item.until <= *half; });
+}
+
 } // namespace turmericswitch::placement
--- a/modules/placement/model/occupancy_history.hpp
+++ b/modules/placement/model/occupancy_history.hpp
@@ -3,7 +3,6 @@
 
 #include "placement/model/interference_model.hpp"
 
-#include <deque>
 #include <optional>
 #include <vector>
 
@@ -37,8 +36,9 @@
     };
 
     void prune(core::time_point now);
+    void forget_older_half();
 
-    std::deque<stay> m_stays;
+    std::vector<stay> m_stays;
     core::time_point m_known_since{};
 };
 
--- a/modules/placement/model/run_time_model.hpp
+++ b/modules/placement/model/run_time_model.hpp
@@ -11,7 +11,8 @@
 namespace turmericswitch::placement
 {
 
-/// Learns how far declared run times of a kind and team are off, for deadline slack.
+/// Learns how far declared run times of a kind and team are off, for deadline
+/// slack.
 class run_time_model
 {
 public:
--- a/modules/placement/model/usage_model.cpp
+++ b/modules/placement/model/usage_model.cpp
@@ -138,8 +138,8 @@
     move(entry.memory, earlier.memory.value(), peak.memory.value());
 }
 
-usage_model::peaks const* usage_model::best_known(
-    kind_index kind, core::team_id const& team) const
+usage_model::peaks const*
+usage_model::best_known(kind_index kind, core::team_id const& team) const
 {
     auto const own = m_peaks.find({kind, team.value()});
     if (own != m_peaks.end() && own->second.tasks >= min_team_tasks)
@@ -161,25 +161,22 @@
         return declared;
     }
     auto const with_margin = [](std::int64_t amount)
-    {
-        return static_cast<std::int64_t>(static_cast<double>(amount) * margin);
-    };
+    { return static_cast<std::int64_t>(static_cast<double>(amount) * margin); };
     core::resources observed;
-    observed.cpu = core::millicores(with_margin(quantile_of(known->cpu, high_quantile)));
-    observed.memory =
-        core::byte_count(with_margin(quantile_of(known->memory, high_quantile)));
+    observed.cpu =
+        core::millicores(with_margin(quantile_of(known->cpu, high_quantile)));
+    observed.memory = core::byte_count(
+        with_margin(quantile_of(known->memory, high_quantile)));
     auto result = core::component_max(declared, observed);
     if (is_batch && known->tasks >= min_tasks_to_shrink)
     {
-        result.cpu =
-            core::millicores(quantile_of(known->cpu, middle_quantile));
+        result.cpu = core::millicores(quantile_of(known->cpu, middle_quantile));
     }
     auto const own = m_peaks.find({kind, team.value()});
     if (is_batch && own != m_peaks.end() &&
         own->second.finished >= min_finished_to_shrink)
     {
-        auto const peak =
-            static_cast<double>(highest(own->second.memory));
+        auto const peak = static_cast<double>(highest(own->second.memory));
         result.memory = core::byte_count(
             static_cast<std::int64_t>(peak * shrunk_memory_margin));
     }
--- a/modules/placement/planner.cpp
+++ b/modules/placement/planner.cpp
@@ -34,7 +34,19 @@
 } // namespace
 
 planner::planner(planner_options options)
-    : m_state{std::move(options), {}, {}, {}, {}, {}, {}, {}, {}, {}, {}, {}, {}},
+    : m_state{std::move(options),
+              {},
+              {},
+              {},
+              {},
+              {},
+              {},
+              {},
+              {},
+              {},
+              {},
+              {},
+              {}},
       m_ladder(m_state),
       m_mover(m_state)
 {
@@ -153,16 +165,15 @@
     auto const& reserved = restored.reserved;
     m_state.workers.attach(now, task, *slot, reserved, reserved);
     task.attempt = restored.attempt;
-    task.phase =
-        restored.evicting ? task_phase::evicting : task_phase::running;
+    task.phase = restored.evicting ? task_phase::evicting : task_phase::running;
     task.phase_before_stop = task_phase::running;
 }
 
 task_entry* planner::active(core::job_id job, core::attempt_number attempt)
 {
     auto* task = m_state.workers.find(job);
-    bool const current = task != nullptr && task->holds_capacity() &&
-                         task->attempt == attempt;
+    bool const current =
+        task != nullptr && task->holds_capacity() && task->attempt == attempt;
     return current ? task : nullptr;
 }
 
@@ -485,8 +496,7 @@
              decisions);
         return true;
     }
-    bool const any_worker =
-        m_state.workers.total() != core::resources{};
+    bool const any_worker = m_state.workers.total() != core::resources{};
     if (any_worker && !m_state.workers.largest_holding(declared))
     {
         stop(task,
--- a/modules/placement/policy/failure_tracker.cpp
+++ b/modules/placement/policy/failure_tracker.cpp
@@ -75,8 +75,8 @@
     return slots;
 }
 
-std::vector<core::job_id> failure_tracker::jobs_failed_on(
-    std::size_t slot) const
+std::vector<core::job_id>
+failure_tracker::jobs_failed_on(std::size_t slot) const
 {
     std::vector<core::job_id> jobs;
     auto const found = m_records.find(slot);
--- a/modules/placement/policy/job_queue.cpp
+++ b/modules/placement/policy/job_queue.cpp
@@ -45,8 +45,7 @@
     }
 }
 
-std::vector<core::team_id> job_queue::teams(
-    core::priority_class priority) const
+std::vector<core::team_id> job_queue::teams(core::priority_class priority) const
 {
     std::vector<core::team_id> names;
     for (auto const& item : m_classes.at(static_cast<std::size_t>(priority)))
--- a/modules/placement/policy/placement_pass.cpp
+++ b/modules/placement/policy/placement_pass.cpp
@@ -69,9 +69,9 @@
     if (task.is_batch())
     {
         // Batch may use the processors that others reserve and leave idle.
-        learned.cpu = core::millicores(static_cast<std::int64_t>(
-            static_cast<double>(learned.cpu.value()) *
-            state.processors.batch_factor()));
+        learned.cpu = core::millicores(
+            static_cast<std::int64_t>(static_cast<double>(learned.cpu.value()) *
+                                      state.processors.batch_factor()));
     }
     return smaller(learned, *largest);
 }
@@ -143,7 +143,8 @@
 void placement_pass::place_at_risk()
 {
     auto const limit = m_now + risk_margin;
-    for (auto const job : m_state.queue.at_risk(m_now - risk_margin, limit, max_at_risk))
+    for (auto const job :
+         m_state.queue.at_risk(m_now - risk_margin, limit, max_at_risk))
     {
         if (m_started >= m_state.options.starts_per_tick)
         {
@@ -164,8 +165,8 @@
                                   core::resources const& charge) const
 {
     auto const quota = m_state.rules.quota(task.spec.team);
-    return !quota || core::fits_in(
-                         m_state.workers.charged(task.spec.team) + charge,
+    return !quota ||
+           core::fits_in(m_state.workers.charged(task.spec.team) + charge,
                          *quota);
 }
 
@@ -221,8 +222,9 @@
     return true;
 }
 
-std::vector<candidate> placement_pass::find_candidates(
-    task_entry const& task, core::resources const& need)
+std::vector<candidate>
+placement_pass::find_candidates(task_entry const& task,
+                                core::resources const& need)
 {
     std::vector<candidate> found;
     m_last_obstacle = obstacle::none;
@@ -262,8 +264,7 @@
     auto slot = index.next_fit(from, need);
     while (slot && *slot < until && (wanted == 0 || found.size() < wanted))
     {
-        auto const reason =
-            m_scorer.check(m_now, task, need, *slot, patient);
+        auto const reason = m_scorer.check(m_now, task, need, *slot, patient);
         if (reason == obstacle::none)
         {
             found.push_back({*slot, 0});
@@ -292,12 +293,11 @@
         {
             item.cost = m_scorer.cost(m_now, task, need, item.slot);
         }
-        std::sort(found.begin(),
-                  found.end(),
-                  [](candidate const& a, candidate const& b) {
-                      return std::pair(a.cost, a.slot) <
-                             std::pair(b.cost, b.slot);
-                  });
+        std::sort(
+            found.begin(),
+            found.end(),
+            [](candidate const& a, candidate const& b)
+            { return std::pair(a.cost, a.slot) < std::pair(b.cost, b.slot); });
     }
     m_state.queue.remove(task);
     auto const slot = found[chosen].slot;
--- a/modules/placement/policy/placement_pass.hpp
+++ b/modules/placement/policy/placement_pass.hpp
@@ -32,8 +32,7 @@
 
     void place_class(core::priority_class priority);
     void place_at_risk();
-    bool place_one_of(core::priority_class priority,
-                      core::team_id const& team);
+    bool place_one_of(core::priority_class priority, core::team_id const& team);
     bool place(task_entry& task);
     bool within_quota(task_entry const& task,
                       core::resources const& charge) const;
--- a/modules/placement/policy/planner_state.cpp
+++ b/modules/placement/policy/planner_state.cpp
@@ -48,7 +48,8 @@
 
 double work_at_stake(core::time_point now, task_entry const& task)
 {
-    auto const seconds = static_cast<double>((now - task.saved_at).count()) / 1e6;
+    auto const seconds =
+        static_cast<double>((now - task.saved_at).count()) / 1e6;
     return seconds * static_cast<double>(task.reserved.cpu.value()) / 1000;
 }
 
--- a/modules/placement/policy/pressure_ladder.cpp
+++ b/modules/placement/policy/pressure_ladder.cpp
@@ -106,8 +106,8 @@
     if (task.last_measured > task.placed_at && step.count() > 0)
     {
         auto const ahead = std::min(now - measured_at, longest_lookahead);
-        double const grown = static_cast<double>(
-            (used.memory - task.last_used.memory).value());
+        double const grown =
+            static_cast<double>((used.memory - task.last_used.memory).value());
         double const steps = static_cast<double>(ahead.count()) /
                              static_cast<double>(step.count());
         auto const more =
@@ -180,14 +180,14 @@
                                        worker_entry& worker,
                                        tick_decisions& decisions)
 {
-    core::resources missing =
-        worker.reserved - worker.description.capacity;
+    core::resources missing = worker.reserved - worker.description.capacity;
     missing = core::component_max(missing, core::resources{});
     core::resources coming;
     task_entry* cheapest = nullptr;
     for (auto const& [job, task] : worker.tasks)
     {
-        if (task->is_active() && !m_state.workers.raise(now, *task, task->wanted))
+        if (task->is_active() &&
+            !m_state.workers.raise(now, *task, task->wanted))
         {
             auto gap = core::component_max(task->wanted - task->reserved,
                                            core::resources{});
@@ -300,9 +300,9 @@
             cheapest = task;
         }
     }
-    std::string const reason = "job " + std::to_string(victim->spec.job.value()) +
-                               " runs at " + two_decimals(victim->slowdown) +
-                               " times its time";
+    std::string const reason =
+        "job " + std::to_string(victim->spec.job.value()) + " runs at " +
+        two_decimals(victim->slowdown) + " times its time";
     if (worst != nullptr)
     {
         throttle(
@@ -351,8 +351,8 @@
     {
         if (!task->is_batch())
         {
-            added = std::max(added,
-                             harm(*task, *most_throttled, worker, permille / 2));
+            added = std::max(
+                added, harm(*task, *most_throttled, worker, permille / 2));
         }
     }
     auto const calm = now - worker.calm_since;
--- a/modules/placement/policy/room_maker.cpp
+++ b/modules/placement/policy/room_maker.cpp
@@ -48,9 +48,8 @@
             worker.held_for ? state.workers.find(*worker.held_for) : nullptr;
         bool const queued =
             task != nullptr && task->phase == task_phase::queued;
-        bool const closed =
-            state.workers.open_share_of(slot) < 1 ||
-            worker.health == worker_health::quarantined;
+        bool const closed = state.workers.open_share_of(slot) < 1 ||
+                            worker.health == worker_health::quarantined;
         bool const old = queued && task->held_since + longest_hold < now;
         if (queued && !closed && !old)
         {
@@ -96,9 +95,9 @@
 }
 
 bool room_maker::could_hold(task_entry const& task,
-                                core::resources const& need,
-                                std::size_t slot,
-                                double& deficit) const
+                            core::resources const& need,
+                            std::size_t slot,
+                            double& deficit) const
 {
     auto const& worker = m_state.workers.worker(slot);
     auto const open = m_state.workers.open_capacity(worker);
@@ -118,8 +117,7 @@
         }
     }
     auto const& capacity = worker.description.capacity;
-    auto const missing =
-        core::component_max(need - open, core::resources{});
+    auto const missing = core::component_max(need - open, core::resources{});
     deficit = std::max(ratio(missing.cpu.value(), capacity.cpu.value()),
                        ratio(missing.memory.value(), capacity.memory.value()));
     return core::fits_in(need, capacity - lasting);
@@ -152,8 +150,8 @@
     hold(task, *best, "passed over by smaller jobs");
 }
 
-std::vector<task_entry*> room_maker::batch_by_loss(
-    worker_entry const& worker) const
+std::vector<task_entry*>
+room_maker::batch_by_loss(worker_entry const& worker) const
 {
     std::vector<task_entry*> batch;
     for (auto const& [job, other] : worker.tasks)
--- a/modules/placement/policy/worker_scorer.cpp
+++ b/modules/placement/policy/worker_scorer.cpp
@@ -181,8 +181,7 @@
         auto const found = counts.find(key);
         return found == counts.end() ? 0.0 : found->second;
     };
-    return same_zone_weight *
-               count(m_in_zone, worker.description.place.zone) +
+    return same_zone_weight * count(m_in_zone, worker.description.place.zone) +
            same_rack_weight * count(m_in_rack, worker.description.rack) +
            same_worker_weight * count(m_on_worker, slot);
 }
--- a/modules/placement/policy/worker_scorer.hpp
+++ b/modules/placement/policy/worker_scorer.hpp
@@ -49,8 +49,7 @@
 private:
     obstacle check_rules(task_entry const& task,
                          worker_entry const& worker) const;
-    bool takes_urgent_room(core::resources const& need,
-                           std::size_t slot) const;
+    bool takes_urgent_room(core::resources const& need, std::size_t slot) const;
     bool disturbs_service(core::time_point now,
                           task_entry const& task,
                           core::resources const& need,
--- a/modules/placement/policy/zone_mover.cpp
+++ b/modules/placement/policy/zone_mover.cpp
@@ -27,8 +27,8 @@
             continue;
         }
         auto const& zone = worker.description.place.zone;
-        double const share = m_state.zones.open_share(
-            now, zone, m_state.options.ramp_step);
+        double const share =
+            m_state.zones.open_share(now, zone, m_state.options.ramp_step);
         bool const out = m_state.zones.out_since(zone).has_value();
         if (share != worker.open_share || out != worker.zone_out)
         {
--- a/modules/placement/policy/zone_tracker.cpp
+++ b/modules/placement/policy/zone_tracker.cpp
@@ -34,8 +34,8 @@
     return true;
 }
 
-std::optional<core::time_point> zone_tracker::out_since(
-    core::zone_id const& zone) const
+std::optional<core::time_point>
+zone_tracker::out_since(core::zone_id const& zone) const
 {
     auto const found = m_zones.find(zone);
     return found == m_zones.end() ? std::nullopt : found->second.out_since;
--- a/modules/placement/state/capacity_index.cpp
+++ b/modules/placement/state/capacity_index.cpp
@@ -8,9 +8,8 @@
 namespace
 {
 
-core::resources const hidden{core::millicores(-1),
-                             core::byte_count(-1),
-                             core::accelerator_count(-1)};
+core::resources const hidden{
+    core::millicores(-1), core::byte_count(-1), core::accelerator_count(-1)};
 
 } // namespace
 
@@ -29,8 +28,8 @@
     }
 }
 
-std::optional<std::size_t> capacity_index::next_fit(
-    std::size_t from, core::resources const& need) const
+std::optional<std::size_t>
+capacity_index::next_fit(std::size_t from, core::resources const& need) const
 {
     return m_leaves == 0 ? std::nullopt : search(1, 0, m_leaves, from, need);
 }
@@ -56,12 +55,12 @@
     }
 }
 
-std::optional<std::size_t> capacity_index::search(
-    std::size_t node,
-    std::size_t low,
-    std::size_t width,
-    std::size_t from,
-    core::resources const& need) const
+std::optional<std::size_t>
+capacity_index::search(std::size_t node,
+                       std::size_t low,
+                       std::size_t width,
+                       std::size_t from,
+                       core::resources const& need) const
 {
     if (low + width <= from || !core::fits_in(need, m_nodes[node]))
     {
--- a/modules/placement/state/fleet.cpp
+++ b/modules/placement/state/fleet.cpp
@@ -9,9 +9,8 @@
 namespace
 {
 
-core::resources const closed{core::millicores(-1),
-                             core::byte_count(-1),
-                             core::accelerator_count(-1)};
+core::resources const closed{
+    core::millicores(-1), core::byte_count(-1), core::accelerator_count(-1)};
 
 core::resources component_min(core::resources const& a,
                               core::resources const& b)
@@ -104,8 +103,7 @@
 std::optional<std::size_t> fleet::slot_of(core::worker_id const& worker) const
 {
     auto const found = m_slots.find(worker);
-    return found == m_slots.end() ? std::nullopt
-                                  : std::optional(found->second);
+    return found == m_slots.end() ? std::nullopt : std::optional(found->second);
 }
 
 worker_entry& fleet::worker(std::size_t slot)
@@ -241,9 +239,8 @@
         return closed;
     }
     auto const& capacity = worker.description.capacity;
-    auto const open = worker.open_share >= 1
-                          ? capacity
-                          : scaled(capacity, worker.open_share);
+    auto const open =
+        worker.open_share >= 1 ? capacity : scaled(capacity, worker.open_share);
     return open - worker.reserved;
 }
 
@@ -287,8 +284,8 @@
     return m_total;
 }
 
-std::optional<core::resources> fleet::largest_holding(
-    core::resources const& need) const
+std::optional<core::resources>
+fleet::largest_holding(core::resources const& need) const
 {
     std::optional<core::resources> best;
     for (auto const& [capacity, count] : m_capacities)
--- a/modules/placement/state/fleet.hpp
+++ b/modules/placement/state/fleet.hpp
@@ -80,8 +80,8 @@
 
     /// @return The component-wise largest capacity, over present workers that
     /// hold the need; nothing when no worker would hold it even when empty.
-    std::optional<core::resources> largest_holding(
-        core::resources const& need) const;
+    std::optional<core::resources>
+    largest_holding(core::resources const& need) const;
 
 private:
     bool is_open(worker_entry const& worker) const;
--- a/modules/placement/state/rule_book.cpp
+++ b/modules/placement/state/rule_book.cpp
@@ -60,8 +60,7 @@
                                    : std::optional(found->second);
 }
 
-std::optional<core::resources> rule_book::quota(
-    core::team_id const& team) const
+std::optional<core::resources> rule_book::quota(core::team_id const& team) const
 {
     auto const found = m_quotas.find(team);
     return found == m_quotas.end() ? std::nullopt
@@ -75,10 +74,10 @@
     return found == m_priorities.end() ? declared : found->second.priority;
 }
 
-std::optional<core::wall_time> rule_book::deadline(
-    kind_index kind,
-    std::optional<core::wall_time> own,
-    core::wall_time submitted) const
+std::optional<core::wall_time>
+rule_book::deadline(kind_index kind,
+                    std::optional<core::wall_time> own,
+                    core::wall_time submitted) const
 {
     auto const found = m_priorities.find(kind);
     if (own || found == m_priorities.end() || !found->second.deadline_minute)
--- a/modules/placement/state/rule_book.hpp
+++ b/modules/placement/state/rule_book.hpp
@@ -38,10 +38,9 @@
     /// @param own The deadline of the job itself; it wins.
     /// @param submitted When the job was first queued; a daily deadline is
     /// the next one after it.
-    std::optional<core::wall_time> deadline(
-        kind_index kind,
-        std::optional<core::wall_time> own,
-        core::wall_time submitted) const;
+    std::optional<core::wall_time> deadline(kind_index kind,
+                                            std::optional<core::wall_time> own,
+                                            core::wall_time submitted) const;
 
 private:
     std::map<core::task_kind, kind_index> m_kinds;
--- a/modules/placement/state/worker_entry.hpp
+++ b/modules/placement/state/worker_entry.hpp
@@ -8,7 +8,6 @@
 #include <map>
 #include <optional>
 
-
 namespace turmericswitch::placement
 {
 
--- /dev/null
+++ b/modules/placement/tests/interference_test.cpp
@@ -0,0 +1,271 @@
+#include "placement/tests/fake_cluster.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+namespace turmericswitch::placement
+{
+
+using testing::amount;
+using testing::fake_cluster;
+
+class interference_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(interference_test);
+    CPPUNIT_TEST(model_tells_the_noisy_kind_from_the_quiet_one);
+    CPPUNIT_TEST(model_follows_a_shift_of_interference);
+    CPPUNIT_TEST(late_measurement_counts_for_those_present_then);
+    CPPUNIT_TEST(history_forgets_and_says_so);
+    CPPUNIT_TEST(ladder_throttles_then_evicts_the_least_loss);
+    CPPUNIT_TEST(measurement_before_the_action_leads_to_no_second_one);
+    CPPUNIT_TEST(throttle_is_lifted_only_after_a_calm_time);
+    CPPUNIT_TEST(batch_goes_to_the_worker_without_services);
+    CPPUNIT_TEST(observed_growth_evicts_batch_before_the_worker_is_full);
+    CPPUNIT_TEST(under_declared_kind_reserves_what_it_used);
+    CPPUNIT_TEST_SUITE_END();
+
+    static core::time_point at(int seconds)
+    {
+        return core::time_point(std::chrono::seconds(1000 + seconds));
+    }
+
+    static occupant task(std::uint64_t job, kind_index kind, double share)
+    {
+        return {core::job_id(job), kind, share};
+    }
+
+    // Guards against blaming every neighbour alike.
+    void model_tells_the_noisy_kind_from_the_quiet_one()
+    {
+        interference_model model;
+        for (int i = 0; i < 60; ++i)
+        {
+            double const noisy = i % 3 == 0 ? 0.5 : 0.1;
+            double const quiet = i % 2 == 0 ? 0.4 : 0.1;
+            model.learn(at(i * 10),
+                        0,
+                        {task(1, 1, noisy), task(2, 2, quiet)},
+                        0.5,
+                        1 + 2 * noisy);
+        }
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(
+            2.0, model.contribution(0, 1, 1.0, 0.5), 0.3);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(
+            0.0, model.contribution(0, 2, 1.0, 0.5), 0.15);
+        CPPUNIT_ASSERT(model.confidence(at(600), 0, 1, 0.5) > 0.8);
+        CPPUNIT_ASSERT_EQUAL(0.0, model.confidence(at(600), 1, 0, 0.5));
+        // Unknown pairs are expected to do some harm.
+        CPPUNIT_ASSERT(model.contribution(1, 0, 1.0, 0.5) > 0.3);
+    }
+
+    // Guards against knowledge that never changes again.
+    void model_follows_a_shift_of_interference()
+    {
+        interference_model model;
+        auto const learn = [&](int from, double slowdown)
+        {
+            for (int i = 0; i < 360; ++i)
+            {
+                model.learn(
+                    at(from + i * 10), 0, {task(1, 1, 0.5)}, 0.5, slowdown);
+            }
+        };
+        learn(0, 2.0);
+        double const sure = model.confidence(at(3600), 0, 1, 0.5);
+        CPPUNIT_ASSERT(model.confidence(at(7200), 0, 1, 0.5) < sure - 0.3);
+        learn(3600, 1.0);
+        CPPUNIT_ASSERT(model.contribution(0, 1, 0.5, 0.5) < 0.1);
+    }
+
+    // Guards against blaming a task that came after the measurement.
+    void late_measurement_counts_for_those_present_then()
+    {
+        fake_cluster cluster;
+        cluster.add_worker("w", "a", amount(10000, 8000));
+        auto& policy = cluster.policy();
+        auto const web = policy.kind_of(core::task_kind("web"));
+        auto const early = policy.kind_of(core::task_kind("early"));
+        auto const later = policy.kind_of(core::task_kind("later"));
+        cluster.add_job(
+            1, amount(1000, 100), core::priority_class::service, "web");
+        cluster.add_job(
+            2, amount(4000, 100), core::priority_class::urgent, "early");
+        cluster.tick();
+        cluster.tick(std::chrono::seconds(40));
+        cluster.finish(2);
+        cluster.add_job(
+            3, amount(4000, 100), core::priority_class::urgent, "later");
+        cluster.tick(std::chrono::seconds(1));
+        cluster.tick(std::chrono::seconds(5));
+        cluster.report(1, amount(1000, 100), 2000);
+        auto const& model = policy.interference();
+        CPPUNIT_ASSERT(model.confidence(cluster.now(), web, early, 0.5) > 0);
+        CPPUNIT_ASSERT_EQUAL(0.0,
+                             model.confidence(cluster.now(), web, later, 0.5));
+    }
+
+    // Guards against attribution to an incomplete list of neighbours.
+    void history_forgets_and_says_so()
+    {
+        occupancy_history history;
+        history.started(at(0), task(1, 0, 0.1));
+        history.started(at(0), task(2, 0, 0.1));
+        history.ended(at(10), core::job_id(1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, history.at(at(5))->size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, history.at(at(10))->size());
+        history.started(at(500), task(3, 0, 0.1));
+        CPPUNIT_ASSERT(!history.at(at(5)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, history.size());
+        for (std::uint64_t job = 10; job < 5010; ++job)
+        {
+            history.started(at(501), task(job, 0, 0.1));
+            history.ended(at(501), core::job_id(job));
+        }
+        CPPUNIT_ASSERT(history.size() < 1000);
+    }
+
+    /// A service (1) with two batch tasks (2, 3) of which 3 has just saved.
+    static void fill(fake_cluster& cluster)
+    {
+        cluster.add_worker("w", "a", amount(10000, 8000));
+        cluster.add_job(
+            1, amount(1000, 100), core::priority_class::service, "web");
+        cluster.add_job(
+            2, amount(4000, 100), core::priority_class::batch, "noise");
+        cluster.add_job(
+            3, amount(4000, 100), core::priority_class::batch, "noise");
+        // A job past its patience is placed although it may disturb.
+        cluster.tick();
+        cluster.tick(std::chrono::minutes(20));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, cluster.running.size());
+        cluster.tick(std::chrono::minutes(2));
+        cluster.policy().job_checkpointed(
+            cluster.now(), core::job_id(3), core::attempt_number(1));
+    }
+
+    static tick_decisions slow_report(fake_cluster& cluster,
+                                      std::uint32_t permille)
+    {
+        cluster.report(1, amount(1000, 100), permille);
+        return cluster.tick(std::chrono::seconds(10));
+    }
+
+    // Guards against eviction as the first answer, against an answer to a
+    // single measurement, and against evicting the task that loses most.
+    void ladder_throttles_then_evicts_the_least_loss()
+    {
+        fake_cluster cluster;
+        fill(cluster);
+        CPPUNIT_ASSERT(slow_report(cluster, 3000).throttles.empty());
+        std::size_t throttles = 0;
+        std::vector<core::evict_task> evictions;
+        for (int i = 0; i < 60 && evictions.empty(); ++i)
+        {
+            auto const decisions = slow_report(cluster, 3000);
+            throttles += decisions.throttles.size();
+            evictions = decisions.batch.evictions;
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, throttles);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, evictions.size());
+        CPPUNIT_ASSERT(evictions[0].job == core::job_id(3));
+    }
+
+    // Guards against acting again on measurements from before the action.
+    void measurement_before_the_action_leads_to_no_second_one()
+    {
+        fake_cluster cluster;
+        fill(cluster);
+        slow_report(cluster, 3000);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             slow_report(cluster, 3000).throttles.size());
+        // These three were measured 30 s before they arrive.
+        for (int i = 0; i < 3; ++i)
+        {
+            CPPUNIT_ASSERT(slow_report(cluster, 3000).throttles.empty());
+        }
+    }
+
+    // Guards against throttles that flap with every measurement.
+    void throttle_is_lifted_only_after_a_calm_time()
+    {
+        fake_cluster cluster;
+        fill(cluster);
+        slow_report(cluster, 3000);
+        slow_report(cluster, 3000);
+        // Between the low and the high mark nothing changes.
+        for (int i = 0; i < 40; ++i)
+        {
+            CPPUNIT_ASSERT(slow_report(cluster, 1400).throttles.empty());
+        }
+        int calm_s = 0;
+        tick_decisions decisions;
+        for (; calm_s < 2000 && decisions.throttles.empty(); calm_s += 10)
+        {
+            decisions = slow_report(cluster, 1000);
+        }
+        CPPUNIT_ASSERT(calm_s >= 90 && calm_s < 600);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{1000},
+                             decisions.throttles.at(0).order.cpu_permille);
+    }
+
+    // Guards against a placement that ignores predicted slowdown.
+    void batch_goes_to_the_worker_without_services()
+    {
+        for (std::uint64_t id = 10; id < 30; ++id)
+        {
+            fake_cluster cluster;
+            cluster.add_worker("w1");
+            cluster.add_job(
+                1, amount(1000, 100), core::priority_class::service, "web");
+            cluster.tick();
+            cluster.add_worker("w2");
+            cluster.add_job(id, amount(3000, 100));
+            cluster.tick();
+            CPPUNIT_ASSERT_EQUAL(std::string("w2"), cluster.worker_of(id));
+        }
+    }
+
+    // Guards against memory that runs out before anything is done.
+    void observed_growth_evicts_batch_before_the_worker_is_full()
+    {
+        fake_cluster cluster;
+        cluster.add_worker("w");
+        cluster.add_job(1, amount(100, 4000));
+        cluster.add_job(2, amount(100, 4000));
+        cluster.tick();
+        cluster.tick(std::chrono::seconds(60));
+        cluster.report(1, amount(100, 4000));
+        cluster.report(2, amount(100, 2000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             cluster.tick().batch.evictions.size());
+        // The eviction under way is enough.
+        CPPUNIT_ASSERT(cluster.tick().batch.evictions.empty());
+        auto const reserved =
+            cluster.policy().reserved_on(core::worker_id("w"));
+        CPPUNIT_ASSERT(core::fits_in(reserved, amount(8000, 8000, 1)));
+    }
+
+    // Guards against the same under-declaration filling one worker again.
+    void under_declared_kind_reserves_what_it_used()
+    {
+        fake_cluster cluster;
+        cluster.add_worker("w");
+        for (std::uint64_t id = 1; id <= 6; ++id)
+        {
+            cluster.add_job(id, amount(100, 100));
+            cluster.tick(std::chrono::seconds(60));
+            cluster.tick(std::chrono::seconds(60));
+            cluster.report(id, amount(100, 3000));
+            cluster.finish(id);
+        }
+        cluster.add_job(7, amount(100, 100));
+        cluster.tick();
+        auto const& reserved = cluster.running.at(core::job_id(7)).reserved;
+        CPPUNIT_ASSERT(reserved.memory >= core::byte_count(3000));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(interference_test);
+
+} // namespace turmericswitch::placement
--- /dev/null
+++ b/modules/placement/tests/planner_test.cpp
@@ -0,0 +1,366 @@
+#include "placement/tests/fake_cluster.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <set>
+
+namespace turmericswitch::placement
+{
+
+using testing::amount;
+using testing::fake_cluster;
+
+class planner_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(planner_test);
+    CPPUNIT_TEST(urgent_goes_before_older_batch);
+    CPPUNIT_TEST(tight_deadline_goes_before_fair_share);
+    CPPUNIT_TEST(team_with_less_goes_first);
+    CPPUNIT_TEST(large_job_is_not_starved_by_small_ones);
+    CPPUNIT_TEST(urgent_job_makes_room_where_least_work_is_lost);
+    CPPUNIT_TEST(never_fitting_job_is_refused_at_once);
+    CPPUNIT_TEST(services_spread_over_zones_and_racks);
+    CPPUNIT_TEST(no_start_in_a_zone_that_is_out);
+    CPPUNIT_TEST(leaving_zone_lets_short_work_end);
+    CPPUNIT_TEST(returning_zone_opens_in_steps);
+    CPPUNIT_TEST(bad_worker_is_quarantined_probed_and_returned);
+    CPPUNIT_TEST(job_that_fails_everywhere_is_stopped);
+    CPPUNIT_TEST(dropped_placement_frees_its_worker);
+    CPPUNIT_TEST(evicted_task_holds_capacity_until_requeued);
+    CPPUNIT_TEST_SUITE_END();
+
+    static std::size_t placed(tick_decisions const& decisions)
+    {
+        return decisions.batch.placements.size();
+    }
+
+    // Guards against a person waiting behind batch.
+    void urgent_goes_before_older_batch()
+    {
+        fake_cluster cluster;
+        cluster.add_worker("w");
+        cluster.add_job(1, amount(8000, 100));
+        cluster.add_job(
+            2, amount(8000, 100), core::priority_class::urgent, "proof");
+        cluster.tick();
+        CPPUNIT_ASSERT_EQUAL(std::string("w"), cluster.worker_of(2));
+        CPPUNIT_ASSERT_EQUAL(std::string(), cluster.worker_of(1));
+    }
+
+    // Guards against missing the morning deadline by fair share.
+    void tight_deadline_goes_before_fair_share()
+    {
+        fake_cluster cluster;
+        cluster.add_worker("w");
+        cluster.add_job(1, amount(4000, 100));
+        cluster.tick();
+        core::wall_time const soon(cluster.now().time_since_epoch() +
+                                   std::chrono::minutes(12));
+        cluster.add_job(
+            2, amount(4000, 100), core::priority_class::batch, "k", "other");
+        cluster.add_job(
+            3, amount(4000, 100), core::priority_class::batch, "k", "t", soon);
+        cluster.tick();
+        CPPUNIT_ASSERT_EQUAL(std::string("w"), cluster.worker_of(3));
+    }
+
+    // Guards against one team taking everything.
+    void team_with_less_goes_first()
+    {
+        fake_cluster cluster;
+        cluster.add_worker("w");
+        for (std::uint64_t id = 1; id <= 8; ++id)
+        {
+            cluster.add_job(id, amount(2000, 100));
+        }
+        for (std::uint64_t id = 11; id <= 12; ++id)
+        {
+            cluster.add_job(id,
+                            amount(2000, 100),
+                            core::priority_class::batch,
+                            "k",
+                            "late");
+        }
+        cluster.tick();
+        CPPUNIT_ASSERT_EQUAL(std::string("w"), cluster.worker_of(11));
+        CPPUNIT_ASSERT_EQUAL(std::string("w"), cluster.worker_of(12));
+    }
+
+    // Guards against small jobs that take every gap for ever.
+    void large_job_is_not_starved_by_small_ones()
+    {
+        fake_cluster cluster;
+        cluster.add_worker("w");
+        std::uint64_t next = 100;
+        for (int i = 0; i < 4; ++i)
+        {
+            cluster.add_job(next++, amount(2000, 100));
+        }
+        cluster.tick();
+        cluster.add_job(
+            1, amount(8000, 100), core::priority_class::batch, "big", "u");
+        // One small job ends and another arrives every minute.
+        std::uint64_t oldest = 100;
+        for (int minute = 0; minute < 40 && cluster.worker_of(1).empty();
+             ++minute)
+        {
+            if (!cluster.worker_of(oldest).empty())
+            {
+                cluster.finish(oldest++);
+            }
+            cluster.add_job(next++, amount(2000, 100));
+            cluster.tick(std::chrono::minutes(1));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string("w"), cluster.worker_of(1));
+    }
+
+    // Guards against urgent work waiting for batch, and against evicting the
+    // task with most work since its checkpoint.
+    void urgent_job_makes_room_where_least_work_is_lost()
+    {
+        fake_cluster cluster;
+        cluster.add_worker("w1");
+        cluster.add_worker("w2");
+        cluster.add_job(1, amount(8000, 100));
+        cluster.add_job(2, amount(8000, 100));
+        cluster.tick();
+        cluster.tick(std::chrono::minutes(30));
+        cluster.policy().job_checkpointed(
+            cluster.now(), core::job_id(2), core::attempt_number(1));
+        cluster.add_job(
+            3, amount(1000, 100), core::priority_class::urgent, "proof");
+        std::vector<core::evict_task> evictions;
+        for (int i = 0; i < 5; ++i)
+        {
+            auto const made = cluster.tick().batch.evictions;
+            evictions.insert(evictions.end(), made.begin(), made.end());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, evictions.size());
+        CPPUNIT_ASSERT(evictions[0].job == core::job_id(2));
+        cluster.requeue(2);
+        cluster.tick();
+        CPPUNIT_ASSERT(!cluster.worker_of(3).empty());
+    }
+
+    // Guards against jobs that wait for ever, with each resource.
+    void never_fitting_job_is_refused_at_once()
+    {
+        fake_cluster cluster;
+        cluster.add_worker("cores", "a", amount(9000, 1000, 0));
+        cluster.add_worker("memory", "a", amount(1000, 9000, 2));
+        cluster.add_job(1, amount(9000, 9000));
+        cluster.add_job(2, amount(100, 100, 3));
+        cluster.add_job(3, amount(9000, 1000));
+        auto const decisions = cluster.tick();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, decisions.batch.stops.size());
+        CPPUNIT_ASSERT(decisions.batch.stops[0].code ==
+                       core::result_code::job_never_fits);
+        CPPUNIT_ASSERT_EQUAL(std::string("cores"), cluster.worker_of(3));
+    }
+
+    // Guards against a zone or rack that takes a whole service with it.
+    void services_spread_over_zones_and_racks()
+    {
+        fake_cluster cluster;
+        for (int i = 0; i < 6; ++i)
+        {
+            auto const number = std::to_string(i);
+            cluster.add_worker("w" + number,
+                               i < 3 ? "a" : "b",
+                               amount(8000, 8000),
+                               "r" + std::to_string(i / 2 + (i < 3 ? 0 : 9)));
+        }
+        for (std::uint64_t id = 1; id <= 4; ++id)
+        {
+            cluster.add_job(
+                id, amount(500, 100), core::priority_class::service, "web");
+        }
+        cluster.tick();
+        int in_a = 0;
+        std::set<std::string> hosts;
+        for (std::uint64_t id = 1; id <= 4; ++id)
+        {
+            auto const host = cluster.worker_of(id);
+            in_a += host < "w3" ? 1 : 0;
+            hosts.insert(host);
+        }
+        CPPUNIT_ASSERT_EQUAL(2, in_a);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, hosts.size());
+        // Racks in zone a are {w0, w1} and {w2}: both have to be used.
+        CPPUNIT_ASSERT(hosts.contains("w2"));
+    }
+
+    // Guards against starts after operators took the zone out.
+    void no_start_in_a_zone_that_is_out()
+    {
+        fake_cluster cluster;
+        cluster.add_worker("w", "a");
+        cluster.policy().zone_changed(cluster.now(),
+                                      core::zone_id("a"),
+                                      core::zone_state::out_of_service);
+        cluster.add_job(1, amount(100, 100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, placed(cluster.tick()));
+    }
+
+    // Guards against evicting work that would be done in time, against work
+    // that stays too long, and against giving up progress to wait elsewhere.
+    void leaving_zone_lets_short_work_end()
+    {
+        fake_cluster cluster;
+        cluster.add_worker("w", "a");
+        cluster.add_job(1, amount(1000, 100));
+        cluster.add_job(
+            2, amount(1000, 100), core::priority_class::service, "web");
+        cluster.tick();
+        cluster.policy().zone_changed(cluster.now(),
+                                      core::zone_id("a"),
+                                      core::zone_state::out_of_service);
+        auto const first = cluster.tick().batch.evictions;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, first.size());
+        CPPUNIT_ASSERT(first[0].job == core::job_id(2));
+        // With room elsewhere the batch job moves, too.
+        CPPUNIT_ASSERT(cluster.tick().batch.evictions.empty());
+        cluster.add_worker("v", "b");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             cluster.tick().batch.evictions.size());
+        cluster.policy().eviction_dropped(core::job_id(1),
+                                          core::attempt_number(1));
+        cluster.policy().worker_lost(cluster.now(), core::worker_id("v"));
+        CPPUNIT_ASSERT(cluster.tick().batch.evictions.empty());
+        auto const late = cluster.tick(std::chrono::minutes(3));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, late.batch.evictions.size());
+    }
+
+    // Guards against a rush of starts into a zone that just came back.
+    void returning_zone_opens_in_steps()
+    {
+        fake_cluster cluster;
+        cluster.add_worker("w", "a");
+        auto& policy = cluster.policy();
+        core::zone_id const zone("a");
+        policy.zone_changed(
+            cluster.now(), zone, core::zone_state::out_of_service);
+        for (std::uint64_t id = 1; id <= 8; ++id)
+        {
+            cluster.add_job(id, amount(1000, 100));
+        }
+        cluster.tick(std::chrono::hours(1));
+        policy.zone_changed(cluster.now(), zone, core::zone_state::in_service);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, placed(cluster.tick()));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, placed(cluster.tick()));
+        auto const step = std::chrono::seconds(30);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, placed(cluster.tick(step)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, placed(cluster.tick(step)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, placed(cluster.tick(step)));
+    }
+
+    // Guards against a worker that fails every task and so is always free.
+    void bad_worker_is_quarantined_probed_and_returned()
+    {
+        fake_cluster cluster;
+        cluster.add_worker("bad");
+        for (std::uint64_t id = 1; id <= 3; ++id)
+        {
+            cluster.add_job(id, amount(1000, 100));
+        }
+        cluster.tick();
+        for (std::uint64_t id = 1; id <= 3; ++id)
+        {
+            cluster.fail(id);
+        }
+        auto decisions = cluster.tick();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decisions.quarantines.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, placed(decisions));
+        // One probe after a minute; it fails, so the next is later.
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             placed(cluster.tick(std::chrono::seconds(61))));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, placed(cluster.tick()));
+        cluster.fail(cluster.running.begin()->first.value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                             placed(cluster.tick(std::chrono::seconds(61))));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             placed(cluster.tick(std::chrono::seconds(61))));
+        cluster.finish(cluster.running.begin()->first.value());
+        decisions = cluster.tick();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decisions.quarantines.size());
+        CPPUNIT_ASSERT(!decisions.quarantines[0].quarantined);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, placed(decisions));
+        CPPUNIT_ASSERT(decisions.batch.stops.empty());
+    }
+
+    // Guards against a job that fails for ever, and against quarantine of
+    // healthy workers because of it.
+    void job_that_fails_everywhere_is_stopped()
+    {
+        fake_cluster cluster;
+        for (auto const* name : {"w1", "w2", "w3"})
+        {
+            cluster.add_worker(name);
+        }
+        cluster.add_job(1, amount(1000, 100));
+        std::set<std::string> hosts;
+        tick_decisions decisions;
+        for (int i = 0; i < 3; ++i)
+        {
+            decisions = cluster.tick(std::chrono::minutes(1));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, placed(decisions));
+            hosts.insert(cluster.worker_of(1));
+            cluster.fail(1);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, hosts.size());
+        decisions = cluster.tick(std::chrono::minutes(1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decisions.batch.stops.size());
+        CPPUNIT_ASSERT(decisions.batch.stops[0].code ==
+                       core::result_code::job_failed);
+        CPPUNIT_ASSERT(decisions.quarantines.empty());
+    }
+
+    // Guards against capacity that leaks when a batch was not committed.
+    void dropped_placement_frees_its_worker()
+    {
+        fake_cluster cluster;
+        cluster.add_worker("w");
+        cluster.add_job(1, amount(8000, 100));
+        auto const first = cluster.tick();
+        auto const& command = first.batch.placements.at(0);
+        cluster.policy().placement_dropped(
+            cluster.now(), command.job, command.attempt);
+        // A started task is not taken back.
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, placed(cluster.tick()));
+        cluster.finish(1);
+        core::job_id const job(2);
+        cluster.add_job(2, amount(8000, 100));
+        core::wall_time const wall(cluster.now().time_since_epoch());
+        auto const lost = cluster.policy().tick(cluster.now(), wall);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, lost.batch.placements.size());
+        cluster.policy().placement_dropped(
+            cluster.now(), job, core::attempt_number(1));
+        auto const again = cluster.tick();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, placed(again));
+        CPPUNIT_ASSERT(again.batch.placements[0].attempt ==
+                       core::attempt_number(1));
+    }
+
+    // Guards against a second task on capacity whose task may still run.
+    void evicted_task_holds_capacity_until_requeued()
+    {
+        fake_cluster cluster;
+        cluster.add_worker("w");
+        cluster.add_job(1, amount(7900, 100));
+        cluster.tick();
+        cluster.policy().job_evicting(
+            cluster.now(), core::job_id(1), core::attempt_number(1));
+        cluster.policy().worker_lost(cluster.now(), core::worker_id("w"));
+        cluster.add_worker("w");
+        cluster.add_job(2, amount(100, 7900));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, placed(cluster.tick()));
+        cluster.add_job(3, amount(100, 100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, placed(cluster.tick()));
+        cluster.requeue(1);
+        CPPUNIT_ASSERT(placed(cluster.tick()) >= 1);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(planner_test);
+
+} // namespace turmericswitch::placement
--- a/modules/placement/types/planner_options.cpp
+++ b/modules/placement/types/planner_options.cpp
@@ -33,9 +33,10 @@
 {
     auto options = baseline_options();
     options.candidates = 0;
-    options.choose =
-        [random = std::move(random)](std::vector<candidate> const& all)
-    { return static_cast<std::size_t>(core::random_below(random, all.size())); };
+    options.choose = [random = std::move(random)](
+                         std::vector<candidate> const& all) {
+        return static_cast<std::size_t>(core::random_below(random, all.size()));
+    };
     return options;
 }
 
