--- /dev/null
+++ b/modules/routing/tests/fuzz_world_faults.cpp
@@ -0,0 +1,149 @@
+#include "fuzz_world.hpp"
+
+#include "fuzz_topology.hpp"
+
+namespace turmericswitch::routing
+{
+
+void fuzz_world::restart_gateway(std::size_t index)
+{
+    auto& node = m_gateways[index];
+    for (auto const& [id, flow] : node.flows)
+    {
+        m_facts[id].gateway_died = !flow->done();
+    }
+    node.flows.clear();
+    node.life = core::incarnation(m_next_life++);
+    node.table = nullptr;
+    node.context = std::make_unique<flow_context>(
+        flow_context{place(gateway_zone[index]),
+                     [&node] { return node.table; },
+                     backend_selector(choose_power_of_two()),
+                     core::seeded_random(m_random()),
+                     {},
+                     &m_counters});
+    sync_gateway(index);
+}
+
+void fuzz_world::restart_sidecar(std::size_t index)
+{
+    auto& node = m_sidecars[index];
+    node.life = core::incarnation(m_next_life++);
+    node.core =
+        std::make_unique<admission::admission_core>(node.life, limits, memory);
+    node.draining = false;
+    node.executing = 0;
+    m_version = core::sequence_number(m_version.value() + 1);
+    configure_sidecar(index);
+}
+
+void fuzz_world::set_drain(std::size_t index, bool draining)
+{
+    m_sidecars[index].draining = draining;
+    m_version = core::sequence_number(m_version.value() + 1);
+    perform(index, m_sidecars[index].core->drain(m_now, draining));
+}
+
+void fuzz_world::toggle_zone(std::size_t index)
+{
+    bool const out = zone_is_out(index);
+    m_config.zones[index].state =
+        out ? core::zone_state::in_service : core::zone_state::out_of_service;
+    m_revision = core::revision(m_revision.value() + 1);
+    configure_sidecar(index);
+}
+
+void fuzz_world::configure_sidecar(std::size_t index)
+{
+    perform(index,
+            m_sidecars[index].core->configure(
+                m_now, m_revision, limits, zone_is_out(index)));
+}
+
+void fuzz_world::sync_gateway(std::size_t index)
+{
+    auto& node = m_gateways[index];
+    core::watch_answer answer;
+    answer.current = m_revision;
+    answer.config = m_config;
+    answer.registry = {core::term(1), m_version};
+    answer.whole_registry = true;
+    for (std::size_t i = 0; i < sidecar_count; ++i)
+    {
+        answer.changed.push_back(entry_of(i));
+    }
+    if (auto next = build_next(node.table.get(), answer, m_now))
+    {
+        node.table = next;
+    }
+}
+
+bool fuzz_world::zone_is_out(std::size_t index) const
+{
+    return m_config.zones[index].state == core::zone_state::out_of_service;
+}
+
+std::uint32_t fuzz_world::gateway_of(core::request_id const& id) const
+{
+    for (std::size_t i = 0; i < gateway_count; ++i)
+    {
+        if (m_gateways[i].life == id.gateway)
+        {
+            return static_cast<std::uint32_t>(i);
+        }
+    }
+    return 0;
+}
+
+core::backend_entry fuzz_world::entry_of(std::size_t index) const
+{
+    core::backend_entry entry;
+    entry.backend = core::backend_id("backend" + std::to_string(index));
+    entry.sidecar.port = static_cast<std::uint16_t>(first_sidecar + index);
+    entry.sidecar_incarnation = m_sidecars[index].life;
+    entry.place = place(index);
+    entry.service = core::service_id("book");
+    entry.slots = limits.slots;
+    entry.connections = limits.connections;
+    entry.draining = m_sidecars[index].draining;
+    return entry;
+}
+
+void fuzz_world::check_end_state()
+{
+    std::map<std::string, int> runs_of_key;
+    for (auto const& [id, facts] : m_facts)
+    {
+        runs_of_key[facts.key] += facts.key.empty() ? 0 : facts.runs;
+        bool const twice = facts.runs > 1 || runs_of_key[facts.key] > 1;
+        if (!facts.idempotent && twice)
+        {
+            m_violations.at_most_once = facts.body + " " + facts.key;
+        }
+        if (facts.refused_as_not_run && facts.runs > 0)
+        {
+            m_violations.truthful_refusal = facts.body;
+        }
+        if (facts.ends > 1 || (facts.ends == 0 && !facts.gateway_died))
+        {
+            m_violations.not_ended = facts.body;
+        }
+        if (facts.crossings > 1)
+        {
+            m_violations.region_twice = facts.body;
+        }
+    }
+    for (auto const& gateway : m_gateways)
+    {
+        for (auto const& target :
+             gateway.table->services.begin()->second.backends)
+        {
+            if (target.load->outstanding() != 0)
+            {
+                m_violations.not_ended = "a place in backend_load";
+            }
+        }
+    }
+}
+
+} // namespace turmericswitch::routing
