--- a/modules/placement/planner.cpp
+++ b/modules/placement/planner.cpp
@@ -12,25 +12,10 @@
 namespace
 {
 
-// A job that failed on this many workers without other trouble is at fault.
-constexpr std::size_t workers_to_blame_job = 3;
-// The same on few workers: this many failures in all.
-constexpr unsigned failures_to_blame_job = 6;
-// A failure elsewhere on this many workers says more about the job.
-constexpr std::size_t workers_to_suspect_job = 2;
-constexpr core::duration first_retry = std::chrono::seconds(1);
-constexpr unsigned max_retry_doublings = 5;
-// A probe that runs this long counts as a success; services never end.
-constexpr core::duration good_run = std::chrono::seconds(60);
 // Learned run times change the slack of jobs that wait.
 constexpr core::duration rank_again = std::chrono::minutes(10);
 constexpr core::duration zone_check = std::chrono::seconds(1);
 
-std::string name_of(worker_entry const& worker)
-{
-    return "worker " + worker.description.worker.value();
-}
-
 } // namespace
 
 planner::planner(planner_options options)
@@ -48,7 +33,8 @@
               {},
               {}},
       m_ladder(m_state),
-      m_mover(m_state)
+      m_mover(m_state),
+      m_failures(m_state, m_pending)
 {
 }
 
@@ -95,8 +81,7 @@
         }
         room_maker::release_hold_of(m_state, slot);
         m_state.workers.remove_worker(slot);
-        m_state.failures.forget(slot);
-        m_probing.erase(slot);
+        m_failures.worker_gone(slot);
         m_state.under_pressure.erase(slot);
         return true;
     };
@@ -215,113 +200,9 @@
                              core::job_id job,
                              core::attempt_number attempt)
 {
-    auto* task = active(job, attempt);
-    if (task == nullptr)
-    {
-        return;
-    }
-    auto const slot = task->slot;
-    auto& worker = m_state.workers.worker(slot);
-    bool const counts = task->failed_slots.size() < workers_to_suspect_job;
-    if (worker.health == worker_health::probing && worker.probe == job)
-    {
-        start_quarantine(now, slot);
-        return;
-    }
-    if (worker.health != worker_health::healthy)
-    {
-        return;
-    }
-    task->failed_slots.insert(slot);
-    ++task->failures;
-    auto const doublings = std::min(task->failures, max_retry_doublings);
-    task->not_before = now + first_retry * (1 << doublings);
-    if (m_state.failures.failed(now, slot, job, counts))
-    {
-        start_quarantine(now, slot);
-        return;
-    }
-    if (task->failed_slots.size() >= workers_to_blame_job ||
-        task->failures >= failures_to_blame_job)
-    {
-        m_faulty_jobs.insert(job);
-    }
-}
-
-void planner::start_quarantine(core::time_point now, std::size_t slot)
-{
-    auto& worker = m_state.workers.worker(slot);
-    take_back_failures(now, slot);
-    auto const length = m_state.failures.quarantine(now, slot);
-    worker.health = worker_health::quarantined;
-    m_probing.erase(slot);
-    m_state.workers.refresh(slot);
-    auto const& name = worker.description.worker;
-    m_pending.quarantines.push_back({name, true});
-    core::decision_record record;
-    record.part = "placement";
-    record.subject = name_of(worker);
-    record.action = "quarantine";
-    record.code = core::result_code::worker_quarantined;
-    auto const seconds =
-        std::chrono::duration_cast<std::chrono::seconds>(length);
-    record.reasons = {"several jobs failed on it",
-                      "probe in " + std::to_string(seconds.count()) + " s"};
-    m_pending.records.push_back(std::move(record));
-}
-
-void planner::take_back_failures(core::time_point now, std::size_t slot)
-{
-    for (auto const job : m_state.failures.jobs_failed_on(slot))
-    {
-        auto* task = m_state.workers.find(job);
-        if (task != nullptr && task->failed_slots.erase(slot) > 0)
-        {
-            task->failures -= std::min(task->failures, 1U);
-            task->not_before = now;
-            m_faulty_jobs.erase(job);
-        }
-    }
-}
-
-void planner::end_quarantine(std::size_t slot, char const* reason)
-{
-    auto& worker = m_state.workers.worker(slot);
-    worker.health = worker_health::healthy;
-    worker.probe.reset();
-    m_probing.erase(slot);
-    m_state.failures.forget(slot);
-    m_state.workers.refresh(slot);
-    m_pending.quarantines.push_back({worker.description.worker, false});
-    core::decision_record record;
-    record.part = "placement";
-    record.subject = name_of(worker);
-    record.action = "return";
-    record.reasons = {reason};
-    m_pending.records.push_back(std::move(record));
-}
-
-void planner::run_probes(core::time_point now)
-{
-    for (auto const slot : m_state.failures.due(now))
-    {
-        auto& worker = m_state.workers.worker(slot);
-        worker.health = worker_health::probing;
-        worker.probe.reset();
-        m_probing.insert(slot);
-        m_state.workers.refresh(slot);
-    }
-    auto const probing = m_probing;
-    for (auto const slot : probing)
+    if (auto* task = active(job, attempt))
     {
-        auto const& worker = m_state.workers.worker(slot);
-        auto* probe =
-            worker.probe ? m_state.workers.find(*worker.probe) : nullptr;
-        if (probe != nullptr && probe->phase == task_phase::running &&
-            now - probe->placed_at >= good_run)
-        {
-            end_quarantine(slot, "the probe runs well");
-        }
+        m_failures.attempt_failed(now, *task);
     }
 }
 
@@ -334,22 +215,18 @@
     }
     if (task->holds_capacity() && how == ending::finished)
     {
-        m_state.failures.succeeded(task->slot);
+        m_failures.task_finished(*task);
         m_state.usage.finished(task->kind, task->spec.team);
         m_state.run_times.finished(task->kind,
                                    task->spec.team,
                                    task->spec.expected_run_time,
                                    now - task->placed_at);
-        if (m_state.workers.worker(task->slot).probe == job)
-        {
-            end_quarantine(task->slot, "the probe finished");
-        }
     }
     m_state.queue.remove(*task);
     m_state.workers.detach(now, *task);
     room_maker::release_hold_of(m_state, task->hold_slot);
     m_new_jobs.erase(job);
-    m_faulty_jobs.erase(job);
+    m_failures.job_gone(job);
     m_state.workers.remove_job(job);
     drop_retired();
 }
@@ -418,7 +295,7 @@
         m_new_jobs.insert(job);
         if (task->failures > 0)
         {
-            m_faulty_jobs.insert(job);
+            m_failures.blame_again(job);
         }
     }
 }
@@ -466,20 +343,12 @@
             m_state.queue.add(*task);
         }
     }
-    for (auto const job : std::exchange(m_faulty_jobs, {}))
+    for (auto const job : m_failures.take_faulty_queued())
     {
-        auto* task = m_state.workers.find(job);
-        if (task != nullptr && task->phase == task_phase::queued)
-        {
-            stop(*task,
-                 core::result_code::job_failed,
-                 "failed on several healthy workers",
-                 decisions);
-        }
-        else if (task != nullptr)
-        {
-            m_faulty_jobs.insert(job);
-        }
+        stop(*m_state.workers.find(job),
+             core::result_code::job_failed,
+             "failed on several healthy workers",
+             decisions);
     }
 }
 
@@ -538,7 +407,7 @@
         m_ranked_all = now;
         rank_all_again();
     }
-    run_probes(now);
+    m_failures.run_probes(now);
     rank_new_jobs();
     auto decisions = std::exchange(m_pending, {});
     m_ladder.run(now, decisions);
--- a/modules/placement/planner.hpp
+++ b/modules/placement/planner.hpp
@@ -2,6 +2,7 @@
 #define TURMERICSWITCH_PLACEMENT_PLANNER_HPP
 
 #include "core/messages/jobs.hpp"
+#include "placement/policy/failure_handler.hpp"
 #include "placement/policy/planner_state.hpp"
 #include "placement/policy/pressure_ladder.hpp"
 #include "placement/policy/zone_mover.hpp"
@@ -127,20 +128,15 @@
     bool refuse(task_entry& task, tick_decisions& decisions);
     void rank_all_again();
     void drop_retired();
-    void start_quarantine(core::time_point now, std::size_t slot);
-    void end_quarantine(std::size_t slot, char const* reason);
-    void take_back_failures(core::time_point now, std::size_t slot);
-    void run_probes(core::time_point now);
 
     planner_state m_state;
     pressure_ladder m_ladder;
     zone_mover m_mover;
+    tick_decisions m_pending;
+    failure_handler m_failures;
     /// Queued since the last tick: not yet ranked nor checked for fit.
     std::set<core::job_id> m_new_jobs;
-    std::set<core::job_id> m_faulty_jobs;
     std::set<std::size_t> m_retiring;
-    std::set<std::size_t> m_probing;
-    tick_decisions m_pending;
     core::duration m_wall_offset{};
     core::time_point m_zones_applied{};
     core::time_point m_ranked_all{};
