Check raised reservations and the weight of zones in the spread

Cause: the mutations 'raise takes twice the free capacity' and 'spread ignores zones' survived. Change: the fuzz run compares the planner's own sum with the capacity, and a test has more racks in one zone than in the other.

--- a/modules/placement/tests/planner_fuzz_test.cpp
+++ b/modules/placement/tests/planner_fuzz_test.cpp
@@ -116,6 +116,10 @@
         worker.capacity = capacity;
         m_oracle.workers[worker.worker] = {worker, true};
         m_planner.worker_changed(m_now, worker);
+        if (!core::fits_in(m_planner.reserved_on(worker.worker), capacity))
+        {
+            m_shrunk.insert(worker.worker);
+        }
     }
 
     void lose_worker()
@@ -286,6 +290,16 @@
             {
                 throw std::logic_error("the planner lost a reservation");
             }
+            bool const fits = core::fits_in(m_planner.reserved_on(name),
+                                            worker.description.capacity);
+            if (fits)
+            {
+                m_shrunk.erase(name);
+            }
+            else if (!m_shrunk.contains(name))
+            {
+                throw std::logic_error("raised above the capacity");
+            }
         }
         for (auto const& command : decisions.batch.placements)
         {
@@ -332,6 +346,8 @@
     testing::placement_oracle m_oracle;
     core::time_point m_now{std::chrono::hours(24)};
     std::uint64_t m_last_job = 0;
+    /// Workers whose capacity was lowered below what they hold.
+    std::set<core::worker_id> m_shrunk;
 };
 
 } // namespace
--- a/modules/placement/tests/planner_test.cpp
+++ b/modules/placement/tests/planner_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(urgent_job_makes_room_where_least_work_is_lost);
     CPPUNIT_TEST(never_fitting_job_is_refused_at_once);
     CPPUNIT_TEST(services_spread_over_zones_and_racks);
+    CPPUNIT_TEST(zones_count_more_than_racks);
     CPPUNIT_TEST(no_start_in_a_zone_that_is_out);
     CPPUNIT_TEST(leaving_zone_lets_short_work_end);
     CPPUNIT_TEST(returning_zone_opens_in_steps);
@@ -190,6 +191,32 @@
         CPPUNIT_ASSERT(hosts.contains("w2"));
     }
 
+    // Guards against a spread over many racks of one zone.
+    void zones_count_more_than_racks()
+    {
+        fake_cluster cluster;
+        for (auto const* name : {"a1", "a2", "a3"})
+        {
+            cluster.add_worker(name, "a", amount(8000, 8000), name);
+        }
+        for (auto const* name : {"b1", "b2"})
+        {
+            cluster.add_worker(name, "b", amount(8000, 8000), "same rack");
+        }
+        for (std::uint64_t id = 1; id <= 4; ++id)
+        {
+            cluster.add_job(
+                id, amount(500, 100), core::priority_class::service, "web");
+        }
+        cluster.tick();
+        int in_a = 0;
+        for (std::uint64_t id = 1; id <= 4; ++id)
+        {
+            in_a += cluster.worker_of(id) < "b" ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(2, in_a);
+    }
+
     // Guards against starts after operators took the zone out.
     void no_start_in_a_zone_that_is_out()
     {
