Make three tests of the planner stricter

Cause: the mutations 'fair share reversed', 'growth answered twice' and 'repeated queue event frees capacity' survived. Change: the tests set up a case in which each of them matters.

--- a/modules/placement/tests/interference_test.cpp
+++ b/modules/placement/tests/interference_test.cpp
@@ -235,6 +235,8 @@
         cluster.add_job(2, amount(100, 4000));
         cluster.tick();
         cluster.tick(std::chrono::seconds(60));
+        cluster.policy().job_checkpointed(
+            cluster.now(), core::job_id(2), core::attempt_number(1));
         cluster.report(1, amount(100, 4000));
         cluster.report(2, amount(100, 2000));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1},
--- a/modules/placement/tests/planner_test.cpp
+++ b/modules/placement/tests/planner_test.cpp
@@ -70,7 +70,10 @@
     {
         fake_cluster cluster;
         cluster.add_worker("w");
-        for (std::uint64_t id = 1; id <= 8; ++id)
+        cluster.add_job(1, amount(2000, 100));
+        cluster.add_job(2, amount(2000, 100));
+        cluster.tick();
+        for (std::uint64_t id = 3; id <= 8; ++id)
         {
             cluster.add_job(id, amount(2000, 100));
         }
@@ -383,6 +386,10 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, placed(cluster.tick()));
         cluster.add_job(3, amount(100, 100));
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, placed(cluster.tick()));
+        // A repeated event for the attempt that still runs changes nothing.
+        cluster.policy().job_queued(cluster.now(),
+                                    cluster.jobs.at(core::job_id(1)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, placed(cluster.tick()));
         cluster.requeue(1);
         CPPUNIT_ASSERT(placed(cluster.tick()) >= 1);
     }
