--- /dev/null
+++ b/programs/ctl/commands/group_commands.cpp
@@ -0,0 +1,241 @@
+#include "commands/group_commands.hpp"
+
+#include "answers/control_answers.hpp"
+#include "core/results/last_reason.hpp"
+#include "settings/values/parse_value.hpp"
+#include "output/text_table.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace turmericswitch::ctl
+{
+
+namespace
+{
+
+using core::result_code;
+
+result_code change_members(command_context const& context,
+                           nlohmann::json const& body,
+                           std::string const& done)
+{
+    auto const answer = context.client.post(
+        "/v1/members", body.dump(), repeat_policy::never);
+    if (answer.code == result_code::outcome_unknown)
+    {
+        return complain(context,
+                        answer.code,
+                        answer.text,
+                        "a member change is never sent twice; `members` shows "
+                        "whether it was applied");
+    }
+    if (auto const end = finished_early(context, answer))
+    {
+        return *end;
+    }
+    context.out << done << '\n';
+    return result_code::ok;
+}
+
+std::uint64_t member_number(command_context const& context)
+{
+    auto const text = context.words.text("MEMBER").value_or("");
+    return static_cast<std::uint64_t>(
+        settings::parse_integer(text).value_or(0));
+}
+
+void print_group(std::ostream& out, status_view const& status)
+{
+    out << "leader    ";
+    if (status.leader)
+    {
+        out << "member " << status.leader->id << " at " << status.leader->http;
+    }
+    out << ", term " << status.term << ", commit " << status.commit_index
+        << "\nrevision  " << status.revision << "\nworkers   "
+        << status.workers << "\nbackends  " << status.backends << "\njobs     ";
+    for (auto const& [state, count] : status.jobs)
+    {
+        out << ' ' << state << ' ' << count;
+    }
+    out << '\n';
+    if (status.storage_failed)
+    {
+        out << "storage   FAILED, see docs/operating-control.md\n";
+    }
+}
+
+std::string quiet_text(zone_view const& zone)
+{
+    if (!zone.quiet_in_ms)
+    {
+        return "";
+    }
+    return *zone.quiet_in_ms == 0
+               ? "quiet"
+               : "in " + std::to_string(*zone.quiet_in_ms) + " ms";
+}
+
+void print_zones(std::ostream& out, status_view const& status)
+{
+    text_table table({"ZONE", "REGION", "STATE", "QUIET"});
+    for (auto const& zone : status.zones)
+    {
+        table.add({zone.zone, zone.region, zone.state, quiet_text(zone)});
+    }
+    out << '\n' << table.text();
+}
+
+void print_processes(std::ostream& out, status_view const& status)
+{
+    text_table table({"PROCESS", "IN FORCE", "LAST HEARD"});
+    for (auto const& process : status.processes)
+    {
+        table.add({process.name,
+                   std::to_string(process.in_force),
+                   std::to_string(process.age_ms) + " ms ago"});
+    }
+    out << '\n' << table.text();
+}
+
+std::string subject_of(command_context const& context)
+{
+    std::string subject;
+    for (auto const& word : context.words.list("SUBJECT"))
+    {
+        subject += (subject.empty() ? "" : " ") + word;
+    }
+    return subject;
+}
+
+/// Decisions of all control instances.
+struct joined_decisions
+{
+    std::size_t answered = 0;
+    /// Of the last instance that did not answer well.
+    control_answer failure;
+    nlohmann::json decisions = nlohmann::json::array();
+    std::vector<std::string> lines;
+};
+
+joined_decisions join_decisions(std::vector<control_answer> const& answers)
+{
+    joined_decisions joined;
+    for (auto const& answer : answers)
+    {
+        auto const lines =
+            answer.is_ok() ? parse_decision_lines(answer.body) : std::nullopt;
+        if (!lines)
+        {
+            joined.failure = answer;
+            continue;
+        }
+        ++joined.answered;
+        joined.lines.insert(joined.lines.end(), lines->begin(), lines->end());
+        auto const document = nlohmann::json::parse(answer.body);
+        for (auto const& decision : document.at("decisions"))
+        {
+            joined.decisions.push_back(decision);
+        }
+    }
+    return joined;
+}
+
+} // namespace
+
+result_code members(command_context const& context)
+{
+    auto const answer = context.client.get("/v1/members");
+    if (auto const end = finished_early(context, answer))
+    {
+        return *end;
+    }
+    auto const members = parse_members(answer.body);
+    if (!members)
+    {
+        return report_last_reason(context);
+    }
+    text_table table({"ID", "RPC", "HTTP", "ROLE"});
+    for (auto const& member : *members)
+    {
+        table.add({std::to_string(member.id),
+                   member.rpc,
+                   member.http,
+                   member.learner ? "learner" : "voter"});
+    }
+    context.out << table.text();
+    return result_code::ok;
+}
+
+result_code add_member(command_context const& context)
+{
+    auto const id = member_number(context);
+    return change_members(context,
+                          {{"action", "add"},
+                           {"id", id},
+                           {"rpc", context.words.text("RPC").value_or("")},
+                           {"http", context.words.text("HTTP").value_or("")}},
+                          "member " + std::to_string(id) +
+                              " added as learner; it votes once it has caught "
+                              "up, see `members`");
+}
+
+result_code remove_member(command_context const& context)
+{
+    auto const id = member_number(context);
+    return change_members(context,
+                          {{"action", "remove"}, {"id", id}},
+                          "member " + std::to_string(id) + " removed");
+}
+
+result_code status(command_context const& context)
+{
+    auto const answer = context.client.get("/v1/status");
+    if (auto const end = finished_early(context, answer))
+    {
+        return *end;
+    }
+    auto const view = parse_status(answer.body);
+    if (!view)
+    {
+        return report_last_reason(context);
+    }
+    print_group(context.out, *view);
+    print_zones(context.out, *view);
+    print_processes(context.out, *view);
+    return result_code::ok;
+}
+
+result_code explain(command_context const& context)
+{
+    // Each instance keeps the decisions that it took while it led.
+    auto const target = "/v1/explain/" + percent_encoded(subject_of(context));
+    auto const found = join_decisions(context.client.get_from_each(target));
+    if (found.answered == 0)
+    {
+        return report_failure(context, found.failure);
+    }
+    if (context.wants_json())
+    {
+        nlohmann::json const document{{"decisions", found.decisions}};
+        context.out << document.dump() << '\n';
+    }
+    else
+    {
+        for (auto const& line : found.lines)
+        {
+            context.out << line << '\n';
+        }
+    }
+    if (found.lines.empty())
+    {
+        context.err << "no decision about " << subject_of(context)
+                    << " is kept on the " << found.answered
+                    << " control instances that answered\n"
+                    << "next: name it as the log does, for example `explain "
+                       "job 17`; older decisions are in control's log\n";
+    }
+    return result_code::ok;
+}
+
+} // namespace turmericswitch::ctl
