--- a/programs/control/main.cpp
+++ b/programs/control/main.cpp
@@ -38,7 +38,8 @@
   --bootstrap     Start as one of the first members of a new group. Only with
                   an empty data folder.
   --join          Start as a new member that waits until operators add it.
-                  Only with an empty data folder and a new member number.
+                  Only with an empty data folder and a new member number;
+                  the section members must list the group.
   --help          Show this text.
   --version       Show the version.
 )";
--- a/programs/control/node/control_node.cpp
+++ b/programs/control/node/control_node.cpp
@@ -26,6 +26,7 @@
       m_elections(m_metrics.counter("turmericswitch_control_leaderships_total",
                                     "Leaderships begun by this instance.")),
       m_duty_settings(duties),
+      m_contacts(parts.contacts),
       m_links(io, parts.random_seed),
       m_loop(tick_interval),
       m_replica(m_loop, std::move(parts), make_hooks())
@@ -150,7 +151,10 @@
 
 void control_node::on_group_changed()
 {
-    m_links.set_members(m_replica.self(), m_replica.membership());
+    // A member that joins must answer the leader before the log names it.
+    auto const& members = m_replica.membership();
+    m_links.set_members(m_replica.self(),
+                        members.members.empty() ? m_contacts : members);
 }
 
 replica& control_node::group()
--- a/programs/control/node/control_node.hpp
+++ b/programs/control/node/control_node.hpp
@@ -76,6 +76,7 @@
     std::atomic<bool> m_leads = false;
     core::revision m_names_revision;
     naming::name_table m_names;
+    core::group_membership m_contacts;
     peer_links m_links;
     process::event_loop m_loop;
     std::shared_ptr<leader_duties> m_duties;
--- a/programs/control/node/recovery.cpp
+++ b/programs/control/node/recovery.cpp
@@ -68,6 +68,50 @@
                            "bootstrap a group");
 }
 
+bool is_unused(store::file_system& files, std::string const& data_folder)
+{
+    for (char const* const part : {"/state", "/log", "/snapshots"})
+    {
+        auto const names = files.list(data_folder + part);
+        if (names && !names->empty())
+        {
+            return core::fail_bool(core::result_code::io_failed,
+                                   data_folder + part +
+                                       " is not empty; --bootstrap and --join "
+                                       "need an empty data folder");
+        }
+    }
+    return true;
+}
+
+/// A member that joins can only answer peers whose addresses it knows.
+bool names_contacts(control_settings const& settings)
+{
+    return !settings.first_members.members.empty() ||
+           core::fail_bool(core::result_code::settings_missing_key,
+                           "the section members must list the members of the "
+                           "group to join it");
+}
+
+/// Checks what a new member needs, before any file is touched.
+bool may_start(store::file_system& files,
+               control_settings const& settings,
+               start_mode mode)
+{
+    switch (mode)
+    {
+    case start_mode::normal:
+        return true;
+    case start_mode::bootstrap:
+        return lists_member(settings) &&
+               is_unused(files, settings.data_folder);
+    case start_mode::join:
+        return names_contacts(settings) &&
+               is_unused(files, settings.data_folder);
+    }
+    return false;
+}
+
 } // namespace
 
 std::optional<replica_parts> recover(store::file_system& files,
@@ -75,7 +119,7 @@
                                      start_mode mode,
                                      std::uint64_t random_seed)
 {
-    if (mode == start_mode::bootstrap && !lists_member(settings))
+    if (!may_start(files, settings, mode))
     {
         return std::nullopt;
     }
@@ -130,6 +174,7 @@
                          std::move(*log),
                          std::move(snapshots),
                          std::move(state),
+                         settings.first_members,
                          settings.snapshot_interval,
                          random_seed};
 }
--- a/programs/control/node/replica.hpp
+++ b/programs/control/node/replica.hpp
@@ -43,6 +43,8 @@
     store::log_store log;
     store::snapshot_store snapshots;
     cluster_state::state_machine state;
+    /// Peers to answer while the log names no members yet.
+    core::group_membership contacts;
     /// Entries applied between two snapshots.
     std::uint64_t snapshot_interval = 10'000;
     std::uint64_t random_seed = 0;
--- a/programs/control/settings/control_settings.hpp
+++ b/programs/control/settings/control_settings.hpp
@@ -24,7 +24,8 @@
     core::endpoint http;
     std::int64_t http_threads = 64;
     shared::process_settings process;
-    /// The first members of the group; used only by --bootstrap.
+    /// The first members of the group for --bootstrap. For --join, the
+    /// current members, which the new one answers until its log names them.
     core::group_membership first_members;
     core::duration election_timeout{};
     core::duration heartbeat_interval{};
