--- a/programs/control/main.cpp
+++ b/programs/control/main.cpp
@@ -131,15 +131,15 @@
     using namespace turmericswitch;
     control::control_settings settings;
     shared::daemon_parts parts;
-    parts.usage = {
-        "turmericswitch-control",
-        "keeps the replicated state and places tasks",
-        {{"--bootstrap",
-          "Start as one of the first members of a new group, with "
-          "an empty data folder."},
-         {"--join",
-          "Start as a new member that waits until operators add "
-          "it, with an empty data folder and a new member number."}}};
+    parts.usage = {"turmericswitch-control",
+                   "keeps the replicated state and places tasks",
+                   {{"--bootstrap",
+                     "Start as one of the first members of a new group, with "
+                     "an empty data folder."},
+                    {"--join",
+                     "Start as a new member that waits until operators add "
+                     "it, with an empty data folder and a new member number; "
+                     "the section members must list the group."}}};
     parts.version = TURMERICSWITCH_VERSION;
     parts.log_part = "control";
     return shared::run_daemon(
