--- a/programs/gateway/main.cpp
+++ b/programs/gateway/main.cpp
@@ -120,7 +120,8 @@
     transport::io_pool io(static_cast<std::size_t>(settings.io_threads));
     route_state routes(io, settings.zone, seed);
     shared::control_link control(io, settings.control, seed);
-    request_runner runner({routes,
+    request_runner runner({io,
+                           routes,
                            control,
                            decisions,
                            request_counts,
--- a/programs/gateway/requests/mailbox.hpp
+++ b/programs/gateway/requests/mailbox.hpp
@@ -48,6 +48,12 @@
         return std::exchange(m_events, {});
     }
 
+    bool is_closed() const
+    {
+        std::lock_guard const lock(m_mutex);
+        return m_closed;
+    }
+
     /// @return The next event, or nothing at `until`.
     std::optional<Event> take(core::time_point until)
     {
@@ -64,7 +70,7 @@
     }
 
 private:
-    std::mutex m_mutex;
+    mutable std::mutex m_mutex;
     std::condition_variable m_filled;
     std::deque<Event> m_events;
     bool m_closed = false;
--- a/programs/gateway/requests/request_runner.cpp
+++ b/programs/gateway/requests/request_runner.cpp
@@ -22,6 +22,7 @@
 /// A request without any wait ends at once, so this only bounds a fault.
 constexpr core::duration longest_sleep = std::chrono::seconds(60);
 
+constexpr core::duration claim_retry = std::chrono::milliseconds(50);
 constexpr core::duration shutdown_poll = std::chrono::milliseconds(5);
 
 constexpr auto key_field = "Idempotency-Key";
@@ -260,25 +261,46 @@
 
 void request_runner::send(run_state& run, routing::claim const& action)
 {
+    ++m_open_claims;
     core::command_envelope envelope;
     envelope.body = action.command;
-    ++m_open_claims;
-    m_parts.control.call(
-        "/command",
-        wire::encode(envelope),
-        claim_timeout,
-        [this, events = run.events, command = action.command](
-            transport::call_result const& result)
-        {
-            auto const code = claim_code(result);
-            bool const is_late = !events->put(claim_result{code});
-            if (is_late && code == core::result_code::ok)
-            {
-                // The request ended before it was sent to any sidecar.
-                send(routing::end_claim{
-                    {command.service, command.key, command.request, false}});
-            }
-        });
+    send_claim(std::make_shared<claim_call>(
+        claim_call{action.command, wire::encode(envelope), run.events}));
+}
+
+void request_runner::send_claim(std::shared_ptr<claim_call> const& call)
+{
+    m_parts.control.call("/command",
+                         call->encoded,
+                         claim_timeout,
+                         [this, call](transport::call_result const& result)
+                         { claim_ended(call, result); });
+}
+
+void request_runner::claim_ended(std::shared_ptr<claim_call> const& call,
+                                 transport::call_result const& result)
+{
+    auto const code = claim_code(result);
+    bool const is_decided = code == core::result_code::ok ||
+                            code == core::result_code::duplicate_request ||
+                            code == core::result_code::outcome_unknown;
+    if (!is_decided && !call->events->is_closed())
+    {
+        // An election is shorter than most deadlines, and the same request
+        // may claim its key again.
+        m_parts.io.post_after(claim_retry, [this, call] { send_claim(call); });
+        return;
+    }
+    bool const is_late = !call->events->put(claim_result{code});
+    if (is_late && code == core::result_code::ok)
+    {
+        // The request ended before it was sent to any sidecar.
+        send(routing::end_claim{{call->command.service,
+                                 call->command.key,
+                                 call->command.request,
+                                 false}});
+    }
+    --m_open_claims;
 }
 
 core::result_code
--- a/programs/gateway/requests/request_runner.hpp
+++ b/programs/gateway/requests/request_runner.hpp
@@ -29,6 +29,7 @@
 /// What all request threads share.
 struct runner_parts
 {
+    transport::io_pool& io;
     route_state const& routes;
     shared::control_link& control;
     telemetry::decision_log& decisions;
@@ -69,6 +70,14 @@
     using event = std::variant<attempt_result, cancel_result, claim_result>;
     using request_mailbox = mailbox<event>;
 
+    /// A claim that is repeated until control decides or the request ends.
+    struct claim_call
+    {
+        core::claim_key command;
+        std::string encoded;
+        std::shared_ptr<request_mailbox> events;
+    };
+
     /// What one thread keeps between requests.
     struct thread_state;
 
@@ -89,6 +98,9 @@
     void send(run_state& run, routing::send_cancel const& action);
     void send(run_state& run, routing::claim const& action);
     void send(routing::end_claim const& action);
+    void send_claim(std::shared_ptr<claim_call> const& call);
+    void claim_ended(std::shared_ptr<claim_call> const& call,
+                     transport::call_result const& result);
     core::result_code claim_code(transport::call_result const& result);
     routing::flow_actions deliver(run_state& run, event const& arrived);
     web::http_response respond(routing::finish result);
