Keep a gateway's registry until the new leader's is settled

Cause: a new control leader starts with an empty registry of backend servers. Change: for one announce lease the leader sends its registry only to processes that have none or already have this one.

--- a/programs/control/leader/leader_duties.cpp
+++ b/programs/control/leader/leader_duties.cpp
@@ -44,6 +44,7 @@
 {
     m_leases.elected(m_node.state().held_tasks(), now);
     m_next_upkeep = now + m_settings.upkeep_interval;
+    m_watches.hold_registry_until(now + m_settings.announce_lease);
     m_node.observe_holds(
         [this](core::held_task const& task, bool is_held)
         {
--- a/programs/control/leader/watch_hub.cpp
+++ b/programs/control/leader/watch_hub.cpp
@@ -25,6 +25,21 @@
 {
 }
 
+void watch_hub::hold_registry_until(core::time_point settled)
+{
+    m_settled = settled;
+    m_is_settled = false;
+}
+
+bool watch_hub::gets_registry(core::watch_request const& request) const
+{
+    // A process without any registry is better off with a part of one.
+    bool const has_none = request.registry == core::registry_version{};
+    bool const has_this_one =
+        request.registry.epoch == m_registry.version().epoch;
+    return request.wants_registry && (m_is_settled || has_none || has_this_one);
+}
+
 void watch_hub::watch(core::time_point now,
                       core::watch_request request,
                       answer_hook done)
@@ -49,7 +64,7 @@
 bool watch_hub::has_news(core::watch_request const& request) const
 {
     return request.in_force < m_config.current() ||
-           (request.wants_registry && request.registry != m_registry.version());
+           (gets_registry(request) && request.registry != m_registry.version());
 }
 
 core::watch_answer
@@ -61,10 +76,14 @@
     {
         answer.config = m_config.in_force();
     }
-    if (request.wants_registry)
+    if (gets_registry(request))
     {
         m_registry.changes_since(request.registry, answer);
     }
+    else
+    {
+        answer.registry = request.registry;
+    }
     return answer;
 }
 
@@ -73,7 +92,10 @@
     std::erase_if(m_processes,
                   [now](auto const& item)
                   { return now - item.second.heard > forget_after; });
-    bool const is_changed = m_seen_revision != m_config.current() ||
+    bool const settles_now = !m_is_settled && now >= m_settled;
+    m_is_settled = m_is_settled || settles_now;
+    bool const is_changed = settles_now ||
+                            m_seen_revision != m_config.current() ||
                             m_seen_registry != m_registry.version();
     m_seen_revision = m_config.current();
     m_seen_registry = m_registry.version();
--- a/programs/control/leader/watch_hub.hpp
+++ b/programs/control/leader/watch_hub.hpp
@@ -31,6 +31,12 @@
     watch_hub(cluster_state::configuration_state const& config,
               cluster_state::backend_registry const& registry);
 
+    /// Until `settled`, a process that has the registry of an earlier leader
+    /// is not sent this one. A new leader's registry is empty until the
+    /// sidecars have announced themselves again, and taking it over at once
+    /// would leave gateways without any backend server.
+    void hold_registry_until(core::time_point settled);
+
     /// Answers at once when the asker lacks something, else at the next
     /// change or when its waiting time has passed.
     void
@@ -59,6 +65,7 @@
 
     core::watch_answer answer_for(core::watch_request const& request) const;
     bool has_news(core::watch_request const& request) const;
+    bool gets_registry(core::watch_request const& request) const;
 
     cluster_state::configuration_state const& m_config;
     cluster_state::backend_registry const& m_registry;
@@ -66,6 +73,8 @@
     std::map<core::client_id, process_report> m_processes;
     core::revision m_seen_revision;
     core::registry_version m_seen_registry;
+    core::time_point m_settled{};
+    bool m_is_settled = true;
 };
 
 } // namespace turmericswitch::control
