--- a/programs/gateway/main.cpp
+++ b/programs/gateway/main.cpp
@@ -27,8 +27,13 @@
     {
         return routing::choose_least_outstanding();
     }
-    return name == "power_of_two" ? routing::choose_power_of_two()
-                                  : routing::choose_power_of_two_latency();
+    if (name == "power_of_two")
+    {
+        return routing::choose_power_of_two();
+    }
+    return name == "power_of_two_latency"
+               ? routing::choose_power_of_two_latency()
+               : routing::choose_least_expected();
 }
 
 std::uint64_t random_seed()
--- a/programs/gateway/settings/gateway_settings.cpp
+++ b/programs/gateway/settings/gateway_settings.cpp
@@ -22,10 +22,13 @@
         reader.bytes({"gateway", "body_limit"}, default_body_limit);
     read.io_threads = reader.integer({"gateway", "io_threads"}, {1, 64}, 2);
     read.zone = core::zone_id(reader.text({"gateway", "zone"}));
-    read.policy = reader.one_of(
-        {"gateway", "policy"},
-        {"random", "least_outstanding", "power_of_two", "power_of_two_latency"},
-        "power_of_two_latency");
+    read.policy = reader.one_of({"gateway", "policy"},
+                                {"random",
+                                 "least_outstanding",
+                                 "power_of_two",
+                                 "power_of_two_latency",
+                                 "least_expected"},
+                                "least_expected");
     read.control = reader.endpoints({"control", "rpc"});
     read.control_http = reader.endpoints({"control", "http"});
     return read;
