--- a/programs/control/node/recovery.cpp
+++ b/programs/control/node/recovery.cpp
@@ -103,8 +103,7 @@
     case start_mode::normal:
         return true;
     case start_mode::bootstrap:
-        return lists_member(settings) &&
-               is_unused(files, settings.data_folder);
+        return lists_member(settings) && is_unused(files, settings.data_folder);
     case start_mode::join:
         return names_contacts(settings) &&
                is_unused(files, settings.data_folder);
--- a/programs/ctl/answers/control_answers.cpp
+++ b/programs/ctl/answers/control_answers.cpp
@@ -30,9 +30,8 @@
 }
 
 template <typename T>
-std::vector<T> read_list(json const& document,
-                         char const* name,
-                         T (*read)(json const&))
+std::vector<T>
+read_list(json const& document, char const* name, T (*read)(json const&))
 {
     std::vector<T> list;
     for (auto const& item : document.at(name))
--- a/programs/ctl/client/control_client.cpp
+++ b/programs/ctl/client/control_client.cpp
@@ -131,7 +131,8 @@
 control_client::control_client(std::vector<core::endpoint> instances,
                                core::duration timeout,
                                client_clock clock)
-    : m_instances(std::move(instances)), m_timeout(timeout),
+    : m_instances(std::move(instances)),
+      m_timeout(timeout),
       m_clock(std::move(clock)),
       // A kept connection could be closed by the peer between two polls.
       m_http({.idle_connections = 0})
@@ -243,7 +244,7 @@
     if (outcome != web::http_outcome::answered)
     {
         return {result_code::peer_unreachable,
-                to_string(peer) + ": " + result.text,
+                "no answer from " + to_string(peer) + ": " + result.text,
                 ""};
     }
     auto answer = answer_of(peer, result.response);
--- a/programs/ctl/commands/command_context.cpp
+++ b/programs/ctl/commands/command_context.cpp
@@ -26,11 +26,13 @@
                "nothing was applied; check the addresses in --control and "
                "that turmericswitch-control runs there"},
     advice_row{result_code::not_leader,
-               "nothing was applied; no leader is known yet, try again in a "
-               "few seconds"},
+               "nothing was applied; try again in a few seconds, and if that "
+               "does not help see docs/operating-control.md on a lost "
+               "majority"},
     advice_row{result_code::no_quorum,
                "nothing was applied; a majority of the control instances must "
-               "reach each other, see docs/operating-control.md"},
+               "reach each other, see docs/operating-control.md on a lost "
+               "majority"},
     advice_row{result_code::outcome_unknown,
                "it may have been applied; look at `history`, `jobs` or "
                "`members` before you repeat it"},
@@ -72,8 +74,8 @@
                      std::string const& text,
                      std::string const& advice)
 {
-    context.err << static_cast<unsigned>(code) << ' ' << to_string(code)
-                << ": " << text;
+    context.err << static_cast<unsigned>(code) << ' ' << to_string(code) << ": "
+                << text;
     if (!text.ends_with('\n'))
     {
         context.err << '\n';
@@ -92,8 +94,7 @@
     {
         context.out << answer.body << '\n';
     }
-    return complain(
-        context, answer.code, answer.text, advice_for(answer.code));
+    return complain(context, answer.code, answer.text, advice_for(answer.code));
 }
 
 result_code report_last_reason(command_context const& context)
@@ -133,9 +134,9 @@
 {
     auto const text = context.words.text(name);
     auto const number = text ? settings::parse_integer(*text) : std::nullopt;
-    return number
-               ? std::optional<std::uint64_t>(static_cast<std::uint64_t>(*number))
-               : std::nullopt;
+    return number ? std::optional<std::uint64_t>(
+                        static_cast<std::uint64_t>(*number))
+                  : std::nullopt;
 }
 
 std::optional<core::duration> wait_limit(command_context const& context)
--- a/programs/ctl/commands/group_commands.cpp
+++ b/programs/ctl/commands/group_commands.cpp
@@ -2,8 +2,8 @@
 
 #include "answers/control_answers.hpp"
 #include "core/results/last_reason.hpp"
-#include "settings/values/parse_value.hpp"
 #include "output/text_table.hpp"
+#include "settings/values/parse_value.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -19,8 +19,8 @@
                            nlohmann::json const& body,
                            std::string const& done)
 {
-    auto const answer = context.client.post(
-        "/v1/members", body.dump(), repeat_policy::never);
+    auto const answer =
+        context.client.post("/v1/members", body.dump(), repeat_policy::never);
     if (answer.code == result_code::outcome_unknown)
     {
         return complain(context,
@@ -52,8 +52,8 @@
         out << "member " << status.leader->id << " at " << status.leader->http;
     }
     out << ", term " << status.term << ", commit " << status.commit_index
-        << "\nrevision  " << status.revision << "\nworkers   "
-        << status.workers << "\nbackends  " << status.backends << "\njobs     ";
+        << "\nrevision  " << status.revision << "\nworkers   " << status.workers
+        << "\nbackends  " << status.backends << "\njobs     ";
     for (auto const& [state, count] : status.jobs)
     {
         out << ' ' << state << ' ' << count;
--- a/programs/ctl/commands/job_commands.cpp
+++ b/programs/ctl/commands/job_commands.cpp
@@ -3,8 +3,8 @@
 #include "answers/control_answers.hpp"
 #include "commands/rules_file.hpp"
 #include "core/results/last_reason.hpp"
-#include "settings/values/parse_value.hpp"
 #include "output/text_table.hpp"
+#include "settings/values/parse_value.hpp"
 #include "wire/json/job_json.hpp"
 
 #include <nlohmann/json.hpp>
@@ -23,7 +23,8 @@
 std::string jobs_target(command_context const& context)
 {
     auto const limit = number_option(context, "--limit");
-    auto target = "/v1/jobs?limit=" + std::to_string(limit.value_or(default_limit));
+    auto target =
+        "/v1/jobs?limit=" + std::to_string(limit.value_or(default_limit));
     if (auto const state = context.words.text("--state"))
     {
         target += "&state=" + percent_encoded(*state);
@@ -54,7 +55,7 @@
     }
     if (!wire::jobs_from_json(*text))
     {
-        auto const why = core::last_reason();
+        auto const& why = core::last_reason();
         complain(context,
                  why.code,
                  path + ": " + why.text,
@@ -80,8 +81,8 @@
     {
         return report_last_reason(context);
     }
-    text_table table({"ID", "NAME", "TEAM", "KIND", "STATE", "ATTEMPT",
-                      "WORKER", "REASON"});
+    text_table table(
+        {"ID", "NAME", "TEAM", "KIND", "STATE", "ATTEMPT", "WORKER", "REASON"});
     for (auto const& job : *jobs)
     {
         table.add({std::to_string(job.id),
@@ -197,8 +198,7 @@
     {
         return report_last_reason(context);
     }
-    context.out << "cancel accepted for " << ids_text(ids) << '\n'
-                << reply->text << (reply->text.empty() ? "" : "\n");
+    context.out << reply->text << '\n';
     return result_code::ok;
 }
 
--- a/programs/ctl/commands/rules_commands.cpp
+++ b/programs/ctl/commands/rules_commands.cpp
@@ -171,8 +171,8 @@
                               {"author", author},
                               {"replaces", replaces},
                               {"text", text}};
-    auto const answer = context.client.post(
-        "/v1/rules", body.dump(), repeat_policy::safe);
+    auto const answer =
+        context.client.post("/v1/rules", body.dump(), repeat_policy::safe);
     if (!answer.is_ok())
     {
         return refused_apply(context, answer, operation);
@@ -204,10 +204,13 @@
     {
         return text.substr(0, end);
     }
+    // Control cuts a long text, so the last line may lack its end.
     auto const more = std::count(text.begin() + static_cast<long>(end) + 1,
                                  text.end(),
-                                 '\n');
-    return text.substr(0, end) + " (and " + std::to_string(more) + " more)";
+                                 '\n') +
+                      (text.ends_with('\n') ? 0 : 1);
+    return text.substr(0, end) + " (and " + std::to_string(more) +
+           (text.ends_with('\n') ? " more)" : " or more)");
 }
 
 } // namespace
--- a/programs/ctl/commands/rules_file.cpp
+++ b/programs/ctl/commands/rules_file.cpp
@@ -37,8 +37,7 @@
 std::string dump(nlohmann::json const& value)
 {
     // Messages may quote bytes that are not UTF-8.
-    return value.dump(
-        -1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 } // namespace
--- a/programs/ctl/commands/status_wait.cpp
+++ b/programs/ctl/commands/status_wait.cpp
@@ -80,9 +80,9 @@
     }
     auto const view = parse_rules(answer.body);
     std::vector<rules::rule_error> errors;
-    auto const parsed =
-        view ? rules::parse(view->text, "rules in force", errors)
-             : std::nullopt;
+    auto const parsed = view
+                            ? rules::parse(view->text, "rules in force", errors)
+                            : std::nullopt;
     if (!parsed)
     {
         report_last_reason(context);
@@ -153,8 +153,8 @@
     }
     else if (end == result_code::ok && !context.wants_json())
     {
-        context.out << "revision " << revision << " is in force on " << count
-                    << " processes\n";
+        context.out << "revision " << revision << " is in force on all "
+                    << count << " processes that report to the leader\n";
     }
     return end;
 }
--- /dev/null
+++ b/programs/ctl/tests/commands_test.cpp
@@ -0,0 +1,467 @@
+#include "fake_control.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
+
+#include <filesystem>
+#include <fstream>
+#include <unistd.h>
+
+namespace turmericswitch::ctl
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+using strings = std::vector<std::string>;
+
+constexpr char const* zone_a = "zone az-a region=north # asked by Nadif: one\n";
+constexpr char const* zone_b = "zone az-b region=north # asked by Lomos: two\n";
+
+std::string path_of(std::string const& name)
+{
+    return (std::filesystem::temp_directory_path() /
+            ("ctl_test_" + std::to_string(getpid()) + "_" + name))
+        .string();
+}
+
+/// A file that goes with the test.
+struct scratch_file
+{
+    scratch_file(std::string const& name, std::string const& text)
+        : path(path_of(name))
+    {
+        std::ofstream(path) << text;
+    }
+    ~scratch_file()
+    {
+        std::filesystem::remove(path);
+    }
+    scratch_file(scratch_file const&) = delete;
+    scratch_file& operator=(scratch_file const&) = delete;
+
+    std::string path;
+};
+
+std::string rules(std::uint64_t revision, std::string const& text)
+{
+    return json{{"revision", revision}, {"text", text}}.dump();
+}
+
+std::string reply(std::uint64_t revision)
+{
+    return json{{"code", 0}, {"text", ""}, {"revision", revision}}.dump();
+}
+
+/// @param in_force Revision that the only process reports.
+std::string status(std::string const& zone_state, int quiet_in_ms, int in_force)
+{
+    json zone{{"zone", "az-a"}, {"region", "north"}, {"state", zone_state}};
+    if (quiet_in_ms >= 0)
+    {
+        zone["quiet_in_ms"] = quiet_in_ms;
+    }
+    return json{{"term", 2},
+                {"commit_index", 9},
+                {"revision", 5},
+                {"workers", 10},
+                {"backends", 3},
+                {"storage_failed", false},
+                {"jobs", {{"queued", 12}}},
+                {"leader",
+                 {{"id", 1}, {"rpc", "r"}, {"http", "h"}, {"learner", false}}},
+                {"zones", {zone}},
+                {"processes",
+                 {{{"name", "gw-1"}, {"in_force", in_force}, {"age_ms", 7}}}}}
+        .dump();
+}
+
+constexpr char const* job =
+    R"({"id":17,"name":"plan","team":"routing","kind":"plan",)"
+    R"("state":"failed","attempt":2,"failures":3,"last_worker":"w-1",)"
+    R"("worker":"w-1","code":504,"code_name":"job_failed",)"
+    R"("reason":"exit 3"})";
+
+constexpr char const* members =
+    R"({"members":[{"id":1,"rpc":"1.1.1.1:1","http":"1.1.1.1:2",)"
+    R"("learner":false},{"id":4,"rpc":"1.1.1.4:1","http":"1.1.1.4:2",)"
+    R"("learner":true}]})";
+
+} // namespace
+
+class commands_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(commands_test);
+    CPPUNIT_TEST(wrong_command_lines_exit_with_2);
+    CPPUNIT_TEST(help_version_and_settings);
+    CPPUNIT_TEST(exit_status_is_never_0_for_a_fault);
+    CPPUNIT_TEST(check_names_every_position);
+    CPPUNIT_TEST(diff_names_who_asked);
+    CPPUNIT_TEST(apply_replaces_the_revision_in_force);
+    CPPUNIT_TEST(invalid_file_is_not_sent);
+    CPPUNIT_TEST(conflict_names_winner_and_next_step);
+    CPPUNIT_TEST(wait_lists_processes_that_are_behind);
+    CPPUNIT_TEST(zone_out_waits_until_quiet);
+    CPPUNIT_TEST(zone_and_drain_requests);
+    CPPUNIT_TEST(writes_need_an_author);
+    CPPUNIT_TEST(submit_and_cancel_requests);
+    CPPUNIT_TEST(lists_are_short_aligned_tables);
+    CPPUNIT_TEST(failed_job_is_shown_not_reported_as_error);
+    CPPUNIT_TEST(explain_joins_all_instances);
+    CPPUNIT_TEST(json_is_the_answer);
+    CPPUNIT_TEST_SUITE_END();
+
+    // Guards the exit status by which scripts tell a typing error.
+    void wrong_command_lines_exit_with_2()
+    {
+        for (strings const& words : std::vector<strings>{
+                 {},
+                 {"zone"},
+                 {"zone", "up", "az-a"},
+                 {"apply"},
+                 {"cancel"},
+                 {"explain"},
+                 {"members", "add", "4"},
+                 {"status", "--wait", "3"},
+                 {"jobs", "--limit", "0"},
+                 {"job", "seven"},
+                 {"cancel", "1", "-2"},
+                 {"apply", "f", "--expect-revision", "x"},
+                 {"apply", "f", "--wait", "-1"},
+                 {"members", "remove", "0"},
+                 {"members", "add", "4", "localhost:1", "1.2.3.4:5"},
+                 {"members", "add", "4", "1.2.3.4:1", "1.2.3.4:0"},
+                 {"--control", "nowhere", "status"},
+                 {"--check-config"},
+                 {"status"}})
+        {
+            auto const result = run(words);
+            CPPUNIT_ASSERT_EQUAL(2, result.status);
+            CPPUNIT_ASSERT(result.out.empty() && !result.err.empty());
+        }
+    }
+
+    void help_version_and_settings()
+    {
+        CPPUNIT_ASSERT(has(run({"--help"}).out, "--expect-revision N"));
+        CPPUNIT_ASSERT_EQUAL(std::string("turmericswitch-ctl 0.1.0\n"),
+                             run({"--version"}).out);
+        scratch_file const bad("bad.ini", "[ctl]\ncontrol = here\nlimit = 3\n");
+        auto const refused = run({"--config", bad.path, "status"});
+        CPPUNIT_ASSERT_EQUAL(103, refused.status);
+        CPPUNIT_ASSERT(has(refused.err, bad.path + ":2:"));
+        CPPUNIT_ASSERT(has(refused.err, bad.path + ":3:"));
+        auto& control = fresh_control(0);
+        control.answer("GET /v1/members", members);
+        scratch_file const good(
+            "good.ini",
+            "[ctl]\ncontrol = " + to_string(control.where()) +
+                "\nauthor = nadif\ntimeout = 2s\n");
+        CPPUNIT_ASSERT_EQUAL(
+            0, run({"--config", good.path, "--check-config"}).status);
+        CPPUNIT_ASSERT_EQUAL(0, run({"members", "--config", good.path}).status);
+    }
+
+    void exit_status_is_never_0_for_a_fault()
+    {
+        for (auto const& row : core::result_code_table())
+        {
+            auto const status = exit_status(row.code);
+            CPPUNIT_ASSERT(status >= 0 && status < 256);
+            CPPUNIT_ASSERT_EQUAL(row.code == core::result_code::ok,
+                                 status == 0);
+        }
+        CPPUNIT_ASSERT_EQUAL(1, exit_status(core::result_code(512)));
+        CPPUNIT_ASSERT_EQUAL(146, exit_status(core::result_code(402)));
+    }
+
+    // Guards against an operator hunting for a fault in a long file.
+    void check_names_every_position()
+    {
+        scratch_file const file(
+            "bad.rules", std::string("zone az-a\n") + zone_b + "zone az-c\n");
+        auto const result = run({"check", file.path});
+        CPPUNIT_ASSERT_EQUAL(201, result.status);
+        CPPUNIT_ASSERT(
+            has(result.err, file.path + ":1:10: 201 rule_syntax: expected"));
+        CPPUNIT_ASSERT(has(result.err, file.path + ":3:10: 201 rule_syntax"));
+        auto const list = json::parse(run({"--json", "check", file.path}).out);
+        CPPUNIT_ASSERT_EQUAL(3, list["errors"][1]["line"].get<int>());
+        scratch_file const twice("twice.rules", std::string(zone_a) + zone_a);
+        auto const compiled = run({"check", twice.path});
+        CPPUNIT_ASSERT_EQUAL(205, compiled.status);
+        CPPUNIT_ASSERT(has(compiled.err, twice.path + ":2:"));
+        scratch_file const good("good.rules", zone_a);
+        CPPUNIT_ASSERT_EQUAL(0, run({"check", good.path}).status);
+        CPPUNIT_ASSERT_EQUAL(95, run({"check", path_of("none")}).status);
+        CPPUNIT_ASSERT_EQUAL(95, run({"check", "/"}).status);
+    }
+
+    void diff_names_who_asked()
+    {
+        auto& control = fresh_control(0);
+        control.answer("GET /v1/rules", rules(5, zone_a));
+        scratch_file const file("new.rules",
+                                "zone az-a region=south # asked by Ann: x\n" +
+                                    std::string(zone_b));
+        auto const result = run_on(control, {"diff", file.path});
+        CPPUNIT_ASSERT_EQUAL(0, result.status);
+        CPPUNIT_ASSERT(
+            has(result.out, "revision 5: 1 added, 0 removed, 1 changed"));
+        CPPUNIT_ASSERT(has(result.out, "+ zone az-b"));
+        CPPUNIT_ASSERT(has(result.out, "(asked by Lomos)"));
+        CPPUNIT_ASSERT(has(result.out, "(asked by Ann)"));
+    }
+
+    void apply_replaces_the_revision_in_force()
+    {
+        auto& control = fresh_control(0);
+        control.answer("GET /v1/rules", rules(5, zone_a));
+        control.answer("POST /v1/rules", reply(6));
+        scratch_file const file("new.rules", zone_b);
+        auto const result =
+            run_on(control, {"apply", file.path, "--operation", "night-1"});
+        CPPUNIT_ASSERT_EQUAL(0, result.status);
+        CPPUNIT_ASSERT(has(result.out, "revision 6"));
+        json const expected{{"operation", "night-1"},
+                            {"author", "nadif"},
+                            {"replaces", 5},
+                            {"text", zone_b}};
+        CPPUNIT_ASSERT(expected == json::parse(control.last_body()));
+        run_on(control, {"apply", file.path, "--expect-revision", "3"});
+        CPPUNIT_ASSERT_EQUAL(
+            3, json::parse(control.last_body())["replaces"].get<int>());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, control.lines().size());
+    }
+
+    // Guards against a half-correct file reaching control.
+    void invalid_file_is_not_sent()
+    {
+        auto& control = fresh_control(0);
+        scratch_file const file("bad.rules", "zone az-a\n");
+        for (char const* const command : {"apply", "diff"})
+        {
+            auto const result = run_on(control, {command, file.path});
+            CPPUNIT_ASSERT_EQUAL(201, result.status);
+            CPPUNIT_ASSERT(has(result.err, file.path + ":1:10: 201"));
+        }
+        CPPUNIT_ASSERT_EQUAL(254,
+                             run_on(control, {"submit", file.path}).status);
+        CPPUNIT_ASSERT(control.lines().empty());
+    }
+
+    void conflict_names_winner_and_next_step()
+    {
+        auto& control = fresh_control(0);
+        control.answer("POST /v1/rules",
+                       R"({"code":402,"name":"revision_conflict",)"
+                       R"("text":"revision 8 by lomos is in force",)"
+                       R"("revision":8,"winner":"lomos"})",
+                       409);
+        scratch_file const file("new.rules", zone_a);
+        auto const result =
+            run_on(control, {"apply", file.path, "--expect-revision", "7"});
+        CPPUNIT_ASSERT_EQUAL(402 % 256, result.status);
+        CPPUNIT_ASSERT(has(result.err, "402 revision_conflict"));
+        CPPUNIT_ASSERT(has(result.err, "next: lomos made revision 8"));
+        CPPUNIT_ASSERT(has(result.err, "--expect-revision 8"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, control.lines().size());
+    }
+
+    void wait_lists_processes_that_are_behind()
+    {
+        auto& control = fresh_control(0);
+        control.answer("POST /v1/rules", reply(6));
+        control.answer("GET /v1/status", status("in", -1, 5));
+        scratch_file const file("new.rules", zone_a);
+        strings const words{
+            "apply", file.path, "--expect-revision", "5", "--wait", "3"};
+        auto const late = run_on(control, words);
+        CPPUNIT_ASSERT_EQUAL(408 % 256, late.status);
+        CPPUNIT_ASSERT(has(late.out, "revision 6"));
+        CPPUNIT_ASSERT(has(late.err, "1 of 1 processes"));
+        CPPUNIT_ASSERT(has(late.err, "gw-1"));
+        control.answer("GET /v1/status", status("in", -1, 6));
+        auto const good = run_on(control, words);
+        CPPUNIT_ASSERT_EQUAL(0, good.status);
+        CPPUNIT_ASSERT(has(good.out, "in force on all 1 processes"));
+    }
+
+    // Guards the promise of --wait: a returned command means quiet.
+    void zone_out_waits_until_quiet()
+    {
+        auto const names =
+            "name zone short=az-a dns=a.example # asked by Nadif: x\n" +
+            std::string(zone_a);
+        auto& control = fresh_control(0);
+        control.answer("POST /v1/zones/a.example/out", reply(6));
+        control.answer("GET /v1/rules", rules(6, names));
+        // Not out yet, of unknown quiet time, not quiet yet, quiet.
+        control.answer("GET /v1/status", status("in", -1, 5));
+        control.answer("GET /v1/status", status("out", -1, 5));
+        control.answer("GET /v1/status", status("out", 1500, 5));
+        control.answer("GET /v1/status", status("out", 0, 5));
+        strings const words{"zone", "out", "a.example", "--wait", "9"};
+        CPPUNIT_ASSERT_EQUAL(0, run_on(control, words).status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{6}, control.lines().size());
+        control.answer("GET /v1/status", status("out", 900, 5));
+        // The quiet answer is used once more before the last one stays.
+        run_on(control, words);
+        auto const late = run_on(control, words);
+        CPPUNIT_ASSERT_EQUAL(408 % 256, late.status);
+        CPPUNIT_ASSERT(has(late.err, "can still take effect in a.example"));
+    }
+
+    void zone_and_drain_requests()
+    {
+        auto& control = fresh_control(0);
+        control.answer("POST /v1/zones/az-a/in", reply(7));
+        control.answer("POST /v1/backends/bk%2F1/drain", reply(8));
+        CPPUNIT_ASSERT_EQUAL(
+            0,
+            run_on(control, {"zone", "in", "az-a", "--asked-by", "Lomos"})
+                .status);
+        auto body = json::parse(control.last_body());
+        CPPUNIT_ASSERT_EQUAL(std::string("Lomos"),
+                             body["requested_by"].get<std::string>());
+        CPPUNIT_ASSERT_EQUAL(std::string("nadif"),
+                             body["author"].get<std::string>());
+        for (bool const drains : {true, false})
+        {
+            auto const* const word = drains ? "drain" : "undrain";
+            CPPUNIT_ASSERT_EQUAL(0, run_on(control, {word, "bk/1"}).status);
+            body = json::parse(control.last_body());
+            CPPUNIT_ASSERT_EQUAL(drains, body["draining"].get<bool>());
+        }
+    }
+
+    void writes_need_an_author()
+    {
+        auto& control = fresh_control(0);
+        scratch_file const file("new.rules", zone_a);
+        auto const where = to_string(control.where());
+        for (strings const& words : std::vector<strings>{
+                 {"apply", file.path}, {"zone", "out", "a"}, {"drain", "b"}})
+        {
+            strings line{"--control", where};
+            line.insert(line.end(), words.begin(), words.end());
+            auto const result = run(line);
+            CPPUNIT_ASSERT_EQUAL(2, result.status);
+            CPPUNIT_ASSERT(has(result.err, "next: add --author NAME"));
+        }
+        CPPUNIT_ASSERT(control.lines().empty());
+    }
+
+    void submit_and_cancel_requests()
+    {
+        auto& control = fresh_control(0);
+        control.answer("POST /v1/jobs",
+                       R"({"code":0,"text":"","revision":1,"jobs":[17]})");
+        control.answer("POST /v1/jobs/cancel",
+                       R"({"code":0,"text":"cancelled 2"})");
+        auto const submitted =
+            run_on(control,
+                   {"submit",
+                    TURMERICSWITCH_SOURCE_DIR "/programs/ctl/tests/jobs.json",
+                    "--operation",
+                    "night"});
+        CPPUNIT_ASSERT_EQUAL(std::string("accepted 1 jobs: 17\n"),
+                             submitted.out);
+        auto const body = json::parse(control.last_body());
+        CPPUNIT_ASSERT_EQUAL(std::string("night"),
+                             body["operation"].get<std::string>());
+        CPPUNIT_ASSERT_EQUAL(std::string("plan-north"),
+                             body["jobs"][0]["name"].get<std::string>());
+        auto const cancelled = run_on(control, {"cancel", "17", "18"});
+        CPPUNIT_ASSERT_EQUAL(std::string("cancelled 2\n"), cancelled.out);
+        CPPUNIT_ASSERT_EQUAL(std::string(R"({"jobs":[17,18]})"),
+                             control.last_body());
+    }
+
+    void lists_are_short_aligned_tables()
+    {
+        auto& control = fresh_control(0);
+        control.answer("GET /v1/history?limit=2",
+                       R"({"changes":[{"revision":12,"author":"nadif",)"
+                       R"("requested_by":"Ann","time":"T","change":"a\nb\n"},)"
+                       R"({"revision":3,"author":"lo","requested_by":"",)"
+                       R"("time":"T","change":"c"}]})");
+        control.answer("GET /v1/jobs?limit=1&state=failed",
+                       "{\"jobs\":[" + std::string(job) + "]}");
+        control.answer("GET /v1/members", members);
+        control.answer("GET /v1/rules", rules(5, zone_a));
+        control.answer("GET /v1/status", status("out", 40, 5));
+        auto const out = [&control](strings const& words)
+        { return run_on(control, words).out; };
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("REVISION  TIME  AUTHOR  ASKED BY  CHANGE\n"
+                        "12        T     nadif   Ann       a (and 1 more)\n"
+                        "3         T     lo      -         c\n"),
+            out({"history", "--limit", "2"}));
+        CPPUNIT_ASSERT_EQUAL(
+            std::string(
+                "ID  NAME  TEAM     KIND  STATE   ATTEMPT  WORKER  REASON\n"
+                "17  plan  routing  plan  failed  2        w-1     exit 3\n"),
+            out({"jobs", "--state", "failed", "--limit", "1"}));
+        CPPUNIT_ASSERT_EQUAL(std::string("ID  RPC        HTTP       ROLE\n"
+                                         "1   1.1.1.1:1  1.1.1.1:2  voter\n"
+                                         "4   1.1.1.4:1  1.1.1.4:2  learner\n"),
+                             out({"members"}));
+        CPPUNIT_ASSERT_EQUAL(std::string(zone_a), out({"show"}));
+        auto const text = out({"status"});
+        CPPUNIT_ASSERT(has(text, "leader    member 1 at h, term 2"));
+        CPPUNIT_ASSERT(has(text, "az-a  north   out    in 40 ms\n"));
+        CPPUNIT_ASSERT(has(text, "gw-1     5         7 ms ago\n"));
+    }
+
+    // A job's own result code is not the code of the answer.
+    void failed_job_is_shown_not_reported_as_error()
+    {
+        auto& control = fresh_control(0);
+        control.answer("GET /v1/jobs/17", job);
+        auto const result = run_on(control, {"job", "17"});
+        CPPUNIT_ASSERT_EQUAL(0, result.status);
+        CPPUNIT_ASSERT(has(result.out, "result       job_failed"));
+    }
+
+    // A decision is kept only where it was taken, which need not be the
+    // present leader.
+    void explain_joins_all_instances()
+    {
+        dead_instance const dead;
+        auto& former = fresh_control(0);
+        auto& leader = fresh_control(1);
+        constexpr char const* line = "GET /v1/explain/job%2017";
+        former.answer(line, R"({"decisions":[{"line":"job 17: place"}]})");
+        leader.answer(line, R"({"decisions":[]})");
+        auto const result =
+            run_against({leader.where(), dead.where(), former.where()},
+                        {"explain", "job", "17"});
+        CPPUNIT_ASSERT_EQUAL(std::string("job 17: place\n"), result.out);
+        auto const none = run_on(leader, {"explain", "job 17"});
+        CPPUNIT_ASSERT_EQUAL(0, none.status);
+        CPPUNIT_ASSERT(has(none.err, "no decision about job 17"));
+        CPPUNIT_ASSERT_EQUAL(
+            704 % 256, run_against({dead.where()}, {"explain", "x"}).status);
+    }
+
+    void json_is_the_answer()
+    {
+        auto& control = fresh_control(0);
+        control.answer("GET /v1/members", members);
+        control.answer("GET /v1/jobs/9",
+                       R"({"code":501,"name":"job_unknown","text":"none"})",
+                       404);
+        CPPUNIT_ASSERT_EQUAL(members + std::string("\n"),
+                             run_on(control, {"members", "--json"}).out);
+        auto const refused = run_on(control, {"--json", "job", "9"});
+        CPPUNIT_ASSERT_EQUAL(501 % 256, refused.status);
+        CPPUNIT_ASSERT_EQUAL(501, json::parse(refused.out)["code"].get<int>());
+        CPPUNIT_ASSERT(has(refused.err, "501 job_unknown: none"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(commands_test);
+
+} // namespace turmericswitch::ctl
