--- a/programs/ctl/tests/commands_test.cpp
+++ b/programs/ctl/tests/commands_test.cpp
@@ -298,7 +298,7 @@
         control.answer("POST /v1/zones/a.example/out", reply(6));
         control.answer("GET /v1/rules", rules(6, names));
         // Not out yet, of unknown quiet time, not quiet yet, quiet.
-        control.answer("GET /v1/status", status("in", -1, 5));
+        control.answer("GET /v1/status", status("in", 0, 5));
         control.answer("GET /v1/status", status("out", -1, 5));
         control.answer("GET /v1/status", status("out", 1500, 5));
         control.answer("GET /v1/status", status("out", 0, 5));
--- a/programs/ctl/tests/control_client_test.cpp
+++ b/programs/ctl/tests/control_client_test.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(follower_names_the_leader);
     CPPUNIT_TEST(dead_instance_is_passed_over);
     CPPUNIT_TEST(redirect_to_a_dead_leader_goes_on_with_the_others);
+    CPPUNIT_TEST(leader_without_answer_is_asked_once_per_round);
     CPPUNIT_TEST(election_is_waited_for);
     CPPUNIT_TEST(unreachable_group_is_reported);
     CPPUNIT_TEST(lost_answer_is_repeated_with_the_same_operation);
@@ -83,6 +84,22 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, follower.lines().size());
     }
 
+    // Guards against the wait for a silent leader once per follower.
+    void leader_without_answer_is_asked_once_per_round()
+    {
+        auto& first = fresh_control(0);
+        auto& second = fresh_control(1);
+        auto& ill = fresh_control(2);
+        auto const where = ill.where();
+        first.redirect(status_line, &where);
+        first.answer(status_line, empty_status);
+        second.redirect(status_line, &where);
+        ill.lose_answer(status_line);
+        CPPUNIT_ASSERT_EQUAL(
+            0, run_against({first.where(), second.where()}, {"status"}).status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ill.lines().size());
+    }
+
     // Guards against an election failing an operator's command.
     void election_is_waited_for()
     {
