placement: forget a retired worker when its placement is dropped

Cause: placement_dropped freed the last share of a retiring worker but did not remove the worker, so it stayed in the planner and in its counts. Change: placement_dropped calls drop_retired, as job_queued and job_ended do.

--- a/modules/placement/planner.cpp
+++ b/modules/placement/planner.cpp
@@ -397,6 +397,7 @@
         auto const since = task->queued_since;
         enqueue(now, *task);
         task->queued_since = since;
+        drop_retired();
     }
 }
 
