control: count the holds of retired workers in a new leader's planner

Cause: the bridge told a new planner nothing about retired workers, so tasks that they still hold were not restored. When such a worker registered again, its share was taken for free and the planner proposed placements that the state dropped. Change: load announces every worker, restores the tasks, and then retires.

--- a/programs/control/leader/placement_bridge.cpp
+++ b/programs/control/leader/placement_bridge.cpp
@@ -63,12 +63,17 @@
     m_planner.configuration_changed(now, m_state.config().in_force());
     for (auto const& [id, worker] : m_state.workers().all())
     {
-        sync_worker(now, id);
+        // Also the retired ones: the planner must count what they hold.
+        m_planner.worker_changed(now, worker.record.description);
     }
     for (auto const& [id, job] : m_state.jobs().all())
     {
         load_job(now, job);
     }
+    for (auto const& [id, worker] : m_state.workers().all())
+    {
+        sync_worker(now, id);
+    }
 }
 
 void placement_bridge::load_job(core::time_point now,
