control: tell the planner the zones as the state sees them

Cause: the planner keys zones by the canonical names in the configuration and takes every other zone as open. A worker known under another name of its zone, or in a zone that no rule lists, was offered placements that the state dropped, one commit per placement tick, and tasks on a worker known by an alias were not moved when its zone went out. Change: the bridge sends the state's answer for each worker's own zone name when the worker or the configuration changes. Seen: 50 dropped placements in 50 ticks in worker_in_unlisted_zone_gets_no_work and worker_known_by_alias_follows_its_zone before, none after.

--- a/programs/control/leader/placement_bridge.cpp
+++ b/programs/control/leader/placement_bridge.cpp
@@ -59,8 +59,7 @@
 
 void placement_bridge::load(core::time_point now)
 {
-    m_revision = m_state.config().current();
-    m_planner.configuration_changed(now, m_state.config().in_force());
+    sync_configuration(now);
     for (auto const& [id, worker] : m_state.workers().all())
     {
         // Also the retired ones: the planner must count what they hold.
@@ -145,11 +144,34 @@
         command);
     if (m_state.config().current() != m_revision)
     {
-        m_revision = m_state.config().current();
-        m_planner.configuration_changed(now, m_state.config().in_force());
+        sync_configuration(now);
+    }
+}
+
+void placement_bridge::sync_configuration(core::time_point now)
+{
+    m_revision = m_state.config().current();
+    m_planner.configuration_changed(now, m_state.config().in_force());
+    for (auto const& [id, worker] : m_state.workers().all())
+    {
+        sync_zone_of(now, worker.record.description);
     }
 }
 
+void placement_bridge::sync_zone_of(core::time_point now,
+                                    core::worker_description const& worker)
+{
+    // The configuration lists zones by their canonical names. The worker's
+    // name may be another one, or the zone may not be listed at all; the
+    // state then drops every placement.
+    auto const& zone = worker.place.zone;
+    m_planner.zone_changed(now,
+                           zone,
+                           m_state.config().is_in_service(zone)
+                               ? core::zone_state::in_service
+                               : core::zone_state::out_of_service);
+}
+
 void placement_bridge::sync_job(core::time_point now, core::job_id id)
 {
     auto const* const job = m_state.jobs().find(id);
@@ -227,6 +249,7 @@
         m_workers.erase(worker);
         return;
     }
+    sync_zone_of(now, known->record.description);
     m_planner.worker_changed(now, known->record.description);
     m_workers[worker] = {now, false};
 }
@@ -350,4 +373,10 @@
     return m_planner.counts();
 }
 
+core::resources
+placement_bridge::reserved_on(core::worker_id const& worker) const
+{
+    return m_planner.reserved_on(worker);
+}
+
 } // namespace turmericswitch::control
--- a/programs/control/leader/placement_bridge.hpp
+++ b/programs/control/leader/placement_bridge.hpp
@@ -51,6 +51,9 @@
 
     placement::planner_counts counts() const;
 
+    /// @return What the planner counts as reserved on the worker.
+    core::resources reserved_on(core::worker_id const& worker) const;
+
 private:
     /// What the planner was last told about a job.
     struct known_job
@@ -78,6 +81,9 @@
                    core::job_record const& job,
                    known_job const& known);
     void sync_worker(core::time_point now, core::worker_id const& worker);
+    void sync_zone_of(core::time_point now,
+                      core::worker_description const& worker);
+    void sync_configuration(core::time_point now);
     void sync_batch(core::time_point now, core::placement_batch const& batch);
     void forget(core::time_point now, core::job_id id);
     void remember(core::job_record const& job);
