--- /dev/null
+++ b/programs/control/tests/bridge_world.hpp
@@ -0,0 +1,75 @@
+#ifndef TURMERICSWITCH_CONTROL_TESTS_BRIDGE_WORLD_HPP
+#define TURMERICSWITCH_CONTROL_TESTS_BRIDGE_WORLD_HPP
+
+#include "core/hooks/random_source.hpp"
+#include "leader/placement_bridge.hpp"
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace turmericswitch::control::testing
+{
+
+core::resources amount(std::int64_t cpu, std::int64_t memory);
+
+/// The replicated state, a bridge with the real planner and a clock. Commands
+/// are applied at once; the batch of a tick is applied or lost on request.
+/// Violations are collected as texts.
+class bridge_world
+{
+public:
+    explicit bridge_world(std::uint64_t seed = 1);
+
+    core::command_reply apply(core::command_body body);
+    core::job_id submit(core::resources const& declared,
+                        std::string const& kind = "k");
+    void add_worker(std::string const& name,
+                    std::string const& zone = "a",
+                    core::resources const& capacity = amount(8000, 8000));
+    void report(core::job_id job, core::task_event event);
+    void set_zone(std::string const& zone, core::zone_state state);
+
+    /// Advances the clock, hears every worker that is not silent, and ticks.
+    placement::tick_decisions
+    tick(core::duration step = std::chrono::milliseconds(100));
+    void apply_batch();
+    void lose_batch();
+    /// Ticks and applies until the job is held or `ticks` have passed.
+    bool place(core::job_id job, int ticks = 50);
+
+    /// The leader changes: its batch may still be applied before that.
+    void new_bridge();
+
+    /// Random events with faults.
+    void disturb(int steps);
+    /// No more faults: all jobs must come to an end.
+    void settle(int ticks);
+
+    core::job_record const& job(core::job_id id) const;
+    void check();
+
+    cluster_state::state_machine state;
+    std::unique_ptr<placement_bridge> bridge;
+    std::set<core::worker_id> silent;
+    std::vector<std::string> violations;
+    core::time_point now{std::chrono::seconds(1)};
+
+private:
+    std::uint64_t below(std::uint64_t limit);
+    void random_event();
+    void random_worker_event();
+    void random_report();
+    void check_dropped(core::placement_batch const& batch);
+
+    core::random_source m_random;
+    std::uint64_t m_index = 0;
+    std::uint64_t m_reported = 0;
+    std::optional<core::placement_batch> m_batch;
+};
+
+} // namespace turmericswitch::control::testing
+
+#endif
