control: write nothing after a failed append

Cause: the log writer went on with the entries queued behind a failed append. When the log had undone the failed one (full disk), the next append left a gap, which the log's assertion turned into an abort of the process. Change: after the first failure the writer refuses everything. wait_until_written lets a test run an event loop step by step. Seen: writer_stops_after_a_failed_append aborted in log_store::append before and passes after.

--- a/programs/control/node/log_writer.cpp
+++ b/programs/control/node/log_writer.cpp
@@ -33,6 +33,11 @@
     enqueue(append_work{std::move(entries)});
 }
 
+void log_writer::wait_until_written()
+{
+    wait_for([] { return true; });
+}
+
 bool log_writer::truncate(core::log_index from)
 {
     return wait_for([this, from] { return m_log.truncate_suffix(from); });
@@ -122,7 +127,7 @@
 
 void log_writer::write(std::vector<core::log_entry> const& entries)
 {
-    if (entries.empty())
+    if (entries.empty() || m_has_failed)
     {
         return;
     }
@@ -131,6 +136,14 @@
         m_on_persisted(entries.back().index, entries.back().entry_term);
     }
     else
+    {
+        fail();
+    }
+}
+
+void log_writer::fail()
+{
+    if (!std::exchange(m_has_failed, true))
     {
         m_on_failed();
     }
@@ -138,11 +151,11 @@
 
 void log_writer::run_other(other_work& item)
 {
-    bool const is_done = item.run();
+    bool const is_done = !m_has_failed && item.run();
     item.done.set_value(is_done);
     if (!is_done)
     {
-        m_on_failed();
+        fail();
     }
 }
 
--- a/programs/control/node/log_writer.hpp
+++ b/programs/control/node/log_writer.hpp
@@ -18,7 +18,9 @@
 {
 
 /// The thread that writes log and snapshots, so that a slow sync does not
-/// delay heartbeats. Appends that wait are joined into one sync.
+/// delay heartbeats. Appends that wait are joined into one sync. After a
+/// failure nothing more is written: entries queued meanwhile would leave a gap
+/// in the log.
 class log_writer
 {
 public:
@@ -40,6 +42,10 @@
 
     void append(std::vector<core::log_entry> entries);
 
+    /// Waits until everything queued so far was written, for tests that run
+    /// an event loop step by step.
+    void wait_until_written();
+
     /// Removes entries from `from` on and waits until that is durable.
     bool truncate(core::log_index from);
 
@@ -71,12 +77,15 @@
     void run();
     void write(std::vector<core::log_entry> const& entries);
     void run_other(other_work& item);
+    void fail();
     bool compact();
 
     store::log_store m_log;
     store::snapshot_store m_snapshots;
     persisted_hook m_on_persisted;
     failed_hook m_on_failed;
+    /// Used on the writer's thread only.
+    bool m_has_failed = false;
     std::mutex m_mutex;
     std::condition_variable m_wake;
     std::deque<work> m_queue;
