control: refuse to bootstrap or join over an identity before writing

Cause: recover appended the bootstrap entry before it looked for an identity. On a folder with a log the process aborted in log_store::append; on the folder of a member that waited to be added the refused bootstrap still wrote the first entry, so the member was a voter of its own group at the next start. A bootstrap repeated after a crash between entry and identity aborted. Change: the identity is checked first (hard_state_store::has_identity), a first entry that is there already is kept, and a folder with other data but no identity is refused with identity_lost. Seen: bootstrap_is_refused_with_an_identity, refused_bootstrap_changes_nothing and bootstrap_can_be_repeated_after_a_crash failed before and pass after.

--- a/modules/store/state/hard_state_store.cpp
+++ b/modules/store/state/hard_state_store.cpp
@@ -48,7 +48,7 @@
 bool hard_state_store::create(instance_identity const& identity,
                               core::hard_state const& state)
 {
-    if (has_file(*m_files, m_folder, identity_name))
+    if (has_identity())
     {
         return core::fail_bool(result_code::io_failed,
                                m_folder + " already has an identity");
@@ -59,6 +59,11 @@
                *m_files, m_folder, identity_name, to_text(identity));
 }
 
+bool hard_state_store::has_identity()
+{
+    return has_file(*m_files, m_folder, identity_name);
+}
+
 std::optional<instance_identity>
 hard_state_store::load_identity(core::member_id member)
 {
--- a/modules/store/state/hard_state_store.hpp
+++ b/modules/store/state/hard_state_store.hpp
@@ -38,6 +38,9 @@
     bool create(instance_identity const& identity,
                 core::hard_state const& state);
 
+    /// @return True when the folder has an identity file, readable or not.
+    bool has_identity();
+
     /// @param member The id from the settings.
     /// @return The identity, or nothing with `identity_lost` when the file or
     /// the hard state is missing, damaged or of another member.
--- a/programs/control/node/recovery.cpp
+++ b/programs/control/node/recovery.cpp
@@ -19,15 +19,40 @@
     return options;
 }
 
+/// @return True if the folder can be given an identity: it has none, and no
+/// more than what an interrupted attempt to create it has left.
+bool may_create(store::hard_state_store& hard_state,
+                consensus::recovered_state const& found,
+                consensus::recovered_state const& first,
+                control_settings const& settings)
+{
+    if (hard_state.has_identity())
+    {
+        return core::fail_bool(core::result_code::io_failed,
+                               settings.data_folder +
+                                   " already has an identity; start the "
+                                   "instance without a mode");
+    }
+    bool const is_fresh =
+        found.snapshot.last_index.value() == 0 &&
+        (found.entries.empty() || found.entries == first.entries);
+    return is_fresh ||
+           core::fail_bool(core::result_code::identity_lost,
+                           settings.data_folder +
+                               " has data of an instance whose identity is "
+                               "lost; use an empty folder");
+}
+
 /// Writes identity, hard state and, for a first member, the first entry.
 bool create(store::hard_state_store& hard_state,
             store::log_store& log,
+            consensus::recovered_state const& found,
             consensus::recovered_state const& first,
             control_settings const& settings,
             std::uint64_t marker)
 {
     // The identity comes last: a folder with an identity is complete.
-    return (first.entries.empty() || log.append(first.entries)) &&
+    return (found.entries == first.entries || log.append(first.entries)) &&
            hard_state.create({settings.group, settings.member, marker},
                              first.hard);
 }
@@ -105,7 +130,8 @@
     if (mode != start_mode::normal)
     {
         auto const first = first_state(settings, mode);
-        if (!create(hard_state, *log, first, settings, random_seed))
+        if (!may_create(hard_state, recovered, first, settings) ||
+            !create(hard_state, *log, recovered, first, settings, random_seed))
         {
             return std::nullopt;
         }
