control: test replicas, log writer and recovery in one process

The event loop can be run by hand with a clock set by the test, and the fake file system may be used by several threads. Three replicas exchange messages through hooks on fake disks; the property loses messages, crashes, fails syncs and fills disks.

--- a/modules/process/loop/event_loop.cpp
+++ b/modules/process/loop/event_loop.cpp
@@ -13,6 +13,12 @@
 
 clock::time_point const process_start = clock::now();
 
+std::function<core::time_point()>& replaced_clock()
+{
+    static std::function<core::time_point()> source;
+    return source;
+}
+
 } // namespace
 
 event_loop::event_loop(core::duration tick_interval) : m_interval(tick_interval)
@@ -56,8 +62,37 @@
     m_wake.notify_one();
 }
 
+void event_loop::run_pending()
+{
+    for (;;)
+    {
+        std::deque<task> ready;
+        {
+            std::lock_guard const lock(m_mutex);
+            ready.swap(m_tasks);
+        }
+        if (ready.empty())
+        {
+            return;
+        }
+        for (auto const& work : ready)
+        {
+            work();
+        }
+    }
+}
+
+void event_loop::set_clock(std::function<core::time_point()> source)
+{
+    replaced_clock() = std::move(source);
+}
+
 core::time_point event_loop::now()
 {
+    if (auto const& source = replaced_clock())
+    {
+        return source();
+    }
     return core::time_point(std::chrono::duration_cast<core::duration>(
         clock::now() - process_start));
 }
--- a/modules/process/loop/event_loop.hpp
+++ b/modules/process/loop/event_loop.hpp
@@ -40,9 +40,20 @@
 
     void post(task work);
 
+    /// Runs the tasks posted so far, and those that they post, on the calling
+    /// thread. Only for a loop that is not started: a test runs the parts of
+    /// a process step by step with it.
+    void run_pending();
+
     /// @return Monotonic time since the process started.
     static core::time_point now();
 
+    /// Replaces the clock behind now(), for tests. Call it only while no
+    /// thread reads the clock.
+    ///
+    /// @param source Empty for the clock of the system.
+    static void set_clock(std::function<core::time_point()> source);
+
     /// @return Tasks waiting, for metrics.
     std::size_t backlog() const;
 
--- a/programs/control/node/replica.cpp
+++ b/programs/control/node/replica.cpp
@@ -133,6 +133,11 @@
     feed(consensus::change_membership{id, kind, member});
 }
 
+void replica::wait_until_written()
+{
+    m_writer.wait_until_written();
+}
+
 void replica::hand_over()
 {
     feed(consensus::transfer_leadership{});
--- a/programs/control/node/replica.hpp
+++ b/programs/control/node/replica.hpp
@@ -81,6 +81,10 @@
                            core::group_member const& member,
                            reply_hook done);
 
+    /// Waits for the log writer, whose results are then posted to the loop.
+    /// For tests that run the loop step by step.
+    void wait_until_written();
+
     /// Hands leadership over before a planned stop.
     void hand_over();
 
--- /dev/null
+++ b/programs/control/tests/replica_test.cpp
@@ -0,0 +1,323 @@
+#include "core/results/last_reason.hpp"
+#include "support/property.hpp"
+#include "tests/replica_group.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+namespace turmericswitch::control::testing
+{
+
+using consensus::membership_change_kind;
+using core::result_code;
+
+class replica_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(replica_test);
+    CPPUNIT_TEST(acknowledged_survives_faults);
+    CPPUNIT_TEST(failed_sync_silences_the_leader);
+    CPPUNIT_TEST(full_disk_silences_a_follower);
+    CPPUNIT_TEST(failed_vote_is_not_sent);
+    CPPUNIT_TEST(restart_of_all_recovers);
+    CPPUNIT_TEST(lagging_follower_gets_a_snapshot);
+    CPPUNIT_TEST(new_member_joins_and_votes);
+    CPPUNIT_TEST(leader_hands_over);
+    CPPUNIT_TEST(no_read_without_a_quorum);
+    CPPUNIT_TEST(no_read_at_a_replaced_leader);
+    CPPUNIT_TEST_SUITE_END();
+
+    // Guards against acknowledged commands lost, or members that diverge,
+    // under lost messages, crashes, failed syncs and full disks.
+    void acknowledged_survives_faults()
+    {
+        std::size_t acknowledged = 0;
+        turmericswitch::testing::check_property(
+            "replica group",
+            {.seed = 51, .max_success = 20},
+            [&]
+            {
+                replica_group group(3, 40);
+                group.random = core::seeded_random(
+                    *rc::gen::noShrink(rc::gen::arbitrary<std::uint64_t>()));
+                for (int i = 0; i < 400; ++i)
+                {
+                    disturb(group);
+                    group.step();
+                }
+                heal(group);
+                RC_ASSERT(group.wait_for_leader() != 0);
+                RC_ASSERT(group.submit_some(1));
+                RC_ASSERT(
+                    group.step_until([&] { return group.has_converged(); }));
+                acknowledged += group.acknowledged.size();
+            });
+        CPPUNIT_ASSERT(acknowledged > 500);
+    }
+
+    static void disturb(replica_group& group)
+    {
+        auto const pick = 1 + core::random_below(group.random, 3);
+        auto& each = group.at(pick);
+        group.loss_percent = core::random_below(group.random, 30);
+        switch (core::random_below(group.random, 80))
+        {
+        case 0:
+            group.crash(pick);
+            return;
+        case 1:
+            each.disk.fail_next_sync(core::random_below(group.random, 2) == 0);
+            return;
+        case 2:
+            each.disk.set_space(core::random_below(group.random, 300));
+            return;
+        case 3:
+            each.cut_off = !each.cut_off;
+            return;
+        case 4:
+        case 5:
+        case 6:
+        case 7:
+        case 8:
+        case 9:
+            each.cut_off = false;
+            revive(group, pick);
+            return;
+        default:
+            if (each.node)
+            {
+                group.submit(pick);
+            }
+        }
+    }
+
+    static void revive(replica_group& group, std::size_t number)
+    {
+        if (group.at(number).node)
+        {
+            if (!group.node(number).storage_has_failed())
+            {
+                return;
+            }
+            group.crash(number);
+        }
+        group.at(number).disk.set_space(std::nullopt);
+        RC_ASSERT(group.start(number, start_mode::normal));
+    }
+
+    static void heal(replica_group& group)
+    {
+        group.loss_percent = 0;
+        for (std::size_t i = 1; i <= 3; ++i)
+        {
+            group.at(i).cut_off = false;
+            group.crash(i);
+            revive(group, i);
+        }
+    }
+
+    // Guards against a leader that answers or leads on after its disk lost a
+    // write.
+    void failed_sync_silences_the_leader()
+    {
+        replica_group group;
+        auto const first = group.wait_for_leader();
+        CPPUNIT_ASSERT(group.submit_some(5));
+        group.at(first).disk.fail_next_sync();
+        group.submit(first);
+        group.step();
+        CPPUNIT_ASSERT(group.node(first).storage_has_failed());
+        CPPUNIT_ASSERT(!group.node(first).is_leading());
+        auto const sent = group.at(first).transmitted;
+        CPPUNIT_ASSERT(group.submit_some(5));
+        CPPUNIT_ASSERT_EQUAL(sent, group.at(first).transmitted);
+        group.submit(first);
+        CPPUNIT_ASSERT(group.refusals.back() == result_code::not_leader);
+
+        group.crash(first);
+        CPPUNIT_ASSERT(group.start(first, start_mode::normal));
+        CPPUNIT_ASSERT(group.step_until([&] { return group.has_converged(); }));
+    }
+
+    // Guards against a follower that confirms what it could not write, and
+    // against one that can't restart after a full disk.
+    void full_disk_silences_a_follower()
+    {
+        replica_group group;
+        auto const follower = group.wait_for_leader() % 3 + 1;
+        auto const other = follower % 3 + 1 == group.leader()
+                               ? (follower + 1) % 3 + 1
+                               : follower % 3 + 1;
+        group.at(follower).disk.set_space(10);
+        CPPUNIT_ASSERT(group.submit_some(5));
+        CPPUNIT_ASSERT(group.node(follower).storage_has_failed());
+        auto const sent = group.at(follower).transmitted;
+        // Without the third member, the full one must not make a quorum.
+        group.at(other).cut_off = true;
+        auto const known = group.acknowledged.size();
+        group.submit(group.leader());
+        group.step_until([] { return false; }, 100);
+        CPPUNIT_ASSERT_EQUAL(known, group.acknowledged.size());
+        CPPUNIT_ASSERT_EQUAL(sent, group.at(follower).transmitted);
+
+        group.at(other).cut_off = false;
+        group.crash(follower);
+        group.at(follower).disk.set_space(std::nullopt);
+        CPPUNIT_ASSERT(group.start(follower, start_mode::normal));
+        CPPUNIT_ASSERT(group.submit_some(1));
+        CPPUNIT_ASSERT(group.step_until([&] { return group.has_converged(); }));
+    }
+
+    // Guards against a vote that its giver forgets after a restart.
+    void failed_vote_is_not_sent()
+    {
+        replica_group group;
+        group.wait_for_leader();
+        auto const voter = group.leader() % 3 + 1;
+        group.at(voter).disk.fail_next_sync();
+        core::consensus_message request{
+            core::member_id(group.leader()),
+            core::member_id(voter),
+            core::term(group.node(voter).current_term().value() + 5),
+            core::vote_request{
+                core::log_index(100), core::term(100), false, true}};
+        auto const sent = group.at(voter).transmitted;
+        group.node(voter).receive(request);
+        CPPUNIT_ASSERT(group.node(voter).storage_has_failed());
+        group.node(voter).receive(request);
+        CPPUNIT_ASSERT_EQUAL(sent, group.at(voter).transmitted);
+    }
+
+    // Guards against state lost when all instances crash at once, with and
+    // without snapshots.
+    void restart_of_all_recovers()
+    {
+        for (std::uint64_t const interval : {10'000U, 10U})
+        {
+            replica_group group(3, interval);
+            CPPUNIT_ASSERT(group.submit_some(45));
+            for (std::size_t i = 1; i <= 3; ++i)
+            {
+                group.crash(i);
+            }
+            for (std::size_t i = 1; i <= 3; ++i)
+            {
+                CPPUNIT_ASSERT(group.start(i, start_mode::normal));
+            }
+            CPPUNIT_ASSERT(group.submit_some(1));
+            CPPUNIT_ASSERT(
+                group.step_until([&] { return group.has_converged(); }));
+        }
+    }
+
+    // Guards against a follower that can't catch up once the log it lacks
+    // was removed.
+    void lagging_follower_gets_a_snapshot()
+    {
+        replica_group group(3, 10);
+        auto const follower = group.wait_for_leader() % 3 + 1;
+        group.crash(follower);
+        CPPUNIT_ASSERT(group.submit_some(60));
+        for (std::size_t i = 1; i <= 3; ++i)
+        {
+            // Entries kept in memory would spare the snapshot.
+            if (i != follower)
+            {
+                group.crash(i);
+                CPPUNIT_ASSERT(group.start(i, start_mode::normal));
+            }
+        }
+        CPPUNIT_ASSERT(group.start(follower, start_mode::normal));
+        CPPUNIT_ASSERT(group.step_until([&] { return group.has_converged(); }));
+        group.crash(follower);
+        CPPUNIT_ASSERT(group.start(follower, start_mode::normal));
+        CPPUNIT_ASSERT(group.step_until([&] { return group.has_converged(); }));
+    }
+
+    // Guards against a new member that is never promoted or does not count.
+    void new_member_joins_and_votes()
+    {
+        replica_group group;
+        CPPUNIT_ASSERT(group.submit_some(5));
+        group.add();
+        CPPUNIT_ASSERT(group.start(4, start_mode::join));
+        group.step_until([] { return false; }, 100);
+        CPPUNIT_ASSERT(!group.node(4).is_leading());
+
+        auto code = result_code::no_quorum;
+        auto learner = group.member(4);
+        learner.learner = true;
+        group.node(group.leader())
+            .change_membership(membership_change_kind::add_learner,
+                               learner,
+                               [&](core::command_reply const& reply)
+                               { code = reply.code; });
+        // The leader's upkeep promotes it.
+        auto const is_voter = [&]
+        {
+            auto const& members = group.node(4).membership().members;
+            return members.size() == 4 && !members.back().learner;
+        };
+        CPPUNIT_ASSERT(group.step_until(is_voter, 3000));
+        CPPUNIT_ASSERT(code == result_code::ok);
+        // Three of four are needed now, so the new member makes the quorum.
+        group.crash(group.leader());
+        CPPUNIT_ASSERT(group.submit_some(5));
+        CPPUNIT_ASSERT(group.step_until([&] { return group.has_converged(); }));
+    }
+
+    // Guards against a planned stop that costs an election timeout.
+    void leader_hands_over()
+    {
+        replica_group group;
+        CPPUNIT_ASSERT(group.submit_some(5));
+        auto const first = group.leader();
+        auto const began = group.now;
+        group.node(first).hand_over();
+        CPPUNIT_ASSERT(group.step_until(
+            [&] { return group.leader() != 0 && group.leader() != first; }));
+        CPPUNIT_ASSERT(group.now - began < std::chrono::milliseconds(300));
+        CPPUNIT_ASSERT(group.has_acknowledged(group.leader()));
+    }
+
+    // Guards against a read that is answered while the quorum is gone.
+    void no_read_without_a_quorum()
+    {
+        replica_group group;
+        auto const first = group.wait_for_leader();
+        CPPUNIT_ASSERT(group.submit_some(1));
+        group.at(first % 3 + 1).cut_off = true;
+        group.at((first + 1) % 3 + 1).cut_off = true;
+        std::vector<result_code> codes;
+        group.node(first).read([&](result_code code)
+                               { codes.push_back(code); });
+        CPPUNIT_ASSERT(codes.empty());
+        CPPUNIT_ASSERT(group.step_until([&] { return !codes.empty(); }));
+        group.node(first).read([&](result_code code)
+                               { codes.push_back(code); });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), codes.size());
+        CPPUNIT_ASSERT(codes[0] != result_code::ok);
+        CPPUNIT_ASSERT(codes[1] == result_code::not_leader);
+    }
+
+    // Guards against a stale read at a leader that was replaced meanwhile.
+    void no_read_at_a_replaced_leader()
+    {
+        replica_group group;
+        auto const first = group.wait_for_leader();
+        group.at(first).cut_off = true;
+        CPPUNIT_ASSERT(group.wait_for_leader() != first);
+        CPPUNIT_ASSERT(group.submit_some(1));
+        auto seen = result_code::ok;
+        group.node(first).read([&](result_code code) { seen = code; });
+        CPPUNIT_ASSERT(
+            group.step_until([&] { return seen != result_code::ok; }));
+        group.submit(first);
+        group.at(first).cut_off = false;
+        CPPUNIT_ASSERT(group.submit_some(1));
+        CPPUNIT_ASSERT(group.step_until([&] { return group.has_converged(); }));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(replica_test);
+
+} // namespace turmericswitch::control::testing
--- a/tests/support/fake_file_system.cpp
+++ b/tests/support/fake_file_system.cpp
@@ -21,6 +21,7 @@
 
     bool append(std::string_view bytes) override
     {
+        std::lock_guard const lock(*m_disk->m_mutex);
         auto& space = m_disk->m_space;
         auto const fits = space ? std::min<std::uint64_t>(*space, bytes.size())
                                 : bytes.size();
@@ -35,6 +36,7 @@
 
     bool sync() override
     {
+        std::lock_guard const lock(*m_disk->m_mutex);
         if (m_disk->m_fail_sync)
         {
             m_disk->m_fail_sync = false;
@@ -61,6 +63,7 @@
 std::unique_ptr<store::append_file>
 fake_file_system::open(std::string const& path)
 {
+    std::lock_guard const lock(*m_mutex);
     auto& file = m_live[path];
     if (!file)
     {
@@ -71,6 +74,7 @@
 
 std::optional<std::string> fake_file_system::read(std::string const& path)
 {
+    std::lock_guard const lock(*m_mutex);
     auto const found = m_live.find(path);
     if (found == m_live.end())
     {
@@ -82,6 +86,7 @@
 std::optional<std::vector<std::string>>
 fake_file_system::list(std::string const& folder)
 {
+    std::lock_guard const lock(*m_mutex);
     std::vector<std::string> names;
     for (auto const& [path, file] : m_live)
     {
@@ -100,6 +105,7 @@
 
 bool fake_file_system::rename(std::string const& from, std::string const& to)
 {
+    std::lock_guard const lock(*m_mutex);
     auto const found = m_live.find(from);
     if (found == m_live.end())
     {
@@ -112,12 +118,14 @@
 
 bool fake_file_system::remove(std::string const& path)
 {
+    std::lock_guard const lock(*m_mutex);
     return m_live.erase(path) == 1 ||
            core::fail_bool(result_code::io_failed, path + " is missing");
 }
 
 bool fake_file_system::truncate(std::string const& path, std::uint64_t size)
 {
+    std::lock_guard const lock(*m_mutex);
     auto const found = m_live.find(path);
     if (found == m_live.end())
     {
@@ -132,6 +140,7 @@
 
 bool fake_file_system::sync_folder(std::string const& folder)
 {
+    std::lock_guard const lock(*m_mutex);
     auto const inside = [&folder](auto const& item)
     { return item.first.starts_with(folder + "/"); };
     std::erase_if(m_durable, inside);
@@ -144,6 +153,7 @@
 
 void fake_file_system::crash()
 {
+    std::lock_guard const lock(*m_mutex);
     std::set<std::string> paths;
     for (auto const* part : {&m_live, &m_durable})
     {
@@ -192,23 +202,27 @@
 
 void fake_file_system::set_space(std::optional<std::uint64_t> bytes)
 {
+    std::lock_guard const lock(*m_mutex);
     m_space = bytes;
 }
 
 void fake_file_system::fail_next_sync(bool drops)
 {
+    std::lock_guard const lock(*m_mutex);
     m_fail_sync = true;
     m_sync_drops = drops;
 }
 
 void fake_file_system::damage(std::string const& path, std::uint64_t offset)
 {
+    std::lock_guard const lock(*m_mutex);
     auto& byte = m_live.at(path)->bytes.at(offset);
     byte = static_cast<char>(~byte);
 }
 
 std::uint64_t fake_file_system::size(std::string const& path) const
 {
+    std::lock_guard const lock(*m_mutex);
     return m_live.at(path)->bytes.size();
 }
 
--- a/tests/support/fake_file_system.hpp
+++ b/tests/support/fake_file_system.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 
@@ -14,7 +15,8 @@
 {
 
 /// Files in memory with the losses of a real disk: a crash drops unsynced
-/// bytes and unsynced directory entries, possibly only in part.
+/// bytes and unsynced directory entries, possibly only in part. Several
+/// threads may use it.
 class fake_file_system final : public store::file_system
 {
 public:
@@ -56,6 +58,8 @@
 
     void crash_content(content& file);
 
+    /// On the heap, so that a disk can be replaced by a new one.
+    std::unique_ptr<std::mutex> m_mutex = std::make_unique<std::mutex>();
     core::random_source m_random;
     directory m_live;
     directory m_durable;
