--- /dev/null
+++ b/programs/control/tests/leader_duties_test.cpp
@@ -0,0 +1,228 @@
+#include "tests/replica_group.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace turmericswitch::control::testing
+{
+
+using core::result_code;
+
+class leader_duties_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(leader_duties_test);
+    CPPUNIT_TEST(worker_runs_a_job);
+    CPPUNIT_TEST(deposed_leader_renews_nothing);
+    CPPUNIT_TEST(deposed_leader_grants_no_reported_start);
+    CPPUNIT_TEST(answer_waits_for_a_later_round);
+    CPPUNIT_TEST(silent_worker_loses_its_task_after_the_lease);
+    CPPUNIT_TEST(polls_end_with_the_leadership);
+    CPPUNIT_TEST_SUITE_END();
+
+    /// The clock is shared, so a group lives only as long as its test.
+    std::unique_ptr<replica_group> group;
+    std::vector<core::heartbeat_answer> answers;
+    std::uint64_t sequence = 0;
+
+public:
+    void setUp() override
+    {
+        group = std::make_unique<replica_group>();
+    }
+
+    void tearDown() override
+    {
+        group.reset();
+    }
+
+private:
+    void set_up_zone()
+    {
+        CPPUNIT_ASSERT(group->wait_for_leader() != 0);
+        bool is_done = false;
+        group->node(group->leader())
+            .propose(core::apply_rules{core::operator_id("o"),
+                                       {},
+                                       "zone a region=n # asked by A: t\n"},
+                     {},
+                     {},
+                     [&](core::command_reply const& reply)
+                     { is_done = reply.code == result_code::ok; });
+        CPPUNIT_ASSERT(group->step_until([&] { return is_done; }));
+    }
+
+    void heartbeat(std::size_t at,
+                   std::vector<core::held_task> held = {},
+                   std::vector<core::task_report> reports = {})
+    {
+        core::heartbeat_request request;
+        request.worker.worker = core::worker_id("w");
+        request.worker.life = core::incarnation(1);
+        request.worker.place.zone = core::zone_id("a");
+        request.worker.capacity.cpu = core::millicores(1000);
+        request.sent_at = group->now.time_since_epoch();
+        request.held = std::move(held);
+        request.reports = std::move(reports);
+        request.report_sequence =
+            request.reports.empty() ? sequence : ++sequence;
+        group->at(at).duties->heartbeat(
+            request,
+            [this](core::heartbeat_answer answer)
+            { answers.push_back(std::move(answer)); });
+    }
+
+    /// Heartbeats until a start order comes.
+    core::held_task start_a_job()
+    {
+        set_up_zone();
+        CPPUNIT_ASSERT(group->submit_some(1));
+        for (int i = 0; i < 50; ++i)
+        {
+            heartbeat(group->leader());
+            for (int steps = 0; steps < 10; ++steps)
+            {
+                group->step();
+            }
+            if (!answers.empty() && !answers.back().starts.empty())
+            {
+                auto const& order = answers.back().starts.front();
+                return {order.job, order.attempt};
+            }
+        }
+        CPPUNIT_FAIL("no start order");
+        return {};
+    }
+
+    static core::task_report report_of(core::held_task const& task,
+                                       core::task_event event)
+    {
+        return {task.job, task.attempt, event, {}, {}, {}};
+    }
+
+    // Guards against duties that are not connected to state and planner.
+    void worker_runs_a_job()
+    {
+        auto const task = start_a_job();
+        heartbeat(group->leader(),
+                  {task},
+                  {report_of(task, core::task_event::started)});
+        group->step();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), answers.back().renewals.size());
+        CPPUNIT_ASSERT_EQUAL(sequence, answers.back().acknowledged_reports);
+        heartbeat(
+            group->leader(), {}, {report_of(task, core::task_event::finished)});
+        group->step();
+        auto const* const job =
+            group->node(group->leader()).state().jobs().find(task.job);
+        CPPUNIT_ASSERT(job->state == core::job_state::finished);
+    }
+
+    /// @return The code of the one answer to a heartbeat at a leader that is
+    /// cut off first.
+    core::heartbeat_answer
+    answer_when_cut_off(std::vector<core::held_task> const& held,
+                        std::vector<core::task_report> const& reports)
+    {
+        auto const first = group->leader();
+        group->at(first).cut_off = true;
+        answers.clear();
+        heartbeat(first, held, reports);
+        CPPUNIT_ASSERT(answers.empty());
+        CPPUNIT_ASSERT(group->step_until([&] { return !answers.empty(); }));
+        return answers.back();
+    }
+
+    // Guards against two runs of a task: a leader that may have a successor
+    // must not renew (invariant 2).
+    void deposed_leader_renews_nothing()
+    {
+        auto const task = start_a_job();
+        heartbeat(group->leader(),
+                  {task},
+                  {report_of(task, core::task_event::started)});
+        group->step();
+        auto const answer = answer_when_cut_off({task}, {});
+        CPPUNIT_ASSERT(answer.code == result_code::not_leader);
+        CPPUNIT_ASSERT(answer.renewals.empty() && answer.starts.empty());
+    }
+
+    // As above, on the way that commits reports before it answers.
+    void deposed_leader_grants_no_reported_start()
+    {
+        auto const task = start_a_job();
+        auto const answer = answer_when_cut_off(
+            {task}, {report_of(task, core::task_event::started)});
+        CPPUNIT_ASSERT(answer.code == result_code::not_leader);
+        CPPUNIT_ASSERT(answer.renewals.empty() && answer.starts.empty());
+        CPPUNIT_ASSERT(answer.acknowledged_reports == 0);
+    }
+
+    // Guards against an answer that rests on a confirmation from before the
+    // heartbeat: with the others silent none may come, with their answers it
+    // must.
+    void answer_waits_for_a_later_round()
+    {
+        start_a_job();
+        auto const first = group->leader();
+        group->at(first).cut_off = true;
+        answers.clear();
+        heartbeat(first);
+        group->drain();
+        CPPUNIT_ASSERT(answers.empty());
+        group->at(first).cut_off = false;
+        CPPUNIT_ASSERT(group->step_until([&] { return !answers.empty(); }, 20));
+        CPPUNIT_ASSERT(answers.back().code == result_code::ok);
+    }
+
+    // Guards against a task placed again while its worker may still run it,
+    // and against one that is never given up (invariants 2 and 3).
+    void silent_worker_loses_its_task_after_the_lease()
+    {
+        auto const task = start_a_job();
+        auto const began = group->now;
+        auto const is_held = [&]
+        {
+            auto const leader = group->leader();
+            return leader == 0 || group->node(leader)
+                                      .state()
+                                      .jobs()
+                                      .find(task.job)
+                                      ->hold.has_value();
+        };
+        // The second leader knows nothing of the renewals of the first.
+        group->crash(group->leader());
+        CPPUNIT_ASSERT(group->wait_for_leader() != 0);
+        auto const elected = group->now;
+        CPPUNIT_ASSERT(group->step_until([&] { return !is_held(); }, 40'000));
+        auto const lease = cluster_state::lease_settings{}.batch_lease;
+        CPPUNIT_ASSERT(group->now - elected >= lease);
+        // A new leader does not know which tasks are services.
+        CPPUNIT_ASSERT(group->now - began <
+                       2 * cluster_state::lease_settings{}.service_lease);
+    }
+
+    // Guards against gateways that wait at a deposed leader.
+    void polls_end_with_the_leadership()
+    {
+        set_up_zone();
+        auto const first = group->leader();
+        core::watch_request request;
+        request.process = core::client_id("p");
+        request.in_force = group->node(first).state().config().current();
+        request.wants_registry = false;
+        request.max_wait = std::chrono::seconds(25);
+        std::vector<core::watch_answer> polls;
+        group->at(first).duties->watch(group->now,
+                                       request,
+                                       [&](core::watch_answer answer)
+                                       { polls.push_back(answer); });
+        group->at(first).cut_off = true;
+        CPPUNIT_ASSERT(
+            group->step_until([&] { return !group->at(first).duties; }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), polls.size());
+        CPPUNIT_ASSERT(polls[0].code == result_code::not_leader);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(leader_duties_test);
+
+} // namespace turmericswitch::control::testing
