load: a run that tests no promise is not a pass

A trial against daemons without a control leader got only not_ready answers and exited with 0. A run without a whole answer or a completed job is now a problem, and answers with the codes draining and not_ready count as not run, so that they are checked against the executions.

--- a/extras/load/run/load_run.cpp
+++ b/extras/load/run/load_run.cpp
@@ -145,6 +145,10 @@
             std::to_string(tally.answered_not_executed) +
             " answered requests are unknown to the stand-ins listed");
     }
+    if (!sends.empty() && tally.answered_whole == 0)
+    {
+        out.problems.emplace_back("no request was answered whole");
+    }
     add_request_counts(out, tally);
     add_latencies(out, settings, sends, load.results);
     add_timing(out, load.timing);
@@ -169,6 +173,10 @@
     auto const last = workers.value_or(worker_executions());
     auto const first = start.workers.value_or(worker_executions());
     auto const tally = tally_jobs(jobs.jobs(), last.finished);
+    if (tally.completed_once + tally.completed_twice == 0)
+    {
+        out.problems.emplace_back("no job was completed");
+    }
     add(out, "jobs_submitted", tally.submitted);
     add(out, "jobs_not_accepted", tally.not_accepted);
     add(out, "jobs_late_no_free_thread", jobs.timing().late_for_threads);
--- a/extras/load/run/request_load.cpp
+++ b/extras/load/run/request_load.cpp
@@ -27,10 +27,24 @@
                : std::string();
 }
 
+// A gateway that stops, or that has no routes yet, refuses requests before
+// they reach the part that adds the outcome.
+bool is_early_refusal(web::http_response const& response)
+{
+    auto const code = text_member(response.body, "name");
+    return response.status >= first_error_status &&
+           (code == core::to_string(core::result_code::draining) ||
+            code == core::to_string(core::result_code::not_ready));
+}
+
 send_end classify_content(web::http_response const& response,
                           std::string const& id)
 {
     auto const answered = text_member(response.body, "id");
+    if (is_early_refusal(response))
+    {
+        return send_end::not_run;
+    }
     bool const is_error = response.status >= first_error_status;
     if (is_error && answered.empty())
     {
--- a/extras/load/tests/load_parts_test.cpp
+++ b/extras/load/tests/load_parts_test.cpp
@@ -217,6 +217,9 @@
         CPPUNIT_ASSERT(class_of(500, "ran", R"({"id":"you"})") ==
                        answered_wrong);
         CPPUNIT_ASSERT(class_of(500, "ran", "oops") == error_answer);
+        CPPUNIT_ASSERT(class_of(503, "", R"({"name":"draining"})") == not_run);
+        CPPUNIT_ASSERT(class_of(200, "", R"({"name":"draining"})") ==
+                       answered_wrong);
         CPPUNIT_ASSERT(class_of(503, "not_run", "{}") == not_run);
         CPPUNIT_ASSERT(class_of(502, "outcome_unknown", "{}") ==
                        outcome_unknown);
--- a/extras/load/tests/load_run_test.cpp
+++ b/extras/load/tests/load_run_test.cpp
@@ -29,6 +29,8 @@
     bool wrong_answer = false;
     bool false_refusal = false;
     bool double_job = false;
+    /// Every request is refused and every job is accepted but not run.
+    bool does_nothing = false;
 };
 
 /// Gateway, backend stand-in, control and worker stand-in on one port.
@@ -79,6 +81,10 @@
 
     web::http_response run(web::http_request const& request)
     {
+        if (m_faults.does_nothing)
+        {
+            return web::error_response(core::result_code::not_ready, "no");
+        }
         auto const id = *web::find_field(request.fields, "X-Request-Id");
         bool const is_keyed =
             web::find_field(request.fields, "Idempotency-Key") != nullptr;
@@ -131,6 +137,10 @@
         // The first try of every submission fails after it was accepted.
         if (m_operations.insert(json::parse(request.body)["operation"]).second)
         {
+            if (m_faults.does_nothing)
+            {
+                return web::json_response(R"({"jobs":[1]})");
+            }
             m_jobs[name] += std::exchange(m_faults.double_job, false) ? 2 : 1;
             return web::error_response(core::result_code::outcome_unknown,
                                        "lost");
@@ -213,6 +223,7 @@
     CPPUNIT_TEST(faultless_system_passes);
     CPPUNIT_TEST(each_fault_is_counted);
     CPPUNIT_TEST(missing_standin_is_not_a_pass);
+    CPPUNIT_TEST(idle_system_is_not_a_pass);
     CPPUNIT_TEST(late_send_shows_missing_threads);
     CPPUNIT_TEST_SUITE_END();
 
@@ -247,7 +258,7 @@
     // Guards against a broken promise that is not reported.
     void each_fault_is_counted()
     {
-        fake_system const system({true, true, true, true});
+        fake_system const system({true, true, true, true, false});
         auto const measured = run_scenario(scenario_for(system.where()), "tag");
         auto values = figures_of(measured);
         CPPUNIT_ASSERT(!is_good(measured));
@@ -274,6 +285,14 @@
         CPPUNIT_ASSERT(!is_good(run_scenario(settings, "tag2")));
     }
 
+    // Guards against a pass in which no promise was put to the test.
+    void idle_system_is_not_a_pass()
+    {
+        fake_system const system({false, false, false, false, true});
+        auto const measured = run_scenario(scenario_for(system.where()), "tag");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, measured.problems.size());
+    }
+
     // Guards against waiting inside the load generator that isn't shown. The
     // first send ends only after the second is due.
     void late_send_shows_missing_threads()
