Make a control instance's stop, disk and membership failures visible

Causes, seen by hand on three instances: a planned stop closed HTTP for 2 s before the leadership was handed over; a storage failure was logged without its reason and /readyz blamed a missing leader; a dead learner kept later ones from being promoted; nothing kept two processes out of one data folder; and two branches checked a used folder in different ways. Changes: leadership is handed over first, the reason is logged as an error and shown by /readyz, every learner is tried, `store::folder_lock` guards the folder, and one check refuses a folder with an identity before its log is opened while an interrupted bootstrap may be repeated.

--- a/modules/store/store.hpp
+++ b/modules/store/store.hpp
@@ -9,6 +9,7 @@
 /// Dependencies: core, wire, xxhash (in the implementation only).
 
 #include "store/files/file_system.hpp"
+#include "store/files/folder_lock.hpp"
 #include "store/files/real_file_system.hpp"
 #include "store/log/log_store.hpp"
 #include "store/state/hard_state_store.hpp"
--- a/programs/control/leader/leader_duties.cpp
+++ b/programs/control/leader/leader_duties.cpp
@@ -251,15 +251,17 @@
 
 void leader_duties::promote_learners()
 {
-    for (auto const& member : m_node.membership().members)
+    // A copy: an accepted change takes effect at once.
+    auto const members = m_node.membership().members;
+    for (auto const& member : members)
     {
         if (member.learner)
         {
-            // Refused until the learner has caught up; tried again later.
+            // Refused until the learner has caught up and while another
+            // change is open; tried again later.
             m_node.change_membership(consensus::membership_change_kind::promote,
                                      member,
                                      [](core::command_reply const&) {});
-            return;
         }
     }
 }
--- a/programs/control/main.cpp
+++ b/programs/control/main.cpp
@@ -7,6 +7,7 @@
 #include "settings/control_settings.hpp"
 #include "shared/daemon/daemon_main.hpp"
 #include "shared/daemon/status_handler.hpp"
+#include "store/files/folder_lock.hpp"
 #include "store/files/real_file_system.hpp"
 #include "wire/codec/protocol_version.hpp"
 
@@ -63,6 +64,11 @@
            process::shutdown_signal& signal)
 {
     telemetry::logger const log("control");
+    auto const lock = store::folder_lock::take(settings.data_folder);
+    if (!lock)
+    {
+        return false;
+    }
     store::real_file_system files;
     auto parts = recover(files, settings, mode, random_seed());
     if (!parts)
@@ -108,6 +114,7 @@
              to_string(http->bound()));
     signal.wait();
 
+    node.hand_over();
     auto const stopped = http->stop();
     node.stop();
     rpc->stop_accepting();
--- a/programs/control/node/control_node.cpp
+++ b/programs/control/node/control_node.cpp
@@ -79,6 +79,13 @@
         }
     };
     hooks.group_changed = [this] { on_group_changed(); };
+    hooks.storage_failed = [this](std::string const& why)
+    {
+        m_storage_failed = true;
+        m_log.error("storage failed, the instance stays silent until it is "
+                    "restarted: " +
+                    why);
+    };
     hooks.log = [this](std::string const& text) { m_log.info(text); };
     return hooks;
 }
@@ -107,7 +114,7 @@
     m_loop.start([this] { on_tick(); });
 }
 
-void control_node::stop()
+void control_node::hand_over()
 {
     m_loop.post(
         [this]
@@ -119,6 +126,10 @@
             }
         });
     std::this_thread::sleep_for(hand_over_time);
+}
+
+void control_node::stop()
+{
     m_loop.stop();
 }
 
@@ -213,6 +224,10 @@
 
 std::string control_node::readiness() const
 {
+    if (m_storage_failed)
+    {
+        return "storage failed; repair the disk and restart the instance";
+    }
     return m_knows_leader ? std::string() : "no leader of the control group";
 }
 
--- a/programs/control/node/control_node.hpp
+++ b/programs/control/node/control_node.hpp
@@ -33,8 +33,11 @@
 
     void start();
 
-    /// Hands leadership over, waits a moment for a successor and ends the
-    /// loop.
+    /// Hands leadership over and waits a moment for a successor. Call it
+    /// before the interfaces stop, so that requests find the successor.
+    void hand_over();
+
+    /// Ends the loop.
     void stop();
 
     void run(process::event_loop::task work);
@@ -54,7 +57,8 @@
     // From any thread.
     telemetry::decision_log& decisions();
     telemetry::metrics_registry& metrics();
-    /// @return Empty when this instance knows a leader, else the reason.
+    /// @return Empty when this instance can write and knows a leader, else
+    /// the reason.
     std::string readiness() const;
 
 private:
@@ -71,6 +75,7 @@
     telemetry::counter& m_elections;
     duty_settings m_duty_settings;
     std::atomic<bool> m_knows_leader = false;
+    std::atomic<bool> m_storage_failed = false;
     std::atomic<std::uint64_t> m_applied_index = 0;
     std::atomic<std::uint64_t> m_revision = 0;
     std::atomic<bool> m_leads = false;
--- a/programs/control/node/recovery.cpp
+++ b/programs/control/node/recovery.cpp
@@ -19,20 +19,12 @@
     return options;
 }
 
-/// @return True if the folder can be given an identity: it has none, and no
-/// more than what an interrupted attempt to create it has left.
-bool may_create(store::hard_state_store& hard_state,
-                consensus::recovered_state const& found,
+/// @return True if the folder has no more than what an interrupted attempt
+/// to create an identity has left.
+bool may_create(consensus::recovered_state const& found,
                 consensus::recovered_state const& first,
                 control_settings const& settings)
 {
-    if (hard_state.has_identity())
-    {
-        return core::fail_bool(core::result_code::io_failed,
-                               settings.data_folder +
-                                   " already has an identity; start the "
-                                   "instance without a mode");
-    }
     bool const is_fresh =
         found.snapshot.last_index.value() == 0 &&
         (found.entries.empty() || found.entries == first.entries);
@@ -93,22 +85,6 @@
                            "bootstrap a group");
 }
 
-bool is_unused(store::file_system& files, std::string const& data_folder)
-{
-    for (char const* const part : {"/state", "/log", "/snapshots"})
-    {
-        auto const names = files.list(data_folder + part);
-        if (names && !names->empty())
-        {
-            return core::fail_bool(core::result_code::io_failed,
-                                   data_folder + part +
-                                       " is not empty; --bootstrap and --join "
-                                       "need an empty data folder");
-        }
-    }
-    return true;
-}
-
 /// A member that joins can only answer peers whose addresses it knows.
 bool names_contacts(control_settings const& settings)
 {
@@ -119,21 +95,23 @@
 }
 
 /// Checks what a new member needs, before any file is touched.
-bool may_start(store::file_system& files,
+bool may_start(store::hard_state_store& hard_state,
                control_settings const& settings,
                start_mode mode)
 {
-    switch (mode)
+    if (mode == start_mode::normal)
     {
-    case start_mode::normal:
-        return true;
-    case start_mode::bootstrap:
-        return lists_member(settings) && is_unused(files, settings.data_folder);
-    case start_mode::join:
-        return names_contacts(settings) &&
-               is_unused(files, settings.data_folder);
+        return has_right_identity(hard_state, settings);
     }
-    return false;
+    if (hard_state.has_identity())
+    {
+        return core::fail_bool(core::result_code::io_failed,
+                               settings.data_folder +
+                                   " already has an identity; start the "
+                                   "instance without a mode");
+    }
+    return mode == start_mode::bootstrap ? lists_member(settings)
+                                         : names_contacts(settings);
 }
 
 } // namespace
@@ -143,16 +121,12 @@
                                      start_mode mode,
                                      std::uint64_t random_seed)
 {
-    if (!may_start(files, settings, mode))
-    {
-        return std::nullopt;
-    }
     store::hard_state_store hard_state(files, settings.data_folder + "/state");
-    store::snapshot_store snapshots(files, settings.data_folder + "/snapshots");
-    if (mode == start_mode::normal && !has_right_identity(hard_state, settings))
+    if (!may_start(hard_state, settings, mode))
     {
         return std::nullopt;
     }
+    store::snapshot_store snapshots(files, settings.data_folder + "/snapshots");
     auto snapshot = snapshots.load_newest();
     if (!snapshot)
     {
@@ -173,7 +147,7 @@
     if (mode != start_mode::normal)
     {
         auto const first = first_state(settings, mode);
-        if (!may_create(hard_state, recovered, first, settings) ||
+        if (!may_create(recovered, first, settings) ||
             !create(hard_state, *log, recovered, first, settings, random_seed))
         {
             return std::nullopt;
--- a/programs/control/node/recovery.hpp
+++ b/programs/control/node/recovery.hpp
@@ -26,8 +26,8 @@
 /// @param files Must outlive the parts.
 /// @return Nothing with `identity_lost`, `log_damaged`, `snapshot_damaged`,
 /// `snapshot_log_mismatch`, `settings_missing_key` or the code of a file
-/// operation. A folder in use is refused with `io_failed` in the modes that
-/// need an empty one.
+/// operation. A folder with an identity is refused with `io_failed` in the
+/// modes that need an empty one.
 std::optional<replica_parts> recover(store::file_system& files,
                                      control_settings const& settings,
                                      start_mode mode,
--- a/programs/control/node/replica.cpp
+++ b/programs/control/node/replica.cpp
@@ -54,7 +54,12 @@
                       feed(consensus::persisted{index, entry_term});
                   });
           },
-          [this] { m_loop.post([this] { fail_storage(); }); })
+          [this]
+          {
+              // The reason belongs to the writer's thread.
+              m_loop.post([this, why = core::last_reason().text]
+                          { fail_storage(why); });
+          })
 {
 }
 
@@ -159,7 +164,7 @@
         m_events.pop_front();
         if (!run_event(next))
         {
-            fail_storage();
+            fail_storage(core::last_reason().text);
         }
     }
     m_is_feeding = false;
@@ -177,14 +182,14 @@
     return true;
 }
 
-void replica::fail_storage()
+void replica::fail_storage(std::string const& why)
 {
     if (m_storage_failed)
     {
         return;
     }
     m_storage_failed = true;
-    m_hooks.log("storage failed, the instance stays silent until restarted");
+    m_hooks.storage_failed(why);
     feed(consensus::storage_failed{});
 }
 
--- a/programs/control/node/replica.hpp
+++ b/programs/control/node/replica.hpp
@@ -32,6 +32,8 @@
     /// Leader or membership changed.
     std::function<void()> group_changed;
     std::function<void(std::string const&)> log;
+    /// A write or sync failed; the member is silent from now on.
+    std::function<void(std::string const&)> storage_failed;
 };
 
 /// What was found on disk when the process started.
@@ -118,7 +120,7 @@
     void on_rejected(consensus::rejected const& output);
     void maybe_snapshot();
     void flush();
-    void fail_storage();
+    void fail_storage(std::string const& why);
     core::command_envelope stamped(core::command_body body) const;
     consensus::ticket next_ticket();
 
--- a/programs/control/tests/replica_group.cpp
+++ b/programs/control/tests/replica_group.cpp
@@ -72,6 +72,10 @@
     settings.election_timeout = std::chrono::milliseconds(500);
     settings.heartbeat_interval = std::chrono::milliseconds(100);
     settings.snapshot_interval = m_snapshot_interval;
+    if (!m_instances.empty())
+    {
+        settings.first_members = at(1).settings.first_members;
+    }
     m_instances.push_back(std::move(added));
     return *m_instances.back();
 }
@@ -131,6 +135,7 @@
     };
     hooks.group_changed = [] {};
     hooks.log = [](std::string const&) {};
+    hooks.storage_failed = [](std::string const&) {};
     return hooks;
 }
 
--- a/programs/control/tests/watch_hub_test.cpp
+++ b/programs/control/tests/watch_hub_test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(poll_ends_after_its_wait);
     CPPUNIT_TEST(registry_changes_wake_only_who_wants_them);
     CPPUNIT_TEST(lease_end_is_a_change);
+    CPPUNIT_TEST(new_leaders_registry_is_held_until_it_is_settled);
     CPPUNIT_TEST(close_answers_not_leader);
     CPPUNIT_TEST_SUITE_END();
 
@@ -88,6 +89,47 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), hub.processes().size());
     }
 
+    // Guards against gateways that drop every backend server because a new
+    // leader's registry is still empty.
+    void new_leaders_registry_is_held_until_it_is_settled()
+    {
+        auto const settled = now + std::chrono::seconds(10);
+        hub.hold_registry_until(settled);
+        core::watch_request request;
+        request.process = core::client_id("g");
+        request.in_force = config.current();
+        request.registry = {core::term(2), core::sequence_number(7)};
+        request.max_wait = std::chrono::seconds(30);
+        auto const take = [this](core::watch_answer answer)
+        { answers.push_back(std::move(answer)); };
+        hub.watch(now, request, take);
+        announce("b");
+        tick();
+        CPPUNIT_ASSERT(answers.empty());
+
+        // A change of the rules leaves what the gateway has in place.
+        change_rules();
+        tick();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), answers.size());
+        CPPUNIT_ASSERT(answers[0].registry == request.registry);
+        CPPUNIT_ASSERT(!answers[0].whole_registry && answers[0].config);
+
+        // A gateway without any registry takes what there is.
+        core::watch_request fresh;
+        fresh.process = core::client_id("f");
+        hub.watch(now, fresh, take);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), answers.size());
+        CPPUNIT_ASSERT(answers[1].whole_registry);
+
+        request.in_force = config.current();
+        hub.watch(now, request, take);
+        now = settled;
+        hub.tick(now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), answers.size());
+        CPPUNIT_ASSERT(answers[2].whole_registry);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), answers[2].changed.size());
+    }
+
     // Guards against a poll that is never answered.
     void poll_ends_after_its_wait()
     {
