Vary how long unsent placements are kept in the worker fuzz

The fuzz gave every unsent placement up after 300 ms, so placements seldom lived until their zone went out. Also fixes two linter findings in store and control.

--- a/modules/cluster_state/tests/fake_cluster.cpp
+++ b/modules/cluster_state/tests/fake_cluster.cpp
@@ -37,7 +37,9 @@
       m_settings{.permit = 1s,
                  .batch_lease = 3s,
                  .service_lease = 5s,
-                 .unsent = 300ms,
+                 // Short gives placements up before a lost start order is
+                 // sent again, long keeps them while their zone goes out.
+                 .unsent = random_below(m_random, 2) == 0 ? 300ms : 3000ms,
                  .drift_permille = 100,
                  .next_heartbeat = 200ms},
       m_leases(m_settings)
--- a/modules/store/log/log_store.cpp
+++ b/modules/store/log/log_store.cpp
@@ -226,7 +226,7 @@
 /// Removes what a failed append left behind; the reason of the failure stays.
 bool log_store::undo_batch(bool is_new_segment)
 {
-    auto const reason = core::last_reason();
+    auto reason = core::last_reason();
     auto const path = path_of(m_segments.back().first);
     bool const opened = m_active != nullptr;
     m_active = nullptr;
--- a/programs/control/node/log_writer.cpp
+++ b/programs/control/node/log_writer.cpp
@@ -57,7 +57,7 @@
                       saved_hook on_saved)
 {
     other_work item;
-    item.run = [this, snapshot, on_saved = std::move(on_saved)]
+    item.run = [this, snapshot = std::move(snapshot), on_saved = std::move(on_saved)]
     {
         if (!m_snapshots.save(*snapshot))
         {
