gateway, sidecar: end when the last call to control has ended

Cause: the sidecar's m_call_open and the gateway's m_open_claims were set when a call began and never reset, so the destructors waited for ever: a sidecar that had announced itself once, and a gateway that had served one keyed request, did not exit on SIGTERM. Change: both are reset as the last step of the call's callback. Seen: every test of program_gateway hung in a destructor before (stopped after 10 s) and ends after.

--- a/programs/gateway/requests/request_runner.cpp
+++ b/programs/gateway/requests/request_runner.cpp
@@ -278,6 +278,8 @@
                 send(routing::end_claim{
                     {command.service, command.key, command.request, false}});
             }
+            // Last, because the destructor waits for it.
+            --m_open_claims;
         });
 }
 
--- a/programs/sidecar/service/sidecar_service.cpp
+++ b/programs/sidecar/service/sidecar_service.cpp
@@ -303,7 +303,11 @@
                    wire::encode(request),
                    announce_timeout,
                    [this](transport::call_result const& result)
-                   { m_loop.post([this, result] { announced(result); }); });
+                   {
+                       m_loop.post([this, result] { announced(result); });
+                       // Last, because the destructor waits for it.
+                       m_call_open = false;
+                   });
 }
 
 void sidecar_service::announced(transport::call_result const& result)
