gateway: test gateways, sidecars and backend servers in one process

A fake control on an rpc_server applies commands to the real state machine. The sidecar's planned stop moves from main.cpp to graceful_stop so that a test can run it.

--- /dev/null
+++ b/programs/gateway/tests/fake_control.cpp
@@ -0,0 +1,136 @@
+#include "gateway/tests/fake_control.hpp"
+
+#include "process/loop/event_loop.hpp"
+#include "wire/codec/message_codec.hpp"
+#include "wire/codec/protocol_version.hpp"
+
+#include <utility>
+
+namespace turmericswitch::testing
+{
+
+fake_control::fake_control(transport::io_pool& io, std::string const& rules)
+    : m_registry(core::term(1), std::chrono::hours(1))
+{
+    run(core::apply_rules{core::operator_id("o"), {}, rules});
+    transport::connection_options options;
+    options.protocol_version = wire::protocol_version;
+    m_rpc = transport::rpc_server::listen(
+        io,
+        {"127.0.0.1", 0},
+        [this](transport::rpc_request const& request,
+               transport::responder const& answer) { handle(request, answer); },
+        options);
+}
+
+fake_control::~fake_control()
+{
+    vanish();
+}
+
+core::endpoint fake_control::where() const
+{
+    return m_rpc->bound();
+}
+
+void fake_control::vanish()
+{
+    m_rpc.reset();
+    std::lock_guard const lock(m_mutex);
+    m_polls.clear();
+}
+
+core::command_reply fake_control::run(core::command_body body)
+{
+    core::command_envelope envelope;
+    envelope.cluster_time = process::event_loop::now();
+    envelope.body = std::move(body);
+    return m_state.apply(core::log_index(++m_index), envelope);
+}
+
+void fake_control::apply(core::command_body body)
+{
+    std::lock_guard const lock(m_mutex);
+    run(std::move(body));
+    answer_polls();
+}
+
+void fake_control::freeze(bool frozen)
+{
+    std::lock_guard const lock(m_mutex);
+    m_frozen = frozen;
+    answer_polls();
+}
+
+std::size_t fake_control::backends() const
+{
+    std::lock_guard const lock(m_mutex);
+    return m_registry.size();
+}
+
+std::size_t fake_control::draining_announces() const
+{
+    std::lock_guard const lock(m_mutex);
+    return m_draining;
+}
+
+void fake_control::handle(transport::rpc_request const& request,
+                          transport::responder const& answer)
+{
+    std::lock_guard const lock(m_mutex);
+    if (request.path == "/watch")
+    {
+        m_polls.push_back(
+            {*wire::decode<core::watch_request>(request.body), answer});
+    }
+    else if (request.path == "/announce")
+    {
+        auto news = *wire::decode<core::announce_request>(request.body);
+        news.entry.place.region = core::region_id("n");
+        m_draining += news.entry.draining ? 1 : 0;
+        auto const& config = m_state.config();
+        answer.answer(wire::encode(
+            m_registry.announce(news,
+                                config.is_leaving(news.entry.backend),
+                                config.current(),
+                                process::event_loop::now())));
+    }
+    else
+    {
+        auto command = *wire::decode<core::command_envelope>(request.body);
+        answer.answer(wire::encode(run(std::move(command.body))));
+    }
+    answer_polls();
+}
+
+void fake_control::answer_polls()
+{
+    auto const& config = m_state.config();
+    std::erase_if(
+        m_polls,
+        [&](poll const& each)
+        {
+            bool const has_config = each.request.in_force < config.current();
+            bool const has_news =
+                has_config || (each.request.wants_registry &&
+                               each.request.registry != m_registry.version());
+            if (m_frozen || !has_news)
+            {
+                return false;
+            }
+            core::watch_answer news;
+            news.current = config.current();
+            if (has_config)
+            {
+                news.config = config.in_force();
+            }
+            if (each.request.wants_registry)
+            {
+                m_registry.changes_since(each.request.registry, news);
+            }
+            each.answer.answer(wire::encode(news));
+            return true;
+        });
+}
+
+} // namespace turmericswitch::testing
--- /dev/null
+++ b/programs/gateway/tests/fake_control.hpp
@@ -0,0 +1,62 @@
+#ifndef TURMERICSWITCH_GATEWAY_TESTS_FAKE_CONTROL_HPP
+#define TURMERICSWITCH_GATEWAY_TESTS_FAKE_CONTROL_HPP
+
+#include "cluster_state/cluster_state.hpp"
+#include "transport/transport.hpp"
+
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace turmericswitch::testing
+{
+
+/// A control instance without consensus: it applies commands at once and
+/// answers polls when something has changed.
+class fake_control
+{
+public:
+    /// @param io Must outlive the control.
+    fake_control(transport::io_pool& io, std::string const& rules);
+    ~fake_control();
+
+    fake_control(fake_control const&) = delete;
+    fake_control& operator=(fake_control const&) = delete;
+
+    core::endpoint where() const;
+
+    void apply(core::command_body body);
+    /// While frozen, polls are held and gateways keep what they have.
+    void freeze(bool frozen);
+    /// Closes the port and all connections.
+    void vanish();
+    std::size_t backends() const;
+    /// Announces that said the sidecar drains.
+    std::size_t draining_announces() const;
+
+private:
+    struct poll
+    {
+        core::watch_request request;
+        transport::responder answer;
+    };
+
+    void handle(transport::rpc_request const& request,
+                transport::responder const& answer);
+    void answer_polls();
+    core::command_reply run(core::command_body body);
+
+    mutable std::mutex m_mutex;
+    cluster_state::state_machine m_state;
+    cluster_state::backend_registry m_registry;
+    std::uint64_t m_index = 0;
+    std::vector<poll> m_polls;
+    bool m_frozen = false;
+    std::size_t m_draining = 0;
+    std::unique_ptr<transport::rpc_server> m_rpc;
+};
+
+} // namespace turmericswitch::testing
+
+#endif
--- /dev/null
+++ b/programs/gateway/tests/request_path_test.cpp
@@ -0,0 +1,234 @@
+#include "gateway/tests/request_path.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace turmericswitch::testing
+{
+
+namespace
+{
+
+constexpr char const* rules =
+    "zone a region=n # asked by A: test\n"
+    "service s slots=8 connections=60 timeout=60s attempts=3 retries=100% "
+    "# asked by A: test\n"
+    "route / service=s idempotent=GET # asked by A: test\n";
+
+} // namespace
+
+class request_path_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(request_path_test);
+    CPPUNIT_TEST(concurrent_requests_get_their_whole_answers);
+    CPPUNIT_TEST(request_to_a_dying_backend_runs_once);
+    CPPUNIT_TEST(draining_sidecar_refuses_and_others_serve);
+    CPPUNIT_TEST(key_is_run_once_through_two_gateways);
+    CPPUNIT_TEST(attempt_for_an_earlier_life_does_not_run);
+    CPPUNIT_TEST(graceful_stop_cuts_nothing);
+    CPPUNIT_TEST(routing_goes_on_without_control);
+    CPPUNIT_TEST_SUITE_END();
+
+    // Guards against answers that are mixed up, cut or missing (invariant 5).
+    void concurrent_requests_get_their_whole_answers()
+    {
+        transport::io_pool io(2);
+        fake_control control(io, rules);
+        echo_backend first;
+        echo_backend second;
+        sidecar_node one(control, "one", first.where(), 11);
+        sidecar_node two(control, "two", second.where(), 12);
+        gateway_node left(control, 1);
+        gateway_node right(control, 2);
+        left.wait_for_backends(2);
+        right.wait_for_backends(2);
+        constexpr int rounds = 25;
+        auto const caller = [](gateway_node& gateway, std::string name)
+        {
+            for (int i = 0; i < rounds; ++i)
+            {
+                auto const body = name + std::to_string(i) +
+                                  std::string(i * 3000, name.front());
+                auto const answer = gateway.post(body);
+                if (outcome_of(answer) != "ran" || answer.body != body)
+                {
+                    return false;
+                }
+            }
+            return true;
+        };
+        std::vector<std::future<bool>> callers;
+        for (char name = 'a'; name < 'g'; ++name)
+        {
+            callers.push_back(std::async(std::launch::async,
+                                         caller,
+                                         std::ref(name % 2 ? left : right),
+                                         std::string(1, name)));
+        }
+        for (auto& each : callers)
+        {
+            CPPUNIT_ASSERT(each.get());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(6 * rounds),
+                             first.hits() + second.hits());
+    }
+
+    // Guards against a second run after a lost answer, and against a caller
+    // told that its request did not run (invariants 6 and 7).
+    void request_to_a_dying_backend_runs_once()
+    {
+        transport::io_pool io(2);
+        fake_control control(io, rules);
+        echo_backend sound;
+        dying_backend dying;
+        sidecar_node one(control, "one", sound.where(), 11);
+        sidecar_node two(control, "two", dying.where(), 12);
+        gateway_node gateway(control, 1);
+        gateway.wait_for_backends(2);
+        std::size_t sent = 0;
+        std::size_t unknown = 0;
+        while (dying.hits() < 3 && sent < 200)
+        {
+            ++sent;
+            auto const answer = gateway.post("x");
+            auto const outcome = outcome_of(answer);
+            unknown += outcome == "outcome_unknown" ? 1 : 0;
+            CPPUNIT_ASSERT(outcome == "outcome_unknown" || answer.body == "x");
+        }
+        CPPUNIT_ASSERT(dying.hits() > 0);
+        CPPUNIT_ASSERT_EQUAL(dying.hits(), unknown);
+        CPPUNIT_ASSERT_EQUAL(sent, dying.hits() + sound.hits());
+    }
+
+    // Guards against new work at a backend server that leaves, and against
+    // callers that fail because of it (invariants 6 and 8).
+    void draining_sidecar_refuses_and_others_serve()
+    {
+        transport::io_pool io(2);
+        fake_control control(io, rules);
+        echo_backend leaving;
+        echo_backend staying;
+        sidecar_node one(control, "one", leaving.where(), 11);
+        sidecar_node two(control, "two", staying.where(), 12);
+        gateway_node gateway(control, 1);
+        gateway.wait_for_backends(2);
+        // The gateway's table still has the leaving one.
+        control.freeze(true);
+        one.service().drain();
+        for (int i = 0; i < 20; ++i)
+        {
+            CPPUNIT_ASSERT_EQUAL(std::string("ran"),
+                                 outcome_of(gateway.post("x")));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), leaving.hits());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(20), staying.hits());
+        wait_for([&] { return control.draining_announces() > 0; });
+    }
+
+    // Guards against a keyed request that a resend through another gateway
+    // runs again, during and after the first (invariant 7).
+    void key_is_run_once_through_two_gateways()
+    {
+        transport::io_pool io(2);
+        fake_control control(io, rules);
+        echo_backend backend;
+        sidecar_node one(control, "one", backend.where(), 11);
+        gateway_node left(control, 1);
+        gateway_node right(control, 2);
+        left.wait_for_backends(1);
+        right.wait_for_backends(1);
+        auto first =
+            left.send({"POST", "/hold", {{"Idempotency-Key", "k"}}, "body"});
+        wait_for([&] { return backend.held() == 1; });
+        CPPUNIT_ASSERT_EQUAL(std::string("outcome_unknown"),
+                             outcome_of(right.post("body", "k", "/hold")));
+        backend.open_gate();
+        auto const answer = first.get();
+        CPPUNIT_ASSERT_EQUAL(std::string("ran"), outcome_of(answer));
+        CPPUNIT_ASSERT_EQUAL(std::string("body"), answer.body);
+        CPPUNIT_ASSERT(outcome_of(right.post("body", "k", "/hold")) != "ran");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), backend.hits());
+    }
+
+    // Guards against an attempt that was meant for an earlier life of the
+    // sidecar. That life may have run a copy of it, so the new one can't say
+    // that it did not run (invariants 6 and 7).
+    void attempt_for_an_earlier_life_does_not_run()
+    {
+        transport::io_pool io(2);
+        fake_control control(io, rules);
+        echo_backend backend;
+        auto one =
+            std::make_unique<sidecar_node>(control, "one", backend.where(), 11);
+        auto const port = one->where().port;
+        gateway_node gateway(control, 1);
+        gateway.wait_for_backends(1);
+        CPPUNIT_ASSERT_EQUAL(std::string("ran"), outcome_of(gateway.post("x")));
+        control.freeze(true);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), one->stop());
+        one.reset();
+        one = std::make_unique<sidecar_node>(
+            control, "one", backend.where(), 12, port);
+        CPPUNIT_ASSERT_EQUAL(std::string("outcome_unknown"),
+                             outcome_of(gateway.post("x")));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), backend.hits());
+        control.freeze(false);
+        wait_for([&] { return outcome_of(gateway.post("x")) == "ran"; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), backend.hits());
+    }
+
+    // Guards against requests cut by a planned stop (invariant 9).
+    void graceful_stop_cuts_nothing()
+    {
+        transport::io_pool io(2);
+        fake_control control(io, rules);
+        echo_backend backend;
+        sidecar_node one(control, "one", backend.where(), 11);
+        gateway_node gateway(control, 1);
+        gateway.wait_for_backends(1);
+        std::vector<std::future<web::http_response>> running;
+        for (int i = 0; i < 4; ++i)
+        {
+            running.push_back(
+                gateway.send({"POST", "/hold", {}, std::to_string(i)}));
+        }
+        wait_for([&] { return backend.held() == 4; });
+        auto cut = std::async(std::launch::async, [&] { return one.stop(); });
+        wait_for([&] { return control.draining_announces() > 0; });
+        CPPUNIT_ASSERT_EQUAL(std::string("not_run"),
+                             outcome_of(gateway.post("late")));
+        backend.open_gate();
+        for (int i = 0; i < 4; ++i)
+        {
+            auto const answer = running[static_cast<std::size_t>(i)].get();
+            CPPUNIT_ASSERT_EQUAL(std::string("ran"), outcome_of(answer));
+            CPPUNIT_ASSERT_EQUAL(std::to_string(i), answer.body);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), cut.get());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), backend.hits());
+    }
+
+    // Guards against a gateway that needs control for each request, and
+    // against a keyed request that runs without its claim (invariant 7).
+    void routing_goes_on_without_control()
+    {
+        transport::io_pool io(2);
+        fake_control control(io, rules);
+        echo_backend backend;
+        sidecar_node one(control, "one", backend.where(), 11);
+        gateway_node gateway(control, 1);
+        gateway.wait_for_backends(1);
+        control.vanish();
+        for (int i = 0; i < 20; ++i)
+        {
+            CPPUNIT_ASSERT_EQUAL(std::string("ran"),
+                                 outcome_of(gateway.post("x")));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string("not_run"),
+                             outcome_of(gateway.post("x", "key")));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(20), backend.hits());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(request_path_test);
+
+} // namespace turmericswitch::testing
--- a/programs/sidecar/main.cpp
+++ b/programs/sidecar/main.cpp
@@ -1,11 +1,10 @@
 #include "shared/control_link/config_watch.hpp"
 #include "shared/daemon/daemon_main.hpp"
 #include "shared/daemon/status_handler.hpp"
-#include "sidecar/service/sidecar_service.hpp"
+#include "sidecar/service/graceful_stop.hpp"
 #include "wire/codec/protocol_version.hpp"
 
 #include <random>
-#include <thread>
 
 namespace turmericswitch::sidecar
 {
@@ -31,9 +30,6 @@
 constexpr std::size_t io_threads = 2;
 /// Status pages only.
 constexpr unsigned http_threads = 4;
-constexpr core::duration stop_poll = std::chrono::milliseconds(10);
-/// Lets gateways learn of the drain before the port closes.
-constexpr core::duration route_change_time = std::chrono::milliseconds(500);
 
 std::uint64_t random_number()
 {
@@ -41,30 +37,6 @@
     return (std::uint64_t{device()} << 32U) | device();
 }
 
-/// Finishes what is in progress.
-///
-/// @return Requests that were cut because the limit passed.
-std::size_t stop_gracefully(sidecar_service& service,
-                            transport::rpc_server& rpc,
-                            core::duration limit)
-{
-    auto const began = process::event_loop::now();
-    service.drain();
-    std::this_thread::sleep_for(route_change_time);
-    auto const is_late = [&]
-    { return process::event_loop::now() - began > limit; };
-    while (service.running() > 0 && !is_late())
-    {
-        std::this_thread::sleep_for(stop_poll);
-    }
-    rpc.stop_accepting();
-    while (!rpc.drained() && !is_late())
-    {
-        std::this_thread::sleep_for(stop_poll);
-    }
-    return std::max(service.running(), rpc.open_calls());
-}
-
 bool serve(sidecar_settings const& settings, process::shutdown_signal& signal)
 {
     telemetry::logger const log("sidecar");
@@ -124,7 +96,7 @@
     signal.wait();
 
     auto const in_progress = service.running();
-    auto const cut = stop_gracefully(service, *rpc, settings.drain_limit);
+    auto const cut = stop_gracefully(service, *rpc, {settings.drain_limit});
     log.info(
         "stopped: " + std::to_string(in_progress - std::min(cut, in_progress)) +
         " requests in progress finished, " + std::to_string(cut) + " cut");
