sidecar: leave under any name, and never by an earlier revision

Cause: the sidecar compared its backend server's name from the settings with the canonical names of the leaving rules, so under another name it went on serving until an announce told it to drain, and each configuration ended that drain again. A configuration or an announce answer of a deposed leader with a lower revision than the one in force could end a drain. Change: the own name is resolved first; a lower revision is ignored in both. Seen: leaves_by_a_rule_under_another_name never saw the drain (stopped after 8 s) and earlier_configuration_ends_no_drain got 'ran' before; both pass.

--- a/programs/sidecar/service/sidecar_service.cpp
+++ b/programs/sidecar/service/sidecar_service.cpp
@@ -335,7 +335,9 @@
     }
     m_registered = true;
     m_next_announce = now + answer->lease / announces_per_lease;
-    if (answer->drain != m_rules_drain)
+    // An answer made before the configuration in force says nothing about it.
+    bool const is_current = answer->current >= m_admission.in_force();
+    if (is_current && answer->drain != m_rules_drain)
     {
         m_rules_drain = answer->drain;
         m_log.info(m_rules_drain ? "operators drain this backend server"
@@ -357,6 +359,11 @@
 void sidecar_service::apply(core::configuration const& config,
                             core::revision revision)
 {
+    if (revision < m_admission.in_force())
+    {
+        // Of a deposed leader; a process never goes to a lower revision.
+        return;
+    }
     auto limits = limits_of(m_settings);
     auto const service =
         canonical(config, core::name_kind::service, m_settings.service.value());
@@ -378,11 +385,14 @@
         is_out = is_out || (rule.zone.value() == zone &&
                             rule.state == core::zone_state::out_of_service);
     }
+    // Rules in force hold canonical names; the settings may have another.
+    auto const backend = canonical(
+        config, core::name_kind::instance, m_settings.backend.value());
     bool const is_leaving =
         std::any_of(config.leaving.begin(),
                     config.leaving.end(),
-                    [this](core::leaving_rule const& rule)
-                    { return rule.backend == m_settings.backend; });
+                    [&backend](core::leaving_rule const& rule)
+                    { return rule.backend.value() == backend; });
     auto const now = process::event_loop::now();
     perform(m_admission.configure(now, revision, limits, is_out));
     if (is_leaving != m_rules_drain)
