--- a/programs/gateway/requests/request_runner.cpp
+++ b/programs/gateway/requests/request_runner.cpp
@@ -300,6 +300,7 @@
                                  call->command.request,
                                  false}});
     }
+    // Last, because the destructor waits for it.
     --m_open_claims;
 }
 
