Measure net progress around a zone that leaves

Cause: first fit's gross progress while a zone is out includes work that it loses again when tasks are killed for memory or their zone goes.

--- a/extras/bench/placement_bench/placement_bench.cpp
+++ b/extras/bench/placement_bench/placement_bench.cpp
@@ -68,7 +68,7 @@
 
 void print_header()
 {
-    std::printf("%-10s %-10s %6s %6s %6s %6s %6s %7s %6s %6s %6s %6s %6s "
+    std::printf("%-10s %-10s %6s %6s %6s %6s %6s %7s %7s %6s %6s %6s %6s %6s "
                 "%6s %5s %5s\n",
                 "mix",
                 "policy",
@@ -78,6 +78,7 @@
                 "wait99",
                 "done%",
                 "zone_ch",
+                "zone_kp",
                 "evict",
                 "kills",
                 "lost",
@@ -93,8 +94,8 @@
                bench::night_result const& night,
                std::string const& seed)
 {
-    std::printf("%-10s %-10s %6.2f %6.3f %6.2f %6.1f %6.1f %7.1f %6zu %6zu "
-                "%6.1f %6.2f %6zu %6zu %5zu %5s\n",
+    std::printf("%-10s %-10s %6.2f %6.3f %6.2f %6.1f %6.1f %7.1f %7.1f %6zu "
+                "%6zu %6.1f %6.2f %6zu %6zu %5zu %5s\n",
                 mix_name.c_str(),
                 policy_name.c_str(),
                 night.p99_slowdown,
@@ -103,6 +104,7 @@
                 night.urgent_p99_wait_s,
                 100 * night.batch_done / night.batch_due,
                 night.done_around_zone_out,
+                night.kept_around_zone_out,
                 night.evictions,
                 night.memory_kills,
                 night.lost_work,
@@ -135,6 +137,7 @@
                               &result::batch_done,
                               &result::batch_due,
                               &result::done_around_zone_out,
+                              &result::kept_around_zone_out,
                               &result::lost_work,
                               &result::service_down_hours})
     {
--- a/extras/bench/placement_bench/virtual_fleet.cpp
+++ b/extras/bench/placement_bench/virtual_fleet.cpp
@@ -164,7 +164,7 @@
         auto const tasks = worker.tasks();
         for (auto const& [job, task] : tasks)
         {
-            lose(now_s + lease_end_s, worker, job);
+            lose(now_s, now_s + lease_end_s, worker, job);
         }
     }
 }
@@ -194,6 +194,7 @@
         if (now_s >= zone_out_s && now_s < zone_watch_end_s)
         {
             m_result.done_around_zone_out += batch_after - batch_before;
+            m_result.kept_around_zone_out += batch_after - batch_before;
         }
         finish_tasks(now_s, worker);
         kill_for_memory(now_s, worker);
@@ -234,14 +235,23 @@
     }
 }
 
-void virtual_fleet::lose(double now_s, virtual_worker& worker, core::job_id job)
+void virtual_fleet::lose(double lost_s,
+                         double retry_s,
+                         virtual_worker& worker,
+                         core::job_id job)
 {
     auto const& task = worker.tasks().at(job);
     if (!task.job->is_service())
     {
         m_result.lost_work += core_hours(*task.job, task.done_s - task.saved_s);
     }
-    m_requeues.push_back({now_s, job, task.saved_s});
+    if (is_batch(*task.job) && lost_s >= zone_out_s &&
+        lost_s < zone_watch_end_s)
+    {
+        m_result.kept_around_zone_out -=
+            core_hours(*task.job, task.done_s - task.saved_s);
+    }
+    m_requeues.push_back({retry_s, job, task.saved_s});
     worker.tasks().erase(job);
     m_holder.erase(job);
 }
@@ -262,7 +272,7 @@
         auto const attempt = largest->second.attempt;
         ++m_result.memory_kills;
         m_planner.job_evicting(at(now_s), job, attempt);
-        lose(now_s + kill_retry_s, worker, job);
+        lose(now_s, now_s + kill_retry_s, worker, job);
     }
 }
 
--- a/extras/bench/placement_bench/virtual_fleet.hpp
+++ b/extras/bench/placement_bench/virtual_fleet.hpp
@@ -22,6 +22,9 @@
     double batch_due = 0;
     /// Core hours of batch progress from zone out to half an hour after in.
     double done_around_zone_out = 0;
+    /// The same without the progress that was lost in this time because a
+    /// task was killed for memory or its zone went.
+    double kept_around_zone_out = 0;
     double lost_work = 0;
     double service_down_hours = 0;
     std::size_t evictions = 0;
@@ -65,7 +68,11 @@
     void advance_tasks(double now_s);
     void finish_tasks(double now_s, virtual_worker& worker);
     void kill_for_memory(double now_s, virtual_worker& worker);
-    void lose(double now_s, virtual_worker& worker, core::job_id job);
+    /// Takes a task away; it waits again from its checkpoint on at `retry_s`.
+    void lose(double lost_s,
+              double retry_s,
+              virtual_worker& worker,
+              core::job_id job);
     void measure(double now_s);
     void deliver_samples(double now_s);
     void take_requeues(double now_s);
