Stop reservations from growing with every generation

Cause: usage_model took the peak's bucket (rounded up by 19 %) times 1.1 or 1.2. A task that uses all it gets reported its reservation as its peak, so each generation reserved up to 1.3 times more. A running task's wanted amount carried the same margin, so a task exactly at its limit counted as short and batch was evicted for it. Batch processors could shrink instead: a task held to a reservation below its declaration lowered the median. Change: each task contributes a demand: peak with margin, but not above a placed reservation that it did not exceed by more than 2 %. Results are bounded by the highest demand, exactly. A running task's wanted amount stays within its placed reservation unless its use, carried forward by its growth, exceeds that by more than 2 %. Batch at its processor limit contributes its declaration. Tests: elastic kind over 50 generations (500 became 563 before) and elastic tasks at their limit (evicted before); both failed before. The test observed_growth_evicts_batch_before_the_worker_is_full reported a use equal to the reservation, which is now enough by definition. It now covers growth towards the reservation and use 2.5 % above it.

--- a/modules/placement/model/usage_model.hpp
+++ b/modules/placement/model/usage_model.hpp
@@ -14,31 +14,46 @@
 
 /// Learns what tasks of a kind and team really use.
 ///
-/// Use it to size a reservation. Every task contributes its peak so far, so a
-/// long task with many small samples does not hide its one high sample.
+/// Use it to size a reservation. Every task contributes its demand so far, so
+/// a long task with many small samples does not hide its one high sample.
 class usage_model
 {
 public:
-    /// Moves one task's contribution from its earlier to its new peak.
+    /// @return True if the use is above the reservation by more than
+    /// inaccurate measurement explains.
+    static bool exceeds(std::int64_t used, std::int64_t reserved) noexcept;
+
+    /// What a like task should reserve. The margin for peaks that no sample
+    /// caught does not go beyond a reservation that was enough: tasks that
+    /// use whatever they get would otherwise reserve more each time.
+    ///
+    /// @param peak Highest use so far.
+    /// @param placed What the task reserved when it was placed.
+    static core::resources demand(core::resources const& peak,
+                                  core::resources const& placed,
+                                  core::resources const& declared,
+                                  bool is_batch);
+
+    /// Moves one task's contribution from its earlier to its new demand.
     ///
     /// @param earlier Zero for the task's first sample.
-    void raise_peak(core::time_point now,
-                    kind_index kind,
-                    core::team_id const& team,
-                    core::resources const& earlier,
-                    core::resources const& peak);
+    void change_demand(core::time_point now,
+                       kind_index kind,
+                       core::team_id const& team,
+                       core::resources const& earlier,
+                       core::resources const& demand);
 
-    /// A task ran to its end, so its peak is known for certain.
+    /// A task ran to its end, so its demand is known for certain.
     void finished(kind_index kind, core::team_id const& team);
 
     /// @return Processors and memory to reserve: the larger of declared and
-    /// the observed high quantile with margin. Processors of batch go below
+    /// the observed high quantile of demands. Processors of batch go below
     /// the declaration once enough tasks were seen, because a processor that
     /// turns out to be missing only slows batch down. Memory can't be taken
     /// back without stopping a task, so it goes below the declaration only
     /// for batch (which can be evicted before the worker is full), only after
     /// enough tasks of the same kind and team ran to their end, and only to
-    /// the highest of their peaks with a wider margin. Accelerators never do.
+    /// the highest of their demands. Accelerators never do.
     core::resources reservation(kind_index kind,
                                 core::team_id const& team,
                                 core::resources const& declared,
@@ -52,10 +67,13 @@
     static constexpr std::size_t buckets = 176;
     using histogram = std::array<std::uint16_t, buckets>;
 
-    struct peaks
+    struct demands
     {
         histogram cpu{};
         histogram memory{};
+        /// Highest so far, exact: the upper bound of a bucket is up to 19 %
+        /// above what was contributed.
+        core::resources highest;
         std::uint32_t tasks = 0;
         std::uint32_t finished = 0;
         core::time_point updated{};
@@ -68,15 +86,15 @@
     static std::int64_t quantile_of(histogram const& counts, double share);
     static std::int64_t highest(histogram const& counts);
     static void move(histogram& counts, std::int64_t from, std::int64_t to);
-    static void halve(peaks& entry);
+    static void halve(demands& entry);
 
-    void raise_entry(core::time_point now,
-                     key const& id,
-                     core::resources const& earlier,
-                     core::resources const& peak);
-    peaks const* best_known(kind_index kind, core::team_id const& team) const;
+    void change_entry(core::time_point now,
+                      key const& id,
+                      core::resources const& earlier,
+                      core::resources const& demand);
+    demands const* best_known(kind_index kind, core::team_id const& team) const;
 
-    std::map<key, peaks> m_peaks;
+    std::map<key, demands> m_demands;
 };
 
 } // namespace turmericswitch::placement
--- a/modules/placement/policy/pressure_ladder.cpp
+++ b/modules/placement/policy/pressure_ladder.cpp
@@ -27,15 +27,6 @@
 // still expects harm, so that it gets a chance to be proven wrong.
 constexpr int holds_to_retry = 4;
 
-core::resources scaled(core::resources const& amount, double factor)
-{
-    auto const times = [factor](std::int64_t value)
-    { return static_cast<std::int64_t>(static_cast<double>(value) * factor); };
-    return {core::millicores(times(amount.cpu.value())),
-            core::byte_count(times(amount.memory.value())),
-            amount.accelerators};
-}
-
 core::resources bounded(core::resources const& used,
                         core::resources const& capacity)
 {
@@ -45,6 +36,39 @@
             std::min(positive.accelerators, capacity.accelerators)};
 }
 
+/// @return Memory that the task took since the measurement if it goes on
+/// growing as before; 0 when it shrinks.
+std::int64_t growth_since(core::time_point now,
+                          core::time_point measured_at,
+                          task_entry const& task,
+                          core::resources const& used)
+{
+    auto const step = measured_at - task.last_measured;
+    if (task.last_measured <= task.placed_at || step.count() <= 0)
+    {
+        return 0;
+    }
+    auto const ahead = std::min(now - measured_at, longest_lookahead);
+    double const grown =
+        static_cast<double>((used.memory - task.last_used.memory).value());
+    double const steps =
+        static_cast<double>(ahead.count()) / static_cast<double>(step.count());
+    return static_cast<std::int64_t>(std::max(0.0, grown * steps));
+}
+
+/// @param used Use when it was measured.
+/// @param ahead Use expected by now from a late measurement.
+/// @return Use with margin, but not above a placed reservation that holds it.
+std::int64_t
+wanted_for(std::int64_t used, std::int64_t ahead, std::int64_t placed)
+{
+    auto const margin = static_cast<std::int64_t>(static_cast<double>(used) *
+                                                  (growth_margin - 1));
+    auto const wanted = ahead + margin;
+    return usage_model::exceeds(ahead, placed) ? wanted
+                                               : std::min(wanted, placed);
+}
+
 double load_of(std::vector<occupant> const& present)
 {
     double load = 0;
@@ -94,26 +118,23 @@
         return;
     }
     m_state.processors.measured(used.cpu, task.reserved.cpu);
-    auto const peak = core::component_max(task.peak, used);
-    if (peak != task.peak)
-    {
-        m_state.usage.raise_peak(
-            now, task.kind, task.spec.team, task.peak, peak);
-        task.peak = peak;
-    }
-    task.wanted = scaled(used, growth_margin);
-    auto const step = measured_at - task.last_measured;
-    if (task.last_measured > task.placed_at && step.count() > 0)
+    task.peak = core::component_max(task.peak, used);
+    auto const demand = usage_model::demand(
+        task.peak, task.placed, task.spec.declared, task.is_batch());
+    if (demand != task.demand)
     {
-        auto const ahead = std::min(now - measured_at, longest_lookahead);
-        double const grown =
-            static_cast<double>((used.memory - task.last_used.memory).value());
-        double const steps = static_cast<double>(ahead.count()) /
-                             static_cast<double>(step.count());
-        auto const more =
-            static_cast<std::int64_t>(std::max(0.0, grown * steps));
-        task.wanted.memory += core::byte_count(more);
+        m_state.usage.change_demand(
+            now, task.kind, task.spec.team, task.demand, demand);
+        task.demand = demand;
     }
+    auto const memory = used.memory.value();
+    auto const ahead = memory + growth_since(now, measured_at, task, used);
+    auto const cpu = used.cpu.value();
+    task.wanted.cpu =
+        core::millicores(wanted_for(cpu, cpu, task.placed.cpu.value()));
+    task.wanted.memory =
+        core::byte_count(wanted_for(memory, ahead, task.placed.memory.value()));
+    task.wanted.accelerators = used.accelerators;
     if (task.is_batch() && used.cpu < task.reserved.cpu + task.reserved.cpu)
     {
         // Batch takes processors above its reservation only while idle.
--- a/modules/placement/state/fleet.cpp
+++ b/modules/placement/state/fleet.cpp
@@ -152,8 +152,10 @@
     auto& entry = m_workers[slot];
     task.slot = slot;
     task.reserved = reserved;
+    task.placed = reserved;
     task.charged = charged;
     task.peak = {};
+    task.demand = {};
     task.wanted = {};
     task.last_used = {};
     task.last_measured = {};
--- a/modules/placement/state/task_entry.hpp
+++ b/modules/placement/state/task_entry.hpp
@@ -50,8 +50,12 @@
     std::size_t slot = 0;
     core::attempt_number attempt;
     core::resources reserved;
+    /// Reserved when the attempt was placed, before any growth.
+    core::resources placed;
     core::resources charged;
     core::resources peak;
+    /// What `usage_model` has counted for it.
+    core::resources demand;
     core::resources last_used;
     /// Latest use with margin; above the reservation when the worker is short.
     core::resources wanted;
--- a/modules/placement/tests/interference_test.cpp
+++ b/modules/placement/tests/interference_test.cpp
@@ -23,6 +23,8 @@
     CPPUNIT_TEST(batch_goes_to_the_worker_without_services);
     CPPUNIT_TEST(observed_growth_evicts_batch_before_the_worker_is_full);
     CPPUNIT_TEST(under_declared_kind_reserves_what_it_used);
+    CPPUNIT_TEST(elastic_kind_keeps_its_size_over_generations);
+    CPPUNIT_TEST(elastic_tasks_at_their_limit_lead_to_no_eviction);
     CPPUNIT_TEST_SUITE_END();
 
     static core::time_point at(int seconds)
@@ -226,26 +228,35 @@
         }
     }
 
-    // Guards against memory that runs out before anything is done.
+    // Guards against memory that runs out before anything is done: use that
+    // grows towards the reservation, and use that is above it.
     void observed_growth_evicts_batch_before_the_worker_is_full()
     {
-        fake_cluster cluster;
-        cluster.add_worker("w");
-        cluster.add_job(1, amount(100, 4000));
-        cluster.add_job(2, amount(100, 4000));
-        cluster.tick();
-        cluster.tick(std::chrono::seconds(60));
-        cluster.policy().job_checkpointed(
-            cluster.now(), core::job_id(2), core::attempt_number(1));
-        cluster.report(1, amount(100, 4000));
-        cluster.report(2, amount(100, 2000));
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
-                             cluster.tick().batch.evictions.size());
-        // The eviction under way is enough.
-        CPPUNIT_ASSERT(cluster.tick().batch.evictions.empty());
-        auto const reserved =
-            cluster.policy().reserved_on(core::worker_id("w"));
-        CPPUNIT_ASSERT(core::fits_in(reserved, amount(8000, 8000, 1)));
+        for (auto const& [earlier, later] :
+             {std::pair(3500, 3900), std::pair(4100, 4100)})
+        {
+            fake_cluster cluster;
+            cluster.add_worker("w");
+            cluster.add_job(1, amount(100, 4000));
+            cluster.add_job(2, amount(100, 4000));
+            cluster.tick();
+            cluster.tick(std::chrono::seconds(60));
+            cluster.policy().job_checkpointed(
+                cluster.now(), core::job_id(2), core::attempt_number(1));
+            cluster.report(1, amount(100, earlier));
+            cluster.report(2, amount(100, 2000));
+            auto evictions = cluster.tick().batch.evictions.size();
+            CPPUNIT_ASSERT_EQUAL(std::size_t{earlier > 4000}, evictions);
+            cluster.tick(std::chrono::seconds(10));
+            cluster.report(1, amount(100, later));
+            evictions += cluster.tick().batch.evictions.size();
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, evictions);
+            // The eviction under way is enough.
+            CPPUNIT_ASSERT(cluster.tick().batch.evictions.empty());
+            auto const reserved =
+                cluster.policy().reserved_on(core::worker_id("w"));
+            CPPUNIT_ASSERT(core::fits_in(reserved, amount(8000, 8000, 1)));
+        }
     }
 
     // Guards against the same under-declaration filling one worker again.
@@ -266,6 +277,51 @@
         auto const& reserved = cluster.running.at(core::job_id(7)).reserved;
         CPPUNIT_ASSERT(reserved.memory >= core::byte_count(3000));
     }
+
+    // Guards against a margin on each generation's reservation in turn, and
+    // against batch that shrinks because it was held to its reservation.
+    void elastic_kind_keeps_its_size_over_generations()
+    {
+        for (auto const priority :
+             {core::priority_class::urgent, core::priority_class::batch})
+        {
+            fake_cluster cluster;
+            cluster.add_worker("w", "a", amount(32000, 32000));
+            for (std::uint64_t id = 1; id <= 50; ++id)
+            {
+                cluster.add_job(id, amount(500, 600), priority);
+                cluster.tick(std::chrono::minutes(1));
+                auto const reserved =
+                    cluster.running.at(core::job_id(id)).reserved;
+                CPPUNIT_ASSERT_EQUAL(std::int64_t{500}, reserved.cpu.value());
+                CPPUNIT_ASSERT_EQUAL(std::int64_t{600},
+                                     reserved.memory.value());
+                cluster.tick(std::chrono::minutes(1));
+                // Measured a little above, as an inexact sample may be.
+                cluster.report(id, amount(505, 606));
+                cluster.finish(id);
+            }
+        }
+    }
+
+    // Guards against eviction for a shortage that is only the margin.
+    void elastic_tasks_at_their_limit_lead_to_no_eviction()
+    {
+        fake_cluster cluster;
+        cluster.add_worker("w");
+        cluster.add_job(
+            1, amount(4000, 4000), core::priority_class::urgent, "proof");
+        cluster.add_job(2, amount(4000, 4000));
+        cluster.tick();
+        for (int i = 0; i < 30; ++i)
+        {
+            cluster.tick(std::chrono::seconds(60));
+            // Inexact samples look like a small growth.
+            cluster.report(1, amount(4000, 3990 + i % 2 * 20));
+            cluster.report(2, amount(4000, 3990 + i % 3 * 10));
+            CPPUNIT_ASSERT(cluster.tick().batch.evictions.empty());
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(interference_test);
