Rank restored tasks again once the calendar time is known

Cause: task_restored before the first tick ranked deadlines with a wall clock offset of zero, so a restored task looked later than all others. Change: the first tick ranks all tasks that hold capacity again.

--- a/modules/placement/planner.cpp
+++ b/modules/placement/planner.cpp
@@ -326,6 +326,17 @@
     task.ranked = true;
 }
 
+void planner::rank_restored()
+{
+    for (auto& [job, task] : m_state.workers.jobs())
+    {
+        if (task.holds_capacity())
+        {
+            rank(task);
+        }
+    }
+}
+
 void planner::rank_new_jobs()
 {
     tick_decisions& decisions = m_pending;
@@ -397,6 +408,10 @@
 tick_decisions planner::tick(core::time_point now, core::wall_time wall)
 {
     m_wall_offset = wall.time_since_epoch() - now.time_since_epoch();
+    if (!std::exchange(m_ticked, true))
+    {
+        rank_restored();
+    }
     if (now - m_zones_applied >= zone_check)
     {
         m_mover.apply(now);
--- a/modules/placement/planner.hpp
+++ b/modules/placement/planner.hpp
@@ -120,6 +120,8 @@
     task_entry* active(core::job_id job, core::attempt_number attempt);
     void rank(task_entry& task);
     void rank_new_jobs();
+    /// Ranks tasks that were restored before the calendar time was known.
+    void rank_restored();
     void enqueue(core::time_point now, task_entry& task);
     void stop(task_entry& task,
               core::result_code code,
@@ -137,7 +139,9 @@
     /// Queued since the last tick: not yet ranked nor checked for fit.
     std::set<core::job_id> m_new_jobs;
     std::set<std::size_t> m_retiring;
+    /// Known from the first tick on.
     core::duration m_wall_offset{};
+    bool m_ticked = false;
     core::time_point m_zones_applied{};
     core::time_point m_ranked_all{};
 };
