Keep room for urgent jobs on a third of the open workers at most

Cause: urgent_room kept room on 3 to 8 workers whatever the fleet's size; with 4 workers that closed most of the fleet to batch. Change: at most a third of the open workers, at least one. Test room_for_urgent_jobs_leaves_most_workers_to_batch (1, 4, 7 workers) failed before with 4 workers (5 of 8 tasks placed, 7 expected).

--- a/modules/placement/policy/urgent_room.hpp
+++ b/modules/placement/policy/urgent_room.hpp
@@ -19,7 +19,9 @@
     void started(core::resources const& need);
 
     /// Starts a new tick.
-    void age(core::time_point now);
+    /// @param open_workers Workers that take starts, of which a third at most
+    /// (but one) keeps room.
+    void age(core::time_point now, std::size_t open_workers);
 
     /// @return Room for one urgent job.
     core::resources need() const noexcept;
@@ -33,6 +35,7 @@
     std::size_t m_this_tick = 0;
     std::size_t m_most = 0;
     std::size_t m_earlier_most = 0;
+    std::size_t m_open_workers = 0;
     core::time_point m_period_start{};
 };
 
--- a/modules/placement/state/fleet.cpp
+++ b/modules/placement/state/fleet.cpp
@@ -246,6 +246,14 @@
     return open - worker.reserved;
 }
 
+std::size_t fleet::open_workers() const
+{
+    auto const open = [this](worker_entry const& worker)
+    { return is_open(worker); };
+    return static_cast<std::size_t>(
+        std::count_if(m_workers.begin(), m_workers.end(), open));
+}
+
 void fleet::refresh(std::size_t slot)
 {
     m_index.set(slot, open_capacity(m_workers[slot]));
--- a/modules/placement/state/fleet.hpp
+++ b/modules/placement/state/fleet.hpp
@@ -60,6 +60,9 @@
     /// @return Capacity open to new starts; negative when closed.
     core::resources open_capacity(worker_entry const& worker) const;
 
+    /// @return Workers that take starts, full ones included.
+    std::size_t open_workers() const;
+
     /// @return 0 when the worker is absent, lost or out of service, else the
     /// share of its capacity that is open to starts.
     double open_share_of(std::size_t slot) const;
--- a/modules/placement/tests/planner_test.cpp
+++ b/modules/placement/tests/planner_test.cpp
@@ -28,6 +28,8 @@
     CPPUNIT_TEST(job_that_fails_everywhere_is_stopped);
     CPPUNIT_TEST(dropped_placement_frees_its_worker);
     CPPUNIT_TEST(evicted_task_holds_capacity_until_requeued);
+    CPPUNIT_TEST(room_for_urgent_jobs_leaves_most_workers_to_batch);
+    CPPUNIT_TEST(restored_deadline_is_calendar_time);
     CPPUNIT_TEST_SUITE_END();
 
     static std::size_t placed(tick_decisions const& decisions)
@@ -393,6 +395,63 @@
         cluster.requeue(1);
         CPPUNIT_ASSERT(placed(cluster.tick()) >= 1);
     }
+
+    // Guards against a small fleet that is closed to batch for one urgent job.
+    void room_for_urgent_jobs_leaves_most_workers_to_batch()
+    {
+        for (std::size_t const workers : {1, 4, 7})
+        {
+            fake_cluster cluster;
+            for (std::size_t i = 0; i < workers; ++i)
+            {
+                cluster.add_worker("w" + std::to_string(i));
+            }
+            cluster.add_job(
+                1, amount(500, 100), core::priority_class::urgent, "proof");
+            cluster.tick();
+            cluster.finish(1);
+            for (std::uint64_t id = 2; id < 2 + 2 * workers; ++id)
+            {
+                cluster.add_job(id, amount(4000, 100));
+            }
+            cluster.tick();
+            auto const kept = std::max<std::size_t>(1, workers / 3);
+            CPPUNIT_ASSERT_EQUAL(2 * workers - kept, cluster.running.size());
+        }
+    }
+
+    // Guards against deadlines of restored tasks read as the monotonic time.
+    void restored_deadline_is_calendar_time()
+    {
+        planner policy;
+        core::time_point now(std::chrono::hours(2));
+        core::wall_time const wall(std::chrono::hours(500'000));
+        core::worker_description worker;
+        worker.worker = core::worker_id("w");
+        worker.place.zone = core::zone_id("a");
+        worker.capacity = amount(8000, 8000);
+        policy.worker_changed(now, worker);
+        restored_task restored;
+        restored.job.job = core::job_id(2);
+        restored.job.deadline = wall + std::chrono::hours(5);
+        restored.attempt = core::attempt_number(1);
+        restored.worker = worker.worker;
+        restored.reserved = amount(100, 100);
+        policy.task_restored(now, restored);
+        policy.tick(now, wall);
+        auto later = restored.job;
+        later.job = core::job_id(1);
+        later.deadline = wall + std::chrono::hours(10);
+        later.declared = amount(100, 100);
+        policy.job_queued(now, later);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, placed(policy.tick(now, wall)));
+        policy.zone_changed(
+            now, core::zone_id("a"), core::zone_state::out_of_service);
+        now += std::chrono::minutes(5);
+        auto const decisions = policy.tick(now, wall + std::chrono::minutes(5));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, decisions.batch.evictions.size());
+        CPPUNIT_ASSERT(decisions.batch.evictions[0].job == core::job_id(2));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(planner_test);
