Keep batch off the workers that come closest to room for urgent jobs

Cause: batch was kept only from workers that had the whole room. Change: while fewer workers than wanted have room, batch does not start on the workers that miss least of it, and no large batch job holds them. Test room_made_for_an_urgent_job_stays_for_the_next failed before.

--- a/modules/placement/policy/placement_pass.cpp
+++ b/modules/placement/policy/placement_pass.cpp
@@ -89,7 +89,7 @@
 
 void placement_pass::run()
 {
-    m_state.spare.age(m_now, m_state.workers.open_workers());
+    m_state.spare.age(m_now, m_state.workers);
     place_class(core::priority_class::urgent);
     place_class(core::priority_class::service);
     place_at_risk();
--- a/modules/placement/policy/urgent_room.cpp
+++ b/modules/placement/policy/urgent_room.cpp
@@ -15,6 +15,20 @@
 // On a small fleet a fixed number of workers would close most of it to batch.
 constexpr std::size_t workers_per_room = 3;
 
+double missing_part(core::resources const& room,
+                    core::resources const& open,
+                    core::resources const& capacity)
+{
+    auto const ratio = [](std::int64_t part, std::int64_t whole)
+    {
+        return static_cast<double>(part) /
+               static_cast<double>(std::max<std::int64_t>(1, whole));
+    };
+    auto const missing = core::component_max(room - open, core::resources{});
+    return std::max(ratio(missing.cpu.value(), capacity.cpu.value()),
+                    ratio(missing.memory.value(), capacity.memory.value()));
+}
+
 } // namespace
 
 void urgent_room::started(core::resources const& need)
@@ -23,20 +37,62 @@
     ++m_this_tick;
 }
 
-void urgent_room::age(core::time_point now, std::size_t open_workers)
+void urgent_room::age(core::time_point now, fleet const& workers)
 {
-    m_open_workers = open_workers;
+    m_open_workers = workers.open_workers();
     m_most = std::max(m_most, m_this_tick);
     m_this_tick = 0;
-    if (now - m_period_start < period)
+    if (now - m_period_start >= period)
+    {
+        m_period_start = now;
+        m_earlier_need = m_need;
+        m_earlier_most = m_most;
+        m_need = {};
+        m_most = 0;
+    }
+    choose(workers);
+}
+
+void urgent_room::choose(fleet const& workers)
+{
+    m_kept.clear();
+    auto const wanted = this->workers();
+    auto const room = need();
+    std::size_t with_room = 0;
+    auto slot = workers.index().next_fit(0, room);
+    for (; slot && with_room < wanted; ++with_room)
+    {
+        slot = workers.index().next_fit(*slot + 1, room);
+    }
+    if (with_room >= wanted)
     {
         return;
     }
-    m_period_start = now;
-    m_earlier_need = m_need;
-    m_earlier_most = m_most;
-    m_need = {};
-    m_most = 0;
+    std::vector<std::pair<double, std::size_t>> others;
+    for (std::size_t i = 0; i < workers.slots(); ++i)
+    {
+        auto const& worker = workers.worker(i);
+        auto const& capacity = worker.description.capacity;
+        auto const open = workers.open_capacity(worker);
+        bool const could = open.cpu.value() >= 0 &&
+                           core::fits_in(room, capacity) &&
+                           !core::fits_in(room, open);
+        if (could)
+        {
+            others.emplace_back(missing_part(room, open, capacity), i);
+        }
+    }
+    std::sort(others.begin(), others.end());
+    auto const count = std::min(others.size(), wanted - with_room);
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        m_kept.insert(others[i].second);
+    }
+}
+
+bool urgent_room::is_kept(std::size_t slot) const
+{
+    return m_kept.contains(slot);
 }
 
 core::resources urgent_room::need() const noexcept
--- a/modules/placement/policy/urgent_room.hpp
+++ b/modules/placement/policy/urgent_room.hpp
@@ -1,9 +1,10 @@
 #ifndef TURMERICSWITCH_PLACEMENT_POLICY_URGENT_ROOM_HPP
 #define TURMERICSWITCH_PLACEMENT_POLICY_URGENT_ROOM_HPP
 
-#include "core/types/units.hpp"
+#include "placement/state/fleet.hpp"
 
 #include <cstddef>
+#include <set>
 
 namespace turmericswitch::placement
 {
@@ -19,23 +20,29 @@
     void started(core::resources const& need);
 
     /// Starts a new tick.
-    /// @param open_workers Workers that take starts, of which a third at most
-    /// (but one) keeps room.
-    void age(core::time_point now, std::size_t open_workers);
+    void age(core::time_point now, fleet const& workers);
 
     /// @return Room for one urgent job.
     core::resources need() const noexcept;
 
-    /// @return Workers that should have that room free.
+    /// @return Workers that should have that room free, a third of the open
+    /// ones at most (but one).
     std::size_t workers() const noexcept;
 
+    /// @return True if batch must not start there because the worker is one
+    /// of those closest to having room and too few have it.
+    bool is_kept(std::size_t slot) const;
+
 private:
+    void choose(fleet const& workers);
+
     core::resources m_need;
     core::resources m_earlier_need;
     std::size_t m_this_tick = 0;
     std::size_t m_most = 0;
     std::size_t m_earlier_most = 0;
     std::size_t m_open_workers = 0;
+    std::set<std::size_t> m_kept;
     core::time_point m_period_start{};
 };
 
--- a/modules/placement/policy/worker_scorer.cpp
+++ b/modules/placement/policy/worker_scorer.cpp
@@ -111,12 +111,14 @@
     auto const room = m_state.spare.need();
     auto const open =
         m_state.workers.open_capacity(m_state.workers.worker(slot));
-    if (missing == 0 || core::fits_in(room, open - need) ||
-        !core::fits_in(room, open))
+    if (missing == 0 || core::fits_in(room, open - need))
     {
-        // It leaves enough, or there is nothing to lose here.
         return false;
     }
+    if (!core::fits_in(room, open))
+    {
+        return m_state.spare.is_kept(slot);
+    }
     auto const& index = m_state.workers.index();
     auto other = index.next_fit(0, room);
     while (other && missing > 0)
--- a/modules/placement/tests/planner_test.cpp
+++ b/modules/placement/tests/planner_test.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(dropped_placement_frees_its_worker);
     CPPUNIT_TEST(evicted_task_holds_capacity_until_requeued);
     CPPUNIT_TEST(room_for_urgent_jobs_leaves_most_workers_to_batch);
+    CPPUNIT_TEST(room_made_for_an_urgent_job_stays_for_the_next);
     CPPUNIT_TEST(restored_deadline_is_calendar_time);
     CPPUNIT_TEST_SUITE_END();
 
@@ -420,6 +421,33 @@
         }
     }
 
+    // Guards against batch that fills what an eviction freed beside an urgent
+    // job, so that the next urgent job needs an eviction again.
+    void room_made_for_an_urgent_job_stays_for_the_next()
+    {
+        fake_cluster cluster;
+        cluster.add_worker("w1");
+        cluster.add_worker("w2");
+        cluster.add_job(1, amount(7000, 100));
+        cluster.add_job(2, amount(7000, 100));
+        cluster.tick();
+        auto const urgent = core::priority_class::urgent;
+        cluster.add_job(3, amount(5000, 100), urgent, "proof");
+        cluster.tick();
+        auto const evictions = cluster.tick(std::chrono::seconds(1)).batch;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, evictions.evictions.size());
+        cluster.requeue(evictions.evictions[0].job.value());
+        cluster.tick();
+        CPPUNIT_ASSERT(!cluster.worker_of(3).empty());
+        cluster.add_job(4, amount(3000, 100));
+        cluster.tick();
+        CPPUNIT_ASSERT(cluster.worker_of(4).empty());
+        cluster.finish(3);
+        cluster.add_job(5, amount(5000, 100), urgent, "proof");
+        CPPUNIT_ASSERT(cluster.tick().batch.evictions.empty());
+        CPPUNIT_ASSERT(!cluster.worker_of(5).empty());
+    }
+
     // Guards against deadlines of restored tasks read as the monotonic time.
     void restored_deadline_is_calendar_time()
     {
