Sum a worker's tasks per kind once per candidate

Change: worker_entry::tasks is a flat map; the scorer sums shares per kind once per candidate and job, and gate and cost work on these sums. The cost is computed when the candidate is found. The bench makes its reports before the timed part. interference_model::predict had no caller left.

--- a/extras/bench/placement_bench/scale_run.cpp
+++ b/extras/bench/placement_bench/scale_run.cpp
@@ -49,6 +49,12 @@
     placement::queued_job job;
 };
 
+struct report
+{
+    core::worker_id worker;
+    core::usage_sample sample;
+};
+
 /// Feeds one planner with jobs, reports and ends, and times it.
 class scale_feed
 {
@@ -72,7 +78,8 @@
     void one_tick(bool measured);
     void take(placement::tick_decisions const& decisions, bool measured);
     void end_due_jobs();
-    void report_usage();
+    /// Makes the reports of this tick; not part of what is timed.
+    std::vector<report> make_reports();
 
     std::size_t m_workers;
     double m_starts_per_tick;
@@ -156,8 +163,9 @@
     }
 }
 
-void scale_feed::report_usage()
+std::vector<report> scale_feed::make_reports()
 {
+    std::vector<report> reports;
     for (auto const& [id, task] : m_running)
     {
         if (id.value() % sample_every_ticks !=
@@ -172,8 +180,9 @@
         sample.used = task.job.declared;
         sample.slowdown_permille = static_cast<std::uint32_t>(
             1000 + core::random_below(m_random, 100));
-        m_planner.usage_reported(m_now, task.worker, sample);
+        reports.push_back({task.worker, sample});
     }
+    return reports;
 }
 
 void scale_feed::take(placement::tick_decisions const& decisions, bool measured)
@@ -217,9 +226,14 @@
     ++m_tick;
     m_now += tick_length;
     m_owed += m_starts_per_tick;
+    auto const reports = make_reports();
     double const before = cpu_ms();
+    // The reports of tasks that end in this tick come first.
+    for (auto const& [worker, sample] : reports)
+    {
+        m_planner.usage_reported(m_now, worker, sample);
+    }
     end_due_jobs();
-    report_usage();
     for (; m_owed >= 1; m_owed -= 1)
     {
         bool const urgent = core::random_below(m_random, 5) == 0;
--- a/modules/placement/model/interference_model.cpp
+++ b/modules/placement/model/interference_model.cpp
@@ -59,19 +59,6 @@
     return value * share;
 }
 
-double interference_model::predict(core::time_point /*now*/,
-                                   kind_index victim,
-                                   std::vector<occupant> const& others,
-                                   double load) const
-{
-    double excess = 0;
-    for (auto const& other : others)
-    {
-        excess += contribution(victim, other.kind, other.share, load);
-    }
-    return 1.0 + excess;
-}
-
 void interference_model::learn(core::time_point measured_at,
                                kind_index victim,
                                std::vector<occupant> const& others,
--- a/modules/placement/model/interference_model.hpp
+++ b/modules/placement/model/interference_model.hpp
@@ -35,12 +35,6 @@
 {
 public:
     /// @param load Processor share in use on the worker, 0 to 1 and above.
-    /// @return Predicted slowdown, at least 1.
-    double predict(core::time_point now,
-                   kind_index victim,
-                   std::vector<occupant> const& others,
-                   double load) const;
-
     /// @return The excess slowdown that a share of an aggressor causes.
     double contribution(kind_index victim,
                         kind_index aggressor,
--- a/modules/placement/policy/placement_pass.cpp
+++ b/modules/placement/policy/placement_pass.cpp
@@ -228,6 +228,7 @@
 {
     std::vector<candidate> found;
     m_last_obstacle = obstacle::none;
+    m_scorer.prepare(task);
     auto const slots = m_state.workers.slots();
     if (slots == 0)
     {
@@ -264,10 +265,12 @@
     auto slot = index.next_fit(from, need);
     while (slot && *slot < until && (wanted == 0 || found.size() < wanted))
     {
-        auto const reason = m_scorer.check(m_now, task, need, *slot, patient);
+        auto const reason = m_scorer.check(task, need, *slot, patient);
         if (reason == obstacle::none)
         {
-            found.push_back({*slot, 0});
+            bool const scored = !m_state.options.choose;
+            double const cost = scored ? m_scorer.cost(task, need, *slot) : 0;
+            found.push_back({*slot, cost});
         }
         else
         {
@@ -288,11 +291,6 @@
     }
     else
     {
-        m_scorer.prepare(task);
-        for (auto& item : found)
-        {
-            item.cost = m_scorer.cost(m_now, task, need, item.slot);
-        }
         std::sort(
             found.begin(),
             found.end(),
--- a/modules/placement/policy/worker_scorer.cpp
+++ b/modules/placement/policy/worker_scorer.cpp
@@ -31,25 +31,56 @@
 
 worker_scorer::worker_scorer(planner_state& state) : m_state(state) {}
 
-std::vector<occupant> worker_scorer::neighbours(worker_entry const& worker,
-                                                core::job_id except)
+void worker_scorer::sum_kinds(std::size_t slot)
 {
-    std::vector<occupant> others;
-    others.reserve(worker.tasks.size());
+    if (m_summed == slot)
+    {
+        return;
+    }
+    m_summed = slot;
+    m_kinds.clear();
+    m_service_is_slow = false;
+    auto const& worker = m_state.workers.worker(slot);
     for (auto const& [job, task] : worker.tasks)
     {
-        if (job != except)
-        {
-            double const permille = task->cpu_permille;
-            double const share = share_of(task->reserved, worker);
-            others.push_back({job, task->kind, share * permille / 1000});
-        }
+        add(*task, worker);
+    }
+}
+
+void worker_scorer::add(task_entry const& task, worker_entry const& worker)
+{
+    auto const same = [&](kind_sum const& item)
+    { return item.kind == task.kind; };
+    auto found = std::find_if(m_kinds.begin(), m_kinds.end(), same);
+    if (found == m_kinds.end())
+    {
+        m_kinds.emplace_back();
+        found = m_kinds.end() - 1;
+        found->kind = task.kind;
+    }
+    double const share =
+        share_of(task.reserved, worker) * task.cpu_permille / 1000;
+    found->share += share;
+    if (!task.is_batch())
+    {
+        ++found->services;
+        found->least_service = std::min(found->least_service, share);
+        m_service_is_slow = m_service_is_slow || task.high_reports > 0;
+    }
+}
+
+double worker_scorer::excess(kind_index victim, double load) const
+{
+    double total = 0;
+    for (auto const& item : m_kinds)
+    {
+        total += m_state.interference.contribution(
+            victim, item.kind, item.share, load);
     }
-    return others;
+    return total;
 }
 
-obstacle worker_scorer::check(core::time_point now,
-                              task_entry const& task,
+obstacle worker_scorer::check(task_entry const& task,
                               core::resources const& need,
                               std::size_t slot,
                               bool patient)
@@ -75,7 +106,7 @@
         return obstacle::kept_for_urgent;
     }
     bool const gated = m_state.options.avoid_interference && patient;
-    if (gated && task.is_batch() && disturbs_service(now, task, need, worker))
+    if (gated && task.is_batch() && disturbs_service(task, need, slot))
     {
         return obstacle::interference;
     }
@@ -129,47 +160,47 @@
     return missing > 0;
 }
 
-bool worker_scorer::disturbs_service(core::time_point now,
-                                     task_entry const& task,
+bool worker_scorer::disturbs_service(task_entry const& task,
                                      core::resources const& need,
-                                     worker_entry const& worker) const
+                                     std::size_t slot)
 {
+    sum_kinds(slot);
+    if (m_service_is_slow)
+    {
+        return true;
+    }
+    auto const& worker = m_state.workers.worker(slot);
     double const share = share_of(need, worker);
     double const load = fleet::load(worker) + share;
-    for (auto const& [job, other] : worker.tasks)
+    auto const& model = m_state.interference;
+    auto const is_slowed = [&](kind_sum const& item)
     {
-        if (other->is_batch())
+        if (item.services == 0)
         {
-            continue;
+            return false;
         }
-        if (other->high_reports > 0)
-        {
-            return true;
-        }
-        double const added = m_state.interference.contribution(
-            other->kind, task.kind, share, load);
-        double const others = m_state.interference.predict(
-            now, other->kind, neighbours(worker, job), load);
-        if (others + added > m_state.options.gate_slowdown)
-        {
-            return true;
-        }
-    }
-    return false;
+        auto const victim = item.kind;
+        // The service itself is in the sum but does not disturb itself.
+        double const others =
+            excess(victim, load) -
+            model.contribution(victim, victim, item.least_service, load);
+        double const added = model.contribution(victim, task.kind, share, load);
+        return 1 + others + added > m_state.options.gate_slowdown;
+    };
+    return std::any_of(m_kinds.begin(), m_kinds.end(), is_slowed);
 }
 
 double worker_scorer::harm_to_services(task_entry const& task,
                                        double share,
-                                       double load,
-                                       worker_entry const& worker) const
+                                       double load) const
 {
     double harm = 0;
-    for (auto const& [job, other] : worker.tasks)
+    for (auto const& item : m_kinds)
     {
-        if (!other->is_batch())
+        if (item.services > 0)
         {
-            harm += m_state.interference.contribution(
-                other->kind, task.kind, share, load);
+            harm += item.services * m_state.interference.contribution(
+                                        item.kind, task.kind, share, load);
         }
     }
     return harm;
@@ -188,8 +219,7 @@
            same_worker_weight * count(m_on_worker, slot);
 }
 
-double worker_scorer::cost(core::time_point now,
-                           task_entry const& task,
+double worker_scorer::cost(task_entry const& task,
                            core::resources const& need,
                            std::size_t slot)
 {
@@ -204,11 +234,9 @@
     if (m_state.options.avoid_interference)
     {
         double const weight = task.is_batch() ? own_slowdown_weight : 1.0;
-        auto const others = neighbours(worker, task.spec.job);
-        double const own =
-            m_state.interference.predict(now, task.kind, others, load) - 1;
-        total += weight * own;
-        total += harm_to_services(task, share, load, worker);
+        sum_kinds(slot);
+        total += weight * excess(task.kind, load);
+        total += harm_to_services(task, share, load);
     }
     if (m_state.options.spread_services &&
         task.priority == core::priority_class::service)
@@ -220,6 +248,7 @@
 
 void worker_scorer::prepare(task_entry const& task)
 {
+    m_summed.reset();
     m_in_zone.clear();
     m_in_rack.clear();
     m_on_worker.clear();
--- a/modules/placement/state/worker_entry.hpp
+++ b/modules/placement/state/worker_entry.hpp
@@ -5,7 +5,7 @@
 #include "placement/model/occupancy_history.hpp"
 #include "placement/state/task_entry.hpp"
 
-#include <map>
+#include <boost/container/flat_map.hpp>
 #include <optional>
 
 namespace turmericswitch::placement
@@ -30,8 +30,9 @@
     double open_share = 1;
     worker_health health = worker_health::healthy;
     core::resources reserved;
-    /// Ordered by job, so that every walk has the same order.
-    std::map<core::job_id, task_entry*> tasks;
+    /// Ordered by job, so that every walk has the same order. Flat, because
+    /// it is walked for each candidate of each start.
+    boost::container::flat_map<core::job_id, task_entry*> tasks;
     /// Job for which the free capacity is kept.
     std::optional<core::job_id> held_for;
     occupancy_history history;
