Add control_scale, which measures what control costs

It simulates sidecars, gateways, workers, submissions and configuration changes through the real protocols and reads CPU and memory of the control processes. scripts/measure-control starts the processes, runs series and fits them.

--- /dev/null
+++ b/extras/bench/control_scale/rpc_fleet.hpp
@@ -0,0 +1,58 @@
+#ifndef TURMERICSWITCH_BENCH_CONTROL_SCALE_RPC_FLEET_HPP
+#define TURMERICSWITCH_BENCH_CONTROL_SCALE_RPC_FLEET_HPP
+
+#include "control_scale/measures.hpp"
+#include "control_scale/scale_options.hpp"
+#include "transport/transport.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+namespace turmericswitch::bench
+{
+
+/// Messages and bytes of the peers of one kind.
+struct rpc_totals
+{
+    std::uint64_t messages = 0;
+    std::uint64_t sent = 0;
+    std::uint64_t received = 0;
+};
+
+/// Simulated sidecars and gateways. Each has its own connection and uses the
+/// control link and the watch of the real programs.
+class rpc_fleet
+{
+public:
+    rpc_fleet(scale_options const& options, transport::io_pool& io);
+    /// Ends the polls.
+    ~rpc_fleet();
+
+    rpc_fleet(rpc_fleet const&) = delete;
+    rpc_fleet& operator=(rpc_fleet const&) = delete;
+
+    rpc_totals sidecars() const;
+    rpc_totals gateways() const;
+
+    /// @return Peers that have this revision or a later one in force.
+    std::size_t in_force(core::revision wanted) const;
+    std::size_t size() const noexcept;
+    /// @return Backend servers known at the gateway that knows fewest.
+    std::size_t known_backends() const;
+
+private:
+    struct peer;
+
+    void start(std::shared_ptr<peer> const& each, std::size_t number);
+    static rpc_totals total(std::vector<std::shared_ptr<peer>> const& peers);
+
+    scale_options m_options;
+    transport::io_pool& m_io;
+    std::vector<std::shared_ptr<peer>> m_sidecars;
+    std::vector<std::shared_ptr<peer>> m_gateways;
+};
+
+} // namespace turmericswitch::bench
+
+#endif
--- /dev/null
+++ b/extras/bench/control_scale/worker_fleet.cpp
@@ -0,0 +1,170 @@
+#include "control_scale/worker_fleet.hpp"
+
+#include "control_scale/job_stream.hpp"
+#include "process/loop/event_loop.hpp"
+#include "wire/json/worker_json.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <queue>
+
+namespace turmericswitch::bench
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t workers_per_thread = 14;
+constexpr std::size_t workers_per_rack = 3;
+constexpr core::duration retry_pause = 200ms;
+constexpr core::duration first_heartbeats = 400ms;
+
+core::worker_description describe(std::size_t number)
+{
+    core::worker_description worker;
+    worker.worker = core::worker_id("worker-" + std::to_string(number));
+    worker.life = core::incarnation(static_cast<std::uint64_t>(
+        std::chrono::system_clock::now().time_since_epoch().count()));
+    auto const rack = number / workers_per_rack;
+    worker.place.zone = zone_name(rack);
+    worker.rack = core::rack_id("rack-" + std::to_string(rack));
+    worker.capacity = {core::millicores(32'000),
+                       core::byte_count(125LL << 30U),
+                       core::accelerator_count(2)};
+    return worker;
+}
+
+} // namespace
+
+struct worker_fleet::worker
+{
+    explicit worker(std::size_t number) : core(describe(number), false) {}
+
+    standins::worker_core core;
+    core::time_point due;
+    std::size_t heartbeats = 0;
+    standins::worker_counts seen;
+};
+
+worker_fleet::worker_fleet(scale_options const& options, leader_http& control)
+    : m_options(options), m_control(control)
+{
+    auto const now = process::event_loop::now();
+    for (std::size_t i = 0; i < options.workers; ++i)
+    {
+        m_workers.push_back(std::make_unique<worker>(i));
+        m_workers.back()->due =
+            now + first_heartbeats * static_cast<std::int64_t>(i) /
+                      static_cast<std::int64_t>(options.workers);
+    }
+    for (std::size_t i = 0; i < m_workers.size(); i += workers_per_thread)
+    {
+        m_threads.emplace_back([this, i] { run(i); });
+    }
+}
+
+worker_fleet::~worker_fleet()
+{
+    m_stopping = true;
+    for (auto& thread : m_threads)
+    {
+        thread.join();
+    }
+}
+
+void worker_fleet::run(std::size_t first)
+{
+    auto const later = [](worker const* a, worker const* b)
+    { return a->due > b->due; };
+    std::priority_queue<worker*, std::vector<worker*>, decltype(later)> queue(
+        later);
+    auto const end = std::min(first + workers_per_thread, m_workers.size());
+    for (std::size_t i = first; i < end; ++i)
+    {
+        queue.push(m_workers[i].get());
+    }
+    while (!m_stopping)
+    {
+        auto* const next = queue.top();
+        queue.pop();
+        auto const wait = next->due - process::event_loop::now();
+        std::this_thread::sleep_for(std::max(wait, core::duration::zero()));
+        lateness.add(process::event_loop::now() - next->due);
+        auto const pause = send(*next);
+        next->due = process::event_loop::now() + pause;
+        queue.push(next);
+    }
+}
+
+core::duration worker_fleet::send(worker& each)
+{
+    auto const begun = process::event_loop::now();
+    auto heartbeat = each.core.heartbeat(begun.time_since_epoch());
+    bool const has_usage = m_options.usage_every > 0 &&
+                           each.heartbeats++ % m_options.usage_every == 0;
+    if (!has_usage)
+    {
+        heartbeat.usage.clear();
+    }
+    auto const response =
+        m_control.send("POST",
+                       "/v1/workers/heartbeat",
+                       wire::heartbeat_request_to_json(heartbeat),
+                       m_traffic);
+    auto const now = process::event_loop::now();
+    heartbeats.add(now - begun);
+    auto const answer = response
+                            ? wire::heartbeat_answer_from_json(response->body)
+                            : std::nullopt;
+    if (!answer || answer->code != core::result_code::ok)
+    {
+        m_traffic.failed += response ? 1 : 0;
+        return retry_pause;
+    }
+    note_starts(*answer);
+    each.core.answered(now.time_since_epoch(), *answer);
+    auto const& counts = each.core.counts();
+    m_starts += counts.starts - each.seen.starts;
+    m_permit_refusals += counts.permit_refusals - each.seen.permit_refusals;
+    m_lease_ends += counts.lease_ends - each.seen.lease_ends;
+    each.seen = counts;
+    // The next one is due after this one was sent, not after its answer.
+    return std::max(answer->next_heartbeat - (now - begun),
+                    core::duration::zero());
+}
+
+void worker_fleet::note_starts(core::heartbeat_answer const& answer)
+{
+    auto const now = process::event_loop::now();
+    for (auto const& order : answer.starts)
+    {
+        if (auto const submitted = submitted_at(order.payload))
+        {
+            urgent.add(now - *submitted);
+        }
+    }
+}
+
+role_traffic const& worker_fleet::traffic() const noexcept
+{
+    return m_traffic;
+}
+
+std::uint64_t worker_fleet::starts() const noexcept
+{
+    return m_starts;
+}
+
+std::uint64_t worker_fleet::permit_refusals() const noexcept
+{
+    return m_permit_refusals;
+}
+
+std::uint64_t worker_fleet::lease_ends() const noexcept
+{
+    return m_lease_ends;
+}
+
+} // namespace turmericswitch::bench
--- a/programs/control/node/control_node.cpp
+++ b/programs/control/node/control_node.cpp
@@ -99,6 +99,19 @@
                              "Tasks waiting for the event loop.",
                              [this]
                              { return static_cast<double>(m_loop.backlog()); });
+    m_metrics.add_gauge_hook(
+        "turmericswitch_control_peer_bytes_total",
+        "Bytes of the connections opened to other members.",
+        [this] { return static_cast<double>(m_peer_bytes.load()); });
+    m_metrics.add_gauge_hook(
+        "turmericswitch_control_snapshot_hold_seconds",
+        "Processor time for which the last snapshot held the event loop.",
+        [this]
+        {
+            return std::chrono::duration<double>(
+                       core::duration(m_snapshot_hold_us.load()))
+                .count();
+        });
 }
 
 void control_node::start()
@@ -146,6 +159,9 @@
     m_applied_index = m_replica.applied_index().value();
     m_revision = m_replica.state().config().current().value();
     m_knows_leader = m_replica.leader().has_value();
+    auto const [sent, received] = m_links.transferred();
+    m_peer_bytes = sent + received;
+    m_snapshot_hold_us = m_replica.snapshot_hold().count();
 }
 
 void control_node::on_group_changed()
--- a/programs/control/node/control_node.hpp
+++ b/programs/control/node/control_node.hpp
@@ -74,6 +74,8 @@
     std::atomic<std::uint64_t> m_applied_index = 0;
     std::atomic<std::uint64_t> m_revision = 0;
     std::atomic<bool> m_leads = false;
+    std::atomic<std::uint64_t> m_peer_bytes = 0;
+    std::atomic<std::int64_t> m_snapshot_hold_us = 0;
     core::revision m_names_revision;
     naming::name_table m_names;
     peer_links m_links;
--- a/programs/control/node/peer_links.cpp
+++ b/programs/control/node/peer_links.cpp
@@ -63,4 +63,16 @@
     }
 }
 
+transport::traffic peer_links::transferred() const
+{
+    transport::traffic total;
+    for (auto const& [id, link] : m_links)
+    {
+        auto const [sent, received] = link->transferred();
+        total.sent += sent;
+        total.received += received;
+    }
+    return total;
+}
+
 } // namespace turmericswitch::control
--- a/programs/control/node/peer_links.hpp
+++ b/programs/control/node/peer_links.hpp
@@ -26,6 +26,9 @@
 
     void send(core::consensus_message const& message);
 
+    /// @return Bytes of the links to the present members.
+    transport::traffic transferred() const;
+
 private:
     transport::io_pool& m_io;
     std::uint64_t m_seed;
--- a/programs/control/node/replica.cpp
+++ b/programs/control/node/replica.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <ctime>
 #include <utility>
 
 namespace turmericswitch::control
@@ -21,6 +22,16 @@
     return reply;
 }
 
+/// Unlike a clock on the wall it is not lengthened by other processes.
+core::duration thread_time()
+{
+    timespec time{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+    return std::chrono::duration_cast<core::duration>(
+        std::chrono::seconds(time.tv_sec) +
+        std::chrono::nanoseconds(time.tv_nsec));
+}
+
 core::wall_time wall_now()
 {
     return std::chrono::time_point_cast<std::chrono::microseconds>(
@@ -362,9 +373,11 @@
         return;
     }
     m_snapshot_running = true;
+    auto const begun = thread_time();
     auto snapshot =
         std::make_shared<store::stored_snapshot const>(store::stored_snapshot{
             m_node.snapshot_metadata_at(m_applied), m_state.snapshot()});
+    m_snapshot_hold = thread_time() - begun;
     m_writer.save(
         snapshot,
         [this](std::shared_ptr<store::stored_snapshot const> const& saved)
@@ -445,6 +458,11 @@
     return m_storage_failed;
 }
 
+core::duration replica::snapshot_hold() const noexcept
+{
+    return m_snapshot_hold;
+}
+
 consensus::ticket replica::next_ticket()
 {
     return consensus::ticket(++m_last_ticket);
--- a/programs/control/node/replica.hpp
+++ b/programs/control/node/replica.hpp
@@ -98,6 +98,8 @@
     std::optional<core::group_member> leader() const;
     /// @return True after a write or sync failed; the member stays silent.
     bool storage_has_failed() const noexcept;
+    /// @return Processor time for which the last snapshot held the event loop.
+    core::duration snapshot_hold() const noexcept;
 
 private:
     void feed(consensus::event input);
@@ -134,6 +136,7 @@
     std::deque<consensus::event> m_events;
     bool m_is_feeding = false;
     bool m_snapshot_running = false;
+    core::duration m_snapshot_hold{};
     bool m_storage_failed = false;
     bool m_is_raft_leader = false;
     bool m_is_leading = false;
--- a/programs/sidecar/main.cpp
+++ b/programs/sidecar/main.cpp
@@ -73,6 +73,13 @@
     transport::io_pool io(io_threads);
     auto control =
         std::make_unique<shared::control_link>(io, settings.control, life);
+    metrics.add_gauge_hook("turmericswitch_sidecar_control_bytes_total",
+                           "Bytes exchanged with control.",
+                           [&link = *control]
+                           {
+                               auto const [sent, received] = link.transferred();
+                               return static_cast<double>(sent + received);
+                           });
     sidecar_service service(
         settings, *control, metrics, core::incarnation(life));
     shared::config_watch watch(
