Bound the connections that control keeps open

An idle kept connection holds a thread of the server for 5 s. The bound is an option of the server; gateways keep theirs open as before.

--- a/modules/web/server/http_server.cpp
+++ b/modules/web/server/http_server.cpp
@@ -86,6 +86,8 @@
         static unsigned const features = mg_init_library(MG_FEATURES_DEFAULT);
         static_cast<void>(features);
         mg_callbacks callbacks{};
+        callbacks.init_connection = &state::on_connect;
+        callbacks.connection_closed = &state::on_disconnect;
         callbacks.begin_request = &state::on_begin;
         callbacks.end_request = &state::on_end;
         callbacks.http_error = &on_http_error;
@@ -150,6 +152,18 @@
             mg_get_user_data(mg_get_context(connection)));
     }
 
+    static int on_connect(mg_connection const* connection, void** data)
+    {
+        *data = nullptr;
+        ++of(connection).m_connections;
+        return 0;
+    }
+
+    static void on_disconnect(mg_connection const* connection)
+    {
+        --of(connection).m_connections;
+    }
+
     static int on_begin(mg_connection* connection)
     {
         state& self = of(connection);
@@ -193,8 +207,9 @@
         http_response const response = run_handler(*request);
         std::string const* const wish =
             find_field(request->fields, "Connection");
+        bool const is_crowded = m_connections > m_options.kept_connections;
         bool const keep_open =
-            !m_stopping &&
+            !m_stopping && !is_crowded &&
             (wish == nullptr || !equal_ignoring_case(*wish, "close"));
         write_response(connection, response, request->method, keep_open);
         return response.status;
@@ -219,6 +234,7 @@
     mg_context* m_context = nullptr;
     core::endpoint m_bound;
     std::atomic<std::size_t> m_in_progress = 0;
+    std::atomic<std::size_t> m_connections = 0;
     std::atomic<std::size_t> m_refused = 0;
     std::atomic<bool> m_stopping = false;
     std::mutex m_stop_mutex;
--- a/modules/web/server/http_server.hpp
+++ b/modules/web/server/http_server.hpp
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <limits>
 #include <memory>
 
 namespace turmericswitch::web
@@ -23,6 +24,10 @@
     /// Every open connection holds one worker thread, an idle kept-alive one
     /// for `keep_alive` at most.
     unsigned worker_threads = 32;
+    /// While more connections than this are open, each answer closes its own.
+    /// Set it below the number of threads where many callers have few requests
+    /// each, or their idle connections lock the others out.
+    unsigned kept_connections = std::numeric_limits<unsigned>::max();
     /// Connections accepted and waiting for a thread.
     unsigned waiting_connections = 64;
     std::size_t body_limit = std::size_t{16} << 20;
--- a/modules/web/tests/http_server_test.cpp
+++ b/modules/web/tests/http_server_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(expecting_caller_is_told_to_continue);
     CPPUNIT_TEST(head_has_the_length_but_no_body);
     CPPUNIT_TEST(one_connection_serves_many_requests);
+    CPPUNIT_TEST(connections_above_the_bound_are_not_kept);
     CPPUNIT_TEST(line_break_in_a_field_is_not_sent);
     CPPUNIT_TEST(exception_in_the_handler_is_an_unknown_outcome);
     CPPUNIT_TEST(stop_finishes_requests_in_progress);
@@ -119,6 +120,30 @@
         CPPUNIT_ASSERT_EQUAL(0, runs.load());
     }
 
+    // Guards against idle connections that hold all threads.
+    void connections_above_the_bound_are_not_kept()
+    {
+        server_options options;
+        options.listen_on = {"127.0.0.1", 0};
+        options.worker_threads = 4;
+        options.kept_connections = 1;
+        options.keep_alive = std::chrono::hours(1);
+        auto const server = http_server::start(options, echo);
+        std::string const get = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+        {
+            kept_connection first(server->bound());
+            contains(first.exchange(get), "Connection: keep-alive");
+            kept_connection second(server->bound());
+            contains(second.exchange(get), "Connection: close");
+        }
+        // The server notices the end of a connection by itself.
+        std::string answer;
+        while (answer.find("Connection: keep-alive") == std::string::npos)
+        {
+            answer = kept_connection(server->bound()).exchange(get);
+        }
+    }
+
     // Guards against chunk sizes that end up in the body.
     void chunked_body_arrives_whole()
     {
--- a/modules/web/tests/raw_socket.hpp
+++ b/modules/web/tests/raw_socket.hpp
@@ -54,6 +54,51 @@
     return answer;
 }
 
+/// A connection that stays open between requests.
+class kept_connection
+{
+public:
+    explicit kept_connection(core::endpoint const& to)
+        : m_socket(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in const address = loopback(to.port);
+        CPPUNIT_ASSERT_EQUAL(
+            0,
+            ::connect(m_socket,
+                      reinterpret_cast<sockaddr const*>(&address),
+                      sizeof address));
+    }
+
+    ~kept_connection()
+    {
+        ::close(m_socket);
+    }
+
+    kept_connection(kept_connection const&) = delete;
+    kept_connection& operator=(kept_connection const&) = delete;
+
+    /// @return What comes back up to the end of the head at least.
+    std::string exchange(std::string const& bytes) const
+    {
+        send_all(m_socket, bytes);
+        std::string answer;
+        std::array<char, 4096> chunk{};
+        while (answer.find("\r\n\r\n") == std::string::npos)
+        {
+            ssize_t const size = ::recv(m_socket, chunk.data(), 4096, 0);
+            if (size <= 0)
+            {
+                break;
+            }
+            answer.append(chunk.data(), static_cast<std::size_t>(size));
+        }
+        return answer;
+    }
+
+private:
+    int m_socket;
+};
+
 /// Answers the head of every request with the next of some fixed texts on a
 /// new connection each, then closes the connection.
 class scripted_server
--- a/programs/control/main.cpp
+++ b/programs/control/main.cpp
@@ -107,6 +107,7 @@
     web::server_options http_options;
     http_options.listen_on = settings.http;
     http_options.worker_threads = static_cast<unsigned>(settings.http_threads);
+    http_options.kept_connections = http_options.worker_threads / 2;
     auto const http =
         rpc ? web::http_server::start(
                   http_options, make_http_handler(node, operators, workers))
