--- a/extras/bench/control_scale/leader_http.cpp
+++ b/extras/bench/control_scale/leader_http.cpp
@@ -32,8 +32,9 @@
 
 } // namespace
 
-leader_http::leader_http(std::vector<core::endpoint> instances)
-    : m_instances(std::move(instances))
+leader_http::leader_http(std::vector<core::endpoint> instances,
+                         web::http_client_options options)
+    : m_instances(std::move(instances)), m_client(options)
 {
 }
 
--- a/extras/bench/control_scale/leader_http.hpp
+++ b/extras/bench/control_scale/leader_http.hpp
@@ -17,7 +17,8 @@
 class leader_http
 {
 public:
-    explicit leader_http(std::vector<core::endpoint> instances);
+    explicit leader_http(std::vector<core::endpoint> instances,
+                         web::http_client_options options = {});
 
     /// @param traffic Counts the request and its answer.
     /// @return The answer of the leader, or nothing when the request was lost
--- a/extras/bench/control_scale/main.cpp
+++ b/extras/bench/control_scale/main.cpp
@@ -85,6 +85,10 @@
     bench::print_rates("result", options, first, end);
     bench::print_processes(parts.control.leader(), first, end);
     bench::print_latencies(parts, backlog);
+    std::printf(
+        " snapshot_hold=%.4f",
+        parts.control.metric(options.http[parts.control.leader()],
+                             "turmericswitch_control_snapshot_hold_seconds"));
     std::printf(
         " permits=%llu leases=%llu\n",
         static_cast<unsigned long long>(parts.workers.permit_refusals()),
--- a/extras/bench/control_scale/scale_options.cpp
+++ b/extras/bench/control_scale/scale_options.cpp
@@ -40,6 +40,7 @@
   --usage-every N   Heartbeats per usage report [default: 25].
   --warm-up S       Seconds before the measurement [default: 5].
   --seconds S       Seconds measured [default: 15].
+  --own             Each worker keeps its own connection open.
   --per-second      A line for every second.
   --help            Shows this text.
   --version         Shows the version.
@@ -130,6 +131,7 @@
     read.warm_up = std::chrono::seconds(count(given, "--warm-up"));
     read.measured = std::chrono::seconds(count(given, "--seconds"));
     read.per_second = given.at("--per-second").asBool();
+    read.own_connections = given.at("--own").asBool();
     return read;
 }
 
--- a/extras/bench/control_scale/scale_options.hpp
+++ b/extras/bench/control_scale/scale_options.hpp
@@ -41,6 +41,8 @@
     core::duration warm_up{};
     core::duration measured{};
     bool per_second = false;
+    /// Each worker keeps a connection of its own open.
+    bool own_connections = false;
 };
 
 /// Reads the command line; exits with the usage text on an error.
--- a/extras/bench/control_scale/worker_fleet.cpp
+++ b/extras/bench/control_scale/worker_fleet.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t workers_per_rack = 3;
 constexpr core::duration retry_pause = 200ms;
 constexpr core::duration first_heartbeats = 400ms;
+/// Below the server's 5 s, above the time between heartbeats.
+constexpr core::duration kept_idle_time = 3s;
 
 core::worker_description describe(std::size_t number)
 {
@@ -46,6 +48,7 @@
     core::time_point due;
     std::size_t heartbeats = 0;
     standins::worker_counts seen;
+    std::unique_ptr<leader_http> own;
 };
 
 worker_fleet::worker_fleet(scale_options const& options, leader_http& control)
@@ -55,6 +58,13 @@
     for (std::size_t i = 0; i < options.workers; ++i)
     {
         m_workers.push_back(std::make_unique<worker>(i));
+        if (options.own_connections)
+        {
+            web::http_client_options kept;
+            kept.idle_time = kept_idle_time;
+            m_workers.back()->own =
+                std::make_unique<leader_http>(options.http, kept);
+        }
         m_workers.back()->due =
             now + first_heartbeats * static_cast<std::int64_t>(i) /
                       static_cast<std::int64_t>(options.workers);
@@ -108,11 +118,11 @@
     {
         heartbeat.usage.clear();
     }
-    auto const response =
-        m_control.send("POST",
-                       "/v1/workers/heartbeat",
-                       wire::heartbeat_request_to_json(heartbeat),
-                       m_traffic);
+    auto const response = (each.own ? *each.own : m_control)
+                              .send("POST",
+                                    "/v1/workers/heartbeat",
+                                    wire::heartbeat_request_to_json(heartbeat),
+                                    m_traffic);
     auto const now = process::event_loop::now();
     heartbeats.add(now - begun);
     auto const answer = response
