--- a/modules/transport/session/http2_connection.hpp
+++ b/modules/transport/session/http2_connection.hpp
@@ -114,7 +114,8 @@
     boost::asio::steady_timer m_keepalive;
     boost::asio::steady_timer m_linger;
     nghttp2_session* m_session = nullptr;
-    std::array<char, 65536> m_input{};
+    /// One frame. Control has a connection per sidecar, so memory counts.
+    std::array<char, max_frame_bytes> m_input{};
     std::string m_output;
     unsigned m_unanswered_probes = 0;
     bool m_heard = false;
