Send sidecars only the configuration of their backend server

Each change of the configuration went whole to every sidecar: about 21 kB with 360 quotas and 200 services, 42 MB for 2,000 sidecars, most of it over the links between regions. A sidecar reads only its zone, its service and whether it leaves. The watch of a sidecar now names these, and control reduces its answer to them.

--- a/modules/core/messages/registry.hpp
+++ b/modules/core/messages/registry.hpp
@@ -1,7 +1,7 @@
 #ifndef TURMERICSWITCH_CORE_MESSAGES_REGISTRY_HPP
 #define TURMERICSWITCH_CORE_MESSAGES_REGISTRY_HPP
 
-#include "core/config/configuration.hpp"
+#include "core/config/backend_scope.hpp"
 #include "core/results/result_code.hpp"
 #include "core/types/ids.hpp"
 #include "core/types/units.hpp"
@@ -73,6 +73,8 @@
     duration max_wait{};
     /// False for a process that needs the configuration only.
     bool wants_registry = true;
+    /// Set by a sidecar: the configuration is reduced to this.
+    std::optional<backend_scope> scope;
 
     bool operator==(watch_request const&) const = default;
 };
@@ -82,7 +84,8 @@
 {
     result_code code = result_code::ok;
     revision current;
-    /// The whole configuration, only when it is newer than asked for.
+    /// The configuration, whole or reduced to the scope asked for; only when
+    /// it is newer than asked for.
     std::optional<configuration> config;
     registry_version registry;
     /// True when `changed` is the whole registry rather than a delta.
--- a/programs/control/leader/watch_hub.cpp
+++ b/programs/control/leader/watch_hub.cpp
@@ -59,7 +59,9 @@
     answer.current = m_config.current();
     if (request.in_force < answer.current)
     {
-        answer.config = m_config.in_force();
+        answer.config = request.scope ? core::reduced_to(*request.scope,
+                                                         m_config.in_force())
+                                      : m_config.in_force();
     }
     if (request.wants_registry)
     {
--- a/programs/shared/control_link/config_watch.cpp
+++ b/programs/shared/control_link/config_watch.cpp
@@ -26,12 +26,12 @@
           control_link& control,
           core::client_id name,
           news_hook hook,
-          bool registry_wanted)
+          std::optional<core::backend_scope> wanted)
         : io(pool),
           link(control),
           process(std::move(name)),
           on_news(std::move(hook)),
-          wants_registry(registry_wanted),
+          scope(std::move(wanted)),
           random(core::seeded_random(std::hash<std::string>{}(process.value())))
     {
     }
@@ -43,7 +43,8 @@
         request.in_force = known.in_force;
         request.registry = known.registry;
         request.max_wait = poll_wait;
-        request.wants_registry = wants_registry;
+        request.wants_registry = !scope;
+        request.scope = scope;
         link.call(
             "/watch",
             wire::encode(request),
@@ -96,14 +97,14 @@
     bool has_all(core::watch_answer const& answer) const
     {
         return known.in_force >= answer.current &&
-               (!wants_registry || known.registry == answer.registry);
+               (scope || known.registry == answer.registry);
     }
 
     transport::io_pool& io;
     control_link& link;
     core::client_id process;
     news_hook on_news;
-    bool wants_registry;
+    std::optional<core::backend_scope> scope;
     core::random_source random;
     /// Guards the hook against the destructor of the owner.
     std::mutex mutex;
@@ -117,9 +118,9 @@
                            control_link& link,
                            core::client_id process,
                            news_hook on_news,
-                           bool wants_registry)
+                           std::optional<core::backend_scope> scope)
     : m_state(std::make_shared<state>(
-          io, link, std::move(process), std::move(on_news), wants_registry))
+          io, link, std::move(process), std::move(on_news), std::move(scope)))
 {
 }
 
--- a/programs/shared/control_link/config_watch.hpp
+++ b/programs/shared/control_link/config_watch.hpp
@@ -32,13 +32,13 @@
     /// @param io Must outlive the watch, as must `link`.
     /// @param process Name shown to operators.
     /// @param on_news Called on io threads, one call at a time.
-    /// @param wants_registry False for a process that needs only the
-    /// configuration; it is then not woken by changes of backend servers.
+    /// @param scope Set for a sidecar: it gets only the configuration of its
+    /// backend server and is not woken by changes of others.
     config_watch(transport::io_pool& io,
                  control_link& link,
                  core::client_id process,
                  news_hook on_news,
-                 bool wants_registry = true);
+                 std::optional<core::backend_scope> scope = {});
     /// Ends the poll; `on_news` is not called afterwards.
     ~config_watch();
 
--- a/programs/sidecar/main.cpp
+++ b/programs/sidecar/main.cpp
@@ -91,7 +91,7 @@
             service.configure(news);
             return shared::config_watch::known_state{news.current, {}};
         },
-        false);
+        core::backend_scope{settings.backend, settings.service, settings.zone});
     transport::connection_options connection;
     connection.protocol_version = wire::protocol_version;
     auto const rpc = transport::rpc_server::listen(
