--- a/programs/control/node/log_writer.cpp
+++ b/programs/control/node/log_writer.cpp
@@ -14,8 +14,7 @@
       m_snapshots(std::move(snapshots)),
       m_on_persisted(std::move(on_persisted)),
       m_on_failed(std::move(on_failed)),
-      m_thread([this] { run(); }),
-      m_snapshot_thread([this] { run_snapshots(); })
+      m_thread([this] { run(); })
 {
 }
 
@@ -25,9 +24,6 @@
         std::lock_guard const lock(m_mutex);
         m_stopping = true;
     }
-    // Its last compaction still reaches the other thread's queue.
-    m_wake_snapshots.notify_one();
-    m_snapshot_thread.join();
     m_wake.notify_one();
     m_thread.join();
 }
@@ -47,73 +43,31 @@
     return wait_for(
         [this, snapshot = std::move(snapshot)]
         {
-            {
-                std::lock_guard const lock(m_snapshot_mutex);
-                m_installed = snapshot.metadata.last_index;
-                if (!m_snapshots.save(snapshot))
-                {
-                    return false;
-                }
-            }
-            return m_log.reset(snapshot.metadata.last_index);
+            return m_snapshots.save(snapshot) &&
+                   m_log.reset(snapshot.metadata.last_index);
         });
 }
 
 void log_writer::save(std::shared_ptr<store::stored_snapshot const> snapshot,
                       saved_hook on_saved)
 {
+    other_work item;
+    item.run = [this, snapshot, on_saved = std::move(on_saved)]
     {
-        std::lock_guard const lock(m_mutex);
-        m_snapshot_queue.push_back({std::move(snapshot), std::move(on_saved)});
-    }
-    m_wake_snapshots.notify_one();
-}
-
-void log_writer::run_snapshots()
-{
-    for (;;)
-    {
-        snapshot_work next;
+        if (!m_snapshots.save(*snapshot))
         {
-            std::unique_lock lock(m_mutex);
-            m_wake_snapshots.wait(
-                lock,
-                [this] { return m_stopping || !m_snapshot_queue.empty(); });
-            if (m_snapshot_queue.empty())
-            {
-                return;
-            }
-            next = std::move(m_snapshot_queue.front());
-            m_snapshot_queue.pop_front();
+            return false;
         }
-        save_snapshot(next);
-    }
+        on_saved(snapshot);
+        return compact();
+    };
+    enqueue(std::move(item));
 }
 
-void log_writer::save_snapshot(snapshot_work const& item)
+bool log_writer::compact()
 {
-    core::log_index oldest;
-    {
-        std::lock_guard const lock(m_snapshot_mutex);
-        // A snapshot installed meanwhile covers more.
-        if (item.snapshot->metadata.last_index > m_installed)
-        {
-            if (!m_snapshots.save(*item.snapshot))
-            {
-                m_on_failed();
-                return;
-            }
-            oldest = m_snapshots.oldest_index();
-        }
-    }
-    item.on_saved(item.snapshot);
-    if (oldest.value() > 0)
-    {
-        other_work compaction;
-        compaction.run = [this, oldest]
-        { return m_log.compact_prefix(oldest); };
-        enqueue(std::move(compaction));
-    }
+    auto const oldest = m_snapshots.oldest_index();
+    return oldest.value() == 0 || m_log.compact_prefix(oldest);
 }
 
 void log_writer::enqueue(work item)
--- a/programs/control/node/log_writer.hpp
+++ b/programs/control/node/log_writer.hpp
@@ -17,13 +17,12 @@
 namespace turmericswitch::control
 {
 
-/// The threads that write the log and own snapshots, so that a slow sync does
-/// not delay heartbeats and a large snapshot does not delay commits. Appends
-/// that wait are joined into one sync.
+/// The thread that writes log and snapshots, so that a slow sync does not
+/// delay heartbeats. Appends that wait are joined into one sync.
 class log_writer
 {
 public:
-    /// Called on a thread of the writer.
+    /// Called on the writer's thread.
     using persisted_hook = std::function<void(core::log_index, core::term)>;
     using failed_hook = std::function<void()>;
     using saved_hook =
@@ -65,12 +64,6 @@
         std::promise<bool> done;
     };
 
-    struct snapshot_work
-    {
-        std::shared_ptr<store::stored_snapshot const> snapshot;
-        saved_hook on_saved;
-    };
-
     using work = std::variant<append_work, other_work>;
 
     void enqueue(work item);
@@ -78,24 +71,17 @@
     void run();
     void write(std::vector<core::log_entry> const& entries);
     void run_other(other_work& item);
-    void run_snapshots();
-    void save_snapshot(snapshot_work const& item);
+    bool compact();
 
     store::log_store m_log;
-    /// Guards the store of snapshots and `m_installed`.
-    std::mutex m_snapshot_mutex;
     store::snapshot_store m_snapshots;
-    core::log_index m_installed;
     persisted_hook m_on_persisted;
     failed_hook m_on_failed;
     std::mutex m_mutex;
     std::condition_variable m_wake;
     std::deque<work> m_queue;
-    std::condition_variable m_wake_snapshots;
-    std::deque<snapshot_work> m_snapshot_queue;
     bool m_stopping = false;
     std::thread m_thread;
-    std::thread m_snapshot_thread;
 };
 
 } // namespace turmericswitch::control
