--- a/programs/control/leader/leader_duties.cpp
+++ b/programs/control/leader/leader_duties.cpp
@@ -62,6 +62,10 @@
     m_ended = true;
     m_node.observe_holds({});
     m_watches.close();
+    for (auto const& [request, done] : std::exchange(m_unconfirmed, {}))
+    {
+        done(refusal(request, core::result_code::not_leader));
+    }
 }
 
 void leader_duties::applied(core::command_body const& command,
@@ -76,7 +80,9 @@
     auto commands = m_heartbeats.prepare(request, m_node.state());
     if (commands.empty())
     {
-        confirm_and_answer(std::move(request), std::move(done));
+        // A round per heartbeat would cost messages to every member at the
+        // rate of the heartbeats.
+        m_unconfirmed.push_back({std::move(request), std::move(done)});
         return;
     }
     // A command proposed after the receipt and committed in the own term
@@ -109,20 +115,29 @@
                    });
 }
 
-void leader_duties::confirm_and_answer(core::heartbeat_request request,
-                                       heartbeat_hook done)
+void leader_duties::confirm_heartbeats()
 {
+    if (m_unconfirmed.empty())
+    {
+        return;
+    }
     m_node.read(
         [self = shared_from_this(),
-         request = std::move(request),
-         done = std::move(done)](core::result_code code)
+         waiting = std::exchange(m_unconfirmed, {})](core::result_code code)
         {
-            if (self->m_ended || code != core::result_code::ok)
+            bool const is_confirmed =
+                !self->m_ended && code == core::result_code::ok;
+            for (auto const& [request, done] : waiting)
             {
-                done(refusal(request, core::result_code::not_leader));
-                return;
+                if (is_confirmed)
+                {
+                    self->answer_heartbeat(request, done);
+                }
+                else
+                {
+                    done(refusal(request, core::result_code::not_leader));
+                }
             }
-            self->answer_heartbeat(request, done);
         });
 }
 
@@ -159,6 +174,7 @@
 {
     m_registry.tick(now);
     m_watches.tick(now);
+    confirm_heartbeats();
     expire_leases(now);
     if (now >= m_next_placement && !m_placement.is_waiting())
     {
--- a/programs/control/leader/leader_duties.hpp
+++ b/programs/control/leader/leader_duties.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <vector>
 
 namespace turmericswitch::control
 {
@@ -69,14 +70,19 @@
 private:
     void answer_heartbeat(core::heartbeat_request const& request,
                           heartbeat_hook const& done);
-    void confirm_and_answer(core::heartbeat_request request,
-                            heartbeat_hook done);
+    void confirm_heartbeats();
     void expire_leases(core::time_point now);
     void run_placement(core::time_point now, core::wall_time wall);
     void propose_batch(core::placement_batch batch);
     void upkeep(core::time_point now);
     void promote_learners();
 
+    struct unconfirmed_heartbeat
+    {
+        core::heartbeat_request request;
+        heartbeat_hook done;
+    };
+
     replica& m_node;
     duty_settings m_settings;
     decision_hook m_on_decision;
@@ -87,6 +93,8 @@
     watch_hub m_watches;
     core::time_point m_next_placement;
     core::time_point m_next_upkeep;
+    /// Heartbeats without news; the next tick confirms leadership for all.
+    std::vector<unconfirmed_heartbeat> m_unconfirmed;
     bool m_expiry_waiting = false;
     bool m_ended = false;
 };
