--- a/programs/sidecar/main.cpp
+++ b/programs/sidecar/main.cpp
@@ -30,6 +30,13 @@
     transport::io_pool io(io_threads);
     auto control =
         std::make_unique<shared::control_link>(io, settings.control, life);
+    metrics.add_gauge_hook("turmericswitch_sidecar_control_bytes_total",
+                           "Bytes exchanged with control.",
+                           [&link = *control]
+                           {
+                               auto const [sent, received] = link.transferred();
+                               return static_cast<double>(sent + received);
+                           });
     sidecar_service service(
         settings, *control, metrics, core::incarnation(life));
     shared::config_watch watch(
@@ -41,7 +48,7 @@
             service.configure(news);
             return shared::config_watch::known_state{news.current, {}};
         },
-        false);
+        core::backend_scope{settings.backend, settings.service, settings.zone});
     transport::connection_options connection;
     connection.protocol_version = wire::protocol_version;
     auto const rpc = transport::rpc_server::listen(
