--- a/programs/gateway/tests/request_path.cpp
+++ b/programs/gateway/tests/request_path.cpp
@@ -152,7 +152,7 @@
             m_service->configure(news);
             return shared::config_watch::known_state{news.current, {}};
         },
-        false);
+        core::backend_scope{settings.backend, settings.service, settings.zone});
     transport::connection_options options;
     options.protocol_version = wire::protocol_version;
     m_rpc = transport::rpc_server::listen(
@@ -186,7 +186,8 @@
 gateway_node::gateway_node(fake_control& control, std::uint64_t seed)
     : m_routes(m_io, core::zone_id("a"), seed),
       m_control(m_io, {control.where()}, seed),
-      m_runner({m_routes,
+      m_runner({m_io,
+                m_routes,
                 m_control,
                 m_decisions,
                 m_counts,
