--- a/modules/placement/policy/room_maker.cpp
+++ b/modules/placement/policy/room_maker.cpp
@@ -101,7 +101,9 @@
 {
     auto const& worker = m_state.workers.worker(slot);
     auto const open = m_state.workers.open_capacity(worker);
-    bool const kept = task.is_batch() && m_state.spare.is_kept(slot);
+    // The baselines keep no room.
+    bool const kept = !m_state.options.choose && task.is_batch() &&
+                      m_state.spare.is_kept(slot);
     if (open.cpu.value() < 0 || worker.held_for || worker.open_share < 1 ||
         kept || !core::fits_in(need, worker.description.capacity))
     {
