control: end calls of other processes before the loop at a planned stop

Cause: the event loop ended before the port was closed, so calls that came in between were dropped; the demo saw "8 cut" in the stop line of the last leader. Change: close the port, answer what waits for the leader's duties, wait for open calls, count what is cut, and end the loop last.

--- a/programs/control/main.cpp
+++ b/programs/control/main.cpp
@@ -117,14 +117,16 @@
 
     node.hand_over();
     auto const stopped = http->stop();
-    node.stop();
     rpc->stop_accepting();
+    node.end_duties();
     auto const until = process::event_loop::now() + drain_limit;
     while (!rpc->drained() && process::event_loop::now() < until)
     {
         std::this_thread::sleep_for(drain_poll);
     }
     auto const cut = http->in_progress() + rpc->open_calls();
+    // Last: a call that came before the end of the drain still needs it.
+    node.stop();
     log.info("stopped: " + std::to_string(stopped.finished) +
              " requests in progress finished, " + std::to_string(cut) + " cut");
     return true;
--- a/programs/control/node/control_node.cpp
+++ b/programs/control/node/control_node.cpp
@@ -141,6 +141,18 @@
     std::this_thread::sleep_for(hand_over_time);
 }
 
+void control_node::end_duties()
+{
+    m_loop.post(
+        [this]
+        {
+            if (auto const ended = std::exchange(m_duties, nullptr))
+            {
+                ended->end();
+            }
+        });
+}
+
 void control_node::stop()
 {
     m_loop.stop();
--- a/programs/control/node/control_node.hpp
+++ b/programs/control/node/control_node.hpp
@@ -37,6 +37,10 @@
     /// before the interfaces stop, so that requests find the successor.
     void hand_over();
 
+    /// Answers everything that waits for the leader's duties, for an instance
+    /// that found no successor.
+    void end_duties();
+
     /// Ends the loop.
     void stop();
 
