Hedge slow idempotent attempts

Cause: an idempotent attempt into a stalled or silently partitioned backend server waited until the transport reported the stream lost or the deadline passed.

Change: after the 95th percentile of the service's latency a second attempt goes to a free slot of another backend server in the region, paid from the retry budget. The first whole answer wins; the other attempt is counted and cancelled. An overtaken first attempt counts as a failure for outlier detection and as a latency sample, or a silently partitioned server would stay in use. A timeout per try, fixed or from the smoothed latency, stays as an option for measurements only.

The fuzz now has two attempts of one idempotent request open at once and checks that there are never more.

Conclusion: hedging is kept and is the default.

--- a/extras/bench/request_policy/main.cpp
+++ b/extras/bench/request_policy/main.cpp
@@ -38,6 +38,9 @@
         all.attempts += one.attempts;
         all.route_refusals += one.route_refusals;
         all.region_bytes += one.region_bytes;
+        all.hedges += one.hedges;
+        all.cancels += one.cancels;
+        all.runs += one.runs;
         all.latencies.insert(
             all.latencies.end(), one.latencies.begin(), one.latencies.end());
     }
@@ -191,9 +194,89 @@
     }
 }
 
+struct slow_policy
+{
+    char const* name;
+    void (*apply)(bench::model_options&);
+};
+
+std::vector<slow_policy> slow_policies()
+{
+    using routing::slow_attempt;
+    return {{"wait",
+             [](bench::model_options& options)
+             { options.flow.slow = slow_attempt::wait; }},
+            {"timeout 500 ms",
+             [](bench::model_options& options)
+             { options.flow.slow = slow_attempt::fixed_timeout; }},
+            {"8 x smoothed",
+             [](bench::model_options& options)
+             { options.flow.slow = slow_attempt::smoothed_timeout; }},
+            {"hedge", [](bench::model_options& options) {
+                 options.flow.slow = slow_attempt::hedge;
+             }}};
+}
+
+struct tail_case
+{
+    char const* name;
+    double load;
+    bool stalls;
+    bool partition;
+    double failing;
+};
+
+constexpr tail_case tail_cases[] = {{"none", 0.6, false, false, 0},
+                                    {"stalls", 0.6, true, false, 0},
+                                    {"partition", 0.6, false, true, 0},
+                                    {"30% failing", 0.6, false, false, 0.3},
+                                    {"150% load", 1.5, false, false, 0}};
+
+void compare_tails()
+{
+    std::puts(
+        "tail: latency as a ratio to waiting; a request without an answer "
+        "counts as 2 s");
+    std::puts("fault        slow attempt        p50    p99  p99.9  goodput  "
+              "attempts/request  runs/request");
+    for (auto const& one : tail_cases)
+    {
+        bench::model_result base;
+        for (auto const& [name, policy] : slow_policies())
+        {
+            bench::model_options options;
+            options.policy = routing::choose_least_expected();
+            options.load = one.load;
+            options.locality = false;
+            options.stalls = one.stalls;
+            options.silent_partition = one.partition;
+            options.fail_share = one.failing;
+            policy(options);
+            auto result = run_seeds(options);
+            auto const goodput = result.goodput();
+            result.add_unanswered(std::chrono::seconds(2));
+            if (base.requests == 0)
+            {
+                base = result;
+            }
+            std::printf(
+                "%-11s  %-16s  %5.2f  %5.2f  %5.2f  %7.4f  %16.3f  %12.3f\n",
+                one.name,
+                name,
+                ratio(result.quantile(0.5), base.quantile(0.5)),
+                ratio(result.quantile(0.99), base.quantile(0.99)),
+                ratio(result.quantile(0.999), base.quantile(0.999)),
+                goodput,
+                result.amplification(),
+                static_cast<double>(result.runs) /
+                    static_cast<double>(result.requests));
+        }
+    }
+}
+
 } // namespace
 
-// Usage: turmericswitch-bench-request-policy [choice|retry|locality|tags]
+// Usage: turmericswitch-bench-request-policy [choice|retry|locality|tags|tail]
 int main(int argc, char** argv)
 {
     std::string const only = argc > 1 ? argv[1] : "";
@@ -213,5 +296,9 @@
     {
         compare_revision_tags();
     }
+    if (only.empty() || only == "tail")
+    {
+        compare_tails();
+    }
     return 0;
 }
--- a/extras/bench/request_policy/policy_model.cpp
+++ b/extras/bench/request_policy/policy_model.cpp
@@ -13,6 +13,11 @@
 constexpr std::size_t gateway_count = 3;
 constexpr std::size_t slow_backend = 4;
 constexpr double slow_factor = 3;
+constexpr std::size_t faulty_backend = 2;
+constexpr core::duration stall_period = std::chrono::seconds(5);
+constexpr core::duration stall_length = std::chrono::seconds(1);
+constexpr core::duration partition_begin = std::chrono::seconds(10);
+constexpr core::duration partition_end = std::chrono::seconds(20);
 // Lognormal service time: median 20 ms, p99 about 130 ms.
 constexpr double median_micros = 20'000;
 constexpr double sigma = 0.8;
@@ -63,6 +68,11 @@
     return static_cast<double>(attempts) / static_cast<double>(requests);
 }
 
+void model_result::add_unanswered(core::duration latency)
+{
+    latencies.resize(requests, latency.count());
+}
+
 policy_model::policy_model(model_options options)
     : m_options(std::move(options)),
       m_random(core::seeded_random(m_options.seed)),
@@ -178,6 +188,7 @@
         next.run();
     }
     m_result.attempts = m_counters.attempts;
+    m_result.cancels = m_counters.cancels;
     return std::move(m_result);
 }
 
@@ -235,6 +246,11 @@
         {
             send(sequence, *sent);
         }
+        else if (auto const* cancel =
+                     std::get_if<routing::send_cancel>(&action))
+        {
+            send(sequence, *cancel);
+        }
         else if (auto const* until = std::get_if<routing::wait>(&action))
         {
             later(until->until - m_now,
@@ -265,11 +281,29 @@
         place(zone, m_options.two_regions).region !=
         place(zone_of_backend[backend], m_options.two_regions).region;
     m_result.region_bytes += crosses ? body_bytes : 0;
+    if (unreachable(backend))
+    {
+        return;
+    }
     later(network_time(zone, zone_of_backend[backend]),
           [this, backend, request = action.request]
           { perform(backend, m_sidecars[backend].attempt(m_now, request)); });
 }
 
+void policy_model::send(std::uint64_t sequence,
+                        routing::send_cancel const& action)
+{
+    auto const backend = action.sidecar.port;
+    auto const zone = m_gateways[m_requests[sequence].gateway].zone;
+    if (unreachable(backend))
+    {
+        return;
+    }
+    later(network_time(zone, zone_of_backend[backend]),
+          [this, backend, request = action.request]
+          { perform(backend, m_sidecars[backend].cancel(m_now, request)); });
+}
+
 void policy_model::perform(std::size_t backend,
                            admission::admission_actions const& actions)
 {
@@ -298,7 +332,8 @@
                          core::attempt_request const& attempt)
 {
     bool const fails = uniform() < m_options.fail_share;
-    later(service_time(backend),
+    ++m_result.runs;
+    later(end_of_work(backend, service_time(backend)) - m_now,
           [this, backend, id = attempt.id, fails]
           {
               auto& sidecar = m_sidecars[backend];
@@ -319,6 +354,10 @@
         place(zone, m_options.two_regions).region !=
         place(zone_of_backend[backend], m_options.two_regions).region;
     m_result.region_bytes += crosses ? answer.body_size : 0;
+    if (unreachable(backend))
+    {
+        return;
+    }
     later(network_time(zone, zone_of_backend[backend]),
           [this, answer]
           {
@@ -335,6 +374,38 @@
         factor * median_micros * std::exp(sigma * normal())));
 }
 
+core::time_point policy_model::end_of_work(std::size_t backend,
+                                           core::duration work) const
+{
+    auto at = m_now;
+    if (!m_options.stalls || backend != faulty_backend)
+    {
+        return at + work;
+    }
+    for (;;)
+    {
+        auto const phase = (at - m_begin) % stall_period;
+        if (phase < stall_length)
+        {
+            at += stall_length - phase;
+            continue;
+        }
+        if (work <= stall_period - phase)
+        {
+            return at + work;
+        }
+        work -= stall_period - phase;
+        at += stall_period - phase;
+    }
+}
+
+bool policy_model::unreachable(std::size_t backend) const
+{
+    auto const since = m_now - m_begin;
+    return m_options.silent_partition && backend == faulty_backend &&
+           since >= partition_begin && since < partition_end;
+}
+
 core::duration policy_model::network_time(std::size_t zone_a,
                                           std::size_t zone_b) const
 {
--- a/extras/bench/request_policy/policy_model.hpp
+++ b/extras/bench/request_policy/policy_model.hpp
@@ -34,6 +34,11 @@
     /// Starts the drain of one backend server at this time, without a change
     /// of the configuration.
     std::optional<core::duration> drain_at;
+    /// Backend server 2 does nothing for the first second of every five.
+    bool stalls = false;
+    /// From 10 s to 20 s, messages from and to backend server 2 vanish and no
+    /// transport reports it.
+    bool silent_partition = false;
     /// Until every gateway has the changed table.
     core::duration table_lag = std::chrono::seconds(1);
 };
@@ -47,8 +52,14 @@
     std::uint64_t route_refusals = 0;
     std::uint64_t region_bytes = 0;
 
+    std::uint64_t hedges = 0;
+    std::uint64_t cancels = 0;
+    std::uint64_t runs = 0;
+
     /// @return Latency in microseconds below which this share lies.
     std::int64_t quantile(double share);
+    /// Counts requests without an answer as answered after `latency`.
+    void add_unanswered(core::duration latency);
     double goodput() const;
     double amplification() const;
 };
@@ -100,19 +111,25 @@
     void perform(std::size_t backend,
                  admission::admission_actions const& actions);
     void serve(std::size_t backend, core::attempt_request const& attempt);
+    void send(std::uint64_t sequence, routing::send_cancel const& action);
     void reply(std::size_t backend, core::attempt_answer const& answer);
     void with_flow(
         std::uint64_t sequence,
         std::function<routing::flow_actions(routing::request_flow&)> const&
             call);
     core::duration service_time(std::size_t backend);
+    /// @return End of work that begins now, with stalls.
+    core::time_point end_of_work(std::size_t backend,
+                                 core::duration work) const;
+    bool unreachable(std::size_t backend) const;
     core::duration network_time(std::size_t zone_a, std::size_t zone_b) const;
     double uniform();
     double normal();
 
     model_options m_options;
     core::random_source m_random;
-    core::time_point m_now{std::chrono::seconds(1)};
+    core::time_point const m_begin{std::chrono::seconds(1)};
+    core::time_point m_now = m_begin;
     core::time_point m_end;
     std::uint64_t m_order = 0;
     std::uint64_t m_sequence = 0;
--- a/modules/routing/choice/backend_selector.cpp
+++ b/modules/routing/choice/backend_selector.cpp
@@ -129,7 +129,11 @@
         }
         if (ejected)
         {
-            return &probes;
+            return query.needs_free_slot ? nullptr : &probes;
+        }
+        if (query.needs_free_slot && (one.load >= one.slots || !ramped))
+        {
+            return nullptr;
         }
         if (one.load >= one.slots || !ramped)
         {
--- a/modules/routing/choice/backend_selector.hpp
+++ b/modules/routing/choice/backend_selector.hpp
@@ -22,6 +22,8 @@
     core::byte_count body;
     /// False when the request has crossed the region link before.
     bool may_cross = true;
+    /// True chooses only a free slot in the gateway's region.
+    bool needs_free_slot = false;
     /// Backend servers that this request must not use.
     std::set<core::backend_id> excluded;
 };
--- a/modules/routing/flow/flow_types.hpp
+++ b/modules/routing/flow/flow_types.hpp
@@ -28,6 +28,21 @@
     core::duration timeout{};
 };
 
+/// What a request does about an idempotent attempt that takes long.
+enum class slow_attempt : std::uint8_t
+{
+    /// Waits for the transport or the deadline.
+    wait,
+    /// Gives it up after `flow_options::try_timeout`.
+    fixed_timeout,
+    /// Gives it up after `flow_options::smoothed_factor` times the smoothed
+    /// latency of its backend server.
+    smoothed_timeout,
+    /// Opens a second attempt after the high quantile of the service's
+    /// latency and takes the first whole answer.
+    hedge,
+};
+
 /// Settings of a gateway that no rule sets.
 struct flow_options
 {
@@ -41,6 +56,13 @@
     core::duration route_refusal_pause = std::chrono::milliseconds(500);
     /// An answer with a larger body is not delivered.
     std::uint64_t max_answer_bytes = 16ULL << 20U;
+    /// All but `hedge` are for measurements.
+    slow_attempt slow = slow_attempt::hedge;
+    /// A hedge is sent no sooner; below it, a second attempt costs more than
+    /// the wait.
+    core::duration shortest_hedge = std::chrono::milliseconds(5);
+    core::duration try_timeout = std::chrono::milliseconds(500);
+    std::int64_t smoothed_factor = 8;
     /// False spends no budget on retries; only for measurements.
     bool use_retry_budget = true;
     /// False ignores the revision in refusals; only for measurements.
@@ -58,6 +80,12 @@
     std::atomic<std::uint64_t> outcome_unknown{0};
     std::atomic<std::uint64_t> refused{0};
     std::atomic<std::uint64_t> refused_elsewhere{0};
+    /// Second attempts beside an open one.
+    std::atomic<std::uint64_t> hedges{0};
+    /// Hedges whose answer was delivered.
+    std::atomic<std::uint64_t> hedge_wins{0};
+    /// Attempts dropped because the request ended on the other one.
+    std::atomic<std::uint64_t> hedge_losers{0};
 };
 
 /// What the flows of one gateway share. Must outlive them.
--- a/modules/routing/flow/open_attempt.cpp
+++ b/modules/routing/flow/open_attempt.cpp
@@ -49,6 +49,14 @@
     return true;
 }
 
+void open_attempt::record_overtaken(core::time_point now) noexcept
+{
+    // A stalled or silently partitioned backend server would otherwise stay
+    // attractive: its attempts end here and not in a failure.
+    outlier->failed(now);
+    load->record_latency(now - sent_at);
+}
+
 void open_attempt::note_route_change(core::time_point now,
                                      core::revision in_force,
                                      flow_options const& options) noexcept
--- a/modules/routing/flow/open_attempt.hpp
+++ b/modules/routing/flow/open_attempt.hpp
@@ -6,7 +6,7 @@
 namespace turmericswitch::routing
 {
 
-/// The attempt that a request waits for. Holds a place in the load of its
+/// An attempt that a request waits for. Holds a place in the load of its
 /// backend server until it is closed or destroyed.
 class open_attempt
 {
@@ -29,6 +29,10 @@
     /// @return False when the status is a server error.
     bool record_status(core::time_point now, std::uint16_t status) noexcept;
 
+    /// Records that another attempt answered first. The latency is at least
+    /// the time since the send.
+    void record_overtaken(core::time_point now) noexcept;
+
     /// Keeps later requests away after a refusal for draining or an
     /// availability zone out: until the table has the sidecar's revision if
     /// that is newer, else for a short time.
@@ -44,6 +48,8 @@
     core::time_point sent_at;
     core::revision service_revision;
     bool crossed = false;
+    /// Opened beside another attempt.
+    bool is_hedge = false;
 
 private:
     bool m_open = false;
--- a/modules/routing/flow/request_flow.cpp
+++ b/modules/routing/flow/request_flow.cpp
@@ -9,15 +9,6 @@
 namespace turmericswitch::routing
 {
 
-namespace
-{
-
-// Between cancels of one attempt, so that a short break of the connection
-// doesn't use up all of them.
-constexpr core::duration cancel_interval = std::chrono::milliseconds(25);
-
-} // namespace
-
 request_flow::request_flow(flow_context const& context, caller_request request)
     : m_context(&context), m_request(std::move(request))
 {
@@ -35,13 +26,13 @@
     auto const table = m_context->table();
     if (table == nullptr)
     {
-        finish_without_answer(core::result_code::not_ready, out);
+        finish_without_answer(now, core::result_code::not_ready, out);
         return out;
     }
     auto route = resolve_route(*table, m_request.content);
     if (!route)
     {
-        finish_without_answer(core::result_code::no_route, out);
+        finish_without_answer(now, core::result_code::no_route, out);
         return out;
     }
     m_route = std::move(*route);
@@ -85,13 +76,13 @@
     if (!other_request)
     {
         // The claim may still reach control; its release follows it.
-        finish_without_answer(code, out);
+        finish_without_answer(now, code, out);
         return out;
     }
     finish result;
     result.outcome = core::attempt_outcome::unknown;
     result.code = code;
-    end(std::move(result), out);
+    end(now, std::move(result), out);
     return out;
 }
 
@@ -99,7 +90,7 @@
 {
     if (now >= m_deadline)
     {
-        finish_without_answer(core::result_code::deadline_exceeded, out);
+        finish_without_answer(now, core::result_code::deadline_exceeded, out);
         return;
     }
     auto const table = m_context->table();
@@ -113,7 +104,7 @@
     {
         bool const keep = m_last_code != core::result_code::ok &&
                           chosen.code == core::result_code::not_run;
-        finish_without_answer(keep ? m_last_code : chosen.code, out);
+        finish_without_answer(now, keep ? m_last_code : chosen.code, out);
         return;
     }
     send(now, std::move(chosen), out);
@@ -128,6 +119,18 @@
         none.code = core::result_code::no_route;
         return none;
     }
+    auto chosen = m_context->selector.choose(
+        *service, make_query(now, table), m_context->random);
+    if (chosen.target != nullptr)
+    {
+        open(*service, chosen);
+    }
+    return chosen;
+}
+
+selection_query request_flow::make_query(core::time_point now,
+                                         route_table const& table) const
+{
     selection_query query;
     query.now = now;
     query.remaining = m_deadline - now;
@@ -137,14 +140,13 @@
     query.may_cross = !m_has_crossed;
     query.excluded = m_excluded;
     query.excluded.insert(m_avoided.begin(), m_avoided.end());
-    auto chosen =
-        m_context->selector.choose(*service, query, m_context->random);
-    if (chosen.target != nullptr)
-    {
-        m_current.open(*chosen.target, chosen.crosses_region);
-        m_current.service_revision = service->changed;
-    }
-    return chosen;
+    return query;
+}
+
+void request_flow::open(service_routes const& service, selection const& chosen)
+{
+    m_current->open(*chosen.target, chosen.crosses_region);
+    m_current->service_revision = service.changed;
 }
 
 void request_flow::send(core::time_point now,
@@ -154,43 +156,50 @@
     ++m_attempts;
     ++m_context->counters->attempts;
     m_phase = phase::attempting;
-    m_has_crossed = m_has_crossed || m_current.crossed;
-    m_current.id.request = m_request.id;
-    m_current.id.number = core::attempt_number(m_attempts);
-    m_current.sent_at = now;
+    m_has_crossed = m_has_crossed || m_current->crossed;
+    m_current->id.request = m_request.id;
+    m_current->id.number = core::attempt_number(m_attempts);
+    m_current->sent_at = now;
     send_attempt action;
-    action.backend = m_current.backend;
-    action.sidecar = m_current.sidecar;
-    action.request = {m_current.id,
+    action.backend = m_current->backend;
+    action.sidecar = m_current->sidecar;
+    action.request = {m_current->id,
                       m_route.service,
                       m_request.content,
                       m_deadline - now,
                       m_route.idempotent,
-                      m_current.service_revision};
+                      m_current->service_revision};
     action.record = std::move(chosen.record);
-    describe_send(m_request.id, m_current.backend, action.record);
+    describe_send(m_request.id, m_current->backend, action.record);
     out.emplace_back(std::move(action));
-    out.emplace_back(wait{m_deadline});
+    m_slow_at = slow_time();
+    out.emplace_back(wait{wake_time()});
 }
 
-bool request_flow::is_current(core::attempt_id const& id) const
+bool request_flow::focus(core::attempt_id const& id)
 {
-    bool const open =
-        m_phase == phase::attempting || m_phase == phase::cancelling;
-    return open && id == m_current.id;
+    if (m_phase != phase::attempting && m_phase != phase::cancelling)
+    {
+        return false;
+    }
+    if (m_other != nullptr && m_other->id == id)
+    {
+        std::swap(m_current, m_other);
+    }
+    return m_current->id == id;
 }
 
 flow_actions request_flow::attempt_answered(core::time_point now,
                                             core::attempt_answer answer)
 {
     flow_actions out;
-    if (!is_current(answer.id))
+    if (!focus(answer.id))
     {
         m_context->counters->late_answers.fetch_add(1,
                                                     std::memory_order_relaxed);
         return out;
     }
-    m_current.load->report(now, answer.in_use);
+    m_current->load->report(now, answer.in_use);
     handle_answer(now, std::move(answer), out);
     return out;
 }
@@ -212,11 +221,11 @@
     }
     if (answer.code == core::result_code::wrong_incarnation)
     {
-        m_current.load->retire();
+        m_current->load->retire();
     }
     else
     {
-        m_current.outlier->failed(now);
+        m_current->outlier->failed(now);
     }
     handle_unknown(now, answer.code, out);
 }
@@ -226,7 +235,7 @@
                                 flow_actions& out)
 {
     auto const size = answer.answer.body.size();
-    if (m_current.crossed)
+    if (m_current->crossed)
     {
         m_route.region_bytes->charge(
             now,
@@ -236,25 +245,27 @@
     if (size != answer.body_size || size > m_context->options.max_answer_bytes)
     {
         ++m_context->counters->broken_answers;
-        m_current.outlier->failed(now);
+        m_current->outlier->failed(now);
         handle_unknown(now, core::result_code::backend_failed, out);
         return;
     }
-    if (m_current.record_status(now, answer.answer.status))
+    if (m_current->record_status(now, answer.answer.status))
     {
         m_route.retries->earn(m_route.rule.retry_percent);
+        record_service_latency(now);
     }
     finish result;
     result.outcome = core::attempt_outcome::ran;
     result.answer = std::move(answer.answer);
-    result.record.target = m_current.backend.value();
+    result.record.target = m_current->backend.value();
     m_maybe_ran = true;
+    m_context->counters->hedge_wins += m_current->is_hedge ? 1 : 0;
     if (m_request.key)
     {
         out.emplace_back(
             end_claim{{m_route.service, *m_request.key, m_request.id, true}});
     }
-    end(std::move(result), out);
+    end(now, std::move(result), out);
 }
 
 void request_flow::handle_refusal(core::time_point now,
@@ -266,16 +277,16 @@
     bool const route_change = is_route_change(answer.code);
     if (route_change)
     {
-        m_current.note_route_change(
+        m_current->note_route_change(
             now, answer.sidecar_revision, m_context->options);
     }
     bool const overload = answer.code == core::result_code::no_capacity;
-    (overload ? m_avoided : m_excluded).insert(m_current.backend);
+    (overload ? m_avoided : m_excluded).insert(m_current->backend);
     if (answer.code == core::result_code::backend_failed)
     {
-        m_current.outlier->failed(now);
+        m_current->outlier->failed(now);
     }
-    m_current.close();
+    m_current->close();
     retry(now, answer.code, route_change, out);
 }
 
@@ -284,11 +295,11 @@
                                   flow_actions& out)
 {
     m_maybe_ran = true;
-    m_excluded.insert(m_current.backend);
-    m_current.close();
+    m_excluded.insert(m_current->backend);
+    m_current->close();
     if (!m_route.idempotent)
     {
-        finish_without_answer(code, out);
+        finish_without_answer(now, code, out);
         return;
     }
     retry(now, code, false, out);
@@ -298,11 +309,11 @@
                                         core::attempt_id const& id)
 {
     flow_actions out;
-    if (m_phase != phase::attempting || !is_current(id))
+    if (m_phase != phase::attempting || !focus(id))
     {
         return out;
     }
-    m_current.outlier->failed(now);
+    m_current->outlier->failed(now);
     answer_is_missing(now, out);
     return out;
 }
@@ -323,175 +334,21 @@
                                             core::attempt_id const& id)
 {
     flow_actions out;
-    if (m_phase != phase::attempting || !is_current(id))
+    if (m_phase != phase::attempting || !focus(id))
     {
         return out;
     }
-    if (m_current.crossed)
+    if (m_current->crossed)
     {
         m_has_crossed = false;
         m_route.region_bytes->refund(size_of(m_request.content),
                                      m_route.rule.region_bytes_per_second);
     }
-    m_current.outlier->failed(now);
-    m_excluded.insert(m_current.backend);
-    m_current.close();
+    m_current->outlier->failed(now);
+    m_excluded.insert(m_current->backend);
+    m_current->close();
     retry(now, core::result_code::peer_unreachable, false, out);
     return out;
 }
 
-void request_flow::start_cancel(core::time_point now, flow_actions& out)
-{
-    m_phase = phase::cancelling;
-    m_cancels = 0;
-    m_cancel_end = std::max(now, m_deadline) + m_context->options.cancel_grace;
-    send_one_cancel(out);
-    wait_for_cancel(now, out);
-}
-
-void request_flow::send_one_cancel(flow_actions& out)
-{
-    ++m_cancels;
-    ++m_context->counters->cancels;
-    out.emplace_back(send_cancel{m_current.sidecar, {m_current.id}});
-}
-
-void request_flow::wait_for_cancel(core::time_point now, flow_actions& out)
-{
-    bool const again = m_cancels < m_context->options.max_cancels;
-    m_resume_at =
-        again ? std::min(now + cancel_interval, m_cancel_end) : m_cancel_end;
-    out.emplace_back(wait{m_resume_at});
-}
-
-flow_actions
-request_flow::cancel_answered(core::time_point now,
-                              core::attempt_id const& id,
-                              std::optional<core::cancel_outcome> outcome)
-{
-    flow_actions out;
-    // Without an answer, the timer sends the next cancel or gives up.
-    if (m_phase != phase::cancelling || !is_current(id) || !outcome)
-    {
-        return out;
-    }
-    if (*outcome != core::cancel_outcome::cancelled)
-    {
-        handle_unknown(now, core::result_code::outcome_unknown, out);
-        return out;
-    }
-    m_excluded.insert(m_current.backend);
-    m_current.close();
-    auto const code = now < m_deadline ? core::result_code::not_run
-                                       : core::result_code::deadline_exceeded;
-    retry(now, code, false, out);
-    return out;
-}
-
-void request_flow::retry(core::time_point now,
-                         core::result_code code,
-                         bool route_change,
-                         flow_actions& out)
-{
-    m_last_code = code;
-    bool const budgeted = !route_change && m_context->options.use_retry_budget;
-    if (now >= m_deadline || m_attempts >= m_route.rule.max_attempts)
-    {
-        finish_without_answer(code, out);
-        return;
-    }
-    if (budgeted && !m_route.retries->try_spend())
-    {
-        finish_without_answer(core::result_code::retry_budget_empty, out);
-        return;
-    }
-    ++m_context->counters->retries;
-    if (route_change)
-    {
-        try_next(now, out);
-        return;
-    }
-    m_phase = phase::backing_off;
-    m_resume_at = now + core::full_jitter(m_context->random,
-                                          m_context->options.backoff_base,
-                                          m_context->options.backoff_cap,
-                                          m_attempts - 1);
-    m_resume_at = std::min(m_resume_at, m_deadline);
-    out.emplace_back(wait{m_resume_at});
-}
-
-flow_actions request_flow::timer(core::time_point now)
-{
-    flow_actions out;
-    switch (m_phase)
-    {
-    case phase::claiming:
-    case phase::attempting:
-        if (now >= m_deadline)
-        {
-            deadline_passed(now, out);
-        }
-        break;
-    case phase::cancelling:
-        if (now >= m_cancel_end)
-        {
-            handle_unknown(now, core::result_code::outcome_unknown, out);
-        }
-        else if (now >= m_resume_at)
-        {
-            send_one_cancel(out);
-            wait_for_cancel(now, out);
-        }
-        break;
-    case phase::backing_off:
-        if (now >= m_resume_at)
-        {
-            try_next(now, out);
-        }
-        break;
-    case phase::created:
-    case phase::done:
-        break;
-    }
-    return out;
-}
-
-void request_flow::deadline_passed(core::time_point now, flow_actions& out)
-{
-    if (m_phase == phase::claiming)
-    {
-        finish_without_answer(core::result_code::deadline_exceeded, out);
-        return;
-    }
-    answer_is_missing(now, out);
-}
-
-void request_flow::release_claim(flow_actions& out)
-{
-    // A claim whose request may have run stays, so that a resend is not run.
-    if (m_claimed && !m_maybe_ran)
-    {
-        out.emplace_back(
-            end_claim{{m_route.service, *m_request.key, m_request.id, false}});
-    }
-}
-
-void request_flow::finish_without_answer(core::result_code code,
-                                         flow_actions& out)
-{
-    release_claim(out);
-    auto& count = m_maybe_ran ? m_context->counters->outcome_unknown
-                              : m_context->counters->refused;
-    ++count;
-    end(result_without_answer(m_maybe_ran, m_route.idempotent, code), out);
-}
-
-void request_flow::end(finish result, flow_actions& out)
-{
-    m_current.close();
-    m_phase = phase::done;
-    describe_result(m_request.id, result);
-    out.emplace_back(std::move(result));
-}
-
 } // namespace turmericswitch::routing
--- a/modules/routing/flow/request_flow.hpp
+++ b/modules/routing/flow/request_flow.hpp
@@ -13,7 +13,9 @@
 ///
 /// A non-idempotent request is sent again only after proof that the earlier
 /// attempt did not run and never will. Without proof it ends as
-/// `outcome_unknown`.
+/// `outcome_unknown`. An idempotent request may have two attempts open: when
+/// the first takes longer than most, a second goes to another backend server
+/// of the region, and the first whole answer of either is delivered.
 class request_flow
 {
 public:
@@ -61,9 +63,23 @@
         done,
     };
 
-    bool is_current(core::attempt_id const& id) const;
+    /// Makes the open attempt with this id the current one.
+    ///
+    /// @return False when there is none.
+    bool focus(core::attempt_id const& id);
     void try_next(core::time_point now, flow_actions& out);
     selection select(core::time_point now, route_table const& table);
+    selection_query make_query(core::time_point now,
+                               route_table const& table) const;
+    void open(service_routes const& service, selection const& chosen);
+    core::time_point wake_time() const;
+    std::optional<core::time_point> slow_time() const;
+    void record_service_latency(core::time_point now);
+    void attempt_is_slow(core::time_point now, flow_actions& out);
+    bool may_try_again() const;
+    void hedge(core::time_point now, flow_actions& out);
+    selection select_hedge(core::time_point now);
+    void drop_other(core::time_point now, flow_actions& out);
     void send(core::time_point now, selection chosen, flow_actions& out);
     void handle_answer(core::time_point now,
                        core::attempt_answer answer,
@@ -86,9 +102,11 @@
                flow_actions& out);
     void answer_is_missing(core::time_point now, flow_actions& out);
     void deadline_passed(core::time_point now, flow_actions& out);
-    void finish_without_answer(core::result_code code, flow_actions& out);
+    void finish_without_answer(core::time_point now,
+                               core::result_code code,
+                               flow_actions& out);
     void release_claim(flow_actions& out);
-    void end(finish result, flow_actions& out);
+    void end(core::time_point now, finish result, flow_actions& out);
 
     flow_context const* m_context;
     caller_request m_request;
@@ -97,14 +115,19 @@
     core::time_point m_deadline;
     core::time_point m_resume_at;
     core::time_point m_cancel_end;
+    /// When the current attempt counts as slow; never when not set.
+    std::optional<core::time_point> m_slow_at;
     std::uint32_t m_attempts = 0;
     std::uint32_t m_cancels = 0;
     bool m_claimed = false;
+    bool m_latency_recorded = false;
     bool m_has_crossed = false;
     /// True once an attempt ended without proof that it did not run.
     bool m_maybe_ran = false;
     core::result_code m_last_code = core::result_code::ok;
-    open_attempt m_current;
+    std::unique_ptr<open_attempt> m_current = std::make_unique<open_attempt>();
+    /// Set only while two attempts are open.
+    std::unique_ptr<open_attempt> m_other;
     /// Never used again by this request.
     std::set<core::backend_id> m_excluded;
     /// Refused for lack of capacity; used again when no other is left.
--- a/modules/routing/flow/resolved_route.cpp
+++ b/modules/routing/flow/resolved_route.cpp
@@ -24,6 +24,7 @@
         methods.end();
     route.retries = service->retries;
     route.region_bytes = service->region_bytes;
+    route.latency = service->latency;
     return route;
 }
 
--- a/modules/routing/flow/resolved_route.hpp
+++ b/modules/routing/flow/resolved_route.hpp
@@ -18,6 +18,7 @@
     bool idempotent = false;
     std::shared_ptr<retry_budget> retries;
     std::shared_ptr<region_byte_budget> region_bytes;
+    std::shared_ptr<latency_quantile> latency;
 };
 
 /// @return The route of the request, or nothing when no rule matches.
--- a/modules/routing/table/route_table.hpp
+++ b/modules/routing/table/route_table.hpp
@@ -4,6 +4,7 @@
 #include "core/config/configuration.hpp"
 #include "core/messages/registry.hpp"
 #include "routing/load/backend_load.hpp"
+#include "routing/load/latency_quantile.hpp"
 #include "routing/load/outlier_tracker.hpp"
 #include "routing/load/region_byte_budget.hpp"
 #include "routing/load/retry_budget.hpp"
@@ -40,6 +41,7 @@
     std::vector<backend_target> backends;
     std::shared_ptr<retry_budget> retries;
     std::shared_ptr<region_byte_budget> region_bytes;
+    std::shared_ptr<latency_quantile> latency;
 };
 
 /// Immutable snapshot that requests are routed by. Made by `build_next`.
--- a/modules/routing/table/table_builder.cpp
+++ b/modules/routing/table/table_builder.cpp
@@ -197,6 +197,8 @@
     bool const unchanged =
         old != nullptr && !routes_changed(previous->config, table, service);
     made.changed = unchanged ? old->changed : table.revision;
+    made.latency =
+        old != nullptr ? old->latency : std::make_shared<latency_quantile>();
     made.retries =
         old != nullptr ? old->retries : std::make_shared<retry_budget>();
     made.region_bytes = old != nullptr ? old->region_bytes
--- a/modules/routing/tests/fuzz_topology.hpp
+++ b/modules/routing/tests/fuzz_topology.hpp
@@ -48,6 +48,8 @@
     rule.slots_per_backend = limits.slots;
     rule.queue_per_backend = limits.queue;
     rule.request_timeout = std::chrono::milliseconds(400);
+    // Pays for a hedge of most idempotent requests.
+    rule.retry_percent = 50;
     config.services.push_back(rule);
     config.routes.push_back({"/", rule.service, {"GET"}});
     return config;
--- a/modules/routing/tests/fuzz_world.cpp
+++ b/modules/routing/tests/fuzz_world.cpp
@@ -109,6 +109,7 @@
 void fuzz_world::to_gateway(std::size_t index, message const& content)
 {
     auto& flows = m_gateways[index].flows;
+    note_end(content);
     auto const with = [&](core::request_id const& id, auto const& event)
     {
         if (auto const found = flows.find(id); found != flows.end())
@@ -153,6 +154,24 @@
     }
 }
 
+void fuzz_world::note_end(message const& content)
+{
+    if (auto const* answered = std::get_if<core::attempt_answer>(&content))
+    {
+        m_facts[answered->id.request].open.erase(answered->id);
+    }
+    else if (auto const* lost = std::get_if<attempt_is_lost>(&content))
+    {
+        m_facts[lost->id.request].open.erase(lost->id);
+    }
+    else if (auto const* cancel = std::get_if<core::cancel_answer>(&content))
+    {
+        bool const ended = cancel->outcome == core::cancel_outcome::cancelled;
+        m_facts[cancel->id.request].open.erase(ended ? cancel->id
+                                                     : core::attempt_id{});
+    }
+}
+
 void fuzz_world::to_sidecar(std::size_t index, message const& content)
 {
     auto& node = m_sidecars[index];
@@ -245,6 +264,13 @@
     {
         request.timeout = std::chrono::milliseconds(40);
     }
+    // Keeps the delay of a hedge short, so that many requests have two
+    // attempts open at once.
+    for (int i = 0; i < 100; ++i)
+    {
+        node.table->services.begin()->second.latency->record(
+            std::chrono::milliseconds(1));
+    }
     auto const id = request.id;
     auto& flow = node.flows[id];
     flow = std::make_unique<request_flow>(*node.context, std::move(request));
@@ -299,7 +325,13 @@
     }
     bool const crosses =
         place(index).region != place(gateway_zone[gateway]).region;
-    m_facts[id.request].crossings += crosses ? 1 : 0;
+    auto& facts = m_facts[id.request];
+    facts.crossings += crosses ? 1 : 0;
+    facts.open.insert(id);
+    if (facts.open.size() > (facts.idempotent ? 2 : 1))
+    {
+        m_violations.too_many_attempts = facts.body;
+    }
     m_network.send(m_now, self, sidecar, action.request);
     // The stream may break although the message is still on its way.
     if (fault(15))
--- a/modules/routing/tests/fuzz_world.hpp
+++ b/modules/routing/tests/fuzz_world.hpp
@@ -42,6 +42,7 @@
     std::string start_after_drain;
     std::string not_ended;
     std::string region_twice;
+    std::string too_many_attempts;
     std::string late_start;
 };
 
@@ -65,6 +66,11 @@
         return m_answered;
     }
 
+    flow_counters const& counters() const noexcept
+    {
+        return m_counters;
+    }
+
 private:
     struct claim_reply
     {
@@ -135,6 +141,8 @@
         int runs = 0;
         int ends = 0;
         int crossings = 0;
+        /// Attempts sent, and those whose end the gateway was told of.
+        std::set<core::attempt_id> open;
         bool gateway_died = false;
         bool refused_as_not_run = false;
     };
@@ -142,6 +150,8 @@
     bool fault(std::uint32_t percent);
     void advance(core::time_point until);
     void deliver(network::delivery const& delivery);
+    /// Tells the oracle which attempt the gateway no longer waits for.
+    void note_end(message const& content);
     void to_gateway(std::size_t index, message const& content);
     void to_sidecar(std::size_t index, message const& content);
     void to_control(std::uint32_t from, message const& content);
--- a/modules/routing/tests/request_flow_test.cpp
+++ b/modules/routing/tests/request_flow_test.cpp
@@ -68,6 +68,11 @@
     CPPUNIT_TEST(claim_comes_before_the_first_attempt);
     CPPUNIT_TEST(late_claim_is_released);
     CPPUNIT_TEST(without_table_nothing_is_sent);
+    CPPUNIT_TEST(slow_attempt_is_hedged_and_the_first_answer_wins);
+    CPPUNIT_TEST(hedge_needs_idempotence_budget_slot_and_region);
+    CPPUNIT_TEST(failed_attempt_leaves_the_other_open);
+    CPPUNIT_TEST(deadline_with_two_open_is_not_called_not_run);
+    CPPUNIT_TEST(hedge_delay_follows_the_95th_percentile);
     CPPUNIT_TEST_SUITE_END();
 
     std::shared_ptr<route_table const> m_table;
@@ -111,6 +116,46 @@
         return answer;
     }
 
+    static core::attempt_answer whole(core::attempt_id const& id)
+    {
+        core::attempt_answer answer;
+        answer.id = id;
+        answer.outcome = core::attempt_outcome::ran;
+        answer.answer.status = 200;
+        return answer;
+    }
+
+    // A flow with a hedge beside its first attempt.
+    struct hedged_flow
+    {
+        std::unique_ptr<request_flow> flow;
+        core::attempt_id first;
+        core::attempt_id second;
+        core::time_point deadline;
+    };
+
+    flow_actions after_quantile(request_flow& flow)
+    {
+        return flow.timer(start + service().latency->value());
+    }
+
+    service_routes const& service() const
+    {
+        return m_table->services.begin()->second;
+    }
+
+    hedged_flow make_hedged()
+    {
+        hedged_flow made;
+        made.flow = make_flow("GET");
+        made.first =
+            the_action<send_attempt>(made.flow->begin(start)).request.id;
+        auto const actions = after_quantile(*made.flow);
+        made.second = the_action<send_attempt>(actions).request.id;
+        made.deadline = the_action<wait>(actions).until;
+        return made;
+    }
+
     std::string target_of_next(std::vector<std::unique_ptr<request_flow>>& keep)
     {
         keep.push_back(make_flow("POST"));
@@ -298,6 +343,107 @@
         CPPUNIT_ASSERT(!the_action<end_claim>(late).command.ran);
     }
 
+    // Guards against a stalled server that holds a request until its deadline.
+    void slow_attempt_is_hedged_and_the_first_answer_wins()
+    {
+        service().latency->record(milliseconds(10));
+        auto const tokens = service().retries->tokens();
+        for (bool const second_wins : {true, false})
+        {
+            auto const open = make_hedged();
+            auto const& winner = second_wins ? open.second : open.first;
+            auto const& loser = second_wins ? open.first : open.second;
+            auto const at = start + milliseconds(100);
+            auto const end = open.flow->attempt_answered(at, whole(winner));
+            CPPUNIT_ASSERT(the_action<finish>(end).outcome ==
+                           core::attempt_outcome::ran);
+            CPPUNIT_ASSERT(the_action<send_cancel>(end).request.id == loser);
+            CPPUNIT_ASSERT(
+                open.flow->attempt_answered(at, whole(loser)).empty());
+        }
+        CPPUNIT_ASSERT_EQUAL(tokens - 2, service().retries->tokens());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, m_counters.hedges.load());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, m_counters.hedge_wins.load());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, m_counters.hedge_losers.load());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, m_counters.late_answers.load());
+    }
+
+    // Guards against hedges that add load where there is none to spare, cross
+    // the region link or repeat a non-idempotent request.
+    void hedge_needs_idempotence_budget_slot_and_region()
+    {
+        service().latency->record(milliseconds(10));
+        auto const hedges = [this](std::string const& method)
+        {
+            auto const flow = make_flow(method);
+            flow->begin(start);
+            return find_action<send_attempt>(after_quantile(*flow)) != nullptr;
+        };
+        CPPUNIT_ASSERT(hedges("GET"));
+        CPPUNIT_ASSERT(!hedges("POST"));
+        auto const& next = service().backends[2];
+        CPPUNIT_ASSERT_EQUAL(std::string("next"), next.entry.backend.value());
+        CPPUNIT_ASSERT(next.load->try_begin(2) && next.load->try_begin(2));
+        CPPUNIT_ASSERT(!hedges("GET"));
+        next.load->end();
+        CPPUNIT_ASSERT(hedges("GET"));
+        while (service().retries->try_spend())
+        {
+        }
+        CPPUNIT_ASSERT(!hedges("GET"));
+    }
+
+    // Guards against a third attempt or an end while an answer may still come.
+    void failed_attempt_leaves_the_other_open()
+    {
+        service().latency->record(milliseconds(10));
+        auto const open = make_hedged();
+        auto const at = start + milliseconds(100);
+        auto const lost = open.flow->attempt_lost(at, open.first);
+        CPPUNIT_ASSERT(find_action<send_attempt>(lost) == nullptr);
+        CPPUNIT_ASSERT(find_action<finish>(lost) == nullptr);
+        CPPUNIT_ASSERT(open.flow->timer(at + milliseconds(500)).empty());
+        auto const end = open.flow->attempt_answered(at, whole(open.second));
+        CPPUNIT_ASSERT(the_action<finish>(end).outcome ==
+                       core::attempt_outcome::ran);
+    }
+
+    // Guards against a false refusal: one attempt is refused after the
+    // deadline while the other may be running.
+    void deadline_with_two_open_is_not_called_not_run()
+    {
+        service().latency->record(milliseconds(10));
+        auto const open = make_hedged();
+        auto const end = open.flow->attempt_answered(
+            open.deadline,
+            refusal(open.first, core::result_code::no_capacity, 1));
+        CPPUNIT_ASSERT(the_action<finish>(end).outcome ==
+                       core::attempt_outcome::unknown);
+        CPPUNIT_ASSERT(the_action<send_cancel>(end).request.id == open.second);
+        for (auto const& target : service().backends)
+        {
+            CPPUNIT_ASSERT_EQUAL(0U, target.load->outstanding());
+        }
+    }
+
+    // Guards against a hedge delay that drifts away from the quantile.
+    void hedge_delay_follows_the_95th_percentile()
+    {
+        latency_quantile quantile;
+        CPPUNIT_ASSERT(quantile.value() == core::duration::zero());
+        double sum = 0;
+        constexpr int samples = 20'000;
+        for (int i = 0; i < samples; ++i)
+        {
+            quantile.record(milliseconds(i * 7919 % 1000 + 1));
+            sum += i < samples / 2
+                       ? 0
+                       : static_cast<double>(quantile.value().count());
+        }
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(
+            950'000.0, sum / (static_cast<double>(samples) / 2), 30'000.0);
+    }
+
     void without_table_nothing_is_sent()
     {
         m_table = nullptr;
--- a/modules/routing/tests/request_path_fuzz_test.cpp
+++ b/modules/routing/tests/request_path_fuzz_test.cpp
@@ -77,7 +77,9 @@
     CPPUNIT_TEST(every_request_ends_once);
     CPPUNIT_TEST(body_crosses_regions_at_most_once);
     CPPUNIT_TEST(nothing_starts_after_its_deadline);
+    CPPUNIT_TEST(at_most_two_attempts_are_open);
     CPPUNIT_TEST(all_requests_are_answered_without_faults);
+    CPPUNIT_TEST(hedges_happen_and_win);
     CPPUNIT_TEST_SUITE_END();
 
     void non_idempotent_runs_at_most_once()
@@ -120,6 +122,25 @@
         check("late start", 18, &violations::late_start);
     }
 
+    void at_most_two_attempts_are_open()
+    {
+        check("open attempts", 19, &violations::too_many_attempts);
+    }
+
+    // Guards against a fuzz that never has two attempts open.
+    void hedges_happen_and_win()
+    {
+        fuzz_world world(7);
+        for (std::size_t i = 0; i < 200; ++i)
+        {
+            world.run({step_kind::request, 0, 0});
+            world.run({step_kind::advance, 60, 0});
+        }
+        world.settle();
+        CPPUNIT_ASSERT(world.counters().hedges > 50);
+        CPPUNIT_ASSERT(world.counters().hedge_wins > 10);
+    }
+
     // Guards against a fuzz that passes because every request is refused.
     void all_requests_are_answered_without_faults()
     {
