--- a/modules/routing/flow/request_flow_retry.cpp
+++ b/modules/routing/flow/request_flow_retry.cpp
@@ -216,7 +216,7 @@
     m_latency_recorded = true;
     m_other = std::exchange(m_current, std::make_unique<open_attempt>());
     auto chosen = may_try_again() ? select_hedge(now) : selection();
-    if (chosen.target == nullptr || !m_route.retries->try_spend())
+    if (chosen.target == nullptr || !m_route.retries->try_spend_for_hedge())
     {
         m_current = std::move(m_other);
         out.emplace_back(wait{m_deadline});
--- a/modules/routing/load/retry_budget.cpp
+++ b/modules/routing/load/retry_budget.cpp
@@ -17,9 +17,19 @@
 }
 
 bool retry_budget::try_spend() noexcept
+{
+    return try_spend_above(0);
+}
+
+bool retry_budget::try_spend_for_hedge() noexcept
+{
+    return try_spend_above(reserve / 2);
+}
+
+bool retry_budget::try_spend_above(std::int64_t kept) noexcept
 {
     auto old = m_hundredths.load(std::memory_order_relaxed);
-    while (old >= token)
+    while (old >= kept + token)
     {
         if (m_hundredths.compare_exchange_weak(
                 old, old - token, std::memory_order_relaxed))
--- a/modules/routing/load/retry_budget.hpp
+++ b/modules/routing/load/retry_budget.hpp
@@ -18,6 +18,9 @@
     /// @return False when less than one token is left.
     bool try_spend() noexcept;
 
+    /// As `try_spend`, but leaves half of the reserve to retries.
+    bool try_spend_for_hedge() noexcept;
+
     /// @return Whole tokens left.
     std::uint32_t tokens() const noexcept;
 
@@ -26,6 +29,8 @@
     static constexpr std::int64_t reserve = 10 * 100;
     static constexpr std::int64_t token = 100;
 
+    bool try_spend_above(std::int64_t kept) noexcept;
+
     std::atomic<std::int64_t> m_hundredths{reserve};
 };
 
