Export the metrics that the operating page names

Cause: the gateway exported 4 of 8 flow counters and nothing per backend server, the sidecar 4 of 8 counts under other names, and totals were gauges.

Change: metrics_registry has counter hooks and hooked families, whose labelled values are read at each scrape, so that a backend server that is gone leaves no value behind. Gateway and sidecar export every name of docs/operating-requests.md. turmericswitch_sidecar_copies_total is now duplicates_total; sidecar_unknown_total became failed_total.

Ran telemetry_tests (new test hooked_family_is_read_at_each_scrape).

--- a/modules/telemetry/metrics/metrics_registry.cpp
+++ b/modules/telemetry/metrics/metrics_registry.cpp
@@ -1,5 +1,6 @@
 #include "telemetry/metrics/metrics_registry.hpp"
 
+#include <algorithm>
 #include <array>
 #include <cassert>
 #include <charconv>
@@ -79,8 +80,13 @@
     print_line(out, name + "_count", labels, std::to_string(summary.count));
 }
 
-// The kinds in the order of the metric variant.
-constexpr std::array kind_names = {"counter", "gauge", "summary", "gauge"};
+// The kinds in the order of the metric variant, without hooks.
+constexpr std::array kind_names = {"counter", "gauge", "summary"};
+
+char const* to_string(metric_kind kind)
+{
+    return kind == metric_kind::counter ? "counter" : "gauge";
+}
 
 } // namespace
 
@@ -90,10 +96,12 @@
                                  metric_labels const& labels)
 {
     std::lock_guard const lock(m_mutex);
-    auto& [known_help, metrics] = m_families[name];
+    auto& one = m_families[name];
+    assert(!one.hook && "one name has one kind");
+    auto& metrics = one.metrics;
     if (metrics.empty())
     {
-        known_help = help;
+        one.help = help;
     }
     auto const found = metrics.find(labels);
     if (found == metrics.end())
@@ -134,16 +142,71 @@
 
 void metrics_registry::add_gauge_hook(std::string const& name,
                                       std::string const& help,
-                                      gauge_hook hook,
+                                      value_hook hook,
                                       metric_labels const& labels)
+{
+    add_hook(name, help, labels, {metric_kind::gauge, std::move(hook)});
+}
+
+void metrics_registry::add_counter_hook(std::string const& name,
+                                        std::string const& help,
+                                        value_hook hook,
+                                        metric_labels const& labels)
+{
+    add_hook(name, help, labels, {metric_kind::counter, std::move(hook)});
+}
+
+void metrics_registry::add_family_hook(std::string const& name,
+                                       std::string const& help,
+                                       metric_kind kind,
+                                       family_hook hook)
 {
     std::lock_guard const lock(m_mutex);
-    auto& [known_help, metrics] = m_families[name];
-    if (metrics.empty())
+    auto& one = m_families[name];
+    assert(one.metrics.empty() && "the name is used for another metric");
+    one.help = help;
+    one.hook = hooked_family{kind, std::move(hook)};
+}
+
+void metrics_registry::add_hook(std::string const& name,
+                                std::string const& help,
+                                metric_labels const& labels,
+                                hooked_value hook)
+{
+    std::lock_guard const lock(m_mutex);
+    auto& one = m_families[name];
+    if (one.metrics.empty())
     {
-        known_help = help;
+        one.help = help;
+    }
+    one.metrics.insert_or_assign(labels, std::move(hook));
+}
+
+char const* metrics_registry::kind_of(family const& one)
+{
+    if (one.hook)
+    {
+        return to_string(one.hook->kind);
+    }
+    auto const& first = one.metrics.begin()->second;
+    auto const* const hooked = std::get_if<hooked_value>(&first);
+    return hooked != nullptr ? to_string(hooked->kind)
+                             : kind_names[first.index()];
+}
+
+void metrics_registry::print(std::string& out,
+                             std::string const& name,
+                             hooked_family const& hook)
+{
+    auto values = hook.read();
+    std::sort(values.begin(),
+              values.end(),
+              [](labelled_value const& a, labelled_value const& b)
+              { return a.labels < b.labels; });
+    for (auto const& [labels, value] : values)
+    {
+        print_line(out, name, labels, number(value));
     }
-    metrics.insert_or_assign(labels, std::move(hook));
 }
 
 void metrics_registry::print(std::string& out,
@@ -168,7 +231,8 @@
     }
     else
     {
-        print_line(out, name, labels, number(std::get<gauge_hook>(value)()));
+        print_line(
+            out, name, labels, number(std::get<hooked_value>(value).read()));
     }
 }
 
@@ -178,9 +242,12 @@
     std::string out;
     for (auto const& [name, one] : m_families)
     {
-        std::size_t const kind = one.metrics.begin()->second.index();
         out += "# HELP " + name + " " + escaped(one.help, false) + "\n";
-        out += "# TYPE " + name + " " + kind_names[kind] + "\n";
+        out += "# TYPE " + name + " " + kind_of(one) + "\n";
+        if (one.hook)
+        {
+            print(out, name, *one.hook);
+        }
         for (auto const& [labels, value] : one.metrics)
         {
             print(out, name, labels, value);
--- a/modules/telemetry/tests/metrics_test.cpp
+++ b/modules/telemetry/tests/metrics_test.cpp
@@ -12,6 +12,7 @@
 {
     CPPUNIT_TEST_SUITE(metrics_test);
     CPPUNIT_TEST(text_is_in_prometheus_form);
+    CPPUNIT_TEST(hooked_family_is_read_at_each_scrape);
     CPPUNIT_TEST(counts_of_all_threads_are_summed);
     CPPUNIT_TEST(latency_of_all_threads_is_merged);
     CPPUNIT_TEST(few_samples_give_no_quantiles);
@@ -53,6 +54,40 @@
             registry.text());
     }
 
+    // Guards against values of backend servers that are gone, and against
+    // growing values that a scraper takes for gauges.
+    void hooked_family_is_read_at_each_scrape()
+    {
+        metrics_registry registry;
+        std::vector<labelled_value> load{{{{"backend", "b"}}, 2},
+                                         {{{"backend", "a"}}, 1.5}};
+        registry.add_family_hook(
+            "load", "Load.", metric_kind::gauge, [&] { return load; });
+        registry.add_family_hook("bytes_total",
+                                 "Bytes.",
+                                 metric_kind::counter,
+                                 [&] { return load; });
+        registry.add_counter_hook("sent_total", "Sent.", [] { return 7; });
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("# HELP bytes_total Bytes.\n"
+                        "# TYPE bytes_total counter\n"
+                        "bytes_total{backend=\"a\"} 1.5\n"
+                        "bytes_total{backend=\"b\"} 2\n"
+                        "# HELP load Load.\n# TYPE load gauge\n"
+                        "load{backend=\"a\"} 1.5\nload{backend=\"b\"} 2\n"
+                        "# HELP sent_total Sent.\n"
+                        "# TYPE sent_total counter\nsent_total 7\n"),
+            registry.text());
+        load = {{{{"backend", "c"}}, 3}};
+        CPPUNIT_ASSERT(registry.text().find("load{backend=\"c\"} 3\n") !=
+                       std::string::npos);
+        CPPUNIT_ASSERT(registry.text().find("backend=\"a\"") ==
+                       std::string::npos);
+        load.clear();
+        CPPUNIT_ASSERT(registry.text().find("# TYPE load gauge\n# HELP") !=
+                       std::string::npos);
+    }
+
     // Guards against lost updates.
     void counts_of_all_threads_are_summed()
     {
--- a/programs/gateway/main.cpp
+++ b/programs/gateway/main.cpp
@@ -1,3 +1,4 @@
+#include "gateway/metrics/gateway_metrics.hpp"
 #include "gateway/requests/job_proxy.hpp"
 #include "gateway/requests/request_runner.hpp"
 #include "gateway/routing/route_state.hpp"
@@ -42,56 +43,6 @@
     return (std::uint64_t{device()} << 32U) | device();
 }
 
-void add_metrics(telemetry::metrics_registry& metrics,
-                 route_state const& routes,
-                 shared::control_link const& control,
-                 routing::flow_counters const& counters)
-{
-    auto const count = [&metrics](char const* name,
-                                  char const* help,
-                                  std::atomic<std::uint64_t> const& value)
-    {
-        metrics.add_gauge_hook(
-            name, help, [&value] { return static_cast<double>(value.load()); });
-    };
-    count("turmericswitch_gateway_attempts_total",
-          "Attempts sent to sidecars.",
-          counters.attempts);
-    count("turmericswitch_gateway_retries_total",
-          "Attempts after the first of a request.",
-          counters.retries);
-    count("turmericswitch_gateway_late_answers_total",
-          "Answers dropped because their attempt was closed.",
-          counters.late_answers);
-    count("turmericswitch_gateway_broken_answers_total",
-          "Answers dropped because they were not whole.",
-          counters.broken_answers);
-    metrics.add_gauge_hook("turmericswitch_gateway_region_bytes_total",
-                           "Bytes exchanged with sidecars in other regions.",
-                           [&routes]
-                           {
-                               auto const [sent, received] =
-                                   routes.links().region_traffic();
-                               return static_cast<double>(sent + received);
-                           });
-    metrics.add_gauge_hook("turmericswitch_gateway_control_bytes_total",
-                           "Bytes exchanged with control.",
-                           [&control]
-                           {
-                               auto const [sent, received] =
-                                   control.transferred();
-                               return static_cast<double>(sent + received);
-                           });
-    metrics.add_gauge_hook(
-        "turmericswitch_gateway_revision",
-        "Configuration revision in force here.",
-        [&routes]
-        {
-            auto const table = routes.tables().current();
-            return table ? static_cast<double>(table->revision.value()) : 0.0;
-        });
-}
-
 web::http_handler make_handler(request_runner& runner,
                                job_proxy& jobs,
                                telemetry::decision_log& decisions)
@@ -134,7 +85,7 @@
                            policy_named(settings.policy),
                            seed});
     job_proxy jobs(settings.control_http);
-    add_metrics(metrics, routes, control, counters);
+    add_gateway_metrics(metrics, routes, control, counters);
     shared::config_watch watch(io,
                                control,
                                core::client_id("gateway " + settings.name),
--- /dev/null
+++ b/programs/gateway/metrics/gateway_metrics.hpp
@@ -0,0 +1,21 @@
+#ifndef TURMERICSWITCH_GATEWAY_METRICS_GATEWAY_METRICS_HPP
+#define TURMERICSWITCH_GATEWAY_METRICS_GATEWAY_METRICS_HPP
+
+#include "gateway/routing/route_state.hpp"
+#include "shared/control_link/control_link.hpp"
+#include "telemetry/telemetry.hpp"
+
+namespace turmericswitch::gateway
+{
+
+/// Adds the gateway's metrics but those of `request_metrics`.
+///
+/// @param metrics Must not be printed after the others are gone.
+void add_gateway_metrics(telemetry::metrics_registry& metrics,
+                         route_state const& routes,
+                         shared::control_link const& control,
+                         routing::flow_counters const& counters);
+
+} // namespace turmericswitch::gateway
+
+#endif
--- a/programs/sidecar/service/sidecar_service.cpp
+++ b/programs/sidecar/service/sidecar_service.cpp
@@ -22,6 +22,39 @@
 constexpr int announces_per_lease = 3;
 constexpr std::size_t kept_decisions = 2'000;
 
+struct counter_name
+{
+    char const* name;
+    char const* help;
+    std::uint64_t admission::admission_counters::*value;
+};
+
+constexpr counter_name counter_names[] = {
+    {"started",
+     "Attempts sent to the backend server.",
+     &admission::admission_counters::started},
+    {"answered",
+     "Whole answers of the backend server.",
+     &admission::admission_counters::answered},
+    {"failed",
+     "Calls that the backend server failed.",
+     &admission::admission_counters::failed},
+    {"refused",
+     "Attempts refused before they ran.",
+     &admission::admission_counters::refused},
+    {"shed",
+     "Attempts dropped from the queue at their deadline.",
+     &admission::admission_counters::shed},
+    {"cancelled",
+     "Attempts cancelled before they ran.",
+     &admission::admission_counters::cancelled},
+    {"duplicates",
+     "Copies of attempts, which were not run.",
+     &admission::admission_counters::duplicates},
+    {"forgotten",
+     "Attempts too old to know whether they ran.",
+     &admission::admission_counters::forgotten}};
+
 admission::admission_limits limits_of(sidecar_settings const& settings)
 {
     admission::admission_limits limits;
@@ -46,14 +79,6 @@
       m_control(control),
       m_decisions(kept_decisions),
       m_admission(life, limits_of(settings)),
-      m_started(metrics.counter("turmericswitch_sidecar_started_total",
-                                "Attempts sent to the backend server.")),
-      m_refused(metrics.counter("turmericswitch_sidecar_refused_total",
-                                "Attempts refused before they ran.")),
-      m_duplicates(metrics.counter("turmericswitch_sidecar_copies_total",
-                                   "Copies of attempts that were joined.")),
-      m_unknown(metrics.counter("turmericswitch_sidecar_unknown_total",
-                                "Attempts that got no whole answer.")),
       m_latency(metrics.latency("turmericswitch_sidecar_service_seconds",
                                 "Time of an attempt in a slot.")),
       m_loop(tick_interval),
@@ -65,18 +90,44 @@
     m_entry.service = settings.service;
     m_entry.slots = static_cast<std::uint32_t>(settings.slots);
     m_entry.connections = static_cast<std::uint32_t>(settings.connections);
-    metrics.add_gauge_hook("turmericswitch_sidecar_running",
-                           "Attempts running at the backend server.",
-                           [this]
-                           { return static_cast<double>(m_running.load()); });
-    metrics.add_gauge_hook("turmericswitch_sidecar_waiting",
-                           "Attempts waiting for a slot.",
-                           [this]
-                           { return static_cast<double>(m_waiting.load()); });
-    metrics.add_gauge_hook("turmericswitch_sidecar_revision",
-                           "Configuration revision in force here.",
-                           [this]
-                           { return static_cast<double>(m_revision.load()); });
+    add_metrics(metrics);
+}
+
+void sidecar_service::add_metrics(telemetry::metrics_registry& metrics)
+{
+    for (auto const& [name, help, value] : counter_names)
+    {
+        metrics.add_counter_hook(
+            "turmericswitch_sidecar_" + std::string(name) + "_total",
+            help,
+            [this, value = value]
+            {
+                std::lock_guard const lock(m_counts_mutex);
+                return static_cast<double>(m_counts.*value);
+            });
+    }
+    auto const gauge =
+        [&metrics](char const* name, char const* help, auto const& read)
+    {
+        metrics.add_gauge_hook("turmericswitch_sidecar_" + std::string(name),
+                               help,
+                               [read] { return static_cast<double>(read()); });
+    };
+    gauge("running",
+          "Attempts running at the backend server.",
+          [this] { return m_running.load(); });
+    gauge("waiting",
+          "Attempts waiting for a slot.",
+          [this] { return m_waiting.load(); });
+    gauge("in_use",
+          "Attempts running or waiting.",
+          [this] { return m_running.load() + m_waiting.load(); });
+    gauge("draining",
+          "1 while draining.",
+          [this] { return m_draining.load() ? 1 : 0; });
+    gauge("revision",
+          "Configuration revision in force here.",
+          [this] { return m_revision.load(); });
 }
 
 sidecar_service::~sidecar_service()
@@ -115,6 +166,9 @@
 {
     m_running = m_admission.running();
     m_waiting = m_admission.waiting();
+    m_draining = m_admission.draining();
+    std::lock_guard const lock(m_counts_mutex);
+    m_counts = m_admission.counters();
 }
 
 void sidecar_service::handle(transport::rpc_request const& request,
@@ -153,10 +207,6 @@
 {
     auto const id = request.id;
     auto& streams = m_streams[id];
-    if (!streams.empty())
-    {
-        m_duplicates.add();
-    }
     streams.push_back(std::move(answer));
     auto const now = process::event_loop::now();
     m_arrived.emplace(id, now);
@@ -169,6 +219,7 @@
 {
     m_cancels.insert_or_assign(request.id, std::move(answer));
     perform(m_admission.cancel(process::event_loop::now(), request));
+    publish_counts();
 }
 
 void sidecar_service::perform(admission::admission_actions actions)
@@ -187,7 +238,6 @@
         else if (auto const* const refused =
                      std::get_if<admission::refuse>(&action))
         {
-            m_refused.add();
             record(refused->content.id, "refuse", refused->content.code);
             close_streams(refused->content);
         }
@@ -214,7 +264,6 @@
     auto const arrived = m_arrived.find(id);
     auto const waited =
         arrived == m_arrived.end() ? core::duration() : now - arrived->second;
-    m_started.add();
     m_started_at[id] = now;
     record(id, "start", core::result_code::ok);
     m_backend.call(std::move(request.content),
@@ -243,10 +292,6 @@
     {
         bool const was_sent = result.outcome != web::http_outcome::not_sent;
         m_log.warning(name_of(id) + ": backend server failed: " + result.text);
-        if (was_sent)
-        {
-            m_unknown.add();
-        }
         perform(m_admission.backend_failed(now, id, was_sent));
     }
     publish_counts();
--- a/programs/sidecar/service/sidecar_service.hpp
+++ b/programs/sidecar/service/sidecar_service.hpp
@@ -12,6 +12,7 @@
 
 #include <atomic>
 #include <map>
+#include <mutex>
 #include <string>
 #include <vector>
 
@@ -59,6 +60,7 @@
     std::string readiness() const;
 
 private:
+    void add_metrics(telemetry::metrics_registry& metrics);
     void on_tick();
     void attempt(core::attempt_request request, transport::responder answer);
     void cancel(core::cancel_request const& request,
@@ -95,10 +97,10 @@
     std::atomic<std::size_t> m_running = 0;
     std::atomic<std::size_t> m_waiting = 0;
     std::atomic<std::uint64_t> m_revision = 0;
-    telemetry::counter& m_started;
-    telemetry::counter& m_refused;
-    telemetry::counter& m_duplicates;
-    telemetry::counter& m_unknown;
+    std::atomic<bool> m_draining = false;
+    /// Copy of the admission's counts for other threads.
+    std::mutex m_counts_mutex;
+    admission::admission_counters m_counts;
     telemetry::latency_metric& m_latency;
     std::map<core::attempt_id, core::time_point> m_started_at;
     process::event_loop m_loop;
