Send cancels on links of newer tables

Cause: an attempt to a sidecar that joined during the request was sent on the current links, its cancel only on those from the request's start, so it was dropped.

Change: both use the same lookup.

--- a/programs/gateway/requests/request_runner.cpp
+++ b/programs/gateway/requests/request_runner.cpp
@@ -212,19 +212,23 @@
     }
 }
 
+std::shared_ptr<transport::rpc_client>
+request_runner::find_client(run_state const& run, core::endpoint const& sidecar)
+{
+    if (auto const link = run.links.find(sidecar); link != run.links.end())
+    {
+        return link->second.client;
+    }
+    // A table that changed during the request may name a newer sidecar.
+    auto const current = own_state().links.get();
+    auto const found = current->find(sidecar);
+    return found == current->end() ? nullptr : found->second.client;
+}
+
 void request_runner::send(run_state& run, routing::send_attempt const& action)
 {
     auto const id = action.request.id;
-    auto const link = run.links.find(action.sidecar);
-    // A table that changed during the request may name a newer sidecar.
-    auto const client = link != run.links.end()
-                            ? link->second.client
-                            : [&]() -> std::shared_ptr<transport::rpc_client>
-    {
-        auto const current = own_state().links.get();
-        auto const found = current->find(action.sidecar);
-        return found == current->end() ? nullptr : found->second.client;
-    }();
+    auto const client = find_client(run, action.sidecar);
     if (!client)
     {
         run.events->put(attempt_result{id,
@@ -244,19 +248,18 @@
 void request_runner::send(run_state& run, routing::send_cancel const& action)
 {
     auto const id = action.request.id;
-    auto const link = run.links.find(action.sidecar);
-    if (link == run.links.end())
+    auto const client = find_client(run, action.sidecar);
+    if (!client)
     {
         run.events->put(cancel_result{id, {}});
         return;
     }
-    link->second.client->call(
-        "/cancel",
-        wire::encode(action.request),
-        cancel_timeout,
-        [events = run.events, id](transport::call_result result) {
-            events->put(cancel_result{id, std::move(result)});
-        });
+    client->call("/cancel",
+                 wire::encode(action.request),
+                 cancel_timeout,
+                 [events = run.events, id](transport::call_result result) {
+                     events->put(cancel_result{id, std::move(result)});
+                 });
 }
 
 void request_runner::send(run_state& run, routing::claim const& action)
--- a/programs/gateway/requests/request_runner.hpp
+++ b/programs/gateway/requests/request_runner.hpp
@@ -94,6 +94,9 @@
     thread_state& own_state();
     routing::finish run(routing::request_flow& flow, link_map const& links);
     void perform(run_state& run, routing::flow_actions actions);
+    /// @return Null when no table names the sidecar.
+    std::shared_ptr<transport::rpc_client>
+    find_client(run_state const& run, core::endpoint const& sidecar);
     void send(run_state& run, routing::send_attempt const& action);
     void send(run_state& run, routing::send_cancel const& action);
     void send(run_state& run, routing::claim const& action);
