--- a/modules/routing/tests/request_flow_test.cpp
+++ b/modules/routing/tests/request_flow_test.cpp
@@ -72,6 +72,7 @@
     CPPUNIT_TEST(hedge_needs_idempotence_budget_slot_and_region);
     CPPUNIT_TEST(failed_attempt_leaves_the_other_open);
     CPPUNIT_TEST(deadline_with_two_open_is_not_called_not_run);
+    CPPUNIT_TEST(overtaken_backend_server_is_ejected);
     CPPUNIT_TEST(hedge_delay_follows_the_95th_percentile);
     CPPUNIT_TEST_SUITE_END();
 
@@ -428,6 +429,24 @@
         }
     }
 
+    // Guards against a silently partitioned server that stays in use because
+    // hedges hide its silence.
+    void overtaken_backend_server_is_ejected()
+    {
+        service().latency->record(milliseconds(10));
+        auto const& near = service().backends[1];
+        CPPUNIT_ASSERT_EQUAL(std::string("near"), near.entry.backend.value());
+        auto const at = start + milliseconds(100);
+        for (int i = 0; i < 5; ++i)
+        {
+            CPPUNIT_ASSERT(!near.outlier->ejected());
+            auto const open = make_hedged();
+            open.flow->attempt_answered(at, whole(open.second));
+        }
+        CPPUNIT_ASSERT(near.outlier->ejected());
+        CPPUNIT_ASSERT(near.load->latency() == milliseconds(100));
+    }
+
     // Guards against a hedge delay that drifts away from the quantile.
     void hedge_delay_follows_the_95th_percentile()
     {
