--- a/modules/routing/table/table_builder.cpp
+++ b/modules/routing/table/table_builder.cpp
@@ -129,6 +129,22 @@
         config, core::name_kind::zone, entry.place.zone.value()));
 }
 
+// The configuration's region comes first: an entry announced before the rules
+// named its availability zone has none until its next announce.
+core::location place_of(core::configuration const& config,
+                        core::backend_entry const& entry)
+{
+    core::location place{zone_of(config, entry), entry.place.region};
+    for (auto const& rule : config.zones)
+    {
+        if (rule.zone == place.zone)
+        {
+            place.region = rule.region;
+        }
+    }
+    return place;
+}
+
 bool leaves(core::configuration const& config, core::backend_entry const& entry)
 {
     return is_leaving(config,
@@ -240,8 +256,7 @@
     }
     backend_target target;
     target.entry = entry;
-    target.place = entry.place;
-    target.place.zone = zone_of(table.config, entry);
+    target.place = place_of(table.config, entry);
     target.leaving = entry.draining || leaves(table.config, entry);
     target.zone_out = zone_is_out(table.config, target.place.zone);
     auto& ramp = table.ramps[target.place.zone];
--- a/modules/routing/tests/table_builder_test.cpp
+++ b/modules/routing/tests/table_builder_test.cpp
@@ -71,6 +71,7 @@
     CPPUNIT_TEST(zone_change_counts_only_for_its_services);
     CPPUNIT_TEST(ignores_older_terms_versions_and_revisions);
     CPPUNIT_TEST(counters_survive_changes_but_not_a_restart);
+    CPPUNIT_TEST(region_comes_from_the_rules);
     CPPUNIT_TEST(returned_zone_ramps_up);
     CPPUNIT_TEST_SUITE_END();
 
@@ -142,6 +143,19 @@
         CPPUNIT_ASSERT(load_of(*grown) != load_of(*restarted));
     }
 
+    // Guards against a backend server that counts as one of another region,
+    // and its bytes as billed ones, because it announced itself before the
+    // rules named its availability zone.
+    void region_comes_from_the_rules()
+    {
+        auto answer = first_answer();
+        answer.changed[0].place.region = core::region_id();
+        auto const table = build_next(nullptr, answer, start);
+        CPPUNIT_ASSERT(
+            table->find_service(book)->backends.front().place ==
+            (core::location{core::zone_id("a"), core::region_id("east")}));
+    }
+
     void returned_zone_ramps_up()
     {
         auto answer = first_answer();
