Test that a full log buffer delays and drops nothing

Two mutations, dropping the line and not waking the caller, survived the earlier test because its buffers seldom filled up; the size is now a parameter and both fail.

--- a/modules/telemetry/log/line_writer.cpp
+++ b/modules/telemetry/log/line_writer.cpp
@@ -9,17 +9,17 @@
 namespace
 {
 
-// 4 MiB over all stripes; at 2,000 decision lines of 200 bytes per second this
-// covers a disk stall of 10 s.
-constexpr std::size_t buffer_bytes = 256 * 1024;
 // Bounds how late a line appears; a write per line costs more processor time
 // than the line itself.
 constexpr auto interval = std::chrono::milliseconds(20);
 
 } // namespace
 
-line_writer::line_writer(std::shared_ptr<std::ostream> stream)
-    : m_stream(std::move(stream)), m_thread([this] { run(); })
+line_writer::line_writer(std::shared_ptr<std::ostream> stream,
+                         std::size_t buffer_bytes)
+    : m_stream(std::move(stream)),
+      m_buffer_bytes(buffer_bytes),
+      m_thread([this] { run(); })
 {
 }
 
@@ -39,15 +39,16 @@
     bool is_half_full = false;
     {
         std::unique_lock lock(own.mutex);
-        if (own.text.size() >= buffer_bytes)
+        if (own.text.size() >= m_buffer_bytes)
         {
             wake();
-            own.has_room.wait(
-                lock, [&own] { return own.text.size() < buffer_bytes; });
+            own.has_room.wait(lock,
+                              [this, &own]
+                              { return own.text.size() < m_buffer_bytes; });
         }
-        bool const was_below = own.text.size() < buffer_bytes / 2;
+        bool const was_below = own.text.size() < m_buffer_bytes / 2;
         own.text.append(line).push_back('\n');
-        is_half_full = was_below && own.text.size() >= buffer_bytes / 2;
+        is_half_full = was_below && own.text.size() >= m_buffer_bytes / 2;
     }
     if (now || is_half_full)
     {
--- a/modules/telemetry/log/line_writer.hpp
+++ b/modules/telemetry/log/line_writer.hpp
@@ -26,8 +26,14 @@
 class line_writer
 {
 public:
+    // 4 MiB over all stripes; at 2,000 decision lines of 200 bytes per second
+    // this covers a disk stall of 10 s.
+    static constexpr std::size_t default_buffer_bytes = std::size_t{256} * 1024;
+
     /// @param stream Used by the writer's thread only.
-    explicit line_writer(std::shared_ptr<std::ostream> stream);
+    /// @param buffer_bytes Per stripe; a buffer exceeds it by at most a line.
+    explicit line_writer(std::shared_ptr<std::ostream> stream,
+                         std::size_t buffer_bytes = default_buffer_bytes);
 
     /// Writes what is buffered.
     ~line_writer();
@@ -52,6 +58,7 @@
     void wake();
 
     std::shared_ptr<std::ostream> m_stream;
+    std::size_t m_buffer_bytes;
     std::array<buffer, stripe_count> m_buffers;
     std::mutex m_mutex;
     std::condition_variable m_wake;
--- a/modules/telemetry/tests/logging_test.cpp
+++ b/modules/telemetry/tests/logging_test.cpp
@@ -1,4 +1,5 @@
 #include "core/results/last_reason.hpp"
+#include "telemetry/log/line_writer.hpp"
 #include "telemetry/telemetry.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -7,6 +8,7 @@
 #include <filesystem>
 #include <fstream>
 #include <regex>
+#include <sstream>
 #include <thread>
 #include <unistd.h>
 
@@ -18,6 +20,7 @@
     CPPUNIT_TEST_SUITE(logging_test);
     CPPUNIT_TEST(lines_have_time_level_and_prefix);
     CPPUNIT_TEST(no_line_of_any_thread_is_lost);
+    CPPUNIT_TEST(full_buffer_delays_but_drops_nothing);
     CPPUNIT_TEST(unwritable_file_is_reported);
     CPPUNIT_TEST_SUITE_END();
 
@@ -115,6 +118,23 @@
         }
     }
 
+    // Guards against lines lost, and callers left waiting, when a buffer is
+    // full. Here one line fills it, so that each call waits for the writer.
+    void full_buffer_delays_but_drops_nothing()
+    {
+        auto const text = std::make_shared<std::ostringstream>();
+        std::string expected;
+        {
+            line_writer writer(text, 1);
+            for (int i = 0; i < 1000; ++i)
+            {
+                writer.add(std::to_string(i), false);
+                expected += std::to_string(i) + "\n";
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(expected, text->str());
+    }
+
     // Guards against a daemon that runs without its log.
     void unwritable_file_is_reported()
     {
