--- a/modules/telemetry/tests/logging_test.cpp
+++ b/modules/telemetry/tests/logging_test.cpp
@@ -1,11 +1,14 @@
 #include "core/results/last_reason.hpp"
+#include "telemetry/log/line_writer.hpp"
 #include "telemetry/telemetry.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <array>
 #include <filesystem>
 #include <fstream>
 #include <regex>
+#include <sstream>
 #include <thread>
 #include <unistd.h>
 
@@ -17,6 +20,7 @@
     CPPUNIT_TEST_SUITE(logging_test);
     CPPUNIT_TEST(lines_have_time_level_and_prefix);
     CPPUNIT_TEST(no_line_of_any_thread_is_lost);
+    CPPUNIT_TEST(full_buffer_delays_but_drops_nothing);
     CPPUNIT_TEST(unwritable_file_is_reported);
     CPPUNIT_TEST_SUITE_END();
 
@@ -70,11 +74,12 @@
             std::regex_match(found[2], std::regex(time + "error gateway: d")));
     }
 
-    // Guards against lines that are mixed up, or dropped when the queue is
-    // full or at the end of the process.
+    // Guards against lines that are mixed up, or dropped when a buffer is
+    // full or at the end of the process. The lines of a thread are several
+    // times as long as its buffer.
     void no_line_of_any_thread_is_lost()
     {
-        constexpr int per_thread = 5000;
+        constexpr int per_thread = 20'000;
         {
             auto const running =
                 logging::start({log_level::info, m_file.string()});
@@ -83,12 +88,12 @@
             for (int i = 0; i < 4; ++i)
             {
                 threads.emplace_back(
-                    []
+                    [i]
                     {
-                        logger const log("part");
+                        logger const log("part" + std::to_string(i));
                         for (int n = 0; n < per_thread; ++n)
                         {
-                            log.info("text");
+                            log.info(std::to_string(n));
                         }
                     });
             }
@@ -99,12 +104,37 @@
         }
         auto const found = lines();
         CPPUNIT_ASSERT_EQUAL(std::size_t{4 * per_thread}, found.size());
+        std::array<int, 4> next{};
+        std::string const mark = "Z info part";
         for (auto const& line : found)
         {
-            CPPUNIT_ASSERT(line.ends_with("Z info part: text"));
+            auto const at = line.find(mark);
+            CPPUNIT_ASSERT(at != std::string::npos);
+            auto const thread = line.substr(at + mark.size(), 1);
+            auto& expected = next.at(std::stoul(thread));
+            CPPUNIT_ASSERT_EQUAL(mark + thread + ": " +
+                                     std::to_string(expected++),
+                                 line.substr(at));
         }
     }
 
+    // Guards against lines lost, and callers left waiting, when a buffer is
+    // full. Here one line fills it, so that each call waits for the writer.
+    void full_buffer_delays_but_drops_nothing()
+    {
+        auto const text = std::make_shared<std::ostringstream>();
+        std::string expected;
+        {
+            line_writer writer(text, 1);
+            for (int i = 0; i < 1000; ++i)
+            {
+                writer.add(std::to_string(i), false);
+                expected += std::to_string(i) + "\n";
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(expected, text->str());
+    }
+
     // Guards against a daemon that runs without its log.
     void unwritable_file_is_reported()
     {
