--- a/programs/control/node/log_writer.cpp
+++ b/programs/control/node/log_writer.cpp
@@ -53,8 +53,9 @@
         });
 }
 
-void log_writer::save(std::shared_ptr<store::stored_snapshot const> snapshot,
-                      saved_hook on_saved)
+void log_writer::save(
+    std::shared_ptr<store::stored_snapshot const> const& snapshot,
+    saved_hook on_saved)
 {
     other_work item;
     item.run = [this, snapshot, on_saved = std::move(on_saved)]
--- a/programs/control/node/log_writer.hpp
+++ b/programs/control/node/log_writer.hpp
@@ -55,7 +55,7 @@
     /// Saves an own snapshot and removes the log that it covers.
     ///
     /// @param on_saved Called when it is durable.
-    void save(std::shared_ptr<store::stored_snapshot const> snapshot,
+    void save(std::shared_ptr<store::stored_snapshot const> const& snapshot,
               saved_hook on_saved);
 
 private:
