--- a/programs/control/tests/bridge_world.cpp
+++ b/programs/control/tests/bridge_world.cpp
@@ -41,7 +41,7 @@
     envelope.cluster_time = now;
     envelope.wall = core::wall_time(now.time_since_epoch());
     envelope.body = std::move(body);
-    auto const reply = state.apply(core::log_index(++m_index), envelope);
+    auto reply = state.apply(core::log_index(++m_index), envelope);
     if (bridge)
     {
         bridge->applied(now, envelope.body, reply);
@@ -197,7 +197,7 @@
     }
     if (bridge->counts().workers != state.workers().all().size())
     {
-        violations.push_back("counts: workers");
+        violations.emplace_back("counts: workers");
     }
 }
 
