--- a/programs/control/node/log_writer.cpp
+++ b/programs/control/node/log_writer.cpp
@@ -58,8 +58,7 @@
     saved_hook on_saved)
 {
     other_work item;
-    item.run =
-        [this, snapshot = std::move(snapshot), on_saved = std::move(on_saved)]
+    item.run = [this, snapshot, on_saved = std::move(on_saved)]
     {
         if (!m_snapshots.save(*snapshot))
         {
--- a/programs/control/tests/leader_duties_test.cpp
+++ b/programs/control/tests/leader_duties_test.cpp
@@ -19,27 +19,27 @@
     CPPUNIT_TEST_SUITE_END();
 
     /// The clock is shared, so a group lives only as long as its test.
-    std::unique_ptr<replica_group> group;
-    std::vector<core::heartbeat_answer> answers;
-    std::uint64_t sequence = 0;
+    std::unique_ptr<replica_group> m_group;
+    std::vector<core::heartbeat_answer> m_answers;
+    std::uint64_t m_sequence = 0;
 
 public:
     void setUp() override
     {
-        group = std::make_unique<replica_group>();
+        m_group = std::make_unique<replica_group>();
     }
 
     void tearDown() override
     {
-        group.reset();
+        m_group.reset();
     }
 
 private:
     void set_up_zone()
     {
-        CPPUNIT_ASSERT(group->wait_for_leader() != 0);
+        CPPUNIT_ASSERT(m_group->wait_for_leader() != 0);
         bool is_done = false;
-        group->node(group->leader())
+        m_group->node(m_group->leader())
             .propose(core::apply_rules{core::operator_id("o"),
                                        {},
                                        "zone a region=n # asked by A: t\n"},
@@ -47,7 +47,7 @@
                      {},
                      [&](core::command_reply const& reply)
                      { is_done = reply.code == result_code::ok; });
-        CPPUNIT_ASSERT(group->step_until([&] { return is_done; }));
+        CPPUNIT_ASSERT(m_group->step_until([&] { return is_done; }));
     }
 
     void heartbeat(std::size_t at,
@@ -59,32 +59,32 @@
         request.worker.life = core::incarnation(1);
         request.worker.place.zone = core::zone_id("a");
         request.worker.capacity.cpu = core::millicores(1000);
-        request.sent_at = group->now.time_since_epoch();
+        request.sent_at = m_group->now.time_since_epoch();
         request.held = std::move(held);
         request.reports = std::move(reports);
         request.report_sequence =
-            request.reports.empty() ? sequence : ++sequence;
-        group->at(at).duties->heartbeat(
+            request.reports.empty() ? m_sequence : ++m_sequence;
+        m_group->at(at).duties->heartbeat(
             request,
             [this](core::heartbeat_answer answer)
-            { answers.push_back(std::move(answer)); });
+            { m_answers.push_back(std::move(answer)); });
     }
 
     /// Heartbeats until a start order comes.
     core::held_task start_a_job()
     {
         set_up_zone();
-        CPPUNIT_ASSERT(group->submit_some(1));
+        CPPUNIT_ASSERT(m_group->submit_some(1));
         for (int i = 0; i < 50; ++i)
         {
-            heartbeat(group->leader());
+            heartbeat(m_group->leader());
             for (int steps = 0; steps < 10; ++steps)
             {
-                group->step();
+                m_group->step();
             }
-            if (!answers.empty() && !answers.back().starts.empty())
+            if (!m_answers.empty() && !m_answers.back().starts.empty())
             {
-                auto const& order = answers.back().starts.front();
+                auto const& order = m_answers.back().starts.front();
                 return {order.job, order.attempt};
             }
         }
@@ -102,17 +102,18 @@
     void worker_runs_a_job()
     {
         auto const task = start_a_job();
-        heartbeat(group->leader(),
+        heartbeat(m_group->leader(),
                   {task},
                   {report_of(task, core::task_event::started)});
-        group->step();
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), answers.back().renewals.size());
-        CPPUNIT_ASSERT_EQUAL(sequence, answers.back().acknowledged_reports);
-        heartbeat(
-            group->leader(), {}, {report_of(task, core::task_event::finished)});
-        group->step();
+        m_group->step();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_answers.back().renewals.size());
+        CPPUNIT_ASSERT_EQUAL(m_sequence, m_answers.back().acknowledged_reports);
+        heartbeat(m_group->leader(),
+                  {},
+                  {report_of(task, core::task_event::finished)});
+        m_group->step();
         auto const* const job =
-            group->node(group->leader()).state().jobs().find(task.job);
+            m_group->node(m_group->leader()).state().jobs().find(task.job);
         CPPUNIT_ASSERT(job->state == core::job_state::finished);
     }
 
@@ -122,13 +123,13 @@
     answer_when_cut_off(std::vector<core::held_task> const& held,
                         std::vector<core::task_report> const& reports)
     {
-        auto const first = group->leader();
-        group->at(first).cut_off = true;
-        answers.clear();
+        auto const first = m_group->leader();
+        m_group->at(first).cut_off = true;
+        m_answers.clear();
         heartbeat(first, held, reports);
-        CPPUNIT_ASSERT(answers.empty());
-        CPPUNIT_ASSERT(group->step_until([&] { return !answers.empty(); }));
-        return answers.back();
+        CPPUNIT_ASSERT(m_answers.empty());
+        CPPUNIT_ASSERT(m_group->step_until([&] { return !m_answers.empty(); }));
+        return m_answers.back();
     }
 
     // Guards against two runs of a task: a leader that may have a successor
@@ -136,10 +137,10 @@
     void deposed_leader_renews_nothing()
     {
         auto const task = start_a_job();
-        heartbeat(group->leader(),
+        heartbeat(m_group->leader(),
                   {task},
                   {report_of(task, core::task_event::started)});
-        group->step();
+        m_group->step();
         auto const answer = answer_when_cut_off({task}, {});
         CPPUNIT_ASSERT(answer.code == result_code::not_leader);
         CPPUNIT_ASSERT(answer.renewals.empty() && answer.starts.empty());
@@ -162,15 +163,16 @@
     void answer_waits_for_a_later_round()
     {
         start_a_job();
-        auto const first = group->leader();
-        group->at(first).cut_off = true;
-        answers.clear();
+        auto const first = m_group->leader();
+        m_group->at(first).cut_off = true;
+        m_answers.clear();
         heartbeat(first);
-        group->drain();
-        CPPUNIT_ASSERT(answers.empty());
-        group->at(first).cut_off = false;
-        CPPUNIT_ASSERT(group->step_until([&] { return !answers.empty(); }, 20));
-        CPPUNIT_ASSERT(answers.back().code == result_code::ok);
+        m_group->drain();
+        CPPUNIT_ASSERT(m_answers.empty());
+        m_group->at(first).cut_off = false;
+        CPPUNIT_ASSERT(
+            m_group->step_until([&] { return !m_answers.empty(); }, 20));
+        CPPUNIT_ASSERT(m_answers.back().code == result_code::ok);
     }
 
     // Guards against a task placed again while its worker may still run it,
@@ -178,25 +180,25 @@
     void silent_worker_loses_its_task_after_the_lease()
     {
         auto const task = start_a_job();
-        auto const began = group->now;
+        auto const began = m_group->now;
         auto const is_held = [&]
         {
-            auto const leader = group->leader();
-            return leader == 0 || group->node(leader)
+            auto const leader = m_group->leader();
+            return leader == 0 || m_group->node(leader)
                                       .state()
                                       .jobs()
                                       .find(task.job)
                                       ->hold.has_value();
         };
         // The second leader knows nothing of the renewals of the first.
-        group->crash(group->leader());
-        CPPUNIT_ASSERT(group->wait_for_leader() != 0);
-        auto const elected = group->now;
-        CPPUNIT_ASSERT(group->step_until([&] { return !is_held(); }, 40'000));
+        m_group->crash(m_group->leader());
+        CPPUNIT_ASSERT(m_group->wait_for_leader() != 0);
+        auto const elected = m_group->now;
+        CPPUNIT_ASSERT(m_group->step_until([&] { return !is_held(); }, 40'000));
         auto const lease = cluster_state::lease_settings{}.batch_lease;
-        CPPUNIT_ASSERT(group->now - elected >= lease);
+        CPPUNIT_ASSERT(m_group->now - elected >= lease);
         // A new leader does not know which tasks are services.
-        CPPUNIT_ASSERT(group->now - began <
+        CPPUNIT_ASSERT(m_group->now - began <
                        2 * cluster_state::lease_settings{}.service_lease);
     }
 
@@ -204,20 +206,20 @@
     void polls_end_with_the_leadership()
     {
         set_up_zone();
-        auto const first = group->leader();
+        auto const first = m_group->leader();
         core::watch_request request;
         request.process = core::client_id("p");
-        request.in_force = group->node(first).state().config().current();
+        request.in_force = m_group->node(first).state().config().current();
         request.wants_registry = false;
         request.max_wait = std::chrono::seconds(25);
         std::vector<core::watch_answer> polls;
-        group->at(first).duties->watch(group->now,
-                                       request,
-                                       [&](core::watch_answer answer)
-                                       { polls.push_back(answer); });
-        group->at(first).cut_off = true;
+        m_group->at(first).duties->watch(m_group->now,
+                                         request,
+                                         [&](core::watch_answer const& answer)
+                                         { polls.push_back(answer); });
+        m_group->at(first).cut_off = true;
         CPPUNIT_ASSERT(
-            group->step_until([&] { return !group->at(first).duties; }));
+            m_group->step_until([&] { return !m_group->at(first).duties; }));
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), polls.size());
         CPPUNIT_ASSERT(polls[0].code == result_code::not_leader);
     }
--- a/programs/control/tests/watch_hub_test.cpp
+++ b/programs/control/tests/watch_hub_test.cpp
@@ -18,20 +18,20 @@
     CPPUNIT_TEST(close_answers_not_leader);
     CPPUNIT_TEST_SUITE_END();
 
-    core::time_point now{std::chrono::seconds(1)};
-    cluster_state::configuration_state config;
-    cluster_state::backend_registry registry{core::term(3),
-                                             std::chrono::seconds(10)};
-    watch_hub hub{config, registry};
-    std::vector<core::watch_answer> answers;
+    core::time_point m_now{std::chrono::seconds(1)};
+    cluster_state::configuration_state m_config;
+    cluster_state::backend_registry m_registry{core::term(3),
+                                               std::chrono::seconds(10)};
+    watch_hub m_hub{m_config, m_registry};
+    std::vector<core::watch_answer> m_answers;
 
     void change_rules()
     {
-        auto const reply =
-            config.apply(core::apply_rules{core::operator_id("o"),
-                                           config.current(),
-                                           "zone a region=n # asked by A: t\n"},
-                         {});
+        auto const reply = m_config.apply(
+            core::apply_rules{core::operator_id("o"),
+                              m_config.current(),
+                              "zone a region=n # asked by A: t\n"},
+            {});
         CPPUNIT_ASSERT(reply.code == result_code::ok);
     }
 
@@ -40,7 +40,7 @@
         core::announce_request request;
         request.entry.backend = core::backend_id(backend);
         request.entry.sidecar_incarnation = core::incarnation(1);
-        registry.announce(request, false, config.current(), now);
+        m_registry.announce(request, false, m_config.current(), m_now);
     }
 
     /// Asks for what comes after everything known now.
@@ -48,20 +48,20 @@
     {
         core::watch_request request;
         request.process = core::client_id("p");
-        request.in_force = config.current();
-        request.registry = registry.version();
+        request.in_force = m_config.current();
+        request.registry = m_registry.version();
         request.max_wait = std::chrono::seconds(5);
         request.wants_registry = wants_registry;
-        hub.watch(now,
-                  request,
-                  [this](core::watch_answer answer)
-                  { answers.push_back(std::move(answer)); });
+        m_hub.watch(m_now,
+                    request,
+                    [this](core::watch_answer answer)
+                    { m_answers.push_back(std::move(answer)); });
     }
 
     void tick(core::duration step = std::chrono::milliseconds(20))
     {
-        now += step;
-        hub.tick(now);
+        m_now += step;
+        m_hub.tick(m_now);
     }
 
     // Guards against a change that waits for the end of the poll (invariant
@@ -70,64 +70,64 @@
     {
         poll();
         tick();
-        CPPUNIT_ASSERT(answers.empty());
+        CPPUNIT_ASSERT(m_answers.empty());
         change_rules();
         tick();
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), answers.size());
-        CPPUNIT_ASSERT(answers[0].config &&
-                       answers[0].current == config.current());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_answers.size());
+        CPPUNIT_ASSERT(m_answers[0].config &&
+                       m_answers[0].current == m_config.current());
         // A change between two polls is answered at once.
         core::watch_request old;
         old.process = core::client_id("q");
-        old.registry = registry.version();
-        hub.watch(now,
-                  old,
-                  [this](core::watch_answer answer)
-                  { answers.push_back(std::move(answer)); });
-        CPPUNIT_ASSERT_EQUAL(std::size_t(2), answers.size());
-        CPPUNIT_ASSERT(answers[1].config.has_value());
-        CPPUNIT_ASSERT_EQUAL(std::size_t(2), hub.processes().size());
+        old.registry = m_registry.version();
+        m_hub.watch(m_now,
+                    old,
+                    [this](core::watch_answer answer)
+                    { m_answers.push_back(std::move(answer)); });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_answers.size());
+        CPPUNIT_ASSERT(m_answers[1].config.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_hub.processes().size());
     }
 
     // Guards against gateways that drop every backend server because a new
     // leader's registry is still empty.
     void new_leaders_registry_is_held_until_it_is_settled()
     {
-        auto const settled = now + std::chrono::seconds(10);
-        hub.hold_registry_until(settled);
+        auto const settled = m_now + std::chrono::seconds(10);
+        m_hub.hold_registry_until(settled);
         core::watch_request request;
         request.process = core::client_id("g");
-        request.in_force = config.current();
+        request.in_force = m_config.current();
         request.registry = {core::term(2), core::sequence_number(7)};
         request.max_wait = std::chrono::seconds(30);
         auto const take = [this](core::watch_answer answer)
-        { answers.push_back(std::move(answer)); };
-        hub.watch(now, request, take);
+        { m_answers.push_back(std::move(answer)); };
+        m_hub.watch(m_now, request, take);
         announce("b");
         tick();
-        CPPUNIT_ASSERT(answers.empty());
+        CPPUNIT_ASSERT(m_answers.empty());
 
         // A change of the rules leaves what the gateway has in place.
         change_rules();
         tick();
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), answers.size());
-        CPPUNIT_ASSERT(answers[0].registry == request.registry);
-        CPPUNIT_ASSERT(!answers[0].whole_registry && answers[0].config);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_answers.size());
+        CPPUNIT_ASSERT(m_answers[0].registry == request.registry);
+        CPPUNIT_ASSERT(!m_answers[0].whole_registry && m_answers[0].config);
 
         // A gateway without any registry takes what there is.
         core::watch_request fresh;
         fresh.process = core::client_id("f");
-        hub.watch(now, fresh, take);
-        CPPUNIT_ASSERT_EQUAL(std::size_t(2), answers.size());
-        CPPUNIT_ASSERT(answers[1].whole_registry);
-
-        request.in_force = config.current();
-        hub.watch(now, request, take);
-        now = settled;
-        hub.tick(now);
-        CPPUNIT_ASSERT_EQUAL(std::size_t(3), answers.size());
-        CPPUNIT_ASSERT(answers[2].whole_registry);
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), answers[2].changed.size());
+        m_hub.watch(m_now, fresh, take);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_answers.size());
+        CPPUNIT_ASSERT(m_answers[1].whole_registry);
+
+        request.in_force = m_config.current();
+        m_hub.watch(m_now, request, take);
+        m_now = settled;
+        m_hub.tick(m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), m_answers.size());
+        CPPUNIT_ASSERT(m_answers[2].whole_registry);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_answers[2].changed.size());
     }
 
     // Guards against a poll that is never answered.
@@ -135,10 +135,10 @@
     {
         poll();
         tick(std::chrono::milliseconds(4900));
-        CPPUNIT_ASSERT(answers.empty());
+        CPPUNIT_ASSERT(m_answers.empty());
         tick(std::chrono::milliseconds(100));
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), answers.size());
-        CPPUNIT_ASSERT(!answers[0].config && answers[0].changed.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_answers.size());
+        CPPUNIT_ASSERT(!m_answers[0].config && m_answers[0].changed.empty());
     }
 
     // Guards against sidecars that are woken by every announce, and against
@@ -149,12 +149,12 @@
         poll(true);
         announce("b");
         tick();
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), answers.size());
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), answers[0].changed.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_answers.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_answers[0].changed.size());
         change_rules();
         tick();
-        CPPUNIT_ASSERT_EQUAL(std::size_t(2), answers.size());
-        CPPUNIT_ASSERT(answers[1].config && answers[1].changed.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_answers.size());
+        CPPUNIT_ASSERT(m_answers[1].config && m_answers[1].changed.empty());
     }
 
     // Guards against a dead backend server that stays in route tables
@@ -163,11 +163,11 @@
     {
         announce("b");
         poll();
-        now += std::chrono::seconds(11);
-        CPPUNIT_ASSERT(registry.tick(now));
-        hub.tick(now);
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), answers.size());
-        CPPUNIT_ASSERT(answers[0].removed ==
+        m_now += std::chrono::seconds(11);
+        CPPUNIT_ASSERT(m_registry.tick(m_now));
+        m_hub.tick(m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_answers.size());
+        CPPUNIT_ASSERT(m_answers[0].removed ==
                        std::vector{core::backend_id("b")});
     }
 
@@ -175,10 +175,10 @@
     void close_answers_not_leader()
     {
         poll();
-        hub.close();
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), answers.size());
-        CPPUNIT_ASSERT(answers[0].code == result_code::not_leader);
-        CPPUNIT_ASSERT(!answers[0].config);
+        m_hub.close();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_answers.size());
+        CPPUNIT_ASSERT(m_answers[0].code == result_code::not_leader);
+        CPPUNIT_ASSERT(!m_answers[0].config);
     }
 };
 
--- a/programs/gateway/tests/request_path_test.cpp
+++ b/programs/gateway/tests/request_path_test.cpp
@@ -186,6 +186,7 @@
         gateway_node gateway(control, 1);
         gateway.wait_for_backends(1);
         std::vector<std::future<web::http_response>> running;
+        running.reserve(4);
         for (int i = 0; i < 4; ++i)
         {
             running.push_back(
--- a/programs/shared/tests/config_watch_test.cpp
+++ b/programs/shared/tests/config_watch_test.cpp
@@ -35,7 +35,8 @@
         auto const server = transport::rpc_server::listen(
             m_io,
             {"127.0.0.1", 0},
-            [&](transport::rpc_request const& call, transport::responder answer)
+            [&](transport::rpc_request const& call,
+                transport::responder const& answer)
             {
                 std::lock_guard const lock(mutex);
                 auto const request =
