--- a/modules/cluster_state/tests/fake_cluster.hpp
+++ b/modules/cluster_state/tests/fake_cluster.hpp
@@ -56,6 +56,8 @@
         std::function<void()> then;
     };
 
+    static std::int64_t
+    progress_of(std::optional<core::checkpoint_id> const& checkpoint);
     std::uint64_t below(std::uint64_t limit);
     bool chance(std::uint64_t percent);
     std::int64_t local(fake_worker const& worker) const;
--- a/programs/control/api/operator_api.cpp
+++ b/programs/control/api/operator_api.cpp
@@ -30,6 +30,18 @@
                                core::last_reason().text);
 }
 
+/// @return The body of a write that must name its author.
+std::optional<write_body> authored_body(web::http_request const& request)
+{
+    auto body = parse_write_body(request.body);
+    if (body && body->author.empty())
+    {
+        return core::fail(core::result_code::request_malformed,
+                          "expected the member author");
+    }
+    return body;
+}
+
 std::size_t limit_of(web::http_request const& request)
 {
     auto const text = web::query_value(request, "limit");
@@ -209,16 +221,15 @@
 
 web::http_response operator_api::apply_rules(web::http_request const& request)
 {
-    auto const body = parse_write_body(request.body);
+    auto const body = authored_body(request);
     if (!body)
     {
         return last_error();
     }
-    if (!body->replaces || body->author.empty())
+    if (!body->replaces)
     {
-        return web::error_response(
-            core::result_code::request_malformed,
-            "expected the members author, replaces and text");
+        return web::error_response(core::result_code::request_malformed,
+                                   "expected the member replaces");
     }
     return write(request,
                  core::client_id(body->operation),
@@ -231,42 +242,26 @@
                                           std::string const& zone,
                                           core::zone_state state)
 {
-    auto const body = parse_write_body(request.body);
-    if (!body)
-    {
-        return last_error();
-    }
-    if (body->author.empty())
-    {
-        return web::error_response(core::result_code::request_malformed,
-                                   "expected the member author");
-    }
-    return write(request,
-                 core::client_id(body->operation),
-                 core::set_zone{core::operator_id(body->author),
-                                core::zone_id(zone),
-                                state,
-                                body->requested_by});
+    auto const body = authored_body(request);
+    return body ? write(request,
+                        core::client_id(body->operation),
+                        core::set_zone{core::operator_id(body->author),
+                                       core::zone_id(zone),
+                                       state,
+                                       body->requested_by})
+                : last_error();
 }
 
 web::http_response operator_api::set_drain(web::http_request const& request,
                                            std::string const& backend)
 {
-    auto const body = parse_write_body(request.body);
-    if (!body)
-    {
-        return last_error();
-    }
-    if (body->author.empty())
-    {
-        return web::error_response(core::result_code::request_malformed,
-                                   "expected the member author");
-    }
-    return write(request,
-                 core::client_id(body->operation),
-                 core::set_drain{core::operator_id(body->author),
-                                 core::backend_id(backend),
-                                 body->draining.value_or(true)});
+    auto const body = authored_body(request);
+    return body ? write(request,
+                        core::client_id(body->operation),
+                        core::set_drain{core::operator_id(body->author),
+                                        core::backend_id(backend),
+                                        body->draining.value_or(true)})
+                : last_error();
 }
 
 web::http_response operator_api::submit(web::http_request const& request)
--- a/programs/control/leader/leader_duties.cpp
+++ b/programs/control/leader/leader_duties.cpp
@@ -103,9 +103,9 @@
                     done = std::move(done)](core::command_reply const& reply)
                    {
                        bool const is_committed =
-                           reply.code == core::result_code::ok ||
-                           reply.code == core::result_code::wrong_incarnation ||
-                           reply.code == core::result_code::worker_unknown;
+                           reply.code != core::result_code::not_leader &&
+                           reply.code != core::result_code::no_quorum &&
+                           reply.code != core::result_code::outcome_unknown;
                        if (self->m_ended || !is_committed)
                        {
                            done(
