--- a/programs/shared/control_link/control_link.cpp
+++ b/programs/shared/control_link/control_link.cpp
@@ -106,18 +106,21 @@
                         core::duration timeout,
                         transport::call_callback done)
 {
-    auto client = m_state->current();
-    auto* const target = client.get();
-    target->call(std::move(path),
+    auto const client = m_state->current();
+    // The call keeps neither the link nor its client alive: a long poll that
+    // is open at the end of the program would otherwise hold itself.
+    client->call(std::move(path),
                  std::move(body),
                  timeout,
-                 [shared = m_state,
-                  client = std::move(client),
+                 [weak = std::weak_ptr(m_state),
+                  target = client.get(),
                   done = std::move(done)](transport::call_result result)
                  {
-                     if (result.outcome != transport::call_outcome::answered)
+                     auto const shared = weak.lock();
+                     if (shared &&
+                         result.outcome != transport::call_outcome::answered)
                      {
-                         shared->turn_away_from(client.get());
+                         shared->turn_away_from(target);
                      }
                      done(std::move(result));
                  });
--- a/programs/shared/control_link/control_link.hpp
+++ b/programs/shared/control_link/control_link.hpp
@@ -16,7 +16,8 @@
 ///
 /// It starts with the instances of the settings, follows the leader that an
 /// instance names, and turns to the next instance when a call fails. It does
-/// not repeat calls. Any thread may use it.
+/// not repeat calls, and turning to another instance ends the calls that are
+/// open at the earlier one. Any thread may use it.
 class control_link
 {
 public:
@@ -42,7 +43,7 @@
     transport::traffic transferred() const;
 
 private:
-    /// Shared with calls in progress, which may end after the link.
+    /// Calls in progress refer to it weakly.
     struct state;
     std::shared_ptr<state> m_state;
 };
