Let workers fall silent in the fuzz, so that it sees late starts in a zone

Cause: sending start orders into an availability zone that is out failed only a focused test. In the fuzz a lost start order was repeated within 200 ms, so no placement waited long enough for its zone to go out. Change: workers fall silent for up to 2.5 s.

--- a/modules/cluster_state/tests/fake_cluster.cpp
+++ b/modules/cluster_state/tests/fake_cluster.cpp
@@ -216,6 +216,15 @@
     {
         restart(m_workers[below(worker_count)]);
     }
+    if (below(150) == 0)
+    {
+        // A silent worker: what was placed on it waits for its start order
+        // while its zone may go out.
+        constexpr std::int64_t longest_silence_us = 2'500'000;
+        auto& worker = m_workers[below(worker_count)];
+        worker.next_heartbeat = local(worker) + static_cast<std::int64_t>(
+                                                    below(longest_silence_us));
+    }
     if (below(500) == 0)
     {
         set_some_zone(chance(50) ? zone_state::out_of_service
