Let the zone oracle of the worker fuzz follow committed commands

The oracle noted a zone as back in service in the answer to the command, and a deposed leader's committed commands have no answer, so it took a zone for out that the state had in service. Change: the oracle follows every committed set_zone, answered or not, which is stricter for zones that such a command takes out.

--- a/modules/cluster_state/tests/fake_cluster.cpp
+++ b/modules/cluster_state/tests/fake_cluster.cpp
@@ -132,6 +132,20 @@
     envelope.cluster_time = time_point(duration(m_now));
     envelope.body = std::move(body);
     m_state.apply(log_index(++m_index), envelope);
+    if (auto const* const change = std::get_if<set_zone>(&envelope.body))
+    {
+        note_zone(change->zone, change->state);
+    }
+}
+
+void fake_cluster::note_zone(zone_id const& zone, zone_state state)
+{
+    if (state == zone_state::in_service)
+    {
+        m_out_since.erase(zone);
+        return;
+    }
+    m_out_since.emplace(zone, m_now);
 }
 
 void fake_cluster::elect()
@@ -274,18 +288,7 @@
             continue;
         }
         zone_id const zone = zone_of(i);
-        propose({set_zone{operator_id("o"), zone, state, "t"}},
-                [this, zone, state]
-                {
-                    if (state == zone_state::in_service)
-                    {
-                        m_out_since.erase(zone);
-                    }
-                    else
-                    {
-                        m_out_since.emplace(zone, m_now);
-                    }
-                });
+        propose({set_zone{operator_id("o"), zone, state, "t"}}, {});
     }
 }
 
--- a/modules/cluster_state/tests/fake_cluster.hpp
+++ b/modules/cluster_state/tests/fake_cluster.hpp
@@ -68,6 +68,9 @@
     void propose(std::vector<core::command_body> commands,
                  std::function<void()> then);
     void apply(core::command_body body);
+    /// Follows committed commands, also those of a leader that was deposed
+    /// before it could answer.
+    void note_zone(core::zone_id const& zone, core::zone_state state);
     void elect();
 
     void step();
