routing: resolve names by name_table and compare configurations once per table

Cause: the table builder had its own linear name lookup beside `naming::name_table`, and looked for changed routes in every service anew, by every backend server, also when the configuration was the same. Change: the table holds the name_table of its configuration, changed services are found in one pass and only for a new configuration, counters are found by binary search, and services are no longer copied to be thrown away. This may be the growth of gateway CPU whose cause docs/CAPACITY.md does not know; that was not measured again. The 39 routing tests pass.

--- a/modules/routing/routing.hpp
+++ b/modules/routing/routing.hpp
@@ -7,7 +7,7 @@
 /// It builds the route table, chooses a backend server for each attempt and
 /// decides about retries, cancels and answers of one caller request.
 ///
-/// Dependencies: core.
+/// Dependencies: core, naming.
 
 #include "routing/choice/backend_selector.hpp"
 #include "routing/choice/choice_policy.hpp"
--- a/modules/routing/table/route_table.hpp
+++ b/modules/routing/table/route_table.hpp
@@ -3,6 +3,7 @@
 
 #include "core/config/configuration.hpp"
 #include "core/messages/registry.hpp"
+#include "naming/table/name_table.hpp"
 #include "routing/load/backend_load.hpp"
 #include "routing/load/latency_quantile.hpp"
 #include "routing/load/outlier_tracker.hpp"
@@ -50,6 +51,8 @@
     core::revision revision;
     core::registry_version registry;
     core::configuration config;
+    /// The names of `config`; shared by all tables with this configuration.
+    std::shared_ptr<naming::name_table const> names;
     std::map<core::backend_id, core::backend_entry> entries;
     std::map<core::zone_id, std::shared_ptr<zone_ramp>> ramps;
     std::map<core::service_id, service_routes> services;
--- a/modules/routing/table/table_builder.cpp
+++ b/modules/routing/table/table_builder.cpp
@@ -3,6 +3,8 @@
 #include "core/results/last_reason.hpp"
 
 #include <algorithm>
+#include <set>
+#include <string>
 
 namespace turmericswitch::routing
 {
@@ -10,23 +12,6 @@
 namespace
 {
 
-std::string canonical_name(core::configuration const& config,
-                           core::name_kind kind,
-                           std::string const& name)
-{
-    for (auto const& entry : config.names)
-    {
-        bool const alias =
-            std::find(entry.aliases.begin(), entry.aliases.end(), name) !=
-            entry.aliases.end();
-        if (entry.kind == kind && alias)
-        {
-            return entry.canonical;
-        }
-    }
-    return name;
-}
-
 bool zone_is_out(core::configuration const& config, core::zone_id const& zone)
 {
     return std::any_of(config.zones.begin(),
@@ -115,27 +100,27 @@
            (a != nullptr && b != nullptr && *a == *b);
 }
 
-core::service_id service_of(core::configuration const& config,
+core::service_id service_of(naming::name_table const& names,
                             core::backend_entry const& entry)
 {
-    return core::service_id(canonical_name(
-        config, core::name_kind::service, entry.service.value()));
+    return core::service_id(
+        names.resolve_or_same(core::name_kind::service, entry.service.value()));
 }
 
-core::zone_id zone_of(core::configuration const& config,
+core::zone_id zone_of(naming::name_table const& names,
                       core::backend_entry const& entry)
 {
-    return core::zone_id(canonical_name(
-        config, core::name_kind::zone, entry.place.zone.value()));
+    return core::zone_id(
+        names.resolve_or_same(core::name_kind::zone, entry.place.zone.value()));
 }
 
 // The configuration's region comes first: an entry announced before the rules
 // named its availability zone has none until its next announce.
-core::location place_of(core::configuration const& config,
+core::location place_of(route_table const& table,
                         core::backend_entry const& entry)
 {
-    core::location place{zone_of(config, entry), entry.place.region};
-    for (auto const& rule : config.zones)
+    core::location place{zone_of(*table.names, entry), entry.place.region};
+    for (auto const& rule : table.config.zones)
     {
         if (rule.zone == place.zone)
         {
@@ -145,40 +130,70 @@
     return place;
 }
 
-bool leaves(core::configuration const& config, core::backend_entry const& entry)
+bool leaves(core::configuration const& config,
+            naming::name_table const& names,
+            core::backend_entry const& entry)
 {
     return is_leaving(config,
-                      core::backend_id(canonical_name(config,
-                                                      core::name_kind::instance,
-                                                      entry.backend.value())));
+                      core::backend_id(names.resolve_or_same(
+                          core::name_kind::instance, entry.backend.value())));
 }
 
-bool backends_changed(core::configuration const& before,
-                      route_table const& table,
-                      core::service_id const& service)
+/// @return Services with a backend server that another configuration under
+/// equal names takes out or brings back.
+std::set<core::service_id>
+services_with_changed_backends(core::configuration const& before,
+                               route_table const& table)
 {
+    std::set<core::service_id> changed;
     auto const& after = table.config;
-    auto const differs = [&](auto const& item)
+    for (auto const& [backend, entry] : table.entries)
     {
-        auto const& entry = item.second;
-        return service_of(after, entry) == service &&
-               (zone_is_out(before, zone_of(before, entry)) !=
-                    zone_is_out(after, zone_of(after, entry)) ||
-                leaves(before, entry) != leaves(after, entry));
-    };
-    return std::any_of(table.entries.begin(), table.entries.end(), differs);
+        auto const zone = zone_of(*table.names, entry);
+        if (zone_is_out(before, zone) != zone_is_out(after, zone) ||
+            leaves(before, *table.names, entry) !=
+                leaves(after, *table.names, entry))
+        {
+            changed.insert(service_of(*table.names, entry));
+        }
+    }
+    return changed;
 }
 
-bool routes_changed(core::configuration const& before,
-                    route_table const& table,
-                    core::service_id const& service)
+/// Tells which services' routes a configuration changes. Made once per table;
+/// a table with the configuration of the one before changes none.
+class route_changes
 {
-    auto const& after = table.config;
-    return before.names != after.names ||
-           !same_rule(rule_of(before, service), rule_of(after, service)) ||
-           routes_of(before, service) != routes_of(after, service) ||
-           backends_changed(before, table, service);
-}
+public:
+    route_changes(route_table const* previous, route_table const& table)
+        : m_before(previous == nullptr ? nullptr : &previous->config),
+          m_after(table.config),
+          m_is_same(previous != nullptr && previous->names == table.names)
+    {
+        m_all = !m_is_same &&
+                (m_before == nullptr || m_before->names != m_after.names);
+        if (!m_is_same && !m_all)
+        {
+            m_backends = services_with_changed_backends(*m_before, table);
+        }
+    }
+
+    bool include(core::service_id const& service) const
+    {
+        return m_all || (!m_is_same && (!same_rule(rule_of(*m_before, service),
+                                                   rule_of(m_after, service)) ||
+                                        routes_of(*m_before, service) !=
+                                            routes_of(m_after, service) ||
+                                        m_backends.contains(service)));
+    }
+
+private:
+    core::configuration const* m_before;
+    core::configuration const& m_after;
+    bool m_is_same;
+    bool m_all = false;
+    std::set<core::service_id> m_backends;
+};
 
 void update_ramps(route_table& table,
                   route_table const* previous,
@@ -202,6 +217,7 @@
 
 void add_service(route_table& table,
                  route_table const* previous,
+                 route_changes const& changes,
                  core::service_id const& service)
 {
     service_routes made;
@@ -210,8 +226,7 @@
     made.rule.service = service;
     auto const* const old =
         previous == nullptr ? nullptr : previous->find_service(service);
-    bool const unchanged =
-        old != nullptr && !routes_changed(previous->config, table, service);
+    bool const unchanged = old != nullptr && !changes.include(service);
     made.changed = unchanged ? old->changed : table.revision;
     made.latency =
         old != nullptr ? old->latency : std::make_shared<latency_quantile>();
@@ -232,23 +247,24 @@
     {
         return nullptr;
     }
+    // A table adds its backend servers in the order of their ids.
     auto const found =
-        std::find_if(old->backends.begin(),
-                     old->backends.end(),
-                     [&](auto const& target)
-                     {
-                         return target.entry.backend == entry.backend &&
-                                target.entry.sidecar_incarnation ==
-                                    entry.sidecar_incarnation;
-                     });
-    return found == old->backends.end() ? nullptr : &*found;
+        std::lower_bound(old->backends.begin(),
+                         old->backends.end(),
+                         entry.backend,
+                         [](auto const& target, core::backend_id const& id)
+                         { return target.entry.backend < id; });
+    bool const is_same =
+        found != old->backends.end() && found->entry.backend == entry.backend &&
+        found->entry.sidecar_incarnation == entry.sidecar_incarnation;
+    return is_same ? &*found : nullptr;
 }
 
 void add_backend(route_table& table,
                  route_table const* previous,
                  core::backend_entry const& entry)
 {
-    auto const service = service_of(table.config, entry);
+    auto const service = service_of(*table.names, entry);
     auto const found = table.services.find(service);
     if (found == table.services.end())
     {
@@ -256,8 +272,9 @@
     }
     backend_target target;
     target.entry = entry;
-    target.place = place_of(table.config, entry);
-    target.leaving = entry.draining || leaves(table.config, entry);
+    target.place = place_of(table, entry);
+    target.leaving =
+        entry.draining || leaves(table.config, *table.names, entry);
     target.zone_out = zone_is_out(table.config, target.place.zone);
     auto& ramp = table.ramps[target.place.zone];
     ramp = ramp != nullptr ? ramp : std::make_shared<zone_ramp>();
@@ -278,24 +295,34 @@
     {
         return nullptr;
     }
-    auto table = previous != nullptr ? std::make_shared<route_table>(*previous)
-                                     : std::make_shared<route_table>();
+    auto table = std::make_shared<route_table>();
+    if (previous != nullptr)
+    {
+        table->revision = previous->revision;
+        table->registry = previous->registry;
+        table->config = previous->config;
+        table->names = previous->names;
+        table->entries = previous->entries;
+        table->ramps = previous->ramps;
+    }
     if (answer.config &&
         (previous == nullptr || answer.current > previous->revision))
     {
         table->config = *answer.config;
+        table->names = std::make_shared<naming::name_table const>(
+            naming::name_table::from_entries(table->config.names));
         table->revision = answer.current;
         update_ramps(*table, previous, now);
     }
     apply_registry(*table, answer);
-    table->services.clear();
+    route_changes const changes(previous, *table);
     for (auto const& rule : table->config.services)
     {
-        add_service(*table, previous, rule.service);
+        add_service(*table, previous, changes, rule.service);
     }
     for (auto const& rule : table->config.routes)
     {
-        add_service(*table, previous, rule.service);
+        add_service(*table, previous, changes, rule.service);
     }
     for (auto const& [backend, entry] : table->entries)
     {
