Drop state that could be derived: control's name table and wants_registry

control_node kept a name table by revision beside the one of configuration_state, which now shows it, and a watch said with a flag what its scope says already. The tests set the scope instead of the flag and keep their assertions.

--- a/modules/cluster_state/configuration/configuration_state.cpp
+++ b/modules/cluster_state/configuration/configuration_state.cpp
@@ -293,6 +293,11 @@
     return m_in_force;
 }
 
+naming::name_table const& configuration_state::names() const noexcept
+{
+    return m_names;
+}
+
 core::revision configuration_state::current() const noexcept
 {
     return m_current;
--- a/modules/cluster_state/configuration/configuration_state.hpp
+++ b/modules/cluster_state/configuration/configuration_state.hpp
@@ -45,6 +45,9 @@
 
     core::revision current() const noexcept;
 
+    /// @return The names of the configuration in force.
+    naming::name_table const& names() const noexcept;
+
     /// @return True if the zone, under any of its names, is known and in
     /// service.
     bool is_in_service(core::zone_id const& zone) const;
--- a/modules/core/messages/registry.hpp
+++ b/modules/core/messages/registry.hpp
@@ -71,9 +71,8 @@
     revision in_force;
     registry_version registry;
     duration max_wait{};
-    /// False for a process that needs the configuration only.
-    bool wants_registry = true;
-    /// Set by a sidecar: the configuration is reduced to this.
+    /// Set by a sidecar: the configuration is reduced to this, and no registry
+    /// is sent.
     std::optional<backend_scope> scope;
 
     bool operator==(watch_request const&) const = default;
--- a/programs/control/leader/watch_hub.cpp
+++ b/programs/control/leader/watch_hub.cpp
@@ -37,7 +37,7 @@
     bool const has_none = request.registry == core::registry_version{};
     bool const has_this_one =
         request.registry.epoch == m_registry.version().epoch;
-    return request.wants_registry && (m_is_settled || has_none || has_this_one);
+    return !request.scope && (m_is_settled || has_none || has_this_one);
 }
 
 void watch_hub::watch(core::time_point now,
--- a/programs/control/node/control_node.cpp
+++ b/programs/control/node/control_node.cpp
@@ -206,23 +206,13 @@
     return m_duties;
 }
 
-void control_node::refresh_names()
-{
-    auto const& config = m_replica.state().config();
-    if (config.current() != m_names_revision)
-    {
-        m_names_revision = config.current();
-        m_names = naming::name_table::from_entries(config.in_force().names);
-    }
-}
-
 core::location control_node::canonical_place(core::location const& place)
 {
-    refresh_names();
+    auto const& config = m_replica.state().config();
     core::location found = place;
-    found.zone = core::zone_id(
-        m_names.resolve_or_same(core::name_kind::zone, place.zone.value()));
-    for (auto const& rule : m_replica.state().config().in_force().zones)
+    found.zone = core::zone_id(config.names().resolve_or_same(
+        core::name_kind::zone, place.zone.value()));
+    for (auto const& rule : config.in_force().zones)
     {
         if (rule.zone == found.zone)
         {
@@ -235,9 +225,8 @@
 core::service_id
 control_node::canonical_service(core::service_id const& service)
 {
-    refresh_names();
-    return core::service_id(
-        m_names.resolve_or_same(core::name_kind::service, service.value()));
+    return core::service_id(m_replica.state().config().names().resolve_or_same(
+        core::name_kind::service, service.value()));
 }
 
 telemetry::decision_log& control_node::decisions()
--- a/programs/control/node/control_node.hpp
+++ b/programs/control/node/control_node.hpp
@@ -2,7 +2,6 @@
 #define TURMERICSWITCH_CONTROL_NODE_CONTROL_NODE_HPP
 
 #include "leader/leader_duties.hpp"
-#include "naming/table/name_table.hpp"
 #include "node/peer_links.hpp"
 #include "node/replica.hpp"
 #include "process/loop/event_loop.hpp"
@@ -70,7 +69,6 @@
     void on_tick();
     void on_group_changed();
     void add_metrics();
-    void refresh_names();
 
     telemetry::logger m_log{"control"};
     telemetry::metrics_registry m_metrics;
@@ -85,8 +83,6 @@
     std::atomic<bool> m_leads = false;
     std::atomic<std::uint64_t> m_peer_bytes = 0;
     std::atomic<std::int64_t> m_snapshot_hold_us = 0;
-    core::revision m_names_revision;
-    naming::name_table m_names;
     core::group_membership m_contacts;
     peer_links m_links;
     process::event_loop m_loop;
--- a/programs/control/tests/leader_duties_test.cpp
+++ b/programs/control/tests/leader_duties_test.cpp
@@ -210,7 +210,7 @@
         core::watch_request request;
         request.process = core::client_id("p");
         request.in_force = m_group->node(first).state().config().current();
-        request.wants_registry = false;
+        request.scope.emplace();
         request.max_wait = std::chrono::seconds(25);
         std::vector<core::watch_answer> polls;
         m_group->at(first).duties->watch(m_group->now,
--- a/programs/control/tests/watch_hub_test.cpp
+++ b/programs/control/tests/watch_hub_test.cpp
@@ -51,7 +51,10 @@
         request.in_force = m_config.current();
         request.registry = m_registry.version();
         request.max_wait = std::chrono::seconds(5);
-        request.wants_registry = wants_registry;
+        if (!wants_registry)
+        {
+            request.scope.emplace();
+        }
         m_hub.watch(m_now,
                     request,
                     [this](core::watch_answer answer)
--- a/programs/gateway/tests/fake_control.cpp
+++ b/programs/gateway/tests/fake_control.cpp
@@ -112,7 +112,7 @@
         {
             bool const has_config = each.request.in_force < config.current();
             bool const has_news =
-                has_config || (each.request.wants_registry &&
+                has_config || (!each.request.scope &&
                                each.request.registry != m_registry.version());
             if (m_frozen || !has_news)
             {
@@ -124,7 +124,7 @@
             {
                 news.config = config.in_force();
             }
-            if (each.request.wants_registry)
+            if (!each.request.scope)
             {
                 m_registry.changes_since(each.request.registry, news);
             }
--- a/programs/shared/control_link/config_watch.cpp
+++ b/programs/shared/control_link/config_watch.cpp
@@ -43,7 +43,6 @@
         request.in_force = known.in_force;
         request.registry = known.registry;
         request.max_wait = poll_wait;
-        request.wants_registry = !scope;
         request.scope = scope;
         link.call(
             "/watch",
