Share peer clients, the leader's address, random seeds and JSON members

They now call `shared::make_peer_client`, `shared::leader_address`, `process::random_seed` and `wire::resources_to_json`.

--- a/modules/process/process.hpp
+++ b/modules/process/process.hpp
@@ -11,6 +11,7 @@
 #include "process/arguments/arguments.hpp"
 #include "process/loop/event_loop.hpp"
 #include "process/ports/ports_file.hpp"
+#include "process/random/random_seed.hpp"
 #include "process/signals/shutdown_signal.hpp"
 
 #endif
--- a/modules/wire/json/json_members.hpp
+++ b/modules/wire/json/json_members.hpp
@@ -9,7 +9,8 @@
 #include <stdexcept>
 #include <string>
 
-// Implementation header of the JSON codecs; include it only from .cpp files.
+// Parts that JSON codecs share; include them only from .cpp files, because this
+// header brings in nlohmann-json.
 
 namespace turmericswitch::wire
 {
--- a/programs/control/api/state_json.cpp
+++ b/programs/control/api/state_json.cpp
@@ -1,10 +1,11 @@
 #include "api/state_json.hpp"
 
 #include "wire/json/job_json.hpp"
+#include "wire/json/json_members.hpp"
 
 #include <nlohmann/json.hpp>
 
-#include <chrono>
+#include <algorithm>
 
 namespace turmericswitch::control
 {
@@ -14,18 +15,6 @@
 
 using json = nlohmann::json;
 
-std::int64_t milliseconds(core::duration time)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
-}
-
-json resources_json(core::resources const& amount)
-{
-    return {{"cpu_millicores", amount.cpu.value()},
-            {"memory_bytes", amount.memory.value()},
-            {"accelerators", amount.accelerators.value()}};
-}
-
 json job_json(core::job_record const& job)
 {
     auto const& text = job.description;
@@ -40,7 +29,7 @@
     if (job.hold)
     {
         object["worker"] = job.hold->worker.value();
-        object["reserved"] = resources_json(job.hold->reserved);
+        object["reserved"] = wire::resources_to_json(job.hold->reserved);
     }
     if (job.checkpoint)
     {
@@ -89,8 +78,8 @@
         if (is_out && node.duties())
         {
             auto const quiet = node.duties()->quiet_from(rule.zone);
-            zone["quiet_in_ms"] =
-                milliseconds(std::max(quiet - now, core::duration::zero()));
+            zone["quiet_in_ms"] = wire::to_milliseconds(
+                std::max(quiet - now, core::duration::zero()));
         }
         list.push_back(std::move(zone));
     }
@@ -120,9 +109,10 @@
     json processes = json::array();
     for (auto const& [name, report] : duties->processes())
     {
-        processes.push_back({{"name", name.value()},
-                             {"in_force", report.in_force.value()},
-                             {"age_ms", milliseconds(now - report.heard)}});
+        processes.push_back(
+            {{"name", name.value()},
+             {"in_force", report.in_force.value()},
+             {"age_ms", wire::to_milliseconds(now - report.heard)}});
     }
     auto const counts = duties->planner_counts();
     object["processes"] = std::move(processes);
--- a/programs/control/main.cpp
+++ b/programs/control/main.cpp
@@ -11,7 +11,6 @@
 #include "store/files/real_file_system.hpp"
 #include "wire/codec/protocol_version.hpp"
 
-#include <random>
 #include <thread>
 
 namespace turmericswitch::control
@@ -34,12 +33,6 @@
     return words.flag("--join") ? start_mode::join : start_mode::normal;
 }
 
-std::uint64_t random_seed()
-{
-    std::random_device device;
-    return (std::uint64_t{device()} << 32U) | device();
-}
-
 web::http_handler make_http_handler(control_node& node,
                                     operator_api& operators,
                                     worker_api& workers)
@@ -70,7 +63,7 @@
         return false;
     }
     store::real_file_system files;
-    auto parts = recover(files, settings, mode, random_seed());
+    auto parts = recover(files, settings, mode, process::random_seed());
     if (!parts)
     {
         return false;
--- a/programs/control/node/peer_links.cpp
+++ b/programs/control/node/peer_links.cpp
@@ -1,7 +1,7 @@
 #include "node/peer_links.hpp"
 
+#include "shared/peers/peer_client.hpp"
 #include "wire/codec/message_codec.hpp"
-#include "wire/codec/protocol_version.hpp"
 
 namespace turmericswitch::control
 {
@@ -43,12 +43,8 @@
         {
             continue;
         }
-        transport::client_options options;
-        options.connection.protocol_version = wire::protocol_version;
-        options.random = core::seeded_random(m_seed + id.value());
-        m_links.emplace(id,
-                        std::make_unique<transport::rpc_client>(
-                            m_io, peer, std::move(options)));
+        m_links.emplace(
+            id, shared::make_peer_client(m_io, peer, m_seed + id.value()));
     }
 }
 
--- a/programs/ctl/client/control_client.cpp
+++ b/programs/ctl/client/control_client.cpp
@@ -1,6 +1,6 @@
 #include "client/control_client.hpp"
 
-#include "settings/values/parse_value.hpp"
+#include "shared/peers/leader_address.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -28,19 +28,6 @@
 
 constexpr std::uint64_t highest_code = 65'535;
 
-/// @return The endpoint of `http://ip:port/path`, or nothing.
-std::optional<core::endpoint> endpoint_of_url(std::string const& url)
-{
-    constexpr std::string_view scheme = "http://";
-    if (!url.starts_with(scheme))
-    {
-        return std::nullopt;
-    }
-    auto const end = url.find('/', scheme.size());
-    return settings::parse_endpoint(
-        std::string_view(url).substr(0, end).substr(scheme.size()));
-}
-
 /// Control answered, and certainly did not apply the call.
 bool is_refused_for_now(result_code code)
 {
@@ -250,11 +237,7 @@
     auto answer = answer_of(peer, result.response);
     if (answer.code == result_code::not_leader)
     {
-        if (auto const* const url =
-                web::find_field(result.response.fields, "Location"))
-        {
-            leader = endpoint_of_url(*url);
-        }
+        leader = shared::leader_address(result.response);
         answer.text = to_string(peer) + " is not the leader" +
                       (leader ? " and names " + to_string(*leader)
                               : std::string(" and knows none"));
--- a/programs/gateway/main.cpp
+++ b/programs/gateway/main.cpp
@@ -7,8 +7,6 @@
 #include "shared/daemon/status_handler.hpp"
 #include "wire/json/decision_json.hpp"
 
-#include <random>
-
 namespace turmericswitch::gateway
 {
 
@@ -37,12 +35,6 @@
                : routing::choose_least_expected();
 }
 
-std::uint64_t random_seed()
-{
-    std::random_device device;
-    return (std::uint64_t{device()} << 32U) | device();
-}
-
 web::http_handler make_handler(request_runner& runner,
                                job_proxy& jobs,
                                telemetry::decision_log& decisions)
@@ -68,7 +60,7 @@
 bool serve(gateway_settings const& settings, process::shutdown_signal& signal)
 {
     telemetry::logger const log("gateway");
-    auto const seed = random_seed();
+    auto const seed = process::random_seed();
     telemetry::metrics_registry metrics;
     telemetry::decision_log decisions(kept_decisions_per_ring, decision_rings);
     routing::flow_counters counters;
--- a/programs/gateway/requests/job_proxy.cpp
+++ b/programs/gateway/requests/job_proxy.cpp
@@ -1,6 +1,6 @@
 #include "gateway/requests/job_proxy.hpp"
 
-#include "settings/values/parse_value.hpp"
+#include "shared/peers/leader_address.hpp"
 
 #include <cassert>
 #include <optional>
@@ -19,18 +19,6 @@
 constexpr unsigned extra_tries = 2;
 constexpr std::uint16_t misdirected_status = 421;
 
-std::optional<core::endpoint> leader_in(web::http_response const& response)
-{
-    constexpr std::string_view scheme = "http://";
-    auto const* const where = web::find_field(response.fields, "Location");
-    if (where == nullptr || !where->starts_with(scheme))
-    {
-        return std::nullopt;
-    }
-    auto const host = where->substr(scheme.size());
-    return settings::parse_endpoint(host.substr(0, host.find('/')));
-}
-
 } // namespace
 
 job_proxy::job_proxy(std::vector<core::endpoint> control)
@@ -55,7 +43,7 @@
             {
                 return std::move(result.response);
             }
-            if (auto const leader = leader_in(result.response))
+            if (auto const leader = shared::leader_address(result.response))
             {
                 turn_to(*leader);
             }
--- a/programs/gateway/routing/sidecar_links.cpp
+++ b/programs/gateway/routing/sidecar_links.cpp
@@ -1,6 +1,6 @@
 #include "gateway/routing/sidecar_links.hpp"
 
-#include "wire/codec/protocol_version.hpp"
+#include "shared/peers/peer_client.hpp"
 
 namespace turmericswitch::gateway
 {
@@ -25,13 +25,10 @@
                 next->emplace(peer, previous->at(peer));
                 continue;
             }
-            transport::client_options options;
-            options.connection.protocol_version = wire::protocol_version;
-            options.random = core::seeded_random(++m_seed);
-            next->emplace(peer,
-                          sidecar_link{std::make_shared<transport::rpc_client>(
-                                           m_io, peer, std::move(options)),
-                                       target.place.region != own_region});
+            next->emplace(
+                peer,
+                sidecar_link{shared::make_peer_client(m_io, peer, ++m_seed),
+                             target.place.region != own_region});
         }
     }
     std::lock_guard const lock(m_mutex);
--- a/programs/shared/control_link/control_link.cpp
+++ b/programs/shared/control_link/control_link.cpp
@@ -1,6 +1,6 @@
 #include "shared/control_link/control_link.hpp"
 
-#include "wire/codec/protocol_version.hpp"
+#include "shared/peers/peer_client.hpp"
 
 #include <cassert>
 #include <mutex>
@@ -22,21 +22,12 @@
     {
     }
 
-    std::shared_ptr<transport::rpc_client> connect(core::endpoint const& peer)
-    {
-        transport::client_options options;
-        options.connection.protocol_version = wire::protocol_version;
-        options.random = core::seeded_random(++seed);
-        return std::make_shared<transport::rpc_client>(
-            io, peer, std::move(options));
-    }
-
     std::shared_ptr<transport::rpc_client> current()
     {
         std::lock_guard const lock(mutex);
         if (!client)
         {
-            client = connect(instances[next]);
+            client = make_peer_client(io, instances[next], ++seed);
         }
         return client;
     }
@@ -78,7 +69,7 @@
         drop_client();
         if (leader)
         {
-            client = connect(*leader);
+            client = make_peer_client(io, *leader, ++seed);
             return;
         }
         next = (next + 1) % instances.size();
--- /dev/null
+++ b/programs/shared/peers/peer_client.hpp
@@ -0,0 +1,21 @@
+#ifndef TURMERICSWITCH_SHARED_PEERS_PEER_CLIENT_HPP
+#define TURMERICSWITCH_SHARED_PEERS_PEER_CLIENT_HPP
+
+#include "transport/transport.hpp"
+
+#include <cstdint>
+#include <memory>
+
+namespace turmericswitch::shared
+{
+
+/// @param random_seed For the waits between connects.
+/// @return A client that speaks this version's protocol.
+std::unique_ptr<transport::rpc_client>
+make_peer_client(transport::io_pool& io,
+                 core::endpoint const& peer,
+                 std::uint64_t random_seed);
+
+} // namespace turmericswitch::shared
+
+#endif
--- a/programs/sidecar/main.cpp
+++ b/programs/sidecar/main.cpp
@@ -4,8 +4,6 @@
 #include "sidecar/service/graceful_stop.hpp"
 #include "wire/codec/protocol_version.hpp"
 
-#include <random>
-
 namespace turmericswitch::sidecar
 {
 
@@ -16,16 +14,10 @@
 /// Status pages only.
 constexpr unsigned http_threads = 4;
 
-std::uint64_t random_number()
-{
-    std::random_device device;
-    return (std::uint64_t{device()} << 32U) | device();
-}
-
 bool serve(sidecar_settings const& settings, process::shutdown_signal& signal)
 {
     telemetry::logger const log("sidecar");
-    auto const life = random_number();
+    auto const life = process::random_seed();
     telemetry::metrics_registry metrics;
     transport::io_pool io(io_threads);
     auto control =
--- a/tests/standins/worker/main.cpp
+++ b/tests/standins/worker/main.cpp
@@ -1,6 +1,6 @@
 #include "process/loop/event_loop.hpp"
-#include "settings/values/parse_value.hpp"
 #include "shared/daemon/daemon_main.hpp"
+#include "shared/peers/leader_address.hpp"
 #include "standins/worker/worker_core.hpp"
 #include "web/web.hpp"
 #include "wire/json/worker_json.hpp"
@@ -133,13 +133,7 @@
 
     void follow(web::http_response const& response)
     {
-        constexpr std::string_view scheme = "http://";
-        auto const* const where = web::find_field(response.fields, "Location");
-        auto const host = where != nullptr && where->starts_with(scheme)
-                              ? where->substr(scheme.size())
-                              : std::string();
-        auto const leader =
-            settings::parse_endpoint(host.substr(0, host.find('/')));
+        auto const leader = shared::leader_address(response);
         if (leader && *leader != m_target)
         {
             m_target = *leader;
