--- a/modules/cluster_state/cluster_state.hpp
+++ b/modules/cluster_state/cluster_state.hpp
@@ -6,7 +6,7 @@
 /// sessions, key claims), and the control leader's volatile registry, leases
 /// and heartbeat answers. Nothing here does I/O or reads a clock.
 ///
-/// Dependencies: core, naming, rules, wire.
+/// Dependencies: core, naming, rules, wire, workflow.
 
 #include "cluster_state/leader/backend_registry.hpp"
 #include "cluster_state/leader/heartbeat_service.hpp"
--- a/modules/cluster_state/configuration/configuration_state.cpp
+++ b/modules/cluster_state/configuration/configuration_state.cpp
@@ -219,6 +219,70 @@
     return {};
 }
 
+core::command_reply
+configuration_state::apply(core::apply_document const& command,
+                           core::wall_time wall)
+{
+    auto const& next = command.document;
+    if (next.version < m_document.version)
+    {
+        return refusal(result_code::ok,
+                       "version " + std::to_string(m_document.version) +
+                           " is in force already");
+    }
+    if (next.version == m_document.version)
+    {
+        return next == m_document
+                   ? core::command_reply{}
+                   : refusal(result_code::document_conflict,
+                             "version " + std::to_string(next.version) +
+                                 " has another content");
+    }
+    m_document = next;
+    accept({{},
+            core::operator_id("document"),
+            {},
+            wall,
+            "document version " + std::to_string(next.version)});
+    return {};
+}
+
+core::command_reply
+configuration_state::apply(core::evacuate_zone const& command,
+                           core::wall_time wall)
+{
+    bool const is_changed = command.evacuated
+                                ? m_evacuated.insert(command.zone).second
+                                : m_evacuated.erase(command.zone) > 0;
+    if (is_changed)
+    {
+        accept({{},
+                core::operator_id("evacuation"),
+                {},
+                wall,
+                "zone " + command.zone.value() +
+                    (command.evacuated ? " evacuated" : " taken back")});
+    }
+    return {};
+}
+
+core::configuration_document const&
+configuration_state::document() const noexcept
+{
+    return m_document;
+}
+
+core::queue_rule const*
+configuration_state::find_queue(core::queue_id const& queue) const
+{
+    auto const& all = m_document.queues;
+    auto const found = std::find_if(all.begin(),
+                                    all.end(),
+                                    [&queue](core::queue_rule const& each)
+                                    { return each.queue == queue; });
+    return found == all.end() ? nullptr : &*found;
+}
+
 void configuration_state::accept(core::change_record change)
 {
     m_current = core::revision(m_current.value() + 1);
@@ -235,6 +299,10 @@
 void configuration_state::derive()
 {
     m_in_force = m_compiled;
+    m_in_force.document = m_document;
+    // Processes need the rules only, and the source is most of the bytes.
+    m_in_force.document.source.clear();
+    m_in_force.evacuated.assign(m_evacuated.begin(), m_evacuated.end());
     m_names = naming::name_table::from_entries(m_compiled.names);
     derive_zones();
     m_leaving.clear();
@@ -344,12 +412,14 @@
 core::configuration_record configuration_state::record() const
 {
     core::configuration_record record{
-        m_current, m_author, m_text, m_zone_commands, {}, {}};
+        m_current, m_author, m_text, m_zone_commands, {}, {}, {}, {}};
     for (auto const& [backend, drain] : m_drains)
     {
         record.drains.push_back(drain);
     }
     record.history.assign(m_history.begin(), m_history.end());
+    record.document = m_document;
+    record.evacuated.assign(m_evacuated.begin(), m_evacuated.end());
     return record;
 }
 
@@ -372,6 +442,8 @@
         m_drains[drain.backend] = drain;
     }
     m_history.assign(record.history.begin(), record.history.end());
+    m_document = std::move(record.document);
+    m_evacuated = {record.evacuated.begin(), record.evacuated.end()};
     derive();
     return true;
 }
--- a/modules/cluster_state/configuration/configuration_state.hpp
+++ b/modules/cluster_state/configuration/configuration_state.hpp
@@ -39,6 +39,21 @@
                               core::wall_time wall);
     core::command_reply apply(core::set_drain const& command,
                               core::wall_time wall);
+    /// The document with the highest version takes effect. A lower version
+    /// and the same document again change nothing and are accepted.
+    ///
+    /// @return `ok`, or `document_conflict` if the version in force has
+    ///         another content.
+    core::command_reply apply(core::apply_document const& command,
+                              core::wall_time wall);
+    core::command_reply apply(core::evacuate_zone const& command,
+                              core::wall_time wall);
+
+    /// @return The document in force with its source; version 0 if none.
+    core::configuration_document const& document() const noexcept;
+
+    /// @return The queue, or null.
+    core::queue_rule const* find_queue(core::queue_id const& queue) const;
 
     /// @return The configuration in force, commands included.
     core::configuration const& in_force() const noexcept;
@@ -87,6 +102,8 @@
     std::vector<core::zone_command> m_zone_commands;
     std::map<core::backend_id, core::drain_command> m_drains;
     std::deque<core::change_record> m_history;
+    core::configuration_document m_document;
+    std::set<core::zone_id> m_evacuated;
 
     // Derived from the members above.
     core::configuration m_in_force;
--- a/modules/cluster_state/machine/state_machine.cpp
+++ b/modules/cluster_state/machine/state_machine.cpp
@@ -77,12 +77,40 @@
                              return coded(core::result_code::ok);
                          },
                          [&](core::expire_records const&)
-                         { return expire_all(); }},
+                         { return expire_all(); },
+                         [&](core::apply_document const& each)
+                         { return m_config.apply(each, wall); },
+                         [&](core::evacuate_zone const& each)
+                         { return m_config.apply(each, wall); },
+                         [&](core::submit_workflow const& each)
+                         { return submit(each); },
+                         [&](core::cancel_workflow const& each)
+                         { return m_workflows.cancel(each, m_now); },
+                         [&](core::workflow_progress const& each)
+                         {
+                             m_workflows.progress(each, m_now);
+                             return coded(core::result_code::ok);
+                         }},
         envelope.body);
 }
 
+core::command_reply state_machine::submit(core::submit_workflow const& command)
+{
+    auto const* const queue = m_config.find_queue(command.queue);
+    if (queue == nullptr && m_workflows.find(command.workflow) == nullptr)
+    {
+        core::command_reply reply;
+        reply.code = core::result_code::queue_unknown;
+        reply.text = "no queue " + command.queue.value();
+        return reply;
+    }
+    return m_workflows.submit(
+        command, queue == nullptr ? core::queue_rule{} : *queue, m_now);
+}
+
 core::command_reply state_machine::expire_all()
 {
+    m_workflows.prune(m_now, max_expired_per_command);
     m_sessions.expire(m_now, max_expired_per_command);
     m_claims.expire(m_now, max_expired_per_command);
     m_board.prune(m_now, max_expired_per_command);
@@ -100,6 +128,7 @@
     first.sessions = m_sessions.records();
     first.claims = m_claims.records();
     first.counters = m_board.counters();
+    first.workflows = m_workflows.records();
     for (auto const& [id, worker] : m_board.workers().all())
     {
         first.workers.push_back(worker.record);
@@ -134,6 +163,7 @@
     {
         fresh.m_claims.restore(std::move(claim));
     }
+    fresh.m_workflows.restore(std::move(first.workflows));
     bool is_whole = fresh.m_config.restore(std::move(first.config));
     auto jobs = std::move(first.jobs);
     fresh.m_board.restore(std::move(first));
@@ -178,6 +208,11 @@
     return m_board.workers();
 }
 
+workflow::workflow_table const& state_machine::workflows() const noexcept
+{
+    return m_workflows;
+}
+
 core::state_counters const& state_machine::counters() const noexcept
 {
     return m_board.counters();
--- a/modules/cluster_state/machine/state_machine.hpp
+++ b/modules/cluster_state/machine/state_machine.hpp
@@ -5,6 +5,7 @@
 #include "cluster_state/jobs/job_board.hpp"
 #include "cluster_state/sessions/claim_table.hpp"
 #include "cluster_state/sessions/session_table.hpp"
+#include "workflow/table/workflow_table.hpp"
 
 #include <string>
 #include <string_view>
@@ -46,6 +47,7 @@
     configuration_state const& config() const noexcept;
     job_table const& jobs() const noexcept;
     worker_table const& workers() const noexcept;
+    workflow::workflow_table const& workflows() const noexcept;
     core::state_counters const& counters() const noexcept;
 
     /// @return All attempts that hold a share of a worker. Linear in workers
@@ -58,6 +60,7 @@
 
 private:
     core::command_reply run(core::command_envelope const& envelope);
+    core::command_reply submit(core::submit_workflow const& command);
     core::command_reply expire_all();
 
     core::log_index m_applied;
@@ -65,6 +68,7 @@
     configuration_state m_config;
     job_board m_board;
     session_table m_sessions;
+    workflow::workflow_table m_workflows;
     claim_table m_claims;
 };
 
--- a/modules/core/config/configuration.hpp
+++ b/modules/core/config/configuration.hpp
@@ -137,6 +137,55 @@
     bool operator==(leaving_rule const&) const = default;
 };
 
+/// A queue of workflows: where its calls arrive and how they are served.
+struct queue_rule
+{
+    queue_id queue;
+    std::string host;
+    std::string path_prefix;
+    /// Service whose workers run the tasks.
+    service_id service;
+    duration request_timeout{};
+    /// Part of the objective that does not depend on the work.
+    duration target_latency{};
+    /// 0 comes first and may preempt others.
+    std::uint32_t priority = 0;
+    /// Runs of a task that may fail before its workflow does.
+    std::uint32_t attempts = 1;
+    /// The objective as a multiple of the longest chain of work, in permille.
+    std::uint32_t stretch_permille = 1000;
+
+    bool operator==(queue_rule const&) const = default;
+};
+
+/// A pool of workers that belong to one service.
+struct pool_rule
+{
+    service_id service;
+    /// The workers refuse what does not fit.
+    bool enforces_capacity = false;
+    /// The workers are off until they are moved to another pool.
+    bool standby = false;
+
+    bool operator==(pool_rule const&) const = default;
+};
+
+/// The part of the configuration that operators send as a whole document.
+struct configuration_document
+{
+    /// Given by the operator; 0 while there is no document.
+    std::uint64_t version = 0;
+    std::vector<queue_rule> queues;
+    std::vector<pool_rule> pools;
+    /// Largest body of a caller's request; 0 means the gateway's own limit.
+    byte_count body_limit;
+    /// The document as it was sent; empty where only its rules matter.
+    std::string source;
+
+    bool operator==(configuration_document const&) const = default;
+};
+
+
 /// The compiled rules file. Every process acts on one whole configuration;
 /// its revision only ever rises.
 struct configuration
@@ -150,6 +199,9 @@
     std::vector<priority_rule> priorities;
     std::vector<quota_rule> quotas;
     std::vector<leaving_rule> leaving;
+    configuration_document document;
+    /// Availability zones that operators have evacuated.
+    std::vector<zone_id> evacuated;
 
     bool operator==(configuration const&) const = default;
 };
--- a/modules/core/messages/commands.hpp
+++ b/modules/core/messages/commands.hpp
@@ -3,6 +3,7 @@
 
 #include "core/config/configuration.hpp"
 #include "core/messages/jobs.hpp"
+#include "core/messages/workflow.hpp"
 #include "core/results/result_code.hpp"
 #include "core/types/ids.hpp"
 #include "core/types/units.hpp"
@@ -169,6 +170,24 @@
     bool operator==(expire_records const&) const = default;
 };
 
+/// Replaces the configuration document if its version is higher.
+struct apply_document
+{
+    configuration_document document;
+
+    bool operator==(apply_document const&) const = default;
+};
+
+/// Starts or ends the evacuation of an availability zone.
+struct evacuate_zone
+{
+    zone_id zone;
+    bool evacuated = true;
+
+    bool operator==(evacuate_zone const&) const = default;
+};
+
+
 using command_body = std::variant<apply_rules,
                                   set_zone,
                                   set_drain,
@@ -181,7 +200,12 @@
                                   placement_batch,
                                   claim_key,
                                   finish_claim,
-                                  expire_records>;
+                                  expire_records,
+                                  apply_document,
+                                  evacuate_zone,
+                                  submit_workflow,
+                                  cancel_workflow,
+                                  workflow_progress>;
 
 /// One command of the replicated log.
 struct command_envelope
--- a/modules/core/messages/state.hpp
+++ b/modules/core/messages/state.hpp
@@ -4,6 +4,7 @@
 #include "core/config/configuration.hpp"
 #include "core/messages/commands.hpp"
 #include "core/messages/jobs.hpp"
+#include "core/messages/workflow.hpp"
 #include "core/types/ids.hpp"
 #include "core/types/units.hpp"
 
@@ -113,6 +114,8 @@
     std::vector<zone_command> zones;
     std::vector<drain_command> drains;
     std::vector<change_record> history;
+    configuration_document document;
+    std::vector<zone_id> evacuated;
 
     bool operator==(configuration_record const&) const = default;
 };
@@ -165,6 +168,7 @@
     std::vector<worker_record> workers;
     std::vector<job_record> jobs;
     state_counters counters;
+    std::vector<workflow_record> workflows;
 
     bool operator==(state_snapshot const&) const = default;
 };
--- /dev/null
+++ b/modules/core/messages/workflow.hpp
@@ -0,0 +1,410 @@
+#ifndef TURMERICSWITCH_CORE_MESSAGES_WORKFLOW_HPP
+#define TURMERICSWITCH_CORE_MESSAGES_WORKFLOW_HPP
+
+#include "core/config/configuration.hpp"
+#include "core/results/result_code.hpp"
+#include "core/types/ids.hpp"
+#include "core/types/units.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace turmericswitch::core
+{
+
+/// Where the tasks of a stage may run.
+struct stage_constraints
+{
+    /// Label that the worker must have; empty if any worker will do.
+    std::string required_label;
+    /// Rack that holds the data; work elsewhere takes longer. Empty if none.
+    rack_id data_rack;
+    /// Most tasks of the stage on one worker; 0 means no limit.
+    std::uint32_t max_per_worker = 0;
+    /// The tasks take longer when they are spread over racks.
+    bool prefers_one_rack = false;
+
+    bool operator==(stage_constraints const&) const = default;
+};
+
+/// How the tasks of a stage run and end.
+struct stage_behaviour
+{
+    /// Tasks save their progress and resume from it.
+    bool checkpoints = false;
+    /// All tasks of one attempt run together and end together.
+    bool gang = false;
+    /// Several copies of a task may run; the first to finish counts.
+    bool speculative = false;
+    /// Tasks run until the workflow is cancelled.
+    bool long_running = false;
+    /// Tasks use only the processor time that others leave; their processor
+    /// request is not reserved.
+    bool uses_spare_cpu = false;
+    /// Most tasks of a long-running stage that control may have away at once.
+    std::uint32_t max_unavailable = 0;
+    /// Names what the tasks run; tasks of one image behave alike.
+    std::string image;
+    /// Bound on the tail latency of tasks that serve; zero if they don't.
+    duration target_latency{};
+
+    bool operator==(stage_behaviour const&) const = default;
+};
+
+/// One stage of a workflow: a number of equal tasks.
+struct stage_description
+{
+    std::uint32_t tasks = 0;
+    resources need;
+    /// The submitter's estimate of a task's run time.
+    duration estimate{};
+    /// Earlier stages that must have finished, by number from 0.
+    std::vector<std::uint32_t> after;
+    stage_constraints constraints;
+    stage_behaviour behaviour;
+
+    bool operator==(stage_description const&) const = default;
+};
+
+/// When a workflow that runs several times is due.
+struct workflow_schedule
+{
+    wall_time first;
+    duration interval{};
+    /// Number of occurrences; 0 for a workflow that runs once, at once.
+    std::uint32_t occurrences = 0;
+
+    bool operator==(workflow_schedule const&) const = default;
+};
+
+/// A job of stages and tasks as its submitter describes it.
+struct workflow_description
+{
+    /// Passed to every task unread.
+    std::string payload;
+    std::vector<stage_description> stages;
+    workflow_schedule schedule;
+
+    bool operator==(workflow_description const&) const = default;
+};
+
+/// Names one task of a workflow.
+struct task_ref
+{
+    workflow_id workflow;
+    std::uint32_t occurrence = 0;
+    std::uint32_t stage = 0;
+    std::uint32_t index = 0;
+
+    auto operator<=>(task_ref const&) const = default;
+};
+
+/// `workflow.occurrence.stage.index`, the form used in logs.
+std::string to_string(task_ref const& task);
+
+/// One attempt of a task.
+struct task_run
+{
+    task_ref task;
+    attempt_number attempt;
+
+    auto operator<=>(task_run const&) const = default;
+};
+
+enum class run_end : std::uint8_t
+{
+    done,
+    /// By its own fault or its worker's.
+    failed,
+    /// A stop order ended it.
+    stopped,
+    /// The lease ended.
+    lapsed,
+    /// Another member of its gang ended.
+    broken,
+    /// The other members of its gang did not start in time.
+    alone,
+    /// The worker refused the start; it has not run.
+    refused,
+    /// The worker's life ended, or its lease certainly has.
+    lost,
+};
+
+std::string_view to_string(run_end end);
+
+enum class workflow_state : std::uint8_t
+{
+    queued,
+    running,
+    completed,
+    failed,
+    cancelled,
+};
+
+std::string_view to_string(workflow_state state);
+
+/// @return True for states that never change again.
+bool is_final(workflow_state state) noexcept;
+
+/// State of one task.
+struct task_record
+{
+    /// Number of the last attempt; 0 before the first.
+    attempt_number attempt;
+    /// The worker that the last attempt was placed on, while it is held.
+    worker_id worker;
+    incarnation life;
+    bool placed = false;
+    bool done = false;
+    std::uint32_t failures = 0;
+    checkpoint_id checkpoint;
+
+    bool operator==(task_record const&) const = default;
+};
+
+/// The tasks of one stage of one occurrence.
+struct stage_record
+{
+    std::uint32_t occurrence = 0;
+    std::uint32_t stage = 0;
+    std::vector<task_record> tasks;
+
+    bool operator==(stage_record const&) const = default;
+};
+
+struct workflow_record
+{
+    workflow_id workflow;
+    /// The queue as it was configured when the workflow was accepted.
+    queue_rule queue;
+    workflow_description description;
+    workflow_state state = workflow_state::queued;
+    time_point submitted;
+    time_point ended;
+    /// Stages of which a task was placed at least once.
+    std::vector<stage_record> stages;
+    std::string reason;
+
+    bool operator==(workflow_record const&) const = default;
+};
+
+/// Accepts a workflow. The same id again in the same queue is the same one.
+struct submit_workflow
+{
+    queue_id queue;
+    workflow_id workflow;
+    workflow_description description;
+
+    bool operator==(submit_workflow const&) const = default;
+};
+
+struct cancel_workflow
+{
+    queue_id queue;
+    workflow_id workflow;
+
+    bool operator==(cancel_workflow const&) const = default;
+};
+
+/// Puts one attempt of a task on a life of a worker.
+struct run_placement
+{
+    task_run run;
+    worker_id worker;
+    incarnation life;
+
+    bool operator==(run_placement const&) const = default;
+};
+
+/// The end of an attempt on a life of a worker.
+struct run_outcome
+{
+    task_run run;
+    worker_id worker;
+    incarnation life;
+    run_end how = run_end::done;
+    checkpoint_id checkpoint;
+
+    bool operator==(run_outcome const&) const = default;
+};
+
+/// A checkpoint of an attempt that goes on.
+struct run_checkpoint
+{
+    task_run run;
+    checkpoint_id checkpoint;
+
+    bool operator==(run_checkpoint const&) const = default;
+};
+
+/// Ends, checkpoints and placements, applied in this order.
+struct workflow_progress
+{
+    std::vector<run_outcome> ends;
+    std::vector<run_checkpoint> checkpoints;
+    std::vector<run_placement> placements;
+
+    bool operator==(workflow_progress const&) const = default;
+};
+
+/// What a worker says of itself.
+struct worker_profile
+{
+    worker_id worker;
+    /// Differs for each life of a worker, also under the same id.
+    incarnation life;
+    service_id service;
+    zone_id zone;
+    rack_id rack;
+    std::vector<std::string> labels;
+    resources capacity;
+    bool draining = false;
+    /// While the worker drains: how long it certainly stays.
+    duration stays{};
+
+    bool operator==(worker_profile const&) const = default;
+};
+
+struct running_task
+{
+    task_run run;
+    checkpoint_id checkpoint;
+    /// How much of its work is done; of a task that serves, 100 once it does.
+    std::uint32_t percent = 0;
+    /// Of a task that serves its tail latency in ms, else its processor use
+    /// in millicores, both rough.
+    std::int64_t load = 0;
+
+    bool operator==(running_task const&) const = default;
+};
+
+struct ended_run
+{
+    /// Position in the worker's list of ends, from 1 in each life.
+    std::uint64_t number = 0;
+    task_run run;
+    run_end how = run_end::done;
+    checkpoint_id checkpoint;
+
+    bool operator==(ended_run const&) const = default;
+};
+
+/// What a worker runs and what has ended there.
+struct worker_runs
+{
+    std::vector<running_task> running;
+    std::vector<ended_run> ended;
+
+    bool operator==(worker_runs const&) const = default;
+};
+
+/// Sent by the sidecar beside a worker to the leader.
+struct runtime_report
+{
+    /// The instance that the worker and its sidecar run on.
+    instance_id host;
+    worker_profile profile;
+    /// The sidecar's own life; a restarted one has lost its open orders.
+    incarnation sidecar;
+    /// The worker's clock when the lists were made.
+    duration clock{};
+    /// Nothing before the worker's first answer.
+    std::optional<worker_runs> runs;
+    /// Starts that certainly have not run and never will.
+    std::vector<task_run> refused;
+    bool left = false;
+
+    bool operator==(runtime_report const&) const = default;
+};
+
+struct runtime_grant
+{
+    result_code code = result_code::ok;
+    std::optional<endpoint> leader;
+    std::uint64_t fencing_token = 0;
+    /// End of the lease on the worker's clock.
+    duration lease_until{};
+    /// Ends up to this number are committed.
+    std::uint64_t acknowledged_ends = 0;
+    /// Refusals that are committed.
+    std::vector<task_run> acknowledged_refusals;
+
+    bool operator==(runtime_grant const&) const = default;
+};
+
+struct orders_request
+{
+    worker_id worker;
+    incarnation life;
+    incarnation sidecar;
+    duration max_wait{};
+
+    bool operator==(orders_request const&) const = default;
+};
+
+struct run_start
+{
+    task_run run;
+    checkpoint_id checkpoint;
+    /// On the worker's clock: later the start is not valid.
+    duration lease_until{};
+
+    bool operator==(run_start const&) const = default;
+};
+
+/// Starts of one workflow, which share its payload.
+struct start_group
+{
+    workflow_id workflow;
+    std::string payload;
+    std::vector<run_start> starts;
+
+    bool operator==(start_group const&) const = default;
+};
+
+/// Limits a task to a share of its speed, in percent.
+struct run_pace
+{
+    task_run run;
+    std::uint32_t percent = 100;
+
+    bool operator==(run_pace const&) const = default;
+};
+
+struct runtime_orders
+{
+    result_code code = result_code::ok;
+    std::optional<endpoint> leader;
+    std::uint64_t fencing_token = 0;
+    std::vector<start_group> starts;
+    std::vector<task_run> stops;
+    std::vector<run_pace> paces;
+
+    bool operator==(runtime_orders const&) const = default;
+};
+
+struct workflow_query
+{
+    queue_id queue;
+    /// Empty to ask for the number of waiting workflows of the queue.
+    workflow_id workflow;
+
+    bool operator==(workflow_query const&) const = default;
+};
+
+struct workflow_answer
+{
+    result_code code = result_code::ok;
+    std::optional<endpoint> leader;
+    std::optional<workflow_state> state;
+    /// Accepted workflows of the queue of which no task has started.
+    std::uint64_t waiting = 0;
+
+    bool operator==(workflow_answer const&) const = default;
+};
+
+} // namespace turmericswitch::core
+
+#endif
--- a/modules/core/results/result_code.hpp
+++ b/modules/core/results/result_code.hpp
@@ -33,6 +33,8 @@
     name_unknown = 208,
     rule_not_utf8 = 209,
     rule_too_large = 210,
+    document_invalid = 211,
+    document_conflict = 212,
 
     // Requests
     not_run = 301,
@@ -73,6 +75,8 @@
     quota_exceeded = 508,
     worker_unknown = 509,
     job_invalid = 510,
+    queue_unknown = 511,
+    overloaded = 512,
 
     // Disk
     disk_full = 601,
--- a/modules/core/types/ids.hpp
+++ b/modules/core/types/ids.hpp
@@ -21,6 +21,8 @@
 using operator_id = strong_id<struct operator_tag, std::string>;
 using worker_id = strong_id<struct worker_tag, std::string>;
 using backend_id = strong_id<struct backend_tag, std::string>;
+using workflow_id = strong_id<struct workflow_tag, std::string>;
+using queue_id = strong_id<struct queue_tag, std::string>;
 using checkpoint_id = strong_id<struct checkpoint_tag, std::string>;
 
 using job_id = strong_id<struct job_tag, std::uint64_t>;
--- a/modules/store/state/hard_state_store.cpp
+++ b/modules/store/state/hard_state_store.cpp
@@ -78,6 +78,18 @@
     return identity;
 }
 
+std::optional<instance_identity> hard_state_store::load_identity()
+{
+    auto const text = read_checked_file(*m_files, m_folder, identity_name);
+    auto identity = text ? identity_from(*text) : std::nullopt;
+    if (!identity || !load())
+    {
+        return core::fail(result_code::identity_lost,
+                          m_folder + " has no complete identity");
+    }
+    return identity;
+}
+
 std::optional<core::hard_state> hard_state_store::load()
 {
     auto const bytes = read_checked_file(*m_files, m_folder, hard_state_name);
--- a/modules/store/state/hard_state_store.hpp
+++ b/modules/store/state/hard_state_store.hpp
@@ -46,6 +46,10 @@
     /// the hard state is missing, damaged or of another member.
     std::optional<instance_identity> load_identity(core::member_id member);
 
+    /// @return The identity of whichever member the folder belongs to, or
+    ///         nothing with `identity_lost`.
+    std::optional<instance_identity> load_identity();
+
     /// @return Term and vote, or nothing with `identity_lost`.
     std::optional<core::hard_state> load();
 
--- a/modules/web/server/http_server.cpp
+++ b/modules/web/server/http_server.cpp
@@ -28,11 +28,21 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
 }
 
+std::string listening_ports(server_options const& options)
+{
+    auto text = core::to_string(options.listen_on);
+    for (auto const& address : options.also_listen_on)
+    {
+        text += ',' + core::to_string(address);
+    }
+    return text;
+}
+
 std::vector<std::string> civetweb_options(server_options const& options)
 {
     return {
         "listening_ports",
-        core::to_string(options.listen_on),
+        listening_ports(options),
         "num_threads",
         std::to_string(options.worker_threads),
         "connection_queue",
--- a/modules/web/server/http_server.hpp
+++ b/modules/web/server/http_server.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <limits>
 #include <memory>
+#include <vector>
 
 namespace turmericswitch::web
 {
@@ -21,6 +22,8 @@
 {
     /// IPv4 address; port 0 picks a free port.
     core::endpoint listen_on;
+    /// Further addresses; their ports may not be 0.
+    std::vector<core::endpoint> also_listen_on;
     /// Every open connection holds one worker thread, an idle kept-alive one
     /// for `keep_alive` at most.
     unsigned worker_threads = 32;
--- a/modules/wire/codec/message_codec.cpp
+++ b/modules/wire/codec/message_codec.cpp
@@ -183,6 +183,14 @@
     {
         return static_cast<std::uint8_t>(task_event::refused);
     }
+    else if constexpr (std::is_same_v<T, run_end>)
+    {
+        return static_cast<std::uint8_t>(run_end::lost);
+    }
+    else if constexpr (std::is_same_v<T, workflow_state>)
+    {
+        return static_cast<std::uint8_t>(workflow_state::cancelled);
+    }
     else
     {
         static_assert(std::is_same_v<T, task_action>);
@@ -427,6 +435,12 @@
 TURMERICSWITCH_WIRE_MESSAGE(core::command_reply)
 TURMERICSWITCH_WIRE_MESSAGE(core::configuration)
 TURMERICSWITCH_WIRE_MESSAGE(core::state_snapshot)
+TURMERICSWITCH_WIRE_MESSAGE(core::runtime_report)
+TURMERICSWITCH_WIRE_MESSAGE(core::runtime_grant)
+TURMERICSWITCH_WIRE_MESSAGE(core::orders_request)
+TURMERICSWITCH_WIRE_MESSAGE(core::runtime_orders)
+TURMERICSWITCH_WIRE_MESSAGE(core::workflow_query)
+TURMERICSWITCH_WIRE_MESSAGE(core::workflow_answer)
 
 #undef TURMERICSWITCH_WIRE_MESSAGE
 
--- a/modules/wire/codec/message_codec.hpp
+++ b/modules/wire/codec/message_codec.hpp
@@ -6,6 +6,7 @@
 #include "core/messages/registry.hpp"
 #include "core/messages/request_path.hpp"
 #include "core/messages/state.hpp"
+#include "core/messages/workflow.hpp"
 
 #include <optional>
 #include <string>
--- a/modules/wire/codec/protocol_version.hpp
+++ b/modules/wire/codec/protocol_version.hpp
@@ -7,7 +7,7 @@
 {
 
 /// Sent with every call; a peer with another version is refused.
-constexpr std::uint32_t protocol_version = 1;
+constexpr std::uint32_t protocol_version = 2;
 
 } // namespace turmericswitch::wire
 
--- /dev/null
+++ b/modules/workflow/agent/worker_agent.cpp
@@ -0,0 +1,492 @@
+#include "workflow/agent/worker_agent.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace turmericswitch::workflow
+{
+
+namespace
+{
+
+/// Pause after a failed look or report, so that a dead peer costs little.
+constexpr core::duration retry_pause = std::chrono::milliseconds(200);
+
+/// Pause while the leader has not committed ends that the worker lists; the
+/// worker answers at once as long as there are such.
+constexpr core::duration open_ends_pause = std::chrono::milliseconds(50);
+
+/// How long control holds a poll for orders.
+constexpr core::duration orders_wait = std::chrono::seconds(5);
+
+/// Calls of one start or stop before the agent gives up on it.
+constexpr int most_tries = 3;
+
+} // namespace
+
+worker_agent::worker_agent(agent_options options, agent_hooks hooks)
+    : m_options(std::move(options)), m_hooks(std::move(hooks))
+{
+}
+
+bool worker_agent::registered(core::worker_profile profile)
+{
+    if (m_stopped)
+    {
+        return false;
+    }
+    bool const is_new = !m_profile || m_profile->life != profile.life ||
+                        m_profile->worker != profile.worker;
+    if (is_new)
+    {
+        if (m_profile && profile.life < m_profile->life)
+        {
+            m_hooks.log("registration of an earlier life of worker " +
+                        profile.worker.value() + " ignored");
+            return false;
+        }
+        begin_life(std::move(profile));
+        return true;
+    }
+    bool const is_changed = m_profile->draining != profile.draining;
+    m_profile = std::move(profile);
+    if (is_changed)
+    {
+        m_hooks.log("worker " + m_profile->worker.value() +
+                    (m_profile->draining ? " drains" : " is ready again"));
+        send_report();
+    }
+    return true;
+}
+
+void worker_agent::begin_life(core::worker_profile profile)
+{
+    ++m_epoch;
+    m_hooks.log("worker " + profile.worker.value() + " of life " +
+                std::to_string(profile.life.value()) + " registered");
+    m_profile = std::move(profile);
+    m_left = false;
+    m_lease_until = {};
+    m_acknowledged = 0;
+    m_clock = {};
+    m_runs.reset();
+    m_refused.clear();
+    m_starts.clear();
+    m_stops.clear();
+    m_stopped_runs.clear();
+    m_looking = false;
+    m_reporting = false;
+    m_report_again = false;
+    m_polling = false;
+    // The first report brings the fencing token that looks need.
+    send_report();
+}
+
+void worker_agent::unregistered(core::worker_id const& worker)
+{
+    if (!m_profile || m_profile->worker != worker || m_left)
+    {
+        return;
+    }
+    m_hooks.log("worker " + worker.value() + " left");
+    m_left = true;
+    send_report();
+}
+
+void worker_agent::stop()
+{
+    m_stopped = true;
+    ++m_epoch;
+}
+
+std::size_t worker_agent::open_calls() const noexcept
+{
+    return m_open_calls;
+}
+
+core::worker_profile const* worker_agent::profile() const noexcept
+{
+    return m_profile ? &*m_profile : nullptr;
+}
+
+bool worker_agent::is_current(std::uint64_t epoch) const noexcept
+{
+    return !m_stopped && epoch == m_epoch;
+}
+
+void worker_agent::log(core::task_run const& run, std::string const& text) const
+{
+    m_hooks.log("task " + core::to_string(run.task) + " attempt " +
+                std::to_string(run.attempt.value()) + ": " + text);
+}
+
+// Looks
+
+void worker_agent::look(core::duration wait)
+{
+    if (m_looking || m_left)
+    {
+        return;
+    }
+    m_looking = true;
+    m_look_begun = ++m_looks;
+    hold_call call;
+    call.worker = m_profile->worker;
+    call.fencing_token = m_fencing_token;
+    if (m_lease_until > core::duration{})
+    {
+        call.lease_until = m_lease_until;
+    }
+    call.acknowledged_ends = m_acknowledged;
+    call.wait = wait;
+    m_hooks.runtime.hold(
+        std::move(call),
+        [this, epoch = m_epoch](std::optional<hold_answer> answer)
+        { looked(epoch, std::move(answer)); });
+}
+
+void worker_agent::look_later(core::duration delay, core::duration wait)
+{
+    m_hooks.after(delay,
+                  [this, epoch = m_epoch, wait]
+                  {
+                      if (is_current(epoch))
+                      {
+                          look(wait);
+                      }
+                  });
+}
+
+void worker_agent::looked(std::uint64_t epoch,
+                          std::optional<hold_answer> answer)
+{
+    if (!is_current(epoch))
+    {
+        return;
+    }
+    m_looking = false;
+    bool const is_other_life =
+        answer && answer->life && *answer->life != m_profile->life;
+    if (!answer || is_other_life)
+    {
+        // A worker that does not answer gets no lease: the report would make
+        // the leader count on a longer one.
+        look_later(retry_pause, core::duration{});
+        return;
+    }
+    m_clock = answer->clock;
+    m_runs = std::move(answer->runs);
+    settle_stopped_runs();
+    send_report();
+}
+
+void worker_agent::settle_stopped_runs()
+{
+    auto const is_listed = [](auto const& list, core::task_run const& run)
+    {
+        return std::any_of(list.begin(),
+                           list.end(),
+                           [&run](auto const& each) { return each.run == run; });
+    };
+    std::vector<core::task_run> gone;
+    std::erase_if(m_stopped_runs,
+                  [&](auto const& item)
+                  {
+                      if (m_look_begun < item.second ||
+                          is_listed(m_runs->running, item.first))
+                      {
+                          return false;
+                      }
+                      if (!is_listed(m_runs->ended, item.first))
+                      {
+                          gone.push_back(item.first);
+                      }
+                      return true;
+                  });
+    for (auto const& run : gone)
+    {
+        refuse(run, "the worker has no trace of it and will not start it");
+    }
+}
+
+// Reports
+
+void worker_agent::send_report()
+{
+    if (m_reporting)
+    {
+        m_report_again = true;
+        return;
+    }
+    m_reporting = true;
+    m_report_again = false;
+    core::runtime_report report;
+    report.host = m_options.host;
+    report.profile = *m_profile;
+    report.sidecar = m_options.life;
+    report.clock = m_clock;
+    report.runs = m_runs;
+    report.refused.assign(m_refused.begin(), m_refused.end());
+    report.left = m_left;
+    m_hooks.leader.report(
+        std::move(report),
+        [this, epoch = m_epoch](std::optional<core::runtime_grant> grant)
+        { granted(epoch, std::move(grant)); });
+}
+
+void worker_agent::granted(std::uint64_t epoch,
+                           std::optional<core::runtime_grant> grant)
+{
+    if (!is_current(epoch))
+    {
+        return;
+    }
+    m_reporting = false;
+    if (!grant || grant->fencing_token < m_fencing_token)
+    {
+        m_hooks.after(retry_pause,
+                      [this, epoch]
+                      {
+                          if (is_current(epoch) && !m_reporting)
+                          {
+                              send_report();
+                          }
+                      });
+        return;
+    }
+    accept(*grant);
+    if (m_left)
+    {
+        return;
+    }
+    if (!m_polling)
+    {
+        poll_orders();
+    }
+    if (m_report_again)
+    {
+        send_report();
+    }
+    else if (has_open_ends())
+    {
+        look_later(open_ends_pause, core::duration{});
+    }
+    else
+    {
+        look(m_options.look_interval);
+    }
+}
+
+void worker_agent::accept(core::runtime_grant const& grant)
+{
+    m_fencing_token = grant.fencing_token;
+    m_lease_until = std::max(m_lease_until, grant.lease_until);
+    m_acknowledged = std::max(m_acknowledged, grant.acknowledged_ends);
+    for (auto const& run : grant.acknowledged_refusals)
+    {
+        m_refused.erase(run);
+    }
+}
+
+bool worker_agent::has_open_ends() const
+{
+    return m_runs && std::any_of(m_runs->ended.begin(),
+                                 m_runs->ended.end(),
+                                 [this](core::ended_run const& each)
+                                 { return each.number > m_acknowledged; });
+}
+
+// Orders
+
+void worker_agent::poll_orders()
+{
+    m_polling = true;
+    m_hooks.leader.poll_orders(
+        {m_profile->worker, m_profile->life, m_options.life, orders_wait},
+        [this, epoch = m_epoch](std::optional<core::runtime_orders> orders)
+        {
+            if (!is_current(epoch) || m_left)
+            {
+                return;
+            }
+            if (orders && orders->fencing_token >= m_fencing_token)
+            {
+                m_fencing_token = orders->fencing_token;
+                carry_out(*orders);
+                poll_orders();
+                return;
+            }
+            m_hooks.after(retry_pause,
+                          [this, epoch]
+                          {
+                              if (is_current(epoch))
+                              {
+                                  poll_orders();
+                              }
+                          });
+        });
+}
+
+void worker_agent::carry_out(core::runtime_orders const& orders)
+{
+    for (auto const& run : orders.stops)
+    {
+        begin_stop(run);
+    }
+    for (auto const& group : orders.starts)
+    {
+        for (auto const& start : group.starts)
+        {
+            begin_start(start, group.payload);
+        }
+    }
+    for (auto const& pace : orders.paces)
+    {
+        call_pace(pace);
+    }
+}
+
+void worker_agent::begin_start(core::run_start const& start,
+                               std::string const& payload)
+{
+    if (m_stops.contains(start.run) || m_stopped_runs.contains(start.run) ||
+        m_refused.contains(start.run))
+    {
+        return;
+    }
+    auto const [known, is_new] =
+        m_starts.try_emplace(start.run, open_start{start, payload});
+    if (is_new)
+    {
+        call_start(start.run);
+    }
+}
+
+void worker_agent::call_start(core::task_run const& run)
+{
+    auto& open = m_starts.at(run);
+    ++open.tries;
+    ++m_open_calls;
+    auto start = open.start;
+    start.lease_until = std::max(start.lease_until, m_lease_until);
+    m_hooks.runtime.start(
+        {m_profile->worker, start, open.payload, m_fencing_token},
+        [this, run, epoch = m_epoch](start_outcome outcome)
+        {
+            --m_open_calls;
+            if (is_current(epoch))
+            {
+                start_answered(run, outcome);
+            }
+        });
+}
+
+void worker_agent::start_answered(core::task_run const& run,
+                                  start_outcome outcome)
+{
+    auto const open = m_starts.find(run);
+    if (open == m_starts.end())
+    {
+        return;
+    }
+    switch (outcome)
+    {
+    case start_outcome::started:
+        log(run, "started");
+        m_starts.erase(open);
+        return;
+    case start_outcome::outdated:
+    case start_outcome::wrong_life:
+        log(run, "start dropped: the order or the worker's life is outdated");
+        m_starts.erase(open);
+        return;
+    case start_outcome::already_ended:
+        m_starts.erase(open);
+        m_stopped_runs[run] = m_looks + 1;
+        return;
+    case start_outcome::refused:
+        if (open->second.unanswered == 0)
+        {
+            m_starts.erase(open);
+            refuse(run, "the worker refused the start");
+            send_report();
+            return;
+        }
+        break;
+    case start_outcome::unknown:
+        ++open->second.unanswered;
+        if (open->second.tries < most_tries)
+        {
+            log(run, "no answer to the start, sent again");
+            call_start(run);
+            return;
+        }
+        break;
+    }
+    // An unanswered call may still be carried out, so the worker has to leave
+    // a tombstone before the run can be given up.
+    m_starts.erase(open);
+    begin_stop(run);
+}
+
+void worker_agent::begin_stop(core::task_run const& run)
+{
+    m_starts.erase(run);
+    if (m_stops.try_emplace(run, 0).second)
+    {
+        log(run, "stop");
+        call_stop(run);
+    }
+}
+
+void worker_agent::call_stop(core::task_run const& run)
+{
+    ++m_stops.at(run);
+    ++m_open_calls;
+    m_hooks.runtime.stop(
+        {m_profile->worker, run, m_fencing_token},
+        [this, run, epoch = m_epoch](bool is_done)
+        {
+            --m_open_calls;
+            auto const open = m_stops.find(run);
+            if (!is_current(epoch) || open == m_stops.end())
+            {
+                return;
+            }
+            if (!is_done && open->second < most_tries)
+            {
+                call_stop(run);
+                return;
+            }
+            m_stops.erase(open);
+            if (is_done)
+            {
+                m_stopped_runs[run] = m_looks + 1;
+            }
+        });
+}
+
+void worker_agent::call_pace(core::run_pace const& pace)
+{
+    ++m_open_calls;
+    m_hooks.runtime.pace(
+        {m_profile->worker, pace, m_fencing_token},
+        [this, pace](bool is_done)
+        {
+            --m_open_calls;
+            if (!is_done)
+            {
+                log(pace.run,
+                    "pace " + std::to_string(pace.percent) +
+                        "% not acknowledged");
+            }
+        });
+}
+
+void worker_agent::refuse(core::task_run const& run, char const* why)
+{
+    log(run, std::string("not run: ") + why);
+    m_refused.insert(run);
+}
+
+} // namespace turmericswitch::workflow
--- /dev/null
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -0,0 +1,407 @@
+#include "workflow/dispatch/dispatcher.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace turmericswitch::workflow
+{
+
+namespace
+{
+
+/// Largest command: bounds the time of one sync and of one append.
+constexpr std::size_t most_placements = 200;
+
+/// Reports that may be missing before a worker gets no new work.
+constexpr int missing_reports = 3;
+
+/// A start that arrives with less of its lease left may lapse on the way.
+constexpr core::duration least_lease_left = std::chrono::milliseconds(1500);
+
+/// Checkpoints that a worker listed are committed at most this old.
+bool is_new_checkpoint(core::task_record const& task,
+                       core::running_task const& seen)
+{
+    return !seen.checkpoint.value().empty() && !task.done &&
+           task.attempt == seen.run.attempt &&
+           task.checkpoint != seen.checkpoint;
+}
+
+bool is_due(core::workflow_record const& workflow,
+            std::uint32_t occurrence,
+            core::wall_time wall)
+{
+    auto const& schedule = workflow.description.schedule;
+    return schedule.occurrences == 0 ||
+           schedule.first + schedule.interval * occurrence <= wall;
+}
+
+} // namespace
+
+dispatcher::dispatcher(workflow_table const& table,
+                       dispatch_options options,
+                       std::uint64_t fencing_token,
+                       core::time_point elected)
+    : m_table(table),
+      m_options(options),
+      m_fencing_token(fencing_token),
+      m_fleet(options.leases, elected),
+      m_orders(table)
+{
+}
+
+bool dispatcher::report(core::time_point now, core::runtime_report report)
+{
+    auto const* const known = m_fleet.find(report.profile.worker);
+    bool const is_fresh_life =
+        known != nullptr && known->profile.life < report.profile.life;
+    bool const is_fresh_sidecar =
+        known != nullptr && known->sidecar != report.sidecar;
+    auto const worker = report.profile.worker;
+    auto* const view = m_fleet.report(now, std::move(report));
+    if (view == nullptr)
+    {
+        return false;
+    }
+    if (is_fresh_life)
+    {
+        m_health.forget(worker);
+        m_pace.forget(worker);
+    }
+    if (is_fresh_life || is_fresh_sidecar)
+    {
+        m_orders.forget(worker);
+    }
+    update_pace(*view);
+    return true;
+}
+
+void dispatcher::update_pace(worker_view const& view)
+{
+    sharing_sample sample;
+    for (auto const& [run, task] : view.running)
+    {
+        auto const* const stage = m_table.find_stage(run.task);
+        if (stage == nullptr)
+        {
+            continue;
+        }
+        auto const target = std::chrono::duration_cast<std::chrono::milliseconds>(
+                                stage->behaviour.target_latency)
+                                .count();
+        if (target > 0)
+        {
+            sample.worst_tail_percent =
+                std::max(sample.worst_tail_percent, task.load * 100 / target);
+        }
+        sample.spare_tasks += stage->behaviour.uses_spare_cpu ? 1 : 0;
+    }
+    m_pace.update(view.profile.worker, sample);
+}
+
+bool dispatcher::has_uncommitted_ends(core::worker_id const& worker) const
+{
+    auto const* const view = m_fleet.find(worker);
+    if (view == nullptr)
+    {
+        return false;
+    }
+    auto const is_open = [&](core::task_run const& run)
+    { return m_table.is_held(run, worker, view->profile.life); };
+    return std::any_of(view->ended.begin(),
+                       view->ended.end(),
+                       [&](core::ended_run const& each)
+                       { return is_open(each.run); }) ||
+           std::any_of(view->refused.begin(), view->refused.end(), is_open);
+}
+
+core::runtime_grant dispatcher::grant(core::worker_id const& worker,
+                                      core::incarnation life)
+{
+    core::runtime_grant answer;
+    answer.fencing_token = m_fencing_token;
+    auto* const view = m_fleet.find(worker);
+    if (view == nullptr || view->profile.life != life || view->left)
+    {
+        return answer;
+    }
+    m_fleet.extend_lease(*view);
+    answer.lease_until = view->granted_until;
+    for (auto const& each : view->ended)
+    {
+        if (m_table.is_held(each.run, worker, life))
+        {
+            break;
+        }
+        answer.acknowledged_ends = each.number;
+    }
+    for (auto const& run : view->refused)
+    {
+        if (!m_table.is_held(run, worker, life))
+        {
+            answer.acknowledged_refusals.push_back(run);
+        }
+    }
+    return answer;
+}
+
+void dispatcher::collect_listed(worker_view const& view,
+                                core::workflow_progress& command) const
+{
+    auto const& [worker, life] =
+        std::tie(view.profile.worker, view.profile.life);
+    for (auto const& each : view.ended)
+    {
+        if (m_table.is_held(each.run, worker, life))
+        {
+            command.ends.push_back(
+                {each.run, worker, life, each.how, each.checkpoint});
+        }
+    }
+    for (auto const& run : view.refused)
+    {
+        if (m_table.is_held(run, worker, life))
+        {
+            command.ends.push_back(
+                {run, worker, life, core::run_end::refused, {}});
+        }
+    }
+}
+
+void dispatcher::collect_checkpoints(worker_view const& view,
+                                     core::workflow_progress& command) const
+{
+    for (auto const& [run, seen] : view.running)
+    {
+        auto const* const task = m_table.find_task(run.task);
+        if (task != nullptr && is_new_checkpoint(*task, seen))
+        {
+            command.checkpoints.push_back({run, seen.checkpoint});
+        }
+    }
+}
+
+void dispatcher::collect_ends(core::time_point now,
+                              core::workflow_progress& command)
+{
+    for (auto const& [id, view] : m_fleet.all())
+    {
+        collect_listed(view, command);
+        collect_checkpoints(view, command);
+    }
+    for (auto const& [worker, runs] : m_table.holds())
+    {
+        for (auto const& [run, life] : runs)
+        {
+            if (m_fleet.is_over(now, worker, life))
+            {
+                core::run_outcome const lost{
+                    run, worker, life, core::run_end::lost, {}};
+                auto const is_listed =
+                    std::any_of(command.ends.begin(),
+                                command.ends.end(),
+                                [&lost](core::run_outcome const& each)
+                                {
+                                    return each.run == lost.run &&
+                                           each.worker == lost.worker &&
+                                           each.life == lost.life;
+                                });
+                if (!is_listed)
+                {
+                    command.ends.push_back(lost);
+                }
+            }
+        }
+    }
+    m_fleet.forget(now,
+                   [this](core::worker_id const& worker)
+                   { return m_table.holds().contains(worker); });
+}
+
+bool dispatcher::may_get_work(core::time_point now,
+                              worker_view const& view,
+                              core::configuration const& config) const
+{
+    bool const is_heard =
+        now - view.heard < m_options.report_interval * missing_reports;
+    bool const is_leased =
+        view.granted_until - view.clock > (now - view.heard) + least_lease_left;
+    bool const is_evacuated =
+        std::find(config.evacuated.begin(),
+                  config.evacuated.end(),
+                  view.profile.zone) != config.evacuated.end();
+    return view.has_runs && !view.left && !view.profile.draining && is_heard &&
+           is_leased && !is_evacuated &&
+           !m_health.is_set_aside(now, view.profile.worker);
+}
+
+std::vector<candidate_worker>
+dispatcher::candidates(core::time_point now,
+                       core::configuration const& config) const
+{
+    std::vector<candidate_worker> all;
+    for (auto const& [id, view] : m_fleet.all())
+    {
+        if (!may_get_work(now, view, config))
+        {
+            continue;
+        }
+        candidate_worker worker;
+        worker.worker = id;
+        worker.life = view.profile.life;
+        worker.service = view.profile.service;
+        worker.rack = view.profile.rack;
+        worker.labels = view.profile.labels;
+        worker.capacity = view.profile.capacity;
+        worker.free = worker.capacity;
+        worker.spare = worker.capacity.cpu;
+        for (auto const& [run, life] : m_table.held_on(id))
+        {
+            // Runs of an earlier life may still have their room.
+            if (auto const* const stage = m_table.find_stage(run.task))
+            {
+                worker.add(stage_of(run.task), *stage);
+            }
+        }
+        all.push_back(std::move(worker));
+    }
+    return all;
+}
+
+void dispatcher::add_pending(core::workflow_record const& workflow,
+                             std::uint32_t occurrence,
+                             std::vector<pending_stage>& all) const
+{
+    auto const& stages = workflow.description.stages;
+    for (std::uint32_t number = 0; number < stages.size(); ++number)
+    {
+        if (!workflow_table::is_ready(workflow, occurrence, number))
+        {
+            continue;
+        }
+        pending_stage waiting;
+        waiting.stage = {workflow.workflow, occurrence, number};
+        waiting.description = &stages[number];
+        waiting.service = workflow.queue.service;
+        waiting.priority = workflow.queue.priority;
+        waiting.submitted = workflow.submitted;
+        auto const* const record =
+            workflow_table::find_stage_record(workflow, occurrence, number);
+        std::uint32_t last_attempt = 0;
+        bool any_held = false;
+        for (std::uint32_t i = 0; i < stages[number].tasks; ++i)
+        {
+            auto const task =
+                record != nullptr ? record->tasks[i] : core::task_record{};
+            last_attempt = std::max(last_attempt, task.attempt.value());
+            any_held = any_held || task.placed;
+            if (task.failures > 0)
+            {
+                waiting.failed_on.insert(task.worker);
+            }
+            if (auto const* const view =
+                    task.placed ? m_fleet.find(task.worker) : nullptr)
+            {
+                waiting.racks.insert(view->profile.rack);
+            }
+            if (!task.done && !task.placed)
+            {
+                waiting.runs.push_back(
+                    {{workflow.workflow, occurrence, number, i},
+                     core::attempt_number(task.attempt.value() + 1)});
+            }
+        }
+        if (stages[number].behaviour.gang)
+        {
+            // The members of a gang share the number of the attempt.
+            for (auto& run : waiting.runs)
+            {
+                run.attempt = core::attempt_number(last_attempt + 1);
+            }
+            if (any_held)
+            {
+                continue;
+            }
+        }
+        if (!waiting.runs.empty())
+        {
+            all.push_back(std::move(waiting));
+        }
+    }
+}
+
+std::vector<pending_stage> dispatcher::pending(core::wall_time wall) const
+{
+    std::vector<pending_stage> all;
+    for (auto const& id : m_table.active())
+    {
+        auto const& workflow = *m_table.find(id);
+        auto const occurrences =
+            std::max(workflow.description.schedule.occurrences, 1U);
+        for (std::uint32_t k = 0; k < occurrences; ++k)
+        {
+            if (is_due(workflow, k, wall))
+            {
+                add_pending(workflow, k, all);
+            }
+        }
+    }
+    return all;
+}
+
+std::optional<core::workflow_progress>
+dispatcher::plan(core::time_point now,
+                 core::wall_time wall,
+                 core::configuration const& config)
+{
+    core::workflow_progress command;
+    collect_ends(now, command);
+    auto waiting = pending(wall);
+    if (!waiting.empty())
+    {
+        auto workers = candidates(now, config);
+        command.placements =
+            plan_stages(std::move(waiting), workers, most_placements);
+    }
+    if (command.ends.empty() && command.checkpoints.empty() &&
+        command.placements.empty())
+    {
+        return std::nullopt;
+    }
+    return command;
+}
+
+void dispatcher::applied(core::time_point now,
+                         core::workflow_progress const& command)
+{
+    for (auto const& outcome : command.ends)
+    {
+        m_health.ended(now, outcome.worker, outcome.run, outcome.how);
+    }
+}
+
+core::runtime_orders dispatcher::take_orders(core::time_point now,
+                                             core::worker_id const& worker,
+                                             core::incarnation life)
+{
+    auto const* const view = m_fleet.find(worker);
+    core::runtime_orders orders;
+    if (view != nullptr && view->profile.life == life)
+    {
+        orders = m_orders.take(now, *view, m_pace.share(worker));
+    }
+    orders.fencing_token = m_fencing_token;
+    return orders;
+}
+
+worker_fleet const& dispatcher::fleet() const noexcept
+{
+    return m_fleet;
+}
+
+std::uint64_t dispatcher::fencing_token() const noexcept
+{
+    return m_fencing_token;
+}
+
+} // namespace turmericswitch::workflow
--- /dev/null
+++ b/modules/workflow/dispatch/dispatcher.hpp
@@ -0,0 +1,101 @@
+#ifndef TURMERICSWITCH_WORKFLOW_DISPATCH_DISPATCHER_HPP
+#define TURMERICSWITCH_WORKFLOW_DISPATCH_DISPATCHER_HPP
+
+#include "core/config/configuration.hpp"
+#include "core/messages/workflow.hpp"
+#include "workflow/dispatch/order_book.hpp"
+#include "workflow/dispatch/pace_controller.hpp"
+#include "workflow/dispatch/stage_planner.hpp"
+#include "workflow/dispatch/worker_fleet.hpp"
+#include "workflow/dispatch/worker_health.hpp"
+#include "workflow/table/workflow_table.hpp"
+
+#include <optional>
+#include <set>
+
+namespace turmericswitch::workflow
+{
+
+struct dispatch_options
+{
+    lease_policy leases;
+    /// Longest time between two reports of a worker that works.
+    core::duration report_interval = std::chrono::seconds(1);
+};
+
+/// The leader's decisions on workflows: which tasks start where, which runs
+/// end, and which orders each worker gets.
+///
+/// The caller commits what `plan` returns and reports it with `applied`, one
+/// command at a time. Orders follow only from the committed table.
+class dispatcher
+{
+public:
+    /// @param fencing_token Higher than that of every earlier leader.
+    dispatcher(workflow_table const& table,
+               dispatch_options options,
+               std::uint64_t fencing_token,
+               core::time_point elected);
+
+    /// Takes a report of a sidecar.
+    ///
+    /// @return False if it speaks for an earlier life of the worker.
+    bool report(core::time_point now, core::runtime_report report);
+
+    /// @return True while ends that the worker listed aren't committed.
+    bool has_uncommitted_ends(core::worker_id const& worker) const;
+
+    /// Answers the last report of a worker and extends its lease. Leadership
+    /// must have been confirmed since the report came.
+    core::runtime_grant grant(core::worker_id const& worker,
+                              core::incarnation life);
+
+    /// Decides on ends and placements.
+    ///
+    /// @param wall Time of day, for workflows with a schedule.
+    /// @return What to commit, or nothing.
+    std::optional<core::workflow_progress>
+    plan(core::time_point now,
+         core::wall_time wall,
+         core::configuration const& config);
+
+    /// Notes that a command was committed.
+    void applied(core::time_point now, core::workflow_progress const& command);
+
+    /// @return The orders that are due for a worker.
+    core::runtime_orders take_orders(core::time_point now,
+                                     core::worker_id const& worker,
+                                     core::incarnation life);
+
+    worker_fleet const& fleet() const noexcept;
+    std::uint64_t fencing_token() const noexcept;
+
+private:
+    void collect_ends(core::time_point now, core::workflow_progress& command);
+    void collect_listed(worker_view const& view,
+                        core::workflow_progress& command) const;
+    void collect_checkpoints(worker_view const& view,
+                             core::workflow_progress& command) const;
+    std::vector<candidate_worker>
+    candidates(core::time_point now, core::configuration const& config) const;
+    bool may_get_work(core::time_point now,
+                      worker_view const& view,
+                      core::configuration const& config) const;
+    std::vector<pending_stage> pending(core::wall_time wall) const;
+    void add_pending(core::workflow_record const& workflow,
+                     std::uint32_t occurrence,
+                     std::vector<pending_stage>& all) const;
+    void update_pace(worker_view const& view);
+
+    workflow_table const& m_table;
+    dispatch_options m_options;
+    std::uint64_t m_fencing_token;
+    worker_fleet m_fleet;
+    worker_health m_health;
+    pace_controller m_pace;
+    order_book m_orders;
+};
+
+} // namespace turmericswitch::workflow
+
+#endif
--- /dev/null
+++ b/modules/workflow/dispatch/order_book.cpp
@@ -0,0 +1,164 @@
+#include "workflow/dispatch/order_book.hpp"
+
+#include <algorithm>
+
+namespace turmericswitch::workflow
+{
+
+namespace
+{
+
+/// Longer than a report takes to show the effect of an order.
+constexpr core::duration resend_after = std::chrono::milliseconds(2500);
+
+bool is_due(std::map<core::task_run, core::time_point>& sent,
+            core::task_run const& run,
+            core::time_point now)
+{
+    auto const [known, is_new] = sent.try_emplace(run, now);
+    if (!is_new && now - known->second < resend_after)
+    {
+        return false;
+    }
+    known->second = now;
+    return true;
+}
+
+bool has_ended(worker_view const& worker, core::task_run const& run)
+{
+    return std::any_of(worker.ended.begin(),
+                       worker.ended.end(),
+                       [&run](core::ended_run const& each)
+                       { return each.run == run; }) ||
+           std::find(worker.refused.begin(), worker.refused.end(), run) !=
+               worker.refused.end();
+}
+
+} // namespace
+
+order_book::order_book(workflow_table const& table) : m_table(table) {}
+
+bool order_book::should_run(core::task_run const& run,
+                            worker_view const& worker) const
+{
+    auto const* const workflow = m_table.find(run.task.workflow);
+    return workflow != nullptr && !core::is_final(workflow->state) &&
+           m_table.is_held(run, worker.profile.worker, worker.profile.life);
+}
+
+core::runtime_orders order_book::take(core::time_point now,
+                                      worker_view const& worker,
+                                      std::uint32_t pace)
+{
+    core::runtime_orders orders;
+    if (!worker.has_runs || worker.left)
+    {
+        return orders;
+    }
+    auto& sent = m_sent[worker.profile.worker];
+    add_starts(now, worker, sent, orders);
+    add_stops(now, worker, sent, orders);
+    add_paces(worker, pace, sent, orders);
+    return orders;
+}
+
+void order_book::add_starts(core::time_point now,
+                            worker_view const& worker,
+                            sent_orders& sent,
+                            core::runtime_orders& orders)
+{
+    auto const& held = m_table.held_on(worker.profile.worker);
+    std::erase_if(sent.starts,
+                  [&](auto const& item)
+                  { return !held.contains({item.first, worker.profile.life}); });
+    for (auto const& [run, life] : held)
+    {
+        if (life == worker.profile.life && should_run(run, worker) &&
+            !worker.running.contains(run) && !has_ended(worker, run) &&
+            is_due(sent.starts, run, now))
+        {
+            add_start(run, worker, orders);
+        }
+    }
+}
+
+void order_book::add_start(core::task_run const& run,
+                           worker_view const& worker,
+                           core::runtime_orders& orders) const
+{
+    auto const& id = run.task.workflow;
+    auto group = std::find_if(orders.starts.begin(),
+                              orders.starts.end(),
+                              [&id](core::start_group const& each)
+                              { return each.workflow == id; });
+    if (group == orders.starts.end())
+    {
+        orders.starts.push_back({id, m_table.find(id)->description.payload, {}});
+        group = std::prev(orders.starts.end());
+    }
+    group->starts.push_back(
+        {run, m_table.find_task(run.task)->checkpoint, worker.granted_until});
+}
+
+void order_book::add_stops(core::time_point now,
+                           worker_view const& worker,
+                           sent_orders& sent,
+                           core::runtime_orders& orders)
+{
+    auto const& held = m_table.held_on(worker.profile.worker);
+    std::erase_if(sent.stops,
+                  [&](auto const& item)
+                  {
+                      return !worker.running.contains(item.first) &&
+                             !held.contains({item.first, worker.profile.life});
+                  });
+    for (auto const& [run, task] : worker.running)
+    {
+        if (!should_run(run, worker) && is_due(sent.stops, run, now))
+        {
+            orders.stops.push_back(run);
+        }
+    }
+    // A start may still be on its way to the worker; a stop overtakes it.
+    for (auto const& [run, life] : held)
+    {
+        if (life == worker.profile.life && !should_run(run, worker) &&
+            !worker.running.contains(run) && !has_ended(worker, run) &&
+            is_due(sent.stops, run, now))
+        {
+            orders.stops.push_back(run);
+        }
+    }
+}
+
+void order_book::add_paces(worker_view const& worker,
+                           std::uint32_t pace,
+                           sent_orders& sent,
+                           core::runtime_orders& orders) const
+{
+    std::erase_if(sent.paces,
+                  [&worker](auto const& item)
+                  { return !worker.running.contains(item.first); });
+    for (auto const& [run, task] : worker.running)
+    {
+        auto const* const stage = m_table.find_stage(run.task);
+        if (stage == nullptr || !stage->behaviour.uses_spare_cpu ||
+            !should_run(run, worker))
+        {
+            continue;
+        }
+        auto const [known, is_new] = sent.paces.try_emplace(run, 100U);
+        if (known->second != pace)
+        {
+            known->second = pace;
+            orders.paces.push_back({run, pace});
+        }
+    }
+}
+
+void order_book::forget(core::worker_id const& worker)
+{
+    m_sent.erase(worker);
+}
+
+} // namespace turmericswitch::workflow
--- /dev/null
+++ b/modules/workflow/dispatch/order_book.hpp
@@ -0,0 +1,64 @@
+#ifndef TURMERICSWITCH_WORKFLOW_DISPATCH_ORDER_BOOK_HPP
+#define TURMERICSWITCH_WORKFLOW_DISPATCH_ORDER_BOOK_HPP
+
+#include "core/messages/workflow.hpp"
+#include "workflow/dispatch/worker_fleet.hpp"
+#include "workflow/table/workflow_table.hpp"
+
+#include <map>
+#include <optional>
+
+namespace turmericswitch::workflow
+{
+
+/// Derives the orders for a worker from what should and what does run there.
+///
+/// Orders are sent again until the worker's lists show their effect, so a lost
+/// order, a restarted sidecar and a new leader need nothing special.
+class order_book
+{
+public:
+    explicit order_book(workflow_table const& table);
+
+    /// @param pace Share for tasks on spare processor time, in percent.
+    /// @return The orders that are due now; they count as sent.
+    core::runtime_orders take(core::time_point now,
+                              worker_view const& worker,
+                              std::uint32_t pace);
+
+    /// Forgets what was sent, because the sidecar has restarted or the worker
+    /// has begun a new life.
+    void forget(core::worker_id const& worker);
+
+private:
+    struct sent_orders
+    {
+        std::map<core::task_run, core::time_point> starts;
+        std::map<core::task_run, core::time_point> stops;
+        std::map<core::task_run, std::uint32_t> paces;
+    };
+
+    void add_starts(core::time_point now,
+                    worker_view const& worker,
+                    sent_orders& sent,
+                    core::runtime_orders& orders);
+    void add_start(core::task_run const& run,
+                   worker_view const& worker,
+                   core::runtime_orders& orders) const;
+    void add_stops(core::time_point now,
+                   worker_view const& worker,
+                   sent_orders& sent,
+                   core::runtime_orders& orders);
+    void add_paces(worker_view const& worker,
+                   std::uint32_t pace,
+                   sent_orders& sent,
+                   core::runtime_orders& orders) const;
+    bool should_run(core::task_run const& run, worker_view const& worker) const;
+
+    workflow_table const& m_table;
+    std::map<core::worker_id, sent_orders> m_sent;
+};
+
+} // namespace turmericswitch::workflow
+
+#endif
--- /dev/null
+++ b/modules/workflow/dispatch/stage_planner.cpp
@@ -0,0 +1,199 @@
+#include "workflow/dispatch/stage_planner.hpp"
+
+#include <algorithm>
+#include <optional>
+#include <tuple>
+
+namespace turmericswitch::workflow
+{
+
+namespace
+{
+
+// Weights against a worker, in the unit of the free share of its processors.
+
+/// Work away from its data or its other half takes a half longer or more.
+constexpr double other_rack_weight = 0.6;
+constexpr double failed_before_weight = 0.5;
+/// A task on spare time and a serving task on one worker disturb each other.
+constexpr double mixed_weight = 0.4;
+/// Serving tasks disturb each other too.
+constexpr double serving_weight = 0.15;
+
+/// Tasks on spare time start where at least this part of their request is
+/// spare; with less they make no progress worth their memory.
+constexpr std::int64_t least_spare_percent = 50;
+
+bool has_label(candidate_worker const& worker, std::string const& label)
+{
+    return label.empty() ||
+           std::find(worker.labels.begin(), worker.labels.end(), label) !=
+               worker.labels.end();
+}
+
+bool fits(candidate_worker const& worker, pending_stage const& pending)
+{
+    auto const& stage = *pending.description;
+    if (worker.service != pending.service ||
+        !has_label(worker, stage.constraints.required_label) ||
+        !core::fits_in(reserved_by(stage), worker.free))
+    {
+        return false;
+    }
+    if (stage.behaviour.uses_spare_cpu &&
+        worker.spare.value() * 100 <
+            stage.need.cpu.value() * least_spare_percent)
+    {
+        return false;
+    }
+    auto const most = stage.constraints.max_per_worker;
+    auto const count = worker.per_stage.find(pending.stage);
+    return most == 0 || count == worker.per_stage.end() || count->second < most;
+}
+
+double score(candidate_worker const& worker, pending_stage const& pending)
+{
+    auto const& stage = *pending.description;
+    auto const capacity =
+        static_cast<double>(std::max<std::int64_t>(
+            worker.capacity.cpu.value(), 1));
+    double value =
+        static_cast<double>(worker.spare.value() - stage.need.cpu.value()) /
+        capacity;
+    auto const& limits = stage.constraints;
+    if (!limits.data_rack.value().empty() && limits.data_rack != worker.rack)
+    {
+        value -= other_rack_weight;
+    }
+    if (limits.prefers_one_rack && !pending.racks.empty() &&
+        !pending.racks.contains(worker.rack))
+    {
+        value -= other_rack_weight;
+    }
+    if (pending.failed_on.contains(worker.worker))
+    {
+        value -= failed_before_weight;
+    }
+    if (stage.behaviour.uses_spare_cpu && worker.serving > 0)
+    {
+        value -= mixed_weight;
+    }
+    if (stage.behaviour.target_latency > core::duration{})
+    {
+        value -= worker.on_spare > 0 ? mixed_weight : 0.0;
+        value -= serving_weight * worker.serving;
+    }
+    return value;
+}
+
+candidate_worker* best(std::vector<candidate_worker>& candidates,
+                       pending_stage const& pending)
+{
+    candidate_worker* found = nullptr;
+    double highest = 0;
+    for (auto& worker : candidates)
+    {
+        if (!fits(worker, pending))
+        {
+            continue;
+        }
+        double const value = score(worker, pending);
+        if (found == nullptr || value > highest)
+        {
+            found = &worker;
+            highest = value;
+        }
+    }
+    return found;
+}
+
+std::vector<core::run_placement>
+place_some(pending_stage& pending,
+           std::vector<candidate_worker>& candidates,
+           std::size_t most)
+{
+    std::vector<core::run_placement> placed;
+    for (auto const& run : pending.runs)
+    {
+        auto* const worker =
+            placed.size() < most ? best(candidates, pending) : nullptr;
+        if (worker == nullptr)
+        {
+            break;
+        }
+        worker->add(pending.stage, *pending.description);
+        pending.racks.insert(worker->rack);
+        placed.push_back({run, worker->worker, worker->life});
+    }
+    return placed;
+}
+
+void place_gang(pending_stage& pending,
+                std::vector<candidate_worker>& candidates,
+                std::size_t most,
+                std::vector<core::run_placement>& placements)
+{
+    auto trial = candidates;
+    auto const placed = place_some(pending, trial, most);
+    if (placed.size() == pending.runs.size())
+    {
+        candidates = std::move(trial);
+        placements.insert(placements.end(), placed.begin(), placed.end());
+    }
+}
+
+} // namespace
+
+stage_ref stage_of(core::task_ref const& task)
+{
+    return {task.workflow, task.occurrence, task.stage};
+}
+
+core::resources reserved_by(core::stage_description const& stage)
+{
+    auto need = stage.need;
+    if (stage.behaviour.uses_spare_cpu)
+    {
+        need.cpu = core::millicores(0);
+    }
+    return need;
+}
+
+void candidate_worker::add(stage_ref const& stage,
+                           core::stage_description const& description)
+{
+    free -= reserved_by(description);
+    spare -= description.need.cpu;
+    serving += description.behaviour.target_latency > core::duration{} ? 1 : 0;
+    on_spare += description.behaviour.uses_spare_cpu ? 1 : 0;
+    ++per_stage[stage];
+}
+
+std::vector<core::run_placement>
+plan_stages(std::vector<pending_stage> pending,
+            std::vector<candidate_worker>& candidates,
+            std::size_t most)
+{
+    std::stable_sort(pending.begin(),
+                     pending.end(),
+                     [](pending_stage const& a, pending_stage const& b)
+                     {
+                         return std::tie(a.priority, a.submitted, a.stage) <
+                                std::tie(b.priority, b.submitted, b.stage);
+                     });
+    std::vector<core::run_placement> placements;
+    for (auto& each : pending)
+    {
+        auto const left = most - placements.size();
+        if (each.description->behaviour.gang)
+        {
+            place_gang(each, candidates, left, placements);
+            continue;
+        }
+        auto const placed = place_some(each, candidates, left);
+        placements.insert(placements.end(), placed.begin(), placed.end());
+    }
+    return placements;
+}
+
+} // namespace turmericswitch::workflow
--- /dev/null
+++ b/modules/workflow/dispatch/stage_planner.hpp
@@ -0,0 +1,86 @@
+#ifndef TURMERICSWITCH_WORKFLOW_DISPATCH_STAGE_PLANNER_HPP
+#define TURMERICSWITCH_WORKFLOW_DISPATCH_STAGE_PLANNER_HPP
+
+#include "core/messages/workflow.hpp"
+
+#include <map>
+#include <set>
+#include <vector>
+
+namespace turmericswitch::workflow
+{
+
+/// Names a stage of one occurrence of a workflow.
+struct stage_ref
+{
+    core::workflow_id workflow;
+    std::uint32_t occurrence = 0;
+    std::uint32_t stage = 0;
+
+    auto operator<=>(stage_ref const&) const = default;
+};
+
+/// @return The stage that the task belongs to.
+stage_ref stage_of(core::task_ref const& task);
+
+/// A worker that may get tasks, with what its runs leave.
+struct candidate_worker
+{
+    core::worker_id worker;
+    core::incarnation life;
+    core::service_id service;
+    core::rack_id rack;
+    std::vector<std::string> labels;
+    core::resources capacity;
+    /// Capacity less all that runs, starts or stops there.
+    core::resources free;
+    /// Free processors less what tasks on spare time there ask for.
+    core::millicores spare;
+    /// Tasks with a latency target.
+    std::uint32_t serving = 0;
+    /// Tasks on spare processor time.
+    std::uint32_t on_spare = 0;
+    /// Tasks of each stage.
+    std::map<stage_ref, std::uint32_t> per_stage;
+
+    /// Counts a run of the stage on the worker.
+    void add(stage_ref const& stage, core::stage_description const& description);
+};
+
+/// Tasks of one stage that wait for a worker.
+struct pending_stage
+{
+    stage_ref stage;
+    core::stage_description const* description = nullptr;
+    core::service_id service;
+    std::uint32_t priority = 0;
+    core::time_point submitted;
+    /// Indices of the tasks, with the number of the next attempt of each.
+    std::vector<core::task_run> runs;
+    /// Workers on which the tasks have failed.
+    std::set<core::worker_id> failed_on;
+    /// Racks of the stage's tasks that are placed already.
+    std::set<core::rack_id> racks;
+};
+
+/// Capacity that one task of the stage holds.
+core::resources reserved_by(core::stage_description const& stage);
+
+/// Chooses workers for waiting tasks.
+///
+/// Stages are served by priority, then by age. A task goes to the worker that
+/// is left with the largest free share, so that load stays even and a task
+/// that asked for too little disturbs few others; racks, earlier failures and
+/// neighbours that disturb each other weigh against a worker. The members of
+/// a gang are placed together or not at all.
+///
+/// @param candidates Reduced by what is placed.
+/// @param most Largest number of tasks to place.
+std::vector<core::run_placement>
+plan_stages(std::vector<pending_stage> pending,
+            std::vector<candidate_worker>& candidates,
+            std::size_t most);
+
+} // namespace turmericswitch::workflow
+
+#endif
--- /dev/null
+++ b/modules/workflow/dispatch/worker_fleet.cpp
@@ -0,0 +1,142 @@
+#include "workflow/dispatch/worker_fleet.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace turmericswitch::workflow
+{
+
+namespace
+{
+
+/// A worker's clock may be 2% slow, so its lease may last 2% longer.
+constexpr std::int64_t slowest_clock_percent = 102;
+
+/// Rounding of the worker's clock to milliseconds and delay of its timers.
+constexpr core::duration lease_margin = std::chrono::milliseconds(250);
+
+/// Silence after which an idle worker is dropped from the view.
+constexpr core::duration forget_after = std::chrono::minutes(1);
+
+} // namespace
+
+worker_fleet::worker_fleet(lease_policy policy, core::time_point elected)
+    : m_policy(policy), m_elected(elected)
+{
+}
+
+core::duration worker_fleet::real_length(core::duration on_worker) const
+{
+    return on_worker * slowest_clock_percent / 100 + lease_margin;
+}
+
+worker_view* worker_fleet::report(core::time_point now,
+                                  core::runtime_report report)
+{
+    auto const id = report.profile.worker;
+    auto known = m_workers.find(id);
+    if (known != m_workers.end() &&
+        report.profile.life < known->second.profile.life)
+    {
+        return nullptr;
+    }
+    if (known == m_workers.end() ||
+        known->second.profile.life != report.profile.life)
+    {
+        // One worker runs on an instance at a time, so the earlier is gone.
+        for (auto& [other, view] : m_workers)
+        {
+            if (view.host == report.host &&
+                view.profile.life < report.profile.life)
+            {
+                view.left = true;
+            }
+        }
+        worker_view fresh;
+        // An earlier leader may have granted any lease.
+        fresh.lease_over = now + real_length(m_policy.longest);
+        known = m_workers.insert_or_assign(id, std::move(fresh)).first;
+    }
+    auto& view = known->second;
+    view.host = report.host;
+    view.profile = std::move(report.profile);
+    view.sidecar = report.sidecar;
+    view.heard = now;
+    view.clock = report.clock;
+    view.left = view.left || report.left;
+    view.refused = std::move(report.refused);
+    if (report.runs)
+    {
+        view.has_runs = true;
+        view.running.clear();
+        for (auto& each : report.runs->running)
+        {
+            view.running.emplace(each.run, each);
+        }
+        view.ended = std::move(report.runs->ended);
+    }
+    return &view;
+}
+
+void worker_fleet::extend_lease(worker_view& worker) const
+{
+    auto const length = std::min(m_policy.length, m_policy.longest);
+    worker.granted_until = std::max(worker.granted_until, worker.clock + length);
+    worker.lease_over =
+        std::max(worker.lease_over, worker.heard + real_length(length));
+}
+
+worker_view* worker_fleet::find(core::worker_id const& worker)
+{
+    auto const known = m_workers.find(worker);
+    return known == m_workers.end() ? nullptr : &known->second;
+}
+
+worker_view const* worker_fleet::find(core::worker_id const& worker) const
+{
+    auto const known = m_workers.find(worker);
+    return known == m_workers.end() ? nullptr : &known->second;
+}
+
+std::map<core::worker_id, worker_view> const& worker_fleet::all() const noexcept
+{
+    return m_workers;
+}
+
+std::map<core::worker_id, worker_view>& worker_fleet::all() noexcept
+{
+    return m_workers;
+}
+
+bool worker_fleet::is_over(core::time_point now,
+                           core::worker_id const& worker,
+                           core::incarnation life) const
+{
+    auto const* const view = find(worker);
+    if (view == nullptr)
+    {
+        // The last grant of an earlier leader was before the election.
+        return now > m_elected + real_length(m_policy.longest);
+    }
+    if (view->profile.life != life)
+    {
+        return life < view->profile.life;
+    }
+    return view->left || now > view->lease_over;
+}
+
+void worker_fleet::forget(
+    core::time_point now,
+    std::function<bool(core::worker_id const&)> const& holds)
+{
+    std::erase_if(m_workers,
+                  [&](auto const& item)
+                  {
+                      auto const& view = item.second;
+                      bool const is_gone =
+                          view.left || now - view.heard > forget_after;
+                      return is_gone && !holds(item.first);
+                  });
+}
+
+} // namespace turmericswitch::workflow
--- /dev/null
+++ b/modules/workflow/dispatch/worker_health.cpp
@@ -0,0 +1,61 @@
+#include "workflow/dispatch/worker_health.hpp"
+
+#include <algorithm>
+
+namespace turmericswitch::workflow
+{
+
+namespace
+{
+
+/// Workflows that must fail in a row: one or two may be at fault themselves.
+constexpr std::size_t failures_in_a_row = 3;
+
+constexpr core::duration first_pause = std::chrono::seconds(2);
+constexpr core::duration longest_pause = std::chrono::seconds(16);
+
+} // namespace
+
+void worker_health::ended(core::time_point now,
+                          core::worker_id const& worker,
+                          core::task_run const& run,
+                          core::run_end how)
+{
+    if (how == core::run_end::done)
+    {
+        m_workers.erase(worker);
+        return;
+    }
+    if (how != core::run_end::failed)
+    {
+        return;
+    }
+    auto& seen = m_workers[worker];
+    auto const& workflow = run.task.workflow;
+    if (std::find(seen.failed.begin(), seen.failed.end(), workflow) ==
+        seen.failed.end())
+    {
+        seen.failed.push_back(workflow);
+    }
+    if (seen.failed.size() >= failures_in_a_row && now >= seen.until)
+    {
+        seen.pause = seen.pause == core::duration{}
+                         ? first_pause
+                         : std::min(seen.pause * 2, longest_pause);
+        seen.until = now + seen.pause;
+    }
+}
+
+bool worker_health::is_set_aside(core::time_point now,
+                                 core::worker_id const& worker) const
+{
+    auto const seen = m_workers.find(worker);
+    return seen != m_workers.end() && now < seen->second.until;
+}
+
+void worker_health::forget(core::worker_id const& worker)
+{
+    m_workers.erase(worker);
+}
+
+} // namespace turmericswitch::workflow
--- /dev/null
+++ b/modules/workflow/table/workflow_table.cpp
@@ -0,0 +1,495 @@
+#include "workflow/table/workflow_table.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace turmericswitch::workflow
+{
+
+namespace
+{
+
+using core::run_end;
+using core::workflow_state;
+
+std::uint32_t occurrences_of(core::workflow_record const& workflow)
+{
+    return std::max(workflow.description.schedule.occurrences, 1U);
+}
+
+bool is_whole(core::stage_record const& stage, std::uint32_t tasks)
+{
+    return stage.tasks.size() == tasks &&
+           std::all_of(stage.tasks.begin(),
+                       stage.tasks.end(),
+                       [](core::task_record const& task) { return task.done; });
+}
+
+bool is_complete(core::workflow_record const& workflow)
+{
+    auto const& stages = workflow.description.stages;
+    if (workflow.stages.size() < stages.size() * occurrences_of(workflow))
+    {
+        return false;
+    }
+    return std::all_of(
+        workflow.stages.begin(),
+        workflow.stages.end(),
+        [&stages](core::stage_record const& record)
+        { return is_whole(record, stages[record.stage].tasks); });
+}
+
+bool is_valid_task(core::workflow_record const& workflow,
+                   core::task_ref const& task)
+{
+    auto const& stages = workflow.description.stages;
+    return task.occurrence < occurrences_of(workflow) &&
+           task.stage < stages.size() &&
+           task.index < stages[task.stage].tasks;
+}
+
+core::task_record* known_task(core::workflow_record& workflow,
+                              core::task_ref const& task)
+{
+    for (auto& stage : workflow.stages)
+    {
+        if (stage.occurrence == task.occurrence && stage.stage == task.stage)
+        {
+            return task.index < stage.tasks.size() ? &stage.tasks[task.index]
+                                                   : nullptr;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace
+
+core::command_reply workflow_table::submit(core::submit_workflow const& command,
+                                           core::queue_rule const& queue,
+                                           core::time_point now)
+{
+    core::command_reply reply;
+    if (auto const known = m_workflows.find(command.workflow);
+        known != m_workflows.end())
+    {
+        if (known->second.queue.queue != command.queue)
+        {
+            reply.code = core::result_code::job_invalid;
+            reply.text = "the id belongs to a job of another queue";
+        }
+        return reply;
+    }
+    core::workflow_record record;
+    record.workflow = command.workflow;
+    record.queue = queue;
+    record.description = command.description;
+    record.submitted = now;
+    m_workflows.emplace(command.workflow, std::move(record));
+    m_active.insert(command.workflow);
+    return reply;
+}
+
+core::command_reply workflow_table::cancel(core::cancel_workflow const& command,
+                                           core::time_point now)
+{
+    core::command_reply reply;
+    auto const known = m_workflows.find(command.workflow);
+    if (known == m_workflows.end() ||
+        known->second.queue.queue != command.queue)
+    {
+        reply.code = core::result_code::job_unknown;
+        reply.text = "no such job";
+        return reply;
+    }
+    if (!core::is_final(known->second.state))
+    {
+        end(known->second, workflow_state::cancelled, now, "cancelled");
+    }
+    return reply;
+}
+
+void workflow_table::progress(core::workflow_progress const& command,
+                              core::time_point now)
+{
+    for (auto const& outcome : command.ends)
+    {
+        apply(outcome, now);
+    }
+    for (auto const& noted : command.checkpoints)
+    {
+        apply(noted);
+    }
+    for (auto const& placement : command.placements)
+    {
+        apply(placement);
+    }
+}
+
+void workflow_table::apply(core::run_outcome const& outcome,
+                           core::time_point now)
+{
+    auto const& where = outcome.run.task;
+    auto const known = m_workflows.find(where.workflow);
+    if (known == m_workflows.end() || !is_held(outcome))
+    {
+        ++m_ignored;
+        return;
+    }
+    auto& workflow = known->second;
+    auto& task = *known_task(workflow, where);
+    remove_hold(outcome.run, task);
+    task.placed = false;
+    if (core::is_final(workflow.state))
+    {
+        release_details(workflow);
+        return;
+    }
+    auto& stage = stage_record(workflow, where);
+    auto const& behaviour =
+        workflow.description.stages[where.stage].behaviour;
+    if (!outcome.checkpoint.value().empty())
+    {
+        apply(core::run_checkpoint{outcome.run, outcome.checkpoint});
+    }
+    if (outcome.how == run_end::done && !behaviour.long_running)
+    {
+        apply_done(workflow, stage, outcome.run, now);
+    }
+    else if (outcome.how == run_end::failed && !behaviour.long_running)
+    {
+        ++task.failures;
+        apply_failure(workflow, stage, now);
+    }
+}
+
+void workflow_table::apply_done(core::workflow_record& workflow,
+                                core::stage_record& stage,
+                                core::task_run const& run,
+                                core::time_point now)
+{
+    stage.tasks[run.task.index].done = true;
+    if (workflow.description.stages[stage.stage].behaviour.gang)
+    {
+        // The members of a gang end together; one end stands for all.
+        for (auto& member : stage.tasks)
+        {
+            member.done = member.done || member.attempt == run.attempt;
+        }
+    }
+    if (is_complete(workflow))
+    {
+        end(workflow, workflow_state::completed, now, {});
+    }
+}
+
+void workflow_table::apply_failure(core::workflow_record& workflow,
+                                   core::stage_record const& stage,
+                                   core::time_point now)
+{
+    std::uint32_t most = 0;
+    std::uint32_t all = 0;
+    for (auto const& task : stage.tasks)
+    {
+        most = std::max(most, task.failures);
+        all += task.failures;
+    }
+    bool const is_gang =
+        workflow.description.stages[stage.stage].behaviour.gang;
+    if ((is_gang ? all : most) >= workflow.queue.attempts)
+    {
+        end(workflow,
+            workflow_state::failed,
+            now,
+            "a task failed " + std::to_string(workflow.queue.attempts) +
+                " times");
+    }
+}
+
+void workflow_table::apply(core::run_checkpoint const& noted)
+{
+    auto const known = m_workflows.find(noted.run.task.workflow);
+    auto* const task = known == m_workflows.end()
+                           ? nullptr
+                           : known_task(known->second, noted.run.task);
+    if (task == nullptr || task->done || task->attempt != noted.run.attempt)
+    {
+        ++m_ignored;
+        return;
+    }
+    auto& workflow = known->second;
+    task->checkpoint = noted.checkpoint;
+    if (workflow.description.stages[noted.run.task.stage].behaviour.gang)
+    {
+        for (auto& member : stage_record(workflow, noted.run.task).tasks)
+        {
+            member.checkpoint = noted.checkpoint;
+        }
+    }
+}
+
+void workflow_table::apply(core::run_placement const& placement)
+{
+    auto const& where = placement.run.task;
+    auto const known = m_workflows.find(where.workflow);
+    if (known == m_workflows.end() || core::is_final(known->second.state) ||
+        !is_valid_task(known->second, where) ||
+        !is_ready(known->second, where.occurrence, where.stage))
+    {
+        ++m_ignored;
+        return;
+    }
+    auto& workflow = known->second;
+    auto& task = stage_record(workflow, where).tasks[where.index];
+    if (task.done || task.placed || placement.run.attempt <= task.attempt)
+    {
+        ++m_ignored;
+        return;
+    }
+    task.placed = true;
+    task.attempt = placement.run.attempt;
+    task.worker = placement.worker;
+    task.life = placement.life;
+    workflow.state = workflow_state::running;
+    add_hold(placement.run, task);
+}
+
+void workflow_table::end(core::workflow_record& workflow,
+                         core::workflow_state state,
+                         core::time_point now,
+                         std::string reason)
+{
+    workflow.state = state;
+    workflow.ended = now;
+    workflow.reason = std::move(reason);
+    m_active.erase(workflow.workflow);
+    release_details(workflow);
+}
+
+void workflow_table::release_details(core::workflow_record& workflow)
+{
+    // Records are kept for minutes after the end, and the payload and the
+    // tasks are nearly all of their size.
+    if (!m_held_by_workflow.contains(workflow.workflow))
+    {
+        workflow.description = {};
+        workflow.stages.clear();
+    }
+}
+
+void workflow_table::add_hold(core::task_run const& run,
+                              core::task_record const& task)
+{
+    m_holds[task.worker].insert({run, task.life});
+    ++m_held_by_workflow[run.task.workflow];
+}
+
+void workflow_table::remove_hold(core::task_run const& run,
+                                 core::task_record const& task)
+{
+    auto const worker = m_holds.find(task.worker);
+    worker->second.erase({run, task.life});
+    if (worker->second.empty())
+    {
+        m_holds.erase(worker);
+    }
+    auto const count = m_held_by_workflow.find(run.task.workflow);
+    if (--count->second == 0)
+    {
+        m_held_by_workflow.erase(count);
+    }
+}
+
+core::stage_record& workflow_table::stage_record(core::workflow_record& workflow,
+                                                 core::task_ref const& task)
+{
+    for (auto& stage : workflow.stages)
+    {
+        if (stage.occurrence == task.occurrence && stage.stage == task.stage)
+        {
+            return stage;
+        }
+    }
+    core::stage_record added;
+    added.occurrence = task.occurrence;
+    added.stage = task.stage;
+    added.tasks.resize(workflow.description.stages[task.stage].tasks);
+    workflow.stages.push_back(std::move(added));
+    return workflow.stages.back();
+}
+
+void workflow_table::prune(core::time_point now, std::size_t most)
+{
+    std::erase_if(m_workflows,
+                  [&](auto const& item)
+                  {
+                      bool const is_old =
+                          core::is_final(item.second.state) &&
+                          now - item.second.ended > final_retention &&
+                          !m_held_by_workflow.contains(item.first);
+                      if (is_old && most > 0)
+                      {
+                          --most;
+                          return true;
+                      }
+                      return false;
+                  });
+}
+
+core::workflow_record const*
+workflow_table::find(core::workflow_id const& id) const
+{
+    auto const known = m_workflows.find(id);
+    return known == m_workflows.end() ? nullptr : &known->second;
+}
+
+core::workflow_record const*
+workflow_table::find(core::queue_id const& queue,
+                     core::workflow_id const& id) const
+{
+    auto const* const known = find(id);
+    return known != nullptr && known->queue.queue == queue ? known : nullptr;
+}
+
+core::task_record const*
+workflow_table::find_task(core::task_ref const& task) const
+{
+    auto const* const workflow = find(task.workflow);
+    auto const* const stage =
+        workflow == nullptr
+            ? nullptr
+            : find_stage_record(*workflow, task.occurrence, task.stage);
+    return stage != nullptr && task.index < stage->tasks.size()
+               ? &stage->tasks[task.index]
+               : nullptr;
+}
+
+core::stage_description const*
+workflow_table::find_stage(core::task_ref const& task) const
+{
+    auto const* const workflow = find(task.workflow);
+    return workflow != nullptr && is_valid_task(*workflow, task)
+               ? &workflow->description.stages[task.stage]
+               : nullptr;
+}
+
+bool workflow_table::is_held(core::run_outcome const& outcome) const
+{
+    return is_held(outcome.run, outcome.worker, outcome.life);
+}
+
+bool workflow_table::is_held(core::task_run const& run,
+                             core::worker_id const& worker,
+                             core::incarnation life) const
+{
+    auto const holds = m_holds.find(worker);
+    return holds != m_holds.end() && holds->second.contains({run, life});
+}
+
+std::set<held_run> const&
+workflow_table::held_on(core::worker_id const& worker) const
+{
+    static std::set<held_run> const none;
+    auto const holds = m_holds.find(worker);
+    return holds == m_holds.end() ? none : holds->second;
+}
+
+std::map<core::worker_id, std::set<held_run>> const&
+workflow_table::holds() const noexcept
+{
+    return m_holds;
+}
+
+std::set<core::workflow_id> const& workflow_table::active() const noexcept
+{
+    return m_active;
+}
+
+std::uint64_t workflow_table::waiting(core::queue_id const& queue) const
+{
+    return static_cast<std::uint64_t>(
+        std::count_if(m_active.begin(),
+                      m_active.end(),
+                      [&](core::workflow_id const& id)
+                      {
+                          auto const& record = m_workflows.at(id);
+                          return record.queue.queue == queue &&
+                                 record.state == workflow_state::queued;
+                      }));
+}
+
+core::stage_record const*
+workflow_table::find_stage_record(core::workflow_record const& workflow,
+                                  std::uint32_t occurrence,
+                                  std::uint32_t stage)
+{
+    for (auto const& record : workflow.stages)
+    {
+        if (record.occurrence == occurrence && record.stage == stage)
+        {
+            return &record;
+        }
+    }
+    return nullptr;
+}
+
+bool workflow_table::is_ready(core::workflow_record const& workflow,
+                              std::uint32_t occurrence,
+                              std::uint32_t stage)
+{
+    auto const& stages = workflow.description.stages;
+    auto const& after = stages[stage].after;
+    return std::all_of(
+        after.begin(),
+        after.end(),
+        [&](std::uint32_t earlier)
+        {
+            auto const* const record =
+                find_stage_record(workflow, occurrence, earlier);
+            return record != nullptr && is_whole(*record, stages[earlier].tasks);
+        });
+}
+
+std::uint64_t workflow_table::ignored_parts() const noexcept
+{
+    return m_ignored;
+}
+
+std::vector<core::workflow_record> workflow_table::records() const
+{
+    std::vector<core::workflow_record> all;
+    all.reserve(m_workflows.size());
+    for (auto const& [id, record] : m_workflows)
+    {
+        all.push_back(record);
+    }
+    return all;
+}
+
+void workflow_table::restore(std::vector<core::workflow_record> records)
+{
+    *this = {};
+    for (auto& record : records)
+    {
+        auto const id = record.workflow;
+        if (!core::is_final(record.state))
+        {
+            m_active.insert(id);
+        }
+        for (auto const& stage : record.stages)
+        {
+            for (std::uint32_t i = 0; i < stage.tasks.size(); ++i)
+            {
+                auto const& task = stage.tasks[i];
+                if (task.placed)
+                {
+                    add_hold({{id, stage.occurrence, stage.stage, i},
+                              task.attempt},
+                             task);
+                }
+            }
+        }
+        m_workflows.emplace(id, std::move(record));
+    }
+}
+
+} // namespace turmericswitch::workflow
--- a/programs/control/api/process_api.cpp
+++ b/programs/control/api/process_api.cpp
@@ -21,7 +21,9 @@
     return std::holds_alternative<core::claim_key>(body) ||
            std::holds_alternative<core::finish_claim>(body) ||
            std::holds_alternative<core::submit_jobs>(body) ||
-           std::holds_alternative<core::cancel_jobs>(body);
+           std::holds_alternative<core::cancel_jobs>(body) ||
+           std::holds_alternative<core::submit_workflow>(body) ||
+           std::holds_alternative<core::cancel_workflow>(body);
 }
 
 } // namespace
@@ -47,6 +49,18 @@
     {
         command(request.body, std::move(answer));
     }
+    else if (request.path == "/worker-report")
+    {
+        worker_report(request.body, std::move(answer));
+    }
+    else if (request.path == "/worker-orders")
+    {
+        worker_orders(request.body, std::move(answer));
+    }
+    else if (request.path == "/workflow-query")
+    {
+        workflow_query(request.body, std::move(answer));
+    }
     else
     {
         answer.refuse(core::result_code::unknown_path,
@@ -155,6 +169,90 @@
         });
 }
 
+template <typename Answer>
+Answer process_api::not_leader_answer()
+{
+    Answer refusal;
+    refusal.code = core::result_code::not_leader;
+    refusal.leader = leader_rpc();
+    return refusal;
+}
+
+void process_api::worker_report(std::string const& body,
+                                transport::responder answer)
+{
+    auto report = wire::decode<core::runtime_report>(body);
+    if (!report)
+    {
+        refuse_malformed(answer);
+        return;
+    }
+    m_node.run(
+        [this,
+         report = std::move(*report),
+         answer = std::move(answer)]() mutable
+        {
+            if (auto const& workflows = m_node.workflows())
+            {
+                workflows->report(std::move(report),
+                                  [answer](core::runtime_grant const& grant)
+                                  { answer.answer(wire::encode(grant)); });
+                return;
+            }
+            answer.answer(
+                wire::encode(not_leader_answer<core::runtime_grant>()));
+        });
+}
+
+void process_api::worker_orders(std::string const& body,
+                                transport::responder answer)
+{
+    auto request = wire::decode<core::orders_request>(body);
+    if (!request)
+    {
+        refuse_malformed(answer);
+        return;
+    }
+    m_node.run(
+        [this, request = std::move(*request), answer = std::move(answer)]
+        {
+            if (auto const& workflows = m_node.workflows())
+            {
+                workflows->poll_orders(
+                    request,
+                    [answer](core::runtime_orders const& orders)
+                    { answer.answer(wire::encode(orders)); });
+                return;
+            }
+            answer.answer(
+                wire::encode(not_leader_answer<core::runtime_orders>()));
+        });
+}
+
+void process_api::workflow_query(std::string const& body,
+                                 transport::responder answer)
+{
+    auto query = wire::decode<core::workflow_query>(body);
+    if (!query)
+    {
+        refuse_malformed(answer);
+        return;
+    }
+    m_node.run(
+        [this, query = std::move(*query), answer = std::move(answer)]
+        {
+            if (auto const& workflows = m_node.workflows())
+            {
+                workflows->query(query,
+                                 [answer](core::workflow_answer const& found)
+                                 { answer.answer(wire::encode(found)); });
+                return;
+            }
+            answer.answer(
+                wire::encode(not_leader_answer<core::workflow_answer>()));
+        });
+}
+
 std::optional<core::endpoint> process_api::leader_rpc()
 {
     auto const leader = m_node.group().leader();
--- a/programs/control/api/process_api.hpp
+++ b/programs/control/api/process_api.hpp
@@ -22,6 +22,11 @@
     void watch(std::string const& body, transport::responder answer);
     void announce(std::string const& body, transport::responder answer);
     void command(std::string const& body, transport::responder answer);
+    void worker_report(std::string const& body, transport::responder answer);
+    void worker_orders(std::string const& body, transport::responder answer);
+    void workflow_query(std::string const& body, transport::responder answer);
+    template <typename Answer>
+    Answer not_leader_answer();
     void raft(std::string const& body, transport::responder const& answer);
     std::optional<core::endpoint> leader_rpc();
 
--- /dev/null
+++ b/programs/control/leader/workflow_service.hpp
@@ -0,0 +1,93 @@
+#ifndef TURMERICSWITCH_CONTROL_LEADER_WORKFLOW_SERVICE_HPP
+#define TURMERICSWITCH_CONTROL_LEADER_WORKFLOW_SERVICE_HPP
+
+#include "node/replica.hpp"
+#include "workflow/dispatch/dispatcher.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace turmericswitch::control
+{
+
+/// The leader's work on workflows: connects the dispatcher with the replicated
+/// log, the sidecars' reports and their polls for orders.
+///
+/// All calls come on the event loop's thread.
+class workflow_service : public std::enable_shared_from_this<workflow_service>
+{
+public:
+    using grant_hook = std::function<void(core::runtime_grant)>;
+    using orders_hook = std::function<void(core::runtime_orders)>;
+    using query_hook = std::function<void(core::workflow_answer)>;
+
+    workflow_service(replica& node,
+                     workflow::dispatch_options options,
+                     std::function<void(std::string const&)> log);
+
+    /// Answers everything that waits with `not_leader`.
+    void end();
+
+    void tick(core::time_point now);
+
+    /// Notes that a command was applied.
+    void applied(core::command_body const& command);
+
+    /// Takes a report. It is answered when its ends are committed, and in any
+    /// case only after leadership was confirmed since it came.
+    void report(core::runtime_report report, grant_hook done);
+
+    /// Answers with orders as soon as there are some.
+    void poll_orders(core::orders_request const& request, orders_hook done);
+
+    /// Answers from state that is confirmed to be current.
+    void query(core::workflow_query query, query_hook done);
+
+private:
+    struct waiting_report
+    {
+        core::worker_id worker;
+        core::incarnation life;
+        grant_hook done;
+    };
+
+    struct waiting_poll
+    {
+        core::orders_request request;
+        core::time_point until;
+        orders_hook done;
+    };
+
+    struct waiting_query
+    {
+        core::workflow_query query;
+        query_hook done;
+    };
+
+    void plan();
+    void committed(core::workflow_progress const& command,
+                   std::vector<waiting_report> const& confirmed);
+    void answer_or_keep(std::vector<waiting_report> reports);
+    void confirm_reports();
+    void confirm_queries();
+    void deliver_orders();
+    void log_progress(core::workflow_progress const& command) const;
+    core::workflow_answer answer_to(core::workflow_query const& query) const;
+
+    replica& m_node;
+    std::function<void(std::string const&)> m_log;
+    workflow::dispatcher m_dispatcher;
+    core::time_point m_next_plan;
+    bool m_is_planning = false;
+    bool m_plan_again = false;
+    bool m_ended = false;
+    std::vector<waiting_report> m_reports;
+    std::vector<waiting_poll> m_polls;
+    std::vector<waiting_query> m_queries;
+};
+
+} // namespace turmericswitch::control
+
+#endif
--- a/programs/control/main.cpp
+++ b/programs/control/main.cpp
@@ -1,9 +1,11 @@
+#include "api/loop_call.hpp"
 #include "api/operator_api.hpp"
 #include "api/process_api.hpp"
 #include "api/worker_api.hpp"
 #include "core/results/last_reason.hpp"
 #include "node/control_node.hpp"
 #include "node/recovery.hpp"
+#include "platform/api/operator_api.hpp"
 #include "settings/control_settings.hpp"
 #include "shared/daemon/daemon_main.hpp"
 #include "shared/daemon/status_handler.hpp"
@@ -24,8 +26,13 @@
 constexpr core::duration drain_limit = std::chrono::seconds(5);
 constexpr core::duration drain_poll = std::chrono::milliseconds(20);
 
-start_mode mode_of(process::arguments const& words)
+start_mode mode_of(process::arguments const& words,
+                   control_settings const& settings)
 {
+    if (!settings.seeds.empty())
+    {
+        return start_mode::by_disk;
+    }
     if (words.flag("--bootstrap"))
     {
         return start_mode::bootstrap;
@@ -33,6 +40,71 @@
     return words.flag("--join") ? start_mode::join : start_mode::normal;
 }
 
+/// Runs an operator's call on the event loop and waits for its result.
+platform::operator_outcome
+run_operator_call(control_node& node,
+                  std::function<void(
+                      std::function<void(platform::operator_outcome)>)> start)
+{
+    auto outcome =
+        call_on_loop<platform::operator_outcome>(node, std::move(start));
+    if (!outcome)
+    {
+        outcome.emplace();
+        outcome->reply.code = core::last_reason().code;
+        outcome->reply.text = core::last_reason().text;
+    }
+    return *outcome;
+}
+
+std::optional<core::endpoint> leader_http(control_node& node)
+{
+    auto const leader = node.group().leader();
+    bool const is_other = leader && leader->id != node.group().self();
+    return is_other ? std::optional(leader->http) : std::nullopt;
+}
+
+platform::operator_hooks make_operator_hooks(control_node& node)
+{
+    using platform::operator_outcome;
+    using done_hook = std::function<void(operator_outcome)>;
+    platform::operator_hooks hooks;
+    hooks.change = [&node](core::command_body const& body)
+    {
+        return run_operator_call(
+            node,
+            [&node, body](done_hook const& done)
+            {
+                node.group().propose(
+                    body,
+                    {},
+                    {},
+                    [&node, done](core::command_reply const& reply) {
+                        done({reply, leader_http(node), {}});
+                    });
+            });
+    };
+    hooks.read_document = [&node]
+    {
+        return run_operator_call(
+            node,
+            [&node](done_hook const& done)
+            {
+                node.group().read(
+                    [&node, done](core::result_code code)
+                    {
+                        operator_outcome outcome;
+                        outcome.reply.code = code;
+                        outcome.leader = leader_http(node);
+                        outcome.document =
+                            node.group().state().config().document().source;
+                        done(std::move(outcome));
+                    });
+            });
+    };
+    return hooks;
+}
+
 web::http_handler make_http_handler(control_node& node,
                                     operator_api& operators,
                                     worker_api& workers)
@@ -43,6 +115,10 @@
                       [&workers](web::http_request const& request,
                                  web::path_parameters const&)
                       { return workers.heartbeat(request); }});
+    for (auto& row : platform::operator_routes(make_operator_hooks(node)))
+    {
+        routes.push_back(std::move(row));
+    }
     return shared::with_status_pages(
         node.metrics(),
         [&node] { return node.readiness(); },
@@ -69,7 +145,8 @@
         return false;
     }
     transport::io_pool io(io_threads);
-    control_node node(io, std::move(*parts), settings.duties);
+    control_node node(
+        io, std::move(*parts), settings.duties, settings.dispatch);
     process_api processes(node);
     operator_api operators(node);
     worker_api workers(node);
@@ -88,6 +165,10 @@
     http_options.listen_on = settings.http;
     http_options.worker_threads = static_cast<unsigned>(settings.http_threads);
     http_options.kept_connections = http_options.worker_threads / 2;
+    if (settings.status_http)
+    {
+        http_options.also_listen_on.push_back(*settings.status_http);
+    }
     auto const http =
         rpc ? web::http_server::start(
                   http_options, make_http_handler(node, operators, workers))
@@ -152,5 +233,5 @@
         { settings = control::parse_control_settings(reader); },
         [&settings](process::arguments const& given,
                     process::shutdown_signal& signal)
-        { return control::serve(settings, control::mode_of(given), signal); });
+        { return control::serve(settings, control::mode_of(given, settings), signal); });
 }
--- a/programs/control/node/control_node.cpp
+++ b/programs/control/node/control_node.cpp
@@ -19,13 +19,15 @@
 
 control_node::control_node(transport::io_pool& io,
                            replica_parts parts,
-                           duty_settings duties)
+                           duty_settings duties,
+                           workflow::dispatch_options dispatch)
     : m_decisions(kept_decisions),
       m_commands(m_metrics.counter("turmericswitch_control_commands_total",
                                    "Commands applied to the state.")),
       m_elections(m_metrics.counter("turmericswitch_control_leaderships_total",
                                     "Leaderships begun by this instance.")),
       m_duty_settings(duties),
+      m_dispatch(dispatch),
       m_contacts(parts.contacts),
       m_links(io, parts.random_seed),
       m_loop(tick_interval),
@@ -42,6 +44,15 @@
     {
         m_duties->end();
     }
+    end_workflows();
+}
+
+void control_node::end_workflows()
+{
+    if (auto const ended = std::exchange(m_workflows, nullptr))
+    {
+        ended->end();
+    }
 }
 
 replica_hooks control_node::make_hooks()
@@ -60,6 +71,10 @@
             [this](core::decision_record const& record)
             { m_decisions.record(record); });
         m_duties->begin(process::event_loop::now());
+        m_workflows = std::make_shared<workflow_service>(
+            m_replica,
+            m_dispatch,
+            [this](std::string const& text) { m_log.info(text); });
     };
     hooks.leadership_ended = [this]
     {
@@ -68,6 +83,7 @@
         {
             ended->end();
         }
+        end_workflows();
     };
     hooks.applied = [this](core::command_body const& command,
                            core::command_reply const& reply)
@@ -77,6 +93,10 @@
         {
             m_duties->applied(command, reply);
         }
+        if (m_workflows)
+        {
+            m_workflows->applied(command);
+        }
     };
     hooks.group_changed = [this] { on_group_changed(); };
     hooks.storage_failed = [this](std::string const& why)
@@ -150,6 +170,7 @@
             {
                 ended->end();
             }
+            end_workflows();
         });
 }
 
@@ -180,6 +201,10 @@
                      std::chrono::time_point_cast<std::chrono::microseconds>(
                          std::chrono::system_clock::now()));
     }
+    if (auto const workflows = m_workflows)
+    {
+        workflows->tick(process::event_loop::now());
+    }
     m_applied_index = m_replica.applied_index().value();
     m_revision = m_replica.state().config().current().value();
     m_knows_leader = m_replica.leader().has_value();
@@ -206,6 +231,11 @@
     return m_duties;
 }
 
+std::shared_ptr<workflow_service> const& control_node::workflows() const
+{
+    return m_workflows;
+}
+
 core::location control_node::canonical_place(core::location const& place)
 {
     auto const& config = m_replica.state().config();
--- a/programs/control/node/control_node.hpp
+++ b/programs/control/node/control_node.hpp
@@ -2,6 +2,7 @@
 #define TURMERICSWITCH_CONTROL_NODE_CONTROL_NODE_HPP
 
 #include "leader/leader_duties.hpp"
+#include "leader/workflow_service.hpp"
 #include "node/peer_links.hpp"
 #include "node/replica.hpp"
 #include "process/loop/event_loop.hpp"
@@ -24,7 +25,8 @@
     /// @param io Must outlive the node.
     control_node(transport::io_pool& io,
                  replica_parts parts,
-                 duty_settings duties);
+                 duty_settings duties,
+                 workflow::dispatch_options dispatch = {});
     ~control_node();
 
     control_node(control_node const&) = delete;
@@ -52,6 +54,8 @@
     replica& group();
     /// @return Null while another instance leads.
     std::shared_ptr<leader_duties> const& duties() const;
+    /// @return Null while this instance does not lead.
+    std::shared_ptr<workflow_service> const& workflows() const;
     /// @return The name by which the zone is known in the configuration in
     /// force, and its region.
     core::location canonical_place(core::location const& place);
@@ -68,6 +72,7 @@
     replica_hooks make_hooks();
     void on_tick();
     void on_group_changed();
+    void end_workflows();
     void add_metrics();
 
     telemetry::logger m_log{"control"};
@@ -76,6 +81,7 @@
     telemetry::counter& m_commands;
     telemetry::counter& m_elections;
     duty_settings m_duty_settings;
+    workflow::dispatch_options m_dispatch;
     std::atomic<bool> m_knows_leader = false;
     std::atomic<bool> m_storage_failed = false;
     std::atomic<std::uint64_t> m_applied_index = 0;
@@ -87,6 +93,7 @@
     peer_links m_links;
     process::event_loop m_loop;
     std::shared_ptr<leader_duties> m_duties;
+    std::shared_ptr<workflow_service> m_workflows;
     replica m_replica;
 };
 
--- a/programs/control/node/recovery.cpp
+++ b/programs/control/node/recovery.cpp
@@ -114,14 +114,46 @@
                                          : names_contacts(settings);
 }
 
+/// Ids of members that join later: above every IPv4 address, and short enough
+/// for the signed numbers of other formats.
+core::member_id drawn_member(std::uint64_t random_seed)
+{
+    constexpr std::uint64_t lowest = std::uint64_t{1} << 32;
+    constexpr std::uint64_t range = std::uint64_t{1} << 61;
+    return core::member_id(lowest + random_seed % range);
+}
+
+/// Chooses the mode by the data folder and completes the member's id.
+start_mode resolve(store::hard_state_store& hard_state,
+                   control_settings& settings,
+                   std::uint64_t random_seed)
+{
+    if (auto const identity = hard_state.load_identity())
+    {
+        settings.member = identity->member;
+        return start_mode::normal;
+    }
+    if (settings.bootstrap && lists_member(settings))
+    {
+        return start_mode::bootstrap;
+    }
+    settings.member = drawn_member(random_seed);
+    return start_mode::join;
+}
+
 } // namespace
 
 std::optional<replica_parts> recover(store::file_system& files,
-                                     control_settings const& settings,
+                                     control_settings const& given,
                                      start_mode mode,
                                      std::uint64_t random_seed)
 {
+    auto settings = given;
     store::hard_state_store hard_state(files, settings.data_folder + "/state");
+    if (mode == start_mode::by_disk)
+    {
+        mode = resolve(hard_state, settings, random_seed);
+    }
     if (!may_start(hard_state, settings, mode))
     {
         return std::nullopt;
--- a/programs/control/node/recovery.hpp
+++ b/programs/control/node/recovery.hpp
@@ -19,6 +19,9 @@
     bootstrap,
     /// As a new member that waits to be added, with an empty folder.
     join,
+    /// As the data folder tells: a member starts again, and an empty folder
+    /// bootstraps the group if the settings allow it or joins it.
+    by_disk,
 };
 
 /// Reads what the data folder has, or prepares an empty one.
--- a/programs/control/settings/control_settings.cpp
+++ b/programs/control/settings/control_settings.cpp
@@ -1,5 +1,7 @@
 #include "settings/control_settings.hpp"
 
+#include "shared/peers/member_address.hpp"
+
 namespace turmericswitch::control
 {
 
@@ -54,6 +56,37 @@
         {"leases", "announce"}, duties.announce_lease, lease_range);
 }
 
+/// The first members have ids that follow from their addresses, so that each
+/// of them knows the whole group without a talk.
+void parse_seeds(settings_reader& reader, control_settings& read)
+{
+    read.bootstrap = reader.flag({"control", "bootstrap"}, false);
+    read.seeds = reader.endpoints({"control", "seeds"});
+    read.group = reader.text({"control", "group"}, "control");
+    for (auto const& seed : read.seeds)
+    {
+        auto const id = shared::member_of_address(seed.address);
+        if (!id)
+        {
+            reader.refuse({"control", "seeds"}, "IPv4 addresses and ports");
+            return;
+        }
+        read.first_members.members.push_back(
+            {*id, {seed.address, read.rpc.port}, seed, false});
+    }
+    read.member = shared::member_of_address(read.rpc.address)
+                      .value_or(core::member_id());
+}
+
+void parse_dispatch(settings_reader& reader, control_settings& read)
+{
+    auto& leases = read.dispatch.leases;
+    leases.longest = reader.duration(
+        {"workers", "longest_lease"}, leases.longest, {1s, 1h});
+    leases.length =
+        reader.duration({"workers", "lease"}, leases.longest, {1s, 1h});
+}
+
 void parse_consensus(settings_reader& reader, control_settings& read)
 {
     read.election_timeout =
@@ -75,15 +108,27 @@
 {
     control_settings read;
     read.process = shared::parse_process_settings(reader);
-    read.member = core::member_id(static_cast<std::uint64_t>(
-        reader.integer({"control", "member"}, {1, highest_member})));
-    read.group = reader.text({"control", "group"});
     read.data_folder = reader.text({"control", "data"});
     read.rpc = reader.endpoint({"control", "rpc"});
     read.http = reader.endpoint({"control", "http"});
     read.http_threads =
         reader.integer({"control", "http_threads"}, {8, 512}, 64);
-    parse_members(reader, read);
+    if (reader.has({"control", "status_http"}))
+    {
+        read.status_http = reader.endpoint({"control", "status_http"});
+    }
+    if (reader.has({"control", "seeds"}))
+    {
+        parse_seeds(reader, read);
+    }
+    else
+    {
+        read.member = core::member_id(static_cast<std::uint64_t>(
+            reader.integer({"control", "member"}, {1, highest_member})));
+        read.group = reader.text({"control", "group"});
+        parse_members(reader, read);
+    }
+    parse_dispatch(reader, read);
     parse_leases(reader, read);
     parse_consensus(reader, read);
     return read;
--- a/programs/control/settings/control_settings.hpp
+++ b/programs/control/settings/control_settings.hpp
@@ -6,9 +6,12 @@
 #include "leader/leader_duties.hpp"
 #include "settings/settings.hpp"
 #include "shared/daemon/daemon_main.hpp"
+#include "workflow/dispatch/dispatcher.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace turmericswitch::control
 {
@@ -31,6 +34,14 @@
     core::duration heartbeat_interval{};
     std::uint64_t snapshot_interval = 0;
     duty_settings duties;
+    /// HTTP addresses of control instances when the file was written; empty
+    /// where the section members lists the group.
+    std::vector<core::endpoint> seeds;
+    /// The group is formed by its first start, from the seeds.
+    bool bootstrap = false;
+    workflow::dispatch_options dispatch;
+    /// Further address that serves HTTP, for metrics.
+    std::optional<core::endpoint> status_http;
 };
 
 /// Reads all settings; problems are collected in the reader.
--- a/programs/gateway/main.cpp
+++ b/programs/gateway/main.cpp
@@ -1,3 +1,4 @@
+#include "gateway/jobs/job_gateway.hpp"
 #include "gateway/metrics/gateway_metrics.hpp"
 #include "gateway/requests/job_proxy.hpp"
 #include "gateway/requests/request_runner.hpp"
@@ -7,6 +8,8 @@
 #include "shared/daemon/status_handler.hpp"
 #include "wire/json/decision_json.hpp"
 
+#include <thread>
+
 namespace turmericswitch::gateway
 {
 
@@ -57,8 +60,66 @@
     };
 }
 
+/// Serves callers' jobs.
+bool serve_jobs(gateway_settings const& settings,
+                process::shutdown_signal& signal)
+{
+    constexpr unsigned status_threads = 2;
+    telemetry::logger const log("gateway");
+    auto const seed = process::random_seed();
+    telemetry::metrics_registry metrics;
+    transport::io_pool io(static_cast<std::size_t>(settings.io_threads));
+    shared::control_link control(io, settings.control, seed);
+    job_gateway jobs(control, metrics);
+    shared::config_watch watch(io,
+                               control,
+                               core::client_id("gateway " + settings.name),
+                               [&jobs](core::watch_answer const& news)
+                               { return jobs.configure(news); });
+    web::server_options options;
+    options.listen_on = settings.jobs->callers;
+    options.worker_threads = static_cast<unsigned>(settings.http_threads);
+    options.body_limit = static_cast<std::size_t>(settings.body_limit.value());
+    auto const callers = web::http_server::start(
+        options, platform::caller_handler(jobs.hooks()));
+    web::server_options status_options;
+    status_options.listen_on = settings.jobs->readiness;
+    status_options.also_listen_on = {settings.http};
+    status_options.worker_threads = status_threads;
+    auto const readiness = [&jobs] { return jobs.readiness(); };
+    auto const status =
+        callers
+            ? web::http_server::start(
+                  status_options,
+                  shared::with_status_pages(
+                      metrics, readiness, platform::readiness_handler(readiness)))
+            : nullptr;
+    if (!status || !shared::announce_ports(settings.process,
+                                           {{"http", callers->bound().port}}))
+    {
+        return false;
+    }
+    watch.start();
+    log.info(settings.name + " listens on " + to_string(callers->bound()));
+    signal.wait();
+
+    jobs.begin_stop();
+    log.info("stopping: not ready from now on");
+    std::this_thread::sleep_for(settings.jobs->stop_delay);
+    auto const stopped = callers->stop();
+    log.info("stopped: " + std::to_string(stopped.finished) +
+             " calls in progress finished, " +
+             std::to_string(callers->in_progress()) + " cut, " +
+             std::to_string(stopped.refused) + " refused as not run");
+    return true;
+}
+
 bool serve(gateway_settings const& settings, process::shutdown_signal& signal)
 {
+    if (settings.jobs)
+    {
+        return serve_jobs(settings, signal);
+    }
     telemetry::logger const log("gateway");
     auto const seed = process::random_seed();
     telemetry::metrics_registry metrics;
--- a/programs/gateway/settings/gateway_settings.cpp
+++ b/programs/gateway/settings/gateway_settings.cpp
@@ -1,5 +1,7 @@
 #include "gateway/settings/gateway_settings.hpp"
 
+#include "shared/peers/control_endpoints.hpp"
+
 namespace turmericswitch::gateway
 {
 
@@ -10,6 +12,22 @@
 
 } // namespace
 
+namespace
+{
+
+job_settings parse_job_settings(settings::settings_reader& reader)
+{
+    using namespace std::chrono_literals;
+    job_settings read;
+    read.callers = reader.endpoint({"jobs", "callers"});
+    read.readiness = reader.endpoint({"jobs", "readiness"});
+    read.stop_delay =
+        reader.duration({"jobs", "stop_delay"}, 2500ms, {0s, 1min});
+    return read;
+}
+
+} // namespace
+
 gateway_settings parse_gateway_settings(settings::settings_reader& reader)
 {
     gateway_settings read;
@@ -29,7 +47,12 @@
                                  "power_of_two_latency",
                                  "least_expected"},
                                 "least_expected");
-    read.control = reader.endpoints({"control", "rpc"});
+    read.control = shared::parse_control_endpoints(reader);
+    if (reader.has({"jobs", "callers"}))
+    {
+        read.jobs = parse_job_settings(reader);
+        return read;
+    }
     read.control_http = reader.endpoints({"control", "http"});
     return read;
 }
--- a/programs/gateway/settings/gateway_settings.hpp
+++ b/programs/gateway/settings/gateway_settings.hpp
@@ -7,12 +7,24 @@
 #include "shared/daemon/daemon_main.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace turmericswitch::gateway
 {
 
+struct job_settings
+{
+    /// Address for callers.
+    core::endpoint callers;
+    /// Address on which the balancer asks for readiness.
+    core::endpoint readiness;
+    /// How long the gateway goes on serving after a stop signal, so that the
+    /// balancer sees that it is not ready before connections are refused.
+    core::duration stop_delay{};
+};
+
 /// Settings of `turmericswitch-gateway`.
 struct gateway_settings
 {
@@ -30,6 +42,9 @@
     std::vector<core::endpoint> control_http;
     /// Name of the choice policy.
     std::string policy;
+    /// Set where the gateway serves callers' jobs through the platform's
+    /// interface instead of requests to backend servers.
+    std::optional<job_settings> jobs;
 };
 
 /// Reads all settings; problems are collected in the reader.
--- a/programs/sidecar/main.cpp
+++ b/programs/sidecar/main.cpp
@@ -2,6 +2,7 @@
 #include "shared/daemon/daemon_main.hpp"
 #include "shared/daemon/status_handler.hpp"
 #include "sidecar/service/graceful_stop.hpp"
+#include "sidecar/worker/worker_service.hpp"
 #include "wire/codec/protocol_version.hpp"
 
 namespace turmericswitch::sidecar
@@ -14,8 +15,50 @@
 /// Status pages only.
 constexpr unsigned http_threads = 4;
 
+/// Serves a worker that runs tasks.
+bool serve_worker(sidecar_settings const& settings,
+                  process::shutdown_signal& signal)
+{
+    constexpr std::size_t agent_threads = 1;
+    constexpr unsigned registration_threads = 2;
+    telemetry::logger const log("sidecar");
+    auto const life = process::random_seed();
+    telemetry::metrics_registry metrics;
+    transport::io_pool io(agent_threads);
+    shared::control_link control(io, settings.control, life);
+    worker_service service(
+        io, control, *settings.worker, core::incarnation(life), metrics);
+    web::server_options options;
+    options.listen_on = settings.worker->registration;
+    options.also_listen_on = {settings.http};
+    options.worker_threads = registration_threads;
+    auto const http = web::http_server::start(
+        options,
+        shared::with_status_pages(
+            metrics,
+            [&service] { return service.readiness(); },
+            web::router(service.routes())));
+    if (!http || !shared::announce_ports(settings.process,
+                                         {{"http", http->bound().port}}))
+    {
+        return false;
+    }
+    log.info("listens on " + to_string(http->bound()) + " for the worker at " +
+             to_string(settings.worker->runtime));
+    signal.wait();
+    log.info("stopping");
+    http->stop();
+    service.stop();
+    log.info("stopped");
+    return true;
+}
+
 bool serve(sidecar_settings const& settings, process::shutdown_signal& signal)
 {
+    if (settings.worker)
+    {
+        return serve_worker(settings, signal);
+    }
     telemetry::logger const log("sidecar");
     auto const life = process::random_seed();
     telemetry::metrics_registry metrics;
--- a/programs/sidecar/settings/sidecar_settings.hpp
+++ b/programs/sidecar/settings/sidecar_settings.hpp
@@ -7,11 +7,22 @@
 #include "shared/daemon/daemon_main.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace turmericswitch::sidecar
 {
 
+/// Settings of a sidecar beside a worker that runs tasks.
+struct worker_settings
+{
+    core::instance_id instance;
+    /// Where the worker announces itself.
+    core::endpoint registration;
+    /// Where the worker takes orders.
+    core::endpoint runtime;
+};
+
 /// Settings of `turmericswitch-sidecar`.
 struct sidecar_settings
 {
@@ -31,6 +42,9 @@
     /// Longest wait of a planned stop for requests in progress.
     core::duration drain_limit{};
     std::vector<core::endpoint> control;
+    /// Set where the sidecar stands beside a worker instead of a backend
+    /// server.
+    std::optional<worker_settings> worker;
 };
 
 /// Reads all settings; problems are collected in the reader.
--- /dev/null
+++ b/programs/sidecar/worker/worker_service.cpp
@@ -0,0 +1,136 @@
+#include "sidecar/worker/worker_service.hpp"
+
+#include "platform/api/worker_api.hpp"
+#include "wire/codec/message_codec.hpp"
+
+#include <future>
+#include <optional>
+#include <utility>
+
+namespace turmericswitch::sidecar
+{
+
+namespace
+{
+
+/// Time for a report: a commit across regions and its sync.
+constexpr core::duration report_timeout = std::chrono::milliseconds(1500);
+
+/// Beyond the time for which control holds a poll.
+constexpr core::duration poll_margin = std::chrono::milliseconds(1500);
+
+/// Decodes an answer of control; one that is no answer of a leader makes the
+/// link look for the leader.
+template <typename Answer>
+std::optional<Answer> leader_answer(shared::control_link& control,
+                                    transport::call_result const& result)
+{
+    if (result.outcome != transport::call_outcome::answered)
+    {
+        return std::nullopt;
+    }
+    auto answer = wire::decode<Answer>(result.body);
+    if (!answer || answer->code != core::result_code::ok)
+    {
+        control.not_leader(answer ? answer->leader : std::nullopt);
+        return std::nullopt;
+    }
+    return answer;
+}
+
+} // namespace
+
+worker_service::worker_service(transport::io_pool& io,
+                               shared::control_link& control,
+                               worker_settings const& settings,
+                               core::incarnation life,
+                               telemetry::metrics_registry& metrics)
+    : m_io(io),
+      m_control(control),
+      m_unreadable(
+          metrics.counter("turmericswitch_sidecar_unreadable_reports_total",
+                          "Workers' reports that could not be read.")),
+      m_agent({settings.instance, life}, make_hooks(settings.runtime))
+{
+}
+
+workflow::agent_hooks worker_service::make_hooks(core::endpoint const& runtime)
+{
+    workflow::agent_hooks hooks;
+    hooks.runtime = platform::make_worker_runtime(m_io, runtime);
+    hooks.leader = make_leader_calls();
+    hooks.after = [this](core::duration delay, std::function<void()> task)
+    { m_io.post_after(delay, std::move(task)); };
+    hooks.log = [this](std::string const& text) { m_log.info(text); };
+    return hooks;
+}
+
+workflow::leader_calls worker_service::make_leader_calls()
+{
+    workflow::leader_calls calls;
+    calls.report =
+        [this](core::runtime_report const& report,
+               std::function<void(std::optional<core::runtime_grant>)> done)
+    {
+        m_control.call("/worker-report",
+                       wire::encode(report),
+                       report_timeout,
+                       [this, done = std::move(done)](
+                           transport::call_result const& result) {
+                           done(leader_answer<core::runtime_grant>(m_control,
+                                                                   result));
+                       });
+    };
+    calls.poll_orders =
+        [this](core::orders_request const& request,
+               std::function<void(std::optional<core::runtime_orders>)> done)
+    {
+        m_control.call("/worker-orders",
+                       wire::encode(request),
+                       request.max_wait + poll_margin,
+                       [this, done = std::move(done)](
+                           transport::call_result const& result) {
+                           done(leader_answer<core::runtime_orders>(m_control,
+                                                                    result));
+                       });
+    };
+    return calls;
+}
+
+std::vector<web::route> worker_service::routes()
+{
+    platform::registration_hooks hooks;
+    hooks.registered = [this](core::worker_profile profile)
+    {
+        m_registered = true;
+        m_io.post([this, profile = std::move(profile)]
+                  { m_agent.registered(profile); });
+    };
+    hooks.unregistered = [this](core::worker_id const& worker)
+    { m_io.post([this, worker] { m_agent.unregistered(worker); }); };
+    hooks.unreadable = [this](std::string const& why)
+    {
+        m_unreadable.add();
+        m_log.warning("report of a worker left out: " + why);
+    };
+    return platform::registration_routes(std::move(hooks));
+}
+
+void worker_service::stop()
+{
+    std::promise<void> stopped;
+    m_io.post(
+        [this, &stopped]
+        {
+            m_agent.stop();
+            stopped.set_value();
+        });
+    stopped.get_future().wait();
+}
+
+std::string worker_service::readiness() const
+{
+    return m_registered ? std::string() : "no worker has registered yet";
+}
+
+} // namespace turmericswitch::sidecar
--- /dev/null
+++ b/programs/sidecar/worker/worker_service.hpp
@@ -0,0 +1,52 @@
+#ifndef TURMERICSWITCH_SIDECAR_WORKER_WORKER_SERVICE_HPP
+#define TURMERICSWITCH_SIDECAR_WORKER_WORKER_SERVICE_HPP
+
+#include "shared/control_link/control_link.hpp"
+#include "sidecar/settings/sidecar_settings.hpp"
+#include "telemetry/telemetry.hpp"
+#include "transport/transport.hpp"
+#include "web/web.hpp"
+#include "workflow/agent/worker_agent.hpp"
+
+#include <memory>
+#include <string>
+
+namespace turmericswitch::sidecar
+{
+
+/// Runs the worker agent on the thread of an `io_pool` and connects it with
+/// the worker's runtime and with the control leader.
+class worker_service
+{
+public:
+    /// @param io Must have one thread: the agent isn't thread-safe.
+    worker_service(transport::io_pool& io,
+                   shared::control_link& control,
+                   worker_settings const& settings,
+                   core::incarnation life,
+                   telemetry::metrics_registry& metrics);
+
+    /// The routes by which the worker announces itself.
+    std::vector<web::route> routes();
+
+    /// Ends the agent; calls to the worker in progress get their answers.
+    void stop();
+
+    /// @return Empty text once a worker has registered.
+    std::string readiness() const;
+
+private:
+    workflow::leader_calls make_leader_calls();
+    workflow::agent_hooks make_hooks(core::endpoint const& runtime);
+
+    telemetry::logger m_log{"sidecar"};
+    transport::io_pool& m_io;
+    shared::control_link& m_control;
+    telemetry::counter& m_unreadable;
+    std::atomic<bool> m_registered = false;
+    workflow::worker_agent m_agent;
+};
+
+} // namespace turmericswitch::sidecar
+
+#endif
