--- a/programs/control/leader/workflow_service.cpp
+++ b/programs/control/leader/workflow_service.cpp
@@ -84,6 +84,11 @@
 
 void workflow_service::applied(core::command_body const& command)
 {
+    if (auto const* const submitted =
+            std::get_if<core::submit_workflow>(&command))
+    {
+        log_accepted(*submitted);
+    }
     if (std::holds_alternative<core::submit_workflow>(command) ||
         std::holds_alternative<core::cancel_workflow>(command))
     {
@@ -279,6 +284,35 @@
     return answer;
 }
 
+void workflow_service::log_accepted(
+    core::submit_workflow const& command) const
+{
+    std::string text = "job " + command.workflow.value() + " of queue " +
+                       command.queue.value() + " accepted:";
+    for (auto const& stage : command.description.stages)
+    {
+        text += ' ' + std::to_string(stage.tasks) + 'x' +
+                std::to_string(stage.need.cpu.value()) + "m/" +
+                std::to_string(stage.need.memory.value() >> 20U) + "MiB/" +
+                std::to_string(std::chrono::duration_cast<
+                                   std::chrono::milliseconds>(stage.estimate)
+                                   .count()) +
+                "ms" + (stage.behaviour.uses_spare_cpu ? "/spare" : "") +
+                (stage.behaviour.long_running ? "/long" : "") +
+                (stage.behaviour.target_latency > core::duration{}
+                     ? "/target" + std::to_string(
+                           stage.behaviour.target_latency.count() / 1000)
+                     : "") +
+                (stage.behaviour.max_unavailable > 0
+                     ? "/away" + std::to_string(stage.behaviour.max_unavailable)
+                     : "") +
+                (stage.constraints.max_per_worker > 0
+                     ? "/per" + std::to_string(stage.constraints.max_per_worker)
+                     : "") + "/" + stage.behaviour.image;
+    }
+    m_log(text);
+}
+
 void workflow_service::log_progress(
     core::workflow_progress const& command) const
 {
--- a/programs/control/leader/workflow_service.hpp
+++ b/programs/control/leader/workflow_service.hpp
@@ -73,6 +73,7 @@
     void confirm_reports();
     void confirm_queries();
     void deliver_orders();
+    void log_accepted(core::submit_workflow const& command) const;
     void log_progress(core::workflow_progress const& command) const;
     core::workflow_answer answer_to(core::workflow_query const& query) const;
 
