--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -18,6 +18,9 @@
 /// A start that arrives with less of its lease left may lapse on the way.
 constexpr core::duration least_lease_left = std::chrono::milliseconds(1500);
 
+/// Work that ends within this multiple of its objective still counts as late.
+constexpr int late_factor = 3;
+
 /// Checkpoints that a worker listed are committed at most this old.
 bool is_new_checkpoint(core::task_record const& task,
                        core::running_task const& seen)
@@ -78,6 +81,8 @@
 
 void dispatcher::update_pace(worker_view const& view)
 {
+    auto const& worker = view.profile.worker;
+    auto const pace = m_pace.share(worker);
     sharing_sample sample;
     for (auto const& [run, task] : view.running)
     {
@@ -86,17 +91,29 @@
         {
             continue;
         }
-        auto const target = std::chrono::duration_cast<std::chrono::milliseconds>(
-                                stage->behaviour.target_latency)
-                                .count();
+        auto const cpu = stage->need.cpu;
+        auto const target =
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                stage->behaviour.target_latency)
+                .count();
         if (target > 0)
         {
+            sample.serving += cpu;
             sample.worst_tail_percent =
                 std::max(sample.worst_tail_percent, task.load * 100 / target);
         }
-        sample.spare_tasks += stage->behaviour.uses_spare_cpu ? 1 : 0;
+        else if (!stage->behaviour.uses_spare_cpu)
+        {
+            sample.reserved += cpu;
+        }
+        else if (task.load > 0)
+        {
+            // A task that has just started reports no use yet.
+            sample.spare_asked += core::millicores(cpu.value() * pace / 100);
+            sample.spare_used += core::millicores(task.load);
+        }
     }
-    m_pace.update(view.profile.worker, sample);
+    m_pace.update(worker, sample);
 }
 
 bool dispatcher::has_uncommitted_ends(core::worker_id const& worker) const
@@ -255,6 +272,8 @@
         worker.capacity = view.profile.capacity;
         worker.free = worker.capacity;
         worker.spare = worker.capacity.cpu;
+        worker.serving_use_percent = m_pace.serving_use(id);
+        worker.worst_tail_percent = m_pace.worst_tail(id);
         for (auto const& [run, life] : m_table.held_on(id))
         {
             // Runs of an earlier life may still have their room.
@@ -268,11 +287,40 @@
     return all;
 }
 
-void dispatcher::add_pending(core::workflow_record const& workflow,
+job_urgency dispatcher::urgency_of(core::time_point now,
+                                   core::workflow_record const& workflow,
+                                   std::uint32_t occurrence) const
+{
+    auto const& stages = workflow.description.stages;
+    auto const chain = m_run_times.longest_chain(
+        workflow, [](std::uint32_t) { return true; });
+    auto const left = m_run_times.longest_chain(
+        workflow,
+        [&](std::uint32_t stage)
+        {
+            auto const* const record = workflow_table::find_stage_record(
+                workflow, occurrence, stage);
+            return record == nullptr ||
+                   !workflow_table::is_whole(*record, stages[stage].tasks);
+        });
+    auto const objective = chain * workflow.queue.stretch_permille / 1000 +
+                           workflow.queue.target_latency;
+    auto const age = now - workflow.submitted;
+    if (age + left <= objective)
+    {
+        return job_urgency::in_time;
+    }
+    return age + left <= objective * late_factor ? job_urgency::late
+                                                 : job_urgency::hopeless;
+}
+
+void dispatcher::add_pending(core::time_point now,
+                             core::workflow_record const& workflow,
                              std::uint32_t occurrence,
                              std::vector<pending_stage>& all) const
 {
     auto const& stages = workflow.description.stages;
+    auto const urgency = urgency_of(now, workflow, occurrence);
     for (std::uint32_t number = 0; number < stages.size(); ++number)
     {
         if (!workflow_table::is_ready(workflow, occurrence, number))
@@ -285,6 +333,7 @@
         waiting.service = workflow.queue.service;
         waiting.priority = workflow.queue.priority;
         waiting.submitted = workflow.submitted;
+        waiting.urgency = urgency;
         auto const* const record =
             workflow_table::find_stage_record(workflow, occurrence, number);
         std::uint32_t last_attempt = 0;
@@ -330,7 +379,8 @@
     }
 }
 
-std::vector<pending_stage> dispatcher::pending(core::wall_time wall) const
+std::vector<pending_stage> dispatcher::pending(core::time_point now,
+                                                core::wall_time wall) const
 {
     std::vector<pending_stage> all;
     for (auto const& id : m_table.active())
@@ -342,7 +392,7 @@
         {
             if (is_due(workflow, k, wall))
             {
-                add_pending(workflow, k, all);
+                add_pending(now, workflow, k, all);
             }
         }
     }
@@ -356,7 +406,7 @@
 {
     core::workflow_progress command;
     collect_ends(now, command);
-    auto waiting = pending(wall);
+    auto waiting = pending(now, wall);
     if (!waiting.empty())
     {
         auto workers = candidates(now, config);
@@ -377,7 +427,29 @@
     for (auto const& outcome : command.ends)
     {
         m_health.ended(now, outcome.worker, outcome.run, outcome.how);
+        note_run_time(now, outcome);
+    }
+    for (auto const& placement : command.placements)
+    {
+        m_placed.emplace(placement.run, now);
+    }
+}
+
+void dispatcher::note_run_time(core::time_point now,
+                               core::run_outcome const& outcome)
+{
+    auto const placed = m_placed.extract(outcome.run);
+    auto const* const workflow = m_table.find(outcome.run.task.workflow);
+    if (placed.empty() || workflow == nullptr ||
+        outcome.how != core::run_end::done)
+    {
+        return;
     }
+    // An ended workflow has dropped its stages; its queue is still known.
+    auto const* const stage = m_table.find_stage(outcome.run.task);
+    m_run_times.ended(workflow->queue.queue,
+                      stage == nullptr ? std::string() : stage->behaviour.image,
+                      now - placed.mapped());
 }
 
 core::runtime_orders dispatcher::take_orders(core::time_point now,
--- a/modules/workflow/dispatch/dispatcher.hpp
+++ b/modules/workflow/dispatch/dispatcher.hpp
@@ -5,6 +5,7 @@
 #include "core/messages/workflow.hpp"
 #include "workflow/dispatch/order_book.hpp"
 #include "workflow/dispatch/pace_controller.hpp"
+#include "workflow/dispatch/run_time_model.hpp"
 #include "workflow/dispatch/stage_planner.hpp"
 #include "workflow/dispatch/worker_fleet.hpp"
 #include "workflow/dispatch/worker_health.hpp"
@@ -81,11 +82,17 @@
     bool may_get_work(core::time_point now,
                       worker_view const& view,
                       core::configuration const& config) const;
-    std::vector<pending_stage> pending(core::wall_time wall) const;
-    void add_pending(core::workflow_record const& workflow,
+    std::vector<pending_stage> pending(core::time_point now,
+                                       core::wall_time wall) const;
+    job_urgency urgency_of(core::time_point now,
+                           core::workflow_record const& workflow,
+                           std::uint32_t occurrence) const;
+    void add_pending(core::time_point now,
+                     core::workflow_record const& workflow,
                      std::uint32_t occurrence,
                      std::vector<pending_stage>& all) const;
     void update_pace(worker_view const& view);
+    void note_run_time(core::time_point now, core::run_outcome const& outcome);
 
     workflow_table const& m_table;
     dispatch_options m_options;
@@ -93,6 +100,9 @@
     worker_fleet m_fleet;
     worker_health m_health;
     pace_controller m_pace;
+    run_time_model m_run_times;
+    /// When the runs that this leader placed were placed.
+    std::map<core::task_run, core::time_point> m_placed;
     order_book m_orders;
 };
 
--- /dev/null
+++ b/modules/workflow/dispatch/run_time_model.cpp
@@ -0,0 +1,82 @@
+#include "workflow/dispatch/run_time_model.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <vector>
+
+namespace turmericswitch::workflow
+{
+
+namespace
+{
+
+/// Runs that an average remembers: enough to level single runs, few enough to
+/// follow a change within seconds at tens of ends a second.
+constexpr double remembered_runs = 30;
+
+core::duration of_seconds(double seconds)
+{
+    return std::chrono::duration_cast<core::duration>(
+        std::chrono::duration<double>(seconds));
+}
+
+} // namespace
+
+void run_time_model::add(average& to, double seconds)
+{
+    to.weight = std::min(to.weight + 1, remembered_runs);
+    to.seconds += (seconds - to.seconds) / to.weight;
+}
+
+void run_time_model::ended(core::queue_id const& queue,
+                           std::string const& image,
+                           core::duration ran)
+{
+    auto const seconds = std::chrono::duration<double>(ran).count();
+    add(m_queues[queue], seconds);
+    if (!image.empty())
+    {
+        add(m_images[image], seconds);
+    }
+}
+
+core::duration
+run_time_model::expected(core::queue_id const& queue,
+                         core::stage_description const& stage) const
+{
+    auto const& image = stage.behaviour.image;
+    if (auto const known = m_images.find(image);
+        !image.empty() && known != m_images.end())
+    {
+        return of_seconds(known->second.seconds);
+    }
+    if (auto const known = m_queues.find(queue); known != m_queues.end())
+    {
+        return of_seconds(known->second.seconds);
+    }
+    return stage.estimate;
+}
+
+core::duration run_time_model::longest_chain(
+    core::workflow_record const& workflow,
+    std::function<bool(std::uint32_t stage)> const& is_left) const
+{
+    auto const& stages = workflow.description.stages;
+    std::vector<core::duration> finished(stages.size());
+    core::duration longest{};
+    for (std::uint32_t i = 0; i < stages.size(); ++i)
+    {
+        core::duration begun{};
+        for (auto const earlier : stages[i].after)
+        {
+            begun = std::max(begun, finished[earlier]);
+        }
+        finished[i] =
+            begun + (is_left(i) ? expected(workflow.queue.queue, stages[i])
+                                : core::duration{});
+        longest = std::max(longest, finished[i]);
+    }
+    return longest;
+}
+
+} // namespace turmericswitch::workflow
--- /dev/null
+++ b/modules/workflow/dispatch/run_time_model.hpp
@@ -0,0 +1,51 @@
+#ifndef TURMERICSWITCH_WORKFLOW_DISPATCH_RUN_TIME_MODEL_HPP
+#define TURMERICSWITCH_WORKFLOW_DISPATCH_RUN_TIME_MODEL_HPP
+
+#include "core/messages/workflow.hpp"
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace turmericswitch::workflow
+{
+
+/// Learns how long tasks run, because submitters' estimates are far off.
+///
+/// Tasks of one image behave alike; those without an image are learned by
+/// queue. Until something is known, the submitter's estimate counts.
+class run_time_model
+{
+public:
+    /// Notes a run that ended `done`.
+    void ended(core::queue_id const& queue,
+               std::string const& image,
+               core::duration ran);
+
+    /// @return Expected run time of one task of the stage.
+    core::duration expected(core::queue_id const& queue,
+                            core::stage_description const& stage) const;
+
+    /// @return Expected time of the workflow's longest chain of stages.
+    ///
+    /// @param is_left Stages that count; the others take no time.
+    core::duration
+    longest_chain(core::workflow_record const& workflow,
+                  std::function<bool(std::uint32_t stage)> const& is_left) const;
+
+private:
+    struct average
+    {
+        double seconds = 0;
+        double weight = 0;
+    };
+
+    static void add(average& to, double seconds);
+
+    std::map<std::string, average> m_images;
+    std::map<core::queue_id, average> m_queues;
+};
+
+} // namespace turmericswitch::workflow
+
+#endif
--- a/modules/workflow/dispatch/stage_planner.cpp
+++ b/modules/workflow/dispatch/stage_planner.cpp
@@ -57,9 +57,10 @@
     auto const capacity =
         static_cast<double>(std::max<std::int64_t>(
             worker.capacity.cpu.value(), 1));
+    bool const on_spare = stage.behaviour.uses_spare_cpu;
+    auto const room = on_spare ? worker.spare : worker.free.cpu;
     double value =
-        static_cast<double>(worker.spare.value() - stage.need.cpu.value()) /
-        capacity;
+        static_cast<double>(room.value() - stage.need.cpu.value()) / capacity;
     auto const& limits = stage.constraints;
     if (!limits.data_rack.value().empty() && limits.data_rack != worker.rack)
     {
@@ -74,9 +75,10 @@
     {
         value -= failed_before_weight;
     }
-    if (stage.behaviour.uses_spare_cpu && worker.serving > 0)
+    if (on_spare)
     {
-        value -= mixed_weight;
+        value -= mixed_weight *
+                 static_cast<double>(worker.worst_tail_percent) / 100.0;
     }
     if (stage.behaviour.target_latency > core::duration{})
     {
@@ -163,8 +165,11 @@
                            core::stage_description const& description)
 {
     free -= reserved_by(description);
-    spare -= description.need.cpu;
-    serving += description.behaviour.target_latency > core::duration{} ? 1 : 0;
+    bool const serves = description.behaviour.target_latency > core::duration{};
+    spare -= core::millicores(
+        serves ? description.need.cpu.value() * serving_use_percent / 100
+               : description.need.cpu.value());
+    serving += serves ? 1 : 0;
     on_spare += description.behaviour.uses_spare_cpu ? 1 : 0;
     ++per_stage[stage];
 }
@@ -178,8 +183,14 @@
                      pending.end(),
                      [](pending_stage const& a, pending_stage const& b)
                      {
-                         return std::tie(a.priority, a.submitted, a.stage) <
-                                std::tie(b.priority, b.submitted, b.stage);
+                         return std::tie(a.urgency,
+                                         a.priority,
+                                         a.submitted,
+                                         a.stage) <
+                                std::tie(b.urgency,
+                                         b.priority,
+                                         b.submitted,
+                                         b.stage);
                      });
     std::vector<core::run_placement> placements;
     for (auto& each : pending)
--- a/modules/workflow/dispatch/stage_planner.hpp
+++ b/modules/workflow/dispatch/stage_planner.hpp
@@ -23,6 +23,15 @@
 /// @return The stage that the task belongs to.
 stage_ref stage_of(core::task_ref const& task);
 
+/// How a workflow stands against its objective.
+enum class job_urgency : std::uint8_t
+{
+    in_time,
+    late,
+    /// Too late to be of use to its caller.
+    hopeless,
+};
+
 /// A worker that may get tasks, with what its runs leave.
 struct candidate_worker
 {
@@ -34,8 +43,12 @@
     core::resources capacity;
     /// Capacity less all that runs, starts or stops there.
     core::resources free;
-    /// Free processors less what tasks on spare time there ask for.
+    /// Processors that no task is expected to use. Tasks with a target count
+    /// with the part of their request that they use.
     core::millicores spare;
+    std::int64_t serving_use_percent = 100;
+    /// Worst tail latency there, in percent of its target.
+    std::int64_t worst_tail_percent = 0;
     /// Tasks with a latency target.
     std::uint32_t serving = 0;
     /// Tasks on spare processor time.
@@ -54,6 +67,7 @@
     core::stage_description const* description = nullptr;
     core::service_id service;
     std::uint32_t priority = 0;
+    job_urgency urgency = job_urgency::in_time;
     core::time_point submitted;
     /// Indices of the tasks, with the number of the next attempt of each.
     std::vector<core::task_run> runs;
--- a/modules/workflow/table/workflow_table.cpp
+++ b/modules/workflow/table/workflow_table.cpp
@@ -17,14 +17,6 @@
     return std::max(workflow.description.schedule.occurrences, 1U);
 }
 
-bool is_whole(core::stage_record const& stage, std::uint32_t tasks)
-{
-    return stage.tasks.size() == tasks &&
-           std::all_of(stage.tasks.begin(),
-                       stage.tasks.end(),
-                       [](core::task_record const& task) { return task.done; });
-}
-
 bool is_complete(core::workflow_record const& workflow)
 {
     auto const& stages = workflow.description.stages;
@@ -36,7 +28,7 @@
         workflow.stages.begin(),
         workflow.stages.end(),
         [&stages](core::stage_record const& record)
-        { return is_whole(record, stages[record.stage].tasks); });
+        { return workflow_table::is_whole(record, stages[record.stage].tasks); });
 }
 
 bool is_valid_task(core::workflow_record const& workflow,
@@ -432,6 +424,15 @@
     return nullptr;
 }
 
+bool workflow_table::is_whole(core::stage_record const& stage,
+                              std::uint32_t tasks)
+{
+    return stage.tasks.size() == tasks &&
+           std::all_of(stage.tasks.begin(),
+                       stage.tasks.end(),
+                       [](core::task_record const& task) { return task.done; });
+}
+
 bool workflow_table::is_ready(core::workflow_record const& workflow,
                               std::uint32_t occurrence,
                               std::uint32_t stage)
--- a/modules/workflow/table/workflow_table.hpp
+++ b/modules/workflow/table/workflow_table.hpp
@@ -89,6 +89,9 @@
                          std::uint32_t occurrence,
                          std::uint32_t stage);
 
+    /// @return True if all tasks of the stage are done.
+    static bool is_whole(core::stage_record const& stage, std::uint32_t tasks);
+
     /// @return The stage's record, or null while none of its tasks was placed.
     static core::stage_record const*
     find_stage_record(core::workflow_record const& workflow,
