--- a/modules/web/client/async_client.cpp
+++ b/modules/web/client/async_client.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include <chrono>
+#include <deque>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -117,6 +118,12 @@
 
     void begin(pointer const& one)
     {
+        if (m_open >= m_options.open_connections)
+        {
+            m_waiting.push_back(one);
+            return;
+        }
+        ++m_open;
         if (!m_idle.empty())
         {
             one->on = std::move(m_idle.back());
@@ -222,9 +229,21 @@
         result.outcome = http_outcome::answered;
         result.response = from_beast(one->parser->release());
         one->done(std::move(result));
+        begin_next();
+    }
+
+    void begin_next()
+    {
+        --m_open;
+        if (!m_waiting.empty())
+        {
+            auto const next = std::move(m_waiting.front());
+            m_waiting.pop_front();
+            begin(next);
+        }
     }
 
-    static void fail(pointer const& one, http_outcome outcome, std::string why)
+    void fail(pointer const& one, http_outcome outcome, std::string why)
     {
         one->on.reset();
         http_result result;
@@ -232,12 +251,15 @@
         result.code = core::result_code::peer_unreachable;
         result.text = std::move(why);
         one->done(std::move(result));
+        begin_next();
     }
 
     boost::asio::any_io_executor m_strand;
     core::endpoint m_peer;
     async_client_options m_options;
     std::vector<std::shared_ptr<connection>> m_idle;
+    std::deque<pointer> m_waiting;
+    std::size_t m_open = 0;
     bool m_closed = false;
 };
 
--- a/modules/web/client/async_client.hpp
+++ b/modules/web/client/async_client.hpp
@@ -18,7 +18,9 @@
     /// Largest body of an answer.
     std::size_t body_limit = std::size_t{4} << 20;
     /// Connections kept open for the next request.
-    std::size_t idle_connections = 4;
+    std::size_t idle_connections = 16;
+    /// Requests in progress at once; further ones wait for their turn.
+    std::size_t open_connections = 8;
 };
 
 /// HTTP/1.1 client of one peer that holds no thread while it waits.
