--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -69,21 +69,20 @@
     if (is_fresh_life)
     {
         m_health.forget(worker);
-        m_pace.forget(worker);
+        m_sharing.forget(worker);
     }
     if (is_fresh_life || is_fresh_sidecar)
     {
         m_orders.forget(worker);
     }
-    update_pace(*view);
+    update_sharing(now, *view);
     return true;
 }
 
-void dispatcher::update_pace(worker_view const& view)
+void dispatcher::update_sharing(core::time_point now, worker_view const& view)
 {
-    auto const& worker = view.profile.worker;
-    auto const pace = m_pace.share(worker);
     sharing_sample sample;
+    sample.capacity = view.profile.capacity.cpu;
     for (auto const& [run, task] : view.running)
     {
         auto const* const stage = m_table.find_stage(run.task);
@@ -91,29 +90,27 @@
         {
             continue;
         }
-        auto const cpu = stage->need.cpu;
+        auto const& behaviour = stage->behaviour;
         auto const target =
             std::chrono::duration_cast<std::chrono::milliseconds>(
-                stage->behaviour.target_latency)
+                behaviour.target_latency)
                 .count();
         if (target > 0)
         {
-            sample.serving += cpu;
-            sample.worst_tail_percent =
-                std::max(sample.worst_tail_percent, task.load * 100 / target);
+            sample.serving.push_back({run,
+                                      behaviour.image,
+                                      static_cast<double>(task.load) /
+                                          static_cast<double>(target)});
         }
-        else if (!stage->behaviour.uses_spare_cpu)
+        else if (behaviour.uses_spare_cpu)
         {
-            sample.reserved += cpu;
-        }
-        else if (task.load > 0)
-        {
-            // A task that has just started reports no use yet.
-            sample.spare_asked += core::millicores(cpu.value() * pace / 100);
-            sample.spare_used += core::millicores(task.load);
+            sample.spare.push_back({run,
+                                    behaviour.image,
+                                    stage->need.cpu,
+                                    core::millicores(task.load)});
         }
     }
-    m_pace.update(worker, sample);
+    m_sharing.update(now, view.profile.worker, sample);
 }
 
 bool dispatcher::has_uncommitted_ends(core::worker_id const& worker) const
@@ -272,8 +269,7 @@
         worker.capacity = view.profile.capacity;
         worker.free = worker.capacity;
         worker.spare = worker.capacity.cpu;
-        worker.serving_use_percent = m_pace.serving_use(id);
-        worker.worst_tail_percent = m_pace.worst_tail(id);
+        worker.serving_use_percent = m_sharing.serving_use(id);
         for (auto const& [run, life] : m_table.held_on(id))
         {
             // Runs of an earlier life may still have their room.
@@ -411,7 +407,13 @@
     {
         auto workers = candidates(now, config);
         command.placements =
-            plan_stages(std::move(waiting), workers, most_placements);
+            plan_stages(std::move(waiting),
+                        workers,
+                        most_placements,
+                        [this](core::worker_id const& worker,
+                               std::string const& image,
+                               core::millicores added)
+                        { return m_sharing.tail_with(worker, image, added); });
     }
     if (command.ends.empty() && command.checkpoints.empty() &&
         command.placements.empty())
@@ -460,7 +462,10 @@
     core::runtime_orders orders;
     if (view != nullptr && view->profile.life == life)
     {
-        orders = m_orders.take(now, *view, m_pace.share(worker));
+        orders = m_orders.take(now,
+                               *view,
+                               [this, &worker](core::task_run const& run)
+                               { return m_sharing.pace(worker, run); });
     }
     orders.fencing_token = m_fencing_token;
     return orders;
--- a/modules/workflow/dispatch/dispatcher.hpp
+++ b/modules/workflow/dispatch/dispatcher.hpp
@@ -4,8 +4,8 @@
 #include "core/config/configuration.hpp"
 #include "core/messages/workflow.hpp"
 #include "workflow/dispatch/order_book.hpp"
-#include "workflow/dispatch/pace_controller.hpp"
 #include "workflow/dispatch/run_time_model.hpp"
+#include "workflow/dispatch/sharing_control.hpp"
 #include "workflow/dispatch/stage_planner.hpp"
 #include "workflow/dispatch/worker_fleet.hpp"
 #include "workflow/dispatch/worker_health.hpp"
@@ -91,7 +91,7 @@
                      core::workflow_record const& workflow,
                      std::uint32_t occurrence,
                      std::vector<pending_stage>& all) const;
-    void update_pace(worker_view const& view);
+    void update_sharing(core::time_point now, worker_view const& view);
     void note_run_time(core::time_point now, core::run_outcome const& outcome);
 
     workflow_table const& m_table;
@@ -99,7 +99,7 @@
     std::uint64_t m_fencing_token;
     worker_fleet m_fleet;
     worker_health m_health;
-    pace_controller m_pace;
+    sharing_control m_sharing;
     run_time_model m_run_times;
     /// When the runs that this leader placed were placed.
     std::map<core::task_run, core::time_point> m_placed;
--- /dev/null
+++ b/modules/workflow/dispatch/interference_model.cpp
@@ -0,0 +1,126 @@
+#include "workflow/dispatch/interference_model.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace turmericswitch::workflow
+{
+
+namespace
+{
+
+/// Weight of a sample after the next one: about 200 samples count, which is
+/// ten seconds of a service with a few tasks.
+constexpr double forgetting = 0.995;
+
+/// Variance of a sample around the model: load swings move tails too.
+constexpr double sample_variance = 0.2;
+
+/// What is believed before the first sample: tails at a third of the target,
+/// and small effects of a tenth of a worker's processors.
+constexpr double first_base = -1.2;
+constexpr double base_variance = 1.0;
+constexpr double factor_variance = 0.3;
+
+/// Bounds the covariance of pairs that are not seen together any more.
+constexpr double largest_variance = 2.0;
+
+/// Unit of a neighbour's use: a tenth of the worker's processors.
+constexpr double use_unit = 0.1;
+
+} // namespace
+
+void interference_model::add_dimension(estimate& known, double variance)
+{
+    for (auto& row : known.covariance)
+    {
+        row.push_back(0);
+    }
+    known.factors.push_back(0);
+    known.covariance.emplace_back(known.factors.size(), 0.0);
+    known.covariance.back().back() = variance;
+}
+
+std::size_t interference_model::position_of(estimate& known,
+                                            std::string const& image)
+{
+    auto const [found, is_new] =
+        known.positions.try_emplace(image, known.factors.size());
+    if (is_new)
+    {
+        add_dimension(known, factor_variance);
+    }
+    return found->second;
+}
+
+void interference_model::learn(std::string const& serving,
+                               double tail,
+                               std::vector<neighbour_use> const& neighbours)
+{
+    auto& known = m_estimates[serving];
+    if (known.factors.empty())
+    {
+        add_dimension(known, base_variance);
+        known.factors.front() = first_base;
+    }
+    for (auto const& each : neighbours)
+    {
+        position_of(known, each.image);
+    }
+    std::vector<double> input(known.factors.size(), 0.0);
+    input.front() = 1;
+    for (auto const& each : neighbours)
+    {
+        input[known.positions.at(each.image)] += each.share / use_unit;
+    }
+
+    auto const size = input.size();
+    std::vector<double> direction(size, 0.0);
+    double predicted = 0;
+    double spread = sample_variance;
+    for (std::size_t i = 0; i < size; ++i)
+    {
+        for (std::size_t j = 0; j < size; ++j)
+        {
+            direction[i] += known.covariance[i][j] * input[j];
+        }
+        predicted += known.factors[i] * input[i];
+    }
+    for (std::size_t i = 0; i < size; ++i)
+    {
+        spread += direction[i] * input[i];
+    }
+    double const error = std::log(tail) - predicted;
+    for (std::size_t i = 0; i < size; ++i)
+    {
+        known.factors[i] += direction[i] / spread * error;
+        for (std::size_t j = 0; j < size; ++j)
+        {
+            known.covariance[i][j] -= direction[i] * direction[j] / spread;
+            if (known.covariance[i][i] < largest_variance &&
+                known.covariance[j][j] < largest_variance)
+            {
+                known.covariance[i][j] /= forgetting;
+            }
+        }
+    }
+}
+
+double interference_model::effect(std::string const& serving,
+                                  neighbour_use const& neighbour) const
+{
+    auto const known = m_estimates.find(serving);
+    if (known == m_estimates.end())
+    {
+        return 0;
+    }
+    auto const position = known->second.positions.find(neighbour.image);
+    if (position == known->second.positions.end())
+    {
+        return 0;
+    }
+    return std::max(known->second.factors[position->second], 0.0) *
+           neighbour.share / use_unit;
+}
+
+} // namespace turmericswitch::workflow
--- a/modules/workflow/dispatch/order_book.cpp
+++ b/modules/workflow/dispatch/order_book.cpp
@@ -48,7 +48,7 @@
 
 core::runtime_orders order_book::take(core::time_point now,
                                       worker_view const& worker,
-                                      std::uint32_t pace)
+                                      pace_hook const& pace)
 {
     core::runtime_orders orders;
     if (!worker.has_runs || worker.left)
@@ -132,7 +132,7 @@
 }
 
 void order_book::add_paces(worker_view const& worker,
-                           std::uint32_t pace,
+                           pace_hook const& pace,
                            sent_orders& sent,
                            core::runtime_orders& orders) const
 {
@@ -148,10 +148,10 @@
             continue;
         }
         auto const [known, is_new] = sent.paces.try_emplace(run, 100U);
-        if (known->second != pace)
+        if (auto const wanted = pace(run); known->second != wanted)
         {
-            known->second = pace;
-            orders.paces.push_back({run, pace});
+            known->second = wanted;
+            orders.paces.push_back({run, wanted});
         }
     }
 }
--- a/modules/workflow/dispatch/order_book.hpp
+++ b/modules/workflow/dispatch/order_book.hpp
@@ -5,6 +5,7 @@
 #include "workflow/dispatch/worker_fleet.hpp"
 #include "workflow/table/workflow_table.hpp"
 
+#include <functional>
 #include <map>
 #include <optional>
 
@@ -18,13 +19,15 @@
 class order_book
 {
 public:
+    using pace_hook = std::function<std::uint32_t(core::task_run const&)>;
+
     explicit order_book(workflow_table const& table);
 
-    /// @param pace Share for tasks on spare processor time, in percent.
+    /// @param pace Share for a task on spare processor time, in percent.
     /// @return The orders that are due now; they count as sent.
     core::runtime_orders take(core::time_point now,
                               worker_view const& worker,
-                              std::uint32_t pace);
+                              pace_hook const& pace);
 
     /// Forgets what was sent, because the sidecar has restarted or the worker
     /// has begun a new life.
@@ -50,7 +53,7 @@
                    sent_orders& sent,
                    core::runtime_orders& orders);
     void add_paces(worker_view const& worker,
-                   std::uint32_t pace,
+                   pace_hook const& pace,
                    sent_orders& sent,
                    core::runtime_orders& orders) const;
     bool should_run(core::task_run const& run, worker_view const& worker) const;
--- a/modules/workflow/dispatch/stage_planner.cpp
+++ b/modules/workflow/dispatch/stage_planner.cpp
@@ -20,6 +20,10 @@
 /// Serving tasks disturb each other too.
 constexpr double serving_weight = 0.15;
 
+/// A task on spare time does not start where it is expected to bring a serving
+/// task's tail above this multiple of its target.
+constexpr double highest_tail = 0.85;
+
 /// Tasks on spare time start where at least this part of their request is
 /// spare; with less they make no progress worth their memory.
 constexpr std::int64_t least_spare_percent = 50;
@@ -51,7 +55,22 @@
     return most == 0 || count == worker.per_stage.end() || count->second < most;
 }
 
-double score(candidate_worker const& worker, pending_stage const& pending)
+/// Worst tail on the worker with one more task of the stage.
+double tail_after(candidate_worker const& worker,
+                  core::stage_description const& stage,
+                  tail_hook const& tail)
+{
+    auto const planned = worker.planned.find(stage.behaviour.image);
+    auto const earlier = planned == worker.planned.end()
+                             ? core::millicores()
+                             : planned->second;
+    return tail(
+        worker.worker, stage.behaviour.image, earlier + stage.need.cpu);
+}
+
+double score(candidate_worker const& worker,
+             pending_stage const& pending,
+             tail_hook const& tail)
 {
     auto const& stage = *pending.description;
     auto const capacity =
@@ -77,8 +96,7 @@
     }
     if (on_spare)
     {
-        value -= mixed_weight *
-                 static_cast<double>(worker.worst_tail_percent) / 100.0;
+        value -= mixed_weight * tail_after(worker, stage, tail);
     }
     if (stage.behaviour.target_latency > core::duration{})
     {
@@ -89,7 +107,8 @@
 }
 
 candidate_worker* best(std::vector<candidate_worker>& candidates,
-                       pending_stage const& pending)
+                       pending_stage const& pending,
+                       tail_hook const& tail)
 {
     candidate_worker* found = nullptr;
     double highest = 0;
@@ -99,7 +118,13 @@
         {
             continue;
         }
-        double const value = score(worker, pending);
+        if (pending.description->behaviour.uses_spare_cpu &&
+            worker.serving > 0 &&
+            tail_after(worker, *pending.description, tail) > highest_tail)
+        {
+            continue;
+        }
+        double const value = score(worker, pending, tail);
         if (found == nullptr || value > highest)
         {
             found = &worker;
@@ -112,18 +137,19 @@
 std::vector<core::run_placement>
 place_some(pending_stage& pending,
            std::vector<candidate_worker>& candidates,
-           std::size_t most)
+           std::size_t most,
+           tail_hook const& tail)
 {
     std::vector<core::run_placement> placed;
     for (auto const& run : pending.runs)
     {
         auto* const worker =
-            placed.size() < most ? best(candidates, pending) : nullptr;
+            placed.size() < most ? best(candidates, pending, tail) : nullptr;
         if (worker == nullptr)
         {
             break;
         }
-        worker->add(pending.stage, *pending.description);
+        worker->plan(pending.stage, *pending.description);
         pending.racks.insert(worker->rack);
         placed.push_back({run, worker->worker, worker->life});
     }
@@ -133,10 +159,11 @@
 void place_gang(pending_stage& pending,
                 std::vector<candidate_worker>& candidates,
                 std::size_t most,
+                tail_hook const& tail,
                 std::vector<core::run_placement>& placements)
 {
     auto trial = candidates;
-    auto const placed = place_some(pending, trial, most);
+    auto const placed = place_some(pending, trial, most, tail);
     if (placed.size() == pending.runs.size())
     {
         candidates = std::move(trial);
@@ -174,10 +201,21 @@
     ++per_stage[stage];
 }
 
+void candidate_worker::plan(stage_ref const& stage,
+                            core::stage_description const& description)
+{
+    add(stage, description);
+    if (description.behaviour.uses_spare_cpu)
+    {
+        planned[description.behaviour.image] += description.need.cpu;
+    }
+}
+
 std::vector<core::run_placement>
 plan_stages(std::vector<pending_stage> pending,
             std::vector<candidate_worker>& candidates,
-            std::size_t most)
+            std::size_t most,
+            tail_hook const& tail)
 {
     std::stable_sort(pending.begin(),
                      pending.end(),
@@ -198,10 +236,10 @@
         auto const left = most - placements.size();
         if (each.description->behaviour.gang)
         {
-            place_gang(each, candidates, left, placements);
+            place_gang(each, candidates, left, tail, placements);
             continue;
         }
-        auto const placed = place_some(each, candidates, left);
+        auto const placed = place_some(each, candidates, left, tail);
         placements.insert(placements.end(), placed.begin(), placed.end());
     }
     return placements;
--- a/modules/workflow/dispatch/stage_planner.hpp
+++ b/modules/workflow/dispatch/stage_planner.hpp
@@ -3,6 +3,7 @@
 
 #include "core/messages/workflow.hpp"
 
+#include <functional>
 #include <map>
 #include <set>
 #include <vector>
@@ -47,8 +48,8 @@
     /// with the part of their request that they use.
     core::millicores spare;
     std::int64_t serving_use_percent = 100;
-    /// Worst tail latency there, in percent of its target.
-    std::int64_t worst_tail_percent = 0;
+    /// Processors that this plan has given to tasks of each image.
+    std::map<std::string, core::millicores> planned;
     /// Tasks with a latency target.
     std::uint32_t serving = 0;
     /// Tasks on spare processor time.
@@ -58,6 +59,10 @@
 
     /// Counts a run of the stage on the worker.
     void add(stage_ref const& stage, core::stage_description const& description);
+
+    /// Counts a run that this plan puts there.
+    void plan(stage_ref const& stage,
+              core::stage_description const& description);
 };
 
 /// Tasks of one stage that wait for a worker.
@@ -77,6 +82,10 @@
     std::set<core::rack_id> racks;
 };
 
+using tail_hook = std::function<double(core::worker_id const& worker,
+                                       std::string const& image,
+                                       core::millicores added)>;
+
 /// Capacity that one task of the stage holds.
 core::resources reserved_by(core::stage_description const& stage);
 
@@ -90,10 +99,13 @@
 ///
 /// @param candidates Reduced by what is placed.
 /// @param most Largest number of tasks to place.
+/// @param tail Tells the worst tail latency on a worker, as a multiple of its
+///        target, if tasks of an image took this many more processors there.
 std::vector<core::run_placement>
 plan_stages(std::vector<pending_stage> pending,
             std::vector<candidate_worker>& candidates,
-            std::size_t most);
+            std::size_t most,
+            tail_hook const& tail);
 
 } // namespace turmericswitch::workflow
 
