--- a/modules/workflow/dispatch/stage_planner.cpp
+++ b/modules/workflow/dispatch/stage_planner.cpp
@@ -24,6 +24,9 @@
 /// task's tail above this multiple of its target.
 constexpr double highest_tail = 0.85;
 
+/// Smaller rises are within the error of the model.
+constexpr double least_rise = 1.1;
+
 /// Tasks on spare time start where at least this part of their request is
 /// spare; with less they make no progress worth their memory.
 constexpr std::int64_t least_spare_percent = 50;
@@ -68,6 +71,23 @@
         worker.worker, stage.behaviour.image, earlier + stage.need.cpu);
 }
 
+/// @return True if one more task of the stage is expected to bring a serving
+///         task there near its target. A tail that is high without it is no
+///         reason.
+bool disturbs(candidate_worker const& worker,
+              core::stage_description const& stage,
+              tail_hook const& tail)
+{
+    if (!stage.behaviour.uses_spare_cpu || worker.serving == 0)
+    {
+        return false;
+    }
+    auto const before =
+        tail(worker.worker, stage.behaviour.image, core::millicores());
+    auto const after = tail_after(worker, stage, tail);
+    return after > highest_tail && after > before * least_rise;
+}
+
 double score(candidate_worker const& worker,
              pending_stage const& pending,
              tail_hook const& tail)
@@ -118,9 +138,7 @@
         {
             continue;
         }
-        if (pending.description->behaviour.uses_spare_cpu &&
-            worker.serving > 0 &&
-            tail_after(worker, *pending.description, tail) > highest_tail)
+        if (disturbs(worker, *pending.description, tail))
         {
             continue;
         }
