Log recovery and role changes of control

A control instance whose disk is lost draws a new id and waits; nobody adds it to the group, so a second lost disk leaves one member of three.

--- a/programs/control/node/recovery.cpp
+++ b/programs/control/node/recovery.cpp
@@ -1,6 +1,7 @@
 #include "node/recovery.hpp"
 
 #include "core/results/last_reason.hpp"
+#include "telemetry/telemetry.hpp"
 
 #include <utility>
 
@@ -192,6 +193,17 @@
         return std::nullopt;
     }
     recovered.hard = *hard;
+    telemetry::logger("control").info(
+        "member " + std::to_string(settings.member.value()) +
+        " recovered term " + std::to_string(hard->current_term.value()) +
+        ", snapshot up to " + std::to_string(metadata.last_index.value()) +
+        " with " + std::to_string(metadata.membership.members.size()) +
+        " members, " + std::to_string(recovered.entries.size()) +
+        " log entries" +
+        (recovered.entries.empty()
+             ? std::string()
+             : " up to " + std::to_string(
+                   recovered.entries.back().index.value())));
     cluster_state::state_machine state;
     if (metadata.last_index.value() > 0 && !state.restore(snapshot->data))
     {
--- a/programs/control/node/replica.cpp
+++ b/programs/control/node/replica.cpp
@@ -23,6 +23,22 @@
 }
 
 /// Unlike a clock on the wall it is not lengthened by other processes.
+char const* name_of(consensus::member_role role)
+{
+    switch (role)
+    {
+    case consensus::member_role::follower:
+        return "follower";
+    case consensus::member_role::pre_candidate:
+        return "pre-candidate";
+    case consensus::member_role::candidate:
+        return "candidate";
+    case consensus::member_role::leader:
+        return "leader";
+    }
+    return "unknown";
+}
+
 core::duration thread_time()
 {
     timespec time{};
@@ -249,6 +265,11 @@
 void replica::on_role(consensus::role_changed const& change)
 {
     m_is_raft_leader = change.role == consensus::member_role::leader;
+    m_hooks.log(std::string(name_of(change.role)) + " in term " +
+                std::to_string(change.current_term.value()) + ", leader " +
+                (change.leader ? std::to_string(change.leader->value())
+                               : std::string("unknown")) +
+                ", applied " + std::to_string(m_applied.value()));
     if (m_is_leading && !m_is_raft_leader)
     {
         m_is_leading = false;
