--- a/modules/cluster_state/machine/state_machine.cpp
+++ b/modules/cluster_state/machine/state_machine.cpp
@@ -49,48 +49,47 @@
         return reply;
     };
     return std::visit(
-        core::overloaded{[&](core::apply_rules const& each)
-                         { return m_config.apply(each, wall); },
-                         [&](core::set_zone const& each)
-                         { return m_config.apply(each, wall); },
-                         [&](core::set_drain const& each)
-                         { return m_config.apply(each, wall); },
-                         [&](core::submit_jobs const& each)
-                         { return m_board.submit(each, m_now); },
-                         [&](core::cancel_jobs const& each)
-                         { return m_board.cancel(each, m_now); },
-                         [&](core::register_worker const& each)
-                         { return m_board.register_worker(each.worker); },
-                         [&](core::worker_reports const& each)
-                         { return m_board.report(each, m_now); },
-                         [&](core::expire_leases const& each)
-                         { return m_board.expire(each, m_now); },
-                         [&](core::retire_worker const& each)
-                         { return m_board.retire(each.worker); },
-                         [&](core::placement_batch const& each)
-                         { return m_board.place(each, m_config, m_now); },
-                         [&](core::claim_key const& each)
-                         { return coded(m_claims.claim(each, m_now)); },
-                         [&](core::finish_claim const& each)
-                         {
-                             m_claims.finish(each);
-                             return coded(core::result_code::ok);
-                         },
-                         [&](core::expire_records const&)
-                         { return expire_all(); },
-                         [&](core::apply_document const& each)
-                         { return m_config.apply(each, wall); },
-                         [&](core::evacuate_zone const& each)
-                         { return m_config.apply(each, wall); },
-                         [&](core::submit_workflow const& each)
-                         { return submit(each); },
-                         [&](core::cancel_workflow const& each)
-                         { return m_workflows.cancel(each, m_now); },
-                         [&](core::workflow_progress const& each)
-                         {
-                             m_workflows.progress(each, m_now);
-                             return coded(core::result_code::ok);
-                         }},
+        core::overloaded{
+            [&](core::apply_rules const& each)
+            { return m_config.apply(each, wall); },
+            [&](core::set_zone const& each)
+            { return m_config.apply(each, wall); },
+            [&](core::set_drain const& each)
+            { return m_config.apply(each, wall); },
+            [&](core::submit_jobs const& each)
+            { return m_board.submit(each, m_now); },
+            [&](core::cancel_jobs const& each)
+            { return m_board.cancel(each, m_now); },
+            [&](core::register_worker const& each)
+            { return m_board.register_worker(each.worker); },
+            [&](core::worker_reports const& each)
+            { return m_board.report(each, m_now); },
+            [&](core::expire_leases const& each)
+            { return m_board.expire(each, m_now); },
+            [&](core::retire_worker const& each)
+            { return m_board.retire(each.worker); },
+            [&](core::placement_batch const& each)
+            { return m_board.place(each, m_config, m_now); },
+            [&](core::claim_key const& each)
+            { return coded(m_claims.claim(each, m_now)); },
+            [&](core::finish_claim const& each)
+            {
+                m_claims.finish(each);
+                return coded(core::result_code::ok);
+            },
+            [&](core::expire_records const&) { return expire_all(); },
+            [&](core::apply_document const& each)
+            { return m_config.apply(each, wall); },
+            [&](core::evacuate_zone const& each)
+            { return m_config.apply(each, wall); },
+            [&](core::submit_workflow const& each) { return submit(each); },
+            [&](core::cancel_workflow const& each)
+            { return m_workflows.cancel(each, m_now); },
+            [&](core::workflow_progress const& each)
+            {
+                m_workflows.progress(each, m_now);
+                return coded(core::result_code::ok);
+            }},
         envelope.body);
 }
 
--- /dev/null
+++ b/modules/consensus/membership/membership_planner.cpp
@@ -0,0 +1,111 @@
+#include "consensus/membership/membership_planner.hpp"
+
+#include <algorithm>
+
+namespace turmericswitch::consensus
+{
+
+namespace
+{
+
+using core::group_member;
+
+bool answers(membership_view const& view,
+             group_member const& member,
+             core::duration silent_after,
+             core::time_point now)
+{
+    if (member.id == view.self)
+    {
+        return true;
+    }
+    auto const known = view.answered.find(member.id);
+    return known != view.answered.end() && now - known->second < silent_after;
+}
+
+/// The voter whose instance has come back with an empty disk, if any: another
+/// voter has its address and a larger id, as later joiners do.
+std::optional<membership_step> replaced_voter(membership_view const& view)
+{
+    for (auto const& old : view.members.members)
+    {
+        for (auto const& other : view.members.members)
+        {
+            bool const is_successor =
+                other.rpc == old.rpc && other.id > old.id && !other.learner;
+            if (is_successor && old.id != view.self)
+            {
+                return membership_step{membership_change_kind::remove, old};
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<membership_step> silent_voter(membership_view const& view,
+                                            membership_limits const& limits,
+                                            core::time_point now)
+{
+    std::size_t answering = 0;
+    std::optional<group_member> silent;
+    for (auto const& member : view.members.members)
+    {
+        if (member.learner)
+        {
+            continue;
+        }
+        if (answers(view, member, limits.silent_after, now))
+        {
+            ++answering;
+        }
+        else
+        {
+            silent = member;
+        }
+    }
+    if (!silent || answering < limits.least_voters)
+    {
+        return std::nullopt;
+    }
+    return membership_step{membership_change_kind::remove, *silent};
+}
+
+} // namespace
+
+std::optional<membership_step> next_step(membership_view const& view,
+                                         membership_limits const& limits,
+                                         core::time_point now)
+{
+    if (auto const step = replaced_voter(view))
+    {
+        return step;
+    }
+    if (auto const step = silent_voter(view, limits, now))
+    {
+        return step;
+    }
+    auto const& members = view.members.members;
+    auto const voters = static_cast<std::size_t>(
+        std::count_if(members.begin(),
+                      members.end(),
+                      [](group_member const& each) { return !each.learner; }));
+    for (auto const& member : members)
+    {
+        if (!member.learner)
+        {
+            continue;
+        }
+        if (!answers(view, member, limits.learner_silent_after, now))
+        {
+            return membership_step{membership_change_kind::remove, member};
+        }
+        if (voters < limits.most_voters &&
+            answers(view, member, limits.silent_after, now))
+        {
+            return membership_step{membership_change_kind::promote, member};
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace turmericswitch::consensus
--- a/modules/consensus/node/raft_node.hpp
+++ b/modules/consensus/node/raft_node.hpp
@@ -42,6 +42,10 @@
     std::optional<core::member_id> leader() const;
     core::group_membership const& membership() const;
 
+    /// @return When a member last answered this leader; nothing if this node
+    ///         does not lead or the member is unknown.
+    std::optional<core::time_point> last_answer(core::member_id id) const;
+
     /// Describes a snapshot of the state after `index`, which must be applied
     /// and not older than the newest snapshot.
     core::snapshot_metadata snapshot_metadata_at(core::log_index index) const;
--- a/modules/consensus/node/raft_node_membership.cpp
+++ b/modules/consensus/node/raft_node_membership.cpp
@@ -163,6 +163,14 @@
     return result;
 }
 
+std::optional<core::time_point> raft_node::last_answer(core::member_id id) const
+{
+    auto const known = m_progress.find(id);
+    return known == m_progress.end()
+               ? std::nullopt
+               : std::optional(known->second.last_answer());
+}
+
 void raft_node::leave_if_removed()
 {
     if (m_role != member_role::leader || is_voter(m_options.self) ||
--- a/modules/core/config/configuration.hpp
+++ b/modules/core/config/configuration.hpp
@@ -185,7 +185,6 @@
     bool operator==(configuration_document const&) const = default;
 };
 
-
 /// The compiled rules file. Every process acts on one whole configuration;
 /// its revision only ever rises.
 struct configuration
--- a/modules/core/messages/commands.hpp
+++ b/modules/core/messages/commands.hpp
@@ -187,7 +187,6 @@
     bool operator==(evacuate_zone const&) const = default;
 };
 
-
 using command_body = std::variant<apply_rules,
                                   set_zone,
                                   set_drain,
--- a/modules/core/messages/consensus.hpp
+++ b/modules/core/messages/consensus.hpp
@@ -1,9 +1,11 @@
 #ifndef TURMERICSWITCH_CORE_MESSAGES_CONSENSUS_HPP
 #define TURMERICSWITCH_CORE_MESSAGES_CONSENSUS_HPP
 
+#include "core/results/result_code.hpp"
 #include "core/types/ids.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -160,6 +162,24 @@
     bool operator==(consensus_message const&) const = default;
 };
 
+/// Asks the leader to take an instance into its group.
+struct join_request
+{
+    group_member member;
+
+    bool operator==(join_request const&) const = default;
+};
+
+struct join_answer
+{
+    result_code code = result_code::ok;
+    /// RPC endpoint of the leader, if known.
+    std::optional<endpoint> leader;
+    group_membership members;
+
+    bool operator==(join_answer const&) const = default;
+};
+
 } // namespace turmericswitch::core
 
 #endif
--- a/modules/core/messages/registry.hpp
+++ b/modules/core/messages/registry.hpp
@@ -92,6 +92,8 @@
     std::vector<backend_entry> changed;
     std::vector<backend_id> removed;
     std::optional<endpoint> leader;
+    /// RPC endpoints of the control group's members.
+    std::vector<endpoint> control;
 
     bool operator==(watch_answer const&) const = default;
 };
--- a/modules/core/messages/workflow.hpp
+++ b/modules/core/messages/workflow.hpp
@@ -330,6 +330,8 @@
     std::uint64_t acknowledged_ends = 0;
     /// Refusals that are committed.
     std::vector<task_run> acknowledged_refusals;
+    /// RPC endpoints of the control group's members.
+    std::vector<endpoint> control;
 
     bool operator==(runtime_grant const&) const = default;
 };
--- a/modules/process/signals/shutdown_signal.cpp
+++ b/modules/process/signals/shutdown_signal.cpp
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <poll.h>
 #include <sys/signalfd.h>
+#include <sys/stat.h>
 #include <system_error>
 #include <unistd.h>
 
@@ -20,9 +21,25 @@
     sigemptyset(&set);
     sigaddset(&set, SIGTERM);
     sigaddset(&set, SIGINT);
+    sigaddset(&set, SIGHUP);
     return set;
 }
 
+/// Time between two looks at the settings file, which may change without a
+/// signal.
+constexpr int settings_check_ms = 2000;
+
+std::int64_t modification_time(std::string const& file)
+{
+    constexpr std::int64_t nanoseconds = 1'000'000'000;
+    struct stat status
+    {
+    };
+    return ::stat(file.c_str(), &status) == 0
+               ? status.st_mtim.tv_sec * nanoseconds + status.st_mtim.tv_nsec
+               : 0;
+}
+
 [[noreturn]] void fail(char const* what)
 {
     throw std::system_error(errno, std::generic_category(), what);
@@ -51,20 +68,44 @@
 
 int shutdown_signal::wait()
 {
-    constexpr int without_limit = -1;
     while (true)
     {
-        if (auto const signal = wait_milliseconds(without_limit))
+        auto const signal = wait_milliseconds(settings_check_ms);
+        if (signal && *signal != SIGHUP)
         {
             return *signal;
         }
+        check_settings(signal.has_value());
+    }
+}
+
+void shutdown_signal::on_settings_changed(std::string file,
+                                          std::function<void()> hook)
+{
+    m_settings_file = std::move(file);
+    m_changed = modification_time(m_settings_file);
+    m_on_settings_changed = std::move(hook);
+}
+
+void shutdown_signal::check_settings(bool is_told)
+{
+    if (!m_on_settings_changed)
+    {
+        return;
+    }
+    auto const changed = modification_time(m_settings_file);
+    if (is_told || changed != m_changed)
+    {
+        m_changed = changed;
+        m_on_settings_changed();
     }
 }
 
 std::optional<int> shutdown_signal::wait_for(core::duration limit)
 {
-    return wait_milliseconds(static_cast<int>(
+    auto const signal = wait_milliseconds(static_cast<int>(
         std::chrono::ceil<std::chrono::milliseconds>(limit).count()));
+    return signal && *signal == SIGHUP ? std::nullopt : signal;
 }
 
 std::optional<int> shutdown_signal::wait_milliseconds(int limit)
--- a/modules/process/signals/shutdown_signal.hpp
+++ b/modules/process/signals/shutdown_signal.hpp
@@ -3,7 +3,10 @@
 
 #include "core/types/units.hpp"
 
+#include <cstdint>
+#include <functional>
 #include <optional>
+#include <string>
 
 namespace turmericswitch::process
 {
@@ -31,10 +34,19 @@
     /// @return The number of the signal, or nothing after `limit`.
     std::optional<int> wait_for(core::duration limit);
 
+    /// Calls a hook, on the thread in `wait`, when the settings file has
+    /// changed: after SIGHUP, and when its time stamp differs.
+    void on_settings_changed(std::string file, std::function<void()> hook);
+
 private:
     std::optional<int> wait_milliseconds(int limit);
+    void check_settings(bool is_told);
 
     int m_descriptor = -1;
+    std::string m_settings_file;
+    std::function<void()> m_on_settings_changed;
+    /// Of the settings file, in nanoseconds; 0 if unknown.
+    std::int64_t m_changed = 0;
 };
 
 } // namespace turmericswitch::process
--- a/modules/settings/reader/settings_reader.cpp
+++ b/modules/settings/reader/settings_reader.cpp
@@ -58,6 +58,11 @@
 {
 }
 
+std::string const& settings_reader::name() const noexcept
+{
+    return m_name;
+}
+
 bool settings_reader::has(setting_name const& name)
 {
     m_known.insert(name);
--- a/modules/settings/reader/settings_reader.hpp
+++ b/modules/settings/reader/settings_reader.hpp
@@ -50,6 +50,9 @@
     /// @param file Name shown in errors.
     settings_reader(std::string file, std::string const& text);
 
+    /// @return The file's name as given.
+    std::string const& name() const noexcept;
+
     /// @return True if the file has the setting; it counts as known then.
     bool has(setting_name const& name);
 
--- a/modules/web/client/async_client.cpp
+++ b/modules/web/client/async_client.cpp
@@ -71,8 +71,8 @@
     converted.status = static_cast<std::uint16_t>(response.result_int());
     for (auto const& field : response)
     {
-        converted.fields.push_back({std::string(field.name_string()),
-                                    std::string(field.value())});
+        converted.fields.push_back(
+            {std::string(field.name_string()), std::string(field.value())});
     }
     converted.body = std::move(response.body());
     return converted;
@@ -98,9 +98,8 @@
         one->request = to_beast(content, m_peer);
         one->deadline = std::chrono::steady_clock::now() + timeout;
         one->done = std::move(done);
-        boost::asio::post(m_strand,
-                          [self = shared_from_this(), one]
-                          { self->begin(one); });
+        boost::asio::post(
+            m_strand, [self = shared_from_this(), one] { self->begin(one); });
     }
 
     void close()
@@ -153,8 +152,7 @@
             {
                 if (failure)
                 {
-                    self->fail(
-                        one, http_outcome::not_sent, failure.message());
+                    self->fail(one, http_outcome::not_sent, failure.message());
                     return;
                 }
                 boost::system::error_code ignored;
@@ -167,19 +165,18 @@
     void send(pointer const& one)
     {
         one->on->stream.expires_at(one->deadline);
-        http::async_write(
-            one->on->stream,
-            one->request,
-            [self = shared_from_this(),
-             one](boost::system::error_code failure, std::size_t)
-            {
-                if (failure)
-                {
-                    self->broken(one, failure);
-                    return;
-                }
-                self->receive(one);
-            });
+        http::async_write(one->on->stream,
+                          one->request,
+                          [self = shared_from_this(),
+                           one](boost::system::error_code failure, std::size_t)
+                          {
+                              if (failure)
+                              {
+                                  self->broken(one, failure);
+                                  return;
+                              }
+                              self->receive(one);
+                          });
     }
 
     void receive(pointer const& one)
@@ -189,8 +186,8 @@
         http::async_read(one->on->stream,
                          one->on->buffer,
                          *one->parser,
-                         [self = shared_from_this(), one](
-                             boost::system::error_code failure, std::size_t)
+                         [self = shared_from_this(),
+                          one](boost::system::error_code failure, std::size_t)
                          {
                              if (failure)
                              {
--- a/modules/workflow/agent/worker_agent.cpp
+++ b/modules/workflow/agent/worker_agent.cpp
@@ -186,7 +186,8 @@
     {
         return std::any_of(list.begin(),
                            list.end(),
-                           [&run](auto const& each) { return each.run == run; });
+                           [&run](auto const& each)
+                           { return each.run == run; });
     };
     std::vector<core::task_run> gone;
     std::erase_if(m_stopped_runs,
@@ -443,44 +444,42 @@
 {
     ++m_stops.at(run);
     ++m_open_calls;
-    m_hooks.runtime.stop(
-        {m_profile->worker, run, m_fencing_token},
-        [this, run, epoch = m_epoch](bool is_done)
-        {
-            --m_open_calls;
-            auto const open = m_stops.find(run);
-            if (!is_current(epoch) || open == m_stops.end())
-            {
-                return;
-            }
-            if (!is_done && open->second < most_tries)
-            {
-                call_stop(run);
-                return;
-            }
-            m_stops.erase(open);
-            if (is_done)
-            {
-                m_stopped_runs[run] = m_looks + 1;
-            }
-        });
+    m_hooks.runtime.stop({m_profile->worker, run, m_fencing_token},
+                         [this, run, epoch = m_epoch](bool is_done)
+                         {
+                             --m_open_calls;
+                             auto const open = m_stops.find(run);
+                             if (!is_current(epoch) || open == m_stops.end())
+                             {
+                                 return;
+                             }
+                             if (!is_done && open->second < most_tries)
+                             {
+                                 call_stop(run);
+                                 return;
+                             }
+                             m_stops.erase(open);
+                             if (is_done)
+                             {
+                                 m_stopped_runs[run] = m_looks + 1;
+                             }
+                         });
 }
 
 void worker_agent::call_pace(core::run_pace const& pace)
 {
     ++m_open_calls;
-    m_hooks.runtime.pace(
-        {m_profile->worker, pace, m_fencing_token},
-        [this, pace](bool is_done)
-        {
-            --m_open_calls;
-            if (!is_done)
-            {
-                log(pace.run,
-                    "pace " + std::to_string(pace.percent) +
-                        "% not acknowledged");
-            }
-        });
+    m_hooks.runtime.pace({m_profile->worker, pace, m_fencing_token},
+                         [this, pace](bool is_done)
+                         {
+                             --m_open_calls;
+                             if (!is_done)
+                             {
+                                 log(pace.run,
+                                     "pace " + std::to_string(pace.percent) +
+                                         "% not acknowledged");
+                             }
+                         });
 }
 
 void worker_agent::refuse(core::task_run const& run, char const* why)
--- a/modules/workflow/agent/worker_agent.hpp
+++ b/modules/workflow/agent/worker_agent.hpp
@@ -20,8 +20,9 @@
     std::function<void(core::runtime_report,
                        std::function<void(std::optional<core::runtime_grant>)>)>
         report;
-    std::function<void(core::orders_request,
-                       std::function<void(std::optional<core::runtime_orders>)>)>
+    std::function<void(
+        core::orders_request,
+        std::function<void(std::optional<core::runtime_orders>)>)>
         poll_orders;
 };
 
--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -97,10 +97,10 @@
                 .count();
         if (target > 0)
         {
-            sample.serving.push_back({run,
-                                      behaviour.image,
-                                      static_cast<double>(task.load) /
-                                          static_cast<double>(target)});
+            sample.serving.push_back(
+                {run,
+                 behaviour.image,
+                 static_cast<double>(task.load) / static_cast<double>(target)});
         }
         else if (behaviour.uses_spare_cpu)
         {
@@ -288,14 +288,14 @@
                                    std::uint32_t occurrence) const
 {
     auto const& stages = workflow.description.stages;
-    auto const chain = m_run_times.longest_chain(
-        workflow, [](std::uint32_t) { return true; });
+    auto const chain =
+        m_run_times.longest_chain(workflow, [](std::uint32_t) { return true; });
     auto const left = m_run_times.longest_chain(
         workflow,
         [&](std::uint32_t stage)
         {
-            auto const* const record = workflow_table::find_stage_record(
-                workflow, occurrence, stage);
+            auto const* const record =
+                workflow_table::find_stage_record(workflow, occurrence, stage);
             return record == nullptr ||
                    !workflow_table::is_whole(*record, stages[stage].tasks);
         });
@@ -376,7 +376,7 @@
 }
 
 std::vector<pending_stage> dispatcher::pending(core::time_point now,
-                                                core::wall_time wall) const
+                                               core::wall_time wall) const
 {
     std::vector<pending_stage> all;
     for (auto const& id : m_table.active())
--- a/modules/workflow/dispatch/order_book.cpp
+++ b/modules/workflow/dispatch/order_book.cpp
@@ -69,8 +69,9 @@
 {
     auto const& held = m_table.held_on(worker.profile.worker);
     std::erase_if(sent.starts,
-                  [&](auto const& item)
-                  { return !held.contains({item.first, worker.profile.life}); });
+                  [&](auto const& item) {
+                      return !held.contains({item.first, worker.profile.life});
+                  });
     for (auto const& [run, life] : held)
     {
         if (life == worker.profile.life && should_run(run, worker) &&
@@ -93,7 +94,8 @@
                               { return each.workflow == id; });
     if (group == orders.starts.end())
     {
-        orders.starts.push_back({id, m_table.find(id)->description.payload, {}});
+        orders.starts.push_back(
+            {id, m_table.find(id)->description.payload, {}});
         group = std::prev(orders.starts.end());
     }
     group->starts.push_back(
--- a/modules/workflow/dispatch/run_time_model.hpp
+++ b/modules/workflow/dispatch/run_time_model.hpp
@@ -29,9 +29,9 @@
     /// @return Expected time of the workflow's longest chain of stages.
     ///
     /// @param is_left Stages that count; the others take no time.
-    core::duration
-    longest_chain(core::workflow_record const& workflow,
-                  std::function<bool(std::uint32_t stage)> const& is_left) const;
+    core::duration longest_chain(
+        core::workflow_record const& workflow,
+        std::function<bool(std::uint32_t stage)> const& is_left) const;
 
 private:
     struct average
--- a/modules/workflow/dispatch/sharing_control.cpp
+++ b/modules/workflow/dispatch/sharing_control.cpp
@@ -99,8 +99,8 @@
 void sharing_control::learn(sharing_sample const& sample)
 {
     std::vector<neighbour_use> neighbours;
-    auto const capacity = static_cast<double>(
-        std::max<std::int64_t>(sample.capacity.value(), 1));
+    auto const capacity =
+        static_cast<double>(std::max<std::int64_t>(sample.capacity.value(), 1));
     for (auto const& task : sample.spare)
     {
         neighbours.push_back(
@@ -121,16 +121,16 @@
     double explained = 0;
     for (auto const& neighbour : state.last.spare)
     {
-        explained += effect(
-            task, neighbour.image, neighbour.used, state.last.capacity);
+        explained +=
+            effect(task, neighbour.image, neighbour.used, state.last.capacity);
     }
     double const excess = std::log(task.tail / slow_to);
     for (auto const& neighbour : state.last.spare)
     {
-        auto const caused = effect(
-            task, neighbour.image, neighbour.used, state.last.capacity);
-        auto& pace = state.paces.try_emplace(neighbour.run, full_pace)
-                         .first->second;
+        auto const caused =
+            effect(task, neighbour.image, neighbour.used, state.last.capacity);
+        auto& pace =
+            state.paces.try_emplace(neighbour.run, full_pace).first->second;
         if (explained < least_effect)
         {
             pace = pace * unexplained_cut_percent / full_pace;
@@ -154,12 +154,11 @@
     double worst = 0;
     for (auto const& serving : state.last.serving)
     {
-        worst = std::max(
-            worst,
-            serving.tail * std::exp(effect(serving,
-                                           task.image,
-                                           added,
-                                           state.last.capacity)));
+        worst =
+            std::max(worst,
+                     serving.tail *
+                         std::exp(effect(
+                             serving, task.image, added, state.last.capacity)));
     }
     return worst;
 }
@@ -182,14 +181,13 @@
         // Steps of several tasks add up.
         for (auto& serving : state.last.serving)
         {
-            serving.tail *= std::exp(
-                effect(serving,
-                       task.image,
-                       core::millicores(std::max<std::int64_t>(
-                           task.need.value() * next / full_pace -
-                               task.used.value(),
-                           0)),
-                       state.last.capacity));
+            serving.tail *= std::exp(effect(
+                serving,
+                task.image,
+                core::millicores(std::max<std::int64_t>(
+                    task.need.value() * next / full_pace - task.used.value(),
+                    0)),
+                state.last.capacity));
         }
     }
 }
--- a/modules/workflow/dispatch/stage_planner.cpp
+++ b/modules/workflow/dispatch/stage_planner.cpp
@@ -64,11 +64,9 @@
                   tail_hook const& tail)
 {
     auto const planned = worker.planned.find(stage.behaviour.image);
-    auto const earlier = planned == worker.planned.end()
-                             ? core::millicores()
-                             : planned->second;
-    return tail(
-        worker.worker, stage.behaviour.image, earlier + stage.need.cpu);
+    auto const earlier =
+        planned == worker.planned.end() ? core::millicores() : planned->second;
+    return tail(worker.worker, stage.behaviour.image, earlier + stage.need.cpu);
 }
 
 /// @return True if one more task of the stage is expected to bring a serving
@@ -93,9 +91,8 @@
              tail_hook const& tail)
 {
     auto const& stage = *pending.description;
-    auto const capacity =
-        static_cast<double>(std::max<std::int64_t>(
-            worker.capacity.cpu.value(), 1));
+    auto const capacity = static_cast<double>(
+        std::max<std::int64_t>(worker.capacity.cpu.value(), 1));
     bool const on_spare = stage.behaviour.uses_spare_cpu;
     auto const room = on_spare ? worker.spare : worker.free.cpu;
     double value =
@@ -211,9 +208,9 @@
 {
     free -= reserved_by(description);
     bool const serves = description.behaviour.target_latency > core::duration{};
-    spare -= core::millicores(
-        serves ? description.need.cpu.value() * serving_use_percent / 100
-               : description.need.cpu.value());
+    spare -= core::millicores(serves ? description.need.cpu.value() *
+                                           serving_use_percent / 100
+                                     : description.need.cpu.value());
     serving += serves ? 1 : 0;
     on_spare += description.behaviour.uses_spare_cpu ? 1 : 0;
     ++per_stage[stage];
@@ -235,19 +232,14 @@
             std::size_t most,
             tail_hook const& tail)
 {
-    std::stable_sort(pending.begin(),
-                     pending.end(),
-                     [](pending_stage const& a, pending_stage const& b)
-                     {
-                         return std::tie(a.urgency,
-                                         a.priority,
-                                         a.submitted,
-                                         a.stage) <
-                                std::tie(b.urgency,
-                                         b.priority,
-                                         b.submitted,
-                                         b.stage);
-                     });
+    std::stable_sort(
+        pending.begin(),
+        pending.end(),
+        [](pending_stage const& a, pending_stage const& b)
+        {
+            return std::tie(a.urgency, a.priority, a.submitted, a.stage) <
+                   std::tie(b.urgency, b.priority, b.submitted, b.stage);
+        });
     std::vector<core::run_placement> placements;
     for (auto& each : pending)
     {
--- a/modules/workflow/dispatch/stage_planner.hpp
+++ b/modules/workflow/dispatch/stage_planner.hpp
@@ -58,7 +58,8 @@
     std::map<stage_ref, std::uint32_t> per_stage;
 
     /// Counts a run of the stage on the worker.
-    void add(stage_ref const& stage, core::stage_description const& description);
+    void add(stage_ref const& stage,
+             core::stage_description const& description);
 
     /// Counts a run that this plan puts there.
     void plan(stage_ref const& stage,
--- a/modules/workflow/dispatch/worker_fleet.cpp
+++ b/modules/workflow/dispatch/worker_fleet.cpp
@@ -81,7 +81,8 @@
 void worker_fleet::extend_lease(worker_view& worker) const
 {
     auto const length = std::min(m_policy.length, m_policy.longest);
-    worker.granted_until = std::max(worker.granted_until, worker.clock + length);
+    worker.granted_until =
+        std::max(worker.granted_until, worker.clock + length);
     worker.lease_over =
         std::max(worker.lease_over, worker.heard + real_length(length));
 }
--- a/modules/workflow/table/workflow_table.cpp
+++ b/modules/workflow/table/workflow_table.cpp
@@ -24,11 +24,12 @@
     {
         return false;
     }
-    return std::all_of(
-        workflow.stages.begin(),
-        workflow.stages.end(),
-        [&stages](core::stage_record const& record)
-        { return workflow_table::is_whole(record, stages[record.stage].tasks); });
+    return std::all_of(workflow.stages.begin(),
+                       workflow.stages.end(),
+                       [&stages](core::stage_record const& record) {
+                           return workflow_table::is_whole(
+                               record, stages[record.stage].tasks);
+                       });
 }
 
 bool is_valid_task(core::workflow_record const& workflow,
@@ -36,8 +37,7 @@
 {
     auto const& stages = workflow.description.stages;
     return task.occurrence < occurrences_of(workflow) &&
-           task.stage < stages.size() &&
-           task.index < stages[task.stage].tasks;
+           task.stage < stages.size() && task.index < stages[task.stage].tasks;
 }
 
 core::task_record* known_task(core::workflow_record& workflow,
@@ -137,8 +137,7 @@
         return;
     }
     auto& stage = stage_record(workflow, where);
-    auto const& behaviour =
-        workflow.description.stages[where.stage].behaviour;
+    auto const& behaviour = workflow.description.stages[where.stage].behaviour;
     if (!outcome.checkpoint.value().empty())
     {
         apply(core::run_checkpoint{outcome.run, outcome.checkpoint});
@@ -291,8 +290,9 @@
     }
 }
 
-core::stage_record& workflow_table::stage_record(core::workflow_record& workflow,
-                                                 core::task_ref const& task)
+core::stage_record&
+workflow_table::stage_record(core::workflow_record& workflow,
+                             core::task_ref const& task)
 {
     for (auto& stage : workflow.stages)
     {
@@ -439,15 +439,15 @@
 {
     auto const& stages = workflow.description.stages;
     auto const& after = stages[stage].after;
-    return std::all_of(
-        after.begin(),
-        after.end(),
-        [&](std::uint32_t earlier)
-        {
-            auto const* const record =
-                find_stage_record(workflow, occurrence, earlier);
-            return record != nullptr && is_whole(*record, stages[earlier].tasks);
-        });
+    return std::all_of(after.begin(),
+                       after.end(),
+                       [&](std::uint32_t earlier)
+                       {
+                           auto const* const record =
+                               find_stage_record(workflow, occurrence, earlier);
+                           return record != nullptr &&
+                                  is_whole(*record, stages[earlier].tasks);
+                       });
 }
 
 std::uint64_t workflow_table::ignored_parts() const noexcept
@@ -483,9 +483,9 @@
                 auto const& task = stage.tasks[i];
                 if (task.placed)
                 {
-                    add_hold({{id, stage.occurrence, stage.stage, i},
-                              task.attempt},
-                             task);
+                    add_hold(
+                        {{id, stage.occurrence, stage.stage, i}, task.attempt},
+                        task);
                 }
             }
         }
--- a/programs/control/api/process_api.cpp
+++ b/programs/control/api/process_api.cpp
@@ -57,6 +57,10 @@
     {
         worker_orders(request.body, std::move(answer));
     }
+    else if (request.path == "/join")
+    {
+        join(request.body, std::move(answer));
+    }
     else if (request.path == "/workflow-query")
     {
         workflow_query(request.body, std::move(answer));
@@ -96,8 +100,11 @@
             {
                 duties->watch(process::event_loop::now(),
                               request,
-                              [answer](core::watch_answer const& news)
-                              { answer.answer(wire::encode(news)); });
+                              [this, answer](core::watch_answer news)
+                              {
+                                  news.control = m_node.control_endpoints();
+                                  answer.answer(wire::encode(news));
+                              });
                 return;
             }
             core::watch_answer refusal;
@@ -195,8 +202,12 @@
             if (auto const& workflows = m_node.workflows())
             {
                 workflows->report(std::move(report),
-                                  [answer](core::runtime_grant const& grant)
-                                  { answer.answer(wire::encode(grant)); });
+                                  [this, answer](core::runtime_grant grant)
+                                  {
+                                      grant.control =
+                                          m_node.control_endpoints();
+                                      answer.answer(wire::encode(grant));
+                                  });
                 return;
             }
             answer.answer(
@@ -229,6 +240,29 @@
         });
 }
 
+void process_api::join(std::string const& body, transport::responder answer)
+{
+    auto request = wire::decode<core::join_request>(body);
+    if (!request)
+    {
+        refuse_malformed(answer);
+        return;
+    }
+    m_node.run(
+        [this, request = std::move(*request), answer = std::move(answer)]
+        {
+            if (auto const& members = m_node.members())
+            {
+                members->join(request.member,
+                              [answer](core::join_answer const& reply)
+                              { answer.answer(wire::encode(reply)); });
+                return;
+            }
+            answer.refuse(core::result_code::unknown_path,
+                          "operators change this group by hand");
+        });
+}
+
 void process_api::workflow_query(std::string const& body,
                                  transport::responder answer)
 {
--- a/programs/control/api/process_api.hpp
+++ b/programs/control/api/process_api.hpp
@@ -24,6 +24,7 @@
     void command(std::string const& body, transport::responder answer);
     void worker_report(std::string const& body, transport::responder answer);
     void worker_orders(std::string const& body, transport::responder answer);
+    void join(std::string const& body, transport::responder answer);
     void workflow_query(std::string const& body, transport::responder answer);
     template <typename Answer>
     Answer not_leader_answer();
--- a/programs/control/leader/workflow_service.cpp
+++ b/programs/control/leader/workflow_service.cpp
@@ -141,8 +141,7 @@
                        core::command_reply const& reply)
                    {
                        self->m_is_planning = false;
-                       if (self->m_ended ||
-                           reply.code != core::result_code::ok)
+                       if (self->m_ended || reply.code != core::result_code::ok)
                        {
                            for (auto const& each : confirmed)
                            {
@@ -204,8 +203,7 @@
                                    orders_hook done)
 {
     auto const now = process::event_loop::now();
-    auto orders =
-        m_dispatcher.take_orders(now, request.worker, request.life);
+    auto orders = m_dispatcher.take_orders(now, request.worker, request.life);
     if (!is_empty(orders))
     {
         done(std::move(orders));
@@ -284,8 +282,7 @@
     return answer;
 }
 
-void workflow_service::log_accepted(
-    core::submit_workflow const& command) const
+void workflow_service::log_accepted(core::submit_workflow const& command) const
 {
     std::string text = "job " + command.workflow.value() + " of queue " +
                        command.queue.value() + " accepted:";
@@ -294,21 +291,24 @@
         text += ' ' + std::to_string(stage.tasks) + 'x' +
                 std::to_string(stage.need.cpu.value()) + "m/" +
                 std::to_string(stage.need.memory.value() >> 20U) + "MiB/" +
-                std::to_string(std::chrono::duration_cast<
-                                   std::chrono::milliseconds>(stage.estimate)
-                                   .count()) +
+                std::to_string(
+                    std::chrono::duration_cast<std::chrono::milliseconds>(
+                        stage.estimate)
+                        .count()) +
                 "ms" + (stage.behaviour.uses_spare_cpu ? "/spare" : "") +
                 (stage.behaviour.long_running ? "/long" : "") +
                 (stage.behaviour.target_latency > core::duration{}
-                     ? "/target" + std::to_string(
-                           stage.behaviour.target_latency.count() / 1000)
+                     ? "/target" +
+                           std::to_string(
+                               stage.behaviour.target_latency.count() / 1000)
                      : "") +
                 (stage.behaviour.max_unavailable > 0
                      ? "/away" + std::to_string(stage.behaviour.max_unavailable)
                      : "") +
                 (stage.constraints.max_per_worker > 0
                      ? "/per" + std::to_string(stage.constraints.max_per_worker)
-                     : "") + "/" + stage.behaviour.image;
+                     : "") +
+                "/" + stage.behaviour.image;
     }
     m_log(text);
 }
@@ -318,8 +318,8 @@
 {
     for (auto const& end : command.ends)
     {
-        m_log(text_of(end.run) + " on " + end.worker.value() + " ended: " +
-              std::string(core::to_string(end.how)));
+        m_log(text_of(end.run) + " on " + end.worker.value() +
+              " ended: " + std::string(core::to_string(end.how)));
     }
     for (auto const& placement : command.placements)
     {
--- a/programs/control/main.cpp
+++ b/programs/control/main.cpp
@@ -9,6 +9,7 @@
 #include "settings/control_settings.hpp"
 #include "shared/daemon/daemon_main.hpp"
 #include "shared/daemon/status_handler.hpp"
+#include "shared/peers/control_endpoints.hpp"
 #include "store/files/folder_lock.hpp"
 #include "store/files/real_file_system.hpp"
 #include "wire/codec/protocol_version.hpp"
@@ -41,10 +42,9 @@
 }
 
 /// Runs an operator's call on the event loop and waits for its result.
-platform::operator_outcome
-run_operator_call(control_node& node,
-                  std::function<void(
-                      std::function<void(platform::operator_outcome)>)> start)
+platform::operator_outcome run_operator_call(
+    control_node& node,
+    std::function<void(std::function<void(platform::operator_outcome)>)> start)
 {
     auto outcome =
         call_on_loop<platform::operator_outcome>(node, std::move(start));
@@ -147,6 +147,12 @@
     transport::io_pool io(io_threads);
     control_node node(
         io, std::move(*parts), settings.duties, settings.dispatch);
+    if (!settings.seeds.empty())
+    {
+        node.manage_membership(
+            {node.group().self(), settings.rpc, settings.http, false},
+            shared::control_endpoints(settings.seeds, settings.rpc.port));
+    }
     process_api processes(node);
     operator_api operators(node);
     worker_api workers(node);
@@ -184,9 +190,24 @@
     {
         return false;
     }
-    log.info("member " + std::to_string(settings.member.value()) +
+    log.info("member " + std::to_string(node.group().self().value()) +
              " listens on " + to_string(rpc->bound()) + " and " +
              to_string(http->bound()));
+    signal.on_settings_changed(
+        settings.process.settings_file,
+        [&]
+        {
+            auto reader =
+                shared::reload_settings(settings.process.settings_file);
+            if (!reader || settings.seeds.empty())
+            {
+                return;
+            }
+            auto contacts = shared::control_endpoints(
+                parse_control_settings(*reader).seeds, settings.rpc.port);
+            node.run([&node, contacts = std::move(contacts)]
+                     { node.members()->set_contacts(contacts); });
+        });
     signal.wait();
 
     node.hand_over();
@@ -233,5 +254,8 @@
         { settings = control::parse_control_settings(reader); },
         [&settings](process::arguments const& given,
                     process::shutdown_signal& signal)
-        { return control::serve(settings, control::mode_of(given, settings), signal); });
+        {
+            return control::serve(
+                settings, control::mode_of(given, settings), signal);
+        });
 }
--- a/programs/control/node/control_node.cpp
+++ b/programs/control/node/control_node.cpp
@@ -28,6 +28,8 @@
                                     "Leaderships begun by this instance.")),
       m_duty_settings(duties),
       m_dispatch(dispatch),
+      m_io(io),
+      m_seed(parts.random_seed),
       m_contacts(parts.contacts),
       m_links(io, parts.random_seed),
       m_loop(tick_interval),
@@ -142,6 +144,43 @@
         });
 }
 
+void control_node::manage_membership(core::group_member self,
+                                     std::vector<core::endpoint> contacts)
+{
+    m_members = std::make_shared<membership_manager>(
+        m_loop,
+        m_replica,
+        std::make_unique<shared::control_link>(
+            m_io, std::move(contacts), m_seed),
+        std::move(self),
+        [this](core::group_membership const& members) { on_members(members); },
+        [this](std::string const& text) { m_log.info(text); });
+}
+
+void control_node::on_members(core::group_membership const& members)
+{
+    if (m_replica.membership().members.empty())
+    {
+        m_contacts = members;
+        on_group_changed();
+    }
+}
+
+std::shared_ptr<membership_manager> const& control_node::members() const
+{
+    return m_members;
+}
+
+std::vector<core::endpoint> control_node::control_endpoints() const
+{
+    std::vector<core::endpoint> endpoints;
+    for (auto const& member : m_replica.membership().members)
+    {
+        endpoints.push_back(member.rpc);
+    }
+    return endpoints;
+}
+
 void control_node::start()
 {
     m_loop.start([this] { on_tick(); });
@@ -201,6 +240,10 @@
                      std::chrono::time_point_cast<std::chrono::microseconds>(
                          std::chrono::system_clock::now()));
     }
+    if (m_members)
+    {
+        m_members->tick(process::event_loop::now());
+    }
     if (auto const workflows = m_workflows)
     {
         workflows->tick(process::event_loop::now());
--- a/programs/control/node/control_node.hpp
+++ b/programs/control/node/control_node.hpp
@@ -3,6 +3,7 @@
 
 #include "leader/leader_duties.hpp"
 #include "leader/workflow_service.hpp"
+#include "node/membership_manager.hpp"
 #include "node/peer_links.hpp"
 #include "node/replica.hpp"
 #include "process/loop/event_loop.hpp"
@@ -27,6 +28,12 @@
                  replica_parts parts,
                  duty_settings duties,
                  workflow::dispatch_options dispatch = {});
+
+    /// Lets the instance join its group by itself and, as the leader, take in
+    /// others. Call it before `start`.
+    void manage_membership(core::group_member self,
+                           std::vector<core::endpoint> contacts);
+
     ~control_node();
 
     control_node(control_node const&) = delete;
@@ -54,6 +61,10 @@
     replica& group();
     /// @return Null while another instance leads.
     std::shared_ptr<leader_duties> const& duties() const;
+    /// @return Null where operators change the group by hand.
+    std::shared_ptr<membership_manager> const& members() const;
+    /// @return RPC endpoints of the group's members.
+    std::vector<core::endpoint> control_endpoints() const;
     /// @return Null while this instance does not lead.
     std::shared_ptr<workflow_service> const& workflows() const;
     /// @return The name by which the zone is known in the configuration in
@@ -72,6 +83,7 @@
     replica_hooks make_hooks();
     void on_tick();
     void on_group_changed();
+    void on_members(core::group_membership const& members);
     void end_workflows();
     void add_metrics();
 
@@ -89,11 +101,14 @@
     std::atomic<bool> m_leads = false;
     std::atomic<std::uint64_t> m_peer_bytes = 0;
     std::atomic<std::int64_t> m_snapshot_hold_us = 0;
+    transport::io_pool& m_io;
+    std::uint64_t m_seed;
     core::group_membership m_contacts;
     peer_links m_links;
     process::event_loop m_loop;
     std::shared_ptr<leader_duties> m_duties;
     std::shared_ptr<workflow_service> m_workflows;
+    std::shared_ptr<membership_manager> m_members;
     replica m_replica;
 };
 
--- /dev/null
+++ b/programs/control/node/membership_manager.cpp
@@ -0,0 +1,186 @@
+#include "node/membership_manager.hpp"
+
+#include "wire/codec/message_codec.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace turmericswitch::control
+{
+
+namespace
+{
+
+constexpr core::duration ask_interval = std::chrono::milliseconds(300);
+constexpr core::duration ask_timeout = std::chrono::milliseconds(1500);
+constexpr core::duration repair_interval = std::chrono::milliseconds(100);
+
+/// A member without a leader for this long may have been removed while it was
+/// cut off; elections take less.
+constexpr core::duration lonely_after = std::chrono::seconds(4);
+
+} // namespace
+
+membership_manager::membership_manager(
+    process::event_loop& loop,
+    replica& node,
+    std::unique_ptr<shared::control_link> contacts,
+    core::group_member self,
+    members_hook on_members,
+    std::function<void(std::string const&)> log)
+    : m_loop(loop),
+      m_node(node),
+      m_contacts(std::move(contacts)),
+      m_self(std::move(self)),
+      m_on_members(std::move(on_members)),
+      m_log(std::move(log)),
+      m_leader_known(process::event_loop::now())
+{
+}
+
+void membership_manager::tick(core::time_point now)
+{
+    if (m_node.leader())
+    {
+        m_leader_known = now;
+    }
+    bool const is_lonely = now - m_leader_known > lonely_after;
+    if ((!is_member() || is_lonely) && !m_is_asking && now >= m_next_ask)
+    {
+        ask_to_join(now);
+    }
+    if (m_node.is_leading() && !m_is_changing && now >= m_next_repair)
+    {
+        m_next_repair = now + repair_interval;
+        repair(now);
+    }
+}
+
+bool membership_manager::is_member() const
+{
+    auto const& members = m_node.membership().members;
+    return std::any_of(members.begin(),
+                       members.end(),
+                       [this](core::group_member const& each)
+                       { return each.id == m_self.id; });
+}
+
+void membership_manager::ask_to_join(core::time_point now)
+{
+    m_is_asking = true;
+    m_next_ask = now + ask_interval;
+    m_contacts->call(
+        "/join",
+        wire::encode(core::join_request{m_self}),
+        ask_timeout,
+        [weak = weak_from_this(),
+         &loop = m_loop](transport::call_result const& result)
+        {
+            auto const answer =
+                result.outcome == transport::call_outcome::answered
+                    ? wire::decode<core::join_answer>(result.body)
+                    : std::nullopt;
+            loop.post(
+                [weak, answer]
+                {
+                    auto const self = weak.lock();
+                    if (!self)
+                    {
+                        return;
+                    }
+                    self->m_is_asking = false;
+                    if (answer && answer->code == core::result_code::ok)
+                    {
+                        self->m_on_members(answer->members);
+                    }
+                    else if (answer)
+                    {
+                        self->m_contacts->not_leader(answer->leader);
+                    }
+                });
+        });
+}
+
+core::join_answer membership_manager::answer_with(core::result_code code) const
+{
+    core::join_answer answer;
+    answer.code = code;
+    if (auto const leader = m_node.leader())
+    {
+        answer.leader = leader->rpc;
+    }
+    answer.members = m_node.membership();
+    return answer;
+}
+
+void membership_manager::join(core::group_member const& joiner,
+                              answer_hook const& done)
+{
+    if (!m_node.is_leading())
+    {
+        done(answer_with(core::result_code::not_leader));
+        return;
+    }
+    auto const& members = m_node.membership().members;
+    bool const is_known = std::any_of(members.begin(),
+                                      members.end(),
+                                      [&joiner](core::group_member const& each)
+                                      { return each.id == joiner.id; });
+    if (is_known)
+    {
+        done(answer_with(core::result_code::ok));
+        return;
+    }
+    auto learner = joiner;
+    learner.learner = true;
+    m_log("member " + std::to_string(joiner.id.value()) + " at " +
+          core::to_string(joiner.rpc) + " asks to join");
+    m_node.change_membership(
+        consensus::membership_change_kind::add_learner,
+        learner,
+        [self = shared_from_this(), done](core::command_reply const& reply)
+        { done(self->answer_with(reply.code)); });
+}
+
+void membership_manager::repair(core::time_point now)
+{
+    consensus::membership_view view;
+    view.self = m_node.self();
+    view.members = m_node.membership();
+    for (auto const& member : view.members.members)
+    {
+        if (auto const heard = m_node.last_answer(member.id))
+        {
+            view.answered[member.id] = *heard;
+        }
+    }
+    auto const step = consensus::next_step(view, {}, now);
+    if (!step)
+    {
+        return;
+    }
+    m_is_changing = true;
+    m_node.change_membership(
+        step->kind,
+        step->member,
+        [self = shared_from_this(),
+         step = *step](core::command_reply const& reply)
+        {
+            self->m_is_changing = false;
+            if (reply.code == core::result_code::ok)
+            {
+                bool const is_removal =
+                    step.kind == consensus::membership_change_kind::remove;
+                self->m_log("member " + std::to_string(step.member.id.value()) +
+                            " at " + core::to_string(step.member.rpc) +
+                            (is_removal ? " removed" : " promoted to voter"));
+            }
+        });
+}
+
+void membership_manager::set_contacts(std::vector<core::endpoint> contacts)
+{
+    m_contacts->set_instances(std::move(contacts));
+}
+
+} // namespace turmericswitch::control
--- /dev/null
+++ b/programs/control/node/membership_manager.hpp
@@ -0,0 +1,64 @@
+#ifndef TURMERICSWITCH_CONTROL_NODE_MEMBERSHIP_MANAGER_HPP
+#define TURMERICSWITCH_CONTROL_NODE_MEMBERSHIP_MANAGER_HPP
+
+#include "consensus/membership/membership_planner.hpp"
+#include "node/replica.hpp"
+#include "shared/control_link/control_link.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace turmericswitch::control
+{
+
+/// Keeps this instance in the control group, and as its leader keeps the group
+/// whole: takes in instances that ask, and removes those that they replace.
+///
+/// All calls come on the event loop's thread.
+class membership_manager
+    : public std::enable_shared_from_this<membership_manager>
+{
+public:
+    using answer_hook = std::function<void(core::join_answer)>;
+    using members_hook = std::function<void(core::group_membership const&)>;
+
+    /// @param contacts Control instances to ask for the leader.
+    /// @param on_members Gets the group's members before the log names them.
+    membership_manager(process::event_loop& loop,
+                       replica& node,
+                       std::unique_ptr<shared::control_link> contacts,
+                       core::group_member self,
+                       members_hook on_members,
+                       std::function<void(std::string const&)> log);
+
+    void tick(core::time_point now);
+
+    /// Serves an instance that wants to be a member.
+    void join(core::group_member const& joiner, answer_hook const& done);
+
+    /// Replaces the instances that are asked for the leader.
+    void set_contacts(std::vector<core::endpoint> contacts);
+
+private:
+    void ask_to_join(core::time_point now);
+    void repair(core::time_point now);
+    bool is_member() const;
+    core::join_answer answer_with(core::result_code code) const;
+
+    process::event_loop& m_loop;
+    replica& m_node;
+    std::unique_ptr<shared::control_link> m_contacts;
+    core::group_member m_self;
+    members_hook m_on_members;
+    std::function<void(std::string const&)> m_log;
+    bool m_is_asking = false;
+    bool m_is_changing = false;
+    core::time_point m_next_ask;
+    core::time_point m_next_repair;
+    core::time_point m_leader_known;
+};
+
+} // namespace turmericswitch::control
+
+#endif
--- a/programs/control/node/recovery.cpp
+++ b/programs/control/node/recovery.cpp
@@ -202,8 +202,8 @@
         " log entries" +
         (recovered.entries.empty()
              ? std::string()
-             : " up to " + std::to_string(
-                   recovered.entries.back().index.value())));
+             : " up to " +
+                   std::to_string(recovered.entries.back().index.value())));
     cluster_state::state_machine state;
     if (metadata.last_index.value() > 0 && !state.restore(snapshot->data))
     {
--- a/programs/control/node/replica.cpp
+++ b/programs/control/node/replica.cpp
@@ -471,6 +471,11 @@
     return m_node.membership();
 }
 
+std::optional<core::time_point> replica::last_answer(core::member_id id) const
+{
+    return m_node.last_answer(id);
+}
+
 std::optional<core::group_member> replica::leader() const
 {
     auto const id = m_node.leader();
--- a/programs/control/node/replica.hpp
+++ b/programs/control/node/replica.hpp
@@ -102,6 +102,8 @@
     core::log_index applied_index() const noexcept;
     core::member_id self() const noexcept;
     core::group_membership const& membership() const;
+    /// @return When a member last answered, if this instance leads.
+    std::optional<core::time_point> last_answer(core::member_id id) const;
     /// @return The leader's entry in the membership, if one is known.
     std::optional<core::group_member> leader() const;
     /// @return True after a write or sync failed; the member stays silent.
--- a/programs/control/settings/control_settings.cpp
+++ b/programs/control/settings/control_settings.cpp
@@ -74,15 +74,15 @@
         read.first_members.members.push_back(
             {*id, {seed.address, read.rpc.port}, seed, false});
     }
-    read.member = shared::member_of_address(read.rpc.address)
-                      .value_or(core::member_id());
+    read.member =
+        shared::member_of_address(read.rpc.address).value_or(core::member_id());
 }
 
 void parse_dispatch(settings_reader& reader, control_settings& read)
 {
     auto& leases = read.dispatch.leases;
-    leases.longest = reader.duration(
-        {"workers", "longest_lease"}, leases.longest, {1s, 1h});
+    leases.longest =
+        reader.duration({"workers", "longest_lease"}, leases.longest, {1s, 1h});
     leases.length =
         reader.duration({"workers", "lease"}, leases.longest, {1s, 1h});
 }
--- a/programs/gateway/jobs/job_client.cpp
+++ b/programs/gateway/jobs/job_client.cpp
@@ -94,8 +94,8 @@
         }
         else
         {
-            may_have_run = may_have_run ||
-                           result.outcome == transport::call_outcome::lost;
+            may_have_run =
+                may_have_run || result.outcome == transport::call_outcome::lost;
         }
         auto const limit = plan.changes && may_have_run ? until : search_until;
         if (process::event_loop::now() + search_pause >= limit)
@@ -119,8 +119,7 @@
                 patience,
                 [](std::string const& bytes) -> std::optional<job_result>
                 {
-                    auto const reply =
-                        wire::decode<core::command_reply>(bytes);
+                    auto const reply = wire::decode<core::command_reply>(bytes);
                     if (!reply)
                     {
                         return std::nullopt;
@@ -147,18 +146,18 @@
 job_result job_client::query(core::workflow_query const& query,
                              core::duration patience)
 {
-    return run({"/workflow-query",
-                wire::encode(query),
-                patience,
-                [](std::string const& bytes) -> std::optional<job_result>
-                {
-                    auto const answer =
-                        wire::decode<core::workflow_answer>(bytes);
-                    return answer ? std::optional(
-                                        job_result{answer->code, {}, *answer})
-                                  : std::nullopt;
-                },
-                false});
+    return run(
+        {"/workflow-query",
+         wire::encode(query),
+         patience,
+         [](std::string const& bytes) -> std::optional<job_result>
+         {
+             auto const answer = wire::decode<core::workflow_answer>(bytes);
+             return answer
+                        ? std::optional(job_result{answer->code, {}, *answer})
+                        : std::nullopt;
+         },
+         false});
 }
 
 } // namespace turmericswitch::gateway
--- a/programs/gateway/jobs/job_gateway.cpp
+++ b/programs/gateway/jobs/job_gateway.cpp
@@ -129,13 +129,12 @@
     {
         m_refused.add();
     }
-    m_log.info(
-        call + ' ' + job + ": " + std::string(core::to_string(result.code)) +
-        " after " +
-        std::to_string(
-            std::chrono::duration_cast<std::chrono::milliseconds>(took)
-                .count()) +
-        " ms");
+    m_log.info(call + ' ' + job + ": " +
+               std::string(core::to_string(result.code)) + " after " +
+               std::to_string(
+                   std::chrono::duration_cast<std::chrono::milliseconds>(took)
+                       .count()) +
+               " ms");
     return outcome;
 }
 
--- a/programs/gateway/main.cpp
+++ b/programs/gateway/main.cpp
@@ -6,6 +6,7 @@
 #include "gateway/settings/gateway_settings.hpp"
 #include "shared/daemon/daemon_main.hpp"
 #include "shared/daemon/status_handler.hpp"
+#include "shared/peers/control_endpoints.hpp"
 #include "wire/json/decision_json.hpp"
 
 #include <thread>
@@ -74,8 +75,11 @@
     shared::config_watch watch(io,
                                control,
                                core::client_id("gateway " + settings.name),
-                               [&jobs](core::watch_answer const& news)
-                               { return jobs.configure(news); });
+                               [&](core::watch_answer const& news)
+                               {
+                                   control.set_instances(news.control);
+                                   return jobs.configure(news);
+                               });
     web::server_options options;
     options.listen_on = settings.jobs->callers;
     options.worker_threads = static_cast<unsigned>(settings.http_threads);
@@ -87,13 +91,14 @@
     status_options.also_listen_on = {settings.http};
     status_options.worker_threads = status_threads;
     auto const readiness = [&jobs] { return jobs.readiness(); };
-    auto const status =
-        callers
-            ? web::http_server::start(
-                  status_options,
-                  shared::with_status_pages(
-                      metrics, readiness, platform::readiness_handler(readiness)))
-            : nullptr;
+    auto const status = callers
+                            ? web::http_server::start(
+                                  status_options,
+                                  shared::with_status_pages(
+                                      metrics,
+                                      readiness,
+                                      platform::readiness_handler(readiness)))
+                            : nullptr;
     if (!status || !shared::announce_ports(settings.process,
                                            {{"http", callers->bound().port}}))
     {
@@ -101,6 +106,7 @@
     }
     watch.start();
     log.info(settings.name + " listens on " + to_string(callers->bound()));
+    shared::follow_seeds(signal, settings.process.settings_file, control);
     signal.wait();
 
     jobs.begin_stop();
--- a/programs/shared/control_link/control_link.cpp
+++ b/programs/shared/control_link/control_link.cpp
@@ -122,6 +122,16 @@
     m_state->follow(leader);
 }
 
+void control_link::set_instances(std::vector<core::endpoint> instances)
+{
+    std::lock_guard const lock(m_state->mutex);
+    if (!instances.empty() && instances != m_state->instances)
+    {
+        m_state->next %= instances.size();
+        m_state->instances = std::move(instances);
+    }
+}
+
 transport::traffic control_link::transferred() const
 {
     std::lock_guard const lock(m_state->mutex);
--- a/programs/shared/control_link/control_link.hpp
+++ b/programs/shared/control_link/control_link.hpp
@@ -39,6 +39,10 @@
     /// @param leader Where the leader listens, if the peer knew.
     void not_leader(std::optional<core::endpoint> const& leader);
 
+    /// Replaces the instances that calls turn to; an empty list is ignored.
+    /// The connection in use stays.
+    void set_instances(std::vector<core::endpoint> instances);
+
     /// @return Bytes sent and received so far.
     transport::traffic transferred() const;
 
--- a/programs/shared/daemon/daemon_main.cpp
+++ b/programs/shared/daemon/daemon_main.cpp
@@ -62,6 +62,7 @@
 process_settings parse_process_settings(settings::settings_reader& reader)
 {
     process_settings read;
+    read.settings_file = reader.name();
     read.ports_file = reader.text({"process", "ports_file"}, "");
     read.log_level = reader.one_of({"process", "log_level"},
                                    {"debug", "info", "warning", "error"},
@@ -70,6 +71,21 @@
     return read;
 }
 
+std::optional<settings::settings_reader>
+reload_settings(std::string const& settings_file)
+{
+    telemetry::logger const log("settings");
+    auto reader = settings::settings_reader::load(settings_file);
+    if (!reader)
+    {
+        log.warning("settings kept, the changed file can't be read: " +
+                    core::last_reason().text);
+        return std::nullopt;
+    }
+    log.info("settings file " + settings_file + " changed");
+    return reader;
+}
+
 int exit_status_of_last_reason()
 {
     constexpr int status_values = 256;
--- a/programs/shared/daemon/daemon_main.hpp
+++ b/programs/shared/daemon/daemon_main.hpp
@@ -5,6 +5,7 @@
 #include "settings/settings.hpp"
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -14,6 +15,8 @@
 /// Settings that all daemons share, section `process`.
 struct process_settings
 {
+    /// The file that the settings were read from.
+    std::string settings_file;
     std::string ports_file;
     std::string log_level;
     std::string log_file;
@@ -61,6 +64,13 @@
         { return serve(settings, signal); });
 }
 
+/// Reads a settings file again after a change.
+///
+/// @return Nothing, with a warning in the log, if it can't be read; the
+///         process then keeps its settings.
+std::optional<settings::settings_reader>
+reload_settings(std::string const& settings_file);
+
 /// @return The exit status for the last reason.
 int exit_status_of_last_reason();
 
--- a/programs/shared/peers/control_endpoints.cpp
+++ b/programs/shared/peers/control_endpoints.cpp
@@ -1,5 +1,7 @@
 #include "shared/peers/control_endpoints.hpp"
 
+#include "shared/daemon/daemon_main.hpp"
+
 namespace turmericswitch::shared
 {
 
@@ -13,12 +15,32 @@
     constexpr settings::value_range<std::int64_t> ports{1, 65535};
     auto const port = static_cast<std::uint16_t>(
         reader.integer({"control", "rpc_port"}, ports, ports.lowest));
-    auto endpoints = reader.endpoints({"control", "seeds"});
-    for (auto& each : endpoints)
+    return control_endpoints(reader.endpoints({"control", "seeds"}), port);
+}
+
+std::vector<core::endpoint> control_endpoints(std::vector<core::endpoint> seeds,
+                                              std::uint16_t rpc_port)
+{
+    for (auto& each : seeds)
     {
-        each.port = port;
+        each.port = rpc_port;
     }
-    return endpoints;
+    return seeds;
+}
+
+void follow_seeds(process::shutdown_signal& signal,
+                  std::string const& settings_file,
+                  control_link& control)
+{
+    signal.on_settings_changed(
+        settings_file,
+        [&control, settings_file]
+        {
+            if (auto reader = reload_settings(settings_file))
+            {
+                control.set_instances(parse_control_endpoints(*reader));
+            }
+        });
 }
 
 } // namespace turmericswitch::shared
--- a/programs/sidecar/main.cpp
+++ b/programs/sidecar/main.cpp
@@ -1,6 +1,7 @@
 #include "shared/control_link/config_watch.hpp"
 #include "shared/daemon/daemon_main.hpp"
 #include "shared/daemon/status_handler.hpp"
+#include "shared/peers/control_endpoints.hpp"
 #include "sidecar/service/graceful_stop.hpp"
 #include "sidecar/worker/worker_service.hpp"
 #include "wire/codec/protocol_version.hpp"
@@ -32,12 +33,12 @@
     options.listen_on = settings.worker->registration;
     options.also_listen_on = {settings.http};
     options.worker_threads = registration_threads;
-    auto const http = web::http_server::start(
-        options,
-        shared::with_status_pages(
-            metrics,
-            [&service] { return service.readiness(); },
-            web::router(service.routes())));
+    auto const http =
+        web::http_server::start(options,
+                                shared::with_status_pages(
+                                    metrics,
+                                    [&service] { return service.readiness(); },
+                                    web::router(service.routes())));
     if (!http || !shared::announce_ports(settings.process,
                                          {{"http", http->bound().port}}))
     {
@@ -45,6 +46,7 @@
     }
     log.info("listens on " + to_string(http->bound()) + " for the worker at " +
              to_string(settings.worker->runtime));
+    shared::follow_seeds(signal, settings.process.settings_file, control);
     signal.wait();
     log.info("stopping");
     http->stop();
--- a/programs/sidecar/worker/worker_service.cpp
+++ b/programs/sidecar/worker/worker_service.cpp
@@ -72,27 +72,31 @@
         [this](core::runtime_report const& report,
                std::function<void(std::optional<core::runtime_grant>)> done)
     {
-        m_control.call("/worker-report",
-                       wire::encode(report),
-                       report_timeout,
-                       [this, done = std::move(done)](
-                           transport::call_result const& result) {
-                           done(leader_answer<core::runtime_grant>(m_control,
-                                                                   result));
-                       });
+        m_control.call(
+            "/worker-report",
+            wire::encode(report),
+            report_timeout,
+            [this, done = std::move(done)](transport::call_result const& result)
+            {
+                auto grant =
+                    leader_answer<core::runtime_grant>(m_control, result);
+                if (grant)
+                {
+                    m_control.set_instances(grant->control);
+                }
+                done(std::move(grant));
+            });
     };
     calls.poll_orders =
         [this](core::orders_request const& request,
                std::function<void(std::optional<core::runtime_orders>)> done)
     {
-        m_control.call("/worker-orders",
-                       wire::encode(request),
-                       request.max_wait + poll_margin,
-                       [this, done = std::move(done)](
-                           transport::call_result const& result) {
-                           done(leader_answer<core::runtime_orders>(m_control,
-                                                                    result));
-                       });
+        m_control.call(
+            "/worker-orders",
+            wire::encode(request),
+            request.max_wait + poll_margin,
+            [this, done = std::move(done)](transport::call_result const& result)
+            { done(leader_answer<core::runtime_orders>(m_control, result)); });
     };
     return calls;
 }
