--- a/modules/core/messages/workflow.hpp
+++ b/modules/core/messages/workflow.hpp
@@ -342,6 +342,8 @@
     incarnation life;
     incarnation sidecar;
     duration max_wait{};
+    /// Number of the last batch of orders that arrived; 0 before the first.
+    std::uint64_t received_batch = 0;
 
     bool operator==(orders_request const&) const = default;
 };
@@ -383,6 +385,8 @@
     std::vector<start_group> starts;
     std::vector<task_run> stops;
     std::vector<run_pace> paces;
+    /// Numbers the non-empty batches to one worker.
+    std::uint64_t batch = 0;
 
     bool operator==(runtime_orders const&) const = default;
 };
--- a/modules/workflow/agent/worker_agent.cpp
+++ b/modules/workflow/agent/worker_agent.cpp
@@ -78,6 +78,7 @@
     m_reporting = false;
     m_report_again = false;
     m_polling = false;
+    m_received_batch = 0;
     // The first report brings the fencing token that looks need.
     send_report();
 }
@@ -303,7 +304,11 @@
 {
     m_polling = true;
     m_hooks.leader.poll_orders(
-        {m_profile->worker, m_profile->life, m_options.life, orders_wait},
+        {m_profile->worker,
+         m_profile->life,
+         m_options.life,
+         orders_wait,
+         m_received_batch},
         [this, epoch = m_epoch](std::optional<core::runtime_orders> orders)
         {
             if (!is_current(epoch) || m_left)
@@ -313,6 +318,10 @@
             if (orders && orders->fencing_token >= m_fencing_token)
             {
                 m_fencing_token = orders->fencing_token;
+                if (orders->batch > 0)
+                {
+                    m_received_batch = orders->batch;
+                }
                 carry_out(*orders);
                 poll_orders();
                 return;
--- a/modules/workflow/agent/worker_agent.hpp
+++ b/modules/workflow/agent/worker_agent.hpp
@@ -125,6 +125,7 @@
     bool m_reporting = false;
     bool m_report_again = false;
     bool m_polling = false;
+    std::uint64_t m_received_batch = 0;
     std::size_t m_open_calls = 0;
 
     std::map<core::task_run, open_start> m_starts;
--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -454,6 +454,16 @@
                       now - placed.mapped());
 }
 
+void dispatcher::acknowledge_orders(core::worker_id const& worker,
+                                    std::uint64_t batch)
+{
+    if (auto const sent = m_batches.find(worker);
+        sent != m_batches.end() && sent->second != batch)
+    {
+        m_orders.forget(worker);
+    }
+}
+
 core::runtime_orders dispatcher::take_orders(core::time_point now,
                                              core::worker_id const& worker,
                                              core::incarnation life)
@@ -468,6 +478,11 @@
                                { return m_sharing.pace(worker, run); });
     }
     orders.fencing_token = m_fencing_token;
+    if (!orders.starts.empty() || !orders.stops.empty() ||
+        !orders.paces.empty())
+    {
+        orders.batch = ++m_batches[worker];
+    }
     return orders;
 }
 
--- a/modules/workflow/dispatch/dispatcher.hpp
+++ b/modules/workflow/dispatch/dispatcher.hpp
@@ -63,6 +63,10 @@
     /// Notes that a command was committed.
     void applied(core::time_point now, core::workflow_progress const& command);
 
+    /// Notes which batch of orders a sidecar received last. After a lost one
+    /// all orders are due again.
+    void acknowledge_orders(core::worker_id const& worker, std::uint64_t batch);
+
     /// @return The orders that are due for a worker.
     core::runtime_orders take_orders(core::time_point now,
                                      core::worker_id const& worker,
@@ -104,6 +108,8 @@
     /// When the runs that this leader placed were placed.
     std::map<core::task_run, core::time_point> m_placed;
     order_book m_orders;
+    /// Last batch of orders for each worker.
+    std::map<core::worker_id, std::uint64_t> m_batches;
 };
 
 } // namespace turmericswitch::workflow
--- a/modules/workflow/dispatch/interference_model.cpp
+++ b/modules/workflow/dispatch/interference_model.cpp
@@ -22,6 +22,10 @@
 constexpr double base_variance = 1.0;
 constexpr double factor_variance = 0.3;
 
+/// Counts for a pair that was never seen: enough that one or two tasks of an
+/// unknown image are tried beside a serving task, and not a whole stage.
+constexpr double unknown_factor = 0.4;
+
 /// Bounds the covariance of pairs that are not seen together any more.
 constexpr double largest_variance = 2.0;
 
@@ -49,6 +53,7 @@
     if (is_new)
     {
         add_dimension(known, factor_variance);
+        known.factors.back() = unknown_factor;
     }
     return found->second;
 }
@@ -109,18 +114,19 @@
 double interference_model::effect(std::string const& serving,
                                   neighbour_use const& neighbour) const
 {
+    auto const use = neighbour.share / use_unit;
     auto const known = m_estimates.find(serving);
     if (known == m_estimates.end())
     {
-        return 0;
+        return unknown_factor * use;
     }
     auto const position = known->second.positions.find(neighbour.image);
     if (position == known->second.positions.end())
     {
-        return 0;
+        return unknown_factor * use;
     }
-    return std::max(known->second.factors[position->second], 0.0) *
-           neighbour.share / use_unit;
+    auto const factor = known->second.factors[position->second];
+    return std::max(factor, 0.0) * use;
 }
 
 } // namespace turmericswitch::workflow
--- a/modules/workflow/dispatch/order_book.cpp
+++ b/modules/workflow/dispatch/order_book.cpp
@@ -9,7 +9,13 @@
 {
 
 /// Longer than a report takes to show the effect of an order.
-constexpr core::duration resend_after = std::chrono::milliseconds(2500);
+constexpr core::duration resend_after = std::chrono::milliseconds(1500);
+
+/// A worker may carry out an earlier pace late; a limit is repeated so that it
+/// holds again within this time.
+constexpr core::duration repeat_pace_after = std::chrono::milliseconds(1500);
+
+constexpr std::uint32_t full_pace = 100;
 
 bool is_due(std::map<core::task_run, core::time_point>& sent,
             core::task_run const& run,
@@ -58,7 +64,7 @@
     auto& sent = m_sent[worker.profile.worker];
     add_starts(now, worker, sent, orders);
     add_stops(now, worker, sent, orders);
-    add_paces(worker, pace, sent, orders);
+    add_paces(now, worker, pace, sent, orders);
     return orders;
 }
 
@@ -133,7 +139,8 @@
     }
 }
 
-void order_book::add_paces(worker_view const& worker,
+void order_book::add_paces(core::time_point now,
+                           worker_view const& worker,
                            pace_hook const& pace,
                            sent_orders& sent,
                            core::runtime_orders& orders) const
@@ -149,13 +156,19 @@
         {
             continue;
         }
-        auto const [known, is_new] = sent.paces.try_emplace(run, 100U);
-        if (auto const wanted = pace(run); known->second != wanted)
+        auto const wanted = pace(run);
+        auto const [known, is_new] =
+            sent.paces.try_emplace(run, sent_pace{full_pace, now});
+        bool const is_unknown = is_new && !sent.knows_paces;
+        bool const is_due = wanted < full_pace &&
+                            now - known->second.sent > repeat_pace_after;
+        if (known->second.percent != wanted || is_unknown || is_due)
         {
-            known->second = wanted;
+            known->second = {wanted, now};
             orders.paces.push_back({run, wanted});
         }
     }
+    sent.knows_paces = true;
 }
 
 void order_book::forget(core::worker_id const& worker)
--- a/modules/workflow/dispatch/order_book.hpp
+++ b/modules/workflow/dispatch/order_book.hpp
@@ -34,11 +34,19 @@
     void forget(core::worker_id const& worker);
 
 private:
+    struct sent_pace
+    {
+        std::uint32_t percent = 100;
+        core::time_point sent;
+    };
+
     struct sent_orders
     {
         std::map<core::task_run, core::time_point> starts;
         std::map<core::task_run, core::time_point> stops;
-        std::map<core::task_run, std::uint32_t> paces;
+        std::map<core::task_run, sent_pace> paces;
+        /// False until the paces of runs from before were sent.
+        bool knows_paces = false;
     };
 
     void add_starts(core::time_point now,
@@ -52,7 +60,8 @@
                    worker_view const& worker,
                    sent_orders& sent,
                    core::runtime_orders& orders);
-    void add_paces(worker_view const& worker,
+    void add_paces(core::time_point now,
+                   worker_view const& worker,
                    pace_hook const& pace,
                    sent_orders& sent,
                    core::runtime_orders& orders) const;
--- a/programs/control/leader/workflow_service.cpp
+++ b/programs/control/leader/workflow_service.cpp
@@ -203,6 +203,7 @@
                                    orders_hook done)
 {
     auto const now = process::event_loop::now();
+    m_dispatcher.acknowledge_orders(request.worker, request.received_batch);
     auto orders = m_dispatcher.take_orders(now, request.worker, request.life);
     if (!is_empty(orders))
     {
