Move tasks that stand still beside a serving task to another worker

Neighbours that raise no tail speed up again whatever the tail is; before, one serving task near its target held back all.

--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -21,6 +21,9 @@
 /// Work that ends within this multiple of its objective still counts as late.
 constexpr int late_factor = 3;
 
+/// Time between two looks for tasks to move; each costs a trial plan.
+constexpr core::duration eviction_interval = std::chrono::milliseconds(500);
+
 /// Checkpoints that a worker listed are committed at most this old.
 bool is_new_checkpoint(core::task_record const& task,
                        core::running_task const& seen)
@@ -395,6 +398,50 @@
     return all;
 }
 
+void dispatcher::evict_stalled(core::time_point now,
+                               std::vector<candidate_worker> const& workers)
+{
+    if (now < m_next_eviction)
+    {
+        return;
+    }
+    m_next_eviction = now + eviction_interval;
+    auto left = workers;
+    for (auto const& [id, view] : m_fleet.all())
+    {
+        for (auto const& run : m_sharing.stalled(now, id))
+        {
+            auto const* const stage = m_table.find_stage(run.task);
+            auto const* const workflow = m_table.find(run.task.workflow);
+            if (stage == nullptr || !stage->behaviour.checkpoints ||
+                stage->behaviour.gang || m_orders.evicting().contains(run))
+            {
+                continue;
+            }
+            pending_stage moved;
+            moved.stage = stage_of(run.task);
+            moved.description = stage;
+            moved.service = workflow->queue.service;
+            moved.runs = {run};
+            std::erase_if(left,
+                          [&id](candidate_worker const& each)
+                          { return each.worker == id; });
+            if (!plan_stages({moved}, left, 1, tail_hook_of()).empty())
+            {
+                m_orders.evict(run);
+            }
+        }
+    }
+}
+
+tail_hook dispatcher::tail_hook_of() const
+{
+    return [this](core::worker_id const& worker,
+                  std::string const& image,
+                  core::millicores added)
+    { return m_sharing.tail_with(worker, image, added); };
+}
+
 std::optional<core::workflow_progress>
 dispatcher::plan(core::time_point now,
                  core::wall_time wall,
@@ -403,18 +450,16 @@
     core::workflow_progress command;
     collect_ends(now, command);
     auto waiting = pending(now, wall);
+    auto workers = candidates(now, config);
     if (!waiting.empty())
     {
-        auto workers = candidates(now, config);
         command.placements =
             plan_stages(std::move(waiting),
                         workers,
                         most_placements,
-                        [this](core::worker_id const& worker,
-                               std::string const& image,
-                               core::millicores added)
-                        { return m_sharing.tail_with(worker, image, added); });
+                        tail_hook_of());
     }
+    evict_stalled(now, workers);
     if (command.ends.empty() && command.checkpoints.empty() &&
         command.placements.empty())
     {
@@ -430,6 +475,7 @@
     {
         m_health.ended(now, outcome.worker, outcome.run, outcome.how);
         note_run_time(now, outcome);
+        m_orders.ended(outcome.run);
     }
     for (auto const& placement : command.placements)
     {
--- a/modules/workflow/dispatch/dispatcher.hpp
+++ b/modules/workflow/dispatch/dispatcher.hpp
@@ -95,6 +95,9 @@
                      core::workflow_record const& workflow,
                      std::uint32_t occurrence,
                      std::vector<pending_stage>& all) const;
+    void evict_stalled(core::time_point now,
+                       std::vector<candidate_worker> const& workers);
+    tail_hook tail_hook_of() const;
     void update_sharing(core::time_point now, worker_view const& view);
     void note_run_time(core::time_point now, core::run_outcome const& outcome);
 
@@ -108,6 +111,7 @@
     /// When the runs that this leader placed were placed.
     std::map<core::task_run, core::time_point> m_placed;
     order_book m_orders;
+    core::time_point m_next_eviction;
     /// Last batch of orders for each worker.
     std::map<core::worker_id, std::uint64_t> m_batches;
 };
--- a/modules/workflow/dispatch/order_book.cpp
+++ b/modules/workflow/dispatch/order_book.cpp
@@ -49,6 +49,7 @@
 {
     auto const* const workflow = m_table.find(run.task.workflow);
     return workflow != nullptr && !core::is_final(workflow->state) &&
+           !m_evicting.contains(run) &&
            m_table.is_held(run, worker.profile.worker, worker.profile.life);
 }
 
@@ -171,6 +172,21 @@
     sent.knows_paces = true;
 }
 
+void order_book::evict(core::task_run const& run)
+{
+    m_evicting.insert(run);
+}
+
+std::set<core::task_run> const& order_book::evicting() const noexcept
+{
+    return m_evicting;
+}
+
+void order_book::ended(core::task_run const& run)
+{
+    m_evicting.erase(run);
+}
+
 void order_book::forget(core::worker_id const& worker)
 {
     m_sent.erase(worker);
--- a/modules/workflow/dispatch/order_book.hpp
+++ b/modules/workflow/dispatch/order_book.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 
 namespace turmericswitch::workflow
 {
@@ -29,6 +30,16 @@
                               worker_view const& worker,
                               pace_hook const& pace);
 
+    /// Has a run stopped until it has ended, so that its task can go on
+    /// elsewhere from its checkpoint.
+    void evict(core::task_run const& run);
+
+    /// @return Runs that are being evicted.
+    std::set<core::task_run> const& evicting() const noexcept;
+
+    /// Notes that the end of a run is committed.
+    void ended(core::task_run const& run);
+
     /// Forgets what was sent, because the sidecar has restarted or the worker
     /// has begun a new life.
     void forget(core::worker_id const& worker);
@@ -69,6 +80,7 @@
 
     workflow_table const& m_table;
     std::map<core::worker_id, sent_orders> m_sent;
+    std::set<core::task_run> m_evicting;
 };
 
 } // namespace turmericswitch::workflow
--- a/modules/workflow/dispatch/sharing_control.cpp
+++ b/modules/workflow/dispatch/sharing_control.cpp
@@ -30,6 +30,10 @@
 /// A smaller share does hardly any work and still holds its memory.
 constexpr std::uint32_t least_pace = 10;
 
+/// A task that had to stand still for this long is better off elsewhere: a
+/// move costs it less than a second.
+constexpr core::duration stalled_after = std::chrono::milliseconds(1500);
+
 /// Kept of the pace of every neighbour when the model knows none at fault.
 constexpr std::uint32_t unexplained_cut_percent = 70;
 
@@ -94,6 +98,39 @@
     {
         speed_up(state);
     }
+    note_stalled(now, state);
+}
+
+void sharing_control::note_stalled(core::time_point now, worker_state& state)
+{
+    std::map<core::task_run, core::time_point> stalled;
+    for (auto const& [run, pace] : state.paces)
+    {
+        if (pace == 0)
+        {
+            auto const since = state.stalled.find(run);
+            stalled[run] = since == state.stalled.end() ? now : since->second;
+        }
+    }
+    state.stalled = std::move(stalled);
+}
+
+std::vector<core::task_run>
+sharing_control::stalled(core::time_point now,
+                         core::worker_id const& worker) const
+{
+    std::vector<core::task_run> found;
+    if (auto const known = m_workers.find(worker); known != m_workers.end())
+    {
+        for (auto const& [run, since] : known->second.stalled)
+        {
+            if (now - since >= stalled_after)
+            {
+                found.push_back(run);
+            }
+        }
+    }
+    return found;
 }
 
 void sharing_control::learn(sharing_sample const& sample)
@@ -154,11 +191,12 @@
     double worst = 0;
     for (auto const& serving : state.last.serving)
     {
-        worst =
-            std::max(worst,
-                     serving.tail *
-                         std::exp(effect(
-                             serving, task.image, added, state.last.capacity)));
+        auto const raised =
+            effect(serving, task.image, added, state.last.capacity);
+        if (raised > least_effect)
+        {
+            worst = std::max(worst, serving.tail * std::exp(raised));
+        }
     }
     return worst;
 }
--- a/modules/workflow/dispatch/sharing_control.hpp
+++ b/modules/workflow/dispatch/sharing_control.hpp
@@ -57,6 +57,10 @@
     std::uint32_t pace(core::worker_id const& worker,
                        core::task_run const& run) const;
 
+    /// @return Tasks on the worker that have stood still for long.
+    std::vector<core::task_run> stalled(core::time_point now,
+                                        core::worker_id const& worker) const;
+
     /// @return The worst tail on the worker, as a multiple of its target, if a
     ///         task of the image took this many more processors there.
     double tail_with(core::worker_id const& worker,
@@ -74,6 +78,8 @@
         core::time_point sampled;
         sharing_sample last;
         std::map<core::task_run, std::uint32_t> paces;
+        /// Since when tasks have had a pace of 0.
+        std::map<core::task_run, core::time_point> stalled;
         std::int64_t serving_use = 60;
     };
 
@@ -83,6 +89,7 @@
     double worst_after(worker_state const& state,
                        spare_task const& task,
                        std::uint32_t pace) const;
+    static void note_stalled(core::time_point now, worker_state& state);
     static void update_use(worker_state& state, sharing_sample const& sample);
     double effect(serving_task const& on,
                   std::string const& image,
