--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -453,11 +453,8 @@
     auto workers = candidates(now, config);
     if (!waiting.empty())
     {
-        command.placements =
-            plan_stages(std::move(waiting),
-                        workers,
-                        most_placements,
-                        tail_hook_of());
+        command.placements = plan_stages(
+            std::move(waiting), workers, most_placements, tail_hook_of());
     }
     evict_stalled(now, workers);
     if (command.ends.empty() && command.checkpoints.empty() &&
--- a/modules/workflow/dispatch/order_book.cpp
+++ b/modules/workflow/dispatch/order_book.cpp
@@ -161,8 +161,8 @@
         auto const [known, is_new] =
             sent.paces.try_emplace(run, sent_pace{full_pace, now});
         bool const is_unknown = is_new && !sent.knows_paces;
-        bool const is_due = wanted < full_pace &&
-                            now - known->second.sent > repeat_pace_after;
+        bool const is_due =
+            wanted < full_pace && now - known->second.sent > repeat_pace_after;
         if (known->second.percent != wanted || is_unknown || is_due)
         {
             known->second = {wanted, now};
--- /dev/null
+++ b/modules/workflow/tests/fuzz_world.hpp
@@ -0,0 +1,90 @@
+#ifndef TURMERICSWITCH_WORKFLOW_TESTS_FUZZ_WORLD_HPP
+#define TURMERICSWITCH_WORKFLOW_TESTS_FUZZ_WORLD_HPP
+
+#include "core/hooks/random_source.hpp"
+#include "support/runtime_model.hpp"
+#include "workflow/workflow.hpp"
+#include "workflow_builder.hpp"
+
+#include <functional>
+#include <memory>
+#include <queue>
+#include <string>
+#include <vector>
+
+namespace turmericswitch::workflow::testing
+{
+
+/// A leader, sidecars and workers in simulated time, with calls that are lost,
+/// left unanswered, or carried out seconds late, leaders that are replaced
+/// while they go on, workers and sidecars that restart, and cut links.
+///
+/// Commits are simulated by a delay; a deposed leader's commits fail.
+class fuzz_world
+{
+public:
+    explicit fuzz_world(std::uint64_t seed);
+    ~fuzz_world();
+
+    /// Plays the day; stops at the first broken rule.
+    ///
+    /// @return The broken rule, or nothing.
+    std::string play();
+
+    std::size_t completed() const;
+
+private:
+    struct leader;
+    struct site;
+
+    using task = std::function<void()>;
+
+    struct event
+    {
+        core::time_point at;
+        std::uint64_t order = 0;
+        task run;
+
+        bool operator<(event const& other) const
+        {
+            return std::tie(other.at, other.order) < std::tie(at, order);
+        }
+    };
+
+    void after(core::duration delay, task run);
+    std::uint64_t below(std::uint64_t limit);
+    bool chance(std::uint64_t percent);
+    core::duration between_ms(std::uint64_t lowest, std::uint64_t highest);
+
+    void elect();
+    void plan(std::shared_ptr<leader> const& who);
+    void begin_agent(site& where);
+    agent_hooks hooks_of(site& where);
+    void call_worker(site& where,
+                     std::function<void(bool answered)> const& run);
+    void submit();
+    void cancel_one();
+    void disturb();
+    void check();
+    std::string describe(core::workflow_id const& id) const;
+    void fail(std::string what);
+
+    core::random_source m_random;
+    core::time_point m_now;
+    std::uint64_t m_order = 0;
+    std::priority_queue<event> m_events;
+    workflow_table m_table;
+    core::configuration m_config;
+    std::shared_ptr<leader> m_leader;
+    std::vector<std::shared_ptr<leader>> m_deposed;
+    std::vector<std::unique_ptr<site>> m_sites;
+    std::uint64_t m_term = 0;
+    std::uint64_t m_submitted = 0;
+    std::uint64_t m_lives = 0;
+    bool m_quiet = false;
+    std::string m_broken;
+};
+
+} // namespace turmericswitch::workflow::testing
+
+#endif
--- /dev/null
+++ b/modules/workflow/tests/planning_test.cpp
@@ -0,0 +1,234 @@
+#include "workflow/dispatch/dispatcher.hpp"
+#include "workflow_builder.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace turmericswitch::workflow
+{
+
+using namespace testing;
+
+namespace
+{
+
+candidate_worker candidate(std::string const& name, std::int64_t millicores)
+{
+    candidate_worker made;
+    made.worker = core::worker_id(name);
+    made.life = core::incarnation(1);
+    made.service = core::service_id("labels");
+    made.rack = core::rack_id("rack-" + name);
+    made.capacity.cpu = core::millicores(millicores);
+    made.capacity.memory = core::byte_count(std::int64_t{1} << 40);
+    made.free = made.capacity;
+    made.spare = made.capacity.cpu;
+    return made;
+}
+
+pending_stage pending(std::string const& id,
+                      core::stage_description const& description,
+                      std::uint32_t tasks)
+{
+    pending_stage made;
+    made.stage = {core::workflow_id(id), 0, 0};
+    made.description = &description;
+    made.service = core::service_id("labels");
+    for (std::uint32_t i = 0; i < tasks; ++i)
+    {
+        made.runs.push_back(run_of(id, 0, i));
+    }
+    return made;
+}
+
+std::size_t count_on(std::vector<core::run_placement> const& placements,
+                     std::string const& worker)
+{
+    return static_cast<std::size_t>(
+        std::count_if(placements.begin(),
+                      placements.end(),
+                      [&worker](core::run_placement const& each)
+                      { return each.worker.value() == worker; }));
+}
+
+double no_tail(core::worker_id const&, std::string const&, core::millicores)
+{
+    return 0;
+}
+
+} // namespace
+
+class planning_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(planning_test);
+    CPPUNIT_TEST(wide_stage_fills_no_worker_beyond_its_room);
+    CPPUNIT_TEST(urgent_queue_comes_before_an_older_batch);
+    CPPUNIT_TEST(hopeless_job_waits_for_those_in_time);
+    CPPUNIT_TEST(gang_waits_as_a_whole_behind_a_full_fleet);
+    CPPUNIT_TEST(limit_per_worker_holds);
+    CPPUNIT_TEST(other_service_and_missing_label_get_nothing);
+    CPPUNIT_TEST(spare_task_stays_away_from_a_tail_that_it_raises);
+    CPPUNIT_TEST(high_tail_that_a_spare_task_does_not_raise_is_no_reason);
+    CPPUNIT_TEST(work_goes_to_the_rack_of_its_data);
+    CPPUNIT_TEST(failing_worker_is_set_aside_and_failing_job_is_not);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Load: a recataloguing job with one stage of many tasks.
+    void wide_stage_fills_no_worker_beyond_its_room()
+    {
+        auto const wide = stage(100, 1500);
+        std::vector workers{candidate("w1", 8000), candidate("w2", 4000)};
+        auto const placements =
+            plan_stages({pending("a", wide, 100)}, workers, 200, no_tail);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{5}, count_on(placements, "w1"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, count_on(placements, "w2"));
+    }
+
+    // Load: a burst of one class while another waits.
+    void urgent_queue_comes_before_an_older_batch()
+    {
+        auto const one = stage(1, 1000);
+        auto batch = pending("a", one, 1);
+        batch.priority = 2;
+        batch.submitted = at_ms(1);
+        auto urgent = pending("b", one, 1);
+        urgent.submitted = at_ms(2);
+        std::vector workers{candidate("w1", 1000)};
+        auto const placements =
+            plan_stages({batch, urgent}, workers, 200, no_tail);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, placements.size());
+        CPPUNIT_ASSERT(placements.front().run.task.workflow.value() == "b");
+    }
+
+    // Load: more work than there is room for; what is late already must not
+    // make the rest late too.
+    void hopeless_job_waits_for_those_in_time()
+    {
+        auto const one = stage(1, 1000);
+        auto late = pending("a", one, 1);
+        late.urgency = job_urgency::hopeless;
+        auto in_time = pending("b", one, 1);
+        in_time.priority = 2;
+        in_time.submitted = at_ms(9);
+        std::vector workers{candidate("w1", 1000)};
+        auto const placements =
+            plan_stages({late, in_time}, workers, 200, no_tail);
+        CPPUNIT_ASSERT(placements.front().run.task.workflow.value() == "b");
+    }
+
+    // A part of a gang would hold room and end as `alone`.
+    void gang_waits_as_a_whole_behind_a_full_fleet()
+    {
+        auto gang = stage(3, 1000);
+        gang.behaviour.gang = true;
+        std::vector workers{candidate("w1", 2000)};
+        CPPUNIT_ASSERT(
+            plan_stages({pending("a", gang, 3)}, workers, 200, no_tail)
+                .empty());
+        CPPUNIT_ASSERT(workers.front().free.cpu == core::millicores(2000));
+        workers.push_back(candidate("w2", 1000));
+        CPPUNIT_ASSERT_EQUAL(
+            std::size_t{3},
+            plan_stages({pending("a", gang, 3)}, workers, 200, no_tail).size());
+    }
+
+    void limit_per_worker_holds()
+    {
+        auto apart = stage(5, 100);
+        apart.constraints.max_per_worker = 2;
+        std::vector workers{candidate("w1", 8000), candidate("w2", 8000)};
+        auto const placements =
+            plan_stages({pending("a", apart, 5)}, workers, 200, no_tail);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, count_on(placements, "w1"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, count_on(placements, "w2"));
+    }
+
+    void other_service_and_missing_label_get_nothing()
+    {
+        auto labelled = stage(1);
+        labelled.constraints.required_label = "fast";
+        std::vector workers{candidate("w1", 8000)};
+        CPPUNIT_ASSERT(
+            plan_stages({pending("a", labelled, 1)}, workers, 200, no_tail)
+                .empty());
+        auto const plain = stage(1);
+        auto other = pending("a", plain, 1);
+        other.service = core::service_id("other");
+        CPPUNIT_ASSERT(plan_stages({other}, workers, 200, no_tail).empty());
+    }
+
+    // Load: batch that fills beside services with a latency target.
+    void spare_task_stays_away_from_a_tail_that_it_raises()
+    {
+        auto spare = stage(2, 2000);
+        spare.behaviour.uses_spare_cpu = true;
+        std::vector workers{candidate("w1", 8000), candidate("w2", 6000)};
+        workers.front().serving = 1;
+        auto const tail = [](core::worker_id const& worker,
+                             std::string const&,
+                             core::millicores added)
+        {
+            return worker.value() == "w1"
+                       ? 0.5 + static_cast<double>(added.value()) / 4000
+                       : 0.0;
+        };
+        auto const placements =
+            plan_stages({pending("a", spare, 2)}, workers, 200, tail);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, count_on(placements, "w2"));
+    }
+
+    void high_tail_that_a_spare_task_does_not_raise_is_no_reason()
+    {
+        auto spare = stage(1, 2000);
+        spare.behaviour.uses_spare_cpu = true;
+        std::vector workers{candidate("w1", 8000)};
+        workers.front().serving = 1;
+        auto const tail =
+            [](core::worker_id const&, std::string const&, core::millicores)
+        { return 1.5; };
+        CPPUNIT_ASSERT_EQUAL(
+            std::size_t{1},
+            plan_stages({pending("a", spare, 1)}, workers, 200, tail).size());
+    }
+
+    void work_goes_to_the_rack_of_its_data()
+    {
+        auto near = stage(1, 1000);
+        near.constraints.data_rack = core::rack_id("rack-w1");
+        std::vector workers{candidate("w1", 8000), candidate("w2", 9000)};
+        workers.front().free.cpu = core::millicores(6000);
+        auto const placements =
+            plan_stages({pending("a", near, 1)}, workers, 200, no_tail);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, count_on(placements, "w1"));
+    }
+
+    // Load: a job that fails everywhere beside a worker that fails everything.
+    void failing_worker_is_set_aside_and_failing_job_is_not()
+    {
+        worker_health health;
+        core::worker_id const good("w1");
+        core::worker_id const bad("w2");
+        for (std::uint32_t i = 1; i <= 10; ++i)
+        {
+            health.ended(
+                at_ms(i), good, run_of("a", 0, 0, i), core::run_end::failed);
+        }
+        CPPUNIT_ASSERT(!health.is_set_aside(at_ms(20), good));
+        for (auto const* const id : {"a", "b", "c"})
+        {
+            health.ended(
+                at_ms(30), bad, run_of(id, 0, 0), core::run_end::failed);
+        }
+        CPPUNIT_ASSERT(health.is_set_aside(at_ms(31), bad));
+        CPPUNIT_ASSERT(!health.is_set_aside(at_ms(2100), bad));
+        health.ended(
+            at_ms(2200), bad, run_of("d", 0, 0), core::run_end::failed);
+        CPPUNIT_ASSERT(health.is_set_aside(at_ms(6000), bad));
+        health.ended(at_ms(7000), bad, run_of("e", 0, 0), core::run_end::done);
+        CPPUNIT_ASSERT(!health.is_set_aside(at_ms(7001), bad));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(planning_test);
+
+} // namespace turmericswitch::workflow
--- /dev/null
+++ b/modules/workflow/tests/workflow_table_test.cpp
@@ -0,0 +1,258 @@
+#include "workflow_builder.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace turmericswitch::workflow
+{
+
+using namespace testing;
+using core::run_end;
+using core::workflow_state;
+
+class workflow_table_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(workflow_table_test);
+    CPPUNIT_TEST(resent_submission_is_one_workflow);
+    CPPUNIT_TEST(id_of_another_queue_is_refused);
+    CPPUNIT_TEST(stage_starts_after_the_stages_it_waits_for);
+    CPPUNIT_TEST(placed_task_is_not_placed_again);
+    CPPUNIT_TEST(end_of_another_life_is_ignored);
+    CPPUNIT_TEST(failures_of_a_task_count_and_other_ends_do_not);
+    CPPUNIT_TEST(long_running_task_has_no_budget_of_failures);
+    CPPUNIT_TEST(cancelled_workflow_holds_its_room_until_its_runs_end);
+    CPPUNIT_TEST(one_end_of_a_gang_stands_for_all);
+    CPPUNIT_TEST(task_resumes_from_its_last_checkpoint);
+    CPPUNIT_TEST(completed_only_after_all_occurrences);
+    CPPUNIT_TEST(restored_table_equals_the_saved_one);
+    CPPUNIT_TEST(final_workflow_is_kept_for_its_retention);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // A caller that got no answer sends its job again.
+    void resent_submission_is_one_workflow()
+    {
+        submit({stage(1)});
+        progress({}, {placed(run_of("a", 0, 0))});
+        submit({stage(1)});
+        CPPUNIT_ASSERT(state() == workflow_state::running);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_table.records().size());
+    }
+
+    void id_of_another_queue_is_refused()
+    {
+        submit({stage(1)});
+        auto other = submission("a", {stage(1)});
+        other.queue = core::queue_id("other");
+        CPPUNIT_ASSERT(m_table.submit(other, queue(), m_now).code ==
+                       core::result_code::job_invalid);
+        CPPUNIT_ASSERT(
+            m_table.cancel({other.queue, other.workflow}, m_now).code ==
+            core::result_code::job_unknown);
+    }
+
+    void stage_starts_after_the_stages_it_waits_for()
+    {
+        auto second = stage(1);
+        second.after = {0};
+        submit({stage(2), second});
+        progress({}, {placed(run_of("a", 1, 0))});
+        CPPUNIT_ASSERT(!is_held(run_of("a", 1, 0)));
+        progress({}, {placed(run_of("a", 0, 0)), placed(run_of("a", 0, 1))});
+        progress({ended(run_of("a", 0, 0), run_end::done)},
+                 {placed(run_of("a", 1, 0))});
+        CPPUNIT_ASSERT(!is_held(run_of("a", 1, 0)));
+        // Ends come before placements of the same command.
+        progress({ended(run_of("a", 0, 1), run_end::done)},
+                 {placed(run_of("a", 1, 0))});
+        CPPUNIT_ASSERT(is_held(run_of("a", 1, 0)));
+        progress({ended(run_of("a", 1, 0), run_end::done)}, {});
+        CPPUNIT_ASSERT(state() == workflow_state::completed);
+    }
+
+    // A deposed leader's placement may be committed after its successor's.
+    void placed_task_is_not_placed_again()
+    {
+        submit({stage(1)});
+        progress({}, {placed(run_of("a", 0, 0), "w1")});
+        progress({}, {placed(run_of("a", 0, 0, 2), "w2")});
+        CPPUNIT_ASSERT(is_held(run_of("a", 0, 0), "w1"));
+        CPPUNIT_ASSERT(m_table.held_on(core::worker_id("w2")).empty());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, m_table.ignored_parts());
+        progress({ended(run_of("a", 0, 0), run_end::done)},
+                 {placed(run_of("a", 0, 0, 2), "w2")});
+        CPPUNIT_ASSERT(m_table.held_on(core::worker_id("w2")).empty());
+    }
+
+    // A worker that comes back under its id knows nothing of earlier runs.
+    void end_of_another_life_is_ignored()
+    {
+        submit({stage(1)});
+        progress({}, {placed(run_of("a", 0, 0), "w1", 2)});
+        progress({ended(run_of("a", 0, 0), run_end::done, "w1", 1)}, {});
+        CPPUNIT_ASSERT(state() == workflow_state::running);
+        CPPUNIT_ASSERT(is_held(run_of("a", 0, 0), "w1", 2));
+    }
+
+    void failures_of_a_task_count_and_other_ends_do_not()
+    {
+        submit({stage(1)}, 2);
+        run_and_end(1, run_end::stopped);
+        run_and_end(2, run_end::failed);
+        run_and_end(3, run_end::lapsed);
+        run_and_end(4, run_end::lost);
+        run_and_end(5, run_end::refused);
+        CPPUNIT_ASSERT(state() == workflow_state::running);
+        run_and_end(6, run_end::failed);
+        CPPUNIT_ASSERT(state() == workflow_state::failed);
+    }
+
+    void long_running_task_has_no_budget_of_failures()
+    {
+        auto lasting = stage(1);
+        lasting.behaviour.long_running = true;
+        submit({lasting}, 1);
+        run_and_end(1, run_end::failed);
+        run_and_end(2, run_end::done);
+        run_and_end(3, run_end::failed);
+        CPPUNIT_ASSERT(state() == workflow_state::running);
+    }
+
+    // Else the room of a task that is still being stopped is given twice.
+    void cancelled_workflow_holds_its_room_until_its_runs_end()
+    {
+        submit({stage(1)});
+        progress({}, {placed(run_of("a", 0, 0))});
+        cancel();
+        cancel();
+        CPPUNIT_ASSERT(state() == workflow_state::cancelled);
+        CPPUNIT_ASSERT(is_held(run_of("a", 0, 0)));
+        CPPUNIT_ASSERT(m_table.find_stage(run_of("a", 0, 0).task) != nullptr);
+        progress({ended(run_of("a", 0, 0), run_end::done)}, {});
+        CPPUNIT_ASSERT(!is_held(run_of("a", 0, 0)));
+        CPPUNIT_ASSERT(state() == workflow_state::cancelled);
+        progress({}, {placed(run_of("a", 0, 0, 2))});
+        CPPUNIT_ASSERT(m_table.holds().empty());
+    }
+
+    void one_end_of_a_gang_stands_for_all()
+    {
+        auto gang = stage(2);
+        gang.behaviour.gang = true;
+        submit({gang});
+        progress({}, {placed(run_of("a", 0, 0)), placed(run_of("a", 0, 1))});
+        progress({ended(run_of("a", 0, 0), run_end::done)}, {});
+        CPPUNIT_ASSERT(state() == workflow_state::completed);
+        // The other member is there until its own end is listed.
+        CPPUNIT_ASSERT(is_held(run_of("a", 0, 1)));
+    }
+
+    void task_resumes_from_its_last_checkpoint()
+    {
+        submit({stage(1)});
+        progress({}, {placed(run_of("a", 0, 0))});
+        core::workflow_progress noted;
+        noted.checkpoints.push_back(
+            {run_of("a", 0, 0), core::checkpoint_id("one")});
+        m_table.progress(noted, m_now);
+        CPPUNIT_ASSERT(checkpoint() == "one");
+        progress({ended(run_of("a", 0, 0), run_end::stopped, "w1", 1, "two")},
+                 {});
+        CPPUNIT_ASSERT(checkpoint() == "two");
+        // A late note of the ended attempt must not set the task back.
+        progress({}, {placed(run_of("a", 0, 0, 2))});
+        m_table.progress(noted, m_now);
+        CPPUNIT_ASSERT(checkpoint() == "two");
+    }
+
+    void completed_only_after_all_occurrences()
+    {
+        auto recurring = submission("a", {stage(1)});
+        recurring.description.schedule.occurrences = 2;
+        m_table.submit(recurring, queue(), m_now);
+        auto run = run_of("a", 0, 0);
+        for (std::uint32_t occurrence = 0; occurrence < 2; ++occurrence)
+        {
+            CPPUNIT_ASSERT(state() != workflow_state::completed);
+            run.task.occurrence = occurrence;
+            progress({}, {placed(run)});
+            progress({ended(run, run_end::done)}, {});
+        }
+        CPPUNIT_ASSERT(state() == workflow_state::completed);
+    }
+
+    void restored_table_equals_the_saved_one()
+    {
+        submit({stage(2)});
+        progress({}, {placed(run_of("a", 0, 0)), placed(run_of("a", 0, 1))});
+        progress({ended(run_of("a", 0, 0), run_end::failed)}, {});
+        workflow_table other;
+        other.restore(m_table.records());
+        CPPUNIT_ASSERT(other.records() == m_table.records());
+        CPPUNIT_ASSERT(other.holds() == m_table.holds());
+        CPPUNIT_ASSERT(other.active() == m_table.active());
+    }
+
+    void final_workflow_is_kept_for_its_retention()
+    {
+        submit({stage(1)});
+        cancel();
+        m_table.prune(m_now + final_retention, 10);
+        CPPUNIT_ASSERT(m_table.find(core::workflow_id("a")) != nullptr);
+        m_table.prune(m_now + final_retention + std::chrono::seconds(1), 10);
+        CPPUNIT_ASSERT(m_table.find(core::workflow_id("a")) == nullptr);
+    }
+
+private:
+    void submit(std::vector<core::stage_description> stages,
+                std::uint32_t attempts = 3)
+    {
+        m_table.submit(
+            submission("a", std::move(stages)), queue(attempts), m_now);
+    }
+
+    void cancel()
+    {
+        m_table.cancel({core::queue_id("proofs"), core::workflow_id("a")},
+                       m_now);
+    }
+
+    void progress(std::vector<core::run_outcome> ends,
+                  std::vector<core::run_placement> placements)
+    {
+        core::workflow_progress command;
+        command.ends = std::move(ends);
+        command.placements = std::move(placements);
+        m_table.progress(command, m_now);
+    }
+
+    void run_and_end(std::uint32_t attempt, run_end how)
+    {
+        progress({}, {placed(run_of("a", 0, 0, attempt))});
+        progress({ended(run_of("a", 0, 0, attempt), how)}, {});
+    }
+
+    workflow_state state() const
+    {
+        return m_table.find(core::workflow_id("a"))->state;
+    }
+
+    bool is_held(core::task_run const& run,
+                 std::string const& worker = "w1",
+                 std::uint64_t life = 1) const
+    {
+        return m_table.is_held(
+            run, core::worker_id(worker), core::incarnation(life));
+    }
+
+    std::string checkpoint() const
+    {
+        return m_table.find_task(run_of("a", 0, 0).task)->checkpoint.value();
+    }
+
+    workflow_table m_table;
+    core::time_point m_now = at_ms(1000);
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(workflow_table_test);
+
+} // namespace turmericswitch::workflow
--- a/programs/gateway/jobs/job_client.cpp
+++ b/programs/gateway/jobs/job_client.cpp
@@ -18,14 +18,18 @@
 
 using core::result_code;
 
-/// Longest search for a leader: most changes of leader take less, and a caller
-/// is better off with a refusal than with a held call when they take more.
-constexpr core::duration leader_search = std::chrono::milliseconds(1200);
+/// Longest search for a leader. A change of leader takes about a second; a
+/// caller that is refused earlier can come back through another gateway.
+constexpr core::duration leader_search = std::chrono::milliseconds(600);
+
+/// Longest time for a call that may have been carried out: a retry of it often
+/// turns the unknown outcome into a known one.
+constexpr core::duration outcome_search = std::chrono::milliseconds(1300);
 constexpr core::duration search_pause = std::chrono::milliseconds(40);
 
 /// Time for one call: a commit takes tens of milliseconds, and a call on a
 /// dead connection must leave time for another.
-constexpr core::duration call_timeout = std::chrono::milliseconds(1000);
+constexpr core::duration call_timeout = std::chrono::milliseconds(600);
 
 /// Kept back from the caller's patience for the answer's way.
 constexpr core::duration answer_reserve = std::chrono::milliseconds(100);
@@ -72,6 +76,7 @@
     auto const until =
         begun + std::max(plan.patience - answer_reserve, answer_reserve);
     auto const search_until = std::min(until, begun + leader_search);
+    auto const outcome_until = std::min(until, begun + outcome_search);
     bool may_have_run = false;
     job_result last;
     for (;;)
@@ -97,7 +102,8 @@
             may_have_run =
                 may_have_run || result.outcome == transport::call_outcome::lost;
         }
-        auto const limit = plan.changes && may_have_run ? until : search_until;
+        auto const limit =
+            plan.changes && may_have_run ? outcome_until : search_until;
         if (process::event_loop::now() + search_pause >= limit)
         {
             break;
--- /dev/null
+++ b/tests/support/runtime_model.cpp
@@ -0,0 +1,205 @@
+#include "support/runtime_model.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace turmericswitch::testing
+{
+
+using core::run_end;
+using workflow::start_outcome;
+
+runtime_model::runtime_model(core::duration longest_lease, plan_hook plan)
+    : m_longest(longest_lease), m_plan(std::move(plan))
+{
+}
+
+void runtime_model::begin_life(core::time_point now)
+{
+    ++m_life;
+    m_born = now;
+    m_token = 0;
+    m_lease = {};
+    m_last_end = 0;
+    m_running.clear();
+    m_closed.clear();
+    m_ended.clear();
+}
+
+core::duration runtime_model::clock(core::time_point now) const
+{
+    return std::chrono::floor<std::chrono::milliseconds>(now - m_born);
+}
+
+bool runtime_model::is_outdated(std::uint64_t token)
+{
+    if (token < m_token)
+    {
+        return true;
+    }
+    m_token = token;
+    return false;
+}
+
+void runtime_model::extend(core::duration until, core::time_point now)
+{
+    m_lease = std::max(m_lease, std::min(until, clock(now) + m_longest));
+}
+
+void runtime_model::end(core::task_run const& id,
+                        run_end how,
+                        std::string saved)
+{
+    m_running.erase(id.task);
+    auto& closed = m_closed[id.task];
+    closed = std::max(closed, id.attempt);
+    m_ended.push_back(
+        {++m_last_end, id, how, core::checkpoint_id(std::move(saved))});
+}
+
+void runtime_model::advance(core::time_point now)
+{
+    std::vector<run> over;
+    bool const has_lapsed = clock(now) > m_lease;
+    for (auto const& [task, each] : m_running)
+    {
+        if (has_lapsed || now >= each.ends)
+        {
+            over.push_back(each);
+        }
+    }
+    for (auto const& each : over)
+    {
+        auto const how = now >= each.ends ? (each.will_fail ? run_end::failed
+                                                            : run_end::done)
+                                          : run_end::lapsed;
+        end(each.id, how, each.checkpoint);
+    }
+}
+
+start_outcome runtime_model::start(core::time_point now,
+                                   workflow::start_call const& call)
+{
+    advance(now);
+    if (is_outdated(call.fencing_token))
+    {
+        return start_outcome::outdated;
+    }
+    auto const& id = call.start.run;
+    if (auto const known = m_running.find(id.task); known != m_running.end())
+    {
+        return known->second.id == id ? start_outcome::started
+                                      : start_outcome::refused;
+    }
+    if (auto const closed = m_closed.find(id.task);
+        closed != m_closed.end() && id.attempt <= closed->second)
+    {
+        extend(call.start.lease_until, now);
+        return start_outcome::already_ended;
+    }
+    if (call.start.lease_until <= clock(now))
+    {
+        return start_outcome::refused;
+    }
+    extend(call.start.lease_until, now);
+    auto const plan = m_plan(id);
+    m_running.emplace(id.task,
+                      run{id,
+                          call.payload,
+                          call.start.checkpoint.value(),
+                          now,
+                          now + plan.work,
+                          plan.fails,
+                          100});
+    return start_outcome::started;
+}
+
+bool runtime_model::stop(core::time_point now, workflow::stop_call const& call)
+{
+    advance(now);
+    if (is_outdated(call.fencing_token))
+    {
+        return false;
+    }
+    auto const known = m_running.find(call.run.task);
+    if (known != m_running.end() && known->second.id == call.run)
+    {
+        end(call.run, run_end::stopped, known->second.checkpoint);
+        return true;
+    }
+    auto& closed = m_closed[call.run.task];
+    closed = std::max(closed, call.run.attempt);
+    return true;
+}
+
+bool runtime_model::pace(core::time_point now, workflow::pace_call const& call)
+{
+    advance(now);
+    if (is_outdated(call.fencing_token))
+    {
+        return false;
+    }
+    auto const known = m_running.find(call.pace.run.task);
+    if (known == m_running.end() || known->second.id != call.pace.run)
+    {
+        return false;
+    }
+    known->second.pace = call.pace.percent;
+    return true;
+}
+
+std::optional<workflow::hold_answer>
+runtime_model::hold(core::time_point now, workflow::hold_call const& call)
+{
+    advance(now);
+    if (is_outdated(call.fencing_token))
+    {
+        return std::nullopt;
+    }
+    if (call.lease_until)
+    {
+        extend(*call.lease_until, now);
+    }
+    std::erase_if(m_ended,
+                  [&](core::ended_run const& each)
+                  {
+                      bool const is_released =
+                          each.number <= call.acknowledged_ends;
+                      if (is_released && each.how == run_end::done)
+                      {
+                          m_released_done.push_back(each.run);
+                      }
+                      return is_released;
+                  });
+    workflow::hold_answer answer;
+    answer.clock = clock(now);
+    answer.life = core::incarnation(m_life);
+    answer.runs.ended = m_ended;
+    for (auto const& [task, each] : m_running)
+    {
+        core::running_task row;
+        row.run = each.id;
+        row.checkpoint = core::checkpoint_id(each.checkpoint);
+        answer.runs.running.push_back(row);
+    }
+    return answer;
+}
+
+std::map<core::task_ref, runtime_model::run> const&
+runtime_model::running() const noexcept
+{
+    return m_running;
+}
+
+std::uint64_t runtime_model::life() const noexcept
+{
+    return m_life;
+}
+
+std::vector<core::task_run> const& runtime_model::released_done() const noexcept
+{
+    return m_released_done;
+}
+
+} // namespace turmericswitch::testing
--- /dev/null
+++ b/tests/support/runtime_model.hpp
@@ -0,0 +1,93 @@
+#ifndef TURMERICSWITCH_TESTS_SUPPORT_RUNTIME_MODEL_HPP
+#define TURMERICSWITCH_TESTS_SUPPORT_RUNTIME_MODEL_HPP
+
+#include "core/messages/workflow.hpp"
+#include "workflow/agent/worker_runtime.hpp"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace turmericswitch::testing
+{
+
+/// Model of a worker's runtime that keeps the platform's contract: fencing
+/// tokens, attempts, tombstones, absolute lease times on its own clock, a
+/// numbered list of ends, and new lives.
+///
+/// The same model serves the fuzz and the stand-in program. It has no thread
+/// and no clock; every call carries the time.
+class runtime_model
+{
+public:
+    struct run
+    {
+        core::task_run id;
+        std::string payload;
+        std::string checkpoint;
+        core::time_point begun;
+        core::time_point ends;
+        bool will_fail = false;
+        std::uint32_t pace = 100;
+    };
+
+    /// How long a task runs and whether it fails.
+    struct task_plan
+    {
+        core::duration work{};
+        bool fails = false;
+    };
+
+    using plan_hook = std::function<task_plan(core::task_run const&)>;
+
+    runtime_model(core::duration longest_lease, plan_hook plan);
+
+    /// Begins a new life: nothing runs and nothing is known.
+    void begin_life(core::time_point now);
+
+    /// Lets the time pass: tasks end and leases lapse.
+    void advance(core::time_point now);
+
+    workflow::start_outcome start(core::time_point now,
+                                  workflow::start_call const& call);
+
+    /// @return False if the fencing token is outdated.
+    bool stop(core::time_point now, workflow::stop_call const& call);
+    bool pace(core::time_point now, workflow::pace_call const& call);
+
+    /// @return Nothing if the fencing token is outdated.
+    std::optional<workflow::hold_answer> hold(core::time_point now,
+                                              workflow::hold_call const& call);
+
+    std::map<core::task_ref, run> const& running() const noexcept;
+    std::uint64_t life() const noexcept;
+
+    /// Runs that have ended `done` in any life, and whose end was released by
+    /// the acknowledged number.
+    std::vector<core::task_run> const& released_done() const noexcept;
+
+private:
+    core::duration clock(core::time_point now) const;
+    void extend(core::duration until, core::time_point now);
+    void end(core::task_run const& id, core::run_end how, std::string saved);
+    bool is_outdated(std::uint64_t token);
+
+    core::duration m_longest;
+    plan_hook m_plan;
+    std::uint64_t m_life = 0;
+    core::time_point m_born;
+    std::uint64_t m_token = 0;
+    core::duration m_lease{};
+    std::uint64_t m_last_end = 0;
+    std::map<core::task_ref, run> m_running;
+    /// Highest attempt of each task that was stopped or has ended.
+    std::map<core::task_ref, core::attempt_number> m_closed;
+    std::vector<core::ended_run> m_ended;
+    std::vector<core::task_run> m_released_done;
+};
+
+} // namespace turmericswitch::testing
+
+#endif
