--- a/modules/workflow/tests/fuzz_world.cpp
+++ b/modules/workflow/tests/fuzz_world.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-constexpr core::duration lease = std::chrono::seconds(3);
+constexpr core::duration lease = std::chrono::seconds(9);
 constexpr core::duration day = std::chrono::seconds(40);
 constexpr core::duration quiet_end = std::chrono::seconds(60);
 constexpr std::int64_t worker_millicores = 4000;
@@ -441,7 +441,7 @@
         after(between_ms(500, 8000), [&where] { where.is_cut = false; });
         break;
     case 4:
-        where.unanswered = 30;
+        where.unanswered = 60;
         after(between_ms(500, 4000), [&where] { where.unanswered = 0; });
         break;
     default:
@@ -485,6 +485,12 @@
                 fail("run without hold " + core::to_string(ref));
                 continue;
             }
+            if (!m_table.is_held(run.id,
+                                 core::worker_id(where->name),
+                                 core::incarnation(where->born)))
+            {
+                fail("run without hold " + core::to_string(ref));
+            }
             used += reserved_by(*about);
             auto const most = about->constraints.max_per_worker;
             if (++per_stage[stage_of(ref)] > most && most > 0)
