Slow a neighbour without a known effect only while its effect is uncertain

Found by the new test of a task that stands still: with the disturbing task at pace 0, the tail counted as unexplained and every harmless neighbour was cut.

--- /dev/null
+++ b/modules/web/tests/async_client_test.cpp
@@ -0,0 +1,116 @@
+#include "web/client/async_client.hpp"
+
+#include "web/server/http_server.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+#include <chrono>
+#include <future>
+#include <thread>
+#include <vector>
+
+namespace turmericswitch::web
+{
+
+class async_client_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(async_client_test);
+    CPPUNIT_TEST(many_requests_share_few_connections);
+    CPPUNIT_TEST(silent_peer_ends_with_the_timeout);
+    CPPUNIT_TEST(closed_port_was_not_sent);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // New connections are paid for, and a worker takes a limited number.
+    void many_requests_share_few_connections()
+    {
+        std::atomic<int> most = 0;
+        std::atomic<int> open = 0;
+        server_options options;
+        options.listen_on = {"127.0.0.1", 0};
+        auto const server = http_server::start(
+            options,
+            [&](http_request const& request)
+            {
+                most = std::max<int>(most, ++open);
+                std::this_thread::sleep_for(std::chrono::milliseconds(2));
+                --open;
+                return text_response(request.body);
+            });
+        transport::io_pool io(1);
+        async_client_options limits;
+        limits.open_connections = 3;
+        async_client client(io, server->bound(), limits);
+        std::vector<std::future<http_result>> results;
+        for (int i = 0; i < 30; ++i)
+        {
+            results.push_back(send(client, std::to_string(i)));
+        }
+        for (int i = 0; i < 30; ++i)
+        {
+            auto const result = results[static_cast<std::size_t>(i)].get();
+            CPPUNIT_ASSERT(result.outcome == http_outcome::answered);
+            CPPUNIT_ASSERT_EQUAL(std::to_string(i), result.response.body);
+        }
+        CPPUNIT_ASSERT(most <= 3);
+    }
+
+    // A worker that leaves an order unanswered must not hold up the others.
+    void silent_peer_ends_with_the_timeout()
+    {
+        std::promise<void> release;
+        auto const released = release.get_future().share();
+        server_options options;
+        options.listen_on = {"127.0.0.1", 0};
+        auto const server =
+            http_server::start(options,
+                               [released](http_request const& request)
+                               {
+                                   if (request.body == "hang")
+                                   {
+                                       released.wait();
+                                   }
+                                   return text_response("late");
+                               });
+        transport::io_pool io(1);
+        async_client client(io, server->bound());
+        auto hanging = send(client, "hang", std::chrono::milliseconds(50));
+        auto other = send(client, "quick");
+        CPPUNIT_ASSERT(hanging.get().outcome == http_outcome::lost);
+        CPPUNIT_ASSERT(other.get().outcome == http_outcome::answered);
+        release.set_value();
+    }
+
+    void closed_port_was_not_sent()
+    {
+        server_options options;
+        options.listen_on = {"127.0.0.1", 0};
+        auto server = http_server::start(
+            options, [](http_request const&) { return text_response(""); });
+        auto const gone = server->bound();
+        server.reset();
+        transport::io_pool io(1);
+        async_client client(io, gone);
+        CPPUNIT_ASSERT(send(client, "x").get().outcome ==
+                       http_outcome::not_sent);
+    }
+
+private:
+    static std::future<http_result>
+    send(async_client& client,
+         std::string body,
+         core::duration timeout = std::chrono::seconds(20))
+    {
+        auto const promise = std::make_shared<std::promise<http_result>>();
+        client.request({"POST", "/", {}, std::move(body)},
+                       timeout,
+                       [promise](http_result result)
+                       { promise->set_value(std::move(result)); });
+        return promise->get_future();
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(async_client_test);
+
+} // namespace turmericswitch::web
--- a/modules/workflow/dispatch/interference_model.cpp
+++ b/modules/workflow/dispatch/interference_model.cpp
@@ -26,6 +26,9 @@
 /// unknown image are tried beside a serving task, and not a whole stage.
 constexpr double unknown_factor = 0.4;
 
+/// A factor with less variance is trusted.
+constexpr double known_variance = 0.1;
+
 /// Bounds the covariance of pairs that are not seen together any more.
 constexpr double largest_variance = 2.0;
 
@@ -129,4 +132,18 @@
     return std::max(factor, 0.0) * use;
 }
 
+bool interference_model::is_known(std::string const& serving,
+                                  std::string const& neighbour) const
+{
+    auto const known = m_estimates.find(serving);
+    if (known == m_estimates.end())
+    {
+        return false;
+    }
+    auto const position = known->second.positions.find(neighbour);
+    return position != known->second.positions.end() &&
+           known->second.covariance[position->second][position->second] <
+               known_variance;
+}
+
 } // namespace turmericswitch::workflow
--- a/modules/workflow/dispatch/interference_model.hpp
+++ b/modules/workflow/dispatch/interference_model.hpp
@@ -39,6 +39,11 @@
     double effect(std::string const& serving,
                   neighbour_use const& neighbour) const;
 
+    /// @return True if the pair was seen together often enough to trust its
+    ///         effect.
+    bool is_known(std::string const& serving,
+                  std::string const& neighbour) const;
+
 private:
     struct estimate
     {
--- a/modules/workflow/dispatch/sharing_control.cpp
+++ b/modules/workflow/dispatch/sharing_control.cpp
@@ -168,11 +168,12 @@
             effect(task, neighbour.image, neighbour.used, state.last.capacity);
         auto& pace =
             state.paces.try_emplace(neighbour.run, full_pace).first->second;
-        if (explained < least_effect)
+        if (explained < least_effect &&
+            !m_model.is_known(task.image, neighbour.image))
         {
             pace = pace * unexplained_cut_percent / full_pace;
         }
-        else if (caused / explained > least_effect)
+        else if (explained >= least_effect && caused / explained > least_effect)
         {
             double const kept = std::clamp(1.0 - excess / explained, 0.0, 1.0);
             pace = static_cast<std::uint32_t>(pace * kept);
--- a/modules/workflow/tests/fuzz_world.cpp
+++ b/modules/workflow/tests/fuzz_world.cpp
@@ -344,12 +344,10 @@
                           m_now, request.worker, request.life)));
                       return;
                   }
-                  std::erase_if(to->polls,
-                                [&request](leader::poll const& each)
-                                {
-                                    return each.request.worker ==
-                                           request.worker;
-                                });
+                  std::erase_if(
+                      to->polls,
+                      [&request](leader::poll const& each)
+                      { return each.request.worker == request.worker; });
                   to->polls.push_back({request, finish});
               });
     };
@@ -538,31 +536,31 @@
     {
         auto const* const view =
             m_leader->work.fleet().find(core::worker_id(where->name));
-        text += "; " + where->name + " born " + std::to_string(where->born) +
-                (view == nullptr
-                     ? std::string(" unknown")
-                     : " seen " + std::to_string(view->profile.life.value()) +
-                           " silent for " +
-                           std::to_string((m_now - view->heard).count() / 1000) +
-                           " ms, lease left " +
-                           std::to_string((view->granted_until - view->clock)
-                                              .count() /
-                                          1000) +
-                           " ms" + (view->left ? ", left" : "") +
-                           (view->has_runs ? "" : ", no lists"));
+        text +=
+            "; " + where->name + " born " + std::to_string(where->born) +
+            (view == nullptr
+                 ? std::string(" unknown")
+                 : " seen " + std::to_string(view->profile.life.value()) +
+                       " silent for " +
+                       std::to_string((m_now - view->heard).count() / 1000) +
+                       " ms, lease left " +
+                       std::to_string(
+                           (view->granted_until - view->clock).count() / 1000) +
+                       " ms" + (view->left ? ", left" : "") +
+                       (view->has_runs ? "" : ", no lists"));
         for (auto const& [run, life] :
              m_table.held_on(core::worker_id(where->name)))
         {
-            text += " holds " + core::to_string(run.task) + '/' +
-                    std::to_string(run.attempt.value()) + " of life " +
-                    std::to_string(life.value()) +
-                    (where->model.running().contains(run.task) ? " running"
-                                                               : "") +
-                    (view != nullptr && view->running.contains(run) ? " seen"
-                                                                    : "") +
-                    ' ' +
-                    std::string(core::to_string(
-                        m_table.find(run.task.workflow)->state));
+            text +=
+                " holds " + core::to_string(run.task) + '/' +
+                std::to_string(run.attempt.value()) + " of life " +
+                std::to_string(life.value()) +
+                (where->model.running().contains(run.task) ? " running" : "") +
+                (view != nullptr && view->running.contains(run) ? " seen"
+                                                                : "") +
+                ' ' +
+                std::string(
+                    core::to_string(m_table.find(run.task.workflow)->state));
         }
     }
     return text;
--- /dev/null
+++ b/modules/workflow/tests/sharing_test.cpp
@@ -0,0 +1,187 @@
+#include "workflow/dispatch/run_time_model.hpp"
+#include "workflow/dispatch/sharing_control.hpp"
+#include "workflow_builder.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <cmath>
+
+namespace turmericswitch::workflow
+{
+
+using namespace testing;
+
+/// Load: batch that fills beside services, with one image that disturbs and
+/// one that does not.
+class sharing_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(sharing_test);
+    CPPUNIT_TEST(model_tells_the_disturbing_image_from_the_harmless);
+    CPPUNIT_TEST(unknown_pair_counts_as_disturbing);
+    CPPUNIT_TEST(only_the_disturbing_neighbour_is_slowed);
+    CPPUNIT_TEST(one_report_is_acted_on_once);
+    CPPUNIT_TEST(slowed_task_speeds_up_when_there_is_headroom);
+    CPPUNIT_TEST(task_that_stands_still_is_told);
+    CPPUNIT_TEST(run_times_follow_what_ran_and_not_the_estimate);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void model_tells_the_disturbing_image_from_the_harmless()
+    {
+        interference_model model;
+        teach(model);
+        CPPUNIT_ASSERT(model.effect("proof", {"heavy", 0.2}) > 1.0);
+        CPPUNIT_ASSERT(model.effect("proof", {"light", 0.2}) < 0.15);
+    }
+
+    void unknown_pair_counts_as_disturbing()
+    {
+        interference_model model;
+        teach(model);
+        CPPUNIT_ASSERT(model.effect("proof", {"new", 0.2}) > 0.3);
+        CPPUNIT_ASSERT(model.effect("other", {"heavy", 0.2}) > 0.3);
+    }
+
+    void only_the_disturbing_neighbour_is_slowed()
+    {
+        teach_control();
+        sample(1.4);
+        CPPUNIT_ASSERT(pace(m_heavy) < 50);
+        CPPUNIT_ASSERT_EQUAL(100U, pace(m_light));
+    }
+
+    // Reports come several times within the half second that they average
+    // over; acting on each would cut the pace again and again.
+    void one_report_is_acted_on_once()
+    {
+        teach_control();
+        sample(1.0);
+        auto const once = pace(m_heavy);
+        for (int i = 0; i < 5; ++i)
+        {
+            m_now += std::chrono::milliseconds(50);
+            m_control.update(m_now, m_worker, at(1.0));
+        }
+        CPPUNIT_ASSERT_EQUAL(once, pace(m_heavy));
+    }
+
+    void slowed_task_speeds_up_when_there_is_headroom()
+    {
+        teach_control();
+        sample(1.2);
+        auto const slowed = pace(m_heavy);
+        CPPUNIT_ASSERT(slowed < 100);
+        for (int i = 0; i < 6; ++i)
+        {
+            sample(0.1);
+        }
+        CPPUNIT_ASSERT(pace(m_heavy) > slowed);
+    }
+
+    void task_that_stands_still_is_told()
+    {
+        teach_control();
+        for (int i = 0; i < 6; ++i)
+        {
+            sample(5.0);
+        }
+        CPPUNIT_ASSERT_EQUAL(0U, pace(m_heavy));
+        auto const stalled = m_control.stalled(m_now, m_worker);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stalled.size());
+        CPPUNIT_ASSERT(stalled.front() == m_heavy);
+    }
+
+    // Submitters' estimates are off by an order of magnitude.
+    void run_times_follow_what_ran_and_not_the_estimate()
+    {
+        run_time_model model;
+        auto one = stage(1);
+        one.behaviour.image = "layout";
+        one.estimate = std::chrono::seconds(30);
+        core::queue_id const proofs("proofs");
+        CPPUNIT_ASSERT(model.expected(proofs, one) == std::chrono::seconds(30));
+        for (int i = 0; i < 10; ++i)
+        {
+            model.ended(proofs, "layout", std::chrono::seconds(2));
+        }
+        CPPUNIT_ASSERT(model.expected(proofs, one) == std::chrono::seconds(2));
+        auto second = one;
+        second.after = {0};
+        core::workflow_record record;
+        record.queue = queue();
+        record.description.stages = {one, second, one};
+        CPPUNIT_ASSERT(
+            model.longest_chain(record, [](std::uint32_t) { return true; }) ==
+            std::chrono::seconds(4));
+        CPPUNIT_ASSERT(model.longest_chain(record,
+                                           [](std::uint32_t number) {
+                                               return number == 1;
+                                           }) == std::chrono::seconds(2));
+    }
+
+private:
+    static void teach(interference_model& model)
+    {
+        for (int i = 0; i < 300; ++i)
+        {
+            double const heavy = 0.05 * (i % 5);
+            double const light = 0.05 * ((i / 5) % 5);
+            model.learn("proof",
+                        0.2 * std::exp(8 * heavy),
+                        {{"heavy", heavy}, {"light", light}});
+        }
+    }
+
+    sharing_sample at(double tail) const
+    {
+        sharing_sample made;
+        made.capacity = core::millicores(32'000);
+        made.serving = {{run_of("s", 0, 0), "proof", tail}};
+        made.spare = {
+            {m_heavy, "heavy", core::millicores(4000), used(m_heavy)},
+            {m_light, "light", core::millicores(4000), used(m_light)}};
+        return made;
+    }
+
+    core::millicores used(core::task_run const& run) const
+    {
+        return core::millicores(40 * m_control.pace(m_worker, run));
+    }
+
+    void sample(double tail)
+    {
+        m_now += std::chrono::milliseconds(600);
+        m_control.update(m_now, m_worker, at(tail));
+    }
+
+    /// Tails that follow the heavy neighbour's use alone.
+    void teach_control()
+    {
+        for (int i = 0; i < 400; ++i)
+        {
+            auto made = at(0);
+            double const heavy = 0.05 * (i % 4);
+            made.spare[0].used =
+                core::millicores(static_cast<std::int64_t>(heavy * 32'000));
+            made.spare[1].used = core::millicores(1600 * ((i / 4) % 4));
+            made.serving[0].tail = 0.15 * std::exp(8 * heavy);
+            m_now += std::chrono::milliseconds(600);
+            m_control.update(m_now, core::worker_id("teacher"), made);
+        }
+    }
+
+    std::uint32_t pace(core::task_run const& run) const
+    {
+        return m_control.pace(m_worker, run);
+    }
+
+    core::time_point m_now = at_ms(100'000);
+    core::worker_id m_worker{"w1"};
+    core::task_run m_heavy = run_of("b", 0, 0);
+    core::task_run m_light = run_of("b", 0, 1);
+    sharing_control m_control;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(sharing_test);
+
+} // namespace turmericswitch::workflow
