Refuse at once while no leader was found a moment ago

The time of a call is bounded by the time that is left for the whole search; before, the last call went on for 600 ms more.

--- a/modules/workflow/tests/sharing_test.cpp
+++ b/modules/workflow/tests/sharing_test.cpp
@@ -81,11 +81,15 @@
     void task_that_stands_still_is_told()
     {
         teach_control();
-        for (int i = 0; i < 6; ++i)
+        for (int i = 0; i < 8; ++i)
         {
-            sample(5.0);
+            // A tail near its target that the heavy neighbour pushes over.
+            auto const share =
+                static_cast<double>(used(m_heavy).value()) / 32'000;
+            sample(0.78 * std::exp(8 * share));
         }
         CPPUNIT_ASSERT_EQUAL(0U, pace(m_heavy));
+        CPPUNIT_ASSERT_EQUAL(100U, pace(m_light));
         auto const stalled = m_control.stalled(m_now, m_worker);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stalled.size());
         CPPUNIT_ASSERT(stalled.front() == m_heavy);
--- a/programs/gateway/jobs/job_client.cpp
+++ b/programs/gateway/jobs/job_client.cpp
@@ -22,6 +22,11 @@
 /// caller that is refused earlier can come back through another gateway.
 constexpr core::duration leader_search = std::chrono::milliseconds(600);
 
+/// Longest search while another call has just found no leader: the caller
+/// learns at once that it has to come back.
+constexpr core::duration known_outage_search = std::chrono::milliseconds(100);
+constexpr core::duration outage_memory = std::chrono::milliseconds(400);
+
 /// Longest time for a call that may have been carried out: a retry of it often
 /// turns the unknown outcome into a known one.
 constexpr core::duration outcome_search = std::chrono::milliseconds(1300);
@@ -75,14 +80,18 @@
     auto const begun = process::event_loop::now();
     auto const until =
         begun + std::max(plan.patience - answer_reserve, answer_reserve);
-    auto const search_until = std::min(until, begun + leader_search);
+    auto const search = begun < core::time_point(core::duration(m_no_leader))
+                            ? known_outage_search
+                            : leader_search;
+    auto const search_until = std::min(until, begun + search);
     auto const outcome_until = std::min(until, begun + outcome_search);
     bool may_have_run = false;
-    job_result last;
+    auto limit = search_until;
     for (;;)
     {
-        auto const now = process::event_loop::now();
-        auto const timeout = std::min(call_timeout, until - now);
+        auto const timeout = std::min(call_timeout,
+                                      std::max(limit, search_until) -
+                                          process::event_loop::now());
         auto const result =
             call_and_wait(m_control, plan.path, plan.body, timeout);
         if (result.outcome == transport::call_outcome::answered)
@@ -91,6 +100,7 @@
             if (answer && !is_misdirected(answer->code) &&
                 answer->code != result_code::outcome_unknown)
             {
+                m_no_leader = 0;
                 return *answer;
             }
             may_have_run = may_have_run || !answer ||
@@ -102,14 +112,16 @@
             may_have_run =
                 may_have_run || result.outcome == transport::call_outcome::lost;
         }
-        auto const limit =
-            plan.changes && may_have_run ? outcome_until : search_until;
+        limit = plan.changes && may_have_run ? outcome_until : search_until;
         if (process::event_loop::now() + search_pause >= limit)
         {
             break;
         }
         std::this_thread::sleep_for(search_pause);
     }
+    m_no_leader =
+        (process::event_loop::now() + outage_memory).time_since_epoch().count();
+    job_result last;
     last.code = plan.changes && may_have_run ? result_code::outcome_unknown
                                              : result_code::not_leader;
     last.text = "no answer of a control leader";
--- a/programs/gateway/jobs/job_client.hpp
+++ b/programs/gateway/jobs/job_client.hpp
@@ -5,6 +5,8 @@
 #include "core/messages/workflow.hpp"
 #include "shared/control_link/control_link.hpp"
 
+#include <atomic>
+#include <cstdint>
 #include <string>
 
 namespace turmericswitch::gateway
@@ -42,6 +44,9 @@
     job_result command(core::command_body body, core::duration patience);
 
     shared::control_link& m_control;
+    /// Until when a call counts on no leader, in microseconds of the event
+    /// loop's clock.
+    std::atomic<std::int64_t> m_no_leader = 0;
 };
 
 } // namespace turmericswitch::gateway
