--- /dev/null
+++ b/modules/workflow/tests/dispatcher_test.cpp
@@ -0,0 +1,216 @@
+#include "workflow/dispatch/dispatcher.hpp"
+#include "workflow_builder.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace turmericswitch::workflow
+{
+
+using namespace testing;
+
+/// Focused failures of the leader's decisions; `dispatch_fuzz_test` has the
+/// mixes.
+class dispatcher_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(dispatcher_test);
+    CPPUNIT_TEST(end_is_acknowledged_only_after_its_commit);
+    CPPUNIT_TEST(report_of_an_earlier_life_is_ignored);
+    CPPUNIT_TEST(new_leader_waits_a_whole_lease);
+    CPPUNIT_TEST(silent_worker_is_given_up_after_its_lease);
+    CPPUNIT_TEST(new_life_gives_up_the_runs_of_the_old_at_once);
+    CPPUNIT_TEST(draining_worker_and_evacuated_zone_get_nothing);
+    CPPUNIT_TEST(lost_batch_of_orders_is_sent_again);
+    CPPUNIT_TEST(cancelled_run_is_stopped_until_it_has_ended);
+    CPPUNIT_TEST(workflow_with_a_schedule_waits_for_its_time);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        m_table = {};
+        m_now = at_ms(1'000'000);
+        m_config = {};
+        m_lead = std::make_unique<dispatcher>(
+            m_table,
+            dispatch_options{
+                {std::chrono::seconds(6), std::chrono::seconds(6)}},
+            7,
+            m_now);
+    }
+
+    // An acknowledged end that is then lost would run its task again.
+    void end_is_acknowledged_only_after_its_commit()
+    {
+        start_one();
+        core::worker_runs lists;
+        lists.ended = {{1, run_of("a", 0, 0), core::run_end::done, {}}};
+        report(lists);
+        CPPUNIT_ASSERT(m_lead->has_uncommitted_ends(core::worker_id("w1")));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, grant().acknowledged_ends);
+        commit();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, grant().acknowledged_ends);
+    }
+
+    // A report that was held up may come after the worker has started again.
+    void report_of_an_earlier_life_is_ignored()
+    {
+        CPPUNIT_ASSERT(report({}, profile("w1", 8000, 2)));
+        CPPUNIT_ASSERT(!report({}, profile("w1", 8000, 1)));
+        CPPUNIT_ASSERT(
+            m_lead->fleet().find(core::worker_id("w1"))->profile.life ==
+            core::incarnation(2));
+    }
+
+    // The leader before may have granted a lease just before the election.
+    void new_leader_waits_a_whole_lease()
+    {
+        submit();
+        core::workflow_progress by_earlier;
+        by_earlier.placements = {placed(run_of("a", 0, 0), "gone")};
+        m_table.progress(by_earlier, m_now);
+        m_now += std::chrono::milliseconds(6300);
+        CPPUNIT_ASSERT(!plan());
+        m_now += std::chrono::milliseconds(200);
+        auto const command = plan();
+        CPPUNIT_ASSERT(command.has_value());
+        CPPUNIT_ASSERT(command->ends.front().how == core::run_end::lost);
+    }
+
+    void silent_worker_is_given_up_after_its_lease()
+    {
+        start_one();
+        grant();
+        m_now += std::chrono::milliseconds(6300);
+        CPPUNIT_ASSERT(!plan());
+        m_now += std::chrono::milliseconds(200);
+        CPPUNIT_ASSERT(plan()->ends.front().how == core::run_end::lost);
+    }
+
+    void new_life_gives_up_the_runs_of_the_old_at_once()
+    {
+        start_one();
+        report({}, profile("w1", 8000, 2));
+        CPPUNIT_ASSERT(plan()->ends.front().how == core::run_end::lost);
+    }
+
+    void draining_worker_and_evacuated_zone_get_nothing()
+    {
+        submit();
+        auto leaving = profile("w1");
+        leaving.draining = true;
+        report({}, leaving);
+        grant();
+        CPPUNIT_ASSERT(!plan());
+        report({});
+        m_config.evacuated = {core::zone_id("zone-a")};
+        CPPUNIT_ASSERT(!plan());
+        m_config.evacuated.clear();
+        CPPUNIT_ASSERT(plan().has_value());
+    }
+
+    void lost_batch_of_orders_is_sent_again()
+    {
+        start_one();
+        auto const first = orders();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, first.batch);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, orders().batch);
+        m_lead->acknowledge_orders(core::worker_id("w1"), 1);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, orders().batch);
+        m_lead->acknowledge_orders(core::worker_id("w1"), 0);
+        auto const again = orders();
+        CPPUNIT_ASSERT(again.starts == first.starts);
+    }
+
+    void cancelled_run_is_stopped_until_it_has_ended()
+    {
+        start_one();
+        orders();
+        m_table.cancel({core::queue_id("proofs"), core::workflow_id("a")},
+                       m_now);
+        // The start may still be on its way.
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, orders().stops.size());
+        m_now += std::chrono::seconds(2);
+        auto const again = orders();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, again.stops.size());
+        CPPUNIT_ASSERT(again.starts.empty());
+    }
+
+    void workflow_with_a_schedule_waits_for_its_time()
+    {
+        auto later = submission("a", {stage(1)});
+        later.description.schedule.occurrences = 2;
+        later.description.schedule.first =
+            core::wall_time(std::chrono::seconds(100));
+        later.description.schedule.interval = std::chrono::seconds(10);
+        m_table.submit(later, queue(), m_now);
+        report({});
+        grant();
+        m_wall = core::wall_time(std::chrono::seconds(99));
+        CPPUNIT_ASSERT(!plan());
+        m_wall = core::wall_time(std::chrono::seconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, plan()->placements.size());
+        m_wall = core::wall_time(std::chrono::seconds(110));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, plan()->placements.size());
+    }
+
+private:
+    void submit()
+    {
+        m_table.submit(submission("a", {stage(1)}), queue(), m_now);
+    }
+
+    bool report(core::worker_runs lists,
+                core::worker_profile const& of = profile("w1"))
+    {
+        core::runtime_report made;
+        made.host = core::instance_id("host");
+        made.profile = of;
+        made.clock = std::chrono::seconds(50);
+        made.runs = std::move(lists);
+        return m_lead->report(m_now, std::move(made));
+    }
+
+    core::runtime_grant grant()
+    {
+        return m_lead->grant(core::worker_id("w1"), core::incarnation(1));
+    }
+
+    std::optional<core::workflow_progress> plan()
+    {
+        return m_lead->plan(m_now, m_wall, m_config);
+    }
+
+    void commit()
+    {
+        auto const command = plan();
+        CPPUNIT_ASSERT(command.has_value());
+        m_table.progress(*command, m_now);
+        m_lead->applied(m_now, *command);
+    }
+
+    core::runtime_orders orders()
+    {
+        return m_lead->take_orders(
+            m_now, core::worker_id("w1"), core::incarnation(1));
+    }
+
+    /// Leaves one task placed on w1.
+    void start_one()
+    {
+        submit();
+        report({});
+        grant();
+        commit();
+        CPPUNIT_ASSERT(!m_table.held_on(core::worker_id("w1")).empty());
+    }
+
+    workflow_table m_table;
+    core::configuration m_config;
+    core::time_point m_now;
+    core::wall_time m_wall;
+    std::unique_ptr<dispatcher> m_lead;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(dispatcher_test);
+
+} // namespace turmericswitch::workflow
