--- a/modules/telemetry/log/logging.cpp
+++ b/modules/telemetry/log/logging.cpp
@@ -15,6 +15,7 @@
 #include <ctime>
 #include <fstream>
 #include <iostream>
+#include <string_view>
 #include <utility>
 
 namespace turmericswitch::telemetry
@@ -25,13 +26,41 @@
 
 namespace sinks = boost::log::sinks;
 
-std::shared_ptr<std::ostream> open_stream(std::string const& file)
+std::shared_ptr<std::ostream> open_stream(log_options const& options)
 {
-    if (file.empty())
+    if (options.file.empty())
     {
-        return {&std::cerr, [](std::ostream*) {}};
+        return {options.json ? &std::cout : &std::cerr, [](std::ostream*) {}};
     }
-    return std::make_shared<std::ofstream>(file, std::ios::app);
+    return std::make_shared<std::ofstream>(options.file, std::ios::app);
+}
+
+/// Appends a JSON string. Messages have no control characters.
+void append_quoted(std::string& line, std::string_view text)
+{
+    line.push_back('"');
+    for (char const c : text)
+    {
+        if (c == '"' || c == '\\')
+        {
+            line.push_back('\\');
+        }
+        line.push_back(c);
+    }
+    line.push_back('"');
+}
+
+void append_member(std::string& line,
+                   std::string_view name,
+                   std::string_view text)
+{
+    if (line.size() > 1)
+    {
+        line.push_back(',');
+    }
+    append_quoted(line, name);
+    line.push_back(':');
+    append_quoted(line, text);
 }
 
 /// Appends the time of day in UTC with microseconds.
@@ -57,8 +86,8 @@
 class line_backend : public sinks::basic_sink_backend<sinks::concurrent_feeding>
 {
 public:
-    explicit line_backend(std::shared_ptr<std::ostream> stream)
-        : m_writer(std::move(stream))
+    line_backend(std::shared_ptr<std::ostream> stream, bool json)
+        : m_json(json), m_writer(std::move(stream))
     {
     }
 
@@ -66,21 +95,47 @@
     {
         thread_local std::string line;
         line.clear();
-        append_time(line);
         auto const level = boost::log::extract<log_level>("Severity", record);
-        if (level)
+        auto const text = boost::log::extract<std::string>("Message", record);
+        char const* const name = level ? to_string(*level) : "";
+        std::string_view const message =
+            text ? std::string_view(*text) : std::string_view();
+        if (m_json)
         {
-            line.append(1, ' ').append(to_string(*level));
+            append_json(line, name, message);
         }
-        if (auto const text =
-                boost::log::extract<std::string>("Message", record))
+        else
         {
-            line.append(1, ' ').append(*text);
+            append_time(line);
+            line.append(1, ' ').append(name).append(1, ' ').append(message);
         }
         m_writer.add(line, level && *level >= log_level::warning);
     }
 
 private:
+    /// The message begins with the part that wrote it.
+    static void append_json(std::string& line,
+                            std::string_view level,
+                            std::string_view message)
+    {
+        constexpr std::string_view separator = ": ";
+        thread_local std::string time;
+        time.clear();
+        append_time(time);
+        auto const end = message.find(separator);
+        bool const has_part = end != std::string_view::npos;
+        line.push_back('{');
+        append_member(line, "time", time);
+        append_member(line, "level", level);
+        append_member(line, "part", has_part ? message.substr(0, end) : "");
+        append_member(line,
+                      "text",
+                      has_part ? message.substr(end + separator.size())
+                               : message);
+        line.push_back('}');
+    }
+
+    bool m_json;
     line_writer m_writer;
 };
 
@@ -95,7 +150,7 @@
 
 std::unique_ptr<logging> logging::start(log_options const& options)
 {
-    auto const stream = open_stream(options.file);
+    auto const stream = open_stream(options);
     if (!*stream)
     {
         core::fail(core::result_code::io_failed,
@@ -103,8 +158,8 @@
         return nullptr;
     }
     auto hidden = std::make_unique<state>();
-    hidden->sink =
-        boost::make_shared<sink_type>(boost::make_shared<line_backend>(stream));
+    hidden->sink = boost::make_shared<sink_type>(
+        boost::make_shared<line_backend>(stream, options.json));
     boost::log::core::get()->add_sink(hidden->sink);
     lowest_level() = static_cast<int>(options.lowest);
     return std::unique_ptr<logging>(new logging(std::move(hidden)));
--- a/modules/telemetry/log/logging.hpp
+++ b/modules/telemetry/log/logging.hpp
@@ -15,6 +15,9 @@
     log_level lowest = log_level::info;
     /// File that lines are appended to; empty for the standard error stream.
     std::string file;
+    /// Writes one JSON object a line, to standard output unless there is a
+    /// file, instead of plain text to standard error.
+    bool json = false;
 };
 
 /// Writes log lines while it lives.
--- a/modules/telemetry/tests/logging_test.cpp
+++ b/modules/telemetry/tests/logging_test.cpp
@@ -19,6 +19,7 @@
 {
     CPPUNIT_TEST_SUITE(logging_test);
     CPPUNIT_TEST(lines_have_time_level_and_prefix);
+    CPPUNIT_TEST(json_lines_are_whole_objects);
     CPPUNIT_TEST(no_line_of_any_thread_is_lost);
     CPPUNIT_TEST(full_buffer_delays_but_drops_nothing);
     CPPUNIT_TEST(unwritable_file_is_reported);
@@ -74,6 +75,26 @@
             std::regex_match(found[2], std::regex(time + "error gateway: d")));
     }
 
+    // Guards programs that read the log: a quote in a message must not end
+    // its string.
+    void json_lines_are_whole_objects()
+    {
+        {
+            auto const running =
+                logging::start({log_level::info, m_file.string(), true});
+            logger const log("control");
+            log.warning("a: \"b\" \\ c");
+        }
+        auto const found = lines();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, found.size());
+        std::string const time = R"("\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{6}Z")";
+        CPPUNIT_ASSERT(std::regex_match(
+            found[0],
+            std::regex(R"(\{"time":)" + time +
+                       R"(,"level":"warning","part":"control",)" +
+                       R"("text":"a: \\"b\\" \\\\ c"\})")));
+    }
+
     // Guards against lines that are mixed up, or dropped when a buffer is
     // full or at the end of the process. The lines of a thread are several
     // times as long as its buffer.
--- a/programs/shared/daemon/daemon_main.cpp
+++ b/programs/shared/daemon/daemon_main.cpp
@@ -41,8 +41,10 @@
 {
     // Before the first thread, so that no thread takes the signal.
     process::shutdown_signal signal;
-    auto const logging = telemetry::logging::start(
-        {level_named(settings.log_level), settings.log_file});
+    auto const logging =
+        telemetry::logging::start({level_named(settings.log_level),
+                                   settings.log_file,
+                                   settings.log_format == "json"});
     if (!logging)
     {
         return fail_with_last_reason();
@@ -68,6 +70,8 @@
                                    {"debug", "info", "warning", "error"},
                                    "info");
     read.log_file = reader.text({"process", "log_file"}, "");
+    read.log_format =
+        reader.one_of({"process", "log_format"}, {"text", "json"}, "text");
     return read;
 }
 
--- a/programs/shared/daemon/daemon_main.hpp
+++ b/programs/shared/daemon/daemon_main.hpp
@@ -20,6 +20,8 @@
     std::string ports_file;
     std::string log_level;
     std::string log_file;
+    /// `text` or `json`.
+    std::string log_format;
 };
 
 process_settings parse_process_settings(settings::settings_reader& reader);
