--- a/modules/consensus/membership/membership_planner.cpp
+++ b/modules/consensus/membership/membership_planner.cpp
@@ -76,11 +76,11 @@
                                          membership_limits const& limits,
                                          core::time_point now)
 {
-    if (auto const step = replaced_voter(view))
+    if (auto step = replaced_voter(view))
     {
         return step;
     }
-    if (auto const step = silent_voter(view, limits, now))
+    if (auto step = silent_voter(view, limits, now))
     {
         return step;
     }
--- a/modules/core/types/ids.hpp
+++ b/modules/core/types/ids.hpp
@@ -35,7 +35,7 @@
 using log_index = strong_id<struct log_index_tag, std::uint64_t>;
 using sequence_number = strong_id<struct sequence_tag, std::uint64_t>;
 /// Identity of a control instance in the consensus group.
-using member_id = strong_id<struct member_tag, std::uint64_t>;
+using member_id = strong_id<struct member_id_tag, std::uint64_t>;
 
 /// Identity of one request of a caller.
 struct request_id
--- a/modules/web/client/async_client.cpp
+++ b/modules/web/client/async_client.cpp
@@ -92,7 +92,8 @@
     {
     }
 
-    void request(http_request content, core::duration timeout, callback done)
+    void
+    request(http_request const& content, core::duration timeout, callback done)
     {
         auto const one = std::make_shared<exchange>();
         one->request = to_beast(content, m_peer);
@@ -272,11 +273,11 @@
     m_state->close();
 }
 
-void async_client::request(http_request content,
+void async_client::request(http_request const& content,
                            core::duration timeout,
                            callback done)
 {
-    m_state->request(std::move(content), timeout, std::move(done));
+    m_state->request(content, timeout, std::move(done));
 }
 
 } // namespace turmericswitch::web
--- a/modules/web/client/async_client.hpp
+++ b/modules/web/client/async_client.hpp
@@ -43,7 +43,8 @@
 
     /// @param timeout From now to the whole answer, connecting included.
     /// @param done Called once, on a thread of the pool.
-    void request(http_request content, core::duration timeout, callback done);
+    void
+    request(http_request const& content, core::duration timeout, callback done);
 
 private:
     class state;
--- a/modules/web/tests/async_client_test.cpp
+++ b/modules/web/tests/async_client_test.cpp
@@ -43,6 +43,7 @@
         limits.open_connections = 3;
         async_client client(io, server->bound(), limits);
         std::vector<std::future<http_result>> results;
+        results.reserve(30);
         for (int i = 0; i < 30; ++i)
         {
             results.push_back(send(client, std::to_string(i)));
--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -409,7 +409,8 @@
     auto left = workers;
     for (auto const& [id, view] : m_fleet.all())
     {
-        for (auto const& run : m_sharing.stalled(now, id))
+        auto const& worker = id;
+        for (auto const& run : m_sharing.stalled(now, worker))
         {
             auto const* const stage = m_table.find_stage(run.task);
             auto const* const workflow = m_table.find(run.task.workflow);
@@ -423,13 +424,23 @@
             moved.description = stage;
             moved.service = workflow->queue.service;
             moved.runs = {run};
-            std::erase_if(left,
-                          [&id](candidate_worker const& each)
-                          { return each.worker == id; });
-            if (!plan_stages({moved}, left, 1, tail_hook_of()).empty())
+            auto elsewhere = left;
+            std::erase_if(elsewhere,
+                          [&worker](candidate_worker const& each)
+                          { return each.worker == worker; });
+            auto const found =
+                plan_stages({moved}, elsewhere, 1, tail_hook_of());
+            if (found.empty())
             {
-                m_orders.evict(run);
+                continue;
             }
+            m_orders.evict(run);
+            auto const target =
+                std::find_if(left.begin(),
+                             left.end(),
+                             [&found](candidate_worker const& each)
+                             { return each.worker == found.front().worker; });
+            target->plan(moved.stage, *stage);
         }
     }
 }
--- a/modules/workflow/tests/fuzz_world.cpp
+++ b/modules/workflow/tests/fuzz_world.cpp
@@ -204,7 +204,7 @@
     auto const life = where.agent_life;
     auto const is_old = [&where, life] { return where.agent_life != life; };
     hooks.log = [](std::string const&) {};
-    hooks.after = [this, is_old](core::duration delay, task run)
+    hooks.after = [this, is_old](core::duration delay, task const& run)
     {
         after(delay,
               [is_old, run]
@@ -219,7 +219,7 @@
     auto const once = [this, is_old](auto done, auto timeout)
     {
         auto const open = std::make_shared<bool>(true);
-        auto const finish = [open, is_old, done](auto value)
+        auto finish = [open, is_old, done](auto value)
         {
             if (std::exchange(*open, false) && !is_old())
             {
