Never count long-running work as late

Cause: a job's urgency compared its age with the objective of its chain; a long-running job is older than that after seconds, so a task of it that had lapsed waited as hopeless behind all batch. Ruled out: a lost order (the job was not placed). The new test fails without the change.

--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -291,6 +291,17 @@
                                    std::uint32_t occurrence) const
 {
     auto const& stages = workflow.description.stages;
+    bool const is_lasting =
+        std::any_of(stages.begin(),
+                    stages.end(),
+                    [](core::stage_description const& stage)
+                    { return stage.behaviour.long_running; });
+    // Work that lasts is wanted until it is cancelled, and the age of a
+    // workflow with a schedule says nothing about its occurrences.
+    if (is_lasting || workflow.description.schedule.occurrences > 0)
+    {
+        return job_urgency::in_time;
+    }
     auto const chain =
         m_run_times.longest_chain(workflow, [](std::uint32_t) { return true; });
     auto const left = m_run_times.longest_chain(
--- a/modules/workflow/tests/dispatcher_test.cpp
+++ b/modules/workflow/tests/dispatcher_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(lost_batch_of_orders_is_sent_again);
     CPPUNIT_TEST(cancelled_run_is_stopped_until_it_has_ended);
     CPPUNIT_TEST(workflow_with_a_schedule_waits_for_its_time);
+    CPPUNIT_TEST(old_long_running_job_comes_before_fresh_batch);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -153,6 +154,25 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, plan()->placements.size());
     }
 
+    // Load: batch that takes all room as soon as it is free, and a service
+    // whose task lapsed behind a cut long after it was handed in.
+    void old_long_running_job_comes_before_fresh_batch()
+    {
+        auto lasting = stage(1, 8000);
+        lasting.behaviour.long_running = true;
+        m_table.submit(submission("a", {lasting}), queue(), m_now);
+        m_now += std::chrono::minutes(1);
+        auto batch = queue();
+        batch.priority = 2;
+        m_table.submit(submission("b", {stage(8)}), batch, m_now);
+        report({});
+        grant();
+        auto const command = plan();
+        CPPUNIT_ASSERT(command.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, command->placements.size());
+        CPPUNIT_ASSERT(command->placements.front().run == run_of("a", 0, 0));
+    }
+
 private:
     void submit()
     {
