--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -24,7 +24,7 @@
 /// Time between two looks for tasks to move; each costs a trial plan.
 constexpr core::duration eviction_interval = std::chrono::milliseconds(500);
 
-/// Checkpoints that a worker listed are committed at most this old.
+/// @return True if the worker lists a checkpoint that is not committed yet.
 bool is_new_checkpoint(core::task_record const& task,
                        core::running_task const& seen)
 {
