--- a/modules/process/tests/process_test.cpp
+++ b/modules/process/tests/process_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(ports_file_replaces_the_old_one);
     CPPUNIT_TEST(unwritable_ports_file_is_reported);
     CPPUNIT_TEST(stop_signal_wakes_the_waiting_thread);
+    CPPUNIT_TEST(hangup_reloads_the_settings_and_ends_nothing);
     CPPUNIT_TEST_SUITE_END();
 
     static arguments_result daemon(std::vector<std::string> const& words)
@@ -110,6 +111,23 @@
                        core::result_code::io_failed);
     }
 
+    // Guards against a daemon that ends when operators tell it that its
+    // settings file has changed.
+    void hangup_reloads_the_settings_and_ends_nothing()
+    {
+        shutdown_signal stop;
+        int reloads = 0;
+        stop.on_settings_changed("/nonexistent",
+                                 [&reloads]
+                                 {
+                                     ++reloads;
+                                     ::kill(::getpid(), SIGTERM);
+                                 });
+        ::kill(::getpid(), SIGHUP);
+        CPPUNIT_ASSERT_EQUAL(SIGTERM, stop.wait());
+        CPPUNIT_ASSERT_EQUAL(1, reloads);
+    }
+
     // Guards the planned stop: the signal neither kills the process nor gets
     // lost in another thread.
     void stop_signal_wakes_the_waiting_thread()
