Build the list of candidate workers only when the plan needs it

Every report and every 100 ms a plan listed all workers with their runs, also when nothing waited and no look for tasks to move was due. Decisions stay the same: the move has its own check of the time.

--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -472,13 +472,14 @@
     core::workflow_progress command;
     collect_ends(now, command);
     auto waiting = pending(now, wall);
-    auto workers = candidates(now, config);
-    if (!waiting.empty())
+    // Most reports bring neither waiting work nor a look for tasks to move.
+    if (!waiting.empty() || now >= m_next_eviction)
     {
+        auto workers = candidates(now, config);
         command.placements = plan_stages(
             std::move(waiting), workers, most_placements, tail_hook_of());
+        evict_stalled(now, workers);
     }
-    evict_stalled(now, workers);
     if (command.ends.empty() && command.checkpoints.empty() &&
         command.placements.empty())
     {
