--- a/modules/core/core.hpp
+++ b/modules/core/core.hpp
@@ -6,12 +6,13 @@
 ///
 /// It has strong ids and units, numbered result codes with the last reason,
 /// hooks for randomness, read-copy-update, the compiled configuration, the
-/// message aggregates and the decision record.
+/// message aggregates, the decision record and the numbered log events.
 ///
 /// Dependencies: none.
 
 #include "core/config/configuration.hpp"
 #include "core/decisions/decision_record.hpp"
+#include "core/events/event.hpp"
 #include "core/hooks/overloaded.hpp"
 #include "core/hooks/random_source.hpp"
 #include "core/hooks/snapshot_publisher.hpp"
--- /dev/null
+++ b/modules/core/events/event_code.hpp
@@ -0,0 +1,171 @@
+#ifndef TURMERICSWITCH_CORE_EVENTS_EVENT_CODE_HPP
+#define TURMERICSWITCH_CORE_EVENTS_EVENT_CODE_HPP
+
+#include <array>
+#include <cstdint>
+#include <string_view>
+
+namespace turmericswitch::core
+{
+
+/// Numbers of the events that processes log. A number never changes its
+/// meaning; docs/events.md explains each and names its fields.
+enum class event_code : std::uint16_t
+{
+    // Every process
+    process_started = 101,
+    process_stopping = 102,
+    process_stopped = 103,
+    start_failed = 104,
+    settings_changed = 105,
+    settings_rejected = 106,
+    lines_dropped = 107,
+    control_lost = 108,
+    control_regained = 109,
+    message_unreadable = 110,
+
+    // Gateways
+    call_answered = 201,
+    call_rejected = 202,
+    configuration_in_force = 203,
+
+    // Sidecars
+    worker_registered = 301,
+    worker_left = 302,
+    worker_drain_changed = 303,
+    registration_ignored = 304,
+    run_started = 305,
+    start_unanswered = 306,
+    start_dropped = 307,
+    run_refused = 308,
+    stop_sent = 309,
+    pace_unacknowledged = 310,
+    pace_sent = 311,
+
+    // Control: workflows
+    workflow_accepted = 401,
+    run_placed = 402,
+    run_ended = 403,
+    workflow_cancelled = 404,
+    workflow_ended = 405,
+    pace_decided = 406,
+    run_evicted = 407,
+    worker_seen = 408,
+    worker_lost = 409,
+    worker_set_aside = 410,
+    dispatch_summary = 411,
+
+    // Control: the group and its state
+    role_changed = 451,
+    leadership_began = 452,
+    leadership_ended = 453,
+    leadership_handed_over = 454,
+    member_joining = 455,
+    member_changed = 456,
+    state_recovered = 457,
+    snapshot_installed = 458,
+    entry_skipped = 459,
+    storage_failed = 460,
+    configuration_applied = 461,
+    zone_evacuation_changed = 462,
+};
+
+enum class event_severity : std::uint8_t
+{
+    info,
+    warning,
+    error,
+};
+
+struct event_entry
+{
+    event_code code;
+    std::string_view name;
+    event_severity severity = event_severity::info;
+};
+
+/// Every event, in ascending order of its number.
+constexpr std::array all_events{
+    event_entry{event_code::process_started, "process_started"},
+    event_entry{event_code::process_stopping, "process_stopping"},
+    event_entry{event_code::process_stopped, "process_stopped"},
+    event_entry{
+        event_code::start_failed, "start_failed", event_severity::error},
+    event_entry{event_code::settings_changed, "settings_changed"},
+    event_entry{event_code::settings_rejected,
+                "settings_rejected",
+                event_severity::warning},
+    event_entry{
+        event_code::lines_dropped, "lines_dropped", event_severity::warning},
+    event_entry{
+        event_code::control_lost, "control_lost", event_severity::warning},
+    event_entry{event_code::control_regained, "control_regained"},
+    event_entry{event_code::message_unreadable,
+                "message_unreadable",
+                event_severity::warning},
+    event_entry{event_code::call_answered, "call_answered"},
+    event_entry{event_code::call_rejected, "call_rejected"},
+    event_entry{event_code::configuration_in_force, "configuration_in_force"},
+    event_entry{event_code::worker_registered, "worker_registered"},
+    event_entry{event_code::worker_left, "worker_left"},
+    event_entry{event_code::worker_drain_changed, "worker_drain_changed"},
+    event_entry{event_code::registration_ignored,
+                "registration_ignored",
+                event_severity::warning},
+    event_entry{event_code::run_started, "run_started"},
+    event_entry{event_code::start_unanswered,
+                "start_unanswered",
+                event_severity::warning},
+    event_entry{event_code::start_dropped, "start_dropped"},
+    event_entry{event_code::run_refused, "run_refused"},
+    event_entry{event_code::stop_sent, "stop_sent"},
+    event_entry{event_code::pace_unacknowledged,
+                "pace_unacknowledged",
+                event_severity::warning},
+    event_entry{event_code::pace_sent, "pace_sent"},
+    event_entry{event_code::workflow_accepted, "workflow_accepted"},
+    event_entry{event_code::run_placed, "run_placed"},
+    event_entry{event_code::run_ended, "run_ended"},
+    event_entry{event_code::workflow_cancelled, "workflow_cancelled"},
+    event_entry{event_code::workflow_ended, "workflow_ended"},
+    event_entry{event_code::pace_decided, "pace_decided"},
+    event_entry{event_code::run_evicted, "run_evicted"},
+    event_entry{event_code::worker_seen, "worker_seen"},
+    event_entry{
+        event_code::worker_lost, "worker_lost", event_severity::warning},
+    event_entry{event_code::worker_set_aside,
+                "worker_set_aside",
+                event_severity::warning},
+    event_entry{event_code::dispatch_summary, "dispatch_summary"},
+    event_entry{event_code::role_changed, "role_changed"},
+    event_entry{event_code::leadership_began, "leadership_began"},
+    event_entry{event_code::leadership_ended, "leadership_ended"},
+    event_entry{event_code::leadership_handed_over, "leadership_handed_over"},
+    event_entry{event_code::member_joining, "member_joining"},
+    event_entry{event_code::member_changed, "member_changed"},
+    event_entry{event_code::state_recovered, "state_recovered"},
+    event_entry{event_code::snapshot_installed, "snapshot_installed"},
+    event_entry{
+        event_code::entry_skipped, "entry_skipped", event_severity::error},
+    event_entry{
+        event_code::storage_failed, "storage_failed", event_severity::error},
+    event_entry{event_code::configuration_applied, "configuration_applied"},
+    event_entry{event_code::zone_evacuation_changed, "zone_evacuation_changed"},
+};
+
+/// @return The entry of the event; every code has one.
+constexpr event_entry const& entry_of(event_code code) noexcept
+{
+    for (auto const& entry : all_events)
+    {
+        if (entry.code == code)
+        {
+            return entry;
+        }
+    }
+    return all_events.front();
+}
+
+} // namespace turmericswitch::core
+
+#endif
--- a/modules/telemetry/log/line_writer.cpp
+++ b/modules/telemetry/log/line_writer.cpp
@@ -33,27 +33,26 @@
     m_thread.join();
 }
 
-void line_writer::add(std::string_view line, bool now)
+bool line_writer::add(std::string_view line, bool now)
 {
     auto& own = m_buffers[stripe_of_this_thread()];
+    bool is_full = false;
     bool is_half_full = false;
     {
-        std::unique_lock lock(own.mutex);
-        if (own.text.size() >= m_buffer_bytes)
+        std::lock_guard const lock(own.mutex);
+        is_full = own.text.size() >= m_buffer_bytes;
+        if (!is_full)
         {
-            wake();
-            own.has_room.wait(lock,
-                              [this, &own]
-                              { return own.text.size() < m_buffer_bytes; });
+            bool const was_below = own.text.size() < m_buffer_bytes / 2;
+            own.text.append(line).push_back('\n');
+            is_half_full = was_below && own.text.size() >= m_buffer_bytes / 2;
         }
-        bool const was_below = own.text.size() < m_buffer_bytes / 2;
-        own.text.append(line).push_back('\n');
-        is_half_full = was_below && own.text.size() >= m_buffer_bytes / 2;
     }
     if (now || is_half_full)
     {
         wake();
     }
+    return !is_full;
 }
 
 void line_writer::wake()
@@ -94,7 +93,6 @@
         {
             continue;
         }
-        one.has_room.notify_all();
         *m_stream << text;
         is_written = true;
     }
--- a/modules/telemetry/log/line_writer.hpp
+++ b/modules/telemetry/log/line_writer.hpp
@@ -19,10 +19,10 @@
 /// Writes whole lines to a stream from a thread of its own.
 ///
 /// Any thread may add lines. Each stripe of threads has its own bounded buffer
-/// and lock, so that request threads seldom wait for each other; a caller
-/// waits for the writer only when its buffer is full. Lines of one thread keep
-/// their order; lines of different threads may change places within one
-/// interval of the writer.
+/// and lock, so that request threads seldom wait for each other. No caller
+/// waits for the stream: a line that finds its buffer full is dropped. Lines of
+/// one thread keep their order; lines of different threads may change places
+/// within one interval of the writer.
 class line_writer
 {
 public:
@@ -43,13 +43,13 @@
 
     /// @param line Without the end of line.
     /// @param now True wakes the writer at once.
-    void add(std::string_view line, bool now);
+    /// @return False if the line was dropped.
+    bool add(std::string_view line, bool now);
 
 private:
     struct alignas(cache_line_bytes) buffer
     {
         std::mutex mutex;
-        std::condition_variable has_room;
         std::string text;
     };
 
--- a/modules/telemetry/log/logger.hpp
+++ b/modules/telemetry/log/logger.hpp
@@ -1,6 +1,7 @@
 #ifndef TURMERICSWITCH_TELEMETRY_LOG_LOGGER_HPP
 #define TURMERICSWITCH_TELEMETRY_LOG_LOGGER_HPP
 
+#include "core/events/event.hpp"
 #include "telemetry/log/log_level.hpp"
 
 #include <string>
@@ -28,11 +29,16 @@
     void warning(std::string_view text) const;
     void error(std::string_view text) const;
 
+    /// Writes a numbered event with its fields, at the event's severity.
+    void write(core::event const& what) const;
+
     /// Control characters of the text are written as spaces, so that one call
     /// is one line.
     void write(log_level level, std::string_view text) const;
 
 private:
+    void write_line(log_level level, std::string const& line) const;
+
     std::string m_part;
 };
 
--- a/modules/telemetry/log/logging.cpp
+++ b/modules/telemetry/log/logging.cpp
@@ -35,34 +35,6 @@
     return std::make_shared<std::ofstream>(options.file, std::ios::app);
 }
 
-/// Appends a JSON string. Messages have no control characters.
-void append_quoted(std::string& line, std::string_view text)
-{
-    line.push_back('"');
-    for (char const c : text)
-    {
-        if (c == '"' || c == '\\')
-        {
-            line.push_back('\\');
-        }
-        line.push_back(c);
-    }
-    line.push_back('"');
-}
-
-void append_member(std::string& line,
-                   std::string_view name,
-                   std::string_view text)
-{
-    if (line.size() > 1)
-    {
-        line.push_back(',');
-    }
-    append_quoted(line, name);
-    line.push_back(':');
-    append_quoted(line, text);
-}
-
 /// Appends the time of day in UTC with microseconds.
 void append_time(std::string& line)
 {
@@ -102,39 +74,23 @@
             text ? std::string_view(*text) : std::string_view();
         if (m_json)
         {
-            append_json(line, name, message);
+            line.append("{\"time\":\"");
+            append_time(line);
+            line.append("\",\"level\":\"").append(name).append("\",");
+            line.append(message).push_back('}');
         }
         else
         {
             append_time(line);
             line.append(1, ' ').append(name).append(1, ' ').append(message);
         }
-        m_writer.add(line, level && *level >= log_level::warning);
+        if (!m_writer.add(line, level && *level >= log_level::warning))
+        {
+            limiter().dropped_by_buffer();
+        }
     }
 
 private:
-    /// The message begins with the part that wrote it.
-    static void append_json(std::string& line,
-                            std::string_view level,
-                            std::string_view message)
-    {
-        constexpr std::string_view separator = ": ";
-        thread_local std::string time;
-        time.clear();
-        append_time(time);
-        auto const end = message.find(separator);
-        bool const has_part = end != std::string_view::npos;
-        line.push_back('{');
-        append_member(line, "time", time);
-        append_member(line, "level", level);
-        append_member(line, "part", has_part ? message.substr(0, end) : "");
-        append_member(line,
-                      "text",
-                      has_part ? message.substr(end + separator.size())
-                               : message);
-        line.push_back('}');
-    }
-
     bool m_json;
     line_writer m_writer;
 };
@@ -161,6 +117,8 @@
     hidden->sink = boost::make_shared<sink_type>(
         boost::make_shared<line_backend>(stream, options.json));
     boost::log::core::get()->add_sink(hidden->sink);
+    writes_json() = options.json;
+    limiter().set_limit(options.most_per_second);
     lowest_level() = static_cast<int>(options.lowest);
     return std::unique_ptr<logging>(new logging(std::move(hidden)));
 }
@@ -169,6 +127,7 @@
 
 logging::~logging()
 {
+    report_dropped_lines();
     lowest_level() = nothing_is_written;
     boost::log::core::get()->remove_sink(m_state->sink);
 }
--- a/modules/telemetry/log/logging.hpp
+++ b/modules/telemetry/log/logging.hpp
@@ -3,6 +3,7 @@
 
 #include "telemetry/log/log_level.hpp"
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -18,12 +19,16 @@
     /// Writes one JSON object a line, to standard output unless there is a
     /// file, instead of plain text to standard error.
     bool json = false;
+    /// Lines of one event, or of texts, that are written in one second; 0 for
+    /// no limit. Covers a line for each of 610 starts a second.
+    std::uint32_t most_per_second = 1000;
 };
 
 /// Writes log lines while it lives.
 ///
-/// Create one at the beginning of main(). A thread of its own writes the
-/// lines; a caller waits only when its buffer of lines is full.
+/// Create one at the beginning of main(). A thread of its own writes the lines
+/// and no caller waits for it. Lines beyond the limit or beyond what fits in
+/// the buffers are dropped; an event `lines_dropped` says how many.
 class logging
 {
 public:
--- a/modules/workflow/agent/worker_agent.cpp
+++ b/modules/workflow/agent/worker_agent.cpp
@@ -1,11 +1,17 @@
 #include "workflow/agent/worker_agent.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace turmericswitch::workflow
 {
 
+using core::event_code;
+using core::number_field;
+using core::text_field;
+using core::time_field;
+
 namespace
 {
 
@@ -41,8 +47,11 @@
     {
         if (m_profile && profile.life < m_profile->life)
         {
-            m_hooks.log("registration of an earlier life of worker " +
-                        profile.worker.value() + " ignored");
+            m_hooks.on_event(
+                {event_code::registration_ignored,
+                 {text_field("worker", profile.worker.value()),
+                  number_field("life", profile.life.value()),
+                  number_field("known_life", m_profile->life.value())}});
             return false;
         }
         begin_life(std::move(profile));
@@ -52,8 +61,10 @@
     m_profile = std::move(profile);
     if (is_changed)
     {
-        m_hooks.log("worker " + m_profile->worker.value() +
-                    (m_profile->draining ? " drains" : " is ready again"));
+        m_hooks.on_event(
+            {event_code::worker_drain_changed,
+             {text_field("worker", m_profile->worker.value()),
+              number_field("draining", m_profile->draining ? 1 : 0)}});
         send_report();
     }
     return true;
@@ -62,8 +73,13 @@
 void worker_agent::begin_life(core::worker_profile profile)
 {
     ++m_epoch;
-    m_hooks.log("worker " + profile.worker.value() + " of life " +
-                std::to_string(profile.life.value()) + " registered");
+    m_hooks.on_event({event_code::worker_registered,
+                      {text_field("worker", profile.worker.value()),
+                       number_field("life", profile.life.value()),
+                       text_field("service", profile.service.value()),
+                       text_field("zone", profile.zone.value()),
+                       text_field("rack", profile.rack.value()),
+                       number_field("cpu_m", profile.capacity.cpu.value())}});
     m_profile = std::move(profile);
     m_left = false;
     m_lease_until = {};
@@ -89,7 +105,8 @@
     {
         return;
     }
-    m_hooks.log("worker " + worker.value() + " left");
+    m_hooks.on_event(
+        {event_code::worker_left, {text_field("worker", worker.value())}});
     m_left = true;
     send_report();
 }
@@ -115,10 +132,30 @@
     return !m_stopped && epoch == m_epoch;
 }
 
-void worker_agent::log(core::task_run const& run, std::string const& text) const
+void worker_agent::note(event_code code,
+                        core::task_run const& run,
+                        std::vector<core::event_field> more) const
+{
+    std::vector<core::event_field> fields{
+        text_field("task", core::to_string(run.task)),
+        number_field("attempt", run.attempt.value()),
+        text_field("worker", m_profile->worker.value())};
+    std::move(more.begin(), more.end(), std::back_inserter(fields));
+    m_hooks.on_event({code, std::move(fields)});
+}
+
+void worker_agent::note_leader(bool is_reached)
 {
-    m_hooks.log("task " + core::to_string(run.task) + " attempt " +
-                std::to_string(run.attempt.value()) + ": " + text);
+    if (is_reached == m_leader_reached)
+    {
+        return;
+    }
+    m_leader_reached = is_reached;
+    m_hooks.on_event(
+        {is_reached ? event_code::control_regained : event_code::control_lost,
+         {text_field("worker", m_profile->worker.value()),
+          number_field("token", m_fencing_token),
+          time_field("lease_left_ms", m_lease_until - m_clock)}});
 }
 
 // Looks
@@ -244,6 +281,7 @@
         return;
     }
     m_reporting = false;
+    note_leader(grant.has_value());
     if (!grant || grant->fencing_token < m_fencing_token)
     {
         m_hooks.after(retry_pause,
@@ -402,12 +440,21 @@
     switch (outcome)
     {
     case start_outcome::started:
-        log(run, "started");
+        note(event_code::run_started,
+             run,
+             {number_field("tries", open->second.tries),
+              number_field("token", m_fencing_token),
+              time_field("lease_left_ms", m_lease_until - m_clock)});
         m_starts.erase(open);
         return;
     case start_outcome::outdated:
     case start_outcome::wrong_life:
-        log(run, "start dropped: the order or the worker's life is outdated");
+        note(event_code::start_dropped,
+             run,
+             {text_field("why",
+                         outcome == start_outcome::outdated
+                             ? "the fencing token is outdated"
+                             : "the worker has a new life")});
         m_starts.erase(open);
         return;
     case start_outcome::already_ended:
@@ -427,7 +474,9 @@
         ++open->second.unanswered;
         if (open->second.tries < most_tries)
         {
-            log(run, "no answer to the start, sent again");
+            note(event_code::start_unanswered,
+                 run,
+                 {number_field("tries", open->second.tries)});
             call_start(run);
             return;
         }
@@ -444,7 +493,7 @@
     m_starts.erase(run);
     if (m_stops.try_emplace(run, 0).second)
     {
-        log(run, "stop");
+        note(event_code::stop_sent, run);
         call_stop(run);
     }
 }
@@ -478,22 +527,25 @@
 void worker_agent::call_pace(core::run_pace const& pace)
 {
     ++m_open_calls;
+    note(event_code::pace_sent,
+         pace.run,
+         {number_field("percent", pace.percent)});
     m_hooks.runtime.pace({m_profile->worker, pace, m_fencing_token},
                          [this, pace](bool is_done)
                          {
                              --m_open_calls;
                              if (!is_done)
                              {
-                                 log(pace.run,
-                                     "pace " + std::to_string(pace.percent) +
-                                         "% not acknowledged");
+                                 note(event_code::pace_unacknowledged,
+                                      pace.run,
+                                      {number_field("percent", pace.percent)});
                              }
                          });
 }
 
 void worker_agent::refuse(core::task_run const& run, char const* why)
 {
-    log(run, std::string("not run: ") + why);
+    note(event_code::run_refused, run, {text_field("why", why)});
     m_refused.insert(run);
 }
 
--- a/modules/workflow/agent/worker_agent.hpp
+++ b/modules/workflow/agent/worker_agent.hpp
@@ -1,6 +1,7 @@
 #ifndef TURMERICSWITCH_WORKFLOW_AGENT_WORKER_AGENT_HPP
 #define TURMERICSWITCH_WORKFLOW_AGENT_WORKER_AGENT_HPP
 
+#include "core/events/event.hpp"
 #include "core/messages/workflow.hpp"
 #include "workflow/agent/worker_runtime.hpp"
 
@@ -40,8 +41,8 @@
     leader_calls leader;
     /// Runs a task later on the agent's thread.
     std::function<void(core::duration, std::function<void()>)> after;
-    /// Writes one line about a decision.
-    std::function<void(std::string const&)> log;
+    /// Takes decisions and changes of what the agent knows.
+    core::event_hook on_event;
 };
 
 /// The core of the sidecar beside a worker.
@@ -102,10 +103,16 @@
     void call_pace(core::run_pace const& pace);
     void refuse(core::task_run const& run, char const* why);
     bool is_current(std::uint64_t epoch) const noexcept;
-    void log(core::task_run const& run, std::string const& text) const;
+    /// Reports an event about a run; its names come before the other fields.
+    void note(core::event_code code,
+              core::task_run const& run,
+              std::vector<core::event_field> more = {}) const;
+    void note_leader(bool is_reached);
 
     agent_options m_options;
     agent_hooks m_hooks;
+    /// Whether the last report was answered by a leader.
+    bool m_leader_reached = true;
     bool m_stopped = false;
     /// Counts lives of the worker; answers for an earlier one are dropped.
     std::uint64_t m_epoch = 0;
--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -6,9 +6,16 @@
 namespace turmericswitch::workflow
 {
 
+using core::event_code;
+using core::number_field;
+using core::text_field;
+using core::time_field;
+
 namespace
 {
 
+constexpr double percent_of_one = 100;
+
 /// Largest command: bounds the time of one sync and of one append.
 constexpr std::size_t most_placements = 200;
 
@@ -33,6 +40,16 @@
            task.checkpoint != seen.checkpoint;
 }
 
+double worst_tail(sharing_sample const& sample)
+{
+    double worst = 0;
+    for (auto const& task : sample.serving)
+    {
+        worst = std::max(worst, task.tail);
+    }
+    return worst;
+}
+
 bool is_due(core::workflow_record const& workflow,
             std::uint32_t occurrence,
             core::wall_time wall)
@@ -47,12 +64,14 @@
 dispatcher::dispatcher(workflow_table const& table,
                        dispatch_options options,
                        std::uint64_t fencing_token,
-                       core::time_point elected)
+                       core::time_point elected,
+                       core::event_hook on_event)
     : m_table(table),
       m_options(options),
       m_fencing_token(fencing_token),
       m_fleet(options.leases, elected),
-      m_orders(table)
+      m_orders(table),
+      m_on_event(std::move(on_event))
 {
 }
 
@@ -69,6 +88,14 @@
     {
         return false;
     }
+    if (known == nullptr || is_fresh_life || is_fresh_sidecar)
+    {
+        m_on_event({event_code::worker_seen,
+                    {text_field("worker", worker.value()),
+                     number_field("life", view->profile.life.value()),
+                     text_field("instance", view->host.value()),
+                     text_field("zone", view->profile.zone.value())}});
+    }
     if (is_fresh_life)
     {
         m_health.forget(worker);
@@ -113,7 +140,29 @@
                                     core::millicores(task.load)});
         }
     }
-    m_sharing.update(now, view.profile.worker, sample);
+    auto const& worker = view.profile.worker;
+    std::map<core::task_run, std::uint32_t> before;
+    for (auto const& task : sample.spare)
+    {
+        before[task.run] = m_sharing.pace(worker, task.run);
+    }
+    m_sharing.update(now, worker, sample);
+    for (auto const& [run, pace] : before)
+    {
+        if (auto const percent = m_sharing.pace(worker, run); percent != pace)
+        {
+            m_on_event({event_code::pace_decided,
+                        {text_field("task", core::to_string(run.task)),
+                         number_field("attempt", run.attempt.value()),
+                         text_field("worker", worker.value()),
+                         number_field("percent", percent),
+                         number_field("before", pace),
+                         number_field("worst_tail_percent",
+                                      worst_tail(sample) * percent_of_one),
+                         number_field("serving", sample.serving.size()),
+                         number_field("spare", sample.spare.size())}});
+        }
+    }
 }
 
 bool dispatcher::has_uncommitted_ends(core::worker_id const& worker) const
@@ -446,6 +495,11 @@
                 continue;
             }
             m_orders.evict(run);
+            m_on_event({event_code::run_evicted,
+                        {text_field("task", core::to_string(run.task)),
+                         number_field("attempt", run.attempt.value()),
+                         text_field("worker", worker.value()),
+                         text_field("next", found.front().worker.value())}});
             auto const target =
                 std::find_if(left.begin(),
                              left.end(),
@@ -472,6 +526,7 @@
     core::workflow_progress command;
     collect_ends(now, command);
     auto waiting = pending(now, wall);
+    note_waiting(now, waiting);
     // Most reports bring neither waiting work nor a look for tasks to move.
     if (!waiting.empty() || now >= m_next_eviction)
     {
@@ -491,18 +546,130 @@
 void dispatcher::applied(core::time_point now,
                          core::workflow_progress const& command)
 {
+    note_lost_workers(now, command);
     for (auto const& outcome : command.ends)
     {
-        m_health.ended(now, outcome.worker, outcome.run, outcome.how);
+        note_ended(now, outcome);
         note_run_time(now, outcome);
         m_orders.ended(outcome.run);
     }
     for (auto const& placement : command.placements)
     {
+        note_placed(now, placement);
         m_placed.emplace(placement.run, now);
     }
 }
 
+void dispatcher::note_ended(core::time_point now,
+                            core::run_outcome const& outcome)
+{
+    bool const was_usable = !m_health.is_set_aside(now, outcome.worker);
+    m_health.ended(now, outcome.worker, outcome.run, outcome.how);
+    auto const placed = m_placed.find(outcome.run);
+    std::vector<core::event_field> fields{
+        text_field("task", core::to_string(outcome.run.task)),
+        number_field("attempt", outcome.run.attempt.value()),
+        text_field("worker", outcome.worker.value()),
+        text_field("how", core::to_string(outcome.how))};
+    if (placed != m_placed.end())
+    {
+        fields.push_back(time_field("since_placed_ms", now - placed->second));
+    }
+    m_on_event({event_code::run_ended, std::move(fields)});
+    if (was_usable && m_health.is_set_aside(now, outcome.worker))
+    {
+        m_on_event({event_code::worker_set_aside,
+                    {text_field("worker", outcome.worker.value()),
+                     text_field("task", core::to_string(outcome.run.task))}});
+    }
+}
+
+void dispatcher::note_placed(core::time_point now,
+                             core::run_placement const& placed)
+{
+    auto const since = m_waiting_since.find(stage_of(placed.run.task));
+    auto const* const workflow = m_table.find(placed.run.task.workflow);
+    auto const* const view = m_fleet.find(placed.worker);
+    std::vector<core::event_field> fields{
+        text_field("task", core::to_string(placed.run.task)),
+        number_field("attempt", placed.run.attempt.value()),
+        text_field("worker", placed.worker.value())};
+    if (workflow != nullptr)
+    {
+        fields.push_back(number_field("priority", workflow->queue.priority));
+    }
+    if (since != m_waiting_since.end())
+    {
+        fields.push_back(time_field("waited_ms", now - since->second));
+    }
+    if (view != nullptr)
+    {
+        fields.push_back(time_field("report_age_ms", now - view->heard));
+    }
+    m_on_event({event_code::run_placed, std::move(fields)});
+}
+
+void dispatcher::note_lost_workers(core::time_point now,
+                                   core::workflow_progress const& command) const
+{
+    std::map<core::worker_id, std::uint64_t> lost;
+    for (auto const& outcome : command.ends)
+    {
+        if (outcome.how == core::run_end::lost)
+        {
+            ++lost[outcome.worker];
+        }
+    }
+    for (auto const& [worker, runs] : lost)
+    {
+        std::vector<core::event_field> fields{
+            text_field("worker", worker.value()), number_field("runs", runs)};
+        if (auto const* const view = m_fleet.find(worker))
+        {
+            fields.push_back(time_field("report_age_ms", now - view->heard));
+            fields.push_back(number_field("life", view->profile.life.value()));
+        }
+        m_on_event({event_code::worker_lost, std::move(fields)});
+    }
+}
+
+void dispatcher::note_waiting(core::time_point now,
+                              std::vector<pending_stage> const& waiting)
+{
+    std::map<stage_ref, core::time_point> since;
+    m_waiting_tasks = 0;
+    for (auto const& each : waiting)
+    {
+        auto const known = m_waiting_since.find(each.stage);
+        since[each.stage] =
+            known == m_waiting_since.end() ? now : known->second;
+        m_waiting_tasks += each.runs.size();
+    }
+    m_waiting_since = std::move(since);
+}
+
+dispatch_counts dispatcher::counts(core::time_point now,
+                                   core::configuration const& config) const
+{
+    dispatch_counts result;
+    result.workers = m_fleet.all().size();
+    result.waiting_tasks = m_waiting_tasks;
+    for (auto const& worker : candidates(now, config))
+    {
+        ++result.usable_workers;
+        result.spare += worker.spare;
+    }
+    for (auto const& [stage, since] : m_waiting_since)
+    {
+        result.longest_wait = std::max(result.longest_wait, now - since);
+    }
+    for (auto const& [worker, runs] : m_table.holds())
+    {
+        result.held_runs += runs.size();
+    }
+    return result;
+}
+
 void dispatcher::note_run_time(core::time_point now,
                                core::run_outcome const& outcome)
 {
--- a/modules/workflow/dispatch/dispatcher.hpp
+++ b/modules/workflow/dispatch/dispatcher.hpp
@@ -2,6 +2,7 @@
 #define TURMERICSWITCH_WORKFLOW_DISPATCH_DISPATCHER_HPP
 
 #include "core/config/configuration.hpp"
+#include "core/events/event.hpp"
 #include "core/messages/workflow.hpp"
 #include "workflow/dispatch/order_book.hpp"
 #include "workflow/dispatch/run_time_model.hpp"
@@ -24,6 +25,19 @@
     core::duration report_interval = std::chrono::seconds(1);
 };
 
+/// Counts for operators: how much work waits and runs.
+struct dispatch_counts
+{
+    std::uint64_t workers = 0;
+    /// Workers that may get tasks now.
+    std::uint64_t usable_workers = 0;
+    std::uint64_t waiting_tasks = 0;
+    core::duration longest_wait{};
+    std::uint64_t held_runs = 0;
+    /// Processors that no run is expected to use, on usable workers.
+    core::millicores spare;
+};
+
 /// The leader's decisions on workflows: which tasks start where, which runs
 /// end, and which orders each worker gets.
 ///
@@ -33,10 +47,12 @@
 {
 public:
     /// @param fencing_token Higher than that of every earlier leader.
+    /// @param on_event Takes decisions with the inputs that decided them.
     dispatcher(workflow_table const& table,
                dispatch_options options,
                std::uint64_t fencing_token,
-               core::time_point elected);
+               core::time_point elected,
+               core::event_hook on_event);
 
     /// Takes a report of a sidecar.
     ///
@@ -72,6 +88,10 @@
                                      core::worker_id const& worker,
                                      core::incarnation life);
 
+    /// @return The state at the last plan.
+    dispatch_counts counts(core::time_point now,
+                           core::configuration const& config) const;
+
     worker_fleet const& fleet() const noexcept;
     std::uint64_t fencing_token() const noexcept;
 
@@ -100,6 +120,12 @@
     tail_hook tail_hook_of() const;
     void update_sharing(core::time_point now, worker_view const& view);
     void note_run_time(core::time_point now, core::run_outcome const& outcome);
+    void note_waiting(core::time_point now,
+                      std::vector<pending_stage> const& waiting);
+    void note_ended(core::time_point now, core::run_outcome const& outcome);
+    void note_placed(core::time_point now, core::run_placement const& placed);
+    void note_lost_workers(core::time_point now,
+                           core::workflow_progress const& command) const;
 
     workflow_table const& m_table;
     dispatch_options m_options;
@@ -112,6 +138,10 @@
     std::map<core::task_run, core::time_point> m_placed;
     order_book m_orders;
     core::time_point m_next_eviction;
+    /// Since when stages have had tasks without a worker.
+    std::map<stage_ref, core::time_point> m_waiting_since;
+    std::uint64_t m_waiting_tasks = 0;
+    core::event_hook m_on_event;
     /// Last batch of orders for each worker.
     std::map<core::worker_id, std::uint64_t> m_batches;
 };
--- a/programs/control/leader/workflow_service.cpp
+++ b/programs/control/leader/workflow_service.cpp
@@ -1,6 +1,7 @@
 #include "leader/workflow_service.hpp"
 
 #include <chrono>
+#include <set>
 #include <utility>
 
 namespace turmericswitch::control
@@ -13,6 +14,9 @@
 /// that have come due.
 constexpr core::duration plan_interval = std::chrono::milliseconds(100);
 
+/// Time between two lines that say how much waits and runs.
+constexpr core::duration summary_interval = std::chrono::seconds(1);
+
 core::wall_time wall_now()
 {
     return std::chrono::time_point_cast<std::chrono::microseconds>(
@@ -33,23 +37,64 @@
            orders.paces.empty();
 }
 
-std::string text_of(core::task_run const& run)
+std::int64_t milliseconds_of(core::duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
+/// @return Tasks, needs of one task, and what decides where it may run.
+std::string summary_of(core::stage_description const& stage)
 {
-    return "task " + core::to_string(run.task) + " attempt " +
-           std::to_string(run.attempt.value());
+    constexpr unsigned mebibyte_shift = 20;
+    std::string text =
+        std::to_string(stage.tasks) + "x" +
+        std::to_string(stage.need.cpu.value()) + "m/" +
+        std::to_string(stage.need.memory.value() >> mebibyte_shift) + "MiB/" +
+        std::to_string(milliseconds_of(stage.estimate)) + "ms";
+    text += stage.behaviour.uses_spare_cpu ? "/spare" : "";
+    text += stage.behaviour.long_running ? "/long" : "";
+    text += stage.behaviour.gang ? "/gang" : "";
+    if (auto const target = stage.behaviour.target_latency;
+        target > core::duration{})
+    {
+        text += "/target" + std::to_string(milliseconds_of(target));
+    }
+    if (auto const most = stage.constraints.max_per_worker; most > 0)
+    {
+        text += "/per" + std::to_string(most);
+    }
+    return text + "/" + stage.behaviour.image;
 }
 
 } // namespace
 
 workflow_service::workflow_service(replica& node,
                                    workflow::dispatch_options options,
-                                   std::function<void(std::string const&)> log)
+                                   core::event_hook on_event,
+                                   telemetry::metrics_registry& metrics)
     : m_node(node),
-      m_log(std::move(log)),
+      m_on_event(std::move(on_event)),
       m_dispatcher(node.state().workflows(),
                    options,
                    node.current_term().value(),
-                   process::event_loop::now())
+                   process::event_loop::now(),
+                   m_on_event),
+      m_commit_time(
+          metrics.latency("turmericswitch_control_commit_seconds",
+                          "Time from a plan to its commit, on the leader.")),
+      m_workflow_time(metrics.latency(
+          "turmericswitch_control_workflow_seconds",
+          "Age of workflows when they ended, completed or failed.")),
+      m_placements(metrics.counter("turmericswitch_control_placements_total",
+                                   "Runs that were placed on a worker.")),
+      m_ends(metrics.counter("turmericswitch_control_run_ends_total",
+                             "Ends of runs that were committed.")),
+      m_waiting(metrics.gauge("turmericswitch_control_waiting_tasks",
+                              "Tasks that wait for a worker.")),
+      m_held(metrics.gauge("turmericswitch_control_held_runs",
+                           "Runs that hold room on a worker.")),
+      m_usable(metrics.gauge("turmericswitch_control_usable_workers",
+                             "Workers that may get tasks."))
 {
 }
 
@@ -78,6 +123,7 @@
         plan();
         deliver_orders();
     }
+    summarize(now);
     confirm_reports();
     confirm_queries();
 }
@@ -87,7 +133,12 @@
     if (auto const* const submitted =
             std::get_if<core::submit_workflow>(&command))
     {
-        log_accepted(*submitted);
+        note_accepted(*submitted);
+    }
+    if (auto const* const cancelled =
+            std::get_if<core::cancel_workflow>(&command))
+    {
+        note_cancelled(*cancelled);
     }
     if (std::holds_alternative<core::submit_workflow>(command) ||
         std::holds_alternative<core::cancel_workflow>(command))
@@ -132,32 +183,37 @@
     auto copy = *command;
     // A command proposed after a report and committed in the own term proves
     // the leadership that the report's answer needs.
-    m_node.propose(std::move(*command),
-                   {},
-                   {},
-                   [self = shared_from_this(),
-                    sent = std::move(copy),
-                    confirmed = std::exchange(m_reports, {})](
-                       core::command_reply const& reply)
-                   {
-                       self->m_is_planning = false;
-                       if (self->m_ended || reply.code != core::result_code::ok)
-                       {
-                           for (auto const& each : confirmed)
-                           {
-                               each.done(not_leader<core::runtime_grant>());
-                           }
-                           return;
-                       }
-                       self->committed(sent, confirmed);
-                   });
+    m_node.propose(
+        std::move(*command),
+        {},
+        {},
+        [self = shared_from_this(),
+         sent = std::move(copy),
+         begun = process::event_loop::now(),
+         confirmed =
+             std::exchange(m_reports, {})](core::command_reply const& reply)
+        {
+            self->m_is_planning = false;
+            if (self->m_ended || reply.code != core::result_code::ok)
+            {
+                for (auto const& each : confirmed)
+                {
+                    each.done(not_leader<core::runtime_grant>());
+                }
+                return;
+            }
+            self->m_commit_time.add(process::event_loop::now() - begun);
+            self->committed(sent, confirmed);
+        });
 }
 
 void workflow_service::committed(core::workflow_progress const& command,
                                  std::vector<waiting_report> const& confirmed)
 {
-    log_progress(command);
+    m_placements.add(command.placements.size());
+    m_ends.add(command.ends.size());
     m_dispatcher.applied(process::event_loop::now(), command);
+    note_ended(command);
     answer_or_keep(confirmed);
     // Ends may have made other stages ready.
     plan();
@@ -283,50 +339,76 @@
     return answer;
 }
 
-void workflow_service::log_accepted(core::submit_workflow const& command) const
+void workflow_service::note_accepted(core::submit_workflow const& command) const
 {
-    std::string text = "job " + command.workflow.value() + " of queue " +
-                       command.queue.value() + " accepted:";
+    std::string stages;
     for (auto const& stage : command.description.stages)
     {
-        text += ' ' + std::to_string(stage.tasks) + 'x' +
-                std::to_string(stage.need.cpu.value()) + "m/" +
-                std::to_string(stage.need.memory.value() >> 20U) + "MiB/" +
-                std::to_string(
-                    std::chrono::duration_cast<std::chrono::milliseconds>(
-                        stage.estimate)
-                        .count()) +
-                "ms" + (stage.behaviour.uses_spare_cpu ? "/spare" : "") +
-                (stage.behaviour.long_running ? "/long" : "") +
-                (stage.behaviour.target_latency > core::duration{}
-                     ? "/target" +
-                           std::to_string(
-                               stage.behaviour.target_latency.count() / 1000)
-                     : "") +
-                (stage.behaviour.max_unavailable > 0
-                     ? "/away" + std::to_string(stage.behaviour.max_unavailable)
-                     : "") +
-                (stage.constraints.max_per_worker > 0
-                     ? "/per" + std::to_string(stage.constraints.max_per_worker)
-                     : "") +
-                "/" + stage.behaviour.image;
+        stages += (stages.empty() ? "" : " ") + summary_of(stage);
     }
-    m_log(text);
+    m_on_event({core::event_code::workflow_accepted,
+                {core::text_field("workflow", command.workflow.value()),
+                 core::text_field("queue", command.queue.value()),
+                 core::number_field("occurrences",
+                                    command.description.schedule.occurrences),
+                 core::text_field("stages", stages)}});
+}
+
+void workflow_service::note_cancelled(
+    core::cancel_workflow const& command) const
+{
+    m_on_event({core::event_code::workflow_cancelled,
+                {core::text_field("workflow", command.workflow.value()),
+                 core::text_field("queue", command.queue.value())}});
 }
 
-void workflow_service::log_progress(
-    core::workflow_progress const& command) const
+void workflow_service::note_ended(core::workflow_progress const& command)
 {
+    auto const now = process::event_loop::now();
+    std::set<core::workflow_id> seen;
     for (auto const& end : command.ends)
     {
-        m_log(text_of(end.run) + " on " + end.worker.value() +
-              " ended: " + std::string(core::to_string(end.how)));
+        auto const& id = end.run.task.workflow;
+        auto const* const workflow = m_node.state().workflows().find(id);
+        if (workflow == nullptr || !core::is_final(workflow->state) ||
+            workflow->state == core::workflow_state::cancelled ||
+            !seen.insert(id).second)
+        {
+            continue;
+        }
+        auto const age = now - workflow->submitted;
+        m_workflow_time.add(age);
+        m_on_event({core::event_code::workflow_ended,
+                    {core::text_field("workflow", id.value()),
+                     core::text_field("queue", workflow->queue.queue.value()),
+                     core::text_field("state", to_string(workflow->state)),
+                     core::time_field("age_ms", age)}});
     }
-    for (auto const& placement : command.placements)
+}
+
+void workflow_service::summarize(core::time_point now)
+{
+    if (now < m_next_summary)
     {
-        m_log(text_of(placement.run) + " placed on " +
-              placement.worker.value());
+        return;
+    }
+    m_next_summary = now + summary_interval;
+    auto const counts =
+        m_dispatcher.counts(now, m_node.state().config().in_force());
+    m_waiting.set(static_cast<std::int64_t>(counts.waiting_tasks));
+    m_held.set(static_cast<std::int64_t>(counts.held_runs));
+    m_usable.set(static_cast<std::int64_t>(counts.usable_workers));
+    if (counts.waiting_tasks + counts.held_runs == 0)
+    {
+        return;
     }
+    m_on_event({core::event_code::dispatch_summary,
+                {core::number_field("workers", counts.workers),
+                 core::number_field("usable", counts.usable_workers),
+                 core::number_field("waiting", counts.waiting_tasks),
+                 core::time_field("longest_wait_ms", counts.longest_wait),
+                 core::number_field("held", counts.held_runs),
+                 core::number_field("spare_m", counts.spare.value())}});
 }
 
 } // namespace turmericswitch::control
--- a/programs/control/leader/workflow_service.hpp
+++ b/programs/control/leader/workflow_service.hpp
@@ -1,7 +1,9 @@
 #ifndef TURMERICSWITCH_CONTROL_LEADER_WORKFLOW_SERVICE_HPP
 #define TURMERICSWITCH_CONTROL_LEADER_WORKFLOW_SERVICE_HPP
 
+#include "core/events/event.hpp"
 #include "node/replica.hpp"
+#include "telemetry/metrics/metrics_registry.hpp"
 #include "workflow/dispatch/dispatcher.hpp"
 
 #include <functional>
@@ -25,7 +27,8 @@
 
     workflow_service(replica& node,
                      workflow::dispatch_options options,
-                     std::function<void(std::string const&)> log);
+                     core::event_hook on_event,
+                     telemetry::metrics_registry& metrics);
 
     /// Answers everything that waits with `not_leader`.
     void end();
@@ -73,20 +76,30 @@
     void confirm_reports();
     void confirm_queries();
     void deliver_orders();
-    void log_accepted(core::submit_workflow const& command) const;
-    void log_progress(core::workflow_progress const& command) const;
+    void note_accepted(core::submit_workflow const& command) const;
+    void note_cancelled(core::cancel_workflow const& command) const;
+    void note_ended(core::workflow_progress const& command);
+    void summarize(core::time_point now);
     core::workflow_answer answer_to(core::workflow_query const& query) const;
 
     replica& m_node;
-    std::function<void(std::string const&)> m_log;
+    core::event_hook m_on_event;
     workflow::dispatcher m_dispatcher;
     core::time_point m_next_plan;
+    core::time_point m_next_summary;
     bool m_is_planning = false;
     bool m_plan_again = false;
     bool m_ended = false;
     std::vector<waiting_report> m_reports;
     std::vector<waiting_poll> m_polls;
     std::vector<waiting_query> m_queries;
+    telemetry::latency_metric& m_commit_time;
+    telemetry::latency_metric& m_workflow_time;
+    telemetry::counter& m_placements;
+    telemetry::counter& m_ends;
+    telemetry::gauge& m_waiting;
+    telemetry::gauge& m_held;
+    telemetry::gauge& m_usable;
 };
 
 } // namespace turmericswitch::control
--- a/programs/control/main.cpp
+++ b/programs/control/main.cpp
@@ -166,7 +166,12 @@
                      transport::responder answer)
         { processes.handle(request, std::move(answer)); },
         connection,
-        [&log](std::string const& text) { log.warning(text); });
+        [&log](std::string const& text)
+        {
+            log.write({core::event_code::message_unreadable,
+                       {core::text_field("message", "process connection"),
+                        core::text_field("why", text)}});
+        });
     web::server_options http_options;
     http_options.listen_on = settings.http;
     http_options.worker_threads = static_cast<unsigned>(settings.http_threads);
@@ -190,9 +195,10 @@
     {
         return false;
     }
-    log.info("member " + std::to_string(node.group().self().value()) +
-             " listens on " + to_string(rpc->bound()) + " and " +
-             to_string(http->bound()));
+    log.write({core::event_code::process_started,
+               {core::number_field("member", node.group().self().value()),
+                core::text_field("rpc", to_string(rpc->bound())),
+                core::text_field("http", to_string(http->bound()))}});
     signal.on_settings_changed(
         settings.process.settings_file,
         [&]
@@ -210,6 +216,7 @@
         });
     signal.wait();
 
+    log.write({core::event_code::process_stopping, {}});
     node.hand_over();
     auto const stopped = http->stop();
     rpc->stop_accepting();
@@ -222,8 +229,9 @@
     auto const cut = http->in_progress() + rpc->open_calls();
     // Last: a call that came before the end of the drain still needs it.
     node.stop();
-    log.info("stopped: " + std::to_string(stopped.finished) +
-             " requests in progress finished, " + std::to_string(cut) + " cut");
+    log.write({core::event_code::process_stopped,
+               {core::number_field("finished", stopped.finished),
+                core::number_field("cut", cut)}});
     return true;
 }
 
--- a/programs/control/node/control_node.cpp
+++ b/programs/control/node/control_node.cpp
@@ -76,7 +76,8 @@
         m_workflows = std::make_shared<workflow_service>(
             m_replica,
             m_dispatch,
-            [this](std::string const& text) { m_log.info(text); });
+            [this](core::event const& what) { m_log.write(what); },
+            m_metrics);
     };
     hooks.leadership_ended = [this]
     {
@@ -91,6 +92,7 @@
                            core::command_reply const& reply)
     {
         m_commands.add();
+        note_operator_command(command, reply);
         if (m_duties)
         {
             m_duties->applied(command, reply);
@@ -104,14 +106,36 @@
     hooks.storage_failed = [this](std::string const& why)
     {
         m_storage_failed = true;
-        m_log.error("storage failed, the instance stays silent until it is "
-                    "restarted: " +
-                    why);
+        // The instance stays silent until it is restarted.
+        m_log.write(
+            {core::event_code::storage_failed, {core::text_field("why", why)}});
     };
-    hooks.log = [this](std::string const& text) { m_log.info(text); };
+    hooks.on_event = [this](core::event const& what) { m_log.write(what); };
     return hooks;
 }
 
+void control_node::note_operator_command(core::command_body const& command,
+                                         core::command_reply const& reply)
+{
+    auto const result = core::text_field("result", core::to_string(reply.code));
+    if (auto const* const document =
+            std::get_if<core::apply_document>(&command))
+    {
+        m_log.write(
+            {core::event_code::configuration_applied,
+             {core::number_field("version", document->document.version),
+              core::number_field("queues", document->document.queues.size()),
+              result}});
+    }
+    if (auto const* const zone = std::get_if<core::evacuate_zone>(&command))
+    {
+        m_log.write({core::event_code::zone_evacuation_changed,
+                     {core::text_field("zone", zone->zone.value()),
+                      core::number_field("evacuated", zone->evacuated ? 1 : 0),
+                      result}});
+    }
+}
+
 void control_node::add_metrics()
 {
     m_metrics.add_gauge_hook("turmericswitch_control_is_leader",
@@ -154,7 +178,7 @@
             m_io, std::move(contacts), m_seed),
         std::move(self),
         [this](core::group_membership const& members) { on_members(members); },
-        [this](std::string const& text) { m_log.info(text); });
+        [this](core::event const& what) { m_log.write(what); });
 }
 
 void control_node::on_members(core::group_membership const& members)
@@ -193,7 +217,7 @@
         {
             if (m_replica.is_leading())
             {
-                m_log.info("hand over leadership before the stop");
+                m_log.write({core::event_code::leadership_handed_over, {}});
                 m_replica.hand_over();
             }
         });
--- a/programs/control/node/control_node.hpp
+++ b/programs/control/node/control_node.hpp
@@ -86,6 +86,9 @@
     void on_members(core::group_membership const& members);
     void end_workflows();
     void add_metrics();
+    /// Logs what an operator's command changed on this member.
+    void note_operator_command(core::command_body const& command,
+                               core::command_reply const& reply);
 
     telemetry::logger m_log{"control"};
     telemetry::metrics_registry m_metrics;
--- a/programs/control/node/membership_manager.cpp
+++ b/programs/control/node/membership_manager.cpp
@@ -27,13 +27,13 @@
     std::unique_ptr<shared::control_link> contacts,
     core::group_member self,
     members_hook on_members,
-    std::function<void(std::string const&)> log)
+    core::event_hook on_event)
     : m_loop(loop),
       m_node(node),
       m_contacts(std::move(contacts)),
       m_self(std::move(self)),
       m_on_members(std::move(on_members)),
-      m_log(std::move(log)),
+      m_on_event(std::move(on_event)),
       m_leader_known(process::event_loop::now())
 {
 }
@@ -133,8 +133,10 @@
     }
     auto learner = joiner;
     learner.learner = true;
-    m_log("member " + std::to_string(joiner.id.value()) + " at " +
-          core::to_string(joiner.rpc) + " asks to join");
+    m_on_event({core::event_code::member_joining,
+                {core::number_field("member", joiner.id.value()),
+                 core::text_field("address", core::to_string(joiner.rpc)),
+                 core::number_field("members", members.size())}});
     m_node.change_membership(
         consensus::membership_change_kind::add_learner,
         learner,
@@ -171,9 +173,13 @@
             {
                 bool const is_removal =
                     step.kind == consensus::membership_change_kind::remove;
-                self->m_log("member " + std::to_string(step.member.id.value()) +
-                            " at " + core::to_string(step.member.rpc) +
-                            (is_removal ? " removed" : " promoted to voter"));
+                self->m_on_event(
+                    {core::event_code::member_changed,
+                     {core::text_field("change",
+                                       is_removal ? "removed" : "promoted"),
+                      core::number_field("member", step.member.id.value()),
+                      core::text_field("address",
+                                       core::to_string(step.member.rpc))}});
             }
         });
 }
--- a/programs/control/node/membership_manager.hpp
+++ b/programs/control/node/membership_manager.hpp
@@ -2,6 +2,7 @@
 #define TURMERICSWITCH_CONTROL_NODE_MEMBERSHIP_MANAGER_HPP
 
 #include "consensus/membership/membership_planner.hpp"
+#include "core/events/event.hpp"
 #include "node/replica.hpp"
 #include "shared/control_link/control_link.hpp"
 
@@ -30,7 +31,7 @@
                        std::unique_ptr<shared::control_link> contacts,
                        core::group_member self,
                        members_hook on_members,
-                       std::function<void(std::string const&)> log);
+                       core::event_hook on_event);
 
     void tick(core::time_point now);
 
@@ -51,7 +52,7 @@
     std::unique_ptr<shared::control_link> m_contacts;
     core::group_member m_self;
     members_hook m_on_members;
-    std::function<void(std::string const&)> m_log;
+    core::event_hook m_on_event;
     bool m_is_asking = false;
     bool m_is_changing = false;
     core::time_point m_next_ask;
--- a/programs/control/node/recovery.cpp
+++ b/programs/control/node/recovery.cpp
@@ -193,17 +193,17 @@
         return std::nullopt;
     }
     recovered.hard = *hard;
-    telemetry::logger("control").info(
-        "member " + std::to_string(settings.member.value()) +
-        " recovered term " + std::to_string(hard->current_term.value()) +
-        ", snapshot up to " + std::to_string(metadata.last_index.value()) +
-        " with " + std::to_string(metadata.membership.members.size()) +
-        " members, " + std::to_string(recovered.entries.size()) +
-        " log entries" +
-        (recovered.entries.empty()
-             ? std::string()
-             : " up to " +
-                   std::to_string(recovered.entries.back().index.value())));
+    telemetry::logger("control").write(
+        {core::event_code::state_recovered,
+         {core::number_field("member", settings.member.value()),
+          core::number_field("term", hard->current_term.value()),
+          core::number_field("snapshot_index", metadata.last_index.value()),
+          core::number_field("members", metadata.membership.members.size()),
+          core::number_field("entries", recovered.entries.size()),
+          core::number_field("last_index",
+                             recovered.entries.empty()
+                                 ? metadata.last_index.value()
+                                 : recovered.entries.back().index.value())}});
     cluster_state::state_machine state;
     if (metadata.last_index.value() > 0 && !state.restore(snapshot->data))
     {
--- a/programs/control/node/replica.cpp
+++ b/programs/control/node/replica.cpp
@@ -265,16 +265,23 @@
 void replica::on_role(consensus::role_changed const& change)
 {
     m_is_raft_leader = change.role == consensus::member_role::leader;
-    m_hooks.log(std::string(name_of(change.role)) + " in term " +
-                std::to_string(change.current_term.value()) + ", leader " +
-                (change.leader ? std::to_string(change.leader->value())
-                               : std::string("unknown")) +
-                ", applied " + std::to_string(m_applied.value()));
+    m_hooks.on_event(
+        {core::event_code::role_changed,
+         {core::text_field("role", name_of(change.role)),
+          core::number_field("term", change.current_term.value()),
+          core::text_field("leader",
+                           change.leader
+                               ? std::to_string(change.leader->value())
+                               : std::string("unknown")),
+          core::number_field("applied", m_applied.value())}});
     if (m_is_leading && !m_is_raft_leader)
     {
         m_is_leading = false;
-        m_hooks.log("leadership ended in term " +
-                    std::to_string(change.current_term.value()));
+        m_hooks.on_event(
+            {core::event_code::leadership_ended,
+             {core::number_field("term", change.current_term.value()),
+              core::time_field("led_ms",
+                               process::event_loop::now() - m_led_since)}});
         m_hooks.leadership_ended();
     }
     m_hooks.group_changed();
@@ -306,8 +313,10 @@
             m_is_leading = true;
             m_cluster_base = m_state.now();
             m_led_since = process::event_loop::now();
-            m_hooks.log("leadership began in term " +
-                        std::to_string(item.entry.entry_term.value()));
+            m_hooks.on_event(
+                {core::event_code::leadership_began,
+                 {core::number_field("term", item.entry.entry_term.value()),
+                  core::number_field("applied", m_applied.value())}});
             m_hooks.leadership_began();
         }
     }
@@ -326,8 +335,10 @@
     else
     {
         // Skipped on every member alike, because all have the same bytes.
-        m_hooks.log("entry " + std::to_string(item.entry.index.value()) +
-                    " has no command this version understands");
+        m_hooks.on_event(
+            {core::event_code::entry_skipped,
+             {core::number_field("index", item.entry.index.value()),
+              core::text_field("why", core::last_reason().text)}});
         reply = coded(core::result_code::message_malformed,
                       core::last_reason().text);
     }
@@ -349,8 +360,8 @@
     }
     m_applied = output.metadata.last_index;
     m_snapshot_index = m_applied;
-    m_hooks.log("snapshot up to " + std::to_string(m_applied.value()) +
-                " installed from the leader");
+    m_hooks.on_event({core::event_code::snapshot_installed,
+                      {core::number_field("index", m_applied.value())}});
     m_hooks.group_changed();
     return m_writer.install({output.metadata, output.data});
 }
--- a/programs/control/node/replica.hpp
+++ b/programs/control/node/replica.hpp
@@ -3,6 +3,7 @@
 
 #include "cluster_state/machine/state_machine.hpp"
 #include "consensus/node/raft_node.hpp"
+#include "core/events/event.hpp"
 #include "node/log_writer.hpp"
 #include "process/loop/event_loop.hpp"
 #include "store/state/hard_state_store.hpp"
@@ -31,7 +32,7 @@
         applied;
     /// Leader or membership changed.
     std::function<void()> group_changed;
-    std::function<void(std::string const&)> log;
+    core::event_hook on_event;
     /// A write or sync failed; the member is silent from now on.
     std::function<void(std::string const&)> storage_failed;
 };
--- a/programs/gateway/jobs/job_gateway.cpp
+++ b/programs/gateway/jobs/job_gateway.cpp
@@ -27,7 +27,13 @@
                           "Callers' job calls that certainly did nothing.")),
       m_unknown(
           metrics.counter("turmericswitch_gateway_job_calls_unknown_total",
-                          "Callers' job calls with an unknown outcome."))
+                          "Callers' job calls with an unknown outcome.")),
+      m_rejected(
+          metrics.counter("turmericswitch_gateway_job_calls_rejected_total",
+                          "Callers' calls that named no queue or no valid "
+                          "job, or came before the first configuration.")),
+      m_call_time(metrics.latency("turmericswitch_gateway_job_call_seconds",
+                                  "Time of callers' job calls."))
 {
 }
 
@@ -38,9 +44,12 @@
     {
         m_queues.publish(
             std::make_shared<queue_table const>(news.config->document));
-        m_log.info("configuration version " +
-                   std::to_string(news.config->document.version) +
-                   " is in force");
+        m_version = news.config->document.version;
+        m_log.write(
+            {core::event_code::configuration_in_force,
+             {core::number_field("version", news.config->document.version),
+              core::number_field("queues",
+                                 news.config->document.queues.size())}});
     }
     if (news.config)
     {
@@ -79,7 +88,8 @@
     {
         auto const begun = process::event_loop::now();
         return finish("submit",
-                      command.workflow.value(),
+                      command.queue,
+                      command.workflow,
                       begun,
                       m_client.submit(command, patience));
     };
@@ -88,7 +98,8 @@
     {
         auto const begun = process::event_loop::now();
         return finish("cancel",
-                      command.workflow.value(),
+                      command.queue,
+                      command.workflow,
                       begun,
                       m_client.cancel(command, patience));
     };
@@ -97,16 +108,31 @@
     {
         auto const begun = process::event_loop::now();
         return finish("query",
-                      query.workflow.value().empty() ? query.queue.value()
-                                                     : query.workflow.value(),
+                      query.queue,
+                      query.workflow,
                       begun,
                       m_client.query(query, patience));
     };
+    hooks.rejected = [this](platform::rejected_call const& call)
+    { note_rejected(call); };
     return hooks;
 }
 
+void job_gateway::note_rejected(platform::rejected_call const& call)
+{
+    m_rejected.add();
+    m_log.write({core::event_code::call_rejected,
+                 {core::text_field("method", call.method),
+                  core::text_field("host", call.host),
+                  core::text_field("path", call.path),
+                  core::text_field("result", core::to_string(call.code)),
+                  core::text_field("why", call.text),
+                  core::number_field("config_version", m_version.load())}});
+}
+
 platform::job_outcome job_gateway::finish(std::string const& call,
-                                          std::string const& job,
+                                          core::queue_id const& queue,
+                                          core::workflow_id const& workflow,
                                           core::time_point begun,
                                           job_result const& result)
 {
@@ -129,12 +155,15 @@
     {
         m_refused.add();
     }
-    m_log.info(call + ' ' + job + ": " +
-               std::string(core::to_string(result.code)) + " after " +
-               std::to_string(
-                   std::chrono::duration_cast<std::chrono::milliseconds>(took)
-                       .count()) +
-               " ms");
+    m_call_time.add(took);
+    m_log.write({core::event_code::call_answered,
+                 {core::text_field("call", call),
+                  core::text_field("workflow", workflow.value()),
+                  core::text_field("queue", queue.value()),
+                  core::text_field("result", core::to_string(result.code)),
+                  core::text_field("why", result.text),
+                  core::time_field("after_ms", took),
+                  core::number_field("config_version", m_version.load())}});
     return outcome;
 }
 
--- a/programs/gateway/jobs/job_gateway.hpp
+++ b/programs/gateway/jobs/job_gateway.hpp
@@ -37,8 +37,10 @@
 private:
     std::optional<platform::queue_match> find_queue(std::string const& host,
                                                     std::string const& path);
+    void note_rejected(platform::rejected_call const& call);
     platform::job_outcome finish(std::string const& call,
-                                 std::string const& job,
+                                 core::queue_id const& queue,
+                                 core::workflow_id const& workflow,
                                  core::time_point begun,
                                  job_result const& result);
 
@@ -50,6 +52,9 @@
     telemetry::counter& m_accepted;
     telemetry::counter& m_refused;
     telemetry::counter& m_unknown;
+    telemetry::counter& m_rejected;
+    telemetry::latency_metric& m_call_time;
+    std::atomic<std::uint64_t> m_version = 0;
 };
 
 } // namespace turmericswitch::gateway
--- a/programs/gateway/main.cpp
+++ b/programs/gateway/main.cpp
@@ -105,18 +105,20 @@
         return false;
     }
     watch.start();
-    log.info(settings.name + " listens on " + to_string(callers->bound()));
+    log.write({core::event_code::process_started,
+               {core::text_field("process", settings.name),
+                core::text_field("address", to_string(callers->bound()))}});
     shared::follow_seeds(signal, settings.process.settings_file, control);
     signal.wait();
 
     jobs.begin_stop();
-    log.info("stopping: not ready from now on");
+    log.write({core::event_code::process_stopping, {}});
     std::this_thread::sleep_for(settings.jobs->stop_delay);
     auto const stopped = callers->stop();
-    log.info("stopped: " + std::to_string(stopped.finished) +
-             " calls in progress finished, " +
-             std::to_string(callers->in_progress()) + " cut, " +
-             std::to_string(stopped.refused) + " refused as not run");
+    log.write({core::event_code::process_stopped,
+               {core::number_field("finished", stopped.finished),
+                core::number_field("cut", callers->in_progress()),
+                core::number_field("refused", stopped.refused)}});
     return true;
 }
 
--- a/programs/shared/control_link/config_watch.cpp
+++ b/programs/shared/control_link/config_watch.cpp
@@ -1,6 +1,7 @@
 #include "shared/control_link/config_watch.hpp"
 
 #include "core/hooks/random_source.hpp"
+#include "telemetry/telemetry.hpp"
 #include "wire/codec/message_codec.hpp"
 
 #include <utility>
@@ -62,7 +63,9 @@
         auto const answer = result.outcome == transport::call_outcome::answered
                                 ? wire::decode<core::watch_answer>(result.body)
                                 : std::nullopt;
-        if (answer && answer->code == core::result_code::ok)
+        bool const is_led = answer && answer->code == core::result_code::ok;
+        note_leader(is_led, result);
+        if (is_led)
         {
             known = on_news(*answer);
             ++answers;
@@ -91,6 +94,29 @@
                       });
     }
 
+    /// Logs a lost and a regained leader, not each poll.
+    void note_leader(bool is_reached, transport::call_result const& result)
+    {
+        if (is_reached == leader_reached)
+        {
+            return;
+        }
+        leader_reached = is_reached;
+        log.write(
+            {is_reached ? core::event_code::control_regained
+                        : core::event_code::control_lost,
+             {core::text_field("process", process.value()),
+              core::number_field("config_revision", known.in_force.value()),
+              core::text_field("why", is_reached ? "" : why_lost(result))}});
+    }
+
+    static char const* why_lost(transport::call_result const& result)
+    {
+        return result.outcome == transport::call_outcome::answered
+                   ? "the instance that answered knows no leader"
+                   : "no answer";
+    }
+
     /// Control answers at once while the process lacks something, so a
     /// process that could not take the news must not ask again at once.
     bool has_all(core::watch_answer const& answer) const
@@ -110,6 +136,8 @@
     std::atomic<bool> is_stopped = false;
     known_state known;
     unsigned failures = 0;
+    bool leader_reached = true;
+    telemetry::logger const log{"control_link"};
     std::atomic<std::uint64_t> answers = 0;
 };
 
--- a/programs/shared/daemon/daemon_main.cpp
+++ b/programs/shared/daemon/daemon_main.cpp
@@ -55,7 +55,10 @@
     }
     auto const status = exit_status_of_last_reason();
     telemetry::logger(parts.log_part)
-        .error("can't start: " + core::last_reason().text);
+        .write({core::event_code::start_failed,
+                {core::text_field("result",
+                                  core::to_string(core::last_reason().code)),
+                 core::text_field("why", core::last_reason().text)}});
     return status;
 }
 
@@ -82,11 +85,13 @@
     auto reader = settings::settings_reader::load(settings_file);
     if (!reader)
     {
-        log.warning("settings kept, the changed file can't be read: " +
-                    core::last_reason().text);
+        log.write({core::event_code::settings_rejected,
+                   {core::text_field("file", settings_file),
+                    core::text_field("why", core::last_reason().text)}});
         return std::nullopt;
     }
-    log.info("settings file " + settings_file + " changed");
+    log.write({core::event_code::settings_changed,
+               {core::text_field("file", settings_file)}});
     return reader;
 }
 
--- a/programs/sidecar/main.cpp
+++ b/programs/sidecar/main.cpp
@@ -44,14 +44,17 @@
     {
         return false;
     }
-    log.info("listens on " + to_string(http->bound()) + " for the worker at " +
-             to_string(settings.worker->runtime));
+    log.write({core::event_code::process_started,
+               {core::text_field("process", settings.worker->instance.value()),
+                core::text_field("address", to_string(http->bound())),
+                core::text_field("worker", to_string(settings.worker->runtime)),
+                core::number_field("life", life)}});
     shared::follow_seeds(signal, settings.process.settings_file, control);
     signal.wait();
-    log.info("stopping");
+    log.write({core::event_code::process_stopping, {}});
     http->stop();
     service.stop();
-    log.info("stopped");
+    log.write({core::event_code::process_stopped, {}});
     return true;
 }
 
--- a/programs/sidecar/worker/worker_service.cpp
+++ b/programs/sidecar/worker/worker_service.cpp
@@ -61,7 +61,7 @@
     hooks.leader = make_leader_calls();
     hooks.after = [this](core::duration delay, std::function<void()> task)
     { m_io.post_after(delay, std::move(task)); };
-    hooks.log = [this](std::string const& text) { m_log.info(text); };
+    hooks.on_event = [this](core::event const& what) { m_log.write(what); };
     return hooks;
 }
 
@@ -115,7 +115,9 @@
     hooks.unreadable = [this](std::string const& why)
     {
         m_unreadable.add();
-        m_log.warning("report of a worker left out: " + why);
+        m_log.write({core::event_code::message_unreadable,
+                     {core::text_field("message", "worker registration"),
+                      core::text_field("why", why)}});
     };
     return platform::registration_routes(std::move(hooks));
 }
