Look at the worker before a report that refusals bring forward

Cause: after a cut a worker's lease is over and it refuses the starts that waited for it (its clock is past the start's deadline). Each refusal came while a report was open, so the next report followed at once without a look.

Ruled out by the log: a lost batch of orders, a drain, an outdated token (each has its own line), a new leader (the lines go on over both terms).

Also: a clock that stands still no longer counts as a fresh lease, and a worker that refuses three starts in a row gets a pause, so that no fault of this kind can repeat placements sixteen times a second again.

--- a/modules/telemetry/tests/line_limiter_test.cpp
+++ b/modules/telemetry/tests/line_limiter_test.cpp
@@ -60,6 +60,7 @@
         limits.set_limit(limit);
         std::atomic<std::uint64_t> written = 0;
         std::vector<std::thread> threads;
+        threads.reserve(4);
         for (int i = 0; i < 4; ++i)
         {
             threads.emplace_back(
--- a/modules/workflow/agent/worker_agent.cpp
+++ b/modules/workflow/agent/worker_agent.cpp
@@ -273,6 +273,18 @@
         { granted(epoch, std::move(grant)); });
 }
 
+void worker_agent::report_again()
+{
+    // A report without a new look repeats the worker's old clock, and the
+    // leader can't renew the lease from that.
+    if (m_runs && !m_left && !m_looking)
+    {
+        look(core::duration{});
+        return;
+    }
+    send_report();
+}
+
 void worker_agent::granted(std::uint64_t epoch,
                            std::optional<core::runtime_grant> grant)
 {
@@ -289,7 +301,7 @@
                       {
                           if (is_current(epoch) && !m_reporting)
                           {
-                              send_report();
+                              report_again();
                           }
                       });
         return;
@@ -305,7 +317,7 @@
     }
     if (m_report_again)
     {
-        send_report();
+        report_again();
     }
     else if (has_open_ends())
     {
--- a/modules/workflow/agent/worker_agent.hpp
+++ b/modules/workflow/agent/worker_agent.hpp
@@ -90,6 +90,9 @@
     void look_later(core::duration delay, core::duration wait);
     void settle_stopped_runs();
     void send_report();
+    /// Sends what has come up since the last report, with the worker's clock
+    /// of now.
+    void report_again();
     void granted(std::uint64_t epoch, std::optional<core::runtime_grant> grant);
     void accept(core::runtime_grant const& grant);
     bool has_open_ends() const;
--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -290,8 +290,8 @@
 {
     bool const is_heard =
         now - view.heard < m_options.report_interval * missing_reports;
-    bool const is_leased =
-        view.granted_until - view.clock > (now - view.heard) + least_lease_left;
+    bool const is_leased = view.granted_until - view.clock >
+                           (now - view.clock_seen) + least_lease_left;
     bool const is_evacuated =
         std::find(config.evacuated.begin(),
                   config.evacuated.end(),
--- a/modules/workflow/dispatch/worker_fleet.cpp
+++ b/modules/workflow/dispatch/worker_fleet.cpp
@@ -55,6 +55,7 @@
         worker_view fresh;
         // An earlier leader may have granted any lease.
         fresh.lease_over = now + real_length(m_policy.longest);
+        fresh.clock_seen = now;
         known = m_workers.insert_or_assign(id, std::move(fresh)).first;
     }
     auto& view = known->second;
@@ -62,7 +63,11 @@
     view.profile = std::move(report.profile);
     view.sidecar = report.sidecar;
     view.heard = now;
-    view.clock = report.clock;
+    if (view.clock != report.clock)
+    {
+        view.clock = report.clock;
+        view.clock_seen = now;
+    }
     view.left = view.left || report.left;
     view.refused = std::move(report.refused);
     if (report.runs)
--- a/modules/workflow/dispatch/worker_fleet.hpp
+++ b/modules/workflow/dispatch/worker_fleet.hpp
@@ -30,6 +30,8 @@
     core::time_point heard;
     /// The worker's clock in that report.
     core::duration clock{};
+    /// When a report brought this reading of the clock first.
+    core::time_point clock_seen;
     /// End of the lease on the worker's clock.
     core::duration granted_until{};
     /// When the lease has certainly ended, on the leader's clock.
--- a/modules/workflow/dispatch/worker_health.cpp
+++ b/modules/workflow/dispatch/worker_health.cpp
@@ -14,6 +14,11 @@
 constexpr core::duration first_pause = std::chrono::seconds(2);
 constexpr core::duration longest_pause = std::chrono::seconds(16);
 
+/// A refused start costs only messages, and a worker whose orders get lost
+/// refuses some too, so it is tried again soon.
+constexpr core::duration first_refusal_pause = std::chrono::milliseconds(250);
+constexpr core::duration longest_refusal_pause = std::chrono::seconds(2);
+
 } // namespace
 
 void worker_health::ended(core::time_point now,
@@ -26,22 +31,29 @@
         m_workers.erase(worker);
         return;
     }
-    if (how != core::run_end::failed)
+    if (how != core::run_end::failed && how != core::run_end::refused)
     {
         return;
     }
     auto& seen = m_workers[worker];
     auto const& workflow = run.task.workflow;
-    if (std::find(seen.failed.begin(), seen.failed.end(), workflow) ==
-        seen.failed.end())
+    // A refusal says nothing against the workflow, so each one counts.
+    if (how == core::run_end::refused)
+    {
+        ++seen.refusals;
+    }
+    else if (std::find(seen.failed.begin(), seen.failed.end(), workflow) ==
+             seen.failed.end())
     {
         seen.failed.push_back(workflow);
     }
-    if (seen.failed.size() >= failures_in_a_row && now >= seen.until)
+    if (std::max(seen.failed.size(), seen.refusals) >= failures_in_a_row &&
+        now >= seen.until)
     {
-        seen.pause = seen.pause == core::duration{}
-                         ? first_pause
-                         : std::min(seen.pause * 2, longest_pause);
+        bool const is_refusal = how == core::run_end::refused;
+        auto const first = is_refusal ? first_refusal_pause : first_pause;
+        auto const longest = is_refusal ? longest_refusal_pause : longest_pause;
+        seen.pause = std::clamp(seen.pause * 2, first, longest);
         seen.until = now + seen.pause;
     }
 }
--- a/modules/workflow/dispatch/worker_health.hpp
+++ b/modules/workflow/dispatch/worker_health.hpp
@@ -11,9 +11,9 @@
 
 /// Tells workers that fail what they start from workflows that fail anywhere.
 ///
-/// A worker is set aside when tasks of several workflows failed there in a
-/// row. After a pause it gets work again, and one more failure sets it aside
-/// for twice as long.
+/// A worker is set aside when tasks of several workflows failed there, or
+/// several starts were refused, in a row. After a pause it gets work again, and
+/// one more failure sets it aside for twice as long.
 class worker_health
 {
 public:
@@ -35,6 +35,8 @@
     {
         /// Workflows whose tasks failed since the last success.
         std::vector<core::workflow_id> failed;
+        /// Starts that were refused since the last success.
+        std::size_t refusals = 0;
         core::time_point until;
         core::duration pause{};
     };
--- a/modules/workflow/tests/dispatcher_test.cpp
+++ b/modules/workflow/tests/dispatcher_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(silent_worker_is_given_up_after_its_lease);
     CPPUNIT_TEST(new_life_gives_up_the_runs_of_the_old_at_once);
     CPPUNIT_TEST(draining_worker_and_evacuated_zone_get_nothing);
+    CPPUNIT_TEST(reports_with_a_clock_that_stands_still_bring_no_work);
     CPPUNIT_TEST(lost_batch_of_orders_is_sent_again);
     CPPUNIT_TEST(cancelled_run_is_stopped_until_it_has_ended);
     CPPUNIT_TEST(workflow_with_a_schedule_waits_for_its_time);
@@ -139,6 +140,22 @@
         CPPUNIT_ASSERT(plan().has_value());
     }
 
+    // A worker that is asked for nothing new shows the same clock again; its
+    // lease runs down all the same.
+    void reports_with_a_clock_that_stands_still_bring_no_work()
+    {
+        report({});
+        grant();
+        submit();
+        for (int i = 0; i < 5; ++i)
+        {
+            m_now += std::chrono::seconds(1);
+            report({});
+            grant();
+        }
+        CPPUNIT_ASSERT(!plan());
+    }
+
     void lost_batch_of_orders_is_sent_again()
     {
         start_one();
--- a/modules/workflow/tests/planning_test.cpp
+++ b/modules/workflow/tests/planning_test.cpp
@@ -70,6 +70,7 @@
     CPPUNIT_TEST(high_tail_that_a_spare_task_does_not_raise_is_no_reason);
     CPPUNIT_TEST(work_goes_to_the_rack_of_its_data);
     CPPUNIT_TEST(failing_worker_is_set_aside_and_failing_job_is_not);
+    CPPUNIT_TEST(refusing_worker_is_set_aside);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -227,6 +228,24 @@
         health.ended(at_ms(7000), bad, run_of("e", 0, 0), core::run_end::done);
         CPPUNIT_ASSERT(!health.is_set_aside(at_ms(7001), bad));
     }
+
+    // Load: a worker that refuses every start. Without a pause it was given
+    // the same tasks sixteen times a second.
+    void refusing_worker_is_set_aside()
+    {
+        worker_health health;
+        core::worker_id const worker("w1");
+        for (std::uint32_t i = 1; i <= 2; ++i)
+        {
+            health.ended(
+                at_ms(i), worker, run_of("a", 0, 0, i), core::run_end::refused);
+        }
+        CPPUNIT_ASSERT(!health.is_set_aside(at_ms(3), worker));
+        health.ended(
+            at_ms(3), worker, run_of("a", 0, 0, 3), core::run_end::refused);
+        CPPUNIT_ASSERT(health.is_set_aside(at_ms(4), worker));
+        CPPUNIT_ASSERT(!health.is_set_aside(at_ms(2100), worker));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(planning_test);
--- a/modules/workflow/tests/worker_agent_test.cpp
+++ b/modules/workflow/tests/worker_agent_test.cpp
@@ -21,6 +21,8 @@
     CPPUNIT_TEST(stopped_run_that_is_still_listed_is_not_refused);
     CPPUNIT_TEST(orders_of_a_deposed_leader_are_dropped);
     CPPUNIT_TEST(earlier_life_is_ignored);
+    CPPUNIT_TEST(refusals_during_a_report_do_not_put_off_the_next_look);
+    CPPUNIT_TEST(report_after_an_outage_has_a_fresh_clock);
     CPPUNIT_TEST(lost_and_regained_leader_are_each_logged_once);
     CPPUNIT_TEST(start_is_logged_with_its_task);
     CPPUNIT_TEST(ends_are_acknowledged_only_as_far_as_granted);
@@ -110,6 +112,41 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, last_report().refused.size());
     }
 
+    // Seen after a cut: the worker refused starts because its lease was over,
+    // each refusal brought the next report at once, without a look between, so
+    // the worker's clock in the reports stood still and no lease was renewed.
+    void refusals_during_a_report_do_not_put_off_the_next_look()
+    {
+        start_up();
+        answer(m_holds, std::optional(hold_answer{}));
+        order_start();
+        answer(m_starts, start_outcome::refused);
+        grant(1);
+        CPPUNIT_ASSERT(m_reports.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_holds.size());
+        CPPUNIT_ASSERT(m_holds.front().call.wait == core::duration{});
+        hold_answer fresh;
+        fresh.clock = std::chrono::seconds(9);
+        answer(m_holds, std::optional(fresh));
+        CPPUNIT_ASSERT(last_report().clock == fresh.clock);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, last_report().refused.size());
+    }
+
+    // A report that is repeated after an outage must not bring a clock from
+    // before it.
+    void report_after_an_outage_has_a_fresh_clock()
+    {
+        start_up();
+        answer(m_holds, std::optional(hold_answer{}));
+        answer(m_reports, std::optional<core::runtime_grant>());
+        run_later();
+        CPPUNIT_ASSERT(m_reports.empty());
+        hold_answer fresh;
+        fresh.clock = std::chrono::seconds(9);
+        answer(m_holds, std::optional(fresh));
+        CPPUNIT_ASSERT(last_report().clock == fresh.clock);
+    }
+
     // Guards the log against a line for each failed report of an outage.
     void lost_and_regained_leader_are_each_logged_once()
     {
@@ -120,6 +157,7 @@
         {
             answer(m_reports, std::optional<core::runtime_grant>());
             run_later();
+            answer(m_holds, std::optional(hold_answer{}));
         }
         grant(5);
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_events.size());
