Put serving tasks of one image together

Cause: serving tasks were spread evenly, so nearly every worker held four or five serving images. Each image is disturbed by two or three of nine batch images, so hardly any worker was open to a given batch image: batch waited or was paced down, and serving tasks were over their target where it ran.

Ruled out: too little processor time (usable workers had spare processors while tasks waited up to 20 s) and orders or commits (placed to started takes tens of milliseconds).

Serving tasks now prefer workers with their image and avoid others.

--- a/modules/workflow/dispatch/stage_planner.cpp
+++ b/modules/workflow/dispatch/stage_planner.cpp
@@ -17,8 +17,10 @@
 constexpr double failed_before_weight = 0.5;
 /// A task on spare time and a serving task on one worker disturb each other.
 constexpr double mixed_weight = 0.4;
-/// Serving tasks disturb each other too.
-constexpr double serving_weight = 0.15;
+/// Each further serving image on a worker closes it to the images on spare
+/// time that disturb it, about a quarter of them; that outweighs an even load.
+constexpr double other_image_weight = 0.5;
+constexpr double same_image_weight = 0.8;
 
 /// A task on spare time does not start where it is expected to bring a serving
 /// task's tail above this multiple of its target.
@@ -118,7 +120,10 @@
     if (stage.behaviour.target_latency > core::duration{})
     {
         value -= worker.on_spare > 0 ? mixed_weight : 0.0;
-        value -= serving_weight * worker.serving;
+        auto const same = worker.serving_images.count(stage.behaviour.image);
+        auto const others = worker.serving_images.size() - same;
+        value += same_image_weight * static_cast<double>(same);
+        value -= other_image_weight * static_cast<double>(others);
     }
     return value;
 }
@@ -212,6 +217,10 @@
                                            serving_use_percent / 100
                                      : description.need.cpu.value());
     serving += serves ? 1 : 0;
+    if (serves)
+    {
+        ++serving_images[description.behaviour.image];
+    }
     on_spare += description.behaviour.uses_spare_cpu ? 1 : 0;
     ++per_stage[stage];
 }
--- a/modules/workflow/dispatch/stage_planner.hpp
+++ b/modules/workflow/dispatch/stage_planner.hpp
@@ -52,6 +52,8 @@
     std::map<std::string, core::millicores> planned;
     /// Tasks with a latency target.
     std::uint32_t serving = 0;
+    /// Those tasks by image.
+    std::map<std::string, std::uint32_t> serving_images;
     /// Tasks on spare processor time.
     std::uint32_t on_spare = 0;
     /// Tasks of each stage.
@@ -95,8 +97,11 @@
 /// Stages are served by priority, then by age. A task goes to the worker that
 /// is left with the largest free share, so that load stays even and a task
 /// that asked for too little disturbs few others; racks, earlier failures and
-/// neighbours that disturb each other weigh against a worker. The members of
-/// a gang are placed together or not at all.
+/// neighbours that disturb each other weigh against a worker. Tasks with a
+/// target go beside others of their image: each image bears only some of the
+/// images on spare time, so a worker with one serving image is open to more of
+/// them than one with a mixture. The members of a gang are placed together or
+/// not at all.
 ///
 /// @param candidates Reduced by what is placed.
 /// @param most Largest number of tasks to place.
--- a/modules/workflow/tests/planning_test.cpp
+++ b/modules/workflow/tests/planning_test.cpp
@@ -67,6 +67,8 @@
     CPPUNIT_TEST(limit_per_worker_holds);
     CPPUNIT_TEST(other_service_and_missing_label_get_nothing);
     CPPUNIT_TEST(spare_task_stays_away_from_a_tail_that_it_raises);
+    CPPUNIT_TEST(serving_tasks_of_one_image_share_workers);
+    CPPUNIT_TEST(serving_task_is_placed_beside_another_image_if_need_be);
     CPPUNIT_TEST(high_tail_that_a_spare_task_does_not_raise_is_no_reason);
     CPPUNIT_TEST(work_goes_to_the_rack_of_its_data);
     CPPUNIT_TEST(failing_worker_is_set_aside_and_failing_job_is_not);
@@ -178,6 +180,51 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, count_on(placements, "w2"));
     }
 
+    // Load: lasting tasks of several images come at the start of a day, and
+    // batch on spare time follows. A worker with all images bears hardly any
+    // batch image.
+    void serving_tasks_of_one_image_share_workers()
+    {
+        std::vector<core::stage_description> stages;
+        std::vector<pending_stage> jobs;
+        for (auto const* const image : {"red", "green", "blue"})
+        {
+            auto made = stage(6, 4000);
+            made.behaviour.long_running = true;
+            made.behaviour.target_latency = std::chrono::milliseconds(100);
+            made.behaviour.image = image;
+            stages.push_back(made);
+        }
+        for (std::size_t i = 0; i < stages.size(); ++i)
+        {
+            jobs.push_back(pending(std::to_string(i), stages[i], 6));
+        }
+        std::vector workers{candidate("w1", 32000),
+                            candidate("w2", 32000),
+                            candidate("w3", 32000),
+                            candidate("w4", 32000)};
+        auto const placements = plan_stages(jobs, workers, 200, no_tail);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{18}, placements.size());
+        for (auto const& worker : workers)
+        {
+            CPPUNIT_ASSERT(worker.serving_images.size() <= 1);
+        }
+    }
+
+    // Guards a busy fleet: without a worker for its image alone a serving task
+    // goes beside others rather than wait.
+    void serving_task_is_placed_beside_another_image_if_need_be()
+    {
+        auto one = stage(1, 4000);
+        one.behaviour.target_latency = std::chrono::milliseconds(100);
+        one.behaviour.image = "red";
+        std::vector workers{candidate("w1", 32000)};
+        workers.front().serving_images = {{"green", 2}, {"blue", 1}};
+        CPPUNIT_ASSERT_EQUAL(
+            std::size_t{1},
+            plan_stages({pending("a", one, 1)}, workers, 200, no_tail).size());
+    }
+
     void high_tail_that_a_spare_task_does_not_raise_is_no_reason()
     {
         auto spare = stage(1, 2000);
