Count tasks placed since a worker's last report against its tails

Cause: the planner asked what one more task would do to the tails in the worker's last sample, up to a second old. Tasks placed since, tasks being sped up, and tasks of other images placed in the same plan were left out, so several plans put batch on one worker before the first of it showed.

The planner's tail now includes the growth of everything placed there, at its present pace. Test: tasks_placed_since_the_report_count_against_the_tail (a burst of batch between two reports).

--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -328,6 +328,11 @@
             if (auto const* const stage = m_table.find_stage(run.task))
             {
                 worker.add(stage_of(run.task), *stage);
+                if (stage->behaviour.uses_spare_cpu)
+                {
+                    worker.planned[stage->behaviour.image] +=
+                        m_sharing.growth(id, run, stage->need.cpu);
+                }
             }
         }
         all.push_back(std::move(worker));
@@ -512,10 +517,8 @@
 
 tail_hook dispatcher::tail_hook_of() const
 {
-    return [this](core::worker_id const& worker,
-                  std::string const& image,
-                  core::millicores added)
-    { return m_sharing.tail_with(worker, image, added); };
+    return [this](core::worker_id const& worker, cpu_by_image const& added)
+    { return m_sharing.tail_with(worker, added); };
 }
 
 std::optional<core::workflow_progress>
@@ -667,6 +670,18 @@
     {
         result.held_runs += runs.size();
     }
+    for (auto const& [worker, view] : m_fleet.all())
+    {
+        for (auto const& [run, task] : view.running)
+        {
+            auto const* const stage = m_table.find_stage(run.task);
+            if (stage != nullptr && stage->behaviour.uses_spare_cpu)
+            {
+                result.spare_wanted += stage->need.cpu;
+                result.spare_used += core::millicores(task.load);
+            }
+        }
+    }
     return result;
 }
 
--- a/modules/workflow/dispatch/dispatcher.hpp
+++ b/modules/workflow/dispatch/dispatcher.hpp
@@ -36,6 +36,9 @@
     std::uint64_t held_runs = 0;
     /// Processors that no run is expected to use, on usable workers.
     core::millicores spare;
+    /// What running tasks on spare time ask for, and what they got lately.
+    core::millicores spare_wanted;
+    core::millicores spare_used;
 };
 
 /// The leader's decisions on workflows: which tasks start where, which runs
--- a/modules/workflow/dispatch/interference_model.hpp
+++ b/modules/workflow/dispatch/interference_model.hpp
@@ -1,6 +1,8 @@
 #ifndef TURMERICSWITCH_WORKFLOW_DISPATCH_INTERFERENCE_MODEL_HPP
 #define TURMERICSWITCH_WORKFLOW_DISPATCH_INTERFERENCE_MODEL_HPP
 
+#include "core/types/units.hpp"
+
 #include <cstddef>
 #include <map>
 #include <string>
@@ -9,6 +11,9 @@
 namespace turmericswitch::workflow
 {
 
+/// Processors that tasks of each image take, or will take, on a worker.
+using cpu_by_image = std::map<std::string, core::millicores>;
+
 /// Processor use of one image beside a serving task, as a share of the
 /// worker's processors.
 struct neighbour_use
--- a/modules/workflow/dispatch/sharing_control.cpp
+++ b/modules/workflow/dispatch/sharing_control.cpp
@@ -279,25 +279,46 @@
 }
 
 double sharing_control::tail_with(core::worker_id const& worker,
-                                  std::string const& image,
-                                  core::millicores added) const
+                                  cpu_by_image const& added) const
 {
     auto const known = m_workers.find(worker);
     double worst = 0;
-    if (known != m_workers.end())
+    if (known == m_workers.end())
+    {
+        return worst;
+    }
+    auto const& last = known->second.last;
+    for (auto const& task : last.serving)
     {
-        auto const& last = known->second.last;
-        for (auto const& task : last.serving)
+        double raised = 0;
+        for (auto const& [image, cpu] : added)
         {
-            worst = std::max(
-                worst,
-                task.tail *
-                    std::exp(effect(task, image, added, last.capacity)));
+            raised += effect(task, image, cpu, last.capacity);
         }
+        worst = std::max(worst, task.tail * std::exp(raised));
     }
     return worst;
 }
 
+core::millicores sharing_control::growth(core::worker_id const& worker,
+                                         core::task_run const& run,
+                                         core::millicores need) const
+{
+    auto const known = m_workers.find(worker);
+    if (known == m_workers.end())
+    {
+        return need;
+    }
+    auto const& spare = known->second.last.spare;
+    auto const seen = std::find_if(spare.begin(),
+                                   spare.end(),
+                                   [&run](spare_task const& each)
+                                   { return each.run == run; });
+    auto const used = seen == spare.end() ? core::millicores() : seen->used;
+    auto const wanted = need.value() * pace(worker, run) / full_pace;
+    return core::millicores(std::max<std::int64_t>(wanted - used.value(), 0));
+}
+
 std::int64_t sharing_control::serving_use(core::worker_id const& worker) const
 {
     auto const known = m_workers.find(worker);
--- a/modules/workflow/dispatch/sharing_control.hpp
+++ b/modules/workflow/dispatch/sharing_control.hpp
@@ -61,11 +61,16 @@
     std::vector<core::task_run> stalled(core::time_point now,
                                         core::worker_id const& worker) const;
 
-    /// @return The worst tail on the worker, as a multiple of its target, if a
-    ///         task of the image took this many more processors there.
+    /// @return The worst tail on the worker, as a multiple of its target, if
+    ///         tasks of these images took this many more processors there.
     double tail_with(core::worker_id const& worker,
-                     std::string const& image,
-                     core::millicores added) const;
+                     cpu_by_image const& added) const;
+
+    /// @return Processors that a task on spare time will take beyond what the
+    ///         last sample shows, at its present pace.
+    core::millicores growth(core::worker_id const& worker,
+                            core::task_run const& run,
+                            core::millicores need) const;
 
     /// @return Part of their request that serving tasks use, in percent.
     std::int64_t serving_use(core::worker_id const& worker) const;
--- a/modules/workflow/dispatch/stage_planner.cpp
+++ b/modules/workflow/dispatch/stage_planner.cpp
@@ -65,10 +65,9 @@
                   core::stage_description const& stage,
                   tail_hook const& tail)
 {
-    auto const planned = worker.planned.find(stage.behaviour.image);
-    auto const earlier =
-        planned == worker.planned.end() ? core::millicores() : planned->second;
-    return tail(worker.worker, stage.behaviour.image, earlier + stage.need.cpu);
+    auto added = worker.planned;
+    added[stage.behaviour.image] += stage.need.cpu;
+    return tail(worker.worker, added);
 }
 
 /// @return True if one more task of the stage is expected to bring a serving
@@ -82,8 +81,7 @@
     {
         return false;
     }
-    auto const before =
-        tail(worker.worker, stage.behaviour.image, core::millicores());
+    auto const before = tail(worker.worker, worker.planned);
     auto const after = tail_after(worker, stage, tail);
     return after > highest_tail && after > before * least_rise;
 }
--- a/modules/workflow/dispatch/stage_planner.hpp
+++ b/modules/workflow/dispatch/stage_planner.hpp
@@ -2,6 +2,7 @@
 #define TURMERICSWITCH_WORKFLOW_DISPATCH_STAGE_PLANNER_HPP
 
 #include "core/messages/workflow.hpp"
+#include "workflow/dispatch/interference_model.hpp"
 
 #include <functional>
 #include <map>
@@ -48,8 +49,9 @@
     /// with the part of their request that they use.
     core::millicores spare;
     std::int64_t serving_use_percent = 100;
-    /// Processors that this plan has given to tasks of each image.
-    std::map<std::string, core::millicores> planned;
+    /// Processors that tasks on spare time will take beyond what the last
+    /// report shows: those placed since, and those that are sped up.
+    cpu_by_image planned;
     /// Tasks with a latency target.
     std::uint32_t serving = 0;
     /// Those tasks by image.
@@ -85,9 +87,10 @@
     std::set<core::rack_id> racks;
 };
 
+/// Tells the worst tail latency on a worker, as a multiple of its target, if
+/// tasks of these images took this many more processors there.
 using tail_hook = std::function<double(core::worker_id const& worker,
-                                       std::string const& image,
-                                       core::millicores added)>;
+                                       cpu_by_image const& added)>;
 
 /// Capacity that one task of the stage holds.
 core::resources reserved_by(core::stage_description const& stage);
@@ -105,8 +108,6 @@
 ///
 /// @param candidates Reduced by what is placed.
 /// @param most Largest number of tasks to place.
-/// @param tail Tells the worst tail latency on a worker, as a multiple of its
-///        target, if tasks of an image took this many more processors there.
 std::vector<core::run_placement>
 plan_stages(std::vector<pending_stage> pending,
             std::vector<candidate_worker>& candidates,
--- a/modules/workflow/tests/planning_test.cpp
+++ b/modules/workflow/tests/planning_test.cpp
@@ -50,7 +50,17 @@
                       { return each.worker.value() == worker; }));
 }
 
-double no_tail(core::worker_id const&, std::string const&, core::millicores)
+std::int64_t total(cpu_by_image const& cpu)
+{
+    std::int64_t sum = 0;
+    for (auto const& [image, amount] : cpu)
+    {
+        sum += amount.value();
+    }
+    return sum;
+}
+
+double no_tail(core::worker_id const&, cpu_by_image const&)
 {
     return 0;
 }
@@ -69,6 +79,7 @@
     CPPUNIT_TEST(spare_task_stays_away_from_a_tail_that_it_raises);
     CPPUNIT_TEST(serving_tasks_of_one_image_share_workers);
     CPPUNIT_TEST(serving_task_is_placed_beside_another_image_if_need_be);
+    CPPUNIT_TEST(tasks_placed_since_the_report_count_against_the_tail);
     CPPUNIT_TEST(high_tail_that_a_spare_task_does_not_raise_is_no_reason);
     CPPUNIT_TEST(work_goes_to_the_rack_of_its_data);
     CPPUNIT_TEST(failing_worker_is_set_aside_and_failing_job_is_not);
@@ -167,12 +178,11 @@
         spare.behaviour.uses_spare_cpu = true;
         std::vector workers{candidate("w1", 8000), candidate("w2", 6000)};
         workers.front().serving = 1;
-        auto const tail = [](core::worker_id const& worker,
-                             std::string const&,
-                             core::millicores added)
+        auto const tail =
+            [](core::worker_id const& worker, cpu_by_image const& added)
         {
             return worker.value() == "w1"
-                       ? 0.5 + static_cast<double>(added.value()) / 4000
+                       ? 0.5 + static_cast<double>(total(added)) / 4000
                        : 0.0;
         };
         auto const placements =
@@ -225,14 +235,33 @@
             plan_stages({pending("a", one, 1)}, workers, 200, no_tail).size());
     }
 
+    // Load: a burst of batch between two reports of a worker. What was placed
+    // since the last report, of any image, counts as if it ran.
+    void tasks_placed_since_the_report_count_against_the_tail()
+    {
+        auto spare = stage(1, 1000);
+        spare.behaviour.uses_spare_cpu = true;
+        spare.behaviour.image = "red";
+        std::vector workers{candidate("w1", 8000)};
+        workers.front().serving = 1;
+        auto const tail = [](core::worker_id const&, cpu_by_image const& added)
+        { return static_cast<double>(total(added)) / 4000; };
+        workers.front().planned = {{"blue", core::millicores(3000)}};
+        CPPUNIT_ASSERT(
+            plan_stages({pending("a", spare, 1)}, workers, 200, tail).empty());
+        workers.front().planned.clear();
+        CPPUNIT_ASSERT_EQUAL(
+            std::size_t{3},
+            plan_stages({pending("a", spare, 8)}, workers, 200, tail).size());
+    }
+
     void high_tail_that_a_spare_task_does_not_raise_is_no_reason()
     {
         auto spare = stage(1, 2000);
         spare.behaviour.uses_spare_cpu = true;
         std::vector workers{candidate("w1", 8000)};
         workers.front().serving = 1;
-        auto const tail =
-            [](core::worker_id const&, std::string const&, core::millicores)
+        auto const tail = [](core::worker_id const&, cpu_by_image const&)
         { return 1.5; };
         CPPUNIT_ASSERT_EQUAL(
             std::size_t{1},
--- a/programs/control/leader/workflow_service.cpp
+++ b/programs/control/leader/workflow_service.cpp
@@ -402,13 +402,16 @@
     {
         return;
     }
-    m_on_event({core::event_code::dispatch_summary,
-                {core::number_field("workers", counts.workers),
-                 core::number_field("usable", counts.usable_workers),
-                 core::number_field("waiting", counts.waiting_tasks),
-                 core::time_field("longest_wait_ms", counts.longest_wait),
-                 core::number_field("held", counts.held_runs),
-                 core::number_field("spare_m", counts.spare.value())}});
+    m_on_event(
+        {core::event_code::dispatch_summary,
+         {core::number_field("workers", counts.workers),
+          core::number_field("usable", counts.usable_workers),
+          core::number_field("waiting", counts.waiting_tasks),
+          core::time_field("longest_wait_ms", counts.longest_wait),
+          core::number_field("held", counts.held_runs),
+          core::number_field("spare_m", counts.spare.value()),
+          core::number_field("spare_wanted_m", counts.spare_wanted.value()),
+          core::number_field("spare_used_m", counts.spare_used.value())}});
 }
 
 } // namespace turmericswitch::control
