--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -327,7 +327,7 @@
             // Runs of an earlier life may still have their room.
             if (auto const* const stage = m_table.find_stage(run.task))
             {
-                worker.add(stage_of(run.task), *stage);
+                worker.add(stage_of(run.task), *stage, m_sharing.pace(id, run));
                 if (stage->behaviour.uses_spare_cpu)
                 {
                     worker.planned[stage->behaviour.image] +=
--- a/modules/workflow/dispatch/stage_planner.cpp
+++ b/modules/workflow/dispatch/stage_planner.cpp
@@ -207,13 +207,14 @@
 }
 
 void candidate_worker::add(stage_ref const& stage,
-                           core::stage_description const& description)
+                           core::stage_description const& description,
+                           std::uint32_t pace)
 {
+    constexpr std::int64_t percent = 100;
     free -= reserved_by(description);
     bool const serves = description.behaviour.target_latency > core::duration{};
-    spare -= core::millicores(serves ? description.need.cpu.value() *
-                                           serving_use_percent / 100
-                                     : description.need.cpu.value());
+    std::int64_t const used = serves ? serving_use_percent : pace;
+    spare -= core::millicores(description.need.cpu.value() * used / percent);
     serving += serves ? 1 : 0;
     if (serves)
     {
--- a/modules/workflow/dispatch/stage_planner.hpp
+++ b/modules/workflow/dispatch/stage_planner.hpp
@@ -62,8 +62,12 @@
     std::map<stage_ref, std::uint32_t> per_stage;
 
     /// Counts a run of the stage on the worker.
+    ///
+    /// @param pace Share of its speed in percent; a slowed task leaves the rest
+    ///        of its processors to others.
     void add(stage_ref const& stage,
-             core::stage_description const& description);
+             core::stage_description const& description,
+             std::uint32_t pace = 100);
 
     /// Counts a run that this plan puts there.
     void plan(stage_ref const& stage,
--- a/modules/workflow/tests/planning_test.cpp
+++ b/modules/workflow/tests/planning_test.cpp
@@ -79,6 +79,7 @@
     CPPUNIT_TEST(spare_task_stays_away_from_a_tail_that_it_raises);
     CPPUNIT_TEST(serving_tasks_of_one_image_share_workers);
     CPPUNIT_TEST(serving_task_is_placed_beside_another_image_if_need_be);
+    CPPUNIT_TEST(slowed_task_leaves_the_rest_of_its_processors);
     CPPUNIT_TEST(tasks_placed_since_the_report_count_against_the_tail);
     CPPUNIT_TEST(high_tail_that_a_spare_task_does_not_raise_is_no_reason);
     CPPUNIT_TEST(work_goes_to_the_rack_of_its_data);
@@ -235,6 +236,24 @@
             plan_stages({pending("a", one, 1)}, workers, 200, no_tail).size());
     }
 
+    // Load: batch that was slowed beside services. Its processors are free for
+    // an image that disturbs nobody there.
+    void slowed_task_leaves_the_rest_of_its_processors()
+    {
+        auto spare = stage(1, 4000);
+        spare.behaviour.uses_spare_cpu = true;
+        std::vector workers{candidate("w1", 8000)};
+        for (std::uint32_t i = 0; i < 2; ++i)
+        {
+            workers.front().add({core::workflow_id("slowed"), 0, i}, spare, 25);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{6000}, workers.front().spare.value());
+        CPPUNIT_ASSERT_EQUAL(
+            std::size_t{2},
+            plan_stages({pending("a", spare, 9)}, workers, 200, no_tail)
+                .size());
+    }
+
     // Load: a burst of batch between two reports of a worker. What was placed
     // since the last report, of any image, counts as if it ran.
     void tasks_placed_since_the_report_count_against_the_tail()
