Slow the neighbour that disturbs most for its work first

Cause: near a target every disturbing neighbour was slowed by the same part, mostly to a stand still, since the excess over the target was compared with the sum of their effects.

Now neighbours are slowed in the order of their effect for each processor they use, until the excess is covered.

Test: neighbour_that_disturbs_most_is_slowed_first, failed before.

--- a/modules/workflow/dispatch/sharing_control.cpp
+++ b/modules/workflow/dispatch/sharing_control.cpp
@@ -155,29 +155,63 @@
 void sharing_control::slow_down(worker_state& state,
                                 serving_task const& task) const
 {
+    struct share
+    {
+        spare_task const* neighbour = nullptr;
+        double caused = 0;
+    };
+    std::vector<share> shares;
     double explained = 0;
     for (auto const& neighbour : state.last.spare)
     {
-        explained +=
+        auto const caused =
             effect(task, neighbour.image, neighbour.used, state.last.capacity);
+        explained += caused;
+        shares.push_back({&neighbour, caused});
     }
-    double const excess = std::log(task.tail / slow_to);
-    for (auto const& neighbour : state.last.spare)
+    if (explained < least_effect)
     {
-        auto const caused =
-            effect(task, neighbour.image, neighbour.used, state.last.capacity);
-        auto& pace =
-            state.paces.try_emplace(neighbour.run, full_pace).first->second;
-        if (explained < least_effect &&
-            !m_model.is_known(task.image, neighbour.image))
+        slow_unknown(state, task);
+        return;
+    }
+    // Those that disturb most for the work they do are slowed first, so that
+    // the fewest have to wait.
+    std::stable_sort(
+        shares.begin(),
+        shares.end(),
+        [](share const& a, share const& b)
+        {
+            return a.caused * static_cast<double>(b.neighbour->used.value()) >
+                   b.caused * static_cast<double>(a.neighbour->used.value());
+        });
+    double excess = std::log(task.tail / slow_to);
+    for (auto const& [neighbour, caused] : shares)
+    {
+        if (excess <= 0 || caused / explained <= least_effect)
         {
-            pace = pace * unexplained_cut_percent / full_pace;
+            break;
         }
-        else if (explained >= least_effect && caused / explained > least_effect)
+        auto& pace =
+            state.paces.try_emplace(neighbour->run, full_pace).first->second;
+        double const kept = std::clamp(1.0 - excess / caused, 0.0, 1.0);
+        pace = static_cast<std::uint32_t>(pace * kept);
+        pace = pace < least_pace ? 0 : pace;
+        excess -= caused;
+    }
+}
+
+void sharing_control::slow_unknown(worker_state& state,
+                                   serving_task const& task) const
+{
+    for (auto const& neighbour : state.last.spare)
+    {
+        if (m_model.is_known(task.image, neighbour.image))
         {
-            double const kept = std::clamp(1.0 - excess / explained, 0.0, 1.0);
-            pace = static_cast<std::uint32_t>(pace * kept);
+            continue;
         }
+        auto& pace =
+            state.paces.try_emplace(neighbour.run, full_pace).first->second;
+        pace = pace * unexplained_cut_percent / full_pace;
         pace = pace < least_pace ? 0 : pace;
     }
 }
--- a/modules/workflow/dispatch/sharing_control.hpp
+++ b/modules/workflow/dispatch/sharing_control.hpp
@@ -90,6 +90,8 @@
 
     void learn(sharing_sample const& sample);
     void slow_down(worker_state& state, serving_task const& task) const;
+    /// Slows neighbours of which the model knows nothing.
+    void slow_unknown(worker_state& state, serving_task const& task) const;
     void speed_up(worker_state& state) const;
     double worst_after(worker_state const& state,
                        spare_task const& task,
--- a/modules/workflow/tests/sharing_test.cpp
+++ b/modules/workflow/tests/sharing_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(model_tells_the_disturbing_image_from_the_harmless);
     CPPUNIT_TEST(unknown_pair_counts_as_disturbing);
     CPPUNIT_TEST(only_the_disturbing_neighbour_is_slowed);
+    CPPUNIT_TEST(neighbour_that_disturbs_most_is_slowed_first);
     CPPUNIT_TEST(one_report_is_acted_on_once);
     CPPUNIT_TEST(slowed_task_speeds_up_when_there_is_headroom);
     CPPUNIT_TEST(task_that_stands_still_is_told);
@@ -50,6 +51,28 @@
         CPPUNIT_ASSERT_EQUAL(100U, pace(m_light));
     }
 
+    // Load: two images that disturb beside one service. Slowing the worse one
+    // is enough, so the other goes on.
+    void neighbour_that_disturbs_most_is_slowed_first()
+    {
+        for (int i = 0; i < 400; ++i)
+        {
+            auto made = at(0);
+            double const heavy = 0.05 * (i % 4);
+            double const light = 0.05 * ((i / 4) % 4);
+            made.spare[0].used =
+                core::millicores(static_cast<std::int64_t>(heavy * 32'000));
+            made.spare[1].used =
+                core::millicores(static_cast<std::int64_t>(light * 32'000));
+            made.serving[0].tail = 0.15 * std::exp(8 * heavy + 3 * light);
+            m_now += std::chrono::milliseconds(600);
+            m_control.update(m_now, core::worker_id("teacher"), made);
+        }
+        sample(1.2);
+        CPPUNIT_ASSERT(pace(m_heavy) < 70);
+        CPPUNIT_ASSERT_EQUAL(100U, pace(m_light));
+    }
+
     // Reports come several times within the half second that they average
     // over; acting on each would cut the pace again and again.
     void one_report_is_acted_on_once()
