Bound the harm of a wrong model, and relieve every disturbed service

Causes: (1) Paces were cut for the worst serving task of a worker only, so a second one, disturbed by another image, waited for its turn. (2) Each serving task has a load of its own that swings within tens of seconds; the model took the swings for effects of neighbours. (3) Nothing bounded the time for which a wrong model is trusted.

Now a serving task that stays over its target for 40 percent of the limit on harm ([workers] harm_limit) stops all its neighbours, and every service over the threshold is relieved. The decisions moved to pace_control, which keeps no state beside what it is given.

Tests: tail_that_stays_over_its_target_stops_all_neighbours, every_disturbed_service_is_relieved.

--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -70,6 +70,7 @@
       m_options(options),
       m_fencing_token(fencing_token),
       m_fleet(options.leases, elected),
+      m_sharing(options.harm_limit),
       m_orders(table),
       m_on_event(std::move(on_event))
 {
--- a/modules/workflow/dispatch/dispatcher.hpp
+++ b/modules/workflow/dispatch/dispatcher.hpp
@@ -23,6 +23,9 @@
     lease_policy leases;
     /// Longest time between two reports of a worker that works.
     core::duration report_interval = std::chrono::seconds(1);
+    /// Longest time for which tasks on spare processor time may keep a serving
+    /// task over its target.
+    core::duration harm_limit = std::chrono::seconds(4);
 };
 
 /// Counts for operators: how much work waits and runs.
--- a/modules/workflow/dispatch/interference_model.cpp
+++ b/modules/workflow/dispatch/interference_model.cpp
@@ -61,9 +61,9 @@
     return found->second;
 }
 
-void interference_model::learn(std::string const& serving,
-                               double tail,
-                               std::vector<neighbour_use> const& neighbours)
+double interference_model::learn(std::string const& serving,
+                                 double tail,
+                                 std::vector<neighbour_use> const& neighbours)
 {
     auto& known = m_estimates[serving];
     if (known.factors.empty())
@@ -112,6 +112,7 @@
             }
         }
     }
+    return error;
 }
 
 double interference_model::effect(std::string const& serving,
--- a/modules/workflow/dispatch/interference_model.hpp
+++ b/modules/workflow/dispatch/interference_model.hpp
@@ -35,9 +35,10 @@
     /// Notes one sample.
     ///
     /// @param tail Tail latency as a multiple of its target, above 0.
-    void learn(std::string const& serving,
-               double tail,
-               std::vector<neighbour_use> const& neighbours);
+    /// @return The logarithm of the tail less what the model expected.
+    double learn(std::string const& serving,
+                 double tail,
+                 std::vector<neighbour_use> const& neighbours);
 
     /// @return By how much `neighbour` raises the logarithm of the serving
     ///         image's tail, never below 0.
--- /dev/null
+++ b/modules/workflow/dispatch/pace_control.cpp
@@ -0,0 +1,278 @@
+#include "workflow/dispatch/pace_control.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace turmericswitch::workflow
+{
+
+namespace
+{
+
+/// Part of its target above which a serving task's neighbours are slowed:
+/// reports are half a second old, and the tail may go on rising for that long.
+constexpr double slow_above = 0.9;
+
+/// What a slow-down aims at.
+constexpr double slow_to = 0.8;
+
+/// A step up must leave every tail below this part of its target.
+constexpr double speed_up_to = 0.8;
+
+/// Effects below this are within the model's error.
+constexpr double least_effect = 0.03;
+
+constexpr std::uint32_t full_pace = 100;
+constexpr std::uint32_t pace_step = 30;
+/// A smaller share does hardly any work and still holds its memory.
+constexpr std::uint32_t least_pace = 10;
+
+/// Kept of the pace of neighbours that the model does not know when none that
+/// it knows is at fault.
+constexpr double unexplained_kept = 0.7;
+
+/// Part of the limit on harm after which the model is not trusted. Reports are
+/// up to a second apart and half a second old, and orders take their time.
+constexpr std::int64_t distrust_percent = 40;
+constexpr std::int64_t percent = 100;
+
+template <typename Container>
+bool has_run(Container const& tasks, core::task_run const& run)
+{
+    return std::any_of(tasks.begin(),
+                       tasks.end(),
+                       [&run](auto const& each) { return each.run == run; });
+}
+
+void forget_gone_runs(sharing_sample const& sample, pace_state& state)
+{
+    std::erase_if(state.paces,
+                  [&sample](auto const& item)
+                  { return !has_run(sample.spare, item.first); });
+    std::erase_if(state.over_since,
+                  [&sample](auto const& item)
+                  { return !has_run(sample.serving, item.first); });
+}
+
+void note_over(core::time_point now,
+               sharing_sample const& sample,
+               pace_state& state)
+{
+    for (auto const& task : sample.serving)
+    {
+        if (task.tail > 1)
+        {
+            state.over_since.try_emplace(task.run, now);
+        }
+        else
+        {
+            state.over_since.erase(task.run);
+        }
+    }
+}
+
+void note_stalled(core::time_point now, pace_state& state)
+{
+    std::map<core::task_run, core::time_point> stalled;
+    for (auto const& [run, pace] : state.paces)
+    {
+        if (pace == 0)
+        {
+            auto const since = state.stalled.find(run);
+            stalled[run] = since == state.stalled.end() ? now : since->second;
+        }
+    }
+    state.stalled = std::move(stalled);
+}
+
+double kept_of(std::map<core::task_run, double> const& kept,
+               core::task_run const& run)
+{
+    auto const known = kept.find(run);
+    return known == kept.end() ? 1.0 : known->second;
+}
+
+void cut_paces(std::map<core::task_run, double> const& kept, pace_state& state)
+{
+    for (auto const& [run, share] : kept)
+    {
+        auto& pace = state.paces.try_emplace(run, full_pace).first->second;
+        pace = static_cast<std::uint32_t>(pace * share);
+        pace = pace < least_pace ? 0 : pace;
+    }
+}
+
+} // namespace
+
+pace_control::pace_control(interference_model const& model,
+                           core::duration harm_limit)
+    : m_model(model), m_harm_limit(harm_limit)
+{
+}
+
+double pace_control::effect(serving_task const& on,
+                            std::string const& image,
+                            core::millicores used,
+                            core::millicores capacity) const
+{
+    auto const share =
+        static_cast<double>(used.value()) /
+        static_cast<double>(std::max<std::int64_t>(capacity.value(), 1));
+    return m_model.effect(on.image, {image, share});
+}
+
+void pace_control::decide(core::time_point now,
+                          sharing_sample const& sample,
+                          pace_state& state) const
+{
+    forget_gone_runs(sample, state);
+    note_over(now, sample, state);
+    auto by_tail = sample.serving;
+    std::stable_sort(by_tail.begin(),
+                     by_tail.end(),
+                     [](serving_task const& a, serving_task const& b)
+                     { return a.tail > b.tail; });
+    kept_shares kept;
+    for (auto const& task : by_tail)
+    {
+        if (task.tail > slow_above)
+        {
+            slow_for(task, sample, kept);
+        }
+    }
+    if (is_over_for_long(now, state))
+    {
+        for (auto const& neighbour : sample.spare)
+        {
+            kept[neighbour.run] = 0;
+        }
+    }
+    cut_paces(kept, state);
+    if (by_tail.empty())
+    {
+        state.paces.clear();
+    }
+    else if (by_tail.front().tail <= slow_above)
+    {
+        speed_up(sample, state);
+    }
+    note_stalled(now, state);
+}
+
+bool pace_control::is_over_for_long(core::time_point now,
+                                    pace_state const& state) const
+{
+    return std::any_of(state.over_since.begin(),
+                       state.over_since.end(),
+                       [&](auto const& item) {
+                           return (now - item.second) * percent >=
+                                  m_harm_limit * distrust_percent;
+                       });
+}
+
+void pace_control::slow_for(serving_task const& task,
+                            sharing_sample const& sample,
+                            kept_shares& kept) const
+{
+    struct share
+    {
+        spare_task const* neighbour = nullptr;
+        double caused = 0;
+    };
+    std::vector<share> shares;
+    double explained = 0;
+    double excess = std::log(task.tail / slow_to);
+    for (auto const& neighbour : sample.spare)
+    {
+        auto const full =
+            effect(task, neighbour.image, neighbour.used, sample.capacity);
+        auto const caused = full * kept_of(kept, neighbour.run);
+        explained += full;
+        // What was cut for another serving task helps this one too.
+        excess -= full - caused;
+        shares.push_back({&neighbour, caused});
+    }
+    if (explained < least_effect)
+    {
+        slow_unknown(task, sample, kept);
+        return;
+    }
+    // Those that disturb most for the work they do are slowed first, so that
+    // the fewest have to wait.
+    std::stable_sort(
+        shares.begin(),
+        shares.end(),
+        [](share const& a, share const& b)
+        {
+            return a.caused * static_cast<double>(b.neighbour->used.value()) >
+                   b.caused * static_cast<double>(a.neighbour->used.value());
+        });
+    for (auto const& [neighbour, caused] : shares)
+    {
+        if (excess <= 0 || caused / explained <= least_effect)
+        {
+            break;
+        }
+        kept[neighbour->run] = kept_of(kept, neighbour->run) *
+                               std::clamp(1.0 - excess / caused, 0.0, 1.0);
+        excess -= caused;
+    }
+}
+
+void pace_control::slow_unknown(serving_task const& task,
+                                sharing_sample const& sample,
+                                kept_shares& kept) const
+{
+    for (auto const& neighbour : sample.spare)
+    {
+        if (!m_model.is_known(task.image, neighbour.image))
+        {
+            kept[neighbour.run] =
+                std::min(kept_of(kept, neighbour.run), unexplained_kept);
+        }
+    }
+}
+
+double pace_control::worst_after(sharing_sample const& sample,
+                                 spare_task const& task,
+                                 core::millicores added) const
+{
+    double worst = 0;
+    for (auto const& serving : sample.serving)
+    {
+        auto const raised = effect(serving, task.image, added, sample.capacity);
+        if (raised > least_effect)
+        {
+            worst = std::max(worst, serving.tail * std::exp(raised));
+        }
+    }
+    return worst;
+}
+
+void pace_control::speed_up(sharing_sample sample, pace_state& state) const
+{
+    for (auto const& task : sample.spare)
+    {
+        auto const known = state.paces.find(task.run);
+        if (known == state.paces.end())
+        {
+            continue;
+        }
+        auto const next = std::min(known->second + pace_step, full_pace);
+        auto const added = core::millicores(std::max<std::int64_t>(
+            task.need.value() * next / full_pace - task.used.value(), 0));
+        if (worst_after(sample, task, added) > speed_up_to)
+        {
+            continue;
+        }
+        known->second = next;
+        // Steps of several tasks add up.
+        for (auto& serving : sample.serving)
+        {
+            serving.tail *=
+                std::exp(effect(serving, task.image, added, sample.capacity));
+        }
+    }
+}
+
+} // namespace turmericswitch::workflow
--- a/modules/workflow/dispatch/sharing_control.hpp
+++ b/modules/workflow/dispatch/sharing_control.hpp
@@ -3,6 +3,7 @@
 
 #include "core/messages/workflow.hpp"
 #include "workflow/dispatch/interference_model.hpp"
+#include "workflow/dispatch/pace_control.hpp"
 
 #include <cstdint>
 #include <map>
@@ -11,43 +12,22 @@
 namespace turmericswitch::workflow
 {
 
-/// A running task with a latency target.
-struct serving_task
-{
-    core::task_run run;
-    std::string image;
-    /// Tail latency as a multiple of the target.
-    double tail = 0;
-};
-
-/// A running task on spare processor time.
-struct spare_task
-{
-    core::task_run run;
-    std::string image;
-    core::millicores need;
-    core::millicores used;
-};
-
-/// What one worker's report tells about tasks that share it.
-struct sharing_sample
-{
-    core::millicores capacity;
-    std::vector<serving_task> serving;
-    std::vector<spare_task> spare;
-};
-
 /// Lets tasks on spare processor time run beside serving tasks as fast as the
 /// targets of the latter allow.
 ///
-/// Each sample teaches the interference model. When a serving task nears its
-/// target, the tasks that raise its tail most are slowed, by as much as the
-/// model says is needed; others go on. When there is headroom again they are
-/// sped up. Reports average over half a second, so the control acts once in
-/// that time: more often it would react to its own last step.
+/// Each sample teaches the interference model and leads to new paces. Reports
+/// average over half a second, so the control acts once in that time: more
+/// often it would react to its own last step.
 class sharing_control
 {
 public:
+    /// @param harm_limit Longest time for which a serving task may be over its
+    ///        target through its neighbours.
+    explicit sharing_control(core::duration harm_limit);
+
+    sharing_control(sharing_control const&) = delete;
+    sharing_control& operator=(sharing_control const&) = delete;
+
     /// Takes the sample of a report.
     void update(core::time_point now,
                 core::worker_id const& worker,
@@ -82,28 +62,18 @@
     {
         core::time_point sampled;
         sharing_sample last;
-        std::map<core::task_run, std::uint32_t> paces;
-        /// Since when tasks have had a pace of 0.
-        std::map<core::task_run, core::time_point> stalled;
+        pace_state paces;
         std::int64_t serving_use = 60;
+        /// How far the logarithm of each serving task's tail is above that of
+        /// its image: tasks of one image have loads of their own, which swing.
+        std::map<core::task_run, double> offsets;
     };
 
-    void learn(sharing_sample const& sample);
-    void slow_down(worker_state& state, serving_task const& task) const;
-    /// Slows neighbours of which the model knows nothing.
-    void slow_unknown(worker_state& state, serving_task const& task) const;
-    void speed_up(worker_state& state) const;
-    double worst_after(worker_state const& state,
-                       spare_task const& task,
-                       std::uint32_t pace) const;
-    static void note_stalled(core::time_point now, worker_state& state);
+    void learn(worker_state& state, sharing_sample const& sample);
     static void update_use(worker_state& state, sharing_sample const& sample);
-    double effect(serving_task const& on,
-                  std::string const& image,
-                  core::millicores used,
-                  core::millicores capacity) const;
 
     interference_model m_model;
+    pace_control m_control;
     std::map<core::worker_id, worker_state> m_workers;
 };
 
--- a/modules/workflow/tests/sharing_test.cpp
+++ b/modules/workflow/tests/sharing_test.cpp
@@ -20,6 +20,8 @@
     CPPUNIT_TEST(unknown_pair_counts_as_disturbing);
     CPPUNIT_TEST(only_the_disturbing_neighbour_is_slowed);
     CPPUNIT_TEST(neighbour_that_disturbs_most_is_slowed_first);
+    CPPUNIT_TEST(tail_that_stays_over_its_target_stops_all_neighbours);
+    CPPUNIT_TEST(every_disturbed_service_is_relieved);
     CPPUNIT_TEST(one_report_is_acted_on_once);
     CPPUNIT_TEST(slowed_task_speeds_up_when_there_is_headroom);
     CPPUNIT_TEST(task_that_stands_still_is_told);
@@ -73,6 +75,51 @@
         CPPUNIT_ASSERT_EQUAL(100U, pace(m_light));
     }
 
+    // Guards the limit on harm against a model that is wrong: it blames
+    // nobody while the tail stays over its target.
+    void tail_that_stays_over_its_target_stops_all_neighbours()
+    {
+        teach_control();
+        auto made = at(1.3);
+        std::swap(made.spare[0].image, made.spare[1].image);
+        made.spare.pop_back();
+        auto const begun = m_now;
+        while (m_control.pace(m_worker, m_heavy) > 0)
+        {
+            m_now += std::chrono::milliseconds(600);
+            made.serving[0].tail = 1.3;
+            m_control.update(m_now, m_worker, made);
+        }
+        CPPUNIT_ASSERT(m_now - begun <= std::chrono::milliseconds(2500));
+    }
+
+    // Two services on one worker, each disturbed by another image. Slowing
+    // for the one that is worse off must not leave the other disturbed.
+    void every_disturbed_service_is_relieved()
+    {
+        for (int i = 0; i < 400; ++i)
+        {
+            auto made = at(0);
+            double const heavy = 0.05 * (i % 4);
+            double const light = 0.05 * ((i / 4) % 4);
+            made.spare[0].used =
+                core::millicores(static_cast<std::int64_t>(heavy * 32'000));
+            made.spare[1].used =
+                core::millicores(static_cast<std::int64_t>(light * 32'000));
+            made.serving[0].tail = 0.15 * std::exp(8 * heavy);
+            made.serving.push_back(
+                {run_of("t", 0, 0), "watch", 0.15 * std::exp(8 * light)});
+            m_now += std::chrono::milliseconds(600);
+            m_control.update(m_now, core::worker_id("teacher"), made);
+        }
+        auto made = at(1.3);
+        made.serving.push_back({run_of("t", 0, 0), "watch", 1.2});
+        m_now += std::chrono::milliseconds(600);
+        m_control.update(m_now, m_worker, made);
+        CPPUNIT_ASSERT(pace(m_heavy) < 80);
+        CPPUNIT_ASSERT(pace(m_light) < 80);
+    }
+
     // Reports come several times within the half second that they average
     // over; acting on each would cut the pace again and again.
     void one_report_is_acted_on_once()
@@ -206,7 +253,7 @@
     core::worker_id m_worker{"w1"};
     core::task_run m_heavy = run_of("b", 0, 0);
     core::task_run m_light = run_of("b", 0, 1);
-    sharing_control m_control;
+    sharing_control m_control{std::chrono::seconds(4)};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(sharing_test);
--- a/programs/control/settings/control_settings.cpp
+++ b/programs/control/settings/control_settings.cpp
@@ -85,6 +85,8 @@
         reader.duration({"workers", "longest_lease"}, leases.longest, {1s, 1h});
     leases.length =
         reader.duration({"workers", "lease"}, leases.longest, {1s, 1h});
+    read.dispatch.harm_limit = reader.duration(
+        {"workers", "harm_limit"}, read.dispatch.harm_limit, {1s, 1min});
 }
 
 void parse_consensus(settings_reader& reader, control_settings& read)
