Write the log in pieces that a pipe takes whole

Ruled out: mixed buffers (one thread writes) and lines cut by the formatter (the same run into a file is whole, every_line_of_any_thread_is_written_or_counted).

--- a/modules/telemetry/log/line_writer.cpp
+++ b/modules/telemetry/log/line_writer.cpp
@@ -13,6 +13,10 @@
 // than the line itself.
 constexpr auto interval = std::chrono::milliseconds(20);
 
+// A pipe takes up to this many bytes whole or not at all (PIPE_BUF). Larger
+// writes came out with bytes missing in the middle of lines.
+constexpr std::size_t piece_bytes = 4096;
+
 } // namespace
 
 line_writer::line_writer(std::shared_ptr<std::ostream> stream,
@@ -81,7 +85,6 @@
 
 void line_writer::write_all()
 {
-    bool is_written = false;
     for (auto& one : m_buffers)
     {
         std::string text;
@@ -93,12 +96,24 @@
         {
             continue;
         }
-        *m_stream << text;
-        is_written = true;
+        write_lines(text);
     }
-    if (is_written)
+}
+
+void line_writer::write_lines(std::string_view text)
+{
+    while (!text.empty())
     {
+        auto end = text.size();
+        if (end > piece_bytes)
+        {
+            auto const line_end = text.rfind('\n', piece_bytes - 1);
+            end = line_end == std::string_view::npos ? text.find('\n') + 1
+                                                     : line_end + 1;
+        }
+        m_stream->write(text.data(), static_cast<std::streamsize>(end));
         m_stream->flush();
+        text.remove_prefix(end);
     }
 }
 
--- a/modules/telemetry/log/line_writer.hpp
+++ b/modules/telemetry/log/line_writer.hpp
@@ -55,6 +55,8 @@
 
     void run();
     void write_all();
+    /// Writes whole lines in pieces that a pipe takes at once.
+    void write_lines(std::string_view text);
     void wake();
 
     std::shared_ptr<std::ostream> m_stream;
--- a/modules/telemetry/tests/logging_test.cpp
+++ b/modules/telemetry/tests/logging_test.cpp
@@ -4,6 +4,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <array>
 #include <filesystem>
 #include <fstream>
@@ -23,6 +24,7 @@
     CPPUNIT_TEST(json_lines_are_whole_objects);
     CPPUNIT_TEST(every_line_of_any_thread_is_written_or_counted);
     CPPUNIT_TEST(caller_never_waits_for_a_silent_reader);
+    CPPUNIT_TEST(burst_is_written_in_pieces_of_whole_lines);
     CPPUNIT_TEST(event_is_written_with_number_and_fields);
     CPPUNIT_TEST(unwritable_file_is_reported);
     CPPUNIT_TEST_SUITE_END();
@@ -208,6 +210,46 @@
         CPPUNIT_ASSERT_EQUAL(expected, stuck.str());
     }
 
+    /// Notes the size of each write.
+    class noting_buffer : public std::stringbuf
+    {
+    public:
+        std::vector<std::string> pieces;
+
+    protected:
+        std::streamsize xsputn(char const* text, std::streamsize size) override
+        {
+            pieces.emplace_back(text, static_cast<std::size_t>(size));
+            return std::stringbuf::xsputn(text, size);
+        }
+    };
+
+    // Guards readers of a pipe: after a burst, lines had bytes missing where a
+    // write was larger than a pipe takes at once.
+    void burst_is_written_in_pieces_of_whole_lines()
+    {
+        constexpr std::size_t pipe_bytes = 4096;
+        noting_buffer noting;
+        auto const stream = std::make_shared<std::ostream>(&noting);
+        std::string expected;
+        {
+            line_writer writer(stream);
+            for (std::size_t i = 0; i < 300; ++i)
+            {
+                std::string const line(i == 150 ? 2 * pipe_bytes : i, 'x');
+                CPPUNIT_ASSERT(writer.add(line, false));
+                expected += line + "\n";
+            }
+        }
+        CPPUNIT_ASSERT(expected == noting.str());
+        for (auto const& piece : noting.pieces)
+        {
+            CPPUNIT_ASSERT(piece.ends_with('\n'));
+            auto const lines = std::count(piece.begin(), piece.end(), '\n');
+            CPPUNIT_ASSERT(piece.size() <= pipe_bytes || lines == 1);
+        }
+    }
+
     // Guards the form that docs/events.md describes.
     void event_is_written_with_number_and_fields()
     {
