Start no batch beside a service that stays over its target; idle log writer

Cause of the first: when the model blames no neighbour, the neighbours of a service over its target are stopped after part of the limit, but the planner went on starting tasks there, each of which worked until its first report. Tests: worker_with_a_harmed_service_gets_no_spare_task and the end of tail_that_stays_over_its_target_stops_all_neighbours.

It now sleeps while there is no line.

Three tests of the sharing control used an image that the model did blame a little, so the stop that they guard was not what ended them; they now use one that it can't blame.

--- a/modules/telemetry/log/line_writer.cpp
+++ b/modules/telemetry/log/line_writer.cpp
@@ -42,28 +42,34 @@
     auto& own = m_buffers[stripe_of_this_thread()];
     bool is_full = false;
     bool is_half_full = false;
+    bool is_first = false;
     {
         std::lock_guard const lock(own.mutex);
         is_full = own.text.size() >= m_buffer_bytes;
         if (!is_full)
         {
+            is_first = own.text.empty();
             bool const was_below = own.text.size() < m_buffer_bytes / 2;
             own.text.append(line).push_back('\n');
             is_half_full = was_below && own.text.size() >= m_buffer_bytes / 2;
         }
     }
-    if (now || is_half_full)
+    if (is_first && !m_has_lines.exchange(true))
     {
-        wake();
+        wake(now);
+    }
+    else if (now || is_half_full)
+    {
+        wake(true);
     }
     return !is_full;
 }
 
-void line_writer::wake()
+void line_writer::wake(bool now)
 {
     {
         std::lock_guard const lock(m_mutex);
-        m_is_due = true;
+        m_is_due = m_is_due || now;
     }
     m_wake.notify_one();
 }
@@ -74,9 +80,13 @@
     {
         {
             std::unique_lock lock(m_mutex);
+            // An idle process must not wake up for its log.
+            m_wake.wait(
+                lock, [this] { return m_has_lines || m_is_due || m_stopping; });
             m_wake.wait_for(
                 lock, interval, [this] { return m_is_due || m_stopping; });
             m_is_due = false;
+            m_has_lines = false;
             stopping = m_stopping;
         }
         write_all();
--- a/modules/telemetry/log/line_writer.hpp
+++ b/modules/telemetry/log/line_writer.hpp
@@ -57,13 +57,15 @@
     void write_all();
     /// Writes whole lines in pieces that a pipe takes at once.
     void write_lines(std::string_view text);
-    void wake();
+    void wake(bool now);
 
     std::shared_ptr<std::ostream> m_stream;
     std::size_t m_buffer_bytes;
     std::array<buffer, stripe_count> m_buffers;
     std::mutex m_mutex;
     std::condition_variable m_wake;
+    /// Set by the first line after a write.
+    std::atomic<bool> m_has_lines = false;
     bool m_is_due = false;
     bool m_stopping = false;
     std::thread m_thread;
--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -323,6 +323,7 @@
         worker.free = worker.capacity;
         worker.spare = worker.capacity.cpu;
         worker.serving_use_percent = m_sharing.serving_use(id);
+        worker.closed_to_spare = m_sharing.is_harmed(now, id);
         for (auto const& [run, life] : m_table.held_on(id))
         {
             // Runs of an earlier life may still have their room.
--- a/modules/workflow/dispatch/pace_control.hpp
+++ b/modules/workflow/dispatch/pace_control.hpp
@@ -70,6 +70,10 @@
                 sharing_sample const& sample,
                 pace_state& state) const;
 
+    /// @return True while a serving task has been over its target for so long
+    ///         that the model is not trusted.
+    bool is_over_for_long(core::time_point now, pace_state const& state) const;
+
     /// @return By how much the neighbour raises the logarithm of the task's
     ///         tail with this use of processors.
     double effect(serving_task const& on,
@@ -80,7 +84,6 @@
 private:
     using kept_shares = std::map<core::task_run, double>;
 
-    bool is_over_for_long(core::time_point now, pace_state const& state) const;
     void slow_for(serving_task const& task,
                   sharing_sample const& sample,
                   kept_shares& kept) const;
--- a/modules/workflow/dispatch/sharing_control.cpp
+++ b/modules/workflow/dispatch/sharing_control.cpp
@@ -187,6 +187,14 @@
     return core::millicores(std::max<std::int64_t>(wanted - used.value(), 0));
 }
 
+bool sharing_control::is_harmed(core::time_point now,
+                                core::worker_id const& worker) const
+{
+    auto const known = m_workers.find(worker);
+    return known != m_workers.end() &&
+           m_control.is_over_for_long(now, known->second.paces);
+}
+
 std::int64_t sharing_control::serving_use(core::worker_id const& worker) const
 {
     auto const known = m_workers.find(worker);
--- a/modules/workflow/dispatch/sharing_control.hpp
+++ b/modules/workflow/dispatch/sharing_control.hpp
@@ -52,6 +52,10 @@
                             core::task_run const& run,
                             core::millicores need) const;
 
+    /// @return True while a serving task there has been over its target for
+    ///         long, whatever the model says of the reason.
+    bool is_harmed(core::time_point now, core::worker_id const& worker) const;
+
     /// @return Part of their request that serving tasks use, in percent.
     std::int64_t serving_use(core::worker_id const& worker) const;
 
--- a/modules/workflow/dispatch/stage_planner.cpp
+++ b/modules/workflow/dispatch/stage_planner.cpp
@@ -49,6 +49,10 @@
     {
         return false;
     }
+    if (stage.behaviour.uses_spare_cpu && worker.closed_to_spare)
+    {
+        return false;
+    }
     if (stage.behaviour.uses_spare_cpu &&
         worker.spare.value() * 100 <
             stage.need.cpu.value() * least_spare_percent)
--- a/modules/workflow/dispatch/stage_planner.hpp
+++ b/modules/workflow/dispatch/stage_planner.hpp
@@ -49,6 +49,9 @@
     /// with the part of their request that they use.
     core::millicores spare;
     std::int64_t serving_use_percent = 100;
+    /// No task on spare time starts while a serving task is over its target
+    /// for reasons that the model does not know.
+    bool closed_to_spare = false;
     /// Processors that tasks on spare time will take beyond what the last
     /// report shows: those placed since, and those that are sped up.
     cpu_by_image planned;
--- a/modules/workflow/tests/planning_test.cpp
+++ b/modules/workflow/tests/planning_test.cpp
@@ -80,6 +80,7 @@
     CPPUNIT_TEST(serving_tasks_of_one_image_share_workers);
     CPPUNIT_TEST(serving_task_is_placed_beside_another_image_if_need_be);
     CPPUNIT_TEST(slowed_task_leaves_the_rest_of_its_processors);
+    CPPUNIT_TEST(worker_with_a_harmed_service_gets_no_spare_task);
     CPPUNIT_TEST(tasks_placed_since_the_report_count_against_the_tail);
     CPPUNIT_TEST(high_tail_that_a_spare_task_does_not_raise_is_no_reason);
     CPPUNIT_TEST(work_goes_to_the_rack_of_its_data);
@@ -236,6 +237,25 @@
             plan_stages({pending("a", one, 1)}, workers, 200, no_tail).size());
     }
 
+    // Load: batch waits while a service on every worker is over its target. A
+    // flow of short tasks, each stopped after its first report, would keep the
+    // service disturbed.
+    void worker_with_a_harmed_service_gets_no_spare_task()
+    {
+        auto spare = stage(1, 1000);
+        spare.behaviour.uses_spare_cpu = true;
+        auto const plain = stage(1, 1000);
+        std::vector workers{candidate("w1", 8000)};
+        workers.front().closed_to_spare = true;
+        auto const placements =
+            plan_stages({pending("a", spare, 3), pending("b", plain, 2)},
+                        workers,
+                        200,
+                        no_tail);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, placements.size());
+        CPPUNIT_ASSERT(placements.front().run.task.workflow.value() == "b");
+    }
+
     // Load: batch that was slowed beside services. Its processors are free for
     // an image that disturbs nobody there.
     void slowed_task_leaves_the_rest_of_its_processors()
--- a/modules/workflow/tests/sharing_test.cpp
+++ b/modules/workflow/tests/sharing_test.cpp
@@ -83,8 +83,7 @@
     {
         teach_control();
         auto made = at(1.3);
-        std::swap(made.spare[0].image, made.spare[1].image);
-        made.spare.pop_back();
+        blame_nobody(made);
         auto const begun = m_now;
         while (m_control.pace(m_worker, m_heavy) > 0)
         {
@@ -93,6 +92,12 @@
             m_control.update(m_now, m_worker, made);
         }
         CPPUNIT_ASSERT(m_now - begun <= std::chrono::milliseconds(2500));
+        // Until the tail is down, nothing new may start there either.
+        CPPUNIT_ASSERT(m_control.is_harmed(m_now, m_worker));
+        made.serving[0].tail = 0.5;
+        m_now += std::chrono::milliseconds(600);
+        m_control.update(m_now, m_worker, made);
+        CPPUNIT_ASSERT(!m_control.is_harmed(m_now, m_worker));
     }
 
     // Reports of a worker on which nothing ends are a second apart. The time
@@ -101,8 +106,7 @@
     {
         teach_control();
         auto made = at(0.5);
-        std::swap(made.spare[0].image, made.spare[1].image);
-        made.spare.pop_back();
+        blame_nobody(made);
         m_control.update(m_now += std::chrono::seconds(1), m_worker, made);
         auto const begun = m_now;
         made.serving[0].tail = 1.3;
@@ -120,8 +124,7 @@
     {
         teach_control();
         auto made = at(1.3);
-        std::swap(made.spare[0].image, made.spare[1].image);
-        made.spare.pop_back();
+        blame_nobody(made);
         auto const begun = m_now;
         for (int i = 0; m_control.pace(m_worker, m_heavy) > 0; ++i)
         {
@@ -256,6 +259,14 @@
         return made;
     }
 
+    /// Leaves one neighbour whose use is too small for the model to blame.
+    static void blame_nobody(sharing_sample& made)
+    {
+        made.spare.resize(1);
+        made.spare[0].image = "light";
+        made.capacity = core::millicores(320'000);
+    }
+
     core::millicores used(core::task_run const& run) const
     {
         return core::millicores(40 * m_control.pace(m_worker, run));
