--- /dev/null
+++ b/modules/workflow/dispatch/dispatch_events.cpp
@@ -0,0 +1,135 @@
+#include "workflow/dispatch/dispatch_events.hpp"
+
+#include <algorithm>
+
+namespace turmericswitch::workflow
+{
+
+using core::event_code;
+using core::number_field;
+using core::text_field;
+using core::time_field;
+
+namespace
+{
+
+constexpr double percent_of_one = 100;
+
+std::vector<core::event_field> fields_of(core::task_run const& run,
+                                         core::worker_id const& worker)
+{
+    return {text_field("task", core::to_string(run.task)),
+            number_field("attempt", run.attempt.value()),
+            text_field("worker", worker.value())};
+}
+
+double worst_tail(sharing_sample const& sample)
+{
+    double worst = 0;
+    for (auto const& task : sample.serving)
+    {
+        worst = std::max(worst, task.tail);
+    }
+    return worst;
+}
+
+} // namespace
+
+core::event worker_seen_event(worker_view const& view)
+{
+    return {event_code::worker_seen,
+            {text_field("worker", view.profile.worker.value()),
+             number_field("life", view.profile.life.value()),
+             text_field("instance", view.host.value()),
+             text_field("zone", view.profile.zone.value())}};
+}
+
+core::event worker_lost_event(core::time_point now,
+                              core::worker_id const& worker,
+                              std::uint64_t runs,
+                              worker_view const* view)
+{
+    core::event what{
+        event_code::worker_lost,
+        {text_field("worker", worker.value()), number_field("runs", runs)}};
+    if (view != nullptr)
+    {
+        what.fields.push_back(time_field("report_age_ms", now - view->heard));
+        what.fields.push_back(number_field("life", view->profile.life.value()));
+    }
+    return what;
+}
+
+core::event worker_set_aside_event(core::run_outcome const& last)
+{
+    return {event_code::worker_set_aside,
+            {text_field("worker", last.worker.value()),
+             text_field("task", core::to_string(last.run.task)),
+             text_field("how", core::to_string(last.how))}};
+}
+
+core::event pace_event(core::worker_id const& worker,
+                       core::run_pace const& pace,
+                       std::uint32_t before,
+                       sharing_sample const& sample)
+{
+    core::event what{event_code::pace_decided, fields_of(pace.run, worker)};
+    for (auto& field : {number_field("percent", pace.percent),
+                        number_field("before", before),
+                        number_field("worst_tail_percent",
+                                     worst_tail(sample) * percent_of_one),
+                        number_field("serving", sample.serving.size()),
+                        number_field("spare", sample.spare.size())})
+    {
+        what.fields.push_back(field);
+    }
+    return what;
+}
+
+core::event run_evicted_event(core::worker_id const& worker,
+                              core::task_run const& run,
+                              core::worker_id const& next)
+{
+    core::event what{event_code::run_evicted, fields_of(run, worker)};
+    what.fields.push_back(text_field("next", next.value()));
+    return what;
+}
+
+core::event run_placed_event(core::time_point now,
+                             core::run_placement const& placed,
+                             core::workflow_record const* workflow,
+                             std::optional<core::duration> waited,
+                             worker_view const* view)
+{
+    core::event what{event_code::run_placed,
+                     fields_of(placed.run, placed.worker)};
+    if (workflow != nullptr)
+    {
+        what.fields.push_back(
+            number_field("priority", workflow->queue.priority));
+    }
+    if (waited)
+    {
+        what.fields.push_back(time_field("waited_ms", *waited));
+    }
+    if (view != nullptr)
+    {
+        what.fields.push_back(time_field("report_age_ms", now - view->heard));
+    }
+    return what;
+}
+
+core::event run_ended_event(core::run_outcome const& outcome,
+                            std::optional<core::duration> since_placed)
+{
+    core::event what{event_code::run_ended,
+                     fields_of(outcome.run, outcome.worker)};
+    what.fields.push_back(text_field("how", core::to_string(outcome.how)));
+    if (since_placed)
+    {
+        what.fields.push_back(time_field("since_placed_ms", *since_placed));
+    }
+    return what;
+}
+
+} // namespace turmericswitch::workflow
--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -1,21 +1,16 @@
 #include "workflow/dispatch/dispatcher.hpp"
 
+#include "workflow/dispatch/dispatch_events.hpp"
+
 #include <algorithm>
 #include <utility>
 
 namespace turmericswitch::workflow
 {
 
-using core::event_code;
-using core::number_field;
-using core::text_field;
-using core::time_field;
-
 namespace
 {
 
-constexpr double percent_of_one = 100;
-
 /// Largest command: bounds the time of one sync and of one append.
 constexpr std::size_t most_placements = 200;
 
@@ -25,9 +20,6 @@
 /// A start that arrives with less of its lease left may lapse on the way.
 constexpr core::duration least_lease_left = std::chrono::milliseconds(1500);
 
-/// Work that ends within this multiple of its objective still counts as late.
-constexpr int late_factor = 3;
-
 /// Time between two looks for tasks to move; each costs a trial plan.
 constexpr core::duration eviction_interval = std::chrono::milliseconds(500);
 
@@ -40,25 +32,6 @@
            task.checkpoint != seen.checkpoint;
 }
 
-double worst_tail(sharing_sample const& sample)
-{
-    double worst = 0;
-    for (auto const& task : sample.serving)
-    {
-        worst = std::max(worst, task.tail);
-    }
-    return worst;
-}
-
-bool is_due(core::workflow_record const& workflow,
-            std::uint32_t occurrence,
-            core::wall_time wall)
-{
-    auto const& schedule = workflow.description.schedule;
-    return schedule.occurrences == 0 ||
-           schedule.first + schedule.interval * occurrence <= wall;
-}
-
 } // namespace
 
 dispatcher::dispatcher(workflow_table const& table,
@@ -71,6 +44,7 @@
       m_fencing_token(fencing_token),
       m_fleet(options.leases, elected),
       m_sharing(options.harm_limit),
+      m_backlog(table, m_run_times, m_fleet),
       m_orders(table),
       m_on_event(std::move(on_event))
 {
@@ -91,11 +65,7 @@
     }
     if (known == nullptr || is_fresh_life || is_fresh_sidecar)
     {
-        m_on_event({event_code::worker_seen,
-                    {text_field("worker", worker.value()),
-                     number_field("life", view->profile.life.value()),
-                     text_field("instance", view->host.value()),
-                     text_field("zone", view->profile.zone.value())}});
+        m_on_event(worker_seen_event(*view));
     }
     if (is_fresh_life)
     {
@@ -152,16 +122,7 @@
     {
         if (auto const percent = m_sharing.pace(worker, run); percent != pace)
         {
-            m_on_event({event_code::pace_decided,
-                        {text_field("task", core::to_string(run.task)),
-                         number_field("attempt", run.attempt.value()),
-                         text_field("worker", worker.value()),
-                         number_field("percent", percent),
-                         number_field("before", pace),
-                         number_field("worst_tail_percent",
-                                      worst_tail(sample) * percent_of_one),
-                         number_field("serving", sample.serving.size()),
-                         number_field("spare", sample.spare.size())}});
+            m_on_event(pace_event(worker, {run, percent}, pace, sample));
         }
     }
 }
@@ -342,129 +303,6 @@
     return all;
 }
 
-job_urgency dispatcher::urgency_of(core::time_point now,
-                                   core::workflow_record const& workflow,
-                                   std::uint32_t occurrence) const
-{
-    auto const& stages = workflow.description.stages;
-    bool const is_lasting =
-        std::any_of(stages.begin(),
-                    stages.end(),
-                    [](core::stage_description const& stage)
-                    { return stage.behaviour.long_running; });
-    // Work that lasts is wanted until it is cancelled, and the age of a
-    // workflow with a schedule says nothing about its occurrences.
-    if (is_lasting || workflow.description.schedule.occurrences > 0)
-    {
-        return job_urgency::in_time;
-    }
-    auto const chain =
-        m_run_times.longest_chain(workflow, [](std::uint32_t) { return true; });
-    auto const left = m_run_times.longest_chain(
-        workflow,
-        [&](std::uint32_t stage)
-        {
-            auto const* const record =
-                workflow_table::find_stage_record(workflow, occurrence, stage);
-            return record == nullptr ||
-                   !workflow_table::is_whole(*record, stages[stage].tasks);
-        });
-    auto const objective = chain * workflow.queue.stretch_permille / 1000 +
-                           workflow.queue.target_latency;
-    auto const age = now - workflow.submitted;
-    if (age + left <= objective)
-    {
-        return job_urgency::in_time;
-    }
-    return age + left <= objective * late_factor ? job_urgency::late
-                                                 : job_urgency::hopeless;
-}
-
-void dispatcher::add_pending(core::time_point now,
-                             core::workflow_record const& workflow,
-                             std::uint32_t occurrence,
-                             std::vector<pending_stage>& all) const
-{
-    auto const& stages = workflow.description.stages;
-    auto const urgency = urgency_of(now, workflow, occurrence);
-    for (std::uint32_t number = 0; number < stages.size(); ++number)
-    {
-        if (!workflow_table::is_ready(workflow, occurrence, number))
-        {
-            continue;
-        }
-        pending_stage waiting;
-        waiting.stage = {workflow.workflow, occurrence, number};
-        waiting.description = &stages[number];
-        waiting.service = workflow.queue.service;
-        waiting.priority = workflow.queue.priority;
-        waiting.submitted = workflow.submitted;
-        waiting.urgency = urgency;
-        auto const* const record =
-            workflow_table::find_stage_record(workflow, occurrence, number);
-        std::uint32_t last_attempt = 0;
-        bool any_held = false;
-        for (std::uint32_t i = 0; i < stages[number].tasks; ++i)
-        {
-            auto const task =
-                record != nullptr ? record->tasks[i] : core::task_record{};
-            last_attempt = std::max(last_attempt, task.attempt.value());
-            any_held = any_held || task.placed;
-            if (task.failures > 0)
-            {
-                waiting.failed_on.insert(task.worker);
-            }
-            if (auto const* const view =
-                    task.placed ? m_fleet.find(task.worker) : nullptr)
-            {
-                waiting.racks.insert(view->profile.rack);
-            }
-            if (!task.done && !task.placed)
-            {
-                waiting.runs.push_back(
-                    {{workflow.workflow, occurrence, number, i},
-                     core::attempt_number(task.attempt.value() + 1)});
-            }
-        }
-        if (stages[number].behaviour.gang)
-        {
-            // The members of a gang share the number of the attempt.
-            for (auto& run : waiting.runs)
-            {
-                run.attempt = core::attempt_number(last_attempt + 1);
-            }
-            if (any_held)
-            {
-                continue;
-            }
-        }
-        if (!waiting.runs.empty())
-        {
-            all.push_back(std::move(waiting));
-        }
-    }
-}
-
-std::vector<pending_stage> dispatcher::pending(core::time_point now,
-                                               core::wall_time wall) const
-{
-    std::vector<pending_stage> all;
-    for (auto const& id : m_table.active())
-    {
-        auto const& workflow = *m_table.find(id);
-        auto const occurrences =
-            std::max(workflow.description.schedule.occurrences, 1U);
-        for (std::uint32_t k = 0; k < occurrences; ++k)
-        {
-            if (is_due(workflow, k, wall))
-            {
-                add_pending(now, workflow, k, all);
-            }
-        }
-    }
-    return all;
-}
-
 void dispatcher::evict_stalled(core::time_point now,
                                std::vector<candidate_worker> const& workers)
 {
@@ -502,11 +340,7 @@
                 continue;
             }
             m_orders.evict(run);
-            m_on_event({event_code::run_evicted,
-                        {text_field("task", core::to_string(run.task)),
-                         number_field("attempt", run.attempt.value()),
-                         text_field("worker", worker.value()),
-                         text_field("next", found.front().worker.value())}});
+            m_on_event(run_evicted_event(worker, run, found.front().worker));
             auto const target =
                 std::find_if(left.begin(),
                              left.end(),
@@ -530,8 +364,7 @@
 {
     core::workflow_progress command;
     collect_ends(now, command);
-    auto waiting = pending(now, wall);
-    note_waiting(now, waiting);
+    auto waiting = m_backlog.collect(now, wall);
     // Most reports bring neither waiting work nor a look for tasks to move.
     if (!waiting.empty() || now >= m_next_eviction)
     {
@@ -568,50 +401,29 @@
 void dispatcher::note_ended(core::time_point now,
                             core::run_outcome const& outcome)
 {
+    auto const placed = m_placed.find(outcome.run);
+    m_on_event(run_ended_event(outcome,
+                               placed == m_placed.end()
+                                   ? std::nullopt
+                                   : std::optional(now - placed->second)));
     bool const was_usable = !m_health.is_set_aside(now, outcome.worker);
     m_health.ended(now, outcome.worker, outcome.run, outcome.how);
-    auto const placed = m_placed.find(outcome.run);
-    std::vector<core::event_field> fields{
-        text_field("task", core::to_string(outcome.run.task)),
-        number_field("attempt", outcome.run.attempt.value()),
-        text_field("worker", outcome.worker.value()),
-        text_field("how", core::to_string(outcome.how))};
-    if (placed != m_placed.end())
-    {
-        fields.push_back(time_field("since_placed_ms", now - placed->second));
-    }
-    m_on_event({event_code::run_ended, std::move(fields)});
     if (was_usable && m_health.is_set_aside(now, outcome.worker))
     {
-        m_on_event({event_code::worker_set_aside,
-                    {text_field("worker", outcome.worker.value()),
-                     text_field("task", core::to_string(outcome.run.task))}});
+        m_on_event(worker_set_aside_event(outcome));
     }
 }
 
 void dispatcher::note_placed(core::time_point now,
                              core::run_placement const& placed)
 {
-    auto const since = m_waiting_since.find(stage_of(placed.run.task));
-    auto const* const workflow = m_table.find(placed.run.task.workflow);
-    auto const* const view = m_fleet.find(placed.worker);
-    std::vector<core::event_field> fields{
-        text_field("task", core::to_string(placed.run.task)),
-        number_field("attempt", placed.run.attempt.value()),
-        text_field("worker", placed.worker.value())};
-    if (workflow != nullptr)
-    {
-        fields.push_back(number_field("priority", workflow->queue.priority));
-    }
-    if (since != m_waiting_since.end())
-    {
-        fields.push_back(time_field("waited_ms", now - since->second));
-    }
-    if (view != nullptr)
-    {
-        fields.push_back(time_field("report_age_ms", now - view->heard));
-    }
-    m_on_event({event_code::run_placed, std::move(fields)});
+    auto const since = m_backlog.waiting_since(stage_of(placed.run.task));
+    m_on_event(
+        run_placed_event(now,
+                         placed,
+                         m_table.find(placed.run.task.workflow),
+                         since ? std::optional(now - *since) : std::nullopt,
+                         m_fleet.find(placed.worker)));
 }
 
 void dispatcher::note_lost_workers(core::time_point now,
@@ -627,30 +439,8 @@
     }
     for (auto const& [worker, runs] : lost)
     {
-        std::vector<core::event_field> fields{
-            text_field("worker", worker.value()), number_field("runs", runs)};
-        if (auto const* const view = m_fleet.find(worker))
-        {
-            fields.push_back(time_field("report_age_ms", now - view->heard));
-            fields.push_back(number_field("life", view->profile.life.value()));
-        }
-        m_on_event({event_code::worker_lost, std::move(fields)});
-    }
-}
-
-void dispatcher::note_waiting(core::time_point now,
-                              std::vector<pending_stage> const& waiting)
-{
-    std::map<stage_ref, core::time_point> since;
-    m_waiting_tasks = 0;
-    for (auto const& each : waiting)
-    {
-        auto const known = m_waiting_since.find(each.stage);
-        since[each.stage] =
-            known == m_waiting_since.end() ? now : known->second;
-        m_waiting_tasks += each.runs.size();
+        m_on_event(worker_lost_event(now, worker, runs, m_fleet.find(worker)));
     }
-    m_waiting_since = std::move(since);
 }
 
 dispatch_counts dispatcher::counts(core::time_point now,
@@ -658,16 +448,13 @@
 {
     dispatch_counts result;
     result.workers = m_fleet.all().size();
-    result.waiting_tasks = m_waiting_tasks;
+    result.waiting_tasks = m_backlog.waiting_tasks();
+    result.longest_wait = m_backlog.longest_wait(now);
     for (auto const& worker : candidates(now, config))
     {
         ++result.usable_workers;
         result.spare += worker.spare;
     }
-    for (auto const& [stage, since] : m_waiting_since)
-    {
-        result.longest_wait = std::max(result.longest_wait, now - since);
-    }
     for (auto const& [worker, runs] : m_table.holds())
     {
         result.held_runs += runs.size();
--- a/modules/workflow/dispatch/dispatcher.hpp
+++ b/modules/workflow/dispatch/dispatcher.hpp
@@ -7,6 +7,7 @@
 #include "workflow/dispatch/order_book.hpp"
 #include "workflow/dispatch/run_time_model.hpp"
 #include "workflow/dispatch/sharing_control.hpp"
+#include "workflow/dispatch/stage_backlog.hpp"
 #include "workflow/dispatch/stage_planner.hpp"
 #include "workflow/dispatch/worker_fleet.hpp"
 #include "workflow/dispatch/worker_health.hpp"
@@ -112,22 +113,11 @@
     bool may_get_work(core::time_point now,
                       worker_view const& view,
                       core::configuration const& config) const;
-    std::vector<pending_stage> pending(core::time_point now,
-                                       core::wall_time wall) const;
-    job_urgency urgency_of(core::time_point now,
-                           core::workflow_record const& workflow,
-                           std::uint32_t occurrence) const;
-    void add_pending(core::time_point now,
-                     core::workflow_record const& workflow,
-                     std::uint32_t occurrence,
-                     std::vector<pending_stage>& all) const;
     void evict_stalled(core::time_point now,
                        std::vector<candidate_worker> const& workers);
     tail_hook tail_hook_of() const;
     void update_sharing(core::time_point now, worker_view const& view);
     void note_run_time(core::time_point now, core::run_outcome const& outcome);
-    void note_waiting(core::time_point now,
-                      std::vector<pending_stage> const& waiting);
     void note_ended(core::time_point now, core::run_outcome const& outcome);
     void note_placed(core::time_point now, core::run_placement const& placed);
     void note_lost_workers(core::time_point now,
@@ -140,13 +130,11 @@
     worker_health m_health;
     sharing_control m_sharing;
     run_time_model m_run_times;
+    stage_backlog m_backlog;
     /// When the runs that this leader placed were placed.
     std::map<core::task_run, core::time_point> m_placed;
     order_book m_orders;
     core::time_point m_next_eviction;
-    /// Since when stages have had tasks without a worker.
-    std::map<stage_ref, core::time_point> m_waiting_since;
-    std::uint64_t m_waiting_tasks = 0;
     core::event_hook m_on_event;
     /// Last batch of orders for each worker.
     std::map<core::worker_id, std::uint64_t> m_batches;
--- /dev/null
+++ b/modules/workflow/dispatch/stage_backlog.hpp
@@ -0,0 +1,60 @@
+#ifndef TURMERICSWITCH_WORKFLOW_DISPATCH_STAGE_BACKLOG_HPP
+#define TURMERICSWITCH_WORKFLOW_DISPATCH_STAGE_BACKLOG_HPP
+
+#include "workflow/dispatch/run_time_model.hpp"
+#include "workflow/dispatch/stage_planner.hpp"
+#include "workflow/dispatch/worker_fleet.hpp"
+#include "workflow/table/workflow_table.hpp"
+
+#include <map>
+#include <vector>
+
+namespace turmericswitch::workflow
+{
+
+/// Finds the stages that have tasks without a worker, and how urgent they are.
+class stage_backlog
+{
+public:
+    /// The arguments must outlive the object.
+    stage_backlog(workflow_table const& table,
+                  run_time_model const& run_times,
+                  worker_fleet const& fleet);
+
+    /// @param wall Time of day, for workflows with a schedule.
+    std::vector<pending_stage> collect(core::time_point now,
+                                       core::wall_time wall);
+
+    /// @return Since when the stage has had tasks without a worker; nothing if
+    ///         it had none at the last call of `collect`.
+    std::optional<core::time_point> waiting_since(stage_ref const& stage) const;
+
+    /// @return Tasks without a worker at the last call of `collect`.
+    std::uint64_t waiting_tasks() const noexcept;
+
+    core::duration longest_wait(core::time_point now) const;
+
+private:
+    job_urgency urgency_of(core::time_point now,
+                           core::workflow_record const& workflow,
+                           std::uint32_t occurrence) const;
+    void add_stages(core::time_point now,
+                    core::workflow_record const& workflow,
+                    std::uint32_t occurrence,
+                    std::vector<pending_stage>& all) const;
+    void add_tasks(core::workflow_record const& workflow,
+                   std::uint32_t occurrence,
+                   std::uint32_t number,
+                   pending_stage& waiting) const;
+    void note(core::time_point now, std::vector<pending_stage> const& waiting);
+
+    workflow_table const& m_table;
+    run_time_model const& m_run_times;
+    worker_fleet const& m_fleet;
+    std::map<stage_ref, core::time_point> m_since;
+    std::uint64_t m_tasks = 0;
+};
+
+} // namespace turmericswitch::workflow
+
+#endif
--- a/modules/workflow/table/workflow_table.cpp
+++ b/modules/workflow/table/workflow_table.cpp
@@ -12,15 +12,11 @@
 using core::run_end;
 using core::workflow_state;
 
-std::uint32_t occurrences_of(core::workflow_record const& workflow)
-{
-    return std::max(workflow.description.schedule.occurrences, 1U);
-}
-
 bool is_complete(core::workflow_record const& workflow)
 {
     auto const& stages = workflow.description.stages;
-    if (workflow.stages.size() < stages.size() * occurrences_of(workflow))
+    if (workflow.stages.size() <
+        stages.size() * workflow_table::occurrences_of(workflow))
     {
         return false;
     }
@@ -36,7 +32,7 @@
                    core::task_ref const& task)
 {
     auto const& stages = workflow.description.stages;
-    return task.occurrence < occurrences_of(workflow) &&
+    return task.occurrence < workflow_table::occurrences_of(workflow) &&
            task.stage < stages.size() && task.index < stages[task.stage].tasks;
 }
 
@@ -433,6 +429,12 @@
                        [](core::task_record const& task) { return task.done; });
 }
 
+std::uint32_t
+workflow_table::occurrences_of(core::workflow_record const& workflow)
+{
+    return std::max(workflow.description.schedule.occurrences, 1U);
+}
+
 bool workflow_table::is_ready(core::workflow_record const& workflow,
                               std::uint32_t occurrence,
                               std::uint32_t stage)
--- a/modules/workflow/table/workflow_table.hpp
+++ b/modules/workflow/table/workflow_table.hpp
@@ -84,6 +84,9 @@
     /// @return Accepted workflows of the queue of which no task was placed.
     std::uint64_t waiting(core::queue_id const& queue) const;
 
+    /// @return How often the workflow's stages run.
+    static std::uint32_t occurrences_of(core::workflow_record const& workflow);
+
     /// @return True if all stages that this one waits for have finished.
     static bool is_ready(core::workflow_record const& workflow,
                          std::uint32_t occurrence,
--- /dev/null
+++ b/modules/workflow/tests/fuzz_checks.cpp
@@ -0,0 +1,128 @@
+#include "fuzz_parts.hpp"
+
+#include <set>
+
+// What must hold at every step of the fuzz, and the text of a failure.
+
+namespace turmericswitch::workflow::testing
+{
+
+void fuzz_world::check()
+{
+    std::set<core::task_ref> seen;
+    for (auto const& where : m_sites)
+    {
+        if (where->is_down)
+        {
+            continue;
+        }
+        where->model.advance(m_now);
+        core::resources used;
+        std::map<stage_ref, std::uint32_t> per_stage;
+        for (auto const& [ref, run] : where->model.running())
+        {
+            if (!seen.insert(ref).second)
+            {
+                fail("two runs of " + core::to_string(ref));
+            }
+            auto const* const workflow = m_table.find(ref.workflow);
+            auto const* const about = m_table.find_stage(ref);
+            if (workflow == nullptr)
+            {
+                fail("unknown job of " + core::to_string(ref));
+                continue;
+            }
+            if (run.payload != "payload of " + ref.workflow.value())
+            {
+                fail("wrong payload of " + core::to_string(ref));
+            }
+            if (about == nullptr)
+            {
+                // The table has dropped the stages, so nothing may run.
+                fail("run without hold " + core::to_string(ref));
+                continue;
+            }
+            if (!m_table.is_held(run.id,
+                                 core::worker_id(where->name),
+                                 core::incarnation(where->born)))
+            {
+                fail("run without hold " + core::to_string(ref));
+            }
+            used += reserved_by(*about);
+            auto const most = about->constraints.max_per_worker;
+            if (++per_stage[stage_of(ref)] > most && most > 0)
+            {
+                fail("too many of a stage on " + where->name);
+            }
+            if (!core::is_final(workflow->state) &&
+                !workflow_table::is_ready(*workflow, 0, ref.stage))
+            {
+                fail("out of order " + core::to_string(ref));
+            }
+        }
+        if (used.cpu.value() > worker_millicores)
+        {
+            fail("capacity of " + where->name);
+        }
+    }
+}
+
+std::string fuzz_world::describe(core::workflow_id const& id) const
+{
+    auto const& record = *m_table.find(id);
+    std::string text = "job " + id.value() + " (" +
+                       std::string(core::to_string(record.state)) + ")";
+    for (auto const& each : record.stages)
+    {
+        text += " stage " + std::to_string(each.stage) + ":";
+        for (auto const& known : each.tasks)
+        {
+            text += known.done     ? " done"
+                    : known.placed ? " on " + known.worker.value() + '/' +
+                                         std::to_string(known.life.value())
+                                   : " waiting";
+        }
+    }
+    text += m_leader->is_planning ? "; a plan is open" : "; no plan is open";
+    for (auto const& one : record.description.stages)
+    {
+        text += "; " + std::to_string(one.tasks) + " tasks of " +
+                std::to_string(one.need.cpu.value()) + "m, at most " +
+                std::to_string(one.constraints.max_per_worker) + " together" +
+                (one.behaviour.gang ? ", gang" : "");
+    }
+    for (auto const& where : m_sites)
+    {
+        auto const* const view =
+            m_leader->work.fleet().find(core::worker_id(where->name));
+        text +=
+            "; " + where->name + " born " + std::to_string(where->born) +
+            (view == nullptr
+                 ? std::string(" unknown")
+                 : " seen " + std::to_string(view->profile.life.value()) +
+                       " silent for " +
+                       std::to_string((m_now - view->heard).count() / 1000) +
+                       " ms, lease left " +
+                       std::to_string(
+                           (view->granted_until - view->clock).count() / 1000) +
+                       " ms" + (view->left ? ", left" : "") +
+                       (view->has_runs ? "" : ", no lists"));
+        for (auto const& [run, life] :
+             m_table.held_on(core::worker_id(where->name)))
+        {
+            text +=
+                " holds " + core::to_string(run.task) + '/' +
+                std::to_string(run.attempt.value()) + " of life " +
+                std::to_string(life.value()) +
+                (where->model.running().contains(run.task) ? " running" : "") +
+                (view != nullptr && view->running.contains(run) ? " seen"
+                                                                : "") +
+                ' ' +
+                std::string(
+                    core::to_string(m_table.find(run.task.workflow)->state));
+        }
+    }
+    return text;
+}
+
+} // namespace turmericswitch::workflow::testing
--- /dev/null
+++ b/modules/workflow/tests/fuzz_parts.hpp
@@ -0,0 +1,60 @@
+#ifndef TURMERICSWITCH_WORKFLOW_TESTS_FUZZ_PARTS_HPP
+#define TURMERICSWITCH_WORKFLOW_TESTS_FUZZ_PARTS_HPP
+
+#include "fuzz_world.hpp"
+
+namespace turmericswitch::workflow::testing
+{
+
+constexpr core::duration fuzz_lease = std::chrono::seconds(9);
+constexpr std::int64_t worker_millicores = 4000;
+
+/// One leader. After it was replaced it goes on with the table as it was.
+struct fuzz_world::leader
+{
+    leader(workflow_table const& shared,
+           std::uint64_t token,
+           core::time_point now)
+        : table(&shared),
+          work(shared,
+               {{fuzz_lease, fuzz_lease}},
+               token,
+               now,
+               [](core::event const&) {})
+    {
+    }
+
+    workflow_table const* table;
+    dispatcher work;
+    bool is_planning = false;
+    bool is_deposed = false;
+    struct poll
+    {
+        core::orders_request request;
+        std::function<void(std::optional<core::runtime_orders>)> done;
+    };
+    std::vector<poll> polls;
+};
+
+struct fuzz_world::site
+{
+    site(std::string given,
+         ::turmericswitch::testing::runtime_model::plan_hook plan)
+        : name(std::move(given)), model(fuzz_lease, std::move(plan))
+    {
+    }
+
+    std::string name;
+    ::turmericswitch::testing::runtime_model model;
+    std::unique_ptr<worker_agent> agent;
+    std::uint64_t agent_life = 0;
+    std::uint64_t born = 0;
+    bool is_cut = false;
+    bool is_down = false;
+    /// Percent of calls to the worker that get no answer.
+    std::uint64_t unanswered = 0;
+};
+
+} // namespace turmericswitch::workflow::testing
+
+#endif
