Count ages of workflows on the group's clock

Cause: a workflow is stamped with the group's replicated clock, and the leader compared that with its process's steady clock. Found in workflow_ended, the event that names the age.

Test: age_counts_on_the_clock_of_the_group, failed before.

--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -358,13 +358,12 @@
 }
 
 std::optional<core::workflow_progress>
-dispatcher::plan(core::time_point now,
-                 core::wall_time wall,
-                 core::configuration const& config)
+dispatcher::plan(plan_times const& times, core::configuration const& config)
 {
+    auto const now = times.now;
     core::workflow_progress command;
     collect_ends(now, command);
-    auto waiting = m_backlog.collect(now, wall);
+    auto waiting = m_backlog.collect(times);
     // Most reports bring neither waiting work nor a look for tasks to move.
     if (!waiting.empty() || now >= m_next_eviction)
     {
--- a/modules/workflow/dispatch/dispatcher.hpp
+++ b/modules/workflow/dispatch/dispatcher.hpp
@@ -76,12 +76,9 @@
 
     /// Decides on ends and placements.
     ///
-    /// @param wall Time of day, for workflows with a schedule.
     /// @return What to commit, or nothing.
     std::optional<core::workflow_progress>
-    plan(core::time_point now,
-         core::wall_time wall,
-         core::configuration const& config);
+    plan(plan_times const& times, core::configuration const& config);
 
     /// Notes that a command was committed.
     void applied(core::time_point now, core::workflow_progress const& command);
--- a/modules/workflow/dispatch/stage_backlog.cpp
+++ b/modules/workflow/dispatch/stage_backlog.cpp
@@ -30,8 +30,7 @@
 {
 }
 
-std::vector<pending_stage> stage_backlog::collect(core::time_point now,
-                                                  core::wall_time wall)
+std::vector<pending_stage> stage_backlog::collect(plan_times const& times)
 {
     std::vector<pending_stage> all;
     for (auto const& id : m_table.active())
@@ -40,13 +39,13 @@
         auto const occurrences = workflow_table::occurrences_of(workflow);
         for (std::uint32_t k = 0; k < occurrences; ++k)
         {
-            if (is_due(workflow, k, wall))
+            if (is_due(workflow, k, times.wall))
             {
-                add_stages(now, workflow, k, all);
+                add_stages(times.cluster, workflow, k, all);
             }
         }
     }
-    note(now, all);
+    note(times.now, all);
     return all;
 }
 
@@ -85,7 +84,7 @@
     return longest;
 }
 
-job_urgency stage_backlog::urgency_of(core::time_point now,
+job_urgency stage_backlog::urgency_of(core::time_point cluster_now,
                                       core::workflow_record const& workflow,
                                       std::uint32_t occurrence) const
 {
@@ -114,7 +113,7 @@
         });
     auto const objective = chain * workflow.queue.stretch_permille / 1000 +
                            workflow.queue.target_latency;
-    auto const age = now - workflow.submitted;
+    auto const age = cluster_now - workflow.submitted;
     if (age + left <= objective)
     {
         return job_urgency::in_time;
@@ -123,13 +122,13 @@
                                                  : job_urgency::hopeless;
 }
 
-void stage_backlog::add_stages(core::time_point now,
+void stage_backlog::add_stages(core::time_point cluster_now,
                                core::workflow_record const& workflow,
                                std::uint32_t occurrence,
                                std::vector<pending_stage>& all) const
 {
     auto const& stages = workflow.description.stages;
-    auto const urgency = urgency_of(now, workflow, occurrence);
+    auto const urgency = urgency_of(cluster_now, workflow, occurrence);
     for (std::uint32_t number = 0; number < stages.size(); ++number)
     {
         if (!workflow_table::is_ready(workflow, occurrence, number))
--- a/modules/workflow/dispatch/stage_backlog.hpp
+++ b/modules/workflow/dispatch/stage_backlog.hpp
@@ -12,6 +12,17 @@
 namespace turmericswitch::workflow
 {
 
+/// The time of one plan on the clocks that it needs.
+struct plan_times
+{
+    /// This process's steady clock.
+    core::time_point now;
+    /// The group's clock, on which workflows were submitted.
+    core::time_point cluster;
+    /// Time of day, for workflows with a schedule.
+    core::wall_time wall;
+};
+
 /// Finds the stages that have tasks without a worker, and how urgent they are.
 class stage_backlog
 {
@@ -21,9 +32,7 @@
                   run_time_model const& run_times,
                   worker_fleet const& fleet);
 
-    /// @param wall Time of day, for workflows with a schedule.
-    std::vector<pending_stage> collect(core::time_point now,
-                                       core::wall_time wall);
+    std::vector<pending_stage> collect(plan_times const& times);
 
     /// @return Since when the stage has had tasks without a worker; nothing if
     ///         it had none at the last call of `collect`.
@@ -35,10 +44,10 @@
     core::duration longest_wait(core::time_point now) const;
 
 private:
-    job_urgency urgency_of(core::time_point now,
+    job_urgency urgency_of(core::time_point cluster_now,
                            core::workflow_record const& workflow,
                            std::uint32_t occurrence) const;
-    void add_stages(core::time_point now,
+    void add_stages(core::time_point cluster_now,
                     core::workflow_record const& workflow,
                     std::uint32_t occurrence,
                     std::vector<pending_stage>& all) const;
--- a/modules/workflow/tests/dispatcher_test.cpp
+++ b/modules/workflow/tests/dispatcher_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(lost_batch_of_orders_is_sent_again);
     CPPUNIT_TEST(cancelled_run_is_stopped_until_it_has_ended);
     CPPUNIT_TEST(workflow_with_a_schedule_waits_for_its_time);
+    CPPUNIT_TEST(age_counts_on_the_clock_of_the_group);
     CPPUNIT_TEST(old_long_running_job_comes_before_fresh_batch);
     CPPUNIT_TEST_SUITE_END();
 
@@ -201,6 +202,24 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, plan()->placements.size());
     }
 
+    // The group's clock and that of a leader's process have nothing in common;
+    // after a change of leader a fresh job looked as old as the machine.
+    void age_counts_on_the_clock_of_the_group()
+    {
+        m_cluster_ahead = -std::chrono::hours(10);
+        auto const cluster = m_now + m_cluster_ahead;
+        m_table.submit(submission("a", {stage(1, 8000)}),
+                       queue(),
+                       cluster - std::chrono::minutes(2));
+        m_table.submit(submission("b", {stage(1, 8000)}), queue(), cluster);
+        report({});
+        grant();
+        auto const command = plan();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, command->placements.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("b"),
+                             command->placements[0].run.task.workflow.value());
+    }
+
     // Load: batch that takes all room as soon as it is free, and a service
     // whose task lapsed behind a cut long after it was handed in.
     void old_long_running_job_comes_before_fresh_batch()
@@ -244,7 +263,7 @@
 
     std::optional<core::workflow_progress> plan()
     {
-        return m_lead->plan(m_now, m_wall, m_config);
+        return m_lead->plan({m_now, m_now + m_cluster_ahead, m_wall}, m_config);
     }
 
     void commit()
@@ -292,6 +311,8 @@
                what.fields.end();
     }
 
+    /// The group's clock against that of this process.
+    core::duration m_cluster_ahead{};
     std::vector<core::event> m_events;
     std::unique_ptr<dispatcher> m_lead;
 };
--- a/modules/workflow/tests/fuzz_world.cpp
+++ b/modules/workflow/tests/fuzz_world.cpp
@@ -95,7 +95,7 @@
           });
     if (!who->is_planning && !who->is_deposed)
     {
-        auto const command = who->work.plan(m_now, {}, m_config);
+        auto const command = who->work.plan({m_now, m_now, {}}, m_config);
         if (command)
         {
             who->is_planning = true;
--- a/programs/control/leader/workflow_service.cpp
+++ b/programs/control/leader/workflow_service.cpp
@@ -172,9 +172,9 @@
         return;
     }
     m_plan_again = false;
-    auto command = m_dispatcher.plan(process::event_loop::now(),
-                                     wall_now(),
-                                     m_node.state().config().in_force());
+    auto command = m_dispatcher.plan(
+        {process::event_loop::now(), m_node.cluster_now(), wall_now()},
+        m_node.state().config().in_force());
     if (!command)
     {
         return;
@@ -364,7 +364,7 @@
 
 void workflow_service::note_ended(core::workflow_progress const& command)
 {
-    auto const now = process::event_loop::now();
+    auto const now = m_node.cluster_now();
     std::set<core::workflow_id> seen;
     for (auto const& end : command.ends)
     {
--- a/programs/control/node/replica.cpp
+++ b/programs/control/node/replica.cpp
@@ -134,11 +134,15 @@
     }
 }
 
+core::time_point replica::cluster_now() const
+{
+    return m_cluster_base + (process::event_loop::now() - m_led_since);
+}
+
 core::command_envelope replica::stamped(core::command_body body) const
 {
     core::command_envelope envelope;
-    envelope.cluster_time =
-        m_cluster_base + (process::event_loop::now() - m_led_since);
+    envelope.cluster_time = cluster_now();
     envelope.wall = wall_now();
     envelope.body = std::move(body);
     return envelope;
--- a/programs/control/node/replica.hpp
+++ b/programs/control/node/replica.hpp
@@ -96,6 +96,10 @@
     cluster_state::state_machine const& state() const noexcept;
     void observe_holds(cluster_state::hold_observer observer);
 
+    /// @return The leader's reading of the group's clock, which goes on where
+    ///         the last leader's commands left it.
+    core::time_point cluster_now() const;
+
     /// @return True between `leadership_began` and `leadership_ended`.
     bool is_leading() const noexcept;
     core::term current_term() const;
