Report a worker that leaves while a report is on its way

Cause: a worker said that it ends while the sidecar waited for the answer to a report. The next report, which says so, was due at that answer, but the agent ended its loop there.

Ruled out by the log: a lost DELETE (worker_left is there) and the stop of the sidecar (a second later).

Test: leaving_during_a_report_is_reported_after_it, failed before.

--- a/modules/workflow/agent/worker_agent.cpp
+++ b/modules/workflow/agent/worker_agent.cpp
@@ -309,6 +309,11 @@
     accept(*grant);
     if (m_left)
     {
+        // The report that was on its way did not say so yet.
+        if (m_report_again)
+        {
+            send_report();
+        }
         return;
     }
     if (!m_polling)
--- a/modules/workflow/tests/worker_agent_test.cpp
+++ b/modules/workflow/tests/worker_agent_test.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(report_after_an_outage_has_a_fresh_clock);
     CPPUNIT_TEST(first_look_of_a_life_is_answered_at_once);
     CPPUNIT_TEST(lost_leader_brings_the_next_report_forward);
+    CPPUNIT_TEST(leaving_during_a_report_is_reported_after_it);
     CPPUNIT_TEST(lost_and_regained_leader_are_each_logged_once);
     CPPUNIT_TEST(start_is_logged_with_its_task);
     CPPUNIT_TEST(ends_are_acknowledged_only_as_far_as_granted);
@@ -172,6 +173,21 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_reports.size());
     }
 
+    // A worker that leaves while a report is on its way: without a further
+    // report the leader waits for the end of the lease before it starts the
+    // worker's tasks elsewhere.
+    void leaving_during_a_report_is_reported_after_it()
+    {
+        start_up();
+        answer(m_holds, std::optional(hold_answer{}));
+        m_agent->unregistered(core::worker_id("w1"));
+        grant(1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_reports.size());
+        CPPUNIT_ASSERT(last_report().left);
+        grant(1);
+        CPPUNIT_ASSERT(m_reports.empty());
+    }
+
     // Guards the log against a line for each failed report of an outage.
     void lost_and_regained_leader_are_each_logged_once()
     {
