Call what exists in place of what the change wrote again

- The control program reads the time of day in one place (wall_clock.hpp), and workflow_service converts times with wire::to_milliseconds.
- sharing_control::update returns the paces that it changed.
The dispatcher looked each pace up before and after every report, though paces change only once in half a second.
- sharing_control finds a task in a sample, and a pace, by one function each.
- The sharing tests teach the control by one loop; their assertions stay.

No decision changes.

--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -112,18 +112,9 @@
         }
     }
     auto const& worker = view.profile.worker;
-    std::map<core::task_run, std::uint32_t> before;
-    for (auto const& task : sample.spare)
+    for (auto const& [pace, before] : m_sharing.update(now, worker, sample))
     {
-        before[task.run] = m_sharing.pace(worker, task.run);
-    }
-    m_sharing.update(now, worker, sample);
-    for (auto const& [run, pace] : before)
-    {
-        if (auto const percent = m_sharing.pace(worker, run); percent != pace)
-        {
-            m_on_event(pace_event(worker, {run, percent}, pace, sample));
-        }
+        m_on_event(pace_event(worker, pace, before, sample));
     }
 }
 
--- a/modules/workflow/dispatch/sharing_control.cpp
+++ b/modules/workflow/dispatch/sharing_control.cpp
@@ -32,6 +32,23 @@
 constexpr std::int64_t most_use = 100;
 constexpr std::int64_t use_step = 5;
 
+std::uint32_t pace_in(pace_state const& state, core::task_run const& run)
+{
+    auto const pace = state.paces.find(run);
+    return pace == state.paces.end() ? full_pace : pace->second;
+}
+
+/// @return The task in the sample, or null.
+spare_task const* find_spare(sharing_sample const& sample,
+                             core::task_run const& run)
+{
+    auto const found = std::find_if(sample.spare.begin(),
+                                    sample.spare.end(),
+                                    [&run](spare_task const& each)
+                                    { return each.run == run; });
+    return found == sample.spare.end() ? nullptr : &*found;
+}
+
 } // namespace
 
 sharing_control::sharing_control(core::duration harm_limit)
@@ -39,20 +56,32 @@
 {
 }
 
-void sharing_control::update(core::time_point now,
-                             core::worker_id const& worker,
-                             sharing_sample const& sample)
+std::vector<pace_change> sharing_control::update(core::time_point now,
+                                                 core::worker_id const& worker,
+                                                 sharing_sample const& sample)
 {
     auto& state = m_workers[worker];
     if (now - state.sampled < sample_time)
     {
-        return;
+        return {};
     }
     state.sampled = now;
     learn(state, sample);
     update_use(state, sample);
     state.last = sample;
+    auto const before = state.paces;
     m_control.decide(now, sample, state.paces);
+    std::vector<pace_change> changes;
+    for (auto const& task : sample.spare)
+    {
+        auto const earlier = pace_in(before, task.run);
+        auto const pace = pace_in(state.paces, task.run);
+        if (pace != earlier)
+        {
+            changes.push_back({{task.run, pace}, earlier});
+        }
+    }
+    return changes;
 }
 
 std::vector<core::task_run>
@@ -107,11 +136,8 @@
     for (auto const& task : sample.spare)
     {
         // Only tasks that ran for the whole time of the report tell.
-        auto const before = std::find_if(state.last.spare.begin(),
-                                         state.last.spare.end(),
-                                         [&task](spare_task const& each)
-                                         { return each.run == task.run; });
-        if (before == state.last.spare.end() || before->used.value() == 0 ||
+        auto const* const before = find_spare(state.last, task.run);
+        if (before == nullptr || before->used.value() == 0 ||
             state.paces.paces.contains(task.run))
         {
             continue;
@@ -138,12 +164,8 @@
                                     core::task_run const& run) const
 {
     auto const known = m_workers.find(worker);
-    if (known == m_workers.end())
-    {
-        return full_pace;
-    }
-    auto const pace = known->second.paces.paces.find(run);
-    return pace == known->second.paces.paces.end() ? full_pace : pace->second;
+    return known == m_workers.end() ? full_pace
+                                    : pace_in(known->second.paces, run);
 }
 
 double sharing_control::tail_with(core::worker_id const& worker,
@@ -177,13 +199,10 @@
     {
         return need;
     }
-    auto const& spare = known->second.last.spare;
-    auto const seen = std::find_if(spare.begin(),
-                                   spare.end(),
-                                   [&run](spare_task const& each)
-                                   { return each.run == run; });
-    auto const used = seen == spare.end() ? core::millicores() : seen->used;
-    auto const wanted = need.value() * pace(worker, run) / full_pace;
+    auto const* const seen = find_spare(known->second.last, run);
+    auto const used = seen == nullptr ? core::millicores() : seen->used;
+    auto const wanted =
+        need.value() * pace_in(known->second.paces, run) / full_pace;
     return core::millicores(std::max<std::int64_t>(wanted - used.value(), 0));
 }
 
--- a/modules/workflow/dispatch/sharing_control.hpp
+++ b/modules/workflow/dispatch/sharing_control.hpp
@@ -12,6 +12,14 @@
 namespace turmericswitch::workflow
 {
 
+/// A new pace of a task on spare processor time.
+struct pace_change
+{
+    core::run_pace now;
+    /// In percent.
+    std::uint32_t before = 0;
+};
+
 /// Lets tasks on spare processor time run beside serving tasks as fast as the
 /// targets of the latter allow.
 ///
@@ -29,9 +37,11 @@
     sharing_control& operator=(sharing_control const&) = delete;
 
     /// Takes the sample of a report.
-    void update(core::time_point now,
-                core::worker_id const& worker,
-                sharing_sample const& sample);
+    ///
+    /// @return The paces that it changed.
+    std::vector<pace_change> update(core::time_point now,
+                                    core::worker_id const& worker,
+                                    sharing_sample const& sample);
 
     /// @return Share of its speed for a task on spare time, in percent.
     std::uint32_t pace(core::worker_id const& worker,
--- a/modules/workflow/tests/sharing_test.cpp
+++ b/modules/workflow/tests/sharing_test.cpp
@@ -5,6 +5,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <cmath>
+#include <functional>
 
 namespace turmericswitch::workflow
 {
@@ -59,19 +60,9 @@
     // is enough, so the other goes on.
     void neighbour_that_disturbs_most_is_slowed_first()
     {
-        for (int i = 0; i < 400; ++i)
-        {
-            auto made = at(0);
-            double const heavy = 0.05 * (i % 4);
-            double const light = 0.05 * ((i / 4) % 4);
-            made.spare[0].used =
-                core::millicores(static_cast<std::int64_t>(heavy * 32'000));
-            made.spare[1].used =
-                core::millicores(static_cast<std::int64_t>(light * 32'000));
-            made.serving[0].tail = 0.15 * std::exp(8 * heavy + 3 * light);
-            m_now += std::chrono::milliseconds(600);
-            m_control.update(m_now, core::worker_id("teacher"), made);
-        }
+        teach_control(
+            [](sharing_sample& made, double heavy, double light)
+            { made.serving[0].tail = 0.15 * std::exp(8 * heavy + 3 * light); });
         sample(1.2);
         CPPUNIT_ASSERT(pace(m_heavy) < 70);
         CPPUNIT_ASSERT_EQUAL(100U, pace(m_light));
@@ -139,21 +130,13 @@
     // for the one that is worse off must not leave the other disturbed.
     void every_disturbed_service_is_relieved()
     {
-        for (int i = 0; i < 400; ++i)
-        {
-            auto made = at(0);
-            double const heavy = 0.05 * (i % 4);
-            double const light = 0.05 * ((i / 4) % 4);
-            made.spare[0].used =
-                core::millicores(static_cast<std::int64_t>(heavy * 32'000));
-            made.spare[1].used =
-                core::millicores(static_cast<std::int64_t>(light * 32'000));
-            made.serving[0].tail = 0.15 * std::exp(8 * heavy);
-            made.serving.push_back(
-                {run_of("t", 0, 0), "watch", 0.15 * std::exp(8 * light)});
-            m_now += std::chrono::milliseconds(600);
-            m_control.update(m_now, core::worker_id("teacher"), made);
-        }
+        teach_control(
+            [](sharing_sample& made, double heavy, double light)
+            {
+                made.serving[0].tail = 0.15 * std::exp(8 * heavy);
+                made.serving.push_back(
+                    {run_of("t", 0, 0), "watch", 0.15 * std::exp(8 * light)});
+            });
         auto made = at(1.3);
         made.serving.push_back({run_of("t", 0, 0), "watch", 1.2});
         m_now += std::chrono::milliseconds(600);
@@ -278,22 +261,35 @@
         m_control.update(m_now, m_worker, at(tail));
     }
 
-    /// Tails that follow the heavy neighbour's use alone.
-    void teach_control()
+    /// Shows the control a worker on which the neighbours' use varies.
+    ///
+    /// @param serve Sets the serving tasks that follow from the shares used.
+    void teach_control(
+        std::function<void(sharing_sample&, double heavy, double light)> const&
+            serve)
     {
         for (int i = 0; i < 400; ++i)
         {
             auto made = at(0);
             double const heavy = 0.05 * (i % 4);
+            double const light = 0.05 * ((i / 4) % 4);
             made.spare[0].used =
                 core::millicores(static_cast<std::int64_t>(heavy * 32'000));
-            made.spare[1].used = core::millicores(1600 * ((i / 4) % 4));
-            made.serving[0].tail = 0.15 * std::exp(8 * heavy);
+            made.spare[1].used =
+                core::millicores(static_cast<std::int64_t>(light * 32'000));
+            serve(made, heavy, light);
             m_now += std::chrono::milliseconds(600);
             m_control.update(m_now, core::worker_id("teacher"), made);
         }
     }
 
+    /// Tails that follow the heavy neighbour's use alone.
+    void teach_control()
+    {
+        teach_control([](sharing_sample& made, double heavy, double)
+                      { made.serving[0].tail = 0.15 * std::exp(8 * heavy); });
+    }
+
     std::uint32_t pace(core::task_run const& run) const
     {
         return m_control.pace(m_worker, run);
--- a/programs/control/leader/workflow_service.cpp
+++ b/programs/control/leader/workflow_service.cpp
@@ -1,5 +1,8 @@
 #include "leader/workflow_service.hpp"
 
+#include "node/wall_clock.hpp"
+#include "wire/json/json_members.hpp"
+
 #include <chrono>
 #include <set>
 #include <utility>
@@ -17,12 +20,6 @@
 /// Time between two lines that say how much waits and runs.
 constexpr core::duration summary_interval = std::chrono::seconds(1);
 
-core::wall_time wall_now()
-{
-    return std::chrono::time_point_cast<std::chrono::microseconds>(
-        std::chrono::system_clock::now());
-}
-
 template <typename Answer>
 Answer not_leader()
 {
@@ -37,11 +34,6 @@
            orders.paces.empty();
 }
 
-std::int64_t milliseconds_of(core::duration time)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
-}
-
 /// @return Tasks, needs of one task, and what decides where it may run.
 std::string summary_of(core::stage_description const& stage)
 {
@@ -50,14 +42,14 @@
         std::to_string(stage.tasks) + "x" +
         std::to_string(stage.need.cpu.value()) + "m/" +
         std::to_string(stage.need.memory.value() >> mebibyte_shift) + "MiB/" +
-        std::to_string(milliseconds_of(stage.estimate)) + "ms";
+        std::to_string(wire::to_milliseconds(stage.estimate)) + "ms";
     text += stage.behaviour.uses_spare_cpu ? "/spare" : "";
     text += stage.behaviour.long_running ? "/long" : "";
     text += stage.behaviour.gang ? "/gang" : "";
     if (auto const target = stage.behaviour.target_latency;
         target > core::duration{})
     {
-        text += "/target" + std::to_string(milliseconds_of(target));
+        text += "/target" + std::to_string(wire::to_milliseconds(target));
     }
     if (auto const most = stage.constraints.max_per_worker; most > 0)
     {
--- a/programs/control/node/replica.cpp
+++ b/programs/control/node/replica.cpp
@@ -1,6 +1,7 @@
 #include "node/replica.hpp"
 
 #include "core/results/last_reason.hpp"
+#include "node/wall_clock.hpp"
 #include "wire/codec/message_codec.hpp"
 
 #include <algorithm>
@@ -48,12 +49,6 @@
         std::chrono::nanoseconds(time.tv_nsec));
 }
 
-core::wall_time wall_now()
-{
-    return std::chrono::time_point_cast<std::chrono::microseconds>(
-        std::chrono::system_clock::now());
-}
-
 } // namespace
 
 replica::replica(process::event_loop& loop,
