--- /dev/null
+++ b/modules/workflow/dispatch/candidate_pool.cpp
@@ -0,0 +1,106 @@
+#include "workflow/dispatch/candidate_pool.hpp"
+
+#include <utility>
+
+namespace turmericswitch::workflow
+{
+
+candidate_pool::candidate_pool(workflow_table const& table,
+                               worker_fleet const& fleet,
+                               colocation_controller const& colocation)
+    : m_table(table), m_fleet(fleet), m_colocation(colocation)
+{
+}
+
+void candidate_pool::mark_changed(core::worker_id const& worker)
+{
+    m_changed.insert(worker);
+}
+
+std::uint64_t candidate_pool::computed_workers() const noexcept
+{
+    return m_computed;
+}
+
+void candidate_pool::update()
+{
+    if (auto changed = m_table.changed_workers().read(m_read))
+    {
+        m_changed.merge(*changed);
+    }
+    else
+    {
+        for (auto const& [worker, view] : m_fleet.all())
+        {
+            m_changed.insert(worker);
+        }
+    }
+    for (auto const& worker : std::exchange(m_changed, {}))
+    {
+        if (auto const* const view = m_fleet.find(worker))
+        {
+            compute(*view);
+        }
+    }
+    std::erase_if(m_candidates,
+                  [this](auto const& item)
+                  { return m_fleet.find(item.first) == nullptr; });
+}
+
+void candidate_pool::compute(worker_view const& view)
+{
+    ++m_computed;
+    auto const& id = view.profile.worker;
+    candidate_worker worker;
+    worker.worker = id;
+    worker.life = view.profile.life;
+    worker.service = view.profile.service;
+    worker.rack = view.profile.rack;
+    worker.labels = view.profile.labels;
+    worker.capacity = view.profile.capacity;
+    worker.free = worker.capacity;
+    worker.spare = worker.capacity.cpu;
+    worker.serving_use_percent = m_colocation.serving_use(id);
+    for (auto const& [run, life] : m_table.held_on(id))
+    {
+        // Includes runs of earlier incarnations: they keep their capacity until
+        // their ends are committed.
+        auto const* const stage = m_table.find_stage(run.task);
+        if (stage == nullptr)
+        {
+            continue;
+        }
+        worker.add(stage_of(run.task), *stage, m_colocation.pace(id, run));
+        if (stage->behaviour.uses_spare_cpu)
+        {
+            worker.planned[stage->behaviour.image] +=
+                m_colocation.expected_growth(id, run, stage->need.cpu);
+        }
+    }
+    m_candidates.insert_or_assign(id, std::move(worker));
+}
+
+std::vector<candidate_worker*>
+candidate_pool::collect(core::time_point now, eligible_hook const& is_eligible)
+{
+    update();
+    std::vector<candidate_worker*> eligible;
+    auto view = m_fleet.all().begin();
+    for (auto& [id, worker] : m_candidates)
+    {
+        // Both maps are in the order of the ids, and each candidate has a view.
+        while (view->first < id)
+        {
+            ++view;
+        }
+        if (is_eligible(view->second))
+        {
+            worker.closed_to_best_effort =
+                m_colocation.is_over_target_for_long(now, id);
+            eligible.push_back(&worker);
+        }
+    }
+    return eligible;
+}
+
+} // namespace turmericswitch::workflow
--- a/modules/workflow/dispatch/colocation_controller.cpp
+++ b/modules/workflow/dispatch/colocation_controller.cpp
@@ -59,16 +59,24 @@
 {
 }
 
+bool colocation_controller::is_sample_due(core::time_point now,
+                                          core::worker_id const& worker) const
+{
+    auto const known = m_workers.find(worker);
+    return known == m_workers.end() ||
+           now - known->second.sampled >= sample_time;
+}
+
 std::vector<pace_change>
 colocation_controller::update(core::time_point now,
                               core::worker_id const& worker,
                               colocation_sample const& sample)
 {
-    auto& state = m_workers[worker];
-    if (now - state.sampled < sample_time)
+    if (!is_sample_due(now, worker))
     {
         return {};
     }
+    auto& state = m_workers[worker];
     state.sampled = now;
     learn(state, sample);
     update_serving_use(state, sample);
--- a/modules/workflow/dispatch/colocation_controller.hpp
+++ b/modules/workflow/dispatch/colocation_controller.hpp
@@ -37,6 +37,10 @@
     colocation_controller(colocation_controller const&) = delete;
     colocation_controller& operator=(colocation_controller const&) = delete;
 
+    /// @return True if enough time has passed since the worker's last sample.
+    bool is_sample_due(core::time_point now,
+                       core::worker_id const& worker) const;
+
     /// Processes the sample of a report.
     ///
     /// @return The paces that changed.
--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -26,14 +26,9 @@
 /// plan.
 constexpr core::duration eviction_interval = std::chrono::milliseconds(500);
 
-/// @return True if the worker reports a checkpoint that is not committed yet.
-bool is_new_checkpoint(core::task_record const& task,
-                       core::running_task const& seen)
-{
-    return !seen.checkpoint.value().empty() && !task.done &&
-           task.attempt == seen.run.attempt &&
-           task.checkpoint != seen.checkpoint;
-}
+/// Time between two searches for workers for the waiting tasks while no
+/// workflow ends or arrives. It covers changes of the spare CPU and of leases.
+constexpr core::duration placement_interval = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -48,6 +43,8 @@
       m_fleet(options.leases, elected),
       m_colocation(options.harm_limit),
       m_backlog(table, m_run_times, m_fleet),
+      m_candidates(table, m_fleet, m_colocation),
+      m_ends(table, m_fleet),
       m_orders(table),
       m_on_event(std::move(on_event))
 {
@@ -60,16 +57,25 @@
         known != nullptr && known->profile.life < report.profile.life;
     bool const is_new_sidecar =
         known != nullptr && known->sidecar != report.sidecar;
+    bool const was_usable = known != nullptr && known->has_runs &&
+                            !known->profile.draining &&
+                            is_reporting(now, *known);
+    bool const is_other_profile =
+        known == nullptr || known->profile != report.profile;
     auto const worker = report.profile.worker;
     auto* const view = m_fleet.report(now, std::move(report));
     if (view == nullptr)
     {
         return false;
     }
-    if (known == nullptr || is_new_incarnation || is_new_sidecar)
+    bool const is_new = known == nullptr || is_new_incarnation;
+    if (is_new || is_new_sidecar)
     {
         m_on_event(worker_seen_event(*view));
     }
+    m_ends.reported(worker, is_new || view->left);
+    m_orders.mark_changed(worker);
+    m_placement_due = m_placement_due || !was_usable;
     if (is_new_incarnation)
     {
         m_health.forget(worker);
@@ -79,7 +85,15 @@
     {
         m_orders.forget(worker);
     }
-    update_colocation(now, *view);
+    bool const is_sample_due = m_colocation.is_sample_due(now, worker);
+    if (is_sample_due)
+    {
+        update_colocation(now, *view);
+    }
+    if (is_sample_due || is_other_profile)
+    {
+        m_candidates.mark_changed(worker);
+    }
     return true;
 }
 
@@ -125,17 +139,7 @@
 bool dispatcher::has_uncommitted_ends(core::worker_id const& worker) const
 {
     auto const* const view = m_fleet.find(worker);
-    if (view == nullptr)
-    {
-        return false;
-    }
-    auto const is_open = [&](core::task_run const& run)
-    { return m_table.is_held(run, worker, view->profile.life); };
-    return std::any_of(view->ended.begin(),
-                       view->ended.end(),
-                       [&](core::ended_run const& each)
-                       { return is_open(each.run); }) ||
-           std::any_of(view->refused.begin(), view->refused.end(), is_open);
+    return view != nullptr && m_ends.has_uncommitted_ends(*view);
 }
 
 core::runtime_grant dispatcher::grant(core::worker_id const& worker,
@@ -148,6 +152,8 @@
     {
         return answer;
     }
+    bool const is_first = view->granted_until == core::duration{};
+    m_placement_due = m_placement_due || is_first;
     m_fleet.extend_lease(*view);
     answer.lease_until = view->granted_until;
     for (auto const& each : view->ended)
@@ -168,85 +174,17 @@
     return answer;
 }
 
-void dispatcher::collect_reported_ends(worker_view const& view,
-                                       core::workflow_progress& command) const
+bool dispatcher::is_reporting(core::time_point now,
+                              worker_view const& view) const
 {
-    auto const& [worker, life] =
-        std::tie(view.profile.worker, view.profile.life);
-    for (auto const& each : view.ended)
-    {
-        if (m_table.is_held(each.run, worker, life))
-        {
-            command.ends.push_back(
-                {each.run, worker, life, each.how, each.checkpoint});
-        }
-    }
-    for (auto const& run : view.refused)
-    {
-        if (m_table.is_held(run, worker, life))
-        {
-            command.ends.push_back(
-                {run, worker, life, core::run_end::refused, {}});
-        }
-    }
-}
-
-void dispatcher::collect_checkpoints(worker_view const& view,
-                                     core::workflow_progress& command) const
-{
-    for (auto const& [run, seen] : view.running)
-    {
-        auto const* const task = m_table.find_task(run.task);
-        if (task != nullptr && is_new_checkpoint(*task, seen))
-        {
-            command.checkpoints.push_back({run, seen.checkpoint});
-        }
-    }
-}
-
-void dispatcher::collect_ends(core::time_point now,
-                              core::workflow_progress& command)
-{
-    for (auto const& [id, view] : m_fleet.all())
-    {
-        collect_reported_ends(view, command);
-        collect_checkpoints(view, command);
-    }
-    for (auto const& [worker, runs] : m_table.holds())
-    {
-        for (auto const& [run, life] : runs)
-        {
-            if (m_fleet.is_dead(now, worker, life))
-            {
-                core::run_outcome const lost{
-                    run, worker, life, core::run_end::lost, {}};
-                auto const is_listed =
-                    std::any_of(command.ends.begin(),
-                                command.ends.end(),
-                                [&lost](core::run_outcome const& each)
-                                {
-                                    return each.run == lost.run &&
-                                           each.worker == lost.worker &&
-                                           each.life == lost.life;
-                                });
-                if (!is_listed)
-                {
-                    command.ends.push_back(lost);
-                }
-            }
-        }
-    }
-    m_fleet.prune(now,
-                  [this](core::worker_id const& worker)
-                  { return m_table.holds().contains(worker); });
+    return now - view.reported_at <
+           m_options.report_interval * max_missed_reports;
 }
 
 bool dispatcher::is_eligible(core::time_point now,
                              worker_view const& view,
                              core::configuration const& config) const
 {
-    bool const is_reporting =
-        now - view.reported_at < m_options.report_interval * max_missed_reports;
     bool const is_leased = view.granted_until - view.clock >
                            (now - view.clock_changed_at) + min_lease_left;
     bool const is_evacuated =
@@ -254,97 +192,60 @@
                   config.evacuated.end(),
                   view.profile.zone) != config.evacuated.end();
     return view.has_runs && !view.left && !view.profile.draining &&
-           is_reporting && is_leased && !is_evacuated &&
+           is_reporting(now, view) && is_leased && !is_evacuated &&
            !m_health.is_quarantined(now, view.profile.worker);
 }
 
-std::vector<candidate_worker>
-dispatcher::candidates(core::time_point now,
-                       core::configuration const& config) const
+std::vector<candidate_worker*>
+dispatcher::candidates(core::time_point now, core::configuration const& config)
 {
-    std::vector<candidate_worker> all;
-    for (auto const& [id, view] : m_fleet.all())
-    {
-        if (!is_eligible(now, view, config))
-        {
-            continue;
-        }
-        candidate_worker worker;
-        worker.worker = id;
-        worker.life = view.profile.life;
-        worker.service = view.profile.service;
-        worker.rack = view.profile.rack;
-        worker.labels = view.profile.labels;
-        worker.capacity = view.profile.capacity;
-        worker.free = worker.capacity;
-        worker.spare = worker.capacity.cpu;
-        worker.serving_use_percent = m_colocation.serving_use(id);
-        worker.closed_to_best_effort =
-            m_colocation.is_over_target_for_long(now, id);
-        for (auto const& [run, life] : m_table.held_on(id))
-        {
-            // Includes runs of earlier incarnations: they keep their capacity
-            // until their ends are committed.
-            if (auto const* const stage = m_table.find_stage(run.task))
-            {
-                worker.add(
-                    stage_of(run.task), *stage, m_colocation.pace(id, run));
-                if (stage->behaviour.uses_spare_cpu)
-                {
-                    worker.planned[stage->behaviour.image] +=
-                        m_colocation.expected_growth(id, run, stage->need.cpu);
-                }
-            }
-        }
-        all.push_back(std::move(worker));
-    }
-    return all;
+    return m_candidates.collect(now,
+                                [&](worker_view const& view)
+                                { return is_eligible(now, view, config); });
+}
+
+bool dispatcher::is_evictable(core::task_run const& run) const
+{
+    auto const* const stage = m_table.find_stage(run.task);
+    return stage != nullptr && stage->behaviour.checkpoints &&
+           !stage->behaviour.gang && !m_orders.evicting().contains(run);
 }
 
 void dispatcher::evict_stalled(core::time_point now,
-                               std::vector<candidate_worker> const& workers)
+                               std::vector<candidate_worker*> const& workers)
 {
     if (now < m_next_eviction)
     {
         return;
     }
     m_next_eviction = now + eviction_interval;
-    auto remaining = workers;
     for (auto const& [id, view] : m_fleet.all())
     {
         auto const& worker = id;
         for (auto const& run : m_colocation.stalled(now, worker))
         {
-            auto const* const stage = m_table.find_stage(run.task);
-            auto const* const workflow = m_table.find(run.task.workflow);
-            if (stage == nullptr || !stage->behaviour.checkpoints ||
-                stage->behaviour.gang || m_orders.evicting().contains(run))
+            if (!is_evictable(run))
             {
                 continue;
             }
             pending_stage moved;
             moved.stage = stage_of(run.task);
-            moved.description = stage;
-            moved.service = workflow->queue.service;
+            moved.description = m_table.find_stage(run.task);
+            moved.service = m_table.find(run.task.workflow)->queue.service;
             moved.runs = {run};
-            auto elsewhere = remaining;
+            auto elsewhere = workers;
             std::erase_if(elsewhere,
-                          [&worker](candidate_worker const& each)
-                          { return each.worker == worker; });
+                          [&worker](candidate_worker const* each)
+                          { return each->worker == worker; });
             auto const found =
-                plan_stages({moved}, elsewhere, 1, make_tail_hook());
+                plan_stages({&moved}, elsewhere, 1, make_tail_hook());
             if (found.empty())
             {
                 continue;
             }
-            m_orders.evict(run);
+            m_orders.evict(worker, run);
+            m_candidates.mark_changed(found.front().worker);
             m_on_event(run_evicted_event(worker, run, found.front().worker));
-            auto const target =
-                std::find_if(remaining.begin(),
-                             remaining.end(),
-                             [&found](candidate_worker const& each)
-                             { return each.worker == found.front().worker; });
-            target->add_planned(moved.stage, *stage);
         }
     }
 }
@@ -355,21 +256,53 @@
     { return m_colocation.predicted_tail(worker, added); };
 }
 
+bool dispatcher::is_placement_due(plan_times const& times,
+                                  core::configuration const& config)
+{
+    auto const changes = m_table.changed_workflows().end();
+    bool const is_due = m_placement_due || times.now >= m_next_placement ||
+                        m_planned_changes != changes ||
+                        m_evacuated != config.evacuated ||
+                        m_backlog.is_occurrence_due(times.wall);
+    if (is_due)
+    {
+        m_placement_due = false;
+        m_next_placement = times.now + placement_interval;
+        m_planned_changes = changes;
+        m_evacuated = config.evacuated;
+    }
+    return is_due;
+}
+
+void dispatcher::place_tasks(plan_times const& times,
+                             core::configuration const& config,
+                             core::workflow_progress& command)
+{
+    auto const waiting = m_backlog.collect(times);
+    // Skips the candidates when there is nothing to place or evict.
+    if (waiting.empty() && times.now < m_next_eviction)
+    {
+        return;
+    }
+    auto const workers = candidates(times.now, config);
+    command.placements =
+        plan_stages(waiting, workers, max_placements, make_tail_hook());
+    m_placement_due = command.placements.size() == max_placements;
+    for (auto const& placed : command.placements)
+    {
+        m_candidates.mark_changed(placed.worker);
+    }
+    evict_stalled(times.now, workers);
+}
+
 std::optional<core::workflow_progress>
 dispatcher::plan(plan_times const& times, core::configuration const& config)
 {
-    auto const now = times.now;
     core::workflow_progress command;
-    collect_ends(now, command);
-    auto waiting = m_backlog.collect(times);
-    // Skips the candidates when there is nothing to place or evict, which is
-    // the case for most reports.
-    if (!waiting.empty() || now >= m_next_eviction)
+    m_ends.collect(times.now, command);
+    if (is_placement_due(times, config))
     {
-        auto workers = candidates(now, config);
-        command.placements = plan_stages(
-            std::move(waiting), workers, max_placements, make_tail_hook());
-        evict_stalled(now, workers);
+        place_tasks(times, config, command);
     }
     if (command.ends.empty() && command.checkpoints.empty() &&
         command.placements.empty())
@@ -394,6 +327,13 @@
         emit_run_placed(now, placement);
         m_placed_at.emplace(placement.run, now);
     }
+    m_ends.applied(now, command);
+}
+
+void dispatcher::rejected(core::workflow_progress const& command)
+{
+    m_ends.rejected(command);
+    m_placement_due = true;
 }
 
 void dispatcher::record_end(core::time_point now,
@@ -442,16 +382,16 @@
 }
 
 dispatch_counts dispatcher::counts(core::time_point now,
-                                   core::configuration const& config) const
+                                   core::configuration const& config)
 {
     dispatch_counts result;
     result.workers = m_fleet.all().size();
     result.waiting_tasks = m_backlog.waiting_tasks();
     result.longest_wait = m_backlog.longest_wait(now);
-    for (auto const& worker : candidates(now, config))
+    for (auto const* const worker : candidates(now, config))
     {
         ++result.usable_workers;
-        result.spare += worker.spare;
+        result.spare += worker->spare;
     }
     for (auto const& [worker, runs] : m_table.holds())
     {
@@ -501,6 +441,11 @@
     }
 }
 
+std::set<core::worker_id> dispatcher::workers_with_orders(core::time_point now)
+{
+    return m_orders.due_workers(now);
+}
+
 core::runtime_orders dispatcher::take_orders(core::time_point now,
                                              core::worker_id const& worker,
                                              core::incarnation life)
--- a/modules/workflow/dispatch/dispatcher.hpp
+++ b/modules/workflow/dispatch/dispatcher.hpp
@@ -4,7 +4,9 @@
 #include "core/config/configuration.hpp"
 #include "core/events/event.hpp"
 #include "core/messages/workflow.hpp"
+#include "workflow/dispatch/candidate_pool.hpp"
 #include "workflow/dispatch/colocation_controller.hpp"
+#include "workflow/dispatch/end_collector.hpp"
 #include "workflow/dispatch/order_reconciler.hpp"
 #include "workflow/dispatch/run_time_model.hpp"
 #include "workflow/dispatch/stage_backlog.hpp"
@@ -85,10 +87,18 @@
     /// Must be called after a command of `plan` was committed.
     void applied(core::time_point now, core::workflow_progress const& command);
 
+    /// Must be called if a command of `plan` was not committed although this
+    /// process still leads, so that its ends are collected again.
+    void rejected(core::workflow_progress const& command);
+
     /// Handles the number of the last batch of orders that a sidecar received.
     /// If a batch was lost, all orders are sent again.
     void acknowledge_orders(core::worker_id const& worker, std::uint64_t batch);
 
+    /// @return Workers for which orders may have become due since the last
+    ///         call.
+    std::set<core::worker_id> workers_with_orders(core::time_point now);
+
     /// @return The orders that are due for a worker; they count as sent.
     core::runtime_orders take_orders(core::time_point now,
                                      core::worker_id const& worker,
@@ -96,24 +106,26 @@
 
     /// @return Counts; those of waiting tasks are as of the last `plan`.
     dispatch_counts counts(core::time_point now,
-                           core::configuration const& config) const;
+                           core::configuration const& config);
 
     worker_fleet const& fleet() const noexcept;
     std::uint64_t fencing_token() const noexcept;
 
 private:
-    void collect_ends(core::time_point now, core::workflow_progress& command);
-    void collect_reported_ends(worker_view const& view,
-                               core::workflow_progress& command) const;
-    void collect_checkpoints(worker_view const& view,
-                             core::workflow_progress& command) const;
-    std::vector<candidate_worker>
-    candidates(core::time_point now, core::configuration const& config) const;
+    std::vector<candidate_worker*>
+    candidates(core::time_point now, core::configuration const& config);
+    void place_tasks(plan_times const& times,
+                     core::configuration const& config,
+                     core::workflow_progress& command);
+    bool is_reporting(core::time_point now, worker_view const& view) const;
     bool is_eligible(core::time_point now,
                      worker_view const& view,
                      core::configuration const& config) const;
+    bool is_placement_due(plan_times const& times,
+                          core::configuration const& config);
     void evict_stalled(core::time_point now,
-                       std::vector<candidate_worker> const& workers);
+                       std::vector<candidate_worker*> const& workers);
+    bool is_evictable(core::task_run const& run) const;
     tail_hook make_tail_hook() const;
     void update_colocation(core::time_point now, worker_view const& view);
     void record_run_time(core::time_point now,
@@ -132,6 +144,15 @@
     colocation_controller m_colocation;
     run_time_model m_run_times;
     stage_backlog m_backlog;
+    candidate_pool m_candidates;
+    end_collector m_ends;
+    /// When placements are planned although no workflow and no worker changed.
+    core::time_point m_next_placement;
+    bool m_placement_due = true;
+    change_log<core::workflow_id>::position m_planned_changes =
+        change_log<core::workflow_id>::unread;
+    /// Zones out of service in the last plan of placements.
+    std::vector<core::zone_id> m_evacuated;
     /// Placement times of the runs that this leader placed.
     std::map<core::task_run, core::time_point> m_placed_at;
     order_reconciler m_orders;
--- /dev/null
+++ b/modules/workflow/dispatch/end_collector.cpp
@@ -0,0 +1,180 @@
+#include "workflow/dispatch/end_collector.hpp"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace turmericswitch::workflow
+{
+
+namespace
+{
+
+/// Interval of the search for expired leases and for checkpoints.
+constexpr core::duration scan_interval = std::chrono::milliseconds(100);
+
+/// Time between two committed checkpoints of a run. Each commit is written and
+/// synced on all members, and a lost worker costs at most this much of the
+/// run's work.
+constexpr core::duration checkpoint_interval = std::chrono::seconds(1);
+
+} // namespace
+
+end_collector::end_collector(workflow_table const& table, worker_fleet& fleet)
+    : m_table(table), m_fleet(fleet)
+{
+}
+
+void end_collector::reported(core::worker_id const& worker,
+                             bool replaces_others)
+{
+    m_reported.insert(worker);
+    m_unsaved.insert(worker);
+    if (replaces_others)
+    {
+        m_next_scan = {};
+    }
+}
+
+bool end_collector::has_uncommitted_ends(worker_view const& view) const
+{
+    auto const is_open = [&](core::task_run const& run)
+    { return m_table.is_held(run, view.profile.worker, view.profile.life); };
+    return std::any_of(view.ended.begin(),
+                       view.ended.end(),
+                       [&](core::ended_run const& each)
+                       { return is_open(each.run); }) ||
+           std::any_of(view.refused.begin(), view.refused.end(), is_open);
+}
+
+void end_collector::collect(core::time_point now,
+                            core::workflow_progress& command)
+{
+    for (auto const& worker : std::exchange(m_reported, {}))
+    {
+        if (auto const* const view = m_fleet.find(worker))
+        {
+            collect_reported_ends(*view, command);
+        }
+    }
+    if (now < m_next_scan)
+    {
+        return;
+    }
+    m_next_scan = now + scan_interval;
+    for (auto const& worker : std::exchange(m_unsaved, {}))
+    {
+        if (auto const* const view = m_fleet.find(worker))
+        {
+            collect_checkpoints(now, *view, command);
+        }
+    }
+    collect_lost(now, command);
+    m_fleet.prune(now,
+                  [this](core::worker_id const& worker)
+                  { return m_table.holds().contains(worker); });
+}
+
+void end_collector::collect_reported_ends(
+    worker_view const& view, core::workflow_progress& command) const
+{
+    auto const& [worker, life] =
+        std::tie(view.profile.worker, view.profile.life);
+    for (auto const& each : view.ended)
+    {
+        if (m_table.is_held(each.run, worker, life))
+        {
+            command.ends.push_back(
+                {each.run, worker, life, each.how, each.checkpoint});
+        }
+    }
+    for (auto const& run : view.refused)
+    {
+        if (m_table.is_held(run, worker, life))
+        {
+            command.ends.push_back(
+                {run, worker, life, core::run_end::refused, {}});
+        }
+    }
+}
+
+void end_collector::collect_lost(core::time_point now,
+                                 core::workflow_progress& command) const
+{
+    std::set<held_run> listed;
+    for (auto const& outcome : command.ends)
+    {
+        listed.insert({outcome.run, outcome.life});
+    }
+    for (auto const& [worker, runs] : m_table.holds())
+    {
+        for (auto const& held : runs)
+        {
+            if (m_fleet.is_dead(now, worker, held.life) &&
+                !listed.contains(held))
+            {
+                command.ends.push_back(
+                    {held.run, worker, held.life, core::run_end::lost, {}});
+            }
+        }
+    }
+}
+
+bool end_collector::is_checkpoint_due(core::time_point now,
+                                      core::running_task const& seen) const
+{
+    if (seen.checkpoint.value().empty())
+    {
+        return false;
+    }
+    auto const* const task = m_table.find_task(seen.run.task);
+    if (task == nullptr || task->done || task->attempt != seen.run.attempt ||
+        task->checkpoint == seen.checkpoint)
+    {
+        return false;
+    }
+    auto const saved = m_saved_at.find(seen.run);
+    return saved == m_saved_at.end() ||
+           now - saved->second >= checkpoint_interval;
+}
+
+void end_collector::collect_checkpoints(core::time_point now,
+                                        worker_view const& view,
+                                        core::workflow_progress& command) const
+{
+    for (auto const& [run, seen] : view.running)
+    {
+        if (is_checkpoint_due(now, seen))
+        {
+            command.checkpoints.push_back({run, seen.checkpoint});
+        }
+    }
+}
+
+void end_collector::applied(core::time_point now,
+                            core::workflow_progress const& command)
+{
+    for (auto const& outcome : command.ends)
+    {
+        m_saved_at.erase(outcome.run);
+    }
+    for (auto const& checkpoint : command.checkpoints)
+    {
+        m_saved_at[checkpoint.run] = now;
+    }
+    for (auto const& placement : command.placements)
+    {
+        m_saved_at[placement.run] = now;
+    }
+}
+
+void end_collector::rejected(core::workflow_progress const& command)
+{
+    for (auto const& outcome : command.ends)
+    {
+        m_reported.insert(outcome.worker);
+    }
+    m_next_scan = {};
+}
+
+} // namespace turmericswitch::workflow
--- /dev/null
+++ b/modules/workflow/dispatch/end_collector.hpp
@@ -0,0 +1,66 @@
+#ifndef TURMERICSWITCH_WORKFLOW_DISPATCH_END_COLLECTOR_HPP
+#define TURMERICSWITCH_WORKFLOW_DISPATCH_END_COLLECTOR_HPP
+
+#include "core/messages/workflow.hpp"
+#include "workflow/dispatch/worker_fleet.hpp"
+#include "workflow/table/workflow_table.hpp"
+
+#include <map>
+#include <set>
+
+namespace turmericswitch::workflow
+{
+
+/// Finds the ends and checkpoints of runs that must be committed.
+///
+/// A worker is searched once after each of its reports. All workers are
+/// searched for expired leases at an interval.
+class end_collector
+{
+public:
+    /// The arguments must outlive the object.
+    end_collector(workflow_table const& table, worker_fleet& fleet);
+
+    /// Must be called after a report of the worker.
+    ///
+    /// @param replaces_others True if the report shows that runs of earlier
+    ///        incarnations or of other workers on the instance have ended.
+    void reported(core::worker_id const& worker, bool replaces_others);
+
+    /// Adds ends and checkpoints that are not committed yet.
+    void collect(core::time_point now, core::workflow_progress& command);
+
+    /// Must be called after a collected command was committed.
+    void applied(core::time_point now, core::workflow_progress const& command);
+
+    /// Must be called if a collected command was not committed.
+    void rejected(core::workflow_progress const& command);
+
+    /// @return True while ends in the worker's last report are not committed.
+    bool has_uncommitted_ends(worker_view const& view) const;
+
+private:
+    void collect_reported_ends(worker_view const& view,
+                               core::workflow_progress& command) const;
+    void collect_lost(core::time_point now,
+                      core::workflow_progress& command) const;
+    void collect_checkpoints(core::time_point now,
+                             worker_view const& view,
+                             core::workflow_progress& command) const;
+    bool is_checkpoint_due(core::time_point now,
+                           core::running_task const& seen) const;
+
+    workflow_table const& m_table;
+    worker_fleet& m_fleet;
+    /// Workers that reported since the last search for ends.
+    std::set<core::worker_id> m_reported;
+    /// Workers that reported since the last search for checkpoints.
+    std::set<core::worker_id> m_unsaved;
+    core::time_point m_next_scan;
+    /// When the last checkpoint of each run, or its placement, was committed.
+    std::map<core::task_run, core::time_point> m_saved_at;
+};
+
+} // namespace turmericswitch::workflow
+
+#endif
--- a/modules/workflow/dispatch/order_reconciler.cpp
+++ b/modules/workflow/dispatch/order_reconciler.cpp
@@ -1,6 +1,7 @@
 #include "workflow/dispatch/order_reconciler.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace turmericswitch::workflow
 {
@@ -18,17 +19,23 @@
 
 constexpr std::uint32_t full_pace = 100;
 
+/// Records that an order is sent now, unless it was sent shortly before.
+///
+/// @param repeat_at Lowered to the time at which the order is due again.
+/// @return True if the order must be sent.
 bool is_due(std::map<core::task_run, core::time_point>& sent,
             core::task_run const& run,
-            core::time_point now)
+            core::time_point now,
+            core::time_point& repeat_at)
 {
     auto const [known, is_new] = sent.try_emplace(run, now);
-    if (!is_new && now - known->second < resend_after)
+    bool const is_sent = is_new || now - known->second >= resend_after;
+    if (is_sent)
     {
-        return false;
+        known->second = now;
     }
-    known->second = now;
-    return true;
+    repeat_at = std::min(repeat_at, known->second + resend_after);
+    return is_sent;
 }
 
 bool has_ended(worker_view const& worker, core::task_run const& run)
@@ -47,13 +54,101 @@
 {
 }
 
-bool order_reconciler::should_run(core::task_run const& run,
-                                  worker_view const& worker) const
+void order_reconciler::mark_changed(core::worker_id const& worker)
+{
+    m_changed.insert(worker);
+}
+
+std::set<core::worker_id> order_reconciler::due_workers(core::time_point now)
+{
+    auto due = std::exchange(m_changed, {});
+    if (auto changed = m_table.changed_workers().read(m_read))
+    {
+        due.merge(*changed);
+    }
+    else
+    {
+        for (auto const& [worker, runs] : m_table.holds())
+        {
+            due.insert(worker);
+        }
+        for (auto const& [worker, sent] : m_sent)
+        {
+            due.insert(worker);
+        }
+    }
+    while (!m_repeats.empty() && m_repeats.begin()->first <= now)
+    {
+        auto const worker = m_repeats.begin()->second;
+        due.insert(worker);
+        schedule_repeat(worker, std::nullopt);
+    }
+    return due;
+}
+
+std::vector<order_reconciler::observed_run>
+order_reconciler::observe(worker_view const& worker) const
+{
+    std::vector<observed_run> runs;
+    core::workflow_record const* workflow = nullptr;
+    auto const add =
+        [&](core::task_run const& run, bool is_held, bool is_running)
+    {
+        if (workflow == nullptr || workflow->workflow != run.task.workflow)
+        {
+            workflow = m_table.find(run.task.workflow);
+        }
+        observed_run seen{&run, nullptr, is_running, false};
+        if (workflow != nullptr)
+        {
+            seen.stage = workflow_table::find_stage(*workflow, run.task);
+            seen.should_run = is_held && !core::is_final(workflow->state) &&
+                              !m_evicting.contains(run);
+        }
+        runs.push_back(seen);
+    };
+    // Both lists are in the order of the runs.
+    auto running = worker.running.begin();
+    for (auto const& [run, life] : m_table.held_on(worker.profile.worker))
+    {
+        if (life != worker.profile.life)
+        {
+            continue;
+        }
+        for (; running != worker.running.end() && running->first < run;
+             ++running)
+        {
+            add(running->first, false, true);
+        }
+        bool const is_running =
+            running != worker.running.end() && running->first == run;
+        add(run, true, is_running);
+        if (is_running)
+        {
+            ++running;
+        }
+    }
+    for (; running != worker.running.end(); ++running)
+    {
+        add(running->first, false, true);
+    }
+    return runs;
+}
+
+void order_reconciler::remove_finished(std::vector<observed_run> const& runs,
+                                       sent_state& sent)
 {
-    auto const* const workflow = m_table.find(run.task.workflow);
-    return workflow != nullptr && !core::is_final(workflow->state) &&
-           !m_evicting.contains(run) &&
-           m_table.is_held(run, worker.profile.worker, worker.profile.life);
+    auto const is_gone = [&runs](auto const& item)
+    {
+        return !std::binary_search(runs.begin(),
+                                   runs.end(),
+                                   observed_run{&item.first},
+                                   [](auto const& a, auto const& b)
+                                   { return *a.run < *b.run; });
+    };
+    std::erase_if(sent.starts, is_gone);
+    std::erase_if(sent.stops, is_gone);
+    std::erase_if(sent.paces, is_gone);
 }
 
 core::runtime_orders order_reconciler::take_due(core::time_point now,
@@ -61,36 +156,96 @@
                                                 pace_hook const& pace)
 {
     core::runtime_orders orders;
+    auto const& id = worker.profile.worker;
+    m_changed.erase(id);
     if (!worker.has_runs || worker.left)
     {
+        schedule_repeat(id, std::nullopt);
         return orders;
     }
-    auto& sent = m_sent[worker.profile.worker];
-    add_starts(now, worker, sent, orders);
-    add_stops(now, worker, sent, orders);
-    add_paces(now, worker, pace, sent, orders);
+    auto const runs = observe(worker);
+    auto& sent = m_sent[id];
+    remove_finished(runs, sent);
+    auto repeat_at = core::time_point::max();
+    for (auto const& [run, stage, is_running, should_run] : runs)
+    {
+        if (!is_running && has_ended(worker, *run))
+        {
+            continue;
+        }
+        if (!should_run)
+        {
+            // Also stops runs that the worker does not list: their starts may
+            // still be in flight.
+            if (is_due(sent.stops, *run, now, repeat_at))
+            {
+                orders.stops.push_back(*run);
+            }
+        }
+        else if (!is_running)
+        {
+            if (is_due(sent.starts, *run, now, repeat_at))
+            {
+                add_start(*run, worker, orders);
+            }
+        }
+        else if (stage != nullptr && stage->behaviour.uses_spare_cpu)
+        {
+            auto const wanted = pace(*run);
+            if (is_pace_due(now, *run, wanted, sent))
+            {
+                orders.paces.push_back({*run, wanted});
+            }
+            if (wanted < full_pace)
+            {
+                repeat_at = std::min(
+                    repeat_at, sent.paces.at(*run).sent + repeat_pace_after);
+            }
+        }
+    }
+    sent.has_sent_paces = true;
+    schedule_repeat(id,
+                    repeat_at == core::time_point::max()
+                        ? std::nullopt
+                        : std::optional(repeat_at));
     return orders;
 }
 
-void order_reconciler::add_starts(core::time_point now,
-                                  worker_view const& worker,
-                                  sent_state& sent,
-                                  core::runtime_orders& orders)
-{
-    auto const& held = m_table.held_on(worker.profile.worker);
-    std::erase_if(sent.starts,
-                  [&](auto const& item) {
-                      return !held.contains({item.first, worker.profile.life});
-                  });
-    for (auto const& [run, life] : held)
+bool order_reconciler::is_pace_due(core::time_point now,
+                                   core::task_run const& run,
+                                   std::uint32_t wanted,
+                                   sent_state& sent)
+{
+    auto const [known, is_new] =
+        sent.paces.try_emplace(run, sent_pace{full_pace, now});
+    bool const is_unknown = is_new && !sent.has_sent_paces;
+    bool const is_repeat =
+        wanted < full_pace && now - known->second.sent >= repeat_pace_after;
+    if (known->second.percent == wanted && !is_unknown && !is_repeat)
     {
-        if (life == worker.profile.life && should_run(run, worker) &&
-            !worker.running.contains(run) && !has_ended(worker, run) &&
-            is_due(sent.starts, run, now))
-        {
-            add_start(run, worker, orders);
-        }
+        return false;
+    }
+    known->second = {wanted, now};
+    return true;
+}
+
+void order_reconciler::schedule_repeat(core::worker_id const& worker,
+                                       std::optional<core::time_point> at)
+{
+    auto& sent = m_sent[worker];
+    if (sent.repeat_at == at)
+    {
+        return;
     }
+    if (sent.repeat_at)
+    {
+        m_repeats.erase({*sent.repeat_at, worker});
+    }
+    if (at)
+    {
+        m_repeats.insert({*at, worker});
+    }
+    sent.repeat_at = at;
 }
 
 void order_reconciler::add_start(core::task_run const& run,
@@ -112,73 +267,11 @@
         {run, m_table.find_task(run.task)->checkpoint, worker.granted_until});
 }
 
-void order_reconciler::add_stops(core::time_point now,
-                                 worker_view const& worker,
-                                 sent_state& sent,
-                                 core::runtime_orders& orders)
-{
-    auto const& held = m_table.held_on(worker.profile.worker);
-    std::erase_if(sent.stops,
-                  [&](auto const& item)
-                  {
-                      return !worker.running.contains(item.first) &&
-                             !held.contains({item.first, worker.profile.life});
-                  });
-    for (auto const& [run, task] : worker.running)
-    {
-        if (!should_run(run, worker) && is_due(sent.stops, run, now))
-        {
-            orders.stops.push_back(run);
-        }
-    }
-    // Also stops runs that the worker does not list: their starts may still be
-    // in flight.
-    for (auto const& [run, life] : held)
-    {
-        if (life == worker.profile.life && !should_run(run, worker) &&
-            !worker.running.contains(run) && !has_ended(worker, run) &&
-            is_due(sent.stops, run, now))
-        {
-            orders.stops.push_back(run);
-        }
-    }
-}
-
-void order_reconciler::add_paces(core::time_point now,
-                                 worker_view const& worker,
-                                 pace_hook const& pace,
-                                 sent_state& sent,
-                                 core::runtime_orders& orders) const
-{
-    std::erase_if(sent.paces,
-                  [&worker](auto const& item)
-                  { return !worker.running.contains(item.first); });
-    for (auto const& [run, task] : worker.running)
-    {
-        auto const* const stage = m_table.find_stage(run.task);
-        if (stage == nullptr || !stage->behaviour.uses_spare_cpu ||
-            !should_run(run, worker))
-        {
-            continue;
-        }
-        auto const wanted = pace(run);
-        auto const [known, is_new] =
-            sent.paces.try_emplace(run, sent_pace{full_pace, now});
-        bool const is_unknown = is_new && !sent.has_sent_paces;
-        bool const is_due =
-            wanted < full_pace && now - known->second.sent > repeat_pace_after;
-        if (known->second.percent != wanted || is_unknown || is_due)
-        {
-            known->second = {wanted, now};
-            orders.paces.push_back({run, wanted});
-        }
-    }
-    sent.has_sent_paces = true;
-}
-
-void order_reconciler::evict(core::task_run const& run)
+void order_reconciler::evict(core::worker_id const& worker,
+                             core::task_run const& run)
 {
     m_evicting.insert(run);
+    m_changed.insert(worker);
 }
 
 std::set<core::task_run> const& order_reconciler::evicting() const noexcept
@@ -193,7 +286,9 @@
 
 void order_reconciler::forget(core::worker_id const& worker)
 {
+    schedule_repeat(worker, std::nullopt);
     m_sent.erase(worker);
+    m_changed.insert(worker);
 }
 
 } // namespace turmericswitch::workflow
--- a/modules/workflow/dispatch/order_reconciler.hpp
+++ b/modules/workflow/dispatch/order_reconciler.hpp
@@ -9,6 +9,8 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
+#include <vector>
 
 namespace turmericswitch::workflow
 {
@@ -18,6 +20,10 @@
 ///
 /// Orders are sent again until the worker's lists show their effect, so lost
 /// orders, restarted sidecars and new leaders need no special handling.
+///
+/// Orders can become due only for a worker that reported, whose runs in the
+/// table changed, or to which orders must be sent again; `due_workers` names
+/// these.
 class order_reconciler
 {
 public:
@@ -26,6 +32,13 @@
 
     explicit order_reconciler(workflow_table const& table);
 
+    /// Must be called after a report of the worker.
+    void mark_changed(core::worker_id const& worker);
+
+    /// @return Workers for which orders may have become due since the last
+    ///         call.
+    std::set<core::worker_id> due_workers(core::time_point now);
+
     /// @return The orders that are due now; they count as sent.
     core::runtime_orders take_due(core::time_point now,
                                   worker_view const& worker,
@@ -33,7 +46,7 @@
 
     /// Sends stops for a run until it has ended, so that its task can resume
     /// elsewhere from its checkpoint.
-    void evict(core::task_run const& run);
+    void evict(core::worker_id const& worker, core::task_run const& run);
 
     /// @return Runs that are being evicted.
     std::set<core::task_run> const& evicting() const noexcept;
@@ -61,29 +74,43 @@
         /// False until the first paces were sent: the worker may still apply
         /// paces that this leader does not know.
         bool has_sent_paces = false;
+        /// When orders must be sent again at the earliest.
+        std::optional<core::time_point> repeat_at;
     };
 
-    void add_starts(core::time_point now,
-                    worker_view const& worker,
-                    sent_state& sent,
-                    core::runtime_orders& orders);
+    /// A run that the table places on the worker or that the worker lists.
+    struct observed_run
+    {
+        core::task_run const* run = nullptr;
+        /// Null if the workflow is unknown or its details were dropped.
+        core::stage_description const* stage = nullptr;
+        bool is_running = false;
+        /// True if the table places the run there, its workflow has not ended,
+        /// and it is not being evicted.
+        bool should_run = false;
+    };
+
+    std::vector<observed_run> observe(worker_view const& worker) const;
+    static void remove_finished(std::vector<observed_run> const& runs,
+                                sent_state& sent);
     void add_start(core::task_run const& run,
                    worker_view const& worker,
                    core::runtime_orders& orders) const;
-    void add_stops(core::time_point now,
-                   worker_view const& worker,
-                   sent_state& sent,
-                   core::runtime_orders& orders);
-    void add_paces(core::time_point now,
-                   worker_view const& worker,
-                   pace_hook const& pace,
-                   sent_state& sent,
-                   core::runtime_orders& orders) const;
-    bool should_run(core::task_run const& run, worker_view const& worker) const;
+    static bool is_pace_due(core::time_point now,
+                            core::task_run const& run,
+                            std::uint32_t wanted,
+                            sent_state& sent);
+    void schedule_repeat(core::worker_id const& worker,
+                         std::optional<core::time_point> at);
 
     workflow_table const& m_table;
     std::map<core::worker_id, sent_state> m_sent;
     std::set<core::task_run> m_evicting;
+    change_log<core::worker_id>::position m_read =
+        change_log<core::worker_id>::unread;
+    std::set<core::worker_id> m_changed;
+    /// The workers with `repeat_at`, by that time.
+    std::set<std::pair<core::time_point, core::worker_id>> m_repeats;
 };
 
 } // namespace turmericswitch::workflow
--- a/modules/workflow/dispatch/stage_backlog.cpp
+++ b/modules/workflow/dispatch/stage_backlog.cpp
@@ -13,13 +13,26 @@
 /// beyond that it is too late.
 constexpr int late_factor = 3;
 
-bool is_due(core::workflow_record const& workflow,
-            std::uint32_t occurrence,
-            core::wall_time wall)
+/// @return When the occurrence is due; for a workflow without a schedule a time
+///         in the past.
+core::wall_time due_time(core::workflow_record const& workflow,
+                         std::uint32_t occurrence)
 {
     auto const& schedule = workflow.description.schedule;
-    return schedule.occurrences == 0 ||
-           schedule.first + schedule.interval * occurrence <= wall;
+    return schedule.occurrences == 0
+               ? core::wall_time::min()
+               : schedule.first + schedule.interval * occurrence;
+}
+
+template <typename Stages>
+std::uint64_t tasks_in(Stages const& stages)
+{
+    std::uint64_t count = 0;
+    for (auto const& waiting : stages)
+    {
+        count += waiting.pending.runs.size();
+    }
+    return count;
 }
 
 } // namespace
@@ -31,44 +44,133 @@
 {
 }
 
-std::vector<pending_stage> stage_backlog::collect(plan_times const& times)
+std::vector<pending_stage const*>
+stage_backlog::collect(plan_times const& times)
+{
+    examine_changed(times);
+    examine_due(times);
+    std::vector<pending_stage const*> all;
+    for (auto& [id, stages] : m_waiting)
+    {
+        for (auto& waiting : stages)
+        {
+            update(times.cluster, waiting);
+            all.push_back(&waiting.pending);
+        }
+    }
+    return all;
+}
+
+void stage_backlog::examine_changed(plan_times const& times)
+{
+    auto const changed = m_table.changed_workflows().read(m_read);
+    if (!changed)
+    {
+        m_next_occurrences.clear();
+        for (auto const& [id, stages] : std::map(m_waiting))
+        {
+            replace(id, {});
+        }
+    }
+    for (auto const& id : changed ? *changed : m_table.active())
+    {
+        examine(id, times);
+    }
+}
+
+void stage_backlog::examine_due(plan_times const& times)
+{
+    // After a backward step of the clock, occurrences may be due no longer.
+    bool const stepped_back = times.wall < m_collected_at;
+    m_collected_at = times.wall;
+    for (auto const& [id, due] : std::map(m_next_occurrences))
+    {
+        if (due <= times.wall || stepped_back)
+        {
+            examine(id, times);
+        }
+    }
+    m_earliest_occurrence = core::wall_time::max();
+    for (auto const& [id, due] : m_next_occurrences)
+    {
+        m_earliest_occurrence = std::min(m_earliest_occurrence, due);
+    }
+}
+
+bool stage_backlog::is_occurrence_due(core::wall_time wall) const noexcept
+{
+    return wall >= m_earliest_occurrence || wall < m_collected_at;
+}
+
+void stage_backlog::examine(core::workflow_id const& id,
+                            plan_times const& times)
 {
-    std::vector<pending_stage> all;
-    for (auto const& id : m_table.active())
+    ++m_examined;
+    waiting_stages stages;
+    m_next_occurrences.erase(id);
+    if (m_table.active().contains(id))
     {
         auto const& workflow = *m_table.find(id);
         auto const occurrences = workflow_table::occurrences_of(workflow);
         for (std::uint32_t k = 0; k < occurrences; ++k)
         {
-            if (is_due(workflow, k, times.wall))
+            if (auto const due = due_time(workflow, k); due > times.wall)
             {
-                add_stages(times.cluster, workflow, k, all);
+                m_next_occurrences.emplace(id, due);
+                break;
             }
+            add_stages(times.now, workflow, k, stages);
         }
     }
-    update_waiting(times.now, all);
-    return all;
+    replace(id, std::move(stages));
+}
+
+void stage_backlog::replace(core::workflow_id const& id, waiting_stages stages)
+{
+    if (auto const known = m_waiting.find(id); known != m_waiting.end())
+    {
+        m_waiting_tasks -= tasks_in(known->second);
+        m_waiting.erase(known);
+    }
+    if (!stages.empty())
+    {
+        m_waiting_tasks += tasks_in(stages);
+        m_waiting.emplace(id, std::move(stages));
+    }
 }
 
-void stage_backlog::update_waiting(core::time_point now,
-                                   std::vector<pending_stage> const& waiting)
+/// Updates what depends on the time and on the reports of workers.
+void stage_backlog::update(core::time_point cluster_now,
+                           waiting_stage& waiting) const
 {
-    std::map<stage_ref, core::time_point> since;
-    m_waiting_tasks = 0;
-    for (auto const& each : waiting)
+    auto& pending = waiting.pending;
+    pending.urgency = urgency_of(cluster_now,
+                                 *m_table.find(pending.stage.workflow),
+                                 pending.stage.occurrence);
+    for (auto const& worker : waiting.placed_on)
     {
-        since[each.stage] = waiting_since(each.stage).value_or(now);
-        m_waiting_tasks += each.runs.size();
+        if (auto const* const view = m_fleet.find(worker))
+        {
+            pending.racks.insert(view->profile.rack);
+        }
     }
-    m_waiting_since = std::move(since);
 }
 
 std::optional<core::time_point>
 stage_backlog::waiting_since(stage_ref const& stage) const
 {
-    auto const known = m_waiting_since.find(stage);
-    return known == m_waiting_since.end() ? std::nullopt
-                                          : std::optional(known->second);
+    if (auto const known = m_waiting.find(stage.workflow);
+        known != m_waiting.end())
+    {
+        for (auto const& waiting : known->second)
+        {
+            if (waiting.pending.stage == stage)
+            {
+                return waiting.since;
+            }
+        }
+    }
+    return std::nullopt;
 }
 
 std::uint64_t stage_backlog::waiting_tasks() const noexcept
@@ -76,12 +178,20 @@
     return m_waiting_tasks;
 }
 
+std::uint64_t stage_backlog::examined_workflows() const noexcept
+{
+    return m_examined;
+}
+
 core::duration stage_backlog::longest_wait(core::time_point now) const
 {
     core::duration longest{};
-    for (auto const& [stage, since] : m_waiting_since)
+    for (auto const& [id, stages] : m_waiting)
     {
-        longest = std::max(longest, now - since);
+        for (auto const& waiting : stages)
+        {
+            longest = std::max(longest, now - waiting.since);
+        }
     }
     return longest;
 }
@@ -125,62 +235,63 @@
                                                       : job_urgency::too_late;
 }
 
-void stage_backlog::add_stages(core::time_point cluster_now,
+void stage_backlog::add_stages(core::time_point now,
                                core::workflow_record const& workflow,
                                std::uint32_t occurrence,
-                               std::vector<pending_stage>& all) const
+                               waiting_stages& all) const
 {
     auto const& stages = workflow.description.stages;
-    auto const urgency = urgency_of(cluster_now, workflow, occurrence);
     for (std::uint32_t number = 0; number < stages.size(); ++number)
     {
         if (!workflow_table::is_ready(workflow, occurrence, number))
         {
             continue;
         }
-        pending_stage waiting;
-        waiting.stage = {workflow.workflow, occurrence, number};
-        waiting.description = &stages[number];
-        waiting.service = workflow.queue.service;
-        waiting.priority = workflow.queue.priority;
-        waiting.submitted = workflow.submitted;
-        waiting.urgency = urgency;
+        waiting_stage waiting;
+        auto& pending = waiting.pending;
+        pending.stage = {workflow.workflow, occurrence, number};
         add_tasks(workflow, occurrence, number, waiting);
-        if (!waiting.runs.empty())
+        if (pending.runs.empty())
         {
-            all.push_back(std::move(waiting));
+            continue;
         }
+        pending.description = &stages[number];
+        pending.service = workflow.queue.service;
+        pending.priority = workflow.queue.priority;
+        pending.submitted = workflow.submitted;
+        waiting.since = waiting_since(pending.stage).value_or(now);
+        all.push_back(std::move(waiting));
     }
 }
 
 void stage_backlog::add_tasks(core::workflow_record const& workflow,
                               std::uint32_t occurrence,
                               std::uint32_t number,
-                              pending_stage& waiting) const
+                              waiting_stage& waiting) const
 {
     auto const& stage = workflow.description.stages[number];
     auto const* const record =
         workflow_table::find_stage_record(workflow, occurrence, number);
+    auto& pending = waiting.pending;
     std::uint32_t last_attempt = 0;
     bool any_held = false;
+    static core::task_record const never_placed;
     for (std::uint32_t i = 0; i < stage.tasks; ++i)
     {
-        auto const task =
-            record != nullptr ? record->tasks[i] : core::task_record{};
+        auto const& task = record != nullptr ? record->tasks[i] : never_placed;
         last_attempt = std::max(last_attempt, task.attempt.value());
         any_held = any_held || task.placed;
         if (task.failures > 0)
         {
-            waiting.failed_on.insert(task.worker);
+            pending.failed_on.insert(task.worker);
         }
-        if (auto const* const view =
-                task.placed ? m_fleet.find(task.worker) : nullptr)
+        if (task.placed && stage.constraints.prefers_one_rack)
         {
-            waiting.racks.insert(view->profile.rack);
+            waiting.placed_on.insert(task.worker);
         }
         if (!task.done && !task.placed)
         {
-            waiting.runs.push_back(
+            pending.runs.push_back(
                 {{workflow.workflow, occurrence, number, i},
                  core::attempt_number(task.attempt.value() + 1)});
         }
@@ -191,10 +302,10 @@
     }
     if (any_held)
     {
-        waiting.runs.clear();
+        pending.runs.clear();
     }
     // All members of a gang have the same attempt number.
-    for (auto& run : waiting.runs)
+    for (auto& run : pending.runs)
     {
         run.attempt = core::attempt_number(last_attempt + 1);
     }
--- a/modules/workflow/dispatch/stage_backlog.hpp
+++ b/modules/workflow/dispatch/stage_backlog.hpp
@@ -6,7 +6,10 @@
 #include "workflow/dispatch/worker_fleet.hpp"
 #include "workflow/table/workflow_table.hpp"
 
+#include <cstdint>
 #include <map>
+#include <optional>
+#include <set>
 #include <vector>
 
 namespace turmericswitch::workflow
@@ -23,7 +26,11 @@
     core::wall_time wall;
 };
 
-/// Finds the stages that have unplaced tasks, and how urgent they are.
+/// The stages that have unplaced tasks, and how urgent they are.
+///
+/// Only the workflows that changed since the last call of `collect` are
+/// examined again, so the cost follows the number of changes and of waiting
+/// stages, not the number of running workflows.
 class stage_backlog
 {
 public:
@@ -32,8 +39,9 @@
                   run_time_model const& run_times,
                   worker_fleet const& fleet);
 
-    /// @return The stages that are ready and have unplaced tasks.
-    std::vector<pending_stage> collect(plan_times const& times);
+    /// @return The stages that are ready and have unplaced tasks. They are
+    ///         valid until the next call or the next change of the table.
+    std::vector<pending_stage const*> collect(plan_times const& times);
 
     /// @return Since when the stage has had unplaced tasks; `nullopt` if it had
     ///         none at the last call of `collect`.
@@ -45,26 +53,54 @@
     /// @return Longest time for which a stage has had unplaced tasks.
     core::duration longest_wait(core::time_point now) const;
 
+    /// @return True if an occurrence of a workflow became due since the last
+    ///         call of `collect`.
+    bool is_occurrence_due(core::wall_time wall) const noexcept;
+
+    /// @return Number of workflows that were examined so far.
+    std::uint64_t examined_workflows() const noexcept;
+
 private:
+    struct waiting_stage
+    {
+        pending_stage pending;
+        core::time_point since;
+        /// Workers of the placed tasks, if the stage prefers one rack.
+        std::set<core::worker_id> placed_on;
+    };
+
+    using waiting_stages = std::vector<waiting_stage>;
+
+    void examine(core::workflow_id const& id, plan_times const& times);
+    void examine_changed(plan_times const& times);
+    void examine_due(plan_times const& times);
+    void replace(core::workflow_id const& id, waiting_stages stages);
     job_urgency urgency_of(core::time_point cluster_now,
                            core::workflow_record const& workflow,
                            std::uint32_t occurrence) const;
-    void add_stages(core::time_point cluster_now,
+    void add_stages(core::time_point now,
                     core::workflow_record const& workflow,
                     std::uint32_t occurrence,
-                    std::vector<pending_stage>& all) const;
+                    waiting_stages& all) const;
     void add_tasks(core::workflow_record const& workflow,
                    std::uint32_t occurrence,
                    std::uint32_t number,
-                   pending_stage& waiting) const;
-    void update_waiting(core::time_point now,
-                        std::vector<pending_stage> const& waiting);
+                   waiting_stage& waiting) const;
+    void update(core::time_point cluster_now, waiting_stage& waiting) const;
 
     workflow_table const& m_table;
     run_time_model const& m_run_times;
     worker_fleet const& m_fleet;
-    std::map<stage_ref, core::time_point> m_waiting_since;
+    change_log<core::workflow_id>::position m_read =
+        change_log<core::workflow_id>::unread;
+    /// Workflows that have waiting stages.
+    std::map<core::workflow_id, waiting_stages> m_waiting;
+    /// When the next occurrence of each workflow with a schedule is due.
+    std::map<core::workflow_id, core::wall_time> m_next_occurrences;
+    core::wall_time m_earliest_occurrence = core::wall_time::max();
+    core::wall_time m_collected_at;
     std::uint64_t m_waiting_tasks = 0;
+    std::uint64_t m_examined = 0;
 };
 
 } // namespace turmericswitch::workflow
--- a/modules/workflow/dispatch/stage_planner.cpp
+++ b/modules/workflow/dispatch/stage_planner.cpp
@@ -1,8 +1,11 @@
 #include "workflow/dispatch/stage_planner.hpp"
 
 #include <algorithm>
+#include <map>
 #include <optional>
+#include <set>
 #include <tuple>
+#include <utility>
 
 namespace turmericswitch::workflow
 {
@@ -43,28 +46,33 @@
                worker.labels.end();
 }
 
+/// The cheap comparisons come first: in a backlog most workers are full.
 bool fits(candidate_worker const& worker, pending_stage const& pending)
 {
     auto const& stage = *pending.description;
-    if (worker.service != pending.service ||
-        !has_label(worker, stage.constraints.required_label) ||
-        !core::fits_in(reserved_by(stage), worker.free))
+    if (!core::fits_in(reserved_by(stage), worker.free))
     {
         return false;
     }
-    if (stage.behaviour.uses_spare_cpu && worker.closed_to_best_effort)
+    bool const lacks_spare_cpu =
+        worker.spare.value() * 100 < stage.need.cpu.value() * min_spare_percent;
+    if (stage.behaviour.uses_spare_cpu &&
+        (worker.closed_to_best_effort || lacks_spare_cpu))
     {
         return false;
     }
-    if (stage.behaviour.uses_spare_cpu &&
-        worker.spare.value() * 100 < stage.need.cpu.value() * min_spare_percent)
+    if (worker.service != pending.service ||
+        !has_label(worker, stage.constraints.required_label))
     {
         return false;
     }
     auto const max_per_worker = stage.constraints.max_per_worker;
+    if (max_per_worker == 0)
+    {
+        return true;
+    }
     auto const count = worker.per_stage.find(pending.stage);
-    return max_per_worker == 0 || count == worker.per_stage.end() ||
-           count->second < max_per_worker;
+    return count == worker.per_stage.end() || count->second < max_per_worker;
 }
 
 /// @return Predicted worst tail on the worker with one more task of the stage.
@@ -93,10 +101,19 @@
     return after > max_tail && after > before * min_tail_rise;
 }
 
+/// Tasks of one stage that are being placed.
+struct stage_placement
+{
+    pending_stage const& pending;
+    /// Racks of the stage's tasks, including those placed by this plan.
+    std::set<core::rack_id> racks;
+};
+
 double score(candidate_worker const& worker,
-             pending_stage const& pending,
+             stage_placement const& placement,
              tail_hook const& tail)
 {
+    auto const& pending = placement.pending;
     auto const& stage = *pending.description;
     auto const capacity = static_cast<double>(
         std::max<std::int64_t>(worker.capacity.cpu.value(), 1));
@@ -111,8 +128,8 @@
     {
         value -= other_rack_penalty;
     }
-    if (constraints.prefers_one_rack && !pending.racks.empty() &&
-        !pending.racks.contains(worker.rack))
+    if (constraints.prefers_one_rack && !placement.racks.empty() &&
+        !placement.racks.contains(worker.rack))
     {
         value -= other_rack_penalty;
     }
@@ -135,68 +152,141 @@
     return value;
 }
 
-candidate_worker* best_worker(std::vector<candidate_worker>& candidates,
-                              pending_stage const& pending,
-                              tail_hook const& tail)
+/// The workers that can take a task of one stage, best first. Of workers with
+/// the same score the first in the list of candidates comes first.
+class worker_ranking
 {
-    candidate_worker* found = nullptr;
-    double highest = 0;
-    for (auto& worker : candidates)
+public:
+    worker_ranking(std::vector<candidate_worker*> const& candidates,
+                   stage_placement const& placement,
+                   tail_hook const& tail)
+        : m_candidates(candidates), m_placement(placement), m_tail(tail)
+    {
+        rank_all();
+    }
+
+    /// @return The best worker, or null if no worker can take a task.
+    candidate_worker* best() const
     {
-        if (!fits(worker, pending))
+        return m_ranked.empty() ? nullptr
+                                : m_candidates[m_ranked.front().index];
+    }
+
+    /// Must be called after a task was placed on the best worker.
+    void best_changed()
+    {
+        std::pop_heap(m_ranked.begin(), m_ranked.end());
+        auto const index = m_ranked.back().index;
+        m_ranked.pop_back();
+        if (auto const added = rank(index))
         {
-            continue;
+            m_ranked.push_back(*added);
+            std::push_heap(m_ranked.begin(), m_ranked.end());
         }
-        if (raises_tail(worker, *pending.description, tail))
+    }
+
+    void rank_all()
+    {
+        m_ranked.clear();
+        for (std::size_t i = 0; i < m_candidates.size(); ++i)
         {
-            continue;
+            if (auto const added = rank(i))
+            {
+                m_ranked.push_back(*added);
+            }
         }
-        double const value = score(worker, pending, tail);
-        if (found == nullptr || value > highest)
+        std::make_heap(m_ranked.begin(), m_ranked.end());
+    }
+
+private:
+    struct ranked_worker
+    {
+        double value = 0;
+        std::size_t index = 0;
+
+        bool operator<(ranked_worker const& other) const
         {
-            found = &worker;
-            highest = value;
+            return std::tie(value, other.index) < std::tie(other.value, index);
         }
+    };
+
+    std::optional<ranked_worker> rank(std::size_t index) const
+    {
+        auto const& worker = *m_candidates[index];
+        auto const& pending = m_placement.pending;
+        if (!fits(worker, pending) ||
+            raises_tail(worker, *pending.description, m_tail))
+        {
+            return std::nullopt;
+        }
+        return ranked_worker{score(worker, m_placement, m_tail), index};
     }
-    return found;
-}
+
+    std::vector<candidate_worker*> const& m_candidates;
+    stage_placement const& m_placement;
+    tail_hook const& m_tail;
+    /// A heap with the best worker first.
+    std::vector<ranked_worker> m_ranked;
+};
+
+/// Copies of workers from before a gang was placed on them.
+using saved_workers = std::map<candidate_worker*, candidate_worker>;
 
 std::vector<core::run_placement>
-place_tasks(pending_stage& pending,
-            std::vector<candidate_worker>& candidates,
+place_tasks(pending_stage const& pending,
+            std::vector<candidate_worker*> const& candidates,
             std::size_t max_tasks,
-            tail_hook const& tail)
+            tail_hook const& tail,
+            saved_workers* saved = nullptr)
 {
     std::vector<core::run_placement> placed;
+    stage_placement placement{pending, pending.racks};
+    worker_ranking ranking(candidates, placement, tail);
     for (auto const& run : pending.runs)
     {
-        auto* const worker = placed.size() < max_tasks
-                                 ? best_worker(candidates, pending, tail)
-                                 : nullptr;
+        auto* const worker =
+            placed.size() < max_tasks ? ranking.best() : nullptr;
         if (worker == nullptr)
         {
             break;
         }
+        if (saved != nullptr)
+        {
+            saved->try_emplace(worker, *worker);
+        }
         worker->add_planned(pending.stage, *pending.description);
-        pending.racks.insert(worker->rack);
         placed.push_back({run, worker->worker, worker->life});
+        ranking.best_changed();
+        if (placement.racks.insert(worker->rack).second &&
+            pending.description->constraints.prefers_one_rack)
+        {
+            ranking.rank_all();
+        }
     }
     return placed;
 }
 
-void place_gang(pending_stage& pending,
-                std::vector<candidate_worker>& candidates,
-                std::size_t max_tasks,
-                tail_hook const& tail,
-                std::vector<core::run_placement>& placements)
+std::vector<core::run_placement>
+place_gang(pending_stage const& pending,
+           std::vector<candidate_worker*> const& candidates,
+           std::size_t max_tasks,
+           tail_hook const& tail)
 {
-    auto trial = candidates;
-    auto const placed = place_tasks(pending, trial, max_tasks, tail);
-    if (placed.size() == pending.runs.size())
+    if (pending.runs.size() > max_tasks)
     {
-        candidates = std::move(trial);
-        placements.insert(placements.end(), placed.begin(), placed.end());
+        return {};
+    }
+    saved_workers saved;
+    auto placed = place_tasks(pending, candidates, max_tasks, tail, &saved);
+    if (placed.size() < pending.runs.size())
+    {
+        for (auto& [worker, before] : saved)
+        {
+            *worker = std::move(before);
+        }
+        return {};
     }
+    return placed;
 }
 
 } // namespace
@@ -232,7 +322,10 @@
         ++serving_images[description.behaviour.image];
     }
     best_effort += description.behaviour.uses_spare_cpu ? 1 : 0;
-    ++per_stage[stage];
+    if (description.constraints.max_per_worker > 0)
+    {
+        ++per_stage[stage];
+    }
 }
 
 void candidate_worker::add_planned(stage_ref const& stage,
@@ -246,29 +339,30 @@
 }
 
 std::vector<core::run_placement>
-plan_stages(std::vector<pending_stage> pending,
-            std::vector<candidate_worker>& candidates,
+plan_stages(std::vector<pending_stage const*> pending,
+            std::vector<candidate_worker*> const& candidates,
             std::size_t max_tasks,
             tail_hook const& tail)
 {
     std::stable_sort(
         pending.begin(),
         pending.end(),
-        [](pending_stage const& a, pending_stage const& b)
+        [](pending_stage const* a, pending_stage const* b)
         {
-            return std::tie(a.urgency, a.priority, a.submitted, a.stage) <
-                   std::tie(b.urgency, b.priority, b.submitted, b.stage);
+            return std::tie(a->urgency, a->priority, a->submitted, a->stage) <
+                   std::tie(b->urgency, b->priority, b->submitted, b->stage);
         });
     std::vector<core::run_placement> placements;
-    for (auto& each : pending)
+    for (auto const* const each : pending)
     {
         auto const left = max_tasks - placements.size();
-        if (each.description->behaviour.gang)
+        if (left == 0)
         {
-            place_gang(each, candidates, left, tail, placements);
-            continue;
+            break;
         }
-        auto const placed = place_tasks(each, candidates, left, tail);
+        auto const placed = each->description->behaviour.gang
+                                ? place_gang(*each, candidates, left, tail)
+                                : place_tasks(*each, candidates, left, tail);
         placements.insert(placements.end(), placed.begin(), placed.end());
     }
     return placements;
--- a/modules/workflow/dispatch/stage_planner.hpp
+++ b/modules/workflow/dispatch/stage_planner.hpp
@@ -63,7 +63,7 @@
     std::map<std::string, std::uint32_t> serving_images;
     /// Number of best-effort tasks, which use spare CPU.
     std::uint32_t best_effort = 0;
-    /// Number of tasks by stage.
+    /// Number of tasks by stage, for stages with a limit per worker.
     std::map<stage_ref, std::uint32_t> per_stage;
 
     /// Accounts for a placed run of the stage.
@@ -116,11 +116,15 @@
 /// serving image can take more of them than one with several. The members of a
 /// gang are placed together or not at all.
 ///
+/// A stage scores each worker once, and again only after a task was placed
+/// there, so its cost grows with the number of workers plus the number of its
+/// tasks.
+///
 /// @param candidates Updated with the placements.
 /// @param max_tasks Maximum number of tasks to place.
 std::vector<core::run_placement>
-plan_stages(std::vector<pending_stage> pending,
-            std::vector<candidate_worker>& candidates,
+plan_stages(std::vector<pending_stage const*> pending,
+            std::vector<candidate_worker*> const& candidates,
             std::size_t max_tasks,
             tail_hook const& tail);
 
--- a/modules/workflow/table/workflow_table.cpp
+++ b/modules/workflow/table/workflow_table.cpp
@@ -74,6 +74,7 @@
     record.submitted = now;
     m_workflows.emplace(command.workflow, std::move(record));
     m_active.insert(command.workflow);
+    m_changed_workflows.add(command.workflow);
     return reply;
 }
 
@@ -252,9 +253,25 @@
     workflow.ended = now;
     workflow.reason = std::move(reason);
     m_active.erase(workflow.workflow);
+    m_changed_workflows.add(workflow.workflow);
+    add_changed_workers(workflow);
     drop_details(workflow);
 }
 
+void workflow_table::add_changed_workers(core::workflow_record const& workflow)
+{
+    for (auto const& stage : workflow.stages)
+    {
+        for (auto const& task : stage.tasks)
+        {
+            if (task.placed)
+            {
+                m_changed_workers.add(task.worker);
+            }
+        }
+    }
+}
+
 void workflow_table::drop_details(core::workflow_record& workflow)
 {
     // Records stay for minutes after the end. The payload and the tasks, which
@@ -271,6 +288,8 @@
 {
     m_holds[task.worker].insert({run, task.life});
     ++m_held_by_workflow[run.task.workflow];
+    m_changed_workflows.add(run.task.workflow);
+    m_changed_workers.add(task.worker);
 }
 
 void workflow_table::remove_hold(core::task_run const& run,
@@ -287,6 +306,8 @@
     {
         m_held_by_workflow.erase(count);
     }
+    m_changed_workflows.add(run.task.workflow);
+    m_changed_workers.add(task.worker);
 }
 
 core::stage_record&
@@ -358,8 +379,15 @@
 workflow_table::find_stage(core::task_ref const& task) const
 {
     auto const* const workflow = find(task.workflow);
-    return workflow != nullptr && is_valid_task(*workflow, task)
-               ? &workflow->description.stages[task.stage]
+    return workflow == nullptr ? nullptr : find_stage(*workflow, task);
+}
+
+core::stage_description const*
+workflow_table::find_stage(core::workflow_record const& workflow,
+                           core::task_ref const& task)
+{
+    return is_valid_task(workflow, task)
+               ? &workflow.description.stages[task.stage]
                : nullptr;
 }
 
@@ -455,6 +483,18 @@
                        });
 }
 
+change_log<core::workflow_id> const&
+workflow_table::changed_workflows() const noexcept
+{
+    return m_changed_workflows;
+}
+
+change_log<core::worker_id> const&
+workflow_table::changed_workers() const noexcept
+{
+    return m_changed_workers;
+}
+
 std::uint64_t workflow_table::ignored_parts() const noexcept
 {
     return m_ignored_parts;
@@ -473,7 +513,11 @@
 
 void workflow_table::restore(std::vector<core::workflow_record> records)
 {
-    *this = {};
+    m_workflows.clear();
+    m_active.clear();
+    m_holds.clear();
+    m_held_by_workflow.clear();
+    m_ignored_parts = 0;
     for (auto& record : records)
     {
         auto const id = record.workflow;
@@ -496,6 +540,8 @@
         }
         m_workflows.emplace(id, std::move(record));
     }
+    m_changed_workflows.add_everything();
+    m_changed_workers.add_everything();
 }
 
 } // namespace turmericswitch::workflow
--- a/modules/workflow/table/workflow_table.hpp
+++ b/modules/workflow/table/workflow_table.hpp
@@ -3,6 +3,7 @@
 
 #include "core/messages/commands.hpp"
 #include "core/messages/workflow.hpp"
+#include "workflow/table/change_log.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -73,6 +74,9 @@
     /// @return The task's stage as submitted, or null if the task is unknown or
     ///         the details of its ended workflow were dropped.
     core::stage_description const* find_stage(core::task_ref const& task) const;
+    static core::stage_description const*
+    find_stage(core::workflow_record const& workflow,
+               core::task_ref const& task);
 
     /// @return True while the run is placed on this incarnation of the worker
     ///         and its end is not applied.
@@ -113,6 +117,13 @@
                       std::uint32_t occurrence,
                       std::uint32_t stage);
 
+    /// @return Workflows whose state, placements or ends of runs changed.
+    change_log<core::workflow_id> const& changed_workflows() const noexcept;
+
+    /// @return Workers on which runs were placed or ended, or hold runs of a
+    ///         workflow that ended.
+    change_log<core::worker_id> const& changed_workers() const noexcept;
+
     /// @return Number of command parts that did not match the table.
     std::uint64_t ignored_parts() const noexcept;
 
@@ -142,6 +153,7 @@
     void add_hold(core::task_run const& run, core::task_record const& task);
     void remove_hold(core::task_run const& run, core::task_record const& task);
     void drop_details(core::workflow_record& workflow);
+    void add_changed_workers(core::workflow_record const& workflow);
 
     std::map<core::workflow_id, core::workflow_record> m_workflows;
     std::uint64_t m_ignored_parts = 0;
@@ -150,6 +162,8 @@
     std::set<core::workflow_id> m_active;
     std::map<core::worker_id, std::set<held_run>> m_holds;
     std::map<core::workflow_id, std::size_t> m_held_by_workflow;
+    change_log<core::workflow_id> m_changed_workflows;
+    change_log<core::worker_id> m_changed_workers;
 };
 
 } // namespace turmericswitch::workflow
--- a/modules/workflow/tests/dispatch_simulation.cpp
+++ b/modules/workflow/tests/dispatch_simulation.cpp
@@ -15,7 +15,9 @@
 } // namespace
 
 dispatch_simulation::dispatch_simulation(std::uint64_t seed)
-    : m_random(core::seeded_random(seed))
+    : m_random(core::seeded_random(seed)),
+      m_no_workers({}, {}),
+      m_backlog(m_table, m_no_run_times, m_no_workers)
 {
     m_now = core::time_point(std::chrono::seconds(100));
     m_config.document.queues.push_back(queue());
@@ -112,15 +114,26 @@
                      });
         }
     }
+    check_backlog();
+    auto const due = target->work.workers_with_orders(m_now);
     for (auto& poll : std::exchange(target->polls, {}))
     {
         auto orders = target->work.take_orders(
             m_now, poll.request.worker, poll.request.life);
         if (orders.batch == 0)
         {
+            poll.is_new = false;
             target->polls.push_back(std::move(poll));
+            continue;
         }
-        else if (chance(95) || m_faults_off)
+        // Orders that became due before the poll arrived are not announced
+        // again.
+        if (!poll.is_new && !due.contains(poll.request.worker))
+        {
+            fail("orders for " + poll.request.worker.value() +
+                 " that nothing announced");
+        }
+        if (chance(95) || m_faults_off)
         {
             poll.done(std::move(orders));
         }
--- a/modules/workflow/tests/dispatch_simulation.hpp
+++ b/modules/workflow/tests/dispatch_simulation.hpp
@@ -16,6 +16,8 @@
 {
 
 /// Leaders, sidecars and workers in simulated time.
+/// Data that the dispatcher updates by changes is compared at every step with
+/// the same data derived from the whole table.
 ///
 /// Injected faults are calls that are lost, not answered, or executed seconds
 /// late, deposed leaders that keep sending orders, restarts of workers and
@@ -69,6 +71,9 @@
     void cancel_one();
     void inject_fault();
     void check();
+    /// Compares the backlog that is updated by changes with one that is derived
+    /// from the whole table.
+    void check_backlog();
     std::string describe(core::workflow_id const& id) const;
     void fail(std::string what);
 
@@ -78,6 +83,9 @@
     std::priority_queue<event> m_events;
     workflow_table m_table;
     core::configuration m_config;
+    run_time_model m_no_run_times;
+    worker_fleet m_no_workers;
+    stage_backlog m_backlog;
     std::shared_ptr<leader> m_leader;
     std::vector<std::shared_ptr<leader>> m_deposed;
     std::vector<std::unique_ptr<worker_host>> m_hosts;
--- a/modules/workflow/tests/planning_test.cpp
+++ b/modules/workflow/tests/planning_test.cpp
@@ -65,6 +65,26 @@
     return 0;
 }
 
+/// Plans for stages and workers that the test owns.
+std::vector<core::run_placement>
+plan_stages(std::vector<pending_stage> const& stages,
+            std::vector<candidate_worker>& workers,
+            std::size_t max_tasks,
+            tail_hook const& tail)
+{
+    std::vector<pending_stage const*> pending;
+    for (auto const& each : stages)
+    {
+        pending.push_back(&each);
+    }
+    std::vector<candidate_worker*> candidates;
+    for (auto& each : workers)
+    {
+        candidates.push_back(&each);
+    }
+    return workflow::plan_stages(pending, candidates, max_tasks, tail);
+}
+
 } // namespace
 
 class planning_test : public CppUnit::TestFixture
--- a/modules/workflow/tests/simulation_checks.cpp
+++ b/modules/workflow/tests/simulation_checks.cpp
@@ -1,5 +1,6 @@
 #include "simulation_parts.hpp"
 
+#include <algorithm>
 #include <set>
 
 // The invariants that are checked at every step, and the text of a violation.
@@ -68,6 +69,28 @@
     }
 }
 
+void dispatch_simulation::check_backlog()
+{
+    plan_times const times{m_now, m_now, {}};
+    stage_backlog derived(m_table, m_no_run_times, m_no_workers);
+    auto const expected = derived.collect(times);
+    auto const kept = m_backlog.collect(times);
+    auto const is_same = [](pending_stage const* a, pending_stage const* b)
+    {
+        return a->stage == b->stage && a->runs == b->runs &&
+               a->failed_on == b->failed_on && a->urgency == b->urgency;
+    };
+    if (!std::equal(kept.begin(),
+                    kept.end(),
+                    expected.begin(),
+                    expected.end(),
+                    is_same) ||
+        m_backlog.waiting_tasks() != derived.waiting_tasks())
+    {
+        fail("the backlog differs from the table");
+    }
+}
+
 std::string dispatch_simulation::describe(core::workflow_id const& id) const
 {
     auto const& record = *m_table.find(id);
--- a/modules/workflow/tests/simulation_parts.hpp
+++ b/modules/workflow/tests/simulation_parts.hpp
@@ -32,6 +32,8 @@
     {
         core::orders_request request;
         std::function<void(std::optional<core::runtime_orders>)> done;
+        /// True until orders were derived for it once.
+        bool is_new = true;
     };
     std::vector<poll> polls;
 };
--- a/programs/control/leader/workflow_service.cpp
+++ b/programs/control/leader/workflow_service.cpp
@@ -61,11 +61,13 @@
 
 } // namespace
 
-workflow_service::workflow_service(replica& node,
+workflow_service::workflow_service(process::event_loop& loop,
+                                   replica& node,
                                    workflow::dispatch_options options,
                                    core::event_hook on_event,
                                    telemetry::metrics_registry& metrics)
-    : m_node(node),
+    : m_loop(loop),
+      m_node(node),
       m_on_event(std::move(on_event)),
       m_dispatcher(node.state().workflows(),
                    options,
@@ -98,9 +100,9 @@
     {
         each.done(not_leader<core::runtime_grant>());
     }
-    for (auto const& each : std::exchange(m_polls, {}))
+    for (auto const& [worker, poll] : std::exchange(m_polls, {}))
     {
-        each.done(not_leader<core::runtime_orders>());
+        poll.done(not_leader<core::runtime_orders>());
     }
     for (auto const& each : std::exchange(m_queries, {}))
     {
@@ -115,6 +117,7 @@
         m_next_plan = now + plan_interval;
         plan();
         deliver_orders();
+        end_expired_polls();
     }
     publish_summary(now);
     confirm_reports();
@@ -136,8 +139,7 @@
     if (std::holds_alternative<core::submit_workflow>(command) ||
         std::holds_alternative<core::cancel_workflow>(command))
     {
-        plan();
-        deliver_orders();
+        schedule_plan();
     }
 }
 
@@ -153,18 +155,34 @@
         return;
     }
     m_reports.push_back(std::move(waiting));
-    plan();
-    deliver_orders();
+    schedule_plan();
+}
+
+void workflow_service::schedule_plan()
+{
+    if (std::exchange(m_plan_scheduled, true))
+    {
+        return;
+    }
+    m_loop.post(
+        [self = shared_from_this()]
+        {
+            self->m_plan_scheduled = false;
+            if (!self->m_ended)
+            {
+                self->plan();
+                self->deliver_orders();
+            }
+        });
 }
 
 void workflow_service::plan()
 {
+    // The end of a commit plans again.
     if (m_ended || m_is_planning)
     {
-        m_plan_again = true;
         return;
     }
-    m_plan_again = false;
     auto command = m_dispatcher.plan(
         {process::event_loop::now(), m_node.cluster_now(), wall_now()},
         m_node.state().config().in_force());
@@ -189,6 +207,7 @@
             self->m_is_planning = false;
             if (self->m_ended || reply.code != core::result_code::ok)
             {
+                self->m_dispatcher.rejected(sent);
                 for (auto const& each : confirmed)
                 {
                     each.done(not_leader<core::runtime_grant>());
@@ -261,32 +280,58 @@
         done(std::move(orders));
         return;
     }
+    auto const known = m_polls.find(request.worker);
+    if (known != m_polls.end() && request.life < known->second.request.life)
+    {
+        done(std::move(orders));
+        return;
+    }
     // A sidecar has one open poll at a time, so an earlier one was abandoned.
-    std::erase_if(m_polls,
-                  [&request](waiting_poll const& each)
-                  {
-                      return each.request.worker == request.worker &&
-                             each.request.life == request.life;
-                  });
-    m_polls.push_back({request, now + request.max_wait, std::move(done)});
+    m_polls.insert_or_assign(
+        request.worker,
+        waiting_poll{request, now + request.max_wait, std::move(done)});
 }
 
 void workflow_service::deliver_orders()
 {
     auto const now = process::event_loop::now();
-    std::vector<waiting_poll> kept;
-    for (auto& poll : std::exchange(m_polls, {}))
+    for (auto const& worker : m_dispatcher.workers_with_orders(now))
     {
-        auto orders = m_dispatcher.take_orders(
-            now, poll.request.worker, poll.request.life);
-        if (is_empty(orders) && now < poll.until)
+        auto const poll = m_polls.find(worker);
+        if (poll == m_polls.end())
         {
-            kept.push_back(std::move(poll));
+            // The worker's next poll takes the orders.
             continue;
         }
-        poll.done(std::move(orders));
+        auto orders =
+            m_dispatcher.take_orders(now, worker, poll->second.request.life);
+        if (!is_empty(orders))
+        {
+            auto const answered = m_polls.extract(poll);
+            answered.mapped().done(std::move(orders));
+        }
+    }
+}
+
+void workflow_service::end_expired_polls()
+{
+    auto const now = process::event_loop::now();
+    std::vector<waiting_poll> expired;
+    std::erase_if(m_polls,
+                  [&](auto& item)
+                  {
+                      bool const is_expired = now >= item.second.until;
+                      if (is_expired)
+                      {
+                          expired.push_back(std::move(item.second));
+                      }
+                      return is_expired;
+                  });
+    for (auto const& poll : expired)
+    {
+        poll.done(m_dispatcher.take_orders(
+            now, poll.request.worker, poll.request.life));
     }
-    m_polls = std::move(kept);
 }
 
 void workflow_service::query(core::workflow_query query, query_hook done)
--- a/programs/control/leader/workflow_service.hpp
+++ b/programs/control/leader/workflow_service.hpp
@@ -3,10 +3,12 @@
 
 #include "core/events/event.hpp"
 #include "node/replica.hpp"
+#include "process/loop/event_loop.hpp"
 #include "telemetry/metrics/metrics_registry.hpp"
 #include "workflow/dispatch/dispatcher.hpp"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -25,7 +27,9 @@
     using orders_hook = std::function<void(core::runtime_orders)>;
     using query_hook = std::function<void(core::workflow_answer)>;
 
-    workflow_service(replica& node,
+    /// The references must outlive the object.
+    workflow_service(process::event_loop& loop,
+                     replica& node,
                      workflow::dispatch_options options,
                      core::event_hook on_event,
                      telemetry::metrics_registry& metrics);
@@ -71,29 +75,35 @@
         query_hook done;
     };
 
+    /// Plans and delivers orders after the tasks that already wait for the
+    /// loop, so that one plan covers all events that have arrived.
+    void schedule_plan();
     void plan();
     void on_committed(core::workflow_progress const& command,
                       std::vector<waiting_report> const& confirmed);
     void answer_committed_reports(std::vector<waiting_report> reports);
     void confirm_reports();
     void confirm_queries();
+    /// Answers the polls of the workers for which orders are due.
     void deliver_orders();
+    void end_expired_polls();
     void log_accepted(core::submit_workflow const& command) const;
     void log_cancelled(core::cancel_workflow const& command) const;
     void record_ended(core::workflow_progress const& command);
     void publish_summary(core::time_point now);
     core::workflow_answer answer_to(core::workflow_query const& query) const;
 
+    process::event_loop& m_loop;
     replica& m_node;
     core::event_hook m_on_event;
     workflow::dispatcher m_dispatcher;
     core::time_point m_next_plan;
     core::time_point m_next_summary;
     bool m_is_planning = false;
-    bool m_plan_again = false;
+    bool m_plan_scheduled = false;
     bool m_ended = false;
     std::vector<waiting_report> m_reports;
-    std::vector<waiting_poll> m_polls;
+    std::map<core::worker_id, waiting_poll> m_polls;
     std::vector<waiting_query> m_queries;
     telemetry::latency_metric& m_commit_time;
     telemetry::latency_metric& m_workflow_time;
--- a/programs/control/node/control_node.cpp
+++ b/programs/control/node/control_node.cpp
@@ -84,6 +84,7 @@
             { m_decisions.record(record); });
         m_duties->begin(process::event_loop::now());
         m_workflows = std::make_shared<workflow_service>(
+            m_loop,
             m_replica,
             m_dispatch,
             [this](core::event const& what) { m_log.write(what); },
