Interference model: estimates stay bounded on a large fleet

Cause: the forgetting factor was applied per sample and only to pairs below a bound, so the covariance lost its positive definiteness and the factors grew without limit.

Change: a Kalman filter whose estimates drift with time, not with samples.

The test estimates_stay_bounded_on_a_large_fleet failed before (1.13 and more where 0.8 is true).

--- a/modules/workflow/dispatch/colocation_controller.cpp
+++ b/modules/workflow/dispatch/colocation_controller.cpp
@@ -78,7 +78,7 @@
     }
     auto& state = m_workers[worker];
     state.sampled = now;
-    learn(state, sample);
+    learn(now, state, sample);
     update_serving_use(state, sample);
     state.last = sample;
     auto const before = state.paces;
@@ -114,7 +114,8 @@
     return found;
 }
 
-void colocation_controller::learn(worker_state& state,
+void colocation_controller::learn(core::time_point now,
+                                  worker_state& state,
                                   colocation_sample const& sample)
 {
     std::map<core::task_run, double> offsets;
@@ -134,7 +135,7 @@
             double const offset =
                 known == state.offsets.end() ? 0.0 : known->second;
             double const error = m_model.learn(
-                task.image, task.tail * std::exp(-offset), neighbours);
+                now, task.image, task.tail * std::exp(-offset), neighbours);
             offsets[task.run] = offset + offset_rate * error;
         }
     }
--- a/modules/workflow/dispatch/colocation_controller.hpp
+++ b/modules/workflow/dispatch/colocation_controller.hpp
@@ -93,7 +93,9 @@
         std::map<core::task_run, double> offsets;
     };
 
-    void learn(worker_state& state, colocation_sample const& sample);
+    void learn(core::time_point now,
+               worker_state& state,
+               colocation_sample const& sample);
     static void update_serving_use(worker_state& state,
                                    colocation_sample const& sample);
 
--- a/modules/workflow/dispatch/interference_model.cpp
+++ b/modules/workflow/dispatch/interference_model.cpp
@@ -1,6 +1,7 @@
 #include "workflow/dispatch/interference_model.hpp"
 
 #include <algorithm>
+#include <chrono>
 #include <cmath>
 
 namespace turmericswitch::workflow
@@ -9,9 +10,9 @@
 namespace
 {
 
-/// Factor by which each new sample reduces the weight of the earlier ones.
-/// About 200 samples count, which is ten seconds of a service with a few tasks.
-constexpr double forgetting_factor = 0.995;
+/// Variance that each estimate gains per second, because the load mix of an
+/// image changes within minutes.
+constexpr double drift_variance_per_s = 0.0005;
 
 /// Variance of a sample around the prediction. It is this large because changes
 /// in load move tails too.
@@ -30,10 +31,6 @@
 /// A factor with a smaller variance is trusted.
 constexpr double trusted_variance = 0.1;
 
-/// Bounds the variance of pairs that no longer run together, which forgetting
-/// would increase without limit.
-constexpr double max_variance = 2.0;
-
 /// Unit of a neighbour's use: a tenth of the worker's CPU.
 constexpr double use_unit = 0.1;
 
@@ -63,61 +60,81 @@
     return found->second;
 }
 
-double interference_model::learn(std::string const& serving,
-                                 double tail,
-                                 std::vector<neighbour_use> const& neighbours)
+void interference_model::add_drift(core::time_point now, estimate& known)
 {
-    auto& known = m_estimates[serving];
-    if (known.factors.empty())
-    {
-        add_dimension(known, initial_base_variance);
-        known.factors.front() = initial_base;
-    }
-    for (auto const& each : neighbours)
+    auto const seconds =
+        std::chrono::duration<double>(now - known.updated).count();
+    known.updated = now;
+    for (std::size_t i = 0; i < known.factors.size(); ++i)
     {
-        index_of(known, each.image);
-    }
-    std::vector<double> input(known.factors.size(), 0.0);
-    input.front() = 1;
-    for (auto const& each : neighbours)
-    {
-        input[known.indices.at(each.image)] += each.share / use_unit;
+        // An estimate never becomes less certain than without any sample.
+        auto const initial =
+            i == 0 ? initial_base_variance : initial_factor_variance;
+        auto& variance = known.covariance[i][i];
+        if (variance < initial)
+        {
+            variance =
+                std::min(variance + drift_variance_per_s * seconds, initial);
+        }
     }
+}
 
-    auto const size = input.size();
+double interference_model::correct(estimate& known,
+                                   indexed_uses const& input,
+                                   double observed)
+{
+    auto const size = known.factors.size();
     std::vector<double> unscaled_gain(size, 0.0);
     double predicted = 0;
     double innovation_variance = sample_variance;
-    for (std::size_t i = 0; i < size; ++i)
+    for (auto const& [index, use] : input)
     {
-        for (std::size_t j = 0; j < size; ++j)
+        predicted += known.factors[index] * use;
+        for (std::size_t i = 0; i < size; ++i)
         {
-            unscaled_gain[i] += known.covariance[i][j] * input[j];
+            unscaled_gain[i] += known.covariance[i][index] * use;
         }
-        predicted += known.factors[i] * input[i];
     }
-    for (std::size_t i = 0; i < size; ++i)
+    for (auto const& [index, use] : input)
     {
-        innovation_variance += unscaled_gain[i] * input[i];
+        innovation_variance += unscaled_gain[index] * use;
     }
-    double const error = std::log(tail) - predicted;
+    double const error = observed - predicted;
     for (std::size_t i = 0; i < size; ++i)
     {
-        known.factors[i] += unscaled_gain[i] / innovation_variance * error;
+        auto const gain = unscaled_gain[i] / innovation_variance;
+        known.factors[i] += gain * error;
         for (std::size_t j = 0; j < size; ++j)
         {
-            known.covariance[i][j] -=
-                unscaled_gain[i] * unscaled_gain[j] / innovation_variance;
-            if (known.covariance[i][i] < max_variance &&
-                known.covariance[j][j] < max_variance)
-            {
-                known.covariance[i][j] /= forgetting_factor;
-            }
+            known.covariance[i][j] -= gain * unscaled_gain[j];
         }
     }
     return error;
 }
 
+double interference_model::learn(core::time_point now,
+                                 std::string const& serving,
+                                 double tail,
+                                 std::vector<neighbour_use> const& neighbours)
+{
+    auto const [found, is_new] = m_estimates.try_emplace(serving);
+    auto& known = found->second;
+    if (is_new)
+    {
+        known.updated = now;
+        add_dimension(known, initial_base_variance);
+        known.factors.front() = initial_base;
+    }
+    // The base has index 0 and applies in full to each sample.
+    indexed_uses input{{0, 1.0}};
+    for (auto const& each : neighbours)
+    {
+        input.emplace_back(index_of(known, each.image), each.share / use_unit);
+    }
+    add_drift(now, known);
+    return correct(known, input, std::log(tail));
+}
+
 double interference_model::effect(std::string const& serving,
                                   neighbour_use const& neighbour) const
 {
--- a/modules/workflow/dispatch/interference_model.hpp
+++ b/modules/workflow/dispatch/interference_model.hpp
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace turmericswitch::workflow
@@ -27,19 +28,22 @@
 ///
 /// The logarithm of the tail latency relative to its target is modelled as a
 /// base of the serving image plus, for each neighbour image, a factor times its
-/// CPU use. Both are estimated by recursive least squares with a forgetting
-/// factor, because tens of samples a second arrive, most pairs have little
-/// effect, and the factors shift with load.
+/// CPU use. Both are estimated by a Kalman filter in which each value drifts
+/// with time. The drift does not depend on the number of samples, which grows
+/// with the number of workers, and a pair that is not seen for a while only
+/// becomes less certain.
 class interference_model
 {
 public:
     /// Updates the model with one sample.
     ///
+    /// @param now Not before that of the last sample.
     /// @param serving Image of the serving task.
     /// @param tail Tail latency as a multiple of its target, above 0.
     /// @return Prediction error: the logarithm of the tail minus the
     ///         prediction before the update.
-    double learn(std::string const& serving,
+    double learn(core::time_point now,
+                 std::string const& serving,
                  double tail,
                  std::vector<neighbour_use> const& neighbours);
 
@@ -61,10 +65,18 @@
         /// The base, followed by a factor for each known neighbour image.
         std::vector<double> factors;
         std::vector<std::vector<double>> covariance;
+        /// Time of the last sample.
+        core::time_point updated;
     };
 
+    /// Neighbours of one sample by their index in `factors`, and their use.
+    using indexed_uses = std::vector<std::pair<std::size_t, double>>;
+
     static std::size_t index_of(estimate& known, std::string const& image);
     static void add_dimension(estimate& known, double variance);
+    static void add_drift(core::time_point now, estimate& known);
+    static double
+    correct(estimate& known, indexed_uses const& input, double observed);
 
     std::map<std::string, estimate> m_estimates;
 };
--- a/modules/workflow/tests/colocation_test.cpp
+++ b/modules/workflow/tests/colocation_test.cpp
@@ -1,3 +1,4 @@
+#include "core/hooks/random_source.hpp"
 #include "workflow/dispatch/colocation_controller.hpp"
 #include "workflow/dispatch/run_time_model.hpp"
 #include "workflow_builder.hpp"
@@ -18,6 +19,7 @@
 {
     CPPUNIT_TEST_SUITE(colocation_test);
     CPPUNIT_TEST(model_distinguishes_interfering_from_harmless_images);
+    CPPUNIT_TEST(estimates_stay_bounded_on_a_large_fleet);
     CPPUNIT_TEST(unknown_pair_is_assumed_to_interfere);
     CPPUNIT_TEST(only_the_interfering_neighbour_is_slowed);
     CPPUNIT_TEST(neighbour_with_the_largest_effect_is_slowed_first);
@@ -40,6 +42,50 @@
         CPPUNIT_ASSERT(model.effect("proof", {"light", 0.2}) < 0.15);
     }
 
+    // Load: a serving image on a hundred workers, beside thirty best-effort
+    // images that take turns. Each sample has a few of them, and hundreds of
+    // samples arrive a second. Estimates of the images that were absent for a
+    // while grew without bound, so that the leader slowed harmless neighbours
+    // and placed tasks beside services that they disturbed.
+    void estimates_stay_bounded_on_a_large_fleet()
+    {
+        constexpr std::uint64_t images = 30;
+        constexpr int samples_per_s = 300;
+        constexpr int seconds = 30;
+        auto const random = core::seeded_random(7);
+        auto const is_heavy = [](std::uint64_t image)
+        { return image % 6 == 0; };
+        auto const name = [](std::uint64_t image)
+        { return "image" + std::to_string(image); };
+        interference_model model;
+        for (int i = 0; i < samples_per_s * seconds; ++i)
+        {
+            // Load and measurement move the tail up and down.
+            double log_tail = -1.0 + 0.4 * (core::random_unit(random) - 0.5);
+            std::vector<neighbour_use> neighbours;
+            // Some images run only now and then.
+            auto const phase = static_cast<std::uint64_t>(i / 500) * 4;
+            auto const count = core::random_below(random, 4);
+            for (std::uint64_t n = 0; n < count; ++n)
+            {
+                auto const image =
+                    (phase + core::random_below(random, 6)) % images;
+                neighbours.push_back({name(image), 0.1});
+                log_tail += is_heavy(image) ? 0.8 : 0.0;
+            }
+            model.learn(at_ms(i * 1000 / samples_per_s),
+                        "proof",
+                        std::exp(log_tail),
+                        neighbours);
+        }
+        for (std::uint64_t image = 0; image < images; ++image)
+        {
+            auto const effect = model.effect("proof", {name(image), 0.1});
+            CPPUNIT_ASSERT_DOUBLES_EQUAL(
+                is_heavy(image) ? 0.8 : 0.0, effect, 0.25);
+        }
+    }
+
     void unknown_pair_is_assumed_to_interfere()
     {
         interference_model model;
@@ -229,7 +275,8 @@
         {
             double const heavy = 0.05 * (i % 5);
             double const light = 0.05 * ((i / 5) % 5);
-            model.learn("proof",
+            model.learn(at_ms(100 * i),
+                        "proof",
                         0.2 * std::exp(8 * heavy),
                         {{"heavy", heavy}, {"light", light}});
         }
