Gateways deny no queue by a configuration that may be out of date

A poll for changes was held for up to 5 s and given up after 7 s, so that a gateway with a silent connection, or one that a busy leader left waiting, took its old configuration for current. A suspended machine does the same.

Change: a gateway polls three times in the time within which a configuration must be in force, notes when a poll that left it up to date was sent, by a clock that counts suspensions, and answers 503 with Retry-After instead of 404 when that is too long ago. The leader checks the queue of a question for waiting jobs against its own configuration.

--- a/extras/bench/control_scale/rpc_fleet.cpp
+++ b/extras/bench/control_scale/rpc_fleet.cpp
@@ -63,7 +63,7 @@
               core::client_id(name),
               [this](core::watch_answer const& update)
               { return apply_update(update); },
-              scope_of(announced_entry)),
+              shared::watch_options{scope_of(announced_entry)}),
           entry(std::move(announced_entry))
     {
     }
--- a/programs/control/leader/workflow_service.cpp
+++ b/programs/control/leader/workflow_service.cpp
@@ -3,6 +3,7 @@
 #include "node/wall_clock.hpp"
 #include "wire/json/json_members.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <set>
 #include <utility>
@@ -366,6 +367,18 @@
     core::workflow_answer answer;
     if (query.workflow.value().empty())
     {
+        auto const& queues = m_node.state().config().in_force().document.queues;
+        bool const is_configured =
+            std::any_of(queues.begin(),
+                        queues.end(),
+                        [&query](core::queue_rule const& each)
+                        { return each.queue == query.queue; });
+        if (!is_configured)
+        {
+            // The gateway's configuration may be older than this one.
+            answer.code = core::result_code::queue_unknown;
+            return answer;
+        }
         answer.waiting = table.waiting(query.queue);
         return answer;
     }
--- a/programs/gateway/jobs/job_gateway.cpp
+++ b/programs/gateway/jobs/job_gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/jobs/job_gateway.hpp"
 
 #include "core/results/last_reason.hpp"
+#include "process/clock/boot_clock.hpp"
 #include "process/loop/event_loop.hpp"
 
 namespace turmericswitch::gateway
@@ -18,8 +19,10 @@
 } // namespace
 
 job_gateway::job_gateway(shared::control_link& control,
-                         telemetry::metrics_registry& metrics)
+                         telemetry::metrics_registry& metrics,
+                         core::duration max_config_age)
     : m_client(control),
+      m_max_config_age(max_config_age),
       m_accepted(
           metrics.counter("turmericswitch_gateway_job_calls_answered_total",
                           "Callers' job calls that control answered.")),
@@ -59,6 +62,16 @@
     return {m_revision, update.registry};
 }
 
+void job_gateway::config_confirmed(core::time_point as_of) noexcept
+{
+    m_config_confirmed = as_of;
+}
+
+bool job_gateway::is_config_current() const
+{
+    return process::boot_time() - m_config_confirmed.load() <= m_max_config_age;
+}
+
 std::optional<platform::queue_match>
 job_gateway::find_queue(std::string const& host, std::string const& path)
 {
@@ -69,6 +82,11 @@
                           "no configuration from control yet");
     }
     auto const* const queue = table->find(host, path);
+    if (queue == nullptr && !is_config_current())
+    {
+        return core::fail(result_code::not_ready,
+                          "the configuration here may be out of date");
+    }
     if (queue == nullptr)
     {
         return core::fail(result_code::queue_unknown,
--- a/programs/gateway/jobs/job_gateway.hpp
+++ b/programs/gateway/jobs/job_gateway.hpp
@@ -20,13 +20,20 @@
 {
 public:
     /// @param control Must outlive the gateway, as must `metrics`.
+    /// @param max_config_age Longest time since the configuration was last
+    ///        confirmed for which an unknown queue counts as not configured.
     job_gateway(shared::control_link& control,
-                telemetry::metrics_registry& metrics);
+                telemetry::metrics_registry& metrics,
+                core::duration max_config_age);
 
     /// Applies an update from control; for `shared::config_watch`.
     shared::config_watch::known_state
     configure(core::watch_answer const& update);
 
+    /// Notes that the configuration has all changes that were in force at a
+    /// time by `process::boot_time`; for `shared::watch_options`.
+    void config_confirmed(core::time_point as_of) noexcept;
+
     /// @return Hooks for the callers' interface, which refer to this object.
     platform::caller_hooks hooks();
 
@@ -39,6 +46,7 @@
 private:
     std::optional<platform::queue_match> find_queue(std::string const& host,
                                                     std::string const& path);
+    bool is_config_current() const;
     void record_rejected(platform::rejected_call const& call);
     platform::job_outcome finish_call(std::string const& call,
                                       core::queue_id const& queue,
@@ -48,6 +56,8 @@
 
     telemetry::logger m_log{"gateway"};
     job_client m_client;
+    core::duration m_max_config_age;
+    std::atomic<core::time_point> m_config_confirmed;
     core::snapshot_publisher<queue_table> m_queues;
     core::revision m_revision;
     std::atomic<bool> m_stopping = false;
--- a/programs/gateway/main.cpp
+++ b/programs/gateway/main.cpp
@@ -20,6 +20,10 @@
 constexpr std::size_t decisions_per_ring = 2'000;
 constexpr std::size_t decision_rings = 8;
 
+/// Polls in the time for which a configuration counts as current, so that one
+/// lost poll does not make it stale.
+constexpr int polls_per_config_age = 3;
+
 routing::balancing_policy make_policy(std::string const& name)
 {
     if (name == "random")
@@ -73,15 +77,21 @@
     telemetry::metrics_registry metrics;
     transport::io_pool io(static_cast<std::size_t>(settings.io_threads));
     shared::control_link control(io, settings.control, seed);
-    job_gateway jobs(control, metrics);
-    shared::config_watch watch(io,
-                               control,
-                               core::client_id("gateway " + settings.name),
-                               [&](core::watch_answer const& update)
-                               {
-                                   control.set_instances(update.control);
-                                   return jobs.configure(update);
-                               });
+    job_gateway jobs(control, metrics, settings.jobs->max_config_age);
+    shared::watch_options watched;
+    watched.max_wait = settings.jobs->max_config_age / polls_per_config_age;
+    watched.on_confirmed = [&jobs](core::time_point as_of)
+    { jobs.config_confirmed(as_of); };
+    shared::config_watch watch(
+        io,
+        control,
+        core::client_id("gateway " + settings.name),
+        [&](core::watch_answer const& update)
+        {
+            control.set_instances(update.control);
+            return jobs.configure(update);
+        },
+        std::move(watched));
     web::server_options options;
     options.listen_on = settings.jobs->callers;
     options.worker_threads = static_cast<unsigned>(settings.http_threads);
--- a/programs/gateway/settings/gateway_settings.cpp
+++ b/programs/gateway/settings/gateway_settings.cpp
@@ -10,11 +10,6 @@
 
 constexpr core::byte_count default_body_limit{8LL << 20};
 
-} // namespace
-
-namespace
-{
-
 job_settings parse_job_settings(settings::settings_reader& reader)
 {
     using namespace std::chrono_literals;
@@ -23,6 +18,8 @@
     read.readiness = reader.endpoint({"jobs", "readiness"});
     read.stop_delay =
         reader.duration({"jobs", "stop_delay"}, 2500ms, {0s, 1min});
+    read.max_config_age =
+        reader.duration({"jobs", "max_config_age"}, 2500ms, {100ms, 1min});
     return read;
 }
 
--- a/programs/gateway/settings/gateway_settings.hpp
+++ b/programs/gateway/settings/gateway_settings.hpp
@@ -24,6 +24,10 @@
     /// How long the gateway continues to serve after a stop signal, so that the
     /// load balancer sees that it is not ready before it refuses connections.
     core::duration stop_delay{};
+    /// Time within which an accepted configuration is in force at all gateways.
+    /// A gateway that was not confirmed to be current for longer does not
+    /// report queues as unknown.
+    core::duration max_config_age{};
 };
 
 /// Settings of `turmericswitch-gateway`.
--- a/programs/gateway/tests/request_path_fixture.cpp
+++ b/programs/gateway/tests/request_path_fixture.cpp
@@ -153,7 +153,8 @@
             m_service->configure(update);
             return shared::config_watch::known_state{update.current, {}};
         },
-        core::backend_scope{settings.backend, settings.service, settings.zone});
+        shared::watch_options{core::backend_scope{
+            settings.backend, settings.service, settings.zone}});
     transport::connection_options options;
     options.protocol_version = wire::protocol_version;
     m_rpc = transport::rpc_server::listen(
--- a/programs/shared/control_link/config_watch.cpp
+++ b/programs/shared/control_link/config_watch.cpp
@@ -1,9 +1,12 @@
 #include "shared/control_link/config_watch.hpp"
 
 #include "core/hooks/random_source.hpp"
+#include "process/clock/boot_clock.hpp"
 #include "telemetry/telemetry.hpp"
 #include "wire/codec/message_codec.hpp"
 
+#include <algorithm>
+#include <mutex>
 #include <utility>
 
 namespace turmericswitch::shared
@@ -12,10 +15,9 @@
 namespace
 {
 
-/// An idle poll costs about 300 bytes, so this is far below the control
-/// budget of 8 KB/s.
-constexpr core::duration poll_wait = std::chrono::seconds(5);
-constexpr core::duration poll_timeout = poll_wait + std::chrono::seconds(2);
+/// Time beyond the longest wait after which a poll counts as lost. A connection
+/// may be silent without a reset.
+constexpr core::duration answer_timeout = std::chrono::seconds(1);
 constexpr core::duration backoff_base = std::chrono::milliseconds(50);
 constexpr core::duration backoff_cap = std::chrono::seconds(2);
 
@@ -27,33 +29,35 @@
           control_link& control,
           core::client_id name,
           update_hook hook,
-          std::optional<core::backend_scope> watched)
+          watch_options how)
         : io(pool),
           link(control),
-          process(std::move(name)),
+          process_name(std::move(name)),
           on_update(std::move(hook)),
-          scope(std::move(watched)),
-          random(core::seeded_random(std::hash<std::string>{}(process.value())))
+          options(std::move(how)),
+          random(core::seeded_random(
+              std::hash<std::string>{}(process_name.value())))
     {
     }
 
     void poll()
     {
         core::watch_request request;
-        request.process = process;
+        request.process = process_name;
         request.in_force = known.in_force;
         request.registry = known.registry;
-        request.max_wait = poll_wait;
-        request.scope = scope;
-        link.call(
-            "/watch",
-            wire::encode(request),
-            poll_timeout,
-            [self = shared_from_this()](transport::call_result const& result)
-            { self->handle_result(result); });
+        request.max_wait = options.max_wait;
+        request.scope = options.scope;
+        link.call("/watch",
+                  wire::encode(request),
+                  options.max_wait + answer_timeout,
+                  [self = shared_from_this(), asked_at = process::boot_time()](
+                      transport::call_result const& result)
+                  { self->handle_result(result, asked_at); });
     }
 
-    void handle_result(transport::call_result const& result)
+    void handle_result(transport::call_result const& result,
+                       core::time_point asked_at)
     {
         std::unique_lock lock(mutex);
         if (is_stopped)
@@ -73,6 +77,10 @@
             if (is_up_to_date(*answer))
             {
                 failures = 0;
+                if (options.on_confirmed)
+                {
+                    options.on_confirmed(asked_at);
+                }
                 lock.unlock();
                 poll();
                 return;
@@ -83,7 +91,10 @@
             link.not_leader(answer->leader);
         }
         auto const wait =
-            core::full_jitter(random, backoff_base, backoff_cap, failures++);
+            core::full_jitter(random,
+                              backoff_base,
+                              std::min(backoff_cap, options.max_wait),
+                              failures++);
         lock.unlock();
         io.post_after(wait,
                       [self = shared_from_this()]
@@ -108,7 +119,7 @@
         log.write(
             {is_reached ? core::event_code::control_regained
                         : core::event_code::control_lost,
-             {core::text_field("process", process.value()),
+             {core::text_field("process", process_name.value()),
               core::number_field("config_revision", known.in_force.value()),
               core::text_field("why", is_reached ? "" : loss_reason(result))}});
     }
@@ -125,14 +136,14 @@
     bool is_up_to_date(core::watch_answer const& answer) const
     {
         return known.in_force >= answer.current &&
-               (scope || known.registry == answer.registry);
+               (options.scope || known.registry == answer.registry);
     }
 
     transport::io_pool& io;
     control_link& link;
-    core::client_id process;
+    core::client_id process_name;
     update_hook on_update;
-    std::optional<core::backend_scope> scope;
+    watch_options options;
     core::random_source random;
     /// Held while `on_update` runs, so that the destructor waits for it.
     std::mutex mutex;
@@ -148,9 +159,12 @@
                            control_link& link,
                            core::client_id process,
                            update_hook on_update,
-                           std::optional<core::backend_scope> scope)
-    : m_state(std::make_shared<state>(
-          io, link, std::move(process), std::move(on_update), std::move(scope)))
+                           watch_options options)
+    : m_state(std::make_shared<state>(io,
+                                      link,
+                                      std::move(process),
+                                      std::move(on_update),
+                                      std::move(options)))
 {
 }
 
--- a/programs/shared/control_link/config_watch.hpp
+++ b/programs/shared/control_link/config_watch.hpp
@@ -5,14 +5,28 @@
 #include "shared/control_link/control_link.hpp"
 
 #include <atomic>
-#include <condition_variable>
+#include <chrono>
 #include <functional>
 #include <memory>
-#include <mutex>
+#include <optional>
 
 namespace turmericswitch::shared
 {
 
+/// How a process watches the configuration.
+struct watch_options
+{
+    /// Set for a sidecar: it gets only the configuration of its backend server,
+    /// and other changes do not end its poll.
+    std::optional<core::backend_scope> scope = {};
+    /// Longest time for which the leader holds a poll. An idle poll costs about
+    /// 300 bytes, so the default is far below the control budget of 8 KB/s.
+    core::duration max_wait = std::chrono::seconds(5);
+    /// Called on io threads when the process has all changes that were in force
+    /// when a poll was sent. The argument is that time by `process::boot_time`.
+    std::function<void(core::time_point asked_at)> on_confirmed = {};
+};
+
 /// Keeps one long poll open at the control leader and passes on each change.
 class config_watch
 {
@@ -33,13 +47,11 @@
     /// @param io Must outlive the watch, as must `link`.
     /// @param process Name shown to operators.
     /// @param on_update Called on io threads, one call at a time.
-    /// @param scope Set for a sidecar: it gets only the configuration of its
-    /// backend server, and other changes do not end its poll.
     config_watch(transport::io_pool& io,
                  control_link& link,
                  core::client_id process,
                  update_hook on_update,
-                 std::optional<core::backend_scope> scope = {});
+                 watch_options options = {});
     /// Ends the poll; `on_update` is not called afterwards.
     ~config_watch();
 
--- a/programs/shared/tests/config_watch_test.cpp
+++ b/programs/shared/tests/config_watch_test.cpp
@@ -1,3 +1,4 @@
+#include "process/clock/boot_clock.hpp"
 #include "shared/control_link/config_watch.hpp"
 #include "wire/codec/message_codec.hpp"
 #include "wire/codec/protocol_version.hpp"
@@ -18,6 +19,7 @@
     CPPUNIT_TEST_SUITE(config_watch_test);
     CPPUNIT_TEST(backs_off_if_update_is_not_applied);
     CPPUNIT_TEST(next_poll_names_applied_revision);
+    CPPUNIT_TEST(only_an_applied_answer_confirms_the_configuration);
     CPPUNIT_TEST_SUITE_END();
 
     using clock = std::chrono::steady_clock;
@@ -63,7 +65,13 @@
                                ? config_watch::known_state{update.current, {}}
                                : config_watch::known_state{};
                 },
-                core::backend_scope{});
+                {core::backend_scope{},
+                 std::chrono::seconds(1),
+                 [this](core::time_point asked_at)
+                 {
+                     std::lock_guard const confirmed_lock(m_mutex);
+                     m_confirmed.push_back(asked_at);
+                 }});
             watch.start();
             while (count < poll_count)
             {
@@ -75,6 +83,8 @@
         return {times.begin(), times.begin() + poll_count};
     }
 
+    std::mutex m_mutex;
+    std::vector<core::time_point> m_confirmed;
     std::vector<std::uint64_t> m_polled_revisions;
     transport::io_pool m_io{2};
 
@@ -98,6 +108,20 @@
             CPPUNIT_ASSERT_EQUAL(std::uint64_t{i}, m_polled_revisions[i]);
         }
     }
+
+    // Guards against a process that takes its configuration for current because
+    // polls are answered, although it could not apply the answers. The time
+    // must be that of the question: the answer may have been delayed.
+    void only_an_applied_answer_confirms_the_configuration()
+    {
+        auto const begun = process::boot_time();
+        poll_times(false);
+        CPPUNIT_ASSERT(m_confirmed.empty());
+        poll_times(true);
+        CPPUNIT_ASSERT(m_confirmed.size() >= poll_count - 1);
+        CPPUNIT_ASSERT(m_confirmed.front() >= begun);
+        CPPUNIT_ASSERT(m_confirmed.back() <= process::boot_time());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(config_watch_test);
--- a/programs/sidecar/main.cpp
+++ b/programs/sidecar/main.cpp
@@ -91,7 +91,8 @@
             service.configure(update);
             return shared::config_watch::known_state{update.current, {}};
         },
-        core::backend_scope{settings.backend, settings.service, settings.zone});
+        shared::watch_options{core::backend_scope{
+            settings.backend, settings.service, settings.zone}});
     transport::connection_options connection;
     connection.protocol_version = wire::protocol_version;
     auto const rpc = transport::rpc_server::listen(
