Batch beside an overloaded service goes on if it is not the cause

A service over its target by its own load stopped all its neighbours until its load fell, and no paced neighbour was sped up while any service of the worker was near its target; 735 of 4,256 stopped tasks were evicted after 2.5 s, and the last task of a stage decides its end.

Change: neighbours are not slowed where that would not bring the service below its target; of a service that stays over it those are stopped first that the model isn't sure to be harmless; a sample over the target without any neighbour at work restarts the harm limit; harmless neighbours go on at full pace; a task that stands still in two samples moves. All neighbours still stop after 40% of the harm limit.

--- a/modules/workflow/dispatch/colocation_controller.cpp
+++ b/modules/workflow/dispatch/colocation_controller.cpp
@@ -18,9 +18,9 @@
 
 constexpr std::uint32_t full_pace = 100;
 
-/// A task with a pace of 0 for this long should move to another worker; a move
-/// costs less than a second of its work.
-constexpr core::duration stalled_after = std::chrono::milliseconds(1500);
+/// A task with a pace of 0 for this long, which is in two samples, should move
+/// to another worker: a move costs less of its work than a longer wait.
+constexpr core::duration stalled_after = sample_time;
 
 /// If best-effort tasks get less than this part of the CPU that they request,
 /// the spare CPU was overestimated; above `plenty_above_percent` it was
--- a/modules/workflow/dispatch/pace_controller.cpp
+++ b/modules/workflow/dispatch/pace_controller.cpp
@@ -33,10 +33,18 @@
 /// when no known neighbour explains the tail.
 constexpr double unknown_neighbour_scale = 0.7;
 
-/// After this part of the harm limit over the target the model is not trusted.
-/// The rest covers reports that are up to a second apart and half a second old,
-/// and the delay of orders.
-constexpr std::int64_t distrust_percent = 40;
+/// After this part of the harm limit over the target, neighbours are stopped
+/// unless the model is sure that they are harmless.
+constexpr std::int64_t distrust_percent = 25;
+
+/// After this part of the harm limit the model is not trusted at all. The rest
+/// covers reports that are up to a second apart and half a second old, and the
+/// delay of orders.
+constexpr std::int64_t stop_all_percent = 40;
+
+/// A tail above this multiple of its target that remains without any neighbour
+/// is due to the task's own load.
+constexpr double own_load_tail = 1.1;
 constexpr std::int64_t percent = 100;
 
 template <typename Container>
@@ -57,13 +65,29 @@
                   { return !has_run(sample.serving, item.first); });
 }
 
+/// @return True if no best-effort task did any work in the time of the sample.
+bool are_neighbours_idle(colocation_sample const& sample)
+{
+    return std::all_of(sample.best_effort.begin(),
+                       sample.best_effort.end(),
+                       [](best_effort_task const& task)
+                       { return task.used.value() == 0; });
+}
+
 void update_over_target(core::time_point now,
                         colocation_sample const& sample,
                         pace_state& state)
 {
+    bool const is_own_load = are_neighbours_idle(sample);
     for (auto const& task : sample.serving)
     {
-        if (task.tail > 1)
+        if (task.tail > 1 && is_own_load)
+        {
+            // The task is over its target without its neighbours, so they have
+            // not harmed it so far.
+            state.over_target_since.insert_or_assign(task.run, now);
+        }
+        else if (task.tail > 1)
         {
             state.over_target_since.try_emplace(
                 task.run,
@@ -149,21 +173,15 @@
             slow_down_for(task, sample, scales);
         }
     }
-    if (is_over_target_for_long(now, state))
-    {
-        for (auto const& neighbour : sample.best_effort)
-        {
-            scales[neighbour.run] = 0;
-        }
-    }
+    bool const stopped_all = stop_distrusted(now, sample, state, scales);
     apply_scales(scales, state);
     if (by_tail.empty())
     {
         state.paces.clear();
     }
-    else if (by_tail.front().tail <= slow_down_above)
+    else if (!stopped_all)
     {
-        speed_up(sample, state);
+        speed_up(sample, scales, state);
     }
     update_stalled(now, state);
     state.last_sample = now;
@@ -172,12 +190,54 @@
 bool pace_controller::is_over_target_for_long(core::time_point now,
                                               pace_state const& state) const
 {
-    return std::any_of(state.over_target_since.begin(),
-                       state.over_target_since.end(),
-                       [&](auto const& item) {
-                           return (now - item.second) * percent >=
-                                  m_harm_limit * distrust_percent;
-                       });
+    return std::any_of(
+        state.over_target_since.begin(),
+        state.over_target_since.end(),
+        [&](auto const& item)
+        { return is_part_of_limit_over(now, item.second, distrust_percent); });
+}
+
+bool pace_controller::is_part_of_limit_over(core::time_point now,
+                                            core::time_point since,
+                                            std::int64_t part_percent) const
+{
+    return (now - since) * percent >= m_harm_limit * part_percent;
+}
+
+bool pace_controller::stop_distrusted(core::time_point now,
+                                      colocation_sample const& sample,
+                                      pace_state const& state,
+                                      pace_scales& scales) const
+{
+    bool stopped_all = false;
+    for (auto const& task : sample.serving)
+    {
+        auto const since = state.over_target_since.find(task.run);
+        if (since == state.over_target_since.end() ||
+            !is_part_of_limit_over(now, since->second, distrust_percent))
+        {
+            continue;
+        }
+        bool const stops_all =
+            is_part_of_limit_over(now, since->second, stop_all_percent);
+        for (auto const& neighbour : sample.best_effort)
+        {
+            if (stops_all || !is_harmless(task, neighbour, sample.capacity))
+            {
+                scales[neighbour.run] = 0;
+            }
+        }
+        stopped_all = stopped_all || stops_all;
+    }
+    return stopped_all;
+}
+
+bool pace_controller::is_harmless(serving_task const& task,
+                                  best_effort_task const& neighbour,
+                                  core::millicores capacity) const
+{
+    return m_model.is_known(task.image, neighbour.image) &&
+           effect(task, neighbour.image, neighbour.need, capacity) < min_effect;
 }
 
 void pace_controller::slow_down_for(serving_task const& task,
@@ -208,6 +268,11 @@
         slow_down_unknown(task, sample, scales);
         return;
     }
+    if (task.tail * std::exp(-total_effect) > own_load_tail)
+    {
+        // Slower neighbours would not bring the task below its target.
+        return;
+    }
     // Slows the neighbours with the largest effect per CPU used first, so that
     // as few as possible are slowed.
     std::stable_sort(
@@ -264,16 +329,25 @@
 }
 
 void pace_controller::speed_up(colocation_sample sample,
+                               pace_scales const& scales,
                                pace_state& state) const
 {
     for (auto const& task : sample.best_effort)
     {
         auto const known = state.paces.find(task.run);
-        if (known == state.paces.end())
+        if (known == state.paces.end() || scales.contains(task.run))
         {
             continue;
         }
-        auto const next = std::min(known->second + pace_step, full_pace);
+        bool const is_safe =
+            std::all_of(sample.serving.begin(),
+                        sample.serving.end(),
+                        [&](serving_task const& serving) {
+                            return is_harmless(serving, task, sample.capacity);
+                        });
+        auto const next = is_safe
+                              ? full_pace
+                              : std::min(known->second + pace_step, full_pace);
         auto const added = core::millicores(std::max<std::int64_t>(
             task.need.value() * next / full_pace - task.used.value(), 0));
         if (worst_tail_after(sample, task, added) > speed_up_limit)
--- a/modules/workflow/dispatch/pace_controller.hpp
+++ b/modules/workflow/dispatch/pace_controller.hpp
@@ -60,9 +60,9 @@
 /// When the tail latency of a serving task nears its target, the controller
 /// slows the neighbours with the largest effect for the CPU they use, by as
 /// much as the interference model predicts to be necessary. With headroom it
-/// speeds them up again. If a serving task stays over its target, the model is
-/// wrong about a neighbour; then all best-effort tasks are stopped, well before
-/// the harm limit.
+/// speeds them up again. If a serving task stays over its target, the model may
+/// be wrong about a neighbour: first those are stopped of which it is not sure
+/// that they are harmless, then all, well before the harm limit.
 class pace_controller
 {
 public:
@@ -100,7 +100,26 @@
     void slow_down_unknown(serving_task const& task,
                            colocation_sample const& sample,
                            pace_scales& scales) const;
-    void speed_up(colocation_sample sample, pace_state& state) const;
+    bool is_part_of_limit_over(core::time_point now,
+                               core::time_point since,
+                               std::int64_t part_percent) const;
+    /// Stops the neighbours of tasks that have been over their target for too
+    /// long.
+    ///
+    /// @return True if all neighbours were stopped.
+    bool stop_distrusted(core::time_point now,
+                         colocation_sample const& sample,
+                         pace_state const& state,
+                         pace_scales& scales) const;
+    /// @return True if the model is sure that the neighbour has no effect on
+    ///         the task.
+    bool is_harmless(serving_task const& task,
+                     best_effort_task const& neighbour,
+                     core::millicores capacity) const;
+    /// Speeds up the tasks that have no entry in `scales`.
+    void speed_up(colocation_sample sample,
+                  pace_scales const& scales,
+                  pace_state& state) const;
     double worst_tail_after(colocation_sample const& sample,
                             best_effort_task const& task,
                             core::millicores added) const;
--- a/modules/workflow/tests/colocation_test.cpp
+++ b/modules/workflow/tests/colocation_test.cpp
@@ -25,6 +25,8 @@
     CPPUNIT_TEST(neighbour_with_the_largest_effect_is_slowed_first);
     CPPUNIT_TEST(tail_that_stays_over_its_target_stops_all_neighbours);
     CPPUNIT_TEST(sample_just_below_the_target_does_not_reset_the_harm_limit);
+    CPPUNIT_TEST(neighbours_of_an_overloaded_service_go_on);
+    CPPUNIT_TEST(neighbour_with_too_small_an_effect_is_not_stopped);
     CPPUNIT_TEST(infrequent_reports_do_not_extend_the_harm_limit);
     CPPUNIT_TEST(neighbours_of_every_slow_service_are_slowed);
     CPPUNIT_TEST(samples_within_the_averaging_time_are_ignored);
@@ -138,6 +140,41 @@
         CPPUNIT_ASSERT(!m_controller.is_over_target_for_long(m_now, m_worker));
     }
 
+    // Load: a service whose own load keeps it over its target for many seconds
+    // beside batch that does not disturb it. Guards against batch that stands
+    // still for the whole time: while its neighbours are stopped the service is
+    // still over its target, so they are not the cause.
+    void neighbours_of_an_overloaded_service_go_on()
+    {
+        train_controller();
+        auto sample = sample_with_tail(1.3);
+        sample.best_effort.erase(sample.best_effort.begin());
+        int working = 0;
+        constexpr int samples = 40;
+        for (int i = 0; i < samples; ++i)
+        {
+            m_now += std::chrono::milliseconds(600);
+            sample.serving[0].tail = 1.3;
+            sample.best_effort[0].used =
+                core::millicores(4000 * pace(m_light) / 100);
+            m_controller.update(m_now, m_worker, sample);
+            working += pace(m_light) > 0 ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(working * 2 > samples);
+        // It still stops within the harm limit, in case the model is wrong.
+        CPPUNIT_ASSERT(working < samples);
+    }
+
+    // Guards against stops that can't help: without its neighbours too the
+    // service would be over its target.
+    void neighbour_with_too_small_an_effect_is_not_stopped()
+    {
+        train_controller();
+        update_with_tail(4.0);
+        CPPUNIT_ASSERT(pace(m_heavy) > 0);
+        CPPUNIT_ASSERT_EQUAL(100U, pace(m_light));
+    }
+
     // Reports of a worker on which no run ends are a second apart. Guards
     // against a time over the target that is counted only from the first report
     // that shows it.
