--- a/modules/wire/json/json_members.hpp
+++ b/modules/wire/json/json_members.hpp
@@ -6,8 +6,12 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cstdint>
+#include <limits>
 #include <stdexcept>
 #include <string>
+#include <type_traits>
+#include <utility>
 
 // Helpers of the JSON codecs. Include this header only from .cpp files, because
 // it includes nlohmann-json.
@@ -24,8 +28,41 @@
     using std::runtime_error::runtime_error;
 };
 
+/// @return True if the number can be converted to the integer type `T`. The
+///         conversion of a number outside of its range is undefined or wraps.
+template <typename T>
+bool is_in_range(json const& number)
+{
+    if (number.is_number_float())
+    {
+        auto const value = number.get<double>();
+        return value >= static_cast<double>(std::numeric_limits<T>::min()) &&
+               value < static_cast<double>(std::numeric_limits<T>::max());
+    }
+    return number.is_number_unsigned()
+               ? std::in_range<T>(number.get<std::uint64_t>())
+               : std::in_range<T>(number.get<std::int64_t>());
+}
+
+/// @return The value, converted to `T`.
+/// @throws json::exception When it has another type or is out of range.
+template <typename T>
+T value_of(json const& value)
+{
+    if constexpr (std::is_integral_v<T> && !std::is_same_v<T, bool>)
+    {
+        if (value.is_number() && !is_in_range<T>(value))
+        {
+            throw json::out_of_range::create(
+                401, "a number is out of range", &value);
+        }
+    }
+    return value.template get<T>();
+}
+
 /// @return The member, converted to `T`.
-/// @throws json_member_error When it is missing or has another type.
+/// @throws json_member_error When it is missing, has another type or is out of
+///         range.
 template <typename T>
 T member(json const& object, char const* name)
 {
@@ -36,7 +73,7 @@
     }
     try
     {
-        return found->template get<T>();
+        return value_of<T>(*found);
     }
     catch (json::exception const&)
     {
