An exception in an RPC handler loses its call, not the process

Cause: an exception that a handler throws on an io thread reached the thread's end and terminated the process (exit 134 in the new test), with all its connections.

Change: the server connection logs it and drops the responder, so that the caller learns that the call is lost. Test: exception_in_the_handler_loses_only_its_call, which failed first.

--- a/modules/transport/session/server_connection.cpp
+++ b/modules/transport/session/server_connection.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/asio/dispatch.hpp>
 
+#include <exception>
+
 namespace turmericswitch::transport
 {
 
@@ -143,7 +145,21 @@
     // Moved out first, because the handler may answer at once, which can
     // erase the entry.
     rpc_request request = std::move(entry.request);
-    m_context->handler(std::move(request), responder(std::move(send_answer)));
+    auto const path = request.path;
+    try
+    {
+        m_context->handler(std::move(request),
+                           responder(std::move(send_answer)));
+    }
+    catch (std::exception const& error)
+    {
+        // The call may have been processed in part. Its responder is destroyed
+        // without an answer, which tells the caller that the call is lost.
+        if (m_context->log)
+        {
+            m_context->log("handler of " + path + " failed: " + error.what());
+        }
+    }
 }
 
 void server_connection::respond(std::int32_t stream,
--- a/modules/transport/tests/rpc_failure_test.cpp
+++ b/modules/transport/tests/rpc_failure_test.cpp
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <optional>
+#include <stdexcept>
 
 namespace turmericswitch::transport
 {
@@ -17,6 +18,7 @@
     CPPUNIT_TEST(refused_connect_is_not_sent);
     CPPUNIT_TEST(peer_killed_in_a_call_is_lost);
     CPPUNIT_TEST(dropped_responder_is_lost);
+    CPPUNIT_TEST(exception_in_the_handler_loses_only_its_call);
     CPPUNIT_TEST(refusal_by_the_handler_is_not_sent);
     CPPUNIT_TEST(timeout_of_a_written_call_is_lost);
     CPPUNIT_TEST(timeout_of_a_waiting_call_is_not_sent);
@@ -94,6 +96,30 @@
                result_code::outcome_unknown);
     }
 
+    // Guards against one call that ends the whole process, or the other calls
+    // of its connection.
+    void exception_in_the_handler_loses_only_its_call()
+    {
+        auto const server = serve(
+            [](rpc_request const& request, responder const& reply)
+            {
+                if (request.body == "bad")
+                {
+                    throw std::runtime_error("unexpected");
+                }
+                reply.answer(request.body);
+            });
+        auto const client = client_of(server->bound());
+        expect(start(*client, "bad").get(),
+               call_outcome::lost,
+               result_code::outcome_unknown);
+        CPPUNIT_ASSERT_EQUAL(std::string("good"),
+                             start(*client, "good").get().body);
+        std::lock_guard const lock(m_mutex);
+        CPPUNIT_ASSERT_EQUAL(std::string("handler of /echo failed: unexpected"),
+                             m_log.at(0));
+    }
+
     // Guards against losing the code or text of a refusal.
     void refusal_by_the_handler_is_not_sent()
     {
