--- a/modules/workflow/dispatch/candidate_pool.cpp
+++ b/modules/workflow/dispatch/candidate_pool.cpp
@@ -42,9 +42,6 @@
             compute(*view);
         }
     }
-    std::erase_if(m_candidates,
-                  [this](auto const& item)
-                  { return m_fleet.find(item.first) == nullptr; });
 }
 
 void candidate_pool::compute(worker_view const& view)
@@ -85,20 +82,29 @@
 {
     update();
     std::vector<candidate_worker*> eligible;
-    auto view = m_fleet.all().begin();
-    for (auto& [id, worker] : m_candidates)
+    // Both maps are in the order of the ids.
+    auto const& views = m_fleet.all();
+    auto view = views.begin();
+    for (auto candidate = m_candidates.begin();
+         candidate != m_candidates.end();)
     {
-        // Both maps are in the order of the ids, and each candidate has a view.
-        while (view->first < id)
+        auto& [id, worker] = *candidate;
+        while (view != views.end() && view->first < id)
         {
             ++view;
         }
+        if (view == views.end() || view->first != id)
+        {
+            candidate = m_candidates.erase(candidate);
+            continue;
+        }
         if (is_eligible(view->second))
         {
             worker.closed_to_best_effort =
                 m_colocation.is_over_target_for_long(now, id);
             eligible.push_back(&worker);
         }
+        ++candidate;
     }
     return eligible;
 }
--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -256,8 +256,8 @@
     { return m_colocation.predicted_tail(worker, added); };
 }
 
-bool dispatcher::is_placement_due(plan_times const& times,
-                                  core::configuration const& config)
+bool dispatcher::take_placement_due(plan_times const& times,
+                                    core::configuration const& config)
 {
     auto const changes = m_table.changed_workflows().end();
     bool const is_due = m_placement_due || times.now >= m_next_placement ||
@@ -300,7 +300,7 @@
 {
     core::workflow_progress command;
     m_ends.collect(times.now, command);
-    if (is_placement_due(times, config))
+    if (take_placement_due(times, config))
     {
         place_tasks(times, config, command);
     }
--- a/modules/workflow/dispatch/dispatcher.hpp
+++ b/modules/workflow/dispatch/dispatcher.hpp
@@ -121,8 +121,9 @@
     bool is_eligible(core::time_point now,
                      worker_view const& view,
                      core::configuration const& config) const;
-    bool is_placement_due(plan_times const& times,
-                          core::configuration const& config);
+    /// @return True if placements must be planned now; they count as planned.
+    bool take_placement_due(plan_times const& times,
+                            core::configuration const& config);
     void evict_stalled(core::time_point now,
                        std::vector<candidate_worker*> const& workers);
     bool is_evictable(core::task_run const& run) const;
