Workers close to batch only when all their batch is stopped

Cause: the earlier part of the harm limit, after which only neighbours that may be harmful are stopped, also closed the worker to new batch that is known to be harmless. Found in the last read of the change.

--- a/modules/workflow/dispatch/pace_controller.cpp
+++ b/modules/workflow/dispatch/pace_controller.cpp
@@ -194,7 +194,7 @@
         state.over_target_since.begin(),
         state.over_target_since.end(),
         [&](auto const& item)
-        { return is_part_of_limit_over(now, item.second, distrust_percent); });
+        { return is_part_of_limit_over(now, item.second, stop_all_percent); });
 }
 
 bool pace_controller::is_part_of_limit_over(core::time_point now,
