--- a/modules/workflow/tests/planning_test.cpp
+++ b/modules/workflow/tests/planning_test.cpp
@@ -73,11 +73,13 @@
             tail_hook const& tail)
 {
     std::vector<pending_stage const*> pending;
+    pending.reserve(stages.size());
     for (auto const& each : stages)
     {
         pending.push_back(&each);
     }
     std::vector<candidate_worker*> candidates;
+    candidates.reserve(workers.size());
     for (auto& each : workers)
     {
         candidates.push_back(&each);
