--- a/modules/workflow/dispatch/stage_backlog.cpp
+++ b/modules/workflow/dispatch/stage_backlog.cpp
@@ -67,10 +67,8 @@
     if (!changed)
     {
         m_next_occurrences.clear();
-        for (auto const& [id, stages] : std::map(m_waiting))
-        {
-            replace(id, {});
-        }
+        m_waiting.clear();
+        m_waiting_tasks = 0;
     }
     for (auto const& id : changed ? *changed : m_table.active())
     {
@@ -83,13 +81,18 @@
     // After a backward step of the clock, occurrences may be due no longer.
     bool const stepped_back = times.wall < m_collected_at;
     m_collected_at = times.wall;
-    for (auto const& [id, due] : std::map(m_next_occurrences))
+    std::vector<core::workflow_id> due_workflows;
+    for (auto const& [id, due] : m_next_occurrences)
     {
         if (due <= times.wall || stepped_back)
         {
-            examine(id, times);
+            due_workflows.push_back(id);
         }
     }
+    for (auto const& id : due_workflows)
+    {
+        examine(id, times);
+    }
     m_earliest_occurrence = core::wall_time::max();
     for (auto const& [id, due] : m_next_occurrences)
     {
