Codec: members that a later release appends to a message

Change: a type may declare how many of its last members were appended. They are written only when they are used and have their default values when they are missing.

--- a/modules/core/messages/workflow.hpp
+++ b/modules/core/messages/workflow.hpp
@@ -160,6 +160,9 @@
     bool done = false;
     std::uint32_t failures = 0;
     checkpoint_id checkpoint;
+    /// Workers that crashed under the task since it last ran on a worker
+    /// without crashing it.
+    std::uint32_t crashes = 0;
 
     bool operator==(task_record const&) const = default;
 };
--- a/modules/wire/codec/message_codec.cpp
+++ b/modules/wire/codec/message_codec.cpp
@@ -69,6 +69,46 @@
     value.value();
 };
 
+/// Number of members at the end of `T` that later releases have added. They are
+/// not written while they and all members after them have their default values,
+/// and members that are missing when a message is read get their default
+/// values. So logs and snapshots of earlier releases can be read, and processes
+/// of both releases understand each other until such a member is used.
+template <typename T>
+constexpr std::size_t appended_members = 0;
+template <>
+constexpr std::size_t appended_members<core::task_record> = 1;
+
+/// @return Number of members to write: all but the appended ones at the end
+///         that have their default values.
+template <typename T>
+std::size_t written_members(T const& value)
+{
+    std::size_t written = member_count<T>() - appended_members<T>;
+    if constexpr (appended_members < T >> 0)
+    {
+        static T const defaults{};
+        std::size_t const first_appended = written;
+        std::size_t position = 0;
+        auto const compare = [&](auto const& member, auto const& other)
+        {
+            ++position;
+            if (position > first_appended && !(member == other))
+            {
+                written = position;
+            }
+        };
+        visit_members(value,
+                      [&](auto const&... member)
+                      {
+                          visit_members(defaults,
+                                        [&](auto const&... other)
+                                        { (compare(member, other), ...); });
+                      });
+    }
+    return written;
+}
+
 template <typename T>
 void write(packer& out, T const& value)
 {
@@ -117,10 +157,18 @@
     }
     else
     {
-        out.pack_array(static_cast<std::uint32_t>(member_count<T>()));
-        visit_members(value,
-                      [&out](auto const&... member)
-                      { (write(out, member), ...); });
+        auto const count = written_members(value);
+        out.pack_array(static_cast<std::uint32_t>(count));
+        std::size_t position = 0;
+        auto const write_next = [&](auto const& member)
+        {
+            if (position++ < count)
+            {
+                write(out, member);
+            }
+        };
+        visit_members(
+            value, [&](auto const&... member) { (write_next(member), ...); });
     }
 }
 
@@ -292,17 +340,20 @@
 template <typename T>
 bool read_aggregate(msgpack::object const& in, T& value)
 {
-    if (!is_array(in, member_count<T>()))
+    constexpr std::size_t most = member_count<T>();
+    if (in.type != msgpack::type::ARRAY || in.via.array.size > most ||
+        in.via.array.size < most - appended_members<T>)
     {
         return false;
     }
+    std::size_t position = 0;
+    auto const read_next = [&](auto& member)
+    {
+        bool const is_written = position < in.via.array.size;
+        return !is_written || read(in.via.array.ptr[position++], member);
+    };
     return visit_members(
-        value,
-        [&in](auto&... member)
-        {
-            std::size_t position = 0;
-            return (read(in.via.array.ptr[position++], member) && ...);
-        });
+        value, [&](auto&... member) { return (read_next(member) && ...); });
 }
 
 template <typename T>
--- a/modules/wire/tests/message_codec_test.cpp
+++ b/modules/wire/tests/message_codec_test.cpp
@@ -47,6 +47,40 @@
     return envelope;
 }
 
+/// A snapshot with one task, of which `crashes` is an appended member.
+core::state_snapshot sample_snapshot(std::uint32_t crashes)
+{
+    core::task_record task;
+    task.attempt = core::attempt_number(85);
+    task.worker = core::worker_id("w");
+    task.checkpoint = core::checkpoint_id("cp");
+    task.crashes = crashes;
+    core::stage_record stage;
+    stage.tasks = {task};
+    core::workflow_record workflow;
+    workflow.stages = {stage};
+    core::state_snapshot snapshot;
+    snapshot.workflows = {workflow};
+    return snapshot;
+}
+
+/// The first bytes of the sample task with 7, 8 and 9 members.
+std::string const task_with_7 = "\x97\x55\xa1w";
+std::string const task_with_8 = "\x98\x55\xa1w";
+std::string const task_with_9 = "\x99\x55\xa1w";
+/// The last member of the sample task that is not an appended one.
+std::string const last_member = "\xa2"
+                                "cp";
+
+void replace_once(std::string& bytes,
+                  std::string const& from,
+                  std::string const& to)
+{
+    auto const at = bytes.find(from);
+    CPPUNIT_ASSERT(at != std::string::npos);
+    bytes.replace(at, from.size(), to);
+}
+
 } // namespace
 
 class message_codec_test : public CppUnit::TestFixture
@@ -57,6 +91,10 @@
     CPPUNIT_TEST(corrupt_bytes_fail_or_decode_consistently);
     CPPUNIT_TEST(unknown_enum_value_is_rejected);
     CPPUNIT_TEST(trailing_bytes_are_rejected);
+    CPPUNIT_TEST(appended_member_round_trips);
+    CPPUNIT_TEST(appended_member_with_default_value_is_not_written);
+    CPPUNIT_TEST(message_without_appended_member_is_read);
+    CPPUNIT_TEST(message_with_too_many_members_is_rejected);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against members that are omitted or exchanged.
@@ -121,6 +159,44 @@
         auto const bytes = encode(core::hard_state{}) + '\0';
         CPPUNIT_ASSERT(!decode<core::hard_state>(bytes));
     }
+
+    // Guards against an appended member that is lost or exchanged.
+    void appended_member_round_trips()
+    {
+        auto const snapshot = sample_snapshot(3);
+        CPPUNIT_ASSERT(decode<core::state_snapshot>(encode(snapshot)) ==
+                       snapshot);
+    }
+
+    // Guards against messages that processes of an earlier release can't read
+    // although no feature of the later one is in use.
+    void appended_member_with_default_value_is_not_written()
+    {
+        auto const bytes = encode(sample_snapshot(0));
+        CPPUNIT_ASSERT(bytes.find(task_with_7) != std::string::npos);
+        CPPUNIT_ASSERT(decode<core::state_snapshot>(bytes) ==
+                       sample_snapshot(0));
+    }
+
+    // Guards against a release that can't read the logs and snapshots of an
+    // earlier one.
+    void message_without_appended_member_is_read()
+    {
+        auto bytes = encode(sample_snapshot(3));
+        replace_once(bytes, task_with_8, task_with_7);
+        replace_once(bytes, last_member + '\x03', last_member);
+        CPPUNIT_ASSERT(decode<core::state_snapshot>(bytes) ==
+                       sample_snapshot(0));
+    }
+
+    // Guards against dropping members that a later release has added.
+    void message_with_too_many_members_is_rejected()
+    {
+        auto bytes = encode(sample_snapshot(3));
+        replace_once(bytes, task_with_8, task_with_9);
+        replace_once(bytes, last_member + '\x03', last_member + "\x03\x01");
+        CPPUNIT_ASSERT(!decode<core::state_snapshot>(bytes));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(message_codec_test);
