Web client: a timeout drops idle connections that may be silent too

What callers could see: after the connections between a sidecar and its worker fell silent without a reset, a start could fail three times and be given up, and the sync calls that renew the worker's lease failed one after another, so that runs ended and long-running tasks stayed without a run.

Cause: async_client closed the connection of a request that timed out, but left the other idle ones in the pool.

Evidence: timeout_drops_the_idle_connections_that_may_be_silent, through a relay on loopback that silences its open connections. Before: the request after the first timeout was lost after its own 5 s. After: it is answered on a new connection.

Why it works: after a timeout, an idle connection is kept only if a response came on it since the timed-out request began. A slow request therefore closes no connection that is known to work (timeout_keeps_an_idle_connection_used_since).

--- a/modules/web/client/async_client.cpp
+++ b/modules/web/client/async_client.cpp
@@ -35,6 +35,8 @@
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
+    /// When the last response on it was complete.
+    std::chrono::steady_clock::time_point answered_at;
 };
 
 /// State of one request until it is completed.
@@ -43,6 +45,8 @@
     http::request<http::string_body> request;
     std::optional<http::response_parser<http::string_body>> parser;
     std::chrono::steady_clock::time_point deadline;
+    /// When the request left the queue.
+    std::chrono::steady_clock::time_point started_at;
     async_client::callback done;
     std::shared_ptr<client_connection> connection;
     bool may_retry = true;
@@ -125,6 +129,7 @@
             return;
         }
         ++m_in_use;
+        pending->started_at = std::chrono::steady_clock::now();
         if (!m_idle.empty())
         {
             pending->connection = std::move(m_idle.back());
@@ -214,9 +219,22 @@
             connect(pending);
             return;
         }
+        if (failure == beast::error::timeout)
+        {
+            close_idle_unused_since(pending->started_at);
+        }
         fail(pending, http_outcome::lost, failure.message());
     }
 
+    /// All open connections may have fallen silent without a reset. After a
+    /// timeout, only an answer since then shows that one still works.
+    void close_idle_unused_since(std::chrono::steady_clock::time_point start)
+    {
+        std::erase_if(m_idle,
+                      [start](auto const& each)
+                      { return each->answered_at < start; });
+    }
+
     void complete(pending_pointer const& pending)
     {
         auto connection = std::move(pending->connection);
@@ -226,6 +244,7 @@
         if (keep_open)
         {
             connection->stream.expires_never();
+            connection->answered_at = std::chrono::steady_clock::now();
             m_idle.push_back(std::move(connection));
         }
         http_result result;
--- a/modules/web/tests/async_client_test.cpp
+++ b/modules/web/tests/async_client_test.cpp
@@ -1,5 +1,6 @@
 #include "web/client/async_client.hpp"
 
+#include "support/silencing_relay.hpp"
 #include "web/server/http_server.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -19,6 +20,8 @@
     CPPUNIT_TEST(many_requests_share_few_connections);
     CPPUNIT_TEST(silent_peer_times_out);
     CPPUNIT_TEST(request_to_closed_port_is_not_sent);
+    CPPUNIT_TEST(timeout_drops_the_idle_connections_that_may_be_silent);
+    CPPUNIT_TEST(timeout_keeps_an_idle_connection_used_since);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -100,6 +103,80 @@
                        http_outcome::not_sent);
     }
 
+    // Guards against a silent connection that fails one request after another.
+    // All open connections to a worker may fall silent at once; each later
+    // request then took another idle one and waited for its timeout, so that
+    // a sidecar could not reach its worker for many seconds.
+    void timeout_drops_the_idle_connections_that_may_be_silent()
+    {
+        constexpr std::size_t parallel = 4;
+        std::atomic<std::size_t> in_progress = 0;
+        server_options options;
+        options.listen_on = {"127.0.0.1", 0};
+        auto const server = http_server::start(
+            options,
+            [&](http_request const& request)
+            {
+                ++in_progress;
+                while (request.body == "together" && in_progress < parallel)
+                {
+                    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+                }
+                return text_response(request.body);
+            });
+        turmericswitch::testing::silencing_relay relay(server->bound());
+        transport::io_pool io(1);
+        async_client client(io, relay.address());
+        std::vector<std::future<http_result>> first;
+        for (std::size_t i = 0; i < parallel; ++i)
+        {
+            first.push_back(send(client, "together"));
+        }
+        for (auto& each : first)
+        {
+            CPPUNIT_ASSERT(each.get().outcome == http_outcome::answered);
+        }
+        CPPUNIT_ASSERT_EQUAL(parallel, relay.accepted());
+        relay.silence();
+        CPPUNIT_ASSERT(
+            send(client, "x", std::chrono::milliseconds(50)).get().outcome ==
+            http_outcome::lost);
+        CPPUNIT_ASSERT(
+            send(client, "y", std::chrono::seconds(5)).get().outcome ==
+            http_outcome::answered);
+        CPPUNIT_ASSERT_EQUAL(parallel + 1, relay.accepted());
+    }
+
+    // Guards against one slow request that closes connections which work: one
+    // that was answered on after the slow request was sent is not silent.
+    void timeout_keeps_an_idle_connection_used_since()
+    {
+        std::promise<void> release;
+        auto const released = release.get_future().share();
+        server_options options;
+        options.listen_on = {"127.0.0.1", 0};
+        auto const server =
+            http_server::start(options,
+                               [released](http_request const& request)
+                               {
+                                   if (request.body == "hang")
+                                   {
+                                       released.wait();
+                                   }
+                                   return text_response(request.body);
+                               });
+        turmericswitch::testing::silencing_relay relay(server->bound());
+        transport::io_pool io(1);
+        async_client client(io, relay.address());
+        auto hanging = send(client, "hang", std::chrono::milliseconds(500));
+        send(client, "quick").get();
+        CPPUNIT_ASSERT(hanging.get().outcome == http_outcome::lost);
+        CPPUNIT_ASSERT(send(client, "quick").get().outcome ==
+                       http_outcome::answered);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, relay.accepted());
+        release.set_value();
+    }
+
 private:
     static std::future<http_result>
     send(async_client& client,
