Control: replace a silent connection between members within 1 s

What callers could see: after the members' connections fell silent without a reset, no member could lead until they were replaced. By the code, every worker's lease of 6 s can run out before that, so that all running tasks end.

Cause: consensus messages are sent without regard to the answer, so the only thing that finds a silent connection is the transport's keepalive, with its default of a PING after 2 s and two unanswered probes. Heartbeats, votes and their answers went on into the silent connections until then, long beyond the election timeout of 0.5 to 1 s.

Evidence: peer_links_test, which sends heartbeats through a relay on loopback that silences its open connections, and requires that one arrives again within the 4 s after which the platform counts a machine as in touch (contact_ms).

Why it works: a member answers each message at once and gets one every 100 ms, so 250 ms without any input are already unusual; the link is probed twice and replaced after at most 1 s. That is about one election timeout, and the next pre-vote goes over the new connection. Connection attempts to members are limited to 0.5 s and the delays between them to 0.25 s, because a link that is dropped early in a partition must be back soon after the partition ends.

--- a/programs/control/node/peer_links.cpp
+++ b/programs/control/node/peer_links.cpp
@@ -12,6 +12,26 @@
 /// Consensus sends a message again long before this.
 constexpr core::duration send_timeout = std::chrono::seconds(2);
 
+/// The peer answers every message at once and gets heartbeats every 100 ms, so
+/// a connection without input for this long is probed, and replaced after
+/// about 1 s. Members that can't reach each other elect no leader, and with the
+/// default options (8 s) all workers' leases would run out first.
+constexpr core::duration keepalive_interval = std::chrono::milliseconds(250);
+
+/// A link must work again soon after a partition ends, so one attempt and the
+/// delay after it take together about as long as an election.
+constexpr core::duration connect_timeout = std::chrono::milliseconds(500);
+constexpr core::duration reconnect_delay_cap = std::chrono::milliseconds(250);
+
+transport::client_options link_options()
+{
+    transport::client_options options;
+    options.connection.keepalive_interval = keepalive_interval;
+    options.connect_timeout = connect_timeout;
+    options.backoff_cap = reconnect_delay_cap;
+    return options;
+}
+
 } // namespace
 
 peer_links::peer_links(transport::io_pool& io, std::uint64_t random_seed)
@@ -43,8 +63,9 @@
         {
             continue;
         }
-        m_links.emplace(
-            id, shared::make_peer_client(m_io, peer, m_seed + id.value()));
+        m_links.emplace(id,
+                        shared::make_peer_client(
+                            m_io, peer, m_seed + id.value(), link_options()));
     }
 }
 
--- /dev/null
+++ b/programs/control/tests/peer_links_test.cpp
@@ -0,0 +1,83 @@
+#include "node/peer_links.hpp"
+#include "support/silencing_relay.hpp"
+#include "wire/codec/message_codec.hpp"
+#include "wire/codec/protocol_version.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+#include <chrono>
+#include <thread>
+
+namespace turmericswitch::control::testing
+{
+
+class peer_links_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(peer_links_test);
+    CPPUNIT_TEST(silent_connection_is_replaced_within_the_contact_time);
+    CPPUNIT_TEST_SUITE_END();
+
+    using clock = std::chrono::steady_clock;
+
+    /// The platform counts a machine as in touch again this long after a
+    /// disturbance; by then the group must have a leader again.
+    static constexpr auto contact_time = std::chrono::seconds(4);
+
+    /// Sends heartbeats until the peer has received another one.
+    void send_until_received()
+    {
+        auto const before = m_received.load();
+        while (m_received == before)
+        {
+            core::consensus_message heartbeat;
+            heartbeat.from = core::member_id(1);
+            heartbeat.to = core::member_id(2);
+            heartbeat.body = core::append_request{};
+            m_links.send(heartbeat);
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        }
+    }
+
+    std::atomic<std::uint64_t> m_received = 0;
+    transport::io_pool m_io{2};
+    peer_links m_links{m_io, 1};
+
+    // Guards against a group without a leader for seconds. When the members'
+    // connections fall silent without a reset, heartbeats, votes and their
+    // answers are all lost until the connections are replaced.
+    void silent_connection_is_replaced_within_the_contact_time()
+    {
+        transport::connection_options connection;
+        connection.protocol_version = wire::protocol_version;
+        auto const server = transport::rpc_server::listen(
+            m_io,
+            {"127.0.0.1", 0},
+            [this](transport::rpc_request const&,
+                   transport::responder const& answer)
+            {
+                ++m_received;
+                answer.answer({});
+            },
+            connection,
+            [](std::string const&) {});
+        CPPUNIT_ASSERT(server);
+        turmericswitch::testing::silencing_relay relay(server->bound());
+        core::group_membership members;
+        members.members.push_back(
+            {core::member_id(2), relay.address(), {}, false});
+        m_links.set_members(core::member_id(1), members);
+        send_until_received();
+        relay.silence();
+        auto const silenced = clock::now();
+        send_until_received();
+        auto const found_after = clock::now() - silenced;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, relay.accepted());
+        CPPUNIT_ASSERT(found_after < contact_time);
+        m_links.set_members(core::member_id(1), {});
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(peer_links_test);
+
+} // namespace turmericswitch::control::testing
