Control: confirm leadership before answering a configuration watch

What callers could see: a gateway answers 404 for a queue that a newer configuration has, because it took the configuration of a deposed leader for current.

Cause: a leader answered watches without asking its group. A machine that was suspended or paused for seconds has a successor, but handles the polls that wait in its sockets before it notices that: its steady clock did not count the suspension, so its quorum seems to have answered just now. The gateway takes the time at which it asked as the time of which its configuration is confirmed, and that time is after the pause.

Evidence: deposed_leader_answers_no_watch. Before, a leader that was cut off from its group answered a new poll with `ok` and its configuration. Now the answer is `not_leader`.

Why it works: each answer waits for a read-index round that begins after the answer was composed, as heartbeats and reports of workers already do.

--- a/programs/control/leader/leader_duties.cpp
+++ b/programs/control/leader/leader_duties.cpp
@@ -17,6 +17,13 @@
     return answer;
 }
 
+core::watch_answer watch_refusal()
+{
+    core::watch_answer answer;
+    answer.code = core::result_code::not_leader;
+    return answer;
+}
+
 bool is_empty(core::placement_batch const& batch)
 {
     return batch.placements.empty() && batch.evictions.empty() &&
@@ -68,6 +75,10 @@
     {
         done(refusal(request, core::result_code::not_leader));
     }
+    for (auto const& each : std::exchange(m_unconfirmed_watches, {}))
+    {
+        each.done(watch_refusal());
+    }
 }
 
 void leader_duties::applied(core::command_body const& command,
@@ -171,7 +182,40 @@
                           core::watch_request request,
                           watch_hub::answer_hook done)
 {
-    m_watches.watch(now, std::move(request), std::move(done));
+    m_watches.watch(
+        now,
+        std::move(request),
+        [weak = weak_from_this(),
+         done = std::move(done)](core::watch_answer answer)
+        {
+            auto const self = weak.lock();
+            if (!self || self->m_ended || answer.code != core::result_code::ok)
+            {
+                done(watch_refusal());
+                return;
+            }
+            self->m_unconfirmed_watches.push_back({std::move(answer), done});
+        });
+}
+
+void leader_duties::confirm_watches()
+{
+    if (m_unconfirmed_watches.empty())
+    {
+        return;
+    }
+    m_node.read(
+        [self = shared_from_this(),
+         waiting =
+             std::exchange(m_unconfirmed_watches, {})](core::result_code code)
+        {
+            bool const is_confirmed =
+                !self->m_ended && code == core::result_code::ok;
+            for (auto const& each : waiting)
+            {
+                each.done(is_confirmed ? each.answer : watch_refusal());
+            }
+        });
 }
 
 void leader_duties::tick(core::time_point now, core::wall_time wall)
@@ -179,6 +223,7 @@
     m_registry.remove_expired(now);
     m_watches.tick(now);
     confirm_heartbeats();
+    confirm_watches();
     expire_leases(now);
     if (now >= m_next_placement && !m_planner_sync.has_pending_batch())
     {
--- a/programs/control/leader/leader_duties.hpp
+++ b/programs/control/leader/leader_duties.hpp
@@ -64,6 +64,10 @@
 
     core::announce_answer announce(core::time_point now,
                                    core::announce_request const& request);
+    /// Confirms leadership with a quorum before each answer: a deposed leader
+    /// may have an old configuration that the process would take for current.
+    ///
+    /// @param done Gets the answer, or `not_leader`.
     void watch(core::time_point now,
                core::watch_request request,
                watch_hub::answer_hook done);
@@ -80,6 +84,7 @@
     void answer_heartbeat(core::heartbeat_request const& request,
                           heartbeat_hook const& done);
     void confirm_heartbeats();
+    void confirm_watches();
     void expire_leases(core::time_point now);
     void run_placement(core::time_point now, core::wall_time wall);
     void propose_batch(core::placement_batch batch);
@@ -92,6 +97,12 @@
         heartbeat_hook done;
     };
 
+    struct unconfirmed_watch
+    {
+        core::watch_answer answer;
+        watch_hub::answer_hook done;
+    };
+
     replica& m_node;
     duty_settings m_settings;
     decision_hook m_on_decision;
@@ -105,6 +116,8 @@
     /// Heartbeats that need no commit. The next tick confirms leadership once
     /// for all of them.
     std::vector<unconfirmed_heartbeat> m_unconfirmed;
+    /// Answers to watches, confirmed in the same way.
+    std::vector<unconfirmed_watch> m_unconfirmed_watches;
     bool m_expiry_pending = false;
     bool m_ended = false;
 };
--- a/programs/control/tests/leader_duties_test.cpp
+++ b/programs/control/tests/leader_duties_test.cpp
@@ -16,6 +16,8 @@
     CPPUNIT_TEST(answer_waits_for_a_round_after_the_heartbeat);
     CPPUNIT_TEST(silent_worker_loses_its_task_after_the_lease);
     CPPUNIT_TEST(polls_end_with_the_leadership);
+    CPPUNIT_TEST(deposed_leader_answers_no_watch);
+    CPPUNIT_TEST(watch_is_answered_once_leadership_is_confirmed);
     CPPUNIT_TEST_SUITE_END();
 
     /// The group replaces the process-wide clock, so only one may exist.
@@ -225,6 +227,50 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), polls.size());
         CPPUNIT_ASSERT(polls[0].code == result_code::not_leader);
     }
+
+    /// Lets a process without a configuration poll an instance.
+    std::shared_ptr<std::vector<core::watch_answer>> poll_anew(std::size_t at)
+    {
+        core::watch_request request;
+        request.process = core::client_id("p");
+        request.max_wait = std::chrono::seconds(25);
+        auto answers = std::make_shared<std::vector<core::watch_answer>>();
+        m_group->at(at).duties->watch(
+            m_group->now,
+            request,
+            [answers](core::watch_answer const& answer)
+            { answers->push_back(answer); });
+        return answers;
+    }
+
+    // Guards against a gateway that takes an old configuration for current and
+    // tells callers that a new queue doesn't exist. A leader that was suspended
+    // has a successor, but handles the polls that wait in its sockets before it
+    // notices that; its steady clock did not count the suspension.
+    void deposed_leader_answers_no_watch()
+    {
+        set_up_zone();
+        auto const first = m_group->leader();
+        m_group->at(first).isolated = true;
+        auto const answers = poll_anew(first);
+        CPPUNIT_ASSERT(m_group->step_until([&] { return !answers->empty(); }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), answers->size());
+        CPPUNIT_ASSERT(answers->back().code == result_code::not_leader);
+        CPPUNIT_ASSERT(!answers->back().config);
+    }
+
+    // Guards against a leader that leaves a poll without an answer although
+    // the group confirms it.
+    void watch_is_answered_once_leadership_is_confirmed()
+    {
+        set_up_zone();
+        auto const answers = poll_anew(m_group->leader());
+        CPPUNIT_ASSERT(
+            m_group->step_until([&] { return !answers->empty(); }, 20));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), answers->size());
+        CPPUNIT_ASSERT(answers->back().code == result_code::ok);
+        CPPUNIT_ASSERT(answers->back().config);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(leader_duties_test);
