Sidecar: a retried start keeps the deadline of its order

What callers could see: two runs of one task at once.

Cause: each call for a start took the worker's newest lease as its deadline, and the newest fencing token. A sidecar that was suspended or paused between two calls for the same start gets a new lease from the leader before it calls again, while the leader has given up the run meanwhile, because the lease that it knew of has ended, and has placed the task elsewhere. The worker then accepts the old order under the new lease.

Evidence: retried_start_keeps_the_deadline_of_its_order. Before, the second call after a new grant had the deadline of that grant. Found by reading the code, not seen in a run with real processes.

Why it works: the deadline is fixed when the order arrives, so that it ends no later than the lease by which the leader judges the run, and the worker rejects a later call. The sync calls go on extending the lease of runs that have started.

--- a/modules/workflow/agent/worker_agent.cpp
+++ b/modules/workflow/agent/worker_agent.cpp
@@ -432,8 +432,10 @@
     {
         return;
     }
-    auto const [known, is_new] =
-        m_starts.try_emplace(start.run, pending_start{start, payload});
+    auto order = start;
+    order.lease_until = std::max(order.lease_until, m_lease_until);
+    auto const [known, is_new] = m_starts.try_emplace(
+        start.run, pending_start{std::move(order), payload});
     if (is_new)
     {
         call_start(start.run);
@@ -445,10 +447,8 @@
     auto& open = m_starts.at(run);
     ++open.tries;
     ++m_open_calls;
-    auto start = open.start;
-    start.lease_until = std::max(start.lease_until, m_lease_until);
     m_hooks.runtime.start(
-        {m_profile->worker, start, open.payload, m_fencing_token},
+        {m_profile->worker, open.start, open.payload, m_fencing_token},
         [this, run, epoch = m_epoch](start_outcome outcome)
         {
             --m_open_calls;
--- a/modules/workflow/agent/worker_agent.hpp
+++ b/modules/workflow/agent/worker_agent.hpp
@@ -84,6 +84,8 @@
 private:
     struct pending_start
     {
+        /// Its `lease_until` stays as of the order's receipt: the leader may
+        /// have given up the run when a later lease is granted.
         core::run_start start;
         std::string payload;
         int tries = 0;
--- a/modules/workflow/tests/worker_agent_test.cpp
+++ b/modules/workflow/tests/worker_agent_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(unanswered_start_is_refused_only_after_a_stop);
     CPPUNIT_TEST(stopped_run_that_is_still_listed_is_not_refused);
     CPPUNIT_TEST(orders_of_a_deposed_leader_are_dropped);
+    CPPUNIT_TEST(retried_start_keeps_the_deadline_of_its_order);
     CPPUNIT_TEST(registration_of_an_earlier_incarnation_is_ignored);
     CPPUNIT_TEST(refusals_during_a_report_do_not_delay_the_next_sync);
     CPPUNIT_TEST(report_after_an_outage_has_a_current_clock);
@@ -259,6 +260,23 @@
         CPPUNIT_ASSERT(m_stops.empty());
     }
 
+    // Guards against two runs of a task at once. A sidecar that was paused
+    // between two calls for a start may get a new lease before the second
+    // call, although the leader has given up the run meanwhile and placed the
+    // task elsewhere. The worker rejects the call by the deadline of the order.
+    void retried_start_keeps_the_deadline_of_its_order()
+    {
+        start_up();
+        order_start();
+        auto const deadline = m_starts.front().call.start.lease_until;
+        CPPUNIT_ASSERT(deadline == std::chrono::seconds(5));
+        answer(m_syncs, std::optional(sync_result{}));
+        grant(2, std::chrono::seconds(15));
+        answer(m_starts, start_outcome::unknown);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_starts.size());
+        CPPUNIT_ASSERT(m_starts.front().call.start.lease_until == deadline);
+    }
+
     // A delayed registration can arrive after the worker has restarted.
     void registration_of_an_earlier_incarnation_is_ignored()
     {
@@ -303,11 +321,12 @@
         one.done(std::move(result));
     }
 
-    void grant(std::uint64_t token)
+    void grant(std::uint64_t token,
+               core::duration lease_until = std::chrono::seconds(5))
     {
         core::runtime_grant grant;
         grant.fencing_token = token;
-        grant.lease_until = std::chrono::seconds(5);
+        grant.lease_until = lease_until;
         answer(m_reports, std::optional(grant));
     }
 
