Web client: a timeout drops all idle connections

Cause: an idle connection was kept if a response came on it after the timed-out request had begun. It may have fallen silent after that response. A sync call waits for up to 1 s at the worker, so responses of other calls meanwhile are common.

Why it works: no idle connection survives a timeout. New connections to the worker, on the same instance, cost little, and timeouts are rare.

--- a/modules/web/client/async_client.cpp
+++ b/modules/web/client/async_client.cpp
@@ -35,8 +35,6 @@
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
-    /// When the last response on it was complete.
-    std::chrono::steady_clock::time_point answered_at;
 };
 
 /// State of one request until it is completed.
@@ -45,8 +43,6 @@
     http::request<http::string_body> request;
     std::optional<http::response_parser<http::string_body>> parser;
     std::chrono::steady_clock::time_point deadline;
-    /// When the request left the queue.
-    std::chrono::steady_clock::time_point started_at;
     async_client::callback done;
     std::shared_ptr<client_connection> connection;
     bool may_retry = true;
@@ -129,7 +125,6 @@
             return;
         }
         ++m_in_use;
-        pending->started_at = std::chrono::steady_clock::now();
         if (!m_idle.empty())
         {
             pending->connection = std::move(m_idle.back());
@@ -221,20 +216,13 @@
         }
         if (failure == beast::error::timeout)
         {
-            close_idle_unused_since(pending->started_at);
+            // All open connections may have fallen silent without a reset, also
+            // one that was answered on while this request waited.
+            m_idle.clear();
         }
         fail(pending, http_outcome::lost, failure.message());
     }
 
-    /// All open connections may have fallen silent without a reset. After a
-    /// timeout, only an answer since then shows that one still works.
-    void close_idle_unused_since(std::chrono::steady_clock::time_point start)
-    {
-        std::erase_if(m_idle,
-                      [start](auto const& each)
-                      { return each->answered_at < start; });
-    }
-
     void complete(pending_pointer const& pending)
     {
         auto connection = std::move(pending->connection);
@@ -244,7 +232,6 @@
         if (keep_open)
         {
             connection->stream.expires_never();
-            connection->answered_at = std::chrono::steady_clock::now();
             m_idle.push_back(std::move(connection));
         }
         http_result result;
--- a/modules/web/client/async_client.hpp
+++ b/modules/web/client/async_client.hpp
@@ -30,8 +30,7 @@
 /// Use it where responses may take long; `http_client` blocks a thread for each
 /// request. Requests must be idempotent: one that fails on a reused connection
 /// before the first byte of its response is retried on a new connection. One
-/// that times out closes its connection and all idle ones without an answer
-/// since it began.
+/// that times out closes its connection and all idle ones.
 class async_client
 {
 public:
