--- a/modules/web/client/async_client.cpp
+++ b/modules/web/client/async_client.cpp
@@ -214,6 +214,12 @@
             connect(pending);
             return;
         }
+        if (failure == beast::error::timeout)
+        {
+            // All open connections may have fallen silent without a reset, also
+            // one that was answered on while this request waited.
+            m_idle.clear();
+        }
         fail(pending, http_outcome::lost, failure.message());
     }
 
