Agent: report a changed capacity or label at once

Callers could see: a worker said that its capacity had shrunk, and for up to a second more the leader placed and started tasks by the earlier one. While the worker's runtime gave no answer the leader never learned of the change. Cause: only a change of `draining` was reported at once; other members waited for the next list of runs, and a report that was lost or in progress was repeated only after an answer of the worker. Evidence: `changed_capacity_is_reported_at_once` and `changed_capacity_of_a_silent_worker_is_reported` failed before ("assertion failed - Expression: !m_reports.empty()"). Fix: every change but that of the time that a draining worker stays is reported at once, and after a failed sync call until a leader has answered. One report for each change is sent without an answer of the worker, so the lease that the leader assumes for a silent worker grows by at most one report per change. Result: workflow_tests pass.

--- a/modules/workflow/agent/worker_agent.cpp
+++ b/modules/workflow/agent/worker_agent.cpp
@@ -27,6 +27,14 @@
 /// How long the leader may delay its answer to a poll until orders are due.
 constexpr core::duration orders_wait = std::chrono::seconds(5);
 
+/// @return True if the leader must learn of the difference before the next
+///         list of runs. The time that a draining worker stays always differs.
+bool differs(core::worker_profile const& known, core::worker_profile now)
+{
+    now.stays = known.stays;
+    return known != now;
+}
+
 /// Calls for one start or stop before the agent gives up.
 constexpr int max_tries = 3;
 
@@ -59,14 +67,19 @@
         begin_incarnation(std::move(profile));
         return true;
     }
-    bool const is_changed = m_profile->draining != profile.draining;
+    bool const is_drain_changed = m_profile->draining != profile.draining;
+    bool const is_changed = differs(*m_profile, profile);
     m_profile = std::move(profile);
-    if (is_changed)
+    if (is_drain_changed)
     {
         m_hooks.on_event(
             {event_code::worker_drain_changed,
              {text_field("worker", m_profile->worker.value()),
               number_field("draining", m_profile->draining ? 1 : 0)}});
+    }
+    if (is_changed)
+    {
+        m_profile_due = true;
         send_report();
     }
     return true;
@@ -95,6 +108,8 @@
     m_syncing = false;
     m_reporting = false;
     m_report_again = false;
+    m_profile_due = false;
+    m_reporting_profile = false;
     m_polling = false;
     m_received_batch = 0;
     // The grant for the first report has the fencing token that sync calls
@@ -211,7 +226,12 @@
     if (!answer || is_other_incarnation)
     {
         // Sends no report: the leader would extend the lease of a worker that
-        // does not answer.
+        // does not answer. A changed profile is worth it, because orders that
+        // the worker executes late must fit its capacity.
+        if (!answer && m_profile_due && !m_left)
+        {
+            send_report();
+        }
         schedule_sync(retry_pause, core::duration{});
         return;
     }
@@ -263,6 +283,7 @@
     }
     m_reporting = true;
     m_report_again = false;
+    m_reporting_profile = std::exchange(m_profile_due, false);
     core::runtime_report report;
     report.host = m_options.host;
     report.profile = *m_profile;
@@ -300,6 +321,7 @@
     set_leader_reached(grant.has_value());
     if (!grant || grant->fencing_token < m_fencing_token)
     {
+        m_profile_due = m_profile_due || m_reporting_profile;
         m_hooks.after(retry_pause,
                       [this, epoch]
                       {
--- a/modules/workflow/agent/worker_agent.hpp
+++ b/modules/workflow/agent/worker_agent.hpp
@@ -144,6 +144,10 @@
     bool m_syncing = false;
     bool m_reporting = false;
     bool m_report_again = false;
+    /// True while no report with the present capacity and labels was sent.
+    bool m_profile_due = false;
+    /// True if the report that is in progress has a changed profile.
+    bool m_reporting_profile = false;
     bool m_polling = false;
     std::uint64_t m_received_batch = 0;
     std::size_t m_open_calls = 0;
--- a/modules/workflow/tests/worker_agent_test.cpp
+++ b/modules/workflow/tests/worker_agent_test.cpp
@@ -29,6 +29,8 @@
     CPPUNIT_TEST(lost_and_regained_leader_are_each_logged_once);
     CPPUNIT_TEST(start_events_identify_the_task);
     CPPUNIT_TEST(only_ends_in_the_grant_are_acknowledged);
+    CPPUNIT_TEST(changed_capacity_is_reported_at_once);
+    CPPUNIT_TEST(changed_capacity_of_a_silent_worker_is_reported);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -283,6 +285,49 @@
                              m_syncs.front().call.acknowledged_ends);
     }
 
+    // The leader starts tasks by the capacity that it knows. The change waited
+    // for the next list of runs, up to a second.
+    void changed_capacity_is_reported_at_once()
+    {
+        start_up();
+        answer(m_syncs, std::optional(sync_result{}));
+        grant(1);
+        CPPUNIT_ASSERT(m_reports.empty());
+        m_agent->registered(profile("w1", 4000));
+        CPPUNIT_ASSERT(last_report().profile == profile("w1", 4000));
+        grant(1);
+        auto moved = profile("w1", 4000);
+        moved.labels = {"other"};
+        m_agent->registered(moved);
+        CPPUNIT_ASSERT(last_report().profile == moved);
+        grant(1);
+        // The time that a draining worker stays falls with each registration.
+        moved.stays = std::chrono::seconds(3);
+        m_agent->registered(moved);
+        CPPUNIT_ASSERT(m_reports.empty());
+    }
+
+    // A change during a report, and one whose report is lost, waited for an
+    // answer of the worker. A worker that does not answer may still carry out
+    // late starts.
+    void changed_capacity_of_a_silent_worker_is_reported()
+    {
+        start_up();
+        answer(m_syncs, std::optional(sync_result{}));
+        m_agent->registered(profile("w1", 4000));
+        grant(1);
+        answer(m_syncs, std::optional<sync_result>());
+        CPPUNIT_ASSERT(last_report().profile == profile("w1", 4000));
+        answer(m_reports, std::optional<core::runtime_grant>());
+        run_delayed();
+        answer(m_syncs, std::optional<sync_result>());
+        CPPUNIT_ASSERT(last_report().profile == profile("w1", 4000));
+        grant(1);
+        run_delayed();
+        answer(m_syncs, std::optional<sync_result>());
+        CPPUNIT_ASSERT(m_reports.empty());
+    }
+
 private:
     template <typename Call, typename Result>
     struct pending_call
