Leader: no start over a capacity that has shrunk since the placement

Cause: only new placements looked at the capacity. A run that was placed and not yet listed was started, and started again every 1.5 s, whatever the worker had reported since. Fix: no start is sent while what the worker runs, is stopping or may still start exceeds its capacity in CPU, memory or accelerators. Starts in excess are withdrawn by a stop, which leaves a tombstone; the task is placed again when the run is reported as refused. Lower priority and later workflows go first, and starts that need nothing of what is short go only if work that runs keeps the worker overcommitted. A start of the last 1.5 s is left alone until it would be repeated, because it may be at work unlisted. Running work goes on; members of a withdrawn gang are withdrawn with it, or they would end `alone`. Refusals that the leader asked for do not set the worker aside.

--- a/modules/workflow/dispatch/dispatch_events.cpp
+++ b/modules/workflow/dispatch/dispatch_events.cpp
@@ -97,6 +97,12 @@
     return event;
 }
 
+core::event start_withdrawn_event(core::worker_id const& worker,
+                                  core::task_run const& run)
+{
+    return {event_code::start_withdrawn, fields_of(run, worker)};
+}
+
 core::event run_placed_event(core::time_point now,
                              core::run_placement const& placed,
                              core::workflow_record const* workflow,
--- a/modules/workflow/dispatch/dispatch_events.hpp
+++ b/modules/workflow/dispatch/dispatch_events.hpp
@@ -36,6 +36,9 @@
                               core::task_run const& run,
                               core::worker_id const& next);
 
+core::event start_withdrawn_event(core::worker_id const& worker,
+                                  core::task_run const& run);
+
 /// @param workflow Null if the table no longer has it.
 /// @param waited How long the stage has had unplaced tasks, or `nullopt` if
 ///        that is unknown.
--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -344,6 +344,11 @@
                                placed == m_placed_at.end()
                                    ? std::nullopt
                                    : std::optional(now - placed->second)));
+    if (m_orders.evicting().contains(outcome.run))
+    {
+        // The leader asked for this end; it says nothing about the worker.
+        return;
+    }
     bool const was_usable = !m_health.is_quarantined(now, outcome.worker);
     m_health.record_end(now, outcome.worker, outcome.run, outcome.how);
     if (was_usable && m_health.is_quarantined(now, outcome.worker))
@@ -458,6 +463,10 @@
                                    *view,
                                    [this, &worker](core::task_run const& run)
                                    { return m_colocation.pace(worker, run); });
+        for (auto const& run : m_orders.take_withdrawn())
+        {
+            m_on_event(start_withdrawn_event(worker, run));
+        }
     }
     orders.fencing_token = m_fencing_token;
     if (!orders.starts.empty() || !orders.stops.empty() ||
--- a/modules/workflow/dispatch/order_reconciler.cpp
+++ b/modules/workflow/dispatch/order_reconciler.cpp
@@ -1,6 +1,9 @@
 #include "workflow/dispatch/order_reconciler.hpp"
 
+#include "workflow/dispatch/stage_planner.hpp"
+
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace turmericswitch::workflow
@@ -48,6 +51,18 @@
                worker.refused.end();
 }
 
+/// @return True if less of `need` brings `used` nearer to `capacity`.
+bool lowers_excess(core::resources const& need,
+                   core::resources const& used,
+                   core::resources const& capacity)
+{
+    auto const lowers = [](auto part, auto all, auto most)
+    { return part > decltype(part)(0) && all > most; };
+    return lowers(need.cpu, used.cpu, capacity.cpu) ||
+           lowers(need.memory, used.memory, capacity.memory) ||
+           lowers(need.accelerators, used.accelerators, capacity.accelerators);
+}
+
 } // namespace
 
 order_reconciler::order_reconciler(workflow_table const& table) : m_table(table)
@@ -98,7 +113,8 @@
         {
             workflow = m_table.find(run.task.workflow);
         }
-        observed_run seen{&run, nullptr, is_running, false};
+        observed_run seen{&run, nullptr, is_running};
+        seen.has_ended = !is_running && has_ended(worker, run);
         if (workflow != nullptr)
         {
             seen.stage = workflow_table::find_stage(*workflow, run.task);
@@ -151,6 +167,114 @@
     std::erase_if(sent.paces, is_gone);
 }
 
+core::resources
+order_reconciler::reserved_by_all(std::vector<observed_run> const& runs)
+{
+    core::resources total;
+    for (auto const& seen : runs)
+    {
+        if (seen.stage != nullptr && !seen.has_ended)
+        {
+            total += reserved_by(*seen.stage);
+        }
+    }
+    return total;
+}
+
+bool order_reconciler::yields_to(observed_run const* a,
+                                 observed_run const* b) const
+{
+    auto const* const first = m_table.find(a->run->task.workflow);
+    auto const* const second = m_table.find(b->run->task.workflow);
+    return std::tie(second->queue.priority, second->submitted, *b->run) <
+           std::tie(first->queue.priority, first->submitted, *a->run);
+}
+
+void order_reconciler::withdraw_excess(core::time_point now,
+                                       worker_view const& worker,
+                                       std::vector<observed_run>& runs,
+                                       sent_state const& sent)
+{
+    auto const& capacity = worker.profile.capacity;
+    core::resources used;
+    std::vector<observed_run*> starts;
+    for (auto& seen : runs)
+    {
+        if (!seen.should_run || seen.stage == nullptr || seen.has_ended)
+        {
+            continue;
+        }
+        used += reserved_by(*seen.stage);
+        auto const start = sent.starts.find(*seen.run);
+        bool const is_in_flight =
+            start != sent.starts.end() && now - start->second < resend_after;
+        if (!seen.is_running && !is_in_flight)
+        {
+            starts.push_back(&seen);
+        }
+    }
+    std::sort(starts.begin(),
+              starts.end(),
+              [this](auto const* a, auto const* b) { return yields_to(a, b); });
+    // The second pass is for starts that need nothing of what is overcommitted:
+    // running work alone may exceed the capacity for long.
+    for (bool const is_last : {false, true})
+    {
+        for (auto* const seen : starts)
+        {
+            auto const need = reserved_by(*seen->stage);
+            bool const is_excess =
+                is_last || lowers_excess(need, used, capacity);
+            if (seen->should_run && is_excess && !core::fits_in(used, capacity))
+            {
+                withdraw(worker.profile.worker, *seen);
+                seen->should_run = false;
+                used -= need;
+            }
+        }
+    }
+    // Other members of a withdrawn gang may be on the same worker.
+    for (auto& seen : runs)
+    {
+        seen.should_run = seen.should_run && !m_evicting.contains(*seen.run);
+    }
+}
+
+void order_reconciler::withdraw(core::worker_id const& worker,
+                                observed_run const& seen)
+{
+    m_withdrawn.push_back(*seen.run);
+    evict(worker, *seen.run);
+    if (!seen.stage->behaviour.gang)
+    {
+        return;
+    }
+    // The other members would hold their capacity until they end `alone`.
+    auto const& ref = seen.run->task;
+    for (auto const& stage : m_table.find(ref.workflow)->stages)
+    {
+        if (stage.occurrence != ref.occurrence || stage.stage != ref.stage)
+        {
+            continue;
+        }
+        for (std::uint32_t i = 0; i < stage.tasks.size(); ++i)
+        {
+            auto const& member = stage.tasks[i];
+            if (member.placed && member.attempt == seen.run->attempt)
+            {
+                auto run = *seen.run;
+                run.task.index = i;
+                evict(member.worker, run);
+            }
+        }
+    }
+}
+
+std::vector<core::task_run> order_reconciler::take_withdrawn()
+{
+    return std::exchange(m_withdrawn, {});
+}
+
 core::runtime_orders order_reconciler::take_due(core::time_point now,
                                                 worker_view const& worker,
                                                 pace_hook const& pace)
@@ -163,13 +287,20 @@
         schedule_repeat(id, std::nullopt);
         return orders;
     }
-    auto const runs = observe(worker);
+    auto runs = observe(worker);
     auto& sent = m_sent[id];
     remove_finished(runs, sent);
+    // Work that is being stopped, or whose start may be in flight, counts.
+    bool const is_overcommitted =
+        !core::fits_in(reserved_by_all(runs), worker.profile.capacity);
+    if (is_overcommitted)
+    {
+        withdraw_excess(now, worker, runs, sent);
+    }
     auto repeat_at = core::time_point::max();
-    for (auto const& [run, stage, is_running, should_run] : runs)
+    for (auto const& [run, stage, is_running, should_run, has_ended] : runs)
     {
-        if (!is_running && has_ended(worker, *run))
+        if (has_ended)
         {
             continue;
         }
@@ -182,6 +313,14 @@
                 orders.stops.push_back(*run);
             }
         }
+        else if (!is_running && is_overcommitted)
+        {
+            if (auto const start = sent.starts.find(*run);
+                start != sent.starts.end())
+            {
+                repeat_at = std::min(repeat_at, start->second + resend_after);
+            }
+        }
         else if (!is_running)
         {
             if (is_due(sent.starts, *run, now, repeat_at))
--- a/modules/workflow/dispatch/order_reconciler.hpp
+++ b/modules/workflow/dispatch/order_reconciler.hpp
@@ -21,6 +21,11 @@
 /// Orders are sent again until the worker's lists show their effect, so lost
 /// orders, restarted sidecars and new leaders need no special handling.
 ///
+/// No start is sent while the reservations on the worker exceed its capacity,
+/// which may shrink after a placement. Starts in excess are withdrawn: the
+/// worker keeps a tombstone, and the task is placed again when the run is
+/// reported as refused. Running work is never stopped for this.
+///
 /// Orders can become due only for a worker that reported, whose runs in the
 /// table changed, or to which orders must be sent again; `due_workers` names
 /// these.
@@ -51,6 +56,10 @@
     /// @return Runs that are being evicted.
     std::set<core::task_run> const& evicting() const noexcept;
 
+    /// @return Runs that were withdrawn since the last call, because their
+    ///         worker's capacity has shrunk.
+    std::vector<core::task_run> take_withdrawn();
+
     /// Must be called after the end of a run was committed.
     void ended(core::task_run const& run);
 
@@ -88,9 +97,26 @@
         /// True if the table places the run there, its workflow has not ended,
         /// and it is not being evicted.
         bool should_run = false;
+        /// True if the worker reported its end, so it needs no capacity.
+        bool has_ended = false;
     };
 
     std::vector<observed_run> observe(worker_view const& worker) const;
+    /// @return What the runs reserve that have not ended.
+    static core::resources
+    reserved_by_all(std::vector<observed_run> const& runs);
+    /// Withdraws starts until the runs that stay fit the worker's capacity.
+    ///
+    /// Starts that were sent a short time ago are left alone: the worker may
+    /// have executed them although it does not list them yet.
+    void withdraw_excess(core::time_point now,
+                         worker_view const& worker,
+                         std::vector<observed_run>& runs,
+                         sent_state const& sent);
+    void withdraw(core::worker_id const& worker, observed_run const& seen);
+    /// @return True if the start of `a` is withdrawn before that of `b`: lower
+    ///         priority first, then the later workflow.
+    bool yields_to(observed_run const* a, observed_run const* b) const;
     static void remove_finished(std::vector<observed_run> const& runs,
                                 sent_state& sent);
     void add_start(core::task_run const& run,
@@ -106,6 +132,7 @@
     workflow_table const& m_table;
     std::map<core::worker_id, sent_state> m_sent;
     std::set<core::task_run> m_evicting;
+    std::vector<core::task_run> m_withdrawn;
     change_log<core::worker_id>::position m_read =
         change_log<core::worker_id>::unread;
     std::set<core::worker_id> m_changed;
