Dispatch simulation: a call to a worker that has restarted does nothing

Fault of the simulation: a call that a worker received within 5 ms after its restart was executed by the new life, although calls name the incarnation that they are for (`X-Expected-Instance`) and calls that are executed late were already checked for it. Fix: one check for both kinds of calls. As strict as before: such a call still gets no answer. Result: workflow_tests pass.

--- a/modules/workflow/tests/dispatch_simulation.cpp
+++ b/modules/workflow/tests/dispatch_simulation.cpp
@@ -148,22 +148,18 @@
     worker_host& host, std::function<void(bool answered)> const& run)
 {
     auto const life = host.model.life();
-    auto const execute = [this, &host, run, life](bool answered)
+    // A call names the incarnation that it is for; another one does nothing.
+    auto const execute = [&host, run, life](bool answered)
     {
-        bool const is_there = !host.is_down && host.model.life() == life;
-        run(answered && is_there);
+        if (!host.is_down && host.model.life() == life)
+        {
+            run(answered);
+        }
     };
     if (!m_faults_off && chance(host.unanswered))
     {
         // Executed late, after the caller's timeout.
-        schedule(between_ms(2000, 12000),
-                 [this, &host, run, life]
-                 {
-                     if (!host.is_down && host.model.life() == life)
-                     {
-                         run(false);
-                     }
-                 });
+        schedule(between_ms(2000, 12000), [execute] { execute(false); });
         return;
     }
     schedule(between_ms(1, 5), [execute] { execute(true); });
