Sidecar: no start over the capacity that the worker has now

Cause: the sidecar carried out and repeated every start; nothing in an order told it what else the leader counts on the worker. Fix: a batch of orders carries what all runs on the worker reserve, including those being stopped (an appended member). The sidecar compares it with the capacity in the worker's last registration, at the first call and at each repeat. This is exact where the leader's capacity alone would refuse starts that still fit. Everything on the worker was placed when the last batch was made, so its sum also bounds starts of earlier batches. A start that does not fit is never sent; a stop leaves a tombstone, because an earlier sidecar may have sent it, and the run is reported as refused when a list shows no trace of it. A run that was started or is listed is left alone. Stops take 300 ms. Orders may be announced while another worker's poll is served (gangs).

--- a/modules/core/messages/workflow.hpp
+++ b/modules/core/messages/workflow.hpp
@@ -390,6 +390,9 @@
     std::vector<run_pace> paces;
     /// Numbers the non-empty batches to one worker.
     std::uint64_t batch = 0;
+    /// What the worker's runs reserve once the batch is executed, including
+    /// those that are being stopped.
+    resources reserved;
 
     bool operator==(runtime_orders const&) const = default;
 };
--- a/modules/wire/tests/message_codec_test.cpp
+++ b/modules/wire/tests/message_codec_test.cpp
@@ -95,6 +95,7 @@
     CPPUNIT_TEST(appended_member_with_default_value_is_not_written);
     CPPUNIT_TEST(message_without_appended_member_is_read);
     CPPUNIT_TEST(message_with_too_many_members_is_rejected);
+    CPPUNIT_TEST(orders_of_an_earlier_release_reserve_nothing);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against members that are omitted or exchanged.
@@ -197,6 +198,21 @@
         replace_once(bytes, last_member + '\x03', last_member + "\x03\x01");
         CPPUNIT_ASSERT(!decode<core::state_snapshot>(bytes));
     }
+
+    // Guards against a sidecar that can't read the orders of a leader of an
+    // earlier release during an update.
+    void orders_of_an_earlier_release_reserve_nothing()
+    {
+        core::runtime_orders orders;
+        orders.batch = 85;
+        auto const earlier = encode(orders);
+        CPPUNIT_ASSERT_EQUAL('\x97', earlier.front());
+        CPPUNIT_ASSERT(decode<core::runtime_orders>(earlier) == orders);
+        orders.reserved.cpu = core::millicores(4);
+        auto const later = encode(orders);
+        CPPUNIT_ASSERT_EQUAL('\x98', later.front());
+        CPPUNIT_ASSERT(decode<core::runtime_orders>(later) == orders);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(message_codec_test);
--- a/modules/workflow/agent/worker_agent.cpp
+++ b/modules/workflow/agent/worker_agent.cpp
@@ -102,7 +102,9 @@
     m_worker_clock = {};
     m_runs.reset();
     m_refused.clear();
+    m_reserved = {};
     m_starts.clear();
+    m_started_runs.clear();
     m_stops.clear();
     m_stopped_runs.clear();
     m_syncing = false;
@@ -237,6 +239,9 @@
     }
     m_worker_clock = answer->clock;
     m_runs = std::move(answer->runs);
+    std::erase_if(m_started_runs,
+                  [this](auto const& item)
+                  { return item.second <= m_current_sync; });
     refuse_unlisted_stopped_runs();
     send_report();
 }
@@ -405,6 +410,7 @@
                 if (orders->batch > 0)
                 {
                     m_received_batch = orders->batch;
+                    m_reserved = orders->reserved;
                 }
                 execute_orders(*orders);
                 poll_orders();
@@ -454,12 +460,47 @@
     {
         return;
     }
-    auto const [known, is_new] =
-        m_starts.try_emplace(start.run, pending_start{start, payload});
-    if (is_new)
+    if (m_starts.contains(start.run))
+    {
+        return;
+    }
+    if (!has_capacity())
+    {
+        drop_start(start.run);
+        return;
+    }
+    m_starts.emplace(start.run, pending_start{start, payload});
+    call_start(start.run);
+}
+
+bool worker_agent::has_capacity() const
+{
+    return core::fits_in(m_reserved, m_profile->capacity);
+}
+
+bool worker_agent::is_at_work(core::task_run const& run) const
+{
+    return m_started_runs.contains(run) ||
+           (m_runs && std::any_of(m_runs->running.begin(),
+                                  m_runs->running.end(),
+                                  [&run](core::running_task const& each)
+                                  { return each.run == run; }));
+}
+
+void worker_agent::drop_start(core::task_run const& run)
+{
+    if (is_at_work(run))
     {
-        call_start(start.run);
+        return;
     }
+    emit_run_event(event_code::start_dropped,
+                   run,
+                   {text_field("why",
+                               "the worker's capacity is below what the "
+                               "leader has placed there"),
+                    number_field("cpu_m", m_profile->capacity.cpu.value()),
+                    number_field("reserved_m", m_reserved.cpu.value())});
+    begin_stop(run);
 }
 
 void worker_agent::call_start(core::task_run const& run)
@@ -499,6 +540,7 @@
              number_field("token", m_fencing_token),
              time_field("lease_left_ms", m_lease_until - m_worker_clock)});
         m_starts.erase(open);
+        m_started_runs[run] = m_syncs_begun + 1;
         return;
     case start_outcome::stale_token:
     case start_outcome::wrong_incarnation:
@@ -526,7 +568,7 @@
         break;
     case start_outcome::unknown:
         ++open->second.unanswered;
-        if (open->second.tries < max_tries)
+        if (open->second.tries < max_tries && has_capacity())
         {
             emit_run_event(event_code::start_unanswered,
                            run,
--- a/modules/workflow/agent/worker_agent.hpp
+++ b/modules/workflow/agent/worker_agent.hpp
@@ -57,6 +57,10 @@
 /// makes the worker keep a tombstone that rejects the start if it arrives
 /// later.
 ///
+/// It sends no start while the runs that the leader counts on the worker do not
+/// fit the capacity that the worker has reported last: the leader may not know
+/// that capacity yet, or the order may be old.
+///
 /// Not thread-safe: all calls and callbacks must be on one thread.
 class worker_agent
 {
@@ -108,6 +112,13 @@
     void execute_orders(core::runtime_orders const& orders);
     void begin_start(core::run_start const& start, std::string const& payload);
     void call_start(core::task_run const& run);
+    /// @return True if the reservations in the last orders fit the capacity in
+    ///         the worker's last registration.
+    bool has_capacity() const;
+    /// Makes certain that a start of which the worker has no capacity does not
+    /// run, unless it runs already.
+    void drop_start(core::task_run const& run);
+    bool is_at_work(core::task_run const& run) const;
     void handle_start_outcome(core::task_run const& run, start_outcome outcome);
     void begin_stop(core::task_run const& run);
     void call_stop(core::task_run const& run);
@@ -152,7 +163,14 @@
     std::uint64_t m_received_batch = 0;
     std::size_t m_open_calls = 0;
 
+    /// Reservations in the last orders. All that runs on the worker was placed
+    /// when these were made, so they also bound starts of earlier orders.
+    core::resources m_reserved;
+
     std::map<core::task_run, pending_start> m_starts;
+    /// Started runs, with the number of the first sync call whose answer lists
+    /// them.
+    std::map<core::task_run, std::uint64_t> m_started_runs;
     /// Tries of each stop that is in progress.
     std::map<core::task_run, int> m_stops;
     /// Stopped runs, with the number of the first sync call whose answer shows
--- a/modules/workflow/dispatch/order_reconciler.cpp
+++ b/modules/workflow/dispatch/order_reconciler.cpp
@@ -291,8 +291,9 @@
     auto& sent = m_sent[id];
     remove_finished(runs, sent);
     // Work that is being stopped, or whose start may be in flight, counts.
+    orders.reserved = reserved_by_all(runs);
     bool const is_overcommitted =
-        !core::fits_in(reserved_by_all(runs), worker.profile.capacity);
+        !core::fits_in(orders.reserved, worker.profile.capacity);
     if (is_overcommitted)
     {
         withdraw_excess(now, worker, runs, sent);
--- a/modules/workflow/tests/dispatch_simulation.cpp
+++ b/modules/workflow/tests/dispatch_simulation.cpp
@@ -115,9 +115,13 @@
         }
     }
     check_backlog();
-    auto const due = target->work.workers_with_orders(m_now);
+    auto& announced = target->announced;
     for (auto& poll : std::exchange(target->polls, {}))
     {
+        // Orders to one worker may withdraw gang members on others, which are
+        // announced for the next round if their poll was served before.
+        announced.merge(target->work.workers_with_orders(m_now));
+        bool const is_announced = announced.erase(poll.request.worker) > 0;
         auto orders = target->work.take_orders(
             m_now, poll.request.worker, poll.request.life);
         if (orders.batch == 0)
@@ -128,7 +132,7 @@
         }
         // Orders that became due before the poll arrived are not announced
         // again.
-        if (!poll.is_new && !due.contains(poll.request.worker))
+        if (!poll.is_new && !is_announced)
         {
             fail("orders for " + poll.request.worker.value() +
                  " that nothing announced");
@@ -201,20 +205,27 @@
     hooks.runtime.start = [this, &host, once](auto call, auto done)
     {
         auto const finish = once(done, start_outcome::unknown);
-        call_worker(host,
-                    [this, &host, call, finish](bool answered)
-                    {
-                        if (host.is_down)
-                        {
-                            return;
-                        }
-                        auto const outcome = host.model.start(m_now, call);
-                        if (answered)
-                        {
-                            finish(outcome);
-                        }
-                        check();
-                    });
+        call_worker(
+            host,
+            [this, &host, call, finish, called_at = m_now](bool answered)
+            {
+                if (host.is_down)
+                {
+                    return;
+                }
+                host.model.advance(m_now);
+                auto const before = host.model.running().size();
+                auto const outcome = host.model.start(m_now, call);
+                if (host.model.running().size() > before)
+                {
+                    check_start(host, called_at);
+                }
+                if (answered)
+                {
+                    finish(outcome);
+                }
+                check();
+            });
     };
     hooks.runtime.stop = [this, &host, once](auto call, auto done)
     {
@@ -343,8 +354,7 @@
         }
         if (!host.is_down)
         {
-            host.agent->registered(
-                profile(host.name, worker_millicores, host.worker_life));
+            host.agent->registered(profile_of(host));
         }
         schedule(std::chrono::milliseconds(500), *announce);
     };
@@ -367,6 +377,7 @@
         description.constraints.max_per_worker =
             static_cast<std::uint32_t>(random_below(3));
         description.behaviour.gang = chance(10);
+        vary_needs(description);
         stages.push_back(std::move(description));
     }
     m_table.submit(submission("j" + std::to_string(++m_submitted), stages),
@@ -441,6 +452,10 @@
                      {
                          inject_fault();
                      }
+                     if (chance(15))
+                     {
+                         shrink_one();
+                     }
                  });
     }
     schedule(fault_phase,
@@ -451,6 +466,7 @@
                  {
                      each->unanswered = 0;
                      each->is_partitioned = false;
+                     set_capacity(*each, full_capacity());
                  }
              });
     while (!m_events.empty() && m_violation.empty() &&
--- a/modules/workflow/tests/dispatch_simulation.hpp
+++ b/modules/workflow/tests/dispatch_simulation.hpp
@@ -21,8 +21,8 @@
 ///
 /// Injected faults are calls that are lost, not answered, or executed seconds
 /// late, deposed leaders that keep sending orders, restarts of workers and
-/// sidecars, and network partitions. A commit takes a random delay; those of a
-/// deposed leader fail.
+/// sidecars, network partitions, and workers whose capacity shrinks and grows.
+/// A commit takes a random delay; those of a deposed leader fail.
 class dispatch_simulation
 {
 public:
@@ -70,6 +70,18 @@
     void submit();
     void cancel_one();
     void inject_fault();
+    /// Shrinks the capacity of a worker for some seconds.
+    void shrink_one();
+    void set_capacity(worker_host& host, core::resources const& capacity);
+    core::worker_profile profile_of(worker_host const& host) const;
+    /// Gives some stages of random jobs needs for memory and accelerators, and
+    /// makes some of them use only spare CPU.
+    void vary_needs(core::stage_description& stage);
+    /// @return The tasks that run or are being stopped on the worker.
+    core::resources used_on(worker_host const& host) const;
+    /// Checks that a start that was just executed has not brought the worker
+    /// over its capacity.
+    void check_start(worker_host const& host, core::time_point called_at);
     void check();
     /// Compares the backlog that is updated by changes with one that is derived
     /// from the whole table.
--- a/modules/workflow/tests/dispatcher_test.cpp
+++ b/modules/workflow/tests/dispatcher_test.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(grown_capacity_is_used_again);
     CPPUNIT_TEST(overcommitted_worker_gets_no_best_effort_tasks);
     CPPUNIT_TEST(withdrawn_starts_do_not_set_the_worker_aside);
+    CPPUNIT_TEST(orders_have_all_that_the_worker_must_have_room_for);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -392,6 +393,27 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{4}, plan()->placements.size());
     }
 
+    // The sidecar compares it with a capacity that the leader may not know.
+    void orders_have_all_that_the_worker_must_have_room_for()
+    {
+        place({stage(3, 2000)});
+        core::worker_runs runs;
+        runs.running = {{run_of("a", 0, 0), {}, 0, 0}};
+        report(runs);
+        auto const all = orders();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, started(all).size());
+        CPPUNIT_ASSERT(all.reserved.cpu == core::millicores(6000));
+        CPPUNIT_ASSERT(all.reserved.memory == core::byte_count(3 << 20));
+        runs.running.clear();
+        runs.ended = {{1, run_of("a", 0, 0), core::run_end::done, {}}};
+        report(runs);
+        m_table.cancel({core::queue_id("proofs"), core::workflow_id("a")},
+                       m_now);
+        auto const stops = orders();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, stops.stops.size());
+        CPPUNIT_ASSERT(stops.reserved.cpu == core::millicores(4000));
+    }
+
 private:
     /// Submits job `a` and places all its tasks on w1.
     void place(std::vector<core::stage_description> stages)
--- a/modules/workflow/tests/simulation_parts.hpp
+++ b/modules/workflow/tests/simulation_parts.hpp
@@ -3,12 +3,22 @@
 
 #include "dispatch_simulation.hpp"
 
+#include <set>
+
 namespace turmericswitch::workflow::testing
 {
 
 constexpr core::duration fuzz_lease = std::chrono::seconds(9);
 constexpr std::int64_t worker_millicores = 4000;
 
+/// Capacity of a worker that has not shrunk.
+inline core::resources full_capacity()
+{
+    return {core::millicores(worker_millicores),
+            core::byte_count(std::int64_t{64} << 20),
+            core::accelerator_count(2)};
+}
+
 /// A leader. After it was deposed it still answers polls but commits nothing.
 struct dispatch_simulation::leader
 {
@@ -36,6 +46,9 @@
         bool is_new = true;
     };
     std::vector<poll> polls;
+    /// Workers for which orders were announced since their last poll was
+    /// served.
+    std::set<core::worker_id> announced;
 };
 
 /// An instance with a worker and its sidecar.
@@ -45,8 +58,15 @@
                 ::turmericswitch::testing::runtime_model::plan_hook plan)
         : name(std::move(given)), model(fuzz_lease, std::move(plan))
     {
+        model.set_stop_time(std::chrono::milliseconds(300));
     }
 
+    struct capacity_change
+    {
+        core::time_point at;
+        core::resources capacity;
+    };
+
     std::string name;
     ::turmericswitch::testing::runtime_model model;
     std::unique_ptr<worker_agent> agent;
@@ -56,6 +76,8 @@
     bool is_down = false;
     /// Percentage of calls to the worker that get no answer.
     std::uint64_t unanswered = 0;
+    /// Capacities from the first to the current one.
+    std::vector<capacity_change> capacities{{{}, full_capacity()}};
 };
 
 } // namespace turmericswitch::workflow::testing
--- a/modules/workflow/tests/worker_agent_test.cpp
+++ b/modules/workflow/tests/worker_agent_test.cpp
@@ -3,6 +3,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <deque>
 
 namespace turmericswitch::workflow
@@ -31,6 +32,10 @@
     CPPUNIT_TEST(only_ends_in_the_grant_are_acknowledged);
     CPPUNIT_TEST(changed_capacity_is_reported_at_once);
     CPPUNIT_TEST(changed_capacity_of_a_silent_worker_is_reported);
+    CPPUNIT_TEST(start_over_the_capacity_is_not_sent);
+    CPPUNIT_TEST(unanswered_start_over_a_shrunk_capacity_is_not_repeated);
+    CPPUNIT_TEST(repeated_order_over_the_capacity_stops_no_started_run);
+    CPPUNIT_TEST(start_that_fits_again_is_sent);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -328,6 +333,71 @@
         CPPUNIT_ASSERT(m_reports.empty());
     }
 
+    // The order was made before the leader knew of the shrunk capacity: it was
+    // delayed, or comes from a leader that has had no report since.
+    void start_over_the_capacity_is_not_sent()
+    {
+        start_up();
+        answer(m_syncs, std::optional(sync_result{}));
+        grant(1);
+        order_start(9000);
+        CPPUNIT_ASSERT(m_starts.empty());
+        // An earlier sidecar may have sent the start, so only a tombstone makes
+        // certain that it does not run.
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_stops.size());
+        CPPUNIT_ASSERT(has_event(core::event_code::start_dropped));
+        answer(m_stops, true);
+        answer(m_syncs, std::optional(sync_result{}));
+        grant(1);
+        answer(m_syncs, std::optional(sync_result{}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, last_report().refused.size());
+    }
+
+    void unanswered_start_over_a_shrunk_capacity_is_not_repeated()
+    {
+        start_up();
+        order_start(8000);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_starts.size());
+        m_agent->registered(profile("w1", 4000));
+        answer(m_starts, start_outcome::unknown);
+        CPPUNIT_ASSERT(m_starts.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_stops.size());
+    }
+
+    // The leader repeats a start until a report lists the run. Work that runs
+    // is not stopped because the capacity has shrunk under it.
+    void repeated_order_over_the_capacity_stops_no_started_run()
+    {
+        start_up();
+        order_start(8000);
+        answer(m_starts, start_outcome::started);
+        m_agent->registered(profile("w1", 4000));
+        order_start(8000);
+        CPPUNIT_ASSERT(m_starts.empty());
+        CPPUNIT_ASSERT(m_stops.empty());
+        // The list of a sync call that was begun before the start lacks it.
+        answer(m_syncs, std::optional(sync_result{}));
+        order_start(8000);
+        CPPUNIT_ASSERT(m_stops.empty());
+        grant(1);
+        sync_result lists;
+        lists.runs.running = {{m_run, {}, 0, 0}};
+        answer(m_syncs, std::optional(lists));
+        order_start(8000);
+        CPPUNIT_ASSERT(m_starts.empty());
+        CPPUNIT_ASSERT(m_stops.empty());
+    }
+
+    void start_that_fits_again_is_sent()
+    {
+        start_up();
+        m_agent->registered(profile("w1", 4000));
+        m_agent->registered(profile("w1", 8000));
+        order_start(8000);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_starts.size());
+        CPPUNIT_ASSERT(m_stops.empty());
+    }
+
 private:
     template <typename Call, typename Result>
     struct pending_call
@@ -362,17 +432,28 @@
         grant(token);
     }
 
-    void order_start()
+    /// @param reserved CPU that all runs on the worker reserve; none is how
+    ///        orders of an earlier release are read.
+    void order_start(std::int64_t reserved = 0)
     {
         core::runtime_orders orders;
         orders.fencing_token = 1;
         orders.batch = 1;
+        orders.reserved.cpu = core::millicores(reserved);
         orders.starts = {{m_run.task.workflow, "payload", {{m_run, {}, {}}}}};
         answer(m_polls, std::optional(orders));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
                              m_polls.front().call.received_batch);
     }
 
+    bool has_event(core::event_code code) const
+    {
+        return std::any_of(m_events.begin(),
+                           m_events.end(),
+                           [code](core::event const& each)
+                           { return each.code == code; });
+    }
+
     core::runtime_report const& last_report() const
     {
         CPPUNIT_ASSERT(!m_reports.empty());
--- a/tests/support/runtime_model.cpp
+++ b/tests/support/runtime_model.cpp
@@ -15,6 +15,11 @@
 {
 }
 
+void runtime_model::set_stop_time(core::duration time)
+{
+    m_stop_time = time;
+}
+
 void runtime_model::begin_life(core::time_point now)
 {
     ++m_life;
@@ -64,16 +69,23 @@
     bool const has_lapsed = clock(now) > m_lease;
     for (auto const& [task, each] : m_running)
     {
-        if (has_lapsed || now >= each.ends)
+        if (has_lapsed || now >= each.ends ||
+            (each.stops_at && now >= *each.stops_at))
         {
             over.push_back(each);
         }
     }
     for (auto const& each : over)
     {
-        auto const how = now >= each.ends ? (each.will_fail ? run_end::failed
-                                                            : run_end::done)
-                                          : run_end::lapsed;
+        auto how = run_end::lapsed;
+        if (now >= each.ends)
+        {
+            how = each.will_fail ? run_end::failed : run_end::done;
+        }
+        else if (each.stops_at && now >= *each.stops_at)
+        {
+            how = run_end::stopped;
+        }
         end(each.id, how, each.checkpoint);
     }
 }
@@ -111,7 +123,8 @@
                           now,
                           now + plan.work,
                           plan.fails,
-                          100});
+                          100,
+                          std::nullopt});
     return start_outcome::started;
 }
 
@@ -125,7 +138,11 @@
     auto const known = m_running.find(call.run.task);
     if (known != m_running.end() && known->second.id == call.run)
     {
-        end(call.run, run_end::stopped, known->second.checkpoint);
+        if (!known->second.stops_at)
+        {
+            known->second.stops_at = now + m_stop_time;
+        }
+        advance(now);
         return true;
     }
     auto& closed = m_closed[call.run.task];
--- a/tests/support/runtime_model.hpp
+++ b/tests/support/runtime_model.hpp
@@ -31,6 +31,8 @@
         core::time_point ends;
         bool will_fail = false;
         std::uint32_t pace = 100;
+        /// When a stop ends it; nothing while it is not being stopped.
+        std::optional<core::time_point> stops_at;
     };
 
     /// How long a task runs and whether it fails.
@@ -44,6 +46,9 @@
 
     runtime_model(core::duration longest_lease, plan_hook plan);
 
+    /// Sets how long a stop takes; zero at first.
+    void set_stop_time(core::duration time);
+
     /// Begins a new life: nothing runs and nothing is known.
     void begin_life(core::time_point now);
 
@@ -76,6 +81,7 @@
 
     core::duration m_longest;
     plan_hook m_plan;
+    core::duration m_stop_time{};
     std::uint64_t m_life = 0;
     core::time_point m_born;
     std::uint64_t m_token = 0;
