Dispatch simulation: long-running workflows

Users saw long-running tasks without a run although there was room for them (LOST). Change: `simulate_long_running` plays short phases of faults and 24 s without faults in turn, with the leases of the deployments. Workers disappear for good, half of the time together with the leader, or fail every task for some seconds. A check that knows only what the workers execute fails when a long-running task has no run for 9 s, the last 7 s without a fault, while two workers have had room for it for 3 s.

--- a/modules/workflow/tests/dispatch_simulation.cpp
+++ b/modules/workflow/tests/dispatch_simulation.cpp
@@ -10,26 +10,25 @@
 
 constexpr core::duration fault_phase = std::chrono::seconds(40);
 constexpr core::duration recovery_phase = std::chrono::seconds(60);
-constexpr std::size_t worker_count = 4;
 
 } // namespace
 
-dispatch_simulation::dispatch_simulation(std::uint64_t seed)
-    : m_random(core::seeded_random(seed)),
+dispatch_simulation::dispatch_simulation(std::uint64_t seed,
+                                         simulation_setup const& setup)
+    : m_setup(setup),
+      m_random(core::seeded_random(seed)),
       m_no_workers({}, {}),
       m_backlog(m_table, m_no_run_times, m_no_workers)
 {
     m_now = core::time_point(std::chrono::seconds(100));
     m_config.document.queues.push_back(queue());
-    for (std::size_t i = 0; i < worker_count; ++i)
+    for (std::size_t i = 0; i < m_setup.workers; ++i)
     {
         auto worker = std::make_unique<worker_host>(
             "w" + std::to_string(i),
-            [this](core::task_run const&)
-            {
-                return ::turmericswitch::testing::runtime_model::task_plan{
-                    between_ms(100, 3000), chance(10)};
-            });
+            m_setup.leases.longest,
+            [this, i](core::task_run const& run)
+            { return plan_task(*m_hosts[i], run); });
         worker->model.begin_life(m_now);
         worker->worker_life = ++m_last_life;
         m_hosts.push_back(std::move(worker));
@@ -43,6 +42,24 @@
 
 dispatch_simulation::~dispatch_simulation() = default;
 
+::turmericswitch::testing::runtime_model::task_plan
+dispatch_simulation::plan_task(worker_host const& host,
+                               core::task_run const& run)
+{
+    if (host.fails_tasks)
+    {
+        return {between_ms(20, 200), true};
+    }
+    auto const* const about = m_table.find_stage(run.task);
+    if (about != nullptr && about->behaviour.long_running)
+    {
+        bool const fails = chance(20);
+        return {fails ? between_ms(200, 20'000) : core::duration::max() / 2,
+                fails};
+    }
+    return {between_ms(100, 3000), chance(10)};
+}
+
 std::uint64_t dispatch_simulation::random_below(std::uint64_t limit)
 {
     return core::random_below(m_random, limit);
@@ -82,7 +99,8 @@
         m_leader->is_deposed = true;
         m_deposed.push_back(m_leader);
     }
-    m_leader = std::make_shared<leader>(m_table, ++m_term, m_now);
+    m_leader =
+        std::make_shared<leader>(m_table, m_setup.leases, ++m_term, m_now);
     plan(m_leader);
 }
 
@@ -403,6 +421,10 @@
         schedule(between_ms(100, 6000),
                  [this, &host]
                  {
+                     if (host.is_gone)
+                     {
+                         return;
+                     }
                      host.is_down = false;
                      host.model.begin_life(m_now);
                      host.worker_life = ++m_last_life;
@@ -427,6 +449,17 @@
     }
 }
 
+void dispatch_simulation::run_events(core::time_point until)
+{
+    while (!m_events.empty() && m_violation.empty() && m_now < until)
+    {
+        auto next = m_events.top();
+        m_events.pop();
+        m_now = next.at;
+        next.run();
+    }
+}
+
 std::string dispatch_simulation::simulate()
 {
     auto const started_at = m_now;
@@ -457,14 +490,7 @@
                      each->is_partitioned = false;
                  }
              });
-    while (!m_events.empty() && m_violation.empty() &&
-           m_now < started_at + fault_phase + recovery_phase)
-    {
-        auto next = m_events.top();
-        m_events.pop();
-        m_now = next.at;
-        next.run();
-    }
+    run_events(started_at + fault_phase + recovery_phase);
     check();
     if (m_violation.empty() && !m_table.active().empty())
     {
--- a/modules/workflow/tests/dispatch_simulation.hpp
+++ b/modules/workflow/tests/dispatch_simulation.hpp
@@ -7,14 +7,22 @@
 #include "workflow_builder.hpp"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <queue>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace turmericswitch::workflow::testing
 {
 
+struct simulation_setup
+{
+    lease_policy leases{std::chrono::seconds(9), std::chrono::seconds(9)};
+    std::size_t workers = 4;
+};
+
 /// Leaders, sidecars and workers in simulated time.
 /// Data that the dispatcher updates by changes is compared at every step with
 /// the same data derived from the whole table.
@@ -26,7 +34,8 @@
 class dispatch_simulation
 {
 public:
-    explicit dispatch_simulation(std::uint64_t seed);
+    explicit dispatch_simulation(std::uint64_t seed,
+                                 simulation_setup const& setup = {});
     ~dispatch_simulation();
 
     /// Runs 40 s with submissions and faults, and 60 s without. Stops at the
@@ -35,6 +44,17 @@
     /// @return The violation, or an empty string.
     std::string simulate();
 
+    /// Runs long-running workflows beside batch, with short phases of faults
+    /// and long phases without. In addition to the other faults, workers
+    /// disappear for good or fail every task for some seconds.
+    ///
+    /// Adds the invariant that a long-running task runs again within 9 s if
+    /// two workers have had room for it in the last 3 s and no fault was
+    /// active in the last 7 s.
+    ///
+    /// @return The violation, or an empty string.
+    std::string simulate_long_running();
+
     /// @return Number of completed jobs.
     std::size_t completed() const;
 
@@ -57,6 +77,9 @@
     };
 
     void schedule(core::duration delay, task run);
+    void run_events(core::time_point until);
+    ::turmericswitch::testing::runtime_model::task_plan
+    plan_task(worker_host const& host, core::task_run const& run);
     std::uint64_t random_below(std::uint64_t limit);
     bool chance(std::uint64_t percent);
     core::duration between_ms(std::uint64_t lowest, std::uint64_t highest);
@@ -77,6 +100,21 @@
     std::string describe(core::workflow_id const& id) const;
     void fail(std::string what);
 
+    void submit_long_running();
+    void inject_lasting_fault();
+    /// Removes a worker for good; two thirds of the workers always stay.
+    void remove_worker(worker_host& host);
+    void schedule_fault_phase(core::duration begin);
+    void end_faults();
+    void check_long_running();
+    void check_task(core::task_ref const& ref);
+    /// @return True if the worker works and has capacity for another task of
+    ///         the stage besides what it is executing.
+    bool has_room(worker_host const& host,
+                  stage_ref const& ref,
+                  core::stage_description const& stage) const;
+
+    simulation_setup m_setup;
     core::random_source m_random;
     core::time_point m_now;
     std::uint64_t m_order = 0;
@@ -93,6 +131,14 @@
     std::uint64_t m_submitted = 0;
     std::uint64_t m_last_life = 0;
     bool m_faults_off = false;
+    std::uint64_t m_long_running = 0;
+    std::size_t m_removed_workers = 0;
+    /// End of the last injected fault.
+    core::time_point m_last_fault;
+    /// When each long-running task was executing last, or was first seen.
+    std::map<core::task_ref, core::time_point> m_last_run;
+    /// Since when each worker has had room for a task of each stage.
+    std::map<std::pair<stage_ref, std::string>, core::time_point> m_room_since;
     std::string m_violation;
 };
 
--- a/modules/workflow/tests/simulation_parts.hpp
+++ b/modules/workflow/tests/simulation_parts.hpp
@@ -6,21 +6,17 @@
 namespace turmericswitch::workflow::testing
 {
 
-constexpr core::duration fuzz_lease = std::chrono::seconds(9);
 constexpr std::int64_t worker_millicores = 4000;
 
 /// A leader. After it was deposed it still answers polls but commits nothing.
 struct dispatch_simulation::leader
 {
     leader(workflow_table const& shared,
+           lease_policy leases,
            std::uint64_t token,
            core::time_point now)
         : table(&shared),
-          work(shared,
-               {{fuzz_lease, fuzz_lease}},
-               token,
-               now,
-               [](core::event const&) {})
+          work(shared, {leases}, token, now, [](core::event const&) {})
     {
     }
 
@@ -42,8 +38,9 @@
 struct dispatch_simulation::worker_host
 {
     worker_host(std::string given,
+                core::duration longest_lease,
                 ::turmericswitch::testing::runtime_model::plan_hook plan)
-        : name(std::move(given)), model(fuzz_lease, std::move(plan))
+        : name(std::move(given)), model(longest_lease, std::move(plan))
     {
     }
 
@@ -54,6 +51,10 @@
     std::uint64_t worker_life = 0;
     bool is_partitioned = false;
     bool is_down = false;
+    /// True if the worker is down and never returns.
+    bool is_gone = false;
+    /// True while every task that starts there fails.
+    bool fails_tasks = false;
     /// Percentage of calls to the worker that get no answer.
     std::uint64_t unanswered = 0;
 };
