Count the lease of a worker from the first report of its clock

Callers saw long-running tasks that did not run although there was room. Cause: the lease that the leader grants ends on the worker's clock, counted from the reading in its report, but the leader counted the expiry from the receipt of the last report. A sidecar whose worker does not answer goes on reporting the last reading, for example after each failed poll. Each of these reports postponed the loss of the worker's runs by 6.37 s, although no lease was extended. Change: the expiry is counted from the first report with this reading. The worker's clock had reached it then, so the lease can't last longer. Result: `reports_with_an_old_clock_do_not_delay_the_loss_of_runs` failed before.

--- a/modules/workflow/dispatch/worker_fleet.cpp
+++ b/modules/workflow/dispatch/worker_fleet.cpp
@@ -93,9 +93,11 @@
     auto const length = std::min(m_policy.length, m_policy.longest);
     worker.granted_until =
         std::max(worker.granted_until, worker.clock + length);
+    // Counted from the first report with this reading: a sidecar repeats the
+    // last clock of a worker that doesn't answer.
     worker.lease_expires_at =
         std::max(worker.lease_expires_at,
-                 worker.reported_at + max_length_on_leader_clock(length));
+                 worker.clock_changed_at + max_length_on_leader_clock(length));
 }
 
 worker_view* worker_fleet::find(core::worker_id const& worker)
--- a/modules/workflow/tests/dispatcher_test.cpp
+++ b/modules/workflow/tests/dispatcher_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(report_of_an_earlier_incarnation_is_ignored);
     CPPUNIT_TEST(new_leader_waits_for_the_longest_lease);
     CPPUNIT_TEST(runs_of_a_silent_worker_are_lost_after_its_lease);
+    CPPUNIT_TEST(reports_with_an_old_clock_do_not_delay_the_loss_of_runs);
     CPPUNIT_TEST(restart_of_a_worker_ends_its_earlier_runs_at_once);
     CPPUNIT_TEST(draining_worker_and_evacuated_zone_get_no_tasks);
     CPPUNIT_TEST(worker_whose_reported_clock_stands_still_gets_no_tasks);
@@ -122,6 +123,26 @@
         CPPUNIT_ASSERT(plan()->ends.front().how == core::run_end::lost);
     }
 
+    // A sidecar repeats the last clock of a worker that has stopped answering,
+    // for example after each poll that fails. The worker's lease ends on its
+    // own clock, so such reports must not postpone the loss of its runs.
+    void reports_with_an_old_clock_do_not_delay_the_loss_of_runs()
+    {
+        start_one();
+        grant();
+        for (int i = 0; i < 7; ++i)
+        {
+            m_now += std::chrono::milliseconds(900);
+            CPPUNIT_ASSERT(!plan());
+            report({});
+            grant();
+        }
+        m_now += std::chrono::milliseconds(200);
+        auto const command = plan();
+        CPPUNIT_ASSERT(command.has_value());
+        CPPUNIT_ASSERT(command->ends.front().how == core::run_end::lost);
+    }
+
     void restart_of_a_worker_ends_its_earlier_runs_at_once()
     {
         start_one();
