Assume leases of earlier leaders only until the election's bound

Callers saw long-running tasks that did not run although there was room. Cause: for the first report of a worker's incarnation the leader assumed that an earlier leader had granted the longest lease just then. A worker that was lost soon after it had registered blocked its tasks for 10.45 s, although the leader had granted 6 s. Change: earlier leaders can't have granted a lease after the election, so the assumed lease ends at the bound that already holds for workers without a report. What this leader grants counts from the grant's clock as before. Result: `worker_lost_after_its_first_report_has_only_granted_leases` failed before.

--- a/modules/workflow/dispatch/worker_fleet.cpp
+++ b/modules/workflow/dispatch/worker_fleet.cpp
@@ -33,6 +33,12 @@
     return on_worker * slowest_clock_percent / 100 + lease_margin;
 }
 
+core::time_point worker_fleet::earlier_leases_expire_at() const
+{
+    // Earlier leaders can't have granted a lease after the election.
+    return m_elected + max_length_on_leader_clock(m_policy.longest);
+}
+
 worker_view* worker_fleet::report(core::time_point now,
                                   core::runtime_report report)
 {
@@ -57,9 +63,7 @@
             }
         }
         worker_view added;
-        // An earlier leader may have just granted a lease of any length.
-        added.lease_expires_at =
-            now + max_length_on_leader_clock(m_policy.longest);
+        added.lease_expires_at = earlier_leases_expire_at();
         added.clock_changed_at = now;
         known = m_workers.insert_or_assign(id, std::move(added)).first;
     }
@@ -129,8 +133,7 @@
     auto const* const view = find(worker);
     if (view == nullptr)
     {
-        // Earlier leaders can't have granted a lease after the election.
-        return now > m_elected + max_length_on_leader_clock(m_policy.longest);
+        return now > earlier_leases_expire_at();
     }
     if (view->profile.life != life)
     {
--- a/modules/workflow/dispatch/worker_fleet.hpp
+++ b/modules/workflow/dispatch/worker_fleet.hpp
@@ -94,6 +94,9 @@
 
 private:
     core::duration max_length_on_leader_clock(core::duration on_worker) const;
+    /// @return When all leases that earlier leaders may have granted have
+    ///         expired.
+    core::time_point earlier_leases_expire_at() const;
 
     lease_policy m_policy;
     core::time_point m_elected;
--- a/modules/workflow/tests/dispatcher_test.cpp
+++ b/modules/workflow/tests/dispatcher_test.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(new_leader_waits_for_the_longest_lease);
     CPPUNIT_TEST(runs_of_a_silent_worker_are_lost_after_its_lease);
     CPPUNIT_TEST(reports_with_an_old_clock_do_not_delay_the_loss_of_runs);
+    CPPUNIT_TEST(worker_lost_after_its_first_report_has_only_granted_leases);
     CPPUNIT_TEST(restart_of_a_worker_ends_its_earlier_runs_at_once);
     CPPUNIT_TEST(draining_worker_and_evacuated_zone_get_no_tasks);
     CPPUNIT_TEST(worker_whose_reported_clock_stands_still_gets_no_tasks);
@@ -37,13 +38,7 @@
         m_table = {};
         m_now = at_ms(1'000'000);
         m_config = {};
-        m_dispatcher = std::make_unique<dispatcher>(
-            m_table,
-            dispatch_options{
-                {std::chrono::seconds(6), std::chrono::seconds(6)}},
-            7,
-            m_now,
-            [this](core::event const& what) { m_events.push_back(what); });
+        elect({std::chrono::seconds(6), std::chrono::seconds(6)});
     }
 
     // The worker drops an acknowledged end. If the commit were lost after that,
@@ -143,6 +138,23 @@
         CPPUNIT_ASSERT(command->ends.front().how == core::run_end::lost);
     }
 
+    // A worker registers long after the election and is lost soon after its
+    // first tasks. Earlier leaders can't have granted it a lease since the
+    // election, so the longest lease must not be assumed for it.
+    void worker_lost_after_its_first_report_has_only_granted_leases()
+    {
+        elect({std::chrono::seconds(10), std::chrono::seconds(6)});
+        m_now += std::chrono::seconds(20);
+        start_one();
+        grant();
+        m_now += std::chrono::milliseconds(6300);
+        CPPUNIT_ASSERT(!plan());
+        m_now += std::chrono::milliseconds(200);
+        auto const command = plan();
+        CPPUNIT_ASSERT(command.has_value());
+        CPPUNIT_ASSERT(command->ends.front().how == core::run_end::lost);
+    }
+
     void restart_of_a_worker_ends_its_earlier_runs_at_once()
     {
         start_one();
@@ -266,6 +278,17 @@
     }
 
 private:
+    /// Replaces the leader by one that is elected now.
+    void elect(lease_policy leases)
+    {
+        m_dispatcher = std::make_unique<dispatcher>(
+            m_table,
+            dispatch_options{leases},
+            7,
+            m_now,
+            [this](core::event const& what) { m_events.push_back(what); });
+    }
+
     void submit()
     {
         m_table.submit(submission("a", {stage(1)}), queue(), m_now);
