Record the longest lease that a leader may have granted

Callers saw long-running tasks that did not run although there was room, when a worker was lost for good together with the leader. Cause: the new leader assumed the longest lease that workers accept (10 s on the grown deployments, so 10.45 s from its election) for each worker without a report, whatever earlier leaders had granted. Change: the replicated state records the longest lease that may be valid. A new leader assumes the recorded length, or the longest one if none is recorded. A leader with a longer setting records its length before it grants it; one with a shorter setting records it after the longer leases of earlier leaders have expired. So the lease setting may change in a rolling restart of control.

--- a/modules/core/messages/state.hpp
+++ b/modules/core/messages/state.hpp
@@ -169,6 +169,9 @@
     std::vector<job_record> jobs;
     state_counters counters;
     std::vector<workflow_record> workflows;
+    /// Longest lease that a leader may have granted to a worker; zero if none
+    /// was recorded.
+    duration longest_lease{};
 
     bool operator==(state_snapshot const&) const = default;
 };
--- a/modules/wire/codec/message_codec.cpp
+++ b/modules/wire/codec/message_codec.cpp
@@ -78,6 +78,10 @@
 constexpr std::size_t appended_members = 0;
 template <>
 constexpr std::size_t appended_members<core::task_record> = 1;
+template <>
+constexpr std::size_t appended_members<core::workflow_progress> = 1;
+template <>
+constexpr std::size_t appended_members<core::state_snapshot> = 1;
 
 /// @return Number of members to write: all but the appended ones at the end
 ///         that have their default values.
--- a/modules/wire/tests/message_codec_test.cpp
+++ b/modules/wire/tests/message_codec_test.cpp
@@ -95,6 +95,8 @@
     CPPUNIT_TEST(appended_member_with_default_value_is_not_written);
     CPPUNIT_TEST(message_without_appended_member_is_read);
     CPPUNIT_TEST(message_with_too_many_members_is_rejected);
+    CPPUNIT_TEST(recorded_lease_round_trips);
+    CPPUNIT_TEST(recorded_lease_of_zero_is_not_written);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against members that are omitted or exchanged.
@@ -168,6 +170,36 @@
                        snapshot);
     }
 
+    // Guards against a recorded lease that is lost from the log or a snapshot.
+    void recorded_lease_round_trips()
+    {
+        core::workflow_progress progress;
+        progress.longest_lease = std::chrono::seconds(6);
+        core::command_envelope envelope;
+        envelope.body = progress;
+        CPPUNIT_ASSERT(decode<core::command_envelope>(encode(envelope)) ==
+                       envelope);
+        auto snapshot = sample_snapshot(0);
+        snapshot.longest_lease = std::chrono::seconds(6);
+        CPPUNIT_ASSERT(decode<core::state_snapshot>(encode(snapshot)) ==
+                       snapshot);
+    }
+
+    // Logs and snapshots of releases without the member have three and ten
+    // members. Guards against a release that can't read them.
+    void recorded_lease_of_zero_is_not_written()
+    {
+        core::command_envelope envelope;
+        envelope.body = core::workflow_progress{};
+        auto const command = encode(envelope);
+        CPPUNIT_ASSERT(command.find("\x93\x90\x90\x90") != std::string::npos);
+        CPPUNIT_ASSERT(decode<core::command_envelope>(command) == envelope);
+        auto const snapshot = encode(sample_snapshot(0));
+        CPPUNIT_ASSERT_EQUAL('\x9a', snapshot.front());
+        CPPUNIT_ASSERT(decode<core::state_snapshot>(snapshot) ==
+                       sample_snapshot(0));
+    }
+
     // Guards against messages that processes of an earlier release can't read
     // although no feature of the later one is in use.
     void appended_member_with_default_value_is_not_written()
--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -40,7 +40,7 @@
     : m_table(table),
       m_options(options),
       m_fencing_token(fencing_token),
-      m_fleet(options.leases, elected),
+      m_fleet(options.leases, table.longest_lease(), elected),
       m_colocation(options.harm_limit),
       m_backlog(table, m_run_times, m_fleet),
       m_candidates(table, m_fleet, m_colocation),
@@ -154,7 +154,7 @@
     }
     bool const is_first = view->granted_until == core::duration{};
     m_placement_due = m_placement_due || is_first;
-    m_fleet.extend_lease(*view);
+    m_fleet.extend_lease(*view, m_table.longest_lease());
     answer.lease_until = view->granted_until;
     for (auto const& each : view->ended)
     {
@@ -304,8 +304,9 @@
     {
         place_tasks(times, config, command);
     }
-    if (command.ends.empty() && command.checkpoints.empty() &&
-        command.placements.empty())
+    command.longest_lease =
+        m_fleet.length_to_record(times.now, m_table.longest_lease());
+    if (command == core::workflow_progress{})
     {
         return std::nullopt;
     }
--- a/modules/workflow/dispatch/worker_fleet.cpp
+++ b/modules/workflow/dispatch/worker_fleet.cpp
@@ -22,8 +22,13 @@
 
 } // namespace
 
-worker_fleet::worker_fleet(lease_policy policy, core::time_point elected)
-    : m_policy(policy), m_elected(elected)
+worker_fleet::worker_fleet(lease_policy policy,
+                           core::duration recorded,
+                           core::time_point elected)
+    : m_policy(policy),
+      m_longest_earlier(recorded > core::duration{} ? recorded
+                                                    : policy.longest),
+      m_elected(elected)
 {
 }
 
@@ -36,7 +41,20 @@
 core::time_point worker_fleet::earlier_leases_expire_at() const
 {
     // Earlier leaders can't have granted a lease after the election.
-    return m_elected + max_length_on_leader_clock(m_policy.longest);
+    return m_elected + max_length_on_leader_clock(m_longest_earlier);
+}
+
+core::duration worker_fleet::length() const
+{
+    return std::min(m_policy.length, m_policy.longest);
+}
+
+core::duration worker_fleet::length_to_record(core::time_point now,
+                                              core::duration recorded) const
+{
+    bool const is_longer = recorded > core::duration{} && length() > recorded;
+    bool const is_due = is_longer || now > earlier_leases_expire_at();
+    return recorded != length() && is_due ? length() : core::duration{};
 }
 
 worker_view* worker_fleet::report(core::time_point now,
@@ -92,16 +110,18 @@
     return &view;
 }
 
-void worker_fleet::extend_lease(worker_view& worker) const
+void worker_fleet::extend_lease(worker_view& worker,
+                                core::duration recorded) const
 {
-    auto const length = std::min(m_policy.length, m_policy.longest);
+    auto const granted =
+        recorded > core::duration{} ? std::min(length(), recorded) : length();
     worker.granted_until =
-        std::max(worker.granted_until, worker.clock + length);
+        std::max(worker.granted_until, worker.clock + granted);
     // Counted from the first report with this reading: a sidecar repeats the
     // last clock of a worker that doesn't answer.
     worker.lease_expires_at =
         std::max(worker.lease_expires_at,
-                 worker.clock_changed_at + max_length_on_leader_clock(length));
+                 worker.clock_changed_at + max_length_on_leader_clock(granted));
 }
 
 worker_view* worker_fleet::find(core::worker_id const& worker)
--- a/modules/workflow/dispatch/worker_fleet.hpp
+++ b/modules/workflow/dispatch/worker_fleet.hpp
@@ -15,6 +15,7 @@
 struct lease_policy
 {
     /// Longest lease that a worker accepts; longer ones are shortened to it.
+    /// Leaders that recorded no length may have granted it.
     core::duration longest = std::chrono::seconds(6);
     /// Length that the leader requests.
     core::duration length = std::chrono::seconds(6);
@@ -51,11 +52,16 @@
 /// The leader's view of the workers, built from the reports of their sidecars.
 ///
 /// It is not replicated: a new leader rebuilds it from the next reports. Until
-/// a worker reports, the leader assumes that it has the longest possible lease.
+/// this leader grants a worker a lease, it assumes that an earlier leader
+/// granted the longest recorded one until the election.
 class worker_fleet
 {
 public:
-    worker_fleet(lease_policy policy, core::time_point elected);
+    /// @param recorded Longest lease that the replicated state recorded at the
+    ///        election; zero if none was recorded.
+    worker_fleet(lease_policy policy,
+                 core::duration recorded,
+                 core::time_point elected);
 
     /// Updates the view from a report. A report of an earlier incarnation than
     /// the known one is ignored.
@@ -69,7 +75,18 @@
     /// Leadership must have been confirmed after that report arrived. Otherwise
     /// a deposed leader could extend a lease whose expiry its successor has
     /// already waited for.
-    void extend_lease(worker_view& worker) const;
+    /// The lease is no longer than the recorded length.
+    ///
+    /// @param recorded Longest lease that the replicated state records now.
+    void extend_lease(worker_view& worker, core::duration recorded) const;
+
+    /// A longer length is recorded before a lease of this length is granted, a
+    /// shorter one after the longer leases of earlier leaders have expired.
+    ///
+    /// @param recorded Longest lease that the replicated state records now.
+    /// @return The length to record now; zero if nothing is to be recorded.
+    core::duration length_to_record(core::time_point now,
+                                    core::duration recorded) const;
 
     /// @return The view, or null.
     worker_view* find(core::worker_id const& worker);
@@ -98,7 +115,11 @@
     ///         expired.
     core::time_point earlier_leases_expire_at() const;
 
+    core::duration length() const;
+
     lease_policy m_policy;
+    /// Longest lease that earlier leaders may have granted.
+    core::duration m_longest_earlier{};
     core::time_point m_elected;
     std::map<core::worker_id, worker_view> m_workers;
 };
--- a/modules/workflow/table/workflow_table.cpp
+++ b/modules/workflow/table/workflow_table.cpp
@@ -112,6 +112,10 @@
     {
         apply(placement);
     }
+    if (command.longest_lease > core::duration{})
+    {
+        m_longest_lease = command.longest_lease;
+    }
 }
 
 void workflow_table::apply(core::run_outcome const& outcome,
@@ -500,6 +504,11 @@
     return m_ignored_parts;
 }
 
+core::duration workflow_table::longest_lease() const noexcept
+{
+    return m_longest_lease;
+}
+
 std::vector<core::workflow_record> workflow_table::records() const
 {
     std::vector<core::workflow_record> all;
@@ -511,8 +520,10 @@
     return all;
 }
 
-void workflow_table::restore(std::vector<core::workflow_record> records)
+void workflow_table::restore(std::vector<core::workflow_record> records,
+                             core::duration longest_lease)
 {
+    m_longest_lease = longest_lease;
     m_workflows.clear();
     m_active.clear();
     m_holds.clear();
--- a/modules/workflow/table/workflow_table.hpp
+++ b/modules/workflow/table/workflow_table.hpp
@@ -50,8 +50,9 @@
     core::command_reply cancel(core::cancel_workflow const& command,
                                core::time_point now);
 
-    /// Applies ends, checkpoints and placements, in this order. Parts that no
-    /// longer match the table are ignored and counted.
+    /// Applies ends, checkpoints and placements, in this order, and records the
+    /// longest lease. Parts that no longer match the table are ignored and
+    /// counted.
     void progress(core::workflow_progress const& command, core::time_point now);
 
     /// Removes workflows that ended more than `final_retention` ago and have no
@@ -127,11 +128,19 @@
     /// @return Number of command parts that did not match the table.
     std::uint64_t ignored_parts() const noexcept;
 
+    /// @return Longest lease that a leader may have granted to a worker; zero
+    ///         if none was recorded.
+    core::duration longest_lease() const noexcept;
+
     /// @return All workflows, for a snapshot.
     std::vector<core::workflow_record> records() const;
 
     /// Replaces the table by the workflows of a snapshot.
-    void restore(std::vector<core::workflow_record> records);
+    ///
+    /// @param longest_lease As returned by `longest_lease` when the snapshot
+    ///        was made.
+    void restore(std::vector<core::workflow_record> records,
+                 core::duration longest_lease);
 
 private:
     core::stage_record& stage_record(core::workflow_record& workflow,
@@ -156,6 +165,7 @@
     void add_changed_workers(core::workflow_record const& workflow);
 
     std::map<core::workflow_id, core::workflow_record> m_workflows;
+    core::duration m_longest_lease{};
     std::uint64_t m_ignored_parts = 0;
 
     // Derived from the workflows.
--- a/modules/workflow/tests/change_tracking_test.cpp
+++ b/modules/workflow/tests/change_tracking_test.cpp
@@ -120,7 +120,7 @@
     void commit_examines_the_workflows_it_names()
     {
         run_time_model const run_times;
-        worker_fleet const fleet({}, m_now);
+        worker_fleet const fleet({}, {}, m_now);
         stage_backlog backlog(m_table, run_times, fleet);
         plan_times const times{m_now, m_now, {}};
         CPPUNIT_ASSERT(backlog.collect(times).empty());
@@ -133,7 +133,7 @@
 
     void report_computes_the_capacity_of_its_worker_only()
     {
-        worker_fleet fleet({}, m_now);
+        worker_fleet fleet({}, {}, m_now);
         colocation_controller const colocation(std::chrono::seconds(4));
         candidate_pool pool(m_table, fleet, colocation);
         for (std::size_t i = 0; i < fleet_size; ++i)
--- a/modules/workflow/tests/dispatch_simulation.cpp
+++ b/modules/workflow/tests/dispatch_simulation.cpp
@@ -17,7 +17,7 @@
                                          simulation_setup const& setup)
     : m_setup(setup),
       m_random(core::seeded_random(seed)),
-      m_no_workers({}, {}),
+      m_no_workers({}, {}, {}),
       m_backlog(m_table, m_no_run_times, m_no_workers)
 {
     m_now = core::time_point(std::chrono::seconds(100));
--- a/modules/workflow/tests/dispatcher_test.cpp
+++ b/modules/workflow/tests/dispatcher_test.cpp
@@ -19,6 +19,10 @@
     CPPUNIT_TEST(placement_and_end_events_have_their_inputs);
     CPPUNIT_TEST(report_of_an_earlier_incarnation_is_ignored);
     CPPUNIT_TEST(new_leader_waits_for_the_longest_lease);
+    CPPUNIT_TEST(new_leader_waits_no_longer_than_the_recorded_lease);
+    CPPUNIT_TEST(new_leader_without_a_record_waits_for_the_longest_lease);
+    CPPUNIT_TEST(longer_lease_is_recorded_before_it_is_granted);
+    CPPUNIT_TEST(shorter_lease_is_recorded_after_longer_ones_expired);
     CPPUNIT_TEST(runs_of_a_silent_worker_are_lost_after_its_lease);
     CPPUNIT_TEST(reports_with_an_old_clock_do_not_delay_the_loss_of_runs);
     CPPUNIT_TEST(worker_lost_after_its_first_report_has_only_granted_leases);
@@ -96,10 +100,7 @@
     // The previous leader may have granted a lease just before the election.
     void new_leader_waits_for_the_longest_lease()
     {
-        submit();
-        core::workflow_progress by_earlier;
-        by_earlier.placements = {placed(run_of("a", 0, 0), "gone")};
-        m_table.progress(by_earlier, m_now);
+        place_on_lost_worker();
         m_now += std::chrono::milliseconds(6300);
         CPPUNIT_ASSERT(!plan());
         m_now += std::chrono::milliseconds(200);
@@ -108,6 +109,61 @@
         CPPUNIT_ASSERT(command->ends.front().how == core::run_end::lost);
     }
 
+    // A worker and the leader are lost together. If the next leader assumed the
+    // longest lease that workers accept, although none was granted, the tasks
+    // of the worker would wait that much longer.
+    void new_leader_waits_no_longer_than_the_recorded_lease()
+    {
+        record_lease(std::chrono::seconds(6));
+        elect({std::chrono::seconds(10), std::chrono::seconds(6)});
+        place_on_lost_worker();
+        m_now += std::chrono::milliseconds(6300);
+        CPPUNIT_ASSERT(!plan());
+        m_now += std::chrono::milliseconds(200);
+        auto const command = plan();
+        CPPUNIT_ASSERT(command.has_value());
+        CPPUNIT_ASSERT(command->ends.front().how == core::run_end::lost);
+    }
+
+    // A leader of a release that records no lease may have granted the longest
+    // one.
+    void new_leader_without_a_record_waits_for_the_longest_lease()
+    {
+        elect({std::chrono::seconds(10), std::chrono::seconds(6)});
+        place_on_lost_worker();
+        m_now += std::chrono::milliseconds(10'400);
+        CPPUNIT_ASSERT(!plan());
+        m_now += std::chrono::milliseconds(100);
+        CPPUNIT_ASSERT(plan()->ends.front().how == core::run_end::lost);
+    }
+
+    // A leader with a longer lease setting must not grant what its successor
+    // would not wait for.
+    void longer_lease_is_recorded_before_it_is_granted()
+    {
+        record_lease(std::chrono::seconds(6));
+        elect({std::chrono::seconds(10), std::chrono::seconds(9)});
+        report({});
+        CPPUNIT_ASSERT(grant().lease_until == std::chrono::seconds(56));
+        commit();
+        CPPUNIT_ASSERT(m_table.longest_lease() == std::chrono::seconds(9));
+        CPPUNIT_ASSERT(grant().lease_until == std::chrono::seconds(59));
+    }
+
+    // While longer leases of earlier leaders may be valid, a further leader
+    // must still wait for them.
+    void shorter_lease_is_recorded_after_longer_ones_expired()
+    {
+        record_lease(std::chrono::seconds(10));
+        elect({std::chrono::seconds(10), std::chrono::seconds(6)});
+        m_now += std::chrono::milliseconds(10'400);
+        CPPUNIT_ASSERT(!plan());
+        m_now += std::chrono::milliseconds(100);
+        commit();
+        CPPUNIT_ASSERT(m_table.longest_lease() == std::chrono::seconds(6));
+        CPPUNIT_ASSERT(!plan());
+    }
+
     void runs_of_a_silent_worker_are_lost_after_its_lease()
     {
         start_one();
@@ -289,6 +345,23 @@
             [this](core::event const& what) { m_events.push_back(what); });
     }
 
+    void record_lease(core::duration length)
+    {
+        core::workflow_progress command;
+        command.longest_lease = length;
+        m_table.progress(command, m_now);
+    }
+
+    /// Submits job `a`, whose task an earlier leader placed on a worker that
+    /// never reports.
+    void place_on_lost_worker()
+    {
+        submit();
+        core::workflow_progress by_earlier;
+        by_earlier.placements = {placed(run_of("a", 0, 0), "gone")};
+        m_table.progress(by_earlier, m_now);
+    }
+
     void submit()
     {
         m_table.submit(submission("a", {stage(1)}), queue(), m_now);
--- a/modules/workflow/tests/workflow_table_test.cpp
+++ b/modules/workflow/tests/workflow_table_test.cpp
@@ -186,11 +186,15 @@
         submit({stage(2)});
         progress({}, {placed(run_of("a", 0, 0)), placed(run_of("a", 0, 1))});
         progress({ended(run_of("a", 0, 0), run_end::failed)}, {});
+        core::workflow_progress recorded;
+        recorded.longest_lease = std::chrono::seconds(6);
+        m_table.progress(recorded, m_now);
         workflow_table other;
-        other.restore(m_table.records());
+        other.restore(m_table.records(), m_table.longest_lease());
         CPPUNIT_ASSERT(other.records() == m_table.records());
         CPPUNIT_ASSERT(other.holds() == m_table.holds());
         CPPUNIT_ASSERT(other.active() == m_table.active());
+        CPPUNIT_ASSERT(other.longest_lease() == recorded.longest_lease);
     }
 
     void ended_workflow_is_kept_for_the_retention_time()
