--- a/modules/wire/codec/message_codec.cpp
+++ b/modules/wire/codec/message_codec.cpp
@@ -80,6 +80,10 @@
 constexpr std::size_t appended_members<core::task_record> = 1;
 template <>
 constexpr std::size_t appended_members<core::runtime_orders> = 1;
+template <>
+constexpr std::size_t appended_members<core::workflow_progress> = 1;
+template <>
+constexpr std::size_t appended_members<core::state_snapshot> = 1;
 
 /// @return Number of members to write: all but the appended ones at the end
 ///         that have their default values.
--- a/modules/workflow/tests/dispatcher_test.cpp
+++ b/modules/workflow/tests/dispatcher_test.cpp
@@ -19,7 +19,13 @@
     CPPUNIT_TEST(placement_and_end_events_have_their_inputs);
     CPPUNIT_TEST(report_of_an_earlier_incarnation_is_ignored);
     CPPUNIT_TEST(new_leader_waits_for_the_longest_lease);
+    CPPUNIT_TEST(new_leader_waits_no_longer_than_the_recorded_lease);
+    CPPUNIT_TEST(new_leader_without_a_record_waits_for_the_longest_lease);
+    CPPUNIT_TEST(longer_lease_is_recorded_before_it_is_granted);
+    CPPUNIT_TEST(shorter_lease_is_recorded_after_longer_ones_expired);
     CPPUNIT_TEST(runs_of_a_silent_worker_are_lost_after_its_lease);
+    CPPUNIT_TEST(reports_with_an_old_clock_do_not_delay_the_loss_of_runs);
+    CPPUNIT_TEST(worker_lost_after_its_first_report_has_only_granted_leases);
     CPPUNIT_TEST(restart_of_a_worker_ends_its_earlier_runs_at_once);
     CPPUNIT_TEST(draining_worker_and_evacuated_zone_get_no_tasks);
     CPPUNIT_TEST(worker_whose_reported_clock_stands_still_gets_no_tasks);
@@ -46,13 +52,7 @@
         m_table = {};
         m_now = at_ms(1'000'000);
         m_config = {};
-        m_dispatcher = std::make_unique<dispatcher>(
-            m_table,
-            dispatch_options{
-                {std::chrono::seconds(6), std::chrono::seconds(6)}},
-            7,
-            m_now,
-            [this](core::event const& what) { m_events.push_back(what); });
+        elect({std::chrono::seconds(6), std::chrono::seconds(6)});
     }
 
     // The worker drops an acknowledged end. If the commit were lost after that,
@@ -110,10 +110,23 @@
     // The previous leader may have granted a lease just before the election.
     void new_leader_waits_for_the_longest_lease()
     {
-        submit();
-        core::workflow_progress by_earlier;
-        by_earlier.placements = {placed(run_of("a", 0, 0), "gone")};
-        m_table.progress(by_earlier, m_now);
+        place_on_lost_worker();
+        m_now += std::chrono::milliseconds(6300);
+        CPPUNIT_ASSERT(!plan());
+        m_now += std::chrono::milliseconds(200);
+        auto const command = plan();
+        CPPUNIT_ASSERT(command.has_value());
+        CPPUNIT_ASSERT(command->ends.front().how == core::run_end::lost);
+    }
+
+    // A worker and the leader are lost together. If the next leader assumed the
+    // longest lease that workers accept, although none was granted, the tasks
+    // of the worker would wait that much longer.
+    void new_leader_waits_no_longer_than_the_recorded_lease()
+    {
+        record_lease(std::chrono::seconds(6));
+        elect({std::chrono::seconds(10), std::chrono::seconds(6)});
+        place_on_lost_worker();
         m_now += std::chrono::milliseconds(6300);
         CPPUNIT_ASSERT(!plan());
         m_now += std::chrono::milliseconds(200);
@@ -122,6 +135,45 @@
         CPPUNIT_ASSERT(command->ends.front().how == core::run_end::lost);
     }
 
+    // A leader of a release that records no lease may have granted the longest
+    // one.
+    void new_leader_without_a_record_waits_for_the_longest_lease()
+    {
+        elect({std::chrono::seconds(10), std::chrono::seconds(6)});
+        place_on_lost_worker();
+        m_now += std::chrono::milliseconds(10'400);
+        CPPUNIT_ASSERT(!plan());
+        m_now += std::chrono::milliseconds(100);
+        CPPUNIT_ASSERT(plan()->ends.front().how == core::run_end::lost);
+    }
+
+    // A leader with a longer lease setting must not grant what its successor
+    // would not wait for.
+    void longer_lease_is_recorded_before_it_is_granted()
+    {
+        record_lease(std::chrono::seconds(6));
+        elect({std::chrono::seconds(10), std::chrono::seconds(9)});
+        report({});
+        CPPUNIT_ASSERT(grant().lease_until == std::chrono::seconds(56));
+        commit();
+        CPPUNIT_ASSERT(m_table.longest_lease() == std::chrono::seconds(9));
+        CPPUNIT_ASSERT(grant().lease_until == std::chrono::seconds(59));
+    }
+
+    // While longer leases of earlier leaders may be valid, a further leader
+    // must still wait for them.
+    void shorter_lease_is_recorded_after_longer_ones_expired()
+    {
+        record_lease(std::chrono::seconds(10));
+        elect({std::chrono::seconds(10), std::chrono::seconds(6)});
+        m_now += std::chrono::milliseconds(10'400);
+        CPPUNIT_ASSERT(!plan());
+        m_now += std::chrono::milliseconds(100);
+        commit();
+        CPPUNIT_ASSERT(m_table.longest_lease() == std::chrono::seconds(6));
+        CPPUNIT_ASSERT(!plan());
+    }
+
     void runs_of_a_silent_worker_are_lost_after_its_lease()
     {
         start_one();
@@ -132,6 +184,43 @@
         CPPUNIT_ASSERT(plan()->ends.front().how == core::run_end::lost);
     }
 
+    // A sidecar repeats the last clock of a worker that has stopped answering,
+    // for example after each poll that fails. The worker's lease ends on its
+    // own clock, so such reports must not postpone the loss of its runs.
+    void reports_with_an_old_clock_do_not_delay_the_loss_of_runs()
+    {
+        start_one();
+        grant();
+        for (int i = 0; i < 7; ++i)
+        {
+            m_now += std::chrono::milliseconds(900);
+            CPPUNIT_ASSERT(!plan());
+            report({});
+            grant();
+        }
+        m_now += std::chrono::milliseconds(200);
+        auto const command = plan();
+        CPPUNIT_ASSERT(command.has_value());
+        CPPUNIT_ASSERT(command->ends.front().how == core::run_end::lost);
+    }
+
+    // A worker registers long after the election and is lost soon after its
+    // first tasks. Earlier leaders can't have granted it a lease since the
+    // election, so the longest lease must not be assumed for it.
+    void worker_lost_after_its_first_report_has_only_granted_leases()
+    {
+        elect({std::chrono::seconds(10), std::chrono::seconds(6)});
+        m_now += std::chrono::seconds(20);
+        start_one();
+        grant();
+        m_now += std::chrono::milliseconds(6300);
+        CPPUNIT_ASSERT(!plan());
+        m_now += std::chrono::milliseconds(200);
+        auto const command = plan();
+        CPPUNIT_ASSERT(command.has_value());
+        CPPUNIT_ASSERT(command->ends.front().how == core::run_end::lost);
+    }
+
     void restart_of_a_worker_ends_its_earlier_runs_at_once()
     {
         start_one();
@@ -450,6 +539,34 @@
         m_dispatcher->report(m_now, std::move(result));
     }
 
+    /// Replaces the leader by one that is elected now.
+    void elect(lease_policy leases)
+    {
+        m_dispatcher = std::make_unique<dispatcher>(
+            m_table,
+            dispatch_options{leases},
+            7,
+            m_now,
+            [this](core::event const& what) { m_events.push_back(what); });
+    }
+
+    void record_lease(core::duration length)
+    {
+        core::workflow_progress command;
+        command.longest_lease = length;
+        m_table.progress(command, m_now);
+    }
+
+    /// Submits job `a`, whose task an earlier leader placed on a worker that
+    /// never reports.
+    void place_on_lost_worker()
+    {
+        submit();
+        core::workflow_progress by_earlier;
+        by_earlier.placements = {placed(run_of("a", 0, 0), "gone")};
+        m_table.progress(by_earlier, m_now);
+    }
+
     void submit()
     {
         m_table.submit(submission("a", {stage(1)}), queue(), m_now);
