Sidecar: a registration that a later one has overtaken is ignored

Callers could see: a delayed registration brought an earlier, larger capacity back into force until the worker's next call, and a start over the true one was sent. Evidence: `overtaken_registration_is_ignored` failed before ("Expression: !m_agent->registered(profile("w1", 8000), 5)"). Result: workflow_tests and platform_tests pass. Not run with real processes.

--- a/modules/workflow/agent/worker_agent.cpp
+++ b/modules/workflow/agent/worker_agent.cpp
@@ -45,7 +45,8 @@
 {
 }
 
-bool worker_agent::registered(core::worker_profile profile)
+bool worker_agent::registered(core::worker_profile profile,
+                              std::uint64_t sequence)
 {
     if (m_stopped)
     {
@@ -65,8 +66,19 @@
             return false;
         }
         begin_incarnation(std::move(profile));
+        m_sequence = sequence;
         return true;
     }
+    if (sequence > 0 && sequence < m_sequence)
+    {
+        m_hooks.on_event(
+            {event_code::registration_ignored,
+             {text_field("worker", profile.worker.value()),
+              number_field("life", profile.life.value()),
+              number_field("known_life", m_profile->life.value())}});
+        return false;
+    }
+    m_sequence = sequence;
     bool const is_drain_changed = m_profile->draining != profile.draining;
     bool const is_changed = differs(*m_profile, profile);
     m_profile = std::move(profile);
--- a/modules/workflow/agent/worker_agent.hpp
+++ b/modules/workflow/agent/worker_agent.hpp
@@ -69,9 +69,11 @@
 
     /// Handles a registration of the worker.
     ///
+    /// @param sequence Increases with each registration of an incarnation; 0 if
+    ///        it is unknown.
     /// @return False if it is from an earlier incarnation than the known one,
-    ///         or the agent was stopped.
-    bool registered(core::worker_profile profile);
+    ///         was overtaken by a later one, or the agent was stopped.
+    bool registered(core::worker_profile profile, std::uint64_t sequence = 0);
 
     /// Handles the worker's notice that it shuts down.
     void unregistered(core::worker_id const& worker);
@@ -140,6 +142,8 @@
     /// earlier epoch are dropped.
     std::uint64_t m_epoch = 0;
     std::optional<core::worker_profile> m_profile;
+    /// Highest sequence number of the incarnation's registrations.
+    std::uint64_t m_sequence = 0;
     bool m_left = false;
 
     std::uint64_t m_fencing_token = 0;
--- a/modules/workflow/tests/worker_agent_test.cpp
+++ b/modules/workflow/tests/worker_agent_test.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(only_ends_in_the_grant_are_acknowledged);
     CPPUNIT_TEST(changed_capacity_is_reported_at_once);
     CPPUNIT_TEST(changed_capacity_of_a_silent_worker_is_reported);
+    CPPUNIT_TEST(overtaken_registration_is_ignored);
     CPPUNIT_TEST(start_over_the_capacity_is_not_sent);
     CPPUNIT_TEST(unanswered_start_over_a_shrunk_capacity_is_not_repeated);
     CPPUNIT_TEST(repeated_order_over_the_capacity_stops_no_started_run);
@@ -333,6 +334,19 @@
         CPPUNIT_ASSERT(m_reports.empty());
     }
 
+    // A delayed registration brought an earlier, larger capacity back.
+    void overtaken_registration_is_ignored()
+    {
+        m_agent->registered(profile("w1", 8000), 4);
+        CPPUNIT_ASSERT(m_agent->registered(profile("w1", 4000), 6));
+        CPPUNIT_ASSERT(!m_agent->registered(profile("w1", 8000), 5));
+        CPPUNIT_ASSERT(*m_agent->profile() == profile("w1", 4000));
+        // The numbers start anew in each life.
+        CPPUNIT_ASSERT(m_agent->registered(profile("w1", 8000, 2), 1));
+        CPPUNIT_ASSERT(m_agent->registered(profile("w1", 4000, 2), 2));
+        CPPUNIT_ASSERT(*m_agent->profile() == profile("w1", 4000, 2));
+    }
+
     // The order was made before the leader knew of the shrunk capacity: it was
     // delayed, or comes from a leader that has had no report since.
     void start_over_the_capacity_is_not_sent()
--- a/programs/sidecar/worker/worker_service.cpp
+++ b/programs/sidecar/worker/worker_service.cpp
@@ -108,11 +108,12 @@
 std::vector<web::route> worker_service::routes()
 {
     platform::registration_hooks hooks;
-    hooks.registered = [this](core::worker_profile profile)
+    hooks.registered =
+        [this](core::worker_profile profile, std::uint64_t sequence)
     {
         m_registered = true;
-        m_io.post([this, profile = std::move(profile)]
-                  { m_agent.registered(profile); });
+        m_io.post([this, profile = std::move(profile), sequence]
+                  { m_agent.registered(profile, sequence); });
     };
     hooks.unregistered = [this](core::worker_id const& worker)
     { m_io.post([this, worker] { m_agent.unregistered(worker); }); };
