Try long-running tasks on a quarantined worker at a limited rate

Cause: a worker on which tasks of several workflows failed gets no task for up to 16 s, also if it works again. A long-running task for which no other worker has room then waits longer than the 9 s that callers allow. Change: a quarantined worker gets one long-running task a second, and only if no other worker has room for it. Such tasks have no limit of attempts, so a worker that still fails wastes at most one start a second. Result: `quarantined_worker_gets_long_running_tasks_one_by_one` failed before; workflow_tests pass (90).

--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -193,15 +193,23 @@
                   view.profile.zone) != config.evacuated.end();
     return view.has_runs && !view.left && !view.profile.draining &&
            is_reporting(now, view) && is_leased && !is_evacuated &&
-           !m_health.is_quarantined(now, view.profile.worker);
+           (!m_health.is_quarantined(now, view.profile.worker) ||
+            m_health.is_trial_due(now, view.profile.worker));
 }
 
 std::vector<candidate_worker*>
 dispatcher::candidates(core::time_point now, core::configuration const& config)
 {
-    return m_candidates.collect(now,
-                                [&](worker_view const& view)
-                                { return is_eligible(now, view, config); });
+    auto workers =
+        m_candidates.collect(now,
+                             [&](worker_view const& view)
+                             { return is_eligible(now, view, config); });
+    for (auto* const each : workers)
+    {
+        each->is_trial = m_health.is_quarantined(now, each->worker);
+        each->trials_left = each->is_trial ? 1 : 0;
+    }
+    return workers;
 }
 
 bool dispatcher::is_evictable(core::task_run const& run) const
@@ -326,6 +334,7 @@
     for (auto const& placement : command.placements)
     {
         emit_run_placed(now, placement);
+        m_health.record_trial(now, placement.worker);
         m_placed_at.emplace(placement.run, now);
     }
     m_ends.applied(now, command);
@@ -391,6 +400,10 @@
     result.longest_wait = m_backlog.longest_wait(now);
     for (auto const* const worker : candidates(now, config))
     {
+        if (worker->is_trial)
+        {
+            continue;
+        }
         ++result.usable_workers;
         result.spare += worker->spare;
     }
--- a/modules/workflow/dispatch/stage_planner.cpp
+++ b/modules/workflow/dispatch/stage_planner.cpp
@@ -28,6 +28,9 @@
 constexpr double other_image_penalty = 0.5;
 constexpr double same_image_bonus = 0.8;
 
+/// Outweighs all other parts of a score, so a quarantined worker comes last.
+constexpr double trial_penalty = 1000;
+
 /// A best-effort task is not placed where it is predicted to raise a serving
 /// task's tail above this multiple of its target.
 constexpr double max_tail = 0.85;
@@ -54,6 +57,11 @@
     {
         return false;
     }
+    if (worker.is_trial &&
+        (worker.trials_left == 0 || !stage.behaviour.long_running))
+    {
+        return false;
+    }
     bool const lacks_spare_cpu =
         worker.spare.value() * 100 < stage.need.cpu.value() * min_spare_percent;
     if (stage.behaviour.uses_spare_cpu &&
@@ -133,6 +141,10 @@
     {
         value -= other_rack_penalty;
     }
+    if (worker.is_trial)
+    {
+        value -= trial_penalty;
+    }
     if (pending.failed_on.contains(worker.worker))
     {
         value -= failed_before_penalty;
@@ -332,6 +344,7 @@
                                    core::stage_description const& description)
 {
     add(stage, description);
+    trials_left -= trials_left > 0 ? 1 : 0;
     if (description.behaviour.uses_spare_cpu)
     {
         planned[description.behaviour.image] += description.need.cpu;
--- a/modules/workflow/dispatch/stage_planner.hpp
+++ b/modules/workflow/dispatch/stage_planner.hpp
@@ -54,6 +54,11 @@
     /// True while a serving task has been over its target for too long; then no
     /// best-effort task starts there.
     bool closed_to_best_effort = false;
+    /// True while the worker is quarantined. Then it gets only long-running
+    /// tasks for which no other worker has room.
+    bool is_trial = false;
+    /// Number of tasks that a quarantined worker may still get.
+    std::uint32_t trials_left = 0;
     /// CPU that best-effort tasks are expected to use in excess of the last
     /// report, because they were placed or sped up since.
     cpu_by_image planned;
--- a/modules/workflow/dispatch/worker_health.cpp
+++ b/modules/workflow/dispatch/worker_health.cpp
@@ -22,6 +22,9 @@
     std::chrono::milliseconds(250);
 constexpr core::duration max_refusal_quarantine = std::chrono::seconds(2);
 
+/// Bounds the starts that a worker which fails every task can waste.
+constexpr core::duration trial_interval = std::chrono::seconds(1);
+
 } // namespace
 
 void worker_health::record_end(core::time_point now,
@@ -69,6 +72,22 @@
     return record != m_workers.end() && now < record->second.quarantined_until;
 }
 
+bool worker_health::is_trial_due(core::time_point now,
+                                 core::worker_id const& worker) const
+{
+    auto const record = m_workers.find(worker);
+    return record != m_workers.end() && now >= record->second.next_trial;
+}
+
+void worker_health::record_trial(core::time_point now,
+                                 core::worker_id const& worker)
+{
+    if (auto const record = m_workers.find(worker); record != m_workers.end())
+    {
+        record->second.next_trial = now + trial_interval;
+    }
+}
+
 void worker_health::forget(core::worker_id const& worker)
 {
     m_workers.erase(worker);
--- a/modules/workflow/dispatch/worker_health.hpp
+++ b/modules/workflow/dispatch/worker_health.hpp
@@ -15,7 +15,8 @@
 /// A worker is quarantined after consecutive failures of tasks of several
 /// workflows, or after several consecutive refused starts. When the quarantine
 /// ends the worker gets tasks again; one more failure quarantines it for twice
-/// as long.
+/// as long. During the quarantine the worker gets long-running tasks for which
+/// no other worker has room, at a limited rate.
 class worker_health
 {
 public:
@@ -25,10 +26,19 @@
                     core::task_run const& run,
                     core::run_end how);
 
-    /// @return True while no task may be placed on the worker.
+    /// @return True while only trials may be placed on the worker.
     bool is_quarantined(core::time_point now,
                         core::worker_id const& worker) const;
 
+    /// @return True if a quarantined worker may get one long-running task now.
+    ///         Such tasks have no limit of attempts, and the worker may be the
+    ///         only one with room for them.
+    bool is_trial_due(core::time_point now,
+                      core::worker_id const& worker) const;
+
+    /// Must be called when a task was placed on a quarantined worker.
+    void record_trial(core::time_point now, core::worker_id const& worker);
+
     /// Forgets the history of a worker, for example after its restart.
     void forget(core::worker_id const& worker);
 
@@ -43,6 +53,8 @@
         core::time_point quarantined_until;
         /// Length of the last quarantine.
         core::duration quarantine{};
+        /// When the next task may be placed during the quarantine.
+        core::time_point next_trial;
     };
 
     std::map<core::worker_id, history> m_workers;
--- a/modules/workflow/tests/dispatcher_test.cpp
+++ b/modules/workflow/tests/dispatcher_test.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(workflow_with_a_schedule_waits_for_its_time);
     CPPUNIT_TEST(age_is_measured_on_the_replicated_clock);
     CPPUNIT_TEST(old_long_running_job_is_placed_before_new_batch);
+    CPPUNIT_TEST(quarantined_worker_gets_long_running_tasks_one_by_one);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -333,6 +334,43 @@
         CPPUNIT_ASSERT(command->placements.front().run == run_of("a", 0, 0));
     }
 
+    // A worker failed every task for a while, works again, and is the only one
+    // with room for a long-running task. In a quarantine of up to 16 s the task
+    // would not run. Batch must stay away, and starts be few.
+    void quarantined_worker_gets_long_running_tasks_one_by_one()
+    {
+        for (std::string const id : {"x", "y", "z"})
+        {
+            m_table.submit(submission(id, {stage(1)}), queue(), m_now);
+        }
+        report({});
+        grant();
+        commit();
+        core::worker_runs runs;
+        std::uint64_t number = 0;
+        for (std::string const id : {"x", "y", "z"})
+        {
+            runs.ended.push_back(
+                {++number, run_of(id, 0, 0), core::run_end::failed, {}});
+        }
+        report(runs);
+        commit();
+        CPPUNIT_ASSERT(!plan());
+        auto service = stage(2);
+        service.behaviour.long_running = true;
+        m_table.submit(submission("a", {service}), queue(), m_now);
+        auto const first = plan();
+        CPPUNIT_ASSERT(first.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, first->placements.size());
+        CPPUNIT_ASSERT(first->placements.front().run == run_of("a", 0, 0));
+        m_table.progress(*first, m_now);
+        m_dispatcher->applied(m_now, *first);
+        m_now += std::chrono::milliseconds(900);
+        CPPUNIT_ASSERT(!plan());
+        m_now += std::chrono::milliseconds(200);
+        CPPUNIT_ASSERT(plan()->placements.front().run == run_of("a", 0, 1));
+    }
+
 private:
     /// Replaces the leader by one that is elected now.
     void elect(lease_policy leases)
