--- a/modules/workflow/tests/dispatch_simulation.hpp
+++ b/modules/workflow/tests/dispatch_simulation.hpp
@@ -102,6 +102,8 @@
 
     void submit_long_running();
     void inject_lasting_fault();
+    /// Makes all tasks that start on a worker fail for some seconds.
+    void fail_tasks(worker_host& host);
     /// Removes a worker for good; two thirds of the workers always stay.
     void remove_worker(worker_host& host);
     void schedule_fault_phase(core::duration begin);
