Ask for a lease of 6 s by default, also if workers accept longer ones

Callers saw long-running tasks that did not run although there was room, on the grown Lomos deployment. Cause: the setting `workers, lease` had the longest lease as its default. The deployments set only `longest_lease`, 10 s on the grown ones, so the leader granted 10 s, and the tasks of a worker that was lost waited 10.45 s, also without a change of the leader. Callers allow 9 s. Change: the default is 6 s, or the longest lease if that is shorter. With 1.02 x 6 s + 250 ms, up to 1.5 s for an election and the commits, the tasks are placed again within 9 s. Result: `lease_does_not_grow_with_the_longest_one` failed before. A worker that is cut off for 6 to 10 s now loses its runs.

--- a/programs/control/settings/control_settings.cpp
+++ b/programs/control/settings/control_settings.cpp
@@ -2,6 +2,8 @@
 
 #include "shared/peers/member_address.hpp"
 
+#include <algorithm>
+
 namespace turmericswitch::control
 {
 
@@ -84,8 +86,9 @@
     auto& leases = read.dispatch.leases;
     leases.longest =
         reader.duration({"workers", "longest_lease"}, leases.longest, {1s, 1h});
-    leases.length =
-        reader.duration({"workers", "lease"}, leases.longest, {1s, 1h});
+    leases.length = reader.duration({"workers", "lease"},
+                                    std::min(leases.length, leases.longest),
+                                    {1s, 1h});
     read.dispatch.harm_limit = reader.duration(
         {"workers", "harm_limit"}, read.dispatch.harm_limit, {1s, 1min});
 }
--- /dev/null
+++ b/programs/control/tests/control_settings_test.cpp
@@ -0,0 +1,47 @@
+#include "settings/control_settings.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+namespace turmericswitch::control
+{
+
+class control_settings_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(control_settings_test);
+    CPPUNIT_TEST(lease_does_not_grow_with_the_longest_one);
+    CPPUNIT_TEST(lease_is_at_most_the_longest_one);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // The tasks of a lost worker wait for the end of its lease. If the lease
+    // grew with the longest one that workers accept, they would wait longer
+    // although operators asked for nothing.
+    void lease_does_not_grow_with_the_longest_one()
+    {
+        CPPUNIT_ASSERT(lease_with("longest_lease = 10s\n") ==
+                       std::chrono::seconds(6));
+        CPPUNIT_ASSERT(lease_with("longest_lease = 10s\nlease = 9s\n") ==
+                       std::chrono::seconds(9));
+    }
+
+    void lease_is_at_most_the_longest_one()
+    {
+        CPPUNIT_ASSERT(lease_with("longest_lease = 4s\n") ==
+                       std::chrono::seconds(4));
+    }
+
+private:
+    /// @return The lease that the section `workers` results in.
+    static core::duration lease_with(std::string const& workers)
+    {
+        settings::settings_reader reader("control.ini",
+                                         "[workers]\n" + workers);
+        return parse_control_settings(reader).dispatch.leases.length;
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(control_settings_test);
+
+} // namespace turmericswitch::control
