Events: runs lost with a worker before they were seen at work

In the log, the 46 runs that ended with the first crash look alike, so neither operators nor the leader can tell the suspects from the runs that had worked there for seconds. Cause: the leader keeps only the last list of runs of a worker and forgets an incarnation as soon as a later one reports. Change: the fleet keeps since when reports have listed a run, whether the run is established (listed for 500 ms on the worker's clock), and whether an incarnation was replaced without notice while its sidecar went on. run_ended and worker_lost have these as fields.

--- a/modules/workflow/dispatch/dispatch_events.cpp
+++ b/modules/workflow/dispatch/dispatch_events.cpp
@@ -46,12 +46,14 @@
 
 core::event worker_lost_event(core::time_point now,
                               core::worker_id const& worker,
-                              std::uint64_t runs,
+                              lost_runs const& runs,
                               worker_view const* view)
 {
-    core::event event{
-        event_code::worker_lost,
-        {text_field("worker", worker.value()), number_field("runs", runs)}};
+    core::event event{event_code::worker_lost,
+                      {text_field("worker", worker.value()),
+                       number_field("runs", runs.all),
+                       number_field("not_established", runs.not_established),
+                       number_field("crashed", runs.has_crashed ? 1 : 0)}};
     if (view != nullptr)
     {
         event.fields.push_back(
@@ -123,7 +125,8 @@
 }
 
 core::event run_ended_event(core::run_outcome const& outcome,
-                            std::optional<core::duration> since_placed)
+                            std::optional<core::duration> since_placed,
+                            std::optional<bool> established)
 {
     core::event event{event_code::run_ended,
                       fields_of(outcome.run, outcome.worker)};
@@ -132,6 +135,11 @@
     {
         event.fields.push_back(time_field("since_placed_ms", *since_placed));
     }
+    if (established)
+    {
+        event.fields.push_back(
+            number_field("established", *established ? 1 : 0));
+    }
     return event;
 }
 
--- a/modules/workflow/dispatch/dispatch_events.hpp
+++ b/modules/workflow/dispatch/dispatch_events.hpp
@@ -15,11 +15,20 @@
 
 core::event worker_seen_event(worker_view const& view);
 
-/// @param runs Number of runs lost with the worker.
+/// Runs that ended with an incarnation of a worker.
+struct lost_runs
+{
+    std::uint64_t all = 0;
+    /// Those that reports had not listed for `trial_time`.
+    std::uint64_t not_established = 0;
+    /// True if the worker is known to have crashed.
+    bool has_crashed = false;
+};
+
 /// @param view Null if this leader has had no report of the worker.
 core::event worker_lost_event(core::time_point now,
                               core::worker_id const& worker,
-                              std::uint64_t runs,
+                              lost_runs const& runs,
                               worker_view const* view);
 
 /// @param last The run end that triggered the quarantine.
@@ -47,8 +56,11 @@
                              worker_view const* view);
 
 /// @param since_placed `nullopt` for a run that an earlier leader placed.
+/// @param established Whether the run had been listed for `trial_time`;
+///        `nullopt` for a run that did not end with its worker.
 core::event run_ended_event(core::run_outcome const& outcome,
-                            std::optional<core::duration> since_placed);
+                            std::optional<core::duration> since_placed,
+                            std::optional<bool> established);
 
 } // namespace turmericswitch::workflow
 
--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -340,10 +340,17 @@
                             core::run_outcome const& outcome)
 {
     auto const placed = m_placed_at.find(outcome.run);
+    std::optional<bool> established;
+    if (outcome.how == core::run_end::lost)
+    {
+        established =
+            m_fleet.is_established(outcome.worker, outcome.life, outcome.run);
+    }
     m_on_event(run_ended_event(outcome,
                                placed == m_placed_at.end()
                                    ? std::nullopt
-                                   : std::optional(now - placed->second)));
+                                   : std::optional(now - placed->second),
+                               established));
     bool const was_usable = !m_health.is_quarantined(now, outcome.worker);
     m_health.record_end(now, outcome.worker, outcome.run, outcome.how);
     if (was_usable && m_health.is_quarantined(now, outcome.worker))
@@ -367,12 +374,17 @@
 void dispatcher::emit_lost_workers(core::time_point now,
                                    core::workflow_progress const& command) const
 {
-    std::map<core::worker_id, std::uint64_t> lost;
-    for (auto const& outcome : command.ends)
+    std::map<core::worker_id, lost_runs> lost;
+    for (auto const& [run, worker, life, how, checkpoint] : command.ends)
     {
-        if (outcome.how == core::run_end::lost)
+        if (how == core::run_end::lost)
         {
-            ++lost[outcome.worker];
+            auto& runs = lost[worker];
+            ++runs.all;
+            runs.not_established +=
+                m_fleet.is_established(worker, life, run) ? 0 : 1;
+            runs.has_crashed =
+                runs.has_crashed || m_fleet.has_crashed(worker, life);
         }
     }
     for (auto const& [worker, runs] : lost)
--- a/modules/workflow/dispatch/worker_fleet.cpp
+++ b/modules/workflow/dispatch/worker_fleet.cpp
@@ -20,6 +20,53 @@
 /// An idle worker without reports for this long is removed from the view.
 constexpr core::duration forget_after = std::chrono::minutes(1);
 
+bool is_replaced_by_crash(worker_view const& before,
+                          core::runtime_report const& report)
+{
+    // With the instance its sidecar restarts too, which no task can cause.
+    return !before.left && !before.profile.draining &&
+           before.host == report.host && before.sidecar == report.sidecar;
+}
+
+bool is_established_in(worker_view const& view, core::task_run const& run)
+{
+    auto const since = view.listed_since.find(run);
+    return since != view.listed_since.end() &&
+           view.clock - since->second >= trial_time;
+}
+
+replaced_incarnation replaced_by(worker_view const& before,
+                                 core::runtime_report const& report)
+{
+    replaced_incarnation result;
+    result.life = before.profile.life;
+    result.has_crashed = is_replaced_by_crash(before, report);
+    for (auto const& [run, since] : before.listed_since)
+    {
+        if (is_established_in(before, run))
+        {
+            result.established.insert(run);
+        }
+    }
+    return result;
+}
+
+void set_runs(worker_view& view, core::worker_runs runs)
+{
+    view.has_runs = true;
+    view.running.clear();
+    auto const listed_before = std::exchange(view.listed_since, {});
+    for (auto& each : runs.running)
+    {
+        auto const before = listed_before.find(each.run);
+        auto const since =
+            before == listed_before.end() ? view.clock : before->second;
+        view.listed_since.emplace(each.run, since);
+        view.running.emplace(each.run, std::move(each));
+    }
+    view.ended = std::move(runs.ended);
+}
+
 } // namespace
 
 worker_fleet::worker_fleet(lease_policy policy, core::time_point elected)
@@ -46,22 +93,8 @@
     if (known == m_workers.end() ||
         known->second.profile.life != report.profile.life)
     {
-        // Only one worker runs on an instance at a time, so earlier ones have
-        // ended.
-        for (auto& [other, view] : m_workers)
-        {
-            if (view.host == report.host &&
-                view.profile.life < report.profile.life)
-            {
-                view.left = true;
-            }
-        }
-        worker_view added;
-        // An earlier leader may have just granted a lease of any length.
-        added.lease_expires_at =
-            now + max_length_on_leader_clock(m_policy.longest);
-        added.clock_changed_at = now;
-        known = m_workers.insert_or_assign(id, std::move(added)).first;
+        add_incarnation(now, report);
+        known = m_workers.find(id);
     }
     auto& view = known->second;
     view.host = report.host;
@@ -77,15 +110,66 @@
     view.refused = std::move(report.refused);
     if (report.runs)
     {
-        view.has_runs = true;
-        view.running.clear();
-        for (auto& each : report.runs->running)
+        set_runs(view, std::move(*report.runs));
+    }
+    return &view;
+}
+
+void worker_fleet::add_incarnation(core::time_point now,
+                                   core::runtime_report const& report)
+{
+    auto const& id = report.profile.worker;
+    worker_view added;
+    if (auto const* const before = find(id))
+    {
+        added.replaced = replaced_by(*before, report);
+    }
+    // Only one worker runs on an instance at a time, so earlier ones have
+    // ended.
+    for (auto& [other, view] : m_workers)
+    {
+        if (view.host == report.host && view.profile.life < report.profile.life)
         {
-            view.running.emplace(each.run, each);
+            view.has_crashed =
+                view.has_crashed || is_replaced_by_crash(view, report);
+            view.left = true;
         }
-        view.ended = std::move(report.runs->ended);
     }
-    return &view;
+    // An earlier leader may have just granted a lease of any length.
+    added.lease_expires_at = now + max_length_on_leader_clock(m_policy.longest);
+    added.clock_changed_at = now;
+    m_workers.insert_or_assign(id, std::move(added));
+}
+
+bool worker_fleet::is_established(core::worker_id const& worker,
+                                  core::incarnation life,
+                                  core::task_run const& run) const
+{
+    auto const* const view = find(worker);
+    if (view == nullptr)
+    {
+        return false;
+    }
+    if (view->replaced && view->replaced->life == life)
+    {
+        return view->replaced->established.contains(run);
+    }
+    return view->profile.life == life && is_established_in(*view, run);
+}
+
+bool worker_fleet::has_crashed(core::worker_id const& worker,
+                               core::incarnation life) const
+{
+    auto const* const view = find(worker);
+    if (view == nullptr)
+    {
+        return false;
+    }
+    if (view->replaced && view->replaced->life == life)
+    {
+        return view->replaced->has_crashed;
+    }
+    return view->profile.life == life && view->has_crashed;
 }
 
 void worker_fleet::extend_lease(worker_view& worker) const
--- a/modules/workflow/dispatch/worker_fleet.hpp
+++ b/modules/workflow/dispatch/worker_fleet.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace turmericswitch::workflow
@@ -20,6 +21,21 @@
     core::duration length = std::chrono::seconds(6);
 };
 
+/// Time for which reports must list a run until it counts as established. A
+/// task that crashes its worker does so within milliseconds of its start; the
+/// rest covers workers that are slow.
+constexpr core::duration trial_time = std::chrono::milliseconds(500);
+
+/// The last known state of an incarnation that a later one under the same id
+/// has replaced.
+struct replaced_incarnation
+{
+    core::incarnation life;
+    /// True if the worker restarted without notice while its sidecar went on.
+    bool has_crashed = false;
+    std::set<core::task_run> established;
+};
+
 /// What the leader knows about one incarnation of a worker.
 struct worker_view
 {
@@ -40,12 +56,18 @@
     /// False until a report contained the worker's runs.
     bool has_runs = false;
     std::map<core::task_run, core::running_task> running;
+    /// The worker's clock in the first report that listed each running run.
+    std::map<core::task_run, core::duration> listed_since;
     /// Ended runs in the last report with runs.
     std::vector<core::ended_run> ended;
     /// Refused runs in the last report.
     std::vector<core::task_run> refused;
     /// True if the worker has shut down or was replaced on its instance.
     bool left = false;
+    /// True if another worker replaced it on its instance without notice while
+    /// the sidecar went on. After a restart of the whole instance it is false.
+    bool has_crashed = false;
+    std::optional<replaced_incarnation> replaced;
 };
 
 /// The leader's view of the workers, built from the reports of their sidecars.
@@ -85,6 +107,17 @@
                  core::worker_id const& worker,
                  core::incarnation life) const;
 
+    /// @return True if reports have listed the run for `trial_time`. A new
+    ///         leader sees no run as established at first.
+    bool is_established(core::worker_id const& worker,
+                        core::incarnation life,
+                        core::task_run const& run) const;
+
+    /// @return True if it is known that the incarnation crashed: it was
+    ///         replaced without notice.
+    bool has_crashed(core::worker_id const& worker,
+                     core::incarnation life) const;
+
     /// Removes workers that left or stopped reporting.
     ///
     /// @param has_runs Returns true for workers that must be kept, because runs
@@ -94,6 +127,8 @@
 
 private:
     core::duration max_length_on_leader_clock(core::duration on_worker) const;
+    void add_incarnation(core::time_point now,
+                         core::runtime_report const& report);
 
     lease_policy m_policy;
     core::time_point m_elected;
--- a/modules/workflow/tests/dispatcher_test.cpp
+++ b/modules/workflow/tests/dispatcher_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST_SUITE(dispatcher_test);
     CPPUNIT_TEST(end_is_acknowledged_only_after_its_commit);
     CPPUNIT_TEST(placement_and_end_events_have_their_inputs);
+    CPPUNIT_TEST(event_of_a_lost_run_says_whether_it_was_seen_at_work);
     CPPUNIT_TEST(report_of_an_earlier_incarnation_is_ignored);
     CPPUNIT_TEST(new_leader_waits_for_the_longest_lease);
     CPPUNIT_TEST(runs_of_a_silent_worker_are_lost_after_its_lease);
@@ -87,6 +88,40 @@
         CPPUNIT_ASSERT(has_field(ended, core::text_field("how", "done")));
     }
 
+    // When a task crashes its worker, all runs there end in the same moment.
+    // Without this field the log does not tell the runs that had just been
+    // started, one of which is the cause, from those that had worked before.
+    void event_of_a_lost_run_says_whether_it_was_seen_at_work()
+    {
+        m_table.submit(submission("a", {stage(2)}), queue(), m_now);
+        report({});
+        grant();
+        commit();
+        auto const first = run_of("a", 0, 0);
+        report(running({first}), profile("w1"), at_work_ms);
+        report(running({first, run_of("a", 0, 1)}),
+               profile("w1"),
+               at_work_ms + 500);
+        report({}, profile("w1", 8000, 2));
+        commit();
+        auto const& lost = last_event(core::event_code::worker_lost);
+        CPPUNIT_ASSERT(has_field(lost, core::number_field("runs", 2)));
+        CPPUNIT_ASSERT(
+            has_field(lost, core::number_field("not_established", 1)));
+        CPPUNIT_ASSERT(has_field(lost, core::number_field("crashed", 1)));
+        for (auto const& each : m_events)
+        {
+            if (each.code == core::event_code::run_ended)
+            {
+                bool const is_first =
+                    each.fields[0] ==
+                    core::text_field("task", core::to_string(first.task));
+                CPPUNIT_ASSERT(has_field(
+                    each, core::number_field("established", is_first ? 1 : 0)));
+            }
+        }
+    }
+
     // A delayed report can arrive after the worker has restarted.
     void report_of_an_earlier_incarnation_is_ignored()
     {
@@ -250,13 +285,29 @@
         m_table.submit(submission("a", {stage(1)}), queue(), m_now);
     }
 
+    /// The worker's clock in most reports.
+    static constexpr std::int64_t at_work_ms = 50'000;
+
+    static core::worker_runs running(std::vector<core::task_run> const& runs)
+    {
+        core::worker_runs result;
+        for (auto const& run : runs)
+        {
+            core::running_task row;
+            row.run = run;
+            result.running.push_back(row);
+        }
+        return result;
+    }
+
     bool report(core::worker_runs runs,
-                core::worker_profile const& of = profile("w1"))
+                core::worker_profile const& of = profile("w1"),
+                std::int64_t clock_ms = at_work_ms)
     {
         core::runtime_report result;
         result.host = core::instance_id("host");
         result.profile = of;
-        result.clock = std::chrono::seconds(50);
+        result.clock = std::chrono::milliseconds(clock_ms);
         result.runs = std::move(runs);
         return m_dispatcher->report(m_now, std::move(result));
     }
