Give up a task under which three workers have crashed

Cause: a run that ends with its worker ends as lost, which is never held against its task, so nothing limits the crashes. Change: a run that was not yet established (listed by reports for 500 ms) when its worker restarted without notice, while the sidecar went on, ends as crashed. The table counts such ends for each task and fails the workflow at the third; an end that shows that the task ran without crashing its worker sets the count to 0. A lease that expires is still lost. Evidence: task_that_crashes_three_workers_fails_its_workflow failed before this change (the state was still running after the third crash). restart_of_a_worker_ends_its_earlier_runs_at_once now expects crashed in place of lost: the run in it had not been seen at work; lost is still required by only_runs_not_yet_seen_at_work_are_suspected. The log of the control group now has a run end that control members of earlier releases can't read.

--- a/modules/core/messages/workflow.cpp
+++ b/modules/core/messages/workflow.cpp
@@ -29,6 +29,8 @@
         return "refused";
     case run_end::lost:
         return "lost";
+    case run_end::crashed:
+        return "crashed";
     }
     return "unknown";
 }
--- a/modules/core/messages/workflow.hpp
+++ b/modules/core/messages/workflow.hpp
@@ -130,6 +130,9 @@
     refused,
     /// The worker's life ended, or its lease certainly has.
     lost,
+    /// The worker crashed before the run was seen at work there. Releases
+    /// before the one that added this value can't read it.
+    crashed,
 };
 
 std::string_view to_string(run_end end);
--- a/modules/wire/codec/message_codec.cpp
+++ b/modules/wire/codec/message_codec.cpp
@@ -234,7 +234,7 @@
     }
     else if constexpr (std::is_same_v<T, run_end>)
     {
-        return static_cast<std::uint8_t>(run_end::lost);
+        return static_cast<std::uint8_t>(run_end::crashed);
     }
     else if constexpr (std::is_same_v<T, workflow_state>)
     {
--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -30,6 +30,11 @@
 /// workflow ends or arrives. It covers changes of the spare CPU and of leases.
 constexpr core::duration placement_interval = std::chrono::milliseconds(100);
 
+bool is_end_with_worker(core::run_end how)
+{
+    return how == core::run_end::lost || how == core::run_end::crashed;
+}
+
 } // namespace
 
 dispatcher::dispatcher(workflow_table const& table,
@@ -341,7 +346,7 @@
 {
     auto const placed = m_placed_at.find(outcome.run);
     std::optional<bool> established;
-    if (outcome.how == core::run_end::lost)
+    if (is_end_with_worker(outcome.how))
     {
         established =
             m_fleet.is_established(outcome.worker, outcome.life, outcome.run);
@@ -377,7 +382,7 @@
     std::map<core::worker_id, lost_runs> lost;
     for (auto const& [run, worker, life, how, checkpoint] : command.ends)
     {
-        if (how == core::run_end::lost)
+        if (is_end_with_worker(how))
         {
             auto& runs = lost[worker];
             ++runs.all;
--- a/modules/workflow/dispatch/end_collector.cpp
+++ b/modules/workflow/dispatch/end_collector.cpp
@@ -114,7 +114,11 @@
                 !listed.contains(held))
             {
                 command.ends.push_back(
-                    {held.run, worker, held.life, core::run_end::lost, {}});
+                    {held.run,
+                     worker,
+                     held.life,
+                     m_fleet.end_with_worker(worker, held.life, held.run),
+                     {}});
             }
         }
     }
--- a/modules/workflow/dispatch/worker_fleet.cpp
+++ b/modules/workflow/dispatch/worker_fleet.cpp
@@ -221,6 +221,15 @@
     return view->left || now > view->lease_expires_at;
 }
 
+core::run_end worker_fleet::end_with_worker(core::worker_id const& worker,
+                                            core::incarnation life,
+                                            core::task_run const& run) const
+{
+    return has_crashed(worker, life) && !is_established(worker, life, run)
+               ? core::run_end::crashed
+               : core::run_end::lost;
+}
+
 void worker_fleet::prune(
     core::time_point now,
     std::function<bool(core::worker_id const&)> const& has_runs)
--- a/modules/workflow/dispatch/worker_fleet.hpp
+++ b/modules/workflow/dispatch/worker_fleet.hpp
@@ -118,6 +118,12 @@
     bool has_crashed(core::worker_id const& worker,
                      core::incarnation life) const;
 
+    /// @return How a run that ended with its worker ended: `crashed` if the
+    ///         worker crashed before the run was established, else `lost`.
+    core::run_end end_with_worker(core::worker_id const& worker,
+                                  core::incarnation life,
+                                  core::task_run const& run) const;
+
     /// Removes workers that left or stopped reporting.
     ///
     /// @param has_runs Returns true for workers that must be kept, because runs
--- a/modules/workflow/table/workflow_table.cpp
+++ b/modules/workflow/table/workflow_table.cpp
@@ -36,6 +36,14 @@
            task.stage < stages.size() && task.index < stages[task.stage].tasks;
 }
 
+/// @return True for ends that show that the task ran on a worker without
+///         crashing it.
+bool shows_survival(run_end how)
+{
+    return how != run_end::crashed && how != run_end::lost &&
+           how != run_end::refused;
+}
+
 core::task_record* find_task_record(core::workflow_record& workflow,
                                     core::task_ref const& task)
 {
@@ -139,7 +147,15 @@
     {
         apply(core::run_checkpoint{outcome.run, outcome.checkpoint});
     }
-    if (outcome.how == run_end::done && !behaviour.long_running)
+    if (shows_survival(outcome.how))
+    {
+        task.crashes = 0;
+    }
+    if (outcome.how == run_end::crashed)
+    {
+        apply_crash(workflow, stage, ref, now);
+    }
+    else if (outcome.how == run_end::done && !behaviour.long_running)
     {
         apply_done(workflow, stage, outcome.run, now);
     }
@@ -194,6 +210,25 @@
     }
 }
 
+void workflow_table::apply_crash(core::workflow_record& workflow,
+                                 core::stage_record& stage,
+                                 core::task_ref const& task,
+                                 core::time_point now)
+{
+    auto& crashes = stage.tasks[task.index].crashes;
+    ++crashes;
+    // Long-running tasks too: each further start takes all other runs of a
+    // worker down.
+    if (crashes >= max_crashes)
+    {
+        end(workflow,
+            workflow_state::failed,
+            now,
+            std::to_string(crashes) + " workers crashed under task " +
+                core::to_string(task));
+    }
+}
+
 void workflow_table::apply(core::run_checkpoint const& checkpoint)
 {
     auto const known = m_workflows.find(checkpoint.run.task.workflow);
--- a/modules/workflow/table/workflow_table.hpp
+++ b/modules/workflow/table/workflow_table.hpp
@@ -17,6 +17,9 @@
 /// How long the state of an ended workflow stays available to queries.
 constexpr core::duration final_retention = std::chrono::minutes(10);
 
+/// Workers that may crash under a task before its workflow is given up.
+constexpr std::uint32_t max_crashes = 3;
+
 /// A run that is placed on a worker and whose end is not committed yet. It
 /// reserves capacity there.
 struct held_run
@@ -146,6 +149,10 @@
     void apply_failure(core::workflow_record& workflow,
                        core::stage_record const& stage,
                        core::time_point now);
+    void apply_crash(core::workflow_record& workflow,
+                     core::stage_record& stage,
+                     core::task_ref const& task,
+                     core::time_point now);
     void end(core::workflow_record& workflow,
              core::workflow_state state,
              core::time_point now,
--- a/modules/workflow/tests/dispatcher_test.cpp
+++ b/modules/workflow/tests/dispatcher_test.cpp
@@ -22,6 +22,9 @@
     CPPUNIT_TEST(new_leader_waits_for_the_longest_lease);
     CPPUNIT_TEST(runs_of_a_silent_worker_are_lost_after_its_lease);
     CPPUNIT_TEST(restart_of_a_worker_ends_its_earlier_runs_at_once);
+    CPPUNIT_TEST(task_that_crashes_three_workers_fails_its_workflow);
+    CPPUNIT_TEST(only_runs_not_yet_seen_at_work_are_suspected);
+    CPPUNIT_TEST(restart_after_a_notice_or_of_the_instance_is_no_crash);
     CPPUNIT_TEST(draining_worker_and_evacuated_zone_get_no_tasks);
     CPPUNIT_TEST(worker_whose_reported_clock_stands_still_gets_no_tasks);
     CPPUNIT_TEST(lost_batch_of_orders_is_sent_again);
@@ -161,7 +164,69 @@
     {
         start_one();
         report({}, profile("w1", 8000, 2));
-        CPPUNIT_ASSERT(plan()->ends.front().how == core::run_end::lost);
+        CPPUNIT_ASSERT(plan()->ends.front().how == core::run_end::crashed);
+    }
+
+    // A task may crash each worker that starts it. Without a limit it is
+    // started again for ever, and all other runs there are lost each time.
+    void task_that_crashes_three_workers_fails_its_workflow()
+    {
+        submit();
+        for (std::uint64_t life = 1; life <= 3; ++life)
+        {
+            CPPUNIT_ASSERT(state_of("a") != core::workflow_state::failed);
+            place_in(life);
+            report({}, profile("w1", 8000, life + 1));
+            commit();
+        }
+        CPPUNIT_ASSERT(state_of("a") == core::workflow_state::failed);
+        auto const reason = m_table.find(core::workflow_id("a"))->reason;
+        CPPUNIT_ASSERT(reason.find("a.0.0.0") != std::string::npos);
+        CPPUNIT_ASSERT(reason.find('3') != std::string::npos);
+    }
+
+    // Runs that had worked for a while did not cause the crash. If they were
+    // counted, crashes caused by others would fail their workflow.
+    void only_runs_not_yet_seen_at_work_are_suspected()
+    {
+        submit();
+        for (std::uint64_t life = 1; life <= 4; ++life)
+        {
+            place_in(life);
+            auto const run =
+                run_of("a", 0, 0, static_cast<std::uint32_t>(life));
+            auto const worker = profile("w1", 8000, life);
+            report(running({run}), worker, at_work_ms);
+            report(running({run}), worker, at_work_ms + 500);
+            report({}, profile("w1", 8000, life + 1));
+            commit();
+        }
+        CPPUNIT_ASSERT(state_of("a") == core::workflow_state::running);
+    }
+
+    // A worker that drains or leaves ends its runs by itself, and a task can't
+    // restart the instance with its sidecar. If these counted, planned restarts
+    // and power failures would fail workflows.
+    void restart_after_a_notice_or_of_the_instance_is_no_crash()
+    {
+        submit();
+        for (std::uint64_t life = 1; life <= 6; ++life)
+        {
+            place_in(life);
+            if (life % 2 == 0)
+            {
+                auto leaving = profile("w1", 8000, life);
+                leaving.draining = true;
+                report({}, leaving);
+            }
+            else
+            {
+                m_sidecar = core::incarnation(m_sidecar.value() + 1);
+            }
+            report({}, profile("w1", 8000, life + 1));
+            commit();
+        }
+        CPPUNIT_ASSERT(state_of("a") == core::workflow_state::running);
     }
 
     void draining_worker_and_evacuated_zone_get_no_tasks()
@@ -306,15 +371,34 @@
     {
         core::runtime_report result;
         result.host = core::instance_id("host");
+        result.sidecar = m_sidecar;
         result.profile = of;
         result.clock = std::chrono::milliseconds(clock_ms);
         result.runs = std::move(runs);
         return m_dispatcher->report(m_now, std::move(result));
     }
 
-    core::runtime_grant grant()
+    core::runtime_grant grant(std::uint64_t life = 1)
+    {
+        return m_dispatcher->grant(core::worker_id("w1"),
+                                   core::incarnation(life));
+    }
+
+    /// Places the task of job `a` on the incarnation of w1.
+    void place_in(std::uint64_t life)
+    {
+        report({}, profile("w1", 8000, life));
+        grant(life);
+        commit();
+        CPPUNIT_ASSERT(
+            m_table.is_held(run_of("a", 0, 0, static_cast<std::uint32_t>(life)),
+                            core::worker_id("w1"),
+                            core::incarnation(life)));
+    }
+
+    core::workflow_state state_of(std::string const& id) const
     {
-        return m_dispatcher->grant(core::worker_id("w1"), core::incarnation(1));
+        return m_table.find(core::workflow_id(id))->state;
     }
 
     std::optional<core::workflow_progress> plan()
@@ -351,6 +435,7 @@
     core::configuration m_config;
     core::time_point m_now;
     core::wall_time m_wall;
+    core::incarnation m_sidecar{1};
     core::event const& last_event(core::event_code code) const
     {
         auto const found = std::find_if(m_events.rbegin(),
