Isolate tasks under which workers have crashed

Placed together again, innocent ones would be counted with the culprit, and their submissions failed after the third crash. Change: a task with one crash avoids workers with other suspects. One with two shares its worker with no other workflow's run that is not established, and nothing of another workflow starts there until it is; of such workers the one with the fewest runs is chosen. If none is free, one worker is closed to other workflows until its runs are established, so the task can't starve while tasks start everywhere all the time; at most an eighth of the workers, or one, are kept for isolated tasks. The unit is the workflow, because it fails as a whole.

--- a/modules/workflow/dispatch/candidate_pool.cpp
+++ b/modules/workflow/dispatch/candidate_pool.cpp
@@ -68,6 +68,12 @@
             continue;
         }
         worker.add(stage_of(run.task), *stage, m_colocation.pace(id, run));
+        if (life == view.profile.life && !m_fleet.is_established(id, life, run))
+        {
+            worker.add_not_established(
+                run.task.workflow,
+                suspicion_after(m_table.find_task(run.task)->crashes));
+        }
         if (stage->behaviour.uses_spare_cpu)
         {
             worker.planned[stage->behaviour.image] +=
--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -95,7 +95,7 @@
     {
         update_colocation(now, *view);
     }
-    if (is_sample_due || is_other_profile)
+    if (is_sample_due || is_other_profile || view->has_newly_established)
     {
         m_candidates.mark_changed(worker);
     }
@@ -298,6 +298,14 @@
         m_candidates.mark_changed(placed.worker);
     }
     evict_stalled(times.now, workers);
+    for (auto const* const each : workers)
+    {
+        // Workers that the plan closed are open again for the next one.
+        if (!each->isolated_for.value().empty())
+        {
+            m_candidates.mark_changed(each->worker);
+        }
+    }
 }
 
 std::optional<core::workflow_progress>
--- a/modules/workflow/dispatch/stage_backlog.cpp
+++ b/modules/workflow/dispatch/stage_backlog.cpp
@@ -278,6 +278,7 @@
     auto& pending = waiting.pending;
     std::uint32_t last_attempt = 0;
     bool any_held = false;
+    std::vector<crash_suspicion> suspicions;
     static core::task_record const never_placed;
     for (std::uint32_t i = 0; i < stage.tasks; ++i)
     {
@@ -297,20 +298,25 @@
             pending.runs.push_back(
                 {{workflow.workflow, occurrence, number, i},
                  core::attempt_number(task.attempt.value() + 1)});
+            suspicions.push_back(suspicion_after(task.crashes));
         }
     }
-    if (!stage.behaviour.gang)
-    {
-        return;
-    }
-    if (any_held)
+    if (stage.behaviour.gang && any_held)
     {
         pending.runs.clear();
     }
-    // All members of a gang have the same attempt number.
-    for (auto& run : pending.runs)
+    for (std::size_t i = 0; i < pending.runs.size(); ++i)
     {
-        run.attempt = core::attempt_number(last_attempt + 1);
+        auto& run = pending.runs[i];
+        if (stage.behaviour.gang)
+        {
+            // All members of a gang have the same attempt number.
+            run.attempt = core::attempt_number(last_attempt + 1);
+        }
+        if (suspicions[i] != crash_suspicion::none)
+        {
+            pending.suspected.emplace(run, suspicions[i]);
+        }
     }
 }
 
--- a/modules/workflow/dispatch/stage_planner.cpp
+++ b/modules/workflow/dispatch/stage_planner.cpp
@@ -28,6 +28,16 @@
 constexpr double other_image_penalty = 0.5;
 constexpr double same_image_bonus = 0.8;
 
+/// Larger than the sum of the others: a worker with another suspect is used
+/// only if there is no other one.
+constexpr double other_suspect_penalty = 4.0;
+/// For each run that the crash of an isolated task would end.
+constexpr double endangered_run_penalty = 1.0;
+
+/// Isolated tasks close at most this share of the workers to other tasks, but
+/// always may close one.
+constexpr std::size_t workers_per_isolated = 8;
+
 /// A best-effort task is not placed where it is predicted to raise a serving
 /// task's tail above this multiple of its target.
 constexpr double max_tail = 0.85;
@@ -46,6 +56,37 @@
                worker.labels.end();
 }
 
+crash_suspicion suspicion_of(pending_stage const& pending,
+                             core::task_run const& run)
+{
+    auto const known = pending.suspected.find(run);
+    return known == pending.suspected.end() ? crash_suspicion::none
+                                            : known->second;
+}
+
+bool has_isolated(pending_stage const& pending)
+{
+    return std::any_of(pending.suspected.begin(),
+                       pending.suspected.end(),
+                       [](auto const& each)
+                       { return each.second == crash_suspicion::isolated; });
+}
+
+bool is_isolated_for_other(candidate_worker const& worker,
+                           core::workflow_id const& workflow)
+{
+    return !worker.isolated_for.value().empty() &&
+           worker.isolated_for != workflow;
+}
+
+/// @return True if all runs there that are not established belong to the
+///         workflow, which fails as a whole if one of its tasks does.
+bool has_only(candidate_worker const& worker, core::workflow_id const& workflow)
+{
+    auto const& runs = worker.not_established;
+    return runs.size() == runs.count(workflow);
+}
+
 /// The cheap comparisons come first: in a backlog most workers are full.
 bool fits(candidate_worker const& worker, pending_stage const& pending)
 {
@@ -61,6 +102,10 @@
     {
         return false;
     }
+    if (is_isolated_for_other(worker, pending.stage.workflow))
+    {
+        return false;
+    }
     if (worker.service != pending.service ||
         !has_label(worker, stage.constraints.required_label))
     {
@@ -105,6 +150,7 @@
 struct stage_placement
 {
     pending_stage const& pending;
+    crash_suspicion suspicion = crash_suspicion::none;
     /// Racks of the stage's tasks, including those placed by this plan.
     std::set<core::rack_id> racks;
 };
@@ -137,6 +183,16 @@
     {
         value -= failed_before_penalty;
     }
+    auto const& workflow = pending.stage.workflow;
+    if (placement.suspicion != crash_suspicion::none &&
+        worker.suspects.size() > worker.suspects.count(workflow))
+    {
+        value -= other_suspect_penalty;
+    }
+    if (placement.suspicion == crash_suspicion::isolated)
+    {
+        value -= endangered_run_penalty * worker.runs;
+    }
     if (best_effort)
     {
         value -= colocation_penalty * tail_after(worker, stage, tail);
@@ -214,7 +270,10 @@
     {
         auto const& worker = *m_candidates[index];
         auto const& pending = m_placement.pending;
+        bool const is_isolated =
+            m_placement.suspicion == crash_suspicion::isolated;
         if (!fits(worker, pending) ||
+            (is_isolated && !has_only(worker, pending.stage.workflow)) ||
             raises_tail(worker, *pending.description, m_tail))
         {
             return std::nullopt;
@@ -232,18 +291,24 @@
 /// Copies of workers from before a gang was placed on them.
 using saved_workers = std::map<candidate_worker*, candidate_worker>;
 
+/// Places the runs of a stage that have the same suspicion.
 std::vector<core::run_placement>
-place_tasks(pending_stage const& pending,
-            std::vector<candidate_worker*> const& candidates,
-            std::size_t max_tasks,
-            tail_hook const& tail,
-            saved_workers* saved = nullptr)
+place_equal_tasks(pending_stage const& pending,
+                  crash_suspicion suspicion,
+                  std::vector<candidate_worker*> const& candidates,
+                  std::size_t max_tasks,
+                  tail_hook const& tail,
+                  saved_workers* saved)
 {
     std::vector<core::run_placement> placed;
-    stage_placement placement{pending, pending.racks};
+    stage_placement placement{pending, suspicion, pending.racks};
     worker_ranking ranking(candidates, placement, tail);
     for (auto const& run : pending.runs)
     {
+        if (suspicion_of(pending, run) != suspicion)
+        {
+            continue;
+        }
         auto* const worker =
             placed.size() < max_tasks ? ranking.best() : nullptr;
         if (worker == nullptr)
@@ -255,6 +320,7 @@
             saved->try_emplace(worker, *worker);
         }
         worker->add_planned(pending.stage, *pending.description);
+        worker->add_not_established(pending.stage.workflow, suspicion);
         placed.push_back({run, worker->worker, worker->life});
         ranking.best_changed();
         if (placement.racks.insert(worker->rack).second &&
@@ -266,6 +332,95 @@
     return placed;
 }
 
+std::vector<core::run_placement>
+place_tasks(pending_stage const& pending,
+            std::vector<candidate_worker*> const& candidates,
+            std::size_t max_tasks,
+            tail_hook const& tail,
+            saved_workers* saved = nullptr)
+{
+    if (pending.suspected.empty())
+    {
+        return place_equal_tasks(
+            pending, crash_suspicion::none, candidates, max_tasks, tail, saved);
+    }
+    std::vector<core::run_placement> placed;
+    for (auto const suspicion : {crash_suspicion::isolated,
+                                 crash_suspicion::spread,
+                                 crash_suspicion::none})
+    {
+        auto const more = place_equal_tasks(pending,
+                                            suspicion,
+                                            candidates,
+                                            max_tasks - placed.size(),
+                                            tail,
+                                            saved);
+        placed.insert(placed.end(), more.begin(), more.end());
+    }
+    return placed;
+}
+
+/// Closes the worker on which the stage's isolated task can start soonest to
+/// other workflows. While it is closed, its runs become established, so the
+/// next plans choose it again or one that is better.
+void close_worker(pending_stage const& pending,
+                  std::vector<candidate_worker*> const& candidates)
+{
+    auto const& workflow = pending.stage.workflow;
+    candidate_worker* best = nullptr;
+    auto const rank = [](candidate_worker const& worker)
+    { return std::pair(worker.not_established.size(), worker.runs); };
+    for (auto* const each : candidates)
+    {
+        if (!fits(*each, pending))
+        {
+            continue;
+        }
+        if (has_only(*each, workflow))
+        {
+            // The stage waits for capacity, not for a free worker.
+            return;
+        }
+        if (each->isolated_for.value().empty() &&
+            (best == nullptr || rank(*each) < rank(*best)))
+        {
+            best = each;
+        }
+    }
+    if (best != nullptr)
+    {
+        best->isolated_for = workflow;
+    }
+}
+
+bool has_unplaced_isolated(pending_stage const& pending,
+                           std::vector<core::run_placement> const& placed)
+{
+    return std::any_of(
+        pending.suspected.begin(),
+        pending.suspected.end(),
+        [&placed](auto const& suspected)
+        {
+            return suspected.second == crash_suspicion::isolated &&
+                   std::none_of(placed.begin(),
+                                placed.end(),
+                                [&suspected](core::run_placement const& each)
+                                { return each.run == suspected.first; });
+        });
+}
+
+/// @return True if an isolated task may close one more worker.
+bool may_isolate(std::vector<candidate_worker*> const& candidates)
+{
+    auto const closed = static_cast<std::size_t>(
+        std::count_if(candidates.begin(),
+                      candidates.end(),
+                      [](candidate_worker const* each)
+                      { return !each->isolated_for.value().empty(); }));
+    return closed == 0 ||
+           (closed + 1) * workers_per_isolated <= candidates.size();
+}
+
 std::vector<core::run_placement>
 place_gang(pending_stage const& pending,
            std::vector<candidate_worker*> const& candidates,
@@ -291,6 +446,15 @@
 
 } // namespace
 
+crash_suspicion suspicion_after(std::uint32_t crashes) noexcept
+{
+    if (crashes == 0)
+    {
+        return crash_suspicion::none;
+    }
+    return crashes == 1 ? crash_suspicion::spread : crash_suspicion::isolated;
+}
+
 stage_ref stage_of(core::task_ref const& task)
 {
     return {task.workflow, task.occurrence, task.stage};
@@ -311,6 +475,7 @@
                            std::uint32_t pace)
 {
     constexpr std::int64_t percent = 100;
+    ++runs;
     free -= reserved_by(description);
     bool const is_serving =
         description.behaviour.target_latency > core::duration{};
@@ -338,20 +503,42 @@
     }
 }
 
+void candidate_worker::add_not_established(core::workflow_id const& workflow,
+                                           crash_suspicion suspicion)
+{
+    ++not_established[workflow];
+    if (suspicion != crash_suspicion::none)
+    {
+        suspects.insert(workflow);
+    }
+    if (suspicion == crash_suspicion::isolated)
+    {
+        isolated_for = workflow;
+    }
+}
+
 std::vector<core::run_placement>
 plan_stages(std::vector<pending_stage const*> pending,
             std::vector<candidate_worker*> const& candidates,
             std::size_t max_tasks,
             tail_hook const& tail)
 {
-    std::stable_sort(
-        pending.begin(),
-        pending.end(),
-        [](pending_stage const* a, pending_stage const* b)
-        {
-            return std::tie(a->urgency, a->priority, a->submitted, a->stage) <
-                   std::tie(b->urgency, b->priority, b->submitted, b->stage);
-        });
+    std::stable_sort(pending.begin(),
+                     pending.end(),
+                     [](pending_stage const* a, pending_stage const* b)
+                     {
+                         bool const a_after = !has_isolated(*a);
+                         bool const b_after = !has_isolated(*b);
+                         return std::tie(a_after,
+                                         a->urgency,
+                                         a->priority,
+                                         a->submitted,
+                                         a->stage) < std::tie(b_after,
+                                                              b->urgency,
+                                                              b->priority,
+                                                              b->submitted,
+                                                              b->stage);
+                     });
     std::vector<core::run_placement> placements;
     for (auto const* const each : pending)
     {
@@ -360,9 +547,18 @@
         {
             break;
         }
+        bool const is_isolated = has_isolated(*each);
+        if (is_isolated && !may_isolate(candidates))
+        {
+            continue;
+        }
         auto const placed = each->description->behaviour.gang
                                 ? place_gang(*each, candidates, left, tail)
                                 : place_tasks(*each, candidates, left, tail);
+        if (is_isolated && has_unplaced_isolated(*each, placed))
+        {
+            close_worker(*each, candidates);
+        }
         placements.insert(placements.end(), placed.begin(), placed.end());
     }
     return placements;
--- a/modules/workflow/dispatch/stage_planner.hpp
+++ b/modules/workflow/dispatch/stage_planner.hpp
@@ -34,6 +34,22 @@
     too_late,
 };
 
+/// How a task is placed after workers have crashed under it.
+enum class crash_suspicion : std::uint8_t
+{
+    none,
+    /// One worker crashed: the task avoids workers with other such tasks, so
+    /// that a further crash has few suspects.
+    spread,
+    /// Several workers crashed: until the task is established, it shares its
+    /// worker with no other workflow's runs that are not established. So a
+    /// further crash has one suspect.
+    isolated,
+};
+
+/// @return The suspicion of a task under which this many workers crashed.
+crash_suspicion suspicion_after(std::uint32_t crashes) noexcept;
+
 /// A worker on which tasks may be placed, with its remaining capacity.
 struct candidate_worker
 {
@@ -65,6 +81,15 @@
     std::uint32_t best_effort = 0;
     /// Number of tasks by stage, for stages with a limit per worker.
     std::map<stage_ref, std::uint32_t> per_stage;
+    /// Number of runs there.
+    std::uint32_t runs = 0;
+    /// Number of runs that are not established, by workflow.
+    std::map<core::workflow_id, std::uint32_t> not_established;
+    /// Workflows with a suspected run that is not established.
+    std::set<core::workflow_id> suspects;
+    /// The workflow whose isolated task runs there, or waits for the worker;
+    /// empty if there is none. No other workflow's task starts there.
+    core::workflow_id isolated_for;
 
     /// Accounts for a placed run of the stage.
     ///
@@ -77,6 +102,10 @@
     /// Accounts for a run that the current plan places on the worker.
     void add_planned(stage_ref const& stage,
                      core::stage_description const& description);
+
+    /// Accounts for a run that is not established.
+    void add_not_established(core::workflow_id const& workflow,
+                             crash_suspicion suspicion);
 };
 
 /// Unplaced tasks of one stage.
@@ -90,6 +119,8 @@
     core::time_point submitted;
     /// The next attempt of each task.
     std::vector<core::task_run> runs;
+    /// Suspicion of the tasks; `none` for those that are not listed.
+    std::map<core::task_run, crash_suspicion> suspected;
     /// Workers on which the tasks have failed.
     std::set<core::worker_id> failed_on;
     /// Racks of the stage's placed tasks.
@@ -116,6 +147,11 @@
 /// serving image can take more of them than one with several. The members of a
 /// gang are placed together or not at all.
 ///
+/// Stages with isolated tasks come first. If one finds no worker without other
+/// runs that are not established, a worker is closed to other workflows, so
+/// that the task does not wait for ever on a fleet where tasks start all the
+/// time.
+///
 /// A stage scores each worker once, and again only after a task was placed
 /// there, so its cost grows with the number of workers plus the number of its
 /// tasks.
--- a/modules/workflow/dispatch/worker_fleet.cpp
+++ b/modules/workflow/dispatch/worker_fleet.cpp
@@ -51,7 +51,10 @@
     return result;
 }
 
-void set_runs(worker_view& view, core::worker_runs runs)
+/// @param clock_before The worker's clock in the report before.
+void set_runs(worker_view& view,
+              core::worker_runs runs,
+              core::duration clock_before)
 {
     view.has_runs = true;
     view.running.clear();
@@ -62,6 +65,9 @@
         auto const since =
             before == listed_before.end() ? view.clock : before->second;
         view.listed_since.emplace(each.run, since);
+        view.has_newly_established =
+            view.has_newly_established || (view.clock - since >= trial_time &&
+                                           clock_before - since < trial_time);
         view.running.emplace(each.run, std::move(each));
     }
     view.ended = std::move(runs.ended);
@@ -101,6 +107,8 @@
     view.profile = std::move(report.profile);
     view.sidecar = report.sidecar;
     view.reported_at = now;
+    view.has_newly_established = false;
+    auto const clock_before = view.clock;
     if (view.clock != report.clock)
     {
         view.clock = report.clock;
@@ -110,7 +118,7 @@
     view.refused = std::move(report.refused);
     if (report.runs)
     {
-        set_runs(view, std::move(*report.runs));
+        set_runs(view, std::move(*report.runs), clock_before);
     }
     return &view;
 }
--- a/modules/workflow/dispatch/worker_fleet.hpp
+++ b/modules/workflow/dispatch/worker_fleet.hpp
@@ -58,6 +58,8 @@
     std::map<core::task_run, core::running_task> running;
     /// The worker's clock in the first report that listed each running run.
     std::map<core::task_run, core::duration> listed_since;
+    /// True if the last report made a run established.
+    bool has_newly_established = false;
     /// Ended runs in the last report with runs.
     std::vector<core::ended_run> ended;
     /// Refused runs in the last report.
--- a/modules/workflow/tests/simulation_checks.cpp
+++ b/modules/workflow/tests/simulation_checks.cpp
@@ -78,7 +78,8 @@
     auto const is_same = [](pending_stage const* a, pending_stage const* b)
     {
         return a->stage == b->stage && a->runs == b->runs &&
-               a->failed_on == b->failed_on && a->urgency == b->urgency;
+               a->suspected == b->suspected && a->failed_on == b->failed_on &&
+               a->urgency == b->urgency;
     };
     if (!std::equal(kept.begin(),
                     kept.end(),
