--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -30,6 +30,11 @@
 /// workflow ends or arrives. It covers changes of the spare CPU and of leases.
 constexpr core::duration placement_interval = std::chrono::milliseconds(100);
 
+bool is_end_with_worker(core::run_end how)
+{
+    return how == core::run_end::lost || how == core::run_end::crashed;
+}
+
 } // namespace
 
 dispatcher::dispatcher(workflow_table const& table,
@@ -90,7 +95,7 @@
     {
         update_colocation(now, *view);
     }
-    if (is_sample_due || is_other_profile)
+    if (is_sample_due || is_other_profile || view->has_newly_established)
     {
         m_candidates.mark_changed(worker);
     }
@@ -301,6 +306,14 @@
         m_candidates.mark_changed(placed.worker);
     }
     evict_stalled(times.now, workers);
+    for (auto const* const each : workers)
+    {
+        // Workers that the plan closed are open again for the next one.
+        if (!each->isolated_for.value().empty())
+        {
+            m_candidates.mark_changed(each->worker);
+        }
+    }
 }
 
 std::optional<core::workflow_progress>
@@ -350,10 +363,17 @@
                             core::run_outcome const& outcome)
 {
     auto const placed = m_placed_at.find(outcome.run);
+    std::optional<bool> established;
+    if (is_end_with_worker(outcome.how))
+    {
+        established =
+            m_fleet.is_established(outcome.worker, outcome.life, outcome.run);
+    }
     m_on_event(run_ended_event(outcome,
                                placed == m_placed_at.end()
                                    ? std::nullopt
-                                   : std::optional(now - placed->second)));
+                                   : std::optional(now - placed->second),
+                               established));
     if (m_orders.evicting().contains(outcome.run))
     {
         // The leader asked for this end; it says nothing about the worker.
@@ -382,12 +402,17 @@
 void dispatcher::emit_lost_workers(core::time_point now,
                                    core::workflow_progress const& command) const
 {
-    std::map<core::worker_id, std::uint64_t> lost;
-    for (auto const& outcome : command.ends)
+    std::map<core::worker_id, lost_runs> lost;
+    for (auto const& [run, worker, life, how, checkpoint] : command.ends)
     {
-        if (outcome.how == core::run_end::lost)
+        if (is_end_with_worker(how))
         {
-            ++lost[outcome.worker];
+            auto& runs = lost[worker];
+            ++runs.all;
+            runs.not_established +=
+                m_fleet.is_established(worker, life, run) ? 0 : 1;
+            runs.has_crashed =
+                runs.has_crashed || m_fleet.has_crashed(worker, life);
         }
     }
     for (auto const& [worker, runs] : lost)
--- a/modules/workflow/table/workflow_table.hpp
+++ b/modules/workflow/table/workflow_table.hpp
@@ -17,6 +17,11 @@
 /// How long the state of an ended workflow stays available to queries.
 constexpr core::duration final_retention = std::chrono::minutes(10);
 
+/// Crashes that are counted against a task before its workflow is given up. The
+/// first two may have happened before the start reached the worker; from the
+/// third on the task is isolated, so at least two workers crashed under it.
+constexpr std::uint32_t max_crashes = 4;
+
 /// A run that is placed on a worker and whose end is not committed yet. It
 /// reserves capacity there.
 struct held_run
@@ -155,6 +160,10 @@
     void apply_failure(core::workflow_record& workflow,
                        core::stage_record const& stage,
                        core::time_point now);
+    void apply_crash(core::workflow_record& workflow,
+                     core::stage_record& stage,
+                     core::task_ref const& task,
+                     core::time_point now);
     void end(core::workflow_record& workflow,
              core::workflow_state state,
              core::time_point now,
--- a/modules/workflow/tests/dispatch_simulation.cpp
+++ b/modules/workflow/tests/dispatch_simulation.cpp
@@ -10,6 +10,9 @@
 
 constexpr core::duration fault_phase = std::chrono::seconds(40);
 constexpr core::duration recovery_phase = std::chrono::seconds(60);
+/// Isolated tasks run one after the other on a fleet of this size, and a worker
+/// that one of them crashes is down for up to 5 s.
+constexpr core::duration recovery_after_crashes = std::chrono::seconds(180);
 
 } // namespace
 
@@ -101,6 +104,7 @@
     }
     m_leader =
         std::make_shared<leader>(m_table, m_setup.leases, ++m_term, m_now);
+    m_elected_at = m_now;
     plan(m_leader);
 }
 
@@ -219,40 +223,56 @@
                  [finish, timeout] { finish(timeout); });
         return finish;
     };
-    auto const expected = host.worker_life;
-    hooks.runtime.start = [this, &host, once](auto call, auto done)
+    // Calls name the incarnation that registered last; others refuse them.
+    auto const registered_life = [&host]
+    { return host.agent->profile()->life.value(); };
+    hooks.runtime.start =
+        [this, &host, once, registered_life](auto call, auto done)
     {
+        auto const expected = registered_life();
         auto const finish = once(done, start_outcome::unknown);
-        call_worker(
-            host,
-            [this, &host, call, finish, called_at = m_now](bool answered)
-            {
-                if (host.is_down)
-                {
-                    return;
-                }
-                host.model.advance(m_now);
-                auto const before = host.model.running().size();
-                auto const outcome = host.model.start(m_now, call);
-                if (host.model.running().size() > before)
-                {
-                    check_start(host, called_at);
-                }
-                if (answered)
-                {
-                    finish(outcome);
-                }
-                check();
-            });
+        call_worker(host,
+                    [this, &host, call, finish, expected, called_at = m_now](
+                        bool answered)
+                    {
+                        if (host.is_down)
+                        {
+                            return;
+                        }
+                        if (host.worker_life != expected)
+                        {
+                            finish(start_outcome::wrong_incarnation);
+                            return;
+                        }
+                        host.model.advance(m_now);
+                        auto const before = host.model.running().size();
+                        auto const outcome = host.model.start(m_now, call);
+                        if (host.model.running().size() > before)
+                        {
+                            check_start(host, called_at);
+                        }
+                        if (answered)
+                        {
+                            finish(outcome);
+                        }
+                        check();
+                        if (outcome == start_outcome::started)
+                        {
+                            started(host, call.start.run);
+                        }
+                    });
     };
-    hooks.runtime.stop = [this, &host, once](auto call, auto done)
+    hooks.runtime.stop =
+        [this, &host, once, registered_life](auto call, auto done)
     {
+        auto const expected = registered_life();
         auto const finish = once(done, false);
         call_worker(host,
-                    [this, &host, call, finish](bool answered)
+                    [this, &host, call, finish, expected](bool answered)
                     {
-                        bool const done_there =
-                            !host.is_down && host.model.stop(m_now, call);
+                        bool const done_there = !host.is_down &&
+                                                host.worker_life == expected &&
+                                                host.model.stop(m_now, call);
                         if (answered)
                         {
                             finish(done_there);
@@ -260,13 +280,15 @@
                     });
     };
     hooks.runtime.pace = [](auto, auto done) { done(true); };
-    hooks.runtime.sync = [this, &host, once, expected](auto call, auto done)
+    hooks.runtime.sync =
+        [this, &host, once, registered_life](auto call, auto done)
     {
+        auto const expected = registered_life();
         auto const finish = once(done, std::optional<sync_result>());
         call_worker(host,
                     [this, &host, call, finish, expected](bool answered)
                     {
-                        if (host.is_down)
+                        if (host.is_down || host.worker_life != expected)
                         {
                             return;
                         }
@@ -277,7 +299,7 @@
                             // simulation across all workers.
                             answer->life = core::incarnation(host.worker_life);
                         }
-                        if (answered && host.worker_life == expected)
+                        if (answered)
                         {
                             finish(answer);
                         }
@@ -398,9 +420,10 @@
         vary_needs(description);
         stages.push_back(std::move(description));
     }
-    m_table.submit(submission("j" + std::to_string(++m_submitted), stages),
-                   queue(),
-                   m_now);
+    auto const job =
+        submission("j" + std::to_string(++m_submitted), std::move(stages));
+    choose_deadly_task(job);
+    m_table.submit(job, queue(), m_now);
 }
 
 void dispatch_simulation::cancel_one()
@@ -443,6 +466,7 @@
         break;
     case 3:
         host.is_partitioned = true;
+        ++host.partitions;
         schedule(between_ms(500, 8000),
                  [&host] { host.is_partitioned = false; });
         break;
@@ -502,8 +526,11 @@
                      set_capacity(*each, full_capacity());
                  }
              });
-    run_events(started_at + fault_phase + recovery_phase);
+    auto const recovery =
+        m_setup.deadly_percent > 0 ? recovery_after_crashes : recovery_phase;
+    run_events(started_at + fault_phase + recovery);
     check();
+    check_failed_jobs();
     if (m_violation.empty() && !m_table.active().empty())
     {
         fail(describe(*m_table.active().begin()) + " does not end");
--- a/modules/workflow/tests/dispatch_simulation.hpp
+++ b/modules/workflow/tests/dispatch_simulation.hpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <queue>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -21,6 +22,9 @@
 {
     lease_policy leases{std::chrono::seconds(9), std::chrono::seconds(9)};
     std::size_t workers = 4;
+    /// Share of jobs with a task that crashes each worker that starts it, in
+    /// percent.
+    std::uint64_t deadly_percent = 0;
 };
 
 /// Leaders, sidecars and workers in simulated time.
@@ -58,6 +62,9 @@
     /// @return Number of completed jobs.
     std::size_t completed() const;
 
+    /// @return Number of workers that tasks crashed.
+    std::size_t crashes() const noexcept;
+
 private:
     struct leader;
     struct worker_host;
@@ -106,6 +113,15 @@
     /// over its capacity.
     void check_start(worker_host const& host, core::time_point called_at);
     void check();
+
+    // crash_checks.cpp
+    void choose_deadly_task(core::submit_workflow const& job);
+    /// Handles a start that the worker took, and crashes it if the task is
+    /// deadly.
+    void started(worker_host& host, core::task_run const& run);
+    void crash(worker_host& host, core::task_ref const& cause);
+    void check_failed_jobs();
+
     /// Compares the backlog that is updated by changes with one that is derived
     /// from the whole table.
     void check_backlog();
@@ -154,6 +170,15 @@
     /// Since when each worker has had room for a task of each stage.
     std::map<std::pair<stage_ref, std::string>, core::time_point> m_room_since;
     std::string m_violation;
+    /// Tasks that crash each worker that starts them.
+    std::set<core::task_ref> m_deadly;
+    /// Number of crashes with the task on the worker.
+    std::map<core::task_ref, std::uint32_t> m_crashes_under;
+    /// Number of crashes that the leader could see, by the task that caused
+    /// them.
+    std::map<core::task_ref, std::uint32_t> m_seen_crashes;
+    std::size_t m_crashes = 0;
+    core::time_point m_elected_at;
 };
 
 } // namespace turmericswitch::workflow::testing
