Sidecar: tell the leader at once that the worker is silent

Callers saw tasks wait for seconds: after a crash, tasks were placed on the dead worker until three reports were missed, and long-running tasks stayed without a run although there was room. Cause: a sidecar sent no report while its worker didn't answer, or repeated the last clock without saying so. A new leader took such a repeated clock for a new one and counted the lease anew. The sidecar also went on sending starts, which a worker that restarts under its old id may get in its next incarnation. Change: the first sync call without an answer sends a report marked silent. The leader places nothing on that worker and extends no lease until an answer follows; nothing that runs there is given up for it. A silent worker gets no starts; the leader repeats them.

--- a/modules/core/messages/workflow.hpp
+++ b/modules/core/messages/workflow.hpp
@@ -324,6 +324,9 @@
     /// Starts that certainly have not run and never will.
     std::vector<task_run> refused;
     bool left = false;
+    /// True if the worker did not answer the last call: the clock and the lists
+    /// are those of an earlier answer.
+    bool silent = false;
 
     bool operator==(runtime_report const&) const = default;
 };
--- a/modules/wire/codec/message_codec.cpp
+++ b/modules/wire/codec/message_codec.cpp
@@ -79,6 +79,8 @@
 template <>
 constexpr std::size_t appended_members<core::task_record> = 1;
 template <>
+constexpr std::size_t appended_members<core::runtime_report> = 1;
+template <>
 constexpr std::size_t appended_members<core::runtime_orders> = 1;
 template <>
 constexpr std::size_t appended_members<core::workflow_progress> = 1;
--- a/modules/workflow/agent/worker_agent.cpp
+++ b/modules/workflow/agent/worker_agent.cpp
@@ -120,6 +120,7 @@
     m_stops.clear();
     m_stopped_runs.clear();
     m_syncing = false;
+    m_silent = false;
     m_reporting = false;
     m_report_again = false;
     m_profile_due = false;
@@ -239,16 +240,18 @@
         answer && answer->life && *answer->life != m_profile->life;
     if (!answer || is_other_incarnation)
     {
-        // Sends no report: the leader would extend the lease of a worker that
-        // does not answer. A changed profile is worth it, because orders that
-        // the worker executes late must fit its capacity.
-        if (!answer && m_profile_due && !m_left)
+        // The leader places nothing on a silent worker, and the report extends
+        // no lease. A changed profile is worth another report, because orders
+        // that the worker executes late must fit its capacity.
+        bool const was_silent = std::exchange(m_silent, true);
+        if (!m_left && (!was_silent || (!answer && m_profile_due)))
         {
             send_report();
         }
         schedule_sync(retry_pause, core::duration{});
         return;
     }
+    m_silent = false;
     m_worker_clock = answer->clock;
     m_runs = std::move(answer->runs);
     std::erase_if(m_started_runs,
@@ -309,6 +312,7 @@
     report.runs = m_runs;
     report.refused.assign(m_refused.begin(), m_refused.end());
     report.left = m_left;
+    report.silent = m_silent;
     m_hooks.leader.report(
         std::move(report),
         [this, epoch = m_epoch](std::optional<core::runtime_grant> grant)
@@ -472,7 +476,9 @@
     {
         return;
     }
-    if (m_starts.contains(start.run))
+    // The leader repeats the order. A worker that restarts after a call must
+    // not get the start in its next incarnation.
+    if (m_silent || m_starts.contains(start.run))
     {
         return;
     }
--- a/modules/workflow/agent/worker_agent.hpp
+++ b/modules/workflow/agent/worker_agent.hpp
@@ -159,6 +159,8 @@
     /// Number of the sync call that is in progress or was answered last.
     std::uint64_t m_current_sync = 0;
     bool m_syncing = false;
+    /// True after a sync call without an answer of this incarnation.
+    bool m_silent = false;
     bool m_reporting = false;
     bool m_report_again = false;
     /// True while no report with the present capacity and labels was sent.
--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -63,7 +63,7 @@
     bool const is_new_sidecar =
         known != nullptr && known->sidecar != report.sidecar;
     bool const was_usable = known != nullptr && known->has_runs &&
-                            !known->profile.draining &&
+                            !known->is_silent && !known->profile.draining &&
                             is_reporting(now, *known);
     bool const is_other_profile =
         known == nullptr || known->profile != report.profile;
@@ -159,7 +159,10 @@
     }
     bool const is_first = view->granted_until == core::duration{};
     m_placement_due = m_placement_due || is_first;
-    m_fleet.extend_lease(*view, m_table.longest_lease());
+    if (!view->is_silent)
+    {
+        m_fleet.extend_lease(*view, m_table.longest_lease());
+    }
     answer.lease_until = view->granted_until;
     for (auto const& each : view->ended)
     {
@@ -196,8 +199,9 @@
         std::find(config.evacuated.begin(),
                   config.evacuated.end(),
                   view.profile.zone) != config.evacuated.end();
-    return view.has_runs && !view.left && !view.profile.draining &&
-           is_reporting(now, view) && is_leased && !is_evacuated &&
+    return view.has_runs && !view.left && !view.is_silent &&
+           !view.profile.draining && is_reporting(now, view) && is_leased &&
+           !is_evacuated &&
            (!m_health.is_quarantined(now, view.profile.worker) ||
             m_health.is_trial_due(now, view.profile.worker));
 }
--- a/modules/workflow/dispatch/worker_fleet.cpp
+++ b/modules/workflow/dispatch/worker_fleet.cpp
@@ -133,7 +133,10 @@
     view.reported_at = now;
     view.has_newly_established = false;
     auto const clock_before = view.clock;
-    if (view.clock != report.clock)
+    view.is_silent = report.silent;
+    // A silent worker's clock may be read long before the first report of it
+    // that this leader gets.
+    if (!report.silent && view.clock != report.clock)
     {
         view.clock = report.clock;
         view.clock_changed_at = now;
--- a/modules/workflow/dispatch/worker_fleet.hpp
+++ b/modules/workflow/dispatch/worker_fleet.hpp
@@ -50,6 +50,8 @@
     core::duration clock{};
     /// When the first report with this reading of the clock arrived.
     core::time_point clock_changed_at;
+    /// True if the worker did not answer its sidecar before the last report.
+    bool is_silent = false;
     /// End of the lease on the worker's clock.
     core::duration granted_until{};
     /// Time on the leader's clock at which the lease has certainly expired.
--- a/modules/workflow/tests/dispatcher_test.cpp
+++ b/modules/workflow/tests/dispatcher_test.cpp
@@ -31,6 +31,8 @@
     CPPUNIT_TEST(task_that_crashes_workers_fails_its_workflow);
     CPPUNIT_TEST(only_runs_not_yet_seen_at_work_are_suspected);
     CPPUNIT_TEST(restart_after_a_notice_or_of_the_instance_is_no_crash);
+    CPPUNIT_TEST(silent_worker_gets_no_tasks);
+    CPPUNIT_TEST(report_of_a_silent_worker_postpones_no_loss);
     CPPUNIT_TEST(draining_worker_and_evacuated_zone_get_no_tasks);
     CPPUNIT_TEST(worker_whose_reported_clock_stands_still_gets_no_tasks);
     CPPUNIT_TEST(lost_batch_of_orders_is_sent_again);
@@ -260,6 +262,38 @@
         CPPUNIT_ASSERT(command->ends.front().how == core::run_end::lost);
     }
 
+    // Guards against tasks that are placed for seconds on a worker that has
+    // crashed, although its sidecar knows that it doesn't answer.
+    void silent_worker_gets_no_tasks()
+    {
+        submit();
+        report({});
+        grant();
+        report_silent();
+        grant();
+        CPPUNIT_ASSERT(!plan());
+        report({});
+        grant();
+        CPPUNIT_ASSERT(plan().has_value());
+    }
+
+    // A worker is lost shortly before the leader. Guards against a new leader
+    // that counts the lease from the old clock that the sidecar reports, which
+    // delays the next run of the worker's tasks beyond 9 s.
+    void report_of_a_silent_worker_postpones_no_loss()
+    {
+        start_one();
+        record_lease(std::chrono::seconds(6));
+        elect({std::chrono::seconds(10), std::chrono::seconds(6)});
+        m_now += std::chrono::seconds(3);
+        report_silent();
+        CPPUNIT_ASSERT(grant().lease_until == core::duration{});
+        m_now += std::chrono::milliseconds(3400);
+        auto const command = plan();
+        CPPUNIT_ASSERT(command.has_value());
+        CPPUNIT_ASSERT(command->ends.front().how == core::run_end::lost);
+    }
+
     void restart_of_a_worker_ends_its_earlier_runs_at_once()
     {
         start_one();
@@ -725,6 +759,19 @@
         return result;
     }
 
+    /// The sidecar reports that its worker does not answer.
+    void report_silent()
+    {
+        core::runtime_report result;
+        result.host = core::instance_id("host");
+        result.sidecar = m_sidecar;
+        result.profile = profile("w1");
+        result.clock = std::chrono::milliseconds(at_work_ms);
+        result.runs.emplace();
+        result.silent = true;
+        m_dispatcher->report(m_now, std::move(result));
+    }
+
     bool report(core::worker_runs runs,
                 core::worker_profile const& of = profile("w1"),
                 std::int64_t clock_ms = at_work_ms)
--- a/modules/workflow/tests/worker_agent_test.cpp
+++ b/modules/workflow/tests/worker_agent_test.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(lost_and_regained_leader_are_each_logged_once);
     CPPUNIT_TEST(start_events_identify_the_task);
     CPPUNIT_TEST(only_ends_in_the_grant_are_acknowledged);
+    CPPUNIT_TEST(silent_worker_gets_no_starts);
     CPPUNIT_TEST(changed_capacity_is_reported_at_once);
     CPPUNIT_TEST(changed_capacity_of_a_silent_worker_is_reported);
     CPPUNIT_TEST(overtaken_registration_is_ignored);
@@ -87,14 +88,37 @@
                              m_syncs.front().call.fencing_token);
     }
 
-    // A report would make the leader assume a lease that the worker never got.
+    // A report without the mark would make the leader assume a lease that the
+    // worker never got. The mark lets the leader place nothing there.
     void lease_of_a_silent_worker_is_not_extended()
     {
         start_up();
         answer(m_syncs, std::optional<sync_result>());
-        CPPUNIT_ASSERT(m_reports.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_reports.size());
+        CPPUNIT_ASSERT(last_report().silent);
+        grant(1);
         run_delayed();
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_syncs.size());
+        answer(m_syncs, std::optional<sync_result>());
+        CPPUNIT_ASSERT(m_reports.empty());
+        run_delayed();
+        answer(m_syncs, std::optional(sync_result{}));
+        CPPUNIT_ASSERT(!last_report().silent);
+    }
+
+    // Guards against a start that a restarted worker gets in its next
+    // incarnation, and against calls to a worker that refuses connections.
+    void silent_worker_gets_no_starts()
+    {
+        start_up();
+        answer(m_syncs, std::optional<sync_result>());
+        order_start();
+        CPPUNIT_ASSERT(m_starts.empty());
+        grant(1);
+        run_delayed();
+        answer(m_syncs, std::optional(sync_result{}));
+        order_start();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_starts.size());
     }
 
     void refused_start_is_reported_at_once()
