--- a/modules/workflow/dispatch/colocation_controller.cpp
+++ b/modules/workflow/dispatch/colocation_controller.cpp
@@ -96,18 +96,18 @@
     return changes;
 }
 
-std::vector<stalled_task>
+std::vector<core::task_run>
 colocation_controller::stalled(core::time_point now,
                                core::worker_id const& worker) const
 {
-    std::vector<stalled_task> found;
+    std::vector<core::task_run> found;
     if (auto const known = m_workers.find(worker); known != m_workers.end())
     {
         for (auto const& [run, since] : known->second.paces.stalled)
         {
             if (now - since >= stalled_after)
             {
-                found.push_back({run, since});
+                found.push_back(run);
             }
         }
     }
--- a/modules/workflow/dispatch/colocation_controller.hpp
+++ b/modules/workflow/dispatch/colocation_controller.hpp
@@ -20,14 +20,6 @@
     std::uint32_t before = 0;
 };
 
-/// A best-effort task with a pace of 0.
-struct stalled_task
-{
-    core::task_run run;
-    /// Since when its pace has been 0.
-    core::time_point since;
-};
-
 /// Runs best-effort tasks beside serving tasks as fast as the latency targets
 /// of the serving tasks allow, on all workers.
 ///
@@ -62,8 +54,8 @@
 
     /// @return Best-effort tasks on the worker whose pace has been 0 for so
     ///         long that they should move to another worker.
-    std::vector<stalled_task> stalled(core::time_point now,
-                                      core::worker_id const& worker) const;
+    std::vector<core::task_run> stalled(core::time_point now,
+                                        core::worker_id const& worker) const;
 
     /// @param added Additional CPU use by image.
     /// @return Predicted worst tail latency on the worker with the additional
--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -204,41 +204,16 @@
                                 { return is_eligible(now, view, config); });
 }
 
-core::duration dispatcher::worked_before_stall(plan_times const& times,
-                                               stalled_task const& task) const
+bool dispatcher::is_evictable(core::task_run const& run) const
 {
-    if (auto const placed = m_placed_at.find(task.run);
-        placed != m_placed_at.end())
-    {
-        return task.since - placed->second;
-    }
-    // An earlier leader placed the run, some time after its workflow was
-    // submitted.
-    auto const age =
-        times.cluster - m_table.find(task.run.task.workflow)->submitted;
-    return age - (times.now - task.since);
-}
-
-bool dispatcher::is_evictable(plan_times const& times,
-                              stalled_task const& task) const
-{
-    auto const* const stage = m_table.find_stage(task.run.task);
-    if (stage == nullptr || stage->behaviour.gang ||
-        m_orders.evicting().contains(task.run))
-    {
-        return false;
-    }
-    // Without checkpoints an eviction discards the work of the run. After a
-    // stall of that length the discarded work is at most the time lost by
-    // waiting.
-    return stage->behaviour.checkpoints ||
-           times.now - task.since >= worked_before_stall(times, task);
+    auto const* const stage = m_table.find_stage(run.task);
+    return stage != nullptr && stage->behaviour.checkpoints &&
+           !stage->behaviour.gang && !m_orders.evicting().contains(run);
 }
 
-void dispatcher::evict_stalled(plan_times const& times,
+void dispatcher::evict_stalled(core::time_point now,
                                std::vector<candidate_worker*> const& workers)
 {
-    auto const now = times.now;
     if (now < m_next_eviction)
     {
         return;
@@ -247,13 +222,12 @@
     for (auto const& [id, view] : m_fleet.all())
     {
         auto const& worker = id;
-        for (auto const& task : m_colocation.stalled(now, worker))
+        for (auto const& run : m_colocation.stalled(now, worker))
         {
-            if (!is_evictable(times, task))
+            if (!is_evictable(run))
             {
                 continue;
             }
-            auto const& run = task.run;
             pending_stage moved;
             moved.stage = stage_of(run.task);
             moved.description = m_table.find_stage(run.task);
@@ -318,7 +292,7 @@
     {
         m_candidates.mark_changed(placed.worker);
     }
-    evict_stalled(times, workers);
+    evict_stalled(times.now, workers);
 }
 
 std::optional<core::workflow_progress>
--- a/modules/workflow/dispatch/dispatcher.hpp
+++ b/modules/workflow/dispatch/dispatcher.hpp
@@ -124,13 +124,9 @@
     /// @return True if placements must be planned now; they count as planned.
     bool take_placement_due(plan_times const& times,
                             core::configuration const& config);
-    void evict_stalled(plan_times const& times,
+    void evict_stalled(core::time_point now,
                        std::vector<candidate_worker*> const& workers);
-    bool is_evictable(plan_times const& times, stalled_task const& task) const;
-    /// @return Longest time for which the run may have worked until its pace
-    ///         became 0.
-    core::duration worked_before_stall(plan_times const& times,
-                                       stalled_task const& task) const;
+    bool is_evictable(core::task_run const& run) const;
     tail_hook make_tail_hook() const;
     void update_colocation(core::time_point now, worker_view const& view);
     void record_run_time(core::time_point now,
--- a/modules/workflow/tests/colocation_test.cpp
+++ b/modules/workflow/tests/colocation_test.cpp
@@ -273,7 +273,7 @@
         CPPUNIT_ASSERT_EQUAL(100U, pace(m_light));
         auto const stalled = m_controller.stalled(m_now, m_worker);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stalled.size());
-        CPPUNIT_ASSERT(stalled.front().run == m_heavy);
+        CPPUNIT_ASSERT(stalled.front() == m_heavy);
     }
 
     // Submitters' estimates are off by an order of magnitude, so measured run
