--- a/modules/workflow/dispatch/pace_controller.cpp
+++ b/modules/workflow/dispatch/pace_controller.cpp
@@ -24,10 +24,7 @@
 constexpr double min_effect = 0.03;
 
 constexpr std::uint32_t full_pace = 100;
-/// Distance between the paces that are tried for a speed-up.
-constexpr std::uint32_t pace_step = 10;
-/// Largest speed-up of a neighbour whose effect the model does not know yet.
-constexpr std::uint32_t unknown_step = 30;
+constexpr std::uint32_t pace_step = 30;
 /// A task with a smaller pace is stopped: it would make hardly any progress and
 /// still hold its memory.
 constexpr std::uint32_t min_pace = 10;
@@ -50,13 +47,6 @@
 constexpr double own_load_tail = 1.1;
 constexpr std::int64_t percent = 100;
 
-/// @return CPU that the task would use at the pace in excess of the sample.
-core::millicores growth_at(best_effort_task const& task, std::uint32_t pace)
-{
-    return core::millicores(std::max<std::int64_t>(
-        task.need.value() * pace / full_pace - task.used.value(), 0));
-}
-
 template <typename Container>
 bool has_run(Container const& tasks, core::task_run const& run)
 {
@@ -338,34 +328,6 @@
     return worst;
 }
 
-bool pace_controller::is_trusted(colocation_sample const& sample,
-                                 best_effort_task const& task) const
-{
-    return std::all_of(sample.serving.begin(),
-                       sample.serving.end(),
-                       [&](serving_task const& serving)
-                       { return m_model.is_known(serving.image, task.image); });
-}
-
-std::optional<std::uint32_t>
-pace_controller::faster_pace(colocation_sample const& sample,
-                             best_effort_task const& task,
-                             std::uint32_t present) const
-{
-    auto const most = is_trusted(sample, task)
-                          ? full_pace
-                          : std::min(present + unknown_step, full_pace);
-    for (auto pace = most; pace > present; pace -= std::min(pace, pace_step))
-    {
-        auto const tail = worst_tail_after(sample, task, growth_at(task, pace));
-        if (pace >= min_pace && tail <= speed_up_limit)
-        {
-            return pace;
-        }
-    }
-    return std::nullopt;
-}
-
 void pace_controller::speed_up(colocation_sample sample,
                                pace_scales const& scales,
                                pace_state& state) const
@@ -377,13 +339,22 @@
         {
             continue;
         }
-        auto const next = faster_pace(sample, task, known->second);
-        if (!next)
+        bool const is_safe =
+            std::all_of(sample.serving.begin(),
+                        sample.serving.end(),
+                        [&](serving_task const& serving) {
+                            return is_harmless(serving, task, sample.capacity);
+                        });
+        auto const next = is_safe
+                              ? full_pace
+                              : std::min(known->second + pace_step, full_pace);
+        auto const added = core::millicores(std::max<std::int64_t>(
+            task.need.value() * next / full_pace - task.used.value(), 0));
+        if (worst_tail_after(sample, task, added) > speed_up_limit)
         {
             continue;
         }
-        known->second = *next;
-        auto const added = growth_at(task, *next);
+        known->second = next;
         // The next steps must account for this one.
         for (auto& serving : sample.serving)
         {
--- a/modules/workflow/dispatch/pace_controller.hpp
+++ b/modules/workflow/dispatch/pace_controller.hpp
@@ -6,7 +6,6 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <vector>
 
 namespace turmericswitch::workflow
@@ -117,16 +116,6 @@
     bool is_harmless(serving_task const& task,
                      best_effort_task const& neighbour,
                      core::millicores capacity) const;
-    /// @return True if the model knows the effect of the task on all serving
-    ///         tasks.
-    bool is_trusted(colocation_sample const& sample,
-                    best_effort_task const& task) const;
-    /// @return The highest pace above the present one at which the tails are
-    ///         predicted to stay below their targets, if any. If the effect of
-    ///         the task is not known, the pace rises in steps.
-    std::optional<std::uint32_t> faster_pace(colocation_sample const& sample,
-                                             best_effort_task const& task,
-                                             std::uint32_t present) const;
     /// Speeds up the tasks that have no entry in `scales`.
     void speed_up(colocation_sample sample,
                   pace_scales const& scales,
--- a/modules/workflow/tests/colocation_test.cpp
+++ b/modules/workflow/tests/colocation_test.cpp
@@ -31,9 +31,6 @@
     CPPUNIT_TEST(neighbours_of_every_slow_service_are_slowed);
     CPPUNIT_TEST(samples_within_the_averaging_time_are_ignored);
     CPPUNIT_TEST(slowed_task_speeds_up_when_there_is_headroom);
-    CPPUNIT_TEST(known_neighbour_returns_to_full_speed_with_the_headroom);
-    CPPUNIT_TEST(known_neighbour_gets_headroom_that_is_too_small_for_a_step);
-    CPPUNIT_TEST(unknown_neighbour_speeds_up_in_steps);
     CPPUNIT_TEST(stopped_task_is_reported_as_stalled);
     CPPUNIT_TEST(run_time_model_prefers_measured_run_times);
     CPPUNIT_TEST_SUITE_END();
@@ -262,41 +259,6 @@
         CPPUNIT_ASSERT(pace(m_heavy) > slowed);
     }
 
-    // Load: services on every worker whose loads rise and fall, and wide stages
-    // of best-effort tasks beside them. Guards against tasks that need seconds
-    // to return to full speed after each rise, while their stages wait.
-    void known_neighbour_returns_to_full_speed_with_the_headroom()
-    {
-        train_controller();
-        update_with_tail(2.2);
-        CPPUNIT_ASSERT_EQUAL(0U, pace(m_heavy));
-        update_with_tail(0.2);
-        CPPUNIT_ASSERT_EQUAL(100U, pace(m_heavy));
-    }
-
-    // The same load. Guards against tasks that stand still because the headroom
-    // allows only a low pace.
-    void known_neighbour_gets_headroom_that_is_too_small_for_a_step()
-    {
-        train_controller();
-        update_with_tail(2.2);
-        CPPUNIT_ASSERT_EQUAL(0U, pace(m_heavy));
-        update_with_tail(0.65);
-        CPPUNIT_ASSERT(pace(m_heavy) > 0);
-        CPPUNIT_ASSERT(pace(m_heavy) < 30);
-    }
-
-    // Guards against a neighbour that returns to full speed before its effect
-    // has been seen.
-    void unknown_neighbour_speeds_up_in_steps()
-    {
-        update_with_tail(1.2);
-        auto const slowed = pace(m_heavy);
-        CPPUNIT_ASSERT(slowed < 70);
-        update_with_tail(0.1);
-        CPPUNIT_ASSERT_EQUAL(slowed + 30, pace(m_heavy));
-    }
-
     void stopped_task_is_reported_as_stalled()
     {
         train_controller();
