--- a/modules/core/messages/workflow.hpp
+++ b/modules/core/messages/workflow.hpp
@@ -130,6 +130,9 @@
     refused,
     /// The worker's life ended, or its lease certainly has.
     lost,
+    /// The worker crashed before the run was seen at work there. Releases
+    /// before the one that added this value can't read it.
+    crashed,
 };
 
 std::string_view to_string(run_end end);
@@ -248,6 +251,9 @@
     std::vector<run_outcome> ends;
     std::vector<run_checkpoint> checkpoints;
     std::vector<run_placement> placements;
+    /// From now on no leader has granted a lease that is still valid and longer
+    /// than this. Zero leaves the recorded length as it is.
+    duration longest_lease{};
 
     bool operator==(workflow_progress const&) const = default;
 };
@@ -318,6 +324,9 @@
     /// Starts that certainly have not run and never will.
     std::vector<task_run> refused;
     bool left = false;
+    /// True if the worker did not answer the last call: the clock and the lists
+    /// are those of an earlier answer.
+    bool silent = false;
 
     bool operator==(runtime_report const&) const = default;
 };
@@ -390,6 +399,9 @@
     std::vector<run_pace> paces;
     /// Numbers the non-empty batches to one worker.
     std::uint64_t batch = 0;
+    /// What the worker's runs reserve once the batch is executed, including
+    /// those that are being stopped.
+    resources reserved;
 
     bool operator==(runtime_orders const&) const = default;
 };
--- a/modules/wire/codec/message_codec.cpp
+++ b/modules/wire/codec/message_codec.cpp
@@ -78,6 +78,14 @@
 constexpr std::size_t appended_members = 0;
 template <>
 constexpr std::size_t appended_members<core::task_record> = 1;
+template <>
+constexpr std::size_t appended_members<core::runtime_report> = 1;
+template <>
+constexpr std::size_t appended_members<core::runtime_orders> = 1;
+template <>
+constexpr std::size_t appended_members<core::workflow_progress> = 1;
+template <>
+constexpr std::size_t appended_members<core::state_snapshot> = 1;
 
 /// @return Number of members to write: all but the appended ones at the end
 ///         that have their default values.
@@ -234,7 +242,7 @@
     }
     else if constexpr (std::is_same_v<T, run_end>)
     {
-        return static_cast<std::uint8_t>(run_end::lost);
+        return static_cast<std::uint8_t>(run_end::crashed);
     }
     else if constexpr (std::is_same_v<T, workflow_state>)
     {
--- a/modules/workflow/agent/worker_agent.cpp
+++ b/modules/workflow/agent/worker_agent.cpp
@@ -27,6 +27,14 @@
 /// How long the leader may delay its answer to a poll until orders are due.
 constexpr core::duration orders_wait = std::chrono::seconds(5);
 
+/// @return True if the leader must learn of the difference before the next
+///         list of runs. The time that a draining worker stays always differs.
+bool differs(core::worker_profile const& known, core::worker_profile now)
+{
+    now.stays = known.stays;
+    return known != now;
+}
+
 /// Calls for one start or stop before the agent gives up.
 constexpr int max_tries = 3;
 
@@ -37,7 +45,8 @@
 {
 }
 
-bool worker_agent::registered(core::worker_profile profile)
+bool worker_agent::registered(core::worker_profile profile,
+                              std::uint64_t sequence)
 {
     if (m_stopped)
     {
@@ -57,16 +66,32 @@
             return false;
         }
         begin_incarnation(std::move(profile));
+        m_sequence = sequence;
         return true;
     }
-    bool const is_changed = m_profile->draining != profile.draining;
+    if (sequence > 0 && sequence < m_sequence)
+    {
+        m_hooks.on_event(
+            {event_code::registration_ignored,
+             {text_field("worker", profile.worker.value()),
+              number_field("life", profile.life.value()),
+              number_field("known_life", m_profile->life.value())}});
+        return false;
+    }
+    m_sequence = sequence;
+    bool const is_drain_changed = m_profile->draining != profile.draining;
+    bool const is_changed = differs(*m_profile, profile);
     m_profile = std::move(profile);
-    if (is_changed)
+    if (is_drain_changed)
     {
         m_hooks.on_event(
             {event_code::worker_drain_changed,
              {text_field("worker", m_profile->worker.value()),
               number_field("draining", m_profile->draining ? 1 : 0)}});
+    }
+    if (is_changed)
+    {
+        m_profile_due = true;
         send_report();
     }
     return true;
@@ -89,12 +114,17 @@
     m_worker_clock = {};
     m_runs.reset();
     m_refused.clear();
+    m_reserved = {};
     m_starts.clear();
+    m_started_runs.clear();
     m_stops.clear();
     m_stopped_runs.clear();
     m_syncing = false;
+    m_silent = false;
     m_reporting = false;
     m_report_again = false;
+    m_profile_due = false;
+    m_reporting_profile = false;
     m_polling = false;
     m_received_batch = 0;
     // The grant for the first report has the fencing token that sync calls
@@ -210,13 +240,23 @@
         answer && answer->life && *answer->life != m_profile->life;
     if (!answer || is_other_incarnation)
     {
-        // Sends no report: the leader would extend the lease of a worker that
-        // does not answer.
+        // The leader places nothing on a silent worker, and the report extends
+        // no lease. A changed profile is worth another report, because orders
+        // that the worker executes late must fit its capacity.
+        bool const was_silent = std::exchange(m_silent, true);
+        if (!m_left && (!was_silent || (!answer && m_profile_due)))
+        {
+            send_report();
+        }
         schedule_sync(retry_pause, core::duration{});
         return;
     }
+    m_silent = false;
     m_worker_clock = answer->clock;
     m_runs = std::move(answer->runs);
+    std::erase_if(m_started_runs,
+                  [this](auto const& item)
+                  { return item.second <= m_current_sync; });
     refuse_unlisted_stopped_runs();
     send_report();
 }
@@ -263,6 +303,7 @@
     }
     m_reporting = true;
     m_report_again = false;
+    m_reporting_profile = std::exchange(m_profile_due, false);
     core::runtime_report report;
     report.host = m_options.host;
     report.profile = *m_profile;
@@ -271,6 +312,7 @@
     report.runs = m_runs;
     report.refused.assign(m_refused.begin(), m_refused.end());
     report.left = m_left;
+    report.silent = m_silent;
     m_hooks.leader.report(
         std::move(report),
         [this, epoch = m_epoch](std::optional<core::runtime_grant> grant)
@@ -300,6 +342,7 @@
     set_leader_reached(grant.has_value());
     if (!grant || grant->fencing_token < m_fencing_token)
     {
+        m_profile_due = m_profile_due || m_reporting_profile;
         m_hooks.after(retry_pause,
                       [this, epoch]
                       {
@@ -383,6 +426,7 @@
                 if (orders->batch > 0)
                 {
                     m_received_batch = orders->batch;
+                    m_reserved = orders->reserved;
                 }
                 execute_orders(*orders);
                 poll_orders();
@@ -432,12 +476,51 @@
     {
         return;
     }
-    auto const [known, is_new] =
-        m_starts.try_emplace(start.run, pending_start{start, payload});
-    if (is_new)
+    // The leader repeats the order. A worker that restarts after a call must
+    // not get the start in its next incarnation.
+    if (m_silent || m_starts.contains(start.run))
+    {
+        return;
+    }
+    if (!has_capacity())
+    {
+        drop_start(start.run);
+        return;
+    }
+    auto order = start;
+    order.lease_until = std::max(order.lease_until, m_lease_until);
+    m_starts.emplace(start.run, pending_start{std::move(order), payload});
+    call_start(start.run);
+}
+
+bool worker_agent::has_capacity() const
+{
+    return core::fits_in(m_reserved, m_profile->capacity);
+}
+
+bool worker_agent::is_at_work(core::task_run const& run) const
+{
+    return m_started_runs.contains(run) ||
+           (m_runs && std::any_of(m_runs->running.begin(),
+                                  m_runs->running.end(),
+                                  [&run](core::running_task const& each)
+                                  { return each.run == run; }));
+}
+
+void worker_agent::drop_start(core::task_run const& run)
+{
+    if (is_at_work(run))
     {
-        call_start(start.run);
+        return;
     }
+    emit_run_event(event_code::start_dropped,
+                   run,
+                   {text_field("why",
+                               "the worker's capacity is below what the "
+                               "leader has placed there"),
+                    number_field("cpu_m", m_profile->capacity.cpu.value()),
+                    number_field("reserved_m", m_reserved.cpu.value())});
+    begin_stop(run);
 }
 
 void worker_agent::call_start(core::task_run const& run)
@@ -445,10 +528,8 @@
     auto& open = m_starts.at(run);
     ++open.tries;
     ++m_open_calls;
-    auto start = open.start;
-    start.lease_until = std::max(start.lease_until, m_lease_until);
     m_hooks.runtime.start(
-        {m_profile->worker, start, open.payload, m_fencing_token},
+        {m_profile->worker, open.start, open.payload, m_fencing_token},
         [this, run, epoch = m_epoch](start_outcome outcome)
         {
             --m_open_calls;
@@ -477,6 +558,7 @@
              number_field("token", m_fencing_token),
              time_field("lease_left_ms", m_lease_until - m_worker_clock)});
         m_starts.erase(open);
+        m_started_runs[run] = m_syncs_begun + 1;
         return;
     case start_outcome::stale_token:
     case start_outcome::wrong_incarnation:
@@ -504,7 +586,7 @@
         break;
     case start_outcome::unknown:
         ++open->second.unanswered;
-        if (open->second.tries < max_tries)
+        if (open->second.tries < max_tries && has_capacity())
         {
             emit_run_event(event_code::start_unanswered,
                            run,
--- a/modules/workflow/agent/worker_agent.hpp
+++ b/modules/workflow/agent/worker_agent.hpp
@@ -57,6 +57,10 @@
 /// makes the worker keep a tombstone that rejects the start if it arrives
 /// later.
 ///
+/// It sends no start while the runs that the leader counts on the worker do not
+/// fit the capacity that the worker has reported last: the leader may not know
+/// that capacity yet, or the order may be old.
+///
 /// Not thread-safe: all calls and callbacks must be on one thread.
 class worker_agent
 {
@@ -65,9 +69,11 @@
 
     /// Handles a registration of the worker.
     ///
+    /// @param sequence Increases with each registration of an incarnation; 0 if
+    ///        it is unknown.
     /// @return False if it is from an earlier incarnation than the known one,
-    ///         or the agent was stopped.
-    bool registered(core::worker_profile profile);
+    ///         was overtaken by a later one, or the agent was stopped.
+    bool registered(core::worker_profile profile, std::uint64_t sequence = 0);
 
     /// Handles the worker's notice that it shuts down.
     void unregistered(core::worker_id const& worker);
@@ -84,6 +90,8 @@
 private:
     struct pending_start
     {
+        /// Its `lease_until` stays as of the order's receipt: the leader may
+        /// have given up the run when a later lease is granted.
         core::run_start start;
         std::string payload;
         int tries = 0;
@@ -108,6 +116,13 @@
     void execute_orders(core::runtime_orders const& orders);
     void begin_start(core::run_start const& start, std::string const& payload);
     void call_start(core::task_run const& run);
+    /// @return True if the reservations in the last orders fit the capacity in
+    ///         the worker's last registration.
+    bool has_capacity() const;
+    /// Makes certain that a start of which the worker has no capacity does not
+    /// run, unless it runs already.
+    void drop_start(core::task_run const& run);
+    bool is_at_work(core::task_run const& run) const;
     void handle_start_outcome(core::task_run const& run, start_outcome outcome);
     void begin_stop(core::task_run const& run);
     void call_stop(core::task_run const& run);
@@ -129,6 +144,8 @@
     /// earlier epoch are dropped.
     std::uint64_t m_epoch = 0;
     std::optional<core::worker_profile> m_profile;
+    /// Highest sequence number of the incarnation's registrations.
+    std::uint64_t m_sequence = 0;
     bool m_left = false;
 
     std::uint64_t m_fencing_token = 0;
@@ -142,13 +159,26 @@
     /// Number of the sync call that is in progress or was answered last.
     std::uint64_t m_current_sync = 0;
     bool m_syncing = false;
+    /// True after a sync call without an answer of this incarnation.
+    bool m_silent = false;
     bool m_reporting = false;
     bool m_report_again = false;
+    /// True while no report with the present capacity and labels was sent.
+    bool m_profile_due = false;
+    /// True if the report that is in progress has a changed profile.
+    bool m_reporting_profile = false;
     bool m_polling = false;
     std::uint64_t m_received_batch = 0;
     std::size_t m_open_calls = 0;
 
+    /// Reservations in the last orders. All that runs on the worker was placed
+    /// when these were made, so they also bound starts of earlier orders.
+    core::resources m_reserved;
+
     std::map<core::task_run, pending_start> m_starts;
+    /// Started runs, with the number of the first sync call whose answer lists
+    /// them.
+    std::map<core::task_run, std::uint64_t> m_started_runs;
     /// Tries of each stop that is in progress.
     std::map<core::task_run, int> m_stops;
     /// Stopped runs, with the number of the first sync call whose answer shows
--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -30,6 +30,11 @@
 /// workflow ends or arrives. It covers changes of the spare CPU and of leases.
 constexpr core::duration placement_interval = std::chrono::milliseconds(100);
 
+bool is_end_with_worker(core::run_end how)
+{
+    return how == core::run_end::lost || how == core::run_end::crashed;
+}
+
 } // namespace
 
 dispatcher::dispatcher(workflow_table const& table,
@@ -40,7 +45,7 @@
     : m_table(table),
       m_options(options),
       m_fencing_token(fencing_token),
-      m_fleet(options.leases, elected),
+      m_fleet(options.leases, table.longest_lease(), elected),
       m_colocation(options.harm_limit),
       m_backlog(table, m_run_times, m_fleet),
       m_candidates(table, m_fleet, m_colocation),
@@ -58,7 +63,7 @@
     bool const is_new_sidecar =
         known != nullptr && known->sidecar != report.sidecar;
     bool const was_usable = known != nullptr && known->has_runs &&
-                            !known->profile.draining &&
+                            !known->is_silent && !known->profile.draining &&
                             is_reporting(now, *known);
     bool const is_other_profile =
         known == nullptr || known->profile != report.profile;
@@ -90,7 +95,7 @@
     {
         update_colocation(now, *view);
     }
-    if (is_sample_due || is_other_profile)
+    if (is_sample_due || is_other_profile || view->has_newly_established)
     {
         m_candidates.mark_changed(worker);
     }
@@ -154,7 +159,10 @@
     }
     bool const is_first = view->granted_until == core::duration{};
     m_placement_due = m_placement_due || is_first;
-    m_fleet.extend_lease(*view);
+    if (!view->is_silent)
+    {
+        m_fleet.extend_lease(*view, m_table.longest_lease());
+    }
     answer.lease_until = view->granted_until;
     for (auto const& each : view->ended)
     {
@@ -191,17 +199,26 @@
         std::find(config.evacuated.begin(),
                   config.evacuated.end(),
                   view.profile.zone) != config.evacuated.end();
-    return view.has_runs && !view.left && !view.profile.draining &&
-           is_reporting(now, view) && is_leased && !is_evacuated &&
-           !m_health.is_quarantined(now, view.profile.worker);
+    return view.has_runs && !view.left && !view.is_silent &&
+           !view.profile.draining && is_reporting(now, view) && is_leased &&
+           !is_evacuated &&
+           (!m_health.is_quarantined(now, view.profile.worker) ||
+            m_health.is_trial_due(now, view.profile.worker));
 }
 
 std::vector<candidate_worker*>
 dispatcher::candidates(core::time_point now, core::configuration const& config)
 {
-    return m_candidates.collect(now,
-                                [&](worker_view const& view)
-                                { return is_eligible(now, view, config); });
+    auto workers =
+        m_candidates.collect(now,
+                             [&](worker_view const& view)
+                             { return is_eligible(now, view, config); });
+    for (auto* const each : workers)
+    {
+        each->is_trial = m_health.is_quarantined(now, each->worker);
+        each->trials_left = each->is_trial ? 1 : 0;
+    }
+    return workers;
 }
 
 bool dispatcher::is_evictable(core::task_run const& run) const
@@ -293,6 +310,14 @@
         m_candidates.mark_changed(placed.worker);
     }
     evict_stalled(times.now, workers);
+    for (auto const* const each : workers)
+    {
+        // Workers that the plan closed are open again for the next one.
+        if (!each->isolated_for.value().empty())
+        {
+            m_candidates.mark_changed(each->worker);
+        }
+    }
 }
 
 std::optional<core::workflow_progress>
@@ -304,8 +329,9 @@
     {
         place_tasks(times, config, command);
     }
-    if (command.ends.empty() && command.checkpoints.empty() &&
-        command.placements.empty())
+    command.longest_lease =
+        m_fleet.length_to_record(times.now, m_table.longest_lease());
+    if (command == core::workflow_progress{})
     {
         return std::nullopt;
     }
@@ -325,6 +351,7 @@
     for (auto const& placement : command.placements)
     {
         emit_run_placed(now, placement);
+        m_health.record_trial(now, placement.worker);
         m_placed_at.emplace(placement.run, now);
     }
     m_ends.applied(now, command);
@@ -340,10 +367,22 @@
                             core::run_outcome const& outcome)
 {
     auto const placed = m_placed_at.find(outcome.run);
+    std::optional<bool> established;
+    if (is_end_with_worker(outcome.how))
+    {
+        established =
+            m_fleet.is_established(outcome.worker, outcome.life, outcome.run);
+    }
     m_on_event(run_ended_event(outcome,
                                placed == m_placed_at.end()
                                    ? std::nullopt
-                                   : std::optional(now - placed->second)));
+                                   : std::optional(now - placed->second),
+                               established));
+    if (m_orders.evicting().contains(outcome.run))
+    {
+        // The leader asked for this end; it says nothing about the worker.
+        return;
+    }
     bool const was_usable = !m_health.is_quarantined(now, outcome.worker);
     m_health.record_end(now, outcome.worker, outcome.run, outcome.how);
     if (was_usable && m_health.is_quarantined(now, outcome.worker))
@@ -367,12 +406,17 @@
 void dispatcher::emit_lost_workers(core::time_point now,
                                    core::workflow_progress const& command) const
 {
-    std::map<core::worker_id, std::uint64_t> lost;
-    for (auto const& outcome : command.ends)
+    std::map<core::worker_id, lost_runs> lost;
+    for (auto const& [run, worker, life, how, checkpoint] : command.ends)
     {
-        if (outcome.how == core::run_end::lost)
+        if (is_end_with_worker(how))
         {
-            ++lost[outcome.worker];
+            auto& runs = lost[worker];
+            ++runs.all;
+            runs.not_established +=
+                m_fleet.is_established(worker, life, run) ? 0 : 1;
+            runs.has_crashed =
+                runs.has_crashed || m_fleet.has_crashed(worker, life);
         }
     }
     for (auto const& [worker, runs] : lost)
@@ -390,6 +434,10 @@
     result.longest_wait = m_backlog.longest_wait(now);
     for (auto const* const worker : candidates(now, config))
     {
+        if (worker->is_trial)
+        {
+            continue;
+        }
         ++result.usable_workers;
         result.spare += worker->spare;
     }
@@ -458,6 +506,10 @@
                                    *view,
                                    [this, &worker](core::task_run const& run)
                                    { return m_colocation.pace(worker, run); });
+        for (auto const& run : m_orders.take_withdrawn())
+        {
+            m_on_event(start_withdrawn_event(worker, run));
+        }
     }
     orders.fencing_token = m_fencing_token;
     if (!orders.starts.empty() || !orders.stops.empty() ||
--- a/modules/workflow/dispatch/worker_fleet.cpp
+++ b/modules/workflow/dispatch/worker_fleet.cpp
@@ -20,10 +20,68 @@
 /// An idle worker without reports for this long is removed from the view.
 constexpr core::duration forget_after = std::chrono::minutes(1);
 
+bool is_replaced_by_crash(worker_view const& before,
+                          core::runtime_report const& report)
+{
+    // With the instance its sidecar restarts too, which no task can cause.
+    return !before.left && !before.profile.draining &&
+           before.host == report.host && before.sidecar == report.sidecar;
+}
+
+bool is_established_in(worker_view const& view, core::task_run const& run)
+{
+    auto const since = view.listed_since.find(run);
+    return since != view.listed_since.end() &&
+           view.clock - since->second >= trial_time;
+}
+
+replaced_incarnation replaced_by(worker_view const& before,
+                                 core::runtime_report const& report)
+{
+    replaced_incarnation result;
+    result.life = before.profile.life;
+    result.has_crashed = is_replaced_by_crash(before, report);
+    for (auto const& [run, since] : before.listed_since)
+    {
+        if (is_established_in(before, run))
+        {
+            result.established.insert(run);
+        }
+    }
+    return result;
+}
+
+/// @param clock_before The worker's clock in the report before.
+void set_runs(worker_view& view,
+              core::worker_runs runs,
+              core::duration clock_before)
+{
+    view.has_runs = true;
+    view.running.clear();
+    auto const listed_before = std::exchange(view.listed_since, {});
+    for (auto& each : runs.running)
+    {
+        auto const before = listed_before.find(each.run);
+        auto const since =
+            before == listed_before.end() ? view.clock : before->second;
+        view.listed_since.emplace(each.run, since);
+        view.has_newly_established =
+            view.has_newly_established || (view.clock - since >= trial_time &&
+                                           clock_before - since < trial_time);
+        view.running.emplace(each.run, std::move(each));
+    }
+    view.ended = std::move(runs.ended);
+}
+
 } // namespace
 
-worker_fleet::worker_fleet(lease_policy policy, core::time_point elected)
-    : m_policy(policy), m_elected(elected)
+worker_fleet::worker_fleet(lease_policy policy,
+                           core::duration recorded,
+                           core::time_point elected)
+    : m_policy(policy),
+      m_longest_earlier(recorded > core::duration{} ? recorded
+                                                    : policy.longest),
+      m_elected(elected)
 {
 }
 
@@ -33,6 +91,25 @@
     return on_worker * slowest_clock_percent / 100 + lease_margin;
 }
 
+core::time_point worker_fleet::earlier_leases_expire_at() const
+{
+    // Earlier leaders can't have granted a lease after the election.
+    return m_elected + max_length_on_leader_clock(m_longest_earlier);
+}
+
+core::duration worker_fleet::length() const
+{
+    return std::min(m_policy.length, m_policy.longest);
+}
+
+core::duration worker_fleet::length_to_record(core::time_point now,
+                                              core::duration recorded) const
+{
+    bool const is_longer = recorded > core::duration{} && length() > recorded;
+    bool const is_due = is_longer || now > earlier_leases_expire_at();
+    return recorded != length() && is_due ? length() : core::duration{};
+}
+
 worker_view* worker_fleet::report(core::time_point now,
                                   core::runtime_report report)
 {
@@ -46,29 +123,20 @@
     if (known == m_workers.end() ||
         known->second.profile.life != report.profile.life)
     {
-        // Only one worker runs on an instance at a time, so earlier ones have
-        // ended.
-        for (auto& [other, view] : m_workers)
-        {
-            if (view.host == report.host &&
-                view.profile.life < report.profile.life)
-            {
-                view.left = true;
-            }
-        }
-        worker_view added;
-        // An earlier leader may have just granted a lease of any length.
-        added.lease_expires_at =
-            now + max_length_on_leader_clock(m_policy.longest);
-        added.clock_changed_at = now;
-        known = m_workers.insert_or_assign(id, std::move(added)).first;
+        add_incarnation(now, report);
+        known = m_workers.find(id);
     }
     auto& view = known->second;
     view.host = report.host;
     view.profile = std::move(report.profile);
     view.sidecar = report.sidecar;
     view.reported_at = now;
-    if (view.clock != report.clock)
+    view.has_newly_established = false;
+    auto const clock_before = view.clock;
+    view.is_silent = report.silent;
+    // A silent worker's clock may be read long before the first report of it
+    // that this leader gets.
+    if (!report.silent && view.clock != report.clock)
     {
         view.clock = report.clock;
         view.clock_changed_at = now;
@@ -77,25 +145,79 @@
     view.refused = std::move(report.refused);
     if (report.runs)
     {
-        view.has_runs = true;
-        view.running.clear();
-        for (auto& each : report.runs->running)
+        set_runs(view, std::move(*report.runs), clock_before);
+    }
+    return &view;
+}
+
+void worker_fleet::add_incarnation(core::time_point now,
+                                   core::runtime_report const& report)
+{
+    auto const& id = report.profile.worker;
+    worker_view added;
+    if (auto const* const before = find(id))
+    {
+        added.replaced = replaced_by(*before, report);
+    }
+    // Only one worker runs on an instance at a time, so earlier ones have
+    // ended.
+    for (auto& [other, view] : m_workers)
+    {
+        if (view.host == report.host && view.profile.life < report.profile.life)
         {
-            view.running.emplace(each.run, each);
+            view.has_crashed =
+                view.has_crashed || is_replaced_by_crash(view, report);
+            view.left = true;
         }
-        view.ended = std::move(report.runs->ended);
     }
-    return &view;
+    added.lease_expires_at = earlier_leases_expire_at();
+    added.clock_changed_at = now;
+    m_workers.insert_or_assign(id, std::move(added));
 }
 
-void worker_fleet::extend_lease(worker_view& worker) const
+bool worker_fleet::is_established(core::worker_id const& worker,
+                                  core::incarnation life,
+                                  core::task_run const& run) const
 {
-    auto const length = std::min(m_policy.length, m_policy.longest);
+    auto const* const view = find(worker);
+    if (view == nullptr)
+    {
+        return false;
+    }
+    if (view->replaced && view->replaced->life == life)
+    {
+        return view->replaced->established.contains(run);
+    }
+    return view->profile.life == life && is_established_in(*view, run);
+}
+
+bool worker_fleet::has_crashed(core::worker_id const& worker,
+                               core::incarnation life) const
+{
+    auto const* const view = find(worker);
+    if (view == nullptr)
+    {
+        return false;
+    }
+    if (view->replaced && view->replaced->life == life)
+    {
+        return view->replaced->has_crashed;
+    }
+    return view->profile.life == life && view->has_crashed;
+}
+
+void worker_fleet::extend_lease(worker_view& worker,
+                                core::duration recorded) const
+{
+    auto const granted =
+        recorded > core::duration{} ? std::min(length(), recorded) : length();
     worker.granted_until =
-        std::max(worker.granted_until, worker.clock + length);
+        std::max(worker.granted_until, worker.clock + granted);
+    // Counted from the first report with this reading: a sidecar repeats the
+    // last clock of a worker that doesn't answer.
     worker.lease_expires_at =
         std::max(worker.lease_expires_at,
-                 worker.reported_at + max_length_on_leader_clock(length));
+                 worker.clock_changed_at + max_length_on_leader_clock(granted));
 }
 
 worker_view* worker_fleet::find(core::worker_id const& worker)
@@ -127,8 +249,7 @@
     auto const* const view = find(worker);
     if (view == nullptr)
     {
-        // Earlier leaders can't have granted a lease after the election.
-        return now > m_elected + max_length_on_leader_clock(m_policy.longest);
+        return now > earlier_leases_expire_at();
     }
     if (view->profile.life != life)
     {
@@ -137,6 +258,15 @@
     return view->left || now > view->lease_expires_at;
 }
 
+core::run_end worker_fleet::end_with_worker(core::worker_id const& worker,
+                                            core::incarnation life,
+                                            core::task_run const& run) const
+{
+    return has_crashed(worker, life) && !is_established(worker, life, run)
+               ? core::run_end::crashed
+               : core::run_end::lost;
+}
+
 void worker_fleet::prune(
     core::time_point now,
     std::function<bool(core::worker_id const&)> const& has_runs)
--- a/modules/workflow/dispatch/worker_fleet.hpp
+++ b/modules/workflow/dispatch/worker_fleet.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace turmericswitch::workflow
@@ -15,11 +16,27 @@
 struct lease_policy
 {
     /// Longest lease that a worker accepts; longer ones are shortened to it.
+    /// Leaders that recorded no length may have granted it.
     core::duration longest = std::chrono::seconds(6);
     /// Length that the leader requests.
     core::duration length = std::chrono::seconds(6);
 };
 
+/// Time for which reports must list a run until it counts as established. A
+/// task that crashes its worker does so within milliseconds of its start; the
+/// rest covers workers that are slow.
+constexpr core::duration trial_time = std::chrono::milliseconds(500);
+
+/// The last known state of an incarnation that a later one under the same id
+/// has replaced.
+struct replaced_incarnation
+{
+    core::incarnation life;
+    /// True if the worker restarted without notice while its sidecar went on.
+    bool has_crashed = false;
+    std::set<core::task_run> established;
+};
+
 /// What the leader knows about one incarnation of a worker.
 struct worker_view
 {
@@ -33,6 +50,8 @@
     core::duration clock{};
     /// When the first report with this reading of the clock arrived.
     core::time_point clock_changed_at;
+    /// True if the worker did not answer its sidecar before the last report.
+    bool is_silent = false;
     /// End of the lease on the worker's clock.
     core::duration granted_until{};
     /// Time on the leader's clock at which the lease has certainly expired.
@@ -40,22 +59,35 @@
     /// False until a report contained the worker's runs.
     bool has_runs = false;
     std::map<core::task_run, core::running_task> running;
+    /// The worker's clock in the first report that listed each running run.
+    std::map<core::task_run, core::duration> listed_since;
+    /// True if the last report made a run established.
+    bool has_newly_established = false;
     /// Ended runs in the last report with runs.
     std::vector<core::ended_run> ended;
     /// Refused runs in the last report.
     std::vector<core::task_run> refused;
     /// True if the worker has shut down or was replaced on its instance.
     bool left = false;
+    /// True if another worker replaced it on its instance without notice while
+    /// the sidecar went on. After a restart of the whole instance it is false.
+    bool has_crashed = false;
+    std::optional<replaced_incarnation> replaced;
 };
 
 /// The leader's view of the workers, built from the reports of their sidecars.
 ///
 /// It is not replicated: a new leader rebuilds it from the next reports. Until
-/// a worker reports, the leader assumes that it has the longest possible lease.
+/// this leader grants a worker a lease, it assumes that an earlier leader
+/// granted the longest recorded one until the election.
 class worker_fleet
 {
 public:
-    worker_fleet(lease_policy policy, core::time_point elected);
+    /// @param recorded Longest lease that the replicated state recorded at the
+    ///        election; zero if none was recorded.
+    worker_fleet(lease_policy policy,
+                 core::duration recorded,
+                 core::time_point elected);
 
     /// Updates the view from a report. A report of an earlier incarnation than
     /// the known one is ignored.
@@ -69,7 +101,18 @@
     /// Leadership must have been confirmed after that report arrived. Otherwise
     /// a deposed leader could extend a lease whose expiry its successor has
     /// already waited for.
-    void extend_lease(worker_view& worker) const;
+    /// The lease is no longer than the recorded length.
+    ///
+    /// @param recorded Longest lease that the replicated state records now.
+    void extend_lease(worker_view& worker, core::duration recorded) const;
+
+    /// A longer length is recorded before a lease of this length is granted, a
+    /// shorter one after the longer leases of earlier leaders have expired.
+    ///
+    /// @param recorded Longest lease that the replicated state records now.
+    /// @return The length to record now; zero if nothing is to be recorded.
+    core::duration length_to_record(core::time_point now,
+                                    core::duration recorded) const;
 
     /// @return The view, or null.
     worker_view* find(core::worker_id const& worker);
@@ -85,6 +128,23 @@
                  core::worker_id const& worker,
                  core::incarnation life) const;
 
+    /// @return True if reports have listed the run for `trial_time`. A new
+    ///         leader sees no run as established at first.
+    bool is_established(core::worker_id const& worker,
+                        core::incarnation life,
+                        core::task_run const& run) const;
+
+    /// @return True if it is known that the incarnation crashed: it was
+    ///         replaced without notice.
+    bool has_crashed(core::worker_id const& worker,
+                     core::incarnation life) const;
+
+    /// @return How a run that ended with its worker ended: `crashed` if the
+    ///         worker crashed before the run was established, else `lost`.
+    core::run_end end_with_worker(core::worker_id const& worker,
+                                  core::incarnation life,
+                                  core::task_run const& run) const;
+
     /// Removes workers that left or stopped reporting.
     ///
     /// @param has_runs Returns true for workers that must be kept, because runs
@@ -94,8 +154,17 @@
 
 private:
     core::duration max_length_on_leader_clock(core::duration on_worker) const;
+    /// @return When all leases that earlier leaders may have granted have
+    ///         expired.
+    core::time_point earlier_leases_expire_at() const;
+
+    core::duration length() const;
+    void add_incarnation(core::time_point now,
+                         core::runtime_report const& report);
 
     lease_policy m_policy;
+    /// Longest lease that earlier leaders may have granted.
+    core::duration m_longest_earlier{};
     core::time_point m_elected;
     std::map<core::worker_id, worker_view> m_workers;
 };
--- a/modules/workflow/table/workflow_table.hpp
+++ b/modules/workflow/table/workflow_table.hpp
@@ -17,6 +17,11 @@
 /// How long the state of an ended workflow stays available to queries.
 constexpr core::duration final_retention = std::chrono::minutes(10);
 
+/// Crashes that are counted against a task before its workflow is given up. The
+/// first two may have happened before the start reached the worker; from the
+/// third on the task is isolated, so at least two workers crashed under it.
+constexpr std::uint32_t max_crashes = 4;
+
 /// A run that is placed on a worker and whose end is not committed yet. It
 /// reserves capacity there.
 struct held_run
@@ -50,8 +55,9 @@
     core::command_reply cancel(core::cancel_workflow const& command,
                                core::time_point now);
 
-    /// Applies ends, checkpoints and placements, in this order. Parts that no
-    /// longer match the table are ignored and counted.
+    /// Applies ends, checkpoints and placements, in this order, and records the
+    /// longest lease. Parts that no longer match the table are ignored and
+    /// counted.
     void progress(core::workflow_progress const& command, core::time_point now);
 
     /// Removes workflows that ended more than `final_retention` ago and have no
@@ -127,11 +133,19 @@
     /// @return Number of command parts that did not match the table.
     std::uint64_t ignored_parts() const noexcept;
 
+    /// @return Longest lease that a leader may have granted to a worker; zero
+    ///         if none was recorded.
+    core::duration longest_lease() const noexcept;
+
     /// @return All workflows, for a snapshot.
     std::vector<core::workflow_record> records() const;
 
     /// Replaces the table by the workflows of a snapshot.
-    void restore(std::vector<core::workflow_record> records);
+    ///
+    /// @param longest_lease As returned by `longest_lease` when the snapshot
+    ///        was made.
+    void restore(std::vector<core::workflow_record> records,
+                 core::duration longest_lease);
 
 private:
     core::stage_record& stage_record(core::workflow_record& workflow,
@@ -146,6 +160,10 @@
     void apply_failure(core::workflow_record& workflow,
                        core::stage_record const& stage,
                        core::time_point now);
+    void apply_crash(core::workflow_record& workflow,
+                     core::stage_record& stage,
+                     core::task_ref const& task,
+                     core::time_point now);
     void end(core::workflow_record& workflow,
              core::workflow_state state,
              core::time_point now,
@@ -156,6 +174,7 @@
     void add_changed_workers(core::workflow_record const& workflow);
 
     std::map<core::workflow_id, core::workflow_record> m_workflows;
+    core::duration m_longest_lease{};
     std::uint64_t m_ignored_parts = 0;
 
     // Derived from the workflows.
--- a/modules/workflow/tests/dispatch_simulation.cpp
+++ b/modules/workflow/tests/dispatch_simulation.cpp
@@ -10,26 +10,28 @@
 
 constexpr core::duration fault_phase = std::chrono::seconds(40);
 constexpr core::duration recovery_phase = std::chrono::seconds(60);
-constexpr std::size_t worker_count = 4;
+/// Isolated tasks run one after the other on a fleet of this size, and a worker
+/// that one of them crashes is down for up to 5 s.
+constexpr core::duration recovery_after_crashes = std::chrono::seconds(180);
 
 } // namespace
 
-dispatch_simulation::dispatch_simulation(std::uint64_t seed)
-    : m_random(core::seeded_random(seed)),
-      m_no_workers({}, {}),
+dispatch_simulation::dispatch_simulation(std::uint64_t seed,
+                                         simulation_setup const& setup)
+    : m_setup(setup),
+      m_random(core::seeded_random(seed)),
+      m_no_workers({}, {}, {}),
       m_backlog(m_table, m_no_run_times, m_no_workers)
 {
     m_now = core::time_point(std::chrono::seconds(100));
     m_config.document.queues.push_back(queue());
-    for (std::size_t i = 0; i < worker_count; ++i)
+    for (std::size_t i = 0; i < m_setup.workers; ++i)
     {
         auto worker = std::make_unique<worker_host>(
             "w" + std::to_string(i),
-            [this](core::task_run const&)
-            {
-                return ::turmericswitch::testing::runtime_model::task_plan{
-                    between_ms(100, 3000), chance(10)};
-            });
+            m_setup.leases.longest,
+            [this, i](core::task_run const& run)
+            { return plan_task(*m_hosts[i], run); });
         worker->model.begin_life(m_now);
         worker->worker_life = ++m_last_life;
         m_hosts.push_back(std::move(worker));
@@ -43,6 +45,24 @@
 
 dispatch_simulation::~dispatch_simulation() = default;
 
+::turmericswitch::testing::runtime_model::task_plan
+dispatch_simulation::plan_task(worker_host const& host,
+                               core::task_run const& run)
+{
+    if (host.fails_tasks)
+    {
+        return {between_ms(20, 200), true};
+    }
+    auto const* const about = m_table.find_stage(run.task);
+    if (about != nullptr && about->behaviour.long_running)
+    {
+        bool const fails = chance(20);
+        return {fails ? between_ms(200, 20'000) : core::duration::max() / 2,
+                fails};
+    }
+    return {between_ms(100, 3000), chance(10)};
+}
+
 std::uint64_t dispatch_simulation::random_below(std::uint64_t limit)
 {
     return core::random_below(m_random, limit);
@@ -82,7 +102,9 @@
         m_leader->is_deposed = true;
         m_deposed.push_back(m_leader);
     }
-    m_leader = std::make_shared<leader>(m_table, ++m_term, m_now);
+    m_leader =
+        std::make_shared<leader>(m_table, m_setup.leases, ++m_term, m_now);
+    m_elected_at = m_now;
     plan(m_leader);
 }
 
@@ -115,9 +137,13 @@
         }
     }
     check_backlog();
-    auto const due = target->work.workers_with_orders(m_now);
+    auto& announced = target->announced;
     for (auto& poll : std::exchange(target->polls, {}))
     {
+        // Orders to one worker may withdraw gang members on others, which are
+        // announced for the next round if their poll was served before.
+        announced.merge(target->work.workers_with_orders(m_now));
+        bool const is_announced = announced.erase(poll.request.worker) > 0;
         auto orders = target->work.take_orders(
             m_now, poll.request.worker, poll.request.life);
         if (orders.batch == 0)
@@ -128,7 +154,7 @@
         }
         // Orders that became due before the poll arrived are not announced
         // again.
-        if (!poll.is_new && !due.contains(poll.request.worker))
+        if (!poll.is_new && !is_announced)
         {
             fail("orders for " + poll.request.worker.value() +
                  " that nothing announced");
@@ -148,22 +174,18 @@
     worker_host& host, std::function<void(bool answered)> const& run)
 {
     auto const life = host.model.life();
-    auto const execute = [this, &host, run, life](bool answered)
+    // A call names the incarnation that it is for; another one does nothing.
+    auto const execute = [&host, run, life](bool answered)
     {
-        bool const is_there = !host.is_down && host.model.life() == life;
-        run(answered && is_there);
+        if (!host.is_down && host.model.life() == life)
+        {
+            run(answered);
+        }
     };
     if (!m_faults_off && chance(host.unanswered))
     {
         // Executed late, after the caller's timeout.
-        schedule(between_ms(2000, 12000),
-                 [this, &host, run, life]
-                 {
-                     if (!host.is_down && host.model.life() == life)
-                     {
-                         run(false);
-                     }
-                 });
+        schedule(between_ms(2000, 12000), [execute] { execute(false); });
         return;
     }
     schedule(between_ms(1, 5), [execute] { execute(true); });
@@ -201,33 +223,56 @@
                  [finish, timeout] { finish(timeout); });
         return finish;
     };
-    auto const expected = host.worker_life;
-    hooks.runtime.start = [this, &host, once](auto call, auto done)
+    // Calls name the incarnation that registered last; others refuse them.
+    auto const registered_life = [&host]
+    { return host.agent->profile()->life.value(); };
+    hooks.runtime.start =
+        [this, &host, once, registered_life](auto call, auto done)
     {
+        auto const expected = registered_life();
         auto const finish = once(done, start_outcome::unknown);
         call_worker(host,
-                    [this, &host, call, finish](bool answered)
+                    [this, &host, call, finish, expected, called_at = m_now](
+                        bool answered)
                     {
                         if (host.is_down)
                         {
                             return;
                         }
+                        if (host.worker_life != expected)
+                        {
+                            finish(start_outcome::wrong_incarnation);
+                            return;
+                        }
+                        host.model.advance(m_now);
+                        auto const before = host.model.running().size();
                         auto const outcome = host.model.start(m_now, call);
+                        if (host.model.running().size() > before)
+                        {
+                            check_start(host, called_at);
+                        }
                         if (answered)
                         {
                             finish(outcome);
                         }
                         check();
+                        if (outcome == start_outcome::started)
+                        {
+                            started(host, call.start.run);
+                        }
                     });
     };
-    hooks.runtime.stop = [this, &host, once](auto call, auto done)
+    hooks.runtime.stop =
+        [this, &host, once, registered_life](auto call, auto done)
     {
+        auto const expected = registered_life();
         auto const finish = once(done, false);
         call_worker(host,
-                    [this, &host, call, finish](bool answered)
+                    [this, &host, call, finish, expected](bool answered)
                     {
-                        bool const done_there =
-                            !host.is_down && host.model.stop(m_now, call);
+                        bool const done_there = !host.is_down &&
+                                                host.worker_life == expected &&
+                                                host.model.stop(m_now, call);
                         if (answered)
                         {
                             finish(done_there);
@@ -235,13 +280,15 @@
                     });
     };
     hooks.runtime.pace = [](auto, auto done) { done(true); };
-    hooks.runtime.sync = [this, &host, once, expected](auto call, auto done)
+    hooks.runtime.sync =
+        [this, &host, once, registered_life](auto call, auto done)
     {
+        auto const expected = registered_life();
         auto const finish = once(done, std::optional<sync_result>());
         call_worker(host,
                     [this, &host, call, finish, expected](bool answered)
                     {
-                        if (host.is_down)
+                        if (host.is_down || host.worker_life != expected)
                         {
                             return;
                         }
@@ -252,7 +299,7 @@
                             // simulation across all workers.
                             answer->life = core::incarnation(host.worker_life);
                         }
-                        if (answered && host.worker_life == expected)
+                        if (answered)
                         {
                             finish(answer);
                         }
@@ -347,8 +394,7 @@
         }
         if (!host.is_down)
         {
-            host.agent->registered(
-                profile(host.name, worker_millicores, host.worker_life));
+            host.agent->registered(profile_of(host));
         }
         schedule(std::chrono::milliseconds(500), *announce);
     };
@@ -371,11 +417,13 @@
         description.constraints.max_per_worker =
             static_cast<std::uint32_t>(random_below(3));
         description.behaviour.gang = chance(10);
+        vary_needs(description);
         stages.push_back(std::move(description));
     }
-    m_table.submit(submission("j" + std::to_string(++m_submitted), stages),
-                   queue(),
-                   m_now);
+    auto const job =
+        submission("j" + std::to_string(++m_submitted), std::move(stages));
+    choose_deadly_task(job);
+    m_table.submit(job, queue(), m_now);
 }
 
 void dispatch_simulation::cancel_one()
@@ -403,6 +451,10 @@
         schedule(between_ms(100, 6000),
                  [this, &host]
                  {
+                     if (host.is_gone)
+                     {
+                         return;
+                     }
                      host.is_down = false;
                      host.model.begin_life(m_now);
                      host.worker_life = ++m_last_life;
@@ -414,6 +466,7 @@
         break;
     case 3:
         host.is_partitioned = true;
+        ++host.partitions;
         schedule(between_ms(500, 8000),
                  [&host] { host.is_partitioned = false; });
         break;
@@ -427,6 +480,17 @@
     }
 }
 
+void dispatch_simulation::run_events(core::time_point until)
+{
+    while (!m_events.empty() && m_violation.empty() && m_now < until)
+    {
+        auto next = m_events.top();
+        m_events.pop();
+        m_now = next.at;
+        next.run();
+    }
+}
+
 std::string dispatch_simulation::simulate()
 {
     auto const started_at = m_now;
@@ -445,6 +509,10 @@
                      {
                          inject_fault();
                      }
+                     if (chance(15))
+                     {
+                         shrink_one();
+                     }
                  });
     }
     schedule(fault_phase,
@@ -455,17 +523,14 @@
                  {
                      each->unanswered = 0;
                      each->is_partitioned = false;
+                     set_capacity(*each, full_capacity());
                  }
              });
-    while (!m_events.empty() && m_violation.empty() &&
-           m_now < started_at + fault_phase + recovery_phase)
-    {
-        auto next = m_events.top();
-        m_events.pop();
-        m_now = next.at;
-        next.run();
-    }
+    auto const recovery =
+        m_setup.deadly_percent > 0 ? recovery_after_crashes : recovery_phase;
+    run_events(started_at + fault_phase + recovery);
     check();
+    check_failed_jobs();
     if (m_violation.empty() && !m_table.active().empty())
     {
         fail(describe(*m_table.active().begin()) + " does not end");
--- a/modules/workflow/tests/dispatch_simulation.hpp
+++ b/modules/workflow/tests/dispatch_simulation.hpp
@@ -7,26 +7,39 @@
 #include "workflow_builder.hpp"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <queue>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace turmericswitch::workflow::testing
 {
 
+struct simulation_setup
+{
+    lease_policy leases{std::chrono::seconds(9), std::chrono::seconds(9)};
+    std::size_t workers = 4;
+    /// Share of jobs with a task that crashes each worker that starts it, in
+    /// percent.
+    std::uint64_t deadly_percent = 0;
+};
+
 /// Leaders, sidecars and workers in simulated time.
 /// Data that the dispatcher updates by changes is compared at every step with
 /// the same data derived from the whole table.
 ///
 /// Injected faults are calls that are lost, not answered, or executed seconds
 /// late, deposed leaders that keep sending orders, restarts of workers and
-/// sidecars, and network partitions. A commit takes a random delay; those of a
-/// deposed leader fail.
+/// sidecars, network partitions, and workers whose capacity shrinks and grows.
+/// A commit takes a random delay; those of a deposed leader fail.
 class dispatch_simulation
 {
 public:
-    explicit dispatch_simulation(std::uint64_t seed);
+    explicit dispatch_simulation(std::uint64_t seed,
+                                 simulation_setup const& setup = {});
     ~dispatch_simulation();
 
     /// Runs 40 s with submissions and faults, and 60 s without. Stops at the
@@ -35,9 +48,23 @@
     /// @return The violation, or an empty string.
     std::string simulate();
 
+    /// Runs long-running workflows beside batch, with short phases of faults
+    /// and long phases without. In addition to the other faults, workers
+    /// disappear for good or fail every task for some seconds.
+    ///
+    /// Adds the invariant that a long-running task runs again within 9 s if
+    /// two workers have had room for it in the last 3 s and no fault was
+    /// active in the last 7 s.
+    ///
+    /// @return The violation, or an empty string.
+    std::string simulate_long_running();
+
     /// @return Number of completed jobs.
     std::size_t completed() const;
 
+    /// @return Number of workers that tasks crashed.
+    std::size_t crashes() const noexcept;
+
 private:
     struct leader;
     struct worker_host;
@@ -57,6 +84,9 @@
     };
 
     void schedule(core::duration delay, task run);
+    void run_events(core::time_point until);
+    ::turmericswitch::testing::runtime_model::task_plan
+    plan_task(worker_host const& host, core::task_run const& run);
     std::uint64_t random_below(std::uint64_t limit);
     bool chance(std::uint64_t percent);
     core::duration between_ms(std::uint64_t lowest, std::uint64_t highest);
@@ -70,13 +100,51 @@
     void submit();
     void cancel_one();
     void inject_fault();
+    /// Shrinks the capacity of a worker for some seconds.
+    void shrink_one();
+    void set_capacity(worker_host& host, core::resources const& capacity);
+    core::worker_profile profile_of(worker_host const& host) const;
+    /// Gives some stages of random jobs needs for memory and accelerators, and
+    /// makes some of them use only spare CPU.
+    void vary_needs(core::stage_description& stage);
+    /// @return The tasks that run or are being stopped on the worker.
+    core::resources used_on(worker_host const& host) const;
+    /// Checks that a start that was just executed has not brought the worker
+    /// over its capacity.
+    void check_start(worker_host const& host, core::time_point called_at);
     void check();
+
+    // crash_checks.cpp
+    void choose_deadly_task(core::submit_workflow const& job);
+    /// Handles a start that the worker took, and crashes it if the task is
+    /// deadly.
+    void started(worker_host& host, core::task_run const& run);
+    void crash(worker_host& host, core::task_ref const& cause);
+    void check_failed_jobs();
+
     /// Compares the backlog that is updated by changes with one that is derived
     /// from the whole table.
     void check_backlog();
     std::string describe(core::workflow_id const& id) const;
     void fail(std::string what);
 
+    void submit_long_running();
+    void inject_lasting_fault();
+    /// Makes all tasks that start on a worker fail for some seconds.
+    void fail_tasks(worker_host& host);
+    /// Removes a worker for good; two thirds of the workers always stay.
+    void remove_worker(worker_host& host);
+    void schedule_fault_phase(core::duration begin);
+    void end_faults();
+    void check_long_running();
+    void check_task(core::task_ref const& ref);
+    /// @return True if the worker works and has capacity for another task of
+    ///         the stage besides what it is executing.
+    bool has_room(worker_host const& host,
+                  stage_ref const& ref,
+                  core::stage_description const& stage) const;
+
+    simulation_setup m_setup;
     core::random_source m_random;
     core::time_point m_now;
     std::uint64_t m_order = 0;
@@ -93,7 +161,24 @@
     std::uint64_t m_submitted = 0;
     std::uint64_t m_last_life = 0;
     bool m_faults_off = false;
+    std::uint64_t m_long_running = 0;
+    std::size_t m_removed_workers = 0;
+    /// End of the last injected fault.
+    core::time_point m_last_fault;
+    /// When each long-running task was executing last, or was first seen.
+    std::map<core::task_ref, core::time_point> m_last_run;
+    /// Since when each worker has had room for a task of each stage.
+    std::map<std::pair<stage_ref, std::string>, core::time_point> m_room_since;
     std::string m_violation;
+    /// Tasks that crash each worker that starts them.
+    std::set<core::task_ref> m_deadly;
+    /// Number of crashes with the task on the worker.
+    std::map<core::task_ref, std::uint32_t> m_crashes_under;
+    /// Number of crashes that the leader could see, by the task that caused
+    /// them.
+    std::map<core::task_ref, std::uint32_t> m_seen_crashes;
+    std::size_t m_crashes = 0;
+    core::time_point m_elected_at;
 };
 
 } // namespace turmericswitch::workflow::testing
