Planner: only isolated tasks wait for a worker of their own

Callers could see tasks wait for another task of their stage: while no further worker may be closed, the whole stage of an isolated task was passed over. Change: its other tasks are placed as usual; a gang still waits as a whole. Found by review. other_tasks_of_the_stage_do_not_wait failed before (2 tasks fewer placed), workflow_tests pass (133).

--- a/modules/workflow/dispatch/stage_planner.cpp
+++ b/modules/workflow/dispatch/stage_planner.cpp
@@ -348,6 +348,7 @@
             std::vector<candidate_worker*> const& candidates,
             std::size_t max_tasks,
             tail_hook const& tail,
+            bool may_isolate = true,
             saved_workers* saved = nullptr)
 {
     if (pending.suspected.empty())
@@ -360,6 +361,10 @@
                                  crash_suspicion::spread,
                                  crash_suspicion::none})
     {
+        if (suspicion == crash_suspicion::isolated && !may_isolate)
+        {
+            continue;
+        }
         auto const more = place_equal_tasks(pending,
                                             suspicion,
                                             candidates,
@@ -443,7 +448,8 @@
         return {};
     }
     saved_workers saved;
-    auto placed = place_tasks(pending, candidates, max_tasks, tail, &saved);
+    auto placed =
+        place_tasks(pending, candidates, max_tasks, tail, true, &saved);
     if (placed.size() < pending.runs.size())
     {
         for (auto& [worker, before] : saved)
@@ -560,14 +566,18 @@
             break;
         }
         bool const is_isolated = has_isolated(*each);
-        if (is_isolated && !may_isolate(candidates))
+        bool const may_place_isolated = !is_isolated || may_isolate(candidates);
+        bool const is_gang = each->description->behaviour.gang;
+        if (is_gang && !may_place_isolated)
         {
             continue;
         }
-        auto const placed = each->description->behaviour.gang
-                                ? place_gang(*each, candidates, left, tail)
-                                : place_tasks(*each, candidates, left, tail);
-        if (is_isolated && has_unplaced_isolated(*each, placed))
+        auto const placed =
+            is_gang ? place_gang(*each, candidates, left, tail)
+                    : place_tasks(
+                          *each, candidates, left, tail, may_place_isolated);
+        if (is_isolated && may_place_isolated &&
+            has_unplaced_isolated(*each, placed))
         {
             close_worker(*each, candidates);
         }
--- a/modules/workflow/tests/crash_isolation_test.cpp
+++ b/modules/workflow/tests/crash_isolation_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(isolated_task_prefers_the_worker_with_the_fewest_runs);
     CPPUNIT_TEST(waiting_isolated_task_closes_one_worker);
     CPPUNIT_TEST(isolated_tasks_leave_most_workers_open);
+    CPPUNIT_TEST(other_tasks_of_the_stage_do_not_wait);
     CPPUNIT_TEST(task_of_a_gang_is_isolated_with_its_gang);
     CPPUNIT_TEST_SUITE_END();
 
@@ -110,6 +111,21 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{4}, plan().size());
     }
 
+    // Guards against tasks that wait because another task of their stage must
+    // be isolated and no worker may be closed for it.
+    void other_tasks_of_the_stage_do_not_wait()
+    {
+        add_workers(2);
+        add("a", 2);
+        add("b", 2, 3);
+        m_pending.back().suspected.erase(run_of("b", 0, 0));
+        m_pending.back().suspected.erase(run_of("b", 0, 1));
+        auto const placed = plan();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, placed.size());
+        CPPUNIT_ASSERT(placed[1].run == run_of("b", 0, 0));
+        CPPUNIT_ASSERT(placed[2].run == run_of("b", 0, 1));
+    }
+
     // A gang starts as a whole, so its other members may be beside it.
     void task_of_a_gang_is_isolated_with_its_gang()
     {
