Sidecar: poll a silent worker without a wait, report silence until answered

Callers could see a worker that is back stay without tasks for a second: the sync call after the report of its silence waited for an end. A report of its silence that was lost was repeated only by chance. Change: sync calls to a silent worker do not wait, and the report is due until the leader has answered it, as for a changed profile.

--- a/modules/workflow/agent/worker_agent.cpp
+++ b/modules/workflow/agent/worker_agent.cpp
@@ -91,7 +91,7 @@
     }
     if (is_changed)
     {
-        m_profile_due = true;
+        m_report_due = true;
         send_report();
     }
     return true;
@@ -123,8 +123,8 @@
     m_silent = false;
     m_reporting = false;
     m_report_again = false;
-    m_profile_due = false;
-    m_reporting_profile = false;
+    m_report_due = false;
+    m_reporting_due = false;
     m_polling = false;
     m_received_batch = 0;
     // The grant for the first report has the fencing token that sync calls
@@ -244,7 +244,8 @@
         // no lease. A changed profile is worth another report, because orders
         // that the worker executes late must fit its capacity.
         bool const was_silent = std::exchange(m_silent, true);
-        if (!m_left && (!was_silent || (!answer && m_profile_due)))
+        m_report_due = m_report_due || !was_silent;
+        if (m_report_due && !m_left)
         {
             send_report();
         }
@@ -303,7 +304,7 @@
     }
     m_reporting = true;
     m_report_again = false;
-    m_reporting_profile = std::exchange(m_profile_due, false);
+    m_reporting_due = std::exchange(m_report_due, false);
     core::runtime_report report;
     report.host = m_options.host;
     report.profile = *m_profile;
@@ -342,7 +343,7 @@
     set_leader_reached(grant.has_value());
     if (!grant || grant->fencing_token < m_fencing_token)
     {
-        m_profile_due = m_profile_due || m_reporting_profile;
+        m_report_due = m_report_due || m_reporting_due;
         m_hooks.after(retry_pause,
                       [this, epoch]
                       {
@@ -377,9 +378,10 @@
     }
     else
     {
-        // The leader places nothing on a worker until a report has its runs, so
-        // the first sync call must not wait.
-        sync_worker(m_runs ? m_options.sync_interval : core::duration{});
+        // The leader places nothing on a worker until a report has its runs, or
+        // while it is silent, so these sync calls must not wait.
+        bool const may_wait = m_runs && !m_silent;
+        sync_worker(may_wait ? m_options.sync_interval : core::duration{});
     }
 }
 
--- a/modules/workflow/agent/worker_agent.hpp
+++ b/modules/workflow/agent/worker_agent.hpp
@@ -163,10 +163,11 @@
     bool m_silent = false;
     bool m_reporting = false;
     bool m_report_again = false;
-    /// True while no report with the present capacity and labels was sent.
-    bool m_profile_due = false;
-    /// True if the report that is in progress has a changed profile.
-    bool m_reporting_profile = false;
+    /// True while the leader has not answered a report of a changed profile or
+    /// of a worker that became silent.
+    bool m_report_due = false;
+    /// True if the report that is in progress has such a change.
+    bool m_reporting_due = false;
     bool m_polling = false;
     std::uint64_t m_received_batch = 0;
     std::size_t m_open_calls = 0;
--- a/modules/workflow/tests/worker_agent_test.cpp
+++ b/modules/workflow/tests/worker_agent_test.cpp
@@ -32,6 +32,8 @@
     CPPUNIT_TEST(start_events_identify_the_task);
     CPPUNIT_TEST(only_ends_in_the_grant_are_acknowledged);
     CPPUNIT_TEST(silent_worker_gets_no_starts);
+    CPPUNIT_TEST(lost_report_of_a_silent_worker_is_repeated);
+    CPPUNIT_TEST(recovery_of_a_silent_worker_is_noticed_without_a_wait);
     CPPUNIT_TEST(changed_capacity_is_reported_at_once);
     CPPUNIT_TEST(changed_capacity_of_a_silent_worker_is_reported);
     CPPUNIT_TEST(overtaken_registration_is_ignored);
@@ -106,6 +108,33 @@
         CPPUNIT_ASSERT(!last_report().silent);
     }
 
+    // Guards against a leader that goes on placing tasks on a silent worker
+    // because the one report of it was lost.
+    void lost_report_of_a_silent_worker_is_repeated()
+    {
+        start_up();
+        answer(m_syncs, std::optional<sync_result>());
+        answer(m_reports, std::optional<core::runtime_grant>());
+        CPPUNIT_ASSERT(m_reports.empty());
+        run_delayed();
+        answer(m_syncs, std::optional<sync_result>());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_reports.size());
+        CPPUNIT_ASSERT(last_report().silent);
+    }
+
+    // A sync call that waits for an end would leave the worker without tasks
+    // for another second.
+    void recovery_of_a_silent_worker_is_noticed_without_a_wait()
+    {
+        start_up();
+        answer(m_syncs, std::optional(sync_result{}));
+        grant(1);
+        answer(m_syncs, std::optional<sync_result>());
+        grant(1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_syncs.size());
+        CPPUNIT_ASSERT(m_syncs.front().call.wait == core::duration{});
+    }
+
     // Guards against a start that a restarted worker gets in its next
     // incarnation, and against calls to a worker that refuses connections.
     void silent_worker_gets_no_starts()
