Leader: no eviction towards a quarantined worker

The search for a place for a stalled task also offered quarantined workers, which take only long-running tasks that fit nowhere else; such a task could be evicted from a healthy worker. Found by review, no test of its own.

--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -253,7 +253,7 @@
             auto elsewhere = workers;
             std::erase_if(elsewhere,
                           [&worker](candidate_worker const* each)
-                          { return each->worker == worker; });
+                          { return each->worker == worker || each->is_trial; });
             auto const found =
                 plan_stages({&moved}, elsewhere, 1, make_tail_hook());
             if (found.empty())
