Leader: record the length of leases in an entry of its own

Callers could see a task run twice during a rolling upgrade: a control member of an earlier release can't read the entry that records the length and skips it, with the placements and ends that it carried. Change: the length is proposed alone, so a member that skips it loses no placement.

--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -324,13 +324,18 @@
 dispatcher::plan(plan_times const& times, core::configuration const& config)
 {
     core::workflow_progress command;
+    command.longest_lease =
+        m_fleet.length_to_record(times.now, m_table.longest_lease());
+    if (command.longest_lease > core::duration{})
+    {
+        // Alone: members of an earlier release skip an entry with this member.
+        return command;
+    }
     m_ends.collect(times.now, command);
     if (take_placement_due(times, config))
     {
         place_tasks(times, config, command);
     }
-    command.longest_lease =
-        m_fleet.length_to_record(times.now, m_table.longest_lease());
     if (command == core::workflow_progress{})
     {
         return std::nullopt;
