Leader: a report without lists has no clock

Callers could see long-running tasks wait: a sidecar that has just started reports before it has heard from its worker, and the leader took its clock of zero for a new reading and counted the lease anew.

--- a/modules/workflow/dispatch/worker_fleet.cpp
+++ b/modules/workflow/dispatch/worker_fleet.cpp
@@ -135,8 +135,8 @@
     auto const clock_before = view.clock;
     view.is_silent = report.silent;
     // A silent worker's clock may be read long before the first report of it
-    // that this leader gets.
-    if (!report.silent && view.clock != report.clock)
+    // that this leader gets. A sidecar that has just started has no reading.
+    if (!report.silent && report.runs && view.clock != report.clock)
     {
         view.clock = report.clock;
         view.clock_changed_at = now;
