Leader: give up runs on an incarnation that it never heard of

Callers could see a task that never runs again: a new leader that got only a late report of a worker's earlier incarnation kept the runs of the later one for ever. Change: they end when the leases of earlier leaders have expired; this leader has granted that incarnation nothing.

--- a/modules/workflow/dispatch/worker_fleet.cpp
+++ b/modules/workflow/dispatch/worker_fleet.cpp
@@ -253,7 +253,9 @@
     }
     if (view->profile.life != life)
     {
-        return life < view->profile.life;
+        // An earlier leader knew the later incarnation; this one has granted
+        // it nothing.
+        return life < view->profile.life || now > earlier_leases_expire_at();
     }
     return view->left || now > view->lease_expires_at;
 }
--- a/modules/workflow/tests/dispatcher_test.cpp
+++ b/modules/workflow/tests/dispatcher_test.cpp
@@ -31,6 +31,9 @@
     CPPUNIT_TEST(task_that_crashes_workers_fails_its_workflow);
     CPPUNIT_TEST(only_runs_not_yet_seen_at_work_are_suspected);
     CPPUNIT_TEST(restart_after_a_notice_or_of_the_instance_is_no_crash);
+    CPPUNIT_TEST(lease_is_recorded_apart_from_placements);
+    CPPUNIT_TEST(run_on_an_unknown_later_incarnation_is_lost_after_its_lease);
+    CPPUNIT_TEST(report_without_a_clock_postpones_no_loss);
     CPPUNIT_TEST(silent_worker_gets_no_tasks);
     CPPUNIT_TEST(report_of_a_silent_worker_postpones_no_loss);
     CPPUNIT_TEST(draining_worker_and_evacuated_zone_get_no_tasks);
@@ -196,7 +199,7 @@
         elect({std::chrono::seconds(10), std::chrono::seconds(9)});
         report({});
         CPPUNIT_ASSERT(grant().lease_until == std::chrono::seconds(56));
-        commit();
+        commit_record();
         CPPUNIT_ASSERT(m_table.longest_lease() == std::chrono::seconds(9));
         CPPUNIT_ASSERT(grant().lease_until == std::chrono::seconds(59));
     }
@@ -210,7 +213,7 @@
         m_now += std::chrono::milliseconds(10'400);
         CPPUNIT_ASSERT(!plan());
         m_now += std::chrono::milliseconds(100);
-        commit();
+        commit_record();
         CPPUNIT_ASSERT(m_table.longest_lease() == std::chrono::seconds(6));
         CPPUNIT_ASSERT(!plan());
     }
@@ -262,6 +265,55 @@
         CPPUNIT_ASSERT(command->ends.front().how == core::run_end::lost);
     }
 
+    // A member of an earlier release skips the entry that records the lease.
+    // Guards against placements and ends that it would skip with it.
+    void lease_is_recorded_apart_from_placements()
+    {
+        record_lease(std::chrono::seconds(6));
+        elect({std::chrono::seconds(10), std::chrono::seconds(9)});
+        submit();
+        report({});
+        grant();
+        commit_record();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, plan()->placements.size());
+    }
+
+    // The new leader gets only a late report of the worker's incarnation before
+    // the one that an earlier leader used. Guards against a run that is then
+    // never given up.
+    void run_on_an_unknown_later_incarnation_is_lost_after_its_lease()
+    {
+        submit();
+        core::workflow_progress by_earlier;
+        by_earlier.placements = {placed(run_of("a", 0, 0), "w1", 2)};
+        m_table.progress(by_earlier, m_now);
+        report({});
+        CPPUNIT_ASSERT(!plan());
+        m_now += std::chrono::seconds(15);
+        auto const command = plan();
+        CPPUNIT_ASSERT(command.has_value());
+        CPPUNIT_ASSERT(command->ends.front().how == core::run_end::lost);
+    }
+
+    // A sidecar that has just started knows no clock of its worker. Guards
+    // against counting the lease anew from its first report.
+    void report_without_a_clock_postpones_no_loss()
+    {
+        start_one();
+        grant();
+        m_now += std::chrono::milliseconds(6000);
+        core::runtime_report first;
+        first.host = core::instance_id("host");
+        first.sidecar = core::incarnation(99);
+        first.profile = profile("w1");
+        m_dispatcher->report(m_now, std::move(first));
+        grant();
+        m_now += std::chrono::milliseconds(500);
+        auto const command = plan();
+        CPPUNIT_ASSERT(command.has_value());
+        CPPUNIT_ASSERT(command->ends.front().how == core::run_end::lost);
+    }
+
     // Guards against tasks that are placed for seconds on a worker that has
     // crashed, although its sidecar knows that it doesn't answer.
     void silent_worker_gets_no_tasks()
@@ -808,12 +860,38 @@
         return m_table.find(core::workflow_id(id))->state;
     }
 
-    std::optional<core::workflow_progress> plan()
+    std::optional<core::workflow_progress> plan_once()
     {
         return m_dispatcher->plan({m_now, m_now + m_cluster_ahead, m_wall},
                                   m_config);
     }
 
+    /// Commits the command that records the length of leases.
+    void commit_record()
+    {
+        auto const command = plan_once();
+        CPPUNIT_ASSERT(command.has_value());
+        core::workflow_progress expected;
+        expected.longest_lease = command->longest_lease;
+        CPPUNIT_ASSERT(expected.longest_lease > core::duration{});
+        CPPUNIT_ASSERT(*command == expected);
+        m_table.progress(*command, m_now);
+        m_dispatcher->applied(m_now, *command);
+    }
+
+    /// Plans the work. A length of leases that must be recorded comes first.
+    std::optional<core::workflow_progress> plan()
+    {
+        auto command = plan_once();
+        if (command && command->longest_lease > core::duration{})
+        {
+            m_table.progress(*command, m_now);
+            m_dispatcher->applied(m_now, *command);
+            command = plan_once();
+        }
+        return command;
+    }
+
     void commit()
     {
         auto const command = plan();
