--- a/modules/core/messages/workflow.hpp
+++ b/modules/core/messages/workflow.hpp
@@ -251,8 +251,8 @@
     std::vector<run_outcome> ends;
     std::vector<run_checkpoint> checkpoints;
     std::vector<run_placement> placements;
-    /// From now on no leader has granted a lease that is still valid and longer
-    /// than this. Zero leaves the recorded length as it is.
+    /// Upper bound of all leases that are valid or may be granted from now on.
+    /// Zero leaves the recorded length as it is.
     duration longest_lease{};
 
     bool operator==(workflow_progress const&) const = default;
--- a/modules/workflow/dispatch/dispatch_events.hpp
+++ b/modules/workflow/dispatch/dispatch_events.hpp
@@ -19,7 +19,7 @@
 struct lost_runs
 {
     std::uint64_t all = 0;
-    /// Those that reports had not listed for `trial_time`.
+    /// Those that reports had not listed for `establishment_time`.
     std::uint64_t not_established = 0;
     /// True if the worker is known to have crashed.
     bool has_crashed = false;
@@ -59,7 +59,7 @@
                              worker_view const* view);
 
 /// @param since_placed `nullopt` for a run that an earlier leader placed.
-/// @param established Whether the run had been listed for `trial_time`;
+/// @param established Whether the run had been listed for `establishment_time`;
 ///        `nullopt` for a run that did not end with its worker.
 core::event run_ended_event(core::run_outcome const& outcome,
                             std::optional<core::duration> since_placed,
--- a/modules/workflow/dispatch/stage_planner.cpp
+++ b/modules/workflow/dispatch/stage_planner.cpp
@@ -83,7 +83,8 @@
 
 /// @return True if all runs there that are not established belong to the
 ///         workflow, which fails as a whole if one of its tasks does.
-bool has_only(candidate_worker const& worker, core::workflow_id const& workflow)
+bool has_no_new_run_of_others(candidate_worker const& worker,
+                              core::workflow_id const& workflow)
 {
     auto const& runs = worker.not_established;
     return runs.size() == runs.count(workflow);
@@ -284,7 +285,8 @@
         bool const is_isolated =
             m_placement.suspicion == crash_suspicion::isolated;
         if (!fits(worker, pending) ||
-            (is_isolated && !has_only(worker, pending.stage.workflow)) ||
+            (is_isolated &&
+             !has_no_new_run_of_others(worker, pending.stage.workflow)) ||
             raises_tail(worker, *pending.description, m_tail))
         {
             return std::nullopt;
@@ -392,7 +394,7 @@
         {
             continue;
         }
-        if (has_only(*each, workflow))
+        if (has_no_new_run_of_others(*each, workflow))
         {
             // The stage waits for capacity, not for a free worker.
             return;
--- a/modules/workflow/dispatch/worker_fleet.cpp
+++ b/modules/workflow/dispatch/worker_fleet.cpp
@@ -32,7 +32,7 @@
 {
     auto const since = view.listed_since.find(run);
     return since != view.listed_since.end() &&
-           view.clock - since->second >= trial_time;
+           view.clock - since->second >= establishment_time;
 }
 
 replaced_incarnation replaced_by(worker_view const& before,
@@ -66,8 +66,9 @@
             before == listed_before.end() ? view.clock : before->second;
         view.listed_since.emplace(each.run, since);
         view.has_newly_established =
-            view.has_newly_established || (view.clock - since >= trial_time &&
-                                           clock_before - since < trial_time);
+            view.has_newly_established ||
+            (view.clock - since >= establishment_time &&
+             clock_before - since < establishment_time);
         view.running.emplace(each.run, std::move(each));
     }
     view.ended = std::move(runs.ended);
@@ -79,8 +80,8 @@
                            core::duration recorded,
                            core::time_point elected)
     : m_policy(policy),
-      m_longest_earlier(recorded > core::duration{} ? recorded
-                                                    : policy.longest),
+      m_longest_earlier_lease(recorded > core::duration{} ? recorded
+                                                          : policy.longest),
       m_elected(elected)
 {
 }
@@ -94,7 +95,7 @@
 core::time_point worker_fleet::earlier_leases_expire_at() const
 {
     // Earlier leaders can't have granted a lease after the election.
-    return m_elected + max_length_on_leader_clock(m_longest_earlier);
+    return m_elected + max_length_on_leader_clock(m_longest_earlier_lease);
 }
 
 core::duration worker_fleet::length() const
--- a/modules/workflow/dispatch/worker_fleet.hpp
+++ b/modules/workflow/dispatch/worker_fleet.hpp
@@ -25,7 +25,7 @@
 /// Time for which reports must list a run until it counts as established. A
 /// task that crashes its worker does so within milliseconds of its start; the
 /// rest covers workers that are slow.
-constexpr core::duration trial_time = std::chrono::milliseconds(500);
+constexpr core::duration establishment_time = std::chrono::milliseconds(500);
 
 /// The last known state of an incarnation that a later one under the same id
 /// has replaced.
@@ -128,7 +128,8 @@
                  core::worker_id const& worker,
                  core::incarnation life) const;
 
-    /// @return True if reports have listed the run for `trial_time`. A new
+    /// @return True if reports have listed the run for `establishment_time`. A
+    /// new
     ///         leader sees no run as established at first.
     bool is_established(core::worker_id const& worker,
                         core::incarnation life,
@@ -164,7 +165,7 @@
 
     lease_policy m_policy;
     /// Longest lease that earlier leaders may have granted.
-    core::duration m_longest_earlier{};
+    core::duration m_longest_earlier_lease{};
     core::time_point m_elected;
     std::map<core::worker_id, worker_view> m_workers;
 };
--- a/modules/workflow/table/workflow_table.hpp
+++ b/modules/workflow/table/workflow_table.hpp
@@ -19,7 +19,7 @@
 
 /// Crashes that are counted against a task before its workflow is given up. The
 /// first two may have happened before the start reached the worker; from the
-/// third on the task is isolated, so at least two workers crashed under it.
+/// third on the task is isolated, so wrong counts are unlikely.
 constexpr std::uint32_t max_crashes = 4;
 
 /// A run that is placed on a worker and whose end is not committed yet. It
