--- a/modules/workflow/dispatch/stage_planner.cpp
+++ b/modules/workflow/dispatch/stage_planner.cpp
@@ -83,7 +83,8 @@
 
 /// @return True if all runs there that are not established belong to the
 ///         workflow, which fails as a whole if one of its tasks does.
-bool has_only(candidate_worker const& worker, core::workflow_id const& workflow)
+bool has_no_new_run_of_others(candidate_worker const& worker,
+                              core::workflow_id const& workflow)
 {
     auto const& runs = worker.not_established;
     return runs.size() == runs.count(workflow);
@@ -284,7 +285,8 @@
         bool const is_isolated =
             m_placement.suspicion == crash_suspicion::isolated;
         if (!fits(worker, pending) ||
-            (is_isolated && !has_only(worker, pending.stage.workflow)) ||
+            (is_isolated &&
+             !has_no_new_run_of_others(worker, pending.stage.workflow)) ||
             raises_tail(worker, *pending.description, m_tail))
         {
             return std::nullopt;
@@ -348,6 +350,7 @@
             std::vector<candidate_worker*> const& candidates,
             std::size_t max_tasks,
             tail_hook const& tail,
+            bool may_isolate = true,
             saved_workers* saved = nullptr)
 {
     if (pending.suspected.empty())
@@ -360,6 +363,10 @@
                                  crash_suspicion::spread,
                                  crash_suspicion::none})
     {
+        if (suspicion == crash_suspicion::isolated && !may_isolate)
+        {
+            continue;
+        }
         auto const more = place_equal_tasks(pending,
                                             suspicion,
                                             candidates,
@@ -387,7 +394,7 @@
         {
             continue;
         }
-        if (has_only(*each, workflow))
+        if (has_no_new_run_of_others(*each, workflow))
         {
             // The stage waits for capacity, not for a free worker.
             return;
@@ -443,7 +450,8 @@
         return {};
     }
     saved_workers saved;
-    auto placed = place_tasks(pending, candidates, max_tasks, tail, &saved);
+    auto placed =
+        place_tasks(pending, candidates, max_tasks, tail, true, &saved);
     if (placed.size() < pending.runs.size())
     {
         for (auto& [worker, before] : saved)
@@ -560,14 +568,18 @@
             break;
         }
         bool const is_isolated = has_isolated(*each);
-        if (is_isolated && !may_isolate(candidates))
+        bool const may_place_isolated = !is_isolated || may_isolate(candidates);
+        bool const is_gang = each->description->behaviour.gang;
+        if (is_gang && !may_place_isolated)
         {
             continue;
         }
-        auto const placed = each->description->behaviour.gang
-                                ? place_gang(*each, candidates, left, tail)
-                                : place_tasks(*each, candidates, left, tail);
-        if (is_isolated && has_unplaced_isolated(*each, placed))
+        auto const placed =
+            is_gang ? place_gang(*each, candidates, left, tail)
+                    : place_tasks(
+                          *each, candidates, left, tail, may_place_isolated);
+        if (is_isolated && may_place_isolated &&
+            has_unplaced_isolated(*each, placed))
         {
             close_worker(*each, candidates);
         }
--- a/modules/workflow/dispatch/worker_fleet.cpp
+++ b/modules/workflow/dispatch/worker_fleet.cpp
@@ -32,7 +32,7 @@
 {
     auto const since = view.listed_since.find(run);
     return since != view.listed_since.end() &&
-           view.clock - since->second >= trial_time;
+           view.clock - since->second >= establishment_time;
 }
 
 replaced_incarnation replaced_by(worker_view const& before,
@@ -66,8 +66,9 @@
             before == listed_before.end() ? view.clock : before->second;
         view.listed_since.emplace(each.run, since);
         view.has_newly_established =
-            view.has_newly_established || (view.clock - since >= trial_time &&
-                                           clock_before - since < trial_time);
+            view.has_newly_established ||
+            (view.clock - since >= establishment_time &&
+             clock_before - since < establishment_time);
         view.running.emplace(each.run, std::move(each));
     }
     view.ended = std::move(runs.ended);
@@ -79,8 +80,8 @@
                            core::duration recorded,
                            core::time_point elected)
     : m_policy(policy),
-      m_longest_earlier(recorded > core::duration{} ? recorded
-                                                    : policy.longest),
+      m_longest_earlier_lease(recorded > core::duration{} ? recorded
+                                                          : policy.longest),
       m_elected(elected)
 {
 }
@@ -94,7 +95,7 @@
 core::time_point worker_fleet::earlier_leases_expire_at() const
 {
     // Earlier leaders can't have granted a lease after the election.
-    return m_elected + max_length_on_leader_clock(m_longest_earlier);
+    return m_elected + max_length_on_leader_clock(m_longest_earlier_lease);
 }
 
 core::duration worker_fleet::length() const
@@ -135,8 +136,8 @@
     auto const clock_before = view.clock;
     view.is_silent = report.silent;
     // A silent worker's clock may be read long before the first report of it
-    // that this leader gets.
-    if (!report.silent && view.clock != report.clock)
+    // that this leader gets. A sidecar that has just started has no reading.
+    if (!report.silent && report.runs && view.clock != report.clock)
     {
         view.clock = report.clock;
         view.clock_changed_at = now;
@@ -253,7 +254,9 @@
     }
     if (view->profile.life != life)
     {
-        return life < view->profile.life;
+        // An earlier leader knew the later incarnation; this one has granted
+        // it nothing.
+        return life < view->profile.life || now > earlier_leases_expire_at();
     }
     return view->left || now > view->lease_expires_at;
 }
