--- a/modules/workflow/agent/worker_agent.hpp
+++ b/modules/workflow/agent/worker_agent.hpp
@@ -5,6 +5,7 @@
 #include "core/messages/workflow.hpp"
 #include "workflow/agent/worker_runtime.hpp"
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <optional>
@@ -88,6 +89,10 @@
     core::worker_profile const* profile() const noexcept;
 
 private:
+    /// Pause after a failed call, so that retries to a dead peer cost little.
+    static constexpr core::duration retry_pause =
+        std::chrono::milliseconds(200);
+
     struct pending_start
     {
         /// Its `lease_until` stays as of the order's receipt: the leader may
@@ -119,7 +124,7 @@
     /// @return True if the reservations in the last orders fit the capacity in
     ///         the worker's last registration.
     bool has_capacity() const;
-    /// Makes certain that a start of which the worker has no capacity does not
+    /// Makes certain that a start for which the worker has no capacity does not
     /// run, unless it runs already.
     void drop_start(core::task_run const& run);
     bool is_at_work(core::task_run const& run) const;
