--- a/modules/workflow/agent/worker_agent.cpp
+++ b/modules/workflow/agent/worker_agent.cpp
@@ -29,6 +29,15 @@
     return known != now;
 }
 
+core::event registration_ignored_event(core::worker_profile const& ignored,
+                                       core::worker_profile const& known)
+{
+    return {event_code::registration_ignored,
+            {text_field("worker", ignored.worker.value()),
+             number_field("life", ignored.life.value()),
+             number_field("known_life", known.life.value())}};
+}
+
 } // namespace
 
 worker_agent::worker_agent(agent_options options, agent_hooks hooks)
@@ -49,11 +58,7 @@
     {
         if (m_profile && profile.life < m_profile->life)
         {
-            m_hooks.on_event(
-                {event_code::registration_ignored,
-                 {text_field("worker", profile.worker.value()),
-                  number_field("life", profile.life.value()),
-                  number_field("known_life", m_profile->life.value())}});
+            m_hooks.on_event(registration_ignored_event(profile, *m_profile));
             return false;
         }
         begin_incarnation(std::move(profile));
@@ -62,11 +67,7 @@
     }
     if (sequence > 0 && sequence < m_sequence)
     {
-        m_hooks.on_event(
-            {event_code::registration_ignored,
-             {text_field("worker", profile.worker.value()),
-              number_field("life", profile.life.value()),
-              number_field("known_life", m_profile->life.value())}});
+        m_hooks.on_event(registration_ignored_event(profile, *m_profile));
         return false;
     }
     m_sequence = sequence;
--- a/modules/workflow/dispatch/order_reconciler.cpp
+++ b/modules/workflow/dispatch/order_reconciler.cpp
@@ -251,21 +251,18 @@
     }
     // The other members would hold their capacity until they end `alone`.
     auto const& ref = seen.run->task;
-    for (auto const& stage : m_table.find(ref.workflow)->stages)
+    auto const& tasks =
+        workflow_table::find_stage_record(
+            *m_table.find(ref.workflow), ref.occurrence, ref.stage)
+            ->tasks;
+    for (std::uint32_t i = 0; i < tasks.size(); ++i)
     {
-        if (stage.occurrence != ref.occurrence || stage.stage != ref.stage)
+        auto const& member = tasks[i];
+        if (member.placed && member.attempt == seen.run->attempt)
         {
-            continue;
-        }
-        for (std::uint32_t i = 0; i < stage.tasks.size(); ++i)
-        {
-            auto const& member = stage.tasks[i];
-            if (member.placed && member.attempt == seen.run->attempt)
-            {
-                auto run = *seen.run;
-                run.task.index = i;
-                evict(member.worker, run);
-            }
+            auto run = *seen.run;
+            run.task.index = i;
+            evict(member.worker, run);
         }
     }
 }
