Dispatch: infer a CPU shortage from the best served neighbour only

Cause: the estimate of the CPU that serving tasks use was corrected from the sum of what best-effort tasks got of their requests. About a third of these tasks need only two thirds of their request, at any load, which looked like a shortage.

Change: serving_use_estimate takes the best served of several tasks that run at full pace; a shortage slows all alike.

--- a/modules/workflow/dispatch/colocation_controller.cpp
+++ b/modules/workflow/dispatch/colocation_controller.cpp
@@ -22,19 +22,6 @@
 /// to another worker: a move costs less of its work than a longer wait.
 constexpr core::duration stalled_after = sample_time;
 
-/// If best-effort tasks get less than this part of the CPU that they request,
-/// the spare CPU was overestimated; above `plenty_above_percent` it was
-/// underestimated.
-constexpr std::int64_t scarce_below_percent = 85;
-constexpr std::int64_t plenty_above_percent = 95;
-
-/// Bounds and step of the estimated CPU use of serving tasks, in percent of
-/// their requests. The requests are sized for peak load, so the use is at most
-/// 100.
-constexpr std::int64_t min_use = 30;
-constexpr std::int64_t max_use = 100;
-constexpr std::int64_t use_step = 5;
-
 std::uint32_t pace_in(pace_state const& state, core::task_run const& run)
 {
     auto const pace = state.paces.find(run);
@@ -79,7 +66,7 @@
     auto& state = m_workers[worker];
     state.sampled = now;
     learn(now, state, sample);
-    update_serving_use(state, sample);
+    state.serving_use.update(state.last, sample, state.paces);
     state.last = sample;
     auto const before = state.paces;
     m_controller.decide(now, sample, state.paces);
@@ -142,39 +129,6 @@
     state.offsets = std::move(offsets);
 }
 
-void colocation_controller::update_serving_use(worker_state& state,
-                                               colocation_sample const& sample)
-{
-    std::int64_t requested = 0;
-    std::int64_t used = 0;
-    for (auto const& task : sample.best_effort)
-    {
-        // Skips slowed tasks and tasks that did not run for the whole time of
-        // the report.
-        auto const* const before = find_best_effort(state.last, task.run);
-        if (before == nullptr || before->used.value() == 0 ||
-            state.paces.paces.contains(task.run))
-        {
-            continue;
-        }
-        requested += task.need.value();
-        used += task.used.value();
-    }
-    if (requested == 0)
-    {
-        return;
-    }
-    auto const used_percent = used * 100 / requested;
-    if (used_percent < scarce_below_percent)
-    {
-        state.serving_use = std::min(state.serving_use + use_step, max_use);
-    }
-    else if (used_percent > plenty_above_percent)
-    {
-        state.serving_use = std::max(state.serving_use - use_step, min_use);
-    }
-}
-
 std::uint32_t colocation_controller::pace(core::worker_id const& worker,
                                           core::task_run const& run) const
 {
@@ -234,8 +188,8 @@
 colocation_controller::serving_use(core::worker_id const& worker) const
 {
     auto const known = m_workers.find(worker);
-    return known == m_workers.end() ? worker_state{}.serving_use
-                                    : known->second.serving_use;
+    return known == m_workers.end() ? serving_use_estimate().percent()
+                                    : known->second.serving_use.percent();
 }
 
 void colocation_controller::forget(core::worker_id const& worker)
--- a/modules/workflow/dispatch/colocation_controller.hpp
+++ b/modules/workflow/dispatch/colocation_controller.hpp
@@ -4,6 +4,7 @@
 #include "core/messages/workflow.hpp"
 #include "workflow/dispatch/interference_model.hpp"
 #include "workflow/dispatch/pace_controller.hpp"
+#include "workflow/dispatch/serving_use_estimate.hpp"
 
 #include <cstdint>
 #include <map>
@@ -86,7 +87,7 @@
         core::time_point sampled;
         colocation_sample last;
         pace_state paces;
-        std::int64_t serving_use = 60;
+        serving_use_estimate serving_use;
         /// Difference between the logarithm of each serving task's tail and the
         /// prediction for its image: the loads of tasks of one image differ and
         /// change over time.
@@ -96,8 +97,6 @@
     void learn(core::time_point now,
                worker_state& state,
                colocation_sample const& sample);
-    static void update_serving_use(worker_state& state,
-                                   colocation_sample const& sample);
 
     interference_model m_model;
     pace_controller m_controller;
