Split stage_planner by responsibility

Now: candidate_worker (capacity of a worker), pending_stage, worker_score (limits and score), worker_ranking (heap of the workers), crash_isolation, task_placement, gang_placement, and stage_planner (order of the stages).

--- /dev/null
+++ b/modules/workflow/dispatch/pending_stage.hpp
@@ -0,0 +1,52 @@
+#ifndef TURMERICSWITCH_WORKFLOW_DISPATCH_PENDING_STAGE_HPP
+#define TURMERICSWITCH_WORKFLOW_DISPATCH_PENDING_STAGE_HPP
+
+#include "core/messages/workflow.hpp"
+#include "workflow/dispatch/candidate_worker.hpp"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <vector>
+
+namespace turmericswitch::workflow
+{
+
+/// Whether a workflow is expected to meet its objective.
+enum class job_urgency : std::uint8_t
+{
+    on_time,
+    late,
+    /// So late that its result is no longer useful to the caller.
+    too_late,
+};
+
+/// Unplaced tasks of one stage.
+struct pending_stage
+{
+    stage_ref stage;
+    core::stage_description const* description = nullptr;
+    core::service_id service;
+    std::uint32_t priority = 0;
+    job_urgency urgency = job_urgency::on_time;
+    core::time_point submitted;
+    /// The next attempt of each task.
+    std::vector<core::task_run> runs;
+    /// Suspicion of the tasks; `none` for those that are not listed.
+    std::map<core::task_run, crash_suspicion> suspected;
+    /// Workers on which the tasks have failed.
+    std::set<core::worker_id> failed_on;
+    /// Racks of the stage's placed tasks.
+    std::set<core::rack_id> racks;
+};
+
+/// @return The suspicion of one of the stage's tasks.
+crash_suspicion suspicion_of(pending_stage const& pending,
+                             core::task_run const& run);
+
+/// @return True if a task of the stage must be isolated.
+bool has_isolated(pending_stage const& pending);
+
+} // namespace turmericswitch::workflow
+
+#endif
--- /dev/null
+++ b/modules/workflow/dispatch/task_placement.cpp
@@ -0,0 +1,87 @@
+#include "workflow/dispatch/task_placement.hpp"
+
+#include "workflow/dispatch/worker_ranking.hpp"
+
+namespace turmericswitch::workflow
+{
+
+namespace
+{
+
+/// Places the runs of a stage that have the same suspicion.
+std::vector<core::run_placement>
+place_equal_tasks(pending_stage const& pending,
+                  crash_suspicion suspicion,
+                  std::vector<candidate_worker*> const& candidates,
+                  std::size_t max_tasks,
+                  tail_hook const& tail,
+                  saved_workers* saved)
+{
+    std::vector<core::run_placement> placed;
+    stage_placement placement{pending, suspicion, pending.racks};
+    worker_ranking ranking(candidates, placement, tail);
+    for (auto const& run : pending.runs)
+    {
+        if (suspicion_of(pending, run) != suspicion)
+        {
+            continue;
+        }
+        auto* const worker =
+            placed.size() < max_tasks ? ranking.best() : nullptr;
+        if (worker == nullptr)
+        {
+            break;
+        }
+        if (saved != nullptr)
+        {
+            saved->try_emplace(worker, *worker);
+        }
+        worker->add_planned(pending.stage, *pending.description);
+        worker->add_not_established(pending.stage.workflow, suspicion);
+        placed.push_back({run, worker->worker, worker->life});
+        ranking.best_changed();
+        if (placement.racks.insert(worker->rack).second &&
+            pending.description->constraints.prefers_one_rack)
+        {
+            ranking.rank_all();
+        }
+    }
+    return placed;
+}
+
+} // namespace
+
+std::vector<core::run_placement>
+place_tasks(pending_stage const& pending,
+            std::vector<candidate_worker*> const& candidates,
+            std::size_t max_tasks,
+            tail_hook const& tail,
+            bool may_isolate,
+            saved_workers* saved)
+{
+    if (pending.suspected.empty())
+    {
+        return place_equal_tasks(
+            pending, crash_suspicion::none, candidates, max_tasks, tail, saved);
+    }
+    std::vector<core::run_placement> placed;
+    for (auto const suspicion : {crash_suspicion::isolated,
+                                 crash_suspicion::spread,
+                                 crash_suspicion::none})
+    {
+        if (suspicion == crash_suspicion::isolated && !may_isolate)
+        {
+            continue;
+        }
+        auto const more = place_equal_tasks(pending,
+                                            suspicion,
+                                            candidates,
+                                            max_tasks - placed.size(),
+                                            tail,
+                                            saved);
+        placed.insert(placed.end(), more.begin(), more.end());
+    }
+    return placed;
+}
+
+} // namespace turmericswitch::workflow
--- /dev/null
+++ b/modules/workflow/dispatch/worker_ranking.cpp
@@ -0,0 +1,62 @@
+#include "workflow/dispatch/worker_ranking.hpp"
+
+#include <algorithm>
+
+namespace turmericswitch::workflow
+{
+
+worker_ranking::worker_ranking(std::vector<candidate_worker*> const& candidates,
+                               stage_placement const& placement,
+                               tail_hook const& tail)
+    : m_candidates(candidates), m_placement(placement), m_tail(tail)
+{
+    rank_all();
+}
+
+candidate_worker* worker_ranking::best() const
+{
+    return m_ranked.empty() ? nullptr : m_candidates[m_ranked.front().index];
+}
+
+void worker_ranking::best_changed()
+{
+    std::pop_heap(m_ranked.begin(), m_ranked.end());
+    auto const index = m_ranked.back().index;
+    m_ranked.pop_back();
+    if (auto const added = rank(index))
+    {
+        m_ranked.push_back(*added);
+        std::push_heap(m_ranked.begin(), m_ranked.end());
+    }
+}
+
+void worker_ranking::rank_all()
+{
+    m_ranked.clear();
+    for (std::size_t i = 0; i < m_candidates.size(); ++i)
+    {
+        if (auto const added = rank(i))
+        {
+            m_ranked.push_back(*added);
+        }
+    }
+    std::make_heap(m_ranked.begin(), m_ranked.end());
+}
+
+std::optional<worker_ranking::ranked_worker>
+worker_ranking::rank(std::size_t index) const
+{
+    auto const& worker = *m_candidates[index];
+    auto const& pending = m_placement.pending;
+    bool const is_isolated = m_placement.suspicion == crash_suspicion::isolated;
+    if (!fits(worker, pending) ||
+        (is_isolated &&
+         !worker.has_no_new_run_of_others(pending.stage.workflow)) ||
+        raises_tail(worker, *pending.description, m_tail))
+    {
+        return std::nullopt;
+    }
+    return ranked_worker{score(worker, m_placement, m_tail), index};
+}
+
+} // namespace turmericswitch::workflow
--- /dev/null
+++ b/modules/workflow/dispatch/worker_ranking.hpp
@@ -0,0 +1,56 @@
+#ifndef TURMERICSWITCH_WORKFLOW_DISPATCH_WORKER_RANKING_HPP
+#define TURMERICSWITCH_WORKFLOW_DISPATCH_WORKER_RANKING_HPP
+
+#include "workflow/dispatch/worker_score.hpp"
+
+#include <cstddef>
+#include <optional>
+#include <tuple>
+#include <vector>
+
+namespace turmericswitch::workflow
+{
+
+/// The workers that can take a task of one stage, best first. Of workers with
+/// the same score the first in the list of candidates comes first.
+class worker_ranking
+{
+public:
+    /// The arguments must outlive the object.
+    worker_ranking(std::vector<candidate_worker*> const& candidates,
+                   stage_placement const& placement,
+                   tail_hook const& tail);
+
+    /// @return The best worker, or null if no worker can take a task.
+    candidate_worker* best() const;
+
+    /// Must be called after a task was placed on the best worker.
+    void best_changed();
+
+    /// Must be called after the racks of the stage changed.
+    void rank_all();
+
+private:
+    struct ranked_worker
+    {
+        double value = 0;
+        std::size_t index = 0;
+
+        bool operator<(ranked_worker const& other) const
+        {
+            return std::tie(value, other.index) < std::tie(other.value, index);
+        }
+    };
+
+    std::optional<ranked_worker> rank(std::size_t index) const;
+
+    std::vector<candidate_worker*> const& m_candidates;
+    stage_placement const& m_placement;
+    tail_hook const& m_tail;
+    /// A heap with the best worker first.
+    std::vector<ranked_worker> m_ranked;
+};
+
+} // namespace turmericswitch::workflow
+
+#endif
