Send configuration changes as deltas and large ones in chunks

Cause: a watch answer had the whole configuration, 330 kB with 1,200 queues, for every change. It took 1.3 s on a 2 Mbit/s link, longer than the process waited for it, so it was sent again and again.

Change: a process that takes transfers gets a delta to its revision if that is one of the last eight, else the whole in chunks of 32 KiB, which resume at any control instance. A budget bounds the bytes in flight. A process that does not ask for transfers gets whole answers.

--- a/modules/cluster_state/configuration/configuration_state.cpp
+++ b/modules/cluster_state/configuration/configuration_state.cpp
@@ -335,6 +335,23 @@
     {
         m_kind_limits[rule.kind] = rule.max_per_worker;
     }
+    keep_current();
+}
+
+void configuration_state::keep_current()
+{
+    m_kept[m_current] = std::make_shared<core::configuration const>(m_in_force);
+    if (m_kept.size() > max_kept_revisions)
+    {
+        m_kept.erase(m_kept.begin());
+    }
+}
+
+std::shared_ptr<core::configuration const>
+configuration_state::kept(core::revision made) const
+{
+    auto const known = m_kept.find(made);
+    return known == m_kept.end() ? nullptr : known->second;
 }
 
 void configuration_state::update_derived_zones()
@@ -446,6 +463,7 @@
     m_history.assign(record.history.begin(), record.history.end());
     m_document = std::move(record.document);
     m_evacuated = {record.evacuated.begin(), record.evacuated.end()};
+    m_kept.clear();
     update_derived();
     return true;
 }
--- a/modules/cluster_state/configuration/configuration_state.hpp
+++ b/modules/cluster_state/configuration/configuration_state.hpp
@@ -7,6 +7,7 @@
 
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -17,6 +18,9 @@
 
 /// Maximum changes in the history, about four days at 1,100 changes a day.
 constexpr std::size_t max_history = 4096;
+/// Revisions that are kept for deltas. A process that reads the configuration
+/// is a few revisions behind at most during a rapid series of changes.
+constexpr std::size_t max_kept_revisions = 8;
 /// Longer descriptions of one change are truncated.
 constexpr std::size_t max_change_bytes = 2048;
 
@@ -65,6 +69,11 @@
 
     core::revision current() const noexcept;
 
+    /// @return What was in force at a revision; null unless the revision is one
+    ///         of the last `max_kept_revisions` that were applied here. A
+    ///         snapshot has only the current one.
+    std::shared_ptr<core::configuration const> kept(core::revision made) const;
+
     /// @return The names of the configuration in force.
     naming::name_table const& names() const noexcept;
 
@@ -98,6 +107,7 @@
     void accept(core::change_record change);
     void update_derived();
     void update_derived_zones();
+    void keep_current();
     std::string zones_out_by_command() const;
 
     core::revision m_current;
@@ -113,6 +123,7 @@
 
     // Derived from the members above.
     core::configuration m_in_force;
+    std::map<core::revision, std::shared_ptr<core::configuration const>> m_kept;
     naming::name_table m_names;
     std::map<std::string, core::zone_state> m_zones;
     std::set<std::string> m_leaving;
--- a/modules/core/events/event_code.hpp
+++ b/modules/core/events/event_code.hpp
@@ -23,6 +23,8 @@
     control_lost = 108,
     control_regained = 109,
     message_unreadable = 110,
+    configuration_received = 111,
+    configuration_unusable = 112,
 
     // Gateways
     call_answered = 201,
@@ -104,6 +106,10 @@
     event_entry{event_code::message_unreadable,
                 "message_unreadable",
                 event_severity::warning},
+    event_entry{event_code::configuration_received, "configuration_received"},
+    event_entry{event_code::configuration_unusable,
+                "configuration_unusable",
+                event_severity::warning},
     event_entry{event_code::call_answered, "call_answered"},
     event_entry{event_code::call_rejected, "call_rejected"},
     event_entry{event_code::configuration_in_force, "configuration_in_force"},
--- a/modules/core/messages/registry.hpp
+++ b/modules/core/messages/registry.hpp
@@ -2,6 +2,7 @@
 #define TURMERICSWITCH_CORE_MESSAGES_REGISTRY_HPP
 
 #include "core/config/backend_scope.hpp"
+#include "core/messages/config_transfer.hpp"
 #include "core/results/result_code.hpp"
 #include "core/types/ids.hpp"
 #include "core/types/units.hpp"
@@ -74,6 +75,9 @@
     /// Set by a sidecar: the configuration is reduced to this, and no registry
     /// is sent.
     std::optional<backend_scope> scope;
+    /// Set by a process that takes transfers instead of whole configurations:
+    /// the revision that it can apply a delta to, or 0.
+    std::optional<revision> delta_base;
 
     bool operator==(watch_request const&) const = default;
 };
@@ -94,6 +98,8 @@
     std::optional<endpoint> leader;
     /// RPC endpoints of the control group's members.
     std::vector<endpoint> control;
+    /// Instead of `config`, for a process that takes transfers.
+    std::optional<config_transfer> transfer;
 
     bool operator==(watch_answer const&) const = default;
 };
--- a/modules/core/results/result_code.hpp
+++ b/modules/core/results/result_code.hpp
@@ -63,6 +63,7 @@
     unknown_member = 406,
     stale_sequence = 407,
     timed_out = 408,
+    configuration_unavailable = 409,
 
     // Jobs and workers
     job_unknown = 501,
--- a/modules/wire/codec/message_codec.cpp
+++ b/modules/wire/codec/message_codec.cpp
@@ -86,6 +86,10 @@
 constexpr std::size_t appended_members<core::workflow_progress> = 1;
 template <>
 constexpr std::size_t appended_members<core::state_snapshot> = 1;
+template <>
+constexpr std::size_t appended_members<core::watch_request> = 1;
+template <>
+constexpr std::size_t appended_members<core::watch_answer> = 1;
 
 /// @return Number of members to write: all but the appended ones at the end
 ///         that have their default values.
@@ -486,6 +490,9 @@
 TURMERICSWITCH_WIRE_MESSAGE(core::announce_answer)
 TURMERICSWITCH_WIRE_MESSAGE(core::watch_request)
 TURMERICSWITCH_WIRE_MESSAGE(core::watch_answer)
+TURMERICSWITCH_WIRE_MESSAGE(core::chunk_request)
+TURMERICSWITCH_WIRE_MESSAGE(core::chunk_answer)
+TURMERICSWITCH_WIRE_MESSAGE(core::configuration_delta)
 TURMERICSWITCH_WIRE_MESSAGE(core::consensus_message)
 TURMERICSWITCH_WIRE_MESSAGE(core::group_membership)
 TURMERICSWITCH_WIRE_MESSAGE(core::log_entry)
--- a/modules/wire/codec/message_codec.hpp
+++ b/modules/wire/codec/message_codec.hpp
@@ -1,7 +1,9 @@
 #ifndef TURMERICSWITCH_WIRE_CODEC_MESSAGE_CODEC_HPP
 #define TURMERICSWITCH_WIRE_CODEC_MESSAGE_CODEC_HPP
 
+#include "core/config/configuration_delta.hpp"
 #include "core/messages/commands.hpp"
+#include "core/messages/config_transfer.hpp"
 #include "core/messages/consensus.hpp"
 #include "core/messages/registry.hpp"
 #include "core/messages/request_path.hpp"
--- a/programs/control/api/process_api.cpp
+++ b/programs/control/api/process_api.cpp
@@ -28,7 +28,10 @@
 
 } // namespace
 
-process_api::process_api(control_node& node) : m_node(node) {}
+process_api::process_api(control_node& node)
+    : m_node(node), m_sender(node.group().state().config(), node.metrics())
+{
+}
 
 void process_api::handle(transport::rpc_request const& request,
                          transport::responder answer)
@@ -41,6 +44,10 @@
     {
         watch(request.body, std::move(answer));
     }
+    else if (request.path == "/config-chunk")
+    {
+        config_chunk(request.body, std::move(answer));
+    }
     else if (request.path == "/announce")
     {
         announce(request.body, std::move(answer));
@@ -98,13 +105,13 @@
         {
             if (auto const& duties = m_node.duties())
             {
-                duties->watch(process::event_loop::now(),
-                              request,
-                              [this, answer](core::watch_answer reply)
-                              {
-                                  reply.control = m_node.control_endpoints();
-                                  answer.answer(wire::encode(reply));
-                              });
+                auto const now = process::event_loop::now();
+                m_sender.on_watch(now, request);
+                duties->watch(
+                    now,
+                    request,
+                    [this, request, answer](core::watch_answer reply)
+                    { answer_watch(request, std::move(reply), answer); });
                 return;
             }
             core::watch_answer refusal;
@@ -114,6 +121,41 @@
         });
 }
 
+void process_api::answer_watch(core::watch_request const& request,
+                               core::watch_answer reply,
+                               transport::responder const& answer)
+{
+    auto const now = process::event_loop::now();
+    reply.control = m_node.control_endpoints();
+    if (reply.code == core::result_code::ok)
+    {
+        m_sender.add_transfer(now, request, reply);
+    }
+    auto body = wire::encode(reply);
+    if (reply.config && !request.scope)
+    {
+        m_sender.count_whole(now, request.process, body.size());
+    }
+    answer.answer(std::move(body));
+}
+
+void process_api::config_chunk(std::string const& body,
+                               transport::responder answer)
+{
+    auto request = wire::decode<core::chunk_request>(body);
+    if (!request)
+    {
+        refuse_malformed(answer);
+        return;
+    }
+    m_node.run(
+        [this, request = std::move(*request), answer = std::move(answer)]
+        {
+            answer.answer(wire::encode(
+                m_sender.answer_chunk(process::event_loop::now(), request)));
+        });
+}
+
 void process_api::announce(std::string const& body, transport::responder answer)
 {
     auto request = wire::decode<core::announce_request>(body);
--- a/programs/control/api/process_api.hpp
+++ b/programs/control/api/process_api.hpp
@@ -1,6 +1,7 @@
 #ifndef TURMERICSWITCH_CONTROL_API_PROCESS_API_HPP
 #define TURMERICSWITCH_CONTROL_API_PROCESS_API_HPP
 
+#include "api/config_sender.hpp"
 #include "node/control_node.hpp"
 #include "transport/transport.hpp"
 
@@ -21,6 +22,10 @@
 
 private:
     void watch(std::string const& body, transport::responder answer);
+    void config_chunk(std::string const& body, transport::responder answer);
+    void answer_watch(core::watch_request const& request,
+                      core::watch_answer reply,
+                      transport::responder const& answer);
     void announce(std::string const& body, transport::responder answer);
     void command(std::string const& body, transport::responder answer);
     void worker_report(std::string const& body, transport::responder answer);
@@ -33,6 +38,7 @@
     std::optional<core::endpoint> leader_rpc();
 
     control_node& m_node;
+    config_sender m_sender;
 };
 
 } // namespace turmericswitch::control
--- a/programs/control/leader/watch_hub.cpp
+++ b/programs/control/leader/watch_hub.cpp
@@ -75,7 +75,9 @@
 {
     core::watch_answer answer;
     answer.current = m_config.current();
-    if (request.in_force < answer.current)
+    // A process that takes transfers gets the configuration by a
+    // config_sender.
+    if (request.in_force < answer.current && !request.delta_base)
     {
         answer.config = request.scope ? core::reduced_to(*request.scope,
                                                          m_config.in_force())
--- a/programs/shared/control_link/config_watch.cpp
+++ b/programs/shared/control_link/config_watch.cpp
@@ -2,6 +2,7 @@
 
 #include "core/hooks/random_source.hpp"
 #include "process/clock/boot_clock.hpp"
+#include "shared/control_link/config_assembly.hpp"
 #include "telemetry/telemetry.hpp"
 #include "wire/codec/message_codec.hpp"
 
@@ -18,6 +19,19 @@
 /// Time beyond the longest wait after which a poll counts as lost. A connection
 /// may be silent without a reset.
 constexpr core::duration answer_timeout = std::chrono::seconds(1);
+/// Time after which a call for a chunk counts as lost: four times what the
+/// chunk takes on the slowest link, which other traffic shares, and an
+/// allowance for round trip and scheduling.
+constexpr core::duration chunk_timeout =
+    std::chrono::seconds(4 * core::config_chunk_bytes) /
+        core::slowest_link_bytes_per_second +
+    std::chrono::milliseconds(500);
+/// Calls for chunks that may fail in a row before the leader is asked again.
+/// Each of them goes to another control instance.
+constexpr unsigned max_chunk_failures = 3;
+/// Time for which an earlier release of control, which refuses requests for
+/// transfers, is asked for whole configurations.
+constexpr core::duration whole_answers_time = std::chrono::seconds(60);
 constexpr core::duration backoff_base = std::chrono::milliseconds(50);
 constexpr core::duration backoff_cap = std::chrono::seconds(2);
 
@@ -40,6 +54,7 @@
     {
     }
 
+    /// The caller must not hold `mutex`.
     void poll()
     {
         core::watch_request request;
@@ -48,11 +63,17 @@
         request.registry = known.registry;
         request.max_wait = options.max_wait;
         request.scope = options.scope;
+        auto const now = process::boot_time();
+        if (!options.scope && now >= transfers_after)
+        {
+            request.delta_base =
+                is_base_valid ? known.in_force : core::revision{};
+        }
         link.call("/watch",
                   wire::encode(request),
                   options.max_wait + answer_timeout,
-                  [self = shared_from_this(), asked_at = process::boot_time()](
-                      transport::call_result const& result)
+                  [self = shared_from_this(),
+                   asked_at = now](transport::call_result const& result)
                   { self->handle_result(result, asked_at); });
     }
 
@@ -64,38 +85,176 @@
         {
             return;
         }
-        auto const answer = result.outcome == transport::call_outcome::answered
-                                ? wire::decode<core::watch_answer>(result.body)
-                                : std::nullopt;
+        auto answer = result.outcome == transport::call_outcome::answered
+                          ? wire::decode<core::watch_answer>(result.body)
+                          : std::nullopt;
         bool const is_from_leader =
             answer && answer->code == core::result_code::ok;
         record_reachability(is_from_leader, result);
         if (is_from_leader)
         {
-            known = on_update(*answer);
             ++answers;
-            if (is_up_to_date(*answer))
+            handle_answer(lock, {std::move(*answer), asked_at});
+            return;
+        }
+        if (answer)
+        {
+            link.not_leader(answer->leader);
+        }
+        else if (result.code == core::result_code::message_malformed)
+        {
+            transfers_after = process::boot_time() + whole_answers_time;
+        }
+        poll_later();
+    }
+
+    /// An answer of the leader and when it was asked for.
+    struct confirmed_answer
+    {
+        core::watch_answer answer;
+        core::time_point asked_at;
+    };
+
+    void handle_answer(std::unique_lock<std::mutex>& lock,
+                       confirmed_answer confirmed)
+    {
+        auto& transfer = confirmed.answer.transfer;
+        if (transfer && transfer->content.made > known.in_force)
+        {
+            chunks_of_transfer = 0;
+            transfer_begun = process::boot_time();
+            totals.bytes += transfer->bytes.size();
+            assembly.begin(std::move(*transfer));
+            pending = std::move(confirmed);
+            continue_transfer(lock);
+            return;
+        }
+        apply(lock, confirmed);
+    }
+
+    void apply(std::unique_lock<std::mutex>& lock,
+               confirmed_answer const& confirmed)
+    {
+        auto const& [answer, asked_at] = confirmed;
+        auto const previous = known.in_force;
+        known = on_update(answer);
+        // Without a transfer the configuration is not kept, and the next one
+        // must be whole.
+        is_base_valid = (is_base_valid && known.in_force == previous) ||
+                        (answer.transfer && answer.config &&
+                         known.in_force == answer.current);
+        if (!is_up_to_date(answer))
+        {
+            poll_later();
+            return;
+        }
+        failures = 0;
+        if (options.on_confirmed)
+        {
+            options.on_confirmed(asked_at);
+        }
+        lock.unlock();
+        poll();
+    }
+
+    /// Asks for the next chunk, or applies the configuration if it is complete.
+    void continue_transfer(std::unique_lock<std::mutex>& lock)
+    {
+        if (assembly.is_complete())
+        {
+            finish_transfer(lock);
+            return;
+        }
+        core::chunk_request const request{
+            process_name, assembly.content(), assembly.offset()};
+        lock.unlock();
+        link.call(
+            "/config-chunk",
+            wire::encode(request),
+            chunk_timeout,
+            [self = shared_from_this()](transport::call_result const& result)
+            { self->handle_chunk(result); });
+    }
+
+    void handle_chunk(transport::call_result const& result)
+    {
+        std::unique_lock lock(mutex);
+        if (is_stopped)
+        {
+            return;
+        }
+        auto const answer = result.outcome == transport::call_outcome::answered
+                                ? wire::decode<core::chunk_answer>(result.body)
+                                : std::nullopt;
+        if (answer && answer->code == core::result_code::ok)
+        {
+            chunk_failures = 0;
+            if (answer->bytes.empty())
+            {
+                continue_later(answer->retry_after);
+                return;
+            }
+            ++totals.chunks;
+            ++chunks_of_transfer;
+            totals.bytes += answer->bytes.size();
+            if (assembly.append(answer->bytes))
             {
-                failures = 0;
-                if (options.on_confirmed)
-                {
-                    options.on_confirmed(asked_at);
-                }
-                lock.unlock();
-                poll();
+                continue_transfer(lock);
                 return;
             }
         }
-        else if (answer)
+        ++totals.failures;
+        if (!answer && ++chunk_failures < max_chunk_failures)
         {
-            link.not_leader(answer->leader);
+            continue_later(core::full_jitter(
+                random, backoff_base, backoff_cap, chunk_failures));
+            return;
+        }
+        // The leader names the content again, and the transfer resumes.
+        chunk_failures = 0;
+        poll_later();
+    }
+
+    void finish_transfer(std::unique_lock<std::mutex>& lock)
+    {
+        auto const content = assembly.content();
+        auto next = assembly.finish(held);
+        if (!next)
+        {
+            ++totals.failures;
+            is_base_valid = false;
+            log_transfer(core::event_code::configuration_unusable, content);
+            poll_later();
+            return;
         }
+        ++(content.base == core::revision{} ? totals.wholes : totals.deltas);
+        held = *next;
+        pending.answer.config = std::move(*next);
+        log_transfer(core::event_code::configuration_received, content);
+        auto const confirmed = std::exchange(pending, {});
+        apply(lock, confirmed);
+    }
+
+    void log_transfer(core::event_code code,
+                      core::config_content const& content)
+    {
+        log.write({code,
+                   {core::text_field("process", process_name.value()),
+                    core::number_field("config_revision", content.made.value()),
+                    core::number_field("base", content.base.value()),
+                    core::number_field("bytes", content.total_bytes),
+                    core::number_field("chunks", chunks_of_transfer),
+                    core::time_field("after_ms",
+                                     process::boot_time() - transfer_begun)}});
+    }
+
+    void poll_later()
+    {
         auto const wait =
             core::full_jitter(random,
                               backoff_base,
                               std::min(backoff_cap, options.max_wait),
                               failures++);
-        lock.unlock();
         io.post_after(wait,
                       [self = shared_from_this()]
                       {
@@ -106,6 +265,19 @@
                       });
     }
 
+    void continue_later(core::duration wait)
+    {
+        io.post_after(wait,
+                      [self = shared_from_this()]
+                      {
+                          std::unique_lock lock(self->mutex);
+                          if (!self->is_stopped)
+                          {
+                              self->continue_transfer(lock);
+                          }
+                      });
+    }
+
     /// Logs when the leader becomes unreachable or reachable again, not for
     /// each poll.
     void record_reachability(bool is_reached,
@@ -149,6 +321,18 @@
     std::mutex mutex;
     std::atomic<bool> is_stopped = false;
     known_state known;
+    /// The last configuration that was transferred. It is the base of deltas
+    /// while `is_base_valid`: `known.in_force` is its revision.
+    core::configuration held;
+    bool is_base_valid = false;
+    config_assembly assembly;
+    /// Applied when `assembly` is complete.
+    confirmed_answer pending;
+    unsigned chunk_failures = 0;
+    std::uint64_t chunks_of_transfer = 0;
+    core::time_point transfer_begun;
+    core::time_point transfers_after;
+    transfer_totals totals;
     unsigned failures = 0;
     bool leader_reached = true;
     telemetry::logger const log{"control_link"};
@@ -184,4 +368,10 @@
     return m_state->answers;
 }
 
+transfer_totals config_watch::transfers() const
+{
+    std::lock_guard const lock(m_state->mutex);
+    return m_state->totals;
+}
+
 } // namespace turmericswitch::shared
--- a/programs/shared/control_link/config_watch.hpp
+++ b/programs/shared/control_link/config_watch.hpp
@@ -27,7 +27,21 @@
     std::function<void(core::time_point asked_at)> on_confirmed = {};
 };
 
+/// What a process has received by transfers so far, for metrics.
+struct transfer_totals
+{
+    std::uint64_t bytes = 0;
+    std::uint64_t chunks = 0;
+    std::uint64_t deltas = 0;
+    std::uint64_t wholes = 0;
+    /// Calls for chunks without an answer, and contents that could not be used.
+    std::uint64_t failures = 0;
+};
+
 /// Keeps one long poll open at the control leader and passes on each change.
+///
+/// Without a scope it receives changes as deltas and large configurations in
+/// chunks. `on_update` gets whole configurations in any case.
 class config_watch
 {
 public:
@@ -63,6 +77,8 @@
     /// @return Polls answered by the leader, for metrics.
     std::uint64_t answers() const noexcept;
 
+    transfer_totals transfers() const;
+
 private:
     struct state;
     std::shared_ptr<state> m_state;
