transport: a client can ask for fewer keepalives on its connection

Cause: a server sends a PING on each connection that was silent for 2 s, so a connection that a client keeps for rare answers wakes both processes. Change: a client whose keepalive interval is longer than the default sends it with its calls (x-keepalive-seconds), and the server uses it, up to 30 s.

--- a/modules/transport/rpc/rpc_limits.hpp
+++ b/modules/transport/rpc/rpc_limits.hpp
@@ -3,6 +3,7 @@
 
 #include "core/types/units.hpp"
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 
@@ -29,6 +30,12 @@
 /// Size at which collected output is written to the socket, in bytes.
 constexpr std::size_t write_batch_bytes = std::size_t{128} << 10;
 
+/// Header of a call with the client's keepalive interval in seconds.
+constexpr char const* keepalive_header = "x-keepalive-seconds";
+/// Longest keepalive interval that a server accepts from a client. Bounds the
+/// time for which it keeps connections of lost peers.
+constexpr core::duration max_keepalive_interval = std::chrono::seconds(30);
+
 /// Options that both ends of a connection share.
 struct connection_options
 {
@@ -38,7 +45,8 @@
     /// Largest body in bytes; a larger one is refused with message_too_large.
     std::size_t body_limit = max_body_bytes;
     std::uint32_t stream_limit = max_open_streams;
-    /// A PING is sent when nothing was received for this long.
+    /// A PING is sent when nothing was received for this long. A client with a
+    /// longer one than the default asks the server to use it too.
     core::duration keepalive_interval = std::chrono::seconds(2);
     /// Unanswered PINGs after which the connection is closed.
     unsigned keepalive_probes = 2;
--- a/modules/transport/session/client_connection.cpp
+++ b/modules/transport/session/client_connection.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <chrono>
 #include <vector>
 
 namespace turmericswitch::transport
@@ -22,13 +23,21 @@
 
 bool client_connection::submit(call_pointer const& call)
 {
-    header_list const headers{
+    header_list headers{
         {":method", "POST"},
         {":scheme", "http"},
         {":path", call->path},
         {":authority", "peer"},
         {"x-protocol-version", std::to_string(options().protocol_version)},
     };
+    if (options().keepalive_interval > connection_options{}.keepalive_interval)
+    {
+        headers.emplace_back(
+            keepalive_header,
+            std::to_string(std::chrono::duration_cast<std::chrono::seconds>(
+                               options().keepalive_interval)
+                               .count()));
+    }
     auto const list = to_nghttp2(headers);
     auto const provider = body_provider();
     std::int32_t const stream = nghttp2_submit_request(
--- a/modules/transport/session/http2_connection.hpp
+++ b/modules/transport/session/http2_connection.hpp
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <nghttp2/nghttp2.h>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <memory>
@@ -91,6 +92,13 @@
         return m_socket;
     }
 
+    /// Sends keepalives less often, from the next one on.
+    void raise_keepalive_interval(core::duration interval)
+    {
+        m_options.keepalive_interval =
+            std::max(m_options.keepalive_interval, interval);
+    }
+
     connection_options const& options() const noexcept
     {
         return m_options;
--- a/modules/transport/session/server_connection.cpp
+++ b/modules/transport/session/server_connection.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/asio/dispatch.hpp>
 
+#include <algorithm>
+#include <charconv>
 #include <exception>
 
 namespace turmericswitch::transport
@@ -61,6 +63,13 @@
     {
         entry.version = value;
     }
+    else if (name == keepalive_header)
+    {
+        unsigned seconds = 0;
+        std::from_chars(value.data(), value.data() + value.size(), seconds);
+        raise_keepalive_interval(std::min<core::duration>(
+            std::chrono::seconds(seconds), max_keepalive_interval));
+    }
 }
 
 void server_connection::on_data(std::int32_t stream, std::string_view bytes)
