An announcement by the new leader switches sidecars and gateways at once

Cause: each sidecar searched for a new leader by itself. Calls to a leader that had fallen silent lasted up to 1.5 s (reports) and 6.5 s (order polls), and further attempts followed 200 ms apart. Change: gateways and sidecars keep a /leader-watch call at each instance. An instance that begins to lead answers them with its term and the interval over which reports are to arrive. control_link then switches, which ends the calls at the old leader, and the worker agent reports with a list of runs that is made afterwards. A not_leader answer of a connection that was replaced no longer makes the link leave the new leader.

--- a/extras/bench/control_scale/rpc_fleet.cpp
+++ b/extras/bench/control_scale/rpc_fleet.cpp
@@ -95,7 +95,7 @@
             "/announce",
             wire::encode(request),
             announce_timeout,
-            [weak = weak_from_this()](transport::call_result const& result)
+            [weak = weak_from_this()](shared::control_result const& result)
             {
                 if (auto const self = weak.lock())
                 {
@@ -104,7 +104,7 @@
             });
     }
 
-    void handle_announce_result(transport::call_result const& result)
+    void handle_announce_result(shared::control_result const& result)
     {
         auto const answer =
             result.outcome == transport::call_outcome::answered
@@ -113,7 +113,7 @@
         auto pause = announce_retry;
         if (answer && answer->code == core::result_code::not_leader)
         {
-            link.not_leader(answer->leader);
+            link.not_leader(result, answer->leader);
         }
         else if (answer)
         {
--- a/modules/wire/codec/message_codec.cpp
+++ b/modules/wire/codec/message_codec.cpp
@@ -503,6 +503,8 @@
 TURMERICSWITCH_WIRE_MESSAGE(core::runtime_orders)
 TURMERICSWITCH_WIRE_MESSAGE(core::workflow_query)
 TURMERICSWITCH_WIRE_MESSAGE(core::workflow_answer)
+TURMERICSWITCH_WIRE_MESSAGE(core::leader_watch_request)
+TURMERICSWITCH_WIRE_MESSAGE(core::leader_watch_answer)
 
 #undef TURMERICSWITCH_WIRE_MESSAGE
 
--- a/modules/wire/codec/message_codec.hpp
+++ b/modules/wire/codec/message_codec.hpp
@@ -3,6 +3,7 @@
 
 #include "core/messages/commands.hpp"
 #include "core/messages/consensus.hpp"
+#include "core/messages/leader_watch.hpp"
 #include "core/messages/registry.hpp"
 #include "core/messages/request_path.hpp"
 #include "core/messages/state.hpp"
--- a/modules/workflow/agent/worker_agent.cpp
+++ b/modules/workflow/agent/worker_agent.cpp
@@ -204,8 +204,9 @@
     call.wait = wait;
     m_hooks.runtime.sync(
         std::move(call),
-        [this, epoch = m_epoch](std::optional<sync_result> answer)
-        { handle_sync_result(epoch, std::move(answer)); });
+        [this, epoch = m_epoch, number = m_current_sync](
+            std::optional<sync_result> answer)
+        { handle_sync_result(epoch, number, std::move(answer)); });
 }
 
 void worker_agent::schedule_sync(core::duration delay, core::duration wait)
@@ -221,9 +222,10 @@
 }
 
 void worker_agent::handle_sync_result(std::uint64_t epoch,
+                                      std::uint64_t number,
                                       std::optional<sync_result> answer)
 {
-    if (!is_current(epoch))
+    if (!is_current(epoch) || number != m_current_sync || !m_syncing)
     {
         return;
     }
@@ -306,10 +308,10 @@
     report.refused.assign(m_refused.begin(), m_refused.end());
     report.left = m_left;
     report.silent = m_silent;
-    m_hooks.leader.report(
-        std::move(report),
-        [this, epoch = m_epoch](std::optional<core::runtime_grant> grant)
-        { handle_grant(epoch, std::move(grant)); });
+    m_hooks.leader.report(std::move(report),
+                          [this, epoch = m_epoch, number = ++m_reports_begun](
+                              std::optional<core::runtime_grant> grant)
+                          { handle_grant(epoch, number, std::move(grant)); });
 }
 
 void worker_agent::report_again()
@@ -324,10 +326,48 @@
     send_report();
 }
 
+void worker_agent::leader_changed(core::duration delay)
+{
+    if (m_stopped || !m_profile)
+    {
+        return;
+    }
+    m_report_due = m_report_due || (m_reporting && m_reporting_due);
+    // Until the delay is over, nothing else reports.
+    m_reporting = true;
+    m_reporting_due = false;
+    m_syncing = false;
+    m_polling = false;
+    ++m_polls_begun;
+    m_hooks.after(delay,
+                  [this, epoch = m_epoch, number = ++m_reports_begun]
+                  {
+                      if (is_current(epoch) && number == m_reports_begun)
+                      {
+                          m_reporting = false;
+                          report_to_new_leader();
+                      }
+                  });
+}
+
+void worker_agent::report_to_new_leader()
+{
+    // A silent worker may not answer, and the leader must know that it exists.
+    if (!m_runs || m_silent || m_left)
+    {
+        send_report();
+        return;
+    }
+    // A sync call that began during the delay may wait for an end.
+    m_syncing = false;
+    sync_worker(core::duration{});
+}
+
 void worker_agent::handle_grant(std::uint64_t epoch,
+                                std::uint64_t number,
                                 std::optional<core::runtime_grant> grant)
 {
-    if (!is_current(epoch))
+    if (!is_current(epoch) || number != m_reports_begun)
     {
         return;
     }
--- a/modules/workflow/agent/worker_agent.hpp
+++ b/modules/workflow/agent/worker_agent.hpp
@@ -79,6 +79,13 @@
     /// Handles the worker's notice that it shuts down.
     void unregistered(core::worker_id const& worker);
 
+    /// Reports to a new leader with a list of runs that the worker makes after
+    /// this call. Calls to the earlier leader that have no answer yet are given
+    /// up.
+    ///
+    /// @param delay Time before the report.
+    void leader_changed(core::duration delay);
+
     /// Ends all call loops, for a planned shutdown.
     void stop();
 
@@ -106,14 +113,21 @@
 
     void begin_incarnation(core::worker_profile profile);
     void sync_worker(core::duration wait);
+    /// @param number Of the sync call; the result of one that was given up is
+    ///        dropped.
     void handle_sync_result(std::uint64_t epoch,
+                            std::uint64_t number,
                             std::optional<sync_result> answer);
     void schedule_sync(core::duration delay, core::duration wait);
     void refuse_unlisted_stopped_runs();
     void send_report();
     /// Sends another report, with a current reading of the worker's clock.
     void report_again();
+    void report_to_new_leader();
+    /// @param number Of the report; the grant of one that was given up is
+    ///        dropped.
     void handle_grant(std::uint64_t epoch,
+                      std::uint64_t number,
                       std::optional<core::runtime_grant> grant);
     void apply_grant(core::runtime_grant const& grant);
     bool has_unacknowledged_ends() const;
@@ -166,6 +180,7 @@
     bool m_syncing = false;
     /// True after a sync call without an answer of this incarnation.
     bool m_silent = false;
+    std::uint64_t m_reports_begun = 0;
     bool m_reporting = false;
     bool m_report_again = false;
     /// True while the leader has not answered a report of a changed profile or
@@ -173,6 +188,7 @@
     bool m_report_due = false;
     /// True if the report that is in progress has such a change.
     bool m_reporting_due = false;
+    std::uint64_t m_polls_begun = 0;
     bool m_polling = false;
     std::uint64_t m_received_batch = 0;
     std::size_t m_open_calls = 0;
--- a/modules/workflow/agent/worker_agent_orders.cpp
+++ b/modules/workflow/agent/worker_agent_orders.cpp
@@ -27,15 +27,19 @@
 void worker_agent::poll_orders()
 {
     m_polling = true;
+    auto const number = ++m_polls_begun;
     m_hooks.leader.poll_orders(
         {m_profile->worker,
          m_profile->life,
          m_options.life,
          orders_wait,
          m_received_batch},
-        [this, epoch = m_epoch](std::optional<core::runtime_orders> orders)
+        [this, epoch = m_epoch, number](
+            std::optional<core::runtime_orders> orders)
         {
-            if (!is_current(epoch) || m_left)
+            // A given-up poll may still bring orders of the leader that has
+            // been replaced; the new one places the tasks again.
+            if (!is_current(epoch) || number != m_polls_begun || m_left)
             {
                 return;
             }
@@ -52,9 +56,9 @@
                 return;
             }
             m_hooks.after(retry_pause,
-                          [this, epoch]
+                          [this, epoch, number]
                           {
-                              if (is_current(epoch))
+                              if (is_current(epoch) && number == m_polls_begun)
                               {
                                   poll_orders();
                                   // A new leader knows the worker only after
--- a/programs/control/api/process_api.cpp
+++ b/programs/control/api/process_api.cpp
@@ -41,6 +41,10 @@
     {
         watch(request.body, std::move(answer));
     }
+    else if (request.path == "/leader-watch")
+    {
+        leader_watch(request.body, std::move(answer));
+    }
     else if (request.path == "/announce")
     {
         announce(request.body, std::move(answer));
@@ -114,6 +118,26 @@
         });
 }
 
+void process_api::leader_watch(std::string const& body,
+                               transport::responder answer)
+{
+    auto const request = wire::decode<core::leader_watch_request>(body);
+    if (!request)
+    {
+        refuse_malformed(answer);
+        return;
+    }
+    m_node.run(
+        [this, request = *request, answer = std::move(answer)]
+        {
+            m_node.leader_watches().watch(
+                process::event_loop::now(),
+                request,
+                [answer](core::leader_watch_answer const& reply)
+                { answer.answer(wire::encode(reply)); });
+        });
+}
+
 void process_api::announce(std::string const& body, transport::responder answer)
 {
     auto request = wire::decode<core::announce_request>(body);
--- a/programs/control/api/process_api.hpp
+++ b/programs/control/api/process_api.hpp
@@ -21,6 +21,7 @@
 
 private:
     void watch(std::string const& body, transport::responder answer);
+    void leader_watch(std::string const& body, transport::responder answer);
     void announce(std::string const& body, transport::responder answer);
     void command(std::string const& body, transport::responder answer);
     void worker_report(std::string const& body, transport::responder answer);
--- a/programs/control/node/control_node.cpp
+++ b/programs/control/node/control_node.cpp
@@ -89,10 +89,13 @@
             m_dispatch,
             [this](core::event const& what) { m_log.write(what); },
             m_metrics);
+        // Last: the processes then report to the services made above.
+        m_leader_watches.leadership_began(m_replica.current_term());
     };
     hooks.leadership_ended = [this]
     {
         m_leads = false;
+        m_leader_watches.leadership_ended();
         if (auto const ended = std::exchange(m_duties, nullptr))
         {
             ended->end();
@@ -253,6 +256,7 @@
                 ended->end();
             }
             end_workflow_service();
+            m_leader_watches.close();
         });
 }
 
@@ -291,6 +295,7 @@
     {
         workflows->tick(process::event_loop::now());
     }
+    m_leader_watches.tick(process::event_loop::now());
     m_applied_index = m_replica.applied_index().value();
     m_revision = m_replica.state().config().current().value();
     m_knows_leader = m_replica.leader().has_value();
@@ -323,6 +328,11 @@
     return m_workflows;
 }
 
+leader_watch_hub& control_node::leader_watches()
+{
+    return m_leader_watches;
+}
+
 core::location control_node::canonical_place(core::location const& place)
 {
     auto const& config = m_replica.state().config();
--- a/programs/control/node/control_node.hpp
+++ b/programs/control/node/control_node.hpp
@@ -2,6 +2,7 @@
 #define TURMERICSWITCH_CONTROL_NODE_CONTROL_NODE_HPP
 
 #include "leader/leader_duties.hpp"
+#include "leader/leader_watch_hub.hpp"
 #include "leader/workflow_service.hpp"
 #include "node/membership_manager.hpp"
 #include "node/peer_links.hpp"
@@ -76,6 +77,7 @@
     std::vector<core::endpoint> control_endpoints() const;
     /// @return Null while this instance does not lead.
     std::shared_ptr<workflow_service> const& workflows() const;
+    leader_watch_hub& leader_watches();
     /// @return The location with the zone's canonical name and region from the
     /// configuration in force.
     core::location canonical_place(core::location const& place);
@@ -106,6 +108,7 @@
     telemetry::logger m_log{"control"};
     telemetry::metrics_registry m_metrics;
     telemetry::decision_log m_decisions;
+    leader_watch_hub m_leader_watches;
     telemetry::counter& m_commands;
     telemetry::counter& m_leaderships;
     duty_settings m_duty_settings;
--- a/programs/control/node/membership_manager.cpp
+++ b/programs/control/node/membership_manager.cpp
@@ -75,14 +75,14 @@
         wire::encode(core::join_request{m_self}),
         join_timeout,
         [weak = weak_from_this(),
-         &loop = m_loop](transport::call_result const& result)
+         &loop = m_loop](shared::control_result const& result)
         {
             auto const answer =
                 result.outcome == transport::call_outcome::answered
                     ? wire::decode<core::join_answer>(result.body)
                     : std::nullopt;
             loop.post(
-                [weak, answer]
+                [weak, answer, result]
                 {
                     auto const self = weak.lock();
                     if (!self)
@@ -96,7 +96,7 @@
                     }
                     else if (answer)
                     {
-                        self->m_contacts->not_leader(answer->leader);
+                        self->m_contacts->not_leader(result, answer->leader);
                     }
                 });
         });
--- a/programs/gateway/jobs/job_client.cpp
+++ b/programs/gateway/jobs/job_client.cpp
@@ -40,18 +40,18 @@
 /// Part of the caller's timeout that is reserved for returning the answer.
 constexpr core::duration answer_reserve = std::chrono::milliseconds(100);
 
-transport::call_result call_and_wait(shared::control_link& control,
+shared::control_result call_and_wait(shared::control_link& control,
                                      std::string const& path,
                                      std::string const& body,
                                      core::duration timeout)
 {
     auto const promise =
-        std::make_shared<std::promise<transport::call_result>>();
+        std::make_shared<std::promise<shared::control_result>>();
     auto future = promise->get_future();
     control.call(path,
                  body,
                  timeout,
-                 [promise](transport::call_result result)
+                 [promise](shared::control_result result)
                  { promise->set_value(std::move(result)); });
     return future.get();
 }
@@ -110,7 +110,8 @@
             }
             may_have_run = may_have_run || !answer ||
                            answer->code == result_code::outcome_unknown;
-            m_control.not_leader(answer ? answer->answer.leader : std::nullopt);
+            m_control.not_leader(result,
+                                 answer ? answer->answer.leader : std::nullopt);
         }
         else
         {
--- a/programs/gateway/main.cpp
+++ b/programs/gateway/main.cpp
@@ -116,6 +116,7 @@
     {
         return false;
     }
+    control.watch_leader();
     watch.start();
     log.write({core::event_code::process_started,
                {core::text_field("process", settings.name),
@@ -186,6 +187,7 @@
     {
         return false;
     }
+    control.watch_leader();
     watch.start();
     log.info(settings.name + " listens on " + to_string(http->bound()));
     signal.wait();
--- a/programs/gateway/requests/request_runner.cpp
+++ b/programs/gateway/requests/request_runner.cpp
@@ -279,13 +279,13 @@
         "/command",
         call->encoded,
         claim_timeout,
-        [this, call](transport::call_result const& result)
+        [this, call](shared::control_result const& result)
         { handle_claim_result(call, result); });
 }
 
 void request_runner::handle_claim_result(
     std::shared_ptr<claim_call> const& call,
-    transport::call_result const& result)
+    shared::control_result const& result)
 {
     auto const code = read_claim_result(result);
     bool const is_decided = code == core::result_code::ok ||
@@ -313,7 +313,7 @@
 }
 
 core::result_code
-request_runner::read_claim_result(transport::call_result const& result)
+request_runner::read_claim_result(shared::control_result const& result)
 {
     if (result.outcome != transport::call_outcome::answered)
     {
@@ -326,7 +326,7 @@
     }
     if (reply->code == core::result_code::not_leader)
     {
-        m_dependencies.control.not_leader(reply->leader);
+        m_dependencies.control.not_leader(result, reply->leader);
     }
     return reply->code;
 }
--- a/programs/gateway/requests/request_runner.hpp
+++ b/programs/gateway/requests/request_runner.hpp
@@ -105,8 +105,8 @@
     void send(routing::end_claim const& action);
     void send_claim(std::shared_ptr<claim_call> const& call);
     void handle_claim_result(std::shared_ptr<claim_call> const& call,
-                             transport::call_result const& result);
-    core::result_code read_claim_result(transport::call_result const& result);
+                             shared::control_result const& result);
+    core::result_code read_claim_result(shared::control_result const& result);
     routing::flow_actions deliver(run_state& run, event const& arrived);
     web::http_response respond(routing::finish_request result);
 
--- a/programs/shared/control_link/config_watch.cpp
+++ b/programs/shared/control_link/config_watch.cpp
@@ -52,12 +52,11 @@
                   wire::encode(request),
                   options.max_wait + answer_timeout,
                   [self = shared_from_this(), asked_at = process::boot_time()](
-                      transport::call_result const& result)
+                      control_result const& result)
                   { self->handle_result(result, asked_at); });
     }
 
-    void handle_result(transport::call_result const& result,
-                       core::time_point asked_at)
+    void handle_result(control_result const& result, core::time_point asked_at)
     {
         std::unique_lock lock(mutex);
         if (is_stopped)
@@ -88,7 +87,7 @@
         }
         else if (answer)
         {
-            link.not_leader(answer->leader);
+            link.not_leader(result, answer->leader);
         }
         auto const wait =
             core::full_jitter(random,
--- a/programs/shared/control_link/control_link.cpp
+++ b/programs/shared/control_link/control_link.cpp
@@ -1,5 +1,6 @@
 #include "shared/control_link/control_link.hpp"
 
+#include "shared/control_link/leader_watcher.hpp"
 #include "shared/peers/peer_client.hpp"
 
 #include <cassert>
@@ -22,14 +23,22 @@
     {
     }
 
-    std::shared_ptr<transport::rpc_client> current()
+    /// @return The client, and the number of its connection.
+    std::pair<std::shared_ptr<transport::rpc_client>, std::uint64_t> current()
     {
         std::lock_guard const lock(mutex);
         if (!client)
         {
-            client = make_peer_client(io, instances[next_instance], ++seed);
+            connect(instances[next_instance]);
         }
-        return client;
+        return {client, connection};
+    }
+
+    /// The caller must hold `mutex`.
+    void connect(core::endpoint const& peer)
+    {
+        client = make_peer_client(io, peer, ++seed);
+        ++connection;
     }
 
     /// The caller must hold `mutex`.
@@ -45,12 +54,12 @@
     }
 
     /// Switches to the next instance unless that has already happened.
-    void handle_call_failure(transport::rpc_client const* failed)
+    void handle_call_failure(std::uint64_t failed)
     {
         // Outlives the lock: a client must not be destroyed under the mutex.
         std::shared_ptr<transport::rpc_client> previous;
         std::lock_guard const lock(mutex);
-        if (client.get() == failed)
+        if (client && connection == failed)
         {
             previous = client;
             drop_client();
@@ -58,12 +67,14 @@
         }
     }
 
-    void handle_not_leader(std::optional<core::endpoint> const& leader)
+    void handle_not_leader(std::uint64_t answered_on,
+                           std::optional<core::endpoint> const& leader)
     {
         // Outlives the lock: a client must not be destroyed under the mutex.
         std::shared_ptr<transport::rpc_client> previous;
         std::lock_guard const lock(mutex);
-        if (client && leader && client->peer() == *leader)
+        if (!client || connection != answered_on ||
+            (leader && client->peer() == *leader))
         {
             return;
         }
@@ -71,19 +82,58 @@
         drop_client();
         if (leader)
         {
-            client = make_peer_client(io, *leader, ++seed);
+            connect(*leader);
             return;
         }
         next_instance = (next_instance + 1) % instances.size();
     }
 
+    void handle_announcement(leader_announcement const& announced)
+    {
+        std::vector<std::shared_ptr<leader_hook const>> called;
+        {
+            // Outlives the lock: a client must not be destroyed under the
+            // mutex.
+            std::shared_ptr<transport::rpc_client> previous;
+            std::lock_guard const lock(mutex);
+            if (!client || client->peer() != announced.leader)
+            {
+                previous = client;
+                drop_client();
+                connect(announced.leader);
+            }
+            std::erase_if(hooks,
+                          [&called](auto const& weak)
+                          {
+                              auto hook = weak.lock();
+                              bool const is_gone = !hook;
+                              if (hook)
+                              {
+                                  called.push_back(std::move(hook));
+                              }
+                              return is_gone;
+                          });
+        }
+        for (auto const& hook : called)
+        {
+            (*hook)(announced);
+        }
+    }
+
     transport::io_pool& io;
     std::vector<core::endpoint> instances;
     std::uint64_t seed;
+    /// Keeps the watcher's instances those that were set last. Taken before
+    /// `mutex`.
+    std::mutex instances_mutex;
     std::mutex mutex;
     std::size_t next_instance;
     std::shared_ptr<transport::rpc_client> client;
+    /// Counts the clients made, so that late results of earlier ones are known.
+    std::uint64_t connection = 0;
+    std::vector<std::weak_ptr<leader_hook const>> hooks;
     transport::traffic closed_traffic;
+    std::unique_ptr<leader_watcher> watcher;
 };
 
 control_link::control_link(transport::io_pool& io,
@@ -97,47 +147,86 @@
 void control_link::call(std::string path,
                         std::string body,
                         core::duration timeout,
-                        transport::call_callback done)
+                        control_callback done)
 {
-    auto const client = m_state->current();
+    auto const [client, connection] = m_state->current();
     // The callback owns neither the link nor the client: a long poll that is
     // open at shutdown would otherwise keep itself alive.
     client->call(std::move(path),
                  std::move(body),
                  timeout,
                  [weak = std::weak_ptr(m_state),
-                  target = client.get(),
+                  connection = connection,
                   done = std::move(done)](transport::call_result result)
                  {
                      auto const shared = weak.lock();
                      if (shared &&
                          result.outcome != transport::call_outcome::answered)
                      {
-                         shared->handle_call_failure(target);
+                         shared->handle_call_failure(connection);
                      }
-                     done(std::move(result));
+                     done({std::move(result), connection});
                  });
 }
 
-void control_link::not_leader(std::optional<core::endpoint> const& leader)
+void control_link::not_leader(control_result const& answer,
+                              std::optional<core::endpoint> const& leader)
 {
-    m_state->handle_not_leader(leader);
+    m_state->handle_not_leader(answer.connection, leader);
 }
 
-void control_link::set_instances(std::vector<core::endpoint> instances)
+void control_link::watch_leader()
 {
+    m_state->watcher = std::make_unique<leader_watcher>(
+        m_state->io,
+        m_state->seed,
+        [weak = std::weak_ptr(m_state)](leader_announcement const& announced)
+        {
+            if (auto const shared = weak.lock())
+            {
+                shared->handle_announcement(announced);
+            }
+        });
+    m_state->watcher->set_members(m_state->instances);
+}
+
+std::shared_ptr<control_link::leader_hook const>
+control_link::on_leader(leader_hook hook)
+{
+    auto owner = std::make_shared<leader_hook const>(std::move(hook));
     std::lock_guard const lock(m_state->mutex);
-    if (!instances.empty() && instances != m_state->instances)
+    m_state->hooks.emplace_back(owner);
+    return owner;
+}
+
+void control_link::set_instances(std::vector<core::endpoint> instances)
+{
+    std::lock_guard const order(m_state->instances_mutex);
     {
+        std::lock_guard const lock(m_state->mutex);
+        if (instances.empty() || instances == m_state->instances)
+        {
+            return;
+        }
         m_state->next_instance %= instances.size();
-        m_state->instances = std::move(instances);
+        m_state->instances = instances;
+    }
+    if (m_state->watcher)
+    {
+        m_state->watcher->set_members(instances);
     }
 }
 
 transport::traffic control_link::transferred() const
 {
+    transport::traffic total;
+    if (m_state->watcher)
+    {
+        total = m_state->watcher->transferred();
+    }
     std::lock_guard const lock(m_state->mutex);
-    auto total = m_state->closed_traffic;
+    total.sent += m_state->closed_traffic.sent;
+    total.received += m_state->closed_traffic.received;
     if (m_state->client)
     {
         auto const [sent, received] = m_state->client->transferred();
--- a/programs/sidecar/main.cpp
+++ b/programs/sidecar/main.cpp
@@ -31,6 +31,7 @@
     shared::control_link control(io, settings.control, incarnation);
     worker_service service(
         io, control, *settings.worker, core::incarnation(incarnation), metrics);
+    control.watch_leader();
     web::server_options options;
     options.listen_on = settings.worker->registration;
     options.also_listen_on = {settings.http};
@@ -125,6 +126,7 @@
     {
         return false;
     }
+    control->watch_leader();
     service.start(rpc->bound());
     watch.start();
     log.info(settings.backend.value() + " listens on " +
--- a/programs/sidecar/service/sidecar_service.cpp
+++ b/programs/sidecar/service/sidecar_service.cpp
@@ -327,7 +327,7 @@
     m_control.call("/announce",
                    wire::encode(request),
                    announce_timeout,
-                   [this](transport::call_result const& result)
+                   [this](shared::control_result const& result)
                    {
                        m_loop.post([this, result]
                                    { handle_announce_result(result); });
@@ -337,7 +337,7 @@
 }
 
 void sidecar_service::handle_announce_result(
-    transport::call_result const& result)
+    shared::control_result const& result)
 {
     m_announcing = false;
     auto const now = process::event_loop::now();
@@ -351,7 +351,7 @@
     }
     if (answer->code == core::result_code::not_leader)
     {
-        m_control.not_leader(answer->leader);
+        m_control.not_leader(result, answer->leader);
         return;
     }
     if (answer->code != core::result_code::ok)
--- a/programs/sidecar/service/sidecar_service.hpp
+++ b/programs/sidecar/service/sidecar_service.hpp
@@ -75,7 +75,7 @@
                                web::http_result result);
     void send_answer(core::attempt_answer const& content);
     void announce();
-    void handle_announce_result(transport::call_result const& result);
+    void handle_announce_result(shared::control_result const& result);
     void apply(core::configuration const& config, core::revision revision);
     void record(core::attempt_id const& id,
                 std::string action,
--- a/programs/sidecar/worker/worker_service.cpp
+++ b/programs/sidecar/worker/worker_service.cpp
@@ -25,7 +25,7 @@
 /// @return Nothing without an answer of the leader.
 template <typename Answer>
 std::optional<Answer> decode_leader_answer(shared::control_link& control,
-                                           transport::call_result const& result)
+                                           shared::control_result const& result)
 {
     if (result.outcome != transport::call_outcome::answered)
     {
@@ -34,7 +34,7 @@
     auto answer = wire::decode<Answer>(result.body);
     if (!answer || answer->code != core::result_code::ok)
     {
-        control.not_leader(answer ? answer->leader : std::nullopt);
+        control.not_leader(result, answer ? answer->leader : std::nullopt);
         return std::nullopt;
     }
     return answer;
@@ -52,7 +52,10 @@
       m_unreadable_reports(
           metrics.counter("turmericswitch_sidecar_unreadable_reports_total",
                           "Workers' reports that could not be read.")),
-      m_agent({settings.instance, incarnation}, make_hooks(settings.runtime))
+      m_agent({settings.instance, incarnation}, make_hooks(settings.runtime)),
+      m_leader_hook(control.on_leader(
+          [this](shared::leader_announcement const& announced)
+          { m_agent.leader_changed(announced.report_after); }))
 {
 }
 
@@ -78,7 +81,7 @@
             "/worker-report",
             wire::encode(report),
             report_timeout,
-            [this, done = std::move(done)](transport::call_result const& result)
+            [this, done = std::move(done)](shared::control_result const& result)
             {
                 auto grant = decode_leader_answer<core::runtime_grant>(
                     m_control, result);
@@ -97,7 +100,7 @@
                        wire::encode(request),
                        request.max_wait + poll_timeout_margin,
                        [this, done = std::move(done)](
-                           transport::call_result const& result) {
+                           shared::control_result const& result) {
                            done(decode_leader_answer<core::runtime_orders>(
                                m_control, result));
                        });
@@ -134,6 +137,7 @@
         [this, &stopped]
         {
             m_agent.stop();
+            m_leader_hook.reset();
             stopped.set_value();
         });
     stopped.get_future().wait();
--- a/programs/sidecar/worker/worker_service.hpp
+++ b/programs/sidecar/worker/worker_service.hpp
@@ -46,6 +46,7 @@
     telemetry::counter& m_unreadable_reports;
     std::atomic<bool> m_registered = false;
     workflow::worker_agent m_agent;
+    std::shared_ptr<shared::control_link::leader_hook const> m_leader_hook;
 };
 
 } // namespace turmericswitch::sidecar
