--- a/programs/control/api/process_api.hpp
+++ b/programs/control/api/process_api.hpp
@@ -26,6 +26,7 @@
     void answer_watch(core::watch_request const& request,
                       core::watch_answer reply,
                       transport::responder const& answer);
+    void leader_watch(std::string const& body, transport::responder answer);
     void announce(std::string const& body, transport::responder answer);
     void command(std::string const& body, transport::responder answer);
     void worker_report(std::string const& body, transport::responder answer);
--- a/programs/shared/control_link/config_watch.cpp
+++ b/programs/shared/control_link/config_watch.cpp
@@ -73,12 +73,11 @@
                   wire::encode(request),
                   options.max_wait + answer_timeout,
                   [self = shared_from_this(),
-                   asked_at = now](transport::call_result const& result)
+                   asked_at = now](control_result const& result)
                   { self->handle_result(result, asked_at); });
     }
 
-    void handle_result(transport::call_result const& result,
-                       core::time_point asked_at)
+    void handle_result(control_result const& result, core::time_point asked_at)
     {
         std::unique_lock lock(mutex);
         if (is_stopped)
@@ -99,7 +98,7 @@
         }
         if (answer)
         {
-            link.not_leader(answer->leader);
+            link.not_leader(result, answer->leader);
         }
         else if (result.code == core::result_code::message_malformed)
         {
