Hand over when a leader can't commit although its peers answer

Cause: heartbeats that are answered keep a leader in office for any time, whether or not its entries arrive.

Change: a leader whose uncommitted entries have not advanced for 5 s sends `timeout_now` to the voter with the longest log and steps down. The node tells what it knows about each member: last answer, match index, bytes in flight and oldest call.

--- a/modules/consensus/node/raft_events.hpp
+++ b/modules/consensus/node/raft_events.hpp
@@ -3,6 +3,7 @@
 
 #include "core/messages/consensus.hpp"
 #include "core/results/result_code.hpp"
+#include "core/types/units.hpp"
 
 #include <cstdint>
 #include <memory>
@@ -199,6 +200,15 @@
     std::optional<core::member_id> leader;
 };
 
+/// This leader handed over, because it could not commit although its peers
+/// answered. `role_changed` follows.
+struct leadership_given_up
+{
+    core::member_id successor;
+    /// Time since the last commit, or since the oldest uncommitted entry.
+    core::duration stalled{};
+};
+
 using action = std::variant<send,
                             persist_hard_state,
                             append,
@@ -207,7 +217,8 @@
                             install_snapshot,
                             read_ready,
                             rejected,
-                            role_changed>;
+                            role_changed,
+                            leadership_given_up>;
 
 } // namespace turmericswitch::consensus
 
--- a/modules/consensus/node/raft_node.cpp
+++ b/modules/consensus/node/raft_node.cpp
@@ -101,7 +101,10 @@
                             result_code::no_quorum);
             return;
         }
-        tick_leader(m_now >= m_next_heartbeat);
+        if (!give_up_if_stalled())
+        {
+            tick_leader(m_now >= m_next_heartbeat);
+        }
     }
     else if (m_now >= m_election_deadline)
     {
@@ -231,6 +234,10 @@
 void raft_node::append_entries(std::vector<core::log_entry> entries)
 {
     bool changes_membership = false;
+    if (m_commit_index == m_log.last_index())
+    {
+        m_commit_pending_since = m_now;
+    }
     for (auto const& entry : entries)
     {
         m_log.append(entry);
@@ -264,6 +271,7 @@
         output.entries.push_back(std::move(applied));
     }
     m_commit_index = index;
+    m_commit_pending_since = m_now;
     m_fragments.discard_through(index);
     emit(std::move(output));
 }
--- a/modules/consensus/node/raft_node.hpp
+++ b/modules/consensus/node/raft_node.hpp
@@ -20,6 +20,19 @@
 namespace turmericswitch::consensus
 {
 
+/// What a leader knows about one other member.
+struct replication_status
+{
+    core::member_id member;
+    core::time_point last_answer;
+    /// Last index known to be durable there.
+    core::log_index match;
+    /// Bytes that the transport holds or that are unacknowledged.
+    std::size_t in_flight_bytes = 0;
+    /// When the oldest message was sent that the transport still holds.
+    std::optional<core::time_point> oldest_call;
+};
+
 /// One member of a Raft group as a deterministic state machine, one per control
 /// instance. The driver passes events to `handle` and executes the returned
 /// actions in order; raft_events.hpp states which ones must be durable first.
@@ -55,6 +68,17 @@
     ///         this node does not lead or the member is unknown.
     std::optional<core::time_point> last_answer(core::member_id id) const;
 
+    /// @return Since when this leader has uncommitted entries without
+    /// committing one; nothing if all are committed or this node does not lead.
+    std::optional<core::time_point> commit_pending_since() const;
+
+    /// @return Entries of this node's log that it does not know to be committed.
+    std::uint64_t pending_entries() const;
+
+    /// @return The other members, by ascending id; empty if this node does not
+    /// lead.
+    std::vector<replication_status> replication() const;
+
     /// @param index Last index that the snapshot covers. It must be applied and
     /// not older than the newest snapshot.
     /// @return The metadata of a snapshot of the state after `index`.
@@ -140,6 +164,8 @@
     void update_commit_index();
     void update_reads();
     void update_transfer();
+    std::optional<core::member_id> most_advanced_voter() const;
+    bool give_up_if_stalled();
     bool quorum_answered_recently() const;
     bool own_term_committed() const;
 
@@ -193,6 +219,7 @@
     /// Index of the first entry that this leader appended in its term.
     core::log_index m_term_start;
     std::size_t m_uncommitted_bytes = 0;
+    core::time_point m_commit_pending_since;
     std::optional<core::member_id> m_transfer_target;
     bool m_transfer_sent = false;
     core::time_point m_transfer_deadline;
--- a/modules/consensus/node/raft_node_election.cpp
+++ b/modules/consensus/node/raft_node_election.cpp
@@ -118,6 +118,7 @@
 {
     m_role = member_role::leader;
     m_leader = m_options.self;
+    m_commit_pending_since = m_now;
     m_votes.clear();
     m_progress.clear();
     m_term_start = log_index(m_log.last_index().value() + 1);
--- a/modules/consensus/node/raft_node_leader.cpp
+++ b/modules/consensus/node/raft_node_leader.cpp
@@ -356,13 +356,19 @@
     return is_quorum(recent);
 }
 
-void raft_node::on(transfer_leadership const&)
+std::optional<core::time_point> raft_node::commit_pending_since() const
+{
+    bool const is_pending =
+        m_role == member_role::leader && m_commit_index < m_log.last_index();
+    return is_pending ? std::optional(m_commit_pending_since) : std::nullopt;
+}
+
+/// @return The other voter with the longest log of those that answered
+/// recently.
+std::optional<core::member_id> raft_node::most_advanced_voter() const
 {
-    if (m_role != member_role::leader || m_transfer_target)
-    {
-        return;
-    }
     log_index best;
+    std::optional<core::member_id> found;
     for (auto const& [id, progress] : m_progress)
     {
         bool const recent =
@@ -370,9 +376,42 @@
         if (recent && is_voter(id) && progress.match() >= best)
         {
             best = progress.match();
-            m_transfer_target = id;
+            found = id;
         }
     }
+    return found;
+}
+
+/// Hands over without waiting until the successor has all entries, because they
+/// do not arrive. Those without a quorum may be lost, as after a crash.
+///
+/// @return True if this node no longer leads.
+bool raft_node::give_up_if_stalled()
+{
+    auto const since = commit_pending_since();
+    if (!since || m_now - *since < m_options.commit_stall_timeout)
+    {
+        return false;
+    }
+    auto const successor = most_advanced_voter();
+    if (!successor)
+    {
+        return false;
+    }
+    emit(leadership_given_up{*successor, m_now - *since});
+    send_to(*successor, core::timeout_now{});
+    become_follower(
+        m_hard_state.current_term, std::nullopt, result_code::no_quorum);
+    return true;
+}
+
+void raft_node::on(transfer_leadership const&)
+{
+    if (m_role != member_role::leader || m_transfer_target)
+    {
+        return;
+    }
+    m_transfer_target = most_advanced_voter();
     m_transfer_sent = false;
     m_transfer_deadline = m_now + m_options.election_timeout;
     update_transfer();
--- a/modules/consensus/node/raft_node_membership.cpp
+++ b/modules/consensus/node/raft_node_membership.cpp
@@ -172,6 +172,25 @@
                : std::optional(known->second.last_answer());
 }
 
+std::uint64_t raft_node::pending_entries() const
+{
+    return m_log.last_index().value() - m_commit_index.value();
+}
+
+std::vector<replication_status> raft_node::replication() const
+{
+    std::vector<replication_status> all;
+    for (auto const& [id, progress] : m_progress)
+    {
+        all.push_back({id,
+                       progress.last_answer(),
+                       progress.match(),
+                       m_deliveries.bytes_to(id) + progress.delivered_bytes(),
+                       m_deliveries.oldest_to(id)});
+    }
+    return all;
+}
+
 void raft_node::step_down_if_removed()
 {
     if (m_role != member_role::leader || is_voter(m_options.self) ||
--- a/modules/consensus/node/raft_options.hpp
+++ b/modules/consensus/node/raft_options.hpp
@@ -35,6 +35,10 @@
     std::size_t max_total_in_flight_bytes = 512U * 1024U;
     /// Proposals are refused above this many uncommitted bytes.
     std::size_t max_uncommitted_bytes = 32U * 1024U * 1024U;
+    /// A leader whose entries are not committed for this long, although a
+    /// quorum answers, hands over. Longer than a large entry takes on an
+    /// overloaded link, and shorter than the workers' leases of 6 s.
+    core::duration commit_stall_timeout = std::chrono::seconds(5);
     std::size_t snapshot_chunk_bytes = 64U * 1024U;
     /// Entries before the newest snapshot that stay in memory, so that slow
     /// followers can catch up without a snapshot.
--- a/modules/consensus/tests/raft_node_test.cpp
+++ b/modules/consensus/tests/raft_node_test.cpp
@@ -62,6 +62,9 @@
     CPPUNIT_TEST(snapshot_does_not_replace_a_newer_log);
     CPPUNIT_TEST(sync_of_a_replaced_entry_is_ignored);
     CPPUNIT_TEST(large_entry_commits_over_slow_links);
+    CPPUNIT_TEST(overload_ends_with_its_cause);
+    CPPUNIT_TEST(leader_that_cannot_commit_hands_over);
+    CPPUNIT_TEST(append_under_way_is_not_sent_again);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against stale answers from a leader behind a partition. It reaches
@@ -354,6 +357,118 @@
         CPPUNIT_ASSERT(group.outcome_of(small).applied.has_value());
         CPPUNIT_ASSERT(group.leader() == at);
     }
+
+    // Guards against a queue of messages that outlives the overload of the
+    // links, and against one that grows while it lasts.
+    void overload_ends_with_its_cause()
+    {
+        consensus_harness group(3, 12);
+        auto const at = elected_leader(group);
+        for (auto const id : group.members())
+        {
+            group.slow_down(id, 1);
+        }
+        std::uint64_t last = 0;
+        for (int i = 0; i < 20; ++i)
+        {
+            last = group.propose(at, 200);
+            group.run(10);
+            for (auto const& status : group.node(at)->replication())
+            {
+                CPPUNIT_ASSERT(status.in_flight_bytes <=
+                               consensus_harness::max_in_flight_bytes);
+            }
+        }
+        for (auto const id : group.members())
+        {
+            group.slow_down(id, 0);
+        }
+        group.run(8 * settle_steps);
+        CPPUNIT_ASSERT(group.outcome_of(last).applied.has_value());
+        CPPUNIT_ASSERT(group.leader() == at);
+    }
+
+    // Guards against a leader that stays in office for as long as its
+    // heartbeats are answered, although its entries do not arrive.
+    void leader_that_cannot_commit_hands_over()
+    {
+        consensus_harness group(3, 13);
+        auto const at = elected_leader(group);
+        group.slow_down(at, 1);
+        auto const large = group.propose(at, 5000);
+        group.run(4 * settle_steps);
+        CPPUNIT_ASSERT(group.leader() == at);
+        group.run(2 * settle_steps);
+        CPPUNIT_ASSERT(group.leader().has_value());
+        CPPUNIT_ASSERT(group.leader() != at);
+        CPPUNIT_ASSERT(group.outcome_of(large).rejected ==
+                       result_code::outcome_unknown);
+        auto const next = group.propose(*group.leader());
+        group.run(settle_steps);
+        CPPUNIT_ASSERT(group.outcome_of(next).applied.has_value());
+    }
+
+    // Guards against a second copy of an append or fragment while the transport
+    // still holds the first, against none after its call has failed or its
+    // acknowledgement is missing, and against repetition without back-off.
+    void append_under_way_is_not_sent_again()
+    {
+        auto const member = [](std::uint64_t id) {
+            return core::group_member{member_id(id), {}, {}, false};
+        };
+        raft_options options;
+        options.self = member_id(1);
+        raft_node node(options,
+                       bootstrap_state({{member(1), member(2), member(3)}}),
+                       core::seeded_random(1),
+                       {});
+        auto now = core::time_point(std::chrono::seconds(5));
+        std::vector<delivery_id> sent;
+        auto const feed = [&](event const& input)
+        {
+            for (auto const& output : node.handle(now, input))
+            {
+                auto const* const message = std::get_if<send>(&output);
+                if (message != nullptr && message->content.to == member_id(2) &&
+                    message->delivery != delivery_id())
+                {
+                    sent.push_back(message->delivery);
+                }
+            }
+        };
+        auto const answer = [&](auto body)
+        {
+            feed(message{
+                {member_id(2), member_id(1), core::term(2), std::move(body)}});
+        };
+        auto const pass = [&](core::duration time)
+        {
+            for (auto const end = now + time; now < end;)
+            {
+                now += std::chrono::milliseconds(50);
+                answer(core::fragment_answer{});
+                feed(tick{});
+            }
+        };
+        feed(tick{});
+        answer(core::vote_answer{true, true});
+        answer(core::vote_answer{true, false});
+        CPPUNIT_ASSERT(node.role() == member_role::leader);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), sent.size());
+        pass(std::chrono::milliseconds(1500));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), sent.size());
+        feed(delivery_ended{sent.back(), false});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), sent.size());
+        feed(delivery_ended{sent.back(), false});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), sent.size());
+        pass(std::chrono::milliseconds(200));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), sent.size());
+        feed(delivery_ended{sent.back(), true});
+        pass(std::chrono::milliseconds(1000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), sent.size());
+        pass(std::chrono::milliseconds(400));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), sent.size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(raft_node_test);
--- a/tests/support/consensus_harness.cpp
+++ b/tests/support/consensus_harness.cpp
@@ -30,7 +30,8 @@
     options.election_timeout = std::chrono::milliseconds(150);
     options.heartbeat_interval = std::chrono::milliseconds(30);
     options.max_message_bytes = message_bytes;
-    options.max_in_flight_bytes = 90;
+    options.max_in_flight_bytes = consensus_harness::max_in_flight_bytes;
+    options.max_total_in_flight_bytes = 3 * options.max_in_flight_bytes;
     options.snapshot_chunk_bytes = 64;
     options.retained_entries = 5;
     options.promotion_lag = 5;
--- a/tests/support/consensus_harness.hpp
+++ b/tests/support/consensus_harness.hpp
@@ -33,6 +33,9 @@
         std::optional<core::log_index> readable;
     };
 
+    /// Bound of the bytes in flight to one member.
+    static constexpr std::size_t max_in_flight_bytes = 90;
+
     consensus_harness(std::size_t voters, std::uint64_t seed);
     ~consensus_harness();
 
