Log and measure why a leader does not commit

Cause: a leader whose commits stalled looked healthy from outside: no event and no metric told which member held it up, or with what.

Change: events commit_stalled (463, once a second after 1 s, with the state of each member) and leadership_given_up (464); metrics turmericswitch_control_commit_stall_seconds and ..._control_member_*.

Result: the tests consensus, core, wire and program_control pass. No test reads the event or the metrics yet.

--- a/modules/consensus/node/raft_node.hpp
+++ b/modules/consensus/node/raft_node.hpp
@@ -72,7 +72,7 @@
     /// committing one; nothing if all are committed or this node does not lead.
     std::optional<core::time_point> commit_pending_since() const;
 
-    /// @return Entries of this node's log that it does not know to be committed.
+    /// @return Entries of the log that are not known to be committed.
     std::uint64_t pending_entries() const;
 
     /// @return The other members, by ascending id; empty if this node does not
--- a/modules/core/events/event_code.hpp
+++ b/modules/core/events/event_code.hpp
@@ -69,6 +69,8 @@
     storage_failed = 460,
     configuration_applied = 461,
     zone_evacuation_changed = 462,
+    commit_stalled = 463,
+    leadership_given_up = 464,
 };
 
 enum class event_severity : std::uint8_t
@@ -153,6 +155,11 @@
         event_code::storage_failed, "storage_failed", event_severity::error},
     event_entry{event_code::configuration_applied, "configuration_applied"},
     event_entry{event_code::zone_evacuation_changed, "zone_evacuation_changed"},
+    event_entry{
+        event_code::commit_stalled, "commit_stalled", event_severity::warning},
+    event_entry{event_code::leadership_given_up,
+                "leadership_given_up",
+                event_severity::warning},
 };
 
 /// @return The entry of the event; every code has one.
--- a/programs/control/node/control_node.cpp
+++ b/programs/control/node/control_node.cpp
@@ -13,6 +13,11 @@
 /// intervals are 100 ms.
 constexpr core::duration tick_interval = std::chrono::milliseconds(20);
 constexpr std::size_t max_kept_decisions = 20'000;
+
+double seconds(core::duration time)
+{
+    return std::chrono::duration<double>(time).count();
+}
 /// A successor is usually elected within a few round trips, well before this.
 constexpr core::duration leadership_transfer_wait =
     std::chrono::milliseconds(300);
@@ -192,6 +197,65 @@
                        core::duration(m_snapshot_cpu_time_us.load()))
                 .count();
         });
+    add_replication_metrics();
+}
+
+void control_node::add_replication_metrics()
+{
+    using consensus::replication_status;
+    m_metrics.add_gauge_hook(
+        "turmericswitch_control_commit_stall_seconds",
+        "Time for which the leader has had uncommitted entries and committed "
+        "none.",
+        [this] { return seconds(core::duration(m_commit_stall_us.load())); });
+    auto const add = [this](std::string const& name,
+                            std::string const& help,
+                            double (*read)(replication_status const&))
+    {
+        m_metrics.add_family_hook(
+            "turmericswitch_control_member_" + name,
+            help,
+            telemetry::metric_kind::gauge,
+            [this, read]
+            {
+                std::vector<telemetry::labelled_value> values;
+                std::lock_guard const lock(m_replication_mutex);
+                for (auto const& status : m_replication)
+                {
+                    auto const id = std::to_string(status.member.value());
+                    values.push_back({{{"member", id}}, read(status)});
+                }
+                return values;
+            });
+    };
+    add("match_index",
+        "Last index that the leader knows to be durable on a member.",
+        [](replication_status const& status)
+        { return static_cast<double>(status.match.value()); });
+    add("in_flight_bytes",
+        "Bytes sent to a member that the transport holds or that are "
+        "unacknowledged.",
+        [](replication_status const& status)
+        { return static_cast<double>(status.in_flight_bytes); });
+    add("answer_age_seconds",
+        "Time since a member last answered the leader.",
+        [](replication_status const& status)
+        { return seconds(process::event_loop::now() - status.last_answer); });
+    add("oldest_call_seconds",
+        "Age of the oldest message to a member that the transport holds.",
+        [](replication_status const& status)
+        {
+            auto const now = process::event_loop::now();
+            return seconds(now - status.oldest_call.value_or(now));
+        });
+}
+
+void control_node::update_replication_metrics()
+{
+    m_commit_stall_us = m_replica.commit_stall().count();
+    auto statuses = m_replica.replication();
+    std::lock_guard const lock(m_replication_mutex);
+    m_replication = std::move(statuses);
 }
 
 void control_node::manage_membership(core::group_member self,
@@ -305,6 +369,7 @@
     auto const [sent, received] = m_links.transferred();
     m_peer_bytes = sent + received;
     m_snapshot_cpu_time_us = m_replica.snapshot_cpu_time().count();
+    update_replication_metrics();
 }
 
 void control_node::on_group_changed()
--- a/programs/control/node/control_node.hpp
+++ b/programs/control/node/control_node.hpp
@@ -11,6 +11,8 @@
 
 #include <atomic>
 #include <memory>
+#include <mutex>
+#include <vector>
 
 namespace turmericswitch::control
 {
@@ -98,6 +100,8 @@
     void on_members_received(core::group_membership const& members);
     void end_workflow_service();
     void add_metrics();
+    void add_replication_metrics();
+    void update_replication_metrics();
     /// Logs an operator's change of the configuration or of a zone, unless the
     /// entry was recovered from disk and logged before the restart.
     void log_operator_command(core::command_body const& command,
@@ -117,6 +121,10 @@
     std::atomic<bool> m_leads = false;
     std::atomic<std::uint64_t> m_peer_bytes = 0;
     std::atomic<std::int64_t> m_snapshot_cpu_time_us = 0;
+    std::atomic<std::int64_t> m_commit_stall_us = 0;
+    /// Guards `m_replication`, which the metrics read on another thread.
+    std::mutex m_replication_mutex;
+    std::vector<consensus::replication_status> m_replication;
     transport::io_pool& m_io;
     std::uint64_t m_seed;
     core::group_membership m_contacts;
--- a/programs/control/node/replica.cpp
+++ b/programs/control/node/replica.cpp
@@ -39,6 +39,28 @@
     return "unknown";
 }
 
+/// Time without a commit after which a leader with uncommitted entries logs
+/// why, and the time between two such events.
+constexpr core::duration stall_report_interval = std::chrono::seconds(1);
+
+std::string milliseconds_text(core::duration time)
+{
+    return std::to_string(
+        std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
+/// @return One member of the event `commit_stalled`.
+std::string describe(consensus::replication_status const& status,
+                     core::time_point now)
+{
+    return std::to_string(status.member.value()) +
+           ":answer_ms=" + milliseconds_text(now - status.last_answer) +
+           ",match=" + std::to_string(status.match.value()) +
+           ",in_flight=" + std::to_string(status.in_flight_bytes) +
+           ",oldest_call_ms=" +
+           milliseconds_text(now - status.oldest_call.value_or(now));
+}
+
 /// @return CPU time of this thread. Unlike elapsed time, it does not include
 /// waiting for other processes.
 core::duration thread_cpu_time()
@@ -89,9 +111,31 @@
 void replica::tick()
 {
     process_event(consensus::tick{});
+    report_stall();
     snapshot_if_due();
 }
 
+void replica::report_stall()
+{
+    auto const stalled = commit_stall();
+    auto const now = process::event_loop::now();
+    if (stalled < stall_report_interval ||
+        now - m_stall_reported < stall_report_interval)
+    {
+        return;
+    }
+    m_stall_reported = now;
+    std::string members;
+    for (auto const& status : m_node.replication())
+    {
+        members += (members.empty() ? "" : " ") + describe(status, now);
+    }
+    m_hooks.on_event({core::event_code::commit_stalled,
+                      {core::number_field("pending", m_node.pending_entries()),
+                       core::time_field("stalled_ms", stalled),
+                       core::text_field("members", members)}});
+}
+
 void replica::receive(core::consensus_message const& message)
 {
     process_event(consensus::message{message});
@@ -266,6 +310,13 @@
     {
         on_role_changed(*role);
     }
+    else if (auto const* ended = std::get_if<leadership_given_up>(&output))
+    {
+        m_hooks.on_event(
+            {core::event_code::leadership_given_up,
+             {core::number_field("successor", ended->successor.value()),
+              core::time_field("stalled_ms", ended->stalled)}});
+    }
     return true;
 }
 
@@ -495,6 +546,17 @@
     return m_node.last_answer(id);
 }
 
+std::vector<consensus::replication_status> replica::replication() const
+{
+    return m_node.replication();
+}
+
+core::duration replica::commit_stall() const
+{
+    auto const since = m_node.commit_pending_since();
+    return since ? process::event_loop::now() - *since : core::duration();
+}
+
 std::optional<core::group_member> replica::leader() const
 {
     auto const id = m_node.leader();
--- a/programs/control/node/replica.hpp
+++ b/programs/control/node/replica.hpp
@@ -121,6 +121,11 @@
     core::group_membership const& membership() const;
     /// @return When a member last answered, if this instance leads.
     std::optional<core::time_point> last_answer(core::member_id id) const;
+    /// @return What this instance knows about the other members, if it leads.
+    std::vector<consensus::replication_status> replication() const;
+    /// @return How long this leader has had uncommitted entries without
+    /// committing one; 0 if there are none.
+    core::duration commit_stall() const;
     /// @return The leader's entry in the membership, if the leader is known.
     std::optional<core::group_member> leader() const;
     /// @return True after a write or sync failed; the member then sends no
@@ -143,6 +148,7 @@
     void snapshot_if_due();
     void propose_pending();
     void fail_storage(std::string const& why);
+    void report_stall();
     core::command_envelope make_envelope(core::command_body body) const;
     consensus::ticket next_ticket();
 
@@ -167,6 +173,7 @@
     bool m_is_processing_events = false;
     bool m_snapshot_running = false;
     core::duration m_snapshot_cpu_time{};
+    core::time_point m_stall_reported;
     bool m_storage_failed = false;
     bool m_is_raft_leader = false;
     bool m_is_leading = false;
