--- a/tests/support/silencing_relay.cpp
+++ b/tests/support/silencing_relay.cpp
@@ -1,5 +1,6 @@
 #include "support/silencing_relay.hpp"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <array>
 #include <netinet/in.h>
@@ -70,6 +71,20 @@
     }
 }
 
+void silencing_relay::limit_rate(std::size_t bytes_per_second)
+{
+    m_rate = bytes_per_second;
+}
+
+void silencing_relay::close_connections()
+{
+    std::lock_guard const lock(m_mutex);
+    for (auto& each : m_connections)
+    {
+        close(each);
+    }
+}
+
 std::size_t silencing_relay::accepted() const
 {
     return m_accepted;
@@ -92,6 +107,7 @@
             }
         }
         ::poll(waiting.data(), waiting.size(), poll_interval_ms);
+        refill_allowance();
         std::lock_guard const lock(m_mutex);
         for (std::size_t i = 0; i < numbers.size(); ++i)
         {
@@ -99,14 +115,12 @@
             bool const client_sent = waiting[2 * i + 1].revents != 0;
             bool const target_sent = waiting[2 * i + 2].revents != 0;
             bool const is_open =
-                each.is_silent ||
+                each.is_silent || each.is_closed ||
                 ((!client_sent || forward(each.from_client, each.to_target)) &&
                  (!target_sent || forward(each.to_target, each.from_client)));
             if (!is_open)
             {
-                each.is_closed = true;
-                ::shutdown(each.from_client, SHUT_RDWR);
-                ::shutdown(each.to_target, SHUT_RDWR);
+                close(each);
             }
         }
         if (waiting.front().revents != 0)
@@ -133,10 +147,39 @@
     ++m_accepted;
 }
 
+void silencing_relay::close(connection& each)
+{
+    each.is_closed = true;
+    ::shutdown(each.from_client, SHUT_RDWR);
+    ::shutdown(each.to_target, SHUT_RDWR);
+}
+
+/// Adds what the rate allows for the time since the last call; waits a little
+/// while nothing may be forwarded.
+void silencing_relay::refill_allowance()
+{
+    auto const rate = static_cast<double>(m_rate.load());
+    if (rate > 0 && m_allowance <= 0)
+    {
+        std::this_thread::sleep_for(
+            std::chrono::milliseconds(poll_interval_ms));
+    }
+    auto const now = std::chrono::steady_clock::now();
+    std::chrono::duration<double> const passed =
+        now - std::exchange(m_allowance_time, now);
+    m_allowance =
+        rate > 0 ? std::min(m_allowance, 0.0) + passed.count() * rate : 0;
+}
+
 bool silencing_relay::forward(int from, int to)
 {
     std::array<char, 16384> chunk{};
+    if (m_rate > 0 && m_allowance <= 0)
+    {
+        return true;
+    }
     ssize_t const size = ::recv(from, chunk.data(), chunk.size(), 0);
+    m_allowance -= static_cast<double>(size);
     return size > 0 && ::send(to,
                               chunk.data(),
                               static_cast<std::size_t>(size),
--- a/tests/support/silencing_relay.hpp
+++ b/tests/support/silencing_relay.hpp
@@ -4,6 +4,7 @@
 #include "core/types/ids.hpp"
 
 #include <atomic>
+#include <chrono>
 #include <cstddef>
 #include <mutex>
 #include <thread>
@@ -14,6 +15,7 @@
 
 /// TCP relay on loopback whose open connections can fall silent: it then reads
 /// and sends nothing on them and does not close them. Later connections work.
+/// It can also be slow, and close its connections.
 class silencing_relay
 {
 public:
@@ -33,6 +35,13 @@
     /// their bytes are forwarded.
     void silence();
 
+    /// Limits the rate of all connections together, in both directions.
+    /// @param bytes_per_second 0 removes the limit.
+    void limit_rate(std::size_t bytes_per_second);
+
+    /// Closes the connections accepted so far; what they held is lost.
+    void close_connections();
+
     /// @return Connections accepted so far.
     std::size_t accepted() const;
 
@@ -47,7 +56,9 @@
 
     void run();
     void accept_one();
-    static bool forward(int from, int to);
+    void refill_allowance();
+    bool forward(int from, int to);
+    static void close(connection& each);
 
     core::endpoint m_target;
     int m_listener;
@@ -55,6 +66,11 @@
     std::mutex m_mutex;
     std::vector<connection> m_connections;
     std::atomic<std::size_t> m_accepted = 0;
+    /// Bytes per second; 0 if the rate is not limited.
+    std::atomic<std::size_t> m_rate = 0;
+    /// Bytes that may be forwarded now.
+    double m_allowance = 0;
+    std::chrono::steady_clock::time_point m_allowance_time;
     std::atomic<bool> m_stopping = false;
     std::thread m_thread;
 };
