--- a/modules/consensus/node/raft_events.hpp
+++ b/modules/consensus/node/raft_events.hpp
@@ -3,6 +3,7 @@
 
 #include "core/messages/consensus.hpp"
 #include "core/results/result_code.hpp"
+#include "core/types/units.hpp"
 
 #include <cstdint>
 #include <memory>
@@ -18,6 +19,10 @@
 /// and its node; never sent to other members.
 using ticket = core::strong_id<struct ticket_tag, std::uint64_t>;
 
+/// Identifies a message with payload between the node and its transport; never
+/// sent to other members. 0 for messages whose delivery is not tracked.
+using delivery_id = core::strong_id<struct delivery_id_tag, std::uint64_t>;
+
 // Events
 
 /// Advances timeouts. Must be sent at least twice per heartbeat interval.
@@ -92,6 +97,15 @@
 {
 };
 
+/// The transport no longer holds the message of a tracked `send`.
+struct delivery_ended
+{
+    delivery_id id;
+    /// True if the peer has received the message. False if the call failed,
+    /// timed out, or its connection ended.
+    bool answered = false;
+};
+
 using event = std::variant<tick,
                            message,
                            propose,
@@ -100,15 +114,20 @@
                            change_membership,
                            snapshot_taken,
                            transfer_leadership,
-                           storage_failed>;
+                           storage_failed,
+                           delivery_ended>;
 
 // Actions. The driver executes them in order. `persist_hard_state`, `truncate`
 // and `install_snapshot` must be durable before the next action; if one fails,
 // the driver discards the remaining actions and sends `storage_failed`.
 
+/// Sends a message to another member; it may be lost.
 struct send
 {
     core::consensus_message content;
+    /// If not 0, the driver sends one `delivery_ended` with this id when the
+    /// transport no longer holds the message.
+    delivery_id delivery;
 };
 
 struct persist_hard_state
@@ -181,6 +200,15 @@
     std::optional<core::member_id> leader;
 };
 
+/// This leader handed over, because it could not commit although its peers
+/// answered. `role_changed` follows.
+struct leadership_given_up
+{
+    core::member_id successor;
+    /// Time since the last commit, or since the oldest uncommitted entry.
+    core::duration stalled{};
+};
+
 using action = std::variant<send,
                             persist_hard_state,
                             append,
@@ -189,7 +217,8 @@
                             install_snapshot,
                             read_ready,
                             rejected,
-                            role_changed>;
+                            role_changed,
+                            leadership_given_up>;
 
 } // namespace turmericswitch::consensus
 
