Fetch chunks over a connection of their own, from members by name

Cause: a lost chunk call ended every call of the connection to the leader, job calls included. The time allowed for a chunk was 0.5 s instead of 1.02 s, because it was computed in whole seconds. A configuration that a process refused replaced the base of its deltas.

Change: a connection to one control instance for each transfer in chunks, chosen by the process's name, and the next instance after a failure.

--- a/modules/wire/tests/message_codec_test.cpp
+++ b/modules/wire/tests/message_codec_test.cpp
@@ -96,10 +96,24 @@
     CPPUNIT_TEST(message_without_appended_member_is_read);
     CPPUNIT_TEST(message_with_too_many_members_is_rejected);
     CPPUNIT_TEST(orders_of_an_earlier_release_reserve_nothing);
+    CPPUNIT_TEST(request_without_transfers_is_that_of_an_earlier_release);
     CPPUNIT_TEST(recorded_lease_round_trips);
     CPPUNIT_TEST(recorded_lease_of_zero_is_not_written);
     CPPUNIT_TEST_SUITE_END();
 
+    // Guards against control instances of an earlier release that can't read
+    // the requests of sidecars, which take no transfers.
+    void request_without_transfers_is_that_of_an_earlier_release()
+    {
+        constexpr char array_of_5 = '\x95';
+        core::watch_request request;
+        CPPUNIT_ASSERT_EQUAL(array_of_5, encode(request).front());
+        request.delta_base = core::revision(3);
+        CPPUNIT_ASSERT(decode<core::watch_request>(encode(request)) == request);
+        constexpr char array_of_9 = '\x99';
+        CPPUNIT_ASSERT_EQUAL(array_of_9, encode(core::watch_answer()).front());
+    }
+
     // Guards against members that are omitted or exchanged.
     void requests_round_trip()
     {
--- a/programs/control/tests/watch_hub_test.cpp
+++ b/programs/control/tests/watch_hub_test.cpp
@@ -90,6 +90,14 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_answers.size());
         CPPUNIT_ASSERT(m_answers[1].config.has_value());
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_hub.processes().size());
+        // A process that takes transfers gets no copy beside the transfer.
+        old.delta_base = core::revision();
+        m_hub.watch(m_now,
+                    old,
+                    [this](core::watch_answer answer)
+                    { m_answers.push_back(std::move(answer)); });
+        CPPUNIT_ASSERT(m_answers[2].current == m_config.current());
+        CPPUNIT_ASSERT(!m_answers[2].config);
     }
 
     // Guards against gateways that drop every backend server because a new
--- a/programs/shared/control_link/config_watch.cpp
+++ b/programs/shared/control_link/config_watch.cpp
@@ -3,6 +3,7 @@
 #include "core/hooks/random_source.hpp"
 #include "process/clock/boot_clock.hpp"
 #include "shared/control_link/config_assembly.hpp"
+#include "shared/peers/peer_client.hpp"
 #include "telemetry/telemetry.hpp"
 #include "wire/codec/message_codec.hpp"
 
@@ -23,7 +24,7 @@
 /// chunk takes on the slowest link, which other traffic shares, and an
 /// allowance for round trip and scheduling.
 constexpr core::duration chunk_timeout =
-    std::chrono::seconds(4 * core::config_chunk_bytes) /
+    core::duration(std::chrono::seconds(1)) * 4 * core::config_chunk_bytes /
         core::slowest_link_bytes_per_second +
     std::chrono::milliseconds(500);
 /// Calls for chunks that may fail in a row before the leader is asked again.
@@ -138,11 +139,17 @@
         auto const& [answer, asked_at] = confirmed;
         auto const previous = known.in_force;
         known = on_update(answer);
-        // Without a transfer the configuration is not kept, and the next one
-        // must be whole.
-        is_base_valid = (is_base_valid && known.in_force == previous) ||
-                        (answer.transfer && answer.config &&
-                         known.in_force == answer.current);
+        if (answer.transfer && answer.config &&
+            known.in_force == answer.current)
+        {
+            held = *answer.config;
+            is_base_valid = true;
+        }
+        else if (known.in_force != previous)
+        {
+            // Came in a whole answer, which is not kept.
+            is_base_valid = false;
+        }
         if (!is_up_to_date(answer))
         {
             poll_later();
@@ -167,13 +174,42 @@
         }
         core::chunk_request const request{
             process_name, assembly.content(), assembly.offset()};
+        auto const source = chunk_source();
         lock.unlock();
-        link.call(
-            "/config-chunk",
-            wire::encode(request),
-            chunk_timeout,
-            [self = shared_from_this()](transport::call_result const& result)
-            { self->handle_chunk(result); });
+        auto const done =
+            [weak = weak_from_this()](transport::call_result const& result)
+        {
+            if (auto const self = weak.lock())
+            {
+                self->handle_chunk(result);
+            }
+        };
+        if (source)
+        {
+            source->call(
+                "/config-chunk", wire::encode(request), chunk_timeout, done);
+            return;
+        }
+        link.call("/config-chunk", wire::encode(request), chunk_timeout, done);
+    }
+
+    /// @return A connection to the control instance that sends chunks to this
+    /// process, or null if no instances are known. It is not that of `link`:
+    /// job calls there are not delayed by chunks and do not end with a lost
+    /// one.
+    std::shared_ptr<transport::rpc_client> chunk_source()
+    {
+        auto const& instances = pending.answer.control;
+        if (instances.empty())
+        {
+            return nullptr;
+        }
+        auto const& instance = instances[source_index % instances.size()];
+        if (!chunk_client || chunk_client->peer() != instance)
+        {
+            chunk_client = make_peer_client(io, instance, random());
+        }
+        return chunk_client;
     }
 
     void handle_chunk(transport::call_result const& result)
@@ -204,7 +240,8 @@
             }
         }
         ++totals.failures;
-        if (!answer && ++chunk_failures < max_chunk_failures)
+        ++source_index;
+        if (++chunk_failures < max_chunk_failures)
         {
             continue_later(core::full_jitter(
                 random, backoff_base, backoff_cap, chunk_failures));
@@ -217,6 +254,8 @@
 
     void finish_transfer(std::unique_lock<std::mutex>& lock)
     {
+        // Transfers in chunks are rare, so the connection is not kept.
+        chunk_client.reset();
         auto const content = assembly.content();
         auto next = assembly.finish(held);
         if (!next)
@@ -228,7 +267,6 @@
             return;
         }
         ++(content.base == core::revision{} ? totals.wholes : totals.deltas);
-        held = *next;
         pending.answer.config = std::move(*next);
         log_transfer(core::event_code::configuration_received, content);
         auto const confirmed = std::exchange(pending, {});
@@ -328,6 +366,9 @@
     config_assembly assembly;
     /// Applied when `assembly` is complete.
     confirmed_answer pending;
+    /// Spreads the processes over the control instances.
+    std::size_t source_index = std::hash<std::string>{}(process_name.value());
+    std::shared_ptr<transport::rpc_client> chunk_client;
     unsigned chunk_failures = 0;
     std::uint64_t chunks_of_transfer = 0;
     core::time_point transfer_begun;
