Log documents that differ little as deltas

Cause: each operator's document was a log entry of 323 to 338 kB with 1,200 queues, sent to every member, whatever had changed.

Change: the leader proposes apply_document_delta if it has less than half the bytes. It names version and checksum of its base and checksum of its result; if another document is in force, every member refuses it and the leader proposes the whole document. A repeated, outdated or conflicting document gets the reply that the whole one gets.

--- a/modules/cluster_state/configuration/configuration_state.cpp
+++ b/modules/cluster_state/configuration/configuration_state.cpp
@@ -1,6 +1,8 @@
 #include "cluster_state/configuration/configuration_state.hpp"
 
 #include "rules/rules.hpp"
+#include "wire/codec/checksum.hpp"
+#include "wire/codec/message_codec.hpp"
 
 #include <algorithm>
 
@@ -248,6 +250,25 @@
     return {};
 }
 
+core::command_reply
+configuration_state::apply(core::apply_document_delta const& command,
+                           core::wall_time wall)
+{
+    auto const is_base =
+        m_document.version == command.base_version &&
+        wire::checksum_of(wire::encode(m_document)) == command.base_checksum;
+    auto next =
+        is_base ? core::apply_delta(m_document, command.delta) : std::nullopt;
+    if (!next || wire::checksum_of(wire::encode(*next)) != command.checksum)
+    {
+        return refusal(result_code::document_base_mismatch,
+                       "version " + std::to_string(m_document.version) +
+                           " is in force; the delta is to version " +
+                           std::to_string(command.base_version));
+    }
+    return apply(core::apply_document{std::move(*next)}, wall);
+}
+
 core::command_reply
 configuration_state::apply(core::evacuate_zone const& command,
                            core::wall_time wall)
--- a/modules/cluster_state/configuration/configuration_state.hpp
+++ b/modules/cluster_state/configuration/configuration_state.hpp
@@ -54,6 +54,12 @@
     /// different content.
     core::command_reply apply(core::apply_document const& command,
                               core::wall_time wall);
+    /// Applies a changed document as if it were sent whole.
+    ///
+    /// @return As for the whole document, or `document_base_mismatch` if the
+    ///         delta is to another document than the one in force.
+    core::command_reply apply(core::apply_document_delta const& command,
+                              core::wall_time wall);
     core::command_reply apply(core::evacuate_zone const& command,
                               core::wall_time wall);
 
--- a/modules/cluster_state/machine/state_machine.cpp
+++ b/modules/cluster_state/machine/state_machine.cpp
@@ -81,6 +81,8 @@
             [&](core::expire_records const&) { return remove_expired(); },
             [&](core::apply_document const& each)
             { return m_config.apply(each, wall); },
+            [&](core::apply_document_delta const& each)
+            { return m_config.apply(each, wall); },
             [&](core::evacuate_zone const& each)
             { return m_config.apply(each, wall); },
             [&](core::submit_workflow const& each) { return submit(each); },
--- a/modules/core/events/event_code.hpp
+++ b/modules/core/events/event_code.hpp
@@ -71,6 +71,7 @@
     storage_failed = 460,
     configuration_applied = 461,
     zone_evacuation_changed = 462,
+    document_delta_refused = 463,
 };
 
 enum class event_severity : std::uint8_t
@@ -159,6 +160,7 @@
         event_code::storage_failed, "storage_failed", event_severity::error},
     event_entry{event_code::configuration_applied, "configuration_applied"},
     event_entry{event_code::zone_evacuation_changed, "zone_evacuation_changed"},
+    event_entry{event_code::document_delta_refused, "document_delta_refused"},
 };
 
 /// @return The entry of the event; every code has one.
--- a/modules/core/messages/commands.hpp
+++ b/modules/core/messages/commands.hpp
@@ -2,6 +2,7 @@
 #define TURMERICSWITCH_CORE_MESSAGES_COMMANDS_HPP
 
 #include "core/config/configuration.hpp"
+#include "core/config/configuration_delta.hpp"
 #include "core/messages/jobs.hpp"
 #include "core/messages/workflow.hpp"
 #include "core/results/result_code.hpp"
@@ -187,6 +188,21 @@
     bool operator==(evacuate_zone const&) const = default;
 };
 
+/// Replaces the configuration document in force by a changed one. Has the same
+/// effect as `apply_document` with the whole document, or none.
+struct apply_document_delta
+{
+    /// Version and checksum of the document that must be in force.
+    std::uint64_t base_version = 0;
+    /// XXH3 of the encoded document, source included, as is `checksum`.
+    std::uint64_t base_checksum = 0;
+    document_delta delta;
+    /// Of the changed document.
+    std::uint64_t checksum = 0;
+
+    bool operator==(apply_document_delta const&) const = default;
+};
+
 using command_body = std::variant<apply_rules,
                                   set_zone,
                                   set_drain,
@@ -204,7 +220,8 @@
                                   evacuate_zone,
                                   submit_workflow,
                                   cancel_workflow,
-                                  workflow_progress>;
+                                  workflow_progress,
+                                  apply_document_delta>;
 
 /// One command of the replicated log.
 struct command_envelope
--- a/modules/core/results/result_code.cpp
+++ b/modules/core/results/result_code.cpp
@@ -58,6 +58,10 @@
         {result_code::document_conflict,
          "document_conflict",
          "Another document has this version already; nothing was changed."},
+        {result_code::document_base_mismatch,
+         "document_base_mismatch",
+         "The delta is to another document than the one in force; nothing was "
+         "changed."},
         {result_code::not_run,
          "not_run",
          "The request did not run; it may be sent again."},
--- a/modules/core/results/result_code.hpp
+++ b/modules/core/results/result_code.hpp
@@ -35,6 +35,7 @@
     rule_too_large = 210,
     document_invalid = 211,
     document_conflict = 212,
+    document_base_mismatch = 213,
 
     // Requests
     not_run = 301,
--- a/modules/web/message/error_response.cpp
+++ b/modules/web/message/error_response.cpp
@@ -67,6 +67,8 @@
     status_row{result_code::job_invalid, 400},
     status_row{result_code::document_invalid, 400},
     status_row{result_code::document_conflict, 409},
+    status_row{result_code::document_base_mismatch, 409},
+    status_row{result_code::configuration_unavailable, 503},
     status_row{result_code::queue_unknown, 404},
     status_row{result_code::overloaded, 429},
     status_row{result_code::disk_full, 507},
--- a/programs/control/main.cpp
+++ b/programs/control/main.cpp
@@ -1,3 +1,4 @@
+#include "api/document_proposer.hpp"
 #include "api/loop_call.hpp"
 #include "api/operator_api.hpp"
 #include "api/process_api.hpp"
@@ -75,13 +76,17 @@
             node,
             [&node, body](done_hook const& done)
             {
-                node.group().propose(
-                    body,
-                    {},
-                    {},
+                auto const reply_with =
                     [&node, done](core::command_reply const& reply) {
                         done({reply, leader_http(node), {}});
-                    });
+                    };
+                if (auto const* const document =
+                        std::get_if<core::apply_document>(&body))
+                {
+                    propose_document(node.group(), *document, reply_with);
+                    return;
+                }
+                node.group().propose(body, {}, {}, reply_with);
             });
     };
     hooks.read_document = [&node]
--- a/programs/control/node/control_node.cpp
+++ b/programs/control/node/control_node.cpp
@@ -145,6 +145,11 @@
                   m_replica.state().config().in_force().document.version),
               result}});
     }
+    if (auto const* const change =
+            std::get_if<core::apply_document_delta>(&command))
+    {
+        log_document_delta(*change, reply);
+    }
     if (auto const* const zone = std::get_if<core::evacuate_zone>(&command))
     {
         m_log.write({core::event_code::zone_evacuation_changed,
@@ -154,6 +159,27 @@
     }
 }
 
+void control_node::log_document_delta(core::apply_document_delta const& change,
+                                      core::command_reply const& reply)
+{
+    auto const& in_force = m_replica.state().config().in_force().document;
+    auto const version = core::number_field("version", change.delta.version);
+    auto const current = core::number_field("in_force", in_force.version);
+    if (reply.code == core::result_code::document_base_mismatch)
+    {
+        m_log.write({core::event_code::document_delta_refused,
+                     {version,
+                      core::number_field("base", change.base_version),
+                      current}});
+        return;
+    }
+    m_log.write({core::event_code::configuration_applied,
+                 {version,
+                  core::number_field("queues", in_force.queues.size()),
+                  current,
+                  core::text_field("result", core::to_string(reply.code))}});
+}
+
 void control_node::add_metrics()
 {
     m_metrics.add_gauge_hook("turmericswitch_control_is_leader",
--- a/programs/control/node/control_node.hpp
+++ b/programs/control/node/control_node.hpp
@@ -102,6 +102,8 @@
     /// entry was recovered from disk and logged before the restart.
     void log_operator_command(core::command_body const& command,
                               core::command_reply const& reply);
+    void log_document_delta(core::apply_document_delta const& change,
+                            core::command_reply const& reply);
 
     telemetry::logger m_log{"control"};
     telemetry::metrics_registry m_metrics;
