--- a/modules/core/events/event_code.hpp
+++ b/modules/core/events/event_code.hpp
@@ -73,6 +73,7 @@
     zone_evacuation_changed = 462,
     commit_stalled = 463,
     leadership_given_up = 464,
+    document_delta_refused = 465,
 };
 
 enum class event_severity : std::uint8_t
@@ -166,6 +167,7 @@
     event_entry{event_code::leadership_given_up,
                 "leadership_given_up",
                 event_severity::warning},
+    event_entry{event_code::document_delta_refused, "document_delta_refused"},
 };
 
 /// @return The entry of the event; every code has one.
