Count crashes across changes of leader and beyond the lease, from the sidecar's evidence

Cause: only a leader that had seen a worker before and after its restart, with the same sidecar, counted the crash. Crashes around a change of leader and of workers that stayed down longer than their lease were `lost`, so a task that crashes its workers was started more often than allowed.

Change: the sidecar reports an incarnation that ended without notice, with the runs that it saw established, until a grant acknowledges it; the leader acknowledges once the table has settled all runs of the incarnation. Where a crash can't be told from the loss of the instance, a run that was not established ends as `suspected`: spread and isolated, but not failed. The table keeps such runs until the crash is reported (then counted, once) or the worker proves to have gone on. Appended members: task_record.suspected, workflow_progress.resolved, runtime_report.crashed, runtime_grant.acknowledged_crashes; run_end::suspected.

--- a/modules/core/messages/workflow.cpp
+++ b/modules/core/messages/workflow.cpp
@@ -31,6 +31,8 @@
         return "lost";
     case run_end::crashed:
         return "crashed";
+    case run_end::suspected:
+        return "suspected";
     }
     return "unknown";
 }
@@ -53,6 +55,11 @@
     return "unknown";
 }
 
+std::uint32_t possible_crashes(task_record const& task) noexcept
+{
+    return task.crashes + static_cast<std::uint32_t>(task.suspected.size());
+}
+
 bool is_final(workflow_state state) noexcept
 {
     return state == workflow_state::completed ||
--- a/modules/core/messages/workflow.hpp
+++ b/modules/core/messages/workflow.hpp
@@ -133,6 +133,10 @@
     /// The worker crashed before the run was seen at work there. Releases
     /// before the one that added this value can't read it.
     crashed,
+    /// The worker's life ended before the run was seen at work there, and
+    /// neither its sidecar nor the leader can tell a crash from the loss of the
+    /// instance. Releases before the one that added this value can't read it.
+    suspected,
 };
 
 std::string_view to_string(run_end end);
@@ -151,6 +155,16 @@
 /// @return True for states that never change again.
 bool is_final(workflow_state state) noexcept;
 
+/// A run that ended as `suspected`, of which nothing more is known yet.
+struct suspected_run
+{
+    attempt_number attempt;
+    worker_id worker;
+    incarnation life;
+
+    bool operator==(suspected_run const&) const = default;
+};
+
 /// State of one task.
 struct task_record
 {
@@ -166,10 +180,16 @@
     /// Workers that crashed under the task since it last ran on a worker
     /// without crashing it.
     std::uint32_t crashes = 0;
+    /// Its last suspected runs since it last ran on a worker without crashing
+    /// it.
+    std::vector<suspected_run> suspected;
 
     bool operator==(task_record const&) const = default;
 };
 
+/// @return Number of workers that crashed, or may have crashed, under the task.
+std::uint32_t possible_crashes(task_record const& task) noexcept;
+
 /// The tasks of one stage of one occurrence.
 struct stage_record
 {
@@ -254,6 +274,9 @@
     /// Upper bound of all leases that are valid or may be granted from now on.
     /// Zero leaves the recorded length as it is.
     duration longest_lease{};
+    /// Runs that ended as `suspected` and are now known to have ended as
+    /// `crashed` or `lost`. Applied after the ends.
+    std::vector<run_outcome> resolved;
 
     bool operator==(workflow_progress const&) const = default;
 };
@@ -309,6 +332,26 @@
     bool operator==(worker_runs const&) const = default;
 };
 
+/// One incarnation of a worker.
+struct worker_incarnation
+{
+    worker_id worker;
+    incarnation life;
+
+    auto operator<=>(worker_incarnation const&) const = default;
+};
+
+/// An incarnation that ended without notice while its sidecar went on.
+struct crashed_incarnation
+{
+    worker_incarnation id;
+    /// Runs that the sidecar had seen at work for long enough that they are not
+    /// the cause.
+    std::vector<task_run> established;
+
+    bool operator==(crashed_incarnation const&) const = default;
+};
+
 /// Sent by the sidecar beside a worker to the leader.
 struct runtime_report
 {
@@ -327,6 +370,9 @@
     /// True if the worker did not answer the last call: the clock and the lists
     /// are those of an earlier answer.
     bool silent = false;
+    /// Earlier incarnations on the instance, repeated until a grant
+    /// acknowledges them.
+    std::vector<crashed_incarnation> crashed;
 
     bool operator==(runtime_report const&) const = default;
 };
@@ -344,6 +390,8 @@
     std::vector<task_run> acknowledged_refusals;
     /// RPC endpoints of the control group's members.
     std::vector<endpoint> control;
+    /// Reported crashes that are committed for all runs concerned.
+    std::vector<worker_incarnation> acknowledged_crashes;
 
     bool operator==(runtime_grant const&) const = default;
 };
--- a/modules/wire/codec/message_codec.cpp
+++ b/modules/wire/codec/message_codec.cpp
@@ -77,13 +77,15 @@
 template <typename T>
 constexpr std::size_t appended_members = 0;
 template <>
-constexpr std::size_t appended_members<core::task_record> = 1;
+constexpr std::size_t appended_members<core::task_record> = 2;
 template <>
-constexpr std::size_t appended_members<core::runtime_report> = 1;
+constexpr std::size_t appended_members<core::runtime_report> = 2;
+template <>
+constexpr std::size_t appended_members<core::runtime_grant> = 1;
 template <>
 constexpr std::size_t appended_members<core::runtime_orders> = 1;
 template <>
-constexpr std::size_t appended_members<core::workflow_progress> = 1;
+constexpr std::size_t appended_members<core::workflow_progress> = 2;
 template <>
 constexpr std::size_t appended_members<core::state_snapshot> = 1;
 
@@ -242,7 +244,7 @@
     }
     else if constexpr (std::is_same_v<T, run_end>)
     {
-        return static_cast<std::uint8_t>(run_end::crashed);
+        return static_cast<std::uint8_t>(run_end::suspected);
     }
     else if constexpr (std::is_same_v<T, workflow_state>)
     {
--- a/modules/workflow/agent/worker_agent.cpp
+++ b/modules/workflow/agent/worker_agent.cpp
@@ -99,6 +99,11 @@
                        text_field("zone", profile.zone.value()),
                        text_field("rack", profile.rack.value()),
                        number_field("cpu_m", profile.capacity.cpu.value())}});
+    if (m_profile)
+    {
+        m_witness.ended({m_profile->worker, m_profile->life},
+                        !m_left && !m_profile->draining);
+    }
     m_profile = std::move(profile);
     m_left = false;
     m_lease_until = {};
@@ -247,6 +252,7 @@
     m_silent = false;
     m_worker_clock = answer->clock;
     m_runs = std::move(answer->runs);
+    m_witness.listed(m_worker_clock, m_runs->running);
     std::erase_if(m_started_runs,
                   [this](auto const& item)
                   { return item.second <= m_current_sync; });
@@ -306,6 +312,7 @@
     report.refused.assign(m_refused.begin(), m_refused.end());
     report.left = m_left;
     report.silent = m_silent;
+    report.crashed = m_witness.crashes();
     m_hooks.leader.report(
         std::move(report),
         [this, epoch = m_epoch](std::optional<core::runtime_grant> grant)
@@ -383,6 +390,7 @@
     m_lease_until = std::max(m_lease_until, grant.lease_until);
     m_acknowledged_ends =
         std::max(m_acknowledged_ends, grant.acknowledged_ends);
+    m_witness.acknowledge(grant.acknowledged_crashes);
     for (auto const& run : grant.acknowledged_refusals)
     {
         m_refused.erase(run);
--- a/modules/workflow/agent/worker_agent.hpp
+++ b/modules/workflow/agent/worker_agent.hpp
@@ -3,6 +3,7 @@
 
 #include "core/events/event.hpp"
 #include "core/messages/workflow.hpp"
+#include "workflow/agent/crash_witness.hpp"
 #include "workflow/agent/worker_runtime.hpp"
 
 #include <chrono>
@@ -53,6 +54,10 @@
 /// reports the worker's lists of runs to the leader. It makes no placement
 /// decisions.
 ///
+/// It observes which incarnations of the worker end without notice, and reports
+/// each until a grant acknowledges it. So a crash is known to the leader of
+/// that time, also if there was none when it happened.
+///
 /// It reports a run as refused only when the run is certain not to execute.
 /// After a start call without an answer it therefore first sends a stop, which
 /// makes the worker keep a tombstone that rejects the start if it arrives
@@ -159,6 +164,7 @@
     core::duration m_worker_clock{};
     std::optional<core::worker_runs> m_runs;
     std::set<core::task_run> m_refused;
+    crash_witness m_witness;
 
     std::uint64_t m_syncs_begun = 0;
     /// Number of the sync call that is in progress or was answered last.
--- a/modules/workflow/dispatch/candidate_pool.cpp
+++ b/modules/workflow/dispatch/candidate_pool.cpp
@@ -70,9 +70,9 @@
         worker.add(stage_of(run.task), *stage, m_colocation.pace(id, run));
         if (life == view.profile.life && !m_fleet.is_established(id, life, run))
         {
-            worker.add_not_established(
-                run.task.workflow,
-                suspicion_after(m_table.find_task(run.task)->crashes));
+            worker.add_not_established(run.task.workflow,
+                                       suspicion_after(core::possible_crashes(
+                                           *m_table.find_task(run.task))));
         }
         if (stage->behaviour.uses_spare_cpu)
         {
--- a/modules/workflow/dispatch/dispatch_events.cpp
+++ b/modules/workflow/dispatch/dispatch_events.cpp
@@ -149,4 +149,13 @@
     return event;
 }
 
+core::event suspicion_resolved_event(core::run_outcome const& outcome)
+{
+    core::event event{event_code::suspicion_resolved,
+                      fields_of(outcome.run, outcome.worker)};
+    event.fields.push_back(text_field("how", core::to_string(outcome.how)));
+    event.fields.push_back(number_field("life", outcome.life.value()));
+    return event;
+}
+
 } // namespace turmericswitch::workflow
--- a/modules/workflow/dispatch/dispatch_events.hpp
+++ b/modules/workflow/dispatch/dispatch_events.hpp
@@ -65,6 +65,9 @@
                             std::optional<core::duration> since_placed,
                             std::optional<bool> established);
 
+/// @param outcome What became known of a run that ended as `suspected`.
+core::event suspicion_resolved_event(core::run_outcome const& outcome);
+
 } // namespace turmericswitch::workflow
 
 #endif
--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -32,7 +32,8 @@
 
 bool is_end_with_worker(core::run_end how)
 {
-    return how == core::run_end::lost || how == core::run_end::crashed;
+    return how == core::run_end::lost || how == core::run_end::crashed ||
+           how == core::run_end::suspected;
 }
 
 } // namespace
@@ -78,7 +79,7 @@
     {
         m_on_event(worker_seen_event(*view));
     }
-    m_ends.reported(worker, is_new || view->left);
+    m_ends.reported(worker, is_new || view->left || !view->crashes.empty());
     m_orders.mark_changed(worker);
     m_placement_due = m_placement_due || !was_usable;
     if (is_new_incarnation)
@@ -179,6 +180,13 @@
             answer.acknowledged_refusals.push_back(run);
         }
     }
+    for (auto const& each : view->crashes)
+    {
+        if (m_table.is_settled(each))
+        {
+            answer.acknowledged_crashes.push_back(each);
+        }
+    }
     return answer;
 }
 
@@ -353,6 +361,10 @@
         record_run_time(now, outcome);
         m_orders.ended(outcome.run);
     }
+    for (auto const& outcome : command.resolved)
+    {
+        m_on_event(suspicion_resolved_event(outcome));
+    }
     for (auto const& placement : command.placements)
     {
         emit_run_placed(now, placement);
@@ -421,7 +433,8 @@
             runs.not_established +=
                 m_fleet.is_established(worker, life, run) ? 0 : 1;
             runs.has_crashed =
-                runs.has_crashed || m_fleet.has_crashed(worker, life);
+                runs.has_crashed ||
+                m_fleet.how_ended(worker, life) == incarnation_end::crashed;
         }
     }
     for (auto const& [worker, runs] : lost)
--- a/modules/workflow/dispatch/end_collector.cpp
+++ b/modules/workflow/dispatch/end_collector.cpp
@@ -70,6 +70,7 @@
         }
     }
     collect_lost(now, command);
+    collect_resolved(now, command);
     m_fleet.prune(now,
                   [this](core::worker_id const& worker)
                   { return m_table.holds().contains(worker); });
@@ -124,6 +125,22 @@
     }
 }
 
+void end_collector::collect_resolved(core::time_point now,
+                                     core::workflow_progress& command) const
+{
+    for (auto const& [worker, runs] : m_table.suspected())
+    {
+        for (auto const& [run, life] : runs)
+        {
+            if (auto const how =
+                    m_fleet.resolve_suspected(now, worker, life, run))
+            {
+                command.resolved.push_back({run, worker, life, *how, {}});
+            }
+        }
+    }
+}
+
 bool end_collector::is_checkpoint_due(core::time_point now,
                                       core::running_task const& seen) const
 {
--- a/modules/workflow/dispatch/end_collector.hpp
+++ b/modules/workflow/dispatch/end_collector.hpp
@@ -44,6 +44,9 @@
                                core::workflow_progress& command) const;
     void collect_lost(core::time_point now,
                       core::workflow_progress& command) const;
+    /// Adds what became known of runs that ended as `suspected`.
+    void collect_resolved(core::time_point now,
+                          core::workflow_progress& command) const;
     void collect_checkpoints(core::time_point now,
                              worker_view const& view,
                              core::workflow_progress& command) const;
--- a/modules/workflow/dispatch/stage_backlog.cpp
+++ b/modules/workflow/dispatch/stage_backlog.cpp
@@ -298,7 +298,7 @@
             pending.runs.push_back(
                 {{workflow.workflow, occurrence, number, i},
                  core::attempt_number(task.attempt.value() + 1)});
-            suspicions.push_back(suspicion_after(task.crashes));
+            suspicions.push_back(suspicion_after(core::possible_crashes(task)));
         }
     }
     if (stage.behaviour.gang && any_held)
--- a/modules/workflow/dispatch/worker_fleet.cpp
+++ b/modules/workflow/dispatch/worker_fleet.cpp
@@ -20,12 +20,22 @@
 /// An idle worker without reports for this long is removed from the view.
 constexpr core::duration forget_after = std::chrono::minutes(1);
 
-bool is_replaced_by_crash(worker_view const& before,
-                          core::runtime_report const& report)
+/// @param report The first report of a later incarnation.
+incarnation_end how_replaced(worker_view const& before,
+                             core::runtime_report const& report)
 {
+    if (before.left)
+    {
+        return before.how_ended;
+    }
+    if (before.profile.draining)
+    {
+        return incarnation_end::with_notice;
+    }
     // With the instance its sidecar restarts too, which no task can cause.
-    return !before.left && !before.profile.draining &&
-           before.host == report.host && before.sidecar == report.sidecar;
+    return before.host == report.host && before.sidecar == report.sidecar
+               ? incarnation_end::crashed
+               : incarnation_end::unknown;
 }
 
 bool is_established_in(worker_view const& view, core::task_run const& run)
@@ -40,7 +50,7 @@
 {
     replaced_incarnation result;
     result.life = before.profile.life;
-    result.has_crashed = is_replaced_by_crash(before, report);
+    result.how = how_replaced(before, report);
     for (auto const& [run, since] : before.listed_since)
     {
         if (is_established_in(before, run))
@@ -142,7 +152,17 @@
         view.clock = report.clock;
         view.clock_changed_at = now;
     }
-    view.left = view.left || report.left;
+    if (report.left && !view.left)
+    {
+        view.left = true;
+        view.how_ended = incarnation_end::with_notice;
+    }
+    view.crashes.clear();
+    for (auto const& each : report.crashed)
+    {
+        view.crashes.push_back(each.id);
+    }
+    m_evidence.add(now, report.crashed);
     view.refused = std::move(report.refused);
     if (report.runs)
     {
@@ -166,8 +186,7 @@
     {
         if (view.host == report.host && view.profile.life < report.profile.life)
         {
-            view.has_crashed =
-                view.has_crashed || is_replaced_by_crash(view, report);
+            view.how_ended = how_replaced(view, report);
             view.left = true;
         }
     }
@@ -180,6 +199,11 @@
                                   core::incarnation life,
                                   core::task_run const& run) const
 {
+    auto const* const reported = m_evidence.find(worker, life);
+    if (reported != nullptr && reported->contains(run))
+    {
+        return true;
+    }
     auto const* const view = find(worker);
     if (view == nullptr)
     {
@@ -192,19 +216,24 @@
     return view->profile.life == life && is_established_in(*view, run);
 }
 
-bool worker_fleet::has_crashed(core::worker_id const& worker,
-                               core::incarnation life) const
+incarnation_end worker_fleet::how_ended(core::worker_id const& worker,
+                                        core::incarnation life) const
 {
+    if (m_evidence.find(worker, life) != nullptr)
+    {
+        return incarnation_end::crashed;
+    }
     auto const* const view = find(worker);
-    if (view == nullptr)
+    if (view != nullptr && view->replaced && view->replaced->life == life)
     {
-        return false;
+        return view->replaced->how;
     }
-    if (view->replaced && view->replaced->life == life)
+    if (view == nullptr || view->profile.life != life)
     {
-        return view->replaced->has_crashed;
+        return incarnation_end::unknown;
     }
-    return view->profile.life == life && view->has_crashed;
+    return !view->left && view->profile.draining ? incarnation_end::with_notice
+                                                 : view->how_ended;
 }
 
 void worker_fleet::extend_lease(worker_view& worker,
@@ -247,6 +276,10 @@
                            core::worker_id const& worker,
                            core::incarnation life) const
 {
+    if (m_evidence.find(worker, life) != nullptr)
+    {
+        return true;
+    }
     auto const* const view = find(worker);
     if (view == nullptr)
     {
@@ -265,15 +298,39 @@
                                             core::incarnation life,
                                             core::task_run const& run) const
 {
-    return has_crashed(worker, life) && !is_established(worker, life, run)
-               ? core::run_end::crashed
-               : core::run_end::lost;
+    auto const how = how_ended(worker, life);
+    if (how == incarnation_end::with_notice ||
+        is_established(worker, life, run))
+    {
+        return core::run_end::lost;
+    }
+    return how == incarnation_end::crashed ? core::run_end::crashed
+                                           : core::run_end::suspected;
+}
+
+std::optional<core::run_end>
+worker_fleet::resolve_suspected(core::time_point now,
+                                core::worker_id const& worker,
+                                core::incarnation life,
+                                core::task_run const& run) const
+{
+    if (how_ended(worker, life) != incarnation_end::unknown)
+    {
+        return end_with_worker(worker, life, run);
+    }
+    auto const* const view = find(worker);
+    bool const is_alive = view != nullptr && view->profile.life == life &&
+                          view->has_runs && !view->is_silent &&
+                          view->granted_until > core::duration{} &&
+                          !is_dead(now, worker, life);
+    return is_alive ? std::optional(core::run_end::lost) : std::nullopt;
 }
 
 void worker_fleet::prune(
     core::time_point now,
     std::function<bool(core::worker_id const&)> const& has_runs)
 {
+    m_evidence.prune(now);
     std::erase_if(m_workers,
                   [&](auto const& item)
                   {
--- a/modules/workflow/dispatch/worker_fleet.hpp
+++ b/modules/workflow/dispatch/worker_fleet.hpp
@@ -2,6 +2,8 @@
 #define TURMERICSWITCH_WORKFLOW_DISPATCH_WORKER_FLEET_HPP
 
 #include "core/messages/workflow.hpp"
+#include "workflow/dispatch/crash_evidence.hpp"
+#include "workflow/table/establishment.hpp"
 
 #include <functional>
 #include <map>
@@ -22,18 +24,23 @@
     core::duration length = std::chrono::seconds(6);
 };
 
-/// Time for which reports must list a run until it counts as established. A
-/// task that crashes its worker does so within milliseconds of its start; the
-/// rest covers workers that are slow.
-constexpr core::duration establishment_time = std::chrono::milliseconds(500);
+/// What is known about the end of an incarnation.
+enum class incarnation_end
+{
+    /// A crash can't be told from the loss of the instance.
+    unknown,
+    /// The worker drained or left.
+    with_notice,
+    /// The worker ended without notice while its sidecar went on.
+    crashed,
+};
 
 /// The last known state of an incarnation that a later one under the same id
 /// has replaced.
 struct replaced_incarnation
 {
     core::incarnation life;
-    /// True if the worker restarted without notice while its sidecar went on.
-    bool has_crashed = false;
+    incarnation_end how = incarnation_end::unknown;
     std::set<core::task_run> established;
 };
 
@@ -69,10 +76,11 @@
     std::vector<core::task_run> refused;
     /// True if the worker has shut down or was replaced on its instance.
     bool left = false;
-    /// True if another worker replaced it on its instance without notice while
-    /// the sidecar went on. After a restart of the whole instance it is false.
-    bool has_crashed = false;
+    /// How it ended, if it left.
+    incarnation_end how_ended = incarnation_end::unknown;
     std::optional<replaced_incarnation> replaced;
+    /// Crashes of earlier incarnations on the instance in the last report.
+    std::vector<core::worker_incarnation> crashes;
 };
 
 /// The leader's view of the workers, built from the reports of their sidecars.
@@ -128,24 +136,34 @@
                  core::worker_id const& worker,
                  core::incarnation life) const;
 
-    /// @return True if reports have listed the run for `establishment_time`. A
-    /// new
-    ///         leader sees no run as established at first.
+    /// @return True if reports to this leader have listed the run for
+    ///         `establishment_time`, or the sidecar of a crashed worker has
+    ///         seen that.
     bool is_established(core::worker_id const& worker,
                         core::incarnation life,
                         core::task_run const& run) const;
 
-    /// @return True if it is known that the incarnation crashed: it was
-    ///         replaced without notice.
-    bool has_crashed(core::worker_id const& worker,
-                     core::incarnation life) const;
+    /// @return What is known about the end of the incarnation: reported by its
+    ///         sidecar, or observed by this leader.
+    incarnation_end how_ended(core::worker_id const& worker,
+                              core::incarnation life) const;
 
-    /// @return How a run that ended with its worker ended: `crashed` if the
-    ///         worker crashed before the run was established, else `lost`.
+    /// @return How a run that ended with its worker ended: `lost` if it was
+    ///         established or the worker gave notice, `crashed` if the worker
+    ///         crashed, `suspected` if that is not known.
     core::run_end end_with_worker(core::worker_id const& worker,
                                   core::incarnation life,
                                   core::task_run const& run) const;
 
+    /// @return `crashed` or `lost` for a run that ended as `suspected`, or
+    ///         `nullopt` as long as nothing more is known. A worker whose
+    ///         reports extend the incarnation's lease again did not crash.
+    std::optional<core::run_end>
+    resolve_suspected(core::time_point now,
+                      core::worker_id const& worker,
+                      core::incarnation life,
+                      core::task_run const& run) const;
+
     /// Removes workers that left or stopped reporting.
     ///
     /// @param has_runs Returns true for workers that must be kept, because runs
@@ -168,6 +186,7 @@
     core::duration m_longest_earlier_lease{};
     core::time_point m_elected;
     std::map<core::worker_id, worker_view> m_workers;
+    crash_evidence m_evidence;
 };
 
 } // namespace turmericswitch::workflow
--- a/modules/workflow/table/workflow_table.cpp
+++ b/modules/workflow/table/workflow_table.cpp
@@ -40,8 +40,8 @@
 ///         crashing it.
 bool shows_survival(run_end how)
 {
-    return how != run_end::crashed && how != run_end::lost &&
-           how != run_end::refused;
+    return how != run_end::crashed && how != run_end::suspected &&
+           how != run_end::lost && how != run_end::refused;
 }
 
 core::task_record* find_task_record(core::workflow_record& workflow,
@@ -112,6 +112,10 @@
     {
         apply(outcome, now);
     }
+    for (auto const& outcome : command.resolved)
+    {
+        resolve(outcome, now);
+    }
     for (auto const& checkpoint : command.checkpoints)
     {
         apply(checkpoint);
@@ -154,11 +158,16 @@
     if (shows_survival(outcome.how))
     {
         task.crashes = 0;
+        clear_suspected(ref, task);
     }
     if (outcome.how == run_end::crashed)
     {
         apply_crash(workflow, stage, ref, now);
     }
+    else if (outcome.how == run_end::suspected)
+    {
+        add_suspected(outcome, task);
+    }
     else if (outcome.how == run_end::done && !behaviour.long_running)
     {
         apply_done(workflow, stage, outcome.run, now);
@@ -170,6 +179,90 @@
     }
 }
 
+void workflow_table::add_suspected(core::run_outcome const& outcome,
+                                   core::task_record& task)
+{
+    auto const& ref = outcome.run.task;
+    if (task.suspected.size() == max_suspected)
+    {
+        index_suspected(ref, task.suspected.front(), false);
+        task.suspected.erase(task.suspected.begin());
+    }
+    task.suspected.push_back(
+        {outcome.run.attempt, outcome.worker, outcome.life});
+    index_suspected(ref, task.suspected.back(), true);
+}
+
+void workflow_table::index_suspected(core::task_ref const& task,
+                                     core::suspected_run const& suspected,
+                                     bool is_added)
+{
+    auto& runs = m_suspected[suspected.worker];
+    held_run const run{{task, suspected.attempt}, suspected.life};
+    if (is_added)
+    {
+        runs.insert(run);
+        return;
+    }
+    runs.erase(run);
+    if (runs.empty())
+    {
+        m_suspected.erase(suspected.worker);
+    }
+}
+
+void workflow_table::clear_suspected(core::task_ref const& ref,
+                                     core::task_record& task)
+{
+    for (auto const& each : std::exchange(task.suspected, {}))
+    {
+        index_suspected(ref, each, false);
+    }
+}
+
+void workflow_table::clear_suspected(core::workflow_record& workflow)
+{
+    for (auto& stage : workflow.stages)
+    {
+        for (std::uint32_t i = 0; i < stage.tasks.size(); ++i)
+        {
+            clear_suspected(
+                {workflow.workflow, stage.occurrence, stage.stage, i},
+                stage.tasks[i]);
+        }
+    }
+}
+
+void workflow_table::resolve(core::run_outcome const& outcome,
+                             core::time_point now)
+{
+    auto const runs = m_suspected.find(outcome.worker);
+    if (runs == m_suspected.end() ||
+        !runs->second.contains({outcome.run, outcome.life}))
+    {
+        ++m_ignored_parts;
+        return;
+    }
+    // Suspected runs are kept only for workflows that have not ended.
+    auto const& ref = outcome.run.task;
+    auto& workflow = m_workflows.at(ref.workflow);
+    auto& stage = stage_record(workflow, ref);
+    auto& task = stage.tasks[ref.index];
+    core::suspected_run const known{
+        outcome.run.attempt, outcome.worker, outcome.life};
+    std::erase(task.suspected, known);
+    index_suspected(ref, known, false);
+    m_changed_workflows.add(ref.workflow);
+    if (task.placed)
+    {
+        m_changed_workers.add(task.worker);
+    }
+    if (outcome.how == run_end::crashed && !task.done)
+    {
+        apply_crash(workflow, stage, ref, now);
+    }
+}
+
 void workflow_table::apply_done(core::workflow_record& workflow,
                                 core::stage_record& stage,
                                 core::task_run const& run,
@@ -294,6 +387,7 @@
     m_active.erase(workflow.workflow);
     m_changed_workflows.add(workflow.workflow);
     add_changed_workers(workflow);
+    clear_suspected(workflow);
     drop_details(workflow);
 }
 
@@ -457,6 +551,25 @@
     return m_holds;
 }
 
+std::map<core::worker_id, std::set<held_run>> const&
+workflow_table::suspected() const noexcept
+{
+    return m_suspected;
+}
+
+bool workflow_table::is_settled(
+    core::worker_incarnation const& incarnation) const
+{
+    auto const is_on = [&incarnation](held_run const& each)
+    { return each.life == incarnation.life; };
+    auto const suspects = m_suspected.find(incarnation.worker);
+    auto const& held = held_on(incarnation.worker);
+    return std::none_of(held.begin(), held.end(), is_on) &&
+           (suspects == m_suspected.end() ||
+            std::none_of(
+                suspects->second.begin(), suspects->second.end(), is_on));
+}
+
 std::set<core::workflow_id> const& workflow_table::active() const noexcept
 {
     return m_active;
@@ -562,6 +675,7 @@
     m_workflows.clear();
     m_active.clear();
     m_holds.clear();
+    m_suspected.clear();
     m_held_by_workflow.clear();
     m_ignored_parts = 0;
     for (auto& record : records)
@@ -582,6 +696,11 @@
                         {{id, stage.occurrence, stage.stage, i}, task.attempt},
                         task);
                 }
+                for (auto const& each : task.suspected)
+                {
+                    index_suspected(
+                        {id, stage.occurrence, stage.stage, i}, each, true);
+                }
             }
         }
         m_workflows.emplace(id, std::move(record));
--- a/modules/workflow/table/workflow_table.hpp
+++ b/modules/workflow/table/workflow_table.hpp
@@ -22,6 +22,10 @@
 /// third on the task is isolated, so wrong counts are unlikely.
 constexpr std::uint32_t max_crashes = 4;
 
+/// Suspected runs that are kept for a task; of earlier ones nothing more is
+/// learned.
+constexpr std::size_t max_suspected = 8;
+
 /// A run that is placed on a worker and whose end is not committed yet. It
 /// reserves capacity there.
 struct held_run
@@ -55,9 +59,9 @@
     core::command_reply cancel(core::cancel_workflow const& command,
                                core::time_point now);
 
-    /// Applies ends, checkpoints and placements, in this order, and records the
-    /// longest lease. Parts that no longer match the table are ignored and
-    /// counted.
+    /// Applies ends, resolved ends, checkpoints and placements, in this order,
+    /// and records the longest lease. Parts that no longer match the table are
+    /// ignored and counted.
     void progress(core::workflow_progress const& command, core::time_point now);
 
     /// Removes workflows that ended more than `final_retention` ago and have no
@@ -97,6 +101,14 @@
     /// @return Held runs by worker, for workers that have any.
     std::map<core::worker_id, std::set<held_run>> const& holds() const noexcept;
 
+    /// @return Runs that ended as `suspected`, by worker, for workers that have
+    ///         any.
+    std::map<core::worker_id, std::set<held_run>> const&
+    suspected() const noexcept;
+
+    /// @return True if no run on the incarnation is held or suspected.
+    bool is_settled(core::worker_incarnation const& incarnation) const;
+
     /// @return Workflows that have not ended, in order of their ids.
     std::set<core::workflow_id> const& active() const noexcept;
 
@@ -151,6 +163,16 @@
     core::stage_record& stage_record(core::workflow_record& workflow,
                                      core::task_ref const& task);
     void apply(core::run_outcome const& outcome, core::time_point now);
+    /// Applies what became known of a run that ended as `suspected`.
+    void resolve(core::run_outcome const& outcome, core::time_point now);
+    void add_suspected(core::run_outcome const& outcome,
+                       core::task_record& task);
+    /// Adds to or removes from the derived runs by worker.
+    void index_suspected(core::task_ref const& task,
+                         core::suspected_run const& suspected,
+                         bool is_added);
+    void clear_suspected(core::task_ref const& ref, core::task_record& task);
+    void clear_suspected(core::workflow_record& workflow);
     void apply(core::run_checkpoint const& checkpoint);
     void apply(core::run_placement const& placement);
     void apply_done(core::workflow_record& workflow,
@@ -180,6 +202,7 @@
     // Derived from the workflows.
     std::set<core::workflow_id> m_active;
     std::map<core::worker_id, std::set<held_run>> m_holds;
+    std::map<core::worker_id, std::set<held_run>> m_suspected;
     std::map<core::workflow_id, std::size_t> m_held_by_workflow;
     change_log<core::workflow_id> m_changed_workflows;
     change_log<core::worker_id> m_changed_workers;
--- /dev/null
+++ b/modules/workflow/tests/crash_evidence_test.cpp
@@ -0,0 +1,205 @@
+#include "dispatcher_fixture.hpp"
+
+namespace turmericswitch::workflow
+{
+
+using namespace testing;
+
+/// Crashes around changes of leader and sidecar, and of workers that stay down
+/// for long.
+class crash_evidence_test : public dispatcher_fixture
+{
+    CPPUNIT_TEST_SUITE(crash_evidence_test);
+    CPPUNIT_TEST(new_leader_counts_a_crash_that_the_sidecar_saw);
+    CPPUNIT_TEST(new_leader_counts_a_crash_of_another_worker_on_the_instance);
+    CPPUNIT_TEST(runs_that_the_sidecar_saw_at_work_are_not_counted);
+    CPPUNIT_TEST(crash_is_acknowledged_after_its_commit);
+    CPPUNIT_TEST(loss_of_the_instance_is_suspected_and_fails_no_job);
+    CPPUNIT_TEST(worker_down_for_longer_than_its_lease_is_counted_once);
+    CPPUNIT_TEST(later_leader_counts_a_suspected_run);
+    CPPUNIT_TEST(partition_longer_than_the_lease_leaves_no_suspicion);
+    CPPUNIT_TEST(task_fails_its_workflow_across_leaders_and_long_crashes);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // The runs of a worker that crashed while there was no leader were lost
+    // without a count, so the task crashed further workers.
+    void new_leader_counts_a_crash_that_the_sidecar_saw()
+    {
+        start_one();
+        elect({});
+        report_crash(2);
+        CPPUNIT_ASSERT(only_end() == core::run_end::crashed);
+    }
+
+    // Without the evidence a new leader would wait for the end of all leases,
+    // because it has never had a report of the crashed worker.
+    void new_leader_counts_a_crash_of_another_worker_on_the_instance()
+    {
+        start_one();
+        elect({});
+        report_crash(2, {}, "w2");
+        CPPUNIT_ASSERT(only_end() == core::run_end::crashed);
+    }
+
+    // A new leader has not seen the run at work. If it were counted, crashes
+    // caused by others would fail the job.
+    void runs_that_the_sidecar_saw_at_work_are_not_counted()
+    {
+        start_one();
+        elect({});
+        report_crash(2, {run_of("a", 0, 0)});
+        CPPUNIT_ASSERT(only_end() == core::run_end::lost);
+    }
+
+    // A sidecar forgets what is acknowledged. If the leader lost its place
+    // before the commit, the crash would not be counted.
+    void crash_is_acknowledged_after_its_commit()
+    {
+        start_one();
+        report_crash(2);
+        CPPUNIT_ASSERT(grant(2).acknowledged_crashes.empty());
+        commit();
+        core::worker_incarnation const expected{core::worker_id("w1"),
+                                                core::incarnation(1)};
+        CPPUNIT_ASSERT(grant(2).acknowledged_crashes == std::vector{expected});
+    }
+
+    // A task can't restart the instance. Such losses must not fail the job,
+    // but a task that is there each time is kept away from others.
+    void loss_of_the_instance_is_suspected_and_fails_no_job()
+    {
+        submit();
+        for (std::uint64_t life = 1; life <= 6; ++life)
+        {
+            place_in(life);
+            m_sidecar = core::incarnation(m_sidecar.value() + 1);
+            report({}, profile("w1", 8000, life + 1));
+            CPPUNIT_ASSERT(only_end() == core::run_end::suspected);
+        }
+        CPPUNIT_ASSERT(state_of("a") == core::workflow_state::running);
+        CPPUNIT_ASSERT(core::possible_crashes(task()) >= 2);
+    }
+
+    // The lease ends before the worker is back, so the run is given up before
+    // the crash is known.
+    void worker_down_for_longer_than_its_lease_is_counted_once()
+    {
+        start_one();
+        expire_lease();
+        CPPUNIT_ASSERT(only_end() == core::run_end::suspected);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, task().crashes);
+        for (int i = 0; i < 2; ++i)
+        {
+            report_crash(2);
+            commit_all();
+            CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, task().crashes);
+            CPPUNIT_ASSERT(task().suspected.empty());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             grant(2).acknowledged_crashes.size());
+    }
+
+    void later_leader_counts_a_suspected_run()
+    {
+        start_one();
+        expire_lease();
+        commit();
+        elect({});
+        report_crash(2);
+        commit_all();
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, task().crashes);
+    }
+
+    // After a partition the worker shows by its reports that it went on, so
+    // its tasks must not be isolated.
+    void partition_longer_than_the_lease_leaves_no_suspicion()
+    {
+        start_one();
+        expire_lease();
+        commit();
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, core::possible_crashes(task()));
+        report({}, profile("w1"), at_work_ms + 8000);
+        grant();
+        commit_all();
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, core::possible_crashes(task()));
+    }
+
+    // The rule of the users: after three crashes the task must not be started
+    // three times more.
+    void task_fails_its_workflow_across_leaders_and_long_crashes()
+    {
+        submit();
+        for (std::uint64_t life = 1; life <= 4; ++life)
+        {
+            place_in(life);
+            if (life % 2 == 0)
+            {
+                expire_lease();
+                commit();
+            }
+            elect({});
+            report_crash(life + 1);
+            commit_all();
+        }
+        CPPUNIT_ASSERT(state_of("a") == core::workflow_state::failed);
+    }
+
+private:
+    core::task_record const& task() const
+    {
+        return *m_table.find_task(run_of("a", 0, 0).task);
+    }
+
+    /// Commits the next command, which must have one end.
+    core::run_end only_end()
+    {
+        auto const command = plan();
+        CPPUNIT_ASSERT(command.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, command->ends.size());
+        m_table.progress(*command, m_now);
+        m_dispatcher->applied(m_now, *command);
+        return command->ends.front().how;
+    }
+
+    void expire_lease()
+    {
+        m_now += std::chrono::seconds(8);
+    }
+
+    /// Commits until nothing but placements is left.
+    void commit_all()
+    {
+        for (int i = 0; i < 3; ++i)
+        {
+            m_now += std::chrono::milliseconds(200);
+            if (auto command = plan())
+            {
+                command->placements.clear();
+                m_table.progress(*command, m_now);
+                m_dispatcher->applied(m_now, *command);
+            }
+        }
+    }
+
+    /// The sidecar reports incarnation `life`, and that the one of w1 before it
+    /// crashed.
+    void report_crash(std::uint64_t life,
+                      std::vector<core::task_run> established = {},
+                      std::string const& worker = "w1")
+    {
+        core::runtime_report result;
+        result.host = core::instance_id("host");
+        result.sidecar = m_sidecar;
+        result.profile = profile(worker, 8000, life);
+        result.clock = std::chrono::milliseconds(at_work_ms);
+        result.runs.emplace();
+        result.crashed = {{{core::worker_id("w1"), core::incarnation(life - 1)},
+                           std::move(established)}};
+        m_dispatcher->report(m_now, std::move(result));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(crash_evidence_test);
+
+} // namespace turmericswitch::workflow
--- a/modules/workflow/tests/worker_agent_test.cpp
+++ b/modules/workflow/tests/worker_agent_test.cpp
@@ -41,6 +41,8 @@
     CPPUNIT_TEST(unanswered_start_over_a_shrunk_capacity_is_not_repeated);
     CPPUNIT_TEST(repeated_order_over_the_capacity_stops_no_started_run);
     CPPUNIT_TEST(start_that_fits_again_is_sent);
+    CPPUNIT_TEST(crash_is_reported_until_it_is_acknowledged);
+    CPPUNIT_TEST(end_with_notice_is_not_reported_as_a_crash);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -483,7 +485,60 @@
         CPPUNIT_ASSERT(m_stops.empty());
     }
 
+    // The report of a crash may find no leader, or one that loses its place
+    // before the commit. Guards against a crash that is not counted then.
+    void crash_is_reported_until_it_is_acknowledged()
+    {
+        start_up();
+        auto const later = run_of("b", 0, 0);
+        answer(m_syncs, std::optional(list_at(1000, {m_run})));
+        grant(1);
+        answer(m_syncs, std::optional(list_at(1500, {m_run, later})));
+        grant(1);
+        m_syncs.clear();
+        m_agent->registered(profile("w1", 8000, 2));
+        core::worker_incarnation const ended{core::worker_id("w1"),
+                                             core::incarnation(1)};
+        std::vector<core::crashed_incarnation> const expected{{ended, {m_run}}};
+        CPPUNIT_ASSERT(last_report().crashed == expected);
+        answer(m_reports, std::optional<core::runtime_grant>());
+        run_delayed();
+        CPPUNIT_ASSERT(last_report().crashed == expected);
+        core::runtime_grant acknowledged;
+        acknowledged.fencing_token = 2;
+        acknowledged.acknowledged_crashes = {ended};
+        answer(m_reports, std::optional(acknowledged));
+        answer(m_syncs, std::optional(list_at(2000, {})));
+        CPPUNIT_ASSERT(last_report().crashed.empty());
+    }
+
+    // Planned restarts would fail jobs.
+    void end_with_notice_is_not_reported_as_a_crash()
+    {
+        start_up();
+        m_agent->unregistered(core::worker_id("w1"));
+        m_agent->registered(profile("w1", 8000, 2));
+        CPPUNIT_ASSERT(last_report().crashed.empty());
+        auto draining = profile("w1", 8000, 2);
+        draining.draining = true;
+        m_agent->registered(draining);
+        m_agent->registered(profile("w1", 8000, 3));
+        CPPUNIT_ASSERT(last_report().crashed.empty());
+    }
+
 private:
+    static sync_result list_at(std::int64_t clock_ms,
+                               std::vector<core::task_run> const& runs)
+    {
+        sync_result result;
+        result.clock = std::chrono::milliseconds(clock_ms);
+        for (auto const& run : runs)
+        {
+            result.runs.running.push_back({run, {}, 0, 0});
+        }
+        return result;
+    }
+
     template <typename Call, typename Result>
     struct pending_call
     {
--- a/modules/workflow/tests/workflow_table_test.cpp
+++ b/modules/workflow/tests/workflow_table_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(fourth_crash_fails_a_long_running_workflow);
     CPPUNIT_TEST(run_that_does_not_crash_clears_the_task);
     CPPUNIT_TEST(crashes_of_different_tasks_are_not_added);
+    CPPUNIT_TEST(suspected_run_counts_once_it_is_known_to_have_crashed);
     CPPUNIT_TEST(cancelled_workflow_keeps_its_capacity_until_its_runs_end);
     CPPUNIT_TEST(end_of_one_gang_member_ends_all);
     CPPUNIT_TEST(task_resumes_from_its_last_checkpoint);
@@ -189,6 +190,33 @@
         CPPUNIT_ASSERT(state() == workflow_state::running);
     }
 
+    // A suspected run alone must not fail a job, and one that is resolved
+    // twice, by two leaders, must count once.
+    void suspected_run_counts_once_it_is_known_to_have_crashed()
+    {
+        submit({stage(1)});
+        std::uint32_t attempt = 0;
+        for (int i = 0; i < 9; ++i)
+        {
+            run_and_end(++attempt, run_end::suspected);
+        }
+        CPPUNIT_ASSERT(state() == workflow_state::running);
+        core::workflow_progress known;
+        known.resolved = {ended(run_of("a", 0, 0, attempt), run_end::crashed)};
+        for (int i = 0; i < 2; ++i)
+        {
+            m_table.progress(known, m_now);
+            auto const& task = *m_table.find_task(run_of("a", 0, 0).task);
+            CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, task.crashes);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{7}, task.suspected.size());
+        }
+        workflow_table other;
+        other.restore(m_table.records(), {});
+        CPPUNIT_ASSERT(other.suspected() == m_table.suspected());
+        run_and_end(++attempt, run_end::failed);
+        CPPUNIT_ASSERT(m_table.suspected().empty());
+    }
+
     // Guards against capacity that is reserved twice while a task is being
     // stopped.
     void cancelled_workflow_keeps_its_capacity_until_its_runs_end()
