One event and metrics tell how fast a new leader learns of the workers

Cause: the time that a change of leader costs had to be put together from the worker_seen events of each worker. Change: five seconds after its leadership began, a leader logs workers_relearned: workers that reported and that may get tasks, and the times until 50, 90 and 100% of those with runs had reported. Latency metrics have the same times. Configuration watches and the gateways' calls end their wait when a leader announces itself.

--- a/modules/core/events/event_code.hpp
+++ b/modules/core/events/event_code.hpp
@@ -69,6 +69,7 @@
     storage_failed = 460,
     configuration_applied = 461,
     zone_evacuation_changed = 462,
+    workers_relearned = 481,
 };
 
 enum class event_severity : std::uint8_t
@@ -153,6 +154,7 @@
         event_code::storage_failed, "storage_failed", event_severity::error},
     event_entry{event_code::configuration_applied, "configuration_applied"},
     event_entry{event_code::zone_evacuation_changed, "zone_evacuation_changed"},
+    event_entry{event_code::workers_relearned, "workers_relearned"},
 };
 
 /// @return The entry of the event; every code has one.
--- a/programs/control/leader/workflow_service.cpp
+++ b/programs/control/leader/workflow_service.cpp
@@ -60,6 +60,17 @@
     return text + "/" + stage.behaviour.image;
 }
 
+std::set<core::worker_id>
+workers_with_runs(workflow::workflow_table const& table)
+{
+    std::set<core::worker_id> workers;
+    for (auto const& [worker, runs] : table.holds())
+    {
+        workers.insert(worker);
+    }
+    return workers;
+}
+
 } // namespace
 
 workflow_service::workflow_service(process::event_loop& loop,
@@ -70,11 +81,14 @@
     : m_loop(loop),
       m_node(node),
       m_on_event(std::move(on_event)),
+      m_metrics(metrics),
       m_dispatcher(node.state().workflows(),
                    options,
                    node.current_term().value(),
                    process::event_loop::now(),
                    m_on_event),
+      m_fleet_progress(process::event_loop::now(),
+                       workers_with_runs(node.state().workflows())),
       m_commit_time(
           metrics.latency("turmericswitch_control_commit_seconds",
                           "Time from a plan to its commit, on the leader.")),
@@ -121,6 +135,7 @@
         end_expired_polls();
     }
     publish_summary(now);
+    publish_fleet_progress(now);
     confirm_reports();
     confirm_queries();
 }
@@ -155,6 +170,7 @@
         waiting.done(stale);
         return;
     }
+    m_fleet_progress.reported(process::event_loop::now(), waiting.worker);
     m_reports.push_back(std::move(waiting));
     schedule_plan();
 }
@@ -438,6 +454,30 @@
     }
 }
 
+void workflow_service::publish_fleet_progress(core::time_point now)
+{
+    if (!m_fleet_progress.take_due(now))
+    {
+        return;
+    }
+    auto const counts =
+        m_dispatcher.counts(now, m_node.state().config().in_force());
+    m_on_event(m_fleet_progress.event(core::term(m_dispatcher.fencing_token()),
+                                      counts.usable_workers));
+    for (auto const share : fleet_progress::shares)
+    {
+        if (auto const time = m_fleet_progress.time_to(share))
+        {
+            m_metrics
+                .latency("turmericswitch_control_workers_relearned_seconds",
+                         "Time from the begin of a leadership until this "
+                         "percentage of the workers with runs had reported.",
+                         {{"share", std::to_string(share)}})
+                .add(*time);
+        }
+    }
+}
+
 void workflow_service::publish_summary(core::time_point now)
 {
     if (now < m_next_summary)
--- a/programs/control/leader/workflow_service.hpp
+++ b/programs/control/leader/workflow_service.hpp
@@ -2,6 +2,7 @@
 #define TURMERICSWITCH_CONTROL_LEADER_WORKFLOW_SERVICE_HPP
 
 #include "core/events/event.hpp"
+#include "leader/fleet_progress.hpp"
 #include "node/replica.hpp"
 #include "process/loop/event_loop.hpp"
 #include "telemetry/metrics/metrics_registry.hpp"
@@ -91,12 +92,15 @@
     void log_cancelled(core::cancel_workflow const& command) const;
     void record_ended(core::workflow_progress const& command);
     void publish_summary(core::time_point now);
+    void publish_fleet_progress(core::time_point now);
     core::workflow_answer answer_to(core::workflow_query const& query) const;
 
     process::event_loop& m_loop;
     replica& m_node;
     core::event_hook m_on_event;
+    telemetry::metrics_registry& m_metrics;
     workflow::dispatcher m_dispatcher;
+    fleet_progress m_fleet_progress;
     core::time_point m_next_plan;
     core::time_point m_next_summary;
     bool m_is_planning = false;
--- a/programs/gateway/jobs/job_client.cpp
+++ b/programs/gateway/jobs/job_client.cpp
@@ -4,11 +4,13 @@
 #include "wire/codec/message_codec.hpp"
 
 #include <algorithm>
+#include <condition_variable>
 #include <functional>
 #include <future>
 #include <memory>
+#include <mutex>
 #include <optional>
-#include <thread>
+#include <utility>
 
 namespace turmericswitch::gateway
 {
@@ -63,6 +65,34 @@
 
 } // namespace
 
+struct job_client::leader_signal
+{
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::uint64_t announcements = 0;
+    /// Calls before this time search for a leader only briefly, because an
+    /// earlier call found none.
+    core::time_point no_leader_until;
+
+    void announce()
+    {
+        std::lock_guard const lock(mutex);
+        ++announcements;
+        no_leader_until = {};
+        changed.notify_all();
+    }
+
+    /// Waits for `retry_delay`, or until a leader announced itself since
+    /// `announcements` had the value `seen`.
+    void wait(std::uint64_t& seen)
+    {
+        std::unique_lock lock(mutex);
+        changed.wait_for(
+            lock, retry_delay, [&] { return announcements != seen; });
+        seen = announcements;
+    }
+};
+
 struct job_client::call_plan
 {
     std::string path;
@@ -74,17 +104,28 @@
     bool changes_state = false;
 };
 
-job_client::job_client(shared::control_link& control) : m_control(control) {}
+job_client::job_client(shared::control_link& control)
+    : m_control(control),
+      m_signal(std::make_shared<leader_signal>()),
+      m_leader_hook(control.on_leader(
+          [signal = m_signal](shared::leader_announcement const&)
+          { signal->announce(); }))
+{
+}
 
 job_result job_client::run(call_plan const& plan)
 {
     auto const started_at = process::event_loop::now();
     auto const deadline =
         started_at + std::max(plan.timeout - answer_reserve, answer_reserve);
-    auto const search_timeout =
-        started_at < core::time_point(core::duration(m_no_leader_until))
-            ? known_outage_timeout
-            : leader_search_timeout;
+    auto [seen, no_leader_until] = [this]
+    {
+        std::lock_guard const lock(m_signal->mutex);
+        return std::pair(m_signal->announcements, m_signal->no_leader_until);
+    }();
+    auto const search_timeout = started_at < no_leader_until
+                                    ? known_outage_timeout
+                                    : leader_search_timeout;
     auto const search_deadline =
         std::min(deadline, started_at + search_timeout);
     auto const outcome_deadline =
@@ -105,7 +146,7 @@
             if (answer && !is_misdirected(answer->code) &&
                 answer->code != result_code::outcome_unknown)
             {
-                m_no_leader_until = 0;
+                set_no_leader_until({});
                 return *answer;
             }
             may_have_run = may_have_run || !answer ||
@@ -124,11 +165,9 @@
         {
             break;
         }
-        std::this_thread::sleep_for(retry_delay);
+        m_signal->wait(seen);
     }
-    m_no_leader_until = (process::event_loop::now() + known_outage_period)
-                            .time_since_epoch()
-                            .count();
+    set_no_leader_until(process::event_loop::now() + known_outage_period);
     job_result last;
     last.code = plan.changes_state && may_have_run
                     ? result_code::outcome_unknown
@@ -137,6 +176,12 @@
     return last;
 }
 
+void job_client::set_no_leader_until(core::time_point until)
+{
+    std::lock_guard const lock(m_signal->mutex);
+    m_signal->no_leader_until = until;
+}
+
 job_result job_client::command(core::command_body body, core::duration timeout)
 {
     core::command_envelope envelope;
--- a/programs/gateway/jobs/job_client.hpp
+++ b/programs/gateway/jobs/job_client.hpp
@@ -5,8 +5,7 @@
 #include "core/messages/workflow.hpp"
 #include "shared/control_link/control_link.hpp"
 
-#include <atomic>
-#include <cstdint>
+#include <memory>
 #include <string>
 
 namespace turmericswitch::gateway
@@ -46,11 +45,12 @@
     struct call_plan;
     job_result run(call_plan const& plan);
     job_result command(core::command_body body, core::duration timeout);
+    void set_no_leader_until(core::time_point until);
 
     shared::control_link& m_control;
-    /// Calls before this time search for a leader only briefly, because an
-    /// earlier call found none. In microseconds of the event loop's clock.
-    std::atomic<std::int64_t> m_no_leader_until = 0;
+    struct leader_signal;
+    std::shared_ptr<leader_signal> m_signal;
+    std::shared_ptr<shared::control_link::leader_hook const> m_leader_hook;
 };
 
 } // namespace turmericswitch::gateway
--- a/programs/shared/control_link/config_watch.cpp
+++ b/programs/shared/control_link/config_watch.cpp
@@ -94,15 +94,33 @@
                               backoff_base,
                               std::min(backoff_cap, options.max_wait),
                               failures++);
+        is_waiting = true;
+        auto const number = ++waits;
         lock.unlock();
         io.post_after(wait,
-                      [self = shared_from_this()]
-                      {
-                          if (!self->is_stopped)
-                          {
-                              self->poll();
-                          }
-                      });
+                      [self = shared_from_this(), number]
+                      { self->end_wait(number); });
+    }
+
+    /// Polls, unless a new leader ended the wait with this number earlier.
+    void end_wait(std::uint64_t number)
+    {
+        std::unique_lock lock(mutex);
+        if (!is_stopped && number == waits && std::exchange(is_waiting, false))
+        {
+            lock.unlock();
+            poll();
+        }
+    }
+
+    /// The back-off was for the search of a leader, which has ended.
+    void handle_new_leader()
+    {
+        {
+            std::lock_guard const lock(mutex);
+            failures = 0;
+        }
+        end_wait(waits);
     }
 
     /// Logs when the leader becomes unreachable or reachable again, not for
@@ -149,6 +167,10 @@
     std::atomic<bool> is_stopped = false;
     known_state known;
     unsigned failures = 0;
+    /// True while the next poll waits.
+    bool is_waiting = false;
+    std::atomic<std::uint64_t> waits = 0;
+    std::shared_ptr<control_link::leader_hook const> leader_hook;
     bool leader_reached = true;
     telemetry::logger const log{"control_link"};
     std::atomic<std::uint64_t> answers = 0;
@@ -175,6 +197,14 @@
 
 void config_watch::start()
 {
+    m_state->leader_hook = m_state->link.on_leader(
+        [weak = std::weak_ptr(m_state)](leader_announcement const&)
+        {
+            if (auto const self = weak.lock())
+            {
+                self->handle_new_leader();
+            }
+        });
     m_state->poll();
 }
 
--- a/programs/shared/control_link/control_link.cpp
+++ b/programs/shared/control_link/control_link.cpp
@@ -199,7 +199,7 @@
     return owner;
 }
 
-void control_link::set_instances(std::vector<core::endpoint> instances)
+void control_link::set_instances(std::vector<core::endpoint> const& instances)
 {
     std::lock_guard const order(m_state->instances_mutex);
     {
