config_watch_test: the stand-in's handler outlives the test's locals

Cause: the handler of the control stand-in used a mutex and a vector of the test function. Change: handler and test share them.

--- a/programs/shared/tests/config_watch_test.cpp
+++ b/programs/shared/tests/config_watch_test.cpp
@@ -26,29 +26,35 @@
 
     static constexpr std::size_t poll_count = 6;
 
-    /// @return Arrival times of the first `poll_count` polls.
-    std::vector<clock::time_point> poll_times(bool applies_updates)
+    /// Shared with the handler, which may still run after `poll_times`.
+    struct poll_log
     {
         std::mutex mutex;
         std::vector<clock::time_point> times;
         std::atomic<std::size_t> count = 0;
+    };
+
+    /// @return Arrival times of the first `poll_count` polls.
+    std::vector<clock::time_point> poll_times(bool applies_updates)
+    {
+        auto const polls = std::make_shared<poll_log>();
         transport::connection_options connection;
         connection.protocol_version = wire::protocol_version;
         auto const server = transport::rpc_server::listen(
             m_io,
             {"127.0.0.1", 0},
-            [&](transport::rpc_request const& call,
-                transport::responder const& answer)
+            [this, polls](transport::rpc_request const& call,
+                          transport::responder const& answer)
             {
-                std::lock_guard const lock(mutex);
+                std::lock_guard const lock(polls->mutex);
                 auto const request =
                     wire::decode<core::watch_request>(call.body);
                 m_polled_revisions.push_back(request->in_force.value());
-                times.push_back(clock::now());
+                polls->times.push_back(clock::now());
                 core::watch_answer update;
-                update.current = core::revision(times.size());
+                update.current = core::revision(polls->times.size());
                 answer.answer(wire::encode(update));
-                ++count;
+                ++polls->count;
             },
             connection,
             [](std::string const&) {});
@@ -73,14 +79,14 @@
                      m_confirmed.push_back(asked_at);
                  }});
             watch.start();
-            while (count < poll_count)
+            while (polls->count < poll_count)
             {
                 std::this_thread::sleep_for(std::chrono::milliseconds(1));
             }
         }
-        std::lock_guard const lock(mutex);
-        // The server may still append to `times`.
-        return {times.begin(), times.begin() + poll_count};
+        std::lock_guard const lock(polls->mutex);
+        // The server may still append to the times.
+        return {polls->times.begin(), polls->times.begin() + poll_count};
     }
 
     std::mutex m_mutex;
