--- a/modules/workflow/tests/worker_agent_test.cpp
+++ b/modules/workflow/tests/worker_agent_test.cpp
@@ -27,6 +27,9 @@
     CPPUNIT_TEST(report_after_an_outage_has_a_current_clock);
     CPPUNIT_TEST(first_sync_of_an_incarnation_does_not_wait);
     CPPUNIT_TEST(failed_poll_triggers_a_report);
+    CPPUNIT_TEST(new_leader_gets_a_list_made_after_its_election);
+    CPPUNIT_TEST(new_leader_learns_of_a_silent_worker_at_once);
+    CPPUNIT_TEST(answers_of_the_earlier_leader_are_dropped);
     CPPUNIT_TEST(leaving_during_a_report_is_reported_after_it);
     CPPUNIT_TEST(lost_and_regained_leader_are_each_logged_once);
     CPPUNIT_TEST(start_events_identify_the_task);
@@ -237,6 +240,57 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_reports.size());
     }
 
+    // Guards against decisions on a list that predates the election, and
+    // against a report that waits for the sync call in progress.
+    void new_leader_gets_a_list_made_after_its_election()
+    {
+        start_up();
+        answer(m_syncs, std::optional(sync_result{}));
+        grant(1);
+        m_agent->leader_changed(std::chrono::milliseconds(10));
+        answer(m_syncs, std::optional(sync_result{}));
+        CPPUNIT_ASSERT(m_reports.empty());
+        run_delayed();
+        CPPUNIT_ASSERT(m_reports.empty());
+        CPPUNIT_ASSERT(m_syncs.front().call.wait == core::duration{});
+        sync_result current;
+        current.clock = std::chrono::seconds(9);
+        answer(m_syncs, std::optional(current));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_reports.size());
+        CPPUNIT_ASSERT(last_report().clock == current.clock);
+    }
+
+    void new_leader_learns_of_a_silent_worker_at_once()
+    {
+        start_up();
+        answer(m_syncs, std::optional<sync_result>());
+        grant(1);
+        m_agent->leader_changed(core::duration{});
+        run_delayed();
+        CPPUNIT_ASSERT(last_report().silent);
+    }
+
+    // Guards against a retry pause, a grant or orders that belong to calls at
+    // the earlier leader.
+    void answers_of_the_earlier_leader_are_dropped()
+    {
+        start_up();
+        answer(m_syncs, std::optional(sync_result{}));
+        m_agent->leader_changed(core::duration{});
+        grant(1, std::chrono::seconds(15));
+        core::runtime_orders orders;
+        orders.fencing_token = 1;
+        orders.stops = {m_run};
+        answer(m_polls, std::optional(orders));
+        CPPUNIT_ASSERT(m_stops.empty() && m_polls.empty());
+        run_delayed();
+        CPPUNIT_ASSERT(m_syncs.front().call.lease_until <
+                       core::duration(std::chrono::seconds(15)));
+        answer(m_syncs, std::optional(sync_result{}));
+        grant(2);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_polls.size());
+    }
+
     // The worker leaves while a report is in flight. Without a further report
     // the leader would wait until the lease expires before it starts the
     // worker's tasks elsewhere.
