--- a/modules/core/events/event_code.hpp
+++ b/modules/core/events/event_code.hpp
@@ -75,6 +75,7 @@
     commit_stalled = 463,
     leadership_given_up = 464,
     document_delta_refused = 465,
+    workers_relearned = 481,
 };
 
 enum class event_severity : std::uint8_t
@@ -170,6 +171,7 @@
                 "leadership_given_up",
                 event_severity::warning},
     event_entry{event_code::document_delta_refused, "document_delta_refused"},
+    event_entry{event_code::workers_relearned, "workers_relearned"},
 };
 
 /// @return The entry of the event; every code has one.
