Test the events of a stalled leader, and fuzz hand-overs

Change: a test loses all messages with payload and reads commit_stalled once a second and leadership_given_up after 5 s. The consensus fuzz hands over after 0.6 s without a commit.

--- a/modules/consensus/tests/raft_fuzz_test.cpp
+++ b/modules/consensus/tests/raft_fuzz_test.cpp
@@ -18,6 +18,8 @@
 constexpr std::uint32_t step_limit = 1U << 24;
 constexpr std::size_t max_members = 8;
 constexpr std::size_t min_voters = 3;
+/// Short, so that overloaded leaders hand over often.
+constexpr core::duration commit_stall_timeout = std::chrono::milliseconds(600);
 
 /// One generated step: the operation, the member it affects and a parameter.
 struct fuzz_step
@@ -390,7 +392,7 @@
     auto const seed = *rc::gen::arbitrary<std::uint64_t>();
     auto const codes = *rc::gen::container<std::vector<std::uint32_t>>(
         rc::gen::resize(rc::kNominalSize, rc::gen::inRange(0U, step_limit)));
-    consensus_harness group(voters, seed);
+    consensus_harness group(voters, seed, commit_stall_timeout);
     group.run(40);
     for (auto const code : codes)
     {
--- a/programs/control/tests/replica_group.cpp
+++ b/programs/control/tests/replica_group.cpp
@@ -134,7 +134,8 @@
         }
     };
     hooks.group_changed = [] {};
-    hooks.on_event = [](core::event const&) {};
+    hooks.on_event = [this](core::event const& what)
+    { events.push_back(what); };
     hooks.storage_failed = [](std::string const&) {};
     return hooks;
 }
@@ -204,8 +205,10 @@
     {
         auto& from = at(message.from.value());
         auto& to = at(message.to.value());
-        bool const is_lost = from.isolated || to.isolated || !to.node ||
-                             core::random_below(random, 100) < loss_percent;
+        bool const is_lost =
+            from.isolated || to.isolated || !to.node ||
+            (loses_payload && delivery != consensus::delivery_id()) ||
+            core::random_below(random, 100) < loss_percent;
         if (!is_lost)
         {
             to.node->receive(message);
--- a/programs/control/tests/replica_group.hpp
+++ b/programs/control/tests/replica_group.hpp
@@ -86,6 +86,10 @@
     core::time_point now{std::chrono::seconds(1)};
     /// Percentage of messages that are lost.
     std::uint64_t loss_percent = 0;
+    /// Messages with payload are lost; the others arrive.
+    bool loses_payload = false;
+    /// Events of all instances.
+    std::vector<core::event> events;
     core::random_source random = core::seeded_random(7);
 
 private:
--- a/programs/control/tests/replica_test.cpp
+++ b/programs/control/tests/replica_test.cpp
@@ -5,6 +5,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
+
 namespace turmericswitch::control::testing
 {
 
@@ -24,6 +26,7 @@
     CPPUNIT_TEST(leader_transfers_leadership);
     CPPUNIT_TEST(no_read_without_a_quorum);
     CPPUNIT_TEST(no_read_at_a_replaced_leader);
+    CPPUNIT_TEST(stalled_leader_says_why_and_hands_over);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against lost acknowledged commands and against members that
@@ -115,6 +118,43 @@
         }
     }
 
+    // Guards against a leader whose commits stall for an unknown reason, and
+    // against a log that is flooded with it.
+    void stalled_leader_says_why_and_hands_over()
+    {
+        replica_group group;
+        auto const first = group.wait_for_leader();
+        CPPUNIT_ASSERT(group.submit_jobs_and_wait(1));
+        group.events.clear();
+        group.loses_payload = true;
+        group.submit(first);
+        auto const given_up = [&group]
+        { return count(group, core::event_code::leadership_given_up) > 0; };
+        CPPUNIT_ASSERT(!group.step_until(given_up, 225));
+        // 4.5 s at one event a second.
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(4),
+                             count(group, core::event_code::commit_stalled));
+        auto const& stalled = group.events.front();
+        CPPUNIT_ASSERT_EQUAL(std::string_view("members"),
+                             stalled.fields.back().name);
+        auto const members = std::get<std::string>(stalled.fields.back().value);
+        CPPUNIT_ASSERT(members.find(std::to_string(first % 3 + 1) +
+                                    ":answer_ms=") != std::string::npos);
+        CPPUNIT_ASSERT(group.step_until(given_up, 50));
+        CPPUNIT_ASSERT(!group.node(first).is_leading());
+        group.loses_payload = false;
+        CPPUNIT_ASSERT(group.submit_jobs_and_wait(1));
+    }
+
+    static std::ptrdiff_t count(replica_group const& group,
+                                core::event_code code)
+    {
+        return std::count_if(group.events.begin(),
+                             group.events.end(),
+                             [code](core::event const& what)
+                             { return what.code == code; });
+    }
+
     // Guards against a leader that continues to lead or answer after a write
     // to its disk was lost.
     void leader_stops_after_a_failed_sync()
--- a/tests/support/consensus_harness.cpp
+++ b/tests/support/consensus_harness.cpp
@@ -40,8 +40,11 @@
 
 } // namespace
 
-consensus_harness::consensus_harness(std::size_t voters, std::uint64_t seed)
-    : m_random(core::seeded_random(seed))
+consensus_harness::consensus_harness(std::size_t voters,
+                                     std::uint64_t seed,
+                                     core::duration commit_stall_timeout)
+    : m_random(core::seeded_random(seed)),
+      m_commit_stall_timeout(commit_stall_timeout)
 {
     // One or two entries per message in half of the runs. A membership is
     // always sent in fragments.
@@ -105,10 +108,10 @@
     }
     member.applied = snapshot->metadata.last_index;
     member.unwritten.clear();
-    member.node.emplace(options_for(member.id, m_message_bytes),
-                        std::move(found),
-                        core::seeded_random(m_random()),
-                        now());
+    auto options = options_for(member.id, m_message_bytes);
+    options.commit_stall_timeout = m_commit_stall_timeout;
+    member.node.emplace(
+        options, std::move(found), core::seeded_random(m_random()), now());
 }
 
 void consensus_harness::run(std::size_t steps)
--- a/tests/support/consensus_harness.hpp
+++ b/tests/support/consensus_harness.hpp
@@ -36,7 +36,10 @@
     /// Bound of the bytes in flight to one member.
     static constexpr std::size_t max_in_flight_bytes = 90;
 
-    consensus_harness(std::size_t voters, std::uint64_t seed);
+    consensus_harness(
+        std::size_t voters,
+        std::uint64_t seed,
+        core::duration commit_stall_timeout = std::chrono::seconds(5));
     ~consensus_harness();
 
     /// Runs steps of 10 ms.
@@ -136,6 +139,7 @@
     std::uint64_t m_step = 0;
     std::uint64_t m_next_ticket = 1;
     std::size_t m_message_bytes = 0;
+    core::duration m_commit_stall_timeout;
     unsigned m_drop_percent = 0;
     unsigned m_max_delay = 3;
 };
