Repeat a lost append when the follower says that it lacks it

Cause: an append that the follower had received and lost was repeated only after 300 ms, although a refusal had named it. The entries of an accepted probe were sent twice when they were not durable yet.

Change: a refusal makes the first unacknowledged range due at once, unless the transport holds it or it was repeated before. After an accepted probe the leader continues behind its entries.

--- a/modules/consensus/replication/follower_progress.cpp
+++ b/modules/consensus/replication/follower_progress.cpp
@@ -156,12 +156,22 @@
     {
         m_probing = false;
         m_probe_sent = false;
+        if (!m_in_flight.empty())
+        {
+            // The accepted probe carried entries that are not durable yet.
+            m_next = after(m_in_flight.back().range.last);
+        }
     }
 }
 
 void follower_progress::record_rejection(log_index hint)
 {
-    if (!m_probing || after(hint) >= m_next)
+    if (!m_probing)
+    {
+        repeat_missing(after(hint));
+        return;
+    }
+    if (after(hint) >= m_next)
     {
         return;
     }
@@ -192,6 +202,24 @@
     return nullptr;
 }
 
+/// Makes the range that the follower lacks due at once, unless the transport
+/// holds it or it was sent again before.
+void follower_progress::repeat_missing(log_index index)
+{
+    if (m_in_flight.empty())
+    {
+        return;
+    }
+    auto& front = m_in_flight.front();
+    // A follower that holds fragments lacks their entry until all have arrived.
+    if (!front.range.offset && front.range.first == index &&
+        front.sending.expedite())
+    {
+        m_delivered_bytes -= front.range.bytes;
+        ++m_failed;
+    }
+}
+
 /// Sends all fragments of the first entry again if the follower had all of them
 /// and did not acknowledge the entry.
 void follower_progress::repeat_lost_entry(core::time_point now,
--- a/modules/consensus/replication/follower_progress.hpp
+++ b/modules/consensus/replication/follower_progress.hpp
@@ -86,7 +86,8 @@
     void record_match(core::log_index index, core::time_point now);
 
     /// Records that the follower refused an append. Only a probe can be refused
-    /// because of the follower's log; another append then arrived too early.
+    /// because of the follower's log; another append arrived too early, or the
+    /// one before it is lost.
     /// @param hint Last index at which its log may match.
     void record_rejection(core::log_index hint);
 
@@ -123,6 +124,7 @@
     };
 
     void start_probing();
+    void repeat_missing(core::log_index index);
     void repeat_lost_entry(core::time_point now, core::duration heartbeat);
 
     core::log_index m_match;
--- a/modules/consensus/replication/transmission.cpp
+++ b/modules/consensus/replication/transmission.cpp
@@ -38,6 +38,16 @@
     return true;
 }
 
+bool transmission::expedite()
+{
+    if (m_stage != stage::delivered || m_repeats > 0)
+    {
+        return false;
+    }
+    m_stage = stage::failed;
+    return true;
+}
+
 bool transmission::is_in_transport() const
 {
     return m_stage == stage::in_transport;
--- a/modules/consensus/replication/transmission.hpp
+++ b/modules/consensus/replication/transmission.hpp
@@ -22,6 +22,10 @@
     /// @return False if the id is not that of the latest attempt.
     bool end(delivery_id id, bool answered, core::time_point now);
 
+    /// Treats a delivered message as lost, because the peer lacks it.
+    /// @return False if it is not delivered, or was sent again before.
+    bool expedite();
+
     bool is_in_transport() const;
     bool has_failed() const;
     /// @return True if the peer has received the message.
