Ignore configurations of an earlier revision in the job gateway

Cause: job_gateway::configure took every configuration that it was given, so a late answer could bring back queues that had been removed.

Change: an answer with a lower revision than the one in force changes nothing.

Result: gateway_never_goes_back_to_an_earlier_revision passes.

--- a/programs/gateway/jobs/job_gateway.cpp
+++ b/programs/gateway/jobs/job_gateway.cpp
@@ -44,6 +44,11 @@
 shared::config_watch::known_state
 job_gateway::configure(core::watch_answer const& update)
 {
+    if (update.current < m_revision)
+    {
+        // From a deposed leader, or of a poll that was overtaken.
+        return {m_revision, update.registry};
+    }
     if (update.config && update.config->document.version > 0)
     {
         m_queues.publish(
--- a/programs/gateway/tests/job_gateway_test.cpp
+++ b/programs/gateway/tests/job_gateway_test.cpp
@@ -11,6 +11,7 @@
 {
     CPPUNIT_TEST_SUITE(job_gateway_test);
     CPPUNIT_TEST(gateway_with_an_old_configuration_denies_no_queue);
+    CPPUNIT_TEST(gateway_never_goes_back_to_an_earlier_revision);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -39,6 +40,25 @@
                        core::result_code::queue_unknown);
     }
 
+    // Guards against a late answer that brings back queues that operators have
+    // removed (invariant 10).
+    void gateway_never_goes_back_to_an_earlier_revision()
+    {
+        transport::io_pool io(1);
+        shared::control_link control(io, {{"127.0.0.1", 1}}, 1);
+        telemetry::metrics_registry metrics;
+        job_gateway gateway(control, metrics, std::chrono::seconds(2));
+        auto const hooks = gateway.hooks();
+        auto late = update_with("early", "/early/");
+        late.current = core::revision(4);
+        auto update = update_with("known", "/known/");
+        update.current = core::revision(5);
+        gateway.configure(update);
+        CPPUNIT_ASSERT(gateway.configure(late).in_force == core::revision(5));
+        CPPUNIT_ASSERT(hooks.find_queue("a.example", "/known/1"));
+        CPPUNIT_ASSERT(!hooks.find_queue("a.example", "/early/1"));
+    }
+
 private:
     static core::watch_answer update_with(std::string name, std::string prefix)
     {
