Metrics of configuration transfers at gateways

Cause: the bytes per change and process could not be seen.

Change: counters of bytes, chunks, deltas, whole configurations and failures.

Result: the tests of program_gateway pass one by one, except routing_continues_without_control, which hangs on main as well.

--- a/programs/gateway/main.cpp
+++ b/programs/gateway/main.cpp
@@ -92,6 +92,7 @@
             return jobs.configure(update);
         },
         std::move(watched));
+    add_transfer_metrics(metrics, watch);
     web::server_options options;
     options.listen_on = settings.jobs->callers;
     options.worker_threads = static_cast<unsigned>(settings.http_threads);
@@ -165,6 +166,7 @@
                                core::client_id("gateway " + settings.name),
                                [&routes](core::watch_answer const& update)
                                { return routes.apply(update); });
+    add_transfer_metrics(metrics, watch);
 
     web::server_options options;
     options.listen_on = settings.http;
--- a/programs/gateway/metrics/gateway_metrics.cpp
+++ b/programs/gateway/metrics/gateway_metrics.cpp
@@ -194,4 +194,25 @@
         });
 }
 
+void add_transfer_metrics(telemetry::metrics_registry& metrics,
+                          shared::config_watch const& watch)
+{
+    auto const add = [&](std::string const& name,
+                         std::string const& help,
+                         std::uint64_t shared::transfer_totals::*total)
+    {
+        metrics.add_counter_hook(
+            "turmericswitch_gateway_config_" + name + "_total",
+            help,
+            [&watch, total]
+            { return static_cast<double>(watch.transfers().*total); });
+    };
+    using totals = shared::transfer_totals;
+    add("bytes", "Bytes of configuration received.", &totals::bytes);
+    add("chunks", "Chunks of configuration received.", &totals::chunks);
+    add("deltas", "Changes received as deltas.", &totals::deltas);
+    add("wholes", "Whole configurations received.", &totals::wholes);
+    add("failures", "Failed calls and unusable contents.", &totals::failures);
+}
+
 } // namespace turmericswitch::gateway
