--- a/modules/transport/tests/rpc_failure_test.cpp
+++ b/modules/transport/tests/rpc_failure_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(timeout_of_a_written_call_is_lost);
     CPPUNIT_TEST(timeout_of_a_waiting_call_is_not_sent);
     CPPUNIT_TEST(silent_peer_is_detected);
+    CPPUNIT_TEST(client_can_ask_for_fewer_keepalives);
     CPPUNIT_TEST(garbage_affects_no_other_connection);
     CPPUNIT_TEST(too_large_body_affects_no_other_stream);
     CPPUNIT_TEST(too_large_answer_is_lost);
@@ -177,6 +178,30 @@
                result_code::peer_unreachable);
     }
 
+    /// @return Bytes that a client gets in 200 ms without any answer.
+    std::uint64_t bytes_at_rest(core::duration client_interval)
+    {
+        connection_options eager;
+        eager.keepalive_interval = std::chrono::milliseconds(10);
+        auto const server = serve(echo, eager);
+        client_options options;
+        options.connection.keepalive_interval = client_interval;
+        auto const client = client_of(server->bound(), options);
+        start(*client, "a").get();
+        auto const before = client->transferred().received;
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+        return client->transferred().received - before;
+    }
+
+    // Guards against keepalives of the server that wake a process on
+    // connections on which it expects answers only rarely.
+    void client_can_ask_for_fewer_keepalives()
+    {
+        constexpr std::uint64_t ping_bytes = 17;
+        CPPUNIT_ASSERT(bytes_at_rest(std::chrono::seconds(2)) > ping_bytes);
+        CPPUNIT_ASSERT(bytes_at_rest(std::chrono::seconds(15)) <= ping_bytes);
+    }
+
     // Guards against a server that fails on input that isn't HTTP/2.
     void garbage_affects_no_other_connection()
     {
--- a/programs/shared/control_link/control_link.cpp
+++ b/programs/shared/control_link/control_link.cpp
@@ -124,7 +124,7 @@
     std::vector<core::endpoint> instances;
     std::uint64_t seed;
     /// Keeps the watcher's instances those that were set last. Taken before
-    /// `mutex`.
+    /// `mutex`; `instances` changes only while both are held.
     std::mutex instances_mutex;
     std::mutex mutex;
     std::size_t next_instance;
@@ -199,7 +199,7 @@
     return owner;
 }
 
-void control_link::set_instances(std::vector<core::endpoint> const& instances)
+void control_link::set_instances(std::vector<core::endpoint> instances)
 {
     std::lock_guard const order(m_state->instances_mutex);
     {
@@ -209,11 +209,11 @@
             return;
         }
         m_state->next_instance %= instances.size();
-        m_state->instances = instances;
+        m_state->instances = std::move(instances);
     }
     if (m_state->watcher)
     {
-        m_state->watcher->set_members(instances);
+        m_state->watcher->set_members(m_state->instances);
     }
 }
 
--- a/programs/shared/control_link/control_link.hpp
+++ b/programs/shared/control_link/control_link.hpp
@@ -66,7 +66,7 @@
 
     /// Replaces the instances to try; an empty list is ignored. The current
     /// connection stays.
-    void set_instances(std::vector<core::endpoint> const& instances);
+    void set_instances(std::vector<core::endpoint> instances);
 
     /// @return Bytes sent and received so far.
     transport::traffic transferred() const;
