Give runs of speculative stages a copy on another worker

Cause: a run on a silent worker held up its task until the worker's lease had certainly expired, many times the slack of a short stage. `speculative` was accepted and ignored.

Change: with `[placement] copies = yes` (off by default), a run of a speculative stage whose worker is silent, not reporting or not seen by this leader, or that is far behind the learned run time of its kind, gets one second run on another worker, after all waiting tasks. The first `done` counts, the other run is stopped; both hold their capacity until their ends. The table keeps both (appended: task_record.earlier, run_placement.is_copy). No copies for gangs, long-running stages, tasks that may crash workers, and tasks with their last attempt. Event 415 copy_decided, counter turmericswitch_control_copies_total.

Tests: copy_planner_test; invariants_hold_with_copies adds slow runs and copies to the simulation, which allows a second run only for stages that may be copied.

--- a/modules/core/events/event_code.hpp
+++ b/modules/core/events/event_code.hpp
@@ -56,6 +56,7 @@
     dispatch_summary = 411,
     start_withdrawn = 413,
     suspicion_resolved = 414,
+    copy_decided = 415,
 
     // Control: the group and its state
     role_changed = 451,
@@ -141,6 +142,7 @@
     event_entry{event_code::dispatch_summary, "dispatch_summary"},
     event_entry{event_code::start_withdrawn, "start_withdrawn"},
     event_entry{event_code::suspicion_resolved, "suspicion_resolved"},
+    event_entry{event_code::copy_decided, "copy_decided"},
     event_entry{event_code::role_changed, "role_changed"},
     event_entry{event_code::leadership_began, "leadership_began"},
     event_entry{event_code::leadership_ended, "leadership_ended"},
--- a/modules/core/messages/workflow.hpp
+++ b/modules/core/messages/workflow.hpp
@@ -155,14 +155,14 @@
 /// @return True for states that never change again.
 bool is_final(workflow_state state) noexcept;
 
-/// A run that ended as `suspected`, of which nothing more is known yet.
-struct suspected_run
+/// An attempt of a task, and where it was placed.
+struct task_attempt
 {
     attempt_number attempt;
     worker_id worker;
     incarnation life;
 
-    bool operator==(suspected_run const&) const = default;
+    bool operator==(task_attempt const&) const = default;
 };
 
 /// State of one task.
@@ -182,7 +182,10 @@
     std::uint32_t crashes = 0;
     /// Its last suspected runs since it last ran on a worker without crashing
     /// it.
-    std::vector<suspected_run> suspected;
+    std::vector<task_attempt> suspected;
+    /// The attempt before the last one, while it is held beside the last one or
+    /// after that has ended. Only tasks of speculative stages have one.
+    std::optional<task_attempt> earlier;
 
     bool operator==(task_record const&) const = default;
 };
@@ -240,6 +243,8 @@
     task_run run;
     worker_id worker;
     incarnation life;
+    /// True if another run of the task is held, which this one copies.
+    bool is_copy = false;
 
     bool operator==(run_placement const&) const = default;
 };
--- a/modules/wire/codec/message_codec.cpp
+++ b/modules/wire/codec/message_codec.cpp
@@ -77,7 +77,9 @@
 template <typename T>
 constexpr std::size_t appended_members = 0;
 template <>
-constexpr std::size_t appended_members<core::task_record> = 2;
+constexpr std::size_t appended_members<core::task_record> = 3;
+template <>
+constexpr std::size_t appended_members<core::run_placement> = 1;
 template <>
 constexpr std::size_t appended_members<core::runtime_report> = 2;
 template <>
--- a/modules/workflow/dispatch/dispatch_events.cpp
+++ b/modules/workflow/dispatch/dispatch_events.cpp
@@ -149,6 +149,16 @@
     return event;
 }
 
+core::event copy_decided_event(copy_decision const& decision)
+{
+    core::event event{
+        event_code::copy_decided,
+        fields_of(decision.placement.run, decision.placement.worker)};
+    event.fields.push_back(text_field("of", decision.of.value()));
+    event.fields.push_back(text_field("why", to_string(decision.why)));
+    return event;
+}
+
 core::event suspicion_resolved_event(core::run_outcome const& outcome)
 {
     core::event event{event_code::suspicion_resolved,
--- a/modules/workflow/dispatch/dispatch_events.hpp
+++ b/modules/workflow/dispatch/dispatch_events.hpp
@@ -2,6 +2,7 @@
 #define TURMERICSWITCH_WORKFLOW_DISPATCH_DISPATCH_EVENTS_HPP
 
 #include "core/events/event.hpp"
+#include "workflow/dispatch/copy_planner.hpp"
 #include "workflow/dispatch/pace_controller.hpp"
 #include "workflow/dispatch/worker_fleet.hpp"
 
@@ -65,6 +66,8 @@
                             std::optional<core::duration> since_placed,
                             std::optional<bool> established);
 
+core::event copy_decided_event(copy_decision const& decision);
+
 /// @param outcome What became known of a run that ended as `suspected`.
 core::event suspicion_resolved_event(core::run_outcome const& outcome);
 
--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -51,6 +51,8 @@
       m_backlog(table, m_run_times, m_fleet),
       m_candidates(table, m_fleet, m_colocation),
       m_ends(table, m_fleet),
+      m_copies(
+          options.copies, table, m_fleet, options.report_interval, elected),
       m_orders(table),
       m_on_event(std::move(on_event))
 {
@@ -305,7 +307,8 @@
 {
     auto const waiting = m_backlog.collect(times);
     // Skips the candidates when there is nothing to place or evict.
-    if (waiting.empty() && times.now < m_next_eviction)
+    auto const to_copy = m_copies.collect(times.now);
+    if (waiting.empty() && to_copy.empty() && times.now < m_next_eviction)
     {
         return;
     }
@@ -313,6 +316,7 @@
     command.placements =
         plan_stages(waiting, workers, max_placements, make_tail_hook());
     m_placement_due = command.placements.size() == max_placements;
+    place_copies(to_copy, workers, command);
     for (auto const& placed : command.placements)
     {
         m_candidates.mark_changed(placed.worker);
@@ -328,6 +332,19 @@
     }
 }
 
+void dispatcher::place_copies(std::vector<copy_candidates> const& wanted,
+                              std::vector<candidate_worker*> const& workers,
+                              core::workflow_progress& command)
+{
+    auto const left = max_placements - command.placements.size();
+    for (auto& decision :
+         copy_planner::place(wanted, workers, left, make_tail_hook()))
+    {
+        m_on_event(copy_decided_event(decision));
+        command.placements.push_back(std::move(decision.placement));
+    }
+}
+
 std::optional<core::workflow_progress>
 dispatcher::plan(plan_times const& times, core::configuration const& config)
 {
@@ -359,6 +376,7 @@
     {
         record_end(now, outcome);
         record_run_time(now, outcome);
+        m_copies.ended(now, outcome);
         m_orders.ended(outcome.run);
     }
     for (auto const& outcome : command.resolved)
--- a/modules/workflow/dispatch/dispatcher.hpp
+++ b/modules/workflow/dispatch/dispatcher.hpp
@@ -6,6 +6,7 @@
 #include "core/messages/workflow.hpp"
 #include "workflow/dispatch/candidate_pool.hpp"
 #include "workflow/dispatch/colocation_controller.hpp"
+#include "workflow/dispatch/copy_planner.hpp"
 #include "workflow/dispatch/end_collector.hpp"
 #include "workflow/dispatch/order_reconciler.hpp"
 #include "workflow/dispatch/run_time_model.hpp"
@@ -29,6 +30,7 @@
     /// Longest time for which best-effort tasks may keep a serving task over
     /// its latency target.
     core::duration harm_limit = std::chrono::seconds(4);
+    copy_options copies{};
 };
 
 /// Amounts of waiting and running work, for operators.
@@ -124,6 +126,10 @@
     /// @return True if placements must be planned now; they count as planned.
     bool take_placement_due(plan_times const& times,
                             core::configuration const& config);
+    /// Adds copies, where the waiting tasks leave capacity.
+    void place_copies(std::vector<copy_candidates> const& wanted,
+                      std::vector<candidate_worker*> const& workers,
+                      core::workflow_progress& command);
     void evict_stalled(core::time_point now,
                        std::vector<candidate_worker*> const& workers);
     bool is_evictable(core::task_run const& run) const;
@@ -147,6 +153,7 @@
     stage_backlog m_backlog;
     candidate_pool m_candidates;
     end_collector m_ends;
+    copy_planner m_copies;
     /// When placements are planned although no workflow and no worker changed.
     core::time_point m_next_placement;
     bool m_placement_due = true;
--- a/modules/workflow/dispatch/order_reconciler.cpp
+++ b/modules/workflow/dispatch/order_reconciler.cpp
@@ -101,6 +101,19 @@
     return due;
 }
 
+bool order_reconciler::is_other_run_done(core::workflow_record const& workflow,
+                                         observed_run const& seen)
+{
+    if (seen.stage == nullptr || !workflow_table::may_be_copied(*seen.stage))
+    {
+        return false;
+    }
+    auto const& ref = seen.run->task;
+    auto const* const stage =
+        workflow_table::find_stage_record(workflow, ref.occurrence, ref.stage);
+    return stage != nullptr && stage->tasks[ref.index].done;
+}
+
 std::vector<order_reconciler::observed_run>
 order_reconciler::observe(worker_view const& worker) const
 {
@@ -119,7 +132,8 @@
         {
             seen.stage = workflow_table::find_stage(*workflow, run.task);
             seen.should_run = is_held && !core::is_final(workflow->state) &&
-                              !m_evicting.contains(run);
+                              !m_evicting.contains(run) &&
+                              !is_other_run_done(*workflow, seen);
         }
         runs.push_back(seen);
     };
--- a/modules/workflow/dispatch/order_reconciler.hpp
+++ b/modules/workflow/dispatch/order_reconciler.hpp
@@ -94,13 +94,16 @@
         /// Null if the workflow is unknown or its details were dropped.
         core::stage_description const* stage = nullptr;
         bool is_running = false;
-        /// True if the table places the run there, its workflow has not ended,
-        /// and it is not being evicted.
+        /// True if the table places the run there, neither its workflow nor the
+        /// task's other run has ended, and it is not being evicted.
         bool should_run = false;
         /// True if the worker reported its end, so it needs no capacity.
         bool has_ended = false;
     };
 
+    /// @return True if the task is done, so that its remaining run is stopped.
+    static bool is_other_run_done(core::workflow_record const& workflow,
+                                  observed_run const& seen);
     std::vector<observed_run> observe(worker_view const& worker) const;
     /// @return What the runs reserve that have not ended.
     static core::resources
--- a/modules/workflow/dispatch/stage_backlog.cpp
+++ b/modules/workflow/dispatch/stage_backlog.cpp
@@ -293,7 +293,7 @@
         {
             waiting.placed_on.insert(task.worker);
         }
-        if (!task.done && !task.placed)
+        if (!task.done && !task.placed && !task.earlier)
         {
             pending.runs.push_back(
                 {{workflow.workflow, occurrence, number, i},
--- a/modules/workflow/table/workflow_table.cpp
+++ b/modules/workflow/table/workflow_table.cpp
@@ -44,6 +44,19 @@
            how != run_end::lost && how != run_end::refused;
 }
 
+/// @return True if the task has one held run, and that on another worker.
+bool may_take_copy(core::stage_description const& stage,
+                   core::task_record const& task,
+                   core::worker_id const& worker)
+{
+    if (!workflow_table::may_be_copied(stage) ||
+        task.placed == task.earlier.has_value())
+    {
+        return false;
+    }
+    return worker != (task.placed ? task.worker : task.earlier->worker);
+}
+
 core::task_record* find_task_record(core::workflow_record& workflow,
                                     core::task_ref const& task)
 {
@@ -142,15 +155,27 @@
     }
     auto& workflow = known->second;
     auto& task = *find_task_record(workflow, ref);
-    remove_hold(outcome.run, task);
-    task.placed = false;
+    remove_hold(outcome);
+    if (task.placed && task.attempt == outcome.run.attempt)
+    {
+        task.placed = false;
+    }
+    else
+    {
+        task.earlier.reset();
+    }
     if (core::is_final(workflow.state))
     {
         drop_details(workflow);
         return;
     }
     auto& stage = stage_record(workflow, ref);
-    auto const& behaviour = workflow.description.stages[ref.stage].behaviour;
+    auto const& description = workflow.description.stages[ref.stage];
+    auto const& behaviour = description.behaviour;
+    if (task.done && may_be_copied(description))
+    {
+        return;
+    }
     if (!outcome.checkpoint.value().empty())
     {
         apply(core::run_checkpoint{outcome.run, outcome.checkpoint});
@@ -194,7 +219,7 @@
 }
 
 void workflow_table::index_suspected(core::task_ref const& task,
-                                     core::suspected_run const& suspected,
+                                     core::task_attempt const& suspected,
                                      bool is_added)
 {
     auto& runs = m_suspected[suspected.worker];
@@ -248,15 +273,12 @@
     auto& workflow = m_workflows.at(ref.workflow);
     auto& stage = stage_record(workflow, ref);
     auto& task = stage.tasks[ref.index];
-    core::suspected_run const known{
+    core::task_attempt const known{
         outcome.run.attempt, outcome.worker, outcome.life};
     std::erase(task.suspected, known);
     index_suspected(ref, known, false);
     m_changed_workflows.add(ref.workflow);
-    if (task.placed)
-    {
-        m_changed_workers.add(task.worker);
-    }
+    add_changed_workers(task);
     if (outcome.how == run_end::crashed && !task.done)
     {
         apply_crash(workflow, stage, ref, now);
@@ -268,7 +290,9 @@
                                 core::task_run const& run,
                                 core::time_point now)
 {
-    stage.tasks[run.task.index].done = true;
+    auto& task = stage.tasks[run.task.index];
+    task.done = true;
+    add_changed_workers(task);
     if (workflow.description.stages[stage.stage].behaviour.gang)
     {
         // The members of a gang end together, so the end of one member ends
@@ -363,17 +387,27 @@
     }
     auto& workflow = known->second;
     auto& task = stage_record(workflow, ref).tasks[ref.index];
-    if (task.done || task.placed || placement.run.attempt <= task.attempt)
+    bool const is_free =
+        placement.is_copy
+            ? may_take_copy(workflow.description.stages[ref.stage],
+                            task,
+                            placement.worker)
+            : !task.placed && !task.earlier;
+    if (task.done || !is_free || placement.run.attempt <= task.attempt)
     {
         ++m_ignored_parts;
         return;
     }
+    if (task.placed)
+    {
+        task.earlier = {task.attempt, task.worker, task.life};
+    }
     task.placed = true;
     task.attempt = placement.run.attempt;
     task.worker = placement.worker;
     task.life = placement.life;
     workflow.state = workflow_state::running;
-    add_hold(placement.run, task);
+    add_hold(ref, {task.attempt, task.worker, task.life});
 }
 
 void workflow_table::end(core::workflow_record& workflow,
@@ -397,14 +431,23 @@
     {
         for (auto const& task : stage.tasks)
         {
-            if (task.placed)
-            {
-                m_changed_workers.add(task.worker);
-            }
+            add_changed_workers(task);
         }
     }
 }
 
+void workflow_table::add_changed_workers(core::task_record const& task)
+{
+    if (task.placed)
+    {
+        m_changed_workers.add(task.worker);
+    }
+    if (task.earlier)
+    {
+        m_changed_workers.add(task.earlier->worker);
+    }
+}
+
 void workflow_table::drop_details(core::workflow_record& workflow)
 {
     // Records stay for minutes after the end. The payload and the tasks, which
@@ -416,31 +459,31 @@
     }
 }
 
-void workflow_table::add_hold(core::task_run const& run,
-                              core::task_record const& task)
+void workflow_table::add_hold(core::task_ref const& task,
+                              core::task_attempt const& held)
 {
-    m_holds[task.worker].insert({run, task.life});
-    ++m_held_by_workflow[run.task.workflow];
-    m_changed_workflows.add(run.task.workflow);
-    m_changed_workers.add(task.worker);
+    m_holds[held.worker].insert({{task, held.attempt}, held.life});
+    ++m_held_by_workflow[task.workflow];
+    m_changed_workflows.add(task.workflow);
+    m_changed_workers.add(held.worker);
 }
 
-void workflow_table::remove_hold(core::task_run const& run,
-                                 core::task_record const& task)
+void workflow_table::remove_hold(core::run_outcome const& outcome)
 {
-    auto const worker = m_holds.find(task.worker);
-    worker->second.erase({run, task.life});
+    auto const worker = m_holds.find(outcome.worker);
+    worker->second.erase({outcome.run, outcome.life});
     if (worker->second.empty())
     {
         m_holds.erase(worker);
     }
-    auto const count = m_held_by_workflow.find(run.task.workflow);
+    auto const& id = outcome.run.task.workflow;
+    auto const count = m_held_by_workflow.find(id);
     if (--count->second == 0)
     {
         m_held_by_workflow.erase(count);
     }
-    m_changed_workflows.add(run.task.workflow);
-    m_changed_workers.add(task.worker);
+    m_changed_workflows.add(id);
+    m_changed_workers.add(outcome.worker);
 }
 
 core::stage_record&
@@ -603,6 +646,13 @@
     return nullptr;
 }
 
+bool workflow_table::may_be_copied(
+    core::stage_description const& stage) noexcept
+{
+    auto const& behaviour = stage.behaviour;
+    return behaviour.speculative && !behaviour.gang && !behaviour.long_running;
+}
+
 bool workflow_table::is_stage_done(core::stage_record const& stage,
                                    std::uint32_t tasks)
 {
@@ -690,16 +740,18 @@
             for (std::uint32_t i = 0; i < stage.tasks.size(); ++i)
             {
                 auto const& task = stage.tasks[i];
+                core::task_ref const ref{id, stage.occurrence, stage.stage, i};
                 if (task.placed)
                 {
-                    add_hold(
-                        {{id, stage.occurrence, stage.stage, i}, task.attempt},
-                        task);
+                    add_hold(ref, {task.attempt, task.worker, task.life});
+                }
+                if (task.earlier)
+                {
+                    add_hold(ref, *task.earlier);
                 }
                 for (auto const& each : task.suspected)
                 {
-                    index_suspected(
-                        {id, stage.occurrence, stage.stage, i}, each, true);
+                    index_suspected(ref, each, true);
                 }
             }
         }
--- a/modules/workflow/table/workflow_table.hpp
+++ b/modules/workflow/table/workflow_table.hpp
@@ -59,6 +59,10 @@
     core::command_reply cancel(core::cancel_workflow const& command,
                                core::time_point now);
 
+    /// A placement that is a copy is applied to a task with one held run on
+    /// another worker. The first end `done` of the two counts; what ends after
+    /// it only gives its capacity back.
+    ///
     /// Applies ends, resolved ends, checkpoints and placements, in this order,
     /// and records the longest lease. Parts that no longer match the table are
     /// ignored and counted.
@@ -124,6 +128,9 @@
                          std::uint32_t occurrence,
                          std::uint32_t stage);
 
+    /// @return True if tasks of the stage may have a second run.
+    static bool may_be_copied(core::stage_description const& stage) noexcept;
+
     /// @return True if all tasks of the stage are done.
     static bool is_stage_done(core::stage_record const& stage,
                               std::uint32_t tasks);
@@ -169,7 +176,7 @@
                        core::task_record& task);
     /// Adds to or removes from the derived runs by worker.
     void index_suspected(core::task_ref const& task,
-                         core::suspected_run const& suspected,
+                         core::task_attempt const& suspected,
                          bool is_added);
     void clear_suspected(core::task_ref const& ref, core::task_record& task);
     void clear_suspected(core::workflow_record& workflow);
@@ -190,10 +197,11 @@
              core::workflow_state state,
              core::time_point now,
              std::string reason);
-    void add_hold(core::task_run const& run, core::task_record const& task);
-    void remove_hold(core::task_run const& run, core::task_record const& task);
+    void add_hold(core::task_ref const& task, core::task_attempt const& held);
+    void remove_hold(core::run_outcome const& outcome);
     void drop_details(core::workflow_record& workflow);
     void add_changed_workers(core::workflow_record const& workflow);
+    void add_changed_workers(core::task_record const& task);
 
     std::map<core::workflow_id, core::workflow_record> m_workflows;
     core::duration m_longest_lease{};
--- a/modules/workflow/tests/dispatch_fuzz_test.cpp
+++ b/modules/workflow/tests/dispatch_fuzz_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(invariants_hold_under_faults);
     CPPUNIT_TEST(jobs_complete_despite_faults);
     CPPUNIT_TEST(invariants_hold_under_crashes);
+    CPPUNIT_TEST(invariants_hold_with_copies);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -69,6 +70,26 @@
         CPPUNIT_ASSERT(crashes > crash_seeds());
     }
 
+    // Faults, crashes and slow runs while half of the stages may be copied.
+    // Guards against a third run, an overcommitted worker, a remaining run that
+    // is never stopped, and copies that multiply the crashes of a task.
+    void invariants_hold_with_copies()
+    {
+        std::size_t copies = 0;
+        for (std::uint64_t seed = 1; seed <= crash_seeds(); ++seed)
+        {
+            testing::simulation_setup setup;
+            setup.has_copies = true;
+            setup.deadly_percent = seed % 2 == 0 ? 10 : 0;
+            testing::dispatch_simulation simulation(seed, setup);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed),
+                                         std::string(),
+                                         simulation.simulate());
+            copies += simulation.copies();
+        }
+        CPPUNIT_ASSERT(copies > crash_seeds());
+    }
+
 private:
     static std::uint64_t crash_seeds()
     {
--- a/modules/workflow/tests/dispatch_simulation.hpp
+++ b/modules/workflow/tests/dispatch_simulation.hpp
@@ -25,6 +25,8 @@
     /// Share of jobs with a task that crashes each worker that starts it, in
     /// percent.
     std::uint64_t deadly_percent = 0;
+    /// Whether half of the stages may have copies; then some runs are slow.
+    bool has_copies = false;
 };
 
 /// Leaders, sidecars and workers in simulated time.
@@ -65,6 +67,9 @@
     /// @return Number of workers that tasks crashed.
     std::size_t crashes() const noexcept;
 
+    /// @return Number of starts of a task whose other run was at work.
+    std::size_t copies() const noexcept;
+
 private:
     struct leader;
     struct worker_host;
@@ -183,6 +188,7 @@
     /// caused them.
     std::map<core::task_ref, std::uint32_t> m_seen_crashes;
     std::size_t m_crashes = 0;
+    std::set<core::task_run> m_copied;
 };
 
 } // namespace turmericswitch::workflow::testing
--- a/programs/control/leader/workflow_service.cpp
+++ b/programs/control/leader/workflow_service.cpp
@@ -83,6 +83,9 @@
           "Age of workflows when they ended, completed or failed.")),
       m_placements(metrics.counter("turmericswitch_control_placements_total",
                                    "Runs that were placed on a worker.")),
+      m_copies(metrics.counter(
+          "turmericswitch_control_copies_total",
+          "Second runs of tasks that were placed on a worker.")),
       m_ends(metrics.counter("turmericswitch_control_run_ends_total",
                              "Ends of runs that were committed.")),
       m_waiting(metrics.gauge("turmericswitch_control_waiting_tasks",
@@ -225,6 +228,10 @@
     std::vector<waiting_report> const& confirmed)
 {
     m_placements.add(command.placements.size());
+    m_copies.add(static_cast<std::uint64_t>(
+        std::count_if(command.placements.begin(),
+                      command.placements.end(),
+                      [](auto const& placed) { return placed.is_copy; })));
     m_ends.add(command.ends.size());
     m_dispatcher.applied(process::event_loop::now(), command);
     record_ended(command);
--- a/programs/control/leader/workflow_service.hpp
+++ b/programs/control/leader/workflow_service.hpp
@@ -108,6 +108,7 @@
     telemetry::latency_metric& m_commit_time;
     telemetry::latency_metric& m_workflow_time;
     telemetry::counter& m_placements;
+    telemetry::counter& m_copies;
     telemetry::counter& m_ends;
     telemetry::gauge& m_waiting;
     telemetry::gauge& m_held;
--- a/programs/control/settings/control_settings.cpp
+++ b/programs/control/settings/control_settings.cpp
@@ -91,6 +91,8 @@
                                     {1s, 1h});
     read.dispatch.harm_limit = reader.duration(
         {"workers", "harm_limit"}, read.dispatch.harm_limit, {1s, 1min});
+    read.dispatch.copies.enabled =
+        reader.flag({"placement", "copies"}, read.dispatch.copies.enabled);
 }
 
 void parse_consensus(settings_reader& reader, control_settings& read)
--- a/programs/control/tests/control_settings_test.cpp
+++ b/programs/control/tests/control_settings_test.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST_SUITE(control_settings_test);
     CPPUNIT_TEST(lease_does_not_grow_with_the_longest_one);
     CPPUNIT_TEST(lease_is_at_most_the_longest_one);
+    CPPUNIT_TEST(copies_are_off_unless_set);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -32,6 +33,16 @@
                        std::chrono::seconds(4));
     }
 
+    // Earlier deployments must be served as before.
+    void copies_are_off_unless_set()
+    {
+        settings::settings_reader none("control.ini", "[workers]\n");
+        CPPUNIT_ASSERT(!parse_control_settings(none).dispatch.copies.enabled);
+        settings::settings_reader set("control.ini",
+                                      "[placement]\ncopies = yes\n");
+        CPPUNIT_ASSERT(parse_control_settings(set).dispatch.copies.enabled);
+    }
+
 private:
     /// @return The lease that the section `workers` results in.
     static core::duration lease_with(std::string const& workers)
