Pack long-running tasks and keep workers for wide ones

Tasks went to the worker with the largest free share, so each worker kept some cores free and none could take a task of 20 cores. With [placement] packing = yes, a long-running task goes to the fullest worker that fits, unless a serving task there is near its target or half of the stage is already in that rack or zone. Short tasks avoid the last room for the largest request in the queue. A task of at least a quarter of a worker that fits nowhere keeps a worker for itself, at most one worker in eight.

dispatch_summary and a gauge show the share of the free CPU that can take the largest request. A stage whose task fits on no worker of its service, even an empty one, is reported once with the missing amount or label (task_fits_nowhere, 421).

--- a/extras/bench/dispatch_cost/simulated_fleet.cpp
+++ b/extras/bench/dispatch_cost/simulated_fleet.cpp
@@ -56,6 +56,13 @@
     return rule;
 }
 
+workflow::dispatch_options options_with(workflow::placement_options placement)
+{
+    workflow::dispatch_options options{{lease, lease}};
+    options.placement = placement;
+    return options;
+}
+
 /// Adds the processor time of its lifetime to a cost.
 class cost_timer
 {
@@ -103,11 +110,16 @@
     return reports.cpu_ms + plans.cpu_ms + commits.cpu_ms + orders.cpu_ms;
 }
 
-simulated_fleet::simulated_fleet(std::size_t workers, std::uint64_t seed)
+simulated_fleet::simulated_fleet(std::size_t workers,
+                                 std::uint64_t seed,
+                                 workflow::placement_options placement)
     : m_random(core::seeded_random(seed)),
       m_now(std::chrono::seconds(1000)),
-      m_dispatcher(
-          m_table, {{lease, lease}}, 1, m_now, [](core::event const&) {}),
+      m_dispatcher(m_table,
+                   options_with(placement),
+                   1,
+                   m_now,
+                   [](core::event const&) {}),
       m_workers(workers),
       m_arrivals(std::size(kinds))
 {
--- a/modules/core/events/event_code.hpp
+++ b/modules/core/events/event_code.hpp
@@ -55,6 +55,7 @@
     worker_set_aside = 410,
     dispatch_summary = 411,
     start_withdrawn = 413,
+    task_fits_nowhere = 421,
 
     // Control: the group and its state
     role_changed = 451,
@@ -139,6 +140,9 @@
                 event_severity::warning},
     event_entry{event_code::dispatch_summary, "dispatch_summary"},
     event_entry{event_code::start_withdrawn, "start_withdrawn"},
+    event_entry{event_code::task_fits_nowhere,
+                "task_fits_nowhere",
+                event_severity::warning},
     event_entry{event_code::role_changed, "role_changed"},
     event_entry{event_code::leadership_began, "leadership_began"},
     event_entry{event_code::leadership_ended, "leadership_ended"},
--- a/modules/workflow/dispatch/candidate_pool.cpp
+++ b/modules/workflow/dispatch/candidate_pool.cpp
@@ -53,6 +53,7 @@
     worker.life = view.profile.life;
     worker.service = view.profile.service;
     worker.rack = view.profile.rack;
+    worker.zone = view.profile.zone;
     worker.labels = view.profile.labels;
     worker.capacity = view.profile.capacity;
     worker.free = worker.capacity;
--- a/modules/workflow/dispatch/candidate_worker.cpp
+++ b/modules/workflow/dispatch/candidate_worker.cpp
@@ -44,7 +44,12 @@
         ++serving_images[description.behaviour.image];
     }
     best_effort += description.behaviour.uses_spare_cpu ? 1 : 0;
-    if (description.constraints.max_per_worker > 0)
+    bool const is_long_running = description.behaviour.long_running;
+    if (is_long_running)
+    {
+        long_running += reserved_by(description);
+    }
+    if (is_long_running || description.constraints.max_per_worker > 0)
     {
         ++per_stage[stage];
     }
@@ -81,6 +86,22 @@
     return !isolated_for.value().empty() && isolated_for != workflow;
 }
 
+bool candidate_worker::is_held_for_other(stage_ref const& stage,
+                                         core::resources const& need) const
+{
+    if (!held || held->stage == stage)
+    {
+        return false;
+    }
+    auto const left = free - need;
+    auto const delays = [](auto used, auto remaining, auto kept)
+    { return used.value() > 0 && remaining < kept; };
+    return delays(need.cpu, left.cpu, held->need.cpu) ||
+           delays(need.memory, left.memory, held->need.memory) ||
+           delays(
+               need.accelerators, left.accelerators, held->need.accelerators);
+}
+
 bool candidate_worker::has_no_new_run_of_others(
     core::workflow_id const& workflow) const
 {
--- a/modules/workflow/dispatch/candidate_worker.hpp
+++ b/modules/workflow/dispatch/candidate_worker.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -42,6 +43,13 @@
 /// @return The suspicion of a task under which this many workers crashed.
 crash_suspicion suspicion_after(std::uint32_t crashes) noexcept;
 
+/// Capacity of a worker that is kept for tasks of one stage.
+struct held_capacity
+{
+    stage_ref stage;
+    core::resources need;
+};
+
 /// A worker on which tasks may be placed, with its remaining capacity.
 struct candidate_worker
 {
@@ -49,11 +57,14 @@
     core::incarnation life;
     core::service_id service;
     core::rack_id rack;
+    core::zone_id zone;
     std::vector<std::string> labels;
     core::resources capacity;
     /// Capacity minus the reservations of all runs that start, run or stop
     /// there.
     core::resources free;
+    /// Reservations of long-running tasks.
+    core::resources long_running;
     /// CPU that no task is expected to use. Serving tasks count with their
     /// estimated use, slowed tasks with their pace.
     core::millicores spare;
@@ -76,7 +87,8 @@
     std::map<std::string, std::uint32_t> serving_images;
     /// Number of best-effort tasks, which use spare CPU.
     std::uint32_t best_effort = 0;
-    /// Number of tasks by stage, for stages with a limit per worker.
+    /// Number of tasks by stage, for long-running stages and those with a limit
+    /// per worker.
     std::map<stage_ref, std::uint32_t> per_stage;
     /// Number of runs there.
     std::uint32_t runs = 0;
@@ -87,6 +99,8 @@
     /// The workflow whose isolated task runs there, or waits for the worker;
     /// empty if there is none. No other workflow's task starts there.
     core::workflow_id isolated_for;
+    /// Capacity that the current plan keeps.
+    std::optional<held_capacity> held;
 
     /// Accounts for a placed run of the stage.
     ///
@@ -108,6 +122,11 @@
     ///         waits for the worker.
     bool is_isolated_for_other(core::workflow_id const& workflow) const;
 
+    /// @return True if a task with this need would delay the start of the
+    ///         stage for which capacity is kept there.
+    bool is_held_for_other(stage_ref const& stage,
+                           core::resources const& need) const;
+
     /// @return True if all runs there that are not established belong to the
     ///         workflow, which fails as a whole if one of its tasks does.
     bool has_no_new_run_of_others(core::workflow_id const& workflow) const;
--- a/modules/workflow/dispatch/dispatch_events.cpp
+++ b/modules/workflow/dispatch/dispatch_events.cpp
@@ -99,6 +99,17 @@
     return event;
 }
 
+core::event task_fits_nowhere_event(oversized_stage const& found)
+{
+    auto const& [workflow, occurrence, stage] = found.stage;
+    return {event_code::task_fits_nowhere,
+            {text_field("workflow", workflow.value()),
+             number_field("occurrence", occurrence),
+             number_field("stage", stage),
+             text_field("service", found.service.value()),
+             text_field("why", found.reason)}};
+}
+
 core::event start_withdrawn_event(core::worker_id const& worker,
                                   core::task_run const& run)
 {
--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -273,6 +273,26 @@
     { return m_colocation.predicted_tail(worker, added); };
 }
 
+placement_policy dispatcher::make_policy() const
+{
+    return {m_options.placement.packing ? &m_wide : nullptr};
+}
+
+void dispatcher::report_oversized(
+    core::time_point now, std::vector<pending_stage const*> const& waiting)
+{
+    auto const found = m_oversized.find_new(
+        now,
+        waiting,
+        m_fleet,
+        [this, now](stage_ref const& stage)
+        { return m_backlog.waiting_since(stage).value_or(now); });
+    for (auto const& each : found)
+    {
+        m_on_event(task_fits_nowhere_event(each));
+    }
+}
+
 bool dispatcher::take_placement_due(plan_times const& times,
                                     core::configuration const& config)
 {
@@ -302,13 +322,15 @@
         return;
     }
     auto const workers = candidates(times.now, config);
-    command.placements =
-        plan_stages(waiting, workers, max_placements, make_tail_hook());
+    m_wide.observe(times.now, waiting, workers);
+    command.placements = plan_stages(
+        waiting, workers, max_placements, make_tail_hook(), make_policy());
     m_placement_due = command.placements.size() == max_placements;
     for (auto const& placed : command.placements)
     {
         m_candidates.mark_changed(placed.worker);
     }
+    report_oversized(times.now, waiting);
     evict_stalled(times.now, workers);
     for (auto const* const each : workers)
     {
@@ -437,6 +459,7 @@
     result.workers = m_fleet.all().size();
     result.waiting_tasks = m_backlog.waiting_tasks();
     result.longest_wait = m_backlog.longest_wait(now);
+    result.oversized_stages = m_oversized.count();
     for (auto const* const worker : candidates(now, config))
     {
         if (worker->is_trial)
@@ -445,6 +468,7 @@
         }
         ++result.usable_workers;
         result.spare += worker->spare;
+        result.free.add(*worker, m_wide);
     }
     for (auto const& [worker, runs] : m_table.holds())
     {
--- a/modules/workflow/dispatch/dispatcher.hpp
+++ b/modules/workflow/dispatch/dispatcher.hpp
@@ -8,9 +8,12 @@
 #include "workflow/dispatch/colocation_controller.hpp"
 #include "workflow/dispatch/end_collector.hpp"
 #include "workflow/dispatch/order_reconciler.hpp"
+#include "workflow/dispatch/oversized_stages.hpp"
+#include "workflow/dispatch/placement_options.hpp"
 #include "workflow/dispatch/run_time_model.hpp"
 #include "workflow/dispatch/stage_backlog.hpp"
 #include "workflow/dispatch/stage_planner.hpp"
+#include "workflow/dispatch/wide_requests.hpp"
 #include "workflow/dispatch/worker_fleet.hpp"
 #include "workflow/dispatch/worker_health.hpp"
 #include "workflow/table/workflow_table.hpp"
@@ -29,6 +32,7 @@
     /// Longest time for which best-effort tasks may keep a serving task over
     /// its latency target.
     core::duration harm_limit = std::chrono::seconds(4);
+    placement_options placement{};
 };
 
 /// Amounts of waiting and running work, for operators.
@@ -46,6 +50,10 @@
     core::millicores spare_wanted;
     /// CPU that running best-effort tasks used in the last reports.
     core::millicores spare_used;
+    /// How well the free capacity suits the largest request in the queue.
+    fragmentation free;
+    /// Waiting stages that fit on no worker, even on an empty one.
+    std::uint64_t oversized_stages = 0;
 };
 
 /// The leader's decisions on workflows: task placements, ends of runs, and
@@ -128,6 +136,9 @@
                        std::vector<candidate_worker*> const& workers);
     bool is_evictable(core::task_run const& run) const;
     tail_hook make_tail_hook() const;
+    placement_policy make_policy() const;
+    void report_oversized(core::time_point now,
+                          std::vector<pending_stage const*> const& waiting);
     void update_colocation(core::time_point now, worker_view const& view);
     void record_run_time(core::time_point now,
                          core::run_outcome const& outcome);
@@ -146,6 +157,8 @@
     run_time_model m_run_times;
     stage_backlog m_backlog;
     candidate_pool m_candidates;
+    wide_requests m_wide;
+    oversized_stages m_oversized;
     end_collector m_ends;
     /// When placements are planned although no workflow and no worker changed.
     core::time_point m_next_placement;
--- a/modules/workflow/dispatch/gang_placement.cpp
+++ b/modules/workflow/dispatch/gang_placement.cpp
@@ -11,7 +11,8 @@
 place_gang(pending_stage const& pending,
            std::vector<candidate_worker*> const& candidates,
            std::size_t max_tasks,
-           tail_hook const& tail)
+           tail_hook const& tail,
+           placement_policy const& policy)
 {
     if (pending.runs.size() > max_tasks)
     {
@@ -19,7 +20,7 @@
     }
     saved_workers saved;
     auto placed =
-        place_tasks(pending, candidates, max_tasks, tail, true, &saved);
+        place_tasks(pending, candidates, max_tasks, tail, policy, true, &saved);
     if (placed.size() < pending.runs.size())
     {
         for (auto& [worker, before] : saved)
--- a/modules/workflow/dispatch/gang_placement.hpp
+++ b/modules/workflow/dispatch/gang_placement.hpp
@@ -1,7 +1,7 @@
 #ifndef TURMERICSWITCH_WORKFLOW_DISPATCH_GANG_PLACEMENT_HPP
 #define TURMERICSWITCH_WORKFLOW_DISPATCH_GANG_PLACEMENT_HPP
 
-#include "workflow/dispatch/worker_score.hpp"
+#include "workflow/dispatch/stage_placement.hpp"
 
 #include <cstddef>
 #include <vector>
@@ -17,7 +17,8 @@
 place_gang(pending_stage const& pending,
            std::vector<candidate_worker*> const& candidates,
            std::size_t max_tasks,
-           tail_hook const& tail);
+           tail_hook const& tail,
+           placement_policy const& policy);
 
 } // namespace turmericswitch::workflow
 
--- a/modules/workflow/dispatch/stage_planner.cpp
+++ b/modules/workflow/dispatch/stage_planner.cpp
@@ -2,6 +2,7 @@
 
 #include "workflow/dispatch/crash_isolation.hpp"
 #include "workflow/dispatch/gang_placement.hpp"
+#include "workflow/dispatch/packing.hpp"
 #include "workflow/dispatch/task_placement.hpp"
 
 #include <algorithm>
@@ -14,7 +15,8 @@
 plan_stages(std::vector<pending_stage const*> pending,
             std::vector<candidate_worker*> const& candidates,
             std::size_t max_tasks,
-            tail_hook const& tail)
+            tail_hook const& tail,
+            placement_policy const& policy)
 {
     std::stable_sort(pending.begin(),
                      pending.end(),
@@ -33,6 +35,7 @@
                                                               b->stage);
                      });
     std::vector<core::run_placement> placements;
+    auto holdable = most_held(candidates.size());
     for (auto const* const each : pending)
     {
         auto const left = max_tasks - placements.size();
@@ -48,16 +51,26 @@
             continue;
         }
         auto const placed =
-            is_gang ? place_gang(*each, candidates, left, tail)
-                    : place_tasks(
-                          *each, candidates, left, tail, may_place_isolated);
+            is_gang ? place_gang(*each, candidates, left, tail, policy)
+                    : place_tasks(*each,
+                                  candidates,
+                                  left,
+                                  tail,
+                                  policy,
+                                  may_place_isolated);
         if (is_isolated && may_place_isolated &&
             has_unplaced_isolated(*each, placed))
         {
             close_worker(*each, candidates);
         }
+        if (policy.wide != nullptr && placed.size() < left)
+        {
+            hold_workers(
+                *each, each->runs.size() - placed.size(), candidates, holdable);
+        }
         placements.insert(placements.end(), placed.begin(), placed.end());
     }
+    release_workers(candidates);
     return placements;
 }
 
--- a/modules/workflow/dispatch/stage_planner.hpp
+++ b/modules/workflow/dispatch/stage_planner.hpp
@@ -3,7 +3,7 @@
 
 #include "workflow/dispatch/candidate_worker.hpp"
 #include "workflow/dispatch/pending_stage.hpp"
-#include "workflow/dispatch/worker_score.hpp"
+#include "workflow/dispatch/stage_placement.hpp"
 
 #include <cstddef>
 #include <vector>
@@ -31,13 +31,17 @@
 /// there, so its cost grows with the number of workers plus the number of its
 /// tasks.
 ///
+/// With packing, long-running tasks go to the fullest worker that fits instead,
+/// and workers are kept for wide tasks that no worker can take now.
+///
 /// @param candidates Updated with the placements.
 /// @param max_tasks Maximum number of tasks to place.
 std::vector<core::run_placement>
 plan_stages(std::vector<pending_stage const*> pending,
             std::vector<candidate_worker*> const& candidates,
             std::size_t max_tasks,
-            tail_hook const& tail);
+            tail_hook const& tail,
+            placement_policy const& policy = {});
 
 } // namespace turmericswitch::workflow
 
--- a/modules/workflow/dispatch/task_placement.cpp
+++ b/modules/workflow/dispatch/task_placement.cpp
@@ -1,5 +1,6 @@
 #include "workflow/dispatch/task_placement.hpp"
 
+#include "workflow/dispatch/packing.hpp"
 #include "workflow/dispatch/worker_ranking.hpp"
 
 namespace turmericswitch::workflow
@@ -15,10 +16,16 @@
                   std::vector<candidate_worker*> const& candidates,
                   std::size_t max_tasks,
                   tail_hook const& tail,
+                  placement_policy const& policy,
                   saved_workers* saved)
 {
     std::vector<core::run_placement> placed;
-    stage_placement placement{pending, suspicion, pending.racks};
+    stage_placement placement{
+        pending, policy, suspicion, pending.racks, spread_counts{}};
+    if (is_packed(placement))
+    {
+        placement.spread = count_spread(pending, candidates);
+    }
     worker_ranking ranking(candidates, placement, tail);
     for (auto const& run : pending.runs)
     {
@@ -40,8 +47,12 @@
         worker->add_not_established(pending.stage.workflow, suspicion);
         placed.push_back({run, worker->worker, worker->life});
         ranking.best_changed();
-        if (placement.racks.insert(worker->rack).second &&
-            pending.description->constraints.prefers_one_rack)
+        bool const is_other_rack =
+            placement.racks.insert(worker->rack).second &&
+            pending.description->constraints.prefers_one_rack;
+        bool const is_spread_changed =
+            is_packed(placement) && add_to_spread(*worker, placement);
+        if (is_other_rack || is_spread_changed)
         {
             ranking.rank_all();
         }
@@ -56,13 +67,19 @@
             std::vector<candidate_worker*> const& candidates,
             std::size_t max_tasks,
             tail_hook const& tail,
+            placement_policy const& policy,
             bool may_isolate,
             saved_workers* saved)
 {
     if (pending.suspected.empty())
     {
-        return place_equal_tasks(
-            pending, crash_suspicion::none, candidates, max_tasks, tail, saved);
+        return place_equal_tasks(pending,
+                                 crash_suspicion::none,
+                                 candidates,
+                                 max_tasks,
+                                 tail,
+                                 policy,
+                                 saved);
     }
     std::vector<core::run_placement> placed;
     for (auto const suspicion : {crash_suspicion::isolated,
@@ -78,6 +95,7 @@
                                             candidates,
                                             max_tasks - placed.size(),
                                             tail,
+                                            policy,
                                             saved);
         placed.insert(placed.end(), more.begin(), more.end());
     }
--- a/modules/workflow/dispatch/task_placement.hpp
+++ b/modules/workflow/dispatch/task_placement.hpp
@@ -1,7 +1,7 @@
 #ifndef TURMERICSWITCH_WORKFLOW_DISPATCH_TASK_PLACEMENT_HPP
 #define TURMERICSWITCH_WORKFLOW_DISPATCH_TASK_PLACEMENT_HPP
 
-#include "workflow/dispatch/worker_score.hpp"
+#include "workflow/dispatch/stage_placement.hpp"
 
 #include <cstddef>
 #include <map>
@@ -24,6 +24,7 @@
             std::vector<candidate_worker*> const& candidates,
             std::size_t max_tasks,
             tail_hook const& tail,
+            placement_policy const& policy,
             bool may_isolate = true,
             saved_workers* saved = nullptr);
 
--- a/modules/workflow/dispatch/worker_score.cpp
+++ b/modules/workflow/dispatch/worker_score.cpp
@@ -1,5 +1,7 @@
 #include "workflow/dispatch/worker_score.hpp"
 
+#include "workflow/dispatch/packing.hpp"
+
 #include <algorithm>
 #include <cstdint>
 #include <string>
@@ -44,13 +46,6 @@
 /// request is spare; with less their progress is not worth their memory.
 constexpr std::int64_t min_spare_percent = 50;
 
-bool has_label(candidate_worker const& worker, std::string const& label)
-{
-    return label.empty() ||
-           std::find(worker.labels.begin(), worker.labels.end(), label) !=
-               worker.labels.end();
-}
-
 /// @return Predicted worst tail on the worker with one more task of the stage.
 double tail_after(candidate_worker const& worker,
                   core::stage_description const& stage,
@@ -63,23 +58,40 @@
 
 } // namespace
 
-/// The cheap comparisons come first: in a backlog most workers are full.
+bool has_label(std::vector<std::string> const& labels, std::string const& label)
+{
+    return label.empty() ||
+           std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+core::millicores min_spare_cpu(core::stage_description const& stage)
+{
+    constexpr std::int64_t percent = 100;
+    return stage.behaviour.uses_spare_cpu
+               ? core::millicores((stage.need.cpu.value() * min_spare_percent +
+                                   percent - 1) /
+                                  percent)
+               : core::millicores(0);
+}
+
 bool fits(candidate_worker const& worker, pending_stage const& pending)
+{
+    auto const need = reserved_by(*pending.description);
+    // The cheap comparison comes first: in a backlog most workers are full.
+    return core::fits_in(need, worker.free) && is_allowed(worker, pending) &&
+           !worker.is_held_for_other(pending.stage, need);
+}
+
+bool is_allowed(candidate_worker const& worker, pending_stage const& pending)
 {
     auto const& stage = *pending.description;
-    if (!core::fits_in(reserved_by(stage), worker.free))
-    {
-        return false;
-    }
     if (worker.is_trial &&
         (worker.trials_left == 0 || !stage.behaviour.long_running))
     {
         return false;
     }
-    bool const lacks_spare_cpu =
-        worker.spare.value() * 100 < stage.need.cpu.value() * min_spare_percent;
     if (stage.behaviour.uses_spare_cpu &&
-        (worker.closed_to_best_effort || lacks_spare_cpu))
+        (worker.closed_to_best_effort || worker.spare < min_spare_cpu(stage)))
     {
         return false;
     }
@@ -88,7 +100,7 @@
         return false;
     }
     if (worker.service != pending.service ||
-        !has_label(worker, stage.constraints.required_label))
+        !has_label(worker.labels, stage.constraints.required_label))
     {
         return false;
     }
@@ -125,8 +137,11 @@
     bool const best_effort = stage.behaviour.uses_spare_cpu;
     auto const available = best_effort ? worker.spare : worker.free.cpu;
     double value =
-        static_cast<double>(available.value() - stage.need.cpu.value()) /
-        capacity;
+        is_packed(placement)
+            ? packing_value(worker, placement, tail)
+            : static_cast<double>(available.value() - stage.need.cpu.value()) /
+                  capacity;
+    value -= wide_slot_penalty(worker, placement);
     auto const& constraints = stage.constraints;
     if (!constraints.data_rack.value().empty() &&
         constraints.data_rack != worker.rack)
--- a/modules/workflow/dispatch/worker_score.hpp
+++ b/modules/workflow/dispatch/worker_score.hpp
@@ -3,30 +3,29 @@
 
 #include "workflow/dispatch/candidate_worker.hpp"
 #include "workflow/dispatch/pending_stage.hpp"
+#include "workflow/dispatch/stage_placement.hpp"
 
-#include <functional>
-#include <set>
+#include <string>
+#include <vector>
 
 namespace turmericswitch::workflow
 {
 
-/// Predicts the worst tail latency on a worker, as a multiple of its target,
-/// with additional CPU use by image.
-using tail_hook = std::function<double(core::worker_id const& worker,
-                                       cpu_by_image const& added)>;
+/// @return True if the labels of a worker contain the label, or it is empty.
+bool has_label(std::vector<std::string> const& labels,
+               std::string const& label);
 
-/// Tasks of one stage that are being placed.
-struct stage_placement
-{
-    pending_stage const& pending;
-    crash_suspicion suspicion = crash_suspicion::none;
-    /// Racks of the stage's tasks, including those placed by this plan.
-    std::set<core::rack_id> racks;
-};
+/// @return CPU that must be spare for a best-effort task of the stage; zero for
+///         other stages.
+core::millicores min_spare_cpu(core::stage_description const& stage);
 
 /// @return True if the worker may take one more task of the stage now.
 bool fits(candidate_worker const& worker, pending_stage const& pending);
 
+/// @return True if nothing but capacity may prevent the worker from taking a
+///         task of the stage.
+bool is_allowed(candidate_worker const& worker, pending_stage const& pending);
+
 /// @return True if one more task of the stage is predicted to raise a serving
 ///         task's tail there to near its target. A tail that is already high
 ///         and that the task does not raise doesn't count.
--- a/modules/workflow/tests/dispatch_fuzz_test.cpp
+++ b/modules/workflow/tests/dispatch_fuzz_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(invariants_hold_under_faults);
     CPPUNIT_TEST(jobs_complete_despite_faults);
     CPPUNIT_TEST(invariants_hold_under_crashes);
+    CPPUNIT_TEST(invariants_hold_with_optional_placement);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -69,6 +70,21 @@
         CPPUNIT_ASSERT(crashes > crash_seeds());
     }
 
+    // Guards against jobs that wait for ever behind workers that are kept for
+    // others, and against capacity that is given twice.
+    void invariants_hold_with_optional_placement()
+    {
+        testing::simulation_setup setup;
+        setup.placement.packing = true;
+        for (std::uint64_t seed = 1; seed <= 20; ++seed)
+        {
+            testing::dispatch_simulation simulation(seed, setup);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed),
+                                         std::string(),
+                                         simulation.simulate());
+        }
+    }
+
 private:
     static std::uint64_t crash_seeds()
     {
--- a/modules/workflow/tests/dispatch_simulation.cpp
+++ b/modules/workflow/tests/dispatch_simulation.cpp
@@ -102,8 +102,9 @@
         m_leader->is_deposed = true;
         m_deposed.push_back(m_leader);
     }
-    m_leader =
-        std::make_shared<leader>(m_table, m_setup.leases, ++m_term, m_now);
+    dispatch_options options{m_setup.leases};
+    options.placement = m_setup.placement;
+    m_leader = std::make_shared<leader>(m_table, options, ++m_term, m_now);
     m_elected_at = m_now;
     plan(m_leader);
 }
--- a/modules/workflow/tests/planning_test.cpp
+++ b/modules/workflow/tests/planning_test.cpp
@@ -1,5 +1,5 @@
-#include "workflow/dispatch/dispatcher.hpp"
-#include "workflow_builder.hpp"
+#include "planning_builder.hpp"
+#include "workflow/dispatch/worker_health.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -11,45 +11,6 @@
 namespace
 {
 
-candidate_worker candidate(std::string const& name, std::int64_t millicores)
-{
-    candidate_worker result;
-    result.worker = core::worker_id(name);
-    result.life = core::incarnation(1);
-    result.service = core::service_id("labels");
-    result.rack = core::rack_id("rack-" + name);
-    result.capacity.cpu = core::millicores(millicores);
-    result.capacity.memory = core::byte_count(std::int64_t{1} << 40);
-    result.free = result.capacity;
-    result.spare = result.capacity.cpu;
-    return result;
-}
-
-pending_stage pending(std::string const& id,
-                      core::stage_description const& description,
-                      std::uint32_t tasks)
-{
-    pending_stage result;
-    result.stage = {core::workflow_id(id), 0, 0};
-    result.description = &description;
-    result.service = core::service_id("labels");
-    for (std::uint32_t i = 0; i < tasks; ++i)
-    {
-        result.runs.push_back(run_of(id, 0, i));
-    }
-    return result;
-}
-
-std::size_t count_on(std::vector<core::run_placement> const& placements,
-                     std::string const& worker)
-{
-    return static_cast<std::size_t>(
-        std::count_if(placements.begin(),
-                      placements.end(),
-                      [&worker](core::run_placement const& each)
-                      { return each.worker.value() == worker; }));
-}
-
 std::int64_t total(cpu_by_image const& cpu)
 {
     std::int64_t sum = 0;
@@ -60,33 +21,6 @@
     return sum;
 }
 
-double no_tail(core::worker_id const&, cpu_by_image const&)
-{
-    return 0;
-}
-
-/// Plans for stages and workers that the test owns.
-std::vector<core::run_placement>
-plan_stages(std::vector<pending_stage> const& stages,
-            std::vector<candidate_worker>& workers,
-            std::size_t max_tasks,
-            tail_hook const& tail)
-{
-    std::vector<pending_stage const*> pending;
-    pending.reserve(stages.size());
-    for (auto const& each : stages)
-    {
-        pending.push_back(&each);
-    }
-    std::vector<candidate_worker*> candidates;
-    candidates.reserve(workers.size());
-    for (auto& each : workers)
-    {
-        candidates.push_back(&each);
-    }
-    return workflow::plan_stages(pending, candidates, max_tasks, tail);
-}
-
 } // namespace
 
 class planning_test : public CppUnit::TestFixture
--- a/modules/workflow/tests/simulation_parts.hpp
+++ b/modules/workflow/tests/simulation_parts.hpp
@@ -22,11 +22,11 @@
 struct dispatch_simulation::leader
 {
     leader(workflow_table const& shared,
-           lease_policy leases,
+           dispatch_options const& options,
            std::uint64_t token,
            core::time_point now)
         : table(&shared),
-          work(shared, {leases}, token, now, [](core::event const&) {})
+          work(shared, options, token, now, [](core::event const&) {})
     {
     }
 
--- a/programs/control/leader/workflow_service.cpp
+++ b/programs/control/leader/workflow_service.cpp
@@ -90,7 +90,13 @@
       m_held(metrics.gauge("turmericswitch_control_held_runs",
                            "Runs that hold room on a worker.")),
       m_usable(metrics.gauge("turmericswitch_control_usable_workers",
-                             "Workers that may get tasks."))
+                             "Workers that may get tasks.")),
+      m_wide_percent(
+          metrics.gauge("turmericswitch_control_wide_capacity_percent",
+                        "Share of the free CPU that can take the largest "
+                        "request in the queue.")),
+      m_oversized(metrics.gauge("turmericswitch_control_oversized_stages",
+                                "Waiting stages whose tasks fit on no worker."))
 {
 }
 
@@ -450,6 +456,8 @@
     m_waiting.set(static_cast<std::int64_t>(counts.waiting_tasks));
     m_held.set(static_cast<std::int64_t>(counts.held_runs));
     m_usable.set(static_cast<std::int64_t>(counts.usable_workers));
+    m_wide_percent.set(counts.free.index_percent());
+    m_oversized.set(static_cast<std::int64_t>(counts.oversized_stages));
     if (counts.waiting_tasks + counts.held_runs == 0)
     {
         return;
@@ -463,7 +471,10 @@
           core::number_field("held", counts.held_runs),
           core::number_field("spare_m", counts.spare.value()),
           core::number_field("spare_wanted_m", counts.spare_wanted.value()),
-          core::number_field("spare_used_m", counts.spare_used.value())}});
+          core::number_field("spare_used_m", counts.spare_used.value()),
+          core::number_field("free_m", counts.free.free.value()),
+          core::number_field("wide_m", counts.free.request.value()),
+          core::number_field("wide_percent", counts.free.index_percent())}});
 }
 
 } // namespace turmericswitch::control
--- a/programs/control/leader/workflow_service.hpp
+++ b/programs/control/leader/workflow_service.hpp
@@ -112,6 +112,8 @@
     telemetry::gauge& m_waiting;
     telemetry::gauge& m_held;
     telemetry::gauge& m_usable;
+    telemetry::gauge& m_wide_percent;
+    telemetry::gauge& m_oversized;
 };
 
 } // namespace turmericswitch::control
--- a/programs/control/settings/control_settings.cpp
+++ b/programs/control/settings/control_settings.cpp
@@ -91,6 +91,9 @@
                                     {1s, 1h});
     read.dispatch.harm_limit = reader.duration(
         {"workers", "harm_limit"}, read.dispatch.harm_limit, {1s, 1min});
+    auto& placement = read.dispatch.placement;
+    placement.packing =
+        reader.flag({"placement", "packing"}, placement.packing);
 }
 
 void parse_consensus(settings_reader& reader, control_settings& read)
--- a/programs/control/tests/control_settings_test.cpp
+++ b/programs/control/tests/control_settings_test.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST_SUITE(control_settings_test);
     CPPUNIT_TEST(lease_does_not_grow_with_the_longest_one);
     CPPUNIT_TEST(lease_is_at_most_the_longest_one);
+    CPPUNIT_TEST(placement_features_are_off_unless_enabled);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -32,7 +33,22 @@
                        std::chrono::seconds(4));
     }
 
+    // A feature that is on by default would change earlier deployments.
+    void placement_features_are_off_unless_enabled()
+    {
+        CPPUNIT_ASSERT(!placement_with("").packing);
+        CPPUNIT_ASSERT(placement_with("packing = yes\n").packing);
+    }
+
 private:
+    static workflow::placement_options
+    placement_with(std::string const& placement)
+    {
+        settings::settings_reader reader("control.ini",
+                                         "[placement]\n" + placement);
+        return parse_control_settings(reader).dispatch.placement;
+    }
+
     /// @return The lease that the section `workers` results in.
     static core::duration lease_with(std::string const& workers)
     {
