Learn the speed of workers and use it for placement

A worker that is slow without failing got as many tasks as any other, and the last tasks of a stage on such a worker delayed the whole stage. With [placement] speed = yes the leader learns the run time of each worker and image against the image's average, with its standard error. Slow workers are used last, and the last tasks of a stage wait for a faster worker of the same stage if they end sooner there. Best-effort runs that were slowed, short of CPU or not seen in a report are not learned from.

--- a/extras/bench/dispatch_cost/main.cpp
+++ b/extras/bench/dispatch_cost/main.cpp
@@ -69,6 +69,7 @@
     if (arguments.at("--placement").asBool())
     {
         placement.packing = true;
+        placement.speed = true;
     }
     double smallest = 0;
     for (auto const workers : parse_list(arguments.at("--workers").asString()))
--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -30,6 +30,11 @@
 /// workflow ends or arrives. It covers changes of the spare CPU and of leases.
 constexpr core::duration placement_interval = std::chrono::milliseconds(100);
 
+constexpr std::uint32_t full_pace = 100;
+
+/// A best-effort task that uses less of its request is short of CPU.
+constexpr std::int64_t min_full_use_percent = 90;
+
 bool is_end_with_worker(core::run_end how)
 {
     return how == core::run_end::lost || how == core::run_end::crashed;
@@ -85,6 +90,7 @@
     {
         m_health.forget(worker);
         m_colocation.forget(worker);
+        m_speeds.forget(worker);
     }
     if (is_new_incarnation || is_new_sidecar)
     {
@@ -105,6 +111,7 @@
 void dispatcher::update_colocation(core::time_point now,
                                    worker_view const& view)
 {
+    auto const& worker = view.profile.worker;
     colocation_sample sample;
     sample.capacity = view.profile.capacity.cpu;
     for (auto const& [run, task] : view.running)
@@ -134,13 +141,33 @@
                                           core::millicores(task.load)});
         }
     }
-    auto const& worker = view.profile.worker;
+    observe_speeds(worker, sample);
     for (auto const& [pace, before] : m_colocation.update(now, worker, sample))
     {
+        if (pace.percent < full_pace)
+        {
+            m_speeds.observe_slowed(pace.run);
+        }
         m_on_event(pace_event(worker, pace, before, sample));
     }
 }
 
+void dispatcher::observe_speeds(core::worker_id const& worker,
+                                colocation_sample const& sample)
+{
+    for (auto const& task : sample.best_effort)
+    {
+        if (m_placed_at.contains(task.run))
+        {
+            bool const has_cpu = task.used.value() * 100 >=
+                                 task.need.value() * min_full_use_percent;
+            m_speeds.observe_best_effort(
+                task.run,
+                has_cpu && m_colocation.pace(worker, task.run) == full_pace);
+        }
+    }
+}
+
 bool dispatcher::has_uncommitted_ends(core::worker_id const& worker) const
 {
     auto const* const view = m_fleet.find(worker);
@@ -273,9 +300,48 @@
     { return m_colocation.predicted_tail(worker, added); };
 }
 
-placement_policy dispatcher::make_policy() const
+placement_policy dispatcher::make_policy(core::time_point now) const
+{
+    placement_policy policy;
+    policy.wide = m_options.placement.packing ? &m_wide : nullptr;
+    if (m_options.placement.speed)
+    {
+        policy.speed =
+            [this, now](core::worker_id const& worker, std::string const& image)
+        { return m_speeds.speed(now, worker, image); };
+        policy.running = [this, now](stage_ref const& stage)
+        { return running_tasks(now, stage); };
+    }
+    return policy;
+}
+
+std::vector<running_task_time>
+dispatcher::running_tasks(core::time_point now, stage_ref const& stage) const
 {
-    return {m_options.placement.packing ? &m_wide : nullptr};
+    std::vector<running_task_time> result;
+    auto const& [id, occurrence, number] = stage;
+    auto const* const workflow = m_table.find(id);
+    auto const* const record =
+        workflow_table::find_stage_record(*workflow, occurrence, number);
+    auto const expected = m_run_times.expected(
+        workflow->queue.queue, workflow->description.stages[number]);
+    if (record == nullptr || expected <= core::duration{})
+    {
+        return result;
+    }
+    for (std::uint32_t i = 0; i < record->tasks.size(); ++i)
+    {
+        auto const& task = record->tasks[i];
+        auto const known =
+            m_placed_at.find({{id, occurrence, number, i}, task.attempt});
+        if (task.placed && known != m_placed_at.end())
+        {
+            using ratio = std::chrono::duration<double>;
+            result.push_back(
+                {task.worker, ratio(now - known->second) / ratio(expected)});
+        }
+    }
+    return result;
 }
 
 void dispatcher::report_oversized(
@@ -323,8 +389,11 @@
     }
     auto const workers = candidates(times.now, config);
     m_wide.observe(times.now, waiting, workers);
-    command.placements = plan_stages(
-        waiting, workers, max_placements, make_tail_hook(), make_policy());
+    command.placements = plan_stages(waiting,
+                                     workers,
+                                     max_placements,
+                                     make_tail_hook(),
+                                     make_policy(times.now));
     m_placement_due = command.placements.size() == max_placements;
     for (auto const& placed : command.placements)
     {
@@ -373,6 +442,7 @@
     {
         record_end(now, outcome);
         record_run_time(now, outcome);
+        m_speeds.ended(outcome.run);
         m_orders.ended(outcome.run);
     }
     for (auto const& placement : command.placements)
@@ -506,6 +576,10 @@
                            stage == nullptr ? std::string()
                                             : stage->behaviour.image,
                            now - placed.mapped());
+    if (stage != nullptr)
+    {
+        m_speeds.record_run(now, outcome, *stage, now - placed.mapped());
+    }
 }
 
 void dispatcher::acknowledge_orders(core::worker_id const& worker,
--- a/modules/workflow/dispatch/dispatcher.hpp
+++ b/modules/workflow/dispatch/dispatcher.hpp
@@ -11,6 +11,7 @@
 #include "workflow/dispatch/oversized_stages.hpp"
 #include "workflow/dispatch/placement_options.hpp"
 #include "workflow/dispatch/run_time_model.hpp"
+#include "workflow/dispatch/speed_model.hpp"
 #include "workflow/dispatch/stage_backlog.hpp"
 #include "workflow/dispatch/stage_planner.hpp"
 #include "workflow/dispatch/wide_requests.hpp"
@@ -136,10 +137,14 @@
                        std::vector<candidate_worker*> const& workers);
     bool is_evictable(core::task_run const& run) const;
     tail_hook make_tail_hook() const;
-    placement_policy make_policy() const;
+    placement_policy make_policy(core::time_point now) const;
+    std::vector<running_task_time> running_tasks(core::time_point now,
+                                                 stage_ref const& stage) const;
     void report_oversized(core::time_point now,
                           std::vector<pending_stage const*> const& waiting);
     void update_colocation(core::time_point now, worker_view const& view);
+    void observe_speeds(core::worker_id const& worker,
+                        colocation_sample const& sample);
     void record_run_time(core::time_point now,
                          core::run_outcome const& outcome);
     void record_end(core::time_point now, core::run_outcome const& outcome);
@@ -155,6 +160,7 @@
     worker_health m_health;
     colocation_controller m_colocation;
     run_time_model m_run_times;
+    speed_model m_speeds;
     stage_backlog m_backlog;
     candidate_pool m_candidates;
     wide_requests m_wide;
--- a/modules/workflow/dispatch/placement_options.hpp
+++ b/modules/workflow/dispatch/placement_options.hpp
@@ -10,6 +10,8 @@
     /// Long-running tasks go to the fullest worker that fits, and capacity is
     /// kept for wide tasks.
     bool packing = false;
+    /// The learned speed of the workers counts.
+    bool speed = false;
 };
 
 } // namespace turmericswitch::workflow
--- a/modules/workflow/dispatch/stage_placement.hpp
+++ b/modules/workflow/dispatch/stage_placement.hpp
@@ -3,12 +3,15 @@
 
 #include "workflow/dispatch/candidate_worker.hpp"
 #include "workflow/dispatch/pending_stage.hpp"
+#include "workflow/dispatch/speed_model.hpp"
 #include "workflow/dispatch/wide_requests.hpp"
 
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <set>
+#include <string>
+#include <vector>
 
 namespace turmericswitch::workflow
 {
@@ -18,12 +21,32 @@
 using tail_hook = std::function<double(core::worker_id const& worker,
                                        cpu_by_image const& added)>;
 
+/// @return The worker's speed for an image.
+using speed_hook = std::function<worker_speed(core::worker_id const& worker,
+                                              std::string const& image)>;
+
+/// A run of a stage.
+struct running_task_time
+{
+    core::worker_id worker;
+    /// Time since the placement in units of the expected run time on an average
+    /// worker.
+    double elapsed = 0;
+};
+
+/// @return The stage's runs of which the placement time is known.
+using running_hook =
+    std::function<std::vector<running_task_time>(stage_ref const& stage)>;
+
 /// How the planner chooses among the workers that can take a task.
 struct placement_policy
 {
     /// Null if tasks are spread evenly. Otherwise long-running tasks are packed
     /// and capacity is kept for these requests.
     wide_requests const* wide = nullptr;
+    /// Empty if speeds are not used.
+    speed_hook speed{};
+    running_hook running{};
 };
 
 /// Number of a stage's tasks by rack and zone.
--- a/modules/workflow/dispatch/task_placement.cpp
+++ b/modules/workflow/dispatch/task_placement.cpp
@@ -2,6 +2,7 @@
 
 #include "workflow/dispatch/packing.hpp"
 #include "workflow/dispatch/worker_ranking.hpp"
+#include "workflow/dispatch/worker_speed_choice.hpp"
 
 namespace turmericswitch::workflow
 {
@@ -35,7 +36,8 @@
         }
         auto* const worker =
             placed.size() < max_tasks ? ranking.best() : nullptr;
-        if (worker == nullptr)
+        if (worker == nullptr ||
+            waits_for_faster_worker(*worker, placement, placed))
         {
             break;
         }
--- a/modules/workflow/dispatch/worker_score.cpp
+++ b/modules/workflow/dispatch/worker_score.cpp
@@ -1,6 +1,7 @@
 #include "workflow/dispatch/worker_score.hpp"
 
 #include "workflow/dispatch/packing.hpp"
+#include "workflow/dispatch/worker_speed_choice.hpp"
 
 #include <algorithm>
 #include <cstdint>
@@ -142,6 +143,7 @@
             : static_cast<double>(available.value() - stage.need.cpu.value()) /
                   capacity;
     value -= wide_slot_penalty(worker, placement);
+    value += speed_value(worker, placement);
     auto const& constraints = stage.constraints;
     if (!constraints.data_rack.value().empty() &&
         constraints.data_rack != worker.rack)
--- a/modules/workflow/tests/dispatch_fuzz_test.cpp
+++ b/modules/workflow/tests/dispatch_fuzz_test.cpp
@@ -76,6 +76,7 @@
     {
         testing::simulation_setup setup;
         setup.placement.packing = true;
+        setup.placement.speed = true;
         for (std::uint64_t seed = 1; seed <= 20; ++seed)
         {
             testing::dispatch_simulation simulation(seed, setup);
--- a/programs/control/tests/control_settings_test.cpp
+++ b/programs/control/tests/control_settings_test.cpp
@@ -38,6 +38,8 @@
     {
         CPPUNIT_ASSERT(!placement_with("").packing);
         CPPUNIT_ASSERT(placement_with("packing = yes\n").packing);
+        CPPUNIT_ASSERT(!placement_with("packing = yes\n").speed);
+        CPPUNIT_ASSERT(placement_with("speed = yes\n").speed);
     }
 
 private:
