Move runs to make room for wide and long-running tasks

Long-running tasks that are spread over all workers can keep a wide one waiting for ever although the fleet has room. With [placement] moves = yes the leader stops the cheapest set of long-running or checkpointed runs on one worker, one at a time, within max_unavailable, and keeps that worker for the waiting task. A new leader derives the same worker from the table. Event run_moved (422).

--- a/extras/bench/dispatch_cost/main.cpp
+++ b/extras/bench/dispatch_cost/main.cpp
@@ -70,6 +70,7 @@
     {
         placement.packing = true;
         placement.speed = true;
+        placement.moves = true;
     }
     double smallest = 0;
     for (auto const workers : parse_list(arguments.at("--workers").asString()))
--- a/modules/core/events/event_code.hpp
+++ b/modules/core/events/event_code.hpp
@@ -56,6 +56,7 @@
     dispatch_summary = 411,
     start_withdrawn = 413,
     task_fits_nowhere = 421,
+    run_moved = 422,
 
     // Control: the group and its state
     role_changed = 451,
@@ -143,6 +144,7 @@
     event_entry{event_code::task_fits_nowhere,
                 "task_fits_nowhere",
                 event_severity::warning},
+    event_entry{event_code::run_moved, "run_moved"},
     event_entry{event_code::role_changed, "role_changed"},
     event_entry{event_code::leadership_began, "leadership_began"},
     event_entry{event_code::leadership_ended, "leadership_ended"},
--- a/modules/workflow/dispatch/candidate_worker.cpp
+++ b/modules/workflow/dispatch/candidate_worker.cpp
@@ -87,9 +87,10 @@
 }
 
 bool candidate_worker::is_held_for_other(stage_ref const& stage,
+                                         std::uint32_t priority,
                                          core::resources const& need) const
 {
-    if (!held || held->stage == stage)
+    if (!held || held->stage == stage || priority < held->priority)
     {
         return false;
     }
--- a/modules/workflow/dispatch/candidate_worker.hpp
+++ b/modules/workflow/dispatch/candidate_worker.hpp
@@ -48,6 +48,8 @@
 {
     stage_ref stage;
     core::resources need;
+    /// Stages with a better priority may use the capacity; 0 if none may.
+    std::uint32_t priority = 0;
 };
 
 /// A worker on which tasks may be placed, with its remaining capacity.
@@ -125,6 +127,7 @@
     /// @return True if a task with this need would delay the start of the
     ///         stage for which capacity is kept there.
     bool is_held_for_other(stage_ref const& stage,
+                           std::uint32_t priority,
                            core::resources const& need) const;
 
     /// @return True if all runs there that are not established belong to the
--- a/modules/workflow/dispatch/dispatch_events.cpp
+++ b/modules/workflow/dispatch/dispatch_events.cpp
@@ -99,6 +99,15 @@
     return event;
 }
 
+core::event run_moved_event(run_move const& move)
+{
+    core::event event{event_code::run_moved, fields_of(move.run, move.worker)};
+    event.fields.push_back(
+        text_field("for_workflow", move.waiting.workflow.value()));
+    event.fields.push_back(number_field("for_stage", move.waiting.stage));
+    return event;
+}
+
 core::event task_fits_nowhere_event(oversized_stage const& found)
 {
     auto const& [workflow, occurrence, stage] = found.stage;
--- a/modules/workflow/dispatch/dispatch_events.hpp
+++ b/modules/workflow/dispatch/dispatch_events.hpp
@@ -2,6 +2,7 @@
 #define TURMERICSWITCH_WORKFLOW_DISPATCH_DISPATCH_EVENTS_HPP
 
 #include "core/events/event.hpp"
+#include "workflow/dispatch/move_controller.hpp"
 #include "workflow/dispatch/oversized_stages.hpp"
 #include "workflow/dispatch/pace_controller.hpp"
 #include "workflow/dispatch/worker_fleet.hpp"
@@ -46,6 +47,8 @@
                               core::task_run const& run,
                               core::worker_id const& next);
 
+core::event run_moved_event(run_move const& move);
+
 core::event task_fits_nowhere_event(oversized_stage const& found);
 
 core::event start_withdrawn_event(core::worker_id const& worker,
--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -54,6 +54,7 @@
       m_colocation(options.harm_limit),
       m_backlog(table, m_run_times, m_fleet),
       m_candidates(table, m_fleet, m_colocation),
+      m_moves(table, m_fleet, m_backlog, elected),
       m_ends(table, m_fleet),
       m_orders(table),
       m_on_event(std::move(on_event))
@@ -300,6 +301,15 @@
     { return m_colocation.predicted_tail(worker, added); };
 }
 
+void dispatcher::move_next(core::time_point now)
+{
+    if (auto const move = m_moves.take_next(now, m_orders.evicting()))
+    {
+        m_orders.evict(move->worker, move->run);
+        m_on_event(run_moved_event(*move));
+    }
+}
+
 placement_policy dispatcher::make_policy(core::time_point now) const
 {
     placement_policy policy;
@@ -389,11 +399,14 @@
     }
     auto const workers = candidates(times.now, config);
     m_wide.observe(times.now, waiting, workers);
-    command.placements = plan_stages(waiting,
-                                     workers,
-                                     max_placements,
-                                     make_tail_hook(),
-                                     make_policy(times.now));
+    auto policy = make_policy(times.now);
+    if (m_options.placement.moves)
+    {
+        m_moves.update(times, waiting, workers, make_tail_hook(), policy);
+        policy.kept = m_moves.kept();
+    }
+    command.placements =
+        plan_stages(waiting, workers, max_placements, make_tail_hook(), policy);
     m_placement_due = command.placements.size() == max_placements;
     for (auto const& placed : command.placements)
     {
@@ -401,6 +414,7 @@
     }
     report_oversized(times.now, waiting);
     evict_stalled(times.now, workers);
+    move_next(times.now);
     for (auto const* const each : workers)
     {
         // Workers that the plan closed are open again for the next one.
--- a/modules/workflow/dispatch/dispatcher.hpp
+++ b/modules/workflow/dispatch/dispatcher.hpp
@@ -7,6 +7,7 @@
 #include "workflow/dispatch/candidate_pool.hpp"
 #include "workflow/dispatch/colocation_controller.hpp"
 #include "workflow/dispatch/end_collector.hpp"
+#include "workflow/dispatch/move_controller.hpp"
 #include "workflow/dispatch/order_reconciler.hpp"
 #include "workflow/dispatch/oversized_stages.hpp"
 #include "workflow/dispatch/placement_options.hpp"
@@ -137,6 +138,7 @@
                        std::vector<candidate_worker*> const& workers);
     bool is_evictable(core::task_run const& run) const;
     tail_hook make_tail_hook() const;
+    void move_next(core::time_point now);
     placement_policy make_policy(core::time_point now) const;
     std::vector<running_task_time> running_tasks(core::time_point now,
                                                  stage_ref const& stage) const;
@@ -165,6 +167,7 @@
     candidate_pool m_candidates;
     wide_requests m_wide;
     oversized_stages m_oversized;
+    move_controller m_moves;
     end_collector m_ends;
     /// When placements are planned although no workflow and no worker changed.
     core::time_point m_next_placement;
--- a/modules/workflow/dispatch/packing.cpp
+++ b/modules/workflow/dispatch/packing.cpp
@@ -81,7 +81,7 @@
 {
     auto const need = reserved_by(*pending.description);
     if (worker.held || worker.is_trial || !is_wide(need, worker.capacity) ||
-        !is_allowed(worker, pending))
+        core::fits_in(need, worker.free) || !is_allowed(worker, pending))
     {
         return 0;
     }
@@ -204,7 +204,7 @@
         {
             return;
         }
-        best->held = {pending.stage, {}};
+        best->held = {pending.stage, {}, 0};
         --holdable;
         for (; tasks > 0 && unplaced > 0; --tasks, --unplaced)
         {
@@ -213,6 +213,23 @@
     }
 }
 
+void hold_kept_workers(placement_policy const& policy,
+                       std::vector<candidate_worker*> const& candidates)
+{
+    for (auto const& [worker, held] : policy.kept)
+    {
+        auto const found =
+            std::find_if(candidates.begin(),
+                         candidates.end(),
+                         [&id = worker](candidate_worker const* each)
+                         { return each->worker == id; });
+        if (found != candidates.end())
+        {
+            (*found)->held = held;
+        }
+    }
+}
+
 void release_workers(std::vector<candidate_worker*> const& candidates)
 {
     for (auto* const each : candidates)
--- a/modules/workflow/dispatch/packing.hpp
+++ b/modules/workflow/dispatch/packing.hpp
@@ -47,6 +47,10 @@
                   std::vector<candidate_worker*> const& candidates,
                   std::size_t& holdable);
 
+/// Holds the workers that the policy keeps for stages.
+void hold_kept_workers(placement_policy const& policy,
+                       std::vector<candidate_worker*> const& candidates);
+
 /// Ends the holds of a plan.
 void release_workers(std::vector<candidate_worker*> const& candidates);
 
--- a/modules/workflow/dispatch/placement_options.hpp
+++ b/modules/workflow/dispatch/placement_options.hpp
@@ -12,6 +12,8 @@
     bool packing = false;
     /// The learned speed of the workers counts.
     bool speed = false;
+    /// Runs are moved to make room for wide and long-running tasks.
+    bool moves = false;
 };
 
 } // namespace turmericswitch::workflow
--- a/modules/workflow/dispatch/stage_placement.hpp
+++ b/modules/workflow/dispatch/stage_placement.hpp
@@ -38,6 +38,13 @@
 using running_hook =
     std::function<std::vector<running_task_time>(stage_ref const& stage)>;
 
+/// A worker that is kept for a stage during a whole plan.
+struct kept_worker
+{
+    core::worker_id worker;
+    held_capacity held;
+};
+
 /// How the planner chooses among the workers that can take a task.
 struct placement_policy
 {
@@ -47,6 +54,7 @@
     /// Empty if speeds are not used.
     speed_hook speed{};
     running_hook running{};
+    std::vector<kept_worker> kept{};
 };
 
 /// Number of a stage's tasks by rack and zone.
--- a/modules/workflow/dispatch/stage_planner.cpp
+++ b/modules/workflow/dispatch/stage_planner.cpp
@@ -36,6 +36,7 @@
                      });
     std::vector<core::run_placement> placements;
     auto holdable = most_held(candidates.size());
+    hold_kept_workers(policy, candidates);
     for (auto const* const each : pending)
     {
         auto const left = max_tasks - placements.size();
--- a/modules/workflow/dispatch/worker_score.cpp
+++ b/modules/workflow/dispatch/worker_score.cpp
@@ -80,7 +80,7 @@
     auto const need = reserved_by(*pending.description);
     // The cheap comparison comes first: in a backlog most workers are full.
     return core::fits_in(need, worker.free) && is_allowed(worker, pending) &&
-           !worker.is_held_for_other(pending.stage, need);
+           !worker.is_held_for_other(pending.stage, pending.priority, need);
 }
 
 bool is_allowed(candidate_worker const& worker, pending_stage const& pending)
--- a/modules/workflow/tests/dispatch_fuzz_test.cpp
+++ b/modules/workflow/tests/dispatch_fuzz_test.cpp
@@ -77,6 +77,7 @@
         testing::simulation_setup setup;
         setup.placement.packing = true;
         setup.placement.speed = true;
+        setup.placement.moves = true;
         for (std::uint64_t seed = 1; seed <= 20; ++seed)
         {
             testing::dispatch_simulation simulation(seed, setup);
--- a/modules/workflow/tests/dispatcher_fixture.hpp
+++ b/modules/workflow/tests/dispatcher_fixture.hpp
@@ -65,9 +65,11 @@
     /// Replaces the leader by one that is elected now.
     void elect(lease_policy leases)
     {
+        dispatch_options options{leases};
+        options.placement = m_placement;
         m_dispatcher = std::make_unique<dispatcher>(
             m_table,
-            dispatch_options{leases},
+            options,
             7,
             m_now,
             [this](core::event const& what) { m_events.push_back(what); });
@@ -215,6 +217,7 @@
         CPPUNIT_ASSERT(!m_table.held_on(core::worker_id("w1")).empty());
     }
 
+    placement_options m_placement{};
     workflow_table m_table;
     core::configuration m_config;
     core::time_point m_now;
--- a/modules/workflow/tests/speed_test.cpp
+++ b/modules/workflow/tests/speed_test.cpp
@@ -72,6 +72,7 @@
         policy.running = [&](stage_ref const&)
         {
             std::vector<running_task_time> result;
+            result.reserve(running.size());
             for (auto const& [name, times] : running)
             {
                 result.push_back({core::worker_id(name), now - times.first});
--- a/programs/control/settings/control_settings.cpp
+++ b/programs/control/settings/control_settings.cpp
@@ -94,6 +94,7 @@
     auto& placement = read.dispatch.placement;
     placement.packing =
         reader.flag({"placement", "packing"}, placement.packing);
+    placement.moves = reader.flag({"placement", "moves"}, placement.moves);
     placement.speed = reader.flag({"placement", "speed"}, placement.speed);
 }
 
--- a/programs/control/tests/control_settings_test.cpp
+++ b/programs/control/tests/control_settings_test.cpp
@@ -40,6 +40,8 @@
         CPPUNIT_ASSERT(placement_with("packing = yes\n").packing);
         CPPUNIT_ASSERT(!placement_with("packing = yes\n").speed);
         CPPUNIT_ASSERT(placement_with("speed = yes\n").speed);
+        CPPUNIT_ASSERT(!placement_with("speed = yes\n").moves);
+        CPPUNIT_ASSERT(placement_with("moves = yes\n").moves);
     }
 
 private:
