--- a/modules/core/events/event_code.hpp
+++ b/modules/core/events/event_code.hpp
@@ -59,6 +59,8 @@
     start_withdrawn = 413,
     suspicion_resolved = 414,
     copy_decided = 415,
+    task_fits_nowhere = 421,
+    run_moved = 422,
 
     // Control: the group and its state
     role_changed = 451,
@@ -153,6 +155,10 @@
     event_entry{event_code::start_withdrawn, "start_withdrawn"},
     event_entry{event_code::suspicion_resolved, "suspicion_resolved"},
     event_entry{event_code::copy_decided, "copy_decided"},
+    event_entry{event_code::task_fits_nowhere,
+                "task_fits_nowhere",
+                event_severity::warning},
+    event_entry{event_code::run_moved, "run_moved"},
     event_entry{event_code::role_changed, "role_changed"},
     event_entry{event_code::leadership_began, "leadership_began"},
     event_entry{event_code::leadership_ended, "leadership_ended"},
--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -30,6 +30,11 @@
 /// workflow ends or arrives. It covers changes of the spare CPU and of leases.
 constexpr core::duration placement_interval = std::chrono::milliseconds(100);
 
+constexpr std::uint32_t full_pace = 100;
+
+/// A best-effort task that uses less of its request is short of CPU.
+constexpr std::int64_t min_full_use_percent = 90;
+
 bool is_end_with_worker(core::run_end how)
 {
     return how == core::run_end::lost || how == core::run_end::crashed ||
@@ -50,6 +55,7 @@
       m_colocation(options.harm_limit),
       m_backlog(table, m_run_times, m_fleet),
       m_candidates(table, m_fleet, m_colocation),
+      m_moves(table, m_fleet, m_backlog, elected),
       m_ends(table, m_fleet),
       m_copies(
           options.copies, table, m_fleet, options.report_interval, elected),
@@ -88,6 +94,7 @@
     {
         m_health.forget(worker);
         m_colocation.forget(worker);
+        m_speeds.forget(worker);
     }
     if (is_new_incarnation || is_new_sidecar)
     {
@@ -108,6 +115,7 @@
 void dispatcher::update_colocation(core::time_point now,
                                    worker_view const& view)
 {
+    auto const& worker = view.profile.worker;
     colocation_sample sample;
     sample.capacity = view.profile.capacity.cpu;
     for (auto const& [run, task] : view.running)
@@ -137,13 +145,33 @@
                                           core::millicores(task.load)});
         }
     }
-    auto const& worker = view.profile.worker;
+    observe_speeds(worker, sample);
     for (auto const& [pace, before] : m_colocation.update(now, worker, sample))
     {
+        if (pace.percent < full_pace)
+        {
+            m_speeds.observe_slowed(pace.run);
+        }
         m_on_event(pace_event(worker, pace, before, sample));
     }
 }
 
+void dispatcher::observe_speeds(core::worker_id const& worker,
+                                colocation_sample const& sample)
+{
+    for (auto const& task : sample.best_effort)
+    {
+        if (m_placed_at.contains(task.run))
+        {
+            bool const has_cpu = task.used.value() * 100 >=
+                                 task.need.value() * min_full_use_percent;
+            m_speeds.observe_best_effort(
+                task.run,
+                has_cpu && m_colocation.pace(worker, task.run) == full_pace);
+        }
+    }
+}
+
 bool dispatcher::has_uncommitted_ends(core::worker_id const& worker) const
 {
     auto const* const view = m_fleet.find(worker);
@@ -283,6 +311,74 @@
     { return m_colocation.predicted_tail(worker, added); };
 }
 
+void dispatcher::move_next(core::time_point now)
+{
+    if (auto const move = m_moves.take_next(now, m_orders.evicting()))
+    {
+        m_orders.evict(move->worker, move->run);
+        m_on_event(run_moved_event(*move));
+    }
+}
+
+placement_policy dispatcher::make_policy(core::time_point now) const
+{
+    placement_policy policy;
+    policy.wide = m_options.placement.packing ? &m_wide : nullptr;
+    if (m_options.placement.speed)
+    {
+        policy.speed =
+            [this, now](core::worker_id const& worker, std::string const& image)
+        { return m_speeds.speed(now, worker, image); };
+        policy.running = [this, now](stage_ref const& stage)
+        { return running_tasks(now, stage); };
+    }
+    return policy;
+}
+
+std::vector<running_task_time>
+dispatcher::running_tasks(core::time_point now, stage_ref const& stage) const
+{
+    std::vector<running_task_time> result;
+    auto const& [id, occurrence, number] = stage;
+    auto const* const workflow = m_table.find(id);
+    auto const* const record =
+        workflow_table::find_stage_record(*workflow, occurrence, number);
+    auto const expected = m_run_times.expected(
+        workflow->queue.queue, workflow->description.stages[number]);
+    if (record == nullptr || expected <= core::duration{})
+    {
+        return result;
+    }
+    for (std::uint32_t i = 0; i < record->tasks.size(); ++i)
+    {
+        auto const& task = record->tasks[i];
+        auto const known =
+            m_placed_at.find({{id, occurrence, number, i}, task.attempt});
+        if (task.placed && known != m_placed_at.end())
+        {
+            using ratio = std::chrono::duration<double>;
+            result.push_back(
+                {task.worker, ratio(now - known->second) / ratio(expected)});
+        }
+    }
+    return result;
+}
+
+void dispatcher::report_oversized(
+    core::time_point now, std::vector<pending_stage const*> const& waiting)
+{
+    auto const found = m_oversized.find_new(
+        now,
+        waiting,
+        m_fleet,
+        [this, now](stage_ref const& stage)
+        { return m_backlog.waiting_since(stage).value_or(now); });
+    for (auto const& each : found)
+    {
+        m_on_event(task_fits_nowhere_event(each));
+    }
+}
+
 bool dispatcher::take_placement_due(plan_times const& times,
                                     core::configuration const& config)
 {
@@ -313,15 +409,24 @@
         return;
     }
     auto const workers = candidates(times.now, config);
+    m_wide.observe(times.now, waiting, workers);
+    auto policy = make_policy(times.now);
+    if (m_options.placement.moves)
+    {
+        m_moves.update(times, waiting, workers, make_tail_hook(), policy);
+        policy.kept = m_moves.kept();
+    }
     command.placements =
-        plan_stages(waiting, workers, max_placements, make_tail_hook());
+        plan_stages(waiting, workers, max_placements, make_tail_hook(), policy);
     m_placement_due = command.placements.size() == max_placements;
     place_copies(to_copy, workers, command);
     for (auto const& placed : command.placements)
     {
         m_candidates.mark_changed(placed.worker);
     }
+    report_oversized(times.now, waiting);
     evict_stalled(times.now, workers);
+    move_next(times.now);
     for (auto const* const each : workers)
     {
         // Workers that the plan closed are open again for the next one.
@@ -377,6 +482,7 @@
         record_end(now, outcome);
         record_run_time(now, outcome);
         m_copies.ended(now, outcome);
+        m_speeds.ended(outcome.run);
         m_orders.ended(outcome.run);
     }
     for (auto const& outcome : command.resolved)
@@ -468,6 +574,7 @@
     result.workers = m_fleet.all().size();
     result.waiting_tasks = m_backlog.waiting_tasks();
     result.longest_wait = m_backlog.longest_wait(now);
+    result.oversized_stages = m_oversized.count();
     for (auto const* const worker : candidates(now, config))
     {
         if (worker->is_trial)
@@ -476,6 +583,7 @@
         }
         ++result.usable_workers;
         result.spare += worker->spare;
+        result.free.add(*worker, m_wide);
     }
     for (auto const& [worker, runs] : m_table.holds())
     {
@@ -513,6 +621,10 @@
                            stage == nullptr ? std::string()
                                             : stage->behaviour.image,
                            now - placed.mapped());
+    if (stage != nullptr)
+    {
+        m_speeds.record_run(now, outcome, *stage, now - placed.mapped());
+    }
 }
 
 void dispatcher::acknowledge_orders(core::worker_id const& worker,
--- a/modules/workflow/dispatch/dispatcher.hpp
+++ b/modules/workflow/dispatch/dispatcher.hpp
@@ -8,10 +8,15 @@
 #include "workflow/dispatch/colocation_controller.hpp"
 #include "workflow/dispatch/copy_planner.hpp"
 #include "workflow/dispatch/end_collector.hpp"
+#include "workflow/dispatch/move_controller.hpp"
 #include "workflow/dispatch/order_reconciler.hpp"
+#include "workflow/dispatch/oversized_stages.hpp"
+#include "workflow/dispatch/placement_options.hpp"
 #include "workflow/dispatch/run_time_model.hpp"
+#include "workflow/dispatch/speed_model.hpp"
 #include "workflow/dispatch/stage_backlog.hpp"
 #include "workflow/dispatch/stage_planner.hpp"
+#include "workflow/dispatch/wide_requests.hpp"
 #include "workflow/dispatch/worker_fleet.hpp"
 #include "workflow/dispatch/worker_health.hpp"
 #include "workflow/table/workflow_table.hpp"
@@ -31,6 +36,7 @@
     /// its latency target.
     core::duration harm_limit = std::chrono::seconds(4);
     copy_options copies{};
+    placement_options placement{};
 };
 
 /// Amounts of waiting and running work, for operators.
@@ -48,6 +54,10 @@
     core::millicores spare_wanted;
     /// CPU that running best-effort tasks used in the last reports.
     core::millicores spare_used;
+    /// How well the free capacity suits the largest request in the queue.
+    fragmentation free;
+    /// Waiting stages that fit on no worker, even on an empty one.
+    std::uint64_t oversized_stages = 0;
 };
 
 /// The leader's decisions on workflows: task placements, ends of runs, and
@@ -134,7 +144,15 @@
                        std::vector<candidate_worker*> const& workers);
     bool is_evictable(core::task_run const& run) const;
     tail_hook make_tail_hook() const;
+    void move_next(core::time_point now);
+    placement_policy make_policy(core::time_point now) const;
+    std::vector<running_task_time> running_tasks(core::time_point now,
+                                                 stage_ref const& stage) const;
+    void report_oversized(core::time_point now,
+                          std::vector<pending_stage const*> const& waiting);
     void update_colocation(core::time_point now, worker_view const& view);
+    void observe_speeds(core::worker_id const& worker,
+                        colocation_sample const& sample);
     void record_run_time(core::time_point now,
                          core::run_outcome const& outcome);
     void record_end(core::time_point now, core::run_outcome const& outcome);
@@ -150,8 +168,12 @@
     worker_health m_health;
     colocation_controller m_colocation;
     run_time_model m_run_times;
+    speed_model m_speeds;
     stage_backlog m_backlog;
     candidate_pool m_candidates;
+    wide_requests m_wide;
+    oversized_stages m_oversized;
+    move_controller m_moves;
     end_collector m_ends;
     copy_planner m_copies;
     /// When placements are planned although no workflow and no worker changed.
--- a/modules/workflow/tests/dispatch_fuzz_test.cpp
+++ b/modules/workflow/tests/dispatch_fuzz_test.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(jobs_complete_despite_faults);
     CPPUNIT_TEST(invariants_hold_under_crashes);
     CPPUNIT_TEST(invariants_hold_with_copies);
+    CPPUNIT_TEST(invariants_hold_with_optional_placement);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -90,6 +91,23 @@
         CPPUNIT_ASSERT(copies > crash_seeds());
     }
 
+    // Guards against jobs that wait for ever behind workers that are kept for
+    // others, and against capacity that is given twice.
+    void invariants_hold_with_optional_placement()
+    {
+        testing::simulation_setup setup;
+        setup.placement.packing = true;
+        setup.placement.speed = true;
+        setup.placement.moves = true;
+        for (std::uint64_t seed = 1; seed <= 20; ++seed)
+        {
+            testing::dispatch_simulation simulation(seed, setup);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed),
+                                         std::string(),
+                                         simulation.simulate());
+        }
+    }
+
 private:
     static std::uint64_t crash_seeds()
     {
--- a/modules/workflow/tests/dispatch_simulation.cpp
+++ b/modules/workflow/tests/dispatch_simulation.cpp
@@ -108,7 +108,9 @@
     }
     dispatch_options options{m_setup.leases};
     options.copies.enabled = m_setup.has_copies;
+    options.placement = m_setup.placement;
     m_leader = std::make_shared<leader>(m_table, options, ++m_term, m_now);
+    m_elected_at = m_now;
     plan(m_leader);
 }
 
--- a/modules/workflow/tests/dispatch_simulation.hpp
+++ b/modules/workflow/tests/dispatch_simulation.hpp
@@ -27,6 +27,7 @@
     std::uint64_t deadly_percent = 0;
     /// Whether half of the stages may have copies; then some runs are slow.
     bool has_copies = false;
+    placement_options placement{};
 };
 
 /// Leaders, sidecars and workers in simulated time.
--- a/modules/workflow/tests/dispatcher_fixture.hpp
+++ b/modules/workflow/tests/dispatcher_fixture.hpp
@@ -67,6 +67,7 @@
     {
         dispatch_options options{leases};
         options.copies = m_copies;
+        options.placement = m_placement;
         m_dispatcher = std::make_unique<dispatcher>(
             m_table,
             options,
@@ -217,6 +218,7 @@
         CPPUNIT_ASSERT(!m_table.held_on(core::worker_id("w1")).empty());
     }
 
+    placement_options m_placement{};
     workflow_table m_table;
     core::configuration m_config;
     core::time_point m_now;
--- a/programs/control/settings/control_settings.cpp
+++ b/programs/control/settings/control_settings.cpp
@@ -93,6 +93,11 @@
         {"workers", "harm_limit"}, read.dispatch.harm_limit, {1s, 1min});
     read.dispatch.copies.enabled =
         reader.flag({"placement", "copies"}, read.dispatch.copies.enabled);
+    auto& placement = read.dispatch.placement;
+    placement.packing =
+        reader.flag({"placement", "packing"}, placement.packing);
+    placement.moves = reader.flag({"placement", "moves"}, placement.moves);
+    placement.speed = reader.flag({"placement", "speed"}, placement.speed);
 }
 
 void parse_consensus(settings_reader& reader, control_settings& read)
--- a/programs/control/tests/control_settings_test.cpp
+++ b/programs/control/tests/control_settings_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(lease_does_not_grow_with_the_longest_one);
     CPPUNIT_TEST(lease_is_at_most_the_longest_one);
     CPPUNIT_TEST(copies_are_off_unless_set);
+    CPPUNIT_TEST(placement_features_are_off_unless_enabled);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -43,7 +44,26 @@
         CPPUNIT_ASSERT(parse_control_settings(set).dispatch.copies.enabled);
     }
 
+    // A feature that is on by default would change earlier deployments.
+    void placement_features_are_off_unless_enabled()
+    {
+        CPPUNIT_ASSERT(!placement_with("").packing);
+        CPPUNIT_ASSERT(placement_with("packing = yes\n").packing);
+        CPPUNIT_ASSERT(!placement_with("packing = yes\n").speed);
+        CPPUNIT_ASSERT(placement_with("speed = yes\n").speed);
+        CPPUNIT_ASSERT(!placement_with("speed = yes\n").moves);
+        CPPUNIT_ASSERT(placement_with("moves = yes\n").moves);
+    }
+
 private:
+    static workflow::placement_options
+    placement_with(std::string const& placement)
+    {
+        settings::settings_reader reader("control.ini",
+                                         "[placement]\n" + placement);
+        return parse_control_settings(reader).dispatch.placement;
+    }
+
     /// @return The lease that the section `workers` results in.
     static core::duration lease_with(std::string const& workers)
     {
