--- a/modules/workflow/dispatch/move_search.cpp
+++ b/modules/workflow/dispatch/move_search.cpp
@@ -70,6 +70,7 @@
                          placement_policy const& policy)
 {
     std::vector<candidate_worker> others;
+    others.reserve(candidates.size());
     for (auto const* const each : candidates)
     {
         if (each->worker != moves.worker && !each->is_trial)
@@ -78,6 +79,7 @@
         }
     }
     std::vector<candidate_worker*> targets;
+    targets.reserve(others.size());
     for (auto& each : others)
     {
         targets.push_back(&each);
--- a/modules/workflow/dispatch/packing.cpp
+++ b/modules/workflow/dispatch/packing.cpp
@@ -120,13 +120,8 @@
 double wide_slot_penalty(candidate_worker const& worker,
                          stage_placement const& placement)
 {
-    auto const& pending = placement.pending;
-    if (placement.policy.wide == nullptr)
-    {
-        return 0;
-    }
-    auto const need = reserved_by(*pending.description);
-    auto const wide = placement.policy.wide->largest(pending.service);
+    auto const need = reserved_by(*placement.pending.description);
+    auto const& wide = placement.wide;
     if (need.cpu >= wide.cpu ||
         slots(wide, worker.free) == slots(wide, worker.free - need))
     {
--- a/modules/workflow/dispatch/stage_placement.hpp
+++ b/modules/workflow/dispatch/stage_placement.hpp
@@ -74,6 +74,8 @@
     std::set<core::rack_id> racks;
     /// Filled for packed stages only.
     spread_counts spread;
+    /// The largest request of the service; empty without packing.
+    core::resources wide;
 };
 
 } // namespace turmericswitch::workflow
--- a/modules/workflow/dispatch/task_placement.cpp
+++ b/modules/workflow/dispatch/task_placement.cpp
@@ -22,7 +22,11 @@
 {
     std::vector<core::run_placement> placed;
     stage_placement placement{
-        pending, policy, suspicion, pending.racks, spread_counts{}};
+        pending, policy, suspicion, pending.racks, spread_counts{}, {}};
+    if (policy.wide != nullptr)
+    {
+        placement.wide = policy.wide->largest(pending.service);
+    }
     if (is_packed(placement))
     {
         placement.spread = count_spread(pending, candidates);
