Order waiting jobs by what their delay costs

Cause: within one urgency and priority the oldest job goes first until nearly all jobs are late.

`[overload] order = yes` puts the rank into the sort of plan_stages. The processor share is not wired yet.

--- a/extras/bench/dispatch_cost/main.cpp
+++ b/extras/bench/dispatch_cost/main.cpp
@@ -16,6 +16,7 @@
 
 Usage:
   dispatch_cost [--workers LIST] [--seconds N] [--warm-up N] [--seed N]
+                [--overload]
   dispatch_cost --help | --version
 
 Options:
@@ -24,6 +25,7 @@
   --seconds N     Simulated seconds that are measured [default: 20].
   --warm-up N     Simulated seconds before that [default: 10].
   --seed N        Seed of run times and images [default: 1].
+  --overload      Orders, paces and evicts as in overload.
   --help          Shows this text.
   --version       Shows the version.
 )";
@@ -63,10 +65,14 @@
         std::chrono::seconds(arguments.at("--warm-up").asLong());
     auto const seed =
         static_cast<std::uint64_t>(arguments.at("--seed").asLong());
+    overload::overload_options overload;
+    overload.order = arguments.at("--overload").asBool();
+    overload.pace = overload.order;
+    overload.preemption = overload.order;
     double smallest = 0;
     for (auto const workers : parse_list(arguments.at("--workers").asString()))
     {
-        bench::simulated_fleet fleet(workers, seed);
+        bench::simulated_fleet fleet(workers, seed, overload);
         auto const cost = fleet.run(warm_up, seconds);
         auto const measured_s = static_cast<double>(seconds.count());
         auto const per_run =
--- a/extras/bench/dispatch_cost/simulated_fleet.cpp
+++ b/extras/bench/dispatch_cost/simulated_fleet.cpp
@@ -96,6 +96,14 @@
     return text;
 }
 
+workflow::dispatch_options options_with(overload::overload_options overload)
+{
+    workflow::dispatch_options options;
+    options.leases = {lease, lease};
+    options.overload = overload;
+    return options;
+}
+
 } // namespace
 
 double dispatch_cost::total_ms() const
@@ -103,11 +111,13 @@
     return reports.cpu_ms + plans.cpu_ms + commits.cpu_ms + orders.cpu_ms;
 }
 
-simulated_fleet::simulated_fleet(std::size_t workers, std::uint64_t seed)
+simulated_fleet::simulated_fleet(std::size_t workers,
+                                 std::uint64_t seed,
+                                 overload::overload_options overload)
     : m_random(core::seeded_random(seed)),
       m_now(std::chrono::seconds(1000)),
       m_dispatcher(
-          m_table, {{lease, lease}}, 1, m_now, [](core::event const&) {}),
+          m_table, options_with(overload), 1, m_now, [](core::event const&) {}),
       m_workers(workers),
       m_arrivals(std::size(kinds))
 {
--- a/extras/bench/dispatch_cost/simulated_fleet.hpp
+++ b/extras/bench/dispatch_cost/simulated_fleet.hpp
@@ -46,7 +46,9 @@
 class simulated_fleet
 {
 public:
-    simulated_fleet(std::size_t workers, std::uint64_t seed);
+    simulated_fleet(std::size_t workers,
+                    std::uint64_t seed,
+                    overload::overload_options overload);
 
     /// Runs the simulation.
     ///
--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -47,12 +47,35 @@
       m_fencing_token(fencing_token),
       m_fleet(options.leases, table.longest_lease(), elected),
       m_colocation(options.harm_limit),
+      m_accounts(table, m_run_times, options.overload),
       m_backlog(table, m_run_times, m_fleet),
       m_candidates(table, m_fleet, m_colocation),
       m_ends(table, m_fleet),
       m_orders(table),
       m_on_event(std::move(on_event))
 {
+    rank_by_accounts();
+}
+
+void dispatcher::rank_by_accounts()
+{
+    if (m_options.overload.order)
+    {
+        m_backlog.order_by([this](core::workflow_id const& job)
+                           { return m_accounts.rank(job); });
+    }
+}
+
+void dispatcher::update_accounts(plan_times const& times)
+{
+    auto const& options = m_options.overload;
+    if (options.order)
+    {
+        m_accounts.update(
+            times.now,
+            times.cluster,
+            [this] { return measure_supply(m_table, m_fleet, m_colocation); });
+    }
 }
 
 bool dispatcher::report(core::time_point now, core::runtime_report report)
@@ -295,6 +318,7 @@
                              core::configuration const& config,
                              core::workflow_progress& command)
 {
+    update_accounts(times);
     auto const waiting = m_backlog.collect(times);
     // Skips the candidates when there is nothing to place or evict.
     if (waiting.empty() && times.now < m_next_eviction)
--- a/modules/workflow/dispatch/dispatcher.hpp
+++ b/modules/workflow/dispatch/dispatcher.hpp
@@ -7,6 +7,7 @@
 #include "workflow/dispatch/candidate_pool.hpp"
 #include "workflow/dispatch/colocation_controller.hpp"
 #include "workflow/dispatch/end_collector.hpp"
+#include "workflow/dispatch/job_accounts.hpp"
 #include "workflow/dispatch/order_reconciler.hpp"
 #include "workflow/dispatch/run_time_model.hpp"
 #include "workflow/dispatch/stage_backlog.hpp"
@@ -29,6 +30,7 @@
     /// Longest time for which best-effort tasks may keep a serving task over
     /// its latency target.
     core::duration harm_limit = std::chrono::seconds(4);
+    overload::overload_options overload{};
 };
 
 /// Amounts of waiting and running work, for operators.
@@ -128,6 +130,8 @@
                        std::vector<candidate_worker*> const& workers);
     bool is_evictable(core::task_run const& run) const;
     tail_hook make_tail_hook() const;
+    void rank_by_accounts();
+    void update_accounts(plan_times const& times);
     void update_colocation(core::time_point now, worker_view const& view);
     void record_run_time(core::time_point now,
                          core::run_outcome const& outcome);
@@ -144,6 +148,7 @@
     worker_health m_health;
     colocation_controller m_colocation;
     run_time_model m_run_times;
+    job_accounts m_accounts;
     stage_backlog m_backlog;
     candidate_pool m_candidates;
     end_collector m_ends;
--- a/modules/workflow/dispatch/stage_backlog.cpp
+++ b/modules/workflow/dispatch/stage_backlog.cpp
@@ -11,7 +11,7 @@
 
 /// A workflow that can end within this multiple of its objective is late;
 /// beyond that it is too late.
-constexpr int late_factor = 3;
+constexpr int late_factor = overload::late_factor;
 
 /// @return When the occurrence is due; for a workflow without a schedule a time
 ///         in the past.
@@ -24,6 +24,16 @@
                : schedule.first + schedule.interval * occurrence;
 }
 
+job_urgency urgency_of(overload::job_rank const& rank)
+{
+    if (rank.is_starved || rank.expected == overload::prospect::in_time)
+    {
+        return job_urgency::on_time;
+    }
+    return rank.expected == overload::prospect::late ? job_urgency::late
+                                                     : job_urgency::too_late;
+}
+
 template <typename Stages>
 std::uint64_t tasks_in(Stages const& stages)
 {
@@ -44,6 +54,11 @@
 {
 }
 
+void stage_backlog::order_by(rank_hook rank)
+{
+    m_rank = std::move(rank);
+}
+
 std::vector<pending_stage const*>
 stage_backlog::collect(plan_times const& times)
 {
@@ -147,9 +162,17 @@
                            waiting_stage& waiting) const
 {
     auto& pending = waiting.pending;
-    pending.urgency = urgency_of(cluster_now,
-                                 *m_table.find(pending.stage.workflow),
-                                 pending.stage.occurrence);
+    if (!m_rank)
+    {
+        pending.urgency = urgency_of(cluster_now,
+                                     *m_table.find(pending.stage.workflow),
+                                     pending.stage.occurrence);
+    }
+    else if (auto const* const rank = m_rank(pending.stage.workflow))
+    {
+        pending.urgency = workflow::urgency_of(*rank);
+        pending.rank = rank->is_reordered ? rank->position : 0;
+    }
     for (auto const& worker : waiting.placed_on)
     {
         if (auto const* const view = m_fleet.find(worker))
--- a/modules/workflow/dispatch/stage_backlog.hpp
+++ b/modules/workflow/dispatch/stage_backlog.hpp
@@ -1,12 +1,14 @@
 #ifndef TURMERICSWITCH_WORKFLOW_DISPATCH_STAGE_BACKLOG_HPP
 #define TURMERICSWITCH_WORKFLOW_DISPATCH_STAGE_BACKLOG_HPP
 
+#include "overload/order/job_ranking.hpp"
 #include "workflow/dispatch/run_time_model.hpp"
 #include "workflow/dispatch/stage_planner.hpp"
 #include "workflow/dispatch/worker_fleet.hpp"
 #include "workflow/table/workflow_table.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -34,11 +36,18 @@
 class stage_backlog
 {
 public:
+    /// Returns a job's rank, or null if it has none.
+    using rank_hook =
+        std::function<overload::job_rank const*(core::workflow_id const&)>;
+
     /// The arguments must outlive the object.
     stage_backlog(workflow_table const& table,
                   run_time_model const& run_times,
                   worker_fleet const& fleet);
 
+    /// Derives urgency and order of the stages from the ranks of their jobs.
+    void order_by(rank_hook rank);
+
     /// @return The stages that are ready and have unplaced tasks. They are
     ///         valid until the next call or the next change of the table.
     std::vector<pending_stage const*> collect(plan_times const& times);
@@ -91,6 +100,8 @@
     workflow_table const& m_table;
     run_time_model const& m_run_times;
     worker_fleet const& m_fleet;
+    /// Empty if the stages are ordered by age.
+    rank_hook m_rank;
     change_log<core::workflow_id>::position m_read =
         change_log<core::workflow_id>::unread;
     /// Workflows that have waiting stages.
--- a/modules/workflow/dispatch/stage_planner.cpp
+++ b/modules/workflow/dispatch/stage_planner.cpp
@@ -552,10 +552,12 @@
                          return std::tie(a_after,
                                          a->urgency,
                                          a->priority,
+                                         a->rank,
                                          a->submitted,
                                          a->stage) < std::tie(b_after,
                                                               b->urgency,
                                                               b->priority,
+                                                              b->rank,
                                                               b->submitted,
                                                               b->stage);
                      });
--- a/modules/workflow/dispatch/stage_planner.hpp
+++ b/modules/workflow/dispatch/stage_planner.hpp
@@ -121,6 +121,9 @@
     core::service_id service;
     std::uint32_t priority = 0;
     job_urgency urgency = job_urgency::on_time;
+    /// Place of the job among those of its urgency and priority; of equal ones
+    /// the oldest comes first.
+    std::uint64_t rank = 0;
     core::time_point submitted;
     /// The next attempt of each task.
     std::vector<core::task_run> runs;
@@ -143,7 +146,7 @@
 
 /// Chooses workers for unplaced tasks.
 ///
-/// Stages are ordered by urgency, then priority, then age. A task goes to the
+/// Stages are ordered by urgency, priority, rank, and age. A task goes to the
 /// worker that is left with the largest free share, so that load stays even and
 /// a task that uses more than its request affects few others. Distant racks,
 /// earlier failures and interference between tasks lower the score of a worker.
--- a/modules/workflow/tests/dispatch_fuzz_test.cpp
+++ b/modules/workflow/tests/dispatch_fuzz_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST_SUITE(dispatch_fuzz_test);
     CPPUNIT_TEST(invariants_hold_under_faults);
     CPPUNIT_TEST(jobs_complete_despite_faults);
+    CPPUNIT_TEST(jobs_complete_with_overload_decisions);
     CPPUNIT_TEST(invariants_hold_under_crashes);
     CPPUNIT_TEST_SUITE_END();
 
@@ -49,6 +50,24 @@
         }
     }
 
+    // Guards against ranks, paces and evictions that break an invariant or keep
+    // a job from its end.
+    void jobs_complete_with_overload_decisions()
+    {
+        testing::simulation_setup setup;
+        setup.overload.order = true;
+        setup.overload.pace = true;
+        setup.overload.preemption = true;
+        for (std::uint64_t seed = 1; seed <= 20; ++seed)
+        {
+            testing::dispatch_simulation simulation(seed, setup);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed),
+                                         std::string(),
+                                         simulation.simulate());
+            CPPUNIT_ASSERT(simulation.completed() > 20);
+        }
+    }
+
     // Tasks that crash each worker that starts them, several at once, with
     // leaders deposed at that moment. Guards against such a task that is
     // started again and again, against jobs that are failed for the crashes of
--- a/modules/workflow/tests/dispatch_simulation.cpp
+++ b/modules/workflow/tests/dispatch_simulation.cpp
@@ -102,8 +102,7 @@
         m_leader->is_deposed = true;
         m_deposed.push_back(m_leader);
     }
-    m_leader =
-        std::make_shared<leader>(m_table, m_setup.leases, ++m_term, m_now);
+    m_leader = std::make_shared<leader>(m_table, m_setup, ++m_term, m_now);
     m_elected_at = m_now;
     plan(m_leader);
 }
--- a/modules/workflow/tests/dispatch_simulation.hpp
+++ b/modules/workflow/tests/dispatch_simulation.hpp
@@ -25,6 +25,7 @@
     /// Share of jobs with a task that crashes each worker that starts it, in
     /// percent.
     std::uint64_t deadly_percent = 0;
+    overload::overload_options overload{};
 };
 
 /// Leaders, sidecars and workers in simulated time.
--- a/modules/workflow/tests/simulation_parts.hpp
+++ b/modules/workflow/tests/simulation_parts.hpp
@@ -22,14 +22,22 @@
 struct dispatch_simulation::leader
 {
     leader(workflow_table const& shared,
-           lease_policy leases,
+           simulation_setup const& setup,
            std::uint64_t token,
            core::time_point now)
         : table(&shared),
-          work(shared, {leases}, token, now, [](core::event const&) {})
+          work(shared, options_of(setup), token, now, [](core::event const&) {})
     {
     }
 
+    static dispatch_options options_of(simulation_setup const& setup)
+    {
+        dispatch_options options;
+        options.leases = setup.leases;
+        options.overload = setup.overload;
+        return options;
+    }
+
     workflow_table const* table;
     dispatcher work;
     bool is_planning = false;
--- a/programs/control/settings/control_settings.cpp
+++ b/programs/control/settings/control_settings.cpp
@@ -93,6 +93,22 @@
         {"workers", "harm_limit"}, read.dispatch.harm_limit, {1s, 1min});
 }
 
+void parse_overload(settings_reader& reader,
+                    overload::overload_options& options)
+{
+    options.order = reader.flag({"overload", "order"}, options.order);
+    options.pace = reader.flag({"overload", "pace"}, options.pace);
+    options.preemption =
+        reader.flag({"overload", "preemption"}, options.preemption);
+    options.admission =
+        reader.flag({"overload", "admission"}, options.admission);
+    auto& value = options.value;
+    value.fixed_percent = static_cast<std::uint32_t>(reader.integer(
+        {"overload", "fixed_value"}, {0, 100}, value.fixed_percent));
+    value.late_percent = static_cast<std::uint32_t>(reader.integer(
+        {"overload", "late_value"}, {0, 100}, value.late_percent));
+}
+
 void parse_consensus(settings_reader& reader, control_settings& read)
 {
     read.election_timeout =
@@ -135,6 +151,7 @@
         parse_members(reader, read);
     }
     parse_dispatch(reader, read);
+    parse_overload(reader, read.dispatch.overload);
     parse_leases(reader, read);
     parse_consensus(reader, read);
     return read;
