Share a worker's spare CPU by the rank of the jobs

Cause: best-effort tasks request about twice the CPU that is left, so all of them run at half speed and most of their jobs end late.

Change: while the best-effort tasks of a worker get less than 85% of what they request, those of the best-ranked jobs run at full pace and the last ones wait (`[overload] pace = yes`). The lower of this pace and that of the interference controller is ordered. What the tasks used together may be shared; it is raised while all of it is used. If the use falls, the paces are lifted on trial. Tasks of long-running jobs have no rank and are never slowed. A task that is slowed for others leaves no room to the planner.

--- a/modules/workflow/dispatch/colocation_controller.cpp
+++ b/modules/workflow/dispatch/colocation_controller.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace turmericswitch::workflow
 {
@@ -59,6 +60,11 @@
 {
 }
 
+void colocation_controller::share_by(rank_hook rank)
+{
+    m_rank = std::move(rank);
+}
+
 bool colocation_controller::is_sample_due(core::time_point now,
                                           core::worker_id const& worker) const
 {
@@ -81,16 +87,22 @@
     learn(now, state, sample);
     update_serving_use(state, sample);
     state.last = sample;
-    auto const before = state.paces;
+    std::vector<std::uint32_t> before;
+    before.reserve(sample.best_effort.size());
+    for (auto const& task : sample.best_effort)
+    {
+        before.push_back(pace_to_order(state, task.run));
+    }
     m_controller.decide(now, sample, state.paces);
+    share(now, state);
     std::vector<pace_change> changes;
-    for (auto const& task : sample.best_effort)
+    for (std::size_t i = 0; i < before.size(); ++i)
     {
-        auto const earlier = pace_in(before, task.run);
-        auto const pace = pace_in(state.paces, task.run);
-        if (pace != earlier)
+        auto const& run = sample.best_effort[i].run;
+        auto const pace = pace_to_order(state, run);
+        if (pace != before[i])
         {
-            changes.push_back({{task.run, pace}, earlier});
+            changes.push_back({{run, pace}, before[i]});
         }
     }
     return changes;
@@ -114,6 +126,25 @@
     return found;
 }
 
+void colocation_controller::share(core::time_point now,
+                                  worker_state& state) const
+{
+    if (!m_rank)
+    {
+        return;
+    }
+    std::vector<overload::sharing_task> tasks;
+    for (auto const& task : state.last.best_effort)
+    {
+        tasks.push_back({task.run,
+                         m_rank(task.run),
+                         task.need,
+                         task.used,
+                         pace_in(state.paces, task.run)});
+    }
+    state.sharing.update(now, state.last.capacity, tasks);
+}
+
 void colocation_controller::learn(core::time_point now,
                                   worker_state& state,
                                   colocation_sample const& sample)
@@ -152,7 +183,10 @@
         // Skips slowed tasks and tasks that did not run for the whole time of
         // the report.
         auto const* const before = find_best_effort(state.last, task.run);
-        if (before == nullptr || before->used.value() == 0 ||
+        // Tasks that are slowed for others count: the others use their part.
+        bool const is_idle = before != nullptr && before->used.value() == 0 &&
+                             state.sharing.pace(task.run) == full_pace;
+        if (before == nullptr || is_idle ||
             state.paces.paces.contains(task.run))
         {
             continue;
@@ -175,6 +209,21 @@
     }
 }
 
+std::uint32_t colocation_controller::pace_to_order(worker_state const& state,
+                                                   core::task_run const& run)
+{
+    return std::min(pace_in(state.paces, run), state.sharing.pace(run));
+}
+
+std::uint32_t
+colocation_controller::pace_to_order(core::worker_id const& worker,
+                                     core::task_run const& run) const
+{
+    auto const known = m_workers.find(worker);
+    return known == m_workers.end() ? full_pace
+                                    : pace_to_order(known->second, run);
+}
+
 std::uint32_t colocation_controller::pace(core::worker_id const& worker,
                                           core::task_run const& run) const
 {
@@ -218,7 +267,7 @@
     auto const* const seen = find_best_effort(known->second.last, run);
     auto const used = seen == nullptr ? core::millicores() : seen->used;
     auto const wanted =
-        need.value() * pace_in(known->second.paces, run) / full_pace;
+        need.value() * pace_to_order(known->second, run) / full_pace;
     return core::millicores(std::max<std::int64_t>(wanted - used.value(), 0));
 }
 
--- a/modules/workflow/dispatch/colocation_controller.hpp
+++ b/modules/workflow/dispatch/colocation_controller.hpp
@@ -2,11 +2,14 @@
 #define TURMERICSWITCH_WORKFLOW_DISPATCH_COLOCATION_CONTROLLER_HPP
 
 #include "core/messages/workflow.hpp"
+#include "overload/share/processor_share.hpp"
 #include "workflow/dispatch/interference_model.hpp"
 #include "workflow/dispatch/pace_controller.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace turmericswitch::workflow
@@ -34,6 +37,14 @@
     ///        serving task over its target.
     explicit colocation_controller(core::duration harm_limit);
 
+    /// Returns the rank of a best-effort task; `nullopt` for one that must not
+    /// be slowed in favour of others.
+    using rank_hook =
+        std::function<std::optional<std::uint64_t>(core::task_run const&)>;
+
+    /// Shares the CPU that best-effort tasks get by the ranks of the tasks.
+    void share_by(rank_hook rank);
+
     colocation_controller(colocation_controller const&) = delete;
     colocation_controller& operator=(colocation_controller const&) = delete;
 
@@ -48,7 +59,14 @@
                                     core::worker_id const& worker,
                                     colocation_sample const& sample);
 
-    /// @return Pace of a best-effort task in percent of full speed.
+    /// @return Pace of a best-effort task in percent of full speed: the lower
+    /// of
+    ///         those for the latency targets and for the share of the CPU.
+    std::uint32_t pace_to_order(core::worker_id const& worker,
+                                core::task_run const& run) const;
+
+    /// @return Pace for the latency targets, in percent of full speed. A task
+    ///         below it leaves its CPU to other best-effort tasks there.
     std::uint32_t pace(core::worker_id const& worker,
                        core::task_run const& run) const;
 
@@ -86,6 +104,7 @@
         core::time_point sampled;
         colocation_sample last;
         pace_state paces;
+        overload::processor_sharing sharing;
         std::int64_t serving_use = 60;
         /// Difference between the logarithm of each serving task's tail and the
         /// prediction for its image: the loads of tasks of one image differ and
@@ -96,11 +115,16 @@
     void learn(core::time_point now,
                worker_state& state,
                colocation_sample const& sample);
+    void share(core::time_point now, worker_state& state) const;
+    static std::uint32_t pace_to_order(worker_state const& state,
+                                       core::task_run const& run);
     static void update_serving_use(worker_state& state,
                                    colocation_sample const& sample);
 
     interference_model m_model;
     pace_controller m_controller;
+    /// Empty if the CPU is not shared by rank.
+    rank_hook m_rank;
     std::map<core::worker_id, worker_state> m_workers;
 };
 
--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -64,12 +64,22 @@
         m_backlog.order_by([this](core::workflow_id const& job)
                            { return m_accounts.rank(job); });
     }
+    if (m_options.overload.pace)
+    {
+        m_colocation.share_by(
+            [this](core::task_run const& run) -> std::optional<std::uint64_t>
+            {
+                auto const* const rank = m_accounts.rank(run.task.workflow);
+                return rank == nullptr ? std::nullopt
+                                       : std::optional(rank->position);
+            });
+    }
 }
 
 void dispatcher::update_accounts(plan_times const& times)
 {
     auto const& options = m_options.overload;
-    if (options.order)
+    if (options.order || options.pace)
     {
         m_accounts.update(
             times.now,
@@ -531,10 +541,11 @@
     core::runtime_orders orders;
     if (view != nullptr && view->profile.life == life)
     {
-        orders = m_orders.take_due(now,
-                                   *view,
-                                   [this, &worker](core::task_run const& run)
-                                   { return m_colocation.pace(worker, run); });
+        orders = m_orders.take_due(
+            now,
+            *view,
+            [this, &worker](core::task_run const& run)
+            { return m_colocation.pace_to_order(worker, run); });
         for (auto const& run : m_orders.take_withdrawn())
         {
             m_on_event(start_withdrawn_event(worker, run));
--- a/modules/workflow/tests/overload_dispatch_test.cpp
+++ b/modules/workflow/tests/overload_dispatch_test.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST_SUITE(overload_dispatch_test);
     CPPUNIT_TEST(job_that_can_be_in_time_is_placed_before_an_older_late_one);
     CPPUNIT_TEST(jobs_that_can_all_be_in_time_keep_the_order_of_age);
+    CPPUNIT_TEST(worse_ranked_task_is_slowed_when_cpu_is_short);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -34,11 +35,43 @@
         CPPUNIT_ASSERT_EQUAL(std::string("b-old"), first_placed());
     }
 
+    // Guards against tasks that all run at half speed.
+    void worse_ranked_task_is_slowed_when_cpu_is_short()
+    {
+        elect_with_overload();
+        submit_spare("a", 8, 10);
+        submit_spare("b", 4, 10);
+        first_placed();
+        core::worker_runs runs;
+        for (std::uint32_t i = 0; i < 8; ++i)
+        {
+            runs.running.push_back(running_at(run_of("a", 0, i), 600));
+        }
+        for (std::uint32_t i = 0; i < 4; ++i)
+        {
+            runs.running.push_back(running_at(run_of("b", 0, i), 600));
+        }
+        orders();
+        for (int i = 0; i < 3; ++i)
+        {
+            m_now += std::chrono::milliseconds(600);
+            report(runs);
+            plan();
+        }
+        CPPUNIT_ASSERT(!orders().paces.empty());
+        for (std::uint32_t i = 0; i < 4; ++i)
+        {
+            CPPUNIT_ASSERT(is_stopped(run_of("b", 0, i)));
+        }
+        CPPUNIT_ASSERT(!is_stopped(run_of("a", 0, 0)));
+    }
+
 private:
     void elect_with_overload()
     {
         dispatch_options options;
         options.overload.order = true;
+        options.overload.pace = true;
         m_dispatcher = std::make_unique<dispatcher>(
             m_table,
             options,
@@ -57,6 +90,31 @@
         m_table.submit(submission(id, {described}), queue(), m_now);
     }
 
+    /// @return True if a pace of 0 was decided for the run.
+    bool is_stopped(core::task_run const& run) const
+    {
+        auto const task = core::text_field("task", core::to_string(run.task));
+        auto const pace = core::number_field("percent", 0);
+        return std::any_of(
+            m_events.begin(),
+            m_events.end(),
+            [&](core::event const& each)
+            {
+                auto const& fields = each.fields;
+                return std::count(fields.begin(), fields.end(), task) > 0 &&
+                       std::count(fields.begin(), fields.end(), pace) > 0;
+            });
+    }
+
+    static core::running_task running_at(core::task_run const& run,
+                                         std::int64_t load)
+    {
+        core::running_task row;
+        row.run = run;
+        row.load = load;
+        return row;
+    }
+
     /// @return Workflow of the first placement.
     std::string first_placed()
     {
