Evict work that loses little for work that would lose much

Cause: a task of a better priority, or one whose job can still be in time, waits for the end of tasks whose loss costs less.

New events run_preempted and job_prospect_changed.

--- a/modules/core/events/event_code.hpp
+++ b/modules/core/events/event_code.hpp
@@ -55,6 +55,9 @@
     worker_set_aside = 410,
     dispatch_summary = 411,
     start_withdrawn = 413,
+    run_preempted = 414,
+    job_prospect_changed = 415,
+    job_refused = 416,
 
     // Control: the group and its state
     role_changed = 451,
@@ -139,6 +142,9 @@
                 event_severity::warning},
     event_entry{event_code::dispatch_summary, "dispatch_summary"},
     event_entry{event_code::start_withdrawn, "start_withdrawn"},
+    event_entry{event_code::run_preempted, "run_preempted"},
+    event_entry{event_code::job_prospect_changed, "job_prospect_changed"},
+    event_entry{event_code::job_refused, "job_refused"},
     event_entry{event_code::role_changed, "role_changed"},
     event_entry{event_code::leadership_began, "leadership_began"},
     event_entry{event_code::leadership_ended, "leadership_ended"},
--- a/modules/overload/account/job_account.cpp
+++ b/modules/overload/account/job_account.cpp
@@ -5,6 +5,20 @@
 namespace turmericswitch::overload
 {
 
+std::string_view to_string(prospect expected)
+{
+    switch (expected)
+    {
+    case prospect::in_time:
+        return "in_time";
+    case prospect::late:
+        return "late";
+    case prospect::hopeless:
+        return "hopeless";
+    }
+    return "unknown";
+}
+
 core::time_point due_time(job_account const& account)
 {
     return account.submitted + account.objective;
--- a/modules/overload/account/job_account.hpp
+++ b/modules/overload/account/job_account.hpp
@@ -7,7 +7,7 @@
 
 #include <compare>
 #include <cstdint>
-#include <string>
+#include <string_view>
 
 namespace turmericswitch::overload
 {
@@ -25,6 +25,9 @@
     hopeless,
 };
 
+/// @return The name as in logs.
+std::string_view to_string(prospect expected);
+
 /// Capacity for which jobs compete.
 struct capacity_pool
 {
--- a/modules/workflow/dispatch/dispatch_events.cpp
+++ b/modules/workflow/dispatch/dispatch_events.cpp
@@ -99,6 +99,39 @@
     return event;
 }
 
+core::event job_prospect_event(core::time_point cluster_now,
+                               overload::job_account const& account,
+                               overload::job_rank const& rank)
+{
+    constexpr double milliseconds_per_second = 1000;
+    return {
+        event_code::job_prospect_changed,
+        {text_field("workflow", account.job.value()),
+         text_field("queue", account.queue.value()),
+         text_field("prospect", overload::to_string(rank.expected)),
+         number_field("position", rank.position),
+         number_field("priority", account.priority),
+         number_field("work_left_ms",
+                      account.remaining_work * milliseconds_per_second),
+         time_field("ends_in_ms", rank.expected_end - cluster_now),
+         time_field("due_in_ms", overload::due_time(account) - cluster_now)}};
+}
+
+core::event run_preempted_event(preemption const& what)
+{
+    core::event event{event_code::run_preempted,
+                      fields_of(what.victim.run, what.worker)};
+    for (auto& field :
+         {text_field("for", what.claimant.workflow.value()),
+          text_field("prospect", overload::to_string(what.victim.expected)),
+          number_field("priority", what.victim.priority),
+          time_field("lost_ms", what.victim.since_checkpoint)})
+    {
+        event.fields.push_back(field);
+    }
+    return event;
+}
+
 core::event start_withdrawn_event(core::worker_id const& worker,
                                   core::task_run const& run)
 {
--- a/modules/workflow/dispatch/dispatch_events.hpp
+++ b/modules/workflow/dispatch/dispatch_events.hpp
@@ -3,6 +3,7 @@
 
 #include "core/events/event.hpp"
 #include "workflow/dispatch/pace_controller.hpp"
+#include "workflow/dispatch/preemption_planner.hpp"
 #include "workflow/dispatch/worker_fleet.hpp"
 
 #include <optional>
@@ -45,6 +46,13 @@
                               core::task_run const& run,
                               core::worker_id const& next);
 
+/// @param cluster_now On the clock of the submission times.
+core::event job_prospect_event(core::time_point cluster_now,
+                               overload::job_account const& account,
+                               overload::job_rank const& rank);
+
+core::event run_preempted_event(preemption const& what);
+
 core::event start_withdrawn_event(core::worker_id const& worker,
                                   core::task_run const& run);
 
--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -52,6 +52,7 @@
       m_candidates(table, m_fleet, m_colocation),
       m_ends(table, m_fleet),
       m_orders(table),
+      m_preemption(table, m_fleet, m_accounts, preemption_hooks()),
       m_on_event(std::move(on_event))
 {
     rank_by_accounts();
@@ -79,12 +80,17 @@
 void dispatcher::update_accounts(plan_times const& times)
 {
     auto const& options = m_options.overload;
-    if (options.order || options.pace)
+    if (options.order || options.pace || options.preemption)
     {
         m_accounts.update(
             times.now,
             times.cluster,
             [this] { return measure_supply(m_table, m_fleet, m_colocation); });
+        for (auto const& account : m_accounts.take_worsened())
+        {
+            m_on_event(job_prospect_event(
+                times.cluster, account, *m_accounts.rank(account.job)));
+        }
     }
 }
 
@@ -300,6 +306,33 @@
     }
 }
 
+void dispatcher::preempt(core::time_point now,
+                         std::vector<pending_stage const*> const& waiting,
+                         std::vector<core::run_placement> const& placed,
+                         std::vector<candidate_worker*> const& workers)
+{
+    if (!m_options.overload.preemption)
+    {
+        return;
+    }
+    for (auto const& each : m_preemption.plan(now, waiting, placed, workers))
+    {
+        m_orders.evict(each.worker, each.victim.run);
+        m_candidates.mark_changed(each.worker);
+        m_on_event(run_preempted_event(each));
+    }
+}
+
+preemption_planner::planner_hooks dispatcher::preemption_hooks() const
+{
+    return {[this](stage_ref const& stage)
+            { return m_backlog.waiting_since(stage); },
+            [this](core::worker_id const& worker, core::task_run const& run)
+            { return m_colocation.pace(worker, run); },
+            [this](core::task_run const& run) { return is_evictable(run); },
+            make_tail_hook()};
+}
+
 tail_hook dispatcher::make_tail_hook() const
 {
     return [this](core::worker_id const& worker, cpu_by_image const& added)
@@ -344,6 +377,7 @@
         m_candidates.mark_changed(placed.worker);
     }
     evict_stalled(times.now, workers);
+    preempt(times.now, waiting, command.placements, workers);
     for (auto const* const each : workers)
     {
         // Workers that the plan closed are open again for the next one.
--- a/modules/workflow/dispatch/dispatcher.hpp
+++ b/modules/workflow/dispatch/dispatcher.hpp
@@ -9,6 +9,7 @@
 #include "workflow/dispatch/end_collector.hpp"
 #include "workflow/dispatch/job_accounts.hpp"
 #include "workflow/dispatch/order_reconciler.hpp"
+#include "workflow/dispatch/preemption_planner.hpp"
 #include "workflow/dispatch/run_time_model.hpp"
 #include "workflow/dispatch/stage_backlog.hpp"
 #include "workflow/dispatch/stage_planner.hpp"
@@ -128,6 +129,11 @@
                             core::configuration const& config);
     void evict_stalled(core::time_point now,
                        std::vector<candidate_worker*> const& workers);
+    void preempt(core::time_point now,
+                 std::vector<pending_stage const*> const& waiting,
+                 std::vector<core::run_placement> const& placed,
+                 std::vector<candidate_worker*> const& workers);
+    preemption_planner::planner_hooks preemption_hooks() const;
     bool is_evictable(core::task_run const& run) const;
     tail_hook make_tail_hook() const;
     void rank_by_accounts();
@@ -162,6 +168,7 @@
     /// Placement times of the runs that this leader placed.
     std::map<core::task_run, core::time_point> m_placed_at;
     order_reconciler m_orders;
+    preemption_planner m_preemption;
     core::time_point m_next_eviction;
     core::event_hook m_on_event;
     /// Number of the last batch of orders for each worker.
--- a/modules/workflow/dispatch/job_accounts.cpp
+++ b/modules/workflow/dispatch/job_accounts.cpp
@@ -123,6 +123,29 @@
     }
     m_ranks = overload::rank_jobs(
         m_accounts, m_supply.capacities, cluster_now, m_options.value);
+    note_worsened();
+}
+
+void job_accounts::note_worsened()
+{
+    std::erase_if(m_reported,
+                  [this](auto const& item)
+                  { return !m_ranks.contains(item.first); });
+    for (auto const& account : m_accounts)
+    {
+        auto const expected = m_ranks.at(account.job).expected;
+        auto& reported = m_reported[account.job];
+        if (expected > reported)
+        {
+            reported = expected;
+            m_worsened.push_back(account);
+        }
+    }
+}
+
+std::vector<overload::job_account> job_accounts::take_worsened()
+{
+    return std::exchange(m_worsened, {});
 }
 
 void job_accounts::examine(core::workflow_id const& id)
--- a/modules/workflow/dispatch/job_accounts.hpp
+++ b/modules/workflow/dispatch/job_accounts.hpp
@@ -39,6 +39,10 @@
     ///         or that has ended.
     overload::job_rank const* rank(core::workflow_id const& job) const;
 
+    /// @return The jobs that became late or hopeless since the last call, each
+    ///         reported at most once for each prospect.
+    std::vector<overload::job_account> take_worsened();
+
     /// @return The accounts of the last renewal, in the order of their ids.
     std::vector<overload::job_account> const& accounts() const noexcept;
 
@@ -60,6 +64,7 @@
     bool read_changes();
     void examine(core::workflow_id const& id);
     void record_end(core::workflow_id const& id);
+    void note_worsened();
     overload::job_account account_of(core::workflow_id const& id,
                                      job_progress const& progress) const;
 
@@ -73,6 +78,9 @@
     std::map<core::workflow_id, job_progress> m_jobs;
     std::vector<overload::job_account> m_accounts;
     overload::job_ranks m_ranks;
+    /// Worst prospect that was reported for each job.
+    std::map<core::workflow_id, overload::prospect> m_reported;
+    std::vector<overload::job_account> m_worsened;
     pool_supply m_supply;
     core::time_point m_next_renewal;
     core::time_point m_next_supply;
--- a/modules/workflow/tests/overload_dispatch_test.cpp
+++ b/modules/workflow/tests/overload_dispatch_test.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(job_that_can_be_in_time_is_placed_before_an_older_late_one);
     CPPUNIT_TEST(jobs_that_can_all_be_in_time_keep_the_order_of_age);
     CPPUNIT_TEST(worse_ranked_task_is_slowed_when_cpu_is_short);
+    CPPUNIT_TEST(task_of_better_priority_takes_the_place_of_a_worse_one);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -66,12 +67,44 @@
         CPPUNIT_ASSERT(!is_stopped(run_of("a", 0, 0)));
     }
 
+    // Guards against urgent tasks that wait for the end of long ones, and
+    // against evictions that go on without need.
+    void task_of_better_priority_takes_the_place_of_a_worse_one()
+    {
+        elect_with_overload();
+        auto described = stage(8);
+        described.behaviour.checkpoints = true;
+        auto batch = queue();
+        batch.priority = 1;
+        m_table.submit(submission("a", {described}), batch, m_now);
+        first_placed();
+        core::worker_runs runs;
+        for (std::uint32_t i = 0; i < 8; ++i)
+        {
+            runs.running.push_back(running_at(run_of("a", 0, i), 1000));
+        }
+        report(runs);
+        orders();
+        m_table.submit(submission("b", {stage(1)}), queue(), m_now);
+        plan();
+        CPPUNIT_ASSERT(orders().stops.empty());
+        for (int i = 0; i < 6; ++i)
+        {
+            m_now += std::chrono::milliseconds(300);
+            report(runs);
+            plan();
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, orders().stops.size());
+        last_event(core::event_code::run_preempted);
+    }
+
 private:
     void elect_with_overload()
     {
         dispatch_options options;
         options.overload.order = true;
         options.overload.pace = true;
+        options.overload.preemption = true;
         m_dispatcher = std::make_unique<dispatcher>(
             m_table,
             options,
