Refuse jobs that would end too late to be useful

Cause: every valid job is accepted, so in overload jobs wait whose results are useless when they end.

Change: with `[overload] admission = yes` the leader refuses a new job with `not_admitted` (513; 503 with Retry-After for the caller) if its rank says that it ends after three times its objective. The time to retry follows from the work ahead and its drain rate, with a random part. Never refused: workflows that the table knows or that are proposed, the first job of a queue, and jobs of a leader younger than 5 s. A refusal follows a confirmed read and is repeated for 5 s. Gateways use the last time to retry, up to 10 s old, while no leader answers. The deployment's settings leave it off until a test with real processes covers it.

--- a/modules/core/messages/commands.hpp
+++ b/modules/core/messages/commands.hpp
@@ -233,6 +233,8 @@
     /// For `submit_jobs`: one id per job, in order.
     std::vector<job_id> jobs;
     std::optional<endpoint> leader;
+    /// For `not_admitted`: when a new submission has a chance.
+    duration retry_after{};
 
     bool operator==(command_reply const&) const = default;
 };
--- a/modules/core/results/result_code.hpp
+++ b/modules/core/results/result_code.hpp
@@ -77,6 +77,7 @@
     job_invalid = 510,
     queue_unknown = 511,
     overloaded = 512,
+    not_admitted = 513,
 
     // Disk
     disk_full = 601,
--- a/modules/overload/order/job_ranking.cpp
+++ b/modules/overload/order/job_ranking.cpp
@@ -40,6 +40,8 @@
     /// Value in time per core-second that is left. Work that is not known well
     /// is drawn to the average of the queue.
     double density = 0;
+    /// 0 for the oldest job.
+    std::size_t age_order = 0;
 };
 
 using job_list = std::vector<ranked_job*>;
@@ -173,11 +175,8 @@
     // Of equal jobs the youngest is delayed.
     auto const is_costlier = [](ranked_job const* a, ranked_job const* b)
     {
-        return std::tie(a->account->is_protected,
-                        a->density,
-                        b->account->submitted) >
-               std::tie(
-                   b->account->is_protected, b->density, a->account->submitted);
+        return std::tie(a->account->is_protected, a->density, b->age_order) >
+               std::tie(b->account->is_protected, b->density, a->age_order);
     };
     std::priority_queue<ranked_job*, job_list, decltype(is_costlier)> kept(
         is_costlier);
@@ -329,7 +328,7 @@
     jobs.reserve(accounts.size());
     for (auto const& account : accounts)
     {
-        jobs.push_back({&account, {}, 0, 0});
+        jobs.push_back({&account, {}, 0, 0, 0});
     }
     std::map<capacity_pool, std::map<std::uint32_t, job_list>> classes;
     std::sort(jobs.begin(),
@@ -339,8 +338,10 @@
                   return std::tie(a.account->submitted, a.account->job) <
                          std::tie(b.account->submitted, b.account->job);
               });
+    std::size_t age_order = 0;
     for (auto& each : jobs)
     {
+        each.age_order = age_order++;
         classes[each.account->pool][each.account->priority].push_back(&each);
     }
     for (auto const& [pool, priorities] : classes)
--- a/modules/overload/overload.hpp
+++ b/modules/overload/overload.hpp
@@ -6,6 +6,7 @@
 // docs/design/overload.md explains the policies.
 
 #include "overload/account/job_account.hpp"
+#include "overload/admit/admission_control.hpp"
 #include "overload/evict/victim_choice.hpp"
 #include "overload/order/class_fairness.hpp"
 #include "overload/order/job_ranking.hpp"
--- a/modules/web/message/error_response.cpp
+++ b/modules/web/message/error_response.cpp
@@ -69,6 +69,7 @@
     status_row{result_code::document_conflict, 409},
     status_row{result_code::queue_unknown, 404},
     status_row{result_code::overloaded, 429},
+    status_row{result_code::not_admitted, 503},
     status_row{result_code::disk_full, 507},
     status_row{result_code::version_unknown, 400},
     status_row{result_code::message_malformed, 400},
--- a/modules/wire/codec/message_codec.cpp
+++ b/modules/wire/codec/message_codec.cpp
@@ -86,6 +86,8 @@
 constexpr std::size_t appended_members<core::workflow_progress> = 1;
 template <>
 constexpr std::size_t appended_members<core::state_snapshot> = 1;
+template <>
+constexpr std::size_t appended_members<core::command_reply> = 1;
 
 /// @return Number of members to write: all but the appended ones at the end
 ///         that have their default values.
--- a/modules/workflow/dispatch/dispatch_events.cpp
+++ b/modules/workflow/dispatch/dispatch_events.cpp
@@ -13,6 +13,8 @@
 namespace
 {
 
+constexpr double milliseconds_per_second = 1000;
+
 constexpr double percent_of_one = 100;
 
 std::vector<core::event_field> fields_of(core::task_run const& run,
@@ -99,11 +101,25 @@
     return event;
 }
 
+core::event job_refused_event(core::time_point cluster_now,
+                              overload::job_account const& account,
+                              overload::admission_decision const& decision)
+{
+    return {event_code::job_refused,
+            {text_field("workflow", account.job.value()),
+             text_field("queue", account.queue.value()),
+             time_field("ends_in_ms", decision.expected_end - cluster_now),
+             time_field("latest_in_ms",
+                        overload::latest_useful_time(account) - cluster_now),
+             time_field("retry_after_ms", decision.retry_after),
+             number_field("work_ahead_ms",
+                          decision.work_ahead * milliseconds_per_second)}};
+}
+
 core::event job_prospect_event(core::time_point cluster_now,
                                overload::job_account const& account,
                                overload::job_rank const& rank)
 {
-    constexpr double milliseconds_per_second = 1000;
     return {
         event_code::job_prospect_changed,
         {text_field("workflow", account.job.value()),
--- a/modules/workflow/dispatch/dispatch_events.hpp
+++ b/modules/workflow/dispatch/dispatch_events.hpp
@@ -51,6 +51,11 @@
                                overload::job_account const& account,
                                overload::job_rank const& rank);
 
+/// @param cluster_now On the clock of the submission times.
+core::event job_refused_event(core::time_point cluster_now,
+                              overload::job_account const& account,
+                              overload::admission_decision const& decision);
+
 core::event run_preempted_event(preemption const& what);
 
 core::event start_withdrawn_event(core::worker_id const& worker,
--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -30,6 +30,10 @@
 /// workflow ends or arrives. It covers changes of the spare CPU and of leases.
 constexpr core::duration placement_interval = std::chrono::milliseconds(100);
 
+/// Time for which a new leader refuses nothing, because it does not know all
+/// workers: a healthy one reports once a second.
+constexpr core::duration learning_time = std::chrono::seconds(5);
+
 bool is_end_with_worker(core::run_end how)
 {
     return how == core::run_end::lost || how == core::run_end::crashed;
@@ -45,6 +49,8 @@
     : m_table(table),
       m_options(options),
       m_fencing_token(fencing_token),
+      m_elected(elected),
+      m_admission(core::seeded_random(fencing_token)),
       m_fleet(options.leases, table.longest_lease(), elected),
       m_colocation(options.harm_limit),
       m_accounts(table, m_run_times, options.overload),
@@ -77,10 +83,46 @@
     }
 }
 
-void dispatcher::update_accounts(plan_times const& times)
+bool dispatcher::needs_accounts() const noexcept
 {
     auto const& options = m_options.overload;
-    if (options.order || options.pace || options.preemption)
+    return options.order || options.pace || options.preemption ||
+           options.admission;
+}
+
+std::optional<overload::admission_decision>
+dispatcher::refusal(plan_times const& times,
+                    core::workflow_record const& workflow)
+{
+    if (!m_options.overload.admission || times.now - m_elected < learning_time)
+    {
+        return std::nullopt;
+    }
+    update_accounts(times);
+    auto const account = m_accounts.account_of_new(workflow);
+    if (!account)
+    {
+        return std::nullopt;
+    }
+    auto const decision =
+        m_admission.decide(*account,
+                           {m_accounts.accounts(), m_accounts.capacities()},
+                           times.cluster,
+                           m_options.overload.value);
+    if (decision.is_accepted)
+    {
+        return std::nullopt;
+    }
+    if (!decision.is_repeated)
+    {
+        m_on_event(job_refused_event(times.cluster, *account, decision));
+    }
+    return decision;
+}
+
+void dispatcher::update_accounts(plan_times const& times)
+{
+    if (needs_accounts())
     {
         m_accounts.update(
             times.now,
--- a/modules/workflow/dispatch/dispatcher.hpp
+++ b/modules/workflow/dispatch/dispatcher.hpp
@@ -94,6 +94,13 @@
     /// process still leads, so that its ends are collected again.
     void rejected(core::workflow_progress const& command);
 
+    /// Decides whether a new workflow is accepted; logs a refusal.
+    ///
+    /// @param workflow As it would be recorded.
+    /// @return The refusal, or `nullopt` if it is accepted.
+    std::optional<overload::admission_decision>
+    refusal(plan_times const& times, core::workflow_record const& workflow);
+
     /// Handles the number of the last batch of orders that a sidecar received.
     /// If a batch was lost, all orders are sent again.
     void acknowledge_orders(core::worker_id const& worker, std::uint64_t batch);
@@ -137,6 +144,7 @@
     bool is_evictable(core::task_run const& run) const;
     tail_hook make_tail_hook() const;
     void rank_by_accounts();
+    bool needs_accounts() const noexcept;
     void update_accounts(plan_times const& times);
     void update_colocation(core::time_point now, worker_view const& view);
     void record_run_time(core::time_point now,
@@ -150,6 +158,8 @@
     workflow_table const& m_table;
     dispatch_options m_options;
     std::uint64_t m_fencing_token;
+    core::time_point m_elected;
+    overload::admission_control m_admission;
     worker_fleet m_fleet;
     worker_health m_health;
     colocation_controller m_colocation;
--- a/modules/workflow/dispatch/job_accounts.cpp
+++ b/modules/workflow/dispatch/job_accounts.cpp
@@ -118,7 +118,7 @@
     {
         if (!progress.empty())
         {
-            m_accounts.push_back(account_of(id, progress));
+            m_accounts.push_back(account_of(*m_table.find(id), progress));
         }
     }
     m_ranks = overload::rank_jobs(
@@ -201,13 +201,12 @@
 }
 
 overload::job_account
-job_accounts::account_of(core::workflow_id const& id,
+job_accounts::account_of(core::workflow_record const& workflow,
                          job_progress const& progress) const
 {
-    auto const& workflow = *m_table.find(id);
     auto const& stages = workflow.description.stages;
     overload::job_account account;
-    account.job = id;
+    account.job = workflow.workflow;
     account.queue = workflow.queue.queue;
     account.priority = workflow.queue.priority;
     account.submitted = workflow.submitted;
@@ -257,6 +256,22 @@
     return account;
 }
 
+std::optional<overload::job_account>
+job_accounts::account_of_new(core::workflow_record const& workflow) const
+{
+    auto const& stages = workflow.description.stages;
+    if (stages.empty() || !has_objective(workflow))
+    {
+        return std::nullopt;
+    }
+    job_progress progress;
+    for (auto const& stage : stages)
+    {
+        progress.push_back({static_cast<double>(stage.tasks), true});
+    }
+    return account_of(workflow, progress);
+}
+
 overload::job_rank const* job_accounts::rank(core::workflow_id const& job) const
 {
     auto const known = m_ranks.find(job);
--- a/modules/workflow/dispatch/job_accounts.hpp
+++ b/modules/workflow/dispatch/job_accounts.hpp
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 
 namespace turmericswitch::workflow
@@ -43,6 +44,12 @@
     ///         reported at most once for each prospect.
     std::vector<overload::job_account> take_worsened();
 
+    /// @return The account of a workflow that may not be in the table;
+    /// `nullopt`
+    ///         for one that has no end or a schedule.
+    std::optional<overload::job_account>
+    account_of_new(core::workflow_record const& workflow) const;
+
     /// @return The accounts of the last renewal, in the order of their ids.
     std::vector<overload::job_account> const& accounts() const noexcept;
 
@@ -65,7 +72,7 @@
     void examine(core::workflow_id const& id);
     void record_end(core::workflow_id const& id);
     void note_worsened();
-    overload::job_account account_of(core::workflow_id const& id,
+    overload::job_account account_of(core::workflow_record const& workflow,
                                      job_progress const& progress) const;
 
     workflow_table const& m_table;
--- a/programs/control/api/process_api.cpp
+++ b/programs/control/api/process_api.cpp
@@ -161,18 +161,25 @@
     m_node.run(
         [this, envelope = std::move(*envelope), answer = std::move(answer)]
         {
+            auto done = [this, answer](core::command_reply reply)
+            {
+                if (reply.code == core::result_code::not_leader)
+                {
+                    reply.leader = leader_rpc();
+                }
+                answer.answer(wire::encode(reply));
+            };
+            auto const& workflows = m_node.workflows();
+            if (workflows &&
+                std::holds_alternative<core::submit_workflow>(envelope.body))
+            {
+                workflows->submit(envelope, std::move(done));
+                return;
+            }
             m_node.group().propose(envelope.body,
                                    envelope.client,
                                    envelope.sequence,
-                                   [this, answer](core::command_reply reply)
-                                   {
-                                       if (reply.code ==
-                                           core::result_code::not_leader)
-                                       {
-                                           reply.leader = leader_rpc();
-                                       }
-                                       answer.answer(wire::encode(reply));
-                                   });
+                                   std::move(done));
         });
 }
 
--- a/programs/control/leader/workflow_service.cpp
+++ b/programs/control/leader/workflow_service.cpp
@@ -75,6 +75,7 @@
                    node.current_term().value(),
                    process::event_loop::now(),
                    m_on_event),
+      m_metrics(metrics),
       m_commit_time(
           metrics.latency("turmericswitch_control_commit_seconds",
                           "Time from a plan to its commit, on the leader.")),
@@ -144,6 +145,89 @@
     }
 }
 
+void workflow_service::submit(core::command_envelope envelope, reply_hook done)
+{
+    auto const& command = std::get<core::submit_workflow>(envelope.body);
+    if (!refusal_of(command))
+    {
+        propose(std::move(envelope), std::move(done));
+        return;
+    }
+    m_node.read(
+        [self = shared_from_this(),
+         envelope = std::move(envelope),
+         done = std::move(done)](core::result_code code)
+        {
+            if (self->m_ended || code != core::result_code::ok)
+            {
+                done(not_leader<core::command_reply>());
+                return;
+            }
+            auto const& confirmed =
+                std::get<core::submit_workflow>(envelope.body);
+            if (auto const refusal = self->refusal_of(confirmed))
+            {
+                done(*refusal);
+                return;
+            }
+            self->propose(envelope, done);
+        });
+}
+
+void workflow_service::propose(core::command_envelope envelope, reply_hook done)
+{
+    auto const id = std::get<core::submit_workflow>(envelope.body).workflow;
+    ++m_proposed[id];
+    m_node.propose(std::move(envelope.body),
+                   envelope.client,
+                   envelope.sequence,
+                   [self = shared_from_this(), id, done = std::move(done)](
+                       core::command_reply const& reply)
+                   {
+                       auto const proposed = self->m_proposed.find(id);
+                       if (--proposed->second == 0)
+                       {
+                           self->m_proposed.erase(proposed);
+                       }
+                       done(reply);
+                   });
+}
+
+std::optional<core::command_reply>
+workflow_service::refusal_of(core::submit_workflow const& command)
+{
+    auto const* const queue = m_node.state().config().find_queue(command.queue);
+    if (queue == nullptr || m_proposed.contains(command.workflow) ||
+        m_node.state().workflows().find(command.workflow) != nullptr)
+    {
+        return std::nullopt;
+    }
+    core::workflow_record record;
+    record.workflow = command.workflow;
+    record.queue = *queue;
+    record.description = command.description;
+    record.submitted = m_node.cluster_now();
+    auto const refusal = m_dispatcher.refusal(
+        {process::event_loop::now(), record.submitted, wall_now()}, record);
+    if (!refusal)
+    {
+        return std::nullopt;
+    }
+    core::command_reply reply;
+    reply.code = core::result_code::not_admitted;
+    reply.text = "the work ahead takes too long";
+    reply.retry_after = refusal->retry_after;
+    if (!refusal->is_repeated)
+    {
+        m_metrics
+            .counter("turmericswitch_control_refused_jobs_total",
+                     "Jobs that were refused because they would end too late.",
+                     {{"queue", command.queue.value()}})
+            .add();
+    }
+    return reply;
+}
+
 void workflow_service::report(core::runtime_report report, grant_hook done)
 {
     waiting_report waiting{
--- a/programs/control/leader/workflow_service.hpp
+++ b/programs/control/leader/workflow_service.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,7 @@
 public:
     using grant_hook = std::function<void(core::runtime_grant)>;
     using orders_hook = std::function<void(core::runtime_orders)>;
+    using reply_hook = std::function<void(core::command_reply)>;
     using query_hook = std::function<void(core::workflow_answer)>;
 
     /// The references must outlive the object.
@@ -42,6 +44,13 @@
     /// Call after the replica applied a command.
     void applied(core::command_body const& command);
 
+    /// Proposes a workflow, or refuses it with `not_admitted`. A refusal
+    /// follows a confirmed read: a deposed leader may not know that the
+    /// workflow was accepted.
+    ///
+    /// @param envelope Contains a `submit_workflow`.
+    void submit(core::command_envelope envelope, reply_hook done);
+
     /// Handles a sidecar's report. The answer follows when the ends of runs in
     /// the report are committed and leadership was confirmed after the report
     /// arrived.
@@ -75,6 +84,10 @@
         query_hook done;
     };
 
+    void propose(core::command_envelope envelope, reply_hook done);
+    /// @return Nothing if the workflow is accepted, known, or was proposed.
+    std::optional<core::command_reply>
+    refusal_of(core::submit_workflow const& command);
     /// Plans and delivers orders after the tasks that already wait for the
     /// loop, so that one plan covers all events that have arrived.
     void schedule_plan();
@@ -105,6 +118,9 @@
     std::vector<waiting_report> m_reports;
     std::map<core::worker_id, waiting_poll> m_polls;
     std::vector<waiting_query> m_queries;
+    /// Number of proposals of each workflow that were not answered.
+    std::map<core::workflow_id, std::size_t> m_proposed;
+    telemetry::metrics_registry& m_metrics;
     telemetry::latency_metric& m_commit_time;
     telemetry::latency_metric& m_workflow_time;
     telemetry::counter& m_placements;
--- a/programs/gateway/jobs/job_client.cpp
+++ b/programs/gateway/jobs/job_client.cpp
@@ -150,8 +150,9 @@
                     {
                         return std::nullopt;
                     }
-                    job_result result{reply->code, reply->text, {}};
+                    job_result result{reply->code, reply->text, {}, {}};
                     result.answer.leader = reply->leader;
+                    result.retry_after = reply->retry_after;
                     return result;
                 },
                 true});
@@ -172,18 +173,18 @@
 job_result job_client::query(core::workflow_query const& query,
                              core::duration timeout)
 {
-    return run(
-        {"/workflow-query",
-         wire::encode(query),
-         timeout,
-         [](std::string const& bytes) -> std::optional<job_result>
-         {
-             auto const answer = wire::decode<core::workflow_answer>(bytes);
-             return answer
-                        ? std::optional(job_result{answer->code, {}, *answer})
-                        : std::nullopt;
-         },
-         false});
+    return run({"/workflow-query",
+                wire::encode(query),
+                timeout,
+                [](std::string const& bytes) -> std::optional<job_result>
+                {
+                    auto const answer =
+                        wire::decode<core::workflow_answer>(bytes);
+                    return answer ? std::optional(job_result{
+                                        answer->code, {}, *answer, {}})
+                                  : std::nullopt;
+                },
+                false});
 }
 
 } // namespace turmericswitch::gateway
--- a/programs/gateway/jobs/job_client.hpp
+++ b/programs/gateway/jobs/job_client.hpp
@@ -18,6 +18,8 @@
     core::result_code code = core::result_code::ok;
     std::string text;
     core::workflow_answer answer;
+    /// For `not_admitted`: when a new submission has a chance.
+    core::duration retry_after{};
 };
 
 /// Sends workflow calls to the control leader and waits for the answer.
--- a/programs/gateway/jobs/job_gateway.cpp
+++ b/programs/gateway/jobs/job_gateway.cpp
@@ -106,11 +106,11 @@
         [this](core::submit_workflow const& command, core::duration timeout)
     {
         auto const started_at = process::event_loop::now();
-        return finish_call("submit",
-                           command.queue,
-                           command.workflow,
-                           started_at,
-                           m_client.submit(command, timeout));
+        auto const result = m_client.submit(command, timeout);
+        auto outcome = finish_call(
+            "submit", command.queue, command.workflow, started_at, result);
+        outcome.retry_after = note_admission(command.queue, result);
+        return outcome;
     };
     hooks.cancel =
         [this](core::cancel_workflow const& command, core::duration timeout)
@@ -150,6 +150,21 @@
           core::number_field("config_version", m_config_version.load())}});
 }
 
+core::duration job_gateway::note_admission(core::queue_id const& queue,
+                                           job_result const& result)
+{
+    auto const now = process::event_loop::now();
+    if (result.code == result_code::not_admitted)
+    {
+        m_refusals.refused(now, queue, result.retry_after);
+    }
+    else if (result.code == result_code::ok)
+    {
+        m_refusals.accepted(queue);
+    }
+    return m_refusals.retry_after(now, queue, retry_after_refusal);
+}
+
 platform::job_outcome
 job_gateway::finish_call(std::string const& call,
                          core::queue_id const& queue,
--- a/programs/gateway/jobs/job_gateway.hpp
+++ b/programs/gateway/jobs/job_gateway.hpp
@@ -4,6 +4,7 @@
 #include "core/hooks/snapshot_publisher.hpp"
 #include "gateway/jobs/job_client.hpp"
 #include "gateway/jobs/queue_table.hpp"
+#include "gateway/jobs/refusal_cache.hpp"
 #include "platform/api/caller_api.hpp"
 #include "shared/control_link/config_watch.hpp"
 #include "telemetry/telemetry.hpp"
@@ -48,6 +49,9 @@
                                                     std::string const& path);
     bool is_config_current() const;
     void record_rejected(platform::rejected_call const& call);
+    /// @return The delay for `Retry-After`.
+    core::duration note_admission(core::queue_id const& queue,
+                                  job_result const& result);
     platform::job_outcome finish_call(std::string const& call,
                                       core::queue_id const& queue,
                                       core::workflow_id const& workflow,
@@ -56,6 +60,7 @@
 
     telemetry::logger m_log{"gateway"};
     job_client m_client;
+    refusal_cache m_refusals;
     core::duration m_max_config_age;
     std::atomic<core::time_point> m_config_confirmed;
     core::snapshot_publisher<queue_table> m_queues;
