--- a/modules/workflow/dispatch/preemption_planner.cpp
+++ b/modules/workflow/dispatch/preemption_planner.cpp
@@ -189,6 +189,7 @@
         }
     }
     std::vector<preemption> found;
+    found.reserve(cheapest.size());
     for (auto const& victim : cheapest)
     {
         found.push_back({best->worker, victim, claimant.stage});
