--- a/extras/bench/dispatch_cost/main.cpp
+++ b/extras/bench/dispatch_cost/main.cpp
@@ -17,6 +17,7 @@
 Usage:
   dispatch_cost [--workers LIST] [--seconds N] [--warm-up N] [--seed N]
                 [--placement]
+                [--overload]
   dispatch_cost --help | --version
 
 Options:
@@ -26,6 +27,7 @@
   --warm-up N     Simulated seconds before that [default: 10].
   --seed N        Seed of run times and images [default: 1].
   --placement     Enables the optional features of placement.
+  --overload      Orders, paces and evicts as in overload.
   --help          Shows this text.
   --version       Shows the version.
 )";
@@ -65,17 +67,19 @@
         std::chrono::seconds(arguments.at("--warm-up").asLong());
     auto const seed =
         static_cast<std::uint64_t>(arguments.at("--seed").asLong());
-    workflow::placement_options placement;
-    if (arguments.at("--placement").asBool())
-    {
-        placement.packing = true;
-        placement.speed = true;
-        placement.moves = true;
-    }
+    bool const has_placement = arguments.at("--placement").asBool();
+    bool const has_overload = arguments.at("--overload").asBool();
+    workflow::dispatch_options options;
+    options.placement.packing = has_placement;
+    options.placement.speed = has_placement;
+    options.placement.moves = has_placement;
+    options.overload.order = has_overload;
+    options.overload.pace = has_overload;
+    options.overload.preemption = has_overload;
     double smallest = 0;
     for (auto const workers : parse_list(arguments.at("--workers").asString()))
     {
-        bench::simulated_fleet fleet(workers, seed, placement);
+        bench::simulated_fleet fleet(workers, seed, options);
         auto const cost = fleet.run(warm_up, seconds);
         auto const measured_s = static_cast<double>(seconds.count());
         auto const per_run =
--- a/extras/bench/dispatch_cost/simulated_fleet.cpp
+++ b/extras/bench/dispatch_cost/simulated_fleet.cpp
@@ -56,13 +56,6 @@
     return rule;
 }
 
-workflow::dispatch_options options_with(workflow::placement_options placement)
-{
-    workflow::dispatch_options options{{lease, lease}};
-    options.placement = placement;
-    return options;
-}
-
 /// Adds the processor time of its lifetime to a cost.
 class cost_timer
 {
@@ -103,6 +96,12 @@
     return text;
 }
 
+workflow::dispatch_options with_leases(workflow::dispatch_options options)
+{
+    options.leases = {lease, lease};
+    return options;
+}
+
 } // namespace
 
 double dispatch_cost::total_ms() const
@@ -112,14 +111,11 @@
 
 simulated_fleet::simulated_fleet(std::size_t workers,
                                  std::uint64_t seed,
-                                 workflow::placement_options placement)
+                                 workflow::dispatch_options options)
     : m_random(core::seeded_random(seed)),
       m_now(std::chrono::seconds(1000)),
-      m_dispatcher(m_table,
-                   options_with(placement),
-                   1,
-                   m_now,
-                   [](core::event const&) {}),
+      m_dispatcher(
+          m_table, with_leases(options), 1, m_now, [](core::event const&) {}),
       m_workers(workers),
       m_arrivals(std::size(kinds))
 {
--- a/extras/bench/dispatch_cost/simulated_fleet.hpp
+++ b/extras/bench/dispatch_cost/simulated_fleet.hpp
@@ -48,7 +48,7 @@
 public:
     simulated_fleet(std::size_t workers,
                     std::uint64_t seed,
-                    workflow::placement_options placement = {});
+                    workflow::dispatch_options options);
 
     /// Runs the simulation.
     ///
--- a/modules/core/events/event_code.hpp
+++ b/modules/core/events/event_code.hpp
@@ -61,6 +61,9 @@
     copy_decided = 415,
     task_fits_nowhere = 421,
     run_moved = 422,
+    run_preempted = 423,
+    job_prospect_changed = 424,
+    job_refused = 425,
 
     // Control: the group and its state
     role_changed = 451,
@@ -159,6 +162,9 @@
                 "task_fits_nowhere",
                 event_severity::warning},
     event_entry{event_code::run_moved, "run_moved"},
+    event_entry{event_code::run_preempted, "run_preempted"},
+    event_entry{event_code::job_prospect_changed, "job_prospect_changed"},
+    event_entry{event_code::job_refused, "job_refused"},
     event_entry{event_code::role_changed, "role_changed"},
     event_entry{event_code::leadership_began, "leadership_began"},
     event_entry{event_code::leadership_ended, "leadership_ended"},
--- a/modules/workflow/dispatch/dispatch_events.cpp
+++ b/modules/workflow/dispatch/dispatch_events.cpp
@@ -13,6 +13,8 @@
 namespace
 {
 
+constexpr double milliseconds_per_second = 1000;
+
 constexpr double percent_of_one = 100;
 
 std::vector<core::event_field> fields_of(core::task_run const& run,
@@ -119,6 +121,53 @@
              text_field("why", found.reason)}};
 }
 
+core::event job_refused_event(core::time_point cluster_now,
+                              overload::job_account const& account,
+                              overload::admission_decision const& decision)
+{
+    return {event_code::job_refused,
+            {text_field("workflow", account.job.value()),
+             text_field("queue", account.queue.value()),
+             time_field("ends_in_ms", decision.expected_end - cluster_now),
+             time_field("latest_in_ms",
+                        overload::latest_useful_time(account) - cluster_now),
+             time_field("retry_after_ms", decision.retry_after),
+             number_field("work_ahead_ms",
+                          decision.work_ahead * milliseconds_per_second)}};
+}
+
+core::event job_prospect_event(core::time_point cluster_now,
+                               overload::job_account const& account,
+                               overload::job_rank const& rank)
+{
+    return {
+        event_code::job_prospect_changed,
+        {text_field("workflow", account.job.value()),
+         text_field("queue", account.queue.value()),
+         text_field("prospect", overload::to_string(rank.expected)),
+         number_field("position", rank.position),
+         number_field("priority", account.priority),
+         number_field("work_left_ms",
+                      account.remaining_work * milliseconds_per_second),
+         time_field("ends_in_ms", rank.expected_end - cluster_now),
+         time_field("due_in_ms", overload::due_time(account) - cluster_now)}};
+}
+
+core::event run_preempted_event(preemption const& what)
+{
+    core::event event{event_code::run_preempted,
+                      fields_of(what.victim.run, what.worker)};
+    for (auto& field :
+         {text_field("for", what.claimant.workflow.value()),
+          text_field("prospect", overload::to_string(what.victim.expected)),
+          number_field("priority", what.victim.priority),
+          time_field("lost_ms", what.victim.since_checkpoint)})
+    {
+        event.fields.push_back(field);
+    }
+    return event;
+}
+
 core::event start_withdrawn_event(core::worker_id const& worker,
                                   core::task_run const& run)
 {
--- a/modules/workflow/dispatch/dispatch_events.hpp
+++ b/modules/workflow/dispatch/dispatch_events.hpp
@@ -6,6 +6,7 @@
 #include "workflow/dispatch/move_controller.hpp"
 #include "workflow/dispatch/oversized_stages.hpp"
 #include "workflow/dispatch/pace_controller.hpp"
+#include "workflow/dispatch/preemption_planner.hpp"
 #include "workflow/dispatch/worker_fleet.hpp"
 
 #include <optional>
@@ -51,6 +52,17 @@
 core::event run_moved_event(run_move const& move);
 
 core::event task_fits_nowhere_event(oversized_stage const& found);
+/// @param cluster_now On the clock of the submission times.
+core::event job_prospect_event(core::time_point cluster_now,
+                               overload::job_account const& account,
+                               overload::job_rank const& rank);
+
+/// @param cluster_now On the clock of the submission times.
+core::event job_refused_event(core::time_point cluster_now,
+                              overload::job_account const& account,
+                              overload::admission_decision const& decision);
+
+core::event run_preempted_event(preemption const& what);
 
 core::event start_withdrawn_event(core::worker_id const& worker,
                                   core::task_run const& run);
--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -35,6 +35,10 @@
 /// A best-effort task that uses less of its request is short of CPU.
 constexpr std::int64_t min_full_use_percent = 90;
 
+/// Time for which a new leader refuses nothing, because it does not know all
+/// workers: a healthy one reports once a second.
+constexpr core::duration learning_time = std::chrono::seconds(5);
+
 bool is_end_with_worker(core::run_end how)
 {
     return how == core::run_end::lost || how == core::run_end::crashed ||
@@ -51,8 +55,11 @@
     : m_table(table),
       m_options(options),
       m_fencing_token(fencing_token),
+      m_elected(elected),
+      m_admission(core::seeded_random(fencing_token)),
       m_fleet(options.leases, table.longest_lease(), elected),
       m_colocation(options.harm_limit),
+      m_accounts(table, m_run_times, options.overload),
       m_backlog(table, m_run_times, m_fleet),
       m_candidates(table, m_fleet, m_colocation),
       m_moves(table, m_fleet, m_backlog, elected),
@@ -60,8 +67,82 @@
       m_copies(
           options.copies, table, m_fleet, options.report_interval, elected),
       m_orders(table),
+      m_preemption(table, m_fleet, m_accounts, preemption_hooks()),
       m_on_event(std::move(on_event))
 {
+    rank_by_accounts();
+}
+
+void dispatcher::rank_by_accounts()
+{
+    if (m_options.overload.order)
+    {
+        m_backlog.order_by([this](core::workflow_id const& job)
+                           { return m_accounts.rank(job); });
+    }
+    if (m_options.overload.pace)
+    {
+        m_colocation.share_by(
+            [this](core::task_run const& run) -> std::optional<std::uint64_t>
+            {
+                auto const* const rank = m_accounts.rank(run.task.workflow);
+                return rank == nullptr ? std::nullopt
+                                       : std::optional(rank->position);
+            });
+    }
+}
+
+bool dispatcher::needs_accounts() const noexcept
+{
+    auto const& options = m_options.overload;
+    return options.order || options.pace || options.preemption ||
+           options.admission;
+}
+
+std::optional<overload::admission_decision>
+dispatcher::refusal(plan_times const& times,
+                    core::workflow_record const& workflow)
+{
+    if (!m_options.overload.admission || times.now - m_elected < learning_time)
+    {
+        return std::nullopt;
+    }
+    update_accounts(times);
+    auto const account = m_accounts.account_of_new(workflow);
+    if (!account)
+    {
+        return std::nullopt;
+    }
+    auto const decision =
+        m_admission.decide(*account,
+                           {m_accounts.accounts(), m_accounts.capacities()},
+                           times.cluster,
+                           m_options.overload.value);
+    if (decision.is_accepted)
+    {
+        return std::nullopt;
+    }
+    if (!decision.is_repeated)
+    {
+        m_on_event(job_refused_event(times.cluster, *account, decision));
+    }
+    return decision;
+}
+
+void dispatcher::update_accounts(plan_times const& times)
+{
+    if (needs_accounts())
+    {
+        m_accounts.update(
+            times.now,
+            times.cluster,
+            [this] { return measure_supply(m_table, m_fleet, m_colocation); });
+        for (auto const& account : m_accounts.take_worsened())
+        {
+            m_on_event(job_prospect_event(
+                times.cluster, account, *m_accounts.rank(account.job)));
+        }
+    }
 }
 
 bool dispatcher::report(core::time_point now, core::runtime_report report)
@@ -305,6 +386,33 @@
     }
 }
 
+void dispatcher::preempt(core::time_point now,
+                         std::vector<pending_stage const*> const& waiting,
+                         std::vector<core::run_placement> const& placed,
+                         std::vector<candidate_worker*> const& workers)
+{
+    if (!m_options.overload.preemption)
+    {
+        return;
+    }
+    for (auto const& each : m_preemption.plan(now, waiting, placed, workers))
+    {
+        m_orders.evict(each.worker, each.victim.run);
+        m_candidates.mark_changed(each.worker);
+        m_on_event(run_preempted_event(each));
+    }
+}
+
+preemption_planner::planner_hooks dispatcher::preemption_hooks() const
+{
+    return {[this](stage_ref const& stage)
+            { return m_backlog.waiting_since(stage); },
+            [this](core::worker_id const& worker, core::task_run const& run)
+            { return m_colocation.pace(worker, run); },
+            [this](core::task_run const& run) { return is_evictable(run); },
+            make_tail_hook()};
+}
+
 tail_hook dispatcher::make_tail_hook() const
 {
     return [this](core::worker_id const& worker, cpu_by_image const& added)
@@ -401,6 +509,7 @@
                              core::configuration const& config,
                              core::workflow_progress& command)
 {
+    update_accounts(times);
     auto const waiting = m_backlog.collect(times);
     // Skips the candidates when there is nothing to place or evict.
     auto const to_copy = m_copies.collect(times.now);
@@ -427,6 +536,7 @@
     report_oversized(times.now, waiting);
     evict_stalled(times.now, workers);
     move_next(times.now);
+    preempt(times.now, waiting, command.placements, workers);
     for (auto const* const each : workers)
     {
         // Workers that the plan closed are open again for the next one.
@@ -650,10 +760,11 @@
     core::runtime_orders orders;
     if (view != nullptr && view->profile.life == life)
     {
-        orders = m_orders.take_due(now,
-                                   *view,
-                                   [this, &worker](core::task_run const& run)
-                                   { return m_colocation.pace(worker, run); });
+        orders = m_orders.take_due(
+            now,
+            *view,
+            [this, &worker](core::task_run const& run)
+            { return m_colocation.pace_to_order(worker, run); });
         for (auto const& run : m_orders.take_withdrawn())
         {
             m_on_event(start_withdrawn_event(worker, run));
--- a/modules/workflow/dispatch/dispatcher.hpp
+++ b/modules/workflow/dispatch/dispatcher.hpp
@@ -8,10 +8,12 @@
 #include "workflow/dispatch/colocation_controller.hpp"
 #include "workflow/dispatch/copy_planner.hpp"
 #include "workflow/dispatch/end_collector.hpp"
+#include "workflow/dispatch/job_accounts.hpp"
 #include "workflow/dispatch/move_controller.hpp"
 #include "workflow/dispatch/order_reconciler.hpp"
 #include "workflow/dispatch/oversized_stages.hpp"
 #include "workflow/dispatch/placement_options.hpp"
+#include "workflow/dispatch/preemption_planner.hpp"
 #include "workflow/dispatch/run_time_model.hpp"
 #include "workflow/dispatch/speed_model.hpp"
 #include "workflow/dispatch/stage_backlog.hpp"
@@ -37,6 +39,7 @@
     core::duration harm_limit = std::chrono::seconds(4);
     copy_options copies{};
     placement_options placement{};
+    overload::overload_options overload{};
 };
 
 /// Amounts of waiting and running work, for operators.
@@ -103,6 +106,13 @@
     /// process still leads, so that its ends are collected again.
     void rejected(core::workflow_progress const& command);
 
+    /// Decides whether a new workflow is accepted; logs a refusal.
+    ///
+    /// @param workflow As it would be recorded.
+    /// @return The refusal, or `nullopt` if it is accepted.
+    std::optional<overload::admission_decision>
+    refusal(plan_times const& times, core::workflow_record const& workflow);
+
     /// Handles the number of the last batch of orders that a sidecar received.
     /// If a batch was lost, all orders are sent again.
     void acknowledge_orders(core::worker_id const& worker, std::uint64_t batch);
@@ -142,6 +152,11 @@
                       core::workflow_progress& command);
     void evict_stalled(core::time_point now,
                        std::vector<candidate_worker*> const& workers);
+    void preempt(core::time_point now,
+                 std::vector<pending_stage const*> const& waiting,
+                 std::vector<core::run_placement> const& placed,
+                 std::vector<candidate_worker*> const& workers);
+    preemption_planner::planner_hooks preemption_hooks() const;
     bool is_evictable(core::task_run const& run) const;
     tail_hook make_tail_hook() const;
     void move_next(core::time_point now);
@@ -150,6 +165,9 @@
                                                  stage_ref const& stage) const;
     void report_oversized(core::time_point now,
                           std::vector<pending_stage const*> const& waiting);
+    void rank_by_accounts();
+    bool needs_accounts() const noexcept;
+    void update_accounts(plan_times const& times);
     void update_colocation(core::time_point now, worker_view const& view);
     void observe_speeds(core::worker_id const& worker,
                         colocation_sample const& sample);
@@ -164,11 +182,14 @@
     workflow_table const& m_table;
     dispatch_options m_options;
     std::uint64_t m_fencing_token;
+    core::time_point m_elected;
+    overload::admission_control m_admission;
     worker_fleet m_fleet;
     worker_health m_health;
     colocation_controller m_colocation;
     run_time_model m_run_times;
     speed_model m_speeds;
+    job_accounts m_accounts;
     stage_backlog m_backlog;
     candidate_pool m_candidates;
     wide_requests m_wide;
@@ -186,6 +207,7 @@
     /// Placement times of the runs that this leader placed.
     std::map<core::task_run, core::time_point> m_placed_at;
     order_reconciler m_orders;
+    preemption_planner m_preemption;
     core::time_point m_next_eviction;
     core::event_hook m_on_event;
     /// Number of the last batch of orders for each worker.
--- a/modules/workflow/dispatch/pending_stage.hpp
+++ b/modules/workflow/dispatch/pending_stage.hpp
@@ -29,6 +29,9 @@
     core::service_id service;
     std::uint32_t priority = 0;
     job_urgency urgency = job_urgency::on_time;
+    /// Place of the job among those of its urgency and priority; of equal ones
+    /// the oldest comes first.
+    std::uint64_t rank = 0;
     core::time_point submitted;
     /// The next attempt of each task.
     std::vector<core::task_run> runs;
--- a/modules/workflow/dispatch/serving_use_estimate.cpp
+++ b/modules/workflow/dispatch/serving_use_estimate.cpp
@@ -36,16 +36,17 @@
 
 } // namespace
 
-void serving_use_estimate::update(colocation_sample const& before,
-                                  colocation_sample const& sample,
-                                  pace_state const& paces)
+void serving_use_estimate::update(
+    colocation_sample const& before,
+    colocation_sample const& sample,
+    std::function<bool(core::task_run const&)> const& is_slowed)
 {
     constexpr std::int64_t percent = 100;
     int tasks = 0;
     std::int64_t best = 0;
     for (auto const& task : sample.best_effort)
     {
-        if (task.need.value() == 0 || paces.paces.contains(task.run) ||
+        if (task.need.value() == 0 || is_slowed(task.run) ||
             !ran_in(before, task.run))
         {
             continue;
--- a/modules/workflow/dispatch/serving_use_estimate.hpp
+++ b/modules/workflow/dispatch/serving_use_estimate.hpp
@@ -4,6 +4,7 @@
 #include "workflow/dispatch/pace_controller.hpp"
 
 #include <cstdint>
+#include <functional>
 
 namespace turmericswitch::workflow
 {
@@ -20,10 +21,11 @@
     /// Corrects the estimate by one step.
     ///
     /// @param before The sample before `sample`.
-    /// @param paces Tasks that were slowed, which say nothing about a shortage.
+    /// @param is_slowed Tells which tasks were slowed; they say nothing about a
+    ///        shortage.
     void update(colocation_sample const& before,
                 colocation_sample const& sample,
-                pace_state const& paces);
+                std::function<bool(core::task_run const&)> const& is_slowed);
 
     /// @return CPU use in percent of the serving tasks' requests.
     std::int64_t percent() const noexcept;
--- a/modules/workflow/dispatch/stage_planner.hpp
+++ b/modules/workflow/dispatch/stage_planner.hpp
@@ -13,7 +13,7 @@
 
 /// Chooses workers for unplaced tasks.
 ///
-/// Stages are ordered by urgency, then priority, then age. A task goes to the
+/// Stages are ordered by urgency, priority, rank, and age. A task goes to the
 /// worker that is left with the largest free share, so that load stays even and
 /// a task that uses more than its request affects few others. Distant racks,
 /// earlier failures and interference between tasks lower the score of a worker.
--- a/modules/workflow/tests/dispatch_simulation.cpp
+++ b/modules/workflow/tests/dispatch_simulation.cpp
@@ -106,11 +106,7 @@
         m_leader->is_deposed = true;
         m_deposed.push_back(m_leader);
     }
-    dispatch_options options{m_setup.leases};
-    options.copies.enabled = m_setup.has_copies;
-    options.placement = m_setup.placement;
-    m_leader = std::make_shared<leader>(m_table, options, ++m_term, m_now);
-    m_elected_at = m_now;
+    m_leader = std::make_shared<leader>(m_table, m_setup, ++m_term, m_now);
     plan(m_leader);
 }
 
--- a/modules/workflow/tests/dispatch_simulation.hpp
+++ b/modules/workflow/tests/dispatch_simulation.hpp
@@ -28,6 +28,7 @@
     /// Whether half of the stages may have copies; then some runs are slow.
     bool has_copies = false;
     placement_options placement{};
+    overload::overload_options overload{};
 };
 
 /// Leaders, sidecars and workers in simulated time.
--- a/modules/workflow/tests/serving_use_test.cpp
+++ b/modules/workflow/tests/serving_use_test.cpp
@@ -3,6 +3,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <set>
 #include <vector>
 
 namespace turmericswitch::workflow
@@ -43,11 +44,10 @@
 
     void slowed_and_new_tasks_are_ignored()
     {
-        m_paces.paces[run_of(0)] = 30;
-        m_paces.paces[run_of(1)] = 40;
+        m_slowed = {run_of(0), run_of(1)};
         CPPUNIT_ASSERT_EQUAL(initial, percent_after({30, 40}));
         serving_use_estimate estimate;
-        estimate.update({}, sample_of({10, 10}), {});
+        estimate.update({}, sample_of({10, 10}), none_slowed);
         CPPUNIT_ASSERT_EQUAL(initial, estimate.percent());
     }
 
@@ -56,6 +56,11 @@
     static constexpr std::int64_t initial = 60;
     static constexpr std::int64_t highest = 100;
 
+    static bool none_slowed(core::task_run const&)
+    {
+        return false;
+    }
+
     static core::task_run run_of(std::uint32_t index)
     {
         return {{core::workflow_id("w"), 0, 0, index}, core::attempt_number(1)};
@@ -82,12 +87,15 @@
         serving_use_estimate estimate;
         for (int i = 0; i < samples; ++i)
         {
-            estimate.update(sample_of(used), sample_of(used), m_paces);
+            estimate.update(sample_of(used),
+                            sample_of(used),
+                            [this](core::task_run const& run)
+                            { return m_slowed.contains(run); });
         }
         return estimate.percent();
     }
 
-    pace_state m_paces;
+    std::set<core::task_run> m_slowed;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(serving_use_test);
