Control: fields of workers_relearned keep no names of temporary strings

Change: each measured share carries its field name as a constant; the test checks the names. Also reserves a vector in victim_choice_test, as the linter asks.

--- a/modules/overload/tests/victim_choice_test.cpp
+++ b/modules/overload/tests/victim_choice_test.cpp
@@ -43,6 +43,7 @@
                             saved,
                             candidate(3, 1, prospect::hopeless)});
         std::vector<std::uint32_t> order;
+        order.reserve(victims.size());
         for (auto const& each : victims)
         {
             order.push_back(each.run.task.index);
--- a/programs/control/leader/fleet_progress.cpp
+++ b/programs/control/leader/fleet_progress.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <string>
 #include <utility>
 
 namespace turmericswitch::control
@@ -71,12 +70,11 @@
                             known_within(std::chrono::milliseconds(300))),
          core::number_field("known_1s",
                             known_within(std::chrono::seconds(1)))}};
-    for (auto const share : shares)
+    for (auto const& [percent, field] : shares)
     {
-        if (auto const time = time_to(share))
+        if (auto const time = time_to(percent))
         {
-            result.fields.push_back(
-                core::time_field("to_" + std::to_string(share) + "_ms", *time));
+            result.fields.push_back(core::time_field(field, *time));
         }
     }
     return result;
--- a/programs/control/leader/fleet_progress.hpp
+++ b/programs/control/leader/fleet_progress.hpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <optional>
 #include <set>
+#include <string_view>
 #include <vector>
 
 namespace turmericswitch::control
@@ -19,8 +20,16 @@
 class fleet_progress
 {
 public:
-    /// Percentages of the workers whose times are measured.
-    static constexpr std::array<unsigned, 3> shares{50, 90, 100};
+    /// A share of the expected workers whose time is measured.
+    struct measured_share
+    {
+        unsigned percent = 0;
+        /// Event fields keep no copy of their names.
+        std::string_view field;
+    };
+
+    static constexpr std::array<measured_share, 3> shares{
+        {{50, "to_50_ms"}, {90, "to_90_ms"}, {100, "to_100_ms"}}};
 
     /// @param began When the leadership began.
     /// @param expected Workers that hold runs by the replicated state.
--- a/programs/control/leader/workflow_service.cpp
+++ b/programs/control/leader/workflow_service.cpp
@@ -560,15 +560,15 @@
         m_dispatcher.counts(now, m_node.state().config().in_force());
     m_on_event(m_fleet_progress.event(core::term(m_dispatcher.fencing_token()),
                                       counts.usable_workers));
-    for (auto const share : fleet_progress::shares)
+    for (auto const& [percent, field] : fleet_progress::shares)
     {
-        if (auto const time = m_fleet_progress.time_to(share))
+        if (auto const time = m_fleet_progress.time_to(percent))
         {
             m_metrics
                 .latency("turmericswitch_control_workers_relearned_seconds",
                          "Time from the begin of a leadership until this "
                          "percentage of the workers with runs had reported.",
-                         {{"share", std::to_string(share)}})
+                         {{"share", std::to_string(percent)}})
                 .add(*time);
         }
     }
--- a/programs/control/tests/fleet_progress_test.cpp
+++ b/programs/control/tests/fleet_progress_test.cpp
@@ -39,6 +39,9 @@
         auto const fields = progress.event(core::term(2), 3).fields;
         CPPUNIT_ASSERT(fields[2] == core::number_field("known", 4));
         CPPUNIT_ASSERT(fields[4] == core::number_field("known_300ms", 3));
+        // Guards against names that are destroyed before the event is written.
+        CPPUNIT_ASSERT(fields[6] == core::time_field("to_50_ms", 4ms));
+        CPPUNIT_ASSERT(fields[8] == core::time_field("to_100_ms", 400ms));
     }
 
     void event_is_due_once()
