--- a/programs/control/tests/config_sender_test.cpp
+++ b/programs/control/tests/config_sender_test.cpp
@@ -93,8 +93,7 @@
         apply(m_leader, 1);
         apply(m_leader, 2);
         auto const transfer = offer(1, "g");
-        CPPUNIT_ASSERT(transfer.bytes.size() > 0 &&
-                       transfer.bytes.size() < 600);
+        CPPUNIT_ASSERT(!transfer.bytes.empty() && transfer.bytes.size() < 600);
         shared::config_assembly assembly;
         assembly.begin(transfer);
         auto const next =
