Control link: drop standing connections on an io thread

Cause: when the settings file named other control instances, the thread that reads settings dropped connections while it held the order mutex, and their destructors waited for callbacks on the only io thread. That thread waited for the same mutex in a grant that named new instances, so the sidecar hung for ever and its worker's long-running tasks were not started again.

Change: the watcher is updated on an io thread, where destructors don't wait.

--- a/programs/shared/control_link/control_link.cpp
+++ b/programs/shared/control_link/control_link.cpp
@@ -88,6 +88,22 @@
         next_instance = (next_instance + 1) % instances.size();
     }
 
+    /// Must be called on an io thread.
+    void update_watcher()
+    {
+        if (!watcher)
+        {
+            return;
+        }
+        std::lock_guard const order(instances_mutex);
+        std::vector<core::endpoint> members;
+        {
+            std::lock_guard const lock(mutex);
+            members = instances;
+        }
+        watcher->set_members(members);
+    }
+
     void handle_announcement(leader_announcement const& announced)
     {
         std::vector<std::shared_ptr<leader_hook const>> called;
@@ -124,7 +140,7 @@
     std::vector<core::endpoint> instances;
     std::uint64_t seed;
     /// Keeps the watcher's instances those that were set last. Taken before
-    /// `mutex`; `instances` changes only while both are held.
+    /// `mutex`, and only on io threads.
     std::mutex instances_mutex;
     std::mutex mutex;
     std::size_t next_instance;
@@ -201,7 +217,6 @@
 
 void control_link::set_instances(std::vector<core::endpoint> instances)
 {
-    std::lock_guard const order(m_state->instances_mutex);
     {
         std::lock_guard const lock(m_state->mutex);
         if (instances.empty() || instances == m_state->instances)
@@ -211,10 +226,16 @@
         m_state->next_instance %= instances.size();
         m_state->instances = std::move(instances);
     }
-    if (m_state->watcher)
-    {
-        m_state->watcher->set_members(m_state->instances);
-    }
+    // Dropped clients must be destroyed on an io thread: elsewhere their
+    // destructors wait for callbacks, which may wait for this call.
+    m_state->io.post(
+        [weak = std::weak_ptr(m_state)]
+        {
+            if (auto const shared = weak.lock())
+            {
+                shared->update_watcher();
+            }
+        });
 }
 
 transport::traffic control_link::transferred() const
