Dispatch, control link: share constants and the jitter that stood twice

full_pace stood in four files of the dispatcher, and the tail above which a serving task takes no more neighbours stood in the score and in packing with the same value and meaning. leader_watch repeated what full_jitter does for the first attempt; the results are the same. No decision changes; 190 workflow tests and 13 shared tests pass.

--- a/modules/workflow/dispatch/colocation_controller.cpp
+++ b/modules/workflow/dispatch/colocation_controller.cpp
@@ -17,8 +17,6 @@
 /// change within tens of seconds; samples arrive twice a second.
 constexpr double offset_rate = 0.08;
 
-constexpr std::uint32_t full_pace = 100;
-
 /// A task with a pace of 0 for this long, which is in two samples, should move
 /// to another worker: a move costs less of its work than a longer wait.
 constexpr core::duration stalled_after = sample_time;
--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -11,8 +11,6 @@
 namespace
 {
 
-constexpr std::uint32_t full_pace = 100;
-
 /// A best-effort task that uses less of its request is short of CPU.
 constexpr std::int64_t min_full_use_percent = 90;
 
--- a/modules/workflow/dispatch/order_reconciler.cpp
+++ b/modules/workflow/dispatch/order_reconciler.cpp
@@ -1,5 +1,6 @@
 #include "workflow/dispatch/order_reconciler.hpp"
 
+#include "workflow/dispatch/pace_controller.hpp"
 #include "workflow/dispatch/stage_planner.hpp"
 
 #include <algorithm>
@@ -20,8 +21,6 @@
 /// execute an earlier, higher pace late.
 constexpr core::duration repeat_pace_after = std::chrono::milliseconds(1500);
 
-constexpr std::uint32_t full_pace = 100;
-
 /// Records that an order is sent now, unless it was sent shortly before.
 ///
 /// @param repeat_at Lowered to the time at which the order is due again.
--- a/modules/workflow/dispatch/pace_controller.cpp
+++ b/modules/workflow/dispatch/pace_controller.cpp
@@ -23,7 +23,6 @@
 /// Smaller effects are within the model's error.
 constexpr double min_effect = 0.03;
 
-constexpr std::uint32_t full_pace = 100;
 constexpr std::uint32_t pace_step = 30;
 /// A task with a smaller pace is stopped: it would make hardly any progress and
 /// still hold its memory.
--- a/modules/workflow/dispatch/pace_controller.hpp
+++ b/modules/workflow/dispatch/pace_controller.hpp
@@ -11,6 +11,9 @@
 namespace turmericswitch::workflow
 {
 
+/// Pace of a task that is not slowed, in percent.
+constexpr std::uint32_t full_pace = 100;
+
 /// A running task with a latency target.
 struct serving_task
 {
--- a/modules/workflow/dispatch/packing.cpp
+++ b/modules/workflow/dispatch/packing.cpp
@@ -22,10 +22,6 @@
 /// Short tasks soon return the capacity, so an even load matters more.
 constexpr double short_slot_penalty = 0.2;
 
-/// A serving task with a tail above this multiple of its target has no room for
-/// further neighbours.
-constexpr double max_packed_tail = 0.85;
-
 /// A task is wide if it needs at least 1 / `wide_fraction` of a worker.
 constexpr std::int64_t wide_fraction = 4;
 
@@ -57,7 +53,7 @@
 {
     return worker.serving > 0 &&
            (worker.closed_to_best_effort ||
-            tail(worker.worker, worker.planned) > max_packed_tail);
+            tail(worker.worker, worker.planned) > max_tail);
 }
 
 template <typename Domains, typename Id>
--- a/modules/workflow/dispatch/worker_score.cpp
+++ b/modules/workflow/dispatch/worker_score.cpp
@@ -36,10 +36,6 @@
 /// For each run that the crash of an isolated task would end.
 constexpr double endangered_run_penalty = 1.0;
 
-/// A best-effort task is not placed where it is predicted to raise a serving
-/// task's tail above this multiple of its target.
-constexpr double max_tail = 0.85;
-
 /// Smaller relative rises are within the error of the model.
 constexpr double min_tail_rise = 1.1;
 
--- a/modules/workflow/dispatch/worker_score.hpp
+++ b/modules/workflow/dispatch/worker_score.hpp
@@ -11,6 +11,10 @@
 namespace turmericswitch::workflow
 {
 
+/// With a tail above this multiple of its target, a serving task has no room
+/// for further neighbours.
+constexpr double max_tail = 0.85;
+
 /// @return True if the labels of a worker contain the label, or it is empty.
 bool has_label(std::vector<std::string> const& labels,
                std::string const& label);
--- a/programs/shared/control_link/leader_watch.cpp
+++ b/programs/shared/control_link/leader_watch.cpp
@@ -28,8 +28,7 @@
 core::duration random_up_to(core::random_source const& random,
                             core::duration limit)
 {
-    return core::duration(static_cast<core::duration::rep>(core::random_below(
-        random, static_cast<std::uint64_t>(limit.count()) + 1)));
+    return core::full_jitter(random, limit, limit, 0);
 }
 
 } // namespace
