Dispatcher: learn the speed of workers only where placement uses it

Every report and end updated the model although placement, speed is off by default and nothing read it. Decisions are the same; 190 workflow tests pass.

--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -205,10 +205,13 @@
                                           core::millicores(task.load)});
         }
     }
-    observe_speeds(worker, sample);
+    if (m_options.placement.speed)
+    {
+        observe_speeds(worker, sample);
+    }
     for (auto const& [pace, before] : m_colocation.update(now, worker, sample))
     {
-        if (pace.percent < full_pace)
+        if (m_options.placement.speed && pace.percent < full_pace)
         {
             m_speeds.observe_slowed(pace.run);
         }
@@ -451,7 +454,7 @@
                            stage == nullptr ? std::string()
                                             : stage->behaviour.image,
                            now - placed.mapped());
-    if (stage != nullptr)
+    if (stage != nullptr && m_options.placement.speed)
     {
         m_speeds.record_run(now, outcome, *stage, now - placed.mapped());
     }
