Log starts that a later incarnation of a worker has executed

Two events of the sidecar now do: worker_replaced, when an answer comes from an incarnation that has not registered yet, and late_start_executed, for each run in the first list of an incarnation that this sidecar has not asked to start it.

--- a/modules/core/events/event_code.hpp
+++ b/modules/core/events/event_code.hpp
@@ -43,6 +43,8 @@
     stop_sent = 309,
     pace_unacknowledged = 310,
     pace_sent = 311,
+    worker_replaced = 312,
+    late_start_executed = 313,
 
     // Control: workflows
     workflow_accepted = 401,
@@ -141,6 +143,10 @@
                 "pace_unacknowledged",
                 event_severity::warning},
     event_entry{event_code::pace_sent, "pace_sent"},
+    event_entry{event_code::worker_replaced, "worker_replaced"},
+    event_entry{event_code::late_start_executed,
+                "late_start_executed",
+                event_severity::warning},
     event_entry{event_code::workflow_accepted, "workflow_accepted"},
     event_entry{event_code::run_placed, "run_placed"},
     event_entry{event_code::run_ended, "run_ended"},
--- a/modules/workflow/agent/worker_agent.cpp
+++ b/modules/workflow/agent/worker_agent.cpp
@@ -92,6 +92,8 @@
 void worker_agent::begin_incarnation(core::worker_profile profile)
 {
     ++m_epoch;
+    m_successor.reset();
+    m_has_late_starts = m_profile.has_value();
     m_hooks.on_event({event_code::worker_registered,
                       {text_field("worker", profile.worker.value()),
                        number_field("life", profile.life.value()),
@@ -129,6 +131,27 @@
     send_report();
 }
 
+void worker_agent::handle_successor(core::incarnation life)
+{
+    m_successor = life;
+    m_hooks.on_event({event_code::worker_replaced,
+                      {text_field("worker", m_profile->worker.value()),
+                       number_field("life", life.value()),
+                       number_field("known_life", m_profile->life.value())}});
+}
+
+void worker_agent::log_late_starts()
+{
+    if (!std::exchange(m_has_late_starts, false))
+    {
+        return;
+    }
+    for (auto const& each : m_runs->running)
+    {
+        emit_run_event(event_code::late_start_executed, each.run);
+    }
+}
+
 void worker_agent::unregistered(core::worker_id const& worker)
 {
     if (!m_profile || m_profile->worker != worker || m_left)
@@ -237,6 +260,10 @@
     m_syncing = false;
     bool const is_other_incarnation =
         answer && answer->life && *answer->life != m_profile->life;
+    if (is_other_incarnation && m_successor != *answer->life)
+    {
+        handle_successor(*answer->life);
+    }
     if (!answer || is_other_incarnation)
     {
         // The leader places nothing on a silent worker, and the report extends
@@ -254,6 +281,7 @@
     m_silent = false;
     m_worker_clock = answer->clock;
     m_runs = std::move(answer->runs);
+    log_late_starts();
     m_witness.listed(m_worker_clock, m_runs->running);
     std::erase_if(m_started_runs,
                   [this](auto const& item)
--- a/modules/workflow/agent/worker_agent.hpp
+++ b/modules/workflow/agent/worker_agent.hpp
@@ -117,6 +117,10 @@
     };
 
     void begin_incarnation(core::worker_profile profile);
+    /// Handles the first answer of an incarnation that has not registered yet.
+    void handle_successor(core::incarnation life);
+    /// Logs runs of which the start was meant for an earlier incarnation.
+    void log_late_starts();
     void sync_worker(core::duration wait);
     /// @param number Of the sync call; the result of one that was given up is
     ///        dropped.
@@ -168,6 +172,11 @@
     /// earlier epoch are dropped.
     std::uint64_t m_epoch = 0;
     std::optional<core::worker_profile> m_profile;
+    /// The incarnation that answered last, if it has not registered yet.
+    std::optional<core::incarnation> m_successor;
+    /// True if the agent has seen an earlier incarnation and has no lists of
+    /// the current one yet.
+    bool m_has_late_starts = false;
     /// Highest sequence number of the incarnation's registrations.
     std::uint64_t m_sequence = 0;
     bool m_left = false;
