Test calls that a later incarnation of a worker executes (fails)

A worker keeps its id when it restarts, and calls name only the id. Now a call is executed by whatever incarnation is up, and workers also restart alone, while their sidecar goes on.

--- a/modules/workflow/tests/dispatch_simulation.cpp
+++ b/modules/workflow/tests/dispatch_simulation.cpp
@@ -175,11 +175,11 @@
 void dispatch_simulation::call_worker(
     worker_host& host, std::function<void(bool answered)> const& run)
 {
-    auto const life = host.model.life();
-    // A call names the incarnation that it is for; another one does nothing.
-    auto const execute = [&host, run, life](bool answered)
+    // A call names the worker, which keeps its id when it restarts. So a late
+    // call is executed by the incarnation that is up then.
+    auto const execute = [&host, run](bool answered)
     {
-        if (!host.is_down && host.model.life() == life)
+        if (!host.is_down)
         {
             run(answered);
         }
@@ -225,27 +225,13 @@
                  [finish, timeout] { finish(timeout); });
         return finish;
     };
-    // Calls name the incarnation that registered last; others refuse them.
-    auto const registered_life = [&host]
-    { return host.agent->profile()->life.value(); };
-    hooks.runtime.start =
-        [this, &host, once, registered_life](auto call, auto done)
+    hooks.runtime.start = [this, &host, once](auto call, auto done)
     {
-        auto const expected = registered_life();
         auto const finish = once(done, start_outcome::unknown);
         call_worker(host,
-                    [this, &host, call, finish, expected, called_at = m_now](
+                    [this, &host, call, finish, called_at = m_now](
                         bool answered)
                     {
-                        if (host.is_down)
-                        {
-                            return;
-                        }
-                        if (host.worker_life != expected)
-                        {
-                            finish(start_outcome::wrong_incarnation);
-                            return;
-                        }
                         host.model.advance(m_now);
                         auto const before = host.model.running().size();
                         auto const outcome = host.model.start(m_now, call);
@@ -264,17 +250,13 @@
                         }
                     });
     };
-    hooks.runtime.stop =
-        [this, &host, once, registered_life](auto call, auto done)
+    hooks.runtime.stop = [this, &host, once](auto call, auto done)
     {
-        auto const expected = registered_life();
         auto const finish = once(done, false);
         call_worker(host,
-                    [this, &host, call, finish, expected](bool answered)
+                    [this, &host, call, finish](bool answered)
                     {
-                        bool const done_there = !host.is_down &&
-                                                host.worker_life == expected &&
-                                                host.model.stop(m_now, call);
+                        bool const done_there = host.model.stop(m_now, call);
                         if (answered)
                         {
                             finish(done_there);
@@ -282,18 +264,12 @@
                     });
     };
     hooks.runtime.pace = [](auto, auto done) { done(true); };
-    hooks.runtime.sync =
-        [this, &host, once, registered_life](auto call, auto done)
+    hooks.runtime.sync = [this, &host, once](auto call, auto done)
     {
-        auto const expected = registered_life();
         auto const finish = once(done, std::optional<sync_result>());
         call_worker(host,
-                    [this, &host, call, finish, expected](bool answered)
+                    [this, &host, call, finish](bool answered)
                     {
-                        if (host.is_down || host.worker_life != expected)
-                        {
-                            return;
-                        }
                         auto answer = host.model.sync(m_now, call);
                         if (answer)
                         {
@@ -444,11 +420,14 @@
 void dispatch_simulation::inject_fault()
 {
     auto& host = *m_hosts[random_below(m_hosts.size())];
-    switch (random_below(7))
+    switch (random_below(8))
     {
     case 0:
         elect();
         break;
+    case 7:
+        restart_worker(host);
+        break;
     case 1:
         host.is_down = true;
         schedule(between_ms(100, 6000),
@@ -483,6 +462,25 @@
     }
 }
 
+void dispatch_simulation::restart_worker(worker_host& host)
+{
+    if (host.is_down)
+    {
+        return;
+    }
+    host.is_down = true;
+    schedule(between_ms(1, 3000),
+             [this, &host]
+             {
+                 if (!host.is_gone)
+                 {
+                     host.is_down = false;
+                     host.model.begin_life(m_now);
+                     host.worker_life = ++m_last_life;
+                 }
+             });
+}
+
 void dispatch_simulation::run_events(core::time_point until)
 {
     while (!m_events.empty() && m_violation.empty() && m_now < until)
--- a/modules/workflow/tests/dispatch_simulation.hpp
+++ b/modules/workflow/tests/dispatch_simulation.hpp
@@ -107,6 +107,8 @@
     void submit();
     void cancel_one();
     void inject_fault();
+    /// Restarts a worker under its id while its sidecar goes on.
+    void restart_worker(worker_host& host);
     /// Shrinks the capacity of a worker for some seconds.
     void shrink_one();
     void set_capacity(worker_host& host, core::resources const& capacity);
