--- a/modules/workflow/tests/dispatch_simulation.cpp
+++ b/modules/workflow/tests/dispatch_simulation.cpp
@@ -228,27 +228,27 @@
     hooks.runtime.start = [this, &host, once](auto call, auto done)
     {
         auto const finish = once(done, start_outcome::unknown);
-        call_worker(host,
-                    [this, &host, call, finish, called_at = m_now](
-                        bool answered)
-                    {
-                        host.model.advance(m_now);
-                        auto const before = host.model.running().size();
-                        auto const outcome = host.model.start(m_now, call);
-                        if (host.model.running().size() > before)
-                        {
-                            check_start(host, called_at);
-                        }
-                        if (answered)
-                        {
-                            finish(outcome);
-                        }
-                        check();
-                        if (outcome == start_outcome::started)
-                        {
-                            started(host, call.start.run);
-                        }
-                    });
+        call_worker(
+            host,
+            [this, &host, call, finish, called_at = m_now](bool answered)
+            {
+                host.model.advance(m_now);
+                auto const before = host.model.running().size();
+                auto const outcome = host.model.start(m_now, call);
+                if (host.model.running().size() > before)
+                {
+                    check_start(host, called_at);
+                }
+                if (answered)
+                {
+                    finish(outcome);
+                }
+                check();
+                if (outcome == start_outcome::started)
+                {
+                    started(host, call.start.run);
+                }
+            });
     };
     hooks.runtime.stop = [this, &host, once](auto call, auto done)
     {
