Fence each incarnation of a worker, and end runs only by its first list

Callers saw two runs of one task at once (TWICE) after their worker had restarted under its id. A call names only the id, and the next incarnation has seen no fencing token, so it executed a start that was meant for the earlier one; the leader took the run for ended as soon as the next incarnation registered, and placed the task again.

- The fencing token rises with each incarnation of a worker that a leader sees, below its term.
A sidecar raises it by itself when an incarnation registers and makes its first sync call at once: that call shuts out everything that was sent earlier, and its answer lists what slipped in.
- The leader ends the runs of an earlier incarnation by that list only.
What is listed is stopped first, its capacity counts until then, and an end there counts for the run.
Without a list they end when the longest lease that a late start can hold has expired.
- A start without an answer is not repeated while the worker is silent: the next try could reach its next incarnation.
It goes on when the leader repeats the order, with its number of unanswered tries.

--- a/extras/bench/dispatch_cost/simulated_fleet.cpp
+++ b/extras/bench/dispatch_cost/simulated_fleet.cpp
@@ -114,8 +114,11 @@
                                  workflow::dispatch_options options)
     : m_random(core::seeded_random(seed)),
       m_now(std::chrono::seconds(1000)),
-      m_dispatcher(
-          m_table, with_leases(options), 1, m_now, [](core::event const&) {}),
+      m_dispatcher(m_table,
+                   with_leases(options),
+                   core::term(1),
+                   m_now,
+                   [](core::event const&) {}),
       m_workers(workers),
       m_arrivals(std::size(kinds))
 {
--- a/modules/workflow/agent/worker_agent.cpp
+++ b/modules/workflow/agent/worker_agent.cpp
@@ -1,5 +1,7 @@
 #include "workflow/agent/worker_agent.hpp"
 
+#include "workflow/agent/fencing_token.hpp"
+
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -126,9 +128,14 @@
     m_reporting_due = false;
     m_polling = false;
     m_received_batch = 0;
-    // The grant for the first report has the fencing token that sync calls
-    // need.
     send_report();
+    // A sidecar that has just started gets the fencing token that sync calls
+    // need with the grant for the first report.
+    if (m_fencing_token > 0)
+    {
+        m_fencing_token = next_fencing_token(m_fencing_token);
+        sync_worker(core::duration{});
+    }
 }
 
 void worker_agent::handle_successor(core::incarnation life)
@@ -280,6 +287,11 @@
     }
     m_silent = false;
     m_worker_clock = answer->clock;
+    bool const is_before_first_grant = !m_polling;
+    if (!m_runs && is_before_first_grant)
+    {
+        give_up_report();
+    }
     m_runs = std::move(answer->runs);
     log_late_starts();
     m_witness.listed(m_worker_clock, m_runs->running);
@@ -349,6 +361,14 @@
                           { handle_grant(epoch, number, std::move(grant)); });
 }
 
+void worker_agent::give_up_report()
+{
+    m_report_due = m_report_due || (m_reporting && m_reporting_due);
+    m_reporting = false;
+    m_reporting_due = false;
+    ++m_reports_begun;
+}
+
 void worker_agent::report_again()
 {
     // The leader can't extend the lease from a report with an old reading of
@@ -367,15 +387,14 @@
     {
         return;
     }
-    m_report_due = m_report_due || (m_reporting && m_reporting_due);
+    give_up_report();
     // Until the delay is over, nothing else reports.
     m_reporting = true;
-    m_reporting_due = false;
     m_syncing = false;
     m_polling = false;
     ++m_polls_begun;
     m_hooks.after(delay,
-                  [this, epoch = m_epoch, number = ++m_reports_begun]
+                  [this, epoch = m_epoch, number = m_reports_begun]
                   {
                       if (is_current(epoch) && number == m_reports_begun)
                       {
--- a/modules/workflow/agent/worker_agent.hpp
+++ b/modules/workflow/agent/worker_agent.hpp
@@ -58,6 +58,10 @@
 /// each until a grant acknowledges it. So a crash is known to the leader of
 /// that time, also if there was none when it happened.
 ///
+/// Its first sync call to an incarnation has a higher fencing token than all
+/// calls to earlier ones, which may still be under way. So the answer lists
+/// whatever the incarnation has executed of these, and nothing follows later.
+///
 /// It reports a run as refused only when the run is certain not to execute.
 /// After a start call without an answer it therefore first sends a stop, which
 /// makes the worker keep a tombstone that rejects the start if it arrives
@@ -114,6 +118,8 @@
         int tries = 0;
         /// Tries without an answer.
         int unanswered = 0;
+        /// True if the next try waits until the leader repeats the order.
+        bool is_suspended = false;
     };
 
     void begin_incarnation(core::worker_profile profile);
@@ -130,6 +136,9 @@
     void schedule_sync(core::duration delay, core::duration wait);
     void refuse_unlisted_stopped_runs();
     void send_report();
+    /// Lets the next report replace the one in progress, whose grant is
+    /// dropped.
+    void give_up_report();
     /// Sends another report, with a current reading of the worker's clock.
     void report_again();
     void report_to_new_leader();
--- a/modules/workflow/agent/worker_agent_orders.cpp
+++ b/modules/workflow/agent/worker_agent_orders.cpp
@@ -101,7 +101,9 @@
     }
     // The leader repeats the order. A worker that restarts after a call must
     // not get the start in its next incarnation.
-    if (m_silent || m_starts.contains(start.run))
+    auto const open = m_starts.find(start.run);
+    bool const is_open = open != m_starts.end();
+    if (m_silent || (is_open && !open->second.is_suspended))
     {
         return;
     }
@@ -112,7 +114,10 @@
     }
     auto order = start;
     order.lease_until = std::max(order.lease_until, m_lease_until);
-    m_starts.emplace(start.run, pending_start{std::move(order), payload});
+    auto& pending = m_starts[start.run];
+    pending.start = std::move(order);
+    pending.payload = payload;
+    pending.is_suspended = false;
     call_start(start.run);
 }
 
@@ -209,6 +214,12 @@
         break;
     case start_outcome::unknown:
         ++open->second.unanswered;
+        if (m_silent)
+        {
+            // The next try could reach the worker's next incarnation.
+            open->second.is_suspended = true;
+            return;
+        }
         if (open->second.tries < max_tries && has_capacity())
         {
             emit_run_event(event_code::start_unanswered,
--- a/modules/workflow/dispatch/copy_planner.cpp
+++ b/modules/workflow/dispatch/copy_planner.cpp
@@ -221,7 +221,7 @@
                      core::task_attempt const& held) const
 {
     auto const max_age = m_report_interval * 3 / 2;
-    if (m_fleet.is_dead(now, held.worker, held.life))
+    if (m_fleet.has_ended(now, held.worker, held.life, run))
     {
         // The task is placed again once this end is committed.
         return std::nullopt;
--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "workflow/dispatch/dispatcher.hpp"
 
+#include "workflow/agent/fencing_token.hpp"
 #include "workflow/dispatch/dispatch_events.hpp"
 
 #include <algorithm>
@@ -28,14 +29,14 @@
 
 dispatcher::dispatcher(workflow_table const& table,
                        dispatch_options options,
-                       std::uint64_t fencing_token,
+                       core::term term,
                        core::time_point elected,
                        core::event_hook on_event)
     : m_table(table),
       m_options(options),
-      m_fencing_token(fencing_token),
+      m_term(term),
       m_elected(elected),
-      m_admission(core::seeded_random(fencing_token)),
+      m_admission(core::seeded_random(term.value())),
       m_fleet(options.leases, table.longest_lease(), elected),
       m_colocation(options.harm_limit),
       m_accounts(table, m_run_times, options.overload),
@@ -131,6 +132,8 @@
         known != nullptr && known->profile.life < report.profile.life;
     bool const is_new_sidecar =
         known != nullptr && known->sidecar != report.sidecar;
+    bool const had_runs =
+        known != nullptr && !is_new_incarnation && known->has_runs;
     bool const was_usable = known != nullptr && known->has_runs &&
                             !known->is_silent && !known->profile.draining &&
                             is_reporting(now, *known);
@@ -147,7 +150,11 @@
     {
         m_on_event(worker_seen_event(*view));
     }
-    m_ends.reported(worker, is_new || view->left || !view->crashes.empty());
+    // The first list tells which runs on earlier incarnations have ended.
+    bool const is_first_list = view->has_runs && !had_runs;
+    m_ends.reported(worker,
+                    is_new || is_first_list || view->left ||
+                        !view->crashes.empty());
     m_orders.mark_changed(worker);
     m_placement_due = m_placement_due || !was_usable;
     if (is_new_incarnation)
@@ -245,9 +252,14 @@
                                       core::incarnation life)
 {
     core::runtime_grant answer;
-    answer.fencing_token = m_fencing_token;
     auto* const view = m_fleet.find(worker);
-    if (view == nullptr || view->profile.life != life || view->left)
+    if (view == nullptr || view->profile.life != life)
+    {
+        answer.fencing_token = fencing_token(m_term, 0);
+        return answer;
+    }
+    answer.fencing_token = fencing_token(m_term, view->number);
+    if (view->left)
     {
         return answer;
     }
@@ -260,7 +272,7 @@
     answer.lease_until = view->granted_until;
     for (auto const& each : view->ended)
     {
-        if (m_table.is_held(each.run, worker, life))
+        if (m_table.held_incarnation(each.run, worker))
         {
             break;
         }
@@ -268,7 +280,7 @@
     }
     for (auto const& run : view->refused)
     {
-        if (!m_table.is_held(run, worker, life))
+        if (!m_table.held_incarnation(run, worker))
         {
             answer.acknowledged_refusals.push_back(run);
         }
@@ -481,8 +493,10 @@
 {
     auto const* const view = m_fleet.find(worker);
     core::runtime_orders orders;
+    std::uint64_t incarnation = 0;
     if (view != nullptr && view->profile.life == life)
     {
+        incarnation = view->number;
         orders = m_orders.take_due(
             now,
             *view,
@@ -493,7 +507,7 @@
             m_on_event(start_withdrawn_event(worker, run));
         }
     }
-    orders.fencing_token = m_fencing_token;
+    orders.fencing_token = fencing_token(m_term, incarnation);
     if (!orders.starts.empty() || !orders.stops.empty() ||
         !orders.paces.empty())
     {
@@ -507,9 +521,9 @@
     return m_fleet;
 }
 
-std::uint64_t dispatcher::fencing_token() const noexcept
+core::term dispatcher::term() const noexcept
 {
-    return m_fencing_token;
+    return m_term;
 }
 
 } // namespace turmericswitch::workflow
--- a/modules/workflow/dispatch/dispatcher.hpp
+++ b/modules/workflow/dispatch/dispatcher.hpp
@@ -72,11 +72,11 @@
 class dispatcher
 {
 public:
-    /// @param fencing_token Higher than that of every earlier leader.
+    /// @param term Higher than that of every earlier leader.
     /// @param on_event Receives decisions with their inputs.
     dispatcher(workflow_table const& table,
                dispatch_options options,
-               std::uint64_t fencing_token,
+               core::term term,
                core::time_point elected,
                core::event_hook on_event);
 
@@ -131,7 +131,7 @@
                            core::configuration const& config);
 
     worker_fleet const& fleet() const noexcept;
-    std::uint64_t fencing_token() const noexcept;
+    core::term term() const noexcept;
 
 private:
     std::vector<candidate_worker*>
@@ -181,7 +181,7 @@
 
     workflow_table const& m_table;
     dispatch_options m_options;
-    std::uint64_t m_fencing_token;
+    core::term m_term;
     core::time_point m_elected;
     overload::admission_control m_admission;
     worker_fleet m_fleet;
--- a/modules/workflow/dispatch/end_collector.cpp
+++ b/modules/workflow/dispatch/end_collector.cpp
@@ -1,7 +1,6 @@
 #include "workflow/dispatch/end_collector.hpp"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 namespace turmericswitch::workflow
@@ -39,7 +38,7 @@
 bool end_collector::has_uncommitted_ends(worker_view const& view) const
 {
     auto const is_open = [&](core::task_run const& run)
-    { return m_table.is_held(run, view.profile.worker, view.profile.life); };
+    { return m_table.held_incarnation(run, view.profile.worker).has_value(); };
     return std::any_of(view.ended.begin(),
                        view.ended.end(),
                        [&](core::ended_run const& each)
@@ -79,22 +78,21 @@
 void end_collector::collect_reported_ends(
     worker_view const& view, core::workflow_progress& command) const
 {
-    auto const& [worker, life] =
-        std::tie(view.profile.worker, view.profile.life);
+    auto const& worker = view.profile.worker;
     for (auto const& each : view.ended)
     {
-        if (m_table.is_held(each.run, worker, life))
+        if (auto const life = m_table.held_incarnation(each.run, worker))
         {
             command.ends.push_back(
-                {each.run, worker, life, each.how, each.checkpoint});
+                {each.run, worker, *life, each.how, each.checkpoint});
         }
     }
     for (auto const& run : view.refused)
     {
-        if (m_table.is_held(run, worker, life))
+        if (auto const life = m_table.held_incarnation(run, worker))
         {
             command.ends.push_back(
-                {run, worker, life, core::run_end::refused, {}});
+                {run, worker, *life, core::run_end::refused, {}});
         }
     }
 }
@@ -111,7 +109,7 @@
     {
         for (auto const& held : runs)
         {
-            if (m_fleet.is_dead(now, worker, held.life) &&
+            if (m_fleet.has_ended(now, worker, held.life, held.run) &&
                 !listed.contains(held))
             {
                 command.ends.push_back(
--- a/modules/workflow/dispatch/end_collector.hpp
+++ b/modules/workflow/dispatch/end_collector.hpp
@@ -40,6 +40,8 @@
     bool has_uncommitted_ends(worker_view const& view) const;
 
 private:
+    /// The incarnation may have executed starts that were meant for an earlier
+    /// one, so its ends count for runs on all of them.
     void collect_reported_ends(worker_view const& view,
                                core::workflow_progress& command) const;
     void collect_lost(core::time_point now,
--- a/modules/workflow/dispatch/worker_fleet.cpp
+++ b/modules/workflow/dispatch/worker_fleet.cpp
@@ -166,19 +166,44 @@
     view.refused = std::move(report.refused);
     if (report.runs)
     {
+        if (!view.has_runs)
+        {
+            add_late_calls(now, view);
+        }
         set_runs(view, std::move(*report.runs), clock_before);
     }
     return &view;
 }
 
+void worker_fleet::add_late_calls(core::time_point now, worker_view& view) const
+{
+    if (view.replaced)
+    {
+        // The deadline of a call that was meant for an earlier incarnation is
+        // on another clock, so only the worker's own limit bounds the lease.
+        view.lease_expires_at =
+            std::max(view.lease_expires_at,
+                     now + max_length_on_leader_clock(m_policy.longest));
+    }
+}
+
 void worker_fleet::add_incarnation(core::time_point now,
                                    core::runtime_report const& report)
 {
     auto const& id = report.profile.worker;
     worker_view added;
+    added.number = ++m_incarnations;
+    added.late_starts_expire_at =
+        now + max_length_on_leader_clock(m_policy.longest);
     if (auto const* const before = find(id))
     {
         added.replaced = replaced_by(*before, report);
+        if (!before->has_runs)
+        {
+            // A worker that restarts again and again must not hold the runs for
+            // ever.
+            added.late_starts_expire_at = before->late_starts_expire_at;
+        }
     }
     // Only one worker runs on an instance at a time, so earlier ones have
     // ended.
@@ -272,26 +297,42 @@
     return m_workers;
 }
 
-bool worker_fleet::is_dead(core::time_point now,
-                           core::worker_id const& worker,
-                           core::incarnation life) const
+bool worker_fleet::has_ended(core::time_point now,
+                             core::worker_id const& worker,
+                             core::incarnation life,
+                             core::task_run const& run) const
 {
+    auto const* const view = find(worker);
+    if (view != nullptr && life < view->profile.life)
+    {
+        return has_ended_on_successor(now, *view, run);
+    }
     if (m_evidence.find(worker, life) != nullptr)
     {
         return true;
     }
-    auto const* const view = find(worker);
-    if (view == nullptr)
+    if (view == nullptr || view->profile.life != life)
     {
+        // An earlier leader placed the run, and this one has granted the
+        // incarnation nothing.
         return now > earlier_leases_expire_at();
     }
-    if (view->profile.life != life)
+    return view->left || now > view->lease_expires_at;
+}
+
+bool worker_fleet::has_ended_on_successor(core::time_point now,
+                                          worker_view const& successor,
+                                          core::task_run const& run) const
+{
+    if (successor.left)
     {
-        // An earlier leader knew the later incarnation; this one has granted
-        // it nothing.
-        return life < view->profile.life || now > earlier_leases_expire_at();
+        return true;
     }
-    return view->left || now > view->lease_expires_at;
+    if (!successor.has_runs)
+    {
+        return now > successor.late_starts_expire_at;
+    }
+    return !successor.running.contains(run) || now > successor.lease_expires_at;
 }
 
 core::run_end worker_fleet::end_with_worker(core::worker_id const& worker,
@@ -322,7 +363,7 @@
     bool const is_alive = view != nullptr && view->profile.life == life &&
                           view->has_runs && !view->is_silent &&
                           view->granted_until > core::duration{} &&
-                          !is_dead(now, worker, life);
+                          !has_ended(now, worker, life, run);
     return is_alive ? std::optional(core::run_end::lost) : std::nullopt;
 }
 
--- a/modules/workflow/dispatch/worker_fleet.hpp
+++ b/modules/workflow/dispatch/worker_fleet.hpp
@@ -47,6 +47,8 @@
 /// What the leader knows about one incarnation of a worker.
 struct worker_view
 {
+    /// Number of the incarnation among all that this leader has seen, from 1.
+    std::uint64_t number = 0;
     core::instance_id host;
     core::worker_profile profile;
     /// Incarnation of the sidecar.
@@ -78,6 +80,10 @@
     bool left = false;
     /// How it ended, if it left.
     incarnation_end how_ended = incarnation_end::unknown;
+    /// Until `has_runs`: time on the leader's clock at which the runs have
+    /// certainly expired that the incarnation began on calls that were meant
+    /// for an earlier one.
+    core::time_point late_starts_expire_at;
     std::optional<replaced_incarnation> replaced;
     /// Crashes of earlier incarnations on the instance in the last report.
     std::vector<core::worker_incarnation> crashes;
@@ -129,12 +135,17 @@
     std::map<core::worker_id, worker_view> const& all() const noexcept;
     std::map<core::worker_id, worker_view>& all() noexcept;
 
-    /// @return True if no run on this incarnation of the worker can still be
-    ///         executing: it has left or was replaced, or its lease has
-    ///         expired.
-    bool is_dead(core::time_point now,
-                 core::worker_id const& worker,
-                 core::incarnation life) const;
+    /// Whether a run that was placed on an incarnation of a worker has
+    /// certainly ended: the worker has left, or the lease has expired.
+    ///
+    /// The worker keeps its id when it restarts, so a later incarnation may
+    /// execute the start. A run on a replaced incarnation has ended if the
+    /// first list of the later one, which rejects all earlier calls from then
+    /// on, and all lists since do not contain it.
+    bool has_ended(core::time_point now,
+                   core::worker_id const& worker,
+                   core::incarnation life,
+                   core::task_run const& run) const;
 
     /// @return True if reports to this leader have listed the run for
     ///         `establishment_time`, or the sidecar of a crashed worker has
@@ -180,11 +191,17 @@
     core::duration length() const;
     void add_incarnation(core::time_point now,
                          core::runtime_report const& report);
+    /// Handles the first list of an incarnation.
+    void add_late_calls(core::time_point now, worker_view& view) const;
+    bool has_ended_on_successor(core::time_point now,
+                                worker_view const& successor,
+                                core::task_run const& run) const;
 
     lease_policy m_policy;
     /// Longest lease that earlier leaders may have granted.
     core::duration m_longest_earlier_lease{};
     core::time_point m_elected;
+    std::uint64_t m_incarnations = 0;
     std::map<core::worker_id, worker_view> m_workers;
     crash_evidence m_evidence;
 };
--- a/modules/workflow/table/workflow_table.cpp
+++ b/modules/workflow/table/workflow_table.cpp
@@ -580,6 +580,16 @@
     return holds != m_holds.end() && holds->second.contains({run, life});
 }
 
+std::optional<core::incarnation>
+workflow_table::held_incarnation(core::task_run const& run,
+                                 core::worker_id const& worker) const
+{
+    auto const& held = held_on(worker);
+    auto const found = held.lower_bound({run, core::incarnation(0)});
+    return found != held.end() && found->run == run ? std::optional(found->life)
+                                                    : std::nullopt;
+}
+
 std::set<held_run> const&
 workflow_table::held_on(core::worker_id const& worker) const
 {
--- a/modules/workflow/table/workflow_table.hpp
+++ b/modules/workflow/table/workflow_table.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -99,6 +100,12 @@
                  core::worker_id const& worker,
                  core::incarnation life) const;
 
+    /// @return The incarnation of the worker that the run is placed on, or
+    ///         `nullopt` if it is not held there.
+    std::optional<core::incarnation>
+    held_incarnation(core::task_run const& run,
+                     core::worker_id const& worker) const;
+
     /// @return Held runs on all incarnations of a worker.
     std::set<held_run> const& held_on(core::worker_id const& worker) const;
 
--- a/modules/workflow/tests/change_tracking_test.cpp
+++ b/modules/workflow/tests/change_tracking_test.cpp
@@ -55,7 +55,7 @@
             m_table,
             dispatch_options{
                 {std::chrono::seconds(6), std::chrono::seconds(6)}},
-            7,
+            core::term(7),
             m_now,
             [](core::event const&) {});
         core::workflow_progress placements;
--- a/modules/workflow/tests/crash_checks.cpp
+++ b/modules/workflow/tests/crash_checks.cpp
@@ -67,9 +67,7 @@
     schedule(is_long ? between_ms(10'000, 14'000) : between_ms(1000, 5000),
              [this, &host, cause, sidecar = host.agent_life]
              {
-                 host.is_down = false;
-                 host.model.begin_life(m_now);
-                 host.worker_life = ++m_last_life;
+                 begin_incarnation(host);
                  await_count(host, cause, sidecar);
              });
 }
--- a/modules/workflow/tests/dispatch_simulation.hpp
+++ b/modules/workflow/tests/dispatch_simulation.hpp
@@ -109,6 +109,9 @@
     void inject_fault();
     /// Restarts a worker under its id while its sidecar goes on.
     void restart_worker(worker_host& host);
+    /// Begins the next incarnation of a worker that was down. It registers some
+    /// milliseconds later and executes calls before that.
+    void begin_incarnation(worker_host& host);
     /// Shrinks the capacity of a worker for some seconds.
     void shrink_one();
     void set_capacity(worker_host& host, core::resources const& capacity);
--- a/modules/workflow/tests/overload_dispatch_test.cpp
+++ b/modules/workflow/tests/overload_dispatch_test.cpp
@@ -108,7 +108,7 @@
         m_dispatcher = std::make_unique<dispatcher>(
             m_table,
             options,
-            7,
+            core::term(7),
             m_now,
             [this](core::event const& what) { m_events.push_back(what); });
     }
--- a/modules/workflow/tests/worker_agent_test.cpp
+++ b/modules/workflow/tests/worker_agent_test.cpp
@@ -1,3 +1,4 @@
+#include "workflow/agent/fencing_token.hpp"
 #include "workflow/agent/worker_agent.hpp"
 #include "workflow_builder.hpp"
 
@@ -46,6 +47,9 @@
     CPPUNIT_TEST(start_that_fits_again_is_sent);
     CPPUNIT_TEST(crash_is_reported_until_it_is_acknowledged);
     CPPUNIT_TEST(end_with_notice_is_not_reported_as_a_crash);
+    CPPUNIT_TEST(next_incarnation_is_fenced_before_a_leader_answers);
+    CPPUNIT_TEST(first_list_of_the_next_incarnation_is_reported_at_once);
+    CPPUNIT_TEST(unanswered_start_is_not_repeated_to_a_silent_worker);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -580,6 +584,60 @@
         CPPUNIT_ASSERT(last_report().crashed.empty());
     }
 
+    // A worker that has restarted under its id has seen no token and would
+    // execute calls that were meant for its earlier incarnation. Guards against
+    // such a call that is executed after the leader has read the first list.
+    void next_incarnation_is_fenced_before_a_leader_answers()
+    {
+        start_up(fencing_token(core::term(3), 1));
+        auto const earlier = m_syncs.front().call.fencing_token;
+        m_syncs.clear();
+        m_agent->registered(profile("w1", 8000, 2));
+        auto const own = m_syncs.front().call.fencing_token;
+        CPPUNIT_ASSERT(own > earlier);
+        CPPUNIT_ASSERT(!m_syncs.front().call.lease_until);
+        CPPUNIT_ASSERT(m_syncs.front().call.wait == core::duration{});
+        CPPUNIT_ASSERT(own < fencing_token(core::term(3), 2));
+    }
+
+    // The leader places the tasks of the earlier incarnation again once it has
+    // the list. Guards against a list that waits for the grant of the report
+    // without one.
+    void first_list_of_the_next_incarnation_is_reported_at_once()
+    {
+        start_up();
+        m_syncs.clear();
+        m_agent->registered(profile("w1", 8000, 2));
+        CPPUNIT_ASSERT(!last_report().runs);
+        answer(m_syncs, std::optional(list_at(10, {m_run})));
+        CPPUNIT_ASSERT(last_report().runs.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_reports.size());
+        // The grant for the first of the two reports is dropped.
+        grant(3);
+        CPPUNIT_ASSERT(m_polls.size() == 1);
+        CPPUNIT_ASSERT(has_event(core::event_code::late_start_executed));
+    }
+
+    // Guards against a repeated start that reaches the next incarnation of a
+    // worker that has just ended, and against a run that is reported as refused
+    // although its unanswered start may still be executed.
+    void unanswered_start_is_not_repeated_to_a_silent_worker()
+    {
+        start_up();
+        order_start();
+        answer(m_syncs, std::optional<sync_result>());
+        answer(m_starts, start_outcome::unknown);
+        CPPUNIT_ASSERT(m_starts.empty());
+        grant(1);
+        run_delayed();
+        answer(m_syncs, std::optional(sync_result{}));
+        order_start();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_starts.size());
+        answer(m_starts, start_outcome::refused);
+        CPPUNIT_ASSERT(last_report().refused.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_stops.size());
+    }
+
 private:
     static sync_result list_at(std::int64_t clock_ms,
                                std::vector<core::task_run> const& runs)
--- a/modules/workflow/tests/worker_restart_test.cpp
+++ b/modules/workflow/tests/worker_restart_test.cpp
@@ -1,4 +1,5 @@
 #include "dispatcher_fixture.hpp"
+#include "workflow/agent/fencing_token.hpp"
 
 namespace turmericswitch::workflow
 {
@@ -14,6 +15,11 @@
     CPPUNIT_TEST(registration_alone_ends_no_run_of_the_earlier_incarnation);
     CPPUNIT_TEST(run_that_the_next_incarnation_executes_is_stopped_first);
     CPPUNIT_TEST(end_on_the_next_incarnation_counts_for_the_run);
+    CPPUNIT_TEST(token_rises_with_each_incarnation_and_leader);
+    CPPUNIT_TEST(run_is_given_up_if_no_list_of_the_next_incarnation_comes);
+    CPPUNIT_TEST(restarts_without_a_list_do_not_hold_the_run_for_ever);
+    CPPUNIT_TEST(late_lease_of_the_next_incarnation_is_waited_for);
+    CPPUNIT_TEST(new_leader_waits_for_the_list_of_the_next_incarnation);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -56,6 +62,77 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, grant(2).acknowledged_ends);
     }
 
+    // Guards against calls to an earlier incarnation, or of an earlier leader,
+    // that a worker accepts because its token has not risen.
+    void token_rises_with_each_incarnation_and_leader()
+    {
+        report({});
+        auto const first = grant().fencing_token;
+        report({}, profile("w1", 8000, 2));
+        auto const second = grant(2).fencing_token;
+        CPPUNIT_ASSERT(first < second);
+        CPPUNIT_ASSERT(next_fencing_token(first) < second);
+        CPPUNIT_ASSERT_EQUAL(second,
+                             m_dispatcher
+                                 ->take_orders(m_now,
+                                               core::worker_id("w1"),
+                                               core::incarnation(2))
+                                 .fencing_token);
+        CPPUNIT_ASSERT(second < fencing_token(core::term(8), 0));
+        CPPUNIT_ASSERT(grant(1).fencing_token < second);
+    }
+
+    // Guards against a task that waits for ever because its worker restarts and
+    // is never heard of again, and against one that is placed while a late
+    // start may hold a lease.
+    void run_is_given_up_if_no_list_of_the_next_incarnation_comes()
+    {
+        start_one();
+        report_registration(2);
+        m_now += std::chrono::seconds(6);
+        CPPUNIT_ASSERT(!ends_a_run());
+        m_now += std::chrono::milliseconds(400);
+        CPPUNIT_ASSERT(ends_a_run());
+    }
+
+    void restarts_without_a_list_do_not_hold_the_run_for_ever()
+    {
+        start_one();
+        report_registration(2);
+        m_now += std::chrono::seconds(5);
+        report_registration(3);
+        m_now += std::chrono::milliseconds(1400);
+        CPPUNIT_ASSERT(ends_a_run());
+    }
+
+    // The deadline of a late call is on the clock of the earlier incarnation,
+    // so it may grant the longest lease that the worker accepts. Guards against
+    // a task that is placed again while that lease lasts.
+    void late_lease_of_the_next_incarnation_is_waited_for()
+    {
+        elect({std::chrono::seconds(10), std::chrono::seconds(6)});
+        record_lease(std::chrono::seconds(6));
+        start_one();
+        auto const run = run_of("a", 0, 0);
+        report_lists(running({run}), 2);
+        m_now += std::chrono::seconds(9);
+        CPPUNIT_ASSERT(!ends_a_run());
+        m_now += std::chrono::milliseconds(1300);
+        CPPUNIT_ASSERT(ends_a_run());
+    }
+
+    // A leader that is elected between the restart and the first list has seen
+    // neither incarnation.
+    void new_leader_waits_for_the_list_of_the_next_incarnation()
+    {
+        start_one();
+        elect({std::chrono::seconds(6), std::chrono::seconds(6)});
+        report_registration(2);
+        CPPUNIT_ASSERT(!ends_a_run());
+        report_lists({}, 2);
+        CPPUNIT_ASSERT(ends_a_run());
+    }
+
 private:
     static core::worker_runs ended(core::task_run const& run, core::run_end how)
     {
--- a/programs/control/leader/workflow_service.cpp
+++ b/programs/control/leader/workflow_service.cpp
@@ -84,7 +84,7 @@
       m_metrics(metrics),
       m_dispatcher(node.state().workflows(),
                    options,
-                   node.current_term().value(),
+                   node.current_term(),
                    process::event_loop::now(),
                    m_on_event),
       m_fleet_progress(process::event_loop::now(),
@@ -257,9 +257,7 @@
         report.profile.worker, report.profile.life, std::move(done)};
     if (!m_dispatcher.report(process::event_loop::now(), std::move(report)))
     {
-        core::runtime_grant stale;
-        stale.fencing_token = m_dispatcher.fencing_token();
-        waiting.done(stale);
+        waiting.done(m_dispatcher.grant(waiting.worker, waiting.life));
         return;
     }
     m_fleet_progress.reported(process::event_loop::now(), waiting.worker);
@@ -558,8 +556,8 @@
     }
     auto const counts =
         m_dispatcher.counts(now, m_node.state().config().in_force());
-    m_on_event(m_fleet_progress.event(core::term(m_dispatcher.fencing_token()),
-                                      counts.usable_workers));
+    m_on_event(
+        m_fleet_progress.event(m_dispatcher.term(), counts.usable_workers));
     for (auto const& [percent, field] : fleet_progress::shares)
     {
         if (auto const time = m_fleet_progress.time_to(percent))
