Sidecar: accept a worker that restarted after its clock was set back

An incarnation is numbered by the wall time of its start. After a step back of the clock the next one has a lower number, and its registrations were ignored for good as delayed ones of an earlier incarnation: the worker got no tasks, and its runs waited for the lease to expire.

A lower number is accepted now if the worker itself has answered a call with it, which only a running incarnation does. The leader gets a higher number than that of the incarnation before. After a restart of the sidecar as well, the leader still ignores the lower number until it forgets the worker.

The new test fails on the code before (the registration is refused); the 35 tests of worker_agent_test pass.

--- a/modules/workflow/agent/worker_agent.cpp
+++ b/modules/workflow/agent/worker_agent.cpp
@@ -54,11 +54,11 @@
     {
         return false;
     }
-    bool const is_new = !m_profile || m_profile->life != profile.life ||
+    bool const is_new = !m_profile || m_stated_life != profile.life ||
                         m_profile->worker != profile.worker;
     if (is_new)
     {
-        if (m_profile && profile.life < m_profile->life)
+        if (is_earlier(profile))
         {
             m_hooks.on_event(registration_ignored_event(profile, *m_profile));
             return false;
@@ -73,6 +73,7 @@
         return false;
     }
     m_sequence = sequence;
+    profile.life = m_profile->life;
     bool const is_drain_changed = m_profile->draining != profile.draining;
     bool const is_changed = differs(*m_profile, profile);
     m_profile = std::move(profile);
@@ -91,9 +92,22 @@
     return true;
 }
 
+bool worker_agent::is_earlier(core::worker_profile const& profile) const
+{
+    // The number is a wall time. A lower one is of a later incarnation if the
+    // clock was set back, but only a running incarnation answers calls.
+    return m_profile && profile.life < m_stated_life &&
+           m_successor != profile.life;
+}
+
 void worker_agent::begin_incarnation(core::worker_profile profile)
 {
     ++m_epoch;
+    m_stated_life = profile.life;
+    if (m_profile && profile.life <= m_profile->life)
+    {
+        profile.life = core::incarnation(m_profile->life.value() + 1);
+    }
     m_successor.reset();
     m_has_late_starts = m_profile.has_value();
     m_hooks.on_event({event_code::worker_registered,
@@ -266,7 +280,7 @@
     }
     m_syncing = false;
     bool const is_other_incarnation =
-        answer && answer->life && *answer->life != m_profile->life;
+        answer && answer->life && *answer->life != m_stated_life;
     if (is_other_incarnation && m_successor != *answer->life)
     {
         handle_successor(*answer->life);
--- a/modules/workflow/agent/worker_agent.hpp
+++ b/modules/workflow/agent/worker_agent.hpp
@@ -122,6 +122,9 @@
         bool is_suspended = false;
     };
 
+    /// @return True if the registration is of an incarnation that began before
+    ///         the current one.
+    bool is_earlier(core::worker_profile const& profile) const;
     void begin_incarnation(core::worker_profile profile);
     /// Handles the first answer of an incarnation that has not registered yet.
     void handle_successor(core::incarnation life);
@@ -180,7 +183,11 @@
     /// Incremented for each incarnation of the worker; answers to calls of an
     /// earlier epoch are dropped.
     std::uint64_t m_epoch = 0;
+    /// Its incarnation has a higher number than all earlier ones, also if the
+    /// worker's wall clock was set back in between.
     std::optional<core::worker_profile> m_profile;
+    /// Number of the current incarnation as the worker states it.
+    core::incarnation m_stated_life;
     /// The incarnation that answered last, if it has not registered yet.
     std::optional<core::incarnation> m_successor;
     /// True if the agent has seen an earlier incarnation and has no lists of
--- a/modules/workflow/tests/worker_agent_test.cpp
+++ b/modules/workflow/tests/worker_agent_test.cpp
@@ -50,6 +50,7 @@
     CPPUNIT_TEST(next_incarnation_is_fenced_before_a_leader_answers);
     CPPUNIT_TEST(first_list_of_the_next_incarnation_is_reported_at_once);
     CPPUNIT_TEST(unanswered_start_is_not_repeated_to_a_silent_worker);
+    CPPUNIT_TEST(incarnation_that_began_after_the_clock_was_set_back_is_used);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -638,6 +639,29 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_stops.size());
     }
 
+    // An incarnation is numbered by the wall time of its start. Guards against
+    // a worker that is ignored for good because its clock was set back before
+    // it restarted.
+    void incarnation_that_began_after_the_clock_was_set_back_is_used()
+    {
+        m_agent->registered(profile("w1", 8000, 5));
+        grant(1);
+        CPPUNIT_ASSERT(!m_agent->registered(profile("w1", 8000, 3)));
+        auto answered = list_at(10, {});
+        answered.life = core::incarnation(3);
+        answer(m_syncs, std::optional(answered));
+        grant(1);
+        m_syncs.clear();
+        CPPUNIT_ASSERT(m_agent->registered(profile("w1", 8000, 3)));
+        CPPUNIT_ASSERT(last_report().profile.life > core::incarnation(5));
+        CPPUNIT_ASSERT(m_agent->registered(profile("w1", 8000, 3)));
+        answer(m_syncs, std::optional(answered));
+        CPPUNIT_ASSERT(last_report().runs.has_value());
+        CPPUNIT_ASSERT(!last_report().silent);
+        // A delayed registration of the incarnation before.
+        CPPUNIT_ASSERT(!m_agent->registered(profile("w1", 8000, 2)));
+    }
+
 private:
     static sync_result list_at(std::int64_t clock_ms,
                                std::vector<core::task_run> const& runs)
