Test late calls of earlier incarnations and sidecars (fails)

Five tests fail on: a new leader gives up a listed run before its late lease has expired; the fencing token does not rise with a restarted sidecar; a refusal after unanswered starts and stops is reported as certain; a worker that restarts after a clock step back, and one whose earlier incarnation's notice arrives late, stay unusable.

--- a/modules/workflow/tests/worker_agent_test.cpp
+++ b/modules/workflow/tests/worker_agent_test.cpp
@@ -50,6 +50,9 @@
     CPPUNIT_TEST(next_incarnation_is_fenced_before_a_leader_answers);
     CPPUNIT_TEST(first_list_of_the_next_incarnation_is_reported_at_once);
     CPPUNIT_TEST(unanswered_start_is_not_repeated_to_a_silent_worker);
+    CPPUNIT_TEST(refusal_after_unanswered_starts_and_stops_is_not_certain);
+    CPPUNIT_TEST(incarnation_after_a_clock_step_back_is_accepted);
+    CPPUNIT_TEST(late_notice_of_the_earlier_incarnation_is_ignored);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -638,6 +641,61 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_stops.size());
     }
 
+    // All starts and stops of the run stay unanswered, and the leader repeats
+    // the order. Guards against a refusal of the repeated start that is
+    // reported as certain, although the worker may still execute an earlier
+    // one.
+    void refusal_after_unanswered_starts_and_stops_is_not_certain()
+    {
+        start_up();
+        order_start();
+        while (!m_starts.empty())
+        {
+            answer(m_starts, start_outcome::unknown);
+        }
+        while (!m_stops.empty())
+        {
+            answer(m_stops, false);
+        }
+        order_start();
+        answer(m_starts, start_outcome::refused);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_stops.size());
+        answer(m_syncs, std::optional(sync_result{}));
+        CPPUNIT_ASSERT(last_report().refused.empty());
+    }
+
+    // Incarnations are numbered by the time of day of their start. Guards
+    // against a worker that is unusable until its next restart, because it
+    // started after the time of day had been set back. Its answer to a sync
+    // call that was sent to the known incarnation shows that it is the later
+    // one.
+    void incarnation_after_a_clock_step_back_is_accepted()
+    {
+        m_agent->registered(profile("w1", 8000, 5));
+        grant(1);
+        sync_result by_successor;
+        by_successor.life = core::incarnation(4);
+        answer(m_syncs, std::optional(by_successor));
+        CPPUNIT_ASSERT(!m_agent->registered(profile("w1", 8000, 3)));
+        CPPUNIT_ASSERT(m_agent->registered(profile("w1", 8000, 4)));
+    }
+
+    // The notice that a worker ends names only its id. Guards against one that
+    // is handled after the next incarnation has registered, and makes the
+    // worker unusable until its next restart.
+    void late_notice_of_the_earlier_incarnation_is_ignored()
+    {
+        auto draining = profile("w1");
+        draining.draining = true;
+        m_agent->registered(draining);
+        grant(1);
+        m_agent->registered(profile("w1", 8000, 2));
+        m_agent->unregistered(core::worker_id("w1"));
+        grant(2);
+        CPPUNIT_ASSERT(m_reports.empty() || !last_report().left);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_polls.size());
+    }
+
 private:
     static sync_result list_at(std::int64_t clock_ms,
                                std::vector<core::task_run> const& runs)
--- a/modules/workflow/tests/worker_restart_test.cpp
+++ b/modules/workflow/tests/worker_restart_test.cpp
@@ -20,6 +20,8 @@
     CPPUNIT_TEST(restarts_without_a_list_do_not_hold_the_run_for_ever);
     CPPUNIT_TEST(late_lease_of_the_next_incarnation_is_waited_for);
     CPPUNIT_TEST(new_leader_waits_for_the_list_of_the_next_incarnation);
+    CPPUNIT_TEST(new_leader_waits_for_the_late_lease_of_a_listed_run);
+    CPPUNIT_TEST(token_rises_with_each_sidecar);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -133,6 +135,38 @@
         CPPUNIT_ASSERT(ends_a_run());
     }
 
+    // The first list of the next incarnation has the run, and the worker is
+    // silent from then on. Guards against a leader that gives the run up when
+    // the leases of earlier leaders have expired: the late start was executed
+    // after the election, and may hold the longest lease.
+    void new_leader_waits_for_the_late_lease_of_a_listed_run()
+    {
+        start_one();
+        elect({std::chrono::seconds(6), std::chrono::seconds(6)});
+        m_now += std::chrono::seconds(5);
+        report(running({run_of("a", 0, 0)}), profile("w1", 8000, 2));
+        m_now += std::chrono::seconds(5);
+        CPPUNIT_ASSERT(!ends_a_run());
+        m_now += std::chrono::milliseconds(1400);
+        CPPUNIT_ASSERT(ends_a_run());
+    }
+
+    // A restarted sidecar does not know which starts of the earlier one have no
+    // answer yet. Guards against such a start that the worker executes after it
+    // has refused a repeated one, which the sidecar reports as certain.
+    void token_rises_with_each_sidecar()
+    {
+        report({});
+        auto const first = grant().fencing_token;
+        m_sidecar = core::incarnation(2);
+        report({});
+        auto const second = grant().fencing_token;
+        CPPUNIT_ASSERT(next_fencing_token(first) < second);
+        CPPUNIT_ASSERT_EQUAL(second, orders().fencing_token);
+        report({});
+        CPPUNIT_ASSERT_EQUAL(second, grant().fencing_token);
+    }
+
 private:
     static core::worker_runs ended(core::task_run const& run, core::run_end how)
     {
