Wait for the late lease of a listed run also after an election

A leader that had not seen the earlier incarnation gave up a run that the next incarnation listed once the leases of earlier leaders had expired, although a late start may hold the longest lease from its execution on. If the worker fell silent after its first list, the task could run twice.

new_leader_waits_for_the_late_lease_of_a_listed_run failed before and passes.

--- a/modules/workflow/dispatch/worker_fleet.cpp
+++ b/modules/workflow/dispatch/worker_fleet.cpp
@@ -177,6 +177,10 @@
 
 void worker_fleet::add_late_calls(core::time_point now, worker_view& view) const
 {
+    // An elected leader may not have seen the earlier incarnation, but the
+    // table has its runs.
+    view.late_starts_expire_at =
+        now + max_length_on_leader_clock(m_policy.longest);
     if (view.replaced)
     {
         // The deadline of a call that was meant for an earlier incarnation is
@@ -328,11 +332,13 @@
     {
         return true;
     }
-    if (!successor.has_runs)
+    if (successor.has_runs && !successor.running.contains(run))
     {
-        return now > successor.late_starts_expire_at;
+        return true;
     }
-    return !successor.running.contains(run) || now > successor.lease_expires_at;
+    bool const is_lease_over =
+        !successor.has_runs || now > successor.lease_expires_at;
+    return is_lease_over && now > successor.late_starts_expire_at;
 }
 
 core::run_end worker_fleet::end_with_worker(core::worker_id const& worker,
--- a/modules/workflow/dispatch/worker_fleet.hpp
+++ b/modules/workflow/dispatch/worker_fleet.hpp
@@ -80,9 +80,9 @@
     bool left = false;
     /// How it ended, if it left.
     incarnation_end how_ended = incarnation_end::unknown;
-    /// Until `has_runs`: time on the leader's clock at which the runs have
-    /// certainly expired that the incarnation began on calls that were meant
-    /// for an earlier one.
+    /// Time on the leader's clock at which the leases of calls that were meant
+    /// for an earlier incarnation have expired. Until `has_runs` it assumes
+    /// that none is executed later than the registration.
     core::time_point late_starts_expire_at;
     std::optional<replaced_incarnation> replaced;
     /// Crashes of earlier incarnations on the instance in the last report.
