Raise the fencing token when the sidecar of a worker restarts

A restarted sidecar does not know which starts of the earlier one have no answer. When the worker refused a repeated start, it reported the run as refused at once, and the leader placed the task again, although the worker could still execute the earlier start with the same token.

token_rises_with_each_sidecar failed before and passes.

--- a/modules/workflow/dispatch/worker_fleet.cpp
+++ b/modules/workflow/dispatch/worker_fleet.cpp
@@ -137,6 +137,12 @@
         add_incarnation(now, report);
         known = m_workers.find(id);
     }
+    else if (known->second.sidecar != report.sidecar)
+    {
+        // The sidecar does not know which calls of the earlier one are under
+        // way, so the worker must reject them.
+        known->second.number = ++m_incarnations;
+    }
     auto& view = known->second;
     view.host = report.host;
     view.profile = std::move(report.profile);
--- a/modules/workflow/dispatch/worker_fleet.hpp
+++ b/modules/workflow/dispatch/worker_fleet.hpp
@@ -48,6 +48,7 @@
 struct worker_view
 {
     /// Number of the incarnation among all that this leader has seen, from 1.
+    /// It rises when the sidecar restarts.
     std::uint64_t number = 0;
     core::instance_id host;
     core::worker_profile profile;
