Remember unanswered starts after all tries of their stop have failed

When three starts and three stops of a run stayed unanswered, the sidecar forgot them. The leader repeated the order; if the worker then refused the start, the run was reported as refused at once and its task placed again, although the worker could still execute an earlier start: two runs at once.

refusal_after_unanswered_starts_and_stops_is_not_certain failed before and passes.

--- a/modules/workflow/agent/worker_agent.cpp
+++ b/modules/workflow/agent/worker_agent.cpp
@@ -117,6 +117,7 @@
     m_refused.clear();
     m_reserved = {};
     m_starts.clear();
+    m_unanswered_starts.clear();
     m_started_runs.clear();
     m_stops.clear();
     m_stopped_runs.clear();
--- a/modules/workflow/agent/worker_agent.hpp
+++ b/modules/workflow/agent/worker_agent.hpp
@@ -116,8 +116,6 @@
         core::run_start start;
         std::string payload;
         int tries = 0;
-        /// Tries without an answer.
-        int unanswered = 0;
         /// True if the next try waits until the leader repeats the order.
         bool is_suspended = false;
     };
@@ -222,6 +220,9 @@
     core::resources m_reserved;
 
     std::map<core::task_run, pending_start> m_starts;
+    /// Runs with a start that had no answer. The worker may still execute it
+    /// until it has confirmed a stop.
+    std::set<core::task_run> m_unanswered_starts;
     /// Started runs, with the number of the first sync call whose answer lists
     /// them.
     std::map<core::task_run, std::uint64_t> m_started_runs;
--- a/modules/workflow/agent/worker_agent_orders.cpp
+++ b/modules/workflow/agent/worker_agent_orders.cpp
@@ -186,6 +186,7 @@
              number_field("token", m_fencing_token),
              time_field("lease_left_ms", m_lease_until - m_worker_clock)});
         m_starts.erase(open);
+        m_unanswered_starts.erase(run);
         m_started_runs[run] = m_syncs_begun + 1;
         return;
     case start_outcome::stale_token:
@@ -201,10 +202,11 @@
         return;
     case start_outcome::already_ended:
         m_starts.erase(open);
+        m_unanswered_starts.erase(run);
         m_stopped_runs[run] = m_syncs_begun + 1;
         return;
     case start_outcome::refused:
-        if (open->second.unanswered == 0)
+        if (!m_unanswered_starts.contains(run))
         {
             m_starts.erase(open);
             mark_refused(run, "the worker refused the start");
@@ -213,7 +215,7 @@
         }
         break;
     case start_outcome::unknown:
-        ++open->second.unanswered;
+        m_unanswered_starts.insert(run);
         if (m_silent)
         {
             // The next try could reach the worker's next incarnation.
@@ -268,6 +270,7 @@
                              m_stops.erase(open);
                              if (is_done)
                              {
+                                 m_unanswered_starts.erase(run);
                                  m_stopped_runs[run] = m_syncs_begun + 1;
                              }
                          });
