Send a start only once for each call of the agent

The HTTP client sent a request again by itself if its reused connection was closed before the response. A start that a worker had read when it ended so reached its next incarnation, even if the agent repeats none, and the agent did not count the first try: a refusal of the second one was taken for certain although the first could still be executed.

Other calls are idempotent and are still retried.

lost_request_is_sent_once_if_its_caller_counts_tries failed before (the client answered the second request, from a new connection) and passes.

--- a/modules/web/client/async_client.cpp
+++ b/modules/web/client/async_client.cpp
@@ -45,7 +45,8 @@
     std::chrono::steady_clock::time_point deadline;
     async_client::callback done;
     std::shared_ptr<client_connection> connection;
-    bool may_retry = true;
+    lost_request lost = lost_request::retried;
+    bool is_reused = true;
 };
 
 http::request<http::string_body> to_beast(http_request const& content,
@@ -92,13 +93,16 @@
     {
     }
 
-    void
-    request(http_request const& content, core::duration timeout, callback done)
+    void request(http_request const& content,
+                 core::duration timeout,
+                 callback done,
+                 lost_request lost)
     {
         auto const pending = std::make_shared<pending_request>();
         pending->request = to_beast(content, m_peer);
         pending->deadline = std::chrono::steady_clock::now() + timeout;
         pending->done = std::move(done);
+        pending->lost = lost;
         boost::asio::post(m_strand,
                           [self = shared_from_this(), pending]
                           { self->start(pending); });
@@ -132,7 +136,7 @@
             send(pending);
             return;
         }
-        pending->may_retry = false;
+        pending->is_reused = false;
         connect(pending);
     }
 
@@ -206,14 +210,19 @@
                          boost::system::error_code failure)
     {
         bool const connection_was_closed =
-            pending->may_retry && failure != beast::error::timeout &&
+            pending->is_reused && failure != beast::error::timeout &&
             !(pending->parser && pending->parser->got_some());
-        if (connection_was_closed)
+        if (connection_was_closed && pending->lost == lost_request::retried)
         {
-            pending->may_retry = false;
+            pending->is_reused = false;
             connect(pending);
             return;
         }
+        if (connection_was_closed)
+        {
+            // The peer has probably closed the others too.
+            m_idle.clear();
+        }
         if (failure == beast::error::timeout)
         {
             // All open connections may have fallen silent without a reset, also
@@ -287,9 +296,10 @@
 
 void async_client::request(http_request const& content,
                            core::duration timeout,
-                           callback done)
+                           callback done,
+                           lost_request lost)
 {
-    m_state->request(content, timeout, std::move(done));
+    m_state->request(content, timeout, std::move(done), lost);
 }
 
 } // namespace turmericswitch::web
--- a/modules/web/client/async_client.hpp
+++ b/modules/web/client/async_client.hpp
@@ -7,6 +7,7 @@
 #include "web/client/http_client.hpp"
 #include "web/message/http_message.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -25,12 +26,21 @@
     std::size_t max_connections = 8;
 };
 
+/// What happens to a request if its reused connection ends before the first
+/// byte of the response. The peer may have closed it while it was idle, or
+/// after it had read the request.
+enum class lost_request : std::uint8_t
+{
+    /// It is retried once on a new connection; for idempotent requests.
+    retried,
+    /// It fails as `lost`, and all idle connections are closed.
+    failed,
+};
+
 /// Asynchronous HTTP/1.1 client of one peer.
 ///
 /// Use it where responses may take long; `http_client` blocks a thread for each
-/// request. Requests must be idempotent: one that fails on a reused connection
-/// before the first byte of its response is retried on a new connection. One
-/// that times out closes its connection and all idle ones.
+/// request. A request that times out closes its connection and all idle ones.
 class async_client
 {
 public:
@@ -49,8 +59,10 @@
     /// @param timeout From this call to the complete response, including the
     /// time in the queue and for connecting.
     /// @param done Called once, on a thread of the pool.
-    void
-    request(http_request const& content, core::duration timeout, callback done);
+    void request(http_request const& content,
+                 core::duration timeout,
+                 callback done,
+                 lost_request lost = lost_request::retried);
 
 private:
     class state;
--- a/modules/web/tests/async_client_test.cpp
+++ b/modules/web/tests/async_client_test.cpp
@@ -1,5 +1,6 @@
 #include "web/client/async_client.hpp"
 
+#include "raw_socket.hpp"
 #include "support/silencing_relay.hpp"
 #include "web/server/http_server.hpp"
 
@@ -22,6 +23,7 @@
     CPPUNIT_TEST(request_to_closed_port_is_not_sent);
     CPPUNIT_TEST(timeout_drops_the_idle_connections_that_may_be_silent);
     CPPUNIT_TEST(timeout_drops_a_connection_that_was_used_since);
+    CPPUNIT_TEST(lost_request_is_sent_once_if_its_caller_counts_tries);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -181,17 +183,40 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, relay.accepted());
     }
 
+    // A worker that ends closes its connections, and the start that it has read
+    // may still be executed late. Guards against a client that sends the start
+    // again by itself, so that it reaches the next incarnation, and a refusal
+    // of the second one is taken for certain.
+    void lost_request_is_sent_once_if_its_caller_counts_tries()
+    {
+        closing_server const server;
+        transport::io_pool io(1);
+        async_client client(io, server.address());
+        CPPUNIT_ASSERT(send(client, "first").get().outcome ==
+                       http_outcome::answered);
+        CPPUNIT_ASSERT(send(client,
+                            "second",
+                            std::chrono::seconds(20),
+                            lost_request::failed)
+                           .get()
+                           .outcome == http_outcome::lost);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, server.requests());
+    }
+
 private:
     static std::future<http_result>
     send(async_client& client,
          std::string body,
-         core::duration timeout = std::chrono::seconds(20))
+         core::duration timeout = std::chrono::seconds(20),
+         lost_request lost = lost_request::retried)
     {
         auto const promise = std::make_shared<std::promise<http_result>>();
-        client.request({"POST", "/", {}, std::move(body)},
-                       timeout,
-                       [promise](http_result result)
-                       { promise->set_value(std::move(result)); });
+        client.request(
+            {"POST", "/", {}, std::move(body)},
+            timeout,
+            [promise](http_result result)
+            { promise->set_value(std::move(result)); },
+            lost);
         return promise->get_future();
     }
 };
--- a/modules/web/tests/raw_socket.hpp
+++ b/modules/web/tests/raw_socket.hpp
@@ -179,6 +179,88 @@
     std::thread m_thread;
 };
 
+/// Server that answers the first request of each connection, and closes the
+/// connection when it has read the second one.
+class closing_server
+{
+public:
+    closing_server() : m_listener(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address = loopback(0);
+        auto* const pointer = reinterpret_cast<sockaddr*>(&address);
+        CPPUNIT_ASSERT_EQUAL(0, ::bind(m_listener, pointer, sizeof address));
+        ::listen(m_listener, 16);
+        socklen_t size = sizeof address;
+        ::getsockname(m_listener, pointer, &size);
+        m_port = ntohs(address.sin_port);
+        m_thread = std::thread([this] { run(); });
+    }
+
+    ~closing_server()
+    {
+        ::shutdown(m_listener, SHUT_RDWR);
+        m_thread.join();
+        ::close(m_listener);
+    }
+
+    closing_server(closing_server const&) = delete;
+    closing_server& operator=(closing_server const&) = delete;
+
+    core::endpoint address() const
+    {
+        return {"127.0.0.1", m_port};
+    }
+
+    /// @return Requests read so far.
+    std::size_t requests() const
+    {
+        return m_requests;
+    }
+
+private:
+    void run()
+    {
+        for (;;)
+        {
+            int const socket = ::accept(m_listener, nullptr, nullptr);
+            if (socket < 0)
+            {
+                return;
+            }
+            if (read_request(socket))
+            {
+                send_all(socket,
+                         "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+                read_request(socket);
+            }
+            ::close(socket);
+        }
+    }
+
+    /// @return False if the peer closed the connection first.
+    bool read_request(int socket)
+    {
+        std::string head;
+        std::array<char, 4096> chunk{};
+        while (head.find("\r\n\r\n") == std::string::npos)
+        {
+            ssize_t const size = ::recv(socket, chunk.data(), chunk.size(), 0);
+            if (size <= 0)
+            {
+                return false;
+            }
+            head.append(chunk.data(), static_cast<std::size_t>(size));
+        }
+        ++m_requests;
+        return true;
+    }
+
+    int m_listener;
+    std::uint16_t m_port = 0;
+    std::atomic<std::size_t> m_requests = 0;
+    std::thread m_thread;
+};
+
 } // namespace turmericswitch::web
 
 #endif
