--- a/modules/workflow/dispatch/worker_fleet.cpp
+++ b/modules/workflow/dispatch/worker_fleet.cpp
@@ -137,6 +137,12 @@
         add_incarnation(now, report);
         known = m_workers.find(id);
     }
+    else if (known->second.sidecar != report.sidecar)
+    {
+        // The sidecar does not know which calls of the earlier one are under
+        // way, so the worker must reject them.
+        known->second.number = ++m_incarnations;
+    }
     auto& view = known->second;
     view.host = report.host;
     view.profile = std::move(report.profile);
@@ -177,6 +183,10 @@
 
 void worker_fleet::add_late_calls(core::time_point now, worker_view& view) const
 {
+    // An elected leader may not have seen the earlier incarnation, but the
+    // table has its runs.
+    view.late_starts_expire_at =
+        now + max_length_on_leader_clock(m_policy.longest);
     if (view.replaced)
     {
         // The deadline of a call that was meant for an earlier incarnation is
@@ -328,11 +338,13 @@
     {
         return true;
     }
-    if (!successor.has_runs)
+    if (successor.has_runs && !successor.running.contains(run))
     {
-        return now > successor.late_starts_expire_at;
+        return true;
     }
-    return !successor.running.contains(run) || now > successor.lease_expires_at;
+    bool const is_lease_over =
+        !successor.has_runs || now > successor.lease_expires_at;
+    return is_lease_over && now > successor.late_starts_expire_at;
 }
 
 core::run_end worker_fleet::end_with_worker(core::worker_id const& worker,
--- a/modules/workflow/tests/worker_agent_test.cpp
+++ b/modules/workflow/tests/worker_agent_test.cpp
@@ -51,6 +51,8 @@
     CPPUNIT_TEST(first_list_of_the_next_incarnation_is_reported_at_once);
     CPPUNIT_TEST(unanswered_start_is_not_repeated_to_a_silent_worker);
     CPPUNIT_TEST(incarnation_that_began_after_the_clock_was_set_back_is_used);
+    CPPUNIT_TEST(refusal_after_unanswered_starts_and_stops_is_not_certain);
+    CPPUNIT_TEST(late_notice_of_the_earlier_incarnation_is_ignored);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -652,6 +654,7 @@
         answer(m_syncs, std::optional(answered));
         grant(1);
         m_syncs.clear();
+        CPPUNIT_ASSERT(!m_agent->registered(profile("w1", 8000, 2)));
         CPPUNIT_ASSERT(m_agent->registered(profile("w1", 8000, 3)));
         CPPUNIT_ASSERT(last_report().profile.life > core::incarnation(5));
         CPPUNIT_ASSERT(m_agent->registered(profile("w1", 8000, 3)));
@@ -662,6 +665,45 @@
         CPPUNIT_ASSERT(!m_agent->registered(profile("w1", 8000, 2)));
     }
 
+    // All starts and stops of the run stay unanswered, and the leader repeats
+    // the order. Guards against a refusal of the repeated start that is
+    // reported as certain, although the worker may still execute an earlier
+    // one.
+    void refusal_after_unanswered_starts_and_stops_is_not_certain()
+    {
+        start_up();
+        order_start();
+        while (!m_starts.empty())
+        {
+            answer(m_starts, start_outcome::unknown);
+        }
+        while (!m_stops.empty())
+        {
+            answer(m_stops, false);
+        }
+        order_start();
+        answer(m_starts, start_outcome::refused);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_stops.size());
+        answer(m_syncs, std::optional(sync_result{}));
+        CPPUNIT_ASSERT(last_report().refused.empty());
+    }
+
+    // The notice that a worker ends names only its id. Guards against one that
+    // is handled after the next incarnation has registered, and makes the
+    // worker unusable until its next restart.
+    void late_notice_of_the_earlier_incarnation_is_ignored()
+    {
+        auto draining = profile("w1");
+        draining.draining = true;
+        m_agent->registered(draining);
+        grant(1);
+        m_agent->registered(profile("w1", 8000, 2));
+        m_agent->unregistered(core::worker_id("w1"));
+        grant(2);
+        CPPUNIT_ASSERT(m_reports.empty() || !last_report().left);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_polls.size());
+    }
+
 private:
     static sync_result list_at(std::int64_t clock_ms,
                                std::vector<core::task_run> const& runs)
