Control: answer the orders poll that a later one replaces

After a restart of a worker the poll of its next incarnation replaced the open one of the earlier incarnation, whose answer was dropped. Its stream was reset, the sidecar took that for a lost leader and closed its connection with the report in flight on it: no grant, and the next report 200 ms later.

The replaced poll gets an empty answer now. The new test failed before.

--- a/programs/control/leader/workflow_service.cpp
+++ b/programs/control/leader/workflow_service.cpp
@@ -398,7 +398,14 @@
         return;
     }
     // A sidecar has one open poll at a time, so an earlier one was abandoned.
-    m_polls.insert_or_assign(
+    // Without an answer its stream would be reset, and the sidecar would drop
+    // the connection with all other calls on it.
+    if (known != m_polls.end())
+    {
+        auto const abandoned = m_polls.extract(known);
+        abandoned.mapped().done({});
+    }
+    m_polls.emplace(
         request.worker,
         waiting_poll{request, now + request.max_wait, std::move(done)});
 }
