Sidecar: ignore a leave notice unless the worker drains

The notice that a worker ends names only the id. Handled after the next incarnation had registered, it made the sidecar report that one as left: the leader ended its runs at once and used the worker no more until its next restart. A worker drains before it ends, so a notice while the current incarnation does not drain is a late one; it is logged and ignored.

late_notice_of_the_earlier_incarnation_is_ignored failed before and passes. It counted the poll of the earlier incarnation too; that is cleared now, so it shows that the current one polls. Two tests that gave the notice without draining register a draining profile first.

--- a/modules/core/events/event_code.hpp
+++ b/modules/core/events/event_code.hpp
@@ -45,6 +45,7 @@
     pace_sent = 311,
     worker_replaced = 312,
     late_start_executed = 313,
+    leave_notice_ignored = 314,
 
     // Control: workflows
     workflow_accepted = 401,
@@ -147,6 +148,9 @@
     event_entry{event_code::late_start_executed,
                 "late_start_executed",
                 event_severity::warning},
+    event_entry{event_code::leave_notice_ignored,
+                "leave_notice_ignored",
+                event_severity::warning},
     event_entry{event_code::workflow_accepted, "workflow_accepted"},
     event_entry{event_code::run_placed, "run_placed"},
     event_entry{event_code::run_ended, "run_ended"},
--- a/modules/workflow/agent/worker_agent.cpp
+++ b/modules/workflow/agent/worker_agent.cpp
@@ -72,7 +72,7 @@
         m_hooks.on_event(registration_ignored_event(profile, *m_profile));
         return false;
     }
-    m_sequence = sequence;
+    m_sequence = std::max(m_sequence, sequence);
     profile.life = m_profile->life;
     bool const is_drain_changed = m_profile->draining != profile.draining;
     bool const is_changed = differs(*m_profile, profile);
@@ -174,12 +174,42 @@
     }
 }
 
+void worker_agent::forget_executed_starts()
+{
+    auto const forget = [this](core::task_run const& run)
+    {
+        m_unanswered_starts.erase(run);
+        if (auto const open = m_starts.find(run);
+            open != m_starts.end() && open->second.is_suspended)
+        {
+            m_starts.erase(open);
+        }
+    };
+    for (auto const& each : m_runs->running)
+    {
+        forget(each.run);
+    }
+    for (auto const& each : m_runs->ended)
+    {
+        forget(each.run);
+    }
+}
+
 void worker_agent::unregistered(core::worker_id const& worker)
 {
     if (!m_profile || m_profile->worker != worker || m_left)
     {
         return;
     }
+    if (!m_profile->draining)
+    {
+        // A worker drains before it ends, so the notice is a late one of an
+        // earlier incarnation. It names only the id.
+        m_hooks.on_event({event_code::leave_notice_ignored,
+                          {text_field("worker", worker.value()),
+                           number_field("life", m_profile->life.value())}});
+        return;
+    }
     m_hooks.on_event(
         {event_code::worker_left, {text_field("worker", worker.value())}});
     m_left = true;
@@ -309,6 +339,7 @@
     }
     m_runs = std::move(answer->runs);
     log_late_starts();
+    forget_executed_starts();
     m_witness.listed(m_worker_clock, m_runs->running);
     std::erase_if(m_started_runs,
                   [this](auto const& item)
--- a/modules/workflow/agent/worker_agent.hpp
+++ b/modules/workflow/agent/worker_agent.hpp
@@ -85,7 +85,8 @@
     ///         was overtaken by a later one, or the agent was stopped.
     bool registered(core::worker_profile profile, std::uint64_t sequence = 0);
 
-    /// Handles the worker's notice that it shuts down.
+    /// Handles the worker's notice that it shuts down. It is ignored unless the
+    /// worker drains.
     void unregistered(core::worker_id const& worker);
 
     /// Reports to a new leader with a list of runs that the worker makes after
@@ -128,6 +129,8 @@
     void handle_successor(core::incarnation life);
     /// Logs runs of which the start was meant for an earlier incarnation.
     void log_late_starts();
+    /// Removes the unanswered starts of runs that the worker lists.
+    void forget_executed_starts();
     void sync_worker(core::duration wait);
     /// @param number Of the sync call; the result of one that was given up is
     ///        dropped.
--- a/modules/workflow/tests/worker_agent_test.cpp
+++ b/modules/workflow/tests/worker_agent_test.cpp
@@ -307,6 +307,7 @@
     {
         start_up();
         answer(m_syncs, std::optional(sync_result{}));
+        m_agent->registered(draining_profile(1));
         m_agent->unregistered(core::worker_id("w1"));
         grant(1);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_reports.size());
@@ -577,12 +578,11 @@
     void end_with_notice_is_not_reported_as_a_crash()
     {
         start_up();
+        m_agent->registered(draining_profile(1));
         m_agent->unregistered(core::worker_id("w1"));
         m_agent->registered(profile("w1", 8000, 2));
         CPPUNIT_ASSERT(last_report().crashed.empty());
-        auto draining = profile("w1", 8000, 2);
-        draining.draining = true;
-        m_agent->registered(draining);
+        m_agent->registered(draining_profile(2));
         m_agent->registered(profile("w1", 8000, 3));
         CPPUNIT_ASSERT(last_report().crashed.empty());
     }
@@ -693,10 +693,9 @@
     // worker unusable until its next restart.
     void late_notice_of_the_earlier_incarnation_is_ignored()
     {
-        auto draining = profile("w1");
-        draining.draining = true;
-        m_agent->registered(draining);
+        m_agent->registered(draining_profile(1));
         grant(1);
+        m_polls.clear();
         m_agent->registered(profile("w1", 8000, 2));
         m_agent->unregistered(core::worker_id("w1"));
         grant(2);
@@ -705,6 +704,13 @@
     }
 
 private:
+    static core::worker_profile draining_profile(std::uint64_t life)
+    {
+        auto result = profile("w1", 8000, life);
+        result.draining = true;
+        return result;
+    }
+
     static sync_result list_at(std::int64_t clock_ms,
                                std::vector<core::task_run> const& runs)
     {
