End-to-end tests: hold the daemons' ports while they run

The tests now hold a port_reservation: sockets that are bound to the ports at all local addresses, with SO_REUSEADDR, and never listen. The kernel gives such ports to nobody, and the daemons, whose servers set SO_REUSEADDR, can listen on them, also after a restart. end_to_end_test had the same weakness (and its control and a sidecar are started twice on the same port). All waits and bounds of the tests are unchanged.

--- a/extras/load/tests/load_parts_test.cpp
+++ b/extras/load/tests/load_parts_test.cpp
@@ -5,12 +5,17 @@
 #include "load/run/daemon_usage.hpp"
 #include "load/run/free_ports.hpp"
 #include "load/run/job_load.hpp"
+#include "load/run/port_reservation.hpp"
 #include "load/run/request_load.hpp"
 #include "load/run/standin_client.hpp"
 #include "support/property.hpp"
+#include "web/server/http_server.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <netinet/in.h>
 #include <rapidcheck.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <set>
@@ -32,6 +37,8 @@
     CPPUNIT_TEST(ratios_have_median_and_range);
     CPPUNIT_TEST(unchecked_or_violated_guarantee_fails_the_run);
     CPPUNIT_TEST(free_ports_are_distinct);
+    CPPUNIT_TEST(reserved_ports_are_given_to_no_other_socket);
+    CPPUNIT_TEST(servers_can_listen_on_a_reserved_port);
     CPPUNIT_TEST_SUITE_END();
 
     static scenario mixed_scenario()
@@ -368,6 +375,68 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{20}, distinct.size());
         CPPUNIT_ASSERT(!distinct.contains(0));
     }
+
+    // Guards against a daemon that can't listen on the port in its settings,
+    // because a server that asked for any free port got it before the daemon
+    // started.
+    void reserved_ports_are_given_to_no_other_socket()
+    {
+        constexpr std::size_t reserved_count = 200;
+        constexpr int other_sockets = 500;
+        auto const reserved = port_reservation::take(reserved_count);
+        CPPUNIT_ASSERT(reserved.has_value());
+        std::set<std::uint16_t> const ports(reserved->ports().begin(),
+                                            reserved->ports().end());
+        CPPUNIT_ASSERT_EQUAL(reserved_count, ports.size());
+        std::vector<int> sockets;
+        int taken = 0;
+        for (int i = 0; i < other_sockets; ++i)
+        {
+            sockets.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+            taken += ports.contains(bind_to_any_port(sockets.back())) ? 1 : 0;
+        }
+        std::for_each(sockets.begin(), sockets.end(), &::close);
+        CPPUNIT_ASSERT_EQUAL(0, taken);
+    }
+
+    // Guards against a reservation that keeps a daemon itself from listening,
+    // or from listening again after a restart.
+    void servers_can_listen_on_a_reserved_port()
+    {
+        auto const reserved = port_reservation::take(1);
+        CPPUNIT_ASSERT(reserved.has_value());
+        web::server_options options;
+        options.worker_threads = 1;
+        for (auto const* const address : {"127.0.0.1", "127.0.0.2"})
+        {
+            options.listen_on = {address, reserved->ports().front()};
+            for (int start = 0; start < 2; ++start)
+            {
+                CPPUNIT_ASSERT(web::http_server::start(
+                    options, [](auto const&) { return web::http_response(); }));
+            }
+        }
+    }
+
+    /// Binds as a server does that asks for any free port.
+    ///
+    /// @return The port.
+    static std::uint16_t bind_to_any_port(int socket)
+    {
+        int const on = 1;
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        auto* const pointer = reinterpret_cast<sockaddr*>(&address);
+        socklen_t size = sizeof address;
+        bool const is_bound =
+            ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) ==
+                0 &&
+            ::bind(socket, pointer, size) == 0 &&
+            ::getsockname(socket, pointer, &size) == 0;
+        CPPUNIT_ASSERT(is_bound);
+        return ntohs(address.sin_port);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(load_parts_test);
