replica_test: demand the rate of acknowledged commands of 400 cases, not 20

Cause: seeds 52, 54 and 55 of acknowledged_commands_survive_faults often stay below 500 acknowledged commands.

This is sampling error, not a fault of the consensus. A fault comes every 0.4 s and a member returns after 0.8 s, while an election timeout is 0.5 to 1 s.

Change: the same mean, more than 25 commands a case, is demanded of 400 cases.

--- a/programs/control/tests/replica_test.cpp
+++ b/programs/control/tests/replica_test.cpp
@@ -29,14 +29,19 @@
     CPPUNIT_TEST(stalled_leader_says_why_and_hands_over);
     CPPUNIT_TEST_SUITE_END();
 
-    // Guards against lost acknowledged commands and against members that
-    // diverge, under lost messages, crashes, failed syncs and full disks.
+    // Guards against lost acknowledged commands, against members that
+    // diverge, and against a group that elects leaders or commits too slowly,
+    // under lost messages, crashes, failed syncs and full disks.
     void acknowledged_commands_survive_faults()
     {
+        // How long a quorum is connected varies widely from case to case, so
+        // only the mean over many cases shows how well the group uses it.
+        constexpr std::size_t min_acknowledged_per_case = 25;
         std::size_t acknowledged = 0;
+        std::size_t cases = 0;
         turmericswitch::testing::check_property(
             "replica group",
-            {.seed = 51, .max_success = 20},
+            {.seed = 51, .max_success = 400},
             [&]
             {
                 replica_group group(3, 40);
@@ -53,8 +58,9 @@
                 RC_ASSERT(
                     group.step_until([&] { return group.has_converged(); }));
                 acknowledged += group.acknowledged.size();
+                ++cases;
             });
-        CPPUNIT_ASSERT(acknowledged > 500);
+        CPPUNIT_ASSERT(acknowledged > min_acknowledged_per_case * cases);
     }
 
     static void inject_fault(replica_group& group)
