Clear a task's crashes when an established run ends with its worker

Cause: a crash counts against every run that is not established, and only an end that shows that the task ran clears the count. A long-running task ends with its worker, as `lost`, so four restarts that others caused failed its job, however long it had worked between them.

Change: such an end carries `established` (appended member, written only if crashes are counted or suspected for the task), and the table clears the task then. The sidecar's evidence serves a new leader as before.

Tests: with the table's new condition switched off, bystander_that_works_between_crashes_is_not_given_up, sidecar_shows_a_new_leader_that_a_bystander_worked and loss_of_an_established_run_clears_the_task fail.

--- a/modules/core/messages/workflow.hpp
+++ b/modules/core/messages/workflow.hpp
@@ -178,7 +178,7 @@
     std::uint32_t failures = 0;
     checkpoint_id checkpoint;
     /// Workers that crashed under the task since it last ran on a worker
-    /// without crashing it.
+    /// without crashing it. An established run did.
     std::uint32_t crashes = 0;
     /// Its last suspected runs since it last ran on a worker without crashing
     /// it.
@@ -257,6 +257,10 @@
     incarnation life;
     run_end how = run_end::done;
     checkpoint_id checkpoint;
+    /// True if the run was established before it ended as `lost`. Set only for
+    /// tasks with counted crashes or suspected runs, so that earlier releases
+    /// can read all other ends.
+    bool established = false;
 
     bool operator==(run_outcome const&) const = default;
 };
--- a/modules/wire/codec/message_codec.cpp
+++ b/modules/wire/codec/message_codec.cpp
@@ -79,6 +79,8 @@
 template <>
 constexpr std::size_t appended_members<core::task_record> = 3;
 template <>
+constexpr std::size_t appended_members<core::run_outcome> = 1;
+template <>
 constexpr std::size_t appended_members<core::run_placement> = 1;
 template <>
 constexpr std::size_t appended_members<core::runtime_report> = 2;
--- a/modules/wire/tests/message_codec_test.cpp
+++ b/modules/wire/tests/message_codec_test.cpp
@@ -47,6 +47,21 @@
     return envelope;
 }
 
+/// A command with the end of one run, of which `established` is an appended
+/// member.
+core::command_envelope sample_end(bool established)
+{
+    core::run_outcome outcome;
+    outcome.worker = core::worker_id("w");
+    outcome.how = core::run_end::lost;
+    outcome.established = established;
+    core::workflow_progress progress;
+    progress.ends = {outcome};
+    core::command_envelope envelope;
+    envelope.body = progress;
+    return envelope;
+}
+
 /// A snapshot with one task, of which `crashes` is an appended member.
 core::state_snapshot sample_snapshot(std::uint32_t crashes)
 {
@@ -97,6 +112,8 @@
     CPPUNIT_TEST(message_with_too_many_members_is_rejected);
     CPPUNIT_TEST(orders_of_an_earlier_release_reserve_nothing);
     CPPUNIT_TEST(request_without_transfers_is_that_of_an_earlier_release);
+    CPPUNIT_TEST(established_end_round_trips);
+    CPPUNIT_TEST(end_that_is_not_established_is_that_of_an_earlier_release);
     CPPUNIT_TEST(recorded_lease_round_trips);
     CPPUNIT_TEST(recorded_lease_of_zero_is_not_written);
     CPPUNIT_TEST_SUITE_END();
@@ -185,6 +202,28 @@
                        snapshot);
     }
 
+    // Guards against an end that clears a task on the leader only.
+    void established_end_round_trips()
+    {
+        auto const envelope = sample_end(true);
+        CPPUNIT_ASSERT(decode<core::command_envelope>(encode(envelope)) ==
+                       envelope);
+    }
+
+    // Ends of releases without `established` have five members. Guards against
+    // logs that a release can't read although no task was cleared.
+    void end_that_is_not_established_is_that_of_an_earlier_release()
+    {
+        std::string const end_with_5 = "\x95\x92\x94";
+        std::string const end_with_6 = "\x96\x92\x94";
+        auto const earlier = encode(sample_end(false));
+        CPPUNIT_ASSERT(earlier.find(end_with_5) != std::string::npos);
+        CPPUNIT_ASSERT(decode<core::command_envelope>(earlier) ==
+                       sample_end(false));
+        CPPUNIT_ASSERT(encode(sample_end(true)).find(end_with_6) !=
+                       std::string::npos);
+    }
+
     // Guards against a recorded lease that is lost from the log or a snapshot.
     void recorded_lease_round_trips()
     {
--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -393,17 +393,18 @@
                                    core::workflow_progress const& command) const
 {
     std::map<core::worker_id, lost_runs> lost;
-    for (auto const& [run, worker, life, how, checkpoint] : command.ends)
+    for (auto const& each : command.ends)
     {
-        if (is_end_with_worker(how))
+        if (is_end_with_worker(each.how))
         {
-            auto& runs = lost[worker];
+            auto& runs = lost[each.worker];
             ++runs.all;
             runs.not_established +=
-                m_fleet.is_established(worker, life, run) ? 0 : 1;
+                m_fleet.is_established(each.worker, each.life, each.run) ? 0
+                                                                         : 1;
             runs.has_crashed =
-                runs.has_crashed ||
-                m_fleet.how_ended(worker, life) == incarnation_end::crashed;
+                runs.has_crashed || m_fleet.how_ended(each.worker, each.life) ==
+                                        incarnation_end::crashed;
         }
     }
     for (auto const& [worker, runs] : lost)
--- a/modules/workflow/dispatch/end_collector.cpp
+++ b/modules/workflow/dispatch/end_collector.cpp
@@ -97,6 +97,20 @@
     }
 }
 
+core::run_outcome end_collector::lost_run(core::worker_id const& worker,
+                                          held_run const& held) const
+{
+    auto const& [run, life] = held;
+    core::run_outcome outcome{
+        run, worker, life, m_fleet.end_with_worker(worker, life, run), {}};
+    auto const* const task = m_table.find_task(run.task);
+    outcome.established = outcome.how == core::run_end::lost &&
+                          task != nullptr &&
+                          core::possible_crashes(*task) > 0 &&
+                          m_fleet.is_established(worker, life, run);
+    return outcome;
+}
+
 void end_collector::collect_lost(core::time_point now,
                                  core::workflow_progress& command) const
 {
@@ -112,12 +126,7 @@
             if (m_fleet.has_ended(now, worker, held.life, held.run) &&
                 !listed.contains(held))
             {
-                command.ends.push_back(
-                    {held.run,
-                     worker,
-                     held.life,
-                     m_fleet.end_with_worker(worker, held.life, held.run),
-                     {}});
+                command.ends.push_back(lost_run(worker, held));
             }
         }
     }
--- a/modules/workflow/table/workflow_table.cpp
+++ b/modules/workflow/table/workflow_table.cpp
@@ -38,10 +38,15 @@
 
 /// @return True for ends that show that the task ran on a worker without
 ///         crashing it.
-bool shows_survival(run_end how)
+bool shows_survival(core::run_outcome const& outcome)
 {
+    auto const how = outcome.how;
+    if (how == run_end::lost)
+    {
+        return outcome.established;
+    }
     return how != run_end::crashed && how != run_end::suspected &&
-           how != run_end::lost && how != run_end::refused;
+           how != run_end::refused;
 }
 
 /// @return True if the task has one held run, and that on another worker.
@@ -180,7 +185,7 @@
     {
         apply(core::run_checkpoint{outcome.run, outcome.checkpoint});
     }
-    if (shows_survival(outcome.how))
+    if (shows_survival(outcome))
     {
         task.crashes = 0;
         clear_suspected(ref, task);
--- a/modules/workflow/tests/crash_evidence_test.cpp
+++ b/modules/workflow/tests/crash_evidence_test.cpp
@@ -19,6 +19,9 @@
     CPPUNIT_TEST(later_leader_counts_a_suspected_run);
     CPPUNIT_TEST(partition_longer_than_the_lease_leaves_no_suspicion);
     CPPUNIT_TEST(task_fails_its_workflow_across_leaders_and_long_crashes);
+    CPPUNIT_TEST(bystander_that_works_between_crashes_is_not_given_up);
+    CPPUNIT_TEST(sidecar_shows_a_new_leader_that_a_bystander_worked);
+    CPPUNIT_TEST(loss_that_clears_nothing_is_read_by_earlier_releases);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -145,7 +148,68 @@
         CPPUNIT_ASSERT(state_of("a") == core::workflow_state::failed);
     }
 
+    // Four restarts of workers, each in the first moments of a run, failed a
+    // long-running job, although the task had worked between them.
+    void bystander_that_works_between_crashes_is_not_given_up()
+    {
+        submit();
+        for (std::uint64_t life = 1; life <= 10; ++life)
+        {
+            place_in(life);
+            if (life % 2 == 0)
+            {
+                list_until_established(life);
+            }
+            report({}, profile("w1", 8000, life + 1));
+            CPPUNIT_ASSERT(
+                only_end() ==
+                (life % 2 == 0 ? core::run_end::lost : core::run_end::crashed));
+        }
+        CPPUNIT_ASSERT(state_of("a") == core::workflow_state::running);
+    }
+
+    // Guards against counts that survive a change of leader during the run that
+    // clears them.
+    void sidecar_shows_a_new_leader_that_a_bystander_worked()
+    {
+        submit();
+        for (std::uint64_t life = 1; life <= 10; ++life)
+        {
+            place_in(life);
+            elect({});
+            auto const run =
+                run_of("a", 0, 0, static_cast<std::uint32_t>(life));
+            report_crash(life + 1,
+                         life % 2 == 0 ? std::vector{run}
+                                       : std::vector<core::task_run>());
+            commit_all();
+        }
+        CPPUNIT_ASSERT(state_of("a") == core::workflow_state::running);
+    }
+
+    // Earlier releases can't read an end with `established`. Guards against
+    // one in every loss of a worker.
+    void loss_that_clears_nothing_is_read_by_earlier_releases()
+    {
+        start_one();
+        list_until_established(1);
+        report({}, profile("w1", 8000, 2));
+        auto const command = plan();
+        CPPUNIT_ASSERT(command.has_value());
+        CPPUNIT_ASSERT(command->ends.front().how == core::run_end::lost);
+        CPPUNIT_ASSERT(!command->ends.front().established);
+    }
+
 private:
+    /// Lists the task's run on w1 for `establishment_time`.
+    void list_until_established(std::uint64_t life)
+    {
+        auto const run = run_of("a", 0, 0, static_cast<std::uint32_t>(life));
+        auto const worker = profile("w1", 8000, life);
+        report(running({run}), worker, at_work_ms);
+        report(running({run}), worker, at_work_ms + 500);
+    }
+
     core::task_record const& task() const
     {
         return *m_table.find_task(run_of("a", 0, 0).task);
--- a/modules/workflow/tests/workflow_table_test.cpp
+++ b/modules/workflow/tests/workflow_table_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(fourth_crash_in_a_row_fails_the_workflow);
     CPPUNIT_TEST(fourth_crash_fails_a_long_running_workflow);
     CPPUNIT_TEST(run_that_does_not_crash_clears_the_task);
+    CPPUNIT_TEST(loss_of_an_established_run_clears_the_task);
     CPPUNIT_TEST(crashes_of_different_tasks_are_not_added);
     CPPUNIT_TEST(suspected_run_counts_once_it_is_known_to_have_crashed);
     CPPUNIT_TEST(cancelled_workflow_keeps_its_capacity_until_its_runs_end);
@@ -175,6 +176,34 @@
         }
     }
 
+    // A long-running task ends only with its worker. Without this, crashes that
+    // others cause add up over hours of work and fail its workflow.
+    void loss_of_an_established_run_clears_the_task()
+    {
+        auto service = stage(1);
+        service.behaviour.long_running = true;
+        submit({service});
+        std::uint32_t attempt = 0;
+        for (int round = 0; round < 3; ++round)
+        {
+            run_and_end(++attempt, run_end::suspected);
+            for (int i = 0; i < 3; ++i)
+            {
+                run_and_end(++attempt, run_end::crashed);
+            }
+            auto const run = run_of("a", 0, 0, ++attempt);
+            auto loss = ended(run, run_end::lost);
+            loss.established = true;
+            progress({}, {placed(run)});
+            progress({loss}, {});
+            CPPUNIT_ASSERT(state() == workflow_state::running);
+            CPPUNIT_ASSERT_EQUAL(
+                std::uint32_t{0},
+                core::possible_crashes(*m_table.find_task(run.task)));
+            CPPUNIT_ASSERT(m_table.suspected().empty());
+        }
+    }
+
     void crashes_of_different_tasks_are_not_added()
     {
         submit({stage(2)});
