Refuse submissions that the leader can't commit in their callers' time

A submission that waited in front of the leader's event loop was proposed after its caller had given up. It then committed although the caller had been told 504, or ended in a 504 whose outcome is unknown, and no log line said so.

- command_envelope gets the time that the caller has left as an appended member.
The log never contains it, and without it the encoding is that of the earlier release.
- The leader notes the arrival of a submission on the io thread with process::boot_time, which counts a suspension.
The refusal follows a confirmed read.
Submissions that are accepted or proposed already go on as before.
- Event 204 submission_expired and a counter.

workflow_service_test is new.

Not covered: the time on the link to the leader, and bytes that lie unread in the socket while the leader is suspended.

--- a/modules/core/events/event_code.hpp
+++ b/modules/core/events/event_code.hpp
@@ -30,6 +30,7 @@
     call_answered = 201,
     call_rejected = 202,
     configuration_in_force = 203,
+    submission_expired = 204,
 
     // Sidecars
     worker_registered = 301,
@@ -126,6 +127,7 @@
     event_entry{event_code::call_answered, "call_answered"},
     event_entry{event_code::call_rejected, "call_rejected"},
     event_entry{event_code::configuration_in_force, "configuration_in_force"},
+    event_entry{event_code::submission_expired, "submission_expired"},
     event_entry{event_code::worker_registered, "worker_registered"},
     event_entry{event_code::worker_left, "worker_left"},
     event_entry{event_code::worker_drain_changed, "worker_drain_changed"},
--- a/modules/core/messages/commands.hpp
+++ b/modules/core/messages/commands.hpp
@@ -234,6 +234,10 @@
     /// Stamped by the leader; for history and deadlines only.
     wall_time wall;
     command_body body;
+    /// For a forwarded `submit_workflow`: how long the caller waits for its
+    /// answer, counted from the sending of the message; negative if its time is
+    /// over. Not in the log, and not sent by processes of an earlier release.
+    std::optional<duration> time_left;
 
     bool operator==(command_envelope const&) const = default;
 };
@@ -250,7 +254,8 @@
     /// For `submit_jobs`: one id per job, in order.
     std::vector<job_id> jobs;
     std::optional<endpoint> leader;
-    /// For `not_admitted`: when a new submission has a chance.
+    /// For `not_admitted` and `deadline_exceeded`: when a new submission has a
+    /// chance.
     duration retry_after{};
 
     bool operator==(command_reply const&) const = default;
--- a/modules/overload/overload.hpp
+++ b/modules/overload/overload.hpp
@@ -7,6 +7,7 @@
 
 #include "overload/account/job_account.hpp"
 #include "overload/admit/admission_control.hpp"
+#include "overload/admit/commit_deadline.hpp"
 #include "overload/evict/victim_choice.hpp"
 #include "overload/order/class_fairness.hpp"
 #include "overload/order/job_ranking.hpp"
--- a/modules/wire/codec/message_codec.cpp
+++ b/modules/wire/codec/message_codec.cpp
@@ -96,6 +96,8 @@
 constexpr std::size_t appended_members<core::watch_answer> = 1;
 template <>
 constexpr std::size_t appended_members<core::command_reply> = 1;
+template <>
+constexpr std::size_t appended_members<core::command_envelope> = 1;
 
 /// @return Number of members to write: all but the appended ones at the end
 ///         that have their default values.
--- a/modules/wire/tests/message_codec_test.cpp
+++ b/modules/wire/tests/message_codec_test.cpp
@@ -97,6 +97,7 @@
     CPPUNIT_TEST(message_with_too_many_members_is_rejected);
     CPPUNIT_TEST(orders_of_an_earlier_release_reserve_nothing);
     CPPUNIT_TEST(request_without_transfers_is_that_of_an_earlier_release);
+    CPPUNIT_TEST(command_without_time_left_is_that_of_an_earlier_release);
     CPPUNIT_TEST(recorded_lease_round_trips);
     CPPUNIT_TEST(recorded_lease_of_zero_is_not_written);
     CPPUNIT_TEST_SUITE_END();
@@ -114,6 +115,24 @@
         CPPUNIT_ASSERT_EQUAL(array_of_9, encode(core::watch_answer()).front());
     }
 
+    // Guards against log entries and commands that an earlier release can't
+    // read, and against a caller's time that is lost on the way or read from a
+    // command that has none.
+    void command_without_time_left_is_that_of_an_earlier_release()
+    {
+        constexpr char array_of_5 = '\x95';
+        auto envelope = sample_envelope();
+        auto const earlier = encode(envelope);
+        CPPUNIT_ASSERT_EQUAL(array_of_5, earlier.front());
+        CPPUNIT_ASSERT(!decode<core::command_envelope>(earlier)->time_left);
+        for (auto const time_left : {-1, 0, 1700})
+        {
+            envelope.time_left = std::chrono::milliseconds(time_left);
+            CPPUNIT_ASSERT(decode<core::command_envelope>(encode(envelope)) ==
+                           envelope);
+        }
+    }
+
     // Guards against members that are omitted or exchanged.
     void requests_round_trip()
     {
--- a/programs/control/api/process_api.cpp
+++ b/programs/control/api/process_api.cpp
@@ -1,6 +1,7 @@
 #include "api/process_api.hpp"
 
 #include "core/results/last_reason.hpp"
+#include "process/clock/boot_clock.hpp"
 #include "wire/codec/message_codec.hpp"
 
 namespace turmericswitch::control
@@ -225,7 +226,10 @@
         return;
     }
     m_node.run(
-        [this, envelope = std::move(*envelope), answer = std::move(answer)]
+        [this,
+         envelope = std::move(*envelope),
+         received = process::boot_time(),
+         answer = std::move(answer)]
         {
             auto done = [this, answer](core::command_reply reply)
             {
@@ -239,7 +243,7 @@
             if (workflows &&
                 std::holds_alternative<core::submit_workflow>(envelope.body))
             {
-                workflows->submit(envelope, std::move(done));
+                workflows->submit({envelope, received}, std::move(done));
                 return;
             }
             m_node.group().propose(envelope.body,
--- a/programs/control/leader/workflow_service.cpp
+++ b/programs/control/leader/workflow_service.cpp
@@ -1,6 +1,7 @@
 #include "leader/workflow_service.hpp"
 
 #include "node/wall_clock.hpp"
+#include "process/clock/boot_clock.hpp"
 #include "wire/json/json_members.hpp"
 
 #include <algorithm>
@@ -73,6 +74,17 @@
 
 } // namespace
 
+core::submit_workflow const& forwarded_submission::command() const
+{
+    return std::get<core::submit_workflow>(envelope.body);
+}
+
+std::optional<core::time_point> forwarded_submission::answer_by() const
+{
+    return envelope.time_left ? std::optional(received + *envelope.time_left)
+                              : std::nullopt;
+}
+
 workflow_service::workflow_service(process::event_loop& loop,
                                    replica& node,
                                    workflow::dispatch_options options,
@@ -102,6 +114,10 @@
           "Second runs of tasks that were placed on a worker.")),
       m_ends(metrics.counter("turmericswitch_control_run_ends_total",
                              "Ends of runs that were committed.")),
+      m_expired(
+          metrics.counter("turmericswitch_control_expired_submissions_total",
+                          "Submissions that were refused because they can't be "
+                          "committed in their callers' time.")),
       m_waiting(metrics.gauge("turmericswitch_control_waiting_tasks",
                               "Tasks that wait for a worker.")),
       m_held(metrics.gauge("turmericswitch_control_held_runs",
@@ -168,17 +184,17 @@
     }
 }
 
-void workflow_service::submit(core::command_envelope envelope, reply_hook done)
+void workflow_service::submit(forwarded_submission submission, reply_hook done)
 {
-    auto const& command = std::get<core::submit_workflow>(envelope.body);
-    if (!refusal_of(command))
+    if (must_propose(submission.command()) ||
+        (!expiry_of(submission) && !admission_refusal(submission.command())))
     {
-        propose(std::move(envelope), std::move(done));
+        propose(std::move(submission.envelope), std::move(done));
         return;
     }
     m_node.read(
         [self = shared_from_this(),
-         envelope = std::move(envelope),
+         submission = std::move(submission),
          done = std::move(done)](core::result_code code)
         {
             if (self->m_ended || code != core::result_code::ok)
@@ -186,14 +202,12 @@
                 done(not_leader<core::command_reply>());
                 return;
             }
-            auto const& confirmed =
-                std::get<core::submit_workflow>(envelope.body);
-            if (auto const refusal = self->refusal_of(confirmed))
+            if (auto const refusal = self->refusal_of(submission))
             {
                 done(*refusal);
                 return;
             }
-            self->propose(envelope, done);
+            self->propose(submission.envelope, done);
         });
 }
 
@@ -204,9 +218,16 @@
     m_node.propose(std::move(envelope.body),
                    envelope.client,
                    envelope.sequence,
-                   [self = shared_from_this(), id, done = std::move(done)](
-                       core::command_reply const& reply)
+                   [self = shared_from_this(),
+                    id,
+                    begun = process::boot_time(),
+                    done = std::move(done)](core::command_reply const& reply)
                    {
+                       if (reply.code == core::result_code::ok)
+                       {
+                           auto const now = process::boot_time();
+                           self->m_commit_estimate.add(now, now - begun);
+                       }
                        auto const proposed = self->m_proposed.find(id);
                        if (--proposed->second == 0)
                        {
@@ -216,18 +237,64 @@
                    });
 }
 
+bool workflow_service::must_propose(core::submit_workflow const& command) const
+{
+    auto const& state = m_node.state();
+    return state.config().find_queue(command.queue) == nullptr ||
+           m_proposed.contains(command.workflow) ||
+           state.workflows().find(command.workflow) != nullptr;
+}
+
 std::optional<core::command_reply>
-workflow_service::refusal_of(core::submit_workflow const& command)
+workflow_service::refusal_of(forwarded_submission const& submission)
 {
-    auto const* const queue = m_node.state().config().find_queue(command.queue);
-    if (queue == nullptr || m_proposed.contains(command.workflow) ||
-        m_node.state().workflows().find(command.workflow) != nullptr)
+    if (must_propose(submission.command()))
     {
         return std::nullopt;
     }
+    if (auto const expired = expiry_of(submission))
+    {
+        return refuse_expired(submission, *expired);
+    }
+    return admission_refusal(submission.command());
+}
+
+std::optional<overload::expired_submission>
+workflow_service::expiry_of(forwarded_submission const& submission) const
+{
+    auto const now = process::boot_time();
+    return overload::find_expired(
+        now, submission.answer_by(), m_commit_estimate.at(now));
+}
+
+core::command_reply
+workflow_service::refuse_expired(forwarded_submission const& submission,
+                                 overload::expired_submission const& expired)
+{
+    auto const waited = process::boot_time() - submission.received;
+    auto const& command = submission.command();
+    m_expired.add();
+    m_on_event({core::event_code::submission_expired,
+                {core::text_field("workflow", command.workflow.value()),
+                 core::text_field("queue", command.queue.value()),
+                 core::text_field("why", "leader"),
+                 core::time_field("time_left_ms", expired.time_left),
+                 core::time_field("commit_ms", expired.commit_time),
+                 core::time_field("waited_ms", waited)}});
+    core::command_reply reply;
+    reply.code = core::result_code::deadline_exceeded;
+    reply.text = "not run: a commit takes longer than the caller's time";
+    // The next submission waits about as long before it is handled.
+    reply.retry_after = waited + expired.commit_time;
+    return reply;
+}
+
+std::optional<core::command_reply>
+workflow_service::admission_refusal(core::submit_workflow const& command)
+{
     core::workflow_record record;
     record.workflow = command.workflow;
-    record.queue = *queue;
+    record.queue = *m_node.state().config().find_queue(command.queue);
     record.description = command.description;
     record.submitted = m_node.cluster_now();
     auto const refusal = m_dispatcher.refusal(
@@ -301,29 +368,35 @@
     auto copy = *command;
     // A command that is proposed after a report arrived and committed in this
     // leader's term confirms the leadership that the answer requires.
-    m_node.propose(
-        std::move(*command),
-        {},
-        {},
-        [self = shared_from_this(),
-         sent = std::move(copy),
-         begun = process::event_loop::now(),
-         confirmed =
-             std::exchange(m_reports, {})](core::command_reply const& reply)
-        {
-            self->m_is_planning = false;
-            if (self->m_ended || reply.code != core::result_code::ok)
-            {
-                self->m_dispatcher.rejected(sent);
-                for (auto const& each : confirmed)
-                {
-                    each.done(not_leader<core::runtime_grant>());
-                }
-                return;
-            }
-            self->m_commit_time.add(process::event_loop::now() - begun);
-            self->on_committed(sent, confirmed);
-        });
+    m_node.propose(std::move(*command),
+                   {},
+                   {},
+                   [self = shared_from_this(),
+                    sent = std::move(copy),
+                    begun = process::event_loop::now(),
+                    confirmed = std::exchange(m_reports, {})](
+                       core::command_reply const& reply)
+                   {
+                       self->m_is_planning = false;
+                       if (self->m_ended || reply.code != core::result_code::ok)
+                       {
+                           self->m_dispatcher.rejected(sent);
+                           for (auto const& each : confirmed)
+                           {
+                               each.done(not_leader<core::runtime_grant>());
+                           }
+                           return;
+                       }
+                       self->record_commit_time(begun);
+                       self->on_committed(sent, confirmed);
+                   });
+}
+
+void workflow_service::record_commit_time(core::time_point begun)
+{
+    auto const took = process::event_loop::now() - begun;
+    m_commit_time.add(took);
+    m_commit_estimate.add(process::boot_time(), took);
 }
 
 void workflow_service::on_committed(
--- a/programs/control/leader/workflow_service.hpp
+++ b/programs/control/leader/workflow_service.hpp
@@ -4,6 +4,7 @@
 #include "core/events/event.hpp"
 #include "leader/fleet_progress.hpp"
 #include "node/replica.hpp"
+#include "overload/admit/commit_deadline.hpp"
 #include "process/loop/event_loop.hpp"
 #include "telemetry/metrics/metrics_registry.hpp"
 #include "workflow/dispatch/dispatcher.hpp"
@@ -18,6 +19,18 @@
 namespace turmericswitch::control
 {
 
+/// A `submit_workflow` that a gateway has forwarded.
+struct forwarded_submission
+{
+    core::command_envelope envelope;
+    /// By `process::boot_time`.
+    core::time_point received;
+
+    core::submit_workflow const& command() const;
+    /// @return End of the caller's time, if the gateway has sent it.
+    std::optional<core::time_point> answer_by() const;
+};
+
 /// Runs workflows on the leader: connects the dispatcher to the replicated log
 /// and to the sidecars, which send reports and poll for orders.
 ///
@@ -45,12 +58,11 @@
     /// Call after the replica applied a command.
     void applied(core::command_body const& command);
 
-    /// Proposes a workflow, or refuses it with `not_admitted`. A refusal
-    /// follows a confirmed read: a deposed leader may not know that the
+    /// Proposes a workflow, or refuses it with `not_admitted`, or with
+    /// `deadline_exceeded` if it can't be committed in its caller's time. A
+    /// refusal follows a confirmed read: a deposed leader may not know that the
     /// workflow was accepted.
-    ///
-    /// @param envelope Contains a `submit_workflow`.
-    void submit(core::command_envelope envelope, reply_hook done);
+    void submit(forwarded_submission submission, reply_hook done);
 
     /// Handles a sidecar's report. The answer follows when the ends of runs in
     /// the report are committed and leadership was confirmed after the report
@@ -86,13 +98,26 @@
     };
 
     void propose(core::command_envelope envelope, reply_hook done);
-    /// @return Nothing if the workflow is accepted, known, or was proposed.
+    /// @return True if the workflow is accepted or was proposed, or has no
+    /// queue.
+    bool must_propose(core::submit_workflow const& command) const;
+    /// @return Nothing if the workflow is to be proposed.
+    std::optional<core::command_reply>
+    refusal_of(forwarded_submission const& submission);
+    std::optional<overload::expired_submission>
+    expiry_of(forwarded_submission const& submission) const;
+    /// Counts and logs the refusal.
+    core::command_reply
+    refuse_expired(forwarded_submission const& submission,
+                   overload::expired_submission const& expired);
     std::optional<core::command_reply>
-    refusal_of(core::submit_workflow const& command);
+    admission_refusal(core::submit_workflow const& command);
     /// Plans and delivers orders after the tasks that already wait for the
     /// loop, so that one plan covers all events that have arrived.
     void schedule_plan();
     void plan();
+    /// @param begun When the command of a plan was proposed.
+    void record_commit_time(core::time_point begun);
     void on_committed(core::workflow_progress const& command,
                       std::vector<waiting_report> const& confirmed);
     void answer_committed_reports(std::vector<waiting_report> reports);
@@ -124,11 +149,13 @@
     std::vector<waiting_query> m_queries;
     /// Number of proposals of each workflow that were not answered.
     std::map<core::workflow_id, std::size_t> m_proposed;
+    overload::commit_time_estimate m_commit_estimate;
     telemetry::latency_metric& m_commit_time;
     telemetry::latency_metric& m_workflow_time;
     telemetry::counter& m_placements;
     telemetry::counter& m_copies;
     telemetry::counter& m_ends;
+    telemetry::counter& m_expired;
     telemetry::gauge& m_waiting;
     telemetry::gauge& m_held;
     telemetry::gauge& m_usable;
--- /dev/null
+++ b/programs/control/tests/workflow_service_test.cpp
@@ -0,0 +1,138 @@
+#include "leader/workflow_service.hpp"
+#include "process/clock/boot_clock.hpp"
+#include "tests/replica_group.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <optional>
+
+namespace turmericswitch::control::testing
+{
+
+using core::result_code;
+using std::chrono::seconds;
+
+/// A leader handles submissions that have waited in front of it.
+class workflow_service_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(workflow_service_test);
+    CPPUNIT_TEST(submission_that_waited_past_its_time_is_not_proposed);
+    CPPUNIT_TEST(submission_with_time_left_is_proposed);
+    CPPUNIT_TEST(resend_past_its_time_is_accepted);
+    CPPUNIT_TEST(deposed_leader_does_not_refuse);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        m_group.emplace();
+        m_leader = m_group->wait_for_leader();
+        core::configuration_document document;
+        document.version = 1;
+        document.queues.emplace_back().queue = core::queue_id("q");
+        m_group->node(m_leader).propose(core::apply_document{document},
+                                        {},
+                                        {},
+                                        [](core::command_reply const&) {});
+        m_group->step();
+        m_service = std::make_shared<workflow_service>(
+            *m_group->at(m_leader).loop,
+            m_group->node(m_leader),
+            workflow::dispatch_options{},
+            [this](core::event const& what) { m_events.push_back(what); },
+            m_metrics);
+    }
+
+    void tearDown() override
+    {
+        m_service->end();
+        m_service.reset();
+        m_group.reset();
+        m_events.clear();
+    }
+
+    // Guards against commands that commit after their caller was told that
+    // their fate is unknown, because the leader was busy or suspended.
+    void submission_that_waited_past_its_time_is_not_proposed()
+    {
+        auto const last = m_group->node(m_leader).commit_index();
+        auto const reply = submit("w", seconds(2), seconds(3));
+        CPPUNIT_ASSERT(reply && reply->code == result_code::deadline_exceeded);
+        CPPUNIT_ASSERT(reply->retry_after >= seconds(3));
+        CPPUNIT_ASSERT(!is_accepted("w"));
+        CPPUNIT_ASSERT(m_group->node(m_leader).commit_index() == last);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_events.size());
+        CPPUNIT_ASSERT(m_events[0].code ==
+                       core::event_code::submission_expired);
+        // A new try of the caller has its own time.
+        CPPUNIT_ASSERT(submit("w", seconds(2), {})->code == result_code::ok);
+    }
+
+    // Guards against refusals of calls that can be answered in time, and of
+    // those from gateways of an earlier release.
+    void submission_with_time_left_is_proposed()
+    {
+        CPPUNIT_ASSERT(submit("w", seconds(9), seconds(3))->code ==
+                       result_code::ok);
+        CPPUNIT_ASSERT(is_accepted("w"));
+        CPPUNIT_ASSERT(submit("v", {}, seconds(3))->code == result_code::ok);
+        CPPUNIT_ASSERT(is_accepted("v"));
+    }
+
+    // Guards against "not run" for a submission that was accepted before.
+    void resend_past_its_time_is_accepted()
+    {
+        submit("w", seconds(2), {});
+        CPPUNIT_ASSERT(submit("w", seconds(2), seconds(3))->code ==
+                       result_code::ok);
+    }
+
+    // Guards against "not run" from a leader that does not know what its
+    // successor has accepted.
+    void deposed_leader_does_not_refuse()
+    {
+        m_group->at(m_leader).isolated = true;
+        auto const reply = submit("w", seconds(2), seconds(3));
+        CPPUNIT_ASSERT(!reply || reply->code == result_code::not_leader);
+    }
+
+private:
+    /// @param waited Time since the submission was received.
+    /// @return The answer, if there is one.
+    std::optional<core::command_reply>
+    submit(std::string const& workflow,
+           std::optional<core::duration> time_left,
+           core::duration waited)
+    {
+        core::submit_workflow command;
+        command.queue = core::queue_id("q");
+        command.workflow = core::workflow_id(workflow);
+        forwarded_submission submission;
+        submission.envelope.body = std::move(command);
+        submission.envelope.time_left = time_left;
+        submission.received = process::boot_time() - waited;
+        auto const reply =
+            std::make_shared<std::optional<core::command_reply>>();
+        m_service->submit(std::move(submission),
+                          [reply](core::command_reply answer)
+                          { *reply = std::move(answer); });
+        m_group->step_until([&reply] { return reply->has_value(); });
+        return *reply;
+    }
+
+    bool is_accepted(std::string const& workflow)
+    {
+        return m_group->node(m_leader).state().workflows().find(
+                   core::workflow_id(workflow)) != nullptr;
+    }
+
+    telemetry::metrics_registry m_metrics;
+    std::vector<core::event> m_events;
+    std::optional<replica_group> m_group;
+    std::size_t m_leader = 0;
+    std::shared_ptr<workflow_service> m_service;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(workflow_service_test);
+
+} // namespace turmericswitch::control::testing
