Send no submission whose commit would come after its caller's time

A gateway that waited for a leader went on with its attempts until its own search timeout and did not tell the leader how long the caller still waits.

- Each attempt of a submission carries the time left at its sending.
The first attempt is always sent, because only the leader knows whether it is a resend of an accepted submission.
- A later attempt that would end too late, by process::boot_time and the learned time of answered submissions, is not sent.
The call ends at once as deadline_exceeded (503, Retry-After) if no attempt can have been carried out, else as outcome_unknown.
A refusal by the leader after a lost attempt is outcome_unknown too: the lost one may still arrive.
- Control of an earlier release refuses the appended member as malformed; it gets submissions without it for 60 s.
- Event submission_expired and a counter.
Cancels and queries are unchanged.

--- a/programs/gateway/jobs/job_client.cpp
+++ b/programs/gateway/jobs/job_client.cpp
@@ -1,5 +1,6 @@
 #include "gateway/jobs/job_client.hpp"
 
+#include "process/clock/boot_clock.hpp"
 #include "process/loop/event_loop.hpp"
 #include "wire/codec/message_codec.hpp"
 
@@ -42,6 +43,10 @@
 /// Part of the caller's timeout that is reserved for returning the answer.
 constexpr core::duration answer_reserve = std::chrono::milliseconds(100);
 
+/// Time for which an earlier release of control, which refuses submissions with
+/// `time_left`, gets them without.
+constexpr core::duration earlier_release_time = std::chrono::seconds(60);
+
 shared::control_result call_and_wait(shared::control_link& control,
                                      std::string const& path,
                                      std::string const& body,
@@ -73,6 +78,9 @@
     /// Calls before this time search for a leader only briefly, because an
     /// earlier call found none.
     core::time_point no_leader_until;
+    overload::commit_time_estimate commit_time;
+    /// By `process::boot_time`, as are the times of `commit_time`.
+    core::time_point send_time_left_after;
 
     void announce()
     {
@@ -96,12 +104,16 @@
 struct job_client::call_plan
 {
     std::string path;
-    std::string body;
+    /// @return The body of an attempt that is sent now.
+    std::function<std::string()> body;
     core::duration timeout{};
     /// @return Nothing if the answer can't be decoded.
     std::function<std::optional<job_result>(std::string const&)> read;
     /// True if a call whose answer was lost may have changed control's state.
     bool changes_state = false;
+    /// For a submission: latest time of control's answer, by
+    /// `process::boot_time`.
+    std::optional<core::time_point> answer_by;
 };
 
 job_client::job_client(shared::control_link& control)
@@ -131,6 +143,7 @@
     auto const outcome_deadline =
         std::min(deadline, started_at + outcome_timeout);
     bool may_have_run = false;
+    std::optional<overload::expired_submission> expired;
     auto retry_deadline = search_deadline;
     for (;;)
     {
@@ -138,8 +151,9 @@
             std::min(attempt_timeout,
                      std::max(retry_deadline, search_deadline) -
                          process::event_loop::now());
+        auto const sent_at = process::boot_time();
         auto const result =
-            call_and_wait(m_control, plan.path, plan.body, time_left);
+            call_and_wait(m_control, plan.path, plan.body(), time_left);
         if (result.outcome == transport::call_outcome::answered)
         {
             auto answer = plan.read(result.body);
@@ -147,7 +161,7 @@
                 answer->code != result_code::outcome_unknown)
             {
                 set_no_leader_until({});
-                return *answer;
+                return finish(plan, std::move(*answer), sent_at, may_have_run);
             }
             may_have_run = may_have_run || !answer ||
                            answer->code == result_code::outcome_unknown;
@@ -158,36 +172,106 @@
         {
             may_have_run =
                 may_have_run || result.outcome == transport::call_outcome::lost;
+            note_earlier_release(plan, result.code);
         }
         retry_deadline = plan.changes_state && may_have_run ? outcome_deadline
                                                             : search_deadline;
-        if (process::event_loop::now() + retry_delay >= retry_deadline)
+        expired = expiry_of(plan, process::boot_time() + retry_delay);
+        if (expired ||
+            process::event_loop::now() + retry_delay >= retry_deadline)
         {
             break;
         }
         m_signal->wait(seen);
+        // The process may have been suspended meanwhile.
+        expired = expiry_of(plan, process::boot_time());
+        if (expired)
+        {
+            break;
+        }
     }
     set_no_leader_until(process::event_loop::now() + known_outage_period);
     job_result last;
-    last.code = plan.changes_state && may_have_run
-                    ? result_code::outcome_unknown
-                    : result_code::not_leader;
+    last.code = result_code::not_leader;
     last.text = "no answer from a control leader";
+    if (plan.changes_state && may_have_run)
+    {
+        last.code = result_code::outcome_unknown;
+    }
+    else if (expired)
+    {
+        last.code = result_code::deadline_exceeded;
+        last.text = "not run: no control leader in the caller's time";
+        last.expired = expired;
+    }
     return last;
 }
 
+job_result job_client::finish(call_plan const& plan,
+                              job_result answer,
+                              core::time_point sent_at,
+                              bool may_have_run)
+{
+    if (plan.answer_by && answer.code == result_code::ok)
+    {
+        auto const now = process::boot_time();
+        std::lock_guard const lock(m_signal->mutex);
+        m_signal->commit_time.add(now, now - sent_at);
+    }
+    // The leader speaks for this attempt only. An earlier one may still reach
+    // it with time left.
+    if (answer.code == result_code::deadline_exceeded && may_have_run)
+    {
+        answer.code = result_code::outcome_unknown;
+        answer.text = "an earlier attempt may have run";
+    }
+    return answer;
+}
+
+void job_client::note_earlier_release(call_plan const& plan, result_code code)
+{
+    if (plan.answer_by && code == result_code::message_malformed)
+    {
+        std::lock_guard const lock(m_signal->mutex);
+        m_signal->send_time_left_after =
+            process::boot_time() + earlier_release_time;
+    }
+}
+
+std::optional<overload::expired_submission>
+job_client::expiry_of(call_plan const& plan, core::time_point at) const
+{
+    std::lock_guard const lock(m_signal->mutex);
+    return overload::find_expired(
+        at, plan.answer_by, m_signal->commit_time.at(at));
+}
+
+std::optional<core::duration>
+job_client::time_left(std::optional<core::time_point> answer_by) const
+{
+    auto const now = process::boot_time();
+    std::lock_guard const lock(m_signal->mutex);
+    return answer_by && now >= m_signal->send_time_left_after
+               ? std::optional(*answer_by - now)
+               : std::nullopt;
+}
+
 void job_client::set_no_leader_until(core::time_point until)
 {
     std::lock_guard const lock(m_signal->mutex);
     m_signal->no_leader_until = until;
 }
 
-job_result job_client::command(core::command_body body, core::duration timeout)
+job_result job_client::command(core::command_envelope envelope,
+                               core::duration timeout,
+                               std::optional<core::time_point> answer_by)
 {
-    core::command_envelope envelope;
-    envelope.body = std::move(body);
     return run({"/command",
-                wire::encode(envelope),
+                [this, envelope = std::move(envelope), answer_by]() mutable
+                {
+                    envelope.time_left = time_left(answer_by);
+                    return wire::encode(envelope);
+                },
                 timeout,
                 [](std::string const& bytes) -> std::optional<job_result>
                 {
@@ -196,41 +280,56 @@
                     {
                         return std::nullopt;
                     }
-                    job_result result{reply->code, reply->text, {}, {}};
+                    job_result result;
+                    result.code = reply->code;
+                    result.text = reply->text;
                     result.answer.leader = reply->leader;
                     result.retry_after = reply->retry_after;
                     return result;
                 },
-                true});
+                true,
+                answer_by});
 }
 
 job_result job_client::submit(core::submit_workflow const& command_body,
                               core::duration timeout)
 {
-    return command(command_body, timeout);
+    auto const answer_by =
+        process::boot_time() + std::max(timeout - answer_reserve, timeout / 2);
+    core::command_envelope envelope;
+    envelope.body = command_body;
+    return command(std::move(envelope), timeout, answer_by);
 }
 
 job_result job_client::cancel(core::cancel_workflow const& command_body,
                               core::duration timeout)
 {
-    return command(command_body, timeout);
+    core::command_envelope envelope;
+    envelope.body = command_body;
+    return command(std::move(envelope), timeout, std::nullopt);
 }
 
 job_result job_client::query(core::workflow_query const& query,
                              core::duration timeout)
 {
     return run({"/workflow-query",
-                wire::encode(query),
+                [&query] { return wire::encode(query); },
                 timeout,
                 [](std::string const& bytes) -> std::optional<job_result>
                 {
                     auto const answer =
                         wire::decode<core::workflow_answer>(bytes);
-                    return answer ? std::optional(job_result{
-                                        answer->code, {}, *answer, {}})
-                                  : std::nullopt;
+                    if (!answer)
+                    {
+                        return std::nullopt;
+                    }
+                    job_result result;
+                    result.code = answer->code;
+                    result.answer = *answer;
+                    return result;
                 },
-                false});
+                false,
+                std::nullopt});
 }
 
 } // namespace turmericswitch::gateway
--- a/programs/gateway/jobs/job_gateway.cpp
+++ b/programs/gateway/jobs/job_gateway.cpp
@@ -4,6 +4,8 @@
 #include "process/clock/boot_clock.hpp"
 #include "process/loop/event_loop.hpp"
 
+#include <algorithm>
+
 namespace turmericswitch::gateway
 {
 
@@ -36,6 +38,10 @@
           metrics.counter("turmericswitch_gateway_job_calls_rejected_total",
                           "Callers' calls that named no queue or no valid "
                           "job, or came before the first configuration.")),
+      m_expired(
+          metrics.counter("turmericswitch_gateway_expired_submissions_total",
+                          "Submissions that the gateway refused because it "
+                          "found no leader in their callers' time.")),
       m_call_time(metrics.latency("turmericswitch_gateway_job_call_seconds",
                                   "Time of callers' job calls."))
 {
@@ -112,6 +118,12 @@
     {
         auto const started_at = process::event_loop::now();
         auto const result = m_client.submit(command, timeout);
+        if (result.expired)
+        {
+            record_expired(command,
+                           *result.expired,
+                           process::event_loop::now() - started_at);
+        }
         auto outcome = finish_call(
             "submit", command.queue, command.workflow, started_at, result);
         outcome.retry_after = note_admission(command.queue, result);
@@ -155,6 +167,20 @@
           core::number_field("config_version", m_config_version.load())}});
 }
 
+void job_gateway::record_expired(core::submit_workflow const& command,
+                                 overload::expired_submission const& expired,
+                                 core::duration waited)
+{
+    m_expired.add();
+    m_log.write({core::event_code::submission_expired,
+                 {core::text_field("workflow", command.workflow.value()),
+                  core::text_field("queue", command.queue.value()),
+                  core::text_field("why", "no_leader"),
+                  core::time_field("time_left_ms", expired.time_left),
+                  core::time_field("commit_ms", expired.commit_time),
+                  core::time_field("waited_ms", waited)}});
+}
+
 core::duration job_gateway::note_admission(core::queue_id const& queue,
                                            job_result const& result)
 {
@@ -167,7 +193,11 @@
     {
         m_refusals.accepted(queue);
     }
-    return m_refusals.retry_after(now, queue, retry_after_refusal);
+    auto const otherwise =
+        result.code == result_code::deadline_exceeded
+            ? std::max(result.retry_after, retry_after_refusal)
+            : retry_after_refusal;
+    return m_refusals.retry_after(now, queue, otherwise);
 }
 
 platform::job_outcome
--- a/programs/gateway/jobs/job_gateway.hpp
+++ b/programs/gateway/jobs/job_gateway.hpp
@@ -49,6 +49,10 @@
                                                     std::string const& path);
     bool is_config_current() const;
     void record_rejected(platform::rejected_call const& call);
+    /// Counts and logs a submission that the gateway itself has refused.
+    void record_expired(core::submit_workflow const& command,
+                        overload::expired_submission const& expired,
+                        core::duration waited);
     /// @return The delay for `Retry-After`.
     core::duration note_admission(core::queue_id const& queue,
                                   job_result const& result);
@@ -70,6 +74,7 @@
     telemetry::counter& m_refused;
     telemetry::counter& m_unknown;
     telemetry::counter& m_rejected;
+    telemetry::counter& m_expired;
     telemetry::latency_metric& m_call_time;
     std::atomic<std::uint64_t> m_config_version = 0;
 };
