Log an X-Deadline-Ms that can't be read

Such a call got the default of 2.5 s without a line in the log. It still gets the default, and message_unreadable names the header and the first 32 characters of its value. Values such as "" were treated as unreadable before this already.

--- a/programs/gateway/jobs/job_gateway.cpp
+++ b/programs/gateway/jobs/job_gateway.cpp
@@ -18,6 +18,9 @@
 /// long.
 constexpr core::duration retry_after_refusal = std::chrono::seconds(1);
 
+/// Characters of a caller's header value that are logged.
+constexpr std::size_t max_logged_value = 32;
+
 } // namespace
 
 job_gateway::job_gateway(shared::control_link& control,
@@ -151,6 +154,14 @@
     };
     hooks.rejected = [this](platform::rejected_call const& call)
     { record_rejected(call); };
+    hooks.unreadable_deadline = [this](std::string const& value)
+    {
+        m_log.write(
+            {core::event_code::message_unreadable,
+             {core::text_field("message", "X-Deadline-Ms"),
+              core::text_field(
+                  "why", "not a time: " + value.substr(0, max_logged_value))}});
+    };
     return hooks;
 }
 
