--- a/programs/control/tests/workflow_service_test.cpp
+++ b/programs/control/tests/workflow_service_test.cpp
@@ -1,40 +1,116 @@
 #include "leader/workflow_service.hpp"
+#include "process/clock/boot_clock.hpp"
 #include "tests/replica_group.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <optional>
+
 namespace turmericswitch::control::testing
 {
 
+using core::result_code;
+using std::chrono::seconds;
+
+/// A leader handles submissions that have waited in front of it, and polls of
+/// sidecars.
 class workflow_service_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(workflow_service_test);
+    CPPUNIT_TEST(submission_that_waited_past_its_time_is_not_proposed);
+    CPPUNIT_TEST(submission_with_time_left_is_proposed);
+    CPPUNIT_TEST(resend_past_its_time_is_accepted);
+    CPPUNIT_TEST(deposed_leader_does_not_refuse);
     CPPUNIT_TEST(poll_of_the_next_incarnation_ends_that_of_the_earlier_one);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    void setUp() override
+    {
+        m_group.emplace();
+        m_leader = m_group->wait_for_leader();
+        core::configuration_document document;
+        document.version = 1;
+        document.queues.emplace_back().queue = core::queue_id("q");
+        m_group->node(m_leader).propose(core::apply_document{document},
+                                        {},
+                                        {},
+                                        [](core::command_reply const&) {});
+        m_group->step();
+        m_service = std::make_shared<workflow_service>(
+            *m_group->at(m_leader).loop,
+            m_group->node(m_leader),
+            workflow::dispatch_options{},
+            [this](core::event const& what) { m_events.push_back(what); },
+            m_metrics);
+    }
+
+    void tearDown() override
+    {
+        m_service->end();
+        m_service.reset();
+        m_group.reset();
+        m_events.clear();
+    }
+
+    // Guards against commands that commit after their caller was told that
+    // their fate is unknown, because the leader was busy or suspended.
+    void submission_that_waited_past_its_time_is_not_proposed()
+    {
+        auto const last = m_group->node(m_leader).commit_index();
+        auto const reply = submit("w", seconds(2), seconds(3));
+        CPPUNIT_ASSERT(reply && reply->code == result_code::deadline_exceeded);
+        CPPUNIT_ASSERT(reply->retry_after >= seconds(3));
+        CPPUNIT_ASSERT(!is_accepted("w"));
+        CPPUNIT_ASSERT(m_group->node(m_leader).commit_index() == last);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_events.size());
+        CPPUNIT_ASSERT(m_events[0].code ==
+                       core::event_code::submission_expired);
+        // A new try of the caller has its own time.
+        CPPUNIT_ASSERT(submit("w", seconds(2), {})->code == result_code::ok);
+    }
+
+    // Guards against refusals of calls that can be answered in time, and of
+    // those from gateways of an earlier release.
+    void submission_with_time_left_is_proposed()
+    {
+        CPPUNIT_ASSERT(submit("w", seconds(9), seconds(3))->code ==
+                       result_code::ok);
+        CPPUNIT_ASSERT(is_accepted("w"));
+        CPPUNIT_ASSERT(submit("v", {}, seconds(3))->code == result_code::ok);
+        CPPUNIT_ASSERT(is_accepted("v"));
+    }
+
+    // Guards against "not run" for a submission that was accepted before.
+    void resend_past_its_time_is_accepted()
+    {
+        submit("w", seconds(2), {});
+        CPPUNIT_ASSERT(submit("w", seconds(2), seconds(3))->code ==
+                       result_code::ok);
+    }
+
+    // Guards against "not run" from a leader that does not know what its
+    // successor has accepted.
+    void deposed_leader_does_not_refuse()
+    {
+        m_group->at(m_leader).isolated = true;
+        auto const reply = submit("w", seconds(2), seconds(3));
+        CPPUNIT_ASSERT(!reply || reply->code == result_code::not_leader);
+    }
+
     // Guards against a poll that is dropped without an answer when its worker
     // restarts: the sidecar takes that for a lost leader, closes its connection
     // and waits 200 ms before it reports the new incarnation's runs again.
     void poll_of_the_next_incarnation_ends_that_of_the_earlier_one()
     {
-        replica_group group;
-        auto& leading = group.at(group.wait_for_leader());
-        telemetry::metrics_registry metrics;
-        auto const service = std::make_shared<workflow_service>(
-            *leading.loop,
-            *leading.node,
-            workflow::dispatch_options{},
-            [](core::event const&) {},
-            metrics);
         std::vector<std::uint64_t> answered;
         for (std::uint64_t const life : {1, 2})
         {
             core::orders_request request;
             request.worker = core::worker_id("w");
             request.life = core::incarnation(life);
-            request.max_wait = std::chrono::seconds(5);
-            service->poll_orders(
+            request.max_wait = seconds(5);
+            m_service->poll_orders(
                 request,
                 [&answered, life](core::runtime_orders const& orders)
                 {
@@ -43,8 +119,43 @@
                 });
         }
         CPPUNIT_ASSERT(answered == std::vector<std::uint64_t>{1});
-        service->end();
     }
+
+private:
+    /// @param waited Time since the submission was received.
+    /// @return The answer, if there is one.
+    std::optional<core::command_reply>
+    submit(std::string const& workflow,
+           std::optional<core::duration> time_left,
+           core::duration waited)
+    {
+        core::submit_workflow command;
+        command.queue = core::queue_id("q");
+        command.workflow = core::workflow_id(workflow);
+        forwarded_submission submission;
+        submission.envelope.body = std::move(command);
+        submission.envelope.time_left = time_left;
+        submission.received = process::boot_time() - waited;
+        auto const reply =
+            std::make_shared<std::optional<core::command_reply>>();
+        m_service->submit(std::move(submission),
+                          [reply](core::command_reply answer)
+                          { *reply = std::move(answer); });
+        m_group->step_until([&reply] { return reply->has_value(); });
+        return *reply;
+    }
+
+    bool is_accepted(std::string const& workflow)
+    {
+        return m_group->node(m_leader).state().workflows().find(
+                   core::workflow_id(workflow)) != nullptr;
+    }
+
+    telemetry::metrics_registry m_metrics;
+    std::vector<core::event> m_events;
+    std::optional<replica_group> m_group;
+    std::size_t m_leader = 0;
+    std::shared_ptr<workflow_service> m_service;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(workflow_service_test);
