--- a/programs/control/tests/workflow_service_test.cpp
+++ b/programs/control/tests/workflow_service_test.cpp
@@ -103,7 +103,8 @@
     // and waits 200 ms before it reports the new incarnation's runs again.
     void poll_of_the_next_incarnation_ends_that_of_the_earlier_one()
     {
-        std::vector<std::uint64_t> answered;
+        // The open poll is answered in tearDown().
+        auto const answered = std::make_shared<std::vector<std::uint64_t>>();
         for (std::uint64_t const life : {1, 2})
         {
             core::orders_request request;
@@ -112,13 +113,13 @@
             request.max_wait = seconds(5);
             m_service->poll_orders(
                 request,
-                [&answered, life](core::runtime_orders const& orders)
+                [answered, life](core::runtime_orders const& orders)
                 {
                     CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, orders.batch);
-                    answered.push_back(life);
+                    answered->push_back(life);
                 });
         }
-        CPPUNIT_ASSERT(answered == std::vector<std::uint64_t>{1});
+        CPPUNIT_ASSERT(*answered == std::vector<std::uint64_t>{1});
     }
 
 private:
