--- a/modules/workflow/tests/worker_agent_test.cpp
+++ b/modules/workflow/tests/worker_agent_test.cpp
@@ -1,11 +1,19 @@
-#include "worker_agent_fixture.hpp"
+#include "workflow/agent/fencing_token.hpp"
+#include "workflow/agent/worker_agent.hpp"
+#include "workflow_builder.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <deque>
 
 namespace turmericswitch::workflow
 {
 
 using namespace testing;
 
-class worker_agent_test : public worker_agent_fixture
+/// Each call of the agent is queued until the test answers it.
+class worker_agent_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(worker_agent_test);
     CPPUNIT_TEST(first_sync_call_has_the_fencing_token);
@@ -15,6 +23,7 @@
     CPPUNIT_TEST(stopped_run_that_is_still_listed_is_not_refused);
     CPPUNIT_TEST(orders_of_a_deposed_leader_are_dropped);
     CPPUNIT_TEST(retried_start_keeps_the_deadline_of_its_order);
+    CPPUNIT_TEST(registration_of_an_earlier_incarnation_is_ignored);
     CPPUNIT_TEST(refusals_during_a_report_do_not_delay_the_next_sync);
     CPPUNIT_TEST(report_after_an_outage_has_a_current_clock);
     CPPUNIT_TEST(first_sync_of_an_incarnation_does_not_wait);
@@ -36,9 +45,51 @@
     CPPUNIT_TEST(unanswered_start_over_a_shrunk_capacity_is_not_repeated);
     CPPUNIT_TEST(repeated_order_over_the_capacity_stops_no_started_run);
     CPPUNIT_TEST(start_that_fits_again_is_sent);
+    CPPUNIT_TEST(crash_is_reported_until_it_is_acknowledged);
+    CPPUNIT_TEST(end_with_notice_is_not_reported_as_a_crash);
+    CPPUNIT_TEST(next_incarnation_is_fenced_before_a_leader_answers);
+    CPPUNIT_TEST(first_list_of_the_next_incarnation_is_reported_at_once);
+    CPPUNIT_TEST(unanswered_start_is_not_repeated_to_a_silent_worker);
+    CPPUNIT_TEST(incarnation_that_began_after_the_clock_was_set_back_is_used);
+    CPPUNIT_TEST(refusal_after_unanswered_starts_and_stops_is_not_certain);
+    CPPUNIT_TEST(late_notice_of_the_earlier_incarnation_is_ignored);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    void setUp() override
+    {
+        m_starts.clear();
+        m_stops.clear();
+        m_syncs.clear();
+        m_reports.clear();
+        m_polls.clear();
+        m_events.clear();
+        agent_hooks hooks;
+        hooks.on_event = [this](core::event const& what)
+        { m_events.push_back(what); };
+        hooks.after = [this](core::duration, std::function<void()> run)
+        { m_delayed.push_back(std::move(run)); };
+        hooks.runtime.start = [this](auto call, auto done) {
+            m_starts.push_back({call, done});
+        };
+        hooks.runtime.stop = [this](auto call, auto done) {
+            m_stops.push_back({call, done});
+        };
+        hooks.runtime.pace = [](auto, auto done) { done(true); };
+        hooks.runtime.sync = [this](auto call, auto done) {
+            m_syncs.push_back({call, done});
+        };
+        hooks.leader.report = [this](auto report, auto done) {
+            m_reports.push_back({report, done});
+        };
+        hooks.leader.poll_orders = [this](auto request, auto done) {
+            m_polls.push_back({request, done});
+        };
+        m_agent = std::make_unique<worker_agent>(
+            agent_options{core::instance_id("host"), core::incarnation(7)},
+            std::move(hooks));
+    }
+
     // A worker rejects calls with a token below the highest it has seen, and a
     // restarted sidecar has none until its first grant.
     void first_sync_call_has_the_fencing_token()
@@ -351,6 +402,14 @@
         CPPUNIT_ASSERT(m_starts.front().call.start.lease_until == deadline);
     }
 
+    // A delayed registration can arrive after the worker has restarted.
+    void registration_of_an_earlier_incarnation_is_ignored()
+    {
+        m_agent->registered(profile("w1", 8000, 2));
+        CPPUNIT_ASSERT(!m_agent->registered(profile("w1", 8000, 1)));
+        CPPUNIT_ASSERT(m_agent->profile()->life == core::incarnation(2));
+    }
+
     void only_ends_in_the_grant_are_acknowledged()
     {
         start_up();
@@ -487,6 +546,264 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_starts.size());
         CPPUNIT_ASSERT(m_stops.empty());
     }
+
+    // The report of a crash may find no leader, or one that loses its place
+    // before the commit. Guards against a crash that is not counted then.
+    void crash_is_reported_until_it_is_acknowledged()
+    {
+        start_up();
+        auto const later = run_of("b", 0, 0);
+        answer(m_syncs, std::optional(list_at(1000, {m_run})));
+        grant(1);
+        answer(m_syncs, std::optional(list_at(1500, {m_run, later})));
+        grant(1);
+        m_syncs.clear();
+        m_agent->registered(profile("w1", 8000, 2));
+        core::worker_incarnation const ended{core::worker_id("w1"),
+                                             core::incarnation(1)};
+        std::vector<core::crashed_incarnation> const expected{{ended, {m_run}}};
+        CPPUNIT_ASSERT(last_report().crashed == expected);
+        answer(m_reports, std::optional<core::runtime_grant>());
+        run_delayed();
+        CPPUNIT_ASSERT(last_report().crashed == expected);
+        core::runtime_grant acknowledged;
+        acknowledged.fencing_token = 2;
+        acknowledged.acknowledged_crashes = {ended};
+        answer(m_reports, std::optional(acknowledged));
+        answer(m_syncs, std::optional(list_at(2000, {})));
+        CPPUNIT_ASSERT(last_report().crashed.empty());
+    }
+
+    // Planned restarts would fail jobs.
+    void end_with_notice_is_not_reported_as_a_crash()
+    {
+        start_up();
+        m_agent->registered(draining_profile(1));
+        m_agent->unregistered(core::worker_id("w1"));
+        m_agent->registered(profile("w1", 8000, 2));
+        CPPUNIT_ASSERT(last_report().crashed.empty());
+        m_agent->registered(draining_profile(2));
+        m_agent->registered(profile("w1", 8000, 3));
+        CPPUNIT_ASSERT(last_report().crashed.empty());
+    }
+
+    // A worker that has restarted under its id has seen no token and would
+    // execute calls that were meant for its earlier incarnation. Guards against
+    // such a call that is executed after the leader has read the first list.
+    void next_incarnation_is_fenced_before_a_leader_answers()
+    {
+        start_up(fencing_token(core::term(3), 1));
+        auto const earlier = m_syncs.front().call.fencing_token;
+        m_syncs.clear();
+        m_agent->registered(profile("w1", 8000, 2));
+        auto const own = m_syncs.front().call.fencing_token;
+        CPPUNIT_ASSERT(own > earlier);
+        CPPUNIT_ASSERT(!m_syncs.front().call.lease_until);
+        CPPUNIT_ASSERT(m_syncs.front().call.wait == core::duration{});
+        CPPUNIT_ASSERT(own < fencing_token(core::term(3), 2));
+    }
+
+    // The leader places the tasks of the earlier incarnation again once it has
+    // the list. Guards against a list that waits for the grant of the report
+    // without one.
+    void first_list_of_the_next_incarnation_is_reported_at_once()
+    {
+        start_up();
+        m_syncs.clear();
+        m_agent->registered(profile("w1", 8000, 2));
+        CPPUNIT_ASSERT(!last_report().runs);
+        answer(m_syncs, std::optional(list_at(10, {m_run})));
+        CPPUNIT_ASSERT(last_report().runs.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_reports.size());
+        // The grant for the first of the two reports is dropped.
+        grant(3);
+        CPPUNIT_ASSERT(m_polls.size() == 1);
+        CPPUNIT_ASSERT(has_event(core::event_code::late_start_executed));
+    }
+
+    // Guards against a repeated start that reaches the next incarnation of a
+    // worker that has just ended, and against a run that is reported as refused
+    // although its unanswered start may still be executed.
+    void unanswered_start_is_not_repeated_to_a_silent_worker()
+    {
+        start_up();
+        order_start();
+        answer(m_syncs, std::optional<sync_result>());
+        answer(m_starts, start_outcome::unknown);
+        CPPUNIT_ASSERT(m_starts.empty());
+        grant(1);
+        run_delayed();
+        answer(m_syncs, std::optional(sync_result{}));
+        order_start();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_starts.size());
+        answer(m_starts, start_outcome::refused);
+        CPPUNIT_ASSERT(last_report().refused.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_stops.size());
+    }
+
+    // An incarnation is numbered by the wall time of its start. Guards against
+    // a worker that is ignored for good because its clock was set back before
+    // it restarted.
+    void incarnation_that_began_after_the_clock_was_set_back_is_used()
+    {
+        m_agent->registered(profile("w1", 8000, 5));
+        grant(1);
+        CPPUNIT_ASSERT(!m_agent->registered(profile("w1", 8000, 3)));
+        auto answered = list_at(10, {});
+        answered.life = core::incarnation(3);
+        answer(m_syncs, std::optional(answered));
+        grant(1);
+        m_syncs.clear();
+        CPPUNIT_ASSERT(!m_agent->registered(profile("w1", 8000, 2)));
+        CPPUNIT_ASSERT(m_agent->registered(profile("w1", 8000, 3)));
+        CPPUNIT_ASSERT(last_report().profile.life > core::incarnation(5));
+        CPPUNIT_ASSERT(m_agent->registered(profile("w1", 8000, 3)));
+        answer(m_syncs, std::optional(answered));
+        CPPUNIT_ASSERT(last_report().runs.has_value());
+        CPPUNIT_ASSERT(!last_report().silent);
+        // A delayed registration of the incarnation before.
+        CPPUNIT_ASSERT(!m_agent->registered(profile("w1", 8000, 2)));
+    }
+
+    // All starts and stops of the run stay unanswered, and the leader repeats
+    // the order. Guards against a refusal of the repeated start that is
+    // reported as certain, although the worker may still execute an earlier
+    // one.
+    void refusal_after_unanswered_starts_and_stops_is_not_certain()
+    {
+        start_up();
+        order_start();
+        while (!m_starts.empty())
+        {
+            answer(m_starts, start_outcome::unknown);
+        }
+        while (!m_stops.empty())
+        {
+            answer(m_stops, false);
+        }
+        order_start();
+        answer(m_starts, start_outcome::refused);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_stops.size());
+        answer(m_syncs, std::optional(sync_result{}));
+        CPPUNIT_ASSERT(last_report().refused.empty());
+    }
+
+    // The notice that a worker ends names only its id. Guards against one that
+    // is handled after the next incarnation has registered, and makes the
+    // worker unusable until its next restart.
+    void late_notice_of_the_earlier_incarnation_is_ignored()
+    {
+        m_agent->registered(draining_profile(1));
+        grant(1);
+        m_polls.clear();
+        m_agent->registered(profile("w1", 8000, 2));
+        m_agent->unregistered(core::worker_id("w1"));
+        grant(2);
+        CPPUNIT_ASSERT(m_reports.empty() || !last_report().left);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_polls.size());
+    }
+
+private:
+    static core::worker_profile draining_profile(std::uint64_t life)
+    {
+        auto result = profile("w1", 8000, life);
+        result.draining = true;
+        return result;
+    }
+
+    static sync_result list_at(std::int64_t clock_ms,
+                               std::vector<core::task_run> const& runs)
+    {
+        sync_result result;
+        result.clock = std::chrono::milliseconds(clock_ms);
+        for (auto const& run : runs)
+        {
+            result.runs.running.push_back({run, {}, 0, 0});
+        }
+        return result;
+    }
+
+    template <typename Call, typename Result>
+    struct pending_call
+    {
+        Call call;
+        std::function<void(Result)> done;
+    };
+
+    template <typename Call, typename Result>
+    using pending_calls = std::deque<pending_call<Call, Result>>;
+
+    template <typename List, typename Result>
+    static void answer(List& list, Result result)
+    {
+        CPPUNIT_ASSERT(!list.empty());
+        auto const one = std::move(list.front());
+        list.pop_front();
+        one.done(std::move(result));
+    }
+
+    void grant(std::uint64_t token,
+               core::duration lease_until = std::chrono::seconds(5))
+    {
+        core::runtime_grant grant;
+        grant.fencing_token = token;
+        grant.lease_until = lease_until;
+        answer(m_reports, std::optional(grant));
+    }
+
+    void start_up(std::uint64_t token = 1)
+    {
+        m_agent->registered(profile("w1"));
+        grant(token);
+    }
+
+    /// @param reserved CPU that all runs on the worker reserve; none is how
+    ///        orders of an earlier release are read.
+    void order_start(std::int64_t reserved = 0)
+    {
+        core::runtime_orders orders;
+        orders.fencing_token = 1;
+        orders.batch = 1;
+        orders.reserved.cpu = core::millicores(reserved);
+        orders.starts = {{m_run.task.workflow, "payload", {{m_run, {}, {}}}}};
+        answer(m_polls, std::optional(orders));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
+                             m_polls.front().call.received_batch);
+    }
+
+    bool has_event(core::event_code code) const
+    {
+        return std::any_of(m_events.begin(),
+                           m_events.end(),
+                           [code](core::event const& each)
+                           { return each.code == code; });
+    }
+
+    core::runtime_report const& last_report() const
+    {
+        CPPUNIT_ASSERT(!m_reports.empty());
+        return m_reports.back().call;
+    }
+
+    void run_delayed()
+    {
+        for (auto const& each : std::exchange(m_delayed, {}))
+        {
+            each();
+        }
+    }
+
+    core::task_run m_run = run_of("a", 0, 0);
+    pending_calls<start_call, start_outcome> m_starts;
+    pending_calls<stop_call, bool> m_stops;
+    pending_calls<sync_call, std::optional<sync_result>> m_syncs;
+    pending_calls<core::runtime_report, std::optional<core::runtime_grant>>
+        m_reports;
+    pending_calls<core::orders_request, std::optional<core::runtime_orders>>
+        m_polls;
+    std::vector<std::function<void()>> m_delayed;
+    std::vector<core::event> m_events;
+    std::unique_ptr<worker_agent> m_agent;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(worker_agent_test);
