Log why members are changed, who does not vote, and silent leaders

member_changed names its reason. New events: peer_address_unknown (466), leader_silent (467), members_without_vote (468), each at most once a second per process or member. No decision changes.

--- a/modules/consensus/membership/membership_planner.cpp
+++ b/modules/consensus/membership/membership_planner.cpp
@@ -37,7 +37,9 @@
                 other.rpc == old.rpc && other.id > old.id && !other.learner;
             if (is_successor && old.id != view.self)
             {
-                return membership_change{membership_change_kind::remove, old};
+                return membership_change{membership_change_kind::remove,
+                                         old,
+                                         membership_reason::replaced};
             }
         }
     }
@@ -70,11 +72,29 @@
     {
         return std::nullopt;
     }
-    return membership_change{membership_change_kind::remove, *unresponsive};
+    return membership_change{membership_change_kind::remove,
+                             *unresponsive,
+                             membership_reason::voter_unresponsive};
 }
 
 } // namespace
 
+std::string_view to_string(membership_reason reason) noexcept
+{
+    switch (reason)
+    {
+    case membership_reason::caught_up:
+        return "caught_up";
+    case membership_reason::replaced:
+        return "replaced";
+    case membership_reason::voter_unresponsive:
+        return "voter_unresponsive";
+    case membership_reason::learner_unresponsive:
+        return "learner_unresponsive";
+    }
+    return "unknown";
+}
+
 std::optional<membership_change>
 next_membership_change(membership_view const& view,
                        membership_limits const& limits,
@@ -101,12 +121,16 @@
         }
         if (!has_answered(view, member, limits.learner_timeout, now))
         {
-            return membership_change{membership_change_kind::remove, member};
+            return membership_change{membership_change_kind::remove,
+                                     member,
+                                     membership_reason::learner_unresponsive};
         }
         if (voters < limits.max_voters &&
             has_answered(view, member, limits.voter_timeout, now))
         {
-            return membership_change{membership_change_kind::promote, member};
+            return membership_change{membership_change_kind::promote,
+                                     member,
+                                     membership_reason::caught_up};
         }
     }
     return std::nullopt;
--- a/modules/consensus/membership/membership_planner.hpp
+++ b/modules/consensus/membership/membership_planner.hpp
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <optional>
+#include <string_view>
 
 namespace turmericswitch::consensus
 {
@@ -34,10 +35,24 @@
     std::map<core::member_id, core::time_point> last_answers;
 };
 
+enum class membership_reason : std::uint8_t
+{
+    /// A learner has the entries of the group.
+    caught_up,
+    /// Another member has joined from the same address.
+    replaced,
+    voter_unresponsive,
+    learner_unresponsive,
+};
+
+/// @return The name of the reason in logs.
+std::string_view to_string(membership_reason reason) noexcept;
+
 struct membership_change
 {
     membership_change_kind kind = membership_change_kind::promote;
     core::group_member member;
+    membership_reason reason = membership_reason::caught_up;
 
     bool operator==(membership_change const&) const = default;
 };
--- a/modules/consensus/node/raft_node.cpp
+++ b/modules/consensus/node/raft_node.cpp
@@ -73,6 +73,16 @@
     return m_leader;
 }
 
+std::optional<core::time_point> raft_node::last_leader_contact() const
+{
+    return m_last_leader_contact;
+}
+
+log_index raft_node::last_index() const
+{
+    return m_log.last_index();
+}
+
 core::group_membership const& raft_node::membership() const
 {
     return m_log.membership();
--- a/modules/consensus/node/raft_node.hpp
+++ b/modules/consensus/node/raft_node.hpp
@@ -24,6 +24,7 @@
 struct replication_status
 {
     core::member_id member;
+    bool is_voter = false;
     core::time_point last_answer;
     /// Last index known to be durable there.
     core::log_index match;
@@ -68,6 +69,13 @@
     ///         this node does not lead or the member is unknown.
     std::optional<core::time_point> last_answer(core::member_id id) const;
 
+    /// @return When a message of a current leader arrived last; nothing if none
+    ///         has arrived since the process started.
+    std::optional<core::time_point> last_leader_contact() const;
+
+    /// @return The index of the last entry in the log.
+    core::log_index last_index() const;
+
     /// @return Since when this leader has uncommitted entries without
     /// committing one; nothing if all are committed or this node does not lead.
     std::optional<core::time_point> commit_pending_since() const;
--- a/modules/consensus/node/raft_node_membership.cpp
+++ b/modules/consensus/node/raft_node_membership.cpp
@@ -183,6 +183,7 @@
     for (auto const& [id, progress] : m_progress)
     {
         all.push_back({id,
+                       is_voter(id),
                        progress.last_answer(),
                        progress.match(),
                        m_deliveries.bytes_to(id) + progress.delivered_bytes(),
--- a/modules/core/events/event_code.hpp
+++ b/modules/core/events/event_code.hpp
@@ -85,6 +85,9 @@
     commit_stalled = 463,
     leadership_given_up = 464,
     document_delta_refused = 465,
+    peer_address_unknown = 466,
+    leader_silent = 467,
+    members_without_vote = 468,
     workers_relearned = 481,
 };
 
@@ -197,6 +200,12 @@
                 "leadership_given_up",
                 event_severity::warning},
     event_entry{event_code::document_delta_refused, "document_delta_refused"},
+    event_entry{event_code::peer_address_unknown,
+                "peer_address_unknown",
+                event_severity::warning},
+    event_entry{
+        event_code::leader_silent, "leader_silent", event_severity::warning},
+    event_entry{event_code::members_without_vote, "members_without_vote"},
     event_entry{event_code::workers_relearned, "workers_relearned"},
 };
 
--- a/programs/control/node/control_node.cpp
+++ b/programs/control/node/control_node.cpp
@@ -40,13 +40,15 @@
       m_seed(parts.random_seed),
       m_contacts(parts.contacts),
       m_last_recovered_index(last_index_of(parts)),
-      m_links(io,
-              parts.random_seed,
-              [this](consensus::delivery_id id, bool answered)
-              {
-                  m_loop.post([this, id, answered]
-                              { m_replica.end_delivery(id, answered); });
-              }),
+      m_links(
+          io,
+          parts.random_seed,
+          [this](consensus::delivery_id id, bool answered)
+          {
+              m_loop.post([this, id, answered]
+                          { m_replica.end_delivery(id, answered); });
+          },
+          [this](core::event const& what) { m_log.write(what); }),
       m_loop(tick_interval),
       m_replica(m_loop, std::move(parts), make_hooks())
 {
--- a/programs/control/node/membership_manager.cpp
+++ b/programs/control/node/membership_manager.cpp
@@ -19,6 +19,10 @@
 /// have been removed while it was partitioned. Elections take less time.
 constexpr core::duration rejoin_after = std::chrono::seconds(4);
 
+/// Silence of the leader after which it is logged, and the time between two
+/// such events.
+constexpr core::duration silence_report_interval = std::chrono::seconds(1);
+
 } // namespace
 
 membership_manager::membership_manager(
@@ -34,7 +38,8 @@
       m_self(std::move(self)),
       m_on_members_received(std::move(on_members_received)),
       m_on_event(std::move(on_event)),
-      m_leader_last_known(process::event_loop::now())
+      m_leader_last_known(process::event_loop::now()),
+      m_started(m_leader_last_known)
 {
 }
 
@@ -44,6 +49,7 @@
     {
         m_leader_last_known = now;
     }
+    report_silent_leader(now);
     bool const has_lost_leader = now - m_leader_last_known > rejoin_after;
     if ((!is_member() || has_lost_leader) && !m_join_pending &&
         now >= m_next_join)
@@ -57,6 +63,26 @@
     }
 }
 
+void membership_manager::report_silent_leader(core::time_point now)
+{
+    auto const silent = now - m_node.last_leader_contact().value_or(m_started);
+    if (m_node.is_leading() || silent < silence_report_interval ||
+        now < m_next_silence_report)
+    {
+        return;
+    }
+    m_next_silence_report = now + silence_report_interval;
+    auto const leader = m_node.leader();
+    m_on_event(
+        {core::event_code::leader_silent,
+         {core::text_field("leader",
+                           leader ? std::to_string(leader->id.value())
+                                  : std::string("unknown")),
+          core::time_field("silent_ms", silent),
+          core::number_field("listed", is_member() ? 1 : 0),
+          core::number_field("last_index", m_node.last_index().value())}});
+}
+
 bool membership_manager::is_member() const
 {
     auto const& members = m_node.membership().members;
@@ -180,7 +206,9 @@
                                        is_removal ? "removed" : "promoted"),
                       core::number_field("member", step.member.id.value()),
                       core::text_field("address",
-                                       core::to_string(step.member.rpc))}});
+                                       core::to_string(step.member.rpc)),
+                      core::text_field("why",
+                                       consensus::to_string(step.reason))}});
             }
         });
 }
--- a/programs/control/node/membership_manager.hpp
+++ b/programs/control/node/membership_manager.hpp
@@ -49,6 +49,7 @@
 private:
     void request_join(core::time_point now);
     void continue_changes(core::time_point now);
+    void report_silent_leader(core::time_point now);
     bool is_member() const;
     core::join_answer answer_with(core::result_code code) const;
 
@@ -63,6 +64,8 @@
     core::time_point m_next_join;
     core::time_point m_next_change;
     core::time_point m_leader_last_known;
+    core::time_point m_started;
+    core::time_point m_next_silence_report;
 };
 
 } // namespace turmericswitch::control
--- a/programs/control/node/peer_links.cpp
+++ b/programs/control/node/peer_links.cpp
@@ -1,5 +1,6 @@
 #include "node/peer_links.hpp"
 
+#include "process/loop/event_loop.hpp"
 #include "shared/peers/peer_client.hpp"
 #include "wire/codec/message_codec.hpp"
 
@@ -45,6 +46,9 @@
 constexpr core::duration connect_timeout = std::chrono::milliseconds(500);
 constexpr core::duration reconnect_delay_cap = std::chrono::milliseconds(250);
 
+/// Time between two events on dropped messages to the same member.
+constexpr core::duration drop_report_interval = std::chrono::seconds(1);
+
 transport::client_options link_options()
 {
     transport::client_options options;
@@ -58,8 +62,12 @@
 
 peer_links::peer_links(transport::io_pool& io,
                        std::uint64_t random_seed,
-                       delivery_hook on_ended)
-    : m_io(io), m_seed(random_seed), m_on_ended(std::move(on_ended))
+                       delivery_hook on_ended,
+                       core::event_hook on_event)
+    : m_io(io),
+      m_seed(random_seed),
+      m_on_ended(std::move(on_ended)),
+      m_on_event(std::move(on_event))
 {
 }
 
@@ -74,6 +82,9 @@
             wanted.emplace(member.id, member.rpc);
         }
     }
+    std::erase_if(m_dropped,
+                  [&wanted](auto const& item)
+                  { return wanted.contains(item.first); });
     std::erase_if(m_links,
                   [&wanted](auto const& item)
                   {
@@ -99,6 +110,7 @@
     auto const link = m_links.find(content.to);
     if (link == m_links.end())
     {
+        report_dropped(content.to);
         if (delivery != consensus::delivery_id())
         {
             m_on_ended(delivery, false);
@@ -122,6 +134,22 @@
                        });
 }
 
+void peer_links::report_dropped(core::member_id to)
+{
+    auto const now = process::event_loop::now();
+    auto& dropped = m_dropped[to];
+    ++dropped.count;
+    if (now < dropped.next_report)
+    {
+        return;
+    }
+    m_on_event({core::event_code::peer_address_unknown,
+                {core::number_field("member", to.value()),
+                 core::number_field("messages", dropped.count)}});
+    dropped.count = 0;
+    dropped.next_report = now + drop_report_interval;
+}
+
 void peer_links::close()
 {
     m_links.clear();
--- a/programs/control/node/peer_links.hpp
+++ b/programs/control/node/peer_links.hpp
@@ -2,6 +2,7 @@
 #define TURMERICSWITCH_CONTROL_NODE_PEER_LINKS_HPP
 
 #include "consensus/node/raft_events.hpp"
+#include "core/events/event.hpp"
 #include "transport/transport.hpp"
 
 #include <functional>
@@ -24,9 +25,11 @@
 
     /// @param io Must outlive the links.
     /// @param on_ended Called once for each tracked message.
+    /// @param on_event Gets the events of the links.
     peer_links(transport::io_pool& io,
                std::uint64_t random_seed,
-               delivery_hook on_ended);
+               delivery_hook on_ended,
+               core::event_hook on_event);
 
     /// Opens links to new members, and closes links to members that were
     /// removed or have a new address.
@@ -42,9 +45,20 @@
     transport::traffic transferred() const;
 
 private:
+    /// Messages dropped because the address of their receiver is not known.
+    struct dropped_messages
+    {
+        std::uint64_t count = 0;
+        core::time_point next_report;
+    };
+
+    void report_dropped(core::member_id to);
+
     transport::io_pool& m_io;
     std::uint64_t m_seed;
     delivery_hook m_on_ended;
+    core::event_hook m_on_event;
+    std::map<core::member_id, dropped_messages> m_dropped;
     std::map<core::member_id, std::unique_ptr<transport::rpc_client>> m_links;
 };
 
--- a/programs/control/node/replica.cpp
+++ b/programs/control/node/replica.cpp
@@ -49,7 +49,11 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
 }
 
-/// @return One member of the event `commit_stalled`.
+/// Time between two events on members that do not vote.
+constexpr core::duration membership_report_interval = std::chrono::seconds(1);
+
+/// @return One member of the events `commit_stalled` and
+/// `members_without_vote`.
 std::string describe(consensus::replication_status const& status,
                      core::time_point now)
 {
@@ -112,6 +116,7 @@
 {
     process_event(consensus::tick{});
     report_stall();
+    report_members_without_vote();
     snapshot_if_due();
 }
 
@@ -136,6 +141,39 @@
                        core::text_field("members", members)}});
 }
 
+void replica::report_members_without_vote()
+{
+    auto const now = process::event_loop::now();
+    if (!m_is_leading || now < m_next_membership_report)
+    {
+        return;
+    }
+    m_next_membership_report = now + membership_report_interval;
+    std::string members;
+    for (auto const& status : m_node.replication())
+    {
+        if (!status.is_voter)
+        {
+            members += (members.empty() ? "" : " ") + describe(status, now);
+        }
+    }
+    if (!members.empty())
+    {
+        m_hooks.on_event({core::event_code::members_without_vote,
+                          {core::text_field("members", members)}});
+    }
+}
+
+std::optional<core::time_point> replica::last_leader_contact() const
+{
+    return m_node.last_leader_contact();
+}
+
+core::log_index replica::last_index() const
+{
+    return m_node.last_index();
+}
+
 void replica::receive(core::consensus_message const& message)
 {
     process_event(consensus::message{message});
--- a/programs/control/node/replica.hpp
+++ b/programs/control/node/replica.hpp
@@ -121,6 +121,13 @@
     core::group_membership const& membership() const;
     /// @return When a member last answered, if this instance leads.
     std::optional<core::time_point> last_answer(core::member_id id) const;
+
+    /// @return When a message of a current leader arrived last; nothing if none
+    ///         has arrived since the process started.
+    std::optional<core::time_point> last_leader_contact() const;
+
+    /// @return The index of the last entry in the log.
+    core::log_index last_index() const;
     /// @return What this instance knows about the other members, if it leads.
     std::vector<consensus::replication_status> replication() const;
     /// @return How long this leader has had uncommitted entries without
@@ -149,6 +156,7 @@
     void propose_pending();
     void fail_storage(std::string const& why);
     void report_stall();
+    void report_members_without_vote();
     core::command_envelope make_envelope(core::command_body body) const;
     consensus::ticket next_ticket();
 
@@ -174,6 +182,7 @@
     bool m_snapshot_running = false;
     core::duration m_snapshot_cpu_time{};
     core::time_point m_stall_reported;
+    core::time_point m_next_membership_report;
     bool m_storage_failed = false;
     bool m_is_raft_leader = false;
     bool m_is_leading = false;
--- a/programs/control/tests/peer_links_test.cpp
+++ b/programs/control/tests/peer_links_test.cpp
@@ -41,7 +41,10 @@
 
     std::atomic<std::uint64_t> m_received = 0;
     transport::io_pool m_io{2};
-    peer_links m_links{m_io, 1, [](consensus::delivery_id, bool) {}};
+    peer_links m_links{m_io,
+                       1,
+                       [](consensus::delivery_id, bool) {},
+                       [](core::event const&) {}};
 
     // Guards against a group without a leader for seconds. When the members'
     // connections fall silent without a reset, heartbeats, votes and their
