Tell the order of two identities of one address by the log, not by their ids

Callers: after a machine of the core had lost its disk for the second time, the group stayed with two voters, and the next machine that was replaced left it without a quorum for good.

Cause: of two members with one address the planner took the one with the larger id for the newer one. Ids of instances that join later are random, so in half of these cases the leader removed the newcomer as soon as it had joined, and would have removed the only live identity after a promotion.

A member now carries the index of the log entry that added it. The member added later has replaced the other one, if it votes and answers this leader. A promotion picks a learner that has caught up and isn't held up by another one, and a learner that has answered nothing is never promoted. Voters that a leader hasn't heard since its election don't count as answering.

--- a/modules/consensus/membership/membership_planner.cpp
+++ b/modules/consensus/membership/membership_planner.cpp
@@ -10,37 +10,57 @@
 
 using core::group_member;
 
-bool has_answered(membership_view const& view,
-                  group_member const& member,
-                  core::duration timeout,
-                  core::time_point now)
+bool has_answered(membership_view const& view, group_member const& member)
+{
+    auto const known = view.contacts.find(member.id);
+    return member.id == view.self ||
+           (known != view.contacts.end() && known->second.has_answered);
+}
+
+/// @return True if the leader has waited in vain for an answer of the member
+/// for the given time.
+bool is_silent(membership_view const& view,
+               group_member const& member,
+               core::duration timeout,
+               core::time_point now)
 {
     if (member.id == view.self)
     {
-        return true;
+        return false;
     }
-    auto const known = view.last_answers.find(member.id);
-    return known != view.last_answers.end() && now - known->second < timeout;
+    auto const known = view.contacts.find(member.id);
+    return known != view.contacts.end() &&
+           now - known->second.last_answer >= timeout;
 }
 
-/// @return The removal of a voter whose instance lost its disk and has joined
-/// again: another voter has the same address and a larger id, as later joiners
-/// get larger ids.
+bool has_caught_up(membership_view const& view, group_member const& member)
+{
+    auto const known = view.contacts.find(member.id);
+    return known != view.contacts.end() && known->second.has_caught_up;
+}
+
+/// @return The removal of a member whose instance lost its disk and has joined
+/// again: another voter with the same address was added later and answers.
 std::optional<membership_change>
-removal_of_replaced_voter(membership_view const& view)
+removal_of_replaced_member(membership_view const& view)
 {
-    for (auto const& old : view.members.members)
+    auto const& members = view.members.members;
+    for (auto const& old : members)
     {
-        for (auto const& other : view.members.members)
+        bool const is_replaced =
+            std::any_of(members.begin(),
+                        members.end(),
+                        [&](group_member const& other)
+                        {
+                            return other.rpc == old.rpc &&
+                                   other.added_at > old.added_at &&
+                                   !other.learner && has_answered(view, other);
+                        });
+        if (is_replaced && old.id != view.self)
         {
-            bool const is_successor =
-                other.rpc == old.rpc && other.id > old.id && !other.learner;
-            if (is_successor && old.id != view.self)
-            {
-                return membership_change{membership_change_kind::remove,
-                                         old,
-                                         membership_reason::replaced};
-            }
+            return membership_change{membership_change_kind::remove,
+                                     old,
+                                     membership_reason::replaced};
         }
     }
     return std::nullopt;
@@ -59,13 +79,13 @@
         {
             continue;
         }
-        if (has_answered(view, member, limits.voter_timeout, now))
+        if (is_silent(view, member, limits.voter_timeout, now))
         {
-            ++answering;
+            unresponsive = member;
         }
         else
         {
-            unresponsive = member;
+            answering += has_answered(view, member);
         }
     }
     if (!unresponsive || answering < limits.min_answering_voters)
@@ -77,6 +97,46 @@
                              membership_reason::voter_unresponsive};
 }
 
+std::optional<membership_change>
+promotion_of_learner(membership_view const& view,
+                     membership_limits const& limits)
+{
+    auto const& members = view.members.members;
+    auto const voters = static_cast<std::size_t>(
+        std::count_if(members.begin(),
+                      members.end(),
+                      [](group_member const& each) { return !each.learner; }));
+    auto const ready =
+        std::find_if(members.begin(),
+                     members.end(),
+                     [&view](group_member const& each)
+                     { return each.learner && has_caught_up(view, each); });
+    if (ready == members.end() || voters >= limits.max_voters)
+    {
+        return std::nullopt;
+    }
+    return membership_change{
+        membership_change_kind::promote, *ready, membership_reason::caught_up};
+}
+
+std::optional<membership_change>
+removal_of_unresponsive_learner(membership_view const& view,
+                                membership_limits const& limits,
+                                core::time_point now)
+{
+    for (auto const& member : view.members.members)
+    {
+        if (member.learner &&
+            is_silent(view, member, limits.learner_timeout, now))
+        {
+            return membership_change{membership_change_kind::remove,
+                                     member,
+                                     membership_reason::learner_unresponsive};
+        }
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 std::string_view to_string(membership_reason reason) noexcept
@@ -100,7 +160,7 @@
                        membership_limits const& limits,
                        core::time_point now)
 {
-    if (auto change = removal_of_replaced_voter(view))
+    if (auto change = removal_of_replaced_member(view))
     {
         return change;
     }
@@ -108,32 +168,11 @@
     {
         return change;
     }
-    auto const& members = view.members.members;
-    auto const voters = static_cast<std::size_t>(
-        std::count_if(members.begin(),
-                      members.end(),
-                      [](group_member const& each) { return !each.learner; }));
-    for (auto const& member : members)
+    if (auto change = promotion_of_learner(view, limits))
     {
-        if (!member.learner)
-        {
-            continue;
-        }
-        if (!has_answered(view, member, limits.learner_timeout, now))
-        {
-            return membership_change{membership_change_kind::remove,
-                                     member,
-                                     membership_reason::learner_unresponsive};
-        }
-        if (voters < limits.max_voters &&
-            has_answered(view, member, limits.voter_timeout, now))
-        {
-            return membership_change{membership_change_kind::promote,
-                                     member,
-                                     membership_reason::caught_up};
-        }
+        return change;
     }
-    return std::nullopt;
+    return removal_of_unresponsive_learner(view, limits, now);
 }
 
 } // namespace turmericswitch::consensus
--- a/modules/consensus/membership/membership_planner.hpp
+++ b/modules/consensus/membership/membership_planner.hpp
@@ -26,13 +26,25 @@
     std::size_t min_answering_voters = 3;
 };
 
+/// What the leader knows from the answers of another member.
+struct member_contact
+{
+    /// Time of the last answer; before the first one, when this leader began to
+    /// send to the member.
+    core::time_point last_answer;
+    /// It has answered this leader.
+    bool has_answered = false;
+    /// A learner that has caught up may be promoted.
+    bool has_caught_up = false;
+};
+
 /// The leader's view of its group.
 struct membership_view
 {
     core::member_id self;
     core::group_membership members;
-    /// Time of the last answer of each other member.
-    std::map<core::member_id, core::time_point> last_answers;
+    /// All members but `self`.
+    std::map<core::member_id, member_contact> contacts;
 };
 
 enum class membership_reason : std::uint8_t
@@ -60,9 +72,9 @@
 /// Decides the next membership change that repairs the group, one at a time.
 ///
 /// An instance that lost its disk joins with a new id. It becomes a voter when
-/// it has caught up (`raft_node` refuses to promote it earlier). Only then the
-/// voter that it replaces is removed: the one with the same address, whose disk
-/// is certainly lost, or one that does not answer while enough others do.
+/// it has caught up. Only then the voter that it replaces is removed: the one
+/// with the same address that was added earlier, or one that does not answer
+/// while enough others do.
 ///
 /// @return The change, or nothing if the group needs none.
 std::optional<membership_change>
--- a/modules/consensus/node/raft_node.hpp
+++ b/modules/consensus/node/raft_node.hpp
@@ -25,6 +25,11 @@
 {
     core::member_id member;
     bool is_voter = false;
+    /// It has answered this leader.
+    bool has_answered = false;
+    /// A learner that has caught up may be promoted.
+    bool has_caught_up = false;
+    /// Until the first answer, when this leader began to send to the member.
     core::time_point last_answer;
     /// Last index known to be durable there.
     core::log_index match;
@@ -65,10 +70,6 @@
     std::optional<core::member_id> leader() const;
     core::group_membership const& membership() const;
 
-    /// @return The time of the member's last answer to this leader; nothing if
-    ///         this node does not lead or the member is unknown.
-    std::optional<core::time_point> last_answer(core::member_id id) const;
-
     /// @return When a message of a current leader arrived last; nothing if none
     ///         has arrived since the process started.
     std::optional<core::time_point> last_leader_contact() const;
@@ -185,6 +186,7 @@
     void sync_progress();
     std::optional<core::result_code>
     check_change(change_membership const& change) const;
+    bool has_caught_up(follower_progress const& progress) const;
     core::group_membership
     membership_after(change_membership const& change) const;
     void step_down_if_removed();
--- a/modules/consensus/node/raft_node_membership.cpp
+++ b/modules/consensus/node/raft_node_membership.cpp
@@ -131,13 +131,19 @@
     }
     auto const found = m_progress.find(change.member.id);
     bool const ready =
-        found != m_progress.end() &&
-        found->second.match().value() + m_options.promotion_lag >=
-            m_log.last_index().value() &&
-        m_now - found->second.last_answer() < m_options.election_timeout;
+        found != m_progress.end() && has_caught_up(found->second);
     return ready ? std::nullopt : std::optional(result_code::not_ready);
 }
 
+/// @return True if the member would hold up no commit as a voter.
+bool raft_node::has_caught_up(follower_progress const& progress) const
+{
+    auto const last = m_log.last_index().value();
+    return progress.match() > log_index() &&
+           progress.match().value() + m_options.promotion_lag >= last &&
+           m_now - progress.last_answer() < m_options.election_timeout;
+}
+
 core::group_membership
 raft_node::membership_after(change_membership const& change) const
 {
@@ -152,8 +158,12 @@
     switch (change.kind)
     {
     case membership_change_kind::add_learner:
-        members.insert(at, change.member)->learner = true;
+    {
+        auto const added = members.insert(at, change.member);
+        added->learner = true;
+        added->added_at = log_index(m_log.last_index().value() + 1);
         break;
+    }
     case membership_change_kind::promote:
         at->learner = false;
         break;
@@ -164,14 +174,6 @@
     return result;
 }
 
-std::optional<core::time_point> raft_node::last_answer(core::member_id id) const
-{
-    auto const known = m_progress.find(id);
-    return known == m_progress.end()
-               ? std::nullopt
-               : std::optional(known->second.last_answer());
-}
-
 std::uint64_t raft_node::pending_entries() const
 {
     return m_log.last_index().value() - m_commit_index.value();
@@ -184,6 +186,8 @@
     {
         all.push_back({id,
                        is_voter(id),
+                       progress.has_answered(),
+                       has_caught_up(progress),
                        progress.last_answer(),
                        progress.match(),
                        m_deliveries.bytes_to(id) + progress.delivered_bytes(),
--- a/modules/consensus/replication/follower_progress.cpp
+++ b/modules/consensus/replication/follower_progress.cpp
@@ -40,9 +40,15 @@
 void follower_progress::record_answer(core::time_point now, std::uint64_t round)
 {
     m_last_answer = now;
+    m_has_answered = true;
     m_round = std::max(m_round, round);
 }
 
+bool follower_progress::has_answered() const
+{
+    return m_has_answered;
+}
+
 core::time_point follower_progress::last_answer() const
 {
     return m_last_answer;
--- a/modules/consensus/replication/follower_progress.hpp
+++ b/modules/consensus/replication/follower_progress.hpp
@@ -55,7 +55,10 @@
     /// Records an answer of any kind in the current term.
     /// @param round Heartbeat round that the answer echoes, or 0.
     void record_answer(core::time_point now, std::uint64_t round);
+    /// @return Time of the last answer; before the first one, when this object
+    ///         was made.
     core::time_point last_answer() const;
+    bool has_answered() const;
     std::uint64_t acknowledged_round() const;
 
     /// @return True if content that was not sent before may be sent.
@@ -138,6 +141,7 @@
     std::size_t m_failed = 0;
     core::time_point m_last_progress;
     core::time_point m_last_answer;
+    bool m_has_answered = false;
     std::uint64_t m_round = 0;
     std::unique_ptr<raft_snapshot> m_snapshot;
     std::uint64_t m_snapshot_offset = 0;
--- a/modules/consensus/tests/membership_planner_test.cpp
+++ b/modules/consensus/tests/membership_planner_test.cpp
@@ -10,12 +10,16 @@
 namespace
 {
 
-core::group_member member(std::uint64_t id, std::string address, bool learner)
+core::group_member member(std::uint64_t id,
+                          std::string address,
+                          bool learner,
+                          std::uint64_t added_at = 0)
 {
     return {core::member_id(id),
             {address, 7720},
             {std::move(address), 8080},
-            learner};
+            learner,
+            core::log_index(added_at)};
 }
 
 core::time_point const now(std::chrono::minutes(10));
@@ -29,6 +33,9 @@
     CPPUNIT_TEST_SUITE(membership_planner_test);
     CPPUNIT_TEST(healthy_group_needs_no_change);
     CPPUNIT_TEST(instance_with_a_lost_disk_replaces_itself);
+    CPPUNIT_TEST(later_identity_replaces_an_earlier_one_with_a_larger_id);
+    CPPUNIT_TEST(learner_that_has_caught_up_does_not_wait_for_another);
+    CPPUNIT_TEST(silence_before_the_first_answer_counts_from_the_election);
     CPPUNIT_TEST(instance_at_another_address_replaces_an_unresponsive_one);
     CPPUNIT_TEST(unresponsive_voter_stays_without_a_replacement);
     CPPUNIT_TEST(unresponsive_learner_is_removed);
@@ -44,6 +51,8 @@
                                   member(2, "10.0.0.2", false),
                                   member(3, "10.0.0.3", false)};
         m_unresponsive.clear();
+        m_unheard.clear();
+        m_behind.clear();
     }
 
     void healthy_group_needs_no_change()
@@ -54,7 +63,7 @@
     void instance_with_a_lost_disk_replaces_itself()
     {
         m_unresponsive = {3};
-        m_view.members.members.push_back(member(100, "10.0.0.3", true));
+        m_view.members.members.push_back(member(100, "10.0.0.3", true, 8));
         expect(membership_change_kind::promote, 100);
         m_view.members.members.back().learner = false;
         expect(membership_change_kind::remove, 3);
@@ -64,10 +73,48 @@
         CPPUNIT_ASSERT(!next_change());
     }
 
+    // Guards against removing the successor instead of the lost identity. Ids
+    // of instances that join later are random, so they tell nothing about the
+    // order.
+    void later_identity_replaces_an_earlier_one_with_a_larger_id()
+    {
+        m_unresponsive = {100};
+        m_view.members.members[2] = member(50, "10.0.0.3", true, 90);
+        m_view.members.members.push_back(member(100, "10.0.0.3", false, 8));
+        expect(membership_change_kind::promote, 50);
+        m_view.members.members[2].learner = false;
+        expect(membership_change_kind::remove, 100);
+        m_view.members.members.pop_back();
+        CPPUNIT_ASSERT(!next_change());
+    }
+
+    // Guards against a learner that never catches up, for example behind a slow
+    // link, and keeps all others from voting.
+    void learner_that_has_caught_up_does_not_wait_for_another()
+    {
+        m_behind = {100};
+        m_view.members.members.push_back(member(100, "10.0.0.8", true, 8));
+        CPPUNIT_ASSERT(!next_change());
+        m_view.members.members.push_back(member(101, "10.0.0.9", true, 9));
+        expect(membership_change_kind::promote, 101);
+    }
+
+    // Guards against a leader that has just been elected and takes the silence
+    // of those that it has not yet heard for answers.
+    void silence_before_the_first_answer_counts_from_the_election()
+    {
+        m_view.members.members.push_back(member(4, "10.0.0.4", false));
+        m_unresponsive = {3};
+        m_unheard = {2};
+        CPPUNIT_ASSERT(!next_change());
+        m_unheard.clear();
+        expect(membership_change_kind::remove, 3);
+    }
+
     void instance_at_another_address_replaces_an_unresponsive_one()
     {
         m_unresponsive = {3};
-        m_view.members.members.push_back(member(100, "10.0.0.9", true));
+        m_view.members.members.push_back(member(100, "10.0.0.9", true, 8));
         expect(membership_change_kind::promote, 100);
         m_view.members.members.back().learner = false;
         expect(membership_change_kind::remove, 3);
@@ -84,7 +131,7 @@
     void unresponsive_learner_is_removed()
     {
         m_unresponsive = {100};
-        m_view.members.members.push_back(member(100, "10.0.0.9", true));
+        m_view.members.members.push_back(member(100, "10.0.0.9", true, 8));
         expect(membership_change_kind::remove, 100);
     }
 
@@ -95,7 +142,7 @@
             m_view.members.members.push_back(
                 member(id, "10.0.0." + std::to_string(id), false));
         }
-        m_view.members.members.push_back(member(100, "10.0.0.9", true));
+        m_view.members.members.push_back(member(100, "10.0.0.9", true, 8));
         CPPUNIT_ASSERT(!next_change());
         m_unresponsive = {5};
         expect(membership_change_kind::remove, 5);
@@ -104,14 +151,16 @@
 private:
     std::optional<membership_change> next_change()
     {
-        m_view.last_answers.clear();
+        m_view.contacts.clear();
         for (auto const& each : m_view.members.members)
         {
-            bool const is_unresponsive =
-                m_unresponsive.contains(each.id.value());
-            m_view.last_answers[each.id] =
+            auto const id = each.id.value();
+            bool const is_unresponsive = m_unresponsive.contains(id);
+            m_view.contacts[each.id] = {
                 is_unresponsive ? now - std::chrono::minutes(1)
-                                : now - std::chrono::milliseconds(100);
+                                : now - std::chrono::milliseconds(100),
+                !is_unresponsive && !m_unheard.contains(id),
+                !is_unresponsive && !m_behind.contains(id)};
         }
         return next_membership_change(m_view, {}, now);
     }
@@ -126,6 +175,10 @@
 
     membership_view m_view;
     std::set<std::uint64_t> m_unresponsive;
+    /// Members that have not answered the leader since it was elected.
+    std::set<std::uint64_t> m_unheard;
+    /// Members that have not caught up.
+    std::set<std::uint64_t> m_behind;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(membership_planner_test);
--- a/programs/control/node/membership_manager.cpp
+++ b/programs/control/node/membership_manager.cpp
@@ -176,12 +176,10 @@
     consensus::membership_view view;
     view.self = m_node.self();
     view.members = m_node.membership();
-    for (auto const& member : view.members.members)
+    for (auto const& status : m_node.replication())
     {
-        if (auto const heard = m_node.last_answer(member.id))
-        {
-            view.last_answers[member.id] = *heard;
-        }
+        view.contacts[status.member] = {
+            status.last_answer, status.has_answered, status.has_caught_up};
     }
     auto const step = consensus::next_membership_change(view, {}, now);
     if (!step)
--- a/programs/control/node/replica.cpp
+++ b/programs/control/node/replica.cpp
@@ -579,11 +579,6 @@
     return m_node.membership();
 }
 
-std::optional<core::time_point> replica::last_answer(core::member_id id) const
-{
-    return m_node.last_answer(id);
-}
-
 std::vector<consensus::replication_status> replica::replication() const
 {
     return m_node.replication();
--- a/programs/control/node/replica.hpp
+++ b/programs/control/node/replica.hpp
@@ -119,9 +119,6 @@
     core::log_index applied_index() const noexcept;
     core::member_id self() const noexcept;
     core::group_membership const& membership() const;
-    /// @return When a member last answered, if this instance leads.
-    std::optional<core::time_point> last_answer(core::member_id id) const;
-
     /// @return When a message of a current leader arrived last; nothing if none
     ///         has arrived since the process started.
     std::optional<core::time_point> last_leader_contact() const;
