Answer consensus requests at the address that they name

Cause: a member found the address for an answer in its own log. The log of a newcomer begins with the first members and comes in messages of 64 KiB. While it ends before the leader was added, all acknowledgements are dropped, so the leader sends the same part again for good. The answer to the join request has the addresses, but is ignored once the log has any membership. The same holds for a voter that was down while others were replaced, and for its votes.

Requests now name the address of their sender, and a member answers there if its log doesn't list the sender.

--- a/modules/core/messages/consensus.hpp
+++ b/modules/core/messages/consensus.hpp
@@ -193,6 +193,9 @@
                  append_fragment,
                  fragment_answer>
         body;
+    /// Where the sender listens for other processes. Set in requests, because
+    /// a receiver that lacks the newest entries may not know its address.
+    std::optional<endpoint> sender{};
 
     bool operator==(consensus_message const&) const = default;
 };
--- a/modules/wire/codec/message_codec.cpp
+++ b/modules/wire/codec/message_codec.cpp
@@ -102,6 +102,8 @@
 constexpr std::size_t appended_members<core::command_envelope> = 1;
 template <>
 constexpr std::size_t appended_members<core::group_member> = 1;
+template <>
+constexpr std::size_t appended_members<core::consensus_message> = 1;
 
 /// @return Number of members to write: all but the appended ones at the end
 ///         that have their default values.
--- a/programs/control/node/control_node.cpp
+++ b/programs/control/node/control_node.cpp
@@ -42,6 +42,7 @@
       m_last_recovered_index(last_index_of(parts)),
       m_links(
           io,
+          parts.address,
           parts.random_seed,
           [this](consensus::delivery_id id, bool answered)
           {
@@ -372,8 +373,12 @@
 
 void control_node::receive(core::consensus_message message)
 {
-    m_loop.post([this, message = std::move(message)]
-                { m_replica.receive(message); });
+    m_loop.post(
+        [this, message = std::move(message)]
+        {
+            m_links.learn_sender(message);
+            m_replica.receive(message);
+        });
 }
 
 void control_node::on_tick()
--- a/programs/control/node/peer_links.cpp
+++ b/programs/control/node/peer_links.cpp
@@ -46,6 +46,10 @@
 constexpr core::duration connect_timeout = std::chrono::milliseconds(500);
 constexpr core::duration reconnect_delay_cap = std::chrono::milliseconds(250);
 
+/// Time without a message after which the address of an instance outside the
+/// group is forgotten; many heartbeat intervals.
+constexpr core::duration unlisted_peer_timeout = std::chrono::seconds(10);
+
 /// Time between two events on dropped messages to the same member.
 constexpr core::duration drop_report_interval = std::chrono::seconds(1);
 
@@ -58,13 +62,25 @@
     return options;
 }
 
+/// @return True for messages to which the receiver answers.
+bool needs_answer(core::consensus_message const& message)
+{
+    auto const& body = message.body;
+    return std::holds_alternative<core::vote_request>(body) ||
+           std::holds_alternative<core::append_request>(body) ||
+           std::holds_alternative<core::append_fragment>(body) ||
+           std::holds_alternative<core::snapshot_chunk>(body);
+}
+
 } // namespace
 
 peer_links::peer_links(transport::io_pool& io,
+                       core::endpoint self,
                        std::uint64_t random_seed,
                        delivery_hook on_ended,
                        core::event_hook on_event)
     : m_io(io),
+      m_self(std::move(self)),
       m_seed(random_seed),
       m_on_ended(std::move(on_ended)),
       m_on_event(std::move(on_event))
@@ -74,64 +90,123 @@
 void peer_links::set_members(core::member_id self,
                              core::group_membership const& membership)
 {
-    std::map<core::member_id, core::endpoint> wanted;
+    m_listed.clear();
     for (auto const& member : membership.members)
     {
         if (member.id != self)
         {
-            wanted.emplace(member.id, member.rpc);
+            m_listed.emplace(member.id, member.rpc);
         }
     }
     std::erase_if(m_dropped,
-                  [&wanted](auto const& item)
-                  { return wanted.contains(item.first); });
+                  [this](auto const& item)
+                  { return m_listed.contains(item.first); });
+    std::erase_if(m_unlisted,
+                  [this](auto const& item)
+                  { return m_listed.contains(item.first); });
     std::erase_if(m_links,
-                  [&wanted](auto const& item)
+                  [this](auto const& item)
                   {
-                      auto const found = wanted.find(item.first);
-                      return found == wanted.end() ||
-                             found->second != item.second->peer();
+                      auto const& [id, link] = item;
+                      auto const found = m_listed.find(id);
+                      bool const is_listed = found != m_listed.end() &&
+                                             found->second == link->peer();
+                      return !is_listed && !m_unlisted.contains(id);
                   });
-    for (auto const& [id, peer] : wanted)
+    for (auto const& [id, peer] : m_listed)
     {
-        if (m_links.contains(id))
+        if (!m_links.contains(id))
         {
-            continue;
+            open_link(id, peer);
         }
-        m_links.emplace(id,
-                        shared::make_peer_client(
-                            m_io, peer, m_seed + id.value(), link_options()));
     }
 }
 
+void peer_links::learn_sender(core::consensus_message const& message)
+{
+    if (!message.sender || m_listed.contains(message.from))
+    {
+        return;
+    }
+    auto& known = m_unlisted[message.from];
+    if (known.address != *message.sender)
+    {
+        m_links.erase(message.from);
+        known.address = *message.sender;
+    }
+    known.last_heard = process::event_loop::now();
+    forget_unlisted();
+}
+
+void peer_links::forget_unlisted()
+{
+    auto const now = process::event_loop::now();
+    std::erase_if(m_unlisted,
+                  [this, now](auto const& item)
+                  {
+                      bool const is_gone =
+                          now - item.second.last_heard > unlisted_peer_timeout;
+                      if (is_gone)
+                      {
+                          m_links.erase(item.first);
+                      }
+                      return is_gone;
+                  });
+}
+
+transport::rpc_client& peer_links::open_link(core::member_id to,
+                                             core::endpoint const& address)
+{
+    auto link = shared::make_peer_client(
+        m_io, address, m_seed + to.value(), link_options());
+    return *m_links.insert_or_assign(to, std::move(link)).first->second;
+}
+
+transport::rpc_client* peer_links::link_to(core::member_id to)
+{
+    if (auto const open = m_links.find(to); open != m_links.end())
+    {
+        return open->second.get();
+    }
+    auto const unlisted = m_unlisted.find(to);
+    return unlisted == m_unlisted.end()
+               ? nullptr
+               : &open_link(to, unlisted->second.address);
+}
+
 void peer_links::send(consensus::send const& message)
 {
-    auto const& [content, delivery] = message;
-    auto const link = m_links.find(content.to);
-    if (link == m_links.end())
+    auto const& [given, delivery] = message;
+    auto* const link = link_to(given.to);
+    if (link == nullptr)
     {
-        report_dropped(content.to);
+        report_dropped(given.to);
         if (delivery != consensus::delivery_id())
         {
             m_on_ended(delivery, false);
         }
         return;
     }
+    auto content = given;
+    if (needs_answer(content))
+    {
+        content.sender = m_self;
+    }
     auto body = wire::encode(content);
     auto const timeout = timeout_for(body.size());
-    link->second->call("/raft",
-                       std::move(body),
-                       timeout,
-                       [on_ended = m_on_ended,
-                        id = delivery](transport::call_result const& result)
-                       {
-                           if (id != consensus::delivery_id())
-                           {
-                               on_ended(id,
-                                        result.outcome ==
-                                            transport::call_outcome::answered);
-                           }
-                       });
+    link->call("/raft",
+               std::move(body),
+               timeout,
+               [on_ended = m_on_ended,
+                id = delivery](transport::call_result const& result)
+               {
+                   if (id != consensus::delivery_id())
+                   {
+                       on_ended(id,
+                                result.outcome ==
+                                    transport::call_outcome::answered);
+                   }
+               });
 }
 
 void peer_links::report_dropped(core::member_id to)
--- a/programs/control/node/peer_links.hpp
+++ b/programs/control/node/peer_links.hpp
@@ -24,9 +24,11 @@
     using delivery_hook = std::function<void(consensus::delivery_id, bool)>;
 
     /// @param io Must outlive the links.
+    /// @param self Where this instance listens for its peers.
     /// @param on_ended Called once for each tracked message.
     /// @param on_event Gets the events of the links.
     peer_links(transport::io_pool& io,
+               core::endpoint self,
                std::uint64_t random_seed,
                delivery_hook on_ended,
                core::event_hook on_event);
@@ -36,6 +38,10 @@
     void set_members(core::member_id self,
                      core::group_membership const& membership);
 
+    /// Remembers the address that a message names for its sender, so that the
+    /// answer arrives although the own log does not list the sender yet.
+    void learn_sender(core::consensus_message const& message);
+
     void send(consensus::send const& message);
 
     /// Closes all links. When it returns, no call of the hook is pending.
@@ -52,13 +58,27 @@
         core::time_point next_report;
     };
 
+    /// An instance that the newest known membership does not list.
+    struct unlisted_peer
+    {
+        core::endpoint address;
+        core::time_point last_heard;
+    };
+
     void report_dropped(core::member_id to);
+    transport::rpc_client* link_to(core::member_id to);
+    transport::rpc_client& open_link(core::member_id to,
+                                     core::endpoint const& address);
+    void forget_unlisted();
 
     transport::io_pool& m_io;
+    core::endpoint m_self;
     std::uint64_t m_seed;
     delivery_hook m_on_ended;
     core::event_hook m_on_event;
     std::map<core::member_id, dropped_messages> m_dropped;
+    std::map<core::member_id, core::endpoint> m_listed;
+    std::map<core::member_id, unlisted_peer> m_unlisted;
     std::map<core::member_id, std::unique_ptr<transport::rpc_client>> m_links;
 };
 
--- a/programs/control/node/recovery.cpp
+++ b/programs/control/node/recovery.cpp
@@ -224,6 +224,7 @@
                          std::move(*log),
                          std::move(snapshots),
                          std::move(state),
+                         settings.rpc,
                          settings.first_members,
                          settings.snapshot_interval,
                          random_seed};
--- a/programs/control/tests/peer_links_test.cpp
+++ b/programs/control/tests/peer_links_test.cpp
@@ -42,6 +42,7 @@
     std::atomic<std::uint64_t> m_received = 0;
     transport::io_pool m_io{2};
     peer_links m_links{m_io,
+                       {"127.0.0.1", 1},
                        1,
                        [](consensus::delivery_id, bool) {},
                        [](core::event const&) {}};
