Remove a lost voter before its replacement votes

Cause: a newcomer was promoted while the identity that it replaces, or a voter that doesn't answer any more, was still a voter. Such a group of four needs three votes and has three voters, so the next restart stops it; and if the disk of the same instance is lost again before the removal is committed, two of four voters are lost for good.

The former identity is removed as soon as its successor has answered at their common address. A voter that doesn't answer is removed when enough voters and caught-up learners answer, and no learner is promoted while a voter is silent for 1 s.

--- a/modules/consensus/membership/membership_planner.cpp
+++ b/modules/consensus/membership/membership_planner.cpp
@@ -40,7 +40,10 @@
 }
 
 /// @return The removal of a member whose instance lost its disk and has joined
-/// again: another voter with the same address was added later and answers.
+/// again. A member with the same address was added later and answers, so the
+/// older identity can't answer any more. It goes before the newer one votes:
+/// with both, a quorum needs one more of the others, and if the disk is lost
+/// once more the instance counts as two missing voters.
 std::optional<membership_change>
 removal_of_replaced_member(membership_view const& view)
 {
@@ -54,7 +57,7 @@
                         {
                             return other.rpc == old.rpc &&
                                    other.added_at > old.added_at &&
-                                   !other.learner && has_answered(view, other);
+                                   has_answered(view, other);
                         });
         if (is_replaced && old.id != view.self)
         {
@@ -66,29 +69,31 @@
     return std::nullopt;
 }
 
+/// @return The removal of a voter that does not answer, if enough voters and
+/// learners that have caught up answer to replace it.
 std::optional<membership_change>
 removal_of_unresponsive_voter(membership_view const& view,
                               membership_limits const& limits,
                               core::time_point now)
 {
-    std::size_t answering = 0;
+    std::size_t available = 0;
     std::optional<group_member> unresponsive;
     for (auto const& member : view.members.members)
     {
         if (member.learner)
         {
-            continue;
+            available += has_caught_up(view, member);
         }
-        if (is_silent(view, member, limits.voter_timeout, now))
+        else if (is_silent(view, member, limits.voter_timeout, now))
         {
             unresponsive = member;
         }
         else
         {
-            answering += has_answered(view, member);
+            available += has_answered(view, member);
         }
     }
-    if (!unresponsive || answering < limits.min_answering_voters)
+    if (!unresponsive || available < limits.min_available_members)
     {
         return std::nullopt;
     }
@@ -97,21 +102,32 @@
                              membership_reason::voter_unresponsive};
 }
 
+/// @return The promotion of a learner that has caught up. It waits while a
+/// voter may be lost, because one more voter would then raise the quorum and
+/// not the number of losses that the group bears.
 std::optional<membership_change>
 promotion_of_learner(membership_view const& view,
-                     membership_limits const& limits)
+                     membership_limits const& limits,
+                     core::time_point now)
 {
     auto const& members = view.members.members;
-    auto const voters = static_cast<std::size_t>(
-        std::count_if(members.begin(),
-                      members.end(),
-                      [](group_member const& each) { return !each.learner; }));
-    auto const ready =
-        std::find_if(members.begin(),
-                     members.end(),
-                     [&view](group_member const& each)
-                     { return each.learner && has_caught_up(view, each); });
-    if (ready == members.end() || voters >= limits.max_voters)
+    std::size_t voters = 0;
+    std::optional<group_member> ready;
+    for (auto const& member : members)
+    {
+        if (member.learner)
+        {
+            ready = has_caught_up(view, member) && !ready ? member : ready;
+            continue;
+        }
+        ++voters;
+        if (!has_answered(view, member) ||
+            is_silent(view, member, limits.doubt_timeout, now))
+        {
+            return std::nullopt;
+        }
+    }
+    if (!ready || voters >= limits.max_voters)
     {
         return std::nullopt;
     }
@@ -168,7 +184,7 @@
     {
         return change;
     }
-    if (auto change = promotion_of_learner(view, limits))
+    if (auto change = promotion_of_learner(view, limits, now))
     {
         return change;
     }
--- a/modules/consensus/membership/membership_planner.hpp
+++ b/modules/consensus/membership/membership_planner.hpp
@@ -19,11 +19,14 @@
     /// Time without an answer after which a voter may be removed in favour of
     /// another; longer than a restart of its process.
     core::duration voter_timeout = std::chrono::milliseconds(2500);
+    /// Time without an answer after which no learner is promoted until the
+    /// voter answers or is removed; several heartbeat intervals.
+    core::duration doubt_timeout = std::chrono::seconds(1);
     /// Time without an answer after which a learner is removed.
     core::duration learner_timeout = std::chrono::seconds(30);
-    /// Voters that must answer before a voter that does not is removed, so that
-    /// the remaining group can lose one more member.
-    std::size_t min_answering_voters = 3;
+    /// Answering voters and learners that have caught up without which no
+    /// voter is removed, so that the group can lose one more member afterwards.
+    std::size_t min_available_members = 3;
 };
 
 /// What the leader knows from the answers of another member.
@@ -71,10 +74,12 @@
 
 /// Decides the next membership change that repairs the group, one at a time.
 ///
-/// An instance that lost its disk joins with a new id. It becomes a voter when
-/// it has caught up. Only then the voter that it replaces is removed: the one
-/// with the same address that was added earlier, or one that does not answer
-/// while enough others do.
+/// An instance that lost its disk joins with a new id. As soon as it answers,
+/// its former identity is removed: the member with the same address that was
+/// added earlier. It becomes a voter when it has caught up. Other voters are
+/// removed when they do not answer and enough other members do. So the quorum
+/// never counts an instance twice, nor a voter that is known to be lost beside
+/// the one that replaces it.
 ///
 /// @return The change, or nothing if the group needs none.
 std::optional<membership_change>
