Forget a silent leader on learners, and ask to join after 1 s

Cause: a node that may not campaign kept its last leader for good. A learner that was removed without receiving that entry is a member by its own log and knows a leader, so it never asked to join again, and it counted as ready.

A learner forgets the leader at its election deadline. A member asks to join after 1 s without a message of a leader (before: 4 s without knowing one). It asks the members in its log beside the seeds, which may all be gone, and each for 0.7 s at most instead of 1.5 s; the leader answers repeated requests without a change.

election_test::learner_forgets_a_silent_leader failed before (the leader was known at any time).

--- a/modules/consensus/node/raft_node_election.cpp
+++ b/modules/consensus/node/raft_node_election.cpp
@@ -63,6 +63,12 @@
     restart_election_timer();
     if (!may_campaign())
     {
+        // A learner that was removed would else name its last leader for good.
+        if (m_leader)
+        {
+            m_leader.reset();
+            report_role();
+        }
         return;
     }
     m_role = member_role::pre_candidate;
--- a/modules/consensus/tests/election_test.cpp
+++ b/modules/consensus/tests/election_test.cpp
@@ -142,6 +142,7 @@
     CPPUNIT_TEST_SUITE(election_test);
     CPPUNIT_TEST(first_campaign_wins_within_two_election_timeouts);
     CPPUNIT_TEST(lost_campaign_delays_the_leader_by_one_to_two_timeouts);
+    CPPUNIT_TEST(learner_forgets_a_silent_leader);
     CPPUNIT_TEST_SUITE_END();
 
     /// Two round trips for the pre-vote and the vote, and one tick.
@@ -189,6 +190,29 @@
             CPPUNIT_ASSERT(*time <= began[2] + voting_time);
         }
     }
+
+    // Guards against a learner that names its last leader for good. It was
+    // removed without receiving that entry, counted as ready, and never asked
+    // to be added again.
+    void learner_forgets_a_silent_leader()
+    {
+        raft_options options;
+        options.self = member_id(4);
+        options.election_timeout = election_timeout;
+        raft_node learner(options,
+                          recovered_state{},
+                          timer_waits({election_timeout / 2}),
+                          core::time_point());
+        core::consensus_message const heartbeat{
+            member_id(1), member_id(4), core::term(1), core::append_request{}};
+        learner.handle(core::time_point(time_step), message{heartbeat});
+        CPPUNIT_ASSERT(learner.leader() == member_id(1));
+        learner.handle(core::time_point(election_timeout), tick{});
+        CPPUNIT_ASSERT(learner.leader() == member_id(1));
+        learner.handle(core::time_point(2 * election_timeout), tick{});
+        CPPUNIT_ASSERT(!learner.leader());
+        CPPUNIT_ASSERT(learner.role() == member_role::follower);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(election_test);
--- a/programs/control/main.cpp
+++ b/programs/control/main.cpp
@@ -214,10 +214,10 @@
             {
                 return;
             }
-            auto contacts = shared::control_endpoints(
+            auto seeds = shared::control_endpoints(
                 parse_control_settings(*reader).seeds, settings.rpc.port);
-            node.run([&node, contacts = std::move(contacts)]
-                     { node.membership()->set_contacts(contacts); });
+            node.run([&node, seeds = std::move(seeds)]
+                     { node.membership()->set_seeds(seeds); });
         });
     signal.wait();
 
--- a/programs/control/node/control_node.cpp
+++ b/programs/control/node/control_node.cpp
@@ -291,13 +291,13 @@
 }
 
 void control_node::manage_membership(core::group_member self,
-                                     std::vector<core::endpoint> contacts)
+                                     std::vector<core::endpoint> seeds)
 {
     m_membership = std::make_shared<membership_manager>(
         m_loop,
         m_replica,
-        std::make_unique<shared::control_link>(
-            m_io, std::move(contacts), m_seed),
+        std::make_unique<shared::control_link>(m_io, seeds, m_seed),
+        seeds,
         std::move(self),
         [this](core::group_membership const& members)
         { on_members_received(members); },
--- a/programs/control/node/control_node.hpp
+++ b/programs/control/node/control_node.hpp
@@ -37,9 +37,9 @@
     /// admit other instances. Call it before `start`.
     ///
     /// @param self Id and addresses of this instance.
-    /// @param contacts Control instances to ask for the leader.
+    /// @param seeds Control instances to ask for the leader.
     void manage_membership(core::group_member self,
-                           std::vector<core::endpoint> contacts);
+                           std::vector<core::endpoint> seeds);
 
     ~control_node();
 
--- a/programs/control/node/membership_manager.cpp
+++ b/programs/control/node/membership_manager.cpp
@@ -12,12 +12,15 @@
 {
 
 constexpr core::duration join_interval = std::chrono::milliseconds(300);
-constexpr core::duration join_timeout = std::chrono::milliseconds(1500);
+/// Longer than the leader takes to commit the change. Short, because several
+/// instances may be asked in turn that don't answer.
+constexpr core::duration join_timeout = std::chrono::milliseconds(700);
 constexpr core::duration change_interval = std::chrono::milliseconds(100);
 
-/// A member that has known no leader for this long asks to join again: it may
-/// have been removed while it was partitioned. Elections take less time.
-constexpr core::duration rejoin_after = std::chrono::seconds(4);
+/// Silence of the leader after which a member asks to join again, because it
+/// may have been removed without receiving that entry. Most elections take less
+/// time, and the leader answers a member that it still has without a change.
+constexpr core::duration rejoin_after = std::chrono::seconds(1);
 
 /// Silence of the leader after which it is logged, and the time between two
 /// such events.
@@ -29,30 +32,27 @@
     process::event_loop& loop,
     replica& node,
     std::unique_ptr<shared::control_link> contacts,
+    std::vector<core::endpoint> seeds,
     core::group_member self,
     members_hook on_members_received,
     core::event_hook on_event)
     : m_loop(loop),
       m_node(node),
       m_contacts(std::move(contacts)),
+      m_seeds(std::move(seeds)),
       m_self(std::move(self)),
       m_on_members_received(std::move(on_members_received)),
       m_on_event(std::move(on_event)),
-      m_leader_last_known(process::event_loop::now()),
-      m_started(m_leader_last_known)
+      m_started(process::event_loop::now())
 {
 }
 
 void membership_manager::tick(core::time_point now)
 {
-    if (m_node.leader())
-    {
-        m_leader_last_known = now;
-    }
     report_silent_leader(now);
-    bool const has_lost_leader = now - m_leader_last_known > rejoin_after;
-    if ((!is_member() || has_lost_leader) && !m_join_pending &&
-        now >= m_next_join)
+    bool const may_be_outside =
+        !is_member() || leader_silence(now) > rejoin_after;
+    if (may_be_outside && !m_join_pending && now >= m_next_join)
     {
         request_join(now);
     }
@@ -63,11 +63,20 @@
     }
 }
 
+core::duration membership_manager::leader_silence(core::time_point now) const
+{
+    auto const leader = m_node.leader();
+    if (leader && leader->id == m_self.id)
+    {
+        return {};
+    }
+    return now - m_node.last_leader_contact().value_or(m_started);
+}
+
 void membership_manager::report_silent_leader(core::time_point now)
 {
-    auto const silent = now - m_node.last_leader_contact().value_or(m_started);
-    if (m_node.is_leading() || silent < silence_report_interval ||
-        now < m_next_silence_report)
+    auto const silent = leader_silence(now);
+    if (silent < silence_report_interval || now < m_next_silence_report)
     {
         return;
     }
@@ -96,6 +105,7 @@
 {
     m_join_pending = true;
     m_next_join = now + join_interval;
+    m_contacts->set_instances(contacts());
     m_contacts->call(
         "/join",
         wire::encode(core::join_request{m_self}),
@@ -211,9 +221,24 @@
         });
 }
 
-void membership_manager::set_contacts(std::vector<core::endpoint> contacts)
+void membership_manager::set_seeds(std::vector<core::endpoint> seeds)
+{
+    m_seeds = std::move(seeds);
+}
+
+std::vector<core::endpoint> membership_manager::contacts() const
 {
-    m_contacts->set_instances(std::move(contacts));
+    auto found = m_seeds;
+    for (auto const& member : m_node.membership().members)
+    {
+        bool const is_known =
+            std::find(found.begin(), found.end(), member.rpc) != found.end();
+        if (member.id != m_self.id && !is_known)
+        {
+            found.push_back(member.rpc);
+        }
+    }
+    return found;
 }
 
 } // namespace turmericswitch::control
