--- a/programs/control/node/membership_manager.cpp
+++ b/programs/control/node/membership_manager.cpp
@@ -49,6 +49,10 @@
 
 void membership_manager::tick(core::time_point now)
 {
+    if (auto const leader = m_node.leader(); leader && leader->id == m_self.id)
+    {
+        m_last_led = now;
+    }
     report_silent_leader(now);
     bool const may_be_outside =
         !is_member() || leader_silence(now) > rejoin_after;
@@ -65,12 +69,8 @@
 
 core::duration membership_manager::leader_silence(core::time_point now) const
 {
-    auto const leader = m_node.leader();
-    if (leader && leader->id == m_self.id)
-    {
-        return {};
-    }
-    return now - m_node.last_leader_contact().value_or(m_started);
+    return now - std::max(m_last_led,
+                          m_node.last_leader_contact().value_or(m_started));
 }
 
 void membership_manager::report_silent_leader(core::time_point now)
--- a/programs/control/node/membership_manager.hpp
+++ b/programs/control/node/membership_manager.hpp
@@ -71,6 +71,7 @@
     core::time_point m_next_join;
     core::time_point m_next_change;
     core::time_point m_started;
+    core::time_point m_last_led;
     core::time_point m_next_silence_report;
 };
 
