Change the member that is named, also in a group that isn't sorted by id

Cause: the first members were listed in the order of the seeds, but the member that a change names was found by a binary search for its id.

The member is found by its id, and first members are sorted by id and listed once, so that instances whose seeds differ in order begin with one membership.

election_test::change_finds_its_member_in_an_unsorted_group covers the search (the same sequence removed member 3 instead of member 1 before); control_settings_test covers the order of the seeds.

--- a/modules/consensus/node/raft_node_membership.cpp
+++ b/modules/consensus/node/raft_node_membership.cpp
@@ -149,21 +149,22 @@
 {
     auto result = m_log.membership();
     auto& members = result.members;
-    auto const at =
-        std::lower_bound(members.begin(),
-                         members.end(),
-                         change.member.id,
-                         [](group_member const& member, core::member_id id)
-                         { return member.id < id; });
+    // The first members of older groups are in the order of their settings.
+    auto const at = std::find_if(members.begin(),
+                                 members.end(),
+                                 [&change](group_member const& member)
+                                 { return member.id == change.member.id; });
     switch (change.kind)
     {
     case membership_change_kind::add_learner:
-    {
-        auto const added = members.insert(at, change.member);
-        added->learner = true;
-        added->added_at = log_index(m_log.last_index().value() + 1);
+        members.push_back(change.member);
+        members.back().learner = true;
+        members.back().added_at = log_index(m_log.last_index().value() + 1);
+        std::sort(members.begin(),
+                  members.end(),
+                  [](group_member const& one, group_member const& other)
+                  { return one.id < other.id; });
         break;
-    }
     case membership_change_kind::promote:
         at->learner = false;
         break;
--- a/modules/consensus/tests/election_test.cpp
+++ b/modules/consensus/tests/election_test.cpp
@@ -143,6 +143,7 @@
     CPPUNIT_TEST(first_campaign_wins_within_two_election_timeouts);
     CPPUNIT_TEST(lost_campaign_delays_the_leader_by_one_to_two_timeouts);
     CPPUNIT_TEST(learner_forgets_a_silent_leader);
+    CPPUNIT_TEST(change_finds_its_member_in_an_unsorted_group);
     CPPUNIT_TEST_SUITE_END();
 
     /// Two round trips for the pre-vote and the vote, and one tick.
@@ -213,6 +214,44 @@
         CPPUNIT_ASSERT(!learner.leader());
         CPPUNIT_ASSERT(learner.role() == member_role::follower);
     }
+
+    // Guards against removing or promoting another member than the one that is
+    // named, when the first members are not in the order of their ids.
+    void change_finds_its_member_in_an_unsorted_group()
+    {
+        core::group_membership group;
+        group.members.push_back({member_id(3), {}, {}, false});
+        group.members.push_back({member_id(1), {}, {}, true});
+        group.members.push_back({member_id(2), {}, {}, true});
+        raft_options options;
+        options.self = member_id(3);
+        raft_node node(options,
+                       bootstrap_state(group),
+                       timer_waits({election_timeout / 2}),
+                       core::time_point());
+        auto const run = [&node](core::duration now, event const& input)
+        {
+            for (auto const& output : node.handle(core::time_point(now), input))
+            {
+                if (auto const* const more = std::get_if<append>(&output))
+                {
+                    auto const& last = more->entries.back();
+                    node.handle(core::time_point(now),
+                                persisted{last.index, last.entry_term});
+                }
+            }
+        };
+        run(2 * election_timeout, tick{});
+        CPPUNIT_ASSERT(node.role() == member_role::leader);
+        run(2 * election_timeout,
+            change_membership{ticket(1),
+                              membership_change_kind::remove,
+                              {member_id(1), {}, {}, true}});
+        auto const& left = node.membership().members;
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), left.size());
+        CPPUNIT_ASSERT(left[0].id == member_id(3));
+        CPPUNIT_ASSERT(left[1].id == member_id(2));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(election_test);
--- a/programs/control/settings/control_settings.cpp
+++ b/programs/control/settings/control_settings.cpp
@@ -58,6 +58,18 @@
         {"leases", "announce"}, duties.announce_lease, lease_range);
 }
 
+/// Sorts the members by id and drops repeated ones, so that instances whose
+/// settings list the seeds in different orders begin with the same membership.
+void sort_by_id(core::group_membership& membership)
+{
+    auto& members = membership.members;
+    std::sort(members.begin(), members.end());
+    auto const is_same = [](auto const& one, auto const& other)
+    { return one.id == other.id; };
+    members.erase(std::unique(members.begin(), members.end(), is_same),
+                  members.end());
+}
+
 /// Derives the ids of the first members from their addresses, so that each
 /// first member knows the whole group before it has exchanged any message.
 void parse_seeds(settings_reader& reader, control_settings& read)
@@ -77,6 +89,7 @@
         read.first_members.members.push_back(
             {*id, {seed.address, read.rpc.port}, seed, false});
     }
+    sort_by_id(read.first_members);
     read.member = shared::member_id_from_address(read.rpc.address)
                       .value_or(core::member_id());
 }
--- a/programs/control/tests/control_settings_test.cpp
+++ b/programs/control/tests/control_settings_test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(lease_is_at_most_the_longest_one);
     CPPUNIT_TEST(copies_are_off_unless_set);
     CPPUNIT_TEST(placement_features_are_off_unless_enabled);
+    CPPUNIT_TEST(first_members_do_not_depend_on_the_order_of_the_seeds);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -55,7 +56,27 @@
         CPPUNIT_ASSERT(placement_with("moves = yes\n").moves);
     }
 
+    // Guards against instances that begin with different memberships, and
+    // against a seed that is listed twice and counts as two voters.
+    void first_members_do_not_depend_on_the_order_of_the_seeds()
+    {
+        auto const sorted =
+            first_members("10.1.0.30:1, 10.2.0.38:1, 10.3.0.19:1");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), sorted.members.size());
+        CPPUNIT_ASSERT(sorted.members[0].id < sorted.members[1].id);
+        CPPUNIT_ASSERT(sorted.members[1].id < sorted.members[2].id);
+        CPPUNIT_ASSERT(first_members("10.3.0.19:1, 10.1.0.30:1, 10.2.0.38:1, "
+                                     "10.1.0.30:1") == sorted);
+    }
+
 private:
+    static core::group_membership first_members(std::string const& seeds)
+    {
+        settings::settings_reader reader("control.ini",
+                                         "[control]\nseeds = " + seeds + "\n");
+        return parse_control_settings(reader).first_members;
+    }
+
     static workflow::placement_options
     placement_with(std::string const& placement)
     {
