Let the address that a request names override an earlier one

Cause: a request's own address was ignored if the log listed its sender at all, so after an instance had moved with its disk the answers went to its earlier address; two instances that swapped addresses elected no leader within 15 s. Addresses of senders outside the group were forgotten only when another such sender was heard.

The named address goes first while it is fresh (10 s), and is forgotten whenever the membership changes or another request arrives. An instance that moved still keeps its old address in the membership (open).

--- a/programs/control/node/membership_manager.cpp
+++ b/programs/control/node/membership_manager.cpp
@@ -18,8 +18,8 @@
 constexpr core::duration change_interval = std::chrono::milliseconds(100);
 
 /// Silence of the leader after which a member asks to join again, because it
-/// may have been removed without receiving that entry. Most elections take less
-/// time, and the leader answers a member that it still has without a change.
+/// may have been removed without receiving that entry. During an election it
+/// may ask too; the leader answers a member that it still has without a change.
 constexpr core::duration rejoin_after = std::chrono::seconds(1);
 
 /// Silence of the leader after which it is logged, and the time between two
@@ -188,7 +188,7 @@
     view.members = m_node.membership();
     for (auto const& status : m_node.replication())
     {
-        view.contacts[status.member] = {
+        view.followers[status.member] = {
             status.last_answer, status.has_answered, status.has_caught_up};
     }
     auto const step = consensus::next_membership_change(view, {}, now);
--- a/programs/control/node/peer_links.cpp
+++ b/programs/control/node/peer_links.cpp
@@ -46,9 +46,9 @@
 constexpr core::duration connect_timeout = std::chrono::milliseconds(500);
 constexpr core::duration reconnect_delay_cap = std::chrono::milliseconds(250);
 
-/// Time without a message after which the address of an instance outside the
-/// group is forgotten; many heartbeat intervals.
-constexpr core::duration unlisted_peer_timeout = std::chrono::seconds(10);
+/// Time without a request after which the address that its sender named is
+/// forgotten; many heartbeat intervals.
+constexpr core::duration sender_timeout = std::chrono::seconds(10);
 
 /// Time between two events on dropped messages to the same member.
 constexpr core::duration drop_report_interval = std::chrono::seconds(1);
@@ -75,7 +75,7 @@
 } // namespace
 
 peer_links::peer_links(transport::io_pool& io,
-                       core::endpoint self,
+                       std::optional<core::endpoint> self,
                        std::uint64_t random_seed,
                        delivery_hook on_ended,
                        core::event_hook on_event)
@@ -101,51 +101,61 @@
     std::erase_if(m_dropped,
                   [this](auto const& item)
                   { return m_listed.contains(item.first); });
-    std::erase_if(m_unlisted,
-                  [this](auto const& item)
-                  { return m_listed.contains(item.first); });
+    forget_senders();
     std::erase_if(m_links,
                   [this](auto const& item)
                   {
-                      auto const& [id, link] = item;
-                      auto const found = m_listed.find(id);
-                      bool const is_listed = found != m_listed.end() &&
-                                             found->second == link->peer();
-                      return !is_listed && !m_unlisted.contains(id);
+                      auto const address = address_of(item.first);
+                      return !address || *address != item.second->peer();
                   });
     for (auto const& [id, peer] : m_listed)
     {
-        if (!m_links.contains(id))
-        {
-            open_link(id, peer);
-        }
+        link_to(id);
+    }
+}
+
+std::optional<core::endpoint> peer_links::address_of(core::member_id id) const
+{
+    if (auto const named = m_senders.find(id); named != m_senders.end())
+    {
+        return named->second.address;
     }
+    auto const listed = m_listed.find(id);
+    return listed == m_listed.end() ? std::nullopt
+                                    : std::optional(listed->second);
 }
 
 void peer_links::learn_sender(core::consensus_message const& message)
 {
-    if (!message.sender || m_listed.contains(message.from))
+    if (!message.sender)
     {
         return;
     }
-    auto& known = m_unlisted[message.from];
-    if (known.address != *message.sender)
+    auto const listed = m_listed.find(message.from);
+    if (listed != m_listed.end() && listed->second == *message.sender)
+    {
+        m_senders.erase(message.from);
+    }
+    else
+    {
+        m_senders[message.from] = {*message.sender, process::event_loop::now()};
+    }
+    forget_senders();
+    auto const link = m_links.find(message.from);
+    if (link != m_links.end() && link->second->peer() != *message.sender)
     {
-        m_links.erase(message.from);
-        known.address = *message.sender;
+        m_links.erase(link);
     }
-    known.last_heard = process::event_loop::now();
-    forget_unlisted();
 }
 
-void peer_links::forget_unlisted()
+void peer_links::forget_senders()
 {
     auto const now = process::event_loop::now();
-    std::erase_if(m_unlisted,
+    std::erase_if(m_senders,
                   [this, now](auto const& item)
                   {
                       bool const is_gone =
-                          now - item.second.last_heard > unlisted_peer_timeout;
+                          now - item.second.last_heard > sender_timeout;
                       if (is_gone)
                       {
                           m_links.erase(item.first);
@@ -154,24 +164,20 @@
                   });
 }
 
-transport::rpc_client& peer_links::open_link(core::member_id to,
-                                             core::endpoint const& address)
-{
-    auto link = shared::make_peer_client(
-        m_io, address, m_seed + to.value(), link_options());
-    return *m_links.insert_or_assign(to, std::move(link)).first->second;
-}
-
 transport::rpc_client* peer_links::link_to(core::member_id to)
 {
     if (auto const open = m_links.find(to); open != m_links.end())
     {
         return open->second.get();
     }
-    auto const unlisted = m_unlisted.find(to);
-    return unlisted == m_unlisted.end()
-               ? nullptr
-               : &open_link(to, unlisted->second.address);
+    auto const address = address_of(to);
+    if (!address)
+    {
+        return nullptr;
+    }
+    auto link = shared::make_peer_client(
+        m_io, *address, m_seed + to.value(), link_options());
+    return m_links.emplace(to, std::move(link)).first->second.get();
 }
 
 void peer_links::send(consensus::send const& message)
--- a/programs/control/node/peer_links.hpp
+++ b/programs/control/node/peer_links.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace turmericswitch::control
 {
@@ -24,11 +25,11 @@
     using delivery_hook = std::function<void(consensus::delivery_id, bool)>;
 
     /// @param io Must outlive the links.
-    /// @param self Where this instance listens for its peers.
+    /// @param self Where peers reach this instance, if that is known.
     /// @param on_ended Called once for each tracked message.
     /// @param on_event Gets the events of the links.
     peer_links(transport::io_pool& io,
-               core::endpoint self,
+               std::optional<core::endpoint> self,
                std::uint64_t random_seed,
                delivery_hook on_ended,
                core::event_hook on_event);
@@ -38,8 +39,9 @@
     void set_members(core::member_id self,
                      core::group_membership const& membership);
 
-    /// Remembers the address that a message names for its sender, so that the
-    /// answer arrives although the own log does not list the sender yet.
+    /// Remembers the address that a request names for its sender, so that the
+    /// answer arrives although the own log does not list the sender yet or
+    /// lists it at an earlier address.
     void learn_sender(core::consensus_message const& message);
 
     void send(consensus::send const& message);
@@ -47,7 +49,7 @@
     /// Closes all links. When it returns, no call of the hook is pending.
     void close();
 
-    /// @return Bytes sent and received on the links to the current members.
+    /// @return Bytes sent and received on the open links.
     transport::traffic transferred() const;
 
 private:
@@ -58,27 +60,26 @@
         core::time_point next_report;
     };
 
-    /// An instance that the newest known membership does not list.
-    struct unlisted_peer
+    /// An instance whose address differs from the newest known membership.
+    struct named_sender
     {
         core::endpoint address;
         core::time_point last_heard;
     };
 
     void report_dropped(core::member_id to);
+    std::optional<core::endpoint> address_of(core::member_id id) const;
     transport::rpc_client* link_to(core::member_id to);
-    transport::rpc_client& open_link(core::member_id to,
-                                     core::endpoint const& address);
-    void forget_unlisted();
+    void forget_senders();
 
     transport::io_pool& m_io;
-    core::endpoint m_self;
+    std::optional<core::endpoint> m_self;
     std::uint64_t m_seed;
     delivery_hook m_on_ended;
     core::event_hook m_on_event;
     std::map<core::member_id, dropped_messages> m_dropped;
     std::map<core::member_id, core::endpoint> m_listed;
-    std::map<core::member_id, unlisted_peer> m_unlisted;
+    std::map<core::member_id, named_sender> m_senders;
     std::map<core::member_id, std::unique_ptr<transport::rpc_client>> m_links;
 };
 
--- a/programs/control/node/recovery.cpp
+++ b/programs/control/node/recovery.cpp
@@ -88,8 +88,8 @@
                            "bootstrap a group");
 }
 
-/// Checks that the settings list the group's members: a member that joins can
-/// answer only peers whose addresses it knows.
+/// Checks that the settings list the group's members: a member that joins
+/// answers them until its log contains a membership.
 bool check_has_contacts(control_settings const& settings)
 {
     return !settings.first_members.members.empty() ||
@@ -148,6 +148,24 @@
     return start_mode::join;
 }
 
+/// @return The address at which peers reach this instance: the one that the
+/// settings list for it, else the one that it listens at. Nothing if that is
+/// not the address of one instance.
+std::optional<core::endpoint> peer_address(control_settings const& settings)
+{
+    for (auto const& member : settings.first_members.members)
+    {
+        if (member.id == settings.member)
+        {
+            return member.rpc;
+        }
+    }
+    bool const is_one_instance = settings.rpc.port != 0 &&
+                                 !settings.rpc.address.empty() &&
+                                 settings.rpc.address != "0.0.0.0";
+    return is_one_instance ? std::optional(settings.rpc) : std::nullopt;
+}
+
 } // namespace
 
 std::optional<replica_parts> recover(store::file_system& files,
@@ -224,7 +242,7 @@
                          std::move(*log),
                          std::move(snapshots),
                          std::move(state),
-                         settings.rpc,
+                         peer_address(settings),
                          settings.first_members,
                          settings.snapshot_interval,
                          random_seed};
--- a/programs/control/node/replica.hpp
+++ b/programs/control/node/replica.hpp
@@ -49,8 +49,8 @@
     store::log_store log;
     store::snapshot_store snapshots;
     cluster_state::state_machine state;
-    /// Where this instance listens for its peers.
-    core::endpoint address;
+    /// Where peers reach this instance, if that is known.
+    std::optional<core::endpoint> address;
     /// Peers to answer until the log contains a membership.
     core::group_membership contacts;
     /// Entries applied between two snapshots.
--- a/programs/control/tests/member_replacement_test.cpp
+++ b/programs/control/tests/member_replacement_test.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST_SUITE(member_replacement_test);
     CPPUNIT_TEST(successor_of_a_successor_votes_whatever_its_id);
     CPPUNIT_TEST(emptied_member_answers_a_leader_its_log_does_not_list);
+    CPPUNIT_TEST(emptied_leader_votes_again);
     CPPUNIT_TEST_SUITE_END();
 
     /// The next disk may be lost this long after the emptied instance is back.
@@ -65,6 +66,26 @@
         }
         CPPUNIT_ASSERT(replace(group, 1, 4'000'000));
     }
+
+    // A leader loses its disk and is back before the others have elected a new
+    // one. Guards against conclusions from the silence of members that the new
+    // leader has yet to hear.
+    void emptied_leader_votes_again()
+    {
+        node_group group(3);
+        for (std::uint64_t turn = 1; turn <= 3; ++turn)
+        {
+            auto const leader = group.leader();
+            CPPUNIT_ASSERT(leader != 0);
+            group.lose_disk(leader);
+            group.start(leader, 9'000'000 - turn * 1'000'000);
+            CPPUNIT_ASSERT(
+                node_group::wait_for(contact_time,
+                                     [&group] {
+                                         return group.is_whole({1, 2, 3});
+                                     }));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(member_replacement_test);
