--- a/modules/consensus/membership/membership_planner.cpp
+++ b/modules/consensus/membership/membership_planner.cpp
@@ -12,13 +12,13 @@
 
 bool has_answered(membership_view const& view, group_member const& member)
 {
-    auto const known = view.contacts.find(member.id);
+    auto const known = view.followers.find(member.id);
     return member.id == view.self ||
-           (known != view.contacts.end() && known->second.has_answered);
+           (known != view.followers.end() && known->second.has_answered);
 }
 
-/// @return True if the leader has waited in vain for an answer of the member
-/// for the given time.
+/// @return True if the leader has received no answer of the member for the
+/// given time.
 bool is_silent(membership_view const& view,
                group_member const& member,
                core::duration timeout,
@@ -28,15 +28,15 @@
     {
         return false;
     }
-    auto const known = view.contacts.find(member.id);
-    return known != view.contacts.end() &&
+    auto const known = view.followers.find(member.id);
+    return known != view.followers.end() &&
            now - known->second.last_answer >= timeout;
 }
 
 bool has_caught_up(membership_view const& view, group_member const& member)
 {
-    auto const known = view.contacts.find(member.id);
-    return known != view.contacts.end() && known->second.has_caught_up;
+    auto const known = view.followers.find(member.id);
+    return known != view.followers.end() && known->second.has_caught_up;
 }
 
 /// @return The removal of a member whose instance lost its disk and has joined
@@ -122,7 +122,7 @@
         }
         ++voters;
         if (!has_answered(view, member) ||
-            is_silent(view, member, limits.doubt_timeout, now))
+            is_silent(view, member, limits.promotion_hold_timeout, now))
         {
             return std::nullopt;
         }
--- a/modules/consensus/membership/membership_planner.hpp
+++ b/modules/consensus/membership/membership_planner.hpp
@@ -21,7 +21,7 @@
     core::duration voter_timeout = std::chrono::milliseconds(2500);
     /// Time without an answer after which no learner is promoted until the
     /// voter answers or is removed; several heartbeat intervals.
-    core::duration doubt_timeout = std::chrono::seconds(1);
+    core::duration promotion_hold_timeout = std::chrono::seconds(1);
     /// Time without an answer after which a learner is removed.
     core::duration learner_timeout = std::chrono::seconds(30);
     /// Answering voters and learners that have caught up without which no
@@ -30,14 +30,15 @@
 };
 
 /// What the leader knows from the answers of another member.
-struct member_contact
+struct follower_status
 {
     /// Time of the last answer; before the first one, when this leader began to
     /// send to the member.
     core::time_point last_answer;
     /// It has answered this leader.
     bool has_answered = false;
-    /// A learner that has caught up may be promoted.
+    /// Its log lags by at most `raft_options::promotion_lag` entries and it
+    /// answered within an election timeout.
     bool has_caught_up = false;
 };
 
@@ -47,7 +48,7 @@
     core::member_id self;
     core::group_membership members;
     /// All members but `self`.
-    std::map<core::member_id, member_contact> contacts;
+    std::map<core::member_id, follower_status> followers;
 };
 
 enum class membership_reason : std::uint8_t
--- a/modules/consensus/node/raft_node.hpp
+++ b/modules/consensus/node/raft_node.hpp
@@ -27,7 +27,8 @@
     bool is_voter = false;
     /// It has answered this leader.
     bool has_answered = false;
-    /// A learner that has caught up may be promoted.
+    /// Its log lags by at most `raft_options::promotion_lag` entries and it
+    /// answered within an election timeout.
     bool has_caught_up = false;
     /// Until the first answer, when this leader began to send to the member.
     core::time_point last_answer;
--- a/modules/consensus/node/raft_node_election.cpp
+++ b/modules/consensus/node/raft_node_election.cpp
@@ -63,7 +63,7 @@
     restart_election_timer();
     if (!may_campaign())
     {
-        // A learner that was removed would else name its last leader for good.
+        // A removed learner would otherwise keep its last leader for good.
         if (m_leader)
         {
             m_leader.reset();
--- a/modules/consensus/tests/membership_planner_test.cpp
+++ b/modules/consensus/tests/membership_planner_test.cpp
@@ -188,7 +188,7 @@
 private:
     std::optional<membership_change> next_change()
     {
-        m_view.contacts.clear();
+        m_view.followers.clear();
         for (auto const& each : m_view.members.members)
         {
             auto const id = each.id.value();
@@ -198,7 +198,7 @@
                 : m_silent.contains(id)
                     ? core::duration(std::chrono::milliseconds(1500))
                     : core::duration(std::chrono::milliseconds(100));
-            m_view.contacts[each.id] = {
+            m_view.followers[each.id] = {
                 now - age,
                 !is_unresponsive && !m_unheard.contains(id),
                 !is_unresponsive && !m_behind.contains(id)};
--- a/modules/core/messages/consensus.hpp
+++ b/modules/core/messages/consensus.hpp
@@ -23,9 +23,10 @@
     endpoint http;
     /// A learner receives the log but does not vote.
     bool learner = false;
-    /// Index of the entry that added it; 0 for the first members of a group. Of
-    /// two members with one address, the one added later has replaced the other
-    /// one. Ids tell nothing about the order.
+    /// Index of the entry that added it; 0 for the first members of a group and
+    /// for members that an earlier release added. Of two members with one
+    /// address, the one added later has replaced the other one. Ids do not
+    /// order members.
     log_index added_at{};
 
     auto operator<=>(group_member const&) const = default;
