Repeat all appends that a restarted follower lost, not one at a time

A control instance whose disk was slow and that then crashed stayed behind for many seconds. If another member was lost meanwhile, no command was committed until it had caught up.

Cause: the transport had delivered many appends, each with one small entry, and the follower lost them before it synced them. The leader takes delivered appends for held and repeats only the first one, after 300 ms without progress, or up to 2.4 s if it was repeated before. Each acknowledgement starts that wait again.

When a follower acknowledges a repeated append and nothing after it, the appends that it had received before the repeated one are sent again at once. Appends delivered later than the repeated one are not, so an acknowledgement does not repeat what another one has just repeated.

follower_that_lost_unsynced_entries_catches_up failed before.

--- a/modules/consensus/replication/follower_progress.cpp
+++ b/modules/consensus/replication/follower_progress.cpp
@@ -146,13 +146,21 @@
         m_match = index;
         m_last_progress = now;
     }
+    std::optional<core::time_point> repeat_delivered;
     while (!m_in_flight.empty() && m_in_flight.front().range.last <= m_match)
     {
         auto const& front = m_in_flight.front();
+        repeat_delivered = front.range.last == m_match
+                               ? front.sending.repeat_delivered()
+                               : std::nullopt;
         m_delivered_bytes -= front.is_counted() ? front.range.bytes : 0;
         m_failed -= front.sending.has_failed();
         m_in_flight.pop_front();
     }
+    if (repeat_delivered)
+    {
+        repeat_delivered_before(*repeat_delivered);
+    }
     if (m_next <= m_match)
     {
         m_next = after(m_match);
@@ -226,6 +234,22 @@
     }
 }
 
+/// Makes the ranges due at once that were delivered before a repeated one. A
+/// follower that acknowledges the repeated range and nothing after it has lost
+/// those that it had received earlier, for example by a crash before it synced
+/// them.
+void follower_progress::repeat_delivered_before(core::time_point later)
+{
+    for (auto& item : m_in_flight)
+    {
+        if (!item.range.offset && item.sending.expedite_before(later))
+        {
+            m_delivered_bytes -= item.range.bytes;
+            ++m_failed;
+        }
+    }
+}
+
 /// Sends all fragments of the first entry again if the follower had all of them
 /// and did not acknowledge the entry.
 void follower_progress::repeat_lost_entry(core::time_point now,
--- a/modules/consensus/replication/follower_progress.hpp
+++ b/modules/consensus/replication/follower_progress.hpp
@@ -127,6 +127,7 @@
     };
 
     void start_probing();
+    void repeat_delivered_before(core::time_point later);
     void repeat_missing(core::log_index index);
     void repeat_lost_entry(core::time_point now, core::duration heartbeat);
 
--- a/modules/consensus/replication/transmission.cpp
+++ b/modules/consensus/replication/transmission.cpp
@@ -53,6 +53,22 @@
     return m_stage == stage::in_transport;
 }
 
+bool transmission::expedite_before(core::time_point later)
+{
+    if (m_stage != stage::delivered || m_ended >= later)
+    {
+        return false;
+    }
+    m_stage = stage::failed;
+    return true;
+}
+
+std::optional<core::time_point> transmission::repeat_delivered() const
+{
+    return m_repeats > 0 && m_stage == stage::delivered ? std::optional(m_ended)
+                                                        : std::nullopt;
+}
+
 bool transmission::has_failed() const
 {
     return m_stage == stage::failed;
--- a/modules/consensus/replication/transmission.hpp
+++ b/modules/consensus/replication/transmission.hpp
@@ -4,6 +4,8 @@
 #include "consensus/node/raft_events.hpp"
 #include "core/types/units.hpp"
 
+#include <optional>
+
 namespace turmericswitch::consensus
 {
 
@@ -26,6 +28,14 @@
     /// @return False if it is not delivered, or was sent again before.
     bool expedite();
 
+    /// Treats a delivered message as lost, because the peer lacks it although
+    /// it has acknowledged one that it received at `later`.
+    /// @return False if it was not delivered before `later`.
+    bool expedite_before(core::time_point later);
+
+    /// @return When the peer had received the message, if it was sent again.
+    std::optional<core::time_point> repeat_delivered() const;
+
     bool is_in_transport() const;
     bool has_failed() const;
     /// @return True if the peer has received the message.
--- a/modules/consensus/tests/raft_node_test.cpp
+++ b/modules/consensus/tests/raft_node_test.cpp
@@ -65,6 +65,7 @@
     CPPUNIT_TEST(overload_ends_with_its_cause);
     CPPUNIT_TEST(leader_that_cannot_commit_hands_over);
     CPPUNIT_TEST(append_under_way_is_not_sent_again);
+    CPPUNIT_TEST(follower_that_lost_unsynced_entries_catches_up);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against stale answers from a leader behind a partition. It reaches
@@ -469,6 +470,36 @@
         pass(std::chrono::milliseconds(400));
         CPPUNIT_ASSERT_EQUAL(std::size_t(4), sent.size());
     }
+
+    // Guards against a follower that stays behind for many seconds after a
+    // crash. It had received many entries, each in a message of its own, and
+    // lost them before its slow disk synced them. While it is behind, the loss
+    // of another member stops all commits.
+    void follower_that_lost_unsynced_entries_catches_up()
+    {
+        core::group_membership members;
+        for (std::uint64_t i = 1; i <= 3; ++i)
+        {
+            members.members.push_back({member_id(i), {}, {}, false});
+        }
+        consensus_harness group(members, raft_options(), 1);
+        group.run(3 * settle_steps);
+        CPPUNIT_ASSERT(group.leader().has_value());
+        auto const leader = *group.leader();
+        auto const behind = other_than(group, leader);
+        group.stall_disk(behind, true);
+        for (int i = 0; i < 100; ++i)
+        {
+            group.propose(leader);
+            group.run(1);
+        }
+        group.run(settle_steps / 5);
+        group.restart(behind);
+        group.run(4 * settle_steps);
+        CPPUNIT_ASSERT(group.leader() == leader);
+        CPPUNIT_ASSERT(group.applied(behind) ==
+                       group.oracle().last_committed());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(raft_node_test);
--- a/tests/support/consensus_harness.cpp
+++ b/tests/support/consensus_harness.cpp
@@ -23,10 +23,11 @@
     throw std::runtime_error(what + ": " + core::last_reason().text);
 }
 
-consensus::raft_options options_for(member_id self, std::size_t message_bytes)
+consensus::raft_options short_timeouts(std::size_t message_bytes,
+                                       core::duration commit_stall_timeout)
 {
     consensus::raft_options options;
-    options.self = self;
+    options.commit_stall_timeout = commit_stall_timeout;
     options.election_timeout = std::chrono::milliseconds(150);
     options.heartbeat_interval = std::chrono::milliseconds(30);
     options.max_message_bytes = message_bytes;
@@ -43,35 +44,54 @@
 consensus_harness::consensus_harness(std::size_t voters,
                                      std::uint64_t seed,
                                      core::duration commit_stall_timeout)
-    : m_random(core::seeded_random(seed)),
-      m_commit_stall_timeout(commit_stall_timeout)
+    : m_random(core::seeded_random(seed))
 {
     // One or two entries per message in half of the runs. A membership is
     // always sent in fragments.
-    m_message_bytes = chance(2) == 0 ? 8 : 30;
+    m_options = short_timeouts(chance(2) == 0 ? 8 : 30, commit_stall_timeout);
     for (std::size_t i = 1; i <= voters; ++i)
     {
         m_first_members.members.push_back({member_id(i), {}, {}, false});
     }
+    start_first_members();
+}
+
+consensus_harness::consensus_harness(core::group_membership first_members,
+                                     consensus::raft_options const& options,
+                                     std::uint64_t seed)
+    : m_random(core::seeded_random(seed)),
+      m_first_members(std::move(first_members)),
+      m_options(options)
+{
+    start_first_members();
+}
+
+consensus_harness::~consensus_harness() = default;
+
+void consensus_harness::set_routing(routing hooks)
+{
+    m_routing = std::move(hooks);
+}
+
+void consensus_harness::start_first_members()
+{
     for (auto const& member : m_first_members.members)
     {
-        auto& state = m_members[member.id];
-        state = std::make_unique<member_state>();
-        state->id = member.id;
-        state->disk = fake_file_system(m_random());
-        start(*state, true);
+        start_empty(member.id);
     }
 }
 
-consensus_harness::~consensus_harness() = default;
-
 void consensus_harness::start(member_state& member, bool fresh)
 {
     auto& disk = member.disk;
     member.hard = std::make_unique<store::hard_state_store>(disk, "state");
     member.snapshots = std::make_unique<store::snapshot_store>(disk, "snap");
     auto const first = consensus::bootstrap_state(m_first_members);
-    bool const is_voter = member.id.value() <= m_first_members.members.size();
+    auto const& voters = m_first_members.members;
+    bool const is_voter = std::any_of(voters.begin(),
+                                      voters.end(),
+                                      [&member](auto const& each)
+                                      { return each.id == member.id; });
     consensus::recovered_state found;
     auto const snapshot = member.snapshots->load_newest();
     if (!snapshot)
@@ -108,8 +128,8 @@
     }
     member.applied = snapshot->metadata.last_index;
     member.unwritten.clear();
-    auto options = options_for(member.id, m_message_bytes);
-    options.commit_stall_timeout = m_commit_stall_timeout;
+    auto options = m_options;
+    options.self = member.id;
     member.node.emplace(
         options, std::move(found), core::seeded_random(m_random()), now());
 }
@@ -160,6 +180,10 @@
                              !m_cuts.contains({content.from, content.to});
         if (arrives)
         {
+            if (m_routing.on_received)
+            {
+                m_routing.on_received(content);
+            }
             feed(*target->second, consensus::message{content});
         }
         end_call(item, arrives && !item.loses_answer);
@@ -192,11 +216,17 @@
 std::uint64_t consensus_harness::change(member_id at,
                                         consensus::membership_change_kind kind,
                                         member_id subject)
+{
+    return change(at, kind, core::group_member{subject, {}, {}, false});
+}
+
+std::uint64_t consensus_harness::change(member_id at,
+                                        consensus::membership_change_kind kind,
+                                        core::group_member const& subject)
 {
     auto const id = open_ticket();
     feed(*m_members.at(at),
-         consensus::change_membership{
-             consensus::ticket(id), kind, {subject, {}, {}, false}});
+         consensus::change_membership{consensus::ticket(id), kind, subject});
     return id;
 }
 
@@ -230,12 +260,17 @@
 member_id consensus_harness::start_spare()
 {
     auto const id = member_id(m_members.rbegin()->first.value() + 1);
+    start_empty(id);
+    return id;
+}
+
+void consensus_harness::start_empty(member_id id)
+{
     auto& state = m_members[id];
     state = std::make_unique<member_state>();
     state->id = id;
     state->disk = fake_file_system(m_random());
     start(*state, true);
-    return id;
 }
 
 void consensus_harness::crash(member_id member)
--- a/tests/support/consensus_harness.hpp
+++ b/tests/support/consensus_harness.hpp
@@ -9,6 +9,7 @@
 #include "support/fake_file_system.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -33,6 +34,16 @@
         std::optional<core::log_index> readable;
     };
 
+    /// Decides which messages reach their receiver.
+    struct routing
+    {
+        /// Called with each message before it is sent; may name its sender.
+        /// @return False if the message is lost.
+        std::function<bool(core::consensus_message&)> on_send;
+        /// Called with each message that its receiver is about to handle.
+        std::function<void(core::consensus_message const&)> on_received;
+    };
+
     /// Bound of the bytes in flight to one member.
     static constexpr std::size_t max_in_flight_bytes = 90;
 
@@ -40,8 +51,15 @@
         std::size_t voters,
         std::uint64_t seed,
         core::duration commit_stall_timeout = std::chrono::seconds(5));
+    /// @param first_members The voters of the new group.
+    /// @param options Options of all members; `self` is ignored.
+    consensus_harness(core::group_membership first_members,
+                      consensus::raft_options const& options,
+                      std::uint64_t seed);
     ~consensus_harness();
 
+    void set_routing(routing hooks);
+
     /// Runs steps of 10 ms.
     void run(std::size_t steps);
 
@@ -53,11 +71,16 @@
     std::uint64_t change(core::member_id at,
                          consensus::membership_change_kind kind,
                          core::member_id subject);
+    std::uint64_t change(core::member_id at,
+                         consensus::membership_change_kind kind,
+                         core::group_member const& subject);
     void transfer(core::member_id at);
     void take_snapshot(core::member_id at);
 
     /// Starts an empty member that waits to be added.
     core::member_id start_spare();
+    /// Starts an empty member with the given id that waits to be added.
+    void start_empty(core::member_id id);
     void crash(core::member_id member);
     /// The member crashes between two of its next actions.
     void crash_after(core::member_id member, std::size_t actions);
@@ -90,6 +113,9 @@
     std::vector<core::member_id> members() const;
     bool has_lost_disk(core::member_id member) const;
     consensus_oracle const& oracle() const;
+    core::time_point now() const;
+    /// @return The state of all members, for error messages.
+    std::string describe() const;
 
 private:
     struct member_state;
@@ -107,6 +133,7 @@
         bool loses_answer = false;
     };
 
+    void start_first_members();
     void start(member_state& member, bool fresh);
     void step();
     void deliver();
@@ -122,10 +149,8 @@
     void transmit(consensus::send const& sent);
     void end_call(flight const& item, bool answered);
     bool is_acknowledged_everywhere(core::log_index index) const;
-    std::string describe() const;
     std::uint64_t chance(std::uint64_t limit);
     std::uint64_t open_ticket();
-    core::time_point now() const;
 
     core::random_source m_random;
     std::map<core::member_id, std::unique_ptr<member_state>> m_members;
@@ -138,8 +163,8 @@
     consensus_oracle m_oracle;
     std::uint64_t m_step = 0;
     std::uint64_t m_next_ticket = 1;
-    std::size_t m_message_bytes = 0;
-    core::duration m_commit_stall_timeout;
+    consensus::raft_options m_options;
+    routing m_routing;
     unsigned m_drop_percent = 0;
     unsigned m_max_delay = 3;
 };
--- a/tests/support/consensus_harness_actions.cpp
+++ b/tests/support/consensus_harness_actions.cpp
@@ -175,13 +175,15 @@
 
 void consensus_harness::transmit(consensus::send const& sent)
 {
-    bool const is_lost = chance(100) < m_drop_percent;
+    auto content = sent.content;
+    bool const is_routed = !m_routing.on_send || m_routing.on_send(content);
+    bool const is_lost = chance(100) < m_drop_percent || !is_routed;
     bool const is_doubled = !is_lost && chance(100) < m_drop_percent;
     for (int i = 0; i <= static_cast<int>(is_doubled); ++i)
     {
         m_flights.push_back({m_step + 1 + chance(m_max_delay + 1),
-                             sent.content,
-                             static_cast<double>(payload_bytes(sent.content)),
+                             content,
+                             static_cast<double>(payload_bytes(content)),
                              m_step + call_steps,
                              sent.delivery,
                              is_lost,
