--- a/modules/consensus/tests/membership_repair_time_test.cpp
+++ b/modules/consensus/tests/membership_repair_time_test.cpp
@@ -19,7 +19,7 @@
     // machine is being replaced.
     void three_instances_replace_a_machine_in_time()
     {
-        run_seeds(3, {25, 499, 635});
+        run_seeds(3, {25, 499, 635, 2150});
     }
 
     void five_instances_replace_a_machine_in_time()
--- a/tests/support/membership_simulation.cpp
+++ b/tests/support/membership_simulation.cpp
@@ -134,7 +134,7 @@
                       "redundancy after round " + std::to_string(round),
                       [this, acknowledged]
                       { return is_whole() && all_have_applied(acknowledged); });
-        m_disk_lost = false;
+        m_lost.reset();
     }
     expect_loss_is_borne();
 }
@@ -413,9 +413,11 @@
     {
     case 0:
     case 1:
-    case 2:
         lose_disk(which, false);
         break;
+    case 2:
+        lose_disk(m_lost.value_or(which), false);
+        break;
     case 3:
         lose_disk(which, true);
         break;
@@ -452,14 +454,18 @@
     }
 }
 
-/// At most one disk is lost until the group is whole again.
+/// Until the group is redundant again, only the same instance may lose its disk
+/// once more, and only at the same address.
 void membership_simulation::lose_disk(std::size_t which, bool replace_machine)
 {
-    if (m_disk_lost)
+    bool const is_again = m_lost == which && !replace_machine &&
+                          !m_machine_lost && !m_instances[which].has_empty_disk;
+    if (m_lost && !is_again)
     {
         return;
     }
-    m_disk_lost = true;
+    m_lost = which;
+    m_machine_lost = replace_machine;
     auto& self = m_instances[which];
     m_group.lose_disk(self.id);
     self.has_empty_disk = true;
--- a/tests/support/membership_simulation.hpp
+++ b/tests/support/membership_simulation.hpp
@@ -115,7 +115,9 @@
     std::set<std::pair<std::size_t, std::size_t>> m_cuts;
     std::uint64_t m_next_address = 1;
     steps m_steps = 0;
-    bool m_disk_lost = false;
+    /// Whose disk was lost since the group was redundant.
+    std::optional<std::size_t> m_lost;
+    bool m_machine_lost = false;
 };
 
 } // namespace turmericswitch::testing
