Test the order of identities with one that had answered its leader

later_identity_replaces_an_earlier_one_with_a_larger_id passed with the order by id, because the lost identity had never answered and was removed as an unresponsive voter.

--- a/modules/consensus/tests/membership_planner_test.cpp
+++ b/modules/consensus/tests/membership_planner_test.cpp
@@ -94,10 +94,10 @@
 
     // Guards against removing the successor instead of the lost identity. Ids
     // of instances that join later are random, so they tell nothing about the
-    // order.
+    // order. The lost identity had answered this leader.
     void later_identity_replaces_an_earlier_one_with_a_larger_id()
     {
-        m_unresponsive = {100};
+        m_silent = {100};
         m_view.members.members[2] = member(50, "10.0.0.3", true, 90);
         m_view.members.members.push_back(member(100, "10.0.0.3", false, 8));
         expect(membership_change_kind::remove, 100);
