--- a/modules/consensus/node/raft_node.hpp
+++ b/modules/consensus/node/raft_node.hpp
@@ -4,6 +4,7 @@
 #include "consensus/log/replicated_log.hpp"
 #include "consensus/node/raft_events.hpp"
 #include "consensus/node/raft_options.hpp"
+#include "consensus/node/replication_status.hpp"
 #include "consensus/replication/delivery_tracker.hpp"
 #include "consensus/replication/early_appends.hpp"
 #include "consensus/replication/follower_progress.hpp"
@@ -20,25 +21,6 @@
 namespace turmericswitch::consensus
 {
 
-/// What a leader knows about one other member.
-struct replication_status
-{
-    core::member_id member;
-    bool is_voter = false;
-    /// It has answered this leader.
-    bool has_answered = false;
-    /// A learner that has caught up may be promoted.
-    bool has_caught_up = false;
-    /// Until the first answer, when this leader began to send to the member.
-    core::time_point last_answer;
-    /// Last index known to be durable there.
-    core::log_index match;
-    /// Bytes that the transport holds or that are unacknowledged.
-    std::size_t in_flight_bytes = 0;
-    /// When the oldest message was sent that the transport still holds.
-    std::optional<core::time_point> oldest_call;
-};
-
 /// One member of a Raft group as a deterministic state machine, one per control
 /// instance. The driver passes events to `handle` and executes the returned
 /// actions in order; raft_events.hpp states which ones must be durable first.
