Show the redundancy of the control group, and report stalled learners

The leader exports turmericswitch_control_losses_borne and ..._members_without_vote. Other members have no value, because a 0 of theirs would look like a group that bears no loss. /v1/status of the leader has the members with role, lag and the time since their last answer.

catch_up_stalled (469) says once a second that a learner lacks entries and its match index hasn't moved for 1 s.

--- a/modules/core/events/event_code.hpp
+++ b/modules/core/events/event_code.hpp
@@ -88,6 +88,7 @@
     peer_address_unknown = 466,
     leader_silent = 467,
     members_without_vote = 468,
+    catch_up_stalled = 469,
     workers_relearned = 481,
 };
 
@@ -206,6 +207,9 @@
     event_entry{
         event_code::leader_silent, "leader_silent", event_severity::warning},
     event_entry{event_code::members_without_vote, "members_without_vote"},
+    event_entry{event_code::catch_up_stalled,
+                "catch_up_stalled",
+                event_severity::warning},
     event_entry{event_code::workers_relearned, "workers_relearned"},
 };
 
--- a/programs/control/api/state_json.cpp
+++ b/programs/control/api/state_json.cpp
@@ -1,5 +1,6 @@
 #include "api/state_json.hpp"
 
+#include "api/group_status_json.hpp"
 #include "wire/json/job_json.hpp"
 #include "wire/json/json_members.hpp"
 
@@ -145,6 +146,10 @@
     {
         object["leader"] = member_json(*leader);
     }
+    if (auto const view = group.group_view())
+    {
+        object["group"] = group_status_json(*view, process::event_loop::now());
+    }
     add_leader_status(node, object);
     return object.dump();
 }
--- a/programs/control/api/state_json.hpp
+++ b/programs/control/api/state_json.hpp
@@ -16,7 +16,8 @@
 // on its event loop's thread.
 
 /// @return Member, term, leader, log indexes, zones, jobs by state and
-/// counters; on the leader also processes, backend servers and placement.
+/// counters; on the leader also processes, backend servers, placement and the
+/// members of the control group with their redundancy.
 std::string status_to_json(control_node& node);
 
 /// @return Revision and text of the rules.
--- a/programs/control/node/control_node.cpp
+++ b/programs/control/node/control_node.cpp
@@ -230,6 +230,7 @@
                 .count();
         });
     add_replication_metrics();
+    add_redundancy_metrics();
 }
 
 void control_node::add_replication_metrics()
@@ -282,22 +283,63 @@
         });
 }
 
+void control_node::add_redundancy_metrics()
+{
+    // Families, so that members that don't lead have no value. A 0 of theirs
+    // would look like a group that bears no loss.
+    auto const add = [this](std::string const& name,
+                            std::string const& help,
+                            std::size_t consensus::redundancy::*value)
+    {
+        m_metrics.add_family_hook(
+            "turmericswitch_control_" + name,
+            help,
+            telemetry::metric_kind::gauge,
+            [this, value]
+            {
+                std::vector<telemetry::labelled_value> values;
+                std::lock_guard const lock(m_replication_mutex);
+                if (m_redundancy)
+                {
+                    values.push_back(
+                        {{}, static_cast<double>((*m_redundancy).*value)});
+                }
+                return values;
+            });
+    };
+    add("members_without_vote",
+        "Members of the control group that are learners; only on the leader.",
+        &consensus::redundancy::members_without_vote);
+    add("losses_borne",
+        "Further members that the control group may lose without losing its "
+        "quorum; only on the leader.",
+        &consensus::redundancy::losses_borne);
+}
+
 void control_node::update_replication_metrics()
 {
     m_commit_stall_us = m_replica.commit_stall().count();
     auto statuses = m_replica.replication();
+    auto const view = m_replica.group_view();
     std::lock_guard const lock(m_replication_mutex);
     m_replication = std::move(statuses);
+    m_redundancy.reset();
+    if (view)
+    {
+        m_redundancy =
+            consensus::redundancy_of(*view, {}, process::event_loop::now());
+    }
 }
 
 void control_node::manage_membership(core::group_member self,
                                      std::vector<core::endpoint> seeds)
 {
+    auto link = std::make_unique<shared::control_link>(m_io, seeds, m_seed);
     m_membership = std::make_shared<membership_manager>(
         m_loop,
         m_replica,
-        std::make_unique<shared::control_link>(m_io, seeds, m_seed),
-        seeds,
+        std::move(link),
+        std::move(seeds),
         std::move(self),
         [this](core::group_membership const& members)
         { on_members_received(members); },
--- a/programs/control/node/control_node.hpp
+++ b/programs/control/node/control_node.hpp
@@ -103,6 +103,7 @@
     void end_workflow_service();
     void add_metrics();
     void add_replication_metrics();
+    void add_redundancy_metrics();
     void update_replication_metrics();
     /// Logs an operator's change of the configuration or of a zone, unless the
     /// entry was recovered from disk and logged before the restart.
@@ -127,9 +128,12 @@
     std::atomic<std::uint64_t> m_peer_bytes = 0;
     std::atomic<std::int64_t> m_snapshot_cpu_time_us = 0;
     std::atomic<std::int64_t> m_commit_stall_us = 0;
-    /// Guards `m_replication`, which the metrics read on another thread.
+    /// Guards `m_replication` and `m_redundancy`, which the metrics read on
+    /// another thread.
     std::mutex m_replication_mutex;
     std::vector<consensus::replication_status> m_replication;
+    /// Empty while this instance doesn't lead.
+    std::optional<consensus::redundancy> m_redundancy;
     transport::io_pool& m_io;
     std::uint64_t m_seed;
     core::group_membership m_contacts;
--- a/programs/control/node/replica.cpp
+++ b/programs/control/node/replica.cpp
@@ -117,6 +117,7 @@
     process_event(consensus::tick{});
     report_stall();
     report_members_without_vote();
+    report_stalled_learners();
     snapshot_if_due();
 }
 
@@ -164,6 +165,26 @@
     }
 }
 
+void replica::report_stalled_learners()
+{
+    auto const view = group_view();
+    if (!view)
+    {
+        m_catch_up.reset();
+        return;
+    }
+    auto const now = process::event_loop::now();
+    for (auto const& learner : m_catch_up.check(*view, now))
+    {
+        m_hooks.on_event({core::event_code::catch_up_stalled,
+                          {core::number_field("member", learner.member.value()),
+                           core::number_field("match", learner.match.value()),
+                           core::number_field("lag", learner.lag),
+                           core::time_field("stalled_ms", learner.stalled),
+                           core::time_field("answer_ms", learner.answer)}});
+    }
+}
+
 std::optional<core::time_point> replica::last_leader_contact() const
 {
     return m_node.last_leader_contact();
@@ -584,6 +605,18 @@
     return m_node.replication();
 }
 
+std::optional<consensus::group_view> replica::group_view() const
+{
+    if (!m_is_leading)
+    {
+        return std::nullopt;
+    }
+    return consensus::group_view{m_options.self,
+                                 m_node.membership(),
+                                 m_node.last_index(),
+                                 m_node.replication()};
+}
+
 core::duration replica::commit_stall() const
 {
     auto const since = m_node.commit_pending_since();
--- a/programs/control/node/replica.hpp
+++ b/programs/control/node/replica.hpp
@@ -2,8 +2,10 @@
 #define TURMERICSWITCH_CONTROL_NODE_REPLICA_HPP
 
 #include "cluster_state/machine/state_machine.hpp"
+#include "consensus/membership/redundancy.hpp"
 #include "consensus/node/raft_node.hpp"
 #include "core/events/event.hpp"
+#include "node/catch_up_monitor.hpp"
 #include "node/log_writer.hpp"
 #include "process/loop/event_loop.hpp"
 #include "store/state/hard_state_store.hpp"
@@ -129,6 +131,8 @@
     core::log_index last_index() const;
     /// @return What this instance knows about the other members, if it leads.
     std::vector<consensus::replication_status> replication() const;
+    /// @return This leader's view of the group; nothing if it does not lead.
+    std::optional<consensus::group_view> group_view() const;
     /// @return How long this leader has had uncommitted entries without
     /// committing one; 0 if there are none.
     core::duration commit_stall() const;
@@ -156,6 +160,7 @@
     void fail_storage(std::string const& why);
     void report_stall();
     void report_members_without_vote();
+    void report_stalled_learners();
     core::command_envelope make_envelope(core::command_body body) const;
     consensus::ticket next_ticket();
 
@@ -182,6 +187,7 @@
     core::duration m_snapshot_cpu_time{};
     core::time_point m_stall_reported;
     core::time_point m_next_membership_report;
+    catch_up_monitor m_catch_up;
     bool m_storage_failed = false;
     bool m_is_raft_leader = false;
     bool m_is_leading = false;
--- a/programs/control/tests/member_replacement_test.cpp
+++ b/programs/control/tests/member_replacement_test.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST_SUITE(member_replacement_test);
     CPPUNIT_TEST(successor_of_a_successor_votes_whatever_its_id);
     CPPUNIT_TEST(emptied_member_answers_a_leader_its_log_does_not_list);
+    CPPUNIT_TEST(leader_shows_that_a_disk_was_lost_and_replaced);
     CPPUNIT_TEST_SUITE_END();
 
     /// The next disk may be lost this long after the emptied instance is back.
@@ -65,6 +66,40 @@
         }
         CPPUNIT_ASSERT(replace(group, 1, 4'000'000));
     }
+
+    static bool bears(node_group& group, int losses)
+    {
+        return node_group::wait_for(
+            contact_time,
+            [&]
+            {
+                auto const at = group.leader();
+                return at != 0 &&
+                       group.metrics(at).find(
+                           "\nturmericswitch_control_losses_borne " +
+                           std::to_string(losses) + "\n") != std::string::npos;
+            });
+    }
+
+    // Guards against a group without its third voter that looks healthy, and
+    // against a value of an instance that doesn't lead.
+    void leader_shows_that_a_disk_was_lost_and_replaced()
+    {
+        node_group group(3);
+        CPPUNIT_ASSERT(bears(group, 1));
+        auto const follower = group.leader() % 3 + 1;
+        CPPUNIT_ASSERT(group.metrics(follower).find(
+                           "\nturmericswitch_control_losses_borne ") ==
+                       std::string::npos);
+        group.lose_disk(follower);
+        CPPUNIT_ASSERT(bears(group, 0));
+        CPPUNIT_ASSERT(
+            group.status(group.leader()).find("\"losses_borne\":0") !=
+            std::string::npos);
+        group.start(follower, 5'000'000);
+        CPPUNIT_ASSERT(bears(group, 1));
+        CPPUNIT_ASSERT(group.is_whole({1, 2, 3}));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(member_replacement_test);
--- a/programs/control/tests/node_group.cpp
+++ b/programs/control/tests/node_group.cpp
@@ -1,5 +1,6 @@
 #include "tests/node_group.hpp"
 
+#include "api/state_json.hpp"
 #include "wire/codec/protocol_version.hpp"
 
 #include <algorithm>
@@ -220,6 +221,19 @@
                        });
 }
 
+std::string node_group::metrics(std::size_t number) const
+{
+    return m_instances.at(number - 1)->node->metrics().text();
+}
+
+std::string node_group::status(std::size_t number)
+{
+    auto& each = *m_instances.at(number - 1);
+    std::string found;
+    run(each, [&] { found = status_to_json(*each.node); });
+    return found;
+}
+
 bool node_group::commit(std::size_t bytes)
 {
     core::job_description job;
--- a/programs/control/tests/node_group.hpp
+++ b/programs/control/tests/node_group.hpp
@@ -51,6 +51,11 @@
     /// all of them vote.
     bool is_whole(std::vector<std::size_t> const& numbers);
 
+    /// @return The metrics of a running instance as text.
+    std::string metrics(std::size_t number) const;
+    /// @return The body of `/v1/local-status` of a running instance.
+    std::string status(std::size_t number);
+
     /// Commits a command at the leader.
     ///
     /// @param bytes Size of the command.
--- a/programs/control/tests/replica_test.cpp
+++ b/programs/control/tests/replica_test.cpp
@@ -27,6 +27,8 @@
     CPPUNIT_TEST(no_read_without_a_quorum);
     CPPUNIT_TEST(no_read_at_a_replaced_leader);
     CPPUNIT_TEST(stalled_leader_says_why_and_hands_over);
+    CPPUNIT_TEST(learner_without_progress_is_reported);
+    CPPUNIT_TEST(redundancy_follows_losses_and_repair);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against lost acknowledged commands, against members that
@@ -152,6 +154,79 @@
         CPPUNIT_ASSERT(group.submit_jobs_and_wait(1));
     }
 
+    static void add_learner(replica_group& group, std::size_t number)
+    {
+        auto learner = group.member(number);
+        learner.learner = true;
+        group.node(group.leader())
+            .change_membership(membership_change_kind::add_learner,
+                               learner,
+                               [](core::command_reply const&) {});
+    }
+
+    // Guards against a learner that gets no entries while nobody is told, and
+    // against reports that don't end when it makes progress.
+    void learner_without_progress_is_reported()
+    {
+        using core::event_code;
+        replica_group group;
+        CPPUNIT_ASSERT(group.submit_jobs_and_wait(5));
+        group.add();
+        add_learner(group, 4);
+        CPPUNIT_ASSERT(!group.step_until([] { return false; }, 45));
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(0),
+                             count(group, event_code::catch_up_stalled));
+        // 3.1 s at one event a second.
+        CPPUNIT_ASSERT(!group.step_until([] { return false; }, 110));
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(3),
+                             count(group, event_code::catch_up_stalled));
+        auto const reported =
+            std::find_if(group.events.begin(),
+                         group.events.end(),
+                         [](core::event const& what)
+                         { return what.code == event_code::catch_up_stalled; });
+        CPPUNIT_ASSERT(reported->fields[0] ==
+                       (core::number_field("member", 4)));
+        CPPUNIT_ASSERT(reported->fields[1] == (core::number_field("match", 0)));
+
+        CPPUNIT_ASSERT(group.start(4, start_mode::join));
+        CPPUNIT_ASSERT(group.step_until([&] { return group.has_converged(); }));
+        group.events.clear();
+        CPPUNIT_ASSERT(!group.step_until([] { return false; }, 110));
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(0),
+                             count(group, event_code::catch_up_stalled));
+    }
+
+    /// @return The redundancy according to the leader, which must exist.
+    static consensus::redundancy redundancy_of(replica_group& group)
+    {
+        auto const view = group.node(group.leader()).group_view();
+        CPPUNIT_ASSERT(view);
+        return consensus::redundancy_of(*view, {}, group.now);
+    }
+
+    // Guards against a leader that counts a silent member or a learner, and
+    // against a follower that speaks for the group.
+    void redundancy_follows_losses_and_repair()
+    {
+        using consensus::redundancy;
+        replica_group group;
+        CPPUNIT_ASSERT(group.submit_jobs_and_wait(5));
+        CPPUNIT_ASSERT(redundancy_of(group) == (redundancy{3, 3, 0, 1}));
+        auto const lost = group.leader() % 3 + 1;
+        CPPUNIT_ASSERT(!group.node(lost).group_view());
+        group.crash(lost);
+        CPPUNIT_ASSERT(!group.step_until([] { return false; }, 60));
+        CPPUNIT_ASSERT(redundancy_of(group) == (redundancy{3, 2, 0, 0}));
+        group.add();
+        add_learner(group, 4);
+        group.step();
+        CPPUNIT_ASSERT(redundancy_of(group) == (redundancy{3, 2, 1, 0}));
+        CPPUNIT_ASSERT(group.start(lost, start_mode::normal));
+        CPPUNIT_ASSERT(!group.step_until([] { return false; }, 60));
+        CPPUNIT_ASSERT(redundancy_of(group) == (redundancy{3, 3, 1, 1}));
+    }
+
     static std::ptrdiff_t count(replica_group const& group,
                                 core::event_code code)
     {
