Show control members and the losses that the group bears in ctl status

status lists each member with id, address, role, lag and the time since its last answer, and says how many instances may be lost. The table is left out if the answer has no group, as from control of an earlier version.

--- a/programs/ctl/answers/control_answers.cpp
+++ b/programs/ctl/answers/control_answers.cpp
@@ -90,6 +90,30 @@
     return member;
 }
 
+member_status_view read_member_status(json const& object)
+{
+    member_status_view member;
+    read_field(object, "id", member.id);
+    read_field(object, "rpc", member.rpc);
+    read_field(object, "http", member.http);
+    read_field(object, "role", member.role);
+    read_field(object, "lag", member.lag);
+    member.answered = object.value("answered", false);
+    if (object.contains("answer_ms"))
+    {
+        member.answer_ms = object.at("answer_ms").get<std::int64_t>();
+    }
+    return member;
+}
+
+group_view read_group(json const& object)
+{
+    group_view group;
+    read_field(object, "losses_borne", group.losses_borne);
+    group.members = read_list(object, "members", read_member_status);
+    return group;
+}
+
 /// @return A string as it is, any other value as JSON.
 std::string unquoted_text(json const& value)
 {
@@ -132,6 +156,10 @@
     {
         status.leader = read_group_member(object.at("leader"));
     }
+    if (object.contains("group"))
+    {
+        status.group = read_group(object.at("group"));
+    }
     if (object.contains("processes"))
     {
         status.processes = read_list(object, "processes", read_process);
--- a/programs/ctl/answers/control_answers.hpp
+++ b/programs/ctl/answers/control_answers.hpp
@@ -73,6 +73,29 @@
     bool learner = false;
 };
 
+struct member_status_view
+{
+    std::uint64_t id = 0;
+    std::string rpc;
+    std::string http;
+    /// leader, voter or learner.
+    std::string role;
+    /// Entries of the leader that the member is not known to have.
+    std::uint64_t lag = 0;
+    /// It has answered this leader.
+    bool answered = false;
+    /// Time since its last answer; before the first one, since the leader began
+    /// to send to it. Absent for the leader.
+    std::optional<std::int64_t> answer_ms;
+};
+
+/// Members of the control group and the losses that it bears.
+struct group_view
+{
+    std::uint64_t losses_borne = 0;
+    std::vector<member_status_view> members;
+};
+
 struct status_view
 {
     std::uint64_t term = 0;
@@ -82,6 +105,9 @@
     std::uint64_t backends = 0;
     bool storage_failed = false;
     std::optional<member_view> leader;
+    /// Absent if the instance that answered is no longer the leader, or of a
+    /// version without this.
+    std::optional<group_view> group;
     std::vector<zone_view> zones;
     std::vector<state_count> jobs;
     std::vector<process_view> processes;
--- a/programs/ctl/commands/group_commands.cpp
+++ b/programs/ctl/commands/group_commands.cpp
@@ -66,6 +66,32 @@
     }
 }
 
+std::string answer_text(member_status_view const& member)
+{
+    if (!member.answer_ms)
+    {
+        return "";
+    }
+    auto const time = std::to_string(*member.answer_ms) + " ms";
+    return member.answered ? time + " ago" : "none for " + time;
+}
+
+void print_members(std::ostream& out, group_view const& group)
+{
+    text_table table({"MEMBER", "ADDRESS", "ROLE", "LAG", "LAST ANSWER"});
+    for (auto const& member : group.members)
+    {
+        table.add({std::to_string(member.id),
+                   member.rpc,
+                   member.role,
+                   std::to_string(member.lag),
+                   answer_text(member)});
+    }
+    out << '\n'
+        << table.text() << "bears the loss of " << group.losses_borne
+        << " instances\n";
+}
+
 std::string quiet_text(zone_view const& zone)
 {
     if (!zone.quiet_in_ms)
@@ -204,6 +230,10 @@
         return report_last_reason(context);
     }
     print_group(context.out, *view);
+    if (view->group)
+    {
+        print_members(context.out, *view->group);
+    }
     print_zones(context.out, *view);
     print_processes(context.out, *view);
     return result_code::ok;
--- a/programs/ctl/tests/commands_test.cpp
+++ b/programs/ctl/tests/commands_test.cpp
@@ -77,6 +77,33 @@
         .dump();
 }
 
+/// @return A status with member 1 as the leader and the given other members.
+std::string group_status(std::vector<json> const& others, int losses_borne)
+{
+    json const leader{{"id", 1},
+                      {"rpc", "1.1.1.1:1"},
+                      {"http", "1.1.1.1:2"},
+                      {"role", "leader"},
+                      {"lag", 0}};
+    std::vector<json> members{leader};
+    members.insert(members.end(), others.begin(), others.end());
+    auto document = json::parse(status("in", 40, 5));
+    document["group"] = {{"losses_borne", losses_borne}, {"members", members}};
+    return document.dump();
+}
+
+json other_member(int id, std::string const& role, int lag, int answer_ms)
+{
+    auto const address = "1.1.1." + std::to_string(id);
+    return {{"id", id},
+            {"rpc", address + ":1"},
+            {"http", address + ":2"},
+            {"role", role},
+            {"lag", lag},
+            {"answered", true},
+            {"answer_ms", answer_ms}};
+}
+
 constexpr char const* job =
     R"({"id":17,"name":"plan","team":"routing","kind":"plan",)"
     R"("state":"failed","attempt":2,"failures":3,"last_worker":"w-1",)"
@@ -110,6 +137,9 @@
     CPPUNIT_TEST(failed_job_is_shown_not_reported_as_error);
     CPPUNIT_TEST(explain_merges_all_instances);
     CPPUNIT_TEST(json_prints_the_answer_body);
+    CPPUNIT_TEST(status_shows_members_and_the_losses_borne);
+    CPPUNIT_TEST(status_of_a_group_without_redundancy);
+    CPPUNIT_TEST(status_without_a_group_is_accepted);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against another exit status than 2, by which scripts recognize a
@@ -469,6 +499,55 @@
         CPPUNIT_ASSERT_EQUAL(501, json::parse(refused.out)["code"].get<int>());
         CPPUNIT_ASSERT(contains(refused.err, "501 job_unknown: none"));
     }
+
+    // Guards against an operator who can't see how many instances may be lost.
+    void status_shows_members_and_the_losses_borne()
+    {
+        auto& control = reset_instance(0);
+        auto const body = group_status(
+            {other_member(2, "voter", 0, 12), other_member(3, "voter", 3, 90)},
+            1);
+        control.answer("GET /v1/status", body);
+        CPPUNIT_ASSERT(
+            contains(run_on(control, {"status"}).out,
+                     "\nMEMBER  ADDRESS    ROLE    LAG  LAST ANSWER\n"
+                     "1       1.1.1.1:1  leader  0    -\n"
+                     "2       1.1.1.2:1  voter   0    12 ms ago\n"
+                     "3       1.1.1.3:1  voter   3    90 ms ago\n"
+                     "bears the loss of 1 instances\n"));
+        CPPUNIT_ASSERT_EQUAL(body + "\n",
+                             run_on(control, {"status", "--json"}).out);
+    }
+
+    // Guards against a learner that looks like a voter, and against a member
+    // that never answered and looks like one that did.
+    void status_of_a_group_without_redundancy()
+    {
+        auto& control = reset_instance(0);
+        auto unheard = other_member(3, "voter", 900, 4000);
+        unheard["answered"] = false;
+        control.answer("GET /v1/status",
+                       group_status({other_member(2, "voter", 0, 12),
+                                     unheard,
+                                     other_member(4, "learner", 700, 20)},
+                                    0));
+        CPPUNIT_ASSERT(
+            contains(run_on(control, {"status"}).out,
+                     "3       1.1.1.3:1  voter    900  none for 4000 ms\n"
+                     "4       1.1.1.4:1  learner  700  20 ms ago\n"
+                     "bears the loss of 0 instances\n"));
+    }
+
+    // Guards against a status that can't be read from a former leader or from
+    // control of an earlier version.
+    void status_without_a_group_is_accepted()
+    {
+        auto& control = reset_instance(0);
+        control.answer("GET /v1/status", status("in", 40, 5));
+        auto const result = run_on(control, {"status"});
+        CPPUNIT_ASSERT_EQUAL(0, result.status);
+        CPPUNIT_ASSERT(!contains(result.out, "bears the loss"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(commands_test);
