Announce a drain that began during an announce right after its answer

A drain requests an announce at the next tick. If the answer to an earlier announce came after that, it replaced the request by the next renewal: a third of the lease later, 20 minutes in the tests. Until then control did not know that the backend server was draining. Nothing was lost in event_loop, backend_client or the RPC layer.

The new test holds the answer back.

--- a/programs/gateway/tests/fake_control.cpp
+++ b/programs/gateway/tests/fake_control.cpp
@@ -38,6 +38,7 @@
     m_rpc.reset();
     std::lock_guard const lock(m_mutex);
     m_polls.clear();
+    m_announce_replies.clear();
 }
 
 core::command_reply fake_control::run(core::command_body body)
@@ -62,6 +63,13 @@
     answer_polls();
 }
 
+void fake_control::hold_announce_answers(bool held)
+{
+    std::lock_guard const lock(m_mutex);
+    m_announce_answers_held = held;
+    answer_announces();
+}
+
 std::size_t fake_control::backends() const
 {
     std::lock_guard const lock(m_mutex);
@@ -89,11 +97,14 @@
         announce.entry.place.region = core::region_id("n");
         m_draining_announces += announce.entry.draining ? 1 : 0;
         auto const& config = m_state.config();
-        answer.answer(wire::encode(
-            m_registry.announce(announce,
-                                config.is_leaving(announce.entry.backend),
-                                config.current(),
-                                process::event_loop::now())));
+        m_announce_replies.push_back(
+            {wire::encode(
+                 m_registry.announce(announce,
+                                     config.is_leaving(announce.entry.backend),
+                                     config.current(),
+                                     process::event_loop::now())),
+             answer});
+        answer_announces();
     }
     else
     {
@@ -133,4 +144,16 @@
         });
 }
 
+void fake_control::answer_announces()
+{
+    if (m_announce_answers_held)
+    {
+        return;
+    }
+    for (auto const& [body, answer] : std::exchange(m_announce_replies, {}))
+    {
+        answer.answer(body);
+    }
+}
+
 } // namespace turmericswitch::testing
--- a/programs/gateway/tests/fake_control.hpp
+++ b/programs/gateway/tests/fake_control.hpp
@@ -29,6 +29,9 @@
     void apply(core::command_body body);
     /// While polls are held, gateways and sidecars get no updates.
     void hold_polls(bool held);
+    /// While answers to announces are held, control registers the sidecars, but
+    /// they get no answers.
+    void hold_announce_answers(bool held);
     /// Closes the port and all connections.
     void disconnect();
     /// @return Number of backend servers in the registry.
@@ -43,9 +46,16 @@
         transport::responder answer;
     };
 
+    struct announce_reply
+    {
+        std::string body;
+        transport::responder answer;
+    };
+
     void handle(transport::rpc_request const& request,
                 transport::responder const& answer);
     void answer_polls();
+    void answer_announces();
     core::command_reply run(core::command_body body);
 
     mutable std::mutex m_mutex;
@@ -54,6 +64,8 @@
     std::uint64_t m_index = 0;
     std::vector<poll> m_polls;
     bool m_polls_held = false;
+    std::vector<announce_reply> m_announce_replies;
+    bool m_announce_answers_held = false;
     std::size_t m_draining_announces = 0;
     std::unique_ptr<transport::rpc_server> m_rpc;
 };
--- a/programs/sidecar/service/sidecar_service.cpp
+++ b/programs/sidecar/service/sidecar_service.cpp
@@ -319,7 +319,7 @@
 void sidecar_service::announce()
 {
     m_announcing = true;
-    m_entry.draining = m_operator_drain || m_shutdown_drain;
+    m_entry.draining = is_draining();
     core::announce_request request;
     request.entry = m_entry;
     request.in_force = m_admission.in_force();
@@ -369,7 +369,11 @@
         m_operator_drain = answer->drain;
         m_log.info(m_operator_drain ? "drain started by operators"
                                     : "drain ended by operators");
-        perform(m_admission.drain(now, m_operator_drain || m_shutdown_drain));
+        perform(m_admission.drain(now, is_draining()));
+    }
+    // A drain that began or ended after the request was sent.
+    if (m_entry.draining != is_draining())
+    {
         m_next_announce = now;
     }
 }
@@ -427,7 +431,7 @@
     if (is_leaving != m_operator_drain)
     {
         m_operator_drain = is_leaving;
-        perform(m_admission.drain(now, m_operator_drain || m_shutdown_drain));
+        perform(m_admission.drain(now, is_draining()));
         m_next_announce = now;
     }
     m_revision = m_admission.in_force().value();
@@ -450,6 +454,11 @@
         });
 }
 
+bool sidecar_service::is_draining() const noexcept
+{
+    return m_operator_drain || m_shutdown_drain;
+}
+
 std::size_t sidecar_service::running() const noexcept
 {
     return m_running;
--- a/programs/sidecar/service/sidecar_service.hpp
+++ b/programs/sidecar/service/sidecar_service.hpp
@@ -77,6 +77,7 @@
     void announce();
     void handle_announce_result(shared::control_result const& result);
     void apply(core::configuration const& config, core::revision revision);
+    bool is_draining() const noexcept;
     void record(core::attempt_id const& id,
                 std::string action,
                 core::result_code code);
--- a/programs/sidecar/tests/sidecar_service_test.cpp
+++ b/programs/sidecar/tests/sidecar_service_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST_SUITE(sidecar_service_test);
     CPPUNIT_TEST(leaving_rule_applies_under_an_alias);
     CPPUNIT_TEST(older_configuration_does_not_end_drain);
+    CPPUNIT_TEST(drain_during_an_announce_is_announced_after_it);
     CPPUNIT_TEST(serves_again_after_drain_ends);
     CPPUNIT_TEST_SUITE_END();
 
@@ -66,6 +67,28 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_backend.hits());
     }
 
+    // Guards against a drain that control learns of only at the next renewal of
+    // the lease because it began while the answer to an announce was on its
+    // way.
+    void drain_during_an_announce_is_announced_after_it()
+    {
+        m_control.hold_announce_answers(true);
+        sidecar_node one(m_control, "one", m_backend.where(), 11);
+        gateway_node gateway(m_control, 1);
+        gateway.wait_for_backends(1);
+        core::watch_answer update;
+        update.config.emplace();
+        update.config->leaving.push_back({core::backend_id("one")});
+        update.current = core::revision(9);
+        one.service().configure(update);
+        // The refusal shows that the sidecar drains.
+        CPPUNIT_ASSERT_EQUAL(std::string("not_run"),
+                             outcome_of(gateway.post("x")));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_control.draining_announces());
+        m_control.hold_announce_answers(false);
+        wait_for([&] { return m_control.draining_announces() > 0; });
+    }
+
     // Guards against a backend server that gets no requests after operators
     // have ended its drain.
     void serves_again_after_drain_ends()
