--- a/modules/web/tests/raw_socket.hpp
+++ b/modules/web/tests/raw_socket.hpp
@@ -104,30 +104,83 @@
     int m_socket;
 };
 
-/// Server that sends the next of some fixed texts after each request header and
-/// then closes the connection.
-class scripted_server
+/// Socket that listens on a free port of the loopback address.
+class listening_socket
 {
 public:
-    explicit scripted_server(std::vector<std::string> responses)
-        : m_responses(std::move(responses)),
-          m_listener(::socket(AF_INET, SOCK_STREAM, 0))
+    listening_socket() : m_socket(::socket(AF_INET, SOCK_STREAM, 0))
     {
         sockaddr_in address = loopback(0);
         auto* const pointer = reinterpret_cast<sockaddr*>(&address);
-        CPPUNIT_ASSERT_EQUAL(0, ::bind(m_listener, pointer, sizeof address));
-        ::listen(m_listener, 16);
+        CPPUNIT_ASSERT_EQUAL(0, ::bind(m_socket, pointer, sizeof address));
+        ::listen(m_socket, 16);
         socklen_t size = sizeof address;
-        ::getsockname(m_listener, pointer, &size);
+        ::getsockname(m_socket, pointer, &size);
         m_port = ntohs(address.sin_port);
-        m_thread = std::thread([this] { run(); });
+    }
+
+    ~listening_socket()
+    {
+        ::close(m_socket);
+    }
+
+    listening_socket(listening_socket const&) = delete;
+    listening_socket& operator=(listening_socket const&) = delete;
+
+    core::endpoint address() const
+    {
+        return {"127.0.0.1", m_port};
+    }
+
+    /// @return The next connection, or a negative number after `shut_down`.
+    int accept() const
+    {
+        return ::accept(m_socket, nullptr, nullptr);
+    }
+
+    void shut_down() const
+    {
+        ::shutdown(m_socket, SHUT_RDWR);
+    }
+
+private:
+    int m_socket;
+    std::uint16_t m_port = 0;
+};
+
+/// Reads until the end of a request header.
+///
+/// @return False if the peer closed the connection first.
+inline bool read_request_header(int socket)
+{
+    std::string head;
+    std::array<char, 4096> chunk{};
+    while (head.find("\r\n\r\n") == std::string::npos)
+    {
+        ssize_t const size = ::recv(socket, chunk.data(), chunk.size(), 0);
+        if (size <= 0)
+        {
+            return false;
+        }
+        head.append(chunk.data(), static_cast<std::size_t>(size));
+    }
+    return true;
+}
+
+/// Server that sends the next of some fixed texts after each request header and
+/// then closes the connection.
+class scripted_server
+{
+public:
+    explicit scripted_server(std::vector<std::string> responses)
+        : m_responses(std::move(responses)), m_thread([this] { run(); })
+    {
     }
 
     ~scripted_server()
     {
-        ::shutdown(m_listener, SHUT_RDWR);
+        m_listener.shut_down();
         m_thread.join();
-        ::close(m_listener);
     }
 
     scripted_server(scripted_server const&) = delete;
@@ -135,7 +188,7 @@
 
     core::endpoint address() const
     {
-        return {"127.0.0.1", m_port};
+        return m_listener.address();
     }
 
     /// @return Connections accepted so far.
@@ -149,32 +202,20 @@
     {
         for (auto const& response : m_responses)
         {
-            int const socket = ::accept(m_listener, nullptr, nullptr);
+            int const socket = m_listener.accept();
             if (socket < 0)
             {
                 return;
             }
             ++m_connections;
-            std::string head;
-            std::array<char, 4096> chunk{};
-            while (head.find("\r\n\r\n") == std::string::npos)
-            {
-                ssize_t const size =
-                    ::recv(socket, chunk.data(), chunk.size(), 0);
-                if (size <= 0)
-                {
-                    break;
-                }
-                head.append(chunk.data(), static_cast<std::size_t>(size));
-            }
+            read_request_header(socket);
             send_all(socket, response);
             ::close(socket);
         }
     }
 
     std::vector<std::string> m_responses;
-    int m_listener;
-    std::uint16_t m_port = 0;
+    listening_socket m_listener;
     std::atomic<std::size_t> m_connections = 0;
     std::thread m_thread;
 };
@@ -184,23 +225,12 @@
 class closing_server
 {
 public:
-    closing_server() : m_listener(::socket(AF_INET, SOCK_STREAM, 0))
-    {
-        sockaddr_in address = loopback(0);
-        auto* const pointer = reinterpret_cast<sockaddr*>(&address);
-        CPPUNIT_ASSERT_EQUAL(0, ::bind(m_listener, pointer, sizeof address));
-        ::listen(m_listener, 16);
-        socklen_t size = sizeof address;
-        ::getsockname(m_listener, pointer, &size);
-        m_port = ntohs(address.sin_port);
-        m_thread = std::thread([this] { run(); });
-    }
+    closing_server() : m_thread([this] { run(); }) {}
 
     ~closing_server()
     {
-        ::shutdown(m_listener, SHUT_RDWR);
+        m_listener.shut_down();
         m_thread.join();
-        ::close(m_listener);
     }
 
     closing_server(closing_server const&) = delete;
@@ -208,7 +238,7 @@
 
     core::endpoint address() const
     {
-        return {"127.0.0.1", m_port};
+        return m_listener.address();
     }
 
     /// @return Requests read so far.
@@ -222,7 +252,7 @@
     {
         for (;;)
         {
-            int const socket = ::accept(m_listener, nullptr, nullptr);
+            int const socket = m_listener.accept();
             if (socket < 0)
             {
                 return;
@@ -237,26 +267,14 @@
         }
     }
 
-    /// @return False if the peer closed the connection first.
     bool read_request(int socket)
     {
-        std::string head;
-        std::array<char, 4096> chunk{};
-        while (head.find("\r\n\r\n") == std::string::npos)
-        {
-            ssize_t const size = ::recv(socket, chunk.data(), chunk.size(), 0);
-            if (size <= 0)
-            {
-                return false;
-            }
-            head.append(chunk.data(), static_cast<std::size_t>(size));
-        }
-        ++m_requests;
-        return true;
+        bool const is_read = read_request_header(socket);
+        m_requests += is_read ? 1 : 0;
+        return is_read;
     }
 
-    int m_listener;
-    std::uint16_t m_port = 0;
+    listening_socket m_listener;
     std::atomic<std::size_t> m_requests = 0;
     std::thread m_thread;
 };
