Skip an unreadable row of a list of runs and keep the others

A worker's lists of runs may have rows of another writer. One row that could not be read (a malformed task name, a number out of range, another type) dropped the whole answer to the sync call. The worker was then silent for the agent and got no work as long as the row was there.

Skipped rows are counted (turmericswitch_sidecar_skipped_run_rows_total) and logged once per reason and incarnation (event 330).

--- a/modules/core/events/event_code.hpp
+++ b/modules/core/events/event_code.hpp
@@ -47,6 +47,7 @@
     worker_replaced = 312,
     late_start_executed = 313,
     leave_notice_ignored = 314,
+    run_row_skipped = 330,
 
     // Control: workflows
     workflow_accepted = 401,
@@ -156,6 +157,9 @@
     event_entry{event_code::leave_notice_ignored,
                 "leave_notice_ignored",
                 event_severity::warning},
+    event_entry{event_code::run_row_skipped,
+                "run_row_skipped",
+                event_severity::warning},
     event_entry{event_code::workflow_accepted, "workflow_accepted"},
     event_entry{event_code::run_placed, "run_placed"},
     event_entry{event_code::run_ended, "run_ended"},
--- a/modules/workflow/agent/worker_agent.cpp
+++ b/modules/workflow/agent/worker_agent.cpp
@@ -23,6 +23,9 @@
 constexpr core::duration unacknowledged_ends_pause =
     std::chrono::milliseconds(50);
 
+/// The reasons come from a worker's answers, so their number has a bound.
+constexpr std::size_t max_logged_rows = 32;
+
 /// @return True if the leader must learn of the difference before the next
 ///         list of runs. The time that a draining worker stays always differs.
 bool differs(core::worker_profile const& known, core::worker_profile now)
@@ -128,6 +131,8 @@
     m_acknowledged_ends = 0;
     m_worker_clock = {};
     m_runs.reset();
+    m_has_skipped_ends = false;
+    m_logged_rows.clear();
     m_refused.clear();
     m_reserved = {};
     m_starts.clear();
@@ -174,6 +179,22 @@
     }
 }
 
+void worker_agent::log_skipped_rows(std::vector<skipped_row> const& rows)
+{
+    for (auto const& [is_end, why] : rows)
+    {
+        if (m_logged_rows.size() < max_logged_rows &&
+            m_logged_rows.emplace(is_end, why).second)
+        {
+            m_hooks.on_event({event_code::run_row_skipped,
+                              {text_field("worker", m_profile->worker.value()),
+                               number_field("life", m_profile->life.value()),
+                               text_field("list", is_end ? "ended" : "running"),
+                               text_field("why", why)}});
+        }
+    }
+}
+
 void worker_agent::forget_executed_starts()
 {
     auto const forget = [this](core::task_run const& run)
@@ -338,6 +359,11 @@
         give_up_report();
     }
     m_runs = std::move(answer->runs);
+    m_has_skipped_ends =
+        std::any_of(answer->skipped.begin(),
+                    answer->skipped.end(),
+                    [](skipped_row const& each) { return each.is_end; });
+    log_skipped_rows(answer->skipped);
     log_late_starts();
     forget_executed_starts();
     m_witness.listed(m_worker_clock, m_runs->running);
@@ -508,6 +534,10 @@
     {
         schedule_sync(unacknowledged_ends_pause, core::duration{});
     }
+    else if (m_has_skipped_ends)
+    {
+        schedule_sync(retry_pause, core::duration{});
+    }
     else
     {
         // The leader places nothing on a worker until a report has its runs, or
--- a/modules/workflow/agent/worker_agent.hpp
+++ b/modules/workflow/agent/worker_agent.hpp
@@ -12,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace turmericswitch::workflow
@@ -129,6 +130,8 @@
     void handle_successor(core::incarnation life);
     /// Logs runs of which the start was meant for an earlier incarnation.
     void log_late_starts();
+    /// Logs each reason for which rows were skipped once per incarnation.
+    void log_skipped_rows(std::vector<skipped_row> const& rows);
     /// Removes the unanswered starts of runs that the worker lists.
     void forget_executed_starts();
     void sync_worker(core::duration wait);
@@ -203,6 +206,11 @@
     std::uint64_t m_acknowledged_ends = 0;
     core::duration m_worker_clock{};
     std::optional<core::worker_runs> m_runs;
+    /// True if the worker's last list of ended runs has a row that can't be
+    /// read, and so is not acknowledged.
+    bool m_has_skipped_ends = false;
+    /// Lists and reasons of the skipped rows that were logged.
+    std::set<std::pair<bool, std::string>> m_logged_rows;
     std::set<core::task_run> m_refused;
     crash_witness m_witness;
 
--- a/modules/workflow/agent/worker_runtime.hpp
+++ b/modules/workflow/agent/worker_runtime.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace turmericswitch::workflow
 {
@@ -64,6 +65,14 @@
     core::duration wait{};
 };
 
+/// A row of a worker's lists of runs that could not be read.
+struct skipped_row
+{
+    /// True if it is of the list of ended runs.
+    bool is_end = false;
+    std::string why;
+};
+
 struct sync_result
 {
     /// The worker's clock at the time of the answer.
@@ -71,6 +80,8 @@
     core::worker_runs runs;
     /// Incarnation of the worker that answered, if it is in the answer.
     std::optional<core::incarnation> life;
+    /// Rows that are missing in `runs`.
+    std::vector<skipped_row> skipped;
 };
 
 /// Calls to the runtime of the worker on the same instance. Every callback is
--- a/modules/workflow/tests/worker_agent_test.cpp
+++ b/modules/workflow/tests/worker_agent_test.cpp
@@ -53,6 +53,8 @@
     CPPUNIT_TEST(incarnation_that_began_after_the_clock_was_set_back_is_used);
     CPPUNIT_TEST(refusal_after_unanswered_starts_and_stops_is_not_certain);
     CPPUNIT_TEST(late_notice_of_the_earlier_incarnation_is_ignored);
+    CPPUNIT_TEST(unreadable_row_is_logged_once_per_incarnation);
+    CPPUNIT_TEST(unreadable_end_causes_no_busy_loop);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -703,6 +705,43 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_polls.size());
     }
 
+    // An odd row stays in the list. Guards against a log line for each sync
+    // call.
+    void unreadable_row_is_logged_once_per_incarnation()
+    {
+        start_up();
+        sync_result odd;
+        odd.skipped = {{false, "malformed task name"}};
+        for (int i = 0; i < 3; ++i)
+        {
+            answer(m_syncs, std::optional(odd));
+            grant(1);
+        }
+        CPPUNIT_ASSERT_EQUAL(1, count_of(core::event_code::run_row_skipped));
+        odd.skipped.push_back({true, "malformed task name"});
+        answer(m_syncs, std::optional(odd));
+        grant(1);
+        CPPUNIT_ASSERT_EQUAL(2, count_of(core::event_code::run_row_skipped));
+        m_syncs.clear();
+        m_agent->registered(profile("w1", 8000, 2));
+        answer(m_syncs, std::optional(odd));
+        CPPUNIT_ASSERT_EQUAL(4, count_of(core::event_code::run_row_skipped));
+    }
+
+    // A worker answers a sync call at once while its list of ended runs is not
+    // empty, and an end that can't be read is never acknowledged.
+    void unreadable_end_causes_no_busy_loop()
+    {
+        start_up();
+        sync_result odd;
+        odd.skipped = {{true, "malformed task name"}};
+        answer(m_syncs, std::optional(odd));
+        grant(1);
+        CPPUNIT_ASSERT(m_syncs.empty());
+        run_delayed();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_syncs.size());
+    }
+
 private:
     static core::worker_profile draining_profile(std::uint64_t life)
     {
@@ -779,6 +818,14 @@
                            { return each.code == code; });
     }
 
+    int count_of(core::event_code code) const
+    {
+        return static_cast<int>(std::count_if(m_events.begin(),
+                                              m_events.end(),
+                                              [code](core::event const& each)
+                                              { return each.code == code; }));
+    }
+
     core::runtime_report const& last_report() const
     {
         CPPUNIT_ASSERT(!m_reports.empty());
--- a/programs/sidecar/worker/worker_service.cpp
+++ b/programs/sidecar/worker/worker_service.cpp
@@ -52,6 +52,10 @@
       m_unreadable_reports(
           metrics.counter("turmericswitch_sidecar_unreadable_reports_total",
                           "Workers' reports that could not be read.")),
+      m_skipped_rows(metrics.counter(
+          "turmericswitch_sidecar_skipped_run_rows_total",
+          "Rows of workers' lists of runs that could not be read, counted in "
+          "each answer.")),
       m_agent({settings.instance, incarnation}, make_hooks(settings.runtime)),
       m_leader_hook(control.on_leader(
           [this](shared::leader_announcement const& announced)
@@ -62,7 +66,7 @@
 workflow::agent_hooks worker_service::make_hooks(core::endpoint const& runtime)
 {
     workflow::agent_hooks hooks;
-    hooks.runtime = platform::make_worker_runtime(m_io, runtime);
+    hooks.runtime = make_runtime(runtime);
     hooks.leader = make_leader_calls();
     hooks.after = [this](core::duration delay, std::function<void()> task)
     { m_io.post_after(delay, std::move(task)); };
@@ -70,6 +74,24 @@
     return hooks;
 }
 
+workflow::worker_runtime
+worker_service::make_runtime(core::endpoint const& runtime)
+{
+    auto calls = platform::make_worker_runtime(m_io, runtime);
+    calls.sync = [this, sync = std::move(calls.sync)](workflow::sync_call call,
+                                                      auto done)
+    {
+        sync(std::move(call),
+             [this, done = std::move(done)](
+                 std::optional<workflow::sync_result> answer)
+             {
+                 m_skipped_rows.add(answer ? answer->skipped.size() : 0);
+                 done(std::move(answer));
+             });
+    };
+    return calls;
+}
+
 workflow::leader_calls worker_service::make_leader_calls()
 {
     workflow::leader_calls calls;
--- a/programs/sidecar/worker/worker_service.hpp
+++ b/programs/sidecar/worker/worker_service.hpp
@@ -39,11 +39,14 @@
 private:
     workflow::leader_calls make_leader_calls();
     workflow::agent_hooks make_hooks(core::endpoint const& runtime);
+    /// @return Calls to the worker that count the rows skipped in its answers.
+    workflow::worker_runtime make_runtime(core::endpoint const& runtime);
 
     telemetry::logger m_log{"sidecar"};
     transport::io_pool& m_io;
     shared::control_link& m_control;
     telemetry::counter& m_unreadable_reports;
+    telemetry::counter& m_skipped_rows;
     std::atomic<bool> m_registered = false;
     workflow::worker_agent m_agent;
     std::shared_ptr<shared::control_link::leader_hook const> m_leader_hook;
