Believe a registration only if it is of the sidecar's own worker

A registration under any id from another writer ended the current incarnation: the agent called the worker under the other id, every call was rejected with 421, and the own worker got no work any more, because its registrations counted as those of an earlier incarnation.

The sidecar now refuses a registration whose address is not that of the runtime in its settings, and ignores one without born from a worker that states it. One under another id is confirmed first: the agent makes a sync call under that id, which only the worker with this id answers, and compares born. The call has the current token, no lease and no acknowledged ends, so it changes nothing for the current incarnation. A worker under a new id takes over one round trip on the loopback after its registration, also if its clock was set back. Nothing changes for a worker that restarts under its id.

Ruled out: waiting for the current incarnation to become silent. That delays a genuine successor by up to a time-out, and a worker that is merely slow could be displaced.

Unconfirmed registrations are logged once per id and incarnation (event 331), but not counted; refused ones are counted, and logged once per reason.

--- a/modules/core/events/event_code.hpp
+++ b/modules/core/events/event_code.hpp
@@ -48,6 +48,7 @@
     late_start_executed = 313,
     leave_notice_ignored = 314,
     run_row_skipped = 330,
+    worker_unconfirmed = 331,
 
     // Control: workflows
     workflow_accepted = 401,
@@ -160,6 +161,9 @@
     event_entry{event_code::run_row_skipped,
                 "run_row_skipped",
                 event_severity::warning},
+    event_entry{event_code::worker_unconfirmed,
+                "worker_unconfirmed",
+                event_severity::warning},
     event_entry{event_code::workflow_accepted, "workflow_accepted"},
     event_entry{event_code::run_placed, "run_placed"},
     event_entry{event_code::run_ended, "run_ended"},
--- a/modules/workflow/agent/worker_agent.cpp
+++ b/modules/workflow/agent/worker_agent.cpp
@@ -26,6 +26,10 @@
 /// The reasons come from a worker's answers, so their number has a bound.
 constexpr std::size_t max_logged_rows = 32;
 
+/// Other ids under which the worker is asked at the same time.
+constexpr std::size_t max_unconfirmed = 8;
+constexpr std::size_t max_logged_unconfirmed = 64;
+
 /// @return True if the leader must learn of the difference before the next
 ///         list of runs. The time that a draining worker stays always differs.
 bool differs(core::worker_profile const& known, core::worker_profile now)
@@ -57,9 +61,22 @@
     {
         return false;
     }
-    bool const is_new = !m_profile || m_stated_life != profile.life ||
-                        m_profile->worker != profile.worker;
-    if (is_new)
+    if (m_profile && profile.life == core::incarnation{} &&
+        m_stated_life != core::incarnation{})
+    {
+        // A worker states its start time always or never.
+        if (is_first_unconfirmed(profile))
+        {
+            m_hooks.on_event(registration_ignored_event(profile, *m_profile));
+        }
+        return false;
+    }
+    if (m_profile && m_profile->worker != profile.worker)
+    {
+        confirm_registration(std::move(profile), sequence);
+        return false;
+    }
+    if (!m_profile || m_stated_life != profile.life)
     {
         if (is_earlier(profile))
         {
@@ -95,6 +112,79 @@
     return true;
 }
 
+void worker_agent::confirm_registration(core::worker_profile profile,
+                                        std::uint64_t sequence)
+{
+    auto const worker = profile.worker;
+    if (auto const open = m_unconfirmed.find(worker);
+        open != m_unconfirmed.end())
+    {
+        auto& known = open->second;
+        if (sequence >= known.sequence || profile.life != known.profile.life)
+        {
+            known = {std::move(profile), sequence};
+        }
+        return;
+    }
+    if (m_unconfirmed.size() >= max_unconfirmed)
+    {
+        return;
+    }
+    m_unconfirmed.emplace(
+        worker, unconfirmed_registration{std::move(profile), sequence});
+    // The token and the lease of the current incarnation stay as they are if it
+    // is this one that answers.
+    sync_call call;
+    call.worker = worker;
+    call.fencing_token = m_fencing_token;
+    m_hooks.runtime.sync(std::move(call),
+                         [this, worker, epoch = m_epoch](
+                             std::optional<sync_result> const& answer)
+                         {
+                             if (is_current(epoch))
+                             {
+                                 handle_confirmation(worker, answer);
+                             }
+                         });
+}
+
+void worker_agent::handle_confirmation(core::worker_id const& worker,
+                                       std::optional<sync_result> const& answer)
+{
+    auto open = m_unconfirmed.extract(worker);
+    auto& [profile, sequence] = open.mapped();
+    if (!answer || (answer->life && *answer->life != profile.life))
+    {
+        log_unconfirmed(profile, answer);
+        return;
+    }
+    begin_incarnation(std::move(profile));
+    m_sequence = sequence;
+}
+
+void worker_agent::log_unconfirmed(core::worker_profile const& profile,
+                                   std::optional<sync_result> const& answer)
+{
+    if (!is_first_unconfirmed(profile))
+    {
+        return;
+    }
+    auto const answered =
+        answer ? answer->life.value_or(core::incarnation{}).value() : 0;
+    m_hooks.on_event({event_code::worker_unconfirmed,
+                      {text_field("worker", profile.worker.value()),
+                       number_field("life", profile.life.value()),
+                       text_field("known_worker", m_profile->worker.value()),
+                       number_field("known_life", m_profile->life.value()),
+                       number_field("answered_life", answered)}});
+}
+
+bool worker_agent::is_first_unconfirmed(core::worker_profile const& profile)
+{
+    return m_logged_unconfirmed.size() < max_logged_unconfirmed &&
+           m_logged_unconfirmed.insert({profile.worker, profile.life}).second;
+}
+
 bool worker_agent::is_earlier(core::worker_profile const& profile) const
 {
     // The number is a wall time. A lower one is of a later incarnation if the
@@ -112,6 +202,7 @@
         profile.life = core::incarnation(m_profile->life.value() + 1);
     }
     m_successor.reset();
+    m_unconfirmed.clear();
     m_has_late_starts = m_profile.has_value();
     m_hooks.on_event({event_code::worker_registered,
                       {text_field("worker", profile.worker.value()),
--- a/modules/workflow/agent/worker_agent.hpp
+++ b/modules/workflow/agent/worker_agent.hpp
@@ -80,10 +80,14 @@
 
     /// Handles a registration of the worker.
     ///
+    /// One under another id may come from another writer, so it is believed
+    /// only when the worker answers a sync call under that id.
+    ///
     /// @param sequence Increases with each registration of an incarnation; 0 if
     ///        it is unknown.
     /// @return False if it is from an earlier incarnation than the known one,
-    ///         was overtaken by a later one, or the agent was stopped.
+    ///         was overtaken by a later one, names no incarnation while the
+    ///         known one does, is not believed yet, or the agent was stopped.
     bool registered(core::worker_profile profile, std::uint64_t sequence = 0);
 
     /// Handles the worker's notice that it shuts down. It is ignored unless the
@@ -122,6 +126,23 @@
         bool is_suspended = false;
     };
 
+    /// A registration that the worker has not confirmed yet.
+    struct unconfirmed_registration
+    {
+        core::worker_profile profile;
+        std::uint64_t sequence = 0;
+    };
+
+    /// Asks the worker at the runtime's address whether it has this id.
+    void confirm_registration(core::worker_profile profile,
+                              std::uint64_t sequence);
+    void handle_confirmation(core::worker_id const& worker,
+                             std::optional<sync_result> const& answer);
+    void log_unconfirmed(core::worker_profile const& profile,
+                         std::optional<sync_result> const& answer);
+    /// @return True if the registration is to be logged: it is the first of its
+    ///         id and incarnation that is not believed.
+    bool is_first_unconfirmed(core::worker_profile const& profile);
     /// @return True if the registration is of an incarnation that began before
     ///         the current one.
     bool is_earlier(core::worker_profile const& profile) const;
@@ -194,6 +215,10 @@
     core::incarnation m_stated_life;
     /// The incarnation that answered last, if it has not registered yet.
     std::optional<core::incarnation> m_successor;
+    /// Registrations under other ids, each with a sync call in progress.
+    std::map<core::worker_id, unconfirmed_registration> m_unconfirmed;
+    /// Registrations that were logged as not confirmed.
+    std::set<core::worker_incarnation> m_logged_unconfirmed;
     /// True if the agent has seen an earlier incarnation and has no lists of
     /// the current one yet.
     bool m_has_late_starts = false;
--- a/programs/sidecar/worker/worker_service.cpp
+++ b/programs/sidecar/worker/worker_service.cpp
@@ -19,6 +19,10 @@
 /// Added to the time for which control holds a long poll.
 constexpr core::duration poll_timeout_margin = std::chrono::milliseconds(1500);
 
+/// Reasons of refused registrations that are logged. They come from other
+/// writers, so their number has a bound.
+constexpr std::size_t max_reasons = 64;
+
 /// Decodes the leader's answer. An answer that is malformed or has another
 /// code than `ok` makes the link look for the leader.
 ///
@@ -49,9 +53,10 @@
                                telemetry::metrics_registry& metrics)
     : m_io(io),
       m_control(control),
-      m_unreadable_reports(
-          metrics.counter("turmericswitch_sidecar_unreadable_reports_total",
-                          "Workers' reports that could not be read.")),
+      m_runtime(settings.runtime),
+      m_unreadable_reports(metrics.counter(
+          "turmericswitch_sidecar_unreadable_reports_total",
+          "Workers' registrations that name no worker to use.")),
       m_skipped_rows(metrics.counter(
           "turmericswitch_sidecar_skipped_run_rows_total",
           "Rows of workers' lists of runs that could not be read, counted in "
@@ -145,11 +150,21 @@
     hooks.unreadable = [this](std::string const& why)
     {
         m_unreadable_reports.add();
+        if (!is_new_reason(why))
+        {
+            return;
+        }
         m_log.write({core::event_code::message_unreadable,
                      {core::text_field("message", "worker registration"),
                       core::text_field("why", why)}});
     };
-    return platform::registration_routes(std::move(hooks));
+    return platform::registration_routes(m_runtime, std::move(hooks));
+}
+
+bool worker_service::is_new_reason(std::string const& why)
+{
+    std::lock_guard const lock(m_reasons_mutex);
+    return m_reasons.size() < max_reasons && m_reasons.insert(why).second;
 }
 
 void worker_service::stop()
--- a/programs/sidecar/worker/worker_service.hpp
+++ b/programs/sidecar/worker/worker_service.hpp
@@ -9,6 +9,8 @@
 #include "workflow/agent/worker_agent.hpp"
 
 #include <memory>
+#include <mutex>
+#include <set>
 #include <string>
 
 namespace turmericswitch::sidecar
@@ -38,6 +40,8 @@
 
 private:
     workflow::leader_calls make_leader_calls();
+    /// @return True if no registration was refused for this reason before.
+    bool is_new_reason(std::string const& why);
     workflow::agent_hooks make_hooks(core::endpoint const& runtime);
     /// @return Calls to the worker that count the rows skipped in its answers.
     workflow::worker_runtime make_runtime(core::endpoint const& runtime);
@@ -45,6 +49,9 @@
     telemetry::logger m_log{"sidecar"};
     transport::io_pool& m_io;
     shared::control_link& m_control;
+    core::endpoint m_runtime;
+    std::mutex m_reasons_mutex;
+    std::set<std::string> m_reasons;
     telemetry::counter& m_unreadable_reports;
     telemetry::counter& m_skipped_rows;
     std::atomic<bool> m_registered = false;
