--- a/programs/sidecar/worker/worker_service.cpp
+++ b/programs/sidecar/worker/worker_service.cpp
@@ -83,10 +83,10 @@
 worker_service::make_runtime(core::endpoint const& runtime)
 {
     auto calls = platform::make_worker_runtime(m_io, runtime);
-    calls.sync = [this, sync = std::move(calls.sync)](workflow::sync_call call,
-                                                      auto done)
+    calls.sync = [this, sync = std::move(calls.sync)](
+                     workflow::sync_call const& call, auto done)
     {
-        sync(std::move(call),
+        sync(call,
              [this, done = std::move(done)](
                  std::optional<workflow::sync_result> answer)
              {
