--- a/modules/workflow/agent/worker_agent.hpp
+++ b/modules/workflow/agent/worker_agent.hpp
@@ -12,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace turmericswitch::workflow
@@ -79,10 +80,14 @@
 
     /// Handles a registration of the worker.
     ///
+    /// One under another id may come from another writer, so it is believed
+    /// only when the worker answers a sync call under that id.
+    ///
     /// @param sequence Increases with each registration of an incarnation; 0 if
     ///        it is unknown.
     /// @return False if it is from an earlier incarnation than the known one,
-    ///         was overtaken by a later one, or the agent was stopped.
+    ///         was overtaken by a later one, names no incarnation while the
+    ///         known one does, is not believed yet, or the agent was stopped.
     bool registered(core::worker_profile profile, std::uint64_t sequence = 0);
 
     /// Handles the worker's notice that it shuts down. It is ignored unless the
@@ -121,6 +126,23 @@
         bool is_suspended = false;
     };
 
+    /// A registration that the worker has not confirmed yet.
+    struct unconfirmed_registration
+    {
+        core::worker_profile profile;
+        std::uint64_t sequence = 0;
+    };
+
+    /// Asks the worker at the runtime's address whether it has this id.
+    void confirm_registration(core::worker_profile profile,
+                              std::uint64_t sequence);
+    void handle_confirmation(core::worker_id const& worker,
+                             std::optional<sync_result> const& answer);
+    void log_unconfirmed(core::worker_profile const& profile,
+                         std::optional<sync_result> const& answer);
+    /// @return True if the registration is to be logged: it is the first of its
+    ///         id and incarnation that is not believed.
+    bool is_first_unconfirmed(core::worker_profile const& profile);
     /// @return True if the registration is of an incarnation that began before
     ///         the current one.
     bool is_earlier(core::worker_profile const& profile) const;
@@ -129,6 +151,8 @@
     void handle_successor(core::incarnation life);
     /// Logs runs of which the start was meant for an earlier incarnation.
     void log_late_starts();
+    /// Logs each reason for which rows were skipped once per incarnation.
+    void log_skipped_rows(std::vector<skipped_row> const& rows);
     /// Removes the unanswered starts of runs that the worker lists.
     void forget_executed_starts();
     void sync_worker(core::duration wait);
@@ -191,6 +215,10 @@
     core::incarnation m_stated_life;
     /// The incarnation that answered last, if it has not registered yet.
     std::optional<core::incarnation> m_successor;
+    /// Registrations under other ids, each with a sync call in progress.
+    std::map<core::worker_id, unconfirmed_registration> m_unconfirmed;
+    /// Registrations that were logged as not confirmed.
+    std::set<core::worker_incarnation> m_logged_unconfirmed;
     /// True if the agent has seen an earlier incarnation and has no lists of
     /// the current one yet.
     bool m_has_late_starts = false;
@@ -203,6 +231,11 @@
     std::uint64_t m_acknowledged_ends = 0;
     core::duration m_worker_clock{};
     std::optional<core::worker_runs> m_runs;
+    /// True if the worker's last list of ended runs has a row that can't be
+    /// read, and so is not acknowledged.
+    bool m_has_skipped_ends = false;
+    /// Lists and reasons of the skipped rows that were logged.
+    std::set<std::pair<bool, std::string>> m_logged_rows;
     std::set<core::task_run> m_refused;
     crash_witness m_witness;
 
--- a/modules/workflow/tests/worker_agent_fixture.hpp
+++ b/modules/workflow/tests/worker_agent_fixture.hpp
@@ -91,6 +91,15 @@
         one.done(std::move(result));
     }
 
+    /// Answers the sync call that was begun last.
+    void answer_last_sync(std::optional<sync_result> result)
+    {
+        CPPUNIT_ASSERT(!m_syncs.empty());
+        auto const last = std::move(m_syncs.back());
+        m_syncs.pop_back();
+        last.done(std::move(result));
+    }
+
     void grant(std::uint64_t token,
                core::duration lease_until = std::chrono::seconds(5))
     {
@@ -128,6 +137,14 @@
                            { return each.code == code; });
     }
 
+    int count_of(core::event_code code) const
+    {
+        return static_cast<int>(std::count_if(m_events.begin(),
+                                              m_events.end(),
+                                              [code](core::event const& each)
+                                              { return each.code == code; }));
+    }
+
     core::runtime_report const& last_report() const
     {
         CPPUNIT_ASSERT(!m_reports.empty());
