Replace a voter that the new leader hasn't heard after 1.2 s

Cause: each new leader waited for the whole timeout of 2.5 s before it removed a lost voter. After an election of 1.4 to 2.2 s the group was whole only 4.04 to 5.08 s after the last disturbance, but the next loss may come after 4 s.

A voter that hasn't answered the new leader was already silent during the election, so it is removed after 1.2 s, if enough members are available without it.

The membership simulation uses the new names of the planner.

--- a/modules/consensus/membership/membership_planner.cpp
+++ b/modules/consensus/membership/membership_planner.cpp
@@ -69,6 +69,14 @@
     return std::nullopt;
 }
 
+core::duration timeout_of(membership_view const& view,
+                          group_member const& voter,
+                          membership_limits const& limits)
+{
+    return has_answered(view, voter) ? limits.voter_timeout
+                                     : limits.unheard_voter_timeout;
+}
+
 /// @return The removal of a voter that does not answer, if enough voters and
 /// learners that have caught up answer to replace it.
 std::optional<membership_change>
@@ -84,7 +92,7 @@
         {
             available += has_caught_up(view, member);
         }
-        else if (is_silent(view, member, limits.voter_timeout, now))
+        else if (is_silent(view, member, timeout_of(view, member, limits), now))
         {
             unresponsive = member;
         }
--- a/modules/consensus/membership/membership_planner.hpp
+++ b/modules/consensus/membership/membership_planner.hpp
@@ -19,6 +19,9 @@
     /// Time without an answer after which a voter may be removed in favour of
     /// another; longer than a restart of its process.
     core::duration voter_timeout = std::chrono::milliseconds(2500);
+    /// The same for a voter that has not answered this leader. Shorter, because
+    /// it was silent before for at least as long as the election took.
+    core::duration unheard_voter_timeout = std::chrono::milliseconds(1200);
     /// Time without an answer after which no learner is promoted until the
     /// voter answers or is removed; several heartbeat intervals.
     core::duration promotion_hold_timeout = std::chrono::seconds(1);
--- a/modules/consensus/tests/membership_planner_test.cpp
+++ b/modules/consensus/tests/membership_planner_test.cpp
@@ -38,6 +38,7 @@
     CPPUNIT_TEST(silence_before_the_first_answer_counts_from_the_election);
     CPPUNIT_TEST(instance_at_another_address_replaces_an_unresponsive_one);
     CPPUNIT_TEST(successor_that_has_not_answered_replaces_nobody);
+    CPPUNIT_TEST(voter_unheard_since_the_election_is_replaced_sooner);
     CPPUNIT_TEST(unresponsive_voter_stays_without_a_replacement);
     CPPUNIT_TEST(unresponsive_voter_stays_until_its_replacement_has_caught_up);
     CPPUNIT_TEST(unresponsive_learner_is_removed);
@@ -157,6 +158,18 @@
         CPPUNIT_ASSERT(!next_change());
     }
 
+    // Guards against a group that stays one failure away from losing its quorum
+    // for the time of an election longer: each new leader would wait for the
+    // whole timeout again.
+    void voter_unheard_since_the_election_is_replaced_sooner()
+    {
+        m_silent = {3};
+        m_view.members.members.push_back(member(100, "10.0.0.9", true, 8));
+        CPPUNIT_ASSERT(!next_change());
+        m_unheard = {3};
+        expect(membership_change_kind::remove, 3);
+    }
+
     // Guards against removing an unresponsive voter too early: a second loss
     // would then leave the group without a quorum.
     void unresponsive_voter_stays_without_a_replacement()
--- a/tests/support/membership_simulation.cpp
+++ b/tests/support/membership_simulation.cpp
@@ -394,7 +394,7 @@
     consensus::membership_view view{which.id, node.membership(), {}};
     for (auto const& status : node.replication())
     {
-        view.contacts[status.member] = {
+        view.followers[status.member] = {
             status.last_answer, status.has_answered, status.has_caught_up};
     }
     if (auto const next =
