Compute the replication status once for the metrics of a tick

update_replication_metrics asked the replica for the status of the other members twice on the leader, once alone and once as part of the group's view. It takes the one in the view; an instance that doesn't lead asks as before. An unused binding in peer_links is gone.

--- a/programs/control/node/control_node.cpp
+++ b/programs/control/node/control_node.cpp
@@ -319,16 +319,17 @@
 void control_node::update_replication_metrics()
 {
     m_commit_stall_us = m_replica.commit_stall().count();
-    auto statuses = m_replica.replication();
-    auto const view = m_replica.group_view();
+    auto view = m_replica.group_view();
     std::lock_guard const lock(m_replication_mutex);
-    m_replication = std::move(statuses);
     m_redundancy.reset();
-    if (view)
+    if (!view)
     {
-        m_redundancy =
-            consensus::redundancy_of(*view, {}, process::event_loop::now());
+        m_replication = m_replica.replication();
+        return;
     }
+    m_redundancy =
+        consensus::redundancy_of(*view, {}, process::event_loop::now());
+    m_replication = std::move(view->others);
 }
 
 void control_node::manage_membership(core::group_member self,
--- a/programs/control/node/peer_links.cpp
+++ b/programs/control/node/peer_links.cpp
@@ -108,9 +108,9 @@
                       auto const address = address_of(item.first);
                       return !address || *address != item.second->peer();
                   });
-    for (auto const& [id, peer] : m_listed)
+    for (auto const& listed : m_listed)
     {
-        link_to(id);
+        link_to(listed.first);
     }
 }
 
