--- a/review/harness/deployment.py
+++ b/review/harness/deployment.py
@@ -152,6 +152,7 @@
         self.labels = labels
         self.id = "i-" + machine.name
         self.process = None
+        self.records_calls = False
 
     def start(self):
         machine = self.machine
@@ -168,6 +169,7 @@
             "mem-mb": 128000,
             "max-hold-ms": BOUNDS["max_hold_ms"],
             "heartbeat-ms": 1100,
+            "record-calls": int(self.records_calls),
         }
         words = [sys.executable, os.path.join(ROOT, "review", "harness", "minion.py")]
         for name, text in options.items():
@@ -180,6 +182,14 @@
         self.process.kill()
         self.process.wait()
 
+    def be_late(self, is_late):
+        """While it is late, the minion leaves calls without an answer and carries them out seconds later."""
+        path = f"{self.deployment.minion_record}.late.{self.id}"
+        if is_late:
+            open(path, "w").close()
+        else:
+            os.remove(path)
+
 
 class Deployment:
     def __init__(self, case_folder, side_machines, labels_of):
@@ -384,17 +394,19 @@
     }
 
 
-def run_case(case_folder, play, side_machines, labels_of):
+def run_case(case_folder, play, side_machines, labels_of, prepare=lambda deployment: None):
     """Plays a case and exits with its result.
 
     :param play: Gets the deployment and whether the disruption is wanted; returns the reason
                  why the rule is broken, or an empty text.
+    :param prepare: Gets the deployment before anything is started.
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
     deployment = None
     status, verdict = NOT_RUN, "NOT RUN"
     try:
         deployment = Deployment(case_folder, side_machines, labels_of)
+        prepare(deployment)
         deployment.note("begin", trouble=int(trouble))
         deployment.start()
         broken = play(deployment, trouble)
@@ -404,7 +416,6 @@
         verdict = f"NOT RUN: {error}"
     finally:
         if deployment:
-            deployment.stop_error = None
             try:
                 deployment.write_record(verdict)
             finally:
--- a/review/harness/minion.py
+++ b/review/harness/minion.py
@@ -18,6 +18,8 @@
 STOP_S = 0.05
 # A prime, so that the work of tasks differs without an order.
 SPREAD = 7919
+# Time after which a call that gets no answer is carried out.
+LATE_S = 10.0
 
 
 class Minion:
@@ -133,6 +135,17 @@
             running.append([task, attempt, "", at_work, 0])
         return OK, {"running": running, "ended": self.ended[:MAX_LISTED_ENDS]}
 
+    def is_late(self):
+        """While this file exists, calls get no answer and are carried out late."""
+        return os.path.exists(self.options.record + ".late." + self.options.id)
+
+    async def carry_out_late(self, path, headers, body):
+        self.record("call left unanswered", path=path)
+        await asyncio.sleep(LATE_S)
+        self.record("call carried out late", path=path)
+        await self.answer(path, headers, body)
+        await asyncio.sleep(3600)
+
     async def answer(self, path, headers, body):
         expected = headers.get("x-expected-instance")
         if expected is not None and expected != self.options.id:
@@ -157,7 +170,14 @@
                 head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
                 headers = dict(line.lower().split(": ", 1) for line in head[1:] if ": " in line)
                 body = await reader.readexactly(int(headers.get("content-length", 0)))
-                status, fields = await self.answer(head[0].split()[1], headers, body)
+                path = head[0].split()[1]
+                if self.options.record_calls:
+                    self.record("call", path=path)
+                if self.is_late():
+                    await self.carry_out_late(path, headers, body)
+                status, fields = await self.answer(path, headers, body)
+                if path == "/hold" and self.options.record_calls:
+                    self.record("hold answered")
                 fields["server_time_ms"] = self.clock()
                 fields["born"] = self.born
                 text = json.dumps(fields).encode()
@@ -224,7 +244,7 @@
     parser = argparse.ArgumentParser()
     for name in ("id", "ip", "sidecar", "service", "zone", "labels", "record"):
         parser.add_argument("--" + name, required=True)
-    for name in ("port", "cpu", "mem-mb", "max-hold-ms", "heartbeat-ms"):
+    for name in ("port", "cpu", "mem-mb", "max-hold-ms", "heartbeat-ms", "record-calls"):
         parser.add_argument("--" + name, type=int, required=True)
     options = parser.parse_args()
 
