--- a/review/2/case.py
+++ b/review/2/case.py
@@ -11,8 +11,9 @@
 MINIONS = 9
 LABEL = "b"
 COUNT = 3200
-WORK_MS = 700
-MORE_MS = 600
+WORK_MS = 2500
+# Later tasks of the step are shorter, so the first ones end last.
+LESS_US = 350
 SIDECAR_DOWN_S = 1.0
 
 
@@ -37,21 +38,28 @@
     ]
 
 
+def wait_for_first_end(deployment):
+    until = time.monotonic() + 10
+    while time.monotonic() < until:
+        if any(each["what"] == "end" for each in deployment.minion_events()):
+            return
+        time.sleep(0.01)
+    raise d.NotRun("no task ended")
+
+
 def play(deployment, trouble):
     deployment.put_config([d.route()])
     deployment.wait_ready()
     time.sleep(2)
     job = {
-        "task_spec": json.dumps({"work_ms": WORK_MS, "more_ms": MORE_MS}),
+        "task_spec": json.dumps({"work_ms": WORK_MS, "less_us": LESS_US}),
         "phases": [
             {"count": COUNT, "cpu": 10, "mem_mb": 10, "estimate_ms": WORK_MS, "required_label": LABEL}
         ],
     }
     if deployment.consumer("POST", JOB, job)[0] != 200:
         raise d.NotRun("the submission was not accepted")
-    until = time.monotonic() + 0.6
-    while time.monotonic() < until and len(starts_of(deployment.minion_events())) < COUNT:
-        time.sleep(0.02)
+    wait_for_first_end(deployment)
     deployment.note("tasks started", count=len(starts_of(deployment.minion_events())))
     if trouble:
         machine = deployment.minions[0].machine
--- a/review/harness/deployment.py
+++ b/review/harness/deployment.py
@@ -18,6 +18,7 @@
 import threading
 import time
 import tomllib
+import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 FRONT, READINESS, CONTROL, APP = 8161, 8167, 8166, 8080
@@ -223,8 +224,10 @@
             self.events.append({"t": round(time.monotonic(), 4), "what": what, **fields})
 
     def minion_events(self):
-        with open(self.minion_record) as file:
-            return [json.loads(line) for line in file if line.endswith("\n")]
+        with open(self.minion_record, "rb") as file:
+            content = file.read()
+        # The last line may be incomplete.
+        return [json.loads(line) for line in content[: content.rfind(b"\n") + 1].splitlines()]
 
     def write_record(self, verdict):
         events = sorted(self.events + self.minion_events(), key=lambda each: each["t"])
@@ -394,6 +397,10 @@
     }
 
 
+def end_run(*_):
+    raise NotRun("the time is over")
+
+
 def run_case(case_folder, play, side_machines, labels_of, prepare=lambda deployment: None):
     """Plays a case and exits with its result.
 
@@ -402,6 +409,7 @@
     :param prepare: Gets the deployment before anything is started.
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    signal.signal(signal.SIGTERM, end_run)
     deployment = None
     status, verdict = NOT_RUN, "NOT RUN"
     try:
@@ -414,6 +422,9 @@
         verdict = f"BROKEN: {broken}" if broken else "HELD"
     except NotRun as error:
         verdict = f"NOT RUN: {error}"
+    except Exception as error:
+        traceback.print_exc()
+        verdict = f"NOT RUN: {error!r}"
     finally:
         if deployment:
             try:
--- a/review/harness/minion.py
+++ b/review/harness/minion.py
@@ -1,8 +1,9 @@
 """Stand-in of a minion: one boot in one process.
 
 It follows the pages "Running tasks" and "Service discovery". `task_spec` of the
-stand-in's consumer is a JSON text: the work of a task is `work_ms` and up to
-`more_ms`, which differs from task to task. A task that lasts has no `work_ms`. Every call and every change of a run is
+stand-in's consumer is a JSON text: the work of a task is `work_ms`, up to
+`more_ms` more, which differs from task to task, and `less_us` less for each
+task of the step before it. A task that lasts has no `work_ms`. Every call and every change of a run is
 written to the record file as one JSON object a line, with the time of the
 steady clock of the machine.
 """
@@ -94,6 +95,7 @@
         if "work_ms" in spec:
             index = int(run[0].rsplit(".", 1)[1])
             work_ms = spec["work_ms"] + index * SPREAD % max(1, spec.get("more_ms", 0))
+            work_ms = max(1, work_ms - index * spec.get("less_us", 0) / 1000)
             timer = asyncio.get_running_loop().call_later(work_ms / 1000, self.end, run, "done")
         self.running[run] = {"timer": timer, "began": time.monotonic()}
         self.record("start", task=run[0], attempt=run[1], token=body["fencing_token"])
