--- a/modules/store/state/checksummed_file.cpp
+++ b/modules/store/state/checksummed_file.cpp
@@ -31,6 +31,15 @@
            file->append(payload) && file->sync();
 }
 
+/// Frees the space of a file that could not be written, and keeps the reason of
+/// that failure as last reason.
+void remove_partial_file(file_system& files, std::string const& path)
+{
+    auto const reason = core::last_reason();
+    files.remove(path);
+    core::fail_bool(reason.code, reason.text);
+}
+
 } // namespace
 
 bool has_file(file_system& files,
@@ -53,8 +62,12 @@
     {
         return false;
     }
-    return write_new_file(files, path, payload) &&
-           files.rename(path, folder + "/" + name) && files.sync_folder(folder);
+    if (!write_new_file(files, path, payload))
+    {
+        remove_partial_file(files, path);
+        return false;
+    }
+    return files.rename(path, folder + "/" + name) && files.sync_folder(folder);
 }
 
 std::optional<std::string> read_checksummed_file(file_system& files,
