Control: a start on a full disk waits until the disk takes bytes

Cause: recovery that found the disk full or a sync failing ended the process; each end on its own counts against the instance and costs a start. Change: serve() tries the recovery again every 500 ms, logs the reason each time and heeds a shutdown signal. Other reasons end the process as before. Not covered by a test: the programs run on real files.

--- a/programs/control/main.cpp
+++ b/programs/control/main.cpp
@@ -130,6 +130,42 @@
         web::router(std::move(routes)));
 }
 
+/// Time between two attempts to read the state from a disk that is full.
+constexpr core::duration recovery_retry_interval =
+    std::chrono::milliseconds(500);
+
+/// Recovers the state. While the disk takes no bytes, it tries again, because
+/// the process could do no better after a restart.
+///
+/// @return Nothing with the reason if the state can't be recovered, or if a
+/// shutdown signal arrived first.
+std::optional<replica_parts>
+recover_when_disk_works(store::file_system& files,
+                        control_settings const& settings,
+                        start_mode mode,
+                        process::shutdown_signal& signal)
+{
+    telemetry::logger const log("control");
+    for (;;)
+    {
+        auto parts = recover(files, settings, mode, process::random_seed());
+        auto const why = core::last_reason();
+        bool const may_pass = why.code == core::result_code::disk_full ||
+                              why.code == core::result_code::sync_failed;
+        if (parts || !may_pass)
+        {
+            return parts;
+        }
+        log.write({core::event_code::storage_failed,
+                   {core::text_field("why", why.text)}});
+        if (signal.wait_for(recovery_retry_interval))
+        {
+            core::fail_bool(why.code, why.text);
+            return std::nullopt;
+        }
+    }
+}
+
 /// Runs the instance until a shutdown signal arrives.
 ///
 /// @return False with the reason if it could not start.
@@ -144,7 +180,7 @@
         return false;
     }
     store::real_file_system files;
-    auto parts = recover(files, settings, mode, process::random_seed());
+    auto parts = recover_when_disk_works(files, settings, mode, signal);
     if (!parts)
     {
         return false;
