Control: a member takes part again after its disk has failed

Cause: one failed write silenced a member until its process was restarted, which nothing did. log_writer, hard_state_store and the halted raft node each kept the failure for good.

Change: the member stays silent while its disk fails, so that the group counts it as lost, and opens its stores again every 250 ms (up to 2 s if the disk fails again soon). What the last sync didn't cover is truncated, the rest is read back from the files, and the node continues as after a restart. A failed sync is never repeated: later batches go to new segments. The role is always reported after a failed write, and all callers are answered: the actions behind a failed write are discarded, and the end of a leadership could be among them. leader_silent says why a member takes no part; status, ctl, metrics and readiness name the failure.

Without the call that opens the stores again, four tests of replica_test fail; without the report of the role, or the answers, unsaved_term_ends_leadership_and_its_calls does. follower_stops_on_a_full_disk and failed_vote_is_not_sent hold unchanged; leader_stops_after_a_failed_sync now keeps the disk failing while it expects silence, since a disk that works again is used again.

--- a/modules/consensus/node/raft_events.hpp
+++ b/modules/consensus/node/raft_events.hpp
@@ -1,6 +1,7 @@
 #ifndef TURMERICSWITCH_CONSENSUS_NODE_RAFT_EVENTS_HPP
 #define TURMERICSWITCH_CONSENSUS_NODE_RAFT_EVENTS_HPP
 
+#include "consensus/node/raft_options.hpp"
 #include "core/messages/consensus.hpp"
 #include "core/results/result_code.hpp"
 #include "core/types/units.hpp"
@@ -92,11 +93,18 @@
 };
 
 /// A write or sync failed. The node steps down and sends no more messages
-/// until the process is restarted.
+/// until `storage_recovered`.
 struct storage_failed
 {
 };
 
+/// The stores work again after `storage_failed`. The node continues as after a
+/// restart, with what was read back from them.
+struct storage_recovered
+{
+    recovered_state state;
+};
+
 /// The transport no longer holds the message of a tracked `send`.
 struct delivery_ended
 {
@@ -115,6 +123,7 @@
                            snapshot_taken,
                            transfer_leadership,
                            storage_failed,
+                           storage_recovered,
                            delivery_ended>;
 
 // Actions. The driver executes them in order. `persist_hard_state`, `truncate`
--- a/modules/consensus/node/raft_node.cpp
+++ b/modules/consensus/node/raft_node.cpp
@@ -216,6 +216,24 @@
     // No later state can be made durable, so no message may be sent.
     m_hard_state_dirty = false;
     m_halted = true;
+    // The driver may have discarded an earlier change of the role together with
+    // the write that failed.
+    report_role();
+}
+
+void raft_node::on(storage_recovered const& input)
+{
+    if (!m_halted)
+    {
+        return;
+    }
+    raft_node restarted(m_options, input.state, m_random, m_now);
+    // The transport may still hold messages of the time before, so their ids
+    // must not be used again.
+    restarted.m_deliveries = std::move(m_deliveries);
+    restarted.m_last_leader_contact = m_last_leader_contact;
+    *this = std::move(restarted);
+    report_role();
 }
 
 void raft_node::on(delivery_ended const& input)
--- a/modules/consensus/node/raft_node.hpp
+++ b/modules/consensus/node/raft_node.hpp
@@ -85,6 +85,7 @@
     void on(snapshot_taken const& input);
     void on(transfer_leadership const&);
     void on(storage_failed const&);
+    void on(storage_recovered const& input);
     void on(delivery_ended const& input);
 
     void receive(core::vote_request const& body);
--- a/modules/consensus/tests/raft_fuzz_test.cpp
+++ b/modules/consensus/tests/raft_fuzz_test.cpp
@@ -360,7 +360,13 @@
         group.set_network(step.amount % 30, step.member % 20);
         break;
     case 5:
-        group.restart(member);
+        if (step.amount % 2 == 0)
+        {
+            group.restart(member);
+            break;
+        }
+        group.disk(member).set_space(std::nullopt);
+        group.recover_storage(member);
         break;
     case 6:
         propose_two_removals(group, step.member);
--- a/modules/core/events/event_code.hpp
+++ b/modules/core/events/event_code.hpp
@@ -91,6 +91,7 @@
     leader_silent = 467,
     members_without_vote = 468,
     catch_up_stalled = 469,
+    storage_recovered = 470,
     workers_relearned = 481,
 };
 
@@ -218,6 +219,7 @@
     event_entry{event_code::catch_up_stalled,
                 "catch_up_stalled",
                 event_severity::warning},
+    event_entry{event_code::storage_recovered, "storage_recovered"},
     event_entry{event_code::workers_relearned, "workers_relearned"},
 };
 
--- a/modules/store/log/log_store.cpp
+++ b/modules/store/log/log_store.cpp
@@ -62,6 +62,50 @@
     return log;
 }
 
+bool log_store::reopen(log_base base)
+{
+    if (!truncate_unsynced())
+    {
+        return mark_failed();
+    }
+    m_active = nullptr;
+    m_segments.clear();
+    m_recovered.clear();
+    m_failed = false;
+    if (!recover(base))
+    {
+        return mark_failed();
+    }
+    for (auto& each : m_segments)
+    {
+        each.is_sealed = true;
+    }
+    return true;
+}
+
+/// Only the last segment may have bytes that were not synced. A removal of it
+/// may have been carried out although it was reported as failed.
+bool log_store::truncate_unsynced()
+{
+    auto const names = m_files->list(m_folder);
+    if (!names)
+    {
+        return false;
+    }
+    if (!m_segments.empty())
+    {
+        auto const& last = m_segments.back();
+        bool const exists = std::binary_search(
+            names->begin(), names->end(), segment_name(last.first_index));
+        if (exists &&
+            !m_files->truncate(segment_path(last.first_index), last.size))
+        {
+            return false;
+        }
+    }
+    return m_files->sync_folder(m_folder);
+}
+
 std::vector<core::log_entry> log_store::take_recovered()
 {
     return std::exchange(m_recovered, {});
@@ -180,10 +224,12 @@
     }
     assert(entries.front().index.value() == m_last.value() + 1);
     bool const is_new_segment =
-        m_segments.empty() || m_segments.back().size >= m_options.segment_bytes;
+        m_segments.empty() || m_segments.back().is_sealed ||
+        m_segments.back().size >= m_options.segment_bytes;
     if (is_new_segment)
     {
-        m_segments.push_back({entries.front().index.value(), {}, 0});
+        m_segments.emplace_back();
+        m_segments.back().first_index = entries.front().index.value();
         m_active = nullptr;
     }
     auto& current = m_segments.back();
@@ -340,9 +386,9 @@
 
 bool log_store::check_writable() const
 {
-    return !m_failed || core::fail_bool(result_code::sync_failed,
-                                        "an earlier write to " + m_folder +
-                                            " failed; restart the process");
+    return !m_failed ||
+           core::fail_bool(result_code::sync_failed,
+                           "an earlier write to " + m_folder + " failed");
 }
 
 bool log_store::mark_failed()
--- a/modules/store/log/log_store.hpp
+++ b/modules/store/log/log_store.hpp
@@ -30,8 +30,9 @@
 /// The consensus log on disk: segments of checksummed records, one sync per
 /// batch. Use one per data folder and call it from one thread.
 ///
-/// After a failed sync every further write is refused until the process is
-/// restarted, because the kernel may have dropped the unsynced pages.
+/// After a failed write that could not be undone, and after a failed sync,
+/// every further write is refused until `reopen` succeeds: the kernel may have
+/// dropped the unsynced pages, so that a second sync would prove nothing.
 class log_store
 {
 public:
@@ -48,7 +49,17 @@
                                          log_base base,
                                          log_options options = {});
 
-    /// @return The entries found by open(); empty from the second call on.
+    /// Truncates what the last successful sync did not cover, reads all entries
+    /// back from the files, and accepts writes again. Later batches go to new
+    /// segments, because a sync of a file that has lost pages proves nothing.
+    ///
+    /// @param base As for open().
+    /// @return False with the reason as for open(); writes are then refused
+    /// until a later call succeeds.
+    bool reopen(log_base base);
+
+    /// @return The entries found by the last open() or reopen(); empty from the
+    /// second call on.
     std::vector<core::log_entry> take_recovered();
 
     /// Appends a batch and syncs once.
@@ -83,10 +94,13 @@
         /// Offset of each record in the file, in order of index.
         std::vector<std::uint64_t> offsets;
         std::uint64_t size = 0;
+        /// Takes no further entries.
+        bool is_sealed = false;
     };
 
     log_store(file_system& files, std::string folder, log_options options);
 
+    bool truncate_unsynced();
     bool recover(log_base base);
     bool recover_segment(std::string const& name, bool is_last);
     bool truncate_torn_tail(std::string const& content,
--- a/modules/store/state/hard_state_store.cpp
+++ b/modules/store/state/hard_state_store.cpp
@@ -116,4 +116,15 @@
     return !m_failed;
 }
 
+std::optional<core::hard_state> hard_state_store::reopen()
+{
+    auto const state = load();
+    if (!state)
+    {
+        return std::nullopt;
+    }
+    m_failed = false;
+    return save(*state) ? state : std::nullopt;
+}
+
 } // namespace turmericswitch::store
--- a/modules/store/state/hard_state_store.hpp
+++ b/modules/store/state/hard_state_store.hpp
@@ -55,9 +55,17 @@
     std::optional<core::hard_state> load();
 
     /// Replaces term and vote durably. After a failure every further call is
-    /// refused with `sync_failed`.
+    /// refused with `sync_failed` until `reopen` succeeds.
     bool save(core::hard_state const& state);
 
+    /// Reads term and vote back after a failure, writes them to a new file and
+    /// accepts changes again. What could not be saved may have reached the
+    /// disk or not; either is safe if no message relied on it.
+    ///
+    /// @return Term and vote, or nothing with the reason why the disk still
+    /// can't be used.
+    std::optional<core::hard_state> reopen();
+
 private:
     file_system* m_files;
     std::string m_folder;
--- a/modules/store/state/snapshot_store.cpp
+++ b/modules/store/state/snapshot_store.cpp
@@ -53,6 +53,11 @@
            remove_old();
 }
 
+bool snapshot_store::sync()
+{
+    return m_files->sync_folder(m_folder);
+}
+
 std::optional<stored_snapshot> snapshot_store::load_newest()
 {
     auto const found = names();
--- a/modules/store/state/snapshot_store.hpp
+++ b/modules/store/state/snapshot_store.hpp
@@ -34,6 +34,10 @@
     /// snapshots are then still in place.
     bool save(stored_snapshot const& snapshot);
 
+    /// Makes earlier renames and removals durable. Call it after a failed
+    /// save, before the log is compacted up to what `load_newest` finds.
+    bool sync();
+
     /// @return The newest undamaged snapshot; an empty one with index 0 when
     /// there is none; nothing with `snapshot_damaged` when all are
     /// damaged, or `io_failed`.
--- a/modules/store/tests/log_store_test.cpp
+++ b/modules/store/tests/log_store_test.cpp
@@ -140,6 +140,11 @@
             // Accepting it would acknowledge pages that the kernel dropped.
             RC_ASSERT(!m_log->append(fresh));
         }
+        if (!accepted && amount % 2 == 0)
+        {
+            reopen_in_place();
+            return;
+        }
         if (crashes)
         {
             m_disk.crash();
@@ -147,6 +152,18 @@
         }
     }
 
+    void reopen_in_place()
+    {
+        RC_ASSERT(m_log->reopen(m_base));
+        auto found = m_log->take_recovered();
+        std::erase_if(found,
+                      [this](auto const& entry)
+                      { return entry.index <= m_base.index; });
+        // What a failed batch left in the file must not be taken as durable.
+        RC_ASSERT(found == m_entries);
+        RC_ASSERT(m_log->last_index().value() == last());
+    }
+
     void reopen()
     {
         m_log = open(m_disk, m_base, small_segments);
@@ -200,6 +217,8 @@
     CPPUNIT_TEST(missing_segment_is_reported);
     CPPUNIT_TEST(disk_full_in_a_batch_accepts_none_of_it);
     CPPUNIT_TEST(failed_sync_refuses_later_writes);
+    CPPUNIT_TEST(reopened_log_keeps_what_was_synced);
+    CPPUNIT_TEST(log_stays_refused_until_the_disk_works);
     CPPUNIT_TEST(gap_to_the_snapshot_is_reported);
     CPPUNIT_TEST(log_older_than_the_snapshot_is_dropped);
     CPPUNIT_TEST(log_of_another_term_is_dropped);
@@ -297,6 +316,43 @@
         expect_reopens_with(disk, 2);
     }
 
+    // Guards against a store that needs a restart after a failed sync, and
+    // against later batches in a file that lost pages: they would be gone after
+    // a loss of power although their sync succeeded.
+    void reopened_log_keeps_what_was_synced()
+    {
+        fake_file_system disk;
+        auto log = open(disk);
+        append_singly(*log, 1, 2);
+        disk.fail_next_sync();
+        CPPUNIT_ASSERT(!log->append(batch(3, 4)));
+        CPPUNIT_ASSERT(log->reopen({}));
+        CPPUNIT_ASSERT(log->take_recovered() == batch(1, 2));
+        append_singly(*log, 3, 2);
+        disk.crash();
+        expect_reopens_with(disk, 4);
+    }
+
+    // Guards against a reopened store that takes writes on a disk that still
+    // fails, and against one that gives up after the first attempt.
+    void log_stays_refused_until_the_disk_works()
+    {
+        fake_file_system disk;
+        auto log = open(disk);
+        append_singly(*log, 1, 2);
+        disk.fail_syncs(true);
+        for (int attempt = 0; attempt < 3; ++attempt)
+        {
+            CPPUNIT_ASSERT(!log->append(batch(3, 1)));
+            CPPUNIT_ASSERT(log->reopen({}));
+            CPPUNIT_ASSERT(log->take_recovered() == batch(1, 2));
+        }
+        disk.fail_syncs(false);
+        append_singly(*log, 3, 1);
+        disk.crash();
+        expect_reopens_with(disk, 3);
+    }
+
     // Guards against a state machine that skips the entries between snapshot
     // and log.
     void gap_to_the_snapshot_is_reported()
--- a/programs/control/node/control_node.cpp
+++ b/programs/control/node/control_node.cpp
@@ -34,6 +34,9 @@
       m_leaderships(
           m_metrics.counter("turmericswitch_control_leaderships_total",
                             "Leaderships begun by this instance.")),
+      m_storage_failures(
+          m_metrics.counter("turmericswitch_control_storage_failures_total",
+                            "Times that a write or sync failed.")),
       m_duty_settings(duties),
       m_dispatch(dispatch),
       m_io(io),
@@ -136,10 +139,23 @@
     hooks.storage_failed = [this](std::string const& why)
     {
         m_storage_failed = true;
-        // The instance sends no more consensus messages until it is restarted.
+        m_storage_failures.add();
         m_log.write(
             {core::event_code::storage_failed, {core::text_field("why", why)}});
     };
+    hooks.storage_recovered = [this](storage_recovery const& recovery)
+    {
+        m_storage_failed = false;
+        m_last_recovered_index =
+            std::max(m_last_recovered_index, recovery.applied_before);
+        m_log.write(
+            {core::event_code::storage_recovered,
+             {core::time_field("failed_ms", recovery.failed_for),
+              core::number_field("attempts", recovery.attempts),
+              core::number_field("applied_before",
+                                 recovery.applied_before.value()),
+              core::number_field("last_index", recovery.last_index.value())}});
+    };
     hooks.on_event = [this](core::event const& what) { m_log.write(what); };
     return hooks;
 }
@@ -204,6 +220,10 @@
     m_metrics.add_gauge_hook("turmericswitch_control_is_leader",
                              "1 while this instance leads.",
                              [this] { return m_leads ? 1.0 : 0.0; });
+    m_metrics.add_gauge_hook("turmericswitch_control_storage_failed",
+                             "1 while this instance can't write to its disk "
+                             "and takes no part in the group.",
+                             [this] { return m_storage_failed ? 1.0 : 0.0; });
     m_metrics.add_gauge_hook(
         "turmericswitch_control_applied_index",
         "Index of the last applied entry.",
@@ -519,7 +539,8 @@
 {
     if (m_storage_failed)
     {
-        return "storage failed; repair the disk and restart the instance";
+        return "storage failed; the instance tries the disk again until it "
+               "works";
     }
     return m_knows_leader ? std::string()
                           : "the leader of the control group is unknown";
--- a/programs/control/node/control_node.hpp
+++ b/programs/control/node/control_node.hpp
@@ -118,6 +118,7 @@
     leader_watch_hub m_leader_watches;
     telemetry::counter& m_commands;
     telemetry::counter& m_leaderships;
+    telemetry::counter& m_storage_failures;
     duty_settings m_duty_settings;
     workflow::dispatch_options m_dispatch;
     std::atomic<bool> m_knows_leader = false;
@@ -137,8 +138,9 @@
     transport::io_pool& m_io;
     std::uint64_t m_seed;
     core::group_membership m_contacts;
-    /// Last log entry found on disk at the start. Operator commands up to it
-    /// were logged when they were first applied.
+    /// Last log entry found on disk at the start, or applied before the storage
+    /// failed. Operator commands up to it were logged when they were first
+    /// applied.
     core::log_index m_last_recovered_index;
     peer_links m_links;
     process::event_loop m_loop;
--- a/programs/control/node/log_writer.cpp
+++ b/programs/control/node/log_writer.cpp
@@ -76,6 +76,11 @@
     return oldest.value() == 0 || m_log.compact_prefix(oldest);
 }
 
+void log_writer::reopen(reopened_hook on_reopened)
+{
+    enqueue(reopen_work{std::move(on_reopened)});
+}
+
 void log_writer::enqueue(work item)
 {
     {
@@ -120,7 +125,14 @@
                 continue;
             }
             write(std::exchange(batch, {}));
-            run_exclusive(std::get<exclusive_work>(item));
+            if (auto* const exclusive = std::get_if<exclusive_work>(&item))
+            {
+                run_alone(*exclusive);
+            }
+            else
+            {
+                run_alone(std::get<reopen_work>(item));
+            }
         }
         write(batch);
     }
@@ -150,7 +162,7 @@
     }
 }
 
-void log_writer::run_exclusive(exclusive_work& item)
+void log_writer::run_alone(exclusive_work& item)
 {
     bool const is_done = !m_has_failed && item.run();
     item.done.set_value(is_done);
@@ -160,4 +172,26 @@
     }
 }
 
+void log_writer::run_alone(reopen_work& item)
+{
+    auto found = reopen_stores();
+    m_has_failed = !found;
+    item.on_reopened(std::move(found));
+}
+
+std::optional<stored_log> log_writer::reopen_stores()
+{
+    if (!m_snapshots.sync())
+    {
+        return std::nullopt;
+    }
+    auto snapshot = m_snapshots.load_newest();
+    if (!snapshot || !m_log.reopen({snapshot->metadata.last_index,
+                                    snapshot->metadata.last_term}))
+    {
+        return std::nullopt;
+    }
+    return stored_log{std::move(*snapshot), m_log.take_recovered()};
+}
+
 } // namespace turmericswitch::control
--- a/programs/control/node/log_writer.hpp
+++ b/programs/control/node/log_writer.hpp
@@ -10,6 +10,7 @@
 #include <future>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <thread>
 #include <variant>
 #include <vector>
@@ -17,10 +18,17 @@
 namespace turmericswitch::control
 {
 
+/// What the log and snapshot stores hold.
+struct stored_log
+{
+    store::stored_snapshot snapshot;
+    std::vector<core::log_entry> entries;
+};
+
 /// Writes the log and snapshots on its own thread, so that a slow sync does
 /// not delay heartbeats. Queued appends are combined into one sync. After a
-/// failure nothing more is written: later entries from the queue would leave a
-/// gap in the log.
+/// failure nothing is written until `reopen` succeeds: later entries from the
+/// queue would leave a gap in the log.
 class log_writer
 {
 public:
@@ -28,8 +36,12 @@
 
     /// Gets the index and term of the last durable entry.
     using persisted_hook = std::function<void(core::log_index, core::term)>;
-    /// Called once, after the first failed write or sync.
+    /// Called after the first failed write or sync since the start or the last
+    /// successful `reopen`.
     using failed_hook = std::function<void()>;
+    /// Gets what the stores hold, or nothing with the last reason why they
+    /// can't be used.
+    using reopened_hook = std::function<void(std::optional<stored_log>)>;
     using saved_hook =
         std::function<void(std::shared_ptr<store::stored_snapshot const>)>;
 
@@ -69,6 +81,10 @@
     void save(std::shared_ptr<store::stored_snapshot const> const& snapshot,
               saved_hook on_saved);
 
+    /// Opens the stores again after a failure and reads back what they hold.
+    /// Everything queued before is dropped.
+    void reopen(reopened_hook on_reopened);
+
 private:
     struct append_work
     {
@@ -82,13 +98,20 @@
         std::promise<bool> done;
     };
 
-    using work = std::variant<append_work, exclusive_work>;
+    struct reopen_work
+    {
+        reopened_hook on_reopened;
+    };
+
+    using work = std::variant<append_work, exclusive_work, reopen_work>;
 
     void enqueue(work item);
     bool wait_for(std::function<bool()> run);
     void run();
     void write(std::vector<core::log_entry> const& entries);
-    void run_exclusive(exclusive_work& item);
+    void run_alone(exclusive_work& item);
+    void run_alone(reopen_work& item);
+    std::optional<stored_log> reopen_stores();
     void fail();
     bool compact();
 
--- a/programs/control/node/membership_manager.cpp
+++ b/programs/control/node/membership_manager.cpp
@@ -54,8 +54,11 @@
         m_last_led = now;
     }
     report_silent_leader(now);
+    // A member with a failed disk could not do what the leader sends to it, so
+    // it must not be taken in again after the group has replaced it.
     bool const may_be_outside =
-        !is_member() || leader_silence(now) > rejoin_after;
+        m_node.storage_failure().empty() &&
+        (!is_member() || leader_silence(now) > rejoin_after);
     if (may_be_outside && !m_join_pending && now >= m_next_join)
     {
         request_join(now);
@@ -82,14 +85,24 @@
     }
     m_next_silence_report = now + silence_report_interval;
     auto const leader = m_node.leader();
-    m_on_event(
-        {core::event_code::leader_silent,
-         {core::text_field("leader",
-                           leader ? std::to_string(leader->id.value())
-                                  : std::string("unknown")),
-          core::time_field("silent_ms", silent),
-          core::number_field("listed", is_member() ? 1 : 0),
-          core::number_field("last_index", m_node.last_index().value())}});
+    m_on_event({core::event_code::leader_silent,
+                {core::text_field("leader",
+                                  leader ? std::to_string(leader->id.value())
+                                         : std::string("unknown")),
+                 core::time_field("silent_ms", silent),
+                 core::number_field("listed", is_member() ? 1 : 0),
+                 core::number_field("last_index", m_node.last_index().value()),
+                 core::text_field("why", absence_reason())}});
+}
+
+std::string membership_manager::absence_reason() const
+{
+    if (auto const& failure = m_node.storage_failure(); !failure.empty())
+    {
+        return "storage failed: " + failure;
+    }
+    return is_member() ? "no leader is elected or it can't be reached"
+                       : "not a member of the group";
 }
 
 bool membership_manager::is_member() const
--- a/programs/control/node/membership_manager.hpp
+++ b/programs/control/node/membership_manager.hpp
@@ -57,6 +57,8 @@
     /// @return The seeds, which may all be gone, and the members in the log.
     std::vector<core::endpoint> contacts() const;
     bool is_member() const;
+    /// @return Why this member hears from no leader, as far as it knows.
+    std::string absence_reason() const;
     core::join_answer answer_with(core::result_code code) const;
 
     process::event_loop& m_loop;
--- a/programs/control/node/replica.cpp
+++ b/programs/control/node/replica.cpp
@@ -49,6 +49,15 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
 }
 
+/// First and longest time between two attempts to use a disk that failed. The
+/// longest is below the time within which a member must take part again after
+/// its disk has recovered.
+constexpr core::duration min_reopen_delay = std::chrono::milliseconds(250);
+constexpr core::duration max_reopen_delay = std::chrono::seconds(2);
+/// A disk that fails again within this time after it recovered is tried less
+/// often, because each recovery reads the log and rebuilds the state.
+constexpr core::duration stable_storage_time = std::chrono::seconds(10);
+
 /// Time between two events on members that do not vote.
 constexpr core::duration membership_report_interval = std::chrono::seconds(1);
 
@@ -114,6 +123,7 @@
 
 void replica::tick()
 {
+    reopen_storage_if_due();
     process_event(consensus::tick{});
     report_stall();
     report_members_without_vote();
@@ -321,13 +331,118 @@
 
 void replica::fail_storage(std::string const& why)
 {
-    if (m_storage_failed)
+    if (!m_storage_failure.empty())
     {
         return;
     }
-    m_storage_failed = true;
-    m_hooks.storage_failed(why);
+    auto const now = process::event_loop::now();
+    bool const fails_again = m_reopen_attempts > 0 &&
+                             now - m_storage_recovered_at < stable_storage_time;
+    m_reopen_delay = fails_again
+                         ? std::min(2 * m_reopen_delay, max_reopen_delay)
+                         : min_reopen_delay;
+    m_storage_failure = why.empty() ? "unknown" : why;
+    m_storage_failed_at = now;
+    m_next_reopen = now + m_reopen_delay;
+    m_reopen_attempts = 0;
+    m_hooks.storage_failed(m_storage_failure);
     process_event(consensus::storage_failed{});
+    // Posted, because the event may be queued behind the one that failed.
+    m_loop.post([this] { answer_all_pending(); });
+}
+
+/// Answers what is left after the node stepped down: the rejections of the
+/// event that failed were discarded with its other actions.
+void replica::answer_all_pending()
+{
+    if (m_storage_failure.empty())
+    {
+        return;
+    }
+    for (auto const& [id, done] : std::exchange(m_proposals, {}))
+    {
+        done(make_reply(core::result_code::outcome_unknown,
+                        "the disk of the leader failed"));
+    }
+    for (auto const& [id, done] : std::exchange(m_reads, {}))
+    {
+        done(core::result_code::not_leader);
+    }
+    for (auto const& item : std::exchange(m_confirmed_reads, {}))
+    {
+        item.done(core::result_code::not_leader);
+    }
+}
+
+void replica::reopen_storage_if_due()
+{
+    auto const now = process::event_loop::now();
+    if (m_storage_failure.empty() || m_is_reopening || now < m_next_reopen)
+    {
+        return;
+    }
+    ++m_reopen_attempts;
+    m_next_reopen = now + m_reopen_delay;
+    // Writes a file, so that a disk that is still full is found before the
+    // member takes part.
+    auto const hard = m_hard_state.reopen();
+    if (!hard)
+    {
+        m_storage_failure = core::last_reason().text;
+        return;
+    }
+    m_is_reopening = true;
+    m_writer.reopen(
+        [this, hard = *hard](std::optional<stored_log> found)
+        {
+            auto const log =
+                std::make_shared<std::optional<stored_log>>(std::move(found));
+            m_loop.post(
+                [this, hard, log, why = core::last_reason().text]
+                {
+                    m_is_reopening = false;
+                    if (!*log)
+                    {
+                        m_storage_failure = why;
+                        return;
+                    }
+                    on_reopened(hard, std::move(**log));
+                });
+        });
+}
+
+void replica::on_reopened(core::hard_state const& hard, stored_log log)
+{
+    if (!restore_state(log.snapshot))
+    {
+        m_storage_failure = core::last_reason().text;
+        return;
+    }
+    auto const now = process::event_loop::now();
+    storage_recovery recovery;
+    recovery.failed_for = now - m_storage_failed_at;
+    recovery.attempts = m_reopen_attempts;
+    recovery.applied_before = m_applied;
+    m_applied = log.snapshot.metadata.last_index;
+    m_snapshot_index = m_applied;
+    m_snapshot_running = false;
+    recovery.last_index =
+        log.entries.empty() ? m_applied : log.entries.back().index;
+    m_storage_failure.clear();
+    m_storage_recovered_at = now;
+    m_hooks.storage_recovered(recovery);
+    process_event(consensus::storage_recovered{
+        {hard,
+         std::move(log.snapshot.metadata),
+         std::make_shared<std::string const>(std::move(log.snapshot.data)),
+         std::move(log.entries)}});
+}
+
+bool replica::restore_state(store::stored_snapshot const& snapshot)
+{
+    bool const is_empty = snapshot.metadata.last_index.value() == 0;
+    return m_state.restore(is_empty ? cluster_state::state_machine().snapshot()
+                                    : snapshot.data);
 }
 
 bool replica::execute(consensus::action const& output)
@@ -528,7 +643,7 @@
 {
     bool const is_due =
         m_applied.value() >= m_snapshot_index.value() + m_snapshot_interval;
-    if (!is_due || m_snapshot_running || m_storage_failed)
+    if (!is_due || m_snapshot_running || !m_storage_failure.empty())
     {
         return;
     }
@@ -636,9 +751,9 @@
     return std::nullopt;
 }
 
-bool replica::storage_has_failed() const noexcept
+std::string const& replica::storage_failure() const noexcept
 {
-    return m_storage_failed;
+    return m_storage_failure;
 }
 
 core::duration replica::snapshot_cpu_time() const noexcept
--- a/programs/control/node/replica.hpp
+++ b/programs/control/node/replica.hpp
@@ -21,6 +21,19 @@
 namespace turmericswitch::control
 {
 
+/// What a member found when its disk worked again.
+struct storage_recovery
+{
+    /// Time since the write that failed.
+    core::duration failed_for{};
+    /// Attempts to use the disk, including the last one.
+    std::uint64_t attempts = 0;
+    /// Index up to which entries had been applied before the failure.
+    core::log_index applied_before;
+    /// Index of the last entry on the disk.
+    core::log_index last_index;
+};
+
 /// Functions of the process that the replica calls, all on the event loop's
 /// thread.
 struct replica_hooks
@@ -37,9 +50,12 @@
     /// The role, the leader or the membership changed.
     std::function<void()> group_changed;
     core::event_hook on_event;
-    /// A write or sync failed, with the reason. The member sends no more
-    /// messages until it is restarted.
+    /// A write or sync failed, with the reason. The member sends no messages
+    /// until `storage_recovered`.
     std::function<void(std::string const&)> storage_failed;
+    /// The disk works again and the member takes part. The state was rebuilt
+    /// from the disk, so `applied` repeats commands.
+    std::function<void(storage_recovery const&)> storage_recovered;
 };
 
 /// The options, stores and recovered state from which a replica starts.
@@ -63,6 +79,10 @@
 /// One member of the control group: runs consensus, writes to disk, and applies
 /// committed commands to the replicated state. Use it only on the thread of its
 /// event loop.
+///
+/// After a failed write it is silent, so that the group counts it as lost, and
+/// tries the disk again until it works. It then continues from what the disk
+/// has, as after a restart.
 class replica
 {
 public:
@@ -138,9 +158,9 @@
     core::duration commit_stall() const;
     /// @return The leader's entry in the membership, if the leader is known.
     std::optional<core::group_member> leader() const;
-    /// @return True after a write or sync failed; the member then sends no
-    /// messages.
-    bool storage_has_failed() const noexcept;
+    /// @return Why the disk can't be used; empty if it can. The member sends no
+    /// messages while it can't.
+    std::string const& storage_failure() const noexcept;
     /// @return CPU time that creating the last snapshot took on the event loop.
     core::duration snapshot_cpu_time() const noexcept;
 
@@ -158,6 +178,10 @@
     void snapshot_if_due();
     void propose_pending();
     void fail_storage(std::string const& why);
+    void answer_all_pending();
+    void reopen_storage_if_due();
+    void on_reopened(core::hard_state const& hard, stored_log log);
+    bool restore_state(store::stored_snapshot const& snapshot);
     void report_stall();
     void report_members_without_vote();
     void report_stalled_learners();
@@ -188,7 +212,14 @@
     core::time_point m_stall_reported;
     core::time_point m_next_membership_report;
     catch_up_monitor m_catch_up;
-    bool m_storage_failed = false;
+    /// Empty while the disk can be used.
+    std::string m_storage_failure;
+    core::time_point m_storage_failed_at;
+    core::time_point m_storage_recovered_at;
+    core::time_point m_next_reopen;
+    core::duration m_reopen_delay{};
+    std::uint64_t m_reopen_attempts = 0;
+    bool m_is_reopening = false;
     bool m_is_raft_leader = false;
     bool m_is_leading = false;
     /// The group's clock and the local clock when leadership began.
--- a/programs/control/tests/replica_group.cpp
+++ b/programs/control/tests/replica_group.cpp
@@ -137,6 +137,7 @@
     hooks.on_event = [this](core::event const& what)
     { events.push_back(what); };
     hooks.storage_failed = [](std::string const&) {};
+    hooks.storage_recovered = [](storage_recovery const&) {};
     return hooks;
 }
 
--- a/programs/control/tests/replica_test.cpp
+++ b/programs/control/tests/replica_test.cpp
@@ -20,6 +20,11 @@
     CPPUNIT_TEST(leader_stops_after_a_failed_sync);
     CPPUNIT_TEST(follower_stops_on_a_full_disk);
     CPPUNIT_TEST(failed_vote_is_not_sent);
+    CPPUNIT_TEST(members_take_part_again_after_their_disks_were_full);
+    CPPUNIT_TEST(leader_takes_part_again_after_a_failed_sync);
+    CPPUNIT_TEST(member_with_a_failing_disk_stays_silent);
+    CPPUNIT_TEST(unsaved_term_ends_leadership_and_its_calls);
+    CPPUNIT_TEST(snapshot_on_a_full_disk_is_taken_later);
     CPPUNIT_TEST(restart_of_all_recovers);
     CPPUNIT_TEST(lagging_follower_gets_a_snapshot);
     CPPUNIT_TEST(new_member_joins_and_votes);
@@ -105,7 +110,7 @@
     {
         if (group.at(number).node)
         {
-            if (!group.node(number).storage_has_failed())
+            if (group.node(number).storage_failure().empty())
             {
                 return;
             }
@@ -243,10 +248,10 @@
         replica_group group;
         auto const first = group.wait_for_leader();
         CPPUNIT_ASSERT(group.submit_jobs_and_wait(5));
-        group.at(first).disk.fail_next_sync();
+        group.at(first).disk.fail_syncs(true);
         group.submit(first);
         group.step();
-        CPPUNIT_ASSERT(group.node(first).storage_has_failed());
+        CPPUNIT_ASSERT(!group.node(first).storage_failure().empty());
         CPPUNIT_ASSERT(!group.node(first).is_leading());
         auto const sent = group.at(first).transmitted;
         CPPUNIT_ASSERT(group.submit_jobs_and_wait(5));
@@ -254,6 +259,7 @@
         group.submit(first);
         CPPUNIT_ASSERT(group.refusals.back() == result_code::not_leader);
 
+        group.at(first).disk.fail_syncs(false);
         group.crash(first);
         CPPUNIT_ASSERT(group.start(first, start_mode::normal));
         CPPUNIT_ASSERT(group.step_until([&] { return group.has_converged(); }));
@@ -270,7 +276,7 @@
                                : follower % 3 + 1;
         group.at(follower).disk.set_space(10);
         CPPUNIT_ASSERT(group.submit_jobs_and_wait(5));
-        CPPUNIT_ASSERT(group.node(follower).storage_has_failed());
+        CPPUNIT_ASSERT(!group.node(follower).storage_failure().empty());
         auto const sent = group.at(follower).transmitted;
         // With the third member isolated, the leader and the member with the
         // full disk must not form a quorum.
@@ -305,11 +311,152 @@
                 core::log_index(100), core::term(100), false, true}};
         auto const sent = group.at(voter).transmitted;
         group.node(voter).receive(request);
-        CPPUNIT_ASSERT(group.node(voter).storage_has_failed());
+        CPPUNIT_ASSERT(!group.node(voter).storage_failure().empty());
         group.node(voter).receive(request);
         CPPUNIT_ASSERT_EQUAL(sent, group.at(voter).transmitted);
     }
 
+    /// Steps of 20 ms within which a member must take part again after its disk
+    /// works: 4 s.
+    static constexpr int contact_steps = 200;
+
+    /// Makes a disk full until a write fails, and for 5 s more.
+    static void fill_disk(replica_group& group, std::size_t number)
+    {
+        group.at(number).disk.set_space(0);
+        CPPUNIT_ASSERT(group.submit_jobs_and_wait(1));
+        group.step_until([] { return false; }, 250);
+        CPPUNIT_ASSERT(!group.node(number).storage_failure().empty());
+        group.at(number).disk.set_space(std::nullopt);
+    }
+
+    /// Expects that a member counts in the quorum: without another one, the
+    /// group commits only with it.
+    static void expect_votes(replica_group& group, std::size_t number)
+    {
+        auto const other = number % 3 + 1;
+        group.at(other).isolated = true;
+        CPPUNIT_ASSERT(group.submit_jobs_and_wait(1));
+        group.at(other).isolated = false;
+        CPPUNIT_ASSERT(group.step_until([&] { return group.has_converged(); }));
+    }
+
+    // Guards against a member that stays silent for good after its disk was
+    // full for some seconds: the second such disk costs the group its quorum.
+    void members_take_part_again_after_their_disks_were_full()
+    {
+        for (std::uint64_t const interval : {10'000U, 10U})
+        {
+            replica_group group(3, interval);
+            CPPUNIT_ASSERT(group.submit_jobs_and_wait(25));
+            for (std::size_t const number : {1U, 2U, 3U, 2U})
+            {
+                fill_disk(group, number);
+                CPPUNIT_ASSERT(group.step_until(
+                    [&]
+                    { return group.leader() != 0 && group.has_converged(); },
+                    contact_steps));
+                CPPUNIT_ASSERT(group.node(number).storage_failure().empty());
+                expect_votes(group, number);
+            }
+        }
+    }
+
+    // Guards against a leader that never writes again after one failed sync,
+    // and against entries of that sync that are taken as durable.
+    void leader_takes_part_again_after_a_failed_sync()
+    {
+        for (bool const drops : {true, false})
+        {
+            replica_group group;
+            auto const first = group.wait_for_leader();
+            CPPUNIT_ASSERT(group.submit_jobs_and_wait(5));
+            group.at(first).disk.fail_next_sync(drops);
+            group.submit(first);
+            group.step();
+            CPPUNIT_ASSERT(!group.node(first).is_leading());
+            CPPUNIT_ASSERT(group.step_until(
+                [&] { return group.leader() != 0 && group.has_converged(); },
+                contact_steps));
+            CPPUNIT_ASSERT(group.node(first).storage_failure().empty());
+            expect_votes(group, first);
+            for (std::size_t i = 1; i <= 3; ++i)
+            {
+                group.crash(i);
+                CPPUNIT_ASSERT(group.start(i, start_mode::normal));
+            }
+            CPPUNIT_ASSERT(group.submit_jobs_and_wait(1));
+            CPPUNIT_ASSERT(
+                group.step_until([&] { return group.has_converged(); }));
+        }
+    }
+
+    // Guards against a member that comes back for a moment at each attempt to
+    // use a disk that still fails: the leader would never count it as lost.
+    void member_with_a_failing_disk_stays_silent()
+    {
+        replica_group group;
+        auto const member = group.wait_for_leader() % 3 + 1;
+        group.at(member).disk.fail_syncs(true);
+        CPPUNIT_ASSERT(group.submit_jobs_and_wait(1));
+        CPPUNIT_ASSERT(!group.node(member).storage_failure().empty());
+        auto const sent = group.at(member).transmitted;
+        group.step_until([] { return false; }, 500);
+        CPPUNIT_ASSERT_EQUAL(sent, group.at(member).transmitted);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), redundancy_of(group).losses_borne);
+        group.at(member).disk.fail_syncs(false);
+        CPPUNIT_ASSERT(group.step_until([&] { return group.has_converged(); },
+                                        contact_steps));
+    }
+
+    // Guards against a process that goes on as the leader, and against callers
+    // that get no answer, when the term that ends its leadership can't be
+    // saved: the actions that follow the failed write are discarded.
+    void unsaved_term_ends_leadership_and_its_calls()
+    {
+        replica_group group;
+        auto const first = group.wait_for_leader();
+        CPPUNIT_ASSERT(group.submit_jobs_and_wait(1));
+        group.loss_percent = 100;
+        group.submit(first);
+        group.drain();
+        CPPUNIT_ASSERT(group.refusals.empty());
+        group.at(first).disk.fail_syncs(true);
+        core::consensus_message newer{
+            core::member_id(first % 3 + 1),
+            core::member_id(first),
+            core::term(group.node(first).current_term().value() + 5),
+            core::append_answer{}};
+        group.node(first).receive(newer);
+        group.drain();
+        CPPUNIT_ASSERT(!group.node(first).storage_failure().empty());
+        CPPUNIT_ASSERT(!group.node(first).is_leading());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), group.refusals.size());
+        CPPUNIT_ASSERT(group.refusals[0] == result_code::outcome_unknown);
+    }
+
+    // Guards against a member that takes no snapshot any more after one could
+    // not be written, so that its log grows without bound.
+    void snapshot_on_a_full_disk_is_taken_later()
+    {
+        replica_group group(3, 10);
+        CPPUNIT_ASSERT(group.submit_jobs_and_wait(9));
+        auto const member = group.leader() % 3 + 1;
+        // Room for the entries, but not for the snapshot.
+        group.at(member).disk.set_space(1500);
+        CPPUNIT_ASSERT(group.submit_jobs_and_wait(30));
+        CPPUNIT_ASSERT(group.step_until(
+            [&] { return !group.node(member).storage_failure().empty(); }));
+        group.at(member).disk.set_space(std::nullopt);
+        CPPUNIT_ASSERT(group.step_until([&] { return group.has_converged(); },
+                                        contact_steps));
+        auto const before = group.at(member).disk.list("data/snapshots");
+        CPPUNIT_ASSERT(group.submit_jobs_and_wait(30));
+        CPPUNIT_ASSERT(group.step_until([&] { return group.has_converged(); }));
+        CPPUNIT_ASSERT(group.at(member).disk.list("data/snapshots")->back() >
+                       before->back());
+    }
+
     // Guards against state that is lost when all instances crash at once, with
     // and without snapshots.
     void restart_of_all_recovers()
--- a/programs/ctl/answers/control_answers.cpp
+++ b/programs/ctl/answers/control_answers.cpp
@@ -146,6 +146,7 @@
     read_field(object, "revision", status.revision);
     read_field(object, "workers", status.workers);
     read_field(object, "storage_failed", status.storage_failed);
+    status.storage_failure = object.value("storage_failure", std::string());
     status.backends = object.value("backends", std::uint64_t{0});
     status.zones = read_list(object, "zones", read_zone);
     for (auto const& [state, count] : object.at("jobs").items())
--- a/programs/ctl/answers/control_answers.hpp
+++ b/programs/ctl/answers/control_answers.hpp
@@ -104,6 +104,8 @@
     std::uint64_t workers = 0;
     std::uint64_t backends = 0;
     bool storage_failed = false;
+    /// Empty if the storage works, or from a version without this.
+    std::string storage_failure;
     std::optional<member_view> leader;
     /// Absent if the instance that answered is no longer the leader, or of a
     /// version without this.
--- a/programs/ctl/commands/group_commands.cpp
+++ b/programs/ctl/commands/group_commands.cpp
@@ -62,7 +62,8 @@
     out << '\n';
     if (status.storage_failed)
     {
-        out << "storage   FAILED, see docs/operating-control.md\n";
+        out << "storage   FAILED, see docs/operating-control.md: "
+            << status.storage_failure << '\n';
     }
 }
 
--- a/tests/support/consensus_harness.cpp
+++ b/tests/support/consensus_harness.cpp
@@ -278,6 +278,7 @@
     auto& state = *m_members.at(member);
     state.crash_countdown.reset();
     state.stalled = false;
+    state.storage_failed = false;
     state.node.reset();
     state.log.reset();
     state.disk.crash();
--- a/tests/support/consensus_harness.hpp
+++ b/tests/support/consensus_harness.hpp
@@ -85,6 +85,10 @@
     /// The member crashes between two of its next actions.
     void crash_after(core::member_id member, std::size_t actions);
     void restart(core::member_id member);
+    /// Opens the stores of a member again after a write that failed, as the
+    /// program does while it runs.
+    /// @return False if the member has no failed storage, or it fails again.
+    bool recover_storage(core::member_id member);
     /// Appended entries stay unsynced while a disk is stalled.
     void stall_disk(core::member_id member, bool stalled);
     /// Stops the member for good and loses its disk.
--- a/tests/support/consensus_harness_actions.cpp
+++ b/tests/support/consensus_harness_actions.cpp
@@ -87,9 +87,41 @@
 
 void consensus_harness::fail_storage(member_state& member)
 {
+    member.storage_failed = true;
+    member.unwritten.clear();
     feed(member, consensus::storage_failed{});
 }
 
+bool consensus_harness::recover_storage(member_id id)
+{
+    auto& member = *m_members.at(id);
+    if (!member.node || !member.storage_failed)
+    {
+        return false;
+    }
+    auto const hard = member.hard->reopen();
+    if (!hard || !member.snapshots->sync())
+    {
+        return false;
+    }
+    auto const snapshot = member.snapshots->load_newest();
+    if (!snapshot || !member.log->reopen({snapshot->metadata.last_index,
+                                          snapshot->metadata.last_term}))
+    {
+        return false;
+    }
+    member.storage_failed = false;
+    member.unwritten.clear();
+    member.applied = snapshot->metadata.last_index;
+    feed(member,
+         consensus::storage_recovered{
+             {*hard,
+              snapshot->metadata,
+              std::make_shared<std::string const>(snapshot->data),
+              member.log->take_recovered()}});
+    return true;
+}
+
 bool consensus_harness::carry_out(member_state& member,
                                   consensus::action const& output)
 {
--- a/tests/support/consensus_harness_member.hpp
+++ b/tests/support/consensus_harness_member.hpp
@@ -22,6 +22,7 @@
     std::optional<std::size_t> crash_countdown;
     bool disk_lost = false;
     bool stalled = false;
+    bool storage_failed = false;
 };
 
 } // namespace turmericswitch::testing
--- a/tests/support/fake_file_system.cpp
+++ b/tests/support/fake_file_system.cpp
@@ -43,6 +43,11 @@
             m_file->dropped = m_disk->m_sync_drops;
             return core::fail_bool(result_code::sync_failed, "fake sync");
         }
+        if (m_disk->m_fails_all_syncs)
+        {
+            m_file->dropped = true;
+            return core::fail_bool(result_code::sync_failed, "fake syncs");
+        }
         if (!m_file->dropped)
         {
             m_file->synced = m_file->bytes.size();
@@ -213,6 +218,12 @@
     m_sync_drops = drops;
 }
 
+void fake_file_system::fail_syncs(bool fails)
+{
+    std::lock_guard const lock(*m_mutex);
+    m_fails_all_syncs = fails;
+}
+
 void fake_file_system::damage(std::string const& path, std::uint64_t offset)
 {
     std::lock_guard const lock(*m_mutex);
--- a/tests/support/fake_file_system.hpp
+++ b/tests/support/fake_file_system.hpp
@@ -42,6 +42,9 @@
     /// later syncs succeed without writing them. Without, they are still on
     /// their way, so that a crash tears them.
     void fail_next_sync(bool drops = true);
+    /// All syncs of files fail and lose their unsynced bytes, until this is
+    /// called with false.
+    void fail_syncs(bool fails);
     /// Inverts the byte at an offset.
     void damage(std::string const& path, std::uint64_t offset);
     std::uint64_t size(std::string const& path) const;
@@ -66,6 +69,7 @@
     std::optional<std::uint64_t> m_space;
     bool m_fail_sync = false;
     bool m_sync_drops = false;
+    bool m_fails_all_syncs = false;
 };
 
 } // namespace turmericswitch::testing
