Workflow: a run missing in a cut list of ends has not ended

Cause: a worker lists its oldest 500 unacknowledged ends. The sidecar took a run that such a list doesn't show for one that will never run, and the leader placed its task again. Nothing in the messages said whether a list is whole. The leader drew the same conclusion for runs of an earlier incarnation.

Refusals, ends on a successor and repeated starts wait for a whole list, and the next sync call doesn't wait while there may be more.

--- a/modules/core/messages/workflow.hpp
+++ b/modules/core/messages/workflow.hpp
@@ -335,8 +335,14 @@
 /// What a worker runs and what has ended there.
 struct worker_runs
 {
+    /// All runs at work.
     std::vector<running_task> running;
+    /// The oldest ends that are not acknowledged, as many as one answer of the
+    /// worker lists.
     std::vector<ended_run> ended;
+    /// True if further runs may have ended: a run that is in neither list may
+    /// be one of them, so nothing follows from its absence.
+    bool may_have_more_ends = false;
 
     bool operator==(worker_runs const&) const = default;
 };
--- a/modules/workflow/agent/worker_agent.cpp
+++ b/modules/workflow/agent/worker_agent.cpp
@@ -483,10 +483,17 @@
                       {
                           return false;
                       }
-                      if (!is_listed(m_runs->ended, item.first))
+                      if (is_listed(m_runs->ended, item.first))
                       {
-                          unlisted.push_back(item.first);
+                          return true;
                       }
+                      if (m_runs->may_have_more_ends)
+                      {
+                          // Its end may be in a later list. The leader
+                          // acknowledges the listed ones, so that follows.
+                          return false;
+                      }
+                      unlisted.push_back(item.first);
                       return true;
                   });
     for (auto const& run : unlisted)
@@ -632,8 +639,10 @@
     else
     {
         // The leader places nothing on a worker until a report has its runs, or
-        // while it is silent, so these sync calls must not wait.
-        bool const may_wait = m_runs && !m_silent;
+        // while it is silent, and may need the rest of a cut list, so these
+        // sync calls must not wait.
+        bool const may_wait =
+            m_runs && !m_silent && !m_runs->may_have_more_ends;
         sync_worker(may_wait ? m_options.sync_interval : core::duration{});
     }
 }
--- a/modules/workflow/agent/worker_agent.hpp
+++ b/modules/workflow/agent/worker_agent.hpp
@@ -63,10 +63,11 @@
 /// calls to earlier ones, which may still be under way. So the answer lists
 /// whatever the incarnation has executed of these, and nothing follows later.
 ///
-/// It reports a run as refused only when the run is certain not to execute.
-/// After a start call without an answer it therefore first sends a stop, which
-/// makes the worker keep a tombstone that rejects the start if it arrives
-/// later.
+/// It reports a run as refused only when the run is certain not to execute and
+/// not to have ended: a list of ends that may be cut proves nothing about a run
+/// that is missing in it. After a start call without an answer it therefore
+/// first sends a stop, which makes the worker keep a tombstone that rejects the
+/// start if it arrives later.
 ///
 /// It sends no start while the runs that the leader counts on the worker do not
 /// fit the capacity that the worker has reported last: the leader may not know
--- a/modules/workflow/dispatch/order_reconciler.cpp
+++ b/modules/workflow/dispatch/order_reconciler.cpp
@@ -332,6 +332,12 @@
                 repeat_at = std::min(repeat_at, start->second + resend_after);
             }
         }
+        else if (!is_running && worker.may_have_more_ends)
+        {
+            // The run may have ended. The next list tells more, because the
+            // ends in this one are acknowledged as soon as they are committed.
+            repeat_at = std::min(repeat_at, now + resend_after);
+        }
         else if (!is_running)
         {
             if (is_due(sent.starts, *run, now, repeat_at))
--- a/modules/workflow/dispatch/worker_fleet.cpp
+++ b/modules/workflow/dispatch/worker_fleet.cpp
@@ -82,6 +82,7 @@
         view.running.emplace(each.run, std::move(each));
     }
     view.ended = std::move(runs.ended);
+    view.may_have_more_ends = runs.may_have_more_ends;
 }
 
 } // namespace
@@ -338,7 +339,8 @@
     {
         return true;
     }
-    if (successor.has_runs && !successor.running.contains(run))
+    if (successor.has_runs && !successor.may_have_more_ends &&
+        !successor.running.contains(run))
     {
         return true;
     }
--- a/modules/workflow/dispatch/worker_fleet.hpp
+++ b/modules/workflow/dispatch/worker_fleet.hpp
@@ -75,6 +75,8 @@
     bool has_newly_established = false;
     /// Ended runs in the last report with runs.
     std::vector<core::ended_run> ended;
+    /// True if runs that this report doesn't list may have ended.
+    bool may_have_more_ends = false;
     /// Refused runs in the last report.
     std::vector<core::task_run> refused;
     /// True if the worker has shut down or was replaced on its instance.
--- a/modules/workflow/tests/dispatch_fuzz_test.cpp
+++ b/modules/workflow/tests/dispatch_fuzz_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(invariants_hold_under_crashes);
     CPPUNIT_TEST(invariants_hold_with_copies);
     CPPUNIT_TEST(invariants_hold_with_optional_placement);
+    CPPUNIT_TEST(invariants_hold_with_cut_lists_of_ends);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -127,6 +128,22 @@
         }
     }
 
+    // Workers list one to three ends at a time, so that most lists are cut.
+    // Guards against runs that are started again because their ends are not in
+    // the list at hand, and against runs that are never found to have ended.
+    void invariants_hold_with_cut_lists_of_ends()
+    {
+        for (std::uint64_t seed = 1; seed <= 60; ++seed)
+        {
+            testing::simulation_setup setup;
+            setup.ends_per_answer = 1 + seed % 3;
+            testing::dispatch_simulation simulation(seed, setup);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed),
+                                         std::string(),
+                                         simulation.simulate());
+        }
+    }
+
 private:
     static std::uint64_t crash_seeds()
     {
--- a/modules/workflow/tests/dispatch_simulation.cpp
+++ b/modules/workflow/tests/dispatch_simulation.cpp
@@ -32,6 +32,7 @@
             m_setup.leases.longest,
             [this, i](core::task_run const& run)
             { return plan_task(*m_hosts[i], run); });
+        worker->model.set_ends_per_answer(m_setup.ends_per_answer);
         worker->model.begin_life(m_now);
         worker->worker_life = ++m_last_life;
         m_hosts.push_back(std::move(worker));
--- a/modules/workflow/tests/dispatch_simulation.hpp
+++ b/modules/workflow/tests/dispatch_simulation.hpp
@@ -22,6 +22,8 @@
 {
     lease_policy leases{std::chrono::seconds(9), std::chrono::seconds(9)};
     std::size_t workers = 4;
+    /// Most ended runs that a worker lists at a time.
+    std::size_t ends_per_answer = 500;
     /// Share of jobs with a task that crashes each worker that starts it, in
     /// percent.
     std::uint64_t deadly_percent = 0;
@@ -141,6 +143,8 @@
 
     /// Compares the backlog that is updated by changes with one that is derived
     /// from the whole table.
+    /// A task whose end `done` was acknowledged is not run again.
+    void check_released_ends();
     void check_backlog();
     std::string describe(core::workflow_id const& id) const;
     void fail(std::string what);
--- a/modules/workflow/tests/simulation_checks.cpp
+++ b/modules/workflow/tests/simulation_checks.cpp
@@ -10,6 +10,7 @@
 
 void dispatch_simulation::check()
 {
+    check_released_ends();
     std::map<core::task_ref, std::uint32_t> seen;
     for (auto const& host : m_hosts)
     {
@@ -75,6 +76,38 @@
     }
 }
 
+void dispatch_simulation::check_released_ends()
+{
+    if (m_setup.has_copies)
+    {
+        return;
+    }
+    std::map<core::task_ref, core::task_run> done;
+    for (auto const& host : m_hosts)
+    {
+        for (auto const& run : host->model.released_done())
+        {
+            auto const [known, is_new] = done.try_emplace(run.task, run);
+            if (!is_new && known->second != run)
+            {
+                fail("task done twice " + core::to_string(run.task));
+            }
+        }
+    }
+    for (auto const& host : m_hosts)
+    {
+        for (auto const& [ref, run] : host->model.running())
+        {
+            auto const known = done.find(ref);
+            if (!host->is_down && known != done.end() &&
+                known->second != run.id)
+            {
+                fail("run of a task that is done " + core::to_string(ref));
+            }
+        }
+    }
+}
+
 std::size_t dispatch_simulation::copies() const noexcept
 {
     return m_copied.size();
--- a/modules/workflow/tests/worker_agent_orders_test.cpp
+++ b/modules/workflow/tests/worker_agent_orders_test.cpp
@@ -22,6 +22,8 @@
     CPPUNIT_TEST(start_that_fits_again_is_sent);
     CPPUNIT_TEST(unanswered_start_is_not_repeated_to_a_silent_worker);
     CPPUNIT_TEST(refusal_after_unanswered_starts_and_stops_is_not_certain);
+    CPPUNIT_TEST(run_missing_in_a_cut_list_is_not_refused);
+    CPPUNIT_TEST(run_missing_in_the_last_list_is_refused);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -136,6 +138,78 @@
         CPPUNIT_ASSERT(m_starts.front().call.start.lease_until == deadline);
     }
 
+    /// Orders a start that the worker rejects because the run has ended there.
+    void order_ended_start()
+    {
+        start_up();
+        order_start();
+        answer(m_starts, start_outcome::already_ended);
+        // This sync call began before the start.
+        answer(m_syncs, std::optional(sync_result{}));
+        CPPUNIT_ASSERT(last_report().refused.empty());
+        grant(1);
+    }
+
+    /// Answers a sync call with a list of `count` other runs that have ended.
+    void answer_with_ends(std::uint32_t count, bool may_have_more)
+    {
+        sync_result lists;
+        for (std::uint32_t i = 1; i <= count; ++i)
+        {
+            lists.runs.ended.push_back(
+                {i, run_of("b", 0, i), core::run_end::done, {}});
+        }
+        lists.runs.may_have_more_ends = may_have_more;
+        answer(m_syncs, std::optional(lists));
+    }
+
+    // Guards against tasks that run twice: after a restart of the sidecar the
+    // worker has more ends than it lists at a time, and the leader repeats the
+    // start of a run that has ended but isn't listed yet.
+    void run_missing_in_a_cut_list_is_not_refused()
+    {
+        order_ended_start();
+        for (int page = 0; page < 3; ++page)
+        {
+            answer_with_ends(500, true);
+            CPPUNIT_ASSERT(last_report().refused.empty());
+            CPPUNIT_ASSERT(last_report().runs->may_have_more_ends);
+            core::runtime_grant grant;
+            grant.fencing_token = 1;
+            grant.acknowledged_ends = 500;
+            answer(m_reports, std::optional(grant));
+            CPPUNIT_ASSERT(m_syncs.front().call.wait == core::duration{});
+            // A call without an answer, and a repeated list, prove nothing.
+            answer(m_syncs, std::optional<sync_result>());
+            if (!m_reports.empty())
+            {
+                CPPUNIT_ASSERT(last_report().refused.empty());
+                answer(m_reports, std::optional(grant));
+            }
+            run_delayed();
+        }
+        sync_result last;
+        last.runs.ended = {{1501, m_run, core::run_end::done, {}}};
+        answer(m_syncs, std::optional(last));
+        CPPUNIT_ASSERT(last_report().refused.empty());
+    }
+
+    // Guards against a run that is never found to have no effect, so that its
+    // task waits for ever, once all ends were listed.
+    void run_missing_in_the_last_list_is_refused()
+    {
+        order_ended_start();
+        answer_with_ends(500, true);
+        CPPUNIT_ASSERT(last_report().refused.empty());
+        core::runtime_grant grant;
+        grant.fencing_token = 1;
+        grant.acknowledged_ends = 500;
+        answer(m_reports, std::optional(grant));
+        answer_with_ends(0, false);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, last_report().refused.size());
+        CPPUNIT_ASSERT(last_report().refused.front() == m_run);
+    }
+
     // The order was made before the leader knew of the shrunk capacity: it was
     // delayed, or comes from a leader that has had no report since.
     void start_over_the_capacity_is_not_sent()
--- a/tests/support/runtime_model.cpp
+++ b/tests/support/runtime_model.cpp
@@ -20,6 +20,11 @@
     m_stop_time = time;
 }
 
+void runtime_model::set_ends_per_answer(std::size_t count)
+{
+    m_ends_per_answer = count;
+}
+
 void runtime_model::begin_life(core::time_point now)
 {
     ++m_life;
@@ -60,13 +65,17 @@
     auto& closed = m_closed[id.task];
     closed = std::max(closed, id.attempt);
     m_ended.push_back(
-        {++m_last_end, id, how, core::checkpoint_id(std::move(saved))});
+        {{++m_last_end, id, how, core::checkpoint_id(std::move(saved))}});
 }
 
 void runtime_model::advance(core::time_point now)
 {
     std::vector<run> over;
     bool const has_lapsed = clock(now) > m_lease;
+    for (auto& each : m_ended)
+    {
+        each.has_lapsed = each.has_lapsed || has_lapsed;
+    }
     for (auto const& [task, each] : m_running)
     {
         if (has_lapsed || now >= each.ends ||
@@ -179,20 +188,27 @@
         extend(*call.lease_until, now);
     }
     std::erase_if(m_ended,
-                  [&](core::ended_run const& each)
+                  [&](listed_end const& each)
                   {
                       bool const is_released =
-                          each.number <= call.acknowledged_ends;
-                      if (is_released && each.how == run_end::done)
+                          each.end.number <= call.acknowledged_ends;
+                      if (is_released && each.end.how == run_end::done &&
+                          !each.has_lapsed)
                       {
-                          m_released_done.push_back(each.run);
+                          m_released_done.push_back(each.end.run);
                       }
                       return is_released;
                   });
     workflow::sync_result answer;
     answer.clock = clock(now);
     answer.life = core::incarnation(m_life);
-    answer.runs.ended = m_ended;
+    auto const listed = std::min(m_ended.size(), m_ends_per_answer);
+    for (std::size_t i = 0; i < listed; ++i)
+    {
+        answer.runs.ended.push_back(m_ended[i].end);
+    }
+    // As the platform's adapter concludes it: a list of full length may be cut.
+    answer.runs.may_have_more_ends = listed == m_ends_per_answer;
     for (auto const& [task, each] : m_running)
     {
         core::running_task row;
--- a/tests/support/runtime_model.hpp
+++ b/tests/support/runtime_model.hpp
@@ -4,6 +4,7 @@
 #include "core/messages/workflow.hpp"
 #include "workflow/agent/worker_runtime.hpp"
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <optional>
@@ -49,6 +50,9 @@
     /// Sets how long a stop takes; zero at first.
     void set_stop_time(core::duration time);
 
+    /// Sets the most ended runs in the answer to a sync call.
+    void set_ends_per_answer(std::size_t count);
+
     /// Begins a new life: nothing runs and nothing is known.
     void begin_life(core::time_point now);
 
@@ -70,10 +74,16 @@
     std::uint64_t life() const noexcept;
 
     /// Runs that have ended `done` in any life, and whose end was released by
-    /// the acknowledged number.
+    /// the acknowledged number before the lease lapsed.
     std::vector<core::task_run> const& released_done() const noexcept;
 
 private:
+    struct listed_end
+    {
+        core::ended_run end;
+        bool has_lapsed = false;
+    };
+
     core::duration clock(core::time_point now) const;
     void extend(core::duration until, core::time_point now);
     void end(core::task_run const& id, core::run_end how, std::string saved);
@@ -82,6 +92,7 @@
     core::duration m_longest;
     plan_hook m_plan;
     core::duration m_stop_time{};
+    std::size_t m_ends_per_answer = 500;
     std::uint64_t m_life = 0;
     core::time_point m_born;
     std::uint64_t m_token = 0;
@@ -90,7 +101,7 @@
     std::map<core::task_ref, run> m_running;
     /// Highest attempt of each task that was stopped or has ended.
     std::map<core::task_ref, core::attempt_number> m_closed;
-    std::vector<core::ended_run> m_ended;
+    std::vector<listed_end> m_ended;
     std::vector<core::task_run> m_released_done;
 };
 
