Workflow: a waiting stage is ranges, and done tasks have no records

Cause: the leader made an entry for each waiting task at every change of the job and went over its memory; so did each successor.

Change: the runs of a waiting stage are ranges of tasks with the same attempt (run_list). Counting done tasks no longer passes over all tasks.

--- a/modules/core/messages/workflow.hpp
+++ b/modules/core/messages/workflow.hpp
@@ -193,12 +193,30 @@
 /// @return Number of workers that crashed, or may have crashed, under the task.
 std::uint32_t possible_crashes(task_record const& task) noexcept;
 
-/// The tasks of one stage of one occurrence.
+/// Consecutive tasks of a stage: from index `first` to the one before `end`.
+struct task_range
+{
+    std::uint32_t first = 0;
+    std::uint32_t end = 0;
+
+    bool operator==(task_range const&) const = default;
+};
+
+/// The tasks of one stage of one occurrence. Its size follows the tasks that
+/// were placed and are not done, not the number of tasks.
 struct stage_record
 {
     std::uint32_t occurrence = 0;
     std::uint32_t stage = 0;
+    /// Records of tasks in the order of their indices. A task without one is
+    /// done or was never placed.
     std::vector<task_record> tasks;
+    /// The index of each of `tasks`. Empty in a record of an earlier release,
+    /// which has a record of every task.
+    std::vector<std::uint32_t> indices;
+    /// Done tasks without a record: ascending, neither overlapping nor
+    /// adjacent.
+    std::vector<task_range> done;
 
     bool operator==(stage_record const&) const = default;
 };
--- a/modules/store/state/checksummed_file.cpp
+++ b/modules/store/state/checksummed_file.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstring>
+#include <utility>
 #include <xxhash.h>
 
 namespace turmericswitch::store
@@ -35,9 +36,10 @@
 /// that failure as last reason.
 void remove_partial_file(file_system& files, std::string const& path)
 {
-    auto const reason = core::last_reason();
+    // A copy, because the removal may fail too.
+    auto reason = core::last_reason();
     files.remove(path);
-    core::fail_bool(reason.code, reason.text);
+    core::fail_bool(reason.code, std::move(reason.text));
 }
 
 } // namespace
--- a/modules/wire/codec/message_codec.cpp
+++ b/modules/wire/codec/message_codec.cpp
@@ -83,6 +83,8 @@
 template <>
 constexpr std::size_t appended_members<core::run_placement> = 1;
 template <>
+constexpr std::size_t appended_members<core::stage_record> = 2;
+template <>
 constexpr std::size_t appended_members<core::worker_runs> = 1;
 template <>
 constexpr std::size_t appended_members<core::runtime_report> = 2;
--- a/modules/workflow/dispatch/copy_planner.cpp
+++ b/modules/workflow/dispatch/copy_planner.cpp
@@ -142,7 +142,7 @@
         {
             continue;
         }
-        for (std::uint32_t i = 0; i < stage.tasks.size(); ++i)
+        for (std::size_t i = 0; i < stage.tasks.size(); ++i)
         {
             examine(now, workflow, stage, i, found);
         }
@@ -152,17 +152,20 @@
 void copy_planner::examine(core::time_point now,
                            core::workflow_record const& workflow,
                            core::stage_record const& stage,
-                           std::uint32_t index,
+                           std::size_t position,
                            groups& found)
 {
-    auto const& task = stage.tasks[index];
+    auto const& task = stage.tasks[position];
     if (task.done)
     {
         return;
     }
     auto const& description = workflow.description.stages[stage.stage];
-    core::task_run run{
-        {workflow.workflow, stage.occurrence, stage.stage, index}, {}};
+    core::task_run run{{workflow.workflow,
+                        stage.occurrence,
+                        stage.stage,
+                        stage.indices[position]},
+                       {}};
     for (auto const& attempt :
          {task.placed ? std::optional(task.attempt) : std::nullopt,
           task.earlier ? std::optional(task.earlier->attempt) : std::nullopt})
--- a/modules/workflow/dispatch/copy_planner.hpp
+++ b/modules/workflow/dispatch/copy_planner.hpp
@@ -117,7 +117,7 @@
     void examine(core::time_point now,
                  core::workflow_record const& workflow,
                  core::stage_record const& stage,
-                 std::uint32_t index,
+                 std::size_t position,
                  groups& found);
     /// Records since when the run is held.
     void see(core::time_point now,
--- a/modules/workflow/dispatch/dispatcher_placement.cpp
+++ b/modules/workflow/dispatch/dispatcher_placement.cpp
@@ -188,11 +188,11 @@
     {
         return result;
     }
-    for (std::uint32_t i = 0; i < record->tasks.size(); ++i)
+    for (std::size_t i = 0; i < record->tasks.size(); ++i)
     {
         auto const& task = record->tasks[i];
-        auto const known =
-            m_placed_at.find({{id, occurrence, number, i}, task.attempt});
+        auto const known = m_placed_at.find(
+            {{id, occurrence, number, record->indices[i]}, task.attempt});
         if (task.placed && known != m_placed_at.end())
         {
             using ratio = std::chrono::duration<double>;
--- a/modules/workflow/dispatch/job_accounts.cpp
+++ b/modules/workflow/dispatch/job_accounts.cpp
@@ -1,5 +1,7 @@
 #include "workflow/dispatch/job_accounts.hpp"
 
+#include "workflow/table/stage_tasks.hpp"
+
 #include <algorithm>
 #include <chrono>
 #include <utility>
@@ -170,11 +172,14 @@
             if (auto const* const record =
                     workflow_table::find_stage_record(workflow, 0, number))
             {
-                for (auto const& task : record->tasks)
-                {
-                    left -= task.done ? 1 : task.placed ? half : 0;
-                    unplaced -= task.done || task.placed ? 1 : 0;
-                }
+                auto const done = count_done(*record);
+                auto const at_work = static_cast<std::uint32_t>(
+                    std::count_if(record->tasks.begin(),
+                                  record->tasks.end(),
+                                  [](core::task_record const& task)
+                                  { return task.placed && !task.done; }));
+                left -= done + half * at_work;
+                unplaced -= done + at_work;
             }
             progress.push_back({left, unplaced > 0});
         }
--- a/modules/workflow/dispatch/move_controller.cpp
+++ b/modules/workflow/dispatch/move_controller.cpp
@@ -239,17 +239,17 @@
     {
         return true;
     }
-    auto const& tasks =
-        workflow_table::find_stage_record(
-            *m_table.find(task.workflow), task.occurrence, task.stage)
-            ->tasks;
-    std::uint32_t away = 0;
-    for (std::uint32_t i = 0; i < tasks.size(); ++i)
+    auto const& record = *workflow_table::find_stage_record(
+        *m_table.find(task.workflow), task.occurrence, task.stage);
+    // Tasks that were never placed are away too; long-running ones are never
+    // done.
+    auto away = stage.tasks - record.tasks.size();
+    for (std::size_t i = 0; i < record.tasks.size(); ++i)
     {
         auto other = run;
-        other.task.index = i;
-        other.attempt = tasks[i].attempt;
-        away += !tasks[i].placed || evicting.contains(other) ? 1 : 0;
+        other.task.index = record.indices[i];
+        other.attempt = record.tasks[i].attempt;
+        away += !record.tasks[i].placed || evicting.contains(other) ? 1 : 0;
     }
     return away < stage.behaviour.max_unavailable;
 }
--- a/modules/workflow/dispatch/order_reconciler.cpp
+++ b/modules/workflow/dispatch/order_reconciler.cpp
@@ -2,6 +2,7 @@
 
 #include "workflow/dispatch/pace_controller.hpp"
 #include "workflow/dispatch/stage_planner.hpp"
+#include "workflow/table/stage_tasks.hpp"
 
 #include <algorithm>
 #include <tuple>
@@ -110,7 +111,7 @@
     auto const& ref = seen.run->task;
     auto const* const stage =
         workflow_table::find_stage_record(workflow, ref.occurrence, ref.stage);
-    return stage != nullptr && stage->tasks[ref.index].done;
+    return stage != nullptr && is_task_done(*stage, ref.index);
 }
 
 std::vector<order_reconciler::observed_run>
@@ -264,17 +265,15 @@
     }
     // The other members would hold their capacity until they end `alone`.
     auto const& ref = seen.run->task;
-    auto const& tasks =
-        workflow_table::find_stage_record(
-            *m_table.find(ref.workflow), ref.occurrence, ref.stage)
-            ->tasks;
-    for (std::uint32_t i = 0; i < tasks.size(); ++i)
+    auto const& record = *workflow_table::find_stage_record(
+        *m_table.find(ref.workflow), ref.occurrence, ref.stage);
+    for (std::size_t i = 0; i < record.tasks.size(); ++i)
     {
-        auto const& member = tasks[i];
+        auto const& member = record.tasks[i];
         if (member.placed && member.attempt == seen.run->attempt)
         {
             auto run = *seen.run;
-            run.task.index = i;
+            run.task.index = record.indices[i];
             evict(member.worker, run);
         }
     }
--- a/modules/workflow/dispatch/pending_stage.hpp
+++ b/modules/workflow/dispatch/pending_stage.hpp
@@ -3,11 +3,11 @@
 
 #include "core/messages/workflow.hpp"
 #include "workflow/dispatch/candidate_worker.hpp"
+#include "workflow/dispatch/run_list.hpp"
 
 #include <cstdint>
 #include <map>
 #include <set>
-#include <vector>
 
 namespace turmericswitch::workflow
 {
@@ -34,7 +34,7 @@
     std::uint64_t rank = 0;
     core::time_point submitted;
     /// The next attempt of each task.
-    std::vector<core::task_run> runs;
+    run_list runs;
     /// Suspicion of the tasks; `none` for those that are not listed.
     std::map<core::task_run, crash_suspicion> suspected;
     /// Workers on which the tasks have failed.
--- a/modules/workflow/dispatch/stage_backlog.cpp
+++ b/modules/workflow/dispatch/stage_backlog.cpp
@@ -1,5 +1,7 @@
 #include "workflow/dispatch/stage_backlog.hpp"
 
+#include "workflow/table/stage_tasks.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -34,6 +36,49 @@
                                                      : job_urgency::too_late;
 }
 
+bool is_unplaced(core::task_record const& task)
+{
+    return !task.done && !task.placed && !task.earlier;
+}
+
+core::attempt_number next_attempt(core::task_record const& task)
+{
+    return core::attempt_number(task.attempt.value() + 1);
+}
+
+/// @param record Null if no task of the stage was ever placed.
+/// @param tasks Number of tasks of the stage.
+/// @return The next run of each task that is neither done nor placed. Its cost
+///         follows the size of the record.
+run_list unplaced_runs(stage_ref const& stage,
+                       core::stage_record const* record,
+                       std::uint32_t tasks)
+{
+    run_list runs(stage);
+    std::size_t position = 0;
+    auto const add_records_before = [&](std::uint32_t end)
+    {
+        for (; record != nullptr && position < record->indices.size() &&
+               record->indices[position] < end;
+             ++position)
+        {
+            auto const index = record->indices[position];
+            auto const& task = record->tasks[position];
+            if (is_unplaced(task))
+            {
+                runs.push_back({index, index + 1}, next_attempt(task));
+            }
+        }
+    };
+    for (auto const& range : never_placed(record, tasks))
+    {
+        add_records_before(range.first);
+        runs.push_back(range, core::attempt_number(1));
+    }
+    add_records_before(tasks);
+    return runs;
+}
+
 template <typename Stages>
 std::uint64_t tasks_in(Stages const& stages)
 {
@@ -299,13 +344,12 @@
     auto const* const record =
         workflow_table::find_stage_record(workflow, occurrence, number);
     auto& pending = waiting.pending;
+    auto const known = record != nullptr ? record->tasks.size() : 0;
     std::uint32_t last_attempt = 0;
     bool any_held = false;
-    std::vector<crash_suspicion> suspicions;
-    static core::task_record const never_placed;
-    for (std::uint32_t i = 0; i < stage.tasks; ++i)
+    for (std::size_t i = 0; i < known; ++i)
     {
-        auto const& task = record != nullptr ? record->tasks[i] : never_placed;
+        auto const& task = record->tasks[i];
         last_attempt = std::max(last_attempt, task.attempt.value());
         any_held = any_held || task.placed;
         if (task.failures > 0)
@@ -316,29 +360,29 @@
         {
             waiting.placed_on.insert(task.worker);
         }
-        if (!task.done && !task.placed && !task.earlier)
-        {
-            pending.runs.push_back(
-                {{workflow.workflow, occurrence, number, i},
-                 core::attempt_number(task.attempt.value() + 1)});
-            suspicions.push_back(suspicion_after(core::possible_crashes(task)));
-        }
     }
     if (stage.behaviour.gang && any_held)
     {
-        pending.runs.clear();
+        return;
     }
-    for (std::size_t i = 0; i < pending.runs.size(); ++i)
+    pending.runs = unplaced_runs(pending.stage, record, stage.tasks);
+    // All members of a gang have the same attempt number.
+    auto const gang_attempt = core::attempt_number(last_attempt + 1);
+    if (stage.behaviour.gang)
     {
-        auto& run = pending.runs[i];
-        if (stage.behaviour.gang)
-        {
-            // All members of a gang have the same attempt number.
-            run.attempt = core::attempt_number(last_attempt + 1);
-        }
-        if (suspicions[i] != crash_suspicion::none)
+        pending.runs.set_attempt(gang_attempt);
+    }
+    for (std::size_t i = 0; i < known; ++i)
+    {
+        auto const& task = record->tasks[i];
+        auto const suspicion = suspicion_after(core::possible_crashes(task));
+        if (is_unplaced(task) && suspicion != crash_suspicion::none)
         {
-            pending.suspected.emplace(run, suspicions[i]);
+            pending.suspected.emplace(
+                core::task_run{
+                    {workflow.workflow, occurrence, number, record->indices[i]},
+                    stage.behaviour.gang ? gang_attempt : next_attempt(task)},
+                suspicion);
         }
     }
 }
--- a/modules/workflow/dispatch/task_placement.cpp
+++ b/modules/workflow/dispatch/task_placement.cpp
@@ -10,6 +10,34 @@
 namespace
 {
 
+/// Calls `visit` with the runs of a stage that have the suspicion until it
+/// returns false. Only tasks that were placed before are suspected, so these
+/// are few where the stage is wide.
+template <typename Visitor>
+void for_each_run(pending_stage const& pending,
+                  crash_suspicion suspicion,
+                  Visitor visit)
+{
+    if (suspicion == crash_suspicion::none)
+    {
+        for (auto const& run : pending.runs)
+        {
+            if (!pending.suspected.contains(run) && !visit(run))
+            {
+                return;
+            }
+        }
+        return;
+    }
+    for (auto const& [run, each] : pending.suspected)
+    {
+        if (each == suspicion && !visit(run))
+        {
+            return;
+        }
+    }
+}
+
 /// Places the runs of a stage that have the same suspicion.
 std::vector<core::run_placement>
 place_equal_tasks(pending_stage const& pending,
@@ -32,18 +60,14 @@
         placement.spread = count_spread(pending, candidates);
     }
     worker_ranking ranking(candidates, placement, tail);
-    for (auto const& run : pending.runs)
+    auto const place = [&](core::task_run const& run)
     {
-        if (suspicion_of(pending, run) != suspicion)
-        {
-            continue;
-        }
         auto* const worker =
             placed.size() < max_tasks ? ranking.best() : nullptr;
         if (worker == nullptr ||
             waits_for_faster_worker(*worker, placement, placed))
         {
-            break;
+            return false;
         }
         if (saved != nullptr)
         {
@@ -62,7 +86,9 @@
         {
             ranking.rank_all();
         }
-    }
+        return true;
+    };
+    for_each_run(pending, suspicion, place);
     return placed;
 }
 
--- a/modules/workflow/table/workflow_table.cpp
+++ b/modules/workflow/table/workflow_table.cpp
@@ -1,5 +1,7 @@
 #include "workflow/table/workflow_table.hpp"
 
+#include "workflow/table/stage_tasks.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -62,20 +64,44 @@
     return worker != (task.placed ? task.worker : task.earlier->worker);
 }
 
-core::task_record* find_task_record(core::workflow_record& workflow,
-                                    core::task_ref const& task)
+/// Stands for the record of each done task that has none.
+core::task_record const& done_task()
+{
+    static core::task_record const record = []
+    {
+        core::task_record done;
+        done.done = true;
+        return done;
+    }();
+    return record;
+}
+
+core::task_record* find_task_in(core::workflow_record& workflow,
+                                core::task_ref const& task)
 {
     for (auto& stage : workflow.stages)
     {
         if (stage.occurrence == task.occurrence && stage.stage == task.stage)
         {
-            return task.index < stage.tasks.size() ? &stage.tasks[task.index]
-                                                   : nullptr;
+            return find_task_record(stage, task.index);
         }
     }
     return nullptr;
 }
 
+/// Drops the record of a task that is done, unless its workflow has ended.
+void drop_done_record_in(core::workflow_record& workflow,
+                         core::task_ref const& task)
+{
+    for (auto& stage : workflow.stages)
+    {
+        if (stage.occurrence == task.occurrence && stage.stage == task.stage)
+        {
+            drop_done_record(stage, task.index);
+        }
+    }
+}
+
 } // namespace
 
 core::command_reply workflow_table::submit(core::submit_workflow const& command,
@@ -159,7 +185,16 @@
         return;
     }
     auto& workflow = known->second;
-    auto& task = *find_task_record(workflow, ref);
+    apply_end(workflow, outcome, now);
+    drop_done_record_in(workflow, ref);
+}
+
+void workflow_table::apply_end(core::workflow_record& workflow,
+                               core::run_outcome const& outcome,
+                               core::time_point now)
+{
+    auto const& ref = outcome.run.task;
+    auto& task = *find_task_in(workflow, ref);
     remove_hold(outcome);
     if (task.placed && task.attempt == outcome.run.attempt)
     {
@@ -254,11 +289,13 @@
 {
     for (auto& stage : workflow.stages)
     {
-        for (std::uint32_t i = 0; i < stage.tasks.size(); ++i)
+        for (std::size_t i = 0; i < stage.tasks.size(); ++i)
         {
-            clear_suspected(
-                {workflow.workflow, stage.occurrence, stage.stage, i},
-                stage.tasks[i]);
+            clear_suspected({workflow.workflow,
+                             stage.occurrence,
+                             stage.stage,
+                             stage.indices[i]},
+                            stage.tasks[i]);
         }
     }
 }
@@ -277,7 +314,7 @@
     auto const& ref = outcome.run.task;
     auto& workflow = m_workflows.at(ref.workflow);
     auto& stage = stage_record(workflow, ref);
-    auto& task = stage.tasks[ref.index];
+    auto& task = *find_task_record(stage, ref.index);
     core::task_attempt const known{
         outcome.run.attempt, outcome.worker, outcome.life};
     std::erase(task.suspected, known);
@@ -288,6 +325,7 @@
     {
         apply_crash(workflow, stage, ref, now);
     }
+    drop_done_record_in(workflow, ref);
 }
 
 void workflow_table::apply_done(core::workflow_record& workflow,
@@ -295,7 +333,7 @@
                                 core::task_run const& run,
                                 core::time_point now)
 {
-    auto& task = stage.tasks[run.task.index];
+    auto& task = *find_task_record(stage, run.task.index);
     task.done = true;
     add_changed_workers(task);
     if (workflow.description.stages[stage.stage].behaviour.gang)
@@ -341,7 +379,7 @@
                                  core::task_ref const& task,
                                  core::time_point now)
 {
-    auto& crashes = stage.tasks[task.index].crashes;
+    auto& crashes = find_task_record(stage, task.index)->crashes;
     ++crashes;
     // Long-running tasks too: each further start takes all other runs of a
     // worker down.
@@ -358,10 +396,9 @@
 void workflow_table::apply(core::run_checkpoint const& checkpoint)
 {
     auto const known = m_workflows.find(checkpoint.run.task.workflow);
-    auto* const task =
-        known == m_workflows.end()
-            ? nullptr
-            : find_task_record(known->second, checkpoint.run.task);
+    auto* const task = known == m_workflows.end()
+                           ? nullptr
+                           : find_task_in(known->second, checkpoint.run.task);
     if (task == nullptr || task->done ||
         task->attempt != checkpoint.run.attempt)
     {
@@ -391,14 +428,20 @@
         return;
     }
     auto& workflow = known->second;
-    auto& task = stage_record(workflow, ref).tasks[ref.index];
+    auto& stage = stage_record(workflow, ref);
+    if (is_task_done(stage, ref.index))
+    {
+        ++m_ignored_parts;
+        return;
+    }
+    auto& task = add_task_record(stage, ref.index);
     bool const is_free =
         placement.is_copy
             ? may_take_copy(workflow.description.stages[ref.stage],
                             task,
                             placement.worker)
             : !task.placed && !task.earlier;
-    if (task.done || !is_free || placement.run.attempt <= task.attempt)
+    if (!is_free || placement.run.attempt <= task.attempt)
     {
         ++m_ignored_parts;
         return;
@@ -505,7 +548,6 @@
     core::stage_record added;
     added.occurrence = task.occurrence;
     added.stage = task.stage;
-    added.tasks.resize(workflow.description.stages[task.stage].tasks);
     workflow.stages.push_back(std::move(added));
     return workflow.stages.back();
 }
@@ -551,9 +593,13 @@
         workflow == nullptr
             ? nullptr
             : find_stage_record(*workflow, task.occurrence, task.stage);
-    return stage != nullptr && task.index < stage->tasks.size()
-               ? &stage->tasks[task.index]
-               : nullptr;
+    if (stage == nullptr)
+    {
+        return nullptr;
+    }
+    auto const* const record = find_task_record(*stage, task.index);
+    return record == nullptr && is_task_done(*stage, task.index) ? &done_task()
+                                                                 : record;
 }
 
 core::stage_description const*
@@ -671,10 +717,7 @@
 bool workflow_table::is_stage_done(core::stage_record const& stage,
                                    std::uint32_t tasks)
 {
-    return stage.tasks.size() == tasks &&
-           std::all_of(stage.tasks.begin(),
-                       stage.tasks.end(),
-                       [](core::task_record const& task) { return task.done; });
+    return count_done(stage) == tasks;
 }
 
 std::uint32_t
@@ -750,12 +793,14 @@
         {
             m_active.insert(id);
         }
-        for (auto const& stage : record.stages)
+        for (auto& stage : record.stages)
         {
-            for (std::uint32_t i = 0; i < stage.tasks.size(); ++i)
+            drop_needless_records(stage);
+            for (std::size_t i = 0; i < stage.tasks.size(); ++i)
             {
                 auto const& task = stage.tasks[i];
-                core::task_ref const ref{id, stage.occurrence, stage.stage, i};
+                core::task_ref const ref{
+                    id, stage.occurrence, stage.stage, stage.indices[i]};
                 if (task.placed)
                 {
                     add_hold(ref, {task.attempt, task.worker, task.life});
--- a/modules/workflow/table/workflow_table.hpp
+++ b/modules/workflow/table/workflow_table.hpp
@@ -82,8 +82,8 @@
     core::workflow_record const* find(core::queue_id const& queue,
                                       core::workflow_id const& id) const;
 
-    /// @return The task's record, or null if no task of its stage was ever
-    ///         placed.
+    /// @return The task's record, one that only says that it is done, or null
+    ///         if the task was never placed.
     core::task_record const* find_task(core::task_ref const& task) const;
 
     /// @return The task's stage as submitted, or null if the task is unknown or
@@ -177,6 +177,9 @@
     core::stage_record& stage_record(core::workflow_record& workflow,
                                      core::task_ref const& task);
     void apply(core::run_outcome const& outcome, core::time_point now);
+    void apply_end(core::workflow_record& workflow,
+                   core::run_outcome const& outcome,
+                   core::time_point now);
     /// Applies what became known of a run that ended as `suspected`.
     void resolve(core::run_outcome const& outcome, core::time_point now);
     void add_suspected(core::run_outcome const& outcome,
--- a/modules/workflow/tests/speed_test.cpp
+++ b/modules/workflow/tests/speed_test.cpp
@@ -96,7 +96,7 @@
         {
             auto const index = std::stoul(each.worker.value().substr(1)) - 100;
             running[each.worker.value()] = {now, now + factors[index]};
-            std::erase(waiting.runs, each.run);
+            waiting.runs.erase(each.run);
         }
         if (running.empty())
         {
--- a/programs/control/main.cpp
+++ b/programs/control/main.cpp
@@ -16,6 +16,7 @@
 #include "wire/codec/protocol_version.hpp"
 
 #include <thread>
+#include <utility>
 
 namespace turmericswitch::control
 {
@@ -149,7 +150,7 @@
     for (;;)
     {
         auto parts = recover(files, settings, mode, process::random_seed());
-        auto const why = core::last_reason();
+        auto why = core::last_reason();
         bool const may_pass = why.code == core::result_code::disk_full ||
                               why.code == core::result_code::sync_failed;
         if (parts || !may_pass)
@@ -160,7 +161,7 @@
                    {core::text_field("why", why.text)}});
         if (signal.wait_for(recovery_retry_interval))
         {
-            core::fail_bool(why.code, why.text);
+            core::fail_bool(why.code, std::move(why.text));
             return std::nullopt;
         }
     }
