Workflow: a placed run doesn't start where nothing may start any more

Cause: zones and draining were looked at only for new placements. The start of a placed run that the worker didn't list was repeated without them.

Change: orders are made with the configuration in force; where the worker drains or its zone is out, a run that hasn't begun is withdrawn and placed again.

--- a/extras/bench/dispatch_cost/simulated_fleet.cpp
+++ b/extras/bench/dispatch_cost/simulated_fleet.cpp
@@ -332,9 +332,9 @@
     for (auto const& id : m_dispatcher.workers_with_orders(m_now))
     {
         auto const index = m_indices.at(id);
-        execute(
-            index,
-            m_dispatcher.take_orders(m_now, id, m_workers[index].profile.life));
+        execute(index,
+                m_dispatcher.take_orders(
+                    m_now, id, m_workers[index].profile.life, m_config));
     }
 }
 
--- a/extras/bench/waiting_tasks.cpp
+++ b/extras/bench/waiting_tasks.cpp
@@ -76,11 +76,13 @@
     stage_backlog backlog(table, run_times, fleet);
     submit(table, tasks);
     std::vector<candidate_worker> all;
+    all.reserve(workers);
     for (std::size_t i = 0; i < workers; ++i)
     {
         all.push_back(make_worker(i));
     }
     std::vector<candidate_worker*> candidates;
+    candidates.reserve(all.size());
     for (auto& each : all)
     {
         candidates.push_back(&each);
--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -490,7 +490,8 @@
 
 core::runtime_orders dispatcher::take_orders(core::time_point now,
                                              core::worker_id const& worker,
-                                             core::incarnation life)
+                                             core::incarnation life,
+                                             core::configuration const& config)
 {
     auto const* const view = m_fleet.find(worker);
     core::runtime_orders orders;
@@ -501,6 +502,7 @@
         orders = m_orders.take_due(
             now,
             *view,
+            !view->profile.draining && !is_evacuated(*view, config),
             [this, &worker](core::task_run const& run)
             { return m_colocation.pace_to_order(worker, run); });
         for (auto const& run : m_orders.take_withdrawn())
--- a/modules/workflow/dispatch/dispatcher.hpp
+++ b/modules/workflow/dispatch/dispatcher.hpp
@@ -121,10 +121,13 @@
     ///         call.
     std::set<core::worker_id> workers_with_orders(core::time_point now);
 
+    /// @param config In force now: nothing is started in a zone that is out of
+    ///        service.
     /// @return The orders that are due for a worker; they count as sent.
     core::runtime_orders take_orders(core::time_point now,
                                      core::worker_id const& worker,
-                                     core::incarnation life);
+                                     core::incarnation life,
+                                     core::configuration const& config);
 
     /// @return Counts; those of waiting tasks are as of the last `plan`.
     dispatch_counts counts(core::time_point now,
@@ -140,6 +143,8 @@
                      core::configuration const& config,
                      core::workflow_progress& command);
     bool is_reporting(core::time_point now, worker_view const& view) const;
+    static bool is_evacuated(worker_view const& view,
+                             core::configuration const& config);
     bool is_eligible(core::time_point now,
                      worker_view const& view,
                      core::configuration const& config) const;
--- a/modules/workflow/dispatch/dispatcher_placement.cpp
+++ b/modules/workflow/dispatch/dispatcher_placement.cpp
@@ -39,19 +39,23 @@
            m_options.report_interval * max_missed_reports;
 }
 
+bool dispatcher::is_evacuated(worker_view const& view,
+                              core::configuration const& config)
+{
+    return std::find(config.evacuated.begin(),
+                     config.evacuated.end(),
+                     view.profile.zone) != config.evacuated.end();
+}
+
 bool dispatcher::is_eligible(core::time_point now,
                              worker_view const& view,
                              core::configuration const& config) const
 {
     bool const is_leased = view.granted_until - view.clock >
                            (now - view.clock_changed_at) + min_lease_left;
-    bool const is_evacuated =
-        std::find(config.evacuated.begin(),
-                  config.evacuated.end(),
-                  view.profile.zone) != config.evacuated.end();
     return view.has_runs && !view.left && !view.is_silent &&
            !view.profile.draining && is_reporting(now, view) && is_leased &&
-           !is_evacuated &&
+           !is_evacuated(view, config) &&
            (!m_health.is_quarantined(now, view.profile.worker) ||
             m_health.is_trial_due(now, view.profile.worker));
 }
--- a/modules/workflow/dispatch/order_reconciler.cpp
+++ b/modules/workflow/dispatch/order_reconciler.cpp
@@ -286,6 +286,7 @@
 
 core::runtime_orders order_reconciler::take_due(core::time_point now,
                                                 worker_view const& worker,
+                                                bool may_start,
                                                 pace_hook const& pace)
 {
     core::runtime_orders orders;
@@ -308,8 +309,9 @@
         withdraw_excess(now, worker, runs, sent);
     }
     auto repeat_at = core::time_point::max();
-    for (auto const& [run, stage, is_running, should_run, has_ended] : runs)
+    for (auto const& seen : runs)
     {
+        auto const& [run, stage, is_running, should_run, has_ended] = seen;
         if (has_ended)
         {
             continue;
@@ -337,6 +339,14 @@
             // ends in this one are acknowledged as soon as they are committed.
             repeat_at = std::min(repeat_at, now + resend_after);
         }
+        else if (!is_running && !may_start)
+        {
+            // A start that was sent shortly before may have begun the run.
+            if (is_due(sent.starts, *run, now, repeat_at))
+            {
+                withdraw(id, seen);
+            }
+        }
         else if (!is_running)
         {
             if (is_due(sent.starts, *run, now, repeat_at))
--- a/modules/workflow/dispatch/order_reconciler.hpp
+++ b/modules/workflow/dispatch/order_reconciler.hpp
@@ -44,9 +44,13 @@
     ///         call.
     std::set<core::worker_id> due_workers(core::time_point now);
 
+    /// @param may_start False if nothing may start on the worker: it drains, or
+    ///        its zone is out of service. Runs that have not begun are then
+    ///        withdrawn.
     /// @return The orders that are due now; they count as sent.
     core::runtime_orders take_due(core::time_point now,
                                   worker_view const& worker,
+                                  bool may_start,
                                   pace_hook const& pace);
 
     /// Sends stops for a run until it has ended, so that its task can resume
@@ -57,7 +61,7 @@
     std::set<core::task_run> const& evicting() const noexcept;
 
     /// @return Runs that were withdrawn since the last call, because their
-    ///         worker's capacity has shrunk.
+    ///         worker's capacity has shrunk or nothing may start there.
     std::vector<core::task_run> take_withdrawn();
 
     /// Must be called after the end of a run was committed.
--- a/modules/workflow/tests/change_tracking_test.cpp
+++ b/modules/workflow/tests/change_tracking_test.cpp
@@ -256,8 +256,10 @@
 
     core::runtime_orders orders(std::size_t worker)
     {
-        return m_dispatcher->take_orders(
-            m_now, core::worker_id(worker_name(worker)), core::incarnation(1));
+        return m_dispatcher->take_orders(m_now,
+                                         core::worker_id(worker_name(worker)),
+                                         core::incarnation(1),
+                                         m_config);
     }
 
     std::optional<core::workflow_progress> plan()
--- a/modules/workflow/tests/dispatch_simulation.cpp
+++ b/modules/workflow/tests/dispatch_simulation.cpp
@@ -149,7 +149,7 @@
         announced.merge(target->work.workers_with_orders(m_now));
         bool const is_announced = announced.erase(poll.request.worker) > 0;
         auto orders = target->work.take_orders(
-            m_now, poll.request.worker, poll.request.life);
+            m_now, poll.request.worker, poll.request.life, m_config);
         if (orders.batch == 0)
         {
             poll.is_new = false;
@@ -354,7 +354,7 @@
                      if (target->is_deposed)
                      {
                          finish(std::optional(target->work.take_orders(
-                             m_now, request.worker, request.life)));
+                             m_now, request.worker, request.life, m_config)));
                          return;
                      }
                      std::erase_if(
--- a/modules/workflow/tests/dispatcher_fixture.hpp
+++ b/modules/workflow/tests/dispatcher_fixture.hpp
@@ -205,7 +205,7 @@
     core::runtime_orders orders()
     {
         return m_dispatcher->take_orders(
-            m_now, core::worker_id("w1"), core::incarnation(1));
+            m_now, core::worker_id("w1"), core::incarnation(1), m_config);
     }
 
     /// Submits job `a` and places its task on w1.
--- a/modules/workflow/tests/dispatcher_test.cpp
+++ b/modules/workflow/tests/dispatcher_test.cpp
@@ -19,6 +19,9 @@
     CPPUNIT_TEST(only_runs_not_yet_seen_at_work_are_suspected);
     CPPUNIT_TEST(restart_after_a_notice_or_of_the_instance_is_no_crash);
     CPPUNIT_TEST(draining_worker_and_evacuated_zone_get_no_tasks);
+    CPPUNIT_TEST(placed_run_is_not_started_in_an_evacuated_zone);
+    CPPUNIT_TEST(placed_run_is_not_started_on_a_draining_worker);
+    CPPUNIT_TEST(run_at_work_in_an_evacuated_zone_is_not_stopped);
     CPPUNIT_TEST(worker_whose_reported_clock_stands_still_gets_no_tasks);
     CPPUNIT_TEST(lost_batch_of_orders_is_sent_again);
     CPPUNIT_TEST(cancelled_run_is_stopped_until_it_has_ended);
@@ -199,6 +202,42 @@
         CPPUNIT_ASSERT(plan().has_value());
     }
 
+    // Guards against a start in a zone that is out of service: the worker left
+    // the first start unanswered, and the leader repeats it after the zone was
+    // evacuated.
+    void placed_run_is_not_started_in_an_evacuated_zone()
+    {
+        start_one();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, started(orders()).size());
+        m_config.evacuated = {core::zone_id("zone-a")};
+        expect_withdrawn(profile("w1"));
+    }
+
+    // As above, for a worker that drains before its start was answered.
+    void placed_run_is_not_started_on_a_draining_worker()
+    {
+        start_one();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, started(orders()).size());
+        auto leaving = profile("w1");
+        leaving.draining = true;
+        expect_withdrawn(leaving);
+    }
+
+    // Guards against work that is stopped because its zone is evacuated, also
+    // if the worker doesn't list it yet when that happens.
+    void run_at_work_in_an_evacuated_zone_is_not_stopped()
+    {
+        start_one();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, started(orders()).size());
+        m_config.evacuated = {core::zone_id("zone-a")};
+        report({});
+        CPPUNIT_ASSERT(orders().stops.empty());
+        m_now += std::chrono::seconds(1);
+        report(running({run_of("a", 0, 0)}));
+        m_now += std::chrono::seconds(2);
+        CPPUNIT_ASSERT(orders().stops.empty());
+    }
+
     // Reports without a sync call to the worker repeat its clock. They must not
     // make the leader assume that the lease was extended.
     void worker_whose_reported_clock_stands_still_gets_no_tasks()
@@ -335,6 +374,24 @@
         m_now += std::chrono::milliseconds(200);
         CPPUNIT_ASSERT(plan()->placements.front().run == run_of("a", 0, 1));
     }
+
+private:
+    /// Expects that the run placed on w1 is stopped instead of started again,
+    /// and is placed again once it is certain not to begin.
+    void expect_withdrawn(core::worker_profile const& worker)
+    {
+        report({}, worker);
+        auto const soon = orders();
+        CPPUNIT_ASSERT(started(soon).empty() && soon.stops.empty());
+        m_now += std::chrono::seconds(2);
+        report({}, worker);
+        CPPUNIT_ASSERT(started(orders()).empty());
+        auto const run = run_of("a", 0, 0);
+        CPPUNIT_ASSERT(orders().stops == std::vector{run});
+        report_refused({run}, worker);
+        commit();
+        CPPUNIT_ASSERT(m_table.held_on(core::worker_id("w1")).empty());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(dispatcher_test);
--- a/modules/workflow/tests/moves_test.cpp
+++ b/modules/workflow/tests/moves_test.cpp
@@ -237,7 +237,7 @@
     {
         auto& state = m_hosts[name];
         auto const orders = m_dispatcher->take_orders(
-            m_now, core::worker_id(name), core::incarnation(1));
+            m_now, core::worker_id(name), core::incarnation(1), m_config);
         for (auto const& run : orders.stops)
         {
             if (state.stopped.insert(run).second)
--- a/modules/workflow/tests/worker_restart_test.cpp
+++ b/modules/workflow/tests/worker_restart_test.cpp
@@ -46,7 +46,7 @@
         report_lists(running({run}), 2);
         CPPUNIT_ASSERT(!ends_a_run());
         auto const ordered = m_dispatcher->take_orders(
-            m_now, core::worker_id("w1"), core::incarnation(2));
+            m_now, core::worker_id("w1"), core::incarnation(2), m_config);
         CPPUNIT_ASSERT(ordered.stops == std::vector{run});
         report_lists(ended(run, core::run_end::stopped), 2);
         CPPUNIT_ASSERT(ends_a_run());
@@ -78,7 +78,8 @@
                              m_dispatcher
                                  ->take_orders(m_now,
                                                core::worker_id("w1"),
-                                               core::incarnation(2))
+                                               core::incarnation(2),
+                                               m_config)
                                  .fencing_token);
         CPPUNIT_ASSERT(second < fencing_token(core::term(8), 0));
         CPPUNIT_ASSERT(grant(1).fencing_token < second);
--- a/programs/control/leader/workflow_service.cpp
+++ b/programs/control/leader/workflow_service.cpp
@@ -458,7 +458,7 @@
 {
     auto const now = process::event_loop::now();
     m_dispatcher.acknowledge_orders(request.worker, request.received_batch);
-    auto orders = m_dispatcher.take_orders(now, request.worker, request.life);
+    auto orders = take_orders(now, request);
     if (!is_empty(orders))
     {
         done(std::move(orders));
@@ -483,6 +483,14 @@
         waiting_poll{request, now + request.max_wait, std::move(done)});
 }
 
+core::runtime_orders
+workflow_service::take_orders(core::time_point now,
+                              core::orders_request const& request)
+{
+    return m_dispatcher.take_orders(
+        now, request.worker, request.life, m_node.state().config().in_force());
+}
+
 void workflow_service::deliver_orders()
 {
     auto const now = process::event_loop::now();
@@ -494,8 +502,7 @@
             // The worker's next poll takes the orders.
             continue;
         }
-        auto orders =
-            m_dispatcher.take_orders(now, worker, poll->second.request.life);
+        auto orders = take_orders(now, poll->second.request);
         if (!is_empty(orders))
         {
             auto const answered = m_polls.extract(poll);
@@ -520,8 +527,7 @@
                   });
     for (auto const& poll : expired)
     {
-        poll.done(m_dispatcher.take_orders(
-            now, poll.request.worker, poll.request.life));
+        poll.done(take_orders(now, poll.request));
     }
 }
 
--- a/programs/control/leader/workflow_service.hpp
+++ b/programs/control/leader/workflow_service.hpp
@@ -124,6 +124,8 @@
     void confirm_reports();
     void confirm_queries();
     /// Answers the polls of the workers for which orders are due.
+    core::runtime_orders take_orders(core::time_point now,
+                                     core::orders_request const& request);
     void deliver_orders();
     void end_expired_polls();
     void log_accepted(core::submit_workflow const& command) const;
