--- a/modules/consensus/tests/storage_fuzz_test.cpp
+++ b/modules/consensus/tests/storage_fuzz_test.cpp
@@ -21,7 +21,8 @@
 constexpr std::size_t longest_failure_steps = 300;
 
 /// Disks of one member after the other fail and work again while the processes
-/// run on. At most one disk of three fails at any time.
+/// run on. A single failing sync may come later than the repair, and so beside
+/// the next failure.
 class failing_disks
 {
 public:
