Log ends that a worker drops unseen, and acknowledgements that a successor gets

The logs can't tell an acknowledgement that reached another incarnation from a worker that never had a run. A worker numbers its ends without gaps, so a number that no list has shown is evidence of the first: ends_dropped_unseen. worker_replaced says what the call had acknowledged that the next incarnation answered. No decision changes.

--- a/modules/core/events/event_code.hpp
+++ b/modules/core/events/event_code.hpp
@@ -47,6 +47,7 @@
     worker_replaced = 312,
     late_start_executed = 313,
     leave_notice_ignored = 314,
+    ends_dropped_unseen = 315,
     run_row_skipped = 330,
     worker_unconfirmed = 331,
 
@@ -160,6 +161,9 @@
     event_entry{event_code::leave_notice_ignored,
                 "leave_notice_ignored",
                 event_severity::warning},
+    event_entry{event_code::ends_dropped_unseen,
+                "ends_dropped_unseen",
+                event_severity::warning},
     event_entry{event_code::run_row_skipped,
                 "run_row_skipped",
                 event_severity::warning},
--- a/modules/workflow/agent/worker_agent.cpp
+++ b/modules/workflow/agent/worker_agent.cpp
@@ -204,6 +204,7 @@
     m_successor.reset();
     m_unconfirmed.clear();
     m_has_late_starts = m_profile.has_value();
+    m_end_numbers = end_numbers(m_profile.has_value());
     m_hooks.on_event({event_code::worker_registered,
                       {text_field("worker", profile.worker.value()),
                        number_field("life", profile.life.value()),
@@ -249,13 +250,15 @@
     }
 }
 
-void worker_agent::handle_successor(core::incarnation life)
+void worker_agent::handle_successor(core::incarnation life,
+                                    std::uint64_t acknowledged)
 {
     m_successor = life;
     m_hooks.on_event({event_code::worker_replaced,
                       {text_field("worker", m_profile->worker.value()),
                        number_field("life", life.value()),
-                       number_field("known_life", m_profile->life.value())}});
+                       number_field("known_life", m_profile->life.value()),
+                       number_field("acknowledged", acknowledged)}});
 }
 
 void worker_agent::log_late_starts()
@@ -286,6 +289,19 @@
     }
 }
 
+void worker_agent::check_end_numbers()
+{
+    for (auto const& [first, last] :
+         m_end_numbers.listed(m_runs->ended, m_has_skipped_ends))
+    {
+        m_hooks.on_event({event_code::ends_dropped_unseen,
+                          {text_field("worker", m_profile->worker.value()),
+                           number_field("life", m_profile->life.value()),
+                           number_field("first", first),
+                           number_field("last", last)}});
+    }
+}
+
 void worker_agent::forget_executed_starts()
 {
     auto const forget = [this](core::task_run const& run)
@@ -396,9 +412,11 @@
     call.wait = wait;
     m_hooks.runtime.sync(
         std::move(call),
-        [this, epoch = m_epoch, number = m_current_sync](
-            std::optional<sync_result> answer)
-        { handle_sync_result(epoch, number, std::move(answer)); });
+        [this,
+         epoch = m_epoch,
+         number = m_current_sync,
+         acknowledged = m_acknowledged_ends](std::optional<sync_result> answer)
+        { handle_sync_result(epoch, number, acknowledged, std::move(answer)); });
 }
 
 void worker_agent::schedule_sync(core::duration delay, core::duration wait)
@@ -415,6 +433,7 @@
 
 void worker_agent::handle_sync_result(std::uint64_t epoch,
                                       std::uint64_t number,
+                                      std::uint64_t acknowledged,
                                       std::optional<sync_result> answer)
 {
     if (!is_current(epoch) || number != m_current_sync || !m_syncing)
@@ -426,7 +445,7 @@
         answer && answer->life && *answer->life != m_stated_life;
     if (is_other_incarnation && m_successor != *answer->life)
     {
-        handle_successor(*answer->life);
+        handle_successor(*answer->life, acknowledged);
     }
     if (!answer || is_other_incarnation)
     {
@@ -455,6 +474,7 @@
                     answer->skipped.end(),
                     [](skipped_row const& each) { return each.is_end; });
     log_skipped_rows(answer->skipped);
+    check_end_numbers();
     log_late_starts();
     forget_executed_starts();
     m_witness.listed(m_worker_clock, m_runs->running);
--- a/modules/workflow/agent/worker_agent.hpp
+++ b/modules/workflow/agent/worker_agent.hpp
@@ -4,6 +4,7 @@
 #include "core/events/event.hpp"
 #include "core/messages/workflow.hpp"
 #include "workflow/agent/crash_witness.hpp"
+#include "workflow/agent/end_numbers.hpp"
 #include "workflow/agent/worker_runtime.hpp"
 
 #include <chrono>
@@ -149,18 +150,24 @@
     bool is_earlier(core::worker_profile const& profile) const;
     void begin_incarnation(core::worker_profile profile);
     /// Handles the first answer of an incarnation that has not registered yet.
-    void handle_successor(core::incarnation life);
+    ///
+    /// @param acknowledged Acknowledged ends in the call that it answered.
+    void handle_successor(core::incarnation life, std::uint64_t acknowledged);
     /// Logs runs of which the start was meant for an earlier incarnation.
     void log_late_starts();
     /// Logs each reason for which rows were skipped once per incarnation.
     void log_skipped_rows(std::vector<skipped_row> const& rows);
+    /// Logs ends that the worker has dropped before it listed them.
+    void check_end_numbers();
     /// Removes the unanswered starts of runs that the worker lists.
     void forget_executed_starts();
     void sync_worker(core::duration wait);
     /// @param number Of the sync call; the result of one that was given up is
     ///        dropped.
+    /// @param acknowledged Acknowledged ends in the call.
     void handle_sync_result(std::uint64_t epoch,
                             std::uint64_t number,
+                            std::uint64_t acknowledged,
                             std::optional<sync_result> answer);
     void schedule_sync(core::duration delay, core::duration wait);
     void refuse_unlisted_stopped_runs();
@@ -232,6 +239,7 @@
     std::uint64_t m_acknowledged_ends = 0;
     core::duration m_worker_clock{};
     std::optional<core::worker_runs> m_runs;
+    end_numbers m_end_numbers;
     /// True if the worker's last list of ended runs has a row that can't be
     /// read, and so is not acknowledged.
     bool m_has_skipped_ends = false;
