Acknowledge ends only to the incarnation that listed them

Cause: a sync call names the worker's id, which its next incarnation has too, and ends are numbered from 1 in each. The agent repeated the acknowledged number after calls without an answer until the next incarnation registered, and the HTTP client sent a call again on a new connection when a worker had closed the old one. A worker for which the number stays in force dropped the next ends before anybody saw them. The sidecar found the run in neither list and reported it as refused, and the task was placed again.

Class: an acknowledgement, like an order, acts only on the incarnation that it is for, and absence from a list proves nothing where an end may have been dropped unseen.

- A sync call has a lease or an acknowledgement only after an answer of the incarnation, and only on the connection of that answer (async_client::request_on_open_connection).
Calls that wait for an end acknowledge nothing; a number is sent only while the worker lists such ends.
- A run that has begun, was not stopped and is in neither list of a whole answer has ended unseen.
It is reported as such, not as refused, and counts as done (unseen_ends says why, and the exceptions).
- Numbers behind an end that can't be read are not acknowledged, and its list counts as cut.
A row of another writer takes no number and holds up nothing.

--- a/modules/core/events/event_code.hpp
+++ b/modules/core/events/event_code.hpp
@@ -48,6 +48,7 @@
     late_start_executed = 313,
     leave_notice_ignored = 314,
     ends_dropped_unseen = 315,
+    run_ended_unseen = 316,
     run_row_skipped = 330,
     worker_unconfirmed = 331,
 
@@ -164,6 +165,9 @@
     event_entry{event_code::ends_dropped_unseen,
                 "ends_dropped_unseen",
                 event_severity::warning},
+    event_entry{event_code::run_ended_unseen,
+                "run_ended_unseen",
+                event_severity::warning},
     event_entry{event_code::run_row_skipped,
                 "run_row_skipped",
                 event_severity::warning},
--- a/modules/core/messages/workflow.hpp
+++ b/modules/core/messages/workflow.hpp
@@ -406,6 +406,9 @@
     /// Earlier incarnations on the instance, repeated until a grant
     /// acknowledges them.
     std::vector<crashed_incarnation> crashed;
+    /// Runs that have ended on the worker, which dropped the ends before it
+    /// listed them: nobody knows how they ended.
+    std::vector<task_run> ended_unseen;
 
     bool operator==(runtime_report const&) const = default;
 };
@@ -419,7 +422,7 @@
     duration lease_until{};
     /// Ends up to this number are committed.
     std::uint64_t acknowledged_ends = 0;
-    /// Refusals that are committed.
+    /// Refused and unseen ended runs whose end is committed.
     std::vector<task_run> acknowledged_refusals;
     /// RPC endpoints of the control group's members.
     std::vector<endpoint> control;
--- a/modules/web/client/async_client.cpp
+++ b/modules/web/client/async_client.cpp
@@ -41,6 +41,8 @@
 struct pending_request
 {
     http::request<http::string_body> request;
+    /// Takes the place of `request` on a new connection.
+    std::optional<http::request<http::string_body>> on_new_connection;
     std::optional<http::response_parser<http::string_body>> parser;
     std::chrono::steady_clock::time_point deadline;
     async_client::callback done;
@@ -94,12 +96,17 @@
     }
 
     void request(http_request const& content,
+                 http_request const* on_new_connection,
                  core::duration timeout,
                  callback done,
                  lost_request lost)
     {
         auto const pending = std::make_shared<pending_request>();
         pending->request = to_beast(content, m_peer);
+        if (on_new_connection != nullptr)
+        {
+            pending->on_new_connection = to_beast(*on_new_connection, m_peer);
+        }
         pending->deadline = std::chrono::steady_clock::now() + timeout;
         pending->done = std::move(done);
         pending->lost = lost;
@@ -140,8 +147,21 @@
         connect(pending);
     }
 
+    static void use_other_content(pending_request& pending)
+    {
+        if (pending.on_new_connection)
+        {
+            pending.request = std::move(*pending.on_new_connection);
+            pending.on_new_connection.reset();
+        }
+    }
+
     void connect(pending_pointer const& pending)
     {
+        if (!m_closes_after_response)
+        {
+            use_other_content(*pending);
+        }
         boost::system::error_code error;
         auto const address =
             boost::asio::ip::make_address(m_peer.address, error);
@@ -215,6 +235,7 @@
         if (connection_was_closed && pending->lost == lost_request::retried)
         {
             pending->is_reused = false;
+            use_other_content(*pending);
             connect(pending);
             return;
         }
@@ -235,8 +256,8 @@
     void complete(pending_pointer const& pending)
     {
         auto connection = std::move(pending->connection);
-        bool const keep_open = pending->parser->get().keep_alive() &&
-                               !m_closed &&
+        m_closes_after_response = !pending->parser->get().keep_alive();
+        bool const keep_open = !m_closes_after_response && !m_closed &&
                                m_idle.size() < m_options.idle_connections;
         if (keep_open)
         {
@@ -280,6 +301,8 @@
     std::deque<pending_pointer> m_waiting;
     std::size_t m_in_use = 0;
     bool m_closed = false;
+    /// True if the peer has closed the connection of its last response.
+    bool m_closes_after_response = false;
 };
 
 async_client::async_client(transport::io_pool& io,
@@ -299,7 +322,16 @@
                            callback done,
                            lost_request lost)
 {
-    m_state->request(content, timeout, std::move(done), lost);
+    m_state->request(content, nullptr, timeout, std::move(done), lost);
+}
+
+void async_client::request_on_open_connection(http_request const& content,
+                                              http_request const& otherwise,
+                                              core::duration timeout,
+                                              callback done)
+{
+    m_state->request(
+        content, &otherwise, timeout, std::move(done), lost_request::retried);
 }
 
 } // namespace turmericswitch::web
--- a/modules/web/client/async_client.hpp
+++ b/modules/web/client/async_client.hpp
@@ -64,6 +64,21 @@
                  callback done,
                  lost_request lost = lost_request::retried);
 
+    /// Sends a request that is meant for the process that has answered an
+    /// earlier one: on a connection of an earlier answer, or with other content
+    /// if there is none. If that connection is lost before the response, the
+    /// other content is sent on a new one.
+    ///
+    /// A peer that closes its connection after each response gets `content` on
+    /// a new one, because nothing else can reach it.
+    ///
+    /// @param otherwise Content that any process at the peer's address may get;
+    ///        idempotent.
+    void request_on_open_connection(http_request const& content,
+                                    http_request const& otherwise,
+                                    core::duration timeout,
+                                    callback done);
+
 private:
     class state;
     std::shared_ptr<state> m_state;
--- a/modules/web/tests/async_client_test.cpp
+++ b/modules/web/tests/async_client_test.cpp
@@ -24,6 +24,8 @@
     CPPUNIT_TEST(timeout_drops_the_idle_connections_that_may_be_silent);
     CPPUNIT_TEST(timeout_drops_a_connection_that_was_used_since);
     CPPUNIT_TEST(lost_request_is_sent_once_if_its_caller_counts_tries);
+    CPPUNIT_TEST(other_process_does_not_get_what_was_meant_for_the_first);
+    CPPUNIT_TEST(peer_that_closes_each_connection_gets_the_content);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -203,7 +205,61 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, server.requests());
     }
 
+    // A worker that restarts closes its connections and listens again at its
+    // address. Guards against an acknowledgement for the earlier incarnation
+    // that reaches the next one, also by the client's own retry.
+    void other_process_does_not_get_what_was_meant_for_the_first()
+    {
+        closing_server const server;
+        transport::io_pool io(1);
+        async_client client(io, server.address());
+        CPPUNIT_ASSERT(send_on_open(client).get().outcome ==
+                       http_outcome::answered);
+        CPPUNIT_ASSERT(send_on_open(client).get().outcome ==
+                       http_outcome::answered);
+        // The second one was read, and lost with its connection.
+        std::vector<std::string> const expected{
+            "/for-any", "/for-the-first", "/for-any"};
+        auto targets = server.targets();
+        targets.resize(expected.size());
+        CPPUNIT_ASSERT(targets == expected);
+    }
+
+    // Guards against a peer without persistent connections that never gets an
+    // acknowledgement.
+    void peer_that_closes_each_connection_gets_the_content()
+    {
+        server_options options;
+        options.listen_on = {"127.0.0.1", 0};
+        auto const server = http_server::start(
+            options,
+            [](http_request const& request)
+            {
+                auto response = text_response(request.target);
+                response.fields.push_back({"Connection", "close"});
+                return response;
+            });
+        transport::io_pool io(1);
+        async_client client(io, server->bound());
+        CPPUNIT_ASSERT_EQUAL(std::string("/for-any"),
+                             send_on_open(client).get().response.body);
+        CPPUNIT_ASSERT_EQUAL(std::string("/for-the-first"),
+                             send_on_open(client).get().response.body);
+    }
+
 private:
+    static std::future<http_result> send_on_open(async_client& client)
+    {
+        auto const promise = std::make_shared<std::promise<http_result>>();
+        client.request_on_open_connection(
+            {"POST", "/for-the-first", {}, ""},
+            {"POST", "/for-any", {}, ""},
+            std::chrono::seconds(20),
+            [promise](http_result result)
+            { promise->set_value(std::move(result)); });
+        return promise->get_future();
+    }
+
     static std::future<http_result>
     send(async_client& client,
          std::string body,
--- a/modules/web/tests/raw_socket.hpp
+++ b/modules/web/tests/raw_socket.hpp
@@ -8,7 +8,9 @@
 #include <arpa/inet.h>
 #include <array>
 #include <atomic>
+#include <mutex>
 #include <netinet/in.h>
+#include <optional>
 #include <string>
 #include <sys/socket.h>
 #include <thread>
@@ -150,8 +152,8 @@
 
 /// Reads until the end of a request header.
 ///
-/// @return False if the peer closed the connection first.
-inline bool read_request_header(int socket)
+/// @return The header, or `nullopt` if the peer closed the connection first.
+inline std::optional<std::string> read_request_header(int socket)
 {
     std::string head;
     std::array<char, 4096> chunk{};
@@ -160,11 +162,11 @@
         ssize_t const size = ::recv(socket, chunk.data(), chunk.size(), 0);
         if (size <= 0)
         {
-            return false;
+            return std::nullopt;
         }
         head.append(chunk.data(), static_cast<std::size_t>(size));
     }
-    return true;
+    return head;
 }
 
 /// Server that sends the next of some fixed texts after each request header and
@@ -244,7 +246,14 @@
     /// @return Requests read so far.
     std::size_t requests() const
     {
-        return m_requests;
+        return targets().size();
+    }
+
+    /// @return The target of each request.
+    std::vector<std::string> targets() const
+    {
+        std::lock_guard const lock(m_mutex);
+        return m_targets;
     }
 
 private:
@@ -269,13 +278,20 @@
 
     bool read_request(int socket)
     {
-        bool const is_read = read_request_header(socket);
-        m_requests += is_read ? 1 : 0;
-        return is_read;
+        auto const header = read_request_header(socket);
+        if (header)
+        {
+            auto const begin = header->find(' ') + 1;
+            auto const end = header->find(' ', begin);
+            std::lock_guard const lock(m_mutex);
+            m_targets.push_back(header->substr(begin, end - begin));
+        }
+        return header.has_value();
     }
 
     listening_socket m_listener;
-    std::atomic<std::size_t> m_requests = 0;
+    mutable std::mutex m_mutex;
+    std::vector<std::string> m_targets;
     std::thread m_thread;
 };
 
--- /dev/null
+++ b/modules/workflow/agent/begun_runs.hpp
@@ -0,0 +1,47 @@
+#ifndef TURMERICSWITCH_WORKFLOW_AGENT_BEGUN_RUNS_HPP
+#define TURMERICSWITCH_WORKFLOW_AGENT_BEGUN_RUNS_HPP
+
+#include "core/messages/workflow.hpp"
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace turmericswitch::workflow
+{
+
+/// Runs that are known to have begun on one incarnation of a worker, and of
+/// which no list has shown the end.
+///
+/// A worker lists each of its runs from the begin to the acknowledgement of the
+/// end. So one that is in neither list has ended, and the worker has dropped
+/// the end before a list showed it.
+class begun_runs
+{
+public:
+    /// Adds a run that the worker has begun.
+    ///
+    /// @param first_sync Number of the first sync call whose answer lists it.
+    void add(core::task_run const& run, std::uint64_t first_sync);
+
+    bool contains(core::task_run const& run) const;
+
+    /// Handles the lists in the answer to a sync call.
+    ///
+    /// @param sync Number of the call.
+    /// @param is_whole True if the lists have all runs of the incarnation.
+    /// @return Runs that have ended without a list that shows it. They are
+    ///         removed.
+    std::vector<core::task_run>
+    listed(std::uint64_t sync, core::worker_runs const& lists, bool is_whole);
+
+    void clear();
+
+private:
+    /// Each with the number of the first sync call whose answer lists it.
+    std::map<core::task_run, std::uint64_t> m_runs;
+};
+
+} // namespace turmericswitch::workflow
+
+#endif
--- a/modules/workflow/agent/worker_agent.cpp
+++ b/modules/workflow/agent/worker_agent.cpp
@@ -155,6 +155,8 @@
     auto& [profile, sequence] = open.mapped();
     if (!answer || (answer->life && *answer->life != profile.life))
     {
+        // The answer may be of the next incarnation under the known id.
+        m_is_confirmed = false;
         log_unconfirmed(profile, answer);
         return;
     }
@@ -204,7 +206,12 @@
     m_successor.reset();
     m_unconfirmed.clear();
     m_has_late_starts = m_profile.has_value();
-    m_end_numbers = end_numbers(m_profile.has_value());
+    m_is_confirmed = false;
+    m_is_known_from_start = m_profile.has_value();
+    m_end_numbers = end_numbers(m_is_known_from_start);
+    m_begun_runs.clear();
+    m_unseen_ends.clear();
+    m_sent_stops.clear();
     m_hooks.on_event({event_code::worker_registered,
                       {text_field("worker", profile.worker.value()),
                        number_field("life", profile.life.value()),
@@ -229,7 +236,6 @@
     m_reserved = {};
     m_starts.clear();
     m_unanswered_starts.clear();
-    m_started_runs.clear();
     m_stops.clear();
     m_stopped_runs.clear();
     m_syncing = false;
@@ -300,6 +306,9 @@
                            number_field("first", first),
                            number_field("last", last)}});
     }
+    // A run that is missing may be the one in the row, as with a cut list.
+    m_runs->may_have_more_ends =
+        m_runs->may_have_more_ends || m_end_numbers.has_unread_end();
 }
 
 void worker_agent::forget_executed_starts()
@@ -320,6 +329,7 @@
     for (auto const& each : m_runs->ended)
     {
         forget(each.run);
+        m_sent_stops.erase(each.run);
     }
 }
 
@@ -404,19 +414,45 @@
     sync_call call;
     call.worker = m_profile->worker;
     call.fencing_token = m_fencing_token;
-    if (m_lease_until > core::duration{})
+    call.wait = wait;
+    if (m_is_confirmed)
     {
-        call.lease_until = m_lease_until;
+        add_effects(call);
+    }
+    sync_answer answer{m_epoch, m_current_sync, call.acknowledged_ends, {}, {}};
+    if (call.acknowledged_ends > 0)
+    {
+        call.wait = {};
+        answer.wait_after = wait;
     }
-    call.acknowledged_ends = m_acknowledged_ends;
-    call.wait = wait;
     m_hooks.runtime.sync(
         std::move(call),
-        [this,
-         epoch = m_epoch,
-         number = m_current_sync,
-         acknowledged = m_acknowledged_ends](std::optional<sync_result> answer)
-        { handle_sync_result(epoch, number, acknowledged, std::move(answer)); });
+        [this, answer](std::optional<sync_result> result) mutable
+        {
+            answer.result = std::move(result);
+            handle_sync_answer(std::move(answer));
+        });
+}
+
+void worker_agent::add_effects(sync_call& call) const
+{
+    if (m_lease_until > core::duration{})
+    {
+        call.lease_until = m_lease_until;
+    }
+    if (lists_acknowledged_ends())
+    {
+        call.acknowledged_ends = m_acknowledged_ends;
+    }
+}
+
+bool worker_agent::lists_acknowledged_ends() const
+{
+    return m_runs && std::any_of(m_runs->ended.begin(),
+                                 m_runs->ended.end(),
+                                 [this](core::ended_run const& each) {
+                                     return each.number <= m_acknowledged_ends;
+                                 });
 }
 
 void worker_agent::schedule_sync(core::duration delay, core::duration wait)
@@ -431,58 +467,108 @@
                   });
 }
 
-void worker_agent::handle_sync_result(std::uint64_t epoch,
-                                      std::uint64_t number,
-                                      std::uint64_t acknowledged,
-                                      std::optional<sync_result> answer)
+void worker_agent::handle_sync_answer(sync_answer answer)
 {
-    if (!is_current(epoch) || number != m_current_sync || !m_syncing)
+    if (!is_current(answer.epoch) || answer.number != m_current_sync ||
+        !m_syncing)
     {
         return;
     }
     m_syncing = false;
+    auto& result = answer.result;
     bool const is_other_incarnation =
-        answer && answer->life && *answer->life != m_stated_life;
-    if (is_other_incarnation && m_successor != *answer->life)
+        result && result->life && *result->life != m_stated_life;
+    if (is_other_incarnation && m_successor != *result->life)
     {
-        handle_successor(*answer->life, acknowledged);
+        handle_successor(*result->life, answer.acknowledged);
     }
-    if (!answer || is_other_incarnation)
+    if (!result || is_other_incarnation)
     {
-        // The leader places nothing on a silent worker, and the report extends
-        // no lease. A changed profile is worth another report, because orders
-        // that the worker executes late must fit its capacity.
-        bool const was_silent = std::exchange(m_silent, true);
-        m_report_due = m_report_due || !was_silent;
-        if (m_report_due && !m_left)
-        {
-            send_report();
-        }
-        schedule_sync(retry_pause, core::duration{});
+        handle_silence();
         return;
     }
-    m_silent = false;
-    m_worker_clock = answer->clock;
+    bool const was_silent = std::exchange(m_silent, false);
+    m_is_confirmed = true;
     bool const is_before_first_grant = !m_polling;
     if (!m_runs && is_before_first_grant)
     {
         give_up_report();
     }
-    m_runs = std::move(answer->runs);
+    auto const before = std::exchange(m_runs, std::nullopt);
+    handle_lists(std::move(*result));
+    if (answer.wait_after > core::duration{} && before && !was_silent &&
+        !has_news(*before))
+    {
+        sync_worker(answer.wait_after);
+        return;
+    }
+    send_report();
+}
+
+void worker_agent::handle_silence()
+{
+    m_is_confirmed = false;
+    // The leader places nothing on a silent worker, and the report extends no
+    // lease. A changed profile is worth another report, because orders that the
+    // worker executes late must fit its capacity.
+    bool const was_silent = std::exchange(m_silent, true);
+    m_report_due = m_report_due || !was_silent;
+    if (m_report_due && !m_left)
+    {
+        send_report();
+    }
+    schedule_sync(retry_pause, core::duration{});
+}
+
+void worker_agent::handle_lists(sync_result result)
+{
+    m_worker_clock = result.clock;
+    m_runs = std::move(result.runs);
     m_has_skipped_ends =
-        std::any_of(answer->skipped.begin(),
-                    answer->skipped.end(),
+        std::any_of(result.skipped.begin(),
+                    result.skipped.end(),
                     [](skipped_row const& each) { return each.is_end; });
-    log_skipped_rows(answer->skipped);
+    log_skipped_rows(result.skipped);
     check_end_numbers();
     log_late_starts();
     forget_executed_starts();
     m_witness.listed(m_worker_clock, m_runs->running);
-    std::erase_if(m_started_runs,
-                  [this](auto const& item)
-                  { return item.second <= m_current_sync; });
+    // Without the incarnation in the answer, the worker may have restarted.
+    find_unseen_ends(result.life && result.skipped.empty() &&
+                     !m_runs->may_have_more_ends);
     refuse_unlisted_stopped_runs();
-    send_report();
+}
+
+bool worker_agent::has_news(core::worker_runs const& before) const
+{
+    auto const has_same_run = [](auto const& a, auto const& b)
+    { return a.run == b.run; };
+    return !m_runs->ended.empty() || m_runs->may_have_more_ends ||
+           m_has_skipped_ends || !m_refused.empty() || !m_unseen_ends.empty() ||
+           m_report_due ||
+           !std::equal(m_runs->running.begin(),
+                       m_runs->running.end(),
+                       before.running.begin(),
+                       before.running.end(),
+                       has_same_run);
+}
+
+void worker_agent::find_unseen_ends(bool is_whole)
+{
+    for (auto const& run :
+         m_begun_runs.listed(m_current_sync, *m_runs, is_whole))
+    {
+        if (m_sent_stops.contains(run))
+        {
+            // Reported as refused once the stop is confirmed: the run is over,
+            // and a stop was to end it.
+            continue;
+        }
+        emit_run_event(event_code::run_ended_unseen, run);
+        m_starts.erase(run);
+        m_stopped_runs.erase(run);
+        m_unseen_ends.insert(run);
+    }
 }
 
 void worker_agent::refuse_unlisted_stopped_runs()
@@ -545,6 +631,7 @@
     report.left = m_left;
     report.silent = m_silent;
     report.crashed = m_witness.crashes();
+    report.ended_unseen.assign(m_unseen_ends.begin(), m_unseen_ends.end());
     m_hooks.leader.report(std::move(report),
                           [this, epoch = m_epoch, number = ++m_reports_begun](
                               std::optional<core::runtime_grant> grant)
@@ -648,14 +735,14 @@
     {
         report_again();
     }
-    else if (has_unacknowledged_ends())
-    {
-        schedule_sync(unacknowledged_ends_pause, core::duration{});
-    }
     else if (m_has_skipped_ends)
     {
         schedule_sync(retry_pause, core::duration{});
     }
+    else if (has_unacknowledged_ends())
+    {
+        schedule_sync(unacknowledged_ends_pause, core::duration{});
+    }
     else
     {
         // The leader places nothing on a worker until a report has its runs, or
@@ -671,12 +758,15 @@
 {
     m_fencing_token = grant.fencing_token;
     m_lease_until = std::max(m_lease_until, grant.lease_until);
+    // The leader doesn't know of rows that could not be read.
     m_acknowledged_ends =
-        std::max(m_acknowledged_ends, grant.acknowledged_ends);
+        std::max(m_acknowledged_ends,
+                 std::min(grant.acknowledged_ends, m_end_numbers.known()));
     m_witness.acknowledge(grant.acknowledged_crashes);
     for (auto const& run : grant.acknowledged_refusals)
     {
         m_refused.erase(run);
+        m_unseen_ends.erase(run);
     }
 }
 
--- a/modules/workflow/agent/worker_agent.hpp
+++ b/modules/workflow/agent/worker_agent.hpp
@@ -3,6 +3,7 @@
 
 #include "core/events/event.hpp"
 #include "core/messages/workflow.hpp"
+#include "workflow/agent/begun_runs.hpp"
 #include "workflow/agent/crash_witness.hpp"
 #include "workflow/agent/end_numbers.hpp"
 #include "workflow/agent/worker_runtime.hpp"
@@ -64,9 +65,15 @@
 /// calls to earlier ones, which may still be under way. So the answer lists
 /// whatever the incarnation has executed of these, and nothing follows later.
 ///
+/// Leases and acknowledgements go only to the incarnation that they are for: a
+/// sync call has them if that incarnation has answered the call before, and the
+/// calls that wait for an end, which are open when a worker ends, acknowledge
+/// nothing.
+///
 /// It reports a run as refused only when the run is certain not to execute and
 /// not to have ended: a list of ends that may be cut proves nothing about a run
-/// that is missing in it. After a start call without an answer it therefore
+/// that is missing in it, and one that is known to have begun and is missing
+/// has ended unseen. After a start call without an answer it therefore
 /// first sends a stop, which makes the worker keep a tombstone that rejects the
 /// start if it arrives later.
 ///
@@ -162,14 +169,32 @@
     /// Removes the unanswered starts of runs that the worker lists.
     void forget_executed_starts();
     void sync_worker(core::duration wait);
-    /// @param number Of the sync call; the result of one that was given up is
-    ///        dropped.
-    /// @param acknowledged Acknowledged ends in the call.
-    void handle_sync_result(std::uint64_t epoch,
-                            std::uint64_t number,
-                            std::uint64_t acknowledged,
-                            std::optional<sync_result> answer);
+    /// Adds the lease and the acknowledgement, if the worker's incarnation is
+    /// certain.
+    void add_effects(sync_call& call) const;
+    /// @return True if the worker lists ends that are acknowledged.
+    bool lists_acknowledged_ends() const;
+    /// The answer to one of a series of sync calls.
+    struct sync_answer
+    {
+        std::uint64_t epoch = 0;
+        /// Of the call; the answer to one that was given up is dropped.
+        std::uint64_t number = 0;
+        /// Acknowledged ends in the call.
+        std::uint64_t acknowledged = 0;
+        /// For how long the next call may wait if this one only acknowledged
+        /// ends and its answer has no news; zero if it must be reported.
+        core::duration wait_after{};
+        std::optional<sync_result> result;
+    };
+
+    void handle_sync_answer(sync_answer answer);
+    void handle_silence();
+    void handle_lists(sync_result result);
+    /// @return True if the leader must learn of the last lists.
+    bool has_news(core::worker_runs const& before) const;
     void schedule_sync(core::duration delay, core::duration wait);
+    void find_unseen_ends(bool is_whole);
     void refuse_unlisted_stopped_runs();
     void send_report();
     /// Lets the next report replace the one in progress, whose grant is
@@ -195,7 +220,6 @@
     /// Makes certain that a start for which the worker has no capacity does not
     /// run, unless it runs already.
     void drop_start(core::task_run const& run);
-    bool is_at_work(core::task_run const& run) const;
     void handle_start_outcome(core::task_run const& run, start_outcome outcome);
     void begin_stop(core::task_run const& run);
     void call_stop(core::task_run const& run);
@@ -239,7 +263,15 @@
     std::uint64_t m_acknowledged_ends = 0;
     core::duration m_worker_clock{};
     std::optional<core::worker_runs> m_runs;
+    /// True if the last sync call was answered by this incarnation.
+    bool m_is_confirmed = false;
+    /// True if this agent has known the worker since the incarnation's start.
+    bool m_is_known_from_start = false;
     end_numbers m_end_numbers;
+    begun_runs m_begun_runs;
+    /// Ended runs of which the worker has dropped the ends before it listed
+    /// them, until the leader acknowledges them.
+    std::set<core::task_run> m_unseen_ends;
     /// True if the worker's last list of ended runs has a row that can't be
     /// read, and so is not acknowledged.
     bool m_has_skipped_ends = false;
@@ -275,9 +307,9 @@
     /// Runs with a start that had no answer. The worker may still execute it
     /// until it has confirmed a stop.
     std::set<core::task_run> m_unanswered_starts;
-    /// Started runs, with the number of the first sync call whose answer lists
-    /// them.
-    std::map<core::task_run, std::uint64_t> m_started_runs;
+    /// Runs for which a stop was sent to the incarnation, until the worker
+    /// lists the end or the run is reported as refused.
+    std::set<core::task_run> m_sent_stops;
     /// Tries of each stop that is in progress.
     std::map<core::task_run, int> m_stops;
     /// Stopped runs, with the number of the first sync call whose answer shows
--- a/modules/workflow/agent/worker_agent_orders.cpp
+++ b/modules/workflow/agent/worker_agent_orders.cpp
@@ -95,7 +95,7 @@
                                std::string const& payload)
 {
     if (m_stops.contains(start.run) || m_stopped_runs.contains(start.run) ||
-        m_refused.contains(start.run))
+        m_refused.contains(start.run) || m_unseen_ends.contains(start.run))
     {
         return;
     }
@@ -126,18 +126,9 @@
     return core::fits_in(m_reserved, m_profile->capacity);
 }
 
-bool worker_agent::is_at_work(core::task_run const& run) const
-{
-    return m_started_runs.contains(run) ||
-           (m_runs && std::any_of(m_runs->running.begin(),
-                                  m_runs->running.end(),
-                                  [&run](core::running_task const& each)
-                                  { return each.run == run; }));
-}
-
 void worker_agent::drop_start(core::task_run const& run)
 {
-    if (is_at_work(run))
+    if (m_begun_runs.contains(run))
     {
         return;
     }
@@ -187,7 +178,7 @@
              time_field("lease_left_ms", m_lease_until - m_worker_clock)});
         m_starts.erase(open);
         m_unanswered_starts.erase(run);
-        m_started_runs[run] = m_syncs_begun + 1;
+        m_begun_runs.add(run, m_syncs_begun + 1);
         return;
     case start_outcome::stale_token:
     case start_outcome::wrong_incarnation:
@@ -203,6 +194,11 @@
     case start_outcome::already_ended:
         m_starts.erase(open);
         m_unanswered_starts.erase(run);
+        if (m_is_known_from_start && !m_sent_stops.contains(run))
+        {
+            // There is no tombstone that the worker could mean.
+            m_begun_runs.add(run, m_syncs_begun + 1);
+        }
         m_stopped_runs[run] = m_syncs_begun + 1;
         return;
     case start_outcome::refused:
@@ -244,6 +240,7 @@
     m_starts.erase(run);
     if (m_stops.try_emplace(run, 0).second)
     {
+        m_sent_stops.insert(run);
         emit_run_event(event_code::stop_sent, run);
         call_stop(run);
     }
@@ -300,6 +297,7 @@
 {
     emit_run_event(event_code::run_refused, run, {text_field("why", why)});
     m_refused.insert(run);
+    m_sent_stops.erase(run);
 }
 
 } // namespace turmericswitch::workflow
--- a/modules/workflow/agent/worker_runtime.hpp
+++ b/modules/workflow/agent/worker_runtime.hpp
@@ -53,13 +53,19 @@
 
 /// Extends the worker's lease, acknowledges ended runs, and asks for the lists
 /// of running and ended runs.
+///
+/// A call names only the worker's id, which its next incarnation has too, and
+/// both the lease and the acknowledgement would do harm there. So they are for
+/// the incarnation that answered the last sync call: without the connection of
+/// that answer, the call is made without them.
 struct sync_call
 {
     core::worker_id worker;
     std::uint64_t fencing_token = 0;
     /// On the worker's clock; `nullopt` leaves the lease unchanged.
     std::optional<core::duration> lease_until;
-    /// The worker drops ended runs up to this number from its list.
+    /// The worker drops ended runs up to this number from its list. Zero if
+    /// none is acknowledged.
     std::uint64_t acknowledged_ends = 0;
     /// How long the worker may delay its answer until a run ends.
     core::duration wait{};
--- a/modules/workflow/dispatch/dispatch_events.cpp
+++ b/modules/workflow/dispatch/dispatch_events.cpp
@@ -201,7 +201,8 @@
 
 core::event run_ended_event(core::run_outcome const& outcome,
                             std::optional<core::duration> since_placed,
-                            std::optional<bool> established)
+                            std::optional<bool> established,
+                            bool is_assumed)
 {
     core::event event{event_code::run_ended,
                       fields_of(outcome.run, outcome.worker)};
@@ -215,6 +216,10 @@
         event.fields.push_back(
             number_field("established", *established ? 1 : 0));
     }
+    if (is_assumed)
+    {
+        event.fields.push_back(number_field("assumed", 1));
+    }
     return event;
 }
 
--- a/modules/workflow/dispatch/dispatch_events.hpp
+++ b/modules/workflow/dispatch/dispatch_events.hpp
@@ -80,9 +80,11 @@
 /// @param since_placed `nullopt` for a run that an earlier leader placed.
 /// @param established Whether the run had been listed for `establishment_time`;
 ///        `nullopt` for a run that did not end with its worker.
+/// @param is_assumed True if nobody saw how the run ended.
 core::event run_ended_event(core::run_outcome const& outcome,
                             std::optional<core::duration> since_placed,
-                            std::optional<bool> established);
+                            std::optional<bool> established,
+                            bool is_assumed);
 
 core::event copy_decided_event(copy_decision const& decision);
 
--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -4,6 +4,7 @@
 #include "workflow/dispatch/dispatch_events.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace turmericswitch::workflow
@@ -278,12 +279,13 @@
         }
         answer.acknowledged_ends = each.number;
     }
-    for (auto const& run : view->refused)
+    for (auto const* const runs : {&view->refused, &view->ended_unseen})
     {
-        if (!m_table.held_incarnation(run, worker))
-        {
-            answer.acknowledged_refusals.push_back(run);
-        }
+        std::copy_if(runs->begin(),
+                     runs->end(),
+                     std::back_inserter(answer.acknowledged_refusals),
+                     [&](core::task_run const& run)
+                     { return !m_table.held_incarnation(run, worker); });
     }
     for (auto const& each : view->crashes)
     {
@@ -363,7 +365,8 @@
                                placed == m_placed_at.end()
                                    ? std::nullopt
                                    : std::optional(now - placed->second),
-                               established));
+                               established,
+                               is_end_assumed(outcome)));
     if (m_orders.evicting().contains(outcome.run))
     {
         // The leader asked for this end; it says nothing about the worker.
@@ -377,6 +380,15 @@
     }
 }
 
+bool dispatcher::is_end_assumed(core::run_outcome const& outcome) const
+{
+    auto const* const view = m_fleet.find(outcome.worker);
+    return view != nullptr &&
+           std::find(view->ended_unseen.begin(),
+                     view->ended_unseen.end(),
+                     outcome.run) != view->ended_unseen.end();
+}
+
 void dispatcher::emit_run_placed(core::time_point now,
                                  core::run_placement const& placed)
 {
--- a/modules/workflow/dispatch/dispatcher.hpp
+++ b/modules/workflow/dispatch/dispatcher.hpp
@@ -179,6 +179,8 @@
     void record_run_time(core::time_point now,
                          core::run_outcome const& outcome);
     void record_end(core::time_point now, core::run_outcome const& outcome);
+    /// @return True if nobody saw how the run ended.
+    bool is_end_assumed(core::run_outcome const& outcome) const;
     void emit_run_placed(core::time_point now,
                          core::run_placement const& placed);
     void emit_lost_workers(core::time_point now,
--- a/modules/workflow/dispatch/end_collector.cpp
+++ b/modules/workflow/dispatch/end_collector.cpp
@@ -20,7 +20,7 @@
 } // namespace
 
 end_collector::end_collector(workflow_table const& table, worker_fleet& fleet)
-    : m_table(table), m_fleet(fleet)
+    : m_table(table), m_fleet(fleet), m_unseen_ends(table, fleet)
 {
 }
 
@@ -43,7 +43,9 @@
                        view.ended.end(),
                        [&](core::ended_run const& each)
                        { return is_open(each.run); }) ||
-           std::any_of(view.refused.begin(), view.refused.end(), is_open);
+           std::any_of(view.refused.begin(), view.refused.end(), is_open) ||
+           std::any_of(
+               view.ended_unseen.begin(), view.ended_unseen.end(), is_open);
 }
 
 void end_collector::collect(core::time_point now,
@@ -95,6 +97,14 @@
                 {run, worker, *life, core::run_end::refused, {}});
         }
     }
+    for (auto const& run : view.ended_unseen)
+    {
+        if (auto const life = m_table.held_incarnation(run, worker))
+        {
+            command.ends.push_back(
+                {run, worker, *life, m_unseen_ends.assumed_end(run), {}});
+        }
+    }
 }
 
 core::run_outcome end_collector::lost_run(core::worker_id const& worker,
--- a/modules/workflow/dispatch/end_collector.hpp
+++ b/modules/workflow/dispatch/end_collector.hpp
@@ -2,6 +2,7 @@
 #define TURMERICSWITCH_WORKFLOW_DISPATCH_END_COLLECTOR_HPP
 
 #include "core/messages/workflow.hpp"
+#include "workflow/dispatch/unseen_ends.hpp"
 #include "workflow/dispatch/worker_fleet.hpp"
 #include "workflow/table/workflow_table.hpp"
 
@@ -60,6 +61,7 @@
 
     workflow_table const& m_table;
     worker_fleet& m_fleet;
+    unseen_ends m_unseen_ends;
     /// Workers that reported since the last search for ends.
     std::set<core::worker_id> m_reported;
     /// Workers that reported since the last search for checkpoints.
--- a/modules/workflow/dispatch/order_reconciler.cpp
+++ b/modules/workflow/dispatch/order_reconciler.cpp
@@ -43,12 +43,13 @@
 
 bool has_ended(worker_view const& worker, core::task_run const& run)
 {
+    auto const is_in = [&run](std::vector<core::task_run> const& runs)
+    { return std::find(runs.begin(), runs.end(), run) != runs.end(); };
     return std::any_of(worker.ended.begin(),
                        worker.ended.end(),
                        [&run](core::ended_run const& each)
                        { return each.run == run; }) ||
-           std::find(worker.refused.begin(), worker.refused.end(), run) !=
-               worker.refused.end();
+           is_in(worker.refused) || is_in(worker.ended_unseen);
 }
 
 /// @return True if less of `need` brings `used` nearer to `capacity`.
--- /dev/null
+++ b/modules/workflow/dispatch/unseen_ends.cpp
@@ -0,0 +1,56 @@
+#include "workflow/dispatch/unseen_ends.hpp"
+
+#include <algorithm>
+
+namespace turmericswitch::workflow
+{
+
+using core::run_end;
+
+unseen_ends::unseen_ends(workflow_table const& table, worker_fleet const& fleet)
+    : m_table(table), m_fleet(fleet)
+{
+}
+
+run_end unseen_ends::assumed_end(core::task_run const& run) const
+{
+    auto const* const stage = m_table.find_stage(run.task);
+    if (stage == nullptr || stage->behaviour.long_running ||
+        workflow_table::may_be_copied(*stage))
+    {
+        return run_end::lost;
+    }
+    return stage->behaviour.gang && has_other_members(run) ? run_end::lost
+                                                           : run_end::done;
+}
+
+bool unseen_ends::has_other_members(core::task_run const& run) const
+{
+    auto const* const workflow = m_table.find(run.task.workflow);
+    auto const* const stage = workflow_table::find_stage_record(
+        *workflow, run.task.occurrence, run.task.stage);
+    if (stage == nullptr)
+    {
+        return false;
+    }
+    for (std::size_t i = 0; i < stage->tasks.size(); ++i)
+    {
+        auto const& member = stage->tasks[i];
+        if (!member.placed || member.attempt != run.attempt)
+        {
+            continue;
+        }
+        auto const* const view = m_fleet.find(member.worker);
+        auto other = run;
+        other.task.index = stage->indices[i];
+        if (view == nullptr || std::find(view->ended_unseen.begin(),
+                                         view->ended_unseen.end(),
+                                         other) == view->ended_unseen.end())
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace turmericswitch::workflow
--- a/modules/workflow/dispatch/worker_fleet.cpp
+++ b/modules/workflow/dispatch/worker_fleet.cpp
@@ -171,6 +171,7 @@
     }
     m_evidence.add(now, report.crashed);
     view.refused = std::move(report.refused);
+    view.ended_unseen = std::move(report.ended_unseen);
     if (report.runs)
     {
         if (!view.has_runs)
--- a/modules/workflow/dispatch/worker_fleet.hpp
+++ b/modules/workflow/dispatch/worker_fleet.hpp
@@ -79,6 +79,8 @@
     bool may_have_more_ends = false;
     /// Refused runs in the last report.
     std::vector<core::task_run> refused;
+    /// Runs in the last report that have ended in a way that nobody knows.
+    std::vector<core::task_run> ended_unseen;
     /// True if the worker has shut down or was replaced on its instance.
     bool left = false;
     /// How it ended, if it left.
--- a/modules/workflow/tests/dispatch_simulation.cpp
+++ b/modules/workflow/tests/dispatch_simulation.cpp
@@ -8,6 +8,9 @@
 namespace
 {
 
+using acknowledgement =
+    ::turmericswitch::testing::runtime_model::acknowledgement;
+
 constexpr core::duration fault_phase = std::chrono::seconds(40);
 constexpr core::duration recovery_phase = std::chrono::seconds(60);
 /// Isolated tasks run one after the other on a fleet of this size, and a worker
@@ -33,6 +36,9 @@
             [this, i](core::task_run const& run)
             { return plan_task(*m_hosts[i], run); });
         worker->model.set_ends_per_answer(m_setup.ends_per_answer);
+        worker->model.set_acknowledgement(
+            seed % 2 == 0 ? acknowledgement::of_all_ends
+                          : acknowledgement::of_listed_ends);
         worker->model.begin_life(m_now);
         worker->worker_life = ++m_last_life;
         m_hosts.push_back(std::move(worker));
@@ -280,21 +286,32 @@
     hooks.runtime.sync = [this, &host, once](auto call, auto done)
     {
         auto const finish = once(done, std::optional<sync_result>());
-        call_worker(host,
-                    [this, &host, call, finish](bool answered)
-                    {
-                        auto answer = host.model.sync(m_now, call);
-                        if (answer)
-                        {
-                            // The model numbers incarnations per worker, the
-                            // simulation across all workers.
-                            answer->life = core::incarnation(host.worker_life);
-                        }
-                        if (answered)
-                        {
-                            finish(answer);
-                        }
-                    });
+        call_worker(
+            host,
+            [this, &host, call, finish, connected_to = host.answered_life](
+                bool answered) mutable
+            {
+                if (host.worker_life != connected_to)
+                {
+                    call.lease_until.reset();
+                    call.acknowledged_ends = 0;
+                }
+                if (answered)
+                {
+                    host.answered_life = host.worker_life;
+                }
+                auto answer = host.model.sync(m_now, call);
+                if (answer)
+                {
+                    // The model numbers incarnations per worker, the
+                    // simulation across all workers.
+                    answer->life = core::incarnation(host.worker_life);
+                }
+                if (answered)
+                {
+                    finish(answer);
+                }
+            });
     };
     hooks.leader.report = [this, &host, once](auto report, auto done)
     {
--- a/modules/workflow/tests/simulation_parts.hpp
+++ b/modules/workflow/tests/simulation_parts.hpp
@@ -85,6 +85,9 @@
     std::unique_ptr<worker_agent> agent;
     std::uint64_t agent_life = 0;
     std::uint64_t worker_life = 0;
+    /// The incarnation that answered the last sync call: the connection of that
+    /// answer leads to no other.
+    std::uint64_t answered_life = 0;
     bool is_partitioned = false;
     /// Number of partitions so far.
     std::uint64_t partitions = 0;
--- /dev/null
+++ b/modules/workflow/tests/worker_agent_acknowledgement_test.cpp
@@ -0,0 +1,272 @@
+#include "worker_agent_fixture.hpp"
+
+namespace turmericswitch::workflow
+{
+
+using namespace testing;
+
+/// Acknowledgements of ends, and ends that a worker drops unseen.
+class worker_agent_acknowledgement_test : public worker_agent_fixture
+{
+    CPPUNIT_TEST_SUITE(worker_agent_acknowledgement_test);
+    CPPUNIT_TEST(acknowledgement_is_not_repeated_after_a_lost_call);
+    CPPUNIT_TEST(unregistered_incarnation_gets_no_acknowledgement);
+    CPPUNIT_TEST(waiting_call_acknowledges_nothing);
+    CPPUNIT_TEST(new_leader_gets_a_report_beside_an_acknowledgement);
+    CPPUNIT_TEST(begun_run_that_is_missing_is_not_refused);
+    CPPUNIT_TEST(ended_start_without_a_stop_is_not_refused);
+    CPPUNIT_TEST(missing_run_proves_nothing_in_an_unreadable_list);
+    CPPUNIT_TEST(stopped_run_that_is_missing_is_refused);
+    CPPUNIT_TEST(ends_after_an_unreadable_one_are_not_acknowledged);
+    CPPUNIT_TEST(row_of_another_writer_holds_up_no_acknowledgement);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // A worker restarts under its id, and both incarnations number their ends
+    // from 1. Guards against an acknowledgement that is repeated until the next
+    // incarnation registers, which drops its ends before anybody has seen them,
+    // so that their tasks are started again.
+    void acknowledgement_is_not_repeated_after_a_lost_call()
+    {
+        acknowledge_first_end();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, acknowledged_ends());
+        answer(m_syncs, std::optional<sync_result>());
+        run_delayed();
+        expect_no_effects();
+        // It goes on once the incarnation has answered.
+        answer(m_syncs, std::optional(list_with_end()));
+        grant(1);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, acknowledged_ends());
+        CPPUNIT_ASSERT(m_syncs.front().call.lease_until.has_value());
+    }
+
+    // The same, with a call that the next incarnation answers before it has
+    // registered.
+    void unregistered_incarnation_gets_no_acknowledgement()
+    {
+        acknowledge_first_end();
+        auto of_successor = list_of(2, {});
+        answer(m_syncs, std::optional(of_successor));
+        CPPUNIT_ASSERT(has_event(core::event_code::worker_replaced));
+        run_delayed();
+        expect_no_effects();
+        m_agent->registered(profile("w1", 8000, 2));
+        expect_no_effects();
+    }
+
+    // A call that waits for an end is open when its worker ends, and the next
+    // incarnation may execute a call without an answer.
+    void waiting_call_acknowledges_nothing()
+    {
+        acknowledge_first_end();
+        CPPUNIT_ASSERT(m_syncs.front().call.wait == core::duration{});
+        auto const reports = m_reports.size();
+        answer(m_syncs, std::optional(list_of(1, {})));
+        // The answer has no news, so it is not worth a report.
+        CPPUNIT_ASSERT_EQUAL(reports, m_reports.size());
+        CPPUNIT_ASSERT(m_syncs.front().call.wait > core::duration{});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, acknowledged_ends());
+        CPPUNIT_ASSERT(m_syncs.front().call.lease_until.has_value());
+    }
+
+    // Guards against a new leader that learns of the worker a second late,
+    // because the first answer after the election had no news.
+    void new_leader_gets_a_report_beside_an_acknowledgement()
+    {
+        acknowledge_first_end();
+        m_agent->leader_changed({});
+        m_syncs.clear();
+        run_delayed();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, acknowledged_ends());
+        answer(m_syncs, std::optional(list_of(1, {})));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_reports.size());
+    }
+
+    // Guards against the conclusion that a run never had an effect because the
+    // worker doesn't list it, although it has begun: its end was dropped.
+    void begun_run_that_is_missing_is_not_refused()
+    {
+        begin();
+        order_start();
+        answer(m_starts, start_outcome::started);
+        // This call began before the start was answered.
+        answer(m_syncs, std::optional(list_of(1, {})));
+        CPPUNIT_ASSERT(last_report().ended_unseen.empty());
+        grant(1);
+        answer(m_syncs, std::optional(list_of(1, {})));
+        expect_unseen_end();
+        // The leader that repeats the order doesn't know yet.
+        order_start();
+        CPPUNIT_ASSERT(m_starts.empty());
+        core::runtime_grant committed;
+        committed.fencing_token = 1;
+        committed.acknowledged_refusals = {m_run};
+        answer(m_reports, std::optional(committed));
+        answer(m_syncs, std::optional(list_of(1, {})));
+        CPPUNIT_ASSERT(last_report().ended_unseen.empty());
+    }
+
+    // The start has no answer and the run ends before the next list. The
+    // repeated one says that it has ended, and no stop left a tombstone.
+    void ended_start_without_a_stop_is_not_refused()
+    {
+        begin();
+        order_start();
+        answer(m_starts, start_outcome::unknown);
+        answer(m_starts, start_outcome::already_ended);
+        answer(m_syncs, std::optional(list_of(1, {})));
+        grant(1);
+        answer(m_syncs, std::optional(list_of(1, {})));
+        expect_unseen_end();
+    }
+
+    // Guards against an end that is invented: the run may be in the row that
+    // can't be read, or the worker may have restarted.
+    void missing_run_proves_nothing_in_an_unreadable_list()
+    {
+        begin();
+        order_start();
+        answer(m_starts, start_outcome::started);
+        answer(m_syncs, std::optional(list_of(1, {})));
+        grant(1);
+        auto unreadable = list_of(1, {});
+        unreadable.skipped = {{false, "malformed task name"}};
+        answer(m_syncs, std::optional(unreadable));
+        CPPUNIT_ASSERT(last_report().ended_unseen.empty());
+        grant(1);
+        auto anonymous = list_of(1, {});
+        anonymous.life.reset();
+        answer(m_syncs, std::optional(anonymous));
+        CPPUNIT_ASSERT(last_report().ended_unseen.empty());
+        grant(1);
+        answer(m_syncs, std::optional(list_of(1, {m_run})));
+        CPPUNIT_ASSERT(last_report().ended_unseen.empty());
+        CPPUNIT_ASSERT(last_report().refused.empty());
+    }
+
+    // Guards against a stopped run that counts as done.
+    void stopped_run_that_is_missing_is_refused()
+    {
+        begin();
+        order_start();
+        answer(m_starts, start_outcome::started);
+        core::runtime_orders orders;
+        orders.fencing_token = 1;
+        orders.stops = {m_run};
+        answer(m_polls, std::optional(orders));
+        answer(m_stops, true);
+        answer(m_syncs, std::optional(list_of(1, {})));
+        grant(1);
+        answer(m_syncs, std::optional(list_of(1, {})));
+        CPPUNIT_ASSERT(last_report().ended_unseen.empty());
+        CPPUNIT_ASSERT(last_report().refused == std::vector{m_run});
+    }
+
+    // Guards against an end that is acknowledged with the ones around it
+    // although nobody could read it: the worker drops it, and its task is
+    // started again.
+    void ends_after_an_unreadable_one_are_not_acknowledged()
+    {
+        begin();
+        auto lists = list_of(1, {});
+        lists.runs.ended = {{1, run_of("b", 0, 0), core::run_end::done, {}},
+                            {3, run_of("b", 0, 2), core::run_end::done, {}}};
+        lists.skipped = {{true, "malformed task name"}};
+        answer(m_syncs, std::optional(lists));
+        CPPUNIT_ASSERT(last_report().runs->may_have_more_ends);
+        grant_ends(3);
+        run_delayed();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, acknowledged_ends());
+        CPPUNIT_ASSERT(!has_event(core::event_code::ends_dropped_unseen));
+        lists.runs.ended[0] = {2, run_of("b", 0, 1), core::run_end::done, {}};
+        lists.skipped.clear();
+        answer(m_syncs, std::optional(lists));
+        CPPUNIT_ASSERT(!last_report().runs->may_have_more_ends);
+        grant_ends(3);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, acknowledged_ends());
+    }
+
+    // The worker's own ends are numbered without gaps, so the row is not one of
+    // them. Guards against ends that are never acknowledged beside it.
+    void row_of_another_writer_holds_up_no_acknowledgement()
+    {
+        begin();
+        auto lists = list_with_end();
+        lists.skipped = {{true, "malformed task name"}};
+        answer(m_syncs, std::optional(lists));
+        CPPUNIT_ASSERT(!last_report().runs->may_have_more_ends);
+        grant_ends(1);
+        run_delayed();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, acknowledged_ends());
+    }
+
+private:
+    static sync_result list_of(std::uint64_t life,
+                               std::vector<core::task_run> const& runs)
+    {
+        auto result = list_at(10, runs);
+        result.life = core::incarnation(life);
+        return result;
+    }
+
+    static sync_result list_with_end()
+    {
+        auto result = list_of(1, {});
+        result.runs.ended = {{1, run_of("b", 0, 0), core::run_end::done, {}}};
+        return result;
+    }
+
+    std::uint64_t acknowledged_ends() const
+    {
+        CPPUNIT_ASSERT(!m_syncs.empty());
+        return m_syncs.front().call.acknowledged_ends;
+    }
+
+    void grant_ends(std::uint64_t number)
+    {
+        core::runtime_grant grant;
+        grant.fencing_token = 1;
+        grant.lease_until = std::chrono::seconds(5);
+        grant.acknowledged_ends = number;
+        answer(m_reports, std::optional(grant));
+    }
+
+    /// Makes the agent send an acknowledgement of the first end, to incarnation
+    /// 1 of the worker.
+    void acknowledge_first_end()
+    {
+        start_up();
+        answer(m_syncs, std::optional(list_with_end()));
+        grant_ends(1);
+    }
+
+    /// Incarnation 1 of the worker, which the agent knows from its start.
+    void begin()
+    {
+        m_agent->registered(profile("w1", 8000, 0));
+        m_agent->registered(profile("w1", 8000, 1));
+        m_reports.pop_front();
+        grant(1);
+    }
+
+    void expect_no_effects() const
+    {
+        CPPUNIT_ASSERT(!m_syncs.empty());
+        for (auto const& [call, done] : m_syncs)
+        {
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, call.acknowledged_ends);
+            CPPUNIT_ASSERT(!call.lease_until);
+        }
+    }
+
+    void expect_unseen_end() const
+    {
+        CPPUNIT_ASSERT(last_report().refused.empty());
+        CPPUNIT_ASSERT(last_report().ended_unseen == std::vector{m_run});
+        CPPUNIT_ASSERT(has_event(core::event_code::run_ended_unseen));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(worker_agent_acknowledgement_test);
+
+} // namespace turmericswitch::workflow
--- a/tests/support/runtime_model.cpp
+++ b/tests/support/runtime_model.cpp
@@ -25,6 +25,11 @@
     m_ends_per_answer = count;
 }
 
+void runtime_model::set_acknowledgement(acknowledgement reading)
+{
+    m_reading = reading;
+}
+
 void runtime_model::begin_life(core::time_point now)
 {
     ++m_life;
@@ -32,6 +37,7 @@
     m_token = 0;
     m_lease = {};
     m_last_end = 0;
+    m_acknowledged = 0;
     m_running.clear();
     m_closed.clear();
     m_ended.clear();
@@ -66,6 +72,25 @@
     closed = std::max(closed, id.attempt);
     m_ended.push_back(
         {{++m_last_end, id, how, core::checkpoint_id(std::move(saved))}});
+    if (m_reading == acknowledgement::of_all_ends)
+    {
+        drop_ends(m_acknowledged);
+    }
+}
+
+void runtime_model::drop_ends(std::uint64_t acknowledged)
+{
+    std::erase_if(m_ended,
+                  [&](listed_end const& each)
+                  {
+                      bool const is_released = each.end.number <= acknowledged;
+                      if (is_released && each.end.how == run_end::done &&
+                          !each.has_lapsed)
+                      {
+                          m_released_done.push_back(each.end.run);
+                      }
+                      return is_released;
+                  });
 }
 
 void runtime_model::advance(core::time_point now)
@@ -187,18 +212,8 @@
     {
         extend(*call.lease_until, now);
     }
-    std::erase_if(m_ended,
-                  [&](listed_end const& each)
-                  {
-                      bool const is_released =
-                          each.end.number <= call.acknowledged_ends;
-                      if (is_released && each.end.how == run_end::done &&
-                          !each.has_lapsed)
-                      {
-                          m_released_done.push_back(each.end.run);
-                      }
-                      return is_released;
-                  });
+    m_acknowledged = std::max(m_acknowledged, call.acknowledged_ends);
+    drop_ends(call.acknowledged_ends);
     workflow::sync_result answer;
     answer.clock = clock(now);
     answer.life = core::incarnation(m_life);
--- a/tests/support/runtime_model.hpp
+++ b/tests/support/runtime_model.hpp
@@ -36,6 +36,16 @@
         std::optional<core::time_point> stops_at;
     };
 
+    /// Which ends an acknowledged number makes a worker drop. The contract
+    /// allows both readings.
+    enum class acknowledgement
+    {
+        /// Those that are listed when the call is executed.
+        of_listed_ends,
+        /// Also later ones, as long as the incarnation lasts.
+        of_all_ends,
+    };
+
     /// How long a task runs and whether it fails.
     struct task_plan
     {
@@ -53,6 +63,8 @@
     /// Sets the most ended runs in the answer to a sync call.
     void set_ends_per_answer(std::size_t count);
 
+    void set_acknowledgement(acknowledgement reading);
+
     /// Begins a new life: nothing runs and nothing is known.
     void begin_life(core::time_point now);
 
@@ -88,16 +100,21 @@
     void extend(core::duration until, core::time_point now);
     void end(core::task_run const& id, core::run_end how, std::string saved);
     bool is_outdated(std::uint64_t token);
+    /// Drops the ends up to the number.
+    void drop_ends(std::uint64_t acknowledged);
 
     core::duration m_longest;
     plan_hook m_plan;
     core::duration m_stop_time{};
     std::size_t m_ends_per_answer = 500;
+    acknowledgement m_reading = acknowledgement::of_listed_ends;
     std::uint64_t m_life = 0;
     core::time_point m_born;
     std::uint64_t m_token = 0;
     core::duration m_lease{};
     std::uint64_t m_last_end = 0;
+    /// Highest acknowledged number in the calls of this life.
+    std::uint64_t m_acknowledged = 0;
     std::map<core::task_ref, run> m_running;
     /// Highest attempt of each task that was stopped or has ended.
     std::map<core::task_ref, core::attempt_number> m_closed;
