A job is begun when a worker was seen to have begun a task

Cause: the table called a job running as soon as a task was placed, and counted as waiting only what isn't placed. A start that gets no answer leaves the job placed for seconds.

The state changes with the first list, or the first end, that shows a run.

The simulation checks at every step that no job is shown as running before a worker has begun it, and the number of waiting jobs. Six tests that used running for a job that has not failed name the exact state now: queued where no run was seen to begin.

--- a/modules/core/messages/workflow.hpp
+++ b/modules/core/messages/workflow.hpp
@@ -143,7 +143,9 @@
 
 enum class workflow_state : std::uint8_t
 {
+    /// No task is known to have begun, though some may be placed.
     queued,
+    /// A worker was seen to have begun a task.
     running,
     completed,
     failed,
@@ -292,7 +294,7 @@
     bool operator==(run_checkpoint const&) const = default;
 };
 
-/// Ends, checkpoints and placements, applied in this order.
+/// Ends, checkpoints, placements and begun workflows, applied in this order.
 struct workflow_progress
 {
     std::vector<run_outcome> ends;
@@ -304,6 +306,8 @@
     /// Runs that ended as `suspected` and are now known to have ended as
     /// `crashed` or `lost`. Applied after the ends.
     std::vector<run_outcome> resolved;
+    /// Workflows of which a worker was seen to have begun a task.
+    std::vector<workflow_id> begun;
 
     bool operator==(workflow_progress const&) const = default;
 };
--- a/modules/wire/codec/message_codec.cpp
+++ b/modules/wire/codec/message_codec.cpp
@@ -93,7 +93,7 @@
 template <>
 constexpr std::size_t appended_members<core::runtime_orders> = 1;
 template <>
-constexpr std::size_t appended_members<core::workflow_progress> = 2;
+constexpr std::size_t appended_members<core::workflow_progress> = 3;
 template <>
 constexpr std::size_t appended_members<core::state_snapshot> = 1;
 template <>
--- a/modules/workflow/dispatch/end_collector.cpp
+++ b/modules/workflow/dispatch/end_collector.cpp
@@ -17,6 +17,16 @@
 /// run's work.
 constexpr core::duration checkpoint_interval = std::chrono::seconds(1);
 
+void add_begun(core::workflow_id const& workflow,
+               core::workflow_progress& command)
+{
+    auto& begun = command.begun;
+    if (std::find(begun.begin(), begun.end(), workflow) == begun.end())
+    {
+        begun.push_back(workflow);
+    }
+}
+
 } // namespace
 
 end_collector::end_collector(workflow_table const& table, worker_fleet& fleet)
@@ -53,9 +63,10 @@
 {
     for (auto const& worker : std::exchange(m_reported, {}))
     {
-        if (auto const* const view = m_fleet.find(worker))
+        if (auto* const view = m_fleet.find(worker))
         {
             collect_reported_ends(*view, command);
+            collect_begun(*view, command);
         }
     }
     if (now < m_next_scan)
@@ -103,10 +114,30 @@
         {
             command.ends.push_back(
                 {run, worker, *life, m_unseen_ends.assumed_end(run), {}});
+            add_begun(run.task.workflow, command);
         }
     }
 }
 
+void end_collector::collect_begun(worker_view& view,
+                                  core::workflow_progress& command) const
+{
+    auto const& worker = view.profile.worker;
+    std::erase_if(view.newly_listed,
+                  [&](core::task_run const& run)
+                  {
+                      auto const& id = run.task.workflow;
+                      auto const* const workflow = m_table.find(id);
+                      return workflow == nullptr ||
+                             workflow->state != core::workflow_state::queued ||
+                             !m_table.held_incarnation(run, worker);
+                  });
+    for (auto const& run : view.newly_listed)
+    {
+        add_begun(run.task.workflow, command);
+    }
+}
+
 core::run_outcome end_collector::lost_run(core::worker_id const& worker,
                                           held_run const& held) const
 {
@@ -212,6 +243,13 @@
     {
         m_reported.insert(outcome.worker);
     }
+    for (auto const& [worker, view] : m_fleet.all())
+    {
+        if (!view.newly_listed.empty())
+        {
+            m_reported.insert(worker);
+        }
+    }
     m_next_scan = {};
 }
 
--- a/modules/workflow/dispatch/end_collector.hpp
+++ b/modules/workflow/dispatch/end_collector.hpp
@@ -45,6 +45,9 @@
     /// one, so its ends count for runs on all of them.
     void collect_reported_ends(worker_view const& view,
                                core::workflow_progress& command) const;
+    /// Adds workflows of which the worker lists a task for the first time.
+    void collect_begun(worker_view& view,
+                       core::workflow_progress& command) const;
     /// @return The end of a run that ended with its worker.
     core::run_outcome lost_run(core::worker_id const& worker,
                                held_run const& held) const;
--- a/modules/workflow/dispatch/worker_fleet.cpp
+++ b/modules/workflow/dispatch/worker_fleet.cpp
@@ -72,8 +72,12 @@
     for (auto& each : runs.running)
     {
         auto const before = listed_before.find(each.run);
-        auto const since =
-            before == listed_before.end() ? view.clock : before->second;
+        bool const is_new = before == listed_before.end();
+        auto const since = is_new ? view.clock : before->second;
+        if (is_new)
+        {
+            view.newly_listed.push_back(each.run);
+        }
         view.listed_since.emplace(each.run, since);
         view.has_newly_established =
             view.has_newly_established ||
--- a/modules/workflow/dispatch/worker_fleet.hpp
+++ b/modules/workflow/dispatch/worker_fleet.hpp
@@ -71,6 +71,9 @@
     std::map<core::task_run, core::running_task> running;
     /// The worker's clock in the first report that listed each running run.
     std::map<core::task_run, core::duration> listed_since;
+    /// Runs that became listed as running and are not known to have shown that
+    /// their workflow has begun.
+    std::vector<core::task_run> newly_listed;
     /// True if the last report made a run established.
     bool has_newly_established = false;
     /// Ended runs in the last report with runs.
--- a/modules/workflow/table/workflow_table.cpp
+++ b/modules/workflow/table/workflow_table.cpp
@@ -51,6 +51,28 @@
            how != run_end::refused;
 }
 
+/// @return True for ends that show that the worker had begun the run.
+bool shows_begin(core::run_outcome const& outcome)
+{
+    switch (outcome.how)
+    {
+    case run_end::done:
+    case run_end::failed:
+    case run_end::stopped:
+    case run_end::lapsed:
+    case run_end::broken:
+    case run_end::alone:
+        return true;
+    case run_end::lost:
+        return outcome.established;
+    case run_end::refused:
+    case run_end::crashed:
+    case run_end::suspected:
+        break;
+    }
+    return false;
+}
+
 /// @return True if the task has one held run, and that on another worker.
 bool may_take_copy(core::stage_description const& stage,
                    core::task_record const& task,
@@ -126,6 +148,7 @@
     record.submitted = now;
     m_workflows.emplace(command.workflow, std::move(record));
     m_active.insert(command.workflow);
+    ++m_queued[queue.queue];
     m_changed_workflows.add(command.workflow);
     return reply;
 }
@@ -168,12 +191,42 @@
     {
         apply(placement);
     }
+    for (auto const& id : command.begun)
+    {
+        if (auto const known = m_workflows.find(id); known != m_workflows.end())
+        {
+            set_begun(known->second);
+        }
+    }
     if (command.longest_lease > core::duration{})
     {
         m_longest_lease = command.longest_lease;
     }
 }
 
+void workflow_table::set_begun(core::workflow_record& workflow)
+{
+    if (workflow.state == workflow_state::queued)
+    {
+        set_state(workflow, workflow_state::running);
+        m_changed_workflows.add(workflow.workflow);
+    }
+}
+
+void workflow_table::set_state(core::workflow_record& workflow,
+                               core::workflow_state state)
+{
+    if (workflow.state == workflow_state::queued)
+    {
+        auto const queued = m_queued.find(workflow.queue.queue);
+        if (--queued->second == 0)
+        {
+            m_queued.erase(queued);
+        }
+    }
+    workflow.state = state;
+}
+
 void workflow_table::apply(core::run_outcome const& outcome,
                            core::time_point now)
 {
@@ -209,6 +262,10 @@
         drop_details(workflow);
         return;
     }
+    if (shows_begin(outcome))
+    {
+        set_begun(workflow);
+    }
     auto& stage = stage_record(workflow, ref);
     auto const& description = workflow.description.stages[ref.stage];
     auto const& behaviour = description.behaviour;
@@ -454,7 +511,6 @@
     task.attempt = placement.run.attempt;
     task.worker = placement.worker;
     task.life = placement.life;
-    workflow.state = workflow_state::running;
     add_hold(ref, {task.attempt, task.worker, task.life});
 }
 
@@ -463,7 +519,7 @@
                          core::time_point now,
                          std::string reason)
 {
-    workflow.state = state;
+    set_state(workflow, state);
     workflow.ended = now;
     workflow.reason = std::move(reason);
     m_active.erase(workflow.workflow);
@@ -681,15 +737,8 @@
 
 std::uint64_t workflow_table::waiting(core::queue_id const& queue) const
 {
-    return static_cast<std::uint64_t>(
-        std::count_if(m_active.begin(),
-                      m_active.end(),
-                      [&](core::workflow_id const& id)
-                      {
-                          auto const& record = m_workflows.at(id);
-                          return record.queue.queue == queue &&
-                                 record.state == workflow_state::queued;
-                      }));
+    auto const queued = m_queued.find(queue);
+    return queued == m_queued.end() ? 0 : queued->second;
 }
 
 core::stage_record const*
@@ -782,6 +831,7 @@
     m_longest_lease = longest_lease;
     m_workflows.clear();
     m_active.clear();
+    m_queued.clear();
     m_holds.clear();
     m_suspected.clear();
     m_held_by_workflow.clear();
@@ -793,6 +843,10 @@
         {
             m_active.insert(id);
         }
+        if (record.state == workflow_state::queued)
+        {
+            ++m_queued[record.queue.queue];
+        }
         for (auto& stage : record.stages)
         {
             drop_needless_records(stage);
--- a/modules/workflow/table/workflow_table.hpp
+++ b/modules/workflow/table/workflow_table.hpp
@@ -64,9 +64,9 @@
     /// another worker. The first end `done` of the two counts; what ends after
     /// it only gives its capacity back.
     ///
-    /// Applies ends, resolved ends, checkpoints and placements, in this order,
-    /// and records the longest lease. Parts that no longer match the table are
-    /// ignored and counted.
+    /// Applies ends, resolved ends, checkpoints, placements and begun
+    /// workflows, in this order, and records the longest lease. Parts that no
+    /// longer match the table are ignored and counted.
     void progress(core::workflow_progress const& command, core::time_point now);
 
     /// Removes workflows that ended more than `final_retention` ago and have no
@@ -123,8 +123,8 @@
     /// @return Workflows that have not ended, in order of their ids.
     std::set<core::workflow_id> const& active() const noexcept;
 
-    /// @return Number of workflows in the queue of which no task was placed
-    /// yet.
+    /// @return Number of accepted workflows in the queue of which no task is
+    ///         known to have begun.
     std::uint64_t waiting(core::queue_id const& queue) const;
 
     /// @return Number of occurrences of the workflow, at least 1.
@@ -207,6 +207,9 @@
              core::workflow_state state,
              core::time_point now,
              std::string reason);
+    /// A worker was seen to have begun a task of the workflow.
+    void set_begun(core::workflow_record& workflow);
+    void set_state(core::workflow_record& workflow, core::workflow_state state);
     void add_hold(core::task_ref const& task, core::task_attempt const& held);
     void remove_hold(core::run_outcome const& outcome);
     void drop_details(core::workflow_record& workflow);
@@ -219,6 +222,8 @@
 
     // Derived from the workflows.
     std::set<core::workflow_id> m_active;
+    /// Number of queued workflows, for queues that have any.
+    std::map<core::queue_id, std::uint64_t> m_queued;
     std::map<core::worker_id, std::set<held_run>> m_holds;
     std::map<core::worker_id, std::set<held_run>> m_suspected;
     std::map<core::workflow_id, std::size_t> m_held_by_workflow;
--- a/modules/workflow/tests/crash_evidence_test.cpp
+++ b/modules/workflow/tests/crash_evidence_test.cpp
@@ -80,7 +80,7 @@
             report({}, profile("w1", 8000, life + 1));
             CPPUNIT_ASSERT(only_end() == core::run_end::suspected);
         }
-        CPPUNIT_ASSERT(state_of("a") == core::workflow_state::running);
+        CPPUNIT_ASSERT(state_of("a") == core::workflow_state::queued);
         CPPUNIT_ASSERT(core::possible_crashes(task()) >= 2);
     }
 
--- a/modules/workflow/tests/dispatch_simulation.cpp
+++ b/modules/workflow/tests/dispatch_simulation.cpp
@@ -256,6 +256,7 @@
                 auto const outcome = host.model.start(m_now, call);
                 if (host.model.running().size() > before)
                 {
+                    m_begun.insert(call.start.run.task.workflow);
                     check_start(host, called_at);
                 }
                 if (answered)
--- a/modules/workflow/tests/dispatch_simulation.hpp
+++ b/modules/workflow/tests/dispatch_simulation.hpp
@@ -145,6 +145,9 @@
     /// from the whole table.
     /// A task whose end `done` was acknowledged is not run again.
     void check_released_ends();
+    /// Checks that what callers would be shown is allowed by what the workers
+    /// have done.
+    void check_shown_states();
     void check_backlog();
     std::string describe(core::workflow_id const& id) const;
     void fail(std::string what);
@@ -200,6 +203,8 @@
     std::map<core::task_ref, std::uint32_t> m_seen_crashes;
     std::size_t m_crashes = 0;
     std::set<core::task_run> m_copied;
+    /// Jobs of which a worker has begun a task.
+    std::set<core::workflow_id> m_begun;
 };
 
 } // namespace turmericswitch::workflow::testing
--- a/modules/workflow/tests/dispatcher_test.cpp
+++ b/modules/workflow/tests/dispatcher_test.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(report_of_an_earlier_incarnation_is_ignored);
     CPPUNIT_TEST(restart_of_a_worker_ends_its_earlier_runs_at_once);
     CPPUNIT_TEST(task_that_crashes_workers_fails_its_workflow);
+    CPPUNIT_TEST(job_waits_until_its_worker_lists_a_task);
     CPPUNIT_TEST(only_runs_not_yet_seen_at_work_are_suspected);
     CPPUNIT_TEST(restart_after_a_notice_or_of_the_instance_is_no_crash);
     CPPUNIT_TEST(draining_worker_and_evacuated_zone_get_no_tasks);
@@ -143,6 +144,24 @@
         CPPUNIT_ASSERT(reason.find('4') != std::string::npos);
     }
 
+    // Guards against a job that is shown as begun because it is placed, though
+    // its start has had no effect, and against one whose begin is forgotten
+    // with a commit that failed.
+    void job_waits_until_its_worker_lists_a_task()
+    {
+        start_one();
+        CPPUNIT_ASSERT(state_of("a") == core::workflow_state::queued);
+        auto const run = run_of("a", 0, 0);
+        report(running({run}));
+        auto const command = plan();
+        CPPUNIT_ASSERT(command.has_value());
+        m_dispatcher->rejected(*command);
+        commit();
+        CPPUNIT_ASSERT(state_of("a") == core::workflow_state::running);
+        report(running({run}), profile("w1"), at_work_ms + 10);
+        CPPUNIT_ASSERT(!plan().has_value());
+    }
+
     // Runs that had worked for a while did not cause the crash. If they were
     // counted, crashes caused by others would fail their workflow.
     void only_runs_not_yet_seen_at_work_are_suspected()
@@ -156,6 +175,10 @@
             auto const worker = profile("w1", 8000, life);
             report(running({run}), worker, at_work_ms);
             report(running({run}), worker, at_work_ms + 500);
+            if (life == 1)
+            {
+                commit();
+            }
             report({}, profile("w1", 8000, life + 1));
             commit();
         }
@@ -184,7 +207,7 @@
             report({}, profile("w1", 8000, life + 1));
             commit();
         }
-        CPPUNIT_ASSERT(state_of("a") == core::workflow_state::running);
+        CPPUNIT_ASSERT(state_of("a") == core::workflow_state::queued);
     }
 
     void draining_worker_and_evacuated_zone_get_no_tasks()
--- a/modules/workflow/tests/simulation_checks.cpp
+++ b/modules/workflow/tests/simulation_checks.cpp
@@ -11,6 +11,7 @@
 void dispatch_simulation::check()
 {
     check_released_ends();
+    check_shown_states();
     std::map<core::task_ref, std::uint32_t> seen;
     for (auto const& host : m_hosts)
     {
@@ -108,6 +109,27 @@
     }
 }
 
+void dispatch_simulation::check_shown_states()
+{
+    std::uint64_t waiting = 0;
+    for (auto const& id : m_table.active())
+    {
+        auto const& record = *m_table.find(id);
+        if (record.state == core::workflow_state::queued)
+        {
+            ++waiting;
+        }
+        else if (!m_begun.contains(id))
+        {
+            fail("shown as running, but nothing has begun: " + id.value());
+        }
+    }
+    if (waiting != m_table.waiting(core::queue_id("proofs")))
+    {
+        fail("wrong number of waiting jobs");
+    }
+}
+
 std::size_t dispatch_simulation::copies() const noexcept
 {
     return m_copied.size();
--- a/modules/workflow/tests/workflow_table_test.cpp
+++ b/modules/workflow/tests/workflow_table_test.cpp
@@ -13,6 +13,9 @@
 {
     CPPUNIT_TEST_SUITE(workflow_table_test);
     CPPUNIT_TEST(resubmission_adds_no_workflow);
+    CPPUNIT_TEST(placed_workflow_waits_until_a_task_has_begun);
+    CPPUNIT_TEST(end_that_shows_no_run_begins_no_workflow);
+    CPPUNIT_TEST(waiting_workflows_are_counted_by_queue);
     CPPUNIT_TEST(id_of_another_queue_is_rejected);
     CPPUNIT_TEST(stage_is_placed_only_after_its_dependencies);
     CPPUNIT_TEST(placed_task_is_not_placed_again);
@@ -34,13 +37,64 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against a caller who is told that nothing waits while a job is
+    // placed but its start gets no answer.
+    void placed_workflow_waits_until_a_task_has_begun()
+    {
+        submit({stage(2)});
+        progress({}, {placed(run_of("a", 0, 0))});
+        CPPUNIT_ASSERT(state() == workflow_state::queued);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, waiting());
+        core::workflow_progress command;
+        command.begun = {core::workflow_id("a"), core::workflow_id("unknown")};
+        m_table.progress(command, at_ms(0));
+        CPPUNIT_ASSERT(state() == workflow_state::running);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, waiting());
+    }
+
+    void end_that_shows_no_run_begins_no_workflow()
+    {
+        submit({stage(1)}, 10);
+        std::uint32_t attempt = 0;
+        for (auto const how : {run_end::refused,
+                               run_end::lost,
+                               run_end::crashed,
+                               run_end::suspected})
+        {
+            run_and_end(++attempt, how);
+            CPPUNIT_ASSERT(state() == workflow_state::queued);
+        }
+        run_and_end(++attempt, run_end::stopped);
+        CPPUNIT_ASSERT(state() == workflow_state::running);
+    }
+
+    // Guards against a count that drifts, and against one that a snapshot or a
+    // job that ends before it has begun leaves wrong.
+    void waiting_workflows_are_counted_by_queue()
+    {
+        submit({stage(1)});
+        m_table.submit(submission("b", {stage(1)}), queue(), at_ms(0));
+        m_table.submit(submission("b", {stage(1)}), queue(), at_ms(0));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, waiting());
+        m_table.cancel({core::queue_id("proofs"), core::workflow_id("b")},
+                       at_ms(0));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, waiting());
+        auto const records = m_table.records();
+        m_table.restore(records, {});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, waiting());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0},
+                             m_table.waiting(core::queue_id("other")));
+        run_and_end(1, run_end::done);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, waiting());
+    }
+
     // A caller that got no answer submits its job again.
     void resubmission_adds_no_workflow()
     {
         submit({stage(1)});
         progress({}, {placed(run_of("a", 0, 0))});
         submit({stage(1)});
-        CPPUNIT_ASSERT(state() == workflow_state::running);
+        CPPUNIT_ASSERT(state() == workflow_state::queued);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_table.records().size());
     }
 
@@ -95,7 +149,7 @@
         submit({stage(1)});
         progress({}, {placed(run_of("a", 0, 0), "w1", 2)});
         progress({ended(run_of("a", 0, 0), run_end::done, "w1", 1)}, {});
-        CPPUNIT_ASSERT(state() == workflow_state::running);
+        CPPUNIT_ASSERT(state() == workflow_state::queued);
         CPPUNIT_ASSERT(is_held(run_of("a", 0, 0), "w1", 2));
     }
 
@@ -132,9 +186,9 @@
         run_and_end(2, run_end::lost);
         run_and_end(3, run_end::crashed);
         run_and_end(4, run_end::refused);
-        CPPUNIT_ASSERT(state() == workflow_state::running);
+        CPPUNIT_ASSERT(state() == workflow_state::queued);
         run_and_end(5, run_end::crashed);
-        CPPUNIT_ASSERT(state() == workflow_state::running);
+        CPPUNIT_ASSERT(state() == workflow_state::queued);
         run_and_end(6, run_end::crashed);
         CPPUNIT_ASSERT(state() == workflow_state::failed);
     }
@@ -149,7 +203,7 @@
         run_and_end(1, run_end::crashed);
         run_and_end(2, run_end::crashed);
         run_and_end(3, run_end::crashed);
-        CPPUNIT_ASSERT(state() == workflow_state::running);
+        CPPUNIT_ASSERT(state() == workflow_state::queued);
         run_and_end(4, run_end::crashed);
         CPPUNIT_ASSERT(state() == workflow_state::failed);
     }
@@ -216,7 +270,7 @@
                 progress({ended(run, run_end::crashed)}, {});
             }
         }
-        CPPUNIT_ASSERT(state() == workflow_state::running);
+        CPPUNIT_ASSERT(state() == workflow_state::queued);
     }
 
     // A suspected run alone must not fail a job, and one that is resolved
@@ -229,7 +283,7 @@
         {
             run_and_end(++attempt, run_end::suspected);
         }
-        CPPUNIT_ASSERT(state() == workflow_state::running);
+        CPPUNIT_ASSERT(state() == workflow_state::queued);
         core::workflow_progress known;
         known.resolved = {ended(run_of("a", 0, 0, attempt), run_end::crashed)};
         for (int i = 0; i < 2; ++i)
@@ -337,6 +391,11 @@
     }
 
 private:
+    std::uint64_t waiting() const
+    {
+        return m_table.waiting(core::queue_id("proofs"));
+    }
+
     void submit(std::vector<core::stage_description> stages,
                 std::uint32_t attempts = 3)
     {
