Split workflow_table.cpp, one search for a stage record

workflow_table.cpp had 870 lines; what applies ends, checkpoints and placements is in workflow_table_progress.cpp now. find_task_in, drop_done_record_in and stage_record searched for the stage in the same way; they call find_stage_record. suspicion_of was dead. No change of behaviour.

--- a/modules/workflow/dispatch/pending_stage.cpp
+++ b/modules/workflow/dispatch/pending_stage.cpp
@@ -5,14 +5,6 @@
 namespace turmericswitch::workflow
 {
 
-crash_suspicion suspicion_of(pending_stage const& pending,
-                             core::task_run const& run)
-{
-    auto const known = pending.suspected.find(run);
-    return known == pending.suspected.end() ? crash_suspicion::none
-                                            : known->second;
-}
-
 bool has_isolated(pending_stage const& pending)
 {
     return std::any_of(pending.suspected.begin(),
--- a/modules/workflow/dispatch/pending_stage.hpp
+++ b/modules/workflow/dispatch/pending_stage.hpp
@@ -43,10 +43,6 @@
     std::set<core::rack_id> racks;
 };
 
-/// @return The suspicion of one of the stage's tasks.
-crash_suspicion suspicion_of(pending_stage const& pending,
-                             core::task_run const& run);
-
 /// @return True if a task of the stage must be isolated.
 bool has_isolated(pending_stage const& pending);
 
--- a/modules/workflow/table/workflow_table.hpp
+++ b/modules/workflow/table/workflow_table.hpp
@@ -148,6 +148,10 @@
     find_stage_record(core::workflow_record const& workflow,
                       std::uint32_t occurrence,
                       std::uint32_t stage);
+    static core::stage_record*
+    find_stage_record(core::workflow_record& workflow,
+                      std::uint32_t occurrence,
+                      std::uint32_t stage);
 
     /// @return Workflows whose state, placements or ends of runs changed.
     change_log<core::workflow_id> const& changed_workflows() const noexcept;
--- /dev/null
+++ b/modules/workflow/table/workflow_table_progress.cpp
@@ -0,0 +1,537 @@
+#include "workflow/table/stage_tasks.hpp"
+#include "workflow/table/workflow_table.hpp"
+
+#include <algorithm>
+#include <utility>
+
+// The table's part that applies ends, checkpoints and placements.
+
+namespace turmericswitch::workflow
+{
+
+namespace
+{
+
+using core::run_end;
+using core::workflow_state;
+
+bool is_complete(core::workflow_record const& workflow)
+{
+    auto const& stages = workflow.description.stages;
+    if (workflow.stages.size() <
+        stages.size() * workflow_table::occurrences_of(workflow))
+    {
+        return false;
+    }
+    return std::all_of(workflow.stages.begin(),
+                       workflow.stages.end(),
+                       [&stages](core::stage_record const& record) {
+                           return workflow_table::is_stage_done(
+                               record, stages[record.stage].tasks);
+                       });
+}
+
+/// @return True for ends that show that the task ran on a worker without
+///         crashing it.
+bool shows_survival(core::run_outcome const& outcome)
+{
+    auto const how = outcome.how;
+    if (how == run_end::lost)
+    {
+        return outcome.established;
+    }
+    return how != run_end::crashed && how != run_end::suspected &&
+           how != run_end::refused;
+}
+
+/// @return True for ends that show that the worker had begun the run.
+bool shows_begin(core::run_outcome const& outcome)
+{
+    switch (outcome.how)
+    {
+    case run_end::done:
+    case run_end::failed:
+    case run_end::stopped:
+    case run_end::lapsed:
+    case run_end::broken:
+    case run_end::alone:
+        return true;
+    case run_end::lost:
+        return outcome.established;
+    case run_end::refused:
+    case run_end::crashed:
+    case run_end::suspected:
+        break;
+    }
+    return false;
+}
+
+/// @return True if the task has one held run, and that on another worker.
+bool may_take_copy(core::stage_description const& stage,
+                   core::task_record const& task,
+                   core::worker_id const& worker)
+{
+    if (!workflow_table::may_be_copied(stage) ||
+        task.placed == task.earlier.has_value())
+    {
+        return false;
+    }
+    return worker != (task.placed ? task.worker : task.earlier->worker);
+}
+
+core::task_record* find_task_in(core::workflow_record& workflow,
+                                core::task_ref const& task)
+{
+    auto* const stage = workflow_table::find_stage_record(
+        workflow, task.occurrence, task.stage);
+    return stage == nullptr ? nullptr : find_task_record(*stage, task.index);
+}
+
+/// Drops the record of a task that is done, unless its workflow has ended.
+void drop_done_record_in(core::workflow_record& workflow,
+                         core::task_ref const& task)
+{
+    if (auto* const stage = workflow_table::find_stage_record(
+            workflow, task.occurrence, task.stage))
+    {
+        drop_done_record(*stage, task.index);
+    }
+}
+
+} // namespace
+
+void workflow_table::progress(core::workflow_progress const& command,
+                              core::time_point now)
+{
+    for (auto const& outcome : command.ends)
+    {
+        apply(outcome, now);
+    }
+    for (auto const& outcome : command.resolved)
+    {
+        resolve(outcome, now);
+    }
+    for (auto const& checkpoint : command.checkpoints)
+    {
+        apply(checkpoint);
+    }
+    for (auto const& placement : command.placements)
+    {
+        apply(placement);
+    }
+    for (auto const& id : command.begun)
+    {
+        if (auto const known = m_workflows.find(id); known != m_workflows.end())
+        {
+            set_begun(known->second);
+        }
+    }
+    if (command.longest_lease > core::duration{})
+    {
+        m_longest_lease = command.longest_lease;
+    }
+}
+
+void workflow_table::set_begun(core::workflow_record& workflow)
+{
+    if (workflow.state == workflow_state::queued)
+    {
+        set_state(workflow, workflow_state::running);
+        m_changed_workflows.add(workflow.workflow);
+    }
+}
+
+void workflow_table::set_state(core::workflow_record& workflow,
+                               core::workflow_state state)
+{
+    if (workflow.state == workflow_state::queued)
+    {
+        auto const queued = m_queued.find(workflow.queue.queue);
+        if (--queued->second == 0)
+        {
+            m_queued.erase(queued);
+        }
+    }
+    workflow.state = state;
+}
+
+void workflow_table::apply(core::run_outcome const& outcome,
+                           core::time_point now)
+{
+    auto const& ref = outcome.run.task;
+    auto const known = m_workflows.find(ref.workflow);
+    if (known == m_workflows.end() || !is_held(outcome))
+    {
+        ++m_ignored_parts;
+        return;
+    }
+    auto& workflow = known->second;
+    apply_end(workflow, outcome, now);
+    drop_done_record_in(workflow, ref);
+}
+
+void workflow_table::apply_end(core::workflow_record& workflow,
+                               core::run_outcome const& outcome,
+                               core::time_point now)
+{
+    auto const& ref = outcome.run.task;
+    auto& task = *find_task_in(workflow, ref);
+    remove_hold(outcome);
+    if (task.placed && task.attempt == outcome.run.attempt)
+    {
+        task.placed = false;
+    }
+    else
+    {
+        task.earlier.reset();
+    }
+    if (core::is_final(workflow.state))
+    {
+        drop_details(workflow);
+        return;
+    }
+    if (shows_begin(outcome))
+    {
+        set_begun(workflow);
+    }
+    auto& stage = stage_record(workflow, ref);
+    auto const& description = workflow.description.stages[ref.stage];
+    auto const& behaviour = description.behaviour;
+    if (task.done && may_be_copied(description))
+    {
+        return;
+    }
+    if (!outcome.checkpoint.value().empty())
+    {
+        apply(core::run_checkpoint{outcome.run, outcome.checkpoint});
+    }
+    if (shows_survival(outcome))
+    {
+        task.crashes = 0;
+        clear_suspected(ref, task);
+    }
+    if (outcome.how == run_end::crashed)
+    {
+        apply_crash(workflow, stage, ref, now);
+    }
+    else if (outcome.how == run_end::suspected)
+    {
+        add_suspected(outcome, task);
+    }
+    else if (outcome.how == run_end::done && !behaviour.long_running)
+    {
+        apply_done(workflow, stage, outcome.run, now);
+    }
+    else if (outcome.how == run_end::failed && !behaviour.long_running)
+    {
+        ++task.failures;
+        apply_failure(workflow, stage, now);
+    }
+}
+
+void workflow_table::add_suspected(core::run_outcome const& outcome,
+                                   core::task_record& task)
+{
+    auto const& ref = outcome.run.task;
+    if (task.suspected.size() == max_suspected)
+    {
+        index_suspected(ref, task.suspected.front(), false);
+        task.suspected.erase(task.suspected.begin());
+    }
+    task.suspected.push_back(
+        {outcome.run.attempt, outcome.worker, outcome.life});
+    index_suspected(ref, task.suspected.back(), true);
+}
+
+void workflow_table::index_suspected(core::task_ref const& task,
+                                     core::task_attempt const& suspected,
+                                     bool is_added)
+{
+    auto& runs = m_suspected[suspected.worker];
+    held_run const run{{task, suspected.attempt}, suspected.life};
+    if (is_added)
+    {
+        runs.insert(run);
+        return;
+    }
+    runs.erase(run);
+    if (runs.empty())
+    {
+        m_suspected.erase(suspected.worker);
+    }
+}
+
+void workflow_table::clear_suspected(core::task_ref const& ref,
+                                     core::task_record& task)
+{
+    for (auto const& each : std::exchange(task.suspected, {}))
+    {
+        index_suspected(ref, each, false);
+    }
+}
+
+void workflow_table::clear_suspected(core::workflow_record& workflow)
+{
+    for (auto& stage : workflow.stages)
+    {
+        for (std::size_t i = 0; i < stage.tasks.size(); ++i)
+        {
+            clear_suspected({workflow.workflow,
+                             stage.occurrence,
+                             stage.stage,
+                             stage.indices[i]},
+                            stage.tasks[i]);
+        }
+    }
+}
+
+void workflow_table::resolve(core::run_outcome const& outcome,
+                             core::time_point now)
+{
+    auto const runs = m_suspected.find(outcome.worker);
+    if (runs == m_suspected.end() ||
+        !runs->second.contains({outcome.run, outcome.life}))
+    {
+        ++m_ignored_parts;
+        return;
+    }
+    // Suspected runs are kept only for workflows that have not ended.
+    auto const& ref = outcome.run.task;
+    auto& workflow = m_workflows.at(ref.workflow);
+    auto& stage = stage_record(workflow, ref);
+    auto& task = *find_task_record(stage, ref.index);
+    core::task_attempt const known{
+        outcome.run.attempt, outcome.worker, outcome.life};
+    std::erase(task.suspected, known);
+    index_suspected(ref, known, false);
+    m_changed_workflows.add(ref.workflow);
+    add_changed_workers(task);
+    if (outcome.how == run_end::crashed && !task.done)
+    {
+        apply_crash(workflow, stage, ref, now);
+    }
+    drop_done_record_in(workflow, ref);
+}
+
+void workflow_table::apply_done(core::workflow_record& workflow,
+                                core::stage_record& stage,
+                                core::task_run const& run,
+                                core::time_point now)
+{
+    auto& task = *find_task_record(stage, run.task.index);
+    task.done = true;
+    add_changed_workers(task);
+    if (workflow.description.stages[stage.stage].behaviour.gang)
+    {
+        // The members of a gang end together, so the end of one member ends
+        // the same attempt of all.
+        for (auto& member : stage.tasks)
+        {
+            member.done = member.done || member.attempt == run.attempt;
+        }
+    }
+    if (is_complete(workflow))
+    {
+        end(workflow, workflow_state::completed, now, {});
+    }
+}
+
+void workflow_table::apply_failure(core::workflow_record& workflow,
+                                   core::stage_record const& stage,
+                                   core::time_point now)
+{
+    std::uint32_t max_failures = 0;
+    std::uint32_t total_failures = 0;
+    for (auto const& task : stage.tasks)
+    {
+        max_failures = std::max(max_failures, task.failures);
+        total_failures += task.failures;
+    }
+    bool const is_gang =
+        workflow.description.stages[stage.stage].behaviour.gang;
+    if ((is_gang ? total_failures : max_failures) >= workflow.queue.attempts)
+    {
+        end(workflow,
+            workflow_state::failed,
+            now,
+            "a task failed " + std::to_string(workflow.queue.attempts) +
+                " times");
+    }
+}
+
+void workflow_table::apply_crash(core::workflow_record& workflow,
+                                 core::stage_record& stage,
+                                 core::task_ref const& task,
+                                 core::time_point now)
+{
+    auto& crashes = find_task_record(stage, task.index)->crashes;
+    ++crashes;
+    // Long-running tasks too: each further start takes all other runs of a
+    // worker down.
+    if (crashes >= max_crashes)
+    {
+        end(workflow,
+            workflow_state::failed,
+            now,
+            std::to_string(crashes) + " workers crashed under task " +
+                core::to_string(task));
+    }
+}
+
+void workflow_table::apply(core::run_checkpoint const& checkpoint)
+{
+    auto const known = m_workflows.find(checkpoint.run.task.workflow);
+    auto* const task = known == m_workflows.end()
+                           ? nullptr
+                           : find_task_in(known->second, checkpoint.run.task);
+    if (task == nullptr || task->done ||
+        task->attempt != checkpoint.run.attempt)
+    {
+        ++m_ignored_parts;
+        return;
+    }
+    auto& workflow = known->second;
+    task->checkpoint = checkpoint.checkpoint;
+    if (workflow.description.stages[checkpoint.run.task.stage].behaviour.gang)
+    {
+        for (auto& member : stage_record(workflow, checkpoint.run.task).tasks)
+        {
+            member.checkpoint = checkpoint.checkpoint;
+        }
+    }
+}
+
+void workflow_table::apply(core::run_placement const& placement)
+{
+    auto const& ref = placement.run.task;
+    auto const known = m_workflows.find(ref.workflow);
+    if (known == m_workflows.end() || core::is_final(known->second.state) ||
+        find_stage(known->second, ref) == nullptr ||
+        !is_ready(known->second, ref.occurrence, ref.stage))
+    {
+        ++m_ignored_parts;
+        return;
+    }
+    auto& workflow = known->second;
+    auto& stage = stage_record(workflow, ref);
+    if (is_task_done(stage, ref.index))
+    {
+        ++m_ignored_parts;
+        return;
+    }
+    auto& task = add_task_record(stage, ref.index);
+    bool const is_free =
+        placement.is_copy
+            ? may_take_copy(workflow.description.stages[ref.stage],
+                            task,
+                            placement.worker)
+            : !task.placed && !task.earlier;
+    if (!is_free || placement.run.attempt <= task.attempt)
+    {
+        ++m_ignored_parts;
+        return;
+    }
+    if (task.placed)
+    {
+        task.earlier = {task.attempt, task.worker, task.life};
+    }
+    task.placed = true;
+    task.attempt = placement.run.attempt;
+    task.worker = placement.worker;
+    task.life = placement.life;
+    add_hold(ref, {task.attempt, task.worker, task.life});
+}
+
+void workflow_table::end(core::workflow_record& workflow,
+                         core::workflow_state state,
+                         core::time_point now,
+                         std::string reason)
+{
+    set_state(workflow, state);
+    workflow.ended = now;
+    workflow.reason = std::move(reason);
+    m_active.erase(workflow.workflow);
+    m_changed_workflows.add(workflow.workflow);
+    add_changed_workers(workflow);
+    clear_suspected(workflow);
+    drop_details(workflow);
+}
+
+void workflow_table::add_changed_workers(core::workflow_record const& workflow)
+{
+    for (auto const& stage : workflow.stages)
+    {
+        for (auto const& task : stage.tasks)
+        {
+            add_changed_workers(task);
+        }
+    }
+}
+
+void workflow_table::add_changed_workers(core::task_record const& task)
+{
+    if (task.placed)
+    {
+        m_changed_workers.add(task.worker);
+    }
+    if (task.earlier)
+    {
+        m_changed_workers.add(task.earlier->worker);
+    }
+}
+
+void workflow_table::drop_details(core::workflow_record& workflow)
+{
+    // Records stay for minutes after the end. The payload and the tasks, which
+    // are nearly all of their size, are dropped as soon as no run is held.
+    if (!m_held_by_workflow.contains(workflow.workflow))
+    {
+        workflow.description = {};
+        workflow.stages.clear();
+    }
+}
+
+void workflow_table::add_hold(core::task_ref const& task,
+                              core::task_attempt const& held)
+{
+    m_holds[held.worker].insert({{task, held.attempt}, held.life});
+    ++m_held_by_workflow[task.workflow];
+    m_changed_workflows.add(task.workflow);
+    m_changed_workers.add(held.worker);
+}
+
+void workflow_table::remove_hold(core::run_outcome const& outcome)
+{
+    auto const worker = m_holds.find(outcome.worker);
+    worker->second.erase({outcome.run, outcome.life});
+    if (worker->second.empty())
+    {
+        m_holds.erase(worker);
+    }
+    auto const& id = outcome.run.task.workflow;
+    auto const count = m_held_by_workflow.find(id);
+    if (--count->second == 0)
+    {
+        m_held_by_workflow.erase(count);
+    }
+    m_changed_workflows.add(id);
+    m_changed_workers.add(outcome.worker);
+}
+
+core::stage_record&
+workflow_table::stage_record(core::workflow_record& workflow,
+                             core::task_ref const& task)
+{
+    if (auto* const known =
+            find_stage_record(workflow, task.occurrence, task.stage))
+    {
+        return *known;
+    }
+    core::stage_record added;
+    added.occurrence = task.occurrence;
+    added.stage = task.stage;
+    workflow.stages.push_back(std::move(added));
+    return workflow.stages.back();
+}
+
+} // namespace turmericswitch::workflow
