Limit how long a row of another writer hides ends

Cause: a sidecar that hasn't seen its worker start takes each unreadable row of the list of ends for a possible first end. Such a row may be of another writer and stay for good. Then the list counts as cut for good, so the leader sends no starts to the worker, and no end is acknowledged. The first worker of each sidecar is such a worker. The same followed a gap in the numbers beside such a row.

Change: a row hides an end for 1 s of the worker's clock. A row that was garbled on its way is readable in the next answer. If the row was an end of the worker, the run counts as ended unseen once the row is gone.

--- a/modules/workflow/agent/end_numbers.cpp
+++ b/modules/workflow/agent/end_numbers.cpp
@@ -1,10 +1,33 @@
 #include "workflow/agent/end_numbers.hpp"
 
 #include <algorithm>
+#include <chrono>
 
 namespace turmericswitch::workflow
 {
 
+namespace
+{
+
+/// A worker gets no starts and no acknowledgements of later ends for this long.
+/// A row that was garbled on its way is readable in the next answer.
+constexpr core::duration max_unread_time = std::chrono::seconds(1);
+
+std::vector<std::uint64_t>
+sorted_numbers(std::vector<core::ended_run> const& ended)
+{
+    std::vector<std::uint64_t> numbers;
+    numbers.reserve(ended.size());
+    for (auto const& each : ended)
+    {
+        numbers.push_back(each.number);
+    }
+    std::sort(numbers.begin(), numbers.end());
+    return numbers;
+}
+
+} // namespace
+
 end_numbers::end_numbers(bool is_from_start)
 {
     if (is_from_start)
@@ -15,30 +38,32 @@
 
 std::vector<end_range>
 end_numbers::listed(std::vector<core::ended_run> const& ended,
-                    bool has_skipped_rows)
+                    bool has_skipped_rows,
+                    core::duration clock)
 {
-    // Without a known start, a skipped row may be the first end.
-    m_has_unread_end = !m_known && has_skipped_rows;
-    if (m_has_unread_end || ended.empty())
+    auto const numbers = sorted_numbers(ended);
+    if (!has_skipped_rows || !may_lack_end(numbers))
     {
-        return {};
+        m_unread_since.reset();
     }
-    std::vector<std::uint64_t> numbers;
-    numbers.reserve(ended.size());
-    for (auto const& each : ended)
+    else if (!m_unread_since)
     {
-        numbers.push_back(each.number);
+        m_unread_since = clock;
+    }
+    m_has_unread_end =
+        m_unread_since && clock - *m_unread_since < max_unread_time;
+    if (numbers.empty() || (m_has_unread_end && !m_known))
+    {
+        return {};
     }
-    std::sort(numbers.begin(), numbers.end());
     std::uint64_t known = m_known.value_or(numbers.front() - 1);
     std::vector<end_range> dropped;
     for (auto const number : numbers)
     {
         if (number > known + 1)
         {
-            if (has_skipped_rows)
+            if (m_has_unread_end)
             {
-                m_has_unread_end = true;
                 break;
             }
             dropped.push_back({known + 1, number - 1});
@@ -49,6 +74,25 @@
     return dropped;
 }
 
+bool end_numbers::may_lack_end(std::vector<std::uint64_t> const& numbers) const
+{
+    if (!m_known)
+    {
+        // The missing one may be the first.
+        return true;
+    }
+    auto next = *m_known + 1;
+    for (auto const number : numbers)
+    {
+        if (number > next)
+        {
+            return true;
+        }
+        next = std::max(next, number + 1);
+    }
+    return false;
+}
+
 std::uint64_t end_numbers::known() const noexcept
 {
     return m_known.value_or(0);
--- a/modules/workflow/agent/end_numbers.hpp
+++ b/modules/workflow/agent/end_numbers.hpp
@@ -24,6 +24,9 @@
 /// A worker numbers its ends from 1 without gaps and drops those that are
 /// acknowledged. So a number that no list has shown belongs to an end that
 /// could not be read, or that the worker has dropped unseen.
+///
+/// A row that can't be read may be of another writer and stay for good, so it
+/// hides an end only for a limited time.
 class end_numbers
 {
 public:
@@ -35,10 +38,12 @@
     /// Handles the ended runs of an answer.
     ///
     /// @param has_skipped_rows True if a row of the list could not be read.
+    /// @param clock The worker's clock in the answer.
     /// @return Numbers of ends that the worker has dropped without having
     ///         listed them since the last call.
     std::vector<end_range> listed(std::vector<core::ended_run> const& ended,
-                                  bool has_skipped_rows);
+                                  bool has_skipped_rows,
+                                  core::duration clock);
 
     /// @return The highest number up to which each end was listed or dropped.
     std::uint64_t known() const noexcept;
@@ -49,8 +54,16 @@
     bool has_unread_end() const noexcept;
 
 private:
+    /// @param numbers Of the listed ends, in ascending order.
+    /// @return True if a number between the known and the listed ones is
+    ///         missing, or may be.
+    bool may_lack_end(std::vector<std::uint64_t> const& numbers) const;
+
     std::optional<std::uint64_t> m_known;
     bool m_has_unread_end = false;
+    /// The worker's clock in the first of the last lists that may have an end
+    /// that could not be read.
+    std::optional<core::duration> m_unread_since;
 };
 
 } // namespace turmericswitch::workflow
--- a/modules/workflow/agent/worker_agent.cpp
+++ b/modules/workflow/agent/worker_agent.cpp
@@ -297,8 +297,8 @@
 
 void worker_agent::check_end_numbers()
 {
-    for (auto const& [first, last] :
-         m_end_numbers.listed(m_runs->ended, m_has_skipped_ends))
+    for (auto const& [first, last] : m_end_numbers.listed(
+             m_runs->ended, m_has_skipped_ends, m_worker_clock))
     {
         m_hooks.on_event({event_code::ends_dropped_unseen,
                           {text_field("worker", m_profile->worker.value()),
--- a/modules/workflow/tests/worker_agent_acknowledgement_test.cpp
+++ b/modules/workflow/tests/worker_agent_acknowledgement_test.cpp
@@ -19,6 +19,8 @@
     CPPUNIT_TEST(stopped_run_that_is_missing_is_refused);
     CPPUNIT_TEST(ends_after_an_unreadable_one_are_not_acknowledged);
     CPPUNIT_TEST(row_of_another_writer_holds_up_no_acknowledgement);
+    CPPUNIT_TEST(lasting_row_of_another_writer_holds_up_no_first_worker);
+    CPPUNIT_TEST(lasting_row_hides_no_end_for_good);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -200,6 +202,56 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, acknowledged_ends());
     }
 
+    // The sidecar has not seen the start of its first worker, so the odd row
+    // may be its first end. Guards against a worker that gets no starts and no
+    // acknowledgements as long as the row stays.
+    void lasting_row_of_another_writer_holds_up_no_first_worker()
+    {
+        start_up();
+        auto lists = list_of(1, {});
+        lists.skipped = {{true, "malformed task name"}};
+        answer(m_syncs, std::optional(lists));
+        CPPUNIT_ASSERT(last_report().runs->may_have_more_ends);
+        grant_ends(0);
+        run_delayed();
+        lists.clock += std::chrono::seconds(2);
+        answer(m_syncs, std::optional(lists));
+        CPPUNIT_ASSERT(!last_report().runs->may_have_more_ends);
+        grant_ends(0);
+        run_delayed();
+        lists.runs.ended = list_with_end().runs.ended;
+        answer(m_syncs, std::optional(lists));
+        CPPUNIT_ASSERT(!last_report().runs->may_have_more_ends);
+        grant_ends(1);
+        run_delayed();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, acknowledged_ends());
+    }
+
+    // Guards against a worker whose ends are never acknowledged again because
+    // one of its own can't be read, and against that one's run being refused.
+    void lasting_row_hides_no_end_for_good()
+    {
+        begin();
+        order_start();
+        answer(m_starts, start_outcome::started);
+        auto lists = list_of(1, {});
+        lists.runs.ended = {{1, run_of("b", 0, 0), core::run_end::done, {}},
+                            {3, run_of("b", 0, 2), core::run_end::done, {}}};
+        lists.skipped = {{true, "malformed task name"}};
+        answer(m_syncs, std::optional(lists));
+        CPPUNIT_ASSERT(last_report().runs->may_have_more_ends);
+        grant_ends(3);
+        run_delayed();
+        lists.clock += std::chrono::seconds(2);
+        answer(m_syncs, std::optional(lists));
+        CPPUNIT_ASSERT(!last_report().runs->may_have_more_ends);
+        grant_ends(3);
+        run_delayed();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, acknowledged_ends());
+        answer(m_syncs, std::optional(list_of(1, {})));
+        expect_unseen_end();
+    }
+
 private:
     static sync_result list_of(std::uint64_t life,
                                std::vector<core::task_run> const& runs)
