Refuse no begun run because a row can't be read

Cause: a begun run that is missing counts as ended unseen only if all rows of the lists can be read. With an unreadable row that stays, the leader repeats the start, the worker answers that the run has ended, and the agent reported the run as refused although it knew of its begin. The task is started again.

Change: a begun run without a stop whose repeated start is rejected as ended counts as ended unseen, also beside unreadable rows.

Measured: a test in worker_agent_acknowledgement_test fails before the change and passes after it.

--- a/modules/workflow/agent/begun_runs.cpp
+++ b/modules/workflow/agent/begun_runs.cpp
@@ -15,6 +15,11 @@
     return m_runs.contains(run);
 }
 
+void begun_runs::remove(core::task_run const& run)
+{
+    m_runs.erase(run);
+}
+
 std::vector<core::task_run> begun_runs::listed(std::uint64_t sync,
                                                core::worker_runs const& lists,
                                                bool is_whole)
--- a/modules/workflow/agent/begun_runs.hpp
+++ b/modules/workflow/agent/begun_runs.hpp
@@ -26,6 +26,9 @@
 
     bool contains(core::task_run const& run) const;
 
+    /// Removes a run that has ended.
+    void remove(core::task_run const& run);
+
     /// Handles the lists in the answer to a sync call.
     ///
     /// @param sync Number of the call.
--- a/modules/workflow/agent/worker_agent.cpp
+++ b/modules/workflow/agent/worker_agent.cpp
@@ -536,7 +536,7 @@
     // Without the incarnation in the answer, the worker may have restarted.
     find_unseen_ends(result.life && result.skipped.empty() &&
                      !m_runs->may_have_more_ends);
-    refuse_unlisted_stopped_runs();
+    close_unlisted_stopped_runs();
 }
 
 bool worker_agent::has_news(core::worker_runs const& before) const
@@ -564,14 +564,20 @@
             // and a stop was to end it.
             continue;
         }
-        emit_run_event(event_code::run_ended_unseen, run);
-        m_starts.erase(run);
-        m_stopped_runs.erase(run);
-        m_unseen_ends.insert(run);
+        mark_ended_unseen(run);
     }
 }
 
-void worker_agent::refuse_unlisted_stopped_runs()
+void worker_agent::mark_ended_unseen(core::task_run const& run)
+{
+    emit_run_event(event_code::run_ended_unseen, run);
+    m_starts.erase(run);
+    m_stopped_runs.erase(run);
+    m_begun_runs.remove(run);
+    m_unseen_ends.insert(run);
+}
+
+void worker_agent::close_unlisted_stopped_runs()
 {
     auto const is_listed = [](auto const& list, core::task_run const& run)
     {
@@ -604,6 +610,13 @@
                   });
     for (auto const& run : unlisted)
     {
+        if (m_begun_runs.contains(run) && !m_sent_stops.contains(run))
+        {
+            // The worker has rejected another start because the run has ended,
+            // so this holds also if rows of its lists could not be read.
+            mark_ended_unseen(run);
+            continue;
+        }
         mark_refused(run,
                      "the worker does not list the run and will not start it");
     }
--- a/modules/workflow/agent/worker_agent.hpp
+++ b/modules/workflow/agent/worker_agent.hpp
@@ -195,7 +195,9 @@
     bool has_news(core::worker_runs const& before) const;
     void schedule_sync(core::duration delay, core::duration wait);
     void find_unseen_ends(bool is_whole);
-    void refuse_unlisted_stopped_runs();
+    /// Handles runs that the worker will not start any more and doesn't list.
+    void close_unlisted_stopped_runs();
+    void mark_ended_unseen(core::task_run const& run);
     void send_report();
     /// Lets the next report replace the one in progress, whose grant is
     /// dropped.
--- a/modules/workflow/tests/worker_agent_acknowledgement_test.cpp
+++ b/modules/workflow/tests/worker_agent_acknowledgement_test.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(row_of_another_writer_holds_up_no_acknowledgement);
     CPPUNIT_TEST(lasting_row_of_another_writer_holds_up_no_first_worker);
     CPPUNIT_TEST(lasting_row_hides_no_end_for_good);
+    CPPUNIT_TEST(begun_run_that_has_ended_beside_an_odd_row_is_not_refused);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -252,6 +253,26 @@
         expect_unseen_end();
     }
 
+    // The worker rejects the repeated start because the run has ended, and no
+    // stop was sent. Guards against a refused run, whose task is started again,
+    // because another writer's row keeps the lists from being whole.
+    void begun_run_that_has_ended_beside_an_odd_row_is_not_refused()
+    {
+        begin();
+        order_start();
+        answer(m_starts, start_outcome::started);
+        auto odd = list_of(1, {});
+        odd.skipped = {{false, "malformed task name"}};
+        answer(m_syncs, std::optional(odd));
+        grant(1);
+        order_start();
+        answer(m_starts, start_outcome::already_ended);
+        answer(m_syncs, std::optional(odd));
+        grant(1);
+        answer(m_syncs, std::optional(odd));
+        expect_unseen_end();
+    }
+
 private:
     static sync_result list_of(std::uint64_t life,
                                std::vector<core::task_run> const& runs)
