Notice the next incarnation in the answer to a given-up call

Cause: a sync call that is given up for a new leader stays open. If its worker restarts, the HTTP client sends it again on a new connection, and the agent dropped the answer without a look at the incarnation. The next call takes that connection, with the lease and the acknowledgement of the earlier incarnation.

Change: an answer of another incarnation ends the certainty about the worker's incarnation, also if its call was given up.

Measured: a test in worker_agent_acknowledgement_test fails before the change and passes after it.

--- a/modules/workflow/agent/worker_agent.cpp
+++ b/modules/workflow/agent/worker_agent.cpp
@@ -469,15 +469,24 @@
 
 void worker_agent::handle_sync_answer(sync_answer answer)
 {
-    if (!is_current(answer.epoch) || answer.number != m_current_sync ||
-        !m_syncing)
+    if (!is_current(answer.epoch))
     {
         return;
     }
-    m_syncing = false;
     auto& result = answer.result;
     bool const is_other_incarnation =
         result && result->life && *result->life != m_stated_life;
+    if (is_other_incarnation)
+    {
+        // Also in the answer to a call that was given up: its connection is
+        // open for the next call.
+        m_is_confirmed = false;
+    }
+    if (answer.number != m_current_sync || !m_syncing)
+    {
+        return;
+    }
+    m_syncing = false;
     if (is_other_incarnation && m_successor != *result->life)
     {
         handle_successor(*result->life, answer.acknowledged);
--- a/modules/workflow/tests/worker_agent_acknowledgement_test.cpp
+++ b/modules/workflow/tests/worker_agent_acknowledgement_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(lasting_row_of_another_writer_holds_up_no_first_worker);
     CPPUNIT_TEST(lasting_row_hides_no_end_for_good);
     CPPUNIT_TEST(begun_run_that_has_ended_beside_an_odd_row_is_not_refused);
+    CPPUNIT_TEST(late_answer_of_the_next_incarnation_is_noticed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -273,6 +274,23 @@
         expect_unseen_end();
     }
 
+    // A call that was given up for a new leader is sent again by the HTTP
+    // client when its worker restarts. Guards against effects on the connection
+    // of that answer, which leads to the next incarnation.
+    void late_answer_of_the_next_incarnation_is_noticed()
+    {
+        acknowledge_first_end();
+        answer(m_syncs, std::optional(list_of(1, {})));
+        auto const given_up = m_syncs.front();
+        m_syncs.clear();
+        m_agent->leader_changed({});
+        run_delayed();
+        answer(m_syncs, std::optional(list_with_end()));
+        given_up.done(list_of(2, {}));
+        grant_ends(1);
+        expect_no_effects();
+    }
+
 private:
     static sync_result list_of(std::uint64_t life,
                                std::vector<core::task_run> const& runs)
