Pause after an acknowledgement without an effect

Cause: the HTTP client leaves the acknowledgement out of a call on a new connection. The worker still lists the ends, so the answer is reported, and the next call followed the grant at once. A worker that closes each connection without saying so would cause calls and reports without a pause.

Change: the next acknowledgement follows after 50 ms if the worker still lists ends that the last one was for.

--- a/modules/workflow/agent/worker_agent.cpp
+++ b/modules/workflow/agent/worker_agent.cpp
@@ -18,8 +18,9 @@
 {
 
 /// Pause between sync calls while the worker lists ended runs that the leader
-/// has not acknowledged. The worker answers immediately as long as its list has
-/// such entries, so without the pause the calls would spin.
+/// has not acknowledged, or that an acknowledgement has not reached. The worker
+/// answers immediately as long as its list has such entries, so without the
+/// pause the calls would spin.
 constexpr core::duration unacknowledged_ends_pause =
     std::chrono::milliseconds(50);
 
@@ -207,6 +208,7 @@
     m_unconfirmed.clear();
     m_has_late_starts = m_profile.has_value();
     m_is_confirmed = false;
+    m_must_repeat_acknowledgement = false;
     m_is_known_from_start = m_profile.has_value();
     m_end_numbers = end_numbers(m_is_known_from_start);
     m_begun_runs.clear();
@@ -505,6 +507,8 @@
     }
     auto const before = std::exchange(m_runs, std::nullopt);
     handle_lists(std::move(*result));
+    m_must_repeat_acknowledgement =
+        answer.acknowledged > 0 && lists_acknowledged_ends();
     if (answer.wait_after > core::duration{} && before && !was_silent &&
         !has_news(*before))
     {
@@ -761,7 +765,7 @@
     {
         schedule_sync(retry_pause, core::duration{});
     }
-    else if (has_unacknowledged_ends())
+    else if (has_unacknowledged_ends() || m_must_repeat_acknowledgement)
     {
         schedule_sync(unacknowledged_ends_pause, core::duration{});
     }
--- a/modules/workflow/agent/worker_agent.hpp
+++ b/modules/workflow/agent/worker_agent.hpp
@@ -267,6 +267,9 @@
     std::optional<core::worker_runs> m_runs;
     /// True if the last sync call was answered by this incarnation.
     bool m_is_confirmed = false;
+    /// True if the worker still lists ends that the last sync call was to
+    /// acknowledge.
+    bool m_must_repeat_acknowledgement = false;
     /// True if this agent has known the worker since the incarnation's start.
     bool m_is_known_from_start = false;
     end_numbers m_end_numbers;
--- a/modules/workflow/tests/worker_agent_acknowledgement_test.cpp
+++ b/modules/workflow/tests/worker_agent_acknowledgement_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(lasting_row_hides_no_end_for_good);
     CPPUNIT_TEST(begun_run_that_has_ended_beside_an_odd_row_is_not_refused);
     CPPUNIT_TEST(late_answer_of_the_next_incarnation_is_noticed);
+    CPPUNIT_TEST(acknowledgement_without_effect_causes_no_busy_loop);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -291,6 +292,19 @@
         expect_no_effects();
     }
 
+    // The HTTP client leaves the acknowledgement out of a call on a new
+    // connection. Guards against calls and reports without a pause, because the
+    // worker answers at once as long as it lists ends.
+    void acknowledgement_without_effect_causes_no_busy_loop()
+    {
+        acknowledge_first_end();
+        answer(m_syncs, std::optional(list_with_end()));
+        grant_ends(1);
+        CPPUNIT_ASSERT(m_syncs.empty());
+        run_delayed();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, acknowledged_ends());
+    }
+
 private:
     static sync_result list_of(std::uint64_t life,
                                std::vector<core::task_run> const& runs)
