Send no content for one process after an announced close

Cause: a peer whose last response closed its connection counted as one that closes each connection, which gets the content for one process on a new connection. A worker that shuts down may close its open connection the same way, and its next incarnation would get the acknowledgement.

Change: only a response that was the first one on its connection counts.

The test for a peer that closes each connection didn't test it: the test server leaves out a connection field of the handler, so the connection stayed open. It now uses a server on a plain socket that does close.

--- a/modules/web/client/async_client.cpp
+++ b/modules/web/client/async_client.cpp
@@ -256,8 +256,11 @@
     void complete(pending_pointer const& pending)
     {
         auto connection = std::move(pending->connection);
-        m_closes_after_response = !pending->parser->get().keep_alive();
-        bool const keep_open = !m_closes_after_response && !m_closed &&
+        bool const is_kept_alive = pending->parser->get().keep_alive();
+        // A peer that closes a connection after several responses may be about
+        // to end.
+        m_closes_after_response = !is_kept_alive && !pending->is_reused;
+        bool const keep_open = is_kept_alive && !m_closed &&
                                m_idle.size() < m_options.idle_connections;
         if (keep_open)
         {
@@ -301,7 +304,7 @@
     std::deque<pending_pointer> m_waiting;
     std::size_t m_in_use = 0;
     bool m_closed = false;
-    /// True if the peer has closed the connection of its last response.
+    /// True if the last response was the only one on its connection.
     bool m_closes_after_response = false;
 };
 
--- a/modules/web/tests/async_client_test.cpp
+++ b/modules/web/tests/async_client_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(lost_request_is_sent_once_if_its_caller_counts_tries);
     CPPUNIT_TEST(other_process_does_not_get_what_was_meant_for_the_first);
     CPPUNIT_TEST(peer_that_closes_each_connection_gets_the_content);
+    CPPUNIT_TEST(peer_that_ends_does_not_count_as_one_that_always_closes);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -229,25 +230,35 @@
     // acknowledgement.
     void peer_that_closes_each_connection_gets_the_content()
     {
-        server_options options;
-        options.listen_on = {"127.0.0.1", 0};
-        auto const server = http_server::start(
-            options,
-            [](http_request const& request)
-            {
-                auto response = text_response(request.target);
-                response.fields.push_back({"Connection", "close"});
-                return response;
-            });
-        transport::io_pool io(1);
-        async_client client(io, server->bound());
-        CPPUNIT_ASSERT_EQUAL(std::string("/for-any"),
-                             send_on_open(client).get().response.body);
-        CPPUNIT_ASSERT_EQUAL(std::string("/for-the-first"),
-                             send_on_open(client).get().response.body);
+        closing_server const server(1, closing_server::close_mode::announced);
+        expect_targets(server,
+                       {"/for-any", "/for-the-first", "/for-the-first"});
+    }
+
+    // A server that shuts down closes the open connection after its last
+    // response. Guards against an acknowledgement on a new connection, which
+    // may lead to the next incarnation of the worker.
+    void peer_that_ends_does_not_count_as_one_that_always_closes()
+    {
+        closing_server const server(2, closing_server::close_mode::announced);
+        expect_targets(server, {"/for-any", "/for-the-first", "/for-any"});
     }
 
 private:
+    /// Sends as many requests for one process as there are targets.
+    static void expect_targets(closing_server const& server,
+                               std::vector<std::string> const& targets)
+    {
+        transport::io_pool io(1);
+        async_client client(io, server.address());
+        for (std::size_t i = 0; i < targets.size(); ++i)
+        {
+            CPPUNIT_ASSERT(send_on_open(client).get().outcome ==
+                           http_outcome::answered);
+        }
+        CPPUNIT_ASSERT(server.targets() == targets);
+    }
+
     static std::future<http_result> send_on_open(async_client& client)
     {
         auto const promise = std::make_shared<std::promise<http_result>>();
--- a/modules/web/tests/raw_socket.hpp
+++ b/modules/web/tests/raw_socket.hpp
@@ -222,12 +222,23 @@
     std::thread m_thread;
 };
 
-/// Server that answers the first request of each connection, and closes the
-/// connection when it has read the second one.
+/// Server that answers a fixed number of requests on each connection.
 class closing_server
 {
 public:
-    closing_server() : m_thread([this] { run(); }) {}
+    enum class close_mode
+    {
+        /// Closes the connection when it has read one more request.
+        unannounced,
+        /// The last response says that it closes the connection.
+        announced,
+    };
+
+    explicit closing_server(std::size_t responses = 1,
+                            close_mode mode = close_mode::unannounced)
+        : m_responses(responses), m_mode(mode), m_thread([this] { run(); })
+    {
+    }
 
     ~closing_server()
     {
@@ -266,13 +277,29 @@
             {
                 return;
             }
-            if (read_request(socket))
+            serve(socket);
+            ::close(socket);
+        }
+    }
+
+    void serve(int socket)
+    {
+        for (std::size_t i = 1; i <= m_responses; ++i)
+        {
+            if (!read_request(socket))
             {
-                send_all(socket,
-                         "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
-                read_request(socket);
+                return;
             }
-            ::close(socket);
+            bool const is_last =
+                m_mode == close_mode::announced && i == m_responses;
+            send_all(socket,
+                     std::string("HTTP/1.1 200 OK\r\n") +
+                         (is_last ? "Connection: close\r\n" : "") +
+                         "Content-Length: 0\r\n\r\n");
+        }
+        if (m_mode == close_mode::unannounced)
+        {
+            read_request(socket);
         }
     }
 
@@ -289,6 +316,8 @@
         return header.has_value();
     }
 
+    std::size_t m_responses;
+    close_mode m_mode;
     listening_socket m_listener;
     mutable std::mutex m_mutex;
     std::vector<std::string> m_targets;
