--- a/modules/workflow/agent/worker_agent.cpp
+++ b/modules/workflow/agent/worker_agent.cpp
@@ -18,8 +18,9 @@
 {
 
 /// Pause between sync calls while the worker lists ended runs that the leader
-/// has not acknowledged. The worker answers immediately as long as its list has
-/// such entries, so without the pause the calls would spin.
+/// has not acknowledged, or that an acknowledgement has not reached. The worker
+/// answers immediately as long as its list has such entries, so without the
+/// pause the calls would spin.
 constexpr core::duration unacknowledged_ends_pause =
     std::chrono::milliseconds(50);
 
@@ -207,6 +208,7 @@
     m_unconfirmed.clear();
     m_has_late_starts = m_profile.has_value();
     m_is_confirmed = false;
+    m_must_repeat_acknowledgement = false;
     m_is_known_from_start = m_profile.has_value();
     m_end_numbers = end_numbers(m_is_known_from_start);
     m_begun_runs.clear();
@@ -297,8 +299,8 @@
 
 void worker_agent::check_end_numbers()
 {
-    for (auto const& [first, last] :
-         m_end_numbers.listed(m_runs->ended, m_has_skipped_ends))
+    for (auto const& [first, last] : m_end_numbers.listed(
+             m_runs->ended, m_has_skipped_ends, m_worker_clock))
     {
         m_hooks.on_event({event_code::ends_dropped_unseen,
                           {text_field("worker", m_profile->worker.value()),
@@ -469,15 +471,24 @@
 
 void worker_agent::handle_sync_answer(sync_answer answer)
 {
-    if (!is_current(answer.epoch) || answer.number != m_current_sync ||
-        !m_syncing)
+    if (!is_current(answer.epoch))
     {
         return;
     }
-    m_syncing = false;
     auto& result = answer.result;
     bool const is_other_incarnation =
         result && result->life && *result->life != m_stated_life;
+    if (is_other_incarnation)
+    {
+        // Also in the answer to a call that was given up: its connection is
+        // open for the next call.
+        m_is_confirmed = false;
+    }
+    if (answer.number != m_current_sync || !m_syncing)
+    {
+        return;
+    }
+    m_syncing = false;
     if (is_other_incarnation && m_successor != *result->life)
     {
         handle_successor(*result->life, answer.acknowledged);
@@ -496,6 +507,8 @@
     }
     auto const before = std::exchange(m_runs, std::nullopt);
     handle_lists(std::move(*result));
+    m_must_repeat_acknowledgement =
+        answer.acknowledged > 0 && lists_acknowledged_ends();
     if (answer.wait_after > core::duration{} && before && !was_silent &&
         !has_news(*before))
     {
@@ -536,7 +549,7 @@
     // Without the incarnation in the answer, the worker may have restarted.
     find_unseen_ends(result.life && result.skipped.empty() &&
                      !m_runs->may_have_more_ends);
-    refuse_unlisted_stopped_runs();
+    close_unlisted_stopped_runs();
 }
 
 bool worker_agent::has_news(core::worker_runs const& before) const
@@ -564,14 +577,20 @@
             // and a stop was to end it.
             continue;
         }
-        emit_run_event(event_code::run_ended_unseen, run);
-        m_starts.erase(run);
-        m_stopped_runs.erase(run);
-        m_unseen_ends.insert(run);
+        mark_ended_unseen(run);
     }
 }
 
-void worker_agent::refuse_unlisted_stopped_runs()
+void worker_agent::mark_ended_unseen(core::task_run const& run)
+{
+    emit_run_event(event_code::run_ended_unseen, run);
+    m_starts.erase(run);
+    m_stopped_runs.erase(run);
+    m_begun_runs.remove(run);
+    m_unseen_ends.insert(run);
+}
+
+void worker_agent::close_unlisted_stopped_runs()
 {
     auto const is_listed = [](auto const& list, core::task_run const& run)
     {
@@ -604,6 +623,13 @@
                   });
     for (auto const& run : unlisted)
     {
+        if (m_begun_runs.contains(run) && !m_sent_stops.contains(run))
+        {
+            // The worker has rejected another start because the run has ended,
+            // so this holds also if rows of its lists could not be read.
+            mark_ended_unseen(run);
+            continue;
+        }
         mark_refused(run,
                      "the worker does not list the run and will not start it");
     }
@@ -739,7 +765,7 @@
     {
         schedule_sync(retry_pause, core::duration{});
     }
-    else if (has_unacknowledged_ends())
+    else if (has_unacknowledged_ends() || m_must_repeat_acknowledgement)
     {
         schedule_sync(unacknowledged_ends_pause, core::duration{});
     }
--- a/modules/workflow/agent/worker_agent.hpp
+++ b/modules/workflow/agent/worker_agent.hpp
@@ -195,7 +195,9 @@
     bool has_news(core::worker_runs const& before) const;
     void schedule_sync(core::duration delay, core::duration wait);
     void find_unseen_ends(bool is_whole);
-    void refuse_unlisted_stopped_runs();
+    /// Handles runs that the worker will not start any more and doesn't list.
+    void close_unlisted_stopped_runs();
+    void mark_ended_unseen(core::task_run const& run);
     void send_report();
     /// Lets the next report replace the one in progress, whose grant is
     /// dropped.
@@ -265,6 +267,9 @@
     std::optional<core::worker_runs> m_runs;
     /// True if the last sync call was answered by this incarnation.
     bool m_is_confirmed = false;
+    /// True if the worker still lists ends that the last sync call was to
+    /// acknowledge.
+    bool m_must_repeat_acknowledgement = false;
     /// True if this agent has known the worker since the incarnation's start.
     bool m_is_known_from_start = false;
     end_numbers m_end_numbers;
--- a/modules/workflow/tests/worker_agent_acknowledgement_test.cpp
+++ b/modules/workflow/tests/worker_agent_acknowledgement_test.cpp
@@ -19,6 +19,11 @@
     CPPUNIT_TEST(stopped_run_that_is_missing_is_refused);
     CPPUNIT_TEST(ends_after_an_unreadable_one_are_not_acknowledged);
     CPPUNIT_TEST(row_of_another_writer_holds_up_no_acknowledgement);
+    CPPUNIT_TEST(lasting_row_of_another_writer_holds_up_no_first_worker);
+    CPPUNIT_TEST(lasting_row_hides_no_end_for_good);
+    CPPUNIT_TEST(begun_run_that_has_ended_beside_an_odd_row_is_not_refused);
+    CPPUNIT_TEST(late_answer_of_the_next_incarnation_is_noticed);
+    CPPUNIT_TEST(acknowledgement_without_effect_causes_no_busy_loop);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -200,6 +205,106 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, acknowledged_ends());
     }
 
+    // The sidecar has not seen the start of its first worker, so the odd row
+    // may be its first end. Guards against a worker that gets no starts and no
+    // acknowledgements as long as the row stays.
+    void lasting_row_of_another_writer_holds_up_no_first_worker()
+    {
+        start_up();
+        auto lists = list_of(1, {});
+        lists.skipped = {{true, "malformed task name"}};
+        answer(m_syncs, std::optional(lists));
+        CPPUNIT_ASSERT(last_report().runs->may_have_more_ends);
+        grant_ends(0);
+        run_delayed();
+        lists.clock += std::chrono::seconds(2);
+        answer(m_syncs, std::optional(lists));
+        CPPUNIT_ASSERT(!last_report().runs->may_have_more_ends);
+        grant_ends(0);
+        run_delayed();
+        lists.runs.ended = list_with_end().runs.ended;
+        answer(m_syncs, std::optional(lists));
+        CPPUNIT_ASSERT(!last_report().runs->may_have_more_ends);
+        grant_ends(1);
+        run_delayed();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, acknowledged_ends());
+    }
+
+    // Guards against a worker whose ends are never acknowledged again because
+    // one of its own can't be read, and against that one's run being refused.
+    void lasting_row_hides_no_end_for_good()
+    {
+        begin();
+        order_start();
+        answer(m_starts, start_outcome::started);
+        auto lists = list_of(1, {});
+        lists.runs.ended = {{1, run_of("b", 0, 0), core::run_end::done, {}},
+                            {3, run_of("b", 0, 2), core::run_end::done, {}}};
+        lists.skipped = {{true, "malformed task name"}};
+        answer(m_syncs, std::optional(lists));
+        CPPUNIT_ASSERT(last_report().runs->may_have_more_ends);
+        grant_ends(3);
+        run_delayed();
+        lists.clock += std::chrono::seconds(2);
+        answer(m_syncs, std::optional(lists));
+        CPPUNIT_ASSERT(!last_report().runs->may_have_more_ends);
+        grant_ends(3);
+        run_delayed();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, acknowledged_ends());
+        answer(m_syncs, std::optional(list_of(1, {})));
+        expect_unseen_end();
+    }
+
+    // The worker rejects the repeated start because the run has ended, and no
+    // stop was sent. Guards against a refused run, whose task is started again,
+    // because another writer's row keeps the lists from being whole.
+    void begun_run_that_has_ended_beside_an_odd_row_is_not_refused()
+    {
+        begin();
+        order_start();
+        answer(m_starts, start_outcome::started);
+        auto odd = list_of(1, {});
+        odd.skipped = {{false, "malformed task name"}};
+        answer(m_syncs, std::optional(odd));
+        grant(1);
+        order_start();
+        answer(m_starts, start_outcome::already_ended);
+        answer(m_syncs, std::optional(odd));
+        grant(1);
+        answer(m_syncs, std::optional(odd));
+        expect_unseen_end();
+    }
+
+    // A call that was given up for a new leader is sent again by the HTTP
+    // client when its worker restarts. Guards against effects on the connection
+    // of that answer, which leads to the next incarnation.
+    void late_answer_of_the_next_incarnation_is_noticed()
+    {
+        acknowledge_first_end();
+        answer(m_syncs, std::optional(list_of(1, {})));
+        auto const given_up = m_syncs.front();
+        m_syncs.clear();
+        m_agent->leader_changed({});
+        run_delayed();
+        answer(m_syncs, std::optional(list_with_end()));
+        given_up.done(list_of(2, {}));
+        grant_ends(1);
+        expect_no_effects();
+    }
+
+    // The HTTP client leaves the acknowledgement out of a call on a new
+    // connection. Guards against calls and reports without a pause, because the
+    // worker answers at once as long as it lists ends.
+    void acknowledgement_without_effect_causes_no_busy_loop()
+    {
+        acknowledge_first_end();
+        answer(m_syncs, std::optional(list_with_end()));
+        grant_ends(1);
+        CPPUNIT_ASSERT(m_syncs.empty());
+        run_delayed();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, acknowledged_ends());
+    }
+
 private:
     static sync_result list_of(std::uint64_t life,
                                std::vector<core::task_run> const& runs)
