Forget a start once the end of its run is listed

Cause: a repeated start may be answered after the end of the run was listed and acknowledged. The worker says that the run has ended, and the next list doesn't have it, so the agent reported an end that nobody saw although the leader had committed it. The leader ignores such a report, but run_ended_unseen in the log is wrong.

Change: the open start of a run is dropped when a list has its end.

Measured: a test in worker_agent_acknowledgement_test fails before the change and passes after it.

--- a/modules/workflow/agent/worker_agent.cpp
+++ b/modules/workflow/agent/worker_agent.cpp
@@ -331,6 +331,8 @@
     for (auto const& each : m_runs->ended)
     {
         forget(each.run);
+        // A later answer to the start has no news.
+        m_starts.erase(each.run);
         m_sent_stops.erase(each.run);
     }
 }
--- a/modules/workflow/tests/worker_agent_acknowledgement_test.cpp
+++ b/modules/workflow/tests/worker_agent_acknowledgement_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(begun_run_that_has_ended_beside_an_odd_row_is_not_refused);
     CPPUNIT_TEST(late_answer_of_the_next_incarnation_is_noticed);
     CPPUNIT_TEST(acknowledgement_without_effect_causes_no_busy_loop);
+    CPPUNIT_TEST(late_answer_to_a_start_makes_no_listed_end_unseen);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -305,6 +306,27 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, acknowledged_ends());
     }
 
+    // The answer to a repeated start comes after the end was listed and
+    // acknowledged. Guards against a report and a log line of an unseen end.
+    void late_answer_to_a_start_makes_no_listed_end_unseen()
+    {
+        begin();
+        order_start();
+        answer(m_starts, start_outcome::unknown);
+        auto lists = list_of(1, {});
+        lists.runs.ended = {{1, m_run, core::run_end::done, {}}};
+        answer(m_syncs, std::optional(lists));
+        grant_ends(1);
+        answer(m_syncs, std::optional(list_of(1, {})));
+        answer(m_starts, start_outcome::already_ended);
+        answer(m_syncs, std::optional(list_of(1, {})));
+        grant(1);
+        answer(m_syncs, std::optional(list_of(1, {})));
+        CPPUNIT_ASSERT(last_report().ended_unseen.empty());
+        CPPUNIT_ASSERT(last_report().refused.empty());
+        CPPUNIT_ASSERT(!has_event(core::event_code::run_ended_unseen));
+    }
+
 private:
     static sync_result list_of(std::uint64_t life,
                                std::vector<core::task_run> const& runs)
