Two lists in a row decide that a run has ended unseen

Cause: a run that had begun and was missing in one list counted as ended, and so as done. A worker that shuts down might answer once more when its runs are gone, and all of them would be shown as done (by reading; found by the review).

Change: two whole lists in a row must lack the run, the second is asked for at once, and nothing is concluded of a worker that drains.

Measured: the tests of the agent pass; begun_run_that_is_missing_is_not_refused and lasting_row_hides_no_end_for_good expected the conclusion from one list and ask for two now, which is stricter.

--- a/modules/workflow/agent/begun_runs.cpp
+++ b/modules/workflow/agent/begun_runs.cpp
@@ -1,5 +1,6 @@
 #include "workflow/agent/begun_runs.hpp"
 
+#include <algorithm>
 #include <set>
 
 namespace turmericswitch::workflow
@@ -7,7 +8,7 @@
 
 void begun_runs::add(core::task_run const& run, std::uint64_t first_sync)
 {
-    m_runs.try_emplace(run, first_sync);
+    m_runs.try_emplace(run, begun_run{first_sync});
 }
 
 bool begun_runs::contains(core::task_run const& run) const
@@ -37,23 +38,36 @@
     std::vector<core::task_run> dropped;
     if (!is_whole)
     {
+        for (auto& [run, state] : m_runs)
+        {
+            state.is_missing = false;
+        }
         return dropped;
     }
-    std::erase_if(m_runs,
-                  [&](auto const& item)
-                  {
-                      auto const& [run, first_sync] = item;
-                      bool const is_dropped =
-                          first_sync <= sync && !running.contains(run);
-                      if (is_dropped)
-                      {
-                          dropped.push_back(run);
-                      }
-                      return is_dropped;
-                  });
+    for (auto each = m_runs.begin(); each != m_runs.end();)
+    {
+        auto& [run, state] = *each;
+        bool const is_missing =
+            state.first_sync <= sync && !running.contains(run);
+        if (is_missing && state.is_missing)
+        {
+            dropped.push_back(run);
+            each = m_runs.erase(each);
+            continue;
+        }
+        state.is_missing = is_missing;
+        ++each;
+    }
     return dropped;
 }
 
+bool begun_runs::has_missing() const
+{
+    return std::any_of(m_runs.begin(),
+                       m_runs.end(),
+                       [](auto const& item) { return item.second.is_missing; });
+}
+
 void begun_runs::clear()
 {
     m_runs.clear();
--- a/modules/workflow/agent/begun_runs.hpp
+++ b/modules/workflow/agent/begun_runs.hpp
@@ -15,7 +15,9 @@
 ///
 /// A worker lists each of its runs from the begin to the acknowledgement of the
 /// end. So one that is in neither list has ended, and the worker has dropped
-/// the end before a list showed it.
+/// the end before a list showed it. A worker that shuts down might still answer
+/// when its runs are gone, so two lists in a row must
+/// lack the run.
 class begun_runs
 {
 public:
@@ -33,16 +35,26 @@
     ///
     /// @param sync Number of the call.
     /// @param is_whole True if the lists have all runs of the incarnation.
-    /// @return Runs that have ended without a list that shows it. They are
-    ///         removed.
+    /// @return Runs that have ended without a list that shows it: two whole
+    ///         lists in a row lack them. They are removed.
     std::vector<core::task_run>
     listed(std::uint64_t sync, core::worker_runs const& lists, bool is_whole);
 
+    /// @return True if another list decides whether a run has ended.
+    bool has_missing() const;
+
     void clear();
 
 private:
-    /// Each with the number of the first sync call whose answer lists it.
-    std::map<core::task_run, std::uint64_t> m_runs;
+    struct begun_run
+    {
+        /// Number of the first sync call whose answer lists it.
+        std::uint64_t first_sync = 0;
+        /// True if the last whole list lacks it.
+        bool is_missing = false;
+    };
+
+    std::map<core::task_run, begun_run> m_runs;
 };
 
 } // namespace turmericswitch::workflow
--- a/modules/workflow/agent/worker_agent.cpp
+++ b/modules/workflow/agent/worker_agent.cpp
@@ -548,9 +548,10 @@
     log_late_starts();
     forget_executed_starts();
     m_witness.listed(m_worker_clock, m_runs->running);
-    // Without the incarnation in the answer, the worker may have restarted.
+    // Without the incarnation in the answer, the worker may have restarted. One
+    // that drains may end its runs before it ends itself.
     find_unseen_ends(result.life && result.skipped.empty() &&
-                     !m_runs->may_have_more_ends);
+                     !m_runs->may_have_more_ends && !m_profile->draining);
     close_unlisted_stopped_runs();
 }
 
@@ -560,7 +561,7 @@
     { return a.run == b.run; };
     return !m_runs->ended.empty() || m_runs->may_have_more_ends ||
            m_has_skipped_ends || !m_refused.empty() || !m_unseen_ends.empty() ||
-           m_report_due ||
+           m_begun_runs.has_missing() || m_report_due ||
            !std::equal(m_runs->running.begin(),
                        m_runs->running.end(),
                        before.running.begin(),
@@ -774,10 +775,11 @@
     else
     {
         // The leader places nothing on a worker until a report has its runs, or
-        // while it is silent, and may need the rest of a cut list, so these
-        // sync calls must not wait.
-        bool const may_wait =
-            m_runs && !m_silent && !m_runs->may_have_more_ends;
+        // while it is silent, and may need the rest of a cut list or the list
+        // that decides about a missing run, so these sync calls must not wait.
+        bool const may_wait = m_runs && !m_silent &&
+                              !m_runs->may_have_more_ends &&
+                              !m_begun_runs.has_missing();
         sync_worker(may_wait ? m_options.sync_interval : core::duration{});
     }
 }
--- a/modules/workflow/tests/worker_agent_acknowledgement_test.cpp
+++ b/modules/workflow/tests/worker_agent_acknowledgement_test.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(begun_run_that_is_missing_is_not_refused);
     CPPUNIT_TEST(ended_start_without_a_stop_is_not_refused);
     CPPUNIT_TEST(missing_run_proves_nothing_in_an_unreadable_list);
+    CPPUNIT_TEST(run_that_a_draining_worker_lacks_has_not_ended_unseen);
     CPPUNIT_TEST(stopped_run_that_is_missing_is_refused);
     CPPUNIT_TEST(ends_after_an_unreadable_one_are_not_acknowledged);
     CPPUNIT_TEST(row_of_another_writer_holds_up_no_acknowledgement);
@@ -99,6 +100,11 @@
         answer(m_syncs, std::optional(list_of(1, {})));
         CPPUNIT_ASSERT(last_report().ended_unseen.empty());
         grant(1);
+        // A worker that shuts down may answer once more when its runs are gone.
+        answer(m_syncs, std::optional(list_of(1, {})));
+        CPPUNIT_ASSERT(last_report().ended_unseen.empty());
+        grant(1);
+        CPPUNIT_ASSERT(m_syncs.front().call.wait == core::duration{});
         answer(m_syncs, std::optional(list_of(1, {})));
         expect_unseen_end();
         // The leader that repeats the order doesn't know yet.
@@ -150,6 +156,29 @@
         CPPUNIT_ASSERT(last_report().refused.empty());
     }
 
+    // Its runs end before it does. Guards against runs that count as done
+    // because a draining worker doesn't list them any more, and against one
+    // that is listed again.
+    void run_that_a_draining_worker_lacks_has_not_ended_unseen()
+    {
+        begin();
+        order_start();
+        answer(m_starts, start_outcome::started);
+        answer(m_syncs, std::optional(list_of(1, {})));
+        grant(1);
+        answer(m_syncs, std::optional(list_of(1, {})));
+        grant(1);
+        answer(m_syncs, std::optional(list_of(1, {m_run})));
+        grant(1);
+        m_agent->registered(draining_profile(1));
+        for (int i = 0; i < 3; ++i)
+        {
+            grant(1);
+            answer(m_syncs, std::optional(list_of(1, {})));
+            CPPUNIT_ASSERT(last_report().ended_unseen.empty());
+        }
+    }
+
     // Guards against a stopped run that counts as done.
     void stopped_run_that_is_missing_is_refused()
     {
@@ -253,6 +282,8 @@
         run_delayed();
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, acknowledged_ends());
         answer(m_syncs, std::optional(list_of(1, {})));
+        grant(1);
+        answer(m_syncs, std::optional(list_of(1, {})));
         expect_unseen_end();
     }
 
