Reach a peer that closes its connections without notice

Cause: content for one process is left out on a new connection, also after a loss. A worker that answers one request on each connection and doesn't say so would get no lease and no acknowledgement at all (by reading; found by the review). The client retried such calls as they were before.

Change: after three reused connections that are lost in a row the peer counts as one that closes each connection.

Measured: peer_that_closes_without_notice_gets_the_content fails without the limit, since the last request never gets its own content.

--- a/modules/web/client/async_client.cpp
+++ b/modules/web/client/async_client.cpp
@@ -26,6 +26,10 @@
 namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
 
+/// Reused connections that are lost in a row before the peer counts as one that
+/// closes each connection without saying so. One that has restarted loses one.
+constexpr int max_losses_in_a_row = 3;
+
 struct client_connection
 {
     explicit client_connection(boost::asio::any_io_executor const& strand)
@@ -158,7 +162,7 @@
 
     void connect(pending_pointer const& pending)
     {
-        if (!m_closes_after_response)
+        if (!m_closes_after_response && m_losses_in_a_row < max_losses_in_a_row)
         {
             use_other_content(*pending);
         }
@@ -235,7 +239,11 @@
         if (connection_was_closed && pending->lost == lost_request::retried)
         {
             pending->is_reused = false;
-            use_other_content(*pending);
+            ++m_losses_in_a_row;
+            if (m_losses_in_a_row < max_losses_in_a_row)
+            {
+                use_other_content(*pending);
+            }
             connect(pending);
             return;
         }
@@ -256,6 +264,10 @@
     void complete(pending_pointer const& pending)
     {
         auto connection = std::move(pending->connection);
+        if (pending->is_reused)
+        {
+            m_losses_in_a_row = 0;
+        }
         bool const is_kept_alive = pending->parser->get().keep_alive();
         // A peer that closes a connection after several responses may be about
         // to end.
@@ -306,6 +318,8 @@
     bool m_closed = false;
     /// True if the last response was the only one on its connection.
     bool m_closes_after_response = false;
+    /// Reused connections lost since a request was answered on one.
+    int m_losses_in_a_row = 0;
 };
 
 async_client::async_client(transport::io_pool& io,
--- a/modules/web/client/async_client.hpp
+++ b/modules/web/client/async_client.hpp
@@ -69,8 +69,9 @@
     /// if there is none. If that connection is lost before the response, the
     /// other content is sent on a new one.
     ///
-    /// A peer that closes its connection after each response gets `content` on
-    /// a new one, because nothing else can reach it.
+    /// A peer that closes its connection after each response, whether it says
+    /// so or not, gets `content` on a new one, because nothing else can reach
+    /// it.
     ///
     /// @param otherwise Content that any process at the peer's address may get;
     ///        idempotent.
--- a/modules/web/tests/async_client_test.cpp
+++ b/modules/web/tests/async_client_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(lost_request_is_sent_once_if_its_caller_counts_tries);
     CPPUNIT_TEST(other_process_does_not_get_what_was_meant_for_the_first);
     CPPUNIT_TEST(peer_that_closes_each_connection_gets_the_content);
+    CPPUNIT_TEST(peer_that_closes_without_notice_gets_the_content);
     CPPUNIT_TEST(peer_that_ends_does_not_count_as_one_that_always_closes);
     CPPUNIT_TEST_SUITE_END();
 
@@ -235,6 +236,30 @@
                        {"/for-any", "/for-the-first", "/for-the-first"});
     }
 
+    // Guards against a worker that never gets a lease or an acknowledgement
+    // because it answers one request on each connection.
+    void peer_that_closes_without_notice_gets_the_content()
+    {
+        closing_server const server;
+        transport::io_pool io(1);
+        async_client client(io, server.address());
+        for (int i = 0; i < 4; ++i)
+        {
+            CPPUNIT_ASSERT(send_on_open(client).get().outcome ==
+                           http_outcome::answered);
+        }
+        // Each request but the first is read once on the connection of the
+        // last response, where it is lost, and then on a new one.
+        std::vector<std::string> const expected{"/for-any",
+                                                "/for-the-first",
+                                                "/for-any",
+                                                "/for-the-first",
+                                                "/for-any",
+                                                "/for-the-first",
+                                                "/for-the-first"};
+        CPPUNIT_ASSERT(server.targets() == expected);
+    }
+
     // A server that shuts down closes the open connection after its last
     // response. Guards against an acknowledgement on a new connection, which
     // may lead to the next incarnation of the worker.
