Split worker_agent.cpp: the lists of runs and their reports

What asks the worker for its lists and reports them is in worker_agent_sync.cpp, as the orders have a file of their own. No change of behaviour.

--- /dev/null
+++ b/modules/workflow/agent/worker_agent_sync.cpp
@@ -0,0 +1,515 @@
+#include "workflow/agent/worker_agent.hpp"
+
+#include <algorithm>
+#include <utility>
+
+// The agent's part that asks the worker for its lists and reports them.
+
+namespace turmericswitch::workflow
+{
+
+using core::event_code;
+using core::number_field;
+using core::text_field;
+using core::time_field;
+
+namespace
+{
+
+/// Pause between sync calls while the worker lists ended runs that the leader
+/// has not acknowledged, or that an acknowledgement has not reached. The worker
+/// answers immediately as long as its list has such entries, so without the
+/// pause the calls would spin.
+constexpr core::duration unacknowledged_ends_pause =
+    std::chrono::milliseconds(50);
+
+/// The reasons come from a worker's answers, so their number has a bound.
+constexpr std::size_t max_logged_rows = 32;
+
+} // namespace
+
+// Sync calls to the worker
+
+void worker_agent::sync_worker(core::duration wait)
+{
+    if (m_syncing || m_left)
+    {
+        return;
+    }
+    m_syncing = true;
+    m_current_sync = ++m_syncs_begun;
+    sync_call call;
+    call.worker = m_profile->worker;
+    call.fencing_token = m_fencing_token;
+    call.wait = wait;
+    if (m_is_confirmed)
+    {
+        add_effects(call);
+    }
+    sync_answer answer{m_epoch, m_current_sync, call.acknowledged_ends, {}, {}};
+    if (call.acknowledged_ends > 0)
+    {
+        call.wait = {};
+        answer.wait_after = wait;
+    }
+    m_hooks.runtime.sync(
+        std::move(call),
+        [this, answer](std::optional<sync_result> result) mutable
+        {
+            answer.result = std::move(result);
+            handle_sync_answer(std::move(answer));
+        });
+}
+
+void worker_agent::add_effects(sync_call& call) const
+{
+    if (m_lease_until > core::duration{})
+    {
+        call.lease_until = m_lease_until;
+    }
+    if (lists_acknowledged_ends())
+    {
+        call.acknowledged_ends = m_acknowledged_ends;
+    }
+}
+
+bool worker_agent::lists_acknowledged_ends() const
+{
+    return m_runs && std::any_of(m_runs->ended.begin(),
+                                 m_runs->ended.end(),
+                                 [this](core::ended_run const& each) {
+                                     return each.number <= m_acknowledged_ends;
+                                 });
+}
+
+void worker_agent::schedule_sync(core::duration delay, core::duration wait)
+{
+    m_hooks.after(delay,
+                  [this, epoch = m_epoch, wait]
+                  {
+                      if (is_current(epoch))
+                      {
+                          sync_worker(wait);
+                      }
+                  });
+}
+
+void worker_agent::handle_sync_answer(sync_answer answer)
+{
+    if (!is_current(answer.epoch))
+    {
+        return;
+    }
+    auto& result = answer.result;
+    bool const is_other_incarnation =
+        result && result->life && *result->life != m_stated_life;
+    if (is_other_incarnation)
+    {
+        // Also in the answer to a call that was given up: its connection is
+        // open for the next call.
+        m_is_confirmed = false;
+    }
+    if (answer.number != m_current_sync || !m_syncing)
+    {
+        return;
+    }
+    m_syncing = false;
+    if (is_other_incarnation && m_successor != *result->life)
+    {
+        handle_successor(*result->life, answer.acknowledged);
+    }
+    if (!result || is_other_incarnation)
+    {
+        handle_silence();
+        return;
+    }
+    bool const was_silent = std::exchange(m_silent, false);
+    m_is_confirmed = true;
+    bool const is_before_first_grant = !m_polling;
+    if (!m_runs && is_before_first_grant)
+    {
+        give_up_report();
+    }
+    auto const before = std::exchange(m_runs, std::nullopt);
+    handle_lists(std::move(*result));
+    m_must_repeat_acknowledgement =
+        answer.acknowledged > 0 && lists_acknowledged_ends();
+    if (answer.wait_after > core::duration{} && before && !was_silent &&
+        !has_news(*before))
+    {
+        sync_worker(answer.wait_after);
+        return;
+    }
+    send_report();
+}
+
+void worker_agent::handle_silence()
+{
+    m_is_confirmed = false;
+    // The leader places nothing on a silent worker, and the report extends no
+    // lease. A changed profile is worth another report, because orders that the
+    // worker executes late must fit its capacity.
+    bool const was_silent = std::exchange(m_silent, true);
+    m_report_due = m_report_due || !was_silent;
+    if (m_report_due && !m_left)
+    {
+        send_report();
+    }
+    schedule_sync(retry_pause, core::duration{});
+}
+
+void worker_agent::handle_lists(sync_result result)
+{
+    m_worker_clock = result.clock;
+    m_runs = std::move(result.runs);
+    m_has_skipped_ends =
+        std::any_of(result.skipped.begin(),
+                    result.skipped.end(),
+                    [](skipped_row const& each) { return each.is_end; });
+    log_skipped_rows(result.skipped);
+    check_end_numbers();
+    log_late_starts();
+    forget_executed_starts();
+    m_witness.listed(m_worker_clock, m_runs->running);
+    // Without the incarnation in the answer, the worker may have restarted. One
+    // that drains may end its runs before it ends itself.
+    find_unseen_ends(result.life && result.skipped.empty() &&
+                     !m_runs->may_have_more_ends && !m_profile->draining);
+    close_unlisted_stopped_runs();
+}
+
+bool worker_agent::has_news(core::worker_runs const& before) const
+{
+    auto const has_same_run = [](auto const& a, auto const& b)
+    { return a.run == b.run; };
+    return !m_runs->ended.empty() || m_runs->may_have_more_ends ||
+           m_has_skipped_ends || !m_refused.empty() || !m_unseen_ends.empty() ||
+           m_begun_runs.has_missing() || m_report_due ||
+           !std::equal(m_runs->running.begin(),
+                       m_runs->running.end(),
+                       before.running.begin(),
+                       before.running.end(),
+                       has_same_run);
+}
+
+void worker_agent::find_unseen_ends(bool is_whole)
+{
+    for (auto const& run :
+         m_begun_runs.listed(m_current_sync, *m_runs, is_whole))
+    {
+        if (m_sent_stops.contains(run))
+        {
+            // Reported as refused once the stop is confirmed: the run is over,
+            // and a stop was to end it.
+            continue;
+        }
+        mark_ended_unseen(run);
+    }
+}
+
+void worker_agent::mark_ended_unseen(core::task_run const& run)
+{
+    emit_run_event(event_code::run_ended_unseen, run);
+    m_starts.erase(run);
+    m_stopped_runs.erase(run);
+    m_begun_runs.remove(run);
+    m_unseen_ends.insert(run);
+}
+
+void worker_agent::close_unlisted_stopped_runs()
+{
+    auto const is_listed = [](auto const& list, core::task_run const& run)
+    {
+        return std::any_of(list.begin(),
+                           list.end(),
+                           [&run](auto const& each)
+                           { return each.run == run; });
+    };
+    std::vector<core::task_run> unlisted;
+    std::erase_if(m_stopped_runs,
+                  [&](auto const& item)
+                  {
+                      if (m_current_sync < item.second ||
+                          is_listed(m_runs->running, item.first))
+                      {
+                          return false;
+                      }
+                      if (is_listed(m_runs->ended, item.first))
+                      {
+                          return true;
+                      }
+                      if (m_runs->may_have_more_ends)
+                      {
+                          // Its end may be in a later list. The leader
+                          // acknowledges the listed ones, so that follows.
+                          return false;
+                      }
+                      unlisted.push_back(item.first);
+                      return true;
+                  });
+    for (auto const& run : unlisted)
+    {
+        if (m_begun_runs.contains(run) && !m_sent_stops.contains(run))
+        {
+            // The worker has rejected another start because the run has ended,
+            // so this holds also if rows of its lists could not be read.
+            mark_ended_unseen(run);
+            continue;
+        }
+        mark_refused(run,
+                     "the worker does not list the run and will not start it");
+    }
+}
+
+// Lists of runs
+
+void worker_agent::handle_successor(core::incarnation life,
+                                    std::uint64_t acknowledged)
+{
+    m_successor = life;
+    m_hooks.on_event({event_code::worker_replaced,
+                      {text_field("worker", m_profile->worker.value()),
+                       number_field("life", life.value()),
+                       number_field("known_life", m_profile->life.value()),
+                       number_field("acknowledged", acknowledged)}});
+}
+
+void worker_agent::log_late_starts()
+{
+    if (!std::exchange(m_has_late_starts, false))
+    {
+        return;
+    }
+    for (auto const& each : m_runs->running)
+    {
+        emit_run_event(event_code::late_start_executed, each.run);
+    }
+}
+
+void worker_agent::log_skipped_rows(std::vector<skipped_row> const& rows)
+{
+    for (auto const& [is_end, why] : rows)
+    {
+        if (m_logged_rows.size() < max_logged_rows &&
+            m_logged_rows.emplace(is_end, why).second)
+        {
+            m_hooks.on_event({event_code::run_row_skipped,
+                              {text_field("worker", m_profile->worker.value()),
+                               number_field("life", m_profile->life.value()),
+                               text_field("list", is_end ? "ended" : "running"),
+                               text_field("why", why)}});
+        }
+    }
+}
+
+void worker_agent::check_end_numbers()
+{
+    for (auto const& [first, last] : m_end_numbers.listed(
+             m_runs->ended, m_has_skipped_ends, m_worker_clock))
+    {
+        m_hooks.on_event({event_code::ends_dropped_unseen,
+                          {text_field("worker", m_profile->worker.value()),
+                           number_field("life", m_profile->life.value()),
+                           number_field("first", first),
+                           number_field("last", last)}});
+    }
+    // A run that is missing may be the one in the row, as with a cut list.
+    m_runs->may_have_more_ends =
+        m_runs->may_have_more_ends || m_end_numbers.has_unread_end();
+}
+
+void worker_agent::forget_executed_starts()
+{
+    auto const forget = [this](core::task_run const& run)
+    {
+        m_unanswered_starts.erase(run);
+        if (auto const open = m_starts.find(run);
+            open != m_starts.end() && open->second.is_suspended)
+        {
+            m_starts.erase(open);
+        }
+    };
+    for (auto const& each : m_runs->running)
+    {
+        forget(each.run);
+    }
+    for (auto const& each : m_runs->ended)
+    {
+        forget(each.run);
+        // A later answer to the start has no news.
+        m_starts.erase(each.run);
+        m_sent_stops.erase(each.run);
+    }
+}
+
+// Reports
+
+void worker_agent::send_report()
+{
+    if (m_reporting)
+    {
+        m_report_again = true;
+        return;
+    }
+    m_reporting = true;
+    m_report_again = false;
+    m_reporting_due = std::exchange(m_report_due, false);
+    core::runtime_report report;
+    report.host = m_options.host;
+    report.profile = *m_profile;
+    report.sidecar = m_options.life;
+    report.clock = m_worker_clock;
+    report.runs = m_runs;
+    report.refused.assign(m_refused.begin(), m_refused.end());
+    report.left = m_left;
+    report.silent = m_silent;
+    report.crashed = m_witness.crashes();
+    report.ended_unseen.assign(m_unseen_ends.begin(), m_unseen_ends.end());
+    m_hooks.leader.report(std::move(report),
+                          [this, epoch = m_epoch, number = ++m_reports_begun](
+                              std::optional<core::runtime_grant> grant)
+                          { handle_grant(epoch, number, std::move(grant)); });
+}
+
+void worker_agent::give_up_report()
+{
+    m_report_due = m_report_due || (m_reporting && m_reporting_due);
+    m_reporting = false;
+    m_reporting_due = false;
+    ++m_reports_begun;
+}
+
+void worker_agent::report_again()
+{
+    // The leader can't extend the lease from a report with an old reading of
+    // the worker's clock, so a sync call comes first.
+    if (m_runs && !m_left && !m_syncing)
+    {
+        sync_worker(core::duration{});
+        return;
+    }
+    send_report();
+}
+
+void worker_agent::leader_changed(core::duration delay)
+{
+    if (m_stopped || !m_profile)
+    {
+        return;
+    }
+    give_up_report();
+    // Until the delay is over, nothing else reports.
+    m_reporting = true;
+    m_syncing = false;
+    m_polling = false;
+    ++m_polls_begun;
+    m_hooks.after(delay,
+                  [this, epoch = m_epoch, number = m_reports_begun]
+                  {
+                      if (is_current(epoch) && number == m_reports_begun)
+                      {
+                          m_reporting = false;
+                          report_to_new_leader();
+                      }
+                  });
+}
+
+void worker_agent::report_to_new_leader()
+{
+    // A silent worker may not answer, and the leader must know that it exists.
+    if (!m_runs || m_silent || m_left)
+    {
+        send_report();
+        return;
+    }
+    // A sync call that began during the delay may wait for an end.
+    m_syncing = false;
+    sync_worker(core::duration{});
+}
+
+void worker_agent::handle_grant(std::uint64_t epoch,
+                                std::uint64_t number,
+                                std::optional<core::runtime_grant> grant)
+{
+    if (!is_current(epoch) || number != m_reports_begun)
+    {
+        return;
+    }
+    m_reporting = false;
+    set_leader_reached(grant.has_value());
+    if (!grant || grant->fencing_token < m_fencing_token)
+    {
+        m_report_due = m_report_due || m_reporting_due;
+        m_hooks.after(retry_pause,
+                      [this, epoch]
+                      {
+                          if (is_current(epoch) && !m_reporting)
+                          {
+                              report_again();
+                          }
+                      });
+        return;
+    }
+    apply_grant(*grant);
+    if (m_left)
+    {
+        // The answered report may predate the worker's notice that it leaves.
+        if (m_report_again)
+        {
+            send_report();
+        }
+        return;
+    }
+    if (!m_polling)
+    {
+        poll_orders();
+    }
+    if (m_report_again)
+    {
+        report_again();
+    }
+    else if (m_has_skipped_ends)
+    {
+        schedule_sync(retry_pause, core::duration{});
+    }
+    else if (has_unacknowledged_ends() || m_must_repeat_acknowledgement)
+    {
+        schedule_sync(unacknowledged_ends_pause, core::duration{});
+    }
+    else
+    {
+        // The leader places nothing on a worker until a report has its runs, or
+        // while it is silent, and may need the rest of a cut list or the list
+        // that decides about a missing run, so these sync calls must not wait.
+        bool const may_wait = m_runs && !m_silent &&
+                              !m_runs->may_have_more_ends &&
+                              !m_begun_runs.has_missing();
+        sync_worker(may_wait ? m_options.sync_interval : core::duration{});
+    }
+}
+
+void worker_agent::apply_grant(core::runtime_grant const& grant)
+{
+    m_fencing_token = grant.fencing_token;
+    m_lease_until = std::max(m_lease_until, grant.lease_until);
+    // The leader doesn't know of rows that could not be read.
+    m_acknowledged_ends =
+        std::max(m_acknowledged_ends,
+                 std::min(grant.acknowledged_ends, m_end_numbers.known()));
+    m_witness.acknowledge(grant.acknowledged_crashes);
+    for (auto const& run : grant.acknowledged_refusals)
+    {
+        m_refused.erase(run);
+        m_unseen_ends.erase(run);
+    }
+}
+
+bool worker_agent::has_unacknowledged_ends() const
+{
+    return m_runs && std::any_of(m_runs->ended.begin(),
+                                 m_runs->ended.end(),
+                                 [this](core::ended_run const& each)
+                                 { return each.number > m_acknowledged_ends; });
+}
+
+} // namespace turmericswitch::workflow
