Fence a new incarnation soon although its first call has no answer

Cause: until a worker has executed a sync call with its incarnation's token, it executes late calls of earlier incarnations. The first sync call was repeated after its timeout of 1 s.

Change: the first call is repeated up to four times after 25 ms each, and the first answer of any of them counts.

--- a/modules/workflow/agent/worker_agent.hpp
+++ b/modules/workflow/agent/worker_agent.hpp
@@ -169,6 +169,12 @@
     /// Removes the unanswered starts of runs that the worker lists.
     void forget_executed_starts();
     void sync_worker(core::duration wait);
+    /// Repeats the first sync call to an incarnation soon if it has no answer:
+    /// until the worker has executed one, it executes late calls of earlier
+    /// incarnations.
+    ///
+    /// @param repeats Number of calls that may follow.
+    void repeat_first_sync(int repeats);
     /// Adds the lease and the acknowledgement, if the worker's incarnation is
     /// certain.
     void add_effects(sync_call& call) const;
@@ -288,6 +294,8 @@
     std::uint64_t m_syncs_begun = 0;
     /// Number of the sync call that is in progress or was answered last.
     std::uint64_t m_current_sync = 0;
+    /// Number of the oldest sync call that the one in progress repeats.
+    std::uint64_t m_oldest_sync = 0;
     bool m_syncing = false;
     /// True after a sync call without an answer of this incarnation.
     bool m_silent = false;
--- a/modules/workflow/agent/worker_agent_sync.cpp
+++ b/modules/workflow/agent/worker_agent_sync.cpp
@@ -23,6 +23,9 @@
 constexpr core::duration unacknowledged_ends_pause =
     std::chrono::milliseconds(50);
 
+/// A worker on the same instance answers within milliseconds, or seconds late.
+constexpr core::duration first_sync_pause = std::chrono::milliseconds(25);
+
 /// The reasons come from a worker's answers, so their number has a bound.
 constexpr std::size_t max_logged_rows = 32;
 
@@ -38,6 +41,7 @@
     }
     m_syncing = true;
     m_current_sync = ++m_syncs_begun;
+    m_oldest_sync = m_current_sync;
     sync_call call;
     call.worker = m_profile->worker;
     call.fencing_token = m_fencing_token;
@@ -61,6 +65,30 @@
         });
 }
 
+void worker_agent::repeat_first_sync(int repeats)
+{
+    m_hooks.after(first_sync_pause,
+                  [this, epoch = m_epoch, number = m_current_sync, repeats]
+                  {
+                      bool const is_unanswered = is_current(epoch) &&
+                                                 m_syncing && !m_runs &&
+                                                 number == m_current_sync;
+                      if (!is_unanswered)
+                      {
+                          return;
+                      }
+                      // An answer to the earlier call is as good.
+                      auto const oldest = m_oldest_sync;
+                      m_syncing = false;
+                      sync_worker(core::duration{});
+                      m_oldest_sync = oldest;
+                      if (repeats > 1)
+                      {
+                          repeat_first_sync(repeats - 1);
+                      }
+                  });
+}
+
 void worker_agent::add_effects(sync_call& call) const
 {
     if (m_lease_until > core::duration{})
@@ -109,11 +137,16 @@
         // open for the next call.
         m_is_confirmed = false;
     }
-    if (answer.number != m_current_sync || !m_syncing)
+    bool const is_of_series =
+        answer.number >= m_oldest_sync && answer.number <= m_current_sync;
+    bool const is_repeated = answer.number != m_current_sync;
+    bool const is_usable = result && !is_other_incarnation;
+    if (!m_syncing || !is_of_series || (is_repeated && !is_usable))
     {
         return;
     }
     m_syncing = false;
+    m_current_sync = answer.number;
     if (is_other_incarnation && m_successor != *result->life)
     {
         handle_successor(*result->life, answer.acknowledged);
--- a/modules/workflow/tests/worker_agent_restart_test.cpp
+++ b/modules/workflow/tests/worker_agent_restart_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(crash_is_reported_until_it_is_acknowledged);
     CPPUNIT_TEST(end_with_notice_is_not_reported_as_a_crash);
     CPPUNIT_TEST(next_incarnation_is_fenced_before_a_leader_answers);
+    CPPUNIT_TEST(unanswered_first_call_is_repeated_soon);
     CPPUNIT_TEST(first_list_of_the_next_incarnation_is_reported_at_once);
     CPPUNIT_TEST(incarnation_that_began_after_the_clock_was_set_back_is_used);
     CPPUNIT_TEST(late_notice_of_the_earlier_incarnation_is_ignored);
@@ -98,6 +99,32 @@
         CPPUNIT_ASSERT(own < fencing_token(core::term(3), 2));
     }
 
+    // The first call to an incarnation has no answer. Guards against a second
+    // in which the worker executes late calls of the earlier incarnation, and
+    // against calls without end to a worker that answers slowly.
+    void unanswered_first_call_is_repeated_soon()
+    {
+        start_up();
+        m_syncs.clear();
+        m_agent->registered(profile("w1", 8000, 2));
+        for (int i = 0; i < 9; ++i)
+        {
+            run_delayed();
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{5}, m_syncs.size());
+        for (auto const& [call, done] : m_syncs)
+        {
+            CPPUNIT_ASSERT(!call.lease_until);
+            CPPUNIT_ASSERT(call.fencing_token ==
+                           m_syncs.front().call.fencing_token);
+        }
+        // A call without an answer says nothing while others are under way.
+        answer(m_syncs, std::optional<sync_result>());
+        CPPUNIT_ASSERT(!last_report().silent);
+        answer(m_syncs, std::optional(list_at(10, {})));
+        CPPUNIT_ASSERT(last_report().runs.has_value());
+    }
+
     // The leader places the tasks of the earlier incarnation again once it has
     // the list. Guards against a list that waits for the grant of the report
     // without one.
