--- a/tests/support/runtime_model.cpp
+++ b/tests/support/runtime_model.cpp
@@ -32,6 +32,10 @@
 
 void runtime_model::begin_life(core::time_point now)
 {
+    for (auto const& [task, each] : m_running)
+    {
+        m_history[each.record].ended = now;
+    }
     ++m_life;
     m_born = now;
     m_token = 0;
@@ -63,15 +67,17 @@
     m_lease = std::max(m_lease, std::min(until, clock(now) + m_longest));
 }
 
-void runtime_model::end(core::task_run const& id,
-                        run_end how,
-                        std::string saved)
+void runtime_model::end(run const& ended, run_end how, core::time_point when)
 {
-    m_running.erase(id.task);
-    auto& closed = m_closed[id.task];
-    closed = std::max(closed, id.attempt);
+    auto& record = m_history[ended.record];
+    record.ended = when;
+    record.how = how;
+    m_running.erase(ended.id.task);
+    auto& closed = m_closed[ended.id.task];
+    closed = std::max(closed, ended.id.attempt);
     m_ended.push_back(
-        {{++m_last_end, id, how, core::checkpoint_id(std::move(saved))}});
+        {{++m_last_end, ended.id, how, core::checkpoint_id(ended.checkpoint)},
+         ended.record});
     if (m_reading == acknowledgement::of_all_ends)
     {
         drop_ends(m_acknowledged);
@@ -84,10 +90,9 @@
                   [&](listed_end const& each)
                   {
                       bool const is_released = each.end.number <= acknowledged;
-                      if (is_released && each.end.how == run_end::done &&
-                          !each.has_lapsed)
+                      if (is_released && !each.has_lapsed)
                       {
-                          m_released_done.push_back(each.end.run);
+                          m_history[each.record].is_acknowledged = true;
                       }
                       return is_released;
                   });
@@ -111,16 +116,20 @@
     }
     for (auto const& each : over)
     {
-        auto how = run_end::lapsed;
         if (now >= each.ends)
         {
-            how = each.will_fail ? run_end::failed : run_end::done;
+            end(each,
+                each.will_fail ? run_end::failed : run_end::done,
+                each.ends);
         }
         else if (each.stops_at && now >= *each.stops_at)
         {
-            how = run_end::stopped;
+            end(each, run_end::stopped, *each.stops_at);
+        }
+        else
+        {
+            end(each, run_end::lapsed, m_born + m_lease);
         }
-        end(each.id, how, each.checkpoint);
     }
 }
 
@@ -150,6 +159,7 @@
     }
     extend(call.start.lease_until, now);
     auto const plan = m_plan(id);
+    m_history.push_back({id, now, std::nullopt, std::nullopt});
     m_running.emplace(id.task,
                       run{id,
                           call.payload,
@@ -158,7 +168,8 @@
                           now + plan.work,
                           plan.fails,
                           100,
-                          std::nullopt});
+                          std::nullopt,
+                          m_history.size() - 1});
     return start_outcome::started;
 }
 
@@ -245,9 +256,23 @@
     return m_life;
 }
 
-std::vector<core::task_run> const& runtime_model::released_done() const noexcept
+std::vector<core::task_run> runtime_model::released_done() const
+{
+    std::vector<core::task_run> released;
+    for (auto const& each : m_history)
+    {
+        if (each.is_acknowledged && each.how == run_end::done)
+        {
+            released.push_back(each.run);
+        }
+    }
+    return released;
+}
+
+std::vector<runtime_model::run_record> const&
+runtime_model::history() const noexcept
 {
-    return m_released_done;
+    return m_history;
 }
 
 } // namespace turmericswitch::testing
--- a/tests/support/runtime_model.hpp
+++ b/tests/support/runtime_model.hpp
@@ -34,6 +34,23 @@
         std::uint32_t pace = 100;
         /// When a stop ends it; nothing while it is not being stopped.
         std::optional<core::time_point> stops_at;
+        /// Its index in the history.
+        std::size_t record = 0;
+    };
+
+    /// What is known of a run at the end of a test. Calls of the contract don't
+    /// show it.
+    struct run_record
+    {
+        core::task_run run;
+        core::time_point begun;
+        /// Nothing while it runs.
+        std::optional<core::time_point> ended;
+        /// Nothing while it runs, and if its life ended first.
+        std::optional<core::run_end> how;
+        /// Whether the acknowledged number reached its end before the lease
+        /// lapsed.
+        bool is_acknowledged = false;
     };
 
     /// Which ends an acknowledged number makes a worker drop. The contract
@@ -87,18 +104,22 @@
 
     /// Runs that have ended `done` in any life, and whose end was released by
     /// the acknowledged number before the lease lapsed.
-    std::vector<core::task_run> const& released_done() const noexcept;
+    std::vector<core::task_run> released_done() const;
+
+    /// @return All runs of all lives, in the order of their starts.
+    std::vector<run_record> const& history() const noexcept;
 
 private:
     struct listed_end
     {
         core::ended_run end;
+        std::size_t record = 0;
         bool has_lapsed = false;
     };
 
     core::duration clock(core::time_point now) const;
     void extend(core::duration until, core::time_point now);
-    void end(core::task_run const& id, core::run_end how, std::string saved);
+    void end(run const& ended, core::run_end how, core::time_point when);
     bool is_outdated(std::uint64_t token);
     /// Drops the ends up to the number.
     void drop_ends(std::uint64_t acknowledged);
@@ -119,7 +140,7 @@
     /// Highest attempt of each task that was stopped or has ended.
     std::map<core::task_ref, core::attempt_number> m_closed;
     std::vector<listed_end> m_ended;
-    std::vector<core::task_run> m_released_done;
+    std::vector<run_record> m_history;
 };
 
 } // namespace turmericswitch::testing
