One search for a run that has ended unseen; correct its reason

The dispatcher, the reconciler and unseen_ends searched the list of such runs in the same way; they call has_ended_unseen. No change of behaviour.

--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -383,10 +383,7 @@
 bool dispatcher::is_end_assumed(core::run_outcome const& outcome) const
 {
     auto const* const view = m_fleet.find(outcome.worker);
-    return view != nullptr &&
-           std::find(view->ended_unseen.begin(),
-                     view->ended_unseen.end(),
-                     outcome.run) != view->ended_unseen.end();
+    return view != nullptr && has_ended_unseen(*view, outcome.run);
 }
 
 void dispatcher::emit_run_placed(core::time_point now,
--- a/modules/workflow/dispatch/order_reconciler.cpp
+++ b/modules/workflow/dispatch/order_reconciler.cpp
@@ -2,6 +2,7 @@
 
 #include "workflow/dispatch/pace_controller.hpp"
 #include "workflow/dispatch/stage_planner.hpp"
+#include "workflow/dispatch/unseen_ends.hpp"
 #include "workflow/table/stage_tasks.hpp"
 
 #include <algorithm>
@@ -43,13 +44,13 @@
 
 bool has_ended(worker_view const& worker, core::task_run const& run)
 {
-    auto const is_in = [&run](std::vector<core::task_run> const& runs)
-    { return std::find(runs.begin(), runs.end(), run) != runs.end(); };
     return std::any_of(worker.ended.begin(),
                        worker.ended.end(),
                        [&run](core::ended_run const& each)
                        { return each.run == run; }) ||
-           is_in(worker.refused) || is_in(worker.ended_unseen);
+           std::find(worker.refused.begin(), worker.refused.end(), run) !=
+               worker.refused.end() ||
+           has_ended_unseen(worker, run);
 }
 
 /// @return True if less of `need` brings `used` nearer to `capacity`.
--- a/modules/workflow/dispatch/unseen_ends.cpp
+++ b/modules/workflow/dispatch/unseen_ends.cpp
@@ -7,6 +7,12 @@
 
 using core::run_end;
 
+bool has_ended_unseen(worker_view const& worker, core::task_run const& run)
+{
+    auto const& runs = worker.ended_unseen;
+    return std::find(runs.begin(), runs.end(), run) != runs.end();
+}
+
 unseen_ends::unseen_ends(workflow_table const& table, worker_fleet const& fleet)
     : m_table(table), m_fleet(fleet)
 {
@@ -43,9 +49,7 @@
         auto const* const view = m_fleet.find(member.worker);
         auto other = run;
         other.task.index = stage->indices[i];
-        if (view == nullptr || std::find(view->ended_unseen.begin(),
-                                         view->ended_unseen.end(),
-                                         other) == view->ended_unseen.end())
+        if (view == nullptr || !has_ended_unseen(*view, other))
         {
             return true;
         }
--- a/modules/workflow/dispatch/unseen_ends.hpp
+++ b/modules/workflow/dispatch/unseen_ends.hpp
@@ -8,13 +8,16 @@
 namespace turmericswitch::workflow
 {
 
+/// @return True if the worker's last report has the run among those that have
+///         ended in a way that nobody knows.
+bool has_ended_unseen(worker_view const& worker, core::task_run const& run);
+
 /// Decides what counts as the end of a run that has ended on its worker without
 /// a list that shows how.
 ///
-/// Nothing stopped the run and its lease has not expired, or its worker would
-/// have listed it once more as running. So it was done, as nearly all runs are,
-/// or it failed. It counts as done: the worker took the end for acknowledged,
-/// and a second run of work that is done can't be taken back.
+/// Nothing stopped the run, so it was done, as nearly all runs are, or it
+/// failed or lapsed. It counts as done: the worker took the end for
+/// acknowledged, and a second run of work that is done can't be taken back.
 class unseen_ends
 {
 public:
