Log what a sidecar knows of a run that it reports as refused

The log of a refused run says why, but not whether the run had been seen to begin, whether the sidecar had read a list of the worker's runs before, and how many calls were made. No decision changes.

--- a/modules/workflow/agent/worker_agent.hpp
+++ b/modules/workflow/agent/worker_agent.hpp
@@ -232,7 +232,11 @@
     void begin_stop(core::task_run const& run);
     void call_stop(core::task_run const& run);
     void call_pace(core::run_pace const& pace);
-    void mark_refused(core::task_run const& run, char const* why);
+    /// @param more Fields of the log line after `why` and what the agent knows
+    ///        of the run.
+    void mark_refused(core::task_run const& run,
+                      char const* why,
+                      std::vector<core::event_field> more = {});
     bool is_current(std::uint64_t epoch) const noexcept;
     /// @param more Fields after those that identify the run.
     void emit_run_event(core::event_code code,
--- a/modules/workflow/agent/worker_agent_orders.cpp
+++ b/modules/workflow/agent/worker_agent_orders.cpp
@@ -1,6 +1,7 @@
 #include "workflow/agent/worker_agent.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 // The agent's part that carries out the leader's orders.
@@ -204,8 +205,11 @@
     case start_outcome::refused:
         if (!m_unanswered_starts.contains(run))
         {
+            auto const tries = open->second.tries;
             m_starts.erase(open);
-            mark_refused(run, "the worker refused the start");
+            mark_refused(run,
+                         "the worker refused the start",
+                         {number_field("tries", tries)});
             send_report();
             return;
         }
@@ -293,9 +297,16 @@
                          });
 }
 
-void worker_agent::mark_refused(core::task_run const& run, char const* why)
+void worker_agent::mark_refused(core::task_run const& run,
+                                char const* why,
+                                std::vector<core::event_field> more)
 {
-    emit_run_event(event_code::run_refused, run, {text_field("why", why)});
+    std::vector<core::event_field> fields{
+        text_field("why", why),
+        number_field("begun", m_begun_runs.contains(run) ? 1 : 0),
+        number_field("listed_before", m_runs ? 1 : 0)};
+    std::move(more.begin(), more.end(), std::back_inserter(fields));
+    emit_run_event(event_code::run_refused, run, std::move(fields));
     m_refused.insert(run);
     m_sent_stops.erase(run);
 }
