Decide that a run won't execute from all calls that could begin it

Cause: a refusal (429, 503, 409) says that this call had no effect, and the sidecar took it for the run. It called again for a run that it knew as begun when the leader repeated the order; a list that showed the run cleared the mark of the unanswered call while another one was open; and a restarted sidecar knew nothing of the calls before it. The run was reported as refused, and the leader placed the task again.

Change: a refused start counts for the run only if no other call can have begun it: a whole list, made after the worker has seen this sidecar's token, lacks the run, and each call of this sidecar was refused. Orders for a run that has begun, or whose end is listed, make no call. Starts wait for the sidecar's first list. After a call without an answer, a list that is made later decides: it shows the run, or a stop leaves a tombstone. Such lists, and the one after a stop, are asked for at once.

The tests of orders and acknowledgements that order a start before any list was read begin with a list now, since the agent makes no call before; where they expected a stop straight after the refusal, they expect the list that comes before it and then the same stop.

--- a/modules/workflow/agent/begun_runs.cpp
+++ b/modules/workflow/agent/begun_runs.cpp
@@ -16,6 +16,12 @@
     return m_runs.contains(run);
 }
 
+bool begun_runs::is_unlisted(core::task_run const& run) const
+{
+    auto const known = m_runs.find(run);
+    return known != m_runs.end() && known->second.is_unlisted;
+}
+
 void begun_runs::remove(core::task_run const& run)
 {
     m_runs.erase(run);
@@ -36,19 +42,11 @@
         m_runs.erase(each.run);
     }
     std::vector<core::task_run> dropped;
-    if (!is_whole)
-    {
-        for (auto& [run, state] : m_runs)
-        {
-            state.is_missing = false;
-        }
-        return dropped;
-    }
     for (auto each = m_runs.begin(); each != m_runs.end();)
     {
         auto& [run, state] = *each;
-        bool const is_missing =
-            state.first_sync <= sync && !running.contains(run);
+        state.is_unlisted = state.first_sync <= sync && !running.contains(run);
+        bool const is_missing = is_whole && state.is_unlisted;
         if (is_missing && state.is_missing)
         {
             dropped.push_back(run);
--- a/modules/workflow/agent/begun_runs.hpp
+++ b/modules/workflow/agent/begun_runs.hpp
@@ -28,6 +28,9 @@
 
     bool contains(core::task_run const& run) const;
 
+    /// @return True if the last list that could have the run lacks it.
+    bool is_unlisted(core::task_run const& run) const;
+
     /// Removes a run that has ended.
     void remove(core::task_run const& run);
 
@@ -50,7 +53,9 @@
     {
         /// Number of the first sync call whose answer lists it.
         std::uint64_t first_sync = 0;
-        /// True if the last whole list lacks it.
+        /// True if the last list lacks it.
+        bool is_unlisted = false;
+        /// True if the last list is whole and lacks it.
         bool is_missing = false;
     };
 
--- a/modules/workflow/agent/worker_agent.cpp
+++ b/modules/workflow/agent/worker_agent.cpp
@@ -232,6 +232,8 @@
     m_reserved = {};
     m_starts.clear();
     m_unanswered_starts.clear();
+    m_undecided_starts.clear();
+    m_has_whole_list = false;
     m_stops.clear();
     m_stopped_runs.clear();
     m_syncing = false;
--- a/modules/workflow/agent/worker_agent.hpp
+++ b/modules/workflow/agent/worker_agent.hpp
@@ -73,9 +73,12 @@
 /// It reports a run as refused only when the run is certain not to execute and
 /// not to have ended: a list of ends that may be cut proves nothing about a run
 /// that is missing in it, and one that is known to have begun and is missing
-/// has ended unseen. After a start call without an answer it therefore
-/// first sends a stop, which makes the worker keep a tombstone that rejects the
-/// start if it arrives later.
+/// has ended unseen. The refusal of a start proves something about that call
+/// only, so it counts for the run if no other call can have begun the run:
+/// the worker has rejected the calls of earlier sidecars since its first list,
+/// which lacks the run, and all calls of this sidecar were refused. Otherwise a
+/// list shows whether the run has begun; if not, a stop makes the worker keep a
+/// tombstone that rejects the start if it arrives later.
 ///
 /// It sends no start while the runs that the leader counts on the worker do not
 /// fit the capacity that the worker has reported last: the leader may not know
@@ -131,7 +134,8 @@
         core::run_start start;
         std::string payload;
         int tries = 0;
-        /// True if the next try waits until the leader repeats the order.
+        /// True if the first try waits for the first list of runs, or the next
+        /// one until the leader repeats the order.
         bool is_suspended = false;
     };
 
@@ -166,9 +170,20 @@
     void log_skipped_rows(std::vector<skipped_row> const& rows);
     /// Logs ends that the worker has dropped before it listed them.
     void check_end_numbers();
-    /// Removes the unanswered starts of runs that the worker lists.
-    void forget_executed_starts();
+    /// Ends the starts of runs that the worker lists.
+    void close_executed_starts();
+    void close_begun_start(core::task_run const& run);
+    /// Makes the starts that have waited for the first list.
+    void call_waiting_starts();
+    /// Stops runs with an unanswered start that the worker does not list.
+    void stop_unlisted_starts();
     void sync_worker(core::duration wait);
+    /// Asks for a list that is made after this call. Gives up a call that waits
+    /// for an end.
+    void request_list();
+    /// @return True if a decision waits for a list that is made after the last
+    ///         one was requested.
+    bool needs_list() const;
     /// Repeats the first sync call to an incarnation soon if it has no answer:
     /// until the worker has executed one, it executes late calls of earlier
     /// incarnations.
@@ -221,6 +236,13 @@
     void poll_orders();
     void execute_orders(core::runtime_orders const& orders);
     void begin_start(core::run_start const& start, std::string const& payload);
+    /// @return True if a start of the run would be without effect: it is being
+    ///         stopped, its end or its refusal is being reported, or it runs.
+    bool needs_no_start(core::task_run const& run) const;
+    bool is_listed_as_ended(core::task_run const& run) const;
+    /// Makes the call of an open start, or drops the start if the worker has no
+    /// capacity for it.
+    void try_start(core::task_run const& run);
     void call_start(core::task_run const& run);
     /// @return True if the reservations in the last orders fit the capacity in
     ///         the worker's last registration.
@@ -229,6 +251,14 @@
     /// run, unless it runs already.
     void drop_start(core::task_run const& run);
     void handle_start_outcome(core::task_run const& run, start_outcome outcome);
+    /// Handles a refusal, or a start that was given up without an answer.
+    void handle_failed_start(core::task_run const& run, int tries);
+    /// @return True if the refusal of one call proves that the run has not
+    ///         begun and will not: no other call can begin it.
+    bool is_refusal_certain(core::task_run const& run) const;
+    void emit_run_started(core::task_run const& run,
+                          int tries,
+                          char const* source) const;
     void begin_stop(core::task_run const& run);
     void call_stop(core::task_run const& run);
     void call_pace(core::run_pace const& pace);
@@ -282,6 +312,10 @@
     bool m_must_repeat_acknowledgement = false;
     /// True if this agent has known the worker since the incarnation's start.
     bool m_is_known_from_start = false;
+    /// True once a list had all runs that other sidecars, or calls to earlier
+    /// incarnations, have begun on this one. The worker rejects further calls
+    /// of these by their fencing tokens.
+    bool m_has_whole_list = false;
     end_numbers m_end_numbers;
     begun_runs m_begun_runs;
     /// Ended runs of which the worker has dropped the ends before it listed
@@ -301,6 +335,8 @@
     /// Number of the oldest sync call that the one in progress repeats.
     std::uint64_t m_oldest_sync = 0;
     bool m_syncing = false;
+    /// True if the sync call in progress waits for an end.
+    bool m_is_sync_waiting = false;
     /// True after a sync call without an answer of this incarnation.
     bool m_silent = false;
     std::uint64_t m_reports_begun = 0;
@@ -324,6 +360,9 @@
     /// Runs with a start that had no answer. The worker may still execute it
     /// until it has confirmed a stop.
     std::set<core::task_run> m_unanswered_starts;
+    /// Runs that may have begun by an unanswered start, with the number of the
+    /// first sync call whose answer decides whether they are stopped.
+    std::map<core::task_run, std::uint64_t> m_undecided_starts;
     /// Runs for which a stop was sent to the incarnation, until the worker
     /// lists the end or the run is reported as refused.
     std::set<core::task_run> m_sent_stops;
--- a/modules/workflow/agent/worker_agent_orders.cpp
+++ b/modules/workflow/agent/worker_agent_orders.cpp
@@ -95,8 +95,7 @@
 void worker_agent::begin_start(core::run_start const& start,
                                std::string const& payload)
 {
-    if (m_stops.contains(start.run) || m_stopped_runs.contains(start.run) ||
-        m_refused.contains(start.run) || m_unseen_ends.contains(start.run))
+    if (needs_no_start(start.run))
     {
         return;
     }
@@ -108,18 +107,64 @@
     {
         return;
     }
-    if (!has_capacity())
-    {
-        drop_start(start.run);
-        return;
-    }
     auto order = start;
     order.lease_until = std::max(order.lease_until, m_lease_until);
     auto& pending = m_starts[start.run];
     pending.start = std::move(order);
     pending.payload = payload;
-    pending.is_suspended = false;
-    call_start(start.run);
+    // The run may have been begun by the sidecar before this one.
+    pending.is_suspended = !m_runs;
+    if (!pending.is_suspended)
+    {
+        try_start(start.run);
+    }
+}
+
+void worker_agent::try_start(core::task_run const& run)
+{
+    if (has_capacity())
+    {
+        call_start(run);
+        return;
+    }
+    m_starts.erase(run);
+    drop_start(run);
+}
+
+bool worker_agent::needs_no_start(core::task_run const& run) const
+{
+    // Only the worker can tell whether a begun run that it lists no more has
+    // ended.
+    bool const is_running =
+        m_begun_runs.contains(run) && !m_begun_runs.is_unlisted(run);
+    return is_running || is_listed_as_ended(run) || m_stops.contains(run) ||
+           m_stopped_runs.contains(run) || m_undecided_starts.contains(run) ||
+           m_refused.contains(run) || m_unseen_ends.contains(run);
+}
+
+void worker_agent::call_waiting_starts()
+{
+    std::vector<core::task_run> waiting;
+    for (auto const& [run, start] : m_starts)
+    {
+        if (start.is_suspended && start.tries == 0)
+        {
+            waiting.push_back(run);
+        }
+    }
+    for (auto const& run : waiting)
+    {
+        m_starts.at(run).is_suspended = false;
+        try_start(run);
+    }
+}
+
+bool worker_agent::is_listed_as_ended(core::task_run const& run) const
+{
+    return m_runs && std::any_of(m_runs->ended.begin(),
+                                 m_runs->ended.end(),
+                                 [&run](core::ended_run const& each)
+                                 { return each.run == run; });
 }
 
 bool worker_agent::has_capacity() const
@@ -171,12 +216,7 @@
     switch (outcome)
     {
     case start_outcome::started:
-        emit_run_event(
-            event_code::run_started,
-            run,
-            {number_field("tries", open->second.tries),
-             number_field("token", m_fencing_token),
-             time_field("lease_left_ms", m_lease_until - m_worker_clock)});
+        emit_run_started(run, open->second.tries, "answer");
         m_starts.erase(open);
         m_unanswered_starts.erase(run);
         m_begun_runs.add(run, m_syncs_begun + 1);
@@ -203,16 +243,6 @@
         m_stopped_runs[run] = m_syncs_begun + 1;
         return;
     case start_outcome::refused:
-        if (!m_unanswered_starts.contains(run))
-        {
-            auto const tries = open->second.tries;
-            m_starts.erase(open);
-            mark_refused(run,
-                         "the worker refused the start",
-                         {number_field("tries", tries)});
-            send_report();
-            return;
-        }
         break;
     case start_outcome::unknown:
         m_unanswered_starts.insert(run);
@@ -232,16 +262,51 @@
         }
         break;
     }
-    // The worker may still execute an unanswered call. A stop makes it keep a
-    // tombstone that rejects the start, after which the run can be reported as
-    // refused.
+    auto const tries = open->second.tries;
     m_starts.erase(open);
-    begin_stop(run);
+    handle_failed_start(run, tries);
+}
+
+void worker_agent::handle_failed_start(core::task_run const& run, int tries)
+{
+    if (m_begun_runs.contains(run))
+    {
+        return;
+    }
+    if (is_refusal_certain(run))
+    {
+        mark_refused(run,
+                     "the worker refused the start",
+                     {number_field("tries", tries)});
+        send_report();
+        return;
+    }
+    m_undecided_starts.try_emplace(run, m_syncs_begun + 1);
+    request_list();
+}
+
+bool worker_agent::is_refusal_certain(core::task_run const& run) const
+{
+    return m_has_whole_list && !m_unanswered_starts.contains(run) &&
+           !m_begun_runs.contains(run);
+}
+
+void worker_agent::emit_run_started(core::task_run const& run,
+                                    int tries,
+                                    char const* source) const
+{
+    emit_run_event(event_code::run_started,
+                   run,
+                   {number_field("tries", tries),
+                    number_field("token", m_fencing_token),
+                    time_field("lease_left_ms", m_lease_until - m_worker_clock),
+                    text_field("source", source)});
 }
 
 void worker_agent::begin_stop(core::task_run const& run)
 {
     m_starts.erase(run);
+    m_undecided_starts.erase(run);
     if (m_stops.try_emplace(run, 0).second)
     {
         m_sent_stops.insert(run);
@@ -273,6 +338,7 @@
                              {
                                  m_unanswered_starts.erase(run);
                                  m_stopped_runs[run] = m_syncs_begun + 1;
+                                 request_list();
                              }
                          });
 }
--- a/modules/workflow/agent/worker_agent_sync.cpp
+++ b/modules/workflow/agent/worker_agent_sync.cpp
@@ -56,6 +56,7 @@
         call.wait = {};
         answer.wait_after = wait;
     }
+    m_is_sync_waiting = call.wait > core::duration{};
     m_hooks.runtime.sync(
         std::move(call),
         [this, answer](std::optional<sync_result> result) mutable
@@ -65,6 +66,27 @@
         });
 }
 
+void worker_agent::request_list()
+{
+    // After the answer to a call that doesn't wait, the next one follows at
+    // once.
+    if (!m_runs || (m_syncing && !m_is_sync_waiting))
+    {
+        return;
+    }
+    m_syncing = false;
+    sync_worker(core::duration{});
+}
+
+bool worker_agent::needs_list() const
+{
+    auto const is_open = [this](auto const& item)
+    { return m_current_sync < item.second; };
+    return std::any_of(
+               m_undecided_starts.begin(), m_undecided_starts.end(), is_open) ||
+           std::any_of(m_stopped_runs.begin(), m_stopped_runs.end(), is_open);
+}
+
 void worker_agent::repeat_first_sync(int repeats)
 {
     m_hooks.after(first_sync_pause,
@@ -202,13 +224,16 @@
     log_skipped_rows(result.skipped);
     check_end_numbers();
     log_late_starts();
-    forget_executed_starts();
+    close_executed_starts();
     m_witness.listed(m_worker_clock, m_runs->running);
     // Without the incarnation in the answer, the worker may have restarted. One
     // that drains may end its runs before it ends itself.
-    find_unseen_ends(result.life && result.skipped.empty() &&
-                     !m_runs->may_have_more_ends && !m_profile->draining);
+    bool const is_whole = result.skipped.empty() && !m_runs->may_have_more_ends;
+    find_unseen_ends(result.life && is_whole && !m_profile->draining);
+    m_has_whole_list = m_has_whole_list || is_whole;
     close_unlisted_stopped_runs();
+    stop_unlisted_starts();
+    call_waiting_starts();
 }
 
 bool worker_agent::has_news(core::worker_runs const& before) const
@@ -217,7 +242,7 @@
     { return a.run == b.run; };
     return !m_runs->ended.empty() || m_runs->may_have_more_ends ||
            m_has_skipped_ends || !m_refused.empty() || !m_unseen_ends.empty() ||
-           m_begun_runs.has_missing() || m_report_due ||
+           m_begun_runs.has_missing() || needs_list() || m_report_due ||
            !std::equal(m_runs->running.begin(),
                        m_runs->running.end(),
                        before.running.begin(),
@@ -351,30 +376,52 @@
         m_runs->may_have_more_ends || m_end_numbers.has_unread_end();
 }
 
-void worker_agent::forget_executed_starts()
+void worker_agent::close_executed_starts()
 {
-    auto const forget = [this](core::task_run const& run)
-    {
-        m_unanswered_starts.erase(run);
-        if (auto const open = m_starts.find(run);
-            open != m_starts.end() && open->second.is_suspended)
-        {
-            m_starts.erase(open);
-        }
-    };
     for (auto const& each : m_runs->running)
     {
-        forget(each.run);
+        close_begun_start(each.run);
     }
     for (auto const& each : m_runs->ended)
     {
-        forget(each.run);
-        // A later answer to the start has no news.
-        m_starts.erase(each.run);
+        close_begun_start(each.run);
         m_sent_stops.erase(each.run);
     }
 }
 
+void worker_agent::close_begun_start(core::task_run const& run)
+{
+    m_unanswered_starts.erase(run);
+    m_undecided_starts.erase(run);
+    auto const open = m_starts.find(run);
+    if (open == m_starts.end())
+    {
+        return;
+    }
+    if (open->second.tries > 0)
+    {
+        emit_run_started(run, open->second.tries, "list");
+    }
+    // A later answer to an open call says nothing about the run.
+    m_starts.erase(open);
+}
+
+void worker_agent::stop_unlisted_starts()
+{
+    std::vector<core::task_run> unlisted;
+    for (auto const& [run, first_sync] : m_undecided_starts)
+    {
+        if (first_sync <= m_current_sync)
+        {
+            unlisted.push_back(run);
+        }
+    }
+    for (auto const& run : unlisted)
+    {
+        begin_stop(run);
+    }
+}
+
 // Reports
 
 void worker_agent::send_report()
@@ -516,7 +563,7 @@
         // that decides about a missing run, so these sync calls must not wait.
         bool const may_wait = m_runs && !m_silent &&
                               !m_runs->may_have_more_ends &&
-                              !m_begun_runs.has_missing();
+                              !m_begun_runs.has_missing() && !needs_list();
         sync_worker(may_wait ? m_options.sync_interval : core::duration{});
     }
 }
--- a/modules/workflow/agent/worker_runtime.hpp
+++ b/modules/workflow/agent/worker_runtime.hpp
@@ -23,8 +23,8 @@
 {
     /// The worker has the run.
     started,
-    /// The worker will not run it: no capacity, an expired lease, or its own
-    /// state.
+    /// This call had no effect: no capacity, an expired lease, or the worker's
+    /// own state. An earlier call may have begun the run.
     refused,
     /// This attempt of the task, or a later one, has ended or was stopped
     /// there.
@@ -33,7 +33,8 @@
     stale_token,
     /// The worker has restarted.
     wrong_incarnation,
-    /// No answer; the worker may still execute the call, even seconds later.
+    /// No answer, or one that proves nothing; the worker may have executed the
+    /// call, or may still do so seconds later.
     unknown,
 };
 
--- a/modules/workflow/tests/worker_agent_acknowledgement_test.cpp
+++ b/modules/workflow/tests/worker_agent_acknowledgement_test.cpp
@@ -190,8 +190,9 @@
         orders.stops = {m_run};
         answer(m_polls, std::optional(orders));
         answer(m_stops, true);
+        // This sync call began before the stop.
         answer(m_syncs, std::optional(list_of(1, {})));
-        grant(1);
+        CPPUNIT_ASSERT(m_reports.empty());
         answer(m_syncs, std::optional(list_of(1, {})));
         CPPUNIT_ASSERT(last_report().ended_unseen.empty());
         CPPUNIT_ASSERT(last_report().refused == std::vector{m_run});
@@ -299,6 +300,9 @@
         odd.skipped = {{false, "malformed task name"}};
         answer(m_syncs, std::optional(odd));
         grant(1);
+        // The first list that could have the run lacks it.
+        answer(m_syncs, std::optional(odd));
+        grant(1);
         order_start();
         answer(m_starts, start_outcome::already_ended);
         answer(m_syncs, std::optional(odd));
@@ -398,13 +402,16 @@
         grant_ends(1);
     }
 
-    /// Incarnation 1 of the worker, which the agent knows from its start.
+    /// Incarnation 1 of the worker, which the agent knows from its start and
+    /// whose first list was reported.
     void begin()
     {
         m_agent->registered(profile("w1", 8000, 0));
         m_agent->registered(profile("w1", 8000, 1));
         m_reports.pop_front();
         grant(1);
+        answer(m_syncs, std::optional(list_of(1, {})));
+        grant(1);
     }
 
     void expect_no_effects() const
--- a/modules/workflow/tests/worker_agent_fixture.hpp
+++ b/modules/workflow/tests/worker_agent_fixture.hpp
@@ -115,6 +115,15 @@
         grant(token);
     }
 
+    /// A worker that runs nothing, and whose first list was reported. The sync
+    /// call that is open afterwards waits for an end.
+    void start_up_with_list()
+    {
+        start_up();
+        answer(m_syncs, std::optional(sync_result{}));
+        grant(1);
+    }
+
     /// @param reserved CPU that all runs on the worker reserve; none is how
     ///        orders of an earlier release are read.
     void order_start(std::int64_t reserved = 0)
--- a/modules/workflow/tests/worker_agent_orders_test.cpp
+++ b/modules/workflow/tests/worker_agent_orders_test.cpp
@@ -44,7 +44,7 @@
 
     void refused_start_is_reported_at_once()
     {
-        start_up();
+        start_up_with_list();
         order_start();
         answer(m_starts, start_outcome::refused);
         CPPUNIT_ASSERT(m_stops.empty());
@@ -55,17 +55,20 @@
     // reported as refused before a stop is confirmed.
     void unanswered_start_is_refused_only_after_a_stop()
     {
-        start_up();
+        start_up_with_list();
         order_start();
         answer(m_starts, start_outcome::unknown);
         answer(m_starts, start_outcome::refused);
         CPPUNIT_ASSERT(m_reports.empty());
+        answer_last_sync(sync_result{});
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_stops.size());
+        CPPUNIT_ASSERT(last_report().refused.empty());
+        m_syncs.clear();
+        grant(1);
         answer(m_stops, true);
         // This sync call began before the stop, so its answer proves nothing.
         answer(m_syncs, std::optional(sync_result{}));
-        CPPUNIT_ASSERT(last_report().refused.empty());
-        grant(1);
+        CPPUNIT_ASSERT(m_reports.empty());
         answer(m_syncs, std::optional(sync_result{}));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, last_report().refused.size());
     }
@@ -73,7 +76,7 @@
     // From a task's id an operator must be able to find the worker's answers.
     void start_events_identify_the_task()
     {
-        start_up();
+        start_up_with_list();
         order_start();
         m_events.clear();
         answer(m_starts, start_outcome::unknown);
@@ -127,7 +130,7 @@
     // task elsewhere. The worker rejects the call by the deadline of the order.
     void retried_start_keeps_the_deadline_of_its_order()
     {
-        start_up();
+        start_up_with_list();
         order_start();
         auto const deadline = m_starts.front().call.start.lease_until;
         CPPUNIT_ASSERT(deadline == std::chrono::seconds(5));
@@ -141,7 +144,7 @@
     /// Orders a start that the worker rejects because the run has ended there.
     void order_ended_start()
     {
-        start_up();
+        start_up_with_list();
         order_start();
         answer(m_starts, start_outcome::already_ended);
         // This sync call began before the start.
@@ -224,20 +227,22 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_stops.size());
         CPPUNIT_ASSERT(has_event(core::event_code::start_dropped));
         answer(m_stops, true);
+        // This sync call began before the stop.
         answer(m_syncs, std::optional(sync_result{}));
-        grant(1);
+        CPPUNIT_ASSERT(m_reports.empty());
         answer(m_syncs, std::optional(sync_result{}));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, last_report().refused.size());
     }
 
     void unanswered_start_over_a_shrunk_capacity_is_not_repeated()
     {
-        start_up();
+        start_up_with_list();
         order_start(8000);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_starts.size());
         m_agent->registered(profile("w1", 4000));
         answer(m_starts, start_outcome::unknown);
         CPPUNIT_ASSERT(m_starts.empty());
+        answer_last_sync(sync_result{});
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_stops.size());
     }
 
@@ -245,7 +250,7 @@
     // is not stopped because the capacity has shrunk under it.
     void repeated_order_over_the_capacity_stops_no_started_run()
     {
-        start_up();
+        start_up_with_list();
         order_start(8000);
         answer(m_starts, start_outcome::started);
         m_agent->registered(profile("w1", 4000));
@@ -267,7 +272,7 @@
 
     void start_that_fits_again_is_sent()
     {
-        start_up();
+        start_up_with_list();
         m_agent->registered(profile("w1", 4000));
         m_agent->registered(profile("w1", 8000));
         order_start(8000);
@@ -280,7 +285,7 @@
     // although its unanswered start may still be executed.
     void unanswered_start_is_not_repeated_to_a_silent_worker()
     {
-        start_up();
+        start_up_with_list();
         order_start();
         answer(m_syncs, std::optional<sync_result>());
         answer(m_starts, start_outcome::unknown);
@@ -291,6 +296,7 @@
         order_start();
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_starts.size());
         answer(m_starts, start_outcome::refused);
+        answer_last_sync(sync_result{});
         CPPUNIT_ASSERT(last_report().refused.empty());
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_stops.size());
     }
@@ -301,20 +307,22 @@
     // one.
     void refusal_after_unanswered_starts_and_stops_is_not_certain()
     {
-        start_up();
+        start_up_with_list();
         order_start();
         while (!m_starts.empty())
         {
             answer(m_starts, start_outcome::unknown);
         }
+        answer_last_sync(sync_result{});
+        CPPUNIT_ASSERT(!m_stops.empty());
         while (!m_stops.empty())
         {
             answer(m_stops, false);
         }
         order_start();
         answer(m_starts, start_outcome::refused);
+        answer_last_sync(sync_result{});
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_stops.size());
-        answer(m_syncs, std::optional(sync_result{}));
         CPPUNIT_ASSERT(last_report().refused.empty());
     }
 };
