A start without an answer is forgotten beside a failed stop: failing test

An order to stop a run drops its open start from `m_starts`, and the answer of that call is dropped with it: a call without an answer isn't recorded as such. If the stop fails three times and the next leader, which doesn't know that the run was withdrawn, orders the start again, one refusal of that call counts as certain. What is left of it in a system: the first call is shut out as soon as the worker has executed a sync call with the next leader's token, so it needs a sync call that is late.

--- /dev/null
+++ b/modules/workflow/tests/start_certainty_review_test.cpp
@@ -0,0 +1,114 @@
+#include "worker_agent_fixture.hpp"
+
+namespace turmericswitch::workflow
+{
+
+using namespace testing;
+
+/// Starts that are reported as refused although a call of this sidecar that
+/// could begin the run is open, unanswered or still to come.
+class start_certainty_review_test : public worker_agent_fixture
+{
+    CPPUNIT_TEST_SUITE(start_certainty_review_test);
+    CPPUNIT_TEST(start_without_an_answer_beside_a_failed_stop_is_remembered);
+    CPPUNIT_TEST(start_that_is_open_beside_a_failed_stop_is_remembered);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // A leader withdraws a start whose call is open, the worker refuses the
+    // stop, and the call gets no answer. The next leader orders the start
+    // again. Guards against a refusal of that call that is taken for the run,
+    // because the agent has forgotten the first call with the order to stop.
+    void start_without_an_answer_beside_a_failed_stop_is_remembered()
+    {
+        start_up_with_list();
+        order_start();
+        fail_stop();
+        answer(m_starts, start_outcome::unknown);
+        change_leader();
+        order_start_by_next_leader();
+        refuse_open_starts();
+        expect_no_refusal();
+    }
+
+    // The same while the first call is still open.
+    void start_that_is_open_beside_a_failed_stop_is_remembered()
+    {
+        start_up_with_list();
+        order_start();
+        fail_stop();
+        auto const open = m_starts.front();
+        m_starts.clear();
+        change_leader();
+        order_start_by_next_leader();
+        refuse_open_starts();
+        expect_no_refusal();
+        open.done(start_outcome::unknown);
+        expect_no_refusal();
+    }
+
+private:
+    /// A list of the incarnation that runs nothing.
+    static sync_result empty_list()
+    {
+        auto lists = list_at(20, {});
+        lists.life = core::incarnation(1);
+        return lists;
+    }
+
+    /// The leader orders a stop, and a sick worker refuses each call for it.
+    void fail_stop()
+    {
+        core::runtime_orders orders;
+        orders.fencing_token = 1;
+        orders.batch = 1;
+        orders.stops = {m_run};
+        answer(m_polls, std::optional(orders));
+        while (!m_stops.empty())
+        {
+            answer(m_stops, false);
+        }
+    }
+
+    void refuse_open_starts()
+    {
+        while (!m_starts.empty())
+        {
+            answer(m_starts, start_outcome::refused);
+        }
+    }
+
+    /// The next leader gets a list that lacks the run.
+    void change_leader()
+    {
+        m_polls.clear();
+        m_reports.clear();
+        m_agent->leader_changed({});
+        run_delayed();
+        answer_last_sync(empty_list());
+        grant(2);
+    }
+
+    void order_start_by_next_leader()
+    {
+        core::runtime_orders orders;
+        orders.fencing_token = 2;
+        orders.batch = 1;
+        orders.starts = {{m_run.task.workflow, "payload", {{m_run, {}, {}}}}};
+        answer(m_polls, std::optional(orders));
+    }
+
+    /// Nothing was reported as refused, and nothing is about to be.
+    void expect_no_refusal() const
+    {
+        CPPUNIT_ASSERT(!has_event(core::event_code::run_refused));
+        for (auto const& [report, done] : m_reports)
+        {
+            CPPUNIT_ASSERT(report.refused.empty());
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(start_certainty_review_test);
+
+} // namespace turmericswitch::workflow
