An order that is older than a refusal starts the run: failing test

A refusal that is certain leaves no tombstone on the worker, and the agent forgets the run when the leader has acknowledged it. An order that the leader made before it read the refusal, and that the agent handles after the grant, starts the run although the task has been placed again (TWICE).

In a system the answers to polls and to reports share one connection with one stream each, which keeps them in order as long as they are small; a large order beside a small grant, or a change of the connection, does not.

The case of start_certainty_review_test fails: the start is called.

--- a/modules/workflow/tests/start_certainty_review_test.cpp
+++ b/modules/workflow/tests/start_certainty_review_test.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST_SUITE(start_certainty_review_test);
     CPPUNIT_TEST(start_without_an_answer_beside_a_failed_stop_is_remembered);
     CPPUNIT_TEST(start_that_is_open_beside_a_failed_stop_is_remembered);
+    CPPUNIT_TEST(order_made_before_the_refusal_was_read_starts_nothing);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -47,6 +48,24 @@
         expect_no_refusal();
     }
 
+    // The answer to a poll is overtaken by the grant that acknowledges the
+    // refusal. Guards against a start of a run whose task the leader has placed
+    // again: no tombstone rejects it.
+    void order_made_before_the_refusal_was_read_starts_nothing()
+    {
+        start_up_with_list();
+        order_start();
+        answer(m_starts, start_outcome::refused);
+        CPPUNIT_ASSERT(last_report().refused == std::vector{m_run});
+        core::runtime_grant grant;
+        grant.fencing_token = 1;
+        grant.lease_until = std::chrono::seconds(5);
+        grant.acknowledged_refusals = {m_run};
+        answer(m_reports, std::optional(grant));
+        order_start();
+        CPPUNIT_ASSERT(m_starts.empty());
+    }
+
 private:
     /// A list of the incarnation that runs nothing.
     static sync_result empty_list()
