A stopping run in an unreadable row is refused: failing test

Absence from a list is taken for proof although the list has a row of a running task that can't be read. The conclusion after a stop waits for the rest of a cut list of ends and for unreadable ends, but not for unreadable running rows. A stop takes up to stop_ms, so the task may be placed again beside its stopping run (TWICE).

--- a/modules/workflow/tests/start_certainty_review_test.cpp
+++ b/modules/workflow/tests/start_certainty_review_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(start_without_an_answer_beside_a_failed_stop_is_remembered);
     CPPUNIT_TEST(start_that_is_open_beside_a_failed_stop_is_remembered);
     CPPUNIT_TEST(order_made_before_the_refusal_was_read_starts_nothing);
+    CPPUNIT_TEST(stopping_run_in_an_unreadable_row_is_not_refused);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -66,6 +67,23 @@
         CPPUNIT_ASSERT(m_starts.empty());
     }
 
+    // A stop takes time, and the row of the run can't be read in the list after
+    // it. Guards against a task that is placed again beside its stopping run.
+    void stopping_run_in_an_unreadable_row_is_not_refused()
+    {
+        start_up_with_list();
+        order_start();
+        answer(m_starts, start_outcome::unknown);
+        answer(m_starts, start_outcome::refused);
+        answer_last_sync(list_at(20, {}));
+        answer(m_stops, true);
+        grant(1);
+        auto unreadable = list_at(30, {});
+        unreadable.skipped = {{false, "malformed task name"}};
+        answer_last_sync(unreadable);
+        expect_no_refusal();
+    }
+
 private:
     /// A list of the incarnation that runs nothing.
     static sync_result empty_list()
