Remember an open start when its run is ordered to stop

Cause: an order to stop removed the entry of a start whose call was open, so the call counted neither as unanswered nor as refused when it ended.

Change: such a call counts as unanswered until a list shows the run or a stop is confirmed.

--- a/modules/workflow/agent/worker_agent_orders.cpp
+++ b/modules/workflow/agent/worker_agent_orders.cpp
@@ -305,7 +305,16 @@
 
 void worker_agent::begin_stop(core::task_run const& run)
 {
-    m_starts.erase(run);
+    if (auto const open = m_starts.find(run); open != m_starts.end())
+    {
+        // Its answer comes after the agent has forgotten the order.
+        bool const is_called = open->second.tries > 0;
+        m_starts.erase(open);
+        if (is_called)
+        {
+            m_unanswered_starts.insert(run);
+        }
+    }
     m_undecided_starts.erase(run);
     if (m_stops.try_emplace(run, 0).second)
     {
