Start nothing on an order that is older than the acknowledged refusal

Cause: a refused run leaves no tombstone on the worker, and the agent forgot it with the acknowledgement.

Change: an acknowledged refusal is kept until a poll is answered that was begun after it.

--- a/modules/workflow/agent/worker_agent.cpp
+++ b/modules/workflow/agent/worker_agent.cpp
@@ -229,6 +229,7 @@
     m_has_skipped_ends = false;
     m_logged_rows.clear();
     m_refused.clear();
+    m_acknowledged_refusals.clear();
     m_reserved = {};
     m_starts.clear();
     m_unanswered_starts.clear();
--- a/modules/workflow/agent/worker_agent.hpp
+++ b/modules/workflow/agent/worker_agent.hpp
@@ -234,7 +234,8 @@
     void apply_grant(core::runtime_grant const& grant);
     bool has_unacknowledged_ends() const;
     void poll_orders();
-    void execute_orders(core::runtime_orders const& orders);
+    /// @param poll Number of the poll that the orders answer.
+    void execute_orders(core::runtime_orders const& orders, std::uint64_t poll);
     void begin_start(core::run_start const& start, std::string const& payload);
     /// @return True if a start of the run would be without effect: it is being
     ///         stopped, its end or its refusal is being reported, or it runs.
@@ -327,6 +328,9 @@
     /// Lists and reasons of the skipped rows that were logged.
     std::set<std::pair<bool, std::string>> m_logged_rows;
     std::set<core::task_run> m_refused;
+    /// Refused runs that the leader has acknowledged, with the number of the
+    /// last poll whose answer may have an order from before.
+    std::map<core::task_run, std::uint64_t> m_acknowledged_refusals;
     crash_witness m_witness;
 
     std::uint64_t m_syncs_begun = 0;
--- a/modules/workflow/agent/worker_agent_orders.cpp
+++ b/modules/workflow/agent/worker_agent_orders.cpp
@@ -52,7 +52,7 @@
                     m_received_batch = orders->batch;
                     m_reserved = orders->reserved;
                 }
-                execute_orders(*orders);
+                execute_orders(*orders, number);
                 poll_orders();
                 return;
             }
@@ -73,8 +73,12 @@
         });
 }
 
-void worker_agent::execute_orders(core::runtime_orders const& orders)
+void worker_agent::execute_orders(core::runtime_orders const& orders,
+                                  std::uint64_t poll)
 {
+    // The leader has made the orders after it committed these refusals.
+    std::erase_if(m_acknowledged_refusals,
+                  [poll](auto const& item) { return item.second < poll; });
     for (auto const& run : orders.stops)
     {
         begin_stop(run);
@@ -139,7 +143,8 @@
         m_begun_runs.contains(run) && !m_begun_runs.is_unlisted(run);
     return is_running || is_listed_as_ended(run) || m_stops.contains(run) ||
            m_stopped_runs.contains(run) || m_undecided_starts.contains(run) ||
-           m_refused.contains(run) || m_unseen_ends.contains(run);
+           m_refused.contains(run) || m_acknowledged_refusals.contains(run) ||
+           m_unseen_ends.contains(run);
 }
 
 void worker_agent::call_waiting_starts()
--- a/modules/workflow/agent/worker_agent_sync.cpp
+++ b/modules/workflow/agent/worker_agent_sync.cpp
@@ -579,7 +579,11 @@
     m_witness.acknowledge(grant.acknowledged_crashes);
     for (auto const& run : grant.acknowledged_refusals)
     {
-        m_refused.erase(run);
+        if (m_refused.erase(run) > 0)
+        {
+            // No tombstone rejects the start of an order that is under way.
+            m_acknowledged_refusals.emplace(run, m_polls_begun);
+        }
         m_unseen_ends.erase(run);
     }
 }
