A stop without confirmation does not explain a missing run

Cause: a begun run that two whole lists lack was forgotten if a stop had been sent for it, also if each of its calls was refused.

Change: only a confirmed stop explains that the run is missing; otherwise its end was dropped unseen, as without a stop. Fails before: begun_run_of_a_failed_stop_is_not_refused_by_one_call.

--- a/modules/workflow/agent/worker_agent_sync.cpp
+++ b/modules/workflow/agent/worker_agent_sync.cpp
@@ -261,10 +261,10 @@
     for (auto const& run :
          m_begun_runs.listed(m_current_sync, *m_runs, is_whole))
     {
-        if (m_sent_stops.contains(run))
+        if (m_stopped_runs.contains(run))
         {
-            // Reported as refused once the stop is confirmed: the run is over,
-            // and a stop was to end it.
+            // Reported as refused: a confirmed stop has ended it. One that was
+            // refused has not.
             continue;
         }
         mark_ended_unseen(run);
