Count refusals only under the fencing token that the leader grants

Cause: the leader took a report of an earlier sidecar that arrives late for one of a new sidecar.

Change: a report with refused starts names the fencing token of the sidecar's calls. They count only if it is the one that the leader grants now, which no earlier sidecar has; a live sidecar repeats its refusals under the new token. refusals_outdated tells of reports that don't count. A sidecar of an earlier release names no token and is believed as before; control has to be upgraded before the sidecars.

Evidence: two cases of replaced_sidecar_test fail before; a third guards the refusal that counts.

--- a/modules/core/messages/workflow.hpp
+++ b/modules/core/messages/workflow.hpp
@@ -413,6 +413,9 @@
     /// Runs that have ended on the worker, which dropped the ends before it
     /// listed them: nobody knows how they ended.
     std::vector<task_run> ended_unseen;
+    /// Fencing token of the sidecar's calls when it made the report; zero in
+    /// reports without refused runs.
+    std::uint64_t refused_under = 0;
 
     bool operator==(runtime_report const&) const = default;
 };
--- a/modules/wire/codec/message_codec.cpp
+++ b/modules/wire/codec/message_codec.cpp
@@ -87,7 +87,7 @@
 template <>
 constexpr std::size_t appended_members<core::worker_runs> = 1;
 template <>
-constexpr std::size_t appended_members<core::runtime_report> = 3;
+constexpr std::size_t appended_members<core::runtime_report> = 4;
 template <>
 constexpr std::size_t appended_members<core::runtime_grant> = 1;
 template <>
--- a/modules/workflow/agent/worker_agent_sync.cpp
+++ b/modules/workflow/agent/worker_agent_sync.cpp
@@ -470,6 +470,7 @@
     report.clock = m_worker_clock;
     report.runs = m_runs;
     report.refused.assign(m_refused.begin(), m_refused.end());
+    report.refused_under = m_refused.empty() ? 0 : m_fencing_token;
     report.left = m_left;
     report.silent = m_silent;
     report.crashed = m_witness.crashes();
@@ -599,6 +600,10 @@
 
 void worker_agent::apply_grant(core::runtime_grant const& grant)
 {
+    // The leader counts refusals only under the token that it grants.
+    m_report_again =
+        m_report_again ||
+        (grant.fencing_token != m_fencing_token && !m_refused.empty());
     m_fencing_token = grant.fencing_token;
     m_lease_until = std::max(m_lease_until, grant.lease_until);
     // The leader doesn't know of rows that could not be read.
--- a/modules/workflow/dispatch/dispatch_events.cpp
+++ b/modules/workflow/dispatch/dispatch_events.cpp
@@ -46,6 +46,17 @@
              text_field("zone", view.profile.zone.value())}};
 }
 
+core::event refusals_outdated_event(worker_view const& view,
+                                    std::uint64_t refused_under,
+                                    std::uint64_t current)
+{
+    return {event_code::refusals_outdated,
+            {text_field("worker", view.profile.worker.value()),
+             number_field("runs", view.refused.size()),
+             number_field("token", refused_under),
+             number_field("granted_token", current)}};
+}
+
 core::event worker_lost_event(core::time_point now,
                               core::worker_id const& worker,
                               lost_runs const& runs,
--- a/modules/workflow/dispatch/dispatch_events.hpp
+++ b/modules/workflow/dispatch/dispatch_events.hpp
@@ -19,6 +19,12 @@
 
 core::event worker_seen_event(worker_view const& view);
 
+/// @param refused_under Fencing token under which the runs were refused.
+/// @param current Token that the leader grants the sidecar.
+core::event refusals_outdated_event(worker_view const& view,
+                                    std::uint64_t refused_under,
+                                    std::uint64_t current);
+
 /// Runs that ended with an incarnation of a worker.
 struct lost_runs
 {
--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -141,11 +141,13 @@
     bool const is_other_profile =
         known == nullptr || known->profile != report.profile;
     auto const worker = report.profile.worker;
+    auto const refused_under = report.refused_under;
     auto* const view = m_fleet.report(now, std::move(report));
     if (view == nullptr)
     {
         return false;
     }
+    drop_outdated_refusals(*view, refused_under);
     bool const is_new = known == nullptr || is_new_incarnation;
     if (is_new || is_new_sidecar)
     {
@@ -180,6 +182,19 @@
     return true;
 }
 
+void dispatcher::drop_outdated_refusals(worker_view& view,
+                                        std::uint64_t refused_under) const
+{
+    auto const current = fencing_token(m_term, view.number);
+    // A sidecar of an earlier release names no token.
+    if (refused_under == 0 || refused_under == current || view.refused.empty())
+    {
+        return;
+    }
+    m_on_event(refusals_outdated_event(view, refused_under, current));
+    view.refused.clear();
+}
+
 void dispatcher::update_colocation(core::time_point now,
                                    worker_view const& view)
 {
--- a/modules/workflow/dispatch/dispatcher.hpp
+++ b/modules/workflow/dispatch/dispatcher.hpp
@@ -173,6 +173,12 @@
     void rank_by_accounts();
     bool needs_accounts() const noexcept;
     void update_accounts(plan_times const& times);
+    /// Drops the refusals in a report that was made under another token than
+    /// the granted one: it may be a late one of an earlier sidecar, and the
+    /// present one may have begun the runs since. The sidecar repeats its own
+    /// refusals until they are acknowledged.
+    void drop_outdated_refusals(worker_view& view,
+                                std::uint64_t refused_under) const;
     void update_colocation(core::time_point now, worker_view const& view);
     void observe_speeds(core::worker_id const& worker,
                         colocation_sample const& sample);
--- a/modules/workflow/tests/replaced_sidecar_test.cpp
+++ b/modules/workflow/tests/replaced_sidecar_test.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST_SUITE(replaced_sidecar_test);
     CPPUNIT_TEST(late_refusal_does_not_end_a_run_of_the_next_sidecar);
     CPPUNIT_TEST(late_refusal_does_not_end_a_start_of_the_next_sidecar);
+    CPPUNIT_TEST(refusal_under_the_granted_token_ends_the_run);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -38,9 +39,21 @@
         expect_held();
     }
 
+    // Guards against a refused run that is held for ever.
+    void refusal_under_the_granted_token_ends_the_run()
+    {
+        start_one();
+        m_first_token = grant().fencing_token;
+        report_refused_by_first();
+        auto const command = plan();
+        CPPUNIT_ASSERT(command);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, command->ends.size());
+    }
+
 private:
     void change_sidecar()
     {
+        m_first_token = grant().fencing_token;
         m_sidecar = core::incarnation(m_first.value() + 1);
         report({});
         grant();
@@ -55,6 +68,7 @@
         result.clock = std::chrono::milliseconds(at_work_ms);
         result.runs.emplace();
         result.refused = {m_run};
+        result.refused_under = m_first_token;
         m_dispatcher->report(m_now, std::move(result));
     }
 
@@ -69,6 +83,7 @@
 
     core::task_run m_run = run_of("a", 0, 0);
     core::incarnation m_first = m_sidecar;
+    std::uint64_t m_first_token = 0;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(replaced_sidecar_test);
--- a/modules/workflow/tests/worker_agent_acknowledgement_test.cpp
+++ b/modules/workflow/tests/worker_agent_acknowledgement_test.cpp
@@ -307,6 +307,8 @@
         answer(m_starts, start_outcome::already_ended);
         answer(m_syncs, std::optional(odd));
         grant(1);
+        // The row may be of the run for a second.
+        odd.clock += std::chrono::seconds(2);
         answer(m_syncs, std::optional(odd));
         expect_unseen_end();
     }
