An ended run in an unreadable last row is refused: failing test

A row of the list of ends that can't be read counts as an end only if it leaves a gap in the numbers. The last one leaves none, so the list counts as whole for a run whose repeated start was answered as ended, or that was stopped: the run is reported as refused, and its task is started again although it has ended. The end is acknowledged with a later list.

The case of start_certainty_review_test fails: run_refused is reported.

--- a/modules/workflow/tests/start_certainty_review_test.cpp
+++ b/modules/workflow/tests/start_certainty_review_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(order_made_before_the_refusal_was_read_starts_nothing);
     CPPUNIT_TEST(stopping_run_in_an_unreadable_row_is_not_refused);
     CPPUNIT_TEST(begun_run_of_a_failed_stop_is_not_refused_by_one_call);
+    CPPUNIT_TEST(ended_run_in_an_unreadable_last_row_is_not_refused);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -102,6 +103,26 @@
         expect_no_refusal();
     }
 
+    // The first call had no answer, and the run has ended when the second is
+    // made. Guards against a task that is started again although its end is in
+    // the row that can't be read: the last one leaves no gap in the numbers.
+    void ended_run_in_an_unreadable_last_row_is_not_refused()
+    {
+        start_up();
+        auto lists = list_at(10, {});
+        lists.runs.ended = {{1, run_of("b", 0, 0), core::run_end::done, {}}};
+        answer(m_syncs, std::optional(lists));
+        grant(1);
+        order_start();
+        answer(m_starts, start_outcome::unknown);
+        answer(m_starts, start_outcome::already_ended);
+        run_delayed();
+        lists.clock = std::chrono::milliseconds(20);
+        lists.skipped = {{true, "malformed task name"}};
+        answer_last_sync(lists);
+        expect_no_refusal();
+    }
+
 private:
     /// A list of the incarnation that runs nothing.
     static sync_result empty_list()
