An end that no report had is acknowledged: failing test

The agent takes an end for known once it has read a list with it. That list may be replaced before it is reported. If the row can't be read in the next list, the leader reads and acknowledges the ends after it, the agent sees no gap, and the worker drops an end that the leader has never read. The run is then in neither list, a repeated start is answered as ended, and the task is started again after an end that was acknowledged.

--- a/modules/workflow/tests/start_certainty_review_test.cpp
+++ b/modules/workflow/tests/start_certainty_review_test.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(stopping_run_in_an_unreadable_row_is_not_refused);
     CPPUNIT_TEST(begun_run_of_a_failed_stop_is_not_refused_by_one_call);
     CPPUNIT_TEST(ended_run_in_an_unreadable_last_row_is_not_refused);
+    CPPUNIT_TEST(end_that_was_never_reported_is_not_acknowledged);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -123,6 +124,34 @@
         expect_no_refusal();
     }
 
+    // A list that shows the end is replaced before it is reported, and in the
+    // next one the row can't be read. Guards against an end that is
+    // acknowledged although the leader has not read it: the worker drops it,
+    // and its task is started again.
+    void end_that_was_never_reported_is_not_acknowledged()
+    {
+        start_up_with_list();
+        m_agent->registered(profile("w1", 4000));
+        auto lists = list_at(10, {});
+        lists.runs.ended = {{1, run_of("b", 0, 0), core::run_end::done, {}},
+                            {2, run_of("b", 0, 1), core::run_end::done, {}}};
+        answer(m_syncs, std::optional(lists));
+        grant(1);
+        lists.runs.ended.erase(lists.runs.ended.begin());
+        lists.skipped = {{true, "malformed task name"}};
+        answer(m_syncs, std::optional(lists));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, last_report().runs->ended.size());
+        core::runtime_grant acknowledging;
+        acknowledging.fencing_token = 1;
+        acknowledging.lease_until = std::chrono::seconds(5);
+        acknowledging.acknowledged_ends = 2;
+        answer(m_reports, std::optional(acknowledging));
+        run_delayed();
+        CPPUNIT_ASSERT(!m_syncs.empty());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0},
+                             m_syncs.back().call.acknowledged_ends);
+    }
+
 private:
     /// A list of the incarnation that runs nothing.
     static sync_result empty_list()
