The first sync call to a sick worker is not repeated soon: failing test

Repeats after 25 ms keep that time short, but they end when the call is answered by a refusal: the next call comes after 200 ms and isn't repeated, so one without an answer takes a second more.

The case of start_certainty_review_test fails: 1 call instead of 2.

--- a/modules/workflow/tests/start_certainty_review_test.cpp
+++ b/modules/workflow/tests/start_certainty_review_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(begun_run_of_a_failed_stop_is_not_refused_by_one_call);
     CPPUNIT_TEST(ended_run_in_an_unreadable_last_row_is_not_refused);
     CPPUNIT_TEST(end_that_was_never_reported_is_not_acknowledged);
+    CPPUNIT_TEST(call_after_a_refused_first_call_is_repeated_soon);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -152,6 +153,22 @@
                              m_syncs.back().call.acknowledged_ends);
     }
 
+    // A sick worker has restarted and refuses the first sync call, and the next
+    // one gets no answer. Guards against a second in which the worker executes
+    // late starts of runs that were refused or placed again.
+    void call_after_a_refused_first_call_is_repeated_soon()
+    {
+        start_up();
+        m_syncs.clear();
+        m_agent->registered(profile("w1", 8000, 2));
+        answer_last_sync(std::nullopt);
+        CPPUNIT_ASSERT(m_syncs.empty());
+        run_delayed();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_syncs.size());
+        run_delayed();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_syncs.size());
+    }
+
 private:
     /// A list of the incarnation that runs nothing.
     static sync_result empty_list()
