--- a/modules/workflow/tests/start_certainty_review_test.cpp
+++ b/modules/workflow/tests/start_certainty_review_test.cpp
@@ -15,6 +15,9 @@
     CPPUNIT_TEST(order_made_before_the_refusal_was_read_starts_nothing);
     CPPUNIT_TEST(stopping_run_in_an_unreadable_row_is_not_refused);
     CPPUNIT_TEST(begun_run_of_a_failed_stop_is_not_refused_by_one_call);
+    CPPUNIT_TEST(ended_run_in_an_unreadable_last_row_is_not_refused);
+    CPPUNIT_TEST(end_that_was_never_reported_is_not_acknowledged);
+    CPPUNIT_TEST(call_after_a_refused_first_call_is_repeated_soon);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -102,6 +105,70 @@
         expect_no_refusal();
     }
 
+    // The first call had no answer, and the run has ended when the second is
+    // made. Guards against a task that is started again although its end is in
+    // the row that can't be read: the last one leaves no gap in the numbers.
+    void ended_run_in_an_unreadable_last_row_is_not_refused()
+    {
+        start_up();
+        auto lists = list_at(10, {});
+        lists.runs.ended = {{1, run_of("b", 0, 0), core::run_end::done, {}}};
+        answer(m_syncs, std::optional(lists));
+        grant(1);
+        order_start();
+        answer(m_starts, start_outcome::unknown);
+        answer(m_starts, start_outcome::already_ended);
+        run_delayed();
+        lists.clock = std::chrono::milliseconds(20);
+        lists.skipped = {{true, "malformed task name"}};
+        answer_last_sync(lists);
+        expect_no_refusal();
+    }
+
+    // A list that shows the end is replaced before it is reported, and in the
+    // next one the row can't be read. Guards against an end that is
+    // acknowledged although the leader has not read it: the worker drops it,
+    // and its task is started again.
+    void end_that_was_never_reported_is_not_acknowledged()
+    {
+        start_up_with_list();
+        m_agent->registered(profile("w1", 4000));
+        auto lists = list_at(10, {});
+        lists.runs.ended = {{1, run_of("b", 0, 0), core::run_end::done, {}},
+                            {2, run_of("b", 0, 1), core::run_end::done, {}}};
+        answer(m_syncs, std::optional(lists));
+        grant(1);
+        lists.runs.ended.erase(lists.runs.ended.begin());
+        lists.skipped = {{true, "malformed task name"}};
+        answer(m_syncs, std::optional(lists));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, last_report().runs->ended.size());
+        core::runtime_grant acknowledging;
+        acknowledging.fencing_token = 1;
+        acknowledging.lease_until = std::chrono::seconds(5);
+        acknowledging.acknowledged_ends = 2;
+        answer(m_reports, std::optional(acknowledging));
+        run_delayed();
+        CPPUNIT_ASSERT(!m_syncs.empty());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0},
+                             m_syncs.back().call.acknowledged_ends);
+    }
+
+    // A sick worker has restarted and refuses the first sync call, and the next
+    // one gets no answer. Guards against a second in which the worker executes
+    // late starts of runs that were refused or placed again.
+    void call_after_a_refused_first_call_is_repeated_soon()
+    {
+        start_up();
+        m_syncs.clear();
+        m_agent->registered(profile("w1", 8000, 2));
+        answer_last_sync(std::nullopt);
+        CPPUNIT_ASSERT(m_syncs.empty());
+        run_delayed();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_syncs.size());
+        run_delayed();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_syncs.size());
+    }
+
 private:
     /// A list of the incarnation that runs nothing.
     static sync_result empty_list()
