--- a/modules/workflow/agent/worker_agent.cpp
+++ b/modules/workflow/agent/worker_agent.cpp
@@ -227,7 +227,7 @@
     m_worker_clock = {};
     m_runs.reset();
     m_has_skipped_ends = false;
-    m_unread_running_since.reset();
+    m_unread_rows_since.reset();
     m_logged_rows.clear();
     m_refused.clear();
     m_acknowledged_refusals.clear();
--- a/modules/workflow/agent/worker_agent.hpp
+++ b/modules/workflow/agent/worker_agent.hpp
@@ -216,10 +216,10 @@
     bool has_news(core::worker_runs const& before) const;
     void schedule_sync(core::duration delay, core::duration wait);
     void find_unseen_ends(bool is_whole);
-    /// Notes whether the last list may have a running run that can't be read.
-    void check_running_rows(std::vector<skipped_row> const& rows);
-    /// @return True if the run of an unreadable row may be one that is missing.
-    ///         A row of another writer may stay for good.
+    /// Notes since when the lists have rows that can't be read.
+    void check_unread_rows(std::vector<skipped_row> const& rows);
+    /// @return True if an unreadable row may be of a run that is missing. A row
+    ///         of another writer may stay for good.
     bool may_have_unread_run() const;
     /// Handles runs that the worker will not start any more and doesn't list.
     void close_unlisted_stopped_runs();
@@ -327,9 +327,9 @@
     /// Ended runs of which the worker has dropped the ends before it listed
     /// them, until the leader acknowledges them.
     std::set<core::task_run> m_unseen_ends;
-    /// The worker's clock in the first of the lists in a row that have a
-    /// running run that can't be read; nothing if the last list has none.
-    std::optional<core::duration> m_unread_running_since;
+    /// The worker's clock in the first of the lists in a row that have rows
+    /// that can't be read; nothing if the last list has none.
+    std::optional<core::duration> m_unread_rows_since;
     /// True if the worker's last list of ended runs has a row that can't be
     /// read, and so is not acknowledged.
     bool m_has_skipped_ends = false;
--- a/modules/workflow/agent/worker_agent_sync.cpp
+++ b/modules/workflow/agent/worker_agent_sync.cpp
@@ -26,10 +26,10 @@
 /// A worker on the same instance answers within milliseconds, or seconds late.
 constexpr core::duration first_sync_pause = std::chrono::milliseconds(25);
 
-/// How long a row of a running run that can't be read holds up conclusions from
-/// a list that lacks a run, on the worker's clock. A row of another writer may
-/// stay for good.
-constexpr core::duration unread_run_wait = std::chrono::seconds(1);
+/// How long a row that can't be read holds up conclusions from a list that
+/// lacks a run, on the worker's clock. A row of another writer may stay for
+/// good.
+constexpr core::duration unread_row_wait = std::chrono::seconds(1);
 
 /// The reasons come from a worker's answers, so their number has a bound.
 constexpr std::size_t max_logged_rows = 32;
@@ -227,7 +227,7 @@
                     result.skipped.end(),
                     [](skipped_row const& each) { return each.is_end; });
     log_skipped_rows(result.skipped);
-    check_running_rows(result.skipped);
+    check_unread_rows(result.skipped);
     check_end_numbers();
     log_late_starts();
     close_executed_starts();
@@ -367,26 +367,22 @@
     }
 }
 
-void worker_agent::check_running_rows(std::vector<skipped_row> const& rows)
+void worker_agent::check_unread_rows(std::vector<skipped_row> const& rows)
 {
-    bool const has_unread_run =
-        std::any_of(rows.begin(),
-                    rows.end(),
-                    [](skipped_row const& each) { return !each.is_end; });
-    if (!has_unread_run)
+    if (rows.empty())
     {
-        m_unread_running_since.reset();
+        m_unread_rows_since.reset();
     }
-    else if (!m_unread_running_since)
+    else if (!m_unread_rows_since)
     {
-        m_unread_running_since = m_worker_clock;
+        m_unread_rows_since = m_worker_clock;
     }
 }
 
 bool worker_agent::may_have_unread_run() const
 {
-    return m_unread_running_since &&
-           m_worker_clock - *m_unread_running_since < unread_run_wait;
+    return m_unread_rows_since &&
+           m_worker_clock - *m_unread_rows_since < unread_row_wait;
 }
 
 void worker_agent::check_end_numbers()
@@ -437,6 +433,10 @@
 
 void worker_agent::stop_unlisted_starts()
 {
+    if (may_have_unread_run())
+    {
+        return;
+    }
     std::vector<core::task_run> unlisted;
     for (auto const& [run, first_sync] : m_undecided_starts)
     {
