Acknowledge only ends that the report had

Cause: an end counted as readable once the agent had read it.

Change: gaps are looked for from the last acknowledged number on, in one walk over the numbers, and a grant acknowledges at most what its report had. Fails before: end_that_was_never_reported_is_not_acknowledged.

--- a/modules/workflow/agent/end_numbers.cpp
+++ b/modules/workflow/agent/end_numbers.cpp
@@ -42,7 +42,10 @@
                     core::duration clock)
 {
     auto const numbers = sorted_numbers(ended);
-    if (!has_skipped_rows || !may_lack_end(numbers))
+    m_last_without_gap = last_without_gap(numbers);
+    bool const may_lack_end =
+        !m_known || (!numbers.empty() && numbers.back() > m_last_without_gap);
+    if (!has_skipped_rows || !may_lack_end)
     {
         m_unread_since.reset();
     }
@@ -52,50 +55,56 @@
     }
     m_has_unread_end =
         m_unread_since && clock - *m_unread_since < max_unread_time;
-    if (numbers.empty() || (m_has_unread_end && !m_known))
+    if (numbers.empty() || m_has_unread_end)
     {
         return {};
     }
-    std::uint64_t known = m_known.value_or(numbers.front() - 1);
+    if (!m_known)
+    {
+        m_known = numbers.front() - 1;
+        acknowledged(*m_known);
+    }
+    return add(numbers);
+}
+
+std::vector<end_range>
+end_numbers::add(std::vector<std::uint64_t> const& numbers)
+{
     std::vector<end_range> dropped;
     for (auto const number : numbers)
     {
-        if (number > known + 1)
+        if (number > *m_known + 1)
         {
-            if (m_has_unread_end)
-            {
-                break;
-            }
-            dropped.push_back({known + 1, number - 1});
+            dropped.push_back({*m_known + 1, number - 1});
         }
-        known = std::max(known, number);
+        m_known = std::max(*m_known, number);
     }
-    m_known = known;
     return dropped;
 }
 
-bool end_numbers::may_lack_end(std::vector<std::uint64_t> const& numbers) const
+std::uint64_t
+end_numbers::last_without_gap(std::vector<std::uint64_t> const& numbers) const
 {
-    if (!m_known)
-    {
-        // The missing one may be the first.
-        return true;
-    }
-    auto next = *m_known + 1;
+    auto last = m_acknowledged;
     for (auto const number : numbers)
     {
-        if (number > next)
+        if (number > last + 1)
         {
-            return true;
+            break;
         }
-        next = std::max(next, number + 1);
+        last = std::max(last, number);
     }
-    return false;
+    return last;
+}
+
+void end_numbers::acknowledged(std::uint64_t number)
+{
+    m_acknowledged = std::max(m_acknowledged, number);
 }
 
-std::uint64_t end_numbers::known() const noexcept
+std::uint64_t end_numbers::readable() const noexcept
 {
-    return m_known.value_or(0);
+    return m_has_unread_end ? m_last_without_gap : m_known.value_or(0);
 }
 
 bool end_numbers::has_unread_end() const noexcept
--- a/modules/workflow/agent/end_numbers.hpp
+++ b/modules/workflow/agent/end_numbers.hpp
@@ -45,8 +45,13 @@
                                   bool has_skipped_rows,
                                   core::duration clock);
 
-    /// @return The highest number up to which each end was listed or dropped.
-    std::uint64_t known() const noexcept;
+    /// Must be called when ends up to this number are acknowledged. The worker
+    /// lists all later ones.
+    void acknowledged(std::uint64_t number);
+
+    /// @return The highest number up to which the last list has each end that
+    ///         is not acknowledged and was not dropped.
+    std::uint64_t readable() const noexcept;
 
     /// @return True if the last list may have an end that could not be read: a
     ///         skipped row takes the place of a number. Rows of other writers
@@ -55,11 +60,18 @@
 
 private:
     /// @param numbers Of the listed ends, in ascending order.
-    /// @return True if a number between the known and the listed ones is
-    ///         missing, or may be.
-    bool may_lack_end(std::vector<std::uint64_t> const& numbers) const;
+    /// @return The highest number up to which the ends after the acknowledged
+    ///         ones are listed without a gap.
+    std::uint64_t
+    last_without_gap(std::vector<std::uint64_t> const& numbers) const;
+    /// @param numbers Of all ends that the worker lists, in ascending order.
+    /// @return Those that were dropped unseen.
+    std::vector<end_range> add(std::vector<std::uint64_t> const& numbers);
 
+    /// Highest number that was listed.
     std::optional<std::uint64_t> m_known;
+    std::uint64_t m_acknowledged = 0;
+    std::uint64_t m_last_without_gap = 0;
     bool m_has_unread_end = false;
     /// The worker's clock in the first of the last lists that may have an end
     /// that could not be read.
--- a/modules/workflow/agent/worker_agent.hpp
+++ b/modules/workflow/agent/worker_agent.hpp
@@ -323,6 +323,8 @@
     /// of these by their fencing tokens.
     bool m_has_whole_list = false;
     end_numbers m_end_numbers;
+    /// Highest number up to which the last report has each end.
+    std::uint64_t m_reported_ends = 0;
     begun_runs m_begun_runs;
     /// Ended runs of which the worker has dropped the ends before it listed
     /// them, until the leader acknowledges them.
--- a/modules/workflow/agent/worker_agent_sync.cpp
+++ b/modules/workflow/agent/worker_agent_sync.cpp
@@ -469,6 +469,7 @@
     report.sidecar = m_options.life;
     report.clock = m_worker_clock;
     report.runs = m_runs;
+    m_reported_ends = m_end_numbers.readable();
     report.refused.assign(m_refused.begin(), m_refused.end());
     report.refused_under = m_refused.empty() ? 0 : m_fencing_token;
     report.left = m_left;
@@ -609,7 +610,8 @@
     // The leader doesn't know of rows that could not be read.
     m_acknowledged_ends =
         std::max(m_acknowledged_ends,
-                 std::min(grant.acknowledged_ends, m_end_numbers.known()));
+                 std::min(grant.acknowledged_ends, m_reported_ends));
+    m_end_numbers.acknowledged(m_acknowledged_ends);
     m_witness.acknowledge(grant.acknowledged_crashes);
     for (auto const& run : grant.acknowledged_refusals)
     {
