Repeat the first sync call soon also after a refusal

Cause: until a restarted worker has executed one sync call, it executes late starts that were meant for its earlier incarnation.

Change: each call before the first list is repeated while it has no answer, and made again after a refusal, 25 ms to 200 ms later with a growing pause.

--- a/modules/workflow/agent/worker_agent.cpp
+++ b/modules/workflow/agent/worker_agent.cpp
@@ -17,10 +17,6 @@
 namespace
 {
 
-/// Calls beside the first one, so that a worker whose answers take longer than
-/// the pause between them is not called without end.
-constexpr int max_first_sync_repeats = 4;
-
 /// Other ids under which the worker is asked at the same time.
 constexpr std::size_t max_unconfirmed = 8;
 constexpr std::size_t max_logged_unconfirmed = 64;
@@ -234,6 +230,7 @@
     m_acknowledged_refusals.clear();
     m_reserved = {};
     m_starts.clear();
+    m_first_sync_pause = {};
     m_unanswered_starts.clear();
     m_undecided_starts.clear();
     m_has_whole_list = false;
@@ -253,8 +250,7 @@
     if (m_fencing_token > 0)
     {
         m_fencing_token = next_fencing_token(m_fencing_token);
-        sync_worker(core::duration{});
-        repeat_first_sync(max_first_sync_repeats);
+        begin_first_sync();
     }
 }
 
--- a/modules/workflow/agent/worker_agent.hpp
+++ b/modules/workflow/agent/worker_agent.hpp
@@ -184,12 +184,17 @@
     /// @return True if a decision waits for a list that is made after the last
     ///         one was requested.
     bool needs_list() const;
+    /// Makes the first sync call to an incarnation.
+    void begin_first_sync();
     /// Repeats the first sync call to an incarnation soon if it has no answer:
     /// until the worker has executed one, it executes late calls of earlier
     /// incarnations.
     ///
     /// @param repeats Number of calls that may follow.
     void repeat_first_sync(int repeats);
+    /// Makes the first sync call to an incarnation again after a refusal or no
+    /// answer.
+    void retry_first_sync();
     /// Adds the lease and the acknowledgement, if the worker's incarnation is
     /// certain.
     void add_effects(sync_call& call) const;
@@ -344,6 +349,8 @@
     crash_witness m_witness;
 
     std::uint64_t m_syncs_begun = 0;
+    /// Pause before the next retry of the first sync call.
+    core::duration m_first_sync_pause{};
     /// Number of the sync call that is in progress or was answered last.
     std::uint64_t m_current_sync = 0;
     /// Number of the oldest sync call that the one in progress repeats.
--- a/modules/workflow/agent/worker_agent_sync.cpp
+++ b/modules/workflow/agent/worker_agent_sync.cpp
@@ -26,6 +26,10 @@
 /// A worker on the same instance answers within milliseconds, or seconds late.
 constexpr core::duration first_sync_pause = std::chrono::milliseconds(25);
 
+/// Calls beside the first one, so that a worker whose answers take longer than
+/// the pause between them is not called without end.
+constexpr int max_first_sync_repeats = 4;
+
 /// How long a row that can't be read holds up conclusions from a list that
 /// lacks a run, on the worker's clock. A row of another writer may stay for
 /// good.
@@ -92,6 +96,26 @@
            std::any_of(m_stopped_runs.begin(), m_stopped_runs.end(), is_open);
 }
 
+void worker_agent::begin_first_sync()
+{
+    sync_worker(core::duration{});
+    repeat_first_sync(max_first_sync_repeats);
+}
+
+void worker_agent::retry_first_sync()
+{
+    m_first_sync_pause =
+        std::clamp(m_first_sync_pause * 2, first_sync_pause, retry_pause);
+    m_hooks.after(m_first_sync_pause,
+                  [this, epoch = m_epoch]
+                  {
+                      if (is_current(epoch) && !m_syncing)
+                      {
+                          begin_first_sync();
+                      }
+                  });
+}
+
 void worker_agent::repeat_first_sync(int repeats)
 {
     m_hooks.after(first_sync_pause,
@@ -215,7 +239,14 @@
     {
         send_report();
     }
-    schedule_sync(retry_pause, core::duration{});
+    if (m_runs)
+    {
+        schedule_sync(retry_pause, core::duration{});
+    }
+    else
+    {
+        retry_first_sync();
+    }
 }
 
 void worker_agent::handle_lists(sync_result result)
