Answer an unknown outcome when a later attempt of a submission is refused

A gateway sends a submission again when an attempt gets no answer. Callers could get a refusal ("not accepted", 503 or 404) for a submission that ran afterwards: the first attempt was in the log of a deposed leader or in the socket of a suspended one, and the leader that answered the second attempt refused it (not admitted, queue unknown). job_client passed that refusal on as the answer for all attempts. Only `deadline_exceeded` was excepted.

A refusal says only that the attempt that it answers had no effect. After an attempt with an unknown outcome, only answers about the job itself are passed on: accepted or cancelled, no such job, the id of another queue's job. Any other answer becomes `outcome_unknown` (504), and the caller's next try of the same id learns the outcome.

--- a/programs/gateway/jobs/job_client.cpp
+++ b/programs/gateway/jobs/job_client.cpp
@@ -68,6 +68,14 @@
     return code == result_code::not_leader || code == result_code::no_quorum;
 }
 
+/// @return True if an answer with this code is about the job. Any other one
+/// says only that the attempt that it answers had no effect.
+bool is_about_the_job(result_code code)
+{
+    return code == result_code::ok || code == result_code::job_unknown ||
+           code == result_code::job_invalid;
+}
+
 } // namespace
 
 struct job_client::leader_signal
@@ -218,12 +226,12 @@
         std::lock_guard const lock(m_signal->mutex);
         m_signal->commit_time.add(now, now - sent_at);
     }
-    // The leader speaks for this attempt only. An earlier one may still reach
-    // it with time left.
-    if (answer.code == result_code::deadline_exceeded && may_have_run)
+    // An earlier attempt may still reach a leader and be committed.
+    if (plan.changes_state && may_have_run && !is_about_the_job(answer.code))
     {
+        answer.text = "an earlier attempt may have run; the last one: " +
+                      std::string(core::to_string(answer.code));
         answer.code = result_code::outcome_unknown;
-        answer.text = "an earlier attempt may have run";
     }
     return answer;
 }
--- a/programs/gateway/tests/job_client_test.cpp
+++ b/programs/gateway/tests/job_client_test.cpp
@@ -19,6 +19,9 @@
     CPPUNIT_TEST_SUITE(job_client_test);
     CPPUNIT_TEST(submission_that_finds_no_leader_in_time_is_not_run);
     CPPUNIT_TEST(refusal_after_a_lost_attempt_is_an_unknown_outcome);
+    CPPUNIT_TEST(refusal_for_any_reason_does_not_speak_for_a_lost_attempt);
+    CPPUNIT_TEST(answer_about_the_job_holds_after_a_lost_attempt);
+    CPPUNIT_TEST(refusal_of_the_only_attempt_is_passed_on);
     CPPUNIT_TEST(leader_decides_on_a_call_without_time);
     CPPUNIT_TEST(earlier_release_gets_no_time_left);
     CPPUNIT_TEST_SUITE_END();
@@ -92,6 +95,52 @@
                        result_code::outcome_unknown);
     }
 
+    // Guards against "not accepted" (429, 404, 400) for a submission of which
+    // an attempt at an earlier leader got no answer: that attempt may still be
+    // committed, and the job then runs although its caller was refused.
+    void refusal_for_any_reason_does_not_speak_for_a_lost_attempt()
+    {
+        for (auto const refusal : {result_code::not_admitted,
+                                   result_code::queue_unknown,
+                                   result_code::overloaded,
+                                   result_code::message_malformed})
+        {
+            start({reply_with(result_code::outcome_unknown),
+                   reply_with(refusal)});
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                std::string(core::to_string(refusal)),
+                std::string(core::to_string(result_code::outcome_unknown)),
+                std::string(core::to_string(
+                    m_client->submit({}, milliseconds(2500)).code)));
+            tearDown();
+        }
+    }
+
+    // Guards against unknown outcomes where the leader has said what is known
+    // of the job, whichever attempt made it so.
+    void answer_about_the_job_holds_after_a_lost_attempt()
+    {
+        start({reply_with(result_code::outcome_unknown),
+               reply_with(result_code::job_unknown)});
+        CPPUNIT_ASSERT(m_client->cancel({}, milliseconds(2500)).code ==
+                       result_code::job_unknown);
+        tearDown();
+        start({reply_with(result_code::outcome_unknown),
+               reply_with(result_code::ok)});
+        CPPUNIT_ASSERT(m_client->submit({}, milliseconds(2500)).code ==
+                       result_code::ok);
+    }
+
+    // Guards against unknown outcomes after answers that prove that no attempt
+    // was carried out: of members that don't lead.
+    void refusal_of_the_only_attempt_is_passed_on()
+    {
+        start({reply_with(result_code::not_leader),
+               reply_with(result_code::not_admitted)});
+        CPPUNIT_ASSERT(m_client->submit({}, milliseconds(2500)).code ==
+                       result_code::not_admitted);
+    }
+
     // Guards against a gateway that refuses the resend of an accepted
     // submission, which it can't tell from a new one, and against cancels that
     // are refused for want of time.
