Repeat the claim of an idempotency key when its leader was deposed

Callers saw `outcome_unknown` for a request with an Idempotency-Key that was sent during a change of leader, although no backend server had got it. If the next leader committed the claim, each resend of the key was refused with `outcome_unknown` as well until the claim expired, after 24 hours.

The state machine answers a claim with `outcome_unknown` if another request holds the key. A leader that is deposed before the commit answers any command with the same code. The gateway took the second for the first: the outcome of one call for the state of the key.

A claim is idempotent for its request, so the gateway repeats it until it was applied. A reply to a command that was applied names the configuration revision; the reply of a deposed leader has none.

Evidence: claim_is_repeated_after_its_leader_was_deposed failed before the change (expected ran, actual outcome_unknown) and passes with it, for a claim that the next leader commits and for one that is lost; program_gateway_tests OK (18).

--- a/modules/core/messages/commands.hpp
+++ b/modules/core/messages/commands.hpp
@@ -247,7 +247,7 @@
 {
     result_code code = result_code::ok;
     std::string text;
-    /// Configuration revision after the command.
+    /// Configuration revision after the command; 0 if it was not applied.
     revision current;
     /// For `revision_conflict`: who made the current revision.
     std::optional<operator_id> winner;
--- a/programs/gateway/requests/request_runner.cpp
+++ b/programs/gateway/requests/request_runner.cpp
@@ -287,11 +287,8 @@
     std::shared_ptr<claim_call> const& call,
     shared::control_result const& result)
 {
-    auto const code = read_claim_result(result);
-    bool const is_decided = code == core::result_code::ok ||
-                            code == core::result_code::duplicate_request ||
-                            code == core::result_code::outcome_unknown;
-    if (!is_decided && !call->events->is_closed())
+    auto const decision = read_claim_decision(result);
+    if (!decision && !call->events->is_closed())
     {
         // An election is shorter than most deadlines, and a request may
         // repeat the claim of its key.
@@ -299,8 +296,9 @@
                                      [this, call] { send_claim(call); });
         return;
     }
-    bool const is_late = !call->events->put(claim_result{code});
-    if (is_late && code == core::result_code::ok)
+    bool const is_late =
+        decision && !call->events->put(claim_result{*decision});
+    if (is_late && decision == core::result_code::ok)
     {
         // The request ended before an attempt was sent to any sidecar.
         send(routing::end_claim{{call->command.service,
@@ -312,23 +310,27 @@
     --m_open_claims;
 }
 
-core::result_code
-request_runner::read_claim_result(shared::control_result const& result)
+std::optional<core::result_code>
+request_runner::read_claim_decision(shared::control_result const& result)
 {
-    if (result.outcome != transport::call_outcome::answered)
-    {
-        return result.code;
-    }
-    auto const reply = wire::decode<core::command_reply>(result.body);
+    auto const reply = result.outcome == transport::call_outcome::answered
+                           ? wire::decode<core::command_reply>(result.body)
+                           : std::nullopt;
     if (!reply)
     {
-        return core::last_reason().code;
+        return std::nullopt;
     }
     if (reply->code == core::result_code::not_leader)
     {
         m_dependencies.control.not_leader(result, reply->leader);
     }
-    return reply->code;
+    // A leader that is deposed answers `outcome_unknown` too, for the command.
+    // Only a command that was applied names the revision in force.
+    bool const is_held = reply->code == core::result_code::outcome_unknown &&
+                         reply->current > core::revision();
+    bool const is_decided = is_held || reply->code == core::result_code::ok ||
+                            reply->code == core::result_code::duplicate_request;
+    return is_decided ? std::optional(reply->code) : std::nullopt;
 }
 
 void request_runner::send(routing::end_claim const& action)
--- a/programs/gateway/requests/request_runner.hpp
+++ b/programs/gateway/requests/request_runner.hpp
@@ -106,7 +106,10 @@
     void send_claim(std::shared_ptr<claim_call> const& call);
     void handle_claim_result(std::shared_ptr<claim_call> const& call,
                              shared::control_result const& result);
-    core::result_code read_claim_result(shared::control_result const& result);
+    /// @return What control has decided on the claim, or nothing if it has to
+    /// be repeated.
+    std::optional<core::result_code>
+    read_claim_decision(shared::control_result const& result);
     routing::flow_actions deliver(run_state& run, event const& arrived);
     web::http_response respond(routing::finish_request result);
 
--- a/programs/gateway/tests/fake_control.cpp
+++ b/programs/gateway/tests/fake_control.cpp
@@ -70,6 +70,12 @@
     answer_announces();
 }
 
+void fake_control::depose_during_next_command(bool is_committed)
+{
+    std::lock_guard const lock(m_mutex);
+    m_deposed_commit = is_committed;
+}
+
 std::size_t fake_control::backends() const
 {
     std::lock_guard const lock(m_mutex);
@@ -109,11 +115,27 @@
     else
     {
         auto command = *wire::decode<core::command_envelope>(request.body);
-        answer.answer(wire::encode(run(std::move(command.body))));
+        answer.answer(wire::encode(handle_command(std::move(command.body))));
     }
     answer_polls();
 }
 
+core::command_reply fake_control::handle_command(core::command_body body)
+{
+    auto const deposed = std::exchange(m_deposed_commit, std::nullopt);
+    if (!deposed)
+    {
+        return run(std::move(body));
+    }
+    if (*deposed)
+    {
+        run(std::move(body));
+    }
+    core::command_reply reply;
+    reply.code = core::result_code::outcome_unknown;
+    return reply;
+}
+
 void fake_control::answer_polls()
 {
     auto const& config = m_state.config();
--- a/programs/gateway/tests/fake_control.hpp
+++ b/programs/gateway/tests/fake_control.hpp
@@ -6,6 +6,7 @@
 
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,11 @@
     /// While answers to announces are held, control registers the sidecars, but
     /// they get no answers.
     void hold_announce_answers(bool held);
+    /// The next command gets the answer of a leader that is deposed before the
+    /// commit.
+    ///
+    /// @param is_committed True if the next leader commits the command.
+    void depose_during_next_command(bool is_committed);
     /// Closes the port and all connections.
     void disconnect();
     /// @return Number of backend servers in the registry.
@@ -54,6 +60,7 @@
 
     void handle(transport::rpc_request const& request,
                 transport::responder const& answer);
+    core::command_reply handle_command(core::command_body body);
     void answer_polls();
     void answer_announces();
     core::command_reply run(core::command_body body);
@@ -67,6 +74,8 @@
     std::vector<announce_reply> m_announce_replies;
     bool m_announce_answers_held = false;
     std::size_t m_draining_announces = 0;
+    /// Whether the next command is committed, if its leader is deposed.
+    std::optional<bool> m_deposed_commit;
     std::unique_ptr<transport::rpc_server> m_rpc;
 };
 
--- a/programs/gateway/tests/request_path_test.cpp
+++ b/programs/gateway/tests/request_path_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(request_with_a_truncated_answer_runs_once);
     CPPUNIT_TEST(draining_sidecar_refuses_and_others_serve);
     CPPUNIT_TEST(key_runs_once_through_two_gateways);
+    CPPUNIT_TEST(claim_is_repeated_after_its_leader_was_deposed);
     CPPUNIT_TEST(attempt_for_an_earlier_incarnation_does_not_run);
     CPPUNIT_TEST(graceful_stop_cuts_off_no_request);
     CPPUNIT_TEST(routing_continues_without_control);
@@ -151,6 +152,27 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), backend.hits());
     }
 
+    // A leader that is deposed answers that a claim may or may not be made.
+    // Guards against a gateway that takes this for the claim of another
+    // request: it then refuses a request that has not run, and each resend of
+    // its key for as long as the claim is kept.
+    void claim_is_repeated_after_its_leader_was_deposed()
+    {
+        transport::io_pool io(2);
+        fake_control control(io, rules);
+        echo_backend backend;
+        sidecar_node one(control, "one", backend.where(), 11);
+        gateway_node gateway(control, 1);
+        gateway.wait_for_backends(1);
+        control.depose_during_next_command(true);
+        CPPUNIT_ASSERT_EQUAL(std::string("ran"),
+                             outcome_of(gateway.post("x", "committed")));
+        control.depose_during_next_command(false);
+        CPPUNIT_ASSERT_EQUAL(std::string("ran"),
+                             outcome_of(gateway.post("x", "not committed")));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), backend.hits());
+    }
+
     // Guards against running an attempt that was meant for an earlier
     // incarnation of the sidecar. The earlier one may have run a copy of it, so
     // the new one can't report that it did not run (invariants 6 and 7).
