Report a request as lost if only its retry found no connection

async_client and http_client send a request that may be repeated again if the reused connection ends before a response. If the retry could not connect, they reported `not_sent` ("the peer has not seen the request"), although the peer may have read the first try. They now report `lost`.

--- a/modules/web/client/async_client.cpp
+++ b/modules/web/client/async_client.cpp
@@ -53,6 +53,8 @@
     std::shared_ptr<client_connection> connection;
     lost_request lost = lost_request::retried;
     bool is_reused = true;
+    /// True once a connection was lost on which the request was sent.
+    bool may_have_run = false;
 };
 
 http::request<http::string_body> to_beast(http_request const& content,
@@ -171,7 +173,7 @@
             boost::asio::ip::make_address(m_peer.address, error);
         if (error)
         {
-            fail(pending, http_outcome::not_sent, error.message());
+            fail_to_connect(pending, error.message());
             return;
         }
         pending->connection = std::make_shared<client_connection>(m_strand);
@@ -183,8 +185,7 @@
             {
                 if (failure)
                 {
-                    self->fail(
-                        pending, http_outcome::not_sent, failure.message());
+                    self->fail_to_connect(pending, failure.message());
                     return;
                 }
                 boost::system::error_code ignored;
@@ -239,6 +240,7 @@
         if (connection_was_closed && pending->lost == lost_request::retried)
         {
             pending->is_reused = false;
+            pending->may_have_run = true;
             ++m_losses_in_a_row;
             if (m_losses_in_a_row < max_losses_in_a_row)
             {
@@ -297,6 +299,13 @@
         }
     }
 
+    void fail_to_connect(pending_pointer const& pending, std::string text)
+    {
+        auto const outcome =
+            pending->may_have_run ? http_outcome::lost : http_outcome::not_sent;
+        fail(pending, outcome, std::move(text));
+    }
+
     void
     fail(pending_pointer const& pending, http_outcome outcome, std::string text)
     {
--- a/modules/web/client/http_client.cpp
+++ b/modules/web/client/http_client.cpp
@@ -140,6 +140,7 @@
                         core::duration timeout,
                         bool may_retry)
     {
+        bool may_have_run = false;
         if (auto idle = m_pool.take(peer))
         {
             http_result result =
@@ -148,13 +149,15 @@
             {
                 return result;
             }
+            may_have_run = true;
         }
         std::array<char, 256> error{};
         connection_pointer new_connection(mg_connect_client(
             peer.address.c_str(), peer.port, 0, error.data(), error.size()));
         if (!new_connection)
         {
-            return failure(http_outcome::not_sent,
+            return failure(may_have_run ? http_outcome::lost
+                                        : http_outcome::not_sent,
                            result_code::peer_unreachable,
                            core::to_string(peer) + ": " + error.data());
         }
--- a/modules/web/client/http_client.hpp
+++ b/modules/web/client/http_client.hpp
@@ -18,7 +18,8 @@
 {
     /// The response is complete.
     answered,
-    /// No connection was made, so the peer has not seen the request.
+    /// No connection was made, so the peer has not seen the request, not even
+    /// before a retry.
     not_sent,
     /// The request may have run.
     lost,
--- a/modules/web/tests/async_client_test.cpp
+++ b/modules/web/tests/async_client_test.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(peer_that_closes_each_connection_gets_the_content);
     CPPUNIT_TEST(peer_that_closes_without_notice_gets_the_content);
     CPPUNIT_TEST(peer_that_ends_does_not_count_as_one_that_always_closes);
+    CPPUNIT_TEST(retry_that_is_refused_does_not_speak_for_the_first_try);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -269,6 +270,23 @@
         expect_targets(server, {"/for-any", "/for-the-first", "/for-any"});
     }
 
+    // The peer closes the connection and its port, as a worker that ends does.
+    // Guards against reporting that a request was not sent because its retry
+    // found no connection; the peer may have read the first try.
+    void retry_that_is_refused_does_not_speak_for_the_first_try()
+    {
+        server_options options;
+        options.listen_on = {"127.0.0.1", 0};
+        auto server = http_server::start(
+            options, [](http_request const&) { return text_response(""); });
+        transport::io_pool io(1);
+        async_client client(io, server->bound());
+        CPPUNIT_ASSERT(send(client, "x").get().outcome ==
+                       http_outcome::answered);
+        server.reset();
+        CPPUNIT_ASSERT(send(client, "y").get().outcome == http_outcome::lost);
+    }
+
 private:
     /// Sends as many requests for one process as there are targets.
     static void expect_targets(closing_server const& server,
--- a/modules/web/tests/http_client_test.cpp
+++ b/modules/web/tests/http_client_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(refused_connection_is_not_sent);
     CPPUNIT_TEST(silent_peer_is_lost);
     CPPUNIT_TEST(closed_idle_connection_is_lost_unless_retry_allowed);
+    CPPUNIT_TEST(retry_that_is_refused_does_not_speak_for_the_first_try);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr core::duration long_timeout = std::chrono::seconds(60);
@@ -144,6 +145,22 @@
                        http_outcome::answered);
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, server.connections());
     }
+
+    // The peer closes the connection and its port. Guards against reporting
+    // that a request was not sent because its retry found no connection.
+    void retry_that_is_refused_does_not_speak_for_the_first_try()
+    {
+        http_client client(options_with_long_idle_timeout());
+        core::endpoint where;
+        {
+            scripted_server const server(
+                {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"});
+            where = server.address();
+            CPPUNIT_ASSERT(get(client, where).outcome ==
+                           http_outcome::answered);
+        }
+        CPPUNIT_ASSERT(get(client, where, true).outcome == http_outcome::lost);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(http_client_test);
