Tests: resends to the next leader and of operators' orders

Two places where an answer to one call could be taken for the thing, and isn't: a leader accepts the resend of a submission that its predecessor has committed without an answer, even when the caller's time is over; and a configuration or evacuation that was accepted is acknowledged again after newer ones.

--- a/modules/cluster_state/tests/state_machine_test.cpp
+++ b/modules/cluster_state/tests/state_machine_test.cpp
@@ -94,6 +94,7 @@
     CPPUNIT_TEST(applying_rules_keeps_a_zone_out);
     CPPUNIT_TEST(bad_rules_change_nothing);
     CPPUNIT_TEST(conflict_reports_the_winner);
+    CPPUNIT_TEST(accepted_order_is_acknowledged_again);
     CPPUNIT_TEST(sessions_expire_with_their_own_code);
     CPPUNIT_TEST(claimed_request_runs_once_until_expiry);
     CPPUNIT_TEST(ids_are_not_reused_after_pruning);
@@ -146,6 +147,29 @@
         CPPUNIT_ASSERT(reply.winner == operator_id("bob"));
     }
 
+    // Guards against refusing an order that is sent again because its answer
+    // was lost, also after a newer one has taken effect.
+    void accepted_order_is_acknowledged_again()
+    {
+        machine run;
+        apply_document first;
+        first.document.version = 3;
+        apply_document second;
+        second.document.version = 5;
+        second.document.queues.emplace_back().queue = queue_id("q");
+        evacuate_zone const out{zone_id("z"), true};
+        evacuate_zone const back{zone_id("z"), false};
+        std::vector<command_body> const orders{
+            first, first, second, second, first, out, out, back, back};
+        for (auto const& order : orders)
+        {
+            CPPUNIT_ASSERT(run(order).code == result_code::ok);
+        }
+        CPPUNIT_ASSERT_EQUAL(second.document.version,
+                             run.state.config().document().version);
+        CPPUNIT_ASSERT(run.state.config().in_force().evacuated.empty());
+    }
+
     // Guards against executing a command again after its session expired.
     void sessions_expire_with_their_own_code()
     {
--- a/programs/control/tests/workflow_service_test.cpp
+++ b/programs/control/tests/workflow_service_test.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(submission_with_time_left_is_proposed);
     CPPUNIT_TEST(resend_past_its_time_is_accepted);
     CPPUNIT_TEST(deposed_leader_does_not_refuse);
+    CPPUNIT_TEST(next_leader_accepts_the_resend_of_an_unanswered_submission);
     CPPUNIT_TEST(poll_of_the_next_incarnation_ends_that_of_the_earlier_one);
     CPPUNIT_TEST_SUITE_END();
 
@@ -37,12 +38,7 @@
                                         {},
                                         [](core::command_reply const&) {});
         m_group->step();
-        m_service = std::make_shared<workflow_service>(
-            *m_group->at(m_leader).loop,
-            m_group->node(m_leader),
-            workflow::dispatch_options{},
-            [this](core::event const& what) { m_events.push_back(what); },
-            m_metrics);
+        start_service();
     }
 
     void tearDown() override
@@ -98,6 +94,20 @@
         CPPUNIT_ASSERT(!reply || reply->code == result_code::not_leader);
     }
 
+    // Guards against "not run" from a leader that does not know what its
+    // predecessor has committed without an answer.
+    void next_leader_accepts_the_resend_of_an_unanswered_submission()
+    {
+        submit("w", seconds(9), {});
+        m_service->end();
+        m_service.reset();
+        m_group->crash(m_leader);
+        m_leader = m_group->wait_for_leader();
+        start_service();
+        CPPUNIT_ASSERT(submit("w", seconds(2), seconds(3))->code ==
+                       result_code::ok);
+    }
+
     // Guards against a poll that is dropped without an answer when its worker
     // restarts: the sidecar takes that for a lost leader, closes its connection
     // and waits 200 ms before it reports the new incarnation's runs again.
@@ -123,6 +133,16 @@
     }
 
 private:
+    void start_service()
+    {
+        m_service = std::make_shared<workflow_service>(
+            *m_group->at(m_leader).loop,
+            m_group->node(m_leader),
+            workflow::dispatch_options{},
+            [this](core::event const& what) { m_events.push_back(what); },
+            m_metrics);
+    }
+
     /// @param waited Time since the submission was received.
     /// @return The answer, if there is one.
     std::optional<core::command_reply>
