--- a/modules/web/client/async_client.cpp
+++ b/modules/web/client/async_client.cpp
@@ -142,10 +142,9 @@
             return;
         }
         ++m_in_use;
-        if (!m_idle.empty())
+        if (auto connection = take_idle())
         {
-            pending->connection = std::move(m_idle.back());
-            m_idle.pop_back();
+            pending->connection = std::move(connection);
             send(pending);
             return;
         }
@@ -153,6 +152,24 @@
         connect(pending);
     }
 
+    /// @return An open connection on which the peer has sent nothing beyond the
+    ///         earlier responses, or null. A response that nobody has requested
+    ///         would be taken for the answer to the next request.
+    std::shared_ptr<client_connection> take_idle()
+    {
+        while (!m_idle.empty())
+        {
+            auto connection = std::move(m_idle.back());
+            m_idle.pop_back();
+            boost::system::error_code ignored;
+            if (connection->stream.socket().available(ignored) == 0)
+            {
+                return connection;
+            }
+        }
+        return nullptr;
+    }
+
     static void use_other_content(pending_request& pending)
     {
         if (pending.on_new_connection)
@@ -227,10 +244,23 @@
                                  self->handle_io_error(pending, failure);
                                  return;
                              }
-                             self->complete(pending);
+                             self->handle_response(pending);
                          });
     }
 
+    void handle_response(pending_pointer const& pending)
+    {
+        auto const status = pending->parser->get().result_int();
+        bool const is_interim =
+            http::to_status_class(status) == http::status_class::informational;
+        if (is_interim)
+        {
+            receive(pending);
+            return;
+        }
+        complete(pending);
+    }
+
     void handle_io_error(pending_pointer const& pending,
                          boost::system::error_code failure)
     {
@@ -275,6 +305,7 @@
         // to end.
         m_closes_after_response = !is_kept_alive && !pending->is_reused;
         bool const keep_open = is_kept_alive && !m_closed &&
+                               connection->buffer.size() == 0 &&
                                m_idle.size() < m_options.idle_connections;
         if (keep_open)
         {
