Never fail a long-running job for crashes of its workers

The table gave every job up at the fourth counted crash in a row. The users' rules let a job be shown as failed only for ends that are failed, and have long-running tasks restarted however they end.

Crashes are still counted against a long-running task, which isolates it, but don't end its job.

--- a/modules/workflow/table/workflow_table.hpp
+++ b/modules/workflow/table/workflow_table.hpp
@@ -18,9 +18,10 @@
 /// How long the state of an ended workflow stays available to queries.
 constexpr core::duration final_retention = std::chrono::minutes(10);
 
-/// Crashes that are counted against a task before its workflow is given up. The
-/// first two may have happened before the start reached the worker; from the
-/// third on the task is isolated, so wrong counts are unlikely.
+/// Crashes that are counted against a task before its workflow is given up,
+/// unless the task is long-running. The first two may have happened before the
+/// start reached the worker; from the third on the task is isolated, so wrong
+/// counts are unlikely.
 constexpr std::uint32_t max_crashes = 4;
 
 /// Suspected runs that are kept for a task; of earlier ones nothing more is
--- a/modules/workflow/table/workflow_table_progress.cpp
+++ b/modules/workflow/table/workflow_table_progress.cpp
@@ -366,9 +366,10 @@
 {
     auto& crashes = find_task_record(stage, task.index)->crashes;
     ++crashes;
-    // Long-running tasks too: each further start takes all other runs of a
-    // worker down.
-    if (crashes >= max_crashes)
+    // A long-running task must be restarted however it ends.
+    bool const may_give_up =
+        !workflow.description.stages[stage.stage].behaviour.long_running;
+    if (may_give_up && crashes >= max_crashes)
     {
         end(workflow,
             workflow_state::failed,
--- a/modules/workflow/tests/dispatch_fuzz_test.cpp
+++ b/modules/workflow/tests/dispatch_fuzz_test.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(jobs_complete_despite_faults);
     CPPUNIT_TEST(jobs_complete_with_overload_decisions);
     CPPUNIT_TEST(invariants_hold_under_crashes);
+    CPPUNIT_TEST(invariants_hold_beside_long_running_crashes);
     CPPUNIT_TEST(invariants_hold_with_copies);
     CPPUNIT_TEST(invariants_hold_with_optional_placement);
     CPPUNIT_TEST(invariants_hold_with_cut_lists_of_ends);
@@ -91,6 +92,27 @@
         CPPUNIT_ASSERT(crashes > crash_seeds());
     }
 
+    // Long-running tasks that crash each worker that starts them. Guards
+    // against such a job that is given up, and against one that keeps the
+    // workers from ending the other jobs.
+    void invariants_hold_beside_long_running_crashes()
+    {
+        std::size_t crashes = 0;
+        for (std::uint64_t seed = 1; seed <= crash_seeds(); ++seed)
+        {
+            testing::simulation_setup setup;
+            setup.workers = 6;
+            setup.deadly_percent = 30;
+            setup.long_running_jobs = 4;
+            testing::dispatch_simulation simulation(seed, setup);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed),
+                                         std::string(),
+                                         simulation.simulate());
+            crashes += simulation.crashes();
+        }
+        CPPUNIT_ASSERT(crashes > crash_seeds());
+    }
+
     // Faults, crashes and slow runs while half of the stages may be copied.
     // Guards against a third run, an overcommitted worker, a remaining run that
     // is never stopped, and copies that multiply the crashes of a task.
