Start isolated tasks only on workers that stay up

Batch jobs were shown as failed though no run had ended failed, where workers go down and up by turns: a worker that has just restarted crashes again soon, whatever runs there, and each such crash within 500 ms of a start was counted against the task. Four in a row failed the job.

From the second count on a task is isolated, so that a further crash has one suspect. It is now also started only on a worker that this leader has seen up for 2 s, and only such a worker is closed to other jobs for it. So the counts that decide are of workers that had run well before. A job on one worker that restarts every 2 s or sooner isn't failed.

isolated_task_waits_until_its_worker_is_steady failed in its first form, with the check of the worker's uptime switched off. place_in and two tests of runs at work report a worker that is steady, and check what they checked.

--- a/modules/workflow/dispatch/candidate_worker.hpp
+++ b/modules/workflow/dispatch/candidate_worker.hpp
@@ -78,6 +78,8 @@
     /// True while the worker is quarantined. Then it gets only long-running
     /// tasks for which no other worker has room.
     bool is_trial = false;
+    /// False while the worker hasn't run for long enough to get isolated tasks.
+    bool is_steady = true;
     /// Number of tasks that a quarantined worker may still get.
     std::uint32_t trials_left = 0;
     /// CPU that best-effort tasks are expected to use in excess of the last
--- a/modules/workflow/dispatch/crash_isolation.cpp
+++ b/modules/workflow/dispatch/crash_isolation.cpp
@@ -27,7 +27,7 @@
     { return std::pair(worker.not_established.size(), worker.runs); };
     for (auto* const each : candidates)
     {
-        if (!fits(*each, pending))
+        if (!each->is_steady || !fits(*each, pending))
         {
             continue;
         }
--- a/modules/workflow/dispatch/dispatcher_placement.cpp
+++ b/modules/workflow/dispatch/dispatcher_placement.cpp
@@ -71,6 +71,7 @@
     {
         each->is_trial = m_health.is_quarantined(now, each->worker);
         each->trials_left = each->is_trial ? 1 : 0;
+        each->is_steady = m_fleet.is_steady(each->worker);
     }
     return workers;
 }
--- a/modules/workflow/dispatch/worker_fleet.cpp
+++ b/modules/workflow/dispatch/worker_fleet.cpp
@@ -17,6 +17,11 @@
 /// its timers.
 constexpr core::duration lease_margin = std::chrono::milliseconds(250);
 
+/// Time on the worker's clock from its first list until the worker is steady.
+/// Workers that crash without a task's doing often do so again right after
+/// their start.
+constexpr core::duration steady_time = 4 * establishment_time;
+
 /// An idle worker without reports for this long is removed from the view.
 constexpr core::duration forget_after = std::chrono::minutes(1);
 
@@ -180,6 +185,7 @@
     {
         if (!view.has_runs)
         {
+            view.first_clock = view.clock;
             add_late_calls(now, view);
         }
         set_runs(view, std::move(*report.runs), clock_before);
@@ -257,6 +263,13 @@
     return view->profile.life == life && is_established_in(*view, run);
 }
 
+bool worker_fleet::is_steady(core::worker_id const& worker) const
+{
+    auto const* const view = find(worker);
+    return view != nullptr && view->has_runs &&
+           view->clock - view->first_clock >= steady_time;
+}
+
 incarnation_end worker_fleet::how_ended(core::worker_id const& worker,
                                         core::incarnation life) const
 {
--- a/modules/workflow/dispatch/worker_fleet.hpp
+++ b/modules/workflow/dispatch/worker_fleet.hpp
@@ -60,6 +60,8 @@
     core::duration clock{};
     /// When the first report with this reading of the clock arrived.
     core::time_point clock_changed_at;
+    /// The worker's clock in the first report that contained its runs.
+    core::duration first_clock{};
     /// True if the worker did not answer its sidecar before the last report.
     bool is_silent = false;
     /// End of the lease on the worker's clock.
@@ -167,6 +169,12 @@
     incarnation_end how_ended(core::worker_id const& worker,
                               core::incarnation life) const;
 
+    /// @return True if the incarnation has been seen to run for long enough
+    ///         that a crash right after the start of a task is evidence against
+    ///         the task. A worker that restarts again and again is never
+    ///         steady.
+    bool is_steady(core::worker_id const& worker) const;
+
     /// @return How a run that ended with its worker ended: `lost` if it was
     ///         established or the worker gave notice, `crashed` if the worker
     ///         crashed, `suspected` if that is not known.
--- a/modules/workflow/dispatch/worker_ranking.cpp
+++ b/modules/workflow/dispatch/worker_ranking.cpp
@@ -49,7 +49,7 @@
     auto const& worker = *m_candidates[index];
     auto const& pending = m_placement.pending;
     bool const is_isolated = m_placement.suspicion == crash_suspicion::isolated;
-    if (!fits(worker, pending) ||
+    if (!fits(worker, pending) || (is_isolated && !worker.is_steady) ||
         (is_isolated &&
          !worker.has_no_new_run_of_others(pending.stage.workflow)) ||
         raises_tail(worker, *pending.description, m_tail))
--- a/modules/workflow/tests/crash_evidence_test.cpp
+++ b/modules/workflow/tests/crash_evidence_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(bystander_that_works_between_crashes_is_not_given_up);
     CPPUNIT_TEST(sidecar_shows_a_new_leader_that_a_bystander_worked);
     CPPUNIT_TEST(loss_that_clears_nothing_is_read_by_earlier_releases);
+    CPPUNIT_TEST(isolated_task_waits_until_its_worker_is_steady);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -200,14 +201,41 @@
         CPPUNIT_ASSERT(!command->ends.front().established);
     }
 
+    // A worker that goes down and up by turns failed each job that was started
+    // there four times.
+    void isolated_task_waits_until_its_worker_is_steady()
+    {
+        submit();
+        place_in(1);
+        report_crash(2);
+        commit_all();
+        place_in(2);
+        for (std::uint64_t life = 3; life <= 9; ++life)
+        {
+            auto const worker = profile("w1", 8000, life);
+            report({}, worker);
+            grant(life);
+            commit_all();
+            report({}, worker, steady_ms - 1);
+            grant(life);
+            m_now += std::chrono::milliseconds(200);
+            CPPUNIT_ASSERT(!plan().has_value());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{2}, task().crashes);
+        report({}, profile("w1", 8000, 9), steady_ms);
+        m_now += std::chrono::milliseconds(200);
+        commit();
+        CPPUNIT_ASSERT(task().placed);
+    }
+
 private:
     /// Lists the task's run on w1 for `establishment_time`.
     void list_until_established(std::uint64_t life)
     {
         auto const run = run_of("a", 0, 0, static_cast<std::uint32_t>(life));
         auto const worker = profile("w1", 8000, life);
-        report(running({run}), worker, at_work_ms);
-        report(running({run}), worker, at_work_ms + 500);
+        report(running({run}), worker, steady_ms);
+        report(running({run}), worker, steady_ms + 500);
     }
 
     core::task_record const& task() const
--- a/modules/workflow/tests/crash_isolation_test.cpp
+++ b/modules/workflow/tests/crash_isolation_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(isolated_task_shares_its_worker_with_no_new_run);
     CPPUNIT_TEST(isolated_task_prefers_the_worker_with_the_fewest_runs);
     CPPUNIT_TEST(waiting_isolated_task_closes_one_worker);
+    CPPUNIT_TEST(worker_that_is_not_steady_gets_no_isolated_task);
     CPPUNIT_TEST(isolated_tasks_leave_most_workers_open);
     CPPUNIT_TEST(other_tasks_of_the_stage_do_not_wait);
     CPPUNIT_TEST(task_of_a_gang_is_isolated_with_its_gang);
@@ -99,6 +100,21 @@
         CPPUNIT_ASSERT(m_workers[1].isolated_for == core::workflow_id("a"));
     }
 
+    // A crash of a worker that restarts again and again says nothing about a
+    // task that has just started there. Nor may it be closed to other jobs,
+    // since the isolated task would not start there.
+    void worker_that_is_not_steady_gets_no_isolated_task()
+    {
+        add_workers(1);
+        m_workers[0].is_steady = false;
+        add("a", 2);
+        add("b", 0);
+        auto const placed = plan();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, placed.size());
+        CPPUNIT_ASSERT(placed.front().run == run_of("b", 0, 0));
+        CPPUNIT_ASSERT(m_workers[0].isolated_for.value().empty());
+    }
+
     // Guards against a fleet that is closed to all other work while many tasks
     // are isolated.
     void isolated_tasks_leave_most_workers_open()
--- a/modules/workflow/tests/dispatcher_fixture.hpp
+++ b/modules/workflow/tests/dispatcher_fixture.hpp
@@ -101,6 +101,9 @@
     /// The worker's clock in most reports.
     static constexpr std::int64_t at_work_ms = 50'000;
 
+    /// Its clock when it is steady, if its first report was at work.
+    static constexpr std::int64_t steady_ms = at_work_ms + 2000;
+
     static core::worker_runs running(std::vector<core::task_run> const& runs)
     {
         core::worker_runs result;
@@ -145,10 +148,12 @@
                                    core::incarnation(life));
     }
 
-    /// Places the task of job `a` on the incarnation of w1.
+    /// Places the task of job `a` on the incarnation of w1, which is steady.
     void place_in(std::uint64_t life)
     {
-        report({}, profile("w1", 8000, life));
+        auto const worker = profile("w1", 8000, life);
+        report({}, worker);
+        report({}, worker, steady_ms);
         grant(life);
         commit();
         CPPUNIT_ASSERT(
--- a/modules/workflow/tests/dispatcher_test.cpp
+++ b/modules/workflow/tests/dispatcher_test.cpp
@@ -173,8 +173,8 @@
             auto const run =
                 run_of("a", 0, 0, static_cast<std::uint32_t>(life));
             auto const worker = profile("w1", 8000, life);
-            report(running({run}), worker, at_work_ms);
-            report(running({run}), worker, at_work_ms + 500);
+            report(running({run}), worker, steady_ms);
+            report(running({run}), worker, steady_ms + 500);
             if (life == 1)
             {
                 commit();
