Delay the next start of a task after many crashes, and name it

A long-running task that crashes each worker that starts it is never given up. Without a delay it took the next worker down as soon as the last one was back. From the fourth counted crash in a row on it now waits for 3 s after the commit of the crash (dispatch/crash_backoff). The users allow 9 s without a run; the end of a crashed run is committed when its worker is back. Ends by a lapsed lease, which are late already, delay nothing.

The new event task_isolated (416, warning) names the task, its worker and the number of crashes from the second on, so that an operator can cancel the job.

--- a/modules/core/events/event_code.hpp
+++ b/modules/core/events/event_code.hpp
@@ -67,6 +67,7 @@
     start_withdrawn = 413,
     suspicion_resolved = 414,
     copy_decided = 415,
+    task_isolated = 416,
     task_fits_nowhere = 421,
     run_moved = 422,
     run_preempted = 423,
@@ -191,6 +192,8 @@
     event_entry{event_code::start_withdrawn, "start_withdrawn"},
     event_entry{event_code::suspicion_resolved, "suspicion_resolved"},
     event_entry{event_code::copy_decided, "copy_decided"},
+    event_entry{
+        event_code::task_isolated, "task_isolated", event_severity::warning},
     event_entry{event_code::task_fits_nowhere,
                 "task_fits_nowhere",
                 event_severity::warning},
--- a/modules/workflow/dispatch/dispatch_events.cpp
+++ b/modules/workflow/dispatch/dispatch_events.cpp
@@ -242,4 +242,13 @@
     return event;
 }
 
+core::event task_isolated_event(core::run_outcome const& outcome,
+                                std::uint32_t crashes)
+{
+    core::event event{event_code::task_isolated,
+                      fields_of(outcome.run, outcome.worker)};
+    event.fields.push_back(number_field("crashes", crashes));
+    return event;
+}
+
 } // namespace turmericswitch::workflow
--- a/modules/workflow/dispatch/dispatch_events.hpp
+++ b/modules/workflow/dispatch/dispatch_events.hpp
@@ -91,6 +91,11 @@
 /// @param outcome What became known of a run that ended as `suspected`.
 core::event suspicion_resolved_event(core::run_outcome const& outcome);
 
+/// @param outcome The last crash that was counted against the task.
+/// @param crashes Number of counted crashes.
+core::event task_isolated_event(core::run_outcome const& outcome,
+                                std::uint32_t crashes);
+
 } // namespace turmericswitch::workflow
 
 #endif
--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -42,6 +42,7 @@
       m_colocation(options.harm_limit),
       m_accounts(table, m_run_times, options.overload),
       m_backlog(table, m_run_times, m_fleet),
+      m_crash_backoff(table),
       m_candidates(table, m_fleet, m_colocation),
       m_moves(table, m_fleet, m_backlog, elected),
       m_ends(table, m_fleet),
@@ -331,10 +332,12 @@
         m_copies.ended(now, outcome);
         m_speeds.ended(outcome.run);
         m_orders.ended(outcome.run);
+        emit_isolated(outcome);
     }
     for (auto const& outcome : command.resolved)
     {
         m_on_event(suspicion_resolved_event(outcome));
+        emit_isolated(outcome);
     }
     for (auto const& placement : command.placements)
     {
@@ -342,6 +345,7 @@
         m_health.record_trial(now, placement.worker);
         m_placed_at.emplace(placement.run, now);
     }
+    m_crash_backoff.applied(now, command);
     m_ends.applied(now, command);
 }
 
@@ -386,6 +390,16 @@
     return view != nullptr && has_ended_unseen(*view, outcome.run);
 }
 
+void dispatcher::emit_isolated(core::run_outcome const& outcome) const
+{
+    auto const* const task = m_table.find_task(outcome.run.task);
+    if (outcome.how == core::run_end::crashed && task != nullptr &&
+        suspicion_after(task->crashes) == crash_suspicion::isolated)
+    {
+        m_on_event(task_isolated_event(outcome, task->crashes));
+    }
+}
+
 void dispatcher::emit_run_placed(core::time_point now,
                                  core::run_placement const& placed)
 {
--- a/modules/workflow/dispatch/dispatcher.hpp
+++ b/modules/workflow/dispatch/dispatcher.hpp
@@ -7,6 +7,7 @@
 #include "workflow/dispatch/candidate_pool.hpp"
 #include "workflow/dispatch/colocation_controller.hpp"
 #include "workflow/dispatch/copy_planner.hpp"
+#include "workflow/dispatch/crash_backoff.hpp"
 #include "workflow/dispatch/end_collector.hpp"
 #include "workflow/dispatch/job_accounts.hpp"
 #include "workflow/dispatch/move_controller.hpp"
@@ -181,6 +182,8 @@
     void record_end(core::time_point now, core::run_outcome const& outcome);
     /// @return True if nobody saw how the run ended.
     bool is_end_assumed(core::run_outcome const& outcome) const;
+    /// Names a task that several workers crashed under.
+    void emit_isolated(core::run_outcome const& outcome) const;
     void emit_run_placed(core::time_point now,
                          core::run_placement const& placed);
     void emit_lost_workers(core::time_point now,
@@ -198,6 +201,7 @@
     speed_model m_speeds;
     job_accounts m_accounts;
     stage_backlog m_backlog;
+    crash_backoff m_crash_backoff;
     candidate_pool m_candidates;
     wide_requests m_wide;
     oversized_stages m_oversized;
--- a/modules/workflow/dispatch/dispatcher_placement.cpp
+++ b/modules/workflow/dispatch/dispatcher_placement.cpp
@@ -246,7 +246,8 @@
                              core::workflow_progress& command)
 {
     update_accounts(times);
-    auto const waiting = m_backlog.collect(times);
+    auto const waiting =
+        m_crash_backoff.without_delayed(times.now, m_backlog.collect(times));
     // Skips the candidates when there is nothing to place or evict.
     auto const to_copy = m_copies.collect(times.now);
     if (waiting.empty() && to_copy.empty() && times.now < m_next_eviction)
--- a/modules/workflow/tests/dispatcher_test.cpp
+++ b/modules/workflow/tests/dispatcher_test.cpp
@@ -16,6 +16,8 @@
     CPPUNIT_TEST(report_of_an_earlier_incarnation_is_ignored);
     CPPUNIT_TEST(restart_of_a_worker_ends_its_earlier_runs_at_once);
     CPPUNIT_TEST(task_that_crashes_workers_fails_its_workflow);
+    CPPUNIT_TEST(long_running_task_is_restarted_after_all_crashes);
+    CPPUNIT_TEST(start_is_delayed_after_many_crashes);
     CPPUNIT_TEST(job_waits_until_its_worker_lists_a_task);
     CPPUNIT_TEST(only_runs_not_yet_seen_at_work_are_suspected);
     CPPUNIT_TEST(restart_after_a_notice_or_of_the_instance_is_no_crash);
@@ -144,6 +146,49 @@
         CPPUNIT_ASSERT(reason.find('4') != std::string::npos);
     }
 
+    // Guards against a service that is given up for good because its workers
+    // crashed, and against one that crashes them without an operator's notice.
+    void long_running_task_is_restarted_after_all_crashes()
+    {
+        auto service = stage(1);
+        service.behaviour.long_running = true;
+        m_table.submit(submission("a", {service}), queue(), m_now);
+        for (std::uint64_t life = 1; life <= 8; ++life)
+        {
+            m_now += std::chrono::seconds(3);
+            place_in(life);
+            report({}, profile("w1", 8000, life + 1));
+            commit();
+        }
+        CPPUNIT_ASSERT(state_of("a") == core::workflow_state::queued);
+        auto const event = last_event(core::event_code::task_isolated);
+        CPPUNIT_ASSERT(has_field(event, core::text_field("task", "a.0.0.0")) &&
+                       has_field(event, core::number_field("crashes", 8)));
+    }
+
+    // Guards against a service that takes a worker down again as soon as the
+    // last one is back.
+    void start_is_delayed_after_many_crashes()
+    {
+        auto service = stage(1);
+        service.behaviour.long_running = true;
+        m_table.submit(submission("a", {service}), queue(), m_now);
+        for (std::uint64_t life = 1; life <= max_crashes; ++life)
+        {
+            place_in(life);
+            report({}, profile("w1", 8000, life + 1));
+            commit();
+        }
+        auto const worker = profile("w1", 8000, max_crashes + 1);
+        m_now += std::chrono::milliseconds(2900);
+        report({}, worker, steady_ms);
+        grant(max_crashes + 1);
+        CPPUNIT_ASSERT(!plan().has_value());
+        m_now += std::chrono::milliseconds(100);
+        commit();
+        CPPUNIT_ASSERT(m_table.find_task(run_of("a", 0, 0).task)->placed);
+    }
+
     // Guards against a job that is shown as begun because it is placed, though
     // its start has had no effect, and against one whose begin is forgotten
     // with a commit that failed.
