--- a/modules/workflow/dispatch/dispatcher_placement.cpp
+++ b/modules/workflow/dispatch/dispatcher_placement.cpp
@@ -71,6 +71,7 @@
     {
         each->is_trial = m_health.is_quarantined(now, each->worker);
         each->trials_left = each->is_trial ? 1 : 0;
+        each->is_steady = m_fleet.is_steady(each->worker);
     }
     return workers;
 }
@@ -245,7 +246,8 @@
                              core::workflow_progress& command)
 {
     update_accounts(times);
-    auto const waiting = m_backlog.collect(times);
+    auto const waiting =
+        m_crash_backoff.without_delayed(times.now, m_backlog.collect(times));
     // Skips the candidates when there is nothing to place or evict.
     auto const to_copy = m_copies.collect(times.now);
     if (waiting.empty() && to_copy.empty() && times.now < m_next_eviction)
