Split the dispatch simulation by topic

The leader with the calls of the sidecars to it, the sidecars with their calls to the workers, and the injected faults have files of their own.

--- a/modules/workflow/tests/dispatch_simulation.hpp
+++ b/modules/workflow/tests/dispatch_simulation.hpp
@@ -87,6 +87,7 @@
 private:
     struct leader;
     struct worker_host;
+    struct sidecar_process;
 
     using task = std::function<void()>;
 
@@ -110,14 +111,27 @@
     bool chance(std::uint64_t percent);
     core::duration between_ms(std::uint64_t lowest, std::uint64_t highest);
 
+    void submit();
+    void cancel_one();
+
+    // simulation_leader.cpp
     void elect();
     void plan(std::shared_ptr<leader> const& target);
+    leader_calls leader_calls_of(sidecar_process const& sidecar);
+
+    // simulation_runtime.cpp
     void start_agent(worker_host& host);
     agent_hooks hooks_of(worker_host& host);
+    worker_runtime runtime_calls_of(sidecar_process const& sidecar);
+    /// @return A function that completes a call of the sidecar once: with its
+    ///         answer, or with `on_timeout` if none has come in time.
+    template <typename Done, typename Result>
+    auto
+    complete_once(sidecar_process const& sidecar, Done done, Result on_timeout);
     void call_worker(worker_host& host,
                      std::function<void(bool answered)> const& run);
-    void submit();
-    void cancel_one();
+
+    // simulation_faults.cpp
     void inject_fault();
     /// Restarts a worker under its id while its sidecar goes on.
     void restart_worker(worker_host& host);
@@ -126,6 +140,8 @@
     /// Begins the next incarnation of a worker that was down. It registers some
     /// milliseconds later and executes calls before that.
     void begin_incarnation(worker_host& host);
+
+    // capacity_checks.cpp
     /// Shrinks the capacity of a worker for some seconds.
     void shrink_one();
     void set_capacity(worker_host& host, core::resources const& capacity);
@@ -140,7 +156,6 @@
     /// Checks that a start that was just executed has not brought the worker
     /// over its capacity.
     void check_start(worker_host const& host, core::time_point called_at);
-    void check();
 
     // crash_checks.cpp
     void choose_deadly_task(core::submit_workflow const& job);
@@ -155,17 +170,20 @@
                      std::uint64_t sidecar);
     void check_failed_jobs();
 
-    /// Compares the backlog that is updated by changes with one that is derived
-    /// from the whole table.
-    /// A task whose end `done` was acknowledged is not run again.
+    // simulation_checks.cpp
+    void check();
+    /// Checks that a task whose end `done` was acknowledged is not run again.
     void check_released_ends();
     /// Checks that what callers would be shown is allowed by what the workers
     /// have done.
     void check_shown_states();
+    /// Compares the backlog that is updated by changes with one that is derived
+    /// from the whole table.
     void check_backlog();
     std::string describe(core::workflow_id const& id) const;
     void fail(std::string what);
 
+    // long_running_checks.cpp
     void submit_long_running();
     void cancel_long_running();
     void inject_lasting_fault();
--- /dev/null
+++ b/modules/workflow/tests/simulation_faults.cpp
@@ -0,0 +1,94 @@
+#include "simulation_parts.hpp"
+
+// Faults of leaders, workers and sidecars.
+
+namespace turmericswitch::workflow::testing
+{
+
+void dispatch_simulation::inject_fault()
+{
+    auto& host = *m_hosts[random_below(m_hosts.size())];
+    switch (random_below(8))
+    {
+    case 0:
+        elect();
+        break;
+    case 7:
+        restart_worker(host);
+        break;
+    case 1:
+        host.is_down = true;
+        ++host.outages;
+        schedule(between_ms(100, 6000),
+                 [this, &host]
+                 {
+                     if (host.is_gone)
+                     {
+                         return;
+                     }
+                     begin_incarnation(host);
+                     start_agent(host);
+                 });
+        break;
+    case 2:
+        start_agent(host);
+        break;
+    case 3:
+        host.is_partitioned = true;
+        ++host.partitions;
+        schedule(between_ms(500, 8000),
+                 [&host] { host.is_partitioned = false; });
+        break;
+    case 4:
+        host.unanswered = 60;
+        schedule(between_ms(500, 4000), [&host] { host.unanswered = 0; });
+        break;
+    default:
+        cancel_one();
+        break;
+    }
+}
+
+void dispatch_simulation::restart_worker(worker_host& host)
+{
+    if (host.is_down)
+    {
+        return;
+    }
+    host.is_down = true;
+    schedule(between_ms(1, 3000),
+             [this, &host]
+             {
+                 if (!host.is_gone)
+                 {
+                     begin_incarnation(host);
+                 }
+             });
+}
+
+void dispatch_simulation::restart_workers()
+{
+    constexpr std::uint64_t most = 3;
+    auto const count = 1 + random_below(most);
+    for (std::uint64_t i = 0; i < count; ++i)
+    {
+        restart_worker(*m_hosts[random_below(m_hosts.size())]);
+    }
+}
+
+void dispatch_simulation::begin_incarnation(worker_host& host)
+{
+    host.is_down = false;
+    host.model.begin_life(m_now);
+    host.worker_life = ++m_last_life;
+    schedule(between_ms(3, 20),
+             [this, &host, life = host.worker_life]
+             {
+                 if (!host.is_down && host.worker_life == life)
+                 {
+                     register_worker(host);
+                 }
+             });
+}
+
+} // namespace turmericswitch::workflow::testing
--- a/modules/workflow/tests/simulation_parts.hpp
+++ b/modules/workflow/tests/simulation_parts.hpp
@@ -105,6 +105,36 @@
     std::vector<capacity_change> capacities{{{}, full_capacity(), {}}};
 };
 
+/// One process of the sidecar of a host. One that was replaced makes no calls
+/// and gets no answers.
+struct dispatch_simulation::sidecar_process
+{
+    worker_host* host = nullptr;
+    std::uint64_t life = 0;
+
+    bool is_replaced() const
+    {
+        return host->agent_life != life;
+    }
+};
+
+template <typename Done, typename Result>
+auto dispatch_simulation::complete_once(sidecar_process const& sidecar,
+                                        Done done,
+                                        Result on_timeout)
+{
+    auto const open = std::make_shared<bool>(true);
+    auto finish = [open, sidecar, done](auto result)
+    {
+        if (std::exchange(*open, false) && !sidecar.is_replaced())
+        {
+            done(result);
+        }
+    };
+    schedule(call_timeout, [finish, on_timeout] { finish(on_timeout); });
+    return finish;
+}
+
 } // namespace turmericswitch::workflow::testing
 
 #endif
