Send no start for a run whose end is being committed

Callers may see a task run twice. Cause: a sidecar reports a refused start, which is certain at that time, and restarts. The leader has the end in the command that it is committing. The first report of the next sidecar has no refusals and replaces those of the one before, so the order is due again; the next sidecar makes the call, and the worker begins the run after its end `refused` has been decided. The task is placed again beside it. The same holds for any other end that is being committed, as one of a run that is given up.

Change: a run in the command that is being committed gets no start. When the command is rejected, its orders are due again.

Not covered: a report of a replaced sidecar that arrives after one of the next sidecar. Their incarnations are random numbers, so the leader can't tell which one is newer.

--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -309,6 +309,7 @@
         return command;
     }
     m_ends.collect(times.now, command);
+    m_orders.set_ending(command.ends);
     if (take_placement_due(times, config))
     {
         place_tasks(times, config, command);
@@ -348,6 +349,11 @@
 void dispatcher::rejected(core::workflow_progress const& command)
 {
     m_ends.rejected(command);
+    m_orders.set_ending({});
+    for (auto const& outcome : command.ends)
+    {
+        m_orders.mark_changed(outcome.worker);
+    }
     m_placement_due = true;
 }
 
--- a/modules/workflow/dispatch/order_reconciler.cpp
+++ b/modules/workflow/dispatch/order_reconciler.cpp
@@ -129,7 +129,8 @@
             workflow = m_table.find(run.task.workflow);
         }
         observed_run seen{&run, nullptr, is_running};
-        seen.has_ended = !is_running && has_ended(worker, run);
+        seen.has_ended =
+            !is_running && (m_ending.contains(run) || has_ended(worker, run));
         if (workflow != nullptr)
         {
             seen.stage = workflow_table::find_stage(*workflow, run.task);
@@ -446,9 +447,19 @@
     return m_evicting;
 }
 
+void order_reconciler::set_ending(std::vector<core::run_outcome> const& ends)
+{
+    m_ending.clear();
+    for (auto const& each : ends)
+    {
+        m_ending.insert(each.run);
+    }
+}
+
 void order_reconciler::ended(core::task_run const& run)
 {
     m_evicting.erase(run);
+    m_ending.erase(run);
 }
 
 void order_reconciler::forget(core::worker_id const& worker)
--- a/modules/workflow/dispatch/order_reconciler.hpp
+++ b/modules/workflow/dispatch/order_reconciler.hpp
@@ -64,6 +64,11 @@
     ///         worker's capacity has shrunk or nothing may start there.
     std::vector<core::task_run> take_withdrawn();
 
+    /// Must be called before these ends are committed. Until they are, or until
+    /// the next call, no start is sent for their runs: a report of a restarted
+    /// sidecar no longer has the refusals that the one before has reported.
+    void set_ending(std::vector<core::run_outcome> const& ends);
+
     /// Must be called after the end of a run was committed.
     void ended(core::task_run const& run);
 
@@ -101,7 +106,8 @@
         /// True if the table places the run there, neither its workflow nor the
         /// task's other run has ended, and it is not being evicted.
         bool should_run = false;
-        /// True if the worker reported its end, so it needs no capacity.
+        /// True if the worker reported its end or it is being committed, so it
+        /// needs no capacity.
         bool has_ended = false;
     };
 
@@ -139,6 +145,8 @@
     workflow_table const& m_table;
     std::map<core::worker_id, sent_state> m_sent;
     std::set<core::task_run> m_evicting;
+    /// Runs whose ends are being committed.
+    std::set<core::task_run> m_ending;
     std::vector<core::task_run> m_withdrawn;
     change_log<core::worker_id>::position m_read =
         change_log<core::worker_id>::unread;
--- a/modules/workflow/tests/dispatcher_test.cpp
+++ b/modules/workflow/tests/dispatcher_test.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(run_at_work_in_an_evacuated_zone_is_not_stopped);
     CPPUNIT_TEST(worker_whose_reported_clock_stands_still_gets_no_tasks);
     CPPUNIT_TEST(lost_batch_of_orders_is_sent_again);
+    CPPUNIT_TEST(no_start_is_sent_while_its_refusal_is_committed);
     CPPUNIT_TEST(cancelled_run_is_stopped_until_it_has_ended);
     CPPUNIT_TEST(workflow_with_a_schedule_waits_for_its_time);
     CPPUNIT_TEST(age_is_measured_on_the_replicated_clock);
@@ -277,6 +278,28 @@
         CPPUNIT_ASSERT(!plan());
     }
 
+    // The sidecar restarts after it has reported the refusal, and the reports
+    // of the next one don't have it. Guards against a start that the next one
+    // makes again although the end is being committed: the task then runs
+    // twice.
+    void no_start_is_sent_while_its_refusal_is_committed()
+    {
+        start_one();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, started(orders()).size());
+        auto const run = run_of("a", 0, 0);
+        report_refused({run}, profile("w1"));
+        auto const command = plan();
+        CPPUNIT_ASSERT(command.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, command->ends.size());
+        m_sidecar = core::incarnation(m_sidecar.value() + 1);
+        report({});
+        CPPUNIT_ASSERT(started(orders()).empty());
+        m_dispatcher->rejected(*command);
+        CPPUNIT_ASSERT(m_dispatcher->workers_with_orders(m_now).contains(
+            core::worker_id("w1")));
+        CPPUNIT_ASSERT(started(orders()) == std::vector{run});
+    }
+
     void lost_batch_of_orders_is_sent_again()
     {
         start_one();
