--- a/modules/workflow/agent/end_numbers.cpp
+++ b/modules/workflow/agent/end_numbers.cpp
@@ -42,7 +42,10 @@
                     core::duration clock)
 {
     auto const numbers = sorted_numbers(ended);
-    if (!has_skipped_rows || !may_lack_end(numbers))
+    auto missing = missing_in(numbers);
+    // Without a known number, the first end may be the missing one.
+    bool const may_lack_end = !m_known || !missing.empty();
+    if (!has_skipped_rows || !may_lack_end)
     {
         m_unread_since.reset();
     }
@@ -56,41 +59,33 @@
     {
         return {};
     }
-    std::uint64_t known = m_known.value_or(numbers.front() - 1);
-    std::vector<end_range> dropped;
-    for (auto const number : numbers)
+    if (m_has_unread_end)
     {
-        if (number > known + 1)
-        {
-            if (m_has_unread_end)
-            {
-                break;
-            }
-            dropped.push_back({known + 1, number - 1});
-        }
-        known = std::max(known, number);
+        m_known = missing.front().first - 1;
+        return {};
     }
-    m_known = known;
-    return dropped;
+    m_known = std::max(m_known.value_or(0), numbers.back());
+    return missing;
 }
 
-bool end_numbers::may_lack_end(std::vector<std::uint64_t> const& numbers) const
+std::vector<end_range>
+end_numbers::missing_in(std::vector<std::uint64_t> const& numbers) const
 {
-    if (!m_known)
+    if (numbers.empty())
     {
-        // The missing one may be the first.
-        return true;
+        return {};
     }
-    auto next = *m_known + 1;
+    std::vector<end_range> missing;
+    auto known = m_known.value_or(numbers.front() - 1);
     for (auto const number : numbers)
     {
-        if (number > next)
+        if (number > known + 1)
         {
-            return true;
+            missing.push_back({known + 1, number - 1});
         }
-        next = std::max(next, number + 1);
+        known = std::max(known, number);
     }
-    return false;
+    return missing;
 }
 
 std::uint64_t end_numbers::known() const noexcept
--- a/modules/workflow/agent/end_numbers.hpp
+++ b/modules/workflow/agent/end_numbers.hpp
@@ -55,9 +55,10 @@
 
 private:
     /// @param numbers Of the listed ends, in ascending order.
-    /// @return True if a number between the known and the listed ones is
-    ///         missing, or may be.
-    bool may_lack_end(std::vector<std::uint64_t> const& numbers) const;
+    /// @return The numbers that are missing between the known one and the last
+    ///         listed one.
+    std::vector<end_range>
+    missing_in(std::vector<std::uint64_t> const& numbers) const;
 
     std::optional<std::uint64_t> m_known;
     bool m_has_unread_end = false;
