Name the repeated steps of the acknowledgement tests

The answers with lists, the begun run and the rows that can't be read stood in full in most cases. The calls and assertions of each case stay the same.

--- a/modules/workflow/tests/worker_agent_acknowledgement_test.cpp
+++ b/modules/workflow/tests/worker_agent_acknowledgement_test.cpp
@@ -41,7 +41,7 @@
         run_delayed();
         expect_no_effects();
         // It goes on once the incarnation has answered.
-        answer(m_syncs, std::optional(list_with_end()));
+        answer_list(list_with_end());
         grant(1);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, acknowledged_ends());
         CPPUNIT_ASSERT(m_syncs.front().call.lease_until.has_value());
@@ -53,7 +53,7 @@
     {
         acknowledge_first_end();
         auto of_successor = list_of(2, {});
-        answer(m_syncs, std::optional(of_successor));
+        answer_list(of_successor);
         CPPUNIT_ASSERT(has_event(core::event_code::worker_replaced));
         run_delayed();
         expect_no_effects();
@@ -68,7 +68,7 @@
         acknowledge_first_end();
         CPPUNIT_ASSERT(m_syncs.front().call.wait == core::duration{});
         auto const reports = m_reports.size();
-        answer(m_syncs, std::optional(list_of(1, {})));
+        answer_empty_list();
         // The answer has no news, so it is not worth a report.
         CPPUNIT_ASSERT_EQUAL(reports, m_reports.size());
         CPPUNIT_ASSERT(m_syncs.front().call.wait > core::duration{});
@@ -85,7 +85,7 @@
         m_syncs.clear();
         run_delayed();
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, acknowledged_ends());
-        answer(m_syncs, std::optional(list_of(1, {})));
+        answer_empty_list();
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_reports.size());
     }
 
@@ -93,19 +93,17 @@
     // worker doesn't list it, although it has begun: its end was dropped.
     void begun_run_that_is_missing_is_not_refused()
     {
-        begin();
-        order_start();
-        answer(m_starts, start_outcome::started);
+        begin_run();
         // This call began before the start was answered.
-        answer(m_syncs, std::optional(list_of(1, {})));
+        answer_empty_list();
         CPPUNIT_ASSERT(last_report().ended_unseen.empty());
         grant(1);
         // A worker that shuts down may answer once more when its runs are gone.
-        answer(m_syncs, std::optional(list_of(1, {})));
+        answer_empty_list();
         CPPUNIT_ASSERT(last_report().ended_unseen.empty());
         grant(1);
         CPPUNIT_ASSERT(m_syncs.front().call.wait == core::duration{});
-        answer(m_syncs, std::optional(list_of(1, {})));
+        answer_empty_list();
         expect_unseen_end();
         // The leader that repeats the order doesn't know yet.
         order_start();
@@ -114,7 +112,7 @@
         committed.fencing_token = 1;
         committed.acknowledged_refusals = {m_run};
         answer(m_reports, std::optional(committed));
-        answer(m_syncs, std::optional(list_of(1, {})));
+        answer_empty_list();
         CPPUNIT_ASSERT(last_report().ended_unseen.empty());
     }
 
@@ -126,9 +124,8 @@
         order_start();
         answer(m_starts, start_outcome::unknown);
         answer(m_starts, start_outcome::already_ended);
-        answer(m_syncs, std::optional(list_of(1, {})));
-        grant(1);
-        answer(m_syncs, std::optional(list_of(1, {})));
+        report_empty_list();
+        answer_empty_list();
         expect_unseen_end();
     }
 
@@ -136,22 +133,18 @@
     // can't be read, or the worker may have restarted.
     void missing_run_proves_nothing_in_an_unreadable_list()
     {
-        begin();
-        order_start();
-        answer(m_starts, start_outcome::started);
-        answer(m_syncs, std::optional(list_of(1, {})));
-        grant(1);
-        auto unreadable = list_of(1, {});
-        unreadable.skipped = {{false, "malformed task name"}};
-        answer(m_syncs, std::optional(unreadable));
+        begin_run();
+        report_empty_list();
+        auto const unreadable = beside_odd_row(list_of(1, {}), false);
+        answer_list(unreadable);
         CPPUNIT_ASSERT(last_report().ended_unseen.empty());
         grant(1);
         auto anonymous = list_of(1, {});
         anonymous.life.reset();
-        answer(m_syncs, std::optional(anonymous));
+        answer_list(anonymous);
         CPPUNIT_ASSERT(last_report().ended_unseen.empty());
         grant(1);
-        answer(m_syncs, std::optional(list_of(1, {m_run})));
+        answer_list(list_of(1, {m_run}));
         CPPUNIT_ASSERT(last_report().ended_unseen.empty());
         CPPUNIT_ASSERT(last_report().refused.empty());
     }
@@ -161,20 +154,16 @@
     // that is listed again.
     void run_that_a_draining_worker_lacks_has_not_ended_unseen()
     {
-        begin();
-        order_start();
-        answer(m_starts, start_outcome::started);
-        answer(m_syncs, std::optional(list_of(1, {})));
-        grant(1);
-        answer(m_syncs, std::optional(list_of(1, {})));
-        grant(1);
-        answer(m_syncs, std::optional(list_of(1, {m_run})));
+        begin_run();
+        report_empty_list();
+        report_empty_list();
+        answer_list(list_of(1, {m_run}));
         grant(1);
         m_agent->registered(draining_profile(1));
         for (int i = 0; i < 3; ++i)
         {
             grant(1);
-            answer(m_syncs, std::optional(list_of(1, {})));
+            answer_empty_list();
             CPPUNIT_ASSERT(last_report().ended_unseen.empty());
         }
     }
@@ -182,18 +171,16 @@
     // Guards against a stopped run that counts as done.
     void stopped_run_that_is_missing_is_refused()
     {
-        begin();
-        order_start();
-        answer(m_starts, start_outcome::started);
+        begin_run();
         core::runtime_orders orders;
         orders.fencing_token = 1;
         orders.stops = {m_run};
         answer(m_polls, std::optional(orders));
         answer(m_stops, true);
         // This sync call began before the stop.
-        answer(m_syncs, std::optional(list_of(1, {})));
+        answer_empty_list();
         CPPUNIT_ASSERT(m_reports.empty());
-        answer(m_syncs, std::optional(list_of(1, {})));
+        answer_empty_list();
         CPPUNIT_ASSERT(last_report().ended_unseen.empty());
         CPPUNIT_ASSERT(last_report().refused == std::vector{m_run});
     }
@@ -204,11 +191,8 @@
     void ends_after_an_unreadable_one_are_not_acknowledged()
     {
         begin();
-        auto lists = list_of(1, {});
-        lists.runs.ended = {{1, run_of("b", 0, 0), core::run_end::done, {}},
-                            {3, run_of("b", 0, 2), core::run_end::done, {}}};
-        lists.skipped = {{true, "malformed task name"}};
-        answer(m_syncs, std::optional(lists));
+        auto lists = list_with_unread_end();
+        answer_list(lists);
         CPPUNIT_ASSERT(last_report().runs->may_have_more_ends);
         grant_ends(3);
         run_delayed();
@@ -216,7 +200,7 @@
         CPPUNIT_ASSERT(!has_event(core::event_code::ends_dropped_unseen));
         lists.runs.ended[0] = {2, run_of("b", 0, 1), core::run_end::done, {}};
         lists.skipped.clear();
-        answer(m_syncs, std::optional(lists));
+        answer_list(lists);
         CPPUNIT_ASSERT(!last_report().runs->may_have_more_ends);
         grant_ends(3);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, acknowledged_ends());
@@ -227,9 +211,8 @@
     void row_of_another_writer_holds_up_no_acknowledgement()
     {
         begin();
-        auto lists = list_with_end();
-        lists.skipped = {{true, "malformed task name"}};
-        answer(m_syncs, std::optional(lists));
+        auto lists = beside_odd_row(list_with_end(), true);
+        answer_list(lists);
         CPPUNIT_ASSERT(!last_report().runs->may_have_more_ends);
         grant_ends(1);
         run_delayed();
@@ -242,19 +225,18 @@
     void lasting_row_of_another_writer_holds_up_no_first_worker()
     {
         start_up();
-        auto lists = list_of(1, {});
-        lists.skipped = {{true, "malformed task name"}};
-        answer(m_syncs, std::optional(lists));
+        auto lists = beside_odd_row(list_of(1, {}), true);
+        answer_list(lists);
         CPPUNIT_ASSERT(last_report().runs->may_have_more_ends);
         grant_ends(0);
         run_delayed();
         lists.clock += std::chrono::seconds(2);
-        answer(m_syncs, std::optional(lists));
+        answer_list(lists);
         CPPUNIT_ASSERT(!last_report().runs->may_have_more_ends);
         grant_ends(0);
         run_delayed();
         lists.runs.ended = list_with_end().runs.ended;
-        answer(m_syncs, std::optional(lists));
+        answer_list(lists);
         CPPUNIT_ASSERT(!last_report().runs->may_have_more_ends);
         grant_ends(1);
         run_delayed();
@@ -265,26 +247,20 @@
     // one of its own can't be read, and against that one's run being refused.
     void lasting_row_hides_no_end_for_good()
     {
-        begin();
-        order_start();
-        answer(m_starts, start_outcome::started);
-        auto lists = list_of(1, {});
-        lists.runs.ended = {{1, run_of("b", 0, 0), core::run_end::done, {}},
-                            {3, run_of("b", 0, 2), core::run_end::done, {}}};
-        lists.skipped = {{true, "malformed task name"}};
-        answer(m_syncs, std::optional(lists));
+        begin_run();
+        auto lists = list_with_unread_end();
+        answer_list(lists);
         CPPUNIT_ASSERT(last_report().runs->may_have_more_ends);
         grant_ends(3);
         run_delayed();
         lists.clock += std::chrono::seconds(2);
-        answer(m_syncs, std::optional(lists));
+        answer_list(lists);
         CPPUNIT_ASSERT(!last_report().runs->may_have_more_ends);
         grant_ends(3);
         run_delayed();
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, acknowledged_ends());
-        answer(m_syncs, std::optional(list_of(1, {})));
-        grant(1);
-        answer(m_syncs, std::optional(list_of(1, {})));
+        report_empty_list();
+        answer_empty_list();
         expect_unseen_end();
     }
 
@@ -293,21 +269,18 @@
     // because another writer's row keeps the lists from being whole.
     void begun_run_that_has_ended_beside_an_odd_row_is_not_refused()
     {
-        begin();
-        order_start();
-        answer(m_starts, start_outcome::started);
-        auto odd = list_of(1, {});
-        odd.skipped = {{false, "malformed task name"}};
-        answer(m_syncs, std::optional(odd));
+        begin_run();
+        auto const odd = beside_odd_row(list_of(1, {}), false);
+        answer_list(odd);
         grant(1);
         // The first list that could have the run lacks it.
-        answer(m_syncs, std::optional(odd));
+        answer_list(odd);
         grant(1);
         order_start();
         answer(m_starts, start_outcome::already_ended);
-        answer(m_syncs, std::optional(odd));
+        answer_list(odd);
         grant(1);
-        answer(m_syncs, std::optional(odd));
+        answer_list(odd);
         expect_unseen_end();
     }
 
@@ -317,12 +290,12 @@
     void late_answer_of_the_next_incarnation_is_noticed()
     {
         acknowledge_first_end();
-        answer(m_syncs, std::optional(list_of(1, {})));
+        answer_empty_list();
         auto const given_up = m_syncs.front();
         m_syncs.clear();
         m_agent->leader_changed({});
         run_delayed();
-        answer(m_syncs, std::optional(list_with_end()));
+        answer_list(list_with_end());
         given_up.done(list_of(2, {}));
         grant_ends(1);
         expect_no_effects();
@@ -334,7 +307,7 @@
     void acknowledgement_without_effect_causes_no_busy_loop()
     {
         acknowledge_first_end();
-        answer(m_syncs, std::optional(list_with_end()));
+        answer_list(list_with_end());
         grant_ends(1);
         CPPUNIT_ASSERT(m_syncs.empty());
         run_delayed();
@@ -350,13 +323,12 @@
         answer(m_starts, start_outcome::unknown);
         auto lists = list_of(1, {});
         lists.runs.ended = {{1, m_run, core::run_end::done, {}}};
-        answer(m_syncs, std::optional(lists));
+        answer_list(lists);
         grant_ends(1);
-        answer(m_syncs, std::optional(list_of(1, {})));
+        answer_empty_list();
         answer(m_starts, start_outcome::already_ended);
-        answer(m_syncs, std::optional(list_of(1, {})));
-        grant(1);
-        answer(m_syncs, std::optional(list_of(1, {})));
+        report_empty_list();
+        answer_empty_list();
         CPPUNIT_ASSERT(last_report().ended_unseen.empty());
         CPPUNIT_ASSERT(last_report().refused.empty());
         CPPUNIT_ASSERT(!has_event(core::event_code::run_ended_unseen));
@@ -378,6 +350,41 @@
         return result;
     }
 
+    /// @param is_end True if the row that can't be read is of the list of ended
+    ///        runs.
+    static sync_result beside_odd_row(sync_result lists, bool is_end)
+    {
+        lists.skipped = {{is_end, "malformed task name"}};
+        return lists;
+    }
+
+    /// The second of three ends can't be read.
+    static sync_result list_with_unread_end()
+    {
+        auto lists = list_of(1, {});
+        lists.runs.ended = {{1, run_of("b", 0, 0), core::run_end::done, {}},
+                            {3, run_of("b", 0, 2), core::run_end::done, {}}};
+        return beside_odd_row(std::move(lists), true);
+    }
+
+    void answer_list(sync_result lists)
+    {
+        answer(m_syncs, std::optional(std::move(lists)));
+    }
+
+    /// Answers with empty lists of incarnation 1.
+    void answer_empty_list()
+    {
+        answer_list(list_of(1, {}));
+    }
+
+    /// Answers with empty lists, and answers the report of them.
+    void report_empty_list()
+    {
+        answer_empty_list();
+        grant(1);
+    }
+
     std::uint64_t acknowledged_ends() const
     {
         CPPUNIT_ASSERT(!m_syncs.empty());
@@ -398,7 +405,7 @@
     void acknowledge_first_end()
     {
         start_up();
-        answer(m_syncs, std::optional(list_with_end()));
+        answer_list(list_with_end());
         grant_ends(1);
     }
 
@@ -410,8 +417,15 @@
         m_agent->registered(profile("w1", 8000, 1));
         m_reports.pop_front();
         grant(1);
-        answer(m_syncs, std::optional(list_of(1, {})));
-        grant(1);
+        report_empty_list();
+    }
+
+    /// The same, and the worker has begun the run.
+    void begin_run()
+    {
+        begin();
+        order_start();
+        answer(m_starts, start_outcome::started);
     }
 
     void expect_no_effects() const
