Simulate workers that refuse and fail single calls

Now each call is drawn by itself, independently of its effect: refused (400, 429, 503, 409 with `late`, `room` or `ticket`), failed with a status that says nothing, before or after its effect, and no answer without the effect, with it, or with it 2 to 12 s later. Answers that the worker's interface ties to its state (200, 409 `fence` and `old`, 421) follow from the state. Some workers are unhealthy for 1 to 6 s, and sidecars restart within 30 ms of a start call, also several times in a row. No check is changed.

--- a/modules/workflow/tests/dispatch_simulation.cpp
+++ b/modules/workflow/tests/dispatch_simulation.cpp
@@ -16,6 +16,9 @@
 /// Isolated tasks run one after the other on a fleet of this size, and a worker
 /// that one of them crashes is down for up to 5 s.
 constexpr core::duration recovery_after_crashes = std::chrono::seconds(180);
+/// Unhealthy workers leave more work to the end of the faults, and each stage
+/// of a job with copies may have a run of 16 s.
+constexpr core::duration recovery_with_slow_runs = std::chrono::seconds(120);
 /// Long-running jobs are cancelled this long after the faults, because the
 /// capacity that they leave may be too small for some of the other jobs.
 constexpr core::duration long_running_after_faults = std::chrono::seconds(15);
@@ -188,6 +191,11 @@
                      {
                          restart_workers();
                      }
+                     if (m_setup.unhealthy_percent > 0 &&
+                         chance(m_setup.unhealthy_percent))
+                     {
+                         make_some_unhealthy();
+                     }
                  });
     }
     schedule(fault_phase,
@@ -197,14 +205,18 @@
                  for (auto& each : m_hosts)
                  {
                      each->unanswered = 0;
+                     each->faults = {};
                      each->is_partitioned = false;
                      set_capacity(*each, full_capacity());
                  }
              });
     schedule(fault_phase + long_running_after_faults,
              [this] { cancel_long_running(); });
-    auto const recovery =
-        m_setup.deadly_percent > 0 ? recovery_after_crashes : recovery_phase;
+    bool const has_slow_rest =
+        m_setup.has_copies && m_setup.unhealthy_percent > 0;
+    auto const recovery = m_setup.deadly_percent > 0 ? recovery_after_crashes
+                          : has_slow_rest            ? recovery_with_slow_runs
+                                                     : recovery_phase;
     run_events(started_at + fault_phase + recovery);
     check();
     if (m_violation.empty() && !m_table.active().empty())
--- a/modules/workflow/tests/dispatch_simulation.hpp
+++ b/modules/workflow/tests/dispatch_simulation.hpp
@@ -2,6 +2,7 @@
 #define TURMERICSWITCH_WORKFLOW_TESTS_DISPATCH_SIMULATION_HPP
 
 #include "core/hooks/random_source.hpp"
+#include "support/call_faults.hpp"
 #include "support/runtime_model.hpp"
 #include "workflow/workflow.hpp"
 #include "workflow_builder.hpp"
@@ -9,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <set>
 #include <string>
@@ -39,6 +41,13 @@
     /// Probability, in percent and for each step of 250 ms with faults, that
     /// the capacity of a worker shrinks for some seconds.
     std::uint64_t shrink_percent = 15;
+    /// Probability, in percent and for each step of 250 ms with faults, that
+    /// some of the workers are unhealthy for some seconds: they refuse, fail or
+    /// don't answer a share of their calls.
+    std::uint64_t unhealthy_percent = 0;
+    /// Probability, in percent and for each start call while there are faults,
+    /// that the sidecar restarts right after it, once or twice in a row.
+    std::uint64_t restart_after_start_percent = 0;
     placement_options placement{};
     overload::overload_options overload{};
 };
@@ -91,6 +100,17 @@
 
     using task = std::function<void()>;
 
+    /// A call of a sidecar to its worker.
+    struct worker_call
+    {
+        /// Executes the call. The argument is false if the answer is lost.
+        std::function<void(bool answered)> execute;
+        /// Answers that the call had no effect.
+        task refuse;
+        /// Answers with a status that says nothing about the effect.
+        task fail;
+    };
+
     struct event
     {
         core::time_point at;
@@ -129,10 +149,27 @@
     auto
     complete_once(sidecar_process const& sidecar, Done done, Result on_timeout);
     void call_worker(worker_host& host,
-                     std::function<void(bool answered)> const& run);
+                     ::turmericswitch::testing::call_faults const& faults,
+                     worker_call const& call);
+    /// @return The delay of a call that reaches the worker before its timeout.
+    core::duration delay_under_way();
+    /// @return The delay of a call that is executed after its timeout.
+    core::duration delay_past_timeout();
+    void execute_start(worker_host& host,
+                       start_call const& call,
+                       core::time_point called_at,
+                       std::function<void(start_outcome)> const& answer);
+    /// @param connected_to The incarnation to which the caller's connection
+    ///        leads.
+    std::optional<sync_result>
+    execute_sync(worker_host& host, sync_call call, std::uint64_t connected_to);
 
     // simulation_faults.cpp
     void inject_fault();
+    /// Makes some of the workers unhealthy for some seconds.
+    void make_some_unhealthy();
+    /// Restarts the sidecar within milliseconds, unless it is replaced before.
+    void restart_sidecar_soon(worker_host& host);
     /// Restarts a worker under its id while its sidecar goes on.
     void restart_worker(worker_host& host);
     /// Restarts one to three workers at the same moment.
--- a/modules/workflow/tests/long_running_checks.cpp
+++ b/modules/workflow/tests/long_running_checks.cpp
@@ -120,6 +120,11 @@
                      {
                          inject_lasting_fault();
                      }
+                     if (m_setup.unhealthy_percent > 0 &&
+                         chance(m_setup.unhealthy_percent))
+                     {
+                         make_some_unhealthy();
+                     }
                  });
     }
     schedule(begin + faulty_time, [this] { end_faults(); });
@@ -132,6 +137,7 @@
     for (auto& each : m_hosts)
     {
         each->unanswered = 0;
+        each->faults = {};
         each->is_partitioned = false;
         each->fails_tasks = false;
     }
@@ -178,7 +184,7 @@
                                    stage_ref const& ref,
                                    core::stage_description const& stage) const
 {
-    if (host.is_down || host.is_partitioned || host.unanswered > 0 ||
+    if (host.is_down || host.is_partitioned || host.has_call_faults() ||
         host.fails_tasks)
     {
         return false;
@@ -230,8 +236,8 @@
 {
     for (auto const& host : m_hosts)
     {
-        bool const is_faulty = host->is_partitioned || host->unanswered > 0 ||
-                               host->fails_tasks ||
+        bool const is_faulty = host->is_partitioned ||
+                               host->has_call_faults() || host->fails_tasks ||
                                (host->is_down && !host->is_gone);
         m_last_fault = is_faulty ? m_now : m_last_fault;
     }
--- a/modules/workflow/tests/simulation_faults.cpp
+++ b/modules/workflow/tests/simulation_faults.cpp
@@ -49,6 +49,46 @@
     }
 }
 
+void dispatch_simulation::make_some_unhealthy()
+{
+    constexpr std::uint64_t share_percent = 40;
+    for (auto const& each : m_hosts)
+    {
+        if (!chance(share_percent))
+        {
+            continue;
+        }
+        auto& host = *each;
+        host.faults = {
+            20 + random_below(60), random_below(15), random_below(20)};
+        schedule(between_ms(1000, 6000),
+                 [&host, phase = ++host.unhealthy_phases]
+                 {
+                     if (host.unhealthy_phases == phase)
+                     {
+                         host.faults = {};
+                     }
+                 });
+    }
+}
+
+void dispatch_simulation::restart_sidecar_soon(worker_host& host)
+{
+    schedule(between_ms(0, 30),
+             [this, &host, life = host.agent_life]
+             {
+                 if (host.agent_life != life || host.is_gone)
+                 {
+                     return;
+                 }
+                 start_agent(host);
+                 if (!m_faults_off && chance(30))
+                 {
+                     restart_sidecar_soon(host);
+                 }
+             });
+}
+
 void dispatch_simulation::restart_worker(worker_host& host)
 {
     if (host.is_down)
--- a/modules/workflow/tests/simulation_parts.hpp
+++ b/modules/workflow/tests/simulation_parts.hpp
@@ -72,6 +72,12 @@
         model.set_stop_time(std::chrono::milliseconds(300));
     }
 
+    bool has_call_faults() const
+    {
+        return unanswered > 0 ||
+               faults != ::turmericswitch::testing::call_faults{};
+    }
+
     struct capacity_change
     {
         core::time_point at;
@@ -101,6 +107,10 @@
     bool fails_tasks = false;
     /// Percentage of calls to the worker that get no answer.
     std::uint64_t unanswered = 0;
+    /// Of the calls to the worker while it is unhealthy.
+    ::turmericswitch::testing::call_faults faults;
+    /// Number of times that it became unhealthy.
+    std::uint64_t unhealthy_phases = 0;
     /// Capacities from the first to the current one.
     std::vector<capacity_change> capacities{{{}, full_capacity(), {}}};
 };
--- a/modules/workflow/tests/simulation_runtime.cpp
+++ b/modules/workflow/tests/simulation_runtime.cpp
@@ -5,37 +5,82 @@
 namespace turmericswitch::workflow::testing
 {
 
-void dispatch_simulation::call_worker(
-    worker_host& host, std::function<void(bool answered)> const& run)
+using ::turmericswitch::testing::call_fate;
+using ::turmericswitch::testing::call_faults;
+
+void dispatch_simulation::call_worker(worker_host& host,
+                                      call_faults const& faults,
+                                      worker_call const& call)
 {
     // A call names the worker, which keeps its id when it restarts. So a call
     // that is under way is executed by the incarnation that is up when it
     // arrives; its connection is closed at its timeout. A worker that has
     // received a call and restarts knows nothing of it. Calls do not leave the
     // instance, so they are lost with it.
-    auto const execute = [this,
-                          &host,
-                          run,
-                          called_at = m_now,
-                          life = host.worker_life,
-                          outages = host.outages](bool answered)
+    auto const is_received = [this,
+                              &host,
+                              called_at = m_now,
+                              life = host.worker_life,
+                              outages = host.outages]
     {
         bool const is_under_way = m_now - called_at < call_timeout;
         bool const arrives = host.worker_life == life || is_under_way;
-        if (!host.is_down && host.outages == outages && arrives)
-        {
-            run(answered);
-        }
+        return !host.is_down && host.outages == outages && arrives;
+    };
+    auto const on_receipt =
+        [this, is_received](core::duration delay, task const& run)
+    {
+        schedule(delay,
+                 [is_received, run]
+                 {
+                     if (is_received())
+                     {
+                         run();
+                     }
+                 });
     };
+    auto const execute_unanswered = [call] { call.execute(false); };
     if (!m_faults_off && chance(host.unanswered))
     {
-        // Under way for long, or executed after the caller's timeout.
-        auto const delay =
-            chance(50) ? between_ms(5, 1000) : between_ms(2000, 12000);
-        schedule(delay, [execute] { execute(false); });
+        on_receipt(chance(50) ? delay_under_way() : delay_past_timeout(),
+                   execute_unanswered);
+        return;
+    }
+    switch (draw_call_fate(faults,
+                           [this](auto limit) { return random_below(limit); }))
+    {
+    case call_fate::answered:
+        on_receipt(between_ms(1, 5), [call] { call.execute(true); });
+        return;
+    case call_fate::refused:
+        on_receipt(between_ms(1, 5), call.refuse);
+        return;
+    case call_fate::failed_without_effect:
+        on_receipt(between_ms(1, 5), call.fail);
+        return;
+    case call_fate::failed_after_effect:
+        on_receipt(between_ms(1, 5), execute_unanswered);
+        on_receipt(between_ms(5, 6), call.fail);
+        return;
+    case call_fate::request_lost:
+        return;
+    case call_fate::answer_lost:
+        on_receipt(delay_under_way(), execute_unanswered);
+        return;
+    case call_fate::executed_late:
+        on_receipt(delay_past_timeout(), execute_unanswered);
         return;
     }
-    schedule(between_ms(1, 5), [execute] { execute(true); });
+}
+
+core::duration dispatch_simulation::delay_under_way()
+{
+    return between_ms(5, 1000);
+}
+
+core::duration dispatch_simulation::delay_past_timeout()
+{
+    return between_ms(2000, 12000);
 }
 
 agent_hooks dispatch_simulation::hooks_of(worker_host& host)
@@ -70,77 +115,138 @@
             complete_once(sidecar, done, start_outcome::unknown);
         call_worker(
             host,
-            [this, &host, call, finish, called_at = m_now](bool answered)
-            {
-                host.model.advance(m_now);
-                auto const before = host.model.running().size();
-                auto const outcome = host.model.start(m_now, call);
-                if (host.model.running().size() > before)
-                {
-                    m_begun.insert(call.start.run.task.workflow);
-                    check_start(host, called_at);
-                }
-                if (answered)
-                {
-                    finish(outcome);
-                }
-                check();
-                if (outcome == start_outcome::started)
-                {
-                    started(host, call.start.run);
-                }
-            });
+            host.faults,
+            {[this, &host, call, finish, called_at = m_now](bool answered)
+             {
+                 execute_start(host,
+                               call,
+                               called_at,
+                               [finish, answered](auto outcome)
+                               {
+                                   if (answered)
+                                   {
+                                       finish(outcome);
+                                   }
+                               });
+             },
+             [finish] { finish(start_outcome::refused); },
+             [finish] { finish(start_outcome::unknown); }});
+        if (!m_faults_off && m_setup.restart_after_start_percent > 0 &&
+            chance(m_setup.restart_after_start_percent))
+        {
+            restart_sidecar_soon(host);
+        }
     };
     calls.stop = [this, sidecar](auto call, auto done)
     {
         auto& host = *sidecar.host;
         auto const finish = complete_once(sidecar, done, false);
+        auto const fail_call = [finish] { finish(false); };
         call_worker(host,
-                    [this, &host, call, finish](bool answered)
-                    {
-                        bool const done_there = host.model.stop(m_now, call);
-                        if (answered)
-                        {
-                            finish(done_there);
-                        }
-                    });
+                    host.faults,
+                    {[this, &host, call, finish](bool answered)
+                     {
+                         bool const is_done = host.model.stop(m_now, call);
+                         if (answered)
+                         {
+                             finish(is_done);
+                         }
+                     },
+                     fail_call,
+                     fail_call});
+    };
+    calls.pace = [this, sidecar](auto call, auto done)
+    {
+        auto& host = *sidecar.host;
+        if (host.faults == call_faults{})
+        {
+            done(true);
+            return;
+        }
+        auto const finish = complete_once(sidecar, done, false);
+        auto const fail_call = [finish] { finish(false); };
+        call_worker(host,
+                    host.faults,
+                    {[this, &host, call, finish](bool answered)
+                     {
+                         bool const is_done = host.model.pace(m_now, call);
+                         if (answered)
+                         {
+                             finish(is_done);
+                         }
+                     },
+                     fail_call,
+                     fail_call});
     };
-    calls.pace = [](auto, auto done) { done(true); };
     calls.sync = [this, sidecar](auto call, auto done)
     {
         auto& host = *sidecar.host;
         auto const finish =
             complete_once(sidecar, done, std::optional<sync_result>());
+        auto const fail_call = [finish] { finish(std::nullopt); };
+        // A worker whose lists fail gets no starts, so most of them succeed.
+        constexpr std::uint64_t fault_percent = 25;
+        bool const is_faulty =
+            host.faults != call_faults{} && chance(fault_percent);
         call_worker(
             host,
-            [this, &host, call, finish, connected_to = host.answered_life](
-                bool answered) mutable
-            {
-                if (host.worker_life != connected_to)
-                {
-                    call.lease_until.reset();
-                    call.acknowledged_ends = 0;
-                }
-                if (answered)
-                {
-                    host.answered_life = host.worker_life;
-                }
-                auto answer = host.model.sync(m_now, call);
-                if (answer)
-                {
-                    // The model numbers incarnations per worker, the
-                    // simulation across all workers.
-                    answer->life = core::incarnation(host.worker_life);
-                }
-                if (answered)
-                {
-                    finish(answer);
-                }
-            });
+            is_faulty ? host.faults : call_faults{},
+            {[this, &host, call, finish, connected_to = host.answered_life](
+                 bool answered)
+             {
+                 auto const result = execute_sync(host, call, connected_to);
+                 if (answered)
+                 {
+                     host.answered_life = host.worker_life;
+                     finish(result);
+                 }
+             },
+             fail_call,
+             fail_call});
     };
     return calls;
 }
 
+void dispatch_simulation::execute_start(
+    worker_host& host,
+    start_call const& call,
+    core::time_point called_at,
+    std::function<void(start_outcome)> const& answer)
+{
+    host.model.advance(m_now);
+    auto const before = host.model.running().size();
+    auto const outcome = host.model.start(m_now, call);
+    if (host.model.running().size() > before)
+    {
+        m_begun.insert(call.start.run.task.workflow);
+        check_start(host, called_at);
+    }
+    answer(outcome);
+    check();
+    if (outcome == start_outcome::started)
+    {
+        started(host, call.start.run);
+    }
+}
+
+std::optional<sync_result> dispatch_simulation::execute_sync(
+    worker_host& host, sync_call call, std::uint64_t connected_to)
+{
+    if (host.worker_life != connected_to)
+    {
+        call.lease_until.reset();
+        call.acknowledged_ends = 0;
+    }
+    auto result = host.model.sync(m_now, call);
+    if (result)
+    {
+        // The model numbers incarnations per worker, the simulation across all
+        // workers.
+        result->life = core::incarnation(host.worker_life);
+    }
+    return result;
+}
+
 void dispatch_simulation::start_agent(worker_host& host)
 {
     auto const life = ++host.agent_life;
