--- a/modules/workflow/tests/dispatch_simulation.hpp
+++ b/modules/workflow/tests/dispatch_simulation.hpp
@@ -2,6 +2,7 @@
 #define TURMERICSWITCH_WORKFLOW_TESTS_DISPATCH_SIMULATION_HPP
 
 #include "core/hooks/random_source.hpp"
+#include "support/call_faults.hpp"
 #include "support/runtime_model.hpp"
 #include "workflow/workflow.hpp"
 #include "workflow_builder.hpp"
@@ -9,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <set>
 #include <string>
@@ -39,6 +41,13 @@
     /// Probability, in percent and for each step of 250 ms with faults, that
     /// the capacity of a worker shrinks for some seconds.
     std::uint64_t shrink_percent = 15;
+    /// Probability, in percent and for each step of 250 ms with faults, that
+    /// some of the workers are unhealthy for some seconds: they refuse, fail or
+    /// don't answer a share of their calls.
+    std::uint64_t unhealthy_percent = 0;
+    /// Probability, in percent and for each start call while there are faults,
+    /// that the sidecar restarts right after it, once or twice in a row.
+    std::uint64_t restart_after_start_percent = 0;
     placement_options placement{};
     overload::overload_options overload{};
 };
@@ -87,9 +96,21 @@
 private:
     struct leader;
     struct worker_host;
+    struct sidecar_process;
 
     using task = std::function<void()>;
 
+    /// A call of a sidecar to its worker.
+    struct worker_call
+    {
+        /// Executes the call. The argument is false if the answer is lost.
+        std::function<void(bool answered)> execute;
+        /// Answers that the call had no effect.
+        task refuse;
+        /// Answers with a status that says nothing about the effect.
+        task fail;
+    };
+
     struct event
     {
         core::time_point at;
@@ -110,15 +131,45 @@
     bool chance(std::uint64_t percent);
     core::duration between_ms(std::uint64_t lowest, std::uint64_t highest);
 
+    void submit();
+    void cancel_one();
+
+    // simulation_leader.cpp
     void elect();
     void plan(std::shared_ptr<leader> const& target);
+    leader_calls leader_calls_of(sidecar_process const& sidecar);
+
+    // simulation_runtime.cpp
     void start_agent(worker_host& host);
     agent_hooks hooks_of(worker_host& host);
+    worker_runtime runtime_calls_of(sidecar_process const& sidecar);
+    /// @return A function that completes a call of the sidecar once: with its
+    ///         answer, or with `on_timeout` if none has come in time.
+    template <typename Done, typename Result>
+    auto
+    complete_once(sidecar_process const& sidecar, Done done, Result on_timeout);
     void call_worker(worker_host& host,
-                     std::function<void(bool answered)> const& run);
-    void submit();
-    void cancel_one();
+                     ::turmericswitch::testing::call_faults const& faults,
+                     worker_call const& call);
+    /// @return The delay of a call that reaches the worker before its timeout.
+    core::duration delay_under_way();
+    /// @return The delay of a call that is executed after its timeout.
+    core::duration delay_past_timeout();
+    void execute_start(worker_host& host,
+                       start_call const& call,
+                       core::time_point called_at,
+                       std::function<void(start_outcome)> const& answer);
+    /// @param connected_to The incarnation to which the caller's connection
+    ///        leads.
+    std::optional<sync_result>
+    execute_sync(worker_host& host, sync_call call, std::uint64_t connected_to);
+
+    // simulation_faults.cpp
     void inject_fault();
+    /// Makes some of the workers unhealthy for some seconds.
+    void make_some_unhealthy();
+    /// Restarts the sidecar within milliseconds, unless it is replaced before.
+    void restart_sidecar_soon(worker_host& host);
     /// Restarts a worker under its id while its sidecar goes on.
     void restart_worker(worker_host& host);
     /// Restarts one to three workers at the same moment.
@@ -126,6 +177,8 @@
     /// Begins the next incarnation of a worker that was down. It registers some
     /// milliseconds later and executes calls before that.
     void begin_incarnation(worker_host& host);
+
+    // capacity_checks.cpp
     /// Shrinks the capacity of a worker for some seconds.
     void shrink_one();
     void set_capacity(worker_host& host, core::resources const& capacity);
@@ -140,7 +193,6 @@
     /// Checks that a start that was just executed has not brought the worker
     /// over its capacity.
     void check_start(worker_host const& host, core::time_point called_at);
-    void check();
 
     // crash_checks.cpp
     void choose_deadly_task(core::submit_workflow const& job);
@@ -155,17 +207,20 @@
                      std::uint64_t sidecar);
     void check_failed_jobs();
 
-    /// Compares the backlog that is updated by changes with one that is derived
-    /// from the whole table.
-    /// A task whose end `done` was acknowledged is not run again.
+    // simulation_checks.cpp
+    void check();
+    /// Checks that a task whose end `done` was acknowledged is not run again.
     void check_released_ends();
     /// Checks that what callers would be shown is allowed by what the workers
     /// have done.
     void check_shown_states();
+    /// Compares the backlog that is updated by changes with one that is derived
+    /// from the whole table.
     void check_backlog();
     std::string describe(core::workflow_id const& id) const;
     void fail(std::string what);
 
+    // long_running_checks.cpp
     void submit_long_running();
     void cancel_long_running();
     void inject_lasting_fault();
--- a/modules/workflow/tests/simulation_parts.hpp
+++ b/modules/workflow/tests/simulation_parts.hpp
@@ -72,6 +72,12 @@
         model.set_stop_time(std::chrono::milliseconds(300));
     }
 
+    bool has_call_faults() const
+    {
+        return unanswered > 0 ||
+               faults != ::turmericswitch::testing::call_faults{};
+    }
+
     struct capacity_change
     {
         core::time_point at;
@@ -101,10 +107,44 @@
     bool fails_tasks = false;
     /// Percentage of calls to the worker that get no answer.
     std::uint64_t unanswered = 0;
+    /// Of the calls to the worker while it is unhealthy.
+    ::turmericswitch::testing::call_faults faults;
+    /// Number of times that it became unhealthy.
+    std::uint64_t unhealthy_phases = 0;
     /// Capacities from the first to the current one.
     std::vector<capacity_change> capacities{{{}, full_capacity(), {}}};
 };
 
+/// One process of the sidecar of a host. One that was replaced makes no calls
+/// and gets no answers.
+struct dispatch_simulation::sidecar_process
+{
+    worker_host* host = nullptr;
+    std::uint64_t life = 0;
+
+    bool is_replaced() const
+    {
+        return host->agent_life != life;
+    }
+};
+
+template <typename Done, typename Result>
+auto dispatch_simulation::complete_once(sidecar_process const& sidecar,
+                                        Done done,
+                                        Result on_timeout)
+{
+    auto const open = std::make_shared<bool>(true);
+    auto finish = [open, sidecar, done](auto result)
+    {
+        if (std::exchange(*open, false) && !sidecar.is_replaced())
+        {
+            done(result);
+        }
+    };
+    schedule(call_timeout, [finish, on_timeout] { finish(on_timeout); });
+    return finish;
+}
+
 } // namespace turmericswitch::workflow::testing
 
 #endif
