Trace what holds waiting tasks back

The planner now counts each task that it leaves unplaced under the check that failed on the worker that came nearest to taking it. dispatch_summary and the gauge turmericswitch_control_held_back_tasks{why} show the counts, the summary also the stage that has waited longest and its check.

--- a/modules/workflow/dispatch/candidate_worker.cpp
+++ b/modules/workflow/dispatch/candidate_worker.cpp
@@ -12,6 +12,12 @@
     return crashes == 1 ? crash_suspicion::spread : crash_suspicion::isolated;
 }
 
+std::string to_string(stage_ref const& stage)
+{
+    return stage.workflow.value() + "." + std::to_string(stage.occurrence) +
+           "." + std::to_string(stage.stage);
+}
+
 stage_ref stage_of(core::task_ref const& task)
 {
     return {task.workflow, task.occurrence, task.stage};
--- a/modules/workflow/dispatch/candidate_worker.hpp
+++ b/modules/workflow/dispatch/candidate_worker.hpp
@@ -24,6 +24,9 @@
     auto operator<=>(stage_ref const&) const = default;
 };
 
+/// @return `workflow.occurrence.stage`, the form used in logs.
+std::string to_string(stage_ref const& stage);
+
 /// @return The stage that the task belongs to.
 stage_ref stage_of(core::task_ref const& task);
 
--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -428,7 +428,10 @@
     dispatch_counts result;
     result.workers = m_fleet.all().size();
     result.waiting_tasks = m_backlog.waiting_tasks();
-    result.longest_wait = m_backlog.longest_wait(now);
+    result.longest_wait =
+        m_backlog.longest_wait(m_planned.cluster + (now - m_planned.now));
+    result.held_back = m_trace.counts();
+    result.longest = m_trace.longest();
     result.oversized_stages = m_oversized.count();
     for (auto const* const worker : candidates(now, config))
     {
--- a/modules/workflow/dispatch/dispatcher.hpp
+++ b/modules/workflow/dispatch/dispatcher.hpp
@@ -4,6 +4,7 @@
 #include "core/config/configuration.hpp"
 #include "core/events/event.hpp"
 #include "core/messages/workflow.hpp"
+#include "workflow/dispatch/backlog_trace.hpp"
 #include "workflow/dispatch/candidate_pool.hpp"
 #include "workflow/dispatch/colocation_controller.hpp"
 #include "workflow/dispatch/copy_planner.hpp"
@@ -49,7 +50,12 @@
     /// Workers on which tasks may be placed now.
     std::uint64_t usable_workers = 0;
     std::uint64_t waiting_tasks = 0;
+    /// Time for which the task that has waited longest is unplaced.
     core::duration longest_wait{};
+    /// Waiting tasks by what held them back in the last plan.
+    obstacle_counts held_back{};
+    /// The stage of the task that has waited longest.
+    std::optional<held_back_stage> longest;
     std::uint64_t held_runs = 0;
     /// CPU on usable workers that no run is expected to use.
     core::millicores spare;
@@ -166,6 +172,11 @@
     tail_hook make_tail_hook() const;
     void move_next(core::time_point now);
     placement_policy make_policy(core::time_point now) const;
+    /// Fills the placements that fit into a command.
+    void plan_waiting(plan_times const& times,
+                      std::vector<pending_stage const*> const& waiting,
+                      std::vector<candidate_worker*> const& workers,
+                      core::workflow_progress& command);
     std::vector<running_task_time> running_tasks(core::time_point now,
                                                  stage_ref const& stage) const;
     void report_oversized(core::time_point now,
@@ -198,6 +209,9 @@
     speed_model m_speeds;
     job_accounts m_accounts;
     stage_backlog m_backlog;
+    backlog_trace m_trace;
+    /// Time of the last plan of placements.
+    plan_times m_planned;
     candidate_pool m_candidates;
     wide_requests m_wide;
     oversized_stages m_oversized;
--- a/modules/workflow/dispatch/dispatcher_placement.cpp
+++ b/modules/workflow/dispatch/dispatcher_placement.cpp
@@ -246,6 +246,8 @@
 {
     update_accounts(times);
     auto const waiting = m_backlog.collect(times);
+    m_trace.clear();
+    m_planned = times;
     // Skips the candidates when there is nothing to place or evict.
     auto const to_copy = m_copies.collect(times.now);
     if (waiting.empty() && to_copy.empty() && times.now < m_next_eviction)
@@ -253,16 +255,7 @@
         return;
     }
     auto const workers = candidates(times.now, config);
-    m_wide.observe(times.now, waiting, workers);
-    auto policy = make_policy(times.now);
-    if (m_options.placement.moves)
-    {
-        m_moves.update(times, waiting, workers, make_tail_hook(), policy);
-        policy.kept = m_moves.kept();
-    }
-    command.placements =
-        plan_stages(waiting, workers, max_placements, make_tail_hook(), policy);
-    m_placement_due = command.placements.size() == max_placements;
+    plan_waiting(times, waiting, workers, command);
     place_copies(to_copy, workers, command);
     for (auto const& placed : command.placements)
     {
@@ -282,6 +275,27 @@
     }
 }
 
+void dispatcher::plan_waiting(plan_times const& times,
+                              std::vector<pending_stage const*> const& waiting,
+                              std::vector<candidate_worker*> const& workers,
+                              core::workflow_progress& command)
+{
+    m_wide.observe(times.now, waiting, workers);
+    auto policy = make_policy(times.now);
+    if (m_options.placement.moves)
+    {
+        m_moves.update(times, waiting, workers, make_tail_hook(), policy);
+        policy.kept = m_moves.kept();
+    }
+    policy.on_unplaced = [this](pending_stage const& stage,
+                                std::size_t tasks,
+                                placement_obstacle why)
+    { m_trace.add(stage, tasks, why); };
+    command.placements =
+        plan_stages(waiting, workers, max_placements, make_tail_hook(), policy);
+    m_placement_due = command.placements.size() == max_placements;
+}
+
 void dispatcher::place_copies(std::vector<copy_candidates> const& wanted,
                               std::vector<candidate_worker*> const& workers,
                               core::workflow_progress& command)
--- a/modules/workflow/dispatch/pending_stage.hpp
+++ b/modules/workflow/dispatch/pending_stage.hpp
@@ -33,6 +33,9 @@
     /// the oldest comes first.
     std::uint64_t rank = 0;
     core::time_point submitted;
+    /// Since when the task that has waited longest is unplaced, on the clock of
+    /// the replicated state.
+    core::time_point unplaced_since;
     /// The next attempt of each task.
     run_list runs;
     /// Suspicion of the tasks; `none` for those that are not listed.
--- a/modules/workflow/dispatch/stage_backlog.cpp
+++ b/modules/workflow/dispatch/stage_backlog.cpp
@@ -182,7 +182,7 @@
                 m_next_occurrences.emplace(id, due);
                 break;
             }
-            add_stages(times.now, workflow, k, stages);
+            add_stages(times, workflow, k, stages);
         }
     }
     replace(id, std::move(stages));
@@ -254,14 +254,15 @@
     return m_examined;
 }
 
-core::duration stage_backlog::longest_wait(core::time_point now) const
+core::duration stage_backlog::longest_wait(core::time_point cluster_now) const
 {
     core::duration longest{};
     for (auto const& [id, stages] : m_waiting)
     {
         for (auto const& waiting : stages)
         {
-            longest = std::max(longest, now - waiting.since);
+            longest =
+                std::max(longest, cluster_now - waiting.pending.unplaced_since);
         }
     }
     return longest;
@@ -306,7 +307,7 @@
                                                       : job_urgency::too_late;
 }
 
-void stage_backlog::add_stages(core::time_point now,
+void stage_backlog::add_stages(plan_times const& times,
                                core::workflow_record const& workflow,
                                std::uint32_t occurrence,
                                waiting_stages& all) const
@@ -330,11 +331,43 @@
         pending.service = workflow.queue.service;
         pending.priority = workflow.queue.priority;
         pending.submitted = workflow.submitted;
-        waiting.since = waiting_since(pending.stage).value_or(now);
+        waiting.since = waiting_since(pending.stage).value_or(times.now);
+        pending.unplaced_since = find_unplaced_since(times, workflow, waiting);
         all.push_back(std::move(waiting));
     }
 }
 
+/// The end of a task's last run is known unless it was restored from a
+/// snapshot. A task that was never placed has waited since its submission, if
+/// nothing else has to end or come due first. Otherwise it has waited for at
+/// least as long as this leader knows.
+core::time_point
+stage_backlog::find_unplaced_since(plan_times const& times,
+                                   core::workflow_record const& workflow,
+                                   waiting_stage const& waiting) const
+{
+    auto const& [id, occurrence, number] = waiting.pending.stage;
+    auto since = times.cluster - (times.now - waiting.since);
+    auto const* const record =
+        workflow_table::find_stage_record(workflow, occurrence, number);
+    auto const& stage = workflow.description.stages[number];
+    if (stage.after.empty() && workflow.description.schedule.occurrences == 0 &&
+        !never_placed(record, stage.tasks).empty())
+    {
+        return workflow.submitted;
+    }
+    auto const known = record != nullptr ? record->tasks.size() : 0;
+    for (std::size_t i = 0; i < known; ++i)
+    {
+        if (auto const ended = m_table.unplaced_since(
+                {id, occurrence, number, record->indices[i]}))
+        {
+            since = std::min(since, *ended);
+        }
+    }
+    return since;
+}
+
 void stage_backlog::add_tasks(core::workflow_record const& workflow,
                               std::uint32_t occurrence,
                               std::uint32_t number,
--- a/modules/workflow/dispatch/stage_backlog.hpp
+++ b/modules/workflow/dispatch/stage_backlog.hpp
@@ -59,8 +59,10 @@
     /// @return Number of unplaced tasks at the last call of `collect`.
     std::uint64_t waiting_tasks() const noexcept;
 
-    /// @return Longest time for which a stage has had unplaced tasks.
-    core::duration longest_wait(core::time_point now) const;
+    /// @param cluster_now On the clock of the replicated state.
+    /// @return Longest time for which a task has waited, also under earlier
+    ///         leaders.
+    core::duration longest_wait(core::time_point cluster_now) const;
 
     /// @return True if an occurrence of a workflow became due since the last
     ///         call of `collect`.
@@ -87,7 +89,7 @@
     job_urgency urgency_of(core::time_point cluster_now,
                            core::workflow_record const& workflow,
                            std::uint32_t occurrence) const;
-    void add_stages(core::time_point now,
+    void add_stages(plan_times const& times,
                     core::workflow_record const& workflow,
                     std::uint32_t occurrence,
                     waiting_stages& all) const;
@@ -95,6 +97,9 @@
                    std::uint32_t occurrence,
                    std::uint32_t number,
                    waiting_stage& waiting) const;
+    core::time_point find_unplaced_since(plan_times const& times,
+                                         core::workflow_record const& workflow,
+                                         waiting_stage const& waiting) const;
     void update(core::time_point cluster_now, waiting_stage& waiting) const;
 
     workflow_table const& m_table;
--- a/modules/workflow/dispatch/stage_placement.hpp
+++ b/modules/workflow/dispatch/stage_placement.hpp
@@ -3,6 +3,7 @@
 
 #include "workflow/dispatch/candidate_worker.hpp"
 #include "workflow/dispatch/pending_stage.hpp"
+#include "workflow/dispatch/placement_obstacle.hpp"
 #include "workflow/dispatch/speed_model.hpp"
 #include "workflow/dispatch/wide_requests.hpp"
 
@@ -45,6 +46,11 @@
     held_capacity held;
 };
 
+/// Receives the number of a stage's tasks that a plan left unplaced, and what
+/// held them back.
+using unplaced_hook = std::function<void(
+    pending_stage const& pending, std::size_t tasks, placement_obstacle why)>;
+
 /// How the planner chooses among the workers that can take a task.
 struct placement_policy
 {
@@ -55,6 +61,8 @@
     speed_hook speed{};
     running_hook running{};
     std::vector<kept_worker> kept{};
+    /// May be empty.
+    unplaced_hook on_unplaced{};
 };
 
 /// Number of a stage's tasks by rack and zone.
--- a/modules/workflow/dispatch/stage_planner.cpp
+++ b/modules/workflow/dispatch/stage_planner.cpp
@@ -39,18 +39,28 @@
     std::vector<core::run_placement> placements;
     auto holdable = most_held(candidates.size());
     hold_kept_workers(policy, candidates);
+    auto const report =
+        [&policy](pending_stage const& stage, placement_obstacle why)
+    {
+        if (policy.on_unplaced)
+        {
+            policy.on_unplaced(stage, stage.runs.size(), why);
+        }
+    };
     for (auto const* const each : pending)
     {
         auto const left = max_tasks - placements.size();
         if (left == 0)
         {
-            break;
+            report(*each, placement_obstacle::plan_limit);
+            continue;
         }
         bool const is_isolated = has_isolated(*each);
         bool const may_place_isolated = !is_isolated || may_isolate(candidates);
         bool const is_gang = each->description->behaviour.gang;
         if (is_gang && !may_place_isolated)
         {
+            report(*each, placement_obstacle::isolation_limit);
             continue;
         }
         auto const placed =
--- a/modules/workflow/dispatch/task_placement.cpp
+++ b/modules/workflow/dispatch/task_placement.cpp
@@ -4,6 +4,8 @@
 #include "workflow/dispatch/worker_ranking.hpp"
 #include "workflow/dispatch/worker_speed_choice.hpp"
 
+#include <algorithm>
+
 namespace turmericswitch::workflow
 {
 
@@ -38,6 +40,18 @@
     }
 }
 
+std::size_t count_runs(pending_stage const& pending, crash_suspicion suspicion)
+{
+    if (suspicion == crash_suspicion::none)
+    {
+        return pending.runs.size() - pending.suspected.size();
+    }
+    return static_cast<std::size_t>(std::count_if(
+        pending.suspected.begin(),
+        pending.suspected.end(),
+        [suspicion](auto const& each) { return each.second == suspicion; }));
+}
+
 /// Places the runs of a stage that have the same suspicion.
 std::vector<core::run_placement>
 place_equal_tasks(pending_stage const& pending,
@@ -60,13 +74,23 @@
         placement.spread = count_spread(pending, candidates);
     }
     worker_ranking ranking(candidates, placement, tail);
+    auto why = placement_obstacle::none;
     auto const place = [&](core::task_run const& run)
     {
-        auto* const worker =
-            placed.size() < max_tasks ? ranking.best() : nullptr;
-        if (worker == nullptr ||
-            waits_for_faster_worker(*worker, placement, placed))
+        if (placed.size() >= max_tasks)
         {
+            why = placement_obstacle::plan_limit;
+            return false;
+        }
+        auto* const worker = ranking.best();
+        if (worker == nullptr)
+        {
+            why = ranking.obstacle();
+            return false;
+        }
+        if (waits_for_faster_worker(*worker, placement, placed))
+        {
+            why = placement_obstacle::faster_worker;
             return false;
         }
         if (saved != nullptr)
@@ -89,6 +113,11 @@
         return true;
     };
     for_each_run(pending, suspicion, place);
+    if (why != placement_obstacle::none && policy.on_unplaced)
+    {
+        policy.on_unplaced(
+            pending, count_runs(pending, suspicion) - placed.size(), why);
+    }
     return placed;
 }
 
@@ -120,6 +149,12 @@
     {
         if (suspicion == crash_suspicion::isolated && !may_isolate)
         {
+            if (policy.on_unplaced)
+            {
+                policy.on_unplaced(pending,
+                                   count_runs(pending, suspicion),
+                                   placement_obstacle::isolation_limit);
+            }
             continue;
         }
         auto const more = place_equal_tasks(pending,
--- a/modules/workflow/dispatch/worker_ranking.cpp
+++ b/modules/workflow/dispatch/worker_ranking.cpp
@@ -43,17 +43,38 @@
     std::make_heap(m_ranked.begin(), m_ranked.end());
 }
 
-std::optional<worker_ranking::ranked_worker>
-worker_ranking::rank(std::size_t index) const
+placement_obstacle worker_ranking::obstacle() const noexcept
+{
+    return m_obstacle;
+}
+
+placement_obstacle
+worker_ranking::find_obstacle_on(candidate_worker const& worker) const
 {
-    auto const& worker = *m_candidates[index];
     auto const& pending = m_placement.pending;
+    auto const found = find_obstacle(worker, pending);
+    if (found != placement_obstacle::none)
+    {
+        return found;
+    }
     bool const is_isolated = m_placement.suspicion == crash_suspicion::isolated;
-    if (!fits(worker, pending) ||
-        (is_isolated &&
-         !worker.has_no_new_run_of_others(pending.stage.workflow)) ||
-        raises_tail(worker, *pending.description, m_tail))
+    if (is_isolated && !worker.has_no_new_run_of_others(pending.stage.workflow))
+    {
+        return placement_obstacle::isolation;
+    }
+    return raises_tail(worker, *pending.description, m_tail)
+               ? placement_obstacle::serving_tail
+               : placement_obstacle::none;
+}
+
+std::optional<worker_ranking::ranked_worker>
+worker_ranking::rank(std::size_t index)
+{
+    auto const& worker = *m_candidates[index];
+    auto const found = find_obstacle_on(worker);
+    if (found != placement_obstacle::none)
     {
+        m_obstacle = std::max(m_obstacle, found);
         return std::nullopt;
     }
     return ranked_worker{score(worker, m_placement, m_tail), index};
--- a/modules/workflow/dispatch/worker_ranking.hpp
+++ b/modules/workflow/dispatch/worker_ranking.hpp
@@ -24,6 +24,10 @@
     /// @return The best worker, or null if no worker can take a task.
     candidate_worker* best() const;
 
+    /// @return What keeps the task from the worker that comes nearest to taking
+    ///         it, if there is no best one.
+    placement_obstacle obstacle() const noexcept;
+
     /// Must be called after a task was placed on the best worker.
     void best_changed();
 
@@ -42,13 +46,15 @@
         }
     };
 
-    std::optional<ranked_worker> rank(std::size_t index) const;
+    placement_obstacle find_obstacle_on(candidate_worker const& worker) const;
+    std::optional<ranked_worker> rank(std::size_t index);
 
     std::vector<candidate_worker*> const& m_candidates;
     stage_placement const& m_placement;
     tail_hook const& m_tail;
     /// A heap with the best worker first.
     std::vector<ranked_worker> m_ranked;
+    placement_obstacle m_obstacle = placement_obstacle::no_worker;
 };
 
 } // namespace turmericswitch::workflow
--- a/modules/workflow/dispatch/worker_score.cpp
+++ b/modules/workflow/dispatch/worker_score.cpp
@@ -53,6 +53,52 @@
     return tail(worker.worker, added);
 }
 
+bool is_at_limit(candidate_worker const& worker, pending_stage const& pending)
+{
+    auto const max = pending.description->constraints.max_per_worker;
+    if (max == 0)
+    {
+        return false;
+    }
+    auto const count = worker.per_stage.find(pending.stage);
+    return count != worker.per_stage.end() && count->second >= max;
+}
+
+/// @return What apart from capacity keeps a task of the stage from the worker.
+placement_obstacle find_other_obstacle(candidate_worker const& worker,
+                                       pending_stage const& pending)
+{
+    auto const& stage = *pending.description;
+    if (worker.service != pending.service)
+    {
+        return placement_obstacle::no_worker;
+    }
+    if (!has_label(worker.labels, stage.constraints.required_label))
+    {
+        return placement_obstacle::label;
+    }
+    if (is_at_limit(worker, pending))
+    {
+        return placement_obstacle::max_per_worker;
+    }
+    auto const& behaviour = stage.behaviour;
+    if (behaviour.uses_spare_cpu && worker.spare < min_spare_cpu(stage))
+    {
+        return placement_obstacle::no_spare_cpu;
+    }
+    if (worker.is_trial && (worker.trials_left == 0 || !behaviour.long_running))
+    {
+        return placement_obstacle::quarantine;
+    }
+    if (behaviour.uses_spare_cpu && worker.closed_to_best_effort)
+    {
+        return placement_obstacle::serving_tail;
+    }
+    return worker.is_isolated_for_other(pending.stage.workflow)
+               ? placement_obstacle::isolated_worker
+               : placement_obstacle::none;
+}
+
 } // namespace
 
 bool has_label(std::vector<std::string> const& labels, std::string const& label)
@@ -71,43 +117,35 @@
                : core::millicores(0);
 }
 
-bool fits(candidate_worker const& worker, pending_stage const& pending)
+placement_obstacle find_obstacle(candidate_worker const& worker,
+                                 pending_stage const& pending)
 {
     auto const need = reserved_by(*pending.description);
     // The cheap comparison comes first: in a backlog most workers are full.
-    return core::fits_in(need, worker.free) && is_allowed(worker, pending) &&
-           !worker.is_held_for_other(pending.stage, pending.priority, need);
-}
-
-bool is_allowed(candidate_worker const& worker, pending_stage const& pending)
-{
-    auto const& stage = *pending.description;
-    if (worker.is_trial &&
-        (worker.trials_left == 0 || !stage.behaviour.long_running))
-    {
-        return false;
-    }
-    if (stage.behaviour.uses_spare_cpu &&
-        (worker.closed_to_best_effort || worker.spare < min_spare_cpu(stage)))
-    {
-        return false;
-    }
-    if (worker.is_isolated_for_other(pending.stage.workflow))
-    {
-        return false;
-    }
-    if (worker.service != pending.service ||
-        !has_label(worker.labels, stage.constraints.required_label))
+    if (!core::fits_in(need, worker.free))
     {
-        return false;
+        return worker.service == pending.service
+                   ? placement_obstacle::no_room
+                   : placement_obstacle::no_worker;
     }
-    auto const max_per_worker = stage.constraints.max_per_worker;
-    if (max_per_worker == 0)
+    auto const found = find_other_obstacle(worker, pending);
+    if (found != placement_obstacle::none)
     {
-        return true;
+        return found;
     }
-    auto const count = worker.per_stage.find(pending.stage);
-    return count == worker.per_stage.end() || count->second < max_per_worker;
+    return worker.is_held_for_other(pending.stage, pending.priority, need)
+               ? placement_obstacle::kept_room
+               : placement_obstacle::none;
+}
+
+bool fits(candidate_worker const& worker, pending_stage const& pending)
+{
+    return find_obstacle(worker, pending) == placement_obstacle::none;
+}
+
+bool is_allowed(candidate_worker const& worker, pending_stage const& pending)
+{
+    return find_other_obstacle(worker, pending) == placement_obstacle::none;
 }
 
 bool raises_tail(candidate_worker const& worker,
--- a/modules/workflow/dispatch/worker_score.hpp
+++ b/modules/workflow/dispatch/worker_score.hpp
@@ -3,6 +3,7 @@
 
 #include "workflow/dispatch/candidate_worker.hpp"
 #include "workflow/dispatch/pending_stage.hpp"
+#include "workflow/dispatch/placement_obstacle.hpp"
 #include "workflow/dispatch/stage_placement.hpp"
 
 #include <string>
@@ -23,6 +24,11 @@
 ///         other stages.
 core::millicores min_spare_cpu(core::stage_description const& stage);
 
+/// @return Why the worker may not take one more task of the stage now, apart
+///         from isolation and latency; `none` if it may.
+placement_obstacle find_obstacle(candidate_worker const& worker,
+                                 pending_stage const& pending);
+
 /// @return True if the worker may take one more task of the stage now.
 bool fits(candidate_worker const& worker, pending_stage const& pending);
 
--- a/modules/workflow/table/workflow_table.hpp
+++ b/modules/workflow/table/workflow_table.hpp
@@ -93,6 +93,12 @@
     find_stage(core::workflow_record const& workflow,
                core::task_ref const& task);
 
+    /// @return When the last run of a task that has none now ended; `nullopt`
+    ///         if the task has a run or never had one, or if this member has
+    ///         restored the end from a snapshot.
+    std::optional<core::time_point>
+    unplaced_since(core::task_ref const& task) const;
+
     /// @return True while the run is placed on this incarnation of the worker
     ///         and its end is not applied.
     bool is_held(core::run_outcome const& outcome) const;
@@ -214,6 +220,9 @@
     /// A worker was seen to have begun a task of the workflow.
     void set_begun(core::workflow_record& workflow);
     void set_state(core::workflow_record& workflow, core::workflow_state state);
+    void update_unplaced(core::workflow_record& workflow,
+                         core::task_ref const& task,
+                         core::time_point now);
     void add_hold(core::task_ref const& task, core::task_attempt const& held);
     void remove_hold(core::run_outcome const& outcome);
     void drop_details(core::workflow_record& workflow);
@@ -231,6 +240,9 @@
     std::map<core::worker_id, std::set<held_run>> m_holds;
     std::map<core::worker_id, std::set<held_run>> m_suspected;
     std::map<core::workflow_id, std::size_t> m_held_by_workflow;
+    /// When the last runs of unplaced tasks ended. Every member derives it from
+    /// the commands, so it survives an election, but it is in no snapshot.
+    std::map<core::task_ref, core::time_point> m_unplaced_since;
     change_log<core::workflow_id> m_changed_workflows;
     change_log<core::worker_id> m_changed_workers;
 };
--- a/modules/workflow/table/workflow_table_progress.cpp
+++ b/modules/workflow/table/workflow_table_progress.cpp
@@ -167,9 +167,26 @@
     }
     auto& workflow = known->second;
     apply_end(workflow, outcome, now);
+    update_unplaced(workflow, ref, now);
     drop_done_record_in(workflow, ref);
 }
 
+void workflow_table::update_unplaced(core::workflow_record& workflow,
+                                     core::task_ref const& task,
+                                     core::time_point now)
+{
+    if (core::is_final(workflow.state))
+    {
+        return;
+    }
+    auto const* const record = find_task_in(workflow, task);
+    if (record != nullptr && !record->placed && !record->earlier &&
+        !record->done)
+    {
+        m_unplaced_since.emplace(task, now);
+    }
+}
+
 void workflow_table::apply_end(core::workflow_record& workflow,
                                core::run_outcome const& outcome,
                                core::time_point now)
@@ -439,6 +456,7 @@
     task.attempt = placement.run.attempt;
     task.worker = placement.worker;
     task.life = placement.life;
+    m_unplaced_since.erase(ref);
     add_hold(ref, {task.attempt, task.worker, task.life});
 }
 
@@ -451,6 +469,15 @@
     workflow.ended = now;
     workflow.reason = std::move(reason);
     m_active.erase(workflow.workflow);
+    auto const first =
+        m_unplaced_since.lower_bound({workflow.workflow, 0, 0, 0});
+    auto last = first;
+    while (last != m_unplaced_since.end() &&
+           last->first.workflow == workflow.workflow)
+    {
+        ++last;
+    }
+    m_unplaced_since.erase(first, last);
     m_changed_workflows.add(workflow.workflow);
     add_changed_workers(workflow);
     clear_suspected(workflow);
--- a/programs/control/leader/workflow_service.cpp
+++ b/programs/control/leader/workflow_service.cpp
@@ -131,6 +131,16 @@
       m_oversized(metrics.gauge("turmericswitch_control_oversized_stages",
                                 "Waiting stages whose tasks fit on no worker."))
 {
+    for (std::size_t i = 1; i < workflow::placement_obstacles; ++i)
+    {
+        auto const why = static_cast<workflow::placement_obstacle>(i);
+        m_held_back.emplace(
+            why,
+            &metrics.gauge("turmericswitch_control_held_back_tasks",
+                           "Waiting tasks by what held them back in the last "
+                           "plan.",
+                           {{"why", std::string(workflow::to_string(why))}}));
+    }
 }
 
 void workflow_service::end()
@@ -672,6 +682,11 @@
     m_usable.set(static_cast<std::int64_t>(counts.usable_workers));
     m_wide_percent.set(counts.free.index_percent());
     m_oversized.set(static_cast<std::int64_t>(counts.oversized_stages));
+    for (auto const& [why, gauge] : m_held_back)
+    {
+        gauge->set(static_cast<std::int64_t>(
+            counts.held_back.at(static_cast<std::size_t>(why))));
+    }
     if (counts.waiting_tasks + counts.held_runs == 0)
     {
         return;
@@ -688,7 +703,16 @@
           core::number_field("spare_used_m", counts.spare_used.value()),
           core::number_field("free_m", counts.free.free.value()),
           core::number_field("wide_m", counts.free.request.value()),
-          core::number_field("wide_percent", counts.free.index_percent())}});
+          core::number_field("wide_percent", counts.free.index_percent()),
+          core::text_field("held_back", workflow::to_string(counts.held_back)),
+          core::text_field("longest",
+                           counts.longest
+                               ? workflow::to_string(counts.longest->stage)
+                               : std::string()),
+          core::text_field("longest_why",
+                           counts.longest
+                               ? workflow::to_string(counts.longest->why)
+                               : std::string_view())}});
 }
 
 } // namespace turmericswitch::control
--- a/programs/control/leader/workflow_service.hpp
+++ b/programs/control/leader/workflow_service.hpp
@@ -163,6 +163,7 @@
     telemetry::gauge& m_usable;
     telemetry::gauge& m_wide_percent;
     telemetry::gauge& m_oversized;
+    std::map<workflow::placement_obstacle, telemetry::gauge*> m_held_back;
 };
 
 } // namespace turmericswitch::control
