Tell a predicted latency from a measured one in the backlog's trace

serving_tail counted both the tasks that wait because a serving task has been over its target and those that wait because it is predicted to come near it.

--- a/modules/workflow/dispatch/placement_obstacle.hpp
+++ b/modules/workflow/dispatch/placement_obstacle.hpp
@@ -29,7 +29,9 @@
     no_spare_cpu,
     /// The worker has room, but gets no such tasks while tasks fail there.
     quarantine,
-    /// A serving task there is over its latency target, or would be.
+    /// A serving task there has been over its latency target for too long.
+    serving_over_target,
+    /// A serving task there is predicted to come near its latency target.
     serving_tail,
     /// The worker is closed for an isolated task of another workflow.
     isolated_worker,
--- a/modules/workflow/dispatch/worker_score.cpp
+++ b/modules/workflow/dispatch/worker_score.cpp
@@ -92,7 +92,7 @@
     }
     if (behaviour.uses_spare_cpu && worker.closed_to_best_effort)
     {
-        return placement_obstacle::serving_tail;
+        return placement_obstacle::serving_over_target;
     }
     return worker.is_isolated_for_other(pending.stage.workflow)
                ? placement_obstacle::isolated_worker
--- a/modules/workflow/tests/backlog_trace_test.cpp
+++ b/modules/workflow/tests/backlog_trace_test.cpp
@@ -63,7 +63,7 @@
             {obstacle::quarantine,
              description,
              [](auto& w) { w.is_trial = true; }},
-            {obstacle::serving_tail,
+            {obstacle::serving_over_target,
              best_effort,
              [](auto& w) { w.closed_to_best_effort = true; }},
             {obstacle::isolated_worker,
