--- a/modules/workflow/dispatch/candidate_worker.cpp
+++ b/modules/workflow/dispatch/candidate_worker.cpp
@@ -66,10 +66,6 @@
 {
     add(stage, description);
     trials_left -= trials_left > 0 ? 1 : 0;
-    if (starts_left && *starts_left > 0)
-    {
-        --*starts_left;
-    }
     if (description.behaviour.uses_spare_cpu)
     {
         planned[description.behaviour.image] += description.need.cpu;
--- a/modules/workflow/dispatch/candidate_worker.hpp
+++ b/modules/workflow/dispatch/candidate_worker.hpp
@@ -4,7 +4,6 @@
 #include "core/messages/workflow.hpp"
 #include "workflow/dispatch/interference_model.hpp"
 
-#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -84,11 +83,6 @@
     bool is_trial = false;
     /// Number of tasks that a quarantined worker may still get.
     std::uint32_t trials_left = 0;
-    /// Share of its last starts that the worker refused, from 0 to 1.
-    double refused_share = 0;
-    /// Number of tasks that the worker may still get while it refuses some;
-    /// `nullopt` without a limit.
-    std::optional<std::size_t> starts_left;
     /// CPU that best-effort tasks are expected to use in excess of the last
     /// report, because they were placed or sped up since.
     cpu_by_image planned;
--- a/modules/workflow/dispatch/dispatch_events.cpp
+++ b/modules/workflow/dispatch/dispatch_events.cpp
@@ -66,22 +66,12 @@
     return event;
 }
 
-core::event worker_set_aside_event(core::run_outcome const& last,
-                                   double refused_share)
+core::event worker_set_aside_event(core::run_outcome const& last)
 {
     return {event_code::worker_set_aside,
             {text_field("worker", last.worker.value()),
              text_field("task", core::to_string(last.run.task)),
-             text_field("how", core::to_string(last.how)),
-             number_field("refused_percent", refused_share * percent_of_one)}};
-}
-
-core::event worker_recovered_event(core::worker_id const& worker,
-                                   double refused_share)
-{
-    return {event_code::worker_recovered,
-            {text_field("worker", worker.value()),
-             number_field("refused_percent", refused_share * percent_of_one)}};
+             text_field("how", core::to_string(last.how))}};
 }
 
 core::event pace_event(core::worker_id const& worker,
--- a/modules/workflow/dispatch/dispatch_events.hpp
+++ b/modules/workflow/dispatch/dispatch_events.hpp
@@ -35,14 +35,8 @@
                               lost_runs const& runs,
                               worker_view const* view);
 
-/// @param last The run end that made the worker count as sick.
-/// @param refused_share Share of its last starts that the worker refused.
-core::event worker_set_aside_event(core::run_outcome const& last,
-                                   double refused_share);
-
-/// The worker executes most starts again.
-core::event worker_recovered_event(core::worker_id const& worker,
-                                   double refused_share);
+/// @param last The run end that triggered the quarantine.
+core::event worker_set_aside_event(core::run_outcome const& last);
 
 /// @param before Previous pace in percent.
 core::event pace_event(core::worker_id const& worker,
--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -161,7 +161,6 @@
     if (is_new_incarnation)
     {
         m_health.forget(worker);
-        m_undecided.forget(worker);
         m_colocation.forget(worker);
         m_speeds.forget(worker);
     }
@@ -169,7 +168,6 @@
     {
         m_orders.forget(worker);
     }
-    record_begun(now, *view);
     bool const is_sample_due = m_colocation.is_sample_due(now, worker);
     if (is_sample_due)
     {
@@ -342,7 +340,6 @@
     {
         emit_run_placed(now, placement);
         m_health.record_trial(now, placement.worker);
-        m_undecided.add(placement);
         m_placed_at.emplace(placement.run, now);
     }
     m_ends.applied(now, command);
@@ -370,50 +367,16 @@
                                    : std::optional(now - placed->second),
                                established,
                                is_end_assumed(outcome)));
-    update_health(now, outcome);
-}
-
-void dispatcher::update_health(core::time_point now,
-                               core::run_outcome const& outcome)
-{
-    auto const& worker = outcome.worker;
-    bool const was_undecided = m_undecided.remove(worker, outcome.run);
     if (m_orders.evicting().contains(outcome.run))
     {
         // The leader asked for this end; it says nothing about the worker.
         return;
     }
-    bool const was_sick = m_health.is_sick(now, worker);
-    if (was_undecided && (outcome.how == core::run_end::done ||
-                          outcome.how == core::run_end::failed))
-    {
-        m_health.record_begun(worker);
-    }
-    m_health.record_end(now, worker, outcome.run, outcome.how);
-    if (!was_sick && m_health.is_sick(now, worker))
-    {
-        m_on_event(
-            worker_set_aside_event(outcome, m_health.refused_share(worker)));
-    }
-}
-
-void dispatcher::record_begun(core::time_point now, worker_view const& view)
-{
-    auto const& worker = view.profile.worker;
-    auto const begun = m_undecided.remove_listed(worker, view.running);
-    if (begun == 0)
-    {
-        return;
-    }
-    bool const was_sick = m_health.is_sick(now, worker);
-    for (std::size_t i = 0; i < begun; ++i)
-    {
-        m_health.record_begun(worker);
-    }
-    if (was_sick && !m_health.is_sick(now, worker))
+    bool const was_usable = !m_health.is_quarantined(now, outcome.worker);
+    m_health.record_end(now, outcome.worker, outcome.run, outcome.how);
+    if (was_usable && m_health.is_quarantined(now, outcome.worker))
     {
-        m_on_event(
-            worker_recovered_event(worker, m_health.refused_share(worker)));
+        m_on_event(worker_set_aside_event(outcome));
     }
 }
 
--- a/modules/workflow/dispatch/dispatcher.hpp
+++ b/modules/workflow/dispatch/dispatcher.hpp
@@ -19,7 +19,6 @@
 #include "workflow/dispatch/speed_model.hpp"
 #include "workflow/dispatch/stage_backlog.hpp"
 #include "workflow/dispatch/stage_planner.hpp"
-#include "workflow/dispatch/undecided_starts.hpp"
 #include "workflow/dispatch/wide_requests.hpp"
 #include "workflow/dispatch/worker_fleet.hpp"
 #include "workflow/dispatch/worker_health.hpp"
@@ -191,10 +190,6 @@
     void record_run_time(core::time_point now,
                          core::run_outcome const& outcome);
     void record_end(core::time_point now, core::run_outcome const& outcome);
-    void update_health(core::time_point now, core::run_outcome const& outcome);
-    /// Counts the starts that the worker's report shows as executed.
-    void record_begun(core::time_point now, worker_view const& view);
-    void limit_starts(candidate_worker& worker) const;
     /// @return True if nobody saw how the run ended.
     bool is_end_assumed(core::run_outcome const& outcome) const;
     void emit_run_placed(core::time_point now,
@@ -209,7 +204,6 @@
     overload::admission_control m_admission;
     worker_fleet m_fleet;
     worker_health m_health;
-    undecided_starts m_undecided;
     colocation_controller m_colocation;
     run_time_model m_run_times;
     speed_model m_speeds;
--- a/modules/workflow/dispatch/dispatcher_placement.cpp
+++ b/modules/workflow/dispatch/dispatcher_placement.cpp
@@ -71,24 +71,10 @@
     {
         each->is_trial = m_health.is_quarantined(now, each->worker);
         each->trials_left = each->is_trial ? 1 : 0;
-        limit_starts(*each);
     }
     return workers;
 }
 
-void dispatcher::limit_starts(candidate_worker& worker) const
-{
-    worker.refused_share = m_health.refused_share(worker.worker);
-    worker.starts_left.reset();
-    auto const most = m_health.max_undecided_starts(worker.worker);
-    // A trial has a limit of its own.
-    if (most && !worker.is_trial)
-    {
-        auto const undecided = m_undecided.count(worker.worker);
-        worker.starts_left = *most > undecided ? *most - undecided : 0;
-    }
-}
-
 bool dispatcher::is_evictable(core::task_run const& run) const
 {
     auto const* const stage = m_table.find_stage(run.task);
--- a/modules/workflow/dispatch/placement_obstacle.cpp
+++ b/modules/workflow/dispatch/placement_obstacle.cpp
@@ -21,8 +21,6 @@
         return "no_spare_cpu";
     case placement_obstacle::quarantine:
         return "quarantine";
-    case placement_obstacle::start_limit:
-        return "start_limit";
     case placement_obstacle::serving_over_target:
         return "serving_over_target";
     case placement_obstacle::serving_tail:
--- a/modules/workflow/dispatch/placement_obstacle.hpp
+++ b/modules/workflow/dispatch/placement_obstacle.hpp
@@ -29,9 +29,6 @@
     no_spare_cpu,
     /// The worker has room, but gets no such tasks while tasks fail there.
     quarantine,
-    /// The worker has room, but refuses a part of its starts and has as many
-    /// undecided ones as it may.
-    start_limit,
     /// A serving task there has been over its latency target for too long.
     serving_over_target,
     /// A serving task there is predicted to come near its latency target.
--- a/modules/workflow/dispatch/worker_score.cpp
+++ b/modules/workflow/dispatch/worker_score.cpp
@@ -33,8 +33,6 @@
 /// Larger than the sum of the others: a worker with another suspect is used
 /// only if there is no other one.
 constexpr double other_suspect_penalty = 4.0;
-/// For a worker that refuses all starts: it is used if no other one has room.
-constexpr double refusing_worker_penalty = 8.0;
 /// For each run that the crash of an isolated task would end.
 constexpr double endangered_run_penalty = 1.0;
 
@@ -135,12 +133,6 @@
     {
         return found;
     }
-    // The members of a gang start together.
-    if (worker.starts_left == std::size_t{0} &&
-        !pending.description->behaviour.gang)
-    {
-        return placement_obstacle::start_limit;
-    }
     return worker.is_held_for_other(pending.stage, pending.priority, need)
                ? placement_obstacle::kept_room
                : placement_obstacle::none;
@@ -201,7 +193,6 @@
     {
         value -= trial_penalty;
     }
-    value -= refusing_worker_penalty * worker.refused_share;
     if (pending.failed_on.contains(worker.worker))
     {
         value -= failed_before_penalty;
