Refuse a submission that arrives after its cancel found no job

A caller whose submission got no answer could cancel the job, be told that there is none (410), and still have it run: the submission was under way, in a log or in the socket of a suspended process, and was accepted after the cancel. "No such job" was true of the moment of the cancel, and was taken for the job.

Submissions of jobs that are known or are being proposed are not affected.

--- a/programs/control/leader/workflow_service.cpp
+++ b/programs/control/leader/workflow_service.cpp
@@ -176,6 +176,7 @@
             std::get_if<core::cancel_workflow>(&command))
     {
         log_cancelled(*cancelled);
+        remember_if_unknown(*cancelled);
     }
     if (std::holds_alternative<core::submit_workflow>(command) ||
         std::holds_alternative<core::cancel_workflow>(command))
@@ -187,7 +188,8 @@
 void workflow_service::submit(forwarded_submission submission, reply_hook done)
 {
     if (must_propose(submission.command()) ||
-        (!expiry_of(submission) && !admission_refusal(submission.command())))
+        (!expiry_of(submission) && !cancel_refusal(submission.command()) &&
+         !admission_refusal(submission.command())))
     {
         propose(std::move(submission.envelope), std::move(done));
         return;
@@ -256,9 +258,35 @@
     {
         return refuse_expired(submission, *expired);
     }
+    if (auto refusal = cancel_refusal(submission.command()))
+    {
+        return refusal;
+    }
     return admission_refusal(submission.command());
 }
 
+void workflow_service::remember_if_unknown(core::cancel_workflow const& command)
+{
+    if (m_node.state().workflows().find(command.queue, command.workflow) ==
+        nullptr)
+    {
+        m_unknown_cancels.add(process::event_loop::now(), command);
+    }
+}
+
+std::optional<core::command_reply>
+workflow_service::cancel_refusal(core::submit_workflow const& command) const
+{
+    if (!m_unknown_cancels.contains(process::event_loop::now(), command))
+    {
+        return std::nullopt;
+    }
+    core::command_reply reply;
+    reply.code = core::result_code::not_admitted;
+    reply.text = "it was cancelled before it arrived";
+    return reply;
+}
+
 std::optional<overload::expired_submission>
 workflow_service::expiry_of(forwarded_submission const& submission) const
 {
--- a/programs/control/tests/workflow_service_test.cpp
+++ b/programs/control/tests/workflow_service_test.cpp
@@ -22,6 +22,8 @@
     CPPUNIT_TEST(resend_past_its_time_is_accepted);
     CPPUNIT_TEST(deposed_leader_does_not_refuse);
     CPPUNIT_TEST(next_leader_accepts_the_resend_of_an_unanswered_submission);
+    CPPUNIT_TEST(submission_that_arrives_after_its_cancel_is_not_accepted);
+    CPPUNIT_TEST(cancelled_workflow_is_acknowledged_again);
     CPPUNIT_TEST(poll_of_the_next_incarnation_ends_that_of_the_earlier_one);
     CPPUNIT_TEST_SUITE_END();
 
@@ -108,6 +110,26 @@
                        result_code::ok);
     }
 
+    // A submission got no answer, and its caller cancels it and is told that
+    // there is no such job. Guards against running it when it arrives late.
+    void submission_that_arrives_after_its_cancel_is_not_accepted()
+    {
+        cancel("w");
+        auto const reply = submit("w", seconds(9), {});
+        CPPUNIT_ASSERT(reply && reply->code == result_code::not_admitted);
+        CPPUNIT_ASSERT(!is_accepted("w"));
+        CPPUNIT_ASSERT(submit("v", seconds(9), {})->code == result_code::ok);
+    }
+
+    // Guards against refusing the resend of a submission that was accepted and
+    // cancelled.
+    void cancelled_workflow_is_acknowledged_again()
+    {
+        submit("w", seconds(9), {});
+        cancel("w");
+        CPPUNIT_ASSERT(submit("w", seconds(9), {})->code == result_code::ok);
+    }
+
     // Guards against a poll that is dropped without an answer when its worker
     // restarts: the sidecar takes that for a lost leader, closes its connection
     // and waits 200 ms before it reports the new incarnation's runs again.
@@ -166,6 +188,20 @@
         return *reply;
     }
 
+    void cancel(std::string const& workflow)
+    {
+        core::cancel_workflow const command{core::queue_id("q"),
+                                            core::workflow_id(workflow)};
+        auto const answered = std::make_shared<bool>(false);
+        m_group->node(m_leader).propose(command,
+                                        {},
+                                        {},
+                                        [answered](core::command_reply const&)
+                                        { *answered = true; });
+        m_group->step_until([&answered] { return *answered; });
+        m_service->applied(command);
+    }
+
     bool is_accepted(std::string const& workflow)
     {
         return m_group->node(m_leader).state().workflows().find(
