Log when a restarted worker begins to reject earlier calls

Change: incarnation_fenced, once for each incarnation that follows another one under the same sidecar, with that time on the worker's clock, the number of sync calls and of listed runs. No decision changes.

--- a/modules/core/events/event_code.hpp
+++ b/modules/core/events/event_code.hpp
@@ -49,6 +49,7 @@
     leave_notice_ignored = 314,
     ends_dropped_unseen = 315,
     run_ended_unseen = 316,
+    incarnation_fenced = 317,
     run_row_skipped = 330,
     worker_unconfirmed = 331,
 
@@ -170,6 +171,7 @@
     event_entry{event_code::run_ended_unseen,
                 "run_ended_unseen",
                 event_severity::warning},
+    event_entry{event_code::incarnation_fenced, "incarnation_fenced"},
     event_entry{event_code::run_row_skipped,
                 "run_row_skipped",
                 event_severity::warning},
--- a/modules/workflow/agent/worker_agent.cpp
+++ b/modules/workflow/agent/worker_agent.cpp
@@ -197,6 +197,7 @@
     m_successor.reset();
     m_unconfirmed.clear();
     m_has_late_starts = m_profile.has_value();
+    m_syncs_before = m_syncs_begun;
     m_is_confirmed = false;
     m_must_repeat_acknowledgement = false;
     m_is_known_from_start = m_profile.has_value();
--- a/modules/workflow/agent/worker_agent.hpp
+++ b/modules/workflow/agent/worker_agent.hpp
@@ -164,7 +164,8 @@
     ///
     /// @param acknowledged Acknowledged ends in the call that it answered.
     void handle_successor(core::incarnation life, std::uint64_t acknowledged);
-    /// Logs runs of which the start was meant for an earlier incarnation.
+    /// Logs that an incarnation which follows another one rejects calls to that
+    /// one from now on, and the runs whose start was meant for that one.
     void log_late_starts();
     /// Logs each reason for which rows were skipped once per incarnation.
     void log_skipped_rows(std::vector<skipped_row> const& rows);
@@ -349,6 +350,8 @@
     crash_witness m_witness;
 
     std::uint64_t m_syncs_begun = 0;
+    /// Number of sync calls to earlier incarnations.
+    std::uint64_t m_syncs_before = 0;
     /// Pause before the next retry of the first sync call.
     core::duration m_first_sync_pause{};
     /// Number of the sync call that is in progress or was answered last.
--- a/modules/workflow/agent/worker_agent_sync.cpp
+++ b/modules/workflow/agent/worker_agent_sync.cpp
@@ -376,6 +376,13 @@
     {
         return;
     }
+    m_hooks.on_event(
+        {event_code::incarnation_fenced,
+         {text_field("worker", m_profile->worker.value()),
+          number_field("life", m_profile->life.value()),
+          time_field("clock_ms", m_worker_clock),
+          number_field("calls", m_syncs_begun - m_syncs_before),
+          number_field("runs", m_runs->running.size())}});
     for (auto const& each : m_runs->running)
     {
         emit_run_event(event_code::late_start_executed, each.run);
