--- a/modules/workflow/tests/dispatch_simulation.hpp
+++ b/modules/workflow/tests/dispatch_simulation.hpp
@@ -48,6 +48,10 @@
     /// Probability, in percent and for each start call while there are faults,
     /// that the sidecar restarts right after it, once or twice in a row.
     std::uint64_t restart_after_start_percent = 0;
+    /// Longest time from an unanswered call to a worker until it is executed by
+    /// whatever incarnation is up then. Zero if a restart ends all calls that
+    /// have timed out.
+    core::duration longest_delay_over_restarts{};
     placement_options placement{};
     overload::overload_options overload{};
 };
@@ -93,6 +97,13 @@
     /// @return Number of starts of a task whose other run was at work.
     std::size_t copies() const noexcept;
 
+    /// @return Number of runs that were begun by a later incarnation than the
+    ///         one that was up when the call was made.
+    std::size_t starts_by_later_incarnations() const noexcept;
+
+    /// @return Number of these whose task was done and acknowledged.
+    std::size_t late_starts_after_end() const noexcept;
+
 private:
     struct leader;
     struct worker_host;
@@ -155,9 +166,11 @@
     core::duration delay_under_way();
     /// @return The delay of a call that is executed after its timeout.
     core::duration delay_past_timeout();
+    /// @param called_life The incarnation that was up when the call was made.
     void execute_start(worker_host& host,
                        start_call const& call,
                        core::time_point called_at,
+                       std::uint64_t called_life,
                        std::function<void(start_outcome)> const& answer);
     /// @param connected_to The incarnation to which the caller's connection
     ///        leads.
@@ -273,6 +286,11 @@
     std::map<core::task_ref, std::uint32_t> m_seen_crashes;
     std::size_t m_crashes = 0;
     std::set<core::task_run> m_copied;
+    /// Runs that were begun by a later incarnation than the one that was up
+    /// when the call was made.
+    std::set<core::task_run> m_started_late;
+    /// Those of them whose task was done and acknowledged.
+    std::set<core::task_run> m_started_after_end;
     /// Jobs of which a worker has begun a task.
     std::set<core::workflow_id> m_begun;
 };
--- a/modules/workflow/tests/simulation_faults.cpp
+++ b/modules/workflow/tests/simulation_faults.cpp
@@ -61,6 +61,11 @@
         auto& host = *each;
         host.faults = {
             20 + random_below(60), random_below(15), random_below(20)};
+        if (m_setup.longest_delay_over_restarts > core::duration{})
+        {
+            host.faults = {
+                20 + random_below(40), random_below(10), 20 + random_below(30)};
+        }
         schedule(between_ms(1000, 6000),
                  [&host, phase = ++host.unhealthy_phases]
                  {
@@ -121,6 +126,11 @@
     host.is_down = false;
     host.model.begin_life(m_now);
     host.worker_life = ++m_last_life;
+    if (m_setup.longest_delay_over_restarts > core::duration{} &&
+        !m_faults_off && chance(50))
+    {
+        host.refuses_sync_until = m_now + between_ms(50, 3000);
+    }
     schedule(between_ms(3, 20),
              [this, &host, life = host.worker_life]
              {
--- a/modules/workflow/tests/simulation_parts.hpp
+++ b/modules/workflow/tests/simulation_parts.hpp
@@ -109,6 +109,8 @@
     std::uint64_t unanswered = 0;
     /// Of the calls to the worker while it is unhealthy.
     ::turmericswitch::testing::call_faults faults;
+    /// Until then an incarnation that has just begun refuses sync calls.
+    core::time_point refuses_sync_until;
     /// Number of times that it became unhealthy.
     std::uint64_t unhealthy_phases = 0;
     /// Capacities from the first to the current one.
