Keep a task where an unanswered start of it may be executed

Cause: a proof that lives in a worker's memory (tombstone, list, fencing token) was taken to hold for good. A restart under the id erases it, while a start call without an answer may still be executed, up to 12 s after it was made and by whatever incarnation is up. The end of such a run was acknowledged without being counted, because the table did not hold the run. Change: the sidecar names each run with a start call that has no answer until it can't be executed any more, over stops, refusals and restarts of the worker. The end of a run says whether that is so (or is not known: the sidecar is young, or has not reported since the call), and that is replicated. An end 'done' of a run that was taken for ended counts if its task has no run, and is acknowledged after that. The first sync call of an incarnation is unchanged.

--- a/modules/core/messages/workflow.hpp
+++ b/modules/core/messages/workflow.hpp
@@ -188,6 +188,9 @@
     /// The attempt before the last one, while it is held beside the last one or
     /// after that has ended. Only tasks of speculative stages have one.
     std::optional<task_attempt> earlier;
+    /// Worker that may still execute a start of an ended run, which it has not
+    /// answered; empty if there is none.
+    worker_id unresolved_on;
 
     bool operator==(task_record const&) const = default;
 };
@@ -281,6 +284,9 @@
     /// tasks with counted crashes or suspected runs, so that earlier releases
     /// can read all other ends.
     bool established = false;
+    /// True if the worker may still execute a start of the task that it has not
+    /// answered, also after a restart under its id.
+    bool is_start_unresolved = false;
 
     bool operator==(run_outcome const&) const = default;
 };
@@ -308,6 +314,9 @@
     std::vector<run_outcome> resolved;
     /// Workflows of which a worker was seen to have begun a task.
     std::vector<workflow_id> begun;
+    /// Ends `done` of runs that were taken for ended before, of tasks that have
+    /// no run now. Applied after the ends.
+    std::vector<run_outcome> late_ends;
 
     bool operator==(workflow_progress const&) const = default;
 };
@@ -389,6 +398,18 @@
     bool operator==(crashed_incarnation const&) const = default;
 };
 
+/// Start calls without an answer that a worker may still execute, also after a
+/// restart under its id.
+struct unresolved_starts
+{
+    /// The runs that the sidecar has called.
+    std::vector<task_run> runs;
+    /// True if no earlier sidecar has made a call that may still be executed.
+    bool is_complete = false;
+
+    bool operator==(unresolved_starts const&) const = default;
+};
+
 /// Sent by the sidecar beside a worker to the leader.
 struct runtime_report
 {
@@ -416,6 +437,7 @@
     /// Fencing token of the sidecar's calls when it made the report; zero in
     /// reports without refused runs.
     std::uint64_t refused_under = 0;
+    unresolved_starts unresolved;
 
     bool operator==(runtime_report const&) const = default;
 };
--- a/modules/wire/codec/message_codec.cpp
+++ b/modules/wire/codec/message_codec.cpp
@@ -77,9 +77,9 @@
 template <typename T>
 constexpr std::size_t appended_members = 0;
 template <>
-constexpr std::size_t appended_members<core::task_record> = 3;
+constexpr std::size_t appended_members<core::task_record> = 4;
 template <>
-constexpr std::size_t appended_members<core::run_outcome> = 1;
+constexpr std::size_t appended_members<core::run_outcome> = 2;
 template <>
 constexpr std::size_t appended_members<core::run_placement> = 1;
 template <>
@@ -87,13 +87,13 @@
 template <>
 constexpr std::size_t appended_members<core::worker_runs> = 1;
 template <>
-constexpr std::size_t appended_members<core::runtime_report> = 4;
+constexpr std::size_t appended_members<core::runtime_report> = 5;
 template <>
 constexpr std::size_t appended_members<core::runtime_grant> = 1;
 template <>
 constexpr std::size_t appended_members<core::runtime_orders> = 1;
 template <>
-constexpr std::size_t appended_members<core::workflow_progress> = 3;
+constexpr std::size_t appended_members<core::workflow_progress> = 4;
 template <>
 constexpr std::size_t appended_members<core::state_snapshot> = 1;
 template <>
--- a/modules/workflow/agent/worker_agent.cpp
+++ b/modules/workflow/agent/worker_agent.cpp
@@ -43,6 +43,7 @@
 worker_agent::worker_agent(agent_options options, agent_hooks hooks)
     : m_options(std::move(options)), m_hooks(std::move(hooks))
 {
+    m_hooks.after(longest_call_delay, [this] { m_knows_all_starts = true; });
 }
 
 bool worker_agent::registered(core::worker_profile profile,
@@ -212,6 +213,10 @@
                        text_field("zone", profile.zone.value()),
                        text_field("rack", profile.rack.value()),
                        number_field("cpu_m", profile.capacity.cpu.value())}});
+    if (m_profile && m_profile->worker != profile.worker)
+    {
+        m_start_calls.clear();
+    }
     if (m_profile)
     {
         m_witness.ended({m_profile->worker, m_profile->life},
--- a/modules/workflow/agent/worker_agent.hpp
+++ b/modules/workflow/agent/worker_agent.hpp
@@ -6,6 +6,7 @@
 #include "workflow/agent/begun_runs.hpp"
 #include "workflow/agent/crash_witness.hpp"
 #include "workflow/agent/end_numbers.hpp"
+#include "workflow/agent/start_calls.hpp"
 #include "workflow/agent/worker_runtime.hpp"
 
 #include <chrono>
@@ -80,6 +81,10 @@
 /// list shows whether the run has begun; if not, a stop makes the worker keep a
 /// tombstone that rejects the start if it arrives later.
 ///
+/// A restart erases all of these proofs. So the reports name each run with a
+/// start call that has no answer for as long as the worker may execute it, also
+/// after the run has ended.
+///
 /// It sends no start while the runs that the leader counts on the worker do not
 /// fit the capacity that the worker has reported last: the leader may not know
 /// that capacity yet, or the order may be old.
@@ -263,6 +268,9 @@
     /// run, unless it runs already.
     void drop_start(core::task_run const& run);
     void handle_start_outcome(core::task_run const& run, start_outcome outcome);
+    /// Notes whether a start call may still be executed, by this incarnation or
+    /// a later one.
+    void resolve_start_call(core::task_run const& run, start_outcome outcome);
     /// Handles a refusal, or a start that was given up without an answer.
     void handle_failed_start(core::task_run const& run, int tries);
     /// @return True if the refusal of one call proves that the run has not
@@ -381,6 +389,11 @@
     core::resources m_reserved;
 
     std::map<core::task_run, pending_start> m_starts;
+    /// Calls to all incarnations under the worker's id.
+    start_calls m_start_calls;
+    /// True once this sidecar runs for so long that no call of an earlier one
+    /// can still be executed.
+    bool m_knows_all_starts = false;
     /// Runs with a start that had no answer. The worker may still execute it
     /// until it has confirmed a stop.
     std::set<core::task_run> m_unanswered_starts;
--- a/modules/workflow/agent/worker_agent_orders.cpp
+++ b/modules/workflow/agent/worker_agent_orders.cpp
@@ -198,11 +198,13 @@
     auto& open = m_starts.at(run);
     ++open.tries;
     ++m_open_calls;
+    m_start_calls.called(run);
     m_hooks.runtime.start(
         {m_profile->worker, open.start, open.payload, m_fencing_token},
         [this, run, epoch = m_epoch](start_outcome outcome)
         {
             --m_open_calls;
+            resolve_start_call(run, outcome);
             if (is_current(epoch))
             {
                 handle_start_outcome(run, outcome);
@@ -210,6 +212,18 @@
         });
 }
 
+void worker_agent::resolve_start_call(core::task_run const& run,
+                                      start_outcome outcome)
+{
+    if (outcome != start_outcome::unknown)
+    {
+        m_start_calls.resolved(run);
+        return;
+    }
+    m_hooks.after(longest_call_delay,
+                  [this, run] { m_start_calls.resolved(run); });
+}
+
 void worker_agent::handle_start_outcome(core::task_run const& run,
                                         start_outcome outcome)
 {
--- a/modules/workflow/agent/worker_agent_sync.cpp
+++ b/modules/workflow/agent/worker_agent_sync.cpp
@@ -376,13 +376,12 @@
     {
         return;
     }
-    m_hooks.on_event(
-        {event_code::incarnation_fenced,
-         {text_field("worker", m_profile->worker.value()),
-          number_field("life", m_profile->life.value()),
-          time_field("clock_ms", m_worker_clock),
-          number_field("calls", m_syncs_begun - m_syncs_before),
-          number_field("runs", m_runs->running.size())}});
+    m_hooks.on_event({event_code::incarnation_fenced,
+                      {text_field("worker", m_profile->worker.value()),
+                       number_field("life", m_profile->life.value()),
+                       time_field("clock_ms", m_worker_clock),
+                       number_field("calls", m_syncs_begun - m_syncs_before),
+                       number_field("runs", m_runs->running.size())}});
     for (auto const& each : m_runs->running)
     {
         emit_run_event(event_code::late_start_executed, each.run);
@@ -514,6 +513,7 @@
     report.silent = m_silent;
     report.crashed = m_witness.crashes();
     report.ended_unseen.assign(m_unseen_ends.begin(), m_unseen_ends.end());
+    report.unresolved = {m_start_calls.unresolved(), m_knows_all_starts};
     m_hooks.leader.report(std::move(report),
                           [this, epoch = m_epoch, number = ++m_reports_begun](
                               std::optional<core::runtime_grant> grant)
--- a/modules/workflow/agent/worker_runtime.hpp
+++ b/modules/workflow/agent/worker_runtime.hpp
@@ -3,6 +3,7 @@
 
 #include "core/messages/workflow.hpp"
 
+#include <chrono>
 #include <functional>
 #include <optional>
 #include <string>
@@ -11,6 +12,10 @@
 namespace turmericswitch::workflow
 {
 
+/// A worker may execute a call that it has not answered until this long after
+/// it was made, by whatever incarnation is up then.
+constexpr core::duration longest_call_delay = std::chrono::seconds(12);
+
 struct start_call
 {
     core::worker_id worker;
--- a/modules/workflow/dispatch/dispatch_events.cpp
+++ b/modules/workflow/dispatch/dispatch_events.cpp
@@ -231,6 +231,18 @@
     {
         event.fields.push_back(number_field("assumed", 1));
     }
+    if (outcome.is_start_unresolved)
+    {
+        event.fields.push_back(number_field("unresolved", 1));
+    }
+    return event;
+}
+
+core::event late_end_event(core::run_outcome const& outcome)
+{
+    core::event event{event_code::late_end_counted,
+                      fields_of(outcome.run, outcome.worker)};
+    event.fields.push_back(text_field("how", core::to_string(outcome.how)));
     return event;
 }
 
--- a/modules/workflow/dispatch/dispatch_events.hpp
+++ b/modules/workflow/dispatch/dispatch_events.hpp
@@ -92,6 +92,9 @@
                             std::optional<bool> established,
                             bool is_assumed);
 
+/// @param outcome The end of a run that was taken for ended before.
+core::event late_end_event(core::run_outcome const& outcome);
+
 core::event copy_decided_event(copy_decision const& decision);
 
 /// @param outcome What became known of a run that ended as `suspected`.
--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -43,6 +43,7 @@
       m_accounts(table, m_run_times, options.overload),
       m_backlog(table, m_run_times, m_fleet),
       m_crash_backoff(table),
+      m_start_affinity(table, m_fleet, elected),
       m_candidates(table, m_fleet, m_colocation),
       m_moves(table, m_fleet, m_backlog, elected),
       m_ends(table, m_fleet),
@@ -289,7 +290,7 @@
     answer.lease_until = view->granted_until;
     for (auto const& each : view->ended)
     {
-        if (m_table.held_incarnation(each.run, worker))
+        if (m_ends.is_uncommitted(each, worker))
         {
             break;
         }
@@ -325,6 +326,7 @@
         return command;
     }
     m_ends.collect(times.now, command);
+    mark_unresolved(command.ends);
     m_orders.set_ending(command.ends);
     if (take_placement_due(times, config))
     {
@@ -337,6 +339,40 @@
     return command;
 }
 
+void dispatcher::mark_unresolved(std::vector<core::run_outcome>& ends) const
+{
+    for (auto& each : ends)
+    {
+        auto const placed = m_placed_at.find(each.run);
+        each.is_start_unresolved =
+            must_stay_if_unresolved(each) &&
+            m_fleet.may_start_late(each.worker,
+                                   each.life,
+                                   each.run,
+                                   placed == m_placed_at.end()
+                                       ? std::nullopt
+                                       : std::optional(placed->second));
+    }
+}
+
+bool dispatcher::must_stay_if_unresolved(core::run_outcome const& end) const
+{
+    auto const* const stage = m_table.find_stage(end.run.task);
+    // Tasks that may have copies may also run twice.
+    if (stage == nullptr || workflow_table::may_be_copied(*stage))
+    {
+        return false;
+    }
+    if (!stage->behaviour.long_running)
+    {
+        return end.how != core::run_end::done;
+    }
+    // After a lease, nothing is left of the time that callers allow a
+    // long-running task without a run.
+    return !is_end_with_worker(end.how) ||
+           m_fleet.has_list_of_successor(end.worker, end.life);
+}
+
 void dispatcher::applied(core::time_point now,
                          core::workflow_progress const& command)
 {
@@ -361,7 +397,12 @@
         m_health.record_trial(now, placement.worker);
         m_placed_at.emplace(placement.run, now);
     }
+    for (auto const& outcome : command.late_ends)
+    {
+        m_on_event(late_end_event(outcome));
+    }
     m_crash_backoff.applied(now, command);
+    m_start_affinity.applied(now, command);
     m_ends.applied(now, command);
 }
 
--- a/modules/workflow/dispatch/dispatcher.hpp
+++ b/modules/workflow/dispatch/dispatcher.hpp
@@ -20,6 +20,7 @@
 #include "workflow/dispatch/speed_model.hpp"
 #include "workflow/dispatch/stage_backlog.hpp"
 #include "workflow/dispatch/stage_planner.hpp"
+#include "workflow/dispatch/start_affinity.hpp"
 #include "workflow/dispatch/wide_requests.hpp"
 #include "workflow/dispatch/worker_fleet.hpp"
 #include "workflow/dispatch/worker_health.hpp"
@@ -185,6 +186,11 @@
     void rank_by_accounts();
     bool needs_accounts() const noexcept;
     void update_accounts(plan_times const& times);
+    /// Marks the ends of runs with a start that may still be executed.
+    void mark_unresolved(std::vector<core::run_outcome>& ends) const;
+    /// @return True if the task must not be started elsewhere while the run's
+    ///         worker may execute a start of it.
+    bool must_stay_if_unresolved(core::run_outcome const& end) const;
     /// Drops the refusals in a report that was made under another token than
     /// the granted one: it may be a late one of an earlier sidecar, and the
     /// present one may have begun the runs since. The sidecar repeats its own
@@ -219,6 +225,7 @@
     job_accounts m_accounts;
     stage_backlog m_backlog;
     crash_backoff m_crash_backoff;
+    start_affinity m_start_affinity;
     backlog_trace m_trace;
     /// Time of the last plan of placements.
     plan_times m_planned;
--- a/modules/workflow/dispatch/end_collector.cpp
+++ b/modules/workflow/dispatch/end_collector.cpp
@@ -45,6 +45,19 @@
     }
 }
 
+bool end_collector::is_late_end(core::ended_run const& ended) const
+{
+    return ended.how == core::run_end::done &&
+           m_table.accepts_late_end(ended.run);
+}
+
+bool end_collector::is_uncommitted(core::ended_run const& ended,
+                                   core::worker_id const& worker) const
+{
+    return m_table.held_incarnation(ended.run, worker).has_value() ||
+           is_late_end(ended);
+}
+
 bool end_collector::has_uncommitted_ends(worker_view const& view) const
 {
     auto const is_open = [&](core::task_run const& run)
@@ -52,7 +65,7 @@
     return std::any_of(view.ended.begin(),
                        view.ended.end(),
                        [&](core::ended_run const& each)
-                       { return is_open(each.run); }) ||
+                       { return is_uncommitted(each, view.profile.worker); }) ||
            std::any_of(view.refused.begin(), view.refused.end(), is_open) ||
            std::any_of(
                view.ended_unseen.begin(), view.ended_unseen.end(), is_open);
@@ -99,6 +112,14 @@
             command.ends.push_back(
                 {each.run, worker, *life, each.how, each.checkpoint});
         }
+        else if (is_late_end(each))
+        {
+            command.late_ends.push_back({each.run,
+                                         worker,
+                                         view.profile.life,
+                                         each.how,
+                                         each.checkpoint});
+        }
     }
     for (auto const& run : view.refused)
     {
@@ -239,9 +260,12 @@
 
 void end_collector::rejected(core::workflow_progress const& command)
 {
-    for (auto const& outcome : command.ends)
+    for (auto const* const ends : {&command.ends, &command.late_ends})
     {
-        m_reported.insert(outcome.worker);
+        for (auto const& outcome : *ends)
+        {
+            m_reported.insert(outcome.worker);
+        }
     }
     for (auto const& [worker, view] : m_fleet.all())
     {
--- a/modules/workflow/dispatch/end_collector.hpp
+++ b/modules/workflow/dispatch/end_collector.hpp
@@ -40,7 +40,15 @@
     /// @return True while ends in the worker's last report are not committed.
     bool has_uncommitted_ends(worker_view const& view) const;
 
+    /// @return True while the end, of the worker's last report, is not
+    ///         committed.
+    bool is_uncommitted(core::ended_run const& ended,
+                        core::worker_id const& worker) const;
+
 private:
+    /// @return True for the end `done` of a run that was taken for ended
+    ///         before, and so is not held any more.
+    bool is_late_end(core::ended_run const& ended) const;
     /// The incarnation may have executed starts that were meant for an earlier
     /// one, so its ends count for runs on all of them.
     void collect_reported_ends(worker_view const& view,
--- a/modules/workflow/dispatch/pending_stage.hpp
+++ b/modules/workflow/dispatch/pending_stage.hpp
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 
 namespace turmericswitch::workflow
@@ -40,6 +41,10 @@
     run_list runs;
     /// Suspicion of the tasks; `none` for those that are not listed.
     std::map<core::task_run, crash_suspicion> suspected;
+    /// For tasks with a start that a worker has not answered, that worker.
+    std::map<core::task_run, core::worker_id> unresolved_on;
+    /// The only worker that may get the tasks; `nullopt` if any may.
+    std::optional<core::worker_id> only_on;
     /// Workers on which the tasks have failed.
     std::set<core::worker_id> failed_on;
     /// Racks of the stage's placed tasks.
--- a/modules/workflow/dispatch/placement_obstacle.cpp
+++ b/modules/workflow/dispatch/placement_obstacle.cpp
@@ -35,6 +35,8 @@
         return "kept_room";
     case placement_obstacle::faster_worker:
         return "faster_worker";
+    case placement_obstacle::unresolved_start:
+        return "unresolved_start";
     case placement_obstacle::gang:
         return "gang";
     case placement_obstacle::plan_limit:
--- a/modules/workflow/dispatch/placement_obstacle.hpp
+++ b/modules/workflow/dispatch/placement_obstacle.hpp
@@ -44,6 +44,8 @@
     kept_room,
     /// The task ends sooner if it waits for a faster worker.
     faster_worker,
+    /// Another worker may still execute an unanswered start of the task.
+    unresolved_start,
     /// Not all members of the gang fit at once.
     gang,
     /// The command has the most placements that it may have.
--- a/modules/workflow/dispatch/stage_backlog.cpp
+++ b/modules/workflow/dispatch/stage_backlog.cpp
@@ -408,14 +408,21 @@
     for (std::size_t i = 0; i < known; ++i)
     {
         auto const& task = record->tasks[i];
+        if (!is_unplaced(task))
+        {
+            continue;
+        }
+        core::task_run const run{
+            {workflow.workflow, occurrence, number, record->indices[i]},
+            stage.behaviour.gang ? gang_attempt : next_attempt(task)};
         auto const suspicion = suspicion_after(core::possible_crashes(task));
-        if (is_unplaced(task) && suspicion != crash_suspicion::none)
+        if (suspicion != crash_suspicion::none)
+        {
+            pending.suspected.emplace(run, suspicion);
+        }
+        if (!task.unresolved_on.value().empty())
         {
-            pending.suspected.emplace(
-                core::task_run{
-                    {workflow.workflow, occurrence, number, record->indices[i]},
-                    stage.behaviour.gang ? gang_attempt : next_attempt(task)},
-                suspicion);
+            pending.unresolved_on.emplace(run, task.unresolved_on);
         }
     }
 }
--- a/modules/workflow/dispatch/stage_backlog.hpp
+++ b/modules/workflow/dispatch/stage_backlog.hpp
@@ -2,6 +2,7 @@
 #define TURMERICSWITCH_WORKFLOW_DISPATCH_STAGE_BACKLOG_HPP
 
 #include "overload/order/job_ranking.hpp"
+#include "workflow/dispatch/plan_times.hpp"
 #include "workflow/dispatch/run_time_model.hpp"
 #include "workflow/dispatch/stage_planner.hpp"
 #include "workflow/dispatch/worker_fleet.hpp"
@@ -17,17 +18,6 @@
 namespace turmericswitch::workflow
 {
 
-/// The time of one plan on each clock that it needs.
-struct plan_times
-{
-    /// This process's steady clock.
-    core::time_point now;
-    /// Clock of the replicated state, on which submission times are recorded.
-    core::time_point cluster;
-    /// Time of day, for workflows with a schedule.
-    core::wall_time wall;
-};
-
 /// The stages that have unplaced tasks, and how urgent they are.
 ///
 /// Only the workflows that changed since the last call of `collect` are
--- /dev/null
+++ b/modules/workflow/dispatch/start_affinity.hpp
@@ -0,0 +1,88 @@
+#ifndef TURMERICSWITCH_WORKFLOW_DISPATCH_START_AFFINITY_HPP
+#define TURMERICSWITCH_WORKFLOW_DISPATCH_START_AFFINITY_HPP
+
+#include "core/messages/workflow.hpp"
+#include "workflow/dispatch/pending_stage.hpp"
+#include "workflow/dispatch/plan_times.hpp"
+#include "workflow/dispatch/worker_fleet.hpp"
+#include "workflow/table/workflow_table.hpp"
+
+#include <deque>
+#include <map>
+#include <vector>
+
+namespace turmericswitch::workflow
+{
+
+/// Keeps a task on the worker that may still execute an unanswered start of it.
+///
+/// There the worker itself rejects the start: a later attempt has run, or the
+/// incarnation has been fenced. Elsewhere nothing does, because a worker that
+/// restarts has forgotten every proof that the start is void. So another worker
+/// gets the task only when the start can't be executed any more, which the
+/// worker's sidecar or the time shows.
+///
+/// Which task is concerned is in the replicated state, and since when is not. A
+/// new leader counts the time from its election.
+class start_affinity
+{
+public:
+    /// The arguments must outlive the object.
+    start_affinity(workflow_table const& table,
+                   worker_fleet const& fleet,
+                   core::time_point elected);
+
+    /// Must be called after a command was committed.
+    void applied(core::time_point now, core::workflow_progress const& command);
+
+    /// Splits the stages by the workers that may get their tasks, and leaves
+    /// out the tasks that must not start now. The result is valid until the
+    /// next call, if the stages are.
+    std::vector<pending_stage const*>
+    restrict_workers(plan_times const& times,
+                     std::vector<pending_stage const*> const& waiting);
+
+private:
+    enum class restriction
+    {
+        none,
+        only_there,
+        /// A run of the task runs or has just ended there.
+        no_start,
+    };
+
+    restriction restriction_of(plan_times const& times,
+                               pending_stage const& pending,
+                               core::task_ref const& task,
+                               core::worker_id const& worker) const;
+    /// @return True if a run of the task runs on the worker, or has ended there
+    ///         in a way that is not committed yet.
+    bool has_run(core::time_point now,
+                 worker_view const& worker,
+                 core::task_ref const& task) const;
+    /// @return True if no start of the task can be executed any more, or the
+    ///         task must not wait longer.
+    bool is_due(plan_times const& times,
+                pending_stage const& pending,
+                core::task_ref const& task) const;
+    /// @return True if the worker's sidecar has reported since the task's last
+    ///         run ended and knows of no start that may be executed.
+    bool is_resolved(worker_view const& worker,
+                     core::task_ref const& task) const;
+    void split(plan_times const& times,
+               pending_stage const& pending,
+               std::vector<pending_stage const*>& result);
+    void add(pending_stage stage, std::vector<pending_stage const*>& result);
+
+    workflow_table const& m_table;
+    worker_fleet const& m_fleet;
+    core::time_point m_elected;
+    /// When the ends of runs with an unresolved start were committed.
+    std::map<core::task_ref, core::time_point> m_ended_at;
+    /// Parts of the stages that were split.
+    std::deque<pending_stage> m_parts;
+};
+
+} // namespace turmericswitch::workflow
+
+#endif
--- a/modules/workflow/dispatch/worker_fleet.cpp
+++ b/modules/workflow/dispatch/worker_fleet.cpp
@@ -94,6 +94,20 @@
     view.may_have_more_ends = runs.may_have_more_ends;
 }
 
+/// @return True if the last report says of the run that it runs, has ended, or
+///         was refused.
+bool lists_run(worker_view const& view, core::task_run const& run)
+{
+    auto const contains = [&run](std::vector<core::task_run> const& runs)
+    { return std::find(runs.begin(), runs.end(), run) != runs.end(); };
+    bool const has_ended = std::any_of(view.ended.begin(),
+                                       view.ended.end(),
+                                       [&run](core::ended_run const& each)
+                                       { return each.run == run; });
+    return view.running.contains(run) || has_ended || contains(view.refused) ||
+           contains(view.ended_unseen);
+}
+
 } // namespace
 
 worker_fleet::worker_fleet(lease_policy policy,
@@ -152,6 +166,7 @@
         // The sidecar does not know which calls of the earlier one are under
         // way, so the worker must reject them.
         known->second.number = ++m_incarnations;
+        known->second.sidecar_since = now;
     }
     auto& view = known->second;
     view.host = report.host;
@@ -181,6 +196,9 @@
     m_evidence.add(now, report.crashed);
     view.refused = std::move(report.refused);
     view.ended_unseen = std::move(report.ended_unseen);
+    view.unresolved_starts = {report.unresolved.runs.begin(),
+                              report.unresolved.runs.end()};
+    view.knows_all_starts = report.unresolved.is_complete;
     if (report.runs)
     {
         if (!view.has_runs)
@@ -217,8 +235,13 @@
     added.number = ++m_incarnations;
     added.late_starts_expire_at =
         now + max_length_on_leader_clock(m_policy.longest);
+    added.sidecar_since = now;
     if (auto const* const before = find(id))
     {
+        if (before->sidecar == report.sidecar)
+        {
+            added.sidecar_since = before->sidecar_since;
+        }
         added.replaced = replaced_by(*before, report);
         if (!before->has_runs)
         {
@@ -235,6 +258,7 @@
         {
             view.how_ended = how_replaced(view, report);
             view.left = true;
+            view.is_replaced_under_other_id = other != id;
         }
     }
     added.lease_expires_at = earlier_leases_expire_at();
@@ -399,6 +423,36 @@
     return is_alive ? std::optional(core::run_end::lost) : std::nullopt;
 }
 
+bool worker_fleet::has_list_of_successor(core::worker_id const& worker,
+                                         core::incarnation life) const
+{
+    auto const* const view = find(worker);
+    return view != nullptr && life < view->profile.life && view->has_runs;
+}
+
+bool worker_fleet::may_start_late(core::worker_id const& worker,
+                                  core::incarnation life,
+                                  core::task_run const& run,
+                                  std::optional<core::time_point> placed) const
+{
+    auto const* const view = find(worker);
+    if (view == nullptr)
+    {
+        return true;
+    }
+    if (view->is_replaced_under_other_id)
+    {
+        return false;
+    }
+    bool const knows_all =
+        view->knows_all_starts || (placed && view->sidecar_since <= *placed);
+    // Otherwise the sidecar may have made the call after its last report.
+    bool const is_reported_after_call =
+        life < view->profile.life || lists_run(*view, run);
+    return !knows_all || !is_reported_after_call ||
+           has_unresolved_start(*view, run.task);
+}
+
 void worker_fleet::prune(
     core::time_point now,
     std::function<bool(core::worker_id const&)> const& has_runs)
@@ -414,4 +468,11 @@
                   });
 }
 
+bool has_unresolved_start(worker_view const& worker, core::task_ref const& task)
+{
+    auto const first =
+        worker.unresolved_starts.lower_bound({task, core::attempt_number(0)});
+    return first != worker.unresolved_starts.end() && first->task == task;
+}
+
 } // namespace turmericswitch::workflow
--- a/modules/workflow/dispatch/worker_fleet.hpp
+++ b/modules/workflow/dispatch/worker_fleet.hpp
@@ -86,8 +86,18 @@
     std::vector<core::task_run> refused;
     /// Runs in the last report that have ended in a way that nobody knows.
     std::vector<core::task_run> ended_unseen;
+    /// Runs with a start call that the worker may still execute, also after a
+    /// restart under its id.
+    std::set<core::task_run> unresolved_starts;
+    /// True if all such calls are listed, also those of earlier sidecars.
+    bool knows_all_starts = false;
+    /// When this leader got the first report of the sidecar.
+    core::time_point sidecar_since;
     /// True if the worker has shut down or was replaced on its instance.
     bool left = false;
+    /// True if a worker under another id has replaced it on its instance: calls
+    /// name the id, so they are rejected there.
+    bool is_replaced_under_other_id = false;
     /// How it ended, if it left.
     incarnation_end how_ended = incarnation_end::unknown;
     /// Time on the leader's clock at which the leases of calls that were meant
@@ -191,6 +201,22 @@
                       core::incarnation life,
                       core::task_run const& run) const;
 
+    /// @return True if a later incarnation of the worker has listed its runs.
+    bool has_list_of_successor(core::worker_id const& worker,
+                               core::incarnation life) const;
+
+    /// A proof that a run has ended or won't begin lasts only as long as the
+    /// incarnation of its worker. A start call without an answer lasts longer.
+    ///
+    /// @param placed When this leader placed the run; `nullopt` if an earlier
+    ///        one did.
+    /// @return True if the worker may still execute a start of the run's task
+    ///         that was called for this run or an earlier one.
+    bool may_start_late(core::worker_id const& worker,
+                        core::incarnation life,
+                        core::task_run const& run,
+                        std::optional<core::time_point> placed) const;
+
     /// Removes workers that left or stopped reporting.
     ///
     /// @param has_runs Returns true for workers that must be kept, because runs
@@ -222,6 +248,11 @@
     crash_evidence m_evidence;
 };
 
+/// @return True if the worker's sidecar lists a start call of the task that may
+///         still be executed.
+bool has_unresolved_start(worker_view const& worker,
+                          core::task_ref const& task);
+
 } // namespace turmericswitch::workflow
 
 #endif
--- a/modules/workflow/dispatch/worker_score.cpp
+++ b/modules/workflow/dispatch/worker_score.cpp
@@ -94,9 +94,13 @@
     {
         return placement_obstacle::serving_over_target;
     }
-    return worker.is_isolated_for_other(pending.stage.workflow)
-               ? placement_obstacle::isolated_worker
-               : placement_obstacle::none;
+    if (worker.is_isolated_for_other(pending.stage.workflow))
+    {
+        return placement_obstacle::isolated_worker;
+    }
+    return pending.only_on.value_or(worker.worker) == worker.worker
+               ? placement_obstacle::none
+               : placement_obstacle::unresolved_start;
 }
 
 } // namespace
--- a/modules/workflow/table/workflow_table.cpp
+++ b/modules/workflow/table/workflow_table.cpp
@@ -296,6 +296,14 @@
     return m_longest_lease;
 }
 
+std::optional<core::time_point>
+workflow_table::not_running_since(core::task_ref const& task) const
+{
+    auto const known = m_not_running_since.find(task);
+    return known == m_not_running_since.end() ? std::nullopt
+                                              : std::optional(known->second);
+}
+
 std::optional<core::time_point>
 workflow_table::unplaced_since(core::task_ref const& task) const
 {
@@ -326,6 +334,7 @@
     m_suspected.clear();
     m_held_by_workflow.clear();
     m_unplaced_since.clear();
+    m_not_running_since.clear();
     m_ignored_parts = 0;
     for (auto& record : records)
     {
--- a/modules/workflow/table/workflow_table.hpp
+++ b/modules/workflow/table/workflow_table.hpp
@@ -65,9 +65,9 @@
     /// another worker. The first end `done` of the two counts; what ends after
     /// it only gives its capacity back.
     ///
-    /// Applies ends, resolved ends, checkpoints, placements and begun
-    /// workflows, in this order, and records the longest lease. Parts that no
-    /// longer match the table are ignored and counted.
+    /// Applies ends, late ends, resolved ends, checkpoints, placements and
+    /// begun workflows, in this order, and records the longest lease. Parts
+    /// that no longer match the table are ignored and counted.
     void progress(core::workflow_progress const& command, core::time_point now);
 
     /// Removes workflows that ended more than `final_retention` ago and have no
@@ -100,6 +100,18 @@
     std::optional<core::time_point>
     unplaced_since(core::task_ref const& task) const;
 
+    /// @return When the last run of a long-running task ended that had begun,
+    ///         or when the first one since then was placed; `nullopt` if the
+    ///         task was never placed, or if this member has restored it from a
+    ///         snapshot.
+    std::optional<core::time_point>
+    not_running_since(core::task_ref const& task) const;
+
+    /// @return True if an end `done` of this run, which is not held, makes its
+    ///         task done: the run was taken for ended before, and the task has
+    ///         no run now.
+    bool accepts_late_end(core::task_run const& run) const;
+
     /// @return True while the run is placed on this incarnation of the worker
     ///         and its end is not applied.
     bool is_held(core::run_outcome const& outcome) const;
@@ -191,6 +203,8 @@
     void apply_end(core::workflow_record& workflow,
                    core::run_outcome const& outcome,
                    core::time_point now);
+    /// Applies an end of a run that is not held.
+    void apply_late_end(core::run_outcome const& outcome, core::time_point now);
     /// Applies what became known of a run that ended as `suspected`.
     void resolve(core::run_outcome const& outcome, core::time_point now);
     void add_suspected(core::run_outcome const& outcome,
@@ -202,7 +216,7 @@
     void clear_suspected(core::task_ref const& ref, core::task_record& task);
     void clear_suspected(core::workflow_record& workflow);
     void apply(core::run_checkpoint const& checkpoint);
-    void apply(core::run_placement const& placement);
+    void apply(core::run_placement const& placement, core::time_point now);
     void apply_done(core::workflow_record& workflow,
                     core::stage_record& stage,
                     core::task_run const& run,
@@ -244,6 +258,9 @@
     /// When the last runs of unplaced tasks ended. Every member derives it from
     /// the commands, so it survives an election, but it is in no snapshot.
     std::map<core::task_ref, core::time_point> m_unplaced_since;
+    /// Of long-running tasks. Every member derives it from the commands; it is
+    /// in no snapshot.
+    std::map<core::task_ref, core::time_point> m_not_running_since;
     change_log<core::workflow_id> m_changed_workflows;
     change_log<core::worker_id> m_changed_workers;
 };
--- a/modules/workflow/table/workflow_table_progress.cpp
+++ b/modules/workflow/table/workflow_table_progress.cpp
@@ -98,6 +98,18 @@
     }
 }
 
+void erase_tasks(std::map<core::task_ref, core::time_point>& times,
+                 core::workflow_id const& workflow)
+{
+    auto const first = times.lower_bound({workflow, 0, 0, 0});
+    auto last = first;
+    while (last != times.end() && last->first.workflow == workflow)
+    {
+        ++last;
+    }
+    times.erase(first, last);
+}
+
 } // namespace
 
 void workflow_table::progress(core::workflow_progress const& command,
@@ -107,6 +119,10 @@
     {
         apply(outcome, now);
     }
+    for (auto const& outcome : command.late_ends)
+    {
+        apply_late_end(outcome, now);
+    }
     for (auto const& outcome : command.resolved)
     {
         resolve(outcome, now);
@@ -117,7 +133,7 @@
     }
     for (auto const& placement : command.placements)
     {
-        apply(placement);
+        apply(placement, now);
     }
     for (auto const& id : command.begun)
     {
@@ -171,6 +187,38 @@
     drop_done_record_in(workflow, ref);
 }
 
+bool workflow_table::accepts_late_end(core::task_run const& run) const
+{
+    auto const* const workflow = find(run.task.workflow);
+    if (workflow == nullptr || core::is_final(workflow->state))
+    {
+        return false;
+    }
+    auto const* const stage = find_stage(*workflow, run.task);
+    auto const* const task = find_task(run.task);
+    return stage != nullptr && task != nullptr && !task->done &&
+           !task->placed && !task->earlier && run.attempt <= task->attempt &&
+           !stage->behaviour.long_running && !stage->behaviour.gang;
+}
+
+void workflow_table::apply_late_end(core::run_outcome const& outcome,
+                                    core::time_point now)
+{
+    auto const& ref = outcome.run.task;
+    if (outcome.how != run_end::done || !accepts_late_end(outcome.run))
+    {
+        ++m_ignored_parts;
+        return;
+    }
+    auto& workflow = m_workflows.at(ref.workflow);
+    set_begun(workflow);
+    m_unplaced_since.erase(ref);
+    m_changed_workflows.add(ref.workflow);
+    clear_suspected(ref, *find_task_in(workflow, ref));
+    apply_done(workflow, stage_record(workflow, ref), outcome.run, now);
+    drop_done_record_in(workflow, ref);
+}
+
 void workflow_table::update_unplaced(core::workflow_record& workflow,
                                      core::task_ref const& task,
                                      core::time_point now)
@@ -194,6 +242,8 @@
     auto const& ref = outcome.run.task;
     auto& task = *find_task_in(workflow, ref);
     remove_hold(outcome);
+    task.unresolved_on =
+        outcome.is_start_unresolved ? outcome.worker : core::worker_id();
     if (task.placed && task.attempt == outcome.run.attempt)
     {
         task.placed = false;
@@ -214,6 +264,12 @@
     auto& stage = stage_record(workflow, ref);
     auto const& description = workflow.description.stages[ref.stage];
     auto const& behaviour = description.behaviour;
+    bool const may_have_run =
+        shows_begin(outcome) || outcome.how == run_end::lost;
+    if (behaviour.long_running && may_have_run)
+    {
+        m_not_running_since[ref] = now;
+    }
     if (task.done && may_be_copied(description))
     {
         return;
@@ -419,7 +475,8 @@
     }
 }
 
-void workflow_table::apply(core::run_placement const& placement)
+void workflow_table::apply(core::run_placement const& placement,
+                           core::time_point now)
 {
     auto const& ref = placement.run.task;
     auto const known = m_workflows.find(ref.workflow);
@@ -458,6 +515,10 @@
     task.worker = placement.worker;
     task.life = placement.life;
     m_unplaced_since.erase(ref);
+    if (workflow.description.stages[ref.stage].behaviour.long_running)
+    {
+        m_not_running_since.try_emplace(ref, now);
+    }
     add_hold(ref, {task.attempt, task.worker, task.life});
 }
 
@@ -470,15 +531,8 @@
     workflow.ended = now;
     workflow.reason = std::move(reason);
     m_active.erase(workflow.workflow);
-    auto const first =
-        m_unplaced_since.lower_bound({workflow.workflow, 0, 0, 0});
-    auto last = first;
-    while (last != m_unplaced_since.end() &&
-           last->first.workflow == workflow.workflow)
-    {
-        ++last;
-    }
-    m_unplaced_since.erase(first, last);
+    erase_tasks(m_unplaced_since, workflow.workflow);
+    erase_tasks(m_not_running_since, workflow.workflow);
     m_changed_workflows.add(workflow.workflow);
     add_changed_workers(workflow);
     clear_suspected(workflow);
