--- a/modules/core/events/event_code.hpp
+++ b/modules/core/events/event_code.hpp
@@ -49,6 +49,7 @@
     leave_notice_ignored = 314,
     ends_dropped_unseen = 315,
     run_ended_unseen = 316,
+    incarnation_fenced = 317,
     run_row_skipped = 330,
     worker_unconfirmed = 331,
 
@@ -74,6 +75,7 @@
     job_prospect_changed = 424,
     job_refused = 425,
     refusals_outdated = 426,
+    late_end_counted = 427,
 
     // Control: the group and its state
     role_changed = 451,
@@ -170,6 +172,7 @@
     event_entry{event_code::run_ended_unseen,
                 "run_ended_unseen",
                 event_severity::warning},
+    event_entry{event_code::incarnation_fenced, "incarnation_fenced"},
     event_entry{event_code::run_row_skipped,
                 "run_row_skipped",
                 event_severity::warning},
@@ -203,6 +206,7 @@
     event_entry{event_code::job_prospect_changed, "job_prospect_changed"},
     event_entry{event_code::job_refused, "job_refused"},
     event_entry{event_code::refusals_outdated, "refusals_outdated"},
+    event_entry{event_code::late_end_counted, "late_end_counted"},
     event_entry{event_code::role_changed, "role_changed"},
     event_entry{event_code::leadership_began, "leadership_began"},
     event_entry{event_code::leadership_ended, "leadership_ended"},
