Keep a start of an earlier sidecar open after the next attempt

Cause: the end of a run counted as resolved if the worker's sidecar had reported before the run was placed and names no open start. That covers the calls for this run only. If the run before has left an unanswered start, and the sidecar has restarted since, the new sidecar doesn't know of that call: a second attempt that is refused at once cleared the mark, and the task was placed elsewhere while its worker could still execute the first start after a restart. Change: a task with an open start on that worker stays marked until the sidecar says that it knows all starts.

--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -343,18 +343,25 @@
 {
     for (auto& each : ends)
     {
-        auto const placed = m_placed_at.find(each.run);
         each.is_start_unresolved =
             must_stay_if_unresolved(each) &&
-            m_fleet.may_start_late(each.worker,
-                                   each.life,
-                                   each.run,
-                                   placed == m_placed_at.end()
-                                       ? std::nullopt
-                                       : std::optional(placed->second));
+            m_fleet.may_start_late(
+                each.worker, each.life, each.run, first_call_after(each));
     }
 }
 
+std::optional<core::time_point>
+dispatcher::first_call_after(core::run_outcome const& end) const
+{
+    auto const* const task = m_table.find_task(end.run.task);
+    bool const has_earlier_call =
+        task != nullptr && task->unresolved_on == end.worker;
+    auto const placed = m_placed_at.find(end.run);
+    return has_earlier_call || placed == m_placed_at.end()
+               ? std::nullopt
+               : std::optional(placed->second);
+}
+
 bool dispatcher::must_stay_if_unresolved(core::run_outcome const& end) const
 {
     auto const* const stage = m_table.find_stage(end.run.task);
--- a/modules/workflow/dispatch/dispatcher.hpp
+++ b/modules/workflow/dispatch/dispatcher.hpp
@@ -188,6 +188,11 @@
     void update_accounts(plan_times const& times);
     /// Marks the ends of runs with a start that may still be executed.
     void mark_unresolved(std::vector<core::run_outcome>& ends) const;
+    /// @return Time after which all calls of the task to the run's worker were
+    ///         made that it may still execute; `nullopt` if an earlier leader
+    ///         placed the run, or an earlier run has left such a call.
+    std::optional<core::time_point>
+    first_call_after(core::run_outcome const& end) const;
     /// @return True if the task must not be started elsewhere while the run's
     ///         worker may execute a start of it.
     bool must_stay_if_unresolved(core::run_outcome const& end) const;
--- a/modules/workflow/dispatch/worker_fleet.cpp
+++ b/modules/workflow/dispatch/worker_fleet.cpp
@@ -430,10 +430,11 @@
     return view != nullptr && life < view->profile.life && view->has_runs;
 }
 
-bool worker_fleet::may_start_late(core::worker_id const& worker,
-                                  core::incarnation life,
-                                  core::task_run const& run,
-                                  std::optional<core::time_point> placed) const
+bool worker_fleet::may_start_late(
+    core::worker_id const& worker,
+    core::incarnation life,
+    core::task_run const& run,
+    std::optional<core::time_point> called_after) const
 {
     auto const* const view = find(worker);
     if (view == nullptr)
@@ -445,7 +446,8 @@
         return false;
     }
     bool const knows_all =
-        view->knows_all_starts || (placed && view->sidecar_since <= *placed);
+        view->knows_all_starts ||
+        (called_after && view->sidecar_since <= *called_after);
     // Otherwise the sidecar may have made the call after its last report.
     bool const is_reported_after_call =
         life < view->profile.life || lists_run(*view, run);
--- /dev/null
+++ b/modules/workflow/tests/start_affinity_review_test.cpp
@@ -0,0 +1,127 @@
+#include "dispatcher_fixture.hpp"
+
+#include <utility>
+
+namespace turmericswitch::workflow
+{
+
+using namespace testing;
+
+/// Starts that a worker executes after its restart although everything that the
+/// leader knows of its last run says that no start of the task is open.
+class start_affinity_review_test : public dispatcher_fixture
+{
+    CPPUNIT_TEST_SUITE(start_affinity_review_test);
+    CPPUNIT_TEST(second_attempt_does_not_resolve_starts_of_an_earlier_sidecar);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        dispatcher_fixture::setUp();
+        m_table.submit(submission("a", {stage(1)}), queue(), m_now);
+    }
+
+    // A start of attempt 1 has no answer, and its sidecar restarts. The next
+    // sidecar makes all calls of attempt 2, which is refused at once. Guards
+    // against two runs of one task: the answers to the calls of attempt 2 say
+    // nothing of the call of attempt 1, which the worker may still execute.
+    void second_attempt_does_not_resolve_starts_of_an_earlier_sidecar()
+    {
+        place_first();
+        m_now += seconds(1);
+        m_sidecar = core::incarnation(2);
+        auto report = report_of("w1");
+        report.refused = {attempt(1)};
+        report.unresolved.is_complete = false;
+        send(report);
+        commit();
+        m_now += seconds(1);
+        report.refused = {};
+        send(report);
+        report_free("w2");
+        commit();
+        CPPUNIT_ASSERT(is_placed(attempt(2), "w1"));
+        m_now += seconds(1);
+        report.refused = {attempt(2)};
+        report.profile.draining = true;
+        send(report);
+        commit();
+        expect_no_placement_elsewhere();
+    }
+
+private:
+    static core::duration seconds(int count)
+    {
+        return std::chrono::seconds(count);
+    }
+
+    static core::task_run attempt(std::uint32_t number)
+    {
+        return run_of("a", 0, 0, number);
+    }
+
+    /// A report of a sidecar that knows of no unanswered start.
+    core::runtime_report report_of(std::string const& worker,
+                                   std::uint64_t life = 1)
+    {
+        core::runtime_report result;
+        result.host = core::instance_id("host-" + worker);
+        result.sidecar = m_sidecar;
+        result.profile = profile(worker, 8000, life);
+        result.clock = m_now - at_ms(0);
+        result.runs.emplace();
+        result.unresolved.is_complete = true;
+        return result;
+    }
+
+    /// Sends the report with the present clock of its worker.
+    void send(core::runtime_report report)
+    {
+        report.clock = m_now - at_ms(0);
+        auto const of = report.profile;
+        m_dispatcher->report(m_now, std::move(report));
+        m_dispatcher->grant(of.worker, of.life);
+    }
+
+    void report_free(std::string const& worker)
+    {
+        send(report_of(worker));
+    }
+
+    /// Places the task on w1, the only worker.
+    void place_first()
+    {
+        report_free("w1");
+        commit();
+        CPPUNIT_ASSERT(is_placed(attempt(1), "w1"));
+    }
+
+    bool is_placed(core::task_run const& run, std::string const& worker) const
+    {
+        return m_table.held_incarnation(run, core::worker_id(worker))
+            .has_value();
+    }
+
+    /// Applies what is planned while w2 has room.
+    void plan_beside_free_worker()
+    {
+        m_now += std::chrono::milliseconds(200);
+        report_free("w2");
+        if (auto const command = plan())
+        {
+            m_table.progress(*command, m_now);
+            m_dispatcher->applied(m_now, *command);
+        }
+    }
+
+    void expect_no_placement_elsewhere()
+    {
+        plan_beside_free_worker();
+        CPPUNIT_ASSERT(m_table.held_on(core::worker_id("w2")).empty());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(start_affinity_review_test);
+
+} // namespace turmericswitch::workflow
