Acknowledge no late end while a later run may still begin

Callers would see a task run again after it was done. Cause: the end 'done' of a run that was taken for ended counts if its task has no run. While a later attempt was placed, it was acknowledged without being counted. That is so in the very list that ends the later attempt: the worker restarts, executes the late start of attempt 1, and its first list has the end of that and lacks attempt 2. The leader grants the acknowledgement before it has committed the end of attempt 2, and attempt 3 runs after the end. Change: such an end stays unacknowledged, and the later run is stopped, unless its worker lists it as running. It counts when the later run has ended; the worker's last report is then read again.

--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -150,6 +150,7 @@
         return false;
     }
     drop_outdated_refusals(*view, refused_under);
+    evict_needless_runs(*view);
     bool const is_new = known == nullptr || is_new_incarnation;
     if (is_new || is_new_sidecar)
     {
@@ -197,6 +198,17 @@
     view.refused.clear();
 }
 
+void dispatcher::evict_needless_runs(worker_view const& view)
+{
+    for (auto const& each : view.ended)
+    {
+        if (auto const later = m_ends.find_needless_run(each))
+        {
+            m_orders.evict(later->worker, later->run);
+        }
+    }
+}
+
 void dispatcher::update_colocation(core::time_point now,
                                    worker_view const& view)
 {
@@ -290,7 +302,7 @@
     answer.lease_until = view->granted_until;
     for (auto const& each : view->ended)
     {
-        if (m_ends.is_uncommitted(each, worker))
+        if (m_ends.is_open(each, worker))
         {
             break;
         }
--- a/modules/workflow/dispatch/dispatcher.hpp
+++ b/modules/workflow/dispatch/dispatcher.hpp
@@ -196,6 +196,8 @@
     /// @return True if the task must not be started elsewhere while the run's
     ///         worker may execute a start of it.
     bool must_stay_if_unresolved(core::run_outcome const& end) const;
+    /// Stops the runs of tasks of which an earlier run is listed as done.
+    void evict_needless_runs(worker_view const& view);
     /// Drops the refusals in a report that was made under another token than
     /// the granted one: it may be a late one of an earlier sidecar, and the
     /// present one may have begun the runs since. The sidecar repeats its own
--- a/modules/workflow/dispatch/end_collector.cpp
+++ b/modules/workflow/dispatch/end_collector.cpp
@@ -58,6 +58,28 @@
            is_late_end(ended);
 }
 
+std::optional<core::run_placement>
+end_collector::find_needless_run(core::ended_run const& ended) const
+{
+    auto const later = ended.how == core::run_end::done
+                           ? m_table.run_before_late_end(ended.run)
+                           : std::nullopt;
+    if (!later)
+    {
+        return std::nullopt;
+    }
+    auto const* const view = m_fleet.find(later->worker);
+    bool const has_begun =
+        view != nullptr && view->running.contains(later->run);
+    return has_begun ? std::nullopt : later;
+}
+
+bool end_collector::is_open(core::ended_run const& ended,
+                            core::worker_id const& worker) const
+{
+    return is_uncommitted(ended, worker) || find_needless_run(ended);
+}
+
 bool end_collector::has_uncommitted_ends(worker_view const& view) const
 {
     auto const is_open = [&](core::task_run const& run)
@@ -247,6 +269,8 @@
     for (auto const& outcome : command.ends)
     {
         m_saved_at.erase(outcome.run);
+        // An end in the worker's last report may have waited for this one.
+        m_reported.insert(outcome.worker);
     }
     for (auto const& checkpoint : command.checkpoints)
     {
--- a/modules/workflow/dispatch/end_collector.hpp
+++ b/modules/workflow/dispatch/end_collector.hpp
@@ -7,6 +7,7 @@
 #include "workflow/table/workflow_table.hpp"
 
 #include <map>
+#include <optional>
 #include <set>
 
 namespace turmericswitch::workflow
@@ -40,15 +41,25 @@
     /// @return True while ends in the worker's last report are not committed.
     bool has_uncommitted_ends(worker_view const& view) const;
 
-    /// @return True while the end, of the worker's last report, is not
-    ///         committed.
-    bool is_uncommitted(core::ended_run const& ended,
-                        core::worker_id const& worker) const;
+    /// @return True while the end, of the worker's last report, must not be
+    ///         acknowledged: it is not committed, or waits for the end of a
+    ///         later run of its task.
+    bool is_open(core::ended_run const& ended,
+                 core::worker_id const& worker) const;
+
+    /// @return The later run of the task, which is placed and not known to have
+    ///         begun, if `ended` is the end `done` of a run that was taken for
+    ///         ended before. It must not begin any more.
+    std::optional<core::run_placement>
+    find_needless_run(core::ended_run const& ended) const;
 
 private:
     /// @return True for the end `done` of a run that was taken for ended
     ///         before, and so is not held any more.
     bool is_late_end(core::ended_run const& ended) const;
+    /// @return True while the end can be committed and is not.
+    bool is_uncommitted(core::ended_run const& ended,
+                        core::worker_id const& worker) const;
     /// The incarnation may have executed starts that were meant for an earlier
     /// one, so its ends count for runs on all of them.
     void collect_reported_ends(worker_view const& view,
--- a/modules/workflow/table/workflow_table.hpp
+++ b/modules/workflow/table/workflow_table.hpp
@@ -112,6 +112,12 @@
     ///         no run now.
     bool accepts_late_end(core::task_run const& run) const;
 
+    /// @return The run of the task that keeps an end `done` of `run`, which is
+    ///         not held, from making the task done; `nullopt` if there is none,
+    ///         or if the end doesn't count at all.
+    std::optional<core::run_placement>
+    run_before_late_end(core::task_run const& run) const;
+
     /// @return True while the run is placed on this incarnation of the worker
     ///         and its end is not applied.
     bool is_held(core::run_outcome const& outcome) const;
@@ -203,6 +209,9 @@
     void apply_end(core::workflow_record& workflow,
                    core::run_outcome const& outcome,
                    core::time_point now);
+    /// @return The task if an end `done` of this run, which is not held, may
+    ///         make it done, or null.
+    core::task_record const* find_late_task(core::task_run const& run) const;
     /// Applies an end of a run that is not held.
     void apply_late_end(core::run_outcome const& outcome, core::time_point now);
     /// Applies what became known of a run that ended as `suspected`.
--- a/modules/workflow/table/workflow_table_progress.cpp
+++ b/modules/workflow/table/workflow_table_progress.cpp
@@ -187,18 +187,40 @@
     drop_done_record_in(workflow, ref);
 }
 
-bool workflow_table::accepts_late_end(core::task_run const& run) const
+core::task_record const*
+workflow_table::find_late_task(core::task_run const& run) const
 {
     auto const* const workflow = find(run.task.workflow);
     if (workflow == nullptr || core::is_final(workflow->state))
     {
-        return false;
+        return nullptr;
     }
     auto const* const stage = find_stage(*workflow, run.task);
     auto const* const task = find_task(run.task);
-    return stage != nullptr && task != nullptr && !task->done &&
-           !task->placed && !task->earlier && run.attempt <= task->attempt &&
-           !stage->behaviour.long_running && !stage->behaviour.gang;
+    bool const may_count = stage != nullptr && task != nullptr && !task->done &&
+                           !task->earlier && run.attempt <= task->attempt &&
+                           !stage->behaviour.long_running &&
+                           !stage->behaviour.gang;
+    return may_count ? task : nullptr;
+}
+
+bool workflow_table::accepts_late_end(core::task_run const& run) const
+{
+    auto const* const task = find_late_task(run);
+    return task != nullptr && !task->placed;
+}
+
+std::optional<core::run_placement>
+workflow_table::run_before_late_end(core::task_run const& run) const
+{
+    auto const* const task = find_late_task(run);
+    if (task == nullptr || !task->placed || run.attempt == task->attempt ||
+        may_be_copied(*find_stage(run.task)))
+    {
+        return std::nullopt;
+    }
+    return core::run_placement{
+        {run.task, task->attempt}, task->worker, task->life};
 }
 
 void workflow_table::apply_late_end(core::run_outcome const& outcome,
--- a/modules/workflow/tests/start_affinity_review_test.cpp
+++ b/modules/workflow/tests/start_affinity_review_test.cpp
@@ -13,6 +13,9 @@
 {
     CPPUNIT_TEST_SUITE(start_affinity_review_test);
     CPPUNIT_TEST(second_attempt_does_not_resolve_starts_of_an_earlier_sidecar);
+    CPPUNIT_TEST(late_end_before_the_end_of_the_next_run_is_counted);
+    CPPUNIT_TEST(late_end_stops_a_later_run_that_has_not_begun);
+    CPPUNIT_TEST(late_end_beside_a_later_run_at_work_is_acknowledged);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -50,7 +53,84 @@
         expect_no_placement_elsewhere();
     }
 
+    // A worker restarts while attempt 2 is placed on it, executes the late
+    // start of attempt 1, and its first list has the end of that. Guards
+    // against an end `done` that is acknowledged without being counted, because
+    // the end of attempt 2, which follows from the same list, is not committed
+    // yet: the task runs again.
+    void late_end_before_the_end_of_the_next_run_is_counted()
+    {
+        place_second();
+        auto next = report_of("w1", 2);
+        next.runs->ended = {{1, attempt(1), core::run_end::done, {}}};
+        send(next);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, acknowledged_ends(2));
+        commit();
+        commit();
+        CPPUNIT_ASSERT(state_of("a") == core::workflow_state::completed);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, acknowledged_ends(2));
+    }
+
+    // Guards against a start after an end `done` that is acknowledged later.
+    void late_end_stops_a_later_run_that_has_not_begun()
+    {
+        place_second();
+        auto report = report_of("w1");
+        report.runs->ended = {{1, attempt(1), core::run_end::done, {}}};
+        send(report);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, acknowledged_ends(1));
+        auto const ordered = orders();
+        CPPUNIT_ASSERT(started(ordered).empty());
+        CPPUNIT_ASSERT(ordered.stops == std::vector{attempt(2)});
+        m_now += seconds(1);
+        report.refused = {attempt(2)};
+        send(report);
+        commit();
+        commit();
+        CPPUNIT_ASSERT(state_of("a") == core::workflow_state::completed);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, acknowledged_ends(1));
+    }
+
+    // Guards against a worker whose ends are not acknowledged as long as the
+    // other run of a task goes on.
+    void late_end_beside_a_later_run_at_work_is_acknowledged()
+    {
+        place_second();
+        auto report = report_of("w1");
+        report.runs = running({attempt(2)});
+        report.runs->ended = {{1, attempt(1), core::run_end::done, {}}};
+        send(report);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, acknowledged_ends(1));
+        CPPUNIT_ASSERT(orders().stops.empty());
+    }
+
 private:
+    /// Places attempt 2 on w1 after the refusal of attempt 1, of which a start
+    /// is open.
+    void place_second()
+    {
+        end_first_unresolved();
+        commit();
+        CPPUNIT_ASSERT(is_placed(attempt(2), "w1"));
+    }
+
+    void end_first_unresolved()
+    {
+        place_first();
+        m_now += seconds(1);
+        auto report = report_of("w1");
+        report.refused = {attempt(1)};
+        report.unresolved.runs = {attempt(1)};
+        send(report);
+        commit();
+        CPPUNIT_ASSERT(!is_placed(attempt(1), "w1"));
+    }
+
+    std::uint64_t acknowledged_ends(std::uint64_t life)
+    {
+        return grant(life).acknowledged_ends;
+    }
+
     static core::duration seconds(int count)
     {
         return std::chrono::seconds(count);
