Start no task while a worker lists a run of it

Cause: the leader looked for a late run only on the worker that the last end of the task was marked with. The mark is missing if the sidecar counted the start as resolved when that end was collected: a start that is executed 11.9 s after its call, by an incarnation whose first list comes a second later, is listed as running and resolved in the same report. Then the task was placed elsewhere. Change: the leader keeps the runs that the lists have as running and that the table doesn't hold, and starts none of their tasks until they have ended or their lease is over. Stages whose tasks may have copies are as before.

--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -151,6 +151,7 @@
     }
     drop_outdated_refusals(*view, refused_under);
     evict_needless_runs(*view);
+    m_start_affinity.reported(*view);
     bool const is_new = known == nullptr || is_new_incarnation;
     if (is_new || is_new_sidecar)
     {
--- a/modules/workflow/dispatch/start_affinity.cpp
+++ b/modules/workflow/dispatch/start_affinity.cpp
@@ -40,6 +40,46 @@
 {
 }
 
+void start_affinity::reported(worker_view const& worker)
+{
+    auto const& id = worker.profile.worker;
+    std::vector<core::task_run> unheld;
+    for (auto const& [run, seen] : worker.running)
+    {
+        if (!m_table.held_incarnation(run, id))
+        {
+            unheld.push_back(run);
+        }
+    }
+    if (unheld.empty())
+    {
+        m_unheld.erase(id);
+    }
+    else
+    {
+        m_unheld.insert_or_assign(id, std::move(unheld));
+    }
+}
+
+void start_affinity::find_running_unheld(core::time_point now)
+{
+    m_running_unheld.clear();
+    std::erase_if(m_unheld,
+                  [this](auto const& item)
+                  { return m_fleet.find(item.first) == nullptr; });
+    for (auto const& [worker, runs] : m_unheld)
+    {
+        auto const life = m_fleet.find(worker)->profile.life;
+        for (auto const& run : runs)
+        {
+            if (!m_fleet.has_ended(now, worker, life, run))
+            {
+                m_running_unheld.insert(run.task);
+            }
+        }
+    }
+}
+
 void start_affinity::applied(core::time_point now,
                              core::workflow_progress const& command)
 {
@@ -59,10 +99,11 @@
     plan_times const& times, std::vector<pending_stage const*> const& waiting)
 {
     m_parts.clear();
+    find_running_unheld(times.now);
     std::vector<pending_stage const*> result;
     for (auto const* const each : waiting)
     {
-        if (each->unresolved_on.empty())
+        if (each->unresolved_on.empty() && !has_running_unheld(*each))
         {
             result.push_back(each);
         }
@@ -79,6 +120,13 @@
                            std::vector<pending_stage const*>& result)
 {
     auto rest = pending;
+    erase_running_unheld(rest);
+    if (rest.runs.size() < pending.runs.size() &&
+        pending.description->behaviour.gang)
+    {
+        // A gang starts as a whole.
+        return;
+    }
     std::map<core::worker_id, pending_stage> parts;
     for (auto const& [run, worker] : pending.unresolved_on)
     {
@@ -114,6 +162,36 @@
     }
 }
 
+bool start_affinity::has_running_unheld(pending_stage const& pending) const
+{
+    return !workflow_table::may_be_copied(*pending.description) &&
+           std::any_of(m_running_unheld.begin(),
+                       m_running_unheld.end(),
+                       [&pending](core::task_ref const& task)
+                       { return stage_of(task) == pending.stage; });
+}
+
+void start_affinity::erase_running_unheld(pending_stage& pending) const
+{
+    if (!has_running_unheld(pending))
+    {
+        return;
+    }
+    std::vector<core::task_run> running;
+    for (auto const& run : pending.runs)
+    {
+        if (m_running_unheld.contains(run.task))
+        {
+            running.push_back(run);
+        }
+    }
+    for (auto const& run : running)
+    {
+        pending.runs.erase(run);
+        pending.suspected.erase(run);
+    }
+}
+
 void start_affinity::add(pending_stage stage,
                          std::vector<pending_stage const*>& result)
 {
@@ -135,7 +213,8 @@
     {
         return restriction::none;
     }
-    if (view != nullptr && has_run(times.now, *view, task))
+    bool const is_running = m_running_unheld.contains(task);
+    if (is_running || (view != nullptr && has_late_end(*view, task)))
     {
         return restriction::no_start;
     }
@@ -145,20 +224,9 @@
                : restriction::only_there;
 }
 
-bool start_affinity::has_run(core::time_point now,
-                             worker_view const& worker,
-                             core::task_ref const& task) const
+bool start_affinity::has_late_end(worker_view const& worker,
+                                  core::task_ref const& task) const
 {
-    auto const& id = worker.profile.worker;
-    auto const running =
-        worker.running.lower_bound({task, core::attempt_number(0)});
-    bool const is_listed =
-        running != worker.running.end() && running->first.task == task;
-    if (is_listed &&
-        !m_fleet.has_ended(now, id, worker.profile.life, running->first))
-    {
-        return true;
-    }
     return std::any_of(worker.ended.begin(),
                        worker.ended.end(),
                        [&](core::ended_run const& each)
--- a/modules/workflow/dispatch/start_affinity.hpp
+++ b/modules/workflow/dispatch/start_affinity.hpp
@@ -9,6 +9,7 @@
 
 #include <deque>
 #include <map>
+#include <set>
 #include <vector>
 
 namespace turmericswitch::workflow
@@ -32,6 +33,9 @@
                    worker_fleet const& fleet,
                    core::time_point elected);
 
+    /// Must be called after each report of the worker.
+    void reported(worker_view const& worker);
+
     /// Must be called after a command was committed.
     void applied(core::time_point now, core::workflow_progress const& command);
 
@@ -47,7 +51,7 @@
     {
         none,
         only_there,
-        /// A run of the task runs or has just ended there.
+        /// A run of the task runs or has just ended.
         no_start,
     };
 
@@ -55,11 +59,12 @@
                                pending_stage const& pending,
                                core::task_ref const& task,
                                core::worker_id const& worker) const;
-    /// @return True if a run of the task runs on the worker, or has ended there
-    ///         in a way that is not committed yet.
-    bool has_run(core::time_point now,
-                 worker_view const& worker,
-                 core::task_ref const& task) const;
+    /// Finds the tasks of which a worker runs a run that is not held.
+    void find_running_unheld(core::time_point now);
+    /// @return True if a run of the task has ended on the worker in a way that
+    ///         is not committed yet.
+    bool has_late_end(worker_view const& worker,
+                      core::task_ref const& task) const;
     /// @return True if no start of the task can be executed any more, or the
     ///         task must not wait longer.
     bool is_due(plan_times const& times,
@@ -72,6 +77,11 @@
     void split(plan_times const& times,
                pending_stage const& pending,
                std::vector<pending_stage const*>& result);
+    /// @return True if a worker runs a run of one of the stage's tasks that is
+    ///         not held.
+    bool has_running_unheld(pending_stage const& pending) const;
+    /// Removes the tasks with such runs.
+    void erase_running_unheld(pending_stage& pending) const;
     void add(pending_stage stage, std::vector<pending_stage const*>& result);
 
     workflow_table const& m_table;
@@ -79,6 +89,11 @@
     core::time_point m_elected;
     /// When the ends of runs with an unresolved start were committed.
     std::map<core::task_ref, core::time_point> m_ended_at;
+    /// Runs that the workers' last lists have as running and that were not
+    /// held then: late starts of ended runs.
+    std::map<core::worker_id, std::vector<core::task_run>> m_unheld;
+    /// Tasks of such runs at the time of the plan.
+    std::set<core::task_ref> m_running_unheld;
     /// Parts of the stages that were split.
     std::deque<pending_stage> m_parts;
 };
--- a/modules/workflow/tests/start_affinity_review_test.cpp
+++ b/modules/workflow/tests/start_affinity_review_test.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(late_end_before_the_end_of_the_next_run_is_counted);
     CPPUNIT_TEST(late_end_stops_a_later_run_that_has_not_begun);
     CPPUNIT_TEST(late_end_beside_a_later_run_at_work_is_acknowledged);
+    CPPUNIT_TEST(task_waits_while_a_worker_lists_a_run_of_it);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -104,6 +105,28 @@
         CPPUNIT_ASSERT(orders().stops.empty());
     }
 
+    // A worker executes the late start of a run that has ended at the last
+    // moment, and its list shows it when the sidecar counts the start as
+    // resolved. Guards against two runs of the task at the same time.
+    void task_waits_while_a_worker_lists_a_run_of_it()
+    {
+        place_first();
+        m_now += seconds(1);
+        auto report = report_of("w1");
+        report.refused = {attempt(1)};
+        send(report);
+        commit();
+        auto next = report_of("w1", 2);
+        next.runs = running({attempt(1)});
+        next.profile.draining = true;
+        send(next);
+        expect_no_placement_elsewhere();
+        next.runs = running({});
+        send(next);
+        plan_beside_free_worker();
+        CPPUNIT_ASSERT(is_placed(attempt(2), "w2"));
+    }
+
 private:
     /// Places attempt 2 on w1 after the refusal of attempt 1, of which a start
     /// is open.
