Wait for a list or the lease after the last late start

Cause: a task with an open start was free 13 s after its last run, or when the sidecar counted the start as resolved, whether or not the worker had answered since. A worker that restarts, executes the start in its last second and then refuses or doesn't answer sync calls runs the task unseen, beside the next run. Change: a silent worker's sidecar resolves no start, and after the 13 s the leader waits for a list of the worker, or for the longest lease that it accepts (6.4 s with 6 s).

--- a/modules/workflow/dispatch/start_affinity.cpp
+++ b/modules/workflow/dispatch/start_affinity.cpp
@@ -84,8 +84,10 @@
                              core::workflow_progress const& command)
 {
     std::erase_if(m_ended_at,
-                  [now](auto const& item)
-                  { return now - item.second >= longest_start_delay; });
+                  [&](auto const& item) {
+                      return now - item.second >=
+                             longest_start_delay + m_fleet.longest_lease();
+                  });
     for (auto const& outcome : command.ends)
     {
         if (outcome.is_start_unresolved)
@@ -219,7 +221,7 @@
         return restriction::no_start;
     }
     bool const is_known_resolved = view != nullptr && is_resolved(*view, task);
-    return is_known_resolved || is_due(times, pending, task)
+    return is_known_resolved || is_due(times, pending, task, worker)
                ? restriction::none
                : restriction::only_there;
 }
@@ -244,12 +246,14 @@
     bool const is_reported_since =
         ended == m_ended_at.end() || worker.reported_at > ended->second;
     return is_reported_since && !worker.left && worker.has_runs &&
-           worker.knows_all_starts && !has_unresolved_start(worker, task);
+           !worker.is_silent && worker.knows_all_starts &&
+           !has_unresolved_start(worker, task);
 }
 
 bool start_affinity::is_due(plan_times const& times,
                             pending_stage const& pending,
-                            core::task_ref const& task) const
+                            core::task_ref const& task,
+                            core::worker_id const& worker) const
 {
     if (pending.description->behaviour.long_running)
     {
@@ -260,7 +264,19 @@
     }
     auto const ended = m_ended_at.find(task);
     auto const since = ended != m_ended_at.end() ? ended->second : m_elected;
-    return times.now - since >= longest_start_delay;
+    return shows_last_start(times.now, since + longest_start_delay, worker);
+}
+
+bool start_affinity::shows_last_start(core::time_point now,
+                                      core::time_point last_start,
+                                      core::worker_id const& worker) const
+{
+    auto const* const view = m_fleet.find(worker);
+    bool const is_listed = view != nullptr && view->has_runs &&
+                           !view->is_silent &&
+                           view->clock_changed_at >= last_start;
+    return now >= last_start &&
+           (is_listed || now - last_start >= m_fleet.longest_lease());
 }
 
 } // namespace turmericswitch::workflow
--- a/modules/workflow/dispatch/start_affinity.hpp
+++ b/modules/workflow/dispatch/start_affinity.hpp
@@ -65,11 +65,17 @@
     ///         is not committed yet.
     bool has_late_end(worker_view const& worker,
                       core::task_ref const& task) const;
-    /// @return True if no start of the task can be executed any more, or the
-    ///         task must not wait longer.
+    /// @return True if no start of the task can be executed any more and none
+    ///         runs unseen, or the task must not wait longer.
     bool is_due(plan_times const& times,
                 pending_stage const& pending,
-                core::task_ref const& task) const;
+                core::task_ref const& task,
+                core::worker_id const& worker) const;
+    /// @return True if the last run of the task that the worker can have begun
+    ///         would be in a list since then, or its lease is over.
+    bool shows_last_start(core::time_point now,
+                          core::time_point last_start,
+                          core::worker_id const& worker) const;
     /// @return True if the worker's sidecar has reported since the task's last
     ///         run ended and knows of no start that may be executed.
     bool is_resolved(worker_view const& worker,
--- a/modules/workflow/dispatch/worker_fleet.cpp
+++ b/modules/workflow/dispatch/worker_fleet.cpp
@@ -132,6 +132,11 @@
     return m_elected + max_length_on_leader_clock(m_longest_earlier_lease);
 }
 
+core::duration worker_fleet::longest_lease() const
+{
+    return max_length_on_leader_clock(m_policy.longest);
+}
+
 core::duration worker_fleet::length() const
 {
     return std::min(m_policy.length, m_policy.longest);
--- a/modules/workflow/dispatch/worker_fleet.hpp
+++ b/modules/workflow/dispatch/worker_fleet.hpp
@@ -217,6 +217,10 @@
                         core::task_run const& run,
                         std::optional<core::time_point> called_after) const;
 
+    /// @return Longest time on the leader's clock for which a worker keeps a
+    ///         run without a sync call.
+    core::duration longest_lease() const;
+
     /// Removes workers that left or stopped reporting.
     ///
     /// @param has_runs Returns true for workers that must be kept, because runs
--- a/modules/workflow/tests/start_affinity_review_test.cpp
+++ b/modules/workflow/tests/start_affinity_review_test.cpp
@@ -17,6 +17,8 @@
     CPPUNIT_TEST(late_end_stops_a_later_run_that_has_not_begun);
     CPPUNIT_TEST(late_end_beside_a_later_run_at_work_is_acknowledged);
     CPPUNIT_TEST(task_waits_while_a_worker_lists_a_run_of_it);
+    CPPUNIT_TEST(task_waits_for_the_list_of_a_silent_worker);
+    CPPUNIT_TEST(silent_worker_does_not_show_that_a_start_is_resolved);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -127,6 +129,35 @@
         CPPUNIT_ASSERT(is_placed(attempt(2), "w2"));
     }
 
+    // A worker is silent when the last start of a run that has ended can have
+    // been executed. Guards against two runs of the task: it may run there,
+    // until its lease is over.
+    void task_waits_for_the_list_of_a_silent_worker()
+    {
+        end_first_unresolved();
+        auto silent = report_of("w1");
+        silent.silent = true;
+        silent.unresolved = {{attempt(1)}, true};
+        m_now += std::chrono::milliseconds(13'200);
+        send(silent);
+        expect_no_placement_elsewhere();
+        m_now += std::chrono::milliseconds(6400);
+        send(silent);
+        plan_beside_free_worker();
+        CPPUNIT_ASSERT(is_placed(attempt(2), "w2"));
+    }
+
+    // The same if the silent worker's sidecar counts the start as resolved.
+    void silent_worker_does_not_show_that_a_start_is_resolved()
+    {
+        end_first_unresolved();
+        m_now += seconds(12);
+        auto silent = report_of("w1");
+        silent.silent = true;
+        send(silent);
+        expect_no_placement_elsewhere();
+    }
+
 private:
     /// Places attempt 2 on w1 after the refusal of attempt 1, of which a start
     /// is open.
