Resolve no start by a late report of an earlier sidecar

Cause: a report that says that all open starts are listed counted from any sidecar. One that its sidecar had sent before it made a start call and was killed may arrive after the first report of the next sidecar, and lists no such call. The task was placed elsewhere while the worker could execute the call.

--- a/modules/workflow/dispatch/worker_fleet.cpp
+++ b/modules/workflow/dispatch/worker_fleet.cpp
@@ -1,5 +1,7 @@
 #include "workflow/dispatch/worker_fleet.hpp"
 
+#include "workflow/agent/worker_runtime.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -25,6 +27,17 @@
 /// An idle worker without reports for this long is removed from the view.
 constexpr core::duration forget_after = std::chrono::minutes(1);
 
+/// A report may be a late one of the sidecar before, which doesn't tell what
+/// that one has called since.
+///
+/// @return True if the sidecar has replaced another one for so short a time
+///         that a start of that one may still be executed.
+bool is_sidecar_new(core::time_point now, worker_view const& view)
+{
+    return view.sidecar_changed_at &&
+           now - *view.sidecar_changed_at < longest_call_delay;
+}
+
 /// @param report The first report of a later incarnation.
 incarnation_end how_replaced(worker_view const& before,
                              core::runtime_report const& report)
@@ -172,6 +185,7 @@
         // way, so the worker must reject them.
         known->second.number = ++m_incarnations;
         known->second.sidecar_since = now;
+        known->second.sidecar_changed_at = now;
     }
     auto& view = known->second;
     view.host = report.host;
@@ -203,7 +217,8 @@
     view.ended_unseen = std::move(report.ended_unseen);
     view.unresolved_starts = {report.unresolved.runs.begin(),
                               report.unresolved.runs.end()};
-    view.knows_all_starts = report.unresolved.is_complete;
+    view.knows_all_starts =
+        report.unresolved.is_complete && !is_sidecar_new(now, view);
     if (report.runs)
     {
         if (!view.has_runs)
@@ -243,9 +258,11 @@
     added.sidecar_since = now;
     if (auto const* const before = find(id))
     {
+        added.sidecar_changed_at = now;
         if (before->sidecar == report.sidecar)
         {
             added.sidecar_since = before->sidecar_since;
+            added.sidecar_changed_at = before->sidecar_changed_at;
         }
         added.replaced = replaced_by(*before, report);
         if (!before->has_runs)
--- a/modules/workflow/dispatch/worker_fleet.hpp
+++ b/modules/workflow/dispatch/worker_fleet.hpp
@@ -93,6 +93,8 @@
     bool knows_all_starts = false;
     /// When this leader got the first report of the sidecar.
     core::time_point sidecar_since;
+    /// When a report of another sidecar than in the one before arrived.
+    std::optional<core::time_point> sidecar_changed_at;
     /// True if the worker has shut down or was replaced on its instance.
     bool left = false;
     /// True if a worker under another id has replaced it on its instance: calls
--- a/modules/workflow/tests/start_affinity_review_test.cpp
+++ b/modules/workflow/tests/start_affinity_review_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(task_waits_while_a_worker_lists_a_run_of_it);
     CPPUNIT_TEST(task_waits_for_the_list_of_a_silent_worker);
     CPPUNIT_TEST(silent_worker_does_not_show_that_a_start_is_resolved);
+    CPPUNIT_TEST(late_report_of_an_earlier_sidecar_resolves_no_start);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -158,6 +159,27 @@
         expect_no_placement_elsewhere();
     }
 
+    // A sidecar reports, makes a start call and is killed. Guards against two
+    // runs of the task when that report arrives after the first one of the next
+    // sidecar, which doesn't know the call.
+    void late_report_of_an_earlier_sidecar_resolves_no_start()
+    {
+        place_first();
+        m_now += seconds(1);
+        m_sidecar = core::incarnation(2);
+        auto report = report_of("w1");
+        report.unresolved.is_complete = false;
+        report.refused = {attempt(1)};
+        send(report);
+        commit();
+        m_now += std::chrono::milliseconds(100);
+        m_sidecar = core::incarnation(1);
+        auto late = report_of("w1");
+        late.profile.draining = true;
+        send(late);
+        expect_no_placement_elsewhere();
+    }
+
 private:
     /// Places attempt 2 on w1 after the refusal of attempt 1, of which a start
     /// is open.
