Count the late end of a gang

Cause: the end 'done' of a member that was taken for ended was acknowledged without being counted, because late ends of gangs were left out. One such end stands for all members, so the next attempt of the gang was a start after it. Change: the end makes all members done, if none of them is placed. A gang that has been placed again is as before: its late ends are acknowledged, not counted. Measured: the test failed before (the end was acknowledged), and holds now.

--- a/modules/workflow/table/workflow_table_progress.cpp
+++ b/modules/workflow/table/workflow_table_progress.cpp
@@ -199,23 +199,37 @@
     auto const* const task = find_task(run.task);
     bool const may_count = stage != nullptr && task != nullptr && !task->done &&
                            !task->earlier && run.attempt <= task->attempt &&
-                           !stage->behaviour.long_running &&
-                           !stage->behaviour.gang;
+                           !stage->behaviour.long_running;
     return may_count ? task : nullptr;
 }
 
 bool workflow_table::accepts_late_end(core::task_run const& run) const
 {
     auto const* const task = find_late_task(run);
-    return task != nullptr && !task->placed;
+    if (task == nullptr || !find_stage(run.task)->behaviour.gang)
+    {
+        return task != nullptr && !task->placed;
+    }
+    auto const& members = find_stage_record(*find(run.task.workflow),
+                                            run.task.occurrence,
+                                            run.task.stage)
+                              ->tasks;
+    return std::none_of(members.begin(),
+                        members.end(),
+                        [](core::task_record const& member)
+                        { return member.placed; });
 }
 
 std::optional<core::run_placement>
 workflow_table::run_before_late_end(core::task_run const& run) const
 {
     auto const* const task = find_late_task(run);
-    if (task == nullptr || !task->placed || run.attempt == task->attempt ||
-        may_be_copied(*find_stage(run.task)))
+    if (task == nullptr || !task->placed || run.attempt == task->attempt)
+    {
+        return std::nullopt;
+    }
+    auto const& stage = *find_stage(run.task);
+    if (may_be_copied(stage) || stage.behaviour.gang)
     {
         return std::nullopt;
     }
@@ -237,7 +251,16 @@
     m_unplaced_since.erase(ref);
     m_changed_workflows.add(ref.workflow);
     clear_suspected(ref, *find_task_in(workflow, ref));
-    apply_done(workflow, stage_record(workflow, ref), outcome.run, now);
+    auto& stage = stage_record(workflow, ref);
+    if (workflow.description.stages[ref.stage].behaviour.gang)
+    {
+        // The end of one member is that of all, also of a later attempt's.
+        for (auto& member : stage.tasks)
+        {
+            member.done = true;
+        }
+    }
+    apply_done(workflow, stage, outcome.run, now);
     drop_done_record_in(workflow, ref);
 }
 
--- a/modules/workflow/tests/start_affinity_review_test.cpp
+++ b/modules/workflow/tests/start_affinity_review_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(task_waits_for_the_list_of_a_silent_worker);
     CPPUNIT_TEST(silent_worker_does_not_show_that_a_start_is_resolved);
     CPPUNIT_TEST(late_report_of_an_earlier_sidecar_resolves_no_start);
+    CPPUNIT_TEST(late_end_of_a_gang_is_counted);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -180,6 +181,32 @@
         expect_no_placement_elsewhere();
     }
 
+    // Guards against a gang that runs again after a late end `done` of a
+    // member, which stands for all, was acknowledged without being counted.
+    void late_end_of_a_gang_is_counted()
+    {
+        auto gang = stage(2);
+        gang.behaviour.gang = true;
+        m_table.submit(submission("g", {gang}), queue(), m_now);
+        report_free("w1");
+        commit();
+        auto const first = run_of("g", 0, 0);
+        auto const second = run_of("g", 0, 1);
+        CPPUNIT_ASSERT(is_placed(first, "w1") && is_placed(second, "w1"));
+        auto report = report_of("w1");
+        report.refused = {first, second};
+        report.unresolved.runs = {first, second};
+        m_now += seconds(1);
+        send(report);
+        commit();
+        auto next = report_of("w1", 2);
+        next.runs->ended = {{1, second, core::run_end::done, {}}};
+        send(next);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, acknowledged_ends(2));
+        commit();
+        CPPUNIT_ASSERT(state_of("g") == core::workflow_state::completed);
+    }
+
 private:
     /// Places attempt 2 on w1 after the refusal of attempt 1, of which a start
     /// is open.
