Hold starts beside a late run of an ended job

Cause: a worker executes the late start of a run whose job has ended or been cancelled. It is stopped, but the table has dropped the job's stages, so the run counted with no need, and starts went out while it was still at work. Change: a worker that lists such a run gets no starts until the run is gone, for 5 s of its clock at most.

--- a/modules/workflow/dispatch/order_reconciler.cpp
+++ b/modules/workflow/dispatch/order_reconciler.cpp
@@ -23,6 +23,11 @@
 /// execute an earlier, higher pace late.
 constexpr core::duration repeat_pace_after = std::chrono::milliseconds(1500);
 
+/// A worker that runs what the leader doesn't know gets no starts for this long
+/// on its clock: a stop takes less, and a worker that never stops the run must
+/// not be unusable for ever.
+constexpr core::duration longest_unknown_run = std::chrono::seconds(5);
+
 /// Records that an order is sent now, unless it was sent shortly before.
 ///
 /// @param repeat_at Lowered to the time at which the order is due again.
@@ -198,6 +203,20 @@
     return total;
 }
 
+bool order_reconciler::has_unknown_need(worker_view const& worker,
+                                        std::vector<observed_run> const& runs)
+{
+    return std::any_of(runs.begin(),
+                       runs.end(),
+                       [&worker](observed_run const& seen)
+                       {
+                           return seen.is_running && seen.stage == nullptr &&
+                                  worker.clock -
+                                          worker.listed_since.at(*seen.run) <
+                                      longest_unknown_run;
+                       });
+}
+
 bool order_reconciler::yields_to(observed_run const* a,
                                  observed_run const* b) const
 {
@@ -305,9 +324,10 @@
     remove_finished(runs, sent);
     // Work that is being stopped, or whose start may be in flight, counts.
     orders.reserved = reserved_by_all(runs);
-    bool const is_overcommitted =
+    bool const has_excess =
         !core::fits_in(orders.reserved, worker.profile.capacity);
-    if (is_overcommitted)
+    bool const is_overcommitted = has_excess || has_unknown_need(worker, runs);
+    if (has_excess)
     {
         withdraw_excess(now, worker, runs, sent);
     }
--- a/modules/workflow/dispatch/order_reconciler.hpp
+++ b/modules/workflow/dispatch/order_reconciler.hpp
@@ -118,6 +118,10 @@
     /// @return What the runs reserve that have not ended.
     static core::resources
     reserved_by_all(std::vector<observed_run> const& runs);
+    /// @return True if the worker runs a task of a job that has ended, of which
+    ///         the table doesn't tell the need.
+    static bool has_unknown_need(worker_view const& worker,
+                                 std::vector<observed_run> const& runs);
     /// Withdraws starts until the runs that stay fit the worker's capacity.
     ///
     /// Starts that were sent a short time ago are left alone: the worker may
--- a/modules/workflow/tests/start_affinity_review_test.cpp
+++ b/modules/workflow/tests/start_affinity_review_test.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(silent_worker_does_not_show_that_a_start_is_resolved);
     CPPUNIT_TEST(late_report_of_an_earlier_sidecar_resolves_no_start);
     CPPUNIT_TEST(late_end_of_a_gang_is_counted);
+    CPPUNIT_TEST(no_start_beside_a_late_run_of_an_ended_job);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -207,6 +208,24 @@
         CPPUNIT_ASSERT(state_of("g") == core::workflow_state::completed);
     }
 
+    // A worker executes the late start of a run whose job has ended, so that
+    // the table doesn't tell its need. Guards against a start that brings the
+    // worker over its capacity while the late run is being stopped.
+    void no_start_beside_a_late_run_of_an_ended_job()
+    {
+        place_first();
+        auto report = report_of("w1");
+        auto const unknown = run_of("ended", 0, 0);
+        report.runs = running({unknown});
+        send(report);
+        auto const ordered = orders();
+        CPPUNIT_ASSERT(ordered.stops == std::vector{unknown});
+        CPPUNIT_ASSERT(started(ordered).empty());
+        report.runs = running({});
+        send(report);
+        CPPUNIT_ASSERT(started(orders()) == std::vector{attempt(1)});
+    }
+
 private:
     /// Places attempt 2 on w1 after the refusal of attempt 1, of which a start
     /// is open.
