Count the end 'failed' of a run that was taken for ended

Cause: of the ends of runs that the table doesn't hold, only 'done' counted. A late start that was executed and failed was acknowledged without being counted, so a task could be started again after it had failed as often as its queue allows (BUDGET). Change: the record of a task keeps the last attempt that was taken for ended with an open start. An end 'failed' of that attempt counts once, and its task starts nowhere until it is committed.

--- a/modules/core/messages/workflow.hpp
+++ b/modules/core/messages/workflow.hpp
@@ -191,6 +191,9 @@
     /// Worker that may still execute a start of an ended run, which it has not
     /// answered; empty if there is none.
     worker_id unresolved_on;
+    /// The last attempt that was taken for ended with such a start, and of
+    /// which no end `failed` has been counted; 0 if there is none.
+    attempt_number uncounted_attempt;
 
     bool operator==(task_record const&) const = default;
 };
@@ -314,8 +317,8 @@
     std::vector<run_outcome> resolved;
     /// Workflows of which a worker was seen to have begun a task.
     std::vector<workflow_id> begun;
-    /// Ends `done` of runs that were taken for ended before, of tasks that have
-    /// no run now. Applied after the ends.
+    /// Ends of runs that were taken for ended before: `done`, of tasks that have
+    /// no run now, and `failed`. Applied after the ends.
     std::vector<run_outcome> late_ends;
 
     bool operator==(workflow_progress const&) const = default;
--- a/modules/wire/codec/message_codec.cpp
+++ b/modules/wire/codec/message_codec.cpp
@@ -77,7 +77,7 @@
 template <typename T>
 constexpr std::size_t appended_members = 0;
 template <>
-constexpr std::size_t appended_members<core::task_record> = 4;
+constexpr std::size_t appended_members<core::task_record> = 5;
 template <>
 constexpr std::size_t appended_members<core::run_outcome> = 2;
 template <>
--- a/modules/workflow/dispatch/end_collector.cpp
+++ b/modules/workflow/dispatch/end_collector.cpp
@@ -47,8 +47,10 @@
 
 bool end_collector::is_late_end(core::ended_run const& ended) const
 {
-    return ended.how == core::run_end::done &&
-           m_table.accepts_late_end(ended.run);
+    return (ended.how == core::run_end::done &&
+            m_table.accepts_late_end(ended.run)) ||
+           (ended.how == core::run_end::failed &&
+            m_table.accepts_late_failure(ended.run));
 }
 
 bool end_collector::is_uncommitted(core::ended_run const& ended,
--- a/modules/workflow/dispatch/start_affinity.cpp
+++ b/modules/workflow/dispatch/start_affinity.cpp
@@ -234,8 +234,10 @@
                        [&](core::ended_run const& each)
                        {
                            return each.run.task == task &&
-                                  each.how == core::run_end::done &&
-                                  m_table.accepts_late_end(each.run);
+                                  ((each.how == core::run_end::done &&
+                                    m_table.accepts_late_end(each.run)) ||
+                                   (each.how == core::run_end::failed &&
+                                    m_table.accepts_late_failure(each.run)));
                        });
 }
 
--- a/modules/workflow/table/workflow_table.hpp
+++ b/modules/workflow/table/workflow_table.hpp
@@ -112,6 +112,11 @@
     ///         no run now.
     bool accepts_late_end(core::task_run const& run) const;
 
+    /// @return True if an end `failed` of this run, which is not held, counts:
+    ///         the run was taken for ended before with a start that its worker
+    ///         might still execute.
+    bool accepts_late_failure(core::task_run const& run) const;
+
     /// @return The run of the task that keeps an end `done` of `run`, which is
     ///         not held, from making the task done; `nullopt` if there is none,
     ///         or if the end doesn't count at all.
@@ -212,6 +217,7 @@
     /// @return The task if an end `done` of this run, which is not held, may
     ///         make it done, or null.
     core::task_record const* find_late_task(core::task_run const& run) const;
+    void apply_late_failure(core::task_run const& run, core::time_point now);
     /// Applies an end of a run that is not held.
     void apply_late_end(core::run_outcome const& outcome, core::time_point now);
     /// Applies what became known of a run that ended as `suspected`.
--- a/modules/workflow/table/workflow_table_progress.cpp
+++ b/modules/workflow/table/workflow_table_progress.cpp
@@ -237,10 +237,33 @@
         {run.task, task->attempt}, task->worker, task->life};
 }
 
+bool workflow_table::accepts_late_failure(core::task_run const& run) const
+{
+    auto const* const task = find_late_task(run);
+    return task != nullptr && task->uncounted_attempt == run.attempt;
+}
+
+void workflow_table::apply_late_failure(core::task_run const& run,
+                                        core::time_point now)
+{
+    auto& workflow = m_workflows.at(run.task.workflow);
+    set_begun(workflow);
+    m_changed_workflows.add(run.task.workflow);
+    auto& task = *find_task_in(workflow, run.task);
+    task.uncounted_attempt = {};
+    ++task.failures;
+    apply_failure(workflow, stage_record(workflow, run.task), now);
+}
+
 void workflow_table::apply_late_end(core::run_outcome const& outcome,
                                     core::time_point now)
 {
     auto const& ref = outcome.run.task;
+    if (outcome.how == run_end::failed && accepts_late_failure(outcome.run))
+    {
+        apply_late_failure(outcome.run, now);
+        return;
+    }
     if (outcome.how != run_end::done || !accepts_late_end(outcome.run))
     {
         ++m_ignored_parts;
@@ -289,6 +312,10 @@
     remove_hold(outcome);
     task.unresolved_on =
         outcome.is_start_unresolved ? outcome.worker : core::worker_id();
+    if (outcome.is_start_unresolved && outcome.how != run_end::failed)
+    {
+        task.uncounted_attempt = outcome.run.attempt;
+    }
     if (task.placed && task.attempt == outcome.run.attempt)
     {
         task.placed = false;
--- a/modules/workflow/tests/start_affinity_review_test.cpp
+++ b/modules/workflow/tests/start_affinity_review_test.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(silent_worker_does_not_show_that_a_start_is_resolved);
     CPPUNIT_TEST(late_report_of_an_earlier_sidecar_resolves_no_start);
     CPPUNIT_TEST(late_end_of_a_gang_is_counted);
+    CPPUNIT_TEST(late_failure_counts_once);
     CPPUNIT_TEST(no_start_beside_a_late_run_of_an_ended_job);
     CPPUNIT_TEST_SUITE_END();
 
@@ -208,6 +209,26 @@
         CPPUNIT_ASSERT(state_of("g") == core::workflow_state::completed);
     }
 
+    // Guards against a task that is started again after it has failed as often
+    // as its queue allows, because the end of a late run was acknowledged
+    // without being counted, and against one that is counted twice because the
+    // worker lists it until it is acknowledged.
+    void late_failure_counts_once()
+    {
+        end_first_unresolved();
+        auto next = report_of("w1", 2);
+        next.profile.draining = true;
+        next.runs->ended = {{1, attempt(1), core::run_end::failed, {}}};
+        send(next);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, acknowledged_ends(2));
+        commit();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, acknowledged_ends(2));
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, failures());
+        send(next);
+        plan_beside_free_worker();
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, failures());
+    }
+
     // A worker executes the late start of a run whose job has ended, so that
     // the table doesn't tell its need. Guards against a start that brings the
     // worker over its capacity while the late run is being stopped.
@@ -248,6 +269,11 @@
         CPPUNIT_ASSERT(!is_placed(attempt(1), "w1"));
     }
 
+    std::uint32_t failures() const
+    {
+        return m_table.find_task(attempt(1).task)->failures;
+    }
+
     std::uint64_t acknowledged_ends(std::uint64_t life)
     {
         return grant(life).acknowledged_ends;
