Free the task of a lost worker when its last start can't be executed

Cause: the wait counted 13 s from the commit of the end, which follows a lost worker by 6.4 s, and 6.4 s more for the lease of a run that nobody would see. Callers ask for the jobs 14 s after the traffic. Change: a silent worker's sidecar resolves starts again, unless an incarnation has registered and listed nothing. Without a sidecar the wait ends 15 s after its last report: an order may follow that by 1 s, and its calls are repeated for 2 s. A start that is executed in the last second of that time by a restarted worker that nobody hears of may run unseen for a lease.

--- a/modules/workflow/dispatch/start_affinity.cpp
+++ b/modules/workflow/dispatch/start_affinity.cpp
@@ -17,6 +17,10 @@
 constexpr core::duration longest_start_delay =
     longest_call_delay + std::chrono::seconds(1);
 
+/// From the last report of a sidecar to its last call of a start: an order may
+/// follow the report, and its calls are repeated for 2 s.
+constexpr core::duration longest_start_period = std::chrono::seconds(3);
+
 /// Callers allow a long-running task nine seconds without a run, in which it
 /// must also be placed and started.
 constexpr core::duration longest_long_running_delay = std::chrono::seconds(7);
@@ -83,17 +87,23 @@
 void start_affinity::applied(core::time_point now,
                              core::workflow_progress const& command)
 {
-    std::erase_if(m_ended_at,
-                  [&](auto const& item) {
-                      return now - item.second >=
-                             longest_start_delay + m_fleet.longest_lease();
-                  });
+    std::erase_if(m_open,
+                  [now](auto const& item)
+                  { return now - item.second.since >= longest_start_delay; });
     for (auto const& outcome : command.ends)
     {
-        if (outcome.is_start_unresolved)
+        if (!outcome.is_start_unresolved)
+        {
+            continue;
+        }
+        auto due = now + longest_start_delay;
+        if (auto const* const view = m_fleet.find(outcome.worker))
         {
-            m_ended_at[outcome.run.task] = now;
+            due = std::min(due,
+                           view->reported_at + longest_start_period +
+                               longest_call_delay);
         }
+        m_open[outcome.run.task] = {now, due};
     }
 }
 
@@ -244,12 +254,12 @@
 bool start_affinity::is_resolved(worker_view const& worker,
                                  core::task_ref const& task) const
 {
-    auto const ended = m_ended_at.find(task);
+    auto const open = m_open.find(task);
     bool const is_reported_since =
-        ended == m_ended_at.end() || worker.reported_at > ended->second;
+        open == m_open.end() || worker.reported_at > open->second.since;
+    // An incarnation without a list may have executed the start.
     return is_reported_since && !worker.left && worker.has_runs &&
-           !worker.is_silent && worker.knows_all_starts &&
-           !has_unresolved_start(worker, task);
+           worker.knows_all_starts && !has_unresolved_start(worker, task);
 }
 
 bool start_affinity::is_due(plan_times const& times,
@@ -264,21 +274,18 @@
             return times.cluster - *since >= longest_long_running_delay;
         }
     }
-    auto const ended = m_ended_at.find(task);
-    auto const since = ended != m_ended_at.end() ? ended->second : m_elected;
-    return shows_last_start(times.now, since + longest_start_delay, worker);
+    auto const open = m_open.find(task);
+    auto const due = open != m_open.end() ? open->second.due
+                                          : m_elected + longest_start_delay;
+    return times.now >= due && !awaits_list(times.now, worker);
 }
 
-bool start_affinity::shows_last_start(core::time_point now,
-                                      core::time_point last_start,
-                                      core::worker_id const& worker) const
+bool start_affinity::awaits_list(core::time_point now,
+                                 core::worker_id const& worker) const
 {
     auto const* const view = m_fleet.find(worker);
-    bool const is_listed = view != nullptr && view->has_runs &&
-                           !view->is_silent &&
-                           view->clock_changed_at >= last_start;
-    return now >= last_start &&
-           (is_listed || now - last_start >= m_fleet.longest_lease());
+    return view != nullptr && !view->left && !view->has_runs &&
+           now < view->late_starts_expire_at;
 }
 
 } // namespace turmericswitch::workflow
--- a/modules/workflow/dispatch/start_affinity.hpp
+++ b/modules/workflow/dispatch/start_affinity.hpp
@@ -65,17 +65,15 @@
     ///         is not committed yet.
     bool has_late_end(worker_view const& worker,
                       core::task_ref const& task) const;
-    /// @return True if no start of the task can be executed any more and none
-    ///         runs unseen, or the task must not wait longer.
+    /// @return True if no start of the task can be executed any more, or the
+    ///         task must not wait longer.
     bool is_due(plan_times const& times,
                 pending_stage const& pending,
                 core::task_ref const& task,
                 core::worker_id const& worker) const;
-    /// @return True if the last run of the task that the worker can have begun
-    ///         would be in a list since then, or its lease is over.
-    bool shows_last_start(core::time_point now,
-                          core::time_point last_start,
-                          core::worker_id const& worker) const;
+    /// @return True if an incarnation of the worker has registered and not
+    ///         listed its runs yet.
+    bool awaits_list(core::time_point now, core::worker_id const& worker) const;
     /// @return True if the worker's sidecar has reported since the task's last
     ///         run ended and knows of no start that may be executed.
     bool is_resolved(worker_view const& worker,
@@ -93,8 +91,16 @@
     workflow_table const& m_table;
     worker_fleet const& m_fleet;
     core::time_point m_elected;
-    /// When the ends of runs with an unresolved start were committed.
-    std::map<core::task_ref, core::time_point> m_ended_at;
+    /// A task whose last run has left an unresolved start.
+    struct open_task
+    {
+        /// When the end of the run was committed.
+        core::time_point since;
+        /// When no start of it can be executed any more.
+        core::time_point due;
+    };
+
+    std::map<core::task_ref, open_task> m_open;
     /// Runs that the workers' last lists have as running and that were not
     /// held then: late starts of ended runs.
     std::map<core::worker_id, std::vector<core::task_run>> m_unheld;
