Bound the wait of a restored long-running task by its own limit

Callers could see a long-running task without a run for longer than the nine seconds that they allow (LOST). A leader that had restored its table fell back to the wait of tasks that end: 13 s from its election, and a list or the lease after that. Change: without that time, the limit of 7 s counts from the commit of the end, or from the election.

--- a/modules/workflow/dispatch/start_affinity.cpp
+++ b/modules/workflow/dispatch/start_affinity.cpp
@@ -257,15 +257,16 @@
                             core::task_ref const& task,
                             core::worker_id const& worker) const
 {
+    auto const ended = m_ended_at.find(task);
+    auto const since = ended != m_ended_at.end() ? ended->second : m_elected;
     if (pending.description->behaviour.long_running)
     {
-        if (auto const since = m_table.not_running_since(task))
-        {
-            return times.cluster - *since >= longest_long_running_delay;
-        }
+        // A table that was restored from a snapshot may not know the time.
+        auto const last_run = m_table.not_running_since(task);
+        auto const waited =
+            last_run ? times.cluster - *last_run : times.now - since;
+        return waited >= longest_long_running_delay;
     }
-    auto const ended = m_ended_at.find(task);
-    auto const since = ended != m_ended_at.end() ? ended->second : m_elected;
     return shows_last_start(times.now, since + longest_start_delay, worker);
 }
 
--- a/modules/workflow/tests/start_affinity_review_test.cpp
+++ b/modules/workflow/tests/start_affinity_review_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(late_report_of_an_earlier_sidecar_resolves_no_start);
     CPPUNIT_TEST(late_end_of_a_gang_is_counted);
     CPPUNIT_TEST(late_failure_counts_once);
+    CPPUNIT_TEST(restored_long_running_task_waits_no_longer);
     CPPUNIT_TEST(no_start_beside_a_late_run_of_an_ended_job);
     CPPUNIT_TEST_SUITE_END();
 
@@ -229,6 +230,37 @@
         CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, failures());
     }
 
+    // A leader has restored its table from a snapshot, which doesn't tell when
+    // a long-running task ran last. Guards against one that waits for longer
+    // than the nine seconds that callers allow.
+    void restored_long_running_task_waits_no_longer()
+    {
+        auto lasting = stage(1);
+        lasting.behaviour.long_running = true;
+        m_table.submit(submission("l", {lasting}), queue(), m_now);
+        place_first();
+        auto const run = run_of("l", 0, 0);
+        CPPUNIT_ASSERT(is_placed(run, "w1"));
+        m_now += seconds(1);
+        auto report = report_of("w1");
+        report.runs = running({attempt(1)});
+        report.refused = {run};
+        report.unresolved.runs = {run};
+        send(report);
+        commit();
+        m_table.restore(m_table.records(), m_table.longest_lease());
+        elect({std::chrono::seconds(6), std::chrono::seconds(6)});
+        report.refused = {};
+        report.profile.draining = true;
+        send(report);
+        m_now += std::chrono::milliseconds(6500);
+        send(report);
+        expect_no_placement_elsewhere();
+        m_now += std::chrono::milliseconds(500);
+        plan_beside_free_worker();
+        CPPUNIT_ASSERT(is_placed(run_of("l", 0, 0, 2), "w2"));
+    }
+
     // A worker executes the late start of a run whose job has ended, so that
     // the table doesn't tell its need. Guards against a start that brings the
     // worker over its capacity while the late run is being stopped.
