--- a/modules/core/messages/workflow.hpp
+++ b/modules/core/messages/workflow.hpp
@@ -317,8 +317,8 @@
     std::vector<run_outcome> resolved;
     /// Workflows of which a worker was seen to have begun a task.
     std::vector<workflow_id> begun;
-    /// Ends of runs that were taken for ended before: `done`, of tasks that have
-    /// no run now, and `failed`. Applied after the ends.
+    /// Ends of runs that were taken for ended before: `done`, of tasks that
+    /// have no run now, and `failed`. Applied after the ends.
     std::vector<run_outcome> late_ends;
 
     bool operator==(workflow_progress const&) const = default;
