--- a/modules/workflow/dispatch/start_affinity.cpp
+++ b/modules/workflow/dispatch/start_affinity.cpp
@@ -267,16 +267,19 @@
                             core::task_ref const& task,
                             core::worker_id const& worker) const
 {
+    auto const open = m_open.find(task);
+    bool const is_known = open != m_open.end();
     if (pending.description->behaviour.long_running)
     {
-        if (auto const since = m_table.not_running_since(task))
-        {
-            return times.cluster - *since >= longest_long_running_delay;
-        }
+        // A table that was restored from a snapshot may not know the time.
+        auto const last_run = m_table.not_running_since(task);
+        auto const waited =
+            last_run ? times.cluster - *last_run
+                     : times.now - (is_known ? open->second.since : m_elected);
+        return waited >= longest_long_running_delay;
     }
-    auto const open = m_open.find(task);
-    auto const due = open != m_open.end() ? open->second.due
-                                          : m_elected + longest_start_delay;
+    auto const due =
+        is_known ? open->second.due : m_elected + longest_start_delay;
     return times.now >= due && !awaits_list(times.now, worker);
 }
 
