Delay a task after crashes also when a start of it is unresolved

A task with four counted crashes in a row was placed at once, and not isolated, if a start of it had got no answer and another task of its stage could start. Cause: crash_backoff took the delayed run out of the runs of its stage but left it among the unresolved starts, from which start_affinity placed it on the worker of that start without its suspicion. Change: the delayed run leaves both lists.

--- a/modules/workflow/dispatch/crash_backoff.cpp
+++ b/modules/workflow/dispatch/crash_backoff.cpp
@@ -97,6 +97,7 @@
         {
             result.runs.erase(run);
             result.suspected.erase(run);
+            result.unresolved_on.erase(run);
         }
     }
     return result;
--- a/modules/workflow/tests/dispatcher_test.cpp
+++ b/modules/workflow/tests/dispatcher_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(start_of_a_batch_task_is_delayed_for_longer_after_each_crash);
     CPPUNIT_TEST(delay_after_crashes_outlasts_the_leader);
     CPPUNIT_TEST(other_tasks_do_not_wait_for_a_delayed_one);
+    CPPUNIT_TEST(delayed_task_with_an_unresolved_start_waits);
     CPPUNIT_TEST(long_running_task_is_restarted_after_all_crashes);
     CPPUNIT_TEST(start_is_delayed_after_many_crashes);
     CPPUNIT_TEST(job_waits_until_its_worker_lists_a_task);
@@ -179,27 +180,15 @@
     // task that waits for another one of its stage.
     void other_tasks_do_not_wait_for_a_delayed_one()
     {
-        m_table.submit(submission("a", {stage(2)}), queue(), m_now);
-        core::workflow_progress command;
-        for (std::uint32_t attempt = 1; attempt <= crashes_before_delay;
-             ++attempt)
-        {
-            auto const run = run_of("a", 0, 0, attempt);
-            command.ends = {};
-            command.placements = {placed(run)};
-            m_table.progress(command, m_now);
-            command.ends = {ended(run, core::run_end::crashed)};
-            command.placements = {};
-            m_table.progress(command, m_now);
-        }
-        m_table.submit(submission("b", {stage(1)}), queue(), m_now);
-        report({});
-        report({}, profile("w1"), steady_ms);
-        grant();
-        commit();
-        CPPUNIT_ASSERT(!m_table.find_task(run_of("a", 0, 0).task)->placed);
-        CPPUNIT_ASSERT(m_table.find_task(run_of("a", 0, 1).task)->placed);
-        CPPUNIT_ASSERT(m_table.find_task(run_of("b", 0, 0).task)->placed);
+        expect_only_others_placed(false);
+    }
+
+    // A task whose start may still be executed goes to the same worker. Guards
+    // against a placement there that is neither delayed nor isolated, beside
+    // another task of its stage that may start.
+    void delayed_task_with_an_unresolved_start_waits()
+    {
+        expect_only_others_placed(true);
     }
 
     // Guards against a service that is given up for good because its workers
@@ -528,6 +517,39 @@
     }
 
 private:
+    /// Commits placements of the first task of job `a` that end with a counted
+    /// crash, until its next start is delayed.
+    void count_crashes(bool is_start_unresolved)
+    {
+        for (std::uint32_t i = 1; i <= crashes_before_delay; ++i)
+        {
+            auto const run = run_of("a", 0, 0, i);
+            core::workflow_progress begin;
+            begin.placements = {placed(run)};
+            m_table.progress(begin, m_now);
+            core::workflow_progress end;
+            end.ends = {ended(run, core::run_end::crashed)};
+            end.ends.front().is_start_unresolved = is_start_unresolved;
+            m_table.progress(end, m_now);
+        }
+    }
+
+    /// Expects that a delayed task is not placed when the other task of its
+    /// stage and another job are.
+    void expect_only_others_placed(bool is_start_unresolved)
+    {
+        m_table.submit(submission("a", {stage(2)}), queue(), m_now);
+        count_crashes(is_start_unresolved);
+        m_table.submit(submission("b", {stage(1)}), queue(), m_now);
+        report({});
+        report({}, profile("w1"), steady_ms);
+        grant();
+        commit();
+        CPPUNIT_ASSERT(!m_table.find_task(run_of("a", 0, 0).task)->placed);
+        CPPUNIT_ASSERT(m_table.find_task(run_of("a", 0, 1).task)->placed);
+        CPPUNIT_ASSERT(m_table.find_task(run_of("b", 0, 0).task)->placed);
+    }
+
     /// Expects that the next start of the task of job `a`, on the incarnation
     /// of w1, waits until the delay from now has passed.
     void expect_delay(std::uint64_t life, core::duration delay)
