Keep cancels that found no job in the replicated state

Cause: a cancel that was answered with job_unknown (410) was remembered for 5 s by the leader that had answered it. A copy of the submission that reached the next leader, or arrived later, was accepted, and the job ran after the 410.

The memory of the leader (recent_cancels) is removed. A refused submission is no longer logged as workflow_accepted.

submission_that_arrives_after_its_cancel_is_not_accepted now sends the cancel through workflow_service::cancel, as process_api does; it asserts the same.

--- a/modules/cluster_state/machine/state_machine.cpp
+++ b/modules/cluster_state/machine/state_machine.cpp
@@ -132,6 +132,7 @@
     first.counters = m_job_manager.counters();
     first.workflows = m_workflows.records();
     first.longest_lease = m_workflows.longest_lease();
+    first.unknown_cancels = m_workflows.cancel_records();
     for (auto const& [id, worker] : m_job_manager.workers().all())
     {
         first.workers.push_back(worker.record);
@@ -166,8 +167,8 @@
     {
         restored.m_claims.restore(std::move(claim));
     }
-    restored.m_workflows.restore(std::move(first.workflows),
-                                 first.longest_lease);
+    restored.m_workflows.restore(
+        std::move(first.workflows), first.longest_lease, first.unknown_cancels);
     bool is_consistent = restored.m_config.restore(std::move(first.config));
     auto jobs = std::move(first.jobs);
     restored.m_job_manager.restore(std::move(first));
--- a/modules/cluster_state/tests/state_machine_test.cpp
+++ b/modules/cluster_state/tests/state_machine_test.cpp
@@ -86,6 +86,33 @@
     }
 };
 
+/// A machine with the queue `q`.
+struct queue_machine : machine
+{
+    queue_machine()
+    {
+        apply_document command;
+        command.document.version = 1;
+        command.document.queues.emplace_back().queue = queue_id("q");
+        (*this)(command);
+    }
+};
+
+submit_workflow submitted(std::string const& workflow)
+{
+    submit_workflow command;
+    command.queue = queue_id("q");
+    command.workflow = workflow_id(workflow);
+    return command;
+}
+
+cancel_workflow cancelled(std::string const& workflow)
+{
+    return {queue_id("q"),
+            workflow_id(workflow),
+            workflow::unknown_cancel_retention};
+}
+
 } // namespace
 
 class state_machine_test : public CppUnit::TestFixture
@@ -97,6 +124,9 @@
     CPPUNIT_TEST(accepted_order_is_acknowledged_again);
     CPPUNIT_TEST(sessions_expire_with_their_own_code);
     CPPUNIT_TEST(claimed_request_runs_once_until_expiry);
+    CPPUNIT_TEST(late_submission_is_refused_after_its_cancel);
+    CPPUNIT_TEST(cancel_of_an_earlier_release_refuses_nothing);
+    CPPUNIT_TEST(cancels_of_unknown_workflows_are_bounded);
     CPPUNIT_TEST(ids_are_not_reused_after_pruning);
     CPPUNIT_TEST(no_start_order_while_the_zone_is_out);
     CPPUNIT_TEST(new_incarnation_gets_no_order_of_an_earlier_attempt);
@@ -206,6 +236,56 @@
         CPPUNIT_ASSERT(run(first).code == result_code::ok);
     }
 
+    // The caller of a cancel was told that there is no such workflow. Guards
+    // against accepting a copy of its submission that arrives after a leader
+    // change, a restart or a snapshot, at any time within the retention.
+    void late_submission_is_refused_after_its_cancel()
+    {
+        queue_machine run;
+        CPPUNIT_ASSERT(run(cancelled("w")).code == result_code::job_unknown);
+        run.now += workflow::unknown_cancel_retention - 1us;
+        run(expire_records{});
+        CPPUNIT_ASSERT(run.state.restore(run.state.snapshot()));
+        CPPUNIT_ASSERT(run(submitted("w")).code == result_code::not_admitted);
+        CPPUNIT_ASSERT(run.state.workflows().find(workflow_id("w")) == nullptr);
+        CPPUNIT_ASSERT(run(submitted("v")).code == result_code::ok);
+        run.now += 1us;
+        CPPUNIT_ASSERT(run(submitted("w")).code == result_code::ok);
+        run(expire_records{});
+        CPPUNIT_ASSERT(run.state.workflows().cancel_records().empty());
+    }
+
+    // A log of an earlier release has a cancel that found nothing and later the
+    // accepted submission. Guards against losing the workflow when a member of
+    // this release applies the log.
+    void cancel_of_an_earlier_release_refuses_nothing()
+    {
+        queue_machine run;
+        auto earlier = cancelled("w");
+        earlier.refuse_for = {};
+        CPPUNIT_ASSERT(run(earlier).code == result_code::job_unknown);
+        CPPUNIT_ASSERT(run(submitted("w")).code == result_code::ok);
+    }
+
+    // Guards against cancels of unknown workflows that take any amount of
+    // memory, and against dropping the latest of them.
+    void cancels_of_unknown_workflows_are_bounded()
+    {
+        queue_machine run;
+        for (std::size_t i = 0; i <= workflow::max_unknown_cancels; ++i)
+        {
+            run.now += 1us;
+            run(cancelled(std::to_string(i)));
+            run(cancelled(std::to_string(i)));
+        }
+        auto const kept = run.state.workflows().cancel_records();
+        CPPUNIT_ASSERT_EQUAL(workflow::max_unknown_cancels, kept.size());
+        CPPUNIT_ASSERT(run(submitted("0")).code == result_code::ok);
+        CPPUNIT_ASSERT(run(submitted("1")).code == result_code::not_admitted);
+        auto const last = std::to_string(workflow::max_unknown_cancels);
+        CPPUNIT_ASSERT(run(submitted(last)).code == result_code::not_admitted);
+    }
+
     // Guards against ended jobs that are never removed, and an old id that is
     // assigned to a new job.
     void ids_are_not_reused_after_pruning()
--- a/modules/core/messages/state.hpp
+++ b/modules/core/messages/state.hpp
@@ -172,6 +172,7 @@
     /// Longest lease that a leader may have granted to a worker; zero if none
     /// was recorded.
     duration longest_lease{};
+    std::vector<unknown_cancel_record> unknown_cancels;
 
     bool operator==(state_snapshot const&) const = default;
 };
--- a/modules/core/messages/workflow.hpp
+++ b/modules/core/messages/workflow.hpp
@@ -256,10 +256,24 @@
 {
     queue_id queue;
     workflow_id workflow;
+    /// If the queue has no such workflow: time for which submissions of it are
+    /// refused. Set by the leader; zero in entries of earlier releases.
+    duration refuse_for{};
 
     bool operator==(cancel_workflow const&) const = default;
 };
 
+/// A cancel that found no workflow.
+struct unknown_cancel_record
+{
+    queue_id queue;
+    workflow_id workflow;
+    /// Submissions of the workflow are refused until then.
+    time_point expires;
+
+    bool operator==(unknown_cancel_record const&) const = default;
+};
+
 /// Puts one attempt of a task on a life of a worker.
 struct run_placement
 {
--- a/modules/wire/tests/message_codec_test.cpp
+++ b/modules/wire/tests/message_codec_test.cpp
@@ -117,6 +117,7 @@
     CPPUNIT_TEST(command_without_time_left_is_that_of_an_earlier_release);
     CPPUNIT_TEST(recorded_lease_round_trips);
     CPPUNIT_TEST(recorded_lease_of_zero_is_not_written);
+    CPPUNIT_TEST(unknown_cancels_are_written_only_if_there_are_any);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against control instances of an earlier release that can't read
@@ -258,6 +259,32 @@
                        snapshot);
     }
 
+    // Cancels and snapshots of releases without the records of unknown cancels
+    // have two and ten members. Guards against logs that such a release can't
+    // read although no cancel has found nothing, and against records that are
+    // lost from the log or a snapshot.
+    void unknown_cancels_are_written_only_if_there_are_any()
+    {
+        core::cancel_workflow cancel{core::queue_id("q"),
+                                     core::workflow_id("w")};
+        core::command_envelope envelope;
+        envelope.body = cancel;
+        auto const earlier = encode(envelope);
+        CPPUNIT_ASSERT(earlier.find("\x92\xa1q\xa1w") != std::string::npos);
+        CPPUNIT_ASSERT(decode<core::command_envelope>(earlier) == envelope);
+        cancel.refuse_for = std::chrono::minutes(10);
+        envelope.body = cancel;
+        CPPUNIT_ASSERT(decode<core::command_envelope>(encode(envelope)) ==
+                       envelope);
+        auto snapshot = sample_snapshot(0);
+        snapshot.unknown_cancels = {
+            {cancel.queue,
+             cancel.workflow,
+             core::time_point(std::chrono::seconds(6))}};
+        CPPUNIT_ASSERT(decode<core::state_snapshot>(encode(snapshot)) ==
+                       snapshot);
+    }
+
     // Logs and snapshots of releases without the member have three and ten
     // members. Guards against a release that can't read them.
     void recorded_lease_of_zero_is_not_written()
--- /dev/null
+++ b/modules/workflow/table/unknown_cancels.cpp
@@ -0,0 +1,65 @@
+#include "workflow/table/unknown_cancels.hpp"
+
+namespace turmericswitch::workflow
+{
+
+void unknown_cancels::add(core::cancel_workflow const& command,
+                          core::time_point now)
+{
+    if (command.refuse_for > core::duration::zero())
+    {
+        restore({command.queue, command.workflow, now + command.refuse_for});
+    }
+}
+
+bool unknown_cancels::contains(core::queue_id const& queue,
+                               core::workflow_id const& workflow,
+                               core::time_point now) const
+{
+    auto const found = m_expiry.find(name{queue, workflow});
+    return found != m_expiry.end() && now < found->second;
+}
+
+void unknown_cancels::expire(core::time_point now, std::size_t limit)
+{
+    for (;
+         limit > 0 && !m_by_expiry.empty() && m_by_expiry.begin()->first <= now;
+         --limit)
+    {
+        erase_first_to_expire();
+    }
+}
+
+void unknown_cancels::restore(core::unknown_cancel_record const& record)
+{
+    name const cancelled{record.queue, record.workflow};
+    if (auto const known = m_expiry.find(cancelled); known != m_expiry.end())
+    {
+        m_by_expiry.erase({known->second, cancelled});
+    }
+    else if (m_expiry.size() >= max_unknown_cancels)
+    {
+        erase_first_to_expire();
+    }
+    m_expiry[cancelled] = record.expires;
+    m_by_expiry.insert({record.expires, cancelled});
+}
+
+std::vector<core::unknown_cancel_record> unknown_cancels::records() const
+{
+    std::vector<core::unknown_cancel_record> all;
+    all.reserve(m_expiry.size());
+    for (auto const& [cancelled, expires] : m_expiry)
+    {
+        all.push_back({cancelled.first, cancelled.second, expires});
+    }
+    return all;
+}
+
+void unknown_cancels::erase_first_to_expire()
+{
+    m_expiry.erase(m_by_expiry.begin()->second);
+    m_by_expiry.erase(m_by_expiry.begin());
+}
+
+} // namespace turmericswitch::workflow
--- a/modules/workflow/table/workflow_table.cpp
+++ b/modules/workflow/table/workflow_table.cpp
@@ -50,6 +50,12 @@
         }
         return reply;
     }
+    if (m_unknown_cancels.contains(command.queue, command.workflow, now))
+    {
+        reply.code = core::result_code::not_admitted;
+        reply.text = "it was cancelled before it arrived";
+        return reply;
+    }
     core::workflow_record record;
     record.workflow = command.workflow;
     record.queue = queue;
@@ -72,6 +78,7 @@
     {
         reply.code = core::result_code::job_unknown;
         reply.text = "no such job";
+        m_unknown_cancels.add(command, now);
         return reply;
     }
     if (!core::is_final(known->second.state))
@@ -83,6 +90,7 @@
 
 void workflow_table::prune(core::time_point now, std::size_t max_removed)
 {
+    m_unknown_cancels.expire(now, max_removed);
     std::erase_if(m_workflows,
                   [&](auto const& item)
                   {
@@ -323,9 +331,21 @@
     return all;
 }
 
-void workflow_table::restore(std::vector<core::workflow_record> records,
-                             core::duration longest_lease)
+std::vector<core::unknown_cancel_record> workflow_table::cancel_records() const
+{
+    return m_unknown_cancels.records();
+}
+
+void workflow_table::restore(
+    std::vector<core::workflow_record> records,
+    core::duration longest_lease,
+    std::vector<core::unknown_cancel_record> const& cancels)
 {
+    m_unknown_cancels = {};
+    for (auto const& cancel : cancels)
+    {
+        m_unknown_cancels.restore(cancel);
+    }
     m_longest_lease = longest_lease;
     m_workflows.clear();
     m_active.clear();
--- a/modules/workflow/table/workflow_table.hpp
+++ b/modules/workflow/table/workflow_table.hpp
@@ -4,6 +4,7 @@
 #include "core/messages/commands.hpp"
 #include "core/messages/workflow.hpp"
 #include "workflow/table/change_log.hpp"
+#include "workflow/table/unknown_cancels.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -18,6 +19,11 @@
 /// How long the state of an ended workflow stays available to queries.
 constexpr core::duration final_retention = std::chrono::minutes(10);
 
+/// How long a submission is refused after a cancel that found no such workflow:
+/// as long as a cancelled workflow stays known, so that a late submission finds
+/// either.
+constexpr core::duration unknown_cancel_retention = final_retention;
+
 /// Crashes that are counted against a task before its workflow is given up,
 /// unless the task is long-running. The first two may have happened before the
 /// start reached the worker; from the third on the task is isolated, so wrong
@@ -50,14 +56,17 @@
     /// Adds a workflow. A known id in the same queue is a resent submission and
     /// changes nothing.
     ///
-    /// @return `ok`, or `job_invalid` if another queue has the id.
+    /// @return `ok`; `job_invalid` if another queue has the id; `not_admitted`
+    ///         if a cancel has found no such workflow before.
     core::command_reply submit(core::submit_workflow const& command,
                                core::queue_rule const& queue,
                                core::time_point now);
 
     /// Cancels a workflow; has no effect on one that has ended.
     ///
-    /// @return `ok`, or `job_unknown` if the queue has no such workflow.
+    /// @return `ok`, or `job_unknown` if the queue has no such workflow;
+    ///         submissions of it are then refused for the command's
+    ///         `refuse_for`.
     core::command_reply cancel(core::cancel_workflow const& command,
                                core::time_point now);
 
@@ -71,9 +80,9 @@
     void progress(core::workflow_progress const& command, core::time_point now);
 
     /// Removes workflows that ended more than `final_retention` ago and have no
-    /// held runs.
+    /// held runs, and expired cancels of unknown workflows.
     ///
-    /// @param max_removed Maximum number of workflows to remove.
+    /// @param max_removed Maximum number of records of each kind to remove.
     void prune(core::time_point now, std::size_t max_removed);
 
     /// @return The workflow, or null.
@@ -189,12 +198,16 @@
     /// @return All workflows, for a snapshot.
     std::vector<core::workflow_record> records() const;
 
+    /// @return All cancels that found no workflow, for a snapshot.
+    std::vector<core::unknown_cancel_record> cancel_records() const;
+
     /// Replaces the table by the workflows of a snapshot.
     ///
     /// @param longest_lease As returned by `longest_lease` when the snapshot
     ///        was made.
     void restore(std::vector<core::workflow_record> records,
-                 core::duration longest_lease);
+                 core::duration longest_lease,
+                 std::vector<core::unknown_cancel_record> const& cancels = {});
 
 private:
     core::stage_record& stage_record(core::workflow_record& workflow,
@@ -245,6 +258,7 @@
     void add_changed_workers(core::task_record const& task);
 
     std::map<core::workflow_id, core::workflow_record> m_workflows;
+    unknown_cancels m_unknown_cancels;
     core::duration m_longest_lease{};
     std::uint64_t m_ignored_parts = 0;
 
--- a/programs/control/api/process_api.cpp
+++ b/programs/control/api/process_api.cpp
@@ -246,6 +246,12 @@
                 workflows->submit({envelope, received}, std::move(done));
                 return;
             }
+            if (workflows &&
+                std::holds_alternative<core::cancel_workflow>(envelope.body))
+            {
+                workflows->cancel(envelope, std::move(done));
+                return;
+            }
             m_node.group().propose(envelope.body,
                                    envelope.client,
                                    envelope.sequence,
--- a/programs/control/leader/workflow_service.cpp
+++ b/programs/control/leader/workflow_service.cpp
@@ -175,10 +175,11 @@
     confirm_queries();
 }
 
-void workflow_service::applied(core::command_body const& command)
+void workflow_service::applied(core::command_body const& command,
+                               core::command_reply const& reply)
 {
-    if (auto const* const submitted =
-            std::get_if<core::submit_workflow>(&command))
+    auto const* const submitted = std::get_if<core::submit_workflow>(&command);
+    if (submitted != nullptr && reply.code == core::result_code::ok)
     {
         log_accepted(*submitted);
     }
@@ -186,7 +187,6 @@
             std::get_if<core::cancel_workflow>(&command))
     {
         log_cancelled(*cancelled);
-        remember_if_unknown(*cancelled);
     }
     if (std::holds_alternative<core::submit_workflow>(command) ||
         std::holds_alternative<core::cancel_workflow>(command))
@@ -198,8 +198,7 @@
 void workflow_service::submit(forwarded_submission submission, reply_hook done)
 {
     if (must_propose(submission.command()) ||
-        (!expiry_of(submission) && !cancel_refusal(submission.command()) &&
-         !admission_refusal(submission.command())))
+        (!expiry_of(submission) && !admission_refusal(submission.command())))
     {
         propose(std::move(submission.envelope), std::move(done));
         return;
@@ -223,6 +222,21 @@
         });
 }
 
+void workflow_service::cancel(core::command_envelope envelope, reply_hook done)
+{
+    auto& command = std::get<core::cancel_workflow>(envelope.body);
+    bool const is_known = m_node.state().workflows().find(
+                              command.queue, command.workflow) != nullptr;
+    // Earlier releases can't read entries that have `refuse_for`, so it is set
+    // only where it may be needed.
+    command.refuse_for =
+        is_known ? core::duration::zero() : workflow::unknown_cancel_retention;
+    m_node.propose(std::move(envelope.body),
+                   envelope.client,
+                   envelope.sequence,
+                   std::move(done));
+}
+
 void workflow_service::propose(core::command_envelope envelope, reply_hook done)
 {
     auto const id = std::get<core::submit_workflow>(envelope.body).workflow;
@@ -268,35 +282,9 @@
     {
         return refuse_expired(submission, *expired);
     }
-    if (auto refusal = cancel_refusal(submission.command()))
-    {
-        return refusal;
-    }
     return admission_refusal(submission.command());
 }
 
-void workflow_service::remember_if_unknown(core::cancel_workflow const& command)
-{
-    if (m_node.state().workflows().find(command.queue, command.workflow) ==
-        nullptr)
-    {
-        m_unknown_cancels.add(process::event_loop::now(), command);
-    }
-}
-
-std::optional<core::command_reply>
-workflow_service::cancel_refusal(core::submit_workflow const& command) const
-{
-    if (!m_unknown_cancels.contains(process::event_loop::now(), command))
-    {
-        return std::nullopt;
-    }
-    core::command_reply reply;
-    reply.code = core::result_code::not_admitted;
-    reply.text = "it was cancelled before it arrived";
-    return reply;
-}
-
 std::optional<overload::expired_submission>
 workflow_service::expiry_of(forwarded_submission const& submission) const
 {
--- a/programs/control/leader/workflow_service.hpp
+++ b/programs/control/leader/workflow_service.hpp
@@ -3,7 +3,6 @@
 
 #include "core/events/event.hpp"
 #include "leader/fleet_progress.hpp"
-#include "leader/recent_cancels.hpp"
 #include "node/replica.hpp"
 #include "overload/admit/commit_deadline.hpp"
 #include "process/loop/event_loop.hpp"
@@ -57,15 +56,19 @@
     void tick(core::time_point now);
 
     /// Call after the replica applied a command.
-    void applied(core::command_body const& command);
+    void applied(core::command_body const& command,
+                 core::command_reply const& reply);
 
     /// Proposes a workflow, or refuses it with `not_admitted`, or with
     /// `deadline_exceeded` if it can't be committed in its caller's time. A
     /// refusal follows a confirmed read: a deposed leader may not know that the
-    /// workflow was accepted. The submission of a workflow of which a cancel
-    /// has found nothing is refused too.
+    /// workflow was accepted.
     void submit(forwarded_submission submission, reply_hook done);
 
+    /// Proposes a `cancel_workflow`. If it finds no workflow, submissions that
+    /// arrive after it are refused, also by the next leaders.
+    void cancel(core::command_envelope envelope, reply_hook done);
+
     /// Handles a sidecar's report. The answer follows when the ends of runs in
     /// the report are committed and leadership was confirmed after the report
     /// arrived.
@@ -114,11 +117,6 @@
                    overload::expired_submission const& expired);
     std::optional<core::command_reply>
     admission_refusal(core::submit_workflow const& command);
-    /// @return The refusal of a submission whose caller was told that a cancel
-    ///         found no such workflow.
-    std::optional<core::command_reply>
-    cancel_refusal(core::submit_workflow const& command) const;
-    void remember_if_unknown(core::cancel_workflow const& command);
     /// Plans and delivers orders after the tasks that already wait for the
     /// loop, so that one plan covers all events that have arrived.
     void schedule_plan();
@@ -158,7 +156,6 @@
     std::vector<waiting_query> m_queries;
     /// Number of proposals of each workflow that were not answered.
     std::map<core::workflow_id, std::size_t> m_proposed;
-    recent_cancels m_unknown_cancels;
     overload::commit_time_estimate m_commit_estimate;
     telemetry::latency_metric& m_commit_time;
     telemetry::latency_metric& m_workflow_time;
--- a/programs/control/node/control_node.cpp
+++ b/programs/control/node/control_node.cpp
@@ -132,7 +132,7 @@
         }
         if (m_workflows)
         {
-            m_workflows->applied(command);
+            m_workflows->applied(command, reply);
         }
     };
     hooks.group_changed = [this] { on_group_changed(); };
--- a/programs/control/tests/workflow_service_test.cpp
+++ b/programs/control/tests/workflow_service_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(deposed_leader_does_not_refuse);
     CPPUNIT_TEST(next_leader_accepts_the_resend_of_an_unanswered_submission);
     CPPUNIT_TEST(submission_that_arrives_after_its_cancel_is_not_accepted);
+    CPPUNIT_TEST(next_leader_refuses_a_submission_that_follows_its_cancel);
     CPPUNIT_TEST(cancelled_workflow_is_acknowledged_again);
     CPPUNIT_TEST(poll_of_the_next_incarnation_ends_that_of_the_earlier_one);
     CPPUNIT_TEST_SUITE_END();
@@ -101,11 +102,7 @@
     void next_leader_accepts_the_resend_of_an_unanswered_submission()
     {
         submit("w", seconds(9), {});
-        m_service->end();
-        m_service.reset();
-        m_group->crash(m_leader);
-        m_leader = m_group->wait_for_leader();
-        start_service();
+        change_leader();
         CPPUNIT_ASSERT(submit("w", seconds(2), seconds(3))->code ==
                        result_code::ok);
     }
@@ -121,6 +118,17 @@
         CPPUNIT_ASSERT(submit("v", seconds(9), {})->code == result_code::ok);
     }
 
+    // The same, and the leader changes between the cancel and the submission.
+    // Guards against cancels that only the leader that has answered them knows.
+    void next_leader_refuses_a_submission_that_follows_its_cancel()
+    {
+        CPPUNIT_ASSERT(cancel("w") == result_code::job_unknown);
+        change_leader();
+        auto const reply = submit("w", seconds(9), {});
+        CPPUNIT_ASSERT(reply && reply->code == result_code::not_admitted);
+        CPPUNIT_ASSERT(!is_accepted("w"));
+    }
+
     // Guards against refusing the resend of a submission that was accepted and
     // cancelled.
     void cancelled_workflow_is_acknowledged_again()
@@ -188,18 +196,26 @@
         return *reply;
     }
 
-    void cancel(std::string const& workflow)
+    void change_leader()
     {
-        core::cancel_workflow const command{core::queue_id("q"),
-                                            core::workflow_id(workflow)};
-        auto const answered = std::make_shared<bool>(false);
-        m_group->node(m_leader).propose(command,
-                                        {},
-                                        {},
-                                        [answered](core::command_reply const&)
-                                        { *answered = true; });
-        m_group->step_until([&answered] { return *answered; });
-        m_service->applied(command);
+        m_service->end();
+        m_service.reset();
+        m_group->crash(m_leader);
+        m_leader = m_group->wait_for_leader();
+        start_service();
+    }
+
+    std::optional<result_code> cancel(std::string const& workflow)
+    {
+        core::command_envelope envelope;
+        envelope.body = core::cancel_workflow{core::queue_id("q"),
+                                              core::workflow_id(workflow)};
+        auto const answered = std::make_shared<std::optional<result_code>>();
+        m_service->cancel(std::move(envelope),
+                          [answered](core::command_reply const& reply)
+                          { *answered = reply.code; });
+        m_group->step_until([&answered] { return answered->has_value(); });
+        return *answered;
     }
 
     bool is_accepted(std::string const& workflow)
