Repeat the end of a claim, and refuse claims that follow their release

Cause: the release of an Idempotency-Key's claim was sent once, without reading the answer. If it was lost, or a copy of the claim was committed after it, the key stayed held by a request that had not run, and its resends were refused with an unknown outcome for up to 24 h.

The leader sets the time in the command (finish_claim::refuse_for, an appended member). claim_lifetime moves to core, because the gateway uses it too.

--- a/modules/cluster_state/machine/state_machine.cpp
+++ b/modules/cluster_state/machine/state_machine.cpp
@@ -75,7 +75,7 @@
             { return reply_with(m_claims.claim(each, m_now)); },
             [&](core::finish_claim const& each)
             {
-                m_claims.finish(each);
+                m_claims.finish(each, m_now);
                 return reply_with(core::result_code::ok);
             },
             [&](core::expire_records const&) { return remove_expired(); },
@@ -129,6 +129,7 @@
     first.config = m_config.record();
     first.sessions = m_sessions.records();
     first.claims = m_claims.records();
+    first.released_requests = m_claims.released_records();
     first.counters = m_job_manager.counters();
     first.workflows = m_workflows.records();
     first.longest_lease = m_workflows.longest_lease();
@@ -167,6 +168,10 @@
     {
         restored.m_claims.restore(std::move(claim));
     }
+    for (auto const& released : first.released_requests)
+    {
+        restored.m_claims.restore(released);
+    }
     restored.m_workflows.restore(
         std::move(first.workflows), first.longest_lease, first.unknown_cancels);
     bool is_consistent = restored.m_config.restore(std::move(first.config));
--- a/modules/cluster_state/tests/state_machine_test.cpp
+++ b/modules/cluster_state/tests/state_machine_test.cpp
@@ -113,6 +113,12 @@
             workflow::unknown_cancel_retention};
 }
 
+/// The release of a claim whose request has not run.
+finish_claim released(claim_key const& claim)
+{
+    return {claim.service, claim.key, claim.request, false, release_retention};
+}
+
 } // namespace
 
 class state_machine_test : public CppUnit::TestFixture
@@ -124,6 +130,9 @@
     CPPUNIT_TEST(accepted_order_is_acknowledged_again);
     CPPUNIT_TEST(sessions_expire_with_their_own_code);
     CPPUNIT_TEST(claimed_request_runs_once_until_expiry);
+    CPPUNIT_TEST(late_claim_is_refused_after_its_release);
+    CPPUNIT_TEST(release_of_an_earlier_release_refuses_nothing);
+    CPPUNIT_TEST(released_requests_are_bounded);
     CPPUNIT_TEST(late_submission_is_refused_after_its_cancel);
     CPPUNIT_TEST(cancel_of_an_earlier_release_refuses_nothing);
     CPPUNIT_TEST(cancels_of_unknown_workflows_are_bounded);
@@ -236,6 +245,71 @@
         CPPUNIT_ASSERT(run(first).code == result_code::ok);
     }
 
+    // A request got no answer to a claim, ended without running and released
+    // the claim; then a copy of the claim is committed. Guards against a key
+    // that no request with it can use until the claim expires, also after a
+    // restart or a snapshot, and if others have used the key meanwhile.
+    void late_claim_is_refused_after_its_release()
+    {
+        machine run;
+        claim_key const late{service_id("s"), "k", {}};
+        auto resend = late;
+        resend.request.sequence = sequence_number(9);
+        run(released(late));
+        CPPUNIT_ASSERT(run(late).code == result_code::not_run);
+        CPPUNIT_ASSERT(run(resend).code == result_code::ok);
+        run(released(resend));
+        run.now += release_retention - 1us;
+        run(expire_records{});
+        CPPUNIT_ASSERT(run.state.restore(run.state.snapshot()));
+        CPPUNIT_ASSERT(run(late).code == result_code::not_run);
+        CPPUNIT_ASSERT(run(resend).code == result_code::not_run);
+        auto third = late;
+        third.request.sequence = sequence_number(10);
+        CPPUNIT_ASSERT(run(third).code == result_code::ok);
+    }
+
+    // Guards against state that differs from that in which a member of an
+    // earlier release has answered the commands of the same log.
+    void release_of_an_earlier_release_refuses_nothing()
+    {
+        machine run;
+        claim_key const claim{service_id("s"), "k", {}};
+        auto earlier = released(claim);
+        earlier.refuse_for = {};
+        run(earlier);
+        CPPUNIT_ASSERT(run(claim).code == result_code::ok);
+    }
+
+    // Guards against released requests that take any amount of memory, and
+    // against dropping the latest of them.
+    void released_requests_are_bounded()
+    {
+        machine run;
+        claim_key claim{service_id("s"), "k", {}};
+        for (std::size_t i = 0; i <= max_released_requests; ++i)
+        {
+            run.now += 1us;
+            claim.request.sequence = sequence_number(i);
+            run(released(claim));
+            run(released(claim));
+        }
+        CPPUNIT_ASSERT(run(claim).code == result_code::not_run);
+        claim.request.sequence = sequence_number(1);
+        CPPUNIT_ASSERT(run(claim).code == result_code::not_run);
+        claim.request.sequence = sequence_number(0);
+        CPPUNIT_ASSERT(run(claim).code == result_code::ok);
+        run.now += release_retention;
+        for (std::size_t i = 0; i < max_released_requests;
+             i += max_expired_per_command)
+        {
+            run(expire_records{});
+        }
+        claim.key = "other";
+        claim.request.sequence = sequence_number(1);
+        CPPUNIT_ASSERT(run(claim).code == result_code::ok);
+    }
+
     // The caller of a cancel was told that there is no such workflow. Guards
     // against accepting a copy of its submission that arrives after a leader
     // change, a restart or a snapshot, at any time within the retention.
--- a/modules/core/messages/commands.hpp
+++ b/modules/core/messages/commands.hpp
@@ -9,6 +9,7 @@
 #include "core/types/ids.hpp"
 #include "core/types/units.hpp"
 
+#include <chrono>
 #include <optional>
 #include <string>
 #include <variant>
@@ -142,6 +143,10 @@
     bool operator==(placement_batch const&) const = default;
 };
 
+/// Time for which a key stays claimed. Part of the interface to callers
+/// (design.md section 6).
+constexpr duration claim_lifetime = std::chrono::hours(24);
+
 /// Claims an Idempotency-Key before its request is sent to any sidecar.
 struct claim_key
 {
@@ -161,6 +166,10 @@
     /// True when it ran and was answered; false releases a claim whose
     /// request certainly did not run.
     bool ran = true;
+    /// Of a release: time for which claims of the request are refused, because
+    /// copies of them may arrive late. Set by the leader; zero in entries of
+    /// earlier releases.
+    duration refuse_for{};
 
     bool operator==(finish_claim const&) const = default;
 };
--- a/modules/core/messages/state.hpp
+++ b/modules/core/messages/state.hpp
@@ -142,6 +142,16 @@
     bool operator==(claim_record const&) const = default;
 };
 
+/// A request that has released its claim without having run.
+struct released_request_record
+{
+    request_id request;
+    /// Claims of the request are refused until then.
+    time_point expires;
+
+    bool operator==(released_request_record const&) const = default;
+};
+
 /// Events that were ignored because they were late or lost a race.
 struct state_counters
 {
@@ -173,6 +183,7 @@
     /// was recorded.
     duration longest_lease{};
     std::vector<unknown_cancel_record> unknown_cancels;
+    std::vector<released_request_record> released_requests;
 
     bool operator==(state_snapshot const&) const = default;
 };
--- a/modules/wire/codec/aggregate_members.hpp
+++ b/modules/wire/codec/aggregate_members.hpp
@@ -26,7 +26,7 @@
 }
 
 /// Largest number of members that `visit_members` handles.
-constexpr std::size_t max_members = 12;
+constexpr std::size_t max_members = 13;
 
 /// @return The number of members of the aggregate `T`.
 template <typename T, std::size_t N = max_members>
@@ -122,6 +122,11 @@
         auto& [m1, m2, m3, m4, m5, m6, m7, m8, m9, m10, m11, m12] = value;
         return visit(m1, m2, m3, m4, m5, m6, m7, m8, m9, m10, m11, m12);
     }
+    else if constexpr (count == 13)
+    {
+        auto& [m1, m2, m3, m4, m5, m6, m7, m8, m9, m10, m11, m12, m13] = value;
+        return visit(m1, m2, m3, m4, m5, m6, m7, m8, m9, m10, m11, m12, m13);
+    }
 }
 
 } // namespace turmericswitch::wire
--- a/modules/wire/codec/message_codec.cpp
+++ b/modules/wire/codec/message_codec.cpp
@@ -95,10 +95,12 @@
 template <>
 constexpr std::size_t appended_members<core::workflow_progress> = 4;
 template <>
-constexpr std::size_t appended_members<core::state_snapshot> = 2;
+constexpr std::size_t appended_members<core::state_snapshot> = 3;
 template <>
 constexpr std::size_t appended_members<core::cancel_workflow> = 1;
 template <>
+constexpr std::size_t appended_members<core::finish_claim> = 1;
+template <>
 constexpr std::size_t appended_members<core::watch_request> = 1;
 template <>
 constexpr std::size_t appended_members<core::watch_answer> = 1;
--- a/modules/wire/tests/message_codec_test.cpp
+++ b/modules/wire/tests/message_codec_test.cpp
@@ -118,6 +118,7 @@
     CPPUNIT_TEST(recorded_lease_round_trips);
     CPPUNIT_TEST(recorded_lease_of_zero_is_not_written);
     CPPUNIT_TEST(unknown_cancels_are_written_only_if_there_are_any);
+    CPPUNIT_TEST(released_requests_are_written_only_if_there_are_any);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against control instances of an earlier release that can't read
@@ -285,6 +286,30 @@
                        snapshot);
     }
 
+    // Ends of claims of releases without `refuse_for` have four members. Guards
+    // against members of such a release that can't read the end of a request
+    // that has run, and against records that are lost from the log or a
+    // snapshot.
+    void released_requests_are_written_only_if_there_are_any()
+    {
+        core::finish_claim end;
+        end.key = "k";
+        core::command_envelope envelope;
+        envelope.body = end;
+        auto const earlier = encode(envelope);
+        CPPUNIT_ASSERT(earlier.find("\x94\xa0\xa1k") != std::string::npos);
+        CPPUNIT_ASSERT(decode<core::command_envelope>(earlier) == envelope);
+        end.refuse_for = std::chrono::minutes(10);
+        envelope.body = end;
+        CPPUNIT_ASSERT(decode<core::command_envelope>(encode(envelope)) ==
+                       envelope);
+        auto snapshot = sample_snapshot(0);
+        snapshot.released_requests = {
+            {end.request, core::time_point(std::chrono::seconds(6))}};
+        CPPUNIT_ASSERT(decode<core::state_snapshot>(encode(snapshot)) ==
+                       snapshot);
+    }
+
     // Logs and snapshots of releases without the member have three and ten
     // members. Guards against a release that can't read them.
     void recorded_lease_of_zero_is_not_written()
--- a/programs/control/api/process_api.cpp
+++ b/programs/control/api/process_api.cpp
@@ -27,6 +27,17 @@
            std::holds_alternative<core::cancel_workflow>(body);
 }
 
+/// Makes the release of a claim refuse copies of the claim that arrive later.
+core::command_body with_retention(core::command_body body)
+{
+    auto* const end = std::get_if<core::finish_claim>(&body);
+    if (end != nullptr && !end->ran)
+    {
+        end->refuse_for = cluster_state::release_retention;
+    }
+    return body;
+}
+
 } // namespace
 
 process_api::process_api(control_node& node)
@@ -252,7 +263,7 @@
                 workflows->cancel(envelope, std::move(done));
                 return;
             }
-            m_node.group().propose(envelope.body,
+            m_node.group().propose(with_retention(envelope.body),
                                    envelope.client,
                                    envelope.sequence,
                                    std::move(done));
--- a/programs/gateway/requests/request_runner.cpp
+++ b/programs/gateway/requests/request_runner.cpp
@@ -95,13 +95,15 @@
 request_runner::request_runner(runner_dependencies dependencies)
     : m_dependencies(std::move(dependencies)),
       m_incarnation(m_dependencies.random_seed),
+      m_claim_ends(std::make_shared<claim_end_sender>(make_end_hooks())),
       m_runner_id(++last_runner_id)
 {
 }
 
 request_runner::~request_runner()
 {
-    while (m_open_claims > 0)
+    m_claim_ends->stop();
+    while (m_open_claims > 0 || m_claim_ends->in_flight() > 0)
     {
         // The wait is bounded by the timeout of a claim.
         std::this_thread::sleep_for(shutdown_poll_interval);
@@ -199,7 +201,7 @@
         }
         else if (auto* const end = std::get_if<routing::end_claim>(&action))
         {
-            send(*end);
+            m_claim_ends->add(std::move(end->command));
         }
         else if (auto* const wait = std::get_if<routing::set_timer>(&action))
         {
@@ -301,46 +303,72 @@
     if (is_late && decision == core::result_code::ok)
     {
         // The request ended before an attempt was sent to any sidecar.
-        send(routing::end_claim{{call->command.service,
-                                 call->command.key,
-                                 call->command.request,
-                                 false}});
+        m_claim_ends->add({call->command.service,
+                           call->command.key,
+                           call->command.request,
+                           false});
     }
     // Must come last: the destructor waits for it.
     --m_open_claims;
 }
 
+std::optional<core::command_reply>
+request_runner::read_reply(shared::control_result const& result)
+{
+    auto reply = result.outcome == transport::call_outcome::answered
+                     ? wire::decode<core::command_reply>(result.body)
+                     : std::nullopt;
+    if (reply && reply->code == core::result_code::not_leader)
+    {
+        m_dependencies.control.not_leader(result, reply->leader);
+    }
+    return reply;
+}
+
 std::optional<core::result_code>
 request_runner::read_claim_decision(shared::control_result const& result)
 {
-    auto const reply = result.outcome == transport::call_outcome::answered
-                           ? wire::decode<core::command_reply>(result.body)
-                           : std::nullopt;
+    auto const reply = read_reply(result);
     if (!reply)
     {
         return std::nullopt;
     }
-    if (reply->code == core::result_code::not_leader)
-    {
-        m_dependencies.control.not_leader(result, reply->leader);
-    }
     // A leader that is deposed answers `outcome_unknown` too, for the command.
     // Only a command that was applied names the revision in force.
     bool const is_held = reply->code == core::result_code::outcome_unknown &&
                          reply->current > core::revision();
     bool const is_decided = is_held || reply->code == core::result_code::ok ||
+                            reply->code == core::result_code::not_run ||
                             reply->code == core::result_code::duplicate_request;
     return is_decided ? std::optional(reply->code) : std::nullopt;
 }
 
-void request_runner::send(routing::end_claim const& action)
+claim_end_hooks request_runner::make_end_hooks()
 {
-    core::command_envelope envelope;
-    envelope.body = action.command;
-    m_dependencies.control.call("/command",
-                                wire::encode(envelope),
-                                claim_timeout,
-                                [](transport::call_result const&) {});
+    claim_end_hooks hooks;
+    hooks.send = [this](core::finish_claim const& end,
+                        claim_end_hooks::applied_hook const& done)
+    {
+        core::command_envelope envelope;
+        envelope.body = end;
+        m_dependencies.control.call(
+            "/command",
+            wire::encode(envelope),
+            claim_timeout,
+            [this, done](shared::control_result const& result)
+            { done(is_end_applied(result)); });
+    };
+    hooks.run_after = [&io = m_dependencies.io](core::duration delay,
+                                                std::function<void()> task)
+    { io.post_after(delay, std::move(task)); };
+    hooks.now = &process::event_loop::now;
+    return hooks;
+}
+
+bool request_runner::is_end_applied(shared::control_result const& result)
+{
+    auto const reply = read_reply(result);
+    return reply && reply->code == core::result_code::ok;
 }
 
 routing::flow_actions request_runner::deliver(run_state& run,
--- a/programs/gateway/requests/request_runner.hpp
+++ b/programs/gateway/requests/request_runner.hpp
@@ -1,6 +1,7 @@
 #ifndef TURMERICSWITCH_GATEWAY_REQUESTS_REQUEST_RUNNER_HPP
 #define TURMERICSWITCH_GATEWAY_REQUESTS_REQUEST_RUNNER_HPP
 
+#include "gateway/requests/claim_end_sender.hpp"
 #include "gateway/requests/mailbox.hpp"
 #include "gateway/routing/route_state.hpp"
 #include "shared/control_link/control_link.hpp"
@@ -46,7 +47,7 @@
 public:
     /// @param dependencies Objects that it refers to must outlive the runner.
     explicit request_runner(runner_dependencies dependencies);
-    /// Waits for the calls of open claims.
+    /// Waits for the calls of open claims and of the ends of claims.
     ~request_runner();
 
     /// Blocks until the request has its answer.
@@ -102,10 +103,16 @@
     void send(run_state& run, routing::send_attempt const& action);
     void send(run_state& run, routing::send_cancel const& action);
     void send(run_state& run, routing::send_claim const& action);
-    void send(routing::end_claim const& action);
+    claim_end_hooks make_end_hooks();
+    /// @return True if control has applied the end of a claim.
+    bool is_end_applied(shared::control_result const& result);
     void send_claim(std::shared_ptr<claim_call> const& call);
     void handle_claim_result(std::shared_ptr<claim_call> const& call,
                              shared::control_result const& result);
+    /// @return The reply to a command, or nothing. Reports a peer that is not
+    /// the leader.
+    std::optional<core::command_reply>
+    read_reply(shared::control_result const& result);
     /// @return What control has decided on the claim, or nothing if it has to
     /// be repeated.
     std::optional<core::result_code>
@@ -119,6 +126,7 @@
     std::atomic<std::uint64_t> m_sequence = 0;
     std::atomic<std::uint64_t> m_thread_count = 0;
     std::atomic<std::uint64_t> m_open_claims = 0;
+    std::shared_ptr<claim_end_sender> m_claim_ends;
     /// Key of this runner's states in thread-local storage, which all runners
     /// of the process share.
     std::uint64_t m_runner_id;
