--- a/programs/control/leader/workflow_service.hpp
+++ b/programs/control/leader/workflow_service.hpp
@@ -3,8 +3,8 @@
 
 #include "core/events/event.hpp"
 #include "leader/fleet_progress.hpp"
+#include "leader/submission_handler.hpp"
 #include "node/replica.hpp"
-#include "overload/admit/commit_deadline.hpp"
 #include "process/loop/event_loop.hpp"
 #include "telemetry/metrics/metrics_registry.hpp"
 #include "workflow/dispatch/dispatcher.hpp"
@@ -12,25 +12,12 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
 namespace turmericswitch::control
 {
 
-/// A `submit_workflow` that a gateway has forwarded.
-struct forwarded_submission
-{
-    core::command_envelope envelope;
-    /// By `process::boot_time`.
-    core::time_point received;
-
-    core::submit_workflow const& command() const;
-    /// @return End of the caller's time, if the gateway has sent it.
-    std::optional<core::time_point> answer_by() const;
-};
-
 /// Runs workflows on the leader: connects the dispatcher to the replicated log
 /// and to the sidecars, which send reports and poll for orders.
 ///
@@ -40,7 +27,7 @@
 public:
     using grant_hook = std::function<void(core::runtime_grant)>;
     using orders_hook = std::function<void(core::runtime_orders)>;
-    using reply_hook = std::function<void(core::command_reply)>;
+    using reply_hook = submission_handler::reply_hook;
     using query_hook = std::function<void(core::workflow_answer)>;
 
     /// The references must outlive the object.
@@ -59,14 +46,8 @@
     void applied(core::command_body const& command,
                  core::command_reply const& reply);
 
-    /// Proposes a workflow, or refuses it with `not_admitted`, or with
-    /// `deadline_exceeded` if it can't be committed in its caller's time. A
-    /// refusal follows a confirmed read: a deposed leader may not know that the
-    /// workflow was accepted.
+    /// See `submission_handler`.
     void submit(forwarded_submission submission, reply_hook done);
-
-    /// Proposes a `cancel_workflow`. If it finds no workflow, submissions that
-    /// arrive after it are refused, also by the next leaders.
     void cancel(core::command_envelope envelope, reply_hook done);
 
     /// Handles a sidecar's report. The answer follows when the ends of runs in
@@ -102,21 +83,6 @@
         query_hook done;
     };
 
-    void propose(core::command_envelope envelope, reply_hook done);
-    /// @return True if the workflow is accepted or was proposed, or has no
-    /// queue.
-    bool must_propose(core::submit_workflow const& command) const;
-    /// @return Nothing if the workflow is to be proposed.
-    std::optional<core::command_reply>
-    refusal_of(forwarded_submission const& submission);
-    std::optional<overload::expired_submission>
-    expiry_of(forwarded_submission const& submission) const;
-    /// Counts and logs the refusal.
-    core::command_reply
-    refuse_expired(forwarded_submission const& submission,
-                   overload::expired_submission const& expired);
-    std::optional<core::command_reply>
-    admission_refusal(core::submit_workflow const& command);
     /// Plans and delivers orders after the tasks that already wait for the
     /// loop, so that one plan covers all events that have arrived.
     void schedule_plan();
@@ -145,6 +111,7 @@
     core::event_hook m_on_event;
     telemetry::metrics_registry& m_metrics;
     workflow::dispatcher m_dispatcher;
+    std::shared_ptr<submission_handler> m_submissions;
     fleet_progress m_fleet_progress;
     core::time_point m_next_plan;
     core::time_point m_next_summary;
@@ -154,15 +121,11 @@
     std::vector<waiting_report> m_reports;
     std::map<core::worker_id, waiting_poll> m_polls;
     std::vector<waiting_query> m_queries;
-    /// Number of proposals of each workflow that were not answered.
-    std::map<core::workflow_id, std::size_t> m_proposed;
-    overload::commit_time_estimate m_commit_estimate;
     telemetry::latency_metric& m_commit_time;
     telemetry::latency_metric& m_workflow_time;
     telemetry::counter& m_placements;
     telemetry::counter& m_copies;
     telemetry::counter& m_ends;
-    telemetry::counter& m_expired;
     telemetry::gauge& m_waiting;
     telemetry::gauge& m_held;
     telemetry::gauge& m_usable;
