Count ends of claims that are dropped

Cause: claim_end_sender drops the oldest end when 10,000 wait, without a trace; the key of a dropped release may stay held until its claim expires.

Change: the counter turmericswitch_gateway_dropped_claim_ends_total.

--- a/programs/gateway/requests/claim_end_sender.cpp
+++ b/programs/gateway/requests/claim_end_sender.cpp
@@ -17,6 +17,7 @@
         if (m_waiting.size() >= max_waiting)
         {
             m_waiting.pop_front();
+            m_hooks.dropped();
         }
         m_waiting.push_back(
             {std::move(end), m_hooks.now() + core::claim_lifetime});
--- a/programs/gateway/requests/claim_end_sender.hpp
+++ b/programs/gateway/requests/claim_end_sender.hpp
@@ -25,6 +25,8 @@
     std::function<void(core::duration delay, std::function<void()> task)>
         run_after;
     std::function<core::time_point()> now;
+    /// Counts an end that was dropped because too many wait.
+    std::function<void()> dropped;
 };
 
 /// Sends the ends of claims to control, each until control has applied it or
--- a/programs/gateway/requests/request_runner.cpp
+++ b/programs/gateway/requests/request_runner.cpp
@@ -66,6 +66,10 @@
       outcome_unknown(registry.counter("turmericswitch_gateway_requests_total",
                                        "Requests of callers, by outcome.",
                                        {{"outcome", "outcome_unknown"}})),
+      dropped_claim_ends(
+          registry.counter("turmericswitch_gateway_dropped_claim_ends_total",
+                           "Ends of claims that were dropped because control "
+                           "did not answer.")),
       latency(registry.latency("turmericswitch_gateway_request_seconds",
                                "Time from a request to its answer."))
 {
@@ -362,6 +366,8 @@
                                                 std::function<void()> task)
     { io.post_after(delay, std::move(task)); };
     hooks.now = &process::event_loop::now;
+    hooks.dropped = [&dropped = m_dependencies.metrics.dropped_claim_ends]
+    { dropped.add(); };
     return hooks;
 }
 
--- a/programs/gateway/requests/request_runner.hpp
+++ b/programs/gateway/requests/request_runner.hpp
@@ -24,6 +24,7 @@
     telemetry::counter& answered;
     telemetry::counter& not_run;
     telemetry::counter& outcome_unknown;
+    telemetry::counter& dropped_claim_ends;
     telemetry::latency_metric& latency;
 };
 
--- a/programs/gateway/tests/claim_end_sender_test.cpp
+++ b/programs/gateway/tests/claim_end_sender_test.cpp
@@ -27,14 +27,15 @@
         m_now = core::time_point(1s);
         m_calls.clear();
         m_tasks.clear();
+        m_dropped = 0;
         claim_end_hooks hooks;
         hooks.send = [this](core::finish_claim const& end,
-                            claim_end_hooks::applied_hook done) {
-            m_calls.push_back({end, std::move(done)});
-        };
+                            claim_end_hooks::applied_hook done)
+        { m_calls.emplace_back(end, std::move(done)); };
         hooks.run_after = [this](core::duration, std::function<void()> task)
         { m_tasks.push_back(std::move(task)); };
         hooks.now = [this] { return m_now; };
+        hooks.dropped = [this] { ++m_dropped; };
         m_sender = std::make_shared<claim_end_sender>(std::move(hooks));
     }
 
@@ -99,6 +100,7 @@
         {
             m_sender->add(release(i));
         }
+        CPPUNIT_ASSERT_EQUAL(dropped, m_dropped);
         CPPUNIT_ASSERT_EQUAL(count - dropped, answer_until_none_is_left());
     }
 
@@ -156,6 +158,7 @@
     }
 
     core::time_point m_now;
+    std::uint64_t m_dropped = 0;
     std::vector<std::pair<core::finish_claim, claim_end_hooks::applied_hook>>
         m_calls;
     std::vector<std::function<void()>> m_tasks;
