--- a/modules/core/messages/state.hpp
+++ b/modules/core/messages/state.hpp
@@ -142,6 +142,16 @@
     bool operator==(claim_record const&) const = default;
 };
 
+/// A request that has released its claim without having run.
+struct released_request_record
+{
+    request_id request;
+    /// Claims of the request are refused until then.
+    time_point expires;
+
+    bool operator==(released_request_record const&) const = default;
+};
+
 /// Events that were ignored because they were late or lost a race.
 struct state_counters
 {
@@ -172,6 +182,8 @@
     /// Longest lease that a leader may have granted to a worker; zero if none
     /// was recorded.
     duration longest_lease{};
+    std::vector<unknown_cancel_record> unknown_cancels;
+    std::vector<released_request_record> released_requests;
 
     bool operator==(state_snapshot const&) const = default;
 };
