Test the appended members of unresolved starts

The test of too many members wrote 11 members into a task, which may now have 11, and so was rejected only for the type of the last one. Change: round trips of the new members, each with the number of members that an earlier release writes while they are unset; the task has 12 members in the test of too many.

--- a/modules/wire/tests/message_codec_test.cpp
+++ b/modules/wire/tests/message_codec_test.cpp
@@ -6,6 +6,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
+#include <variant>
+
 namespace turmericswitch::wire
 {
 
@@ -62,6 +64,14 @@
     return envelope;
 }
 
+/// @return The command with the end.
+core::command_envelope with_unresolved_start(core::command_envelope envelope)
+{
+    auto& progress = std::get<core::workflow_progress>(envelope.body);
+    progress.ends.front().is_start_unresolved = true;
+    return envelope;
+}
+
 /// A snapshot with one task, of which `crashes` is an appended member.
 core::state_snapshot sample_snapshot(std::uint32_t crashes)
 {
@@ -79,10 +89,11 @@
     return snapshot;
 }
 
-/// The first bytes of the sample task with 7, 8 and 11 members.
+/// The first bytes of the sample task with 7, 8, 11 and 12 members.
 std::string const task_with_7 = "\x97\x55\xa1w";
 std::string const task_with_8 = "\x98\x55\xa1w";
 std::string const task_with_11 = "\x9b\x55\xa1w";
+std::string const task_with_12 = "\x9c\x55\xa1w";
 /// The last member of the sample task that is not an appended one.
 std::string const last_member = "\xa2"
                                 "cp";
@@ -114,6 +125,10 @@
     CPPUNIT_TEST(request_without_transfers_is_that_of_an_earlier_release);
     CPPUNIT_TEST(established_end_round_trips);
     CPPUNIT_TEST(end_that_is_not_established_is_that_of_an_earlier_release);
+    CPPUNIT_TEST(unresolved_start_of_an_end_round_trips);
+    CPPUNIT_TEST(unresolved_start_of_a_task_round_trips);
+    CPPUNIT_TEST(late_end_round_trips);
+    CPPUNIT_TEST(unresolved_starts_of_a_report_round_trip);
     CPPUNIT_TEST(command_without_time_left_is_that_of_an_earlier_release);
     CPPUNIT_TEST(recorded_lease_round_trips);
     CPPUNIT_TEST(recorded_lease_of_zero_is_not_written);
@@ -243,6 +258,77 @@
                        std::string::npos);
     }
 
+    // Guards against a start that only the leader knows to be unresolved, and
+    // against ends without one that an earlier release can't read.
+    void unresolved_start_of_an_end_round_trips()
+    {
+        std::string const end_with_6 = "\x96\x92\x94";
+        std::string const end_with_7 = "\x97\x92\x94";
+        for (bool const established : {false, true})
+        {
+            auto const envelope =
+                with_unresolved_start(sample_end(established));
+            auto const bytes = encode(envelope);
+            CPPUNIT_ASSERT(decode<core::command_envelope>(bytes) == envelope);
+            CPPUNIT_ASSERT(bytes.find(end_with_7) != std::string::npos);
+        }
+        CPPUNIT_ASSERT(encode(sample_end(true)).find(end_with_6) !=
+                       std::string::npos);
+    }
+
+    // Guards against a member that restores a snapshot, becomes leader and
+    // starts the task elsewhere.
+    void unresolved_start_of_a_task_round_trips()
+    {
+        auto snapshot = sample_snapshot(0);
+        auto& task = snapshot.workflows.front().stages.front().tasks.front();
+        task.unresolved_on = core::worker_id("w2");
+        auto const bytes = encode(snapshot);
+        CPPUNIT_ASSERT(decode<core::state_snapshot>(bytes) == snapshot);
+        CPPUNIT_ASSERT(bytes.find(task_with_11) != std::string::npos);
+    }
+
+    // Guards against a late end that is lost from the log, and against commands
+    // without one that an earlier release can't read.
+    void late_end_round_trips()
+    {
+        std::string const progress_with_6 = "\x96\x90\x90\x90";
+        std::string const progress_with_7 = "\x97\x90\x90\x90";
+        core::workflow_progress progress;
+        progress.begun = {core::workflow_id("a")};
+        core::command_envelope envelope;
+        envelope.body = progress;
+        CPPUNIT_ASSERT(encode(envelope).find(progress_with_6) !=
+                       std::string::npos);
+        core::run_outcome outcome;
+        outcome.worker = core::worker_id("w");
+        progress.late_ends = {outcome};
+        envelope.body = progress;
+        auto const bytes = encode(envelope);
+        CPPUNIT_ASSERT(bytes.find(progress_with_7) != std::string::npos);
+        CPPUNIT_ASSERT(decode<core::command_envelope>(bytes) == envelope);
+    }
+
+    // Guards against a leader that takes a start for resolved because it was
+    // lost on the way, and against reports without one that a leader of an
+    // earlier release can't read.
+    void unresolved_starts_of_a_report_round_trip()
+    {
+        core::runtime_report report;
+        CPPUNIT_ASSERT_EQUAL('\x97', encode(report).front());
+        report.refused_under = 1;
+        CPPUNIT_ASSERT_EQUAL('\x9b', encode(report).front());
+        for (bool const is_complete : {false, true})
+        {
+            report.unresolved = {{core::task_run{}}, is_complete};
+            auto const bytes = encode(report);
+            CPPUNIT_ASSERT_EQUAL('\x9c', bytes.front());
+            CPPUNIT_ASSERT(decode<core::runtime_report>(bytes) == report);
+        }
+        report.unresolved = {{}, true};
+        CPPUNIT_ASSERT(decode<core::runtime_report>(encode(report)) == report);
+    }
+
     // Guards against a recorded lease that is lost from the log or a snapshot.
     void recorded_lease_round_trips()
     {
@@ -298,9 +384,9 @@
     void message_with_too_many_members_is_rejected()
     {
         auto bytes = encode(sample_snapshot(3));
-        replace_once(bytes, task_with_8, task_with_11);
+        replace_once(bytes, task_with_8, task_with_12);
         replace_once(
-            bytes, last_member + '\x03', last_member + "\x03\x90\x90\x01");
+            bytes, last_member + '\x03', last_member + "\x03\x90\x90\xa0\x01");
         CPPUNIT_ASSERT(!decode<core::state_snapshot>(bytes));
     }
 
