--- a/modules/workflow/tests/worker_agent_fixture.hpp
+++ b/modules/workflow/tests/worker_agent_fixture.hpp
@@ -29,8 +29,9 @@
         agent_hooks hooks;
         hooks.on_event = [this](core::event const& what)
         { m_events.push_back(what); };
-        hooks.after = [this](core::duration, std::function<void()> run)
-        { m_delayed.push_back(std::move(run)); };
+        hooks.after = [this](core::duration delay, std::function<void()> run) {
+            m_delayed.push_back({delay, std::move(run)});
+        };
         hooks.runtime.start = [this](auto call, auto done) {
             m_starts.push_back({call, done});
         };
@@ -160,11 +161,33 @@
         return m_reports.back().call;
     }
 
+    struct delayed_call
+    {
+        core::duration delay{};
+        std::function<void()> run;
+    };
+
     void run_delayed()
     {
         for (auto const& each : std::exchange(m_delayed, {}))
         {
-            each();
+            each.run();
+        }
+    }
+
+    /// Runs the delayed calls as if the time had passed since each was queued.
+    void run_delayed_for(core::duration time)
+    {
+        for (auto& each : std::exchange(m_delayed, {}))
+        {
+            if (each.delay <= time)
+            {
+                each.run();
+            }
+            else
+            {
+                m_delayed.push_back(std::move(each));
+            }
         }
     }
 
@@ -176,7 +199,7 @@
         m_reports;
     pending_calls<core::orders_request, std::optional<core::runtime_orders>>
         m_polls;
-    std::vector<std::function<void()>> m_delayed;
+    std::vector<delayed_call> m_delayed;
     std::vector<core::event> m_events;
     std::unique_ptr<worker_agent> m_agent;
 };
