Isolate the tests of unanswered starts from open calls

Cause: in two tests a further call of the start was open, which is reported as well, so they passed with a sidecar that resolves unanswered calls at once. Change: the last call is answered before the report. Measured: with that fault five of ten tests of unresolved_starts_test fail, with the fix all pass.

--- a/modules/workflow/tests/unresolved_starts_test.cpp
+++ b/modules/workflow/tests/unresolved_starts_test.cpp
@@ -75,6 +75,7 @@
     void restart_under_the_id_does_not_resolve_the_start()
     {
         leave_start_unanswered();
+        answer(m_starts, start_outcome::refused);
         m_agent->registered(profile("w1", 8000, 2));
         expect_unresolved({m_run});
     }
@@ -113,6 +114,7 @@
         leave_start_unanswered();
         run_delayed_for(longest_call_delay);
         answer(m_starts, start_outcome::unknown);
+        answer(m_starts, start_outcome::refused);
         report_next_list();
         expect_unresolved({m_run});
     }
@@ -145,7 +147,7 @@
     }
 
 private:
-    /// The start is called twice, and the first call has had no answer.
+    /// The first call of the start gets no answer, and the second is open.
     void leave_start_unanswered()
     {
         start_up_with_list();
