--- a/modules/workflow/dispatch/worker_fleet.cpp
+++ b/modules/workflow/dispatch/worker_fleet.cpp
@@ -486,8 +486,12 @@
                   [&](auto const& item)
                   {
                       auto const& view = item.second;
+                      // Starts of the replaced worker's tasks are resolved by
+                      // what is known of it.
+                      bool const is_left =
+                          view.left && !view.is_replaced_under_other_id;
                       bool const is_gone =
-                          view.left || now - view.reported_at > forget_after;
+                          is_left || now - view.reported_at > forget_after;
                       return is_gone && !has_runs(item.first);
                   });
 }
