Start isolated tasks that have waited on more workers, or share them

Cause: isolated tasks start at a rate that follows the number of workers, whatever room there is, and one unanswered start can stop them all.

--- a/modules/workflow/dispatch/candidate_pool.cpp
+++ b/modules/workflow/dispatch/candidate_pool.cpp
@@ -81,6 +81,11 @@
                 m_colocation.expected_growth(id, run, stage->need.cpu);
         }
     }
+    if (!worker.has_no_new_run_of_others(worker.isolated_for))
+    {
+        // The suspect was placed as an overdue one.
+        worker.isolated_for = {};
+    }
     m_candidates.insert_or_assign(id, std::move(worker));
 }
 
--- a/modules/workflow/dispatch/candidate_worker.hpp
+++ b/modules/workflow/dispatch/candidate_worker.hpp
@@ -41,9 +41,13 @@
     /// worker with no other workflow's runs that are not established. So a
     /// further crash has one suspect.
     isolated,
+    /// The task has waited for too long to be isolated: as with `spread`, but
+    /// on a worker that has run for long enough.
+    overdue,
 };
 
-/// @return The suspicion of a task under which this many workers crashed.
+/// @return The suspicion of a task under which this many workers crashed, if
+///         it is not overdue.
 crash_suspicion suspicion_after(std::uint32_t crashes) noexcept;
 
 /// Capacity of a worker that is kept for tasks of one stage.
--- a/modules/workflow/dispatch/crash_isolation.cpp
+++ b/modules/workflow/dispatch/crash_isolation.cpp
@@ -16,6 +16,11 @@
 /// always may close one.
 constexpr std::size_t workers_per_isolated = 4;
 
+/// The same while a task has waited for too long. A worker that doesn't answer
+/// the start of an isolated task stays closed for seconds, so few of them would
+/// stop all others.
+constexpr std::size_t workers_per_late_isolated = 2;
+
 } // namespace
 
 void close_worker(pending_stage const& pending,
@@ -64,15 +69,18 @@
         });
 }
 
-bool may_isolate(std::vector<candidate_worker*> const& candidates)
+bool may_isolate(pending_stage const& pending,
+                 std::vector<candidate_worker*> const& candidates)
 {
+    auto const per_isolated = pending.is_isolation_late
+                                  ? workers_per_late_isolated
+                                  : workers_per_isolated;
     auto const closed = static_cast<std::size_t>(
         std::count_if(candidates.begin(),
                       candidates.end(),
                       [](candidate_worker const* each)
                       { return !each->isolated_for.value().empty(); }));
-    return closed == 0 ||
-           (closed + 1) * workers_per_isolated <= candidates.size();
+    return closed == 0 || (closed + 1) * per_isolated <= candidates.size();
 }
 
 } // namespace turmericswitch::workflow
--- a/modules/workflow/dispatch/crash_isolation.hpp
+++ b/modules/workflow/dispatch/crash_isolation.hpp
@@ -19,8 +19,9 @@
 bool has_unplaced_isolated(pending_stage const& pending,
                            std::vector<core::run_placement> const& placed);
 
-/// @return True if an isolated task may close one more worker.
-bool may_isolate(std::vector<candidate_worker*> const& candidates);
+/// @return True if an isolated task of the stage may close one more worker.
+bool may_isolate(pending_stage const& pending,
+                 std::vector<candidate_worker*> const& candidates);
 
 } // namespace turmericswitch::workflow
 
--- a/modules/workflow/dispatch/dispatcher.hpp
+++ b/modules/workflow/dispatch/dispatcher.hpp
@@ -10,6 +10,7 @@
 #include "workflow/dispatch/copy_planner.hpp"
 #include "workflow/dispatch/crash_backoff.hpp"
 #include "workflow/dispatch/end_collector.hpp"
+#include "workflow/dispatch/isolation_timeout.hpp"
 #include "workflow/dispatch/job_accounts.hpp"
 #include "workflow/dispatch/move_controller.hpp"
 #include "workflow/dispatch/order_reconciler.hpp"
@@ -225,6 +226,7 @@
     job_accounts m_accounts;
     stage_backlog m_backlog;
     crash_backoff m_crash_backoff;
+    isolation_timeout m_isolation_timeout{m_table};
     start_affinity m_start_affinity;
     backlog_trace m_trace;
     /// Time of the last plan of placements.
--- a/modules/workflow/dispatch/dispatcher_placement.cpp
+++ b/modules/workflow/dispatch/dispatcher_placement.cpp
@@ -248,7 +248,10 @@
     update_accounts(times);
     auto const waiting = m_start_affinity.restrict_workers(
         times,
-        m_crash_backoff.without_delayed(times.now, m_backlog.collect(times)));
+        m_isolation_timeout.apply(times.cluster,
+                                  m_fleet.all().size(),
+                                  m_crash_backoff.without_delayed(
+                                      times.now, m_backlog.collect(times))));
     m_trace.clear();
     m_planned = times;
     // Skips the candidates when there is nothing to place or evict.
--- /dev/null
+++ b/modules/workflow/dispatch/isolation_timeout.hpp
@@ -0,0 +1,54 @@
+#ifndef TURMERICSWITCH_WORKFLOW_DISPATCH_ISOLATION_TIMEOUT_HPP
+#define TURMERICSWITCH_WORKFLOW_DISPATCH_ISOLATION_TIMEOUT_HPP
+
+#include "core/messages/workflow.hpp"
+#include "workflow/dispatch/pending_stage.hpp"
+#include "workflow/table/workflow_table.hpp"
+
+#include <cstddef>
+#include <deque>
+#include <set>
+#include <vector>
+
+namespace turmericswitch::workflow
+{
+
+/// Relaxes the isolation of tasks that have waited for it too long.
+///
+/// Few isolated tasks can start at a time, so many of them would wait for long
+/// beside room on usable workers. More workers may be closed for overdue ones.
+/// If there are so many that they can't start one by one, each may share a
+/// worker, unless its next count could fail its job.
+class isolation_timeout
+{
+public:
+    /// @param table Must outlive the object.
+    explicit isolation_timeout(workflow_table const& table);
+
+    /// @param now On the clock of the replicated state.
+    /// @param workers Number of workers.
+    /// @return The stages, with the overdue tasks marked. Valid until the next
+    ///         call, if the stages are.
+    std::vector<pending_stage const*>
+    apply(core::time_point now,
+          std::size_t workers,
+          std::vector<pending_stage const*> waiting);
+
+private:
+    std::set<core::task_run>
+    find_overdue(core::time_point now,
+                 std::vector<pending_stage const*> const& waiting) const;
+
+    /// @return False if a batch job could be failed by one more count.
+    bool keeps_job_if_counted(core::task_run const& run) const;
+
+    workflow_table const& m_table;
+    /// True from when there were too many overdue tasks until there is none.
+    bool m_is_backlogged = false;
+    /// Copies of the stages with overdue tasks.
+    std::deque<pending_stage> m_changed;
+};
+
+} // namespace turmericswitch::workflow
+
+#endif
--- a/modules/workflow/dispatch/pending_stage.hpp
+++ b/modules/workflow/dispatch/pending_stage.hpp
@@ -41,6 +41,8 @@
     run_list runs;
     /// Suspicion of the tasks; `none` for those that are not listed.
     std::map<core::task_run, crash_suspicion> suspected;
+    /// True if an isolated task of the stage has waited for too long.
+    bool is_isolation_late = false;
     /// For tasks with a start that a worker has not answered, that worker.
     std::map<core::task_run, core::worker_id> unresolved_on;
     /// The only worker that may get the tasks; `nullopt` if any may.
--- a/modules/workflow/dispatch/placement_obstacle.hpp
+++ b/modules/workflow/dispatch/placement_obstacle.hpp
@@ -36,7 +36,8 @@
     /// The worker is closed for an isolated task of another workflow.
     isolated_worker,
     /// The task is isolated, and other workflows' runs there are not
-    /// established or the worker has just started.
+    /// established or the worker has just started; or it is overdue, and the
+    /// worker has just started.
     isolation,
     /// As many workers as allowed are closed for isolated tasks.
     isolation_limit,
--- a/modules/workflow/dispatch/stage_planner.cpp
+++ b/modules/workflow/dispatch/stage_planner.cpp
@@ -56,7 +56,8 @@
             continue;
         }
         bool const is_isolated = has_isolated(*each);
-        bool const may_place_isolated = !is_isolated || may_isolate(candidates);
+        bool const may_place_isolated =
+            !is_isolated || may_isolate(*each, candidates);
         bool const is_gang = each->description->behaviour.gang;
         if (is_gang && !may_place_isolated)
         {
--- a/modules/workflow/dispatch/stage_planner.hpp
+++ b/modules/workflow/dispatch/stage_planner.hpp
@@ -25,7 +25,7 @@
 /// Stages with isolated tasks come first. If one finds no worker without other
 /// runs that are not established, a worker is closed to other workflows, so
 /// that the task does not wait for ever on a fleet where tasks start all the
-/// time.
+/// time. Overdue ones are not isolated.
 ///
 /// A stage scores each worker once, and again only after a task was placed
 /// there, so its cost grows with the number of workers plus the number of its
--- a/modules/workflow/dispatch/task_placement.cpp
+++ b/modules/workflow/dispatch/task_placement.cpp
@@ -144,6 +144,7 @@
     }
     std::vector<core::run_placement> placed;
     for (auto const suspicion : {crash_suspicion::isolated,
+                                 crash_suspicion::overdue,
                                  crash_suspicion::spread,
                                  crash_suspicion::none})
     {
--- a/modules/workflow/dispatch/worker_ranking.cpp
+++ b/modules/workflow/dispatch/worker_ranking.cpp
@@ -57,11 +57,7 @@
     {
         return found;
     }
-    bool const is_isolated = m_placement.suspicion == crash_suspicion::isolated;
-    bool const may_isolate =
-        worker.is_steady &&
-        worker.has_no_new_run_of_others(pending.stage.workflow);
-    if (is_isolated && !may_isolate)
+    if (!allows_suspect(worker))
     {
         return placement_obstacle::isolation;
     }
@@ -70,6 +66,22 @@
                : placement_obstacle::none;
 }
 
+bool worker_ranking::allows_suspect(candidate_worker const& worker) const
+{
+    switch (m_placement.suspicion)
+    {
+    case crash_suspicion::none:
+    case crash_suspicion::spread:
+        return true;
+    case crash_suspicion::overdue:
+        return worker.is_steady;
+    case crash_suspicion::isolated:
+        break;
+    }
+    return worker.is_steady &&
+           worker.has_no_new_run_of_others(m_placement.pending.stage.workflow);
+}
+
 std::optional<worker_ranking::ranked_worker>
 worker_ranking::rank(std::size_t index)
 {
--- a/modules/workflow/dispatch/worker_ranking.hpp
+++ b/modules/workflow/dispatch/worker_ranking.hpp
@@ -47,6 +47,7 @@
     };
 
     placement_obstacle find_obstacle_on(candidate_worker const& worker) const;
+    bool allows_suspect(candidate_worker const& worker) const;
     std::optional<ranked_worker> rank(std::size_t index);
 
     std::vector<candidate_worker*> const& m_candidates;
--- a/modules/workflow/table/workflow_table.hpp
+++ b/modules/workflow/table/workflow_table.hpp
@@ -20,8 +20,8 @@
 
 /// Crashes that are counted against a task before its workflow is given up,
 /// unless the task is long-running. The first two may have happened before the
-/// start reached the worker; from the third on the task is isolated, so wrong
-/// counts are unlikely.
+/// start reached the worker; before the last one the task is isolated, so a
+/// wrong one is unlikely.
 constexpr std::uint32_t max_crashes = 4;
 
 /// Suspected runs that are kept for a task; of earlier ones nothing more is
