Let isolated batch tasks share only once no more workers crash

Change: batch tasks share, or close more than a quarter of the workers, only if no run of a suspect has ended for 2 s. The tests of waiting work let the workers be up for these 2 s before they count, as the uptime that they report says; an isolated task that waits there crashed before that.

--- a/modules/workflow/dispatch/isolation_timeout.cpp
+++ b/modules/workflow/dispatch/isolation_timeout.cpp
@@ -1,5 +1,6 @@
 #include "workflow/dispatch/isolation_timeout.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 
@@ -17,6 +18,10 @@
 /// tasks crash them.
 constexpr std::size_t max_overdue_per_worker = 2;
 
+/// While workers crash, each start of a bystander may add a count, so batch
+/// tasks stay isolated until no run of a suspect has ended for this time.
+constexpr core::duration calm_time = std::chrono::seconds(2);
+
 } // namespace
 
 isolation_timeout::isolation_timeout(workflow_table const& table)
@@ -30,7 +35,9 @@
                          std::vector<pending_stage const*> waiting)
 {
     m_changed.clear();
+    observe_ends(waiting);
     auto const overdue = find_overdue(now, waiting);
+    bool const is_calm = !m_last_end || now - *m_last_end >= calm_time;
     m_is_backlogged = overdue.size() >
                       (m_is_backlogged ? 0 : workers * max_overdue_per_worker);
     for (auto& each : waiting)
@@ -46,13 +53,14 @@
             {
                 changed = &m_changed.emplace_back(*each);
             }
-            if (m_is_backlogged && keeps_job_if_counted(run))
+            if (is_calm && m_is_backlogged && keeps_job_if_counted(run))
             {
                 changed->suspected.at(run) = crash_suspicion::overdue;
             }
             else
             {
-                changed->is_isolation_late = true;
+                changed->is_isolation_late =
+                    is_calm || each->description->behaviour.long_running;
             }
         }
         each = changed == nullptr ? each : changed;
@@ -60,6 +68,21 @@
     return waiting;
 }
 
+void isolation_timeout::observe_ends(
+    std::vector<pending_stage const*> const& waiting)
+{
+    for (auto const* const each : waiting)
+    {
+        for (auto const& [run, suspicion] : each->suspected)
+        {
+            if (auto const ended = m_table.unplaced_since(run.task))
+            {
+                m_last_end = std::max(m_last_end.value_or(*ended), *ended);
+            }
+        }
+    }
+}
+
 std::set<core::task_run> isolation_timeout::find_overdue(
     core::time_point now,
     std::vector<pending_stage const*> const& waiting) const
--- a/modules/workflow/dispatch/isolation_timeout.hpp
+++ b/modules/workflow/dispatch/isolation_timeout.hpp
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <deque>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -16,9 +17,10 @@
 /// Relaxes the isolation of tasks that have waited for it too long.
 ///
 /// Few isolated tasks can start at a time, so many of them would wait for long
-/// beside room on usable workers. More workers may be closed for overdue ones.
-/// If there are so many that they can't start one by one, each may share a
-/// worker, unless its next count could fail its job.
+/// beside room on usable workers. Once no more workers crash, more of
+/// them may be closed for overdue tasks. If there are so many that they can't
+/// start one by one, each may share a worker, unless its next count could fail
+/// its job.
 class isolation_timeout
 {
 public:
@@ -35,6 +37,9 @@
           std::vector<pending_stage const*> waiting);
 
 private:
+    /// Must see each plan, because a suspect may be placed by the next one.
+    void observe_ends(std::vector<pending_stage const*> const& waiting);
+
     std::set<core::task_run>
     find_overdue(core::time_point now,
                  std::vector<pending_stage const*> const& waiting) const;
@@ -43,6 +48,8 @@
     bool keeps_job_if_counted(core::task_run const& run) const;
 
     workflow_table const& m_table;
+    /// When a run of a suspected task ended last.
+    std::optional<core::time_point> m_last_end;
     /// True from when there were too many overdue tasks until there is none.
     bool m_is_backlogged = false;
     /// Copies of the stages with overdue tasks.
--- a/modules/workflow/tests/waiting_work_test.cpp
+++ b/modules/workflow/tests/waiting_work_test.cpp
@@ -86,13 +86,14 @@
     }
 
     // Such a task can't share a worker. Guards against one that waits for the
-    // answer of one worker while others have no new runs.
+    // answer of one worker while others have been up for two seconds and have
+    // no new runs.
     void task_that_stays_isolated_starts_on_a_worker_of_its_own()
     {
-        hold_isolated_on_unanswering_worker();
         add_job("a",
                 std::vector<core::run_end>(max_crashes - 1,
                                            core::run_end::crashed));
+        hold_isolated_on_unanswering_worker();
         plan_for(std::chrono::milliseconds(1200));
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, waiting());
     }
@@ -176,6 +177,7 @@
             m_workers.push_back(worker);
         }
         report_all();
+        m_now += std::chrono::milliseconds(steady_ms - at_work_ms);
         m_clock_ms = steady_ms;
         report_all();
     }
