--- a/modules/workflow/table/workflow_table.hpp
+++ b/modules/workflow/table/workflow_table.hpp
@@ -25,8 +25,8 @@
 constexpr core::duration unknown_cancel_retention = final_retention;
 
 /// Counted crashes of a task in a row from which on its next start is delayed.
-/// The first two may have happened before the start reached the worker; from
-/// the third on the task is isolated, so wrong counts are unlikely.
+/// The first two may have happened before the start reached the worker; before
+/// the last one the task is isolated, so a wrong one is unlikely.
 constexpr std::uint32_t crashes_before_delay = 4;
 
 /// Suspected runs that are kept for a task; of earlier ones nothing more is
