--- a/modules/core/messages/workflow.hpp
+++ b/modules/core/messages/workflow.hpp
@@ -191,6 +191,9 @@
     /// Worker that may still execute a start of an ended run, which it has not
     /// answered; empty if there is none.
     worker_id unresolved_on;
+    /// The last attempt that was taken for ended with such a start, and of
+    /// which no end `failed` has been counted; 0 if there is none.
+    attempt_number uncounted_attempt;
 
     bool operator==(task_record const&) const = default;
 };
@@ -256,10 +259,24 @@
 {
     queue_id queue;
     workflow_id workflow;
+    /// If the queue has no such workflow: time for which submissions of it are
+    /// refused. Set by the leader; zero in entries of earlier releases.
+    duration refuse_for{};
 
     bool operator==(cancel_workflow const&) const = default;
 };
 
+/// A cancel that found no workflow.
+struct unknown_cancel_record
+{
+    queue_id queue;
+    workflow_id workflow;
+    /// Submissions of the workflow are refused until then.
+    time_point expires;
+
+    bool operator==(unknown_cancel_record const&) const = default;
+};
+
 /// Puts one attempt of a task on a life of a worker.
 struct run_placement
 {
@@ -314,8 +331,8 @@
     std::vector<run_outcome> resolved;
     /// Workflows of which a worker was seen to have begun a task.
     std::vector<workflow_id> begun;
-    /// Ends `done` of runs that were taken for ended before, of tasks that have
-    /// no run now. Applied after the ends.
+    /// Ends of runs that were taken for ended before: `done`, of tasks that
+    /// have no run now, and `failed`. Applied after the ends.
     std::vector<run_outcome> late_ends;
 
     bool operator==(workflow_progress const&) const = default;
--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -150,6 +150,8 @@
         return false;
     }
     drop_outdated_refusals(*view, refused_under);
+    evict_needless_runs(*view);
+    m_start_affinity.reported(*view);
     bool const is_new = known == nullptr || is_new_incarnation;
     if (is_new || is_new_sidecar)
     {
@@ -197,6 +199,17 @@
     view.refused.clear();
 }
 
+void dispatcher::evict_needless_runs(worker_view const& view)
+{
+    for (auto const& each : view.ended)
+    {
+        if (auto const later = m_ends.find_needless_run(each))
+        {
+            m_orders.evict(later->worker, later->run);
+        }
+    }
+}
+
 void dispatcher::update_colocation(core::time_point now,
                                    worker_view const& view)
 {
@@ -290,7 +303,7 @@
     answer.lease_until = view->granted_until;
     for (auto const& each : view->ended)
     {
-        if (m_ends.is_uncommitted(each, worker))
+        if (m_ends.is_open(each, worker))
         {
             break;
         }
@@ -343,18 +356,25 @@
 {
     for (auto& each : ends)
     {
-        auto const placed = m_placed_at.find(each.run);
         each.is_start_unresolved =
             must_stay_if_unresolved(each) &&
-            m_fleet.may_start_late(each.worker,
-                                   each.life,
-                                   each.run,
-                                   placed == m_placed_at.end()
-                                       ? std::nullopt
-                                       : std::optional(placed->second));
+            m_fleet.may_start_late(
+                each.worker, each.life, each.run, first_call_after(each));
     }
 }
 
+std::optional<core::time_point>
+dispatcher::first_call_after(core::run_outcome const& end) const
+{
+    auto const* const task = m_table.find_task(end.run.task);
+    bool const has_earlier_call =
+        task != nullptr && task->unresolved_on == end.worker;
+    auto const placed = m_placed_at.find(end.run);
+    return has_earlier_call || placed == m_placed_at.end()
+               ? std::nullopt
+               : std::optional(placed->second);
+}
+
 bool dispatcher::must_stay_if_unresolved(core::run_outcome const& end) const
 {
     auto const* const stage = m_table.find_stage(end.run.task);
@@ -401,7 +421,6 @@
     {
         m_on_event(late_end_event(outcome));
     }
-    m_crash_backoff.applied(now, command);
     m_start_affinity.applied(now, command);
     m_ends.applied(now, command);
 }
--- a/modules/workflow/dispatch/dispatcher.hpp
+++ b/modules/workflow/dispatch/dispatcher.hpp
@@ -10,6 +10,7 @@
 #include "workflow/dispatch/copy_planner.hpp"
 #include "workflow/dispatch/crash_backoff.hpp"
 #include "workflow/dispatch/end_collector.hpp"
+#include "workflow/dispatch/isolation_timeout.hpp"
 #include "workflow/dispatch/job_accounts.hpp"
 #include "workflow/dispatch/move_controller.hpp"
 #include "workflow/dispatch/order_reconciler.hpp"
@@ -188,9 +189,16 @@
     void update_accounts(plan_times const& times);
     /// Marks the ends of runs with a start that may still be executed.
     void mark_unresolved(std::vector<core::run_outcome>& ends) const;
+    /// @return Time after which all calls of the task to the run's worker were
+    ///         made that it may still execute; `nullopt` if an earlier leader
+    ///         placed the run, or an earlier run has left such a call.
+    std::optional<core::time_point>
+    first_call_after(core::run_outcome const& end) const;
     /// @return True if the task must not be started elsewhere while the run's
     ///         worker may execute a start of it.
     bool must_stay_if_unresolved(core::run_outcome const& end) const;
+    /// Stops the runs of tasks of which an earlier run is listed as done.
+    void evict_needless_runs(worker_view const& view);
     /// Drops the refusals in a report that was made under another token than
     /// the granted one: it may be a late one of an earlier sidecar, and the
     /// present one may have begun the runs since. The sidecar repeats its own
@@ -225,6 +233,7 @@
     job_accounts m_accounts;
     stage_backlog m_backlog;
     crash_backoff m_crash_backoff;
+    isolation_timeout m_isolation_timeout{m_table};
     start_affinity m_start_affinity;
     backlog_trace m_trace;
     /// Time of the last plan of placements.
--- a/modules/workflow/dispatch/start_affinity.cpp
+++ b/modules/workflow/dispatch/start_affinity.cpp
@@ -17,6 +17,10 @@
 constexpr core::duration longest_start_delay =
     longest_call_delay + std::chrono::seconds(1);
 
+/// From the last report of a sidecar to its last call of a start: an order may
+/// follow the report, and its calls are repeated for 2 s.
+constexpr core::duration longest_start_period = std::chrono::seconds(3);
+
 /// Callers allow a long-running task nine seconds without a run, in which it
 /// must also be placed and started.
 constexpr core::duration longest_long_running_delay = std::chrono::seconds(7);
@@ -40,18 +44,66 @@
 {
 }
 
+void start_affinity::reported(worker_view const& worker)
+{
+    auto const& id = worker.profile.worker;
+    std::vector<core::task_run> unheld;
+    for (auto const& [run, seen] : worker.running)
+    {
+        if (!m_table.held_incarnation(run, id))
+        {
+            unheld.push_back(run);
+        }
+    }
+    if (unheld.empty())
+    {
+        m_unheld.erase(id);
+    }
+    else
+    {
+        m_unheld.insert_or_assign(id, std::move(unheld));
+    }
+}
+
+void start_affinity::find_running_unheld(core::time_point now)
+{
+    m_running_unheld.clear();
+    std::erase_if(m_unheld,
+                  [this](auto const& item)
+                  { return m_fleet.find(item.first) == nullptr; });
+    for (auto const& [worker, runs] : m_unheld)
+    {
+        auto const life = m_fleet.find(worker)->profile.life;
+        for (auto const& run : runs)
+        {
+            if (!m_fleet.has_ended(now, worker, life, run))
+            {
+                m_running_unheld.insert(run.task);
+            }
+        }
+    }
+}
+
 void start_affinity::applied(core::time_point now,
                              core::workflow_progress const& command)
 {
-    std::erase_if(m_ended_at,
+    std::erase_if(m_open,
                   [now](auto const& item)
-                  { return now - item.second >= longest_start_delay; });
+                  { return now - item.second.since >= longest_start_delay; });
     for (auto const& outcome : command.ends)
     {
-        if (outcome.is_start_unresolved)
+        if (!outcome.is_start_unresolved)
+        {
+            continue;
+        }
+        auto due = now + longest_start_delay;
+        if (auto const* const view = m_fleet.find(outcome.worker))
         {
-            m_ended_at[outcome.run.task] = now;
+            due = std::min(due,
+                           view->reported_at + longest_start_period +
+                               longest_call_delay);
         }
+        m_open[outcome.run.task] = {now, due};
     }
 }
 
@@ -59,10 +111,11 @@
     plan_times const& times, std::vector<pending_stage const*> const& waiting)
 {
     m_parts.clear();
+    find_running_unheld(times.now);
     std::vector<pending_stage const*> result;
     for (auto const* const each : waiting)
     {
-        if (each->unresolved_on.empty())
+        if (each->unresolved_on.empty() && !has_running_unheld(*each))
         {
             result.push_back(each);
         }
@@ -79,6 +132,13 @@
                            std::vector<pending_stage const*>& result)
 {
     auto rest = pending;
+    erase_running_unheld(rest);
+    if (rest.runs.size() < pending.runs.size() &&
+        pending.description->behaviour.gang)
+    {
+        // A gang starts as a whole.
+        return;
+    }
     std::map<core::worker_id, pending_stage> parts;
     for (auto const& [run, worker] : pending.unresolved_on)
     {
@@ -114,6 +174,36 @@
     }
 }
 
+bool start_affinity::has_running_unheld(pending_stage const& pending) const
+{
+    return !workflow_table::may_be_copied(*pending.description) &&
+           std::any_of(m_running_unheld.begin(),
+                       m_running_unheld.end(),
+                       [&pending](core::task_ref const& task)
+                       { return stage_of(task) == pending.stage; });
+}
+
+void start_affinity::erase_running_unheld(pending_stage& pending) const
+{
+    if (!has_running_unheld(pending))
+    {
+        return;
+    }
+    std::vector<core::task_run> running;
+    for (auto const& run : pending.runs)
+    {
+        if (m_running_unheld.contains(run.task))
+        {
+            running.push_back(run);
+        }
+    }
+    for (auto const& run : running)
+    {
+        pending.runs.erase(run);
+        pending.suspected.erase(run);
+    }
+}
+
 void start_affinity::add(pending_stage stage,
                          std::vector<pending_stage const*>& result)
 {
@@ -135,64 +225,70 @@
     {
         return restriction::none;
     }
-    if (view != nullptr && has_run(times.now, *view, task))
+    bool const is_running = m_running_unheld.contains(task);
+    if (is_running || (view != nullptr && has_late_end(*view, task)))
     {
         return restriction::no_start;
     }
     bool const is_known_resolved = view != nullptr && is_resolved(*view, task);
-    return is_known_resolved || is_due(times, pending, task)
+    return is_known_resolved || is_due(times, pending, task, worker)
                ? restriction::none
                : restriction::only_there;
 }
 
-bool start_affinity::has_run(core::time_point now,
-                             worker_view const& worker,
-                             core::task_ref const& task) const
+bool start_affinity::has_late_end(worker_view const& worker,
+                                  core::task_ref const& task) const
 {
-    auto const& id = worker.profile.worker;
-    auto const running =
-        worker.running.lower_bound({task, core::attempt_number(0)});
-    bool const is_listed =
-        running != worker.running.end() && running->first.task == task;
-    if (is_listed &&
-        !m_fleet.has_ended(now, id, worker.profile.life, running->first))
-    {
-        return true;
-    }
     return std::any_of(worker.ended.begin(),
                        worker.ended.end(),
                        [&](core::ended_run const& each)
                        {
                            return each.run.task == task &&
-                                  each.how == core::run_end::done &&
-                                  m_table.accepts_late_end(each.run);
+                                  ((each.how == core::run_end::done &&
+                                    m_table.accepts_late_end(each.run)) ||
+                                   (each.how == core::run_end::failed &&
+                                    m_table.accepts_late_failure(each.run)));
                        });
 }
 
 bool start_affinity::is_resolved(worker_view const& worker,
                                  core::task_ref const& task) const
 {
-    auto const ended = m_ended_at.find(task);
+    auto const open = m_open.find(task);
     bool const is_reported_since =
-        ended == m_ended_at.end() || worker.reported_at > ended->second;
+        open == m_open.end() || worker.reported_at > open->second.since;
+    // An incarnation without a list may have executed the start.
     return is_reported_since && !worker.left && worker.has_runs &&
            worker.knows_all_starts && !has_unresolved_start(worker, task);
 }
 
 bool start_affinity::is_due(plan_times const& times,
                             pending_stage const& pending,
-                            core::task_ref const& task) const
+                            core::task_ref const& task,
+                            core::worker_id const& worker) const
 {
+    auto const open = m_open.find(task);
+    bool const is_known = open != m_open.end();
     if (pending.description->behaviour.long_running)
     {
-        if (auto const since = m_table.not_running_since(task))
-        {
-            return times.cluster - *since >= longest_long_running_delay;
-        }
+        // A table that was restored from a snapshot may not know the time.
+        auto const last_run = m_table.not_running_since(task);
+        auto const waited =
+            last_run ? times.cluster - *last_run
+                     : times.now - (is_known ? open->second.since : m_elected);
+        return waited >= longest_long_running_delay;
     }
-    auto const ended = m_ended_at.find(task);
-    auto const since = ended != m_ended_at.end() ? ended->second : m_elected;
-    return times.now - since >= longest_start_delay;
+    auto const due =
+        is_known ? open->second.due : m_elected + longest_start_delay;
+    return times.now >= due && !awaits_list(times.now, worker);
+}
+
+bool start_affinity::awaits_list(core::time_point now,
+                                 core::worker_id const& worker) const
+{
+    auto const* const view = m_fleet.find(worker);
+    return view != nullptr && !view->left && !view->has_runs &&
+           now < view->late_starts_expire_at;
 }
 
 } // namespace turmericswitch::workflow
--- a/modules/workflow/dispatch/worker_fleet.cpp
+++ b/modules/workflow/dispatch/worker_fleet.cpp
@@ -1,5 +1,7 @@
 #include "workflow/dispatch/worker_fleet.hpp"
 
+#include "workflow/agent/worker_runtime.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -25,6 +27,17 @@
 /// An idle worker without reports for this long is removed from the view.
 constexpr core::duration forget_after = std::chrono::minutes(1);
 
+/// A report may be a late one of the sidecar before, which doesn't tell what
+/// that one has called since.
+///
+/// @return True if the sidecar has replaced another one for so short a time
+///         that a start of that one may still be executed.
+bool is_sidecar_new(core::time_point now, worker_view const& view)
+{
+    return view.sidecar_changed_at &&
+           now - *view.sidecar_changed_at < longest_call_delay;
+}
+
 /// @param report The first report of a later incarnation.
 incarnation_end how_replaced(worker_view const& before,
                              core::runtime_report const& report)
@@ -132,6 +145,11 @@
     return m_elected + max_length_on_leader_clock(m_longest_earlier_lease);
 }
 
+core::duration worker_fleet::longest_lease() const
+{
+    return max_length_on_leader_clock(m_policy.longest);
+}
+
 core::duration worker_fleet::length() const
 {
     return std::min(m_policy.length, m_policy.longest);
@@ -167,6 +185,7 @@
         // way, so the worker must reject them.
         known->second.number = ++m_incarnations;
         known->second.sidecar_since = now;
+        known->second.sidecar_changed_at = now;
     }
     auto& view = known->second;
     view.host = report.host;
@@ -198,7 +217,8 @@
     view.ended_unseen = std::move(report.ended_unseen);
     view.unresolved_starts = {report.unresolved.runs.begin(),
                               report.unresolved.runs.end()};
-    view.knows_all_starts = report.unresolved.is_complete;
+    view.knows_all_starts =
+        report.unresolved.is_complete && !is_sidecar_new(now, view);
     if (report.runs)
     {
         if (!view.has_runs)
@@ -238,9 +258,11 @@
     added.sidecar_since = now;
     if (auto const* const before = find(id))
     {
+        added.sidecar_changed_at = now;
         if (before->sidecar == report.sidecar)
         {
             added.sidecar_since = before->sidecar_since;
+            added.sidecar_changed_at = before->sidecar_changed_at;
         }
         added.replaced = replaced_by(*before, report);
         if (!before->has_runs)
@@ -430,10 +452,11 @@
     return view != nullptr && life < view->profile.life && view->has_runs;
 }
 
-bool worker_fleet::may_start_late(core::worker_id const& worker,
-                                  core::incarnation life,
-                                  core::task_run const& run,
-                                  std::optional<core::time_point> placed) const
+bool worker_fleet::may_start_late(
+    core::worker_id const& worker,
+    core::incarnation life,
+    core::task_run const& run,
+    std::optional<core::time_point> called_after) const
 {
     auto const* const view = find(worker);
     if (view == nullptr)
@@ -445,7 +468,8 @@
         return false;
     }
     bool const knows_all =
-        view->knows_all_starts || (placed && view->sidecar_since <= *placed);
+        view->knows_all_starts ||
+        (called_after && view->sidecar_since <= *called_after);
     // Otherwise the sidecar may have made the call after its last report.
     bool const is_reported_after_call =
         life < view->profile.life || lists_run(*view, run);
@@ -462,8 +486,12 @@
                   [&](auto const& item)
                   {
                       auto const& view = item.second;
+                      // Starts of the replaced worker's tasks are resolved by
+                      // what is known of it.
+                      bool const is_left =
+                          view.left && !view.is_replaced_under_other_id;
                       bool const is_gone =
-                          view.left || now - view.reported_at > forget_after;
+                          is_left || now - view.reported_at > forget_after;
                       return is_gone && !has_runs(item.first);
                   });
 }
--- a/modules/workflow/dispatch/worker_fleet.hpp
+++ b/modules/workflow/dispatch/worker_fleet.hpp
@@ -93,6 +93,8 @@
     bool knows_all_starts = false;
     /// When this leader got the first report of the sidecar.
     core::time_point sidecar_since;
+    /// When a report of another sidecar than in the one before arrived.
+    std::optional<core::time_point> sidecar_changed_at;
     /// True if the worker has shut down or was replaced on its instance.
     bool left = false;
     /// True if a worker under another id has replaced it on its instance: calls
@@ -208,14 +210,18 @@
     /// A proof that a run has ended or won't begin lasts only as long as the
     /// incarnation of its worker. A start call without an answer lasts longer.
     ///
-    /// @param placed When this leader placed the run; `nullopt` if an earlier
-    ///        one did.
+    /// @param called_after Time after which all calls of the task to the worker
+    ///        were made that it may still execute; `nullopt` if not known.
     /// @return True if the worker may still execute a start of the run's task
     ///         that was called for this run or an earlier one.
     bool may_start_late(core::worker_id const& worker,
                         core::incarnation life,
                         core::task_run const& run,
-                        std::optional<core::time_point> placed) const;
+                        std::optional<core::time_point> called_after) const;
+
+    /// @return Longest time on the leader's clock for which a worker keeps a
+    ///         run without a sync call.
+    core::duration longest_lease() const;
 
     /// Removes workers that left or stopped reporting.
     ///
--- a/modules/workflow/table/workflow_table.hpp
+++ b/modules/workflow/table/workflow_table.hpp
@@ -4,6 +4,7 @@
 #include "core/messages/commands.hpp"
 #include "core/messages/workflow.hpp"
 #include "workflow/table/change_log.hpp"
+#include "workflow/table/unknown_cancels.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -18,11 +19,15 @@
 /// How long the state of an ended workflow stays available to queries.
 constexpr core::duration final_retention = std::chrono::minutes(10);
 
-/// Crashes that are counted against a task before its workflow is given up,
-/// unless the task is long-running. The first two may have happened before the
-/// start reached the worker; from the third on the task is isolated, so wrong
-/// counts are unlikely.
-constexpr std::uint32_t max_crashes = 4;
+/// How long a submission is refused after a cancel that found no such workflow:
+/// as long as a cancelled workflow stays known, so that a late submission finds
+/// either.
+constexpr core::duration unknown_cancel_retention = final_retention;
+
+/// Counted crashes of a task in a row from which on its next start is delayed.
+/// The first two may have happened before the start reached the worker; before
+/// the last one the task is isolated, so a wrong one is unlikely.
+constexpr std::uint32_t crashes_before_delay = 4;
 
 /// Suspected runs that are kept for a task; of earlier ones nothing more is
 /// learned.
@@ -50,14 +55,17 @@
     /// Adds a workflow. A known id in the same queue is a resent submission and
     /// changes nothing.
     ///
-    /// @return `ok`, or `job_invalid` if another queue has the id.
+    /// @return `ok`; `job_invalid` if another queue has the id; `not_admitted`
+    ///         if a cancel has found no such workflow before.
     core::command_reply submit(core::submit_workflow const& command,
                                core::queue_rule const& queue,
                                core::time_point now);
 
     /// Cancels a workflow; has no effect on one that has ended.
     ///
-    /// @return `ok`, or `job_unknown` if the queue has no such workflow.
+    /// @return `ok`, or `job_unknown` if the queue has no such workflow;
+    ///         submissions of it are then refused for the command's
+    ///         `refuse_for`.
     core::command_reply cancel(core::cancel_workflow const& command,
                                core::time_point now);
 
@@ -71,9 +79,9 @@
     void progress(core::workflow_progress const& command, core::time_point now);
 
     /// Removes workflows that ended more than `final_retention` ago and have no
-    /// held runs.
+    /// held runs, and expired cancels of unknown workflows.
     ///
-    /// @param max_removed Maximum number of workflows to remove.
+    /// @param max_removed Maximum number of records of each kind to remove.
     void prune(core::time_point now, std::size_t max_removed);
 
     /// @return The workflow, or null.
@@ -107,11 +115,28 @@
     std::optional<core::time_point>
     not_running_since(core::task_ref const& task) const;
 
+    /// @return When the last counted crash of each task was committed that has
+    ///         `crashes_before_delay` of them or more. Without those that this
+    ///         member has restored from a snapshot.
+    std::map<core::task_ref, core::time_point> const&
+    last_crashes() const noexcept;
+
     /// @return True if an end `done` of this run, which is not held, makes its
     ///         task done: the run was taken for ended before, and the task has
     ///         no run now.
     bool accepts_late_end(core::task_run const& run) const;
 
+    /// @return True if an end `failed` of this run, which is not held, counts:
+    ///         the run was taken for ended before with a start that its worker
+    ///         might still execute.
+    bool accepts_late_failure(core::task_run const& run) const;
+
+    /// @return The run of the task that keeps an end `done` of `run`, which is
+    ///         not held, from making the task done; `nullopt` if there is none,
+    ///         or if the end doesn't count at all.
+    std::optional<core::run_placement>
+    run_before_late_end(core::task_run const& run) const;
+
     /// @return True while the run is placed on this incarnation of the worker
     ///         and its end is not applied.
     bool is_held(core::run_outcome const& outcome) const;
@@ -189,12 +214,16 @@
     /// @return All workflows, for a snapshot.
     std::vector<core::workflow_record> records() const;
 
+    /// @return All cancels that found no workflow, for a snapshot.
+    std::vector<core::unknown_cancel_record> cancel_records() const;
+
     /// Replaces the table by the workflows of a snapshot.
     ///
     /// @param longest_lease As returned by `longest_lease` when the snapshot
     ///        was made.
     void restore(std::vector<core::workflow_record> records,
-                 core::duration longest_lease);
+                 core::duration longest_lease,
+                 std::vector<core::unknown_cancel_record> const& cancels = {});
 
 private:
     core::stage_record& stage_record(core::workflow_record& workflow,
@@ -203,6 +232,10 @@
     void apply_end(core::workflow_record& workflow,
                    core::run_outcome const& outcome,
                    core::time_point now);
+    /// @return The task if an end `done` of this run, which is not held, may
+    ///         make it done, or null.
+    core::task_record const* find_late_task(core::task_run const& run) const;
+    void apply_late_failure(core::task_run const& run, core::time_point now);
     /// Applies an end of a run that is not held.
     void apply_late_end(core::run_outcome const& outcome, core::time_point now);
     /// Applies what became known of a run that ended as `suspected`.
@@ -224,10 +257,11 @@
     void apply_failure(core::workflow_record& workflow,
                        core::stage_record const& stage,
                        core::time_point now);
-    void apply_crash(core::workflow_record& workflow,
-                     core::stage_record& stage,
-                     core::task_ref const& task,
+    void apply_crash(core::task_ref const& ref,
+                     core::task_record& task,
                      core::time_point now);
+    /// The task ran without crashing its worker.
+    void clear_crashes(core::task_ref const& ref, core::task_record& task);
     void end(core::workflow_record& workflow,
              core::workflow_state state,
              core::time_point now,
@@ -245,6 +279,7 @@
     void add_changed_workers(core::task_record const& task);
 
     std::map<core::workflow_id, core::workflow_record> m_workflows;
+    unknown_cancels m_unknown_cancels;
     core::duration m_longest_lease{};
     std::uint64_t m_ignored_parts = 0;
 
@@ -261,6 +296,9 @@
     /// Of long-running tasks. Every member derives it from the commands; it is
     /// in no snapshot.
     std::map<core::task_ref, core::time_point> m_not_running_since;
+    /// Of tasks with `crashes_before_delay` or more. Every member derives it
+    /// from the commands; it is in no snapshot.
+    std::map<core::task_ref, core::time_point> m_last_crashes;
     change_log<core::workflow_id> m_changed_workflows;
     change_log<core::worker_id> m_changed_workers;
 };
--- a/modules/workflow/table/workflow_table_progress.cpp
+++ b/modules/workflow/table/workflow_table_progress.cpp
@@ -187,24 +187,83 @@
     drop_done_record_in(workflow, ref);
 }
 
-bool workflow_table::accepts_late_end(core::task_run const& run) const
+core::task_record const*
+workflow_table::find_late_task(core::task_run const& run) const
 {
     auto const* const workflow = find(run.task.workflow);
     if (workflow == nullptr || core::is_final(workflow->state))
     {
-        return false;
+        return nullptr;
     }
     auto const* const stage = find_stage(*workflow, run.task);
     auto const* const task = find_task(run.task);
-    return stage != nullptr && task != nullptr && !task->done &&
-           !task->placed && !task->earlier && run.attempt <= task->attempt &&
-           !stage->behaviour.long_running && !stage->behaviour.gang;
+    bool const may_count = stage != nullptr && task != nullptr && !task->done &&
+                           !task->earlier && run.attempt <= task->attempt &&
+                           !stage->behaviour.long_running;
+    return may_count ? task : nullptr;
+}
+
+bool workflow_table::accepts_late_end(core::task_run const& run) const
+{
+    auto const* const task = find_late_task(run);
+    if (task == nullptr || !find_stage(run.task)->behaviour.gang)
+    {
+        return task != nullptr && !task->placed;
+    }
+    auto const& members = find_stage_record(*find(run.task.workflow),
+                                            run.task.occurrence,
+                                            run.task.stage)
+                              ->tasks;
+    return std::none_of(members.begin(),
+                        members.end(),
+                        [](core::task_record const& member)
+                        { return member.placed; });
+}
+
+std::optional<core::run_placement>
+workflow_table::run_before_late_end(core::task_run const& run) const
+{
+    auto const* const task = find_late_task(run);
+    if (task == nullptr || !task->placed || run.attempt == task->attempt)
+    {
+        return std::nullopt;
+    }
+    auto const& stage = *find_stage(run.task);
+    if (may_be_copied(stage) || stage.behaviour.gang)
+    {
+        return std::nullopt;
+    }
+    return core::run_placement{
+        {run.task, task->attempt}, task->worker, task->life};
+}
+
+bool workflow_table::accepts_late_failure(core::task_run const& run) const
+{
+    auto const* const task = find_late_task(run);
+    return task != nullptr && task->uncounted_attempt == run.attempt;
+}
+
+void workflow_table::apply_late_failure(core::task_run const& run,
+                                        core::time_point now)
+{
+    auto& workflow = m_workflows.at(run.task.workflow);
+    set_begun(workflow);
+    m_changed_workflows.add(run.task.workflow);
+    auto& task = *find_task_in(workflow, run.task);
+    task.uncounted_attempt = {};
+    ++task.failures;
+    apply_failure(workflow, stage_record(workflow, run.task), now);
 }
 
 void workflow_table::apply_late_end(core::run_outcome const& outcome,
                                     core::time_point now)
 {
     auto const& ref = outcome.run.task;
+    if (outcome.how == run_end::failed && accepts_late_failure(outcome.run))
+    {
+        apply_late_failure(outcome.run, now);
+        return;
+    }
     if (outcome.how != run_end::done || !accepts_late_end(outcome.run))
     {
         ++m_ignored_parts;
@@ -214,8 +273,17 @@
     set_begun(workflow);
     m_unplaced_since.erase(ref);
     m_changed_workflows.add(ref.workflow);
-    clear_suspected(ref, *find_task_in(workflow, ref));
-    apply_done(workflow, stage_record(workflow, ref), outcome.run, now);
+    clear_crashes(ref, *find_task_in(workflow, ref));
+    auto& stage = stage_record(workflow, ref);
+    if (workflow.description.stages[ref.stage].behaviour.gang)
+    {
+        // The end of one member is that of all, also of a later attempt's.
+        for (auto& member : stage.tasks)
+        {
+            member.done = true;
+        }
+    }
+    apply_done(workflow, stage, outcome.run, now);
     drop_done_record_in(workflow, ref);
 }
 
@@ -244,6 +312,10 @@
     remove_hold(outcome);
     task.unresolved_on =
         outcome.is_start_unresolved ? outcome.worker : core::worker_id();
+    if (outcome.is_start_unresolved && outcome.how != run_end::failed)
+    {
+        task.uncounted_attempt = outcome.run.attempt;
+    }
     if (task.placed && task.attempt == outcome.run.attempt)
     {
         task.placed = false;
@@ -280,12 +352,11 @@
     }
     if (shows_survival(outcome))
     {
-        task.crashes = 0;
-        clear_suspected(ref, task);
+        clear_crashes(ref, task);
     }
     if (outcome.how == run_end::crashed)
     {
-        apply_crash(workflow, stage, ref, now);
+        apply_crash(ref, task, now);
     }
     else if (outcome.how == run_end::suspected)
     {
@@ -381,7 +452,7 @@
     add_changed_workers(task);
     if (outcome.how == run_end::crashed && !task.done)
     {
-        apply_crash(workflow, stage, ref, now);
+        apply_crash(ref, task, now);
     }
     drop_done_record_in(workflow, ref);
 }
@@ -432,26 +503,26 @@
     }
 }
 
-void workflow_table::apply_crash(core::workflow_record& workflow,
-                                 core::stage_record& stage,
-                                 core::task_ref const& task,
+void workflow_table::apply_crash(core::task_ref const& ref,
+                                 core::task_record& task,
                                  core::time_point now)
 {
-    auto& crashes = find_task_record(stage, task.index)->crashes;
-    ++crashes;
-    // A long-running task must be restarted however it ends.
-    bool const may_give_up =
-        !workflow.description.stages[stage.stage].behaviour.long_running;
-    if (may_give_up && crashes >= max_crashes)
+    // The workflow goes on: callers count only ends `failed` as attempts.
+    ++task.crashes;
+    if (task.crashes >= crashes_before_delay)
     {
-        end(workflow,
-            workflow_state::failed,
-            now,
-            std::to_string(crashes) + " workers crashed under task " +
-                core::to_string(task));
+        m_last_crashes[ref] = now;
     }
 }
 
+void workflow_table::clear_crashes(core::task_ref const& ref,
+                                   core::task_record& task)
+{
+    task.crashes = 0;
+    m_last_crashes.erase(ref);
+    clear_suspected(ref, task);
+}
+
 void workflow_table::apply(core::run_checkpoint const& checkpoint)
 {
     auto const known = m_workflows.find(checkpoint.run.task.workflow);
@@ -533,6 +604,7 @@
     m_active.erase(workflow.workflow);
     erase_tasks(m_unplaced_since, workflow.workflow);
     erase_tasks(m_not_running_since, workflow.workflow);
+    erase_tasks(m_last_crashes, workflow.workflow);
     m_changed_workflows.add(workflow.workflow);
     add_changed_workers(workflow);
     clear_suspected(workflow);
