--- a/modules/workflow/table/workflow_table_progress.cpp
+++ b/modules/workflow/table/workflow_table_progress.cpp
@@ -98,18 +98,6 @@
     }
 }
 
-void erase_tasks(std::map<core::task_ref, core::time_point>& times,
-                 core::workflow_id const& workflow)
-{
-    auto const first = times.lower_bound({workflow, 0, 0, 0});
-    auto last = first;
-    while (last != times.end() && last->first.workflow == workflow)
-    {
-        ++last;
-    }
-    times.erase(first, last);
-}
-
 } // namespace
 
 void workflow_table::progress(core::workflow_progress const& command,
@@ -593,99 +581,4 @@
     add_hold(ref, {task.attempt, task.worker, task.life});
 }
 
-void workflow_table::end(core::workflow_record& workflow,
-                         core::workflow_state state,
-                         core::time_point now,
-                         std::string reason)
-{
-    set_state(workflow, state);
-    workflow.ended = now;
-    workflow.reason = std::move(reason);
-    m_active.erase(workflow.workflow);
-    erase_tasks(m_unplaced_since, workflow.workflow);
-    erase_tasks(m_not_running_since, workflow.workflow);
-    erase_tasks(m_last_crashes, workflow.workflow);
-    m_changed_workflows.add(workflow.workflow);
-    add_changed_workers(workflow);
-    clear_suspected(workflow);
-    drop_details(workflow);
-}
-
-void workflow_table::add_changed_workers(core::workflow_record const& workflow)
-{
-    for (auto const& stage : workflow.stages)
-    {
-        for (auto const& task : stage.tasks)
-        {
-            add_changed_workers(task);
-        }
-    }
-}
-
-void workflow_table::add_changed_workers(core::task_record const& task)
-{
-    if (task.placed)
-    {
-        m_changed_workers.add(task.worker);
-    }
-    if (task.earlier)
-    {
-        m_changed_workers.add(task.earlier->worker);
-    }
-}
-
-void workflow_table::drop_details(core::workflow_record& workflow)
-{
-    // Records stay for minutes after the end. The payload and the tasks, which
-    // are nearly all of their size, are dropped as soon as no run is held.
-    if (!m_held_by_workflow.contains(workflow.workflow))
-    {
-        workflow.description = {};
-        workflow.stages.clear();
-    }
-}
-
-void workflow_table::add_hold(core::task_ref const& task,
-                              core::task_attempt const& held)
-{
-    m_holds[held.worker].insert({{task, held.attempt}, held.life});
-    ++m_held_by_workflow[task.workflow];
-    m_changed_workflows.add(task.workflow);
-    m_changed_workers.add(held.worker);
-}
-
-void workflow_table::remove_hold(core::run_outcome const& outcome)
-{
-    auto const worker = m_holds.find(outcome.worker);
-    worker->second.erase({outcome.run, outcome.life});
-    if (worker->second.empty())
-    {
-        m_holds.erase(worker);
-    }
-    auto const& id = outcome.run.task.workflow;
-    auto const count = m_held_by_workflow.find(id);
-    if (--count->second == 0)
-    {
-        m_held_by_workflow.erase(count);
-    }
-    m_changed_workflows.add(id);
-    m_changed_workers.add(outcome.worker);
-}
-
-core::stage_record&
-workflow_table::stage_record(core::workflow_record& workflow,
-                             core::task_ref const& task)
-{
-    if (auto* const known =
-            find_stage_record(workflow, task.occurrence, task.stage))
-    {
-        return *known;
-    }
-    core::stage_record added;
-    added.occurrence = task.occurrence;
-    added.stage = task.stage;
-    workflow.stages.push_back(std::move(added));
-    return workflow.stages.back();
-}
-
 } // namespace turmericswitch::workflow
