Ask in one place whether a late end counts and whether a report ends a run

Cause: the end collector and the start affinity repeated the test of late ends, and the fleet and the order reconciler that of the ends in a report. Change: workflow_table::counts_late and reports_end. No behaviour.

--- a/modules/workflow/dispatch/end_collector.cpp
+++ b/modules/workflow/dispatch/end_collector.cpp
@@ -45,19 +45,11 @@
     }
 }
 
-bool end_collector::is_late_end(core::ended_run const& ended) const
-{
-    return (ended.how == core::run_end::done &&
-            m_table.accepts_late_end(ended.run)) ||
-           (ended.how == core::run_end::failed &&
-            m_table.accepts_late_failure(ended.run));
-}
-
 bool end_collector::is_uncommitted(core::ended_run const& ended,
                                    core::worker_id const& worker) const
 {
     return m_table.held_incarnation(ended.run, worker).has_value() ||
-           is_late_end(ended);
+           m_table.counts_late(ended);
 }
 
 std::optional<core::run_placement>
@@ -136,7 +128,7 @@
             command.ends.push_back(
                 {each.run, worker, *life, each.how, each.checkpoint});
         }
-        else if (is_late_end(each))
+        else if (m_table.counts_late(each))
         {
             command.late_ends.push_back({each.run,
                                          worker,
--- a/modules/workflow/dispatch/end_collector.hpp
+++ b/modules/workflow/dispatch/end_collector.hpp
@@ -54,9 +54,6 @@
     find_needless_run(core::ended_run const& ended) const;
 
 private:
-    /// @return True for an end that counts although its run was taken for ended
-    ///         before, and so is not held any more.
-    bool is_late_end(core::ended_run const& ended) const;
     /// @return True while the end can be committed and is not.
     bool is_uncommitted(core::ended_run const& ended,
                         core::worker_id const& worker) const;
--- a/modules/workflow/dispatch/order_reconciler.cpp
+++ b/modules/workflow/dispatch/order_reconciler.cpp
@@ -2,7 +2,6 @@
 
 #include "workflow/dispatch/pace_controller.hpp"
 #include "workflow/dispatch/stage_planner.hpp"
-#include "workflow/dispatch/unseen_ends.hpp"
 #include "workflow/table/stage_tasks.hpp"
 
 #include <algorithm>
@@ -47,17 +46,6 @@
     return is_sent;
 }
 
-bool has_ended(worker_view const& worker, core::task_run const& run)
-{
-    return std::any_of(worker.ended.begin(),
-                       worker.ended.end(),
-                       [&run](core::ended_run const& each)
-                       { return each.run == run; }) ||
-           std::find(worker.refused.begin(), worker.refused.end(), run) !=
-               worker.refused.end() ||
-           has_ended_unseen(worker, run);
-}
-
 /// @return True if less of `need` brings `used` nearer to `capacity`.
 bool lowers_excess(core::resources const& need,
                    core::resources const& used,
@@ -135,7 +123,7 @@
         }
         observed_run seen{&run, nullptr, is_running};
         seen.has_ended =
-            !is_running && (m_ending.contains(run) || has_ended(worker, run));
+            !is_running && (m_ending.contains(run) || reports_end(worker, run));
         if (workflow != nullptr)
         {
             seen.stage = workflow_table::find_stage(*workflow, run.task);
--- a/modules/workflow/dispatch/start_affinity.cpp
+++ b/modules/workflow/dispatch/start_affinity.cpp
@@ -241,13 +241,9 @@
 {
     return std::any_of(worker.ended.begin(),
                        worker.ended.end(),
-                       [&](core::ended_run const& each)
-                       {
+                       [&](core::ended_run const& each) {
                            return each.run.task == task &&
-                                  ((each.how == core::run_end::done &&
-                                    m_table.accepts_late_end(each.run)) ||
-                                   (each.how == core::run_end::failed &&
-                                    m_table.accepts_late_failure(each.run)));
+                                  m_table.counts_late(each);
                        });
 }
 
--- a/modules/workflow/dispatch/worker_fleet.cpp
+++ b/modules/workflow/dispatch/worker_fleet.cpp
@@ -107,20 +107,6 @@
     view.may_have_more_ends = runs.may_have_more_ends;
 }
 
-/// @return True if the last report says of the run that it runs, has ended, or
-///         was refused.
-bool lists_run(worker_view const& view, core::task_run const& run)
-{
-    auto const contains = [&run](std::vector<core::task_run> const& runs)
-    { return std::find(runs.begin(), runs.end(), run) != runs.end(); };
-    bool const has_ended = std::any_of(view.ended.begin(),
-                                       view.ended.end(),
-                                       [&run](core::ended_run const& each)
-                                       { return each.run == run; });
-    return view.running.contains(run) || has_ended || contains(view.refused) ||
-           contains(view.ended_unseen);
-}
-
 } // namespace
 
 worker_fleet::worker_fleet(lease_policy policy,
@@ -471,8 +457,9 @@
         view->knows_all_starts ||
         (called_after && view->sidecar_since <= *called_after);
     // Otherwise the sidecar may have made the call after its last report.
-    bool const is_reported_after_call =
-        life < view->profile.life || lists_run(*view, run);
+    bool const is_reported_after_call = life < view->profile.life ||
+                                        view->running.contains(run) ||
+                                        reports_end(*view, run);
     return !knows_all || !is_reported_after_call ||
            has_unresolved_start(*view, run.task);
 }
@@ -496,6 +483,17 @@
                   });
 }
 
+bool reports_end(worker_view const& worker, core::task_run const& run)
+{
+    auto const contains = [&run](std::vector<core::task_run> const& runs)
+    { return std::find(runs.begin(), runs.end(), run) != runs.end(); };
+    return std::any_of(worker.ended.begin(),
+                       worker.ended.end(),
+                       [&run](core::ended_run const& each)
+                       { return each.run == run; }) ||
+           contains(worker.refused) || contains(worker.ended_unseen);
+}
+
 bool has_unresolved_start(worker_view const& worker, core::task_ref const& task)
 {
     auto const first =
--- a/modules/workflow/dispatch/worker_fleet.hpp
+++ b/modules/workflow/dispatch/worker_fleet.hpp
@@ -254,6 +254,10 @@
     crash_evidence m_evidence;
 };
 
+/// @return True if the last report says of the run that it has ended or was
+///         refused.
+bool reports_end(worker_view const& worker, core::task_run const& run);
+
 /// @return True if the worker's sidecar lists a start call of the task that may
 ///         still be executed.
 bool has_unresolved_start(worker_view const& worker,
--- a/modules/workflow/table/workflow_table.hpp
+++ b/modules/workflow/table/workflow_table.hpp
@@ -131,6 +131,9 @@
     ///         might still execute.
     bool accepts_late_failure(core::task_run const& run) const;
 
+    /// @return True if this end, of a run that is not held, counts.
+    bool counts_late(core::ended_run const& ended) const;
+
     /// @return The run of the task that keeps an end `done` of `run`, which is
     ///         not held, from making the task done; `nullopt` if there is none,
     ///         or if the end doesn't count at all.
--- a/modules/workflow/table/workflow_table_progress.cpp
+++ b/modules/workflow/table/workflow_table_progress.cpp
@@ -231,6 +231,12 @@
     return task != nullptr && task->uncounted_attempt == run.attempt;
 }
 
+bool workflow_table::counts_late(core::ended_run const& ended) const
+{
+    return (ended.how == run_end::done && accepts_late_end(ended.run)) ||
+           (ended.how == run_end::failed && accepts_late_failure(ended.run));
+}
+
 void workflow_table::apply_late_failure(core::task_run const& run,
                                         core::time_point now)
 {
