Remember replaced workers apart from the leader's view

Cause: to know for a minute that a worker was replaced under another id, its whole view was kept, so the summary's number of workers and the threshold of overdue isolated tasks counted workers that are gone. Change: the fleet keeps the ids and the time. A replaced worker without runs leaves the view at once again, and an id that registers again is in use again.

--- a/modules/workflow/dispatch/start_affinity.cpp
+++ b/modules/workflow/dispatch/start_affinity.cpp
@@ -220,11 +220,11 @@
                                core::task_ref const& task,
                                core::worker_id const& worker) const
 {
-    auto const* const view = m_fleet.find(worker);
-    if (view != nullptr && view->is_replaced_under_other_id)
+    if (m_fleet.is_replaced(worker))
     {
         return restriction::none;
     }
+    auto const* const view = m_fleet.find(worker);
     bool const is_running = m_running_unheld.contains(task);
     if (is_running || (view != nullptr && has_late_end(*view, task)))
     {
--- a/modules/workflow/dispatch/worker_fleet.cpp
+++ b/modules/workflow/dispatch/worker_fleet.cpp
@@ -237,6 +237,7 @@
                                    core::runtime_report const& report)
 {
     auto const& id = report.profile.worker;
+    m_replaced.erase(id);
     worker_view added;
     added.number = ++m_incarnations;
     added.late_starts_expire_at =
@@ -266,7 +267,10 @@
         {
             view.how_ended = how_replaced(view, report);
             view.left = true;
-            view.is_replaced_under_other_id = other != id;
+            if (other != id)
+            {
+                m_replaced[other] = now;
+            }
         }
     }
     added.lease_expires_at = earlier_leases_expire_at();
@@ -438,21 +442,26 @@
     return view != nullptr && life < view->profile.life && view->has_runs;
 }
 
+bool worker_fleet::is_replaced(core::worker_id const& worker) const
+{
+    return m_replaced.contains(worker);
+}
+
 bool worker_fleet::may_start_late(
     core::worker_id const& worker,
     core::incarnation life,
     core::task_run const& run,
     std::optional<core::time_point> called_after) const
 {
+    if (is_replaced(worker))
+    {
+        return false;
+    }
     auto const* const view = find(worker);
     if (view == nullptr)
     {
         return true;
     }
-    if (view->is_replaced_under_other_id)
-    {
-        return false;
-    }
     bool const knows_all =
         view->knows_all_starts ||
         (called_after && view->sidecar_since <= *called_after);
@@ -469,16 +478,15 @@
     std::function<bool(core::worker_id const&)> const& has_runs)
 {
     m_evidence.prune(now);
+    std::erase_if(m_replaced,
+                  [now](auto const& item)
+                  { return now - item.second > forget_after; });
     std::erase_if(m_workers,
                   [&](auto const& item)
                   {
                       auto const& view = item.second;
-                      // Starts of the replaced worker's tasks are resolved by
-                      // what is known of it.
-                      bool const is_left =
-                          view.left && !view.is_replaced_under_other_id;
                       bool const is_gone =
-                          is_left || now - view.reported_at > forget_after;
+                          view.left || now - view.reported_at > forget_after;
                       return is_gone && !has_runs(item.first);
                   });
 }
--- a/modules/workflow/dispatch/worker_fleet.hpp
+++ b/modules/workflow/dispatch/worker_fleet.hpp
@@ -97,9 +97,6 @@
     std::optional<core::time_point> sidecar_changed_at;
     /// True if the worker has shut down or was replaced on its instance.
     bool left = false;
-    /// True if a worker under another id has replaced it on its instance: calls
-    /// name the id, so they are rejected there.
-    bool is_replaced_under_other_id = false;
     /// How it ended, if it left.
     incarnation_end how_ended = incarnation_end::unknown;
     /// Time on the leader's clock at which the leases of calls that were meant
@@ -207,6 +204,11 @@
     bool has_list_of_successor(core::worker_id const& worker,
                                core::incarnation life) const;
 
+    /// @return True if a worker under another id has replaced this one on its
+    ///         instance in the last minute: calls name the id, so they are
+    ///         rejected there.
+    bool is_replaced(core::worker_id const& worker) const;
+
     /// A proof that a run has ended or won't begin lasts only as long as the
     /// incarnation of its worker. A start call without an answer lasts longer.
     ///
@@ -251,6 +253,9 @@
     core::time_point m_elected;
     std::uint64_t m_incarnations = 0;
     std::map<core::worker_id, worker_view> m_workers;
+    /// When another worker has replaced each of these. It outlasts the view of
+    /// a worker without runs.
+    std::map<core::worker_id, core::time_point> m_replaced;
     crash_evidence m_evidence;
 };
 
