--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -10,7 +10,7 @@
 "${CXX:-g++}" "${flags[@]}" review/harness-2/ports.cpp -o "$out/ports"
 "${CXX:-g++}" "${flags[@]}" -c review/harness-2/standins.cpp \
     -o "$out/standins.o"
-for source in review/*/case.cpp; do
+for source in review/{6,7,8,9,10}/case.cpp; do
     [ -e "$source" ] || continue
     number=$(basename "$(dirname "$source")")
     "${CXX:-g++}" "${flags[@]}" "$source" "$out/standins.o" \
--- a/review/harness-2/standins.hpp
+++ b/review/harness-2/standins.hpp
@@ -189,10 +189,13 @@
     std::function<milliseconds(std::string const& task)> duration;
     /// Number of members of each gang, by `ID.K.STEP`.
     std::map<std::string, std::size_t> gangs;
-    /// The rough figure in a row of `running`: of a task that serves its tail
-    /// in whole milliseconds, else the millicores in use.
-    std::function<int(std::string const& task)> figure = [](std::string const&)
-    { return 100; };
+    /// The rough figure in a row of `running` of a task at a pace in percent:
+    /// of a task that serves its tail in whole milliseconds, else the
+    /// millicores in use.
+    std::function<int(std::string const& task, int pace)> figure =
+        [](std::string const&, int pace) { return pace; };
+    /// Whether a worker fails at this moment whatever is at work there.
+    std::function<bool(int worker)> is_failing = [](int) { return false; };
 };
 
 /// Workers that register with the sidecars and run tasks.
