--- a/review/harness-2/system.sh
+++ b/review/harness-2/system.sh
@@ -1,13 +1,11 @@
 # Starts a small deployment for a case: sourced by its run.sh, which must have
-# set `here` to its folder. The programs run as separate processes with the
-# commands of the deploy file, with settings from its templates, on loopback
-# addresses of their own and on the real clock.
+# set TROUBLE, and `here` to its folder. The programs run as separate processes
+# with the commands of the deploy file, with settings from its templates, on
+# loopback addresses of their own and on the real clock.
 
 root=$(cd "$here/../.." && pwd)
 stand_ins="$root/build/review-2"
 record="$here/record.txt"
-# Read by the case: 0 leaves the disruption out.
-export TROUBLE="${TROUBLE:-1}"
 
 exit_cannot_run=2
 pids=()
