--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -1,7 +1,7 @@
 #include "../harness-2/standins.hpp"
 
-// Case 9: a submission whose tasks work only together, with more of them than
-// the scheduler places in one plan.
+// Case 9: a configuration gives the host and path prefix of a queue to a route
+// of another name, while submissions of the queue are at work.
 
 namespace review
 {
@@ -10,83 +10,77 @@
 {
 
 constexpr int worker_millicores = 32'000;
-constexpr int task_millicores = 100;
-constexpr milliseconds task_time(500);
+/// Longer than the case.
+constexpr milliseconds task_time(90'000);
 
-// Members of the large gang, with and without the disruption.
-constexpr std::size_t large_gang = 240;
-constexpr std::size_t usual_gang = 36;
+constexpr char const* prefix = "/watch/";
+constexpr char const* id = "00000000000000b1";
+constexpr std::size_t tasks = 3;
 
-constexpr char const* prefix = "/batch/";
-constexpr char const* gang_id = "00000000000000a1";
-constexpr char const* other_id = "00000000000000a2";
-
-// From the page with the bounds: when submissions are asked for after the end
-// of the traffic, and for how long one may have nothing running.
-constexpr milliseconds finish_time(14'000);
-constexpr milliseconds longest_idle(3000);
-
-json make_job(std::size_t tasks, bool is_gang)
-{
-    json phase{{"count", tasks},
-               {"cpu", task_millicores},
-               {"mem_mb", 64},
-               {"estimate_ms", task_time.count()}};
-    if (is_gang)
-    {
-        phase["all_or_nothing"] = true;
-    }
-    return {{"task_spec", "layout"}, {"phases", {phase}}};
-}
+// From the pages: time within which a configuration is in force, and within
+// which a cancelled submission starts nothing and its tasks are gone.
+constexpr milliseconds config_apply_time(2500);
+constexpr milliseconds cancel_time(3000);
+constexpr milliseconds stop_time(400);
+/// The control group must have been undisturbed for this long.
+constexpr milliseconds contact_time(4000);
 
 int play(deployment const& system)
 {
     record log(system.record_file);
-    auto const members = system.has_trouble ? large_gang : usual_gang;
     workload work;
     work.duration = [](std::string const&) { return task_time; };
-    work.gangs[std::string(gang_id) + ".0.0"] = members;
     fleet const workers(system, log, work, worker_millicores);
-    if (!configuration_sender(system, log).apply({make_route("r-1", prefix)}) ||
+    configuration_sender configuration(system, log);
+    auto const other = make_route("r-other", "/other/");
+    if (!configuration.apply({make_route("r-first", prefix), other}) ||
         !wait_until_serving(system, log, prefix))
     {
         return exit_cannot_run;
     }
     consumer caller(system, log);
-    // As many tasks of the same size that need not work together.
-    if (caller.submit(prefix, other_id, make_job(members, false)) != 200 ||
-        caller.submit(prefix, gang_id, make_job(members, true)) != 200)
+    json const job{{"task_spec", "watch"},
+                   {"phases",
+                    {{{"count", tasks},
+                      {"cpu", 1000},
+                      {"mem_mb", 64},
+                      {"estimate_ms", task_time.count()}}}}};
+    bool const is_at_work =
+        caller.submit(prefix, id, job) == 200 &&
+        wait_for(contact_time, [&] { return workers.running(id) == tasks; }) &&
+        caller.state(prefix, id).status == 200;
+    if (!is_at_work)
     {
         return exit_cannot_run;
     }
-    log.write("end of the traffic");
-    std::this_thread::sleep_for(finish_time);
-    auto const other = caller.state(prefix, other_id);
-    auto const first = caller.state(prefix, gang_id);
-    auto const started = workers.started(gang_id);
-    bool const has_run = wait_for(
-        longest_idle, [&] { return workers.started(gang_id) > started; });
-    auto const last = caller.state(prefix, gang_id);
-    std::size_t in_use = 0;
-    for (auto const& each : workers.runs())
+    // The same change is made to the other route without the disruption.
+    bool const is_applied =
+        system.has_trouble
+            ? configuration.apply({make_route("r-second", prefix), other})
+            : configuration.apply({make_route("r-first", prefix),
+                                   make_route("r-second", "/other/")});
+    if (!is_applied)
     {
-        in_use += each.ended ? 0 : 1;
+        return exit_cannot_run;
     }
-    log.write("gang of " + std::to_string(members) + ": " +
-              std::to_string(workers.started(gang_id)) + " starts; of " +
-              std::to_string(system.workers * worker_millicores) +
-              " millicores " + std::to_string(in_use * task_millicores) +
-              " are in use and the gang needs " +
-              std::to_string(members * task_millicores));
-    if (other.body.find("completed") == std::string::npos)
+    std::this_thread::sleep_for(config_apply_time + contact_time);
+    int gone = 0;
+    for (int i = 0; i < system.gateways; ++i)
     {
-        log.write("the other submission has not ended: nothing is judged");
-        return exit_cannot_run;
+        gone += caller.state(prefix, id).status == 410 ? 1 : 0;
     }
-    bool const is_lost = first.status == 200 && last.status == 200 &&
-                         last.body.find("completed") == std::string::npos &&
-                         started == 0 && !has_run;
-    log.write(is_lost ? "LOST: accepted, and nothing of it runs"
+    log.write(std::to_string(workers.running(id)) +
+              " tasks of the submission are at work; " + std::to_string(gone) +
+              " of " + std::to_string(system.gateways) +
+              " gateways say that it doesn't exist");
+    auto const cancelled = caller.cancel(prefix, id);
+    std::this_thread::sleep_for(cancel_time + stop_time + contact_time);
+    log.write("after the cancel, which was answered " +
+              std::to_string(cancelled.status) + ": " +
+              std::to_string(workers.running(id)) + " tasks are at work");
+    bool const is_lost = gone > 0;
+    log.write(is_lost ? "LOST: 410 for an accepted submission that nobody has "
+                        "cancelled"
                       : "LOST holds");
     return is_lost ? exit_broken : exit_held;
 }
--- a/review/harness-2/standins.cpp
+++ b/review/harness-2/standins.cpp
@@ -448,6 +448,13 @@
 class fleet::worker
 {
 public:
+    struct held_call
+    {
+        int worker = 0;
+        steady_clock::time_point due;
+        http_message request;
+    };
+
     struct shared_state
     {
         mutable std::mutex mutex;
@@ -458,6 +465,8 @@
         std::map<std::pair<std::string, std::uint32_t>, std::set<std::string>>
             present;
         std::set<std::pair<std::string, std::uint32_t>> done;
+        /// Starts that are carried out late.
+        std::vector<held_call> held;
     };
 
     worker(deployment const& system,
@@ -490,6 +499,8 @@
             std::perror("worker can't listen");
             std::exit(exit_cannot_run);
         }
+        // What was on its way arrives first.
+        carry_out_held();
         m_threads.emplace_back([this] { accept(); });
         m_threads.emplace_back([this] { register_regularly(); });
         m_threads.emplace_back([this] { run_tasks(); });
@@ -497,7 +508,11 @@
 
     ~worker()
     {
-        m_is_stopping = true;
+        {
+            std::lock_guard const lock(m_shared->mutex);
+            m_is_stopping = true;
+        }
+        m_shared->changed.notify_all();
         ::shutdown(m_listener, SHUT_RDWR);
         for (auto& each : m_threads)
         {
@@ -577,7 +592,15 @@
             {
                 break;
             }
+            if (is_held(*request))
+            {
+                break;
+            }
             auto const [status, body] = handle(*request);
+            if (m_is_stopping)
+            {
+                break;
+            }
             auto const text = body.dump();
             std::string const answer =
                 "HTTP/1.1 " + std::to_string(status) +
@@ -593,6 +616,55 @@
         ::close(socket);
     }
 
+    /// Keeps a start that is to be carried out late.
+    bool is_held(http_message const& request)
+    {
+        auto const body = json::parse(request.body, nullptr, false);
+        if (!request.head.starts_with("POST /run-start ") || !body.is_object())
+        {
+            return false;
+        }
+        auto const task = body.value("task", std::string());
+        std::lock_guard const lock(m_shared->mutex);
+        if (!m_work.is_held(m_number, task))
+        {
+            return false;
+        }
+        m_shared->held.push_back(
+            {m_number, steady_clock::now() + m_work.held_for, request});
+        m_log.write("worker " + std::to_string(m_number) +
+                    ": no answer to the start of " + task + " run " +
+                    std::to_string(body.value("attempt", 0)));
+        return true;
+    }
+
+    void carry_out_held()
+    {
+        std::vector<held_call> due;
+        {
+            std::lock_guard const lock(m_shared->mutex);
+            auto const now = steady_clock::now();
+            std::erase_if(m_shared->held,
+                          [&](held_call const& each)
+                          {
+                              bool const is_due =
+                                  each.worker == m_number && each.due <= now;
+                              if (is_due)
+                              {
+                                  due.push_back(each);
+                              }
+                              return is_due;
+                          });
+        }
+        for (auto const& each : due)
+        {
+            auto const [status, body] = handle(each.request);
+            m_log.write("worker " + std::to_string(m_number) +
+                        ": late start, status " + std::to_string(status) + " " +
+                        body.dump());
+        }
+    }
+
     std::pair<int, json> handle(http_message const& request)
     {
         auto const expected = field_of(request.head, "X-Expected-Instance");
@@ -778,6 +850,7 @@
         while (!m_is_stopping)
         {
             std::this_thread::sleep_for(tick);
+            carry_out_held();
             std::lock_guard const lock(m_shared->mutex);
             std::vector<std::pair<std::string, char const*>> over;
             auto const now = steady_clock::now();
@@ -923,15 +996,18 @@
 
 struct fleet::shared_parts
 {
+    deployment const& system;
+    record& log;
+    int cpu = 0;
     workload work;
     std::shared_ptr<worker::shared_state> state =
         std::make_shared<worker::shared_state>();
 };
 
 fleet::fleet(deployment const& system, record& log, workload work, int cpu)
-    : m_shared(std::make_unique<shared_parts>())
+    : m_shared(std::make_unique<shared_parts>(
+          shared_parts{system, log, cpu, std::move(work)}))
 {
-    m_shared->work = std::move(work);
     for (int i = 0; i < system.workers; ++i)
     {
         m_workers.push_back(std::make_unique<worker>(
@@ -969,6 +1045,35 @@
         [&id](run const& each) { return each.task.starts_with(id); }));
 }
 
+void fleet::crash(int number)
+{
+    auto& log = m_shared->log;
+    log.write("worker " + std::to_string(number) + " goes down");
+    auto const at = log.seconds();
+    m_workers.at(static_cast<std::size_t>(number)).reset();
+    std::lock_guard const lock(m_shared->state->mutex);
+    for (auto& each : m_shared->state->runs)
+    {
+        if (each.worker == number && !each.ended)
+        {
+            each.ended = std::max(at, each.begun);
+            each.how = "crashed";
+        }
+    }
+}
+
+void fleet::start_again(int number)
+{
+    m_shared->log.write("worker " + std::to_string(number) + " starts again");
+    m_workers.at(static_cast<std::size_t>(number)) =
+        std::make_unique<worker>(m_shared->system,
+                                 number,
+                                 m_shared->cpu,
+                                 m_shared->log,
+                                 m_shared->work,
+                                 m_shared->state);
+}
+
 bool wait_for(milliseconds limit, std::function<bool()> const& condition)
 {
     auto const until = steady_clock::now() + limit;
--- a/review/harness-2/standins.hpp
+++ b/review/harness-2/standins.hpp
@@ -196,6 +196,11 @@
         [](std::string const&, int pace) { return pace; };
     /// Whether a worker fails at this moment whatever is at work there.
     std::function<bool(int worker)> is_failing = [](int) { return false; };
+    /// Whether a start gets no answer, and is carried out late: `held_for`
+    /// after the call, or when the worker is up again after that.
+    std::function<bool(int worker, std::string const& task)> is_held =
+        [](int, std::string const&) { return false; };
+    milliseconds held_for{0};
 };
 
 /// Workers that register with the sidecars and run tasks.
@@ -214,6 +219,11 @@
     std::size_t running(std::string const& id) const;
     std::size_t started(std::string const& id) const;
 
+    /// Ends a worker without a word, and what runs on it.
+    void crash(int number);
+    /// Starts a worker again under the id that it had.
+    void start_again(int number);
+
 private:
     class worker;
     struct shared_parts;
