Ask in one class until when a start of a task may still begin

Whether a start call without an answer may still be executed was asked in two places: the fleet's view of a worker, when a run ends, and start_affinity, when its task is placed again.

late_starts owns these questions now; start_affinity keeps the choice of workers. No change of behaviour.

--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -37,7 +37,8 @@
       m_accounts(table, m_run_times, options.overload),
       m_backlog(table, m_run_times, m_fleet),
       m_crash_backoff(table),
-      m_start_affinity(table, m_fleet, elected),
+      m_late_starts(table, m_fleet, elected),
+      m_start_affinity(table, m_fleet, m_late_starts),
       m_candidates(table, m_fleet, m_colocation),
       m_moves(table, m_fleet, m_backlog, elected),
       m_ends(table, m_fleet),
@@ -363,7 +364,7 @@
     {
         m_on_event(late_end_event(outcome));
     }
-    m_start_affinity.applied(now, command);
+    m_late_starts.applied(now, command);
     m_ends.applied(now, command);
 }
 
--- a/modules/workflow/dispatch/dispatcher.hpp
+++ b/modules/workflow/dispatch/dispatcher.hpp
@@ -234,6 +234,7 @@
     stage_backlog m_backlog;
     crash_backoff m_crash_backoff;
     isolation_timeout m_isolation_timeout{m_table};
+    late_starts m_late_starts;
     start_affinity m_start_affinity;
     backlog_trace m_trace;
     /// Time of the last plan of placements.
--- a/modules/workflow/dispatch/dispatcher_ends.cpp
+++ b/modules/workflow/dispatch/dispatcher_ends.cpp
@@ -120,7 +120,7 @@
     {
         each.is_start_unresolved =
             must_stay_if_unresolved(each) &&
-            m_fleet.may_start_late(
+            m_late_starts.may_follow(
                 each.worker, each.life, each.run, first_call_after(each));
     }
 }
--- /dev/null
+++ b/modules/workflow/dispatch/late_starts.hpp
@@ -0,0 +1,85 @@
+#ifndef TURMERICSWITCH_WORKFLOW_DISPATCH_LATE_STARTS_HPP
+#define TURMERICSWITCH_WORKFLOW_DISPATCH_LATE_STARTS_HPP
+
+#include "core/messages/workflow.hpp"
+#include "workflow/dispatch/candidate_worker.hpp"
+#include "workflow/dispatch/plan_times.hpp"
+#include "workflow/dispatch/worker_fleet.hpp"
+#include "workflow/table/workflow_table.hpp"
+
+#include <map>
+#include <optional>
+#include <set>
+
+namespace turmericswitch::workflow
+{
+
+/// Knows on which worker, and until when, a start of a task may still begin.
+///
+/// A start call without an answer may be executed until `longest_call_delay`
+/// after it was made, by whatever incarnation of its worker is up then. A
+/// tombstone, a list or a fencing token that rejects it is gone with the
+/// incarnation, and so is a listed end. Only the answer to the call, its age,
+/// and another worker on the instance show for good that it begins nothing.
+///
+/// Which task is concerned is in the replicated state, and since when is not. A
+/// new leader counts the time from its election.
+class late_starts
+{
+public:
+    /// The arguments must outlive the object.
+    late_starts(workflow_table const& table,
+                worker_fleet const& fleet,
+                core::time_point elected);
+
+    /// Must be called after a command was committed.
+    void applied(core::time_point now, core::workflow_progress const& command);
+
+    /// @param called_after Time after which all calls of the task to the worker
+    ///        were made that it may still execute; `nullopt` if not known.
+    /// @return True if the worker may still execute a start of the run's task
+    ///         that was called for this run or an earlier one.
+    bool may_follow(core::worker_id const& worker,
+                    core::incarnation life,
+                    core::task_run const& run,
+                    std::optional<core::time_point> called_after) const;
+
+    /// @return True if a start of the task may still begin a run on the worker,
+    ///         which holds none.
+    bool may_begin(core::time_point now,
+                   core::task_ref const& task,
+                   core::worker_id const& worker) const;
+
+    /// @return True if a long-running task has waited for the worker for as
+    ///         long as callers allow.
+    bool is_long_running_wait_over(plan_times const& times,
+                                   core::task_ref const& task,
+                                   core::worker_id const& worker) const;
+
+private:
+    /// A task whose last run has left an unresolved start.
+    struct open_task
+    {
+        /// When the end of the run was committed.
+        core::time_point since;
+        /// When no start of the task can be executed any more.
+        core::time_point due;
+    };
+
+    /// @return True if the worker's sidecar has reported since the task's last
+    ///         run ended and knows of no start that may be executed.
+    bool is_resolved(worker_view const& worker,
+                     core::task_ref const& task) const;
+    /// @return True if an incarnation of the worker has registered and not
+    ///         listed its runs yet.
+    bool awaits_list(core::time_point now, core::worker_id const& worker) const;
+
+    workflow_table const& m_table;
+    worker_fleet const& m_fleet;
+    core::time_point m_elected;
+    std::map<core::task_ref, open_task> m_open;
+};
+
+} // namespace turmericswitch::workflow
+
+#endif
--- a/modules/workflow/dispatch/start_affinity.cpp
+++ b/modules/workflow/dispatch/start_affinity.cpp
@@ -1,9 +1,6 @@
 #include "workflow/dispatch/start_affinity.hpp"
 
-#include "workflow/agent/worker_runtime.hpp"
-
 #include <algorithm>
-#include <chrono>
 #include <utility>
 
 namespace turmericswitch::workflow
@@ -12,19 +9,6 @@
 namespace
 {
 
-/// From the end of a run until no start of it can be executed: the last call
-/// may have been made when the end was committed, and has a timeout of 1 s.
-constexpr core::duration longest_start_delay =
-    longest_call_delay + std::chrono::seconds(1);
-
-/// From the last report of a sidecar to its last call of a start: an order may
-/// follow the report, and its calls are repeated for 2 s.
-constexpr core::duration longest_start_period = std::chrono::seconds(3);
-
-/// Callers allow a long-running task nine seconds without a run, in which it
-/// must also be placed and started.
-constexpr core::duration longest_long_running_delay = std::chrono::seconds(7);
-
 /// @return The stage without tasks.
 pending_stage without_runs(pending_stage const& pending)
 {
@@ -39,8 +23,8 @@
 
 start_affinity::start_affinity(workflow_table const& table,
                                worker_fleet const& fleet,
-                               core::time_point elected)
-    : m_table(table), m_fleet(fleet), m_elected(elected)
+                               late_starts const& starts)
+    : m_table(table), m_fleet(fleet), m_starts(starts)
 {
 }
 
@@ -84,29 +68,6 @@
     }
 }
 
-void start_affinity::applied(core::time_point now,
-                             core::workflow_progress const& command)
-{
-    std::erase_if(m_open,
-                  [now](auto const& item)
-                  { return now - item.second.since >= longest_start_delay; });
-    for (auto const& outcome : command.ends)
-    {
-        if (!outcome.is_start_unresolved)
-        {
-            continue;
-        }
-        auto due = now + longest_start_delay;
-        if (auto const* const view = m_fleet.find(outcome.worker))
-        {
-            due = std::min(due,
-                           view->reported_at + longest_start_period +
-                               longest_call_delay);
-        }
-        m_open[outcome.run.task] = {now, due};
-    }
-}
-
 std::vector<pending_stage const*> start_affinity::restrict_workers(
     plan_times const& times, std::vector<pending_stage const*> const& waiting)
 {
@@ -230,8 +191,10 @@
     {
         return restriction::no_start;
     }
-    bool const is_known_resolved = view != nullptr && is_resolved(*view, task);
-    return is_known_resolved || is_due(times, pending, task, worker)
+    bool const is_wait_over =
+        pending.description->behaviour.long_running &&
+        m_starts.is_long_running_wait_over(times, task, worker);
+    return is_wait_over || !m_starts.may_begin(times.now, task, worker)
                ? restriction::none
                : restriction::only_there;
 }
@@ -247,44 +210,4 @@
                        });
 }
 
-bool start_affinity::is_resolved(worker_view const& worker,
-                                 core::task_ref const& task) const
-{
-    auto const open = m_open.find(task);
-    bool const is_reported_since =
-        open == m_open.end() || worker.reported_at > open->second.since;
-    // An incarnation without a list may have executed the start.
-    return is_reported_since && !worker.left && worker.has_runs &&
-           worker.knows_all_starts && !has_unresolved_start(worker, task);
-}
-
-bool start_affinity::is_due(plan_times const& times,
-                            pending_stage const& pending,
-                            core::task_ref const& task,
-                            core::worker_id const& worker) const
-{
-    auto const open = m_open.find(task);
-    bool const is_known = open != m_open.end();
-    if (pending.description->behaviour.long_running)
-    {
-        // A table that was restored from a snapshot may not know the time.
-        auto const last_run = m_table.not_running_since(task);
-        auto const waited =
-            last_run ? times.cluster - *last_run
-                     : times.now - (is_known ? open->second.since : m_elected);
-        return waited >= longest_long_running_delay;
-    }
-    auto const due =
-        is_known ? open->second.due : m_elected + longest_start_delay;
-    return times.now >= due && !awaits_list(times.now, worker);
-}
-
-bool start_affinity::awaits_list(core::time_point now,
-                                 core::worker_id const& worker) const
-{
-    auto const* const view = m_fleet.find(worker);
-    return view != nullptr && !view->left && !view->has_runs &&
-           now < view->late_starts_expire_at;
-}
-
 } // namespace turmericswitch::workflow
--- a/modules/workflow/dispatch/start_affinity.hpp
+++ b/modules/workflow/dispatch/start_affinity.hpp
@@ -2,6 +2,7 @@
 #define TURMERICSWITCH_WORKFLOW_DISPATCH_START_AFFINITY_HPP
 
 #include "core/messages/workflow.hpp"
+#include "workflow/dispatch/late_starts.hpp"
 #include "workflow/dispatch/pending_stage.hpp"
 #include "workflow/dispatch/plan_times.hpp"
 #include "workflow/dispatch/worker_fleet.hpp"
@@ -22,23 +23,17 @@
 /// restarts has forgotten every proof that the start is void. So another worker
 /// gets the task only when the start can't be executed any more, which the
 /// worker's sidecar or the time shows.
-///
-/// Which task is concerned is in the replicated state, and since when is not. A
-/// new leader counts the time from its election.
 class start_affinity
 {
 public:
     /// The arguments must outlive the object.
     start_affinity(workflow_table const& table,
                    worker_fleet const& fleet,
-                   core::time_point elected);
+                   late_starts const& starts);
 
     /// Must be called after each report of the worker.
     void reported(worker_view const& worker);
 
-    /// Must be called after a command was committed.
-    void applied(core::time_point now, core::workflow_progress const& command);
-
     /// Splits the stages by the workers that may get their tasks, and leaves
     /// out the tasks that must not start now. The result is valid until the
     /// next call, if the stages are.
@@ -65,19 +60,6 @@
     ///         is not committed yet.
     bool has_late_end(worker_view const& worker,
                       core::task_ref const& task) const;
-    /// @return True if no start of the task can be executed any more, or the
-    ///         task must not wait longer.
-    bool is_due(plan_times const& times,
-                pending_stage const& pending,
-                core::task_ref const& task,
-                core::worker_id const& worker) const;
-    /// @return True if an incarnation of the worker has registered and not
-    ///         listed its runs yet.
-    bool awaits_list(core::time_point now, core::worker_id const& worker) const;
-    /// @return True if the worker's sidecar has reported since the task's last
-    ///         run ended and knows of no start that may be executed.
-    bool is_resolved(worker_view const& worker,
-                     core::task_ref const& task) const;
     void split(plan_times const& times,
                pending_stage const& pending,
                std::vector<pending_stage const*>& result);
@@ -90,17 +72,7 @@
 
     workflow_table const& m_table;
     worker_fleet const& m_fleet;
-    core::time_point m_elected;
-    /// A task whose last run has left an unresolved start.
-    struct open_task
-    {
-        /// When the end of the run was committed.
-        core::time_point since;
-        /// When no start of it can be executed any more.
-        core::time_point due;
-    };
-
-    std::map<core::task_ref, open_task> m_open;
+    late_starts const& m_starts;
     /// Runs that the workers' last lists have as running and that were not
     /// held then: late starts of ended runs.
     std::map<core::worker_id, std::vector<core::task_run>> m_unheld;
--- a/modules/workflow/dispatch/worker_fleet.cpp
+++ b/modules/workflow/dispatch/worker_fleet.cpp
@@ -447,32 +447,6 @@
     return m_replaced.contains(worker);
 }
 
-bool worker_fleet::may_start_late(
-    core::worker_id const& worker,
-    core::incarnation life,
-    core::task_run const& run,
-    std::optional<core::time_point> called_after) const
-{
-    if (is_replaced(worker))
-    {
-        return false;
-    }
-    auto const* const view = find(worker);
-    if (view == nullptr)
-    {
-        return true;
-    }
-    bool const knows_all =
-        view->knows_all_starts ||
-        (called_after && view->sidecar_since <= *called_after);
-    // Otherwise the sidecar may have made the call after its last report.
-    bool const is_reported_after_call = life < view->profile.life ||
-                                        view->running.contains(run) ||
-                                        reports_end(*view, run);
-    return !knows_all || !is_reported_after_call ||
-           has_unresolved_start(*view, run.task);
-}
-
 void worker_fleet::prune(
     core::time_point now,
     std::function<bool(core::worker_id const&)> const& has_runs)
--- a/modules/workflow/dispatch/worker_fleet.hpp
+++ b/modules/workflow/dispatch/worker_fleet.hpp
@@ -209,18 +209,6 @@
     ///         rejected there.
     bool is_replaced(core::worker_id const& worker) const;
 
-    /// A proof that a run has ended or won't begin lasts only as long as the
-    /// incarnation of its worker. A start call without an answer lasts longer.
-    ///
-    /// @param called_after Time after which all calls of the task to the worker
-    ///        were made that it may still execute; `nullopt` if not known.
-    /// @return True if the worker may still execute a start of the run's task
-    ///         that was called for this run or an earlier one.
-    bool may_start_late(core::worker_id const& worker,
-                        core::incarnation life,
-                        core::task_run const& run,
-                        std::optional<core::time_point> called_after) const;
-
     /// @return Longest time on the leader's clock for which a worker keeps a
     ///         run without a sync call.
     core::duration longest_lease() const;
