Acknowledge an end only when no start of its task can follow

Cause: the start had two calls, because the first got no answer and the agent repeated it at once. The second call began the run. Its end was committed and acknowledged while the first call was unresolved. What rejects that call, the tombstone of the run, is gone with the worker's incarnation; the acknowledged end stands for good. Callers' rules count a start after an end `done` "if that end is taken note of then or later", so the acknowledgement made the late start a second run.

Change: the leader commits and shows the end as before, and withholds its acknowledgement while a start of the task may still be executed (`late_starts::must_stay_listed`): one that a sidecar reports as unresolved, on any worker and for any member of a gang, or one that a replaced sidecar may have left. A restart of the worker then erases the end together with what rejects the start. The same holds for ends `failed`, which count as attempts if they are acknowledged. Tasks that may have copies or that last don't wait. A grant tells the sidecar which ends are committed, so that it polls the worker without a report for each poll, and the sidecar reports a start that has become too old also while its worker is silent. `ends_withheld` (428) logs the time.

A sidecar that has just started doesn't know the calls of the one before. Runs that the earlier one had listed as running don't wait for that.

Two cases of late_end_test expect an acknowledgement from a sidecar that had just started; it is one that knows all starts now, and the expectation stays.

--- a/modules/core/events/event_code.hpp
+++ b/modules/core/events/event_code.hpp
@@ -76,6 +76,7 @@
     job_refused = 425,
     refusals_outdated = 426,
     late_end_counted = 427,
+    ends_withheld = 428,
 
     // Control: the group and its state
     role_changed = 451,
@@ -207,6 +208,7 @@
     event_entry{event_code::job_refused, "job_refused"},
     event_entry{event_code::refusals_outdated, "refusals_outdated"},
     event_entry{event_code::late_end_counted, "late_end_counted"},
+    event_entry{event_code::ends_withheld, "ends_withheld"},
     event_entry{event_code::role_changed, "role_changed"},
     event_entry{event_code::leadership_began, "leadership_began"},
     event_entry{event_code::leadership_ended, "leadership_ended"},
--- a/modules/core/messages/workflow.hpp
+++ b/modules/core/messages/workflow.hpp
@@ -466,7 +466,7 @@
     std::uint64_t fencing_token = 0;
     /// End of the lease on the worker's clock.
     duration lease_until{};
-    /// Ends up to this number are committed.
+    /// Ends up to this number are committed, and the worker may drop them.
     std::uint64_t acknowledged_ends = 0;
     /// Refused and unseen ended runs whose end is committed.
     std::vector<task_run> acknowledged_refusals;
@@ -474,6 +474,10 @@
     std::vector<endpoint> control;
     /// Reported crashes that are committed for all runs concerned.
     std::vector<worker_incarnation> acknowledged_crashes;
+    /// Ends up to this number are committed. Those above `acknowledged_ends`
+    /// must stay on the worker's list, because it may still execute a start of
+    /// their tasks. Zero if no acknowledgement is withheld.
+    std::uint64_t committed_ends = 0;
 
     bool operator==(runtime_grant const&) const = default;
 };
--- a/modules/wire/codec/message_codec.cpp
+++ b/modules/wire/codec/message_codec.cpp
@@ -89,7 +89,7 @@
 template <>
 constexpr std::size_t appended_members<core::runtime_report> = 5;
 template <>
-constexpr std::size_t appended_members<core::runtime_grant> = 1;
+constexpr std::size_t appended_members<core::runtime_grant> = 2;
 template <>
 constexpr std::size_t appended_members<core::runtime_orders> = 1;
 template <>
--- a/modules/workflow/agent/worker_agent.cpp
+++ b/modules/workflow/agent/worker_agent.cpp
@@ -226,6 +226,8 @@
     m_left = false;
     m_lease_until = {};
     m_acknowledged_ends = 0;
+    m_committed_ends = 0;
+    m_reported_clock = {};
     m_reported_ends = 0;
     m_worker_clock = {};
     m_runs.reset();
--- a/modules/workflow/agent/worker_agent.hpp
+++ b/modules/workflow/agent/worker_agent.hpp
@@ -223,6 +223,12 @@
     void handle_sync_answer(sync_answer answer);
     void handle_silence();
     void handle_lists(sync_result result);
+    /// @return True if the worker lists ends, and the leader has committed all
+    ///         of them. They stay listed until the leader acknowledges them.
+    bool lists_only_committed_ends() const;
+    /// @return True if the last report is so old that the worker's lease needs
+    ///         another one.
+    bool is_regular_report_due() const;
     /// @return True if the leader must learn of the last lists.
     bool has_news(core::worker_runs const& before) const;
     void schedule_sync(core::duration delay, core::duration wait);
@@ -271,6 +277,9 @@
     /// Notes whether a start call may still be executed, by this incarnation or
     /// a later one.
     void resolve_start_call(core::task_run const& run, start_outcome outcome);
+    /// Lets the leader know that fewer starts may still be executed: tasks and
+    /// acknowledgements may wait for that.
+    void report_resolved_starts();
     /// Handles a refusal, or a start that was given up without an answer.
     void handle_failed_start(core::task_run const& run, int tries);
     /// @return True if the refusal of one call proves that the run has not
@@ -323,6 +332,11 @@
     std::uint64_t m_fencing_token = 0;
     core::duration m_lease_until{};
     std::uint64_t m_acknowledged_ends = 0;
+    /// Ends up to this number are committed. Those above the acknowledged
+    /// number must stay on the worker's list for now.
+    std::uint64_t m_committed_ends = 0;
+    /// The worker's clock in the last report.
+    core::duration m_reported_clock{};
     core::duration m_worker_clock{};
     std::optional<core::worker_runs> m_runs;
     /// True if the last sync call was answered by this incarnation.
--- a/modules/workflow/agent/worker_agent_orders.cpp
+++ b/modules/workflow/agent/worker_agent_orders.cpp
@@ -221,7 +221,25 @@
         return;
     }
     m_hooks.after(longest_call_delay,
-                  [this, run] { m_start_calls.resolved(run); });
+                  [this, run]
+                  {
+                      m_start_calls.resolved(run);
+                      report_resolved_starts();
+                  });
+}
+
+void worker_agent::report_resolved_starts()
+{
+    if (!m_profile || m_stopped || m_left)
+    {
+        return;
+    }
+    m_report_due = true;
+    if (m_silent)
+    {
+        // No list follows that would bring a report.
+        send_report();
+    }
 }
 
 void worker_agent::handle_start_outcome(core::task_run const& run,
--- a/modules/workflow/agent/worker_agent_sync.cpp
+++ b/modules/workflow/agent/worker_agent_sync.cpp
@@ -224,9 +224,30 @@
         sync_worker(answer.wait_after);
         return;
     }
+    if (lists_only_committed_ends() && before && !was_silent &&
+        !has_news(*before) && !is_regular_report_due())
+    {
+        // The worker answers at once as long as it lists an end.
+        schedule_sync(unacknowledged_ends_pause, core::duration{});
+        return;
+    }
     send_report();
 }
 
+bool worker_agent::lists_only_committed_ends() const
+{
+    return !m_runs->ended.empty() &&
+           std::all_of(m_runs->ended.begin(),
+                       m_runs->ended.end(),
+                       [this](core::ended_run const& each)
+                       { return each.number <= m_committed_ends; });
+}
+
+bool worker_agent::is_regular_report_due() const
+{
+    return m_worker_clock - m_reported_clock >= m_options.sync_interval;
+}
+
 void worker_agent::handle_silence()
 {
     m_is_confirmed = false;
@@ -277,8 +298,9 @@
 {
     auto const has_same_run = [](auto const& a, auto const& b)
     { return a.run == b.run; };
-    return !m_runs->ended.empty() || m_runs->may_have_more_ends ||
-           m_has_skipped_ends || !m_refused.empty() || !m_unseen_ends.empty() ||
+    return (!m_runs->ended.empty() && !lists_only_committed_ends()) ||
+           m_runs->may_have_more_ends || m_has_skipped_ends ||
+           !m_refused.empty() || !m_unseen_ends.empty() ||
            m_begun_runs.has_missing() || needs_list() || m_report_due ||
            !std::equal(m_runs->running.begin(),
                        m_runs->running.end(),
@@ -505,6 +527,7 @@
     report.profile = *m_profile;
     report.sidecar = m_options.life;
     report.clock = m_worker_clock;
+    m_reported_clock = m_worker_clock;
     report.runs = m_runs;
     m_reported_ends = m_end_numbers.readable();
     report.refused.assign(m_refused.begin(), m_refused.end());
@@ -649,6 +672,8 @@
     m_acknowledged_ends =
         std::max(m_acknowledged_ends,
                  std::min(grant.acknowledged_ends, m_reported_ends));
+    m_committed_ends = std::max(
+        m_committed_ends, std::min(grant.committed_ends, m_reported_ends));
     m_end_numbers.acknowledged(m_acknowledged_ends);
     m_witness.acknowledge(grant.acknowledged_crashes);
     for (auto const& run : grant.acknowledged_refusals)
--- a/modules/workflow/dispatch/dispatch_events.cpp
+++ b/modules/workflow/dispatch/dispatch_events.cpp
@@ -238,6 +238,20 @@
     return event;
 }
 
+core::event ends_withheld_event(core::worker_id const& worker,
+                                withheld_ends const& ends,
+                                core::duration time,
+                                bool is_acknowledged)
+{
+    return {event_code::ends_withheld,
+            {text_field("worker", worker.value()),
+             number_field("life", ends.life.value()),
+             number_field("first", ends.first),
+             number_field("last", ends.last),
+             time_field("time_ms", time),
+             number_field("acknowledged", is_acknowledged ? 1 : 0)}};
+}
+
 core::event late_end_event(core::run_outcome const& outcome)
 {
     core::event event{event_code::late_end_counted,
--- a/modules/workflow/dispatch/dispatch_events.hpp
+++ b/modules/workflow/dispatch/dispatch_events.hpp
@@ -3,6 +3,7 @@
 
 #include "core/events/event.hpp"
 #include "workflow/dispatch/copy_planner.hpp"
+#include "workflow/dispatch/late_starts.hpp"
 #include "workflow/dispatch/move_controller.hpp"
 #include "workflow/dispatch/oversized_stages.hpp"
 #include "workflow/dispatch/pace_controller.hpp"
@@ -92,6 +93,12 @@
                             std::optional<bool> established,
                             bool is_assumed);
 
+/// @param is_acknowledged False if the worker has restarted before.
+core::event ends_withheld_event(core::worker_id const& worker,
+                                withheld_ends const& ends,
+                                core::duration time,
+                                bool is_acknowledged);
+
 /// @param outcome The end of a run that was taken for ended before.
 core::event late_end_event(core::run_outcome const& outcome);
 
--- a/modules/workflow/dispatch/dispatcher.cpp
+++ b/modules/workflow/dispatch/dispatcher.cpp
@@ -146,6 +146,7 @@
     }
     drop_outdated_refusals(*view, refused_under);
     evict_needless_runs(*view);
+    m_late_starts.reported(*view);
     m_start_affinity.reported(*view);
     bool const is_new = known == nullptr || is_new_incarnation;
     if (is_new || is_new_sidecar)
@@ -285,14 +286,7 @@
         m_fleet.extend_lease(*view, m_table.longest_lease());
     }
     answer.lease_until = view->granted_until;
-    for (auto const& each : view->ended)
-    {
-        if (m_ends.is_open(each, worker))
-        {
-            break;
-        }
-        answer.acknowledged_ends = each.number;
-    }
+    acknowledge_ends(*view, answer);
     for (auto const* const runs : {&view->refused, &view->ended_unseen})
     {
         std::copy_if(runs->begin(),
@@ -323,7 +317,7 @@
         return command;
     }
     m_ends.collect(times.now, command);
-    mark_unresolved(command.ends);
+    mark_unresolved(times.now, command.ends);
     m_orders.set_ending(command.ends);
     if (take_placement_due(times, config))
     {
--- a/modules/workflow/dispatch/dispatcher.hpp
+++ b/modules/workflow/dispatch/dispatcher.hpp
@@ -187,8 +187,15 @@
     void rank_by_accounts();
     bool needs_accounts() const noexcept;
     void update_accounts(plan_times const& times);
+    /// Acknowledges the ends in the worker's last report that are committed and
+    /// that no start of their tasks can follow.
+    void acknowledge_ends(worker_view const& view, core::runtime_grant& answer);
+    /// Logs for how long ends were not acknowledged after their commit.
+    void note_withheld(worker_view const& view,
+                       core::runtime_grant const& answer);
     /// Marks the ends of runs with a start that may still be executed.
-    void mark_unresolved(std::vector<core::run_outcome>& ends) const;
+    void mark_unresolved(core::time_point now,
+                         std::vector<core::run_outcome>& ends);
     /// @return Time after which all calls of the task to the run's worker were
     ///         made that it may still execute; `nullopt` if an earlier leader
     ///         placed the run, or an earlier run has left such a call.
@@ -258,6 +265,8 @@
     preemption_planner m_preemption;
     core::time_point m_next_eviction;
     core::event_hook m_on_event;
+    /// Ends that are committed and not acknowledged, by worker.
+    std::map<core::worker_id, withheld_ends> m_withheld;
     /// Number of the last batch of orders for each worker.
     std::map<core::worker_id, std::uint64_t> m_batches;
 };
--- a/modules/workflow/dispatch/dispatcher_ends.cpp
+++ b/modules/workflow/dispatch/dispatcher_ends.cpp
@@ -1,6 +1,7 @@
 #include "workflow/dispatch/dispatch_events.hpp"
 #include "workflow/dispatch/dispatcher.hpp"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <string>
@@ -114,14 +115,72 @@
     }
 }
 
-void dispatcher::mark_unresolved(std::vector<core::run_outcome>& ends) const
+void dispatcher::acknowledge_ends(worker_view const& view,
+                                  core::runtime_grant& answer)
+{
+    std::uint64_t committed = 0;
+    bool is_withheld = false;
+    for (auto const& each : view.ended)
+    {
+        if (m_ends.is_open(each, view.profile.worker))
+        {
+            break;
+        }
+        committed = each.number;
+        // The number is for all ends up to it.
+        is_withheld = is_withheld || m_late_starts.must_stay_listed(each, view);
+        if (!is_withheld)
+        {
+            answer.acknowledged_ends = each.number;
+        }
+    }
+    answer.committed_ends = is_withheld ? committed : 0;
+    note_withheld(view, answer);
+}
+
+void dispatcher::note_withheld(worker_view const& view,
+                               core::runtime_grant const& answer)
+{
+    auto const& worker = view.profile.worker;
+    auto const known = m_withheld.find(worker);
+    bool const is_other =
+        known != m_withheld.end() && known->second.life != view.profile.life;
+    if (known != m_withheld.end() && (is_other || answer.committed_ends == 0))
+    {
+        m_on_event(ends_withheld_event(worker,
+                                       known->second,
+                                       view.reported_at - known->second.since,
+                                       !is_other));
+        m_withheld.erase(known);
+    }
+    if (answer.committed_ends > 0)
+    {
+        std::erase_if(m_withheld,
+                      [this](auto const& item)
+                      { return m_fleet.find(item.first) == nullptr; });
+        auto& ends =
+            m_withheld
+                .try_emplace(worker,
+                             withheld_ends{view.profile.life,
+                                           view.reported_at,
+                                           answer.acknowledged_ends + 1,
+                                           0})
+                .first->second;
+        ends.last = std::max(ends.last, answer.committed_ends);
+    }
+}
+
+void dispatcher::mark_unresolved(core::time_point now,
+                                 std::vector<core::run_outcome>& ends)
 {
     for (auto& each : ends)
     {
+        auto const called_after = first_call_after(each);
+        m_late_starts.collected(now, each, called_after);
         each.is_start_unresolved =
             must_stay_if_unresolved(each) &&
             m_late_starts.may_follow(
-                each.worker, each.life, each.run, first_call_after(each));
+                each.worker, each.life, each.run, called_after);
     }
 }
 
--- a/modules/workflow/dispatch/late_starts.hpp
+++ b/modules/workflow/dispatch/late_starts.hpp
@@ -14,6 +14,17 @@
 namespace turmericswitch::workflow
 {
 
+/// Ends of one incarnation of a worker that are committed and stay on its list,
+/// because it may still execute a start of one of their tasks.
+struct withheld_ends
+{
+    core::incarnation life;
+    core::time_point since;
+    /// Numbers of the first and the last one.
+    std::uint64_t first = 0;
+    std::uint64_t last = 0;
+};
+
 /// Knows on which worker, and until when, a start of a task may still begin.
 ///
 /// A start call without an answer may be executed until `longest_call_delay`
@@ -22,6 +33,10 @@
 /// incarnation, and so is a listed end. Only the answer to the call, its age,
 /// and another worker on the instance show for good that it begins nothing.
 ///
+/// A worker that begins a task again after its end breaks the users' rules only
+/// if that end is acknowledged, which stands for good. So an end stays on the
+/// worker's list until no start of its task can follow.
+///
 /// Which task is concerned is in the replicated state, and since when is not. A
 /// new leader counts the time from its election.
 class late_starts
@@ -32,6 +47,17 @@
                 worker_fleet const& fleet,
                 core::time_point elected);
 
+    /// Must be called after each report of the worker.
+    void reported(worker_view const& worker);
+
+    /// Must be called when an end is about to be committed. The sidecar may not
+    /// know all starts that were called before.
+    ///
+    /// @param called_after As for `may_follow`.
+    void collected(core::time_point now,
+                   core::run_outcome const& outcome,
+                   std::optional<core::time_point> called_after);
+
     /// Must be called after a command was committed.
     void applied(core::time_point now, core::workflow_progress const& command);
 
@@ -56,6 +82,11 @@
                                    core::task_ref const& task,
                                    core::worker_id const& worker) const;
 
+    /// @return True if the committed end, in the worker's last report, must not
+    ///         be acknowledged yet.
+    bool must_stay_listed(core::ended_run const& ended,
+                          worker_view const& worker) const;
+
 private:
     /// A task whose last run has left an unresolved start.
     struct open_task
@@ -74,10 +105,44 @@
     ///         listed its runs yet.
     bool awaits_list(core::time_point now, core::worker_id const& worker) const;
 
+    /// The last end of a task that was committed while the sidecar didn't know
+    /// all starts.
+    struct doubtful_end
+    {
+        core::time_point collected;
+        /// True if a start of an earlier sidecar may be left.
+        bool may_be_followed = false;
+    };
+
+    /// @return True if a start of the task after this end breaks callers' rules
+    ///         once the end is acknowledged.
+    bool is_last_end(core::ended_run const& ended) const;
+    /// @return True if a sidecar names a start of the task, or of its gang,
+    ///         that may still be executed.
+    bool has_known_start(core::time_point now,
+                         core::task_ref const& task) const;
+    /// @return True if a start of the task, or of its gang, may be left that
+    ///         the worker's present sidecar doesn't know.
+    bool has_unknown_start(core::task_ref const& task,
+                           worker_view const& worker) const;
+    /// @return The task, or the first one of its gang.
+    core::task_ref key_of(core::task_ref const& task) const;
+    /// Remembers a gang until its starts are resolved: the table drops the
+    /// stages of a workflow that has ended.
+    core::task_ref remember_key_of(core::time_point now,
+                                   core::task_ref const& task);
+
     workflow_table const& m_table;
     worker_fleet const& m_fleet;
     core::time_point m_elected;
     std::map<core::task_ref, open_task> m_open;
+    /// Keys of the tasks with an unresolved start in the last report of each
+    /// worker.
+    std::map<core::worker_id, std::set<core::task_ref>> m_unresolved;
+    /// By the key of the task.
+    std::map<core::task_ref, doubtful_end> m_doubtful;
+    /// When each was needed last.
+    std::map<stage_ref, core::time_point> m_gangs;
 };
 
 } // namespace turmericswitch::workflow
--- a/modules/workflow/dispatch/worker_fleet.cpp
+++ b/modules/workflow/dispatch/worker_fleet.cpp
@@ -56,6 +56,22 @@
                : incarnation_end::unknown;
 }
 
+/// @param view Of the last report of a sidecar that is replaced.
+std::set<core::task_run> find_settled_starts(worker_view const& view)
+{
+    std::set<core::task_run> settled;
+    for (auto const& [run, seen] : view.running)
+    {
+        bool const is_known =
+            view.knows_all_starts || view.settled_starts.contains(run);
+        if (is_known && !has_unresolved_start(view, run.task))
+        {
+            settled.insert(run);
+        }
+    }
+    return settled;
+}
+
 bool is_established_in(worker_view const& view, core::task_run const& run)
 {
     auto const since = view.listed_since.find(run);
@@ -170,6 +186,7 @@
         // The sidecar does not know which calls of the earlier one are under
         // way, so the worker must reject them.
         known->second.number = ++m_incarnations;
+        known->second.settled_starts = find_settled_starts(known->second);
         known->second.sidecar_since = now;
         known->second.sidecar_changed_at = now;
     }
--- a/modules/workflow/dispatch/worker_fleet.hpp
+++ b/modules/workflow/dispatch/worker_fleet.hpp
@@ -91,6 +91,9 @@
     std::set<core::task_run> unresolved_starts;
     /// True if all such calls are listed, also those of earlier sidecars.
     bool knows_all_starts = false;
+    /// Runs of which the sidecar before had seen the effect of every start: it
+    /// listed them as running, with no unresolved start of their tasks.
+    std::set<core::task_run> settled_starts;
     /// When this leader got the first report of the sidecar.
     core::time_point sidecar_since;
     /// When a report of another sidecar than in the one before arrived.
--- a/modules/workflow/tests/dispatch_simulation.hpp
+++ b/modules/workflow/tests/dispatch_simulation.hpp
@@ -101,7 +101,8 @@
     ///         one that was up when the call was made.
     std::size_t starts_by_later_incarnations() const noexcept;
 
-    /// @return Number of these whose task was done and acknowledged.
+    /// @return Number of these that were begun after an end `done` of their
+    ///         task, which was not acknowledged then or later.
     std::size_t late_starts_after_end() const noexcept;
 
 private:
@@ -231,7 +232,9 @@
 
     // simulation_checks.cpp
     void check();
-    /// Checks that a task whose end `done` was acknowledged is not run again.
+    /// Checks that no run of a task begins after an end `done` of it that is
+    /// acknowledged then or later, also not the same run on a later
+    /// incarnation.
     void check_released_ends();
     /// Checks that what callers would be shown is allowed by what the workers
     /// have done.
@@ -300,7 +303,7 @@
     /// Runs that were begun by a later incarnation than the one that was up
     /// when the call was made.
     std::set<core::task_run> m_started_late;
-    /// Those of them whose task was done and acknowledged.
+    /// Those of them that were begun after an end `done` of their task.
     std::set<core::task_run> m_started_after_end;
     /// Jobs of which a worker has begun a task.
     std::set<core::workflow_id> m_begun;
--- a/modules/workflow/tests/dispatcher_fixture.hpp
+++ b/modules/workflow/tests/dispatcher_fixture.hpp
@@ -139,6 +139,7 @@
         result.profile = of;
         result.clock = std::chrono::milliseconds(clock_ms);
         result.runs = std::move(runs);
+        result.unresolved.is_complete = m_knows_all_starts;
         return m_dispatcher->report(m_now, std::move(result));
     }
 
@@ -229,6 +230,8 @@
     core::time_point m_now;
     core::wall_time m_wall;
     core::incarnation m_sidecar{1};
+    /// Whether the sidecar runs for so long that it knows all starts.
+    bool m_knows_all_starts = false;
     /// Used from the next election on.
     copy_options m_copies;
     core::event const& last_event(core::event_code code) const
--- a/modules/workflow/tests/late_end_test.cpp
+++ b/modules/workflow/tests/late_end_test.cpp
@@ -164,6 +164,8 @@
     {
         core::worker_runs runs;
         runs.ended = {{1, m_run, core::run_end::done, {}}};
+        // No other start is left that would withhold the acknowledgement.
+        m_knows_all_starts = true;
         report(runs);
     }
 
--- a/modules/workflow/tests/unresolved_starts_test.cpp
+++ b/modules/workflow/tests/unresolved_starts_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(each_call_of_a_start_has_its_own_delay);
     CPPUNIT_TEST(worker_under_another_id_resolves_all_starts);
     CPPUNIT_TEST(starts_of_an_earlier_sidecar_are_unknown_at_first);
+    CPPUNIT_TEST(resolved_start_is_reported_while_the_worker_is_silent);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr core::duration just_below_longest_delay =
@@ -146,6 +147,19 @@
         CPPUNIT_ASSERT(last_report().unresolved.is_complete);
     }
 
+    // Guards against a task that waits for a worker that is gone until the
+    // leader's own bound, which is longer.
+    void resolved_start_is_reported_while_the_worker_is_silent()
+    {
+        leave_start_unanswered();
+        answer(m_starts, start_outcome::refused);
+        answer_last_sync(std::nullopt);
+        grant(1);
+        run_delayed_for(longest_call_delay);
+        CPPUNIT_ASSERT(last_report().silent);
+        expect_unresolved({});
+    }
+
 private:
     /// The first call of the start gets no answer, and the second is open.
     void leave_start_unanswered()
