Keep a lasting task on its worker while that one restarts

Its start had got no answer, its worker went down and up by turns, the task was started elsewhere, and the worker carried the start out 8 s after the call.

Cause: the task stays on the worker with the unresolved start, but a lasting one only for 7 s since its last run that was known to have begun, or its first placement. Neither begins with the call: once the 7 s are used up, a start that was called a second ago has no wait at all.

The 9 s that callers allow are not one number. A worker that restarts, falls silent or answers again is not calm.

Change: the task stays on that worker until the start is resolved, which the sidecar reports 12 s after the call, or until 7 s have passed since its last run and the worker has not changed for 5 s (`worker_view::changed_at`). The two seconds up to the 7 s of calm are for the placement and the start, as before. As soon as the worker is up and listed it gets the task: another attempt does no harm there.

What is left: a worker that goes down right after the call, stays down for more than 5 s and comes back under its id before the start is 12 s old. Waiting longer would break the rule on lost jobs whenever that worker is gone for good.

Evidence: long_running_task_stays_while_its_worker_restarts fails before.

--- a/modules/workflow/dispatch/late_starts.cpp
+++ b/modules/workflow/dispatch/late_starts.cpp
@@ -24,6 +24,10 @@
 /// must also be placed and started.
 constexpr core::duration longest_long_running_delay = std::chrono::seconds(7);
 
+/// They count these nine seconds only if the last seven were calm. A worker
+/// that has just restarted, fallen silent or answered again is not.
+constexpr core::duration longest_delay_after_change = std::chrono::seconds(5);
+
 } // namespace
 
 late_starts::late_starts(workflow_table const& table,
@@ -218,7 +222,12 @@
                                             core::task_ref const& task,
                                             core::worker_id const& worker) const
 {
-    (void)worker;
+    auto const* const view = m_fleet.find(worker);
+    if (view != nullptr &&
+        times.now - view->changed_at < longest_delay_after_change)
+    {
+        return false;
+    }
     auto const open = m_open.find(task);
     // A table that was restored from a snapshot may not know the time.
     auto const last_run = m_table.not_running_since(task);
--- a/modules/workflow/dispatch/late_starts.hpp
+++ b/modules/workflow/dispatch/late_starts.hpp
@@ -76,8 +76,13 @@
                    core::task_ref const& task,
                    core::worker_id const& worker) const;
 
-    /// @return True if a long-running task has waited for the worker for as
-    ///         long as callers allow.
+    /// Callers allow a long-running task less time without a run than a start
+    /// takes to become void, unless its worker restarts or falls silent
+    /// meanwhile.
+    ///
+    /// @return True if the task has waited for the worker for as long as they
+    ///         allow, so that it must start elsewhere although a start may
+    ///         still begin it there.
     bool is_long_running_wait_over(plan_times const& times,
                                    core::task_ref const& task,
                                    core::worker_id const& worker) const;
--- a/modules/workflow/dispatch/worker_fleet.cpp
+++ b/modules/workflow/dispatch/worker_fleet.cpp
@@ -197,7 +197,11 @@
     view.reported_at = now;
     view.has_newly_established = false;
     auto const clock_before = view.clock;
-    view.is_silent = report.silent;
+    if (view.is_silent != report.silent)
+    {
+        view.is_silent = report.silent;
+        view.changed_at = now;
+    }
     // A silent worker's clock may be read long before the first report of it
     // that this leader gets. A sidecar that has just started has no reading.
     if (!report.silent && report.runs && view.clock != report.clock)
@@ -257,6 +261,7 @@
     m_replaced.erase(id);
     worker_view added;
     added.number = ++m_incarnations;
+    added.is_silent = report.silent;
     added.late_starts_expire_at =
         now + max_length_on_leader_clock(m_policy.longest);
     added.sidecar_since = now;
@@ -269,6 +274,7 @@
             added.sidecar_changed_at = before->sidecar_changed_at;
         }
         added.replaced = replaced_by(*before, report);
+        added.changed_at = now;
         if (!before->has_runs)
         {
             // A worker that restarts again and again must not hold the runs for
--- a/modules/workflow/dispatch/worker_fleet.hpp
+++ b/modules/workflow/dispatch/worker_fleet.hpp
@@ -62,6 +62,9 @@
     core::time_point clock_changed_at;
     /// The worker's clock in the first report that contained its runs.
     core::duration first_clock{};
+    /// When this leader saw last that another incarnation registered, or that
+    /// the worker fell silent or answered again.
+    core::time_point changed_at;
     /// True if the worker did not answer its sidecar before the last report.
     bool is_silent = false;
     /// End of the lease on the worker's clock.
--- a/modules/workflow/tests/dispatch_simulation.hpp
+++ b/modules/workflow/tests/dispatch_simulation.hpp
@@ -48,6 +48,10 @@
     /// Probability, in percent and for each start call while there are faults,
     /// that the sidecar restarts right after it, once or twice in a row.
     std::uint64_t restart_after_start_percent = 0;
+    /// Probability, in percent and for each start call that will be executed
+    /// late while there are faults, that the worker goes down and up by turns
+    /// right after it.
+    std::uint64_t flap_after_late_start_percent = 0;
     /// Longest time from an unanswered call to a worker until it is executed by
     /// whatever incarnation is up then. Zero if a restart ends all calls that
     /// have timed out.
@@ -121,6 +125,8 @@
         task refuse;
         /// Answers with a status that says nothing about the effect.
         task fail;
+        /// Called if the call will be executed late; may be empty.
+        task delayed;
     };
 
     struct event
@@ -186,6 +192,9 @@
     void restart_sidecar_soon(worker_host& host);
     /// Restarts a worker under its id while its sidecar goes on.
     void restart_worker(worker_host& host);
+    void flap_after_late_start(worker_host& host);
+    /// Lets a worker go down and up by turns.
+    void flap(worker_host& host, int restarts);
     /// Restarts one to three workers at the same moment.
     void restart_workers();
     /// Begins the next incarnation of a worker that was down. It registers some
--- a/modules/workflow/tests/late_start_fuzz_test.cpp
+++ b/modules/workflow/tests/late_start_fuzz_test.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST_SUITE(late_start_fuzz_test);
     CPPUNIT_TEST(no_task_runs_twice_at_the_same_time);
     CPPUNIT_TEST(no_long_running_task_runs_twice_at_the_same_time);
+    CPPUNIT_TEST(no_long_running_task_runs_twice_while_its_worker_flaps);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -44,6 +45,18 @@
         simulate_all(setup);
     }
 
+    // Guards against a long-running task that has waited for so long that its
+    // next run begins elsewhere, although the start of the last one is only
+    // seconds old and its worker goes down and up by turns.
+    void no_long_running_task_runs_twice_while_its_worker_flaps()
+    {
+        testing::simulation_setup setup;
+        setup.long_running_jobs = 6;
+        setup.flap_after_late_start_percent = 50;
+        setup.longest_delay_over_restarts = longest_delay(12);
+        simulate_all(setup);
+    }
+
 private:
     static void simulate_all(testing::simulation_setup setup)
     {
--- a/modules/workflow/tests/simulation_faults.cpp
+++ b/modules/workflow/tests/simulation_faults.cpp
@@ -1,5 +1,7 @@
 #include "simulation_parts.hpp"
 
+#include <utility>
+
 // Faults of leaders, workers and sidecars.
 
 namespace turmericswitch::workflow::testing
@@ -111,6 +113,43 @@
              });
 }
 
+void dispatch_simulation::flap_after_late_start(worker_host& host)
+{
+    constexpr int most_restarts = 5;
+    if (!m_faults_off && m_setup.flap_after_late_start_percent > 0 &&
+        chance(m_setup.flap_after_late_start_percent))
+    {
+        schedule(between_ms(1, 50),
+                 [this, &host] { flap(host, most_restarts); });
+    }
+}
+
+void dispatch_simulation::flap(worker_host& host, int restarts)
+{
+    if (host.is_down || restarts == 0)
+    {
+        return;
+    }
+    host.is_down = true;
+    schedule(between_ms(300, 1500),
+             [this, &host, restarts]
+             {
+                 if (host.is_gone || !host.is_down)
+                 {
+                     return;
+                 }
+                 begin_incarnation(host);
+                 schedule(between_ms(300, 1500),
+                          [this, &host, restarts, life = host.worker_life]
+                          {
+                              if (host.worker_life == life)
+                              {
+                                  flap(host, restarts - 1);
+                              }
+                          });
+             });
+}
+
 void dispatch_simulation::restart_workers()
 {
     constexpr std::uint64_t most = 3;
@@ -126,6 +165,10 @@
     host.is_down = false;
     host.model.begin_life(m_now);
     host.worker_life = ++m_last_life;
+    for (auto const& call : std::exchange(host.waiting_calls, {}))
+    {
+        call();
+    }
     if (m_setup.longest_delay_over_restarts > core::duration{} &&
         !m_faults_off && chance(50))
     {
--- a/modules/workflow/tests/simulation_parts.hpp
+++ b/modules/workflow/tests/simulation_parts.hpp
@@ -3,6 +3,7 @@
 
 #include "dispatch_simulation.hpp"
 
+#include <functional>
 #include <optional>
 #include <set>
 
@@ -99,6 +100,9 @@
     /// Number of partitions so far.
     std::uint64_t partitions = 0;
     bool is_down = false;
+    /// Late calls that have reached the instance while the worker was down. Its
+    /// next incarnation executes them before anything else.
+    std::vector<std::function<void()>> waiting_calls;
     /// Number of times that the whole instance went down.
     std::uint64_t outages = 0;
     /// True if the worker is down and never returns.
--- a/modules/workflow/tests/simulation_runtime.cpp
+++ b/modules/workflow/tests/simulation_runtime.cpp
@@ -32,22 +32,48 @@
         return !host.is_down && host.outages == outages && arrives;
     };
     auto const on_receipt =
-        [this, is_received](core::duration delay, task const& run)
+        [this, &host, is_received](core::duration delay, task const& run)
     {
         schedule(delay,
-                 [is_received, run]
+                 [this, &host, is_received, run]
                  {
                      if (is_received())
                      {
                          run();
                      }
+                     else if (host.is_down &&
+                              m_setup.longest_delay_over_restarts >
+                                  core::duration{})
+                     {
+                         // As one that is on its way to a closed port.
+                         host.waiting_calls.emplace_back(
+                             [is_received, run]
+                             {
+                                 if (is_received())
+                                 {
+                                     run();
+                                 }
+                             });
+                     }
                  });
     };
     auto const execute_unanswered = [call] { call.execute(false); };
+    auto const execute_late = [&]
+    {
+        on_receipt(delay_past_timeout(), execute_unanswered);
+        if (call.delayed)
+        {
+            call.delayed();
+        }
+    };
     if (!m_faults_off && chance(host.unanswered))
     {
-        on_receipt(chance(50) ? delay_under_way() : delay_past_timeout(),
-                   execute_unanswered);
+        if (chance(50))
+        {
+            on_receipt(delay_under_way(), execute_unanswered);
+            return;
+        }
+        execute_late();
         return;
     }
     switch (draw_call_fate(faults,
@@ -72,7 +98,7 @@
         on_receipt(delay_under_way(), execute_unanswered);
         return;
     case call_fate::executed_late:
-        on_receipt(delay_past_timeout(), execute_unanswered);
+        execute_late();
         return;
     }
 }
@@ -146,7 +172,8 @@
                                        });
                      },
                      [finish] { finish(start_outcome::refused); },
-                     [finish] { finish(start_outcome::unknown); }});
+                     [finish] { finish(start_outcome::unknown); },
+                     [this, &host] { flap_after_late_start(host); }});
         if (!m_faults_off && m_setup.restart_after_start_percent > 0 &&
             chance(m_setup.restart_after_start_percent))
         {
@@ -169,7 +196,8 @@
                          }
                      },
                      fail_call,
-                     fail_call});
+                     fail_call,
+                     {}});
     };
     calls.pace = [this, sidecar](auto call, auto done)
     {
@@ -192,7 +220,8 @@
                          }
                      },
                      fail_call,
-                     fail_call});
+                     fail_call,
+                     {}});
     };
     calls.sync = [this, sidecar](auto call, auto done)
     {
@@ -224,7 +253,8 @@
                  }
              },
              fail_call,
-             fail_call});
+             fail_call,
+             {}});
     };
     return calls;
 }
--- a/modules/workflow/tests/start_affinity_test.cpp
+++ b/modules/workflow/tests/start_affinity_test.cpp
@@ -25,6 +25,8 @@
     CPPUNIT_TEST(other_tasks_of_the_stage_do_not_wait);
     CPPUNIT_TEST(gang_waits_as_a_whole);
     CPPUNIT_TEST(long_running_task_does_not_wait_too_long);
+    CPPUNIT_TEST(long_running_task_stays_while_its_worker_restarts);
+    CPPUNIT_TEST(long_running_task_returns_to_its_restarted_worker);
     CPPUNIT_TEST(new_leader_counts_from_its_election);
     CPPUNIT_TEST(new_leader_counts_long_running_tasks_from_their_last_run);
     CPPUNIT_TEST(task_that_may_have_copies_does_not_wait);
@@ -165,6 +167,35 @@
         expect_wait_of(longest_long_running_wait);
     }
 
+    // Guards against a second run of a task whose start is seconds old, because
+    // the task has waited for longer than callers allow: the worker restarts
+    // again and again, and each incarnation may execute the start.
+    void long_running_task_stays_while_its_worker_restarts()
+    {
+        refuse({long_running_stage()}, {m_run});
+        m_is_draining = true;
+        constexpr core::duration period = std::chrono::milliseconds(1500);
+        for (int i = 0; i < 7; ++i)
+        {
+            ++m_life;
+            pass(period);
+            CPPUNIT_ASSERT_EQUAL(std::string(), next_worker());
+        }
+        // It has been calm for as long as callers wait.
+        pass(std::chrono::seconds(5));
+        CPPUNIT_ASSERT_EQUAL(std::string("w2"), next_worker());
+    }
+
+    // Guards against a wait beside the worker where another attempt does no
+    // harm.
+    void long_running_task_returns_to_its_restarted_worker()
+    {
+        refuse({long_running_stage()}, {m_run});
+        ++m_life;
+        pass(std::chrono::milliseconds(200));
+        CPPUNIT_ASSERT_EQUAL(std::string("w1"), next_worker());
+    }
+
     // Guards against a new leader that takes the start for too old.
     void new_leader_counts_from_its_election()
     {
@@ -255,6 +286,7 @@
         result.host = core::instance_id(is_first ? "host" : "host of w2");
         result.sidecar = is_first ? m_sidecar : core::incarnation(1);
         result.profile = profile(worker, 8000, is_first ? m_life : 1);
+        result.profile.draining = is_first && m_is_draining;
         result.clock =
             std::chrono::milliseconds(at_work_ms) + (m_now - at_ms(1'000'000));
         result.runs =
@@ -320,6 +352,7 @@
     std::vector<core::task_run> m_listed;
     bool m_is_complete = true;
     bool m_is_silent = false;
+    bool m_is_draining = false;
     std::uint64_t m_life = 1;
     /// When the wait of the task began.
     core::time_point m_started_at;
