Find a job by its address instead of its queue's name

What callers saw: operators gave a queue another name, with the same host and path prefix.

Cause: the calls from a gateway to control named the queue of the gateway's configuration only, and a job counted as one of another queue if the recorded rule had another name. The record has the host and prefix of the time of the acceptance; the calls lacked them. A name is what operators call a route. Callers know host and path.

Change: a job belongs to the address, host and path prefix, at which it was accepted. submit, cancel and query carry it, and everything that was found by the queue's name is found by it: jobs, resubmissions, cancels that came before their submission, the number of waiting jobs, the gateway's remembered refusals, learned run times, the order under load and its fairness. A submission from a gateway whose configuration is older than control's gets the rule that is in force at its address.

Tests of other modules only name the address now.

--- a/modules/cluster_state/configuration/configuration_state.cpp
+++ b/modules/cluster_state/configuration/configuration_state.cpp
@@ -1,5 +1,6 @@
 #include "cluster_state/configuration/configuration_state.hpp"
 
+#include "core/config/queue_address.hpp"
 #include "rules/rules.hpp"
 #include "wire/codec/checksum.hpp"
 #include "wire/codec/message_codec.hpp"
@@ -295,13 +296,14 @@
 }
 
 core::queue_rule const*
-configuration_state::find_queue(core::queue_id const& queue) const
+configuration_state::find_queue(core::queue_id const& name,
+                                core::queue_address const& address) const
 {
     auto const& all = m_document.queues;
     auto const found = std::find_if(all.begin(),
                                     all.end(),
-                                    [&queue](core::queue_rule const& each)
-                                    { return each.queue == queue; });
+                                    [&](core::queue_rule const& each)
+                                    { return is_for(each, name, address); });
     return found == all.end() ? nullptr : &*found;
 }
 
--- a/modules/cluster_state/configuration/configuration_state.hpp
+++ b/modules/cluster_state/configuration/configuration_state.hpp
@@ -67,8 +67,11 @@
     /// none.
     core::configuration_document const& document() const noexcept;
 
+    /// @param address As for `core::is_for`.
     /// @return The queue, or null.
-    core::queue_rule const* find_queue(core::queue_id const& queue) const;
+    core::queue_rule const*
+    find_queue(core::queue_id const& name,
+               core::queue_address const& address) const;
 
     /// @return The configuration in force, including the operators' commands.
     core::configuration const& in_force() const noexcept;
--- a/modules/cluster_state/machine/state_machine.cpp
+++ b/modules/cluster_state/machine/state_machine.cpp
@@ -98,7 +98,8 @@
 
 core::command_reply state_machine::submit(core::submit_workflow const& command)
 {
-    auto const* const queue = m_config.find_queue(command.queue);
+    auto const* const queue =
+        m_config.find_queue(command.queue, command.address);
     if (queue == nullptr && m_workflows.find(command.workflow) == nullptr)
     {
         core::command_reply reply;
--- a/modules/cluster_state/tests/state_machine_test.cpp
+++ b/modules/cluster_state/tests/state_machine_test.cpp
@@ -1,4 +1,4 @@
-#include "cluster_state/cluster_state.hpp"
+#include "machine_fixture.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -18,26 +18,6 @@
 constexpr char const* renamed_text = "name zone asset=Z1 # asked by A: test\n"
                                      "zone Z1 region=n # asked by B: test\n";
 
-/// A state machine with its log position and cluster time.
-struct machine
-{
-    state_machine state;
-    std::uint64_t index = 0;
-    time_point now;
-
-    command_reply operator()(command_body body,
-                             std::string const& client = "",
-                             std::uint64_t sequence = 0)
-    {
-        command_envelope envelope;
-        envelope.client = client_id(client);
-        envelope.sequence = sequence_number(sequence);
-        envelope.cluster_time = now;
-        envelope.body = std::move(body);
-        return state.apply(log_index(++index), envelope);
-    }
-};
-
 apply_rules rules(std::uint64_t replaces, char const* text = rules_text)
 {
     return {operator_id("ann"), revision(replaces), text};
@@ -110,7 +90,8 @@
 {
     return {queue_id("q"),
             workflow_id(workflow),
-            workflow::unknown_cancel_retention};
+            workflow::unknown_cancel_retention,
+            {}};
 }
 
 /// The release of a claim whose request has not run.
--- a/modules/core/config/configuration.hpp
+++ b/modules/core/config/configuration.hpp
@@ -137,6 +137,16 @@
     bool operator==(leaving_rule const&) const = default;
 };
 
+/// Where the calls of a queue arrive. Callers know a queue by its address;
+/// operators may give it another name.
+struct queue_address
+{
+    std::string host;
+    std::string path_prefix;
+
+    auto operator<=>(queue_address const&) const = default;
+};
+
 /// A queue of workflows: where its calls arrive and how they are served.
 struct queue_rule
 {
--- a/modules/core/messages/workflow.hpp
+++ b/modules/core/messages/workflow.hpp
@@ -245,12 +245,15 @@
     bool operator==(workflow_record const&) const = default;
 };
 
-/// Accepts a workflow. The same id again in the same queue is the same one.
+/// Accepts a workflow. The same id again at the same address is the same one.
 struct submit_workflow
 {
+    /// The queue's name in the configuration of the gateway.
     queue_id queue;
     workflow_id workflow;
     workflow_description description;
+    /// Empty in calls of earlier releases.
+    queue_address address;
 
     bool operator==(submit_workflow const&) const = default;
 };
@@ -262,6 +265,8 @@
     /// If the queue has no such workflow: time for which submissions of it are
     /// refused. Set by the leader; zero in entries of earlier releases.
     duration refuse_for{};
+    /// Empty in calls of earlier releases.
+    queue_address address;
 
     bool operator==(cancel_workflow const&) const = default;
 };
@@ -273,6 +278,8 @@
     workflow_id workflow;
     /// Submissions of the workflow are refused until then.
     time_point expires;
+    /// Empty in snapshots of earlier releases.
+    queue_address address;
 
     bool operator==(unknown_cancel_record const&) const = default;
 };
@@ -545,6 +552,8 @@
     queue_id queue;
     /// Empty to ask for the number of waiting workflows of the queue.
     workflow_id workflow;
+    /// Empty in calls of earlier releases.
+    queue_address address;
 
     bool operator==(workflow_query const&) const = default;
 };
--- a/modules/overload/account/job_account.hpp
+++ b/modules/overload/account/job_account.hpp
@@ -1,7 +1,7 @@
 #ifndef TURMERICSWITCH_OVERLOAD_ACCOUNT_JOB_ACCOUNT_HPP
 #define TURMERICSWITCH_OVERLOAD_ACCOUNT_JOB_ACCOUNT_HPP
 
-#include "core/types/ids.hpp"
+#include "core/config/configuration.hpp"
 #include "core/types/units.hpp"
 #include "overload/overload_options.hpp"
 
@@ -43,6 +43,8 @@
 {
     core::workflow_id job;
     core::queue_id queue;
+    /// Identifies the queue, also after a change of its name.
+    core::queue_address address;
     capacity_pool pool;
     /// 0 comes first.
     std::uint32_t priority = 0;
--- a/modules/overload/admit/admission_control.cpp
+++ b/modules/overload/admit/admission_control.cpp
@@ -57,7 +57,7 @@
     bool has_queue_work = false;
     for (auto const& each : accepted.accounts)
     {
-        has_queue_work = has_queue_work || each.queue == job.queue;
+        has_queue_work = has_queue_work || each.address == job.address;
         decision.work_ahead +=
             each.pool == job.pool ? each.remaining_work : 0.0;
     }
--- a/modules/overload/order/class_fairness.cpp
+++ b/modules/overload/order/class_fairness.cpp
@@ -17,7 +17,7 @@
 
 } // namespace
 
-void class_fairness::record_end(core::queue_id const& queue,
+void class_fairness::record_end(core::queue_address const& queue,
                                 double work,
                                 bool in_time)
 {
@@ -53,7 +53,7 @@
         2 * large_in_time * recent.size() < all_in_time * large_jobs;
 }
 
-bool class_fairness::is_protected(core::queue_id const& queue,
+bool class_fairness::is_protected(core::queue_address const& queue,
                                   double work) const
 {
     auto const known = m_queues.find(queue);
--- a/modules/overload/order/class_fairness.hpp
+++ b/modules/overload/order/class_fairness.hpp
@@ -1,7 +1,7 @@
 #ifndef TURMERICSWITCH_OVERLOAD_ORDER_CLASS_FAIRNESS_HPP
 #define TURMERICSWITCH_OVERLOAD_ORDER_CLASS_FAIRNESS_HPP
 
-#include "core/types/ids.hpp"
+#include "core/config/configuration.hpp"
 
 #include <deque>
 #include <map>
@@ -18,10 +18,11 @@
 {
 public:
     /// @param work Total work of the job, in core-seconds.
-    void record_end(core::queue_id const& queue, double work, bool in_time);
+    void
+    record_end(core::queue_address const& queue, double work, bool in_time);
 
     /// @return True if a job of this size must not be delayed for smaller ones.
-    bool is_protected(core::queue_id const& queue, double work) const;
+    bool is_protected(core::queue_address const& queue, double work) const;
 
 private:
     struct ended_job
@@ -38,7 +39,7 @@
         bool are_large_neglected = false;
     };
 
-    std::map<core::queue_id, queue_state> m_queues;
+    std::map<core::queue_address, queue_state> m_queues;
 };
 
 } // namespace turmericswitch::overload
--- a/modules/overload/order/job_ranking.cpp
+++ b/modules/overload/order/job_ranking.cpp
@@ -118,14 +118,14 @@
         double remaining = 0;
         double count = 0;
     };
-    std::map<core::queue_id, sum> queues;
+    std::map<core::queue_address, sum> queues;
     double total = 0;
     for (auto* const each : jobs)
     {
         auto const& account = *each->account;
         each->work = account.remaining_work;
         total += account.total_work;
-        auto& queue = queues[account.queue];
+        auto& queue = queues[account.address];
         queue.remaining += account.remaining_work;
         ++queue.count;
     }
@@ -133,7 +133,7 @@
     for (auto* const each : jobs)
     {
         auto const& account = *each->account;
-        auto const& queue = queues[account.queue];
+        auto const& queue = queues[account.address];
         auto const work =
             account.confidence * account.remaining_work +
             (1 - account.confidence) * queue.remaining / queue.count;
--- a/modules/overload/tests/admission_control_test.cpp
+++ b/modules/overload/tests/admission_control_test.cpp
@@ -71,6 +71,7 @@
         submit(69);
         CPPUNIT_ASSERT(decide(account_of(300, m_job), {}).is_accepted);
         account.queue = core::queue_id("other");
+        account.address.path_prefix = "/other/";
         CPPUNIT_ASSERT(decide(account, m_capacities).is_accepted);
     }
 
--- a/modules/overload/tests/load_simulation.hpp
+++ b/modules/overload/tests/load_simulation.hpp
@@ -34,6 +34,7 @@
     job_account account;
     account.job = core::workflow_id(std::to_string(1000 + number));
     account.queue = core::queue_id(job.queue);
+    account.address.path_prefix = "/" + job.queue + "/";
     account.submitted = at_s(job.submitted_s);
     account.objective = at_s(job.objective_s) - core::time_point();
     account.total_work = job.work * job.estimate_factor;
@@ -82,7 +83,7 @@
                 auto account = account_of(i, jobs[i]);
                 account.remaining_work = left[i] * jobs[i].estimate_factor;
                 account.is_protected =
-                    fairness.is_protected(account.queue, account.total_work);
+                    fairness.is_protected(account.address, account.total_work);
                 numbers[account.job] = i;
                 waiting.push_back(account);
             }
@@ -113,7 +114,7 @@
             auto const end = prospect_at(account, at_s(now + step_s));
             auto const value = value_of(account, end, {}, typical);
             fairness.record_end(
-                account.queue, account.total_work, end == prospect::in_time);
+                account.address, account.total_work, end == prospect::in_time);
             result.in_time += end == prospect::in_time ? 1 : 0;
             result.total_value += value;
             result.value[jobs[i].queue] += value;
--- a/modules/wire/codec/message_codec.cpp
+++ b/modules/wire/codec/message_codec.cpp
@@ -97,7 +97,13 @@
 template <>
 constexpr std::size_t appended_members<core::state_snapshot> = 3;
 template <>
-constexpr std::size_t appended_members<core::cancel_workflow> = 1;
+constexpr std::size_t appended_members<core::cancel_workflow> = 2;
+template <>
+constexpr std::size_t appended_members<core::submit_workflow> = 1;
+template <>
+constexpr std::size_t appended_members<core::unknown_cancel_record> = 1;
+template <>
+constexpr std::size_t appended_members<core::workflow_query> = 1;
 template <>
 constexpr std::size_t appended_members<core::finish_claim> = 1;
 template <>
--- a/modules/wire/tests/message_codec_test.cpp
+++ b/modules/wire/tests/message_codec_test.cpp
@@ -352,8 +352,8 @@
     // lost from the log or a snapshot.
     void unknown_cancels_are_written_only_if_there_are_any()
     {
-        core::cancel_workflow cancel{core::queue_id("q"),
-                                     core::workflow_id("w")};
+        core::cancel_workflow cancel{
+            core::queue_id("q"), core::workflow_id("w"), {}, {}};
         core::command_envelope envelope;
         envelope.body = cancel;
         auto const earlier = encode(envelope);
@@ -364,10 +364,10 @@
         CPPUNIT_ASSERT(decode<core::command_envelope>(encode(envelope)) ==
                        envelope);
         auto snapshot = sample_snapshot(0);
-        snapshot.unknown_cancels = {
-            {cancel.queue,
-             cancel.workflow,
-             core::time_point(std::chrono::seconds(6))}};
+        snapshot.unknown_cancels = {{cancel.queue,
+                                     cancel.workflow,
+                                     core::time_point(std::chrono::seconds(6)),
+                                     {}}};
         CPPUNIT_ASSERT(decode<core::state_snapshot>(encode(snapshot)) ==
                        snapshot);
     }
--- a/modules/workflow/dispatch/dispatcher_ends.cpp
+++ b/modules/workflow/dispatch/dispatcher_ends.cpp
@@ -1,3 +1,4 @@
+#include "core/config/queue_address.hpp"
 #include "workflow/dispatch/dispatch_events.hpp"
 #include "workflow/dispatch/dispatcher.hpp"
 
@@ -105,7 +106,7 @@
     // The table has dropped the stages of an ended workflow but keeps its
     // queue.
     auto const* const stage = m_table.find_stage(outcome.run.task);
-    m_run_times.record_run(workflow->queue.queue,
+    m_run_times.record_run(core::address_of(workflow->queue),
                            stage == nullptr ? std::string()
                                             : stage->behaviour.image,
                            now - placed.mapped());
--- a/modules/workflow/dispatch/dispatcher_placement.cpp
+++ b/modules/workflow/dispatch/dispatcher_placement.cpp
@@ -1,5 +1,6 @@
 #include "workflow/dispatch/dispatcher.hpp"
 
+#include "core/config/queue_address.hpp"
 #include "workflow/dispatch/dispatch_events.hpp"
 
 #include <algorithm>
@@ -187,8 +188,9 @@
     auto const* const workflow = m_table.find(id);
     auto const* const record =
         workflow_table::find_stage_record(*workflow, occurrence, number);
-    auto const expected = m_run_times.expected(
-        workflow->queue.queue, workflow->description.stages[number]);
+    auto const expected =
+        m_run_times.expected(core::address_of(workflow->queue),
+                             workflow->description.stages[number]);
     if (record == nullptr || expected <= core::duration{})
     {
         return result;
--- a/modules/workflow/dispatch/job_accounts.cpp
+++ b/modules/workflow/dispatch/job_accounts.cpp
@@ -1,5 +1,6 @@
 #include "workflow/dispatch/job_accounts.hpp"
 
+#include "core/config/queue_address.hpp"
 #include "workflow/table/stage_tasks.hpp"
 
 #include <algorithm>
@@ -199,7 +200,7 @@
     {
         return;
     }
-    m_fairness.record_end(account->queue,
+    m_fairness.record_end(account->address,
                           account->total_work,
                           workflow->state == core::workflow_state::completed &&
                               workflow->ended <= due_time(*account));
@@ -213,6 +214,7 @@
     overload::job_account account;
     account.job = workflow.workflow;
     account.queue = workflow.queue.queue;
+    account.address = core::address_of(workflow.queue);
     account.priority = workflow.queue.priority;
     account.submitted = workflow.submitted;
     std::vector<core::duration> times;
@@ -221,7 +223,7 @@
     for (std::size_t i = 0; i < stages.size(); ++i)
     {
         auto const& stage = stages[i];
-        auto time = m_run_times.expected(account.queue, stage);
+        auto time = m_run_times.expected(account.address, stage);
         bool const is_learned = time != stage.estimate;
         if (is_learned && stage.behaviour.uses_spare_cpu)
         {
@@ -257,7 +259,7 @@
         longest_chain(stages, times) * workflow.queue.stretch_permille / 1000 +
         workflow.queue.target_latency;
     account.is_protected =
-        m_fairness.is_protected(account.queue, account.total_work);
+        m_fairness.is_protected(account.address, account.total_work);
     return account;
 }
 
--- a/modules/workflow/dispatch/run_time_model.cpp
+++ b/modules/workflow/dispatch/run_time_model.cpp
@@ -1,5 +1,7 @@
 #include "workflow/dispatch/run_time_model.hpp"
 
+#include "core/config/queue_address.hpp"
+
 #include <algorithm>
 #include <chrono>
 #include <vector>
@@ -28,7 +30,7 @@
     to.seconds += (seconds - to.seconds) / to.weight;
 }
 
-void run_time_model::record_run(core::queue_id const& queue,
+void run_time_model::record_run(core::queue_address const& queue,
                                 std::string const& image,
                                 core::duration ran)
 {
@@ -41,7 +43,7 @@
 }
 
 core::duration
-run_time_model::expected(core::queue_id const& queue,
+run_time_model::expected(core::queue_address const& queue,
                          core::stage_description const& stage) const
 {
     auto const& image = stage.behaviour.image;
@@ -72,8 +74,9 @@
             start = std::max(start, finished[earlier]);
         }
         finished[i] =
-            start + (is_remaining(i) ? expected(workflow.queue.queue, stages[i])
-                                     : core::duration{});
+            start + (is_remaining(i)
+                         ? expected(core::address_of(workflow.queue), stages[i])
+                         : core::duration{});
         longest = std::max(longest, finished[i]);
     }
     return longest;
--- a/modules/workflow/dispatch/run_time_model.hpp
+++ b/modules/workflow/dispatch/run_time_model.hpp
@@ -19,12 +19,12 @@
 {
 public:
     /// Adds the run time of a run that ended `done`.
-    void record_run(core::queue_id const& queue,
+    void record_run(core::queue_address const& queue,
                     std::string const& image,
                     core::duration ran);
 
     /// @return Expected run time of one task of the stage.
-    core::duration expected(core::queue_id const& queue,
+    core::duration expected(core::queue_address const& queue,
                             core::stage_description const& stage) const;
 
     /// @param is_remaining Returns true for stages that count; the others take
@@ -46,7 +46,7 @@
     static void add(average& to, double seconds);
 
     std::map<std::string, average> m_images;
-    std::map<core::queue_id, average> m_queues;
+    std::map<core::queue_address, average> m_queues;
 };
 
 } // namespace turmericswitch::workflow
--- a/modules/workflow/table/unknown_cancels.cpp
+++ b/modules/workflow/table/unknown_cancels.cpp
@@ -8,15 +8,37 @@
 {
     if (command.refuse_for > core::duration::zero())
     {
-        restore({command.queue, command.workflow, now + command.refuse_for});
+        restore({command.queue,
+                 command.workflow,
+                 now + command.refuse_for,
+                 command.address});
     }
 }
 
-bool unknown_cancels::contains(core::queue_id const& queue,
-                               core::workflow_id const& workflow,
+unknown_cancels::name
+unknown_cancels::name_of(core::queue_id const& queue,
+                         core::queue_address const& address,
+                         core::workflow_id const& workflow)
+{
+    return {address,
+            address == core::queue_address{} ? queue : core::queue_id(),
+            workflow};
+}
+
+bool unknown_cancels::contains(core::submit_workflow const& submission,
+                               core::time_point now) const
+{
+    auto const& queue = submission.queue;
+    auto const& id = submission.workflow;
+    // A cancel of an earlier release names the queue only.
+    return contains(name_of(queue, submission.address, id), now) ||
+           contains(name_of(queue, {}, id), now);
+}
+
+bool unknown_cancels::contains(name const& cancelled,
                                core::time_point now) const
 {
-    auto const found = m_expiry.find(name{queue, workflow});
+    auto const found = m_expiry.find(cancelled);
     return found != m_expiry.end() && now < found->second;
 }
 
@@ -32,7 +54,8 @@
 
 void unknown_cancels::restore(core::unknown_cancel_record const& record)
 {
-    name const cancelled{record.queue, record.workflow};
+    auto const cancelled =
+        name_of(record.queue, record.address, record.workflow);
     if (auto const known = m_expiry.find(cancelled); known != m_expiry.end())
     {
         m_by_expiry.erase({known->second, cancelled});
@@ -51,7 +74,8 @@
     all.reserve(m_expiry.size());
     for (auto const& [cancelled, expires] : m_expiry)
     {
-        all.push_back({cancelled.first, cancelled.second, expires});
+        all.push_back(
+            {cancelled.queue, cancelled.workflow, expires, cancelled.address});
     }
     return all;
 }
--- a/modules/workflow/table/unknown_cancels.hpp
+++ b/modules/workflow/table/unknown_cancels.hpp
@@ -29,8 +29,7 @@
     void add(core::cancel_workflow const& command, core::time_point now);
 
     /// @return True if submissions of the workflow are refused.
-    bool contains(core::queue_id const& queue,
-                  core::workflow_id const& workflow,
+    bool contains(core::submit_workflow const& submission,
                   core::time_point now) const;
 
     /// Removes at most `limit` expired cancels.
@@ -39,11 +38,24 @@
     /// Restores a cancel from a snapshot.
     void restore(core::unknown_cancel_record const& record);
 
-    /// @return All cancels, sorted by queue and workflow.
+    /// @return All cancels, sorted by address, queue and workflow.
     std::vector<core::unknown_cancel_record> records() const;
 
 private:
-    using name = std::pair<core::queue_id, core::workflow_id>;
+    struct name
+    {
+        core::queue_address address;
+        /// Empty if the address is known.
+        core::queue_id queue;
+        core::workflow_id workflow;
+
+        auto operator<=>(name const&) const = default;
+    };
+
+    static name name_of(core::queue_id const& queue,
+                        core::queue_address const& address,
+                        core::workflow_id const& workflow);
+    bool contains(name const& cancelled, core::time_point now) const;
 
     void erase_first_to_expire();
 
--- a/modules/workflow/table/workflow_table.cpp
+++ b/modules/workflow/table/workflow_table.cpp
@@ -1,5 +1,6 @@
 #include "workflow/table/workflow_table.hpp"
 
+#include "core/config/queue_address.hpp"
 #include "workflow/table/stage_tasks.hpp"
 
 #include <algorithm>
@@ -55,14 +56,14 @@
     if (auto const known = m_workflows.find(command.workflow);
         known != m_workflows.end())
     {
-        if (known->second.queue.queue != command.queue)
+        if (!core::is_for(known->second.queue, command.queue, command.address))
         {
             reply.code = core::result_code::job_invalid;
-            reply.text = "the id belongs to a job of another queue";
+            reply.text = "the id belongs to a job at another address";
         }
         return reply;
     }
-    if (m_unknown_cancels.contains(command.queue, command.workflow, now))
+    if (m_unknown_cancels.contains(command, now))
     {
         reply.code = core::result_code::not_admitted;
         reply.text = "it was cancelled before it arrived";
@@ -75,7 +76,7 @@
     record.submitted = now;
     m_workflows.emplace(command.workflow, std::move(record));
     m_active.insert(command.workflow);
-    ++m_queued[queue.queue];
+    ++m_queued[core::address_of(queue)];
     m_changed_workflows.add(command.workflow);
     return reply;
 }
@@ -86,7 +87,7 @@
     core::command_reply reply;
     auto const known = m_workflows.find(command.workflow);
     if (known == m_workflows.end() ||
-        known->second.queue.queue != command.queue)
+        !core::is_for(known->second.queue, command.queue, command.address))
     {
         reply.code = core::result_code::job_unknown;
         reply.text = "no such job";
@@ -128,10 +129,13 @@
 
 core::workflow_record const*
 workflow_table::find(core::queue_id const& queue,
+                     core::queue_address const& address,
                      core::workflow_id const& id) const
 {
     auto const* const known = find(id);
-    return known != nullptr && known->queue.queue == queue ? known : nullptr;
+    return known != nullptr && core::is_for(known->queue, queue, address)
+               ? known
+               : nullptr;
 }
 
 core::task_record const*
@@ -228,7 +232,7 @@
     return m_active;
 }
 
-std::uint64_t workflow_table::waiting(core::queue_id const& queue) const
+std::uint64_t workflow_table::waiting(core::queue_address const& queue) const
 {
     auto const queued = m_queued.find(queue);
     return queued == m_queued.end() ? 0 : queued->second;
@@ -384,7 +388,7 @@
         }
         if (record.state == workflow_state::queued)
         {
-            ++m_queued[record.queue.queue];
+            ++m_queued[core::address_of(record.queue)];
         }
         for (auto& stage : record.stages)
         {
--- a/modules/workflow/table/workflow_table.hpp
+++ b/modules/workflow/table/workflow_table.hpp
@@ -52,10 +52,12 @@
 class workflow_table
 {
 public:
-    /// Adds a workflow. A known id in the same queue is a resent submission and
-    /// changes nothing.
+    /// Adds a workflow. It belongs to the address at which it was accepted,
+    /// whatever name a later configuration gives to the queue there. A known id
+    /// at the same address is a resent submission and changes nothing.
     ///
-    /// @return `ok`; `job_invalid` if another queue has the id; `not_admitted`
+    /// @return `ok`; `job_invalid` if the id is known at another address;
+    /// `not_admitted`
     ///         if a cancel has found no such workflow before.
     core::command_reply submit(core::submit_workflow const& command,
                                core::queue_rule const& queue,
@@ -87,8 +89,10 @@
     /// @return The workflow, or null.
     core::workflow_record const* find(core::workflow_id const& id) const;
 
+    /// @param address As for `core::is_for`.
     /// @return The workflow if it belongs to the queue, or null.
     core::workflow_record const* find(core::queue_id const& queue,
+                                      core::queue_address const& address,
                                       core::workflow_id const& id) const;
 
     /// @return The task's record, one that only says that it is done, or null
@@ -172,7 +176,7 @@
 
     /// @return Number of accepted workflows in the queue of which no task is
     ///         known to have begun.
-    std::uint64_t waiting(core::queue_id const& queue) const;
+    std::uint64_t waiting(core::queue_address const& queue) const;
 
     /// @return Number of occurrences of the workflow, at least 1.
     static std::uint32_t occurrences_of(core::workflow_record const& workflow);
@@ -289,7 +293,7 @@
     // Derived from the workflows.
     std::set<core::workflow_id> m_active;
     /// Number of queued workflows, for queues that have any.
-    std::map<core::queue_id, std::uint64_t> m_queued;
+    std::map<core::queue_address, std::uint64_t> m_queued;
     std::map<core::worker_id, std::set<held_run>> m_holds;
     std::map<core::worker_id, std::set<held_run>> m_suspected;
     std::map<core::workflow_id, std::size_t> m_held_by_workflow;
--- a/modules/workflow/table/workflow_table_progress.cpp
+++ b/modules/workflow/table/workflow_table_progress.cpp
@@ -1,3 +1,4 @@
+#include "core/config/queue_address.hpp"
 #include "workflow/table/stage_tasks.hpp"
 #include "workflow/table/workflow_table.hpp"
 
@@ -150,7 +151,7 @@
 {
     if (workflow.state == workflow_state::queued)
     {
-        auto const queued = m_queued.find(workflow.queue.queue);
+        auto const queued = m_queued.find(core::address_of(workflow.queue));
         if (--queued->second == 0)
         {
             m_queued.erase(queued);
--- a/modules/workflow/tests/change_tracking_test.cpp
+++ b/modules/workflow/tests/change_tracking_test.cpp
@@ -98,7 +98,8 @@
     void end_of_a_workflow_makes_orders_due_where_it_runs()
     {
         m_table.cancel(
-            {core::queue_id("proofs"), core::workflow_id(job_name(9))}, m_now);
+            {core::queue_id("proofs"), core::workflow_id(job_name(9)), {}, {}},
+            m_now);
         CPPUNIT_ASSERT(due() == workers({9}));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, orders(9).stops.size());
     }
@@ -107,7 +108,8 @@
     void unanswered_orders_become_due_again()
     {
         m_table.cancel(
-            {core::queue_id("proofs"), core::workflow_id(job_name(9))}, m_now);
+            {core::queue_id("proofs"), core::workflow_id(job_name(9)), {}, {}},
+            m_now);
         due();
         orders(9);
         m_now += std::chrono::milliseconds(1400);
--- a/modules/workflow/tests/colocation_test.cpp
+++ b/modules/workflow/tests/colocation_test.cpp
@@ -284,7 +284,7 @@
         auto one = stage(1);
         one.behaviour.image = "layout";
         one.estimate = std::chrono::seconds(30);
-        core::queue_id const proofs("proofs");
+        core::queue_address const proofs{"jobs.example", "/proofs/"};
         CPPUNIT_ASSERT(model.expected(proofs, one) == std::chrono::seconds(30));
         for (int i = 0; i < 10; ++i)
         {
--- a/modules/workflow/tests/dispatch_simulation.cpp
+++ b/modules/workflow/tests/dispatch_simulation.cpp
@@ -151,7 +151,9 @@
         m_table.cancel(
             {core::queue_id("proofs"),
              core::workflow_id("j" +
-                               std::to_string(1 + random_below(m_submitted)))},
+                               std::to_string(1 + random_below(m_submitted))),
+             {},
+             {}},
             m_now);
     }
 }
--- a/modules/workflow/tests/dispatcher_capacity_test.cpp
+++ b/modules/workflow/tests/dispatcher_capacity_test.cpp
@@ -175,8 +175,8 @@
         runs.running.clear();
         runs.ended = {{1, run_of("a", 0, 0), core::run_end::done, {}}};
         report(runs);
-        m_table.cancel({core::queue_id("proofs"), core::workflow_id("a")},
-                       m_now);
+        m_table.cancel(
+            {core::queue_id("proofs"), core::workflow_id("a"), {}, {}}, m_now);
         auto const stops = orders();
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, stops.stops.size());
         CPPUNIT_ASSERT(stops.reserved.cpu == core::millicores(4000));
--- a/modules/workflow/tests/dispatcher_test.cpp
+++ b/modules/workflow/tests/dispatcher_test.cpp
@@ -412,8 +412,8 @@
     {
         start_one();
         orders();
-        m_table.cancel({core::queue_id("proofs"), core::workflow_id("a")},
-                       m_now);
+        m_table.cancel(
+            {core::queue_id("proofs"), core::workflow_id("a"), {}, {}}, m_now);
         // The start may still be in flight.
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, orders().stops.size());
         m_now += std::chrono::seconds(2);
--- a/modules/workflow/tests/long_running_checks.cpp
+++ b/modules/workflow/tests/long_running_checks.cpp
@@ -56,7 +56,9 @@
     for (std::uint64_t i = 1; i <= m_long_running; ++i)
     {
         m_table.cancel({core::queue_id("proofs"),
-                        core::workflow_id("s" + std::to_string(i))},
+                        core::workflow_id("s" + std::to_string(i)),
+                        {},
+                        {}},
                        m_now);
     }
 }
--- a/modules/workflow/tests/moves_test.cpp
+++ b/modules/workflow/tests/moves_test.cpp
@@ -68,8 +68,8 @@
         submit_narrow(1);
         submit_wide(8000);
         run_until_move();
-        m_table.cancel({core::queue_id("proofs"), core::workflow_id("b")},
-                       m_now);
+        m_table.cancel(
+            {core::queue_id("proofs"), core::workflow_id("b"), {}, {}}, m_now);
         run(20);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, moves());
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, away());
--- a/modules/workflow/tests/simulation_checks.cpp
+++ b/modules/workflow/tests/simulation_checks.cpp
@@ -1,3 +1,4 @@
+#include "core/config/queue_address.hpp"
 #include "simulation_parts.hpp"
 
 #include <algorithm>
@@ -143,7 +144,7 @@
             fail("shown as running, but nothing has begun: " + id.value());
         }
     }
-    if (waiting != m_table.waiting(core::queue_id("proofs")))
+    if (waiting != m_table.waiting(core::address_of(queue())))
     {
         fail("wrong number of waiting jobs");
     }
--- a/modules/workflow/tests/workflow_builder.hpp
+++ b/modules/workflow/tests/workflow_builder.hpp
@@ -21,6 +21,8 @@
 {
     core::queue_rule rule;
     rule.queue = core::queue_id("proofs");
+    rule.host = "jobs.example";
+    rule.path_prefix = "/proofs/";
     rule.service = core::service_id("labels");
     rule.attempts = attempts;
     rule.stretch_permille = 2000;
--- a/modules/workflow/tests/workflow_table_test.cpp
+++ b/modules/workflow/tests/workflow_table_test.cpp
@@ -1,3 +1,4 @@
+#include "core/config/queue_address.hpp"
 #include "workflow_builder.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -78,14 +79,15 @@
         m_table.submit(submission("b", {stage(1)}), queue(), at_ms(0));
         m_table.submit(submission("b", {stage(1)}), queue(), at_ms(0));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, waiting());
-        m_table.cancel({core::queue_id("proofs"), core::workflow_id("b")},
-                       at_ms(0));
+        m_table.cancel(
+            {core::queue_id("proofs"), core::workflow_id("b"), {}, {}},
+            at_ms(0));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, waiting());
         auto const records = m_table.records();
         m_table.restore(records, {});
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, waiting());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0},
-                             m_table.waiting(core::queue_id("other")));
+                             m_table.waiting({"jobs.example", "/other/"}));
         run_and_end(1, run_end::done);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, waiting());
     }
@@ -108,7 +110,7 @@
         CPPUNIT_ASSERT(m_table.submit(other, queue(), m_now).code ==
                        core::result_code::job_invalid);
         CPPUNIT_ASSERT(
-            m_table.cancel({other.queue, other.workflow}, m_now).code ==
+            m_table.cancel({other.queue, other.workflow, {}, {}}, m_now).code ==
             core::result_code::job_unknown);
     }
 
@@ -444,7 +446,7 @@
 private:
     std::uint64_t waiting() const
     {
-        return m_table.waiting(core::queue_id("proofs"));
+        return m_table.waiting(core::address_of(queue()));
     }
 
     void submit(std::vector<core::stage_description> stages,
@@ -456,8 +458,8 @@
 
     void cancel()
     {
-        m_table.cancel({core::queue_id("proofs"), core::workflow_id("a")},
-                       m_now);
+        m_table.cancel(
+            {core::queue_id("proofs"), core::workflow_id("a"), {}, {}}, m_now);
     }
 
     void progress(std::vector<core::run_outcome> ends,
--- a/programs/control/leader/submission_handler.cpp
+++ b/programs/control/leader/submission_handler.cpp
@@ -79,8 +79,9 @@
                                 reply_hook done)
 {
     auto& command = std::get<core::cancel_workflow>(envelope.body);
-    bool const is_known = m_node.state().workflows().find(
-                              command.queue, command.workflow) != nullptr;
+    bool const is_known =
+        m_node.state().workflows().find(
+            command.queue, command.address, command.workflow) != nullptr;
     // Earlier releases can't read entries that have `refuse_for`, so it is set
     // only where it may be needed.
     command.refuse_for =
@@ -122,7 +123,8 @@
     core::submit_workflow const& command) const
 {
     auto const& state = m_node.state();
-    return state.config().find_queue(command.queue) == nullptr ||
+    return state.config().find_queue(command.queue, command.address) ==
+               nullptr ||
            m_proposed.contains(command.workflow) ||
            state.workflows().find(command.workflow) != nullptr;
 }
@@ -176,7 +178,8 @@
 {
     core::workflow_record record;
     record.workflow = command.workflow;
-    record.queue = *m_node.state().config().find_queue(command.queue);
+    record.queue =
+        *m_node.state().config().find_queue(command.queue, command.address);
     record.description = command.description;
     record.submitted = m_node.cluster_now();
     auto const refusal = m_dispatcher.refusal(
--- a/programs/control/leader/workflow_service.cpp
+++ b/programs/control/leader/workflow_service.cpp
@@ -1,5 +1,6 @@
 #include "leader/workflow_service.hpp"
 
+#include "core/config/queue_address.hpp"
 #include "node/wall_clock.hpp"
 #include "wire/json/json_members.hpp"
 
@@ -437,22 +438,19 @@
     core::workflow_answer answer;
     if (query.workflow.value().empty())
     {
-        auto const& queues = m_node.state().config().in_force().document.queues;
-        bool const is_configured =
-            std::any_of(queues.begin(),
-                        queues.end(),
-                        [&query](core::queue_rule const& each)
-                        { return each.queue == query.queue; });
-        if (!is_configured)
+        auto const* const queue =
+            m_node.state().config().find_queue(query.queue, query.address);
+        if (queue == nullptr)
         {
             // The gateway's configuration may be older than this one.
             answer.code = core::result_code::queue_unknown;
             return answer;
         }
-        answer.waiting = table.waiting(query.queue);
+        answer.waiting = table.waiting(core::address_of(*queue));
         return answer;
     }
-    auto const* const found = table.find(query.queue, query.workflow);
+    auto const* const found =
+        table.find(query.queue, query.address, query.workflow);
     if (found == nullptr)
     {
         answer.code = core::result_code::job_unknown;
--- a/programs/control/tests/workflow_service_test.cpp
+++ b/programs/control/tests/workflow_service_test.cpp
@@ -208,8 +208,8 @@
     std::optional<result_code> cancel(std::string const& workflow)
     {
         core::command_envelope envelope;
-        envelope.body = core::cancel_workflow{core::queue_id("q"),
-                                              core::workflow_id(workflow)};
+        envelope.body = core::cancel_workflow{
+            core::queue_id("q"), core::workflow_id(workflow), {}, {}};
         auto const answered = std::make_shared<std::optional<result_code>>();
         m_service->cancel(std::move(envelope),
                           [answered](core::command_reply const& reply)
--- a/programs/gateway/jobs/job_gateway.cpp
+++ b/programs/gateway/jobs/job_gateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway/jobs/job_gateway.hpp"
 
+#include "core/config/queue_address.hpp"
 #include "core/results/last_reason.hpp"
 #include "process/clock/boot_clock.hpp"
 #include "process/loop/event_loop.hpp"
@@ -107,6 +108,7 @@
                           "no queue has this host and path");
     }
     return platform::queue_match{queue->queue,
+                                 core::address_of(*queue),
                                  path.substr(queue->path_prefix.size()),
                                  table->body_limit()};
 }
@@ -129,7 +131,7 @@
         }
         auto outcome = finish_call(
             "submit", command.queue, command.workflow, started_at, result);
-        outcome.retry_after = note_admission(command.queue, result);
+        outcome.retry_after = note_admission(command.address, result);
         return outcome;
     };
     hooks.cancel =
@@ -192,7 +194,7 @@
                   core::time_field("waited_ms", waited)}});
 }
 
-core::duration job_gateway::note_admission(core::queue_id const& queue,
+core::duration job_gateway::note_admission(core::queue_address const& queue,
                                            job_result const& result)
 {
     auto const now = process::event_loop::now();
--- a/programs/gateway/jobs/job_gateway.hpp
+++ b/programs/gateway/jobs/job_gateway.hpp
@@ -54,7 +54,7 @@
                         overload::expired_submission const& expired,
                         core::duration waited);
     /// @return The delay for `Retry-After`.
-    core::duration note_admission(core::queue_id const& queue,
+    core::duration note_admission(core::queue_address const& queue,
                                   job_result const& result);
     platform::job_outcome finish_call(std::string const& call,
                                       core::queue_id const& queue,
--- a/programs/gateway/jobs/refusal_cache.hpp
+++ b/programs/gateway/jobs/refusal_cache.hpp
@@ -1,7 +1,7 @@
 #ifndef TURMERICSWITCH_GATEWAY_JOBS_REFUSAL_CACHE_HPP
 #define TURMERICSWITCH_GATEWAY_JOBS_REFUSAL_CACHE_HPP
 
-#include "core/types/ids.hpp"
+#include "core/config/configuration.hpp"
 #include "core/types/units.hpp"
 
 #include <map>
@@ -20,16 +20,16 @@
     static constexpr core::duration max_age = std::chrono::seconds(10);
 
     void refused(core::time_point now,
-                 core::queue_id const& queue,
+                 core::queue_address const& queue,
                  core::duration retry_after);
 
     /// Must be called when a job of the queue was accepted.
-    void accepted(core::queue_id const& queue);
+    void accepted(core::queue_address const& queue);
 
     /// @return The time that is left until the retry, at least `otherwise`;
     ///         `otherwise` without a recent refusal.
     core::duration retry_after(core::time_point now,
-                               core::queue_id const& queue,
+                               core::queue_address const& queue,
                                core::duration otherwise) const;
 
 private:
@@ -40,7 +40,7 @@
     };
 
     mutable std::mutex m_mutex;
-    std::map<core::queue_id, refusal> m_refusals;
+    std::map<core::queue_address, refusal> m_refusals;
 };
 
 } // namespace turmericswitch::gateway
