Withhold the end of a gang for unknown starts of all members

Cause: what a replaced sidecar may have left was kept once for a gang. A member that ended later, and that no start could follow, overwrote the answer for one before. A worker whose own sidecar knew all starts acknowledged its member without asking for the others, and starts that a replaced sidecar had named were forgotten with its successor's first report.

Change: late_starts::examine keeps the answer for each worker, and is also asked for the held runs of the other members. Entries of workers that are gone expire.

--- a/modules/workflow/dispatch/dispatcher.hpp
+++ b/modules/workflow/dispatch/dispatcher.hpp
@@ -200,7 +200,7 @@
     ///         made that it may still execute; `nullopt` if an earlier leader
     ///         placed the run, or an earlier run has left such a call.
     std::optional<core::time_point>
-    first_call_after(core::run_outcome const& end) const;
+    first_call_after(core::run_placement const& run) const;
     /// @return True if the task must not be started elsewhere while the run's
     ///         worker may execute a start of it.
     bool must_stay_if_unresolved(core::run_outcome const& end) const;
--- a/modules/workflow/dispatch/dispatcher_ends.cpp
+++ b/modules/workflow/dispatch/dispatcher_ends.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -174,24 +175,32 @@
 void dispatcher::mark_unresolved(core::time_point now,
                                  std::vector<core::run_outcome>& ends)
 {
+    std::set<stage_ref> ended_gangs;
     for (auto& each : ends)
     {
-        auto const called_after = first_call_after(each);
-        m_late_starts.collected(now, each, called_after);
-        each.is_start_unresolved =
-            must_stay_if_unresolved(each) &&
-            m_late_starts.may_follow(
-                each.worker, each.life, each.run, called_after);
+        core::run_placement const run{each.run, each.worker, each.life};
+        bool const may_follow =
+            m_late_starts.examine(now, run, first_call_after(run));
+        each.is_start_unresolved = must_stay_if_unresolved(each) && may_follow;
+        bool const may_be_last = each.how == core::run_end::done ||
+                                 each.how == core::run_end::failed;
+        if (may_be_last && ended_gangs.insert(stage_of(each.run.task)).second)
+        {
+            for (auto const& member : m_table.held_gang_runs(each.run.task))
+            {
+                m_late_starts.examine(now, member, first_call_after(member));
+            }
+        }
     }
 }
 
 std::optional<core::time_point>
-dispatcher::first_call_after(core::run_outcome const& end) const
+dispatcher::first_call_after(core::run_placement const& run) const
 {
-    auto const* const task = m_table.find_task(end.run.task);
+    auto const* const task = m_table.find_task(run.run.task);
     bool const has_earlier_call =
-        task != nullptr && task->unresolved_on == end.worker;
-    auto const placed = m_placed_at.find(end.run);
+        task != nullptr && task->unresolved_on == run.worker;
+    auto const placed = m_placed_at.find(run.run);
     return has_earlier_call || placed == m_placed_at.end()
                ? std::nullopt
                : std::optional(placed->second);
--- a/modules/workflow/dispatch/late_starts.cpp
+++ b/modules/workflow/dispatch/late_starts.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 
 namespace turmericswitch::workflow
 {
@@ -28,6 +29,17 @@
 /// that has just restarted, fallen silent or answered again is not.
 constexpr core::duration longest_delay_after_change = std::chrono::seconds(5);
 
+/// Erases items of the maps that `maps` contains, and maps that become empty.
+template <typename Maps, typename Predicate>
+void erase_inner_if(Maps& maps, Predicate const& predicate)
+{
+    for (auto each = maps.begin(); each != maps.end();)
+    {
+        std::erase_if(each->second, predicate);
+        each = each->second.empty() ? maps.erase(each) : std::next(each);
+    }
+}
+
 } // namespace
 
 late_starts::late_starts(workflow_table const& table,
@@ -39,49 +51,54 @@
 
 void late_starts::reported(worker_view const& worker)
 {
-    auto const& id = worker.profile.worker;
-    if (worker.unresolved_starts.empty())
+    auto& known = m_unresolved[worker.profile.worker];
+    if (worker.knows_all_starts)
     {
-        m_unresolved.erase(id);
-        return;
+        known.clear();
     }
-    auto& tasks = m_unresolved[id];
-    tasks.clear();
+    auto& named = known[worker.sidecar];
+    named = {worker.reported_at, {}};
     for (auto const& run : worker.unresolved_starts)
     {
-        tasks.insert(remember_key_of(worker.reported_at, run.task));
+        named.tasks.insert(remember_key_of(worker.reported_at, run.task));
+    }
+    std::erase_if(known,
+                  [](auto const& item) { return item.second.tasks.empty(); });
+    if (known.empty())
+    {
+        m_unresolved.erase(worker.profile.worker);
     }
 }
 
-void late_starts::collected(core::time_point now,
-                            core::run_outcome const& outcome,
-                            std::optional<core::time_point> called_after)
+bool late_starts::examine(core::time_point now,
+                          core::run_placement const& run,
+                          std::optional<core::time_point> called_after)
 {
-    auto const* const view = m_fleet.find(outcome.worker);
-    if (view == nullptr || view->knows_all_starts)
+    if (m_fleet.is_replaced(run.worker))
+    {
+        return false;
+    }
+    auto const* const view = m_fleet.find(run.worker);
+    bool const is_unnamed =
+        view == nullptr || may_be_unnamed(*view, run, called_after);
+    if (is_unnamed || !view->knows_all_starts)
     {
-        return;
+        auto& known =
+            m_examined[remember_key_of(now, run.run.task)][run.worker];
+        // A member of a gang that no start can follow says nothing about the
+        // others.
+        if (is_unnamed || !known.may_be_left)
+        {
+            known = {now, is_unnamed};
+        }
     }
-    bool const may_be_followed =
-        may_follow(outcome.worker, outcome.life, outcome.run, called_after);
-    m_doubtful[remember_key_of(now, outcome.run.task)] = {now, may_be_followed};
+    return is_unnamed || has_unresolved_start(*view, run.run.task);
 }
 
 void late_starts::applied(core::time_point now,
                           core::workflow_progress const& command)
 {
-    std::erase_if(m_doubtful,
-                  [now](auto const& item) {
-                      return now - item.second.collected >= longest_start_delay;
-                  });
-    std::erase_if(m_gangs,
-                  [now](auto const& item) {
-                      return now - item.second >=
-                             longest_start_period + longest_call_delay;
-                  });
-    std::erase_if(m_open,
-                  [now](auto const& item)
-                  { return now - item.second.since >= longest_start_delay; });
+    expire(now);
     for (auto const& outcome : command.ends)
     {
         if (!outcome.is_start_unresolved)
@@ -99,29 +116,39 @@
     }
 }
 
-bool late_starts::may_follow(core::worker_id const& worker,
-                             core::incarnation life,
-                             core::task_run const& run,
-                             std::optional<core::time_point> called_after) const
+void late_starts::expire(core::time_point now)
+{
+    auto const is_void = [now](auto const& item)
+    { return now - item.second.since >= longest_start_delay; };
+    std::erase_if(m_open, is_void);
+    erase_inner_if(m_examined, is_void);
+    erase_inner_if(m_unresolved,
+                   [now](auto const& item)
+                   { return is_expired(now, item.second); });
+    std::erase_if(m_gangs,
+                  [now](auto const& item) {
+                      return now - item.second >=
+                             longest_start_period + longest_call_delay;
+                  });
+}
+
+bool late_starts::is_expired(core::time_point now, named_starts const& starts)
+{
+    return now - starts.reported >= longest_start_period + longest_call_delay;
+}
+
+bool late_starts::may_be_unnamed(worker_view const& worker,
+                                 core::run_placement const& run,
+                                 std::optional<core::time_point> called_after)
 {
-    if (m_fleet.is_replaced(worker))
-    {
-        return false;
-    }
-    auto const* const view = m_fleet.find(worker);
-    if (view == nullptr)
-    {
-        return true;
-    }
     bool const knows_all =
-        view->knows_all_starts || view->settled_starts.contains(run) ||
-        (called_after && view->sidecar_since <= *called_after);
+        worker.knows_all_starts || worker.settled_starts.contains(run.run) ||
+        (called_after && worker.sidecar_since <= *called_after);
     // Otherwise the sidecar may have made the call after its last report.
-    bool const is_reported_after_call = life < view->profile.life ||
-                                        view->running.contains(run) ||
-                                        reports_end(*view, run);
-    return !knows_all || !is_reported_after_call ||
-           has_unresolved_start(*view, run.task);
+    bool const is_reported_after_call = run.life < worker.profile.life ||
+                                        worker.running.contains(run.run) ||
+                                        reports_end(worker, run.run);
+    return !knows_all || !is_reported_after_call;
 }
 
 bool late_starts::may_begin(core::time_point now,
@@ -166,36 +193,56 @@
                                   core::task_ref const& task) const
 {
     auto const key = key_of(task);
-    return std::any_of(m_unresolved.begin(),
-                       m_unresolved.end(),
-                       [&](auto const& item)
-                       {
-                           auto const& [worker, tasks] = item;
-                           auto const* const view = m_fleet.find(worker);
-                           // The sidecar may be gone.
-                           return tasks.contains(key) && view != nullptr &&
-                                  !m_fleet.is_replaced(worker) &&
-                                  now - view->reported_at <
-                                      longest_start_period + longest_call_delay;
-                       });
+    return std::any_of(
+        m_unresolved.begin(),
+        m_unresolved.end(),
+        [&](auto const& item)
+        {
+            auto const& [worker, sidecars] = item;
+            return !m_fleet.is_replaced(worker) &&
+                   std::any_of(sidecars.begin(),
+                               sidecars.end(),
+                               [&](auto const& named)
+                               {
+                                   // The sidecar may be gone.
+                                   return named.second.tasks.contains(key) &&
+                                          !is_expired(now, named.second);
+                               });
+        });
 }
 
 bool late_starts::has_unknown_start(core::task_ref const& task,
                                     worker_view const& worker) const
 {
-    if (worker.knows_all_starts)
-    {
-        return false;
-    }
     auto const now = worker.reported_at;
-    auto const known = m_doubtful.find(key_of(task));
-    if (known == m_doubtful.end())
+    auto const known = m_examined.find(key_of(task));
+    bool const is_examined = known != m_examined.end() &&
+                             known->second.contains(worker.profile.worker);
+    if (!worker.knows_all_starts && !is_examined)
     {
         // An earlier leader has committed the end, or the run was not held.
         return now - worker.sidecar_since < longest_start_delay;
     }
-    return known->second.may_be_followed &&
-           now - known->second.collected < longest_start_delay;
+    return known != m_examined.end() &&
+           std::any_of(known->second.begin(),
+                       known->second.end(),
+                       [&](auto const& item)
+                       { return is_left(now, item.first, item.second); });
+}
+
+bool late_starts::is_left(core::time_point now,
+                          core::worker_id const& worker,
+                          examined_starts const& starts) const
+{
+    if (!starts.may_be_left || now - starts.since >= longest_start_delay ||
+        m_fleet.is_replaced(worker))
+    {
+        return false;
+    }
+    auto const* const view = m_fleet.find(worker);
+    // Such a sidecar has named all that is left.
+    return view == nullptr || !view->knows_all_starts ||
+           view->reported_at <= starts.since;
 }
 
 core::task_ref late_starts::key_of(core::task_ref const& task) const
--- a/modules/workflow/dispatch/late_starts.hpp
+++ b/modules/workflow/dispatch/late_starts.hpp
@@ -50,25 +50,20 @@
     /// Must be called after each report of the worker.
     void reported(worker_view const& worker);
 
-    /// Must be called when an end is about to be committed. The sidecar may not
-    /// know all starts that were called before.
+    /// Must be called for a run whose end is about to be committed, and for the
+    /// held runs of the other members if it is the end of a gang. Remembers
+    /// starts that no sidecar may have named.
     ///
-    /// @param called_after As for `may_follow`.
-    void collected(core::time_point now,
-                   core::run_outcome const& outcome,
-                   std::optional<core::time_point> called_after);
-
-    /// Must be called after a command was committed.
-    void applied(core::time_point now, core::workflow_progress const& command);
-
     /// @param called_after Time after which all calls of the task to the worker
     ///        were made that it may still execute; `nullopt` if not known.
     /// @return True if the worker may still execute a start of the run's task
     ///         that was called for this run or an earlier one.
-    bool may_follow(core::worker_id const& worker,
-                    core::incarnation life,
-                    core::task_run const& run,
-                    std::optional<core::time_point> called_after) const;
+    bool examine(core::time_point now,
+                 core::run_placement const& run,
+                 std::optional<core::time_point> called_after);
+
+    /// Must be called after a command was committed.
+    void applied(core::time_point now, core::workflow_progress const& command);
 
     /// @return True if a start of the task may still begin a run on the worker,
     ///         which holds none.
@@ -110,15 +105,32 @@
     ///         listed its runs yet.
     bool awaits_list(core::time_point now, core::worker_id const& worker) const;
 
-    /// The last end of a task that was committed while the sidecar didn't know
-    /// all starts.
-    struct doubtful_end
+    /// What was known of a worker when an end of a task was committed.
+    struct examined_starts
+    {
+        core::time_point since;
+        /// True if a start that the worker's sidecar has not named may be left.
+        bool may_be_left = false;
+    };
+
+    /// The tasks with an unresolved start in the last report of a sidecar.
+    struct named_starts
     {
-        core::time_point collected;
-        /// True if a start of an earlier sidecar may be left.
-        bool may_be_followed = false;
+        core::time_point reported;
+        /// Their keys.
+        std::set<core::task_ref> tasks;
     };
 
+    /// @param called_after As for `examine`.
+    /// @return True if the worker may still execute a start of the run's task
+    ///         that is not in its sidecar's last report.
+    static bool may_be_unnamed(worker_view const& worker,
+                               core::run_placement const& run,
+                               std::optional<core::time_point> called_after);
+    /// Drops what has become void.
+    void expire(core::time_point now);
+    /// @return True if none of the starts can be executed any more.
+    static bool is_expired(core::time_point now, named_starts const& starts);
     /// @return True if a start of the task after this end breaks callers' rules
     ///         once the end is acknowledged.
     bool is_last_end(core::ended_run const& ended) const;
@@ -126,10 +138,17 @@
     ///         that may still be executed.
     bool has_known_start(core::time_point now,
                          core::task_ref const& task) const;
+    /// @param worker The one with the end of the task.
     /// @return True if a start of the task, or of its gang, may be left that
-    ///         the worker's present sidecar doesn't know.
+    ///         no sidecar has named.
     bool has_unknown_start(core::task_ref const& task,
                            worker_view const& worker) const;
+    /// @return True if the start may still be executed, and the worker's
+    /// sidecar
+    ///         has not reported since all the starts that it called.
+    bool is_left(core::time_point now,
+                 core::worker_id const& worker,
+                 examined_starts const& starts) const;
     /// @return The task, or the first one of its gang.
     core::task_ref key_of(core::task_ref const& task) const;
     /// Remembers a gang until its starts are resolved: the table drops the
@@ -141,11 +160,13 @@
     worker_fleet const& m_fleet;
     core::time_point m_elected;
     std::map<core::task_ref, open_task> m_open;
-    /// Keys of the tasks with an unresolved start in the last report of each
-    /// worker.
-    std::map<core::worker_id, std::set<core::task_ref>> m_unresolved;
+    /// By worker and sidecar. A replaced sidecar's calls may be under way, and
+    /// its successor doesn't name them.
+    std::map<core::worker_id, std::map<core::incarnation, named_starts>>
+        m_unresolved;
     /// By the key of the task.
-    std::map<core::task_ref, doubtful_end> m_doubtful;
+    std::map<core::task_ref, std::map<core::worker_id, examined_starts>>
+        m_examined;
     /// When each was needed last.
     std::map<stage_ref, core::time_point> m_gangs;
 };
--- a/modules/workflow/table/workflow_table.cpp
+++ b/modules/workflow/table/workflow_table.cpp
@@ -436,6 +436,33 @@
     drop_details(workflow);
 }
 
+std::vector<core::run_placement>
+workflow_table::held_gang_runs(core::task_ref const& task) const
+{
+    auto const* const workflow = find(task.workflow);
+    auto const* const stage = find_stage(task);
+    auto const* const record =
+        workflow == nullptr || stage == nullptr || !stage->behaviour.gang
+            ? nullptr
+            : find_stage_record(*workflow, task.occurrence, task.stage);
+    std::vector<core::run_placement> runs;
+    if (record == nullptr)
+    {
+        return runs;
+    }
+    for (std::size_t i = 0; i < record->tasks.size(); ++i)
+    {
+        auto const& member = record->tasks[i];
+        if (member.placed)
+        {
+            core::task_ref const ref{
+                task.workflow, task.occurrence, task.stage, record->indices[i]};
+            runs.push_back({{ref, member.attempt}, member.worker, member.life});
+        }
+    }
+    return runs;
+}
+
 void workflow_table::add_changed_workers(core::task_record const& task)
 {
     if (task.placed)
--- a/modules/workflow/table/workflow_table.hpp
+++ b/modules/workflow/table/workflow_table.hpp
@@ -125,6 +125,11 @@
     std::map<core::task_ref, core::time_point> const&
     last_crashes() const noexcept;
 
+    /// @return The held runs of all members if the task is one of a gang, in a
+    ///         workflow that has not ended; empty otherwise.
+    std::vector<core::run_placement>
+    held_gang_runs(core::task_ref const& task) const;
+
     /// @return True if an end `done` of this run, which is not held, makes its
     ///         task done: the run was taken for ended before, and the task has
     ///         no run now.
--- a/modules/workflow/tests/withheld_acknowledgement_test.cpp
+++ b/modules/workflow/tests/withheld_acknowledgement_test.cpp
@@ -24,6 +24,11 @@
     CPPUNIT_TEST(ends_of_other_tasks_are_acknowledged);
     CPPUNIT_TEST(end_that_an_earlier_leader_has_committed_is_withheld);
     CPPUNIT_TEST(end_of_a_gang_waits_for_the_starts_of_all_members);
+    CPPUNIT_TEST(gang_waits_for_the_unknown_start_of_any_member);
+    CPPUNIT_TEST(gang_waits_for_the_replaced_sidecar_of_another_worker);
+    CPPUNIT_TEST(start_that_a_replaced_sidecar_named_is_not_forgotten);
+    CPPUNIT_TEST(gang_waits_for_the_next_report_of_another_worker);
+    CPPUNIT_TEST(gang_does_not_wait_for_workers_that_list_its_members);
     CPPUNIT_TEST(task_that_may_have_copies_does_not_wait);
     CPPUNIT_TEST(stopped_run_does_not_wait);
     CPPUNIT_TEST(start_of_a_replaced_sidecar_withholds_the_acknowledgement);
@@ -126,15 +131,82 @@
     // One end stands for all members.
     void end_of_a_gang_waits_for_the_starts_of_all_members()
     {
-        auto gang = stage(2);
-        gang.behaviour.gang = true;
-        begin({gang});
+        begin({gang()});
         m_unresolved = {m_other_run};
         end(m_run);
         CPPUNIT_ASSERT(state_of("a") == core::workflow_state::completed);
         expect_ends(0, 1);
         m_unresolved.clear();
+        pass(resolution);
+        expect_ends(1, 0);
+    }
+
+    // Guards against a member that can't be followed by a start, and stands for
+    // the one before, which can.
+    void gang_waits_for_the_unknown_start_of_any_member()
+    {
+        begin({gang()});
+        m_listed = {m_other_run};
         report_w1();
+        replace_sidecar();
+        end(m_run);
+        auto const committed_at = m_now;
+        end(m_other_run);
+        expect_ends(0, 2);
+        pass(committed_at + longest_wait - resolution - m_now);
+        expect_ends(0, 2);
+        pass(resolution);
+        expect_ends(2, 0);
+    }
+
+    // The sidecar of w2 was replaced and knows nothing of the earlier calls.
+    void gang_waits_for_the_replaced_sidecar_of_another_worker()
+    {
+        begin_gang_on_two_workers();
+        replace_other_sidecar();
+        end(m_run);
+        expect_ends(0, 1);
+        auto const committed_at = m_now;
+        pass(committed_at + longest_wait - resolution - m_now);
+        expect_ends(0, 1);
+        pass(resolution);
+        expect_ends(1, 0);
+    }
+
+    // The call is under way although nobody names it any more.
+    void start_that_a_replaced_sidecar_named_is_not_forgotten()
+    {
+        begin_gang_on_two_workers();
+        m_other_unresolved = {m_other_run};
+        report_w2();
+        auto const named_at = m_now;
+        end(m_run);
+        m_other_unresolved.clear();
+        replace_other_sidecar();
+        expect_ends(0, 1);
+        pass(named_at + longest_wait_after_report - resolution - m_now);
+        expect_ends(0, 1);
+        pass(resolution);
+        expect_ends(1, 0);
+    }
+
+    // The sidecar of w2 has called the start after its last report.
+    void gang_waits_for_the_next_report_of_another_worker()
+    {
+        begin_gang_on_two_workers();
+        end(m_run);
+        expect_ends(0, 1);
+        m_now += resolution;
+        report_w2();
+        expect_ends(1, 0);
+    }
+
+    void gang_does_not_wait_for_workers_that_list_its_members()
+    {
+        begin_gang_on_two_workers();
+        m_other_listed = {m_other_run};
+        report_w2();
+        end(m_run);
         expect_ends(1, 0);
     }
 
@@ -225,6 +297,31 @@
         commit();
         CPPUNIT_ASSERT(m_table.is_held(
             m_run, core::worker_id("w1"), core::incarnation(1)));
+        report_w2();
+    }
+
+    static core::stage_description gang()
+    {
+        auto result = stage(2);
+        result.behaviour.gang = true;
+        return result;
+    }
+
+    /// Places the first member of a gang on w1 and the second one on w2.
+    void begin_gang_on_two_workers()
+    {
+        m_table.submit(submission("a", {gang()}), queue(), m_now);
+        core::workflow_progress by_earlier;
+        by_earlier.placements = {placed(m_run, "w1"),
+                                 placed(m_other_run, "w2")};
+        m_table.progress(by_earlier, m_now);
+        m_dispatcher->applied(m_now, by_earlier);
+        report_w1();
+        report_w2();
+    }
+
+    void report_w2()
+    {
         m_dispatcher->report(m_now, report_of("w2"));
     }
 
@@ -251,6 +348,14 @@
         report_w1();
     }
 
+    void replace_other_sidecar()
+    {
+        m_other_sidecar = core::incarnation(2);
+        m_other_is_complete = false;
+        m_now += resolution;
+        report_w2();
+    }
+
     void report_w1()
     {
         m_dispatcher->report(m_now, report_of("w1"));
@@ -276,18 +381,18 @@
         bool const is_first = worker == "w1";
         core::runtime_report result;
         result.host = core::instance_id(is_first ? "host" : "host of w2");
-        result.sidecar = is_first ? m_sidecar : core::incarnation(1);
+        result.sidecar = is_first ? m_sidecar : m_other_sidecar;
         result.profile = profile(worker);
         result.clock =
             std::chrono::milliseconds(at_work_ms) + (m_now - at_ms(1'000'000));
-        result.runs.emplace();
-        result.unresolved.is_complete = !is_first || m_is_complete;
+        result.runs = running(is_first ? m_listed : m_other_listed);
         if (is_first)
         {
-            result.runs = running(m_listed);
             result.runs->ended = m_ended;
-            result.unresolved.runs = m_unresolved;
         }
+        result.unresolved.runs = is_first ? m_unresolved : m_other_unresolved;
+        result.unresolved.is_complete =
+            is_first ? m_is_complete : m_other_is_complete;
         return result;
     }
 
@@ -297,6 +402,11 @@
     std::vector<core::task_run> m_listed;
     std::vector<core::ended_run> m_ended;
     bool m_is_complete = true;
+    /// The same of w2.
+    std::vector<core::task_run> m_other_unresolved;
+    std::vector<core::task_run> m_other_listed;
+    core::incarnation m_other_sidecar{1};
+    bool m_other_is_complete = true;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(withheld_acknowledgement_test);
