Count an attempt of a gang as failed once

Cause: the failed ends of all members of a gang were summed up and compared with the attempts of its queue.

Change: the record of the stage names the attempts of the gang that have failed. Control members of an earlier release can't read such a record.

--- a/modules/core/messages/workflow.hpp
+++ b/modules/core/messages/workflow.hpp
@@ -225,6 +225,9 @@
     /// Done tasks without a record: ascending, neither overlapping nor
     /// adjacent.
     std::vector<task_range> done;
+    /// Attempts of a gang that count as failed; empty for other stages. Several
+    /// members may end `failed` in one attempt of the gang.
+    std::vector<attempt_number> failed_attempts{};
 
     bool operator==(stage_record const&) const = default;
 };
--- a/modules/wire/codec/message_codec.cpp
+++ b/modules/wire/codec/message_codec.cpp
@@ -83,7 +83,7 @@
 template <>
 constexpr std::size_t appended_members<core::run_placement> = 1;
 template <>
-constexpr std::size_t appended_members<core::stage_record> = 2;
+constexpr std::size_t appended_members<core::stage_record> = 3;
 template <>
 constexpr std::size_t appended_members<core::worker_runs> = 1;
 template <>
--- a/modules/workflow/table/workflow_table.hpp
+++ b/modules/workflow/table/workflow_table.hpp
@@ -266,8 +266,9 @@
                     core::stage_record& stage,
                     core::task_run const& run,
                     core::time_point now);
+    /// Counts an end `failed` of the run.
     void apply_failure(core::workflow_record& workflow,
-                       core::stage_record const& stage,
+                       core::task_run const& run,
                        core::time_point now);
     void apply_crash(core::task_ref const& ref,
                      core::task_record& task,
--- a/modules/workflow/table/workflow_table_progress.cpp
+++ b/modules/workflow/table/workflow_table_progress.cpp
@@ -88,6 +88,27 @@
     return stage == nullptr ? nullptr : find_task_record(*stage, task.index);
 }
 
+/// Members of a gang that fail on one sick worker fail in the same attempt of
+/// the gang, which counts once.
+///
+/// @return Number of failed attempts of the gang.
+std::uint32_t count_gang_failure(core::stage_record& gang,
+                                 core::attempt_number attempt)
+{
+    auto& failed = gang.failed_attempts;
+    if (std::find(failed.begin(), failed.end(), attempt) == failed.end())
+    {
+        failed.push_back(attempt);
+    }
+    // Earlier releases have counted for each member only.
+    auto count = static_cast<std::uint32_t>(failed.size());
+    for (auto const& member : gang.tasks)
+    {
+        count = std::max(count, member.failures);
+    }
+    return count;
+}
+
 /// Drops the record of a task that is done, unless its workflow has ended.
 void drop_done_record_in(core::workflow_record& workflow,
                          core::task_ref const& task)
@@ -244,10 +265,8 @@
     auto& workflow = m_workflows.at(run.task.workflow);
     set_begun(workflow);
     m_changed_workflows.add(run.task.workflow);
-    auto& task = *find_task_in(workflow, run.task);
-    task.uncounted_attempt = {};
-    ++task.failures;
-    apply_failure(workflow, stage_record(workflow, run.task), now);
+    find_task_in(workflow, run.task)->uncounted_attempt = {};
+    apply_failure(workflow, run, now);
 }
 
 void workflow_table::apply_late_end(core::run_outcome const& outcome,
@@ -363,8 +382,7 @@
     }
     else if (outcome.how == run_end::failed && !behaviour.long_running)
     {
-        ++task.failures;
-        apply_failure(workflow, stage, now);
+        apply_failure(workflow, outcome.run, now);
     }
 }
 
@@ -476,19 +494,16 @@
 }
 
 void workflow_table::apply_failure(core::workflow_record& workflow,
-                                   core::stage_record const& stage,
+                                   core::task_run const& run,
                                    core::time_point now)
 {
-    std::uint32_t max_failures = 0;
-    std::uint32_t total_failures = 0;
-    for (auto const& task : stage.tasks)
+    auto& stage = stage_record(workflow, run.task);
+    auto failures = ++find_task_record(stage, run.task.index)->failures;
+    if (workflow.description.stages[stage.stage].behaviour.gang)
     {
-        max_failures = std::max(max_failures, task.failures);
-        total_failures += task.failures;
+        failures = count_gang_failure(stage, run.attempt);
     }
-    bool const is_gang =
-        workflow.description.stages[stage.stage].behaviour.gang;
-    if ((is_gang ? total_failures : max_failures) >= workflow.queue.attempts)
+    if (failures >= workflow.queue.attempts)
     {
         end(workflow,
             workflow_state::failed,
--- a/modules/workflow/tests/workflow_table_test.cpp
+++ b/modules/workflow/tests/workflow_table_test.cpp
@@ -22,6 +22,9 @@
     CPPUNIT_TEST(placed_task_is_not_placed_again);
     CPPUNIT_TEST(end_of_another_incarnation_is_ignored);
     CPPUNIT_TEST(only_failures_count_against_the_attempts);
+    CPPUNIT_TEST(members_that_fail_in_one_attempt_of_a_gang_count_once);
+    CPPUNIT_TEST(late_failure_in_a_failed_attempt_of_a_gang_is_not_counted);
+    CPPUNIT_TEST(failed_attempts_of_a_gang_are_in_the_snapshot);
     CPPUNIT_TEST(long_running_task_may_fail_any_number_of_times);
     CPPUNIT_TEST(ends_that_show_no_survival_keep_the_counted_crashes);
     CPPUNIT_TEST(crashes_never_fail_a_workflow);
@@ -170,6 +173,56 @@
         CPPUNIT_ASSERT(state() == workflow_state::failed);
     }
 
+    // Guards against a gang that is given up after one attempt because one sick
+    // worker has failed several of its members.
+    void members_that_fail_in_one_attempt_of_a_gang_count_once()
+    {
+        submit({gang(3)}, 2);
+        place_gang(1);
+        for (std::uint32_t member = 0; member < 3; ++member)
+        {
+            progress({ended(run_of("a", 0, member), run_end::failed)}, {});
+            CPPUNIT_ASSERT(state() == workflow_state::running);
+        }
+        place_gang(2);
+        progress({ended(run_of("a", 0, 2, 2), run_end::failed)}, {});
+        CPPUNIT_ASSERT(state() == workflow_state::failed);
+    }
+
+    void late_failure_in_a_failed_attempt_of_a_gang_is_not_counted()
+    {
+        submit({gang(3)}, 2);
+        place_gang(1);
+        auto unanswered = ended(run_of("a", 0, 0), run_end::refused);
+        unanswered.is_start_unresolved = true;
+        progress({unanswered,
+                  ended(run_of("a", 0, 1), run_end::failed),
+                  ended(run_of("a", 0, 2), run_end::broken)},
+                 {});
+        core::workflow_progress late;
+        late.late_ends = {ended(run_of("a", 0, 0), run_end::failed)};
+        m_table.progress(late, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, m_table.ignored_parts());
+        CPPUNIT_ASSERT(state() == workflow_state::running);
+    }
+
+    // Guards against a count that a new leader begins again.
+    void failed_attempts_of_a_gang_are_in_the_snapshot()
+    {
+        submit({gang(3)}, 2);
+        place_gang(1);
+        progress({ended(run_of("a", 0, 0), run_end::failed),
+                  ended(run_of("a", 0, 1), run_end::broken),
+                  ended(run_of("a", 0, 2), run_end::broken)},
+                 {});
+        auto records = m_table.records();
+        m_table = {};
+        m_table.restore(std::move(records), {});
+        place_gang(2);
+        progress({ended(run_of("a", 0, 1, 2), run_end::failed)}, {});
+        CPPUNIT_ASSERT(state() == workflow_state::failed);
+    }
+
     void long_running_task_may_fail_any_number_of_times()
     {
         auto service = stage(1);
@@ -471,6 +524,22 @@
         m_table.progress(command, m_now);
     }
 
+    static core::stage_description gang(std::uint32_t members)
+    {
+        auto result = stage(members);
+        result.behaviour.gang = true;
+        return result;
+    }
+
+    /// Places the three members of the gang on w1.
+    void place_gang(std::uint32_t attempt)
+    {
+        progress({},
+                 {placed(run_of("a", 0, 0, attempt)),
+                  placed(run_of("a", 0, 1, attempt)),
+                  placed(run_of("a", 0, 2, attempt))});
+    }
+
     void run_and_end(std::uint32_t attempt, run_end how)
     {
         progress({}, {placed(run_of("a", 0, 0, attempt))});
