Start one task of an image whose effect on tails is not known

Cause: a best-effort task is kept from workers where it is predicted to raise a tail to its target.

Change: if nothing but a predicted tail keeps a stage back, one of its tasks starts where the serving tasks meet their targets, no sample is younger than 2 s, and no other task of the image is at work beside a serving task. The pace controller limits its effect.

--- a/modules/workflow/dispatch/candidate_worker.cpp
+++ b/modules/workflow/dispatch/candidate_worker.cpp
@@ -49,7 +49,11 @@
     {
         ++serving_images[description.behaviour.image];
     }
-    best_effort += description.behaviour.uses_spare_cpu ? 1 : 0;
+    if (description.behaviour.uses_spare_cpu)
+    {
+        ++best_effort;
+        ++best_effort_images[description.behaviour.image];
+    }
     bool const is_long_running = description.behaviour.long_running;
     if (is_long_running)
     {
--- a/modules/workflow/dispatch/candidate_worker.hpp
+++ b/modules/workflow/dispatch/candidate_worker.hpp
@@ -98,6 +98,8 @@
     std::map<std::string, std::uint32_t> serving_images;
     /// Number of best-effort tasks, which use spare CPU.
     std::uint32_t best_effort = 0;
+    /// Number of best-effort tasks by image.
+    std::map<std::string, std::uint32_t> best_effort_images;
     /// Number of tasks by stage, for long-running stages and those with a limit
     /// per worker.
     std::map<stage_ref, std::uint32_t> per_stage;
--- a/modules/workflow/dispatch/colocation_controller.cpp
+++ b/modules/workflow/dispatch/colocation_controller.cpp
@@ -17,6 +17,9 @@
 /// change within tens of seconds; samples arrive twice a second.
 constexpr double offset_rate = 0.08;
 
+/// Effects and loads change within seconds.
+constexpr core::duration sample_validity = std::chrono::seconds(2);
+
 /// A task with a pace of 0 for this long, which is in two samples, should move
 /// to another worker: a move costs less of its work than a longer wait.
 constexpr core::duration stalled_after = sample_time;
@@ -206,6 +209,22 @@
     return worst;
 }
 
+bool colocation_controller::is_effect_known(core::time_point now,
+                                            core::worker_id const& worker,
+                                            std::string const& image) const
+{
+    auto const known = m_workers.find(worker);
+    return known != m_workers.end() &&
+           std::any_of(known->second.last.serving.begin(),
+                       known->second.last.serving.end(),
+                       [&](serving_task const& task)
+                       {
+                           auto const sampled =
+                               m_model.last_sample(task.image, image);
+                           return sampled && now - *sampled < sample_validity;
+                       });
+}
+
 core::millicores
 colocation_controller::expected_growth(core::worker_id const& worker,
                                        core::task_run const& run,
--- a/modules/workflow/dispatch/colocation_controller.hpp
+++ b/modules/workflow/dispatch/colocation_controller.hpp
@@ -82,6 +82,12 @@
     double predicted_tail(core::worker_id const& worker,
                           cpu_by_image const& added) const;
 
+    /// @return True if recent samples show how best-effort tasks of the image
+    ///         affect a serving task on the worker.
+    bool is_effect_known(core::time_point now,
+                         core::worker_id const& worker,
+                         std::string const& image) const;
+
     /// @return CPU that a best-effort task is expected to use at its present
     ///         pace in excess of its use in the last sample.
     core::millicores expected_growth(core::worker_id const& worker,
--- a/modules/workflow/dispatch/dispatcher_placement.cpp
+++ b/modules/workflow/dispatch/dispatcher_placement.cpp
@@ -295,6 +295,9 @@
         m_moves.update(times, waiting, workers, make_tail_hook(), policy);
         policy.kept = m_moves.kept();
     }
+    policy.is_effect_known =
+        [this, &times](core::worker_id const& worker, std::string const& image)
+    { return m_colocation.is_effect_known(times.now, worker, image); };
     policy.on_unplaced = [this](pending_stage const& stage,
                                 std::size_t tasks,
                                 placement_obstacle why)
--- a/modules/workflow/dispatch/interference_model.cpp
+++ b/modules/workflow/dispatch/interference_model.cpp
@@ -130,6 +130,10 @@
     for (auto const& each : neighbours)
     {
         input.emplace_back(index_of(known, each.image), each.share / use_unit);
+        if (each.share > 0)
+        {
+            known.sampled[each.image] = now;
+        }
     }
     add_drift(now, known);
     return correct(known, input, std::log(tail));
@@ -153,6 +157,21 @@
     return std::max(factor, 0.0) * use;
 }
 
+std::optional<core::time_point>
+interference_model::last_sample(std::string const& serving,
+                                std::string const& neighbour) const
+{
+    auto const known = m_estimates.find(serving);
+    if (known == m_estimates.end())
+    {
+        return std::nullopt;
+    }
+    auto const sampled = known->second.sampled.find(neighbour);
+    return sampled == known->second.sampled.end()
+               ? std::nullopt
+               : std::optional(sampled->second);
+}
+
 bool interference_model::is_known(std::string const& serving,
                                   std::string const& neighbour) const
 {
--- a/modules/workflow/dispatch/interference_model.hpp
+++ b/modules/workflow/dispatch/interference_model.hpp
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -52,6 +53,12 @@
     double effect(std::string const& serving,
                   neighbour_use const& neighbour) const;
 
+    /// @return Time of the last sample in which the neighbour was at work
+    /// beside
+    ///         the serving image; `nullopt` if there is none.
+    std::optional<core::time_point>
+    last_sample(std::string const& serving, std::string const& neighbour) const;
+
     /// @return True if there were enough samples of the pair to trust its
     ///         effect.
     bool is_known(std::string const& serving,
@@ -65,6 +72,8 @@
         /// The base, followed by a factor for each known neighbour image.
         std::vector<double> factors;
         std::vector<std::vector<double>> covariance;
+        /// Time of the last sample with each known neighbour image at work.
+        std::map<std::string, core::time_point> sampled;
         /// Time of the last sample.
         core::time_point updated;
     };
--- a/modules/workflow/dispatch/task_placement.cpp
+++ b/modules/workflow/dispatch/task_placement.cpp
@@ -52,6 +52,25 @@
         [suspicion](auto const& each) { return each.second == suspicion; }));
 }
 
+/// The prediction for an image that is at work beside no serving task is never
+/// corrected, so a refusal by it would last. One task of the image at a time
+/// gives samples, and its pace limits the harm.
+bool may_probe(pending_stage const& pending,
+               std::vector<candidate_worker*> const& candidates,
+               placement_policy const& policy)
+{
+    auto const& behaviour = pending.description->behaviour;
+    return behaviour.uses_spare_cpu && policy.is_effect_known &&
+           std::none_of(candidates.begin(),
+                        candidates.end(),
+                        [&](candidate_worker const* each)
+                        {
+                            return each->serving > 0 &&
+                                   each->best_effort_images.contains(
+                                       behaviour.image);
+                        });
+}
+
 /// Places the runs of a stage that have the same suspicion.
 std::vector<core::run_placement>
 place_equal_tasks(pending_stage const& pending,
@@ -64,7 +83,7 @@
 {
     std::vector<core::run_placement> placed;
     stage_placement placement{
-        pending, policy, suspicion, pending.racks, spread_counts{}, {}};
+        pending, policy, suspicion, false, pending.racks, spread_counts{}, {}};
     if (policy.wide != nullptr)
     {
         placement.wide = policy.wide->largest(pending.service);
@@ -82,7 +101,17 @@
             why = placement_obstacle::plan_limit;
             return false;
         }
-        auto* const worker = ranking.best();
+        auto* worker = ranking.best();
+        bool const is_probe = worker == nullptr &&
+                              ranking.is_limited_by_tail() &&
+                              may_probe(pending, candidates, policy);
+        if (is_probe)
+        {
+            placement.is_probe = true;
+            ranking.rank_all();
+            placement.is_probe = false;
+            worker = ranking.best();
+        }
         if (worker == nullptr)
         {
             why = ranking.obstacle();
@@ -106,7 +135,7 @@
             pending.description->constraints.prefers_one_rack;
         bool const is_spread_changed =
             is_packed(placement) && add_to_spread(*worker, placement);
-        if (is_other_rack || is_spread_changed)
+        if (is_probe || is_other_rack || is_spread_changed)
         {
             ranking.rank_all();
         }
--- a/modules/workflow/dispatch/worker_ranking.cpp
+++ b/modules/workflow/dispatch/worker_ranking.cpp
@@ -5,6 +5,14 @@
 namespace turmericswitch::workflow
 {
 
+namespace
+{
+
+/// Of a serving task that meets its latency target.
+constexpr double target_tail = 1.0;
+
+} // namespace
+
 worker_ranking::worker_ranking(std::vector<candidate_worker*> const& candidates,
                                stage_placement const& placement,
                                tail_hook const& tail)
@@ -48,6 +56,11 @@
     return m_obstacle;
 }
 
+bool worker_ranking::is_limited_by_tail() const noexcept
+{
+    return m_is_limited_by_tail;
+}
+
 placement_obstacle
 worker_ranking::find_obstacle_on(candidate_worker const& worker) const
 {
@@ -61,9 +74,18 @@
     {
         return placement_obstacle::isolation;
     }
-    return raises_tail(worker, *pending.description, m_tail)
-               ? placement_obstacle::serving_tail
-               : placement_obstacle::none;
+    return !raises_tail(worker, *pending.description, m_tail) ||
+                   allows_probe(worker)
+               ? placement_obstacle::none
+               : placement_obstacle::serving_tail;
+}
+
+bool worker_ranking::allows_probe(candidate_worker const& worker) const
+{
+    auto const& image = m_placement.pending.description->behaviour.image;
+    return m_placement.is_probe &&
+           m_tail(worker.worker, worker.planned) < target_tail &&
+           !m_placement.policy.is_effect_known(worker.worker, image);
 }
 
 bool worker_ranking::allows_suspect(candidate_worker const& worker) const
@@ -90,6 +112,8 @@
     if (found != placement_obstacle::none)
     {
         m_obstacle = std::max(m_obstacle, found);
+        m_is_limited_by_tail =
+            m_is_limited_by_tail || found == placement_obstacle::serving_tail;
         return std::nullopt;
     }
     return ranked_worker{score(worker, m_placement, m_tail), index};
--- a/modules/workflow/dispatch/worker_ranking.hpp
+++ b/modules/workflow/dispatch/worker_ranking.hpp
@@ -28,6 +28,11 @@
     ///         it, if there is no best one.
     placement_obstacle obstacle() const noexcept;
 
+    /// @return True if nothing but the predicted tail keeps the task from one
+    /// of
+    ///         the workers.
+    bool is_limited_by_tail() const noexcept;
+
     /// Must be called after a task was placed on the best worker.
     void best_changed();
 
@@ -48,6 +53,9 @@
 
     placement_obstacle find_obstacle_on(candidate_worker const& worker) const;
     bool allows_suspect(candidate_worker const& worker) const;
+    /// @return True if a task may start on the worker in spite of the predicted
+    ///         tail.
+    bool allows_probe(candidate_worker const& worker) const;
     std::optional<ranked_worker> rank(std::size_t index);
 
     std::vector<candidate_worker*> const& m_candidates;
@@ -56,6 +64,7 @@
     /// A heap with the best worker first.
     std::vector<ranked_worker> m_ranked;
     placement_obstacle m_obstacle = placement_obstacle::no_worker;
+    bool m_is_limited_by_tail = false;
 };
 
 } // namespace turmericswitch::workflow
--- a/modules/workflow/tests/planning_test.cpp
+++ b/modules/workflow/tests/planning_test.cpp
@@ -40,6 +40,9 @@
     CPPUNIT_TEST(tasks_placed_since_the_report_count_for_the_predicted_tail);
     CPPUNIT_TEST(
         high_tail_that_a_task_does_not_raise_does_not_exclude_a_worker);
+    CPPUNIT_TEST(one_task_of_an_image_without_samples_starts);
+    CPPUNIT_TEST(image_with_samples_does_not_start_where_it_raises_the_tail);
+    CPPUNIT_TEST(no_task_starts_beside_one_over_its_target);
     CPPUNIT_TEST(task_is_placed_in_the_rack_of_its_data);
     CPPUNIT_TEST(failing_worker_is_quarantined_but_not_for_one_failing_job);
     CPPUNIT_TEST(worker_that_refuses_starts_is_quarantined);
@@ -254,6 +257,26 @@
                 .size());
     }
 
+    // Guards against batch that never starts because a prediction keeps it from
+    // all workers, and so gets no sample that would correct the prediction.
+    void one_task_of_an_image_without_samples_starts()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             plan_beside_serving(0.8, false).size());
+        // Another job with tasks of the image, after the first task is placed.
+        CPPUNIT_ASSERT(plan_beside_serving(0.8, false).empty());
+    }
+
+    void image_with_samples_does_not_start_where_it_raises_the_tail()
+    {
+        CPPUNIT_ASSERT(plan_beside_serving(0.8, true).empty());
+    }
+
+    void no_task_starts_beside_one_over_its_target()
+    {
+        CPPUNIT_ASSERT(plan_beside_serving(1.2, false).empty());
+    }
+
     void high_tail_that_a_task_does_not_raise_does_not_exclude_a_worker()
     {
         auto best_effort = stage(1, 2000);
@@ -323,6 +346,47 @@
         CPPUNIT_ASSERT(health.is_quarantined(at_ms(4), worker));
         CPPUNIT_ASSERT(!health.is_quarantined(at_ms(2100), worker));
     }
+
+private:
+    /// Plans four best-effort tasks of an image that is predicted to raise the
+    /// tails of the serving tasks on both workers.
+    std::vector<core::run_placement> plan_beside_serving(double now,
+                                                         bool is_effect_known)
+    {
+        auto best_effort = stage(4);
+        best_effort.behaviour.uses_spare_cpu = true;
+        best_effort.behaviour.image = "blue";
+        // Each core of them raises the tail by half of it.
+        auto const tail =
+            [now](core::worker_id const&, cpu_by_image const& added)
+        {
+            double rise = 1;
+            for (auto const& [image, cpu] : added)
+            {
+                rise += static_cast<double>(cpu.value()) / 2000.0;
+            }
+            return now * rise;
+        };
+        placement_policy policy;
+        policy.is_effect_known =
+            [is_effect_known](core::worker_id const&, std::string const&)
+        { return is_effect_known; };
+        return plan_stages(
+            {pending("a", best_effort, 4)}, m_serving, 200, tail, policy);
+    }
+
+    static std::vector<candidate_worker> serving_workers()
+    {
+        std::vector<candidate_worker> result{candidate("w1", 8000),
+                                             candidate("w2", 8000)};
+        for (auto& each : result)
+        {
+            each.serving = 1;
+        }
+        return result;
+    }
+
+    std::vector<candidate_worker> m_serving = serving_workers();
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(planning_test);
