--- a/modules/workflow/dispatch/interference_model.hpp
+++ b/modules/workflow/dispatch/interference_model.hpp
@@ -53,9 +53,8 @@
     double effect(std::string const& serving,
                   neighbour_use const& neighbour) const;
 
-    /// @return Time of the last sample in which the neighbour was at work
-    /// beside
-    ///         the serving image; `nullopt` if there is none.
+    /// @return Time of the last sample of the serving image with the neighbour
+    ///         at work beside it; `nullopt` if there is none.
     std::optional<core::time_point>
     last_sample(std::string const& serving, std::string const& neighbour) const;
 
--- a/modules/workflow/dispatch/worker_ranking.hpp
+++ b/modules/workflow/dispatch/worker_ranking.hpp
@@ -28,9 +28,8 @@
     ///         it, if there is no best one.
     placement_obstacle obstacle() const noexcept;
 
-    /// @return True if nothing but the predicted tail keeps the task from one
-    /// of
-    ///         the workers.
+    /// @return True if only the predicted tail keeps the task from one of the
+    ///         workers.
     bool is_limited_by_tail() const noexcept;
 
     /// Must be called after a task was placed on the best worker.
