--- a/modules/workflow/tests/withheld_acknowledgement_test.cpp
+++ b/modules/workflow/tests/withheld_acknowledgement_test.cpp
@@ -152,11 +152,7 @@
         end(m_run);
         auto const committed_at = m_now;
         end(m_other_run);
-        expect_ends(0, 2);
-        pass(committed_at + longest_wait - resolution - m_now);
-        expect_ends(0, 2);
-        pass(resolution);
-        expect_ends(2, 0);
+        expect_withheld_until(committed_at + longest_wait, 2);
     }
 
     // The sidecar of w2 was replaced and knows nothing of the earlier calls.
@@ -165,12 +161,7 @@
         begin_gang_on_two_workers();
         replace_other_sidecar();
         end(m_run);
-        expect_ends(0, 1);
-        auto const committed_at = m_now;
-        pass(committed_at + longest_wait - resolution - m_now);
-        expect_ends(0, 1);
-        pass(resolution);
-        expect_ends(1, 0);
+        expect_withheld_until(m_now + longest_wait, 1);
     }
 
     // The call is under way although nobody names it any more.
@@ -183,11 +174,7 @@
         end(m_run);
         m_other_unresolved.clear();
         replace_other_sidecar();
-        expect_ends(0, 1);
-        pass(named_at + longest_wait_after_report - resolution - m_now);
-        expect_ends(0, 1);
-        pass(resolution);
-        expect_ends(1, 0);
+        expect_withheld_until(named_at + longest_wait_after_report, 1);
     }
 
     // The sidecar of w2 has called the start after its last report.
@@ -237,12 +224,7 @@
         begin({stage(1)});
         replace_sidecar();
         end(m_run);
-        expect_ends(0, 1);
-        auto const committed_at = m_now;
-        pass(committed_at + longest_wait - resolution - m_now);
-        expect_ends(0, 1);
-        pass(resolution);
-        expect_ends(1, 0);
+        expect_withheld_until(m_now + longest_wait, 1);
     }
 
     // Guards against ends that all wait whenever a sidecar is replaced.
@@ -264,10 +246,7 @@
         m_dispatcher->report(m_now, std::move(other));
         auto const reported_at = m_now;
         end(m_run);
-        pass(reported_at + longest_wait_after_report - resolution - m_now);
-        expect_ends(0, 1);
-        pass(resolution);
-        expect_ends(1, 0);
+        expect_withheld_until(reported_at + longest_wait_after_report, 1);
     }
 
     void withheld_ends_are_logged()
@@ -376,6 +355,16 @@
         CPPUNIT_ASSERT_EQUAL(withheld_up_to, answer.committed_ends);
     }
 
+    /// @param last Number of the last end; all up to it are withheld.
+    void expect_withheld_until(core::time_point time, std::uint64_t last)
+    {
+        expect_ends(0, last);
+        pass(time - resolution - m_now);
+        expect_ends(0, last);
+        pass(resolution);
+        expect_ends(last, 0);
+    }
+
     core::runtime_report report_of(std::string const& worker) const
     {
         bool const is_first = worker == "w1";
