--- a/modules/workflow/dispatch/unseen_ends.cpp
+++ b/modules/workflow/dispatch/unseen_ends.cpp
@@ -32,29 +32,16 @@
 
 bool unseen_ends::has_other_members(core::task_run const& run) const
 {
-    auto const* const workflow = m_table.find(run.task.workflow);
-    auto const* const stage = workflow_table::find_stage_record(
-        *workflow, run.task.occurrence, run.task.stage);
-    if (stage == nullptr)
-    {
-        return false;
-    }
-    for (std::size_t i = 0; i < stage->tasks.size(); ++i)
-    {
-        auto const& member = stage->tasks[i];
-        if (!member.placed || member.attempt != run.attempt)
-        {
-            continue;
-        }
-        auto const* const view = m_fleet.find(member.worker);
-        auto other = run;
-        other.task.index = stage->indices[i];
-        if (view == nullptr || !has_ended_unseen(*view, other))
-        {
-            return true;
-        }
-    }
-    return false;
+    auto const members = m_table.held_gang_runs(run.task);
+    return std::any_of(members.begin(),
+                       members.end(),
+                       [&](core::run_placement const& member)
+                       {
+                           auto const* const view = m_fleet.find(member.worker);
+                           return member.run.attempt == run.attempt &&
+                                  (view == nullptr ||
+                                   !has_ended_unseen(*view, member.run));
+                       });
 }
 
 } // namespace turmericswitch::workflow
