--- a/modules/workflow/table/stage_tasks.cpp
+++ b/modules/workflow/table/stage_tasks.cpp
@@ -166,6 +166,23 @@
     return result;
 }
 
+std::uint32_t count_gang_failure(core::stage_record& gang,
+                                 core::attempt_number attempt)
+{
+    auto& failed = gang.failed_attempts;
+    if (std::find(failed.begin(), failed.end(), attempt) == failed.end())
+    {
+        failed.push_back(attempt);
+    }
+    // Earlier releases have counted for each member only.
+    auto count = static_cast<std::uint32_t>(failed.size());
+    for (auto const& member : gang.tasks)
+    {
+        count = std::max(count, member.failures);
+    }
+    return count;
+}
+
 void drop_needless_records(core::stage_record& stage)
 {
     if (stage.indices.size() == stage.tasks.size())
--- a/modules/workflow/table/stage_tasks.hpp
+++ b/modules/workflow/table/stage_tasks.hpp
@@ -38,6 +38,13 @@
 std::vector<core::task_range> never_placed(core::stage_record const* stage,
                                            std::uint32_t tasks);
 
+/// Members of a gang that fail on one sick worker fail in the same attempt of
+/// the gang, which counts once.
+///
+/// @return Number of failed attempts of the gang.
+std::uint32_t count_gang_failure(core::stage_record& gang,
+                                 core::attempt_number attempt);
+
 /// Changes a record of an earlier release, which has a record of every task,
 /// to one with the records that are needed.
 void drop_needless_records(core::stage_record& stage);
--- a/modules/workflow/table/workflow_table_progress.cpp
+++ b/modules/workflow/table/workflow_table_progress.cpp
@@ -88,27 +88,6 @@
     return stage == nullptr ? nullptr : find_task_record(*stage, task.index);
 }
 
-/// Members of a gang that fail on one sick worker fail in the same attempt of
-/// the gang, which counts once.
-///
-/// @return Number of failed attempts of the gang.
-std::uint32_t count_gang_failure(core::stage_record& gang,
-                                 core::attempt_number attempt)
-{
-    auto& failed = gang.failed_attempts;
-    if (std::find(failed.begin(), failed.end(), attempt) == failed.end())
-    {
-        failed.push_back(attempt);
-    }
-    // Earlier releases have counted for each member only.
-    auto count = static_cast<std::uint32_t>(failed.size());
-    for (auto const& member : gang.tasks)
-    {
-        count = std::max(count, member.failures);
-    }
-    return count;
-}
-
 /// Drops the record of a task that is done, unless its workflow has ended.
 void drop_done_record_in(core::workflow_record& workflow,
                          core::task_ref const& task)
