--- a/modules/workflow/dispatch/late_starts.cpp
+++ b/modules/workflow/dispatch/late_starts.cpp
@@ -21,6 +21,11 @@
 /// follow the report, and its calls are repeated for 2 s.
 constexpr core::duration longest_start_period = std::chrono::seconds(3);
 
+/// From the last report of a sidecar until no start that it called can be
+/// executed.
+constexpr core::duration longest_delay_after_report =
+    longest_start_period + longest_call_delay;
+
 /// Callers allow a long-running task nine seconds without a run, in which it
 /// must also be placed and started.
 constexpr core::duration longest_long_running_delay = std::chrono::seconds(7);
@@ -108,9 +113,7 @@
         auto due = now + longest_start_delay;
         if (auto const* const view = m_fleet.find(outcome.worker))
         {
-            due = std::min(due,
-                           view->reported_at + longest_start_period +
-                               longest_call_delay);
+            due = std::min(due, view->reported_at + longest_delay_after_report);
         }
         m_open[outcome.run.task] = {now, due};
     }
@@ -126,15 +129,13 @@
                    [now](auto const& item)
                    { return is_expired(now, item.second); });
     std::erase_if(m_gangs,
-                  [now](auto const& item) {
-                      return now - item.second >=
-                             longest_start_period + longest_call_delay;
-                  });
+                  [now](auto const& item)
+                  { return now - item.second >= longest_delay_after_report; });
 }
 
 bool late_starts::is_expired(core::time_point now, named_starts const& starts)
 {
-    return now - starts.reported >= longest_start_period + longest_call_delay;
+    return now - starts.reported >= longest_delay_after_report;
 }
 
 bool late_starts::may_be_unnamed(worker_view const& worker,
