Keep the state of a probe in the ranking

The planner set a member of stage_placement around a call of rank_all, and only the ranking read it. rank_for_probe replaces that. Reflows a comment. No change of behaviour.

--- a/modules/workflow/dispatch/stage_placement.hpp
+++ b/modules/workflow/dispatch/stage_placement.hpp
@@ -26,9 +26,8 @@
 using speed_hook = std::function<worker_speed(core::worker_id const& worker,
                                               std::string const& image)>;
 
-/// @return True if recent samples show how best-effort tasks of the image
-/// affect
-///         a serving task on the worker.
+/// @return True if recent samples show the effect of best-effort tasks of the
+///         image on a serving task on the worker.
 using effect_hook = std::function<bool(core::worker_id const& worker,
                                        std::string const& image)>;
 
@@ -87,9 +86,6 @@
     pending_stage const& pending;
     placement_policy const& policy;
     crash_suspicion suspicion = crash_suspicion::none;
-    /// True while one task may start where it is predicted to raise a tail and
-    /// no recent sample shows that it does.
-    bool is_probe = false;
     /// Racks of the stage's tasks, including those placed by this plan.
     std::set<core::rack_id> racks;
     /// Filled for packed stages only.
--- a/modules/workflow/dispatch/task_placement.cpp
+++ b/modules/workflow/dispatch/task_placement.cpp
@@ -83,7 +83,7 @@
 {
     std::vector<core::run_placement> placed;
     stage_placement placement{
-        pending, policy, suspicion, false, pending.racks, spread_counts{}, {}};
+        pending, policy, suspicion, pending.racks, spread_counts{}, {}};
     if (policy.wide != nullptr)
     {
         placement.wide = policy.wide->largest(pending.service);
@@ -107,9 +107,7 @@
                               may_probe(pending, candidates, policy);
         if (is_probe)
         {
-            placement.is_probe = true;
-            ranking.rank_all();
-            placement.is_probe = false;
+            ranking.rank_for_probe();
             worker = ranking.best();
         }
         if (worker == nullptr)
--- a/modules/workflow/dispatch/worker_ranking.cpp
+++ b/modules/workflow/dispatch/worker_ranking.cpp
@@ -39,6 +39,18 @@
 }
 
 void worker_ranking::rank_all()
+{
+    m_is_probe = false;
+    rank_candidates();
+}
+
+void worker_ranking::rank_for_probe()
+{
+    m_is_probe = true;
+    rank_candidates();
+}
+
+void worker_ranking::rank_candidates()
 {
     m_ranked.clear();
     for (std::size_t i = 0; i < m_candidates.size(); ++i)
@@ -83,8 +95,7 @@
 bool worker_ranking::allows_probe(candidate_worker const& worker) const
 {
     auto const& image = m_placement.pending.description->behaviour.image;
-    return m_placement.is_probe &&
-           m_tail(worker.worker, worker.planned) < target_tail &&
+    return m_is_probe && m_tail(worker.worker, worker.planned) < target_tail &&
            !m_placement.policy.is_effect_known(worker.worker, image);
 }
 
--- a/modules/workflow/dispatch/worker_ranking.hpp
+++ b/modules/workflow/dispatch/worker_ranking.hpp
@@ -35,9 +35,14 @@
     /// Must be called after a task was placed on the best worker.
     void best_changed();
 
-    /// Must be called after the racks of the stage changed.
+    /// Must be called after the racks of the stage changed, and after a probe
+    /// was placed.
     void rank_all();
 
+    /// Ranks the workers for one task that may start where it is predicted to
+    /// raise a tail and no recent sample shows that it does.
+    void rank_for_probe();
+
 private:
     struct ranked_worker
     {
@@ -56,6 +61,7 @@
     ///         tail.
     bool allows_probe(candidate_worker const& worker) const;
     std::optional<ranked_worker> rank(std::size_t index);
+    void rank_candidates();
 
     std::vector<candidate_worker*> const& m_candidates;
     stage_placement const& m_placement;
@@ -64,6 +70,8 @@
     std::vector<ranked_worker> m_ranked;
     placement_obstacle m_obstacle = placement_obstacle::no_worker;
     bool m_is_limited_by_tail = false;
+    /// True while the workers are ranked for a probe.
+    bool m_is_probe = false;
 };
 
 } // namespace turmericswitch::workflow
