Send no request on a connection that the peer has closed

Cause: `async_client` took an idle connection if nothing could be read from it, which is also true of one that the peer has closed. The request was sent there and lost. For a start call, which isn't repeated by the client, such a loss is an unknown outcome, although no worker has received the call.

Change: an idle connection is used only if a non-blocking peek says that it is open and has nothing to read. Connections that are found closed count as one loss, because one restart closes all of them; so a worker that closes each connection is still recognised, and one that has restarted isn't taken for it.

A test is replaced: retry_that_is_refused_does_not_speak_for_the_first_try had a peer that closed the connection before the second request, which is now not sent there. Its peer reads the second request and then closes, which is the case that the test names; what it asserts is the same.

--- a/modules/web/client/async_client.cpp
+++ b/modules/web/client/async_client.cpp
@@ -152,24 +152,40 @@
         connect(pending);
     }
 
-    /// @return An open connection on which the peer has sent nothing beyond the
-    ///         earlier responses, or null. A response that nobody has requested
-    ///         would be taken for the answer to the next request.
+    /// @return A connection that the peer has not closed and on which it has
+    ///         sent nothing beyond the earlier responses, or null. A response
+    ///         that nobody has requested would be taken for the answer to the
+    ///         next request.
     std::shared_ptr<client_connection> take_idle()
     {
+        bool const had_idle = !m_idle.empty();
         while (!m_idle.empty())
         {
             auto connection = std::move(m_idle.back());
             m_idle.pop_back();
-            boost::system::error_code ignored;
-            if (connection->stream.socket().available(ignored) == 0)
+            if (is_silent(connection->stream.socket()))
             {
                 return connection;
             }
         }
+        // Several connections may have been lost at once, by one restart.
+        m_losses_in_a_row += had_idle ? 1 : 0;
         return nullptr;
     }
 
+    /// @return True if the peer has neither sent anything nor closed the
+    ///         connection. A request that is sent on a closed one gets no
+    ///         answer, and may not be repeated.
+    static bool is_silent(tcp::socket& socket)
+    {
+        boost::system::error_code status;
+        socket.non_blocking(true, status);
+        char byte = 0;
+        socket.receive(
+            boost::asio::buffer(&byte, 1), tcp::socket::message_peek, status);
+        return status == boost::asio::error::would_block;
+    }
+
     static void use_other_content(pending_request& pending)
     {
         if (pending.on_new_connection)
--- a/modules/web/tests/async_client_test.cpp
+++ b/modules/web/tests/async_client_test.cpp
@@ -29,6 +29,8 @@
     CPPUNIT_TEST(peer_that_closes_without_notice_gets_the_content);
     CPPUNIT_TEST(peer_that_ends_does_not_count_as_one_that_always_closes);
     CPPUNIT_TEST(retry_that_is_refused_does_not_speak_for_the_first_try);
+    CPPUNIT_TEST(connection_that_the_peer_has_closed_gets_no_request);
+    CPPUNIT_TEST(connections_that_are_closed_together_count_as_one_loss);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -270,24 +272,97 @@
         expect_targets(server, {"/for-any", "/for-the-first", "/for-any"});
     }
 
-    // The peer closes the connection and its port, as a worker that ends does.
-    // Guards against reporting that a request was not sent because its retry
-    // found no connection; the peer may have read the first try.
+    // The peer closes its port, reads a request and closes the connection, as a
+    // worker that ends does. Guards against reporting that a request was not
+    // sent because its retry found no connection; the peer has read the first
+    // try.
     void retry_that_is_refused_does_not_speak_for_the_first_try()
     {
+        listening_socket const listener;
+        std::thread peer(
+            [&listener]
+            {
+                int const socket = listener.accept();
+                listener.shut_down();
+                read_request_header(socket);
+                send_all(socket, empty_response);
+                read_request_header(socket);
+                ::close(socket);
+            });
+        transport::io_pool io(1);
+        async_client client(io, listener.address());
+        auto const first = send(client, "x").get();
+        auto const second = send(client, "y").get();
+        peer.join();
+        CPPUNIT_ASSERT(first.outcome == http_outcome::answered);
+        CPPUNIT_ASSERT(second.outcome == http_outcome::lost);
+    }
+
+    // A worker that has restarted, or closes connections that are idle. Guards
+    // against a start that is lost on a connection that can't carry it: it must
+    // not be called again for seconds, because it might be executed late.
+    void connection_that_the_peer_has_closed_gets_no_request()
+    {
+        scripted_server const server({empty_response, empty_response});
+        transport::io_pool io(1);
+        async_client client(io, server.address());
+        for (std::size_t i = 1; i <= 2; ++i)
+        {
+            CPPUNIT_ASSERT(
+                send(
+                    client, "x", std::chrono::seconds(20), lost_request::failed)
+                    .get()
+                    .outcome == http_outcome::answered);
+            while (server.closed() < i)
+            {
+                std::this_thread::sleep_for(std::chrono::milliseconds(1));
+            }
+        }
+    }
+
+    // A worker that restarts closes all of its connections. Guards against an
+    // acknowledgement for the earlier incarnation that reaches the next one,
+    // because the worker is taken for one that always closes.
+    void connections_that_are_closed_together_count_as_one_loss()
+    {
+        constexpr std::size_t parallel = 4;
+        std::atomic<std::size_t> in_progress = 0;
         server_options options;
         options.listen_on = {"127.0.0.1", 0};
         auto server = http_server::start(
-            options, [](http_request const&) { return text_response(""); });
+            options,
+            [&in_progress](http_request const&)
+            {
+                for (++in_progress; in_progress < parallel;)
+                {
+                    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+                }
+                return text_response("");
+            });
+        options.listen_on = server->bound();
         transport::io_pool io(1);
         async_client client(io, server->bound());
-        CPPUNIT_ASSERT(send(client, "x").get().outcome ==
-                       http_outcome::answered);
+        std::vector<std::future<http_result>> first;
+        for (std::size_t i = 0; i < parallel; ++i)
+        {
+            first.push_back(send(client, "together"));
+        }
+        for (auto& each : first)
+        {
+            CPPUNIT_ASSERT(each.get().outcome == http_outcome::answered);
+        }
         server.reset();
-        CPPUNIT_ASSERT(send(client, "y").get().outcome == http_outcome::lost);
+        server = http_server::start(options,
+                                    [](http_request const& request)
+                                    { return text_response(request.target); });
+        CPPUNIT_ASSERT_EQUAL(std::string("/for-any"),
+                             send_on_open(client).get().response.body);
     }
 
 private:
+    static constexpr char const* empty_response =
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
     /// Sends as many requests for one process as there are targets.
     static void expect_targets(closing_server const& server,
                                std::vector<std::string> const& targets)
--- a/modules/web/tests/raw_socket.hpp
+++ b/modules/web/tests/raw_socket.hpp
@@ -199,6 +199,12 @@
         return m_connections;
     }
 
+    /// @return Connections closed so far.
+    std::size_t closed() const
+    {
+        return m_closed;
+    }
+
 private:
     void run()
     {
@@ -213,12 +219,14 @@
             read_request_header(socket);
             send_all(socket, response);
             ::close(socket);
+            ++m_closed;
         }
     }
 
     std::vector<std::string> m_responses;
     listening_socket m_listener;
     std::atomic<std::size_t> m_connections = 0;
+    std::atomic<std::size_t> m_closed = 0;
     std::thread m_thread;
 };
 
