Keep the late end of a gang until its other members have ended

Cause: a member of a gang whose run was taken for ended is executed late and ends `done`, while another member of the same attempt is still being stopped. Such an end counts only when no member is placed, so it was neither counted nor withheld: it was acknowledged, and the gang ran again after it.

Change: an end `done` that waits for other members of its attempt is open, so it stays listed, and its worker is looked at again after each committed end.

--- a/modules/workflow/dispatch/end_collector.cpp
+++ b/modules/workflow/dispatch/end_collector.cpp
@@ -68,10 +68,17 @@
     return has_begun ? std::nullopt : later;
 }
 
+bool end_collector::waits_for_gang(core::ended_run const& ended) const
+{
+    return ended.how == core::run_end::done &&
+           m_table.waits_for_gang(ended.run);
+}
+
 bool end_collector::is_open(core::ended_run const& ended,
                             core::worker_id const& worker) const
 {
-    return is_uncommitted(ended, worker) || find_needless_run(ended);
+    return is_uncommitted(ended, worker) || waits_for_gang(ended) ||
+           find_needless_run(ended);
 }
 
 bool end_collector::has_uncommitted_ends(worker_view const& view) const
@@ -118,7 +125,7 @@
 }
 
 void end_collector::collect_reported_ends(
-    worker_view const& view, core::workflow_progress& command) const
+    worker_view const& view, core::workflow_progress& command)
 {
     auto const& worker = view.profile.worker;
     for (auto const& each : view.ended)
@@ -136,6 +143,10 @@
                                          each.how,
                                          each.checkpoint});
         }
+        else if (waits_for_gang(each))
+        {
+            m_waiting.insert(worker);
+        }
     }
     for (auto const& run : view.refused)
     {
@@ -266,6 +277,11 @@
         // An end in the worker's last report may have waited for this one.
         m_reported.insert(outcome.worker);
     }
+    if (!command.ends.empty())
+    {
+        m_reported.merge(m_waiting);
+        m_waiting.clear();
+    }
     for (auto const& checkpoint : command.checkpoints)
     {
         m_saved_at[checkpoint.run] = now;
--- a/modules/workflow/dispatch/end_collector.hpp
+++ b/modules/workflow/dispatch/end_collector.hpp
@@ -43,7 +43,7 @@
 
     /// @return True while the end, of the worker's last report, must not be
     ///         acknowledged: it is not committed, or waits for the end of a
-    ///         later run of its task.
+    ///         later run of its task or of the other members of its gang.
     bool is_open(core::ended_run const& ended,
                  core::worker_id const& worker) const;
 
@@ -54,13 +54,16 @@
     find_needless_run(core::ended_run const& ended) const;
 
 private:
+    /// @return True while the end is that of a gang whose other members have
+    ///         not ended.
+    bool waits_for_gang(core::ended_run const& ended) const;
     /// @return True while the end can be committed and is not.
     bool is_uncommitted(core::ended_run const& ended,
                         core::worker_id const& worker) const;
     /// The incarnation may have executed starts that were meant for an earlier
     /// one, so its ends count for runs on all of them.
     void collect_reported_ends(worker_view const& view,
-                               core::workflow_progress& command) const;
+                               core::workflow_progress& command);
     /// Adds workflows of which the worker lists a task for the first time.
     void collect_begun(worker_view& view,
                        core::workflow_progress& command) const;
@@ -83,6 +86,8 @@
     unseen_ends m_unseen_ends;
     /// Workers that reported since the last search for ends.
     std::set<core::worker_id> m_reported;
+    /// Workers with late ends of gangs of which other members have not ended.
+    std::set<core::worker_id> m_waiting;
     /// Workers that reported since the last search for checkpoints.
     std::set<core::worker_id> m_unsaved;
     core::time_point m_next_scan;
--- a/modules/workflow/table/workflow_table.hpp
+++ b/modules/workflow/table/workflow_table.hpp
@@ -135,6 +135,10 @@
     ///         no run now.
     bool accepts_late_end(core::task_run const& run) const;
 
+    /// @return True if an end `done` of this run, which is not held, will make
+    ///         its gang done when the other members of its attempt have ended.
+    bool waits_for_gang(core::task_run const& run) const;
+
     /// @return True if an end `failed` of this run, which is not held, counts:
     ///         the run was taken for ended before with a start that its worker
     ///         might still execute.
--- a/modules/workflow/table/workflow_table_progress.cpp
+++ b/modules/workflow/table/workflow_table_progress.cpp
@@ -209,6 +209,19 @@
                         { return member.placed; });
 }
 
+bool workflow_table::waits_for_gang(core::task_run const& run) const
+{
+    if (find_late_task(run) == nullptr)
+    {
+        return false;
+    }
+    auto const members = held_gang_runs(run.task);
+    return std::any_of(members.begin(),
+                       members.end(),
+                       [&run](core::run_placement const& member)
+                       { return member.run.attempt == run.attempt; });
+}
+
 std::optional<core::run_placement>
 workflow_table::run_before_late_end(core::task_run const& run) const
 {
--- a/modules/workflow/tests/start_affinity_review_test.cpp
+++ b/modules/workflow/tests/start_affinity_review_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(task_of_a_lost_instance_is_free_15_s_after_its_last_report);
     CPPUNIT_TEST(late_report_of_an_earlier_sidecar_resolves_no_start);
     CPPUNIT_TEST(late_end_of_a_gang_is_counted);
+    CPPUNIT_TEST(late_end_of_a_gang_waits_for_its_other_members);
     CPPUNIT_TEST(late_failure_counts_once);
     CPPUNIT_TEST(restored_long_running_task_waits_no_longer);
     CPPUNIT_TEST(no_start_beside_a_late_run_of_an_ended_job);
@@ -249,6 +250,41 @@
         CPPUNIT_ASSERT(state_of("g") == core::workflow_state::completed);
     }
 
+    // Guards against the same while another member of its attempt is being
+    // stopped: the end can't be counted before that one has ended.
+    void late_end_of_a_gang_waits_for_its_other_members()
+    {
+        auto gang = stage(2);
+        gang.behaviour.gang = true;
+        m_table = {};
+        m_table.submit(submission("g", {gang}), queue(), m_now);
+        core::workflow_progress by_earlier;
+        auto const first = run_of("g", 0, 0);
+        auto const second = run_of("g", 0, 1);
+        by_earlier.placements = {placed(first, "w1"), placed(second, "w2")};
+        m_table.progress(by_earlier, m_now);
+        report_free("w2");
+        auto report = report_of("w1");
+        report.refused = {first};
+        report.unresolved.runs = {first};
+        m_now += seconds(1);
+        send(report);
+        commit();
+        auto next = report_of("w1", 2);
+        next.runs->ended = {{1, first, core::run_end::done, {}}};
+        send(next);
+        plan();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, acknowledged_ends(2));
+        auto other = report_of("w2");
+        other.runs->ended = {{1, second, core::run_end::stopped, {}}};
+        m_now += seconds(1);
+        send(other);
+        commit();
+        commit();
+        CPPUNIT_ASSERT(state_of("g") == core::workflow_state::completed);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, acknowledged_ends(2));
+    }
+
     // Guards against a task that is started again after it has failed as often
     // as its queue allows, because the end of a late run was acknowledged
     // without being counted, and against one that is counted twice because the
