Count a worker without a list as changed for a new leader

Cause: a long-running task stays on the worker with an open start until that worker has not changed for 5 s. A leader that is elected after the worker has restarted sees its current incarnation first and took it for unchanged.

Change: an incarnation that the leader hears of first without a list counts as changed at that time.

--- a/modules/workflow/dispatch/worker_fleet.cpp
+++ b/modules/workflow/dispatch/worker_fleet.cpp
@@ -283,6 +283,11 @@
             added.late_starts_expire_at = before->late_starts_expire_at;
         }
     }
+    else if (!report.runs)
+    {
+        // It may have followed another incarnation before the election.
+        added.changed_at = now;
+    }
     // Only one worker runs on an instance at a time, so earlier ones have
     // ended.
     for (auto& [other, view] : m_workers)
--- a/modules/workflow/tests/start_affinity_test.cpp
+++ b/modules/workflow/tests/start_affinity_test.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(long_running_task_does_not_wait_too_long);
     CPPUNIT_TEST(long_running_task_stays_while_its_worker_restarts);
     CPPUNIT_TEST(long_running_task_returns_to_its_restarted_worker);
+    CPPUNIT_TEST(long_running_task_waits_for_a_worker_without_a_list);
     CPPUNIT_TEST(new_leader_counts_from_its_election);
     CPPUNIT_TEST(new_leader_counts_long_running_tasks_from_their_last_run);
     CPPUNIT_TEST(task_that_may_have_copies_does_not_wait);
@@ -208,6 +209,20 @@
         CPPUNIT_ASSERT_EQUAL(std::string("w1"), next_worker());
     }
 
+    // A worker has restarted, executed the start, and not listed it yet when a
+    // leader is elected. Guards against a second run elsewhere, because the new
+    // leader has seen no change of the worker.
+    void long_running_task_waits_for_a_worker_without_a_list()
+    {
+        refuse({long_running_stage()}, {m_run});
+        m_is_silent = true;
+        ++m_life;
+        m_has_list = false;
+        elect_after(std::chrono::milliseconds(6900));
+        pass(std::chrono::seconds(1));
+        CPPUNIT_ASSERT_EQUAL(std::string(), next_worker());
+    }
+
     // Guards against a new leader that takes the start for too old.
     void new_leader_counts_from_its_election()
     {
@@ -304,6 +319,10 @@
         result.runs =
             running(is_first ? m_listed : std::vector<core::task_run>());
         result.silent = is_first && m_is_silent;
+        if (is_first && !m_has_list)
+        {
+            result.runs.reset();
+        }
         result.unresolved = {is_first ? m_unresolved
                                       : std::vector<core::task_run>(),
                              !is_first || m_is_complete};
@@ -364,6 +383,7 @@
     std::vector<core::task_run> m_listed;
     bool m_is_complete = true;
     bool m_is_silent = false;
+    bool m_has_list = true;
     bool m_is_draining = false;
     std::uint64_t m_life = 1;
     /// When the wait of the task began.
