End requests as not sent whose time is over in the client's queue

Cause: calls without an answer hold all connections of the client until they time out.

Change: a request whose time is over when it leaves the queue is not sent.

The test was not run on the code before.

--- a/modules/web/client/async_client.cpp
+++ b/modules/web/client/async_client.cpp
@@ -142,6 +142,15 @@
             return;
         }
         ++m_in_use;
+        if (std::chrono::steady_clock::now() >= pending->deadline)
+        {
+            boost::asio::post(m_strand,
+                              [self = shared_from_this(), pending] {
+                                  self->fail_to_connect(
+                                      pending, "no connection became free");
+                              });
+            return;
+        }
         if (auto connection = take_idle())
         {
             pending->connection = std::move(connection);
--- a/modules/web/client/async_client.hpp
+++ b/modules/web/client/async_client.hpp
@@ -57,7 +57,8 @@
     /// Sends one request, or queues it while `max_connections` are in use.
     ///
     /// @param timeout From this call to the complete response, including the
-    /// time in the queue and for connecting.
+    /// time in the queue and for connecting. A request whose time is over when
+    /// it leaves the queue ends as `not_sent`.
     /// @param done Called once, on a thread of the pool.
     void request(http_request const& content,
                  core::duration timeout,
--- a/modules/web/tests/async_client_test.cpp
+++ b/modules/web/tests/async_client_test.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(retry_that_is_refused_does_not_speak_for_the_first_try);
     CPPUNIT_TEST(connection_that_the_peer_has_closed_gets_no_request);
     CPPUNIT_TEST(connections_that_are_closed_together_count_as_one_loss);
+    CPPUNIT_TEST(request_that_waits_too_long_in_the_queue_is_not_sent);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -359,6 +360,22 @@
                              send_on_open(client).get().response.body);
     }
 
+    // Calls without an answer hold all connections until they time out. Guards
+    // against a start that was never sent and counts as one that the worker may
+    // execute late.
+    void request_that_waits_too_long_in_the_queue_is_not_sent()
+    {
+        listening_socket const silent;
+        transport::io_pool io(1);
+        async_client_options options;
+        options.max_connections = 1;
+        async_client client(io, silent.address(), options);
+        auto first = send(client, "x", std::chrono::milliseconds(100));
+        auto second = send(client, "y", std::chrono::milliseconds(50));
+        CPPUNIT_ASSERT(first.get().outcome == http_outcome::lost);
+        CPPUNIT_ASSERT(second.get().outcome == http_outcome::not_sent);
+    }
+
 private:
     static constexpr char const* empty_response =
         "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
