--- a/modules/workflow/dispatch/dispatcher_ends.cpp
+++ b/modules/workflow/dispatch/dispatcher_ends.cpp
@@ -182,9 +182,8 @@
         bool const may_follow =
             m_late_starts.examine(now, run, first_call_after(run));
         each.is_start_unresolved = must_stay_if_unresolved(each) && may_follow;
-        bool const may_be_last = each.how == core::run_end::done ||
-                                 each.how == core::run_end::failed;
-        if (may_be_last && ended_gangs.insert(stage_of(each.run.task)).second)
+        if (is_end_of_task(each.how) &&
+            ended_gangs.insert(stage_of(each.run.task)).second)
         {
             for (auto const& member : m_table.held_gang_runs(each.run.task))
             {
--- a/modules/workflow/dispatch/late_starts.cpp
+++ b/modules/workflow/dispatch/late_starts.cpp
@@ -47,6 +47,11 @@
 
 } // namespace
 
+bool is_end_of_task(core::run_end how) noexcept
+{
+    return how == core::run_end::done || how == core::run_end::failed;
+}
+
 late_starts::late_starts(workflow_table const& table,
                          worker_fleet const& fleet,
                          core::time_point elected)
@@ -195,7 +200,7 @@
 
 bool late_starts::is_last_end(core::ended_run const& ended) const
 {
-    if (ended.how != core::run_end::done && ended.how != core::run_end::failed)
+    if (!is_end_of_task(ended.how))
     {
         return false;
     }
--- a/modules/workflow/dispatch/late_starts.hpp
+++ b/modules/workflow/dispatch/late_starts.hpp
@@ -25,6 +25,11 @@
     std::uint64_t last = 0;
 };
 
+/// @return True for an end by the task itself, `done` or `failed`. Callers
+/// count
+///         starts after one that is the last.
+bool is_end_of_task(core::run_end how) noexcept;
+
 /// Knows on which worker, and until when, a start of a task may still begin.
 ///
 /// A start call without an answer may be executed until `longest_call_delay`
