--- a/modules/workflow/agent/worker_agent.hpp
+++ b/modules/workflow/agent/worker_agent.hpp
@@ -132,6 +132,13 @@
     static constexpr core::duration retry_pause =
         std::chrono::milliseconds(200);
 
+    /// Pause between sync calls while the worker lists ended runs that the
+    /// leader has not acknowledged, or that an acknowledgement has not reached.
+    /// The worker answers immediately as long as its list has such entries, so
+    /// without the pause the calls would spin.
+    static constexpr core::duration unacknowledged_ends_pause =
+        std::chrono::milliseconds(50);
+
     struct pending_start
     {
         /// Its `lease_until` stays as of the order's receipt: the leader may
