--- a/modules/workflow/dispatch/order_reconciler.cpp
+++ b/modules/workflow/dispatch/order_reconciler.cpp
@@ -369,13 +369,13 @@
                 withdraw(id, seen);
             }
         }
-        else if (!is_running && needs_single_call(*stage) && !may_call(*run))
-        {
-            repeat_at = std::min(repeat_at, now + resend_after);
-        }
         else if (!is_running)
         {
-            if (is_due(sent.starts, *run, now, repeat_at))
+            if (needs_single_call(*stage) && !may_call(*run))
+            {
+                repeat_at = std::min(repeat_at, now + resend_after);
+            }
+            else if (is_due(sent.starts, *run, now, repeat_at))
             {
                 add_start(*run, *stage, worker, orders);
             }
