--- a/modules/workflow/dispatch/end_collector.cpp
+++ b/modules/workflow/dispatch/end_collector.cpp
@@ -124,8 +124,8 @@
                   { return m_table.holds().contains(worker); });
 }
 
-void end_collector::collect_reported_ends(
-    worker_view const& view, core::workflow_progress& command)
+void end_collector::collect_reported_ends(worker_view const& view,
+                                          core::workflow_progress& command)
 {
     auto const& worker = view.profile.worker;
     for (auto const& each : view.ended)
