--- a/modules/workflow/tests/replaced_sidecar_test.cpp
+++ b/modules/workflow/tests/replaced_sidecar_test.cpp
@@ -25,9 +25,8 @@
 public:
     // A sidecar is killed while its report of a refused start is under way. The
     // next one gets the order again and starts the run, at once if the task is
-    // a long-running one. Guards against the late
-    // report, which ends that run for the leader, so that its task is placed a
-    // second time.
+    // a long-running one. Guards against the late report, which ends that run
+    // for the leader, so that its task is placed a second time.
     void late_refusal_does_not_end_a_run_of_the_next_sidecar()
     {
         place({long_running_stage()});
@@ -139,14 +138,21 @@
         return result;
     }
 
-    void report_open()
+    /// @return A report of a sidecar whose worker runs nothing.
+    static core::runtime_report report_of(core::incarnation sidecar)
     {
         core::runtime_report result;
         result.host = core::instance_id("host");
-        result.sidecar = m_sidecar;
+        result.sidecar = sidecar;
         result.profile = profile("w1");
         result.clock = std::chrono::milliseconds(at_work_ms);
         result.runs.emplace();
+        return result;
+    }
+
+    void report_open()
+    {
+        auto result = report_of(m_sidecar);
         result.unresolved = {m_unresolved, m_knows_all_starts};
         result.order_version = m_order_version;
         m_dispatcher->report(m_now, std::move(result));
@@ -164,12 +170,7 @@
 
     void report_refused_by_first()
     {
-        core::runtime_report result;
-        result.host = core::instance_id("host");
-        result.sidecar = m_first;
-        result.profile = profile("w1");
-        result.clock = std::chrono::milliseconds(at_work_ms);
-        result.runs.emplace();
+        auto result = report_of(m_first);
         result.refused = {m_run};
         result.refused_under = m_first_token;
         m_dispatcher->report(m_now, std::move(result));
