Share the step that leaves a start to the next list

give_up_start repeated the end of handle_failed_start. No change of behaviour; single_start, worker_agent_orders, unresolved_starts and start_certainty_fuzz tests pass. The other tests were not rerun on this commit.

--- a/modules/workflow/agent/worker_agent.hpp
+++ b/modules/workflow/agent/worker_agent.hpp
@@ -293,6 +293,8 @@
     /// Stops waiting for the effect of a single call that can't be executed any
     /// more.
     void give_up_start(core::task_run const& run);
+    /// Stops the run unless a list that is made after this call has it.
+    void decide_by_next_list(core::task_run const& run);
     /// Lets the leader know that fewer starts may still be executed: tasks and
     /// acknowledgements may wait for that.
     void report_resolved_starts();
--- a/modules/workflow/agent/worker_agent_orders.cpp
+++ b/modules/workflow/agent/worker_agent_orders.cpp
@@ -238,11 +238,16 @@
 {
     if (m_awaited_starts.erase(run) > 0)
     {
-        m_undecided_starts.try_emplace(run, m_syncs_begun + 1);
-        request_list();
+        decide_by_next_list(run);
     }
 }
 
+void worker_agent::decide_by_next_list(core::task_run const& run)
+{
+    m_undecided_starts.try_emplace(run, m_syncs_begun + 1);
+    request_list();
+}
+
 void worker_agent::report_resolved_starts()
 {
     if (!m_profile || m_stopped || m_left)
@@ -343,8 +348,7 @@
         send_report();
         return;
     }
-    m_undecided_starts.try_emplace(run, m_syncs_begun + 1);
-    request_list();
+    decide_by_next_list(run);
 }
 
 bool worker_agent::is_refusal_certain(core::task_run const& run) const
