--- /dev/null
+++ b/review/harness-3/late_orders.cpp
@@ -0,0 +1,163 @@
+#include "deployment.hpp"
+
+#include <algorithm>
+#include <atomic>
+#include <cstdio>
+#include <exception>
+#include <mutex>
+#include <random>
+#include <string>
+
+// For some seconds, minions leave half of their orders unanswered and carry
+// them out late, while the last step of a submission starts.
+
+namespace
+{
+
+using namespace review;
+
+constexpr unsigned seed = 3;
+constexpr std::uint32_t tasks_in_last_step = 24;
+constexpr std::int64_t cpu_of_task = 500;
+constexpr std::int64_t first_work_ms = 5000;
+constexpr std::int64_t last_work_ms = 500;
+/// From the end of the traffic.
+constexpr int trouble_begins_ms = 4500;
+constexpr int trouble_ms = 5500;
+constexpr int least_delay_ms = 2000;
+constexpr int most_delay_ms = 12000;
+constexpr int finish_ms = 14000;
+constexpr int without_run_ms = 3000;
+constexpr int sample_ms = 20;
+
+/// The orders that are carried out late.
+class late_orders
+{
+public:
+    void begin()
+    {
+        m_until = steady_ms() + trouble_ms;
+    }
+
+    std::int64_t draw()
+    {
+        std::lock_guard const lock(m_mutex);
+        if (steady_ms() >= m_until || !std::bernoulli_distribution()(m_random))
+        {
+            return 0;
+        }
+        return std::uniform_int_distribution<std::int64_t>(
+            least_delay_ms, most_delay_ms)(m_random);
+    }
+
+private:
+    std::mutex m_mutex;
+    std::mt19937 m_random{seed};
+    std::atomic<std::int64_t> m_until = 0;
+};
+
+nlohmann::json submission()
+{
+    return {{"task_spec", "two steps"},
+            {"phases",
+             {{{"count", 1},
+               {"cpu", cpu_of_task},
+               {"mem_mb", 64},
+               {"estimate_ms", first_work_ms}},
+              {{"count", tasks_in_last_step},
+               {"cpu", cpu_of_task},
+               {"mem_mb", 64},
+               {"estimate_ms", last_work_ms},
+               {"depends_on", {0}}}}}};
+}
+
+int play(record& log)
+{
+    late_orders late;
+    deployment_options options;
+    options.adapt = [&late](std::size_t, minion_options& minion)
+    { minion.delays = [&late] { return late.draw(); }; };
+    deployment system(options, log);
+    if (!system.begin())
+    {
+        return 2;
+    }
+    auto const id = id_of(1);
+    system.all().plan(
+        id + ".0",
+        {"two steps", 1, cpu_of_task, 64, first_work_ms, false, false});
+    system.all().plan(id + ".1",
+                      {"two steps",
+                       tasks_in_last_step,
+                       cpu_of_task,
+                       64,
+                       last_work_ms,
+                       false,
+                       false});
+    if (!system.submit(id, submission()))
+    {
+        return 2;
+    }
+    auto const traffic_end = steady_ms();
+    log.line("the submission is accepted; the traffic ends");
+    pause_ms(trouble_begins_ms);
+    if (has_trouble())
+    {
+        late.begin();
+        log.line("for 5.5 s, half of the orders get no answer and are carried "
+                 "out 2 to 12 s later");
+    }
+    auto const asked_from = traffic_end + finish_ms;
+    std::int64_t idle_since = 0;
+    while (steady_ms() < asked_from + 2 * without_run_ms)
+    {
+        auto const runs = system.all().runs();
+        bool const is_running =
+            std::any_of(runs.begin(),
+                        runs.end(),
+                        [](run_record const& each) { return each.ended == 0; });
+        if (is_running || steady_ms() < asked_from)
+        {
+            idle_since = 0;
+        }
+        else if (auto const state = system.state_of(id); state == "completed")
+        {
+            log.line("it is shown as completed");
+            return 0;
+        }
+        else if (idle_since == 0)
+        {
+            idle_since = steady_ms();
+        }
+        else if (steady_ms() - idle_since >= without_run_ms)
+        {
+            auto const done = std::count_if(runs.begin(),
+                                            runs.end(),
+                                            [](run_record const& each)
+                                            { return each.how == "done"; });
+            log.line("LOST: 14 s after the end of the traffic, and for 3 s "
+                     "more, nothing of it runs on the idle minions; state " +
+                     state + ", " + std::to_string(done) + " of " +
+                     std::to_string(1 + tasks_in_last_step) + " tasks done");
+            return 1;
+        }
+        pause_ms(sample_ms);
+    }
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try
+    {
+        review::record log(argc > 1 ? argv[1] : "record.txt");
+        return play(log);
+    }
+    catch (std::exception const& error)
+    {
+        std::fprintf(stderr, "%s\n", error.what());
+        return 2;
+    }
+}
