--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -11,7 +11,7 @@
 for part in http minion deployment; do
     g++ "${flags[@]}" -c "$sources/$part.cpp" -o "$out/$part.o"
 done
-for program in many_occurrences wide_gang late_orders many_consumers; do
+for program in many_occurrences late_start late_orders wide_gang; do
     g++ "${flags[@]}" "$sources/$program.cpp" \
         "$out/http.o" "$out/minion.o" "$out/deployment.o" -o "$out/$program"
 done
--- a/review/harness-3/late_orders.cpp
+++ b/review/harness-3/late_orders.cpp
@@ -76,7 +76,7 @@
     late_orders late;
     deployment_options options;
     options.adapt = [&late](std::size_t, minion_options& minion)
-    { minion.delays = [&late] { return late.draw(); }; };
+    { minion.delays = [&late](std::string const&) { return late.draw(); }; };
     deployment system(options, log);
     if (!system.begin())
     {
--- a/review/harness-3/minion.cpp
+++ b/review/harness-3/minion.cpp
@@ -160,7 +160,12 @@
         m_sequence = 0;
         m_closed.clear();
         m_ended.clear();
-        m_late.clear();
+        if (!m_options.keeps_late_orders)
+        {
+            m_late.clear();
+        }
+        m_is_up = true;
+        carry_out_late_orders();
     }
     m_server = std::make_unique<server>(
         m_options.app, [this](request const& asked) { return serve(asked); });
@@ -228,7 +233,9 @@
     {
         return hold(body);
     }
-    auto const delay = m_options.delays ? m_options.delays() : 0;
+    auto const delay = m_options.delays
+                           ? m_options.delays(body.value("task", std::string()))
+                           : 0;
     if (delay > 0)
     {
         std::lock_guard const lock(m_mutex);
@@ -483,6 +490,22 @@
     }
 }
 
+void minion::carry_out_late_orders()
+{
+    auto const at = steady_ms();
+    for (auto const& each : std::exchange(m_late, {}))
+    {
+        if (each.due > at)
+        {
+            m_late.push_back(each);
+        }
+        else
+        {
+            carry_out(each.target, each.body);
+        }
+    }
+}
+
 void minion::tick()
 {
     while (!m_stopping)
@@ -490,18 +513,9 @@
         {
             std::lock_guard const lock(m_mutex);
             advance();
-            auto const at = steady_ms();
-            auto const all = std::exchange(m_late, {});
-            for (auto const& each : all)
+            if (m_is_up)
             {
-                if (each.due > at)
-                {
-                    m_late.push_back(each);
-                }
-                else
-                {
-                    carry_out(each.target, each.body);
-                }
+                carry_out_late_orders();
             }
         }
         std::this_thread::sleep_for(tick_pause);
--- a/review/harness-3/minion.hpp
+++ b/review/harness-3/minion.hpp
@@ -115,9 +115,13 @@
     std::function<bool(std::string const& task)> fails;
     /// How long a run works before it fails.
     std::int64_t fail_ms = 100;
-    /// @return After how many milliseconds the order that arrives now is
-    ///         carried out without an answer; 0 to carry it out and answer it.
-    std::function<std::int64_t()> delays;
+    /// @return After how many milliseconds the order that arrives now for the
+    ///         task is carried out without an answer; 0 to carry it out and
+    ///         answer it.
+    std::function<std::int64_t(std::string const& task)> delays;
+    /// True if an order that is due while the minion is down is carried out
+    /// when it is up again, before all other calls.
+    bool keeps_late_orders = false;
 };
 
 /// Stand-in for a minion, as the page on messages describes it. It doesn't
@@ -175,6 +179,7 @@
     std::optional<response> serve(request const& asked);
     response carry_out(std::string const& target, json const& body);
     void begin_life();
+    void carry_out_late_orders();
     response start(json const& body);
     response stop(json const& body);
     response hold(json const& body);
