--- a/review/harness-3/late_orders.cpp
+++ b/review/harness-3/late_orders.cpp
@@ -2,14 +2,17 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cstddef>
 #include <cstdio>
 #include <exception>
+#include <map>
 #include <mutex>
 #include <random>
 #include <string>
+#include <vector>
 
-// For some seconds, minions leave half of their orders unanswered and carry
-// them out late, while the last step of a submission starts.
+// For some seconds, minions leave a share of their orders unanswered and carry
+// them out late, while the last steps of some submissions start.
 
 namespace
 {
@@ -17,8 +20,10 @@
 using namespace review;
 
 constexpr unsigned seed = 3;
+constexpr unsigned submissions = 8;
 constexpr std::uint32_t tasks_in_last_step = 24;
-constexpr std::int64_t cpu_of_task = 500;
+constexpr std::int64_t cpu_of_task = 300;
+constexpr double share_of_late_orders = 0.061;
 constexpr std::int64_t first_work_ms = 5000;
 constexpr std::int64_t last_work_ms = 500;
 /// From the end of the traffic.
@@ -42,16 +47,31 @@
     std::int64_t draw()
     {
         std::lock_guard const lock(m_mutex);
-        if (steady_ms() >= m_until || !std::bernoulli_distribution()(m_random))
+        if (steady_ms() >= m_until)
         {
             return 0;
         }
+        ++m_orders;
+        if (!std::bernoulli_distribution(share_of_late_orders)(m_random))
+        {
+            return 0;
+        }
+        ++m_late;
         return std::uniform_int_distribution<std::int64_t>(
             least_delay_ms, most_delay_ms)(m_random);
     }
 
+    std::string summary()
+    {
+        std::lock_guard const lock(m_mutex);
+        return std::to_string(m_late) + " of " + std::to_string(m_orders) +
+               " orders in these 5.5 s got no answer";
+    }
+
 private:
     std::mutex m_mutex;
+    int m_orders = 0;
+    int m_late = 0;
     std::mt19937 m_random{seed};
     std::atomic<std::int64_t> m_until = 0;
 };
@@ -71,6 +91,26 @@
                {"depends_on", {0}}}}}};
 }
 
+bool is_running(std::vector<run_record> const& runs, std::string const& id)
+{
+    return std::any_of(runs.begin(),
+                       runs.end(),
+                       [&id](run_record const& each) {
+                           return each.ended == 0 && each.task.starts_with(id);
+                       });
+}
+
+std::ptrdiff_t count_done(std::vector<run_record> const& runs,
+                          std::string const& id)
+{
+    return std::count_if(runs.begin(),
+                         runs.end(),
+                         [&id](run_record const& each) {
+                             return each.how == "done" &&
+                                    each.task.starts_with(id);
+                         });
+}
+
 int play(record& log)
 {
     late_orders late;
@@ -82,62 +122,59 @@
     {
         return 2;
     }
-    auto const id = id_of(1);
-    system.all().plan(
-        id + ".0",
-        {"two steps", 1, cpu_of_task, 64, first_work_ms, false, false});
-    system.all().plan(id + ".1",
-                      {"two steps",
-                       tasks_in_last_step,
-                       cpu_of_task,
-                       64,
-                       last_work_ms,
-                       false,
-                       false});
-    if (!system.submit(id, submission()))
+    for (unsigned i = 1; i <= submissions; ++i)
     {
-        return 2;
+        auto const id = id_of(i);
+        system.all().plan(
+            id + ".0",
+            {"two steps", 1, cpu_of_task, 64, first_work_ms, false, false});
+        system.all().plan(id + ".1",
+                          {"two steps",
+                           tasks_in_last_step,
+                           cpu_of_task,
+                           64,
+                           last_work_ms,
+                           false,
+                           false});
+        if (!system.submit(id, submission()))
+        {
+            return 2;
+        }
     }
     auto const traffic_end = steady_ms();
-    log.line("the submission is accepted; the traffic ends");
+    log.line("the submissions are accepted; the traffic ends");
     pause_ms(trouble_begins_ms);
     if (has_trouble())
     {
         late.begin();
-        log.line("for 5.5 s, half of the orders get no answer and are carried "
-                 "out 2 to 12 s later");
+        log.line("for 5.5 s, a share of 0.061 of the orders gets no answer and "
+                 "is carried out 2 to 12 s later");
     }
     auto const asked_from = traffic_end + finish_ms;
-    std::int64_t idle_since = 0;
+    wait_until(finish_ms, [=] { return steady_ms() >= asked_from; });
+    log.line(late.summary());
+    std::map<std::string, std::int64_t> idle_since;
     while (steady_ms() < asked_from + 2 * without_run_ms)
     {
         auto const runs = system.all().runs();
-        bool const is_running =
-            std::any_of(runs.begin(),
-                        runs.end(),
-                        [](run_record const& each) { return each.ended == 0; });
-        if (is_running || steady_ms() < asked_from)
-        {
-            idle_since = 0;
-        }
-        else if (auto const state = system.state_of(id); state == "completed")
-        {
-            log.line("it is shown as completed");
-            return 0;
-        }
-        else if (idle_since == 0)
-        {
-            idle_since = steady_ms();
-        }
-        else if (steady_ms() - idle_since >= without_run_ms)
+        for (unsigned i = 1; i <= submissions; ++i)
         {
-            auto const done = std::count_if(runs.begin(),
-                                            runs.end(),
-                                            [](run_record const& each)
-                                            { return each.how == "done"; });
+            auto const id = id_of(i);
+            if (is_running(runs, id) || system.state_of(id) == "completed")
+            {
+                idle_since.erase(id);
+                continue;
+            }
+            auto const since = idle_since.try_emplace(id, steady_ms());
+            if (steady_ms() - since.first->second < without_run_ms)
+            {
+                continue;
+            }
             log.line("LOST: 14 s after the end of the traffic, and for 3 s "
-                     "more, nothing of it runs on the idle minions; state " +
-                     state + ", " + std::to_string(done) + " of " +
+                     "more, nothing of " +
+                     id + " runs on the idle minions; state " +
+                     system.state_of(id) + ", " +
+                     std::to_string(count_done(runs, id)) + " of " +
                      std::to_string(1 + tasks_in_last_step) + " tasks done");
             return 1;
         }
